Lay out the workspace, the schema and the result codes

Cause: nothing exists yet, and every part needs the same messages and result codes. Ruled out: one schema file for all (each subject has its own file and one generated package); go-jsonschema with validation methods (--only-models keeps plain structs for gob and TOML). Conclusion: the parts can be written side by side against these types.

--- /dev/null
+++ b/api/position.go
@@ -0,0 +1,37 @@
+package api
+
+import "fmt"
+
+// Compare returns -1, 0 or 1 as p lies before, at or after q. The term decides first.
+func (p Position) Compare(q Position) int {
+	switch {
+	case p.Term != q.Term && p.Term < q.Term:
+		return -1
+	case p.Term != q.Term:
+		return 1
+	case p.Offset < q.Offset:
+		return -1
+	case p.Offset > q.Offset:
+		return 1
+	default:
+		return 0
+	}
+}
+
+// Max returns the later of two positions.
+func (p Position) Max(q Position) Position {
+	if p.Compare(q) < 0 {
+		return q
+	}
+	return p
+}
+
+// IsZero reports whether p is the position before all records.
+func (p Position) IsZero() bool {
+	return p == Position{}
+}
+
+// String returns the position as term/offset.
+func (p Position) String() string {
+	return fmt.Sprintf("%d/%d", p.Term, p.Offset)
+}
--- /dev/null
+++ b/cmd/papayacove/main.go
@@ -0,0 +1,4 @@
+// Command papayacove is a part of papayacove.
+package main
+
+func main() {}
--- /dev/null
+++ b/cmd/papayacovectl/main.go
@@ -0,0 +1,4 @@
+// Command papayacovectl is a part of papayacove.
+package main
+
+func main() {}
--- /dev/null
+++ b/schema/generate.sh
@@ -0,0 +1,9 @@
+#!/usr/bin/env bash
+# Generates api/types.gen.go from the schemas. With an argument the output goes to that file.
+set -euo pipefail
+cd "$(dirname "$0")/.."
+out="${1:-api/types.gen.go}"
+.bin/go-jsonschema --package api --only-models --extra-imports --disable-omitempty --disable-omitzero \
+	--capitalization URL --capitalization ID --capitalization VM --capitalization TLS --tags json,toml \
+	--output "$out" schema/*.json
+gofmt -w "$out"
