target: add the adapter for status, orders and slot connections

The gate and the failover controller need one place that knows how a target is asked. Slots relay whole messages from a bufio.Reader, so pgproto3.Frontend is left out there: it decodes each message. pgproto3 types decode the few messages of start-up and status.

--- /dev/null
+++ b/internal/target/cancel.go
@@ -0,0 +1,39 @@
+package target
+
+import (
+	"context"
+	"encoding/binary"
+	"fmt"
+	"net"
+
+	"github.com/jackc/pgx/v5/pgproto3"
+)
+
+// CancelRequest asks the target at address to cancel the statement that a slot is running. The
+// target does not say whether there was one.
+func CancelRequest(ctx context.Context, address string, processID, secretKey uint32) error {
+	ctx, cancel := context.WithTimeout(ctx, defaultDialTimeout)
+	defer cancel()
+	var dialer net.Dialer
+	conn, err := dialer.DialContext(ctx, "tcp", address)
+	if err != nil {
+		return fmt.Errorf("%w: %s: %w", ErrUnreachable, address, err)
+	}
+	defer conn.Close()
+	release := bindDeadline(ctx, conn)
+	defer release()
+	request := pgproto3.CancelRequest{
+		ProcessID: processID,
+		SecretKey: binary.BigEndian.AppendUint32(nil, secretKey),
+	}
+	message, err := request.Encode(nil)
+	if err != nil {
+		return fmt.Errorf("encode cancel request: %w", err)
+	}
+	if _, err := conn.Write(message); err != nil {
+		return fmt.Errorf("send cancel request: %w", err)
+	}
+	// The target closes the connection once it has taken the request.
+	conn.Read(make([]byte, 1))
+	return nil
+}
--- /dev/null
+++ b/internal/target/control.go
@@ -0,0 +1,154 @@
+package target
+
+import (
+	"context"
+	"errors"
+	"fmt"
+	"strconv"
+	"time"
+
+	"github.com/jackc/pgx/v5/pgproto3"
+)
+
+// ControlDatabase is the database name of connections that use no slot.
+const ControlDatabase = "papayacove_control"
+
+// Control is a connection for status and orders. It uses no slot. It must not be used by two
+// goroutines at once. After an error other than a ServerError or ErrTermTooLow it is closed.
+type Control struct {
+	link *link
+}
+
+// DialControl connects to the target at address outside its slots.
+func DialControl(ctx context.Context, address string, options Options) (*Control, error) {
+	options.Database = ControlDatabase
+	l, err := dial(ctx, address, options, nil)
+	if err != nil {
+		return nil, err
+	}
+	return &Control{link: l}, nil
+}
+
+// Status answers as soon as the target has received the log up to waitOffset, or after wait.
+func (c *Control) Status(ctx context.Context, waitOffset uint64, wait time.Duration) (Status, error) {
+	return c.statusAfter(ctx, "received", waitOffset, wait)
+}
+
+// StatusApplied answers as soon as the target has applied the log up to waitOffset, or after
+// wait.
+func (c *Control) StatusApplied(ctx context.Context, waitOffset uint64, wait time.Duration) (Status, error) {
+	return c.statusAfter(ctx, "applied", waitOffset, wait)
+}
+
+func (c *Control) statusAfter(ctx context.Context, column string, offset uint64, wait time.Duration) (Status, error) {
+	if offset == 0 || wait <= 0 {
+		return c.ask(ctx, StatusQuery)
+	}
+	query := fmt.Sprintf("SELECT * FROM target_status('%s', %d, %d)", column, offset, wait.Milliseconds())
+	return c.ask(ctx, query)
+}
+
+// Fence raises the term of the target. Afterwards the target neither streams from nor accepts
+// writes of a lower term. It fails with ErrTermTooLow unless term is higher than that of the
+// target.
+func (c *Control) Fence(ctx context.Context, term uint64) (Status, error) {
+	return c.order(ctx, term, fmt.Sprintf("SELECT * FROM target_fence(%d)", term))
+}
+
+// Promote makes the target the primary of the term that it was fenced at. It is idempotent. The
+// returned status shows the start of the term as its log position.
+func (c *Control) Promote(ctx context.Context, term uint64) (Status, error) {
+	return c.order(ctx, term, fmt.Sprintf("SELECT * FROM target_promote(%d)", term))
+}
+
+// Follow makes the target a replica of the primary of term.
+func (c *Control) Follow(ctx context.Context, term uint64, primaryAddress string) (Status, error) {
+	query := fmt.Sprintf("SELECT * FROM target_follow(%d, %s)", term, quoteLiteral(primaryAddress))
+	return c.order(ctx, term, query)
+}
+
+// Close ends the connection.
+func (c *Control) Close() error {
+	return c.link.conn.Close()
+}
+
+func (c *Control) order(ctx context.Context, term uint64, query string) (Status, error) {
+	status, err := c.ask(ctx, query)
+	var refusal *ServerError
+	if errors.As(err, &refusal) && refusal.SQLState == sqlStateTermTooLow {
+		targetTerm, parseErr := strconv.ParseUint(refusal.Detail, 10, 64)
+		if parseErr != nil {
+			return Status{}, fmt.Errorf("term of the target: %w", parseErr)
+		}
+		return Status{}, &ErrTermTooLow{Asked: term, Term: targetTerm}
+	}
+	return status, err
+}
+
+// ask sends one query and reads the status row that answers it.
+func (c *Control) ask(ctx context.Context, query string) (Status, error) {
+	release := bindDeadline(ctx, c.link.conn)
+	defer release()
+	encoded, err := (&pgproto3.Query{String: query}).Encode(nil)
+	if err != nil {
+		return Status{}, fmt.Errorf("encode query: %w", err)
+	}
+	if err := c.link.wire.writeAndFlush(encoded); err != nil {
+		c.Close()
+		return Status{}, err
+	}
+	status, err := c.readStatus()
+	var refusal *ServerError
+	if err != nil && !errors.As(err, &refusal) {
+		c.Close()
+	}
+	return status, err
+}
+
+// readStatus reads up to ReadyForQuery.
+func (c *Control) readStatus() (Status, error) {
+	var status Status
+	var failure error
+	rows := 0
+	for {
+		messageType, body, err := c.link.wire.readRaw()
+		if err != nil {
+			return Status{}, errors.Join(failure, err)
+		}
+		switch messageType {
+		case messageDataRow:
+			rows++
+			status, failure = decodeStatusRow(body)
+		case messageError:
+			failure = decodeServerError(body)
+		case messageReadyForQuery:
+			return status, statusFailure(failure, rows)
+		}
+	}
+}
+
+func decodeStatusRow(body []byte) (Status, error) {
+	var row pgproto3.DataRow
+	if err := row.Decode(body); err != nil {
+		return Status{}, fmt.Errorf("decode status row: %w", err)
+	}
+	return ParseStatusRow(row.Values)
+}
+
+func statusFailure(failure error, rows int) error {
+	if failure == nil && rows != 1 {
+		return fmt.Errorf("status has %d rows", rows)
+	}
+	return failure
+}
+
+func quoteLiteral(s string) string {
+	quoted := []byte{'\''}
+	for i := range len(s) {
+		if s[i] == '\'' {
+			quoted = append(quoted, '\'')
+		}
+		quoted = append(quoted, s[i])
+	}
+	return string(append(quoted, '\''))
+}
--- /dev/null
+++ b/internal/target/errors.go
@@ -0,0 +1,61 @@
+package target
+
+import (
+	"errors"
+	"fmt"
+
+	"github.com/jackc/pgx/v5/pgproto3"
+)
+
+// Errors that callers tell apart with errors.Is.
+var (
+	// ErrNoSlot means that the target had no free connection; nothing ran.
+	ErrNoSlot = errors.New("target has no free slot")
+	// ErrUnreachable means that no connection to the target could be set up; nothing ran.
+	ErrUnreachable = errors.New("target is unreachable")
+	// ErrAuthentication means that the target refused the account.
+	ErrAuthentication = errors.New("target refused the account")
+)
+
+// SQLSTATE values that the adapter tells apart.
+const (
+	sqlStateTooManyConnections = "53300"
+	sqlStateTermTooLow         = "55T01"
+)
+
+// sqlStateClassAuthorization is the class of refused accounts.
+const sqlStateClassAuthorization = "28"
+
+// ErrTermTooLow is the refusal of an order whose term is not high enough. Use errors.As with a
+// pointer to it.
+type ErrTermTooLow struct {
+	// Asked is the term of the order.
+	Asked uint64
+	// Term is the term of the target.
+	Term uint64
+}
+
+// Error returns both terms.
+func (e *ErrTermTooLow) Error() string {
+	return fmt.Sprintf("term %d is too low: the target is at term %d", e.Asked, e.Term)
+}
+
+// ServerError is an ErrorResponse of the target.
+type ServerError struct {
+	SQLState string
+	Message  string
+	Detail   string
+}
+
+// Error returns the SQLSTATE and the message.
+func (e *ServerError) Error() string {
+	return fmt.Sprintf("target error %s: %s", e.SQLState, e.Message)
+}
+
+func decodeServerError(body []byte) error {
+	var response pgproto3.ErrorResponse
+	if err := response.Decode(body); err != nil {
+		return fmt.Errorf("decode error response: %w", err)
+	}
+	return &ServerError{SQLState: response.Code, Message: response.Message, Detail: response.Detail}
+}
--- /dev/null
+++ b/internal/target/status.go
@@ -0,0 +1,99 @@
+package target
+
+import (
+	"fmt"
+	"strconv"
+
+	"github.com/papayacove/papayacove/api"
+)
+
+// Role is what a target does in its group.
+type Role string
+
+// The roles of a target.
+const (
+	// RolePrimary accepts writes of its term.
+	RolePrimary Role = "primary"
+	// RoleReplica streams the log of a primary and serves reads.
+	RoleReplica Role = "replica"
+	// RoleFenced serves reads, and neither accepts writes nor streams.
+	RoleFenced Role = "fenced"
+)
+
+// Status is the state that a target reports of itself.
+type Status struct {
+	Role Role
+	// Term is the highest term that the target accepts; fence, promote and follow raise it.
+	Term uint64
+	// LogTerm is the term of the last log record.
+	LogTerm uint64
+	// Received is the offset of the last log record, counted across terms.
+	Received uint64
+	// Applied is the offset of the last log record that reads see.
+	Applied uint64
+	// AppliedTerm is the term of the last applied log record.
+	AppliedTerm uint64
+	// Leaving is true once the target is being stopped in a planned way.
+	Leaving bool
+}
+
+// LogPosition returns the position of the last log record that the target has received.
+func (s Status) LogPosition() api.Position {
+	return api.Position{Term: s.LogTerm, Offset: s.Received}
+}
+
+// AppliedPosition returns the position of the last log record that reads see.
+func (s Status) AppliedPosition() api.Position {
+	return api.Position{Term: s.AppliedTerm, Offset: s.Applied}
+}
+
+// StatusQuery asks for the status as one row of text values. It may also be sent as a simple
+// query on a slot connection.
+const StatusQuery = "SELECT * FROM target_status()"
+
+// The columns of the row that answers StatusQuery, in this order.
+const (
+	columnRole = iota
+	columnTerm
+	columnLogTerm
+	columnReceived
+	columnApplied
+	columnAppliedTerm
+	columnLeaving
+	statusColumns
+)
+
+// StatusColumns are the names of the columns that answer StatusQuery.
+var StatusColumns = [statusColumns]string{
+	"role", "term", "log_term", "received", "applied", "applied_term", "leaving",
+}
+
+// ParseStatusRow reads the text values of the row that answers StatusQuery.
+func ParseStatusRow(values [][]byte) (Status, error) {
+	if len(values) != statusColumns {
+		return Status{}, fmt.Errorf("status row has %d columns, want %d", len(values), statusColumns)
+	}
+	role := Role(values[columnRole])
+	if role != RolePrimary && role != RoleReplica && role != RoleFenced {
+		return Status{}, fmt.Errorf("status row has unknown role %q", values[columnRole])
+	}
+	s := Status{Role: role, Leaving: string(values[columnLeaving]) == "t"}
+	numbers := []struct {
+		column int
+		field  *uint64
+	}{
+		{columnTerm, &s.Term},
+		{columnLogTerm, &s.LogTerm},
+		{columnReceived, &s.Received},
+		{columnApplied, &s.Applied},
+		{columnAppliedTerm, &s.AppliedTerm},
+	}
+	for _, n := range numbers {
+		value, err := strconv.ParseUint(string(values[n.column]), 10, 64)
+		if err != nil {
+			return Status{}, fmt.Errorf("status column %s: %w", StatusColumns[n.column], err)
+		}
+		*n.field = value
+	}
+	return s, nil
+}
