standin/database: add a target with a log, terms, fencing and slots

Tests and benchmarks need targets that lag, are fenced and promoted, and run out of slots; no PostgreSQL server is started for them. Rows lie in SQLite, so that SQL, unique constraints and transactions are real. Each commit appends one log record in the same SQLite transaction; replicas store records before they apply them. State lies in a file of its own: an order must not wait for an open write transaction.

Ruled out: changesets of SQLite for the log, because they leave out schema changes.

--- /dev/null
+++ b/standin/database/apply.go
@@ -0,0 +1,121 @@
+package database
+
+import (
+	"context"
+	"time"
+
+	"zombiezen.com/go/sqlite"
+
+	"github.com/papayacove/papayacove/api"
+	"github.com/papayacove/papayacove/internal/target"
+)
+
+// applyRetryDelay is the pause after a record could not be applied.
+const applyRetryDelay = 200 * time.Millisecond
+
+// applyLoop applies received records after the lag.
+func (t *Target) applyLoop() {
+	for t.ctx.Err() == nil {
+		changed := t.watch()
+		worked, err := t.applyNext(false)
+		if err != nil {
+			t.log.WithError(err).Error("apply")
+			t.pause(applyRetryDelay)
+			continue
+		}
+		if worked {
+			continue
+		}
+		select {
+		case <-changed:
+		case <-t.ctx.Done():
+		}
+	}
+}
+
+// applyAll applies every received record without regard to the lag.
+func (t *Target) applyAll() error {
+	for {
+		worked, err := t.applyNext(true)
+		if err != nil || !worked {
+			return err
+		}
+	}
+}
+
+// applyNext applies the record after the applied position. It returns false when there is none
+// or the target is a primary.
+func (t *Target) applyNext(atOnce bool) (bool, error) {
+	received, applied := t.positions()
+	if applied.Offset >= received.Offset || t.snapshot().Role == target.RolePrimary {
+		return false, nil
+	}
+	entries, err := t.store.entriesAfter(applied.Offset, 1)
+	if err != nil || len(entries) == 0 {
+		return false, err
+	}
+	if !atOnce && !t.awaitLag(entries[0].committedAt(), Knobs.lag) {
+		return true, nil
+	}
+	return true, t.applyEntry(entries[0])
+}
+
+// applyEntry runs the record and moves the applied position in one transaction. A record that
+// another goroutine has applied or cut off meanwhile is left alone.
+func (t *Target) applyEntry(e entry) error {
+	return t.store.locked(func(c *sqlConn) error {
+		_, applied := t.positions()
+		stored, err := isStored(c, e.position())
+		if err != nil || !stored || applied.Offset+1 != e.Offset {
+			return err
+		}
+		err = c.inTransaction(func() error {
+			if err := replay(c, e); err != nil {
+				return err
+			}
+			return setApplied(c, e.Offset)
+		})
+		if err != nil {
+			return err
+		}
+		t.setApplied(e.position())
+		return nil
+	})
+}
+
+// isStored reports whether the log still has a record at p.
+func isStored(c *sqlConn, p api.Position) (bool, error) {
+	found := false
+	err := c.query(selectTerm, func(stmt *sqlite.Stmt) error {
+		found = uint64(stmt.ColumnInt64(0)) == p.Term
+		return nil
+	}, intDatum(int64(p.Offset)))
+	return found, err
+}
+
+// awaitLag waits until the lag has passed since at. It returns false when something changed in
+// between, so that the caller looks again.
+func (t *Target) awaitLag(at time.Time, lag func(Knobs) time.Duration) bool {
+	changed := t.watch()
+	left := time.Until(at.Add(lag(t.Knobs())))
+	if left <= 0 {
+		return true
+	}
+	timer := time.NewTimer(left)
+	defer timer.Stop()
+	select {
+	case <-timer.C:
+		return true
+	case <-changed:
+		return false
+	case <-t.ctx.Done():
+		return false
+	}
+}
+
+// pause waits for d or until the target stops.
+func (t *Target) pause(d time.Duration) {
+	ctx, cancel := context.WithTimeout(t.ctx, d)
+	defer cancel()
+	<-ctx.Done()
+}
--- /dev/null
+++ b/standin/database/catalog.go
@@ -0,0 +1,54 @@
+package database
+
+import (
+	"strings"
+
+	"zombiezen.com/go/sqlite"
+)
+
+// column is one column of a table or of a result.
+type column struct {
+	name string
+	// oid is the type number; 0 when it is unknown.
+	oid uint32
+}
+
+const selectColumns = "SELECT name, type FROM pragma_table_info(?1)"
+
+// forgetCatalog drops what is known about tables after a change of the schema.
+func (t *Target) forgetCatalog() {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	t.schemaVersion++
+}
+
+// catalogVersion counts changes of the schema.
+func (t *Target) catalogVersion() uint64 {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	return t.schemaVersion
+}
+
+// tableColumns returns the columns of a table as this connection sees it.
+func (c *sqlConn) tableColumns(table string) ([]column, error) {
+	var columns []column
+	err := c.query(selectColumns, func(stmt *sqlite.Stmt) error {
+		columns = append(columns, column{
+			name: strings.ToLower(stmt.ColumnText(0)),
+			oid:  storedOID(stmt.ColumnText(1)),
+		})
+		return nil
+	}, textDatum(table))
+	return columns, err
+}
+
+// findOID returns the type of the first column of that name; 0 when there is none.
+func findOID(columns []column, name string) uint32 {
+	name = strings.ToLower(name)
+	for _, c := range columns {
+		if c.name == name {
+			return c.oid
+		}
+	}
+	return 0
+}
--- /dev/null
+++ b/standin/database/client_test.go
@@ -0,0 +1,227 @@
+package database
+
+import (
+	"bytes"
+	"context"
+	"database/sql"
+	"errors"
+	"testing"
+	"time"
+
+	"github.com/jackc/pgx/v5"
+	"github.com/jackc/pgx/v5/pgconn"
+	_ "github.com/lib/pq"
+)
+
+const createCabinets = `CREATE TABLE cabinets (id bigint PRIMARY KEY, name text NOT NULL, done boolean NOT NULL DEFAULT false,
+	share double precision, photo bytea, at timestamptz NOT NULL DEFAULT now(), crew integer)`
+
+// state returns the SQLSTATE of err.
+func state(err error) string {
+	var pgErr *pgconn.PgError
+	if errors.As(err, &pgErr) {
+		return pgErr.Code
+	}
+	return ""
+}
+
+func TestPGXRoundTripOfTypes(t *testing.T) {
+	conn := connectPGX(t, startTarget(t, Options{}))
+	mustExec(t, conn, createCabinets)
+	at := time.Date(2026, 12, 3, 7, 30, 0, 123456000, time.UTC)
+	mustExec(t, conn, "INSERT INTO cabinets (id, name, done, share, photo, at, crew) VALUES ($1, $2, $3, $4, $5, $6, $7)",
+		int64(7), "K-7", true, 0.25, []byte{0, 1}, at, int32(3))
+	var (
+		id    int64
+		name  string
+		done  bool
+		share float64
+		photo []byte
+		when  time.Time
+		crew  int32
+	)
+	row := conn.QueryRow(testContext(t), "SELECT id, name, done, share, photo, at, crew FROM cabinets WHERE id = $1 AND done = $2", int64(7), true)
+	if err := row.Scan(&id, &name, &done, &share, &photo, &when, &crew); err != nil {
+		t.Fatal(err)
+	}
+	if id != 7 || name != "K-7" || !done || share != 0.25 || !bytes.Equal(photo, []byte{0, 1}) || !when.Equal(at) || crew != 3 {
+		t.Fatalf("got %v %v %v %v %v %v %v", id, name, done, share, photo, when, crew)
+	}
+	if n := mustQuery[int64](t, conn, "SELECT count(*) FROM cabinets WHERE id = ANY($1)", []int64{7, 8}); n != 1 {
+		t.Fatalf("ANY found %d rows", n)
+	}
+	if n := mustQuery[int64](t, conn, "UPDATE cabinets SET crew = crew + $1 WHERE id IN ($2, $3) RETURNING crew", 2, 7, 9); n != 5 {
+		t.Fatalf("crew is %d", n)
+	}
+	if n := mustQuery[int64](t, conn, "SELECT max(crew) FROM cabinets"); n != 5 {
+		t.Fatalf("max is %d", n)
+	}
+}
+
+func TestPGXTransactionsAndErrors(t *testing.T) {
+	ctx := testContext(t)
+	conn := connectPGX(t, startTarget(t, Options{}))
+	mustExec(t, conn, "CREATE TABLE claims (id bigserial PRIMARY KEY, key text UNIQUE)")
+	mustExec(t, conn, "INSERT INTO claims (key) VALUES ($1)", "k1")
+	tx, err := conn.Begin(ctx)
+	if err != nil {
+		t.Fatal(err)
+	}
+	if _, err := tx.Exec(ctx, "INSERT INTO claims (key) VALUES ($1)", "k2"); err != nil {
+		t.Fatal(err)
+	}
+	_, err = tx.Exec(ctx, "INSERT INTO claims (key) VALUES ($1)", "k1")
+	var pgErr *pgconn.PgError
+	if !errors.As(err, &pgErr) || pgErr.Code != stateUnique || pgErr.ConstraintName != "claims_key_key" {
+		t.Fatalf("repeated key gives %v", err)
+	}
+	if _, err = tx.Exec(ctx, "SELECT 1"); state(err) != stateFailedTransaction {
+		t.Fatalf("failed transaction gives %v", err)
+	}
+	if err := tx.Commit(ctx); !errors.Is(err, pgx.ErrTxCommitRollback) {
+		t.Fatalf("commit of a failed transaction gives %v", err)
+	}
+	if n := mustQuery[int64](t, conn, "SELECT count(*) FROM claims"); n != 1 {
+		t.Fatalf("%d rows after rollback", n)
+	}
+	if _, err := conn.Exec(ctx, "SELECT * FROM pg_catalog.pg_class"); err == nil {
+		t.Fatal("catalog query succeeded")
+	}
+	if _, err := conn.Exec(ctx, "COPY claims FROM STDIN"); state(err) != stateUnsupported {
+		t.Fatalf("COPY gives %v", err)
+	}
+	ro, err := conn.BeginTx(ctx, pgx.TxOptions{AccessMode: pgx.ReadOnly})
+	if err != nil {
+		t.Fatal(err)
+	}
+	if _, err := ro.Exec(ctx, "DELETE FROM claims"); state(err) != stateReadOnly {
+		t.Fatalf("write in a READ ONLY transaction gives %v", err)
+	}
+	ro.Rollback(ctx)
+}
+
+func TestSavepointUndoesAPart(t *testing.T) {
+	ctx := testContext(t)
+	conn := connectPGX(t, startTarget(t, Options{}))
+	mustExec(t, conn, "CREATE TABLE t (id bigint PRIMARY KEY)")
+	tx, err := conn.Begin(ctx)
+	if err != nil {
+		t.Fatal(err)
+	}
+	tx.Exec(ctx, "INSERT INTO t (id) VALUES (1)")
+	nested, err := tx.Begin(ctx)
+	if err != nil {
+		t.Fatal(err)
+	}
+	if _, err := nested.Exec(ctx, "INSERT INTO t (id) VALUES (1)"); state(err) != stateUnique {
+		t.Fatalf("duplicate gives %v", err)
+	}
+	if err := nested.Rollback(ctx); err != nil {
+		t.Fatal(err)
+	}
+	if err := tx.Commit(ctx); err != nil {
+		t.Fatal(err)
+	}
+	if n := mustQuery[int64](t, conn, "SELECT count(*) FROM t"); n != 1 {
+		t.Fatalf("%d rows", n)
+	}
+}
+
+func TestBatchIsOneTransaction(t *testing.T) {
+	conn := connectPGX(t, startTarget(t, Options{}))
+	mustExec(t, conn, "CREATE TABLE t (id bigint PRIMARY KEY)")
+	batch := &pgx.Batch{}
+	batch.Queue("INSERT INTO t (id) VALUES ($1)", int64(1))
+	batch.Queue("INSERT INTO t (id) VALUES ($1)", int64(1))
+	if err := conn.SendBatch(testContext(t), batch).Close(); state(err) != stateUnique {
+		t.Fatalf("batch gives %v", err)
+	}
+	if n := mustQuery[int64](t, conn, "SELECT count(*) FROM t"); n != 0 {
+		t.Fatalf("%d rows of a failed batch", n)
+	}
+	_, err := conn.Exec(testContext(t), "INSERT INTO t VALUES (5); INSERT INTO t VALUES (5)")
+	if state(err) != stateUnique {
+		t.Fatalf("script gives %v", err)
+	}
+	if n := mustQuery[int64](t, conn, "SELECT count(*) FROM t"); n != 0 {
+		t.Fatalf("%d rows of a failed script", n)
+	}
+}
+
+func TestSeriesAndRowLimit(t *testing.T) {
+	ctx := testContext(t)
+	conn := connectPGX(t, startTarget(t, Options{}))
+	if n := mustQuery[int64](t, conn, "SELECT sum(i) FROM generate_series(1, $1) AS s(i)", 1000); n != 500500 {
+		t.Fatalf("sum is %d", n)
+	}
+	reader := conn.PgConn().ExecParams(ctx, "SELECT generate_series(1, 100000)", nil, nil, nil, nil)
+	rows := 0
+	for reader.NextRow() {
+		rows++
+	}
+	if _, err := reader.Close(); err != nil || rows != 100000 {
+		t.Fatalf("%d rows, %v", rows, err)
+	}
+}
+
+func TestCancelAndTimeout(t *testing.T) {
+	s := startTarget(t, Options{})
+	conn := connectPGX(t, s)
+	mustExec(t, conn, "SET statement_timeout = '50ms'")
+	if _, err := conn.Exec(testContext(t), "SELECT pg_sleep(15)"); state(err) != stateCancelled {
+		t.Fatalf("timeout gives %v", err)
+	}
+	mustExec(t, conn, "SET statement_timeout = 0")
+	done := make(chan error, 1)
+	go func() {
+		_, err := conn.Exec(context.Background(), "SELECT pg_sleep($1)", 15.0)
+		done <- err
+	}()
+	await(t, "statement runs", func() bool {
+		sessions := s.openSessions()
+		return len(sessions) == 1 && sessions[0].running.Load()
+	})
+	if err := conn.PgConn().CancelRequest(testContext(t)); err != nil {
+		t.Fatal(err)
+	}
+	if err := <-done; state(err) != stateCancelled {
+		t.Fatalf("cancel gives %v", err)
+	}
+	mustExec(t, conn, "SELECT 1")
+}
+
+func TestLibPQ(t *testing.T) {
+	s := startTarget(t, Options{})
+	db, err := sql.Open("postgres", "postgres://tester@"+s.Address()+"/rounds?sslmode=disable")
+	if err != nil {
+		t.Fatal(err)
+	}
+	defer db.Close()
+	if _, err := db.Exec(createCabinets); err != nil {
+		t.Fatal(err)
+	}
+	at := time.Date(2026, 12, 3, 7, 30, 0, 0, time.UTC)
+	if _, err := db.Exec("INSERT INTO cabinets (id, name, done, photo, at) VALUES ($1, $2, $3, $4, $5)", 1, "x", true, []byte{9}, at); err != nil {
+		t.Fatal(err)
+	}
+	var id int
+	var done bool
+	var photo []byte
+	var when time.Time
+	if err := db.QueryRow("SELECT id, done, photo, at FROM cabinets WHERE name = $1", "x").Scan(&id, &done, &photo, &when); err != nil {
+		t.Fatal(err)
+	}
+	if id != 1 || !done || !bytes.Equal(photo, []byte{9}) || !when.Equal(at) {
+		t.Fatalf("got %v %v %v %v", id, done, photo, when)
+	}
+	tx, err := db.Begin()
+	if err != nil {
+		t.Fatal(err)
+	}
+	if _, err := tx.Exec("UPDATE cabinets SET name = $1 WHERE id = $2", "y", 1); err != nil {
+		t.Fatal(err)
+	}
+	if err := tx.Commit(); err != nil {
+		t.Fatal(err)
+	}
+}
--- /dev/null
+++ b/standin/database/extended.go
@@ -0,0 +1,180 @@
+package database
+
+import (
+	"github.com/jackc/pgx/v5/pgproto3"
+	"github.com/jackc/pgx/v5/pgtype"
+	"zombiezen.com/go/sqlite"
+)
+
+// portal is a bound statement.
+type portal struct {
+	prepared *prepared
+	params   []datum
+	formats  []int16
+	// rows are kept once the client asked for a limited number of them.
+	rows [][][]byte
+	kept bool
+	tag  string
+}
+
+func (s *session) parse(m *pgproto3.Parse) error {
+	if _, ok := s.statements[m.Name]; ok && m.Name != "" {
+		return failuref(stateDuplicateStatement, "prepared statement %q already exists", m.Name)
+	}
+	p, err := s.prepare(m.Query, m.ParameterOIDs)
+	if err != nil {
+		return err
+	}
+	s.statements[m.Name] = p
+	s.backend.Send(&pgproto3.ParseComplete{})
+	return nil
+}
+
+func (s *session) bind(m *pgproto3.Bind) error {
+	p, ok := s.statements[m.PreparedStatement]
+	if !ok {
+		return failuref(stateInvalidStatement, "prepared statement %q does not exist", m.PreparedStatement)
+	}
+	if len(m.Parameters) != len(p.parameters) {
+		return failuref(stateProtocolViolation, "bind message supplies %d parameters, but prepared statement %q requires %d",
+			len(m.Parameters), m.PreparedStatement, len(p.parameters))
+	}
+	params := make([]datum, len(m.Parameters))
+	for i, raw := range m.Parameters {
+		d, err := decode(s.types(), raw, p.parameters[i], formatOf(m.ParameterFormatCodes, i))
+		if err != nil {
+			return err
+		}
+		params[i] = d
+	}
+	formats := append([]int16(nil), m.ResultFormatCodes...)
+	s.portals[m.DestinationPortal] = &portal{prepared: p, params: params, formats: formats}
+	s.backend.Send(&pgproto3.BindComplete{})
+	return nil
+}
+
+func (s *session) describe(m *pgproto3.Describe) error {
+	if m.ObjectType == 'S' {
+		p, ok := s.statements[m.Name]
+		if !ok {
+			return failuref(stateInvalidStatement, "prepared statement %q does not exist", m.Name)
+		}
+		s.backend.Send(&pgproto3.ParameterDescription{ParameterOIDs: p.parameters})
+		s.describeColumns(p, nil)
+		return nil
+	}
+	o, ok := s.portals[m.Name]
+	if !ok {
+		return failuref(stateInvalidPortal, "portal %q does not exist", m.Name)
+	}
+	s.describeColumns(o.prepared, o.formats)
+	return nil
+}
+
+func (s *session) describeColumns(p *prepared, formats []int16) {
+	if !p.returnsRows() {
+		s.backend.Send(&pgproto3.NoData{})
+		return
+	}
+	s.backend.Send(rowDescription(p.columns, formats))
+}
+
+func (s *session) closeObject(m *pgproto3.Close) error {
+	if m.ObjectType == 'S' {
+		delete(s.statements, m.Name)
+	} else {
+		delete(s.portals, m.Name)
+	}
+	s.backend.Send(&pgproto3.CloseComplete{})
+	return nil
+}
+
+func (s *session) execute(m *pgproto3.Execute) error {
+	o, ok := s.portals[m.Portal]
+	if !ok {
+		return failuref(stateInvalidPortal, "portal %q does not exist", m.Portal)
+	}
+	if o.prepared.statement.Tag == "" {
+		s.backend.Send(&pgproto3.EmptyQueryResponse{})
+		return nil
+	}
+	if m.MaxRows > 0 || o.kept {
+		return s.executePart(o, int(m.MaxRows))
+	}
+	tag, err := s.runStatement(o.prepared, o.params, &portalSink{session: s, formats: o.formats})
+	if err != nil {
+		return err
+	}
+	if row := s.specialRow(o.prepared); row != nil {
+		if err := s.sendRow(row); err != nil {
+			return err
+		}
+	}
+	s.backend.Send(&pgproto3.CommandComplete{CommandTag: []byte(tag)})
+	return nil
+}
+
+// executePart sends up to limit rows of a portal; 0 is all that are left.
+func (s *session) executePart(o *portal, limit int) error {
+	if !o.kept {
+		sink := &keepSink{portal: o}
+		tag, err := s.runStatement(o.prepared, o.params, sink)
+		if err != nil {
+			return err
+		}
+		if row := s.specialRow(o.prepared); row != nil {
+			o.rows = append(o.rows, row)
+		}
+		o.kept = true
+		o.tag = tag
+	}
+	if limit == 0 || limit > len(o.rows) {
+		limit = len(o.rows)
+	}
+	for _, row := range o.rows[:limit] {
+		if err := s.sendRow(row); err != nil {
+			return err
+		}
+	}
+	o.rows = o.rows[limit:]
+	if len(o.rows) > 0 {
+		s.backend.Send(&pgproto3.PortalSuspended{})
+		return nil
+	}
+	s.backend.Send(&pgproto3.CommandComplete{CommandTag: []byte(o.tag)})
+	return nil
+}
+
+// portalSink sends rows in the formats of the portal.
+type portalSink struct {
+	session *session
+	formats []int16
+}
+
+func (k *portalSink) row(stmt *sqlite.Stmt, columns []column) error {
+	values, err := k.session.row.encodeRow(stmt, columns, k.formats)
+	if err != nil {
+		return err
+	}
+	return k.session.sendRow(values)
+}
+
+// keepSink keeps rows for a portal that is fetched in parts.
+type keepSink struct {
+	portal *portal
+}
+
+func (k *keepSink) row(stmt *sqlite.Stmt, columns []column) error {
+	var buffer rowBuffer
+	values, err := buffer.encodeRow(stmt, columns, k.portal.formats)
+	k.portal.rows = append(k.portal.rows, values)
+	return err
+}
+
+// types returns the codecs of the less common types.
+func (s *session) types() *pgtype.Map {
+	if s.typeMap == nil {
+		s.typeMap = pgtype.NewMap()
+	}
+	return s.typeMap
+}
--- /dev/null
+++ b/standin/database/helpers_test.go
@@ -0,0 +1,126 @@
+package database
+
+import (
+	"context"
+	"encoding/json"
+	"fmt"
+	"testing"
+	"time"
+
+	"github.com/jackc/pgx/v5"
+
+	"github.com/papayacove/papayacove/internal/target"
+)
+
+// eventually is the longest that a test waits for something to happen.
+const eventually = 20 * time.Second
+
+func testContext(t *testing.T) context.Context {
+	t.Helper()
+	ctx, cancel := context.WithTimeout(context.Background(), eventually)
+	t.Cleanup(cancel)
+	return ctx
+}
+
+// startTarget runs a target until the test ends.
+func startTarget(t *testing.T, options Options) *Target {
+	t.Helper()
+	if options.Name == "" {
+		options.Name = "a"
+	}
+	if options.DataDirectory == "" {
+		options.DataDirectory = t.TempDir()
+	}
+	s, err := New(options)
+	if err != nil {
+		t.Fatal(err)
+	}
+	if err := s.Start(); err != nil {
+		t.Fatal(err)
+	}
+	t.Cleanup(func() { s.Close() })
+	return s
+}
+
+// startGroup runs a primary and two replicas.
+func startGroup(t *testing.T) (primary, second, third *Target) {
+	t.Helper()
+	primary = startTarget(t, Options{Name: "a"})
+	replica := Options{InitialRole: target.RoleReplica, Primary: primary.Address()}
+	replica.Name = "b"
+	second = startTarget(t, replica)
+	replica.Name = "c"
+	third = startTarget(t, replica)
+	return primary, second, third
+}
+
+func connectPGX(t *testing.T, s *Target) *pgx.Conn {
+	t.Helper()
+	conn, err := pgx.Connect(testContext(t), fmt.Sprintf("postgres://tester@%s/rounds?sslmode=disable", s.Address()))
+	if err != nil {
+		t.Fatal(err)
+	}
+	t.Cleanup(func() { conn.Close(context.Background()) })
+	return conn
+}
+
+func mustExec(t *testing.T, conn *pgx.Conn, sql string, args ...any) {
+	t.Helper()
+	if _, err := conn.Exec(testContext(t), sql, args...); err != nil {
+		t.Fatalf("%s: %v", sql, err)
+	}
+}
+
+// mustQuery returns the single value of a query.
+func mustQuery[T any](t *testing.T, conn *pgx.Conn, sql string, args ...any) T {
+	t.Helper()
+	var value T
+	if err := conn.QueryRow(testContext(t), sql, args...).Scan(&value); err != nil {
+		t.Fatalf("%s: %v", sql, err)
+	}
+	return value
+}
+
+// await waits until done holds.
+func await(t *testing.T, what string, done func() bool) {
+	t.Helper()
+	deadline := time.Now().Add(eventually)
+	for !done() {
+		if time.Now().After(deadline) {
+			t.Fatalf("never happened: %s", what)
+		}
+		time.Sleep(2 * time.Millisecond)
+	}
+}
+
+// awaitApplied waits until s has applied what primary has committed.
+func awaitApplied(t *testing.T, s, primary *Target) {
+	t.Helper()
+	want := primary.Status().LogPosition()
+	await(t, "replica applies "+want.String(), func() bool {
+		return s.Status().AppliedPosition() == want
+	})
+}
+
+func dialControl(t *testing.T, s *Target) *target.Control {
+	t.Helper()
+	c, err := target.DialControl(testContext(t), s.Address(), target.Options{User: "tester"})
+	if err != nil {
+		t.Fatal(err)
+	}
+	t.Cleanup(func() { c.Close() })
+	return c
+}
+
+func equalJSON(t *testing.T, a, b any) bool {
+	t.Helper()
+	first, err := json.Marshal(a)
+	if err != nil {
+		t.Fatal(err)
+	}
+	second, err := json.Marshal(b)
+	if err != nil {
+		t.Fatal(err)
+	}
+	return string(first) == string(second)
+}
--- /dev/null
+++ b/standin/database/replication_test.go
@@ -0,0 +1,185 @@
+package database
+
+import (
+	"errors"
+	"testing"
+	"time"
+
+	"github.com/papayacove/papayacove/internal/target"
+)
+
+func TestReplicaAppliesTheSameRows(t *testing.T) {
+	primary, second, third := startGroup(t)
+	conn := connectPGX(t, primary)
+	mustExec(t, conn, "CREATE TABLE t (id bigserial PRIMARY KEY, r double precision, u text, at timestamptz DEFAULT now())")
+	for range 20 {
+		mustExec(t, conn, "INSERT INTO t (r, u) VALUES (random(), gen_random_uuid())")
+	}
+	want, err := primary.Dump("t")
+	if err != nil {
+		t.Fatal(err)
+	}
+	for _, replica := range []*Target{second, third} {
+		awaitApplied(t, replica, primary)
+		got, err := replica.Dump("t")
+		if err != nil {
+			t.Fatal(err)
+		}
+		if !equalJSON(t, got, want) {
+			t.Fatalf("replica has %v, want %v", got, want)
+		}
+	}
+	if _, err := connectPGX(t, second).Exec(testContext(t), "INSERT INTO t (r) VALUES (1)"); state(err) != stateReadOnly {
+		t.Fatalf("write on a replica gives %v", err)
+	}
+}
+
+func TestLagHoldsApplyingBackButNotReceiving(t *testing.T) {
+	primary, second, _ := startGroup(t)
+	second.SetKnobs(Knobs{LagMs: time.Hour.Milliseconds()})
+	conn := connectPGX(t, primary)
+	mustExec(t, conn, "CREATE TABLE t (id bigint)")
+	control := dialControl(t, second)
+	status, err := control.Status(testContext(t), primary.Status().Received, eventually)
+	if err != nil {
+		t.Fatal(err)
+	}
+	if status.LogPosition() != primary.Status().LogPosition() || status.Applied != 0 {
+		t.Fatalf("status is %+v", status)
+	}
+	second.SetKnobs(Knobs{})
+	if status, err = control.StatusApplied(testContext(t), status.Received, eventually); err != nil || status.Applied != status.Received {
+		t.Fatalf("status is %+v, %v", status, err)
+	}
+}
+
+func TestFencedPrimaryRefusesWrites(t *testing.T) {
+	ctx := testContext(t)
+	primary := startTarget(t, Options{})
+	conn, other := connectPGX(t, primary), connectPGX(t, primary)
+	mustExec(t, conn, "CREATE TABLE t (id bigint)")
+	tx, err := conn.Begin(ctx)
+	if err != nil {
+		t.Fatal(err)
+	}
+	if _, err := tx.Exec(ctx, "INSERT INTO t (id) VALUES ($1)", 1); err != nil {
+		t.Fatal(err)
+	}
+	control := dialControl(t, primary)
+	status, err := control.Fence(ctx, 2)
+	if err != nil || status.Role != target.RoleFenced || status.Term != 2 {
+		t.Fatalf("fence gives %+v, %v", status, err)
+	}
+	if err := tx.Commit(ctx); err == nil {
+		t.Fatal("transaction of the fenced term committed")
+	}
+	if _, err := other.Exec(ctx, "INSERT INTO t (id) VALUES (2)"); state(err) != stateReadOnly {
+		t.Fatalf("write after the fence gives %v", err)
+	}
+	if n := mustQuery[int64](t, other, "SELECT count(*) FROM t"); n != 0 {
+		t.Fatalf("%d rows", n)
+	}
+	var tooLow *target.ErrTermTooLow
+	if _, err := control.Fence(ctx, 2); !errors.As(err, &tooLow) || tooLow.Term != 2 {
+		t.Fatalf("second fence gives %v", err)
+	}
+	if _, err := control.Promote(ctx, 3); err == nil {
+		t.Fatal("promoted to a term that was not fenced")
+	}
+}
+
+// promote fences s and other at term, and promotes s.
+func promote(t *testing.T, term uint64, s, other *Target) target.Status {
+	t.Helper()
+	for _, fenced := range []*Target{s, other} {
+		if _, err := fenced.Fence(term); err != nil {
+			t.Fatal(err)
+		}
+	}
+	status, err := dialControl(t, s).Promote(testContext(t), term)
+	if err != nil {
+		t.Fatal(err)
+	}
+	return status
+}
+
+func TestPromotionAppliesAllThatWasReceived(t *testing.T) {
+	primary, second, third := startGroup(t)
+	second.SetKnobs(Knobs{LagMs: time.Hour.Milliseconds()})
+	conn := connectPGX(t, primary)
+	mustExec(t, conn, "CREATE TABLE t (id bigint)")
+	mustExec(t, conn, "INSERT INTO t (id) VALUES (1)")
+	received := primary.Status().Received
+	await(t, "replica receives", func() bool { return second.Status().Received == received })
+	status := promote(t, 2, second, third)
+	if status.Role != target.RolePrimary || status.LogTerm != 2 || status.Received != received+1 || status.Applied != received+1 {
+		t.Fatalf("promotion gives %+v", status)
+	}
+	again, err := dialControl(t, second).Promote(testContext(t), 2)
+	if err != nil || again != status {
+		t.Fatalf("second promotion gives %+v, %v", again, err)
+	}
+	if _, err := third.Follow(2, second.Address()); err != nil {
+		t.Fatal(err)
+	}
+	mustExec(t, connectPGX(t, second), "INSERT INTO t (id) VALUES (2)")
+	awaitApplied(t, third, second)
+	if n := mustQuery[int64](t, connectPGX(t, third), "SELECT count(*) FROM t"); n != 2 {
+		t.Fatalf("%d rows on the follower", n)
+	}
+}
+
+func TestReplacedPrimaryDropsWhatNobodyElseHas(t *testing.T) {
+	primary, second, third := startGroup(t)
+	conn := connectPGX(t, primary)
+	mustExec(t, conn, "CREATE TABLE t (id bigint PRIMARY KEY)")
+	mustExec(t, conn, "INSERT INTO t (id) VALUES (1)")
+	awaitApplied(t, second, primary)
+	awaitApplied(t, third, primary)
+	primary.SetKnobs(Knobs{CutFrom: []string{"b", "c"}})
+	mustExec(t, conn, "INSERT INTO t (id) VALUES (100)")
+	mustExec(t, conn, "CREATE TABLE lost (id bigint)")
+	promote(t, 2, second, third)
+	mustExec(t, connectPGX(t, second), "INSERT INTO t (id) VALUES (2)")
+	if _, err := third.Follow(2, second.Address()); err != nil {
+		t.Fatal(err)
+	}
+	primary.SetKnobs(Knobs{})
+	if _, err := primary.Follow(2, second.Address()); err != nil {
+		t.Fatal(err)
+	}
+	want, err := second.Dump("t")
+	if err != nil {
+		t.Fatal(err)
+	}
+	for _, follower := range []*Target{primary, third} {
+		awaitApplied(t, follower, second)
+		got, err := follower.Dump("t")
+		if err != nil || !equalJSON(t, got, want) {
+			t.Fatalf("%s has %v, %v, want %v", follower.options.Name, got, err, want)
+		}
+	}
+	if _, err := primary.Dump("lost"); err == nil {
+		t.Fatal("a table that was cut off is still there")
+	}
+}
+
+func TestReopenedTargetKeepsRowsAndTerm(t *testing.T) {
+	directory := t.TempDir()
+	first := startTarget(t, Options{DataDirectory: directory})
+	conn := connectPGX(t, first)
+	mustExec(t, conn, "CREATE TABLE t (id bigint)")
+	mustExec(t, conn, "INSERT INTO t (id) VALUES (1)")
+	if _, err := first.Fence(4); err != nil {
+		t.Fatal(err)
+	}
+	want := first.Status()
+	first.Close()
+	second := startTarget(t, Options{DataDirectory: directory})
+	if got := second.Status(); got != want {
+		t.Fatalf("status is %+v, want %+v", got, want)
+	}
+	if n := mustQuery[int64](t, connectPGX(t, second), "SELECT count(*) FROM t"); n != 1 {
+		t.Fatalf("%d rows", n)
+	}
+}
--- /dev/null
+++ b/standin/database/simple.go
@@ -0,0 +1,99 @@
+package database
+
+import (
+	"github.com/jackc/pgx/v5/pgproto3"
+	"zombiezen.com/go/sqlite"
+
+	"github.com/papayacove/papayacove/standin/database/sqltext"
+)
+
+// simpleQuery runs the statements of a Query message. Outside a block all of them are one
+// transaction.
+func (s *session) simpleQuery(sql string) error {
+	statements := sqltext.Split(sql)
+	if len(statements) == 0 {
+		s.backend.Send(&pgproto3.EmptyQueryResponse{})
+	}
+	for i, statement := range statements {
+		if err := s.simpleStatement(statement, i == len(statements)-1); err != nil {
+			if err := s.reportFailure(err); err != nil {
+				return err
+			}
+			break
+		}
+	}
+	s.sendReady()
+	return s.flush()
+}
+
+// simpleStatement runs one statement. The last one is complete only once it is committed.
+func (s *session) simpleStatement(sql string, last bool) error {
+	p, err := s.prepare(sql, nil)
+	if err != nil {
+		return err
+	}
+	sink := &simpleSink{session: s}
+	tag, err := s.runStatement(p, nil, sink)
+	if err != nil {
+		return err
+	}
+	if err := s.specialRows(p, sink); err != nil {
+		return err
+	}
+	if p.returnsRows() && !sink.described {
+		s.backend.Send(rowDescription(p.columns, nil))
+	}
+	if last {
+		if err := s.endImplicit(); err != nil {
+			return err
+		}
+	}
+	s.backend.Send(&pgproto3.CommandComplete{CommandTag: []byte(tag)})
+	return nil
+}
+
+// simpleSink sends rows as text and describes them before the first one.
+type simpleSink struct {
+	session   *session
+	columns   []column
+	described bool
+}
+
+func (k *simpleSink) row(stmt *sqlite.Stmt, columns []column) error {
+	if !k.described {
+		k.columns = typesByValue(stmt, columns)
+		k.describe(k.columns)
+	}
+	values, err := k.session.row.encodeRow(stmt, k.columns, nil)
+	if err != nil {
+		return err
+	}
+	return k.session.sendRow(values)
+}
+
+func (k *simpleSink) describe(columns []column) {
+	k.described = true
+	k.session.backend.Send(rowDescription(columns, nil))
+}
+
+// specialRows answers statements whose rows do not come from SQLite.
+func (s *session) specialRows(p *prepared, sink *simpleSink) error {
+	rows := s.specialRow(p)
+	if rows == nil {
+		return nil
+	}
+	sink.describe(p.columns)
+	return s.sendRow(rows)
+}
+
+// specialRow returns the row of SHOW and of the status query, or nil.
+func (s *session) specialRow(p *prepared) [][]byte {
+	switch p.statement.Kind {
+	case sqltext.KindShow:
+		return [][]byte{[]byte(s.showSetting(p.statement.Setting))}
+	case sqltext.KindStatus:
+		return statusRow(s.target.Status())
+	default:
+		return nil
+	}
+}
--- /dev/null
+++ b/standin/database/sqltext/statement.go
@@ -0,0 +1,350 @@
+package sqltext
+
+import (
+	"strconv"
+	"strings"
+)
+
+// Kind says how a statement is carried out.
+type Kind int
+
+// The kinds of statements.
+const (
+	// KindUnsupported is a statement that the stand-in refuses.
+	KindUnsupported Kind = iota
+	// KindRead returns rows and changes nothing.
+	KindRead
+	// KindWrite changes rows.
+	KindWrite
+	// KindSchema changes tables or indexes.
+	KindSchema
+	KindBegin
+	KindCommit
+	KindRollback
+	// KindSavepoint is SAVEPOINT, RELEASE or ROLLBACK TO.
+	KindSavepoint
+	KindSet
+	KindShow
+	// KindReset is RESET or DISCARD.
+	KindReset
+	// KindStatus is the query for the status of the target.
+	KindStatus
+	// KindNoOperation is accepted and does nothing.
+	KindNoOperation
+)
+
+// Statement is what is known about one statement.
+type Statement struct {
+	Kind Kind
+	// Tag is the first part of the command tag, such as INSERT.
+	Tag string
+	// SQL is the text for SQLite.
+	SQL string
+	// ReadOnly is set by BEGIN READ ONLY and SET TRANSACTION READ ONLY.
+	ReadOnly bool
+	// LocksRows is set for SELECT FOR UPDATE and the like.
+	LocksRows bool
+	// ReturnsRows is true for reads and for writes with RETURNING.
+	ReturnsRows bool
+	// RollbackTo is true for ROLLBACK TO SAVEPOINT.
+	RollbackTo bool
+	// Setting and Value belong to KindSet, KindShow and KindReset.
+	Setting string
+	Value   string
+	// Local is true for SET LOCAL.
+	Local bool
+	// Tables are the names of the tables that the statement mentions.
+	Tables []string
+	// Parameters hold a hint for each parameter; the first one is $1.
+	Parameters []Hint
+	// Columns hold a hint for each result column; nil when the select list has a star.
+	Columns []Hint
+}
+
+// tags maps the first word of a statement to its kind.
+var kinds = map[string]Kind{
+	"select": KindRead, "values": KindRead, "with": KindRead, "table": KindRead,
+	"insert": KindWrite, "update": KindWrite, "delete": KindWrite, "truncate": KindWrite,
+	"create": KindSchema, "drop": KindSchema, "alter": KindSchema,
+	"begin": KindBegin, "start": KindBegin,
+	"commit": KindCommit, "end": KindCommit,
+	"rollback": KindRollback, "abort": KindRollback,
+	"savepoint": KindSavepoint, "release": KindSavepoint,
+	"set": KindSet, "show": KindShow, "reset": KindReset, "discard": KindReset,
+	"lock": KindNoOperation, "analyze": KindNoOperation, "vacuum": KindNoOperation,
+	"deallocate": KindNoOperation, "comment": KindNoOperation, "grant": KindNoOperation,
+}
+
+// StatusFunction is the name of the function that returns the status of the target.
+const StatusFunction = "target_status"
+
+// Parse reads one statement without a semicolon.
+func Parse(sql string) Statement {
+	tokens := tokenize(sql)
+	if len(tokens) == 0 {
+		return Statement{Kind: KindNoOperation}
+	}
+	s := Statement{Kind: kinds[tokens[0].text], Tag: strings.ToUpper(tokens[0].text)}
+	switch s.Kind {
+	case KindRead, KindWrite, KindSchema:
+		parseData(&s, sql, tokens)
+	case KindBegin:
+		s.Tag = "BEGIN"
+		s.ReadOnly = hasSequence(tokens, "read", "only")
+	case KindCommit:
+		s.Tag = "COMMIT"
+	case KindRollback:
+		parseRollback(&s, sql, tokens)
+	case KindSavepoint:
+		s.SQL = sql
+	case KindSet:
+		parseSet(&s, sql, tokens)
+	case KindShow, KindReset:
+		s.Setting = settingName(tokens[1:])
+	}
+	return s
+}
+
+func parseData(s *Statement, sql string, tokens []token) {
+	s.LocksRows = s.Kind == KindRead && lockClause(tokens) >= 0
+	if word := dataChange(tokens); s.Kind == KindRead && word != "" {
+		s.Kind = KindWrite
+	}
+	if tokens[0].text == "with" {
+		s.Tag = withTag(tokens)
+	}
+	if s.Kind == KindSchema && len(tokens) > 1 {
+		s.Tag = schemaTag(tokens)
+	}
+	if s.Kind == KindRead && hasSequence(tokens, StatusFunction, "(") {
+		s.Kind = KindStatus
+	}
+	s.ReturnsRows = s.Kind == KindRead || indexOf(tokens, "returning") >= 0
+	s.Tables = tableNames(tokens)
+	s.Parameters = parameterHints(tokens)
+	s.Columns = columnHints(tokens)
+	s.SQL = translate(sql, tokens, s.Kind)
+}
+
+// dataChange returns the first word that makes a WITH query a write.
+func dataChange(tokens []token) string {
+	if tokens[0].text != "with" {
+		return ""
+	}
+	for _, t := range tokens {
+		if t.is("insert") || t.is("update") || t.is("delete") {
+			return t.text
+		}
+	}
+	return ""
+}
+
+// withTag returns the tag of the main statement of a WITH query.
+func withTag(tokens []token) string {
+	depth := 0
+	for _, t := range tokens {
+		depth += depthChange(t)
+		if depth == 0 && (t.is("select") || t.is("insert") || t.is("update") || t.is("delete")) {
+			return strings.ToUpper(t.text)
+		}
+	}
+	return "SELECT"
+}
+
+// schemaTag returns the tag such as CREATE TABLE.
+func schemaTag(tokens []token) string {
+	object := tokens[1].text
+	for _, t := range tokens[1:] {
+		if t.is("table") || t.is("index") || t.is("view") || t.is("sequence") || t.is("extension") {
+			object = t.text
+			break
+		}
+	}
+	return strings.ToUpper(tokens[0].text + " " + object)
+}
+
+func parseRollback(s *Statement, sql string, tokens []token) {
+	s.Tag = "ROLLBACK"
+	if indexOf(tokens, "to") < 0 {
+		return
+	}
+	s.Kind = KindSavepoint
+	s.RollbackTo = true
+	s.SQL = sql
+}
+
+func parseSet(s *Statement, sql string, tokens []token) {
+	rest := tokens[1:]
+	if len(rest) > 0 && (rest[0].is("session") || rest[0].is("local")) {
+		s.Local = rest[0].is("local")
+		rest = rest[1:]
+	}
+	if len(rest) > 0 && (rest[0].is("transaction") || rest[0].is("characteristics")) {
+		s.Setting = "transaction"
+		if rest[0].is("characteristics") {
+			s.Setting = "default_transaction_read_only"
+			s.Value = onOff(hasSequence(rest, "read", "only"))
+		}
+		s.ReadOnly = hasSequence(rest, "read", "only")
+		return
+	}
+	for i, t := range rest {
+		if !t.is("=") && !t.is("to") {
+			continue
+		}
+		s.Setting = settingName(rest[:i])
+		s.Value = settingValue(sql, rest[i+1:])
+		return
+	}
+	s.Setting = settingName(rest)
+}
+
+func settingName(tokens []token) string {
+	var name strings.Builder
+	for _, t := range tokens {
+		name.WriteString(t.text)
+	}
+	return strings.ToLower(name.String())
+}
+
+func settingValue(sql string, tokens []token) string {
+	if len(tokens) == 0 {
+		return ""
+	}
+	if len(tokens) == 1 && tokens[0].kind == kindString {
+		return unquote(tokens[0].text, "'")
+	}
+	return strings.Trim(sql[tokens[0].start:tokens[len(tokens)-1].end], `"`)
+}
+
+func onOff(on bool) string {
+	if on {
+		return "on"
+	}
+	return "off"
+}
+
+// tableNames returns the names that follow FROM, JOIN, INTO, UPDATE and TABLE.
+func tableNames(tokens []token) []string {
+	var names []string
+	for i, t := range tokens {
+		if !isTableKeyword(t) {
+			continue
+		}
+		names = append(names, namesAfter(tokens[i+1:])...)
+	}
+	return names
+}
+
+func isTableKeyword(t token) bool {
+	switch t.text {
+	case "from", "join", "into", "update", "table", "truncate":
+		return t.kind == kindWord
+	default:
+		return false
+	}
+}
+
+// namesAfter returns the comma separated table names at the start of tokens.
+func namesAfter(tokens []token) []string {
+	var names []string
+	for i := 0; i < len(tokens); i++ {
+		t := tokens[i]
+		switch {
+		case t.is("only") || t.is("table") || t.is("if") || t.is("not") || t.is("exists"):
+			continue
+		case t.isName() && i+2 < len(tokens) && tokens[i+1].is("."):
+			i += 2
+			names = append(names, tokens[i].text)
+		case t.isName():
+			names = append(names, t.text)
+		default:
+			return names
+		}
+		comma := commaAfterAlias(tokens, i+1)
+		if comma < 0 {
+			return names
+		}
+		i = comma
+	}
+	return names
+}
+
+// commaAfterAlias returns the index of a comma that follows an optional alias, or -1.
+func commaAfterAlias(tokens []token, i int) int {
+	if i < len(tokens) && tokens[i].is("as") {
+		i++
+	}
+	if i+1 < len(tokens) && tokens[i].isName() && tokens[i+1].is(",") {
+		i++
+	}
+	if i < len(tokens) && tokens[i].is(",") {
+		return i
+	}
+	return -1
+}
+
+func indexOf(tokens []token, word string) int {
+	for i, t := range tokens {
+		if t.is(word) {
+			return i
+		}
+	}
+	return -1
+}
+
+// hasSequence reports whether the words follow each other somewhere.
+func hasSequence(tokens []token, words ...string) bool {
+	return indexOfSequence(tokens, words...) >= 0
+}
+
+func indexOfSequence(tokens []token, words ...string) int {
+	for i := 0; i+len(words) <= len(tokens); i++ {
+		matched := true
+		for j, word := range words {
+			matched = matched && tokens[i+j].is(word)
+		}
+		if matched {
+			return i
+		}
+	}
+	return -1
+}
+
+// lockClause returns the index of FOR UPDATE or its kin, or -1.
+func lockClause(tokens []token) int {
+	for i := 0; i+1 < len(tokens); i++ {
+		if !tokens[i].is("for") {
+			continue
+		}
+		next := tokens[i+1]
+		if next.is("update") || next.is("share") || next.is("no") || next.is("key") {
+			return i
+		}
+	}
+	return -1
+}
+
+// depthChange returns how the token changes the nesting of parentheses.
+func depthChange(t token) int {
+	switch {
+	case t.is("("):
+		return 1
+	case t.is(")"):
+		return -1
+	default:
+		return 0
+	}
+}
+
+// parameterNumber returns the number of a parameter token, counted from 1.
+func parameterNumber(t token) int {
+	n, err := strconv.Atoi(t.text)
+	if err != nil || n < 1 || n > maxParameters {
+		return 1
+	}
+	return n
+}
+
+// maxParameters is the largest number of parameters of a statement.
+const maxParameters = 65535
--- /dev/null
+++ b/standin/database/sqltext/translate.go
@@ -0,0 +1,206 @@
+package sqltext
+
+import (
+	"strings"
+)
+
+// storedTypes maps PostgreSQL types to the declared types in SQLite. The declared type gives the
+// column its affinity, and is what the result type is read from.
+var storedTypes = map[string]string{
+	"bigint": "INT8", "int8": "INT8", "integer": "INT4", "int": "INT4", "int4": "INT4",
+	"smallint": "INT2", "int2": "INT2", "boolean": "BOOLEAN", "bool": "BOOLEAN",
+	"text": "TEXT", "varchar": "TEXT", "character varying": "TEXT", "char": "TEXT",
+	"character": "TEXT", "bytea": "BLOB", "double precision": "DOUBLE", "float8": "DOUBLE",
+	"real": "DOUBLE", "float4": "DOUBLE", "numeric": "NUMERIC", "decimal": "NUMERIC",
+	"timestamptz": "TIMESTAMPTZ", "timestamp with time zone": "TIMESTAMPTZ",
+	"timestamp": "TIMESTAMP", "timestamp without time zone": "TIMESTAMP", "date": "DATE",
+	"json": "JSON_TEXT", "jsonb": "JSONB_TEXT", "uuid": "UUID_TEXT",
+}
+
+// rewriter copies a statement and replaces parts of it.
+type rewriter struct {
+	sql    string
+	tokens []token
+	out    strings.Builder
+	// copied is the index in sql up to which the text has been copied or replaced.
+	copied int
+}
+
+// translate returns the statement in the words of SQLite.
+func translate(sql string, tokens []token, kind Kind) string {
+	r := &rewriter{sql: sql, tokens: tokens}
+	if tokens[0].is("truncate") {
+		return truncateAsDelete(tokens)
+	}
+	for i := 0; i < len(tokens); {
+		i = r.step(i, kind)
+	}
+	r.out.WriteString(sql[r.copied:])
+	return r.out.String()
+}
+
+// step handles the token at index i and returns the index of the next one.
+func (r *rewriter) step(i int, kind Kind) int {
+	t := r.tokens[i]
+	switch {
+	case t.kind == kindParameter:
+		return r.replace(i, i+1, "?"+t.text)
+	case t.is("::") && i+1 < len(r.tokens):
+		_, end := typeName(r.tokens, i+1)
+		return r.replace(i, end, "")
+	case t.is("current_timestamp"):
+		return r.replace(i, i+1, "now()")
+	case t.is("ilike"):
+		return r.replace(i, i+1, "LIKE")
+	case t.is("public") && i+1 < len(r.tokens) && r.tokens[i+1].is("."):
+		return r.replace(i, i+2, "")
+	case t.is("for") && lockClause(r.tokens) == i:
+		return r.replace(i, len(r.tokens), "")
+	case t.is("any") && i > 0 && r.tokens[i-1].is("="):
+		return r.arrayMembership(i)
+	case t.is("generate_series"):
+		return r.series(i)
+	case kind == KindSchema:
+		return r.schemaStep(i)
+	default:
+		return i + 1
+	}
+}
+
+// replace puts text in the place of the tokens from first up to but not including end.
+func (r *rewriter) replace(first, end int, text string) int {
+	r.out.WriteString(r.sql[r.copied:r.tokens[first].start])
+	r.out.WriteString(text)
+	end = min(end, len(r.tokens))
+	r.copied = r.tokens[end-1].end
+	return end
+}
+
+// arrayMembership turns "= ANY($1)" into "IN (SELECT value FROM json_each(?1))".
+func (r *rewriter) arrayMembership(i int) int {
+	if i+3 >= len(r.tokens) || !r.tokens[i+1].is("(") || r.tokens[i+2].kind != kindParameter {
+		return i + 1
+	}
+	end := i + 3
+	for end < len(r.tokens) && !r.tokens[end].is(")") {
+		end++
+	}
+	text := "IN (SELECT value FROM json_each(?" + r.tokens[i+2].text + "))"
+	// The equals sign has been passed but not copied yet.
+	return r.replace(i-1, end+1, text)
+}
+
+// series turns generate_series(first, last) into a recursive query. The column takes the name of
+// the alias, as in PostgreSQL.
+func (r *rewriter) series(i int) int {
+	if i+1 >= len(r.tokens) || !r.tokens[i+1].is("(") {
+		return i + 1
+	}
+	first, last, end := r.seriesBounds(i + 2)
+	column, next := r.seriesAlias(end)
+	query := "(WITH RECURSIVE series(" + column + ") AS (SELECT " + first + " UNION ALL SELECT " +
+		column + " + 1 FROM series WHERE " + column + " < " + last + ") SELECT " + column + " FROM series)"
+	if i > 0 && r.tokens[i-1].is("select") {
+		return r.replace(i, end, column+" FROM "+query)
+	}
+	return r.replace(i, next, query+" AS "+column)
+}
+
+// seriesBounds returns the two arguments that start at index i and the index after the closing
+// parenthesis.
+func (r *rewriter) seriesBounds(i int) (first, last string, end int) {
+	depth, start := 1, i
+	for end = i; end < len(r.tokens); end++ {
+		depth += depthChange(r.tokens[end])
+		if depth == 1 && r.tokens[end].is(",") && first == "" {
+			first = r.translated(start, end)
+			start = end + 1
+		}
+		if depth == 0 {
+			break
+		}
+	}
+	return first, r.translated(start, end), end + 1
+}
+
+// translated returns the translation of the tokens from start up to but not including end.
+func (r *rewriter) translated(start, end int) string {
+	if start >= end {
+		return ""
+	}
+	part := r.sql[r.tokens[start].start:r.tokens[end-1].end]
+	return translate(part, tokenize(part), KindRead)
+}
+
+// seriesAlias returns the column name and the index after the alias.
+func (r *rewriter) seriesAlias(i int) (column string, next int) {
+	const fallback = "generate_series"
+	j := i
+	if j < len(r.tokens) && r.tokens[j].is("as") {
+		j++
+	}
+	if j >= len(r.tokens) || !r.tokens[j].isName() || endsSelectList(r.tokens[j]) {
+		return fallback, i
+	}
+	if j+3 < len(r.tokens) && r.tokens[j+1].is("(") && r.tokens[j+3].is(")") {
+		return r.tokens[j+2].text, j + 4
+	}
+	return r.tokens[j].text, j + 1
+}
+
+// schemaStep rewrites column types and defaults of CREATE TABLE and ALTER TABLE.
+func (r *rewriter) schemaStep(i int) int {
+	t := r.tokens[i]
+	switch {
+	case t.is("bigserial") || t.is("serial"):
+		return r.serial(i, i+1)
+	case t.is("default") && i+2 < len(r.tokens) && r.tokens[i+2].is("("):
+		return r.defaultCall(i)
+	case t.kind == kindWord && i > 0 && r.tokens[i-1].isName() && !r.tokens[i-1].is("as"):
+		return r.storedType(i)
+	default:
+		return i + 1
+	}
+}
+
+func (r *rewriter) storedType(i int) int {
+	name, end := typeName(r.tokens, i)
+	if end < len(r.tokens) && r.tokens[end].is("generated") && hasSequence(r.tokens[end:], "identity") {
+		return r.serial(i, end+indexOf(r.tokens[end:], "identity")+1)
+	}
+	if stored, ok := storedTypes[name]; ok {
+		return r.replace(i, end, stored)
+	}
+	return i + 1
+}
+
+// serial turns a serial column into the row id, which SQLite numbers by itself. The type takes
+// the tokens from i up to but not including end.
+func (r *rewriter) serial(i, end int) int {
+	if end+1 < len(r.tokens) && r.tokens[end].is("primary") && r.tokens[end+1].is("key") {
+		end += 2
+	}
+	return r.replace(i, end, "INTEGER PRIMARY KEY AUTOINCREMENT")
+}
+
+// defaultCall puts parentheses around a function call after DEFAULT.
+func (r *rewriter) defaultCall(i int) int {
+	depth := 0
+	for end := i + 2; end < len(r.tokens); end++ {
+		depth += depthChange(r.tokens[end])
+		if depth == 0 {
+			call := r.sql[r.tokens[i+1].start:r.tokens[end].end]
+			return r.replace(i, end+1, "DEFAULT ("+call+")")
+		}
+	}
+	return i + 1
+}
+
+// truncateAsDelete turns TRUNCATE into a DELETE without a condition.
+func truncateAsDelete(tokens []token) string {
+	names := namesAfter(tokens[1:])
+	if len(names) == 0 {
+		return "DELETE FROM"
+	}
+	return `DELETE FROM "` + names[0] + `"`
+}
