--- a/api/types.gen.go
+++ b/api/types.gen.go
@@ -323,6 +323,10 @@
 	// PeerAddress is the host:port for other daemons.
 	PeerAddress string `json:"peer_address" toml:"peer_address"`
 
+	// Peers are peer addresses of some other daemons, asked for the configuration
+	// while the platform cannot be reached.
+	Peers []string `json:"peers" toml:"peers"`
+
 	// PlatformURL is the base URL of the platform object API.
 	PlatformURL string `json:"platform_url" toml:"platform_url"`
 
