--- /dev/null
+++ b/internal/policy/confirm/tracker.go
@@ -0,0 +1,206 @@
+package confirm
+
+import (
+	"time"
+
+	"github.com/papayacove/papayacove/api"
+	"github.com/papayacove/papayacove/internal/result"
+	"github.com/sirupsen/logrus"
+)
+
+// MajorityWindow is the time within which a majority must have been seen before a write is admitted.
+const MajorityWindow = time.Second
+
+// admissionRetryAfter is the time after which a caller that was not admitted may come back.
+const admissionRetryAfter = 200 * time.Millisecond
+
+// Tracker keeps the newest answer of each target of a group for one primary and its term.
+// It is not safe for concurrent use.
+type Tracker struct {
+	rule     Rule
+	primary  string
+	term     uint64
+	members  int
+	validity time.Duration
+
+	primaryAnswer  Answer
+	replicaAnswers []Answer
+
+	confirmed  api.Position
+	validUntil time.Time
+}
+
+// NewTracker returns a Tracker for a primary and its term in a group of the given number of members.
+func NewTracker(primary string, term uint64, members int, validity time.Duration) *Tracker {
+	return &Tracker{rule: DefaultRule, primary: primary, term: term, members: members, validity: validity}
+}
+
+// Term returns the term that the tracker was made for.
+func (t *Tracker) Term() uint64 {
+	return t.term
+}
+
+// Primary returns the name of the primary that the tracker was made for.
+func (t *Tracker) Primary() string {
+	return t.primary
+}
+
+// Confirmed returns the highest position that was ever confirmed in the term.
+func (t *Tracker) Confirmed() api.Position {
+	return t.confirmed
+}
+
+// Observe takes in the answer of a target; answers asked for earlier than the kept one are dropped.
+func (t *Tracker) Observe(a Answer) {
+	if a.Target == t.primary {
+		if t.primaryAnswer.Target == "" || !a.AskedAt.Before(t.primaryAnswer.AskedAt) {
+			t.primaryAnswer = a
+		}
+		return
+	}
+	for i := range t.replicaAnswers {
+		if t.replicaAnswers[i].Target != a.Target {
+			continue
+		}
+		if !a.AskedAt.Before(t.replicaAnswers[i].AskedAt) {
+			t.replicaAnswers[i] = a
+		}
+		return
+	}
+	t.replicaAnswers = append(t.replicaAnswers, a)
+}
+
+// Decide decides on a commit or on the position of a read. A position that was confirmed in this
+// term is confirmed at once while that confirmation is valid. committedAt is the time at which
+// the target's reply came in.
+func (t *Tracker) Decide(position api.Position, committedAt, now time.Time) Decision {
+	if position.Term == t.term && position.Compare(t.confirmed) <= 0 && now.Before(t.validUntil) {
+		return t.alreadyConfirmed(position)
+	}
+	d := t.rule.Decide(position, t.evidence(committedAt), now, t.members, t.validity)
+	if d.Outcome == Confirmed && position.Term == t.term {
+		t.confirm(d)
+	}
+	return d
+}
+
+func (t *Tracker) alreadyConfirmed(position api.Position) Decision {
+	needed := Majority(t.members)
+	return Decision{
+		Outcome:    Confirmed,
+		Reason:     ReasonMajorityHolds,
+		Commit:     position,
+		Holding:    needed,
+		Following:  needed,
+		Needed:     needed,
+		ValidUntil: t.validUntil,
+	}
+}
+
+// confirm keeps the highest confirmed position. A lower position that is confirmed for longer
+// does not extend the validity of a higher one.
+func (t *Tracker) confirm(d Decision) {
+	if d.Commit.Compare(t.confirmed) < 0 {
+		return
+	}
+	t.confirmed = d.Commit
+	t.validUntil = d.ValidUntil
+}
+
+// Floor decides on the position that a new session may rely on: the end of the primary's log,
+// looked at after requestedAt, once it is confirmed. Every commit that was acknowledged before
+// requestedAt lies at or before it, also one that another gate of the same primary acknowledged.
+// Commit of the decision is the floor, for the outcomes Confirmed and FenceOnly.
+func (t *Tracker) Floor(requestedAt, now time.Time) Decision {
+	p := t.primaryAnswer
+	if p.Target == "" || p.AskedAt.Before(requestedAt) {
+		return Decision{Outcome: Wait, Reason: ReasonPrimaryUnseen, Needed: Majority(t.members)}
+	}
+	if p.Term == t.term && p.Received.Term != t.term {
+		return Decision{Outcome: Wait, Reason: ReasonPrimaryUnseen, Needed: Majority(t.members)}
+	}
+	position := p.Received
+	position.Term = t.term
+	return t.Decide(position, requestedAt, now)
+}
+
+// IsBacked reports whether the primary still leads and a majority, with it, follows the term
+// within the validity. No later term has finished its promotion then.
+func (t *Tracker) IsBacked(now time.Time) bool {
+	return t.seen(now, t.validity) >= Majority(t.members)
+}
+
+func (t *Tracker) evidence(committedAt time.Time) Evidence {
+	return Evidence{CommittedAt: committedAt, Primary: t.primaryAnswer, Replicas: t.replicaAnswers}
+}
+
+// AdmissionReason says why a write was admitted or not.
+type AdmissionReason string
+
+// The reasons of an Admission.
+const (
+	AdmissionMajoritySeen    AdmissionReason = "majority_seen"
+	AdmissionNoMajority      AdmissionReason = "no_majority_seen_lately"
+	AdmissionPrimaryReplaced AdmissionReason = "primary_replaced"
+)
+
+// Admission says whether a write may be sent to the primary.
+type Admission struct {
+	Allowed bool
+	Reason  AdmissionReason
+	// Code is result.OK when the write is allowed.
+	Code       result.Code
+	RetryAfter time.Duration
+	Seen       int
+	Needed     int
+}
+
+// Fields returns the fields of the log line of the decision.
+func (a Admission) Fields() logrus.Fields {
+	return logrus.Fields{
+		"allowed":     a.Allowed,
+		"reason":      string(a.Reason),
+		"code":        int(a.Code),
+		"seen":        a.Seen,
+		"needed":      a.Needed,
+		"retry_after": a.RetryAfter,
+	}
+}
+
+// Admit decides whether a write may be sent: the primary and a majority with it must have been
+// seen in the term within MajorityWindow, because the write could not be confirmed otherwise.
+func (t *Tracker) Admit(now time.Time) Admission {
+	a := Admission{Seen: t.seen(now, MajorityWindow), Needed: Majority(t.members)}
+	switch {
+	case t.isReplaced():
+		a.Reason, a.Code = AdmissionPrimaryReplaced, result.NotRunTermChanged
+	case a.Seen < a.Needed:
+		a.Reason, a.Code = AdmissionNoMajority, result.NotRunNoMajority
+	default:
+		a.Allowed, a.Reason, a.Code = true, AdmissionMajoritySeen, result.OK
+		return a
+	}
+	a.RetryAfter = admissionRetryAfter
+	return a
+}
+
+// isReplaced reports whether the primary has lost its term or role.
+func (t *Tracker) isReplaced() bool {
+	p := t.primaryAnswer
+	return p.Target != "" && (p.Term > t.term || p.Term == t.term && p.Role == RoleReplica)
+}
+
+// seen counts the targets that followed the term within window; 0 when the primary did not lead.
+func (t *Tracker) seen(now time.Time, window time.Duration) int {
+	p := t.primaryAnswer
+	if !p.isValid(now, window) || p.Term != t.term || p.Role != RolePrimary {
+		return 0
+	}
+	seen := 1
+	for _, a := range t.replicaAnswers {
+		if a.isValid(now, window) && a.Term == t.term {
+			seen++
+		}
+	}
+	return seen
+}
