--- a/api/types.gen.go
+++ b/api/types.gen.go
@@ -19,6 +19,24 @@
 	SessionID string `json:"session_id" toml:"session_id"`
 }
 
+// ChangeRecord is one accepted change of a template or workspace.
+type ChangeRecord struct {
+	// Author is the operator's account name.
+	Author string `json:"author" toml:"author"`
+
+	// BaseVersion is the version that was replaced; 0 for a creation.
+	BaseVersion uint64 `json:"base_version" toml:"base_version"`
+
+	// ChangeID identifies the change; it resolves a lost answer.
+	ChangeID string `json:"change_id" toml:"change_id"`
+
+	// Summary has a line for each changed key; secrets are left out.
+	Summary []string `json:"summary" toml:"summary"`
+
+	// TimeMs is the operator's wall clock in milliseconds since 1970.
+	TimeMs int64 `json:"time_ms" toml:"time_ms"`
+}
+
 // ConfigReply is the configuration of a peer.
 type ConfigReply struct {
 	// Objects are templates, workspaces, groups and terms.
@@ -37,6 +55,84 @@
 	Have uint64 `json:"have" toml:"have"`
 }
 
+// Counter is a named count since the start of the daemon.
+type Counter struct {
+	// Name of the counter or kind of call.
+	Name string `json:"name" toml:"name"`
+
+	// Value counted so far.
+	Value int64 `json:"value" toml:"value"`
+}
+
+// DaemonStatus is the answer to GET /status.
+type DaemonStatus struct {
+	// ConfigProblems has a line for each object whose newest version is not in force.
+	ConfigProblems []string `json:"config_problems" toml:"config_problems"`
+
+	// ConfigRevision is the newest configuration revision in force.
+	ConfigRevision uint64 `json:"config_revision" toml:"config_revision"`
+
+	// Counters are further counts, ordered by name.
+	Counters []Counter `json:"counters" toml:"counters"`
+
+	// Groups are the newest terms known, ordered by group.
+	Groups []GroupTerm `json:"groups" toml:"groups"`
+
+	// Leaving is true while the daemon shuts down.
+	Leaving bool `json:"leaving" toml:"leaving"`
+
+	// Members are the other daemons, ordered by name.
+	Members []MemberStatus `json:"members" toml:"members"`
+
+	// Name of the daemon.
+	Name string `json:"name" toml:"name"`
+
+	// PlatformCalls counts calls to the platform by kind.
+	PlatformCalls []Counter `json:"platform_calls" toml:"platform_calls"`
+
+	// PlatformReached is true while calls to the platform succeed.
+	PlatformReached bool `json:"platform_reached" toml:"platform_reached"`
+
+	// Targets that the daemon is the gate of, ordered by name.
+	Targets []HeldTargetStatus `json:"targets" toml:"targets"`
+
+	// Version of the program.
+	Version string `json:"version" toml:"version"`
+
+	// Zone is the availability zone of the daemon.
+	Zone string `json:"zone" toml:"zone"`
+}
+
+// Decision is one routing, placement, admission or promotion decision.
+type Decision struct {
+	// Daemon that decided.
+	Daemon string `json:"daemon" toml:"daemon"`
+
+	// Event names the decision.
+	Event string `json:"event" toml:"event"`
+
+	// Fields are the inputs and the result, ordered by key.
+	Fields []DecisionField `json:"fields" toml:"fields"`
+
+	// TimeMs is the wall clock of the daemon in milliseconds since 1970.
+	TimeMs int64 `json:"time_ms" toml:"time_ms"`
+}
+
+// DecisionField is one key=value pair of a log line.
+type DecisionField struct {
+	// Key of the pair.
+	Key string `json:"key" toml:"key"`
+
+	// Value of the pair.
+	Value string `json:"value" toml:"value"`
+}
+
+// DecisionList is the answer to GET /decisions.
+type DecisionList struct {
+	// Decisions are ordered by time, oldest first.
+	Decisions []Decision `json:"decisions" toml:"decisions"`
+}
+
 // ExecuteReply carries the outcome and the first chunk of the answer.
 type ExecuteReply struct {
 	// AgeMs is the bound on the age of the data read, in milliseconds; -1 when
@@ -205,6 +301,40 @@
 	Zone string `json:"zone" toml:"zone"`
 }
 
+// HeldTargetStatus is the state of a target that the daemon is the gate of.
+type HeldTargetStatus struct {
+	// AgeMs is the bound on the age of the data in milliseconds; -1 when unknown.
+	AgeMs int64 `json:"age_ms" toml:"age_ms"`
+
+	// Applied is the position applied last.
+	Applied Position `json:"applied" toml:"applied"`
+
+	// Group names the group.
+	Group string `json:"group" toml:"group"`
+
+	// Queue is the number of waiting batches.
+	Queue int `json:"queue" toml:"queue"`
+
+	// Received is the position received last.
+	Received Position `json:"received" toml:"received"`
+
+	// Role is primary or replica, and empty while the target is silent.
+	Role string `json:"role" toml:"role"`
+
+	// Slots is the number of connections that the target accepts.
+	Slots int `json:"slots" toml:"slots"`
+
+	// SlotsInUse is the number of open target connections that run a batch or hold a
+	// transaction.
+	SlotsInUse int `json:"slots_in_use" toml:"slots_in_use"`
+
+	// Target names the target.
+	Target string `json:"target" toml:"target"`
+
+	// Term that the target stated last.
+	Term uint64 `json:"term" toml:"term"`
+}
+
 // LimitSettings bound what callers may use.
 type LimitSettings struct {
 	// IdleTransactionTimeoutMs is the time in milliseconds after which an idle
@@ -228,6 +358,28 @@
 	StatementTimeoutMs int64 `json:"statement_timeout_ms" toml:"statement_timeout_ms"`
 }
 
+// MemberStatus is what a daemon knows of another daemon.
+type MemberStatus struct {
+	// ConfigRevision is the revision that the daemon reported last.
+	ConfigRevision uint64 `json:"config_revision" toml:"config_revision"`
+
+	// Leaving is true while the daemon shuts down.
+	Leaving bool `json:"leaving" toml:"leaving"`
+
+	// Live is false once heartbeats have been missing for too long.
+	Live bool `json:"live" toml:"live"`
+
+	// Name of the daemon.
+	Name string `json:"name" toml:"name"`
+
+	// SilenceMs is the time in milliseconds since the last heartbeat; -1 when none
+	// was heard.
+	SilenceMs int64 `json:"silence_ms" toml:"silence_ms"`
+
+	// Zone is the availability zone of the daemon.
+	Zone string `json:"zone" toml:"zone"`
+}
+
 // Object is one versioned entry of the platform.
 type Object struct {
 	// Data is the JSON document of the object.
@@ -255,6 +407,68 @@
 	Revision uint64 `json:"revision" toml:"revision"`
 }
 
+// Outcome names the parameter that decides each property of a workspace; empty
+// keeps the built-in value.
+type Outcome struct {
+	// Connections names the largest number of caller connections.
+	Connections string `json:"connections" toml:"connections"`
+
+	// Groups names the list of database groups.
+	Groups string `json:"groups" toml:"groups"`
+
+	// MaxStaleness names the duration that reads may lag; it applies to users that
+	// state none.
+	MaxStaleness string `json:"max_staleness" toml:"max_staleness"`
+
+	// ReplicationWait names the time that a commit waits for a replica.
+	ReplicationWait string `json:"replication_wait" toml:"replication_wait"`
+
+	// Slots names the largest number of slots that the workspace uses of one target
+	// at a time.
+	Slots string `json:"slots" toml:"slots"`
+
+	// StatementTimeout names the time that a statement batch may take.
+	StatementTimeout string `json:"statement_timeout" toml:"statement_timeout"`
+
+	// Zones names the list of availability zones whose targets serve reads; an empty
+	// list stands for all.
+	Zones string `json:"zones" toml:"zones"`
+}
+
+// Parameter is one value that a workspace may or must fill in.
+type Parameter struct {
+	// Default is used when the workspace gives no value.
+	Default string `json:"default" toml:"default"`
+
+	// Description tells operators what the value does.
+	Description string `json:"description" toml:"description"`
+
+	// Maximum is the highest integer or duration, or the largest number of entries of
+	// a list; empty for none.
+	Maximum string `json:"maximum" toml:"maximum"`
+
+	// Minimum is the lowest integer or duration, or the least number of entries of a
+	// list; empty for none.
+	Minimum string `json:"minimum" toml:"minimum"`
+
+	// Name is unique within the template.
+	Name string `json:"name" toml:"name"`
+
+	// Required values have no default.
+	Required bool `json:"required" toml:"required"`
+
+	// Type of the value.
+	Type ParameterType `json:"type" toml:"type"`
+}
+
+type ParameterType string
+
+const ParameterTypeBool ParameterType = "bool"
+const ParameterTypeDuration ParameterType = "duration"
+const ParameterTypeInteger ParameterType = "integer"
+const ParameterTypeString ParameterType = "string"
+const ParameterTypeStringList ParameterType = "string_list"
+
 // PlatformFailure is the body of an answer whose HTTP status is not 2xx.
 type PlatformFailure struct {
 	// Code is not_found, conflict, exists, too_large, unavailable or invalid.
@@ -397,6 +611,30 @@
 	Zone string `json:"zone" toml:"zone"`
 }
 
+// Template is the object of kind template: the parameters of a kind of workspace.
+type Template struct {
+	// ChangeID identifies the newest change.
+	ChangeID string `json:"change_id" toml:"change_id"`
+
+	// Deleted marks a removed template, which stays so that its version only rises.
+	Deleted bool `json:"deleted" toml:"deleted"`
+
+	// Name identifies the template.
+	Name string `json:"name" toml:"name"`
+
+	// Outcome maps parameters to properties of the workspace.
+	Outcome Outcome `json:"outcome" toml:"outcome"`
+
+	// Parameters that a workspace fills in.
+	Parameters []Parameter `json:"parameters" toml:"parameters"`
+
+	// RecentChanges is the bounded history, newest first.
+	RecentChanges []ChangeRecord `json:"recent_changes" toml:"recent_changes"`
+
+	// Service is the service that all groups of a workspace belong to.
+	Service string `json:"service" toml:"service"`
+}
+
 // TermRecord is the object of kind term: the newest term of a group.
 type TermRecord struct {
 	// ChangeID tells a promoter whether a change whose answer was lost was its own.
@@ -491,3 +729,44 @@
 	// Term is the term that the asker knows.
 	Term uint64 `json:"term" toml:"term"`
 }
+
+// Workspace is the object of kind workspace: one customer.
+type Workspace struct {
+	// ChangeID identifies the newest change.
+	ChangeID string `json:"change_id" toml:"change_id"`
+
+	// Deleted marks a removed workspace, which stays so that its version only rises.
+	Deleted bool `json:"deleted" toml:"deleted"`
+
+	// Name identifies the workspace.
+	Name string `json:"name" toml:"name"`
+
+	// RecentChanges is the bounded history, newest first.
+	RecentChanges []ChangeRecord `json:"recent_changes" toml:"recent_changes"`
+
+	// Template names the template.
+	Template string `json:"template" toml:"template"`
+
+	// Users are ordered by name.
+	Users []WorkspaceUser `json:"users" toml:"users"`
+
+	// Values by parameter name, as text.
+	Values WorkspaceValues `json:"values" toml:"values"`
+}
+
+// WorkspaceUser is an account that callers authenticate with.
+type WorkspaceUser struct {
+	// MaxStaleness is a duration, none for reads that see every confirmed write, or
+	// empty for the value of the workspace.
+	MaxStaleness string `json:"max_staleness" toml:"max_staleness"`
+
+	// Name of the user, unique within the workspace.
+	Name string `json:"name" toml:"name"`
+
+	// Verifier is a SCRAM-SHA-256 verifier in the form that PostgreSQL stores; never
+	// logged.
+	Verifier string `json:"verifier" toml:"verifier"`
+}
+
+// Values by parameter name, as text.
+type WorkspaceValues map[string]string
