--- a/internal/policy/confirm/confirm.go
+++ b/internal/policy/confirm/confirm.go
@@ -157,7 +157,6 @@
 	return c.decide(Majority(members))
 }
 
-
 // isValid reports whether an answer is young enough. The bound is exclusive, so that a
 // confirmation has lapsed when a promoter that waited validity goes on.
 func (a Answer) isValid(now time.Time, validity time.Duration) bool {
--- a/internal/policy/confirm/tracker.go
+++ b/internal/policy/confirm/tracker.go
@@ -116,12 +116,21 @@
 	if p.Target == "" || p.AskedAt.Before(requestedAt) {
 		return Decision{Outcome: Wait, Reason: ReasonPrimaryUnseen, Needed: Majority(t.members)}
 	}
-	if p.Term == t.term && p.Received.Term != t.term {
-		return Decision{Outcome: Wait, Reason: ReasonPrimaryUnseen, Needed: Majority(t.members)}
+	if p.Term == t.term && p.Received.Term < t.term {
+		return t.floorBeforeFirstRecord(requestedAt, now)
 	}
-	position := p.Received
-	position.Term = t.term
-	return t.Decide(position, requestedAt, now)
+	return t.Decide(p.Received, requestedAt, now)
+}
+
+// floorBeforeFirstRecord decides on the floor of a primary whose log has no record of its term
+// yet. No commit of the term exists, so it suffices that a majority follows the primary.
+func (t *Tracker) floorBeforeFirstRecord(requestedAt, now time.Time) Decision {
+	d := t.rule.Decide(api.Position{Term: t.term}, t.evidence(requestedAt), now, t.members, t.validity)
+	d.Commit = t.primaryAnswer.Received
+	if d.Outcome == Confirmed {
+		d.Outcome, d.Reason = FenceOnly, ReasonMajorityFollows
+	}
+	return d
 }
 
 // IsBacked reports whether the primary still leads and a majority, with it, follows the term
