policy: promote a group by an explicit state machine

Cause: failover needs the promotion, its detection and its trigger as decisions without I/O. Ruled out: a promoter that turns to a second target within a term, since the first may have been promoted without saying so.

--- /dev/null
+++ b/internal/policy/promotion/messages.go
@@ -0,0 +1,203 @@
+package promotion
+
+import (
+	"time"
+
+	"github.com/papayacove/papayacove/api"
+	"github.com/sirupsen/logrus"
+)
+
+// Event is something that happened to a promotion.
+type Event interface{ isEvent() }
+
+// RecordWritten reports that the conditional update of the term record took effect.
+type RecordWritten struct{ Version uint64 }
+
+// RecordConflict reports that the term record had another version; nothing was changed.
+type RecordConflict struct{}
+
+// RecordUnknown reports that no answer to the conditional update came: it may have taken effect.
+type RecordUnknown struct{}
+
+// RecordRead is the answer to ReadRecord.
+type RecordRead struct {
+	Record  api.TermRecord
+	Version uint64
+}
+
+// RecordReadFailed reports that the term record could not be read.
+type RecordReadFailed struct{}
+
+// FenceAnswered is the answer of a target to Fence, also when it refused.
+type FenceAnswered struct {
+	Target string
+	// Term is the highest term of the target after the call.
+	Term uint64
+	// Received is the end of the log of the target after the call; its Term is the log term.
+	Received api.Position
+}
+
+// PromoteAnswered is the answer of a target to Promote, also when it refused.
+type PromoteAnswered struct {
+	Target string
+	// Term is the highest term of the target after the call.
+	Term uint64
+	// IsPrimary is true when the target now leads Term.
+	IsPrimary bool
+	// Start is the position of the first record of the term.
+	Start api.Position
+}
+
+// FollowAnswered is the answer of a target to Follow, also when it refused.
+type FollowAnswered struct {
+	Target string
+	// Term is the highest term of the target after the call.
+	Term uint64
+	// IsFollowing is true when the target now follows the primary of Term.
+	IsFollowing bool
+}
+
+// Tick reports that time has passed.
+type Tick struct{}
+
+func (RecordWritten) isEvent()    {}
+func (RecordConflict) isEvent()   {}
+func (RecordUnknown) isEvent()    {}
+func (RecordRead) isEvent()       {}
+func (RecordReadFailed) isEvent() {}
+func (FenceAnswered) isEvent()    {}
+func (PromoteAnswered) isEvent()  {}
+func (FollowAnswered) isEvent()   {}
+func (Tick) isEvent()             {}
+
+// Order is something that the caller of Step has to do.
+type Order interface {
+	// Fields returns the fields of the log line of the order.
+	Fields() logrus.Fields
+}
+
+// WriteRecord asks for a conditional update of the term record of the group.
+type WriteRecord struct {
+	Record api.TermRecord
+	// Version that the record must have; 0 asks for a creation.
+	Version uint64
+}
+
+// ReadRecord asks for the term record of the group.
+type ReadRecord struct{ Group string }
+
+// Fence asks a target to refuse every lower term.
+type Fence struct {
+	Target string
+	Term   uint64
+}
+
+// Promote asks a fenced target to lead its term.
+type Promote struct {
+	Target string
+	Term   uint64
+}
+
+// Follow asks a target to replicate from the primary of a term.
+type Follow struct {
+	Target  string
+	Term    uint64
+	Primary string
+}
+
+// WakeAt asks for a Tick at a time.
+type WakeAt struct{ At time.Time }
+
+// Finished reports that the promotion is recorded and a majority follows the new primary.
+type Finished struct {
+	Group   string
+	Term    uint64
+	Primary string
+	Start   api.Position
+	// Duration is the time since the promotion began.
+	Duration time.Duration
+}
+
+// Abandoned reports that the promotion has ended without success. A term that stays open is
+// taken over by opening the next one.
+type Abandoned struct {
+	Group  string
+	Term   uint64
+	Reason AbandonReason
+	Step   Step
+	Fenced int
+	Needed int
+}
+
+// AbandonReason says why a promotion ended without success.
+type AbandonReason string
+
+// The reasons of Abandoned.
+const (
+	AbandonRecordConflict AbandonReason = "another_promoter_changed_the_record"
+	AbandonLaterTerm      AbandonReason = "target_at_later_term"
+	AbandonTimeout        AbandonReason = "timeout"
+	AbandonRecordUnknown  AbandonReason = "record_unreadable"
+)
+
+// Fields returns the fields of the log line of the order.
+func (o WriteRecord) Fields() logrus.Fields {
+	return logrus.Fields{
+		"order":   "write_record",
+		"group":   o.Record.Group,
+		"term":    o.Record.Term,
+		"primary": o.Record.Primary,
+		"reason":  o.Record.Reason,
+		"version": o.Version,
+	}
+}
+
+// Fields returns the fields of the log line of the order.
+func (o ReadRecord) Fields() logrus.Fields {
+	return logrus.Fields{"order": "read_record", "group": o.Group}
+}
+
+// Fields returns the fields of the log line of the order.
+func (o Fence) Fields() logrus.Fields {
+	return logrus.Fields{"order": "fence", "target": o.Target, "term": o.Term}
+}
+
+// Fields returns the fields of the log line of the order.
+func (o Promote) Fields() logrus.Fields {
+	return logrus.Fields{"order": "promote", "target": o.Target, "term": o.Term}
+}
+
+// Fields returns the fields of the log line of the order.
+func (o Follow) Fields() logrus.Fields {
+	return logrus.Fields{"order": "follow", "target": o.Target, "term": o.Term, "primary": o.Primary}
+}
+
+// Fields returns the fields of the log line of the order.
+func (o WakeAt) Fields() logrus.Fields {
+	return logrus.Fields{"order": "wake"}
+}
+
+// Fields returns the fields of the log line of the order.
+func (o Finished) Fields() logrus.Fields {
+	return logrus.Fields{
+		"order":    "finished",
+		"group":    o.Group,
+		"term":     o.Term,
+		"primary":  o.Primary,
+		"start":    o.Start.String(),
+		"duration": o.Duration,
+	}
+}
+
+// Fields returns the fields of the log line of the order.
+func (o Abandoned) Fields() logrus.Fields {
+	return logrus.Fields{
+		"order":  "abandoned",
+		"group":  o.Group,
+		"term":   o.Term,
+		"reason": string(o.Reason),
+		"step":   o.Step.String(),
+		"fenced": o.Fenced,
+		"needed": o.Needed,
+	}
+}
