--- /dev/null
+++ b/internal/policy/readroute/readroute.go
@@ -0,0 +1,165 @@
+// Package readroute decides where a read runs: which gates to try in which order, when to stop,
+// and, at the gate of a replica, whether the replica is fresh enough.
+//
+// Replicas in the availability zone of the caller's daemon come first, then other replicas, then
+// the primary. A refusal as behind or too old costs the target nothing and is followed by the
+// next gate; other refusals use the retry budget.
+package readroute
+
+import (
+	"cmp"
+	"slices"
+	"time"
+
+	"github.com/papayacove/papayacove/api"
+	"github.com/papayacove/papayacove/internal/policy/confirm"
+	"github.com/papayacove/papayacove/internal/result"
+)
+
+// Default times of routing.
+const (
+	// DefaultRefusalHold is the time for which a refusal without a stated time is remembered.
+	DefaultRefusalHold = 50 * time.Millisecond
+	// DefaultRetryAfter is the time after which a caller may come back when no gate said one.
+	DefaultRetryAfter = 200 * time.Millisecond
+)
+
+// Refusal is the last refusal of a target's gate.
+type Refusal struct {
+	// Code is result.OK when there was no refusal.
+	Code       result.Code
+	At         time.Time
+	RetryAfter time.Duration
+	// Floor is the floor of the read that was refused as behind.
+	Floor api.Position
+	// MaxAge is the allowed age of the read that was refused as too old.
+	MaxAge time.Duration
+}
+
+// Target is what an entry daemon knows of one target of a group.
+type Target struct {
+	Name string
+	Zone string
+	// Role is the role in the newest known term. At most one target is primary.
+	Role confirm.Role
+	// Holder names the daemon that holds the target; empty when nobody does.
+	Holder string
+	// HolderReachable is false when the last calls to the holder failed.
+	HolderReachable bool
+	// Leaving is true when the platform lists the target's VM as leaving.
+	Leaving bool
+	Refusal Refusal
+}
+
+// Read describes one read.
+type Read struct {
+	// Zone is the availability zone of the entry daemon.
+	Zone  string
+	Floor api.Position
+	// MaxAge is the allowed age; NoMaxAge when the floor alone counts. At 0 only the primary serves.
+	MaxAge time.Duration
+}
+
+// Rank is the class of a candidate; lower ones are tried first.
+type Rank uint8
+
+// The ranks of candidates.
+const (
+	RankZoneReplica Rank = iota
+	RankOtherReplica
+	RankPrimary
+	// RankDoubtful holds targets that refused a like read a moment ago or whose holder did not
+	// answer. They come last and only so that a read is not refused on memory alone.
+	RankDoubtful
+)
+
+var rankNames = [...]string{
+	RankZoneReplica:  "zone_replica",
+	RankOtherReplica: "other_replica",
+	RankPrimary:      "primary",
+	RankDoubtful:     "doubtful",
+}
+
+// String returns the name of the rank.
+func (r Rank) String() string {
+	return rankNames[r]
+}
+
+// Candidate is a target that may serve a read.
+type Candidate struct {
+	Target string
+	Holder string
+	Rank   Rank
+	Role   confirm.Role
+	Zone   string
+}
+
+// Order returns the targets that may serve a read in the order in which to try them. Targets of
+// equal rank keep the order of targets, so that the caller can spread its load by rotating it.
+func Order(r Read, targets []Target, now time.Time) []Candidate {
+	candidates := make([]Candidate, 0, len(targets))
+	for _, t := range targets {
+		if !mayServe(r, t) {
+			continue
+		}
+		candidates = append(candidates, Candidate{
+			Target: t.Name,
+			Holder: t.Holder,
+			Rank:   rankOf(r, t, now),
+			Role:   t.Role,
+			Zone:   t.Zone,
+		})
+	}
+	slices.SortStableFunc(candidates, func(a, b Candidate) int {
+		return cmp.Compare(a.Rank, b.Rank)
+	})
+	return candidates
+}
+
+// mayServe excludes replicas for reads that need the newest data, targets without a role or a
+// holder, and leaving replicas, which receive no new work.
+func mayServe(r Read, t Target) bool {
+	switch t.Role {
+	case confirm.RolePrimary:
+		return t.Holder != ""
+	case confirm.RoleReplica:
+		return t.Holder != "" && !t.Leaving && r.MaxAge != 0
+	default:
+		return false
+	}
+}
+
+func rankOf(r Read, t Target, now time.Time) Rank {
+	switch {
+	case !t.HolderReachable, refusedLately(r, t.Refusal, now):
+		return RankDoubtful
+	case t.Role == confirm.RolePrimary:
+		return RankPrimary
+	case t.Zone == r.Zone:
+		return RankZoneReplica
+	default:
+		return RankOtherReplica
+	}
+}
+
+// refusedLately reports whether a remembered refusal would hit this read too.
+func refusedLately(r Read, f Refusal, now time.Time) bool {
+	if f.Code == result.OK {
+		return false
+	}
+	hold := f.RetryAfter
+	if hold <= 0 {
+		hold = DefaultRefusalHold
+	}
+	if now.Sub(f.At) >= hold {
+		return false
+	}
+	switch f.Code {
+	case result.NotRunBehind:
+		return r.Floor.Compare(f.Floor) >= 0
+	case result.NotRunTooOld:
+		return r.MaxAge >= 0 && r.MaxAge <= f.MaxAge
+	default:
+		return true
+	}
+}
--- /dev/null
+++ b/internal/policy/staleness/staleness.go
@@ -0,0 +1,140 @@
+// Package staleness bounds the age of the data of a replica from samples of its primary.
+//
+// A sample says that the log of the primary ended at a position when it was asked for. A replica
+// that has applied that position holds all that the primary held at the time of asking, so its
+// data is at most as old as the sample. The bound never says too little, whatever the network
+// delays.
+package staleness
+
+import (
+	"sort"
+	"time"
+
+	"github.com/papayacove/papayacove/api"
+	"github.com/sirupsen/logrus"
+)
+
+// DefaultCapacity is the number of samples that a History keeps.
+const DefaultCapacity = 128
+
+// Sample is the end of the log of a primary at a time.
+//
+// The caller takes samples only of a primary that a majority of its group backed at AskedAt
+// (confirm.Tracker.IsBacked): the log of a replaced primary says nothing about the age of data.
+type Sample struct {
+	// AskedAt is the monotonic time at which the primary was asked.
+	AskedAt  time.Time
+	Position api.Position
+}
+
+// Reason says what an age bound is based on.
+type Reason string
+
+// The reasons of a Bound.
+const (
+	ReasonSample    Reason = "sample_applied"
+	ReasonNoSamples Reason = "no_samples"
+	ReasonBehindAll Reason = "behind_all_samples"
+)
+
+// Bound is an upper bound on the age of the data at a position.
+type Bound struct {
+	Known bool
+	// Age is meaningful only when Known.
+	Age      time.Duration
+	Reason   Reason
+	Applied  api.Position
+	Sampled  api.Position
+	Samples  int
+	NewestAt time.Time
+}
+
+// Fields returns the fields of the log line of the bound.
+func (b Bound) Fields() logrus.Fields {
+	return logrus.Fields{
+		"known":   b.Known,
+		"age":     b.Age,
+		"reason":  string(b.Reason),
+		"applied": b.Applied.String(),
+		"sampled": b.Sampled.String(),
+		"samples": b.Samples,
+	}
+}
+
+// History is a bounded list of samples of a group. It is not safe for concurrent use.
+type History struct {
+	capacity int
+	// samples rise in both AskedAt and Position.
+	samples []Sample
+}
+
+// NewHistory returns a History for capacity samples; 0 means DefaultCapacity.
+func NewHistory(capacity int) *History {
+	if capacity <= 0 {
+		capacity = DefaultCapacity
+	}
+	capacity = max(capacity, minCapacity)
+	return &History{capacity: capacity, samples: make([]Sample, 0, capacity)}
+}
+
+// minCapacity is the least number of samples that thinning can work on.
+const minCapacity = 4
+
+// Add takes in a sample and reports whether it was kept. A sample that was asked for earlier than
+// the newest, or that lies before it in the log, comes late or from a replaced primary and is
+// dropped. Samples of earlier terms stay: the order of positions covers the change of term.
+func (h *History) Add(s Sample) bool {
+	if len(h.samples) == 0 {
+		h.samples = append(h.samples, s)
+		return true
+	}
+	newest := &h.samples[len(h.samples)-1]
+	order := s.Position.Compare(newest.Position)
+	switch {
+	case order < 0, s.AskedAt.Before(newest.AskedAt):
+		return false
+	case order == 0:
+		newest.AskedAt = s.AskedAt
+		return true
+	}
+	if len(h.samples) == h.capacity {
+		h.thin()
+	}
+	h.samples = append(h.samples, s)
+	return true
+}
+
+// thin drops every other sample of the older half. Old ages become coarser, never too low, and
+// the history reaches further back than its capacity times the sampling interval.
+func (h *History) thin() {
+	half := len(h.samples) / 2
+	kept := h.samples[:0]
+	for i, s := range h.samples {
+		if i >= half || i%2 == 0 {
+			kept = append(kept, s)
+		}
+	}
+	h.samples = kept
+}
+
+// Bound returns the bound on the age, at now, of data at the applied position of a replica.
+func (h *History) Bound(applied api.Position, now time.Time) Bound {
+	b := Bound{Applied: applied, Samples: len(h.samples), Reason: ReasonNoSamples}
+	if len(h.samples) == 0 {
+		return b
+	}
+	b.NewestAt = h.samples[len(h.samples)-1].AskedAt
+	beyond := sort.Search(len(h.samples), func(i int) bool {
+		return h.samples[i].Position.Compare(applied) > 0
+	})
+	if beyond == 0 {
+		b.Reason = ReasonBehindAll
+		return b
+	}
+	s := h.samples[beyond-1]
+	b.Known = true
+	b.Age = now.Sub(s.AskedAt)
+	b.Reason = ReasonSample
+	b.Sampled = s.Position
+	return b
+}
