Add peer calls, membership, terms, observer and gate

Cause: the path from an entry daemon to a target did not exist. Ruled out: a status call after each commit (the status query is pipelined behind the batch instead, so it costs no round trip); holding the connection while a confirmation is awaited. Change: net/rpc between daemons with probes of silent connections, heartbeats, the table of terms, an observer per group, and the gate with slots, transactions, confirmation and operation keys.

--- a/api/types.gen.go
+++ b/api/types.gen.go
@@ -191,6 +191,10 @@
 	// Prepared are the statements that the batch refers to.
 	Prepared []PreparedStatement `json:"prepared" toml:"prepared"`
 
+	// ReplicationWaitMs is the time in milliseconds after which a commit is
+	// acknowledged though no replica has received it.
+	ReplicationWaitMs int64 `json:"replication_wait_ms" toml:"replication_wait_ms"`
+
 	// Sequence counts the batches of the session; a repeated number is dropped.
 	Sequence uint64 `json:"sequence" toml:"sequence"`
 
@@ -229,6 +233,9 @@
 
 	// StreamID names the answer.
 	StreamID uint64 `json:"stream_id" toml:"stream_id"`
+
+	// Target that the answer comes from.
+	Target string `json:"target" toml:"target"`
 }
 
 // FloorReply is the confirmed position of a group.
--- a/internal/config/config_test.go
+++ b/internal/config/config_test.go
@@ -3,6 +3,7 @@
 import (
 	"os"
 	"path/filepath"
+	"reflect"
 	"strings"
 	"testing"
 
@@ -21,7 +22,7 @@
 	if err != nil {
 		t.Fatal(err)
 	}
-	if got != valid() {
+	if !reflect.DeepEqual(got, valid()) {
 		t.Errorf("example = %+v, want the defaults %+v", got, valid())
 	}
 }
--- /dev/null
+++ b/internal/gate/batch.go
@@ -0,0 +1,449 @@
+package gate
+
+import (
+	"bytes"
+	"context"
+	"errors"
+	"expvar"
+	"regexp"
+	"time"
+
+	"github.com/jackc/pgx/v5/pgproto3"
+	"github.com/papayacove/papayacove/api"
+	"github.com/papayacove/papayacove/internal/result"
+	"github.com/papayacove/papayacove/internal/target"
+	"github.com/sirupsen/logrus"
+)
+
+// counters count the batches of all gates by outcome.
+var counters = expvar.NewMap("gate")
+
+// cancelGrace is the time that a target gets to answer a batch that was cancelled at its deadline.
+const cancelGrace = 150 * time.Millisecond
+
+// readOnlySetting keeps a statement that was taken for a read from writing on the primary.
+const readOnlySetting = "default_transaction_read_only"
+
+// commitPattern finds the statements that may end a transaction with a commit.
+var commitPattern = regexp.MustCompile(`(?i)\b(commit|end)\b`)
+
+// SQLSTATE classes that the gate looks at.
+const (
+	stateReadOnly        = "25006"
+	stateUniqueViolation = "23505"
+	stateUndefinedTable  = "42P01"
+	stateCancelled       = "57014"
+)
+
+// batch is one statement batch on its way through a connection.
+type batch struct {
+	gate     *Gate
+	req      *api.ExecuteRequest
+	asked    time.Time
+	slot     *slot
+	admitted *ticket
+	answer   *answer
+	// pinned is true when a transaction kept the connection.
+	pinned bool
+	// leads is true when the target is the primary of term.
+	leads bool
+	term  api.GroupTerm
+	// age bounds the age of the data of a replica; checkFloor asks for its position first.
+	age        time.Duration
+	checkFloor bool
+
+	plan    plan
+	buffer  []byte
+	shipped bool
+	// committed is true once the answer shows a COMMIT; failed once it shows an error.
+	committed bool
+	failed    bool
+	state     string
+	statusAt  time.Time
+	status    target.Status
+}
+
+// run sends the batch, relays the answer and gives the connection back.
+func (b *batch) run(ctx context.Context) {
+	stop := context.AfterFunc(ctx, func() { b.interrupt(ctx) })
+	transactionStatus, err := b.perform(ctx)
+	if !stop() {
+		// The cancel request may still be on its way and must not meet the next batch.
+		b.slot.broken = true
+	}
+	// The connection is free while the confirmation is awaited.
+	b.giveBack(transactionStatus, err)
+	b.answer.finish(b.conclude(ctx, transactionStatus, err))
+}
+
+// interrupt cancels a batch whose deadline has passed and gives the target a short time to answer.
+func (b *batch) interrupt(ctx context.Context) {
+	if !errors.Is(ctx.Err(), context.DeadlineExceeded) {
+		return
+	}
+	_ = b.slot.connection.Conn.SetReadDeadline(time.Now().Add(cancelGrace))
+	b.gate.cancelAt(b.slot)
+}
+
+// perform sends the batch and reads its answer up to the last message, which stays in the buffer.
+// It returns the transaction status.
+func (b *batch) perform(ctx context.Context) (byte, error) {
+	if b.req.OperationKey != "" && !b.pinned && !b.opensBlock() {
+		return b.performWithKey()
+	}
+	b.plan = b.newPlan(b.leads)
+	b.statusAt = time.Now()
+	if err := b.send(b.plan.encode(b.req.Messages)); err != nil {
+		return 0, err
+	}
+	if err := b.readPrefix(); err != nil {
+		return 0, err
+	}
+	if b.plan.isOpenPipeline {
+		return b.relayPipeline()
+	}
+	transactionStatus, err := b.relay()
+	if err != nil {
+		return 0, err
+	}
+	if b.plan.statusAfter {
+		if err := b.readStatus(); err != nil && transactionStatus == statusIdle {
+			return 0, err
+		}
+	}
+	if b.req.OperationKey != "" && !b.pinned && transactionStatus == statusTransaction {
+		return b.enterKey(transactionStatus)
+	}
+	return transactionStatus, nil
+}
+
+// send writes encoded messages. Large ones are written beside reading, because a target that
+// waits for its answers to be read does not read.
+func (b *batch) send(messages []byte) error {
+	if len(messages) > chunkBytes {
+		go func() { _ = b.write(messages) }()
+		return nil
+	}
+	return b.write(messages)
+}
+
+func (b *batch) write(messages []byte) error {
+	if err := b.slot.connection.WriteRaw(messages); err != nil {
+		return err
+	}
+	return b.slot.connection.Flush()
+}
+
+// readPrefix reads the answers to what the gate sent before the batch.
+func (b *batch) readPrefix() error {
+	if b.plan.settings != nil {
+		if err := b.readSettings(); err != nil {
+			return err
+		}
+	}
+	if !b.plan.statusBefore {
+		return nil
+	}
+	if err := b.readStatus(); err != nil {
+		return err
+	}
+	applied := b.status.AppliedPosition()
+	if applied.Compare(b.req.Floor) >= 0 {
+		return nil
+	}
+	return b.discardAnswer(result.Errorf(result.NotRunBehind, "target %s has applied %s, the session relies on %s",
+		b.gate.options.Spec.Name, applied, b.req.Floor))
+}
+
+// discardAnswer reads the answer of a read that ran too early and returns the reason.
+func (b *batch) discardAnswer(reason *result.Error) error {
+	for {
+		kind, body, err := b.slot.connection.ReadRaw()
+		if err != nil {
+			return err
+		}
+		if kind == messageReadyForQuery && len(body) == 1 {
+			b.slot.broken = b.slot.broken || body[0] != statusIdle
+			return reason
+		}
+	}
+}
+
+// readSettings reads the answer to the query that sets the session state.
+func (b *batch) readSettings() error {
+	var refusal error
+	for {
+		kind, body, err := b.slot.connection.ReadRaw()
+		if err != nil {
+			return err
+		}
+		switch kind {
+		case messageErrorResponse:
+			_, message := sqlState(body)
+			refusal = result.Errorf(result.Unsupported, "the target refuses a setting of the session: %s", message)
+		case messageReadyForQuery:
+			if refusal != nil {
+				b.slot.broken = true
+				return refusal
+			}
+			b.slot.applied = b.plan.settings
+			return nil
+		}
+	}
+}
+
+// readStatus reads the answer to a status query.
+func (b *batch) readStatus() error {
+	var parsed error = result.Errorf(result.OutcomeUnknown, "target %s gave no status", b.gate.options.Spec.Name)
+	for {
+		kind, body, err := b.slot.connection.ReadRaw()
+		if err != nil {
+			return err
+		}
+		switch kind {
+		case messageDataRow:
+			b.status, parsed = target.ParseStatusRow(rowValues(body))
+		case messageReadyForQuery:
+			return parsed
+		}
+	}
+}
+
+// relay passes the answer on up to ReadyForQuery.
+func (b *batch) relay() (byte, error) {
+	for {
+		frame, err := b.slot.connection.ReadFrame()
+		if err != nil {
+			return 0, err
+		}
+		kind := frame[0]
+		body := frame[messageHeaderBytes:]
+		if b.plan.swallows(kind) {
+			b.notePrepared(kind)
+			continue
+		}
+		if err := b.look(kind, body); err != nil {
+			return 0, err
+		}
+		b.buffer = append(b.buffer, frame...)
+		if kind == messageReadyForQuery {
+			return body[0], nil
+		}
+		if len(b.buffer) >= chunkBytes {
+			if err := b.ship(); err != nil {
+				return 0, err
+			}
+		}
+	}
+}
+
+// relayPipeline passes on the answers to a batch that ends in Flush.
+func (b *batch) relayPipeline() (byte, error) {
+	for remaining := b.plan.answers; remaining > 0; {
+		frame, err := b.slot.connection.ReadFrame()
+		if err != nil {
+			return 0, err
+		}
+		kind := frame[0]
+		if b.plan.swallows(kind) {
+			b.notePrepared(kind)
+			continue
+		}
+		if err := b.look(kind, frame[messageHeaderBytes:]); err != nil {
+			return 0, err
+		}
+		b.buffer = append(b.buffer, frame...)
+		if kind == messageErrorResponse {
+			break
+		}
+		if endsAnswer(kind) {
+			remaining--
+		}
+		if len(b.buffer) >= chunkBytes {
+			if err := b.ship(); err != nil {
+				return 0, err
+			}
+		}
+	}
+	return statusOpenPipeline, nil
+}
+
+// look notes what an answer message tells about the batch.
+func (b *batch) look(kind byte, body []byte) error {
+	switch kind {
+	case messageParseComplete:
+		b.notePrepared(kind)
+	case messageCommandComplete:
+		if bytes.HasPrefix(body, []byte("COMMIT")) {
+			b.committed = true
+		}
+	case messageErrorResponse:
+		b.failed = true
+		if b.state == "" {
+			b.state, _ = sqlState(body)
+		}
+	case messageCopyInResponse:
+		fail, _ := (&pgproto3.CopyFail{Message: "papayacove does not carry COPY"}).Encode(nil)
+		return b.write(fail)
+	}
+	return nil
+}
+
+func (b *batch) notePrepared(kind byte) {
+	if kind != messageParseComplete || len(b.plan.parsing) == 0 {
+		return
+	}
+	name := b.plan.parsing[0]
+	b.plan.parsing = b.plan.parsing[1:]
+	if name != "" {
+		b.slot.prepared[name] = struct{}{}
+	}
+}
+
+// ship passes on a part of the answer. What shows a commit is passed on after its confirmation.
+func (b *batch) ship() error {
+	if b.committed && b.leads {
+		return result.Errorf(result.OutcomeUnknown, "a long answer follows a COMMIT in the same batch; its confirmation was not awaited")
+	}
+	chunk := b.buffer
+	b.buffer = make([]byte, 0, chunkBytes+chunkBytes/4)
+	b.shipped = true
+	return b.answer.ship(chunk)
+}
+
+// conclude confirms what was committed and composes the last reply.
+func (b *batch) conclude(ctx context.Context, transactionStatus byte, err error) *api.ExecuteReply {
+	if err != nil {
+		return b.fail(ctx, err)
+	}
+	if refusal := b.reroute(transactionStatus); refusal != nil {
+		return b.gate.refuse(b.req, refusal)
+	}
+	reply := &api.ExecuteReply{Chunk: b.buffer, TransactionStatus: string(transactionStatus), AgeMs: -1}
+	if !b.leads {
+		reply.AgeMs = b.age.Milliseconds()
+		b.log(reply, "replica")
+		return reply
+	}
+	if b.needsConfirmation(transactionStatus) {
+		position, err := b.gate.confirm(ctx, b, b.status, b.statusAt, time.Now())
+		if err != nil {
+			return b.fail(ctx, err)
+		}
+		reply.Position = position
+	}
+	reply.AgeMs = 0
+	b.log(reply, "primary")
+	return reply
+}
+
+// needsConfirmation reports whether the batch may have committed something.
+func (b *batch) needsConfirmation(transactionStatus byte) bool {
+	if transactionStatus != statusIdle {
+		return false
+	}
+	return b.committed || !b.failed
+}
+
+// reroute returns a refusal when the target refused the batch before anything ran because it
+// does not accept writes, so that the entry daemon can send it elsewhere.
+func (b *batch) reroute(transactionStatus byte) *result.Error {
+	if b.state != stateReadOnly || b.pinned || b.shipped || b.committed || transactionStatus != statusIdle {
+		return nil
+	}
+	if b.req.Access == api.ExecuteRequestAccessRead {
+		return result.Errorf(result.NotRunReadOnly, "the statement writes")
+	}
+	if b.plan.statusAfter && (b.status.Role != target.RolePrimary || b.status.Term != b.term.Term) {
+		return result.Errorf(result.NotRunTermChanged, "target %s is %s in term %d", b.gate.options.Spec.Name, b.status.Role, b.status.Term)
+	}
+	return nil
+}
+
+// fail classifies a failure by what may have run.
+func (b *batch) fail(ctx context.Context, err error) *api.ExecuteReply {
+	var known *result.Error
+	if errors.As(err, &known) && known.Code != result.OutcomeUnknown {
+		return b.gate.refuse(b.req, known)
+	}
+	failed := b.classify(ctx, err)
+	logrus.WithFields(logrus.Fields{
+		"group": b.req.Group, "target": b.req.Target, "session": b.req.SessionID, "access": b.req.Access,
+		"code": int(failed.Code), "reason": failed.Reason,
+	}).Warn("batch_failed")
+	return failure(failed)
+}
+
+func (b *batch) classify(ctx context.Context, err error) *result.Error {
+	name := b.gate.options.Spec.Name
+	cause := err.Error()
+	if errors.Is(ctx.Err(), context.DeadlineExceeded) {
+		cause = "the time limit passed: " + cause
+	}
+	switch {
+	case b.req.Access == api.ExecuteRequestAccessRead && b.shipped:
+		return result.Errorf(result.AnswerInterrupted, "target %s: %s", name, cause)
+	case b.req.Access == api.ExecuteRequestAccessRead && !b.pinned:
+		return result.Errorf(result.NotRunUnreachable, "target %s: %s", name, cause)
+	case b.pinned && !b.mayCommit():
+		return result.Errorf(result.TransactionLost, "target %s: %s", name, cause)
+	default:
+		return result.Errorf(result.OutcomeUnknown, "target %s: %s", name, cause)
+	}
+}
+
+// mayCommit reports whether a batch within a transaction may end it.
+func (b *batch) mayCommit() bool {
+	if b.plan.isPipelineEnd || commitPattern.Match(b.req.Messages) {
+		return true
+	}
+	for _, statement := range b.req.Prepared {
+		if commitPattern.MatchString(statement.Query) {
+			return true
+		}
+	}
+	return false
+}
+
+// giveBack returns the connection to the pool, or keeps it for the transaction.
+func (b *batch) giveBack(transactionStatus byte, err error) {
+	session := b.req.SessionID
+	b.gate.mu.Lock()
+	delete(b.gate.inflight, session)
+	b.gate.mu.Unlock()
+	keeps := err == nil && transactionStatus != statusIdle
+	switch {
+	case keeps && b.pinned:
+		if b.gate.transactions.idle(session) {
+			b.gate.finish(b.slot, b.admitted, !b.slot.rollBack())
+		}
+	case keeps:
+		b.gate.transactions.begin(b.req, b.slot, b.admitted)
+	default:
+		if b.pinned {
+			b.gate.transactions.end(session)
+		}
+		b.gate.finish(b.slot, b.admitted, leavesBroken(err))
+	}
+}
+
+// leavesBroken reports whether a connection is of no more use after an error.
+func leavesBroken(err error) bool {
+	switch result.CodeOf(err) {
+	case result.OK, result.NotRunBehind, result.AlreadyRan:
+		return false
+	default:
+		return true
+	}
+}
+
+func (b *batch) log(reply *api.ExecuteReply, role string) {
+	counters.Add("batches_"+role, 1)
+	if !logrus.IsLevelEnabled(logrus.DebugLevel) {
+		return
+	}
+	logrus.WithFields(logrus.Fields{
+		"group": b.req.Group, "target": b.req.Target, "session": b.req.SessionID, "access": b.req.Access,
+		"role": role, "position": reply.Position.String(), "age_ms": reply.AgeMs, "duration": time.Since(b.asked),
+	}).Debug("batch_ran")
+}
--- /dev/null
+++ b/internal/gate/manager.go
@@ -0,0 +1,327 @@
+package gate
+
+import (
+	"context"
+	"sync"
+	"time"
+
+	"github.com/papayacove/papayacove/api"
+	"github.com/papayacove/papayacove/internal/observer"
+	"github.com/papayacove/papayacove/internal/policy/placement"
+	"github.com/papayacove/papayacove/internal/result"
+	"github.com/papayacove/papayacove/internal/target"
+	"github.com/papayacove/papayacove/internal/terms"
+	"github.com/sirupsen/logrus"
+)
+
+const (
+	// handoverTimeout is the time that work in progress gets when a target moves to another daemon.
+	handoverTimeout = 2 * time.Second
+	// controllerCandidates is the number of daemons that watch a group for failover.
+	controllerCandidates = 3
+)
+
+// ManagerOptions configure a Manager.
+type ManagerOptions struct {
+	// Self is the name of this daemon.
+	Self string
+	// Target holds the account towards targets.
+	Target target.Options
+	// Limits bound queues and transactions.
+	Limits api.LimitSettings
+	// Terms tells the newest terms.
+	Terms *terms.Table
+	// Members returns the live daemons.
+	Members func() []placement.Member
+	// Groups returns the groups of the deployment.
+	Groups func() []api.GroupSpec
+}
+
+// Manager starts and stops the gates and observers that placement gives to this daemon.
+type Manager struct {
+	options ManagerOptions
+	context context.Context
+
+	refreshing sync.Mutex
+	mu         sync.RWMutex
+	gates      map[string]*Gate
+	observers  map[string]*observer.Observer
+	groups     map[string]api.GroupSpec
+	targets    map[string]api.GroupSpec
+	holders    map[string]string
+}
+
+// NewManager returns a manager without gates.
+func NewManager(options ManagerOptions) *Manager {
+	return &Manager{
+		options:   options,
+		gates:     make(map[string]*Gate),
+		observers: make(map[string]*observer.Observer),
+		groups:    make(map[string]api.GroupSpec),
+		targets:   make(map[string]api.GroupSpec),
+		holders:   make(map[string]string),
+	}
+}
+
+// Init sets the context under which gates and observers run.
+func (m *Manager) Init(ctx context.Context) {
+	m.context = ctx
+}
+
+// Refresh places all targets anew. It is called after a change of members or groups.
+func (m *Manager) Refresh() {
+	m.refreshing.Lock()
+	defer m.refreshing.Unlock()
+	members := m.options.Members()
+	placed := make(map[string]bool)
+	watched := make(map[string]bool)
+	for _, group := range m.options.Groups() {
+		m.refreshGroup(group, members, placed, watched)
+	}
+	m.retire(placed, watched)
+	m.releaseGone(members)
+}
+
+func (m *Manager) refreshGroup(group api.GroupSpec, members []placement.Member, placed, watched map[string]bool) {
+	for _, candidate := range placement.Candidates(group.Name, members, controllerCandidates) {
+		if candidate.Name == m.options.Self {
+			watched[group.Name] = true
+		}
+	}
+	for _, spec := range group.Targets {
+		decision := placement.DecideHolder(spec.Name, spec.Zone, members)
+		m.noteHolder(group, spec, decision)
+		if decision.Holder.Name == m.options.Self {
+			placed[spec.Name] = true
+			watched[group.Name] = true
+		}
+	}
+	if watched[group.Name] {
+		m.watch(group)
+	}
+	for _, spec := range group.Targets {
+		if placed[spec.Name] {
+			m.open(group, spec)
+		}
+	}
+}
+
+func (m *Manager) noteHolder(group api.GroupSpec, spec api.TargetSpec, decision placement.HolderDecision) {
+	m.mu.Lock()
+	previous := m.holders[spec.Name]
+	m.holders[spec.Name] = decision.Holder.Name
+	m.groups[group.Name] = group
+	m.targets[spec.Name] = group
+	m.mu.Unlock()
+	if previous != decision.Holder.Name {
+		logrus.WithFields(decision.Fields()).WithField("previous", previous).Info("target_placed")
+	}
+}
+
+// watch starts an observer of the group when there is none.
+func (m *Manager) watch(group api.GroupSpec) {
+	m.mu.Lock()
+	defer m.mu.Unlock()
+	if _, exists := m.observers[group.Name]; exists {
+		return
+	}
+	started := observer.New(group, m.options.Target)
+	started.Run(m.context)
+	m.observers[group.Name] = started
+}
+
+// open starts a gate when there is none, or takes a draining one back into use.
+func (m *Manager) open(group api.GroupSpec, spec api.TargetSpec) {
+	m.mu.Lock()
+	defer m.mu.Unlock()
+	if existing, exists := m.gates[spec.Name]; exists {
+		existing.Resume()
+		return
+	}
+	started := New(Options{
+		Self: m.options.Self, Group: group, Spec: spec, Target: m.options.Target, Limits: m.options.Limits,
+		Observer: m.observers[group.Name], Terms: m.options.Terms,
+	})
+	started.Run(m.context)
+	m.gates[spec.Name] = started
+}
+
+// retire hands over the targets that other daemons hold now.
+func (m *Manager) retire(placed, watched map[string]bool) {
+	m.mu.Lock()
+	defer m.mu.Unlock()
+	used := make(map[string]bool)
+	for name, held := range m.gates {
+		if placed[name] {
+			continue
+		}
+		used[held.options.Group.Name] = true
+		if !held.draining.Swap(true) {
+			go m.handOver(name, held)
+		}
+	}
+	for name, watching := range m.observers {
+		if !watched[name] && !used[name] {
+			delete(m.observers, name)
+			go watching.Close()
+		}
+	}
+}
+
+// handOver closes a gate once its work is done, so that its slots come to the new holder.
+func (m *Manager) handOver(name string, held *Gate) {
+	held.pool.shut()
+	ctx, cancel := context.WithTimeout(m.context, handoverTimeout)
+	defer cancel()
+	held.Drain(ctx)
+	m.mu.Lock()
+	defer m.mu.Unlock()
+	if !held.draining.Load() {
+		return
+	}
+	delete(m.gates, name)
+	held.Close()
+}
+
+// releaseGone rolls back the transactions of daemons that are gone.
+func (m *Manager) releaseGone(members []placement.Member) {
+	live := make(map[string]bool, len(members))
+	for _, member := range members {
+		live[member.Name] = true
+	}
+	m.mu.RLock()
+	defer m.mu.RUnlock()
+	for _, held := range m.gates {
+		held.ReleaseOwner(func(owner string) bool { return !live[owner] })
+	}
+}
+
+// Holder returns the daemon that holds a target in the view of this daemon.
+func (m *Manager) Holder(name string) string {
+	m.mu.RLock()
+	defer m.mu.RUnlock()
+	return m.holders[name]
+}
+
+// Group returns the group of a name.
+func (m *Manager) Group(name string) (api.GroupSpec, bool) {
+	m.mu.RLock()
+	defer m.mu.RUnlock()
+	group, ok := m.groups[name]
+	return group, ok
+}
+
+// Observer returns the observer of a group when this daemon watches it.
+func (m *Manager) Observer(group string) (*observer.Observer, bool) {
+	m.mu.RLock()
+	defer m.mu.RUnlock()
+	watching, ok := m.observers[group]
+	return watching, ok
+}
+
+func (m *Manager) gate(name string) (*Gate, bool) {
+	m.mu.RLock()
+	defer m.mu.RUnlock()
+	held, ok := m.gates[name]
+	return held, ok
+}
+
+// Gates returns the gates of this daemon in no order.
+func (m *Manager) Gates() []*Gate {
+	m.mu.RLock()
+	defer m.mu.RUnlock()
+	all := make([]*Gate, 0, len(m.gates))
+	for _, held := range m.gates {
+		all = append(all, held)
+	}
+	return all
+}
+
+// Execute runs a batch on a target that this daemon holds.
+func (m *Manager) Execute(req *api.ExecuteRequest) *api.ExecuteReply {
+	held, ok := m.gate(req.Target)
+	if !ok {
+		refusal := result.Errorf(result.NotRunNotHolder, "daemon %s does not hold target %s", m.options.Self, req.Target)
+		refusal.Holder = m.Holder(req.Target)
+		return failure(refusal)
+	}
+	return held.Execute(m.context, req)
+}
+
+// Fetch returns a further chunk of an answer of a target that this daemon holds.
+func (m *Manager) Fetch(req *api.FetchRequest) *api.ExecuteReply {
+	held, ok := m.gate(req.Target)
+	if !ok {
+		return failure(result.Errorf(result.AnswerInterrupted, "target %s has moved", req.Target))
+	}
+	ctx, cancel := context.WithTimeout(m.context, fetchTimeout)
+	defer cancel()
+	return held.Fetch(ctx, req)
+}
+
+// Cancel cancels the batch that a session is running at any gate of this daemon.
+func (m *Manager) Cancel(req *api.CancelRequest) bool {
+	done := false
+	for _, held := range m.Gates() {
+		done = held.Cancel(req.SessionID) || done
+	}
+	return done
+}
+
+// Release rolls back what a session has open at any gate of this daemon.
+func (m *Manager) Release(req *api.ReleaseRequest) bool {
+	done := false
+	for _, held := range m.Gates() {
+		done = held.Release(req.SessionID) || done
+	}
+	return done
+}
+
+// Floor returns the confirmed position of a group whose primary this daemon holds.
+func (m *Manager) Floor(req *api.FloorRequest) *api.FloorReply {
+	current, _ := m.options.Terms.Current(req.Group)
+	held, ok := m.gate(current.Primary)
+	if !ok {
+		return floorFailure(result.Errorf(result.NotRunNotHolder, "daemon %s does not hold the primary of group %s", m.options.Self, req.Group))
+	}
+	ctx, cancel := context.WithTimeout(m.context, floorTimeout)
+	defer cancel()
+	position, err := held.Floor(ctx)
+	if err != nil {
+		return floorFailure(err)
+	}
+	return &api.FloorReply{Position: position}
+}
+
+// floorTimeout is the time that a question for the confirmed position may take.
+const floorTimeout = 400 * time.Millisecond
+
+func floorFailure(err error) *api.FloorReply {
+	reply := &api.FloorReply{Code: int(result.CodeOf(err)), Reason: err.Error()}
+	return reply
+}
+
+// Drain stops new work at all gates and waits for what is in progress.
+func (m *Manager) Drain(ctx context.Context) {
+	var drains sync.WaitGroup
+	for _, held := range m.Gates() {
+		drains.Add(1)
+		go func() {
+			defer drains.Done()
+			held.Drain(ctx)
+		}()
+	}
+	drains.Wait()
+}
+
+// Close ends all gates and observers.
+func (m *Manager) Close() {
+	m.mu.Lock()
+	defer m.mu.Unlock()
+	for _, held := range m.gates {
+		held.Close()
+	}
+	for _, watching := range m.observers {
+		watching.Close()
+	}
+}
--- /dev/null
+++ b/internal/gate/slot.go
@@ -0,0 +1,104 @@
+package gate
+
+import (
+	"maps"
+	"slices"
+	"strings"
+	"time"
+
+	"github.com/jackc/pgx/v5/pgproto3"
+	"github.com/papayacove/papayacove/api"
+	"github.com/papayacove/papayacove/internal/target"
+)
+
+// preparedLimit is the number of prepared statements that are kept on one connection.
+const preparedLimit = 256
+
+// slot is one connection to a target with the state that the target keeps for it.
+type slot struct {
+	connection *target.Slot
+	address    string
+	lastUsed   time.Time
+	broken     bool
+	prepared   map[string]struct{}
+	applied    map[string]string
+}
+
+func newSlot(connection *target.Slot, address string) *slot {
+	return &slot{
+		connection: connection,
+		address:    address,
+		lastUsed:   time.Now(),
+		prepared:   make(map[string]struct{}),
+		applied:    make(map[string]string),
+	}
+}
+
+// isFresh reports whether the connection was used so lately that it needs no check.
+func (s *slot) isFresh() bool {
+	return time.Since(s.lastUsed) < checkAfter
+}
+
+// check sends a Sync and reports whether the target answered in time.
+func (s *slot) check(timeout time.Duration) bool {
+	_ = s.connection.Conn.SetDeadline(time.Now().Add(timeout))
+	defer func() { _ = s.connection.Conn.SetDeadline(time.Time{}) }()
+	sync, _ := (&pgproto3.Sync{}).Encode(nil)
+	if s.connection.WriteRaw(sync) != nil || s.connection.Flush() != nil {
+		return false
+	}
+	for {
+		kind, _, err := s.connection.ReadRaw()
+		if err != nil {
+			return false
+		}
+		if kind == messageReadyForQuery {
+			s.lastUsed = time.Now()
+			return true
+		}
+	}
+}
+
+func (s *slot) close() {
+	_ = s.connection.Close()
+}
+
+// needsSettings reports whether the settings on the connection differ from the wanted ones.
+func (s *slot) needsSettings(wanted map[string]string) bool {
+	return !maps.Equal(s.applied, wanted)
+}
+
+// settingsQuery is the SQL that replaces all settings by the wanted ones.
+func settingsQuery(wanted map[string]string) string {
+	var b strings.Builder
+	b.WriteString("RESET ALL")
+	names := slices.Sorted(maps.Keys(wanted))
+	for _, name := range names {
+		b.WriteString("; SET ")
+		b.WriteString(quoteName(name))
+		b.WriteString(" = ")
+		b.WriteString(quoteText(wanted[name]))
+	}
+	return b.String()
+}
+
+func settingsMap(settings []api.SessionSetting) map[string]string {
+	wanted := make(map[string]string, len(settings))
+	for _, setting := range settings {
+		wanted[setting.Name] = setting.Value
+	}
+	return wanted
+}
+
+// quoteName quotes each part of a parameter name that is not plain.
+func quoteName(name string) string {
+	plain := func(r rune) bool { return r == '_' || r == '.' || r >= '0' && r <= '9' || r >= 'a' && r <= 'z' }
+	if strings.IndexFunc(name, func(r rune) bool { return !plain(r) }) < 0 {
+		return name
+	}
+	return `"` + strings.ReplaceAll(name, `"`, `""`) + `"`
+}
+
+func quoteText(text string) string {
+	return "'" + strings.ReplaceAll(text, "'", "''") + "'"
+}
--- /dev/null
+++ b/internal/gate/transaction.go
@@ -0,0 +1,110 @@
+package gate
+
+import (
+	"sync"
+	"time"
+
+	"github.com/papayacove/papayacove/api"
+	"github.com/papayacove/papayacove/internal/invariant"
+	"github.com/papayacove/papayacove/internal/result"
+	"github.com/sirupsen/logrus"
+)
+
+// transaction is a transaction block, or a pipeline left open, that keeps a connection.
+type transaction struct {
+	session  string
+	sequence uint64
+	slot     *slot
+	lastUsed time.Time
+	busy     bool
+	doomed   bool
+	admitted *ticket
+}
+
+// transactions holds what is in progress at one target, by session.
+type transactions struct {
+	mu   sync.Mutex
+	open map[string]*transaction
+}
+
+func newTransactions() *transactions {
+	return &transactions{open: make(map[string]*transaction)}
+}
+
+// resume returns the transaction of a session for its next batch.
+func (t *transactions) resume(req *api.ExecuteRequest) (*transaction, error) {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	found, ok := t.open[req.SessionID]
+	if !ok || found.doomed {
+		return nil, result.Errorf(result.TransactionLost, "the connection of the transaction was closed and the transaction rolled back")
+	}
+	// A repeated or late batch must not run again within the transaction.
+	if found.busy || req.Sequence <= found.sequence {
+		return nil, result.Errorf(result.ProtocolViolation, "batch %d follows batch %d of the session", req.Sequence, found.sequence)
+	}
+	found.busy = true
+	found.sequence = req.Sequence
+	return found, nil
+}
+
+// begin keeps a connection for a session.
+func (t *transactions) begin(req *api.ExecuteRequest, s *slot, admitted *ticket) {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	_, exists := t.open[req.SessionID]
+	invariant.Check(!exists, "one_transaction_per_session", logrus.Fields{"session": req.SessionID})
+	t.open[req.SessionID] = &transaction{
+		session: req.SessionID, sequence: req.Sequence, slot: s, lastUsed: time.Now(), admitted: admitted,
+	}
+}
+
+// idle marks the batch of a transaction as done and reports whether the transaction was doomed
+// in the meantime; then the caller ends it.
+func (t *transactions) idle(session string) bool {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	found, ok := t.open[session]
+	if !ok {
+		return false
+	}
+	found.busy = false
+	found.lastUsed = time.Now()
+	if found.doomed {
+		delete(t.open, session)
+		return true
+	}
+	return false
+}
+
+// end forgets the transaction of a session.
+func (t *transactions) end(session string) {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	delete(t.open, session)
+}
+
+// abandon takes out the idle transactions that match; busy ones are ended after their batch.
+func (t *transactions) abandon(matches func(*transaction) bool) []*transaction {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	var ended []*transaction
+	for session, found := range t.open {
+		if !matches(found) {
+			continue
+		}
+		if found.busy {
+			found.doomed = true
+			continue
+		}
+		delete(t.open, session)
+		ended = append(ended, found)
+	}
+	return ended
+}
+
+func (t *transactions) count() int {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	return len(t.open)
+}
--- /dev/null
+++ b/internal/peer/server.go
@@ -0,0 +1,154 @@
+package peer
+
+import (
+	"context"
+	"crypto/tls"
+	"errors"
+	"fmt"
+	"net"
+	"net/rpc"
+	"sync"
+
+	"github.com/papayacove/papayacove/api"
+)
+
+// serviceName is the name under which daemons register their methods.
+const serviceName = "Daemon"
+
+// Handler answers the calls of other daemons. Outcomes travel in the replies; an error of a method
+// means that the call itself is not valid.
+type Handler interface {
+	Execute(req *api.ExecuteRequest) *api.ExecuteReply
+	Fetch(req *api.FetchRequest) *api.ExecuteReply
+	Cancel(req *api.CancelRequest) bool
+	Release(req *api.ReleaseRequest) bool
+	Floor(req *api.FloorRequest) *api.FloorReply
+	Vantage(req *api.VantageRequest) *api.VantageReply
+	Heartbeat(req *api.Heartbeat) *api.Heartbeat
+	Configuration(req *api.ConfigRequest) *api.ConfigReply
+}
+
+// service adapts a Handler to the method signatures of net/rpc.
+type service struct {
+	handler Handler
+}
+
+// Execute runs a statement batch.
+func (s *service) Execute(req *api.ExecuteRequest, reply *api.ExecuteReply) error {
+	*reply = *s.handler.Execute(req)
+	return nil
+}
+
+// Fetch returns the next chunk of an answer.
+func (s *service) Fetch(req *api.FetchRequest, reply *api.ExecuteReply) error {
+	*reply = *s.handler.Fetch(req)
+	return nil
+}
+
+// Cancel cancels a running batch.
+func (s *service) Cancel(req *api.CancelRequest, reply *api.Acknowledgement) error {
+	reply.Done = s.handler.Cancel(req)
+	return nil
+}
+
+// Release ends what a session holds.
+func (s *service) Release(req *api.ReleaseRequest, reply *api.Acknowledgement) error {
+	reply.Done = s.handler.Release(req)
+	return nil
+}
+
+// Floor returns the confirmed position of a group.
+func (s *service) Floor(req *api.FloorRequest, reply *api.FloorReply) error {
+	*reply = *s.handler.Floor(req)
+	return nil
+}
+
+// Vantage returns the view of a primary.
+func (s *service) Vantage(req *api.VantageRequest, reply *api.VantageReply) error {
+	*reply = *s.handler.Vantage(req)
+	return nil
+}
+
+// Heartbeat exchanges liveness and terms.
+func (s *service) Heartbeat(req *api.Heartbeat, reply *api.Heartbeat) error {
+	*reply = *s.handler.Heartbeat(req)
+	return nil
+}
+
+// Configuration returns the configuration when it is newer than that of the asker.
+func (s *service) Configuration(req *api.ConfigRequest, reply *api.ConfigReply) error {
+	*reply = *s.handler.Configuration(req)
+	return nil
+}
+
+// Ping answers a probe of the connection.
+func (s *service) Ping(_ *api.Acknowledgement, reply *api.Acknowledgement) error {
+	reply.Done = true
+	return nil
+}
+
+// Server accepts the connections of other daemons.
+type Server struct {
+	listener net.Listener
+	server   *rpc.Server
+
+	mu          sync.Mutex
+	connections map[net.Conn]struct{}
+}
+
+// Listen opens the peer port. A nil configuration leaves TLS off.
+func Listen(address string, configuration *tls.Config, handler Handler) (*Server, error) {
+	listener, err := net.Listen("tcp", address)
+	if err != nil {
+		return nil, fmt.Errorf("listen for peers: %w", err)
+	}
+	if configuration != nil {
+		listener = tls.NewListener(listener, configuration)
+	}
+	server := rpc.NewServer()
+	if err := server.RegisterName(serviceName, &service{handler: handler}); err != nil {
+		return nil, fmt.Errorf("register peer methods: %w", err)
+	}
+	return &Server{listener: listener, server: server, connections: make(map[net.Conn]struct{})}, nil
+}
+
+// Address returns the host:port that the server listens on.
+func (s *Server) Address() string {
+	return s.listener.Addr().String()
+}
+
+// Run serves until ctx ends.
+func (s *Server) Run(ctx context.Context) error {
+	stop := context.AfterFunc(ctx, s.Close)
+	defer stop()
+	for {
+		connection, err := s.listener.Accept()
+		if errors.Is(err, net.ErrClosed) {
+			return nil
+		}
+		if err != nil {
+			return fmt.Errorf("accept peer: %w", err)
+		}
+		go s.serve(connection)
+	}
+}
+
+func (s *Server) serve(connection net.Conn) {
+	s.mu.Lock()
+	s.connections[connection] = struct{}{}
+	s.mu.Unlock()
+	s.server.ServeConn(connection)
+	s.mu.Lock()
+	delete(s.connections, connection)
+	s.mu.Unlock()
+}
+
+// Close stops listening and closes all connections.
+func (s *Server) Close() {
+	_ = s.listener.Close()
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	for connection := range s.connections {
+		_ = connection.Close()
+	}
+}
