policy: admit batches to the slots of a target

Cause: a target has 2 to 5 slots, shared by many callers of several workspaces. Change: admission (bounded queue, deadline check by expected wait, turns of workspaces).

--- /dev/null
+++ b/internal/policy/admission/queue.go
@@ -0,0 +1,265 @@
+package admission
+
+import (
+	"slices"
+	"time"
+
+	"github.com/papayacove/papayacove/internal/invariant"
+	"github.com/papayacove/papayacove/internal/result"
+	"github.com/sirupsen/logrus"
+)
+
+// Queue is the admission state of one target. It is not safe for concurrent use.
+type Queue struct {
+	slots       int
+	queueLength int
+	running     int
+	waiting     int
+	lanes       [classes]lane
+	// serviceTime is the moving average of the time that a batch holds a slot, in seconds.
+	serviceTime float64
+}
+
+// New returns the empty queue of a target.
+func New(cfg Config) *Queue {
+	service := cfg.ServiceTime
+	if service <= 0 {
+		service = DefaultServiceTime
+	}
+	return &Queue{slots: cfg.Slots, queueLength: cfg.QueueLength, serviceTime: service.Seconds()}
+}
+
+// Running returns the number of batches that hold a slot.
+func (q *Queue) Running() int { return q.running }
+
+// Waiting returns the number of batches that wait.
+func (q *Queue) Waiting() int { return q.waiting }
+
+// Slots returns the number of batches that run at once.
+func (q *Queue) Slots() int { return q.slots }
+
+// ServiceTime returns the estimated time that a batch holds a slot.
+func (q *Queue) ServiceTime() time.Duration {
+	return time.Duration(q.serviceTime * float64(time.Second))
+}
+
+// Backlog returns the estimated time until all waiting batches have started.
+func (q *Queue) Backlog() time.Duration {
+	return q.waitBehind(q.waiting)
+}
+
+// Offer takes in a batch: it starts, waits or is refused. A started batch must be given back with
+// Release, a waiting one that is no longer wanted with Remove.
+func (q *Queue) Offer(item Item, now time.Time) Decision {
+	wait := q.expectedWait(item)
+	d := q.decision(item, wait)
+	switch {
+	case !now.Before(item.Deadline):
+		q.refuse(&d, ReasonDeadlinePassed, result.NotRunDeadline)
+	case q.running < q.slots && q.waiting == 0:
+		q.running++
+		d.Outcome, d.Reason, d.ExpectedWait = Started, ReasonSlotFree, 0
+	case now.Add(wait).After(item.Deadline):
+		q.refuse(&d, ReasonTooLate, result.NotRunOverloaded)
+	case q.waiting < q.queueLength:
+		q.enqueue(item, &d, now)
+	default:
+		q.offerToFullQueue(item, &d, now)
+	}
+	d.Running, d.Waiting = q.running, q.waiting
+	q.check()
+	return d
+}
+
+func (q *Queue) decision(item Item, wait time.Duration) Decision {
+	return Decision{
+		ID:           item.ID,
+		Workspace:    item.Workspace,
+		Class:        item.Class,
+		ExpectedWait: wait,
+		ServiceTime:  q.ServiceTime(),
+	}
+}
+
+func (q *Queue) refuse(d *Decision, reason Reason, code result.Code) {
+	d.Outcome, d.Reason, d.Code = Rejected, reason, code
+	d.RetryAfter = q.retryAfter()
+}
+
+func (q *Queue) enqueue(item Item, d *Decision, now time.Time) {
+	q.lanes[item.Class].push(entry{item: item, since: now})
+	q.waiting++
+	d.Outcome, d.Reason = Queued, ReasonSlotsBusy
+}
+
+// offerToFullQueue makes room when a batch of a lower class waits, or when another workspace of
+// the class holds more of the queue.
+func (q *Queue) offerToFullQueue(item Item, d *Decision, now time.Time) {
+	class, index := q.victim(item)
+	if index < 0 {
+		q.refuse(d, ReasonQueueFull, result.NotRunOverloaded)
+		return
+	}
+	l := &q.lanes[class]
+	e := l.removeAt(index, len(l.lines[index].entries)-1)
+	q.waiting--
+	r := q.refused(e, ReasonDisplaced, result.NotRunOverloaded, now)
+	d.Displaced = &r
+	q.enqueue(item, d, now)
+}
+
+// victim returns the class and the line that give up their newest batch; -1 for none.
+func (q *Queue) victim(item Item) (Class, int) {
+	for c := ClassAged; c > item.Class; c-- {
+		if index, _ := q.lanes[c].longest(); index >= 0 {
+			return c, index
+		}
+	}
+	l := &q.lanes[item.Class]
+	index, length := l.longest()
+	if length > l.lineLength(item.Workspace)+1 {
+		return item.Class, index
+	}
+	return item.Class, -1
+}
+
+// Release gives back the slot of a batch that held it for served and returns the batches that
+// start now. Batches past their deadline never start; Expire returns them.
+func (q *Queue) Release(now time.Time, served time.Duration) []Start {
+	if !invariant.Check(q.running > 0, "admission_release_of_running", q.fields()) {
+		return nil
+	}
+	q.running--
+	q.serviceTime += serviceTimeWeight * (served.Seconds() - q.serviceTime)
+	return q.startWaiting(now)
+}
+
+// Resize changes the number of slots and returns the batches that start now. Running batches stay
+// when there are fewer slots than they use.
+func (q *Queue) Resize(slots int, now time.Time) []Start {
+	q.slots = slots
+	return q.startWaiting(now)
+}
+
+func (q *Queue) startWaiting(now time.Time) []Start {
+	var starts []Start
+	for q.running < q.slots {
+		e, ok := q.next(now)
+		if !ok {
+			break
+		}
+		q.running++
+		q.waiting--
+		starts = append(starts, Start{
+			ID:        e.item.ID,
+			Workspace: e.item.Workspace,
+			Class:     e.item.Class,
+			Waited:    now.Sub(e.since),
+			Running:   q.running,
+			Waiting:   q.waiting,
+		})
+	}
+	q.check()
+	return starts
+}
+
+// Expire removes and returns the waiting batches whose deadline has passed.
+func (q *Queue) Expire(now time.Time) []Refused {
+	var refused []Refused
+	for c := range q.lanes {
+		l := &q.lanes[c]
+		for i := len(l.lines) - 1; i >= 0; i-- {
+			for j := len(l.lines[i].entries) - 1; j >= 0; j-- {
+				if now.Before(l.lines[i].entries[j].item.Deadline) {
+					continue
+				}
+				last := len(l.lines[i].entries) == 1
+				e := l.removeAt(i, j)
+				q.waiting--
+				refused = append(refused, q.refused(e, ReasonDeadlinePassed, result.NotRunDeadline, now))
+				if last {
+					break
+				}
+			}
+		}
+	}
+	q.check()
+	return refused
+}
+
+// NextExpiry returns the earliest deadline of the waiting batches; false when none waits.
+func (q *Queue) NextExpiry() (time.Time, bool) {
+	var earliest time.Time
+	found := false
+	for c := range q.lanes {
+		for _, w := range q.lanes[c].lines {
+			for _, e := range w.entries {
+				if !found || e.item.Deadline.Before(earliest) {
+					earliest, found = e.item.Deadline, true
+				}
+			}
+		}
+	}
+	return earliest, found
+}
+
+// Remove takes a waiting batch out and reports whether it waited. It never starts.
+func (q *Queue) Remove(id uint64) bool {
+	for c := range q.lanes {
+		l := &q.lanes[c]
+		for i, w := range l.lines {
+			j := slices.IndexFunc(w.entries, func(e entry) bool { return e.item.ID == id })
+			if j < 0 {
+				continue
+			}
+			l.removeAt(i, j)
+			q.waiting--
+			return true
+		}
+	}
+	return false
+}
+
+func (q *Queue) refused(e entry, reason Reason, code result.Code, now time.Time) Refused {
+	return Refused{
+		ID:         e.item.ID,
+		Workspace:  e.item.Workspace,
+		Class:      e.item.Class,
+		Reason:     reason,
+		Code:       code,
+		Waited:     now.Sub(e.since),
+		RetryAfter: q.retryAfter(),
+	}
+}
+
+// expectedWait estimates the time until a new batch starts.
+func (q *Queue) expectedWait(item Item) time.Duration {
+	if q.running < q.slots && q.waiting == 0 {
+		return 0
+	}
+	ahead := q.lanes[item.Class].ahead(item.Workspace)
+	for c := Class(0); c < item.Class; c++ {
+		ahead += q.lanes[c].length
+	}
+	return q.waitBehind(ahead + 1)
+}
+
+// waitBehind returns the time in which the slots come free n times.
+func (q *Queue) waitBehind(n int) time.Duration {
+	seconds := q.serviceTime * float64(n) / float64(max(1, q.slots))
+	return time.Duration(seconds * float64(time.Second))
+}
+
+func (q *Queue) retryAfter() time.Duration {
+	return max(minRetryAfter, q.Backlog())
+}
+
+func (q *Queue) check() {
+	if q.waiting > q.queueLength {
+		invariant.Check(false, "admission_queue_bounded", q.fields())
+	}
+}
+
+func (q *Queue) fields() logrus.Fields {
+	return logrus.Fields{"running": q.running, "waiting": q.waiting, "slots": q.slots}
+}
--- a/internal/policy/readroute/replica.go
+++ b/internal/policy/readroute/replica.go
@@ -25,9 +25,11 @@
 	Behind
 	// TooOld refuses the read as not run, because the data may be older than allowed.
 	TooOld
+	// Unbacked refuses the read as not run at a primary without a majority.
+	Unbacked
 )
 
-var replicaActionNames = [...]string{Run: "run", WaitThenRun: "wait", Behind: "behind", TooOld: "too_old"}
+var replicaActionNames = [...]string{Run: "run", WaitThenRun: "wait", Behind: "behind", TooOld: "too_old", Unbacked: "unbacked"}
 
 // String returns the name of the action.
 func (a ReplicaAction) String() string {
@@ -39,13 +41,15 @@
 
 // The reasons of a ReplicaDecision.
 const (
-	ReplicaFresh        ReplicaReason = "floor_applied"
-	ReplicaFreshInAge   ReplicaReason = "floor_applied_within_age"
-	ReplicaCatchingUp   ReplicaReason = "floor_soon_applied"
-	ReplicaNoWait       ReplicaReason = "no_time_to_wait"
-	ReplicaLagsTooFar   ReplicaReason = "lag_beyond_wait"
-	ReplicaAgeUnknown   ReplicaReason = "age_unknown"
-	ReplicaAgeTooHigh   ReplicaReason = "age_beyond_allowed"
+	ReplicaFresh      ReplicaReason = "floor_applied"
+	ReplicaFreshInAge ReplicaReason = "floor_applied_within_age"
+	ReplicaCatchingUp ReplicaReason = "floor_soon_applied"
+	ReplicaNoWait     ReplicaReason = "no_time_to_wait"
+	ReplicaLagsTooFar ReplicaReason = "lag_beyond_wait"
+	ReplicaAgeUnknown ReplicaReason = "age_unknown"
+	ReplicaAgeTooHigh ReplicaReason = "age_beyond_allowed"
+	PrimaryBacked     ReplicaReason = "primary_backed_by_majority"
+	PrimaryUnbacked   ReplicaReason = "primary_without_majority"
 )
 
 // ReplicaDecision is the decision of a gate on a read.
@@ -82,6 +86,8 @@
 		return result.NotRunBehind
 	case TooOld:
 		return result.NotRunTooOld
+	case Unbacked:
+		return result.NotRunNoMajority
 	default:
 		return result.OK
 	}
@@ -112,6 +118,19 @@
 	return d
 }
 
+// AtPrimary decides at the gate of a primary on a read. A primary that a majority backs runs it.
+// One that is cut off may have been replaced; it serves only reads with an allowed age, as a
+// replica does, so that a cut-off availability zone goes on reading for that long.
+func AtPrimary(backed bool, floor api.Position, maxAge time.Duration, position api.Position, age staleness.Bound) ReplicaDecision {
+	if backed {
+		return ReplicaDecision{Action: Run, Reason: PrimaryBacked, Floor: floor, Applied: position, MaxAge: maxAge}
+	}
+	if maxAge <= 0 {
+		return ReplicaDecision{Action: Unbacked, Reason: PrimaryUnbacked, Floor: floor, Applied: position, MaxAge: maxAge, Age: -1}
+	}
+	return AtReplica(floor, maxAge, position, age, 0)
+}
+
 // belowFloor waits when the lag of the replica is shorter than the time to wait.
 func belowFloor(age staleness.Bound, waitBudget time.Duration) (ReplicaAction, ReplicaReason) {
 	switch {
