Resolve templates and workspaces into the configuration in force

Cause: operators declare workspaces; daemons need them checked and in memory. Ruled out: history as separate objects, because the second write can be lost on its own and doubles the platform calls; a bounded list inside the object changes with it in one conditional update. Ruled out: dropping a workspace whose newest version is invalid; the last valid one stays in force and the refused version shows in Statuses. Change: internal/workspace with Resolve, CheckTemplate, CheckGroup and Catalog; reads go through an atomic pointer to an immutable view. Figures: with the version comparison replaced by inequality the property test fails; with it in place it passes under the race detector. Conclusion: versions and terms of the catalog only rise.

--- /dev/null
+++ b/internal/workspace/catalog.go
@@ -0,0 +1,161 @@
+package workspace
+
+import (
+	"sort"
+	"sync"
+	"sync/atomic"
+
+	"github.com/sirupsen/logrus"
+
+	"github.com/papayacove/papayacove/api"
+	"github.com/papayacove/papayacove/internal/frontend"
+	"github.com/papayacove/papayacove/internal/invariant"
+	"github.com/papayacove/papayacove/internal/result"
+)
+
+// Catalog is the configuration of a daemon in memory. Reads take no lock; results are shared and
+// must not be modified. Groups, templates and workspaces rise by version, terms by term.
+type Catalog struct {
+	current atomic.Pointer[view]
+
+	// mu serialises writers and guards subscribers.
+	mu          sync.Mutex
+	subscribers []chan struct{}
+}
+
+var _ frontend.Directory = (*Catalog)(nil)
+
+// NewCatalog returns an empty catalog.
+func NewCatalog() *Catalog {
+	c := &Catalog{}
+	c.current.Store(emptyView())
+	return c
+}
+
+// Apply takes in the objects whose version is higher than the known one and reports whether
+// anything changed. The caller states the revision up to which it has seen all objects.
+// An invalid object is remembered, and the last valid one stays in force.
+func (c *Catalog) Apply(objects []api.Object, revision uint64) bool {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	before := c.current.Load()
+	fresh := before.fresh(objects)
+	if len(fresh) == 0 {
+		c.raiseRevision(before, revision)
+		return false
+	}
+	next := before.clone()
+	next.takeAll(fresh)
+	next.revision = max(next.revision, revision)
+	c.publish(next)
+	logrus.WithFields(logrus.Fields{"revision": next.revision, "objects": len(fresh)}).Info("config_applied")
+	return true
+}
+
+// raiseRevision notes that the objects are complete up to a higher revision. The caller holds mu.
+func (c *Catalog) raiseRevision(before *view, revision uint64) {
+	if revision <= before.revision {
+		return
+	}
+	next := *before
+	next.revision = revision
+	c.publish(&next)
+}
+
+// publish makes next the current view and wakes the subscribers. The caller holds mu.
+func (c *Catalog) publish(next *view) {
+	before := c.current.Load()
+	holds := next.revision >= before.revision && before.versionsHold(next)
+	if !invariant.Check(holds, "config_version_never_falls", logrus.Fields{
+		"known": before.revision, "stated": next.revision,
+	}) {
+		return
+	}
+	c.current.Store(next)
+	for _, subscriber := range c.subscribers {
+		select {
+		case subscriber <- struct{}{}:
+		default:
+		}
+	}
+}
+
+// Subscribe returns a channel that receives after a change. Changes in quick succession may
+// arrive as one.
+func (c *Catalog) Subscribe() <-chan struct{} {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	subscriber := make(chan struct{}, 1)
+	c.subscribers = append(c.subscribers, subscriber)
+	return subscriber
+}
+
+// Revision returns the revision up to which the catalog is complete.
+func (c *Catalog) Revision() uint64 {
+	return c.current.Load().revision
+}
+
+// Snapshot returns the newest objects, ordered by version, for a peer to apply.
+func (c *Catalog) Snapshot() []api.Object {
+	return c.current.Load().snapshot()
+}
+
+// Statuses returns the objects whose newest version is not in force, ordered by kind and name.
+func (c *Catalog) Statuses() []Status {
+	return c.current.Load().listStatuses()
+}
+
+// Workspace returns the configuration of a workspace that is in force.
+func (c *Catalog) Workspace(name string) (Effective, bool) {
+	entry := c.current.Load().workspaces[name]
+	if entry.inForce == nil {
+		return Effective{}, false
+	}
+	return *entry.inForce, true
+}
+
+// Workspaces returns the configurations in force, ordered by name.
+func (c *Catalog) Workspaces() []Effective {
+	var list []Effective
+	for _, entry := range c.current.Load().workspaces {
+		if entry.inForce != nil {
+			list = append(list, *entry.inForce)
+		}
+	}
+	sort.Slice(list, func(i, j int) bool { return list[i].Name < list[j].Name })
+	return list
+}
+
+// Groups returns the database groups, ordered by name.
+func (c *Catalog) Groups() []api.GroupSpec {
+	return c.current.Load().groupList
+}
+
+// Group returns the database group of a name.
+func (c *Catalog) Group(name string) (api.GroupSpec, bool) {
+	group, found := c.current.Load().groups[name]
+	return group, found
+}
+
+// Term returns the newest term of a group.
+func (c *Catalog) Term(group string) (api.TermRecord, bool) {
+	term, found := c.current.Load().terms[group]
+	return term, found
+}
+
+// Credential returns what authentication needs to know of a user. The error carries
+// UnknownWorkspace, UnknownGroup or AuthenticationFailed.
+func (c *Catalog) Credential(workspace, group, user string) (frontend.Credential, error) {
+	effective, found := c.Workspace(workspace)
+	if !found {
+		return frontend.Credential{}, result.Errorf(result.UnknownWorkspace, "no workspace %q", workspace)
+	}
+	if !effective.HasGroup(group) {
+		return frontend.Credential{}, result.Errorf(result.UnknownGroup, "workspace %q has no group %q", workspace, group)
+	}
+	account, found := effective.Users[user]
+	if !found {
+		return frontend.Credential{}, result.Errorf(result.AuthenticationFailed, "unknown user or wrong password")
+	}
+	return frontend.Credential{Verifier: account.Verifier, MaxAge: account.MaxStaleness}, nil
+}
--- /dev/null
+++ b/internal/workspace/catalog_test.go
@@ -0,0 +1,223 @@
+package workspace
+
+import (
+	"reflect"
+	"strconv"
+	"sync"
+	"testing"
+	"time"
+
+	"pgregory.net/rapid"
+
+	"github.com/papayacove/papayacove/api"
+	"github.com/papayacove/papayacove/internal/result"
+)
+
+func loadedCatalog() *Catalog {
+	c := NewCatalog()
+	objects := []api.Object{object(KindTemplate, "city", 1, testTemplate())}
+	for i, group := range testGroups(5) {
+		objects = append(objects, object(KindGroup, group.Name, uint64(2+i), group))
+	}
+	objects = append(objects, object(KindWorkspace, "kelani", 4, testWorkspace()))
+	c.Apply(objects, 4)
+	return c
+}
+
+func TestCredential(t *testing.T) {
+	c := loadedCatalog()
+	credential, err := c.Credential("kelani", "rounds-1", "map")
+	if err != nil || credential.MaxAge != 5*time.Second || credential.Verifier != testVerifier {
+		t.Errorf("Credential = %v, %v", credential.MaxAge, err)
+	}
+	cases := map[[3]string]result.Code{
+		{"acme", "rounds-1", "map"}:      result.UnknownWorkspace,
+		{"kelani", "rounds-3", "map"}:    result.UnknownGroup,
+		{"kelani", "rounds-1", "nobody"}: result.AuthenticationFailed,
+	}
+	for names, want := range cases {
+		if _, err := c.Credential(names[0], names[1], names[2]); result.CodeOf(err) != want {
+			t.Errorf("Credential(%v) = %v, want %v", names, err, want)
+		}
+	}
+}
+
+func TestInvalidWorkspaceKeepsTheLastValidOne(t *testing.T) {
+	c := loadedCatalog()
+	broken := testWorkspace()
+	broken.Values["connections"] = "1000"
+	c.Apply([]api.Object{object(KindWorkspace, "kelani", 5, broken)}, 5)
+	if e, found := c.Workspace("kelani"); !found || e.Revision != 4 {
+		t.Errorf("workspace in force = %+v, want revision 4", e)
+	}
+	statuses := c.Statuses()
+	if len(statuses) != 1 || statuses[0].Version != 5 || statuses[0].InForce != 4 {
+		t.Errorf("statuses = %v, want version 5 refused and 4 in force", statuses)
+	}
+	garbled := api.Object{Kind: KindWorkspace, Name: "kelani", Version: 6, Data: []byte(`{`)}
+	c.Apply([]api.Object{garbled}, 6)
+	if e, found := c.Workspace("kelani"); !found || e.Revision != 4 {
+		t.Errorf("workspace in force = %+v, want revision 4", e)
+	}
+	c.Apply([]api.Object{object(KindWorkspace, "kelani", 7, testWorkspace())}, 7)
+	if e, _ := c.Workspace("kelani"); e.Revision != 7 || len(c.Statuses()) != 0 {
+		t.Errorf("after the mend: revision %d, statuses %v", e.Revision, c.Statuses())
+	}
+}
+
+func TestDeletedWorkspaceStaysDeleted(t *testing.T) {
+	c := loadedCatalog()
+	removed := testWorkspace()
+	removed.Deleted = true
+	c.Apply([]api.Object{object(KindWorkspace, "kelani", 5, removed)}, 5)
+	if c.Apply([]api.Object{object(KindWorkspace, "kelani", 4, testWorkspace())}, 4) {
+		t.Error("an older version was taken in")
+	}
+	if _, found := c.Workspace("kelani"); found {
+		t.Error("the removed workspace came back")
+	}
+}
+
+func TestTermsRise(t *testing.T) {
+	c := NewCatalog()
+	c.Apply([]api.Object{object(KindTerm, "rounds-1", 1, api.TermRecord{Group: "rounds-1", Term: 3})}, 1)
+	steps := []struct {
+		term    api.GroupTerm
+		changed bool
+	}{
+		{api.GroupTerm{Group: "rounds-1", Term: 2, Primary: "a"}, false},
+		{api.GroupTerm{Group: "rounds-1", Term: 3}, false},
+		{api.GroupTerm{Group: "rounds-1", Term: 3, Primary: "b"}, true},
+		{api.GroupTerm{Group: "rounds-1", Term: 3}, false},
+		{api.GroupTerm{Group: "rounds-1", Term: 4}, true},
+		{api.GroupTerm{Group: "rounds-1", Term: 3, Primary: "b"}, false},
+	}
+	for _, step := range steps {
+		if got := c.ObserveTerm(step.term); got != step.changed {
+			t.Errorf("ObserveTerm(%+v) = %v", step.term, got)
+		}
+	}
+	if term, _ := c.Term("rounds-1"); term.Term != 4 || term.Primary != "" {
+		t.Errorf("term = %+v, want 4 without a primary", term)
+	}
+}
+
+func TestSubscribersAreWokenOnceForABurst(t *testing.T) {
+	c := NewCatalog()
+	woken := c.Subscribe()
+	c.Apply([]api.Object{object(KindTemplate, "city", 1, testTemplate())}, 1)
+	c.Apply([]api.Object{object(KindTemplate, "city", 2, testTemplate())}, 2)
+	<-woken
+	select {
+	case <-woken:
+		t.Error("woken twice")
+	default:
+	}
+}
+
+// history is a run of valid versions of a few objects and the newest of each.
+func history(t *rapid.T) (objects []api.Object, template api.Template, newest map[string]api.Workspace) {
+	newest = map[string]api.Workspace{}
+	for i, group := range testGroups(5) {
+		objects = append(objects, object(KindGroup, group.Name, uint64(i+1), group))
+	}
+	template = testTemplate()
+	objects = append(objects, object(KindTemplate, "city", 3, template))
+	steps := rapid.IntRange(1, 12).Draw(t, "steps")
+	for version := uint64(4); version < uint64(4+steps); version++ {
+		if rapid.Bool().Draw(t, "template") {
+			template = testTemplate()
+			template.Parameters[5].Default = rapid.SampledFrom([]string{"1s", "2s", "3s"}).Draw(t, "wait")
+			objects = append(objects, object(KindTemplate, "city", version, template))
+			continue
+		}
+		w := testWorkspace()
+		w.Name = rapid.SampledFrom([]string{"kelani", "acme"}).Draw(t, "name")
+		w.Values["connections"] = strconv.Itoa(rapid.IntRange(1, 100).Draw(t, "connections"))
+		w.Deleted = rapid.IntRange(0, 4).Draw(t, "deleted") == 0
+		newest[w.Name] = w
+		objects = append(objects, object(KindWorkspace, w.Name, version, w))
+	}
+	return objects, template, newest
+}
+
+func versions(c *Catalog) map[objectKey]uint64 {
+	all := map[objectKey]uint64{}
+	for _, o := range c.Snapshot() {
+		all[objectKey{o.Kind, o.Name}] = o.Version
+	}
+	return all
+}
+
+func applyWatched(t *rapid.T, c *Catalog, objects []api.Object, revision uint64) {
+	before, beforeRevision := versions(c), c.Revision()
+	c.Apply(objects, revision)
+	after := versions(c)
+	for key, version := range before {
+		if after[key] < version {
+			t.Fatalf("%v fell from %d to %d", key, version, after[key])
+		}
+	}
+	if c.Revision() < beforeRevision {
+		t.Fatalf("revision fell from %d to %d", beforeRevision, c.Revision())
+	}
+}
+
+func TestAnyOrderEndsInTheNewest(t *testing.T) {
+	rapid.Check(t, func(t *rapid.T) {
+		objects, template, newest := history(t)
+		catalogs := []*Catalog{NewCatalog(), NewCatalog()}
+		delivered := rapid.SliceOfN(rapid.SampledFrom(objects), 0, 30).Draw(t, "repeated")
+		delivered = rapid.Permutation(append(delivered, objects...)).Draw(t, "order")
+		for len(delivered) > 0 {
+			size := rapid.IntRange(1, len(delivered)).Draw(t, "size")
+			c := catalogs[rapid.IntRange(0, 1).Draw(t, "catalog")]
+			applyWatched(t, c, delivered[:size], uint64(rapid.IntRange(0, 20).Draw(t, "revision")))
+			delivered = delivered[size:]
+		}
+		// Peers exchange what they have, the older one first.
+		stale := catalogs[0].Snapshot()
+		applyWatched(t, catalogs[0], catalogs[1].Snapshot(), catalogs[1].Revision())
+		applyWatched(t, catalogs[1], stale, 0)
+		for _, c := range catalogs {
+			checkNewest(t, c, template, newest)
+		}
+	})
+}
+
+func checkNewest(t *rapid.T, c *Catalog, template api.Template, newest map[string]api.Workspace) {
+	for name, w := range newest {
+		got, found := c.Workspace(name)
+		if found == w.Deleted {
+			t.Fatalf("workspace %s found = %v, deleted = %v", name, found, w.Deleted)
+		}
+		if w.Deleted {
+			continue
+		}
+		want, _ := Resolve(template, w, testGroups(5))
+		want.Revision = got.Revision
+		if !reflect.DeepEqual(got, want) {
+			t.Fatalf("workspace %s = %+v, want %+v", name, got, want)
+		}
+	}
+}
+
+func TestConcurrentUse(t *testing.T) {
+	c := loadedCatalog()
+	var writers sync.WaitGroup
+	for i := 0; i < 4; i++ {
+		writers.Add(1)
+		go func() {
+			defer writers.Done()
+			for version := uint64(5); version < 25; version++ {
+				c.Apply([]api.Object{object(KindWorkspace, "kelani", version, testWorkspace())}, version)
+				c.ObserveTerm(api.GroupTerm{Group: "rounds-1", Term: version})
+				_, _ = c.Credential("kelani", "rounds-1", "map")
+			}
+		}()
+	}
+	writers.Wait()
+	if e, _ := c.Workspace("kelani"); e.Revision != 24 || c.Revision() != 24 {
+		t.Errorf("revision = %d and %d, want 24", e.Revision, c.Revision())
+	}
+}
--- /dev/null
+++ b/internal/workspace/group.go
@@ -0,0 +1,50 @@
+package workspace
+
+import (
+	"net/netip"
+
+	"github.com/papayacove/papayacove/api"
+	"github.com/papayacove/papayacove/internal/config"
+)
+
+const minTargets = 1
+
+// CheckGroup returns what is wrong with a database group by itself.
+func CheckGroup(g api.GroupSpec) []Problem {
+	object := "group " + g.Name
+	var problems config.Problems
+	if !config.IsName(g.Name) {
+		problems.Add(object, "name", g.Name, nameBound)
+	}
+	if !config.IsName(g.Service) {
+		problems.Add(object, "service", g.Service, nameBound)
+	}
+	if len(g.Targets) < minTargets {
+		problems.Add(object, "targets", itoa(len(g.Targets)), "at least "+itoa(minTargets))
+	}
+	seen := map[string]bool{}
+	for _, target := range g.Targets {
+		if seen[target.Name] {
+			problems.Add(object, "targets", target.Name, "a target name that is used once")
+		}
+		seen[target.Name] = true
+		checkTarget(object, target, &problems)
+	}
+	return problems
+}
+
+func checkTarget(object string, t api.TargetSpec, problems *config.Problems) {
+	key := "targets." + t.Name
+	if !config.IsName(t.Name) {
+		problems.Add(object, "targets.name", t.Name, nameBound)
+	}
+	if !config.IsName(t.Zone) {
+		problems.Add(object, key+".zone", t.Zone, nameBound)
+	}
+	if address, err := netip.ParseAddrPort(t.Address); err != nil || address.Port() == 0 {
+		problems.Add(object, key+".address", t.Address, "an IP address with a port of 1 to 65535")
+	}
+	if t.Slots < 1 {
+		problems.Add(object, key+".slots", itoa(t.Slots), "at least 1")
+	}
+}
--- /dev/null
+++ b/internal/workspace/users.go
@@ -0,0 +1,134 @@
+package workspace
+
+import (
+	"encoding/base64"
+	"sort"
+	"strconv"
+	"strings"
+	"time"
+
+	"github.com/papayacove/papayacove/api"
+	"github.com/papayacove/papayacove/internal/config"
+)
+
+// StalenessNone is the text by which a user asks for reads that see every confirmed write.
+const StalenessNone = "none"
+
+const (
+	scramMechanism      = "SCRAM-SHA-256"
+	scramKeyBytes       = 32
+	minScramIterations  = 4096
+	maxScramIterations  = 1_000_000
+	verifierBound       = "SCRAM-SHA-256$<iterations from 4096>:<salt>$<stored key>:<server key>"
+	userStalenessBound  = "none, empty or a duration such as 5s"
+	staleWithinTemplate = "at most the maximum of the template, "
+)
+
+func (r *resolver) users(users []api.WorkspaceUser, standard time.Duration) map[string]User {
+	resolved := make(map[string]User, len(users))
+	for _, u := range users {
+		key := "users." + u.Name
+		if !config.IsName(u.Name) {
+			r.add("users.name", u.Name, nameBound)
+		}
+		if _, found := resolved[u.Name]; found {
+			r.add(key, u.Name, "a user name that is used once")
+		}
+		if !IsVerifier(u.Verifier) {
+			r.add(key+".verifier", config.Hidden, verifierBound)
+		}
+		resolved[u.Name] = User{Verifier: u.Verifier, MaxStaleness: r.userStaleness(key, u.MaxStaleness, standard)}
+	}
+	return resolved
+}
+
+func (r *resolver) userStaleness(key, text string, standard time.Duration) time.Duration {
+	switch text {
+	case "":
+		return standard
+	case StalenessNone:
+		return NoStaleness
+	}
+	v, err := parseDuration(text)
+	if err != nil {
+		r.add(key+".max_staleness", text, userStalenessBound)
+		return NoStaleness
+	}
+	if p, found := r.stalenessParameter(); found && !isWithin(maximumOnly(p), v) {
+		r.add(key+".max_staleness", text, staleWithinTemplate+p.Maximum)
+	}
+	if v.duration == 0 {
+		return NoStaleness
+	}
+	return v.duration
+}
+
+func (r *resolver) stalenessParameter() (api.Parameter, bool) {
+	for _, p := range r.template.Parameters {
+		if p.Name == r.template.Outcome.MaxStaleness {
+			return p, true
+		}
+	}
+	return api.Parameter{}, false
+}
+
+func maximumOnly(p api.Parameter) api.Parameter {
+	p.Minimum = ""
+	return p
+}
+
+// IsVerifier reports whether text is a SCRAM-SHA-256 verifier in the form that PostgreSQL stores.
+func IsVerifier(text string) bool {
+	parts := strings.Split(text, "$")
+	if len(parts) != 3 || parts[0] != scramMechanism {
+		return false
+	}
+	iterations, salt, found := strings.Cut(parts[1], ":")
+	if !found || !isIterationCount(iterations) || !isBase64(salt, 1) {
+		return false
+	}
+	storedKey, serverKey, found := strings.Cut(parts[2], ":")
+	return found && isBase64(storedKey, scramKeyBytes) && isBase64(serverKey, scramKeyBytes)
+}
+
+func isIterationCount(text string) bool {
+	count, err := strconv.Atoi(text)
+	return err == nil && count >= minScramIterations && count <= maxScramIterations
+}
+
+// isBase64 reports whether text decodes to at least the given number of bytes.
+func isBase64(text string, least int) bool {
+	decoded, err := base64.StdEncoding.DecodeString(text)
+	return err == nil && len(decoded) >= least
+}
+
+func sortedKeys(values api.WorkspaceValues) []string {
+	keys := make([]string, 0, len(values))
+	for key := range values {
+		keys = append(keys, key)
+	}
+	sort.Strings(keys)
+	return keys
+}
+
+func findGroup(groups []api.GroupSpec, name string) (api.GroupSpec, bool) {
+	for _, group := range groups {
+		if group.Name == name {
+			return group, true
+		}
+	}
+	return api.GroupSpec{}, false
+}
+
+func contains(list []string, entry string) bool {
+	for _, e := range list {
+		if e == entry {
+			return true
+		}
+	}
+	return false
+}
+
+func itoa(number int) string {
+	return strconv.Itoa(number)
+}
--- /dev/null
+++ b/internal/workspace/view.go
@@ -0,0 +1,115 @@
+package workspace
+
+import (
+	"maps"
+	"sort"
+
+	"github.com/papayacove/papayacove/api"
+)
+
+// objectKey identifies an object of the platform.
+type objectKey struct {
+	kind string
+	name string
+}
+
+// workspaceEntry is a workspace with its newest object and what is in force.
+type workspaceEntry struct {
+	newest   api.Workspace
+	version  uint64
+	inForce  *Effective
+	problems []Problem
+}
+
+// view is one state of the catalog. It is not changed once it is published.
+type view struct {
+	revision  uint64
+	objects   map[objectKey]api.Object
+	groups    map[string]api.GroupSpec
+	groupList []api.GroupSpec
+	templates map[string]api.Template
+	// versions are those in force of groups and templates.
+	versions   map[objectKey]uint64
+	terms      map[string]api.TermRecord
+	workspaces map[string]workspaceEntry
+	statuses   map[objectKey]Status
+}
+
+func emptyView() *view {
+	return &view{
+		objects:    map[objectKey]api.Object{},
+		groups:     map[string]api.GroupSpec{},
+		templates:  map[string]api.Template{},
+		versions:   map[objectKey]uint64{},
+		terms:      map[string]api.TermRecord{},
+		workspaces: map[string]workspaceEntry{},
+		statuses:   map[objectKey]Status{},
+	}
+}
+
+// clone copies the maps, so that readers of v are not disturbed.
+func (v *view) clone() *view {
+	return &view{
+		revision:   v.revision,
+		objects:    maps.Clone(v.objects),
+		groups:     maps.Clone(v.groups),
+		groupList:  v.groupList,
+		templates:  maps.Clone(v.templates),
+		versions:   maps.Clone(v.versions),
+		terms:      maps.Clone(v.terms),
+		workspaces: maps.Clone(v.workspaces),
+		statuses:   maps.Clone(v.statuses),
+	}
+}
+
+func (v *view) listGroups() []api.GroupSpec {
+	list := make([]api.GroupSpec, 0, len(v.groups))
+	for _, group := range v.groups {
+		list = append(list, group)
+	}
+	sort.Slice(list, func(i, j int) bool { return list[i].Name < list[j].Name })
+	return list
+}
+
+func (v *view) snapshot() []api.Object {
+	list := make([]api.Object, 0, len(v.objects))
+	for _, object := range v.objects {
+		list = append(list, object)
+	}
+	sort.Slice(list, func(i, j int) bool { return objectLess(list[i], list[j]) })
+	return list
+}
+
+func objectLess(a, b api.Object) bool {
+	if a.Version != b.Version {
+		return a.Version < b.Version
+	}
+	if a.Kind != b.Kind {
+		return a.Kind < b.Kind
+	}
+	return a.Name < b.Name
+}
+
+func (v *view) listStatuses() []Status {
+	list := make([]Status, 0, len(v.statuses))
+	for _, status := range v.statuses {
+		list = append(list, status)
+	}
+	sort.Slice(list, func(i, j int) bool {
+		if list[i].Kind != list[j].Kind {
+			return list[i].Kind < list[j].Kind
+		}
+		return list[i].Name < list[j].Name
+	})
+	return list
+}
+
+// versionsHold reports whether no object of next is older than in v.
+func (v *view) versionsHold(next *view) bool {
+	for key, object := range v.objects {
+		if next.objects[key].Version < object.Version {
+			return false
+		}
+	}
+	return true
+}
