Keep the change ids and the history of an object apart

Cause: the platform client records change ids as a list of strings, oldest first. Change: recent_changes holds the ids, history holds author, time and changed keys with their old and new text, so that an earlier state can be worked out. Verifiers are checked by internal/credential; kinds come from internal/platform.

--- a/api/types.gen.go
+++ b/api/types.gen.go
@@ -30,8 +30,8 @@
 	// ChangeID identifies the change; it resolves a lost answer.
 	ChangeID string `json:"change_id" toml:"change_id"`
 
-	// Summary has a line for each changed key; secrets are left out.
-	Summary []string `json:"summary" toml:"summary"`
+	// Changes has an entry for each changed key; empty for a creation.
+	Changes []KeyChange `json:"changes" toml:"changes"`
 
 	// TimeMs is the operator's wall clock in milliseconds since 1970.
 	TimeMs int64 `json:"time_ms" toml:"time_ms"`
@@ -335,6 +335,20 @@
 	Term uint64 `json:"term" toml:"term"`
 }
 
+// KeyChange is one changed key of a template or workspace.
+type KeyChange struct {
+	// After is the new text; empty when the key was removed. Secrets are shown by
+	// fingerprint.
+	After string `json:"after" toml:"after"`
+
+	// Before is the old text; empty when the key was absent. Secrets are shown by
+	// fingerprint.
+	Before string `json:"before" toml:"before"`
+
+	// Key is the path of the value within the object.
+	Key string `json:"key" toml:"key"`
+}
+
 // LimitSettings bound what callers may use.
 type LimitSettings struct {
 	// IdleTransactionTimeoutMs is the time in milliseconds after which an idle
@@ -619,6 +633,9 @@
 	// Deleted marks a removed template, which stays so that its version only rises.
 	Deleted bool `json:"deleted" toml:"deleted"`
 
+	// History is the bounded list of changes, newest first.
+	History []ChangeRecord `json:"history" toml:"history"`
+
 	// Name identifies the template.
 	Name string `json:"name" toml:"name"`
 
@@ -628,8 +645,9 @@
 	// Parameters that a workspace fills in.
 	Parameters []Parameter `json:"parameters" toml:"parameters"`
 
-	// RecentChanges is the bounded history, newest first.
-	RecentChanges []ChangeRecord `json:"recent_changes" toml:"recent_changes"`
+	// RecentChanges are the ids of the last changes, oldest first; they resolve a
+	// lost answer.
+	RecentChanges []string `json:"recent_changes" toml:"recent_changes"`
 
 	// Service is the service that all groups of a workspace belong to.
 	Service string `json:"service" toml:"service"`
@@ -738,11 +756,15 @@
 	// Deleted marks a removed workspace, which stays so that its version only rises.
 	Deleted bool `json:"deleted" toml:"deleted"`
 
+	// History is the bounded list of changes, newest first.
+	History []ChangeRecord `json:"history" toml:"history"`
+
 	// Name identifies the workspace.
 	Name string `json:"name" toml:"name"`
 
-	// RecentChanges is the bounded history, newest first.
-	RecentChanges []ChangeRecord `json:"recent_changes" toml:"recent_changes"`
+	// RecentChanges are the ids of the last changes, oldest first; they resolve a
+	// lost answer.
+	RecentChanges []string `json:"recent_changes" toml:"recent_changes"`
 
 	// Template names the template.
 	Template string `json:"template" toml:"template"`
--- a/internal/workspace/apply.go
+++ b/internal/workspace/apply.go
@@ -7,6 +7,7 @@
 
 	"github.com/papayacove/papayacove/api"
 	"github.com/papayacove/papayacove/internal/invariant"
+	"github.com/papayacove/papayacove/internal/platform"
 )
 
 // changes are the objects that one Apply replaced.
@@ -51,16 +52,16 @@
 func (v *view) take(object api.Object, changed *changes) {
 	key := objectKey{object.Kind, object.Name}
 	switch object.Kind {
-	case KindGroup:
+	case platform.KindGroup:
 		changed.groups = true
 		v.takeGroup(key, object)
-	case KindTemplate:
+	case platform.KindTemplate:
 		changed.templates[object.Name] = true
 		v.takeTemplate(key, object)
-	case KindWorkspace:
+	case platform.KindWorkspace:
 		changed.workspaces[object.Name] = true
 		v.takeWorkspace(key, object)
-	case KindTerm:
+	case platform.KindTerm:
 		v.takeTerm(key, object)
 	}
 }
@@ -160,12 +161,12 @@
 
 // resolve brings the newest object of a workspace into force, or keeps the last valid one.
 func (v *view) resolve(name string, entry workspaceEntry) workspaceEntry {
-	key := objectKey{KindWorkspace, name}
+	key := objectKey{platform.KindWorkspace, name}
 	var effective Effective
 	if entry.newest.Name != "" {
 		template := v.templates[entry.newest.Template]
 		effective, entry.problems = Resolve(template, entry.newest, v.groupList)
-		effective.Revision = max(entry.version, v.versions[objectKey{KindTemplate, template.Name}])
+		effective.Revision = max(entry.version, v.versions[objectKey{platform.KindTemplate, template.Name}])
 	}
 	if len(entry.problems) > 0 {
 		v.refuse(key, entry.version, inForceRevision(entry), entry.problems)
--- a/internal/workspace/catalog_test.go
+++ b/internal/workspace/catalog_test.go
@@ -10,16 +10,17 @@
 	"pgregory.net/rapid"
 
 	"github.com/papayacove/papayacove/api"
+	"github.com/papayacove/papayacove/internal/platform"
 	"github.com/papayacove/papayacove/internal/result"
 )
 
 func loadedCatalog() *Catalog {
 	c := NewCatalog()
-	objects := []api.Object{object(KindTemplate, "city", 1, testTemplate())}
+	objects := []api.Object{object(platform.KindTemplate, "city", 1, testTemplate())}
 	for i, group := range testGroups(5) {
-		objects = append(objects, object(KindGroup, group.Name, uint64(2+i), group))
+		objects = append(objects, object(platform.KindGroup, group.Name, uint64(2+i), group))
 	}
-	objects = append(objects, object(KindWorkspace, "kelani", 4, testWorkspace()))
+	objects = append(objects, object(platform.KindWorkspace, "kelani", 4, testWorkspace()))
 	c.Apply(objects, 4)
 	return c
 }
@@ -46,7 +47,7 @@
 	c := loadedCatalog()
 	broken := testWorkspace()
 	broken.Values["connections"] = "1000"
-	c.Apply([]api.Object{object(KindWorkspace, "kelani", 5, broken)}, 5)
+	c.Apply([]api.Object{object(platform.KindWorkspace, "kelani", 5, broken)}, 5)
 	if e, found := c.Workspace("kelani"); !found || e.Revision != 4 {
 		t.Errorf("workspace in force = %+v, want revision 4", e)
 	}
@@ -54,12 +55,12 @@
 	if len(statuses) != 1 || statuses[0].Version != 5 || statuses[0].InForce != 4 {
 		t.Errorf("statuses = %v, want version 5 refused and 4 in force", statuses)
 	}
-	garbled := api.Object{Kind: KindWorkspace, Name: "kelani", Version: 6, Data: []byte(`{`)}
+	garbled := api.Object{Kind: platform.KindWorkspace, Name: "kelani", Version: 6, Data: []byte(`{`)}
 	c.Apply([]api.Object{garbled}, 6)
 	if e, found := c.Workspace("kelani"); !found || e.Revision != 4 {
 		t.Errorf("workspace in force = %+v, want revision 4", e)
 	}
-	c.Apply([]api.Object{object(KindWorkspace, "kelani", 7, testWorkspace())}, 7)
+	c.Apply([]api.Object{object(platform.KindWorkspace, "kelani", 7, testWorkspace())}, 7)
 	if e, _ := c.Workspace("kelani"); e.Revision != 7 || len(c.Statuses()) != 0 {
 		t.Errorf("after the mend: revision %d, statuses %v", e.Revision, c.Statuses())
 	}
@@ -69,8 +70,8 @@
 	c := loadedCatalog()
 	removed := testWorkspace()
 	removed.Deleted = true
-	c.Apply([]api.Object{object(KindWorkspace, "kelani", 5, removed)}, 5)
-	if c.Apply([]api.Object{object(KindWorkspace, "kelani", 4, testWorkspace())}, 4) {
+	c.Apply([]api.Object{object(platform.KindWorkspace, "kelani", 5, removed)}, 5)
+	if c.Apply([]api.Object{object(platform.KindWorkspace, "kelani", 4, testWorkspace())}, 4) {
 		t.Error("an older version was taken in")
 	}
 	if _, found := c.Workspace("kelani"); found {
@@ -80,7 +81,7 @@
 
 func TestTermsRise(t *testing.T) {
 	c := NewCatalog()
-	c.Apply([]api.Object{object(KindTerm, "rounds-1", 1, api.TermRecord{Group: "rounds-1", Term: 3})}, 1)
+	c.Apply([]api.Object{object(platform.KindTerm, "rounds-1", 1, api.TermRecord{Group: "rounds-1", Term: 3})}, 1)
 	steps := []struct {
 		term    api.GroupTerm
 		changed bool
@@ -105,8 +106,8 @@
 func TestSubscribersAreWokenOnceForABurst(t *testing.T) {
 	c := NewCatalog()
 	woken := c.Subscribe()
-	c.Apply([]api.Object{object(KindTemplate, "city", 1, testTemplate())}, 1)
-	c.Apply([]api.Object{object(KindTemplate, "city", 2, testTemplate())}, 2)
+	c.Apply([]api.Object{object(platform.KindTemplate, "city", 1, testTemplate())}, 1)
+	c.Apply([]api.Object{object(platform.KindTemplate, "city", 2, testTemplate())}, 2)
 	<-woken
 	select {
 	case <-woken:
@@ -119,16 +120,16 @@
 func history(t *rapid.T) (objects []api.Object, template api.Template, newest map[string]api.Workspace) {
 	newest = map[string]api.Workspace{}
 	for i, group := range testGroups(5) {
-		objects = append(objects, object(KindGroup, group.Name, uint64(i+1), group))
+		objects = append(objects, object(platform.KindGroup, group.Name, uint64(i+1), group))
 	}
 	template = testTemplate()
-	objects = append(objects, object(KindTemplate, "city", 3, template))
+	objects = append(objects, object(platform.KindTemplate, "city", 3, template))
 	steps := rapid.IntRange(1, 12).Draw(t, "steps")
 	for version := uint64(4); version < uint64(4+steps); version++ {
 		if rapid.Bool().Draw(t, "template") {
 			template = testTemplate()
 			template.Parameters[5].Default = rapid.SampledFrom([]string{"1s", "2s", "3s"}).Draw(t, "wait")
-			objects = append(objects, object(KindTemplate, "city", version, template))
+			objects = append(objects, object(platform.KindTemplate, "city", version, template))
 			continue
 		}
 		w := testWorkspace()
@@ -136,7 +137,7 @@
 		w.Values["connections"] = strconv.Itoa(rapid.IntRange(1, 100).Draw(t, "connections"))
 		w.Deleted = rapid.IntRange(0, 4).Draw(t, "deleted") == 0
 		newest[w.Name] = w
-		objects = append(objects, object(KindWorkspace, w.Name, version, w))
+		objects = append(objects, object(platform.KindWorkspace, w.Name, version, w))
 	}
 	return objects, template, newest
 }
@@ -210,7 +211,7 @@
 		go func() {
 			defer writers.Done()
 			for version := uint64(5); version < 25; version++ {
-				c.Apply([]api.Object{object(KindWorkspace, "kelani", version, testWorkspace())}, version)
+				c.Apply([]api.Object{object(platform.KindWorkspace, "kelani", version, testWorkspace())}, version)
 				c.ObserveTerm(api.GroupTerm{Group: "rounds-1", Term: version})
 				_, _ = c.Credential("kelani", "rounds-1", "map")
 			}
--- a/internal/workspace/effective.go
+++ b/internal/workspace/effective.go
@@ -10,14 +10,6 @@
 	"github.com/papayacove/papayacove/internal/config"
 )
 
-// Object kinds on the platform.
-const (
-	KindGroup     = "group"
-	KindTemplate  = "template"
-	KindWorkspace = "workspace"
-	KindTerm      = "term"
-)
-
 // Built-in values of properties that a template does not map to a parameter.
 const (
 	DefaultConnections      = 35
--- a/internal/workspace/users.go
+++ b/internal/workspace/users.go
@@ -1,24 +1,19 @@
 package workspace
 
 import (
-	"encoding/base64"
 	"sort"
 	"strconv"
-	"strings"
 	"time"
 
 	"github.com/papayacove/papayacove/api"
 	"github.com/papayacove/papayacove/internal/config"
+	"github.com/papayacove/papayacove/internal/credential"
 )
 
 // StalenessNone is the text by which a user asks for reads that see every confirmed write.
 const StalenessNone = "none"
 
 const (
-	scramMechanism      = "SCRAM-SHA-256"
-	scramKeyBytes       = 32
-	minScramIterations  = 4096
-	maxScramIterations  = 1_000_000
 	verifierBound       = "SCRAM-SHA-256$<iterations from 4096>:<salt>$<stored key>:<server key>"
 	userStalenessBound  = "none, empty or a duration such as 5s"
 	staleWithinTemplate = "at most the maximum of the template, "
@@ -34,7 +29,7 @@
 		if _, found := resolved[u.Name]; found {
 			r.add(key, u.Name, "a user name that is used once")
 		}
-		if !IsVerifier(u.Verifier) {
+		if _, err := credential.Parse(u.Verifier); err != nil {
 			r.add(key+".verifier", config.Hidden, verifierBound)
 		}
 		resolved[u.Name] = User{Verifier: u.Verifier, MaxStaleness: r.userStaleness(key, u.MaxStaleness, standard)}
@@ -77,31 +72,6 @@
 	return p
 }
 
-// IsVerifier reports whether text is a SCRAM-SHA-256 verifier in the form that PostgreSQL stores.
-func IsVerifier(text string) bool {
-	parts := strings.Split(text, "$")
-	if len(parts) != 3 || parts[0] != scramMechanism {
-		return false
-	}
-	iterations, salt, found := strings.Cut(parts[1], ":")
-	if !found || !isIterationCount(iterations) || !isBase64(salt, 1) {
-		return false
-	}
-	storedKey, serverKey, found := strings.Cut(parts[2], ":")
-	return found && isBase64(storedKey, scramKeyBytes) && isBase64(serverKey, scramKeyBytes)
-}
-
-func isIterationCount(text string) bool {
-	count, err := strconv.Atoi(text)
-	return err == nil && count >= minScramIterations && count <= maxScramIterations
-}
-
-// isBase64 reports whether text decodes to at least the given number of bytes.
-func isBase64(text string, least int) bool {
-	decoded, err := base64.StdEncoding.DecodeString(text)
-	return err == nil && len(decoded) >= least
-}
-
 func sortedKeys(values api.WorkspaceValues) []string {
 	keys := make([]string, 0, len(values))
 	for key := range values {
