policy: start a batch beside expired ones that still wait

Cause: with a free slot and only expired batches waiting, a new batch was queued and nothing started it before the next release. Change: a slot counts as free when no waiting batch is within its deadline; Rule.NewTracker.

--- a/internal/policy/admission/lane.go
+++ b/internal/policy/admission/lane.go
@@ -64,6 +64,20 @@
 	return e
 }
 
+// removeExpired removes and returns the batches whose deadline has passed.
+func (l *lane) removeExpired(now time.Time) []entry {
+	var expired []entry
+	for i := len(l.lines) - 1; i >= 0; i-- {
+		w := l.lines[i]
+		for j := len(w.entries) - 1; j >= 0; j-- {
+			if !now.Before(w.entries[j].item.Deadline) {
+				expired = append(expired, l.removeAt(i, j))
+			}
+		}
+	}
+	return expired
+}
+
 // ahead returns the number of batches of the class that start before a new one of workspace.
 func (l *lane) ahead(workspace string) int {
 	own := l.lineLength(workspace)
--- a/internal/policy/admission/next.go
+++ b/internal/policy/admission/next.go
@@ -32,6 +32,16 @@
 	return 0, false
 }
 
+// hasLive reports whether a waiting batch is within its deadline.
+func (q *Queue) hasLive(now time.Time) bool {
+	for c := range q.lanes {
+		if q.lanes[c].hasLive(now) {
+			return true
+		}
+	}
+	return false
+}
+
 func (l *lane) hasLive(now time.Time) bool {
 	for _, w := range l.lines {
 		if w.firstLive(now) >= 0 {
--- a/internal/policy/admission/queue.go
+++ b/internal/policy/admission/queue.go
@@ -51,14 +51,18 @@
 // Offer takes in a batch: it starts, waits or is refused. A started batch must be given back with
 // Release, a waiting one that is no longer wanted with Remove.
 func (q *Queue) Offer(item Item, now time.Time) Decision {
-	wait := q.expectedWait(item)
+	free := q.running < q.slots && !q.hasLive(now)
+	wait := time.Duration(0)
+	if !free {
+		wait = q.expectedWait(item)
+	}
 	d := q.decision(item, wait)
 	switch {
 	case !now.Before(item.Deadline):
 		q.refuse(&d, ReasonDeadlinePassed, result.NotRunDeadline)
-	case q.running < q.slots && q.waiting == 0:
+	case free:
 		q.running++
-		d.Outcome, d.Reason, d.ExpectedWait = Started, ReasonSlotFree, 0
+		d.Outcome, d.Reason = Started, ReasonSlotFree
 	case now.Add(wait).After(item.Deadline):
 		q.refuse(&d, ReasonTooLate, result.NotRunOverloaded)
 	case q.waiting < q.queueLength:
@@ -167,23 +171,11 @@
 func (q *Queue) Expire(now time.Time) []Refused {
 	var refused []Refused
 	for c := range q.lanes {
-		l := &q.lanes[c]
-		for i := len(l.lines) - 1; i >= 0; i-- {
-			for j := len(l.lines[i].entries) - 1; j >= 0; j-- {
-				if now.Before(l.lines[i].entries[j].item.Deadline) {
-					continue
-				}
-				last := len(l.lines[i].entries) == 1
-				e := l.removeAt(i, j)
-				q.waiting--
-				refused = append(refused, q.refused(e, ReasonDeadlinePassed, result.NotRunDeadline, now))
-				if last {
-					break
-				}
-			}
+		for _, e := range q.lanes[c].removeExpired(now) {
+			q.waiting--
+			refused = append(refused, q.refused(e, ReasonDeadlinePassed, result.NotRunDeadline, now))
 		}
 	}
-	q.check()
 	return refused
 }
 
@@ -232,11 +224,8 @@
 	}
 }
 
-// expectedWait estimates the time until a new batch starts.
+// expectedWait estimates the time until a new batch starts when no slot is free.
 func (q *Queue) expectedWait(item Item) time.Duration {
-	if q.running < q.slots && q.waiting == 0 {
-		return 0
-	}
 	ahead := q.lanes[item.Class].ahead(item.Workspace)
 	for c := Class(0); c < item.Class; c++ {
 		ahead += q.lanes[c].length
--- a/internal/policy/confirm/tracker.go
+++ b/internal/policy/confirm/tracker.go
@@ -30,9 +30,15 @@
 	validUntil time.Time
 }
 
-// NewTracker returns a Tracker for a primary and its term in a group of the given number of members.
+// NewTracker returns a Tracker that applies DefaultRule, for a primary and its term in a group of
+// the given number of members.
 func NewTracker(primary string, term uint64, members int, validity time.Duration) *Tracker {
-	return &Tracker{rule: DefaultRule, primary: primary, term: term, members: members, validity: validity}
+	return DefaultRule.NewTracker(primary, term, members, validity)
+}
+
+// NewTracker returns a Tracker that applies the rule.
+func (r Rule) NewTracker(primary string, term uint64, members int, validity time.Duration) *Tracker {
+	return &Tracker{rule: r, primary: primary, term: term, members: members, validity: validity}
 }
 
 // Term returns the term that the tracker was made for.
