--- a/api/types.gen.go
+++ b/api/types.gen.go
@@ -10,6 +10,28 @@
 	Done bool `json:"done" toml:"done"`
 }
 
+// AdmissionReply tells what is still in progress at the gate.
+type AdmissionReply struct {
+	// Busy is the number of batches and transactions in progress.
+	Busy int `json:"busy" toml:"busy"`
+
+	// Known is false when the daemon does not hold the target.
+	Known bool `json:"known" toml:"known"`
+}
+
+// AdmissionRequest asks the gate of a primary to stop or resume the admission of
+// writes around a planned switchover.
+type AdmissionRequest struct {
+	// HoldMs is the time in milliseconds after which admission resumes by itself.
+	HoldMs int64 `json:"hold_ms" toml:"hold_ms"`
+
+	// Stop is true to stop and false to resume.
+	Stop bool `json:"stop" toml:"stop"`
+
+	// Target names the primary.
+	Target string `json:"target" toml:"target"`
+}
+
 // CancelRequest asks a gate to cancel the batch that a session is running.
 type CancelRequest struct {
 	// Sequence of the batch to cancel.
--- a/cmd/papayacove/main.go
+++ b/cmd/papayacove/main.go
@@ -1,4 +1,58 @@
-// Command papayacove is a part of papayacove.
+// Command papayacove is the daemon on an entry VM.
 package main
 
-func main() {}
+import (
+	"context"
+	"fmt"
+	"os"
+	"os/signal"
+	"syscall"
+
+	"github.com/papayacove/papayacove/internal/config"
+	"github.com/papayacove/papayacove/internal/daemon"
+	"github.com/papayacove/papayacove/internal/telemetry"
+	"github.com/urfave/cli/v3"
+)
+
+func main() {
+	command := &cli.Command{
+		Name:    "papayacove",
+		Usage:   "database proxy with session consistency",
+		Version: daemon.Version,
+		Commands: []*cli.Command{
+			{Name: "run", Usage: "serve callers until SIGTERM or SIGINT", Flags: []cli.Flag{settingsFlag()}, Action: run},
+			{Name: "check-config", Usage: "check a settings file", Flags: []cli.Flag{settingsFlag()}, Action: checkConfig},
+		},
+	}
+	if err := command.Run(context.Background(), os.Args); err != nil {
+		fmt.Fprintln(os.Stderr, "papayacove:", err)
+		os.Exit(1)
+	}
+}
+
+func settingsFlag() cli.Flag {
+	return &cli.StringFlag{Name: "settings", Usage: "path of the TOML `FILE`", Required: true}
+}
+
+func run(ctx context.Context, command *cli.Command) error {
+	settings, err := config.Load(command.String("settings"))
+	if err != nil {
+		return err
+	}
+	recorder, err := telemetry.SetUp(settings.LogLevel, settings.Name)
+	if err != nil {
+		return err
+	}
+	ctx, stop := signal.NotifyContext(ctx, syscall.SIGTERM, syscall.SIGINT)
+	defer stop()
+	return daemon.New(settings, recorder).Run(ctx)
+}
+
+func checkConfig(_ context.Context, command *cli.Command) error {
+	path := command.String("settings")
+	if _, err := config.Load(path); err != nil {
+		return err
+	}
+	fmt.Printf("%s is valid\n", path)
+	return nil
+}
--- /dev/null
+++ b/internal/daemon/admin.go
@@ -0,0 +1,123 @@
+package daemon
+
+import (
+	"cmp"
+	"context"
+	"encoding/json"
+	"errors"
+	"expvar"
+	"fmt"
+	"net"
+	"net/http"
+	"slices"
+	"strconv"
+	"time"
+
+	"github.com/papayacove/papayacove/api"
+	"github.com/papayacove/papayacove/internal/telemetry"
+	"github.com/sirupsen/logrus"
+)
+
+// adminHeaderTimeout is the time that a request's header may take.
+const adminHeaderTimeout = 5 * time.Second
+
+// Version of the program.
+const Version = "0.1.0"
+
+// serveAdmin opens the port of health, metrics, status and decisions.
+func (d *Daemon) serveAdmin(ctx context.Context) error {
+	listener, err := net.Listen("tcp", d.settings.AdminAddress)
+	if err != nil {
+		return fmt.Errorf("listen for operators: %w", err)
+	}
+	mux := http.NewServeMux()
+	mux.HandleFunc("GET /healthz", func(w http.ResponseWriter, _ *http.Request) { fmt.Fprintln(w, "ok") })
+	mux.HandleFunc("GET /readyz", d.serveReady)
+	mux.HandleFunc("GET /status", func(w http.ResponseWriter, _ *http.Request) { writeJSON(w, d.status()) })
+	mux.HandleFunc("GET /decisions", d.serveDecisions)
+	mux.Handle("GET /debug/vars", expvar.Handler())
+	server := &http.Server{Handler: mux, ReadHeaderTimeout: adminHeaderTimeout}
+	context.AfterFunc(ctx, func() { _ = server.Close() })
+	go func() {
+		if err := server.Serve(listener); !errors.Is(err, http.ErrServerClosed) {
+			logrus.WithField("error", err).Error("admin_failed")
+		}
+	}()
+	return nil
+}
+
+// serveReady tells the balancer whether to send callers here.
+func (d *Daemon) serveReady(w http.ResponseWriter, _ *http.Request) {
+	switch {
+	case d.members.IsLeaving():
+		http.Error(w, "leaving", http.StatusServiceUnavailable)
+	case d.catalog.Revision() == 0:
+		http.Error(w, "no configuration yet", http.StatusServiceUnavailable)
+	default:
+		fmt.Fprintln(w, "ready")
+	}
+}
+
+func (d *Daemon) serveDecisions(w http.ResponseWriter, r *http.Request) {
+	query := r.URL.Query()
+	limit, _ := strconv.Atoi(query.Get("limit"))
+	filter := telemetry.Filter{Group: query.Get("group"), Session: query.Get("session"), Event: query.Get("kind"), Limit: limit}
+	writeJSON(w, api.DecisionList{Decisions: d.recorder.Decisions(filter)})
+}
+
+func writeJSON(w http.ResponseWriter, value any) {
+	w.Header().Set("Content-Type", "application/json")
+	if err := json.NewEncoder(w).Encode(value); err != nil {
+		logrus.WithField("error", err).Warn("admin_answer_failed")
+	}
+}
+
+// status gathers the state of the daemon.
+func (d *Daemon) status() api.DaemonStatus {
+	status := api.DaemonStatus{
+		Name: d.settings.Name, Zone: d.settings.Zone, Version: Version, Leaving: d.members.IsLeaving(),
+		ConfigRevision: d.catalog.Revision(), PlatformReached: d.contact.isReached(),
+		Members: d.members.Statuses(), Targets: []api.HeldTargetStatus{}, Groups: d.terms.All(),
+		PlatformCalls: d.platformCalls(), Counters: counterValues(), ConfigProblems: []string{},
+	}
+	for _, refused := range d.catalog.Statuses() {
+		status.ConfigProblems = append(status.ConfigProblems, refused.String())
+	}
+	for _, held := range d.gates.Gates() {
+		status.Targets = append(status.Targets, held.Status())
+	}
+	slices.SortFunc(status.Targets, func(a, b api.HeldTargetStatus) int { return cmp.Compare(a.Target, b.Target) })
+	slices.SortFunc(status.Groups, func(a, b api.GroupTerm) int { return cmp.Compare(a.Group, b.Group) })
+	return status
+}
+
+func (d *Daemon) platformCalls() []api.Counter {
+	counts := d.platform.Counts()
+	return []api.Counter{
+		{Name: "create", Value: int64(counts.Create)},
+		{Name: "delete", Value: int64(counts.Delete)},
+		{Name: "get", Value: int64(counts.Get)},
+		{Name: "list", Value: int64(counts.List)},
+		{Name: "update", Value: int64(counts.Update)},
+		{Name: "vms", Value: int64(counts.VMs)},
+		{Name: "watch", Value: int64(counts.Watch)},
+		{Name: "watch_vms", Value: int64(counts.WatchVMs)},
+	}
+}
+
+// counterValues flattens the expvar maps of the program.
+func counterValues() []api.Counter {
+	counters := []api.Counter{}
+	expvar.Do(func(variable expvar.KeyValue) {
+		group, ok := variable.Value.(*expvar.Map)
+		if !ok {
+			return
+		}
+		group.Do(func(entry expvar.KeyValue) {
+			if value, ok := entry.Value.(*expvar.Int); ok {
+				counters = append(counters, api.Counter{Name: variable.Key + "." + entry.Key, Value: value.Value()})
+			}
+		})
+	})
+	return counters
+}
--- /dev/null
+++ b/internal/daemon/configuration.go
@@ -0,0 +1,158 @@
+package daemon
+
+import (
+	"context"
+	"encoding/json"
+	"sync"
+	"time"
+
+	"github.com/papayacove/papayacove/api"
+	"github.com/papayacove/papayacove/internal/peer"
+	"github.com/papayacove/papayacove/internal/platform"
+	"github.com/papayacove/papayacove/internal/terms"
+	"github.com/sirupsen/logrus"
+)
+
+const (
+	// learnInterval is the time between two looks for a peer with a newer configuration.
+	learnInterval = 300 * time.Millisecond
+	// learnTimeout is the time that a peer gets to send its configuration.
+	learnTimeout = time.Second
+)
+
+// configurationKinds are the objects that make up the configuration.
+var configurationKinds = []string{platform.KindTemplate, platform.KindWorkspace, platform.KindGroup, platform.KindTerm}
+
+// followConfiguration applies the objects of the platform as they change.
+func (d *Daemon) followConfiguration(ctx context.Context) {
+	options := platform.FollowOptions{Kinds: configurationKinds, Reached: d.contact.note}
+	_ = d.platform.Follow(ctx, options, func(list api.ObjectList) { d.applyObjects(list.Objects, list.Revision, "platform") })
+}
+
+// followVMs applies the VM list of the platform as it changes.
+func (d *Daemon) followVMs(ctx context.Context) {
+	options := platform.FollowOptions{Reached: d.contact.note}
+	_ = d.platform.FollowVMs(ctx, options, d.applyVMs)
+}
+
+// applyObjects takes in configuration, from the platform or a peer.
+func (d *Daemon) applyObjects(objects []api.Object, revision uint64, source string) {
+	changed := d.catalog.Apply(objects, revision)
+	for _, object := range objects {
+		d.applyTerm(object)
+	}
+	if !changed {
+		return
+	}
+	logrus.WithFields(logrus.Fields{"revision": d.catalog.Revision(), "objects": len(objects), "source": source}).Info("configuration_applied")
+	d.refresh()
+}
+
+func (d *Daemon) applyTerm(object api.Object) {
+	if object.Kind != platform.KindTerm || object.Deleted {
+		return
+	}
+	var record api.TermRecord
+	if err := json.Unmarshal(object.Data, &record); err != nil {
+		logrus.WithFields(logrus.Fields{"object": object.Name, "error": err}).Warn("term_unreadable")
+		return
+	}
+	d.observeTerm(terms.FromRecord(record), "platform")
+}
+
+// observeTerm takes in a term and logs it when it is news.
+func (d *Daemon) observeTerm(term api.GroupTerm, source string) bool {
+	if !d.terms.Observe(term) {
+		return false
+	}
+	logrus.WithFields(logrus.Fields{
+		"group": term.Group, "term": term.Term, "primary": term.Primary, "start": term.Start.String(), "source": source,
+	}).Info("term_observed")
+	return true
+}
+
+func (d *Daemon) applyVMs(list api.VMList) {
+	if !d.vms.set(list) {
+		return
+	}
+	d.members.SetVMs(list)
+}
+
+// learnFromPeers fetches the configuration from daemons that have a newer one, which happens while
+// the platform cannot be reached from here.
+func (d *Daemon) learnFromPeers(ctx context.Context) {
+	ticker := time.NewTicker(learnInterval)
+	defer ticker.Stop()
+	for {
+		select {
+		case <-ctx.Done():
+			return
+		case <-ticker.C:
+		}
+		d.learn(ctx)
+	}
+}
+
+func (d *Daemon) learn(ctx context.Context) {
+	have := d.catalog.Revision()
+	if newest, ok := d.members.Newest(have); ok {
+		d.learnFrom(ctx, newest, have)
+		return
+	}
+	if have > 0 && !d.vms.isEmpty() {
+		return
+	}
+	for _, seed := range d.seeds {
+		d.learnFrom(ctx, seed, have)
+	}
+}
+
+func (d *Daemon) learnFrom(ctx context.Context, from *peer.Client, have uint64) {
+	ctx, cancel := context.WithTimeout(ctx, learnTimeout)
+	defer cancel()
+	reply, err := from.Configuration(ctx, &api.ConfigRequest{Have: have})
+	if err != nil {
+		return
+	}
+	d.applyVMs(reply.Vms)
+	if reply.Revision > have {
+		d.applyObjects(reply.Objects, reply.Revision, "peer")
+	}
+}
+
+// vmTable keeps the newest VM list.
+type vmTable struct {
+	mu   sync.RWMutex
+	list api.VMList
+}
+
+// set takes in a list and reports whether it is newer.
+func (t *vmTable) set(list api.VMList) bool {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	if list.Revision <= t.list.Revision {
+		return false
+	}
+	t.list = list
+	return true
+}
+
+func (t *vmTable) get() api.VMList {
+	t.mu.RLock()
+	defer t.mu.RUnlock()
+	return t.list
+}
+
+func (t *vmTable) isEmpty() bool {
+	return t.get().Revision == 0
+}
+
+// isLeaving reports whether a VM is listed as leaving.
+func (t *vmTable) isLeaving(name string) bool {
+	for _, vm := range t.get().Vms {
+		if vm.Name == name {
+			return vm.State == api.VMStateLeaving
+		}
+	}
+	return false
+}
--- /dev/null
+++ b/internal/daemon/daemon.go
@@ -0,0 +1,154 @@
+package daemon
+
+import (
+	"context"
+	"fmt"
+	"time"
+
+	"github.com/papayacove/papayacove/api"
+	"github.com/papayacove/papayacove/internal/failover"
+	"github.com/papayacove/papayacove/internal/frontend"
+	"github.com/papayacove/papayacove/internal/gate"
+	"github.com/papayacove/papayacove/internal/membership"
+	"github.com/papayacove/papayacove/internal/peer"
+	"github.com/papayacove/papayacove/internal/platform"
+	"github.com/papayacove/papayacove/internal/router"
+	"github.com/papayacove/papayacove/internal/target"
+	"github.com/papayacove/papayacove/internal/telemetry"
+	"github.com/papayacove/papayacove/internal/terms"
+	"github.com/papayacove/papayacove/internal/workspace"
+	"github.com/sirupsen/logrus"
+)
+
+const (
+	// leaveNotice is the time in which the other daemons learn that this one leaves.
+	leaveNotice = 300 * time.Millisecond
+	// drainTimeout is the time that requests in progress get at a planned stop.
+	drainTimeout = 20 * time.Second
+)
+
+// Daemon is one papayacove process.
+type Daemon struct {
+	settings api.Settings
+	recorder *telemetry.Recorder
+
+	catalog  *workspace.Catalog
+	terms    *terms.Table
+	platform *platform.Client
+	contact  *contact
+	members  *membership.Manager
+	gates    *gate.Manager
+	failover *failover.Manager
+	router   *router.Router
+	frontend *frontend.Server
+	peers    *peer.Server
+	vms      vmTable
+	seeds    []*peer.Client
+}
+
+// New composes a daemon of checked settings.
+func New(settings api.Settings, recorder *telemetry.Recorder) *Daemon {
+	d := &Daemon{settings: settings, recorder: recorder, catalog: workspace.NewCatalog(), terms: terms.NewTable()}
+	d.platform = platform.NewClient(platform.Options{URL: settings.PlatformURL, Zone: settings.Zone})
+	d.contact = newContact(d.platform)
+	account := target.Options{User: settings.Target.User, Password: settings.Target.Password, Database: settings.Target.Database}
+	self := api.VM{
+		Name: settings.Name, Zone: settings.Zone, Role: api.VMRoleEntry, State: api.VMStateLive,
+		PeerAddress: settings.PeerAddress, AdminAddress: settings.AdminAddress, CallerAddress: settings.CallerAddress,
+	}
+	d.members = membership.New(membership.Options{
+		Self: self, Dial: d.dialPeer, Compose: d.composeHeartbeat, Receive: d.receiveHeartbeat, Changed: d.refresh,
+	})
+	d.gates = gate.NewManager(gate.ManagerOptions{
+		Self: settings.Name, Target: account, Limits: settings.Limits, Terms: d.terms,
+		Members: d.members.Members, Groups: d.catalog.Groups,
+	})
+	d.failover = failover.NewManager(failover.Options{
+		Self: settings.Name, Target: account, Groups: d.catalog.Groups, Observer: d.gates.Observer, Holder: d.gates.Holder,
+		IsLeaving: d.vms.isLeaving, PlatformReached: d.contact.isReached, Store: d.contact, Daemons: (*daemons)(d), Terms: d.terms,
+	})
+	d.router = router.New(router.Options{
+		Self: settings.Name, Zone: settings.Zone, Gates: d.gates, Peers: d.members, Workspaces: d.catalog, Terms: d.terms,
+	})
+	d.frontend = frontend.NewServer(frontend.Options{
+		Address: settings.CallerAddress, Limits: settings.Limits, Runner: d.router, Directory: d.catalog, Name: settings.Name,
+	})
+	for _, address := range settings.Peers {
+		d.seeds = append(d.seeds, d.dialPeer(address))
+	}
+	return d
+}
+
+func (d *Daemon) dialPeer(address string) *peer.Client {
+	return peer.NewClient(address, nil)
+}
+
+// Run serves until ctx ends, and then stops in a planned way.
+func (d *Daemon) Run(ctx context.Context) error {
+	work, stop := context.WithCancel(context.Background())
+	defer stop()
+	if err := d.start(work); err != nil {
+		return err
+	}
+	logrus.WithFields(logrus.Fields{
+		"daemon": d.settings.Name, "zone": d.settings.Zone, "callers": d.settings.CallerAddress,
+		"peers": d.settings.PeerAddress, "admin": d.settings.AdminAddress,
+	}).Info("daemon_started")
+	<-ctx.Done()
+	d.leave()
+	return nil
+}
+
+// start opens the ports and starts all parts.
+func (d *Daemon) start(ctx context.Context) error {
+	d.members.Init(ctx)
+	d.gates.Init(ctx)
+	var err error
+	d.peers, err = peer.Listen(d.settings.PeerAddress, nil, (*handler)(d))
+	if err != nil {
+		return err
+	}
+	if err := d.frontend.Init(ctx); err != nil {
+		return fmt.Errorf("listen for callers: %w", err)
+	}
+	if err := d.serveAdmin(ctx); err != nil {
+		return err
+	}
+	go d.report("peers", func() error { return d.peers.Run(ctx) })
+	go d.followConfiguration(ctx)
+	go d.followVMs(ctx)
+	go d.learnFromPeers(ctx)
+	go d.failover.Run(ctx)
+	go d.report("frontend", func() error { return d.frontend.Run(ctx) })
+	return nil
+}
+
+func (d *Daemon) report(part string, run func() error) {
+	if err := run(); err != nil {
+		logrus.WithFields(logrus.Fields{"part": part, "error": err}).Error("part_failed")
+	}
+}
+
+// leave stops in a planned way: the targets move to other daemons, requests in progress end, and
+// idle callers are sent elsewhere.
+func (d *Daemon) leave() {
+	logrus.WithField("daemon", d.settings.Name).Info("daemon_leaving")
+	ctx, cancel := context.WithTimeout(context.Background(), drainTimeout)
+	defer cancel()
+	d.members.SetLeaving()
+	d.members.BeatNow()
+	time.Sleep(leaveNotice)
+	if err := d.frontend.Drain(ctx); err != nil {
+		logrus.WithField("error", err).Warn("callers_cut")
+	}
+	d.gates.Drain(ctx)
+	_ = d.frontend.Close()
+	d.gates.Close()
+	d.peers.Close()
+	logrus.WithField("daemon", d.settings.Name).Info("daemon_stopped")
+}
+
+// refresh places the targets anew.
+func (d *Daemon) refresh() {
+	d.gates.Refresh()
+}
--- /dev/null
+++ b/internal/daemon/doc.go
@@ -0,0 +1,2 @@
+// Package daemon puts the parts of one papayacove process together.
+package daemon
--- /dev/null
+++ b/internal/daemon/handler.go
@@ -0,0 +1,111 @@
+package daemon
+
+import (
+	"context"
+	"fmt"
+
+	"github.com/papayacove/papayacove/api"
+	"github.com/papayacove/papayacove/internal/peer"
+	"github.com/papayacove/papayacove/internal/policy/placement"
+)
+
+// handler answers the calls of other daemons.
+type handler Daemon
+
+// Execute runs a statement batch.
+func (h *handler) Execute(req *api.ExecuteRequest) *api.ExecuteReply { return h.gates.Execute(req) }
+
+// Fetch returns the next chunk of an answer.
+func (h *handler) Fetch(req *api.FetchRequest) *api.ExecuteReply { return h.gates.Fetch(req) }
+
+// Cancel cancels a running batch.
+func (h *handler) Cancel(req *api.CancelRequest) bool { return h.gates.Cancel(req) }
+
+// Release ends what a session holds.
+func (h *handler) Release(req *api.ReleaseRequest) bool { return h.gates.Release(req) }
+
+// Floor returns the confirmed position of a group.
+func (h *handler) Floor(req *api.FloorRequest) *api.FloorReply { return h.gates.Floor(req) }
+
+// Vantage returns the view of a primary.
+func (h *handler) Vantage(req *api.VantageRequest) *api.VantageReply { return h.failover.Vantage(req) }
+
+// Admission stops or resumes the admission of writes at a gate.
+func (h *handler) Admission(req *api.AdmissionRequest) *api.AdmissionReply {
+	return h.gates.Admission(req)
+}
+
+// Heartbeat exchanges liveness and terms.
+func (h *handler) Heartbeat(req *api.Heartbeat) *api.Heartbeat {
+	d := (*Daemon)(h)
+	d.receiveHeartbeat(req)
+	return d.composeHeartbeat()
+}
+
+// Configuration returns the configuration when it is newer than that of the asker.
+func (h *handler) Configuration(req *api.ConfigRequest) *api.ConfigReply {
+	reply := &api.ConfigReply{Revision: h.catalog.Revision(), Vms: h.vms.get()}
+	if reply.Revision > req.Have {
+		reply.Objects = h.catalog.Snapshot()
+	}
+	return reply
+}
+
+func (d *Daemon) composeHeartbeat() *api.Heartbeat {
+	return &api.Heartbeat{
+		From: d.settings.Name, Zone: d.settings.Zone, Leaving: d.members.IsLeaving(),
+		PlatformReached: d.contact.isReached(), ConfigRevision: d.catalog.Revision(), Terms: d.terms.All(),
+	}
+}
+
+func (d *Daemon) receiveHeartbeat(heartbeat *api.Heartbeat) {
+	for _, term := range heartbeat.Terms {
+		d.observeTerm(term, heartbeat.From)
+	}
+	d.members.Hear(heartbeat)
+}
+
+// daemons gives the failover what it needs of the other daemons.
+type daemons Daemon
+
+// Members returns the live daemons with this one.
+func (d *daemons) Members() []placement.Member { return d.members.Members() }
+
+// ReachesPlatform reports whether another daemon reaches the platform.
+func (d *daemons) ReachesPlatform(name string) bool { return d.members.ReachesPlatform(name) }
+
+// Vantage asks a daemon whether it reaches a primary.
+func (d *daemons) Vantage(ctx context.Context, daemon string, req *api.VantageRequest) (*api.VantageReply, error) {
+	client, err := d.client(daemon)
+	if err != nil {
+		return nil, err
+	}
+	return client.Vantage(ctx, req)
+}
+
+// Admission stops or resumes the admission of writes at the gate of a primary.
+func (d *daemons) Admission(ctx context.Context, daemon string, req *api.AdmissionRequest) (*api.AdmissionReply, error) {
+	if daemon == d.settings.Name {
+		return d.gates.Admission(req), nil
+	}
+	client, err := d.client(daemon)
+	if err != nil {
+		return nil, err
+	}
+	return client.Admission(ctx, req)
+}
+
+// Announce spreads a new term with a heartbeat to each live daemon.
+func (d *daemons) Announce(term api.GroupTerm) {
+	if (*Daemon)(d).observeTerm(term, d.settings.Name) {
+		d.members.BeatNow()
+	}
+}
+
+func (d *daemons) client(daemon string) (*peer.Client, error) {
+	client, ok := d.members.Client(daemon)
+	if !ok {
+		return nil, fmt.Errorf("%w: daemon %s is not known", peer.ErrNotSent, daemon)
+	}
+	return client, nil
+}
--- /dev/null
+++ b/internal/failover/controller.go
@@ -0,0 +1,310 @@
+package failover
+
+import (
+	"context"
+	"sync"
+	"time"
+
+	"github.com/papayacove/papayacove/api"
+	"github.com/papayacove/papayacove/internal/observer"
+	"github.com/papayacove/papayacove/internal/policy/promotion"
+	"github.com/papayacove/papayacove/internal/target"
+	"github.com/sirupsen/logrus"
+)
+
+const (
+	// decideInterval is the time between two decisions while nothing changes.
+	decideInterval = 50 * time.Millisecond
+	// vantageTimeout is the time that the question to the other vantage points may take.
+	vantageTimeout = 200 * time.Millisecond
+	// repairInterval is the time between two looks for targets that do not follow.
+	repairInterval = 500 * time.Millisecond
+	// admissionHold is the time for which a gate stops admission around a planned switchover.
+	admissionHold = time.Second
+	// holdTime is the time after a promotion in which a lost primary is not replaced again.
+	holdTime = 2 * time.Second
+	// openTermTimeout is the time after which an open term is taken over from its promoter.
+	openTermTimeout = 2 * time.Second
+	// retryPause is the pause after an abandoned promotion.
+	retryPause = 200 * time.Millisecond
+)
+
+// controller decides on one group.
+type controller struct {
+	options Options
+	group   api.GroupSpec
+	trigger promotion.Trigger
+
+	suspicion  promotion.Suspicion
+	lastSeen   observer.Observation
+	suspected  promotion.SuspicionDecision
+	term       api.GroupTerm
+	termSince  time.Time
+	stoppedAt  time.Time
+	busy       int
+	repairedAt time.Time
+	lastReason promotion.TriggerReason
+}
+
+func newController(options Options, group api.GroupSpec) *controller {
+	return &controller{
+		options: options, group: group,
+		trigger: promotion.Trigger{HoldTime: holdTime, OpenTermTimeout: openTermTimeout},
+	}
+}
+
+func (c *controller) run(ctx context.Context) {
+	for ctx.Err() == nil {
+		changed := c.step(ctx)
+		timer := time.NewTimer(decideInterval)
+		select {
+		case <-ctx.Done():
+		case <-changed:
+		case <-timer.C:
+		}
+		timer.Stop()
+	}
+}
+
+// step decides once and returns the channel that is closed when there is news.
+func (c *controller) step(ctx context.Context) <-chan struct{} {
+	watching, ok := c.options.Observer(c.group.Name)
+	if !ok {
+		return nil
+	}
+	all, changed := watching.All()
+	c.noteTerm()
+	c.suspect(watching.Latest(c.term.Primary))
+	if !c.isController() {
+		return changed
+	}
+	state := c.state(ctx, all)
+	decision := c.trigger.Decide(state)
+	c.log(decision)
+	switch decision.Action {
+	case promotion.ActionPromote:
+		c.promote(ctx, decision)
+	case promotion.ActionStopAdmission:
+		c.setAdmission(ctx, true)
+	case promotion.ActionResumeAdmission:
+		c.setAdmission(ctx, false)
+	default:
+		c.repair(ctx, all)
+	}
+	return changed
+}
+
+// noteTerm follows the newest term and starts anew when it changes.
+func (c *controller) noteTerm() {
+	current, _ := c.options.Terms.Current(c.group.Name)
+	if current.Term == c.term.Term && current.Primary == c.term.Primary {
+		return
+	}
+	// A term that was there when this daemon started is not new.
+	if c.term.Term != 0 {
+		c.termSince = time.Now()
+	}
+	c.term = current
+	c.suspicion = promotion.Suspicion{}
+	c.suspected = promotion.SuspicionDecision{}
+	c.lastSeen = observer.Observation{}
+	c.stoppedAt = time.Time{}
+}
+
+// suspect takes in what is new about the primary.
+func (c *controller) suspect(seen observer.Observation) {
+	previous := c.lastSeen
+	c.lastSeen = seen
+	now := time.Now()
+	switch {
+	case seen.Answered.After(previous.Answered) && isReached(seen, c.term.Term):
+		c.suspected = c.suspicion.Answered(now)
+	case seen.Answered.After(previous.Answered) && seen.Status.Term >= c.term.Term && seen.Misses == 0:
+		c.suspected = c.suspicion.NotPrimary(now)
+	case seen.Misses > previous.Misses && seen.Refused:
+		c.suspected = c.suspicion.Refused(now)
+	case seen.Misses > previous.Misses:
+		c.suspected = c.suspicion.Missed(now)
+	}
+}
+
+func (c *controller) isController() bool {
+	var daemons []promotion.Controller
+	for _, member := range c.options.Daemons.Members() {
+		reaches := c.options.Daemons.ReachesPlatform(member.Name)
+		if member.Name == c.options.Self {
+			reaches = c.options.PlatformReached()
+		}
+		daemons = append(daemons, promotion.Controller{Member: member, PlatformReached: reaches})
+	}
+	first, ok := promotion.ControllerOf(c.group.Name, daemons)
+	return ok && first == c.options.Self
+}
+
+// state gathers what the decision is based on.
+func (c *controller) state(ctx context.Context, all []observer.Observation) promotion.GroupState {
+	state := promotion.GroupState{
+		Group: c.group.Name, Term: c.term.Term, Primary: c.term.Primary, TermAge: time.Since(c.termSince),
+		IsController: true, Members: len(c.group.Targets),
+	}
+	for _, seen := range all {
+		if !seen.Asked.IsZero() && seen.Misses == 0 {
+			state.Reached++
+		}
+	}
+	state.SurelyGone = c.suspected.Reason == promotion.SuspicionNotPrimary && c.suspected.Suspected
+	if c.suspected.Suspected {
+		state.Vantage = c.askVantage(ctx)
+	}
+	state.Leaving = c.leaving(all)
+	return state
+}
+
+// askVantage asks the daemons that hold the targets of the group whether they reach the primary.
+func (c *controller) askVantage(ctx context.Context) promotion.VantageVerdict {
+	ctx, cancel := context.WithTimeout(ctx, vantageTimeout)
+	defer cancel()
+	daemons := c.vantagePoints()
+	views := make([]promotion.View, len(daemons))
+	var asked sync.WaitGroup
+	for i, daemon := range daemons {
+		asked.Add(1)
+		go func() {
+			defer asked.Done()
+			views[i] = c.view(ctx, daemon)
+		}()
+	}
+	asked.Wait()
+	verdict := promotion.VantageDecision(views, c.term.Term, promotion.VantageQuorum(len(daemons)))
+	logrus.WithFields(verdict.Fields()).WithFields(c.suspected.Fields()).WithFields(logrus.Fields{
+		"group": c.group.Name, "term": c.term.Term, "primary": c.term.Primary,
+	}).Info("primary_suspected")
+	return verdict
+}
+
+// vantagePoints returns this daemon and the live ones that hold targets of the group.
+func (c *controller) vantagePoints() []string {
+	live := make(map[string]bool)
+	for _, member := range c.options.Daemons.Members() {
+		live[member.Name] = true
+	}
+	points := []string{c.options.Self}
+	live[c.options.Self] = false
+	for _, spec := range c.group.Targets {
+		holder := c.options.Holder(spec.Name)
+		if live[holder] {
+			points = append(points, holder)
+			live[holder] = false
+		}
+	}
+	return points
+}
+
+func (c *controller) view(ctx context.Context, daemon string) promotion.View {
+	if daemon == c.options.Self {
+		return promotion.View{Daemon: daemon, Answered: true, Reached: isReached(c.lastSeen, c.term.Term), Term: c.term.Term}
+	}
+	req := &api.VantageRequest{Group: c.group.Name, Primary: c.term.Primary, Term: c.term.Term}
+	reply, err := c.options.Daemons.Vantage(ctx, daemon, req)
+	if err != nil {
+		return promotion.View{Daemon: daemon}
+	}
+	return promotion.View{
+		Daemon: daemon, Answered: reply.Known, Reached: reply.Reached,
+		Silence: time.Duration(reply.SilenceMs) * time.Millisecond, Term: reply.Term,
+	}
+}
+
+// leaving describes the planned switchover from a leaving primary.
+func (c *controller) leaving(all []observer.Observation) promotion.LeavingState {
+	state := promotion.LeavingState{AdmissionStopped: !c.stoppedAt.IsZero()}
+	if state.AdmissionStopped {
+		state.StoppedFor = time.Since(c.stoppedAt)
+	}
+	primary := c.lastSeen
+	state.PrimaryLeaving = c.term.Primary != "" && (primary.Status.Leaving || c.options.IsLeaving(c.term.Primary))
+	for _, seen := range all {
+		isReplacement := seen.Target != c.term.Primary && seen.Misses == 0 && !seen.Asked.IsZero() && !c.isLeaving(seen)
+		if !isReplacement {
+			continue
+		}
+		state.Replacements++
+		holdsAll := seen.Asked.After(c.stoppedAt) && seen.Status.LogPosition().Compare(primary.Status.LogPosition()) >= 0
+		if state.AdmissionStopped && primary.Asked.After(c.stoppedAt) && holdsAll && c.busy == 0 {
+			state.CaughtUp = true
+		}
+	}
+	return state
+}
+
+func (c *controller) isLeaving(seen observer.Observation) bool {
+	return seen.Status.Leaving || c.options.IsLeaving(seen.Target)
+}
+
+// setAdmission stops or resumes the admission of writes at the gate of the primary.
+func (c *controller) setAdmission(ctx context.Context, stop bool) {
+	ctx, cancel := context.WithTimeout(ctx, vantageTimeout)
+	defer cancel()
+	req := &api.AdmissionRequest{Target: c.term.Primary, Stop: stop, HoldMs: admissionHold.Milliseconds()}
+	reply, err := c.options.Daemons.Admission(ctx, c.options.Holder(c.term.Primary), req)
+	if err != nil || !reply.Known {
+		return
+	}
+	c.busy = reply.Busy
+	if !stop {
+		c.stoppedAt = time.Time{}
+	} else if c.stoppedAt.IsZero() {
+		c.stoppedAt = time.Now()
+	}
+	if watching, ok := c.options.Observer(c.group.Name); ok {
+		for _, spec := range c.group.Targets {
+			watching.Ask(spec.Name)
+		}
+	}
+}
+
+// repair makes targets follow that missed a promotion or have come back.
+func (c *controller) repair(ctx context.Context, all []observer.Observation) {
+	if c.term.Primary == "" || time.Since(c.repairedAt) < repairInterval {
+		return
+	}
+	c.repairedAt = time.Now()
+	record := api.TermRecord{Group: c.group.Name, Term: c.term.Term, Primary: c.term.Primary, Start: c.term.Start}
+	for _, order := range promotion.Repair(record, targetStates(all, c.term)) {
+		logrus.WithFields(order.Fields()).WithField("group", c.group.Name).Info("target_repaired")
+		go c.follow(ctx, order)
+	}
+}
+
+// targetStates converts the observations of the targets that answer.
+func targetStates(all []observer.Observation, term api.GroupTerm) []promotion.TargetState {
+	var states []promotion.TargetState
+	for _, seen := range all {
+		if seen.Asked.IsZero() || seen.Misses > 0 {
+			continue
+		}
+		state := promotion.TargetState{Target: seen.Target, Term: seen.Status.Term, Role: roleOf(seen.Status.Role)}
+		// A status does not tell whom a replica follows; within a term there is only one primary.
+		if seen.Status.Role == target.RoleReplica && seen.Status.Term == term.Term {
+			state.Follows = term.Primary
+		}
+		states = append(states, state)
+	}
+	return states
+}
+
+func (c *controller) follow(ctx context.Context, order promotion.Follow) {
+	ctx, cancel := context.WithTimeout(ctx, orderTimeout)
+	defer cancel()
+	if _, err := c.callTarget(ctx, order.Target, c.followCall(order)); err != nil {
+		logrus.WithFields(order.Fields()).WithFields(logrus.Fields{"group": c.group.Name, "error": err}).Warn("target_repair_failed")
+	}
+}
+
+func (c *controller) log(decision promotion.TriggerDecision) {
+	if decision.Reason == c.lastReason {
+		return
+	}
+	c.lastReason = decision.Reason
+	logrus.WithFields(decision.Fields()).WithField("primary", c.term.Primary).Info("failover_decision")
+}
--- /dev/null
+++ b/internal/failover/manager.go
@@ -0,0 +1,121 @@
+package failover
+
+import (
+	"context"
+	"expvar"
+	"sync"
+	"time"
+
+	"github.com/papayacove/papayacove/api"
+	"github.com/papayacove/papayacove/internal/observer"
+	"github.com/papayacove/papayacove/internal/policy/placement"
+	"github.com/papayacove/papayacove/internal/target"
+	"github.com/papayacove/papayacove/internal/terms"
+)
+
+// counters count promotions by outcome.
+var counters = expvar.NewMap("failover")
+
+// groupsInterval is the time between two looks at the list of groups.
+const groupsInterval = 200 * time.Millisecond
+
+// Store is the part of the platform that holds the term records.
+type Store interface {
+	Get(ctx context.Context, kind, name string) (api.Object, error)
+	Create(ctx context.Context, o api.Object) (api.Object, error)
+	Update(ctx context.Context, o api.Object) (api.Object, error)
+}
+
+// Daemons are the other daemons.
+type Daemons interface {
+	Members() []placement.Member
+	ReachesPlatform(name string) bool
+	Vantage(ctx context.Context, daemon string, req *api.VantageRequest) (*api.VantageReply, error)
+	Admission(ctx context.Context, daemon string, req *api.AdmissionRequest) (*api.AdmissionReply, error)
+	// Announce spreads a new term at once.
+	Announce(term api.GroupTerm)
+}
+
+// Options configure a Manager.
+type Options struct {
+	// Self is the name of this daemon.
+	Self string
+	// Target holds the account towards targets.
+	Target target.Options
+	// Groups returns the groups of the deployment.
+	Groups func() []api.GroupSpec
+	// Observer returns the observer of a group that this daemon watches.
+	Observer func(group string) (*observer.Observer, bool)
+	// Holder returns the daemon that holds a target.
+	Holder func(target string) string
+	// IsLeaving reports whether the platform lists a target's VM as leaving.
+	IsLeaving func(target string) bool
+	// PlatformReached reports whether the calls of this daemon to the platform succeed.
+	PlatformReached func() bool
+	Store           Store
+	Daemons         Daemons
+	Terms           *terms.Table
+}
+
+// Manager runs a controller for each group that this daemon watches.
+type Manager struct {
+	options Options
+
+	mu          sync.Mutex
+	controllers map[string]*controller
+}
+
+// NewManager returns a manager without controllers.
+func NewManager(options Options) *Manager {
+	return &Manager{options: options, controllers: make(map[string]*controller)}
+}
+
+// Run starts controllers for new groups until ctx ends.
+func (m *Manager) Run(ctx context.Context) {
+	ticker := time.NewTicker(groupsInterval)
+	defer ticker.Stop()
+	for {
+		for _, group := range m.options.Groups() {
+			m.start(ctx, group)
+		}
+		select {
+		case <-ctx.Done():
+			return
+		case <-ticker.C:
+		}
+	}
+}
+
+func (m *Manager) start(ctx context.Context, group api.GroupSpec) {
+	m.mu.Lock()
+	defer m.mu.Unlock()
+	if _, exists := m.controllers[group.Name]; exists {
+		return
+	}
+	started := newController(m.options, group)
+	m.controllers[group.Name] = started
+	go started.run(ctx)
+}
+
+// Vantage returns the view that this daemon has of a primary.
+func (m *Manager) Vantage(req *api.VantageRequest) *api.VantageReply {
+	current, _ := m.options.Terms.Current(req.Group)
+	reply := &api.VantageReply{Term: current.Term}
+	watching, ok := m.options.Observer(req.Group)
+	if !ok {
+		return reply
+	}
+	seen := watching.Latest(req.Primary)
+	reply.Known = !seen.Asked.IsZero() || seen.Misses > 0
+	reply.SilenceMs = time.Since(seen.Answered).Milliseconds()
+	reply.Reached = isReached(seen, req.Term)
+	return reply
+}
+
+// isReached reports whether the newest call to a primary was answered by it as primary.
+func isReached(seen observer.Observation, term uint64) bool {
+	if seen.Asked.IsZero() || seen.Misses > 0 {
+		return false
+	}
+	return seen.Status.Role == target.RolePrimary && seen.Status.Term == term
+}
--- /dev/null
+++ b/internal/failover/promoter.go
@@ -0,0 +1,320 @@
+package failover
+
+import (
+	"context"
+	"crypto/rand"
+	"encoding/hex"
+	"encoding/json"
+	"errors"
+	"fmt"
+	"time"
+
+	"github.com/papayacove/papayacove/api"
+	"github.com/papayacove/papayacove/internal/platform"
+	"github.com/papayacove/papayacove/internal/policy/confirm"
+	"github.com/papayacove/papayacove/internal/policy/promotion"
+	"github.com/papayacove/papayacove/internal/target"
+	"github.com/papayacove/papayacove/internal/terms"
+	"github.com/sirupsen/logrus"
+)
+
+const (
+	// orderTimeout is the time that one order to a target may take.
+	orderTimeout = 400 * time.Millisecond
+	// storeTimeout is the time that one call to the platform may take within a promotion.
+	storeTimeout = 800 * time.Millisecond
+	// eventBuffer is the number of answers that may wait to be handled.
+	eventBuffer = 32
+)
+
+// promoter carries out one promotion.
+type promoter struct {
+	controller *controller
+	promotion  *promotion.Promotion
+	events     chan promotion.Event
+	timer      *time.Timer
+	term       uint64
+	began      time.Time
+}
+
+// promote runs a promotion to its end.
+func (c *controller) promote(ctx context.Context, decision promotion.TriggerDecision) {
+	record, version, err := c.readRecord(ctx)
+	if err != nil {
+		logrus.WithFields(logrus.Fields{"group": c.group.Name, "error": err}).Warn("promotion_not_started")
+		sleep(ctx, retryPause)
+		return
+	}
+	if record.Term > c.term.Term || record.Primary != c.term.Primary {
+		c.options.Terms.Observe(terms.FromRecord(record))
+		return
+	}
+	ctx, cancel := context.WithCancel(ctx)
+	defer cancel()
+	p := &promoter{controller: c, events: make(chan promotion.Event, eventBuffer), began: time.Now(), term: record.Term + 1}
+	p.timer = time.NewTimer(time.Hour)
+	defer p.timer.Stop()
+	var orders []promotion.Order
+	p.promotion, orders = promotion.New(c.config(decision), record, version, p.began)
+	p.run(ctx, orders)
+	if p.promotion.Step() == promotion.StepAbandoned {
+		sleep(ctx, retryPause)
+	}
+}
+
+func (c *controller) config(decision promotion.TriggerDecision) promotion.Config {
+	config := promotion.Config{
+		Group: c.group.Name, Promoter: c.options.Self, ChangeID: newChangeID(), Reason: string(decision.Reason),
+	}
+	for _, spec := range c.group.Targets {
+		config.Targets = append(config.Targets, spec.Name)
+		if c.options.IsLeaving(spec.Name) || spec.Name == c.term.Primary {
+			config.Avoid = append(config.Avoid, spec.Name)
+		}
+	}
+	return config
+}
+
+func (p *promoter) run(ctx context.Context, orders []promotion.Order) {
+	for {
+		for _, order := range orders {
+			p.carryOut(ctx, order)
+		}
+		if p.promotion.IsDone() {
+			return
+		}
+		select {
+		case <-ctx.Done():
+			return
+		case event := <-p.events:
+			p.note(event)
+			orders = p.promotion.Handle(event, time.Now())
+		case <-p.timer.C:
+			orders = p.promotion.Handle(promotion.Tick{}, time.Now())
+		}
+	}
+}
+
+// note spreads what an answer makes known to the group.
+func (p *promoter) note(event promotion.Event) {
+	c := p.controller
+	switch e := event.(type) {
+	case promotion.RecordWritten:
+		if p.promotion.Step() == promotion.StepOpen {
+			c.options.Terms.Observe(api.GroupTerm{Group: c.group.Name, Term: p.term})
+		}
+	case promotion.PromoteAnswered:
+		// Only the opener of a term promotes in it, and only one target, so the new primary may
+		// be used before the record names it.
+		if e.IsPrimary && e.Term == p.term {
+			c.options.Daemons.Announce(api.GroupTerm{Group: c.group.Name, Term: p.term, Primary: e.Target, Start: e.Start})
+		}
+	}
+}
+
+// carryOut starts an order; its answer comes in as an event.
+func (p *promoter) carryOut(ctx context.Context, order promotion.Order) {
+	p.log(order)
+	switch o := order.(type) {
+	case promotion.WakeAt:
+		p.timer.Reset(max(time.Until(o.At), 0))
+	case promotion.WriteRecord:
+		go p.writeRecord(ctx, o)
+	case promotion.ReadRecord:
+		go p.readRecord(ctx)
+	case promotion.Fence:
+		go p.fence(ctx, o)
+	case promotion.Promote:
+		go p.promote(ctx, o)
+	case promotion.Follow:
+		go p.follow(ctx, o)
+	case promotion.Finished:
+		counters.Add("promotions_finished", 1)
+	case promotion.Abandoned:
+		counters.Add("promotions_abandoned", 1)
+	}
+}
+
+func (p *promoter) log(order promotion.Order) {
+	if _, isWake := order.(promotion.WakeAt); isWake {
+		return
+	}
+	logrus.WithFields(order.Fields()).WithFields(logrus.Fields{
+		"group": p.controller.group.Name, "step": p.promotion.Step().String(), "elapsed": time.Since(p.began),
+	}).Info("promotion_step")
+}
+
+func (p *promoter) post(ctx context.Context, event promotion.Event) {
+	select {
+	case p.events <- event:
+	case <-ctx.Done():
+	}
+}
+
+func (p *promoter) writeRecord(ctx context.Context, order promotion.WriteRecord) {
+	call, cancel := context.WithTimeout(ctx, storeTimeout)
+	defer cancel()
+	data, err := json.Marshal(order.Record)
+	if err != nil {
+		return
+	}
+	object := api.Object{Kind: platform.KindTerm, Name: order.Record.Group, Version: order.Version, Data: data}
+	store := p.controller.options.Store
+	var stored api.Object
+	if order.Version == 0 {
+		stored, err = store.Create(call, object)
+	} else {
+		stored, err = store.Update(call, object)
+	}
+	switch {
+	case err == nil:
+		p.post(ctx, promotion.RecordWritten{Version: stored.Version})
+	case errors.Is(err, platform.ErrConflict), errors.Is(err, platform.ErrExists):
+		p.post(ctx, promotion.RecordConflict{})
+	default:
+		p.post(ctx, promotion.RecordUnknown{})
+	}
+}
+
+func (p *promoter) readRecord(ctx context.Context) {
+	record, version, err := p.controller.readRecord(ctx)
+	if err != nil {
+		p.post(ctx, promotion.RecordReadFailed{})
+		return
+	}
+	p.post(ctx, promotion.RecordRead{Record: record, Version: version})
+}
+
+// readRecord returns the term record and its version; both are zero when there is none.
+func (c *controller) readRecord(ctx context.Context) (api.TermRecord, uint64, error) {
+	ctx, cancel := context.WithTimeout(ctx, storeTimeout)
+	defer cancel()
+	object, err := c.options.Store.Get(ctx, platform.KindTerm, c.group.Name)
+	if errors.Is(err, platform.ErrNotFound) {
+		return api.TermRecord{}, 0, nil
+	}
+	if err != nil {
+		return api.TermRecord{}, 0, err
+	}
+	var record api.TermRecord
+	if err := json.Unmarshal(object.Data, &record); err != nil {
+		return api.TermRecord{}, 0, fmt.Errorf("decode term record of %s: %w", c.group.Name, err)
+	}
+	return record, object.Version, nil
+}
+
+func (p *promoter) fence(ctx context.Context, order promotion.Fence) {
+	status, err := p.controller.callTarget(ctx, order.Target, func(ctx context.Context, control *target.Control) (target.Status, error) {
+		return control.Fence(ctx, order.Term)
+	})
+	if term, refused := refusedTerm(err); refused {
+		p.postRefusedFence(ctx, order, term)
+		return
+	}
+	if err == nil {
+		p.post(ctx, promotion.FenceAnswered{Target: order.Target, Term: status.Term, Received: status.LogPosition()})
+	}
+}
+
+// postRefusedFence tells of a target that is at the term already, or at a later one. A repeated
+// fence is refused as well; its position is then asked for.
+func (p *promoter) postRefusedFence(ctx context.Context, order promotion.Fence, term uint64) {
+	status, err := p.controller.callTarget(ctx, order.Target, func(ctx context.Context, control *target.Control) (target.Status, error) {
+		return control.Status(ctx, 0, 0)
+	})
+	if err == nil {
+		p.post(ctx, promotion.FenceAnswered{Target: order.Target, Term: max(term, status.Term), Received: status.LogPosition()})
+	}
+}
+
+func (p *promoter) promote(ctx context.Context, order promotion.Promote) {
+	status, err := p.controller.callTarget(ctx, order.Target, func(ctx context.Context, control *target.Control) (target.Status, error) {
+		return control.Promote(ctx, order.Term)
+	})
+	if term, refused := refusedTerm(err); refused {
+		p.post(ctx, promotion.PromoteAnswered{Target: order.Target, Term: term})
+		return
+	}
+	if err != nil {
+		return
+	}
+	p.post(ctx, promotion.PromoteAnswered{
+		Target: order.Target, Term: status.Term, IsPrimary: status.Role == target.RolePrimary, Start: status.LogPosition(),
+	})
+}
+
+func (p *promoter) follow(ctx context.Context, order promotion.Follow) {
+	status, err := p.controller.callTarget(ctx, order.Target, p.controller.followCall(order))
+	if term, refused := refusedTerm(err); refused {
+		p.post(ctx, promotion.FollowAnswered{Target: order.Target, Term: term})
+		return
+	}
+	if err != nil {
+		return
+	}
+	p.post(ctx, promotion.FollowAnswered{Target: order.Target, Term: status.Term, IsFollowing: status.Role == target.RoleReplica})
+}
+
+func (c *controller) followCall(order promotion.Follow) func(context.Context, *target.Control) (target.Status, error) {
+	address := c.spec(order.Primary).Address
+	return func(ctx context.Context, control *target.Control) (target.Status, error) {
+		return control.Follow(ctx, order.Term, address)
+	}
+}
+
+// callTarget gives an order on a connection of its own.
+func (c *controller) callTarget(ctx context.Context, name string, call func(context.Context, *target.Control) (target.Status, error)) (target.Status, error) {
+	ctx, cancel := context.WithTimeout(ctx, orderTimeout)
+	defer cancel()
+	control, err := target.DialControl(ctx, c.spec(name).Address, c.options.Target)
+	if err != nil {
+		return target.Status{}, err
+	}
+	defer func() { _ = control.Close() }()
+	return call(ctx, control)
+}
+
+func (c *controller) spec(name string) api.TargetSpec {
+	for _, spec := range c.group.Targets {
+		if spec.Name == name {
+			return spec
+		}
+	}
+	return api.TargetSpec{}
+}
+
+// refusedTerm returns the term of a target that refused an order because of it.
+func refusedTerm(err error) (uint64, bool) {
+	var refusal *target.ErrTermTooLow
+	if errors.As(err, &refusal) {
+		return refusal.Term, true
+	}
+	return 0, false
+}
+
+func roleOf(role target.Role) confirm.Role {
+	switch role {
+	case target.RolePrimary:
+		return confirm.RolePrimary
+	case target.RoleReplica:
+		return confirm.RoleReplica
+	default:
+		return confirm.RoleUnknown
+	}
+}
+
+// newChangeID returns an id that no other promotion has.
+func newChangeID() string {
+	var id [12]byte
+	_, _ = rand.Read(id[:])
+	return hex.EncodeToString(id[:])
+}
+
+func sleep(ctx context.Context, d time.Duration) {
+	timer := time.NewTimer(d)
+	defer timer.Stop()
+	select {
+	case <-ctx.Done():
+	case <-timer.C:
+	}
+}
--- a/internal/gate/gate.go
+++ b/internal/gate/gate.go
@@ -53,6 +53,8 @@
 	age          *ageTracker
 	cancel       context.CancelFunc
 	draining     atomic.Bool
+	// stoppedUntil is the time, in Unix nanoseconds, until which no new writes are admitted.
+	stoppedUntil atomic.Int64
 	running      sync.WaitGroup
 
 	answerID atomic.Uint64
@@ -66,7 +68,7 @@
 	return &Gate{
 		options:      options,
 		pool:         newPool(options.Spec, options.Target),
-		queue:        newQueue(options.Spec.Slots, options.Limits.QueueLength),
+		queue:        newQueue(options.Spec, options.Limits.QueueLength),
 		confirmer:    newConfirmer(options.Observer, options.Spec.Name),
 		transactions: newTransactions(),
 		age:          newAgeTracker(),
@@ -141,6 +143,16 @@
 	return busy || g.transactions.count() > 0
 }
 
+// StopAdmission refuses new work on the primary for a time; 0 resumes admission. It returns the
+// number of batches and transactions in progress.
+func (g *Gate) StopAdmission(hold time.Duration) int {
+	g.stoppedUntil.Store(time.Now().Add(hold).UnixNano())
+	g.mu.Lock()
+	busy := len(g.inflight)
+	g.mu.Unlock()
+	return busy + g.transactions.count()
+}
+
 // IsIdle reports whether nothing is in progress at the target.
 func (g *Gate) IsIdle() bool {
 	return !g.isBusy()
@@ -317,6 +329,9 @@
 	b.term = current
 	b.leads = err == nil
 	if b.leads {
+		if time.Now().UnixNano() < g.stoppedUntil.Load() {
+			return result.Errorf(result.NotRunDraining, "a planned switchover of group %s is in progress", g.options.Group.Name)
+		}
 		admission := g.confirmer.admit(current.Term)
 		if !admission.Allowed {
 			return result.Errorf(admission.Code, "%s: %d of %d targets seen", admission.Reason, admission.Seen, admission.Needed).
@@ -381,3 +396,18 @@
 		return commit, result.Errorf(result.OutcomeUnknown, "the commit at %s was not confirmed: %s", commit, decision.Reason)
 	}
 }
+
+// Status describes the target and its connections.
+func (g *Gate) Status() api.HeldTargetStatus {
+	seen := g.options.Observer.Latest(g.options.Spec.Name)
+	open, free := g.pool.counts()
+	status := api.HeldTargetStatus{
+		Target: g.options.Spec.Name, Group: g.options.Group.Name, Role: string(seen.Status.Role), Term: seen.Status.Term,
+		Slots: g.options.Spec.Slots, SlotsInUse: open - free, Queue: g.queue.length(),
+		Received: seen.Status.LogPosition(), Applied: seen.Status.AppliedPosition(), AgeMs: -1,
+	}
+	if age := g.age.bound(seen.Status.AppliedPosition(), time.Now()); age >= 0 {
+		status.AgeMs = age.Milliseconds()
+	}
+	return status
+}
--- a/internal/gate/manager.go
+++ b/internal/gate/manager.go
@@ -301,6 +301,19 @@
 	return reply
 }
 
+// Admission stops or resumes the admission of writes at a gate of this daemon.
+func (m *Manager) Admission(req *api.AdmissionRequest) *api.AdmissionReply {
+	held, ok := m.gate(req.Target)
+	if !ok {
+		return &api.AdmissionReply{}
+	}
+	hold := time.Duration(req.HoldMs) * time.Millisecond
+	if !req.Stop {
+		hold = 0
+	}
+	return &api.AdmissionReply{Known: true, Busy: held.StopAdmission(hold)}
+}
+
 // Drain stops new work at all gates and waits for what is in progress.
 func (m *Manager) Drain(ctx context.Context) {
 	var drains sync.WaitGroup
--- a/internal/gate/queue.go
+++ b/internal/gate/queue.go
@@ -2,48 +2,131 @@
 
 import (
 	"context"
-	"sync/atomic"
+	"sync"
 	"time"
 
 	"github.com/papayacove/papayacove/api"
+	"github.com/papayacove/papayacove/internal/policy/admission"
 	"github.com/papayacove/papayacove/internal/result"
+	"github.com/sirupsen/logrus"
 )
 
-// overloadRetryAfter is the time after which a refused caller may come back.
-const overloadRetryAfter = 200 * time.Millisecond
-
-// queue admits batches to the slots of one target.
+// queue admits batches to the slots of one target by the decisions of the admission policy.
 type queue struct {
-	places  chan struct{}
-	waiting atomic.Int64
-	limit   int64
+	target string
+
+	mu      sync.Mutex
+	policy  *admission.Queue
+	nextID  uint64
+	waiters map[uint64]chan *result.Error
 }
 
 // ticket is the admission of one batch or transaction.
 type ticket struct {
 	queue *queue
+	since time.Time
+}
+
+func newQueue(spec api.TargetSpec, length int) *queue {
+	return &queue{
+		target:  spec.Name,
+		policy:  admission.New(admission.Config{Slots: spec.Slots, QueueLength: length}),
+		waiters: make(map[uint64]chan *result.Error),
+	}
 }
 
-func newQueue(slots, limit int) *queue {
-	return &queue{places: make(chan struct{}, slots), limit: int64(limit)}
+// classOf returns the priority of a batch that starts anew.
+func classOf(req *api.ExecuteRequest) admission.Class {
+	if req.Access == api.ExecuteRequestAccessRead && req.MaxAgeMs >= 0 {
+		return admission.ClassAged
+	}
+	return admission.ClassStrict
 }
 
-// admit waits for a place or refuses.
-func (q *queue) admit(ctx context.Context, _ *api.ExecuteRequest) (*ticket, error) {
-	if q.waiting.Add(1) > q.limit {
-		q.waiting.Add(-1)
-		return nil, result.Errorf(result.NotRunOverloaded, "the queue of the target is full").WithRetryAfter(overloadRetryAfter)
+// admit waits for a slot or refuses at once. The error is a result.Error that nothing ran.
+func (q *queue) admit(ctx context.Context, req *api.ExecuteRequest) (*ticket, error) {
+	deadline, _ := ctx.Deadline()
+	q.mu.Lock()
+	q.nextID++
+	item := admission.Item{ID: q.nextID, Workspace: req.Workspace, Class: classOf(req), Deadline: deadline}
+	decision := q.policy.Offer(item, time.Now())
+	var admitted chan *result.Error
+	if decision.Outcome == admission.Queued {
+		admitted = make(chan *result.Error, 1)
+		q.waiters[item.ID] = admitted
 	}
-	defer q.waiting.Add(-1)
+	if decision.Displaced != nil {
+		q.refuseWaiter(*decision.Displaced)
+	}
+	q.mu.Unlock()
+	switch decision.Outcome {
+	case admission.Started:
+		return &ticket{queue: q, since: time.Now()}, nil
+	case admission.Queued:
+		return q.wait(ctx, item.ID, admitted)
+	default:
+		logrus.WithFields(decision.Fields()).WithFields(logrus.Fields{"target": q.target, "session": req.SessionID}).Info("admission_refused")
+		return nil, result.Errorf(decision.Code, "target %s: %s, %d wait", q.target, decision.Reason, decision.Waiting).
+			WithRetryAfter(decision.RetryAfter)
+	}
+}
+
+// wait waits for the start of a queued batch.
+func (q *queue) wait(ctx context.Context, id uint64, admitted <-chan *result.Error) (*ticket, error) {
 	select {
-	case q.places <- struct{}{}:
-		return &ticket{queue: q}, nil
+	case refusal := <-admitted:
+		return q.started(refusal)
 	case <-ctx.Done():
-		return nil, result.Errorf(result.NotRunOverloaded, "no place became free in time").WithRetryAfter(overloadRetryAfter)
 	}
+	q.mu.Lock()
+	removed := q.policy.Remove(id)
+	delete(q.waiters, id)
+	retryAfter := q.policy.Backlog()
+	q.mu.Unlock()
+	if removed {
+		return nil, result.Errorf(result.NotRunDeadline, "target %s: no slot became free in time", q.target).WithRetryAfter(retryAfter)
+	}
+	return q.started(<-admitted)
 }
 
-// done gives the place back.
+func (q *queue) started(refusal *result.Error) (*ticket, error) {
+	if refusal != nil {
+		return nil, refusal
+	}
+	return &ticket{queue: q, since: time.Now()}, nil
+}
+
+// refuseWaiter tells a waiting batch that it never starts. The caller holds the lock.
+func (q *queue) refuseWaiter(refused admission.Refused) {
+	waiter, ok := q.waiters[refused.ID]
+	if !ok {
+		return
+	}
+	delete(q.waiters, refused.ID)
+	logrus.WithFields(refused.Fields()).WithField("target", q.target).Info("admission_refused")
+	waiter <- result.Errorf(refused.Code, "target %s: %s", q.target, refused.Reason).WithRetryAfter(refused.RetryAfter)
+}
+
+// done gives the slot back and starts the batches that wait for it.
 func (t *ticket) done() {
-	<-t.queue.places
+	q := t.queue
+	now := time.Now()
+	q.mu.Lock()
+	defer q.mu.Unlock()
+	for _, refused := range q.policy.Expire(now) {
+		q.refuseWaiter(refused)
+	}
+	for _, start := range q.policy.Release(now, now.Sub(t.since)) {
+		if waiter, ok := q.waiters[start.ID]; ok {
+			delete(q.waiters, start.ID)
+			waiter <- nil
+		}
+	}
+}
+
+// length returns the number of batches that wait.
+func (q *queue) length() int {
+	q.mu.Lock()
+	defer q.mu.Unlock()
+	return q.policy.Waiting()
 }
--- a/internal/membership/membership.go
+++ b/internal/membership/membership.go
@@ -3,8 +3,10 @@
 package membership
 
 import (
+	"cmp"
 	"context"
 	"errors"
+	"slices"
 	"sync"
 	"syscall"
 	"time"
@@ -260,3 +262,53 @@
 	}
 	return clients
 }
+
+// IsLive reports whether the named other daemon is live.
+func (m *Manager) IsLive(name string) bool {
+	m.mu.RLock()
+	defer m.mu.RUnlock()
+	known, ok := m.peers[name]
+	return ok && known.live
+}
+
+// Hear takes in a heartbeat that another daemon sent here.
+func (m *Manager) Hear(heartbeat *api.Heartbeat) {
+	m.mu.Lock()
+	known, ok := m.peers[heartbeat.From]
+	changed := ok && known.leaving != heartbeat.Leaving
+	if ok {
+		known.leaving = heartbeat.Leaving
+		known.platformReached = heartbeat.PlatformReached
+		known.configRevision = max(known.configRevision, heartbeat.ConfigRevision)
+	}
+	m.mu.Unlock()
+	if changed {
+		m.options.Changed()
+	}
+}
+
+// BeatNow sends a heartbeat to each live daemon at once.
+func (m *Manager) BeatNow() {
+	m.mu.RLock()
+	defer m.mu.RUnlock()
+	for _, known := range m.peers {
+		if known.live {
+			go m.exchange(m.context, known)
+		}
+	}
+}
+
+// Statuses describes the other daemons, ordered by name.
+func (m *Manager) Statuses() []api.MemberStatus {
+	m.mu.RLock()
+	defer m.mu.RUnlock()
+	statuses := make([]api.MemberStatus, 0, len(m.peers))
+	for name, known := range m.peers {
+		statuses = append(statuses, api.MemberStatus{
+			Name: name, Zone: known.vm.Zone, Live: known.live, Leaving: known.leaving,
+			SilenceMs: time.Since(known.lastHeard).Milliseconds(), ConfigRevision: known.configRevision,
+		})
+	}
+	slices.SortFunc(statuses, func(a, b api.MemberStatus) int { return cmp.Compare(a.Name, b.Name) })
+	return statuses
+}
--- a/internal/observer/observer.go
+++ b/internal/observer/observer.go
@@ -7,6 +7,7 @@
 	"errors"
 	"sync"
 	"sync/atomic"
+	"syscall"
 	"time"
 
 	"github.com/papayacove/papayacove/api"
@@ -39,6 +40,8 @@
 	Answered time.Time
 	// Misses counts the failed calls since the last answer.
 	Misses int
+	// Refused is true when the last call failed because the connection was refused.
+	Refused bool
 	// SilentSince is when the first of the failed calls was sent; zero while calls succeed.
 	SilentSince time.Time
 }
@@ -143,6 +146,7 @@
 	known := o.observations[name]
 	known.Answered = answered
 	known.Misses = 0
+	known.Refused = false
 	known.SilentSince = time.Time{}
 	// Answers of two connections may arrive out of order; the one asked later is the newer.
 	if asked.After(known.Asked) {
@@ -153,11 +157,12 @@
 	o.broadcast()
 }
 
-func (o *Observer) recordMiss(name string, asked time.Time) {
+func (o *Observer) recordMiss(name string, asked time.Time, err error) {
 	o.mu.Lock()
 	defer o.mu.Unlock()
 	known := o.observations[name]
 	known.Misses++
+	known.Refused = errors.Is(err, syscall.ECONNREFUSED)
 	if known.SilentSince.IsZero() {
 		known.SilentSince = asked
 	}
@@ -208,7 +213,7 @@
 		return control
 	}
 	if !errors.Is(ctx.Err(), context.Canceled) {
-		o.recordMiss(spec.Name, asked)
+		o.recordMiss(spec.Name, asked, err)
 	}
 	return nil
 }
@@ -226,7 +231,7 @@
 	status, err := control.Status(callContext, offset, wait)
 	if err != nil {
 		if ctx.Err() == nil {
-			o.recordMiss(name, asked)
+			o.recordMiss(name, asked, err)
 		}
 		return false
 	}
--- a/internal/peer/client.go
+++ b/internal/peer/client.go
@@ -106,6 +106,11 @@
 	return call[api.VantageReply](ctx, c, "Vantage", req)
 }
 
+// Admission stops or resumes the admission of writes at a gate.
+func (c *Client) Admission(ctx context.Context, req *api.AdmissionRequest) (*api.AdmissionReply, error) {
+	return call[api.AdmissionReply](ctx, c, "Admission", req)
+}
+
 // Heartbeat exchanges liveness and terms.
 func (c *Client) Heartbeat(ctx context.Context, req *api.Heartbeat) (*api.Heartbeat, error) {
 	return call[api.Heartbeat](ctx, c, "Heartbeat", req)
--- a/internal/peer/server.go
+++ b/internal/peer/server.go
@@ -24,6 +24,7 @@
 	Release(req *api.ReleaseRequest) bool
 	Floor(req *api.FloorRequest) *api.FloorReply
 	Vantage(req *api.VantageRequest) *api.VantageReply
+	Admission(req *api.AdmissionRequest) *api.AdmissionReply
 	Heartbeat(req *api.Heartbeat) *api.Heartbeat
 	Configuration(req *api.ConfigRequest) *api.ConfigReply
 }
@@ -69,6 +70,12 @@
 	return nil
 }
 
+// Admission stops or resumes the admission of writes at a gate.
+func (s *service) Admission(req *api.AdmissionRequest, reply *api.AdmissionReply) error {
+	*reply = *s.handler.Admission(req)
+	return nil
+}
+
 // Heartbeat exchanges liveness and terms.
 func (s *service) Heartbeat(req *api.Heartbeat, reply *api.Heartbeat) error {
 	*reply = *s.handler.Heartbeat(req)
--- /dev/null
+++ b/internal/router/read.go
@@ -0,0 +1,152 @@
+package router
+
+import (
+	"context"
+	"time"
+
+	"github.com/papayacove/papayacove/api"
+	"github.com/papayacove/papayacove/internal/frontend"
+	"github.com/papayacove/papayacove/internal/policy/confirm"
+	"github.com/papayacove/papayacove/internal/policy/readroute"
+	"github.com/papayacove/papayacove/internal/result"
+	"github.com/sirupsen/logrus"
+)
+
+// runRead sends a batch to a replica that has what the session relies on, or to the primary.
+func (s *session) runRead(ctx context.Context, batch *frontend.Batch, emit func([]byte) error) (frontend.Outcome, error) {
+	began := time.Now()
+	deadline := began.Add(batch.Timeout)
+	giveUp := began.Add(min(batch.Timeout, primaryWait))
+	backoff := firstBackoff
+	for {
+		changed := s.router.options.Terms.Changed()
+		outcome, failed := s.tryTargets(ctx, batch, deadline, emit)
+		if failed == nil {
+			return outcome, nil
+		}
+		if failed.Code == result.NotRunReadOnly {
+			return s.runWrite(ctx, batch, emit)
+		}
+		if !mayRepeat(failed.Code) && failed.Code != result.NotRunBehind || time.Now().Add(backoff).After(giveUp) {
+			counters.Add("reads_"+failed.Code.String(), 1)
+			return idle, withRetryAfter(failed)
+		}
+		if waitForChange(ctx, changed, backoff) != nil {
+			return idle, withRetryAfter(failed)
+		}
+		backoff = min(2*backoff, lastBackoff)
+	}
+}
+
+// floorFor returns the floor of a read. Strict reads rely on everything that was confirmed before
+// the session's first one, so that a caller that moved here from another daemon reads its writes.
+func (s *session) floorFor(ctx context.Context, batch *frontend.Batch) (api.Position, *result.Error) {
+	if batch.MaxAge >= 0 {
+		return s.written, nil
+	}
+	if s.floorKnown {
+		return s.floor, nil
+	}
+	current, ok := s.router.options.Terms.Current(s.info.Group)
+	if !ok || current.Primary == "" {
+		return api.Position{}, result.Errorf(result.NotRunNoPrimary, "group %s has no primary", s.info.Group)
+	}
+	daemon := s.router.options.Gates.Holder(current.Primary)
+	reply, err := s.router.floor(ctx, daemon, s.info.Group)
+	if err != nil {
+		return api.Position{}, result.Errorf(result.NotRunNoPrimary, "floor of group %s: %v", s.info.Group, err)
+	}
+	if reply.Code != 0 {
+		return api.Position{}, result.Errorf(result.NotRunNoPrimary, "floor of group %s: %s", s.info.Group, reply.Reason)
+	}
+	s.floor = s.floor.Max(reply.Position)
+	s.floorKnown = true
+	return s.floor, nil
+}
+
+// tryTargets tries the targets of the group in the order of the policy, each once.
+func (s *session) tryTargets(ctx context.Context, batch *frontend.Batch, deadline time.Time, emit func([]byte) error) (frontend.Outcome, *result.Error) {
+	floor, failed := s.floorFor(ctx, batch)
+	if failed != nil {
+		return idle, failed
+	}
+	read := readroute.Read{Zone: s.router.options.Zone, Floor: floor, MaxAge: batch.MaxAge}
+	attempt, decision := s.newAttempt(read, deadline)
+	for !decision.Stop {
+		s.logRead(decision)
+		req := s.request(batch, decision.Candidate.Target, deadline)
+		req.Floor = floor
+		if batch.MaxAge >= 0 {
+			req.MaxAgeMs = batch.MaxAge.Milliseconds()
+		}
+		outcome, emitted, refusal := s.send(ctx, decision.Candidate.Holder, req, emit)
+		if refusal == nil {
+			counters.Add("reads_"+decision.Candidate.Role.String(), 1)
+			return outcome, nil
+		}
+		failed = refusal
+		if refusal.Code == result.NotRunReadOnly && !emitted {
+			return idle, refusal
+		}
+		s.noteRefusal(read, decision.Candidate.Target, refusal)
+		decision = s.nextAttempt(attempt, refusal, emitted)
+	}
+	s.logRead(decision)
+	reason := string(decision.Reason)
+	if failed != nil {
+		reason += ": " + failed.Reason
+	}
+	return idle, result.Errorf(decision.Code, "%s", reason).WithRetryAfter(decision.RetryAfter)
+}
+
+func (s *session) newAttempt(read readroute.Read, deadline time.Time) (*readroute.Attempt, readroute.Decision) {
+	targets := s.targets()
+	s.router.mu.Lock()
+	defer s.router.mu.Unlock()
+	for i := range targets {
+		targets[i].Refusal = s.router.refusals[targets[i].Name]
+	}
+	return readroute.NewAttempt(read, targets, s.router.budget(s.info.Workspace), deadline, time.Now())
+}
+
+func (s *session) nextAttempt(attempt *readroute.Attempt, refusal *result.Error, emitted bool) readroute.Decision {
+	s.router.mu.Lock()
+	defer s.router.mu.Unlock()
+	failure := readroute.Failure{Code: refusal.Code, RetryAfter: refusal.RetryAfter, RowsSent: emitted}
+	return attempt.Failed(failure, time.Now())
+}
+
+func (s *session) noteRefusal(read readroute.Read, target string, refusal *result.Error) {
+	s.router.remember(target, readroute.Refusal{
+		Code: refusal.Code, At: time.Now(), RetryAfter: refusal.RetryAfter, Floor: read.Floor, MaxAge: read.MaxAge,
+	})
+}
+
+// targets describes the targets of the session's group for the policy.
+func (s *session) targets() []readroute.Target {
+	group, _ := s.router.options.Gates.Group(s.info.Group)
+	current, known := s.router.options.Terms.Current(s.info.Group)
+	targets := make([]readroute.Target, 0, len(group.Targets))
+	for _, spec := range group.Targets {
+		holder := s.router.options.Gates.Holder(spec.Name)
+		role := confirm.RoleReplica
+		if known && current.Primary == spec.Name {
+			role = confirm.RolePrimary
+		}
+		targets = append(targets, readroute.Target{
+			Name: spec.Name, Zone: spec.Zone, Role: role, Holder: holder,
+			HolderReachable: holder == s.router.options.Self || s.router.options.Peers.IsLive(holder),
+		})
+	}
+	return targets
+}
+
+func (s *session) logRead(decision readroute.Decision) {
+	if decision.Stop {
+		logrus.WithFields(decision.Fields()).WithFields(logrus.Fields{"session": s.id, "group": s.info.Group}).Info("read_not_served")
+		return
+	}
+	if logrus.IsLevelEnabled(logrus.DebugLevel) {
+		logrus.WithFields(decision.Fields()).WithFields(logrus.Fields{"session": s.id, "group": s.info.Group}).Debug("read_routed")
+	}
+}
