Serve PostgreSQL callers through a Runner

Cause: the routing side needs a caller side that PostgreSQL clients can talk to. Ruled out: pgproto3.Backend for the message loop (it decodes each message and keeps its buffers for idle connections); a SQL parser (leading keywords, quotes and comments decide every question asked). Change: listener, start-up, TLS, SCRAM, cancel keys, framing, both query protocols, derived names of prepared statements, classification, followed session settings, operation keys and planned stop.

--- /dev/null
+++ b/internal/frontend/answer.go
@@ -0,0 +1,220 @@
+package frontend
+
+import (
+	"context"
+	"fmt"
+	"strings"
+
+	"github.com/jackc/pgx/v5/pgproto3"
+	"github.com/papayacove/papayacove/api"
+	"github.com/papayacove/papayacove/internal/result"
+)
+
+const (
+	// textOID is the type of the values that the frontend answers.
+	textOID = 25
+	// variableSize marks a type without a fixed length.
+	variableSize = -1
+	// outcomeColumn is the name of the function and column that tell of an operation key.
+	outcomeColumn = ownPrefix + "_outcome"
+)
+
+// PositionReporter is implemented by session runners that know the last confirmed position.
+type PositionReporter interface {
+	// Position returns the highest position that the session may rely on.
+	Position() api.Position
+}
+
+// localAnswer is the answer to a statement that the frontend handles itself.
+type localAnswer struct {
+	// column is the name of the only column; empty for a statement without rows.
+	column   string
+	value    string
+	tag      string
+	statuses []pgproto3.ParameterStatus
+}
+
+// appendDescription appends the description of the row, if any.
+func (a localAnswer) appendDescription(out []byte) []byte {
+	if a.column == "" {
+		return out
+	}
+	return appendColumn(out, a.column)
+}
+
+// appendResult appends row, CommandComplete and changed parameters.
+func (a localAnswer) appendResult(out []byte) []byte {
+	if a.column != "" {
+		out = appendMessage(out, &pgproto3.DataRow{Values: [][]byte{[]byte(a.value)}})
+	}
+	out = appendMessage(out, &pgproto3.CommandComplete{CommandTag: []byte(a.tag)})
+	for _, status := range a.statuses {
+		out = appendMessage(out, &status)
+	}
+	return out
+}
+
+// appendColumn appends the description of one text column, or NoData for an empty name.
+func appendColumn(out []byte, name string) []byte {
+	if name == "" {
+		return appendMessage(out, &pgproto3.NoData{})
+	}
+	field := pgproto3.FieldDescription{
+		Name:         []byte(name),
+		DataTypeOID:  textOID,
+		DataTypeSize: variableSize,
+		TypeModifier: -1,
+	}
+	return appendMessage(out, &pgproto3.RowDescription{Fields: []pgproto3.FieldDescription{field}})
+}
+
+// answeredColumn returns the column of a statement that the frontend answers; empty for none.
+func (s statement) answeredColumn() string {
+	switch s.kind {
+	case kindShow:
+		name, _ := parameterName(s.tokens[1:])
+		return name
+	case kindOutcome:
+		return outcomeColumn
+	case kindSetConfig:
+		return "set_config"
+	}
+	return ""
+}
+
+// answer carries out a statement that belongs to the session itself.
+func (s *session) answer(ctx context.Context, st *statement) (localAnswer, error) {
+	if s.block.isLost && st.kind != kindEndLostBlock {
+		return localAnswer{}, errInFailedBlock()
+	}
+	switch st.kind {
+	case kindSet, kindReset, kindSetConfig:
+		return s.answerAssignment(st)
+	case kindDiscard:
+		return s.answerDiscard(st)
+	case kindDeallocate:
+		return s.answerDeallocate(st)
+	case kindUnlisten:
+		return localAnswer{tag: "UNLISTEN"}, nil
+	case kindShow:
+		return s.answerShow(ctx, st)
+	case kindOutcome:
+		return s.answerOutcome(ctx, st)
+	case kindEndLostBlock:
+		s.block = transactionBlock{}
+		s.status = StatusIdle
+		return localAnswer{tag: "ROLLBACK"}, nil
+	}
+	return localAnswer{}, result.Errorf(result.Internal, "no answer to statement kind %d", st.kind)
+}
+
+// requireIdle refuses what PostgreSQL would undo together with a transaction block.
+func (s *session) requireIdle(what string) error {
+	if s.status == StatusIdle {
+		return nil
+	}
+	return result.Errorf(result.Unsupported, "%s inside a transaction block is not supported", what)
+}
+
+func (s *session) answerAssignment(st *statement) (localAnswer, error) {
+	if err := s.requireIdle(strings.ToUpper(st.verb())); err != nil {
+		return localAnswer{}, err
+	}
+	a, err := parseAssignment(st)
+	if err != nil {
+		return localAnswer{}, err
+	}
+	before := s.statuses()
+	if a.name == "" {
+		s.settings.resetAll()
+	} else if err := s.settings.assign(a); err != nil {
+		return localAnswer{}, err
+	}
+	answer := localAnswer{statuses: s.changedStatuses(before)}
+	switch st.kind {
+	case kindSetConfig:
+		answer.column, answer.value, answer.tag = st.answeredColumn(), a.value, "SELECT 1"
+	case kindReset:
+		answer.tag = "RESET"
+	default:
+		answer.tag = "SET"
+	}
+	return answer, nil
+}
+
+func parseAssignment(st *statement) (assignment, *result.Error) {
+	switch st.kind {
+	case kindReset:
+		return parseReset(*st)
+	case kindSetConfig:
+		return parseSetConfig(*st)
+	}
+	return parseSet(*st)
+}
+
+func (s *session) answerDiscard(st *statement) (localAnswer, error) {
+	if err := s.requireIdle("DISCARD"); err != nil {
+		return localAnswer{}, err
+	}
+	target := st.at(1)
+	switch {
+	case len(st.tokens) != 2:
+	case target.isWord("all"):
+		before := s.statuses()
+		s.settings.resetAll()
+		s.statements.closeAll()
+		return localAnswer{tag: "DISCARD ALL", statuses: s.changedStatuses(before)}, nil
+	case target.isWord("plans", "sequences", "temp", "temporary"):
+		return localAnswer{tag: "DISCARD " + strings.ToUpper(target.value)}, nil
+	}
+	return localAnswer{}, result.Errorf(result.Unsupported, "this form of DISCARD is not supported")
+}
+
+func (s *session) answerDeallocate(st *statement) (localAnswer, error) {
+	tokens := st.tokens[1:]
+	if len(tokens) > 1 && tokens[0].isWord("prepare") {
+		tokens = tokens[1:]
+	}
+	if len(tokens) != 1 {
+		return localAnswer{}, result.Errorf(result.Unsupported, "this form of DEALLOCATE is not supported")
+	}
+	if tokens[0].isWord("all") {
+		s.statements.closeAll()
+		return localAnswer{tag: "DEALLOCATE ALL"}, nil
+	}
+	if _, err := s.statements.get(tokens[0].value); err != nil {
+		return localAnswer{}, err
+	}
+	s.statements.close(tokens[0].value)
+	return localAnswer{tag: "DEALLOCATE"}, nil
+}
+
+func (s *session) answerShow(ctx context.Context, st *statement) (localAnswer, error) {
+	name := st.answeredColumn()
+	answer := localAnswer{column: name, tag: "SHOW"}
+	switch name {
+	case maxStalenessName:
+		answer.value = "off"
+		if s.settings.maxAge >= 0 {
+			answer.value = s.settings.maxAge.String()
+		}
+	case operationKeyName:
+		answer.value = s.settings.operationKey
+	case positionName:
+		reporter, ok := s.runner.(PositionReporter)
+		if !ok {
+			return localAnswer{}, result.Errorf(result.Unsupported, "the position of the session is not known")
+		}
+		position := reporter.Position()
+		answer.value = fmt.Sprintf("%d/%d", position.Term, position.Offset)
+	case outcomeName:
+		value, err := s.outcomeOf(ctx, s.settings.lastOperationKey)
+		if err != nil {
+			return localAnswer{}, err
+		}
+		answer.value = value
+	default:
+		return localAnswer{}, result.Errorf(result.Unsupported, "there is no parameter %q", name)
+	}
+	return answer, nil
+}
--- /dev/null
+++ b/internal/frontend/classify.go
@@ -0,0 +1,281 @@
+package frontend
+
+import (
+	"strings"
+
+	"github.com/papayacove/papayacove/api"
+)
+
+// statementKind says who answers a statement.
+type statementKind byte
+
+const (
+	// kindForward statements run on a target.
+	kindForward statementKind = iota
+	// kindRefused statements need a connection of their own.
+	kindRefused
+	// kindSet to kindOutcome are answered by the frontend.
+	kindSet
+	kindReset
+	kindDiscard
+	kindDeallocate
+	kindUnlisten
+	kindSetConfig
+	kindShow
+	kindOutcome
+	// kindEndLostBlock ends a transaction block that its target no longer holds.
+	kindEndLostBlock
+)
+
+// blockEffect says what a statement does to the transaction block.
+type blockEffect byte
+
+const (
+	blockKept blockEffect = iota
+	blockBegins
+	blockEnds
+)
+
+// statement is what the frontend needs to know of one SQL statement.
+type statement struct {
+	kind   statementKind
+	access api.ExecuteRequestAccess
+	block  blockEffect
+	// refusal explains kindRefused.
+	refusal string
+	// tokens are the first tokens without comments, at most maxLeadingTokens.
+	tokens []token
+	// truncated is true when there are more tokens.
+	truncated bool
+	// asksReadWrite is true for a BEGIN ... READ WRITE.
+	asksReadWrite bool
+}
+
+// opensReadOnly reports whether the statement opens a read-only transaction block in a session
+// whose default is given.
+func (s statement) opensReadOnly(isDefault bool) bool {
+	isExplicit := s.access == api.ExecuteRequestAccessRead
+	return s.block == blockBegins && (isExplicit || isDefault && !s.asksReadWrite)
+}
+
+// isLocal reports whether the frontend answers the statement itself.
+func (s statement) isLocal() bool {
+	return s.kind >= kindSet
+}
+
+// verb returns the leading keyword in lower case.
+func (s statement) verb() string {
+	return s.at(0).value
+}
+
+// at returns the token with index i, or an end token.
+func (s statement) at(i int) token {
+	if i >= len(s.tokens) {
+		return token{kind: tokenEnd}
+	}
+	return s.tokens[i]
+}
+
+// query is what the frontend needs to know of a query text.
+type query struct {
+	statements []statement
+	hints      hints
+}
+
+// access is read when every statement may run on a replica.
+func (q query) access() api.ExecuteRequestAccess {
+	for _, s := range q.statements {
+		if s.access != api.ExecuteRequestAccessRead {
+			return api.ExecuteRequestAccessWrite
+		}
+	}
+	return api.ExecuteRequestAccessRead
+}
+
+// refusal returns why the query cannot run, or an empty string.
+func (q query) refusal() string {
+	local := 0
+	for _, s := range q.statements {
+		if s.kind == kindRefused {
+			return s.refusal
+		}
+		if s.isLocal() {
+			local++
+		}
+	}
+	if local > 0 && local < len(q.statements) {
+		return "SET and other statements that the proxy answers cannot share a query with statements that it passes on"
+	}
+	return ""
+}
+
+// isLocal reports whether the frontend answers the whole query itself.
+func (q query) isLocal() bool {
+	return len(q.statements) > 0 && q.statements[0].isLocal()
+}
+
+// endsBlock reports whether a statement of the query ends the transaction block.
+func (q query) endsBlock() bool {
+	for _, s := range q.statements {
+		if s.block == blockEnds {
+			return true
+		}
+	}
+	return false
+}
+
+// classify splits a query text into statements and decides for each who answers it and where.
+func classify(text string) query {
+	var q query
+	t := tokenizer{text: text}
+	leading := true
+	for {
+		scan := scanStatement(&t)
+		if leading {
+			q.hints = parseHints(scan.firstComment)
+			leading = false
+		}
+		if len(scan.tokens) > 0 {
+			q.statements = append(q.statements, scan.statement())
+		}
+		if scan.last {
+			return q
+		}
+	}
+}
+
+// statement decides on a scanned statement.
+func (s *statementScan) statement() statement {
+	result := statement{
+		access:    api.ExecuteRequestAccessWrite,
+		tokens:    s.tokens,
+		truncated: s.truncated,
+
+		asksReadWrite: s.readWrite,
+	}
+	result.refusal = refusalOf(result, s)
+	if result.refusal != "" {
+		result.kind = kindRefused
+		return result
+	}
+	result.kind = kindOf(result, s)
+	result.block = blockEffectOf(result)
+	if result.kind == kindForward && isRead(result, s) {
+		result.access = api.ExecuteRequestAccessRead
+	}
+	return result
+}
+
+func kindOf(s statement, scan *statementScan) statementKind {
+	switch s.verb() {
+	case "set":
+		if isPassedOnSet(s) {
+			return kindForward
+		}
+		return kindSet
+	case "reset":
+		return kindReset
+	case "discard":
+		return kindDiscard
+	case "deallocate":
+		return kindDeallocate
+	case "unlisten":
+		return kindUnlisten
+	case "show":
+		if s.at(1).isWord(ownPrefix) && s.at(2).isSymbol(".") {
+			return kindShow
+		}
+	case "select":
+		if s.at(1).isWord("set_config") && !scan.setsConfigLocally() {
+			return kindSetConfig
+		}
+		if s.at(1).isWord("papayacove_outcome") {
+			return kindOutcome
+		}
+	}
+	return kindForward
+}
+
+// isPassedOnSet reports whether a SET belongs to the transaction and not to the session.
+func isPassedOnSet(s statement) bool {
+	return s.at(1).isWord("local", "transaction", "constraints")
+}
+
+func blockEffectOf(s statement) blockEffect {
+	switch s.verb() {
+	case "begin", "start":
+		return blockBegins
+	case "commit", "end", "abort":
+		return blockEnds
+	case "rollback":
+		if isRollbackToSavepoint(s) {
+			return blockKept
+		}
+		return blockEnds
+	}
+	return blockKept
+}
+
+func isRollbackToSavepoint(s statement) bool {
+	next := 1
+	if s.at(next).isWord("work", "transaction") {
+		next++
+	}
+	return s.at(next).isWord("to")
+}
+
+func isRead(s statement, scan *statementScan) bool {
+	if scan.writesInFunction {
+		return false
+	}
+	switch s.verb() {
+	case "select", "table", "values":
+		return !scan.locksRows && !scan.selectsInto
+	case "with":
+		return !scan.locksRows && !scan.selectsInto && !scan.modifies
+	case "show":
+		return true
+	case "explain":
+		return !scan.analyzes
+	case "begin", "start":
+		return scan.readOnly
+	}
+	return s.at(0).isSymbol("(") && !scan.locksRows && !scan.selectsInto && !scan.modifies
+}
+
+// refusalOf returns why a statement needs a connection of its own, or an empty string.
+func refusalOf(s statement, scan *statementScan) string {
+	if scan.sessionFunction != "" {
+		return scan.sessionFunction + " needs a connection of its own; use the transaction-level function"
+	}
+	switch s.verb() {
+	case "listen", "notify":
+		return strings.ToUpper(s.verb()) + " is not supported: notifications need a connection of their own"
+	case "unlisten":
+		if !s.at(1).isSymbol("*") {
+			return "UNLISTEN of a channel is not supported: no channel can be listened to"
+		}
+	case "prepare", "execute":
+		return strings.ToUpper(s.verb()) + " in SQL is not supported; prepare through the extended protocol"
+	case "copy":
+		return "COPY is not supported"
+	case "load":
+		return "LOAD is not supported: it changes one connection only"
+	case "declare":
+		if scan.holds {
+			return "DECLARE ... WITH HOLD is not supported: the cursor would outlive its transaction"
+		}
+	case "create":
+		if s.at(1).isWord("temp", "temporary") || s.at(1).isWord("local", "global") && s.at(2).isWord("temp", "temporary") {
+			return "temporary objects are not supported: they belong to one connection"
+		}
+	case "select", "with":
+		if scan.selectsIntoTemporary {
+			return "temporary tables are not supported: they belong to one connection"
+		}
+	}
+	if scan.setsConfigElsewhere(s) {
+		return "set_config is supported only as SELECT set_config('name', 'value', false) or with true as its last argument"
+	}
+	return ""
+}
--- /dev/null
+++ b/internal/frontend/collector.go
@@ -0,0 +1,121 @@
+package frontend
+
+import (
+	"slices"
+	"sync"
+
+	"github.com/papayacove/papayacove/api"
+)
+
+// maxPooledBatchBytes is the capacity up to which the memory of a batch is used again.
+const maxPooledBatchBytes = 32 << 10
+
+// step is a message of the extended protocol that the frontend can answer itself.
+type step struct {
+	kind byte
+	// object is S for a statement and P for a portal.
+	object    byte
+	statement *statement
+}
+
+// collector gathers the messages of a batch and what routing needs to know of them.
+type collector struct {
+	messages []byte
+	// last is the offset of the message that was received last.
+	last int
+	// prepared are the definitions that the batch needs, and parsed the names that it defines.
+	prepared []api.PreparedStatement
+	parsed   []string
+	// parsedUnnamed is true after a Parse without a name in this batch.
+	parsedUnnamed bool
+	// steps answer the batch when no message has to be forwarded.
+	steps        []step
+	localPortals map[string]*statement
+	hasLocal     bool
+	hasForward   bool
+	hasWrite     bool
+	hasExecute   bool
+	beginsBlock  bool
+	endsBlock    bool
+	hints        hints
+}
+
+var collectors = sync.Pool{New: func() any { return new(collector) }}
+
+func newCollector() *collector {
+	return collectors.Get().(*collector)
+}
+
+// release returns the memory to the pool. Definitions and portals are dropped, since runners may
+// still refer to the former.
+func (c *collector) release() {
+	messages := c.messages[:0]
+	if cap(messages) > maxPooledBatchBytes {
+		messages = nil
+	}
+	steps := c.steps[:0]
+	clear(c.steps)
+	*c = collector{messages: messages, steps: steps}
+	collectors.Put(c)
+}
+
+// body returns the message that was received last without its header.
+func (c *collector) body() []byte {
+	return c.messages[c.last+headerBytes:]
+}
+
+// replaceLast puts another message in the place of the one received last.
+func (c *collector) replaceLast(kind byte, parts ...[]byte) {
+	length := lengthBytes
+	for _, part := range parts {
+		length += len(part)
+	}
+	replaced := make([]byte, 0, length+1)
+	replaced = append(replaced, kind, byte(length>>24), byte(length>>16), byte(length>>8), byte(length))
+	for _, part := range parts {
+		replaced = append(replaced, part...)
+	}
+	c.messages = append(c.messages[:c.last], replaced...)
+}
+
+// need makes sure that the gate prepares the statement before the batch.
+func (c *collector) need(p preparedStatement) {
+	isNamed := func(known api.PreparedStatement) bool { return known.Name == p.name }
+	if slices.Contains(c.parsed, p.name) || slices.ContainsFunc(c.prepared, isNamed) {
+		return
+	}
+	c.prepared = append(c.prepared, p.message())
+}
+
+// use notes what a statement of the batch does.
+func (c *collector) use(p preparedStatement) {
+	c.hasForward = true
+	c.noteAccess(p.access)
+	c.beginsBlock = c.beginsBlock || p.block == blockBegins
+	c.endsBlock = c.endsBlock || p.block == blockEnds
+	c.hints.merge(p.hints)
+}
+
+func (c *collector) noteAccess(access api.ExecuteRequestAccess) {
+	if access != api.ExecuteRequestAccessRead {
+		c.hasWrite = true
+	}
+}
+
+// answerLocally notes a message that the frontend answers.
+func (c *collector) answerLocally(s step) {
+	c.hasLocal = true
+	c.steps = append(c.steps, s)
+}
+
+// answerAnywhere notes a message that the frontend answers when nothing is forwarded.
+func (c *collector) answerAnywhere(s step) {
+	c.steps = append(c.steps, s)
+}
+
+func (c *collector) access() api.ExecuteRequestAccess {
+	if c.hasWrite {
+		return api.ExecuteRequestAccessWrite
+	}
+	return api.ExecuteRequestAccessRead
+}
--- /dev/null
+++ b/internal/frontend/extended.go
@@ -0,0 +1,304 @@
+package frontend
+
+import (
+	"context"
+	"errors"
+
+	"github.com/jackc/pgx/v5/pgproto3"
+	"github.com/papayacove/papayacove/api"
+	"github.com/papayacove/papayacove/internal/result"
+)
+
+const (
+	objectStatement byte = 'S'
+	objectPortal    byte = 'P'
+)
+
+// handleExtended acts on a message of the extended protocol.
+func (s *session) handleExtended(ctx context.Context, kind byte) error {
+	if kind == 'S' {
+		return s.handleSync(ctx)
+	}
+	if s.skipsToSync {
+		s.dropLast()
+		return nil
+	}
+	err := s.collect(kind)
+	if err == nil && kind == 'H' {
+		return s.handleFlush(ctx)
+	}
+	if err == nil {
+		return nil
+	}
+	var e *result.Error
+	if errors.As(err, &e) && e.Code == result.ProtocolViolation {
+		return err
+	}
+	return s.refuseToSync(ctx, err)
+}
+
+// refuseToSync answers with an error and skips the messages up to the next Sync.
+func (s *session) refuseToSync(ctx context.Context, err error) error {
+	s.skipsToSync = true
+	s.finishBatch()
+	return s.refuse(ctx, err)
+}
+
+// collect looks at one message and rewrites the names of prepared statements.
+func (s *session) collect(kind byte) error {
+	c := s.collected
+	if len(c.messages) > s.server.limits.messageBytes {
+		return result.Errorf(result.MessageTooLarge, "a pipeline of more than %d bytes without Sync or Flush", s.server.limits.messageBytes)
+	}
+	var err error
+	switch kind {
+	case 'P':
+		err = s.collectParse(c)
+	case 'B':
+		err = s.collectBind(c)
+	case 'D':
+		err = s.collectDescribe(c)
+	case 'E':
+		err = s.collectExecute(c)
+	case 'C':
+		err = s.collectClose(c)
+	}
+	if err == nil && c.hasLocal && c.hasForward {
+		err = result.Errorf(result.Unsupported,
+			"SET and other statements that the proxy answers cannot share a pipeline with statements that it passes on")
+	}
+	return err
+}
+
+func (s *session) collectParse(c *collector) error {
+	var message pgproto3.Parse
+	if err := message.Decode(c.body()); err != nil {
+		return malformed("Parse")
+	}
+	p, refused := prepare(message.Query, message.ParameterOIDs)
+	if refused != nil {
+		return refused
+	}
+	if s.block.isLost && p.block != blockEnds {
+		return errInFailedBlock()
+	}
+	if err := s.statements.set(message.Name, p); err != nil {
+		return err
+	}
+	if p.local != nil || s.block.isLost {
+		c.answerLocally(step{kind: 'P'})
+		return nil
+	}
+	c.hasForward = true
+	c.noteAccess(s.preparedAccess(p))
+	if message.Name == "" {
+		c.parsedUnnamed = true
+		return nil
+	}
+	c.parsed = append(c.parsed, p.name)
+	rest := c.body()[len(message.Name):]
+	c.replaceLast('P', []byte(p.name), rest)
+	return nil
+}
+
+// preparedAccess takes into account that the session may be read-only.
+func (s *session) preparedAccess(p preparedStatement) api.ExecuteRequestAccess {
+	if p.mayOpenReadOnly && s.settings.isReadOnly() {
+		return api.ExecuteRequestAccessRead
+	}
+	return p.access
+}
+
+func (s *session) collectBind(c *collector) error {
+	var message pgproto3.Bind
+	if err := message.Decode(c.body()); err != nil {
+		return malformed("Bind")
+	}
+	p, err := s.statements.get(message.PreparedStatement)
+	if err != nil {
+		return err
+	}
+	if s.block.isLost && p.block != blockEnds {
+		return errInFailedBlock()
+	}
+	if answered := s.answeredHere(p); answered != nil {
+		if c.localPortals == nil {
+			c.localPortals = make(map[string]*statement)
+		}
+		c.localPortals[message.DestinationPortal] = answered
+		c.answerLocally(step{kind: 'B'})
+		return nil
+	}
+	delete(c.localPortals, message.DestinationPortal)
+	p.access = s.preparedAccess(p)
+	c.use(p)
+	if message.PreparedStatement == "" && c.parsedUnnamed {
+		return nil
+	}
+	c.need(p)
+	portal := message.DestinationPortal + "\x00"
+	rest := c.body()[len(portal)+len(message.PreparedStatement):]
+	c.replaceLast('B', []byte(portal), []byte(p.name), rest)
+	return nil
+}
+
+// answeredHere returns the statement when the frontend answers it, or nil.
+func (s *session) answeredHere(p preparedStatement) *statement {
+	if s.block.isLost {
+		return &statement{kind: kindEndLostBlock}
+	}
+	return p.local
+}
+
+func (s *session) collectDescribe(c *collector) error {
+	object, name, ok := cutObject(c.body())
+	if !ok {
+		return malformed("Describe")
+	}
+	if object == objectPortal {
+		return s.collectPortal(c, 'D', name)
+	}
+	p, err := s.statements.get(name)
+	if err != nil {
+		return err
+	}
+	if answered := s.answeredHere(p); answered != nil {
+		c.answerLocally(step{kind: 'D', object: object, statement: answered})
+		return nil
+	}
+	c.hasForward = true
+	c.noteAccess(s.preparedAccess(p))
+	if name == "" && c.parsedUnnamed {
+		return nil
+	}
+	c.need(p)
+	c.replaceLast('D', []byte{object}, []byte(p.name), []byte{0})
+	return nil
+}
+
+func (s *session) collectExecute(c *collector) error {
+	var message pgproto3.Execute
+	if err := message.Decode(c.body()); err != nil {
+		return malformed("Execute")
+	}
+	c.hasExecute = true
+	return s.collectPortal(c, 'E', message.Portal)
+}
+
+// collectPortal notes a Describe or Execute of a portal.
+func (s *session) collectPortal(c *collector, kind byte, portal string) error {
+	if answered := c.localPortals[portal]; answered != nil {
+		c.answerLocally(step{kind: kind, object: objectPortal, statement: answered})
+		return nil
+	}
+	if s.block.isLost {
+		return errInFailedBlock()
+	}
+	c.hasForward = true
+	return nil
+}
+
+func (s *session) collectClose(c *collector) error {
+	object, name, ok := cutObject(c.body())
+	if !ok {
+		return malformed("Close")
+	}
+	c.answerAnywhere(step{kind: 'C'})
+	if object == objectPortal {
+		isOnTarget := c.localPortals[name] == nil && s.status != StatusIdle && !s.block.isLost
+		c.hasForward = c.hasForward || isOnTarget
+		return nil
+	}
+	s.statements.close(name)
+	if name != "" {
+		c.replaceLast('C', []byte{object}, []byte(closedName), []byte{0})
+	}
+	return nil
+}
+
+// cutObject reads the body of Describe and Close.
+func cutObject(body []byte) (object byte, name string, ok bool) {
+	if len(body) < 2 {
+		return 0, "", false
+	}
+	name, rest, ok := cutString(body[1:])
+	isKnown := body[0] == objectStatement || body[0] == objectPortal
+	return body[0], name, ok && isKnown && len(rest) == 0
+}
+
+func malformed(message string) *result.Error {
+	return result.Errorf(result.ProtocolViolation, "malformed %s", message)
+}
+
+// handleSync ends a batch. It is answered with exactly one ReadyForQuery.
+func (s *session) handleSync(ctx context.Context) error {
+	defer s.finishBatch()
+	if s.skipsToSync {
+		s.skipsToSync = false
+		return s.write(s.readyForQuery(nil))
+	}
+	if !s.collected.hasForward && s.status != StatusOpenPipeline {
+		if err := s.answerSteps(ctx); err != nil {
+			return err
+		}
+		s.skipsToSync = false
+		return s.write(s.readyForQuery(nil))
+	}
+	failed, err := s.forward(ctx)
+	if err != nil || !failed {
+		return err
+	}
+	return s.write(s.readyForQuery(nil))
+}
+
+// handleFlush sends what has been collected and leaves the pipeline open.
+func (s *session) handleFlush(ctx context.Context) error {
+	defer s.finishBatch()
+	if !s.collected.hasForward {
+		return s.answerSteps(ctx)
+	}
+	failed, err := s.forward(ctx)
+	s.skipsToSync = failed
+	return err
+}
+
+// answerSteps answers a batch of which nothing has to be forwarded. Of a batch that fails, no SET
+// has had an effect.
+func (s *session) answerSteps(ctx context.Context) error {
+	saved := s.settings
+	var out []byte
+	for _, step := range s.collected.steps {
+		answered, err := s.answerStep(ctx, out, step)
+		if err != nil {
+			s.settings = saved
+			if err := s.write(out); err != nil {
+				return err
+			}
+			return s.refuseToSync(ctx, err)
+		}
+		out = answered
+	}
+	return s.write(out)
+}
+
+// answerStep appends the answer to one message.
+func (s *session) answerStep(ctx context.Context, out []byte, step step) ([]byte, error) {
+	switch step.kind {
+	case 'P':
+		return appendMessage(out, &pgproto3.ParseComplete{}), nil
+	case 'B':
+		return appendMessage(out, &pgproto3.BindComplete{}), nil
+	case 'C':
+		return appendMessage(out, &pgproto3.CloseComplete{}), nil
+	case 'D':
+		if step.object == objectStatement {
+			out = appendMessage(out, &pgproto3.ParameterDescription{})
+		}
+		return appendColumn(out, step.statement.answeredColumn()), nil
+	}
+	a, err := s.answer(ctx, step.statement)
+	if err != nil {
+		return out, err
+	}
+	return a.appendResult(out), nil
+}
--- /dev/null
+++ b/internal/frontend/hints.go
@@ -0,0 +1,73 @@
+package frontend
+
+import (
+	"strings"
+	"time"
+
+	"github.com/papayacove/papayacove/internal/result"
+)
+
+const (
+	// ownPrefix starts the names of the parameters of papayacove.
+	ownPrefix = "papayacove"
+	// noMaxAge says that only the floor of the session counts.
+	noMaxAge time.Duration = -1
+)
+
+// hints are the options that a leading comment of a query carries:
+// /* papayacove operation_key=abc max_staleness=1s */.
+type hints struct {
+	operationKey string
+	maxAge       time.Duration
+	hasMaxAge    bool
+	err          *result.Error
+}
+
+// parseHints reads a leading comment; comments that do not begin with papayacove carry none.
+func parseHints(comment string) hints {
+	var h hints
+	fields := strings.Fields(comment)
+	if len(fields) == 0 || fields[0] != ownPrefix {
+		return h
+	}
+	for _, field := range fields[1:] {
+		name, value, _ := strings.Cut(field, "=")
+		h.add(name, value)
+	}
+	return h
+}
+
+func (h *hints) add(name, value string) {
+	switch name {
+	case "operation_key":
+		h.operationKey = value
+	case "max_staleness":
+		h.maxAge, h.err = parseMaxStaleness(value)
+		h.hasMaxAge = true
+	default:
+		h.err = result.Errorf(result.Unsupported, "unknown option %q in a papayacove comment", name)
+	}
+}
+
+// parseMaxStaleness reads a duration such as 5s or 250ms, or off.
+func parseMaxStaleness(text string) (time.Duration, *result.Error) {
+	if strings.EqualFold(text, "off") {
+		return noMaxAge, nil
+	}
+	age, err := time.ParseDuration(text)
+	if err != nil || age < 0 {
+		return noMaxAge, result.Errorf(result.Unsupported, "max_staleness %q is neither a duration such as 5s nor off", text)
+	}
+	return age, nil
+}
+
+// merge takes over the options of another statement of the same batch.
+func (h *hints) merge(other hints) {
+	if other.operationKey != "" {
+		h.operationKey = other.operationKey
+	}
+	if other.hasMaxAge {
+		h.maxAge = other.maxAge
+		h.hasMaxAge = true
+	}
+}
--- /dev/null
+++ b/internal/frontend/prepared.go
@@ -0,0 +1,158 @@
+package frontend
+
+import (
+	"crypto/sha256"
+	"encoding/binary"
+	"encoding/hex"
+	"strings"
+	"unique"
+
+	"github.com/papayacove/papayacove/api"
+	"github.com/papayacove/papayacove/internal/result"
+)
+
+const (
+	// derivedPrefix starts the names that prepared statements have on targets.
+	derivedPrefix = "p_"
+	// derivedHashBytes of SHA-256 make a collision infeasible, also for a caller who seeks one
+	// to have its text run in the place of another.
+	derivedHashBytes = 16
+	// closedName is never prepared on a target, so that closing it has no effect.
+	closedName = "papayacove_closed"
+	// maxPreparedStatements is the number of named statements of one session.
+	maxPreparedStatements = 2048
+)
+
+// definition is the content of a prepared statement. The types are encoded in a string, so that
+// equal definitions are equal values and sessions share their memory.
+type definition struct {
+	query string
+	oids  string
+}
+
+// preparedStatement is a statement that a session has prepared.
+type preparedStatement struct {
+	definition unique.Handle[definition]
+	// name is the name on targets.
+	name   string
+	access api.ExecuteRequestAccess
+	block  blockEffect
+	hints  hints
+	// mayOpenReadOnly is true for a BEGIN that leaves it to the session whether it is read-only.
+	mayOpenReadOnly bool
+	// local is set when the frontend answers the statement itself.
+	local *statement
+}
+
+// prepare classifies a statement for the extended protocol.
+func prepare(text string, oids []uint32) (preparedStatement, *result.Error) {
+	q := classify(text)
+	if reason := q.refusal(); reason != "" {
+		return preparedStatement{}, result.Errorf(result.Unsupported, "%s", reason)
+	}
+	if q.hints.err != nil {
+		return preparedStatement{}, q.hints.err
+	}
+	d := definition{query: text, oids: encodeOIDs(oids)}
+	p := preparedStatement{
+		definition: unique.Make(d),
+		name:       derivedName(d),
+		access:     q.access(),
+		hints:      q.hints,
+	}
+	if len(q.statements) == 1 {
+		p.block = q.statements[0].block
+		p.mayOpenReadOnly = q.statements[0].opensReadOnly(true)
+	}
+	if !q.isLocal() {
+		return p, nil
+	}
+	if len(q.statements) > 1 {
+		return preparedStatement{}, result.Errorf(result.Unsupported, "a prepared statement holds one command")
+	}
+	p.local = &q.statements[0]
+	return p, nil
+}
+
+// derivedName depends on the content only, so that equal statements share a target connection.
+func derivedName(d definition) string {
+	hash := sha256.New()
+	hash.Write([]byte(d.oids))
+	hash.Write([]byte{0})
+	hash.Write([]byte(d.query))
+	sum := hash.Sum(nil)
+	return derivedPrefix + hex.EncodeToString(sum[:derivedHashBytes])
+}
+
+func encodeOIDs(oids []uint32) string {
+	var text strings.Builder
+	for _, oid := range oids {
+		text.Write(binary.BigEndian.AppendUint32(nil, oid))
+	}
+	return text.String()
+}
+
+func decodeOIDs(text string) []uint32 {
+	oids := make([]uint32, 0, len(text)/4)
+	for ; len(text) >= 4; text = text[4:] {
+		oids = append(oids, binary.BigEndian.Uint32([]byte(text[:4])))
+	}
+	return oids
+}
+
+// message returns the definition for the gate.
+func (p preparedStatement) message() api.PreparedStatement {
+	d := p.definition.Value()
+	return api.PreparedStatement{Name: p.name, ParameterOids: decodeOIDs(d.oids), Query: d.query}
+}
+
+// statementTable holds the prepared statements of a session by the names of the caller.
+type statementTable struct {
+	named map[string]preparedStatement
+	// unnamed is the last statement that was parsed without a name; nil when there is none.
+	unnamed *preparedStatement
+}
+
+func (t *statementTable) set(name string, p preparedStatement) *result.Error {
+	if name == "" {
+		t.unnamed = &p
+		return nil
+	}
+	if len(t.named) >= maxPreparedStatements {
+		return result.Errorf(result.Unsupported, "a session may prepare at most %d statements", maxPreparedStatements)
+	}
+	if t.named == nil {
+		t.named = make(map[string]preparedStatement)
+	}
+	t.named[name] = p
+	return nil
+}
+
+func (t *statementTable) get(name string) (preparedStatement, error) {
+	if name == "" && t.unnamed != nil {
+		return *t.unnamed, nil
+	}
+	if p, ok := t.named[name]; ok {
+		return p, nil
+	}
+	if name == "" {
+		return preparedStatement{}, &failure{sqlStateUndefinedStatement, "unnamed prepared statement does not exist"}
+	}
+	return preparedStatement{}, &failure{sqlStateUndefinedStatement, `prepared statement "` + name + `" does not exist`}
+}
+
+func (t *statementTable) close(name string) bool {
+	if name == "" {
+		existed := t.unnamed != nil
+		t.unnamed = nil
+		return existed
+	}
+	_, existed := t.named[name]
+	delete(t.named, name)
+	return existed
+}
+
+func (t *statementTable) closeAll() {
+	t.named = nil
+	t.unnamed = nil
+}
--- /dev/null
+++ b/internal/frontend/reader.go
@@ -0,0 +1,121 @@
+package frontend
+
+import (
+	"encoding/binary"
+	"io"
+	"sync"
+
+	"github.com/papayacove/papayacove/internal/result"
+)
+
+const (
+	// headerBytes is the length of a message type byte and the length field.
+	headerBytes = 5
+	// lengthBytes is the length of the length field, which counts itself.
+	lengthBytes = 4
+	// readBufferBytes is the size of a pooled read buffer.
+	readBufferBytes = 4096
+	// idleReadBytes is read without a pooled buffer while a session waits for its next batch.
+	idleReadBytes = 64
+	// growthBytes bounds how far the memory of a large message runs ahead of its arrival.
+	growthBytes = 64 << 10
+)
+
+var readBuffers = sync.Pool{New: func() any { return new([readBufferBytes]byte) }}
+
+// messageReader splits the stream of a caller into messages. While idle it holds no pooled buffer.
+type messageReader struct {
+	source     io.Reader
+	maxMessage int
+	buffer     *[readBufferBytes]byte
+	start, end int
+}
+
+// isEmpty reports whether every byte that was read has been consumed.
+func (r *messageReader) isEmpty() bool {
+	return r.start == r.end
+}
+
+// release returns the buffer to the pool when nothing is left in it.
+func (r *messageReader) release() {
+	if r.buffer == nil || !r.isEmpty() {
+		return
+	}
+	readBuffers.Put(r.buffer)
+	r.buffer = nil
+	r.start, r.end = 0, 0
+}
+
+// waitForData blocks until the caller sends something.
+func (r *messageReader) waitForData() error {
+	if !r.isEmpty() {
+		return nil
+	}
+	r.release()
+	var first [idleReadBytes]byte
+	n, err := r.source.Read(first[:])
+	if n == 0 {
+		return err
+	}
+	r.buffer = readBuffers.Get().(*[readBufferBytes]byte)
+	r.start = 0
+	r.end = copy(r.buffer[:], first[:n])
+	return nil
+}
+
+// fill reads until at least n bytes are buffered; n is at most readBufferBytes.
+func (r *messageReader) fill(n int) error {
+	if r.buffer == nil {
+		r.buffer = readBuffers.Get().(*[readBufferBytes]byte)
+	}
+	if r.end-r.start >= n {
+		return nil
+	}
+	copy(r.buffer[:], r.buffer[r.start:r.end])
+	r.end -= r.start
+	r.start = 0
+	read, err := io.ReadAtLeast(r.source, r.buffer[r.end:], n-r.end)
+	r.end += read
+	return err
+}
+
+// next appends the next whole message to dst and returns its type and the extended dst.
+func (r *messageReader) next(dst []byte) (byte, []byte, error) {
+	if err := r.fill(headerBytes); err != nil {
+		return 0, dst, err
+	}
+	header := r.buffer[r.start : r.start+headerBytes]
+	kind := header[0]
+	length := binary.BigEndian.Uint32(header[1:])
+	if length < lengthBytes {
+		return kind, dst, result.Errorf(result.ProtocolViolation, "message length %d is below %d", length, lengthBytes)
+	}
+	if uint64(length) > uint64(r.maxMessage) {
+		return kind, dst, result.Errorf(result.MessageTooLarge, "message of %d bytes exceeds %d", length, r.maxMessage)
+	}
+	dst, err := r.take(dst, int(length)+1)
+	return kind, dst, err
+}
+
+// take appends the next n bytes of the stream to dst.
+func (r *messageReader) take(dst []byte, n int) ([]byte, error) {
+	buffered := min(n, r.end-r.start)
+	dst = append(dst, r.buffer[r.start:r.start+buffered]...)
+	r.start += buffered
+	for n -= buffered; n > 0; {
+		step := min(n, growthBytes)
+		offset := len(dst)
+		dst = append(dst, make([]byte, step)...)
+		if _, err := io.ReadFull(r.source, dst[offset:]); err != nil {
+			return dst[:offset], err
+		}
+		n -= step
+	}
+	return dst, nil
+}
+
+// discard drops what is buffered and returns the buffer to the pool.
+func (r *messageReader) discard() {
+	r.start, r.end = 0, 0
+	r.release()
+}
--- /dev/null
+++ b/internal/frontend/scan.go
@@ -0,0 +1,170 @@
+package frontend
+
+import "strings"
+
+// maxLeadingTokens is the number of tokens of a statement that are kept.
+const maxLeadingTokens = 48
+
+// statementScan collects what classification needs from the tokens of one statement.
+type statementScan struct {
+	tokens       []token
+	truncated    bool
+	firstComment string
+	// last is true when the text ends with this statement.
+	last bool
+
+	modifies             bool
+	locksRows            bool
+	selectsInto          bool
+	selectsIntoTemporary bool
+	analyzes             bool
+	readOnly             bool
+	readWrite            bool
+	holds                bool
+	writesInFunction     bool
+	// sessionFunction names a function whose effect stays with one connection.
+	sessionFunction string
+	setConfigCalls  int
+	// localConfigCalls counts calls of set_config whose last argument is true.
+	localConfigCalls int
+	depth            int
+	// setConfigDepth is the depth inside the open call of set_config, or 0.
+	setConfigDepth int
+}
+
+// writeFunctions change the database although they are called in a SELECT.
+var writeFunctions = map[string]bool{
+	"nextval":                 true,
+	"setval":                  true,
+	"pg_logical_emit_message": true,
+	"txid_current":            true,
+	"pg_current_xact_id":      true,
+	"lo_create":               true,
+	"lo_creat":                true,
+	"lo_import":               true,
+	"lo_unlink":               true,
+	"lo_put":                  true,
+	"lo_from_bytea":           true,
+}
+
+// sessionFunctions have an effect that stays with one connection.
+var sessionFunctions = map[string]bool{
+	"pg_advisory_lock":            true,
+	"pg_advisory_lock_shared":     true,
+	"pg_try_advisory_lock":        true,
+	"pg_try_advisory_lock_shared": true,
+	"pg_advisory_unlock":          true,
+	"pg_advisory_unlock_shared":   true,
+	"pg_advisory_unlock_all":      true,
+	"pg_notify":                   true,
+	"currval":                     true,
+	"lastval":                     true,
+}
+
+// scanStatement reads the tokens up to the next semicolon or the end of the text.
+func scanStatement(t *tokenizer) *statementScan {
+	scan := &statementScan{}
+	var previous, beforePrevious token
+	for {
+		current := t.next()
+		switch {
+		case current.kind == tokenEnd:
+			scan.last = true
+			return scan
+		case current.kind == tokenComment:
+			scan.comment(current)
+			continue
+		case current.isSymbol(";"):
+			return scan
+		}
+		scan.add(current, previous, beforePrevious)
+		beforePrevious, previous = previous, current
+	}
+}
+
+func (s *statementScan) comment(t token) {
+	if len(s.tokens) == 0 && s.firstComment == "" {
+		s.firstComment = strings.TrimSpace(t.value)
+	}
+}
+
+func (s *statementScan) add(current, previous, beforePrevious token) {
+	if len(s.tokens) < maxLeadingTokens {
+		s.tokens = append(s.tokens, current)
+	} else {
+		s.truncated = true
+	}
+	switch current.kind {
+	case tokenWord:
+		s.addWord(current, previous)
+	case tokenSymbol:
+		s.addSymbol(current, previous, beforePrevious)
+	}
+}
+
+func (s *statementScan) addWord(current, previous token) {
+	switch current.value {
+	case "insert", "update", "delete", "merge":
+		s.modifies = true
+	case "into":
+		s.selectsInto = true
+	case "temp", "temporary":
+		s.selectsIntoTemporary = s.selectsIntoTemporary || previous.isWord("into", "local", "global")
+	case "analyze", "analyse":
+		s.analyzes = true
+	case "only":
+		s.readOnly = s.readOnly || previous.isWord("read")
+	case "write":
+		s.readWrite = s.readWrite || previous.isWord("read")
+	case "hold":
+		s.holds = s.holds || previous.isWord("with")
+	}
+	if previous.isWord("for") && current.isWord("update", "share", "no", "key") {
+		s.locksRows = true
+	}
+}
+
+func (s *statementScan) addSymbol(current, previous, beforePrevious token) {
+	switch current.value {
+	case "(":
+		s.depth++
+		if previous.kind == tokenWord || previous.kind == tokenQuotedIdentifier {
+			s.addCall(strings.ToLower(previous.value))
+		}
+	case ")":
+		if s.setConfigDepth == s.depth && previous.isWord("true") && beforePrevious.isSymbol(",") {
+			s.localConfigCalls++
+		}
+		if s.setConfigDepth == s.depth {
+			s.setConfigDepth = 0
+		}
+		s.depth--
+	}
+}
+
+func (s *statementScan) addCall(name string) {
+	if writeFunctions[name] {
+		s.writesInFunction = true
+	}
+	if sessionFunctions[name] {
+		s.sessionFunction = name
+	}
+	if name == "set_config" {
+		s.setConfigCalls++
+		s.setConfigDepth = s.depth
+	}
+}
+
+// setsConfigLocally reports whether every call of set_config ends with its transaction.
+func (s *statementScan) setsConfigLocally() bool {
+	return s.setConfigCalls > 0 && s.localConfigCalls >= s.setConfigCalls
+}
+
+// setsConfigElsewhere reports calls of set_config that the frontend cannot follow.
+func (s *statementScan) setsConfigElsewhere(parsed statement) bool {
+	if s.setConfigCalls == 0 || s.setsConfigLocally() {
+		return false
+	}
+	isLone := s.setConfigCalls == 1 && parsed.verb() == "select" && parsed.at(1).isWord("set_config")
+	return !isLone || parsed.truncated
+}
