Add the fleet launcher, the callers and the soak run of the stand-in module

Cause: the path must be seen in separate processes, and failures need real kills and freezes. Ruled out: one process with all parts (a frozen process cannot be shown in it); one loopback address for all VMs (zones could not be told apart by address). Change: fleet starts a deployment of the examples, each availability zone on a loopback network of its own; workload logs, reloads and compares in the end; soak injects failures by seed; standin-lab has up, demo, soak.

--- a/Makefile
+++ b/Makefile
@@ -17,3 +17,17 @@
 
 test: build
 	go test -race ./... ./standin/...
+
+DEPLOYMENT ?= kelani
+SEED ?= 1
+DURATION ?= 30s
+.PHONY: up demo soak
+
+up: build
+	.bin/standin-lab up $(DEPLOYMENT)
+
+demo: build
+	.bin/standin-lab demo
+
+soak: build
+	.bin/standin-lab soak --seeds $(SEED) --duration $(DURATION)
--- /dev/null
+++ b/standin/cmd/standin-lab/soak.go
@@ -0,0 +1,116 @@
+package main
+
+import (
+	"context"
+	"errors"
+	"fmt"
+	"strconv"
+	"strings"
+	"time"
+
+	"github.com/papayacove/papayacove/standin/fleet"
+	"github.com/papayacove/papayacove/standin/soak"
+	"github.com/papayacove/papayacove/standin/workload"
+	"github.com/urfave/cli/v3"
+)
+
+// errNotClean is returned after a run that broke a promise.
+var errNotClean = errors.New("a promise was broken; the history is above")
+
+func soakCommand() *cli.Command {
+	return &cli.Command{
+		Name: "soak", Usage: "let callers work while failures come at random times by seed",
+		Flags: []cli.Flag{
+			&cli.StringFlag{Name: "seeds", Usage: "`LIST` of seeds, such as 1,2,5-9", Value: "1"},
+			&cli.DurationFlag{Name: "duration", Usage: "time of each run", Value: 30 * time.Second},
+			&cli.StringFlag{Name: "deployment", Usage: "deployment to run; by seed when empty"},
+		},
+		Action: runSoak,
+	}
+}
+
+func runSoak(ctx context.Context, command *cli.Command) error {
+	seeds, err := parseSeeds(command.String("seeds"))
+	if err != nil {
+		return err
+	}
+	clean := true
+	for _, seed := range seeds {
+		ok, err := soakOnce(ctx, command, seed)
+		if err != nil {
+			return fmt.Errorf("seed %d: %w", seed, err)
+		}
+		clean = clean && ok
+	}
+	if !clean {
+		return errNotClean
+	}
+	return nil
+}
+
+// parseSeeds reads a list of numbers and ranges.
+func parseSeeds(list string) ([]int64, error) {
+	var seeds []int64
+	for _, part := range strings.Split(list, ",") {
+		low, high, isRange := strings.Cut(part, "-")
+		if !isRange {
+			high = low
+		}
+		first, err := strconv.ParseInt(low, 10, 64)
+		if err != nil {
+			return nil, err
+		}
+		last, err := strconv.ParseInt(high, 10, 64)
+		if err != nil {
+			return nil, err
+		}
+		for seed := first; seed <= last; seed++ {
+			seeds = append(seeds, seed)
+		}
+	}
+	return seeds, nil
+}
+
+// deploymentOf alternates the deployments by seed.
+func deploymentOf(command *cli.Command, seed int64) string {
+	if named := command.String("deployment"); named != "" {
+		return named
+	}
+	return []string{"kelani", "lichtbild"}[seed%2]
+}
+
+func soakOnce(ctx context.Context, command *cli.Command, seed int64) (bool, error) {
+	deployment := deploymentOf(command, seed)
+	options, cleanUp, err := fleetOptions(command, deployment, command.Int("network"))
+	if err != nil {
+		return false, err
+	}
+	running, err := fleet.Start(ctx, options)
+	if err != nil {
+		return false, err
+	}
+	defer running.Close()
+	strict, aged, maxAge := workload.Accounts(deployment)
+	work := workload.New(running, workload.Options{Strict: strict, Aged: aged, MaxAge: maxAge, Leads: 4, Supervisors: 2, Seed: seed})
+	report, err := soak.Run(ctx, running, work, seed, command.Duration("duration"))
+	if err != nil {
+		return false, err
+	}
+	if report.IsClean() {
+		cleanUp()
+	} else {
+		printHistory(report, options.Work)
+	}
+	fmt.Println(report)
+	return report.IsClean(), nil
+}
+
+func printHistory(report soak.Report, work string) {
+	for _, event := range report.History.Events() {
+		fmt.Println(event)
+	}
+	for _, detail := range report.Verdict.Details {
+		fmt.Println(detail)
+	}
+	fmt.Printf("logs are in %s\n", work)
+}
--- /dev/null
+++ b/standin/fleet/fleet.go
@@ -0,0 +1,296 @@
+package fleet
+
+import (
+	"bytes"
+	"context"
+	"encoding/json"
+	"fmt"
+	"io"
+	"net/http"
+	"os"
+	"path/filepath"
+	"strconv"
+	"strings"
+	"time"
+
+	"github.com/papayacove/papayacove/api"
+	"github.com/pelletier/go-toml/v2"
+)
+
+const (
+	// readyTimeout is the time in which a fleet must be ready to serve.
+	readyTimeout = 20 * time.Second
+	// readyInterval is the time between two looks whether a process is ready.
+	readyInterval = 30 * time.Millisecond
+	// targetAdminOffset is the distance from the port of a target to that of its knobs.
+	targetAdminOffset = 100
+)
+
+// Options configure a fleet.
+type Options struct {
+	// Directory holds the example files of the deployment.
+	Directory string
+	// Binaries is the folder of the built programs.
+	Binaries string
+	// Work is the folder of logs, settings and database files.
+	Work string
+	// Network numbers the loopback network, 2 to 254, one for each fleet that runs at a time.
+	Network int
+	// Lag is the time by which replicas apply late.
+	Lag time.Duration
+	// ConnectDelay is the time that a new connection to a target takes.
+	ConnectDelay time.Duration
+	// LogLevel of the daemons; empty for info.
+	LogLevel string
+	// Adjust changes the settings of the daemons before they are written; nil changes nothing.
+	Adjust func(settings *api.Settings)
+}
+
+// Fleet is a running deployment.
+type Fleet struct {
+	Deployment *Deployment
+	Platform   *Process
+	// Daemons and Targets are the processes by VM name.
+	Daemons map[string]*Process
+	Targets map[string]*Process
+
+	options Options
+	client  *http.Client
+}
+
+// Start starts all processes of a deployment and waits until the daemons are ready.
+func Start(ctx context.Context, options Options) (*Fleet, error) {
+	deployment, err := LoadDeployment(options.Directory, options.Network)
+	if err != nil {
+		return nil, err
+	}
+	if err := os.MkdirAll(options.Work, 0o755); err != nil {
+		return nil, err
+	}
+	f := &Fleet{
+		Deployment: deployment, options: options, client: &http.Client{Timeout: 2 * time.Second},
+		Daemons: make(map[string]*Process), Targets: make(map[string]*Process),
+	}
+	if err := f.compose(); err != nil {
+		return nil, err
+	}
+	for _, process := range f.Processes() {
+		if err := process.Start(); err != nil {
+			f.Close()
+			return nil, err
+		}
+	}
+	if err := f.waitReady(ctx); err != nil {
+		f.Close()
+		return nil, err
+	}
+	return f, nil
+}
+
+// compose writes the settings files and prepares the processes.
+func (f *Fleet) compose() error {
+	if err := f.composePlatform(); err != nil {
+		return err
+	}
+	for _, group := range f.Deployment.Groups {
+		for _, spec := range group.Targets {
+			f.Targets[spec.Name] = f.composeTarget(group, spec)
+		}
+	}
+	for _, settings := range f.Deployment.Settings {
+		process, err := f.composeDaemon(settings)
+		if err != nil {
+			return err
+		}
+		f.Daemons[settings.Name] = process
+	}
+	return nil
+}
+
+func (f *Fleet) composePlatform() error {
+	load, err := json.MarshalIndent(f.Deployment.Load, "", "  ")
+	if err != nil {
+		return err
+	}
+	path := filepath.Join(f.options.Work, "platform.json")
+	if err := os.WriteFile(path, load, 0o644); err != nil {
+		return err
+	}
+	address := strings.TrimPrefix(f.Deployment.Settings[0].PlatformURL, "http://")
+	f.Platform = newProcess("platform", filepath.Join(f.options.Binaries, "standin-platform"), f.options.Work,
+		"--address", address, "--admin-address", f.PlatformAdmin(), "--load", path)
+	return nil
+}
+
+func (f *Fleet) composeTarget(group api.GroupSpec, spec api.TargetSpec) *Process {
+	term := f.Deployment.Terms[group.Name]
+	arguments := []string{
+		"--name", spec.Name, "--address", spec.Address, "--admin-address", f.TargetAdmin(spec.Name),
+		"--data", filepath.Join(f.options.Work, spec.Name), "--slots", strconv.Itoa(spec.Slots),
+		"--connect-delay", f.options.ConnectDelay.String(), "--lag", f.options.Lag.String(),
+		"--term", strconv.FormatUint(term.Term, 10),
+	}
+	if spec.Name == term.Primary {
+		arguments = append(arguments, "--initial-role", "primary")
+	} else {
+		primary, _, _ := f.Deployment.Target(term.Primary)
+		arguments = append(arguments, "--initial-role", "replica", "--primary", primary.Address)
+	}
+	return newProcess(spec.Name, filepath.Join(f.options.Binaries, "standin-database"), f.options.Work, arguments...)
+}
+
+func (f *Fleet) composeDaemon(settings api.Settings) (*Process, error) {
+	if f.options.LogLevel != "" {
+		settings.LogLevel = api.SettingsLogLevel(f.options.LogLevel)
+	}
+	for _, other := range f.Deployment.Settings {
+		if other.Name != settings.Name {
+			settings.Peers = append(settings.Peers, other.PeerAddress)
+		}
+	}
+	if f.options.Adjust != nil {
+		f.options.Adjust(&settings)
+	}
+	content, err := toml.Marshal(settings)
+	if err != nil {
+		return nil, fmt.Errorf("settings of %s: %w", settings.Name, err)
+	}
+	path := filepath.Join(f.options.Work, settings.Name+".toml")
+	if err := os.WriteFile(path, content, 0o600); err != nil {
+		return nil, err
+	}
+	program := filepath.Join(f.options.Binaries, "papayacove")
+	return newProcess(settings.Name, program, f.options.Work, "run", "--settings", path), nil
+}
+
+// Processes returns all processes, the platform first and the daemons last.
+func (f *Fleet) Processes() []*Process {
+	all := []*Process{f.Platform}
+	for _, group := range f.Deployment.Groups {
+		for _, spec := range group.Targets {
+			all = append(all, f.Targets[spec.Name])
+		}
+	}
+	for _, settings := range f.Deployment.Settings {
+		all = append(all, f.Daemons[settings.Name])
+	}
+	return all
+}
+
+// Close ends all processes.
+func (f *Fleet) Close() {
+	all := f.Processes()
+	for i := len(all) - 1; i >= 0; i-- {
+		if all[i] != nil && all[i].IsAlive() {
+			all[i].Kill()
+		}
+	}
+}
+
+// PlatformAdmin returns the host:port of the knobs of the platform.
+func (f *Fleet) PlatformAdmin() string {
+	return f.Deployment.ip(0) + ":15401"
+}
+
+// TargetAdmin returns the host:port of the knobs of a target.
+func (f *Fleet) TargetAdmin(name string) string {
+	spec, _, _ := f.Deployment.Target(name)
+	host, port, _ := strings.Cut(spec.Address, ":")
+	number, _ := strconv.Atoi(port)
+	return fmt.Sprintf("%s:%d", host, number+targetAdminOffset)
+}
+
+// Settings returns the settings of a daemon.
+func (f *Fleet) Settings(name string) api.Settings {
+	for _, settings := range f.Deployment.Settings {
+		if settings.Name == name {
+			return settings
+		}
+	}
+	return api.Settings{}
+}
+
+// ConnectURL returns the connect string of a user at a daemon.
+func (f *Fleet) ConnectURL(daemon, workspace, group, user, password string) string {
+	return fmt.Sprintf("postgres://%s:%s@%s/%s.%s?sslmode=disable", user, password, f.Settings(daemon).CallerAddress, workspace, group)
+}
+
+// Post sends JSON to an admin port.
+func (f *Fleet) Post(address, path string, body any) error {
+	content, err := json.Marshal(body)
+	if err != nil {
+		return err
+	}
+	answer, err := f.client.Post("http://"+address+path, "application/json", bytes.NewReader(content))
+	if err != nil {
+		return err
+	}
+	defer answer.Body.Close()
+	if answer.StatusCode/100 != 2 {
+		text, _ := io.ReadAll(answer.Body)
+		return fmt.Errorf("%s%s: %s: %s", address, path, answer.Status, text)
+	}
+	return nil
+}
+
+// Get reads JSON from an admin port.
+func (f *Fleet) Get(address, path string, into any) error {
+	answer, err := f.client.Get("http://" + address + path)
+	if err != nil {
+		return err
+	}
+	defer answer.Body.Close()
+	if answer.StatusCode/100 != 2 {
+		return fmt.Errorf("%s%s: %s", address, path, answer.Status)
+	}
+	return json.NewDecoder(answer.Body).Decode(into)
+}
+
+// Status returns the status of a daemon.
+func (f *Fleet) Status(daemon string) (api.DaemonStatus, error) {
+	var status api.DaemonStatus
+	err := f.Get(f.Settings(daemon).AdminAddress, "/status", &status)
+	return status, err
+}
+
+// waitReady waits until each daemon knows the others, and each target is held.
+func (f *Fleet) waitReady(ctx context.Context) error {
+	ctx, cancel := context.WithTimeout(ctx, readyTimeout)
+	defer cancel()
+	for {
+		reason := f.notReady()
+		if reason == "" {
+			return nil
+		}
+		select {
+		case <-ctx.Done():
+			return fmt.Errorf("the fleet is not ready: %s; logs are in %s", reason, f.options.Work)
+		case <-time.After(readyInterval):
+		}
+	}
+}
+
+// notReady returns what is missing; empty when the fleet is ready.
+func (f *Fleet) notReady() string {
+	held := make(map[string]bool)
+	for _, settings := range f.Deployment.Settings {
+		status, err := f.Status(settings.Name)
+		if err != nil {
+			return err.Error()
+		}
+		for _, member := range status.Members {
+			if !member.Live {
+				return fmt.Sprintf("%s does not reach %s", settings.Name, member.Name)
+			}
+		}
+		for _, target := range status.Targets {
+			held[target.Target] = held[target.Target] || target.Role != ""
+		}
+	}
+	for name := range f.Targets {
+		if !held[name] {
+			return fmt.Sprintf("target %s is not held", name)
+		}
+	}
+	return ""
+}
--- /dev/null
+++ b/standin/soak/faults.go
@@ -0,0 +1,192 @@
+package soak
+
+import (
+	"fmt"
+	"math/rand"
+	"sort"
+	"time"
+
+	"github.com/papayacove/papayacove/api"
+	"github.com/papayacove/papayacove/standin/fleet"
+)
+
+// knobs are the settings of a stand-in that a fault changes.
+type knobs map[string]any
+
+// Fault is one failure. Inject brings it about and returns what it did and how to end it.
+type Fault struct {
+	Name   string
+	Inject func(f *fleet.Fleet, random *rand.Rand) (what string, heal func())
+}
+
+// Faults are all failures in a fixed order.
+var Faults = []Fault{
+	{"primary_killed", killPrimary},
+	{"primary_frozen", freezePrimary},
+	{"primary_cut", cutPrimary},
+	{"replica_killed", killReplica},
+	{"replica_behind", lagReplica},
+	{"target_connections_silent", silenceTarget},
+	{"target_leaving", leaveTarget},
+	{"daemon_killed", killDaemon},
+	{"daemon_frozen", freezeDaemon},
+	{"daemon_stopped", stopDaemon},
+	{"half_of_daemons_killed", killHalf},
+	{"platform_down", platformKnob("down", knobs{"down": true}, knobs{"down": false})},
+	{"platform_slow", platformKnob("slow", knobs{"delay_ms": 400}, knobs{"delay_ms": 0})},
+	{"platform_loses_answers", platformKnob("loses answers", knobs{"lose_probability": 0.5}, knobs{"lose_probability": 0})},
+	{"platform_silent", platformKnob("silent", knobs{"silent": true}, knobs{"silent": false})},
+}
+
+// replicaLagMs is the lag of a replica that is minutes behind.
+const replicaLagMs = 180_000
+
+func killPrimary(f *fleet.Fleet, random *rand.Rand) (string, func()) {
+	name := primaryOf(f, anyGroup(f, random))
+	f.Targets[name].Kill()
+	return name, func() { _ = f.Targets[name].Start() }
+}
+
+func freezePrimary(f *fleet.Fleet, random *rand.Rand) (string, func()) {
+	name := primaryOf(f, anyGroup(f, random))
+	f.Targets[name].Freeze()
+	return name, f.Targets[name].Wake
+}
+
+// cutPrimary cuts a primary off from its replicas while its clients reach it.
+func cutPrimary(f *fleet.Fleet, random *rand.Rand) (string, func()) {
+	group := anyGroup(f, random)
+	name := primaryOf(f, group)
+	var others []string
+	for _, spec := range group.Targets {
+		if spec.Name != name {
+			others = append(others, spec.Name)
+		}
+	}
+	_ = f.Post(f.TargetAdmin(name), "/knobs", knobs{"cut_from": others})
+	return name, func() { _ = f.Post(f.TargetAdmin(name), "/knobs", knobs{"cut_from": []string{}}) }
+}
+
+func killReplica(f *fleet.Fleet, random *rand.Rand) (string, func()) {
+	name := replicaOf(f, anyGroup(f, random), random)
+	f.Targets[name].Kill()
+	return name, func() { _ = f.Targets[name].Start() }
+}
+
+func lagReplica(f *fleet.Fleet, random *rand.Rand) (string, func()) {
+	name := replicaOf(f, anyGroup(f, random), random)
+	_ = f.Post(f.TargetAdmin(name), "/knobs", knobs{"lag_ms": replicaLagMs})
+	return name, func() { _ = f.Post(f.TargetAdmin(name), "/knobs", knobs{"lag_ms": 0}) }
+}
+
+func silenceTarget(f *fleet.Fleet, random *rand.Rand) (string, func()) {
+	name := anyTarget(f, random)
+	_ = f.Post(f.TargetAdmin(name), "/knobs", knobs{"silent": true})
+	return name, func() { _ = f.Post(f.TargetAdmin(name), "/knobs", knobs{"silent": false}) }
+}
+
+func leaveTarget(f *fleet.Fleet, random *rand.Rand) (string, func()) {
+	name := anyTarget(f, random)
+	_ = f.Post(f.TargetAdmin(name), "/knobs", knobs{"leaving": true})
+	return name, func() { _ = f.Post(f.TargetAdmin(name), "/knobs", knobs{"leaving": false}) }
+}
+
+func killDaemon(f *fleet.Fleet, random *rand.Rand) (string, func()) {
+	name := anyDaemon(f, random)
+	f.Daemons[name].Kill()
+	return name, func() { _ = f.Daemons[name].Start() }
+}
+
+func freezeDaemon(f *fleet.Fleet, random *rand.Rand) (string, func()) {
+	name := anyDaemon(f, random)
+	f.Daemons[name].Freeze()
+	return name, f.Daemons[name].Wake
+}
+
+func stopDaemon(f *fleet.Fleet, random *rand.Rand) (string, func()) {
+	name := anyDaemon(f, random)
+	f.Daemons[name].Stop()
+	return name, func() { _ = f.Daemons[name].Start() }
+}
+
+func killHalf(f *fleet.Fleet, random *rand.Rand) (string, func()) {
+	names := daemonNames(f)
+	random.Shuffle(len(names), func(i, j int) { names[i], names[j] = names[j], names[i] })
+	half := names[:len(names)/2]
+	for _, name := range half {
+		f.Daemons[name].Kill()
+	}
+	return fmt.Sprint(half), func() {
+		for _, name := range half {
+			_ = f.Daemons[name].Start()
+		}
+	}
+}
+
+func platformKnob(what string, inject, heal knobs) func(*fleet.Fleet, *rand.Rand) (string, func()) {
+	return func(f *fleet.Fleet, _ *rand.Rand) (string, func()) {
+		_ = f.Post(f.PlatformAdmin(), "/knobs", inject)
+		return what, func() { _ = f.Post(f.PlatformAdmin(), "/knobs", heal) }
+	}
+}
+
+func anyGroup(f *fleet.Fleet, random *rand.Rand) api.GroupSpec {
+	return f.Deployment.Groups[random.Intn(len(f.Deployment.Groups))]
+}
+
+func anyTarget(f *fleet.Fleet, random *rand.Rand) string {
+	group := anyGroup(f, random)
+	return group.Targets[random.Intn(len(group.Targets))].Name
+}
+
+func daemonNames(f *fleet.Fleet) []string {
+	names := make([]string, 0, len(f.Daemons))
+	for name := range f.Daemons {
+		names = append(names, name)
+	}
+	sort.Strings(names)
+	return names
+}
+
+func anyDaemon(f *fleet.Fleet, random *rand.Rand) string {
+	names := daemonNames(f)
+	return names[random.Intn(len(names))]
+}
+
+// primaryOf returns the newest primary that any daemon knows.
+func primaryOf(f *fleet.Fleet, group api.GroupSpec) string {
+	newest := api.GroupTerm{Primary: group.Targets[0].Name}
+	for _, name := range daemonNames(f) {
+		status, err := f.Status(name)
+		if err != nil {
+			continue
+		}
+		for _, term := range status.Groups {
+			if term.Group == group.Name && term.Primary != "" && term.Term > newest.Term {
+				newest = term
+			}
+		}
+	}
+	return newest.Primary
+}
+
+// PrimaryOf returns the newest primary of a group that any daemon knows.
+func PrimaryOf(f *fleet.Fleet, group api.GroupSpec) string {
+	return primaryOf(f, group)
+}
+
+func replicaOf(f *fleet.Fleet, group api.GroupSpec, random *rand.Rand) string {
+	primary := primaryOf(f, group)
+	var replicas []string
+	for _, spec := range group.Targets {
+		if spec.Name != primary {
+			replicas = append(replicas, spec.Name)
+		}
+	}
+	return replicas[random.Intn(len(replicas))]
+}
+
+// between draws a duration from a range.
+func between(random *rand.Rand, low, high time.Duration) time.Duration {
+	return low + time.Duration(random.Int63n(int64(high-low)))
+}
