Hold no slot for preparation and notice callers that vanish

Cause: a Flush after Parse and Describe pinned a target connection while the caller decided what to bind; a caller that closed its connection during a long batch was noticed only after the answer. Ruled out: a reading goroutine for each batch (two stacks for each busy caller); SO_ERROR (it does not show an orderly close). Change: such a batch runs with Sync and its ReadyForQuery is taken out; a timer polls for the close of the caller's side; the memory of prepared statements is shared between sessions and bounded; an idle session that is being stopped is read from once more.

--- a/internal/frontend/classify.go
+++ b/internal/frontend/classify.go
@@ -202,6 +202,9 @@
 }
 
 func blockEffectOf(s statement) blockEffect {
+	if s.at(1).isWord("prepared") || s.chains() {
+		return blockKept
+	}
 	switch s.verb() {
 	case "begin", "start":
 		return blockBegins
@@ -216,6 +219,16 @@
 	return blockKept
 }
 
+// chains reports whether a COMMIT or ROLLBACK opens the next block at once.
+func (s statement) chains() bool {
+	for i := 1; i+1 < len(s.tokens); i++ {
+		if s.at(i).isWord("and") && s.at(i+1).isWord("chain") {
+			return true
+		}
+	}
+	return false
+}
+
 func isRollbackToSavepoint(s statement) bool {
 	next := 1
 	if s.at(next).isWord("work", "transaction") {
@@ -249,6 +262,10 @@
 		return scan.sessionFunction + " needs a connection of its own; use the transaction-level function"
 	}
 	switch s.verb() {
+	case "set":
+		if s.at(1).isWord("local") && s.at(2).isWord(ownPrefix) {
+			return "SET LOCAL of a parameter of papayacove is not supported; use SET"
+		}
 	case "listen", "notify":
 		return strings.ToUpper(s.verb()) + " is not supported: notifications need a connection of their own"
 	case "unlisten":
--- a/internal/frontend/collector.go
+++ b/internal/frontend/collector.go
@@ -35,9 +35,11 @@
 	hasForward   bool
 	hasWrite     bool
 	hasExecute   bool
-	beginsBlock  bool
-	endsBlock    bool
-	hints        hints
+	// hasPortal is true when a message binds or names a portal on the target.
+	hasPortal   bool
+	beginsBlock bool
+	endsBlock   bool
+	hints       hints
 }
 
 var collectors = sync.Pool{New: func() any { return new(collector) }}
@@ -90,6 +92,7 @@
 // use notes what a statement of the batch does.
 func (c *collector) use(p preparedStatement) {
 	c.hasForward = true
+	c.hasPortal = true
 	c.noteAccess(p.access)
 	c.beginsBlock = c.beginsBlock || p.block == blockBegins
 	c.endsBlock = c.endsBlock || p.block == blockEnds
--- a/internal/frontend/extended.go
+++ b/internal/frontend/extended.go
@@ -82,6 +82,9 @@
 	if s.block.isLost && p.block != blockEnds {
 		return errInFailedBlock()
 	}
+	if message.Name != "" {
+		p = p.named()
+	}
 	if err := s.statements.set(message.Name, p); err != nil {
 		return err
 	}
@@ -135,6 +138,7 @@
 	if message.PreparedStatement == "" && c.parsedUnnamed {
 		return nil
 	}
+	p = p.named()
 	c.need(p)
 	portal := message.DestinationPortal + "\x00"
 	rest := c.body()[len(portal)+len(message.PreparedStatement):]
@@ -171,6 +175,7 @@
 	if name == "" && c.parsedUnnamed {
 		return nil
 	}
+	p = p.named()
 	c.need(p)
 	c.replaceLast('D', []byte{object}, []byte(p.name), []byte{0})
 	return nil
@@ -195,6 +200,7 @@
 		return errInFailedBlock()
 	}
 	c.hasForward = true
+	c.hasPortal = true
 	return nil
 }
 
@@ -251,17 +257,6 @@
 	return s.write(s.readyForQuery(nil))
 }
 
-// handleFlush sends what has been collected and leaves the pipeline open.
-func (s *session) handleFlush(ctx context.Context) error {
-	defer s.finishBatch()
-	if !s.collected.hasForward {
-		return s.answerSteps(ctx)
-	}
-	failed, err := s.forward(ctx)
-	s.skipsToSync = failed
-	return err
-}
-
 // answerSteps answers a batch of which nothing has to be forwarded. Of a batch that fails, no SET
 // has had an effect.
 func (s *session) answerSteps(ctx context.Context) error {
--- /dev/null
+++ b/internal/frontend/flush.go
@@ -0,0 +1,65 @@
+package frontend
+
+import (
+	"context"
+
+	"github.com/jackc/pgx/v5/pgproto3"
+)
+
+// handleFlush sends what has been collected and leaves the pipeline open.
+func (s *session) handleFlush(ctx context.Context) error {
+	defer s.finishBatch()
+	if !s.collected.hasForward {
+		return s.answerSteps(ctx)
+	}
+	if s.status == StatusIdle && !s.collected.hasPortal {
+		return s.flushPreparation(ctx)
+	}
+	// Later messages of the pipeline may write, and they run where this batch runs.
+	s.collected.hasWrite = true
+	failed, err := s.forward(ctx)
+	s.skipsToSync = failed
+	return err
+}
+
+// flushPreparation runs a batch that only prepares and describes statements with Sync in the place
+// of Flush. Nothing is open on the target after it, so no slot is held while the caller decides
+// what to bind.
+func (s *session) flushPreparation(ctx context.Context) error {
+	sync, err := (&pgproto3.Sync{}).Encode(nil)
+	if err != nil {
+		return err
+	}
+	c := s.collected
+	c.messages = append(c.messages[:c.last], sync...)
+	filter := preparationFilter{write: s.write}
+	failed, err := s.forwardTo(ctx, filter.emit)
+	s.skipsToSync = failed || filter.hasFailed
+	return err
+}
+
+// preparationFilter takes ReadyForQuery out of the answers and notes errors.
+type preparationFilter struct {
+	write     func([]byte) error
+	hasFailed bool
+}
+
+// emit relies on ReadyForQuery being the last message.
+func (f *preparationFilter) emit(messages []byte) error {
+	end := 0
+	for remaining := messages; len(remaining) > 0; {
+		first, rest, err := cutMessage(remaining)
+		if err != nil {
+			return err
+		}
+		f.hasFailed = f.hasFailed || first[0] == 'E'
+		if first[0] != 'Z' {
+			end += len(first)
+		}
+		remaining = rest
+	}
+	if end == 0 {
+		return nil
+	}
+	return f.write(messages[:end])
+}
--- a/internal/frontend/open.go
+++ b/internal/frontend/open.go
@@ -31,12 +31,12 @@
 	if err := session.settings.applyStartup(request.parameters); err != nil {
 		return nil, err
 	}
-	if err := s.sessions.add(session, s.limits.callers); err != nil {
+	if err := s.sessions.admit(s.limits.callers); err != nil {
 		counters.Add("refused_too_many", 1)
 		return nil, err
 	}
 	if err := s.begin(session); err != nil {
-		s.sessions.remove(session)
+		s.sessions.dismiss()
 		return nil, err
 	}
 	return session, nil
@@ -68,14 +68,11 @@
 		return openError(err)
 	}
 	session.runner = runner
-	if _, err := session.conn.Write(session.greeting()); err != nil {
-		runner.Close()
-		return err
-	}
-	if err := clearDeadline(session.conn); err != nil {
+	if err := s.sessions.add(session); err != nil {
 		runner.Close()
 		return err
 	}
+	session.greet()
 	counters.Add("sessions_opened", 1)
 	counters.Add("sessions_open", 1)
 	s.log.WithFields(logrus.Fields{
@@ -97,6 +94,14 @@
 	return result.Errorf(result.Internal, "the session could not be opened")
 }
 
+// greet tells the caller that it may begin. A failure shows at the first read.
+func (s *session) greet() {
+	if err := s.write(s.greeting()); err != nil {
+		return
+	}
+	clearDeadline(s.conn)
+}
+
 // greeting is AuthenticationOk, the parameters, the cancel key and ReadyForQuery.
 func (s *session) greeting() []byte {
 	out := appendMessage(nil, &pgproto3.AuthenticationOk{})
--- a/internal/frontend/options.go
+++ b/internal/frontend/options.go
@@ -13,12 +13,20 @@
 	startupTimeout = 15 * time.Second
 	// writeTimeout bounds how long a caller may leave an answer unread.
 	writeTimeout = 30 * time.Second
+	// lastReadTimeout is the time in which an idle session that is being stopped is still read from.
+	lastReadTimeout = 50 * time.Millisecond
+	// callerCheckInterval is the time between looks at whether the caller of a batch is still there.
+	callerCheckInterval = time.Second
 	// shutdownGrace is the time that Close leaves to batches and transactions in progress.
 	shutdownGrace = 20 * time.Second
 	// statementTimeoutMargin lets the target side report a timeout before the caller side does.
 	statementTimeoutMargin = 2 * time.Second
-	// keepAlivePeriod is the time between TCP keepalive probes on a silent caller connection.
-	keepAlivePeriod = 30 * time.Second
+	// keepAliveIdle is the silence after which a caller connection is probed.
+	keepAliveIdle = 30 * time.Second
+	// keepAliveInterval is the time between probes.
+	keepAliveInterval = 10 * time.Second
+	// keepAliveCount is the number of unanswered probes that end a connection.
+	keepAliveCount = 4
 	// acceptRetryDelay is waited after a failed accept, such as one without a file descriptor.
 	acceptRetryDelay = 50 * time.Millisecond
 	// maxRefusalsInProgress bounds the connections that are being told of a refusal.
--- a/internal/frontend/outcome.go
+++ b/internal/frontend/outcome.go
@@ -2,7 +2,6 @@
 
 import (
 	"context"
-	"encoding/binary"
 	"strings"
 
 	"github.com/jackc/pgx/v5/pgproto3"
@@ -82,13 +81,13 @@
 
 // add takes a run of whole backend messages.
 func (a *outcomeAnswer) add(messages []byte) error {
-	for len(messages) >= headerBytes {
-		length := int(binary.BigEndian.Uint32(messages[1:])) + 1
-		if length < headerBytes || length > len(messages) {
-			return result.Errorf(result.Internal, "a run of answers is not made of whole messages")
+	for len(messages) > 0 {
+		first, rest, err := cutMessage(messages)
+		if err != nil {
+			return err
 		}
-		a.addMessage(messages[0], messages[headerBytes:length])
-		messages = messages[length:]
+		a.addMessage(first[0], first[headerBytes:])
+		messages = rest
 	}
 	return nil
 }
--- /dev/null
+++ b/internal/frontend/peer_linux.go
@@ -0,0 +1,24 @@
+package frontend
+
+import (
+	"syscall"
+
+	"golang.org/x/sys/unix"
+)
+
+// hasPeerClosed reports whether the other end has closed or reset the connection. Data that was
+// sent before does not hide it.
+func hasPeerClosed(conn syscall.Conn) bool {
+	raw, err := conn.SyscallConn()
+	if err != nil {
+		return true
+	}
+	var events int16
+	err = raw.Control(func(fd uintptr) {
+		poll := []unix.PollFd{{Fd: int32(fd), Events: unix.POLLRDHUP}}
+		if _, pollErr := unix.Poll(poll, 0); pollErr == nil {
+			events = poll[0].Revents
+		}
+	})
+	return err != nil || events&(unix.POLLRDHUP|unix.POLLHUP|unix.POLLERR) != 0
+}
--- a/internal/frontend/prepared.go
+++ b/internal/frontend/prepared.go
@@ -21,6 +21,10 @@
 	closedName = "papayacove_closed"
 	// maxPreparedStatements is the number of named statements of one session.
 	maxPreparedStatements = 2048
+	// maxPreparedBytes is the length of the named statements of one session together.
+	maxPreparedBytes = 4 << 20
+	// maxUnnamedBytes is the length up to which an unnamed statement outlives its batch.
+	maxUnnamedBytes = 64 << 10
 )
 
 // definition is the content of a prepared statement. The types are encoded in a string, so that
@@ -32,8 +36,10 @@
 
 // preparedStatement is a statement that a session has prepared.
 type preparedStatement struct {
-	definition unique.Handle[definition]
-	// name is the name on targets.
+	definition definition
+	// shared keeps the one copy of the definition that all sessions use.
+	shared unique.Handle[definition]
+	// name is the name on targets; empty until it is needed.
 	name   string
 	access api.ExecuteRequestAccess
 	block  blockEffect
@@ -53,10 +59,8 @@
 	if q.hints.err != nil {
 		return preparedStatement{}, q.hints.err
 	}
-	d := definition{query: text, oids: encodeOIDs(oids)}
 	p := preparedStatement{
-		definition: unique.Make(d),
-		name:       derivedName(d),
+		definition: definition{query: text, oids: encodeOIDs(oids)},
 		access:     q.access(),
 		hints:      q.hints,
 	}
@@ -74,6 +78,22 @@
 	return p, nil
 }
 
+// named returns the statement with its name on targets and with shared memory.
+func (p preparedStatement) named() preparedStatement {
+	if p.name != "" {
+		return p
+	}
+	p.shared = unique.Make(p.definition)
+	p.definition = p.shared.Value()
+	p.name = derivedName(p.definition)
+	return p
+}
+
+// size is the length of the definition in bytes.
+func (p preparedStatement) size() int {
+	return len(p.definition.query) + len(p.definition.oids)
+}
+
 // derivedName depends on the content only, so that equal statements share a target connection.
 func derivedName(d definition) string {
 	hash := sha256.New()
@@ -102,32 +122,48 @@
 
 // message returns the definition for the gate.
 func (p preparedStatement) message() api.PreparedStatement {
-	d := p.definition.Value()
-	return api.PreparedStatement{Name: p.name, ParameterOids: decodeOIDs(d.oids), Query: d.query}
+	return api.PreparedStatement{
+		Name:          p.name,
+		ParameterOids: decodeOIDs(p.definition.oids),
+		Query:         p.definition.query,
+	}
 }
 
 // statementTable holds the prepared statements of a session by the names of the caller.
 type statementTable struct {
 	named map[string]preparedStatement
+	// namedBytes is the length of the named definitions.
+	namedBytes int
 	// unnamed is the last statement that was parsed without a name; nil when there is none.
 	unnamed *preparedStatement
 }
 
+// set remembers a statement. A named one must have its name on targets.
 func (t *statementTable) set(name string, p preparedStatement) *result.Error {
 	if name == "" {
 		t.unnamed = &p
 		return nil
 	}
-	if len(t.named) >= maxPreparedStatements {
-		return result.Errorf(result.Unsupported, "a session may prepare at most %d statements", maxPreparedStatements)
+	t.close(name)
+	if len(t.named) >= maxPreparedStatements || t.namedBytes+p.size() > maxPreparedBytes {
+		return result.Errorf(result.Unsupported, "a session may prepare at most %d statements of %d bytes together",
+			maxPreparedStatements, maxPreparedBytes)
 	}
 	if t.named == nil {
 		t.named = make(map[string]preparedStatement)
 	}
 	t.named[name] = p
+	t.namedBytes += p.size()
 	return nil
 }
 
+// trim forgets an unnamed statement that is too long to be kept between batches.
+func (t *statementTable) trim() {
+	if t.unnamed != nil && t.unnamed.size() > maxUnnamedBytes {
+		t.unnamed = nil
+	}
+}
+
 func (t *statementTable) get(name string) (preparedStatement, error) {
 	if name == "" && t.unnamed != nil {
 		return *t.unnamed, nil
@@ -147,12 +183,16 @@
 		t.unnamed = nil
 		return existed
 	}
-	_, existed := t.named[name]
-	delete(t.named, name)
+	p, existed := t.named[name]
+	if existed {
+		t.namedBytes -= p.size()
+		delete(t.named, name)
+	}
 	return existed
 }
 
 func (t *statementTable) closeAll() {
 	t.named = nil
+	t.namedBytes = 0
 	t.unnamed = nil
 }
--- a/internal/frontend/reader.go
+++ b/internal/frontend/reader.go
@@ -21,6 +21,8 @@
 	growthBytes = 64 << 10
 )
 
+var errPartialMessage = result.Errorf(result.Internal, "a run of answers is not made of whole messages")
+
 var readBuffers = sync.Pool{New: func() any { return new([readBufferBytes]byte) }}
 
 // messageReader splits the stream of a caller into messages. While idle it holds no pooled buffer.
@@ -119,3 +121,15 @@
 	r.start, r.end = 0, 0
 	r.release()
 }
+
+// cutMessage splits the first message from a run of whole messages.
+func cutMessage(messages []byte) (first, rest []byte, err error) {
+	if len(messages) < headerBytes {
+		return nil, nil, errPartialMessage
+	}
+	length := uint64(binary.BigEndian.Uint32(messages[1:])) + 1
+	if length < headerBytes || length > uint64(len(messages)) {
+		return nil, nil, errPartialMessage
+	}
+	return messages[:length], messages[length:], nil
+}
--- a/internal/frontend/run.go
+++ b/internal/frontend/run.go
@@ -22,10 +22,15 @@
 // forward runs the collected batch on a target. It returns true when the batch failed and the caller
 // has been told by an ErrorResponse; an error ends the session.
 func (s *session) forward(ctx context.Context) (bool, error) {
+	return s.forwardTo(ctx, s.write)
+}
+
+// forwardTo runs the collected batch like forward and passes the answers to emit.
+func (s *session) forwardTo(ctx context.Context, emit func([]byte) error) (bool, error) {
 	c := s.collected
 	batch := s.batchOf(c)
 	s.logBatch(batch)
-	outcome, err := s.execute(ctx, batch, s.write)
+	outcome, err := s.execute(ctx, batch, emit)
 	if s.writeError != nil {
 		return false, s.writeError
 	}
@@ -42,6 +47,8 @@
 func (s *session) execute(ctx context.Context, batch *Batch, emit func([]byte) error) (Outcome, error) {
 	ctx, cancel := context.WithTimeout(ctx, batch.Timeout+statementTimeoutMargin)
 	defer cancel()
+	watch := s.watchCaller(cancel)
+	defer watch.stop()
 	return s.runner.Run(ctx, batch, emit)
 }
 
--- a/internal/frontend/scan.go
+++ b/internal/frontend/scan.go
@@ -28,23 +28,31 @@
 	// localConfigCalls counts calls of set_config whose last argument is true.
 	localConfigCalls int
 	depth            int
+	// atomicDepth counts the open BEGIN ATOMIC and CASE of a function body.
+	atomicDepth int
 	// setConfigDepth is the depth inside the open call of set_config, or 0.
 	setConfigDepth int
 }
 
-// writeFunctions change the database although they are called in a SELECT.
+// writeFunctions need the primary although they are called in a SELECT.
 var writeFunctions = map[string]bool{
-	"nextval":                 true,
-	"setval":                  true,
-	"pg_logical_emit_message": true,
-	"txid_current":            true,
-	"pg_current_xact_id":      true,
-	"lo_create":               true,
-	"lo_creat":                true,
-	"lo_import":               true,
-	"lo_unlink":               true,
-	"lo_put":                  true,
-	"lo_from_bytea":           true,
+	"nextval":                          true,
+	"setval":                           true,
+	"pg_logical_emit_message":          true,
+	"txid_current":                     true,
+	"pg_advisory_xact_lock":            true,
+	"pg_advisory_xact_lock_shared":     true,
+	"pg_try_advisory_xact_lock":        true,
+	"pg_try_advisory_xact_lock_shared": true,
+	"pg_current_wal_lsn":               true,
+	"pg_current_wal_insert_lsn":        true,
+	"pg_current_xact_id":               true,
+	"lo_create":                        true,
+	"lo_creat":                         true,
+	"lo_import":                        true,
+	"lo_unlink":                        true,
+	"lo_put":                           true,
+	"lo_from_bytea":                    true,
 }
 
 // sessionFunctions have an effect that stays with one connection.
@@ -74,7 +82,7 @@
 		case current.kind == tokenComment:
 			scan.comment(current)
 			continue
-		case current.isSymbol(";"):
+		case current.isSymbol(";") && scan.depth <= 0 && scan.atomicDepth == 0:
 			return scan
 		}
 		scan.add(current, previous, beforePrevious)
@@ -103,6 +111,7 @@
 }
 
 func (s *statementScan) addWord(current, previous token) {
+	s.followBody(current, previous)
 	switch current.value {
 	case "insert", "update", "delete", "merge":
 		s.modifies = true
@@ -124,6 +133,19 @@
 	}
 }
 
+// followBody finds the end of a function body in SQL, whose semicolons end no statement.
+func (s *statementScan) followBody(current, previous token) {
+	isCreate := s.tokens[0].isWord("create")
+	switch {
+	case isCreate && current.isWord("atomic") && previous.isWord("begin"):
+		s.atomicDepth++
+	case s.atomicDepth > 0 && current.isWord("case"):
+		s.atomicDepth++
+	case s.atomicDepth > 0 && current.isWord("end"):
+		s.atomicDepth--
+	}
+}
+
 func (s *statementScan) addSymbol(current, previous, beforePrevious token) {
 	switch current.value {
 	case "(":
--- a/internal/frontend/server.go
+++ b/internal/frontend/server.go
@@ -52,7 +52,12 @@
 
 // Init starts to listen.
 func (s *Server) Init(ctx context.Context) error {
-	config := net.ListenConfig{KeepAlive: keepAlivePeriod}
+	config := net.ListenConfig{KeepAliveConfig: net.KeepAliveConfig{
+		Enable:   true,
+		Idle:     keepAliveIdle,
+		Interval: keepAliveInterval,
+		Count:    keepAliveCount,
+	}}
 	listener, err := config.Listen(ctx, "tcp", s.options.Address)
 	if err != nil {
 		return fmt.Errorf("listen for callers: %w", err)
--- a/internal/frontend/session.go
+++ b/internal/frontend/session.go
@@ -103,10 +103,9 @@
 		return 0, err
 	}
 	if isBetweenBatches {
-		if err := s.reader.waitForData(); err != nil {
+		if err := s.wait(); err != nil {
 			return 0, s.readFailure(err)
 		}
-		s.afterWait()
 		s.collected = newCollector()
 	}
 	kind, messages, err := s.reader.next(s.collected.messages)
@@ -136,6 +135,29 @@
 	return s.clearReadDeadline()
 }
 
+// wait blocks until the caller sends something. A planned stop interrupts it, but what the caller
+// had sent by then is still answered.
+func (s *session) wait() error {
+	err := s.reader.waitForData()
+	if errors.Is(err, os.ErrDeadlineExceeded) && s.extendWait() {
+		err = s.reader.waitForData()
+	}
+	s.afterWait()
+	return err
+}
+
+// extendWait leaves an idle session that is being stopped a last moment to be read from.
+func (s *session) extendWait() bool {
+	st := &s.stopping
+	st.mutex.Lock()
+	defer st.mutex.Unlock()
+	if !st.isWaiting || st.level != stopWhenIdle {
+		return false
+	}
+	s.conn.SetReadDeadline(time.Now().Add(lastReadTimeout))
+	return true
+}
+
 // afterWait notes that a batch has begun, which a planned stop lets end.
 func (s *session) afterWait() {
 	st := &s.stopping
@@ -147,6 +169,11 @@
 	st.isWaiting = false
 }
 
+// clearDeadline ends the time limit of the start-up.
+func clearDeadline(conn net.Conn) error {
+	return conn.SetDeadline(time.Time{})
+}
+
 // clearReadDeadline is called with the mutex held.
 func (s *session) clearReadDeadline() error {
 	if !s.stopping.hasDeadline {
@@ -212,6 +239,7 @@
 func (s *session) finishBatch() {
 	if s.collected != nil {
 		s.collected.release()
+		s.statements.trim()
 	}
 	s.collected = nil
 }
--- a/internal/frontend/startup.go
+++ b/internal/frontend/startup.go
@@ -8,7 +8,6 @@
 	"net"
 	"slices"
 	"strings"
-	"time"
 
 	"github.com/jackc/pgx/v5/pgproto3"
 	"github.com/papayacove/papayacove/internal/result"
@@ -214,8 +213,3 @@
 	session.runner.Cancel()
 	return true
 }
-
-// clearDeadline ends the time limit of the start-up.
-func clearDeadline(conn net.Conn) error {
-	return conn.SetDeadline(time.Time{})
-}
--- a/internal/frontend/table.go
+++ b/internal/frontend/table.go
@@ -28,23 +28,39 @@
 type sessionTable struct {
 	mutex       sync.Mutex
 	byProcessID map[uint32]*session
+	// admitted counts the sessions in byProcessID and those that are about to be added.
+	admitted int
 	// starting are the connections before authentication ends.
 	starting map[net.Conn]struct{}
 	level    stopLevel
 }
 
-// add gives the session its keys and enters it. It is refused when the table has limit sessions
-// or the server drains.
-func (t *sessionTable) add(s *session, limit int) *result.Error {
+// admit reserves one of limit places.
+func (t *sessionTable) admit(limit int) *result.Error {
+	t.mutex.Lock()
+	defer t.mutex.Unlock()
+	if t.admitted >= limit {
+		return result.Errorf(result.TooManyConnections, "%d caller connections are open", limit)
+	}
+	t.admitted++
+	return nil
+}
+
+// dismiss gives back the place of a session that was not added.
+func (t *sessionTable) dismiss() {
+	t.mutex.Lock()
+	defer t.mutex.Unlock()
+	t.admitted--
+}
+
+// add gives an admitted session its keys and enters it. It is refused when the server drains.
+func (t *sessionTable) add(s *session) *result.Error {
 	secret := randomUint32()
 	t.mutex.Lock()
 	defer t.mutex.Unlock()
 	if t.level != stopNever {
 		return result.Errorf(result.NotRunDraining, "the daemon is being stopped")
 	}
-	if len(t.byProcessID) >= limit {
-		return result.Errorf(result.TooManyConnections, "%d caller connections are open", limit)
-	}
 	s.processID = t.freeProcessID()
 	s.secretKey = secret
 	t.byProcessID[s.processID] = s
@@ -66,6 +82,7 @@
 	t.mutex.Lock()
 	defer t.mutex.Unlock()
 	delete(t.byProcessID, s.processID)
+	t.admitted--
 }
 
 func (t *sessionTable) get(processID uint32) *session {
--- /dev/null
+++ b/internal/frontend/watch.go
@@ -0,0 +1,62 @@
+package frontend
+
+import (
+	"context"
+	"crypto/tls"
+	"net"
+	"sync"
+	"syscall"
+	"time"
+)
+
+// callerWatch cancels a batch whose caller has closed its connection. The session does not read
+// while a batch runs, so that it would notice only after the answer.
+type callerWatch struct {
+	conn   syscall.Conn
+	cancel context.CancelFunc
+
+	mutex sync.Mutex
+	// timer is nil once the watch has been stopped.
+	timer *time.Timer
+}
+
+// watchCaller starts a watch for one batch.
+func (s *session) watchCaller(cancel context.CancelFunc) *callerWatch {
+	w := &callerWatch{conn: systemConn(s.conn), cancel: cancel}
+	if w.conn != nil {
+		w.timer = time.AfterFunc(callerCheckInterval, w.check)
+	}
+	return w
+}
+
+// systemConn returns the connection below TLS, or nil when it is not one of the system.
+func systemConn(conn net.Conn) syscall.Conn {
+	if encrypted, ok := conn.(*tls.Conn); ok {
+		conn = encrypted.NetConn()
+	}
+	system, _ := conn.(syscall.Conn)
+	return system
+}
+
+func (w *callerWatch) check() {
+	w.mutex.Lock()
+	defer w.mutex.Unlock()
+	if w.timer == nil {
+		return
+	}
+	if hasPeerClosed(w.conn) {
+		counters.Add("callers_vanished", 1)
+		w.cancel()
+		return
+	}
+	w.timer.Reset(callerCheckInterval)
+}
+
+func (w *callerWatch) stop() {
+	w.mutex.Lock()
+	defer w.mutex.Unlock()
+	if w.timer != nil {
+		w.timer.Stop()
+	}
+	w.timer = nil
+}
