Check peers of a daemon and leave terms to their own table

Cause: settings gained peers; the catalog and internal/terms both ordered terms. Ruled out: keeping both, since the daemon reads terms only from internal/terms. The daemon logs applied configuration, so the catalog does not. Conclusion: go test ./internal/config ./internal/workspace ./internal/terms passes.

--- a/internal/config/check.go
+++ b/internal/config/check.go
@@ -63,6 +63,7 @@
 	c.address("peer_address", s.PeerAddress)
 	c.address("admin_address", s.AdminAddress)
 	c.distinctAddresses(s)
+	c.peers(s.Peers)
 	c.platformURL(s.PlatformURL)
 	c.logLevel(s.LogLevel)
 	c.limits(s.Limits)
@@ -97,6 +98,12 @@
 	}
 }
 
+func (c *checker) peers(addresses []string) {
+	for i, address := range addresses {
+		c.address(fmt.Sprintf("peers[%d]", i), address)
+	}
+}
+
 func (c *checker) platformURL(value string) {
 	if !isPlatformURL(value) {
 		c.add("platform_url", redactURL(value), platformBound)
--- a/internal/config/config.go
+++ b/internal/config/config.go
@@ -26,6 +26,7 @@
 		PeerAddress:   "127.0.0.1:5532",
 		AdminAddress:  "127.0.0.1:5632",
 		PlatformURL:   "http://127.0.0.1:5400",
+		Peers:         []string{},
 		LogLevel:      api.SettingsLogLevelInfo,
 		Limits: api.LimitSettings{
 			MaxCallerConnections:          DefaultCallerConnections,
--- a/internal/config/config_test.go
+++ b/internal/config/config_test.go
@@ -63,6 +63,7 @@
 func TestCheckNamesKeyValueAndBound(t *testing.T) {
 	cases := map[string]func(*api.Settings){
 		`caller_address = "localhost:5432"`:             func(s *api.Settings) { s.CallerAddress = "localhost:5432" },
+		`peers[1] = "entry-2:5532"`:                     func(s *api.Settings) { s.Peers = []string{"127.0.0.1:1", "entry-2:5532"} },
 		`peer_address = "127.0.0.1"`:                    func(s *api.Settings) { s.PeerAddress = "127.0.0.1" },
 		`admin_address = "127.0.0.1:5432"`:              func(s *api.Settings) { s.AdminAddress = s.CallerAddress },
 		`platform_url = "ftp://127.0.0.1:1"`:            func(s *api.Settings) { s.PlatformURL = "ftp://127.0.0.1:1" },
--- a/internal/workspace/apply.go
+++ b/internal/workspace/apply.go
@@ -3,10 +3,7 @@
 import (
 	"encoding/json"
 
-	"github.com/sirupsen/logrus"
-
 	"github.com/papayacove/papayacove/api"
-	"github.com/papayacove/papayacove/internal/invariant"
 	"github.com/papayacove/papayacove/internal/platform"
 )
 
@@ -61,8 +58,6 @@
 	case platform.KindWorkspace:
 		changed.workspaces[object.Name] = true
 		v.takeWorkspace(key, object)
-	case platform.KindTerm:
-		v.takeTerm(key, object)
 	}
 }
 
@@ -130,23 +125,6 @@
 	v.workspaces[key.name] = workspaceEntry{newest: newest, version: object.Version, inForce: entry.inForce}
 }
 
-func (v *view) takeTerm(key objectKey, object api.Object) {
-	if object.Deleted {
-		return
-	}
-	var term api.TermRecord
-	if json.Unmarshal(object.Data, &term) != nil || term.Group != key.name {
-		v.refuse(key, object.Version, 0, malformed(key))
-		return
-	}
-	old := v.terms[term.Group]
-	invariant.Check(term.Term >= old.Term, "term_never_falls", logrus.Fields{
-		"group": term.Group, "known": old.Term, "stated": term.Term, "version": object.Version,
-	})
-	v.raiseTerm(term)
-	v.accept(key)
-}
-
 // resolveChanged resolves the workspaces that a change concerns.
 func (v *view) resolveChanged(changed changes) {
 	if changed.groups {
--- a/internal/workspace/catalog.go
+++ b/internal/workspace/catalog.go
@@ -14,7 +14,7 @@
 )
 
 // Catalog is the configuration of a daemon in memory. Reads take no lock; results are shared and
-// must not be modified. Groups, templates and workspaces rise by version, terms by term.
+// must not be modified. Term objects are kept for peers only; package terms decides on them.
 type Catalog struct {
 	current atomic.Pointer[view]
 
@@ -48,7 +48,6 @@
 	next.takeAll(fresh)
 	next.revision = max(next.revision, revision)
 	c.publish(next)
-	logrus.WithFields(logrus.Fields{"revision": next.revision, "objects": len(fresh)}).Info("config_applied")
 	return true
 }
 
@@ -137,12 +136,6 @@
 	return group, found
 }
 
-// Term returns the newest term of a group.
-func (c *Catalog) Term(group string) (api.TermRecord, bool) {
-	term, found := c.current.Load().terms[group]
-	return term, found
-}
-
 // Credential returns what authentication needs to know of a user. The error carries
 // UnknownWorkspace, UnknownGroup or AuthenticationFailed.
 func (c *Catalog) Credential(workspace, group, user string) (frontend.Credential, error) {
--- a/internal/workspace/catalog_test.go
+++ b/internal/workspace/catalog_test.go
@@ -79,30 +79,6 @@
 	}
 }
 
-func TestTermsRise(t *testing.T) {
-	c := NewCatalog()
-	c.Apply([]api.Object{object(platform.KindTerm, "rounds-1", 1, api.TermRecord{Group: "rounds-1", Term: 3})}, 1)
-	steps := []struct {
-		term    api.GroupTerm
-		changed bool
-	}{
-		{api.GroupTerm{Group: "rounds-1", Term: 2, Primary: "a"}, false},
-		{api.GroupTerm{Group: "rounds-1", Term: 3}, false},
-		{api.GroupTerm{Group: "rounds-1", Term: 3, Primary: "b"}, true},
-		{api.GroupTerm{Group: "rounds-1", Term: 3}, false},
-		{api.GroupTerm{Group: "rounds-1", Term: 4}, true},
-		{api.GroupTerm{Group: "rounds-1", Term: 3, Primary: "b"}, false},
-	}
-	for _, step := range steps {
-		if got := c.ObserveTerm(step.term); got != step.changed {
-			t.Errorf("ObserveTerm(%+v) = %v", step.term, got)
-		}
-	}
-	if term, _ := c.Term("rounds-1"); term.Term != 4 || term.Primary != "" {
-		t.Errorf("term = %+v, want 4 without a primary", term)
-	}
-}
-
 func TestSubscribersAreWokenOnceForABurst(t *testing.T) {
 	c := NewCatalog()
 	woken := c.Subscribe()
@@ -212,7 +188,6 @@
 			defer writers.Done()
 			for version := uint64(5); version < 25; version++ {
 				c.Apply([]api.Object{object(platform.KindWorkspace, "kelani", version, testWorkspace())}, version)
-				c.ObserveTerm(api.GroupTerm{Group: "rounds-1", Term: version})
 				_, _ = c.Credential("kelani", "rounds-1", "map")
 			}
 		}()
--- a/internal/workspace/resolve.go
+++ b/internal/workspace/resolve.go
@@ -21,15 +21,31 @@
 // the bounds of the template, against itself and against the groups and slots there are.
 // With problems the Effective is not to be used.
 func Resolve(template api.Template, workspace api.Workspace, groups []api.GroupSpec) (Effective, []Problem) {
-	r := &resolver{object: "workspace " + workspace.Name, template: template, values: map[string]value{}}
+	r := newResolver(template, workspace)
+	e := r.resolveValues(workspace)
+	r.checkGroups(e, groups)
+	return e, r.problems
+}
+
+// ResolveValues does what Resolve does but for the checks against the groups and slots there are.
+func ResolveValues(template api.Template, workspace api.Workspace) (Effective, []Problem) {
+	r := newResolver(template, workspace)
+	e := r.resolveValues(workspace)
+	return e, r.problems
+}
+
+func newResolver(template api.Template, workspace api.Workspace) *resolver {
+	return &resolver{object: "workspace " + workspace.Name, template: template, values: map[string]value{}}
+}
+
+func (r *resolver) resolveValues(workspace api.Workspace) Effective {
 	r.checkNames(workspace)
-	r.problems = append(r.problems, CheckTemplate(template)...)
+	r.problems = append(r.problems, CheckTemplate(r.template)...)
 	r.readValues(workspace.Values)
 	e := r.effective(workspace.Name)
 	e.Users = r.users(workspace.Users, e.MaxStaleness)
 	r.checkTimes(e)
-	r.checkGroups(e, groups)
-	return e, r.problems
+	return e
 }
 
 func (r *resolver) add(key, value, bound string) {
--- a/internal/workspace/status.go
+++ b/internal/workspace/status.go
@@ -48,7 +48,7 @@
 		"version":  version,
 		"in_force": inForce,
 		"problems": problemLine(problems),
-	}).Warn("config_refused")
+	}).Warn("configuration_refused")
 }
 
 // accept notes that the newest version of an object is in force.
--- a/internal/workspace/view.go
+++ b/internal/workspace/view.go
@@ -30,7 +30,6 @@
 	templates map[string]api.Template
 	// versions are those in force of groups and templates.
 	versions   map[objectKey]uint64
-	terms      map[string]api.TermRecord
 	workspaces map[string]workspaceEntry
 	statuses   map[objectKey]Status
 }
@@ -41,7 +40,6 @@
 		groups:     map[string]api.GroupSpec{},
 		templates:  map[string]api.Template{},
 		versions:   map[objectKey]uint64{},
-		terms:      map[string]api.TermRecord{},
 		workspaces: map[string]workspaceEntry{},
 		statuses:   map[objectKey]Status{},
 	}
@@ -56,7 +54,6 @@
 		groupList:  v.groupList,
 		templates:  maps.Clone(v.templates),
 		versions:   maps.Clone(v.versions),
-		terms:      maps.Clone(v.terms),
 		workspaces: maps.Clone(v.workspaces),
 		statuses:   maps.Clone(v.statuses),
 	}
