--- a/internal/policy/confirm/count.go
+++ b/internal/policy/confirm/count.go
@@ -39,7 +39,7 @@
 		return
 	}
 	c.primaryLeads = true
-	c.primaryFresh = !p.AskedAt.Before(c.evidence.CommittedAt)
+	c.primaryFresh = p.AskedAt.After(c.evidence.CommittedAt)
 	c.holding, c.following = 1, 1
 	c.oldest = p.AskedAt
 }
@@ -60,7 +60,7 @@
 	if !a.isValid(c.now, c.validity) || a.Term != c.commit.Term {
 		return
 	}
-	if !a.AskedAt.Before(c.evidence.CommittedAt) {
+	if a.AskedAt.After(c.evidence.CommittedAt) {
 		c.following++
 	}
 	if !c.holds(a) {
--- a/internal/policy/confirm/tracker.go
+++ b/internal/policy/confirm/tracker.go
@@ -119,7 +119,7 @@
 // Commit of the decision is the floor, for the outcomes Confirmed and FenceOnly.
 func (t *Tracker) Floor(requestedAt, now time.Time) Decision {
 	p := t.primaryAnswer
-	if p.Target == "" || p.AskedAt.Before(requestedAt) {
+	if p.Target == "" || !p.AskedAt.After(requestedAt) {
 		return Decision{Outcome: Wait, Reason: ReasonPrimaryUnseen, Needed: Majority(t.members)}
 	}
 	if p.Term == t.term && p.Received.Term < t.term {
--- /dev/null
+++ b/internal/policy/model/run_test.go
@@ -0,0 +1,185 @@
+package model
+
+import (
+	"time"
+
+	"github.com/papayacove/papayacove/internal/policy/confirm"
+	"github.com/papayacove/papayacove/internal/policy/promotion"
+)
+
+// action is one kind of step and its weight among all steps.
+type action struct {
+	name   string
+	weight int
+	run    func(w *world, c chooser)
+}
+
+var actions = []action{
+	{"write", 12, actWrite},
+	{"ask", 14, actAsk},
+	{"deliver", 60, actDeliver},
+	{"repeat_message", 2, actRepeat},
+	{"lose_message", 2, actLose},
+	{"decide", 30, func(w *world, c chooser) { w.pickGate(c).decide() }},
+	{"ask_floor", 3, func(w *world, c chooser) { w.pickGate(c).askFloor() }},
+	{"decide_floor", 4, func(w *world, c chooser) { w.pickGate(c).decideFloor() }},
+	{"check_age", 4, actCheckAge},
+	{"replicate", 110, actReplicate},
+	{"pass_time", 10, actPassTime},
+	{"begin_promotion", 2, func(w *world, c chooser) { w.promoters[c.intn(len(w.promoters))].begin() }},
+	{"tick", 12, func(w *world, c chooser) { w.promoters[c.intn(len(w.promoters))].handle(promotion.Tick{}) }},
+	{"lose_record_answer", 1, func(w *world, c chooser) { w.promoters[c.intn(len(w.promoters))].handle(promotion.RecordUnknown{}) }},
+	{"crash_promoter", 1, func(w *world, c chooser) { w.promoters[c.intn(len(w.promoters))].crash() }},
+	{"crash_target", 1, func(w *world, c chooser) { w.targets[c.intn(len(w.targets))].down = true }},
+	{"restart_target", 6, func(w *world, c chooser) { w.targets[c.intn(len(w.targets))].down = false }},
+	{"partition", 2, actPartition},
+	{"heal", 3, actHeal},
+	{"pause_gate", 3, actPauseGate},
+	{"repair", 8, actRepair},
+}
+
+var totalWeight = sumWeights()
+
+func sumWeights() int {
+	total := 0
+	for _, a := range actions {
+		total += a.weight
+	}
+	return total
+}
+
+// step runs one random action.
+func (w *world) step(c chooser) {
+	w.stats.steps++
+	n := c.intn(totalWeight)
+	for _, a := range actions {
+		if n < a.weight {
+			a.run(w, c)
+			return
+		}
+		n -= a.weight
+	}
+}
+
+// actPartition cuts a random part of the targets off from the promoters.
+func actPartition(w *world, c chooser) {
+	for _, t := range w.targets {
+		t.cut = c.intn(2) == 0
+	}
+}
+
+func actHeal(w *world, _ chooser) {
+	for _, t := range w.targets {
+		t.cut = false
+	}
+}
+
+func actPauseGate(w *world, c chooser) {
+	milliseconds := 50 + c.intn(400)
+	w.pickGate(c).pausedUntil = w.now.Add(time.Duration(milliseconds) * time.Millisecond)
+}
+
+// pickGate returns a gate that has something to do: its target believes that it leads, or writes
+// wait for their acknowledgement.
+func (w *world) pickGate(c chooser) *gate {
+	first := c.intn(len(w.gates))
+	for i := range w.gates {
+		g := w.gates[(first+i)%len(w.gates)]
+		if w.now.Before(g.pausedUntil) {
+			continue
+		}
+		if g.target.role == confirm.RolePrimary || len(g.pending) > 0 {
+			return g
+		}
+	}
+	return w.gates[first]
+}
+
+func actWrite(w *world, c chooser) {
+	w.pickGate(c).write()
+}
+
+// actAsk lets a gate look at all targets; the answers come one by one.
+func actAsk(w *world, c chooser) {
+	g := w.pickGate(c)
+	for _, t := range w.targets {
+		g.ask(t)
+	}
+}
+
+// actDeliver passes several messages in any order, as many as a look at all targets makes.
+func actDeliver(w *world, c chooser) {
+	for range len(w.targets) {
+		if len(w.messages) == 0 {
+			return
+		}
+		i := c.intn(len(w.messages))
+		m := w.messages[i]
+		w.messages = append(w.messages[:i:i], w.messages[i+1:]...)
+		w.pass(m)
+	}
+}
+
+// actRepeat delivers a message that stays on its way.
+func actRepeat(w *world, c chooser) {
+	if len(w.messages) > 0 {
+		w.pass(w.messages[c.intn(len(w.messages))])
+	}
+}
+
+func actLose(w *world, c chooser) {
+	if len(w.messages) == 0 {
+		return
+	}
+	i := c.intn(len(w.messages))
+	w.messages = append(w.messages[:i:i], w.messages[i+1:]...)
+}
+
+func actCheckAge(w *world, c chooser) {
+	w.pickGate(c).checkAge(w.targets[c.intn(len(w.targets))])
+}
+
+// actReplicate moves one replica on; a slow run skips most of these steps.
+func actReplicate(w *world, c chooser) {
+	if c.intn(w.replicationPace) != 0 {
+		return
+	}
+	t := w.targets[c.intn(len(w.targets))]
+	if primary := w.find(t.follows); primary != nil {
+		t.replicate(primary)
+	}
+}
+
+// actPassTime mostly passes less than the validity of a confirmation and sometimes more.
+func actPassTime(w *world, c chooser) {
+	milliseconds := 1 + c.intn(10)
+	if c.intn(10) == 0 {
+		milliseconds += 100
+	}
+	w.now = w.now.Add(time.Duration(milliseconds) * time.Millisecond)
+}
+
+// actRepair lets a daemon that knows the record make one target follow.
+func actRepair(w *world, c chooser) {
+	t := w.targets[c.intn(len(w.targets))]
+	state := promotion.TargetState{Target: t.name, Term: t.term, Role: t.role, Follows: t.follows}
+	for _, o := range promotion.Repair(w.record, []promotion.TargetState{state}) {
+		w.send(o.Target, o, nil)
+	}
+}
+
+// maxReplicationPace is the slowest pace of replication, in steps skipped for each one made.
+const maxReplicationPace = 12
+
+// run makes steps until a violation or the given number.
+func run(members, steps int, rule confirm.Rule, c chooser) *world {
+	w := newWorld(members, rule)
+	w.replicationPace = 1 + c.intn(maxReplicationPace)
+	for range steps {
+		w.step(c)
+		if w.violation != nil {
+			break
+		}
+	}
+	return w
+}
