--- /dev/null
+++ b/internal/frontend/extended_test.go
@@ -0,0 +1,157 @@
+package frontend
+
+import (
+	"context"
+	"strings"
+	"testing"
+
+	"github.com/jackc/pgx/v5"
+	"github.com/jackc/pgx/v5/pgproto3"
+	"github.com/papayacove/papayacove/api"
+	"github.com/papayacove/papayacove/internal/result"
+)
+
+// Short forms of the messages of the extended protocol.
+func parse(name, query string) *pgproto3.Parse { return &pgproto3.Parse{Name: name, Query: query} }
+func bind(name string) *pgproto3.Bind          { return &pgproto3.Bind{PreparedStatement: name} }
+func execute() *pgproto3.Execute               { return &pgproto3.Execute{} }
+func syncAll() *pgproto3.Sync                  { return &pgproto3.Sync{} }
+func closeStatement(name string) *pgproto3.Close {
+	return &pgproto3.Close{ObjectType: objectStatement, Name: name}
+}
+func describeStatement(name string) *pgproto3.Describe {
+	return &pgproto3.Describe{ObjectType: objectStatement, Name: name}
+}
+
+func (c *client) expect(want string, messages ...pgproto3.FrontendMessage) {
+	c.t.Helper()
+	c.send(messages...)
+	if got := c.answers(); got != want {
+		c.t.Errorf("answers = %q, want %q", got, want)
+	}
+}
+
+func TestNamedStatementFollowsTheSession(t *testing.T) {
+	runner := newFakeRunner()
+	c := dial(t, startServer(t, runner, nil), nil)
+	c.expect("parsed parameters columns ready:I", parse("s1", "SELECT v FROM t"), describeStatement("s1"), syncAll())
+	if prepared := runner.lastBatch(t).Prepared; len(prepared) != 0 {
+		t.Errorf("the batch that parses needs %v", prepared)
+	}
+	c.expect("bound row:row done:SELECT ready:I", bind("s1"), execute(), syncAll())
+	batch := runner.lastBatch(t)
+	if len(batch.Prepared) != 1 || batch.Prepared[0].Query != "SELECT v FROM t" || batch.Access != api.ExecuteRequestAccessRead {
+		t.Errorf("batch = %+v", batch)
+	}
+	if !strings.HasPrefix(batch.Prepared[0].Name, derivedPrefix) {
+		t.Errorf("the name on targets is %q", batch.Prepared[0].Name)
+	}
+	c.expect("closed ready:I", closeStatement("s1"), syncAll())
+	c.expect("error:26000 ready:I", bind("s1"), execute(), syncAll())
+}
+
+func TestUnnamedStatementOutlivesItsBatch(t *testing.T) {
+	runner := newFakeRunner()
+	c := dial(t, startServer(t, runner, nil), nil)
+	c.expect("parsed parameters columns ready:I", parse("", "INSERT INTO t VALUES (1)"), describeStatement(""), syncAll())
+	c.expect("bound row:row done:INSERT ready:I", bind(""), execute(), syncAll())
+	if batch := runner.lastBatch(t); len(batch.Prepared) != 1 || batch.Access != api.ExecuteRequestAccessWrite {
+		t.Errorf("batch = %+v", batch)
+	}
+	c.query("SELECT 1")
+	c.expect("error:26000 ready:I", bind(""), execute(), syncAll())
+}
+
+func TestFlushAfterPreparationLeavesNothingOpen(t *testing.T) {
+	runner := newFakeRunner()
+	c := dial(t, startServer(t, runner, nil), nil)
+	c.send(parse("s1", "SELECT v"), describeStatement("s1"), &pgproto3.Flush{})
+	for _, want := range []string{"parsed", "parameters", "columns"} {
+		if got := describe(c.receive()); got != want {
+			t.Fatalf("answer = %s, want %s", got, want)
+		}
+	}
+	c.expect("bound row:row done:SELECT ready:I", bind("s1"), execute(), syncAll())
+	if batch := runner.lastBatch(t); batch.InTransaction {
+		t.Error("the preparation left a pipeline open")
+	}
+	c.send(bind("s1"), execute(), &pgproto3.Flush{})
+	for range 3 {
+		c.receive()
+	}
+	if batch := runner.lastBatch(t); batch.Access != api.ExecuteRequestAccessWrite {
+		t.Error("an open pipeline may run on a replica")
+	}
+	c.expect("ready:I", syncAll())
+	if batch := runner.lastBatch(t); !batch.InTransaction {
+		t.Error("the Sync of an open pipeline was not passed on")
+	}
+}
+
+func TestErrorSkipsToSync(t *testing.T) {
+	runner := newFakeRunner()
+	c := dial(t, startServer(t, runner, nil), nil)
+	c.expect("error:0A000 ready:I", parse("", "SELECT 1"), bind(""), execute(),
+		parse("", "LISTEN a"), bind(""), execute(), parse("", "SELECT 2"), &pgproto3.Flush{}, syncAll())
+	if batches := runner.recorded(); len(batches) != 0 {
+		t.Errorf("a refused pipeline ran %d batches", len(batches))
+	}
+	c.expect("ready:I", syncAll())
+	runner.fail = func(*Batch) *result.Error { return result.Errorf(result.NotRunNoPrimary, "none") }
+	c.expect("error:57P03 ready:I", parse("", "SELECT 1"), bind(""), execute(), syncAll())
+}
+
+func TestRefusalInOpenPipelineRollsBack(t *testing.T) {
+	runner := newFakeRunner()
+	c := dial(t, startServer(t, runner, nil), nil)
+	c.send(parse("", "INSERT INTO t VALUES (1)"), bind(""), execute(), &pgproto3.Flush{})
+	for range 4 {
+		c.receive()
+	}
+	c.expect("error:0A000 ready:I", parse("", "COPY t FROM STDIN"), bind(""), execute(), syncAll())
+	if last := runner.lastBatch(t); !strings.Contains(string(last.Messages), "ROLLBACK") {
+		t.Errorf("the last batch is %q, want a rollback", last.Messages)
+	}
+}
+
+func TestLocalStatementsInExtendedProtocol(t *testing.T) {
+	runner := newFakeRunner()
+	c := dial(t, startServer(t, runner, nil), nil)
+	c.expect("parsed bound nodata done:SET application_name=rounds ready:I",
+		parse("", "SET application_name = rounds"), bind(""),
+		&pgproto3.Describe{ObjectType: objectPortal}, execute(), syncAll())
+	c.expect("parsed parameters columns ready:I", parse("p", "SHOW papayacove.position"), describeStatement("p"), syncAll())
+	c.expect("bound row:3/42 done:SHOW ready:I", bind("p"), execute(), syncAll())
+	c.expect("parsed bound done:SET parsed bound error:0A000 ready:I", parse("", "SET jit = off"), bind(""), execute(),
+		parse("", "SELECT set_config('jit', lower('off'), false)"), bind(""), execute(), syncAll())
+	if len(runner.recorded()) != 0 {
+		t.Error("a statement of the session itself was passed on")
+	}
+	c.query("SELECT 1")
+	if settings := runner.lastBatch(t).Settings; len(settings) != 1 || settings[0].Value != "rounds" {
+		t.Errorf("settings = %v", settings)
+	}
+}
+
+func TestPgxKeepsItsStatements(t *testing.T) {
+	ctx := context.Background()
+	runner := newFakeRunner()
+	conn := connect(t, startServer(t, runner, withPassword(t)), "sslmode=disable&application_name=rounds")
+	batch := &pgx.Batch{}
+	for range 3 {
+		batch.Queue("INSERT INTO t VALUES ($1)", "a")
+	}
+	if err := conn.SendBatch(ctx, batch).Close(); err != nil {
+		t.Fatal(err)
+	}
+	var position string
+	if err := conn.QueryRow(ctx, "SHOW papayacove.position").Scan(&position); err != nil || position != "3/42" {
+		t.Errorf("position = %q, %v", position, err)
+	}
+	if _, err := conn.Exec(ctx, "DEALLOCATE ALL"); err != nil {
+		t.Error(err)
+	}
+	if got := conn.PgConn().ParameterStatus("application_name"); got != "rounds" {
+		t.Errorf("application_name = %q", got)
+	}
+}
--- /dev/null
+++ b/internal/frontend/memory_test.go
@@ -0,0 +1,79 @@
+package frontend
+
+import (
+	"net"
+	"runtime"
+	"testing"
+
+	"github.com/jackc/pgx/v5/pgproto3"
+)
+
+const (
+	idleConnections = 2000
+	// maxIdleBytes is the memory that an idle caller connection may hold.
+	maxIdleBytes = 24 << 10
+)
+
+// TestIdleConnectionMemory opens idle sessions that have each run a query, and measures heap and
+// stacks for each, which include the client's end.
+func TestIdleConnectionMemory(t *testing.T) {
+	server := startServer(t, newFakeRunner(), func(o *Options) { o.Limits.MaxUnauthenticatedConnections = idleConnections })
+	startup, err := (&pgproto3.StartupMessage{
+		ProtocolVersion: pgproto3.ProtocolVersion30,
+		Parameters:      map[string]string{"user": "crew", "database": "kelani.rounds"},
+	}).Encode(nil)
+	if err != nil {
+		t.Fatal(err)
+	}
+	query, err := (&pgproto3.Query{String: "SET application_name = 'idle'"}).Encode(startup)
+	if err != nil {
+		t.Fatal(err)
+	}
+	before := memoryInUse()
+	conns := make([]net.Conn, idleConnections)
+	for i := range conns {
+		conns[i] = openIdle(t, server, query)
+	}
+	perConnection := (memoryInUse() - before) / idleConnections
+	t.Logf("%d idle connections hold %d bytes each", idleConnections, perConnection)
+	if perConnection > maxIdleBytes {
+		t.Errorf("an idle connection holds %d bytes, more than %d", perConnection, maxIdleBytes)
+	}
+	for _, conn := range conns {
+		conn.Close()
+	}
+}
+
+// openIdle sends start-up and one query and waits for the second ReadyForQuery.
+func openIdle(t *testing.T, server *Server, messages []byte) net.Conn {
+	t.Helper()
+	conn, err := net.Dial("tcp", server.Addr().String())
+	if err != nil {
+		t.Fatal(err)
+	}
+	if _, err := conn.Write(messages); err != nil {
+		t.Fatal(err)
+	}
+	frontend := pgproto3.NewFrontend(conn, conn)
+	for ready := 0; ready < 2; {
+		message, err := frontend.Receive()
+		if err != nil {
+			t.Fatal(err)
+		}
+		if _, ok := message.(*pgproto3.ReadyForQuery); ok {
+			ready++
+		}
+	}
+	return conn
+}
+
+// memoryInUse returns the bytes of live heap objects and stacks.
+func memoryInUse() uint64 {
+	// Stacks shrink by half at each collection.
+	for range 4 {
+		runtime.GC()
+	}
+	var stats runtime.MemStats
+	runtime.ReadMemStats(&stats)
+	return stats.HeapAlloc + stats.StackInuse
+}
--- a/internal/frontend/watch.go
+++ b/internal/frontend/watch.go
@@ -23,6 +23,8 @@
 // watchCaller starts a watch for one batch.
 func (s *session) watchCaller(cancel context.CancelFunc) *callerWatch {
 	w := &callerWatch{conn: systemConn(s.conn), cancel: cancel}
+	w.mutex.Lock()
+	defer w.mutex.Unlock()
 	if w.conn != nil {
 		w.timer = time.AfterFunc(callerCheckInterval, w.check)
 	}
