Judge a new primary only by answers asked for after its promotion

Ruled out: a longer hold time (a surely replaced primary must not wait for it). Change: suspicion skips answers whose call began before the term was known; sessions without a position are not checked for a cut; a caller of the workload reconnects before it reloads.

--- a/internal/failover/controller.go
+++ b/internal/failover/controller.go
@@ -115,6 +115,10 @@
 func (c *controller) suspect(seen observer.Observation) {
 	previous := c.lastSeen
 	c.lastSeen = seen
+	// What was asked before the promotion shows the target in its former role.
+	if seen.Misses == 0 && seen.Asked.Before(c.termSince) {
+		return
+	}
 	now := time.Now()
 	switch {
 	case seen.Answered.After(previous.Answered) && isReached(seen, c.term.Term):
--- a/internal/router/session.go
+++ b/internal/router/session.go
@@ -65,7 +65,7 @@
 func (s *session) checkCut() error {
 	current, ok := s.router.options.Terms.Current(s.info.Group)
 	position := s.Position()
-	if !ok || current.Primary == "" || position.Term >= current.Term || position.Offset < current.Start.Offset {
+	if !ok || position.IsZero() || current.Primary == "" || position.Term >= current.Term || position.Offset < current.Start.Offset {
 		return nil
 	}
 	s.floor, s.written = current.Start, current.Start
--- a/standin/workload/caller.go
+++ b/standin/workload/caller.go
@@ -96,11 +96,10 @@
 	}
 	if l.random.Intn(4) == 0 {
 		l.roam()
-		if l.connect(ctx) != nil {
-			return
-		}
 	}
-	l.reload(ctx)
+	if l.connect(ctx) == nil {
+		l.reload(ctx)
+	}
 }
 
 // write logs a cabinet, in one statement or in a transaction of two.
