Start each fleet without rows and logs of an earlier one

Cause: a second soak run in the same folder never became ready, because targets kept their terms. Ruled out: keeping the folder (the objects of the platform start anew). Change: the work folder is emptied at the start. Conclusion: none beyond.

--- a/standin/fleet/fleet.go
+++ b/standin/fleet/fleet.go
@@ -64,6 +64,10 @@
 	if err != nil {
 		return nil, err
 	}
+	// Rows and logs of an earlier fleet would not fit the objects of a new one.
+	if err := os.RemoveAll(options.Work); err != nil {
+		return nil, err
+	}
 	if err := os.MkdirAll(options.Work, 0o755); err != nil {
 		return nil, err
 	}
