--- /dev/null
+++ b/internal/policy/promotion/trigger_test.go
@@ -0,0 +1,156 @@
+package promotion
+
+import (
+	"reflect"
+	"testing"
+	"time"
+
+	"github.com/papayacove/papayacove/api"
+	"github.com/papayacove/papayacove/internal/policy/confirm"
+	"github.com/papayacove/papayacove/internal/policy/placement"
+)
+
+func TestSuspicion(t *testing.T) {
+	answered := (*Suspicion).Answered
+	missed := (*Suspicion).Missed
+	refused := (*Suspicion).Refused
+	notPrimary := (*Suspicion).NotPrimary
+	type call = func(*Suspicion, time.Time) SuspicionDecision
+	cases := []struct {
+		name      string
+		calls     []call
+		suspected bool
+		reason    SuspicionReason
+	}{
+		{"two missed", []call{missed, missed}, false, SuspicionFewMissed},
+		{"three missed", []call{missed, missed, missed}, true, SuspicionManyMissed},
+		{"an answer between", []call{missed, missed, answered, missed}, false, SuspicionFewMissed},
+		{"refused once", []call{answered, refused}, false, SuspicionRefused},
+		{"refused twice", []call{refused, refused}, true, SuspicionRefused},
+		{"answers without the role", []call{answered, notPrimary}, true, SuspicionNotPrimary},
+		{"answers again", []call{missed, missed, missed, answered}, false, SuspicionAnswered},
+	}
+	for _, c := range cases {
+		var s Suspicion
+		var d SuspicionDecision
+		for i, next := range c.calls {
+			d = next(&s, at(i))
+		}
+		if d.Suspected != c.suspected || d.Reason != c.reason {
+			t.Errorf("%s: got %v", c.name, d.Fields())
+		}
+	}
+}
+
+func TestVantageDecision(t *testing.T) {
+	lost := View{Answered: true, Term: 4}
+	reached := View{Answered: true, Reached: true, Term: 4}
+	silent := View{}
+	cases := []struct {
+		name   string
+		views  []View
+		lost   bool
+		reason VantageReason
+	}{
+		{"nobody answers", []View{silent, silent}, false, VantageTooFew},
+		{"own view alone where two live", []View{lost, silent}, false, VantageTooFew},
+		{"own view alone where one lives", []View{lost}, true, VantageMajorityLost},
+		{"two of two", []View{lost, lost}, true, VantageMajorityLost},
+		{"one of two reaches it", []View{lost, reached}, false, VantageReached},
+		{"two of three", []View{lost, lost, reached}, true, VantageMajorityLost},
+		{"two of four", []View{lost, lost, reached, reached}, false, VantageReached},
+		{"a silent one does not count", []View{lost, lost, reached, silent}, true, VantageMajorityLost},
+		{"a later term is known", []View{lost, lost, {Answered: true, Term: 5}}, false, VantageLaterTerm},
+	}
+	for _, c := range cases {
+		v := VantageDecision(c.views, 4, VantageQuorum(len(c.views)))
+		if v.Lost != c.lost || v.Reason != c.reason {
+			t.Errorf("%s: got %v", c.name, v.Fields())
+		}
+	}
+}
+
+// state returns the state of a healthy group as its controller sees it, after a change.
+func state(change func(s *GroupState)) GroupState {
+	s := GroupState{Group: "g", Term: 4, Primary: "a", TermAge: time.Hour, IsController: true, Members: 3, Reached: 2}
+	change(&s)
+	return s
+}
+
+func TestTrigger(t *testing.T) {
+	lost := VantageVerdict{Lost: true}
+	leaving := LeavingState{PrimaryLeaving: true, Replacements: 1}
+	stopped := LeavingState{PrimaryLeaving: true, Replacements: 1, AdmissionStopped: true}
+	cases := []struct {
+		name   string
+		change func(s *GroupState)
+		action Action
+		reason TriggerReason
+	}{
+		{"healthy", func(*GroupState) {}, ActionNone, TriggerHealthy},
+		{"not the controller", func(s *GroupState) { s.IsController, s.Vantage = false, lost }, ActionNone, TriggerNotController},
+		{"lost", func(s *GroupState) { s.Vantage = lost }, ActionPromote, TriggerPrimaryLost},
+		{"lost, no majority of targets", func(s *GroupState) { s.Vantage, s.Reached = lost, 1 }, ActionNone, TriggerNoMajorityAlive},
+		{"lost again soon", func(s *GroupState) { s.Vantage, s.TermAge = lost, 9*time.Second }, ActionNone, TriggerHold},
+		{"surely gone soon", func(s *GroupState) { s.SurelyGone, s.TermAge = true, time.Second }, ActionPromote, TriggerPrimaryLost},
+		{"no record", func(s *GroupState) { s.Term, s.Primary = 0, "" }, ActionPromote, TriggerNoRecord},
+		{"term open", func(s *GroupState) { s.Primary, s.TermAge = "", time.Second }, ActionNone, TriggerOpenTerm},
+		{"term left open", func(s *GroupState) { s.Primary = "" }, ActionPromote, TriggerOpenTermLeft},
+		{"leaving", func(s *GroupState) { s.Leaving = leaving }, ActionStopAdmission, TriggerLeaving},
+		{"leaving without replacement", func(s *GroupState) { s.Leaving.PrimaryLeaving = true }, ActionNone, TriggerNoReplacement},
+		{"replacement lost", func(s *GroupState) { s.Leaving = stopped; s.Leaving.Replacements = 0 }, ActionResumeAdmission, TriggerNoReplacement},
+		{"catching up", func(s *GroupState) { s.Leaving = stopped }, ActionNone, TriggerCatchUp},
+		{"caught up", func(s *GroupState) { s.Leaving = stopped; s.Leaving.CaughtUp = true }, ActionPromote, TriggerCaughtUp},
+		{"not caught up in time", func(s *GroupState) { s.Leaving = stopped; s.Leaving.StoppedFor = DefaultCatchUpTimeout }, ActionResumeAdmission, TriggerCatchUpTimeout},
+		{"stays after all", func(s *GroupState) { s.Leaving.AdmissionStopped = true }, ActionResumeAdmission, TriggerHealthy},
+	}
+	for _, c := range cases {
+		d := Trigger{}.Decide(state(c.change))
+		if d.Action != c.action || d.Reason != c.reason {
+			t.Errorf("%s: got %v", c.name, d.Fields())
+		}
+	}
+}
+
+func TestControllerOf(t *testing.T) {
+	daemons := []Controller{
+		{placement.Member{Name: "entry-1"}, true},
+		{placement.Member{Name: "entry-2"}, true},
+		{placement.Member{Name: "entry-3"}, true},
+	}
+	first, ok := ControllerOf("g", daemons)
+	if !ok {
+		t.Fatal("no controller")
+	}
+	for i := range daemons {
+		if daemons[i].Name == first {
+			daemons[i].PlatformReached = false
+		}
+	}
+	second, _ := ControllerOf("g", daemons)
+	if second == first || second == "" {
+		t.Errorf("controller %q does not reach the platform, next %q", first, second)
+	}
+	if _, ok := ControllerOf("g", nil); ok {
+		t.Error("a controller without daemons")
+	}
+}
+
+func TestRepair(t *testing.T) {
+	record := api.TermRecord{Term: 4, Primary: "a"}
+	states := []TargetState{
+		{Target: "a", Term: 4, Role: confirm.RolePrimary},
+		{Target: "follows", Term: 4, Role: confirm.RoleReplica, Follows: "a"},
+		{Target: "behind", Term: 3, Role: confirm.RoleReplica, Follows: "a"},
+		{Target: "fenced", Term: 4, Role: confirm.RoleReplica},
+		{Target: "replaced", Term: 3, Role: confirm.RolePrimary},
+		{Target: "ahead", Term: 5, Role: confirm.RoleReplica},
+	}
+	want := []Follow{{"behind", 4, "a"}, {"fenced", 4, "a"}, {"replaced", 4, "a"}}
+	if got := Repair(record, states); !reflect.DeepEqual(got, want) {
+		t.Errorf("got %+v", got)
+	}
+	if got := Repair(api.TermRecord{Term: 5}, states); got != nil {
+		t.Errorf("open term: %+v", got)
+	}
+}
