--- a/internal/policy/promotion/trigger.go
+++ b/internal/policy/promotion/trigger.go
@@ -16,6 +16,9 @@
 	DefaultOpenTermTimeout = 6 * time.Second
 	// DefaultCatchUpTimeout is the time for which a planned switchover waits for a replica.
 	DefaultCatchUpTimeout = 2 * time.Second
+	// DefaultSwitchoverPause is the time between a planned switchover that was given up and the
+	// next one. Without it writes would be stopped most of the time while no replica catches up.
+	DefaultSwitchoverPause = 10 * time.Second
 )
 
 // Controller is one daemon that may control the failover of a group.
@@ -72,6 +75,7 @@
 	TriggerCatchUp         TriggerReason = "replica_catching_up"
 	TriggerCaughtUp        TriggerReason = "replica_caught_up"
 	TriggerCatchUpTimeout  TriggerReason = "no_replica_caught_up_in_time"
+	TriggerSwitchoverPause TriggerReason = "switchover_given_up_a_short_time_ago"
 	TriggerNoReplacement   TriggerReason = "every_target_leaving"
 	TriggerNoMajorityAlive TriggerReason = "no_majority_of_targets_reached"
 )
@@ -107,6 +111,8 @@
 	AdmissionStopped bool
 	// StoppedFor is the time since admission stopped.
 	StoppedFor time.Duration
+	// SinceResumed is the time since a switchover was given up; 0 when none was.
+	SinceResumed time.Duration
 	// CaughtUp is true when a replica that stays holds the whole log of the primary.
 	CaughtUp bool
 }
@@ -142,6 +148,7 @@
 	HoldTime        time.Duration
 	OpenTermTimeout time.Duration
 	CatchUpTimeout  time.Duration
+	SwitchoverPause time.Duration
 }
 
 // Decide returns the next action of the deciding daemon on a group.
@@ -217,6 +224,8 @@
 		return ActionResumeAdmission, TriggerNoReplacement
 	case l.Replacements == 0:
 		return ActionNone, TriggerNoReplacement
+	case !l.AdmissionStopped && l.SinceResumed > 0 && l.SinceResumed < orDefault(t.SwitchoverPause, DefaultSwitchoverPause):
+		return ActionNone, TriggerSwitchoverPause
 	case !l.AdmissionStopped:
 		return ActionStopAdmission, TriggerLeaving
 	case l.CaughtUp:
--- a/internal/policy/promotion/trigger_test.go
+++ b/internal/policy/promotion/trigger_test.go
@@ -102,6 +102,8 @@
 		{"catching up", func(s *GroupState) { s.Leaving = stopped }, ActionNone, TriggerCatchUp},
 		{"caught up", func(s *GroupState) { s.Leaving = stopped; s.Leaving.CaughtUp = true }, ActionPromote, TriggerCaughtUp},
 		{"not caught up in time", func(s *GroupState) { s.Leaving = stopped; s.Leaving.StoppedFor = DefaultCatchUpTimeout }, ActionResumeAdmission, TriggerCatchUpTimeout},
+		{"given up soon before", func(s *GroupState) { s.Leaving = leaving; s.Leaving.SinceResumed = time.Second }, ActionNone, TriggerSwitchoverPause},
+		{"given up long before", func(s *GroupState) { s.Leaving = leaving; s.Leaving.SinceResumed = time.Minute }, ActionStopAdmission, TriggerLeaving},
 		{"stays after all", func(s *GroupState) { s.Leaving.AdmissionStopped = true }, ActionResumeAdmission, TriggerHealthy},
 	}
 	for _, c := range cases {
