--- a/internal/policy/readroute/replica.go
+++ b/internal/policy/readroute/replica.go
@@ -131,12 +131,13 @@
 	return AtReplica(floor, maxAge, position, age, 0)
 }
 
-// belowFloor waits when the lag of the replica is shorter than the time to wait.
+// belowFloor waits when the lag of the replica is shorter than the time to wait, or not known for
+// lack of samples.
 func belowFloor(age staleness.Bound, waitBudget time.Duration) (ReplicaAction, ReplicaReason) {
 	switch {
 	case waitBudget <= 0:
 		return Behind, ReplicaNoWait
-	case !age.Known, age.Age > waitBudget:
+	case age.Reason == staleness.ReasonBehindAll, age.Known && age.Lag > waitBudget:
 		return Behind, ReplicaLagsTooFar
 	default:
 		return WaitThenRun, ReplicaCatchingUp
--- a/internal/policy/staleness/staleness.go
+++ b/internal/policy/staleness/staleness.go
@@ -41,12 +41,14 @@
 type Bound struct {
 	Known bool
 	// Age is meaningful only when Known.
-	Age      time.Duration
-	Reason   Reason
-	Applied  api.Position
-	Sampled  api.Position
-	Samples  int
-	NewestAt time.Time
+	Age time.Duration
+	// Lag is the time from the sample that was applied to the newest one. Unlike Age it does not
+	// grow between two samples, so it tells how long the replica takes to catch up.
+	Lag     time.Duration
+	Reason  Reason
+	Applied api.Position
+	Sampled api.Position
+	Samples int
 }
 
 // Fields returns the fields of the log line of the bound.
@@ -54,6 +56,7 @@
 	return logrus.Fields{
 		"known":   b.Known,
 		"age":     b.Age,
+		"lag":     b.Lag,
 		"reason":  string(b.Reason),
 		"applied": b.Applied.String(),
 		"sampled": b.Sampled.String(),
@@ -123,7 +126,6 @@
 	if len(h.samples) == 0 {
 		return b
 	}
-	b.NewestAt = h.samples[len(h.samples)-1].AskedAt
 	beyond := sort.Search(len(h.samples), func(i int) bool {
 		return h.samples[i].Position.Compare(applied) > 0
 	})
@@ -134,6 +136,7 @@
 	s := h.samples[beyond-1]
 	b.Known = true
 	b.Age = now.Sub(s.AskedAt)
+	b.Lag = h.samples[len(h.samples)-1].AskedAt.Sub(s.AskedAt)
 	b.Reason = ReasonSample
 	b.Sampled = s.Position
 	return b
--- a/internal/policy/staleness/staleness_test.go
+++ b/internal/policy/staleness/staleness_test.go
@@ -93,7 +93,7 @@
 	if b := h.Bound(api.Position{Term: 1, Offset: 100}, now); !b.Known || b.Age < 101*time.Millisecond {
 		t.Errorf("half way back: %v", b.Fields())
 	}
-	if b := h.Bound(api.Position{Term: 1, Offset: 200}, now); b.Age != time.Millisecond {
+	if b := h.Bound(api.Position{Term: 1, Offset: 200}, now); b.Age != time.Millisecond || b.Lag != 0 {
 		t.Errorf("newest: %v", b.Fields())
 	}
 }
