--- a/standin/database/execute.go
+++ b/standin/database/execute.go
@@ -53,8 +53,14 @@
 	rows := 0
 	err = s.db.run(stmt, func(stmt *sqlite.Stmt) error {
 		rows++
+		if err := s.db.checkInterrupt(); err != nil {
+			return err
+		}
 		return sink.row(stmt, p.columns)
 	}, params)
+	if err == nil {
+		err = s.db.checkInterrupt()
+	}
 	if err != nil {
 		return "", err
 	}
--- a/standin/database/helpers_test.go
+++ b/standin/database/helpers_test.go
@@ -15,7 +15,7 @@
 // eventually is the longest that a test waits for something to happen.
 const eventually = 20 * time.Second
 
-func testContext(t *testing.T) context.Context {
+func testContext(t testing.TB) context.Context {
 	t.Helper()
 	ctx, cancel := context.WithTimeout(context.Background(), eventually)
 	t.Cleanup(cancel)
@@ -23,7 +23,7 @@
 }
 
 // startTarget runs a target until the test ends.
-func startTarget(t *testing.T, options Options) *Target {
+func startTarget(t testing.TB, options Options) *Target {
 	t.Helper()
 	if options.Name == "" {
 		options.Name = "a"
@@ -43,7 +43,7 @@
 }
 
 // startGroup runs a primary and two replicas.
-func startGroup(t *testing.T) (primary, second, third *Target) {
+func startGroup(t testing.TB) (primary, second, third *Target) {
 	t.Helper()
 	primary = startTarget(t, Options{Name: "a"})
 	replica := Options{InitialRole: target.RoleReplica, Primary: primary.Address()}
@@ -54,7 +54,7 @@
 	return primary, second, third
 }
 
-func connectPGX(t *testing.T, s *Target) *pgx.Conn {
+func connectPGX(t testing.TB, s *Target) *pgx.Conn {
 	t.Helper()
 	conn, err := pgx.Connect(testContext(t), fmt.Sprintf("postgres://tester@%s/rounds?sslmode=disable", s.Address()))
 	if err != nil {
@@ -64,7 +64,7 @@
 	return conn
 }
 
-func mustExec(t *testing.T, conn *pgx.Conn, sql string, args ...any) {
+func mustExec(t testing.TB, conn *pgx.Conn, sql string, args ...any) {
 	t.Helper()
 	if _, err := conn.Exec(testContext(t), sql, args...); err != nil {
 		t.Fatalf("%s: %v", sql, err)
@@ -72,7 +72,7 @@
 }
 
 // mustQuery returns the single value of a query.
-func mustQuery[T any](t *testing.T, conn *pgx.Conn, sql string, args ...any) T {
+func mustQuery[T any](t testing.TB, conn *pgx.Conn, sql string, args ...any) T {
 	t.Helper()
 	var value T
 	if err := conn.QueryRow(testContext(t), sql, args...).Scan(&value); err != nil {
@@ -82,7 +82,7 @@
 }
 
 // await waits until done holds.
-func await(t *testing.T, what string, done func() bool) {
+func await(t testing.TB, what string, done func() bool) {
 	t.Helper()
 	deadline := time.Now().Add(eventually)
 	for !done() {
@@ -94,7 +94,7 @@
 }
 
 // awaitApplied waits until s has applied what primary has committed.
-func awaitApplied(t *testing.T, s, primary *Target) {
+func awaitApplied(t testing.TB, s, primary *Target) {
 	t.Helper()
 	want := primary.Status().LogPosition()
 	await(t, "replica applies "+want.String(), func() bool {
@@ -102,7 +102,7 @@
 	})
 }
 
-func dialControl(t *testing.T, s *Target) *target.Control {
+func dialControl(t testing.TB, s *Target) *target.Control {
 	t.Helper()
 	c, err := target.DialControl(testContext(t), s.Address(), target.Options{User: "tester"})
 	if err != nil {
@@ -112,7 +112,7 @@
 	return c
 }
 
-func equalJSON(t *testing.T, a, b any) bool {
+func equalJSON(t testing.TB, a, b any) bool {
 	t.Helper()
 	first, err := json.Marshal(a)
 	if err != nil {
--- a/standin/database/sqlconn.go
+++ b/standin/database/sqlconn.go
@@ -150,6 +150,18 @@
 	return err
 }
 
+// checkInterrupt returns the reason when the running statement was interrupted.
+// zombiezen.com/go/sqlite drops errors of functions, so that an interrupted pg_sleep returns a
+// value instead of an error.
+func (c *sqlConn) checkInterrupt() error {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	if c.cancelled {
+		return c.cause
+	}
+	return nil
+}
+
 // interrupted returns the channel that is closed by interrupt.
 func (c *sqlConn) interrupted() <-chan struct{} {
 	c.mu.Lock()
--- a/standin/database/store.go
+++ b/standin/database/store.go
@@ -13,9 +13,6 @@
 // lockTimeout is how long a transaction waits for the write lock.
 const lockTimeout = 2 * time.Second
 
-// internalPrefix marks the tables that do not belong to users.
-const internalPrefix = "standin_"
-
 // schema holds the log and the offset of the last applied record. On a primary the two move
 // together.
 var schema = []string{
