--- a/internal/target/dial.go
+++ b/internal/target/dial.go
@@ -22,6 +22,8 @@
 	User     string
 	Password string
 	Database string
+	// ApplicationName is shown in the session lists of the target; empty is left out.
+	ApplicationName string
 	// TLS asks for an encrypted connection; nil connects in the clear.
 	TLS *tls.Config
 	// DialTimeout bounds connection set-up up to and including authentication; 0 takes 2 s.
--- a/internal/target/startup.go
+++ b/internal/target/startup.go
@@ -48,7 +48,10 @@
 }
 
 func startUpParameters(options Options, parameters map[string]string) map[string]string {
-	merged := make(map[string]string, len(parameters)+2)
+	merged := make(map[string]string, len(parameters)+3)
+	if options.ApplicationName != "" {
+		merged["application_name"] = options.ApplicationName
+	}
 	for name, value := range parameters {
 		merged[name] = value
 	}
--- a/standin/database/faults_test.go
+++ b/standin/database/faults_test.go
@@ -82,7 +82,7 @@
 }
 
 func TestWriteLockTimesOut(t *testing.T) {
-	s := startTarget(t, Options{})
+	s := startTarget(t, Options{LockTimeout: shortSilence})
 	first, second := connectPGX(t, s), connectPGX(t, s)
 	mustExec(t, first, "CREATE TABLE t (id bigint)")
 	mustExec(t, first, "BEGIN")
--- a/standin/database/options.go
+++ b/standin/database/options.go
@@ -21,6 +21,8 @@
 	Slots int
 	// ConnectDelay is how long a connection takes to set up.
 	ConnectDelay time.Duration
+	// LockTimeout bounds the wait for the write lock; 0 takes 2 s.
+	LockTimeout time.Duration
 	// InitialRole, Primary and Term are taken when the data directory is empty.
 	InitialRole target.Role
 	// Primary is the address to stream from; empty leaves a replica waiting for an order.
--- a/standin/database/store.go
+++ b/standin/database/store.go
@@ -10,8 +10,8 @@
 	"zombiezen.com/go/sqlite"
 )
 
-// lockTimeout is how long a transaction waits for the write lock.
-const lockTimeout = 2 * time.Second
+// defaultLockTimeout is how long a transaction waits for the write lock.
+const defaultLockTimeout = 2 * time.Second
 
 // schema holds the log and the offset of the last applied record. On a primary the two move
 // together.
@@ -26,7 +26,8 @@
 type store struct {
 	path string
 	// lock holds one token; who has it may write.
-	lock chan struct{}
+	lock        chan struct{}
+	lockTimeout time.Duration
 	// writer is used by replication, under the lock.
 	writer *sqlConn
 	// reader is used by short reads of the log, under readerMu.
@@ -39,11 +40,15 @@
 }
 
 // openStore opens or creates the database file in directory.
-func openStore(directory string) (*store, error) {
+func openStore(directory string, lockTimeout time.Duration) (*store, error) {
 	if err := os.MkdirAll(directory, 0o755); err != nil {
 		return nil, fmt.Errorf("create data directory: %w", err)
 	}
-	s := &store{path: filepath.Join(directory, "rows.sqlite"), lock: make(chan struct{}, 1)}
+	s := &store{
+		path:        filepath.Join(directory, "rows.sqlite"),
+		lock:        make(chan struct{}, 1),
+		lockTimeout: lockTimeout,
+	}
 	var err error
 	if s.writer, err = openConn(s.path); err != nil {
 		return nil, err
@@ -87,14 +92,14 @@
 	s.idle = append(s.idle, c)
 }
 
-// acquire takes the write lock, or fails after lockTimeout or when done is closed.
+// acquire takes the write lock, or fails after the lock timeout or when done is closed.
 func (s *store) acquire(done <-chan struct{}) error {
 	select {
 	case s.lock <- struct{}{}:
 		return nil
 	default:
 	}
-	timer := time.NewTimer(lockTimeout)
+	timer := time.NewTimer(s.lockTimeout)
 	defer timer.Stop()
 	select {
 	case s.lock <- struct{}{}:
--- a/standin/database/target.go
+++ b/standin/database/target.go
@@ -53,7 +53,7 @@
 // New opens the data directory of a target. Start makes it serve.
 func New(options Options) (*Target, error) {
 	options = withDefaults(options)
-	s, err := openStore(options.DataDirectory)
+	s, err := openStore(options.DataDirectory, options.LockTimeout)
 	if err != nil {
 		return nil, err
 	}
@@ -91,6 +91,9 @@
 	if options.InitialRole == "" {
 		options.InitialRole = target.RolePrimary
 	}
+	if options.LockTimeout == 0 {
+		options.LockTimeout = defaultLockTimeout
+	}
 	if options.Term == 0 {
 		options.Term = 1
 	}
