Check that each answer is whole, and follow SET SESSION CHARACTERISTICS

Cause: a fault of the routing side would have reached callers as a second or missing ReadyForQuery; a statement of the session itself inside an open pipeline was passed on; the memory of a batch could be used again while a peer call that had been given up was still sending it; JDBC and psycopg2 set the defaults of transactions in the long form. Ruled out: trusting the runner; copying each batch before a call.

--- a/internal/frontend/answer.go
+++ b/internal/frontend/answer.go
@@ -120,20 +120,20 @@
 	if err := s.requireIdle(strings.ToUpper(st.verb())); err != nil {
 		return localAnswer{}, err
 	}
-	a, err := parseAssignment(st)
+	assignments, err := parseAssignments(st)
 	if err != nil {
 		return localAnswer{}, err
 	}
 	before := s.statuses()
-	if a.name == "" {
-		s.settings.resetAll()
-	} else if err := s.settings.assign(a); err != nil {
-		return localAnswer{}, err
+	for _, a := range assignments {
+		if err := s.settings.assign(a); err != nil {
+			return localAnswer{}, err
+		}
 	}
 	answer := localAnswer{statuses: s.changedStatuses(before)}
 	switch st.kind {
 	case kindSetConfig:
-		answer.column, answer.value, answer.tag = st.answeredColumn(), a.value, "SELECT 1"
+		answer.column, answer.value, answer.tag = st.answeredColumn(), assignments[0].value, "SELECT 1"
 	case kindReset:
 		answer.tag = "RESET"
 	default:
@@ -142,14 +142,23 @@
 	return answer, nil
 }
 
-func parseAssignment(st *statement) (assignment, *result.Error) {
+// parseAssignments reads a SET, RESET or set_config, which changes at least one parameter.
+func parseAssignments(st *statement) ([]assignment, *result.Error) {
+	if isCharacteristics(*st) {
+		return parseCharacteristics(*st)
+	}
+	parse := parseSet
 	switch st.kind {
 	case kindReset:
-		return parseReset(*st)
+		parse = parseReset
 	case kindSetConfig:
-		return parseSetConfig(*st)
+		parse = parseSetConfig
+	}
+	a, err := parse(*st)
+	if err != nil {
+		return nil, err
 	}
-	return parseSet(*st)
+	return []assignment{a}, nil
 }
 
 func (s *session) answerDiscard(st *statement) (localAnswer, error) {
--- a/internal/frontend/assignment.go
+++ b/internal/frontend/assignment.go
@@ -6,9 +6,12 @@
 	"github.com/papayacove/papayacove/internal/result"
 )
 
+// allParameters in the place of a name stands for every parameter.
+const allParameters = ""
+
 // assignment is a SET, RESET or set_config of one run-time parameter.
 type assignment struct {
-	// name is in lower case.
+	// name is in lower case, or allParameters.
 	name  string
 	value string
 	// isDefault is true for SET ... TO DEFAULT and RESET.
@@ -28,9 +31,6 @@
 		return assignment{}, unsupportedSet()
 	}
 	switch {
-	case tokens[0].isWord("characteristics"):
-		return assignment{}, result.Errorf(result.Unsupported,
-			"SET SESSION CHARACTERISTICS is not supported; set default_transaction_read_only or default_transaction_isolation")
 	case tokens[0].isWord("authorization", "role"):
 		return assignment{}, result.Errorf(result.Unsupported, "SET %s is not supported", strings.ToUpper(tokens[0].value))
 	case tokens[0].isWord("time") && tokens[1].isWord("zone"):
@@ -127,7 +127,7 @@
 // parseReset reads RESET name; the name is empty for RESET ALL.
 func parseReset(s statement) (assignment, *result.Error) {
 	if s.at(1).isWord("all") && len(s.tokens) == 2 {
-		return assignment{isDefault: true}, nil
+		return assignment{name: allParameters, isDefault: true}, nil
 	}
 	if s.at(1).isWord("time") && s.at(2).isWord("zone") && len(s.tokens) == 3 {
 		return assignment{name: "timezone", isDefault: true}, nil
--- a/internal/frontend/assignment_test.go
+++ b/internal/frontend/assignment_test.go
@@ -12,27 +12,33 @@
 	if len(q.statements) != 1 || !q.isLocal() {
 		t.Fatalf("%q is not one local statement", text)
 	}
-	return parseAssignment(&q.statements[0])
+	assignments, err := parseAssignments(&q.statements[0])
+	if err != nil {
+		return assignment{}, err
+	}
+	return assignments[0], nil
 }
 
 func TestParseAssignment(t *testing.T) {
 	for text, want := range map[string]assignment{
-		"SET work_mem = '1MB'":                        {name: "work_mem", value: "1MB"},
-		"SET SESSION work_mem TO 4096;":               {name: "work_mem", value: "4096"},
-		"SET extra_float_digits = -1":                 {name: "extra_float_digits", value: "-1"},
-		"SET jit TO off":                              {name: "jit", value: "off"},
-		"SET jit TO DEFAULT":                          {name: "jit", isDefault: true},
-		"SET DateStyle = ISO, DMY":                    {name: "datestyle", value: "iso, dmy"},
-		`SET search_path TO "$user", Public, 'A b'`:   {name: "search_path", value: `"$user", public, "A b"`},
-		"SET SCHEMA 'kelani'":                         {name: "search_path", value: "kelani"},
-		"SET TIME ZONE 'Asia/Colombo'":                {name: "timezone", value: "Asia/Colombo"},
-		"SET TIME ZONE LOCAL":                         {name: "timezone", isDefault: true},
-		"SET NAMES 'utf8'":                            {name: "client_encoding", value: "utf8"},
-		"SET app.user_id = '7'":                       {name: "app.user_id", value: "7"},
-		"SET papayacove.max_staleness = '5s'":         {name: maxStalenessName, value: "5s"},
-		"RESET work_mem":                              {name: "work_mem", isDefault: true},
-		"RESET TIME ZONE":                             {name: "timezone", isDefault: true},
-		"RESET ALL":                                   {isDefault: true},
+		"SET work_mem = '1MB'":                      {name: "work_mem", value: "1MB"},
+		"SET SESSION work_mem TO 4096;":             {name: "work_mem", value: "4096"},
+		"SET extra_float_digits = -1":               {name: "extra_float_digits", value: "-1"},
+		"SET jit TO off":                            {name: "jit", value: "off"},
+		"SET jit TO DEFAULT":                        {name: "jit", isDefault: true},
+		"SET DateStyle = ISO, DMY":                  {name: "datestyle", value: "iso, dmy"},
+		`SET search_path TO "$user", Public, 'A b'`: {name: "search_path", value: `"$user", public, "A b"`},
+		"SET SCHEMA 'kelani'":                       {name: "search_path", value: "kelani"},
+		"SET TIME ZONE 'Asia/Colombo'":              {name: "timezone", value: "Asia/Colombo"},
+		"SET TIME ZONE LOCAL":                       {name: "timezone", isDefault: true},
+		"SET NAMES 'utf8'":                          {name: "client_encoding", value: "utf8"},
+		"SET app.user_id = '7'":                     {name: "app.user_id", value: "7"},
+		"SET papayacove.max_staleness = '5s'":       {name: maxStalenessName, value: "5s"},
+		"SET SESSION CHARACTERISTICS AS TRANSACTION READ ONLY, ISOLATION LEVEL SERIALIZABLE": {name: readOnlyName, value: "on"},
+		"SET SESSION CHARACTERISTICS AS TRANSACTION ISOLATION LEVEL READ COMMITTED":          {name: "default_transaction_isolation", value: "read committed"},
+		"RESET work_mem":  {name: "work_mem", isDefault: true},
+		"RESET TIME ZONE": {name: "timezone", isDefault: true},
+		"RESET ALL":       {isDefault: true},
 		"SELECT set_config('Work_Mem', '1MB', false)": {name: "work_mem", value: "1MB"},
 	} {
 		got, err := parseOne(t, text)
@@ -46,7 +52,8 @@
 	for _, text := range []string{
 		"SET ROLE admin",
 		"SET SESSION AUTHORIZATION admin",
-		"SET SESSION CHARACTERISTICS AS TRANSACTION READ ONLY",
+		"SET SESSION CHARACTERISTICS AS TRANSACTION READ SOMETIMES",
+		"SET SESSION CHARACTERISTICS AS TRANSACTION",
 		"SET synchronous_commit = off",
 		"SET standard_conforming_strings = off",
 		"SET client_encoding = 'LATIN1'",
--- /dev/null
+++ b/internal/frontend/check_test.go
@@ -0,0 +1,43 @@
+package frontend
+
+import (
+	"testing"
+
+	"github.com/jackc/pgx/v5/pgproto3"
+	"github.com/papayacove/papayacove/internal/result"
+)
+
+func TestBrokenAnswersAreFound(t *testing.T) {
+	done := appendMessage(nil, &pgproto3.CommandComplete{CommandTag: []byte("SELECT 1")})
+	ready := appendMessage(nil, &pgproto3.ReadyForQuery{TxStatus: StatusIdle})
+	failed := result.Errorf(result.AnswerInterrupted, "lost")
+	idle, open := Outcome{StatusIdle}, Outcome{StatusOpenPipeline}
+	for name, test := range map[string]struct {
+		runs    [][]byte
+		outcome Outcome
+		err     error
+		isFlush bool
+		holds   bool
+	}{
+		"whole":                 {runs: [][]byte{done, ready}, outcome: idle, holds: true},
+		"flush":                 {runs: [][]byte{done}, outcome: open, isFlush: true, holds: true},
+		"error":                 {runs: [][]byte{done}, err: failed, holds: true},
+		"no end":                {runs: [][]byte{done}, outcome: idle},
+		"two ends":              {runs: [][]byte{ready, ready}, outcome: idle},
+		"answer after the end":  {runs: [][]byte{append(ready[:len(ready):len(ready)], done...)}, outcome: idle},
+		"part of a message":     {runs: [][]byte{done[:7]}, err: failed},
+		"end of a flush":        {runs: [][]byte{done, ready}, outcome: open, isFlush: true},
+		"end before an error":   {runs: [][]byte{done, ready}, err: failed},
+		"status does not agree": {runs: [][]byte{done, ready}, outcome: Outcome{StatusTransaction}},
+	} {
+		check := answerCheck{write: func([]byte) error { return nil }}
+		for _, run := range test.runs {
+			if check.emit(run) != nil {
+				break
+			}
+		}
+		if got := check.verify(test.outcome, test.err, test.isFlush) == nil; got != test.holds {
+			t.Errorf("%s: holds = %v, want %v", name, got, test.holds)
+		}
+	}
+}
--- a/internal/frontend/classify.go
+++ b/internal/frontend/classify.go
@@ -247,7 +247,8 @@
 	case "with":
 		return !scan.locksRows && !scan.selectsInto && !scan.modifies
 	case "show":
-		return true
+		// Clients ask for these to find out whether they can write.
+		return !s.at(1).isWord("transaction_read_only", "in_hot_standby")
 	case "explain":
 		return !scan.analyzes
 	case "begin", "start":
--- a/internal/frontend/classify_test.go
+++ b/internal/frontend/classify_test.go
@@ -17,6 +17,8 @@
 		"SELECT 1":          read,
 		" /* a /* nested */ b */ select 1; table t ; values (1)":    read,
 		"(SELECT 1) UNION (SELECT 2)":                               read,
+		"SHOW transaction_read_only":                                write,
+		"SELECT pg_is_in_recovery()":                                write,
 		"SHOW TimeZone":                                             read,
 		"EXPLAIN SELECT 1":                                          read,
 		"EXPLAIN (ANALYZE) DELETE FROM t":                           write,
@@ -140,7 +142,7 @@
 		for i := range q.statements {
 			s := &q.statements[i]
 			if s.kind == kindSet || s.kind == kindReset || s.kind == kindSetConfig {
-				_, _ = parseAssignment(s)
+				_, _ = parseAssignments(s)
 			}
 			_ = s.answeredColumn()
 		}
--- a/internal/frontend/collector.go
+++ b/internal/frontend/collector.go
@@ -40,6 +40,9 @@
 	beginsBlock bool
 	endsBlock   bool
 	hints       hints
+	// isHandedOver is true once a runner has seen the messages. Their memory is not used again,
+	// since a runner that has given up on a call may still be sending them.
+	isHandedOver bool
 }
 
 var collectors = sync.Pool{New: func() any { return new(collector) }}
@@ -52,7 +55,7 @@
 // still refer to the former.
 func (c *collector) release() {
 	messages := c.messages[:0]
-	if cap(messages) > maxPooledBatchBytes {
+	if c.isHandedOver || cap(messages) > maxPooledBatchBytes {
 		messages = nil
 	}
 	steps := c.steps[:0]
--- a/internal/frontend/extended.go
+++ b/internal/frontend/extended.go
@@ -63,7 +63,7 @@
 	case 'C':
 		err = s.collectClose(c)
 	}
-	if err == nil && c.hasLocal && c.hasForward {
+	if err == nil && c.hasLocal && (c.hasForward || s.status == StatusOpenPipeline) {
 		err = result.Errorf(result.Unsupported,
 			"SET and other statements that the proxy answers cannot share a pipeline with statements that it passes on")
 	}
--- a/internal/frontend/extended_test.go
+++ b/internal/frontend/extended_test.go
@@ -155,3 +155,19 @@
 		t.Errorf("application_name = %q", got)
 	}
 }
+
+func TestQueryCannotEndALocalPipeline(t *testing.T) {
+	runner := newFakeRunner()
+	c := dial(t, startServer(t, runner, nil), nil)
+	c.expect("error:0A000 ready:I", parse("", "SET jit = off"), bind(""), execute(), &pgproto3.Query{String: "SELECT 1"})
+	c.send(parse("", "SELECT 1"), bind(""), execute(), &pgproto3.Flush{})
+	for range 4 {
+		c.receive()
+	}
+	c.expect("error:0A000 ready:I", parse("", "SET jit = off"), bind(""), execute(), syncAll())
+	for _, batch := range runner.recorded() {
+		if strings.Contains(string(batch.Messages), "SET jit") {
+			t.Error("a SET was passed on")
+		}
+	}
+}
--- a/internal/frontend/flush.go
+++ b/internal/frontend/flush.go
@@ -17,7 +17,7 @@
 	}
 	// Later messages of the pipeline may write, and they run where this batch runs.
 	s.collected.hasWrite = true
-	failed, err := s.forward(ctx)
+	failed, err := s.forwardTo(ctx, &answerCheck{write: s.write}, true)
 	s.skipsToSync = failed
 	return err
 }
@@ -32,34 +32,8 @@
 	}
 	c := s.collected
 	c.messages = append(c.messages[:c.last], sync...)
-	filter := preparationFilter{write: s.write}
-	failed, err := s.forwardTo(ctx, filter.emit)
-	s.skipsToSync = failed || filter.hasFailed
+	check := &answerCheck{write: s.write, hidesReady: true}
+	failed, err := s.forwardTo(ctx, check, false)
+	s.skipsToSync = failed || check.hasFailed
 	return err
 }
-
-// preparationFilter takes ReadyForQuery out of the answers and notes errors.
-type preparationFilter struct {
-	write     func([]byte) error
-	hasFailed bool
-}
-
-// emit relies on ReadyForQuery being the last message.
-func (f *preparationFilter) emit(messages []byte) error {
-	end := 0
-	for remaining := messages; len(remaining) > 0; {
-		first, rest, err := cutMessage(remaining)
-		if err != nil {
-			return err
-		}
-		f.hasFailed = f.hasFailed || first[0] == 'E'
-		if first[0] != 'Z' {
-			end += len(first)
-		}
-		remaining = rest
-	}
-	if end == 0 {
-		return nil
-	}
-	return f.write(messages[:end])
-}
--- a/internal/frontend/hints.go
+++ b/internal/frontend/hints.go
@@ -49,6 +49,14 @@
 	}
 }
 
+// check returns why the options cannot be used.
+func (h hints) check() *result.Error {
+	if h.err != nil {
+		return h.err
+	}
+	return checkOperationKey(h.operationKey)
+}
+
 // parseMaxStaleness reads a duration such as 5s or 250ms, or off.
 func parseMaxStaleness(text string) (time.Duration, *result.Error) {
 	if strings.EqualFold(text, "off") {
--- a/internal/frontend/memory_test.go
+++ b/internal/frontend/memory_test.go
@@ -1,6 +1,8 @@
 package frontend
 
 import (
+	"crypto/tls"
+	"io"
 	"net"
 	"runtime"
 	"testing"
@@ -9,15 +11,27 @@
 )
 
 const (
-	idleConnections = 2000
+	idleConnections          = 2000
+	idleEncryptedConnections = 400
 	// maxIdleBytes is the memory that an idle caller connection may hold.
 	maxIdleBytes = 24 << 10
 )
 
-// TestIdleConnectionMemory opens idle sessions that have each run a query, and measures heap and
-// stacks for each, which include the client's end.
 func TestIdleConnectionMemory(t *testing.T) {
-	server := startServer(t, newFakeRunner(), func(o *Options) { o.Limits.MaxUnauthenticatedConnections = idleConnections })
+	measureIdle(t, idleConnections, nil)
+}
+
+func TestIdleEncryptedConnectionMemory(t *testing.T) {
+	measureIdle(t, idleEncryptedConnections, selfSigned(t))
+}
+
+// measureIdle opens idle sessions that have each run a query, and measures heap and stacks for
+// each, which include the client's end of the connection.
+func measureIdle(t *testing.T, count int, config *tls.Config) {
+	server := startServer(t, newFakeRunner(), func(o *Options) {
+		o.TLS = config
+		o.Limits.MaxUnauthenticatedConnections = count
+	})
 	startup, err := (&pgproto3.StartupMessage{
 		ProtocolVersion: pgproto3.ProtocolVersion30,
 		Parameters:      map[string]string{"user": "crew", "database": "kelani.rounds"},
@@ -30,12 +44,12 @@
 		t.Fatal(err)
 	}
 	before := memoryInUse()
-	conns := make([]net.Conn, idleConnections)
+	conns := make([]net.Conn, count)
 	for i := range conns {
 		conns[i] = openIdle(t, server, query)
 	}
-	perConnection := (memoryInUse() - before) / idleConnections
-	t.Logf("%d idle connections hold %d bytes each", idleConnections, perConnection)
+	perConnection := (memoryInUse() - before) / uint64(count)
+	t.Logf("%d idle connections hold %d bytes each", count, perConnection)
 	if perConnection > maxIdleBytes {
 		t.Errorf("an idle connection holds %d bytes, more than %d", perConnection, maxIdleBytes)
 	}
@@ -51,10 +65,14 @@
 	if err != nil {
 		t.Fatal(err)
 	}
-	if _, err := conn.Write(messages); err != nil {
+	stream := net.Conn(conn)
+	if server.options.TLS != nil {
+		stream = encrypt(t, conn)
+	}
+	if _, err := stream.Write(messages); err != nil {
 		t.Fatal(err)
 	}
-	frontend := pgproto3.NewFrontend(conn, conn)
+	frontend := pgproto3.NewFrontend(stream, stream)
 	for ready := 0; ready < 2; {
 		message, err := frontend.Receive()
 		if err != nil {
@@ -67,6 +85,23 @@
 	return conn
 }
 
+// encrypt asks for TLS. The caller keeps only the connection below, so that the client's half of
+// the encryption is not measured.
+func encrypt(t *testing.T, conn net.Conn) net.Conn {
+	t.Helper()
+	request, err := (&pgproto3.SSLRequest{}).Encode(nil)
+	if err != nil {
+		t.Fatal(err)
+	}
+	if _, err := conn.Write(request); err != nil {
+		t.Fatal(err)
+	}
+	if _, err := io.ReadFull(conn, make([]byte, 1)); err != nil {
+		t.Fatal(err)
+	}
+	return tls.Client(conn, &tls.Config{InsecureSkipVerify: true})
+}
+
 // memoryInUse returns the bytes of live heap objects and stacks.
 func memoryInUse() uint64 {
 	// Stacks shrink by half at each collection.
--- a/internal/frontend/prepared.go
+++ b/internal/frontend/prepared.go
@@ -56,8 +56,8 @@
 	if reason := q.refusal(); reason != "" {
 		return preparedStatement{}, result.Errorf(result.Unsupported, "%s", reason)
 	}
-	if q.hints.err != nil {
-		return preparedStatement{}, q.hints.err
+	if err := q.hints.check(); err != nil {
+		return preparedStatement{}, err
 	}
 	p := preparedStatement{
 		definition: definition{query: text, oids: encodeOIDs(oids)},
--- a/internal/frontend/run.go
+++ b/internal/frontend/run.go
@@ -22,18 +22,22 @@
 // forward runs the collected batch on a target. It returns true when the batch failed and the caller
 // has been told by an ErrorResponse; an error ends the session.
 func (s *session) forward(ctx context.Context) (bool, error) {
-	return s.forwardTo(ctx, s.write)
+	return s.forwardTo(ctx, &answerCheck{write: s.write}, false)
 }
 
-// forwardTo runs the collected batch like forward and passes the answers to emit.
-func (s *session) forwardTo(ctx context.Context, emit func([]byte) error) (bool, error) {
+// forwardTo runs the collected batch like forward and passes the answers through check.
+func (s *session) forwardTo(ctx context.Context, check *answerCheck, isFlush bool) (bool, error) {
 	c := s.collected
+	c.isHandedOver = true
 	batch := s.batchOf(c)
 	s.logBatch(batch)
-	outcome, err := s.execute(ctx, batch, emit)
+	outcome, err := s.execute(ctx, batch, check.emit)
 	if s.writeError != nil {
 		return false, s.writeError
 	}
+	if broken := check.verify(outcome, err, isFlush); broken != nil {
+		return false, broken
+	}
 	if err == nil {
 		s.noteOutcome(c, batch, outcome)
 		return false, nil
--- a/internal/frontend/scan.go
+++ b/internal/frontend/scan.go
@@ -47,6 +47,7 @@
 	"pg_current_wal_lsn":               true,
 	"pg_current_wal_insert_lsn":        true,
 	"pg_current_xact_id":               true,
+	"pg_is_in_recovery":                true,
 	"lo_create":                        true,
 	"lo_creat":                         true,
 	"lo_import":                        true,
--- a/internal/frontend/settings.go
+++ b/internal/frontend/settings.go
@@ -38,6 +38,9 @@
 // assign applies a SET, RESET or set_config.
 func (s *sessionSettings) assign(a assignment) *result.Error {
 	switch a.name {
+	case allParameters:
+		s.resetAll()
+		return nil
 	case maxStalenessName:
 		return s.assignMaxStaleness(a)
 	case operationKeyName:
--- a/internal/frontend/simple.go
+++ b/internal/frontend/simple.go
@@ -59,14 +59,12 @@
 	if reason := q.refusal(); reason != "" {
 		return result.Errorf(result.Unsupported, "%s", reason)
 	}
-	if q.hints.err != nil {
-		return q.hints.err
-	}
-	if err := checkOperationKey(q.hints.operationKey); err != nil {
+	if err := q.hints.check(); err != nil {
 		return err
 	}
-	if q.isLocal() && len(s.collected.steps) > 0 || q.isLocal() && s.collected.hasForward {
-		return result.Errorf(result.Unsupported, "a Query that the proxy answers cannot end a pipeline")
+	c := s.collected
+	if c.hasLocal || q.isLocal() && (c.hasForward || s.status == StatusOpenPipeline) {
+		return result.Errorf(result.Unsupported, "a Query cannot end a pipeline with statements that the proxy answers")
 	}
 	return nil
 }
