--- /dev/null
+++ b/internal/policy/retry/retry_test.go
@@ -0,0 +1,73 @@
+package retry
+
+import (
+	"testing"
+	"time"
+
+	"github.com/papayacove/papayacove/internal/result"
+)
+
+var start = time.Unix(1_000_000, 0)
+
+func TestFailed(t *testing.T) {
+	cases := []struct {
+		name    string
+		access  Access
+		failure Failure
+		again   bool
+		reason  Reason
+	}{
+		{"write while there is no primary", Write, Failure{Code: result.NotRunNoPrimary}, true, ReasonNothingRan},
+		{"write with an unknown outcome", Write, Failure{Code: result.OutcomeUnknown}, false, ReasonMayHaveRun},
+		{"write with an interrupted answer", Write, Failure{Code: result.AnswerInterrupted}, false, ReasonMayHaveRun},
+		{"write of a lost transaction", Write, Failure{Code: result.TransactionLost}, false, ReasonFinal},
+		{"write that ran before", Write, Failure{Code: result.AlreadyRan}, false, ReasonFinal},
+		{"write refused for overload", Write, Failure{Code: result.NotRunOverloaded}, false, ReasonFinal},
+		{"read behind", Read, Failure{Code: result.NotRunBehind}, true, ReasonNothingRan},
+		{"read with a lost answer", Read, Failure{Code: result.OutcomeUnknown}, true, ReasonIdempotent},
+		{"read with a part of the answer sent", Read, Failure{Code: result.AnswerInterrupted, RowsSent: true}, false, ReasonRowsSent},
+		{"read that writes", Read, Failure{Code: result.NotRunReadOnly}, false, ReasonFinal},
+	}
+	for _, c := range cases {
+		d := Policy{}.New(c.access, start.Add(time.Minute), start).Failed(c.failure, start)
+		if d.Again != c.again || d.Reason != c.reason || d.Again != (d.Pause > 0) {
+			t.Errorf("%s: got %v", c.name, d.Fields())
+		}
+		if wantRetryAfter := !c.again && c.failure.Code.IsNotRun(); wantRetryAfter != (d.RetryAfter > 0) {
+			t.Errorf("%s: retry after %s", c.name, d.RetryAfter)
+		}
+	}
+}
+
+// TestWriteIsRepeatedOnlyWhenNothingRan checks every result code.
+func TestWriteIsRepeatedOnlyWhenNothingRan(t *testing.T) {
+	for _, definition := range result.Definitions {
+		d := Policy{}.New(Write, start.Add(time.Minute), start).Failed(Failure{Code: definition.Code}, start)
+		if d.Again && !definition.Code.IsNotRun() {
+			t.Errorf("%s is repeated", definition.Name)
+		}
+	}
+}
+
+func TestPausesDoubleUntilTheWindowEnds(t *testing.T) {
+	policy := Policy{Window: 100 * time.Millisecond, FirstPause: 10 * time.Millisecond, LastPause: 30 * time.Millisecond}
+	r := policy.New(Write, start.Add(time.Minute), start)
+	now := start
+	var pauses []time.Duration
+	d := r.Failed(Failure{Code: result.NotRunNoPrimary}, now)
+	for d.Again {
+		pauses = append(pauses, d.Pause/time.Millisecond)
+		now = now.Add(d.Pause)
+		d = r.Failed(Failure{Code: result.NotRunNoPrimary}, now)
+	}
+	if len(pauses) != 4 || pauses[0] != 10 || pauses[1] != 20 || pauses[3] != 30 || d.Reason != ReasonWindowEnded {
+		t.Errorf("pauses %v, ended with %v", pauses, d.Fields())
+	}
+}
+
+func TestDeadlineEndsTheWindow(t *testing.T) {
+	r := Policy{}.New(Write, start.Add(5*time.Millisecond), start)
+	if d := r.Failed(Failure{Code: result.NotRunNoPrimary, RetryAfter: time.Second}, start); d.Again || d.RetryAfter != time.Second {
+		t.Errorf("got %v", d.Fields())
+	}
+}
