--- /dev/null
+++ b/standin/database/group_test.go
@@ -0,0 +1,193 @@
+package database
+
+import (
+	"flag"
+	"slices"
+	"strconv"
+	"testing"
+	"time"
+
+	"github.com/jackc/pgx/v5"
+	"pgregory.net/rapid"
+
+	"github.com/papayacove/papayacove/api"
+	"github.com/papayacove/papayacove/internal/target"
+)
+
+// groupChecks is the number of histories that are tried.
+const groupChecks = 20
+
+// confirmationLimit is how long a write may wait for a replica.
+const confirmationLimit = 30 * time.Millisecond
+
+// history drives a group through writes, cuts and failovers, as gates and controllers do.
+type history struct {
+	t       *testing.T
+	targets []*Target
+	primary int
+	term    uint64
+	nextID  int64
+	// confirmed holds the ids of the writes that a majority has.
+	confirmed []int64
+}
+
+func newHistory(t *testing.T) *history {
+	first, second, third := startGroup(t)
+	h := &history{t: t, targets: []*Target{first, second, third}, term: 1}
+	h.exec("CREATE TABLE t (id bigint PRIMARY KEY, r double precision)")
+	for _, s := range h.targets {
+		awaitApplied(t, s, first)
+	}
+	return h
+}
+
+// exec runs a statement on the primary.
+func (h *history) exec(sql string, args ...any) error {
+	ctx := testContext(h.t)
+	conn, err := pgx.Connect(ctx, "postgres://tester@"+h.targets[h.primary].Address()+"/rounds?sslmode=disable")
+	if err != nil {
+		return err
+	}
+	defer conn.Close(ctx)
+	_, err = conn.Exec(ctx, sql, args...)
+	return err
+}
+
+// write inserts a row, and waits for one replica as a gate does.
+func (h *history) write() {
+	h.nextID++
+	if err := h.exec("INSERT INTO t (id, r) VALUES ($1, random())", h.nextID); err != nil {
+		h.t.Fatalf("write on the primary: %v", err)
+	}
+	position := h.targets[h.primary].Status().LogPosition()
+	for i, s := range h.targets {
+		if i == h.primary {
+			continue
+		}
+		s.waitUntil(confirmationLimit, func() bool { return holds(s.Status(), position) })
+		if holds(s.Status(), position) {
+			h.confirmed = append(h.confirmed, h.nextID)
+			return
+		}
+	}
+}
+
+// holds reports whether the status shows a target that has the record at position.
+func holds(status target.Status, position api.Position) bool {
+	return status.Term == position.Term && status.LogTerm == position.Term && status.Received >= position.Offset
+}
+
+// cut separates target i from the streams of the others.
+func (h *history) cut(i int) {
+	h.targets[i].SetKnobs(Knobs{CutFrom: []string{"a", "b", "c"}})
+}
+
+func (h *history) heal(i int) {
+	h.targets[i].SetKnobs(Knobs{})
+}
+
+// failOver fences all targets but one, promotes the best of them and lets the other one follow.
+func (h *history) failOver(leftOut int) {
+	h.term++
+	best, follower := -1, -1
+	for i, s := range h.targets {
+		if i == leftOut {
+			continue
+		}
+		if _, err := s.Fence(h.term); err != nil {
+			h.t.Fatalf("fence: %v", err)
+		}
+		follower = i
+		if best < 0 || s.Status().LogPosition().Compare(h.targets[best].Status().LogPosition()) > 0 {
+			best = i
+		}
+	}
+	if follower == best {
+		follower = 3 - best - leftOut
+	}
+	if _, err := h.targets[best].Promote(h.term); err != nil {
+		h.t.Fatalf("promote: %v", err)
+	}
+	h.primary = best
+	h.follow(follower)
+}
+
+// follow lets target i stream from the primary.
+func (h *history) follow(i int) {
+	if i == h.primary {
+		return
+	}
+	if _, err := h.targets[i].Follow(h.term, h.targets[h.primary].Address()); err != nil {
+		h.t.Fatalf("follow: %v", err)
+	}
+}
+
+// finish heals the group and checks that all targets have the same rows and every confirmed write.
+func (h *history) finish() {
+	for i := range h.targets {
+		h.heal(i)
+		h.follow(i)
+	}
+	primary := h.targets[h.primary]
+	want, err := primary.Dump("t")
+	if err != nil {
+		h.t.Fatal(err)
+	}
+	var ids []int64
+	for _, row := range want.Rows {
+		ids = append(ids, row[0].(int64))
+	}
+	for _, id := range h.confirmed {
+		if !slices.Contains(ids, id) {
+			h.t.Fatalf("confirmed write %d is lost; rows are %v", id, ids)
+		}
+	}
+	for _, s := range h.targets {
+		awaitApplied(h.t, s, primary)
+		got, err := s.Dump("t")
+		if err != nil || !equalJSON(h.t, got, want) {
+			h.t.Fatalf("%s has %v, %v, want %v", s.options.Name, got, err, want)
+		}
+	}
+}
+
+// setRapid sets a flag of rapid until the test ends.
+func setRapid(t *testing.T, name, value string) {
+	t.Helper()
+	old := flag.Lookup(name).Value.String()
+	if err := flag.Set(name, value); err != nil {
+		t.Fatal(err)
+	}
+	t.Cleanup(func() { flag.Set(name, old) })
+}
+
+// Writes that one replica has received survive every failover that fences a majority, and in the
+// end all targets hold the same rows.
+func TestConfirmedWritesSurviveFailovers(t *testing.T) {
+	setRapid(t, "rapid.checks", strconv.Itoa(groupChecks))
+	setRapid(t, "rapid.seed", "1")
+	rapid.Check(t, func(r *rapid.T) {
+		h := newHistory(t)
+		for range rapid.IntRange(5, 25).Draw(r, "steps") {
+			i := rapid.IntRange(0, len(h.targets)-1).Draw(r, "target")
+			switch rapid.SampledFrom([]string{"write", "write", "write", "cut", "heal", "follow", "fail over", "lose primary"}).Draw(r, "step") {
+			case "write":
+				h.write()
+			case "cut":
+				h.cut(i)
+			case "heal":
+				h.heal(i)
+			case "follow":
+				h.follow(i)
+			case "fail over":
+				h.failOver(i)
+			case "lose primary":
+				h.failOver(h.primary)
+			}
+		}
+		h.finish()
+		for _, s := range h.targets {
+			s.Close()
+		}
+	})
+}
