--- a/internal/frontend/collector.go
+++ b/internal/frontend/collector.go
@@ -41,7 +41,7 @@
 	endsBlock   bool
 	hints       hints
 	// isHandedOver is true once a runner has seen the messages. Their memory is not used again,
-	// since a runner that has given up on a call may still be sending them.
+	// since a peer call that was abandoned may still be sending them.
 	isHandedOver bool
 }
 
--- a/internal/frontend/failure.go
+++ b/internal/frontend/failure.go
@@ -13,7 +13,7 @@
 	severityFatal = "FATAL"
 )
 
-// SQLSTATE codes of errors that a PostgreSQL server would give in the same words.
+// SQLSTATE codes of errors that a PostgreSQL server reports itself.
 const (
 	sqlStateAdminShutdown        = "57P01"
 	sqlStateInFailedTransaction  = "25P02"
@@ -23,7 +23,7 @@
 	failedTransactionExplanation = "current transaction is aborted, commands ignored until end of transaction block"
 )
 
-// failure is an error that is told to the caller in the words of PostgreSQL.
+// failure is an error with an SQLSTATE and message of PostgreSQL in place of a result code.
 type failure struct {
 	sqlState string
 	message  string
--- a/internal/frontend/lifecycle_test.go
+++ b/internal/frontend/lifecycle_test.go
@@ -3,6 +3,8 @@
 import (
 	"context"
 	"errors"
+	"sync"
+	"sync/atomic"
 	"testing"
 
 	"github.com/jackc/pgx/v5/pgproto3"
@@ -124,3 +126,46 @@
 		}
 	}
 }
+
+// TestDrainAnswersWhatItRuns stops a server under load. Every batch that ran must have been
+// answered, and every request that was not answered must not have run.
+func TestDrainAnswersWhatItRuns(t *testing.T) {
+	const callers, requestsBeforeDrain = 16, 400
+	runner := newFakeRunner()
+	server := startServer(t, runner, nil)
+	var answered atomic.Int64
+	group := sync.WaitGroup{}
+	for range callers {
+		c := dial(t, server, nil)
+		group.Go(func() {
+			for c.insert() {
+				answered.Add(1)
+			}
+		})
+	}
+	waitFor(t, func() bool { return answered.Load() >= requestsBeforeDrain })
+	if err := server.Drain(context.Background()); err != nil {
+		t.Error(err)
+	}
+	group.Wait()
+	if ran := len(runner.recorded()); int64(ran) != answered.Load() {
+		t.Errorf("%d batches ran and %d were answered", ran, answered.Load())
+	}
+}
+
+// insert runs one statement and returns whether it was answered as a whole.
+func (c *client) insert() bool {
+	c.Send(&pgproto3.Query{String: "INSERT INTO t VALUES (1)"})
+	if c.Flush() != nil {
+		return false
+	}
+	for {
+		message, err := c.Receive()
+		if err != nil {
+			return false
+		}
+		if _, isReady := message.(*pgproto3.ReadyForQuery); isReady {
+			return true
+		}
+	}
+}
--- a/internal/frontend/open.go
+++ b/internal/frontend/open.go
@@ -12,7 +12,7 @@
 	"github.com/sirupsen/logrus"
 )
 
-// openSession authenticates the caller, opens the session and tells the caller that it may begin.
+// openSession authenticates the caller, opens the session and sends the greeting.
 func (s *Server) openSession(conn net.Conn, request startup) (*session, error) {
 	if request.negotiate != nil {
 		if _, err := conn.Write(appendMessage(nil, request.negotiate)); err != nil {
@@ -85,7 +85,7 @@
 	return nil
 }
 
-// openError makes every error of the routing side one that can be told to the caller.
+// openError makes every error of the routing side one that can be sent to the caller.
 func openError(err error) error {
 	var e *result.Error
 	if errors.As(err, &e) {
@@ -94,7 +94,7 @@
 	return result.Errorf(result.Internal, "the session could not be opened")
 }
 
-// greet tells the caller that it may begin. A failure shows at the first read.
+// greet sends the greeting. A failure shows at the first read.
 func (s *session) greet() {
 	if err := s.write(s.greeting()); err != nil {
 		return
--- a/internal/frontend/options.go
+++ b/internal/frontend/options.go
@@ -29,7 +29,7 @@
 	keepAliveCount = 4
 	// acceptRetryDelay is waited after a failed accept, such as one without a file descriptor.
 	acceptRetryDelay = 50 * time.Millisecond
-	// maxRefusalsInProgress bounds the connections that are being told of a refusal.
+	// maxRefusalsInProgress bounds the refusals that are being sent.
 	maxRefusalsInProgress = 64
 	// refusalLinger is the time that a refused caller has to read the answer.
 	refusalLinger = 500 * time.Millisecond
--- a/internal/frontend/refusal.go
+++ b/internal/frontend/refusal.go
@@ -8,7 +8,7 @@
 	"github.com/papayacove/papayacove/internal/result"
 )
 
-// refuseConnection tells a caller at once that there is no room, and closes the connection.
+// refuseConnection answers TooManyConnections at once and closes the connection.
 func (s *Server) refuseConnection(conn net.Conn) {
 	counters.Add("refused_unauthenticated", 1)
 	select {
--- a/internal/frontend/run.go
+++ b/internal/frontend/run.go
@@ -20,7 +20,7 @@
 }
 
 // forward runs the collected batch on a target. It returns true when the batch failed and the caller
-// has been told by an ErrorResponse; an error ends the session.
+// has an ErrorResponse; an error ends the session.
 func (s *session) forward(ctx context.Context) (bool, error) {
 	return s.forwardTo(ctx, &answerCheck{write: s.write}, false)
 }
@@ -56,7 +56,7 @@
 	return s.runner.Run(ctx, batch, emit)
 }
 
-// batchOf makes the batch for the runner and uses up the operation key.
+// batchOf makes the batch for the runner and consumes the operation key.
 func (s *session) batchOf(c *collector) *Batch {
 	batch := &Batch{
 		Messages:      c.messages,
@@ -129,7 +129,7 @@
 	}
 }
 
-// refuse answers a message that cannot run and gives up what is open on the target, since
+// refuse answers a message that cannot run and rolls back what is open on the target, since
 // PostgreSQL lets no transaction go on after an error.
 func (s *session) refuse(ctx context.Context, err error) error {
 	counters.Add("statements_refused", 1)
--- a/internal/frontend/scan.go
+++ b/internal/frontend/scan.go
@@ -5,6 +5,9 @@
 // maxLeadingTokens is the number of tokens of a statement that are kept.
 const maxLeadingTokens = 48
 
+// expectedTokens is the number of tokens for which memory is taken at once.
+const expectedTokens = 16
+
 // statementScan collects what classification needs from the tokens of one statement.
 type statementScan struct {
 	tokens       []token
@@ -72,7 +75,7 @@
 
 // scanStatement reads the tokens up to the next semicolon or the end of the text.
 func scanStatement(t *tokenizer) *statementScan {
-	scan := &statementScan{}
+	scan := &statementScan{tokens: make([]token, 0, expectedTokens)}
 	var previous, beforePrevious token
 	for {
 		current := t.next()
--- a/internal/frontend/session.go
+++ b/internal/frontend/session.go
@@ -146,7 +146,7 @@
 	return err
 }
 
-// extendWait leaves an idle session that is being stopped a last moment to be read from.
+// extendWait allows one more read of lastReadTimeout for an idle session that is being stopped.
 func (s *session) extendWait() bool {
 	st := &s.stopping
 	st.mutex.Lock()
--- a/internal/frontend/simple.go
+++ b/internal/frontend/simple.go
@@ -130,7 +130,7 @@
 	return &failure{sqlStateInFailedTransaction, failedTransactionExplanation}
 }
 
-// handleFunctionCall refuses the fast-path interface, which clients have long given up.
+// handleFunctionCall refuses the fast-path interface, which current clients do not use.
 func (s *session) handleFunctionCall(ctx context.Context) error {
 	if s.skipsToSync {
 		s.dropLast()
--- a/internal/frontend/startup.go
+++ b/internal/frontend/startup.go
@@ -37,7 +37,7 @@
 }
 
 // startUp runs the start-up of one connection. Session and error are both nil when the connection
-// has served its purpose, for example after a cancel request. Errors have been told to the caller.
+// ends without a session, for example after a cancel request. Errors have been sent to the caller.
 func (s *Server) startUp(conn net.Conn) (*session, error) {
 	secured, request, err := s.receiveStartup(conn)
 	if err != nil {
@@ -53,7 +53,7 @@
 	return session, nil
 }
 
-// refuseStartup tells the caller why its session does not start and returns the reason.
+// refuseStartup sends the reason why the session does not start, and returns it.
 func (s *Server) refuseStartup(conn net.Conn, err error) error {
 	if s.sessions.isStopping() {
 		err = &failure{sqlStateAdminShutdown, "the daemon is being stopped"}
@@ -66,7 +66,7 @@
 	return err
 }
 
-// isConnectionLoss reports whether there is nobody left to tell.
+// isConnectionLoss reports whether the connection has failed, so that no error can be sent.
 func isConnectionLoss(err error) bool {
 	var e *result.Error
 	var f *failure
--- a/internal/frontend/status.go
+++ b/internal/frontend/status.go
@@ -9,7 +9,7 @@
 // serverVersion is reported to callers; clients derive from it which catalogs they may ask.
 const serverVersion = "16.4 (papayacove)"
 
-// defaultStatuses are the parameters that callers are told of, with their values before any SET.
+// defaultStatuses are the parameters that are reported to callers, with their values before any SET.
 var defaultStatuses = []pgproto3.ParameterStatus{
 	{Name: "server_version", Value: serverVersion},
 	{Name: "server_encoding", Value: "UTF8"},
--- a/internal/frontend/table.go
+++ b/internal/frontend/table.go
@@ -12,7 +12,7 @@
 	"github.com/papayacove/papayacove/internal/result"
 )
 
-// stopLevel says how urgently sessions are to end.
+// stopLevel says when sessions are to end.
 type stopLevel byte
 
 const (
