Never lose an operation key in silence

Cause: a SELECT that calls a writing function was classified as a read and ran without its operation key; a key in a misplaced comment or before a read-only transaction had no effect and no error. Ruled out: keeping a key after a refused transaction (the next one may be another operation, and the first would then be reported as already ran). Change: a pending key sends the next statement that may write to the primary with the key; SHOW, EXPLAIN and read-only blocks leave it; comments whose key would have no effect are refused. Conclusion: a claim made through a function runs at most once.

--- a/internal/frontend/classify.go
+++ b/internal/frontend/classify.go
@@ -58,6 +58,11 @@
 	return s.block == blockBegins && (isExplicit || isDefault && !s.asksReadWrite)
 }
 
+// isHarmless reports whether the statement cannot write whatever functions there are.
+func (s statement) isHarmless() bool {
+	return s.at(0).isWord("show") || s.at(0).isWord("explain") && s.access == api.ExecuteRequestAccessRead
+}
+
 // isLocal reports whether the frontend answers the statement itself.
 func (s statement) isLocal() bool {
 	return s.kind >= kindSet
@@ -92,6 +97,17 @@
 	return api.ExecuteRequestAccessRead
 }
 
+// takesKey reports whether the query may write and so uses an operation key. A SELECT may call a
+// function that writes.
+func (q query) takesKey(isReadOnlySession bool) bool {
+	for _, s := range q.statements {
+		if s.kind == kindForward && !s.opensReadOnly(isReadOnlySession) && !s.isHarmless() {
+			return true
+		}
+	}
+	return false
+}
+
 // refusal returns why the query cannot run, or an empty string.
 func (q query) refusal() string {
 	local := 0
@@ -132,9 +148,12 @@
 	for {
 		scan := scanStatement(&t)
 		if leading {
-			q.hints = parseHints(scan.firstComment)
-			leading = false
+			q.hints = parseHints(scan.hintComment)
+		}
+		if scan.misplacedHint || !leading && scan.hintComment != "" {
+			q.hints.err = errMisplacedHint
 		}
+		leading = false
 		if len(scan.tokens) > 0 {
 			q.statements = append(q.statements, scan.statement())
 		}
--- a/internal/frontend/collector.go
+++ b/internal/frontend/collector.go
@@ -35,6 +35,8 @@
 	hasForward   bool
 	hasWrite     bool
 	hasExecute   bool
+	// takesKey is true when a statement of the batch may write and so uses an operation key.
+	takesKey bool
 	// hasPortal is true when a message binds or names a portal on the target.
 	hasPortal   bool
 	beginsBlock bool
@@ -99,6 +101,7 @@
 	c.noteAccess(p.access)
 	c.beginsBlock = c.beginsBlock || p.block == blockBegins
 	c.endsBlock = c.endsBlock || p.block == blockEnds
+	c.takesKey = c.takesKey || p.takesKey
 	c.hints.merge(p.hints)
 }
 
--- a/internal/frontend/extended.go
+++ b/internal/frontend/extended.go
@@ -134,6 +134,10 @@
 	}
 	delete(c.localPortals, message.DestinationPortal)
 	p.access = s.preparedAccess(p)
+	p.takesKey = p.takesKey && !(p.mayOpenReadOnly && s.settings.isReadOnly())
+	if err := s.checkKey(p.hints, p.takesKey); err != nil {
+		return err
+	}
 	c.use(p)
 	if message.PreparedStatement == "" && c.parsedUnnamed {
 		return nil
--- a/internal/frontend/hints.go
+++ b/internal/frontend/hints.go
@@ -23,11 +23,17 @@
 	err          *result.Error
 }
 
-// parseHints reads a leading comment; comments that do not begin with papayacove carry none.
+// isHintComment reports whether a comment carries options.
+func isHintComment(comment string) bool {
+	fields := strings.Fields(comment)
+	return len(fields) > 0 && fields[0] == ownPrefix
+}
+
+// parseHints reads the options of a comment; an empty one carries none.
 func parseHints(comment string) hints {
 	var h hints
 	fields := strings.Fields(comment)
-	if len(fields) == 0 || fields[0] != ownPrefix {
+	if len(fields) == 0 {
 		return h
 	}
 	for _, field := range fields[1:] {
@@ -49,6 +55,9 @@
 	}
 }
 
+// errMisplacedHint refuses options that would have no effect.
+var errMisplacedHint = result.Errorf(result.Unsupported, "a papayacove comment is allowed only before the first statement")
+
 // check returns why the options cannot be used.
 func (h hints) check() *result.Error {
 	if h.err != nil {
--- a/internal/frontend/prepared.go
+++ b/internal/frontend/prepared.go
@@ -46,6 +46,8 @@
 	hints  hints
 	// mayOpenReadOnly is true for a BEGIN that leaves it to the session whether it is read-only.
 	mayOpenReadOnly bool
+	// takesKey is true when the statement may write and so uses an operation key.
+	takesKey bool
 	// local is set when the frontend answers the statement itself.
 	local *statement
 }
@@ -63,6 +65,7 @@
 		definition: definition{query: text, oids: encodeOIDs(oids)},
 		access:     q.access(),
 		hints:      q.hints,
+		takesKey:   q.takesKey(false),
 	}
 	if len(q.statements) == 1 {
 		p.block = q.statements[0].block
--- a/internal/frontend/run.go
+++ b/internal/frontend/run.go
@@ -67,18 +67,34 @@
 		MaxAge:        noMaxAge,
 		Timeout:       s.server.limits.statement,
 	}
+	if c.hasExecute && c.takesKey && !s.isInReadOnlyBlock() {
+		batch.OperationKey = s.settings.takeOperationKey(c.hints.operationKey)
+	}
+	if batch.OperationKey != "" {
+		// The key is recorded together with the work, which takes the primary.
+		batch.Access = api.ExecuteRequestAccessWrite
+	}
 	if batch.InTransaction {
 		batch.Access = s.block.access
 	}
 	if batch.Access == api.ExecuteRequestAccessRead {
 		batch.MaxAge = s.maxAge(c.hints)
 	}
-	if batch.Access == api.ExecuteRequestAccessWrite && c.hasExecute {
-		batch.OperationKey = s.settings.takeOperationKey(c.hints.operationKey)
-	}
 	return batch
 }
 
+func (s *session) isInReadOnlyBlock() bool {
+	return s.status != StatusIdle && s.block.access == api.ExecuteRequestAccessRead
+}
+
+// checkKey refuses an operation key in a comment that would have no effect.
+func (s *session) checkKey(h hints, takesKey bool) error {
+	if h.operationKey == "" || takesKey && !s.isInReadOnlyBlock() {
+		return nil
+	}
+	return result.Errorf(result.Unsupported, "an operation key needs a statement that may write")
+}
+
 func (s *session) maxAge(h hints) time.Duration {
 	if h.hasMaxAge {
 		return h.maxAge
--- a/internal/frontend/scan.go
+++ b/internal/frontend/scan.go
@@ -10,9 +10,12 @@
 
 // statementScan collects what classification needs from the tokens of one statement.
 type statementScan struct {
-	tokens       []token
-	truncated    bool
-	firstComment string
+	tokens    []token
+	truncated bool
+	// hintComment is the comment before the first token that carries options; empty for none.
+	hintComment string
+	// misplacedHint is true for such a comment in another place.
+	misplacedHint bool
 	// last is true when the text ends with this statement.
 	last bool
 
@@ -95,9 +98,14 @@
 }
 
 func (s *statementScan) comment(t token) {
-	if len(s.tokens) == 0 && s.firstComment == "" {
-		s.firstComment = strings.TrimSpace(t.value)
+	if !isHintComment(t.value) {
+		return
 	}
+	if len(s.tokens) > 0 || s.hintComment != "" {
+		s.misplacedHint = true
+		return
+	}
+	s.hintComment = t.value
 }
 
 func (s *statementScan) add(current, previous, beforePrevious token) {
--- a/internal/frontend/session_test.go
+++ b/internal/frontend/session_test.go
@@ -110,8 +110,18 @@
 func TestOperationKeyIsUsedOnce(t *testing.T) {
 	runner := newFakeRunner()
 	c := dial(t, startServer(t, runner, nil), nil)
+	c.query("SET papayacove.operation_key = 'claim-0'")
+	c.query("SELECT claim(5)")
+	if batch := runner.lastBatch(t); batch.OperationKey != "claim-0" || batch.Access != api.ExecuteRequestAccessWrite {
+		t.Errorf("a function that may write ran with key %q, access %s", batch.OperationKey, batch.Access)
+	}
 	c.query("SET papayacove.operation_key = 'claim-1'")
-	c.query("SELECT 1")
+	for _, text := range []string{"SHOW TimeZone", "BEGIN READ ONLY", "SELECT 1", "COMMIT"} {
+		c.query(text)
+		if key := runner.lastBatch(t).OperationKey; key != "" {
+			t.Errorf("%s used the key", text)
+		}
+	}
 	c.expect("parsed ready:I", parse("s", "INSERT INTO t VALUES (1)"), syncAll())
 	c.expect("bound row:row done:INSERT ready:I", bind("s"), execute(), syncAll())
 	if key := runner.lastBatch(t).OperationKey; key != "claim-1" {
@@ -125,6 +135,14 @@
 	if key := runner.lastBatch(t).OperationKey; key != "claim-2" {
 		t.Errorf("key = %q, want claim-2", key)
 	}
+	for _, text := range []string{
+		"/* papayacove operation_key=k */ SHOW TimeZone",
+		"/* papayacove operation_key=k */ BEGIN READ ONLY",
+		"SELECT 1; /* papayacove operation_key=k */ INSERT INTO t VALUES (4)",
+		"INSERT /* papayacove operation_key=k */ INTO t VALUES (4)",
+	} {
+		expectQuery(t, c, text, "error:0A000 ready:I")
+	}
 	expectQuery(t, c, "SHOW papayacove.outcome", "columns row:committed done:SHOW ready:I")
 	expectQuery(t, c, "SELECT papayacove_outcome('o''clock')", "columns row:committed done:SELECT 1 ready:I")
 	asked := string(runner.lastBatch(t).Messages)
--- a/internal/frontend/simple.go
+++ b/internal/frontend/simple.go
@@ -62,6 +62,9 @@
 	if err := q.hints.check(); err != nil {
 		return err
 	}
+	if err := s.checkKey(q.hints, q.takesKey(s.settings.isReadOnly())); err != nil {
+		return err
+	}
 	c := s.collected
 	if c.hasLocal || q.isLocal() && (c.hasForward || s.status == StatusOpenPipeline) {
 		return result.Errorf(result.Unsupported, "a Query cannot end a pipeline with statements that the proxy answers")
@@ -82,6 +85,7 @@
 	c.hasForward = true
 	c.hasExecute = true
 	c.endsBlock = q.endsBlock()
+	c.takesKey = c.takesKey || q.takesKey(s.settings.isReadOnly())
 	c.hints.merge(q.hints)
 	c.noteAccess(s.effectiveAccess(q))
 }
