--- a/internal/frontend/collector.go
+++ b/internal/frontend/collector.go
@@ -35,13 +35,15 @@
 	hasForward   bool
 	hasWrite     bool
 	hasExecute   bool
+	// takesKey is true when a statement of the batch may write and so uses an operation key.
+	takesKey bool
 	// hasPortal is true when a message binds or names a portal on the target.
 	hasPortal   bool
 	beginsBlock bool
 	endsBlock   bool
 	hints       hints
 	// isHandedOver is true once a runner has seen the messages. Their memory is not used again,
-	// since a runner that has given up on a call may still be sending them.
+	// since a peer call that was abandoned may still be sending them.
 	isHandedOver bool
 }
 
@@ -99,6 +101,7 @@
 	c.noteAccess(p.access)
 	c.beginsBlock = c.beginsBlock || p.block == blockBegins
 	c.endsBlock = c.endsBlock || p.block == blockEnds
+	c.takesKey = c.takesKey || p.takesKey
 	c.hints.merge(p.hints)
 }
 
--- a/internal/frontend/run.go
+++ b/internal/frontend/run.go
@@ -20,7 +20,7 @@
 }
 
 // forward runs the collected batch on a target. It returns true when the batch failed and the caller
-// has been told by an ErrorResponse; an error ends the session.
+// has an ErrorResponse; an error ends the session.
 func (s *session) forward(ctx context.Context) (bool, error) {
 	return s.forwardTo(ctx, &answerCheck{write: s.write}, false)
 }
@@ -56,7 +56,7 @@
 	return s.runner.Run(ctx, batch, emit)
 }
 
-// batchOf makes the batch for the runner and uses up the operation key.
+// batchOf makes the batch for the runner and consumes the operation key.
 func (s *session) batchOf(c *collector) *Batch {
 	batch := &Batch{
 		Messages:      c.messages,
@@ -67,18 +67,34 @@
 		MaxAge:        noMaxAge,
 		Timeout:       s.server.limits.statement,
 	}
+	if c.hasExecute && c.takesKey && !s.isInReadOnlyBlock() {
+		batch.OperationKey = s.settings.takeOperationKey(c.hints.operationKey)
+	}
+	if batch.OperationKey != "" {
+		// The key is recorded together with the work, which takes the primary.
+		batch.Access = api.ExecuteRequestAccessWrite
+	}
 	if batch.InTransaction {
 		batch.Access = s.block.access
 	}
 	if batch.Access == api.ExecuteRequestAccessRead {
 		batch.MaxAge = s.maxAge(c.hints)
 	}
-	if batch.Access == api.ExecuteRequestAccessWrite && c.hasExecute {
-		batch.OperationKey = s.settings.takeOperationKey(c.hints.operationKey)
-	}
 	return batch
 }
 
+func (s *session) isInReadOnlyBlock() bool {
+	return s.status != StatusIdle && s.block.access == api.ExecuteRequestAccessRead
+}
+
+// checkKey refuses an operation key in a comment that would have no effect.
+func (s *session) checkKey(h hints, takesKey bool) error {
+	if h.operationKey == "" || takesKey && !s.isInReadOnlyBlock() {
+		return nil
+	}
+	return result.Errorf(result.Unsupported, "an operation key needs a statement that may write")
+}
+
 func (s *session) maxAge(h hints) time.Duration {
 	if h.hasMaxAge {
 		return h.maxAge
@@ -129,7 +145,7 @@
 	}
 }
 
-// refuse answers a message that cannot run and gives up what is open on the target, since
+// refuse answers a message that cannot run and rolls back what is open on the target, since
 // PostgreSQL lets no transaction go on after an error.
 func (s *session) refuse(ctx context.Context, err error) error {
 	counters.Add("statements_refused", 1)
