Add papayacovectl

Cause: operators declare templates and workspaces, and ask daemons what they decided. Ruled out: detecting concurrent edits by time; an edit carries the version it started from and the platform's conditional update decides. Ruled out: answering a lost change as maybe; while the object is at its old version a late request could still land, so the question rewrites the object unchanged and its answer is final. Change: internal/operator with template, workspace, apply, change, validate, status, explain and keys; exit codes 0 to 4; tests against the stand-in of the platform.

--- /dev/null
+++ b/internal/operator/command.go
@@ -0,0 +1,155 @@
+package operator
+
+import (
+	"context"
+	"crypto/tls"
+	"crypto/x509"
+	"fmt"
+	"io"
+	"os"
+	"os/user"
+	"time"
+
+	"github.com/urfave/cli/v3"
+
+	"github.com/papayacove/papayacove/internal/platform"
+	"github.com/papayacove/papayacove/internal/result"
+)
+
+const defaultTimeout = 10 * time.Second
+
+// Names of the flags that all commands share.
+const (
+	flagPlatform  = "platform"
+	flagAuthority = "platform-authority"
+	flagZone      = "zone"
+	flagOutput    = "output"
+	flagDaemon    = "daemon"
+	flagAuthor    = "author"
+	flagTimeout   = "timeout"
+	flagDryRun    = "dry-run"
+)
+
+// NewCommand returns the papayacovectl command, which reads from in and prints to out.
+func NewCommand(in io.Reader, out io.Writer) *cli.Command {
+	return &cli.Command{
+		Name:                  "papayacovectl",
+		Usage:                 "declare templates and workspaces, and see what the daemons do",
+		Reader:                in,
+		Writer:                out,
+		EnableShellCompletion: true,
+		Flags:                 sharedFlags(),
+		Before:                checkOutput,
+		// The caller of Run turns errors into exit codes.
+		ExitErrHandler: func(context.Context, *cli.Command, error) {},
+		Commands: []*cli.Command{
+			applyCommand(""),
+			kindCommand(platform.KindTemplate),
+			kindCommand(platform.KindWorkspace, setCommand()),
+			changeCommand(),
+			validateCommand(),
+			statusCommand(),
+			explainCommand(),
+			keysCommand(),
+		},
+	}
+}
+
+func sharedFlags() []cli.Flag {
+	return []cli.Flag{
+		&cli.StringFlag{Name: flagPlatform, Usage: "base `URL` of the platform", Sources: cli.EnvVars("PAPAYACOVE_PLATFORM")},
+		&cli.StringFlag{Name: flagAuthority, Usage: "PEM `FILE` of the authority that signs the platform's certificate"},
+		&cli.StringFlag{Name: flagZone, Value: "operator", Usage: "availability `ZONE` that calls come from"},
+		&cli.StringFlag{Name: flagOutput, Value: outputTable, Usage: "table or json"},
+		&cli.StringSliceFlag{Name: flagDaemon, Usage: "admin `ADDRESS` of a daemon to ask instead of all in the platform's VM list"},
+		&cli.StringFlag{Name: flagAuthor, Value: accountName(), Usage: "`NAME` that the history records"},
+		&cli.DurationFlag{Name: flagTimeout, Value: defaultTimeout, Usage: "time for one change or question"},
+		&cli.BoolFlag{Name: flagDryRun, Usage: "show what would change and change nothing"},
+	}
+}
+
+// accountName is the account that runs the command; empty when the system does not tell.
+func accountName() string {
+	account, err := user.Current()
+	if err != nil {
+		return ""
+	}
+	return account.Username
+}
+
+func checkOutput(ctx context.Context, cmd *cli.Command) (context.Context, error) {
+	text := cmd.String(flagOutput)
+	if text != outputTable && text != outputJSON {
+		return ctx, result.Errorf(result.ObjectInvalid, "--output %s: want table or json", text)
+	}
+	return ctx, nil
+}
+
+func outputOf(cmd *cli.Command) output {
+	return output{writer: cmd.Root().Writer, json: cmd.String(flagOutput) == outputJSON}
+}
+
+// clientOf returns a client of the platform that the flags name.
+func clientOf(cmd *cli.Command) (*platform.Client, error) {
+	address := cmd.String(flagPlatform)
+	if address == "" {
+		return nil, result.Errorf(result.ObjectInvalid, "--platform is missing")
+	}
+	config, err := tlsConfig(cmd.String(flagAuthority))
+	if err != nil {
+		return nil, err
+	}
+	return platform.NewClient(platform.Options{
+		URL:     address,
+		Zone:    cmd.String(flagZone),
+		Timeout: min(platform.DefaultTimeout, cmd.Duration(flagTimeout)),
+		TLS:     config,
+	}), nil
+}
+
+// tlsConfig trusts the authority in a PEM file; an empty path keeps those of the system.
+func tlsConfig(path string) (*tls.Config, error) {
+	if path == "" {
+		return nil, nil
+	}
+	content, err := os.ReadFile(path)
+	if err != nil {
+		return nil, fmt.Errorf("read authority: %w", err)
+	}
+	pool := x509.NewCertPool()
+	if !pool.AppendCertsFromPEM(content) {
+		return nil, result.Errorf(result.ObjectInvalid, "%s: no certificate in PEM form", path)
+	}
+	return &tls.Config{RootCAs: pool, MinVersion: tls.VersionTLS12}, nil
+}
+
+// editorOf returns an editor for the platform that the flags name.
+func editorOf(cmd *cli.Command) (*Editor, error) {
+	client, err := clientOf(cmd)
+	if err != nil {
+		return nil, err
+	}
+	return &Editor{
+		Client:  client,
+		Author:  cmd.String(flagAuthor),
+		Timeout: cmd.Duration(flagTimeout),
+		DryRun:  cmd.Bool(flagDryRun),
+		Now:     time.Now,
+	}, nil
+}
+
+// oneArgument returns the only argument of a command.
+func oneArgument(cmd *cli.Command, name string) (string, error) {
+	if cmd.Args().Len() != 1 {
+		return "", result.Errorf(result.ObjectInvalid, "%s: want one argument, %s", cmd.FullName(), name)
+	}
+	return cmd.Args().First(), nil
+}
+
+// someArguments returns the arguments of a command, of which there is at least one.
+func someArguments(cmd *cli.Command, name string) ([]string, error) {
+	if cmd.Args().Len() == 0 {
+		return nil, result.Errorf(result.ObjectInvalid, "%s: want at least one argument, %s", cmd.FullName(), name)
+	}
+	return cmd.Args().Slice(), nil
+}
--- /dev/null
+++ b/internal/operator/document.go
@@ -0,0 +1,109 @@
+package operator
+
+import (
+	"encoding/json"
+	"fmt"
+
+	"github.com/papayacove/papayacove/api"
+	"github.com/papayacove/papayacove/internal/platform"
+	"github.com/papayacove/papayacove/internal/result"
+)
+
+// Document is a template or a workspace as operators declare it.
+type Document interface {
+	// Kind is the object kind on the platform.
+	Kind() string
+	// Title is the name of the object.
+	Title() string
+	// IsDeleted reports whether the object is marked as removed.
+	IsDeleted() bool
+	// Keys are the declared values by path; secrets are replaced by fingerprints.
+	Keys() Keys
+	// Changes is the history, newest first.
+	Changes() []api.ChangeRecord
+	// stamp sets what the platform keeps beside the declared values.
+	stamp(deleted bool, history []api.ChangeRecord)
+	// clone returns a copy that can be edited.
+	clone() Document
+	// file is the form that is written as TOML.
+	file(version uint64, showSecrets bool) any
+}
+
+// templateDocument is a template.
+type templateDocument struct {
+	api.Template
+}
+
+func (d *templateDocument) Kind() string                { return platform.KindTemplate }
+func (d *templateDocument) Title() string               { return d.Name }
+func (d *templateDocument) IsDeleted() bool             { return d.Deleted }
+func (d *templateDocument) Changes() []api.ChangeRecord { return d.History }
+
+func (d *templateDocument) stamp(deleted bool, history []api.ChangeRecord) {
+	d.Deleted = deleted
+	d.History = history
+}
+
+func (d *templateDocument) clone() Document {
+	copied := *d
+	copied.Parameters = append([]api.Parameter(nil), d.Parameters...)
+	return &copied
+}
+
+// workspaceDocument is a workspace.
+type workspaceDocument struct {
+	api.Workspace
+}
+
+func (d *workspaceDocument) Kind() string                { return platform.KindWorkspace }
+func (d *workspaceDocument) Title() string               { return d.Name }
+func (d *workspaceDocument) IsDeleted() bool             { return d.Deleted }
+func (d *workspaceDocument) Changes() []api.ChangeRecord { return d.History }
+
+func (d *workspaceDocument) stamp(deleted bool, history []api.ChangeRecord) {
+	d.Deleted = deleted
+	d.History = history
+}
+
+func (d *workspaceDocument) clone() Document {
+	copied := *d
+	copied.Values = api.WorkspaceValues{}
+	for key, text := range d.Values {
+		copied.Values[key] = text
+	}
+	copied.Users = append([]api.WorkspaceUser(nil), d.Users...)
+	return &copied
+}
+
+// decodeDocument reads a stored object. The decoder's own text is left out of the error,
+// because it may quote a secret.
+func decodeDocument(object api.Object) (Document, error) {
+	document, err := newDocument(object.Kind)
+	if err != nil {
+		return nil, err
+	}
+	if json.Unmarshal(object.Data, document) != nil || document.Title() != object.Name {
+		return nil, result.Errorf(result.ObjectInvalid, "%s %s: the stored document is malformed", object.Kind, object.Name)
+	}
+	return document, nil
+}
+
+func newDocument(kind string) (Document, error) {
+	switch kind {
+	case platform.KindTemplate:
+		return &templateDocument{}, nil
+	case platform.KindWorkspace:
+		return &workspaceDocument{}, nil
+	default:
+		return nil, result.Errorf(result.ObjectInvalid, "kind %q: want template or workspace", kind)
+	}
+}
+
+// encodeDocument returns the object that stores the document over the given version.
+func encodeDocument(document Document, version uint64) (api.Object, error) {
+	data, err := json.Marshal(document)
+	if err != nil {
+		return api.Object{}, fmt.Errorf("encode %s %s: %w", document.Kind(), document.Title(), err)
+	}
+	return api.Object{Kind: document.Kind(), Name: document.Title(), Version: version, Data: data}, nil
+}
--- /dev/null
+++ b/internal/operator/validate.go
@@ -0,0 +1,108 @@
+package operator
+
+import (
+	"encoding/json"
+	"fmt"
+	"os"
+	"path/filepath"
+
+	"github.com/papayacove/papayacove/api"
+	"github.com/papayacove/papayacove/internal/config"
+	"github.com/papayacove/papayacove/internal/platform"
+	"github.com/papayacove/papayacove/internal/result"
+	"github.com/papayacove/papayacove/internal/workspace"
+)
+
+// Content is a JSON file of platform objects and VMs.
+type Content struct {
+	Objects []api.Object `json:"objects"`
+	VMs     []api.VM     `json:"vms"`
+}
+
+// ReadContent reads a JSON file of platform objects.
+func ReadContent(path string) (Content, error) {
+	text, err := os.ReadFile(path)
+	if err != nil {
+		return Content{}, fmt.Errorf("read file: %w", result.Errorf(result.ObjectInvalid, "%s", err))
+	}
+	var content Content
+	if err := json.Unmarshal(text, &content); err != nil {
+		return Content{}, result.Errorf(result.ObjectInvalid, "%s: not a JSON file of objects and vms", path)
+	}
+	return content, nil
+}
+
+// Validate checks files without the platform: templates, workspaces and daemon settings in TOML,
+// and platform objects in JSON. Workspaces are checked against the templates and groups among the
+// files; without any group the checks against groups are left out. It returns the number of
+// objects and settings that were checked.
+func Validate(paths []string) (int, error) {
+	v := &validation{known: newDeclared()}
+	for _, path := range paths {
+		if err := v.read(path); err != nil {
+			return 0, err
+		}
+	}
+	v.known.withoutGroups = len(v.known.groups) == 0
+	for _, group := range v.known.groups {
+		v.problems = append(v.problems, workspace.CheckGroup(group)...)
+	}
+	for _, document := range v.documents {
+		v.problems = append(v.problems, v.known.check(document)...)
+	}
+	checked := v.settings + len(v.known.groups) + len(v.documents)
+	return checked, v.problems.Err(result.ObjectInvalid)
+}
+
+// validation collects what the files declare.
+type validation struct {
+	known     *declared
+	documents []Document
+	settings  int
+	problems  config.Problems
+}
+
+func (v *validation) read(path string) error {
+	if filepath.Ext(path) == ".json" {
+		return v.readContent(path)
+	}
+	text, err := os.ReadFile(path)
+	if err != nil {
+		return fmt.Errorf("read file: %w", result.Errorf(result.ObjectInvalid, "%s", err))
+	}
+	if kindOf(text) == "" {
+		v.settings++
+		_, err := config.Load(path)
+		return err
+	}
+	file, err := ParseFile(path, text)
+	if err != nil {
+		return err
+	}
+	v.add(file.Document)
+	return nil
+}
+
+func (v *validation) readContent(path string) error {
+	content, err := ReadContent(path)
+	if err != nil {
+		return err
+	}
+	v.known.groups = append(v.known.groups, decodeGroups(content.Objects)...)
+	for _, object := range content.Objects {
+		if object.Kind != platform.KindTemplate && object.Kind != platform.KindWorkspace {
+			continue
+		}
+		document, err := decodeDocument(object)
+		if err != nil {
+			return fmt.Errorf("%s: %w", path, err)
+		}
+		v.add(document)
+	}
+	return nil
+}
+
+func (v *validation) add(document Document) {
+	v.documents = append(v.documents, document)
+	v.known.overlay(document)
+}
