--- a/internal/gate/gate.go
+++ b/internal/gate/gate.go
@@ -20,8 +20,6 @@
 const (
 	// noPrimaryRetryAfter is the time after which a request that found no primary may come back.
 	noPrimaryRetryAfter = 200 * time.Millisecond
-	// appliedWait is the time that a read waits for a replica to apply what the session relies on.
-	appliedWait = 15 * time.Millisecond
 	// idleTransactionCheck is the time between two passes over idle transactions.
 	idleTransactionCheck = 100 * time.Millisecond
 )
@@ -55,7 +53,6 @@
 	draining     atomic.Bool
 	// stoppedUntil is the time, in Unix nanoseconds, until which no new writes are admitted.
 	stoppedUntil atomic.Int64
-	running      sync.WaitGroup
 
 	answerID atomic.Uint64
 	mu       sync.Mutex
--- a/internal/gate/slot.go
+++ b/internal/gate/slot.go
@@ -63,11 +63,6 @@
 	_ = s.connection.Close()
 }
 
-// needsSettings reports whether the settings on the connection differ from the wanted ones.
-func (s *slot) needsSettings(wanted map[string]string) bool {
-	return !maps.Equal(s.applied, wanted)
-}
-
 // settingsQuery is the SQL that replaces all settings by the wanted ones.
 func settingsQuery(wanted map[string]string) string {
 	var b strings.Builder
--- a/standin/cmd/standin-lab/soak.go
+++ b/standin/cmd/standin-lab/soak.go
@@ -4,6 +4,7 @@
 	"context"
 	"errors"
 	"fmt"
+	"os"
 	"strconv"
 	"strings"
 	"time"
@@ -85,6 +86,7 @@
 	if err != nil {
 		return false, err
 	}
+	options.Work = fmt.Sprintf("%s-%d", options.Work, seed)
 	running, err := fleet.Start(ctx, options)
 	if err != nil {
 		return false, err
@@ -98,6 +100,7 @@
 	}
 	if report.IsClean() {
 		cleanUp()
+		_ = os.RemoveAll(options.Work)
 	} else {
 		printHistory(report, options.Work)
 	}
--- a/standin/soak/soak.go
+++ b/standin/soak/soak.go
@@ -85,14 +85,14 @@
 		for _, heal := range heals {
 			heal()
 		}
-		history.Event("healed")
+		history.Fault("healed")
 	}
 }
 
 func injectOne(f *fleet.Fleet, history *workload.History, random *rand.Rand) func() {
 	fault := Faults[random.Intn(len(Faults))]
 	what, heal := fault.Inject(f, random)
-	history.Event("FAULT %s: %s", fault.Name, what)
+	history.Fault("FAULT %s: %s", fault.Name, what)
 	return heal
 }
 
--- a/standin/workload/caller.go
+++ b/standin/workload/caller.go
@@ -72,10 +72,9 @@
 // CrewLead logs cabinets and reloads them.
 type CrewLead struct {
 	caller
-	number  int
-	next    int
-	newest  string
-	pending bool
+	number int
+	next   int
+	newest string
 }
 
 // Run logs cabinets until ctx ends.
--- a/standin/workload/history.go
+++ b/standin/workload/history.go
@@ -23,6 +23,7 @@
 	mu         sync.Mutex
 	writes     map[string]*write
 	events     []string
+	faults     []string
 	Requests   int64
 	Acked      int64
 	NotRun     int64
@@ -54,11 +55,20 @@
 	}
 }
 
-// Events returns the newest events.
+// Fault notes a failure that was brought about or healed; all of them are kept.
+func (h *History) Fault(format string, arguments ...any) {
+	h.mu.Lock()
+	defer h.mu.Unlock()
+	text := fmt.Sprintf(format, arguments...)
+	h.faults = append(h.faults, time.Now().Format("15:04:05.000 ")+text)
+	h.note(text)
+}
+
+// Events returns all faults and the newest events.
 func (h *History) Events() []string {
 	h.mu.Lock()
 	defer h.mu.Unlock()
-	return append([]string(nil), h.events...)
+	return append(append([]string(nil), h.faults...), h.events...)
 }
 
 // Violate notes a violation of a promise.
