--- /dev/null
+++ b/standin/netfault/link_test.go
@@ -0,0 +1,158 @@
+package netfault
+
+import (
+	"errors"
+	"io"
+	"net"
+	"net/http"
+	"net/http/httptest"
+	"os"
+	"strings"
+	"testing"
+	"time"
+)
+
+// silenceWait is how long a connection is watched for data that must not come.
+const silenceWait = 50 * time.Millisecond
+
+// startLink returns a link to an echo server.
+func startLink(t *testing.T) *Link {
+	t.Helper()
+	echo, err := net.Listen("tcp", "127.0.0.1:0")
+	if err != nil {
+		t.Fatal(err)
+	}
+	t.Cleanup(func() { echo.Close() })
+	go func() {
+		for {
+			c, err := echo.Accept()
+			if err != nil {
+				return
+			}
+			go func() {
+				defer c.Close()
+				io.Copy(c, c)
+			}()
+		}
+	}()
+	link := New(Options{Target: echo.Addr().String()})
+	if err := link.Start(); err != nil {
+		t.Fatal(err)
+	}
+	t.Cleanup(func() { link.Close() })
+	return link
+}
+
+func dial(t *testing.T, link *Link) net.Conn {
+	t.Helper()
+	c, err := net.Dial("tcp", link.Address())
+	if err != nil {
+		t.Fatal(err)
+	}
+	t.Cleanup(func() { c.Close() })
+	return c
+}
+
+func send(t *testing.T, c net.Conn, text string) {
+	t.Helper()
+	if _, err := io.WriteString(c, text); err != nil {
+		t.Fatal(err)
+	}
+}
+
+func receive(t *testing.T, c net.Conn, text string) {
+	t.Helper()
+	got := make([]byte, len(text))
+	if _, err := io.ReadFull(c, got); err != nil || string(got) != text {
+		t.Fatalf("got %q, %v; want %q", got, err, text)
+	}
+}
+
+func receiveNothing(t *testing.T, c net.Conn) {
+	t.Helper()
+	c.SetReadDeadline(time.Now().Add(silenceWait))
+	defer c.SetReadDeadline(time.Time{})
+	n, err := c.Read(make([]byte, 1))
+	if n > 0 || !errors.Is(err, os.ErrDeadlineExceeded) {
+		t.Fatalf("got %d bytes, %v", n, err)
+	}
+}
+
+func TestRelay(t *testing.T) {
+	c := dial(t, startLink(t))
+	send(t, c, "ping")
+	receive(t, c, "ping")
+	c.(*net.TCPConn).CloseWrite()
+	if _, err := c.Read(make([]byte, 1)); err != io.EOF {
+		t.Fatalf("got %v, want the end", err)
+	}
+}
+
+func TestDelayKeepsTheOrder(t *testing.T) {
+	link := startLink(t)
+	c := dial(t, link)
+	link.SetKnobs(Knobs{ForwardDelayMs: 20, BackwardDelayMs: 20})
+	send(t, c, "one ")
+	link.SetKnobs(Knobs{})
+	send(t, c, "two")
+	receive(t, c, "one two")
+}
+
+func TestCutHoldsDataBack(t *testing.T) {
+	link := startLink(t)
+	old := dial(t, link)
+	send(t, old, "a")
+	receive(t, old, "a")
+	link.SetKnobs(Knobs{Cut: true})
+	fresh := dial(t, link)
+	send(t, old, "b")
+	send(t, fresh, "c")
+	receiveNothing(t, old)
+	receiveNothing(t, fresh)
+	link.SetKnobs(Knobs{})
+	receive(t, old, "b")
+	receive(t, fresh, "c")
+}
+
+func TestSilentConnections(t *testing.T) {
+	link := startLink(t)
+	old := dial(t, link)
+	send(t, old, "a")
+	receive(t, old, "a")
+	link.Silence()
+	send(t, old, "b")
+	receiveNothing(t, old)
+	fresh := dial(t, link)
+	send(t, fresh, "c")
+	receive(t, fresh, "c")
+}
+
+func TestAdmin(t *testing.T) {
+	link := startLink(t)
+	c := dial(t, link)
+	send(t, c, "a")
+	receive(t, c, "a")
+	admin := httptest.NewServer(AdminHandler(map[string]*Link{"ab": link}))
+	defer admin.Close()
+	post(t, admin.URL+"/links/ab", `{"backward_delay_ms": 1}`, http.StatusOK)
+	post(t, admin.URL+"/links/all", `{"forward_delay_ms": 2, "reset": true}`, http.StatusOK)
+	post(t, admin.URL+"/links/none", `{}`, http.StatusNotFound)
+	if got := link.Knobs(); got != (Knobs{ForwardDelayMs: 2, BackwardDelayMs: 1}) {
+		t.Fatalf("unexpected knobs %+v", got)
+	}
+	if _, err := c.Read(make([]byte, 1)); err == nil {
+		t.Fatal("the connection was not reset")
+	}
+}
+
+func post(t *testing.T, url, body string, status int) {
+	t.Helper()
+	response, err := http.Post(url, "application/json", strings.NewReader(body))
+	if err != nil {
+		t.Fatal(err)
+	}
+	response.Body.Close()
+	if response.StatusCode != status {
+		t.Fatalf("%s: status %d, want %d", url, response.StatusCode, status)
+	}
+}
