standin/database: give up silent clients, log changes only, offer TLS

A session whose client went silent in the middle of an answer kept its slot for good: writes had no deadline. Answers now have the idle limit of the session. CREATE TABLE IF NOT EXISTS on an existing table appended a record; the schema version decides now. Timestamps without time zone lost nothing but showed +00.

--- a/internal/target/status.go
+++ b/internal/target/status.go
@@ -22,19 +22,19 @@
 
 // Status is the state that a target reports of itself.
 type Status struct {
-	Role Role
+	Role Role `json:"role"`
 	// Term is the highest term that the target accepts; fence, promote and follow raise it.
-	Term uint64
+	Term uint64 `json:"term"`
 	// LogTerm is the term of the last log record.
-	LogTerm uint64
+	LogTerm uint64 `json:"log_term"`
 	// Received is the offset of the last log record, counted across terms.
-	Received uint64
+	Received uint64 `json:"received"`
 	// Applied is the offset of the last log record that reads see.
-	Applied uint64
+	Applied uint64 `json:"applied"`
 	// AppliedTerm is the term of the last applied log record.
-	AppliedTerm uint64
+	AppliedTerm uint64 `json:"applied_term"`
 	// Leaving is true once the target is being stopped in a planned way.
-	Leaving bool
+	Leaving bool `json:"leaving"`
 }
 
 // LogPosition returns the position of the last log record that the target has received.
--- a/standin/cmd/standin-database/main.go
+++ b/standin/cmd/standin-database/main.go
@@ -3,6 +3,7 @@
 
 import (
 	"context"
+	"crypto/tls"
 	"fmt"
 	"os"
 	"os/signal"
@@ -54,6 +55,8 @@
 		&cli.DurationFlag{Name: "receive-lag", Usage: "delay between commit and receiving on a replica"},
 		&cli.StringFlag{Name: "user", Value: "papayacove", Usage: "user name"},
 		&cli.StringFlag{Name: "password", Usage: "password for SCRAM-SHA-256; empty trusts everybody"},
+		&cli.StringFlag{Name: "tls-certificate", Usage: "certificate file in PEM form; empty offers no TLS"},
+		&cli.StringFlag{Name: "tls-key", Usage: "key file of the certificate"},
 		&cli.StringFlag{Name: "log-level", Value: "warn", Usage: "lowest level that is logged"},
 	}
 }
@@ -85,6 +88,10 @@
 	if role != target.RolePrimary && role != target.RoleReplica {
 		return database.Options{}, fmt.Errorf("unknown role %q", role)
 	}
+	tlsConfig, err := loadTLS(c.String("tls-certificate"), c.String("tls-key"))
+	if err != nil {
+		return database.Options{}, err
+	}
 	return database.Options{
 		Name:          c.String("name"),
 		Address:       c.String("address"),
@@ -97,9 +104,22 @@
 		Term:          c.Uint64("term"),
 		User:          c.String("user"),
 		Password:      c.String("password"),
+		TLS:           tlsConfig,
 		Knobs: database.Knobs{
 			LagMs:        c.Duration("lag").Milliseconds(),
 			ReceiveLagMs: c.Duration("receive-lag").Milliseconds(),
 		},
 	}, nil
 }
+
+// loadTLS returns nil when no certificate is given.
+func loadTLS(certificate, key string) (*tls.Config, error) {
+	if certificate == "" {
+		return nil, nil
+	}
+	pair, err := tls.LoadX509KeyPair(certificate, key)
+	if err != nil {
+		return nil, fmt.Errorf("load certificate: %w", err)
+	}
+	return &tls.Config{Certificates: []tls.Certificate{pair}, MinVersion: tls.VersionTLS12}, nil
+}
--- a/standin/database/adapter_test.go
+++ b/standin/database/adapter_test.go
@@ -2,8 +2,16 @@
 
 import (
 	"context"
+	"crypto/ecdsa"
+	"crypto/elliptic"
+	"crypto/rand"
+	"crypto/tls"
+	"crypto/x509"
 	"errors"
+	"math/big"
+	"net"
 	"testing"
+	"time"
 
 	"github.com/jackc/pgx/v5/pgproto3"
 
@@ -157,6 +165,51 @@
 	awaitApplied(t, replica, s)
 }
 
+func TestTLS(t *testing.T) {
+	certificate, pool := newCertificate(t)
+	s := startTarget(t, Options{TLS: &tls.Config{Certificates: []tls.Certificate{certificate}}})
+	options := account
+	options.TLS = &tls.Config{RootCAs: pool}
+	slot, err := target.DialSlot(testContext(t), s.Address(), options, nil)
+	if err != nil {
+		t.Fatal(err)
+	}
+	defer slot.Close()
+	send(t, slot, &pgproto3.Query{String: target.StatusQuery})
+	if types, _ := readTypes(t, slot, 1); types != "TDCZ" {
+		t.Fatalf("answers are %q", types)
+	}
+	plain := startTarget(t, Options{})
+	if _, err := target.DialSlot(testContext(t), plain.Address(), options, nil); !errors.Is(err, target.ErrUnreachable) {
+		t.Fatalf("target without TLS gives %v", err)
+	}
+}
+
+// newCertificate returns a certificate for 127.0.0.1 and the pool that trusts it.
+func newCertificate(t *testing.T) (tls.Certificate, *x509.CertPool) {
+	t.Helper()
+	key, err := ecdsa.GenerateKey(elliptic.P256(), rand.Reader)
+	if err != nil {
+		t.Fatal(err)
+	}
+	template := &x509.Certificate{
+		SerialNumber: big.NewInt(1),
+		NotAfter:     time.Now().Add(time.Hour),
+		IPAddresses:  []net.IP{net.IPv4(127, 0, 0, 1)},
+	}
+	der, err := x509.CreateCertificate(rand.Reader, template, template, key.Public(), key)
+	if err != nil {
+		t.Fatal(err)
+	}
+	leaf, err := x509.ParseCertificate(der)
+	if err != nil {
+		t.Fatal(err)
+	}
+	pool := x509.NewCertPool()
+	pool.AddCert(leaf)
+	return tls.Certificate{Certificate: [][]byte{der}, PrivateKey: key}, pool
+}
+
 func TestCancelRequestOfTheAdapter(t *testing.T) {
 	s := startTarget(t, Options{})
 	slot := dialSlot(t, s, nil)
--- a/standin/database/catalog.go
+++ b/standin/database/catalog.go
@@ -4,6 +4,8 @@
 	"strings"
 
 	"zombiezen.com/go/sqlite"
+
+	"github.com/papayacove/papayacove/standin/database/sqltext"
 )
 
 // column is one column of a table or of a result.
@@ -42,6 +44,22 @@
 	return columns, err
 }
 
+// schemaCookie returns a number that changes with the schema; 0 for other kinds of statements.
+func (c *sqlConn) schemaCookie(kind sqltext.Kind) int64 {
+	var cookie int64
+	if kind != sqltext.KindSchema {
+		return cookie
+	}
+	err := c.query("PRAGMA schema_version", func(stmt *sqlite.Stmt) error {
+		cookie = stmt.ColumnInt64(0)
+		return nil
+	})
+	if err != nil {
+		return 0
+	}
+	return cookie
+}
+
 // findOID returns the type of the first column of that name; 0 when there is none.
 func findOID(columns []column, name string) uint32 {
 	name = strings.ToLower(name)
--- a/standin/database/client_test.go
+++ b/standin/database/client_test.go
@@ -148,6 +148,44 @@
 	}
 }
 
+func TestOnlyChangesAreLogged(t *testing.T) {
+	s := startTarget(t, Options{})
+	conn := connectPGX(t, s)
+	mustExec(t, conn, "CREATE TABLE t (id bigint PRIMARY KEY)")
+	mustExec(t, conn, "INSERT INTO t (id) VALUES ($1)", 1)
+	want := s.Status()
+	mustExec(t, conn, "CREATE TABLE IF NOT EXISTS t (id bigint)")
+	mustExec(t, conn, "DROP TABLE IF EXISTS missing")
+	mustExec(t, conn, "UPDATE t SET id = id WHERE id = $1", 9)
+	mustExec(t, conn, "INSERT INTO t (id) VALUES ($1) ON CONFLICT DO NOTHING", 1)
+	mustExec(t, conn, "BEGIN; SELECT * FROM t; COMMIT")
+	if got := s.Status(); got != want {
+		t.Fatalf("status is %+v, want %+v", got, want)
+	}
+	mustExec(t, conn, "DROP TABLE t")
+	if got := s.Status(); got.Received != want.Received+1 {
+		t.Fatalf("status is %+v", got)
+	}
+}
+
+func TestSettings(t *testing.T) {
+	conn := connectPGX(t, startTarget(t, Options{}))
+	mustExec(t, conn, "SET papayacove.operation_key = 'k1'")
+	mustExec(t, conn, "BEGIN; SET papayacove.operation_key = 'k2'; ROLLBACK")
+	if got := mustQuery[string](t, conn, "SHOW papayacove.operation_key"); got != "k1" {
+		t.Fatalf("after rollback %q", got)
+	}
+	mustExec(t, conn, "BEGIN; SET LOCAL statement_timeout = '3s'; COMMIT")
+	if got := mustQuery[string](t, conn, "SELECT current_setting('statement_timeout')"); got != "0" {
+		t.Fatalf("after SET LOCAL %q", got)
+	}
+	mustExec(t, conn, "RESET ALL")
+	if got := mustQuery[string](t, conn, "SHOW papayacove.operation_key"); got != "" {
+		t.Fatalf("after RESET ALL %q", got)
+	}
+	mustExec(t, conn, "DISCARD ALL")
+}
+
 func TestSeriesAndRowLimit(t *testing.T) {
 	ctx := testContext(t)
 	conn := connectPGX(t, startTarget(t, Options{}))
--- a/standin/database/encode.go
+++ b/standin/database/encode.go
@@ -47,6 +47,9 @@
 	case pgtype.TimestamptzOID:
 		at, err := d.timestamp()
 		return at.AppendFormat(dst, timestampLayout), err
+	case pgtype.TimestampOID:
+		at, err := d.timestamp()
+		return at.AppendFormat(dst, strings.TrimSuffix(timestampLayout, "-07")), err
 	default:
 		return append(dst, d.text()...), nil
 	}
--- a/standin/database/execute.go
+++ b/standin/database/execute.go
@@ -51,6 +51,7 @@
 		return "", s.db.interruptCause(err)
 	}
 	rows := 0
+	schemaBefore := s.db.schemaCookie(p.statement.Kind)
 	err = s.db.run(stmt, func(stmt *sqlite.Stmt) error {
 		rows++
 		if err := s.db.checkInterrupt(); err != nil {
@@ -65,7 +66,8 @@
 		return "", err
 	}
 	changes := s.db.conn.Changes()
-	if p.statement.Kind == sqltext.KindSchema || p.statement.Kind == sqltext.KindWrite && changes > 0 {
+	schemaChanged := s.db.schemaCookie(p.statement.Kind) != schemaBefore
+	if schemaChanged || p.statement.Kind == sqltext.KindWrite && changes > 0 {
 		s.logWrite(p, params, seed)
 	}
 	return commandTag(p, rows, changes), nil
@@ -151,11 +153,18 @@
 	return nil
 }
 
-// runReset carries out RESET and DISCARD.
+// runReset carries out RESET, DISCARD and DEALLOCATE.
 func (s *session) runReset(statement *sqltext.Statement) (string, error) {
-	if statement.Tag == "RESET" {
+	switch {
+	case statement.Tag == "RESET":
 		s.settings.reset(statement.Setting)
 		return "RESET", nil
+	case statement.Tag == "DEALLOCATE" && statement.Setting == "all":
+		s.statements = make(map[string]*prepared)
+		return "DEALLOCATE ALL", nil
+	case statement.Tag == "DEALLOCATE":
+		delete(s.statements, statement.Setting)
+		return "DEALLOCATE", nil
 	}
 	if s.transaction.block {
 		return "", failuref(stateActiveTransaction, "DISCARD ALL cannot run inside a transaction block")
--- a/standin/database/failure.go
+++ b/standin/database/failure.go
@@ -114,7 +114,7 @@
 // stateOfMessage reads the SQLSTATE off the texts that SQLite has no codes for.
 func stateOfMessage(message string) string {
 	switch {
-	case strings.Contains(message, "no such table"):
+	case strings.Contains(message, "no such table"), strings.Contains(message, "unknown database"):
 		return stateUndefinedTable
 	case strings.Contains(message, "no such column"), strings.Contains(message, "has no column named"):
 		return stateUndefinedColumn
--- a/standin/database/faults_test.go
+++ b/standin/database/faults_test.go
@@ -72,6 +72,18 @@
 	}
 }
 
+func TestSilentClientIsGivenUpInTheMiddleOfAnAnswer(t *testing.T) {
+	s := startTarget(t, Options{Slots: 1})
+	slot := dialSlot(t, s, map[string]string{"idle_session_timeout": "50"})
+	send(t, slot, &pgproto3.Query{String: "SELECT pg_sleep(0.05)"})
+	await(t, "statement runs", func() bool {
+		sessions := s.openSessions()
+		return len(sessions) == 1 && sessions[0].running.Load()
+	})
+	s.Silence()
+	await(t, "slot is free", func() bool { return len(s.openSessions()) == 0 })
+}
+
 func TestIdleSessionTimeout(t *testing.T) {
 	s := startTarget(t, Options{})
 	slot := dialSlot(t, s, map[string]string{"idle_session_timeout": "20ms"})
--- a/standin/database/server.go
+++ b/standin/database/server.go
@@ -98,7 +98,7 @@
 	}
 	s.control = startup.Parameters["database"] == target.ControlDatabase
 	s.conn.setClient(startup.Parameters["application_name"])
-	if s.conn.awaitPassage() != nil {
+	if s.conn.awaitPassage(s.conn.readLimit) != nil {
 		return net.ErrClosed
 	}
 	if err := s.takeSlot(); err != nil {
@@ -192,8 +192,7 @@
 		return
 	}
 	f.fatal = true
-	s.backend.Send(f.response())
-	s.flush()
+	s.sendLast(f)
 	s.target.log.WithFields(logrus.Fields{"sqlstate": f.state, "reason": f.message}).Debug("connection_refused")
 }
 
--- a/standin/database/session.go
+++ b/standin/database/session.go
@@ -72,18 +72,23 @@
 
 // setIdleDeadline bounds the wait for the next message.
 func (s *session) setIdleDeadline() {
+	s.conn.SetReadDeadline(s.idleDeadline())
+	if s.ending.Load() != nil {
+		s.conn.SetReadDeadline(time.Unix(1, 0))
+	}
+}
+
+// idleDeadline returns when the client must have moved; the zero time is never.
+func (s *session) idleDeadline() time.Time {
 	name := settingIdleSession
 	if s.transaction.block {
 		name = settingIdleTransaction
 	}
-	var deadline time.Time
-	if limit := s.settings.duration(name); limit > 0 {
-		deadline = time.Now().Add(limit)
-	}
-	s.conn.SetReadDeadline(deadline)
-	if s.ending.Load() != nil {
-		s.conn.SetReadDeadline(time.Unix(1, 0))
+	limit := s.settings.duration(name)
+	if limit <= 0 {
+		return time.Time{}
 	}
+	return time.Now().Add(limit)
 }
 
 // farewell rolls back, and tells the client why the target ends the connection.
@@ -104,10 +109,16 @@
 	default:
 		return
 	}
-	s.conn.SetWriteDeadline(time.Now().Add(farewellTimeout))
-	s.conn.SetReadDeadline(time.Now().Add(farewellTimeout))
+	s.sendLast(reason)
+}
+
+// sendLast tells the client why the connection ends.
+func (s *session) sendLast(reason *failure) {
+	deadline := time.Now().Add(farewellTimeout)
+	s.conn.SetReadDeadline(deadline)
+	s.conn.SetWriteDeadline(deadline)
 	s.backend.Send(reason.response())
-	s.flush()
+	s.backend.Flush()
 }
 
 // farewellTimeout bounds telling the client why the connection ends.
@@ -205,8 +216,11 @@
 	s.backend.Send(&pgproto3.ReadyForQuery{TxStatus: s.transaction.status()})
 }
 
+// flush sends what is queued. A client that takes nothing is given up like an idle one, so that
+// its slot and its locks come back.
 func (s *session) flush() error {
 	s.queued = 0
+	s.conn.SetWriteDeadline(s.idleDeadline())
 	return s.backend.Flush()
 }
 
--- a/standin/database/sqltext/statement.go
+++ b/standin/database/sqltext/statement.go
@@ -25,7 +25,7 @@
 	KindSavepoint
 	KindSet
 	KindShow
-	// KindReset is RESET or DISCARD.
+	// KindReset is RESET, DISCARD or DEALLOCATE.
 	KindReset
 	// KindStatus is the query for the status of the target.
 	KindStatus
@@ -71,8 +71,9 @@
 	"rollback": KindRollback, "abort": KindRollback,
 	"savepoint": KindSavepoint, "release": KindSavepoint,
 	"set": KindSet, "show": KindShow, "reset": KindReset, "discard": KindReset,
-	"lock": KindNoOperation, "analyze": KindNoOperation, "vacuum": KindNoOperation,
-	"deallocate": KindNoOperation, "comment": KindNoOperation, "grant": KindNoOperation,
+	"deallocate": KindReset,
+	"lock":       KindNoOperation, "analyze": KindNoOperation, "vacuum": KindNoOperation,
+	"comment": KindNoOperation, "grant": KindNoOperation,
 }
 
 // StatusFunction is the name of the function that returns the status of the target.
@@ -100,7 +101,7 @@
 	case KindSet:
 		parseSet(&s, sql, tokens)
 	case KindShow, KindReset:
-		s.Setting = settingName(tokens[1:])
+		s.Setting = objectName(tokens[1:])
 	}
 	return s
 }
@@ -199,6 +200,14 @@
 	s.Setting = settingName(rest)
 }
 
+// objectName returns the name of a setting or a prepared statement.
+func objectName(tokens []token) string {
+	if len(tokens) > 1 && tokens[0].is("prepare") {
+		tokens = tokens[1:]
+	}
+	return settingName(tokens)
+}
+
 func settingName(tokens []token) string {
 	var name strings.Builder
 	for _, t := range tokens {
--- a/standin/database/stallconn.go
+++ b/standin/database/stallconn.go
@@ -20,6 +20,8 @@
 	peer     string
 	client   string
 	deadline time.Time
+	// writeDeadline bounds writes, also while the connection is silent.
+	writeDeadline time.Time
 	// changed is closed and replaced when something above changes.
 	changed chan struct{}
 	closed  bool
@@ -54,11 +56,11 @@
 
 // Read returns what has arrived, once the connection is not silent.
 func (c *stallConn) Read(b []byte) (int, error) {
-	if err := c.awaitPassage(); err != nil {
+	if err := c.awaitPassage(c.readLimit); err != nil {
 		return 0, err
 	}
 	n, err := c.Conn.Read(b)
-	if stalled := c.awaitPassage(); stalled != nil {
+	if stalled := c.awaitPassage(c.readLimit); stalled != nil {
 		return 0, stalled
 	}
 	return n, err
@@ -66,7 +68,7 @@
 
 // Write sends b, once the connection is not silent.
 func (c *stallConn) Write(b []byte) (int, error) {
-	if err := c.awaitPassage(); err != nil {
+	if err := c.awaitPassage(c.writeLimit); err != nil {
 		return 0, err
 	}
 	return c.Conn.Write(b)
@@ -78,19 +80,29 @@
 	return c.Conn.SetReadDeadline(deadline)
 }
 
+// SetWriteDeadline bounds writes, also while the connection is silent.
+func (c *stallConn) SetWriteDeadline(deadline time.Time) error {
+	c.update(func() { c.writeDeadline = deadline })
+	return c.Conn.SetWriteDeadline(deadline)
+}
+
+// readLimit and writeLimit return the deadlines. The caller holds mu.
+func (c *stallConn) readLimit() time.Time  { return c.deadline }
+func (c *stallConn) writeLimit() time.Time { return c.writeDeadline }
+
 // Close ends the connection and wakes who waits for it.
 func (c *stallConn) Close() error {
 	c.update(func() { c.closed = true })
 	return c.Conn.Close()
 }
 
-// awaitPassage returns once the connection is not silent, or with an error at the deadline and
-// after Close.
-func (c *stallConn) awaitPassage() error {
+// awaitPassage returns once the connection is not silent, or with an error at the deadline that
+// limit returns and after Close.
+func (c *stallConn) awaitPassage(limit func() time.Time) error {
 	for {
 		knobsChanged := c.target.watch()
 		c.mu.Lock()
-		changed, deadline, closed := c.changed, c.deadline, c.closed
+		changed, deadline, closed := c.changed, limit(), c.closed
 		stalled := c.isStalled()
 		c.mu.Unlock()
 		if closed {
