--- a/internal/target/target_test.go
+++ b/internal/target/target_test.go
@@ -5,8 +5,10 @@
 	"context"
 	"encoding/binary"
 	"errors"
+	"flag"
 	"io"
 	"net"
+	"os"
 	"testing"
 	"time"
 
@@ -16,6 +18,14 @@
 	"github.com/papayacove/papayacove/api"
 )
 
+// TestMain fixes the seed of the property tests, so that each run tries the same cases.
+func TestMain(m *testing.M) {
+	if err := flag.Set("rapid.seed", "1"); err != nil {
+		panic(err)
+	}
+	os.Exit(m.Run())
+}
+
 const testTimeout = 10 * time.Second
 
 func TestParseStatusRow(t *testing.T) {
--- a/standin/database/kill_test.go
+++ b/standin/database/kill_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"bufio"
+	"flag"
 	"fmt"
 	"os"
 	"os/exec"
@@ -11,13 +12,16 @@
 	"github.com/jackc/pgx/v5"
 )
 
-// childDirectory makes the test binary run a target in that data directory instead of tests.
+// childDirectory names the variable that makes the test binary run a target in that data directory instead of tests.
 const childDirectory = "STANDIN_DATABASE_CHILD"
 
 func TestMain(m *testing.M) {
 	if directory := os.Getenv(childDirectory); directory != "" {
 		runChild(directory)
 	}
+	if err := flag.Set("rapid.seed", "1"); err != nil {
+		panic(err)
+	}
 	os.Exit(m.Run())
 }
 
--- a/standin/database/sqltext/sqltext_test.go
+++ b/standin/database/sqltext/sqltext_test.go
@@ -1,12 +1,22 @@
 package sqltext
 
 import (
+	"flag"
+	"os"
 	"reflect"
 	"testing"
 
 	"pgregory.net/rapid"
 )
 
+// TestMain fixes the seed of the property tests, so that each run tries the same cases.
+func TestMain(m *testing.M) {
+	if err := flag.Set("rapid.seed", "1"); err != nil {
+		panic(err)
+	}
+	os.Exit(m.Run())
+}
+
 func TestSplitKeepsSemicolonsInsideStrings(t *testing.T) {
 	got := Split("INSERT INTO a VALUES ('x;y'); -- note;\n SELECT 1;;")
 	want := []string{"INSERT INTO a VALUES ('x;y')", "-- note;\n SELECT 1"}
