Change prepared statements only when the target has answered

Cause: a statement whose Parse had failed stayed known to the session, so that a caller that went on without heed could run it later, outside its transaction block. A property test that draws statements, failures and refusals found it. Ruled out: forgetting all statements after an error (PostgreSQL keeps them, and so do drivers). Change: Parse and Close are undone unless the target answered them; a second Parse of a name is refused with 42P05 as PostgreSQL does; property tests run with a fixed seed. Conclusion: statements of a block do not run outside it, also for callers that ignore errors.

--- a/internal/frontend/answer.go
+++ b/internal/frontend/answer.go
@@ -171,7 +171,7 @@
 	case target.isWord("all"):
 		before := s.statuses()
 		s.settings.resetAll()
-		s.statements.closeAll()
+		s.statements.removeAll()
 		return localAnswer{tag: "DISCARD ALL", statuses: s.changedStatuses(before)}, nil
 	case target.isWord("plans", "sequences", "temp", "temporary"):
 		return localAnswer{tag: "DISCARD " + strings.ToUpper(target.value)}, nil
@@ -188,13 +188,13 @@
 		return localAnswer{}, result.Errorf(result.Unsupported, "this form of DEALLOCATE is not supported")
 	}
 	if tokens[0].isWord("all") {
-		s.statements.closeAll()
+		s.statements.removeAll()
 		return localAnswer{tag: "DEALLOCATE ALL"}, nil
 	}
 	if _, err := s.statements.get(tokens[0].value); err != nil {
 		return localAnswer{}, err
 	}
-	s.statements.close(tokens[0].value)
+	s.statements.remove(tokens[0].value)
 	return localAnswer{tag: "DEALLOCATE"}, nil
 }
 
--- a/internal/frontend/check.go
+++ b/internal/frontend/check.go
@@ -16,6 +16,8 @@
 	// ready counts ReadyForQuery messages, and status is that of the last.
 	ready  int
 	status byte
+	// completed counts ParseComplete and CloseComplete messages.
+	completed int
 	// hasFailed is true after an ErrorResponse.
 	hasFailed bool
 	// isBroken is true after a run that is not made of whole messages, or one after ReadyForQuery.
@@ -45,6 +47,8 @@
 
 func (a *answerCheck) note(message []byte) {
 	switch message[0] {
+	case '1', '3':
+		a.completed++
 	case 'E':
 		a.hasFailed = true
 	case 'Z':
--- a/internal/frontend/collector.go
+++ b/internal/frontend/collector.go
@@ -26,6 +26,8 @@
 	// prepared are the definitions that the batch needs, and parsed the names that it defines.
 	prepared []api.PreparedStatement
 	parsed   []string
+	// changes are those that Parse and Close have made to the statements of the session.
+	changes []statementChange
 	// parsedUnnamed is true after a Parse without a name in this batch.
 	parsedUnnamed bool
 	// steps answer the batch when no message has to be forwarded.
--- a/internal/frontend/extended.go
+++ b/internal/frontend/extended.go
@@ -40,10 +40,22 @@
 // refuseToSync answers with an error and skips the messages up to the next Sync.
 func (s *session) refuseToSync(ctx context.Context, err error) error {
 	s.skipsToSync = true
+	s.undoFrom(0)
 	s.finishBatch()
 	return s.refuse(ctx, err)
 }
 
+// undoFrom takes back the changes of prepared statements after the first completed ones, which
+// are kept from then on.
+func (s *session) undoFrom(completed int) {
+	c := s.collected
+	if c == nil {
+		return
+	}
+	s.statements.undo(c.changes[min(completed, len(c.changes)):])
+	c.changes = nil
+}
+
 // collect looks at one message and rewrites the names of prepared statements.
 func (s *session) collect(kind byte) error {
 	c := s.collected
@@ -85,9 +97,10 @@
 	if message.Name != "" {
 		p = p.named()
 	}
-	if err := s.statements.set(message.Name, p); err != nil {
+	if err := s.statements.add(message.Name, p); err != nil {
 		return err
 	}
+	c.changes = append(c.changes, statementChange{name: message.Name})
 	if p.local != nil || s.block.isLost {
 		c.answerLocally(step{kind: 'P'})
 		return nil
@@ -217,9 +230,10 @@
 	if object == objectPortal {
 		isOnTarget := c.localPortals[name] == nil && s.status != StatusIdle && !s.block.isLost
 		c.hasForward = c.hasForward || isOnTarget
+		c.changes = append(c.changes, statementChange{isPortal: true})
 		return nil
 	}
-	s.statements.close(name)
+	c.changes = append(c.changes, statementChange{name: name, closed: s.statements.remove(name)})
 	if name != "" {
 		c.replaceLast('C', []byte{object}, []byte(closedName), []byte{0})
 	}
@@ -265,17 +279,22 @@
 // has had an effect.
 func (s *session) answerSteps(ctx context.Context) error {
 	saved := s.settings
+	completed := 0
 	var out []byte
 	for _, step := range s.collected.steps {
 		answered, err := s.answerStep(ctx, out, step)
 		if err != nil {
 			s.settings = saved
+			s.undoFrom(completed)
 			if err := s.write(out); err != nil {
 				return err
 			}
 			return s.refuseToSync(ctx, err)
 		}
 		out = answered
+		if step.kind == 'P' || step.kind == 'C' {
+			completed++
+		}
 	}
 	return s.write(out)
 }
--- a/internal/frontend/extended_test.go
+++ b/internal/frontend/extended_test.go
@@ -1,11 +1,9 @@
 package frontend
 
 import (
-	"context"
 	"strings"
 	"testing"
 
-	"github.com/jackc/pgx/v5"
 	"github.com/jackc/pgx/v5/pgproto3"
 	"github.com/papayacove/papayacove/api"
 	"github.com/papayacove/papayacove/internal/result"
@@ -31,6 +29,11 @@
 	}
 }
 
+func (c *client) expectQuery(text, want string) {
+	c.t.Helper()
+	c.expect(want, &pgproto3.Query{String: text})
+}
+
 func TestNamedStatementFollowsTheSession(t *testing.T) {
 	runner := newFakeRunner()
 	c := dial(t, startServer(t, runner, nil), nil)
@@ -46,6 +49,7 @@
 	if !strings.HasPrefix(batch.Prepared[0].Name, derivedPrefix) {
 		t.Errorf("the name on targets is %q", batch.Prepared[0].Name)
 	}
+	c.expect("error:42P05 ready:I", parse("s1", "SELECT w"), syncAll())
 	c.expect("closed ready:I", closeStatement("s1"), syncAll())
 	c.expect("error:26000 ready:I", bind("s1"), execute(), syncAll())
 }
@@ -133,29 +137,6 @@
 	}
 }
 
-func TestPgxKeepsItsStatements(t *testing.T) {
-	ctx := context.Background()
-	runner := newFakeRunner()
-	conn := connect(t, startServer(t, runner, withPassword(t)), "sslmode=disable&application_name=rounds")
-	batch := &pgx.Batch{}
-	for range 3 {
-		batch.Queue("INSERT INTO t VALUES ($1)", "a")
-	}
-	if err := conn.SendBatch(ctx, batch).Close(); err != nil {
-		t.Fatal(err)
-	}
-	var position string
-	if err := conn.QueryRow(ctx, "SHOW papayacove.position").Scan(&position); err != nil || position != "3/42" {
-		t.Errorf("position = %q, %v", position, err)
-	}
-	if _, err := conn.Exec(ctx, "DEALLOCATE ALL"); err != nil {
-		t.Error(err)
-	}
-	if got := conn.PgConn().ParameterStatus("application_name"); got != "rounds" {
-		t.Errorf("application_name = %q", got)
-	}
-}
-
 func TestQueryCannotEndALocalPipeline(t *testing.T) {
 	runner := newFakeRunner()
 	c := dial(t, startServer(t, runner, nil), nil)
@@ -171,3 +152,18 @@
 		}
 	}
 }
+
+func TestStatementsChangeOnlyWhenAnswered(t *testing.T) {
+	runner := newFakeRunner()
+	c := dial(t, startServer(t, runner, nil), nil)
+	c.expect("parsed ready:I", parse("kept", "SELECT 1"), syncAll())
+	runner.fail = func(*Batch) *result.Error { return result.Errorf(result.NotRunNoPrimary, "none") }
+	c.expect("error:57P03 ready:I", closeStatement("kept"), parse("lost", "SELECT 2"), syncAll())
+	runner.fail = nil
+	c.expect("bound row:row done:SELECT ready:I", bind("kept"), execute(), syncAll())
+	c.expect("error:26000 ready:I", bind("lost"), execute(), syncAll())
+	c.expect("error:0A000 ready:I", closeStatement("kept"), parse("lost", "LISTEN a"), syncAll())
+	c.expect("bound row:row done:SELECT ready:I", bind("kept"), execute(), syncAll())
+	c.expect("parsed bound error:0A000 ready:I", parse("role", "SET ROLE a"), bind("role"), execute(), closeStatement("role"), syncAll())
+	c.expect("error:42P05 ready:I", parse("role", "SELECT 1"), syncAll())
+}
--- a/internal/frontend/failure.go
+++ b/internal/frontend/failure.go
@@ -19,7 +19,7 @@
 	sqlStateInFailedTransaction  = "25P02"
 	sqlStateIdleInTransaction    = "25P03"
 	sqlStateUndefinedStatement   = "26000"
-	sqlStateActiveTransaction    = "25001"
+	sqlStateDuplicateStatement   = "42P05"
 	failedTransactionExplanation = "current transaction is aborted, commands ignored until end of transaction block"
 )
 
--- a/internal/frontend/fake_test.go
+++ b/internal/frontend/fake_test.go
@@ -21,6 +21,8 @@
 	batches []Batch
 	opened  int
 	closed  int
+	// broken describes batches that do not fit the transaction status of the target.
+	broken []string
 	// fail returns the error for a batch, or nil.
 	fail func(*Batch) *result.Error
 	// hold blocks batches until it is closed; nil does not block.
@@ -46,6 +48,29 @@
 	return append([]Batch(nil), r.batches...)
 }
 
+// reset forgets what has been recorded.
+func (r *fakeRunner) reset() {
+	r.mutex.Lock()
+	defer r.mutex.Unlock()
+	r.batches, r.broken, r.fail = nil, nil, nil
+}
+
+func (r *fakeRunner) violations() []string {
+	r.mutex.Lock()
+	defer r.mutex.Unlock()
+	return r.broken
+}
+
+// require records a violation. The mutex must not be held.
+func (r *fakeRunner) require(holds bool, what string) {
+	if holds {
+		return
+	}
+	r.mutex.Lock()
+	defer r.mutex.Unlock()
+	r.broken = append(r.broken, what)
+}
+
 func (r *fakeRunner) closedSessions() int {
 	r.mutex.Lock()
 	defer r.mutex.Unlock()
@@ -99,6 +124,7 @@
 			return Outcome{}, err
 		}
 	}
+	s.runner.require(batch.InTransaction == (s.status != StatusIdle), "InTransaction does not fit the status")
 	for _, p := range batch.Prepared {
 		s.prepared[p.Name] = p.Query
 	}
@@ -170,6 +196,8 @@
 }
 
 func (s *fakeSession) run(out []byte, query string) []byte {
+	s.runner.require(s.status != StatusIdle || !strings.HasSuffix(query, "open=true"), query+" ran outside its block")
+	s.runner.require(s.status == StatusIdle || !strings.HasSuffix(query, "open=false"), query+" ran in a block")
 	verb, _, _ := strings.Cut(strings.ToUpper(strings.TrimSpace(query)), " ")
 	verb = strings.TrimSuffix(verb, ";")
 	switch verb {
--- a/internal/frontend/lifecycle_test.go
+++ b/internal/frontend/lifecycle_test.go
@@ -113,7 +113,7 @@
 	if got := describe(dialRaw(t, server).receive()); got != "error:53300" {
 		t.Errorf("answer = %q, want error:53300", got)
 	}
-	expectQuery(t, first, "SELECT 1", "columns row:row done:SELECT ready:I")
+	first.expectQuery("SELECT 1", "columns row:row done:SELECT ready:I")
 	first.send(&pgproto3.Terminate{})
 	waitFor(t, func() bool { return server.sessions.get(first.key.ProcessID) == nil })
 }
--- /dev/null
+++ b/internal/frontend/main_test.go
@@ -0,0 +1,21 @@
+package frontend
+
+import (
+	"flag"
+	"os"
+	"testing"
+)
+
+// TestMain fixes the seed of the property tests, so that each run gives the same verdict.
+func TestMain(m *testing.M) {
+	flag.Parse()
+	for name, value := range map[string]string{"rapid.seed": "1", "rapid.nofailfile": "true"} {
+		if flag.Lookup(name).Value.String() != flag.Lookup(name).DefValue {
+			continue
+		}
+		if err := flag.Set(name, value); err != nil {
+			panic(err)
+		}
+	}
+	os.Exit(m.Run())
+}
--- a/internal/frontend/prepared.go
+++ b/internal/frontend/prepared.go
@@ -19,12 +19,6 @@
 	derivedHashBytes = 16
 	// closedName is never prepared on a target, so that closing it has no effect.
 	closedName = "papayacove_closed"
-	// maxPreparedStatements is the number of named statements of one session.
-	maxPreparedStatements = 2048
-	// maxPreparedBytes is the length of the named statements of one session together.
-	maxPreparedBytes = 4 << 20
-	// maxUnnamedBytes is the length up to which an unnamed statement outlives its batch.
-	maxUnnamedBytes = 64 << 10
 )
 
 // definition is the content of a prepared statement. The types are encoded in a string, so that
@@ -131,71 +125,3 @@
 		Query:         p.definition.query,
 	}
 }
-
-// statementTable holds the prepared statements of a session by the names of the caller.
-type statementTable struct {
-	named map[string]preparedStatement
-	// namedBytes is the length of the named definitions.
-	namedBytes int
-	// unnamed is the last statement that was parsed without a name; nil when there is none.
-	unnamed *preparedStatement
-}
-
-// set remembers a statement. A named one must have its name on targets.
-func (t *statementTable) set(name string, p preparedStatement) *result.Error {
-	if name == "" {
-		t.unnamed = &p
-		return nil
-	}
-	t.close(name)
-	if len(t.named) >= maxPreparedStatements || t.namedBytes+p.size() > maxPreparedBytes {
-		return result.Errorf(result.Unsupported, "a session may prepare at most %d statements of %d bytes together",
-			maxPreparedStatements, maxPreparedBytes)
-	}
-	if t.named == nil {
-		t.named = make(map[string]preparedStatement)
-	}
-	t.named[name] = p
-	t.namedBytes += p.size()
-	return nil
-}
-
-// trim forgets an unnamed statement that is too long to be kept between batches.
-func (t *statementTable) trim() {
-	if t.unnamed != nil && t.unnamed.size() > maxUnnamedBytes {
-		t.unnamed = nil
-	}
-}
-
-func (t *statementTable) get(name string) (preparedStatement, error) {
-	if name == "" && t.unnamed != nil {
-		return *t.unnamed, nil
-	}
-	if p, ok := t.named[name]; ok {
-		return p, nil
-	}
-	if name == "" {
-		return preparedStatement{}, &failure{sqlStateUndefinedStatement, "unnamed prepared statement does not exist"}
-	}
-	return preparedStatement{}, &failure{sqlStateUndefinedStatement, `prepared statement "` + name + `" does not exist`}
-}
-
-func (t *statementTable) close(name string) bool {
-	if name == "" {
-		existed := t.unnamed != nil
-		t.unnamed = nil
-		return existed
-	}
-	p, existed := t.named[name]
-	if existed {
-		t.namedBytes -= p.size()
-		delete(t.named, name)
-	}
-	return existed
-}
-
-func (t *statementTable) closeAll() {
-	t.named = nil
-	t.namedBytes = 0
-	t.unnamed = nil
-}
--- a/internal/frontend/run.go
+++ b/internal/frontend/run.go
@@ -32,6 +32,7 @@
 	batch := s.batchOf(c)
 	s.logBatch(batch)
 	outcome, err := s.execute(ctx, batch, check.emit)
+	s.undoFrom(check.completed)
 	if s.writeError != nil {
 		return false, s.writeError
 	}
--- a/internal/frontend/session_test.go
+++ b/internal/frontend/session_test.go
@@ -11,30 +11,23 @@
 	"github.com/papayacove/papayacove/internal/result"
 )
 
-func expectQuery(t *testing.T, c *client, text, want string) {
-	t.Helper()
-	if got := c.query(text); got != want {
-		t.Errorf("%s: answers = %q, want %q", text, got, want)
-	}
-}
-
 func TestRefusalEndsTheTransaction(t *testing.T) {
 	runner := newFakeRunner()
 	c := dial(t, startServer(t, runner, nil), nil)
-	expectQuery(t, c, "BEGIN", "columns done:BEGIN ready:T")
-	expectQuery(t, c, "SET work_mem = '1MB'", "error:0A000 ready:E")
+	c.expectQuery("BEGIN", "columns done:BEGIN ready:T")
+	c.expectQuery("SET work_mem = '1MB'", "error:0A000 ready:E")
 	if last := runner.lastBatch(t); !last.InTransaction || !strings.Contains(string(last.Messages), "ROLLBACK") {
 		t.Errorf("the last batch is %q, want a rollback", last.Messages)
 	}
 	count := len(runner.recorded())
-	expectQuery(t, c, "INSERT INTO t VALUES (1)", "error:25P02 ready:E")
+	c.expectQuery("INSERT INTO t VALUES (1)", "error:25P02 ready:E")
 	c.expect("error:25P02 ready:E", parse("", "INSERT INTO t VALUES (1)"), bind(""), execute(), syncAll())
-	expectQuery(t, c, "", "other ready:E")
-	expectQuery(t, c, "COMMIT", "done:ROLLBACK ready:I")
+	c.expectQuery("", "other ready:E")
+	c.expectQuery("COMMIT", "done:ROLLBACK ready:I")
 	if len(runner.recorded()) != count {
 		t.Error("a statement of a lost transaction was passed on")
 	}
-	expectQuery(t, c, "SELECT 1", "columns row:row done:SELECT ready:I")
+	c.expectQuery("SELECT 1", "columns row:row done:SELECT ready:I")
 }
 
 func TestLostTransactionMustBeEndedByTheCaller(t *testing.T) {
@@ -64,27 +57,27 @@
 	c := dial(t, startServer(t, runner, nil), nil)
 	c.query("BEGIN")
 	runner.fail = func(*Batch) *result.Error { return result.Errorf(result.OutcomeUnknown, "no confirmation") }
-	expectQuery(t, c, "COMMIT", "error:08007 ready:I")
+	c.expectQuery("COMMIT", "error:08007 ready:I")
 }
 
 func TestSettingsFollowTheSession(t *testing.T) {
 	runner := newFakeRunner()
 	c := dial(t, startServer(t, runner, nil), map[string]string{"options": "-c papayacove.max_staleness=2s"})
-	expectQuery(t, c, "SET TimeZone = 'Europe/Vienna'", "done:SET TimeZone=Europe/Vienna ready:I")
-	expectQuery(t, c, "SET datestyle = german", "done:SET DateStyle=German, DMY ready:I")
-	expectQuery(t, c, "SELECT 1", "columns row:row done:SELECT ready:I")
+	c.expectQuery("SET TimeZone = 'Europe/Vienna'", "done:SET TimeZone=Europe/Vienna ready:I")
+	c.expectQuery("SET datestyle = german", "done:SET DateStyle=German, DMY ready:I")
+	c.expectQuery("SELECT 1", "columns row:row done:SELECT ready:I")
 	batch := runner.lastBatch(t)
 	if len(batch.Settings) != 2 || batch.MaxAge != 2*time.Second || batch.Access != api.ExecuteRequestAccessRead {
 		t.Errorf("batch = %+v", batch)
 	}
-	expectQuery(t, c, "SET papayacove.max_staleness = off", "done:SET ready:I")
+	c.expectQuery("SET papayacove.max_staleness = off", "done:SET ready:I")
 	c.query("/* papayacove max_staleness=1s */ SELECT 1")
 	if batch := runner.lastBatch(t); batch.MaxAge != time.Second {
 		t.Errorf("max age = %v, want 1s", batch.MaxAge)
 	}
-	expectQuery(t, c, "SHOW papayacove.max_staleness", "columns row:off done:SHOW ready:I")
-	expectQuery(t, c, "SET jit = off; SET ROLE a", "error:0A000 ready:I")
-	expectQuery(t, c, "DISCARD ALL", "done:DISCARD ALL DateStyle=ISO, MDY TimeZone=UTC ready:I")
+	c.expectQuery("SHOW papayacove.max_staleness", "columns row:off done:SHOW ready:I")
+	c.expectQuery("SET jit = off; SET ROLE a", "error:0A000 ready:I")
+	c.expectQuery("DISCARD ALL", "done:DISCARD ALL DateStyle=ISO, MDY TimeZone=UTC ready:I")
 	c.query("SELECT 1")
 	if settings := runner.lastBatch(t).Settings; len(settings) != 0 {
 		t.Errorf("settings = %v, want none", settings)
@@ -141,10 +134,10 @@
 		"SELECT 1; /* papayacove operation_key=k */ INSERT INTO t VALUES (4)",
 		"INSERT /* papayacove operation_key=k */ INTO t VALUES (4)",
 	} {
-		expectQuery(t, c, text, "error:0A000 ready:I")
+		c.expectQuery(text, "error:0A000 ready:I")
 	}
-	expectQuery(t, c, "SHOW papayacove.outcome", "columns row:committed done:SHOW ready:I")
-	expectQuery(t, c, "SELECT papayacove_outcome('o''clock')", "columns row:committed done:SELECT 1 ready:I")
+	c.expectQuery("SHOW papayacove.outcome", "columns row:committed done:SHOW ready:I")
+	c.expectQuery("SELECT papayacove_outcome('o''clock')", "columns row:committed done:SELECT 1 ready:I")
 	asked := string(runner.lastBatch(t).Messages)
 	if !strings.Contains(asked, "workspace = 'kelani' AND operation_key = 'o''clock'") {
 		t.Errorf("the outcome was asked with %q", asked)
@@ -179,7 +172,7 @@
 			t.Errorf("%s: the session goes on", name)
 		}
 	}
-	expectQuery(t, other, "SELECT 1", "columns row:row done:SELECT ready:I")
+	other.expectQuery("SELECT 1", "columns row:row done:SELECT ready:I")
 }
 
 func TestLongPipelineIsRefused(t *testing.T) {
@@ -187,7 +180,7 @@
 	c := dial(t, server, nil)
 	long := parse("", "SELECT '"+strings.Repeat("a", 600)+"'")
 	c.expect("error:54000 ready:I", long, bind(""), execute(), long, bind(""), execute(), syncAll())
-	expectQuery(t, c, "SELECT 1", "columns row:row done:SELECT ready:I")
+	c.expectQuery("SELECT 1", "columns row:row done:SELECT ready:I")
 }
 
 func TestCopyDataAfterRefusalIsSkipped(t *testing.T) {
@@ -196,7 +189,7 @@
 	if got := c.answers(); got != "error:0A000 ready:I" {
 		t.Errorf("answers = %q", got)
 	}
-	expectQuery(t, c, "SELECT 1", "columns row:row done:SELECT ready:I")
+	c.expectQuery("SELECT 1", "columns row:row done:SELECT ready:I")
 }
 
 func TestIdleTransactionEnds(t *testing.T) {
--- a/internal/frontend/simple.go
+++ b/internal/frontend/simple.go
@@ -73,6 +73,7 @@
 }
 
 func (s *session) refuseQuery(ctx context.Context, err error) error {
+	s.undoFrom(0)
 	if err := s.refuse(ctx, err); err != nil {
 		return err
 	}
--- a/internal/frontend/startup_test.go
+++ b/internal/frontend/startup_test.go
@@ -1,61 +1,16 @@
 package frontend
 
 import (
-	"context"
-	"crypto/ecdsa"
-	"crypto/elliptic"
-	"crypto/rand"
-	"crypto/tls"
-	"crypto/x509"
 	"encoding/binary"
-	"math/big"
 	"slices"
 	"strings"
 	"testing"
-	"time"
 
-	"github.com/jackc/pgx/v5"
 	"github.com/jackc/pgx/v5/pgproto3"
 	"github.com/papayacove/papayacove/internal/credential"
 	"github.com/papayacove/papayacove/internal/result"
 )
 
-// selfSigned returns a TLS configuration whose certificate comes from GetCertificate, as one that
-// is renewed does.
-func selfSigned(t *testing.T) *tls.Config {
-	t.Helper()
-	key, err := ecdsa.GenerateKey(elliptic.P256(), rand.Reader)
-	if err != nil {
-		t.Fatal(err)
-	}
-	template := &x509.Certificate{SerialNumber: big.NewInt(1), NotAfter: time.Now().Add(time.Hour)}
-	der, err := x509.CreateCertificate(rand.Reader, template, template, &key.PublicKey, key)
-	if err != nil {
-		t.Fatal(err)
-	}
-	certificate := &tls.Certificate{Certificate: [][]byte{der}, PrivateKey: key}
-	return &tls.Config{GetCertificate: func(*tls.ClientHelloInfo) (*tls.Certificate, error) { return certificate, nil }}
-}
-
-func TestPgxOverTLS(t *testing.T) {
-	withTLS := withPassword(t)
-	server := startServer(t, newFakeRunner(), func(o *Options) {
-		withTLS(o)
-		o.TLS = selfSigned(t)
-	})
-	for _, extra := range []string{"sslmode=require", "sslmode=require&min_protocol_version=3.0&max_protocol_version=3.2"} {
-		conn := connect(t, server, extra)
-		var value string
-		if err := conn.QueryRow(context.Background(), "SELECT v").Scan(&value); err != nil || value != "row" {
-			t.Errorf("%s: value = %q, %v", extra, value, err)
-		}
-	}
-	if _, err := pgx.Connect(context.Background(), "postgres://crew:wrong@"+server.Addr().String()+"/kelani.rounds?sslmode=require"); err == nil ||
-		!strings.Contains(err.Error(), "28P01") {
-		t.Errorf("a wrong password gives %v, want 28P01", err)
-	}
-}
-
 // TestUnknownUserLooksLikeWrongPassword compares everything that the two exchanges show.
 func TestUnknownUserLooksLikeWrongPassword(t *testing.T) {
 	server := startServer(t, newFakeRunner(), withPassword(t))
--- /dev/null
+++ b/internal/frontend/statements.go
@@ -0,0 +1,115 @@
+package frontend
+
+import (
+	"fmt"
+
+	"github.com/papayacove/papayacove/internal/result"
+)
+
+const (
+	// maxPreparedStatements is the number of named statements of one session.
+	maxPreparedStatements = 2048
+	// maxPreparedBytes is the length of the named statements of one session together.
+	maxPreparedBytes = 4 << 20
+	// maxUnnamedBytes is the length up to which an unnamed statement outlives its batch.
+	maxUnnamedBytes = 64 << 10
+)
+
+// statementTable holds the prepared statements of a session by the names of the caller.
+type statementTable struct {
+	named map[string]preparedStatement
+	// namedBytes is the length of the named definitions.
+	namedBytes int
+	// unnamed is the last statement that was parsed without a name; nil when there is none.
+	unnamed *preparedStatement
+}
+
+// statementChange undoes a Parse or Close that the target did not carry out.
+type statementChange struct {
+	name string
+	// closed is the statement that a Close removed; nil for a Parse and for a Close without effect.
+	closed *preparedStatement
+	// isPortal is true for the Close of a portal, which changes no statement but is answered alike.
+	isPortal bool
+}
+
+// add remembers a statement. A named one must have its name on targets.
+func (t *statementTable) add(name string, p preparedStatement) error {
+	if name == "" {
+		t.unnamed = &p
+		return nil
+	}
+	if _, exists := t.named[name]; exists {
+		return &failure{sqlStateDuplicateStatement, fmt.Sprintf("prepared statement %q already exists", name)}
+	}
+	if len(t.named) >= maxPreparedStatements || t.namedBytes+p.size() > maxPreparedBytes {
+		return result.Errorf(result.Unsupported, "a session may prepare at most %d statements of %d bytes together",
+			maxPreparedStatements, maxPreparedBytes)
+	}
+	t.insert(name, p)
+	return nil
+}
+
+func (t *statementTable) insert(name string, p preparedStatement) {
+	if t.named == nil {
+		t.named = make(map[string]preparedStatement)
+	}
+	t.named[name] = p
+	t.namedBytes += p.size()
+}
+
+// get returns the statement with a name; the error is the one of PostgreSQL.
+func (t *statementTable) get(name string) (preparedStatement, error) {
+	if name == "" {
+		if t.unnamed == nil {
+			return preparedStatement{}, &failure{sqlStateUndefinedStatement, "unnamed prepared statement does not exist"}
+		}
+		return *t.unnamed, nil
+	}
+	p, exists := t.named[name]
+	if !exists {
+		return preparedStatement{}, &failure{sqlStateUndefinedStatement, fmt.Sprintf("prepared statement %q does not exist", name)}
+	}
+	return p, nil
+}
+
+// remove forgets a statement and returns it, or nil when there is none.
+func (t *statementTable) remove(name string) *preparedStatement {
+	if name == "" {
+		t.unnamed = nil
+		return nil
+	}
+	p, exists := t.named[name]
+	if !exists {
+		return nil
+	}
+	t.namedBytes -= p.size()
+	delete(t.named, name)
+	return &p
+}
+
+// undo takes back the last changes in reverse order. An unnamed statement is not restored, since
+// PostgreSQL drops it when a Parse begins.
+func (t *statementTable) undo(changes []statementChange) {
+	for i := len(changes) - 1; i >= 0; i-- {
+		change := changes[i]
+		if change.isPortal {
+			continue
+		}
+		t.remove(change.name)
+		if change.closed != nil {
+			t.insert(change.name, *change.closed)
+		}
+	}
+}
+
+// trim forgets an unnamed statement that is too long to be kept between batches.
+func (t *statementTable) trim() {
+	if t.unnamed != nil && t.unnamed.size() > maxUnnamedBytes {
+		t.unnamed = nil
+	}
+}
+
+func (t *statementTable) removeAll() {
+	*t = statementTable{}
+}
