--- /dev/null
+++ b/internal/policy/placement/placement.go
@@ -0,0 +1,155 @@
+// Package placement decides which daemon holds a role, by rendezvous hashing over the members.
+//
+// Equal views of the membership give equal answers on every daemon, and a change of one member
+// moves only the roles of that member.
+package placement
+
+import (
+	"math/bits"
+
+	"github.com/cespare/xxhash/v2"
+	"github.com/sirupsen/logrus"
+)
+
+// Member is one daemon that may hold roles.
+type Member struct {
+	Name string
+	// Zone is the availability zone of the daemon.
+	Zone string
+	// Leaving is true while the daemon shuts down.
+	Leaving bool
+}
+
+// Reason says why a member was chosen as holder.
+type Reason string
+
+// The reasons of a HolderDecision.
+const (
+	ReasonSameZone    Reason = "same_zone"
+	ReasonOtherZone   Reason = "other_zone"
+	ReasonOnlyLeaving Reason = "only_leaving"
+	ReasonNoMembers   Reason = "no_members"
+)
+
+// HolderDecision is the choice of the daemon that holds a target.
+type HolderDecision struct {
+	Target string
+	Holder Member
+	// Found is false when there are no members.
+	Found  bool
+	Reason Reason
+	// Members is the number of members considered.
+	Members int
+}
+
+// Fields returns the fields of the log line of the decision.
+func (d HolderDecision) Fields() logrus.Fields {
+	return logrus.Fields{
+		"target":  d.Target,
+		"holder":  d.Holder.Name,
+		"zone":    d.Holder.Zone,
+		"reason":  string(d.Reason),
+		"members": d.Members,
+	}
+}
+
+// preference ranks the reasons to choose a member; higher ones win before the hash is compared.
+type preference int
+
+const (
+	preferNone preference = iota
+	preferLeaving
+	preferOtherZone
+	preferSameZone
+)
+
+var reasonByPreference = [...]Reason{
+	preferNone:      ReasonNoMembers,
+	preferLeaving:   ReasonOnlyLeaving,
+	preferOtherZone: ReasonOtherZone,
+	preferSameZone:  ReasonSameZone,
+}
+
+// Holder returns the daemon that holds a target; false when there are no members.
+func Holder(targetName, targetZone string, members []Member) (Member, bool) {
+	d := DecideHolder(targetName, targetZone, members)
+	return d.Holder, d.Found
+}
+
+// DecideHolder chooses the daemon that holds a target. Members in the availability zone of the
+// target come first, then those of other zones, and leaving members only when nobody else lives.
+// A View decides faster when many targets are placed on the same members.
+func DecideHolder(targetName, targetZone string, members []Member) HolderDecision {
+	var best choice
+	key := xxhash.Sum64String(targetName)
+	for i := range members {
+		best.consider(key, targetZone, &members[i], xxhash.Sum64String(members[i].Name))
+	}
+	return best.decision(targetName, len(members))
+}
+
+// Order returns the members in rendezvous order for key, leaving members after all others.
+func Order(key string, members []Member) []Member {
+	return NewView(members).Candidates(key, len(members))
+}
+
+// Candidates returns the first n members in the rendezvous order of a group.
+func Candidates(group string, members []Member, n int) []Member {
+	return NewView(members).Candidates(group, n)
+}
+
+// choice is the best member for a target among those considered so far.
+type choice struct {
+	member     Member
+	score      uint64
+	preference preference
+}
+
+func (c *choice) consider(key uint64, zone string, m *Member, hash uint64) {
+	p := preferenceOf(m, zone)
+	if p < c.preference {
+		return
+	}
+	s := score(key, hash)
+	if p == c.preference && !precedes(s, m.Name, c.score, c.member.Name) {
+		return
+	}
+	c.member, c.score, c.preference = *m, s, p
+}
+
+func (c *choice) decision(target string, members int) HolderDecision {
+	return HolderDecision{
+		Target:  target,
+		Holder:  c.member,
+		Found:   c.preference != preferNone,
+		Reason:  reasonByPreference[c.preference],
+		Members: members,
+	}
+}
+
+func preferenceOf(m *Member, zone string) preference {
+	switch {
+	case m.Leaving:
+		return preferLeaving
+	case m.Zone == zone:
+		return preferSameZone
+	default:
+		return preferOtherZone
+	}
+}
+
+// precedes orders members by score and, where two scores are equal, by name.
+func precedes(score uint64, name string, otherScore uint64, otherName string) bool {
+	if score != otherScore {
+		return score > otherScore
+	}
+	return name < otherName
+}
+
+// score mixes the hashes of a key and of a member by the finalizer of MurmurHash3.
+func score(key, member uint64) uint64 {
+	x := key ^ bits.RotateLeft64(member, 32)
+	x = (x ^ x>>33) * 0xff51afd7ed558ccd
+	x = (x ^ x>>33) * 0xc4ceb9fe1a85ec53
+	return x ^ x>>33
+}
