--- a/internal/operator/admin_test.go
+++ b/internal/operator/admin_test.go
@@ -48,8 +48,12 @@
 	}, nil)
 	second := startDaemon(t, api.DaemonStatus{
 		Name: "entry-2", Zone: "gampaha", ConfigRevision: 99,
-		Targets: []api.HeldTargetStatus{{Target: "t1", Group: "rounds-db-1", AgeMs: -1}},
-		Groups:  []api.GroupTerm{{Group: "rounds-db-1", Term: 2, Primary: "t1"}},
+		Targets: []api.HeldTargetStatus{
+			{Target: "t1", Group: "rounds-db-1", AgeMs: -1},
+			{Target: "t2", Group: "rounds-db-1", Role: "primary", Term: 1},
+			{Target: "t3", Group: "rounds-db-1", Role: "replica", Term: 2, AgeMs: 60_000},
+		},
+		Groups: []api.GroupTerm{{Group: "rounds-db-1", Term: 2, Primary: "t1"}},
 	}, nil)
 	server.SetVMs([]api.VM{
 		{Name: "entry-1", Role: api.VMRoleEntry, AdminAddress: first},
@@ -62,7 +66,9 @@
 		"daemon entry-3: no answer",
 		"daemon entry-1: configuration 1, the platform has",
 		"daemon entry-2: does not reach the platform",
-		"daemon entry-2: target t1 is silent",
+		"target t1: silent",
+		"target t2: at term 1, group rounds-db-1 is at term 2",
+		"target t3: its data is 60000 ms old",
 		"target t1: held by entry-1 and entry-2")
 }
 
--- a/internal/operator/status_command.go
+++ b/internal/operator/status_command.go
@@ -3,12 +3,16 @@
 import (
 	"context"
 	"fmt"
+	"time"
 
 	"github.com/urfave/cli/v3"
 
 	"github.com/papayacove/papayacove/api"
 )
 
+// maxHealthyAge is the age of the data of a target from which on it is named as a problem.
+const maxHealthyAge = 5 * time.Second
+
 func statusCommand() *cli.Command {
 	return &cli.Command{
 		Name:  "status",
@@ -80,16 +84,26 @@
 	for _, problem := range d.ConfigProblems {
 		f.addProblem("daemon %s: %s", d.Name, problem)
 	}
-	for _, t := range d.Targets {
-		if t.Role == "" {
-			f.addProblem("daemon %s: target %s is silent", d.Name, t.Target)
-		}
+}
+
+// checkTarget names a target that does not answer, is at a lower term than its group, or whose
+// data is old.
+func (f *FleetStatus) checkTarget(t api.HeldTargetStatus, newest uint64) {
+	switch {
+	case t.Role == "":
+		f.addProblem("target %s: silent", t.Target)
+	case t.Term < newest:
+		f.addProblem("target %s: at term %d, group %s is at term %d", t.Target, t.Term, t.Group, newest)
+	case t.AgeMs > maxHealthyAge.Milliseconds():
+		f.addProblem("target %s: its data is %d ms old", t.Target, t.AgeMs)
 	}
 }
 
-// checkGroups names groups without a primary and targets that have two gates or none known.
+// checkGroups names groups without a primary, targets with two gates and targets that lag.
 func (f *FleetStatus) checkGroups() {
+	newest := map[string]uint64{}
 	for _, term := range f.terms() {
+		newest[term.Group] = term.Term
 		if term.Primary == "" {
 			f.addProblem("group %s: term %d has no primary yet", term.Group, term.Term)
 		}
@@ -101,6 +115,7 @@
 				f.addProblem("target %s: held by %s and %s", t.Target, other, d.Name)
 			}
 			gates[t.Target] = d.Name
+			f.checkTarget(t, newest[t.Group])
 		}
 	}
 }
