Serve a workspace that no longer fits its groups on a fresh daemon

Cause: a daemon keeps the last valid version of a workspace, but one that starts after a database group has changed has none, and the workspace was unknown there. Ruled out: keeping the last valid version on the platform, a second object for each workspace and a second write that can be lost on its own. Change: without an earlier version a workspace whose values are valid is served although the checks against groups fail; it stays listed as refused. The decoded objects drop their history.

--- a/internal/workspace/apply.go
+++ b/internal/workspace/apply.go
@@ -88,6 +88,8 @@
 	if json.Unmarshal(object.Data, &template) == nil && template.Name == key.name {
 		problems = CheckTemplate(template)
 	}
+	// The stored object keeps the history; the daemon has no use for it.
+	template.History, template.RecentChanges = nil, nil
 	if v.admit(key, object.Version, problems) {
 		v.templates[key.name] = template
 	}
@@ -121,6 +123,7 @@
 		v.accept(key)
 		return
 	}
+	newest.History, newest.RecentChanges = nil, nil
 	entry := v.workspaces[key.name]
 	v.workspaces[key.name] = workspaceEntry{newest: newest, version: object.Version, inForce: entry.inForce}
 }
@@ -144,17 +147,38 @@
 	if entry.newest.Name != "" {
 		template := v.templates[entry.newest.Template]
 		effective, entry.problems = Resolve(template, entry.newest, v.groupList)
-		effective.Revision = max(entry.version, v.versions[objectKey{platform.KindTemplate, template.Name}])
+		effective.Revision = v.revisionOf(entry)
 	}
-	if len(entry.problems) > 0 {
-		v.refuse(key, entry.version, inForceRevision(entry), entry.problems)
+	if len(entry.problems) == 0 {
+		entry.inForce = &effective
+		v.accept(key)
 		return entry
 	}
-	entry.inForce = &effective
-	v.accept(key)
+	if entry.inForce == nil {
+		entry.inForce = v.resolveValues(entry)
+	}
+	v.refuse(key, entry.version, inForceRevision(entry), entry.problems)
 	return entry
 }
 
+// resolveValues serves a daemon that starts after a database group has changed under a workspace:
+// it has no earlier version to keep, and a workspace that fits its template but not the groups is
+// better in force than unknown. It returns nil when the values are not valid either.
+func (v *view) resolveValues(entry workspaceEntry) *Effective {
+	template := v.templates[entry.newest.Template]
+	effective, problems := ResolveValues(template, entry.newest)
+	if entry.newest.Name == "" || len(problems) > 0 {
+		return nil
+	}
+	effective.Revision = v.revisionOf(entry)
+	return &effective
+}
+
+// revisionOf is the newest version of the objects that a workspace is resolved from.
+func (v *view) revisionOf(entry workspaceEntry) uint64 {
+	return max(entry.version, v.versions[objectKey{platform.KindTemplate, entry.newest.Template}])
+}
+
 func inForceRevision(entry workspaceEntry) uint64 {
 	if entry.inForce == nil {
 		return 0
--- a/internal/workspace/catalog_test.go
+++ b/internal/workspace/catalog_test.go
@@ -66,6 +66,32 @@
 	}
 }
 
+func TestFreshDaemonServesAWorkspaceThatNoLongerFitsItsGroups(t *testing.T) {
+	w := testWorkspace()
+	w.Values["slots"] = "5"
+	objects := []api.Object{
+		object(platform.KindTemplate, "city", 1, testTemplate()),
+		object(platform.KindWorkspace, "kelani", 2, w),
+	}
+	for i, group := range testGroups(4) {
+		objects = append(objects, object(platform.KindGroup, group.Name, uint64(3+i), group))
+	}
+	c := NewCatalog()
+	c.Apply(objects, 4)
+	if e, found := c.Workspace("kelani"); !found || e.Revision != 2 {
+		t.Errorf("workspace in force = %+v, %v, want revision 2", e, found)
+	}
+	if statuses := c.Statuses(); len(statuses) != 1 || statuses[0].InForce != 2 {
+		t.Errorf("statuses = %v, want kelani", statuses)
+	}
+	w.Values["connections"] = "many"
+	c = NewCatalog()
+	c.Apply(append(objects, object(platform.KindWorkspace, "kelani", 5, w)), 5)
+	if _, found := c.Workspace("kelani"); found {
+		t.Error("a workspace with invalid values is in force")
+	}
+}
+
 func TestDeletedWorkspaceStaysDeleted(t *testing.T) {
 	c := loadedCatalog()
 	removed := testWorkspace()
