Conclude nothing from a connection that the client library calls closed

Ruled out: the proxy told the caller nothing, so no result code was wrong. Change: the callers of the workload take that error for an unknown outcome. Conclusion: a fault of the harness, not of the product.

--- a/standin/fleet/deployment.go
+++ b/standin/fleet/deployment.go
@@ -114,6 +114,7 @@
 	settings.CallerAddress = d.relocate(settings.Zone, settings.CallerAddress)
 	settings.PeerAddress = d.relocate(settings.Zone, settings.PeerAddress)
 	settings.AdminAddress = d.relocate(settings.Zone, settings.AdminAddress)
+	settings.Peers = nil
 	settings.PlatformURL = strings.Replace(settings.PlatformURL, loopback, d.ip(0), 1)
 	return settings
 }
--- a/standin/workload/outcome.go
+++ b/standin/workload/outcome.go
@@ -57,6 +57,9 @@
 	case code == result.OK && isAnswered && answer.Code != "57P01":
 		// An error of the database itself ends the statement without effect.
 		return NotRun
+	case errors.Is(err, pgconn.ErrConnClosed) && !errors.As(err, &uncommitted{}):
+		// The client library reports this also when the connection broke after the request was sent.
+		return Unknown
 	case pgconn.SafeToRetry(err):
 		return NotRun
 	default:
