--- a/internal/platform/follow.go
+++ b/internal/platform/follow.go
@@ -201,6 +201,10 @@
 // record takes the result of a call.
 func (l *contactLog) record(err error) {
 	log := logrus.WithField("followed", l.what)
+	if errors.Is(err, ErrCompacted) {
+		log.Info("platform_history_compacted")
+		err = nil
+	}
 	switch {
 	case err != nil && !l.lost:
 		log.WithError(err).Warn("platform_lost")
