standin/database: guess more types, keep the rest of a query after FOR UPDATE

Claims in tests use a subquery with FOR UPDATE SKIP LOCKED; the lock clause cut off the closing parenthesis. INSERT without a column list, sums of floating point columns, CASE and generate_series columns were described as text, which pgx refuses to scan into numbers.

--- a/standin/database/client_test.go
+++ b/standin/database/client_test.go
@@ -56,6 +56,19 @@
 	if n := mustQuery[int64](t, conn, "SELECT max(crew) FROM cabinets"); n != 5 {
 		t.Fatalf("max is %d", n)
 	}
+	if sum := mustQuery[float64](t, conn, "SELECT sum(share) FROM cabinets"); sum != 0.25 {
+		t.Fatalf("sum is %v", sum)
+	}
+	mustExec(t, conn, "CREATE TABLE rounds (id bigint, label text)")
+	mustExec(t, conn, "INSERT INTO rounds VALUES ($1, $2)", int64(9), "north")
+	claim := "UPDATE rounds SET label = $1 WHERE id = (SELECT id FROM rounds WHERE label = $2 LIMIT 1 FOR UPDATE SKIP LOCKED) RETURNING id"
+	if id := mustQuery[int64](t, conn, claim, "mine", "north"); id != 9 {
+		t.Fatalf("claimed %d", id)
+	}
+	var role string
+	if err := conn.QueryRow(testContext(t), "SELECT * FROM target_status()").Scan(&role, nil, nil, nil, nil, nil, &done); err != nil || role != "primary" || done {
+		t.Fatalf("status gives %q %v, %v", role, done, err)
+	}
 }
 
 func TestPGXTransactionsAndErrors(t *testing.T) {
@@ -192,6 +205,9 @@
 	if n := mustQuery[int64](t, conn, "SELECT sum(i) FROM generate_series(1, $1) AS s(i)", 1000); n != 500500 {
 		t.Fatalf("sum is %d", n)
 	}
+	if n := mustQuery[int64](t, conn, "SELECT i FROM generate_series(3, 9) AS i WHERE i > $1", 8); n != 9 {
+		t.Fatalf("last is %d", n)
+	}
 	reader := conn.PgConn().ExecParams(ctx, "SELECT generate_series(1, 100000)", nil, nil, nil, nil)
 	rows := 0
 	for reader.NextRow() {
--- a/standin/database/extended.go
+++ b/standin/database/extended.go
@@ -105,15 +105,21 @@
 	if err != nil {
 		return err
 	}
-	if row := s.specialRow(o.prepared); row != nil {
-		if err := s.sendRow(row); err != nil {
-			return err
-		}
+	if err := s.sendSpecialRow(o); err != nil {
+		return err
 	}
 	s.backend.Send(&pgproto3.CommandComplete{CommandTag: []byte(tag)})
 	return nil
 }
 
+func (s *session) sendSpecialRow(o *portal) error {
+	row, err := s.specialRow(o.prepared, o.formats)
+	if err != nil || row == nil {
+		return err
+	}
+	return s.sendRow(row)
+}
+
 // executePart sends up to limit rows of a portal; 0 is all that are left.
 func (s *session) executePart(o *portal, limit int) error {
 	if !o.kept {
@@ -122,7 +128,11 @@
 		if err != nil {
 			return err
 		}
-		if row := s.specialRow(o.prepared); row != nil {
+		row, err := s.specialRow(o.prepared, o.formats)
+		if err != nil {
+			return err
+		}
+		if row != nil {
 			o.rows = append(o.rows, row)
 		}
 		o.kept = true
--- a/standin/database/prepared.go
+++ b/standin/database/prepared.go
@@ -71,6 +71,9 @@
 	if err != nil {
 		return err
 	}
+	for _, name := range p.statement.Series {
+		known = append(known, column{name: name, oid: pgtype.Int8OID})
+	}
 	p.parameters = parameterTypes(p.statement.Parameters, declared, known)
 	if p.statement.ReturnsRows {
 		p.columns = resultColumns(stmt, p, known)
@@ -112,10 +115,17 @@
 	if h.Column != "" {
 		oid = findOID(known, h.Column)
 	}
-	if h.Array && oid != 0 {
+	if h.Ordinal > 0 && h.Ordinal <= len(known) {
+		oid = known[h.Ordinal-1].oid
+	}
+	switch {
+	case h.Array && oid != 0:
 		return arrayOID(oid)
+	case h.Sum && (oid == pgtype.Int4OID || oid == pgtype.Int2OID || oid == 0):
+		return pgtype.Int8OID
+	default:
+		return oid
 	}
-	return oid
 }
 
 // resultColumns returns the names and types of the columns; the type is 0 where nothing is known.
--- a/standin/database/simple.go
+++ b/standin/database/simple.go
@@ -78,22 +78,34 @@
 
 // specialRows answers statements whose rows do not come from SQLite.
 func (s *session) specialRows(p *prepared, sink *simpleSink) error {
-	rows := s.specialRow(p)
-	if rows == nil {
-		return nil
+	row, err := s.specialRow(p, nil)
+	if row == nil {
+		return err
 	}
 	sink.describe(p.columns)
-	return s.sendRow(rows)
+	return s.sendRow(row)
 }
 
 // specialRow returns the row of SHOW and of the status query, or nil.
-func (s *session) specialRow(p *prepared) [][]byte {
+func (s *session) specialRow(p *prepared, formats []int16) ([][]byte, error) {
 	switch p.statement.Kind {
 	case sqltext.KindShow:
-		return [][]byte{[]byte(s.showSetting(p.statement.Setting))}
+		return [][]byte{[]byte(s.showSetting(p.statement.Setting))}, nil
 	case sqltext.KindStatus:
-		return statusRow(s.target.Status())
+		return reencode(statusRow(s.target.Status()), p.columns, formats)
 	default:
-		return nil
+		return nil, nil
+	}
+}
+
+// reencode gives text values the formats that the client asked for.
+func reencode(row [][]byte, columns []column, formats []int16) ([][]byte, error) {
+	for i, c := range columns {
+		value, err := encode(nil, textDatum(string(row[i])), c.oid, formatOf(formats, i))
+		if err != nil {
+			return nil, err
+		}
+		row[i] = value
 	}
+	return row, nil
 }
--- a/standin/database/sqltext/columns.go
+++ b/standin/database/sqltext/columns.go
@@ -2,7 +2,7 @@
 
 // functionTypes are the result types of functions that do not depend on their arguments.
 var functionTypes = map[string]string{
-	"count": "bigint", "sum": "bigint", "length": "integer", "abs": "bigint", "row_number": "bigint",
+	"count": "bigint", "length": "integer", "abs": "bigint", "row_number": "bigint",
 	"avg": "double precision", "random": "double precision", "round": "double precision",
 	"now": "timestamptz", "clock_timestamp": "timestamptz", "pg_sleep": "text", "exists": "boolean",
 	"pg_is_in_recovery": "boolean", "pg_backend_pid": "integer", "generate_series": "bigint",
@@ -101,6 +101,8 @@
 		if len(tokens) > 1 {
 			return operandType(tokens[1:])
 		}
+	case first.is("case") && indexOf(tokens, "then") > 0:
+		return operandType(tokens[indexOf(tokens, "then")+1:])
 	case first.is("cast"):
 		return castFunction(tokens)
 	case first.is("select"):
@@ -118,6 +120,11 @@
 	if fixed, ok := functionTypes[name]; ok {
 		return Hint{Type: fixed}
 	}
+	if name == "sum" && len(tokens) > 2 {
+		hint := operandType(tokens[2:])
+		hint.Sum = true
+		return hint
+	}
 	if (name == "max" || name == "min" || name == "coalesce") && len(tokens) > 2 {
 		return operandType(tokens[2:])
 	}
--- a/standin/database/sqltext/hints.go
+++ b/standin/database/sqltext/hints.go
@@ -13,6 +13,11 @@
 	Parameter int
 	// Array is true for the argument of ANY.
 	Array bool
+	// Ordinal is the number of the column, counted from 1, that an INSERT without a column list
+	// stores the parameter into.
+	Ordinal int
+	// Sum is true for a sum of Column, which is wider than the column.
+	Sum bool
 }
 
 // parameterHints returns one hint for each parameter.
@@ -29,7 +34,7 @@
 		}
 		hint := parameterHint(tokens, i)
 		if hint == (Hint{}) {
-			hint.Column = columns[i]
+			hint = columns[i]
 		}
 		if hints[n-1] == (Hint{}) || hint.Type != "" {
 			hints[n-1] = hint
@@ -135,16 +140,16 @@
 	return -1
 }
 
-// insertColumns maps the indexes of tokens inside VALUES to the column that they are stored
-// into.
-func insertColumns(tokens []token) map[int]string {
+// insertColumns maps the indexes of tokens inside VALUES to a hint for the column that they are
+// stored into.
+func insertColumns(tokens []token) map[int]Hint {
 	into := indexOfSequence(tokens, "insert", "into")
 	values := indexOf(tokens, "values")
 	if into < 0 || values < into {
 		return nil
 	}
 	names := insertNames(tokens[into:values])
-	columns := make(map[int]string)
+	columns := make(map[int]Hint)
 	depth, position := 0, 0
 	for i := values + 1; i < len(tokens); i++ {
 		depth += depthChange(tokens[i])
@@ -155,8 +160,10 @@
 			position = 0
 		case depth == 1 && tokens[i].is(","):
 			position++
+		case len(names) == 0:
+			columns[i] = Hint{Ordinal: position + 1}
 		case position < len(names):
-			columns[i] = names[position]
+			columns[i] = Hint{Column: names[position]}
 		}
 	}
 	return columns
--- a/standin/database/sqltext/sqltext_test.go
+++ b/standin/database/sqltext/sqltext_test.go
@@ -53,8 +53,9 @@
 		"CREATE TABLE t (id bigint GENERATED ALWAYS AS IDENTITY PRIMARY KEY, b bigint)":                   "CREATE TABLE t (id INTEGER PRIMARY KEY AUTOINCREMENT, b INT8)",
 		"SELECT * FROM t WHERE id = ANY($1) AND b = 2":                                                    "SELECT * FROM t WHERE id IN (SELECT value FROM json_each(?1)) AND b = 2",
 		"SELECT 1 FROM t FOR UPDATE":                                                                      "SELECT 1 FROM t ",
-		"TRUNCATE TABLE t":                                                                                `DELETE FROM "t"`,
-		"SELECT '$1::x'":                                                                                  "SELECT '$1::x'",
+		"UPDATE t SET a = 1 WHERE id = (SELECT id FROM t FOR UPDATE SKIP LOCKED LIMIT 1) RETURNING id":    "UPDATE t SET a = 1 WHERE id = (SELECT id FROM t  LIMIT 1) RETURNING id",
+		"TRUNCATE TABLE t": `DELETE FROM "t"`,
+		"SELECT '$1::x'":   "SELECT '$1::x'",
 	}
 	for sql, want := range cases {
 		if got := Parse(sql).SQL; got != want {
@@ -69,6 +70,7 @@
 		"UPDATE t SET a = $1, n = n + $2 WHERE t.b = $3":    {{Column: "a"}, {Column: "n"}, {Column: "b"}},
 		"SELECT * FROM t WHERE a IN ($1, $2) LIMIT $3":      {{Column: "a"}, {Column: "a"}, {Type: "bigint"}},
 		"SELECT * FROM t WHERE a BETWEEN $1 AND $2":         {{Column: "a"}, {Column: "a"}},
+		"INSERT INTO t VALUES ($1, now(), $2)":              {{Ordinal: 1}, {Ordinal: 3}},
 		"SELECT $1::double precision, $2":                   {{Type: "double precision"}, {}},
 		"SELECT * FROM t WHERE a = ANY($1)":                 {{Column: "a", Array: true}},
 	}
@@ -81,10 +83,11 @@
 
 func TestColumnHints(t *testing.T) {
 	cases := map[string][]Hint{
-		"SELECT count(*), max(t.a) AS m, b FROM t":  {{Type: "bigint"}, {Column: "a"}, {Column: "b"}},
-		"SELECT 1, 'x', 2.5, a = 3, $2":             {{Type: "integer"}, {Type: "text"}, {Type: "double precision"}, {Type: "boolean"}, {Parameter: 2}},
-		"INSERT INTO t (a) VALUES (1) RETURNING id": {{Column: "id"}},
-		"SELECT * FROM t":                           nil,
+		"SELECT count(*), max(t.a) AS m, b FROM t":                  {{Type: "bigint"}, {Column: "a"}, {Column: "b"}},
+		"SELECT 1, 'x', 2.5, a = 3, $2":                             {{Type: "integer"}, {Type: "text"}, {Type: "double precision"}, {Type: "boolean"}, {Parameter: 2}},
+		"INSERT INTO t (a) VALUES (1) RETURNING id":                 {{Column: "id"}},
+		"SELECT sum(share), CASE WHEN a THEN 'x' ELSE b END FROM t": {{Column: "share", Sum: true}, {Type: "text"}},
+		"SELECT * FROM t": nil,
 	}
 	for sql, want := range cases {
 		if got := Parse(sql).Columns; !reflect.DeepEqual(got, want) {
--- a/standin/database/sqltext/statement.go
+++ b/standin/database/sqltext/statement.go
@@ -55,6 +55,8 @@
 	Local bool
 	// Tables are the names of the tables that the statement mentions.
 	Tables []string
+	// Series are the names of the columns that generate_series yields.
+	Series []string
 	// Parameters hold a hint for each parameter; the first one is $1.
 	Parameters []Hint
 	// Columns hold a hint for each result column; nil when the select list has a star.
@@ -124,7 +126,7 @@
 	s.Tables = tableNames(tokens)
 	s.Parameters = parameterHints(tokens)
 	s.Columns = columnHints(tokens)
-	s.SQL = translate(sql, tokens, s.Kind)
+	s.SQL, s.Series = translate(sql, tokens, s.Kind)
 }
 
 // dataChange returns the first word that makes a WITH query a write.
@@ -322,18 +324,32 @@
 
 // lockClause returns the index of FOR UPDATE or its kin, or -1.
 func lockClause(tokens []token) int {
-	for i := 0; i+1 < len(tokens); i++ {
-		if !tokens[i].is("for") {
-			continue
-		}
-		next := tokens[i+1]
-		if next.is("update") || next.is("share") || next.is("no") || next.is("key") {
+	for i := range tokens {
+		if startsLockClause(tokens, i) {
 			return i
 		}
 	}
 	return -1
 }
 
+func startsLockClause(tokens []token, i int) bool {
+	if i+1 >= len(tokens) || !tokens[i].is("for") {
+		return false
+	}
+	next := tokens[i+1]
+	return next.is("update") || next.is("share") || next.is("no") || next.is("key")
+}
+
+// lockClauseEnd returns the index after the lock clause that starts at i.
+func lockClauseEnd(tokens []token, i int) int {
+	for end := i + 2; end < len(tokens); end++ {
+		if tokens[end].is(")") || tokens[end].is("limit") || tokens[end].is("offset") {
+			return end
+		}
+	}
+	return len(tokens)
+}
+
 // depthChange returns how the token changes the nesting of parentheses.
 func depthChange(t token) int {
 	switch {
--- a/standin/database/sqltext/translate.go
+++ b/standin/database/sqltext/translate.go
@@ -24,19 +24,22 @@
 	out    strings.Builder
 	// copied is the index in sql up to which the text has been copied or replaced.
 	copied int
+	// seriesColumns are the columns that generate_series yields.
+	seriesColumns []string
 }
 
-// translate returns the statement in the words of SQLite.
-func translate(sql string, tokens []token, kind Kind) string {
+// translate returns the statement in the words of SQLite, and the columns that generate_series
+// yields.
+func translate(sql string, tokens []token, kind Kind) (translated string, series []string) {
 	r := &rewriter{sql: sql, tokens: tokens}
 	if tokens[0].is("truncate") {
-		return truncateAsDelete(tokens)
+		return truncateAsDelete(tokens), nil
 	}
 	for i := 0; i < len(tokens); {
 		i = r.step(i, kind)
 	}
 	r.out.WriteString(sql[r.copied:])
-	return r.out.String()
+	return r.out.String(), r.seriesColumns
 }
 
 // step handles the token at index i and returns the index of the next one.
@@ -54,8 +57,8 @@
 		return r.replace(i, i+1, "LIKE")
 	case t.is("public") && i+1 < len(r.tokens) && r.tokens[i+1].is("."):
 		return r.replace(i, i+2, "")
-	case t.is("for") && lockClause(r.tokens) == i:
-		return r.replace(i, len(r.tokens), "")
+	case startsLockClause(r.tokens, i):
+		return r.replace(i, lockClauseEnd(r.tokens, i), "")
 	case t.is("any") && i > 0 && r.tokens[i-1].is("="):
 		return r.arrayMembership(i)
 	case t.is("generate_series"):
@@ -98,6 +101,7 @@
 	}
 	first, last, end := r.seriesBounds(i + 2)
 	column, next := r.seriesAlias(end)
+	r.seriesColumns = append(r.seriesColumns, column)
 	query := "(WITH RECURSIVE series(" + column + ") AS (SELECT " + first + " UNION ALL SELECT " +
 		column + " + 1 FROM series WHERE " + column + " < " + last + ") SELECT " + column + " FROM series)"
 	if i > 0 && r.tokens[i-1].is("select") {
@@ -129,7 +133,8 @@
 		return ""
 	}
 	part := r.sql[r.tokens[start].start:r.tokens[end-1].end]
-	return translate(part, tokenize(part), KindRead)
+	sql, _ := translate(part, tokenize(part), KindRead)
+	return sql
 }
 
 // seriesAlias returns the column name and the index after the alias.
