--- a/internal/target/dial.go
+++ b/internal/target/dial.go
@@ -116,12 +116,16 @@
 func bindDeadline(ctx context.Context, conn net.Conn) (release func()) {
 	deadline, _ := ctx.Deadline()
 	conn.SetDeadline(deadline)
+	done := make(chan struct{})
 	stop := context.AfterFunc(ctx, func() {
 		conn.SetDeadline(time.Unix(1, 0))
+		close(done)
 	})
 	return func() {
-		if stop() {
-			conn.SetDeadline(time.Time{})
+		// A cancellation that comes late must not hit the next use of the connection.
+		if !stop() {
+			<-done
 		}
+		conn.SetDeadline(time.Time{})
 	}
 }
--- a/standin/database/faults_test.go
+++ b/standin/database/faults_test.go
@@ -74,8 +74,8 @@
 
 func TestSilentClientIsGivenUpInTheMiddleOfAnAnswer(t *testing.T) {
 	s := startTarget(t, Options{Slots: 1})
-	slot := dialSlot(t, s, map[string]string{"idle_session_timeout": "50"})
-	send(t, slot, &pgproto3.Query{String: "SELECT pg_sleep(0.05)"})
+	slot := dialSlot(t, s, nil)
+	send(t, slot, &pgproto3.Query{String: "SET idle_session_timeout = 50; SELECT pg_sleep(1)"})
 	await(t, "statement runs", func() bool {
 		sessions := s.openSessions()
 		return len(sessions) == 1 && sessions[0].running.Load()
--- a/standin/database/replication_test.go
+++ b/standin/database/replication_test.go
@@ -1,7 +1,9 @@
 package database
 
 import (
+	"context"
 	"errors"
+	"sync"
 	"testing"
 	"time"
 
@@ -183,3 +185,31 @@
 		t.Fatalf("%d rows", n)
 	}
 }
+
+func TestNothingIsAppendedAfterAFence(t *testing.T) {
+	primary := startTarget(t, Options{})
+	mustExec(t, connectPGX(t, primary), "CREATE TABLE t (id bigserial PRIMARY KEY)")
+	var writers sync.WaitGroup
+	for range 4 {
+		conn := connectPGX(t, primary)
+		writers.Go(func() {
+			var err error
+			for err == nil {
+				_, err = conn.Exec(context.Background(), "INSERT INTO t DEFAULT VALUES")
+			}
+		})
+	}
+	await(t, "writers write", func() bool { return primary.Status().Received > 50 })
+	fenced, err := primary.Fence(2)
+	if err != nil {
+		t.Fatal(err)
+	}
+	writers.Wait()
+	if got := primary.Status(); got != fenced {
+		t.Fatalf("status moved from %+v to %+v", fenced, got)
+	}
+	dump, err := primary.Dump("t")
+	if err != nil || uint64(len(dump.Rows)) != fenced.Received-1 {
+		t.Fatalf("%d rows at %+v, %v", len(dump.Rows), fenced, err)
+	}
+}
