--- a/internal/policy/model/model_test.go
+++ b/internal/policy/model/model_test.go
@@ -79,6 +79,7 @@
 }
 
 func TestCompleteRuleShowsNoViolation(t *testing.T) {
+	t.Parallel()
 	runs := cleanRuns(t)
 	for _, members := range []int{3, 5} {
 		var total stats
@@ -97,6 +98,7 @@
 }
 
 func TestCompleteRuleUnderRapid(t *testing.T) {
+	t.Parallel()
 	for _, members := range []int{3, 5} {
 		rapid.Check(t, func(t *rapid.T) {
 			if w := run(members, runSteps, confirm.DefaultRule, drawn{t}); w.violation != nil {
@@ -124,12 +126,14 @@
 		{"wait before the promotion left out", confirm.DefaultRule, 3, false, time.Nanosecond},
 	}
 	for _, c := range cases {
-		seed, violation := firstViolation(c.members, c.rule, c.lossesOnly, c.settle)
-		if violation == nil {
-			t.Errorf("%s: no violation in %d runs", c.name, slipRuns)
-			continue
-		}
-		t.Logf("%s: seed=%d %v", c.name, seed, violation)
+		t.Run(c.name, func(t *testing.T) {
+			t.Parallel()
+			seed, violation := firstViolation(c.members, c.rule, c.lossesOnly, c.settle)
+			if violation == nil {
+				t.Fatalf("no violation in %d runs", slipRuns)
+			}
+			t.Logf("seed=%d %v", seed, violation)
+		})
 	}
 }
 
--- a/internal/policy/model/run_test.go
+++ b/internal/policy/model/run_test.go
@@ -3,6 +3,7 @@
 import (
 	"time"
 
+	"github.com/papayacove/papayacove/api"
 	"github.com/papayacove/papayacove/internal/policy/confirm"
 	"github.com/papayacove/papayacove/internal/policy/promotion"
 )
@@ -36,6 +37,7 @@
 	{"partition", 4, actPartition},
 	{"heal", 4, actHeal},
 	{"pause_gate", 16, actPauseGate},
+	{"complete_record", 1, actCompleteRecord},
 	{"repair", 8, actRepair},
 }
 
@@ -166,6 +168,14 @@
 	w.now = w.now.Add(time.Duration(milliseconds) * time.Millisecond)
 }
 
+// actCompleteRecord lets a daemon to which the primary was announced name it in an open record.
+func actCompleteRecord(w *world, _ chooser) {
+	known := api.GroupTerm{Term: w.record.Term, Primary: w.promotedAt[w.record.Term]}
+	if order, ok := promotion.CompleteRecord(known, w.record, w.version); ok {
+		w.send("platform", order, nil)
+	}
+}
+
 // actRepair lets a daemon that knows the record make one target follow.
 func actRepair(w *world, c chooser) {
 	t := w.targets[c.intn(len(w.targets))]
