policy: show the loss that an incomplete rule leads to

Change: when an acknowledged write is found on too few targets, these crash and the real promotion of another one has to be caught losing it.

--- a/internal/policy/model/model_test.go
+++ b/internal/policy/model/model_test.go
@@ -9,6 +9,7 @@
 	"time"
 
 	"github.com/papayacove/papayacove/internal/policy/confirm"
+	"github.com/papayacove/papayacove/internal/policy/promotion"
 	"pgregory.net/rapid"
 )
 
@@ -112,39 +113,61 @@
 	withoutLogTerm := confirm.Rule{CheckPrimary: true}
 	withoutPrimary := confirm.Rule{CheckLogTerm: true}
 	cases := []struct {
-		name       string
-		rule       confirm.Rule
-		members    int
-		lossesOnly bool
-		settle     time.Duration
+		name    string
+		rule    confirm.Rule
+		members int
+		settle  time.Duration
 	}{
-		{"log term left out", withoutLogTerm, 3, false, confirm.Validity},
-		{"log term left out until a write is lost", withoutLogTerm, 3, true, confirm.Validity},
-		{"log term left out, five targets", withoutLogTerm, 5, false, confirm.Validity},
-		{"look at the primary left out", withoutPrimary, 3, false, confirm.Validity},
-		{"look at the primary left out, five targets", withoutPrimary, 5, false, confirm.Validity},
-		{"wait before the promotion left out", confirm.DefaultRule, 3, false, time.Nanosecond},
+		{"log term left out", withoutLogTerm, 3, confirm.Validity},
+		{"log term left out, five targets", withoutLogTerm, 5, confirm.Validity},
+		{"look at the primary left out", withoutPrimary, 3, confirm.Validity},
+		{"look at the primary left out, five targets", withoutPrimary, 5, confirm.Validity},
+		{"wait before the promotion left out", confirm.DefaultRule, 3, time.Nanosecond},
 	}
 	for _, c := range cases {
 		t.Run(c.name, func(t *testing.T) {
 			t.Parallel()
-			seed, violation := firstViolation(c.members, c.rule, c.lossesOnly, c.settle)
-			if violation == nil {
+			w, seed := firstViolation(c.members, c.rule, c.settle)
+			if w == nil {
 				t.Fatalf("no violation in %d runs", slipRuns)
 			}
-			t.Logf("seed=%d %v", seed, violation)
+			t.Logf("seed=%d %v", seed, w.violation)
+			if w.exposed != nil {
+				checkLoss(t, w)
+			}
 		})
 	}
 }
 
-func firstViolation(members int, rule confirm.Rule, lossesOnly bool, settle time.Duration) (uint64, error) {
+func firstViolation(members int, rule confirm.Rule, settle time.Duration) (*world, uint64) {
 	for seed := range uint64(slipRuns) {
 		w := newWorld(members, rule)
-		w.lossesOnly, w.settle = lossesOnly, settle
-		w.run(runSteps, newSeeded(seed))
+		w.settle = settle
+		if w.run(runSteps, newSeeded(seed)); w.violation != nil {
+			return w, seed
+		}
+	}
+	return nil, 0
+}
+
+// checkLoss crashes the targets that hold an acknowledged write, too few as they are, and expects
+// that the promotion of another one loses it.
+func checkLoss(t *testing.T, w *world) {
+	t.Helper()
+	w.calm()
+	for _, target := range w.targets {
+		target.down = target.holds(*w.exposed)
+	}
+	w.violation = nil
+	w.promoters[0].begin()
+	for range runSteps {
+		w.now = w.now.Add(recoveryStep)
+		w.passAll()
+		w.promoters[0].handle(promotion.Tick{})
 		if w.violation != nil {
-			return seed, w.violation
+			t.Logf("after a crash: %v", w.violation)
+			return
 		}
 	}
-	return 0, nil
+	t.Error("no promotion loses the write")
 }
--- a/internal/policy/model/world_test.go
+++ b/internal/policy/model/world_test.go
@@ -49,8 +49,8 @@
 	record  api.TermRecord
 	version uint64
 
-	// lossesOnly leaves an acknowledged write on too few targets until it is lost.
-	lossesOnly bool
+	// exposed is the acknowledged write that was found on too few targets.
+	exposed *write
 	// settle is the time that promoters wait after they have fenced a majority.
 	settle time.Duration
 	// weights are the weights of the actions in this run.
@@ -203,7 +203,8 @@
 			holding++
 		}
 	}
-	if !w.lossesOnly && holding < confirm.Majority(len(w.targets)) {
+	if holding < confirm.Majority(len(w.targets)) {
+		w.exposed = &a
 		w.fail("acknowledged write %d at %s is on %d of %d targets", a.id, a.position, holding, len(w.targets))
 	}
 }
