Parse a text at most once under a name in a batch, and skip with the target after an error

Cause: two names of a caller with the same text were parsed twice under one derived name in a batch, which a target refuses; after an error in an open pipeline, messages that the target skips were sent on and waited for. Ruled out: dropping the second Parse (its answer would be missing). Change: a copy is parsed under a name with a suffix; after an error the frontend skips as the target does and sends only the Sync that ends the pipeline. Before and after: the two new tests fail before and pass after. Conclusion: the duties of the gate are stated in the package documentation as they are now.

--- a/internal/frontend/collector.go
+++ b/internal/frontend/collector.go
@@ -1,6 +1,7 @@
 package frontend
 
 import (
+	"fmt"
 	"slices"
 	"sync"
 
@@ -87,10 +88,25 @@
 	c.messages = append(c.messages[:c.last], replaced...)
 }
 
+// nameToParse returns the name under which a batch may parse a statement. A name that the batch has
+// parsed or needs is taken, so that a copy of the statement is parsed under another name.
+func (c *collector) nameToParse(p preparedStatement) string {
+	name := p.name
+	if c.knows(name) {
+		name = fmt.Sprintf("%s_%d", name, len(c.parsed)+1)
+	}
+	c.parsed = append(c.parsed, name)
+	return name
+}
+
+func (c *collector) knows(name string) bool {
+	isNamed := func(known api.PreparedStatement) bool { return known.Name == name }
+	return slices.Contains(c.parsed, name) || slices.ContainsFunc(c.prepared, isNamed)
+}
+
 // need makes sure that the gate prepares the statement before the batch.
 func (c *collector) need(p preparedStatement) {
-	isNamed := func(known api.PreparedStatement) bool { return known.Name == p.name }
-	if slices.Contains(c.parsed, p.name) || slices.ContainsFunc(c.prepared, isNamed) {
+	if c.knows(p.name) {
 		return
 	}
 	c.prepared = append(c.prepared, p.message())
--- a/internal/frontend/doc.go
+++ b/internal/frontend/doc.go
@@ -6,10 +6,11 @@
 // A named statement of a caller has a name on targets that is derived from its text and parameter
 // types, and Parse, Bind and Describe are rewritten to it. Batch.Prepared lists the definitions
 // that a batch refers to without a Parse of its own: the gate prepares those that its connection
-// lacks and swallows their ParseComplete. A Parse with a derived name inside Batch.Messages is
-// answered with ParseComplete and not sent when the connection already has that name. A connection
-// has a name only after its ParseComplete. Close of a named statement is rewritten to a name that
-// never exists, so that the shared statement stays.
+// lacks and swallows their ParseComplete. It also makes sure that a Parse inside Batch.Messages
+// succeeds when its connection already has the name. No name is parsed twice in one batch, and none
+// is parsed after a message that needs it. A connection has a name only after its ParseComplete.
+// Close of a named statement is rewritten to a name that never exists, so that the shared statement
+// stays.
 //
 // # Settings
 //
--- a/internal/frontend/extended.go
+++ b/internal/frontend/extended.go
@@ -111,9 +111,8 @@
 		c.parsedUnnamed = true
 		return nil
 	}
-	c.parsed = append(c.parsed, p.name)
 	rest := c.body()[len(message.Name):]
-	c.replaceLast('P', []byte(p.name), rest)
+	c.replaceLast('P', []byte(c.nameToParse(p)), rest)
 	return nil
 }
 
@@ -257,8 +256,9 @@
 // handleSync ends a batch. It is answered with exactly one ReadyForQuery.
 func (s *session) handleSync(ctx context.Context) error {
 	defer s.finishBatch()
-	if s.skipsToSync {
-		s.skipsToSync = false
+	isSkipped := s.skipsToSync
+	s.skipsToSync = false
+	if isSkipped && s.status != StatusOpenPipeline {
 		return s.write(s.readyForQuery(nil))
 	}
 	if !s.collected.hasForward && s.status != StatusOpenPipeline {
--- a/internal/frontend/extended_test.go
+++ b/internal/frontend/extended_test.go
@@ -167,3 +167,31 @@
 	c.expect("parsed bound error:0A000 ready:I", parse("role", "SET ROLE a"), bind("role"), execute(), closeStatement("role"), syncAll())
 	c.expect("error:42P05 ready:I", parse("role", "SELECT 1"), syncAll())
 }
+
+func TestSameTextUnderTwoNames(t *testing.T) {
+	runner := newFakeRunner()
+	c := dial(t, startServer(t, runner, nil), nil)
+	c.expect("parsed parsed bound row:row done:SELECT ready:I",
+		parse("a", "SELECT 1"), parse("b", "SELECT 1"), bind("b"), execute(), syncAll())
+	c.expect("bound parsed ready:I", bind("a"), parse("c", "SELECT 1"), syncAll())
+	c.expect("bound row:row done:SELECT ready:I", bind("c"), execute(), syncAll())
+	if broken := runner.violations(); len(broken) > 0 {
+		t.Error(broken)
+	}
+}
+
+func TestErrorInOpenPipelineSkipsToSync(t *testing.T) {
+	runner := newFakeRunner()
+	c := dial(t, startServer(t, runner, nil), nil)
+	c.send(parse("", "ERROR"), bind(""), execute(), &pgproto3.Flush{})
+	for _, want := range []string{"parsed", "bound", "error:XX000"} {
+		if got := describe(c.receive()); got != want {
+			t.Fatalf("answer = %s, want %s", got, want)
+		}
+	}
+	count := len(runner.recorded())
+	c.expect("ready:I", parse("", "SELECT 1"), bind(""), execute(), &pgproto3.Flush{}, syncAll())
+	if batches := runner.recorded(); len(batches) != count+1 || len(batches[count].Messages) != headerBytes {
+		t.Errorf("%d batches followed, want a lone Sync", len(batches)-count)
+	}
+}
--- a/internal/frontend/fake_test.go
+++ b/internal/frontend/fake_test.go
@@ -139,6 +139,7 @@
 func (s *fakeSession) answer(messages []byte) ([]byte, error) {
 	backend := pgproto3.NewBackend(strings.NewReader(string(messages)), io.Discard)
 	var out []byte
+	parsed := map[string]bool{}
 	for {
 		message, err := backend.Receive()
 		if err != nil {
@@ -149,6 +150,8 @@
 			out = s.run(appendMessage(out, rowDescription()), m.String)
 			out = s.ready(out)
 		case *pgproto3.Parse:
+			s.runner.require(m.Name == "" || !parsed[m.Name], "a batch parses a name twice")
+			parsed[m.Name] = true
 			s.prepared[m.Name] = m.Query
 			out = appendMessage(out, &pgproto3.ParseComplete{})
 		case *pgproto3.Bind:
@@ -201,6 +204,8 @@
 	verb, _, _ := strings.Cut(strings.ToUpper(strings.TrimSpace(query)), " ")
 	verb = strings.TrimSuffix(verb, ";")
 	switch verb {
+	case "ERROR":
+		return appendMessage(out, &pgproto3.ErrorResponse{Severity: "ERROR", Code: "XX000"})
 	case "BEGIN", "START":
 		s.status = StatusTransaction
 	case "COMMIT", "ROLLBACK", "END":
--- a/internal/frontend/flush.go
+++ b/internal/frontend/flush.go
@@ -17,8 +17,10 @@
 	}
 	// Later messages of the pipeline may write, and they run where this batch runs.
 	s.collected.hasWrite = true
-	failed, err := s.forwardTo(ctx, &answerCheck{write: s.write}, true)
-	s.skipsToSync = failed
+	check := &answerCheck{write: s.write}
+	failed, err := s.forwardTo(ctx, check, true)
+	// After an error the target skips as well, and it is the Sync that ends its pipeline.
+	s.skipsToSync = failed || check.hasFailed
 	return err
 }
 
