Judge a transaction by the term and role in which it began

A BEGIN was in flight when the primary froze; the primary woke after its replacement, and the gate, which looked the role up anew for each batch, took the rest of the transaction for work on a replica and acknowledged the COMMIT without confirmation. Ruled out: the confirmation rule itself (each commit_confirmed lay before the start of the new term), the fence answers, and the stand-in's log (the records of confirmed positions were all there). Change: a transaction keeps term and role of its beginning; a write answered by a target that did not lead is a violated invariant and never acknowledged.

--- a/internal/failover/controller.go
+++ b/internal/failover/controller.go
@@ -41,6 +41,7 @@
 	term       api.GroupTerm
 	termSince  time.Time
 	stoppedAt  time.Time
+	resumedAt  time.Time
 	busy       int
 	repairedAt time.Time
 	lastReason promotion.TriggerReason
@@ -109,6 +110,7 @@
 	c.suspected = promotion.SuspicionDecision{}
 	c.lastSeen = observer.Observation{}
 	c.stoppedAt = time.Time{}
+	c.resumedAt = time.Time{}
 }
 
 // suspect takes in what is new about the primary.
@@ -225,6 +227,9 @@
 	if state.AdmissionStopped {
 		state.StoppedFor = time.Since(c.stoppedAt)
 	}
+	if !c.resumedAt.IsZero() {
+		state.SinceResumed = time.Since(c.resumedAt)
+	}
 	primary := c.lastSeen
 	state.PrimaryLeaving = c.term.Primary != "" && (primary.Status.Leaving || c.options.IsLeaving(c.term.Primary))
 	for _, seen := range all {
@@ -257,6 +262,7 @@
 	c.busy = reply.Busy
 	if !stop {
 		c.stoppedAt = time.Time{}
+		c.resumedAt = time.Now()
 	} else if c.stoppedAt.IsZero() {
 		c.stoppedAt = time.Now()
 	}
--- a/internal/failover/promoter.go
+++ b/internal/failover/promoter.go
@@ -45,8 +45,11 @@
 		sleep(ctx, retryPause)
 		return
 	}
-	if record.Term > c.term.Term || record.Primary != c.term.Primary {
+	compared := promotion.DecideRecord(c.term, record)
+	if compared.Action != promotion.RecordOpenNext {
+		logrus.WithFields(compared.Fields()).Info("promotion_not_started")
 		c.options.Terms.Observe(terms.FromRecord(record))
+		sleep(ctx, retryPause)
 		return
 	}
 	ctx, cancel := context.WithCancel(ctx)
--- a/internal/gate/age.go
+++ b/internal/gate/age.go
@@ -6,52 +6,52 @@
 
 	"github.com/papayacove/papayacove/api"
 	"github.com/papayacove/papayacove/internal/observer"
+	"github.com/papayacove/papayacove/internal/policy/confirm"
+	"github.com/papayacove/papayacove/internal/policy/staleness"
 )
 
 // ageSamples is the number of primary positions that are kept.
 const ageSamples = 512
 
-// ageTracker bounds the age of a replica by samples of the primary's position.
+// ageTracker bounds the age of the data of a target by samples of the primary's position.
 type ageTracker struct {
-	mu      sync.Mutex
-	samples []ageSample
-}
+	confirmer *confirmer
 
-// ageSample says that the log of the group ended at a position when it was asked for.
-type ageSample struct {
-	asked    time.Time
-	position api.Position
+	mu      sync.Mutex
+	history *staleness.History
 }
 
-func newAgeTracker() *ageTracker {
-	return &ageTracker{}
+func newAgeTracker(c *confirmer) *ageTracker {
+	return &ageTracker{confirmer: c, history: staleness.NewHistory(ageSamples)}
 }
 
-// note takes in an answer of the primary of a term.
-func (a *ageTracker) note(seen observer.Observation, term uint64) {
-	position := seen.Status.LogPosition()
-	if seen.Asked.IsZero() || position.Term != term {
+// note takes in the newest answer of the primary of a term. It counts once a majority is known to
+// have followed the term when it was asked for, since a replaced primary says nothing about age.
+func (a *ageTracker) note(seen observer.Observation, current api.GroupTerm) {
+	if seen.Asked.IsZero() || seen.Status.LogTerm != current.Term {
 		return
 	}
-	a.mu.Lock()
-	defer a.mu.Unlock()
-	if last := len(a.samples) - 1; last >= 0 && !seen.Asked.After(a.samples[last].asked) {
+	backed := false
+	a.confirmer.at(current, func(t *confirm.Tracker) { backed = t.IsBacked(seen.Asked) })
+	if !backed {
 		return
 	}
-	if len(a.samples) == ageSamples {
-		a.samples = append(a.samples[:0], a.samples[1:]...)
-	}
-	a.samples = append(a.samples, ageSample{asked: seen.Asked, position: position})
+	a.mu.Lock()
+	defer a.mu.Unlock()
+	a.history.Add(staleness.Sample{AskedAt: seen.Asked, Position: seen.Status.LogPosition()})
 }
 
-// bound returns the bound on the age of data at the applied position; negative when unknown.
-func (a *ageTracker) bound(applied api.Position, now time.Time) time.Duration {
+// bound returns the bound on the age of data at the applied position.
+func (a *ageTracker) bound(applied api.Position, now time.Time) staleness.Bound {
 	a.mu.Lock()
 	defer a.mu.Unlock()
-	for i := len(a.samples) - 1; i >= 0; i-- {
-		if applied.Compare(a.samples[i].position) >= 0 {
-			return now.Sub(a.samples[i].asked)
-		}
+	return a.history.Bound(applied, now)
+}
+
+// ageOf returns a bound as a duration; negative when it is unknown.
+func ageOf(bound staleness.Bound) time.Duration {
+	if !bound.Known {
+		return -1
 	}
-	return -1
+	return bound.Age
 }
--- a/internal/gate/batch.go
+++ b/internal/gate/batch.go
@@ -10,6 +10,8 @@
 
 	"github.com/jackc/pgx/v5/pgproto3"
 	"github.com/papayacove/papayacove/api"
+	"github.com/papayacove/papayacove/internal/invariant"
+	"github.com/papayacove/papayacove/internal/policy/readroute"
 	"github.com/papayacove/papayacove/internal/result"
 	"github.com/papayacove/papayacove/internal/target"
 	"github.com/sirupsen/logrus"
@@ -48,9 +50,10 @@
 	// leads is true when the target is the primary of term.
 	leads bool
 	term  api.GroupTerm
-	// age bounds the age of the data of a replica; checkFloor asks for its position first.
-	age        time.Duration
-	checkFloor bool
+	// age bounds the age of the data of a replica.
+	age time.Duration
+	// isUnbacked is true for a read on a primary without a majority, allowed by its age.
+	isUnbacked bool
 
 	plan    plan
 	buffer  []byte
@@ -141,32 +144,7 @@
 			return err
 		}
 	}
-	if !b.plan.statusBefore {
-		return nil
-	}
-	if err := b.readStatus(); err != nil {
-		return err
-	}
-	applied := b.status.AppliedPosition()
-	if applied.Compare(b.req.Floor) >= 0 {
-		return nil
-	}
-	return b.discardAnswer(result.Errorf(result.NotRunBehind, "target %s has applied %s, the session relies on %s",
-		b.gate.options.Spec.Name, applied, b.req.Floor))
-}
-
-// discardAnswer reads the answer of a read that ran too early and returns the reason.
-func (b *batch) discardAnswer(reason *result.Error) error {
-	for {
-		kind, body, err := b.slot.connection.ReadRaw()
-		if err != nil {
-			return err
-		}
-		if kind == messageReadyForQuery && len(body) == 1 {
-			b.slot.broken = b.slot.broken || body[0] != statusIdle
-			return reason
-		}
-	}
+	return nil
 }
 
 // readSettings reads the answer to the query that sets the session state.
@@ -319,7 +297,16 @@
 	if refusal := b.reroute(transactionStatus); refusal != nil {
 		return b.gate.refuse(b.req, refusal)
 	}
+	if b.isUnbacked {
+		// Nothing may rely on data that no majority backs, so the reply has no position.
+		return &api.ExecuteReply{Chunk: b.buffer, TransactionStatus: string(transactionStatus), AgeMs: b.age.Milliseconds()}
+	}
 	reply := &api.ExecuteReply{Chunk: b.buffer, TransactionStatus: string(transactionStatus), AgeMs: -1}
+	if !b.leads && !invariant.Check(b.req.Access == api.ExecuteRequestAccessRead, "write_answered_by_primary", logrus.Fields{
+		"session": b.req.SessionID, "target": b.req.Target,
+	}) {
+		return b.fail(ctx, result.Errorf(result.OutcomeUnknown, "target %s did not lead the group", b.gate.options.Spec.Name))
+	}
 	if !b.leads {
 		reply.AgeMs = b.age.Milliseconds()
 		b.log(reply, "replica")
@@ -418,7 +405,7 @@
 			b.gate.finish(b.slot, b.admitted, !b.slot.rollBack())
 		}
 	case keeps:
-		b.gate.transactions.begin(b.req, b.slot, b.admitted)
+		b.gate.transactions.begin(b)
 	default:
 		if b.pinned {
 			b.gate.transactions.end(session)
@@ -430,13 +417,21 @@
 // leavesBroken reports whether a connection is of no more use after an error.
 func leavesBroken(err error) bool {
 	switch result.CodeOf(err) {
-	case result.OK, result.NotRunBehind, result.AlreadyRan:
+	case result.OK, result.AlreadyRan:
 		return false
 	default:
 		return true
 	}
 }
 
+// maxAge returns the allowed age of the data; negative when the floor alone counts.
+func (b *batch) maxAge() time.Duration {
+	if b.req.MaxAgeMs < 0 {
+		return readroute.NoMaxAge
+	}
+	return time.Duration(b.req.MaxAgeMs) * time.Millisecond
+}
+
 func (b *batch) log(reply *api.ExecuteReply, role string) {
 	counters.Add("batches_"+role, 1)
 	if !logrus.IsLevelEnabled(logrus.DebugLevel) {
--- a/internal/gate/confirmer.go
+++ b/internal/gate/confirmer.go
@@ -15,14 +15,13 @@
 // confirmer applies the acknowledgement rule to the commits of one primary.
 type confirmer struct {
 	observer *observer.Observer
-	primary  string
 
 	mu      sync.Mutex
 	tracker *confirm.Tracker
 }
 
-func newConfirmer(o *observer.Observer, primary string) *confirmer {
-	return &confirmer{observer: o, primary: primary}
+func newConfirmer(o *observer.Observer) *confirmer {
+	return &confirmer{observer: o}
 }
 
 // roleOf converts the role that a target reports.
@@ -39,13 +38,13 @@
 
 // at runs decide on the tracker of the term with the newest answers, and returns the channel that
 // is closed when newer answers are in.
-func (c *confirmer) at(term uint64, decide func(t *confirm.Tracker)) <-chan struct{} {
+func (c *confirmer) at(current api.GroupTerm, decide func(t *confirm.Tracker)) <-chan struct{} {
 	all, changed := c.observer.All()
 	c.mu.Lock()
 	defer c.mu.Unlock()
-	if c.tracker == nil || c.tracker.Term() != term {
+	if c.tracker == nil || c.tracker.Term() != current.Term || c.tracker.Primary() != current.Primary {
 		members := len(c.observer.Group().Targets)
-		c.tracker = confirm.NewTracker(c.primary, term, members, confirm.Validity)
+		c.tracker = confirm.NewTracker(current.Primary, current.Term, members, confirm.Validity)
 	}
 	for _, seen := range all {
 		if seen.Asked.IsZero() {
@@ -64,27 +63,27 @@
 }
 
 // admit decides whether a write may be sent to the primary.
-func (c *confirmer) admit(term uint64) confirm.Admission {
+func (c *confirmer) admit(current api.GroupTerm) confirm.Admission {
 	var admission confirm.Admission
-	c.at(term, func(t *confirm.Tracker) { admission = t.Admit(time.Now()) })
+	c.at(current, func(t *confirm.Tracker) { admission = t.Admit(time.Now()) })
 	return admission
 }
 
 // confirm waits until a commit is confirmed or can never be. After replicationWait a commit that
 // only the primary holds is confirmed by a majority that still follows it.
-func (c *confirmer) confirm(ctx context.Context, commit api.Position, committed time.Time, replicationWait time.Duration) confirm.Decision {
+func (c *confirmer) confirm(ctx context.Context, current api.GroupTerm, commit api.Position, committed time.Time, replicationWait time.Duration) confirm.Decision {
 	c.observer.Committing()
 	decide := func(t *confirm.Tracker) confirm.Decision { return t.Decide(commit, committed, time.Now()) }
-	return c.wait(ctx, commit.Term, committed.Add(replicationWait), decide)
+	return c.wait(ctx, current, committed.Add(replicationWait), decide)
 }
 
 // floor returns the position that a new session may rely on.
-func (c *confirmer) floor(ctx context.Context, term uint64) (api.Position, error) {
+func (c *confirmer) floor(ctx context.Context, current api.GroupTerm) (api.Position, error) {
 	requested := time.Now()
 	c.observer.Committing()
-	c.observer.Ask(c.primary)
+	c.observer.Ask(current.Primary)
 	decide := func(t *confirm.Tracker) confirm.Decision { return t.Floor(requested, time.Now()) }
-	decision := c.wait(ctx, term, requested, decide)
+	decision := c.wait(ctx, current, requested, decide)
 	switch decision.Outcome {
 	case confirm.Confirmed, confirm.FenceOnly:
 		return decision.Commit, nil
@@ -97,11 +96,11 @@
 
 // wait repeats a decision with newer answers until it is final. From fenceFrom on, FenceOnly is
 // final as well.
-func (c *confirmer) wait(ctx context.Context, term uint64, fenceFrom time.Time, decide func(t *confirm.Tracker) confirm.Decision) confirm.Decision {
+func (c *confirmer) wait(ctx context.Context, current api.GroupTerm, fenceFrom time.Time, decide func(t *confirm.Tracker) confirm.Decision) confirm.Decision {
 	var timer *time.Timer
 	for {
 		var decision confirm.Decision
-		changed := c.at(term, func(t *confirm.Tracker) { decision = decide(t) })
+		changed := c.at(current, func(t *confirm.Tracker) { decision = decide(t) })
 		if decision.Outcome == confirm.Confirmed || decision.Outcome == confirm.Refused {
 			return decision
 		}
--- a/internal/gate/gate.go
+++ b/internal/gate/gate.go
@@ -11,6 +11,7 @@
 	"github.com/papayacove/papayacove/api"
 	"github.com/papayacove/papayacove/internal/observer"
 	"github.com/papayacove/papayacove/internal/policy/confirm"
+	"github.com/papayacove/papayacove/internal/policy/readroute"
 	"github.com/papayacove/papayacove/internal/result"
 	"github.com/papayacove/papayacove/internal/target"
 	"github.com/papayacove/papayacove/internal/terms"
@@ -20,6 +21,10 @@
 const (
 	// noPrimaryRetryAfter is the time after which a request that found no primary may come back.
 	noPrimaryRetryAfter = 200 * time.Millisecond
+	// appliedWait is the time that a read waits for a replica to apply what the session relies on.
+	appliedWait = 60 * time.Millisecond
+	// appliedLook is the time that a read waits for a replica whose lag is not known.
+	appliedLook = 5 * time.Millisecond
 	// idleTransactionCheck is the time between two passes over idle transactions.
 	idleTransactionCheck = 100 * time.Millisecond
 )
@@ -49,6 +54,7 @@
 	confirmer    *confirmer
 	transactions *transactions
 	age          *ageTracker
+	applied      *appliedWatch
 	cancel       context.CancelFunc
 	draining     atomic.Bool
 	// stoppedUntil is the time, in Unix nanoseconds, until which no new writes are admitted.
@@ -62,13 +68,15 @@
 
 // New returns a gate that holds no connection yet.
 func New(options Options) *Gate {
+	confirmer := newConfirmer(options.Observer)
 	return &Gate{
 		options:      options,
 		pool:         newPool(options.Spec, options.Target),
 		queue:        newQueue(options.Spec, options.Limits.QueueLength),
-		confirmer:    newConfirmer(options.Observer, options.Spec.Name),
+		confirmer:    confirmer,
 		transactions: newTransactions(),
-		age:          newAgeTracker(),
+		age:          newAgeTracker(confirmer),
+		applied:      newAppliedWatch(options.Spec, options.Target, options.Observer),
 		answers:      make(map[uint64]*answer),
 		inflight:     make(map[string]*slot),
 	}
@@ -80,6 +88,7 @@
 	go g.every(ctx, maintenanceInterval, g.pool.maintain)
 	go g.every(ctx, idleTransactionCheck, g.endIdleTransactions)
 	go g.sampleAge(ctx)
+	go g.applied.run(ctx)
 }
 
 func (g *Gate) every(ctx context.Context, interval time.Duration, task func()) {
@@ -100,7 +109,7 @@
 	for {
 		_, changed := g.options.Observer.All()
 		if current, ok := g.options.Terms.Current(g.options.Group.Name); ok && current.Primary != "" {
-			g.age.note(g.options.Observer.Latest(current.Primary), current.Term)
+			g.age.note(g.options.Observer.Latest(current.Primary), current)
 		}
 		select {
 		case <-ctx.Done():
@@ -272,7 +281,7 @@
 	if err != nil {
 		return api.Position{}, err
 	}
-	return g.confirmer.floor(ctx, current.Term)
+	return g.confirmer.floor(ctx, current)
 }
 
 // leads returns the term in which the target is the primary.
@@ -297,11 +306,12 @@
 			return nil, err
 		}
 		b.slot, b.admitted, b.pinned = resumed.slot, resumed.admitted, true
-		b.term, _ = g.options.Terms.Current(g.options.Group.Name)
-		b.leads = b.term.Primary == g.options.Spec.Name
+		// A later term must not change how the transaction is judged: what began on a primary is
+		// confirmed in the term of that primary, or not at all.
+		b.term, b.leads = resumed.term, resumed.leads
 		return b, nil
 	}
-	if err := g.check(b); err != nil {
+	if err := g.check(ctx, b); err != nil {
 		return nil, err
 	}
 	admitted, err := g.queue.admit(ctx, req)
@@ -318,41 +328,68 @@
 }
 
 // check refuses what this target cannot run at the moment.
-func (g *Gate) check(b *batch) error {
+func (g *Gate) check(ctx context.Context, b *batch) error {
 	if g.draining.Load() {
 		return result.Errorf(result.NotRunDraining, "target %s takes no new work", g.options.Spec.Name)
 	}
 	current, err := g.leads()
 	b.term = current
 	b.leads = err == nil
-	if b.leads {
-		if time.Now().UnixNano() < g.stoppedUntil.Load() {
-			return result.Errorf(result.NotRunDraining, "a planned switchover of group %s is in progress", g.options.Group.Name)
-		}
-		admission := g.confirmer.admit(current.Term)
-		if !admission.Allowed {
-			return result.Errorf(admission.Code, "%s: %d of %d targets seen", admission.Reason, admission.Seen, admission.Needed).
-				WithRetryAfter(admission.RetryAfter)
-		}
+	switch {
+	case b.leads:
+		return g.checkPrimary(b)
+	case b.req.Access == api.ExecuteRequestAccessWrite:
+		return err
+	default:
+		return g.checkReplica(ctx, b)
+	}
+}
+
+// checkPrimary refuses work that could not be confirmed. A primary without a majority serves only
+// reads whose allowed age covers the time since it was last backed.
+func (g *Gate) checkPrimary(b *batch) error {
+	if time.Now().UnixNano() < g.stoppedUntil.Load() {
+		return result.Errorf(result.NotRunDraining, "a planned switchover of group %s is in progress", g.options.Group.Name)
+	}
+	admission := g.confirmer.admit(b.term)
+	if admission.Allowed {
 		return nil
 	}
-	if b.req.Access == api.ExecuteRequestAccessWrite {
-		return err
+	if b.req.Access == api.ExecuteRequestAccessRead {
+		position := g.options.Observer.Latest(g.options.Spec.Name).Status.AppliedPosition()
+		decision := readroute.AtPrimary(false, b.req.Floor, b.maxAge(), position, g.age.bound(position, time.Now()))
+		if decision.Action == readroute.Run {
+			b.isUnbacked = true
+			b.age = decision.Age
+			return nil
+		}
 	}
-	return g.checkReplica(b)
+	return result.Errorf(admission.Code, "%s: %d of %d targets seen", admission.Reason, admission.Seen, admission.Needed).
+		WithRetryAfter(admission.RetryAfter)
 }
 
-// checkReplica refuses reads on a replica that is leaving or too old.
-func (g *Gate) checkReplica(b *batch) error {
+// checkReplica refuses reads on a replica that is leaving, too old, or too far behind to wait for.
+func (g *Gate) checkReplica(ctx context.Context, b *batch) error {
 	seen := g.options.Observer.Latest(g.options.Spec.Name)
 	if seen.Status.Leaving {
 		return result.Errorf(result.NotRunTargetLeaving, "target %s is leaving", g.options.Spec.Name)
 	}
-	b.age = g.age.bound(seen.Status.AppliedPosition(), time.Now())
-	if b.req.MaxAgeMs >= 0 && (b.age < 0 || b.age > time.Duration(b.req.MaxAgeMs)*time.Millisecond) {
-		return result.Errorf(result.NotRunTooOld, "target %s: age bound is %v", g.options.Spec.Name, b.age)
+	applied := seen.Status.AppliedPosition()
+	decision := readroute.AtReplica(b.req.Floor, b.maxAge(), applied, g.age.bound(applied, time.Now()), appliedWait)
+	if decision.Action == readroute.WaitThenRun || decision.Action == readroute.Behind {
+		// The newest answer may be older than the floor, so the replica itself is asked.
+		wait := max(decision.Wait, appliedLook)
+		if !g.applied.wait(ctx, b.req.Floor, wait) {
+			return result.Errorf(result.NotRunBehind, "target %s: %s, applied %s, floor %s", g.options.Spec.Name, decision.Reason, applied, b.req.Floor)
+		}
+		applied = g.options.Observer.Latest(g.options.Spec.Name).Status.AppliedPosition()
+		decision = readroute.AtReplica(b.req.Floor, b.maxAge(), applied, g.age.bound(applied, time.Now()), 0)
+	}
+	b.age = decision.Age
+	if decision.Action != readroute.Run {
+		return result.Errorf(decision.Code(), "target %s: %s, age %v, applied %s, floor %s",
+			g.options.Spec.Name, decision.Reason, decision.Age, applied, b.req.Floor)
 	}
-	b.checkFloor = seen.Status.AppliedPosition().Compare(b.req.Floor) < 0
 	return nil
 }
 
@@ -378,7 +415,7 @@
 			g.options.Spec.Name, status.Term, status.Role, b.term.Term)
 	}
 	replicationWait := time.Duration(b.req.ReplicationWaitMs) * time.Millisecond
-	decision := g.confirmer.confirm(ctx, commit, committed, replicationWait)
+	decision := g.confirmer.confirm(ctx, b.term, commit, committed, replicationWait)
 	entry := logrus.WithFields(decision.Fields()).WithFields(logrus.Fields{"group": b.req.Group, "session": b.req.SessionID})
 	switch decision.Outcome {
 	case confirm.Confirmed:
@@ -403,7 +440,7 @@
 		Slots: g.options.Spec.Slots, SlotsInUse: open - free, Queue: g.queue.length(),
 		Received: seen.Status.LogPosition(), Applied: seen.Status.AppliedPosition(), AgeMs: -1,
 	}
-	if age := g.age.bound(seen.Status.AppliedPosition(), time.Now()); age >= 0 {
+	if age := ageOf(g.age.bound(seen.Status.AppliedPosition(), time.Now())); age >= 0 {
 		status.AgeMs = age.Milliseconds()
 	}
 	return status
--- a/internal/gate/plan.go
+++ b/internal/gate/plan.go
@@ -20,8 +20,6 @@
 type plan struct {
 	// settings are set first; nil when they are in place.
 	settings map[string]string
-	// statusBefore asks for the position of a replica before the batch runs.
-	statusBefore bool
 	// statusAfter asks for the position of the primary after the batch.
 	statusAfter bool
 	// inject are Close and Parse messages for the statements that the batch refers to.
@@ -46,7 +44,6 @@
 	p.statusAfter = leads && !p.isOpenPipeline
 	if !b.pinned {
 		p.planSettings(b, leads)
-		p.statusBefore = b.checkFloor && !leads
 	}
 	p.planStatements(b.req.Prepared, b.slot)
 	return p
@@ -138,9 +135,6 @@
 	if p.settings != nil {
 		out = appendQuery(out, settingsQuery(p.settings))
 	}
-	if p.statusBefore {
-		out = appendQuery(out, target.StatusQuery)
-	}
 	out = append(out, p.inject...)
 	out = append(out, messages...)
 	if p.statusAfter {
--- a/internal/gate/slot.go
+++ b/internal/gate/slot.go
@@ -69,10 +69,12 @@
 	b.WriteString("RESET ALL")
 	names := slices.Sorted(maps.Keys(wanted))
 	for _, name := range names {
-		b.WriteString("; SET ")
-		b.WriteString(quoteName(name))
-		b.WriteString(" = ")
+		// set_config takes a list, such as that of search_path, as SHOW prints it.
+		b.WriteString("; SELECT set_config(")
+		b.WriteString(quoteText(name))
+		b.WriteString(", ")
 		b.WriteString(quoteText(wanted[name]))
+		b.WriteString(", false)")
 	}
 	return b.String()
 }
@@ -85,15 +87,6 @@
 	return wanted
 }
 
-// quoteName quotes each part of a parameter name that is not plain.
-func quoteName(name string) string {
-	plain := func(r rune) bool { return r == '_' || r == '.' || r >= '0' && r <= '9' || r >= 'a' && r <= 'z' }
-	if strings.IndexFunc(name, func(r rune) bool { return !plain(r) }) < 0 {
-		return name
-	}
-	return `"` + strings.ReplaceAll(name, `"`, `""`) + `"`
-}
-
 func quoteText(text string) string {
 	return "'" + strings.ReplaceAll(text, "'", "''") + "'"
 }
--- a/internal/gate/transaction.go
+++ b/internal/gate/transaction.go
@@ -16,6 +16,9 @@
 	sequence uint64
 	slot     *slot
 	lastUsed time.Time
+	// leads and term tell whether the transaction began on the primary, and in which term.
+	leads    bool
+	term     api.GroupTerm
 	busy     bool
 	doomed   bool
 	admitted *ticket
@@ -49,13 +52,15 @@
 }
 
 // begin keeps a connection for a session.
-func (t *transactions) begin(req *api.ExecuteRequest, s *slot, admitted *ticket) {
+func (t *transactions) begin(b *batch) {
 	t.mu.Lock()
 	defer t.mu.Unlock()
-	_, exists := t.open[req.SessionID]
-	invariant.Check(!exists, "one_transaction_per_session", logrus.Fields{"session": req.SessionID})
-	t.open[req.SessionID] = &transaction{
-		session: req.SessionID, sequence: req.Sequence, slot: s, lastUsed: time.Now(), admitted: admitted,
+	session := b.req.SessionID
+	_, exists := t.open[session]
+	invariant.Check(!exists, "one_transaction_per_session", logrus.Fields{"session": session})
+	t.open[session] = &transaction{
+		session: session, sequence: b.req.Sequence, slot: b.slot, lastUsed: time.Now(), admitted: b.admitted,
+		leads: b.leads, term: b.term,
 	}
 }
 
--- a/standin/database/execute.go
+++ b/standin/database/execute.go
@@ -85,6 +85,10 @@
 	s.db.eval.database = s.settings.get("database")
 	s.db.eval.recovering = s.target.checkPrimary(s.target.snapshot().Term) != nil
 	s.db.eval.settings = s.settings.values
+	s.db.eval.assign = func(name, value string, local bool) {
+		s.settings.set(name, value, local, s.transaction.block)
+		s.reportSetting(name)
+	}
 }
 
 // commandTag returns the tag of CommandComplete.
--- a/standin/database/functions.go
+++ b/standin/database/functions.go
@@ -22,6 +22,8 @@
 	// recovering is true on a target that is no primary.
 	recovering bool
 	settings   map[string]string
+	// assign sets a value of the session, as SET does.
+	assign func(name, value string, local bool)
 }
 
 // startTransaction sets the time that now() returns.
@@ -68,6 +70,7 @@
 		}},
 		{"current_setting", 1, c.currentSetting},
 		{"current_setting", 2, c.currentSetting},
+		{"set_config", 3, c.setConfig},
 		{"pg_sleep", 1, c.sleep},
 	}
 	for _, f := range functions {
@@ -101,6 +104,11 @@
 	return sqlite.TextValue(c.eval.settings[args[0].Text()]), nil
 }
 
+func (c *sqlConn) setConfig(args []sqlite.Value) (sqlite.Value, error) {
+	c.eval.assign(args[0].Text(), args[1].Text(), args[2].Int64() != 0)
+	return args[1], nil
+}
+
 // sleep waits for the given number of seconds or for an interrupt.
 func (c *sqlConn) sleep(args []sqlite.Value) (sqlite.Value, error) {
 	timer := time.NewTimer(time.Duration(args[0].Float() * float64(time.Second)))
--- /dev/null
+++ b/standin/database/set_config_test.go
@@ -0,0 +1,14 @@
+package database
+
+import "testing"
+
+func TestSetConfigSetsAValueOfTheSession(t *testing.T) {
+	conn := connectPGX(t, startTarget(t, Options{}))
+	got := mustQuery[string](t, conn, "SELECT set_config('search_path', 'a, b', false)")
+	if got != "a, b" {
+		t.Errorf("set_config = %q", got)
+	}
+	if got := mustQuery[string](t, conn, "SELECT current_setting('search_path')"); got != "a, b" {
+		t.Errorf("current_setting = %q", got)
+	}
+}
