--- /dev/null
+++ b/standin/e2e/main_test.go
@@ -0,0 +1,144 @@
+package e2e
+
+import (
+	"context"
+	"fmt"
+	"os"
+	"os/exec"
+	"path/filepath"
+	"testing"
+	"time"
+
+	"github.com/jackc/pgx/v5"
+	"github.com/papayacove/papayacove/internal/result"
+	"github.com/papayacove/papayacove/standin/fleet"
+	"github.com/papayacove/papayacove/standin/workload"
+)
+
+const (
+	// network is the loopback network of the shared fleet.
+	network = 100
+	// eventually is the longest that a test waits for something to happen.
+	eventually = 20 * time.Second
+	// group serves most tests; failoverGroup loses its primary in one of them.
+	group         = "rounds-db-1"
+	failoverGroup = "rounds-db-3"
+	// agedUser reads data of an allowed age.
+	agedUser = "map"
+)
+
+// programs are the processes of a fleet.
+var programs = []string{
+	"github.com/papayacove/papayacove/cmd/papayacove",
+	"github.com/papayacove/papayacove/standin/cmd/standin-platform",
+	"github.com/papayacove/papayacove/standin/cmd/standin-database",
+}
+
+// shared is the fleet that all tests of the package use.
+var shared *fleet.Fleet
+
+func TestMain(m *testing.M) {
+	code, err := runWithFleet(m)
+	if err != nil {
+		fmt.Fprintln(os.Stderr, "fleet:", err)
+		code = 1
+	}
+	os.Exit(code)
+}
+
+func runWithFleet(m *testing.M) (int, error) {
+	folder, err := os.MkdirTemp("", "papayacove-e2e-")
+	if err != nil {
+		return 0, err
+	}
+	defer os.RemoveAll(folder)
+	binaries := filepath.Join(folder, "bin")
+	build := exec.Command("go", append([]string{"build", "-o", binaries + "/"}, programs...)...)
+	if output, err := build.CombinedOutput(); err != nil {
+		return 0, fmt.Errorf("build: %w: %s", err, output)
+	}
+	shared, err = fleet.Start(context.Background(), fleet.Options{
+		Directory: "../../examples/kelani", Binaries: binaries, Work: filepath.Join(folder, "work"),
+		Network: network, Lag: 20 * time.Millisecond, ConnectDelay: 10 * time.Millisecond,
+	})
+	if err != nil {
+		return 0, err
+	}
+	defer shared.Close()
+	return m.Run(), nil
+}
+
+func testContext(t testing.TB) context.Context {
+	t.Helper()
+	ctx, cancel := context.WithTimeout(context.Background(), eventually)
+	t.Cleanup(cancel)
+	return ctx
+}
+
+// connectURL returns the connect string of the strict user, or of the user that accepts an age.
+func connectURL(daemon, group, user string) string {
+	return shared.ConnectURL(daemon, "kelani", group, user, user)
+}
+
+// connect opens a pgx connection with default settings.
+func connect(t testing.TB, daemon, group string) *pgx.Conn {
+	t.Helper()
+	return connectAs(t, daemon, group, "crew")
+}
+
+func connectAs(t testing.TB, daemon, group, user string) *pgx.Conn {
+	t.Helper()
+	conn, err := pgx.Connect(testContext(t), connectURL(daemon, group, user))
+	if err != nil {
+		t.Fatal(err)
+	}
+	t.Cleanup(func() { _ = conn.Close(context.Background()) })
+	return conn
+}
+
+func mustExec(t testing.TB, conn *pgx.Conn, sql string, arguments ...any) {
+	t.Helper()
+	if _, err := conn.Exec(testContext(t), sql, arguments...); err != nil {
+		t.Fatalf("%s: %v", sql, err)
+	}
+}
+
+func mustQuery[T any](t testing.TB, conn *pgx.Conn, sql string, arguments ...any) T {
+	t.Helper()
+	var value T
+	if err := conn.QueryRow(testContext(t), sql, arguments...).Scan(&value); err != nil {
+		t.Fatalf("%s: %v", sql, err)
+	}
+	return value
+}
+
+// wantCode fails the test unless err carries the result code.
+func wantCode(t testing.TB, err error, code result.Code) {
+	t.Helper()
+	if workload.CodeOf(err) != code {
+		t.Fatalf("want code %d, got %v", code, err)
+	}
+}
+
+// createTable makes an empty table of its own for a test and returns its name.
+func createTable(t testing.TB, name, columns string) string {
+	t.Helper()
+	conn := connect(t, daemonNames()[0], group)
+	mustExec(t, conn, "CREATE TABLE "+name+" ("+columns+")")
+	return name
+}
+
+func daemonNames() []string {
+	var names []string
+	for _, settings := range shared.Deployment.Settings {
+		names = append(names, settings.Name)
+	}
+	return names
+}
+
+// throughEachDaemon runs a test once for every daemon.
+func throughEachDaemon(t *testing.T, test func(t *testing.T, daemon string)) {
+	for _, daemon := range daemonNames() {
+		t.Run(daemon, func(t *testing.T) { test(t, daemon) })
+	}
+}
