Refuse a COMMIT whose primary was replaced while its transaction was open

Cause: a batch within a transaction took the term and the role of the target anew. After a change of primary the batch no longer counted as one on the primary, so its COMMIT was sent, ran on the replaced primary and was acknowledged without confirmation. Ruled out: the confirmer, which refuses commits of an old term when it is asked. Change: a transaction keeps the term in which it began; when that has passed, the gate rolls it back and answers transaction_lost before anything of the batch is sent. A discarded answer of a read that ran too early now notes the statements that it has parsed; before, the next Parse of the same text failed with 42P05. Before: TestCommitAfterTheTermHasChanged got COMMIT, code 0; TestReadThatRanTooEarlyLeavesItsStatements got 42P05. After: both pass.

--- a/internal/gate/batch.go
+++ b/internal/gate/batch.go
@@ -155,13 +155,15 @@
 		b.gate.options.Spec.Name, applied, b.req.Floor))
 }
 
-// discardAnswer reads the answer of a read that ran too early and returns the reason.
+// discardAnswer reads the answer of a read that ran too early and returns the reason. Statements
+// that it has parsed stay on the connection.
 func (b *batch) discardAnswer(reason *result.Error) error {
 	for {
 		kind, body, err := b.slot.connection.ReadRaw()
 		if err != nil {
 			return err
 		}
+		b.notePrepared(kind)
 		if kind == messageReadyForQuery && len(body) == 1 {
 			b.slot.broken = b.slot.broken || body[0] != statusIdle
 			return reason
@@ -418,7 +420,7 @@
 			b.gate.finish(b.slot, b.admitted, !b.slot.rollBack())
 		}
 	case keeps:
-		b.gate.transactions.begin(b.req, b.slot, b.admitted)
+		b.gate.transactions.begin(b)
 	default:
 		if b.pinned {
 			b.gate.transactions.end(session)
--- a/internal/gate/gate.go
+++ b/internal/gate/gate.go
@@ -292,14 +292,7 @@
 func (g *Gate) prepare(ctx context.Context, req *api.ExecuteRequest) (*batch, error) {
 	b := &batch{gate: g, req: req, asked: time.Now()}
 	if req.TransactionID != 0 {
-		resumed, err := g.transactions.resume(req)
-		if err != nil {
-			return nil, err
-		}
-		b.slot, b.admitted, b.pinned = resumed.slot, resumed.admitted, true
-		b.term, _ = g.options.Terms.Current(g.options.Group.Name)
-		b.leads = b.term.Primary == g.options.Spec.Name
-		return b, nil
+		return b, g.resume(b)
 	}
 	if err := g.check(b); err != nil {
 		return nil, err
@@ -317,6 +310,24 @@
 	return b, nil
 }
 
+// resume takes up the transaction of a session. A commit on a primary that was replaced can never
+// be confirmed, so its transaction is rolled back before a COMMIT can reach the target.
+func (g *Gate) resume(b *batch) error {
+	resumed, err := g.transactions.resume(b.req)
+	if err != nil {
+		return err
+	}
+	b.slot, b.admitted, b.pinned = resumed.slot, resumed.admitted, true
+	b.leads, b.term = resumed.leads, resumed.term
+	current, _ := g.options.Terms.Current(g.options.Group.Name)
+	if !b.leads || current.Term == b.term.Term {
+		return nil
+	}
+	g.transactions.end(b.req.SessionID)
+	g.rollBack([]*transaction{resumed}, "term_changed")
+	return result.Errorf(result.TransactionLost, "the transaction began in term %d, the group is in term %d", b.term.Term, current.Term)
+}
+
 // check refuses what this target cannot run at the moment.
 func (g *Gate) check(b *batch) error {
 	if g.draining.Load() {
--- a/internal/gate/transaction.go
+++ b/internal/gate/transaction.go
@@ -19,6 +19,9 @@
 	busy     bool
 	doomed   bool
 	admitted *ticket
+	// leads and term tell whether and in which term the target was the primary at the start.
+	leads bool
+	term  api.GroupTerm
 }
 
 // transactions holds what is in progress at one target, by session.
@@ -48,14 +51,16 @@
 	return found, nil
 }
 
-// begin keeps a connection for a session.
-func (t *transactions) begin(req *api.ExecuteRequest, s *slot, admitted *ticket) {
+// begin keeps the connection of a batch for its session.
+func (t *transactions) begin(b *batch) {
 	t.mu.Lock()
 	defer t.mu.Unlock()
-	_, exists := t.open[req.SessionID]
-	invariant.Check(!exists, "one_transaction_per_session", logrus.Fields{"session": req.SessionID})
-	t.open[req.SessionID] = &transaction{
-		session: req.SessionID, sequence: req.Sequence, slot: s, lastUsed: time.Now(), admitted: admitted,
+	session := b.req.SessionID
+	_, exists := t.open[session]
+	invariant.Check(!exists, "one_transaction_per_session", logrus.Fields{"session": session})
+	t.open[session] = &transaction{
+		session: session, sequence: b.req.Sequence, slot: b.slot, lastUsed: time.Now(), admitted: b.admitted,
+		leads: b.leads, term: b.term,
 	}
 }
 
--- /dev/null
+++ b/standin/e2e/gate_test.go
@@ -0,0 +1,178 @@
+package e2e
+
+import (
+	"context"
+	"testing"
+	"time"
+
+	"github.com/jackc/pgx/v5/pgproto3"
+	"github.com/papayacove/papayacove/api"
+	"github.com/papayacove/papayacove/internal/gate"
+	"github.com/papayacove/papayacove/internal/observer"
+	"github.com/papayacove/papayacove/internal/result"
+	"github.com/papayacove/papayacove/internal/target"
+	"github.com/papayacove/papayacove/internal/terms"
+	"github.com/papayacove/papayacove/standin/database"
+)
+
+// bench is one gate in this process before a group of two databases.
+type bench struct {
+	t        *testing.T
+	primary  *database.Target
+	replica  *database.Target
+	observer *observer.Observer
+	terms    *terms.Table
+	group    api.GroupSpec
+	sequence uint64
+}
+
+func startTarget(t *testing.T, options database.Options) *database.Target {
+	t.Helper()
+	options.Address, options.DataDirectory, options.Slots = "127.0.0.1:0", t.TempDir(), 5
+	started, err := database.New(options)
+	if err != nil {
+		t.Fatal(err)
+	}
+	if err := started.Start(); err != nil {
+		t.Fatal(err)
+	}
+	t.Cleanup(func() { _ = started.Close() })
+	return started
+}
+
+func newBench(t *testing.T) *bench {
+	t.Helper()
+	b := &bench{t: t, terms: terms.NewTable()}
+	b.primary = startTarget(t, database.Options{Name: "a", Term: 1})
+	b.replica = startTarget(t, database.Options{Name: "b", InitialRole: target.RoleReplica, Primary: b.primary.Address()})
+	b.group = api.GroupSpec{Name: "g", Targets: []api.TargetSpec{
+		{Name: "a", Address: b.primary.Address(), Slots: 1}, {Name: "b", Address: b.replica.Address(), Slots: 1},
+	}}
+	b.observer = observer.New(b.group, target.Options{User: "gate"})
+	b.observer.Run(context.Background())
+	t.Cleanup(b.observer.Close)
+	b.terms.Observe(api.GroupTerm{Group: "g", Term: b.primary.Status().Term, Primary: "a"})
+	await(t, "both targets are seen", func() bool {
+		return !b.observer.Latest("a").Asked.IsZero() && !b.observer.Latest("b").Asked.IsZero()
+	})
+	return b
+}
+
+// gateOf returns a running gate for one of the targets.
+func (b *bench) gateOf(index int) *gate.Gate {
+	opened := gate.New(gate.Options{
+		Self: "d", Group: b.group, Spec: b.group.Targets[index], Target: target.Options{User: "gate"},
+		Limits:   api.LimitSettings{QueueLength: 10, IdleTransactionTimeoutMs: eventually.Milliseconds()},
+		Observer: b.observer, Terms: b.terms,
+	})
+	opened.Run(context.Background())
+	b.t.Cleanup(opened.Close)
+	return opened
+}
+
+// request composes a batch of a session.
+func (b *bench) request(session string, access api.ExecuteRequestAccess, messages ...pgproto3.FrontendMessage) *api.ExecuteRequest {
+	b.sequence++
+	req := &api.ExecuteRequest{
+		Group: "g", Workspace: "w", SessionID: "d/" + session, Sequence: b.sequence, Access: access, MaxAgeMs: -1,
+		TimeoutMs: eventually.Milliseconds(), ReplicationWaitMs: 1000,
+	}
+	for _, message := range messages {
+		req.Messages, _ = message.Encode(req.Messages)
+	}
+	return req
+}
+
+func (b *bench) write(session, sql string) *api.ExecuteRequest {
+	return b.request(session, api.ExecuteRequestAccessWrite, &pgproto3.Query{String: sql})
+}
+
+// within continues the transaction that the first request has opened.
+func within(opened, next *api.ExecuteRequest) *api.ExecuteRequest {
+	next.TransactionID = opened.Sequence
+	return next
+}
+
+func mustRun(t *testing.T, g *gate.Gate, req *api.ExecuteRequest) *api.ExecuteReply {
+	t.Helper()
+	reply := g.Execute(context.Background(), req)
+	if reply.Code != 0 {
+		t.Fatalf("code %d: %s", reply.Code, reply.Reason)
+	}
+	return reply
+}
+
+func wantRefused(t *testing.T, reply *api.ExecuteReply, code result.Code) {
+	t.Helper()
+	if result.Code(reply.Code) != code {
+		t.Fatalf("code %d %q, want %d; answer %q", reply.Code, reply.Reason, code, reply.Chunk)
+	}
+}
+
+// errorsIn returns the SQLSTATEs of the errors in an answer.
+func errorsIn(t *testing.T, chunk []byte) []string {
+	t.Helper()
+	var states []string
+	for len(chunk) > 0 {
+		length := int(uint32(chunk[1])<<24|uint32(chunk[2])<<16|uint32(chunk[3])<<8|uint32(chunk[4])) + 1
+		var response pgproto3.ErrorResponse
+		if chunk[0] == 'E' && response.Decode(chunk[5:length]) == nil {
+			states = append(states, response.Code)
+		}
+		chunk = chunk[length:]
+	}
+	return states
+}
+
+func await(t *testing.T, what string, done func() bool) {
+	t.Helper()
+	for deadline := time.Now().Add(eventually); !done(); time.Sleep(time.Millisecond) {
+		if time.Now().After(deadline) {
+			t.Fatalf("never happened: %s", what)
+		}
+	}
+}
+
+// rowsOf counts the rows of a table at the primary, past the gate.
+func (b *bench) rowsOf(table string) int {
+	dump, err := b.primary.Dump(table)
+	if err != nil {
+		b.t.Fatal(err)
+	}
+	return len(dump.Rows)
+}
+
+// TestReadThatRanTooEarlyLeavesItsStatements repeats a named Parse on a connection where a
+// discarded answer has parsed the name.
+func TestReadThatRanTooEarlyLeavesItsStatements(t *testing.T) {
+	b := newBench(t)
+	replica := b.gateOf(1)
+	parse := func() *api.ExecuteRequest {
+		return b.request("s", api.ExecuteRequestAccessRead, &pgproto3.Parse{Name: "pc_1", Query: "SELECT 1"},
+			&pgproto3.Bind{PreparedStatement: "pc_1"}, &pgproto3.Execute{}, &pgproto3.Sync{})
+	}
+	early := parse()
+	early.Floor = api.Position{Term: 1, Offset: 1 << 40}
+	wantRefused(t, replica.Execute(context.Background(), early), result.NotRunBehind)
+	reply := mustRun(t, replica, parse())
+	if states := errorsIn(t, reply.Chunk); len(states) > 0 {
+		t.Fatal(states)
+	}
+}
+
+// TestCommitAfterTheTermHasChanged commits on a primary that was replaced while its transaction
+// was open.
+func TestCommitAfterTheTermHasChanged(t *testing.T) {
+	b := newBench(t)
+	primary := b.gateOf(0)
+	mustRun(t, primary, b.write("s", "CREATE TABLE claims (name text)"))
+	begin := b.write("s", "BEGIN")
+	mustRun(t, primary, begin)
+	mustRun(t, primary, within(begin, b.write("s", "INSERT INTO claims VALUES ('late')")))
+	b.terms.Observe(api.GroupTerm{Group: "g", Term: b.primary.Status().Term + 1, Primary: "b"})
+	reply := primary.Execute(context.Background(), within(begin, b.write("s", "COMMIT")))
+	wantRefused(t, reply, result.TransactionLost)
+	if n := b.rowsOf("claims"); n != 0 {
+		t.Fatalf("%d rows of a transaction that was reported as rolled back", n)
+	}
+}
--- a/standin/e2e/main_test.go
+++ b/standin/e2e/main_test.go
@@ -10,6 +10,7 @@
 	"time"
 
 	"github.com/jackc/pgx/v5"
+	"github.com/papayacove/papayacove/api"
 	"github.com/papayacove/papayacove/internal/result"
 	"github.com/papayacove/papayacove/standin/fleet"
 	"github.com/papayacove/papayacove/standin/workload"
@@ -142,3 +143,12 @@
 		t.Run(daemon, func(t *testing.T) { test(t, daemon) })
 	}
 }
+
+func groupSpec(name string) (api.GroupSpec, bool) {
+	for _, spec := range shared.Deployment.Groups {
+		if spec.Name == name {
+			return spec, true
+		}
+	}
+	return api.GroupSpec{}, false
+}
