Keep portals of the stand-in database until their transaction ends

Cause: each Sync dropped all portals, so fetching in parts across batches failed with 34000, which PostgreSQL does not do.

--- a/standin/database/session.go
+++ b/standin/database/session.go
@@ -206,13 +206,15 @@
 			return err
 		}
 	}
-	s.portals = make(map[string]*portal)
 	s.sendReady()
 	return s.flush()
 }
 
-// sendReady queues ReadyForQuery.
+// sendReady queues ReadyForQuery. Portals last until the end of their transaction.
 func (s *session) sendReady() {
+	if s.transaction.status() == statusIdle {
+		s.portals = make(map[string]*portal)
+	}
 	s.backend.Send(&pgproto3.ReadyForQuery{TxStatus: s.transaction.status()})
 }
 
