Let processes connect from the address of their availability zone

A fleet gave each availability zone an address, but connections came from any address, so no latency or cut between zones could be brought about. The setting source_address is used for connections to targets, other daemons and the platform. Relays of the lab delay and cut by the zone of the source address; Cut, CutZone and Heal cut zones off.

Cancel requests to targets still come from any address.

--- a/api/types.gen.go
+++ b/api/types.gen.go
@@ -590,6 +590,10 @@
 	// Region that the VM is in.
 	Region string `json:"region" toml:"region"`
 
+	// SourceAddress is the IP number from which the daemon opens connections; empty
+	// leaves the choice to the operating system.
+	SourceAddress string `json:"source_address" toml:"source_address"`
+
 	// Target holds the account that the daemon uses towards targets.
 	Target TargetSettings `json:"target" toml:"target"`
 
--- a/internal/config/check.go
+++ b/internal/config/check.go
@@ -20,6 +20,7 @@
 	maxNameLength         = 63
 	nameBound             = "1 to 63 of a-z, 0-9, - and _"
 	addressBound          = "an IP address with a port of 1 to 65535"
+	sourceAddressBound    = "an IP address without a port, or empty"
 	platformBound         = "http or https URL with an IP address, a port and no path"
 	certificatePairBound  = "a certificate and its key, or neither"
 	peerCertificatesBound = "peer_certificate, peer_key and peer_authority, or none of them"
@@ -63,6 +64,7 @@
 	c.address("peer_address", s.PeerAddress)
 	c.address("admin_address", s.AdminAddress)
 	c.distinctAddresses(s)
+	c.sourceAddress(s.SourceAddress)
 	c.peers(s.Peers)
 	c.platformURL(s.PlatformURL)
 	c.logLevel(s.LogLevel)
@@ -89,6 +91,15 @@
 	}
 }
 
+func (c *checker) sourceAddress(value string) {
+	if value == "" {
+		return
+	}
+	if _, err := netip.ParseAddr(value); err != nil {
+		c.add("source_address", value, sourceAddressBound)
+	}
+}
+
 func (c *checker) distinctAddresses(s api.Settings) {
 	if s.PeerAddress == s.CallerAddress {
 		c.add("peer_address", s.PeerAddress, "an address other than caller_address")
--- a/internal/daemon/daemon.go
+++ b/internal/daemon/daemon.go
@@ -49,9 +49,12 @@
 // New composes a daemon of checked settings.
 func New(settings api.Settings, recorder *telemetry.Recorder) *Daemon {
 	d := &Daemon{settings: settings, recorder: recorder, catalog: workspace.NewCatalog(), terms: terms.NewTable()}
-	d.platform = platform.NewClient(platform.Options{URL: settings.PlatformURL, Zone: settings.Zone})
+	d.platform = platform.NewClient(platform.Options{URL: settings.PlatformURL, Zone: settings.Zone, LocalAddress: settings.SourceAddress})
 	d.contact = newContact(d.platform)
-	account := target.Options{User: settings.Target.User, Password: settings.Target.Password, Database: settings.Target.Database}
+	account := target.Options{
+		User: settings.Target.User, Password: settings.Target.Password, Database: settings.Target.Database,
+		LocalAddress: settings.SourceAddress,
+	}
 	self := api.VM{
 		Name: settings.Name, Zone: settings.Zone, Role: api.VMRoleEntry, State: api.VMStateLive,
 		PeerAddress: settings.PeerAddress, AdminAddress: settings.AdminAddress, CallerAddress: settings.CallerAddress,
@@ -80,7 +83,7 @@
 }
 
 func (d *Daemon) dialPeer(address string) *peer.Client {
-	return peer.NewClient(address, nil)
+	return peer.NewClient(address, d.settings.SourceAddress, nil)
 }
 
 // Run serves until ctx ends, and then stops in a planned way.
--- a/internal/peer/client.go
+++ b/internal/peer/client.go
@@ -12,6 +12,7 @@
 	"time"
 
 	"github.com/papayacove/papayacove/api"
+	"github.com/papayacove/papayacove/internal/dialer"
 )
 
 const (
@@ -35,6 +36,7 @@
 type Client struct {
 	address       string
 	configuration *tls.Config
+	dialer        *net.Dialer
 	next          atomic.Uint64
 	links         [connectionsPerPeer]link
 }
@@ -54,9 +56,10 @@
 	broken     atomic.Bool
 }
 
-// NewClient returns a client for the daemon at address. A nil configuration leaves TLS off.
-func NewClient(address string, configuration *tls.Config) *Client {
-	return &Client{address: address, configuration: configuration}
+// NewClient returns a client for the daemon at address. A nil configuration leaves TLS off, and an
+// empty source leaves the address that connections come from open.
+func NewClient(address, source string, configuration *tls.Config) *Client {
+	return &Client{address: address, configuration: configuration, dialer: dialer.New(source)}
 }
 
 // Address returns the host:port of the other daemon.
@@ -199,9 +202,9 @@
 
 func (c *Client) dial(ctx context.Context) (net.Conn, error) {
 	if c.configuration == nil {
-		return (&net.Dialer{}).DialContext(ctx, "tcp", c.address)
+		return c.dialer.DialContext(ctx, "tcp", c.address)
 	}
-	return (&tls.Dialer{Config: c.configuration}).DialContext(ctx, "tcp", c.address)
+	return (&tls.Dialer{NetDialer: c.dialer, Config: c.configuration}).DialContext(ctx, "tcp", c.address)
 }
 
 // watchedConn marks its connection as broken at the first failure or close.
--- a/internal/platform/client.go
+++ b/internal/platform/client.go
@@ -15,6 +15,7 @@
 	"time"
 
 	"github.com/papayacove/papayacove/api"
+	"github.com/papayacove/papayacove/internal/dialer"
 )
 
 // The kinds of objects.
@@ -49,6 +50,9 @@
 	// DefaultTimeout.
 	Timeout time.Duration
 
+	// LocalAddress is the IP number that connections come from; empty leaves it open.
+	LocalAddress string
+
 	// TLS is the configuration of connections to an https URL; nil for the default.
 	TLS *tls.Config
 }
@@ -73,7 +77,7 @@
 		zone:    options.Zone,
 		timeout: timeout,
 		http: &http.Client{
-			Transport:     newTransport(options.TLS),
+			Transport:     newTransport(options),
 			CheckRedirect: refuseRedirect,
 		},
 	}
@@ -81,11 +85,12 @@
 
 // newTransport returns a transport that speaks HTTP/1.1 only: closing the connection of a
 // call that timed out then ends no other call.
-func newTransport(config *tls.Config) *http.Transport {
+func newTransport(options Options) *http.Transport {
 	protocols := new(http.Protocols)
 	protocols.SetHTTP1(true)
 	return &http.Transport{
-		TLSClientConfig:     config,
+		DialContext:         dialer.New(options.LocalAddress).DialContext,
+		TLSClientConfig:     options.TLS,
 		Protocols:           protocols,
 		MaxIdleConns:        maxIdleConnections,
 		MaxIdleConnsPerHost: maxIdleConnections,
--- a/internal/target/dial.go
+++ b/internal/target/dial.go
@@ -9,14 +9,12 @@
 	"time"
 
 	"github.com/jackc/pgx/v5/pgproto3"
+	"github.com/papayacove/papayacove/internal/dialer"
 )
 
 // defaultDialTimeout bounds connection set-up when Options leave it open.
 const defaultDialTimeout = 2 * time.Second
 
-// keepAlivePeriod is the interval of TCP keep-alive probes.
-const keepAlivePeriod = 5 * time.Second
-
 // Options say how a connection to a target is set up.
 type Options struct {
 	User     string
@@ -28,6 +26,8 @@
 	TLS *tls.Config
 	// DialTimeout bounds connection set-up up to and including authentication; 0 takes 2 s.
 	DialTimeout time.Duration
+	// LocalAddress is the IP number that connections come from; empty leaves it open.
+	LocalAddress string
 }
 
 // link is an authenticated connection.
@@ -47,7 +47,7 @@
 	}
 	ctx, cancel := context.WithTimeout(ctx, timeout)
 	defer cancel()
-	conn, err := connect(ctx, address, options.TLS)
+	conn, err := connect(ctx, address, options)
 	if err != nil {
 		return nil, fmt.Errorf("%w: %s: %w", ErrUnreachable, address, err)
 	}
@@ -62,15 +62,14 @@
 	return l, nil
 }
 
-func connect(ctx context.Context, address string, tlsConfig *tls.Config) (net.Conn, error) {
-	dialer := net.Dialer{KeepAlive: keepAlivePeriod}
-	conn, err := dialer.DialContext(ctx, "tcp", address)
-	if err != nil || tlsConfig == nil {
+func connect(ctx context.Context, address string, options Options) (net.Conn, error) {
+	conn, err := dialer.New(options.LocalAddress).DialContext(ctx, "tcp", address)
+	if err != nil || options.TLS == nil {
 		return conn, err
 	}
 	release := bindDeadline(ctx, conn)
 	defer release()
-	encrypted, err := startTLS(ctx, conn, address, tlsConfig)
+	encrypted, err := startTLS(ctx, conn, address, options.TLS)
 	if err != nil {
 		conn.Close()
 		return nil, err
--- a/standin/database/options.go
+++ b/standin/database/options.go
@@ -33,6 +33,8 @@
 	Password string
 	// TLS offers encrypted connections; nil refuses them.
 	TLS *tls.Config
+	// SourceAddress is the IP number that the stream comes from; empty leaves it open.
+	SourceAddress string
 	// Knobs are the faults at the start.
 	Knobs Knobs
 }
--- a/standin/database/receive.go
+++ b/standin/database/receive.go
@@ -12,6 +12,7 @@
 	"github.com/sirupsen/logrus"
 
 	"github.com/papayacove/papayacove/api"
+	"github.com/papayacove/papayacove/internal/dialer"
 	"github.com/papayacove/papayacove/internal/target"
 )
 
@@ -81,6 +82,7 @@
 	config.Password = t.options.Password
 	config.Database = target.ControlDatabase
 	config.RuntimeParams["application_name"] = "standin-" + t.options.Name
+	config.DialFunc = dialer.New(t.options.SourceAddress).DialContext
 	conn, err := pgconn.ConnectConfig(ctx, config)
 	if err != nil {
 		return nil, fmt.Errorf("connect to primary: %w", err)
--- a/standin/fleet/fleet.go
+++ b/standin/fleet/fleet.go
@@ -40,6 +40,12 @@
 	Lag time.Duration
 	// ConnectDelay is the time that a new connection to a target takes.
 	ConnectDelay time.Duration
+	// OneWayLatency delays data between availability zones in each direction, by relays.
+	OneWayLatency time.Duration
+	// CallerLatency delays data between callers and daemons in each direction, by relays.
+	CallerLatency time.Duration
+	// Relayed puts relays before the processes also without latency, for cuts.
+	Relayed bool
 	// LogLevel of the daemons; empty for info.
 	LogLevel string
 	// Adjust changes the settings of the daemons before they are written; nil changes nothing.
@@ -55,6 +61,7 @@
 	Targets map[string]*Process
 
 	options Options
+	network *network
 	client  *http.Client
 }
 
@@ -78,6 +85,10 @@
 	if err := f.compose(); err != nil {
 		return nil, err
 	}
+	if err := f.startNetwork(); err != nil {
+		f.Close()
+		return nil, err
+	}
 	for _, process := range f.Processes() {
 		if err := process.Start(); err != nil {
 			f.Close()
@@ -129,11 +140,14 @@
 func (f *Fleet) composeTarget(group api.GroupSpec, spec api.TargetSpec) *Process {
 	term := f.Deployment.Terms[group.Name]
 	arguments := []string{
-		"--name", spec.Name, "--address", spec.Address, "--admin-address", f.TargetAdmin(spec.Name),
+		"--name", spec.Name, "--address", f.options.behind(spec.Address), "--admin-address", f.TargetAdmin(spec.Name),
 		"--data", filepath.Join(f.options.Work, spec.Name), "--slots", strconv.Itoa(spec.Slots),
 		"--connect-delay", f.options.ConnectDelay.String(), "--lag", f.options.Lag.String(),
 		"--term", strconv.FormatUint(term.Term, 10),
 	}
+	if f.options.isRelayed() {
+		arguments = append(arguments, "--source-address", f.Deployment.ZoneIP(spec.Zone))
+	}
 	if spec.Name == term.Primary {
 		arguments = append(arguments, "--initial-role", "primary")
 	} else {
@@ -152,6 +166,7 @@
 			settings.Peers = append(settings.Peers, other.PeerAddress)
 		}
 	}
+	settings = f.relocateBehind(settings)
 	if f.options.Adjust != nil {
 		f.options.Adjust(&settings)
 	}
@@ -189,6 +204,9 @@
 			all[i].Kill()
 		}
 	}
+	if f.network != nil {
+		f.network.close()
+	}
 }
 
 // PlatformAdmin returns the host:port of the knobs of the platform.
--- /dev/null
+++ b/standin/fleet/partition.go
@@ -0,0 +1,61 @@
+package fleet
+
+import (
+	"errors"
+	"slices"
+)
+
+// errNotRelayed is returned when a fleet without relays is to be cut.
+var errNotRelayed = errors.New("the fleet has no relays: set Relayed or a latency")
+
+// Cut cuts two availability zones off from each other. It needs a fleet with relays.
+func (f *Fleet) Cut(zone, other string) error {
+	return f.setCut(func(cuts map[[2]string]bool) {
+		cuts[[2]string{zone, other}] = true
+		cuts[[2]string{other, zone}] = true
+	})
+}
+
+// CutZone cuts an availability zone off from all others and from the platform; callers still reach
+// its daemons.
+func (f *Fleet) CutZone(zone string) error {
+	for _, other := range f.Deployment.Zones() {
+		if other == zone {
+			continue
+		}
+		if err := f.Cut(zone, other); err != nil {
+			return err
+		}
+	}
+	return f.cutPlatform([]string{zone})
+}
+
+// Heal ends all cuts between availability zones, and from the platform.
+func (f *Fleet) Heal() error {
+	err := f.setCut(func(cuts map[[2]string]bool) { clear(cuts) })
+	return errors.Join(err, f.cutPlatform([]string{}))
+}
+
+// cutPlatform replaces the availability zones that do not reach the platform.
+func (f *Fleet) cutPlatform(zones []string) error {
+	return f.Post(f.PlatformAdmin(), "/knobs", map[string][]string{"cut_zones": zones})
+}
+
+// setCut changes the cuts and puts them in force at all relays.
+func (f *Fleet) setCut(change func(cuts map[[2]string]bool)) error {
+	if !f.options.isRelayed() {
+		return errNotRelayed
+	}
+	n := f.network
+	n.mu.Lock()
+	defer n.mu.Unlock()
+	change(n.cuts)
+	zones := f.Deployment.Zones()
+	slices.Sort(zones)
+	for _, relay := range n.links {
+		for _, other := range zones {
+			relay.link.SetPath(f.Deployment.ZoneIP(other), n.between(relay.zone, other))
+		}
+	}
+	return nil
+}
--- a/standin/netfault/link.go
+++ b/standin/netfault/link.go
@@ -8,6 +8,8 @@
 	"net"
 	"sync"
 	"time"
+
+	"github.com/papayacove/papayacove/internal/dialer"
 )
 
 // Knobs are the faults of a link.
@@ -29,6 +31,14 @@
 
 	// Target is the host:port to connect to.
 	Target string
+
+	// LocalAddress is the IP number that connections to the target come from; empty leaves it
+	// open.
+	LocalAddress string
+
+	// Path returns the faults that the connections of a source address start with; nil for
+	// none.
+	Path func(source string) PathKnobs
 }
 
 // Link relays connections to one target.
@@ -44,6 +54,7 @@
 	// whole is closed while the link is not cut.
 	whole chan struct{}
 	pairs map[*pair]struct{}
+	paths map[string]*path
 }
 
 // New returns a link that is not started.
@@ -60,6 +71,7 @@
 		cancel:  cancel,
 		whole:   whole,
 		pairs:   make(map[*pair]struct{}),
+		paths:   make(map[string]*path),
 	}
 }
 
@@ -144,16 +156,15 @@
 
 // relay connects a caller with the target until both directions have ended.
 func (l *Link) relay(caller net.Conn) {
-	p := newPair(caller)
+	p := newPair(caller, l.path(sourceOf(caller)))
 	if !l.add(p) {
 		return
 	}
 	defer l.remove(p)
-	if !l.awaitWhole() {
+	if !l.awaitWhole() || !p.path.awaitWhole(l.ctx) {
 		return
 	}
-	var dialer net.Dialer
-	target, err := dialer.DialContext(l.ctx, "tcp", l.options.Target)
+	target, err := dialer.New(l.options.LocalAddress).DialContext(l.ctx, "tcp", l.options.Target)
 	if err != nil {
 		return
 	}
--- a/standin/netfault/pump.go
+++ b/standin/netfault/pump.go
@@ -30,13 +30,14 @@
 // pair is a relayed connection with its two ends.
 type pair struct {
 	silent atomic.Bool
+	path   *path
 	mu     sync.Mutex
 	closed bool
 	ends   []net.Conn
 }
 
-func newPair(caller net.Conn) *pair {
-	return &pair{ends: []net.Conn{caller}}
+func newPair(caller net.Conn, path *path) *pair {
+	return &pair{path: path, ends: []net.Conn{caller}}
 }
 
 // join adds the connection to the target and reports false when the pair was closed.
@@ -51,6 +52,12 @@
 	return true
 }
 
+// delay returns the delay of the path in each direction.
+func (p *pair) delay() time.Duration {
+	knobs, _ := p.path.get()
+	return knobs.Delay
+}
+
 // close ends both connections.
 func (p *pair) close() {
 	p.mu.Lock()
@@ -67,7 +74,7 @@
 	chunks := make(chan chunk, maxChunks)
 	go func() {
 		defer close(chunks)
-		l.read(from, d, chunks)
+		l.read(p, from, d, chunks)
 	}()
 	if !l.write(p, to, chunks) {
 		p.close()
@@ -78,12 +85,12 @@
 }
 
 // read queues the data of a connection until its end.
-func (l *Link) read(from net.Conn, d direction, chunks chan<- chunk) {
+func (l *Link) read(p *pair, from net.Conn, d direction, chunks chan<- chunk) {
 	for {
 		data := make([]byte, maxChunkBytes)
 		n, err := from.Read(data)
 		if n > 0 {
-			chunks <- chunk{data: data[:n], due: time.Now().Add(l.delay(d))}
+			chunks <- chunk{data: data[:n], due: time.Now().Add(l.delay(d) + p.delay())}
 		}
 		if err != nil {
 			return
@@ -96,7 +103,7 @@
 func (l *Link) write(p *pair, to net.Conn, chunks <-chan chunk) bool {
 	for c := range chunks {
 		time.Sleep(time.Until(c.due))
-		if !l.awaitWhole() {
+		if !l.awaitWhole() || !p.path.awaitWhole(l.ctx) {
 			return false
 		}
 		if p.silent.Load() {
@@ -106,7 +113,7 @@
 			return false
 		}
 	}
-	if !l.awaitWhole() {
+	if !l.awaitWhole() || !p.path.awaitWhole(l.ctx) {
 		return false
 	}
 	if p.silent.Load() {
