Measure what the proxy adds to a statement

make bench compares point reads and single-row writes directly at a target with those through a local and a forwarding daemon, over the same relays and in turn, so that noise meets all alike. Figures carry bounds; a broken bound ends the run with a failure.

--- a/Makefile
+++ b/Makefile
@@ -21,7 +21,8 @@
 DEPLOYMENT ?= kelani
 SEED ?= 1
 DURATION ?= 30s
-.PHONY: up demo soak
+PARTS ?=
+.PHONY: up demo soak bench
 
 up: build
 	.bin/standin-lab up $(DEPLOYMENT)
@@ -31,3 +32,6 @@
 
 soak: build
 	.bin/standin-lab soak --seeds $(SEED) --duration $(DURATION)
+
+bench: build
+	.bin/standin-lab --network 121 bench $(if $(PARTS),--only $(PARTS))
--- /dev/null
+++ b/standin/cmd/standin-lab/bench.go
@@ -0,0 +1,48 @@
+package main
+
+import (
+	"context"
+	"errors"
+	"fmt"
+	"os"
+	"strings"
+
+	"github.com/papayacove/papayacove/standin/bench"
+	"github.com/urfave/cli/v3"
+)
+
+// errBoundsBroken ends a run whose figures break a bound.
+var errBoundsBroken = errors.New("bounds are broken")
+
+func benchCommand() *cli.Command {
+	return &cli.Command{
+		Name: "bench", Usage: "measure and compare with bounds; each line is: name value unit bound",
+		Flags: []cli.Flag{
+			&cli.StringSliceFlag{Name: "only", Usage: "`PART`s to measure: " + strings.Join(bench.Names(), ", ")},
+		},
+		Action: runBench,
+	}
+}
+
+func runBench(ctx context.Context, command *cli.Command) error {
+	work := command.String("work")
+	if work == "" {
+		var err error
+		work, err = os.MkdirTemp("", "papayacove-bench-")
+		if err != nil {
+			return err
+		}
+	}
+	options := bench.Options{
+		Examples: command.String("examples"), Binaries: command.String("binaries"), Work: work, Network: command.Int("network"),
+	}
+	report := bench.NewReport(os.Stdout)
+	if err := bench.Run(ctx, options, report, command.StringSlice("only")); err != nil {
+		return fmt.Errorf("%w; logs are in %s", err, work)
+	}
+	if broken := report.Broken(); len(broken) > 0 {
+		fmt.Printf("%d bounds are broken; logs are in %s\n", len(broken), work)
+		return errBoundsBroken
+	}
+	return os.RemoveAll(work)
+}
--- a/standin/fleet/fleet.go
+++ b/standin/fleet/fleet.go
@@ -46,6 +46,8 @@
 	CallerLatency time.Duration
 	// Relayed puts relays before the processes also without latency, for cuts.
 	Relayed bool
+	// SpareSlots are connections that targets accept beyond their stated slots.
+	SpareSlots int
 	// LogLevel of the daemons; empty for info.
 	LogLevel string
 	// Adjust changes the settings of the daemons before they are written; nil changes nothing.
@@ -141,7 +143,7 @@
 	term := f.Deployment.Terms[group.Name]
 	arguments := []string{
 		"--name", spec.Name, "--address", f.options.behind(spec.Address), "--admin-address", f.TargetAdmin(spec.Name),
-		"--data", filepath.Join(f.options.Work, spec.Name), "--slots", strconv.Itoa(spec.Slots),
+		"--data", filepath.Join(f.options.Work, spec.Name), "--slots", strconv.Itoa(spec.Slots + f.options.SpareSlots),
 		"--connect-delay", f.options.ConnectDelay.String(), "--lag", f.options.Lag.String(),
 		"--term", strconv.FormatUint(term.Term, 10),
 	}
