Let relays delay with the precision of the kernel's timers

Timers of an idle Go process were late by up to 1 ms, as much as the delays themselves: 3 ms towards callers measured 3.6 ms.

--- a/standin/netfault/pump.go
+++ b/standin/netfault/pump.go
@@ -102,7 +102,7 @@
 // reports whether the connection held.
 func (l *Link) write(p *pair, to net.Conn, chunks <-chan chunk) bool {
 	for c := range chunks {
-		time.Sleep(time.Until(c.due))
+		sleepUntil(c.due)
 		if !l.awaitWhole() || !p.path.awaitWhole(l.ctx) {
 			return false
 		}
