--- a/standin/bench/part.go
+++ b/standin/bench/part.go
@@ -30,6 +30,7 @@
 
 var parts = []part{
 	{"paths", measurePaths},
+	{"failover", measureFailover},
 }
 
 // Names returns the names of the parts in the order in which they run.
