standin/capacity: measure heartbeats by the number of members and groups

Cause: docs/CAPACITY.md needs slopes, and none of the heartbeats was known.

The members run the real membership, peer and terms code over loopback in one process. Bytes are those that the process passes to write calls, without TCP/IP; processor time is that of the process. Ruled out: counting on the loopback interface, which other processes use, and a counting relay, which takes processor time of its own. Of 60 members 3 of 3,540 links found no file descriptor (limit 20,000; 8 for each link), so the largest fleet has 48.

--- a/Makefile
+++ b/Makefile
@@ -31,3 +31,9 @@
 
 soak: build
 	.bin/standin-lab soak --seeds $(SEED) --duration $(DURATION)
+
+PART ?=
+.PHONY: capacity
+
+capacity: build
+	.bin/standin-lab capacity --part "$(PART)"
--- /dev/null
+++ b/standin/capacity/doc.go
@@ -0,0 +1,3 @@
+// Package capacity measures what a daemon costs with the number of its peers, groups, workspaces
+// and caller connections, with real code over loopback in one process.
+package capacity
--- /dev/null
+++ b/standin/capacity/heartbeat.go
@@ -0,0 +1,119 @@
+package capacity
+
+import (
+	"context"
+	"fmt"
+	"time"
+)
+
+const (
+	// zones is the number of availability zones over which members are spread.
+	zones = 8
+	// heartbeatSettle is the time in which members connect before heartbeats are measured.
+	heartbeatSettle = 3 * time.Second
+	// heartbeatWindow is the time over which heartbeats are measured.
+	heartbeatWindow = 4 * time.Second
+	// fewGroups is the number of groups while the number of members is varied.
+	fewGroups = 3
+	// fewMembers is the number of members while the number of groups is varied.
+	fewMembers = 5
+)
+
+// memberCounts are the sizes of the measured fleets. All connections of a fleet end in this process,
+// so that the limit of open files bounds the size.
+var memberCounts = []int{5, 20, 48}
+
+// heartbeatLoad is the cost of the heartbeats of a fleet.
+type heartbeatLoad struct {
+	members   int
+	rate      Rate
+	exchanges float64
+	// memory is what the members hold in heap and stacks.
+	memory int64
+}
+
+// perDaemon returns the bytes a second that one daemon sends and receives.
+func (l heartbeatLoad) perDaemon() float64 {
+	return 2 * l.rate.Written / float64(l.members)
+}
+
+// perExchange returns the bytes of a heartbeat and its answer.
+func (l heartbeatLoad) perExchange() float64 {
+	return l.rate.Written / l.exchanges
+}
+
+// measureHeartbeats runs members that know groups and measures their heartbeats.
+func measureHeartbeats(ctx context.Context, count, groups int) (heartbeatLoad, error) {
+	ctx, cancel := context.WithCancel(ctx)
+	defer cancel()
+	empty := memoryInUse()
+	members, err := startMembers(ctx, count, groups)
+	if err != nil {
+		return heartbeatLoad{}, err
+	}
+	defer closeMembers(members)
+	if err := sleep(ctx, heartbeatSettle); err != nil {
+		return heartbeatLoad{}, err
+	}
+	if live, all := liveLinks(members), count*(count-1); live < all {
+		return heartbeatLoad{}, fmt.Errorf("%d of %d links between members are live", live, all)
+	}
+	before := answered(members)
+	rate, err := measureRate(ctx, 0, heartbeatWindow)
+	if err != nil {
+		return heartbeatLoad{}, err
+	}
+	exchanges := float64(answered(members)-before) / rate.Elapsed.Seconds()
+	memory := memoryInUse() - empty
+	return heartbeatLoad{members: count, rate: rate, exchanges: exchanges, memory: memory}, nil
+}
+
+// answered returns the number of heartbeats that the members have answered.
+func answered(members []*member) int64 {
+	var total int64
+	for _, m := range members {
+		total += m.answered.Load()
+	}
+	return total
+}
+
+// measureMembers varies the number of members.
+func measureMembers(ctx context.Context) ([]Result, error) {
+	var results []Result
+	for _, count := range memberCounts {
+		load, err := measureHeartbeats(ctx, count, fewGroups)
+		if err != nil {
+			return nil, err
+		}
+		suffix := fmt.Sprintf("_%d_members", count)
+		processor := load.rate.Processor / float64(count)
+		results = append(results,
+			Result{"heartbeat_bytes_per_daemon" + suffix, load.perDaemon(), "B/s"},
+			Result{"heartbeat_bytes_per_peer" + suffix, load.perDaemon() / float64(count-1), "B/s"},
+			Result{"heartbeat_processor_per_daemon" + suffix, 100 * processor, "%core"},
+			Result{"heartbeat_processor_per_peer" + suffix, 100 * processor / float64(count-1), "%core"},
+			Result{"heartbeat_memory_per_peer" + suffix, float64(load.memory) / float64(count*(count-1)), "B"},
+			Result{"heartbeat_exchanges_per_peer" + suffix, load.exchanges / float64(count*(count-1)), "1/s"},
+		)
+	}
+	return results, nil
+}
+
+// measureTerms varies the number of groups whose terms the members know.
+func measureTerms(ctx context.Context) ([]Result, error) {
+	var results []Result
+	for _, groups := range []int{10, 100, 600} {
+		load, err := measureHeartbeats(ctx, fewMembers, groups)
+		if err != nil {
+			return nil, err
+		}
+		suffix := fmt.Sprintf("_%d_groups", groups)
+		perPeer := load.rate.Processor / float64(fewMembers*(fewMembers-1))
+		results = append(results,
+			Result{"heartbeat_bytes_per_exchange" + suffix, load.perExchange(), "B"},
+			Result{"heartbeat_bytes_per_peer" + suffix, load.perDaemon() / float64(fewMembers-1), "B/s"},
+			Result{"heartbeat_processor_per_peer" + suffix, 100 * perPeer, "%core"},
+		)
+	}
+	return results, nil
+}
--- /dev/null
+++ b/standin/capacity/report.go
@@ -0,0 +1,50 @@
+package capacity
+
+import (
+	"context"
+	"fmt"
+	"io"
+)
+
+// Result is one measured figure.
+type Result struct {
+	Name  string
+	Value float64
+	Unit  string
+}
+
+// String returns the result as a line of name, value and unit.
+func (r Result) String() string {
+	return fmt.Sprintf("%s %.4g %s", r.Name, r.Value, r.Unit)
+}
+
+// Part is one measurement of several figures.
+type Part struct {
+	Name    string
+	Measure func(ctx context.Context) ([]Result, error)
+}
+
+// Parts returns all measurements in the order in which they run.
+func Parts() []Part {
+	return []Part{
+		{Name: "members", Measure: measureMembers},
+		{Name: "terms", Measure: measureTerms},
+	}
+}
+
+// Run measures the parts whose name is only, or all when it is empty, and prints the results.
+func Run(ctx context.Context, only string, out io.Writer) error {
+	for _, part := range Parts() {
+		if only != "" && part.Name != only {
+			continue
+		}
+		results, err := part.Measure(ctx)
+		if err != nil {
+			return fmt.Errorf("measure %s: %w", part.Name, err)
+		}
+		for _, result := range results {
+			fmt.Fprintln(out, result)
+		}
+	}
+	return nil
+}
--- /dev/null
+++ b/standin/cmd/standin-lab/capacity.go
@@ -0,0 +1,23 @@
+package main
+
+import (
+	"context"
+	"os"
+
+	"github.com/papayacove/papayacove/standin/capacity"
+	"github.com/sirupsen/logrus"
+	"github.com/urfave/cli/v3"
+)
+
+func capacityCommand() *cli.Command {
+	return &cli.Command{
+		Name: "capacity", Usage: "measure what a daemon costs by the number of peers, groups and connections",
+		Flags: []cli.Flag{
+			&cli.StringFlag{Name: "part", Usage: "`NAME` of the only part to measure; all when empty"},
+		},
+		Action: func(ctx context.Context, command *cli.Command) error {
+			logrus.SetLevel(logrus.ErrorLevel)
+			return capacity.Run(ctx, command.String("part"), os.Stdout)
+		},
+	}
+}
--- a/standin/cmd/standin-lab/main.go
+++ b/standin/cmd/standin-lab/main.go
@@ -27,7 +27,7 @@
 			&cli.IntFlag{Name: "network", Usage: "number of the loopback network, 2 to 250", Value: 10},
 			&cli.StringFlag{Name: "log-level", Usage: "log level of the daemons", Value: "info"},
 		},
-		Commands: []*cli.Command{upCommand(), demoCommand(), soakCommand()},
+		Commands: []*cli.Command{upCommand(), demoCommand(), soakCommand(), capacityCommand()},
 	}
 	if err := command.Run(ctx, os.Args); err != nil {
 		fmt.Fprintln(os.Stderr, "standin-lab:", err)
