terms: send only changes and a digest with heartbeats

Cause: a heartbeat and its answer carried the terms of all groups, 898 B at 10 groups and 52,440 B at 600, five times a second to each peer.

Ruled out: a digest of each group or a tree of digests, since a whole table is sent only after a restart or a lost message; the revision of the platform as digest, since terms spread by heartbeats before the platform's watch brings them.

Change: terms.Exchange keeps for each peer the last change that the peer has answered. A request carries later changes and a digest over group, term and primary, which is what decides whether a term is news. An answer carries all terms when the digests differ, and the next request does when they still do.

--- a/api/types.gen.go
+++ b/api/types.gen.go
@@ -323,9 +323,13 @@
 	// PlatformReached is true while calls to the platform succeed.
 	PlatformReached bool `json:"platform_reached" toml:"platform_reached"`
 
-	// Terms are the newest terms that the sender knows.
+	// Terms are those that have changed since the last heartbeat that the receiver
+	// answered; all when the digests differed.
 	Terms []GroupTerm `json:"terms" toml:"terms"`
 
+	// TermsDigest is a hash of all terms that the sender knows.
+	TermsDigest uint64 `json:"terms_digest" toml:"terms_digest"`
+
 	// Zone is the availability zone of the sender.
 	Zone string `json:"zone" toml:"zone"`
 }
--- a/internal/daemon/daemon.go
+++ b/internal/daemon/daemon.go
@@ -58,6 +58,7 @@
 	}
 	d.members = membership.New(membership.Options{
 		Self: self, Dial: d.dialPeer, Compose: d.composeHeartbeat, Receive: d.receiveHeartbeat, Changed: d.refresh,
+		Terms: d.terms,
 	})
 	d.gates = gate.NewManager(gate.ManagerOptions{
 		Self: settings.Name, Target: account, Limits: settings.Limits, Terms: d.terms,
--- a/internal/daemon/handler.go
+++ b/internal/daemon/handler.go
@@ -39,7 +39,10 @@
 func (h *handler) Heartbeat(req *api.Heartbeat) *api.Heartbeat {
 	d := (*Daemon)(h)
 	d.receiveHeartbeat(req)
-	return d.composeHeartbeat()
+	answer := d.composeHeartbeat()
+	offer := d.terms.Answer(req.TermsDigest)
+	answer.Terms, answer.TermsDigest = offer.Terms, offer.Digest
+	return answer
 }
 
 // Configuration returns the configuration when it is newer than that of the asker.
@@ -51,10 +54,11 @@
 	return reply
 }
 
+// composeHeartbeat returns a heartbeat without terms.
 func (d *Daemon) composeHeartbeat() *api.Heartbeat {
 	return &api.Heartbeat{
 		From: d.settings.Name, Zone: d.settings.Zone, Leaving: d.members.IsLeaving(),
-		PlatformReached: d.contact.isReached(), ConfigRevision: d.catalog.Revision(), Terms: d.terms.All(),
+		PlatformReached: d.contact.isReached(), ConfigRevision: d.catalog.Revision(),
 	}
 }
 
--- a/internal/membership/membership.go
+++ b/internal/membership/membership.go
@@ -14,6 +14,7 @@
 	"github.com/papayacove/papayacove/api"
 	"github.com/papayacove/papayacove/internal/peer"
 	"github.com/papayacove/papayacove/internal/policy/placement"
+	"github.com/papayacove/papayacove/internal/terms"
 	"github.com/sirupsen/logrus"
 )
 
@@ -32,8 +33,10 @@
 	Self api.VM
 	// Dial returns a client for a peer address.
 	Dial func(address string) *peer.Client
-	// Compose returns the heartbeat to send.
+	// Compose returns the heartbeat to send, without terms.
 	Compose func() *api.Heartbeat
+	// Terms are the terms that heartbeats spread.
+	Terms *terms.Table
 	// Receive takes in a heartbeat of another daemon.
 	Receive func(heartbeat *api.Heartbeat)
 	// Changed is called after the set of live daemons has changed.
@@ -56,6 +59,7 @@
 	vm              api.VM
 	client          *peer.Client
 	cancel          context.CancelFunc
+	terms           *terms.Exchange
 	lastHeard       time.Time
 	refused         bool
 	leaving         bool
@@ -110,7 +114,9 @@
 		m.dismiss(vm.Name, known)
 	}
 	ctx, cancel := context.WithCancel(m.context)
-	added := &member{vm: vm, client: m.options.Dial(vm.PeerAddress), cancel: cancel}
+	added := &member{
+		vm: vm, client: m.options.Dial(vm.PeerAddress), cancel: cancel, terms: terms.NewExchange(m.options.Terms),
+	}
 	m.peers[vm.Name] = added
 	go m.beat(ctx, added)
 }
@@ -140,12 +146,16 @@
 func (m *Manager) exchange(ctx context.Context, to *member) {
 	callContext, cancel := context.WithTimeout(ctx, heartbeatTimeout)
 	defer cancel()
-	answer, err := to.client.Heartbeat(callContext, m.options.Compose())
+	offer := to.terms.Offer()
+	heartbeat := m.options.Compose()
+	heartbeat.Terms, heartbeat.TermsDigest = offer.Terms, offer.Digest
+	answer, err := to.client.Heartbeat(callContext, heartbeat)
 	if ctx.Err() != nil {
 		return
 	}
 	if err == nil {
 		m.options.Receive(answer)
+		to.terms.Answered(offer, answer.TermsDigest)
 	}
 	m.note(to, answer, err)
 }
--- a/internal/terms/terms.go
+++ b/internal/terms/terms.go
@@ -4,8 +4,10 @@
 package terms
 
 import (
+	"strconv"
 	"sync"
 
+	"github.com/cespare/xxhash/v2"
 	"github.com/papayacove/papayacove/api"
 	"github.com/papayacove/papayacove/internal/invariant"
 	"github.com/sirupsen/logrus"
@@ -14,13 +16,24 @@
 // Table holds the newest term of each group. It is safe for concurrent use.
 type Table struct {
 	mu      sync.RWMutex
-	groups  map[string]api.GroupTerm
+	groups  map[string]entry
 	changed chan struct{}
+	// changes counts the changes of the table.
+	changes uint64
+	// digest is the exclusive or of the hashes of all terms, so that it follows a change of one
+	// without a look at the others.
+	digest uint64
+}
+
+// entry is the newest term of a group with the change that brought it.
+type entry struct {
+	term   api.GroupTerm
+	change uint64
 }
 
 // NewTable returns an empty table.
 func NewTable() *Table {
-	return &Table{groups: make(map[string]api.GroupTerm), changed: make(chan struct{})}
+	return &Table{groups: make(map[string]entry), changed: make(chan struct{})}
 }
 
 // FromRecord converts the platform object of a term.
@@ -33,11 +46,16 @@
 	t.mu.Lock()
 	defer t.mu.Unlock()
 	known, ok := t.groups[seen.Group]
-	if ok && !isNewer(seen, known) {
-		checkSamePrimary(seen, known)
+	if ok && !isNewer(seen, known.term) {
+		checkSamePrimary(seen, known.term)
 		return false
 	}
-	t.groups[seen.Group] = seen
+	if ok {
+		t.digest ^= hashOf(known.term)
+	}
+	t.digest ^= hashOf(seen)
+	t.changes++
+	t.groups[seen.Group] = entry{term: seen, change: t.changes}
 	close(t.changed)
 	t.changed = make(chan struct{})
 	return true
@@ -51,6 +69,13 @@
 	return known.Primary == "" && seen.Primary != ""
 }
 
+// hashOf covers what isNewer compares, so that tables of equal digests have nothing to tell each
+// other.
+func hashOf(term api.GroupTerm) uint64 {
+	text := term.Group + "\x00" + strconv.FormatUint(term.Term, 10) + "\x00" + term.Primary
+	return xxhash.Sum64String(text)
+}
+
 func checkSamePrimary(seen, known api.GroupTerm) {
 	same := seen.Term != known.Term || seen.Primary == "" || seen.Primary == known.Primary
 	invariant.Check(same, "one_primary_per_term", logrus.Fields{
@@ -63,7 +88,7 @@
 	t.mu.RLock()
 	defer t.mu.RUnlock()
 	current, ok := t.groups[group]
-	return current, ok
+	return current.term, ok
 }
 
 // All returns the newest terms of all groups in no order.
@@ -72,11 +97,34 @@
 	defer t.mu.RUnlock()
 	all := make([]api.GroupTerm, 0, len(t.groups))
 	for _, current := range t.groups {
-		all = append(all, current)
+		all = append(all, current.term)
 	}
 	return all
 }
 
+// Digest returns a hash of all terms. Tables with the same terms have the same digest.
+func (t *Table) Digest() uint64 {
+	t.mu.RLock()
+	defer t.mu.RUnlock()
+	return t.digest
+}
+
+// since returns the terms that came after a change of this table.
+func (t *Table) since(change uint64) Offer {
+	t.mu.RLock()
+	defer t.mu.RUnlock()
+	offer := Offer{Digest: t.digest, change: t.changes}
+	if change == t.changes {
+		return offer
+	}
+	for _, current := range t.groups {
+		if current.change > change {
+			offer.Terms = append(offer.Terms, current.term)
+		}
+	}
+	return offer
+}
+
 // Changed returns a channel that is closed at the next change.
 func (t *Table) Changed() <-chan struct{} {
 	t.mu.RLock()
--- a/standin/capacity/member.go
+++ b/standin/capacity/member.go
@@ -38,6 +38,7 @@
 	}
 	m.manager = membership.New(membership.Options{
 		Self: m.vm, Dial: dialPeer, Compose: m.compose, Receive: m.receive, Changed: func() {},
+		Terms: m.terms,
 	})
 	return m, nil
 }
@@ -57,13 +58,14 @@
 func (m *member) Heartbeat(req *api.Heartbeat) *api.Heartbeat {
 	m.answered.Add(1)
 	m.receive(req)
-	return m.compose()
+	answer := m.compose()
+	offer := m.terms.Answer(req.TermsDigest)
+	answer.Terms, answer.TermsDigest = offer.Terms, offer.Digest
+	return answer
 }
 
 func (m *member) compose() *api.Heartbeat {
-	return &api.Heartbeat{
-		From: m.vm.Name, Zone: m.vm.Zone, PlatformReached: true, ConfigRevision: 1000, Terms: m.terms.All(),
-	}
+	return &api.Heartbeat{From: m.vm.Name, Zone: m.vm.Zone, PlatformReached: true, ConfigRevision: 1000}
 }
 
 func (m *member) receive(heartbeat *api.Heartbeat) {
