standin/capacity: measure status calls, placement, catalog, connections and platform calls

Cause: docs/CAPACITY.md needs a slope for each role.

The largest number of connections is 9,000 because of the limit of 20,000 open files.

--- /dev/null
+++ b/standin/capacity/connection.go
@@ -0,0 +1,120 @@
+package capacity
+
+import (
+	"context"
+	"fmt"
+	"net"
+
+	"github.com/jackc/pgx/v5/pgproto3"
+	"github.com/papayacove/papayacove/api"
+	"github.com/papayacove/papayacove/internal/frontend"
+	"github.com/papayacove/papayacove/internal/result"
+)
+
+// connectionCounts are the numbers of idle caller connections. Both ends of a connection are in this
+// process, so that the limit of open files bounds them.
+var connectionCounts = []int{100, 1000, 9000}
+
+// idleRunner opens sessions that run nothing.
+type idleRunner struct{}
+
+// Open opens a session.
+func (idleRunner) Open(context.Context, frontend.Session) (frontend.SessionRunner, error) {
+	return idleSession{}, nil
+}
+
+type idleSession struct{}
+
+// Run refuses all batches.
+func (idleSession) Run(context.Context, *frontend.Batch, func([]byte) error) (frontend.Outcome, error) {
+	return frontend.Outcome{}, result.Errorf(result.NotRunUnreachable, "no target")
+}
+
+// Position returns no position.
+func (idleSession) Position() api.Position { return api.Position{} }
+
+// Cancel does nothing.
+func (idleSession) Cancel() {}
+
+// Close does nothing.
+func (idleSession) Close() {}
+
+// openDirectory admits all users without a password.
+type openDirectory struct{}
+
+// Credential returns an empty verifier.
+func (openDirectory) Credential(_, _, _ string) (frontend.Credential, error) {
+	return frontend.Credential{MaxAge: -1}, nil
+}
+
+// measureConnections varies the number of idle caller connections.
+func measureConnections(ctx context.Context) ([]Result, error) {
+	var results []Result
+	for _, count := range connectionCounts {
+		bytes, err := measureIdle(ctx, count)
+		if err != nil {
+			return nil, err
+		}
+		name := fmt.Sprintf("connection_memory_%d_idle", count)
+		results = append(results, Result{name, bytes, "B"})
+	}
+	return results, nil
+}
+
+// measureIdle returns the heap and stacks of one idle caller connection.
+func measureIdle(ctx context.Context, count int) (float64, error) {
+	ctx, cancel := context.WithCancel(ctx)
+	server := frontend.NewServer(frontend.Options{
+		Address: "127.0.0.1:0", Runner: idleRunner{}, Directory: openDirectory{}, Name: "capacity",
+		Limits: api.LimitSettings{MaxCallerConnections: count, MaxUnauthenticatedConnections: count},
+	})
+	if err := server.Init(ctx); err != nil {
+		cancel()
+		return 0, err
+	}
+	go func() { _ = server.Run(ctx) }()
+	before := memoryInUse()
+	var connections []net.Conn
+	defer func() {
+		for _, connection := range connections {
+			connection.Close()
+		}
+		cancel()
+		_ = server.Drain(ctx)
+	}()
+	for range count {
+		connection, err := openIdle(server.Addr().String())
+		if err != nil {
+			return 0, err
+		}
+		connections = append(connections, connection)
+	}
+	return float64(memoryInUse()-before) / float64(count), nil
+}
+
+// openIdle starts a session and runs one statement that needs no target.
+func openIdle(address string) (net.Conn, error) {
+	connection, err := net.Dial("tcp", address)
+	if err != nil {
+		return nil, err
+	}
+	frontend := pgproto3.NewFrontend(connection, connection)
+	frontend.Send(&pgproto3.StartupMessage{
+		ProtocolVersion: pgproto3.ProtocolVersion30,
+		Parameters:      map[string]string{"user": "crew", "database": "kelani.rounds"},
+	})
+	frontend.Send(&pgproto3.Query{String: "SET application_name = 'idle'"})
+	if err := frontend.Flush(); err != nil {
+		return connection, err
+	}
+	for ready := 0; ready < 2; {
+		message, err := frontend.Receive()
+		if err != nil {
+			return connection, fmt.Errorf("start session: %w", err)
+		}
+		if _, ok := message.(*pgproto3.ReadyForQuery); ok {
+			ready++
+		}
+	}
+	return connection, nil
+}
--- a/standin/capacity/report.go
+++ b/standin/capacity/report.go
@@ -29,6 +29,11 @@
 	return []Part{
 		{Name: "members", Measure: measureMembers},
 		{Name: "terms", Measure: measureTerms},
+		{Name: "status", Measure: measureStatus},
+		{Name: "placement", Measure: measurePlacement},
+		{Name: "catalog", Measure: measureCatalog},
+		{Name: "connections", Measure: measureConnections},
+		{Name: "platform", Measure: measurePlatform},
 	}
 }
 
