gate: place all targets on one prepared view of the members

Change: one placement.View for all groups; TestViewDecidesAsTheFunctions shows that it decides the same.

--- a/internal/gate/manager.go
+++ b/internal/gate/manager.go
@@ -73,23 +73,24 @@
 	m.refreshing.Lock()
 	defer m.refreshing.Unlock()
 	members := m.options.Members()
+	view := placement.NewView(members)
 	placed := make(map[string]bool)
 	watched := make(map[string]bool)
 	for _, group := range m.options.Groups() {
-		m.refreshGroup(group, members, placed, watched)
+		m.refreshGroup(group, view, placed, watched)
 	}
 	m.retire(placed, watched)
 	m.releaseGone(members)
 }
 
-func (m *Manager) refreshGroup(group api.GroupSpec, members []placement.Member, placed, watched map[string]bool) {
-	for _, candidate := range placement.Candidates(group.Name, members, controllerCandidates) {
+func (m *Manager) refreshGroup(group api.GroupSpec, view *placement.View, placed, watched map[string]bool) {
+	for _, candidate := range view.Candidates(group.Name, controllerCandidates) {
 		if candidate.Name == m.options.Self {
 			watched[group.Name] = true
 		}
 	}
 	for _, spec := range group.Targets {
-		decision := placement.DecideHolder(spec.Name, spec.Zone, members)
+		decision := view.DecideHolder(spec.Name, spec.Zone)
 		m.noteHolder(group, spec, decision)
 		if decision.Holder.Name == m.options.Self {
 			placed[spec.Name] = true
