Cut availability zones, silence connections and race operators in the soak run

Cause: the soak run knew no cut between availability zones, no silent paths of peers and callers, no operation keys and no operators. Its first run hung: a cut held the lock of the network while it set a path, and a relay asked for its path while it held its own lock. Ruled out: a longer time limit. Change: faults zone_cut, zones_cut_from_each_other, peer_connections_silent, caller_connections_silent; a third of the writes carries a key and is repeated until it is clear that it ran; two operators edit one workspace; paths are set without the lock of the network.

--- a/standin/cmd/standin-lab/soak.go
+++ b/standin/cmd/standin-lab/soak.go
@@ -15,6 +15,9 @@
 	"github.com/urfave/cli/v3"
 )
 
+// zoneLatency is the one-way latency between the availability zones of a deployment.
+var zoneLatency = map[string]time.Duration{"kelani": time.Millisecond, "lichtbild": 500 * time.Microsecond}
+
 // errNotClean is returned after a run that broke a promise.
 var errNotClean = errors.New("a promise was broken; the history is above")
 
@@ -87,6 +90,7 @@
 		return false, err
 	}
 	options.Work = fmt.Sprintf("%s-%d", options.Work, seed)
+	options.OneWayLatency = zoneLatency[deployment]
 	running, err := fleet.Start(ctx, options)
 	if err != nil {
 		return false, err
@@ -104,6 +108,8 @@
 	} else {
 		printHistory(report, options.Work)
 	}
+	fmt.Printf("seed %d on %s: longest time without an acknowledged write of a group %v, outcome unknown %d, not run %d\n",
+		seed, deployment, report.History.LongestGap.Round(time.Millisecond), report.History.Unknown, report.History.NotRun)
 	fmt.Println(report)
 	return report.IsClean(), nil
 }
--- a/standin/fleet/network.go
+++ b/standin/fleet/network.go
@@ -107,6 +107,13 @@
 	return netfault.PathKnobs{Delay: n.callers}
 }
 
+// pathBetween returns the path from an availability zone to another as the cuts are now.
+func (n *network) pathBetween(zone, other string) netfault.PathKnobs {
+	n.mu.Lock()
+	defer n.mu.Unlock()
+	return n.between(zone, other)
+}
+
 func (n *network) between(zone, other string) netfault.PathKnobs {
 	if zone == other {
 		return netfault.PathKnobs{}
--- a/standin/fleet/partition.go
+++ b/standin/fleet/partition.go
@@ -1,9 +1,6 @@
 package fleet
 
-import (
-	"errors"
-	"slices"
-)
+import "errors"
 
 // errNotRelayed is returned when a fleet without relays is to be cut.
 var errNotRelayed = errors.New("the fleet has no relays: set Relayed or a latency")
@@ -36,6 +33,20 @@
 	return errors.Join(err, f.cutPlatform([]string{}))
 }
 
+// Silence makes the open connections to an address swallow data for good, as a path does that lost
+// track of them; new connections work.
+func (f *Fleet) Silence(address string) error {
+	if !f.options.isRelayed() {
+		return errNotRelayed
+	}
+	for _, relay := range f.network.links {
+		if relay.link.Address() == address {
+			relay.link.Silence()
+		}
+	}
+	return nil
+}
+
 // cutPlatform replaces the availability zones that do not reach the platform.
 func (f *Fleet) cutPlatform(zones []string) error {
 	return f.Post(f.PlatformAdmin(), "/knobs", map[string][]string{"cut_zones": zones})
@@ -48,13 +59,12 @@
 	}
 	n := f.network
 	n.mu.Lock()
-	defer n.mu.Unlock()
 	change(n.cuts)
-	zones := f.Deployment.Zones()
-	slices.Sort(zones)
+	n.mu.Unlock()
+	// A relay asks for its path while it holds its own lock, so the lock of the network is not held here.
 	for _, relay := range n.links {
-		for _, other := range zones {
-			relay.link.SetPath(f.Deployment.ZoneIP(other), n.between(relay.zone, other))
+		for _, other := range f.Deployment.Zones() {
+			relay.link.SetPath(f.Deployment.ZoneIP(other), n.pathBetween(relay.zone, other))
 		}
 	}
 	return nil
--- a/standin/soak/faults.go
+++ b/standin/soak/faults.go
@@ -32,6 +32,10 @@
 	{"daemon_frozen", freezeDaemon},
 	{"daemon_stopped", stopDaemon},
 	{"half_of_daemons_killed", killHalf},
+	{"zone_cut", cutZone},
+	{"zones_cut_from_each_other", cutPair},
+	{"peer_connections_silent", silencePeer},
+	{"caller_connections_silent", silenceCallers},
 	{"platform_down", platformKnob("down", knobs{"down": true}, knobs{"down": false})},
 	{"platform_slow", platformKnob("slow", knobs{"delay_ms": 400}, knobs{"delay_ms": 0})},
 	{"platform_loses_answers", platformKnob("loses answers", knobs{"lose_probability": 0.5}, knobs{"lose_probability": 0})},
@@ -67,6 +71,34 @@
 	return name, func() { _ = f.Post(f.TargetAdmin(name), "/knobs", knobs{"cut_from": []string{}}) }
 }
 
+// cutZone cuts the availability zone of a primary off, with the primary and its daemons in it.
+func cutZone(f *fleet.Fleet, random *rand.Rand) (string, func()) {
+	spec, _, _ := f.Deployment.Target(primaryOf(f, anyGroup(f, random)))
+	_ = f.CutZone(spec.Zone)
+	return spec.Zone, func() { _ = f.Heal() }
+}
+
+// cutPair cuts two availability zones off from each other only.
+func cutPair(f *fleet.Fleet, random *rand.Rand) (string, func()) {
+	zones := f.Deployment.Zones()
+	sort.Strings(zones)
+	random.Shuffle(len(zones), func(i, j int) { zones[i], zones[j] = zones[j], zones[i] })
+	_ = f.Cut(zones[0], zones[1])
+	return zones[0] + " from " + zones[1], func() { _ = f.Heal() }
+}
+
+func silencePeer(f *fleet.Fleet, random *rand.Rand) (string, func()) {
+	name := anyDaemon(f, random)
+	_ = f.Silence(f.Settings(name).PeerAddress)
+	return name, func() {}
+}
+
+func silenceCallers(f *fleet.Fleet, random *rand.Rand) (string, func()) {
+	name := anyDaemon(f, random)
+	_ = f.Silence(f.Settings(name).CallerAddress)
+	return name, func() {}
+}
+
 func killReplica(f *fleet.Fleet, random *rand.Rand) (string, func()) {
 	name := replicaOf(f, anyGroup(f, random), random)
 	f.Targets[name].Kill()
--- /dev/null
+++ b/standin/soak/operators.go
@@ -0,0 +1,152 @@
+package soak
+
+import (
+	"context"
+	"encoding/json"
+	"errors"
+	"fmt"
+	"math/rand"
+	"sync"
+	"time"
+
+	"github.com/papayacove/papayacove/api"
+	"github.com/papayacove/papayacove/internal/platform"
+	"github.com/papayacove/papayacove/standin/fleet"
+	"github.com/papayacove/papayacove/standin/workload"
+)
+
+const (
+	// operatorPause is the longest pause between two changes of an operator.
+	operatorPause = 800 * time.Millisecond
+	// operatorTimeout is the time that one change may take.
+	operatorTimeout = 3 * time.Second
+	// inForceLimit is the time in which an accepted configuration must be in force everywhere.
+	inForceLimit = 12 * time.Second
+	// operatorCount is the number of operators that edit the same workspace.
+	operatorCount = 2
+)
+
+// operators edit one workspace at the same time, and check that what was accepted comes into force
+// on each daemon and never reverts.
+type operators struct {
+	fleet   *fleet.Fleet
+	history *workload.History
+	name    string
+	done    sync.WaitGroup
+
+	mu       sync.Mutex
+	accepted uint64
+	changes  int
+	highest  map[string]uint64
+}
+
+func startOperators(ctx context.Context, f *fleet.Fleet, history *workload.History, seed int64) *operators {
+	o := &operators{fleet: f, history: history, name: f.Deployment.Name, highest: make(map[string]uint64)}
+	for i := range operatorCount {
+		random := rand.New(rand.NewSource(seed*100 + int64(i)))
+		o.start(func() { o.edit(ctx, i, random) })
+	}
+	o.start(func() { o.watch(ctx) })
+	return o
+}
+
+func (o *operators) start(run func()) {
+	o.done.Add(1)
+	go func() {
+		defer o.done.Done()
+		run()
+	}()
+}
+
+// edit changes the number of connections of the workspace again and again.
+func (o *operators) edit(ctx context.Context, number int, random *rand.Rand) {
+	client := platform.NewClient(platform.Options{URL: o.fleet.Deployment.Settings[0].PlatformURL})
+	defer client.Close()
+	for i := 0; ctx.Err() == nil; i++ {
+		wait(ctx, between(random, 0, operatorPause))
+		o.change(ctx, client, fmt.Sprintf("operator%d-%d", number, i), 200+random.Intn(100))
+	}
+}
+
+func (o *operators) change(ctx context.Context, client *platform.Client, changeID string, connections int) {
+	ctx, cancel := context.WithTimeout(ctx, operatorTimeout)
+	defer cancel()
+	object, err := client.Get(ctx, platform.KindWorkspace, o.name)
+	if err != nil {
+		return
+	}
+	var edited api.Workspace
+	if err := json.Unmarshal(object.Data, &edited); err != nil {
+		o.history.Violate("workspace unreadable: %v", err)
+		return
+	}
+	edited.Values["connections"] = fmt.Sprint(connections)
+	object.Data, err = json.Marshal(edited)
+	if err != nil {
+		return
+	}
+	applied, err := client.Apply(ctx, object, changeID)
+	if err != nil {
+		if !errors.Is(err, platform.ErrConflict) {
+			o.history.Event("change %s: %v", changeID, err)
+		}
+		return
+	}
+	o.mu.Lock()
+	defer o.mu.Unlock()
+	o.changes++
+	o.accepted = max(o.accepted, applied.Object.Version)
+}
+
+// watch checks that the revision of no daemon falls while its process lives.
+func (o *operators) watch(ctx context.Context) {
+	for ctx.Err() == nil {
+		for name := range o.fleet.Daemons {
+			o.look(name)
+		}
+		wait(ctx, watchInterval)
+	}
+}
+
+func (o *operators) look(name string) uint64 {
+	process := o.fleet.Daemons[name].ID()
+	status, err := o.fleet.Status(name)
+	if err != nil || o.fleet.Daemons[name].ID() != process {
+		return 0
+	}
+	key := fmt.Sprintf("%s/%d", name, process)
+	o.mu.Lock()
+	defer o.mu.Unlock()
+	if status.ConfigRevision < o.highest[key] {
+		o.history.Violate("configuration of %s fell from %d to %d", name, o.highest[key], status.ConfigRevision)
+	}
+	o.highest[key] = max(o.highest[key], status.ConfigRevision)
+	return status.ConfigRevision
+}
+
+// finish waits until the last accepted change is in force on each daemon.
+func (o *operators) finish(ctx context.Context) {
+	o.done.Wait()
+	limit := time.Now().Add(inForceLimit)
+	for {
+		late := o.late()
+		if late == "" || ctx.Err() != nil {
+			return
+		}
+		if time.Now().After(limit) {
+			o.history.Violate("revision %d is not in force on %s after %v", o.accepted, late, inForceLimit)
+			return
+		}
+		wait(ctx, watchInterval)
+	}
+}
+
+// late returns a daemon that has not the last accepted change; empty for none.
+func (o *operators) late() string {
+	for name := range o.fleet.Daemons {
+		if o.look(name) < o.accepted {
+			return name
+		}
+	}
+	return ""
+}
--- a/standin/soak/soak.go
+++ b/standin/soak/soak.go
@@ -57,8 +57,10 @@
 		defer parts.Done()
 		injectAll(working, f, work.History, rand.New(rand.NewSource(seed)))
 	}()
+	operators := startOperators(working, f, work.History, seed)
 	work.Run(working)
 	parts.Wait()
+	operators.finish(ctx)
 	if err := work.Settle(ctx); err != nil {
 		work.History.Violate("not settled: %v", err)
 	}
--- a/standin/workload/caller.go
+++ b/standin/workload/caller.go
@@ -9,6 +9,7 @@
 
 	"github.com/jackc/pgx/v5"
 	"github.com/jackc/pgx/v5/pgconn"
+	"github.com/papayacove/papayacove/internal/result"
 	"github.com/papayacove/papayacove/standin/fleet"
 )
 
@@ -101,6 +102,36 @@
 	}
 }
 
+// keyOneIn is the share of writes that carry an operation key and are repeated until it is clear
+// that they ran.
+const keyOneIn = 3
+
+// settleKey repeats a write with its operation key until it is acknowledged or has run before.
+func (l *CrewLead) settleKey(ctx context.Context, key string, err error) error {
+	for Classify(err) == Unknown && ctx.Err() == nil {
+		l.closeAfter(err)
+		if l.connect(ctx) != nil {
+			continue
+		}
+		callContext, cancel := context.WithTimeout(ctx, callTimeout)
+		err = l.keyed(callContext, key)
+		cancel()
+		if CodeOf(err) == result.AlreadyRan {
+			return nil
+		}
+	}
+	return err
+}
+
+// keyed logs a cabinet under an operation key.
+func (l *CrewLead) keyed(ctx context.Context, key string) error {
+	if _, err := l.connection.Exec(ctx, "SET papayacove.operation_key = '"+key+"'"); err != nil {
+		return notSent(err)
+	}
+	_, err := l.connection.Exec(ctx, "INSERT INTO cabinet_log (entry, part) VALUES ($1, 1), ($1, 2)", key)
+	return err
+}
+
 // write logs a cabinet, in one statement or in a transaction of two.
 func (l *CrewLead) write(ctx context.Context) {
 	l.next++
@@ -109,9 +140,12 @@
 	callContext, cancel := context.WithTimeout(ctx, callTimeout)
 	defer cancel()
 	var err error
-	if l.random.Intn(3) == 0 {
+	switch l.random.Intn(keyOneIn) {
+	case 0:
 		err = l.transaction(callContext, key)
-	} else {
+	case 1:
+		err = l.settleKey(ctx, key, l.keyed(callContext, key))
+	default:
 		_, err = l.connection.Exec(callContext, "INSERT INTO cabinet_log (entry, part) VALUES ($1, 1), ($1, 2)", key)
 	}
 	if ctx.Err() != nil && err != nil {
