Confirm each commit that an answer shows, and forget answers that nobody fetches

Found by reading the gate and by driving one in-process gate before the stand-in database. - COMMIT; BEGIN in one query, and COMMIT before a Flush, were acknowledged without confirmation, because only batches that end outside a block were confirmed.

--- a/internal/frontend/extended.go
+++ b/internal/frontend/extended.go
@@ -12,6 +12,8 @@
 const (
 	objectStatement byte = 'S'
 	objectPortal    byte = 'P'
+	// rowLimitBytes is the length of the row limit at the end of Execute.
+	rowLimitBytes = 4
 )
 
 // handleExtended acts on a message of the extended protocol.
@@ -199,7 +201,8 @@
 
 func (s *session) collectExecute(c *collector) error {
 	var message pgproto3.Execute
-	if err := message.Decode(c.body()); err != nil {
+	err := message.Decode(c.body())
+	if err != nil || len(c.body()) != len(message.Portal)+1+rowLimitBytes {
 		return malformed("Execute")
 	}
 	c.hasExecute = true
--- a/internal/gate/answer.go
+++ b/internal/gate/answer.go
@@ -19,19 +19,20 @@
 // answer passes the chunks of one batch from the target to the entry daemon. At most one chunk
 // waits, so that a slow caller slows down the target and not the memory of the gate.
 type answer struct {
-	id     uint64
-	chunks chan *api.ExecuteReply
-	ctx    context.Context
-	cancel context.CancelFunc
+	id      uint64
+	session string
+	chunks  chan *api.ExecuteReply
+	ctx     context.Context
+	cancel  context.CancelFunc
 
 	mu     sync.Mutex
 	number uint64
 	last   *api.ExecuteReply
 }
 
-func newAnswer(ctx context.Context, id uint64) *answer {
+func newAnswer(ctx context.Context, id uint64, session string) *answer {
 	ctx, cancel := context.WithCancel(ctx)
-	return &answer{id: id, chunks: make(chan *api.ExecuteReply, 1), ctx: ctx, cancel: cancel}
+	return &answer{id: id, session: session, chunks: make(chan *api.ExecuteReply, 1), ctx: ctx, cancel: cancel}
 }
 
 // ship passes on a chunk that is not the last. It blocks while the entry daemon is behind.
@@ -50,6 +51,11 @@
 
 // finish passes on the last chunk.
 func (a *answer) finish(reply *api.ExecuteReply) {
+	select {
+	case a.chunks <- reply:
+		return
+	default:
+	}
 	timer := time.NewTimer(fetchTimeout)
 	defer timer.Stop()
 	select {
@@ -69,13 +75,29 @@
 	if number != a.number {
 		return failure(result.Errorf(result.AnswerInterrupted, "chunk %d was asked for, chunk %d is next", number, a.number))
 	}
+	reply, err := a.receive(ctx)
+	if err != nil {
+		return failure(err)
+	}
+	a.number++
+	a.last = reply
+	return reply
+}
+
+// receive waits for a chunk. One that is there goes before the end of the answer.
+func (a *answer) receive(ctx context.Context) (*api.ExecuteReply, *result.Error) {
+	select {
+	case reply := <-a.chunks:
+		return reply, nil
+	default:
+	}
 	select {
 	case reply := <-a.chunks:
-		a.number++
-		a.last = reply
-		return reply
+		return reply, nil
 	case <-ctx.Done():
-		return failure(result.Errorf(result.AnswerInterrupted, "no chunk came in time"))
+		return nil, result.Errorf(result.AnswerInterrupted, "no chunk came in time")
+	case <-a.ctx.Done():
+		return nil, result.Errorf(result.AnswerInterrupted, "the answer was given up")
 	}
 }
 
--- a/internal/gate/batch.go
+++ b/internal/gate/batch.go
@@ -55,25 +55,34 @@
 	plan    plan
 	buffer  []byte
 	shipped bool
-	// committed is true once the answer shows a COMMIT; failed once it shows an error.
-	committed bool
-	failed    bool
-	state     string
-	statusAt  time.Time
-	status    target.Status
+	// committed is true once the answer shows a COMMIT; failed once it shows an error; rolledBack
+	// when the newest statement was a ROLLBACK.
+	committed  bool
+	failed     bool
+	rolledBack bool
+	state      string
+	statusAt   time.Time
+	status     target.Status
 }
 
 // run sends the batch, relays the answer and gives the connection back.
 func (b *batch) run(ctx context.Context) {
-	stop := context.AfterFunc(ctx, func() { b.interrupt(ctx) })
+	interrupted := make(chan struct{})
+	stop := context.AfterFunc(ctx, func() {
+		defer close(interrupted)
+		b.interrupt(ctx)
+	})
 	transactionStatus, err := b.perform(ctx)
 	if !stop() {
-		// The cancel request may still be on its way and must not meet the next batch.
-		b.slot.broken = true
+		<-interrupted
+		b.slot.endInterrupt()
 	}
 	// The connection is free while the confirmation is awaited.
 	b.giveBack(transactionStatus, err)
 	b.answer.finish(b.conclude(ctx, transactionStatus, err))
+	if b.shipped {
+		time.AfterFunc(fetchTimeout, func() { b.gate.forget(b.answer) })
+	}
 }
 
 // interrupt cancels a batch whose deadline has passed and gives the target a short time to answer.
@@ -100,7 +109,7 @@
 		return 0, err
 	}
 	if b.plan.isOpenPipeline {
-		return b.relayPipeline()
+		return b.performPipeline()
 	}
 	transactionStatus, err := b.relay()
 	if err != nil {
@@ -117,6 +126,24 @@
 	return transactionStatus, nil
 }
 
+// performPipeline reads the answers up to a Flush, and the position when they show a commit.
+func (b *batch) performPipeline() (byte, error) {
+	transactionStatus, err := b.relayPipeline()
+	if err != nil || !b.committed || !b.leads {
+		return transactionStatus, err
+	}
+	return transactionStatus, b.askStatus()
+}
+
+// askStatus asks the target for its position.
+func (b *batch) askStatus() error {
+	b.statusAt = time.Now()
+	if err := b.write(appendQuery(nil, target.StatusQuery)); err != nil {
+		return err
+	}
+	return b.readStatus()
+}
+
 // send writes encoded messages. Large ones are written beside reading, because a target that
 // waits for its answers to be read does not read.
 func (b *batch) send(messages []byte) error {
@@ -231,7 +258,9 @@
 		if kind == messageReadyForQuery {
 			return body[0], nil
 		}
-		if len(b.buffer) >= chunkBytes {
+		// A CommandComplete may tell the caller that its statement is committed, so that it is
+		// passed on only with what follows it.
+		if len(b.buffer) >= chunkBytes && kind != messageCommandComplete {
 			if err := b.ship(); err != nil {
 				return 0, err
 			}
@@ -276,9 +305,8 @@
 	case messageParseComplete:
 		b.notePrepared(kind)
 	case messageCommandComplete:
-		if bytes.HasPrefix(body, []byte("COMMIT")) {
-			b.committed = true
-		}
+		b.committed = b.committed || bytes.HasPrefix(body, []byte("COMMIT"))
+		b.rolledBack = bytes.HasPrefix(body, []byte("ROLLBACK"))
 	case messageErrorResponse:
 		b.failed = true
 		if b.state == "" {
@@ -330,6 +358,8 @@
 	if b.needsConfirmation(transactionStatus) {
 		position, err := b.gate.confirm(ctx, b, b.status, b.statusAt, time.Now())
 		if err != nil {
+			// A block that was begun after the commit must not outlive the failure.
+			b.gate.endTransaction(b.req.SessionID)
 			return b.fail(ctx, err)
 		}
 		reply.Position = position
@@ -341,10 +371,10 @@
 
 // needsConfirmation reports whether the batch may have committed something.
 func (b *batch) needsConfirmation(transactionStatus byte) bool {
-	if transactionStatus != statusIdle {
-		return false
+	if b.committed {
+		return true
 	}
-	return b.committed || !b.failed
+	return transactionStatus == statusIdle && !b.failed && !b.rolledBack
 }
 
 // reroute returns a refusal when the target refused the batch before anything ran because it
@@ -366,6 +396,9 @@
 func (b *batch) fail(ctx context.Context, err error) *api.ExecuteReply {
 	var known *result.Error
 	if errors.As(err, &known) && known.Code != result.OutcomeUnknown {
+		if known.Code.IsNotRun() && b.shipped {
+			known = result.Errorf(result.TransactionLost, "%s", known.Reason)
+		}
 		return b.gate.refuse(b.req, known)
 	}
 	failed := b.classify(ctx, err)
@@ -414,13 +447,18 @@
 	delete(b.gate.inflight, session)
 	b.gate.mu.Unlock()
 	keeps := err == nil && transactionStatus != statusIdle
+	skips := b.failed && transactionStatus == statusOpenPipeline
+	isAbandoned := b.answer.ctx.Err() != nil
 	switch {
+	case keeps && isAbandoned:
+		b.gate.transactions.end(session)
+		b.gate.finish(b.slot, b.admitted, !b.slot.rollBack())
 	case keeps && b.pinned:
-		if b.gate.transactions.idle(session) {
+		if b.gate.transactions.idle(session, skips) {
 			b.gate.finish(b.slot, b.admitted, !b.slot.rollBack())
 		}
 	case keeps:
-		b.gate.transactions.begin(b)
+		b.gate.transactions.begin(b, skips)
 	default:
 		if b.pinned {
 			b.gate.transactions.end(session)
--- a/internal/gate/gate.go
+++ b/internal/gate/gate.go
@@ -170,7 +170,7 @@
 		cancel()
 		return g.refuse(req, err)
 	}
-	batch.answer = newAnswer(ctx, g.answerID.Add(1))
+	batch.answer = newAnswer(ctx, g.answerID.Add(1), req.SessionID)
 	g.mu.Lock()
 	g.answers[batch.answer.id] = batch.answer
 	g.inflight[req.SessionID] = batch.slot
@@ -196,14 +196,33 @@
 func (g *Gate) next(ctx context.Context, a *answer, number uint64) *api.ExecuteReply {
 	reply := a.next(ctx, number)
 	if reply.StreamID == 0 {
-		g.mu.Lock()
-		delete(g.answers, a.id)
-		g.mu.Unlock()
-		a.cancel()
+		g.forget(a)
 	}
 	return reply
 }
 
+func (g *Gate) forget(a *answer) {
+	g.mu.Lock()
+	delete(g.answers, a.id)
+	g.mu.Unlock()
+	a.cancel()
+}
+
+// abandonAnswers gives up the answers that a session no longer fetches.
+func (g *Gate) abandonAnswers(session string) {
+	g.mu.Lock()
+	var abandoned []*answer
+	for _, a := range g.answers {
+		if a.session == session {
+			abandoned = append(abandoned, a)
+		}
+	}
+	g.mu.Unlock()
+	for _, a := range abandoned {
+		g.forget(a)
+	}
+}
+
 // Cancel cancels the batch that a session is running.
 func (g *Gate) Cancel(session string) bool {
 	g.mu.Lock()
@@ -225,8 +244,13 @@
 	}
 }
 
-// Release rolls back what a session has open.
+// Release rolls back what a session has open and gives up its answers.
 func (g *Gate) Release(session string) bool {
+	g.abandonAnswers(session)
+	return g.endTransaction(session)
+}
+
+func (g *Gate) endTransaction(session string) bool {
 	ended := g.transactions.abandon(func(t *transaction) bool { return t.session == session })
 	g.rollBack(ended, "released")
 	return len(ended) > 0
@@ -318,7 +342,7 @@
 		return err
 	}
 	b.slot, b.admitted, b.pinned = resumed.slot, resumed.admitted, true
-	b.leads, b.term = resumed.leads, resumed.term
+	b.leads, b.term, b.failed = resumed.leads, resumed.term, resumed.failed
 	current, _ := g.options.Terms.Current(g.options.Group.Name)
 	if !b.leads || current.Term == b.term.Term {
 		return nil
@@ -383,6 +407,10 @@
 // confirm decides whether the batch may be acknowledged.
 func (g *Gate) confirm(ctx context.Context, b *batch, status target.Status, asked, committed time.Time) (api.Position, error) {
 	g.options.Observer.Report(g.options.Spec.Name, status, asked)
+	if status.LogPosition().IsZero() && status.Term == b.term.Term && status.Role == target.RolePrimary {
+		// Nothing was ever committed in the group, so there is no record to confirm.
+		return g.confirmer.floor(ctx, b.term.Term)
+	}
 	commit := api.Position{Term: b.term.Term, Offset: status.Received}
 	if status.Term != b.term.Term || status.Role != target.RolePrimary || status.LogTerm != b.term.Term {
 		return commit, result.Errorf(result.OutcomeUnknown, "target %s shows term %d as %s after the commit, not term %d",
--- a/internal/gate/key.go
+++ b/internal/gate/key.go
@@ -6,7 +6,6 @@
 	"time"
 
 	"github.com/papayacove/papayacove/internal/result"
-	"github.com/papayacove/papayacove/internal/target"
 )
 
 // The ledger of operation keys is a table of the group, so that a key and the work done under it
@@ -144,14 +143,7 @@
 		// The caller sent no BEGIN, so the answer ends outside a transaction block.
 		b.buffer[len(b.buffer)-1] = statusIdle
 	}
-	b.statusAt = time.Now()
-	if err := b.write(appendQuery(nil, target.StatusQuery)); err != nil {
-		return 0, err
-	}
-	if err := b.readStatus(); err != nil {
-		return 0, err
-	}
-	return statusIdle, nil
+	return statusIdle, b.askStatus()
 }
 
 // enterKey puts the key into a transaction block that the caller has just opened.
--- a/internal/gate/slot.go
+++ b/internal/gate/slot.go
@@ -59,6 +59,13 @@
 	}
 }
 
+// endInterrupt ends the deadline of an interrupted batch. The cancel request may still be on its
+// way, so that the connection serves no other session.
+func (s *slot) endInterrupt() {
+	_ = s.connection.Conn.SetReadDeadline(time.Time{})
+	s.broken = true
+}
+
 func (s *slot) close() {
 	_ = s.connection.Close()
 }
--- a/internal/gate/transaction.go
+++ b/internal/gate/transaction.go
@@ -22,6 +22,8 @@
 	// leads and term tell whether and in which term the target was the primary at the start.
 	leads bool
 	term  api.GroupTerm
+	// failed is true for an open pipeline that skips to its Sync after an error.
+	failed bool
 }
 
 // transactions holds what is in progress at one target, by session.
@@ -52,7 +54,7 @@
 }
 
 // begin keeps the connection of a batch for its session.
-func (t *transactions) begin(b *batch) {
+func (t *transactions) begin(b *batch, failed bool) {
 	t.mu.Lock()
 	defer t.mu.Unlock()
 	session := b.req.SessionID
@@ -60,13 +62,13 @@
 	invariant.Check(!exists, "one_transaction_per_session", logrus.Fields{"session": session})
 	t.open[session] = &transaction{
 		session: session, sequence: b.req.Sequence, slot: b.slot, lastUsed: time.Now(), admitted: b.admitted,
-		leads: b.leads, term: b.term,
+		leads: b.leads, term: b.term, failed: failed,
 	}
 }
 
 // idle marks the batch of a transaction as done and reports whether the transaction was doomed
 // in the meantime; then the caller ends it.
-func (t *transactions) idle(session string) bool {
+func (t *transactions) idle(session string, failed bool) bool {
 	t.mu.Lock()
 	defer t.mu.Unlock()
 	found, ok := t.open[session]
@@ -74,6 +76,7 @@
 		return false
 	}
 	found.busy = false
+	found.failed = failed
 	found.lastUsed = time.Now()
 	if found.doomed {
 		delete(t.open, session)
