Enter an operation key before the work however the block begins

Cause: a batch whose first Parse was BEGIN, and no other shape, was taken for a lone BEGIN. A whole block in one pipeline therefore ran without its key, and ran twice when it was repeated; a block begun by a prepared or commented BEGIN, or together with its first work, was committed by the gate at once, so that a ROLLBACK had no effect. Ruled out: the ledger, which holds what is entered. Change: only a batch that executes nothing but one BEGIN gets its key after it. For all others the gate begins the transaction and enters the key first; a block that the batch has begun stays open. A key before a Flush is refused, since its transaction could end in a later batch. The ledger table is created without losing the modes of the block.

--- a/internal/gate/batch.go
+++ b/internal/gate/batch.go
@@ -56,10 +56,11 @@
 	buffer  []byte
 	shipped bool
 	// committed is true once the answer shows a COMMIT; failed once it shows an error; rolledBack
-	// when the newest statement was a ROLLBACK.
+	// when the newest statement was a ROLLBACK; began once it shows a BEGIN.
 	committed  bool
 	failed     bool
 	rolledBack bool
+	began      bool
 	state      string
 	statusAt   time.Time
 	status     target.Status
@@ -97,7 +98,7 @@
 // perform sends the batch and reads its answer up to the last message, which stays in the buffer.
 // It returns the transaction status.
 func (b *batch) perform(ctx context.Context) (byte, error) {
-	if b.req.OperationKey != "" && !b.pinned && !b.opensBlock() {
+	if b.entersKey() && !b.opensBlock() {
 		return b.performWithKey()
 	}
 	b.plan = b.newPlan(b.leads)
@@ -120,7 +121,7 @@
 			return 0, err
 		}
 	}
-	if b.req.OperationKey != "" && !b.pinned && transactionStatus == statusTransaction {
+	if b.entersKey() && transactionStatus == statusTransaction {
 		return b.enterKey(transactionStatus)
 	}
 	return transactionStatus, nil
@@ -307,6 +308,7 @@
 	case messageCommandComplete:
 		b.committed = b.committed || bytes.HasPrefix(body, []byte("COMMIT"))
 		b.rolledBack = bytes.HasPrefix(body, []byte("ROLLBACK"))
+		b.began = b.began || bytes.HasPrefix(body, []byte("BEGIN")) || bytes.HasPrefix(body, []byte("START TRANSACTION"))
 	case messageErrorResponse:
 		b.failed = true
 		if b.state == "" {
--- a/internal/gate/gate.go
+++ b/internal/gate/gate.go
@@ -318,6 +318,9 @@
 	if req.TransactionID != 0 {
 		return b, g.resume(b)
 	}
+	if err := b.checkKey(); err != nil {
+		return nil, err
+	}
 	if err := g.check(b); err != nil {
 		return nil, err
 	}
--- a/internal/gate/key.go
+++ b/internal/gate/key.go
@@ -2,7 +2,6 @@
 
 import (
 	"fmt"
-	"strings"
 	"time"
 
 	"github.com/papayacove/papayacove/internal/result"
@@ -21,21 +20,17 @@
 	transactionStatus byte
 }
 
-// opensBlock reports whether the batch is a lone BEGIN.
-func (b *batch) opensBlock() bool {
-	kind, body, rest, ok := nextMessage(b.req.Messages)
-	if !ok {
-		return false
-	}
-	text := cString(body)
-	if kind == messageParse {
-		text = cString(body[min(len(text)+1, len(body)):])
-	} else if kind != messageQuery || len(rest) > 0 {
-		return false
+// entersKey reports whether the batch starts what its operation key stands for.
+func (b *batch) entersKey() bool {
+	return b.req.OperationKey != "" && !b.pinned
+}
+
+// checkKey refuses an operation key before a Flush: the transaction could end in a later batch.
+func (b *batch) checkKey() error {
+	if b.entersKey() && endsInFlush(b.req.Messages) {
+		return result.Errorf(result.Unsupported, "an operation key needs a batch that ends in Sync")
 	}
-	text = strings.ToLower(strings.TrimSpace(text))
-	isBegin := strings.HasPrefix(text, "begin") || strings.HasPrefix(text, "start")
-	return isBegin && strings.Count(strings.TrimSuffix(text, ";"), ";") == 0
+	return nil
 }
 
 // ask runs a query of the gate itself.
@@ -116,9 +111,6 @@
 	if err := b.send(b.plan.encode(b.req.Messages)); err != nil {
 		return 0, err
 	}
-	if b.plan.isOpenPipeline {
-		return 0, result.Errorf(result.Unsupported, "an operation key needs a batch that ends in Sync")
-	}
 	transactionStatus, err := b.relay()
 	if err != nil {
 		return 0, err
@@ -126,8 +118,12 @@
 	return b.commitKey(transactionStatus)
 }
 
-// commitKey ends the transaction that the gate began, and asks for the position.
+// commitKey ends the transaction that the gate began, and asks for the position. A block that the
+// batch itself has begun stays open.
 func (b *batch) commitKey(transactionStatus byte) (byte, error) {
+	if b.began && transactionStatus != statusIdle {
+		return transactionStatus, nil
+	}
 	ending := "COMMIT"
 	if transactionStatus == statusFailed {
 		ending = "ROLLBACK"
@@ -162,7 +158,10 @@
 		if answer.state != stateUndefinedTable || attempt > 0 {
 			return 0, b.keyRefused(answer)
 		}
-		if _, err := b.ask(ledgerTable + "; BEGIN"); err != nil {
+		if _, err := b.ask(ledgerTable); err != nil {
+			return 0, result.Errorf(result.NotRunUnreachable, "target %s: %v", b.gate.options.Spec.Name, err)
+		}
+		if _, err := b.ask(b.executed()[0]); err != nil {
 			return 0, result.Errorf(result.NotRunUnreachable, "target %s: %v", b.gate.options.Spec.Name, err)
 		}
 	}
--- a/internal/gate/wire.go
+++ b/internal/gate/wire.go
@@ -59,6 +59,18 @@
 	return messages[0], messages[messageHeaderBytes:end], messages[end:], true
 }
 
+// endsInFlush reports whether the last message of a run is a Flush.
+func endsInFlush(messages []byte) bool {
+	var last byte
+	for {
+		kind, _, rest, ok := nextMessage(messages)
+		if !ok {
+			return last == messageFlush
+		}
+		last, messages = kind, rest
+	}
+}
+
 // cString returns the text up to the first zero byte.
 func cString(body []byte) string {
 	if i := bytes.IndexByte(body, 0); i >= 0 {
--- a/standin/e2e/key_test.go
+++ b/standin/e2e/key_test.go
@@ -6,6 +6,7 @@
 	"time"
 
 	"github.com/jackc/pgx/v5"
+	"github.com/jackc/pgx/v5/pgproto3"
 	"github.com/papayacove/papayacove/internal/result"
 	"github.com/papayacove/papayacove/standin/soak"
 	"github.com/papayacove/papayacove/standin/workload"
@@ -143,3 +144,84 @@
 		}
 	}
 }
+
+// TestOperationKeyOfAnUndoneBlock rolls back blocks that begin in different ways.
+func TestOperationKeyOfAnUndoneBlock(t *testing.T) {
+	table := createTable(t, "undone", "name text")
+	insert := "INSERT INTO " + table + " VALUES ('undone')"
+	begins := map[string][]string{
+		"lone":        {"BEGIN", insert},
+		"with modes":  {"BEGIN ISOLATION LEVEL SERIALIZABLE", insert},
+		"commented":   {"/* claim */ BEGIN -- now", insert},
+		"with work":   {"BEGIN; " + insert},
+		"semicolons":  {"BEGIN;;", insert},
+		"transaction": {"START TRANSACTION", insert},
+	}
+	for name, statements := range begins {
+		t.Run(name, func(t *testing.T) {
+			ctx := testContext(t)
+			conn := connect(t, daemonNames()[0], group)
+			mustExec(t, conn, "SET papayacove.operation_key = 'undone "+name+"'")
+			for _, sql := range append(statements, "ROLLBACK") {
+				if _, err := conn.PgConn().Exec(ctx, sql).ReadAll(); err != nil {
+					t.Fatalf("%s: %v", sql, err)
+				}
+			}
+			if outcome := mustQuery[string](t, conn, "SELECT papayacove_outcome('undone "+name+"')"); outcome != "not committed" {
+				t.Errorf("outcome %q", outcome)
+			}
+			if n := mustQuery[int64](t, conn, "SELECT count(*) FROM "+table); n != 0 {
+				t.Errorf("%d rows", n)
+			}
+		})
+	}
+}
+
+// TestOperationKeyOfAPreparedBegin begins the block by a statement that was prepared before.
+func TestOperationKeyOfAPreparedBegin(t *testing.T) {
+	ctx := testContext(t)
+	conn := connect(t, daemonNames()[1], group)
+	if _, err := conn.Prepare(ctx, "begin_claim", "BEGIN"); err != nil {
+		t.Fatal(err)
+	}
+	mustExec(t, conn, "SET papayacove.operation_key = 'prepared undone'")
+	mustExec(t, conn, "begin_claim")
+	if status := conn.PgConn().TxStatus(); status != 'T' {
+		t.Fatalf("status %c", status)
+	}
+	mustExec(t, conn, "ROLLBACK")
+	if outcome := mustQuery[string](t, conn, "SELECT papayacove_outcome('prepared undone')"); outcome != "not committed" {
+		t.Fatalf("outcome %q", outcome)
+	}
+}
+
+// TestOperationKeyOfAPipelinedBlock sends a whole block up to one Sync, twice under one key.
+func TestOperationKeyOfAPipelinedBlock(t *testing.T) {
+	table := createTable(t, "pipelined_block", "name text")
+	for attempt, want := range []string{"ready I", "error 23505"} {
+		c := takeOver(t, daemonNames()[attempt])
+		c.send(&pgproto3.Query{String: "SET papayacove.operation_key = 'pipelined block'"})
+		c.expect("SET", "ready I")
+		for _, sql := range []string{"BEGIN", "INSERT INTO " + table + " VALUES ('a')", "COMMIT"} {
+			c.frontend.Send(&pgproto3.Parse{Query: sql})
+			c.frontend.Send(&pgproto3.Bind{})
+			c.frontend.Send(&pgproto3.Execute{})
+		}
+		c.send(&pgproto3.Sync{})
+		if got := c.last(); got != want {
+			t.Errorf("attempt %d ends with %q, want %q", attempt, got, want)
+		}
+	}
+	if n := mustQuery[int64](t, connect(t, daemonNames()[0], group), "SELECT count(*) FROM "+table); n != 1 {
+		t.Fatalf("the work exists %d times", n)
+	}
+}
+
+// TestOperationKeyBeforeAFlushIsRefused flushes a BEGIN that has a key.
+func TestOperationKeyBeforeAFlushIsRefused(t *testing.T) {
+	c := takeOver(t, daemonNames()[0])
+	c.send(&pgproto3.Query{String: "SET papayacove.operation_key = 'flushed'"})
+	c.expect("SET", "ready I")
+	c.send(&pgproto3.Parse{Query: "BEGIN"}, &pgproto3.Bind{}, &pgproto3.Execute{}, &pgproto3.Flush{}, &pgproto3.Sync{})
+	c.expect("error 0A000", "ready I")
+}
--- a/standin/e2e/raw_test.go
+++ b/standin/e2e/raw_test.go
@@ -211,3 +211,23 @@
 		t.Fatalf("got %d", n)
 	}
 }
+
+// last reads up to ReadyForQuery and returns the error before it, or ReadyForQuery itself.
+func (c *rawClient) last() string {
+	c.t.Helper()
+	failure := ""
+	for {
+		message, err := c.frontend.Receive()
+		if err != nil {
+			c.t.Fatal(err)
+		}
+		switch name := nameOf(message); {
+		case strings.HasPrefix(name, "error"):
+			failure = name
+		case strings.HasPrefix(name, "ready") && failure != "":
+			return failure
+		case strings.HasPrefix(name, "ready"):
+			return name
+		}
+	}
+}
