Keep a slot from other sessions after a cancel, and a gate until its answers have ended

Cause: a cancel request is a connection of its own, so it could reach the target after its batch had ended and the connection served another session. A gate whose target moved was closed after 2 s whatever it was sending, and the rest of a long answer was refused; a planned stop moves all targets. A gate that was taken back into use while it drained could be closed or stay shut. Change: a connection that a cancel was sent to is closed when it is given back. A moved gate rolls back idle transactions after 2 s and stays as long as batches and answers may take.

--- a/internal/gate/gate.go
+++ b/internal/gate/gate.go
@@ -131,9 +131,14 @@
 // Drain stops the admission of new work and waits for what is in progress.
 func (g *Gate) Drain(ctx context.Context) {
 	g.draining.Store(true)
+	g.awaitIdle(ctx)
+}
+
+// awaitIdle waits until nothing is in progress, or the gate is taken back into use.
+func (g *Gate) awaitIdle(ctx context.Context) {
 	ticker := time.NewTicker(5 * time.Millisecond)
 	defer ticker.Stop()
-	for g.isBusy() {
+	for g.draining.Load() && g.isBusy() {
 		select {
 		case <-ctx.Done():
 			return
@@ -236,6 +241,9 @@
 func (g *Gate) Cancel(session string) bool {
 	g.mu.Lock()
 	running, ok := g.inflight[session]
+	if ok {
+		running.cancelled = true
+	}
 	g.mu.Unlock()
 	if !ok {
 		return false
@@ -292,9 +300,12 @@
 	}
 }
 
-// finish gives the connection and the admission back.
+// finish gives the connection and the admission back. A cancel request that is still on its way
+// must not meet another session, so that a connection that was cancelled is closed.
 func (g *Gate) finish(s *slot, admitted *ticket, broken bool) {
-	s.broken = s.broken || broken
+	g.mu.Lock()
+	s.broken = s.broken || s.cancelled || broken
+	g.mu.Unlock()
 	g.pool.release(s)
 	admitted.done()
 }
--- a/internal/gate/manager.go
+++ b/internal/gate/manager.go
@@ -169,21 +169,33 @@
 	}
 }
 
-// handOver closes a gate once its work is done, so that its slots come to the new holder.
+// handOver closes a gate once its work is done, so that its slots come to the new holder. Idle
+// transactions get a short time, batches and their answers the time that a statement may take.
 func (m *Manager) handOver(name string, held *Gate) {
 	held.pool.shut()
-	ctx, cancel := context.WithTimeout(m.context, handoverTimeout)
-	defer cancel()
-	held.Drain(ctx)
+	m.awaitIdle(held, handoverTimeout)
+	if held.draining.Load() {
+		held.rollBack(held.transactions.abandon(func(*transaction) bool { return true }), "handed_over")
+		m.awaitIdle(held, time.Duration(m.options.Limits.StatementTimeoutMs)*time.Millisecond)
+	}
 	m.mu.Lock()
 	defer m.mu.Unlock()
 	if !held.draining.Load() {
+		held.pool.reopen()
 		return
 	}
-	delete(m.gates, name)
+	if m.gates[name] == held {
+		delete(m.gates, name)
+	}
 	held.Close()
 }
 
+func (m *Manager) awaitIdle(held *Gate, limit time.Duration) {
+	ctx, cancel := context.WithTimeout(m.context, limit)
+	defer cancel()
+	held.awaitIdle(ctx)
+}
+
 // releaseGone rolls back the transactions of daemons that are gone.
 func (m *Manager) releaseGone(members []placement.Member) {
 	live := make(map[string]bool, len(members))
--- a/internal/gate/slot.go
+++ b/internal/gate/slot.go
@@ -20,8 +20,10 @@
 	address    string
 	lastUsed   time.Time
 	broken     bool
-	prepared   map[string]struct{}
-	applied    map[string]string
+	// cancelled is true once a cancel request was sent; it is guarded by the gate.
+	cancelled bool
+	prepared  map[string]struct{}
+	applied   map[string]string
 }
 
 func newSlot(connection *target.Slot, address string) *slot {
--- a/standin/e2e/gate_batch_test.go
+++ b/standin/e2e/gate_batch_test.go
@@ -1,6 +1,7 @@
 package e2e
 
 import (
+	"bytes"
 	"context"
 	"fmt"
 	"testing"
@@ -112,3 +113,49 @@
 	mustRun(t, primary, b.write("s", "BEGIN; SELECT 1; COMMIT"))
 	mustRun(t, primary, b.request("s", api.ExecuteRequestAccessRead, &pgproto3.Query{String: "SELECT 1"}))
 }
+
+// TestCancelledConnectionServesNoOther cancels a statement; the request may reach the target late.
+func TestCancelledConnectionServesNoOther(t *testing.T) {
+	b := newBench(t)
+	primary := b.gateOf(0)
+	backend := func(session string) string {
+		reply := mustRun(t, primary, b.write(session, "SELECT pg_backend_pid()"))
+		return string(reply.Chunk)
+	}
+	before := backend("s")
+	slow := b.write("s", "SELECT pg_sleep(10)")
+	replies := make(chan *api.ExecuteReply)
+	go func() { replies <- primary.Execute(context.Background(), slow) }()
+	await(t, "the statement runs", func() bool { return primary.Cancel("d/s") })
+	var reply *api.ExecuteReply
+	await(t, "the statement is cancelled", func() bool {
+		select {
+		case reply = <-replies:
+			return true
+		default:
+			primary.Cancel("d/s")
+			return false
+		}
+	})
+	if states := errorsIn(t, reply.Chunk); len(states) != 1 || states[0] != "57014" {
+		t.Fatalf("states %v", states)
+	}
+	if after := backend("other"); after == before {
+		t.Fatal("another session got the connection that a cancel request may still reach")
+	}
+}
+
+// TestCommandCompleteWaitsForItsConfirmation tries answers whose end falls on the size of a chunk.
+func TestCommandCompleteWaitsForItsConfirmation(t *testing.T) {
+	b := newBench(t)
+	primary := b.gateOf(0)
+	mustRun(t, primary, b.write("s", "CREATE TABLE photos (body text)"))
+	for size := 65450; size < 65536; size += 8 {
+		sql := fmt.Sprintf("INSERT INTO photos VALUES ('%0*d') RETURNING body", size, 1)
+		reply := mustRun(t, primary, b.write("s", sql))
+		if reply.StreamID != 0 && bytes.Contains(reply.Chunk, []byte("INSERT 0 1")) {
+			t.Fatalf("%d bytes: CommandComplete came before the confirmation", size)
+		}
+		primary.Release("d/s")
+	}
+}
--- /dev/null
+++ b/standin/e2e/handover_test.go
@@ -0,0 +1,62 @@
+package e2e
+
+import (
+	"fmt"
+	"sync/atomic"
+	"testing"
+	"time"
+
+	"github.com/jackc/pgx/v5/pgproto3"
+	"github.com/papayacove/papayacove/api"
+	"github.com/papayacove/papayacove/internal/gate"
+	"github.com/papayacove/papayacove/internal/policy/placement"
+	"github.com/papayacove/papayacove/internal/target"
+)
+
+// slowCaller is longer than a gate waits for idle transactions when its target moves.
+const slowCaller = 2500 * time.Millisecond
+
+// TestHandoverLetsAnAnswerEnd moves a target while a slow caller fetches a long answer.
+func TestHandoverLetsAnAnswerEnd(t *testing.T) {
+	b := newBench(t)
+	var moved atomic.Bool
+	manager := gate.NewManager(gate.ManagerOptions{
+		Self: "d", Target: target.Options{User: "gate"}, Terms: b.terms,
+		Limits: api.LimitSettings{QueueLength: 10, IdleTransactionTimeoutMs: eventually.Milliseconds(), StatementTimeoutMs: eventually.Milliseconds()},
+		Members: func() []placement.Member {
+			if moved.Load() {
+				return []placement.Member{{Name: "d", Leaving: true}, {Name: "other"}}
+			}
+			return []placement.Member{{Name: "d"}}
+		},
+		Groups: func() []api.GroupSpec { return []api.GroupSpec{b.group} },
+	})
+	manager.Init(testContext(t))
+	manager.Refresh()
+	t.Cleanup(manager.Close)
+	run := func(req *api.ExecuteRequest) *api.ExecuteReply {
+		req.Target = "a"
+		return manager.Execute(req)
+	}
+	await(t, "the gate sees both targets", func() bool { return run(b.write("s", "SELECT 1")).Code == 0 })
+	run(b.write("s", "CREATE TABLE photos (body text)"))
+	for range 10 {
+		run(b.write("s", fmt.Sprintf("INSERT INTO photos VALUES ('%0100000d')", 1)))
+	}
+	reply := run(b.request("s", api.ExecuteRequestAccessRead, &pgproto3.Query{String: "SELECT body FROM photos"}))
+	moved.Store(true)
+	manager.Refresh()
+	time.Sleep(slowCaller)
+	total := len(reply.Chunk)
+	for number := uint64(1); reply.StreamID != 0; number++ {
+		reply = manager.Fetch(&api.FetchRequest{Target: "a", StreamID: reply.StreamID, Number: number})
+		if reply.Code != 0 {
+			t.Fatalf("chunk %d: code %d: %s", number, reply.Code, reply.Reason)
+		}
+		total += len(reply.Chunk)
+	}
+	if total < 10*100000 {
+		t.Fatalf("%d bytes", total)
+	}
+	await(t, "the gate is closed", func() bool { return len(manager.Gates()) == 0 })
+}
