Tell a write whose answer was cut short that its outcome is unknown, and release the answer

Cause: answer_interrupted, which says that nothing was written, was passed on for writes as well when a part of the answer was lost or the gate had given it up. A refusal after a part of an answer would have been repeated. A read with an allowed age on the primary fixed the floor of the strict reads after it. Change: failures are judged by what was passed on and by access, with an invariant that no refusal follows a part of an answer; the gate is told to release; a caller that goes cancels its statement; only strict reads and writes fix the floor. Before, with each mend taken out: TestWriteIsNotRepeatedAfterPartOfItsAnswer, TestCallerThatIsGoneReleasesTheAnswer and TestFloors fail. After: they pass with -race.

--- a/internal/router/session.go
+++ b/internal/router/session.go
@@ -120,6 +120,37 @@
 func (s *session) send(ctx context.Context, daemon string, req *api.ExecuteRequest, emit func([]byte) error) (frontend.Outcome, bool, *result.Error) {
 	s.setRunning(daemon)
 	defer s.setRunning("")
+	// A caller that has gone needs no answer, and its statement holds a slot.
+	stop := context.AfterFunc(ctx, s.Cancel)
+	defer stop()
+	outcome, emitted, failed := s.relay(ctx, daemon, req, emit)
+	if failed == nil {
+		return outcome, emitted, nil
+	}
+	if emitted || !failed.Code.IsNotRun() {
+		// The rest of the answer is not fetched.
+		s.release(daemon)
+	}
+	return outcome, emitted, afterPart(req, emitted, failed)
+}
+
+// afterPart converts a failure by what the caller has seen and by what may have run. An answer that
+// was cut short says nothing of what a write has done.
+func afterPart(req *api.ExecuteRequest, emitted bool, failed *result.Error) *result.Error {
+	kept := invariant.Check(!emitted || !failed.Code.IsNotRun(), "no_refusal_after_an_answer", logrus.Fields{
+		"session": req.SessionID, "target": req.Target, "code": int(failed.Code),
+	})
+	if kept && failed.Code != result.AnswerInterrupted {
+		return failed
+	}
+	if req.Access == api.ExecuteRequestAccessWrite {
+		return result.Errorf(result.OutcomeUnknown, "%s", failed.Reason)
+	}
+	return result.Errorf(result.AnswerInterrupted, "%s", failed.Reason)
+}
+
+// relay executes a request and passes its answer on part by part.
+func (s *session) relay(ctx context.Context, daemon string, req *api.ExecuteRequest, emit func([]byte) error) (frontend.Outcome, bool, *result.Error) {
 	reply, err := s.router.execute(ctx, daemon, req)
 	if err != nil {
 		return idle, false, callError(daemon, req.Access, err)
@@ -147,7 +178,8 @@
 func (s *session) settle(daemon string, req *api.ExecuteRequest, reply *api.ExecuteReply) frontend.Outcome {
 	if !reply.Position.IsZero() {
 		s.floor = s.floor.Max(reply.Position)
-		s.floorKnown = true
+		// A read with an allowed age does not fix the floor of the strict reads that follow.
+		s.floorKnown = s.floorKnown || req.MaxAgeMs < 0
 		if req.Access == api.ExecuteRequestAccessWrite {
 			s.written = s.written.Max(reply.Position)
 		}
--- /dev/null
+++ b/internal/router/session_test.go
@@ -0,0 +1,192 @@
+package router
+
+import (
+	"context"
+	"errors"
+	"testing"
+	"time"
+
+	"github.com/papayacove/papayacove/api"
+	"github.com/papayacove/papayacove/internal/result"
+)
+
+const (
+	read  = api.ExecuteRequestAccessRead
+	write = api.ExecuteRequestAccessWrite
+	// strict is the allowed age of reads that rely on the floor of the session.
+	strict = time.Duration(-1)
+)
+
+func at(offset uint64) api.Position { return api.Position{Term: 2, Offset: offset} }
+
+func TestMayRepeatOnlyWhatDidNotRun(t *testing.T) {
+	repeated := map[result.Code]bool{
+		result.NotRunNoPrimary: true, result.NotRunNotHolder: true, result.NotRunDraining: true,
+		result.NotRunNoMajority: true, result.NotRunNoSlot: true, result.NotRunUnreachable: true,
+		result.NotRunTargetLeaving: true, result.NotRunTermChanged: true,
+	}
+	for code := result.Code(0); code < 6000; code++ {
+		if mayRepeat(code) != repeated[code] {
+			t.Errorf("code %d: got %v", code, mayRepeat(code))
+		}
+		if mayRepeat(code) && !code.IsNotRun() {
+			t.Errorf("code %d may have run", code)
+		}
+	}
+}
+
+func TestLostIfNotRun(t *testing.T) {
+	tests := map[result.Code]result.Code{
+		result.NotRunUnreachable: result.TransactionLost,
+		result.AnswerInterrupted: result.TransactionLost,
+		result.OutcomeUnknown:    result.OutcomeUnknown,
+		result.AlreadyRan:        result.AlreadyRan,
+	}
+	for code, want := range tests {
+		if got := lostIfNotRun(result.Errorf(code, "x")).Code; got != want {
+			t.Errorf("%d gives %d, want %d", code, got, want)
+		}
+	}
+}
+
+func TestFailureAfterPartOfAnAnswer(t *testing.T) {
+	tests := []struct {
+		name    string
+		access  api.ExecuteRequestAccess
+		emitted bool
+		code    result.Code
+		want    result.Code
+	}{
+		{"read cut short", read, true, result.AnswerInterrupted, result.AnswerInterrupted},
+		{"write cut short", write, true, result.AnswerInterrupted, result.OutcomeUnknown},
+		{"write without answer", write, false, result.AnswerInterrupted, result.OutcomeUnknown},
+		{"refused read", read, false, result.NotRunBehind, result.NotRunBehind},
+		{"read refused late", read, true, result.NotRunBehind, result.AnswerInterrupted},
+		{"write refused late", write, true, result.NotRunNoSlot, result.OutcomeUnknown},
+	}
+	for _, test := range tests {
+		t.Run(test.name, func(t *testing.T) {
+			got := afterPart(&api.ExecuteRequest{Access: test.access}, test.emitted, result.Errorf(test.code, "x"))
+			if got.Code != test.want {
+				t.Fatalf("got %d", got.Code)
+			}
+		})
+	}
+}
+
+// TestWriteIsNotRepeatedAfterPartOfItsAnswer scripts a refusal that must not follow an answer.
+func TestWriteIsNotRepeatedAfterPartOfItsAnswer(t *testing.T) {
+	gates := &fakeGates{replies: []*api.ExecuteReply{part(), done(at(120))}, fetches: []*api.ExecuteReply{refusal(result.NotRunUnreachable)}}
+	s := openSession(t, gates)
+	_, err := s.Run(context.Background(), batchOf(write, strict), discard)
+	if result.CodeOf(err) != result.OutcomeUnknown || len(gates.requests) != 1 || gates.released != 1 {
+		t.Fatalf("%v after %d requests, %d releases", err, len(gates.requests), gates.released)
+	}
+}
+
+func TestCallerThatIsGoneReleasesTheAnswer(t *testing.T) {
+	gates := &fakeGates{replies: []*api.ExecuteReply{part()}}
+	s := openSession(t, gates)
+	gone := errors.New("connection reset")
+	_, err := s.Run(context.Background(), batchOf(write, strict), func([]byte) error { return gone })
+	if err == nil || gates.released != 1 {
+		t.Fatalf("%v, %d releases", err, gates.released)
+	}
+}
+
+func TestRefusedWriteIsRepeated(t *testing.T) {
+	gates := &fakeGates{replies: []*api.ExecuteReply{refusal(result.NotRunNoSlot), refusal(result.NotRunTermChanged), done(at(120))}}
+	s := openSession(t, gates)
+	if _, err := s.Run(context.Background(), batchOf(write, strict), discard); err != nil {
+		t.Fatal(err)
+	}
+	if len(gates.requests) != 3 {
+		t.Fatalf("%d requests", len(gates.requests))
+	}
+}
+
+func TestFloors(t *testing.T) {
+	tests := []struct {
+		name string
+		// reply is the answer to a batch that ran before the strict read.
+		access api.ExecuteRequestAccess
+		maxAge time.Duration
+		reply  *api.ExecuteReply
+		// floor is what the strict read has to rely on, with asked floor 150.
+		floor api.Position
+		asks  int
+	}{
+		{"after a write", write, strict, done(at(120)), at(120), 0},
+		{"after an aged read of the primary", read, time.Second, done(at(120)), at(150), 1},
+		{"after an aged read of a replica", read, time.Second, done(api.Position{}), at(150), 1},
+	}
+	for _, test := range tests {
+		t.Run(test.name, func(t *testing.T) {
+			gates := &fakeGates{floor: at(150), replies: []*api.ExecuteReply{test.reply, done(api.Position{})}}
+			s := openSession(t, gates)
+			for _, batch := range []struct {
+				access api.ExecuteRequestAccess
+				maxAge time.Duration
+			}{{test.access, test.maxAge}, {read, strict}} {
+				if _, err := s.Run(context.Background(), batchOf(batch.access, batch.maxAge), discard); err != nil {
+					t.Fatal(err)
+				}
+			}
+			if got := gates.requests[1].Floor; got != test.floor || gates.floors != test.asks {
+				t.Fatalf("floor %s after %d questions", got, gates.floors)
+			}
+		})
+	}
+}
+
+func TestAgedReadReliesOnOwnWritesOnly(t *testing.T) {
+	gates := &fakeGates{replies: []*api.ExecuteReply{done(at(120)), done(api.Position{})}}
+	s := openSession(t, gates)
+	_, _ = s.Run(context.Background(), batchOf(write, strict), discard)
+	_, _ = s.Run(context.Background(), batchOf(read, time.Second), discard)
+	if got := gates.requests[1].Floor; got != at(120) {
+		t.Fatalf("floor %s", got)
+	}
+}
+
+func TestCheckCut(t *testing.T) {
+	tests := []struct {
+		name     string
+		position api.Position
+		cut      bool
+	}{
+		{"nothing relied on", api.Position{}, false},
+		{"before the start", api.Position{Term: 1, Offset: 99}, false},
+		{"the first that was cut", api.Position{Term: 1, Offset: 100}, true},
+		{"beyond the start", api.Position{Term: 1, Offset: 150}, true},
+		{"of the term itself", at(150), false},
+	}
+	for _, test := range tests {
+		t.Run(test.name, func(t *testing.T) {
+			s := openSession(t, &fakeGates{})
+			s.floor = test.position
+			err := s.checkCut()
+			if (result.CodeOf(err) == result.AcknowledgedCut) != test.cut {
+				t.Fatalf("got %v", err)
+			}
+			if again := s.checkCut(); again != nil {
+				t.Fatalf("reported twice: %v", again)
+			}
+		})
+	}
+}
+
+func TestConnectionsOfAWorkspace(t *testing.T) {
+	s := openSession(t, &fakeGates{})
+	second, err := s.router.Open(context.Background(), s.info)
+	if err != nil {
+		t.Fatal(err)
+	}
+	if _, err := s.router.Open(context.Background(), s.info); result.CodeOf(err) != result.NotRunConnectionLimit {
+		t.Fatalf("third connection: %v", err)
+	}
+	second.Close()
+	if _, err := s.router.Open(context.Background(), s.info); err != nil {
+		t.Fatal(err)
+	}
+}
