--- /dev/null
+++ b/standin/e2e/large_test.go
@@ -0,0 +1,103 @@
+package e2e
+
+import (
+	"bufio"
+	"context"
+	"fmt"
+	"os"
+	"strings"
+	"testing"
+
+	"github.com/jackc/pgx/v5"
+)
+
+const (
+	kibibyte = 1 << 10
+	mebibyte = 1 << 20
+	// largeRow and largeRows make a result of 200 MB.
+	largeRow  = 10_000
+	largeRows = 20_000
+	// growthLimit is the bound on the memory that a daemon may take for one large result.
+	growthLimit = 32 * mebibyte
+)
+
+// memoryOf returns a figure of /proc/PID/status in bytes.
+func memoryOf(t *testing.T, daemon, figure string) int {
+	t.Helper()
+	file, err := os.Open(fmt.Sprintf("/proc/%d/status", shared.Daemons[daemon].ID()))
+	if err != nil {
+		t.Fatal(err)
+	}
+	defer file.Close()
+	for lines := bufio.NewScanner(file); lines.Scan(); {
+		if rest, ok := strings.CutPrefix(lines.Text(), figure+":"); ok {
+			var size int
+			if _, err := fmt.Sscanf(rest, "%d kB", &size); err != nil {
+				t.Fatal(err)
+			}
+			return size * kibibyte
+		}
+	}
+	t.Fatalf("no %s of %s", figure, daemon)
+	return 0
+}
+
+// resetPeak sets the peak of resident memory of a daemon to what it uses now.
+func resetPeak(t *testing.T, daemon string) {
+	t.Helper()
+	path := fmt.Sprintf("/proc/%d/clear_refs", shared.Daemons[daemon].ID())
+	if err := os.WriteFile(path, []byte("5"), 0); err != nil {
+		t.Fatal(err)
+	}
+}
+
+// TestLargeResultsNeedLittleMemory reads 200 MB from the primary through daemons beside it and away
+// from it, and looks at the memory of all daemons.
+func TestLargeResultsNeedLittleMemory(t *testing.T) {
+	table := createTable(t, "large", "body text")
+	mustExec(t, connect(t, daemonNames()[0], group), "INSERT INTO "+table+" VALUES ('"+strings.Repeat("x", largeRow)+"')")
+	for _, reader := range daemonNames()[:2] {
+		t.Run(reader, func(t *testing.T) {
+			conn := connect(t, reader, group)
+			before := make(map[string]int)
+			for _, daemon := range daemonNames() {
+				resetPeak(t, daemon)
+				before[daemon] = memoryOf(t, daemon, "VmRSS")
+			}
+			if bytes := readLarge(t, conn, table); bytes != largeRow*largeRows {
+				t.Fatalf("%d bytes", bytes)
+			}
+			for _, daemon := range daemonNames() {
+				growth := memoryOf(t, daemon, "VmHWM") - before[daemon]
+				t.Logf("through %s: %s grew by %.1f MB from %.1f MB", reader, daemon, float64(growth)/mebibyte, float64(before[daemon])/mebibyte)
+				if growth > growthLimit {
+					t.Errorf("%s grew by %d bytes", daemon, growth)
+				}
+			}
+		})
+	}
+}
+
+// readLarge reads the large result in a transaction on the primary and returns its size.
+func readLarge(t *testing.T, conn *pgx.Conn, table string) int {
+	t.Helper()
+	ctx := context.Background()
+	tx, err := conn.Begin(ctx)
+	if err != nil {
+		t.Fatal(err)
+	}
+	defer func() { _ = tx.Rollback(ctx) }()
+	rows, err := tx.Query(ctx, fmt.Sprintf("SELECT body FROM %s, generate_series(1, %d)", table, largeRows))
+	if err != nil {
+		t.Fatal(err)
+	}
+	defer rows.Close()
+	total := 0
+	for rows.Next() {
+		total += len(rows.RawValues()[0])
+	}
+	if err := rows.Err(); err != nil {
+		t.Fatal(err)
+	}
+	return total
+}
