Tell a statement within a block from one that may commit

Cause: each Sync within a block counted as the possible end of an open pipeline, so a block that was lost during a plain read was reported as outcome_unknown instead of transaction_lost. Each statement of a block was also followed by a status query, which only a commit needs and which destroys the unnamed portal of the caller in PostgreSQL. Change: a transaction remembers whether it is an open pipeline; within a block the position is asked for when the text or the answer shows that the block may have ended. Before: TestStatementInABlockCannotHaveCommitted got 3001 for a read. After: it passes.

--- a/internal/gate/batch.go
+++ b/internal/gate/batch.go
@@ -45,8 +45,9 @@
 	slot     *slot
 	admitted *ticket
 	answer   *answer
-	// pinned is true when a transaction kept the connection.
-	pinned bool
+	// pinned is true when a transaction kept the connection, inPipeline when it is a pipeline.
+	pinned     bool
+	inPipeline bool
 	// leads is true when the target is the primary of term.
 	leads bool
 	term  api.GroupTerm
@@ -123,6 +124,11 @@
 		if err := b.readStatus(); err != nil && transactionStatus == statusIdle {
 			return 0, err
 		}
+	} else if b.leads && b.needsConfirmation(transactionStatus) {
+		// The transaction has ended in a way that its text did not show.
+		if err := b.askStatus(); err != nil {
+			return 0, err
+		}
 	}
 	if b.entersKey() && transactionStatus == statusTransaction {
 		return b.enterKey(transactionStatus)
@@ -428,7 +434,7 @@
 
 // mayCommit reports whether a batch within a transaction may end it.
 func (b *batch) mayCommit() bool {
-	if b.plan.isPipelineEnd || commitPattern.Match(b.req.Messages) {
+	if b.inPipeline || commitPattern.Match(b.req.Messages) {
 		return true
 	}
 	for _, statement := range b.req.Prepared {
@@ -446,18 +452,17 @@
 	delete(b.gate.inflight, session)
 	b.gate.mu.Unlock()
 	keeps := err == nil && transactionStatus != statusIdle
-	skips := b.failed && transactionStatus == statusOpenPipeline
 	isAbandoned := b.answer.ctx.Err() != nil
 	switch {
 	case keeps && isAbandoned:
 		b.gate.transactions.end(session)
 		b.gate.finish(b.slot, b.admitted, !b.slot.rollBack())
 	case keeps && b.pinned:
-		if b.gate.transactions.idle(session, skips) {
+		if b.gate.transactions.idle(b, transactionStatus) {
 			b.gate.finish(b.slot, b.admitted, !b.slot.rollBack())
 		}
 	case keeps:
-		b.gate.transactions.begin(b, skips)
+		b.gate.transactions.begin(b, transactionStatus)
 	default:
 		if b.pinned {
 			b.gate.transactions.end(session)
--- a/internal/gate/gate.go
+++ b/internal/gate/gate.go
@@ -365,7 +365,8 @@
 		return err
 	}
 	b.slot, b.admitted, b.pinned = resumed.slot, resumed.admitted, true
-	b.leads, b.term, b.failed = resumed.leads, resumed.term, resumed.failed
+	b.leads, b.term = resumed.leads, resumed.term
+	b.inPipeline, b.failed = resumed.inPipeline, resumed.failed
 	current, _ := g.options.Terms.Current(g.options.Group.Name)
 	if !b.leads || current.Term == b.term.Term {
 		return nil
--- a/internal/gate/plan.go
+++ b/internal/gate/plan.go
@@ -31,8 +31,6 @@
 	// isOpenPipeline is true when the batch ends in Flush; answers is then the number to expect.
 	isOpenPipeline bool
 	answers        int
-	// isPipelineEnd is true when a Sync ends a pipeline that was left open.
-	isPipelineEnd bool
 }
 
 // newPlan composes the plan of a batch for its connection.
@@ -40,8 +38,7 @@
 	p := plan{}
 	last := p.scan(b.req.Messages, b.slot)
 	p.isOpenPipeline = last == messageFlush
-	p.isPipelineEnd = b.pinned && last == messageSync
-	p.statusAfter = leads && !p.isOpenPipeline
+	p.statusAfter = leads && !p.isOpenPipeline && (!b.pinned || b.mayCommit())
 	if !b.pinned {
 		p.planSettings(b, leads)
 	}
--- a/internal/gate/transaction.go
+++ b/internal/gate/transaction.go
@@ -22,8 +22,17 @@
 	// leads and term tell whether and in which term the target was the primary at the start.
 	leads bool
 	term  api.GroupTerm
-	// failed is true for an open pipeline that skips to its Sync after an error.
-	failed bool
+	// inPipeline is true while a pipeline is open, whose Sync may commit; failed when it skips to its
+	// Sync after an error.
+	inPipeline bool
+	failed     bool
+}
+
+// note takes in how a batch has left the connection.
+func (t *transaction) note(b *batch, transactionStatus byte) {
+	t.inPipeline = transactionStatus == statusOpenPipeline
+	t.failed = t.inPipeline && b.failed
+	t.lastUsed = time.Now()
 }
 
 // transactions holds what is in progress at one target, by session.
@@ -54,30 +63,31 @@
 }
 
 // begin keeps the connection of a batch for its session.
-func (t *transactions) begin(b *batch, failed bool) {
+func (t *transactions) begin(b *batch, transactionStatus byte) {
 	t.mu.Lock()
 	defer t.mu.Unlock()
 	session := b.req.SessionID
 	_, exists := t.open[session]
 	invariant.Check(!exists, "one_transaction_per_session", logrus.Fields{"session": session})
-	t.open[session] = &transaction{
-		session: session, sequence: b.req.Sequence, slot: b.slot, lastUsed: time.Now(), admitted: b.admitted,
-		leads: b.leads, term: b.term, failed: failed,
+	begun := &transaction{
+		session: session, sequence: b.req.Sequence, slot: b.slot, admitted: b.admitted, leads: b.leads, term: b.term,
 	}
+	begun.note(b, transactionStatus)
+	t.open[session] = begun
 }
 
 // idle marks the batch of a transaction as done and reports whether the transaction was doomed
 // in the meantime; then the caller ends it.
-func (t *transactions) idle(session string, failed bool) bool {
+func (t *transactions) idle(b *batch, transactionStatus byte) bool {
 	t.mu.Lock()
 	defer t.mu.Unlock()
+	session := b.req.SessionID
 	found, ok := t.open[session]
 	if !ok {
 		return false
 	}
 	found.busy = false
-	found.failed = failed
-	found.lastUsed = time.Now()
+	found.note(b, transactionStatus)
 	if found.doomed {
 		delete(t.open, session)
 		return true
--- a/standin/e2e/gate_batch_test.go
+++ b/standin/e2e/gate_batch_test.go
@@ -5,10 +5,12 @@
 	"context"
 	"fmt"
 	"testing"
+	"time"
 
 	"github.com/jackc/pgx/v5/pgproto3"
 	"github.com/papayacove/papayacove/api"
 	"github.com/papayacove/papayacove/internal/result"
+	"github.com/papayacove/papayacove/standin/database"
 )
 
 // TestCommitIsConfirmedWhenTheNextBlockOpens ends one block and begins another in a batch.
@@ -159,3 +161,24 @@
 		primary.Release("d/s")
 	}
 }
+
+// TestStatementInABlockCannotHaveCommitted loses the primary while a block reads.
+func TestStatementInABlockCannotHaveCommitted(t *testing.T) {
+	tests := map[string]result.Code{"SELECT pg_sleep(10)": result.TransactionLost, "COMMIT": result.OutcomeUnknown}
+	for sql, want := range tests {
+		t.Run(sql, func(t *testing.T) {
+			b := newBench(t)
+			primary := b.gateOf(0)
+			begin := b.write("s", "BEGIN")
+			mustRun(t, primary, begin)
+			next := b.request("s", api.ExecuteRequestAccessWrite, &pgproto3.Parse{Query: sql}, &pgproto3.Bind{}, &pgproto3.Execute{}, &pgproto3.Sync{})
+			if sql == "COMMIT" {
+				b.primary.SetKnobs(database.Knobs{Cut: true})
+				next.TimeoutMs = 300
+			} else {
+				time.AfterFunc(100*time.Millisecond, b.primary.Reset)
+			}
+			wantRefused(t, primary.Execute(context.Background(), within(begin, next)), want)
+		})
+	}
+}
