--- a/internal/gate/slot.go
+++ b/internal/gate/slot.go
@@ -20,8 +20,10 @@
 	address    string
 	lastUsed   time.Time
 	broken     bool
-	prepared   map[string]struct{}
-	applied    map[string]string
+	// cancelled is true once a cancel request was sent; it is guarded by the gate.
+	cancelled bool
+	prepared  map[string]struct{}
+	applied   map[string]string
 }
 
 func newSlot(connection *target.Slot, address string) *slot {
@@ -59,6 +61,13 @@
 	}
 }
 
+// endInterrupt ends the deadline of an interrupted batch. The cancel request may still be on its
+// way, so that the connection serves no other session.
+func (s *slot) endInterrupt() {
+	_ = s.connection.Conn.SetReadDeadline(time.Time{})
+	s.broken = true
+}
+
 func (s *slot) close() {
 	_ = s.connection.Close()
 }
