--- a/standin/bench/part.go
+++ b/standin/bench/part.go
@@ -31,6 +31,7 @@
 var parts = []part{
 	{"paths", measurePaths},
 	{"failover", measureFailover},
+	{"gates", measureGates},
 }
 
 // Names returns the names of the parts in the order in which they run.
--- a/standin/bench/writer.go
+++ b/standin/bench/writer.go
@@ -22,6 +22,8 @@
 	began time.Time
 	ended time.Time
 	err   error
+	// sent is false when no connection could be opened.
+	sent bool
 }
 
 // writer is a caller that writes to a group through one daemon, one request after the other.
@@ -65,16 +67,18 @@
 	for ctx.Err() == nil {
 		began := time.Now()
 		var err error
+		sent := false
 		if connection == nil || connection.IsClosed() {
 			connection, err = connect(ctx, w.url)
 		}
 		if err == nil {
+			sent = true
 			err = write(ctx, connection)
 		}
 		if ctx.Err() != nil {
 			return
 		}
-		w.note(call{began: began, ended: time.Now(), err: err})
+		w.note(call{began: began, ended: time.Now(), err: err, sent: sent})
 		if err != nil {
 			sleep(ctx, writerPause)
 		}
--- a/standin/fleet/fleet.go
+++ b/standin/fleet/fleet.go
@@ -97,7 +97,7 @@
 			return nil, err
 		}
 	}
-	if err := f.waitReady(ctx); err != nil {
+	if err := f.WaitReady(ctx); err != nil {
 		f.Close()
 		return nil, err
 	}
@@ -277,8 +277,8 @@
 	return status, err
 }
 
-// waitReady waits until each daemon knows the others, and each target is held.
-func (f *Fleet) waitReady(ctx context.Context) error {
+// WaitReady waits until each daemon knows the others, and each target is held.
+func (f *Fleet) WaitReady(ctx context.Context) error {
 	ctx, cancel := context.WithTimeout(ctx, readyTimeout)
 	defer cancel()
 	for {
