--- a/standin/bench/part.go
+++ b/standin/bench/part.go
@@ -30,6 +30,7 @@
 
 var parts = []part{
 	{"paths", measurePaths},
+	{"memory", measureMemory},
 	{"failover", measureFailover},
 	{"gates", measureGates},
 }
--- a/standin/fleet/fleet.go
+++ b/standin/fleet/fleet.go
@@ -50,6 +50,8 @@
 	SpareSlots int
 	// LogLevel of the daemons; empty for info.
 	LogLevel string
+	// AdjustObjects changes the objects that the platform starts with; nil changes nothing.
+	AdjustObjects func(objects []api.Object) error
 	// Adjust changes the settings of the daemons before they are written; nil changes nothing.
 	Adjust func(settings *api.Settings)
 }
@@ -125,6 +127,11 @@
 }
 
 func (f *Fleet) composePlatform() error {
+	if f.options.AdjustObjects != nil {
+		if err := f.options.AdjustObjects(f.Deployment.Load.Objects); err != nil {
+			return err
+		}
+	}
 	load, err := json.MarshalIndent(f.Deployment.Load, "", "  ")
 	if err != nil {
 		return err
