--- a/standin/bench/part.go
+++ b/standin/bench/part.go
@@ -33,6 +33,7 @@
 	{"memory", measureMemory},
 	{"failover", measureFailover},
 	{"gates", measureGates},
+	{"reads", measureReads},
 }
 
 // Names returns the names of the parts in the order in which they run.
