--- a/Makefile
+++ b/Makefile
@@ -35,3 +35,9 @@
 
 bench: build
 	.bin/standin-lab --network 121 bench $(if $(PARTS),--only $(PARTS))
+
+PART ?=
+.PHONY: capacity
+
+capacity: build
+	.bin/standin-lab capacity --part "$(PART)"
--- a/internal/gate/batch.go
+++ b/internal/gate/batch.go
@@ -246,7 +246,7 @@
 			}
 		}
 	}
-	return statusOpenPipeline, nil
+	return statusOpenPipeline, b.confirmEarly()
 }
 
 // look notes what an answer message tells about the batch.
@@ -283,8 +283,8 @@
 
 // ship passes on a part of the answer. What shows a commit is passed on after its confirmation.
 func (b *batch) ship() error {
-	if b.committed && b.leads {
-		return result.Errorf(result.OutcomeUnknown, "a long answer follows a COMMIT in the same batch; its confirmation was not awaited")
+	if err := b.confirmEarly(); err != nil {
+		return err
 	}
 	chunk := b.buffer
 	b.buffer = make([]byte, 0, chunkBytes+chunkBytes/4)
@@ -292,6 +292,18 @@
 	return b.answer.ship(chunk)
 }
 
+// confirmEarly confirms a COMMIT whose answer is passed on before the batch has ended.
+func (b *batch) confirmEarly() error {
+	if !b.committed || !b.leads {
+		return nil
+	}
+	_, err := b.gate.confirmer.floor(b.answer.ctx, b.term)
+	if err != nil {
+		return result.Errorf(result.OutcomeUnknown, "a COMMIT within the batch was not confirmed: %v", err)
+	}
+	return nil
+}
+
 // conclude confirms what was committed and composes the last reply.
 func (b *batch) conclude(ctx context.Context, transactionStatus byte, err error) *api.ExecuteReply {
 	if err != nil {
--- a/internal/gate/stale_transaction_test.go
+++ b/internal/gate/stale_transaction_test.go
@@ -78,6 +78,13 @@
 
 // promote makes b the primary of term 2 with the help of c, while a still takes itself for the primary.
 func (g *testGroup) promote(t *testing.T) {
+	t.Helper()
+	g.promoteUnannounced(t)
+	g.terms.Observe(api.GroupTerm{Group: "g", Term: 2, Primary: "b", Start: g.targets["b"].Status().LogPosition()})
+}
+
+// promoteUnannounced promotes b while the gates know only term 1.
+func (g *testGroup) promoteUnannounced(t *testing.T) {
 	t.Helper()
 	for _, name := range []string{"b", "c"} {
 		if _, err := g.targets[name].Fence(2); err != nil {
@@ -87,7 +94,6 @@
 	if _, err := g.targets["b"].Promote(2); err != nil {
 		t.Fatal(err)
 	}
-	g.terms.Observe(api.GroupTerm{Group: "g", Term: 2, Primary: "b", Start: g.targets["b"].Status().LogPosition()})
 }
 
 // A transaction that began on a primary was taken for one on a replica once a later term was
@@ -102,9 +108,25 @@
 	}
 	began := g.next
 	g.promote(t)
+	reply := g.run(t, "a", "d/1", "COMMIT", began)
+	if code := result.Code(reply.Code); code != result.TransactionLost {
+		t.Errorf("commit on the replaced primary: code %v, want %v", code, result.TransactionLost)
+	}
+}
+
+func TestCommitBeforeTheNewTermIsKnownIsNotAcknowledged(t *testing.T) {
+	g := startTestGroup(t)
+	if reply := g.run(t, "a", "d/1", "CREATE TABLE log (entry text)", 0); reply.Code != 0 {
+		t.Fatalf("create: %d %s", reply.Code, reply.Reason)
+	}
+	if reply := g.run(t, "a", "d/1", "BEGIN", 0); reply.TransactionStatus != "T" {
+		t.Fatalf("begin: %+v", reply)
+	}
+	began := g.next
 	if reply := g.run(t, "a", "d/1", "INSERT INTO log VALUES ('x')", began); reply.Code != 0 {
 		t.Fatalf("insert: %d %s", reply.Code, reply.Reason)
 	}
+	g.promoteUnannounced(t)
 	reply := g.run(t, "a", "d/1", "COMMIT", began)
 	if code := result.Code(reply.Code); code != result.OutcomeUnknown {
 		t.Errorf("commit on the replaced primary: code %v, want %v", code, result.OutcomeUnknown)
--- a/internal/gate/transaction.go
+++ b/internal/gate/transaction.go
@@ -16,12 +16,12 @@
 	sequence uint64
 	slot     *slot
 	lastUsed time.Time
-	// leads and term tell whether the transaction began on the primary, and in which term.
-	leads    bool
-	term     api.GroupTerm
 	busy     bool
 	doomed   bool
 	admitted *ticket
+	// leads and term tell whether and in which term the target was the primary at the start.
+	leads bool
+	term  api.GroupTerm
 }
 
 // transactions holds what is in progress at one target, by session.
@@ -51,7 +51,7 @@
 	return found, nil
 }
 
-// begin keeps a connection for a session.
+// begin keeps the connection of a batch for its session.
 func (t *transactions) begin(b *batch) {
 	t.mu.Lock()
 	defer t.mu.Unlock()
