Let reads wait for replicas whose lag is short

Cause: the lag of a replica was taken from positions that had been asked for up to 100 ms apart each, so that 50 ms read as up to 250 ms and most reads after a write were refused as lag_beyond_wait and sent to the primary. A read that had waited could be refused still, by an older answer. Ruled out: the order of candidates, and ages (reads with an allowed age were served by replicas). Change: a lag counts as too long once it is so for certain; a read waits up to 100 ms; the wait itself shows that the floor is applied.

--- a/internal/gate/age.go
+++ b/internal/gate/age.go
@@ -10,6 +10,10 @@
 	"github.com/papayacove/papayacove/internal/policy/staleness"
 )
 
+// lagResolution is how much the known lag of a replica may exceed its lag: the positions of primary
+// and replica are each asked for at intervals of 100 ms.
+const lagResolution = 200 * time.Millisecond
+
 // ageSamples is the number of primary positions that are kept.
 const ageSamples = 512
 
@@ -55,3 +59,11 @@
 	}
 	return bound.Age
 }
+
+// certainLag bounds the age of data and states the least lag that the replica has for certain, so
+// that a read is not sent on from a replica that has what it needs in a moment.
+func (g *Gate) certainLag(applied api.Position) staleness.Bound {
+	bound := g.age.bound(applied, time.Now())
+	bound.Lag = max(bound.Lag-lagResolution, 0)
+	return bound
+}
--- a/internal/gate/gate.go
+++ b/internal/gate/gate.go
@@ -22,7 +22,7 @@
 	// noPrimaryRetryAfter is the time after which a request that found no primary may come back.
 	noPrimaryRetryAfter = 200 * time.Millisecond
 	// appliedWait is the time that a read waits for a replica to apply what the session relies on.
-	appliedWait = 60 * time.Millisecond
+	appliedWait = 100 * time.Millisecond
 	// appliedLook is the time that a read waits for a replica whose lag is not known.
 	appliedLook = 5 * time.Millisecond
 	// idleTransactionCheck is the time between two passes over idle transactions.
@@ -388,14 +388,15 @@
 		return result.Errorf(result.NotRunTargetLeaving, "target %s is leaving", g.options.Spec.Name)
 	}
 	applied := seen.Status.AppliedPosition()
-	decision := readroute.AtReplica(b.req.Floor, b.maxAge(), applied, g.age.bound(applied, time.Now()), appliedWait)
+	decision := readroute.AtReplica(b.req.Floor, b.maxAge(), applied, g.certainLag(applied), appliedWait)
 	if decision.Action == readroute.WaitThenRun || decision.Action == readroute.Behind {
 		// The newest answer may be older than the floor, so the replica itself is asked.
 		wait := max(decision.Wait, appliedLook)
 		if !g.applied.wait(ctx, b.req.Floor, wait) {
 			return result.Errorf(result.NotRunBehind, "target %s: %s, applied %s, floor %s", g.options.Spec.Name, decision.Reason, applied, b.req.Floor)
 		}
-		applied = g.options.Observer.Latest(g.options.Spec.Name).Status.AppliedPosition()
+		// The observer keeps the answer that was asked for last, which may be an earlier one.
+		applied = g.options.Observer.Latest(g.options.Spec.Name).Status.AppliedPosition().Max(b.req.Floor)
 		decision = readroute.AtReplica(b.req.Floor, b.maxAge(), applied, g.age.bound(applied, time.Now()), 0)
 	}
 	b.age = decision.Age
--- a/standin/bench/reads.go
+++ b/standin/bench/reads.go
@@ -20,6 +20,8 @@
 	behindLag = 3 * time.Minute
 	// readTime is the time in which one mix of reads is measured.
 	readTime = 4 * time.Second
+	// mixPause is the time between two mixes.
+	mixPause = 300 * time.Millisecond
 	// readersPerDaemon is the number of callers at each daemon.
 	readersPerDaemon = 2
 	// readerThinkTime is the longest pause between two requests of a caller.
@@ -107,6 +109,8 @@
 	if _, err := beside.awaitAll(ctx, time.Now(), gapLimit); err != nil {
 		return nil, err
 	}
+	// Reads of the mix before, whose callers have gone, may still wait for a replica.
+	_ = sleep(ctx, mixPause)
 	before := r.readCounts()
 	m := &mix{took: newLatencies()}
 	working, stop := context.WithTimeout(ctx, readTime)
