--- a/internal/gate/batch.go
+++ b/internal/gate/batch.go
@@ -68,8 +68,6 @@
 
 // run sends the batch, relays the answer and gives the connection back.
 func (b *batch) run(ctx context.Context) {
-	ctx, cancel := b.limit(ctx)
-	defer cancel()
 	stop := context.AfterFunc(ctx, func() { b.interrupt(ctx) })
 	transactionStatus, err := b.perform(ctx)
 	if !stop() {
--- a/internal/gate/leadership.go
+++ b/internal/gate/leadership.go
@@ -4,15 +4,11 @@
 	"context"
 	"errors"
 	"sync"
-	"time"
 
 	"github.com/papayacove/papayacove/api"
 	"github.com/papayacove/papayacove/internal/result"
 )
 
-// replacedTimeout is the time that a batch in a transaction gets whose primary was replaced.
-const replacedTimeout = 500 * time.Millisecond
-
 // errReplaced ends the work at a primary that another target has replaced.
 var errReplaced = errors.New("the target was replaced as primary")
 
@@ -65,16 +61,6 @@
 	}
 }
 
-// limit shortens the time of a batch in a transaction whose primary was replaced: its commit can not
-// be confirmed any more, and the target may be silent.
-func (b *batch) limit(ctx context.Context) (context.Context, context.CancelFunc) {
-	current, _ := b.gate.options.Terms.Current(b.gate.options.Group.Name)
-	if !b.pinned || !b.leads || current.Primary == "" || current.Term == b.term.Term {
-		return ctx, func() {}
-	}
-	return context.WithTimeout(ctx, replacedTimeout)
-}
-
 // isReplaced reports whether work ended because another target became the primary.
 func isReplaced(ctx context.Context) bool {
 	return errors.Is(context.Cause(ctx), errReplaced)
--- a/internal/gate/leadership_test.go
+++ b/internal/gate/leadership_test.go
@@ -50,7 +50,7 @@
 	g.replace()
 	time.Sleep(50 * time.Millisecond)
 	began := time.Now()
-	reply := g.run(t, "a", "s1", "SELECT 1", transaction)
+	reply := g.run(t, "a", "s1", "COMMIT", transaction)
 	if result.Code(reply.Code) != result.TransactionLost {
 		t.Errorf("reply = %d %s, want transaction_lost", reply.Code, reply.Reason)
 	}
