--- a/standin/bench/memory.go
+++ b/standin/bench/memory.go
@@ -33,7 +33,7 @@
 // measureMemory counts the allocations of a statement and the memory of an idle caller.
 func measureMemory(ctx context.Context, e *environment) error {
 	r, err := e.start(ctx, zeroSite, func(o *fleet.Options) {
-		o.AdjustObjects = raiseConnections
+		o.AdjustLoad = raiseConnections
 		o.Adjust = func(settings *api.Settings) { settings.Limits.MaxCallerConnections = 2 * idleCallers }
 	})
 	if err != nil {
@@ -47,10 +47,10 @@
 }
 
 // raiseConnections lets the workspaces use many connections.
-func raiseConnections(objects []api.Object) error {
-	for i := range objects {
-		if err := raiseConnection(&objects[i]); err != nil {
-			return fmt.Errorf("object %s: %w", objects[i].Name, err)
+func raiseConnections(load *fleet.PlatformLoad) error {
+	for i := range load.Objects {
+		if err := raiseConnection(&load.Objects[i]); err != nil {
+			return fmt.Errorf("object %s: %w", load.Objects[i].Name, err)
 		}
 	}
 	return nil
--- a/standin/bench/part.go
+++ b/standin/bench/part.go
@@ -34,6 +34,7 @@
 	{"failover", measureFailover},
 	{"gates", measureGates},
 	{"reads", measureReads},
+	{"overload", measureOverload},
 }
 
 // Names returns the names of the parts in the order in which they run.
--- a/standin/fleet/fleet.go
+++ b/standin/fleet/fleet.go
@@ -50,8 +50,8 @@
 	SpareSlots int
 	// LogLevel of the daemons; empty for info.
 	LogLevel string
-	// AdjustObjects changes the objects that the platform starts with; nil changes nothing.
-	AdjustObjects func(objects []api.Object) error
+	// AdjustLoad changes what the platform starts with; nil changes nothing.
+	AdjustLoad func(load *PlatformLoad) error
 	// Adjust changes the settings of the daemons before they are written; nil changes nothing.
 	Adjust func(settings *api.Settings)
 }
@@ -127,8 +127,8 @@
 }
 
 func (f *Fleet) composePlatform() error {
-	if f.options.AdjustObjects != nil {
-		if err := f.options.AdjustObjects(f.Deployment.Load.Objects); err != nil {
+	if f.options.AdjustLoad != nil {
+		if err := f.options.AdjustLoad(&f.Deployment.Load); err != nil {
 			return err
 		}
 	}
