Refuse at once what would be cut at its deadline

Cause: the deadline of a batch counted as the latest time to start, so that a batch that started just before it was cancelled while it ran; and the expected wait left out that other workspaces take turns, so that waiting batches were refused at their deadline instead of at once. Change: a batch must start two mean service times before its deadline, and is refused when it is expected to start in the last fifth of the time left.

--- a/internal/gate/queue.go
+++ b/internal/gate/queue.go
@@ -11,6 +11,13 @@
 	"github.com/sirupsen/logrus"
 )
 
+const (
+	// serviceReserve is the number of mean service times that a batch must have left when it starts.
+	serviceReserve = 2
+	// waitMarginShare is the part of the time left by which the expected wait may grow.
+	waitMarginShare = 5
+)
+
 // queue admits batches to the slots of one target by the decisions of the admission policy.
 type queue struct {
 	target string
@@ -43,12 +50,22 @@
 	return admission.ClassStrict
 }
 
+// latestStart returns the time by which a batch must start to end before its deadline. A batch that
+// starts later holds a slot and is cancelled before it has answered.
+func latestStart(now, deadline time.Time, service time.Duration) time.Time {
+	reserve := min(serviceReserve*service, deadline.Sub(now)/2)
+	return deadline.Add(-reserve)
+}
+
 // admit waits for a slot or refuses at once. The error is a result.Error that nothing ran.
 func (q *queue) admit(ctx context.Context, req *api.ExecuteRequest) (*ticket, error) {
 	deadline, _ := ctx.Deadline()
 	q.mu.Lock()
+	now := time.Now()
+	startBy := latestStart(now, deadline, q.policy.ServiceTime())
+	expectBy := startBy.Add(-startBy.Sub(now) / waitMarginShare)
 	q.nextID++
-	item := admission.Item{ID: q.nextID, Workspace: req.Workspace, Class: classOf(req), Deadline: deadline}
+	item := admission.Item{ID: q.nextID, Workspace: req.Workspace, Class: classOf(req), Deadline: startBy, ExpectBy: expectBy}
 	decision := q.policy.Offer(item, time.Now())
 	var admitted chan *result.Error
 	if decision.Outcome == admission.Queued {
--- a/internal/policy/admission/admission.go
+++ b/internal/policy/admission/admission.go
@@ -66,6 +66,17 @@
 	Class     Class
 	// Deadline is the time by which the batch must have started.
 	Deadline time.Time
+	// ExpectBy is the time by which the batch must be expected to start when it is offered; the zero
+	// value stands for Deadline. The wait may grow beyond what is expected, since batches of other
+	// workspaces and of higher classes that come later start before.
+	ExpectBy time.Time
+}
+
+func (i Item) expectBy() time.Time {
+	if i.ExpectBy.IsZero() {
+		return i.Deadline
+	}
+	return i.ExpectBy
 }
 
 // Outcome is the result of an offer.
--- a/internal/policy/admission/queue.go
+++ b/internal/policy/admission/queue.go
@@ -63,7 +63,7 @@
 	case free:
 		q.running++
 		d.Outcome, d.Reason = Started, ReasonSlotFree
-	case now.Add(wait).After(item.Deadline):
+	case now.Add(wait).After(item.expectBy()):
 		q.refuse(&d, ReasonTooLate, result.NotRunOverloaded)
 	case q.waiting < q.queueLength:
 		q.enqueue(item, &d, now)
--- a/standin/bench/part.go
+++ b/standin/bench/part.go
@@ -35,6 +35,7 @@
 	{"gates", measureGates},
 	{"reads", measureReads},
 	{"overload", measureOverload},
+	{"lease", measureLease},
 }
 
 // Names returns the names of the parts in the order in which they run.
