--- a/internal/gate/batch.go
+++ b/internal/gate/batch.go
@@ -90,9 +90,10 @@
 	}
 }
 
-// interrupt cancels a batch whose deadline has passed and gives the target a short time to answer.
+// interrupt cancels a batch whose deadline has passed or whose primary was replaced, and gives the
+// target a short time to answer.
 func (b *batch) interrupt(ctx context.Context) {
-	if !errors.Is(ctx.Err(), context.DeadlineExceeded) {
+	if !errors.Is(ctx.Err(), context.DeadlineExceeded) && !isReplaced(ctx) {
 		return
 	}
 	_ = b.slot.connection.Conn.SetReadDeadline(time.Now().Add(cancelGrace))
@@ -420,6 +421,9 @@
 	if errors.Is(ctx.Err(), context.DeadlineExceeded) {
 		cause = "the time limit passed: " + cause
 	}
+	if isReplaced(ctx) {
+		cause = errReplaced.Error() + ": " + cause
+	}
 	switch {
 	case b.req.Access == api.ExecuteRequestAccessRead && b.shipped:
 		return result.Errorf(result.AnswerInterrupted, "target %s: %s", name, cause)
