daemon: answer peers with the configuration that they lack

Change: the request states the revisions that the asker has. Since a catalog is complete up to its revision, the objects of later versions are all that it lacks; TestSinceCompletesACatalog covers deletions. The VM list comes only when it is newer.

--- a/api/types.gen.go
+++ b/api/types.gen.go
@@ -73,8 +73,12 @@
 
 // ConfigRequest asks a peer for its configuration when it is newer.
 type ConfigRequest struct {
-	// Have is the revision of the asker.
+	// Have is the revision of the asker; only objects of later versions are answered.
 	Have uint64 `json:"have" toml:"have"`
+
+	// HaveVms is the revision of the VM list of the asker; an older list is not
+	// answered.
+	HaveVms uint64 `json:"have_vms" toml:"have_vms"`
 }
 
 // Counter is a named count since the start of the daemon.
--- a/internal/daemon/configuration.go
+++ b/internal/daemon/configuration.go
@@ -110,7 +110,7 @@
 func (d *Daemon) learnFrom(ctx context.Context, from *peer.Client, have uint64) {
 	ctx, cancel := context.WithTimeout(ctx, learnTimeout)
 	defer cancel()
-	reply, err := from.Configuration(ctx, &api.ConfigRequest{Have: have})
+	reply, err := from.Configuration(ctx, &api.ConfigRequest{Have: have, HaveVms: d.vms.get().Revision})
 	if err != nil {
 		return
 	}
--- a/internal/daemon/handler.go
+++ b/internal/daemon/handler.go
@@ -45,11 +45,14 @@
 	return answer
 }
 
-// Configuration returns the configuration when it is newer than that of the asker.
+// Configuration returns what is newer than the configuration and the VM list of the asker.
 func (h *handler) Configuration(req *api.ConfigRequest) *api.ConfigReply {
-	reply := &api.ConfigReply{Revision: h.catalog.Revision(), Vms: h.vms.get()}
+	reply := &api.ConfigReply{Revision: h.catalog.Revision()}
 	if reply.Revision > req.Have {
-		reply.Objects = h.catalog.Snapshot()
+		reply.Objects = h.catalog.Since(req.Have)
+	}
+	if list := h.vms.get(); list.Revision > req.HaveVms {
+		reply.Vms = list
 	}
 	return reply
 }
--- a/internal/workspace/catalog.go
+++ b/internal/workspace/catalog.go
@@ -99,6 +99,14 @@
 	return c.current.Load().snapshot()
 }
 
+// Since returns the newest objects of versions after a revision, ordered by version. A catalog that
+// is complete up to the revision lacks no others.
+func (c *Catalog) Since(revision uint64) []api.Object {
+	objects := c.Snapshot()
+	first := sort.Search(len(objects), func(i int) bool { return objects[i].Version > revision })
+	return objects[first:]
+}
+
 // Statuses returns the objects whose newest version is not in force, ordered by kind and name.
 func (c *Catalog) Statuses() []Status {
 	return c.current.Load().listStatuses()
--- a/internal/workspace/catalog_test.go
+++ b/internal/workspace/catalog_test.go
@@ -223,3 +223,22 @@
 		t.Errorf("revision = %d and %d, want 24", e.Revision, c.Revision())
 	}
 }
+
+// TestSinceCompletesACatalog checks that a catalog that takes what came after its own revision
+// becomes equal to the one that it asks.
+func TestSinceCompletesACatalog(t *testing.T) {
+	full, behind := loadedCatalog(), loadedCatalog()
+	if objects := full.Since(behind.Revision()); len(objects) != 0 {
+		t.Errorf("%d objects since the same revision", len(objects))
+	}
+	full.Apply([]api.Object{object(platform.KindWorkspace, "lichtbild", 5, testWorkspace())}, 5)
+	full.Apply([]api.Object{{Kind: platform.KindWorkspace, Name: "kelani", Version: 6, Deleted: true}}, 7)
+	objects := full.Since(behind.Revision())
+	if len(objects) != 2 {
+		t.Errorf("%d objects since revision 4, want 2", len(objects))
+	}
+	behind.Apply(objects, full.Revision())
+	if !reflect.DeepEqual(behind.Snapshot(), full.Snapshot()) || behind.Revision() != full.Revision() {
+		t.Error("the catalogs differ")
+	}
+}
--- a/standin/capacity/catalog.go
+++ b/standin/capacity/catalog.go
@@ -1,7 +1,9 @@
 package capacity
 
 import (
+	"bytes"
 	"context"
+	"encoding/gob"
 	"encoding/json"
 	"fmt"
 	"time"
@@ -47,10 +49,6 @@
 		return nil, err
 	}
 	count := len(objects)
-	bytes, err := encodedSize(objects)
-	if err != nil {
-		return nil, err
-	}
 	objects = nil
 	memory := memoryInUse() - before
 	if refused := catalog.Statuses(); len(refused) > 0 {
@@ -60,14 +58,35 @@
 	if err != nil {
 		return nil, err
 	}
+	fetched, err := fetchSizes(catalog)
+	if err != nil {
+		return nil, err
+	}
 	suffix := fmt.Sprintf("_%d_groups_%d_workspaces", groups, workspaces)
-	return []Result{
+	results := []Result{
 		{"catalog_memory" + suffix, float64(memory), "B"},
 		{"catalog_objects" + suffix, float64(count), "objects"},
-		{"catalog_encoded" + suffix, float64(bytes), "B"},
 		{"catalog_apply_all" + suffix, milliseconds(whole), "ms"},
 		{"catalog_apply_change" + suffix, milliseconds(single), "ms"},
-	}, nil
+		{"peer_fetch_all" + suffix, float64(fetched[0]), "B"},
+		{"peer_fetch_change" + suffix, float64(fetched[1]), "B"},
+	}
+	return results, nil
+}
+
+// fetchSizes returns the sizes of the answers to a peer without configuration and to one that lacks
+// the last change.
+func fetchSizes(catalog *workspace.Catalog) ([2]int, error) {
+	var sizes [2]int
+	for i, have := range []uint64{0, catalog.Revision() - 1} {
+		var encoded bytes.Buffer
+		reply := api.ConfigReply{Revision: catalog.Revision(), Objects: catalog.Since(have)}
+		if err := gob.NewEncoder(&encoded).Encode(reply); err != nil {
+			return sizes, fmt.Errorf("encode configuration: %w", err)
+		}
+		sizes[i] = encoded.Len()
+	}
+	return sizes, nil
 }
 
 // processorOfChange applies changes of single workspaces and returns the time of one.
@@ -98,13 +117,8 @@
 			PeerAddress: "10.120.130.140:5533", AdminAddress: "10.120.130.140:5633", CallerAddress: "10.120.130.140:5433",
 		})
 	}
-	bytes, err := encodedSize(list)
-	return Result{"vm_list_bytes_per_vm", float64(bytes) / listedVMs, "B"}, err
-}
-
-func encodedSize(value any) (int, error) {
-	encoded, err := json.Marshal(value)
-	return len(encoded), err
+	encoded, err := json.Marshal(list)
+	return Result{"vm_list_bytes_per_vm", float64(len(encoded)) / listedVMs, "B"}, err
 }
 
 // processorOf returns the processor time of the process while work runs.
