daemon: two daemons of an availability zone watch the configuration

Ruled out: ending and starting Follow anew, because a new one does not notice deletions in between; a fixed pair of watchers, because nobody replaces it.

Change: a daemon watches unless two others of its zone that come before it in rendezvous order live, stay and reach the platform. It looks every 200 ms, and holds its follower back in between, so that the next watch brings everything since the last one. Each daemon still watches the VM list, which also tells whether it reaches the platform.

--- a/internal/daemon/configuration.go
+++ b/internal/daemon/configuration.go
@@ -23,9 +23,10 @@
 // configurationKinds are the objects that make up the configuration.
 var configurationKinds = []string{platform.KindTemplate, platform.KindWorkspace, platform.KindGroup, platform.KindTerm}
 
-// followConfiguration applies the objects of the platform as they change.
+// followConfiguration applies the objects of the platform as they change, while this daemon is one of
+// those that watch.
 func (d *Daemon) followConfiguration(ctx context.Context) {
-	options := platform.FollowOptions{Kinds: configurationKinds, Reached: d.contact.note}
+	options := platform.FollowOptions{Kinds: configurationKinds, Reached: d.contact.note, Hold: d.awaitWatch}
 	_ = d.platform.Follow(ctx, options, func(list api.ObjectList) { d.applyObjects(list.Objects, list.Revision, "platform") })
 }
 
@@ -79,7 +80,7 @@
 }
 
 // learnFromPeers fetches the configuration from daemons that have a newer one, which happens while
-// the platform cannot be reached from here.
+// others watch the platform or it cannot be reached from here.
 func (d *Daemon) learnFromPeers(ctx context.Context) {
 	ticker := time.NewTicker(learnInterval)
 	defer ticker.Stop()
--- a/internal/platform/follow.go
+++ b/internal/platform/follow.go
@@ -38,6 +38,10 @@
 
 	// Reached is called after each call with nil or its failure; nil to ignore both.
 	Reached func(error)
+
+	// Hold is called before each call and returns when the call may be made; nil holds none back.
+	// A call that was held back brings all that changed since the one before.
+	Hold func(ctx context.Context)
 }
 
 // withDefaults fills in what is 0.
@@ -51,6 +55,9 @@
 	if o.Reached == nil {
 		o.Reached = func(error) {}
 	}
+	if o.Hold == nil {
+		o.Hold = func(context.Context) {}
+	}
 	return o
 }
 
@@ -82,6 +89,7 @@
 	retry := backoff{first: firstFollowRetry, maximum: maxFollowRetry}
 	contact := &contactLog{what: what}
 	for {
+		options.Hold(ctx)
 		err := step(ctx)
 		if ctx.Err() != nil {
 			return ctx.Err()
--- /dev/null
+++ b/internal/platform/hold_test.go
@@ -0,0 +1,56 @@
+package platform
+
+import (
+	"context"
+	"testing"
+	"time"
+
+	"github.com/papayacove/papayacove/api"
+)
+
+// TestHeldFollowerMissesNothing holds a follower back while objects change and are deleted and the
+// history is dropped.
+func TestHeldFollowerMissesNothing(t *testing.T) {
+	server, client := startPlatform(t)
+	server.PutObject(document("kept", "1"))
+	gone := server.PutObject(document("gone", "1"))
+	ctx, cancel := context.WithCancel(context.Background())
+	held, release := make(chan struct{}), make(chan struct{})
+	calls := 0
+	hold := func(context.Context) {
+		calls++
+		if calls == 2 {
+			close(held)
+			<-release
+		}
+	}
+	versions := map[string]uint64{}
+	apply := func(list api.ObjectList) {
+		for _, o := range list.Objects {
+			versions[o.Name] = o.Version
+			if o.Deleted {
+				delete(versions, o.Name)
+			}
+		}
+		if _, found := versions["gone"]; !found {
+			cancel()
+		}
+	}
+	done := make(chan error)
+	options := FollowOptions{Kinds: []string{KindWorkspace}, Pause: time.Millisecond, Hold: hold}
+	go func() { done <- client.Follow(ctx, options, apply) }()
+	<-held
+	before := client.Counts().Total()
+	changed := server.PutObject(document("kept", "2"))
+	gone.Deleted = true
+	server.PutObject(gone)
+	server.Compact()
+	if after := client.Counts().Total(); after != before {
+		t.Errorf("%d calls were made while held", after-before)
+	}
+	close(release)
+	want(t, <-done, context.Canceled)
+	if versions["kept"] != changed.Version {
+		t.Errorf("version %d was delivered, want %d", versions["kept"], changed.Version)
+	}
+}
--- a/standin/capacity/report.go
+++ b/standin/capacity/report.go
@@ -34,6 +34,7 @@
 		{Name: "catalog", Measure: measureCatalog},
 		{Name: "connections", Measure: measureConnections},
 		{Name: "platform", Measure: measurePlatform},
+		{Name: "zone", Measure: measureZone},
 	}
 }
 
