--- a/standin/capacity/report.go
+++ b/standin/capacity/report.go
@@ -30,6 +30,7 @@
 		{Name: "members", Measure: measureMembers},
 		{Name: "terms", Measure: measureTerms},
 		{Name: "status", Measure: measureStatus},
+		{Name: "controllers", Measure: measureControllers},
 		{Name: "placement", Measure: measurePlacement},
 		{Name: "catalog", Measure: measureCatalog},
 		{Name: "connections", Measure: measureConnections},
