--- a/standin/capacity/member.go
+++ b/standin/capacity/member.go
@@ -44,7 +44,7 @@
 }
 
 func dialPeer(address string) *peer.Client {
-	return peer.NewClient(address, nil)
+	return peer.NewClient(address, "", nil)
 }
 
 // groupTerm returns the term of a group as it is after some promotions.
