failover: run controllers only for groups that the daemon observes

Cause: each daemon ran a controller for each group of the deployment, which woke 20 times a second to find that it does not observe the group.

Ruled out: a longer pause for such groups, which delays the take-over of a group by that pause.

Change: the manager looks every 50 ms, as often as such a controller did, which groups are observed; a controller ends when its group no longer is. What a new controller does not know (the age of the term) it did not know after a start of the daemon either.

Conclusion: the cost follows the groups that a daemon observes.

--- a/internal/failover/controller.go
+++ b/internal/failover/controller.go
@@ -54,8 +54,12 @@
 	}
 }
 
+// run decides until ctx ends or the group is no longer observed.
 func (c *controller) run(ctx context.Context) {
 	for ctx.Err() == nil {
+		if _, observed := c.options.Observer(c.group.Name); !observed {
+			return
+		}
 		changed := c.step(ctx)
 		timer := time.NewTimer(decideInterval)
 		select {
--- a/internal/failover/manager.go
+++ b/internal/failover/manager.go
@@ -16,8 +16,8 @@
 // counters count promotions by outcome.
 var counters = expvar.NewMap("failover")
 
-// groupsInterval is the time between two looks at the list of groups.
-const groupsInterval = 200 * time.Millisecond
+// groupsInterval is the time between two looks for groups that this daemon has come to observe.
+const groupsInterval = 50 * time.Millisecond
 
 // Store is the part of the platform that holds the term records.
 type Store interface {
@@ -57,7 +57,7 @@
 	Terms           *terms.Table
 }
 
-// Manager runs a controller for each group that this daemon watches.
+// Manager runs a controller for each group that this daemon observes.
 type Manager struct {
 	options Options
 
@@ -70,13 +70,15 @@
 	return &Manager{options: options, controllers: make(map[string]*controller)}
 }
 
-// Run starts controllers for new groups until ctx ends.
+// Run starts controllers for the groups that this daemon observes until ctx ends.
 func (m *Manager) Run(ctx context.Context) {
 	ticker := time.NewTicker(groupsInterval)
 	defer ticker.Stop()
 	for {
 		for _, group := range m.options.Groups() {
-			m.start(ctx, group)
+			if _, observed := m.options.Observer(group.Name); observed {
+				m.start(ctx, group)
+			}
 		}
 		select {
 		case <-ctx.Done():
@@ -94,7 +96,12 @@
 	}
 	started := newController(m.options, group)
 	m.controllers[group.Name] = started
-	go started.run(ctx)
+	go func() {
+		started.run(ctx)
+		m.mu.Lock()
+		defer m.mu.Unlock()
+		delete(m.controllers, group.Name)
+	}()
 }
 
 // Vantage returns the view that this daemon has of a primary.
