failover: decide who controls a group only when the membership changed

Cause: each step of a controller, 20 to 50 times a second for each observed group, listed all members and ranked them anew.

Ruled out: keeping the decision for a time, which delays the take-over when a controller and a primary are lost together.

Change: membership counts the changes of what such decisions are based on (live, leaving, platform reached, the VM list); a controller keeps its decision until the count, or whether this daemon reaches the platform, has changed.

--- a/internal/daemon/handler.go
+++ b/internal/daemon/handler.go
@@ -81,6 +81,9 @@
 // ReachesPlatform reports whether another daemon reaches the platform.
 func (d *daemons) ReachesPlatform(name string) bool { return d.members.ReachesPlatform(name) }
 
+// Changes counts the changes of the membership.
+func (d *daemons) Changes() uint64 { return d.members.Changes() }
+
 // Vantage asks a daemon whether it reaches a primary.
 func (d *daemons) Vantage(ctx context.Context, daemon string, req *api.VantageRequest) (*api.VantageReply, error) {
 	client, err := d.client(daemon)
--- /dev/null
+++ b/internal/failover/control_test.go
@@ -0,0 +1,52 @@
+package failover
+
+import (
+	"testing"
+
+	"github.com/papayacove/papayacove/internal/policy/placement"
+	"github.com/papayacove/papayacove/internal/policy/promotion"
+)
+
+// changingDaemons are two daemons of which the other one may reach the platform or not.
+type changingDaemons struct {
+	Daemons
+	changes uint64
+	reaches bool
+}
+
+func (d *changingDaemons) Members() []placement.Member {
+	return []placement.Member{{Name: "entry-1"}, {Name: "entry-2"}}
+}
+func (d *changingDaemons) ReachesPlatform(string) bool { return d.reaches }
+func (d *changingDaemons) Changes() uint64             { return d.changes }
+
+func TestControlFollowsChanges(t *testing.T) {
+	both := []promotion.Controller{
+		{Member: placement.Member{Name: "entry-1"}, PlatformReached: true},
+		{Member: placement.Member{Name: "entry-2"}, PlatformReached: true},
+	}
+	first, _ := promotion.ControllerOf("rounds-1", both)
+	second := "entry-1"
+	if first == second {
+		second = "entry-2"
+	}
+	daemons := &changingDaemons{reaches: true}
+	reached := true
+	options := Options{Self: second, Daemons: daemons, PlatformReached: func() bool { return reached }}
+	var c control
+	expect := func(what string, held bool) {
+		t.Helper()
+		if c.isHeld(options, "rounds-1") != held {
+			t.Errorf("%s: control is not %v", what, held)
+		}
+	}
+	expect("the first reaches the platform", false)
+	daemons.reaches, daemons.changes = false, 1
+	expect("the first does not", true)
+	reached = false
+	expect("nobody does", false)
+	reached = true
+	expect("the second does again", true)
+	daemons.reaches, daemons.changes = true, 2
+	expect("the first does again", false)
+}
--- a/internal/failover/controller.go
+++ b/internal/failover/controller.go
@@ -43,6 +43,7 @@
 	stoppedAt  time.Time
 	resumedAt  time.Time
 	busy       int
+	control    control
 	repairedAt time.Time
 	lastReason promotion.TriggerReason
 }
@@ -80,7 +81,7 @@
 	all, changed := watching.All()
 	c.noteTerm()
 	c.suspect(watching.Latest(c.term.Primary))
-	if !c.isController() {
+	if !c.control.isHeld(c.options, c.group.Name) {
 		return changed
 	}
 	state := c.state(ctx, all)
@@ -138,19 +139,6 @@
 	}
 }
 
-func (c *controller) isController() bool {
-	var daemons []promotion.Controller
-	for _, member := range c.options.Daemons.Members() {
-		reaches := c.options.Daemons.ReachesPlatform(member.Name)
-		if member.Name == c.options.Self {
-			reaches = c.options.PlatformReached()
-		}
-		daemons = append(daemons, promotion.Controller{Member: member, PlatformReached: reaches})
-	}
-	first, ok := promotion.ControllerOf(c.group.Name, daemons)
-	return ok && first == c.options.Self
-}
-
 // state gathers what the decision is based on.
 func (c *controller) state(ctx context.Context, all []observer.Observation) promotion.GroupState {
 	state := promotion.GroupState{
--- a/internal/failover/manager.go
+++ b/internal/failover/manager.go
@@ -30,6 +30,8 @@
 type Daemons interface {
 	Members() []placement.Member
 	ReachesPlatform(name string) bool
+	// Changes counts the changes of Members and ReachesPlatform.
+	Changes() uint64
 	Vantage(ctx context.Context, daemon string, req *api.VantageRequest) (*api.VantageReply, error)
 	Admission(ctx context.Context, daemon string, req *api.AdmissionRequest) (*api.AdmissionReply, error)
 	// Announce spreads a new term at once.
--- a/internal/failover/manager_test.go
+++ b/internal/failover/manager_test.go
@@ -23,6 +23,7 @@
 
 func (otherController) Members() []placement.Member { return []placement.Member{{Name: "entry-2"}} }
 func (otherController) ReachesPlatform(string) bool { return true }
+func (otherController) Changes() uint64             { return 0 }
 
 func (m *Manager) count() int {
 	m.mu.Lock()
@@ -48,7 +49,8 @@
 	var observed atomic.Bool
 	m := NewManager(Options{
 		Self: "entry-1", Daemons: otherController{}, Terms: terms.NewTable(),
-		Groups: func() []api.GroupSpec { return groups },
+		Groups:          func() []api.GroupSpec { return groups },
+		PlatformReached: func() bool { return true },
 		Observer: func(group string) (*observer.Observer, bool) {
 			return watching, group == "rounds-1" && observed.Load()
 		},
--- a/internal/membership/membership.go
+++ b/internal/membership/membership.go
@@ -8,6 +8,7 @@
 	"errors"
 	"slices"
 	"sync"
+	"sync/atomic"
 	"syscall"
 	"time"
 
@@ -48,6 +49,7 @@
 	options Options
 	context context.Context
 
+	changes  atomic.Uint64
 	mu       sync.RWMutex
 	revision uint64
 	peers    map[string]*member
@@ -99,6 +101,7 @@
 			m.dismiss(name, known)
 		}
 	}
+	m.changes.Add(1)
 	m.mu.Unlock()
 	m.options.Changed()
 }
@@ -164,19 +167,20 @@
 func (m *Manager) note(to *member, answer *api.Heartbeat, err error) {
 	now := time.Now()
 	m.mu.Lock()
-	previousLive, previousLeaving := to.live, to.leaving
+	previous := to.state()
 	to.refused = errors.Is(err, syscall.ECONNREFUSED)
 	if err == nil {
 		m.hear(to, answer, now)
 	}
 	to.live = IsLive(to.lastHeard, to.refused, now)
-	live, leaving := to.live, to.leaving
+	current := to.state()
+	m.count(previous, current)
 	m.mu.Unlock()
-	if live == previousLive && leaving == previousLeaving {
+	if current.isPlacedAs(previous) {
 		return
 	}
 	logrus.WithFields(logrus.Fields{
-		"daemon": to.vm.Name, "live": live, "leaving": leaving, "refused": to.refused,
+		"daemon": to.vm.Name, "live": current.live, "leaving": current.leaving, "refused": to.refused,
 	}).Info("member_changed")
 	m.options.Changed()
 }
@@ -198,6 +202,7 @@
 func (m *Manager) SetLeaving() {
 	m.mu.Lock()
 	m.leaving = true
+	m.changes.Add(1)
 	m.mu.Unlock()
 	m.options.Changed()
 }
@@ -287,9 +292,11 @@
 	known, ok := m.peers[heartbeat.From]
 	changed := ok && known.leaving != heartbeat.Leaving
 	if ok {
+		previous := known.state()
 		known.leaving = heartbeat.Leaving
 		known.platformReached = heartbeat.PlatformReached
 		known.configRevision = max(known.configRevision, heartbeat.ConfigRevision)
+		m.count(previous, known.state())
 	}
 	m.mu.Unlock()
 	if changed {
--- a/standin/capacity/controller.go
+++ b/standin/capacity/controller.go
@@ -43,6 +43,9 @@
 // ReachesPlatform reports that each member reaches the platform.
 func (v fleetView) ReachesPlatform(string) bool { return true }
 
+// Changes reports that nothing changes.
+func (v fleetView) Changes() uint64 { return 0 }
+
 // Vantage fails.
 func (v fleetView) Vantage(context.Context, string, *api.VantageRequest) (*api.VantageReply, error) {
 	return nil, errNoCall
