--- a/standin/capacity/connection.go
+++ b/standin/capacity/connection.go
@@ -4,6 +4,7 @@
 	"context"
 	"fmt"
 	"net"
+	"time"
 
 	"github.com/jackc/pgx/v5/pgproto3"
 	"github.com/papayacove/papayacove/api"
@@ -11,6 +12,9 @@
 	"github.com/papayacove/papayacove/internal/result"
 )
 
+// connectionSettle is the time in which closed connections of an earlier measurement end.
+const connectionSettle = time.Second
+
 // connectionCounts are the numbers of idle caller connections. Both ends of a connection are in this
 // process, so that the limit of open files bounds them.
 var connectionCounts = []int{100, 1000, 9000}
@@ -73,6 +77,11 @@
 		return 0, err
 	}
 	go func() { _ = server.Run(ctx) }()
+	// What earlier measurements left behind must be gone before memory is read.
+	if err := sleep(ctx, connectionSettle); err != nil {
+		cancel()
+		return 0, err
+	}
 	before := memoryInUse()
 	var connections []net.Conn
 	defer func() {
--- a/standin/cmd/standin-lab/capacity.go
+++ b/standin/cmd/standin-lab/capacity.go
@@ -5,6 +5,7 @@
 	"os"
 
 	"github.com/papayacove/papayacove/standin/capacity"
+	"github.com/papayacove/papayacove/standin/fleet"
 	"github.com/sirupsen/logrus"
 	"github.com/urfave/cli/v3"
 )
@@ -17,7 +18,10 @@
 		},
 		Action: func(ctx context.Context, command *cli.Command) error {
 			logrus.SetLevel(logrus.ErrorLevel)
-			return capacity.Run(ctx, command.String("part"), os.Stdout)
+			start := func(deployment string) (fleet.Options, func(), error) {
+				return fleetOptions(command, deployment, command.Int("network"))
+			}
+			return capacity.Run(ctx, command.String("part"), start, os.Stdout)
 		},
 	}
 }
