--- a/standin/capacity/connection.go
+++ b/standin/capacity/connection.go
@@ -12,7 +12,7 @@
 	"github.com/papayacove/papayacove/internal/result"
 )
 
-// connectionSettle is the time in which closed connections of an earlier measurement end.
+// connectionSettle is the time in which closed connections of the run before end.
 const connectionSettle = time.Second
 
 // connectionCounts are the numbers of idle caller connections. Both ends of a connection are in this
@@ -77,7 +77,7 @@
 		return 0, err
 	}
 	go func() { _ = server.Run(ctx) }()
-	// What earlier measurements left behind must be gone before memory is read.
+	// The closed connections of the run before must be gone before memory is read.
 	if err := sleep(ctx, connectionSettle); err != nil {
 		cancel()
 		return 0, err
--- a/standin/capacity/report.go
+++ b/standin/capacity/report.go
@@ -27,13 +27,14 @@
 // Parts returns all measurements in the order in which they run.
 func Parts(start FleetOptions) []Part {
 	return []Part{
+		// Memory is read before other measurements have used and freed some.
+		{Name: "connections", Measure: measureConnections},
 		{Name: "members", Measure: measureMembers},
 		{Name: "terms", Measure: measureTerms},
 		{Name: "status", Measure: measureStatus},
 		{Name: "controllers", Measure: measureControllers},
 		{Name: "placement", Measure: measurePlacement},
 		{Name: "catalog", Measure: measureCatalog},
-		{Name: "connections", Measure: measureConnections},
 		{Name: "platform", Measure: measurePlatform},
 		{Name: "zone", Measure: measureZone},
 		fleetPart(start),
