--- a/internal/daemon/handler.go
+++ b/internal/daemon/handler.go
@@ -45,11 +45,14 @@
 	return answer
 }
 
-// Configuration returns the configuration when it is newer than that of the asker.
+// Configuration returns what is newer than the configuration and the VM list of the asker.
 func (h *handler) Configuration(req *api.ConfigRequest) *api.ConfigReply {
-	reply := &api.ConfigReply{Revision: h.catalog.Revision(), Vms: h.vms.get()}
+	reply := &api.ConfigReply{Revision: h.catalog.Revision()}
 	if reply.Revision > req.Have {
-		reply.Objects = h.catalog.Snapshot()
+		reply.Objects = h.catalog.Since(req.Have)
+	}
+	if list := h.vms.get(); list.Revision > req.HaveVms {
+		reply.Vms = list
 	}
 	return reply
 }
@@ -78,6 +81,9 @@
 // ReachesPlatform reports whether another daemon reaches the platform.
 func (d *daemons) ReachesPlatform(name string) bool { return d.members.ReachesPlatform(name) }
 
+// Changes counts the changes of the membership.
+func (d *daemons) Changes() uint64 { return d.members.Changes() }
+
 // Vantage asks a daemon whether it reaches a primary.
 func (d *daemons) Vantage(ctx context.Context, daemon string, req *api.VantageRequest) (*api.VantageReply, error) {
 	client, err := d.client(daemon)
--- a/internal/failover/controller.go
+++ b/internal/failover/controller.go
@@ -43,6 +43,7 @@
 	stoppedAt  time.Time
 	resumedAt  time.Time
 	busy       int
+	control    control
 	repairedAt time.Time
 	lastReason promotion.TriggerReason
 }
@@ -54,8 +55,12 @@
 	}
 }
 
+// run decides until ctx ends or the group is no longer observed.
 func (c *controller) run(ctx context.Context) {
 	for ctx.Err() == nil {
+		if _, observed := c.options.Observer(c.group.Name); !observed {
+			return
+		}
 		changed := c.step(ctx)
 		timer := time.NewTimer(decideInterval)
 		select {
@@ -76,7 +81,7 @@
 	all, changed := watching.All()
 	c.noteTerm()
 	c.suspect(watching.Latest(c.term.Primary))
-	if !c.isController() {
+	if !c.control.isHeld(c.options, c.group.Name) {
 		return changed
 	}
 	state := c.state(ctx, all)
@@ -144,19 +149,6 @@
 	}
 }
 
-func (c *controller) isController() bool {
-	var daemons []promotion.Controller
-	for _, member := range c.options.Daemons.Members() {
-		reaches := c.options.Daemons.ReachesPlatform(member.Name)
-		if member.Name == c.options.Self {
-			reaches = c.options.PlatformReached()
-		}
-		daemons = append(daemons, promotion.Controller{Member: member, PlatformReached: reaches})
-	}
-	first, ok := promotion.ControllerOf(c.group.Name, daemons)
-	return ok && first == c.options.Self
-}
-
 // state gathers what the decision is based on.
 func (c *controller) state(ctx context.Context, all []observer.Observation) promotion.GroupState {
 	state := promotion.GroupState{
