certificate: TLS on all sides, reloaded while the daemon runs

Cause: the [tls] settings were checked and not used; every port was in the clear. Ruled out: InsecureSkipVerify with VerifyConnection on clients, because the name of an IP address is not part of the connection state, so that the address could not be checked. Clients ask for a configuration with the newest authority for each connection instead. Change: internal/certificate loads the files and polls them each second by content; callers, daemons (mutual, with the name checked against the VM list), targets with their cancel requests, and the platform use it. require_caller_tls refuses sessions in the clear. Handshakes of peers have a time limit. Tests: handshakes with the certificates of papayacovectl keys, other authorities refused, reload, broken file keeps the old content, no call without a certificate of the fleet.

--- a/api/types.gen.go
+++ b/api/types.gen.go
@@ -627,6 +627,9 @@
 	// PlatformAuthority signs the certificate of the platform.
 	PlatformAuthority string `json:"platform_authority" toml:"platform_authority"`
 
+	// RequireCallerTLS refuses callers that start a session in the clear.
+	RequireCallerTLS bool `json:"require_caller_tls" toml:"require_caller_tls"`
+
 	// TargetAuthority signs the certificates of targets.
 	TargetAuthority string `json:"target_authority" toml:"target_authority"`
 }
--- a/cmd/papayacove/main.go
+++ b/cmd/papayacove/main.go
@@ -8,6 +8,7 @@
 	"os/signal"
 	"syscall"
 
+	"github.com/papayacove/papayacove/internal/certificate"
 	"github.com/papayacove/papayacove/internal/config"
 	"github.com/papayacove/papayacove/internal/daemon"
 	"github.com/papayacove/papayacove/internal/telemetry"
@@ -45,12 +46,20 @@
 	}
 	ctx, stop := signal.NotifyContext(ctx, syscall.SIGTERM, syscall.SIGINT)
 	defer stop()
-	return daemon.New(settings, recorder).Run(ctx)
+	composed, err := daemon.New(settings, recorder)
+	if err != nil {
+		return err
+	}
+	return composed.Run(ctx)
 }
 
 func checkConfig(_ context.Context, command *cli.Command) error {
 	path := command.String("settings")
-	if _, err := config.Load(path); err != nil {
+	settings, err := config.Load(path)
+	if err != nil {
+		return err
+	}
+	if _, err := certificate.Load(settings.TLS); err != nil {
 		return err
 	}
 	fmt.Printf("%s is valid\n", path)
--- /dev/null
+++ b/internal/certificate/export_test.go
@@ -0,0 +1,6 @@
+package certificate
+
+// Reload looks at the files at once.
+func (s *Store) Reload() {
+	s.reload()
+}
--- a/internal/config/check.go
+++ b/internal/config/check.go
@@ -21,6 +21,7 @@
 	nameBound             = "1 to 63 of a-z, 0-9, - and _"
 	addressBound          = "an IP address with a port of 1 to 65535"
 	platformBound         = "http or https URL with an IP address, a port and no path"
+	requireTLSBound       = "false without a caller_certificate"
 	certificatePairBound  = "a certificate and its key, or neither"
 	peerCertificatesBound = "peer_certificate, peer_key and peer_authority, or none of them"
 )
@@ -170,6 +171,9 @@
 	if (t.CallerCertificate == "") != (t.CallerKey == "") {
 		c.add("tls.caller_certificate", t.CallerCertificate, certificatePairBound)
 	}
+	if t.RequireCallerTLS && t.CallerCertificate == "" {
+		c.add("tls.require_caller_tls", "true", requireTLSBound)
+	}
 	if !allOrNone(t.PeerCertificate, t.PeerKey, t.PeerAuthority) {
 		c.add("tls.peer_certificate", t.PeerCertificate, peerCertificatesBound)
 	}
--- a/internal/daemon/configuration.go
+++ b/internal/daemon/configuration.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"encoding/json"
+	"slices"
 	"sync"
 	"time"
 
@@ -147,6 +148,16 @@
 	return t.get().Revision == 0
 }
 
+// isDaemon reports whether an entry VM of this name is listed. Before the first list is known, which
+// a daemon may have to learn from its peers, each name passes.
+func (t *vmTable) isDaemon(name string) bool {
+	list := t.get()
+	if list.Revision == 0 {
+		return true
+	}
+	return slices.ContainsFunc(list.Vms, func(vm api.VM) bool { return vm.Role == api.VMRoleEntry && vm.Name == name })
+}
+
 // isLeaving reports whether a VM is listed as leaving.
 func (t *vmTable) isLeaving(name string) bool {
 	for _, vm := range t.get().Vms {
--- a/internal/daemon/daemon.go
+++ b/internal/daemon/daemon.go
@@ -6,6 +6,7 @@
 	"time"
 
 	"github.com/papayacove/papayacove/api"
+	"github.com/papayacove/papayacove/internal/certificate"
 	"github.com/papayacove/papayacove/internal/failover"
 	"github.com/papayacove/papayacove/internal/frontend"
 	"github.com/papayacove/papayacove/internal/gate"
@@ -31,6 +32,7 @@
 type Daemon struct {
 	settings api.Settings
 	recorder *telemetry.Recorder
+	store    *certificate.Store
 
 	catalog  *workspace.Catalog
 	terms    *terms.Table
@@ -46,12 +48,18 @@
 	seeds    []*peer.Client
 }
 
-// New composes a daemon of checked settings.
-func New(settings api.Settings, recorder *telemetry.Recorder) *Daemon {
-	d := &Daemon{settings: settings, recorder: recorder, catalog: workspace.NewCatalog(), terms: terms.NewTable()}
-	d.platform = platform.NewClient(platform.Options{URL: settings.PlatformURL, Zone: settings.Zone})
+// New composes a daemon of checked settings. It fails when a certificate file cannot be used.
+func New(settings api.Settings, recorder *telemetry.Recorder) (*Daemon, error) {
+	store, err := certificate.Load(settings.TLS)
+	if err != nil {
+		return nil, fmt.Errorf("load certificates: %w", err)
+	}
+	d := &Daemon{settings: settings, recorder: recorder, store: store, catalog: workspace.NewCatalog(), terms: terms.NewTable()}
+	d.platform = platform.NewClient(platform.Options{URL: settings.PlatformURL, Zone: settings.Zone, TLS: store.Platform()})
 	d.contact = newContact(d.platform)
-	account := target.Options{User: settings.Target.User, Password: settings.Target.Password, Database: settings.Target.Database}
+	account := target.Options{
+		User: settings.Target.User, Password: settings.Target.Password, Database: settings.Target.Database, TLS: store.Targets(),
+	}
 	self := api.VM{
 		Name: settings.Name, Zone: settings.Zone, Role: api.VMRoleEntry, State: api.VMStateLive,
 		PeerAddress: settings.PeerAddress, AdminAddress: settings.AdminAddress, CallerAddress: settings.CallerAddress,
@@ -72,15 +80,16 @@
 	})
 	d.frontend = frontend.NewServer(frontend.Options{
 		Address: settings.CallerAddress, Limits: settings.Limits, Runner: d.router, Directory: d.catalog, Name: settings.Name,
+		TLS: store.Callers(), RequireTLS: settings.TLS.RequireCallerTLS,
 	})
 	for _, address := range settings.Peers {
 		d.seeds = append(d.seeds, d.dialPeer(address))
 	}
-	return d
+	return d, nil
 }
 
 func (d *Daemon) dialPeer(address string) *peer.Client {
-	return peer.NewClient(address, nil)
+	return peer.NewClient(address, d.store.PeerClient())
 }
 
 // Run serves until ctx ends, and then stops in a planned way.
@@ -104,7 +113,7 @@
 	d.members.Init(ctx)
 	d.gates.Init(ctx)
 	var err error
-	d.peers, err = peer.Listen(d.settings.PeerAddress, nil, (*handler)(d))
+	d.peers, err = peer.Listen(d.settings.PeerAddress, d.store.PeerServer(d.vms.isDaemon), (*handler)(d))
 	if err != nil {
 		return err
 	}
@@ -115,6 +124,7 @@
 		return err
 	}
 	go d.report("peers", func() error { return d.peers.Run(ctx) })
+	go d.store.Watch(ctx)
 	go d.followConfiguration(ctx)
 	go d.followVMs(ctx)
 	go d.learnFromPeers(ctx)
--- a/internal/frontend/failure.go
+++ b/internal/frontend/failure.go
@@ -16,6 +16,7 @@
 // SQLSTATE codes of errors that a PostgreSQL server reports itself.
 const (
 	sqlStateAdminShutdown        = "57P01"
+	sqlStateInvalidAuthorization = "28000"
 	sqlStateInFailedTransaction  = "25P02"
 	sqlStateIdleInTransaction    = "25P03"
 	sqlStateUndefinedStatement   = "26000"
--- a/internal/frontend/options.go
+++ b/internal/frontend/options.go
@@ -52,6 +52,8 @@
 	// TLS is used when a caller asks for it; nil switches TLS off. Its GetCertificate may
 	// return a certificate that was renewed while the server runs.
 	TLS *tls.Config
+	// RequireTLS refuses callers that start a session in the clear.
+	RequireTLS bool
 	// Runner runs the batches.
 	Runner Runner
 	// Directory looks up workspaces, groups and users.
--- a/internal/frontend/startup.go
+++ b/internal/frontend/startup.go
@@ -90,7 +90,7 @@
 			s.cancel(body)
 			return conn, nil, nil
 		default:
-			request, err := parseStartup(code, body)
+			request, err := s.acceptStartup(conn, code, body)
 			return conn, request, err
 		}
 		if err != nil {
@@ -135,6 +135,14 @@
 	return encrypted, nil
 }
 
+// acceptStartup reads a start-up message and checks that the connection may carry a session.
+func (s *Server) acceptStartup(conn net.Conn, code uint32, body []byte) (*startup, error) {
+	if _, isEncrypted := conn.(*tls.Conn); s.options.RequireTLS && !isEncrypted {
+		return nil, &failure{sqlStateInvalidAuthorization, "this daemon requires TLS (sslmode=require)"}
+	}
+	return parseStartup(code, body)
+}
+
 // parseStartup reads a start-up message.
 func parseStartup(code uint32, body []byte) (*startup, error) {
 	if code>>16 != protocolMajor {
--- a/internal/gate/gate.go
+++ b/internal/gate/gate.go
@@ -219,7 +219,7 @@
 func (g *Gate) cancelAt(s *slot) {
 	ctx, cancel := context.WithTimeout(context.Background(), checkTimeout)
 	defer cancel()
-	err := target.CancelRequest(ctx, s.address, s.connection.ProcessID, s.connection.SecretKey)
+	err := target.CancelRequest(ctx, s.address, g.options.Target.TLS, s.connection.ProcessID, s.connection.SecretKey)
 	if err != nil {
 		logrus.WithFields(logrus.Fields{"target": g.options.Spec.Name, "error": err}).Warn("cancel_failed")
 	}
--- a/internal/operator/command.go
+++ b/internal/operator/command.go
@@ -3,15 +3,15 @@
 import (
 	"context"
 	"crypto/tls"
-	"crypto/x509"
 	"fmt"
 	"io"
-	"os"
 	"os/user"
 	"time"
 
 	"github.com/urfave/cli/v3"
 
+	"github.com/papayacove/papayacove/api"
+	"github.com/papayacove/papayacove/internal/certificate"
 	"github.com/papayacove/papayacove/internal/platform"
 	"github.com/papayacove/papayacove/internal/result"
 )
@@ -108,19 +108,12 @@
 }
 
 // tlsConfig trusts the authority in a PEM file; an empty path keeps those of the system.
-func tlsConfig(path string) (*tls.Config, error) {
-	if path == "" {
-		return nil, nil
-	}
-	content, err := os.ReadFile(path)
+func tlsConfig(path string) (func() *tls.Config, error) {
+	store, err := certificate.Load(api.TLSSettings{PlatformAuthority: path})
 	if err != nil {
 		return nil, fmt.Errorf("read authority: %w", err)
 	}
-	pool := x509.NewCertPool()
-	if !pool.AppendCertsFromPEM(content) {
-		return nil, result.Errorf(result.ObjectInvalid, "%s: no certificate in PEM form", path)
-	}
-	return &tls.Config{RootCAs: pool, MinVersion: tls.VersionTLS12}, nil
+	return store.Platform(), nil
 }
 
 // editorOf returns an editor for the platform that the flags name.
--- a/internal/peer/client.go
+++ b/internal/peer/client.go
@@ -33,10 +33,10 @@
 
 // Client calls one other daemon.
 type Client struct {
-	address       string
-	configuration *tls.Config
-	next          atomic.Uint64
-	links         [connectionsPerPeer]link
+	address string
+	tls     func() *tls.Config
+	next    atomic.Uint64
+	links   [connectionsPerPeer]link
 }
 
 // link is one connection to the other daemon; it is dialled anew when it breaks.
@@ -54,9 +54,10 @@
 	broken     atomic.Bool
 }
 
-// NewClient returns a client for the daemon at address. A nil configuration leaves TLS off.
-func NewClient(address string, configuration *tls.Config) *Client {
-	return &Client{address: address, configuration: configuration}
+// NewClient returns a client for the daemon at address. The configuration is asked for with each
+// new connection; nil leaves TLS off.
+func NewClient(address string, configuration func() *tls.Config) *Client {
+	return &Client{address: address, tls: configuration}
 }
 
 // Address returns the host:port of the other daemon.
@@ -198,10 +199,10 @@
 }
 
 func (c *Client) dial(ctx context.Context) (net.Conn, error) {
-	if c.configuration == nil {
+	if c.tls == nil {
 		return (&net.Dialer{}).DialContext(ctx, "tcp", c.address)
 	}
-	return (&tls.Dialer{Config: c.configuration}).DialContext(ctx, "tcp", c.address)
+	return (&tls.Dialer{Config: c.tls()}).DialContext(ctx, "tcp", c.address)
 }
 
 // watchedConn marks its connection as broken at the first failure or close.
--- a/internal/peer/server.go
+++ b/internal/peer/server.go
@@ -8,10 +8,15 @@
 	"net"
 	"net/rpc"
 	"sync"
+	"time"
 
 	"github.com/papayacove/papayacove/api"
+	"github.com/sirupsen/logrus"
 )
 
+// handshakeTimeout is the time that the TLS handshake of another daemon may take.
+const handshakeTimeout = 2 * time.Second
+
 // serviceName is the name under which daemons register their methods.
 const serviceName = "Daemon"
 
@@ -141,6 +146,10 @@
 }
 
 func (s *Server) serve(connection net.Conn) {
+	if !shakeHands(connection) {
+		_ = connection.Close()
+		return
+	}
 	s.mu.Lock()
 	s.connections[connection] = struct{}{}
 	s.mu.Unlock()
@@ -150,6 +159,21 @@
 	s.mu.Unlock()
 }
 
+// shakeHands ends the TLS handshake, and reports whether the other end may call.
+func shakeHands(connection net.Conn) bool {
+	encrypted, ok := connection.(*tls.Conn)
+	if !ok {
+		return true
+	}
+	ctx, cancel := context.WithTimeout(context.Background(), handshakeTimeout)
+	defer cancel()
+	if err := encrypted.HandshakeContext(ctx); err != nil {
+		logrus.WithFields(logrus.Fields{"peer": connection.RemoteAddr(), "error": err}).Warn("peer_refused")
+		return false
+	}
+	return true
+}
+
 // Close stops listening and closes all connections.
 func (s *Server) Close() {
 	_ = s.listener.Close()
--- a/internal/platform/client.go
+++ b/internal/platform/client.go
@@ -8,6 +8,7 @@
 import (
 	"context"
 	"crypto/tls"
+	"net"
 	"net/http"
 	"net/url"
 	"strconv"
@@ -49,8 +50,8 @@
 	// DefaultTimeout.
 	Timeout time.Duration
 
-	// TLS is the configuration of connections to an https URL; nil for the default.
-	TLS *tls.Config
+	// TLS gives the configuration of each new connection to an https URL; nil for the default.
+	TLS func() *tls.Config
 }
 
 // Client calls the platform. It is safe for concurrent use.
@@ -81,16 +82,21 @@
 
 // newTransport returns a transport that speaks HTTP/1.1 only: closing the connection of a
 // call that timed out then ends no other call.
-func newTransport(config *tls.Config) *http.Transport {
+func newTransport(config func() *tls.Config) *http.Transport {
 	protocols := new(http.Protocols)
 	protocols.SetHTTP1(true)
-	return &http.Transport{
-		TLSClientConfig:     config,
+	transport := &http.Transport{
 		Protocols:           protocols,
 		MaxIdleConns:        maxIdleConnections,
 		MaxIdleConnsPerHost: maxIdleConnections,
 		IdleConnTimeout:     idleTimeout,
 	}
+	if config != nil {
+		transport.DialTLSContext = func(ctx context.Context, network, address string) (net.Conn, error) {
+			return (&tls.Dialer{Config: config()}).DialContext(ctx, network, address)
+		}
+	}
+	return transport
 }
 
 // refuseRedirect keeps a change from being sent more than once.
--- a/internal/target/cancel.go
+++ b/internal/target/cancel.go
@@ -2,20 +2,19 @@
 
 import (
 	"context"
+	"crypto/tls"
 	"encoding/binary"
 	"fmt"
-	"net"
 
 	"github.com/jackc/pgx/v5/pgproto3"
 )
 
 // CancelRequest asks the target at address to cancel the statement that a slot is running. The
 // target does not say whether there was one.
-func CancelRequest(ctx context.Context, address string, processID, secretKey uint32) error {
+func CancelRequest(ctx context.Context, address string, tlsConfig func() *tls.Config, processID, secretKey uint32) error {
 	ctx, cancel := context.WithTimeout(ctx, defaultDialTimeout)
 	defer cancel()
-	var dialer net.Dialer
-	conn, err := dialer.DialContext(ctx, "tcp", address)
+	conn, err := connect(ctx, address, tlsConfig)
 	if err != nil {
 		return fmt.Errorf("%w: %s: %w", ErrUnreachable, address, err)
 	}
--- a/internal/target/dial.go
+++ b/internal/target/dial.go
@@ -24,8 +24,9 @@
 	Database string
 	// ApplicationName is shown in the session lists of the target; empty is left out.
 	ApplicationName string
-	// TLS asks for an encrypted connection; nil connects in the clear.
-	TLS *tls.Config
+	// TLS asks for an encrypted connection and gives its configuration, anew for each connection;
+	// nil connects in the clear.
+	TLS func() *tls.Config
 	// DialTimeout bounds connection set-up up to and including authentication; 0 takes 2 s.
 	DialTimeout time.Duration
 }
@@ -62,7 +63,7 @@
 	return l, nil
 }
 
-func connect(ctx context.Context, address string, tlsConfig *tls.Config) (net.Conn, error) {
+func connect(ctx context.Context, address string, tlsConfig func() *tls.Config) (net.Conn, error) {
 	dialer := net.Dialer{KeepAlive: keepAlivePeriod}
 	conn, err := dialer.DialContext(ctx, "tcp", address)
 	if err != nil || tlsConfig == nil {
@@ -70,7 +71,7 @@
 	}
 	release := bindDeadline(ctx, conn)
 	defer release()
-	encrypted, err := startTLS(ctx, conn, address, tlsConfig)
+	encrypted, err := startTLS(ctx, conn, address, tlsConfig())
 	if err != nil {
 		conn.Close()
 		return nil, err
--- a/standin/database/adapter_test.go
+++ b/standin/database/adapter_test.go
@@ -169,7 +169,7 @@
 	certificate, pool := newCertificate(t)
 	s := startTarget(t, Options{TLS: &tls.Config{Certificates: []tls.Certificate{certificate}}})
 	options := account
-	options.TLS = &tls.Config{RootCAs: pool}
+	options.TLS = func() *tls.Config { return &tls.Config{RootCAs: pool} }
 	slot, err := target.DialSlot(testContext(t), s.Address(), options, nil)
 	if err != nil {
 		t.Fatal(err)
@@ -218,7 +218,7 @@
 		sessions := s.openSessions()
 		return len(sessions) == 1 && sessions[0].running.Load()
 	})
-	if err := target.CancelRequest(testContext(t), s.Address(), slot.ProcessID, slot.SecretKey); err != nil {
+	if err := target.CancelRequest(testContext(t), s.Address(), nil, slot.ProcessID, slot.SecretKey); err != nil {
 		t.Fatal(err)
 	}
 	if types, _ := readTypes(t, slot, 1); types != "EZ" {
