--- a/internal/daemon/daemon.go
+++ b/internal/daemon/daemon.go
@@ -55,10 +55,13 @@
 		return nil, fmt.Errorf("load certificates: %w", err)
 	}
 	d := &Daemon{settings: settings, recorder: recorder, store: store, catalog: workspace.NewCatalog(), terms: terms.NewTable()}
-	d.platform = platform.NewClient(platform.Options{URL: settings.PlatformURL, Zone: settings.Zone, TLS: store.Platform()})
+	d.platform = platform.NewClient(platform.Options{
+		URL: settings.PlatformURL, Zone: settings.Zone, LocalAddress: settings.SourceAddress, TLS: store.Platform(),
+	})
 	d.contact = newContact(d.platform)
 	account := target.Options{
-		User: settings.Target.User, Password: settings.Target.Password, Database: settings.Target.Database, TLS: store.Targets(),
+		User: settings.Target.User, Password: settings.Target.Password, Database: settings.Target.Database,
+		LocalAddress: settings.SourceAddress, TLS: store.Targets(),
 	}
 	self := api.VM{
 		Name: settings.Name, Zone: settings.Zone, Role: api.VMRoleEntry, State: api.VMStateLive,
@@ -66,6 +69,7 @@
 	}
 	d.members = membership.New(membership.Options{
 		Self: self, Dial: d.dialPeer, Compose: d.composeHeartbeat, Receive: d.receiveHeartbeat, Changed: d.refresh,
+		Terms: d.terms,
 	})
 	d.gates = gate.NewManager(gate.ManagerOptions{
 		Self: settings.Name, Target: account, Limits: settings.Limits, Terms: d.terms,
@@ -89,7 +93,7 @@
 }
 
 func (d *Daemon) dialPeer(address string) *peer.Client {
-	return peer.NewClient(address, d.store.PeerClient())
+	return peer.NewClient(address, d.settings.SourceAddress, d.store.PeerClient())
 }
 
 // Run serves until ctx ends, and then stops in a planned way.
--- a/internal/peer/tls_test.go
+++ b/internal/peer/tls_test.go
@@ -56,7 +56,7 @@
 	}
 	go server.Run(t.Context())
 	call := func(configuration func() *tls.Config) error {
-		client := peer.NewClient(server.Address(), configuration)
+		client := peer.NewClient(server.Address(), "", configuration)
 		defer client.Close()
 		_, err := client.Heartbeat(t.Context(), &api.Heartbeat{From: "entry-1"})
 		return err
--- a/internal/platform/client.go
+++ b/internal/platform/client.go
@@ -16,6 +16,7 @@
 	"time"
 
 	"github.com/papayacove/papayacove/api"
+	"github.com/papayacove/papayacove/internal/dialer"
 )
 
 // The kinds of objects.
@@ -50,6 +51,9 @@
 	// DefaultTimeout.
 	Timeout time.Duration
 
+	// LocalAddress is the IP number that connections come from; empty leaves it open.
+	LocalAddress string
+
 	// TLS gives the configuration of each new connection to an https URL; nil for the default.
 	TLS func() *tls.Config
 }
@@ -74,7 +78,7 @@
 		zone:    options.Zone,
 		timeout: timeout,
 		http: &http.Client{
-			Transport:     newTransport(options.TLS),
+			Transport:     newTransport(options),
 			CheckRedirect: refuseRedirect,
 		},
 	}
@@ -82,18 +86,20 @@
 
 // newTransport returns a transport that speaks HTTP/1.1 only: closing the connection of a
 // call that timed out then ends no other call.
-func newTransport(config func() *tls.Config) *http.Transport {
+func newTransport(options Options) *http.Transport {
 	protocols := new(http.Protocols)
 	protocols.SetHTTP1(true)
+	dial := dialer.New(options.LocalAddress)
 	transport := &http.Transport{
+		DialContext:         dial.DialContext,
 		Protocols:           protocols,
 		MaxIdleConns:        maxIdleConnections,
 		MaxIdleConnsPerHost: maxIdleConnections,
 		IdleConnTimeout:     idleTimeout,
 	}
-	if config != nil {
+	if options.TLS != nil {
 		transport.DialTLSContext = func(ctx context.Context, network, address string) (net.Conn, error) {
-			return (&tls.Dialer{Config: config()}).DialContext(ctx, network, address)
+			return (&tls.Dialer{NetDialer: dial, Config: options.TLS()}).DialContext(ctx, network, address)
 		}
 	}
 	return transport
--- a/internal/target/cancel.go
+++ b/internal/target/cancel.go
@@ -2,7 +2,6 @@
 
 import (
 	"context"
-	"crypto/tls"
 	"encoding/binary"
 	"fmt"
 
@@ -11,10 +10,10 @@
 
 // CancelRequest asks the target at address to cancel the statement that a slot is running. The
 // target does not say whether there was one.
-func CancelRequest(ctx context.Context, address string, tlsConfig func() *tls.Config, processID, secretKey uint32) error {
+func CancelRequest(ctx context.Context, address string, options Options, processID, secretKey uint32) error {
 	ctx, cancel := context.WithTimeout(ctx, defaultDialTimeout)
 	defer cancel()
-	conn, err := connect(ctx, address, tlsConfig)
+	conn, err := connect(ctx, address, options)
 	if err != nil {
 		return fmt.Errorf("%w: %s: %w", ErrUnreachable, address, err)
 	}
