Keep the workspaces of a shared group apart

Cause: sessions of different workspaces share the account and the connections of a target. A caller could read and delete operation keys of other workspaces in the ledger table with plain SQL; session state set by means that the proxy cannot see (a function that calls set_config, for example) stayed for the next workspace; the gate took the word of the entry daemon for the workspace's groups, and a session kept a group that its workspace had lost. Operation keys appeared in the log. Ruled out: the names of prepared statements (a hash of the content, names of callers never reach the target), guessed cancel keys and SQL in operation keys: tests passed before. Gates open connections with standard_conforming_strings on, so that quoting needs no escape strings (the stand-in knows none). Zones and statement_timeout of a workspace are enforced by the entry daemon.

--- a/internal/frontend/classify.go
+++ b/internal/frontend/classify.go
@@ -278,6 +278,12 @@
 
 // refusalOf returns why a statement needs a connection of its own, or an empty string.
 func refusalOf(s statement, scan *statementScan) string {
+	if scan.namesLedger {
+		return "the table of operation keys belongs to papayacove; use SELECT papayacove_outcome('key')"
+	}
+	if scan.escapesName {
+		return "names with Unicode escapes are not supported"
+	}
 	if scan.sessionFunction != "" {
 		return scan.sessionFunction + " needs a connection of its own; use the transaction-level function"
 	}
--- a/internal/frontend/classify_test.go
+++ b/internal/frontend/classify_test.go
@@ -80,6 +80,26 @@
 	}
 }
 
+func TestClassifyKeepsCallersFromTheLedger(t *testing.T) {
+	for _, text := range []string{
+		"SELECT * FROM papayacove_operation",
+		`DELETE FROM public."papayacove_operation"`,
+		"SELECT 1; TABLE PapayaCove_Operation",
+		"DO $$ BEGIN DELETE FROM papayacove_operation; END $$",
+		"SELECT query_to_xml('SELECT * FROM papayacove_operation', true, true, '')",
+		`SELECT * FROM U&"papayacove\005foperation"`,
+	} {
+		if classify(text).refusal() == "" {
+			t.Errorf("classify(%q) is not refused", text)
+		}
+	}
+	for _, text := range []string{"SELECT a&\"b\" FROM t", "SELECT papayacove_outcome('a')", "SELECT u & \"b\" FROM t"} {
+		if reason := classify(text).refusal(); reason != "" {
+			t.Errorf("classify(%q) is refused: %s", text, reason)
+		}
+	}
+}
+
 func TestClassifyFollowsTransactionBlocks(t *testing.T) {
 	for text, want := range map[string]blockEffect{
 		"BEGIN":                        blockBegins,
--- a/internal/frontend/outcome.go
+++ b/internal/frontend/outcome.go
@@ -64,13 +64,10 @@
 	return encoded
 }
 
-// quoteLiteral quotes text whatever standard_conforming_strings is.
+// quoteLiteral quotes text. A backslash stands for itself, because gates open their connections
+// with standard_conforming_strings on and callers cannot switch it off.
 func quoteLiteral(text string) string {
-	quoted := "'" + strings.ReplaceAll(text, "'", "''") + "'"
-	if strings.Contains(text, `\`) {
-		return " E" + strings.ReplaceAll(quoted, `\`, `\\`)
-	}
-	return quoted
+	return "'" + strings.ReplaceAll(text, "'", "''") + "'"
 }
 
 // outcomeAnswer reads the answer of the target.
--- a/internal/frontend/scan.go
+++ b/internal/frontend/scan.go
@@ -31,6 +31,10 @@
 	// sessionFunction names a function whose effect stays with one connection.
 	sessionFunction string
 	setConfigCalls  int
+	// namesLedger is true when the text names the table of operation keys; escapesName when it
+	// writes a name with Unicode escapes, which could hide one.
+	namesLedger bool
+	escapesName bool
 	// localConfigCalls counts calls of set_config whose last argument is true.
 	localConfigCalls int
 	depth            int
@@ -114,6 +118,7 @@
 	} else {
 		s.truncated = true
 	}
+	s.addName(current, previous, beforePrevious)
 	switch current.kind {
 	case tokenWord:
 		s.addWord(current, previous)
@@ -122,6 +127,22 @@
 	}
 }
 
+// ledgerName is the table that holds the operation keys of all workspaces of a group.
+const ledgerName = "papayacove_operation"
+
+// addName looks for the ledger in names, and in strings since those may be run as SQL.
+func (s *statementScan) addName(current, previous, beforePrevious token) {
+	switch current.kind {
+	case tokenWord, tokenQuotedIdentifier, tokenString:
+		s.namesLedger = s.namesLedger || strings.Contains(strings.ToLower(current.value), ledgerName)
+	}
+	isEscaped := beforePrevious.isWord("u") && previous.isSymbol("&") &&
+		beforePrevious.end == previous.start && previous.end == current.start
+	if isEscaped && current.kind == tokenQuotedIdentifier {
+		s.escapesName = true
+	}
+}
+
 func (s *statementScan) addWord(current, previous token) {
 	s.followBody(current, previous)
 	switch current.value {
--- a/internal/gate/key.go
+++ b/internal/gate/key.go
@@ -90,7 +90,7 @@
 func (b *batch) keyRefused(answer simpleAnswer) error {
 	switch answer.state {
 	case stateUniqueViolation:
-		return result.Errorf(result.AlreadyRan, "operation key %q of workspace %s was committed before", b.req.OperationKey, b.req.Workspace)
+		return result.Errorf(result.AlreadyRan, "an operation with this key of workspace %s was committed before", b.req.Workspace)
 	case stateReadOnly:
 		return result.Errorf(result.NotRunTermChanged, "target %s does not accept writes", b.gate.options.Spec.Name)
 	default:
@@ -102,14 +102,14 @@
 // performWithKey runs a batch outside a transaction block in one that holds the key.
 func (b *batch) performWithKey() (byte, error) {
 	b.plan = b.newPlan(false)
-	if b.plan.settings != nil {
-		if err := b.write(appendQuery(nil, settingsQuery(b.plan.settings))); err != nil {
+	if prefix := b.plan.encodePrefix(); len(prefix) > 0 {
+		if err := b.write(prefix); err != nil {
 			return 0, err
 		}
-		if err := b.readSettings(); err != nil {
+		if err := b.readPrefix(); err != nil {
 			return 0, err
 		}
-		b.plan.settings = nil
+		b.plan.discards, b.plan.settings = false, nil
 	}
 	if err := b.beginWithKey(); err != nil {
 		return 0, err
--- a/internal/gate/manager.go
+++ b/internal/gate/manager.go
@@ -35,6 +35,8 @@
 	Members func() []placement.Member
 	// Groups returns the groups of the deployment.
 	Groups func() []api.GroupSpec
+	// MayUse reports whether a workspace has a group; nil admits all.
+	MayUse func(workspace, group string) bool
 }
 
 // Manager starts and stops the gates and observers that placement gives to this daemon.
@@ -246,9 +248,25 @@
 		refusal.Holder = m.Holder(req.Target)
 		return failure(refusal)
 	}
+	if refusal := m.authorize(req, held); refusal != nil {
+		return held.refuse(req, refusal)
+	}
 	return held.Execute(m.context, req)
 }
 
+// authorize checks a request against the configuration of this daemon, whatever the entry daemon
+// has checked. A transaction in progress may end.
+func (m *Manager) authorize(req *api.ExecuteRequest, held *Gate) error {
+	group := held.options.Group.Name
+	if req.Group != group {
+		return result.Errorf(result.UnknownGroup, "target %s is not of group %s", req.Target, req.Group)
+	}
+	if req.TransactionID != 0 || m.options.MayUse == nil || m.options.MayUse(req.Workspace, group) {
+		return nil
+	}
+	return result.Errorf(result.UnknownGroup, "workspace %s has no group %s", req.Workspace, group)
+}
+
 // Fetch returns a further chunk of an answer of a target that this daemon holds.
 func (m *Manager) Fetch(req *api.FetchRequest) *api.ExecuteReply {
 	held, ok := m.gate(req.Target)
--- a/internal/gate/plan.go
+++ b/internal/gate/plan.go
@@ -16,8 +16,13 @@
 	statusOpenPipeline byte = 'F'
 )
 
+// discardQuery drops all session state: settings, statements, cursors, temporary tables and locks.
+const discardQuery = "DISCARD ALL"
+
 // plan says what is sent around a batch and which answers are kept back.
 type plan struct {
+	// discards drops what another workspace left on the connection before anything else.
+	discards bool
 	// settings are set first; nil when they are in place.
 	settings map[string]string
 	// statusAfter asks for the position of the primary after the batch.
@@ -38,6 +43,9 @@
 // newPlan composes the plan of a batch for its connection.
 func (b *batch) newPlan(leads bool) plan {
 	p := plan{}
+	if !b.pinned {
+		p.discards = b.slot.enter(b.req.Workspace)
+	}
 	last := p.scan(b.req.Messages, b.slot)
 	p.isOpenPipeline = last == messageFlush
 	p.isPipelineEnd = b.pinned && last == messageSync
@@ -129,12 +137,21 @@
 	clear(s.prepared)
 }
 
-// encode returns all messages of the plan around those of the batch.
-func (p *plan) encode(messages []byte) []byte {
+// encodePrefix returns the queries that put the session state in place.
+func (p *plan) encodePrefix() []byte {
 	var out []byte
+	if p.discards {
+		out = appendQuery(out, discardQuery)
+	}
 	if p.settings != nil {
 		out = appendQuery(out, settingsQuery(p.settings))
 	}
+	return out
+}
+
+// encode returns all messages of the plan around those of the batch.
+func (p *plan) encode(messages []byte) []byte {
+	out := p.encodePrefix()
 	out = append(out, p.inject...)
 	out = append(out, messages...)
 	if p.statusAfter {
--- a/internal/gate/pool.go
+++ b/internal/gate/pool.go
@@ -92,10 +92,15 @@
 	return nil, false, p.freed
 }
 
+// conformingStrings makes a backslash in a literal stand for itself, whatever the role of the account
+// sets; RESET ALL goes back to it.
+const conformingStrings = "standard_conforming_strings"
+
 func (p *pool) dial(ctx context.Context) (*slot, error) {
 	parameters := map[string]string{
 		"application_name":     "papayacove",
 		"idle_session_timeout": idleSessionTimeout,
+		conformingStrings:      "on",
 	}
 	connection, err := target.DialSlot(ctx, p.spec.Address, p.options, parameters)
 	if err != nil {
--- a/internal/gate/slot.go
+++ b/internal/gate/slot.go
@@ -18,10 +18,12 @@
 type slot struct {
 	connection *target.Slot
 	address    string
-	lastUsed   time.Time
-	broken     bool
-	prepared   map[string]struct{}
-	applied    map[string]string
+	// workspace is that of the last batch; empty before the first.
+	workspace string
+	lastUsed  time.Time
+	broken    bool
+	prepared  map[string]struct{}
+	applied   map[string]string
 }
 
 func newSlot(connection *target.Slot, address string) *slot {
@@ -39,6 +41,19 @@
 	return time.Since(s.lastUsed) < checkAfter
 }
 
+// enter prepares the connection for a batch of a workspace, and reports whether what another
+// workspace left behind must be discarded first.
+func (s *slot) enter(workspace string) bool {
+	previous := s.workspace
+	s.workspace = workspace
+	if previous == "" || previous == workspace {
+		return false
+	}
+	clear(s.prepared)
+	s.applied = make(map[string]string)
+	return true
+}
+
 // check sends a Sync and reports whether the target answered in time.
 func (s *slot) check(timeout time.Duration) bool {
 	_ = s.connection.Conn.SetDeadline(time.Now().Add(timeout))
@@ -87,6 +102,7 @@
 	return wanted
 }
 
+// quoteText quotes a literal; a backslash stands for itself by conformingStrings.
 func quoteText(text string) string {
 	return "'" + strings.ReplaceAll(text, "'", "''") + "'"
 }
--- a/internal/router/read.go
+++ b/internal/router/read.go
@@ -27,7 +27,7 @@
 		if failed.Code == result.NotRunReadOnly {
 			return s.runWrite(ctx, batch, emit)
 		}
-		if !mayRepeat(failed.Code) && failed.Code != result.NotRunBehind || time.Now().Add(backoff).After(giveUp) {
+		if !s.mayRepeat(failed.Code) && failed.Code != result.NotRunBehind || time.Now().Add(backoff).After(giveUp) {
 			counters.Add("reads_"+failed.Code.String(), 1)
 			return idle, withRetryAfter(failed)
 		}
@@ -126,12 +126,15 @@
 func (s *session) targets() []readroute.Target {
 	group, _ := s.router.options.Gates.Group(s.info.Group)
 	current, known := s.router.options.Terms.Current(s.info.Group)
+	effective, _ := s.router.options.Workspaces.Workspace(s.info.Workspace)
 	targets := make([]readroute.Target, 0, len(group.Targets))
 	for _, spec := range group.Targets {
 		holder := s.router.options.Gates.Holder(spec.Name)
 		role := confirm.RoleReplica
 		if known && current.Primary == spec.Name {
 			role = confirm.RolePrimary
+		} else if !effective.ReadsIn(spec.Zone) {
+			continue
 		}
 		targets = append(targets, readroute.Target{
 			Name: spec.Name, Zone: spec.Zone, Role: role, Holder: holder,
--- a/internal/router/session.go
+++ b/internal/router/session.go
@@ -47,9 +47,16 @@
 // Run executes a batch; see frontend.SessionRunner.
 func (s *session) Run(ctx context.Context, batch *frontend.Batch, emit func([]byte) error) (frontend.Outcome, error) {
 	s.sequence++
+	effective, ok := s.router.options.Workspaces.Workspace(s.info.Workspace)
+	if ok && effective.StatementTimeout > 0 {
+		batch.Timeout = min(batch.Timeout, effective.StatementTimeout)
+	}
 	if batch.InTransaction {
 		return s.runInBlock(ctx, batch, emit)
 	}
+	if !ok || !effective.HasGroup(s.info.Group) {
+		return idle, result.Errorf(result.UnknownGroup, "workspace %s has no group %s any more", s.info.Workspace, s.info.Group)
+	}
 	if err := s.checkCut(); err != nil {
 		return idle, err
 	}
--- a/internal/router/write.go
+++ b/internal/router/write.go
@@ -33,7 +33,7 @@
 			counters.Add("writes", 1)
 			return outcome, nil
 		}
-		retry := mayRepeat(failed.Code) && time.Now().Add(backoff).Before(giveUp)
+		retry := s.mayRepeat(failed.Code) && time.Now().Add(backoff).Before(giveUp)
 		s.logWrite(failed, attempt, retry, time.Since(began))
 		if !retry {
 			return idle, withRetryAfter(failed)
@@ -64,6 +64,16 @@
 	}
 }
 
+// mayRepeat reports whether a refusal may pass a little later. A gate that does not know of a new
+// workspace or group yet learns of it, unless this daemon has learnt meanwhile that it is gone.
+func (s *session) mayRepeat(code result.Code) bool {
+	if code != result.UnknownGroup {
+		return mayRepeat(code)
+	}
+	effective, ok := s.router.options.Workspaces.Workspace(s.info.Workspace)
+	return ok && effective.HasGroup(s.info.Group)
+}
+
 // mayRepeat reports whether a write that was refused may find its way a little later. Nothing
 // else is repeated, because the write may have run.
 func mayRepeat(code result.Code) bool {
--- a/internal/workspace/catalog.go
+++ b/internal/workspace/catalog.go
@@ -113,6 +113,12 @@
 	return *entry.inForce, true
 }
 
+// MayUse reports whether a workspace in force has a group.
+func (c *Catalog) MayUse(workspace, group string) bool {
+	effective, found := c.Workspace(workspace)
+	return found && effective.HasGroup(group)
+}
+
 // Workspaces returns the configurations in force, ordered by name.
 func (c *Catalog) Workspaces() []Effective {
 	var list []Effective
--- a/internal/workspace/effective.go
+++ b/internal/workspace/effective.go
@@ -5,6 +5,7 @@
 package workspace
 
 import (
+	"slices"
 	"time"
 
 	"github.com/papayacove/papayacove/internal/config"
@@ -53,6 +54,11 @@
 	Revision uint64
 }
 
+// ReadsIn reports whether targets of an availability zone serve reads of the workspace.
+func (e Effective) ReadsIn(zone string) bool {
+	return len(e.Zones) == 0 || slices.Contains(e.Zones, zone)
+}
+
 // HasGroup reports whether the workspace uses the group.
 func (e Effective) HasGroup(group string) bool {
 	for _, name := range e.Groups {
