--- a/internal/gate/gate.go
+++ b/internal/gate/gate.go
@@ -44,6 +44,9 @@
 	Observer *observer.Observer
 	// Terms tells the newest term.
 	Terms *terms.Table
+	// SlotsOf returns the largest number of slots that a workspace uses at a time, 0 for all; nil
+	// limits none.
+	SlotsOf func(workspace string) int
 }
 
 // Gate holds the connections to one target.
@@ -72,7 +75,7 @@
 	return &Gate{
 		options:      options,
 		pool:         newPool(options.Spec, options.Target),
-		queue:        newQueue(options.Spec, options.Limits.QueueLength),
+		queue:        newQueue(options.Group.Name, options.Spec, options.Limits.QueueLength, options.SlotsOf),
 		confirmer:    confirmer,
 		transactions: newTransactions(),
 		age:          newAgeTracker(confirmer),
@@ -259,7 +262,7 @@
 func (g *Gate) rollBack(ended []*transaction, reason string) {
 	for _, t := range ended {
 		logrus.WithFields(logrus.Fields{
-			"target": g.options.Spec.Name, "session": t.session, "reason": reason,
+			"group": g.options.Group.Name, "target": g.options.Spec.Name, "session": t.session, "reason": reason,
 		}).Info("transaction_rolled_back")
 		go func() {
 			broken := !t.slot.rollBack()
--- a/internal/gate/manager.go
+++ b/internal/gate/manager.go
@@ -37,6 +37,9 @@
 	Groups func() []api.GroupSpec
 	// MayUse reports whether a workspace has a group; nil admits all.
 	MayUse func(workspace, group string) bool
+	// SlotsOf returns the largest number of slots of one target that a workspace uses at a time, 0
+	// for all; nil limits none.
+	SlotsOf func(workspace string) int
 }
 
 // Manager starts and stops the gates and observers that placement gives to this daemon.
@@ -143,7 +146,7 @@
 	}
 	started := New(Options{
 		Self: m.options.Self, Group: group, Spec: spec, Target: m.options.Target, Limits: m.options.Limits,
-		Observer: m.observers[group.Name], Terms: m.options.Terms,
+		Observer: m.observers[group.Name], Terms: m.options.Terms, SlotsOf: m.options.SlotsOf,
 	})
 	started.Run(m.context)
 	m.gates[spec.Name] = started
--- a/internal/policy/admission/admission.go
+++ b/internal/policy/admission/admission.go
@@ -64,6 +64,8 @@
 	ID        uint64
 	Workspace string
 	Class     Class
+	// Limit is the largest number of slots that the workspace uses at a time; 0 for all.
+	Limit int
 	// Deadline is the time by which the batch must have started.
 	Deadline time.Time
 }
--- a/internal/policy/admission/next.go
+++ b/internal/policy/admission/next.go
@@ -14,48 +14,48 @@
 			q.lanes[lower].bypassed++
 		}
 	}
-	return q.lanes[c].popLive(now), true
+	return q.lanes[c].popStartable(q, now), true
 }
 
 // nextClass returns the lowest class that was bypassed too often, else the highest that waits.
 func (q *Queue) nextClass(now time.Time) (Class, bool) {
 	for c := classes - 1; c > 0; c-- {
-		if q.lanes[c].bypassed >= MaxBypasses && q.lanes[c].hasLive(now) {
+		if q.lanes[c].bypassed >= MaxBypasses && q.lanes[c].hasStartable(q, now) {
 			return c, true
 		}
 	}
 	for c := Class(0); c < classes; c++ {
-		if q.lanes[c].hasLive(now) {
+		if q.lanes[c].hasStartable(q, now) {
 			return c, true
 		}
 	}
 	return 0, false
 }
 
-// hasLive reports whether a waiting batch is within its deadline.
-func (q *Queue) hasLive(now time.Time) bool {
+// hasStartable reports whether a waiting batch is within its deadline and the limit of its workspace.
+func (q *Queue) hasStartable(now time.Time) bool {
 	for c := range q.lanes {
-		if q.lanes[c].hasLive(now) {
+		if q.lanes[c].hasStartable(q, now) {
 			return true
 		}
 	}
 	return false
 }
 
-func (l *lane) hasLive(now time.Time) bool {
+func (l *lane) hasStartable(q *Queue, now time.Time) bool {
 	for _, w := range l.lines {
-		if w.firstLive(now) >= 0 {
+		if w.firstStartable(q, now) >= 0 {
 			return true
 		}
 	}
 	return false
 }
 
-// popLive removes the oldest batch within its deadline of the workspace whose turn it is, and
-// moves that workspace to the end of the turn. The lane must have such a batch.
-func (l *lane) popLive(now time.Time) entry {
+// popStartable removes the oldest batch of the workspace whose turn it is among those that may start,
+// and moves that workspace to the end of the turn. The lane must have such a batch.
+func (l *lane) popStartable(q *Queue, now time.Time) entry {
 	for i, w := range l.lines {
-		j := w.firstLive(now)
+		j := w.firstStartable(q, now)
 		if j < 0 {
 			continue
 		}
@@ -69,9 +69,9 @@
 	return entry{}
 }
 
-func (w *line) firstLive(now time.Time) int {
+func (w *line) firstStartable(q *Queue, now time.Time) int {
 	for i, e := range w.entries {
-		if now.Before(e.item.Deadline) {
+		if now.Before(e.item.Deadline) && q.isWithinLimit(e.item) {
 			return i
 		}
 	}
--- a/internal/policy/admission/queue.go
+++ b/internal/policy/admission/queue.go
@@ -16,6 +16,8 @@
 	running     int
 	waiting     int
 	lanes       [classes]lane
+	// held is the number of running batches by workspace.
+	held map[string]int
 	// serviceTime is the moving average of the time that a batch holds a slot, in seconds.
 	serviceTime float64
 }
@@ -26,7 +28,9 @@
 	if service <= 0 {
 		service = DefaultServiceTime
 	}
-	return &Queue{slots: cfg.Slots, queueLength: cfg.QueueLength, serviceTime: service.Seconds()}
+	return &Queue{
+		slots: cfg.Slots, queueLength: cfg.QueueLength, serviceTime: service.Seconds(), held: make(map[string]int),
+	}
 }
 
 // Running returns the number of batches that hold a slot.
@@ -51,7 +55,7 @@
 // Offer takes in a batch: it starts, waits or is refused. A started batch must be given back with
 // Release, a waiting one that is no longer wanted with Remove.
 func (q *Queue) Offer(item Item, now time.Time) Decision {
-	free := q.running < q.slots && !q.hasLive(now)
+	free := q.running < q.slots && q.isWithinLimit(item) && !q.hasStartable(now)
 	wait := time.Duration(0)
 	if !free {
 		wait = q.expectedWait(item)
@@ -61,7 +65,7 @@
 	case !now.Before(item.Deadline):
 		q.refuse(&d, ReasonDeadlinePassed, result.NotRunDeadline)
 	case free:
-		q.running++
+		q.take(item.Workspace)
 		d.Outcome, d.Reason = Started, ReasonSlotFree
 	case now.Add(wait).After(item.Deadline):
 		q.refuse(&d, ReasonTooLate, result.NotRunOverloaded)
@@ -75,6 +79,17 @@
 	return d
 }
 
+// take gives a slot to a batch of a workspace.
+func (q *Queue) take(workspace string) {
+	q.running++
+	q.held[workspace]++
+}
+
+// isWithinLimit reports whether the workspace of a batch may use one more slot.
+func (q *Queue) isWithinLimit(item Item) bool {
+	return item.Limit <= 0 || q.held[item.Workspace] < item.Limit
+}
+
 func (q *Queue) decision(item Item, wait time.Duration) Decision {
 	return Decision{
 		ID:           item.ID,
@@ -127,13 +142,17 @@
 	return item.Class, -1
 }
 
-// Release gives back the slot of a batch that held it for served and returns the batches that
+// Release gives back the slot of a batch of a workspace that held it for served and returns the batches that
 // start now. Batches past their deadline never start; Expire returns them.
-func (q *Queue) Release(now time.Time, served time.Duration) []Start {
+func (q *Queue) Release(workspace string, now time.Time, served time.Duration) []Start {
 	if !invariant.Check(q.running > 0, "admission_release_of_running", q.fields()) {
 		return nil
 	}
 	q.running--
+	q.held[workspace]--
+	if q.held[workspace] <= 0 {
+		delete(q.held, workspace)
+	}
 	q.serviceTime += serviceTimeWeight * (served.Seconds() - q.serviceTime)
 	return q.startWaiting(now)
 }
@@ -152,7 +171,7 @@
 		if !ok {
 			break
 		}
-		q.running++
+		q.take(e.item.Workspace)
 		q.waiting--
 		starts = append(starts, Start{
 			ID:        e.item.ID,
@@ -230,12 +249,22 @@
 	for c := Class(0); c < item.Class; c++ {
 		ahead += q.lanes[c].length
 	}
-	return q.waitBehind(ahead + 1)
+	wait := q.waitBehind(ahead + 1)
+	if item.Limit > 0 && item.Limit < q.slots {
+		// The workspace waits for its own batches, which use a part of the slots.
+		own := q.lanes[item.Class].lineLength(item.Workspace) + 1
+		wait = max(wait, q.serviceTimes(own, item.Limit))
+	}
+	return wait
 }
 
 // waitBehind returns the time in which the slots come free n times.
 func (q *Queue) waitBehind(n int) time.Duration {
-	seconds := q.serviceTime * float64(n) / float64(max(1, q.slots))
+	return q.serviceTimes(n, q.slots)
+}
+
+func (q *Queue) serviceTimes(n, slots int) time.Duration {
+	seconds := q.serviceTime * float64(n) / float64(max(1, slots))
 	return time.Duration(seconds * float64(time.Second))
 }
 
--- a/internal/workspace/catalog.go
+++ b/internal/workspace/catalog.go
@@ -119,6 +119,12 @@
 	return found && effective.HasGroup(group)
 }
 
+// SlotsOf returns the largest number of slots of one target that a workspace uses at a time; 0 for all.
+func (c *Catalog) SlotsOf(workspace string) int {
+	effective, _ := c.Workspace(workspace)
+	return effective.Slots
+}
+
 // Workspaces returns the configurations in force, ordered by name.
 func (c *Catalog) Workspaces() []Effective {
 	var list []Effective
