Keep decisions of statements at every log level

Cause: read_routed, batch_ran and commit_confirmed existed at level debug only, so explain had nothing to show at info. Ruled out: logging them at info, several lines a statement. Change: telemetry.Trace feeds the recorder at every level and logs at debug; statements have a ring of their own, so that they do not push promotions and placements out. statement_refused and batch_failed of the caller side carry their group.

--- a/internal/frontend/run.go
+++ b/internal/frontend/run.go
@@ -195,12 +195,17 @@
 }
 
 func (s *session) logRefusal(err error) {
-	s.server.log.WithError(err).WithField("session", s.info.ID).Info("statement_refused")
+	s.server.log.WithError(err).WithFields(logrus.Fields{
+		"session": s.info.ID,
+		"group":   s.info.Group,
+		"code":    int(result.CodeOf(err)),
+	}).Info("statement_refused")
 }
 
 func (s *session) logFailure(err error) {
 	s.server.log.WithError(err).WithFields(logrus.Fields{
 		"session": s.info.ID,
+		"group":   s.info.Group,
 		"code":    int(result.CodeOf(err)),
 	}).Info("batch_failed")
 }
--- a/internal/gate/batch.go
+++ b/internal/gate/batch.go
@@ -14,6 +14,7 @@
 	"github.com/papayacove/papayacove/internal/policy/readroute"
 	"github.com/papayacove/papayacove/internal/result"
 	"github.com/papayacove/papayacove/internal/target"
+	"github.com/papayacove/papayacove/internal/telemetry"
 	"github.com/sirupsen/logrus"
 )
 
@@ -471,11 +472,8 @@
 
 func (b *batch) log(reply *api.ExecuteReply, role string) {
 	counters.Add("batches_"+role, 1)
-	if !logrus.IsLevelEnabled(logrus.DebugLevel) {
-		return
-	}
-	logrus.WithFields(logrus.Fields{
+	telemetry.Trace("batch_ran", logrus.Fields{
 		"group": b.req.Group, "target": b.req.Target, "session": b.req.SessionID, "access": b.req.Access,
-		"role": role, "position": reply.Position.String(), "age_ms": reply.AgeMs, "duration": time.Since(b.asked),
-	}).Debug("batch_ran")
+		"role": role, "position": reply.Position, "age_ms": reply.AgeMs, "duration": time.Since(b.asked),
+	})
 }
--- a/internal/gate/gate.go
+++ b/internal/gate/gate.go
@@ -14,6 +14,7 @@
 	"github.com/papayacove/papayacove/internal/policy/readroute"
 	"github.com/papayacove/papayacove/internal/result"
 	"github.com/papayacove/papayacove/internal/target"
+	"github.com/papayacove/papayacove/internal/telemetry"
 	"github.com/papayacove/papayacove/internal/terms"
 	"github.com/sirupsen/logrus"
 )
@@ -429,17 +430,18 @@
 	}
 	replicationWait := time.Duration(b.req.ReplicationWaitMs) * time.Millisecond
 	decision := g.confirmer.confirm(ctx, b.term, commit, committed, replicationWait)
-	entry := logrus.WithFields(decision.Fields()).WithFields(logrus.Fields{"group": b.req.Group, "session": b.req.SessionID})
+	fields := decision.Fields()
+	fields["group"], fields["session"] = b.req.Group, b.req.SessionID
 	switch decision.Outcome {
 	case confirm.Confirmed:
-		entry.Debug("commit_confirmed")
+		telemetry.Trace("commit_confirmed", fields)
 		return commit, nil
 	case confirm.FenceOnly:
 		counters.Add("commits_fence_only", 1)
-		entry.Warn("commit_fence_only")
+		logrus.WithFields(fields).Warn("commit_fence_only")
 		return commit, nil
 	default:
-		entry.Warn("commit_unconfirmed")
+		logrus.WithFields(fields).Warn("commit_unconfirmed")
 		return commit, result.Errorf(result.OutcomeUnknown, "the commit at %s was not confirmed: %s", commit, decision.Reason)
 	}
 }
--- a/internal/router/read.go
+++ b/internal/router/read.go
@@ -9,6 +9,7 @@
 	"github.com/papayacove/papayacove/internal/policy/confirm"
 	"github.com/papayacove/papayacove/internal/policy/readroute"
 	"github.com/papayacove/papayacove/internal/result"
+	"github.com/papayacove/papayacove/internal/telemetry"
 	"github.com/sirupsen/logrus"
 )
 
@@ -149,7 +150,7 @@
 		logrus.WithFields(decision.Fields()).WithFields(logrus.Fields{"session": s.id, "group": s.info.Group}).Info("read_not_served")
 		return
 	}
-	if logrus.IsLevelEnabled(logrus.DebugLevel) {
-		logrus.WithFields(decision.Fields()).WithFields(logrus.Fields{"session": s.id, "group": s.info.Group}).Debug("read_routed")
-	}
+	fields := decision.Fields()
+	fields["session"], fields["group"], fields["workspace"] = s.id, s.info.Group, s.info.Workspace
+	telemetry.Trace("read_routed", fields)
 }
--- a/internal/telemetry/telemetry.go
+++ b/internal/telemetry/telemetry.go
@@ -5,13 +5,14 @@
 	"cmp"
 	"fmt"
 	"slices"
-	"sync"
+	"sync/atomic"
+	"time"
 
 	"github.com/papayacove/papayacove/api"
 	"github.com/sirupsen/logrus"
 )
 
-// recentDecisions is the number of decisions that a daemon keeps.
+// recentDecisions is the number of decisions of each of the two kinds that a daemon keeps.
 const recentDecisions = 4096
 
 // SetUp makes the standard logger write one line of key=value pairs for each event.
@@ -24,28 +25,36 @@
 	logrus.SetFormatter(&logrus.TextFormatter{DisableColors: true, FullTimestamp: true, TimestampFormat: "2006-01-02T15:04:05.000000Z07:00"})
 	recorder := NewRecorder(daemon)
 	logrus.AddHook(recorder)
+	current.Store(recorder)
 	return recorder, nil
 }
 
-// Recorder keeps the newest log events. It is a hook of the logger.
-type Recorder struct {
-	daemon string
+// current is the recorder that Trace feeds; nil before SetUp.
+var current atomic.Pointer[Recorder]
 
-	mu   sync.Mutex
-	ring []record
-	next int
+// Trace notes a decision of a single statement. It is logged at level debug, and the recorder keeps
+// it at every level. The fields must not be changed afterwards.
+func Trace(event string, fields logrus.Fields) {
+	if logrus.IsLevelEnabled(logrus.DebugLevel) {
+		logrus.WithFields(fields).Debug(event)
+		return
+	}
+	if recorder := current.Load(); recorder != nil {
+		recorder.statements.add(record{timeNs: time.Now().UnixNano(), event: event, data: fields})
+	}
 }
 
-// record keeps an event as it was logged; its fields are formatted when they are asked for.
-type record struct {
-	timeMs int64
-	event  string
-	data   logrus.Fields
+// Recorder keeps the newest log events. It is a hook of the logger. Decisions of single statements,
+// which are many, have a ring of their own, so that they do not push out the others.
+type Recorder struct {
+	daemon     string
+	events     *ring
+	statements *ring
 }
 
 // NewRecorder returns an empty recorder.
 func NewRecorder(daemon string) *Recorder {
-	return &Recorder{daemon: daemon, ring: make([]record, 0, recentDecisions)}
+	return &Recorder{daemon: daemon, events: newRing(recentDecisions), statements: newRing(recentDecisions)}
 }
 
 // Levels returns the levels of the events that are kept.
@@ -55,15 +64,12 @@
 
 // Fire keeps an event.
 func (r *Recorder) Fire(entry *logrus.Entry) error {
-	kept := record{timeMs: entry.Time.UnixMilli(), event: entry.Message, data: entry.Data}
-	r.mu.Lock()
-	defer r.mu.Unlock()
-	if len(r.ring) < recentDecisions {
-		r.ring = append(r.ring, kept)
+	kept := record{timeNs: entry.Time.UnixNano(), event: entry.Message, data: entry.Data}
+	if entry.Level >= logrus.DebugLevel {
+		r.statements.add(kept)
 		return nil
 	}
-	r.ring[r.next] = kept
-	r.next = (r.next + 1) % recentDecisions
+	r.events.add(kept)
 	return nil
 }
 
@@ -78,9 +84,8 @@
 
 // Decisions returns the kept events that pass the filter, oldest first.
 func (r *Recorder) Decisions(filter Filter) []api.Decision {
-	r.mu.Lock()
-	ordered := append(slices.Clone(r.ring[r.next:]), r.ring[:r.next]...)
-	r.mu.Unlock()
+	ordered := append(r.events.ordered(), r.statements.ordered()...)
+	slices.SortStableFunc(ordered, func(a, b record) int { return cmp.Compare(a.timeNs, b.timeNs) })
 	decisions := []api.Decision{}
 	for _, kept := range ordered {
 		if filter.passes(kept) {
@@ -102,7 +107,7 @@
 }
 
 func (r *Recorder) convert(kept record) api.Decision {
-	decision := api.Decision{TimeMs: kept.timeMs, Daemon: r.daemon, Event: kept.event}
+	decision := api.Decision{TimeMs: time.Unix(0, kept.timeNs).UnixMilli(), Daemon: r.daemon, Event: kept.event}
 	for key, value := range kept.data {
 		decision.Fields = append(decision.Fields, api.DecisionField{Key: key, Value: fmt.Sprint(value)})
 	}
