--- a/internal/frontend/run.go
+++ b/internal/frontend/run.go
@@ -6,6 +6,7 @@
 
 	"github.com/papayacove/papayacove/api"
 	"github.com/papayacove/papayacove/internal/result"
+	"github.com/papayacove/papayacove/internal/telemetry"
 	"github.com/sirupsen/logrus"
 )
 
@@ -180,18 +181,16 @@
 		class = "transaction"
 	}
 	counters.Add("batches_"+class, 1)
-	if !s.server.log.IsLevelEnabled(logrus.DebugLevel) {
-		return
-	}
-	s.server.log.WithFields(logrus.Fields{
+	telemetry.Trace("batch_classified", logrus.Fields{
 		"session":        s.info.ID,
+		"group":          s.info.Group,
 		"access":         string(batch.Access),
 		"in_transaction": batch.InTransaction,
 		"max_age_ms":     batch.MaxAge.Milliseconds(),
 		"prepared":       len(batch.Prepared),
 		"bytes":          len(batch.Messages),
 		"has_key":        batch.OperationKey != "",
-	}).Debug("batch_classified")
+	})
 }
 
 func (s *session) logRefusal(err error) {
--- a/internal/gate/gate.go
+++ b/internal/gate/gate.go
@@ -234,7 +234,7 @@
 	defer cancel()
 	err := target.CancelRequest(ctx, s.address, g.options.Target, s.connection.ProcessID, s.connection.SecretKey)
 	if err != nil {
-		logrus.WithFields(logrus.Fields{"target": g.options.Spec.Name, "error": err}).Warn("cancel_failed")
+		logrus.WithFields(logrus.Fields{"group": g.options.Group.Name, "target": g.options.Spec.Name, "error": err}).Warn("cancel_failed")
 	}
 }
 
--- a/internal/gate/manager.go
+++ b/internal/gate/manager.go
@@ -120,7 +120,7 @@
 	m.targets[spec.Name] = group
 	m.mu.Unlock()
 	if previous != decision.Holder.Name {
-		logrus.WithFields(decision.Fields()).WithField("previous", previous).Info("target_placed")
+		logrus.WithFields(decision.Fields()).WithFields(logrus.Fields{"group": group.Name, "previous": previous}).Info("target_placed")
 	}
 }
 
