--- a/internal/gate/batch.go
+++ b/internal/gate/batch.go
@@ -138,64 +138,6 @@
 	return b.slot.connection.Flush()
 }
 
-// readPrefix reads the answers to what the gate sent before the batch.
-func (b *batch) readPrefix() error {
-	if b.plan.discards {
-		if err := b.readDiscard(); err != nil {
-			return err
-		}
-	}
-	if b.plan.settings != nil {
-		if err := b.readSettings(); err != nil {
-			return err
-		}
-	}
-	return nil
-}
-
-// readDiscard reads the answer to the query that drops the session state.
-func (b *batch) readDiscard() error {
-	for refused := ""; ; {
-		kind, body, err := b.slot.connection.ReadRaw()
-		if err != nil {
-			return err
-		}
-		switch kind {
-		case messageErrorResponse:
-			_, refused = sqlState(body)
-		case messageReadyForQuery:
-			if refused == "" {
-				return nil
-			}
-			b.slot.broken = true
-			return result.Errorf(result.NotRunUnreachable, "target %s does not discard session state: %s", b.gate.options.Spec.Name, refused)
-		}
-	}
-}
-
-// readSettings reads the answer to the query that sets the session state.
-func (b *batch) readSettings() error {
-	var refusal error
-	for {
-		kind, body, err := b.slot.connection.ReadRaw()
-		if err != nil {
-			return err
-		}
-		switch kind {
-		case messageErrorResponse:
-			_, message := sqlState(body)
-			refusal = result.Errorf(result.Unsupported, "the target refuses a setting of the session: %s", message)
-		case messageReadyForQuery:
-			if refusal != nil {
-				b.slot.broken = true
-				return refusal
-			}
-			b.slot.applied = b.plan.settings
-			return nil
-		}
-	}
-}
-
 // readStatus reads the answer to a status query.
 func (b *batch) readStatus() error {
 	var parsed error = result.Errorf(result.OutcomeUnknown, "target %s gave no status", b.gate.options.Spec.Name)
@@ -399,37 +341,6 @@
 	return failure(failed)
 }
 
-func (b *batch) classify(ctx context.Context, err error) *result.Error {
-	name := b.gate.options.Spec.Name
-	cause := err.Error()
-	if errors.Is(ctx.Err(), context.DeadlineExceeded) {
-		cause = "the time limit passed: " + cause
-	}
-	switch {
-	case b.req.Access == api.ExecuteRequestAccessRead && b.shipped:
-		return result.Errorf(result.AnswerInterrupted, "target %s: %s", name, cause)
-	case b.req.Access == api.ExecuteRequestAccessRead && !b.pinned:
-		return result.Errorf(result.NotRunUnreachable, "target %s: %s", name, cause)
-	case b.pinned && !b.mayCommit():
-		return result.Errorf(result.TransactionLost, "target %s: %s", name, cause)
-	default:
-		return result.Errorf(result.OutcomeUnknown, "target %s: %s", name, cause)
-	}
-}
-
-// mayCommit reports whether a batch within a transaction may end it.
-func (b *batch) mayCommit() bool {
-	if b.plan.isPipelineEnd || commitPattern.Match(b.req.Messages) {
-		return true
-	}
-	for _, statement := range b.req.Prepared {
-		if commitPattern.MatchString(statement.Query) {
-			return true
-		}
-	}
-	return false
-}
-
 // giveBack returns the connection to the pool, or keeps it for the transaction.
 func (b *batch) giveBack(transactionStatus byte, err error) {
 	session := b.req.SessionID
--- /dev/null
+++ b/internal/platform/tls_test.go
@@ -0,0 +1,29 @@
+package platform
+
+import (
+	"context"
+	"crypto/tls"
+	"crypto/x509"
+	"net/http"
+	"net/http/httptest"
+	"testing"
+)
+
+// TestEachConnectionAsksForItsConfiguration renews the trusted authority while a client is in use.
+func TestEachConnectionAsksForItsConfiguration(t *testing.T) {
+	answer := func(w http.ResponseWriter, _ *http.Request) { w.Write([]byte(`{"revision": 3}`)) }
+	server := httptest.NewTLSServer(http.HandlerFunc(answer))
+	defer server.Close()
+	trusted := x509.NewCertPool()
+	client := NewClient(Options{URL: server.URL, TLS: func() *tls.Config { return &tls.Config{RootCAs: trusted} }})
+	defer client.Close()
+	if _, err := client.VMs(context.Background()); err == nil {
+		t.Fatal("a platform of an unknown authority was trusted")
+	}
+	renewed := x509.NewCertPool()
+	renewed.AddCert(server.Certificate())
+	trusted = renewed
+	if list, err := client.VMs(context.Background()); err != nil || list.Revision != 3 {
+		t.Errorf("VMs = %+v, %v", list, err)
+	}
+}
