--- a/internal/config/check.go
+++ b/internal/config/check.go
@@ -22,6 +22,7 @@
 	addressBound          = "an IP address with a port of 1 to 65535"
 	sourceAddressBound    = "an IP address without a port, or empty"
 	platformBound         = "http or https URL with an IP address, a port and no path"
+	requireTLSBound       = "false without a caller_certificate"
 	certificatePairBound  = "a certificate and its key, or neither"
 	peerCertificatesBound = "peer_certificate, peer_key and peer_authority, or none of them"
 )
@@ -181,6 +182,9 @@
 	if (t.CallerCertificate == "") != (t.CallerKey == "") {
 		c.add("tls.caller_certificate", t.CallerCertificate, certificatePairBound)
 	}
+	if t.RequireCallerTLS && t.CallerCertificate == "" {
+		c.add("tls.require_caller_tls", "true", requireTLSBound)
+	}
 	if !allOrNone(t.PeerCertificate, t.PeerKey, t.PeerAuthority) {
 		c.add("tls.peer_certificate", t.PeerCertificate, peerCertificatesBound)
 	}
--- a/internal/gate/gate.go
+++ b/internal/gate/gate.go
@@ -14,6 +14,7 @@
 	"github.com/papayacove/papayacove/internal/policy/readroute"
 	"github.com/papayacove/papayacove/internal/result"
 	"github.com/papayacove/papayacove/internal/target"
+	"github.com/papayacove/papayacove/internal/telemetry"
 	"github.com/papayacove/papayacove/internal/terms"
 	"github.com/sirupsen/logrus"
 )
@@ -22,7 +23,7 @@
 	// noPrimaryRetryAfter is the time after which a request that found no primary may come back.
 	noPrimaryRetryAfter = 200 * time.Millisecond
 	// appliedWait is the time that a read waits for a replica to apply what the session relies on.
-	appliedWait = 60 * time.Millisecond
+	appliedWait = 100 * time.Millisecond
 	// appliedLook is the time that a read waits for a replica whose lag is not known.
 	appliedLook = 5 * time.Millisecond
 	// idleTransactionCheck is the time between two passes over idle transactions.
@@ -44,6 +45,9 @@
 	Observer *observer.Observer
 	// Terms tells the newest term.
 	Terms *terms.Table
+	// SlotsOf returns the largest number of slots that a workspace uses at a time, 0 for all; nil
+	// limits none.
+	SlotsOf func(workspace string) int
 }
 
 // Gate holds the connections to one target.
@@ -53,6 +57,7 @@
 	queue        *queue
 	confirmer    *confirmer
 	transactions *transactions
+	leadership   leadership
 	age          *ageTracker
 	applied      *appliedWatch
 	cancel       context.CancelFunc
@@ -72,7 +77,7 @@
 	return &Gate{
 		options:      options,
 		pool:         newPool(options.Spec, options.Target),
-		queue:        newQueue(options.Spec, options.Limits.QueueLength),
+		queue:        newQueue(options.Group.Name, options.Spec, options.Limits.QueueLength, options.SlotsOf),
 		confirmer:    confirmer,
 		transactions: newTransactions(),
 		age:          newAgeTracker(confirmer),
@@ -89,6 +94,7 @@
 	go g.every(ctx, idleTransactionCheck, g.endIdleTransactions)
 	go g.sampleAge(ctx)
 	go g.applied.run(ctx)
+	go g.followLeadership(ctx)
 }
 
 func (g *Gate) every(ctx context.Context, interval time.Duration, task func()) {
@@ -131,9 +137,14 @@
 // Drain stops the admission of new work and waits for what is in progress.
 func (g *Gate) Drain(ctx context.Context) {
 	g.draining.Store(true)
+	g.awaitIdle(ctx)
+}
+
+// awaitIdle waits until nothing is in progress, or the gate is taken back into use.
+func (g *Gate) awaitIdle(ctx context.Context) {
 	ticker := time.NewTicker(5 * time.Millisecond)
 	defer ticker.Stop()
-	for g.isBusy() {
+	for g.draining.Load() && g.isBusy() {
 		select {
 		case <-ctx.Done():
 			return
@@ -173,13 +184,14 @@
 // Execute runs a batch and returns the first chunk of its answer.
 func (g *Gate) Execute(ctx context.Context, req *api.ExecuteRequest) *api.ExecuteReply {
 	deadline := time.Now().Add(time.Duration(req.TimeoutMs) * time.Millisecond)
-	work, cancel := context.WithDeadline(ctx, deadline)
+	work, cancel := context.WithDeadline(g.leadership.context(ctx), deadline)
 	batch, err := g.prepare(work, req)
 	if err != nil {
+		err = g.refusalWhenReplaced(work, req, err)
 		cancel()
 		return g.refuse(req, err)
 	}
-	batch.answer = newAnswer(ctx, g.answerID.Add(1))
+	batch.answer = newAnswer(ctx, g.answerID.Add(1), req.SessionID)
 	g.mu.Lock()
 	g.answers[batch.answer.id] = batch.answer
 	g.inflight[req.SessionID] = batch.slot
@@ -205,18 +217,40 @@
 func (g *Gate) next(ctx context.Context, a *answer, number uint64) *api.ExecuteReply {
 	reply := a.next(ctx, number)
 	if reply.StreamID == 0 {
-		g.mu.Lock()
-		delete(g.answers, a.id)
-		g.mu.Unlock()
-		a.cancel()
+		g.forget(a)
 	}
 	return reply
 }
 
+func (g *Gate) forget(a *answer) {
+	g.mu.Lock()
+	delete(g.answers, a.id)
+	g.mu.Unlock()
+	a.cancel()
+}
+
+// abandonAnswers gives up the answers that a session no longer fetches.
+func (g *Gate) abandonAnswers(session string) {
+	g.mu.Lock()
+	var abandoned []*answer
+	for _, a := range g.answers {
+		if a.session == session {
+			abandoned = append(abandoned, a)
+		}
+	}
+	g.mu.Unlock()
+	for _, a := range abandoned {
+		g.forget(a)
+	}
+}
+
 // Cancel cancels the batch that a session is running.
 func (g *Gate) Cancel(session string) bool {
 	g.mu.Lock()
 	running, ok := g.inflight[session]
+	if ok {
+		running.cancelled = true
+	}
 	g.mu.Unlock()
 	if !ok {
 		return false
@@ -228,14 +262,19 @@
 func (g *Gate) cancelAt(s *slot) {
 	ctx, cancel := context.WithTimeout(context.Background(), checkTimeout)
 	defer cancel()
-	err := target.CancelRequest(ctx, s.address, s.connection.ProcessID, s.connection.SecretKey)
+	err := target.CancelRequest(ctx, s.address, g.options.Target, s.connection.ProcessID, s.connection.SecretKey)
 	if err != nil {
-		logrus.WithFields(logrus.Fields{"target": g.options.Spec.Name, "error": err}).Warn("cancel_failed")
+		logrus.WithFields(logrus.Fields{"group": g.options.Group.Name, "target": g.options.Spec.Name, "error": err}).Warn("cancel_failed")
 	}
 }
 
-// Release rolls back what a session has open.
+// Release rolls back what a session has open and gives up its answers.
 func (g *Gate) Release(session string) bool {
+	g.abandonAnswers(session)
+	return g.endTransaction(session)
+}
+
+func (g *Gate) endTransaction(session string) bool {
 	ended := g.transactions.abandon(func(t *transaction) bool { return t.session == session })
 	g.rollBack(ended, "released")
 	return len(ended) > 0
@@ -259,7 +298,7 @@
 func (g *Gate) rollBack(ended []*transaction, reason string) {
 	for _, t := range ended {
 		logrus.WithFields(logrus.Fields{
-			"target": g.options.Spec.Name, "session": t.session, "reason": reason,
+			"group": g.options.Group.Name, "target": g.options.Spec.Name, "session": t.session, "reason": reason,
 		}).Info("transaction_rolled_back")
 		go func() {
 			broken := !t.slot.rollBack()
@@ -268,9 +307,12 @@
 	}
 }
 
-// finish gives the connection and the admission back.
+// finish gives the connection and the admission back. A cancel request that is still on its way
+// must not meet another session, so that a connection that was cancelled is closed.
 func (g *Gate) finish(s *slot, admitted *ticket, broken bool) {
-	s.broken = s.broken || broken
+	g.mu.Lock()
+	s.broken = s.broken || s.cancelled || broken
+	g.mu.Unlock()
 	g.pool.release(s)
 	admitted.done()
 }
@@ -303,6 +345,9 @@
 	if req.TransactionID != 0 {
 		return b, g.resume(b)
 	}
+	if err := b.checkKey(); err != nil {
+		return nil, err
+	}
 	if err := g.check(ctx, b); err != nil {
 		return nil, err
 	}
@@ -328,6 +373,7 @@
 	}
 	b.slot, b.admitted, b.pinned = resumed.slot, resumed.admitted, true
 	b.leads, b.term = resumed.leads, resumed.term
+	b.inPipeline, b.failed = resumed.inPipeline, resumed.failed
 	current, _ := g.options.Terms.Current(g.options.Group.Name)
 	if !b.leads || current.Term == b.term.Term {
 		return nil
@@ -385,14 +431,15 @@
 		return result.Errorf(result.NotRunTargetLeaving, "target %s is leaving", g.options.Spec.Name)
 	}
 	applied := seen.Status.AppliedPosition()
-	decision := readroute.AtReplica(b.req.Floor, b.maxAge(), applied, g.age.bound(applied, time.Now()), appliedWait)
+	decision := readroute.AtReplica(b.req.Floor, b.maxAge(), applied, g.certainLag(applied), appliedWait)
 	if decision.Action == readroute.WaitThenRun || decision.Action == readroute.Behind {
 		// The newest answer may be older than the floor, so the replica itself is asked.
 		wait := max(decision.Wait, appliedLook)
 		if !g.applied.wait(ctx, b.req.Floor, wait) {
 			return result.Errorf(result.NotRunBehind, "target %s: %s, applied %s, floor %s", g.options.Spec.Name, decision.Reason, applied, b.req.Floor)
 		}
-		applied = g.options.Observer.Latest(g.options.Spec.Name).Status.AppliedPosition()
+		// The observer keeps the answer that was asked for last, which may be an earlier one.
+		applied = g.options.Observer.Latest(g.options.Spec.Name).Status.AppliedPosition().Max(b.req.Floor)
 		decision = readroute.AtReplica(b.req.Floor, b.maxAge(), applied, g.age.bound(applied, time.Now()), 0)
 	}
 	b.age = decision.Age
@@ -419,6 +466,10 @@
 // confirm decides whether the batch may be acknowledged.
 func (g *Gate) confirm(ctx context.Context, b *batch, status target.Status, asked, committed time.Time) (api.Position, error) {
 	g.options.Observer.Report(g.options.Spec.Name, status, asked)
+	if status.LogPosition().IsZero() && status.Term == b.term.Term && status.Role == target.RolePrimary {
+		// Nothing was ever committed in the group, so there is no record to confirm.
+		return g.confirmer.floor(ctx, b.term)
+	}
 	commit := api.Position{Term: b.term.Term, Offset: status.Received}
 	if status.Term != b.term.Term || status.Role != target.RolePrimary || status.LogTerm != b.term.Term {
 		return commit, result.Errorf(result.OutcomeUnknown, "target %s shows term %d as %s after the commit, not term %d",
@@ -426,17 +477,18 @@
 	}
 	replicationWait := time.Duration(b.req.ReplicationWaitMs) * time.Millisecond
 	decision := g.confirmer.confirm(ctx, b.term, commit, committed, replicationWait)
-	entry := logrus.WithFields(decision.Fields()).WithFields(logrus.Fields{"group": b.req.Group, "session": b.req.SessionID})
+	fields := decision.Fields()
+	fields["group"], fields["session"] = b.req.Group, b.req.SessionID
 	switch decision.Outcome {
 	case confirm.Confirmed:
-		entry.Debug("commit_confirmed")
+		telemetry.Trace("commit_confirmed", fields)
 		return commit, nil
 	case confirm.FenceOnly:
 		counters.Add("commits_fence_only", 1)
-		entry.Warn("commit_fence_only")
+		logrus.WithFields(fields).Warn("commit_fence_only")
 		return commit, nil
 	default:
-		entry.Warn("commit_unconfirmed")
+		logrus.WithFields(fields).Warn("commit_unconfirmed")
 		return commit, result.Errorf(result.OutcomeUnknown, "the commit at %s was not confirmed: %s", commit, decision.Reason)
 	}
 }
--- a/internal/gate/manager.go
+++ b/internal/gate/manager.go
@@ -35,6 +35,11 @@
 	Members func() []placement.Member
 	// Groups returns the groups of the deployment.
 	Groups func() []api.GroupSpec
+	// MayUse reports whether a workspace has a group; nil admits all.
+	MayUse func(workspace, group string) bool
+	// SlotsOf returns the largest number of slots of one target that a workspace uses at a time, 0
+	// for all; nil limits none.
+	SlotsOf func(workspace string) int
 }
 
 // Manager starts and stops the gates and observers that placement gives to this daemon.
@@ -115,7 +120,7 @@
 	m.targets[spec.Name] = group
 	m.mu.Unlock()
 	if previous != decision.Holder.Name {
-		logrus.WithFields(decision.Fields()).WithField("previous", previous).Info("target_placed")
+		logrus.WithFields(decision.Fields()).WithFields(logrus.Fields{"group": group.Name, "previous": previous}).Info("target_placed")
 	}
 }
 
@@ -141,7 +146,7 @@
 	}
 	started := New(Options{
 		Self: m.options.Self, Group: group, Spec: spec, Target: m.options.Target, Limits: m.options.Limits,
-		Observer: m.observers[group.Name], Terms: m.options.Terms,
+		Observer: m.observers[group.Name], Terms: m.options.Terms, SlotsOf: m.options.SlotsOf,
 	})
 	started.Run(m.context)
 	m.gates[spec.Name] = started
@@ -169,21 +174,33 @@
 	}
 }
 
-// handOver closes a gate once its work is done, so that its slots come to the new holder.
+// handOver closes a gate once its work is done, so that its slots come to the new holder. Idle
+// transactions get a short time, batches and their answers the time that a statement may take.
 func (m *Manager) handOver(name string, held *Gate) {
 	held.pool.shut()
-	ctx, cancel := context.WithTimeout(m.context, handoverTimeout)
-	defer cancel()
-	held.Drain(ctx)
+	m.awaitIdle(held, handoverTimeout)
+	if held.draining.Load() {
+		held.rollBack(held.transactions.abandon(func(*transaction) bool { return true }), "handed_over")
+		m.awaitIdle(held, time.Duration(m.options.Limits.StatementTimeoutMs)*time.Millisecond)
+	}
 	m.mu.Lock()
 	defer m.mu.Unlock()
 	if !held.draining.Load() {
+		held.pool.reopen()
 		return
 	}
-	delete(m.gates, name)
+	if m.gates[name] == held {
+		delete(m.gates, name)
+	}
 	held.Close()
 }
 
+func (m *Manager) awaitIdle(held *Gate, limit time.Duration) {
+	ctx, cancel := context.WithTimeout(m.context, limit)
+	defer cancel()
+	held.awaitIdle(ctx)
+}
+
 // releaseGone rolls back the transactions of daemons that are gone.
 func (m *Manager) releaseGone(members []placement.Member) {
 	live := make(map[string]bool, len(members))
@@ -246,9 +263,25 @@
 		refusal.Holder = m.Holder(req.Target)
 		return failure(refusal)
 	}
+	if refusal := m.authorize(req, held); refusal != nil {
+		return held.refuse(req, refusal)
+	}
 	return held.Execute(m.context, req)
 }
 
+// authorize checks a request against the configuration of this daemon, whatever the entry daemon
+// has checked. A transaction in progress may end.
+func (m *Manager) authorize(req *api.ExecuteRequest, held *Gate) error {
+	group := held.options.Group.Name
+	if req.Group != group {
+		return result.Errorf(result.UnknownGroup, "target %s is not of group %s", req.Target, req.Group)
+	}
+	if req.TransactionID != 0 || m.options.MayUse == nil || m.options.MayUse(req.Workspace, group) {
+		return nil
+	}
+	return result.Errorf(result.UnknownGroup, "workspace %s has no group %s", req.Workspace, group)
+}
+
 // Fetch returns a further chunk of an answer of a target that this daemon holds.
 func (m *Manager) Fetch(req *api.FetchRequest) *api.ExecuteReply {
 	held, ok := m.gate(req.Target)
--- a/internal/peer/client.go
+++ b/internal/peer/client.go
@@ -34,11 +34,11 @@
 
 // Client calls one other daemon.
 type Client struct {
-	address       string
-	configuration *tls.Config
-	dialer        *net.Dialer
-	next          atomic.Uint64
-	links         [connectionsPerPeer]link
+	address string
+	tls     func() *tls.Config
+	dialer  *net.Dialer
+	next    atomic.Uint64
+	links   [connectionsPerPeer]link
 }
 
 // link is one connection to the other daemon; it is dialled anew when it breaks.
@@ -56,10 +56,11 @@
 	broken     atomic.Bool
 }
 
-// NewClient returns a client for the daemon at address. A nil configuration leaves TLS off, and an
-// empty source leaves the address that connections come from open.
-func NewClient(address, source string, configuration *tls.Config) *Client {
-	return &Client{address: address, configuration: configuration, dialer: dialer.New(source)}
+// NewClient returns a client for the daemon at address. The TLS configuration is asked for with each
+// new connection; nil leaves TLS off. An empty source leaves the address that connections come from
+// open.
+func NewClient(address, source string, configuration func() *tls.Config) *Client {
+	return &Client{address: address, tls: configuration, dialer: dialer.New(source)}
 }
 
 // Address returns the host:port of the other daemon.
@@ -201,10 +202,10 @@
 }
 
 func (c *Client) dial(ctx context.Context) (net.Conn, error) {
-	if c.configuration == nil {
+	if c.tls == nil {
 		return c.dialer.DialContext(ctx, "tcp", c.address)
 	}
-	return (&tls.Dialer{NetDialer: c.dialer, Config: c.configuration}).DialContext(ctx, "tcp", c.address)
+	return (&tls.Dialer{NetDialer: c.dialer, Config: c.tls()}).DialContext(ctx, "tcp", c.address)
 }
 
 // watchedConn marks its connection as broken at the first failure or close.
--- a/internal/platform/client.go
+++ b/internal/platform/client.go
@@ -8,6 +8,7 @@
 import (
 	"context"
 	"crypto/tls"
+	"net"
 	"net/http"
 	"net/url"
 	"strconv"
@@ -53,8 +54,8 @@
 	// LocalAddress is the IP number that connections come from; empty leaves it open.
 	LocalAddress string
 
-	// TLS is the configuration of connections to an https URL; nil for the default.
-	TLS *tls.Config
+	// TLS gives the configuration of each new connection to an https URL; nil for the default.
+	TLS func() *tls.Config
 }
 
 // Client calls the platform. It is safe for concurrent use.
@@ -88,14 +89,20 @@
 func newTransport(options Options) *http.Transport {
 	protocols := new(http.Protocols)
 	protocols.SetHTTP1(true)
-	return &http.Transport{
-		DialContext:         dialer.New(options.LocalAddress).DialContext,
-		TLSClientConfig:     options.TLS,
+	dial := dialer.New(options.LocalAddress)
+	transport := &http.Transport{
+		DialContext:         dial.DialContext,
 		Protocols:           protocols,
 		MaxIdleConns:        maxIdleConnections,
 		MaxIdleConnsPerHost: maxIdleConnections,
 		IdleConnTimeout:     idleTimeout,
 	}
+	if options.TLS != nil {
+		transport.DialTLSContext = func(ctx context.Context, network, address string) (net.Conn, error) {
+			return (&tls.Dialer{NetDialer: dial, Config: options.TLS()}).DialContext(ctx, network, address)
+		}
+	}
+	return transport
 }
 
 // refuseRedirect keeps a change from being sent more than once.
--- a/standin/capacity/zone.go
+++ b/standin/capacity/zone.go
@@ -72,7 +72,11 @@
 		vms = append(vms, api.VM{
 			Name: settings.Name, Zone: settings.Zone, Role: api.VMRoleEntry, State: api.VMStateLive, PeerAddress: address,
 		})
-		started := daemon.New(settings, telemetry.NewRecorder(settings.Name))
+		started, err := daemon.New(settings, telemetry.NewRecorder(settings.Name))
+		if err != nil {
+			stop()
+			return nil, err
+		}
 		running.Go(func() { _ = started.Run(ctx) })
 	}
 	server.SetVMs(vms, 0)
--- a/standin/fleet/fleet.go
+++ b/standin/fleet/fleet.go
@@ -50,6 +50,8 @@
 	SpareSlots int
 	// LogLevel of the daemons; empty for info.
 	LogLevel string
+	// AdjustLoad changes what the platform starts with; nil changes nothing.
+	AdjustLoad func(load *PlatformLoad) error
 	// Adjust changes the settings of the daemons before they are written; nil changes nothing.
 	Adjust func(settings *api.Settings)
 }
@@ -97,7 +99,7 @@
 			return nil, err
 		}
 	}
-	if err := f.waitReady(ctx); err != nil {
+	if err := f.WaitReady(ctx); err != nil {
 		f.Close()
 		return nil, err
 	}
@@ -125,6 +127,11 @@
 }
 
 func (f *Fleet) composePlatform() error {
+	if f.options.AdjustLoad != nil {
+		if err := f.options.AdjustLoad(&f.Deployment.Load); err != nil {
+			return err
+		}
+	}
 	load, err := json.MarshalIndent(f.Deployment.Load, "", "  ")
 	if err != nil {
 		return err
@@ -277,8 +284,8 @@
 	return status, err
 }
 
-// waitReady waits until each daemon knows the others, and each target is held.
-func (f *Fleet) waitReady(ctx context.Context) error {
+// WaitReady waits until each daemon knows the others, and each target is held.
+func (f *Fleet) WaitReady(ctx context.Context) error {
 	ctx, cancel := context.WithTimeout(ctx, readyTimeout)
 	defer cancel()
 	for {
