--- a/internal/router/read.go
+++ b/internal/router/read.go
@@ -122,12 +122,14 @@
 	})
 }
 
-// targets describes the targets of the session's group for the policy.
+// targets describes the targets of the session's group for the policy. Sessions start at different
+// ones, because the policy keeps the order of targets that are equally good.
 func (s *session) targets() []readroute.Target {
 	group, _ := s.router.options.Gates.Group(s.info.Group)
 	current, known := s.router.options.Terms.Current(s.info.Group)
 	targets := make([]readroute.Target, 0, len(group.Targets))
-	for _, spec := range group.Targets {
+	for i := range group.Targets {
+		spec := group.Targets[(uint64(i)+s.rotation)%uint64(len(group.Targets))]
 		holder := s.router.options.Gates.Holder(spec.Name)
 		role := confirm.RoleReplica
 		if known && current.Primary == spec.Name {
--- a/internal/router/router.go
+++ b/internal/router/router.go
@@ -91,9 +91,10 @@
 		return nil, result.Errorf(result.NotRunConnectionLimit, "workspace %s uses its %d connections", info.Workspace, effective.Connections).
 			WithRetryAfter(connectionRetryAfter)
 	}
-	opened := &session{router: r, info: info}
+	number := r.opened.Add(1)
+	opened := &session{router: r, info: info, rotation: number}
 	// A session is named after its daemon, so that gates can tell whose sessions ended with it.
-	opened.id = fmt.Sprintf("%s/%x-%d", r.options.Self, r.boot, r.opened.Add(1))
+	opened.id = fmt.Sprintf("%s/%x-%d", r.options.Self, r.boot, number)
 	return opened, nil
 }
 
--- a/internal/router/session.go
+++ b/internal/router/session.go
@@ -19,6 +19,8 @@
 	info     frontend.Session
 	id       string
 	sequence uint64
+	// rotation spreads the sessions over targets of equal rank.
+	rotation uint64
 
 	// floor is the position that strict reads rely on; known once it was asked for or written.
 	floor      api.Position
