--- a/api/types.gen.go
+++ b/api/types.gen.go
@@ -73,8 +73,12 @@
 
 // ConfigRequest asks a peer for its configuration when it is newer.
 type ConfigRequest struct {
-	// Have is the revision of the asker.
+	// Have is the revision of the asker; only objects of later versions are answered.
 	Have uint64 `json:"have" toml:"have"`
+
+	// HaveVms is the revision of the VM list of the asker; an older list is not
+	// answered.
+	HaveVms uint64 `json:"have_vms" toml:"have_vms"`
 }
 
 // Counter is a named count since the start of the daemon.
@@ -635,6 +639,9 @@
 	// PlatformAuthority signs the certificate of the platform.
 	PlatformAuthority string `json:"platform_authority" toml:"platform_authority"`
 
+	// RequireCallerTLS refuses callers that start a session in the clear.
+	RequireCallerTLS bool `json:"require_caller_tls" toml:"require_caller_tls"`
+
 	// TargetAuthority signs the certificates of targets.
 	TargetAuthority string `json:"target_authority" toml:"target_authority"`
 }
--- a/internal/router/read.go
+++ b/internal/router/read.go
@@ -9,6 +9,7 @@
 	"github.com/papayacove/papayacove/internal/policy/confirm"
 	"github.com/papayacove/papayacove/internal/policy/readroute"
 	"github.com/papayacove/papayacove/internal/result"
+	"github.com/papayacove/papayacove/internal/telemetry"
 	"github.com/sirupsen/logrus"
 )
 
@@ -27,7 +28,7 @@
 		if failed.Code == result.NotRunReadOnly {
 			return s.runWrite(ctx, batch, emit)
 		}
-		if !mayRepeat(failed.Code) && failed.Code != result.NotRunBehind || time.Now().Add(backoff).After(giveUp) {
+		if !s.mayRepeat(failed.Code) && failed.Code != result.NotRunBehind || time.Now().Add(backoff).After(giveUp) {
 			counters.Add("reads_"+failed.Code.String(), 1)
 			return idle, withRetryAfter(failed)
 		}
@@ -127,6 +128,7 @@
 func (s *session) targets() []readroute.Target {
 	group, _ := s.router.options.Gates.Group(s.info.Group)
 	current, known := s.router.options.Terms.Current(s.info.Group)
+	effective, _ := s.router.options.Workspaces.Workspace(s.info.Workspace)
 	targets := make([]readroute.Target, 0, len(group.Targets))
 	for i := range group.Targets {
 		spec := group.Targets[(uint64(i)+s.rotation)%uint64(len(group.Targets))]
@@ -134,6 +136,8 @@
 		role := confirm.RoleReplica
 		if known && current.Primary == spec.Name {
 			role = confirm.RolePrimary
+		} else if !effective.ReadsIn(spec.Zone) {
+			continue
 		}
 		targets = append(targets, readroute.Target{
 			Name: spec.Name, Zone: spec.Zone, Role: role, Holder: holder,
@@ -148,7 +152,7 @@
 		logrus.WithFields(decision.Fields()).WithFields(logrus.Fields{"session": s.id, "group": s.info.Group}).Info("read_not_served")
 		return
 	}
-	if logrus.IsLevelEnabled(logrus.DebugLevel) {
-		logrus.WithFields(decision.Fields()).WithFields(logrus.Fields{"session": s.id, "group": s.info.Group}).Debug("read_routed")
-	}
+	fields := decision.Fields()
+	fields["session"], fields["group"], fields["workspace"] = s.id, s.info.Group, s.info.Workspace
+	telemetry.Trace("read_routed", fields)
 }
--- a/internal/target/dial.go
+++ b/internal/target/dial.go
@@ -22,8 +22,9 @@
 	Database string
 	// ApplicationName is shown in the session lists of the target; empty is left out.
 	ApplicationName string
-	// TLS asks for an encrypted connection; nil connects in the clear.
-	TLS *tls.Config
+	// TLS asks for an encrypted connection and gives its configuration, anew for each connection;
+	// nil connects in the clear.
+	TLS func() *tls.Config
 	// DialTimeout bounds connection set-up up to and including authentication; 0 takes 2 s.
 	DialTimeout time.Duration
 	// LocalAddress is the IP number that connections come from; empty leaves it open.
@@ -69,7 +70,7 @@
 	}
 	release := bindDeadline(ctx, conn)
 	defer release()
-	encrypted, err := startTLS(ctx, conn, address, options.TLS)
+	encrypted, err := startTLS(ctx, conn, address, options.TLS())
 	if err != nil {
 		conn.Close()
 		return nil, err
--- a/internal/workspace/catalog.go
+++ b/internal/workspace/catalog.go
@@ -99,6 +99,14 @@
 	return c.current.Load().snapshot()
 }
 
+// Since returns the newest objects of versions after a revision, ordered by version. A catalog that
+// is complete up to the revision lacks no others.
+func (c *Catalog) Since(revision uint64) []api.Object {
+	objects := c.Snapshot()
+	first := sort.Search(len(objects), func(i int) bool { return objects[i].Version > revision })
+	return objects[first:]
+}
+
 // Statuses returns the objects whose newest version is not in force, ordered by kind and name.
 func (c *Catalog) Statuses() []Status {
 	return c.current.Load().listStatuses()
@@ -113,6 +121,18 @@
 	return *entry.inForce, true
 }
 
+// MayUse reports whether a workspace in force has a group.
+func (c *Catalog) MayUse(workspace, group string) bool {
+	effective, found := c.Workspace(workspace)
+	return found && effective.HasGroup(group)
+}
+
+// SlotsOf returns the largest number of slots of one target that a workspace uses at a time; 0 for all.
+func (c *Catalog) SlotsOf(workspace string) int {
+	effective, _ := c.Workspace(workspace)
+	return effective.Slots
+}
+
 // Workspaces returns the configurations in force, ordered by name.
 func (c *Catalog) Workspaces() []Effective {
 	var list []Effective
