--- a/internal/router/session.go
+++ b/internal/router/session.go
@@ -10,6 +10,7 @@
 	"github.com/papayacove/papayacove/internal/invariant"
 	"github.com/papayacove/papayacove/internal/peer"
 	"github.com/papayacove/papayacove/internal/result"
+	"github.com/papayacove/papayacove/internal/telemetry"
 	"github.com/sirupsen/logrus"
 )
 
@@ -46,6 +47,23 @@
 
 // Run executes a batch; see frontend.SessionRunner.
 func (s *session) Run(ctx context.Context, batch *frontend.Batch, emit func([]byte) error) (frontend.Outcome, error) {
+	began := time.Now()
+	outcome, err := s.run(ctx, batch, emit)
+	key := telemetry.LatencyKey{Workspace: s.info.Workspace, Group: s.info.Group, Decision: decisionOf(batch)}
+	now := time.Now()
+	telemetry.StatementLatencies.Record(key, now.Sub(began), now)
+	return outcome, err
+}
+
+// decisionOf names what was decided about a batch.
+func decisionOf(batch *frontend.Batch) string {
+	if batch.InTransaction {
+		return "transaction"
+	}
+	return string(batch.Access)
+}
+
+func (s *session) run(ctx context.Context, batch *frontend.Batch, emit func([]byte) error) (frontend.Outcome, error) {
 	s.sequence++
 	effective, ok := s.router.options.Workspaces.Workspace(s.info.Workspace)
 	if ok && effective.StatementTimeout > 0 {
--- a/standin/security/secrets_test.go
+++ b/standin/security/secrets_test.go
@@ -90,3 +90,16 @@
 	}
 	return texts
 }
+
+// TestLatencyNamesEachWorkspace reads the percentiles that operators see.
+func TestLatencyNamesEachWorkspace(t *testing.T) {
+	for _, workspace := range []string{"kelani", "north"} {
+		mustExec(t, connect(t, daemon(0), workspace), "SELECT 1")
+	}
+	page := strings.Join(readPages(t), "")
+	for _, workspace := range []string{"kelani", "north"} {
+		if !strings.Contains(page, `"workspace":"`+workspace+`","group":"`+group+`","decision":"read"`) {
+			t.Errorf("no percentiles of reads of %s", workspace)
+		}
+	}
+}
