peer: a call that the other end refuses counts as not sent; orders to targets are refused to callers

Cause: with TLS 1.3 the client's handshake ends before the server has judged its certificate, so a first call that was refused came back as sent without an answer, and a write as outcome unknown though nothing ran. A new connection is now confirmed by a ping first. Tests: peer (ErrNotSent), security (orders); both failed before.

--- a/internal/frontend/classify.go
+++ b/internal/frontend/classify.go
@@ -281,6 +281,9 @@
 	if scan.namesLedger {
 		return "the table of operation keys belongs to papayacove; use SELECT papayacove_outcome('key')"
 	}
+	if scan.ordersTarget {
+		return "orders to a target are given by the failover only"
+	}
 	if scan.escapesName {
 		return "names with Unicode escapes are not supported"
 	}
--- a/internal/frontend/scan.go
+++ b/internal/frontend/scan.go
@@ -35,6 +35,8 @@
 	// writes a name with Unicode escapes, which could hide one.
 	namesLedger bool
 	escapesName bool
+	// ordersTarget is true for a call of a function that only the failover may use.
+	ordersTarget bool
 	// localConfigCalls counts calls of set_config whose last argument is true.
 	localConfigCalls int
 	depth            int
@@ -80,6 +82,13 @@
 	"lastval":                     true,
 }
 
+// targetOrders are the functions by which the failover directs a target.
+var targetOrders = map[string]bool{
+	"target_fence":   true,
+	"target_promote": true,
+	"target_follow":  true,
+}
+
 // scanStatement reads the tokens up to the next semicolon or the end of the text.
 func scanStatement(t *tokenizer) *statementScan {
 	scan := &statementScan{tokens: make([]token, 0, expectedTokens)}
@@ -204,6 +213,9 @@
 	if sessionFunctions[name] {
 		s.sessionFunction = name
 	}
+	if targetOrders[name] {
+		s.ordersTarget = true
+	}
 	if name == "set_config" {
 		s.setConfigCalls++
 		s.setConfigDepth = s.depth
--- a/internal/peer/client.go
+++ b/internal/peer/client.go
@@ -197,10 +197,28 @@
 	opened := &connection{}
 	opened.lastAnswer.Store(time.Now().UnixNano())
 	opened.client = rpc.NewClient(&watchedConn{Conn: raw, broken: &opened.broken})
+	if c.tls != nil {
+		if err := opened.confirm(ctx); err != nil {
+			_ = opened.client.Close()
+			return nil, err
+		}
+	}
 	l.connection = opened
 	return opened, nil
 }
 
+// confirm waits for an answer on a new connection. With TLS 1.3 the handshake of the client ends
+// before the server has judged its certificate; a call that is refused then would count as sent.
+func (n *connection) confirm(ctx context.Context) error {
+	ping := n.client.Go(serviceName+".Ping", &api.Acknowledgement{}, &api.Acknowledgement{}, make(chan *rpc.Call, 1))
+	select {
+	case done := <-ping.Done:
+		return done.Error
+	case <-ctx.Done():
+		return ctx.Err()
+	}
+}
+
 func (c *Client) dial(ctx context.Context) (net.Conn, error) {
 	if c.tls == nil {
 		return c.dialer.DialContext(ctx, "tcp", c.address)
--- a/internal/peer/tls_test.go
+++ b/internal/peer/tls_test.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"crypto/tls"
+	"errors"
 	"io"
 	"path/filepath"
 	"strings"
@@ -71,6 +72,8 @@
 	for name, configuration := range refused {
 		if err := call(configuration); err == nil {
 			t.Errorf("%s: the call got through", name)
+		} else if configuration != nil && !errors.Is(err, peer.ErrNotSent) {
+			t.Errorf("%s: %v, want %v", name, err, peer.ErrNotSent)
 		}
 	}
 	if handler.calls != 0 {
--- a/standin/security/isolation_test.go
+++ b/standin/security/isolation_test.go
@@ -108,3 +108,19 @@
 	}
 	wantCode(t, err, result.UnknownGroup)
 }
+
+// TestCallersGiveNoOrders asks for what only the failover may do.
+func TestCallersGiveNoOrders(t *testing.T) {
+	conn := connect(t, daemon(0), "kelani")
+	before := mustQuery(t, conn, "SHOW papayacove.position")
+	for _, order := range []string{
+		"SELECT * FROM target_fence(900)", "SELECT * FROM target_promote(900)",
+		"SELECT * FROM target_follow(900, '127.0.0.1:1')", `SELECT * FROM "target_fence"(900)`,
+	} {
+		_, err := conn.Exec(testContext(t), order, pgx.QueryExecModeSimpleProtocol)
+		wantCode(t, err, result.Unsupported)
+	}
+	if after := mustQuery(t, conn, "SHOW papayacove.position"); after != before {
+		t.Errorf("position %s became %s", before, after)
+	}
+}
