--- a/internal/failover/controller.go
+++ b/internal/failover/controller.go
@@ -43,6 +43,7 @@
 	stoppedAt  time.Time
 	resumedAt  time.Time
 	busy       int
+	control    control
 	repairedAt time.Time
 	lastReason promotion.TriggerReason
 }
@@ -54,8 +55,12 @@
 	}
 }
 
+// run decides until ctx ends or the group is no longer observed.
 func (c *controller) run(ctx context.Context) {
 	for ctx.Err() == nil {
+		if _, observed := c.options.Observer(c.group.Name); !observed {
+			return
+		}
 		changed := c.step(ctx)
 		timer := time.NewTimer(decideInterval)
 		select {
@@ -76,7 +81,7 @@
 	all, changed := watching.All()
 	c.noteTerm()
 	c.suspect(watching.Latest(c.term.Primary))
-	if !c.isController() {
+	if !c.control.isHeld(c.options, c.group.Name) {
 		return changed
 	}
 	state := c.state(ctx, all)
@@ -87,14 +92,24 @@
 		c.promote(ctx, decision)
 	case promotion.ActionStopAdmission:
 		c.setAdmission(ctx, true)
+	case promotion.ActionNone:
+		c.hold(ctx, all, decision)
 	case promotion.ActionResumeAdmission:
 		c.setAdmission(ctx, false)
-	default:
-		c.repair(ctx, all)
 	}
 	return changed
 }
 
+// hold leaves the group as it is. Around a switchover it asks the gate again what is in progress
+// there, which also keeps admission stopped.
+func (c *controller) hold(ctx context.Context, all []observer.Observation, decision promotion.TriggerDecision) {
+	if decision.Reason == promotion.TriggerCatchUp {
+		c.setAdmission(ctx, true)
+		return
+	}
+	c.repair(ctx, all)
+}
+
 // noteTerm follows the newest term and starts anew when it changes.
 func (c *controller) noteTerm() {
 	current, _ := c.options.Terms.Current(c.group.Name)
@@ -134,19 +149,6 @@
 	}
 }
 
-func (c *controller) isController() bool {
-	var daemons []promotion.Controller
-	for _, member := range c.options.Daemons.Members() {
-		reaches := c.options.Daemons.ReachesPlatform(member.Name)
-		if member.Name == c.options.Self {
-			reaches = c.options.PlatformReached()
-		}
-		daemons = append(daemons, promotion.Controller{Member: member, PlatformReached: reaches})
-	}
-	first, ok := promotion.ControllerOf(c.group.Name, daemons)
-	return ok && first == c.options.Self
-}
-
 // state gathers what the decision is based on.
 func (c *controller) state(ctx context.Context, all []observer.Observation) promotion.GroupState {
 	state := promotion.GroupState{
--- a/internal/gate/classify.go
+++ b/internal/gate/classify.go
@@ -15,6 +15,9 @@
 	if errors.Is(ctx.Err(), context.DeadlineExceeded) {
 		cause = "the time limit passed: " + cause
 	}
+	if isReplaced(ctx) {
+		cause = errReplaced.Error() + ": " + cause
+	}
 	switch {
 	case b.req.Access == api.ExecuteRequestAccessRead && b.shipped:
 		return result.Errorf(result.AnswerInterrupted, "target %s: %s", name, cause)
@@ -29,7 +32,7 @@
 
 // mayCommit reports whether a batch within a transaction may end it.
 func (b *batch) mayCommit() bool {
-	if b.plan.isPipelineEnd || commitPattern.Match(b.req.Messages) {
+	if b.inPipeline || commitPattern.Match(b.req.Messages) {
 		return true
 	}
 	for _, statement := range b.req.Prepared {
--- a/internal/gate/slot.go
+++ b/internal/gate/slot.go
@@ -22,6 +22,8 @@
 	workspace string
 	lastUsed  time.Time
 	broken    bool
+	// cancelled is true once a cancel request was sent; it is guarded by the gate.
+	cancelled bool
 	prepared  map[string]struct{}
 	applied   map[string]string
 }
@@ -74,6 +76,13 @@
 	}
 }
 
+// endInterrupt ends the deadline of an interrupted batch. The cancel request may still be on its
+// way, so that the connection serves no other session.
+func (s *slot) endInterrupt() {
+	_ = s.connection.Conn.SetReadDeadline(time.Time{})
+	s.broken = true
+}
+
 func (s *slot) close() {
 	_ = s.connection.Close()
 }
