--- a/internal/gate/pool.go
+++ b/internal/gate/pool.go
@@ -7,6 +7,7 @@
 	"time"
 
 	"github.com/papayacove/papayacove/api"
+	"github.com/papayacove/papayacove/internal/invariant"
 	"github.com/papayacove/papayacove/internal/result"
 	"github.com/papayacove/papayacove/internal/target"
 	"github.com/sirupsen/logrus"
@@ -87,6 +88,7 @@
 	}
 	if p.open < p.spec.Slots {
 		p.open++
+		p.checkOpen()
 		return nil, true, nil
 	}
 	return nil, false, p.freed
@@ -127,10 +129,19 @@
 func (p *pool) undial() {
 	p.mu.Lock()
 	p.open--
+	p.checkOpen()
 	p.wake()
 	p.mu.Unlock()
 }
 
+// checkOpen asserts that the count of connections stays within the slots; a count that is too low
+// would open too many. The caller holds the lock.
+func (p *pool) checkOpen() {
+	invariant.Check(p.open >= len(p.idle) && p.open <= p.spec.Slots, "connections_within_slots", logrus.Fields{
+		"target": p.spec.Name, "open": p.open, "idle": len(p.idle), "slots": p.spec.Slots,
+	})
+}
+
 // wake tells waiters that a connection was freed. The caller holds the lock.
 func (p *pool) wake() {
 	close(p.freed)
--- /dev/null
+++ b/internal/peer/peer_test.go
@@ -0,0 +1,183 @@
+package peer
+
+import (
+	"context"
+	"errors"
+	"net"
+	"testing"
+	"time"
+
+	"github.com/papayacove/papayacove/api"
+)
+
+// eventually is the longest that a test waits for something to happen.
+const eventually = 10 * time.Second
+
+// fakeDaemon answers Execute with the sequence number, after holding it while hold is open.
+type fakeDaemon struct {
+	Handler
+	hold chan struct{}
+}
+
+func (f *fakeDaemon) Execute(req *api.ExecuteRequest) *api.ExecuteReply {
+	if f.hold != nil {
+		<-f.hold
+	}
+	return &api.ExecuteReply{StreamID: req.Sequence, Chunk: req.Messages}
+}
+
+func (f *fakeDaemon) Floor(*api.FloorRequest) *api.FloorReply {
+	return &api.FloorReply{Position: api.Position{Term: 2, Offset: 7}}
+}
+
+func testContext(t *testing.T) context.Context {
+	t.Helper()
+	ctx, cancel := context.WithTimeout(context.Background(), eventually)
+	t.Cleanup(cancel)
+	return ctx
+}
+
+func serve(t *testing.T, handler Handler) *Server {
+	t.Helper()
+	server, err := Listen("127.0.0.1:0", nil, handler)
+	if err != nil {
+		t.Fatal(err)
+	}
+	go func() { _ = server.Run(context.Background()) }()
+	t.Cleanup(server.Close)
+	return server
+}
+
+func dial(t *testing.T, address string) *Client {
+	t.Helper()
+	client := NewClient(address, "", nil)
+	t.Cleanup(client.Close)
+	return client
+}
+
+func TestCallsReachTheHandler(t *testing.T) {
+	client := dial(t, serve(t, &fakeDaemon{}).Address())
+	for sequence := uint64(1); sequence <= 20; sequence++ {
+		reply, err := client.Execute(testContext(t), &api.ExecuteRequest{Sequence: sequence, Messages: []byte("m")})
+		if err != nil || reply.StreamID != sequence || string(reply.Chunk) != "m" {
+			t.Fatalf("%+v, %v", reply, err)
+		}
+	}
+	floor, err := client.Floor(testContext(t), &api.FloorRequest{})
+	if err != nil || floor.Position.Offset != 7 {
+		t.Fatalf("%+v, %v", floor, err)
+	}
+}
+
+func TestCallWithoutListenerIsNotSent(t *testing.T) {
+	listener, err := net.Listen("tcp", "127.0.0.1:0")
+	if err != nil {
+		t.Fatal(err)
+	}
+	address := listener.Addr().String()
+	_ = listener.Close()
+	_, err = dial(t, address).Execute(testContext(t), &api.ExecuteRequest{})
+	if !errors.Is(err, ErrNotSent) || errors.Is(err, ErrNoAnswer) {
+		t.Fatal(err)
+	}
+}
+
+func TestLostConnectionIsNoAnswer(t *testing.T) {
+	held := &fakeDaemon{hold: make(chan struct{})}
+	server := serve(t, held)
+	defer close(held.hold)
+	failed := make(chan error)
+	client := dial(t, server.Address())
+	go func() {
+		_, err := client.Execute(context.Background(), &api.ExecuteRequest{})
+		failed <- err
+	}()
+	for deadline := time.Now().Add(eventually); client.pending() == 0; time.Sleep(time.Millisecond) {
+		if time.Now().After(deadline) {
+			t.Fatal("the call was never sent")
+		}
+	}
+	server.Close()
+	if err := <-failed; !errors.Is(err, ErrNoAnswer) || errors.Is(err, ErrNotSent) {
+		t.Fatal(err)
+	}
+}
+
+// pending returns the number of calls that wait for an answer.
+func (c *Client) pending() int64 {
+	total := int64(0)
+	for i := range c.links {
+		c.links[i].mu.Lock()
+		if current := c.links[i].connection; current != nil {
+			total += current.pending.Load()
+		}
+		c.links[i].mu.Unlock()
+	}
+	return total
+}
+
+func TestDeadlineIsNoAnswer(t *testing.T) {
+	held := &fakeDaemon{hold: make(chan struct{})}
+	server := serve(t, held)
+	defer close(held.hold)
+	ctx, cancel := context.WithTimeout(context.Background(), 50*time.Millisecond)
+	defer cancel()
+	_, err := dial(t, server.Address()).Execute(ctx, &api.ExecuteRequest{})
+	if !errors.Is(err, ErrNoAnswer) || !errors.Is(err, context.DeadlineExceeded) {
+		t.Fatal(err)
+	}
+}
+
+// TestSlowAnswerKeepsItsConnection holds an answer for longer than a probe takes.
+func TestSlowAnswerKeepsItsConnection(t *testing.T) {
+	held := &fakeDaemon{hold: make(chan struct{})}
+	client := dial(t, serve(t, held).Address())
+	time.AfterFunc(2*(probeAfter+probeTimeout), func() { close(held.hold) })
+	if _, err := client.Execute(testContext(t), &api.ExecuteRequest{}); err != nil {
+		t.Fatal(err)
+	}
+}
+
+// TestSilentConnectionIsClosed takes calls and never answers, as a path does that lost its state.
+func TestSilentConnectionIsClosed(t *testing.T) {
+	listener, err := net.Listen("tcp", "127.0.0.1:0")
+	if err != nil {
+		t.Fatal(err)
+	}
+	defer listener.Close()
+	go func() {
+		for {
+			if _, err := listener.Accept(); err != nil {
+				return
+			}
+		}
+	}()
+	_, err = dial(t, listener.Addr().String()).Execute(testContext(t), &api.ExecuteRequest{})
+	if !errors.Is(err, ErrNoAnswer) || errors.Is(err, context.DeadlineExceeded) {
+		t.Fatalf("the connection was not given up: %v", err)
+	}
+}
+
+func TestNewConnectionAfterALostOne(t *testing.T) {
+	first := serve(t, &fakeDaemon{})
+	address := first.Address()
+	client := dial(t, address)
+	if _, err := client.Execute(testContext(t), &api.ExecuteRequest{}); err != nil {
+		t.Fatal(err)
+	}
+	first.Close()
+	second, err := Listen(address, nil, &fakeDaemon{})
+	if err != nil {
+		t.Fatal(err)
+	}
+	defer second.Close()
+	go func() { _ = second.Run(context.Background()) }()
+	for deadline := time.Now().Add(eventually); ; {
+		if _, err := client.Execute(testContext(t), &api.ExecuteRequest{}); err == nil {
+			return
+		}
+		if time.Now().After(deadline) {
+			t.Fatal("the client never dials anew")
+		}
+	}
+}
--- a/internal/router/session.go
+++ b/internal/router/session.go
@@ -156,10 +156,14 @@
 		return idle, false, callError(daemon, req.Access, err)
 	}
 	emitted := false
+	stream := reply.StreamID
 	for number := uint64(1); ; number++ {
 		if reply.Code != 0 {
 			return idle, emitted, replyError(reply)
 		}
+		if !s.belongs(reply, stream) {
+			return idle, emitted, result.Errorf(result.AnswerInterrupted, "daemon %s sent a part of another answer", daemon)
+		}
 		if err := emit(reply.Chunk); err != nil {
 			return idle, true, result.Errorf(result.AnswerInterrupted, "caller: %v", err)
 		}
@@ -174,6 +178,13 @@
 	}
 }
 
+// belongs reports whether a part is of the answer that is being fetched; the last one has no number.
+func (s *session) belongs(reply *api.ExecuteReply, stream uint64) bool {
+	return invariant.Check(reply.StreamID == 0 || reply.StreamID == stream, "part_of_its_answer", logrus.Fields{
+		"session": s.id, "stream": stream, "received": reply.StreamID,
+	})
+}
+
 // settle takes in the last part of an answer.
 func (s *session) settle(daemon string, req *api.ExecuteRequest, reply *api.ExecuteReply) frontend.Outcome {
 	if !reply.Position.IsZero() {
