--- a/standin/bench/part.go
+++ b/standin/bench/part.go
@@ -30,7 +30,12 @@
 
 var parts = []part{
 	{"paths", measurePaths},
+	{"memory", measureMemory},
 	{"failover", measureFailover},
+	{"gates", measureGates},
+	{"reads", measureReads},
+	{"overload", measureOverload},
+	{"lease", measureLease},
 }
 
 // Names returns the names of the parts in the order in which they run.
