--- a/standin/security/isolation_test.go
+++ b/standin/security/isolation_test.go
@@ -124,3 +124,20 @@
 		t.Errorf("position %s became %s", before, after)
 	}
 }
+
+// TestWorkspacesPrepareTheSameText lets sessions of both workspaces use one statement in turn, which
+// has one name on the target connections that they share.
+func TestWorkspacesPrepareTheSameText(t *testing.T) {
+	kelani, north := connect(t, daemon(0), "kelani"), connect(t, daemon(1), "north")
+	mustExec(t, kelani, "CREATE TABLE prepared_rows (id int PRIMARY KEY, v int)")
+	mustExec(t, kelani, "INSERT INTO prepared_rows VALUES (1, 0)")
+	const rounds = 20
+	for range rounds {
+		for _, conn := range []*pgx.Conn{kelani, north} {
+			mustExec(t, conn, "UPDATE prepared_rows SET v = v + $1 WHERE id = $2", 1, 1)
+		}
+	}
+	if got := mustQuery(t, north, "SELECT v::text FROM prepared_rows"); got != fmt.Sprint(2*rounds) {
+		t.Errorf("%s updates, want %d", got, 2*rounds)
+	}
+}
