Give no new work to a target that the platform lists as leaving

Cause: gates looked only at what the target says of itself; the platform's VM list reached the failover alone. Ruled out: asking the list for each statement by a scan (1,800 targets); leaving names are kept in a set. Change: gates refuse reads on a listed target with 2012; the soak run lists targets as leaving. Conclusion: a leaving primary is switched over by the failover, as before.

--- a/internal/daemon/configuration.go
+++ b/internal/daemon/configuration.go
@@ -124,8 +124,9 @@
 
 // vmTable keeps the newest VM list.
 type vmTable struct {
-	mu   sync.RWMutex
-	list api.VMList
+	mu      sync.RWMutex
+	list    api.VMList
+	leaving map[string]bool
 }
 
 // set takes in a list and reports whether it is newer.
@@ -136,6 +137,12 @@
 		return false
 	}
 	t.list = list
+	t.leaving = make(map[string]bool)
+	for _, vm := range list.Vms {
+		if vm.State == api.VMStateLeaving {
+			t.leaving[vm.Name] = true
+		}
+	}
 	return true
 }
 
@@ -161,10 +168,7 @@
 
 // isLeaving reports whether a VM is listed as leaving.
 func (t *vmTable) isLeaving(name string) bool {
-	for _, vm := range t.get().Vms {
-		if vm.Name == name {
-			return vm.State == api.VMStateLeaving
-		}
-	}
-	return false
+	t.mu.RLock()
+	defer t.mu.RUnlock()
+	return t.leaving[name]
 }
--- a/internal/daemon/daemon.go
+++ b/internal/daemon/daemon.go
@@ -74,6 +74,7 @@
 	d.gates = gate.NewManager(gate.ManagerOptions{
 		Self: settings.Name, Target: account, Limits: settings.Limits, Terms: d.terms,
 		Members: d.members.Members, Groups: d.catalog.Groups, MayUse: d.catalog.MayUse, SlotsOf: d.catalog.SlotsOf,
+		IsLeaving: d.vms.isLeaving,
 	})
 	d.failover = failover.NewManager(failover.Options{
 		Self: settings.Name, Target: account, Groups: d.catalog.Groups, Observer: d.gates.Observer, Holder: d.gates.Holder,
--- a/internal/gate/gate.go
+++ b/internal/gate/gate.go
@@ -45,6 +45,8 @@
 	Observer *observer.Observer
 	// Terms tells the newest term.
 	Terms *terms.Table
+	// IsLeaving reports whether the platform lists a target's VM as leaving; nil for none.
+	IsLeaving func(target string) bool
 	// SlotsOf returns the largest number of slots that a workspace uses at a time, 0 for all; nil
 	// limits none.
 	SlotsOf func(workspace string) int
@@ -424,10 +426,15 @@
 		WithRetryAfter(admission.RetryAfter)
 }
 
+// isListedLeaving reports whether the platform lists the target's VM as leaving.
+func (g *Gate) isListedLeaving() bool {
+	return g.options.IsLeaving != nil && g.options.IsLeaving(g.options.Spec.Name)
+}
+
 // checkReplica refuses reads on a replica that is leaving, too old, or too far behind to wait for.
 func (g *Gate) checkReplica(ctx context.Context, b *batch) error {
 	seen := g.options.Observer.Latest(g.options.Spec.Name)
-	if seen.Status.Leaving {
+	if seen.Status.Leaving || g.isListedLeaving() {
 		return result.Errorf(result.NotRunTargetLeaving, "target %s is leaving", g.options.Spec.Name)
 	}
 	applied := seen.Status.AppliedPosition()
--- a/internal/gate/manager.go
+++ b/internal/gate/manager.go
@@ -31,6 +31,8 @@
 	Limits api.LimitSettings
 	// Terms tells the newest terms.
 	Terms *terms.Table
+	// IsLeaving reports whether the platform lists a target's VM as leaving; nil for none.
+	IsLeaving func(target string) bool
 	// Members returns the live daemons.
 	Members func() []placement.Member
 	// Groups returns the groups of the deployment.
@@ -146,7 +148,7 @@
 	}
 	started := New(Options{
 		Self: m.options.Self, Group: group, Spec: spec, Target: m.options.Target, Limits: m.options.Limits,
-		Observer: m.observers[group.Name], Terms: m.options.Terms, SlotsOf: m.options.SlotsOf,
+		Observer: m.observers[group.Name], Terms: m.options.Terms, SlotsOf: m.options.SlotsOf, IsLeaving: m.options.IsLeaving,
 	})
 	started.Run(m.context)
 	m.gates[spec.Name] = started
--- a/standin/soak/faults.go
+++ b/standin/soak/faults.go
@@ -28,6 +28,7 @@
 	{"replica_behind", lagReplica},
 	{"target_connections_silent", silenceTarget},
 	{"target_leaving", leaveTarget},
+	{"target_listed_as_leaving", listLeaving},
 	{"daemon_killed", killDaemon},
 	{"daemon_frozen", freezeDaemon},
 	{"daemon_stopped", stopDaemon},
@@ -123,6 +124,22 @@
 	return name, func() { _ = f.Post(f.TargetAdmin(name), "/knobs", knobs{"leaving": false}) }
 }
 
+// listLeaving makes the platform list the VM of a target as leaving.
+func listLeaving(f *fleet.Fleet, random *rand.Rand) (string, func()) {
+	name := anyTarget(f, random)
+	list := func(state api.VMState) {
+		vms := append([]api.VM(nil), f.Deployment.Load.VMs...)
+		for i := range vms {
+			if vms[i].Name == name {
+				vms[i].State = state
+			}
+		}
+		_ = f.Post(f.PlatformAdmin(), "/vms", knobs{"vms": vms, "lag_ms": 0})
+	}
+	list(api.VMStateLeaving)
+	return name, func() { list(api.VMStateLive) }
+}
+
 func killDaemon(f *fleet.Fleet, random *rand.Rand) (string, func()) {
 	name := anyDaemon(f, random)
 	f.Daemons[name].Kill()
