--- a/internal/daemon/spread_test.go
+++ b/internal/daemon/spread_test.go
@@ -50,7 +50,11 @@
 		vms = append(vms, api.VM{
 			Name: settings.Name, Zone: settings.Zone, Role: api.VMRoleEntry, State: api.VMStateLive, PeerAddress: settings.PeerAddress,
 		})
-		daemons = append(daemons, runningDaemon{Daemon: New(settings, telemetry.NewRecorder(settings.Name))})
+		composed, err := New(settings, telemetry.NewRecorder(settings.Name))
+		if err != nil {
+			t.Fatal(err)
+		}
+		daemons = append(daemons, runningDaemon{Daemon: composed})
 	}
 	server.SetVMs(vms, 0)
 	for i := range daemons {
--- a/internal/gate/batch.go
+++ b/internal/gate/batch.go
@@ -14,6 +14,7 @@
 	"github.com/papayacove/papayacove/internal/policy/readroute"
 	"github.com/papayacove/papayacove/internal/result"
 	"github.com/papayacove/papayacove/internal/target"
+	"github.com/papayacove/papayacove/internal/telemetry"
 	"github.com/sirupsen/logrus"
 )
 
@@ -172,39 +173,6 @@
 	return b.slot.connection.Flush()
 }
 
-// readPrefix reads the answers to what the gate sent before the batch.
-func (b *batch) readPrefix() error {
-	if b.plan.settings != nil {
-		if err := b.readSettings(); err != nil {
-			return err
-		}
-	}
-	return nil
-}
-
-// readSettings reads the answer to the query that sets the session state.
-func (b *batch) readSettings() error {
-	var refusal error
-	for {
-		kind, body, err := b.slot.connection.ReadRaw()
-		if err != nil {
-			return err
-		}
-		switch kind {
-		case messageErrorResponse:
-			_, message := sqlState(body)
-			refusal = result.Errorf(result.Unsupported, "the target refuses a setting of the session: %s", message)
-		case messageReadyForQuery:
-			if refusal != nil {
-				b.slot.broken = true
-				return refusal
-			}
-			b.slot.applied = b.plan.settings
-			return nil
-		}
-	}
-}
-
 // readStatus reads the answer to a status query.
 func (b *batch) readStatus() error {
 	var parsed error = result.Errorf(result.OutcomeUnknown, "target %s gave no status", b.gate.options.Spec.Name)
@@ -415,40 +383,6 @@
 	return failure(failed)
 }
 
-func (b *batch) classify(ctx context.Context, err error) *result.Error {
-	name := b.gate.options.Spec.Name
-	cause := err.Error()
-	if errors.Is(ctx.Err(), context.DeadlineExceeded) {
-		cause = "the time limit passed: " + cause
-	}
-	if isReplaced(ctx) {
-		cause = errReplaced.Error() + ": " + cause
-	}
-	switch {
-	case b.req.Access == api.ExecuteRequestAccessRead && b.shipped:
-		return result.Errorf(result.AnswerInterrupted, "target %s: %s", name, cause)
-	case b.req.Access == api.ExecuteRequestAccessRead && !b.pinned:
-		return result.Errorf(result.NotRunUnreachable, "target %s: %s", name, cause)
-	case b.pinned && !b.mayCommit():
-		return result.Errorf(result.TransactionLost, "target %s: %s", name, cause)
-	default:
-		return result.Errorf(result.OutcomeUnknown, "target %s: %s", name, cause)
-	}
-}
-
-// mayCommit reports whether a batch within a transaction may end it.
-func (b *batch) mayCommit() bool {
-	if b.inPipeline || commitPattern.Match(b.req.Messages) {
-		return true
-	}
-	for _, statement := range b.req.Prepared {
-		if commitPattern.MatchString(statement.Query) {
-			return true
-		}
-	}
-	return false
-}
-
 // giveBack returns the connection to the pool, or keeps it for the transaction.
 func (b *batch) giveBack(transactionStatus byte, err error) {
 	session := b.req.SessionID
@@ -495,11 +429,8 @@
 
 func (b *batch) log(reply *api.ExecuteReply, role string) {
 	counters.Add("batches_"+role, 1)
-	if !logrus.IsLevelEnabled(logrus.DebugLevel) {
-		return
-	}
-	logrus.WithFields(logrus.Fields{
+	telemetry.Trace("batch_ran", logrus.Fields{
 		"group": b.req.Group, "target": b.req.Target, "session": b.req.SessionID, "access": b.req.Access,
-		"role": role, "position": reply.Position.String(), "age_ms": reply.AgeMs, "duration": time.Since(b.asked),
-	}).Debug("batch_ran")
+		"role": role, "position": reply.Position, "age_ms": reply.AgeMs, "duration": time.Since(b.asked),
+	})
 }
--- a/internal/gate/gate.go
+++ b/internal/gate/gate.go
@@ -14,6 +14,7 @@
 	"github.com/papayacove/papayacove/internal/policy/readroute"
 	"github.com/papayacove/papayacove/internal/result"
 	"github.com/papayacove/papayacove/internal/target"
+	"github.com/papayacove/papayacove/internal/telemetry"
 	"github.com/papayacove/papayacove/internal/terms"
 	"github.com/sirupsen/logrus"
 )
@@ -44,6 +45,9 @@
 	Observer *observer.Observer
 	// Terms tells the newest term.
 	Terms *terms.Table
+	// SlotsOf returns the largest number of slots that a workspace uses at a time, 0 for all; nil
+	// limits none.
+	SlotsOf func(workspace string) int
 }
 
 // Gate holds the connections to one target.
@@ -73,7 +77,7 @@
 	return &Gate{
 		options:      options,
 		pool:         newPool(options.Spec, options.Target),
-		queue:        newQueue(options.Spec, options.Limits.QueueLength),
+		queue:        newQueue(options.Group.Name, options.Spec, options.Limits.QueueLength, options.SlotsOf),
 		confirmer:    confirmer,
 		transactions: newTransactions(),
 		age:          newAgeTracker(confirmer),
@@ -258,9 +262,9 @@
 func (g *Gate) cancelAt(s *slot) {
 	ctx, cancel := context.WithTimeout(context.Background(), checkTimeout)
 	defer cancel()
-	err := target.CancelRequest(ctx, s.address, s.connection.ProcessID, s.connection.SecretKey)
+	err := target.CancelRequest(ctx, s.address, g.options.Target, s.connection.ProcessID, s.connection.SecretKey)
 	if err != nil {
-		logrus.WithFields(logrus.Fields{"target": g.options.Spec.Name, "error": err}).Warn("cancel_failed")
+		logrus.WithFields(logrus.Fields{"group": g.options.Group.Name, "target": g.options.Spec.Name, "error": err}).Warn("cancel_failed")
 	}
 }
 
@@ -294,7 +298,7 @@
 func (g *Gate) rollBack(ended []*transaction, reason string) {
 	for _, t := range ended {
 		logrus.WithFields(logrus.Fields{
-			"target": g.options.Spec.Name, "session": t.session, "reason": reason,
+			"group": g.options.Group.Name, "target": g.options.Spec.Name, "session": t.session, "reason": reason,
 		}).Info("transaction_rolled_back")
 		go func() {
 			broken := !t.slot.rollBack()
@@ -473,17 +477,18 @@
 	}
 	replicationWait := time.Duration(b.req.ReplicationWaitMs) * time.Millisecond
 	decision := g.confirmer.confirm(ctx, b.term, commit, committed, replicationWait)
-	entry := logrus.WithFields(decision.Fields()).WithFields(logrus.Fields{"group": b.req.Group, "session": b.req.SessionID})
+	fields := decision.Fields()
+	fields["group"], fields["session"] = b.req.Group, b.req.SessionID
 	switch decision.Outcome {
 	case confirm.Confirmed:
-		entry.Debug("commit_confirmed")
+		telemetry.Trace("commit_confirmed", fields)
 		return commit, nil
 	case confirm.FenceOnly:
 		counters.Add("commits_fence_only", 1)
-		entry.Warn("commit_fence_only")
+		logrus.WithFields(fields).Warn("commit_fence_only")
 		return commit, nil
 	default:
-		entry.Warn("commit_unconfirmed")
+		logrus.WithFields(fields).Warn("commit_unconfirmed")
 		return commit, result.Errorf(result.OutcomeUnknown, "the commit at %s was not confirmed: %s", commit, decision.Reason)
 	}
 }
--- a/internal/telemetry/telemetry_test.go
+++ b/internal/telemetry/telemetry_test.go
@@ -1,7 +1,7 @@
 package telemetry
 
 import (
-	"fmt"
+	"io"
 	"testing"
 	"time"
 
@@ -9,65 +9,54 @@
 	"github.com/sirupsen/logrus"
 )
 
-func fire(r *Recorder, event string, fields logrus.Fields) {
-	_ = r.Fire(&logrus.Entry{Time: time.UnixMilli(1), Message: event, Data: fields})
+// setUp returns a recorder of the standard logger, which writes nowhere, and takes it off again.
+func setUp(t testing.TB, level api.SettingsLogLevel) *Recorder {
+	t.Helper()
+	logrus.SetOutput(io.Discard)
+	recorder, err := SetUp(level, "entry-1")
+	if err != nil {
+		t.Fatal(err)
+	}
+	t.Cleanup(func() { logrus.StandardLogger().ReplaceHooks(make(logrus.LevelHooks)) })
+	return recorder
 }
 
-func TestRecorderFilters(t *testing.T) {
-	r := NewRecorder("d")
-	fire(r, "read_routed", logrus.Fields{"group": "g", "session": "s", "age_ms": 3})
-	fire(r, "read_routed", logrus.Fields{"group": "h", "session": "s"})
-	fire(r, "promoted", logrus.Fields{"group": "g"})
-	tests := []struct {
-		name   string
-		filter Filter
-		want   int
-	}{
-		{"all", Filter{}, 3},
-		{"group", Filter{Group: "g"}, 2},
-		{"session", Filter{Session: "s"}, 2},
-		{"event", Filter{Event: "promoted"}, 1},
-		{"group and session", Filter{Group: "g", Session: "s"}, 1},
-		{"unknown", Filter{Group: "x"}, 0},
-		{"limit", Filter{Limit: 2}, 2},
-	}
-	for _, test := range tests {
-		t.Run(test.name, func(t *testing.T) {
-			if got := r.Decisions(test.filter); len(got) != test.want {
-				t.Fatalf("%d decisions", len(got))
-			}
-		})
-	}
-	first := r.Decisions(Filter{Limit: 3})[0]
-	want := api.Decision{TimeMs: 1, Daemon: "d", Event: "read_routed", Fields: []api.DecisionField{
-		{Key: "age_ms", Value: "3"}, {Key: "group", Value: "g"}, {Key: "session", Value: "s"},
-	}}
-	if fmt.Sprint(first) != fmt.Sprint(want) {
-		t.Fatalf("got %+v", first)
+func TestStatementsAreKeptAtEachLevel(t *testing.T) {
+	for _, level := range []api.SettingsLogLevel{api.SettingsLogLevelInfo, api.SettingsLogLevelDebug} {
+		recorder := setUp(t, level)
+		Trace("read_routed", logrus.Fields{"group": "rounds-db-1", "attempt": 1})
+		Trace("read_routed", logrus.Fields{"group": "rounds-db-2"})
+		decisions := recorder.Decisions(Filter{Group: "rounds-db-1", Event: "read_routed"})
+		if len(decisions) != 1 || len(decisions[0].Fields) != 2 || decisions[0].Fields[0].Value != "1" {
+			t.Errorf("level %s: decisions = %+v", level, decisions)
+		}
 	}
 }
 
-func TestRecorderKeepsTheNewest(t *testing.T) {
-	r := NewRecorder("d")
-	for i := range recentDecisions + 10 {
-		fire(r, fmt.Sprint(i), nil)
+func TestStatementsDoNotPushOutOtherEvents(t *testing.T) {
+	recorder := setUp(t, api.SettingsLogLevelInfo)
+	logrus.WithField("group", "rounds-db-1").Info("failover_decision")
+	for range 2 * recentDecisions {
+		Trace("batch_ran", logrus.Fields{"group": "rounds-db-1"})
 	}
-	kept := r.Decisions(Filter{})
-	if len(kept) != recentDecisions {
-		t.Fatalf("%d kept", len(kept))
+	decisions := recorder.Decisions(Filter{Group: "rounds-db-1"})
+	if len(decisions) != recentDecisions+1 || decisions[0].Event != "failover_decision" {
+		t.Errorf("%d decisions, the first is %s", len(decisions), decisions[0].Event)
 	}
-	for i, decision := range kept {
-		if decision.Event != fmt.Sprint(i+10) {
-			t.Fatalf("place %d holds event %s", i, decision.Event)
-		}
-	}
-	if newest := r.Decisions(Filter{Limit: 1}); newest[0].Event != fmt.Sprint(recentDecisions+9) {
-		t.Fatalf("newest is %s", newest[0].Event)
+	if newest := recorder.Decisions(Filter{Limit: 3}); len(newest) != 3 {
+		t.Errorf("limit 3 gives %d decisions", len(newest))
 	}
 }
 
-func TestSetUpRefusesAnUnknownLevel(t *testing.T) {
-	if _, err := SetUp("loud", "d"); err == nil {
-		t.Fatal("level was taken")
+// BenchmarkTrace is the cost of one decision of a statement at level info.
+func BenchmarkTrace(b *testing.B) {
+	setUp(b, api.SettingsLogLevelInfo)
+	position := api.Position{Term: 3, Offset: 1 << 40}
+	b.ReportAllocs()
+	for b.Loop() {
+		Trace("batch_ran", logrus.Fields{
+			"group": "rounds-db-1", "target": "rounds-db-1a", "session": "entry-1/18ede1a-1", "access": "read",
+			"role": "replica", "position": position, "age_ms": int64(70), "duration": 3 * time.Millisecond,
+		})
 	}
 }
