--- /dev/null
+++ b/internal/gate/prepare.go
@@ -0,0 +1,121 @@
+package gate
+
+import (
+	"context"
+	"time"
+
+	"github.com/papayacove/papayacove/api"
+	"github.com/papayacove/papayacove/internal/policy/readroute"
+	"github.com/papayacove/papayacove/internal/result"
+)
+
+// prepare checks a request, and finds a connection for it.
+func (g *Gate) prepare(ctx context.Context, req *api.ExecuteRequest) (*batch, error) {
+	b := &batch{gate: g, req: req, asked: time.Now()}
+	if req.TransactionID != 0 {
+		return b, g.resume(b)
+	}
+	if err := b.checkKey(); err != nil {
+		return nil, err
+	}
+	if err := g.check(ctx, b); err != nil {
+		return nil, err
+	}
+	admitted, err := g.queue.admit(ctx, req)
+	if err != nil {
+		return nil, err
+	}
+	b.slot, err = g.pool.acquire(ctx)
+	if err != nil {
+		admitted.done()
+		return nil, err
+	}
+	b.admitted = admitted
+	return b, nil
+}
+
+// resume takes up the transaction of a session. A commit on a primary that was replaced can never
+// be confirmed, so its transaction is rolled back before a COMMIT can reach the target.
+func (g *Gate) resume(b *batch) error {
+	resumed, err := g.transactions.resume(b.req)
+	if err != nil {
+		return err
+	}
+	b.slot, b.admitted, b.pinned = resumed.slot, resumed.admitted, true
+	b.leads, b.term = resumed.leads, resumed.term
+	b.inPipeline, b.failed = resumed.inPipeline, resumed.failed
+	current, _ := g.options.Terms.Current(g.options.Group.Name)
+	if !b.leads || current.Term == b.term.Term {
+		return nil
+	}
+	g.transactions.end(b.req.SessionID)
+	g.rollBack([]*transaction{resumed}, "term_changed")
+	return result.Errorf(result.TransactionLost, "the transaction began in term %d, the group is in term %d", b.term.Term, current.Term)
+}
+
+// check refuses what this target cannot run at the moment.
+func (g *Gate) check(ctx context.Context, b *batch) error {
+	if g.draining.Load() {
+		return result.Errorf(result.NotRunDraining, "target %s takes no new work", g.options.Spec.Name)
+	}
+	current, err := g.leads()
+	b.term = current
+	b.leads = err == nil
+	switch {
+	case b.leads:
+		return g.checkPrimary(b)
+	case b.req.Access == api.ExecuteRequestAccessWrite:
+		return err
+	default:
+		return g.checkReplica(ctx, b)
+	}
+}
+
+// checkPrimary refuses work that could not be confirmed. A primary without a majority serves only
+// reads whose allowed age covers the time since it was last backed.
+func (g *Gate) checkPrimary(b *batch) error {
+	if time.Now().UnixNano() < g.stoppedUntil.Load() {
+		return result.Errorf(result.NotRunDraining, "a planned switchover of group %s is in progress", g.options.Group.Name)
+	}
+	admission := g.confirmer.admit(b.term)
+	if admission.Allowed {
+		return nil
+	}
+	if b.req.Access == api.ExecuteRequestAccessRead {
+		position := g.options.Observer.Latest(g.options.Spec.Name).Status.AppliedPosition()
+		decision := readroute.AtPrimary(false, b.req.Floor, b.maxAge(), position, g.age.bound(position, time.Now()))
+		if decision.Action == readroute.Run {
+			b.isUnbacked = true
+			b.age = decision.Age
+			return nil
+		}
+	}
+	return result.Errorf(admission.Code, "%s: %d of %d targets seen", admission.Reason, admission.Seen, admission.Needed).
+		WithRetryAfter(admission.RetryAfter)
+}
+
+// checkReplica refuses reads on a replica that is leaving, too old, or too far behind to wait for.
+func (g *Gate) checkReplica(ctx context.Context, b *batch) error {
+	seen := g.options.Observer.Latest(g.options.Spec.Name)
+	if seen.Status.Leaving {
+		return result.Errorf(result.NotRunTargetLeaving, "target %s is leaving", g.options.Spec.Name)
+	}
+	applied := seen.Status.AppliedPosition()
+	decision := readroute.AtReplica(b.req.Floor, b.maxAge(), applied, g.certainLag(applied), appliedWait)
+	if decision.Action == readroute.WaitThenRun || decision.Action == readroute.Behind {
+		// The newest answer may be older than the floor, so the replica itself is asked.
+		wait := max(decision.Wait, appliedLook)
+		if !g.applied.wait(ctx, b.req.Floor, wait) {
+			return result.Errorf(result.NotRunBehind, "target %s: %s, applied %s, floor %s", g.options.Spec.Name, decision.Reason, applied, b.req.Floor)
+		}
+		// The observer keeps the answer that was asked for last, which may be an earlier one.
+		applied = g.options.Observer.Latest(g.options.Spec.Name).Status.AppliedPosition().Max(b.req.Floor)
+		decision = readroute.AtReplica(b.req.Floor, b.maxAge(), applied, g.age.bound(applied, time.Now()), 0)
+	}
+	b.age = decision.Age
+	if decision.Action != readroute.Run {
+		return result.Errorf(decision.Code(), "target %s: %s, age %v, applied %s, floor %s",
+			g.options.Spec.Name, decision.Reason, decision.Age, applied, b.req.Floor)
+	}
+	return nil
+}
--- /dev/null
+++ b/internal/gate/release.go
@@ -0,0 +1,83 @@
+package gate
+
+import (
+	"context"
+	"strings"
+	"time"
+
+	"github.com/papayacove/papayacove/internal/target"
+	"github.com/sirupsen/logrus"
+)
+
+// Cancel cancels the batch that a session is running.
+func (g *Gate) Cancel(session string) bool {
+	g.mu.Lock()
+	running, ok := g.inflight[session]
+	if ok {
+		running.cancelled = true
+	}
+	g.mu.Unlock()
+	if !ok {
+		return false
+	}
+	g.cancelAt(running)
+	return true
+}
+
+func (g *Gate) cancelAt(s *slot) {
+	ctx, cancel := context.WithTimeout(context.Background(), checkTimeout)
+	defer cancel()
+	err := target.CancelRequest(ctx, s.address, g.options.Target, s.connection.ProcessID, s.connection.SecretKey)
+	if err != nil {
+		logrus.WithFields(logrus.Fields{"group": g.options.Group.Name, "target": g.options.Spec.Name, "error": err}).Warn("cancel_failed")
+	}
+}
+
+// Release rolls back what a session has open and gives up its answers.
+func (g *Gate) Release(session string) bool {
+	g.abandonAnswers(session)
+	return g.endTransaction(session)
+}
+
+func (g *Gate) endTransaction(session string) bool {
+	ended := g.transactions.abandon(func(t *transaction) bool { return t.session == session })
+	g.rollBack(ended, "released")
+	return len(ended) > 0
+}
+
+// ReleaseOwner rolls back what the sessions of a daemon have open.
+func (g *Gate) ReleaseOwner(isGone func(owner string) bool) {
+	ended := g.transactions.abandon(func(t *transaction) bool {
+		owner, _, _ := strings.Cut(t.session, "/")
+		return isGone(owner)
+	})
+	g.rollBack(ended, "daemon_gone")
+}
+
+func (g *Gate) endIdleTransactions() {
+	limit := time.Duration(g.options.Limits.IdleTransactionTimeoutMs) * time.Millisecond
+	ended := g.transactions.abandon(func(t *transaction) bool { return time.Since(t.lastUsed) > limit })
+	g.rollBack(ended, "idle_in_transaction")
+}
+
+func (g *Gate) rollBack(ended []*transaction, reason string) {
+	for _, t := range ended {
+		logrus.WithFields(logrus.Fields{
+			"group": g.options.Group.Name, "target": g.options.Spec.Name, "session": t.session, "reason": reason,
+		}).Info("transaction_rolled_back")
+		go func() {
+			broken := !t.slot.rollBack()
+			g.finish(t.slot, t.admitted, broken)
+		}()
+	}
+}
+
+// finish gives the connection and the admission back. A cancel request that is still on its way
+// must not meet another session, so that a connection that was cancelled is closed.
+func (g *Gate) finish(s *slot, admitted *ticket, broken bool) {
+	g.mu.Lock()
+	s.broken = s.broken || s.cancelled || broken
+	g.mu.Unlock()
+	g.pool.release(s)
+	admitted.done()
+}
