Let two runs of the e2e tests go on side by side

Cause: every run took network 100, so that a second run reached the fleet of the first and found its tables. Seen once, as 42P07 of CREATE TABLE in a run beside another; ruled out as a statement that ran twice: two runs at once, each on a network of its own, pass. Change: a run takes the first of the networks 100 to 120 that no other run holds. After: two runs at once with -race, ok in 26.7 s and 27.1 s.

--- a/standin/e2e/main_test.go
+++ b/standin/e2e/main_test.go
@@ -2,7 +2,9 @@
 
 import (
 	"context"
+	"errors"
 	"fmt"
+	"net"
 	"os"
 	"os/exec"
 	"path/filepath"
@@ -17,8 +19,11 @@
 )
 
 const (
-	// network is the loopback network of the shared fleet.
-	network = 100
+	// firstNetwork and lastNetwork are the loopback networks that the shared fleet may take.
+	firstNetwork = 100
+	lastNetwork  = 120
+	// lockPort is open on the network of a fleet, so that runs beside each other take different ones.
+	lockPort = 15399
 	// eventually is the longest that a test waits for something to happen.
 	eventually = 20 * time.Second
 	// group serves most tests; failoverGroup loses its primary in one of them.
@@ -58,6 +63,11 @@
 	if output, err := build.CombinedOutput(); err != nil {
 		return 0, fmt.Errorf("build: %w: %s", err, output)
 	}
+	network, lock, err := takeNetwork()
+	if err != nil {
+		return 0, err
+	}
+	defer lock.Close()
 	shared, err = fleet.Start(context.Background(), fleet.Options{
 		Directory: "../../examples/kelani", Binaries: binaries, Work: filepath.Join(folder, "work"),
 		Network: network, Lag: 20 * time.Millisecond, ConnectDelay: 10 * time.Millisecond,
@@ -69,6 +79,17 @@
 	return m.Run(), nil
 }
 
+// takeNetwork returns the number of a network that no other run uses, and what holds it.
+func takeNetwork() (int, net.Listener, error) {
+	for network := firstNetwork; network <= lastNetwork; network++ {
+		lock, err := net.Listen("tcp", fmt.Sprintf("127.%d.0.1:%d", network, lockPort))
+		if err == nil {
+			return network, lock, nil
+		}
+	}
+	return 0, nil, errors.New("all networks are in use")
+}
+
 func testContext(t testing.TB) context.Context {
 	t.Helper()
 	ctx, cancel := context.WithTimeout(context.Background(), eventually)
