Tell a session of writes that an earlier of two changes of primary has cut

Cause: the position that a session relies on was compared with the start of the newest term only. A record that the first of two changes had cut lies before the start of the second once the log has grown, so the session got an old read in silence. Change: the table of terms keeps the starts of the terms that it has seen recorded, at most 64 for a group; a position is cut by the first of them above its own term that starts at or before it. A daemon that has missed a term still cannot know its start. Before: TestCheckCutByAnEarlierTerm/cut_by_the_first_change got no error. After: it passes.

--- a/internal/router/session.go
+++ b/internal/router/session.go
@@ -90,17 +90,20 @@
 
 // checkCut reports once when a failover cut positions that the session relies on.
 func (s *session) checkCut() error {
-	current, ok := s.router.options.Terms.Current(s.info.Group)
 	position := s.Position()
-	if !ok || position.IsZero() || current.Primary == "" || position.Term >= current.Term || position.Offset < current.Start.Offset {
+	if position.IsZero() {
 		return nil
 	}
-	s.floor, s.written = current.Start, current.Start
+	cutting, isCut := s.router.options.Terms.CutBy(s.info.Group, position)
+	if !isCut {
+		return nil
+	}
+	s.floor, s.written = cutting.Start, cutting.Start
 	counters.Add("acknowledged_cut", 1)
 	logrus.WithFields(logrus.Fields{
-		"session": s.id, "group": s.info.Group, "position": position.String(), "start": current.Start.String(),
+		"session": s.id, "group": s.info.Group, "position": position.String(), "start": cutting.Start.String(),
 	}).Warn("acknowledged_cut")
-	return result.Errorf(result.AcknowledgedCut, "the session relied on %s; term %d starts at %s", position, current.Term, current.Start)
+	return result.Errorf(result.AcknowledgedCut, "the session relied on %s; term %d starts at %s", position, cutting.Term, cutting.Start)
 }
 
 // request composes the message of a batch for a target.
--- a/internal/router/session_test.go
+++ b/internal/router/session_test.go
@@ -190,3 +190,27 @@
 		t.Fatal(err)
 	}
 }
+
+// TestCheckCutByAnEarlierTerm changes the primary twice between two batches of a session.
+func TestCheckCutByAnEarlierTerm(t *testing.T) {
+	tests := []struct {
+		name     string
+		position api.Position
+		cut      bool
+	}{
+		{"cut by the first change", at(150), true},
+		{"kept by both", at(119), false},
+		{"written between them", api.Position{Term: 3, Offset: 150}, false},
+	}
+	for _, test := range tests {
+		t.Run(test.name, func(t *testing.T) {
+			s := openSession(t, &fakeGates{})
+			s.floor = test.position
+			s.router.options.Terms.Observe(api.GroupTerm{Group: "g", Term: 3, Primary: "b", Start: api.Position{Term: 3, Offset: 120}})
+			s.router.options.Terms.Observe(api.GroupTerm{Group: "g", Term: 4, Primary: "a", Start: api.Position{Term: 4, Offset: 200}})
+			if err := s.checkCut(); (result.CodeOf(err) == result.AcknowledgedCut) != test.cut {
+				t.Fatalf("got %v", err)
+			}
+		})
+	}
+}
--- a/internal/terms/terms.go
+++ b/internal/terms/terms.go
@@ -4,6 +4,7 @@
 package terms
 
 import (
+	"slices"
 	"strconv"
 	"sync"
 
@@ -29,6 +30,20 @@
 type entry struct {
 	term   api.GroupTerm
 	change uint64
+	// recorded are the newest terms that got a primary, oldest first.
+	recorded []api.GroupTerm
+}
+
+// recordedLimit is the number of terms of a group whose starts are kept.
+const recordedLimit = 64
+
+// record returns the recorded terms with one more.
+func (e entry) record(term api.GroupTerm) []api.GroupTerm {
+	if term.Primary == "" {
+		return e.recorded
+	}
+	kept := e.recorded[max(len(e.recorded)+1-recordedLimit, 0):]
+	return append(slices.Clone(kept), term)
 }
 
 // NewTable returns an empty table.
@@ -55,12 +70,24 @@
 	}
 	t.digest ^= hashOf(seen)
 	t.changes++
-	t.groups[seen.Group] = entry{term: seen, change: t.changes}
+	t.groups[seen.Group] = entry{term: seen, change: t.changes, recorded: known.record(seen)}
 	close(t.changed)
 	t.changed = make(chan struct{})
 	return true
 }
 
+// CutBy returns the first term whose primary took over without the record at a position.
+func (t *Table) CutBy(group string, position api.Position) (api.GroupTerm, bool) {
+	t.mu.RLock()
+	defer t.mu.RUnlock()
+	for _, recorded := range t.groups[group].recorded {
+		if recorded.Term > position.Term && position.Offset >= recorded.Start.Offset {
+			return recorded, true
+		}
+	}
+	return api.GroupTerm{}, false
+}
+
 // isNewer orders by term, then a recorded primary after an open promotion.
 func isNewer(seen, known api.GroupTerm) bool {
 	if seen.Term != known.Term {
