--- a/internal/gate/gate.go
+++ b/internal/gate/gate.go
@@ -43,6 +43,8 @@
 	Observer *observer.Observer
 	// Terms tells the newest term.
 	Terms *terms.Table
+	// IsLeaving reports whether the platform lists a target's VM as leaving; nil for none.
+	IsLeaving func(target string) bool
 	// SlotsOf returns the largest number of slots that a workspace uses at a time, 0 for all; nil
 	// limits none.
 	SlotsOf func(workspace string) int
