--- a/standin/bench/failover.go
+++ b/standin/bench/failover.go
@@ -36,6 +36,8 @@
 	runs   int
 	inject func(r *running, primary string) error
 	heal   func(r *running, primary string) error
+	// leavesZone is true when callers in the availability zone of the primary can not write.
+	leavesZone bool
 	// p50 and highest bound the gap.
 	p50     Bound
 	highest Bound
@@ -57,6 +59,14 @@
 		inject: knob("cut", true),
 		heal:   knob("cut", false),
 	},
+	{
+		name: "zone_cut", runs: otherRuns, highest: AtMost(silentGapMs), leavesZone: true,
+		inject: func(r *running, primary string) error {
+			spec, _, _ := r.Deployment.Target(primary)
+			return r.CutZone(spec.Zone)
+		},
+		heal: func(r *running, _ string) error { return r.Heal() },
+	},
 	{
 		name: "switchover", runs: switchoverRuns, highest: AtMost(switchoverGapMs),
 		inject: knob("leaving", true),
@@ -109,12 +119,12 @@
 	if err := r.awaitWhole(ctx, group); err != nil {
 		return err
 	}
-	callers := r.startWriters(ctx, group.Name, r.daemonNames())
+	primary := soak.PrimaryOf(r.Fleet, group)
+	callers := r.startWriters(ctx, group.Name, r.callersOf(kind, primary))
 	defer callers.stop()
 	if _, err := callers.awaitAll(ctx, time.Now().Add(gapWarmUp), gapLimit); err != nil {
 		return err
 	}
-	primary := soak.PrimaryOf(r.Fleet, group)
 	began := time.Now()
 	if err := kind.inject(r, primary); err != nil {
 		return err
@@ -133,6 +143,21 @@
 	return kind.heal(r, primary)
 }
 
+// callersOf returns the daemons whose callers see the gap of a failure.
+func (r *running) callersOf(kind failure, primary string) []string {
+	if !kind.leavesZone {
+		return r.daemonNames()
+	}
+	spec, _, _ := r.Deployment.Target(primary)
+	var names []string
+	for _, settings := range r.Deployment.Settings {
+		if settings.Zone != spec.Zone {
+			names = append(names, settings.Name)
+		}
+	}
+	return names
+}
+
 // daemonNames returns the daemons in their order.
 func (r *running) daemonNames() []string {
 	var names []string
