--- a/standin/workload/caller.go
+++ b/standin/workload/caller.go
@@ -106,9 +106,16 @@
 // that they ran.
 const keyOneIn = 3
 
-// settleKey repeats a write with its operation key until it is acknowledged or has run before.
+// errUnsettled ends the repeats of a write whose outcome is still unknown.
+var errUnsettled = errors.New("the run ended before it was clear whether the write ran")
+
+// settleKey repeats a write with its operation key until it is acknowledged or has run before. Once
+// an outcome was unknown, a later refusal says nothing about the first attempt.
 func (l *CrewLead) settleKey(ctx context.Context, key string, err error) error {
-	for Classify(err) == Unknown && ctx.Err() == nil {
+	if Classify(err) != Unknown {
+		return err
+	}
+	for ctx.Err() == nil {
 		l.closeAfter(err)
 		if l.connect(ctx) != nil {
 			continue
@@ -116,11 +123,11 @@
 		callContext, cancel := context.WithTimeout(ctx, callTimeout)
 		err = l.keyed(callContext, key)
 		cancel()
-		if CodeOf(err) == result.AlreadyRan {
+		if err == nil || CodeOf(err) == result.AlreadyRan {
 			return nil
 		}
 	}
-	return err
+	return errUnsettled
 }
 
 // keyed logs a cabinet under an operation key.
