--- a/internal/router/session.go
+++ b/internal/router/session.go
@@ -10,6 +10,7 @@
 	"github.com/papayacove/papayacove/internal/invariant"
 	"github.com/papayacove/papayacove/internal/peer"
 	"github.com/papayacove/papayacove/internal/result"
+	"github.com/papayacove/papayacove/internal/telemetry"
 	"github.com/sirupsen/logrus"
 )
 
@@ -48,6 +49,23 @@
 
 // Run executes a batch; see frontend.SessionRunner.
 func (s *session) Run(ctx context.Context, batch *frontend.Batch, emit func([]byte) error) (frontend.Outcome, error) {
+	began := time.Now()
+	outcome, err := s.run(ctx, batch, emit)
+	key := telemetry.LatencyKey{Workspace: s.info.Workspace, Group: s.info.Group, Decision: decisionOf(batch)}
+	now := time.Now()
+	telemetry.StatementLatencies.Record(key, now.Sub(began), now)
+	return outcome, err
+}
+
+// decisionOf names what was decided about a batch.
+func decisionOf(batch *frontend.Batch) string {
+	if batch.InTransaction {
+		return "transaction"
+	}
+	return string(batch.Access)
+}
+
+func (s *session) run(ctx context.Context, batch *frontend.Batch, emit func([]byte) error) (frontend.Outcome, error) {
 	s.sequence++
 	effective, ok := s.router.options.Workspaces.Workspace(s.info.Workspace)
 	if ok && effective.StatementTimeout > 0 {
@@ -165,10 +183,14 @@
 		return idle, false, callError(daemon, req.Access, err)
 	}
 	emitted := false
+	stream := reply.StreamID
 	for number := uint64(1); ; number++ {
 		if reply.Code != 0 {
 			return idle, emitted, replyError(reply)
 		}
+		if !s.belongs(reply, stream) {
+			return idle, emitted, result.Errorf(result.AnswerInterrupted, "daemon %s sent a part of another answer", daemon)
+		}
 		if err := emit(reply.Chunk); err != nil {
 			return idle, true, result.Errorf(result.AnswerInterrupted, "caller: %v", err)
 		}
@@ -183,6 +205,13 @@
 	}
 }
 
+// belongs reports whether a part is of the answer that is being fetched; the last one has no number.
+func (s *session) belongs(reply *api.ExecuteReply, stream uint64) bool {
+	return invariant.Check(reply.StreamID == 0 || reply.StreamID == stream, "part_of_its_answer", logrus.Fields{
+		"session": s.id, "stream": stream, "received": reply.StreamID,
+	})
+}
+
 // settle takes in the last part of an answer.
 func (s *session) settle(daemon string, req *api.ExecuteRequest, reply *api.ExecuteReply) frontend.Outcome {
 	if !reply.Position.IsZero() {
