--- a/standin/cmd/standin-lab/soak.go
+++ b/standin/cmd/standin-lab/soak.go
@@ -113,8 +113,8 @@
 	} else {
 		printHistory(report, options.Work)
 	}
-	fmt.Printf("seed %d on %s: longest time without an acknowledged write of a group %v, outcome unknown %d, not run %d\n",
-		seed, deployment, report.History.LongestGap.Round(time.Millisecond), report.History.Unknown, report.History.NotRun)
+	fmt.Printf("seed %d on %s: longest time without an acknowledged write of a group %v, terms opened %d, outcome unknown %d, not run %d\n",
+		seed, deployment, report.History.LongestGap.Round(time.Millisecond), soak.Promotions(running), report.History.Unknown, report.History.NotRun)
 	fmt.Println(report)
 	return report.IsClean(), nil
 }
--- a/standin/soak/faults.go
+++ b/standin/soak/faults.go
@@ -26,6 +26,7 @@
 	{"primary_frozen", freezePrimary},
 	{"primary_cut", cutPrimary},
 	{"replica_killed", killReplica},
+	{"replica_frozen", freezeReplica},
 	{"replica_behind", lagReplica},
 	{"target_connections_silent", silenceTarget},
 	{"target_leaving", leaveTarget},
@@ -123,6 +124,12 @@
 	return name, func() { _ = f.Targets[name].Start() }
 }
 
+func freezeReplica(f *fleet.Fleet, random *rand.Rand) (string, func()) {
+	name := replicaOf(f, anyGroup(f, random), random)
+	f.Targets[name].Freeze()
+	return name, f.Targets[name].Wake
+}
+
 func lagReplica(f *fleet.Fleet, random *rand.Rand) (string, func()) {
 	name := replicaOf(f, anyGroup(f, random), random)
 	_ = f.Post(f.TargetAdmin(name), "/knobs", knobs{"lag_ms": replicaLagMs})
@@ -236,6 +243,25 @@
 	return newest.Primary
 }
 
+// Promotions returns the number of terms that were opened since the fleet started.
+func Promotions(f *fleet.Fleet) uint64 {
+	newest := make(map[string]uint64)
+	for name := range f.Daemons {
+		status, err := f.Status(name)
+		if err != nil {
+			continue
+		}
+		for _, term := range status.Groups {
+			newest[term.Group] = max(newest[term.Group], term.Term)
+		}
+	}
+	var opened uint64
+	for group, term := range newest {
+		opened += term - f.Deployment.Terms[group].Term
+	}
+	return opened
+}
+
 // PrimaryOf returns the newest primary of a group that any daemon knows.
 func PrimaryOf(f *fleet.Fleet, group api.GroupSpec) string {
 	return primaryOf(f, group)
