Check the connections of idle transactions, and let the target end those whose gate has lost its way

Ruled out: a shorter limit of idle transactions (phones are slow); a target limit without checks (it would end live ones). Conclusion: a limit that only the caller can reach is no limit for its lock.

--- a/internal/gate/gate.go
+++ b/internal/gate/gate.go
@@ -92,6 +92,7 @@
 	ctx, g.cancel = context.WithCancel(ctx)
 	go g.every(ctx, maintenanceInterval, g.pool.maintain)
 	go g.every(ctx, idleTransactionCheck, g.endIdleTransactions)
+	go g.every(ctx, maintenanceInterval, g.checkIdleTransactions)
 	go g.sampleAge(ctx)
 	go g.applied.run(ctx)
 	go g.followLeadership(ctx)
--- a/internal/gate/pool.go
+++ b/internal/gate/pool.go
@@ -24,6 +24,9 @@
 	// idleSessionTimeout is the idle time after which the target ends a connection of a daemon
 	// that has gone without closing it.
 	idleSessionTimeout = "3000"
+	// idleInTransactionTimeout is the same for a connection within a transaction; the gate checks
+	// those too, so that only transactions whose gate has gone, or lost its way, end by it.
+	idleInTransactionTimeout = "4000"
 	// slotRetryInterval is the pause after the target refused a connection for lack of slots.
 	slotRetryInterval = 15 * time.Millisecond
 )
@@ -100,9 +103,10 @@
 
 func (p *pool) dial(ctx context.Context) (*slot, error) {
 	parameters := map[string]string{
-		"application_name":     "papayacove",
-		"idle_session_timeout": idleSessionTimeout,
-		conformingStrings:      "on",
+		"application_name":                    "papayacove",
+		"idle_session_timeout":                idleSessionTimeout,
+		"idle_in_transaction_session_timeout": idleInTransactionTimeout,
+		conformingStrings:                     "on",
 	}
 	connection, err := target.DialSlot(ctx, p.spec.Address, p.options, parameters)
 	if err != nil {
--- a/internal/gate/prepare.go
+++ b/internal/gate/prepare.go
@@ -41,6 +41,13 @@
 	if err != nil {
 		return err
 	}
+	resumed.line.Lock()
+	defer resumed.line.Unlock()
+	if g.transactions.isDoomed(resumed) {
+		g.transactions.end(b.req.SessionID)
+		g.rollBack([]*transaction{resumed}, "silent")
+		return result.Errorf(result.TransactionLost, "the connection of the transaction went silent")
+	}
 	b.slot, b.admitted, b.pinned = resumed.slot, resumed.admitted, true
 	b.leads, b.term = resumed.leads, resumed.term
 	b.inPipeline, b.failed = resumed.inPipeline, resumed.failed
--- a/internal/gate/release.go
+++ b/internal/gate/release.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"strings"
+	"sync"
 	"time"
 
 	"github.com/papayacove/papayacove/internal/target"
@@ -66,12 +67,34 @@
 			"group": g.options.Group.Name, "target": g.options.Spec.Name, "session": t.session, "reason": reason,
 		}).Info("transaction_rolled_back")
 		go func() {
+			t.line.Lock()
+			defer t.line.Unlock()
 			broken := !t.slot.rollBack()
 			g.finish(t.slot, t.admitted, broken)
 		}()
 	}
 }
 
+// checkIdleTransactions checks the connections of idle transactions, so that the target does not end
+// them, and a connection that went silent does not hold locks until the caller comes back.
+func (g *Gate) checkIdleTransactions() {
+	var checks sync.WaitGroup
+	for _, quiet := range g.transactions.quiet(checkAfter) {
+		checks.Go(func() { g.checkTransaction(quiet) })
+	}
+	checks.Wait()
+}
+
+func (g *Gate) checkTransaction(quiet *transaction) {
+	quiet.line.Lock()
+	defer quiet.line.Unlock()
+	if !g.transactions.startCheck(quiet) || quiet.slot.check(checkTimeout) {
+		return
+	}
+	ended := g.transactions.abandon(func(t *transaction) bool { return t == quiet })
+	g.rollBack(ended, "silent")
+}
+
 // finish gives the connection and the admission back. A cancel request that is still on its way
 // must not meet another session, so that a connection that was cancelled is closed.
 func (g *Gate) finish(s *slot, admitted *ticket, broken bool) {
--- a/internal/gate/transaction.go
+++ b/internal/gate/transaction.go
@@ -15,10 +15,13 @@
 	session  string
 	sequence uint64
 	slot     *slot
-	lastUsed time.Time
-	busy     bool
-	doomed   bool
-	admitted *ticket
+	// line is held while the idle connection is checked, so that a batch does not meet the check.
+	line      sync.Mutex
+	checkedAt time.Time
+	lastUsed  time.Time
+	busy      bool
+	doomed    bool
+	admitted  *ticket
 	// leads and term tell whether and in which term the target was the primary at the start.
 	leads bool
 	term  api.GroupTerm
@@ -121,6 +124,38 @@
 	return ended
 }
 
+// quiet returns the idle transactions whose connection was neither used nor checked lately. An open
+// pipeline is left alone, because a check would end it.
+func (t *transactions) quiet(age time.Duration) []*transaction {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	var quiet []*transaction
+	for _, found := range t.open {
+		if !found.busy && !found.inPipeline && time.Since(found.lastUsed) > age && time.Since(found.checkedAt) > age {
+			quiet = append(quiet, found)
+		}
+	}
+	return quiet
+}
+
+// startCheck reports whether a transaction is still open and idle, and notes that it is checked.
+func (t *transactions) startCheck(checked *transaction) bool {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	if t.open[checked.session] != checked || checked.busy {
+		return false
+	}
+	checked.checkedAt = time.Now()
+	return true
+}
+
+// isDoomed reports whether a transaction must end instead of running its next batch.
+func (t *transactions) isDoomed(resumed *transaction) bool {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	return resumed.doomed
+}
+
 func (t *transactions) count() int {
 	t.mu.Lock()
 	defer t.mu.Unlock()
