Keep the log of the lab's own clients out of its output

Ruled out: nothing. Before and after: tried by hand: up, status, psql with each statement of the README, workspace get. Conclusion: none beyond.

--- a/standin/cmd/standin-lab/main.go
+++ b/standin/cmd/standin-lab/main.go
@@ -11,12 +11,15 @@
 	"syscall"
 
 	"github.com/papayacove/papayacove/standin/fleet"
+	"github.com/sirupsen/logrus"
 	"github.com/urfave/cli/v3"
 )
 
 func main() {
 	ctx, stop := signal.NotifyContext(context.Background(), syscall.SIGINT, syscall.SIGTERM)
 	defer stop()
+	// The clients of the lab log each of their changes; what counts is what the lab prints.
+	logrus.SetLevel(logrus.WarnLevel)
 	command := &cli.Command{
 		Name:  "standin-lab",
 		Usage: "run deployments of papayacove with stand-ins on loopback",
