Use the retry policy in the router, and convert roles in one place

Cause: the router had a backoff and a table of codes of its own beside policy/retry, which nothing used; two packages converted the role of a target. Ruled out: removing the policy (it carries the tests of windows and pauses). Change: reads and writes ask policy/retry; a read of data that is too old is refused at once in the policy as it was in the router; Observation.Role replaces both conversions. Before and after: the table of codes of the router's test holds unchanged against the policy; tests pass.

--- a/internal/failover/controller.go
+++ b/internal/failover/controller.go
@@ -295,7 +295,7 @@
 		if seen.Asked.IsZero() || seen.Misses > 0 {
 			continue
 		}
-		state := promotion.TargetState{Target: seen.Target, Term: seen.Status.Term, Role: roleOf(seen.Status.Role)}
+		state := promotion.TargetState{Target: seen.Target, Term: seen.Status.Term, Role: seen.Role()}
 		// A status does not tell whom a replica follows; within a term there is only one primary.
 		if seen.Status.Role == target.RoleReplica && seen.Status.Term == term.Term {
 			state.Follows = term.Primary
--- a/internal/failover/promoter.go
+++ b/internal/failover/promoter.go
@@ -11,7 +11,6 @@
 
 	"github.com/papayacove/papayacove/api"
 	"github.com/papayacove/papayacove/internal/platform"
-	"github.com/papayacove/papayacove/internal/policy/confirm"
 	"github.com/papayacove/papayacove/internal/policy/promotion"
 	"github.com/papayacove/papayacove/internal/target"
 	"github.com/papayacove/papayacove/internal/terms"
@@ -295,17 +294,6 @@
 	return 0, false
 }
 
-func roleOf(role target.Role) confirm.Role {
-	switch role {
-	case target.RolePrimary:
-		return confirm.RolePrimary
-	case target.RoleReplica:
-		return confirm.RoleReplica
-	default:
-		return confirm.RoleUnknown
-	}
-}
-
 // newChangeID returns an id that no other promotion has.
 func newChangeID() string {
 	var id [12]byte
--- a/internal/gate/confirmer.go
+++ b/internal/gate/confirmer.go
@@ -9,7 +9,6 @@
 	"github.com/papayacove/papayacove/internal/observer"
 	"github.com/papayacove/papayacove/internal/policy/confirm"
 	"github.com/papayacove/papayacove/internal/result"
-	"github.com/papayacove/papayacove/internal/target"
 )
 
 // confirmer applies the acknowledgement rule to the commits of one primary.
@@ -24,18 +23,6 @@
 	return &confirmer{observer: o}
 }
 
-// roleOf converts the role that a target reports.
-func roleOf(role target.Role) confirm.Role {
-	switch role {
-	case target.RolePrimary:
-		return confirm.RolePrimary
-	case target.RoleReplica:
-		return confirm.RoleReplica
-	default:
-		return confirm.RoleUnknown
-	}
-}
-
 // at runs decide on the tracker of the term with the newest answers, and returns the channel that
 // is closed when newer answers are in.
 func (c *confirmer) at(current api.GroupTerm, decide func(t *confirm.Tracker)) <-chan struct{} {
@@ -54,7 +41,7 @@
 			Target:   seen.Target,
 			AskedAt:  seen.Asked,
 			Term:     seen.Status.Term,
-			Role:     roleOf(seen.Status.Role),
+			Role:     seen.Role(),
 			Received: seen.Status.LogPosition(),
 		})
 	}
--- a/internal/observer/observer.go
+++ b/internal/observer/observer.go
@@ -11,6 +11,7 @@
 	"time"
 
 	"github.com/papayacove/papayacove/api"
+	"github.com/papayacove/papayacove/internal/policy/confirm"
 	"github.com/papayacove/papayacove/internal/target"
 )
 
@@ -46,6 +47,18 @@
 	SilentSince time.Time
 }
 
+// Role returns the role of the last answer in the terms of the confirmation rule.
+func (o Observation) Role() confirm.Role {
+	switch o.Status.Role {
+	case target.RolePrimary:
+		return confirm.RolePrimary
+	case target.RoleReplica:
+		return confirm.RoleReplica
+	default:
+		return confirm.RoleUnknown
+	}
+}
+
 // Observer watches the targets of one group.
 type Observer struct {
 	group   api.GroupSpec
--- a/internal/policy/retry/retry.go
+++ b/internal/policy/retry/retry.go
@@ -150,13 +150,14 @@
 }
 
 // mayHelp reports whether a request that did not run may find its way a little later. Overload is
-// answered with a time to come back instead, because more attempts would add to it.
+// answered with a time to come back instead, because more attempts would add to it; so is data that
+// is too old, because it stays so while a zone is cut off.
 func mayHelp(access Access, code result.Code) bool {
 	switch code {
 	case result.NotRunNoPrimary, result.NotRunNotHolder, result.NotRunDraining, result.NotRunNoMajority,
 		result.NotRunNoSlot, result.NotRunUnreachable, result.NotRunTargetLeaving, result.NotRunTermChanged:
 		return true
-	case result.NotRunBehind, result.NotRunTooOld:
+	case result.NotRunBehind:
 		return access == Read
 	default:
 		return false
--- a/internal/policy/retry/retry_test.go
+++ b/internal/policy/retry/retry_test.go
@@ -23,6 +23,7 @@
 		{"write of a lost transaction", Write, Failure{Code: result.TransactionLost}, false, ReasonFinal},
 		{"write that ran before", Write, Failure{Code: result.AlreadyRan}, false, ReasonFinal},
 		{"write refused for overload", Write, Failure{Code: result.NotRunOverloaded}, false, ReasonFinal},
+		{"read of data that is too old", Read, Failure{Code: result.NotRunTooOld}, false, ReasonFinal},
 		{"read behind", Read, Failure{Code: result.NotRunBehind}, true, ReasonNothingRan},
 		{"read with a lost answer", Read, Failure{Code: result.OutcomeUnknown}, true, ReasonIdempotent},
 		{"read with a part of the answer sent", Read, Failure{Code: result.AnswerInterrupted, RowsSent: true}, false, ReasonRowsSent},
--- a/internal/router/read.go
+++ b/internal/router/read.go
@@ -8,6 +8,7 @@
 	"github.com/papayacove/papayacove/internal/frontend"
 	"github.com/papayacove/papayacove/internal/policy/confirm"
 	"github.com/papayacove/papayacove/internal/policy/readroute"
+	"github.com/papayacove/papayacove/internal/policy/retry"
 	"github.com/papayacove/papayacove/internal/result"
 	"github.com/papayacove/papayacove/internal/telemetry"
 	"github.com/sirupsen/logrus"
@@ -17,8 +18,7 @@
 func (s *session) runRead(ctx context.Context, batch *frontend.Batch, emit func([]byte) error) (frontend.Outcome, error) {
 	began := time.Now()
 	deadline := began.Add(batch.Timeout)
-	giveUp := began.Add(min(batch.Timeout, primaryWait))
-	backoff := firstBackoff
+	request := retry.Policy{}.New(retry.Read, deadline, began)
 	for {
 		changed := s.router.options.Terms.Changed()
 		outcome, failed := s.tryTargets(ctx, batch, deadline, emit)
@@ -28,14 +28,11 @@
 		if failed.Code == result.NotRunReadOnly {
 			return s.runWrite(ctx, batch, emit)
 		}
-		if !s.mayRepeat(failed.Code) && failed.Code != result.NotRunBehind || time.Now().Add(backoff).After(giveUp) {
+		decision := s.decideRetry(request, failed)
+		if !decision.Again || waitForChange(ctx, changed, decision.Pause) != nil {
 			counters.Add("reads_"+failed.Code.String(), 1)
-			return idle, withRetryAfter(failed)
+			return idle, withRetryAfter(failed, decision)
 		}
-		if waitForChange(ctx, changed, backoff) != nil {
-			return idle, withRetryAfter(failed)
-		}
-		backoff = min(2*backoff, lastBackoff)
 	}
 }
 
--- a/internal/router/session_test.go
+++ b/internal/router/session_test.go
@@ -7,6 +7,7 @@
 	"time"
 
 	"github.com/papayacove/papayacove/api"
+	"github.com/papayacove/papayacove/internal/policy/retry"
 	"github.com/papayacove/papayacove/internal/result"
 )
 
@@ -26,15 +27,23 @@
 		result.NotRunTargetLeaving: true, result.NotRunTermChanged: true,
 	}
 	for code := result.Code(0); code < 6000; code++ {
-		if mayRepeat(code) != repeated[code] {
-			t.Errorf("code %d: got %v", code, mayRepeat(code))
+		again := isRepeated(code)
+		if again != repeated[code] {
+			t.Errorf("code %d: got %v", code, again)
 		}
-		if mayRepeat(code) && !code.IsNotRun() {
+		if again && !code.IsNotRun() {
 			t.Errorf("code %d may have run", code)
 		}
 	}
 }
 
+// isRepeated reports whether a write that failed with a code is tried again.
+func isRepeated(code result.Code) bool {
+	now := time.Now()
+	request := retry.Policy{}.New(retry.Write, now.Add(time.Minute), now)
+	return request.Failed(retry.Failure{Code: code}, now).Again
+}
+
 func TestLostIfNotRun(t *testing.T) {
 	tests := map[result.Code]result.Code{
 		result.NotRunUnreachable: result.TransactionLost,
--- a/internal/router/write.go
+++ b/internal/router/write.go
@@ -6,45 +6,51 @@
 
 	"github.com/papayacove/papayacove/api"
 	"github.com/papayacove/papayacove/internal/frontend"
+	"github.com/papayacove/papayacove/internal/policy/retry"
 	"github.com/papayacove/papayacove/internal/result"
 	"github.com/sirupsen/logrus"
 )
 
-const (
-	// primaryWait is the time that a write waits for a primary before it is refused.
-	primaryWait = 5 * time.Second
-	// firstBackoff and lastBackoff bound the pauses between attempts that surely did not run.
-	firstBackoff = 5 * time.Millisecond
-	lastBackoff  = 40 * time.Millisecond
-	// redirectLimit is the number of redirects of one attempt.
-	redirectLimit = 2
-)
+// redirectLimit is the number of redirects of one attempt.
+const redirectLimit = 2
 
 // runWrite sends a batch to the primary. It repeats only what surely did not run.
 func (s *session) runWrite(ctx context.Context, batch *frontend.Batch, emit func([]byte) error) (frontend.Outcome, error) {
 	began := time.Now()
 	deadline := began.Add(batch.Timeout)
-	giveUp := began.Add(min(batch.Timeout, primaryWait))
-	backoff := firstBackoff
-	for attempt := 1; ; attempt++ {
+	request := retry.Policy{}.New(retry.Write, deadline, began)
+	for {
 		changed := s.router.options.Terms.Changed()
 		outcome, failed := s.tryPrimary(ctx, batch, deadline, emit)
 		if failed == nil {
 			counters.Add("writes", 1)
 			return outcome, nil
 		}
-		retry := s.mayRepeat(failed.Code) && time.Now().Add(backoff).Before(giveUp)
-		s.logWrite(failed, attempt, retry, time.Since(began))
-		if !retry {
-			return idle, withRetryAfter(failed)
-		}
-		if err := waitForChange(ctx, changed, backoff); err != nil {
-			return idle, withRetryAfter(failed)
+		decision := s.decideRetry(request, failed)
+		s.logWrite(failed, decision)
+		if !decision.Again || waitForChange(ctx, changed, decision.Pause) != nil {
+			return idle, withRetryAfter(failed, decision)
 		}
-		backoff = min(2*backoff, lastBackoff)
 	}
 }
 
+// decideRetry decides on another attempt. A gate that does not know of a new workspace or group yet
+// learns of it, unless this daemon has learnt meanwhile that it is gone.
+func (s *session) decideRetry(request *retry.Request, failed *result.Error) retry.Decision {
+	code := failed.Code
+	if code == result.UnknownGroup && s.hasGroup() {
+		code = result.NotRunNotHolder
+	}
+	rowsSent := failed.Code == result.AnswerInterrupted
+	return request.Failed(retry.Failure{Code: code, RetryAfter: failed.RetryAfter, RowsSent: rowsSent}, time.Now())
+}
+
+// hasGroup reports whether the session's workspace still uses its group.
+func (s *session) hasGroup() bool {
+	effective, ok := s.router.options.Workspaces.Workspace(s.info.Workspace)
+	return ok && effective.HasGroup(s.info.Group)
+}
+
 // tryPrimary makes one attempt at the primary and follows redirects between daemons.
 func (s *session) tryPrimary(ctx context.Context, batch *frontend.Batch, deadline time.Time, emit func([]byte) error) (frontend.Outcome, *result.Error) {
 	current, ok := s.router.options.Terms.Current(s.info.Group)
@@ -64,39 +70,14 @@
 	}
 }
 
-// mayRepeat reports whether a refusal may pass a little later. A gate that does not know of a new
-// workspace or group yet learns of it, unless this daemon has learnt meanwhile that it is gone.
-func (s *session) mayRepeat(code result.Code) bool {
-	if code != result.UnknownGroup {
-		return mayRepeat(code)
-	}
-	effective, ok := s.router.options.Workspaces.Workspace(s.info.Workspace)
-	return ok && effective.HasGroup(s.info.Group)
-}
-
-// mayRepeat reports whether a write that was refused may find its way a little later. Nothing
-// else is repeated, because the write may have run.
-func mayRepeat(code result.Code) bool {
-	switch code {
-	case result.NotRunNoPrimary, result.NotRunNotHolder, result.NotRunDraining, result.NotRunNoMajority,
-		result.NotRunNoSlot, result.NotRunUnreachable, result.NotRunTargetLeaving, result.NotRunTermChanged:
-		return true
-	default:
-		return false
-	}
-}
-
 // withRetryAfter sees to it that a refusal says when to come back.
-func withRetryAfter(failed *result.Error) *result.Error {
+func withRetryAfter(failed *result.Error, decision retry.Decision) *result.Error {
 	if failed.Code.IsNotRun() && failed.RetryAfter == 0 {
-		failed.RetryAfter = defaultRetryAfter
+		failed.RetryAfter = max(decision.RetryAfter, retry.DefaultRetryAfter)
 	}
 	return failed
 }
 
-// defaultRetryAfter is the time after which a refused caller may come back.
-const defaultRetryAfter = 200 * time.Millisecond
-
 func waitForChange(ctx context.Context, changed <-chan struct{}, limit time.Duration) error {
 	timer := time.NewTimer(limit)
 	defer timer.Stop()
@@ -110,10 +91,9 @@
 	}
 }
 
-func (s *session) logWrite(failed *result.Error, attempt int, retry bool, elapsed time.Duration) {
+func (s *session) logWrite(failed *result.Error, decision retry.Decision) {
 	counters.Add("writes_"+failed.Code.String(), 1)
-	logrus.WithFields(logrus.Fields{
-		"session": s.id, "group": s.info.Group, "code": int(failed.Code), "reason": failed.Reason,
-		"attempt": attempt, "retry": retry, "elapsed": elapsed,
+	logrus.WithFields(decision.Fields()).WithFields(logrus.Fields{
+		"session": s.id, "group": s.info.Group, "code": int(failed.Code), "cause": failed.Reason,
 	}).Info("write_not_served")
 }
