Remember releases, so that a batch read late begins nothing; confirm the commit behind already_ran

A daemon that wakes reads the release of a batch before the batch itself, begins the transaction, and nobody ends it before the limit of idle transactions (idle_in_transaction was logged for rounds-db-3). Change: a release carries the batch up to which it holds, gates remember it for a minute and refuse or roll back what it covers; already_ran is answered only once the key's commit is confirmed. Before and after: TestReleasedBatchDoesNotStart: answer_interrupted and an open block without the check, refused with it. Conclusion: a message that ends something must name what it ends.

--- a/api/types.gen.go
+++ b/api/types.gen.go
@@ -554,6 +554,10 @@
 
 // ReleaseRequest ends what a closed session holds at a gate.
 type ReleaseRequest struct {
+	// Sequence is the last batch that is given up; later batches of the session go
+	// on.
+	Sequence uint64 `json:"sequence" toml:"sequence"`
+
 	// SessionID identifies the caller connection.
 	SessionID string `json:"session_id" toml:"session_id"`
 }
--- a/internal/gate/answer.go
+++ b/internal/gate/answer.go
@@ -21,9 +21,11 @@
 type answer struct {
 	id      uint64
 	session string
-	chunks  chan *api.ExecuteReply
-	ctx     context.Context
-	cancel  context.CancelFunc
+	// sequence is that of the batch.
+	sequence uint64
+	chunks   chan *api.ExecuteReply
+	ctx      context.Context
+	cancel   context.CancelFunc
 
 	mu     sync.Mutex
 	number uint64
--- a/internal/gate/gate.go
+++ b/internal/gate/gate.go
@@ -57,6 +57,7 @@
 	queue        *queue
 	confirmer    *confirmer
 	transactions *transactions
+	released     *releases
 	leadership   leadership
 	age          *ageTracker
 	applied      *appliedWatch
@@ -80,6 +81,7 @@
 		queue:        newQueue(options.Group.Name, options.Spec, options.Limits.QueueLength, options.SlotsOf),
 		confirmer:    confirmer,
 		transactions: newTransactions(),
+		released:     newReleases(),
 		age:          newAgeTracker(confirmer),
 		applied:      newAppliedWatch(options.Spec, options.Target, options.Observer),
 		answers:      make(map[uint64]*answer),
@@ -93,6 +95,7 @@
 	go g.every(ctx, maintenanceInterval, g.pool.maintain)
 	go g.every(ctx, idleTransactionCheck, g.endIdleTransactions)
 	go g.every(ctx, maintenanceInterval, g.checkIdleTransactions)
+	go g.every(ctx, releaseMemory, g.released.expire)
 	go g.sampleAge(ctx)
 	go g.applied.run(ctx)
 	go g.followLeadership(ctx)
@@ -193,10 +196,15 @@
 		return g.refuse(req, err)
 	}
 	batch.answer = newAnswer(ctx, g.answerID.Add(1), req.SessionID)
+	batch.answer.sequence = req.Sequence
 	g.mu.Lock()
 	g.answers[batch.answer.id] = batch.answer
 	g.inflight[req.SessionID] = batch.slot
 	g.mu.Unlock()
+	if g.released.covers(req) {
+		// The release came while the batch waited; what it begins is rolled back.
+		batch.answer.cancel()
+	}
 	go func() {
 		defer cancel()
 		batch.run(work)
@@ -231,11 +239,11 @@
 }
 
 // abandonAnswers gives up the answers that a session no longer fetches.
-func (g *Gate) abandonAnswers(session string) {
+func (g *Gate) abandonAnswers(session string, sequence uint64) {
 	g.mu.Lock()
 	var abandoned []*answer
 	for _, a := range g.answers {
-		if a.session == session {
+		if a.session == session && a.sequence <= sequence {
 			abandoned = append(abandoned, a)
 		}
 	}
--- a/internal/gate/key.go
+++ b/internal/gate/key.go
@@ -84,7 +84,7 @@
 func (b *batch) keyRefused(answer simpleAnswer) error {
 	switch answer.state {
 	case stateUniqueViolation:
-		return result.Errorf(result.AlreadyRan, "an operation with this key of workspace %s was committed before", b.req.Workspace)
+		return b.alreadyRan()
 	case stateReadOnly:
 		return result.Errorf(result.NotRunTermChanged, "target %s does not accept writes", b.gate.options.Spec.Name)
 	default:
@@ -93,6 +93,15 @@
 	}
 }
 
+// alreadyRan answers that the key is there, once the commit that entered it is confirmed; a failover
+// could still cut it before.
+func (b *batch) alreadyRan() error {
+	if _, err := b.gate.confirmer.floor(b.answer.ctx, b.term); err != nil {
+		return result.Errorf(result.OutcomeUnknown, "the operation key is there and not confirmed: %v", err)
+	}
+	return result.Errorf(result.AlreadyRan, "an operation with this key of workspace %s was committed before", b.req.Workspace)
+}
+
 // performWithKey runs a batch outside a transaction block in one that holds the key.
 func (b *batch) performWithKey() (byte, error) {
 	b.plan = b.newPlan(false)
--- a/internal/gate/manager.go
+++ b/internal/gate/manager.go
@@ -308,7 +308,7 @@
 func (m *Manager) Release(req *api.ReleaseRequest) bool {
 	done := false
 	for _, held := range m.Gates() {
-		done = held.Release(req.SessionID) || done
+		done = held.Release(req.SessionID, req.Sequence) || done
 	}
 	return done
 }
--- a/internal/gate/prepare.go
+++ b/internal/gate/prepare.go
@@ -12,6 +12,9 @@
 // prepare checks a request, and finds a connection for it.
 func (g *Gate) prepare(ctx context.Context, req *api.ExecuteRequest) (*batch, error) {
 	b := &batch{gate: g, req: req, asked: time.Now()}
+	if g.released.covers(req) {
+		return nil, result.Errorf(result.NotRunDeadline, "the session has given batch %d up", req.Sequence)
+	}
 	if req.TransactionID != 0 {
 		return b, g.resume(b)
 	}
--- a/internal/gate/release.go
+++ b/internal/gate/release.go
@@ -34,10 +34,14 @@
 	}
 }
 
-// Release rolls back what a session has open and gives up its answers.
-func (g *Gate) Release(session string) bool {
-	g.abandonAnswers(session)
-	return g.endTransaction(session)
+// Release rolls back what a session has open and gives up its answers, up to a batch. Batches up to
+// it that come later do not start: a frozen daemon may read a release before the batch.
+func (g *Gate) Release(session string, sequence uint64) bool {
+	g.released.note(session, sequence)
+	g.abandonAnswers(session, sequence)
+	ended := g.transactions.abandon(func(t *transaction) bool { return t.session == session && t.sequence <= sequence })
+	g.rollBack(ended, "released")
+	return len(ended) > 0
 }
 
 func (g *Gate) endTransaction(session string) bool {
--- /dev/null
+++ b/internal/gate/releases_test.go
@@ -0,0 +1,41 @@
+package gate
+
+import (
+	"testing"
+
+	"github.com/papayacove/papayacove/internal/result"
+)
+
+// A frozen daemon that wakes may read the release of a batch before the batch itself; the transaction
+// that it began was then held until the limit of idle transactions.
+func TestReleasedBatchDoesNotStart(t *testing.T) {
+	g := startTestGroup(t)
+	if reply := g.run(t, "a", "d/1", "CREATE TABLE log (entry text)", 0); reply.Code != 0 {
+		t.Fatalf("create: %d %s", reply.Code, reply.Reason)
+	}
+	held, _ := g.manager.gate("a")
+	held.Release("d/1", g.next+1)
+	reply := g.run(t, "a", "d/1", "BEGIN", 0)
+	if code := result.Code(reply.Code); code != result.NotRunDeadline {
+		t.Errorf("batch after its release: code %v, want %v", code, result.NotRunDeadline)
+	}
+	if open := held.transactions.count(); open != 0 {
+		t.Errorf("%d transactions are open", open)
+	}
+	if reply := g.run(t, "a", "d/1", "BEGIN", 0); reply.TransactionStatus != "T" {
+		t.Errorf("a later batch of the session: %+v", reply)
+	}
+}
+
+func TestReleaseLeavesLaterBatchesAlone(t *testing.T) {
+	g := startTestGroup(t)
+	if reply := g.run(t, "a", "d/1", "BEGIN", 0); reply.TransactionStatus != "T" {
+		t.Fatalf("begin: %+v", reply)
+	}
+	began := g.next
+	held, _ := g.manager.gate("a")
+	held.Release("d/1", began-1)
+	if reply := g.run(t, "a", "d/1", "COMMIT", began); reply.Code != 0 {
+		t.Errorf("commit: %d %s", reply.Code, reply.Reason)
+	}
+}
--- a/internal/router/session.go
+++ b/internal/router/session.go
@@ -287,7 +287,7 @@
 }
 
 func (s *session) release(daemon string) {
-	req := &api.ReleaseRequest{SessionID: s.id}
+	req := &api.ReleaseRequest{SessionID: s.id, Sequence: s.sequence}
 	s.router.tell(daemon,
 		func() { s.router.options.Gates.Release(req) },
 		func(ctx context.Context, client *peer.Client) { _, _ = client.Release(ctx, req) })
