Close the moment between the look at a release and the note of a transaction

Cause: by reading: a release that comes after giveBack has looked at the answer and before the transaction is noted finds nothing to end, and the transaction stays until the limit of idle transactions. Ruled out: nothing; the moment is some microseconds. Change: after the transaction is noted the releases are looked at once more. Before and after: TestReleaseAtAnyMomentLeavesNothingOpen passes; it was not seen red, three runs without the change passed too.

--- a/internal/gate/conclude.go
+++ b/internal/gate/conclude.go
@@ -109,6 +109,10 @@
 		}
 	case keeps:
 		b.gate.transactions.begin(b, transactionStatus)
+		if b.gate.released.covers(b.req) {
+			// The release came after the look at the answer and before the transaction was noted.
+			b.gate.endTransaction(session)
+		}
 	default:
 		if b.pinned {
 			b.gate.transactions.end(session)
--- a/internal/gate/releases_test.go
+++ b/internal/gate/releases_test.go
@@ -1,7 +1,13 @@
 package gate
 
 import (
+	"fmt"
+	"math/rand"
+	"sync"
 	"testing"
+	"time"
+
+	"github.com/papayacove/papayacove/api"
 
 	"github.com/papayacove/papayacove/internal/result"
 )
@@ -39,3 +45,36 @@
 		t.Errorf("commit: %d %s", reply.Code, reply.Reason)
 	}
 }
+
+// A release at any moment of a BEGIN leaves no transaction open.
+func TestReleaseAtAnyMomentLeavesNothingOpen(t *testing.T) {
+	g := startTestGroup(t)
+	if reply := g.run(t, "a", "d/1", "CREATE TABLE log (entry text)", 0); reply.Code != 0 {
+		t.Fatalf("create: %d %s", reply.Code, reply.Reason)
+	}
+	held, _ := g.manager.gate("a")
+	random := rand.New(rand.NewSource(1))
+	for i := range 300 {
+		session := fmt.Sprintf("d/s%d", i)
+		var both sync.WaitGroup
+		both.Go(func() {
+			g.manager.Execute(&api.ExecuteRequest{
+				Workspace: "w", Group: "g", Target: "a", SessionID: session, Sequence: 1, Access: api.ExecuteRequestAccessWrite,
+				MaxAgeMs: -1, TimeoutMs: 5000, ReplicationWaitMs: 60_000, Messages: appendQuery(nil, "BEGIN"),
+			})
+		})
+		pause := time.Duration(random.Intn(600)) * time.Microsecond
+		both.Go(func() {
+			time.Sleep(pause)
+			held.Release(session, 1)
+		})
+		both.Wait()
+	}
+	limit := time.Now().Add(5 * time.Second)
+	for held.transactions.count() > 0 {
+		if time.Now().After(limit) {
+			t.Fatalf("%d transactions are open", held.transactions.count())
+		}
+		time.Sleep(10 * time.Millisecond)
+	}
+}
