Wait within a context in one place, and drop what nothing calls

Cause: read once more, the change had eight copies of a wait that ends with its context, three in the product and five in the stand-ins; membership.Clients and one SQLSTATE of the gate had no user. Ruled out: joining the waits that listen on a further channel (they differ); sharing TestMain of the property tests (each package needs its own, and it is eight lines). Change: internal/clock.Sleep replaces the eight; the clock of the workload is called clockWriter; the unused two are gone. Conclusion: no change of behaviour.

--- a/internal/failover/promoter.go
+++ b/internal/failover/promoter.go
@@ -10,6 +10,7 @@
 	"time"
 
 	"github.com/papayacove/papayacove/api"
+	"github.com/papayacove/papayacove/internal/clock"
 	"github.com/papayacove/papayacove/internal/platform"
 	"github.com/papayacove/papayacove/internal/policy/promotion"
 	"github.com/papayacove/papayacove/internal/target"
@@ -41,14 +42,14 @@
 	record, version, err := c.readRecord(ctx)
 	if err != nil {
 		logrus.WithFields(logrus.Fields{"group": c.group.Name, "error": err}).Warn("promotion_not_started")
-		sleep(ctx, retryPause)
+		_ = clock.Sleep(ctx, retryPause)
 		return
 	}
 	compared := promotion.DecideRecord(c.term, record)
 	if compared.Action != promotion.RecordOpenNext {
 		logrus.WithFields(compared.Fields()).Info("promotion_not_started")
 		c.options.Terms.Observe(terms.FromRecord(record))
-		sleep(ctx, retryPause)
+		_ = clock.Sleep(ctx, retryPause)
 		return
 	}
 	ctx, cancel := context.WithCancel(ctx)
@@ -60,7 +61,7 @@
 	p.promotion, orders = promotion.New(c.config(decision), record, version, p.began)
 	p.run(ctx, orders)
 	if p.promotion.Step() == promotion.StepAbandoned {
-		sleep(ctx, retryPause)
+		_ = clock.Sleep(ctx, retryPause)
 	}
 }
 
@@ -300,12 +301,3 @@
 	_, _ = rand.Read(id[:])
 	return hex.EncodeToString(id[:])
 }
-
-func sleep(ctx context.Context, d time.Duration) {
-	timer := time.NewTimer(d)
-	defer timer.Stop()
-	select {
-	case <-ctx.Done():
-	case <-timer.C:
-	}
-}
--- a/internal/gate/applied.go
+++ b/internal/gate/applied.go
@@ -6,6 +6,7 @@
 	"time"
 
 	"github.com/papayacove/papayacove/api"
+	"github.com/papayacove/papayacove/internal/clock"
 	"github.com/papayacove/papayacove/internal/observer"
 	"github.com/papayacove/papayacove/internal/target"
 )
@@ -115,7 +116,7 @@
 	if control == nil {
 		opened, err := target.DialControl(ctx, w.spec.Address, w.options)
 		if err != nil {
-			_ = pause(ctx, slotRetryInterval)
+			_ = clock.Sleep(ctx, slotRetryInterval)
 			return nil
 		}
 		control = opened
@@ -129,7 +130,7 @@
 	w.observer.Report(w.spec.Name, status, asked)
 	if !w.release(status.AppliedPosition()) {
 		// A position of a later term with a low offset is answered at once, again and again.
-		_ = pause(ctx, slotRetryInterval)
+		_ = clock.Sleep(ctx, slotRetryInterval)
 	}
 	return control
 }
--- a/internal/gate/batch.go
+++ b/internal/gate/batch.go
@@ -31,7 +31,6 @@
 	stateReadOnly        = "25006"
 	stateUniqueViolation = "23505"
 	stateUndefinedTable  = "42P01"
-	stateCancelled       = "57014"
 )
 
 // batch is one statement batch on its way through a connection.
--- a/internal/gate/pool.go
+++ b/internal/gate/pool.go
@@ -7,6 +7,7 @@
 	"time"
 
 	"github.com/papayacove/papayacove/api"
+	"github.com/papayacove/papayacove/internal/clock"
 	"github.com/papayacove/papayacove/internal/invariant"
 	"github.com/papayacove/papayacove/internal/result"
 	"github.com/papayacove/papayacove/internal/target"
@@ -73,7 +74,7 @@
 			return nil, result.Errorf(result.NotRunUnreachable, "target %s: %v", p.spec.Name, err)
 		}
 		// The slots of the previous holder come back shortly after the target has moved.
-		if err := pause(ctx, slotRetryInterval); err != nil {
+		if err := clock.Sleep(ctx, slotRetryInterval); err != nil {
 			return nil, result.Errorf(result.NotRunNoSlot, "target %s has no free connection", p.spec.Name)
 		}
 	}
@@ -221,14 +222,3 @@
 		return result.Errorf(result.NotRunDeadline, "no connection became free in time")
 	}
 }
-
-func pause(ctx context.Context, d time.Duration) error {
-	timer := time.NewTimer(d)
-	defer timer.Stop()
-	select {
-	case <-timer.C:
-		return nil
-	case <-ctx.Done():
-		return ctx.Err()
-	}
-}
--- a/internal/membership/membership.go
+++ b/internal/membership/membership.go
@@ -265,19 +265,6 @@
 	return newest.client, true
 }
 
-// Clients returns the clients of all live daemons.
-func (m *Manager) Clients() []*peer.Client {
-	m.mu.RLock()
-	defer m.mu.RUnlock()
-	clients := make([]*peer.Client, 0, len(m.peers))
-	for _, known := range m.peers {
-		if known.live {
-			clients = append(clients, known.client)
-		}
-	}
-	return clients
-}
-
 // IsLive reports whether the named other daemon is live.
 func (m *Manager) IsLive(name string) bool {
 	m.mu.RLock()
--- a/internal/platform/apply.go
+++ b/internal/platform/apply.go
@@ -9,6 +9,7 @@
 	"github.com/sirupsen/logrus"
 
 	"github.com/papayacove/papayacove/api"
+	"github.com/papayacove/papayacove/internal/clock"
 )
 
 // The times between the attempts of Apply and Remove.
@@ -109,7 +110,7 @@
 	for attempts := 1; ; attempts++ {
 		applied, err := ch.attempt(ctx)
 		if errors.Is(err, errRetry) {
-			if sleep(ctx, wait.next()) == nil {
+			if clock.Sleep(ctx, wait.next()) == nil {
 				continue
 			}
 			applied, err = abandon(ch, err)
--- a/internal/platform/backoff.go
+++ b/internal/platform/backoff.go
@@ -1,7 +1,6 @@
 package platform
 
 import (
-	"context"
 	"math/rand/v2"
 	"time"
 )
@@ -33,15 +32,3 @@
 	half := d / 2
 	return half + rand.N(d-half+1)
 }
-
-// sleep waits for d and fails when ctx ends first.
-func sleep(ctx context.Context, d time.Duration) error {
-	timer := time.NewTimer(d)
-	defer timer.Stop()
-	select {
-	case <-timer.C:
-		return nil
-	case <-ctx.Done():
-		return ctx.Err()
-	}
-}
--- a/internal/platform/follow.go
+++ b/internal/platform/follow.go
@@ -9,6 +9,7 @@
 	"github.com/sirupsen/logrus"
 
 	"github.com/papayacove/papayacove/api"
+	"github.com/papayacove/papayacove/internal/clock"
 )
 
 // DefaultWatchWait is the time that the platform holds a watch without changes back. It bounds
@@ -102,7 +103,7 @@
 		} else {
 			retry.reset()
 		}
-		if err := sleep(ctx, wait); err != nil {
+		if err := clock.Sleep(ctx, wait); err != nil {
 			return err
 		}
 	}
--- a/standin/bench/failover.go
+++ b/standin/bench/failover.go
@@ -6,6 +6,7 @@
 	"time"
 
 	"github.com/papayacove/papayacove/api"
+	"github.com/papayacove/papayacove/internal/clock"
 	"github.com/papayacove/papayacove/internal/target"
 	"github.com/papayacove/papayacove/standin/soak"
 )
@@ -172,7 +173,7 @@
 	ctx, cancel := context.WithTimeout(ctx, gapLimit)
 	defer cancel()
 	for soak.PrimaryOf(r.Fleet, group) == primary {
-		if err := sleep(ctx, healInterval); err != nil {
+		if err := clock.Sleep(ctx, healInterval); err != nil {
 			return fmt.Errorf("primary %s is not replaced: %w", primary, err)
 		}
 	}
@@ -189,7 +190,7 @@
 		if reason == "" {
 			return nil
 		}
-		if err := sleep(ctx, healInterval); err != nil {
+		if err := clock.Sleep(ctx, healInterval); err != nil {
 			return fmt.Errorf("group is not whole: %s", reason)
 		}
 	}
--- a/standin/bench/gates.go
+++ b/standin/bench/gates.go
@@ -7,6 +7,7 @@
 	"time"
 
 	"github.com/papayacove/papayacove/api"
+	"github.com/papayacove/papayacove/internal/clock"
 	"github.com/papayacove/papayacove/standin/soak"
 	"github.com/papayacove/papayacove/standin/workload"
 )
@@ -124,7 +125,7 @@
 	ctx, cancel := context.WithTimeout(ctx, slotsLimit)
 	defer cancel()
 	for r.slotsInUse(daemons, name) < spec.Slots {
-		if sleep(ctx, slotsInterval) != nil {
+		if clock.Sleep(ctx, slotsInterval) != nil {
 			return time.Time{}, errSlots
 		}
 	}
@@ -170,7 +171,7 @@
 		}
 		began := time.Now()
 		r.Daemons[holder].Stop()
-		_ = sleep(ctx, gapWarmUp)
+		_ = clock.Sleep(ctx, gapWarmUp)
 		callers.stop()
 		for _, one := range callers.all {
 			if one.daemon == holder {
--- a/standin/bench/lease.go
+++ b/standin/bench/lease.go
@@ -8,6 +8,7 @@
 
 	"github.com/jackc/pgx/v5"
 	"github.com/papayacove/papayacove/api"
+	"github.com/papayacove/papayacove/internal/clock"
 	"github.com/papayacove/papayacove/internal/platform"
 	"github.com/papayacove/papayacove/standin/fleet"
 )
@@ -161,7 +162,7 @@
 }
 
 func (h *leaseHolder) renew(ctx context.Context) {
-	for sleep(ctx, leaseTime/3) == nil {
+	for clock.Sleep(ctx, leaseTime/3) == nil {
 		asked := time.Now()
 		object, err := h.client.Update(ctx, h.object)
 		if err != nil {
--- a/standin/bench/memory.go
+++ b/standin/bench/memory.go
@@ -12,6 +12,7 @@
 
 	"github.com/jackc/pgx/v5"
 	"github.com/papayacove/papayacove/api"
+	"github.com/papayacove/papayacove/internal/clock"
 	"github.com/papayacove/papayacove/standin/fleet"
 )
 
@@ -144,7 +145,7 @@
 	if err != nil {
 		return 0, err
 	}
-	_ = sleep(ctx, took)
+	_ = clock.Sleep(ctx, took)
 	idle, err := r.mallocs(daemon)
 	return (float64(after-before) - float64(idle-after)) / allocationStatements, err
 }
@@ -175,7 +176,7 @@
 	if err != nil {
 		return err
 	}
-	_ = sleep(ctx, idleSettle)
+	_ = clock.Sleep(ctx, idleSettle)
 	after, err := residentKB(r.Daemons[daemon].ID())
 	if err != nil {
 		return err
--- a/standin/bench/overload.go
+++ b/standin/bench/overload.go
@@ -11,6 +11,7 @@
 	"github.com/jackc/pgx/v5"
 	"github.com/jackc/pgx/v5/pgconn"
 	"github.com/papayacove/papayacove/api"
+	"github.com/papayacove/papayacove/internal/clock"
 	"github.com/papayacove/papayacove/standin/fleet"
 	"github.com/papayacove/papayacove/standin/workload"
 )
@@ -169,7 +170,7 @@
 			}
 			defer func() { _ = connection.PgConn().Conn().Close() }()
 			<-begin
-			_ = sleep(ctx, period*time.Duration(i)/time.Duration(callers))
+			_ = clock.Sleep(ctx, period*time.Duration(i)/time.Duration(callers))
 			o.send(ctx, connection, period, time.Now().Add(length))
 		})
 	}
@@ -181,7 +182,7 @@
 
 func (o *offered) send(ctx context.Context, connection *pgx.Conn, period time.Duration, end time.Time) {
 	for next := time.Now(); time.Now().Before(end); next = next.Add(period) {
-		if sleep(ctx, time.Until(next)) != nil {
+		if clock.Sleep(ctx, time.Until(next)) != nil {
 			return
 		}
 		began := time.Now()
@@ -256,7 +257,7 @@
 			row = 0
 			since = time.Now()
 		}
-		_ = sleep(ctx, recoveryInterval)
+		_ = clock.Sleep(ctx, recoveryInterval)
 	}
 	return since.Sub(began)
 }
--- a/standin/bench/reads.go
+++ b/standin/bench/reads.go
@@ -8,6 +8,7 @@
 	"time"
 
 	"github.com/jackc/pgx/v5"
+	"github.com/papayacove/papayacove/internal/clock"
 	"github.com/papayacove/papayacove/standin/fleet"
 	"github.com/papayacove/papayacove/standin/soak"
 	"github.com/papayacove/papayacove/standin/workload"
@@ -110,7 +111,7 @@
 		return nil, err
 	}
 	// Reads of the mix before, whose callers have gone, may still wait for a replica.
-	_ = sleep(ctx, mixPause)
+	_ = clock.Sleep(ctx, mixPause)
 	before := r.readCounts()
 	m := &mix{took: newLatencies()}
 	working, stop := context.WithTimeout(ctx, readTime)
@@ -190,7 +191,7 @@
 		} else {
 			o.read(ctx, connection)
 		}
-		_ = sleep(ctx, time.Duration(o.random.Int63n(int64(readerThinkTime))))
+		_ = clock.Sleep(ctx, time.Duration(o.random.Int63n(int64(readerThinkTime))))
 	}
 }
 
--- a/standin/bench/writer.go
+++ b/standin/bench/writer.go
@@ -8,6 +8,7 @@
 
 	"github.com/jackc/pgx/v5"
 	"github.com/jackc/pgx/v5/pgconn"
+	"github.com/papayacove/papayacove/internal/clock"
 )
 
 const (
@@ -80,7 +81,7 @@
 		}
 		w.note(call{began: began, ended: time.Now(), err: err, sent: sent})
 		if err != nil {
-			sleep(ctx, writerPause)
+			_ = clock.Sleep(ctx, writerPause)
 		}
 	}
 }
@@ -157,7 +158,7 @@
 		if len(times) == len(w.all) {
 			return times, nil
 		}
-		if sleep(ctx, writerPause) != nil {
+		if clock.Sleep(ctx, writerPause) != nil {
 			return times, errNoWrites
 		}
 	}
@@ -174,15 +175,3 @@
 
 // shutdownState is the SQLSTATE of a connection that a planned stop ends.
 const shutdownState = "57P01"
-
-// sleep pauses and returns the error of ctx when it ends first.
-func sleep(ctx context.Context, d time.Duration) error {
-	timer := time.NewTimer(d)
-	defer timer.Stop()
-	select {
-	case <-ctx.Done():
-		return ctx.Err()
-	case <-timer.C:
-		return nil
-	}
-}
--- a/standin/capacity/connection.go
+++ b/standin/capacity/connection.go
@@ -8,6 +8,7 @@
 
 	"github.com/jackc/pgx/v5/pgproto3"
 	"github.com/papayacove/papayacove/api"
+	"github.com/papayacove/papayacove/internal/clock"
 	"github.com/papayacove/papayacove/internal/frontend"
 	"github.com/papayacove/papayacove/internal/result"
 )
@@ -78,7 +79,7 @@
 	}
 	go func() { _ = server.Run(ctx) }()
 	// The closed connections of the run before must be gone before memory is read.
-	if err := sleep(ctx, connectionSettle); err != nil {
+	if err := clock.Sleep(ctx, connectionSettle); err != nil {
 		cancel()
 		return 0, err
 	}
--- a/standin/capacity/fleet.go
+++ b/standin/capacity/fleet.go
@@ -6,6 +6,7 @@
 	"sync"
 	"time"
 
+	"github.com/papayacove/papayacove/internal/clock"
 	"github.com/papayacove/papayacove/standin/fleet"
 	"github.com/papayacove/papayacove/standin/workload"
 )
@@ -81,7 +82,7 @@
 
 // busyRate measures the daemons while callers work.
 func busyRate(ctx context.Context, running *fleet.Fleet) (statements, processor float64, resident int64, err error) {
-	if err := sleep(ctx, fleetSettle); err != nil {
+	if err := clock.Sleep(ctx, fleetSettle); err != nil {
 		return 0, 0, 0, err
 	}
 	before, began := countStatements(running), time.Now()
@@ -92,14 +93,14 @@
 
 // daemonRate returns the cores and the resident bytes of all daemons.
 func daemonRate(ctx context.Context, running *fleet.Fleet) (processor float64, resident int64, err error) {
-	if err := sleep(ctx, fleetSettle); err != nil {
+	if err := clock.Sleep(ctx, fleetSettle); err != nil {
 		return 0, 0, err
 	}
 	before, err := useOfDaemons(running)
 	if err != nil {
 		return 0, 0, err
 	}
-	if err := sleep(ctx, fleetWindow); err != nil {
+	if err := clock.Sleep(ctx, fleetWindow); err != nil {
 		return 0, 0, err
 	}
 	after, err := useOfDaemons(running)
--- a/standin/capacity/follow.go
+++ b/standin/capacity/follow.go
@@ -6,6 +6,7 @@
 	"time"
 
 	"github.com/papayacove/papayacove/api"
+	"github.com/papayacove/papayacove/internal/clock"
 	"github.com/papayacove/papayacove/internal/platform"
 	standin "github.com/papayacove/papayacove/standin/platform"
 )
@@ -39,7 +40,7 @@
 		clients = append(clients, client)
 		go followAll(ctx, client)
 	}
-	if err := sleep(ctx, time.Second); err != nil {
+	if err := clock.Sleep(ctx, time.Second); err != nil {
 		return nil, err
 	}
 	idle, err := countPlatform(ctx, clients, followWindow)
@@ -86,6 +87,6 @@
 	for i := 0; ctx.Err() == nil; i++ {
 		data := fmt.Sprintf(`{"name":"workspace-1","template":"city-%d"}`, i)
 		server.PutObject(api.Object{Kind: platform.KindWorkspace, Name: "workspace-1", Data: []byte(data)})
-		_ = sleep(ctx, burstInterval)
+		_ = clock.Sleep(ctx, burstInterval)
 	}
 }
--- a/standin/capacity/heartbeat.go
+++ b/standin/capacity/heartbeat.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"fmt"
+	"github.com/papayacove/papayacove/internal/clock"
 	"time"
 )
 
@@ -52,7 +53,7 @@
 		return heartbeatLoad{}, err
 	}
 	defer closeMembers(members)
-	if err := sleep(ctx, heartbeatSettle); err != nil {
+	if err := clock.Sleep(ctx, heartbeatSettle); err != nil {
 		return heartbeatLoad{}, err
 	}
 	if live, all := liveLinks(members), count*(count-1); live < all {
--- a/standin/capacity/status.go
+++ b/standin/capacity/status.go
@@ -4,6 +4,7 @@
 	"context"
 	"time"
 
+	"github.com/papayacove/papayacove/internal/clock"
 	"github.com/papayacove/papayacove/internal/observer"
 	"github.com/papayacove/papayacove/internal/target"
 )
@@ -50,7 +51,7 @@
 		}
 		observe(ctx, observer.New(groupSpec(i, addresses...), target.Options{User: "papayacove"}), interval)
 	}
-	if err := sleep(ctx, observerSettle); err != nil {
+	if err := clock.Sleep(ctx, observerSettle); err != nil {
 		return nil, err
 	}
 	before := countCalls(answerers)
--- a/standin/capacity/usage.go
+++ b/standin/capacity/usage.go
@@ -4,6 +4,7 @@
 	"bytes"
 	"context"
 	"fmt"
+	"github.com/papayacove/papayacove/internal/clock"
 	"os"
 	"runtime"
 	"strconv"
@@ -61,14 +62,14 @@
 
 // measureRate returns the usage a second over a window that begins after settle.
 func measureRate(ctx context.Context, settle, window time.Duration) (Rate, error) {
-	if err := sleep(ctx, settle); err != nil {
+	if err := clock.Sleep(ctx, settle); err != nil {
 		return Rate{}, err
 	}
 	before, err := ReadUsage()
 	if err != nil {
 		return Rate{}, err
 	}
-	if err := sleep(ctx, window); err != nil {
+	if err := clock.Sleep(ctx, window); err != nil {
 		return Rate{}, err
 	}
 	after, err := ReadUsage()
@@ -83,15 +84,6 @@
 	}, nil
 }
 
-func sleep(ctx context.Context, d time.Duration) error {
-	select {
-	case <-ctx.Done():
-		return ctx.Err()
-	case <-time.After(d):
-		return nil
-	}
-}
-
 // memoryInUse returns the bytes of live heap objects and stacks.
 func memoryInUse() int64 {
 	// Stacks shrink by half at each collection.
--- a/standin/capacity/zone.go
+++ b/standin/capacity/zone.go
@@ -8,6 +8,7 @@
 	"time"
 
 	"github.com/papayacove/papayacove/api"
+	"github.com/papayacove/papayacove/internal/clock"
 	"github.com/papayacove/papayacove/internal/daemon"
 	"github.com/papayacove/papayacove/internal/platform"
 	"github.com/papayacove/papayacove/internal/telemetry"
@@ -33,7 +34,7 @@
 		return nil, err
 	}
 	defer stop()
-	if err := sleep(ctx, zoneSettle); err != nil {
+	if err := clock.Sleep(ctx, zoneSettle); err != nil {
 		return nil, err
 	}
 	idle, err := countZone(ctx, server, followWindow)
--- a/standin/cmd/standin-lab/demo.go
+++ b/standin/cmd/standin-lab/demo.go
@@ -7,6 +7,7 @@
 	"strings"
 	"time"
 
+	"github.com/papayacove/papayacove/internal/clock"
 	"github.com/papayacove/papayacove/standin/fleet"
 	"github.com/papayacove/papayacove/standin/soak"
 	"github.com/papayacove/papayacove/standin/workload"
@@ -76,14 +77,14 @@
 		r.work.Run(working)
 	}()
 	r.say("%s logs entries and reloads them through different daemons; %s reads data of at most %v", strict.User, aged.User, maxAge)
-	sleep(ctx, demoPart)
+	_ = clock.Sleep(ctx, demoPart)
 	gap, err := r.killPrimary(ctx)
 	if err != nil {
 		return err
 	}
-	sleep(ctx, demoPart)
+	_ = clock.Sleep(ctx, demoPart)
 	r.stopDaemon()
-	sleep(ctx, demoPart)
+	_ = clock.Sleep(ctx, demoPart)
 	stop()
 	<-ended
 	if err := r.work.Settle(ctx); err != nil {
@@ -110,7 +111,7 @@
 			r.say("%s is back and follows", old)
 			return gap, nil
 		}
-		sleep(ctx, 2*time.Millisecond)
+		_ = clock.Sleep(ctx, 2*time.Millisecond)
 	}
 	return 0, errors.New("no replica took over")
 }
@@ -161,12 +162,3 @@
 	}
 	return replicas, primaries
 }
-
-func sleep(ctx context.Context, d time.Duration) {
-	timer := time.NewTimer(d)
-	defer timer.Stop()
-	select {
-	case <-ctx.Done():
-	case <-timer.C:
-	}
-}
--- a/standin/soak/operators.go
+++ b/standin/soak/operators.go
@@ -10,6 +10,7 @@
 	"time"
 
 	"github.com/papayacove/papayacove/api"
+	"github.com/papayacove/papayacove/internal/clock"
 	"github.com/papayacove/papayacove/internal/platform"
 	"github.com/papayacove/papayacove/standin/fleet"
 	"github.com/papayacove/papayacove/standin/workload"
@@ -63,7 +64,7 @@
 	client := platform.NewClient(platform.Options{URL: o.fleet.Deployment.Settings[0].PlatformURL})
 	defer client.Close()
 	for i := 0; ctx.Err() == nil; i++ {
-		wait(ctx, between(random, 0, operatorPause))
+		_ = clock.Sleep(ctx, between(random, 0, operatorPause))
 		o.change(ctx, client, fmt.Sprintf("operator%d-%d", number, i), 200+random.Intn(100))
 	}
 }
@@ -104,7 +105,7 @@
 		for name := range o.fleet.Daemons {
 			o.look(name)
 		}
-		wait(ctx, watchInterval)
+		_ = clock.Sleep(ctx, watchInterval)
 	}
 }
 
@@ -137,7 +138,7 @@
 			o.history.Violate("revision %d is not in force on %s after %v", o.accepted, late, inForceLimit)
 			return
 		}
-		wait(ctx, watchInterval)
+		_ = clock.Sleep(ctx, watchInterval)
 	}
 }
 
--- a/standin/soak/soak.go
+++ b/standin/soak/soak.go
@@ -7,6 +7,7 @@
 	"sync"
 	"time"
 
+	"github.com/papayacove/papayacove/internal/clock"
 	"github.com/papayacove/papayacove/standin/fleet"
 	"github.com/papayacove/papayacove/standin/workload"
 )
@@ -74,16 +75,16 @@
 // injectAll brings failures about until ctx ends, and then heals what is left.
 func injectAll(ctx context.Context, f *fleet.Fleet, faults []Fault, history *workload.History, random *rand.Rand) {
 	for ctx.Err() == nil {
-		wait(ctx, between(random, shortestQuiet, longestQuiet))
+		_ = clock.Sleep(ctx, between(random, shortestQuiet, longestQuiet))
 		if ctx.Err() != nil {
 			return
 		}
 		heals := []func(){injectOne(f, faults, history, random)}
 		if random.Intn(pairOneIn) == 0 {
-			wait(ctx, between(random, 0, shortestFault))
+			_ = clock.Sleep(ctx, between(random, 0, shortestFault))
 			heals = append(heals, injectOne(f, faults, history, random))
 		}
-		wait(ctx, between(random, shortestFault, longestFault))
+		_ = clock.Sleep(ctx, between(random, shortestFault, longestFault))
 		for _, heal := range heals {
 			heal()
 		}
@@ -98,15 +99,6 @@
 	return heal
 }
 
-func wait(ctx context.Context, d time.Duration) {
-	timer := time.NewTimer(d)
-	defer timer.Stop()
-	select {
-	case <-ctx.Done():
-	case <-timer.C:
-	}
-}
-
 // violationWatch sums up the violations that the programs found themselves. The counts of a
 // process end with it, so they are read again and again.
 type violationWatch struct {
@@ -126,7 +118,7 @@
 		defer close(w.done)
 		for ctx.Err() == nil {
 			w.look()
-			wait(ctx, watchInterval)
+			_ = clock.Sleep(ctx, watchInterval)
 		}
 	}()
 	return w
--- a/standin/workload/caller.go
+++ b/standin/workload/caller.go
@@ -9,6 +9,7 @@
 
 	"github.com/jackc/pgx/v5"
 	"github.com/jackc/pgx/v5/pgconn"
+	"github.com/papayacove/papayacove/internal/clock"
 	"github.com/papayacove/papayacove/internal/result"
 	"github.com/papayacove/papayacove/standin/fleet"
 )
@@ -53,7 +54,7 @@
 	defer cancel()
 	connection, err := pgx.Connect(dialContext, url)
 	if err != nil {
-		pause(ctx, reconnectPause)
+		_ = clock.Sleep(ctx, reconnectPause)
 		return err
 	}
 	c.connection = connection
@@ -83,7 +84,7 @@
 	defer l.roam()
 	for ctx.Err() == nil {
 		l.step(ctx)
-		pause(ctx, time.Duration(l.random.Int63n(int64(thinkTime))))
+		_ = clock.Sleep(ctx, time.Duration(l.random.Int63n(int64(thinkTime))))
 	}
 }
 
@@ -242,12 +243,3 @@
 		c.roam()
 	}
 }
-
-func pause(ctx context.Context, d time.Duration) {
-	timer := time.NewTimer(d)
-	defer timer.Stop()
-	select {
-	case <-ctx.Done():
-	case <-timer.C:
-	}
-}
--- a/standin/workload/map.go
+++ b/standin/workload/map.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"fmt"
+	"github.com/papayacove/papayacove/internal/clock"
 	"sync"
 	"time"
 )
@@ -10,8 +11,8 @@
 // clockInterval is the time between two writes of the clock row of a group.
 const clockInterval = 25 * time.Millisecond
 
-// clock writes a rising number to a group, so that readers with an allowed age can be checked.
-type clock struct {
+// clockWriter writes a rising number to a group, so that readers with an allowed age can be checked.
+type clockWriter struct {
 	caller
 
 	mu    sync.Mutex
@@ -25,7 +26,7 @@
 }
 
 // run writes until ctx ends.
-func (c *clock) run(ctx context.Context) {
+func (c *clockWriter) run(ctx context.Context) {
 	defer c.roam()
 	for value := int64(1); ctx.Err() == nil; value++ {
 		if c.connect(ctx) != nil {
@@ -41,12 +42,12 @@
 			c.mu.Unlock()
 		}
 		c.closeAfter(err)
-		pause(ctx, clockInterval)
+		_ = clock.Sleep(ctx, clockInterval)
 	}
 }
 
 // before returns the highest number that was acknowledged before a time.
-func (c *clock) before(limit time.Time) int64 {
+func (c *clockWriter) before(limit time.Time) int64 {
 	c.mu.Lock()
 	defer c.mu.Unlock()
 	for i := len(c.acked) - 1; i >= 0; i-- {
@@ -60,7 +61,7 @@
 // Supervisor watches the map, which accepts data of an allowed age.
 type Supervisor struct {
 	caller
-	clock  *clock
+	clock  *clockWriter
 	maxAge time.Duration
 	// Served counts answers, Refused those that were told to come back.
 	Served  int
@@ -74,7 +75,7 @@
 		if s.connect(ctx) == nil {
 			s.read(ctx)
 		}
-		pause(ctx, time.Duration(s.random.Int63n(int64(thinkTime))))
+		_ = clock.Sleep(ctx, time.Duration(s.random.Int63n(int64(thinkTime))))
 	}
 }
 
--- a/standin/workload/workload.go
+++ b/standin/workload/workload.go
@@ -8,6 +8,7 @@
 	"time"
 
 	"github.com/jackc/pgx/v5"
+	"github.com/papayacove/papayacove/internal/clock"
 	"github.com/papayacove/papayacove/standin/fleet"
 )
 
@@ -52,7 +53,7 @@
 	History     *History
 	leads       []*CrewLead
 	supervisors []*Supervisor
-	clocks      []*clock
+	clocks      []*clockWriter
 }
 
 // New prepares the callers of all groups.
@@ -65,7 +66,7 @@
 }
 
 func (w *Workload) addGroup(group string) {
-	ticking := &clock{caller: w.newCaller(w.options.Strict, group)}
+	ticking := &clockWriter{caller: w.newCaller(w.options.Strict, group)}
 	w.clocks = append(w.clocks, ticking)
 	for range w.options.Leads {
 		w.leads = append(w.leads, &CrewLead{caller: w.newCaller(w.options.Strict, group), number: len(w.leads) + 1})
@@ -101,7 +102,7 @@
 		if err == nil || ctx.Err() != nil {
 			return err
 		}
-		pause(ctx, reconnectPause)
+		_ = clock.Sleep(ctx, reconnectPause)
 	}
 }
 
@@ -192,7 +193,7 @@
 			return rows, err
 		}
 		w.History.Fault("rows of %s not read yet: %v", group, err)
-		pause(ctx, reconnectPause)
+		_ = clock.Sleep(ctx, reconnectPause)
 	}
 }
 
