--- a/api/types.gen.go
+++ b/api/types.gen.go
@@ -90,6 +90,18 @@
 	Value int64 `json:"value" toml:"value"`
 }
 
+// DaemonEntry is what a daemon tells the others through the object store.
+type DaemonEntry struct {
+	// Beat rises with each refresh.
+	Beat uint64 `json:"beat" toml:"beat"`
+
+	// Name of the daemon.
+	Name string `json:"name" toml:"name"`
+
+	// Zone is the availability zone of the daemon.
+	Zone string `json:"zone" toml:"zone"`
+}
+
 // DaemonStatus is the answer to GET /status.
 type DaemonStatus struct {
 	// ConfigProblems has a line for each object whose newest version is not in force.
@@ -159,6 +171,12 @@
 	Decisions []Decision `json:"decisions" toml:"decisions"`
 }
 
+// DutyRecord says which daemon may order promotions.
+type DutyRecord struct {
+	// Holder names the daemon; empty when nobody has the duty.
+	Holder string `json:"holder" toml:"holder"`
+}
+
 // ExecuteReply carries the outcome and the first chunk of the answer.
 type ExecuteReply struct {
 	// AgeMs is the bound on the age of the data read, in milliseconds; -1 when
@@ -264,6 +282,36 @@
 	Target string `json:"target" toml:"target"`
 }
 
+// FleetSettings configure a daemon that serves the protocol lines.
+type FleetSettings struct {
+	// ConfigApplyMs is the time in milliseconds in which a configuration comes into
+	// force.
+	ConfigApplyMs int64 `json:"config_apply_ms" toml:"config_apply_ms"`
+
+	// DrainTimeoutMs is the time in milliseconds after which a leaving target gets no
+	// new work.
+	DrainTimeoutMs int64 `json:"drain_timeout_ms" toml:"drain_timeout_ms"`
+
+	// GraceS is the time in seconds between SIGTERM and SIGKILL.
+	GraceS float64 `json:"grace_s" toml:"grace_s"`
+
+	// HeartbeatMs is the time in milliseconds between two reports of a target to the
+	// store.
+	HeartbeatMs int64 `json:"heartbeat_ms" toml:"heartbeat_ms"`
+
+	// MaxDescriptors is the number of file descriptors of the process.
+	MaxDescriptors int64 `json:"max_descriptors" toml:"max_descriptors"`
+
+	// MemoryMb is the memory in MiB at which the process is ended.
+	MemoryMb int64 `json:"memory_mb" toml:"memory_mb"`
+
+	// PromotionURL is the base URL that takes orders to promote a target.
+	PromotionURL string `json:"promotion_url" toml:"promotion_url"`
+
+	// ReadinessAddress is the host:port that the balancer probes.
+	ReadinessAddress string `json:"readiness_address" toml:"readiness_address"`
+}
+
 // FloorReply is the confirmed position of a group.
 type FloorReply struct {
 	// Code is a result code; 0 is success.
@@ -580,6 +628,9 @@
 	// CallerAddress is the host:port for PostgreSQL callers.
 	CallerAddress string `json:"caller_address" toml:"caller_address"`
 
+	// Fleet holds what only the protocol lines uses.
+	Fleet FleetSettings `json:"fleet" toml:"fleet"`
+
 	// Limits bound what callers may use.
 	Limits LimitSettings `json:"limits" toml:"limits"`
 
@@ -599,6 +650,9 @@
 	// PlatformURL is the base URL of the platform object API.
 	PlatformURL string `json:"platform_url" toml:"platform_url"`
 
+	// Protocol is what callers and targets speak.
+	Protocol SettingsProtocol `json:"protocol" toml:"protocol"`
+
 	// Region that the VM is in.
 	Region string `json:"region" toml:"region"`
 
@@ -623,6 +677,11 @@
 const SettingsLogLevelInfo SettingsLogLevel = "info"
 const SettingsLogLevelWarn SettingsLogLevel = "warn"
 
+type SettingsProtocol string
+
+const SettingsProtocolLines SettingsProtocol = "lines"
+const SettingsProtocolPostgresql SettingsProtocol = "postgresql"
+
 // TLSSettings name certificate files in PEM form.
 type TLSSettings struct {
 	// CallerCertificate is the certificate shown to callers.
--- a/cmd/papayacove/main.go
+++ b/cmd/papayacove/main.go
@@ -7,14 +7,21 @@
 	"os"
 	"os/signal"
 	"syscall"
+	"time"
 
+	"github.com/papayacove/papayacove/api"
 	"github.com/papayacove/papayacove/internal/certificate"
 	"github.com/papayacove/papayacove/internal/config"
 	"github.com/papayacove/papayacove/internal/daemon"
+	"github.com/papayacove/papayacove/internal/lineproxy"
 	"github.com/papayacove/papayacove/internal/telemetry"
+	"github.com/sirupsen/logrus"
 	"github.com/urfave/cli/v3"
 )
 
+// logFlushTimeout bounds the writing of the last log lines at the end.
+const logFlushTimeout = 200 * time.Millisecond
+
 func main() {
 	command := &cli.Command{
 		Name:    "papayacove",
@@ -40,12 +47,18 @@
 	if err != nil {
 		return err
 	}
+	output := telemetry.NewOutput(os.Stdout)
+	defer output.Flush(logFlushTimeout)
+	logrus.SetOutput(output)
 	recorder, err := telemetry.SetUp(settings.LogLevel, settings.Name)
 	if err != nil {
 		return err
 	}
 	ctx, stop := signal.NotifyContext(ctx, syscall.SIGTERM, syscall.SIGINT)
 	defer stop()
+	if settings.Protocol == api.SettingsProtocolLines {
+		return lineproxy.New(settings).Run(ctx)
+	}
 	composed, err := daemon.New(settings, recorder)
 	if err != nil {
 		return err
--- a/internal/config/check.go
+++ b/internal/config/check.go
@@ -17,6 +17,13 @@
 	minTimeoutMs          = 10
 	maxTimeoutMs          = 3_600_000
 	maxQueueLength        = 100_000
+	minGraceS             = 1
+	maxGraceS             = 3_600
+	minConfigApplyMs      = 2_600
+	minMemoryMb           = 64
+	maxMemoryMb           = 1 << 20
+	minDescriptors        = 256
+	maxDescriptors        = 1 << 24
 	maxNameLength         = 63
 	nameBound             = "1 to 63 of a-z, 0-9, - and _"
 	addressBound          = "an IP address with a port of 1 to 65535"
@@ -72,6 +79,7 @@
 	c.limits(s.Limits)
 	c.target(s.Target)
 	c.tls(s.TLS)
+	c.protocol(s)
 	return c.problems
 }
 
@@ -199,3 +207,29 @@
 	}
 	return empty == 0 || empty == len(values)
 }
+
+func (c *checker) protocol(s api.Settings) {
+	switch s.Protocol {
+	case api.SettingsProtocolPostgresql:
+	case api.SettingsProtocolLines:
+		c.fleet(s.Fleet)
+	default:
+		c.add("protocol", string(s.Protocol), "postgresql or lines")
+	}
+}
+
+// fleet checks what only the protocol lines uses.
+func (c *checker) fleet(f api.FleetSettings) {
+	c.address("fleet.readiness_address", f.ReadinessAddress)
+	if !isPlatformURL(f.PromotionURL) {
+		c.add("fleet.promotion_url", redactURL(f.PromotionURL), platformBound)
+	}
+	if f.GraceS < minGraceS || f.GraceS > maxGraceS {
+		c.add("fleet.grace_s", strconv.FormatFloat(f.GraceS, 'g', -1, 64), fmt.Sprintf("%d to %d", minGraceS, maxGraceS))
+	}
+	c.between("fleet.drain_timeout_ms", f.DrainTimeoutMs, minTimeoutMs, maxTimeoutMs)
+	c.between("fleet.config_apply_ms", f.ConfigApplyMs, minConfigApplyMs, maxTimeoutMs)
+	c.between("fleet.heartbeat_ms", f.HeartbeatMs, minTimeoutMs, maxTimeoutMs)
+	c.between("fleet.memory_mb", f.MemoryMb, minMemoryMb, maxMemoryMb)
+	c.between("fleet.max_descriptors", f.MaxDescriptors, minDescriptors, maxDescriptors)
+}
--- a/internal/config/config.go
+++ b/internal/config/config.go
@@ -28,6 +28,7 @@
 		PlatformURL:   "http://127.0.0.1:5400",
 		Peers:         []string{},
 		LogLevel:      api.SettingsLogLevelInfo,
+		Protocol:      api.SettingsProtocolPostgresql,
 		Limits: api.LimitSettings{
 			MaxCallerConnections:          DefaultCallerConnections,
 			MaxUnauthenticatedConnections: DefaultUnauthenticatedConnections,
--- a/internal/daemon/configuration.go
+++ b/internal/daemon/configuration.go
@@ -8,8 +8,8 @@
 	"time"
 
 	"github.com/papayacove/papayacove/api"
+	"github.com/papayacove/papayacove/internal/objectstore"
 	"github.com/papayacove/papayacove/internal/peer"
-	"github.com/papayacove/papayacove/internal/platform"
 	"github.com/papayacove/papayacove/internal/terms"
 	"github.com/sirupsen/logrus"
 )
@@ -22,18 +22,18 @@
 )
 
 // configurationKinds are the objects that make up the configuration.
-var configurationKinds = []string{platform.KindTemplate, platform.KindWorkspace, platform.KindGroup, platform.KindTerm}
+var configurationKinds = []string{objectstore.KindTemplate, objectstore.KindWorkspace, objectstore.KindGroup, objectstore.KindTerm}
 
 // followConfiguration applies the objects of the platform as they change, while this daemon is one of
 // those that watch.
 func (d *Daemon) followConfiguration(ctx context.Context) {
-	options := platform.FollowOptions{Kinds: configurationKinds, Reached: d.contact.note, Hold: d.awaitWatch}
+	options := objectstore.FollowOptions{Kinds: configurationKinds, Reached: d.contact.note, Hold: d.awaitWatch}
 	_ = d.platform.Follow(ctx, options, func(list api.ObjectList) { d.applyObjects(list.Objects, list.Revision, "platform") })
 }
 
 // followVMs applies the VM list of the platform as it changes.
 func (d *Daemon) followVMs(ctx context.Context) {
-	options := platform.FollowOptions{Reached: d.contact.note}
+	options := objectstore.FollowOptions{Reached: d.contact.note}
 	_ = d.platform.FollowVMs(ctx, options, d.applyVMs)
 }
 
@@ -51,7 +51,7 @@
 }
 
 func (d *Daemon) applyTerm(object api.Object) {
-	if object.Kind != platform.KindTerm || object.Deleted {
+	if object.Kind != objectstore.KindTerm || object.Deleted {
 		return
 	}
 	var record api.TermRecord
--- a/internal/daemon/contact.go
+++ b/internal/daemon/contact.go
@@ -7,7 +7,7 @@
 	"time"
 
 	"github.com/papayacove/papayacove/api"
-	"github.com/papayacove/papayacove/internal/platform"
+	"github.com/papayacove/papayacove/internal/objectstore"
 )
 
 // contactPause is the time for which the platform counts as not reached after a failed call.
@@ -15,18 +15,18 @@
 
 // contact calls the platform for the failover and knows whether calls succeed.
 type contact struct {
-	client     *platform.Client
+	client     *objectstore.Client
 	reached    atomic.Bool
 	lastFailed atomic.Int64
 }
 
-func newContact(client *platform.Client) *contact {
+func newContact(client *objectstore.Client) *contact {
 	return &contact{client: client}
 }
 
 // note takes in the outcome of a call.
 func (c *contact) note(err error) {
-	if err != nil && errors.Is(err, platform.ErrUnavailable) {
+	if err != nil && errors.Is(err, objectstore.ErrUnavailable) {
 		c.lastFailed.Store(time.Now().UnixNano())
 		c.reached.Store(false)
 		return
--- a/internal/daemon/daemon.go
+++ b/internal/daemon/daemon.go
@@ -11,8 +11,8 @@
 	"github.com/papayacove/papayacove/internal/frontend"
 	"github.com/papayacove/papayacove/internal/gate"
 	"github.com/papayacove/papayacove/internal/membership"
+	"github.com/papayacove/papayacove/internal/objectstore"
 	"github.com/papayacove/papayacove/internal/peer"
-	"github.com/papayacove/papayacove/internal/platform"
 	"github.com/papayacove/papayacove/internal/router"
 	"github.com/papayacove/papayacove/internal/target"
 	"github.com/papayacove/papayacove/internal/telemetry"
@@ -36,7 +36,7 @@
 
 	catalog  *workspace.Catalog
 	terms    *terms.Table
-	platform *platform.Client
+	platform *objectstore.Client
 	contact  *contact
 	members  *membership.Manager
 	gates    *gate.Manager
@@ -55,7 +55,7 @@
 		return nil, fmt.Errorf("load certificates: %w", err)
 	}
 	d := &Daemon{settings: settings, recorder: recorder, store: store, catalog: workspace.NewCatalog(), terms: terms.NewTable()}
-	d.platform = platform.NewClient(platform.Options{
+	d.platform = objectstore.NewClient(objectstore.Options{
 		URL: settings.PlatformURL, Zone: settings.Zone, LocalAddress: settings.SourceAddress, TLS: store.Platform(),
 	})
 	d.contact = newContact(d.platform)
--- a/internal/daemon/spread_test.go
+++ b/internal/daemon/spread_test.go
@@ -8,7 +8,7 @@
 	"time"
 
 	"github.com/papayacove/papayacove/api"
-	"github.com/papayacove/papayacove/internal/platform"
+	"github.com/papayacove/papayacove/internal/objectstore"
 	"github.com/papayacove/papayacove/internal/telemetry"
 	standin "github.com/papayacove/papayacove/standin/platform"
 )
@@ -107,7 +107,7 @@
 	}
 	defer server.Close()
 	put := func(name string) api.Object {
-		return server.PutObject(api.Object{Kind: platform.KindTemplate, Name: name, Data: []byte(`{}`)})
+		return server.PutObject(api.Object{Kind: objectstore.KindTemplate, Name: name, Data: []byte(`{}`)})
 	}
 	daemons := startZone(t, server)
 	waitForObject(t, daemons, put("first"))
--- a/internal/frontend/peer_linux.go
+++ b/internal/dialer/peer_linux.go
@@ -1,4 +1,4 @@
-package frontend
+package dialer
 
 import (
 	"syscall"
@@ -6,9 +6,9 @@
 	"golang.org/x/sys/unix"
 )
 
-// hasPeerClosed reports whether the other end has closed or reset the connection. Data that was
+// HasPeerClosed reports whether the other end has closed or reset the connection. Data that was
 // sent before does not hide it.
-func hasPeerClosed(conn syscall.Conn) bool {
+func HasPeerClosed(conn syscall.Conn) bool {
 	raw, err := conn.SyscallConn()
 	if err != nil {
 		return true
--- /dev/null
+++ b/internal/engine/control.go
@@ -0,0 +1,75 @@
+package engine
+
+import (
+	"context"
+	"sync"
+	"time"
+
+	"github.com/papayacove/papayacove/internal/clock"
+	"github.com/papayacove/papayacove/internal/policy/authority"
+)
+
+// statusTimeout bounds a status call and an order to a target.
+const statusTimeout = 300 * time.Millisecond
+
+// control is the connection of a daemon to a target for status calls and orders. It is apart from the
+// pool, so that these do not wait behind statements.
+type control struct {
+	dialer Dialer
+	target func() Target
+
+	mu   sync.Mutex
+	conn Connection
+}
+
+// call sends one status call or order and returns the status of the target. Its AskedAt is the time
+// before the call was sent.
+func (c *control) call(command Command) (authority.Status, error) {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	reused := c.conn != nil
+	status, err := c.attempt(command)
+	if err != nil && reused && !isTargetFailure(err) {
+		// The connection was lost since the last call; that says nothing about the target.
+		return c.attempt(command)
+	}
+	return status, err
+}
+
+func (c *control) attempt(command Command) (authority.Status, error) {
+	if c.conn == nil {
+		ctx, cancel := context.WithTimeout(context.Background(), statusTimeout)
+		defer cancel()
+		conn, err := c.dialer.Dial(ctx, c.target())
+		if err != nil {
+			return authority.Status{}, err
+		}
+		c.conn = conn
+	}
+	askedAt := clock.Boot()
+	replies, err := c.conn.Exchange(time.Now().Add(statusTimeout), command)
+	if err != nil {
+		c.drop()
+		return authority.Status{}, err
+	}
+	if failure := replies[0].Failure; failure != nil {
+		return authority.Status{}, failure
+	}
+	status := replies[0].Status
+	status.AskedAt = askedAt
+	return status, nil
+}
+
+func (c *control) drop() {
+	if c.conn != nil {
+		_ = c.conn.Close()
+		c.conn = nil
+	}
+}
+
+// reset closes the connection.
+func (c *control) reset() {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	c.drop()
+}
--- /dev/null
+++ b/internal/engine/directory.go
@@ -0,0 +1,77 @@
+package engine
+
+import (
+	"time"
+)
+
+// Consistency says which commits a read has to see.
+type Consistency uint8
+
+// The consistencies of routes.
+const (
+	// ConsistencyStrict sees every acknowledged commit.
+	ConsistencyStrict Consistency = iota
+	// ConsistencySession sees the commits of the session, and others up to an allowed age.
+	ConsistencySession
+	// ConsistencyAged sees commits up to an allowed age.
+	ConsistencyAged
+)
+
+var consistencyNames = [...]string{ConsistencyStrict: "strict", ConsistencySession: "session", ConsistencyAged: "aged"}
+
+// String returns the name of the consistency.
+func (c Consistency) String() string { return consistencyNames[c] }
+
+// Route tells how the sessions of one database are served.
+type Route struct {
+	// Name is the route's own name.
+	Name string
+	// Database is what sessions ask for.
+	Database string
+	// Group serves the database.
+	Group       string
+	Consistency Consistency
+	// MaxAge is the allowed age of data; it counts unless Consistency is ConsistencyStrict.
+	MaxAge time.Duration
+	// Timeout bounds a statement.
+	Timeout time.Duration
+	// Objective is the time in which an operation should be answered.
+	Objective time.Duration
+	// Priority orders routes under load; 0 is the highest.
+	Priority int
+}
+
+// GroupLimits bound the use of a group's targets.
+type GroupLimits struct {
+	// MaxConnections of one target, from all daemons; 0 when it is not bounded.
+	MaxConnections int
+	// SyncReplicas is the number of replicas that have a commit before it is acknowledged.
+	SyncReplicas int
+}
+
+// Configuration is one version of the routes and limits.
+type Configuration struct {
+	Version uint64
+	// Routes by database.
+	Routes map[string]Route
+	// Groups by name.
+	Groups map[string]GroupLimits
+	// IdleTransaction is the time after which an idle transaction is rolled back; 0 for never.
+	IdleTransaction time.Duration
+}
+
+// Target is one database of a group, as it reports itself.
+type Target struct {
+	Name    string
+	Group   string
+	Address string
+	Zone    string
+	// Slots is the number of statements that run at once.
+	Slots int
+	// Leaving is true when the target is going to stop.
+	Leaving bool
+	// SaysPrimary is true when the target reports that it leads.
+	SaysPrimary bool
+	// Incarnation changes when the target starts anew.
+	Incarnation int64
+}
--- /dev/null
+++ b/internal/engine/engine.go
@@ -0,0 +1,214 @@
+package engine
+
+import (
+	"context"
+	"fmt"
+	"maps"
+	"sync"
+	"sync/atomic"
+	"time"
+
+	"github.com/sirupsen/logrus"
+
+	"github.com/papayacove/papayacove/internal/clock"
+	"github.com/papayacove/papayacove/internal/policy/takeover"
+)
+
+// Options are what an engine works with.
+type Options struct {
+	// Zone is the availability zone of the daemon.
+	Zone     string
+	Dialer   Dialer
+	Promoter Promoter
+	Duty     Duty
+	// DrainTimeout is the time after which a leaving target gets no new work.
+	DrainTimeout time.Duration
+}
+
+// Engine serves the sessions of one daemon.
+type Engine struct {
+	options  Options
+	stopping atomic.Bool
+	nextID   atomic.Uint64
+	ctx      context.Context
+	stop     context.CancelFunc
+
+	mu            sync.Mutex
+	configuration Configuration
+	configured    chan struct{}
+	isConfigured  bool
+	groups        map[string]*group
+	daemons       int
+	sessions      map[*session]struct{}
+}
+
+// New returns an engine without a configuration.
+func New(options Options) *Engine {
+	options.Dialer = countingDialer{options.Dialer}
+	ctx, stop := context.WithCancel(context.Background())
+	return &Engine{
+		options: options, ctx: ctx, stop: stop, configured: make(chan struct{}), daemons: 1,
+		groups: make(map[string]*group), sessions: make(map[*session]struct{}),
+	}
+}
+
+// Configure puts a configuration into force, unless it is older than the one in force.
+func (e *Engine) Configure(c Configuration) {
+	e.mu.Lock()
+	defer e.mu.Unlock()
+	if e.isConfigured && c.Version <= e.configuration.Version {
+		if c.Version < e.configuration.Version {
+			logrus.WithFields(logrus.Fields{"version": c.Version, "in_force": e.configuration.Version}).Warn("configuration_ignored")
+		}
+		return
+	}
+	e.configuration = c
+	for name, limits := range c.Groups {
+		e.group(name).setLimits(limits, e.daemons)
+	}
+	logrus.WithFields(logrus.Fields{"version": c.Version, "routes": len(c.Routes), "groups": len(c.Groups)}).Info("configuration_in_force")
+	if !e.isConfigured {
+		e.isConfigured = true
+		close(e.configured)
+	}
+}
+
+// group returns a group, and begins to observe it when it is new. The caller holds the lock.
+func (e *Engine) group(name string) *group {
+	if g, ok := e.groups[name]; ok {
+		return g
+	}
+	g := newGroup(name, e.options.Zone, e.options.Dialer)
+	e.groups[name] = g
+	go g.observe(e.ctx, func(reason takeover.Reason) { go e.takeOver(g, reason) })
+	return g
+}
+
+// SetTarget takes in the report of a target.
+func (e *Engine) SetTarget(t Target) {
+	e.mu.Lock()
+	g := e.group(t.Group)
+	e.mu.Unlock()
+	g.setTarget(t)
+}
+
+// RemoveTarget takes in that a target is gone.
+func (e *Engine) RemoveTarget(name string) {
+	e.mu.Lock()
+	groups := maps.Clone(e.groups)
+	e.mu.Unlock()
+	for _, g := range groups {
+		g.removeTarget(name)
+	}
+}
+
+// SetDaemons takes in the number of daemons that share the targets.
+func (e *Engine) SetDaemons(count int) {
+	e.mu.Lock()
+	defer e.mu.Unlock()
+	if count == e.daemons {
+		return
+	}
+	logrus.WithFields(logrus.Fields{"daemons": count, "before": e.daemons}).Info("daemons_changed")
+	e.daemons = count
+	for name, g := range e.groups {
+		g.setLimits(e.configuration.Groups[name], count)
+	}
+}
+
+// IsReady reports whether callers can be served.
+func (e *Engine) IsReady() bool {
+	e.mu.Lock()
+	defer e.mu.Unlock()
+	return e.isConfigured && !e.stopping.Load()
+}
+
+// route returns the route of a database in the newest configuration.
+func (e *Engine) route(database string) (Route, *group, bool) {
+	e.mu.Lock()
+	defer e.mu.Unlock()
+	route, ok := e.configuration.Routes[database]
+	if !ok {
+		return Route{}, nil, false
+	}
+	return route, e.group(route.Group), true
+}
+
+// idleTransaction returns the time after which an idle transaction is rolled back.
+func (e *Engine) idleTransaction() time.Duration {
+	e.mu.Lock()
+	defer e.mu.Unlock()
+	return e.configuration.IdleTransaction
+}
+
+func (e *Engine) isStopping() bool { return e.stopping.Load() }
+
+// HasDatabase waits until there is a configuration, at most for the given time, and reports whether it
+// has the database. known is false when there is no configuration yet.
+func (e *Engine) HasDatabase(database string, wait time.Duration) (has, known bool) {
+	timer := time.NewTimer(wait)
+	defer timer.Stop()
+	select {
+	case <-e.configured:
+	case <-timer.C:
+		return false, false
+	}
+	_, _, has = e.route(database)
+	return has, true
+}
+
+// Serve runs a session until the caller leaves.
+func (e *Engine) Serve(caller Caller, database string) {
+	s := newSession(e, caller, database, fmt.Sprintf("s%d", e.nextID.Add(1)))
+	e.mu.Lock()
+	e.sessions[s] = struct{}{}
+	e.mu.Unlock()
+	s.run()
+}
+
+func (e *Engine) forget(s *session) {
+	e.mu.Lock()
+	defer e.mu.Unlock()
+	delete(e.sessions, s)
+}
+
+func (e *Engine) openSessions() []*session {
+	e.mu.Lock()
+	defer e.mu.Unlock()
+	open := make([]*session, 0, len(e.sessions))
+	for s := range e.sessions {
+		open = append(open, s)
+	}
+	return open
+}
+
+// drainInterval is the time between two looks for sessions that have become idle.
+const drainInterval = 50 * time.Millisecond
+
+// Drain ends the sessions in a planned stop: those without a statement or transaction one by one within half of
+// the time, the others as they become idle, and the rest when ctx ends.
+func (e *Engine) Drain(ctx context.Context, within time.Duration) {
+	e.stopping.Store(true)
+	open := e.openSessions()
+	logrus.WithField("sessions", len(open)).Info("sessions_draining")
+	pause := within / 2 / time.Duration(max(1, len(open)))
+	for _, s := range open {
+		s.closeIfIdle()
+		if clock.Sleep(ctx, pause) != nil {
+			break
+		}
+	}
+	for ctx.Err() == nil && len(e.openSessions()) > 0 {
+		for _, s := range e.openSessions() {
+			s.closeIfIdle()
+		}
+		_ = clock.Sleep(ctx, drainInterval)
+	}
+	for _, s := range e.openSessions() {
+		s.log(Statement{}).Warn("session_cut")
+		s.abort()
+	}
+}
+
+// Close stops the observation of all groups.
+func (e *Engine) Close() { e.stop() }
--- /dev/null
+++ b/internal/engine/group.go
@@ -0,0 +1,316 @@
+package engine
+
+import (
+	"sync"
+	"time"
+
+	"github.com/sirupsen/logrus"
+
+	"github.com/papayacove/papayacove/api"
+	"github.com/papayacove/papayacove/internal/clock"
+	"github.com/papayacove/papayacove/internal/policy/authority"
+	"github.com/papayacove/papayacove/internal/policy/floor"
+	"github.com/papayacove/papayacove/internal/policy/spread"
+	"github.com/papayacove/papayacove/internal/policy/takeover"
+)
+
+const (
+	// doubtTime is the time for which a target that failed is tried last.
+	doubtTime = 1500 * time.Millisecond
+	// samplesKept is the time for which positions of the primary are kept; no allowed age is longer.
+	samplesKept = 10 * time.Second
+)
+
+// member is one target of a group.
+type member struct {
+	pool    *pool
+	control *control
+
+	// The fields below are guarded by the group.
+	target Target
+	// applied is the latest position that the target is known to have applied.
+	applied api.Position
+	// doubtUntil is the time of the boot clock until which the target is tried last.
+	doubtUntil time.Duration
+}
+
+// group is what a daemon believes of the targets of one group.
+type group struct {
+	name   string
+	zone   string
+	dialer Dialer
+
+	mu      sync.Mutex
+	members map[string]*member
+	limits  GroupLimits
+	daemons int
+	// statuses are the newest answers to status calls.
+	statuses map[string]authority.Status
+	leader   string
+	term     uint64
+	// authorityUntil is the time of the boot clock until which the leader surely leads.
+	authorityUntil time.Duration
+	samples        floor.Samples
+	watch          takeover.Watch
+	// restUntil is the time of the boot clock until which no promotion is begun.
+	restUntil time.Duration
+	// promoting is true while this daemon replaces the primary.
+	promoting bool
+	lastUsed  time.Duration
+	// changed is closed and replaced with each change that a waiting statement may be waiting for.
+	changed chan struct{}
+	// lookRequests asks the observer for a round of status calls, proofRequests for a proof only.
+	lookRequests  chan struct{}
+	proofRequests chan struct{}
+}
+
+func newGroup(name, zone string, dialer Dialer) *group {
+	return &group{
+		name: name, zone: zone, dialer: dialer, daemons: 1,
+		members: make(map[string]*member), statuses: make(map[string]authority.Status),
+		changed: make(chan struct{}), lookRequests: make(chan struct{}, 1), proofRequests: make(chan struct{}, 1),
+	}
+}
+
+// log returns an entry with the group's belief, which each of its lines carries.
+func (g *group) log() *logrus.Entry {
+	return logrus.WithFields(logrus.Fields{"group": g.name, "term": g.term, "primary": g.leader})
+}
+
+// broadcast wakes the waiting statements. The caller holds the lock.
+func (g *group) broadcast() {
+	close(g.changed)
+	g.changed = make(chan struct{})
+}
+
+// requestLook asks for status calls of all targets soon.
+func (g *group) requestLook() { ask(g.lookRequests) }
+
+// ask leaves a request that was made before as it is.
+func ask(requests chan struct{}) {
+	select {
+	case requests <- struct{}{}:
+	default:
+	}
+}
+
+// wantAuthority asks for a proof when the last one runs out before a statement is likely answered. The proof is
+// fetched while the statement runs.
+func (g *group) wantAuthority() {
+	g.mu.Lock()
+	defer g.mu.Unlock()
+	if g.authorityUntil < clock.Boot() {
+		ask(g.proofRequests)
+	}
+}
+
+// setTarget takes in the report of a target.
+func (g *group) setTarget(t Target) {
+	g.mu.Lock()
+	defer g.mu.Unlock()
+	m, known := g.members[t.Name]
+	if known && m.target.Incarnation != t.Incarnation {
+		// It started anew and knows nothing of its connections.
+		m.pool.dropIdle()
+		m.control.reset()
+	}
+	if !known {
+		m = &member{}
+		m.pool = newPool(g.dialer, func() Target { return g.targetOf(m) }, g.connectionShare())
+		m.control = &control{dialer: g.dialer, target: func() Target { return g.targetOf(m) }}
+		g.members[t.Name] = m
+	}
+	changed := !known || m.target.SaysPrimary != t.SaysPrimary || m.target.Leaving != t.Leaving
+	m.target = t
+	if !changed {
+		return
+	}
+	g.log().WithFields(logrus.Fields{
+		"target": t.Name, "zone": t.Zone, "leaving": t.Leaving, "says_primary": t.SaysPrimary, "known": known,
+	}).Info("target_reported")
+	g.broadcast()
+	g.requestLook()
+}
+
+// targetOf returns the newest report of a member.
+func (g *group) targetOf(m *member) Target {
+	g.mu.Lock()
+	defer g.mu.Unlock()
+	return m.target
+}
+
+// removeTarget takes in that a target is gone.
+func (g *group) removeTarget(name string) {
+	g.mu.Lock()
+	m, ok := g.members[name]
+	delete(g.members, name)
+	delete(g.statuses, name)
+	if ok {
+		g.log().WithField("target", name).Info("target_gone")
+		g.broadcast()
+		g.requestLook()
+	}
+	g.mu.Unlock()
+	if ok {
+		m.pool.close()
+		m.control.reset()
+	}
+}
+
+// setLimits takes in the limits of the group and the number of daemons that share them.
+func (g *group) setLimits(limits GroupLimits, daemons int) {
+	g.mu.Lock()
+	defer g.mu.Unlock()
+	g.limits, g.daemons = limits, max(1, daemons)
+	for _, m := range g.members {
+		m.pool.resize(g.connectionShare())
+	}
+}
+
+const (
+	// unboundedConnections is the share of a daemon when a group states no limit.
+	unboundedConnections = 16
+	// controlConnections of each daemon to each target carry status calls and orders.
+	controlConnections = 1
+)
+
+// connectionShare returns the connections of this daemon to each target. The caller holds the lock.
+func (g *group) connectionShare() int {
+	if g.limits.MaxConnections <= 0 {
+		return unboundedConnections
+	}
+	return max(1, g.limits.MaxConnections/g.daemons-controlConnections)
+}
+
+// noteFailure takes in that a target did not answer or could not be reached.
+func (g *group) noteFailure(m *member) {
+	g.mu.Lock()
+	defer g.mu.Unlock()
+	m.doubtUntil = clock.Boot() + doubtTime
+	g.requestLook()
+}
+
+// noteReply takes in a position that a target told, asked at askedAt. It is a sample when the
+// target surely led then. A commit proves that it did.
+func (g *group) noteReply(m *member, reply Reply, askedAt time.Duration, committed bool) {
+	if reply.Position == (api.Position{}) {
+		return
+	}
+	g.mu.Lock()
+	defer g.mu.Unlock()
+	m.doubtUntil = 0
+	m.applied = floor.Max(m.applied, reply.Position)
+	if reply.Position.Term > g.term {
+		g.requestLook()
+	}
+	if m.target.Name != g.leader {
+		return
+	}
+	if committed && g.limits.SyncReplicas > 0 && reply.Position.Term == g.term {
+		g.prove(askedAt)
+	}
+	if askedAt <= g.authorityUntil {
+		g.samples.Add(askedAt, reply.Position)
+	}
+}
+
+// prove takes in that the leader led at askedAt. The caller holds the lock.
+func (g *group) prove(askedAt time.Duration) {
+	until := askedAt + authority.Term
+	if until <= g.authorityUntil {
+		return
+	}
+	g.authorityUntil = until
+	g.broadcast()
+}
+
+// primary returns the member that is believed to lead; nil for none.
+func (g *group) primary() *member {
+	g.mu.Lock()
+	defer g.mu.Unlock()
+	g.lastUsed = clock.Boot()
+	return g.members[g.leader]
+}
+
+// awaitPrimary waits for a primary other than not, and returns nil when there is none by the deadline.
+func (g *group) awaitPrimary(not *member, deadline time.Time) *member {
+	for {
+		g.mu.Lock()
+		g.lastUsed = clock.Boot()
+		m, changed := g.members[g.leader], g.changed
+		g.mu.Unlock()
+		if m != nil && m != not {
+			return m
+		}
+		if !awaitChange(changed, deadline) {
+			return nil
+		}
+	}
+}
+
+// awaitAuthority waits until the leader is proved to have led at since, and reports whether it was.
+func (g *group) awaitAuthority(m *member, since time.Duration, deadline time.Time) bool {
+	for {
+		g.mu.Lock()
+		leads, proved, changed := g.members[g.leader] == m, g.authorityUntil >= since, g.changed
+		g.mu.Unlock()
+		if !leads {
+			return false
+		}
+		if proved {
+			return true
+		}
+		ask(g.proofRequests)
+		if !awaitChange(changed, deadline) {
+			return false
+		}
+	}
+}
+
+func awaitChange(changed <-chan struct{}, deadline time.Time) bool {
+	timer := time.NewTimer(time.Until(deadline))
+	defer timer.Stop()
+	select {
+	case <-changed:
+		return true
+	case <-timer.C:
+		return false
+	}
+}
+
+// ageFloor returns the oldest position that covers every commit acknowledged longer than maxAge ago.
+func (g *group) ageFloor(now, maxAge time.Duration) (api.Position, bool) {
+	g.mu.Lock()
+	defer g.mu.Unlock()
+	return g.samples.Oldest(now-maxAge, now-samplesKept)
+}
+
+// readers returns the members that may serve a read above the floor, the best first.
+func (g *group) readers(at api.Position) []*member {
+	now := clock.Boot()
+	g.mu.Lock()
+	g.lastUsed = now
+	members := make(map[string]*member, len(g.members))
+	candidates := make([]spread.Candidate, 0, len(g.members))
+	for name, m := range g.members {
+		if m.target.Leaving && name != g.leader {
+			continue
+		}
+		members[name] = m
+		candidates = append(candidates, spread.Candidate{
+			Name: name, SameZone: m.target.Zone == g.zone, Primary: name == g.leader, Slots: m.target.Slots,
+			Doubtful: now < m.doubtUntil, Behind: name != g.leader && floor.Compare(m.applied, at) < 0,
+		})
+	}
+	g.mu.Unlock()
+	for i := range candidates {
+		c := &candidates[i]
+		c.Busy, c.Service, _ = members[c.Name].pool.load()
+	}
+	spread.Order(candidates)
+	ordered := make([]*member, len(candidates))
+	for i, c := range candidates {
+		ordered[i] = members[c.Name]
+	}
+	return ordered
+}
--- /dev/null
+++ b/internal/engine/observe.go
@@ -0,0 +1,235 @@
+package engine
+
+import (
+	"context"
+	"errors"
+	"maps"
+	"sync"
+	"time"
+
+	"github.com/sirupsen/logrus"
+
+	"github.com/papayacove/papayacove/internal/clock"
+	"github.com/papayacove/papayacove/internal/policy/authority"
+	"github.com/papayacove/papayacove/internal/policy/takeover"
+)
+
+const (
+	// observeInterval is the time between two looks at whether status calls are needed.
+	observeInterval = 100 * time.Millisecond
+	// leastLookPause is the least time between two rounds of status calls.
+	leastLookPause = 50 * time.Millisecond
+	// unusedAfter is the time without statements after which a group is not observed.
+	unusedAfter = 2 * time.Second
+)
+
+// observe makes rounds of status calls when something is in doubt, until ctx ends. takeOver is called with
+// the reason when the primary has to be replaced.
+func (g *group) observe(ctx context.Context, takeOver func(takeover.Reason)) {
+	ticker := time.NewTicker(observeInterval)
+	defer ticker.Stop()
+	for {
+		need := lookNone
+		select {
+		case <-ctx.Done():
+			return
+		case <-ticker.C:
+			need = g.neededLook()
+		case <-g.proofRequests:
+			need = lookProof
+		case <-g.lookRequests:
+			need = lookAll
+		}
+		if need == lookNone || need == lookProof && g.renew() {
+			continue
+		}
+		if reason := g.look(); reason != takeover.ReasonNone {
+			takeOver(reason)
+		}
+		if clock.Sleep(ctx, leastLookPause) != nil {
+			return
+		}
+	}
+}
+
+// lookNeed is the extent of a round of status calls.
+type lookNeed uint8
+
+const (
+	lookNone lookNeed = iota
+	// lookProof asks the primary and one replica, which is enough for a proof.
+	lookProof
+	// lookAll asks all targets.
+	lookAll
+)
+
+// neededLook returns the round that is needed although no statement asked for one: the primary does not
+// answer what it was sent, leaves, or there is none while the group is used.
+func (g *group) neededLook() lookNeed {
+	now := clock.Boot()
+	g.mu.Lock()
+	defer g.mu.Unlock()
+	m, ok := g.members[g.leader]
+	switch {
+	case ok && m.target.Leaving:
+		return lookAll
+	case !ok && now-g.lastUsed < unusedAfter:
+		return lookAll
+	case ok && now > g.authorityUntil && m.pool.isBusy():
+		return lookProof
+	}
+	return lookNone
+}
+
+// renew asks the primary and one replica, and reports whether that proved that the primary leads.
+func (g *group) renew() bool {
+	asked := g.witnesses()
+	if len(asked) == 0 {
+		return false
+	}
+	statuses := askAll(asked, func(string) Command { return Command{Op: OpStatus} })
+	g.mu.Lock()
+	defer g.mu.Unlock()
+	g.remember(statuses)
+	g.electLeader()
+	return g.takeProof(statuses)
+}
+
+// witnesses returns the primary and one replica, in the own zone where there is one.
+func (g *group) witnesses() map[string]*member {
+	now := clock.Boot()
+	g.mu.Lock()
+	defer g.mu.Unlock()
+	leader, ok := g.members[g.leader]
+	if !ok {
+		return nil
+	}
+	witness := ""
+	for name, m := range g.members {
+		if name == g.leader || now < m.doubtUntil {
+			continue
+		}
+		if best, ok := g.members[witness]; !ok || m.target.Zone == g.zone || best.target.Zone != g.zone && name < witness {
+			witness = name
+		}
+	}
+	asked := map[string]*member{g.leader: leader}
+	if witness != "" {
+		asked[witness] = g.members[witness]
+	}
+	return asked
+}
+
+// takeProof takes in what a round proves, and reports whether it does. The caller holds the lock.
+func (g *group) takeProof(statuses map[string]authority.Status) bool {
+	at, ok := authority.ProvenAt(statuses, g.leader, g.term, len(g.members))
+	if !ok {
+		return false
+	}
+	g.prove(at)
+	g.samples.Add(at, statuses[g.leader].Received)
+	return true
+}
+
+// look makes one round of status calls, takes in what it shows and returns why the primary has to be
+// replaced.
+func (g *group) look() takeover.Reason {
+	g.mu.Lock()
+	members := maps.Clone(g.members)
+	g.mu.Unlock()
+	if len(members) == 0 {
+		return takeover.ReasonNone
+	}
+	statuses := askAll(members, func(string) Command { return Command{Op: OpStatus} })
+	return g.takeIn(statuses)
+}
+
+// askAll sends a command to each member at once and returns the answers. A busy target counts with an
+// unknown role: it is alive and proves nothing.
+func askAll(members map[string]*member, command func(name string) Command) map[string]authority.Status {
+	var mu sync.Mutex
+	var pending sync.WaitGroup
+	statuses := make(map[string]authority.Status, len(members))
+	for name, m := range members {
+		pending.Go(func() {
+			status, err := m.control.call(command(name))
+			if err != nil && !isBusy(err) {
+				logrus.WithFields(logrus.Fields{"target": name, "operation": command(name).Op.String(), "error": err}).Debug("target_not_answering")
+				return
+			}
+			mu.Lock()
+			defer mu.Unlock()
+			statuses[name] = status
+		})
+	}
+	pending.Wait()
+	return statuses
+}
+
+func isBusy(err error) bool {
+	var failure *TargetFailure
+	return errors.As(err, &failure) && failure.Kind == FailureBusy
+}
+
+// takeIn updates the belief from a round of status calls.
+func (g *group) takeIn(statuses map[string]authority.Status) takeover.Reason {
+	g.mu.Lock()
+	defer g.mu.Unlock()
+	g.remember(statuses)
+	g.electLeader()
+	g.takeProof(statuses)
+	now := clock.Boot()
+	reason := g.watch.Judge(takeover.Round{
+		Primary: g.leader, Statuses: g.judged(statuses), Members: len(g.members), Leaving: g.isLeaving(g.leader), At: now,
+	})
+	if reason == takeover.ReasonNone || g.promoting || now < g.restUntil {
+		return takeover.ReasonNone
+	}
+	g.log().WithFields(logrus.Fields{"reason": string(reason), "answered": len(statuses), "members": len(g.members)}).Warn("primary_suspected")
+	return reason
+}
+
+// remember keeps the answers; one that was busy keeps its last known role. The caller holds the lock.
+func (g *group) remember(statuses map[string]authority.Status) {
+	for name, s := range statuses {
+		if s.Role != authority.RoleUnknown {
+			g.statuses[name] = s
+		}
+	}
+}
+
+// judged replaces the answers of busy targets by their last known ones. The caller holds the lock.
+func (g *group) judged(statuses map[string]authority.Status) map[string]authority.Status {
+	judged := make(map[string]authority.Status, len(statuses))
+	for name, s := range statuses {
+		if s.Role == authority.RoleUnknown {
+			s = g.statuses[name]
+		}
+		judged[name] = s
+	}
+	return judged
+}
+
+// electLeader takes the target that leads in the highest term for the primary. The caller holds the lock.
+func (g *group) electLeader() {
+	leader, term, ok := authority.Leader(g.statuses)
+	if !ok {
+		leader, term = "", g.term
+	}
+	if leader == g.leader && term == g.term {
+		return
+	}
+	g.log().WithFields(logrus.Fields{"new_primary": leader, "new_term": term}).Info("primary_changed")
+	if term != g.term {
+		// What the old primary told says nothing about the new one's commits.
+		g.authorityUntil = 0
+	}
+	g.leader, g.term = leader, term
+	g.broadcast()
+}
+
+// isLeaving reports whether a target has announced that it stops. The caller holds the lock.
+func (g *group) isLeaving(name string) bool {
+	m, ok := g.members[name]
+	return ok && m.target.Leaving
+}
--- /dev/null
+++ b/internal/engine/pool.go
@@ -0,0 +1,280 @@
+package engine
+
+import (
+	"context"
+	"sync"
+	"time"
+
+	"github.com/papayacove/papayacove/internal/policy/admission"
+	"github.com/papayacove/papayacove/internal/result"
+)
+
+const (
+	// dialTimeout bounds the opening of a connection to a target.
+	dialTimeout = 400 * time.Millisecond
+	// idleCheckAfter is the time unused after which a connection is checked before it is used: a
+	// target may have closed it meanwhile.
+	idleCheckAfter = 20 * time.Millisecond
+	// poolQueueLength bounds the statements that wait for a connection of one target.
+	poolQueueLength = 500
+	// maxPrepared bounds the prepared statements of one connection; beyond it they are discarded.
+	maxPrepared = 500
+)
+
+// pooled is one connection of a pool with what its target remembers for it.
+type pooled struct {
+	Connection
+	// values is the canonical form of the session values that the connection has.
+	values string
+	// prepared holds the names of prepared statements.
+	prepared map[string]struct{}
+	lastUsed time.Time
+	// acquired is when the connection was handed out.
+	acquired time.Time
+	// class of the statement that uses it.
+	class admission.Class
+	// broken is true when the connection must not be used again.
+	broken bool
+}
+
+// pool shares the connections of one daemon to one target.
+type pool struct {
+	dialer Dialer
+	target func() Target
+
+	mu    sync.Mutex
+	queue *admission.Queue
+	idle  []*pooled
+	// waiters get nil when they start and otherwise why they never do.
+	waiters map[uint64]chan error
+	nextID  uint64
+	closed  bool
+}
+
+func newPool(dialer Dialer, target func() Target, connections int) *pool {
+	return &pool{
+		dialer: dialer, target: target, waiters: make(map[uint64]chan error),
+		queue: admission.New(admission.Config{Slots: connections, QueueLength: poolQueueLength}),
+	}
+}
+
+// resize changes the number of connections, and closes unused ones beyond it.
+func (p *pool) resize(connections int) {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	if p.queue.Slots() == connections {
+		return
+	}
+	p.wake(p.queue.Resize(connections, time.Now()))
+	for len(p.idle) > 0 && len(p.idle)+p.queue.Running() > connections {
+		p.closeOldest()
+	}
+}
+
+func (p *pool) closeOldest() {
+	oldest := p.idle[0]
+	p.idle = p.idle[1:]
+	go oldest.Close()
+}
+
+// load returns how many statements run and wait, the time that one takes, and the connections.
+func (p *pool) load() (busy int, service time.Duration, connections int) {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	return p.queue.Running() + p.queue.Waiting(), p.queue.ServiceTime(), p.queue.Slots()
+}
+
+// isBusy reports whether a statement runs.
+func (p *pool) isBusy() bool {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	return p.queue.Running() > 0
+}
+
+// need describes what a statement asks of a pool.
+type need struct {
+	class    admission.Class
+	expectBy time.Time
+	deadline time.Time
+	values   string
+}
+
+// acquire returns a connection, or a *result.Error that promises that nothing ran.
+func (p *pool) acquire(n need) (*pooled, error) {
+	if err := p.admit(n); err != nil {
+		return nil, err
+	}
+	if conn := p.takeIdle(n.values); conn != nil {
+		conn.acquired, conn.class = time.Now(), n.class
+		return conn, nil
+	}
+	conn, err := p.dial(n)
+	if err != nil {
+		p.leave(time.Now(), 0)
+		return nil, err
+	}
+	return conn, nil
+}
+
+// admit waits until one more connection may be used.
+func (p *pool) admit(n need) error {
+	now := time.Now()
+	p.mu.Lock()
+	if p.closed {
+		p.mu.Unlock()
+		return result.Errorf(result.NotRunUnreachable, "the target has left")
+	}
+	p.nextID++
+	id := p.nextID
+	decision := p.queue.Offer(admission.Item{ID: id, Class: n.class, Deadline: n.deadline, ExpectBy: n.expectBy}, now)
+	var granted chan error
+	if decision.Outcome == admission.Queued {
+		granted = make(chan error, 1)
+		p.waiters[id] = granted
+	}
+	if d := decision.Displaced; d != nil {
+		p.tell(d.ID, result.Errorf(d.Code, "%s", d.Reason).WithRetryAfter(d.RetryAfter))
+	}
+	p.mu.Unlock()
+	switch decision.Outcome {
+	case admission.Started:
+		return nil
+	case admission.Rejected:
+		return refusedBy(decision)
+	}
+	return p.awaitGrant(id, granted, n, decision)
+}
+
+func refusedBy(d admission.Decision) error {
+	return result.Errorf(d.Code, "%s: expected wait %s, %d run, %d wait", d.Reason, d.ExpectedWait.Round(time.Millisecond), d.Running, d.Waiting).
+		WithRetryAfter(d.RetryAfter)
+}
+
+// awaitGrant waits for a connection that comes free.
+func (p *pool) awaitGrant(id uint64, granted chan error, n need, decision admission.Decision) error {
+	timer := time.NewTimer(time.Until(n.deadline))
+	defer timer.Stop()
+	select {
+	case err := <-granted:
+		return err
+	case <-timer.C:
+	}
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	if _, waits := p.waiters[id]; !waits {
+		return <-granted
+	}
+	delete(p.waiters, id)
+	p.queue.Remove(id)
+	return result.Errorf(result.NotRunDeadline, "no connection came free in time: %d run, %d wait", decision.Running, decision.Waiting).
+		WithRetryAfter(p.queue.Backlog())
+}
+
+// tell ends the wait of a statement. The caller holds the lock.
+func (p *pool) tell(id uint64, outcome error) {
+	if granted, ok := p.waiters[id]; ok {
+		delete(p.waiters, id)
+		granted <- outcome
+	}
+}
+
+// wake tells the waiters that start. The caller holds the lock.
+func (p *pool) wake(starts []admission.Start) {
+	for _, start := range starts {
+		p.tell(start.ID, nil)
+	}
+}
+
+// takeIdle returns an unused connection, if possible one that has the session values.
+func (p *pool) takeIdle(values string) *pooled {
+	for {
+		conn := p.popIdle(values)
+		if conn == nil {
+			return nil
+		}
+		if time.Since(conn.lastUsed) < idleCheckAfter || !conn.IsClosedByPeer() {
+			return conn
+		}
+		_ = conn.Close()
+	}
+}
+
+func (p *pool) popIdle(values string) *pooled {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	if len(p.idle) == 0 {
+		return nil
+	}
+	pick := len(p.idle) - 1
+	for i := pick; i >= 0; i-- {
+		if p.idle[i].values == values {
+			pick = i
+			break
+		}
+	}
+	conn := p.idle[pick]
+	p.idle = append(p.idle[:pick], p.idle[pick+1:]...)
+	return conn
+}
+
+func (p *pool) dial(n need) (*pooled, error) {
+	ctx, cancel := context.WithTimeout(context.Background(), dialTimeout)
+	defer cancel()
+	conn, err := p.dialer.Dial(ctx, p.target())
+	if err != nil {
+		return nil, dialFailure(err)
+	}
+	now := time.Now()
+	return &pooled{Connection: conn, prepared: make(map[string]struct{}), lastUsed: now, acquired: now, class: n.class}, nil
+}
+
+// release gives a connection back.
+func (p *pool) release(conn *pooled) {
+	now := time.Now()
+	served := now.Sub(conn.acquired)
+	if conn.broken {
+		go conn.Close()
+		p.leave(now, served)
+		return
+	}
+	conn.lastUsed = now
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	if p.closed || len(p.idle)+p.queue.Running() > p.queue.Slots() {
+		go conn.Close()
+	} else {
+		p.idle = append(p.idle, conn)
+	}
+	p.wake(p.queue.Release("", now, served))
+}
+
+// leave gives a place back whose connection is gone.
+func (p *pool) leave(now time.Time, served time.Duration) {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	if served == 0 {
+		served = p.queue.ServiceTime()
+	}
+	p.wake(p.queue.Release("", now, served))
+}
+
+// dropIdle closes the unused connections, whose target may have lost track of them.
+func (p *pool) dropIdle() {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	for len(p.idle) > 0 {
+		p.closeOldest()
+	}
+}
+
+// close ends the pool; statements that run finish.
+func (p *pool) close() {
+	p.dropIdle()
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	p.closed = true
+	for id := range p.waiters {
+		p.queue.Remove(id)
+		p.tell(id, result.Errorf(result.NotRunTargetLeaving, "the target has left"))
+	}
+}
--- /dev/null
+++ b/internal/engine/promote.go
@@ -0,0 +1,270 @@
+package engine
+
+import (
+	"context"
+	"errors"
+	"maps"
+	"math/rand/v2"
+	"slices"
+	"time"
+
+	"github.com/sirupsen/logrus"
+
+	"github.com/papayacove/papayacove/internal/clock"
+	"github.com/papayacove/papayacove/internal/policy/authority"
+	"github.com/papayacove/papayacove/internal/policy/takeover"
+)
+
+const (
+	// promotionEstimate is the time after which a caller without a primary may come back.
+	promotionEstimate = 500 * time.Millisecond
+	// contestSpread spreads the attempts of daemons that suspect a primary at the same time.
+	contestSpread = 150 * time.Millisecond
+	// retakePause is the time after a failed attempt in which this daemon does not try again.
+	retakePause = 400 * time.Millisecond
+	// promoteTimeout bounds one order to promote.
+	promoteTimeout = time.Second
+	// leadTimeout bounds the wait until the promoted target leads.
+	leadTimeout = 3 * time.Second
+	// leadPoll is the time between two status calls of that wait.
+	leadPoll = 50 * time.Millisecond
+	// orderReserve is the part of the duty's time that is left when an order is sent.
+	orderReserve = 500 * time.Millisecond
+	// pauseAttempts is how often a replica is asked to pause.
+	pauseAttempts = 2
+)
+
+// promotion is one attempt to replace the primary of a group.
+type promotion struct {
+	engine *Engine
+	group  *group
+	reason takeover.Reason
+
+	token uint64
+	until time.Duration
+	// old is the primary to replace; empty for none.
+	old     string
+	term    uint64
+	members map[string]*member
+	paused  map[string]authority.Status
+	// pausedAt is the time of the boot clock after the last pause.
+	pausedAt time.Duration
+	demoted  *authority.Status
+}
+
+// takeOver replaces the primary of a group unless another daemon does.
+func (e *Engine) takeOver(g *group, reason takeover.Reason) {
+	if !g.beginPromotion() {
+		return
+	}
+	rest := retakePause
+	defer func() { g.endPromotion(rest) }()
+	if clock.Sleep(e.ctx, rand.N(contestSpread)) != nil {
+		return
+	}
+	p := &promotion{engine: e, group: g, reason: reason}
+	token, until, err := e.options.Duty.Acquire(e.ctx)
+	if err != nil {
+		p.log().WithField("error", err).Info("promotion_not_started")
+		return
+	}
+	defer e.options.Duty.Release(e.ctx)
+	p.token, p.until = token, until
+	if !p.isStillNeeded() {
+		p.log().Info("promotion_not_needed")
+		return
+	}
+	if p.run() {
+		rest = takeover.Rest
+	}
+}
+
+// beginPromotion reports whether no promotion runs here, and marks one as running.
+func (g *group) beginPromotion() bool {
+	g.mu.Lock()
+	defer g.mu.Unlock()
+	if g.promoting {
+		return false
+	}
+	g.promoting = true
+	return true
+}
+
+func (g *group) endPromotion(rest time.Duration) {
+	g.mu.Lock()
+	defer g.mu.Unlock()
+	g.promoting = false
+	g.restUntil = clock.Boot() + rest
+	g.requestLook()
+}
+
+func (p *promotion) log() *logrus.Entry {
+	return logrus.WithFields(logrus.Fields{"group": p.group.name, "old_primary": p.old, "term": p.term, "token": p.token, "reason": string(p.reason)})
+}
+
+// isStillNeeded looks at all targets again, now that no other daemon acts.
+func (p *promotion) isStillNeeded() bool {
+	g := p.group
+	g.mu.Lock()
+	p.old, p.members = g.leader, maps.Clone(g.members)
+	before := g.term
+	g.mu.Unlock()
+	statuses := askAll(p.members, func(string) Command { return Command{Op: OpStatus} })
+	again := g.takeIn(statuses)
+	g.mu.Lock()
+	leader, term := g.leader, g.term
+	leaving := g.isLeaving(leader)
+	g.mu.Unlock()
+	_ = again
+	if leader != p.old && leader != "" {
+		return false
+	}
+	own, answered := statuses[p.old]
+	leads := answered && own.Role != authority.RoleReplica && term == before
+	for _, s := range statuses {
+		p.term = max(p.term, s.Term+1, s.PausedTerm)
+	}
+	p.term = max(p.term, before+1)
+	switch p.reason {
+	case takeover.ReasonLeaving:
+		return leaving
+	case takeover.ReasonStalled:
+		return true
+	}
+	return !leads
+}
+
+// run carries the promotion out and reports whether a target leads now.
+func (p *promotion) run() bool {
+	p.log().Info("promotion_begun")
+	p.pauseReplicas()
+	p.stepDown()
+	choice := takeover.Choose(p.replicas(), p.paused, p.demoted, p.isLeaving)
+	p.log().WithFields(logrus.Fields{"target": choice.Target, "why": choice.Reason, "paused": len(p.paused), "wait": choice.Wait}).Info("promotion_choice")
+	if choice.Target == "" {
+		p.resume()
+		return false
+	}
+	if choice.Wait {
+		if clock.Sleep(p.engine.ctx, p.pausedAt+authority.Term-clock.Boot()) != nil {
+			return false
+		}
+	}
+	if !p.order(choice.Target) {
+		p.resume()
+		return false
+	}
+	return p.awaitLead(choice.Target)
+}
+
+// replicas are the targets that may have counted for an acknowledged commit.
+func (p *promotion) replicas() []string {
+	names := slices.Sorted(maps.Keys(p.members))
+	return slices.DeleteFunc(names, func(name string) bool { return name == p.old })
+}
+
+func (p *promotion) isLeaving(name string) bool {
+	p.group.mu.Lock()
+	defer p.group.mu.Unlock()
+	return p.group.isLeaving(name)
+}
+
+// pauseReplicas stops all replicas from receiving.
+func (p *promotion) pauseReplicas() {
+	pending := maps.Clone(p.members)
+	delete(pending, p.old)
+	p.paused = make(map[string]authority.Status)
+	for range pauseAttempts {
+		answers := askAll(pending, func(string) Command { return Command{Op: OpPause, Term: p.term} })
+		for name, s := range answers {
+			if s.Role == authority.RoleReplica && s.IsPaused() {
+				p.paused[name] = s
+				delete(pending, name)
+			}
+		}
+		if len(pending) == 0 {
+			break
+		}
+	}
+	p.pausedAt = clock.Boot()
+}
+
+// stepDown asks the old primary to stop leading. It may not be reached.
+func (p *promotion) stepDown() {
+	m, ok := p.members[p.old]
+	if !ok || len(p.paused) == 0 {
+		return
+	}
+	s, err := m.control.call(Command{Op: OpStepDown, Term: p.term})
+	if err != nil {
+		p.log().WithField("error", err).Info("old_primary_not_stepping_down")
+		return
+	}
+	if s.Role == authority.RoleReplica {
+		p.demoted = &s
+	}
+}
+
+// resume ends the pauses of a promotion that is given up.
+func (p *promotion) resume() {
+	paused := make(map[string]*member, len(p.paused))
+	for name := range p.paused {
+		paused[name] = p.members[name]
+	}
+	askAll(paused, func(string) Command { return Command{Op: OpResume, Term: p.term} })
+	p.log().WithField("resumed", len(paused)).Warn("promotion_given_up")
+}
+
+// order sends the order to promote until it is accepted, while the duty is held.
+func (p *promotion) order(target string) bool {
+	for clock.Boot() < p.until-orderReserve {
+		ctx, cancel := context.WithTimeout(p.engine.ctx, promoteTimeout)
+		err := p.engine.options.Promoter.Promote(ctx, p.group.name, target, p.token)
+		cancel()
+		p.log().WithFields(logrus.Fields{"target": target, "error": err}).Info("promotion_ordered")
+		if err == nil {
+			return true
+		}
+		if errors.Is(err, ErrTargetDown) {
+			return false
+		}
+		if clock.Sleep(p.engine.ctx, leadPoll) != nil {
+			return false
+		}
+	}
+	return false
+}
+
+// awaitLead waits until the target leads, so that the duty is not given back before.
+func (p *promotion) awaitLead(target string) bool {
+	m := p.members[target]
+	end := clock.Boot() + leadTimeout
+	for clock.Boot() < end {
+		s, err := m.control.call(Command{Op: OpStatus})
+		if err == nil && s.Role == authority.RolePrimary {
+			p.log().WithFields(logrus.Fields{"target": target, "new_term": s.Term, "elapsed": clock.Boot() - p.pausedAt}).Info("promotion_done")
+			p.group.look()
+			p.settle(target)
+			return true
+		}
+		if clock.Sleep(p.engine.ctx, leadPoll) != nil {
+			return false
+		}
+	}
+	p.log().WithField("target", target).Warn("promoted_target_not_leading")
+	return false
+}
+
+// settle tells the old primary and the other replicas, where that has not happened yet.
+func (p *promotion) settle(target string) {
+	if p.demoted == nil {
+		p.stepDown()
+	}
+	for name, s := range askAll(p.members, func(string) Command { return Command{Op: OpStatus} }) {
+		if name != target && s.Role == authority.RoleReplica && s.IsPaused() {
+			if _, err := p.members[name].control.call(Command{Op: OpResume, Term: p.term}); err != nil {
+				p.log().WithFields(logrus.Fields{"target": name, "error": err}).Warn("replica_not_resumed")
+			}
+		}
+	}
+}
--- /dev/null
+++ b/internal/engine/session.go
@@ -0,0 +1,263 @@
+package engine
+
+import (
+	"errors"
+	"maps"
+	"slices"
+	"strings"
+	"sync"
+	"time"
+
+	"github.com/cespare/xxhash/v2"
+	"strconv"
+
+	"github.com/papayacove/papayacove/api"
+	"github.com/papayacove/papayacove/internal/result"
+)
+
+// maxSessionState bounds the session values and the prepared statements of one session.
+const maxSessionState = 1000
+
+// preparedStatement is what a caller prepared under a name.
+type preparedStatement struct {
+	op    Operation
+	shape string
+	// shared is the name on target connections. It follows from the content, so that sessions share it.
+	shared string
+}
+
+// session is the state of one caller connection.
+type session struct {
+	engine   *Engine
+	caller   Caller
+	database string
+	// id names the session in logs.
+	id string
+
+	values map[string]string
+	// valuesKey is the canonical form of values.
+	valuesKey string
+	prepared  map[string]preparedStatement
+	// floor is the session's own latest commit.
+	floor api.Position
+	// transaction is nil outside one.
+	transaction *transaction
+
+	// mu guards what a planned stop looks at.
+	mu sync.Mutex
+	// busy is true from the arrival of a statement until its answer, and within a transaction.
+	busy   bool
+	closed bool
+}
+
+func newSession(e *Engine, caller Caller, database, id string) *session {
+	return &session{
+		engine: e, caller: caller, database: database, id: id,
+		values: make(map[string]string), prepared: make(map[string]preparedStatement),
+	}
+}
+
+// run serves statements until the caller leaves or the session is closed.
+func (s *session) run() {
+	defer s.end()
+	for {
+		statement, err := s.caller.Next(s.nextDeadline())
+		if errors.Is(err, ErrIdle) {
+			s.expireTransaction()
+			continue
+		}
+		if err != nil || !s.begin() {
+			return
+		}
+		answer := s.serve(statement, time.Now())
+		if err := s.caller.Answer(answer); err != nil {
+			return
+		}
+		if !s.finish() {
+			return
+		}
+	}
+}
+
+// nextDeadline bounds the wait for the next statement of an open transaction.
+func (s *session) nextDeadline() time.Time {
+	t := s.transaction
+	if t == nil || t.refusal != nil || s.engine.idleTransaction() <= 0 {
+		return time.Time{}
+	}
+	return time.Now().Add(s.engine.idleTransaction())
+}
+
+// begin marks the session as busy; false when it was closed by a planned stop.
+func (s *session) begin() bool {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.busy = true
+	return !s.closed
+}
+
+// finish marks the session as idle unless a transaction is open, and closes it in a planned stop.
+func (s *session) finish() bool {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.busy = s.transaction != nil
+	if !s.busy && s.engine.isStopping() {
+		s.closed = true
+	}
+	return !s.closed
+}
+
+// closeIfIdle ends the session when no statement and no transaction is open.
+func (s *session) closeIfIdle() {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	if s.busy || s.closed {
+		return
+	}
+	s.closed = true
+	_ = s.caller.Close()
+}
+
+// abort ends the session at the end of a planned stop, whatever it does.
+func (s *session) abort() {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.closed = true
+	_ = s.caller.Close()
+}
+
+// end releases all that the session holds.
+func (s *session) end() {
+	if t := s.transaction; t != nil {
+		t.rollBack("")
+		s.transaction = nil
+	}
+	_ = s.caller.Close()
+	s.engine.forget(s)
+}
+
+// expireTransaction rolls back a transaction whose caller has been idle for too long. The next
+// statement learns of it: nothing may be sent while none is outstanding.
+func (s *session) expireTransaction() {
+	if t := s.transaction; t != nil && t.refusal == nil {
+		s.log(Statement{}).WithField("idle", s.engine.idleTransaction()).Info("transaction_expired")
+		t.fail(refuse(result.TransactionLost, "rolled back after %s without a statement", s.engine.idleTransaction()))
+	}
+}
+
+// serve returns the answer to one statement that arrived at now.
+func (s *session) serve(statement Statement, now time.Time) Answer {
+	answer := s.dispatch(statement, now)
+	if answer.Refusal != nil {
+		s.logRefusal(statement, answer.Refusal, now)
+	}
+	return answer
+}
+
+func (s *session) dispatch(statement Statement, now time.Time) Answer {
+	switch statement.Op {
+	case OpSet:
+		return s.set(statement)
+	case OpPrepare:
+		return s.prepare(statement)
+	case OpDeallocate:
+		delete(s.prepared, statement.Name)
+		return s.local()
+	case OpBegin, OpBeginReadOnly:
+		return s.open(statement, now)
+	case OpCommit, OpRollback:
+		return s.conclude(statement, now)
+	case OpRead, OpWrite, OpExecute:
+		return s.execute(statement, now)
+	}
+	return s.refused(refuse(result.ProtocolViolation, "unknown statement"))
+}
+
+// state is what the caller is told of its transaction.
+func (s *session) state() TransactionState {
+	switch {
+	case s.transaction == nil:
+		return StateIdle
+	case s.transaction.refusal != nil:
+		return StateFailed
+	}
+	return StateOpen
+}
+
+// local answers a statement that needs no target.
+func (s *session) local() Answer {
+	if t := s.transaction; t != nil && t.refusal != nil {
+		return s.refused(refuse(result.ProtocolViolation, "the transaction has failed; end it"))
+	}
+	return Answer{State: s.state()}
+}
+
+// refused answers with a refusal.
+func (s *session) refused(refusal *Refusal) Answer {
+	return Answer{Refusal: refusal, State: s.state()}
+}
+
+func (s *session) set(statement Statement) Answer {
+	answer := s.local()
+	if answer.Refusal != nil {
+		return answer
+	}
+	if _, known := s.values[statement.Name]; !known && len(s.values) >= maxSessionState {
+		return s.refused(refuse(result.Unsupported, "more than %d session values", maxSessionState))
+	}
+	s.values[statement.Name] = statement.Argument
+	s.valuesKey = canonicalValues(s.values)
+	return answer
+}
+
+// canonicalValues gives equal values one form.
+func canonicalValues(values map[string]string) string {
+	var b strings.Builder
+	for _, name := range slices.Sorted(maps.Keys(values)) {
+		b.WriteString(name)
+		b.WriteByte(0)
+		b.WriteString(values[name])
+		b.WriteByte(0)
+	}
+	return b.String()
+}
+
+func (s *session) prepare(statement Statement) Answer {
+	answer := s.local()
+	if answer.Refusal != nil {
+		return answer
+	}
+	if _, known := s.prepared[statement.Name]; !known && len(s.prepared) >= maxSessionState {
+		return s.refused(refuse(result.Unsupported, "more than %d prepared statements", maxSessionState))
+	}
+	s.prepared[statement.Name] = preparedStatement{
+		op: statement.Prepares, shape: statement.Argument, shared: sharedName(statement.Prepares, statement.Argument),
+	}
+	return answer
+}
+
+// sharedName names a prepared statement by its content.
+func sharedName(op Operation, shape string) string {
+	digest := xxhash.Sum64String(op.String() + " " + shape)
+	return "p" + strconv.FormatUint(digest, 36)
+}
+
+// operationOf returns what a statement does, looking prepared ones up.
+func (s *session) operationOf(statement Statement) (Operation, *Refusal) {
+	if statement.Op != OpExecute {
+		return statement.Op, nil
+	}
+	known, ok := s.prepared[statement.Name]
+	if !ok {
+		return OpUnknown, refuse(result.UnknownStatement, "no prepared statement %q", statement.Name)
+	}
+	return known.op, nil
+}
+
+// commandFor returns the statement as it is sent to a target.
+func (s *session) commandFor(statement Statement) Command {
+	if statement.Op != OpExecute {
+		return Command{ID: statement.ID, Op: statement.Op, Text: statement.Text}
+	}
+	return Command{ID: statement.ID, Op: OpExecute, Name: s.prepared[statement.Name].shared, Argument: statement.Argument}
+}
--- /dev/null
+++ b/internal/engine/statement.go
@@ -0,0 +1,192 @@
+// Package engine serves caller sessions from the targets of groups whose targets keep the term and
+// the position of their log.
+//
+// It knows sessions, transactions, statements and opaque rows, and no wire protocol: callers, targets
+// and the promotion order are reached through the interfaces of this package. Decisions are made by the
+// packages of internal/policy.
+package engine
+
+import (
+	"fmt"
+	"time"
+
+	"github.com/papayacove/papayacove/api"
+	"github.com/papayacove/papayacove/internal/policy/authority"
+	"github.com/papayacove/papayacove/internal/result"
+)
+
+// Operation says what a statement does.
+type Operation uint8
+
+// The operations of callers, and those that papayacove itself sends to targets.
+const (
+	OpUnknown Operation = iota
+	OpBegin
+	OpBeginReadOnly
+	OpCommit
+	OpRollback
+	OpRead
+	OpWrite
+	OpSet
+	OpPrepare
+	OpExecute
+	OpDeallocate
+
+	// OpDiscard clears session values and prepared statements of a target connection.
+	OpDiscard
+	// OpStatus asks a target for its status.
+	OpStatus
+	// OpPause stops a replica from receiving until a promotion.
+	OpPause
+	// OpResume ends a pause.
+	OpResume
+	// OpStepDown makes a primary of a lower term a replica.
+	OpStepDown
+)
+
+var operationNames = [...]string{
+	OpUnknown: "unknown", OpBegin: "begin", OpBeginReadOnly: "begin_read_only", OpCommit: "commit", OpRollback: "rollback",
+	OpRead: "read", OpWrite: "write", OpSet: "set", OpPrepare: "prepare", OpExecute: "execute", OpDeallocate: "deallocate",
+	OpDiscard: "discard", OpStatus: "status", OpPause: "pause", OpResume: "resume", OpStepDown: "step_down",
+}
+
+// String returns the name of the operation.
+func (o Operation) String() string { return operationNames[o] }
+
+// Statement is one request of a caller.
+type Statement struct {
+	// ID is the caller's name of the request.
+	ID string
+	Op Operation
+	// Name is the session value or the prepared statement that the request is about.
+	Name string
+	// Prepares is the operation of the statement that OpPrepare names: OpRead or OpWrite.
+	Prepares Operation
+	// Argument is the value, the shape or the input that follows the name, unchanged.
+	Argument string
+	// Text is the whole text as the caller wrote it.
+	Text string
+}
+
+// Command is one message to a target.
+type Command struct {
+	// ID is the caller's, or empty when papayacove itself sends the command.
+	ID       string
+	Op       Operation
+	Name     string
+	Prepares Operation
+	Argument string
+	// Text is sent unchanged when it is not empty.
+	Text string
+	// Floor is the position that the target's log must hold before OpRead, OpExecute, OpBegin or
+	// OpBeginReadOnly runs; the zero value stands for none.
+	Floor api.Position
+	// Term goes with OpPause and OpStepDown.
+	Term uint64
+}
+
+// TransactionState is what a target says of its connection.
+type TransactionState uint8
+
+// The transaction states.
+const (
+	StateIdle TransactionState = iota
+	StateOpen
+	StateFailed
+)
+
+// Reply is the whole answer to one command.
+type Reply struct {
+	Rows []string
+	// Signature is the target's proof that it ran the command; empty when there is none.
+	Signature string
+	// Failure is nil on success.
+	Failure *TargetFailure
+	State   TransactionState
+	// Position is the end of the target's log as it applies it; the zero value when it was not told.
+	Position api.Position
+	// Status is set in the answers to OpStatus, OpPause, OpResume and OpStepDown.
+	Status authority.Status
+}
+
+// FailureKind says why a target did not carry a command out.
+type FailureKind uint8
+
+// The failures of targets. Those up to FailureUnknownStatement mean that nothing ran.
+const (
+	// FailureBusy means that the target has no free slot and a full queue.
+	FailureBusy FailureKind = iota
+	// FailureBehind means that the target's log lacks the floor.
+	FailureBehind
+	// FailureReadOnly means that the target does not lead.
+	FailureReadOnly
+	// FailureWrongTarget means that another target has this address now.
+	FailureWrongTarget
+	// FailureTooManyConnections means that the target accepts no further connection.
+	FailureTooManyConnections
+	// FailureUnknownStatement means that the connection has no prepared statement of the name.
+	FailureUnknownStatement
+	// FailureFailed means that the command ran and failed.
+	FailureFailed
+	// FailureTimeout means that the command ran into the time limit of the target.
+	FailureTimeout
+	// FailureRejected means that the target did not understand or allow the command.
+	FailureRejected
+)
+
+var failureNames = [...]string{
+	FailureBusy: "busy", FailureBehind: "behind", FailureReadOnly: "read_only", FailureWrongTarget: "wrong_target",
+	FailureTooManyConnections: "too_many_connections", FailureUnknownStatement: "unknown_statement",
+	FailureFailed: "failed", FailureTimeout: "timeout", FailureRejected: "rejected",
+}
+
+// String returns the name of the failure.
+func (k FailureKind) String() string { return failureNames[k] }
+
+// IsNotRun reports whether the target promises that the command did not run.
+func (k FailureKind) IsNotRun() bool { return k <= FailureUnknownStatement }
+
+// TargetFailure is a failure that a target told.
+type TargetFailure struct {
+	Kind FailureKind
+	// Code is the target's own word for it, kept so that it can be passed on unchanged.
+	Code string
+	Text string
+}
+
+// Error returns the failure with the text of the target.
+func (f *TargetFailure) Error() string {
+	return fmt.Sprintf("target failure %s: %s", f.Kind, f.Text)
+}
+
+// Answer is what a caller gets for one statement.
+type Answer struct {
+	Rows      []string
+	Signature string
+	// Refusal is nil on success.
+	Refusal  *Refusal
+	State    TransactionState
+	Position api.Position
+}
+
+// Refusal is an outcome other than success, of papayacove or of a target.
+type Refusal struct {
+	Code   result.Code
+	Reason string
+	// RetryAfter is when the caller may come back; 0 when that is not known.
+	RetryAfter time.Duration
+	// Target is set when the failure is the target's own and is passed on.
+	Target *TargetFailure
+}
+
+func refuse(code result.Code, format string, args ...any) *Refusal {
+	return &Refusal{Code: code, Reason: fmt.Sprintf(format, args...)}
+}
+
+func refusalOf(err error) *Refusal {
+	var known *result.Error
+	if asResult(err, &known) {
+		return &Refusal{Code: known.Code, Reason: known.Reason, RetryAfter: known.RetryAfter}
+	}
+	return &Refusal{Code: result.NotRunUnreachable, Reason: err.Error()}
+}
--- a/internal/failover/promoter.go
+++ b/internal/failover/promoter.go
@@ -11,7 +11,7 @@
 
 	"github.com/papayacove/papayacove/api"
 	"github.com/papayacove/papayacove/internal/clock"
-	"github.com/papayacove/papayacove/internal/platform"
+	"github.com/papayacove/papayacove/internal/objectstore"
 	"github.com/papayacove/papayacove/internal/policy/promotion"
 	"github.com/papayacove/papayacove/internal/target"
 	"github.com/papayacove/papayacove/internal/terms"
@@ -161,7 +161,7 @@
 	if err != nil {
 		return
 	}
-	object := api.Object{Kind: platform.KindTerm, Name: order.Record.Group, Version: order.Version, Data: data}
+	object := api.Object{Kind: objectstore.KindTerm, Name: order.Record.Group, Version: order.Version, Data: data}
 	store := p.controller.options.Store
 	var stored api.Object
 	if order.Version == 0 {
@@ -172,7 +172,7 @@
 	switch {
 	case err == nil:
 		p.post(ctx, promotion.RecordWritten{Version: stored.Version})
-	case errors.Is(err, platform.ErrConflict), errors.Is(err, platform.ErrExists):
+	case errors.Is(err, objectstore.ErrConflict), errors.Is(err, objectstore.ErrExists):
 		p.post(ctx, promotion.RecordConflict{})
 	default:
 		p.post(ctx, promotion.RecordUnknown{})
@@ -192,8 +192,8 @@
 func (c *controller) readRecord(ctx context.Context) (api.TermRecord, uint64, error) {
 	ctx, cancel := context.WithTimeout(ctx, storeTimeout)
 	defer cancel()
-	object, err := c.options.Store.Get(ctx, platform.KindTerm, c.group.Name)
-	if errors.Is(err, platform.ErrNotFound) {
+	object, err := c.options.Store.Get(ctx, objectstore.KindTerm, c.group.Name)
+	if errors.Is(err, objectstore.ErrNotFound) {
 		return api.TermRecord{}, 0, nil
 	}
 	if err != nil {
--- a/internal/frontend/watch.go
+++ b/internal/frontend/watch.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"crypto/tls"
+	"github.com/papayacove/papayacove/internal/dialer"
 	"net"
 	"sync"
 	"syscall"
@@ -46,7 +47,7 @@
 	if w.timer == nil {
 		return
 	}
-	if hasPeerClosed(w.conn) {
+	if dialer.HasPeerClosed(w.conn) {
 		counters.Add("callers_vanished", 1)
 		w.cancel()
 		return
--- /dev/null
+++ b/internal/lineproxy/proxy.go
@@ -0,0 +1,226 @@
+// Package lineproxy is the daemon of the protocol lines: it brings the engine together with the platform that the
+// daemon runs on.
+package lineproxy
+
+import (
+	"context"
+	"errors"
+	"expvar"
+	"fmt"
+	"net"
+	"net/http"
+	"runtime/debug"
+	"time"
+
+	"github.com/sirupsen/logrus"
+
+	"github.com/papayacove/papayacove/api"
+	"github.com/papayacove/papayacove/internal/clock"
+	"github.com/papayacove/papayacove/internal/dialer"
+	"github.com/papayacove/papayacove/internal/duty"
+	"github.com/papayacove/papayacove/internal/engine"
+	"github.com/papayacove/papayacove/internal/objectstore"
+	"github.com/papayacove/papayacove/internal/result"
+	"github.com/papayacove/papayacove/internal/roster"
+	"github.com/papayacove/papayacove/platform"
+)
+
+const (
+	// storeTimeout bounds a call to the store beside the time that a watch waits.
+	storeTimeout = time.Second
+	// watchWait is the time that the store holds a watch back. With storeTimeout it bounds how long a
+	// connection that went silent keeps a configuration away.
+	watchWait = 1500 * time.Millisecond
+	// watchPause is the time between two watches.
+	watchPause = 10 * time.Millisecond
+	// promoteTimeout bounds an order to promote.
+	promoteTimeout = time.Second
+	// configurationWait is the time that a new session waits for the first configuration.
+	configurationWait = 1500 * time.Millisecond
+	// stopReserve is the part of the grace that is left when the last sessions are cut.
+	stopReserve = 500 * time.Millisecond
+	// memoryShare is the part of the memory limit at which the runtime collects without rest.
+	memoryShare = 0.7
+	// adminHeaderTimeout bounds the header of a request for metrics.
+	adminHeaderTimeout = 5 * time.Second
+)
+
+// Proxy is one daemon.
+type Proxy struct {
+	settings api.Settings
+	engine   *engine.Engine
+	store    *platform.Store
+	roster   *roster.Roster
+	listener net.Listener
+	ready    func() bool
+}
+
+// New composes a daemon of checked settings.
+func New(settings api.Settings) *Proxy {
+	source := settings.SourceAddress
+	store := platform.NewStore(settings.PlatformURL, source, storeTimeout)
+	p := &Proxy{settings: settings, store: store}
+	p.engine = engine.New(engine.Options{
+		Zone:         settings.Zone,
+		Dialer:       platform.Dialer{Source: source},
+		Promoter:     platform.NewPromoter(settings.Fleet.PromotionURL, source, settings.Name, promoteTimeout),
+		Duty:         duty.New(store, settings.Name),
+		DrainTimeout: time.Duration(settings.Fleet.DrainTimeoutMs) * time.Millisecond,
+	})
+	p.roster = roster.New(store, api.DaemonEntry{Name: settings.Name, Zone: settings.Zone}, p.engine.SetDaemons)
+	return p
+}
+
+// Run serves until ctx ends, and then stops in a planned way.
+func (p *Proxy) Run(ctx context.Context) error {
+	if mb := p.settings.Fleet.MemoryMb; mb > 0 {
+		debug.SetMemoryLimit(int64(float64(mb<<20) * memoryShare))
+	}
+	work, stop := context.WithCancel(context.Background())
+	defer stop()
+	if err := p.start(work); err != nil {
+		return err
+	}
+	logrus.WithFields(logrus.Fields{
+		"daemon": p.settings.Name, "zone": p.settings.Zone, "callers": p.settings.CallerAddress, "store": p.settings.PlatformURL,
+	}).Info("daemon_started")
+	<-ctx.Done()
+	p.leave()
+	return nil
+}
+
+func (p *Proxy) start(ctx context.Context) error {
+	listening := net.ListenConfig{KeepAliveConfig: dialer.KeepAlive}
+	listener, err := listening.Listen(ctx, "tcp", p.settings.CallerAddress)
+	if err != nil {
+		return fmt.Errorf("listen for callers: %w", err)
+	}
+	p.listener = listener
+	if err := platform.ServeReady(ctx, p.settings.Fleet.ReadinessAddress, p.engine.IsReady); err != nil {
+		return err
+	}
+	if err := p.serveAdmin(ctx); err != nil {
+		return err
+	}
+	go p.follow(ctx, platform.KindConfiguration, p.takeConfiguration)
+	go p.follow(ctx, platform.KindTargets, p.takeTarget)
+	go p.roster.Run(ctx)
+	go p.accept()
+	return nil
+}
+
+// serveAdmin serves the metrics.
+func (p *Proxy) serveAdmin(ctx context.Context) error {
+	listener, err := net.Listen("tcp", p.settings.AdminAddress)
+	if err != nil {
+		return fmt.Errorf("listen for operators: %w", err)
+	}
+	mux := http.NewServeMux()
+	mux.Handle("GET /debug/vars", expvar.Handler())
+	server := &http.Server{Handler: mux, ReadHeaderTimeout: adminHeaderTimeout}
+	context.AfterFunc(ctx, func() { _ = server.Close() })
+	go func() {
+		if err := server.Serve(listener); !errors.Is(err, http.ErrServerClosed) {
+			logrus.WithField("error", err).Error("admin_failed")
+		}
+	}()
+	return nil
+}
+
+// follow keeps one kind of objects until ctx ends.
+func (p *Proxy) follow(ctx context.Context, kind string, take func(api.Object)) {
+	options := objectstore.FollowOptions{Kinds: []string{kind}, Wait: watchWait, Pause: watchPause}
+	err := objectstore.FollowSource(ctx, p.store, options, func(list api.ObjectList) {
+		for _, object := range list.Objects {
+			take(object)
+		}
+	})
+	if ctx.Err() == nil {
+		logrus.WithFields(logrus.Fields{"kind": kind, "error": err}).Error("follow_ended")
+	}
+}
+
+func (p *Proxy) takeConfiguration(o api.Object) {
+	if o.Deleted {
+		logrus.WithField("object", o.Name).Warn("configuration_deleted")
+		return
+	}
+	configuration, err := platform.DecodeConfiguration(o)
+	if err != nil {
+		logrus.WithField("error", err).Error("configuration_unreadable")
+		return
+	}
+	p.engine.Configure(configuration)
+}
+
+func (p *Proxy) takeTarget(o api.Object) {
+	if o.Deleted {
+		p.engine.RemoveTarget(o.Name)
+		return
+	}
+	target, err := platform.DecodeTarget(o)
+	if err != nil {
+		logrus.WithField("error", err).Warn("target_unreadable")
+		p.engine.RemoveTarget(o.Name)
+		return
+	}
+	p.engine.SetTarget(target)
+}
+
+// acceptPause is the time before the next attempt after a connection could not be accepted.
+const acceptPause = 20 * time.Millisecond
+
+func (p *Proxy) accept() {
+	for {
+		conn, err := p.listener.Accept()
+		if errors.Is(err, net.ErrClosed) {
+			return
+		}
+		if err != nil {
+			logrus.WithField("error", err).Warn("accept_failed")
+			time.Sleep(acceptPause)
+			continue
+		}
+		go p.serve(conn)
+	}
+}
+
+// serve opens a session.
+func (p *Proxy) serve(conn net.Conn) {
+	caller := platform.NewCaller(conn)
+	database, err := caller.Start()
+	if err != nil {
+		logrus.WithFields(logrus.Fields{"caller": conn.RemoteAddr().String(), "error": err}).Debug("session_not_opened")
+		_ = caller.Close()
+		return
+	}
+	has, known := p.engine.HasDatabase(database, configurationWait)
+	switch {
+	case !known:
+		caller.Refuse(&engine.Refusal{Code: result.NotRunUnreachable, Reason: "no configuration yet"})
+	case !has:
+		logrus.WithField("database", database).Info("database_unknown")
+		caller.Refuse(&engine.Refusal{Code: result.UnknownWorkspace, Reason: "no route for this database"})
+	default:
+		if err := caller.Accept(); err != nil {
+			_ = caller.Close()
+			return
+		}
+		p.engine.Serve(caller, database)
+	}
+}
+
+// leave stops in a planned way: the balancer sends no new callers, and the sessions end.
+func (p *Proxy) leave() {
+	logrus.WithField("daemon", p.settings.Name).Info("daemon_leaving")
+	grace := time.Duration(p.settings.Fleet.GraceS*float64(time.Second)) - stopReserve
+	ctx, cancel := context.WithTimeout(context.Background(), grace)
+	defer cancel()
+	began := clock.Boot()
+	go p.roster.Leave(ctx)
+	p.engine.Drain(ctx, grace)
+	_ = p.listener.Close()
+	p.engine.Close()
+	p.store.Close()
+	logrus.WithFields(logrus.Fields{"daemon": p.settings.Name, "took": clock.Boot() - began}).Info("daemon_stopped")
+}
--- a/internal/platform/apply.go
+++ b/internal/objectstore/apply.go
@@ -1,4 +1,4 @@
-package platform
+package objectstore
 
 import (
 	"context"
@@ -76,10 +76,22 @@
 // the object was deleted in the meantime the outcome is a conflict: the change is not in
 // force, but may have been before.
 func (c *Client) Apply(ctx context.Context, obj api.Object, changeID string) (Applied, error) {
+	return Apply(ctx, c, obj, changeID)
+}
+
+// Objects reads and changes single objects of an object store. The failures are those of this package.
+type Objects interface {
+	Get(ctx context.Context, kind, name string) (api.Object, error)
+	Create(ctx context.Context, o api.Object) (api.Object, error)
+	Update(ctx context.Context, o api.Object) (api.Object, error)
+}
+
+// Apply carries out a change as Client.Apply does.
+func Apply(ctx context.Context, objects Objects, obj api.Object, changeID string) (Applied, error) {
 	if changeID == "" {
 		return Applied{Outcome: OutcomeNotDone}, fmt.Errorf("%w: empty change id", ErrInvalid)
 	}
-	change := &applyChange{client: c, object: obj, changeID: changeID}
+	change := &applyChange{objects: objects, object: obj, changeID: changeID}
 	return retryChange(ctx, change)
 }
 
--- a/internal/platform/apply_change.go
+++ b/internal/objectstore/apply_change.go
@@ -1,4 +1,4 @@
-package platform
+package objectstore
 
 import (
 	"context"
@@ -13,7 +13,7 @@
 // applyChange creates or replaces an object. All attempts are conditional on the same
 // version, so at most one of them takes effect.
 type applyChange struct {
-	client   *Client
+	objects  Objects
 	object   api.Object
 	changeID string
 	// base is the history of the object before the change.
@@ -51,7 +51,7 @@
 
 // inspect reads the stored object. The outcome not done without an error asks to send.
 func (a *applyChange) inspect(ctx context.Context) (Applied, error) {
-	stored, err := a.client.Get(ctx, a.object.Kind, a.object.Name)
+	stored, err := a.objects.Get(ctx, a.object.Kind, a.object.Name)
 	if errors.Is(err, ErrNotFound) {
 		return a.inspectMissing(err)
 	}
@@ -123,9 +123,9 @@
 	o := a.object
 	o.Data = data
 	if a.isCreate() {
-		return a.client.Create(ctx, o)
+		return a.objects.Create(ctx, o)
 	}
-	return a.client.Update(ctx, o)
+	return a.objects.Update(ctx, o)
 }
 
 // undoneOutcome is the outcome of a change that cannot go on.
--- a/internal/platform/apply_test.go
+++ b/internal/objectstore/apply_test.go
@@ -1,4 +1,4 @@
-package platform
+package objectstore
 
 import (
 	"context"
@@ -108,14 +108,14 @@
 		rivals = 0
 		client := NewClient(Options{URL: server.URL(), Timeout: time.Minute})
 		defer client.Close()
-		transport := &faultyTransport{inner: client.http.Transport}
+		transport := &faultyTransport{inner: client.transport.http.Transport}
 		transport.draw = func() fate { return drawFate(t) }
 		transport.afterLoss = func() {
 			for range rapid.SampledFrom([]int{0, 0, 1, maxRecentChanges - 1, maxRecentChanges}).Draw(t, "rivals") {
 				rival()
 			}
 		}
-		client.http.Transport = transport
+		client.transport.http.Transport = transport
 		applied, err := client.Apply(context.Background(), base, "own")
 		transport.deliverLate()
 		checkApplied(t, transport.effects, rivals, applied, err)
--- a/internal/platform/bench_test.go
+++ b/internal/objectstore/bench_test.go
@@ -1,4 +1,4 @@
-package platform
+package objectstore
 
 import (
 	"context"
@@ -41,7 +41,7 @@
 	client := NewClient(Options{URL: server.URL(), Zone: "colombo"})
 	defer client.Close()
 	var bytes atomic.Int64
-	transport := client.http.Transport.(*http.Transport)
+	transport := client.transport.http.Transport.(*http.Transport)
 	transport.DialContext = func(ctx context.Context, network, address string) (net.Conn, error) {
 		var dialer net.Dialer
 		c, err := dialer.DialContext(ctx, network, address)
--- a/internal/platform/client.go
+++ b/internal/objectstore/client.go
@@ -1,14 +1,12 @@
-// Package platform is the client of the platform's object API and VM list.
+// Package objectstore is the client of the platform's object API and VM list.
 //
-// Each call has a deadline. A connection whose call timed out is closed and all idle
-// connections with it, because a connection may have gone silent for good while new ones
-// work. docs/PLATFORM.md lists what is assumed of the platform.
-package platform
+// Client speaks the API of docs/PLATFORM.md, which lists what is assumed of it. Transport and
+// FollowSource serve object stores that spell their calls otherwise.
+package objectstore
 
 import (
 	"context"
 	"crypto/tls"
-	"net"
 	"net/http"
 	"net/url"
 	"strconv"
@@ -16,7 +14,6 @@
 	"time"
 
 	"github.com/papayacove/papayacove/api"
-	"github.com/papayacove/papayacove/internal/dialer"
 )
 
 // The kinds of objects.
@@ -30,15 +27,6 @@
 // MaxDataBytes is the largest object data that the platform keeps.
 const MaxDataBytes = 1 << 20
 
-// DefaultTimeout is the deadline of a call, without the time that a watch waits.
-const DefaultTimeout = 2 * time.Second
-
-// idleTimeout is the time after which an unused connection is closed.
-const idleTimeout = 30 * time.Second
-
-// maxIdleConnections bounds the unused connections of a client.
-const maxIdleConnections = 4
-
 // Options describe a client.
 type Options struct {
 	// URL is the base of the object API, such as https://platform.example:443.
@@ -60,59 +48,19 @@
 
 // Client calls the platform. It is safe for concurrent use.
 type Client struct {
-	base    string
-	zone    string
-	timeout time.Duration
-	http    *http.Client
-	counter callCounter
+	transport *Transport
+	zone      string
+	counter   callCounter
 }
 
 // NewClient returns a client; it connects with the first call.
 func NewClient(options Options) *Client {
-	timeout := options.Timeout
-	if timeout <= 0 {
-		timeout = DefaultTimeout
-	}
-	return &Client{
-		base:    strings.TrimRight(options.URL, "/"),
-		zone:    options.Zone,
-		timeout: timeout,
-		http: &http.Client{
-			Transport:     newTransport(options),
-			CheckRedirect: refuseRedirect,
-		},
-	}
-}
-
-// newTransport returns a transport that speaks HTTP/1.1 only: closing the connection of a
-// call that timed out then ends no other call.
-func newTransport(options Options) *http.Transport {
-	protocols := new(http.Protocols)
-	protocols.SetHTTP1(true)
-	dial := dialer.New(options.LocalAddress)
-	transport := &http.Transport{
-		DialContext:         dial.DialContext,
-		Protocols:           protocols,
-		MaxIdleConns:        maxIdleConnections,
-		MaxIdleConnsPerHost: maxIdleConnections,
-		IdleConnTimeout:     idleTimeout,
-	}
-	if options.TLS != nil {
-		transport.DialTLSContext = func(ctx context.Context, network, address string) (net.Conn, error) {
-			return (&tls.Dialer{NetDialer: dial, Config: options.TLS()}).DialContext(ctx, network, address)
-		}
-	}
-	return transport
-}
-
-// refuseRedirect keeps a change from being sent more than once.
-func refuseRedirect(*http.Request, []*http.Request) error {
-	return http.ErrUseLastResponse
+	return &Client{transport: NewTransport(options), zone: options.Zone}
 }
 
 // Close closes the unused connections.
 func (c *Client) Close() {
-	c.http.CloseIdleConnections()
+	c.transport.Close()
 }
 
 // Counts returns the calls so far by kind.
--- a/internal/platform/follow.go
+++ b/internal/objectstore/follow.go
@@ -1,4 +1,4 @@
-package platform
+package objectstore
 
 import (
 	"context"
@@ -69,11 +69,23 @@
 // a failure Follow retries with exponential backoff, and lists anew only when the platform has
 // dropped the history in between. Answers of a lower revision count as failures.
 func (c *Client) Follow(ctx context.Context, options FollowOptions, apply func(api.ObjectList)) error {
+	return FollowSource(ctx, c, options, apply)
+}
+
+// Source lists and watches the objects of an object store. Its failures are those of this package:
+// Watch fails with ErrCompacted when the history after the revision is gone.
+type Source interface {
+	List(ctx context.Context, kind string) (api.ObjectList, error)
+	Watch(ctx context.Context, after uint64, wait time.Duration, kinds ...string) (api.ObjectList, error)
+}
+
+// FollowSource follows the objects of source as Client.Follow does.
+func FollowSource(ctx context.Context, source Source, options FollowOptions, apply func(api.ObjectList)) error {
 	if len(options.Kinds) == 0 {
 		return fmt.Errorf("%w: no kinds to follow", ErrInvalid)
 	}
 	options = options.withDefaults()
-	f := &objectFollower{client: c, options: options, tracker: newTracker(), apply: apply}
+	f := &objectFollower{source: source, options: options, tracker: newTracker(), apply: apply}
 	return follow(ctx, "objects", options, f.step)
 }
 
@@ -111,7 +123,7 @@
 
 // objectFollower lists and watches objects.
 type objectFollower struct {
-	client  *Client
+	source  Source
 	options FollowOptions
 	tracker *tracker
 	// listed is false when the next step has to list.
@@ -144,7 +156,7 @@
 	if !f.listed {
 		return f.fetchLists(ctx)
 	}
-	changes, err := f.client.Watch(ctx, f.tracker.revision, f.options.Wait, f.options.Kinds...)
+	changes, err := f.source.Watch(ctx, f.tracker.revision, f.options.Wait, f.options.Kinds...)
 	if err != nil {
 		return api.ObjectList{}, err
 	}
@@ -155,7 +167,7 @@
 func (f *objectFollower) fetchLists(ctx context.Context) (api.ObjectList, error) {
 	lists := make([]kindList, 0, len(f.options.Kinds))
 	for _, kind := range f.options.Kinds {
-		list, err := f.client.List(ctx, kind)
+		list, err := f.source.List(ctx, kind)
 		if err != nil {
 			return api.ObjectList{}, err
 		}
--- a/internal/platform/follow_test.go
+++ b/internal/objectstore/follow_test.go
@@ -1,4 +1,4 @@
-package platform
+package objectstore
 
 import (
 	"context"
@@ -56,7 +56,7 @@
 		defer client.Close()
 		seen := newConsumer(t)
 		follower := &objectFollower{
-			client:  client,
+			source:  client,
 			options: FollowOptions{Kinds: kinds, Wait: time.Nanosecond},
 			tracker: newTracker(),
 			apply:   seen.apply,
--- a/internal/platform/tls_test.go
+++ b/internal/objectstore/tls_test.go
@@ -1,4 +1,4 @@
-package platform
+package objectstore
 
 import (
 	"context"
--- a/internal/operator/admin.go
+++ b/internal/operator/admin.go
@@ -12,7 +12,7 @@
 	"golang.org/x/sync/errgroup"
 
 	"github.com/papayacove/papayacove/api"
-	"github.com/papayacove/papayacove/internal/platform"
+	"github.com/papayacove/papayacove/internal/objectstore"
 	"github.com/papayacove/papayacove/internal/result"
 )
 
@@ -120,9 +120,9 @@
 }
 
 // platformConfig returns the revision of the newest template, workspace or group on the platform.
-func platformConfig(ctx context.Context, client *platform.Client) (uint64, error) {
+func platformConfig(ctx context.Context, client *objectstore.Client) (uint64, error) {
 	var newest uint64
-	for _, kind := range []string{platform.KindTemplate, platform.KindWorkspace, platform.KindGroup} {
+	for _, kind := range []string{objectstore.KindTemplate, objectstore.KindWorkspace, objectstore.KindGroup} {
 		list, err := client.List(ctx, kind)
 		if err != nil {
 			return 0, platformError(err)
--- a/internal/operator/apply.go
+++ b/internal/operator/apply.go
@@ -7,7 +7,7 @@
 	"strings"
 
 	"github.com/papayacove/papayacove/api"
-	"github.com/papayacove/papayacove/internal/platform"
+	"github.com/papayacove/papayacove/internal/objectstore"
 	"github.com/papayacove/papayacove/internal/result"
 )
 
@@ -113,7 +113,7 @@
 // Set changes single values of a workspace: PARAMETER=VALUE, or users.NAME.max_staleness=VALUE
 // and users.NAME.verifier=VALUE. An empty value brings the default back.
 func (e *Editor) Set(ctx context.Context, name string, assignments []string) (Report, error) {
-	before, err := loadExisting(ctx, e.Client, platform.KindWorkspace, name)
+	before, err := loadExisting(ctx, e.Client, objectstore.KindWorkspace, name)
 	if err != nil {
 		return Report{}, err
 	}
--- a/internal/operator/change_test.go
+++ b/internal/operator/change_test.go
@@ -10,13 +10,13 @@
 	"time"
 
 	"github.com/papayacove/papayacove/api"
-	"github.com/papayacove/papayacove/internal/platform"
+	"github.com/papayacove/papayacove/internal/objectstore"
 	standin "github.com/papayacove/papayacove/standin/platform"
 )
 
 func newEditor(t *testing.T, server *standin.Server, author string) *Editor {
 	t.Helper()
-	client := platform.NewClient(platform.Options{URL: server.URL(), Zone: "colombo", Timeout: 200 * time.Millisecond})
+	client := objectstore.NewClient(objectstore.Options{URL: server.URL(), Zone: "colombo", Timeout: 200 * time.Millisecond})
 	t.Cleanup(client.Close)
 	now := func() time.Time { return time.UnixMilli(1) }
 	return &Editor{Client: client, Author: author, Timeout: 2 * time.Second, Now: now}
@@ -71,7 +71,7 @@
 	server := startPlatform(t)
 	ctx := context.Background()
 	ana, ben := newEditor(t, server, "ana"), newEditor(t, server, "ben")
-	before, err := loadExisting(ctx, ana.Client, platform.KindWorkspace, "kelani")
+	before, err := loadExisting(ctx, ana.Client, objectstore.KindWorkspace, "kelani")
 	if err != nil {
 		t.Fatal(err)
 	}
@@ -194,11 +194,11 @@
 			server := startPlatform(t)
 			editor := newEditor(t, server, "ana")
 			ctx := context.Background()
-			stored, err := load(ctx, editor.Client, platform.KindWorkspace, name)
+			stored, err := load(ctx, editor.Client, objectstore.KindWorkspace, name)
 			if err != nil {
 				t.Fatal(err)
 			}
-			id := newChangeID(platform.KindWorkspace, name, stored.Version)
+			id := newChangeID(objectstore.KindWorkspace, name, stored.Version)
 			late := submitted(t, server, id)
 			report, err := editor.Resolve(ctx, id)
 			if err != nil || report.Outcome != "not_done" {
@@ -214,7 +214,7 @@
 	}
 }
 
-func send(ctx context.Context, client *platform.Client, object api.Object) error {
+func send(ctx context.Context, client *objectstore.Client, object api.Object) error {
 	if object.Version == 0 {
 		_, err := client.Create(ctx, object)
 		return err
@@ -227,11 +227,11 @@
 	server := startPlatform(t)
 	editor := newEditor(t, server, "ana")
 	ctx := context.Background()
-	stored, err := loadExisting(ctx, editor.Client, platform.KindWorkspace, "kelani")
+	stored, err := loadExisting(ctx, editor.Client, objectstore.KindWorkspace, "kelani")
 	if err != nil {
 		t.Fatal(err)
 	}
-	id := newChangeID(platform.KindWorkspace, "kelani", stored.Version)
+	id := newChangeID(objectstore.KindWorkspace, "kelani", stored.Version)
 	if err := send(ctx, editor.Client, submitted(t, server, id)); err != nil {
 		t.Fatal(err)
 	}
--- a/internal/operator/check.go
+++ b/internal/operator/check.go
@@ -5,7 +5,7 @@
 
 	"github.com/papayacove/papayacove/api"
 	"github.com/papayacove/papayacove/internal/config"
-	"github.com/papayacove/papayacove/internal/platform"
+	"github.com/papayacove/papayacove/internal/objectstore"
 	"github.com/papayacove/papayacove/internal/result"
 	"github.com/papayacove/papayacove/internal/workspace"
 )
@@ -25,9 +25,9 @@
 }
 
 // loadDeclared reads templates, workspaces and groups from the platform.
-func loadDeclared(ctx context.Context, client *platform.Client) (*declared, error) {
+func loadDeclared(ctx context.Context, client *objectstore.Client) (*declared, error) {
 	d := newDeclared()
-	for _, kind := range []string{platform.KindTemplate, platform.KindWorkspace} {
+	for _, kind := range []string{objectstore.KindTemplate, objectstore.KindWorkspace} {
 		all, err := loadAll(ctx, client, kind)
 		if err != nil {
 			return nil, err
--- a/internal/operator/command.go
+++ b/internal/operator/command.go
@@ -12,7 +12,7 @@
 
 	"github.com/papayacove/papayacove/api"
 	"github.com/papayacove/papayacove/internal/certificate"
-	"github.com/papayacove/papayacove/internal/platform"
+	"github.com/papayacove/papayacove/internal/objectstore"
 	"github.com/papayacove/papayacove/internal/result"
 )
 
@@ -44,8 +44,8 @@
 		ExitErrHandler: func(context.Context, *cli.Command, error) {},
 		Commands: []*cli.Command{
 			applyCommand(""),
-			kindCommand(platform.KindTemplate),
-			kindCommand(platform.KindWorkspace, setCommand()),
+			kindCommand(objectstore.KindTemplate),
+			kindCommand(objectstore.KindWorkspace, setCommand()),
 			changeCommand(),
 			validateCommand(),
 			statusCommand(),
@@ -90,7 +90,7 @@
 }
 
 // clientOf returns a client of the platform that the flags name.
-func clientOf(cmd *cli.Command) (*platform.Client, error) {
+func clientOf(cmd *cli.Command) (*objectstore.Client, error) {
 	address := cmd.String(flagPlatform)
 	if address == "" {
 		return nil, result.Errorf(result.ObjectInvalid, "--platform is missing")
@@ -99,10 +99,10 @@
 	if err != nil {
 		return nil, err
 	}
-	return platform.NewClient(platform.Options{
+	return objectstore.NewClient(objectstore.Options{
 		URL:     address,
 		Zone:    cmd.String(flagZone),
-		Timeout: min(platform.DefaultTimeout, cmd.Duration(flagTimeout)),
+		Timeout: min(objectstore.DefaultTimeout, cmd.Duration(flagTimeout)),
 		TLS:     config,
 	}), nil
 }
--- a/internal/operator/document.go
+++ b/internal/operator/document.go
@@ -5,7 +5,7 @@
 	"fmt"
 
 	"github.com/papayacove/papayacove/api"
-	"github.com/papayacove/papayacove/internal/platform"
+	"github.com/papayacove/papayacove/internal/objectstore"
 	"github.com/papayacove/papayacove/internal/result"
 )
 
@@ -34,7 +34,7 @@
 	api.Template
 }
 
-func (d *templateDocument) Kind() string                { return platform.KindTemplate }
+func (d *templateDocument) Kind() string                { return objectstore.KindTemplate }
 func (d *templateDocument) Title() string               { return d.Name }
 func (d *templateDocument) IsDeleted() bool             { return d.Deleted }
 func (d *templateDocument) Changes() []api.ChangeRecord { return d.History }
@@ -55,7 +55,7 @@
 	api.Workspace
 }
 
-func (d *workspaceDocument) Kind() string                { return platform.KindWorkspace }
+func (d *workspaceDocument) Kind() string                { return objectstore.KindWorkspace }
 func (d *workspaceDocument) Title() string               { return d.Name }
 func (d *workspaceDocument) IsDeleted() bool             { return d.Deleted }
 func (d *workspaceDocument) Changes() []api.ChangeRecord { return d.History }
@@ -90,9 +90,9 @@
 
 func newDocument(kind string) (Document, error) {
 	switch kind {
-	case platform.KindTemplate:
+	case objectstore.KindTemplate:
 		return &templateDocument{}, nil
-	case platform.KindWorkspace:
+	case objectstore.KindWorkspace:
 		return &workspaceDocument{}, nil
 	default:
 		return nil, result.Errorf(result.ObjectInvalid, "kind %q: want template or workspace", kind)
--- a/internal/operator/editor.go
+++ b/internal/operator/editor.go
@@ -6,7 +6,7 @@
 	"time"
 
 	"github.com/papayacove/papayacove/api"
-	"github.com/papayacove/papayacove/internal/platform"
+	"github.com/papayacove/papayacove/internal/objectstore"
 	"github.com/papayacove/papayacove/internal/result"
 )
 
@@ -43,7 +43,7 @@
 
 // Editor carries changes out.
 type Editor struct {
-	Client *platform.Client
+	Client *objectstore.Client
 	Author string
 	// Timeout bounds the work on one change.
 	Timeout time.Duration
@@ -109,12 +109,12 @@
 	applied, err := e.Client.Apply(bounded, object, id.String())
 	report.Outcome = applied.Outcome.String()
 	switch applied.Outcome {
-	case platform.OutcomeDone:
+	case objectstore.OutcomeDone:
 		report.Version = applied.Object.Version
 		return report, nil
-	case platform.OutcomeConflict:
+	case objectstore.OutcomeConflict:
 		return report, e.conflict(ctx, edit, err)
-	case platform.OutcomeUnknown:
+	case objectstore.OutcomeUnknown:
 		return e.settle(ctx, id, report)
 	default:
 		return report, platformError(err)
@@ -138,7 +138,7 @@
 	}
 	report.Outcome = resolved.Outcome
 	report.Version = resolved.Version
-	if resolved.Outcome != platform.OutcomeDone.String() {
+	if resolved.Outcome != objectstore.OutcomeDone.String() {
 		return report, result.Errorf(result.PlatformUnavailable, "change %s was not done", id)
 	}
 	return report, nil
--- a/internal/operator/examples_test.go
+++ b/internal/operator/examples_test.go
@@ -8,7 +8,7 @@
 	"github.com/papayacove/papayacove/api"
 	"github.com/papayacove/papayacove/internal/config"
 	"github.com/papayacove/papayacove/internal/credential"
-	"github.com/papayacove/papayacove/internal/platform"
+	"github.com/papayacove/papayacove/internal/objectstore"
 )
 
 var deployments = []string{"../../examples/kelani", "../../examples/lichtbild"}
@@ -34,7 +34,7 @@
 			t.Fatal(err)
 		}
 		for _, object := range content.Objects {
-			if object.Kind != platform.KindTemplate && object.Kind != platform.KindWorkspace {
+			if object.Kind != objectstore.KindTemplate && object.Kind != objectstore.KindWorkspace {
 				continue
 			}
 			stored, err := decodeDocument(object)
--- a/internal/operator/file.go
+++ b/internal/operator/file.go
@@ -10,7 +10,7 @@
 
 	"github.com/papayacove/papayacove/api"
 	"github.com/papayacove/papayacove/internal/config"
-	"github.com/papayacove/papayacove/internal/platform"
+	"github.com/papayacove/papayacove/internal/objectstore"
 	"github.com/papayacove/papayacove/internal/result"
 )
 
@@ -71,9 +71,9 @@
 // ParseFile reads the content of a TOML file.
 func ParseFile(path string, content []byte) (File, error) {
 	switch kindOf(content) {
-	case platform.KindTemplate:
+	case objectstore.KindTemplate:
 		return parseTemplate(path, content)
-	case platform.KindWorkspace:
+	case objectstore.KindWorkspace:
 		return parseWorkspace(path, content)
 	default:
 		return File{}, result.Errorf(result.ObjectInvalid, "%s: kind: want template or workspace", path)
@@ -145,7 +145,7 @@
 
 func (d *templateDocument) file(version uint64, _ bool) any {
 	file := templateFile{
-		Kind:    platform.KindTemplate,
+		Kind:    objectstore.KindTemplate,
 		Version: version,
 		Name:    d.Name,
 		Service: d.Service,
@@ -167,7 +167,7 @@
 
 func (d *workspaceDocument) file(version uint64, showSecrets bool) any {
 	file := workspaceFile{
-		Kind:     platform.KindWorkspace,
+		Kind:     objectstore.KindWorkspace,
 		Version:  version,
 		Name:     d.Name,
 		Template: d.Template,
--- a/internal/operator/resolve_change.go
+++ b/internal/operator/resolve_change.go
@@ -7,7 +7,7 @@
 	"slices"
 
 	"github.com/papayacove/papayacove/api"
-	"github.com/papayacove/papayacove/internal/platform"
+	"github.com/papayacove/papayacove/internal/objectstore"
 	"github.com/papayacove/papayacove/internal/result"
 )
 
@@ -35,7 +35,7 @@
 func (e *Editor) resolveOnce(ctx context.Context, id ChangeID) (Report, bool, error) {
 	report := Report{Kind: id.Kind, Name: id.Name, ChangeID: id.String()}
 	object, err := e.Client.Get(ctx, id.Kind, id.Name)
-	if errors.Is(err, platform.ErrNotFound) {
+	if errors.Is(err, objectstore.ErrNotFound) {
 		return e.resolveMissing(ctx, id, report)
 	}
 	if err != nil {
@@ -52,14 +52,14 @@
 	}
 	switch {
 	case slices.Contains(recentChanges(document), id.String()):
-		report.Outcome = platform.OutcomeDone.String()
+		report.Outcome = objectstore.OutcomeDone.String()
 		return report, true, nil
 	case object.Version == id.Base:
 		return report, false, e.fence(ctx, object)
 	case !reachesBack(document, id.Base):
 		return report, false, result.Errorf(result.OutcomeUnknown, "change %s: older than the history of the object", id)
 	}
-	report.Outcome = platform.OutcomeNotDone.String()
+	report.Outcome = objectstore.OutcomeNotDone.String()
 	return report, true, nil
 }
 
@@ -67,7 +67,7 @@
 // creation is fenced by a tombstone.
 func (e *Editor) resolveMissing(ctx context.Context, id ChangeID, report Report) (Report, bool, error) {
 	if id.Base != 0 {
-		report.Outcome = platform.OutcomeNotDone.String()
+		report.Outcome = objectstore.OutcomeNotDone.String()
 		return report, true, nil
 	}
 	document, err := tombstone(id)
@@ -90,10 +90,10 @@
 
 // ignoreRace drops the failures after which the object is looked at again.
 func ignoreRace(err error) error {
-	if err == nil || errors.Is(err, platform.ErrConflict) || errors.Is(err, platform.ErrExists) {
+	if err == nil || errors.Is(err, objectstore.ErrConflict) || errors.Is(err, objectstore.ErrExists) {
 		return nil
 	}
-	if errors.Is(err, platform.ErrNotFound) || errors.Is(err, platform.ErrOutcomeUnknown) {
+	if errors.Is(err, objectstore.ErrNotFound) || errors.Is(err, objectstore.ErrOutcomeUnknown) {
 		return nil
 	}
 	return fmt.Errorf("fence change: %w", platformError(err))
@@ -102,9 +102,9 @@
 // tombstone is a removed document of the name that a creation was for.
 func tombstone(id ChangeID) (Document, error) {
 	switch id.Kind {
-	case platform.KindTemplate:
+	case objectstore.KindTemplate:
 		return &templateDocument{api.Template{Name: id.Name, Deleted: true}}, nil
-	case platform.KindWorkspace:
+	case objectstore.KindWorkspace:
 		return &workspaceDocument{api.Workspace{Name: id.Name, Deleted: true}}, nil
 	default:
 		return nil, malformedChangeID(id.String())
--- a/internal/operator/store.go
+++ b/internal/operator/store.go
@@ -7,7 +7,7 @@
 	"fmt"
 
 	"github.com/papayacove/papayacove/api"
-	"github.com/papayacove/papayacove/internal/platform"
+	"github.com/papayacove/papayacove/internal/objectstore"
 	"github.com/papayacove/papayacove/internal/result"
 )
 
@@ -32,9 +32,9 @@
 }
 
 // load reads a document; a missing one has version 0.
-func load(ctx context.Context, client *platform.Client, kind, name string) (Stored, error) {
+func load(ctx context.Context, client *objectstore.Client, kind, name string) (Stored, error) {
 	object, err := client.Get(ctx, kind, name)
-	if errors.Is(err, platform.ErrNotFound) {
+	if errors.Is(err, objectstore.ErrNotFound) {
 		return Stored{}, nil
 	}
 	if err != nil {
@@ -48,7 +48,7 @@
 }
 
 // loadExisting reads a document and fails with ObjectNotFound when it is missing or removed.
-func loadExisting(ctx context.Context, client *platform.Client, kind, name string) (Stored, error) {
+func loadExisting(ctx context.Context, client *objectstore.Client, kind, name string) (Stored, error) {
 	stored, err := load(ctx, client, kind, name)
 	if err != nil {
 		return Stored{}, err
@@ -60,7 +60,7 @@
 }
 
 // loadAll reads the documents of a kind; malformed ones are left out.
-func loadAll(ctx context.Context, client *platform.Client, kind string) ([]Stored, error) {
+func loadAll(ctx context.Context, client *objectstore.Client, kind string) ([]Stored, error) {
 	list, err := client.List(ctx, kind)
 	if err != nil {
 		return nil, platformError(err)
@@ -77,8 +77,8 @@
 }
 
 // loadGroups reads the database groups; malformed ones are left out.
-func loadGroups(ctx context.Context, client *platform.Client) ([]api.GroupSpec, error) {
-	list, err := client.List(ctx, platform.KindGroup)
+func loadGroups(ctx context.Context, client *objectstore.Client) ([]api.GroupSpec, error) {
+	list, err := client.List(ctx, objectstore.KindGroup)
 	if err != nil {
 		return nil, platformError(err)
 	}
@@ -89,7 +89,7 @@
 	var groups []api.GroupSpec
 	for _, object := range objects {
 		var group api.GroupSpec
-		if object.Kind == platform.KindGroup && json.Unmarshal(object.Data, &group) == nil {
+		if object.Kind == objectstore.KindGroup && json.Unmarshal(object.Data, &group) == nil {
 			groups = append(groups, group)
 		}
 	}
@@ -103,15 +103,15 @@
 
 func platformCode(err error) result.Code {
 	switch {
-	case errors.Is(err, platform.ErrOutcomeUnknown):
+	case errors.Is(err, objectstore.ErrOutcomeUnknown):
 		return result.OutcomeUnknown
-	case errors.Is(err, platform.ErrUnavailable):
+	case errors.Is(err, objectstore.ErrUnavailable):
 		return result.PlatformUnavailable
-	case errors.Is(err, platform.ErrConflict), errors.Is(err, platform.ErrExists):
+	case errors.Is(err, objectstore.ErrConflict), errors.Is(err, objectstore.ErrExists):
 		return result.ObjectConflict
-	case errors.Is(err, platform.ErrNotFound):
+	case errors.Is(err, objectstore.ErrNotFound):
 		return result.ObjectNotFound
-	case errors.Is(err, platform.ErrInvalid), errors.Is(err, platform.ErrTooLarge):
+	case errors.Is(err, objectstore.ErrInvalid), errors.Is(err, objectstore.ErrTooLarge):
 		return result.ObjectInvalid
 	default:
 		return result.Internal
--- a/internal/operator/validate.go
+++ b/internal/operator/validate.go
@@ -8,7 +8,7 @@
 
 	"github.com/papayacove/papayacove/api"
 	"github.com/papayacove/papayacove/internal/config"
-	"github.com/papayacove/papayacove/internal/platform"
+	"github.com/papayacove/papayacove/internal/objectstore"
 	"github.com/papayacove/papayacove/internal/result"
 	"github.com/papayacove/papayacove/internal/workspace"
 )
@@ -90,7 +90,7 @@
 	}
 	v.known.groups = append(v.known.groups, decodeGroups(content.Objects)...)
 	for _, object := range content.Objects {
-		if object.Kind != platform.KindTemplate && object.Kind != platform.KindWorkspace {
+		if object.Kind != objectstore.KindTemplate && object.Kind != objectstore.KindWorkspace {
 			continue
 		}
 		document, err := decodeDocument(object)
--- a/internal/result/result.go
+++ b/internal/result/result.go
@@ -36,6 +36,8 @@
 	AcknowledgedCut    Code = 3003
 	AnswerInterrupted  Code = 3004
 	StatementCancelled Code = 3005
+	TargetFailed       Code = 3006
+	StatementTimeout   Code = 3007
 
 	AlreadyRan Code = 4001
 	KeyUnknown Code = 4002
@@ -53,6 +55,7 @@
 	PlatformUnavailable  Code = 5011
 	UnknownGroup         Code = 5012
 	Internal             Code = 5013
+	UnknownStatement     Code = 5014
 )
 
 // Definition describes one result code.
@@ -85,6 +88,8 @@
 	{AcknowledgedCut, "acknowledged_cut", "40001", "A failover cut writes that this session relied on. Reported once; later reads see the new primary."},
 	{AnswerInterrupted, "answer_interrupted", "08006", "A read was interrupted after part of its answer had been sent. Nothing was written."},
 	{StatementCancelled, "statement_cancelled", "57014", "The statement was cancelled at the request of the caller."},
+	{TargetFailed, "target_failed", "XX000", "The target ran the statement and reported a failure, which is passed on."},
+	{StatementTimeout, "statement_timeout", "57014", "The statement was sent and no answer came within its time limit: it may have run."},
 	{AlreadyRan, "already_ran", "23505", "A transaction with this operation key was committed before; this one was rolled back."},
 	{KeyUnknown, "key_unknown", "02000", "No transaction with this operation key was committed."},
 	{ProtocolViolation, "protocol_violation", "08P01", "A message of the caller does not follow the protocol."},
@@ -100,6 +105,7 @@
 	{PlatformUnavailable, "platform_unavailable", "57P03", "The platform cannot be reached."},
 	{UnknownGroup, "unknown_group", "3D000", "The workspace has no group of this name."},
 	{Internal, "internal", "XX000", "An invariant does not hold; the request was ended."},
+	{UnknownStatement, "unknown_statement", "26000", "The session has no prepared statement of this name."},
 }
 
 var definitionByCode = indexDefinitions()
--- a/internal/telemetry/events_test.go
+++ b/internal/telemetry/events_test.go
@@ -29,8 +29,10 @@
 		}
 		return err
 	}
-	if err := filepath.WalkDir("..", walk); err != nil {
-		t.Fatal(err)
+	for _, tree := range []string{"..", "../../platform"} {
+		if err := filepath.WalkDir(tree, walk); err != nil {
+			t.Fatal(err)
+		}
 	}
 	for name := range logged {
 		if !strings.Contains(string(page), "`"+name+"`") {
--- a/internal/workspace/apply.go
+++ b/internal/workspace/apply.go
@@ -4,7 +4,7 @@
 	"encoding/json"
 
 	"github.com/papayacove/papayacove/api"
-	"github.com/papayacove/papayacove/internal/platform"
+	"github.com/papayacove/papayacove/internal/objectstore"
 )
 
 // changes are the objects that one Apply replaced.
@@ -49,13 +49,13 @@
 func (v *view) take(object api.Object, changed *changes) {
 	key := objectKey{object.Kind, object.Name}
 	switch object.Kind {
-	case platform.KindGroup:
+	case objectstore.KindGroup:
 		changed.groups = true
 		v.takeGroup(key, object)
-	case platform.KindTemplate:
+	case objectstore.KindTemplate:
 		changed.templates[object.Name] = true
 		v.takeTemplate(key, object)
-	case platform.KindWorkspace:
+	case objectstore.KindWorkspace:
 		changed.workspaces[object.Name] = true
 		v.takeWorkspace(key, object)
 	}
@@ -142,7 +142,7 @@
 
 // resolve brings the newest object of a workspace into force, or keeps the last valid one.
 func (v *view) resolve(name string, entry workspaceEntry) workspaceEntry {
-	key := objectKey{platform.KindWorkspace, name}
+	key := objectKey{objectstore.KindWorkspace, name}
 	var effective Effective
 	if entry.newest.Name != "" {
 		template := v.templates[entry.newest.Template]
@@ -176,7 +176,7 @@
 
 // revisionOf is the newest version of the objects that a workspace is resolved from.
 func (v *view) revisionOf(entry workspaceEntry) uint64 {
-	return max(entry.version, v.versions[objectKey{platform.KindTemplate, entry.newest.Template}])
+	return max(entry.version, v.versions[objectKey{objectstore.KindTemplate, entry.newest.Template}])
 }
 
 func inForceRevision(entry workspaceEntry) uint64 {
--- a/internal/workspace/benchmark_test.go
+++ b/internal/workspace/benchmark_test.go
@@ -5,21 +5,21 @@
 	"testing"
 
 	"github.com/papayacove/papayacove/api"
-	"github.com/papayacove/papayacove/internal/platform"
+	"github.com/papayacove/papayacove/internal/objectstore"
 )
 
 // benchmarkWorkspaces is the number of workspaces in the benchmarks.
 const benchmarkWorkspaces = 2000
 
 func fullCatalog() *Catalog {
-	objects := []api.Object{object(platform.KindTemplate, "city", 1, testTemplate())}
+	objects := []api.Object{object(objectstore.KindTemplate, "city", 1, testTemplate())}
 	for i, group := range testGroups(5) {
-		objects = append(objects, object(platform.KindGroup, group.Name, uint64(2+i), group))
+		objects = append(objects, object(objectstore.KindGroup, group.Name, uint64(2+i), group))
 	}
 	for i := range benchmarkWorkspaces {
 		w := testWorkspace()
 		w.Name = fmt.Sprintf("workspace-%d", i)
-		objects = append(objects, object(platform.KindWorkspace, w.Name, uint64(10+i), w))
+		objects = append(objects, object(objectstore.KindWorkspace, w.Name, uint64(10+i), w))
 	}
 	c := NewCatalog()
 	c.Apply(objects, 10+benchmarkWorkspaces)
@@ -31,7 +31,7 @@
 	c := fullCatalog()
 	w := testWorkspace()
 	w.Name = "workspace-7"
-	changed := object(platform.KindWorkspace, w.Name, c.Revision(), w)
+	changed := object(objectstore.KindWorkspace, w.Name, c.Revision(), w)
 	b.ReportAllocs()
 	for b.Loop() {
 		changed.Version++
--- a/internal/workspace/catalog_test.go
+++ b/internal/workspace/catalog_test.go
@@ -10,17 +10,17 @@
 	"pgregory.net/rapid"
 
 	"github.com/papayacove/papayacove/api"
-	"github.com/papayacove/papayacove/internal/platform"
+	"github.com/papayacove/papayacove/internal/objectstore"
 	"github.com/papayacove/papayacove/internal/result"
 )
 
 func loadedCatalog() *Catalog {
 	c := NewCatalog()
-	objects := []api.Object{object(platform.KindTemplate, "city", 1, testTemplate())}
+	objects := []api.Object{object(objectstore.KindTemplate, "city", 1, testTemplate())}
 	for i, group := range testGroups(5) {
-		objects = append(objects, object(platform.KindGroup, group.Name, uint64(2+i), group))
+		objects = append(objects, object(objectstore.KindGroup, group.Name, uint64(2+i), group))
 	}
-	objects = append(objects, object(platform.KindWorkspace, "kelani", 4, testWorkspace()))
+	objects = append(objects, object(objectstore.KindWorkspace, "kelani", 4, testWorkspace()))
 	c.Apply(objects, 4)
 	return c
 }
@@ -47,7 +47,7 @@
 	c := loadedCatalog()
 	broken := testWorkspace()
 	broken.Values["connections"] = "1000"
-	c.Apply([]api.Object{object(platform.KindWorkspace, "kelani", 5, broken)}, 5)
+	c.Apply([]api.Object{object(objectstore.KindWorkspace, "kelani", 5, broken)}, 5)
 	if e, found := c.Workspace("kelani"); !found || e.Revision != 4 {
 		t.Errorf("workspace in force = %+v, want revision 4", e)
 	}
@@ -55,12 +55,12 @@
 	if len(statuses) != 1 || statuses[0].Version != 5 || statuses[0].InForce != 4 {
 		t.Errorf("statuses = %v, want version 5 refused and 4 in force", statuses)
 	}
-	garbled := api.Object{Kind: platform.KindWorkspace, Name: "kelani", Version: 6, Data: []byte(`{`)}
+	garbled := api.Object{Kind: objectstore.KindWorkspace, Name: "kelani", Version: 6, Data: []byte(`{`)}
 	c.Apply([]api.Object{garbled}, 6)
 	if e, found := c.Workspace("kelani"); !found || e.Revision != 4 {
 		t.Errorf("workspace in force = %+v, want revision 4", e)
 	}
-	c.Apply([]api.Object{object(platform.KindWorkspace, "kelani", 7, testWorkspace())}, 7)
+	c.Apply([]api.Object{object(objectstore.KindWorkspace, "kelani", 7, testWorkspace())}, 7)
 	if e, _ := c.Workspace("kelani"); e.Revision != 7 || len(c.Statuses()) != 0 {
 		t.Errorf("after the mend: revision %d, statuses %v", e.Revision, c.Statuses())
 	}
@@ -70,11 +70,11 @@
 	w := testWorkspace()
 	w.Values["slots"] = "5"
 	objects := []api.Object{
-		object(platform.KindTemplate, "city", 1, testTemplate()),
-		object(platform.KindWorkspace, "kelani", 2, w),
+		object(objectstore.KindTemplate, "city", 1, testTemplate()),
+		object(objectstore.KindWorkspace, "kelani", 2, w),
 	}
 	for i, group := range testGroups(4) {
-		objects = append(objects, object(platform.KindGroup, group.Name, uint64(3+i), group))
+		objects = append(objects, object(objectstore.KindGroup, group.Name, uint64(3+i), group))
 	}
 	c := NewCatalog()
 	c.Apply(objects, 4)
@@ -86,7 +86,7 @@
 	}
 	w.Values["connections"] = "many"
 	c = NewCatalog()
-	c.Apply(append(objects, object(platform.KindWorkspace, "kelani", 5, w)), 5)
+	c.Apply(append(objects, object(objectstore.KindWorkspace, "kelani", 5, w)), 5)
 	if _, found := c.Workspace("kelani"); found {
 		t.Error("a workspace with invalid values is in force")
 	}
@@ -96,8 +96,8 @@
 	c := loadedCatalog()
 	removed := testWorkspace()
 	removed.Deleted = true
-	c.Apply([]api.Object{object(platform.KindWorkspace, "kelani", 5, removed)}, 5)
-	if c.Apply([]api.Object{object(platform.KindWorkspace, "kelani", 4, testWorkspace())}, 4) {
+	c.Apply([]api.Object{object(objectstore.KindWorkspace, "kelani", 5, removed)}, 5)
+	if c.Apply([]api.Object{object(objectstore.KindWorkspace, "kelani", 4, testWorkspace())}, 4) {
 		t.Error("an older version was taken in")
 	}
 	if _, found := c.Workspace("kelani"); found {
@@ -108,8 +108,8 @@
 func TestSubscribersAreWokenOnceForABurst(t *testing.T) {
 	c := NewCatalog()
 	woken := c.Subscribe()
-	c.Apply([]api.Object{object(platform.KindTemplate, "city", 1, testTemplate())}, 1)
-	c.Apply([]api.Object{object(platform.KindTemplate, "city", 2, testTemplate())}, 2)
+	c.Apply([]api.Object{object(objectstore.KindTemplate, "city", 1, testTemplate())}, 1)
+	c.Apply([]api.Object{object(objectstore.KindTemplate, "city", 2, testTemplate())}, 2)
 	<-woken
 	select {
 	case <-woken:
@@ -122,16 +122,16 @@
 func history(t *rapid.T) (objects []api.Object, template api.Template, newest map[string]api.Workspace) {
 	newest = map[string]api.Workspace{}
 	for i, group := range testGroups(5) {
-		objects = append(objects, object(platform.KindGroup, group.Name, uint64(i+1), group))
+		objects = append(objects, object(objectstore.KindGroup, group.Name, uint64(i+1), group))
 	}
 	template = testTemplate()
-	objects = append(objects, object(platform.KindTemplate, "city", 3, template))
+	objects = append(objects, object(objectstore.KindTemplate, "city", 3, template))
 	steps := rapid.IntRange(1, 12).Draw(t, "steps")
 	for version := uint64(4); version < uint64(4+steps); version++ {
 		if rapid.Bool().Draw(t, "template") {
 			template = testTemplate()
 			template.Parameters[5].Default = rapid.SampledFrom([]string{"1s", "2s", "3s"}).Draw(t, "wait")
-			objects = append(objects, object(platform.KindTemplate, "city", version, template))
+			objects = append(objects, object(objectstore.KindTemplate, "city", version, template))
 			continue
 		}
 		w := testWorkspace()
@@ -139,7 +139,7 @@
 		w.Values["connections"] = strconv.Itoa(rapid.IntRange(1, 100).Draw(t, "connections"))
 		w.Deleted = rapid.IntRange(0, 4).Draw(t, "deleted") == 0
 		newest[w.Name] = w
-		objects = append(objects, object(platform.KindWorkspace, w.Name, version, w))
+		objects = append(objects, object(objectstore.KindWorkspace, w.Name, version, w))
 	}
 	return objects, template, newest
 }
@@ -213,7 +213,7 @@
 		go func() {
 			defer writers.Done()
 			for version := uint64(5); version < 25; version++ {
-				c.Apply([]api.Object{object(platform.KindWorkspace, "kelani", version, testWorkspace())}, version)
+				c.Apply([]api.Object{object(objectstore.KindWorkspace, "kelani", version, testWorkspace())}, version)
 				_, _ = c.Credential("kelani", "rounds-1", "map")
 			}
 		}()
@@ -231,8 +231,8 @@
 	if objects := full.Since(behind.Revision()); len(objects) != 0 {
 		t.Errorf("%d objects since the same revision", len(objects))
 	}
-	full.Apply([]api.Object{object(platform.KindWorkspace, "lichtbild", 5, testWorkspace())}, 5)
-	full.Apply([]api.Object{{Kind: platform.KindWorkspace, Name: "kelani", Version: 6, Deleted: true}}, 7)
+	full.Apply([]api.Object{object(objectstore.KindWorkspace, "lichtbild", 5, testWorkspace())}, 5)
+	full.Apply([]api.Object{{Kind: objectstore.KindWorkspace, Name: "kelani", Version: 6, Deleted: true}}, 7)
 	objects := full.Since(behind.Revision())
 	if len(objects) != 2 {
 		t.Errorf("%d objects since revision 4, want 2", len(objects))
--- a/standin/bench/lease.go
+++ b/standin/bench/lease.go
@@ -9,7 +9,7 @@
 	"github.com/jackc/pgx/v5"
 	"github.com/papayacove/papayacove/api"
 	"github.com/papayacove/papayacove/internal/clock"
-	"github.com/papayacove/papayacove/internal/platform"
+	"github.com/papayacove/papayacove/internal/objectstore"
 	"github.com/papayacove/papayacove/standin/fleet"
 )
 
@@ -139,7 +139,7 @@
 
 // leaseHolder renews a lease object on the platform.
 type leaseHolder struct {
-	client *platform.Client
+	client *objectstore.Client
 	object api.Object
 	until  atomic.Int64
 	cancel context.CancelFunc
@@ -148,7 +148,7 @@
 // startLease takes the lease and renews it until stop.
 func startLease(ctx context.Context, r *running) (*leaseHolder, error) {
 	ctx, cancel := context.WithCancel(ctx)
-	h := &leaseHolder{client: platform.NewClient(platform.Options{URL: r.Deployment.Settings[0].PlatformURL}), cancel: cancel}
+	h := &leaseHolder{client: objectstore.NewClient(objectstore.Options{URL: r.Deployment.Settings[0].PlatformURL}), cancel: cancel}
 	asked := time.Now()
 	object, err := h.client.Create(ctx, api.Object{Kind: leaseKind, Name: leaseName, Data: []byte(`{"group":"bench-lease"}`)})
 	if err != nil {
--- a/standin/capacity/catalog.go
+++ b/standin/capacity/catalog.go
@@ -9,7 +9,7 @@
 	"time"
 
 	"github.com/papayacove/papayacove/api"
-	"github.com/papayacove/papayacove/internal/platform"
+	"github.com/papayacove/papayacove/internal/objectstore"
 	"github.com/papayacove/papayacove/internal/workspace"
 )
 
@@ -95,7 +95,7 @@
 	used, err := processorOf(func() {
 		for i := range catalogChanges {
 			spec := workspaceSpec(i, groups)
-			changed, err := object(platform.KindWorkspace, spec.Name, catalog.Revision()+1, spec)
+			changed, err := object(objectstore.KindWorkspace, spec.Name, catalog.Revision()+1, spec)
 			if err != nil {
 				failure = err
 			}
--- a/standin/capacity/follow.go
+++ b/standin/capacity/follow.go
@@ -7,7 +7,7 @@
 
 	"github.com/papayacove/papayacove/api"
 	"github.com/papayacove/papayacove/internal/clock"
-	"github.com/papayacove/papayacove/internal/platform"
+	"github.com/papayacove/papayacove/internal/objectstore"
 	standin "github.com/papayacove/papayacove/standin/platform"
 )
 
@@ -33,9 +33,9 @@
 	}
 	defer server.Close()
 	server.SetVMs([]api.VM{{Name: "entry-1", Role: api.VMRoleEntry, State: api.VMStateLive}}, 0)
-	var clients []*platform.Client
+	var clients []*objectstore.Client
 	for range followers {
-		client := platform.NewClient(platform.Options{URL: server.URL(), Zone: zoneName(0)})
+		client := objectstore.NewClient(objectstore.Options{URL: server.URL(), Zone: zoneName(0)})
 		defer client.Close()
 		clients = append(clients, client)
 		go followAll(ctx, client)
@@ -58,14 +58,14 @@
 	}, nil
 }
 
-func followAll(ctx context.Context, client *platform.Client) {
-	kinds := []string{platform.KindTemplate, platform.KindWorkspace, platform.KindGroup, platform.KindTerm}
-	go func() { _ = client.FollowVMs(ctx, platform.FollowOptions{}, func(api.VMList) {}) }()
-	_ = client.Follow(ctx, platform.FollowOptions{Kinds: kinds}, func(api.ObjectList) {})
+func followAll(ctx context.Context, client *objectstore.Client) {
+	kinds := []string{objectstore.KindTemplate, objectstore.KindWorkspace, objectstore.KindGroup, objectstore.KindTerm}
+	go func() { _ = client.FollowVMs(ctx, objectstore.FollowOptions{}, func(api.VMList) {}) }()
+	_ = client.Follow(ctx, objectstore.FollowOptions{Kinds: kinds}, func(api.ObjectList) {})
 }
 
 // countPlatform returns the calls of a client in a second.
-func countPlatform(ctx context.Context, clients []*platform.Client, window time.Duration) (float64, error) {
+func countPlatform(ctx context.Context, clients []*objectstore.Client, window time.Duration) (float64, error) {
 	before := totalCalls(clients)
 	rate, err := measureRate(ctx, 0, window)
 	if err != nil {
@@ -74,7 +74,7 @@
 	return float64(totalCalls(clients)-before) / rate.Elapsed.Seconds() / float64(len(clients)), nil
 }
 
-func totalCalls(clients []*platform.Client) uint64 {
+func totalCalls(clients []*objectstore.Client) uint64 {
 	var total uint64
 	for _, client := range clients {
 		total += client.Counts().Total()
@@ -86,7 +86,7 @@
 func change(ctx context.Context, server *standin.Server) {
 	for i := 0; ctx.Err() == nil; i++ {
 		data := fmt.Sprintf(`{"name":"workspace-1","template":"city-%d"}`, i)
-		server.PutObject(api.Object{Kind: platform.KindWorkspace, Name: "workspace-1", Data: []byte(data)})
+		server.PutObject(api.Object{Kind: objectstore.KindWorkspace, Name: "workspace-1", Data: []byte(data)})
 		_ = clock.Sleep(ctx, burstInterval)
 	}
 }
--- a/standin/capacity/objects.go
+++ b/standin/capacity/objects.go
@@ -6,7 +6,7 @@
 	"strings"
 
 	"github.com/papayacove/papayacove/api"
-	"github.com/papayacove/papayacove/internal/platform"
+	"github.com/papayacove/papayacove/internal/objectstore"
 )
 
 const (
@@ -92,15 +92,15 @@
 		}
 		objects = append(objects, added)
 	}
-	add(platform.KindTemplate, "city", template())
+	add(objectstore.KindTemplate, "city", template())
 	for i := range groups {
 		spec := groupSpec(i)
-		add(platform.KindGroup, spec.Name, spec)
-		add(platform.KindTerm, spec.Name, termRecord(i))
+		add(objectstore.KindGroup, spec.Name, spec)
+		add(objectstore.KindTerm, spec.Name, termRecord(i))
 	}
 	for i := range workspaces {
 		spec := workspaceSpec(i, groups)
-		add(platform.KindWorkspace, spec.Name, spec)
+		add(objectstore.KindWorkspace, spec.Name, spec)
 	}
 	return objects, failure
 }
--- a/standin/capacity/zone.go
+++ b/standin/capacity/zone.go
@@ -10,7 +10,7 @@
 	"github.com/papayacove/papayacove/api"
 	"github.com/papayacove/papayacove/internal/clock"
 	"github.com/papayacove/papayacove/internal/daemon"
-	"github.com/papayacove/papayacove/internal/platform"
+	"github.com/papayacove/papayacove/internal/objectstore"
 	"github.com/papayacove/papayacove/internal/telemetry"
 	standin "github.com/papayacove/papayacove/standin/platform"
 )
@@ -81,7 +81,7 @@
 		running.Go(func() { _ = started.Run(ctx) })
 	}
 	server.SetVMs(vms, 0)
-	server.PutObject(api.Object{Kind: platform.KindTemplate, Name: "city", Data: []byte(`{}`)})
+	server.PutObject(api.Object{Kind: objectstore.KindTemplate, Name: "city", Data: []byte(`{}`)})
 	return stop, nil
 }
 
--- a/standin/soak/operators.go
+++ b/standin/soak/operators.go
@@ -11,7 +11,7 @@
 
 	"github.com/papayacove/papayacove/api"
 	"github.com/papayacove/papayacove/internal/clock"
-	"github.com/papayacove/papayacove/internal/platform"
+	"github.com/papayacove/papayacove/internal/objectstore"
 	"github.com/papayacove/papayacove/standin/fleet"
 	"github.com/papayacove/papayacove/standin/workload"
 )
@@ -61,7 +61,7 @@
 
 // edit changes the number of connections of the workspace again and again.
 func (o *operators) edit(ctx context.Context, number int, random *rand.Rand) {
-	client := platform.NewClient(platform.Options{URL: o.fleet.Deployment.Settings[0].PlatformURL})
+	client := objectstore.NewClient(objectstore.Options{URL: o.fleet.Deployment.Settings[0].PlatformURL})
 	defer client.Close()
 	for i := 0; ctx.Err() == nil; i++ {
 		_ = clock.Sleep(ctx, between(random, 0, operatorPause))
@@ -69,10 +69,10 @@
 	}
 }
 
-func (o *operators) change(ctx context.Context, client *platform.Client, changeID string, connections int) {
+func (o *operators) change(ctx context.Context, client *objectstore.Client, changeID string, connections int) {
 	ctx, cancel := context.WithTimeout(ctx, operatorTimeout)
 	defer cancel()
-	object, err := client.Get(ctx, platform.KindWorkspace, o.name)
+	object, err := client.Get(ctx, objectstore.KindWorkspace, o.name)
 	if err != nil {
 		return
 	}
@@ -88,7 +88,7 @@
 	}
 	applied, err := client.Apply(ctx, object, changeID)
 	if err != nil {
-		if !errors.Is(err, platform.ErrConflict) {
+		if !errors.Is(err, objectstore.ErrConflict) {
 			o.history.Event("change %s: %v", changeID, err)
 		}
 		return
