Promote only from a settled view, and from the belief that was suspected

A promoter must now have followed the entries without failure for 3 s, and gives up when the primary is no longer the suspected one; a group rests 2 s after each change of term.

Ruled out: the duty itself; each order had its own rising token.

--- a/internal/engine/engine.go
+++ b/internal/engine/engine.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"errors"
 	"fmt"
 	"maps"
 	"sync"
@@ -11,6 +12,7 @@
 	"github.com/sirupsen/logrus"
 
 	"github.com/papayacove/papayacove/internal/clock"
+	"github.com/papayacove/papayacove/internal/objectstore"
 	"github.com/papayacove/papayacove/internal/policy/takeover"
 )
 
@@ -39,7 +41,10 @@
 	isConfigured  bool
 	groups        map[string]*group
 	daemons       int
-	sessions      map[*session]struct{}
+	// directoryFailed is the time of the boot clock when the entries of targets could last not be followed; it
+	// begins with the start.
+	directoryFailed time.Duration
+	sessions        map[*session]struct{}
 }
 
 // New returns an engine without a configuration.
@@ -47,7 +52,7 @@
 	options.Dialer = countingDialer{options.Dialer}
 	ctx, stop := context.WithCancel(context.Background())
 	return &Engine{
-		options: options, ctx: ctx, stop: stop, configured: make(chan struct{}), daemons: 1,
+		options: options, ctx: ctx, stop: stop, configured: make(chan struct{}), daemons: 1, directoryFailed: clock.Boot(),
 		groups: make(map[string]*group), sessions: make(map[*session]struct{}),
 	}
 }
@@ -102,6 +107,24 @@
 	}
 }
 
+// NoteDirectory takes in the outcome of a call for the entries of targets. A history that is gone is no outage.
+func (e *Engine) NoteDirectory(err error) {
+	if err == nil || errors.Is(err, objectstore.ErrCompacted) {
+		return
+	}
+	e.mu.Lock()
+	defer e.mu.Unlock()
+	e.directoryFailed = clock.Boot()
+}
+
+// isDirectorySettled reports whether the entries have been followed for as long as lapsed ones take to come back. Before,
+// a target that has acknowledged commits may be missing.
+func (e *Engine) isDirectorySettled() bool {
+	e.mu.Lock()
+	defer e.mu.Unlock()
+	return clock.Boot()-e.directoryFailed >= removalGrace
+}
+
 // SetDaemons takes in the number of daemons that share the targets.
 func (e *Engine) SetDaemons(count int) {
 	e.mu.Lock()
--- a/internal/engine/group.go
+++ b/internal/engine/group.go
@@ -254,14 +254,6 @@
 	g.broadcast()
 }
 
-// primary returns the member that is believed to lead; nil for none.
-func (g *group) primary() *member {
-	g.mu.Lock()
-	defer g.mu.Unlock()
-	g.lastUsed = clock.Boot()
-	return g.members[g.leader]
-}
-
 // awaitPrimary waits for a primary other than not, and returns nil when there is none by the deadline.
 func (g *group) awaitPrimary(not *member, deadline time.Time) *member {
 	for {
--- a/internal/engine/observe.go
+++ b/internal/engine/observe.go
@@ -221,6 +221,7 @@
 	}
 	g.log().WithFields(logrus.Fields{"new_primary": leader, "new_term": term}).Info("primary_changed")
 	if term != g.term {
+		g.restUntil = max(g.restUntil, clock.Boot()+takeover.Rest)
 		// What the old primary told says nothing about the new one's commits.
 		g.authorityUntil = 0
 	}
--- a/internal/engine/promote.go
+++ b/internal/engine/promote.go
@@ -21,7 +21,7 @@
 	// contestSpread spreads the attempts of daemons that suspect a primary at the same time.
 	contestSpread = 150 * time.Millisecond
 	// retakePause is the time after a failed attempt in which this daemon does not try again.
-	retakePause = 400 * time.Millisecond
+	retakePause = 800 * time.Millisecond
 	// promoteTimeout bounds one order to promote.
 	promoteTimeout = time.Second
 	// leadTimeout bounds the wait until the promoted target leads.
@@ -46,9 +46,11 @@
 	old string
 	// oldLeads is true when it still says that it leads, and no target knows of a later term.
 	oldLeads bool
-	term     uint64
-	members  map[string]*member
-	paused   map[string]authority.Status
+	oldTerm  uint64
+	// term is the one that replicas are paused at.
+	term    uint64
+	members map[string]*member
+	paused  map[string]authority.Status
 	// pausedAt is the time of the boot clock after the last pause.
 	pausedAt time.Duration
 	demoted  *authority.Status
@@ -56,7 +58,8 @@
 
 // takeOver replaces the primary of a group unless another daemon does.
 func (e *Engine) takeOver(g *group, reason takeover.Reason) {
-	if !g.beginPromotion() {
+	suspect, began := g.beginPromotion()
+	if !began {
 		return
 	}
 	rest := retakePause
@@ -64,7 +67,11 @@
 	if clock.Sleep(e.ctx, rand.N(contestSpread)) != nil {
 		return
 	}
-	p := &promotion{engine: e, group: g, reason: reason}
+	p := &promotion{engine: e, group: g, reason: reason, old: suspect.leader, oldTerm: suspect.term}
+	if !e.isDirectorySettled() {
+		p.log().Info("directory_not_settled")
+		return
+	}
 	token, until, err := e.options.Duty.Acquire(e.ctx)
 	if err != nil {
 		p.log().WithField("error", err).Info("promotion_not_started")
@@ -81,15 +88,21 @@
 	}
 }
 
-// beginPromotion reports whether no promotion runs here, and marks one as running.
-func (g *group) beginPromotion() bool {
+// belief is what a daemon takes for the primary of a group; an empty leader stands for none.
+type belief struct {
+	leader string
+	term   uint64
+}
+
+// beginPromotion marks a promotion as running, unless one does here, and returns the belief that it starts from.
+func (g *group) beginPromotion() (belief, bool) {
 	g.mu.Lock()
 	defer g.mu.Unlock()
 	if g.promoting {
-		return false
+		return belief{}, false
 	}
 	g.promoting = true
-	return true
+	return belief{g.leader, g.term}, true
 }
 
 func (g *group) endPromotion(rest time.Duration) {
@@ -108,34 +121,29 @@
 func (p *promotion) isStillNeeded() bool {
 	g := p.group
 	g.mu.Lock()
-	p.old, p.members = g.leader, maps.Clone(g.members)
-	before := g.term
+	p.members = maps.Clone(g.members)
 	g.mu.Unlock()
 	statuses := askAll(p.members, func(string) Command { return Command{Op: OpStatus} })
-	again := g.takeIn(statuses)
+	g.takeIn(statuses)
 	g.mu.Lock()
-	leader, term := g.leader, g.term
-	leaving := g.isLeaving(leader)
+	now, leaving := belief{g.leader, g.term}, g.isLeaving(p.old)
 	g.mu.Unlock()
-	_ = again
-	if leader != p.old && leader != "" {
+	if now.leader != "" && now != (belief{p.old, p.oldTerm}) {
 		return false
 	}
 	reached, _, found := authority.Leader(statuses)
 	p.oldLeads = found && reached == p.old
-	own, answered := statuses[p.old]
-	leads := answered && own.Role != authority.RoleReplica && term == before
 	for _, s := range statuses {
 		p.term = max(p.term, s.Term+1, s.PausedTerm)
 	}
-	p.term = max(p.term, before+1)
+	p.term = max(p.term, now.term+1)
 	switch p.reason {
 	case takeover.ReasonLeaving:
 		return leaving
 	case takeover.ReasonStalled:
 		return true
 	}
-	return !leads
+	return !p.oldLeads
 }
 
 // run carries the promotion out and reports whether a target leads now.
--- a/internal/lineproxy/proxy.go
+++ b/internal/lineproxy/proxy.go
@@ -52,7 +52,6 @@
 	store    *platform.Store
 	roster   *roster.Roster
 	listener net.Listener
-	ready    func() bool
 }
 
 // New composes a daemon of checked settings.
@@ -102,8 +101,8 @@
 	if err := p.serveAdmin(ctx); err != nil {
 		return err
 	}
-	go p.follow(ctx, platform.KindConfiguration, p.takeConfiguration)
-	go p.follow(ctx, platform.KindTargets, p.takeTarget)
+	go p.follow(ctx, platform.KindConfiguration, p.takeConfiguration, nil)
+	go p.follow(ctx, platform.KindTargets, p.takeTarget, p.engine.NoteDirectory)
 	go p.roster.Run(ctx)
 	go p.accept()
 	return nil
@@ -128,8 +127,8 @@
 }
 
 // follow keeps one kind of objects until ctx ends.
-func (p *Proxy) follow(ctx context.Context, kind string, take func(api.Object)) {
-	options := objectstore.FollowOptions{Kinds: []string{kind}, Wait: watchWait, Pause: watchPause}
+func (p *Proxy) follow(ctx context.Context, kind string, take func(api.Object), reached func(error)) {
+	options := objectstore.FollowOptions{Kinds: []string{kind}, Wait: watchWait, Pause: watchPause, Reached: reached}
 	err := objectstore.FollowSource(ctx, p.store, options, func(list api.ObjectList) {
 		for _, object := range list.Objects {
 			take(object)
