Count a leaving replica for nothing, and remember lost witnesses

After a planned replacement the old primary left as a replica in the zone of the new one. The zone was cut; the leaving replica alone confirmed commits for a second, then it was gone, and the promotion in the other zones lacked them. Replicas that leave are now paused once another follows, so no commit counts on their log; replicas that are gone without that stop a promotion until another is seen to have what the primary had, or 30 s.

Ruled out: lapsed entries (the directory was settled) and the duty.

--- a/cmd/papayacove/main.go
+++ b/cmd/papayacove/main.go
@@ -56,13 +56,20 @@
 	}
 	ctx, stop := signal.NotifyContext(ctx, syscall.SIGTERM, syscall.SIGINT)
 	defer stop()
+	reload := make(chan os.Signal, 1)
+	signal.Notify(reload, syscall.SIGHUP)
 	if settings.Protocol == api.SettingsProtocolLines {
-		return lineproxy.New(settings).Run(ctx)
+		proxy := lineproxy.New(settings)
+		go config.Watch(ctx, command.String("settings"), reload, proxy.Apply)
+		return proxy.Run(ctx)
 	}
 	composed, err := daemon.New(settings, recorder)
 	if err != nil {
 		return err
 	}
+	go config.Watch(ctx, command.String("settings"), reload, func(api.Settings) {
+		logrus.Info("settings_wait_for_restart")
+	})
 	return composed.Run(ctx)
 }
 
--- a/internal/engine/control.go
+++ b/internal/engine/control.go
@@ -29,7 +29,7 @@
 	defer c.mu.Unlock()
 	reused := c.conn != nil
 	status, err := c.attempt(command)
-	if err != nil && reused && !isTargetFailure(err) {
+	if err != nil && reused && !isTargetFailure(err) && !isTimeout(err) {
 		// The connection was lost since the last call; that says nothing about the target.
 		return c.attempt(command)
 	}
--- a/internal/engine/failure.go
+++ b/internal/engine/failure.go
@@ -2,6 +2,7 @@
 
 import (
 	"errors"
+	"net"
 
 	"github.com/papayacove/papayacove/internal/result"
 )
@@ -12,6 +13,12 @@
 	return errors.As(err, &failure)
 }
 
+// isTimeout reports whether no answer came in time.
+func isTimeout(err error) bool {
+	var timeout net.Error
+	return errors.As(err, &timeout) && timeout.Timeout()
+}
+
 // dialFailure maps a failed connection to a promise that nothing ran.
 func dialFailure(err error) *result.Error {
 	var failure *TargetFailure
--- a/internal/engine/group.go
+++ b/internal/engine/group.go
@@ -57,6 +57,8 @@
 	authorityUntil time.Duration
 	samples        floor.Samples
 	watch          takeover.Watch
+	// owed are the replicas that are gone and may alone have acknowledged commits.
+	owed takeover.Owed
 	// restUntil is the time of the boot clock until which no promotion is begun.
 	restUntil time.Duration
 	// promoting is true while this daemon replaces the primary.
@@ -129,6 +131,7 @@
 		m.missing.Stop()
 		m.missing = nil
 	}
+	g.owed.Forget(t.Name)
 	changed := !known || m.target.SaysPrimary != t.SaysPrimary || m.target.Leaving != t.Leaving
 	m.target = t
 	if !changed {
@@ -174,6 +177,9 @@
 		return
 	}
 	delete(g.members, name)
+	if name != g.leader && g.owed.Lose(name, g.statuses[name], clock.Boot()) {
+		g.log().WithField("target", name).Info("witness_lost")
+	}
 	delete(g.statuses, name)
 	if ok {
 		g.log().WithField("target", name).Info("target_gone")
--- a/internal/engine/observe.go
+++ b/internal/engine/observe.go
@@ -75,6 +75,8 @@
 		return lookAll
 	case !ok && now-g.lastUsed < unusedAfter:
 		return lookAll
+	case ok && (len(g.owed.Names(now)) > 0 || g.leavingReplica() != ""):
+		return lookAll
 	case ok && now > g.authorityUntil && m.pool.isBusy():
 		return lookProof
 	}
@@ -141,7 +143,49 @@
 		return takeover.ReasonNone
 	}
 	statuses := askAll(members, func(string) Command { return Command{Op: OpStatus} })
-	return g.takeIn(statuses)
+	reason := g.takeIn(statuses)
+	g.pauseLeaving()
+	return reason
+}
+
+// leavingReplica returns a replica that leaves and still receives while another follows the primary; empty for
+// none. The caller holds the lock.
+func (g *group) leavingReplica() string {
+	leaving, others := "", 0
+	for name, m := range g.members {
+		s := g.statuses[name]
+		if name == g.leader || s.Role != authority.RoleReplica || s.IsPaused() || s.Term != g.term {
+			continue
+		}
+		if m.target.Leaving {
+			leaving = name
+		} else {
+			others++
+		}
+	}
+	if others == 0 {
+		return ""
+	}
+	return leaving
+}
+
+// pauseLeaving stops a replica that leaves from receiving: it counts for acknowledged commits until it is gone, and its
+// log goes with it.
+func (g *group) pauseLeaving() {
+	g.mu.Lock()
+	name, term := g.leavingReplica(), g.term+1
+	m, ok := g.members[name]
+	g.mu.Unlock()
+	if !ok {
+		return
+	}
+	status, err := m.control.call(Command{Op: OpPause, Term: term})
+	g.mu.Lock()
+	defer g.mu.Unlock()
+	if err == nil {
+		g.statuses[name] = status
+	}
+	g.log().WithFields(logrus.Fields{"target": name, "error": err}).Info("leaving_replica_paused")
 }
 
 // askAll sends a command to each member at once and returns the answers. A busy target counts with an
@@ -178,9 +222,12 @@
 	g.remember(statuses)
 	g.electLeader()
 	g.takeProof(statuses)
+	for _, name := range g.owed.Settle(g.leader, statuses) {
+		g.log().WithField("target", name).Info("witness_replaced")
+	}
 	now := clock.Boot()
 	reason := g.watch.Judge(takeover.Round{
-		Primary: g.leader, Statuses: g.judged(statuses), Members: len(g.members), Leaving: g.isLeaving(g.leader), At: now,
+		Primary: g.leader, Statuses: g.judged(statuses), Members: len(g.witnessable()), Leaving: g.isLeaving(g.leader), At: now,
 	})
 	if reason == takeover.ReasonNone || g.promoting || now < g.restUntil {
 		return takeover.ReasonNone
@@ -198,10 +245,27 @@
 	}
 }
 
+// witnessable returns the members that may count for acknowledged commits: all but replicas that leave and were paused in
+// this term. The caller holds the lock.
+func (g *group) witnessable() map[string]*member {
+	members := maps.Clone(g.members)
+	for name, m := range g.members {
+		s := g.statuses[name]
+		if m.target.Leaving && s.Role == authority.RoleReplica && s.IsPaused() && s.Term == g.term {
+			delete(members, name)
+		}
+	}
+	return members
+}
+
 // judged replaces the answers of busy targets by their last known ones. The caller holds the lock.
 func (g *group) judged(statuses map[string]authority.Status) map[string]authority.Status {
 	judged := make(map[string]authority.Status, len(statuses))
+	counted := g.witnessable()
 	for name, s := range statuses {
+		if _, counts := counted[name]; !counts {
+			continue
+		}
 		if s.Role == authority.RoleUnknown {
 			s = g.statuses[name]
 		}
--- a/internal/engine/promote.go
+++ b/internal/engine/promote.go
@@ -6,6 +6,7 @@
 	"maps"
 	"math/rand/v2"
 	"slices"
+	"sync"
 	"time"
 
 	"github.com/sirupsen/logrus"
@@ -121,7 +122,7 @@
 func (p *promotion) isStillNeeded() bool {
 	g := p.group
 	g.mu.Lock()
-	p.members = maps.Clone(g.members)
+	p.members = g.witnessable()
 	g.mu.Unlock()
 	statuses := askAll(p.members, func(string) Command { return Command{Op: OpStatus} })
 	g.takeIn(statuses)
@@ -149,8 +150,10 @@
 // run carries the promotion out and reports whether a target leads now.
 func (p *promotion) run() bool {
 	p.log().Info("promotion_begun")
+	var pending sync.WaitGroup
+	pending.Go(p.stepDown)
 	p.pauseReplicas()
-	p.stepDown()
+	pending.Wait()
 	choice := takeover.Choose(p.replicas(), p.paused, p.demoted, p.isLeaving)
 	p.log().WithFields(logrus.Fields{"target": choice.Target, "why": choice.Reason, "paused": len(p.paused), "wait": choice.Wait}).Info("promotion_choice")
 	if choice.Target == "" {
@@ -174,9 +177,12 @@
 	return p.awaitLead(choice.Target)
 }
 
-// replicas are the targets that may have counted for an acknowledged commit.
+// replicas are the targets that may have counted for an acknowledged commit, also those that are gone.
 func (p *promotion) replicas() []string {
-	names := slices.Sorted(maps.Keys(p.members))
+	p.group.mu.Lock()
+	names := append(p.group.owed.Names(clock.Boot()), slices.Collect(maps.Keys(p.members))...)
+	p.group.mu.Unlock()
+	slices.Sort(names)
 	return slices.DeleteFunc(names, func(name string) bool { return name == p.old })
 }
 
@@ -210,7 +216,7 @@
 // if it led until now.
 func (p *promotion) stepDown() {
 	m, ok := p.members[p.old]
-	if !ok || len(p.paused) == 0 {
+	if !ok {
 		return
 	}
 	s, err := m.control.call(Command{Op: OpStepDown, Term: p.term})
@@ -284,7 +290,7 @@
 		p.stepDown()
 	}
 	for name, s := range askAll(p.members, func(string) Command { return Command{Op: OpStatus} }) {
-		if name != target && s.Role == authority.RoleReplica && s.IsPaused() {
+		if name != target && s.Role == authority.RoleReplica && s.IsPaused() && !p.isLeaving(name) {
 			if _, err := p.members[name].control.call(Command{Op: OpResume, Term: p.term}); err != nil {
 				p.log().WithFields(logrus.Fields{"target": name, "error": err}).Warn("replica_not_resumed")
 			}
--- a/internal/lineproxy/proxy.go
+++ b/internal/lineproxy/proxy.go
@@ -10,6 +10,7 @@
 	"net"
 	"net/http"
 	"runtime/debug"
+	"sync/atomic"
 	"time"
 
 	"github.com/sirupsen/logrus"
@@ -33,6 +34,9 @@
 	watchWait = 1500 * time.Millisecond
 	// watchPause is the time between two watches.
 	watchPause = 10 * time.Millisecond
+	// watchRetry bounds the time between two calls while the store cannot be reached, so that a configuration
+	// is in force soon after its return.
+	watchRetry = 400 * time.Millisecond
 	// promoteTimeout bounds an order to promote.
 	promoteTimeout = time.Second
 	// configurationWait is the time that a new session waits for the first configuration.
@@ -47,9 +51,10 @@
 
 // Proxy is one daemon.
 type Proxy struct {
-	settings api.Settings
+	settings atomic.Pointer[api.Settings]
 	engine   *engine.Engine
 	store    *platform.Store
+	promoter *platform.Promoter
 	roster   *roster.Roster
 	listener net.Listener
 }
@@ -58,11 +63,13 @@
 func New(settings api.Settings) *Proxy {
 	source := settings.SourceAddress
 	store := platform.NewStore(settings.PlatformURL, source, storeTimeout)
-	p := &Proxy{settings: settings, store: store}
+	promoter := platform.NewPromoter(settings.Fleet.PromotionURL, source, settings.Name, promoteTimeout)
+	p := &Proxy{store: store, promoter: promoter}
+	p.settings.Store(&settings)
 	p.engine = engine.New(engine.Options{
 		Zone:         settings.Zone,
 		Dialer:       platform.Dialer{Source: source},
-		Promoter:     platform.NewPromoter(settings.Fleet.PromotionURL, source, settings.Name, promoteTimeout),
+		Promoter:     promoter,
 		Duty:         duty.New(store, settings.Name),
 		DrainTimeout: time.Duration(settings.Fleet.DrainTimeoutMs) * time.Millisecond,
 	})
@@ -72,30 +79,48 @@
 
 // Run serves until ctx ends, and then stops in a planned way.
 func (p *Proxy) Run(ctx context.Context) error {
-	if mb := p.settings.Fleet.MemoryMb; mb > 0 {
-		debug.SetMemoryLimit(int64(float64(mb<<20) * memoryShare))
-	}
+	settings := p.settings.Load()
+	limitMemory(settings.Fleet.MemoryMb)
 	work, stop := context.WithCancel(context.Background())
 	defer stop()
 	if err := p.start(work); err != nil {
 		return err
 	}
 	logrus.WithFields(logrus.Fields{
-		"daemon": p.settings.Name, "zone": p.settings.Zone, "callers": p.settings.CallerAddress, "store": p.settings.PlatformURL,
+		"daemon": settings.Name, "zone": settings.Zone, "callers": settings.CallerAddress, "store": settings.PlatformURL,
 	}).Info("daemon_started")
 	<-ctx.Done()
 	p.leave()
 	return nil
 }
 
+// limitMemory lets the runtime collect without rest near the limit of the process.
+func limitMemory(mb int64) {
+	if mb > 0 {
+		debug.SetMemoryLimit(int64(float64(mb<<20) * memoryShare))
+	}
+}
+
+// Apply takes in changed settings. Addresses that the daemon listens on stay until its next start.
+func (p *Proxy) Apply(settings api.Settings) {
+	before := p.settings.Swap(&settings)
+	if before.PlatformURL != settings.PlatformURL || before.Fleet.PromotionURL != settings.Fleet.PromotionURL {
+		logrus.WithFields(logrus.Fields{"store": settings.PlatformURL, "promotions": settings.Fleet.PromotionURL}).Info("store_changed")
+	}
+	p.store.SetURL(settings.PlatformURL)
+	p.promoter.SetURL(settings.Fleet.PromotionURL)
+	limitMemory(settings.Fleet.MemoryMb)
+}
+
 func (p *Proxy) start(ctx context.Context) error {
 	listening := net.ListenConfig{KeepAliveConfig: dialer.KeepAlive}
-	listener, err := listening.Listen(ctx, "tcp", p.settings.CallerAddress)
+	settings := p.settings.Load()
+	listener, err := listening.Listen(ctx, "tcp", settings.CallerAddress)
 	if err != nil {
 		return fmt.Errorf("listen for callers: %w", err)
 	}
 	p.listener = listener
-	if err := platform.ServeReady(ctx, p.settings.Fleet.ReadinessAddress, p.engine.IsReady); err != nil {
+	if err := platform.ServeReady(ctx, settings.Fleet.ReadinessAddress, p.engine.IsReady); err != nil {
 		return err
 	}
 	if err := p.serveAdmin(ctx); err != nil {
@@ -110,7 +135,7 @@
 
 // serveAdmin serves the metrics.
 func (p *Proxy) serveAdmin(ctx context.Context) error {
-	listener, err := net.Listen("tcp", p.settings.AdminAddress)
+	listener, err := net.Listen("tcp", p.settings.Load().AdminAddress)
 	if err != nil {
 		return fmt.Errorf("listen for operators: %w", err)
 	}
@@ -128,7 +153,7 @@
 
 // follow keeps one kind of objects until ctx ends.
 func (p *Proxy) follow(ctx context.Context, kind string, take func(api.Object), reached func(error)) {
-	options := objectstore.FollowOptions{Kinds: []string{kind}, Wait: watchWait, Pause: watchPause, Reached: reached}
+	options := objectstore.FollowOptions{Kinds: []string{kind}, Wait: watchWait, Pause: watchPause, MaxRetry: watchRetry, Reached: reached}
 	err := objectstore.FollowSource(ctx, p.store, options, func(list api.ObjectList) {
 		for _, object := range list.Objects {
 			take(object)
@@ -211,8 +236,9 @@
 
 // leave stops in a planned way: the balancer sends no new callers, and the sessions end.
 func (p *Proxy) leave() {
-	logrus.WithField("daemon", p.settings.Name).Info("daemon_leaving")
-	grace := time.Duration(p.settings.Fleet.GraceS*float64(time.Second)) - stopReserve
+	settings := p.settings.Load()
+	logrus.WithField("daemon", settings.Name).Info("daemon_leaving")
+	grace := time.Duration(settings.Fleet.GraceS*float64(time.Second)) - stopReserve
 	ctx, cancel := context.WithTimeout(context.Background(), grace)
 	defer cancel()
 	began := clock.Boot()
@@ -221,5 +247,5 @@
 	_ = p.listener.Close()
 	p.engine.Close()
 	p.store.Close()
-	logrus.WithFields(logrus.Fields{"daemon": p.settings.Name, "took": clock.Boot() - began}).Info("daemon_stopped")
+	logrus.WithFields(logrus.Fields{"daemon": settings.Name, "took": clock.Boot() - began}).Info("daemon_stopped")
 }
--- a/internal/objectstore/follow.go
+++ b/internal/objectstore/follow.go
@@ -20,6 +20,9 @@
 // changes.
 const DefaultWatchPause = 100 * time.Millisecond
 
+// probeWait is the time that a watch after a failure waits for changes.
+const probeWait = time.Millisecond
+
 // The times between retries after the platform failed.
 const (
 	firstFollowRetry = 100 * time.Millisecond
@@ -37,6 +40,9 @@
 	// Pause is the time between two watches; 0 for DefaultWatchPause.
 	Pause time.Duration
 
+	// MaxRetry bounds the time between retries after a failure; 0 for 3 s.
+	MaxRetry time.Duration
+
 	// Reached is called after each call with nil or its failure; nil to ignore both.
 	Reached func(error)
 
@@ -53,6 +59,9 @@
 	if o.Pause <= 0 {
 		o.Pause = DefaultWatchPause
 	}
+	if o.MaxRetry <= 0 {
+		o.MaxRetry = maxFollowRetry
+	}
 	if o.Reached == nil {
 		o.Reached = func(error) {}
 	}
@@ -99,7 +108,7 @@
 
 // follow repeats a step until ctx ends.
 func follow(ctx context.Context, what string, options FollowOptions, step func(context.Context) error) error {
-	retry := backoff{first: firstFollowRetry, maximum: maxFollowRetry}
+	retry := backoff{first: firstFollowRetry, maximum: options.MaxRetry}
 	contact := &contactLog{what: what}
 	for {
 		options.Hold(ctx)
@@ -110,10 +119,13 @@
 		options.Reached(err)
 		contact.record(err)
 		wait := jitter(options.Pause)
-		if err != nil {
-			wait = retry.next()
-		} else {
+		switch {
+		case err == nil:
 			retry.reset()
+		case errors.Is(err, ErrCompacted):
+			// The store answers; the next call lists.
+		default:
+			wait = retry.next()
 		}
 		if err := clock.Sleep(ctx, wait); err != nil {
 			return err
@@ -128,6 +140,8 @@
 	tracker *tracker
 	// listed is false when the next step has to list.
 	listed bool
+	// failed is true after a call without an answer.
+	failed bool
 	// delivered is true after the first call of apply.
 	delivered bool
 	apply     func(api.ObjectList)
@@ -138,6 +152,7 @@
 	before := f.tracker.revision
 	first := !f.delivered
 	news, err := f.fetch(ctx)
+	f.failed = errors.Is(err, ErrUnavailable)
 	if errors.Is(err, ErrCompacted) {
 		f.listed = false
 	}
@@ -156,7 +171,12 @@
 	if !f.listed {
 		return f.fetchLists(ctx)
 	}
-	changes, err := f.source.Watch(ctx, f.tracker.revision, f.options.Wait, f.options.Kinds...)
+	wait := f.options.Wait
+	if f.failed {
+		// A short call finds out soon whether the store is back.
+		wait = min(wait, probeWait)
+	}
+	changes, err := f.source.Watch(ctx, f.tracker.revision, wait, f.options.Kinds...)
 	if err != nil {
 		return api.ObjectList{}, err
 	}
--- a/internal/objectstore/transport.go
+++ b/internal/objectstore/transport.go
@@ -37,7 +37,7 @@
 // Each call has a deadline. A connection whose call timed out is closed and all idle connections with
 // it, because a connection may have gone silent for good while new ones work.
 type Transport struct {
-	base    string
+	base    atomic.Pointer[string]
 	timeout time.Duration
 	http    *http.Client
 }
@@ -62,11 +62,18 @@
 	if timeout <= 0 {
 		timeout = DefaultTimeout
 	}
-	return &Transport{
-		base:    strings.TrimRight(options.URL, "/"),
+	t := &Transport{
 		timeout: timeout,
 		http:    &http.Client{Transport: newHTTPTransport(options), CheckRedirect: refuseRedirect},
 	}
+	t.SetURL(options.URL)
+	return t
+}
+
+// SetURL changes the base URL of later calls.
+func (t *Transport) SetURL(baseURL string) {
+	base := strings.TrimRight(baseURL, "/")
+	t.base.Store(&base)
 }
 
 // newHTTPTransport returns a transport that speaks HTTP/1.1 only: closing the connection of a
@@ -134,7 +141,7 @@
 	if r.Body != nil {
 		body = bytes.NewReader(r.Body)
 	}
-	request, err := http.NewRequestWithContext(ctx, r.Method, t.base+r.Path, body)
+	request, err := http.NewRequestWithContext(ctx, r.Method, *t.base.Load()+r.Path, body)
 	if err != nil {
 		return nil, fmt.Errorf("%w: %w", ErrInvalid, err)
 	}
--- a/internal/telemetry/events_test.go
+++ b/internal/telemetry/events_test.go
@@ -29,7 +29,7 @@
 		}
 		return err
 	}
-	for _, tree := range []string{"..", "../../platform"} {
+	for _, tree := range []string{"..", "../../platform", "../../cmd"} {
 		if err := filepath.WalkDir(tree, walk); err != nil {
 			t.Fatal(err)
 		}
