Spread reads by latency and what replicas are known to lack; notice a silent primary sooner

A silent primary took 2 s to be suspected: each round was preceded by a proof that failed. It now counts 500 ms of silence in two rounds.

Connections beyond the share are borrowed from here on; not yet measured.

--- a/internal/engine/execute.go
+++ b/internal/engine/execute.go
@@ -135,6 +135,8 @@
 	floor api.Position
 	// provedSince is the time at which the primary must be proved to have led, when it serves the read.
 	provedSince time.Duration
+	// fresh is true when the floor is the session's own commit of a moment ago.
+	fresh bool
 	// onlyPrimary is true when no replica may serve.
 	onlyPrimary bool
 }
@@ -153,7 +155,7 @@
 	if !ok {
 		return readPlan{floor: own, provedSince: r.arrivedBoot, onlyPrimary: true}
 	}
-	return readPlan{floor: floor.Max(own, position)}
+	return readPlan{floor: floor.Max(own, position), fresh: own != (api.Position{}) && now-r.session.committedAt < freshFor}
 }
 
 // read tries targets until one answers. A read is idempotent, so a lost answer only costs time.
@@ -197,7 +199,7 @@
 	if plan.onlyPrimary {
 		return r.group.awaitPrimary(nil, r.startBy())
 	}
-	readers := r.group.readers(plan.floor)
+	readers := r.group.readers(plan.floor, plan.fresh)
 	for _, m := range readers {
 		if !tried[m] {
 			return m
@@ -226,10 +228,10 @@
 		return Reply{}, refuse(result.NotRunUnreachable, "no answer: %s", outcome.err)
 	}
 	reply := outcome.reply
+	r.group.noteReply(m, reply, outcome.askedAt, false)
 	if reply.Failure != nil {
 		return Reply{}, r.noteTargetFailure(m, reply.Failure)
 	}
-	r.group.noteReply(m, reply, outcome.askedAt, false)
 	if plan.onlyPrimary && !r.group.awaitAuthority(m, plan.provedSince, r.proofDeadline()) {
 		return Reply{}, refuse(result.NotRunNoMajority, "the primary could not be proved to lead")
 	}
@@ -257,7 +259,7 @@
 // noteUnavailable takes in that no connection could be had. A full queue is no fault of the target.
 func (r *request) noteUnavailable(m *member, err error) {
 	switch result.CodeOf(err) {
-	case result.NotRunUnreachable, result.NotRunTargetLeaving, result.NotRunNoSlot:
+	case result.NotRunUnreachable, result.NotRunTargetLeaving:
 		r.group.noteFailure(m)
 	}
 }
@@ -305,13 +307,22 @@
 	return nil
 }
 
+// mayRetryAcquire reports whether another attempt at the primary may find a connection. A full queue stays full.
+func mayRetryAcquire(code result.Code) bool {
+	switch code {
+	case result.NotRunUnreachable, result.NotRunTargetLeaving, result.NotRunNoSlot:
+		return true
+	}
+	return false
+}
+
 // writeAt runs the write at one target, and tells whether it may be tried again.
 func (r *request) writeAt(m *member) (Reply, *Refusal, bool) {
 	conn, err := m.pool.acquire(r.need())
 	if err != nil {
 		r.noteUnavailable(m, err)
 		refusal := refusalOf(err)
-		return Reply{}, refusal, refusal.Code == result.NotRunUnreachable || refusal.Code == result.NotRunTargetLeaving
+		return Reply{}, refusal, mayRetryAcquire(refusal.Code)
 	}
 	outcome := r.run(conn, r.session.commandFor(r.statement))
 	m.pool.release(conn)
@@ -328,7 +339,7 @@
 		return Reply{}, refusal, reply.Failure.Kind.IsNotRun()
 	}
 	r.group.noteReply(m, reply, outcome.askedAt, true)
-	r.session.floor = floor.Max(r.session.floor, reply.Position)
+	r.session.noteCommit(reply.Position)
 	return reply, nil, false
 }
 
--- a/internal/engine/group.go
+++ b/internal/engine/group.go
@@ -31,8 +31,11 @@
 
 	// The fields below are guarded by the group.
 	target Target
-	// applied is the latest position that the target is known to have applied.
-	applied api.Position
+	// applied is the latest position that the target is known to have applied, told at appliedAt.
+	applied   api.Position
+	appliedAt time.Duration
+	// latency is the moving average of the time that a statement takes there, with the target's own queue.
+	latency time.Duration
 	// missing ends the use of the target unless its entry comes back; nil while there is an entry.
 	missing *time.Timer
 	// doubtUntil is the time of the boot clock until which the target is tried last.
@@ -123,7 +126,8 @@
 	}
 	if !known {
 		m = &member{}
-		m.pool = newPool(g.dialer, func() Target { return g.targetOf(m) }, g.connectionShare())
+		share, ceiling := g.connectionShare()
+		m.pool = newPool(g.dialer, func() Target { return g.targetOf(m) }, share, ceiling)
 		m.control = &control{dialer: g.dialer, target: func() Target { return g.targetOf(m) }}
 		g.members[t.Name] = m
 	}
@@ -198,24 +202,29 @@
 	g.mu.Lock()
 	defer g.mu.Unlock()
 	g.limits, g.daemons = limits, max(1, daemons)
+	share, ceiling := g.connectionShare()
 	for _, m := range g.members {
-		m.pool.resize(g.connectionShare())
+		m.pool.resize(share, ceiling)
 	}
 }
 
 const (
 	// unboundedConnections is the share of a daemon when a group states no limit.
 	unboundedConnections = 16
+	// borrowDivisor bounds what one daemon uses of a target's connections.
+	borrowDivisor = 2
 	// controlConnections of each daemon to each target carry status calls and orders.
 	controlConnections = 1
 )
 
-// connectionShare returns the connections of this daemon to each target. The caller holds the lock.
-func (g *group) connectionShare() int {
+// connectionShare returns the connections that this daemon may always have to each target, and those that it may
+// borrow up to: callers press daemons unevenly. The caller holds the lock.
+func (g *group) connectionShare() (share, ceiling int) {
 	if g.limits.MaxConnections <= 0 {
-		return unboundedConnections
+		return unboundedConnections, unboundedConnections
 	}
-	return max(1, g.limits.MaxConnections/g.daemons-controlConnections)
+	share = max(1, g.limits.MaxConnections/g.daemons-controlConnections)
+	return share, max(share, g.limits.MaxConnections/borrowDivisor)
 }
 
 // noteFailure takes in that a target did not answer or could not be reached.
@@ -229,13 +238,17 @@
 // noteReply takes in a position that a target told, asked at askedAt. It is a sample when the
 // target surely led then. A commit proves that it did.
 func (g *group) noteReply(m *member, reply Reply, askedAt time.Duration, committed bool) {
-	if reply.Position == (api.Position{}) {
-		return
-	}
+	now := clock.Boot()
 	g.mu.Lock()
 	defer g.mu.Unlock()
 	m.doubtUntil = 0
-	m.applied = floor.Max(m.applied, reply.Position)
+	if reply.Failure == nil {
+		m.noteLatency(now - askedAt)
+	}
+	if reply.Position == (api.Position{}) {
+		return
+	}
+	m.applied, m.appliedAt = floor.Max(m.applied, reply.Position), now
 	if reply.Position.Term > g.term {
 		g.requestLook()
 	}
@@ -245,11 +258,23 @@
 	if committed && g.limits.SyncReplicas > 0 && reply.Position.Term == g.term {
 		g.prove(askedAt)
 	}
-	if askedAt <= g.authorityUntil {
+	if askedAt <= g.authorityUntil && reply.Failure == nil {
 		g.samples.Add(askedAt, reply.Position)
 	}
 }
 
+// latencyWeight is the weight of a new measurement in the moving average.
+const latencyWeight = 0.1
+
+// noteLatency takes in the time of one statement. The caller holds the lock of the group.
+func (m *member) noteLatency(taken time.Duration) {
+	if m.latency == 0 {
+		m.latency = taken
+		return
+	}
+	m.latency += time.Duration(latencyWeight * float64(taken-m.latency))
+}
+
 // prove takes in that the leader led at askedAt. The caller holds the lock.
 func (g *group) prove(askedAt time.Duration) {
 	until := askedAt + authority.Term
@@ -313,8 +338,21 @@
 	return g.samples.Oldest(now-maxAge, now-samplesKept)
 }
 
-// readers returns the members that may serve a read above the floor, the best first.
-func (g *group) readers(at api.Position) []*member {
+const (
+	// behindFor is the time for which a replica that told a position below a floor is taken to lack it still.
+	behindFor = 100 * time.Millisecond
+	// freshFor is the time after a commit in which a replica is not expected to have it.
+	freshFor = 50 * time.Millisecond
+)
+
+// lacks reports whether a replica is expected to lack the floor. The caller holds the lock of the group.
+func (m *member) lacks(at api.Position, fresh bool, now time.Duration) bool {
+	return floor.Compare(m.applied, at) < 0 && (fresh || now-m.appliedAt < behindFor)
+}
+
+// readers returns the members that may serve a read above the floor, the best first. The floor is fresh when it
+// is of a commit of a moment ago.
+func (g *group) readers(at api.Position, fresh bool) []*member {
 	now := clock.Boot()
 	g.mu.Lock()
 	g.lastUsed = now
@@ -327,13 +365,13 @@
 		members[name] = m
 		candidates = append(candidates, spread.Candidate{
 			Name: name, SameZone: m.target.Zone == g.zone, Primary: name == g.leader, Slots: m.target.Slots,
-			Doubtful: now < m.doubtUntil, Behind: name != g.leader && floor.Compare(m.applied, at) < 0,
+			Service: m.latency, Doubtful: now < m.doubtUntil, Behind: name != g.leader && m.lacks(at, fresh, now),
 		})
 	}
 	g.mu.Unlock()
 	for i := range candidates {
 		c := &candidates[i]
-		c.Busy, c.Service, _ = members[c.Name].pool.load()
+		c.Busy = members[c.Name].pool.load()
 	}
 	spread.Order(candidates)
 	ordered := make([]*member, len(candidates))
--- a/internal/engine/observe.go
+++ b/internal/engine/observe.go
@@ -77,6 +77,8 @@
 		return lookAll
 	case ok && (len(g.owed.Names(now)) > 0 || g.leavingReplica() != ""):
 		return lookAll
+	case ok && g.watch.IsSuspicious():
+		return lookAll
 	case ok && now > g.authorityUntil && m.pool.isBusy():
 		return lookProof
 	}
@@ -142,8 +144,9 @@
 	if len(members) == 0 {
 		return takeover.ReasonNone
 	}
+	began := clock.Boot()
 	statuses := askAll(members, func(string) Command { return Command{Op: OpStatus} })
-	reason := g.takeIn(statuses)
+	reason := g.takeIn(statuses, began)
 	g.pauseLeaving()
 	return reason
 }
@@ -215,8 +218,8 @@
 	return errors.As(err, &failure) && failure.Kind == FailureBusy
 }
 
-// takeIn updates the belief from a round of status calls.
-func (g *group) takeIn(statuses map[string]authority.Status) takeover.Reason {
+// takeIn updates the belief from a round of status calls that was begun at a time.
+func (g *group) takeIn(statuses map[string]authority.Status, began time.Duration) takeover.Reason {
 	g.mu.Lock()
 	defer g.mu.Unlock()
 	g.remember(statuses)
@@ -227,7 +230,8 @@
 	}
 	now := clock.Boot()
 	reason := g.watch.Judge(takeover.Round{
-		Primary: g.leader, Statuses: g.judged(statuses), Members: len(g.witnessable()), Leaving: g.isLeaving(g.leader), At: now,
+		Primary: g.leader, Statuses: g.judged(statuses), Members: len(g.witnessable()), Leaving: g.isLeaving(g.leader),
+		Began: began, At: now,
 	})
 	if reason == takeover.ReasonNone || g.promoting || now < g.restUntil {
 		return takeover.ReasonNone
--- a/internal/engine/pool.go
+++ b/internal/engine/pool.go
@@ -44,44 +44,94 @@
 
 	mu    sync.Mutex
 	queue *admission.Queue
-	idle  []*pooled
+	// share is the number of connections that this daemon may always have, ceiling the number that it borrows up to
+	// while the target accepts more.
+	share   int
+	ceiling int
+	// borrowAfter is the time before which none is borrowed, since the target refused one.
+	borrowAfter time.Time
+	// scarceAt is when all connections were last in use.
+	scarceAt time.Time
+	idle     []*pooled
 	// waiters get nil when they start and otherwise why they never do.
 	waiters map[uint64]chan error
 	nextID  uint64
 	closed  bool
 }
 
-func newPool(dialer Dialer, target func() Target, connections int) *pool {
+func newPool(dialer Dialer, target func() Target, share, ceiling int) *pool {
 	return &pool{
-		dialer: dialer, target: target, waiters: make(map[uint64]chan error),
-		queue: admission.New(admission.Config{Slots: connections, QueueLength: poolQueueLength}),
+		dialer: dialer, target: target, waiters: make(map[uint64]chan error), share: share, ceiling: ceiling,
+		queue: admission.New(admission.Config{Slots: share, QueueLength: poolQueueLength}),
 	}
 }
 
-// resize changes the number of connections, and closes unused ones beyond it.
-func (p *pool) resize(connections int) {
+// resize changes the share and the ceiling.
+func (p *pool) resize(share, ceiling int) {
 	p.mu.Lock()
 	defer p.mu.Unlock()
-	if p.queue.Slots() == connections {
+	if p.share == share && p.ceiling == ceiling {
 		return
 	}
-	p.wake(p.queue.Resize(connections, time.Now()))
+	p.share, p.ceiling = share, ceiling
+	p.setConnections(share, time.Now())
+}
+
+// setConnections changes the number of connections, and closes unused ones beyond it. The caller holds the lock.
+func (p *pool) setConnections(connections int, now time.Time) {
+	p.wake(p.queue.Resize(connections, now))
 	for len(p.idle) > 0 && len(p.idle)+p.queue.Running() > connections {
 		p.closeOldest()
 	}
 }
 
+const (
+	// borrowPause is the time after a refused connection in which none is borrowed.
+	borrowPause = 500 * time.Millisecond
+	// borrowFor is the time without need after which a borrowed connection is given back.
+	borrowFor = 300 * time.Millisecond
+)
+
+// borrow adds a connection beyond the share when all are in use. The caller holds the lock.
+func (p *pool) borrow(now time.Time) {
+	if p.queue.Running() < p.queue.Slots() {
+		return
+	}
+	p.scarceAt = now
+	if p.queue.Slots() < p.ceiling && !now.Before(p.borrowAfter) {
+		p.setConnections(p.queue.Slots()+1, now)
+	}
+}
+
+// giveBack ends a borrowed connection that is no longer needed. The caller holds the lock.
+func (p *pool) giveBack(now time.Time) {
+	if p.queue.Slots() > p.share && p.queue.Waiting() == 0 && now.Sub(p.scarceAt) > borrowFor {
+		p.setConnections(p.queue.Slots()-1, now)
+	}
+}
+
+// noteTooMany takes in that the target accepts no further connection.
+func (p *pool) noteTooMany() {
+	now := time.Now()
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	p.borrowAfter = now.Add(borrowPause)
+	if p.queue.Slots() > p.share {
+		p.setConnections(p.queue.Slots()-1, now)
+	}
+}
+
 func (p *pool) closeOldest() {
 	oldest := p.idle[0]
 	p.idle = p.idle[1:]
 	go oldest.Close()
 }
 
-// load returns how many statements run and wait, the time that one takes, and the connections.
-func (p *pool) load() (busy int, service time.Duration, connections int) {
+// load returns how many statements run and wait.
+func (p *pool) load() int {
 	p.mu.Lock()
 	defer p.mu.Unlock()
-	return p.queue.Running() + p.queue.Waiting(), p.queue.ServiceTime(), p.queue.Slots()
+	return p.queue.Running() + p.queue.Waiting()
 }
 
 // isBusy reports whether a statement runs.
@@ -109,6 +159,9 @@
 		return conn, nil
 	}
 	conn, err := p.dial(n)
+	if result.CodeOf(err) == result.NotRunNoSlot {
+		p.noteTooMany()
+	}
 	if err != nil {
 		p.leave(time.Now(), 0)
 		return nil, err
@@ -124,6 +177,7 @@
 		p.mu.Unlock()
 		return result.Errorf(result.NotRunUnreachable, "the target has left")
 	}
+	p.borrow(now)
 	p.nextID++
 	id := p.nextID
 	decision := p.queue.Offer(admission.Item{ID: id, Class: n.class, Deadline: n.deadline, ExpectBy: n.expectBy}, now)
@@ -246,6 +300,7 @@
 		p.idle = append(p.idle, conn)
 	}
 	p.wake(p.queue.Release("", now, served))
+	p.giveBack(now)
 }
 
 // leave gives a place back whose connection is gone.
--- a/internal/engine/session.go
+++ b/internal/engine/session.go
@@ -12,6 +12,8 @@
 	"strconv"
 
 	"github.com/papayacove/papayacove/api"
+	"github.com/papayacove/papayacove/internal/clock"
+	"github.com/papayacove/papayacove/internal/policy/floor"
 	"github.com/papayacove/papayacove/internal/result"
 )
 
@@ -38,8 +40,9 @@
 	// valuesKey is the canonical form of values.
 	valuesKey string
 	prepared  map[string]preparedStatement
-	// floor is the session's own latest commit.
-	floor api.Position
+	// floor is the session's own latest commit, made at committedAt on the boot clock.
+	floor       api.Position
+	committedAt time.Duration
 	// transaction is nil outside one.
 	transaction *transaction
 
@@ -222,6 +225,12 @@
 	return b.String()
 }
 
+// noteCommit takes in a commit of the session.
+func (s *session) noteCommit(position api.Position) {
+	s.floor = floor.Max(s.floor, position)
+	s.committedAt = clock.Boot()
+}
+
 func (s *session) prepare(statement Statement) Answer {
 	answer := s.local()
 	if answer.Refusal != nil {
--- a/internal/engine/transaction.go
+++ b/internal/engine/transaction.go
@@ -5,7 +5,6 @@
 
 	"github.com/papayacove/papayacove/api"
 	"github.com/papayacove/papayacove/internal/clock"
-	"github.com/papayacove/papayacove/internal/policy/floor"
 	"github.com/papayacove/papayacove/internal/result"
 )
 
@@ -229,7 +228,7 @@
 	}
 	r.group.noteReply(t.member, outcome.reply, outcome.askedAt, t.wrote)
 	if t.wrote {
-		s.floor = floor.Max(s.floor, outcome.reply.Position)
+		s.noteCommit(outcome.reply.Position)
 	}
 	return s.answerOf(outcome.reply)
 }
--- a/internal/policy/takeover/takeover.go
+++ b/internal/policy/takeover/takeover.go
@@ -14,9 +14,10 @@
 )
 
 const (
-	// MissesBeforeTakeover is the number of rounds in a row in which the primary did not answer
-	// or does not lead, while a replica answered.
-	MissesBeforeTakeover = 3
+	// MissesBeforeTakeover and SilenceBeforeTakeover are the number of rounds in a row, and the time over which they
+	// are spread, in which the primary did not answer or does not lead while the replicas answered.
+	MissesBeforeTakeover  = 2
+	SilenceBeforeTakeover = 500 * time.Millisecond
 	// StallBeforeTakeover is the time for which no replica received what the primary has.
 	StallBeforeTakeover = 800 * time.Millisecond
 	// Rest is the time after a promotion in which the group is not promoted again.
@@ -39,6 +40,8 @@
 type Watch struct {
 	primary string
 	misses  int
+	// missedSince is the time at which the first of the missed rounds was begun.
+	missedSince time.Duration
 	// behind is the end of the primary's log that no replica had received at behindSince.
 	behind      api.Position
 	behindSince time.Duration
@@ -54,9 +57,14 @@
 	Members int
 	// Leaving is true when the primary has announced that it stops.
 	Leaving bool
-	At      time.Duration
+	// Began and At are the times at which the round was begun and ended.
+	Began time.Duration
+	At    time.Duration
 }
 
+// IsSuspicious reports whether the last round spoke against the primary.
+func (w *Watch) IsSuspicious() bool { return w.misses > 0 || w.behind != (api.Position{}) }
+
 // Judge takes in a round and returns why the primary has to be replaced, or ReasonNone.
 func (w *Watch) Judge(r Round) Reason {
 	if r.Primary != w.primary {
@@ -79,8 +87,11 @@
 		// Without all replicas no choice is possible, and a daemon that reaches nobody is itself cut off.
 		return ReasonNone
 	}
+	if w.misses == 0 {
+		w.missedSince = r.Began
+	}
 	w.misses++
-	if w.misses < MissesBeforeTakeover {
+	if w.misses < MissesBeforeTakeover || r.At-w.missedSince < SilenceBeforeTakeover {
 		return ReasonNone
 	}
 	if answered || r.Primary == "" {
