--- a/internal/engine/execute.go
+++ b/internal/engine/execute.go
@@ -15,6 +15,8 @@
 	floorMargin = 100 * time.Millisecond
 	// maxAttempts bounds the targets and connections that one statement is tried on.
 	maxAttempts = 6
+	// lateShare is the part of the route's time limit, in percent, in which a statement may still start.
+	lateShare = 70
 	// authorityWait bounds the wait for a proof after a read was answered by the primary.
 	authorityWait = 400 * time.Millisecond
 )
@@ -43,7 +45,12 @@
 
 // need returns what the request asks of a pool.
 func (r *request) need() need {
-	return need{class: r.class(), expectBy: r.startBy(), deadline: r.startBy(), values: r.session.valuesKey}
+	return need{class: r.class(), startBy: r.startBy(), lateUntil: r.lateUntil(), values: r.session.valuesKey}
+}
+
+// lateUntil is the time after which an answer would come too late for the route's time limit.
+func (r *request) lateUntil() time.Time {
+	return r.arrived.Add(r.route.Timeout * lateShare / 100)
 }
 
 // class orders requests by urgency.
@@ -210,9 +217,8 @@
 
 // readAt runs the read at one target.
 func (r *request) readAt(m *member, plan readPlan) (Reply, *Refusal) {
-	conn, err := m.pool.acquire(r.need())
+	conn, err := r.acquire(m)
 	if err != nil {
-		r.noteUnavailable(m, err)
 		return Reply{}, refusalOf(err)
 	}
 	command := r.session.commandFor(r.statement)
@@ -256,11 +262,23 @@
 	return wait
 }
 
+// acquire returns a connection to a target. While the target could not be reached a moment ago, only an open one
+// serves.
+func (r *request) acquire(m *member) (*pooled, error) {
+	n := r.need()
+	n.openOnly = r.group.isAvoided(m)
+	conn, err := m.pool.acquire(n)
+	if err != nil && !n.openOnly {
+		r.noteUnavailable(m, err)
+	}
+	return conn, err
+}
+
 // noteUnavailable takes in that no connection could be had. A full queue is no fault of the target.
 func (r *request) noteUnavailable(m *member, err error) {
 	switch result.CodeOf(err) {
 	case result.NotRunUnreachable, result.NotRunTargetLeaving:
-		r.group.noteFailure(m)
+		r.group.noteUnreachable(m)
 	}
 }
 
@@ -277,7 +295,7 @@
 func (r *request) write() (Reply, *Refusal) {
 	var refusal *Refusal
 	var failed *member
-	for r.attempts < maxAttempts && time.Now().Before(r.startBy()) {
+	for r.attempts < maxAttempts && time.Now().Before(r.lateUntil()) {
 		m := r.group.awaitPrimary(failed, r.startBy())
 		if m == nil {
 			break
@@ -318,9 +336,8 @@
 
 // writeAt runs the write at one target, and tells whether it may be tried again.
 func (r *request) writeAt(m *member) (Reply, *Refusal, bool) {
-	conn, err := m.pool.acquire(r.need())
+	conn, err := r.acquire(m)
 	if err != nil {
-		r.noteUnavailable(m, err)
 		refusal := refusalOf(err)
 		return Reply{}, refusal, mayRetryAcquire(refusal.Code)
 	}
--- a/internal/engine/group.go
+++ b/internal/engine/group.go
@@ -40,6 +40,9 @@
 	missing *time.Timer
 	// doubtUntil is the time of the boot clock until which the target is tried last.
 	doubtUntil time.Duration
+	// avoidUntil is the time of the boot clock until which no connection to the target is opened, because it could
+	// not be reached a moment ago.
+	avoidUntil time.Duration
 }
 
 // group is what a daemon believes of the targets of one group.
@@ -227,6 +230,24 @@
 	return share, max(share, g.limits.MaxConnections/borrowDivisor)
 }
 
+// avoidTime is the time after a failed connection in which no other statement waits for one.
+const avoidTime = 300 * time.Millisecond
+
+// noteUnreachable takes in that no connection to a target could be opened.
+func (g *group) noteUnreachable(m *member) {
+	g.noteFailure(m)
+	g.mu.Lock()
+	defer g.mu.Unlock()
+	m.avoidUntil = clock.Boot() + avoidTime
+}
+
+// isAvoided reports whether a connection to a target could not be opened a moment ago.
+func (g *group) isAvoided(m *member) bool {
+	g.mu.Lock()
+	defer g.mu.Unlock()
+	return clock.Boot() < m.avoidUntil
+}
+
 // noteFailure takes in that a target did not answer or could not be reached.
 func (g *group) noteFailure(m *member) {
 	g.mu.Lock()
@@ -241,7 +262,7 @@
 	now := clock.Boot()
 	g.mu.Lock()
 	defer g.mu.Unlock()
-	m.doubtUntil = 0
+	m.doubtUntil, m.avoidUntil = 0, 0
 	if reply.Failure == nil {
 		m.noteLatency(now - askedAt)
 	}
--- a/internal/engine/observe.go
+++ b/internal/engine/observe.go
@@ -243,6 +243,9 @@
 // remember keeps the answers; one that was busy keeps its last known role. The caller holds the lock.
 func (g *group) remember(statuses map[string]authority.Status) {
 	for name, s := range statuses {
+		if m, ok := g.members[name]; ok {
+			m.avoidUntil = 0
+		}
 		if s.Role != authority.RoleUnknown {
 			g.statuses[name] = s
 		}
--- a/internal/engine/pool.go
+++ b/internal/engine/pool.go
@@ -11,7 +11,7 @@
 
 const (
 	// dialTimeout bounds the opening of a connection to a target.
-	dialTimeout = 400 * time.Millisecond
+	dialTimeout = 300 * time.Millisecond
 	// idleCheckAfter is the time unused after which a connection is checked before it is used: a
 	// target may have closed it meanwhile.
 	idleCheckAfter = 20 * time.Millisecond
@@ -143,14 +143,20 @@
 
 // need describes what a statement asks of a pool.
 type need struct {
-	class    admission.Class
-	expectBy time.Time
-	deadline time.Time
-	values   string
+	class admission.Class
+	// startBy is the time by which the statement should start, lateUntil the time until which it is of use at all.
+	startBy   time.Time
+	lateUntil time.Time
+	values    string
+	// openOnly is true when no connection is to be opened.
+	openOnly bool
 }
 
 // acquire returns a connection, or a *result.Error that promises that nothing ran.
 func (p *pool) acquire(n need) (*pooled, error) {
+	if n.openOnly && !p.hasIdle() {
+		return nil, result.Errorf(result.NotRunUnreachable, "the target could not be reached a moment ago")
+	}
 	if err := p.admit(n); err != nil {
 		return nil, err
 	}
@@ -180,7 +186,7 @@
 	p.borrow(now)
 	p.nextID++
 	id := p.nextID
-	decision := p.queue.Offer(admission.Item{ID: id, Class: n.class, Deadline: n.deadline, ExpectBy: n.expectBy}, now)
+	decision := p.queue.Offer(admission.Item{ID: id, Class: n.class, Deadline: n.startBy, LateUntil: n.lateUntil}, now)
 	var granted chan error
 	if decision.Outcome == admission.Queued {
 		granted = make(chan error, 1)
@@ -206,7 +212,7 @@
 
 // awaitGrant waits for a connection that comes free.
 func (p *pool) awaitGrant(id uint64, granted chan error, n need, decision admission.Decision) error {
-	timer := time.NewTimer(time.Until(n.deadline))
+	timer := time.NewTimer(time.Until(n.lateUntil))
 	defer timer.Stop()
 	select {
 	case err := <-granted:
@@ -253,6 +259,12 @@
 	}
 }
 
+func (p *pool) hasIdle() bool {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	return len(p.idle) > 0
+}
+
 func (p *pool) popIdle(values string) *pooled {
 	p.mu.Lock()
 	defer p.mu.Unlock()
--- a/internal/engine/transaction.go
+++ b/internal/engine/transaction.go
@@ -110,7 +110,7 @@
 	var refusal *Refusal
 	tried := make(map[*member]bool)
 	r.attempts = 0
-	for r.attempts < maxAttempts && time.Now().Before(r.startBy()) {
+	for r.attempts < maxAttempts && time.Now().Before(r.lateUntil()) {
 		t.plan = r.plan()
 		m := t.pick(tried)
 		if m == nil {
@@ -146,9 +146,8 @@
 // connectTo takes a connection of the target and begins there.
 func (t *transaction) connectTo(m *member) *Refusal {
 	r := t.request
-	conn, err := m.pool.acquire(r.need())
+	conn, err := r.acquire(m)
 	if err != nil {
-		r.noteUnavailable(m, err)
 		return refusalOf(err)
 	}
 	if t.plan.onlyPrimary {
--- a/internal/policy/admission/admission.go
+++ b/internal/policy/admission/admission.go
@@ -24,11 +24,13 @@
 	ClassStrict
 	// ClassAged holds reads with an allowed age.
 	ClassAged
+	// ClassLate holds batches of any class that can no longer start in time, and are still of use later.
+	ClassLate
 
 	classes
 )
 
-var classNames = [...]string{ClassTransaction: "transaction", ClassStrict: "strict", ClassAged: "aged"}
+var classNames = [...]string{ClassTransaction: "transaction", ClassStrict: "strict", ClassAged: "aged", ClassLate: "late"}
 
 // String returns the name of the class.
 func (c Class) String() string {
@@ -72,6 +74,18 @@
 	// value stands for Deadline. The wait may grow beyond what is expected, since batches of other
 	// workspaces and of higher classes that come later start before.
 	ExpectBy time.Time
+	// LateUntil is the time until which a batch that can not start by its deadline may start late, after all that
+	// can still start in time. The zero value stands for never.
+	LateUntil time.Time
+}
+
+// mayBeLate reports whether a batch is of use if it starts at a time after its deadline.
+func (i Item) mayBeLate(at time.Time) bool { return at.Before(i.LateUntil) }
+
+// late returns the batch as it waits among the late ones.
+func (i Item) late() Item {
+	i.Class, i.Deadline, i.ExpectBy = ClassLate, i.LateUntil, time.Time{}
+	return i
 }
 
 func (i Item) expectBy() time.Time {
@@ -112,6 +126,7 @@
 	ReasonQueueFull      Reason = "queue_full"
 	ReasonDisplaced      Reason = "displaced_from_full_queue"
 	ReasonDeadlinePassed Reason = "deadline_passed"
+	ReasonLate           Reason = "late"
 )
 
 // Decision is the answer to an offer.
--- a/internal/policy/admission/lane.go
+++ b/internal/policy/admission/lane.go
@@ -66,16 +66,26 @@
 
 // removeExpired removes and returns the batches whose deadline has passed.
 func (l *lane) removeExpired(now time.Time) []entry {
-	var expired []entry
+	return l.removeIf(func(i Item) bool { return !now.Before(i.Deadline) })
+}
+
+// removeLate removes and returns the batches whose deadline has passed and that may start late.
+func (l *lane) removeLate(now time.Time) []entry {
+	return l.removeIf(func(i Item) bool { return !now.Before(i.Deadline) && i.mayBeLate(now) })
+}
+
+// removeIf removes and returns the batches that match.
+func (l *lane) removeIf(matches func(Item) bool) []entry {
+	var removed []entry
 	for i := len(l.lines) - 1; i >= 0; i-- {
 		w := l.lines[i]
 		for j := len(w.entries) - 1; j >= 0; j-- {
-			if !now.Before(w.entries[j].item.Deadline) {
-				expired = append(expired, l.removeAt(i, j))
+			if matches(w.entries[j].item) {
+				removed = append(removed, l.removeAt(i, j))
 			}
 		}
 	}
-	return expired
+	return removed
 }
 
 // ahead returns the number of batches of the class that start before a new one of workspace.
--- a/internal/policy/admission/queue.go
+++ b/internal/policy/admission/queue.go
@@ -55,6 +55,10 @@
 // Offer takes in a batch: it starts, waits or is refused. A started batch must be given back with
 // Release, a waiting one that is no longer wanted with Remove.
 func (q *Queue) Offer(item Item, now time.Time) Decision {
+	q.demote(now)
+	if !now.Before(item.Deadline) && item.mayBeLate(now) {
+		item = item.late()
+	}
 	free := q.running < q.slots && q.isWithinLimit(item) && !q.hasStartable(now)
 	wait := time.Duration(0)
 	if !free {
@@ -67,6 +71,10 @@
 	case free:
 		q.take(item.Workspace)
 		d.Outcome, d.Reason = Started, ReasonSlotFree
+	case now.Add(wait).After(item.expectBy()) && q.waiting < q.queueLength && item.mayBeLate(now.Add(q.waitBehind(q.waiting+1))):
+		item = item.late()
+		q.enqueue(item, &d, now)
+		d.Class, d.Reason = item.Class, ReasonLate
 	case now.Add(wait).After(item.expectBy()):
 		q.refuse(&d, ReasonTooLate, result.NotRunOverloaded)
 	case q.waiting < q.queueLength:
@@ -129,7 +137,7 @@
 
 // victim returns the class and the line that give up their newest batch; -1 for none.
 func (q *Queue) victim(item Item) (Class, int) {
-	for c := ClassAged; c > item.Class; c-- {
+	for c := classes - 1; c > item.Class; c-- {
 		if index, _ := q.lanes[c].longest(); index >= 0 {
 			return c, index
 		}
@@ -164,7 +172,18 @@
 	return q.startWaiting(now)
 }
 
+// demote moves batches that did not start in time to the late ones.
+func (q *Queue) demote(now time.Time) {
+	for c := range q.lanes[:ClassLate] {
+		for _, e := range q.lanes[c].removeLate(now) {
+			e.item = e.item.late()
+			q.lanes[ClassLate].push(e)
+		}
+	}
+}
+
 func (q *Queue) startWaiting(now time.Time) []Start {
+	q.demote(now)
 	var starts []Start
 	for q.running < q.slots {
 		e, ok := q.next(now)
