Serve on at a planned stop until the balancer sends no new callers

Cause: at SIGTERM sessions were closed at once; their callers came back to the same daemon, which the balancer takes out after two probes, and were closed again while they sent their first statement.

Ruled out: LOST was never broken by it; the requests had not been read.

--- a/internal/engine/control.go
+++ b/internal/engine/control.go
@@ -25,20 +25,24 @@
 // call sends one status call or order and returns the status of the target. Its AskedAt is the time
 // before the call was sent.
 func (c *control) call(command Command) (authority.Status, error) {
+	return c.callWithin(statusTimeout, command)
+}
+
+func (c *control) callWithin(timeout time.Duration, command Command) (authority.Status, error) {
 	c.mu.Lock()
 	defer c.mu.Unlock()
 	reused := c.conn != nil
-	status, err := c.attempt(command)
+	status, err := c.attempt(timeout, command)
 	if err != nil && reused && !isTargetFailure(err) && !isTimeout(err) {
 		// The connection was lost since the last call; that says nothing about the target.
-		return c.attempt(command)
+		return c.attempt(timeout, command)
 	}
 	return status, err
 }
 
-func (c *control) attempt(command Command) (authority.Status, error) {
+func (c *control) attempt(timeout time.Duration, command Command) (authority.Status, error) {
 	if c.conn == nil {
-		ctx, cancel := context.WithTimeout(context.Background(), statusTimeout)
+		ctx, cancel := context.WithTimeout(context.Background(), timeout)
 		defer cancel()
 		conn, err := c.dialer.Dial(ctx, c.target())
 		if err != nil {
@@ -47,7 +51,7 @@
 		c.conn = conn
 	}
 	askedAt := clock.Boot()
-	replies, err := c.conn.Exchange(time.Now().Add(statusTimeout), command)
+	replies, err := c.conn.Exchange(time.Now().Add(timeout), command)
 	if err != nil {
 		c.drop()
 		return authority.Status{}, err
--- a/internal/engine/engine.go
+++ b/internal/engine/engine.go
@@ -29,8 +29,10 @@
 
 // Engine serves the sessions of one daemon.
 type Engine struct {
-	options  Options
+	options Options
+	// stopping is true from the begin of a planned stop, closing while sessions are ended.
 	stopping atomic.Bool
+	closing  atomic.Bool
 	nextID   atomic.Uint64
 	ctx      context.Context
 	stop     context.CancelFunc
@@ -164,7 +166,7 @@
 	return e.configuration.IdleTransaction
 }
 
-func (e *Engine) isStopping() bool { return e.stopping.Load() }
+func (e *Engine) isClosing() bool { return e.closing.Load() }
 
 // HasDatabase waits until there is a configuration, at most for the given time, and reports whether it
 // has the database. known is false when there is no configuration yet.
@@ -205,16 +207,25 @@
 	return open
 }
 
-// drainInterval is the time between two looks for sessions that have become idle.
-const drainInterval = 50 * time.Millisecond
+const (
+	// rotationTime is the time that the balancer needs to take a daemon that is not ready out of rotation: two probes,
+	// a second apart, and a reserve. Callers that reconnect before may come back to this daemon.
+	rotationTime = 2200 * time.Millisecond
+	// drainInterval is the time between two looks for sessions that have become idle.
+	drainInterval = 50 * time.Millisecond
+)
 
-// Drain ends the sessions in a planned stop: those without a statement or transaction one by one within half of
-// the time, the others as they become idle, and the rest when ctx ends.
+// Drain ends the sessions in a planned stop. It serves on until the balancer sends no new callers, ends the sessions without
+// a statement or transaction one by one within half of the rest of the time, the others as they become idle, and the
+// rest when ctx ends.
 func (e *Engine) Drain(ctx context.Context, within time.Duration) {
 	e.stopping.Store(true)
+	logrus.WithField("sessions", len(e.openSessions())).Info("sessions_draining")
+	rotation := min(rotationTime, within/2)
+	_ = clock.Sleep(ctx, rotation)
+	e.closing.Store(true)
 	open := e.openSessions()
-	logrus.WithField("sessions", len(open)).Info("sessions_draining")
-	pause := within / 2 / time.Duration(max(1, len(open)))
+	pause := (within - rotation) / 2 / time.Duration(max(1, len(open)))
 	for _, s := range open {
 		s.closeIfIdle()
 		if clock.Sleep(ctx, pause) != nil {
--- a/internal/engine/group.go
+++ b/internal/engine/group.go
@@ -34,6 +34,8 @@
 	// applied is the latest position that the target is known to have applied, told at appliedAt.
 	applied   api.Position
 	appliedAt time.Duration
+	// answeredAt is the time of the boot clock of the last answer.
+	answeredAt time.Duration
 	// latency is the moving average of the time that a statement takes there, with the target's own queue.
 	latency time.Duration
 	// missing ends the use of the target unless its entry comes back; nil while there is an entry.
@@ -262,7 +264,7 @@
 	now := clock.Boot()
 	g.mu.Lock()
 	defer g.mu.Unlock()
-	m.doubtUntil, m.avoidUntil = 0, 0
+	m.doubtUntil, m.avoidUntil, m.answeredAt = 0, 0, now
 	if reply.Failure == nil {
 		m.noteLatency(now - askedAt)
 	}
--- a/internal/engine/observe.go
+++ b/internal/engine/observe.go
@@ -19,6 +19,8 @@
 	observeInterval = 100 * time.Millisecond
 	// leastLookPause is the least time between two rounds of status calls.
 	leastLookPause = 50 * time.Millisecond
+	// silentAfter is the time without an answer after which a busy primary is looked at.
+	silentAfter = 200 * time.Millisecond
 	// unusedAfter is the time without statements after which a group is not observed.
 	unusedAfter = 2 * time.Second
 )
@@ -79,8 +81,8 @@
 		return lookAll
 	case ok && g.watch.IsSuspicious():
 		return lookAll
-	case ok && now > g.authorityUntil && m.pool.isBusy():
-		return lookProof
+	case ok && now-max(m.answeredAt, g.authorityUntil-authority.Term) > silentAfter && m.pool.isBusyFor(silentAfter):
+		return lookAll
 	}
 	return lookNone
 }
@@ -194,12 +196,16 @@
 // askAll sends a command to each member at once and returns the answers. A busy target counts with an
 // unknown role: it is alive and proves nothing.
 func askAll(members map[string]*member, command func(name string) Command) map[string]authority.Status {
+	return askWithin(statusTimeout, members, command)
+}
+
+func askWithin(timeout time.Duration, members map[string]*member, command func(name string) Command) map[string]authority.Status {
 	var mu sync.Mutex
 	var pending sync.WaitGroup
 	statuses := make(map[string]authority.Status, len(members))
 	for name, m := range members {
 		pending.Go(func() {
-			status, err := m.control.call(command(name))
+			status, err := m.control.callWithin(timeout, command(name))
 			if err != nil && !isBusy(err) {
 				logrus.WithFields(logrus.Fields{"target": name, "operation": command(name).Op.String(), "error": err}).Debug("target_not_answering")
 				return
--- a/internal/engine/pool.go
+++ b/internal/engine/pool.go
@@ -50,6 +50,8 @@
 	ceiling int
 	// borrowAfter is the time before which none is borrowed, since the target refused one.
 	borrowAfter time.Time
+	// busySince is when the first of the statements that run now was started.
+	busySince time.Time
 	// scarceAt is when all connections were last in use.
 	scarceAt time.Time
 	idle     []*pooled
@@ -134,11 +136,11 @@
 	return p.queue.Running() + p.queue.Waiting()
 }
 
-// isBusy reports whether a statement runs.
-func (p *pool) isBusy() bool {
+// isBusyFor reports whether statements have been running for a time.
+func (p *pool) isBusyFor(d time.Duration) bool {
 	p.mu.Lock()
 	defer p.mu.Unlock()
-	return p.queue.Running() > 0
+	return p.queue.Running() > 0 && time.Since(p.busySince) >= d
 }
 
 // need describes what a statement asks of a pool.
@@ -184,6 +186,9 @@
 		return result.Errorf(result.NotRunUnreachable, "the target has left")
 	}
 	p.borrow(now)
+	if p.queue.Running() == 0 {
+		p.busySince = now
+	}
 	p.nextID++
 	id := p.nextID
 	decision := p.queue.Offer(admission.Item{ID: id, Class: n.class, Deadline: n.startBy, LateUntil: n.lateUntil}, now)
--- a/internal/engine/promote.go
+++ b/internal/engine/promote.go
@@ -31,6 +31,8 @@
 	leadPoll = 50 * time.Millisecond
 	// orderReserve is the part of the duty's time that is left when an order is sent.
 	orderReserve = 500 * time.Millisecond
+	// recheckTimeout bounds the status calls before a promotion; the primary has been silent for longer.
+	recheckTimeout = 100 * time.Millisecond
 	// pauseAttempts is how often a replica is asked to pause.
 	pauseAttempts = 2
 )
@@ -125,7 +127,7 @@
 	p.members = g.witnessable()
 	g.mu.Unlock()
 	began := clock.Boot()
-	statuses := askAll(p.members, func(string) Command { return Command{Op: OpStatus} })
+	statuses := askWithin(recheckTimeout, p.members, func(string) Command { return Command{Op: OpStatus} })
 	g.takeIn(statuses, began)
 	g.mu.Lock()
 	now, leaving := belief{g.leader, g.term}, g.isLeaving(p.old)
--- a/internal/engine/session.go
+++ b/internal/engine/session.go
@@ -104,7 +104,7 @@
 	s.mu.Lock()
 	defer s.mu.Unlock()
 	s.busy = s.transaction != nil
-	if !s.busy && s.engine.isStopping() {
+	if !s.busy && s.engine.isClosing() {
 		s.closed = true
 	}
 	return !s.closed
