Send callers elsewhere while most targets do not answer

Cause: in a cut zone the daemons kept all callers of the zone and could serve nothing that needs the primary, for as long as the cut lasted. A daemon that most targets of a group have not answered for 500 ms, and that has no other group's primary, is not ready; after the balancer's two probes it ends idle sessions, whose callers then reach other zones.

No duty missed: a daemon that is cut off is not in touch.

--- a/internal/engine/engine.go
+++ b/internal/engine/engine.go
@@ -5,6 +5,7 @@
 	"errors"
 	"fmt"
 	"maps"
+	"slices"
 	"sync"
 	"sync/atomic"
 	"time"
@@ -33,6 +34,8 @@
 	// stopping is true from the begin of a planned stop, closing while sessions are ended.
 	stopping atomic.Bool
 	closing  atomic.Bool
+	// isolated is true while the daemon is cut off from most targets.
+	isolated atomic.Bool
 	nextID   atomic.Uint64
 	ctx      context.Context
 	stop     context.CancelFunc
@@ -87,6 +90,9 @@
 	}
 	g := newGroup(name, e.options.Zone, e.options.Dialer)
 	e.groups[name] = g
+	if len(e.groups) == 1 {
+		go e.watchIsolation()
+	}
 	go g.observe(e.ctx, func(reason takeover.Reason) { go e.takeOver(g, reason) })
 	return g
 }
@@ -141,11 +147,54 @@
 	}
 }
 
-// IsReady reports whether callers can be served.
+// IsReady reports whether new callers are served better here than by another daemon.
 func (e *Engine) IsReady() bool {
 	e.mu.Lock()
 	defer e.mu.Unlock()
-	return e.isConfigured && !e.stopping.Load()
+	return e.isConfigured && !e.stopping.Load() && !e.isolated.Load()
+}
+
+// isIsolated reports whether this daemon is cut off from most targets of a group, and reaches no other group's primary.
+func (e *Engine) isIsolated(now time.Duration) bool {
+	e.mu.Lock()
+	groups := slices.Collect(maps.Values(e.groups))
+	e.mu.Unlock()
+	isolated := false
+	for _, g := range groups {
+		if g.isServing(now) {
+			return false
+		}
+		isolated = isolated || g.isIsolated(now)
+	}
+	return isolated
+}
+
+// watchIsolation keeps the readiness while the daemon runs. Once the balancer has had time to send new callers
+// elsewhere, it ends idle sessions of a daemon that is cut off, so that their callers go there too.
+func (e *Engine) watchIsolation() {
+	var since time.Duration
+	for clock.Sleep(e.ctx, observeInterval) == nil {
+		now := clock.Boot()
+		isolated := e.isIsolated(now)
+		if isolated != e.isolated.Load() {
+			e.isolated.Store(isolated)
+			since = now
+			logrus.WithField("ready", !isolated).Warn("readiness_changed")
+		}
+		if isolated && now-since > rotationTime {
+			e.closeIdleSessions(e.ctx, isolationPause)
+		}
+	}
+}
+
+// closeIdleSessions ends the sessions without a statement or transaction one by one.
+func (e *Engine) closeIdleSessions(ctx context.Context, pause time.Duration) {
+	for _, s := range e.openSessions() {
+		s.closeIfIdle()
+		if clock.Sleep(ctx, pause) != nil {
+			return
+		}
+	}
 }
 
 // route returns the route of a database in the newest configuration.
@@ -211,6 +260,8 @@
 	// rotationTime is the time that the balancer needs to take a daemon that is not ready out of rotation: two probes,
 	// a second apart, and a reserve. Callers that reconnect before may come back to this daemon.
 	rotationTime = 2200 * time.Millisecond
+	// isolationPause is the time between the ends of two idle sessions of a daemon that is cut off.
+	isolationPause = 5 * time.Millisecond
 	// drainInterval is the time between two looks for sessions that have become idle.
 	drainInterval = 50 * time.Millisecond
 )
@@ -224,14 +275,8 @@
 	rotation := min(rotationTime, within/2)
 	_ = clock.Sleep(ctx, rotation)
 	e.closing.Store(true)
-	open := e.openSessions()
-	pause := (within - rotation) / 2 / time.Duration(max(1, len(open)))
-	for _, s := range open {
-		s.closeIfIdle()
-		if clock.Sleep(ctx, pause) != nil {
-			break
-		}
-	}
+	pause := (within - rotation) / 2 / time.Duration(max(1, len(e.openSessions())))
+	e.closeIdleSessions(ctx, pause)
 	for ctx.Err() == nil && len(e.openSessions()) > 0 {
 		for _, s := range e.openSessions() {
 			s.closeIfIdle()
--- a/internal/engine/group.go
+++ b/internal/engine/group.go
@@ -72,6 +72,8 @@
 	// promoting is true while this daemon replaces the primary.
 	promoting bool
 	lastUsed  time.Duration
+	// isolatedSince is the time of the boot clock since when most targets have not answered; 0 while they do.
+	isolatedSince time.Duration
 	// changed is closed and replaced with each change that a waiting statement may be waiting for.
 	changed chan struct{}
 	// lookRequests asks the observer for a round of status calls, proofRequests for a proof only.
--- a/internal/engine/observe.go
+++ b/internal/engine/observe.go
@@ -21,6 +21,8 @@
 	leastLookPause = 50 * time.Millisecond
 	// silentAfter is the time without an answer after which a busy primary is looked at.
 	silentAfter = 200 * time.Millisecond
+	// isolatedAfter is the time for which most targets have to be silent before this daemon sends callers elsewhere.
+	isolatedAfter = 500 * time.Millisecond
 	// unusedAfter is the time without statements after which a group is not observed.
 	unusedAfter = 2 * time.Second
 )
@@ -79,7 +81,7 @@
 		return lookAll
 	case ok && (len(g.owed.Names(now)) > 0 || g.leavingReplica() != ""):
 		return lookAll
-	case ok && g.watch.IsSuspicious():
+	case ok && (g.watch.IsSuspicious() || g.isolatedSince != 0):
 		return lookAll
 	case ok && now-max(m.answeredAt, g.authorityUntil-authority.Term) > silentAfter && m.pool.isBusyFor(silentAfter):
 		return lookAll
@@ -230,6 +232,7 @@
 	defer g.mu.Unlock()
 	g.remember(statuses)
 	g.electLeader()
+	g.noteIsolation(len(statuses), began)
 	g.takeProof(statuses)
 	for _, name := range g.owed.Settle(g.leader, statuses) {
 		g.log().WithField("target", name).Info("witness_replaced")
@@ -258,6 +261,34 @@
 	}
 }
 
+// noteIsolation takes in how many targets answered a round. When most do not, the fault is more likely on this daemon's
+// side. The caller holds the lock.
+func (g *group) noteIsolation(answered int, began time.Duration) {
+	isolated := answered*2 < len(g.members)
+	if isolated == (g.isolatedSince != 0) {
+		return
+	}
+	g.isolatedSince = 0
+	if isolated {
+		g.isolatedSince = began
+	}
+	g.log().WithFields(logrus.Fields{"isolated": isolated, "answered": answered, "members": len(g.members)}).Warn("isolation_changed")
+}
+
+// isIsolated reports whether most targets have not answered for a time.
+func (g *group) isIsolated(now time.Duration) bool {
+	g.mu.Lock()
+	defer g.mu.Unlock()
+	return g.isolatedSince != 0 && now-g.isolatedSince >= isolatedAfter
+}
+
+// isServing reports whether the primary was proved to lead a moment ago.
+func (g *group) isServing(now time.Duration) bool {
+	g.mu.Lock()
+	defer g.mu.Unlock()
+	return now < g.authorityUntil+isolatedAfter
+}
+
 // witnessable returns the members that may count for acknowledged commits: all but replicas that leave and were paused in
 // this term. The caller holds the lock.
 func (g *group) witnessable() map[string]*member {
