--- /dev/null
+++ b/standin/lines/cluster_test.go
@@ -0,0 +1,200 @@
+package lines_test
+
+import (
+	"context"
+	"fmt"
+	"io"
+	"net"
+	"net/http"
+	"os"
+	"strings"
+	"testing"
+	"time"
+
+	"github.com/sirupsen/logrus"
+
+	"github.com/papayacove/papayacove/api"
+	"github.com/papayacove/papayacove/internal/config"
+	"github.com/papayacove/papayacove/internal/lineproxy"
+	"github.com/papayacove/papayacove/standin/lines"
+)
+
+func TestMain(m *testing.M) {
+	logrus.SetOutput(io.Discard)
+	os.Exit(m.Run())
+}
+
+// patience bounds each wait for something that must come.
+const patience = 20 * time.Second
+
+// settleTime is the time after which a daemon trusts the entries of the store.
+const settleTime = 3500 * time.Millisecond
+
+// cluster is a store, one group and some daemons.
+type cluster struct {
+	t        *testing.T
+	store    *lines.Store
+	group    *lines.Group
+	provider *lines.Provider
+	daemons  []*daemon
+}
+
+// daemon is a running proxy.
+type daemon struct {
+	callers string
+	ready   string
+	stop    context.CancelFunc
+	ended   chan struct{}
+}
+
+const (
+	strictDatabase  = "strict"
+	sessionDatabase = "session"
+	agedDatabase    = "aged"
+)
+
+func newCluster(t *testing.T, daemons int) *cluster {
+	t.Helper()
+	store, err := lines.NewStore()
+	must(t, err)
+	group, err := lines.NewGroup(store, "group", "a", "b", "c")
+	must(t, err)
+	provider, err := lines.NewProvider(group)
+	must(t, err)
+	c := &cluster{t: t, store: store, group: group, provider: provider}
+	c.configure(1, strictDatabase, sessionDatabase, agedDatabase)
+	for i := range daemons {
+		c.daemons = append(c.daemons, c.start(i))
+	}
+	t.Cleanup(func() {
+		for _, d := range c.daemons {
+			d.stop()
+		}
+		store.Close()
+		provider.Close()
+		for _, name := range []string{"a", "b", "c"} {
+			group.Database(name).Crash()
+		}
+	})
+	for _, d := range c.daemons {
+		c.await("the daemon is ready", func() bool { return d.isReady() })
+		c.await("a strict read", func() bool { return c.try(d, strictDatabase, "READ start").Code == "" })
+	}
+	return c
+}
+
+func must(t *testing.T, err error) {
+	t.Helper()
+	if err != nil {
+		t.Fatal(err)
+	}
+}
+
+// configure writes a version with routes for databases.
+func (c *cluster) configure(version int, databases ...string) {
+	types := map[string]string{strictDatabase: "primary", sessionDatabase: "read_your_writes", agedDatabase: "bounded_staleness"}
+	routes := []map[string]any{}
+	for _, name := range databases {
+		kind, ok := types[name]
+		if !ok {
+			kind = "primary"
+		}
+		routes = append(routes, map[string]any{
+			"Name": "r-" + name, "Host": name, "Type": kind, "TimeoutMs": 2000, "TargetLatencyMs": 1000, "Priority": 1,
+			"Backend": "group", "MaxStalenessMs": 1500,
+		})
+	}
+	c.store.Put("config", "main", map[string]any{
+		"Version": version, "Routes": routes, "Limits": map[string]any{"IdleTxMs": 3000},
+		"Backends": []map[string]any{{"Name": "group", "MaxConns": 40, "SyncReplicas": 1}},
+	})
+}
+
+func freeAddress(t *testing.T) string {
+	t.Helper()
+	listener, err := net.Listen("tcp", "127.0.0.1:0")
+	must(t, err)
+	defer listener.Close()
+	return listener.Addr().String()
+}
+
+func (c *cluster) start(number int) *daemon {
+	c.t.Helper()
+	settings := config.Default()
+	settings.Name, settings.Region, settings.Zone = fmt.Sprintf("daemon-%d", number+1), "region", fmt.Sprintf("zone-%d", number+1)
+	settings.Protocol = api.SettingsProtocolLines
+	settings.CallerAddress, settings.AdminAddress, settings.PeerAddress = freeAddress(c.t), freeAddress(c.t), freeAddress(c.t)
+	settings.PlatformURL = c.store.URL()
+	settings.Fleet = api.FleetSettings{
+		ReadinessAddress: freeAddress(c.t), PromotionURL: c.provider.URL(), GraceS: 6, DrainTimeoutMs: 7000, ConfigApplyMs: 3000,
+		HeartbeatMs: 1000, MemoryMb: 400, MaxDescriptors: 4000,
+	}
+	must(c.t, config.Check(settings))
+	ctx, stop := context.WithCancel(context.Background())
+	d := &daemon{callers: settings.CallerAddress, ready: "http://" + settings.Fleet.ReadinessAddress + "/v1/ready", stop: stop, ended: make(chan struct{})}
+	go func() {
+		defer close(d.ended)
+		if err := lineproxy.New(settings).Run(ctx); err != nil {
+			c.t.Error(err)
+		}
+	}()
+	return d
+}
+
+func (d *daemon) isReady() bool {
+	response, err := http.Get(d.ready)
+	if err != nil {
+		return false
+	}
+	defer response.Body.Close()
+	return response.StatusCode == http.StatusOK
+}
+
+// await waits until something holds.
+func (c *cluster) await(what string, holds func() bool) {
+	c.t.Helper()
+	for end := time.Now().Add(patience); time.Now().Before(end); time.Sleep(10 * time.Millisecond) {
+		if holds() {
+			return
+		}
+	}
+	c.t.Fatalf("never: %s", what)
+}
+
+// try runs one statement in a session of its own.
+func (c *cluster) try(d *daemon, database, text string) lines.Result {
+	caller, err := lines.Dial(d.callers, database)
+	if err != nil {
+		return lines.Result{Code: "UNCONNECTED", Text: err.Error()}
+	}
+	defer caller.Close()
+	r, err := caller.Run(text)
+	if err != nil {
+		return lines.Result{Code: "CUT", Text: err.Error()}
+	}
+	return r
+}
+
+func (c *cluster) dial(d *daemon, database string) *lines.Caller {
+	c.t.Helper()
+	caller, err := lines.Dial(d.callers, database)
+	must(c.t, err)
+	c.t.Cleanup(caller.Close)
+	return caller
+}
+
+// run expects success.
+func (c *cluster) run(caller *lines.Caller, text string) lines.Result {
+	c.t.Helper()
+	r, err := caller.Run(text)
+	must(c.t, err)
+	if r.Code != "" {
+		c.t.Fatalf("%s: %s %s", text, r.Code, r.Text)
+	}
+	return r
+}
+
+// isPromise reports whether a code promises that nothing is kept.
+func isPromise(code string) bool {
+	return strings.Contains(" BUSY ABORTED LAGGING READONLY MOVED TOOMANY ", " "+code+" ")
+}
--- /dev/null
+++ b/standin/lines/provider.go
@@ -0,0 +1,71 @@
+package lines
+
+import (
+	"encoding/json"
+	"net"
+	"net/http"
+	"strconv"
+	"sync"
+)
+
+// Order is one order to promote as the provider saw it.
+type Order struct {
+	Holder string
+	Token  uint64
+	Target string
+}
+
+// Provider takes orders to promote.
+type Provider struct {
+	server   *http.Server
+	listener net.Listener
+	groups   map[string]*Group
+
+	mu     sync.Mutex
+	orders []Order
+}
+
+// NewProvider starts a provider for groups on a loopback port.
+func NewProvider(groups ...*Group) (*Provider, error) {
+	listener, err := net.Listen("tcp", "127.0.0.1:0")
+	if err != nil {
+		return nil, err
+	}
+	p := &Provider{listener: listener, groups: map[string]*Group{}}
+	for _, g := range groups {
+		p.groups[g.Name] = g
+	}
+	mux := http.NewServeMux()
+	mux.HandleFunc("POST /promote", p.promote)
+	p.server = &http.Server{Handler: mux}
+	go func() { _ = p.server.Serve(listener) }()
+	return p, nil
+}
+
+// URL is the base URL.
+func (p *Provider) URL() string { return "http://" + p.listener.Addr().String() }
+
+// Close stops the provider.
+func (p *Provider) Close() { _ = p.server.Close() }
+
+// Orders returns the orders so far.
+func (p *Provider) Orders() []Order {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	return append([]Order(nil), p.orders...)
+}
+
+func (p *Provider) promote(w http.ResponseWriter, r *http.Request) {
+	var body struct{ Backend, Id string }
+	if err := json.NewDecoder(r.Body).Decode(&body); err != nil {
+		w.WriteHeader(http.StatusBadRequest)
+		return
+	}
+	token, _ := strconv.ParseUint(r.Header.Get("Fencing-Token"), 10, 64)
+	p.mu.Lock()
+	p.orders = append(p.orders, Order{r.Header.Get("Lease-Holder"), token, body.Id})
+	p.mu.Unlock()
+	if g, ok := p.groups[body.Backend]; !ok || !g.Promote(body.Id) {
+		w.WriteHeader(http.StatusConflict)
+	}
+}
