Prove the primary by one replica's status

A replica that follows in the term and is not paused proves by itself that no later promotion was complete; the primary's own answer adds nothing.

--- a/internal/engine/execute.go
+++ b/internal/engine/execute.go
@@ -120,11 +120,13 @@
 }
 
 // run tunes the connection and runs the statement once.
-func (r *request) run(conn *pooled, command Command) ran {
+func (r *request) run(m *member, conn *pooled, command Command) ran {
 	if err := r.session.tune(conn, r.statement, r.deadline()); err != nil {
 		return ran{err: err}
 	}
 	askedAt := clock.Boot()
+	r.group.noteSent(m, askedAt)
+	defer r.group.noteEnded(m)
 	replies, err := conn.Exchange(r.deadline(), command)
 	if err != nil {
 		conn.broken = true
@@ -227,7 +229,7 @@
 	} else {
 		command.Floor = r.floorNow(plan)
 	}
-	outcome := r.run(conn, command)
+	outcome := r.run(m, conn, command)
 	m.pool.release(conn)
 	if outcome.err != nil {
 		r.group.noteFailure(m)
@@ -341,7 +343,7 @@
 		refusal := refusalOf(err)
 		return Reply{}, refusal, mayRetryAcquire(refusal.Code)
 	}
-	outcome := r.run(conn, r.session.commandFor(r.statement))
+	outcome := r.run(m, conn, r.session.commandFor(r.statement))
 	m.pool.release(conn)
 	if outcome.err != nil {
 		r.group.noteFailure(m)
--- a/internal/engine/group.go
+++ b/internal/engine/group.go
@@ -34,8 +34,10 @@
 	// applied is the latest position that the target is known to have applied, told at appliedAt.
 	applied   api.Position
 	appliedAt time.Duration
-	// answeredAt is the time of the boot clock of the last answer.
+	// answeredAt is the time of the boot clock of the last answer, or of the first statement sent after it.
 	answeredAt time.Duration
+	// unanswered is the number of statements that were sent and not answered yet.
+	unanswered int
 	// latency is the moving average of the time that a statement takes there, with the target's own queue.
 	latency time.Duration
 	// missing ends the use of the target unless its entry comes back; nil while there is an entry.
@@ -260,6 +262,23 @@
 	g.requestLook()
 }
 
+// noteSent takes in that a statement is sent to a target.
+func (g *group) noteSent(m *member, now time.Duration) {
+	g.mu.Lock()
+	defer g.mu.Unlock()
+	if m.unanswered == 0 {
+		m.answeredAt = now
+	}
+	m.unanswered++
+}
+
+// noteEnded takes in that a statement was answered, or that its connection was lost.
+func (g *group) noteEnded(m *member) {
+	g.mu.Lock()
+	defer g.mu.Unlock()
+	m.unanswered--
+}
+
 // noteReply takes in a position that a target told, asked at askedAt. It is a sample when the
 // target surely led then. A commit proves that it did.
 func (g *group) noteReply(m *member, reply Reply, askedAt time.Duration, committed bool) {
--- a/internal/engine/observe.go
+++ b/internal/engine/observe.go
@@ -61,7 +61,7 @@
 
 const (
 	lookNone lookNeed = iota
-	// lookProof asks the primary and one replica, which is enough for a proof.
+	// lookProof asks one replica, which is enough for a proof.
 	lookProof
 	// lookAll asks all targets.
 	lookAll
@@ -83,13 +83,13 @@
 		return lookAll
 	case ok && (g.watch.IsSuspicious() || g.isolatedSince != 0):
 		return lookAll
-	case ok && now-max(m.answeredAt, g.authorityUntil-authority.Term) > silentAfter && m.pool.isBusyFor(silentAfter):
+	case ok && m.unanswered > 0 && now-m.answeredAt > silentAfter:
 		return lookAll
 	}
 	return lookNone
 }
 
-// renew asks the primary and one replica, and reports whether that proved that the primary leads.
+// renew asks one replica, and reports whether that proved that the primary still leads.
 func (g *group) renew() bool {
 	asked := g.witnesses()
 	if len(asked) == 0 {
@@ -103,7 +103,8 @@
 	return g.takeProof(statuses)
 }
 
-// witnesses returns the primary and one replica, in the own zone where there is one.
+// witnesses returns the replica that is asked for a proof, in the own zone where there is one, or the primary of a group
+// without replicas; none without a primary.
 func (g *group) witnesses() map[string]*member {
 	now := clock.Boot()
 	g.mu.Lock()
@@ -121,11 +122,10 @@
 			witness = name
 		}
 	}
-	asked := map[string]*member{g.leader: leader}
-	if witness != "" {
-		asked[witness] = g.members[witness]
+	if witness == "" {
+		return map[string]*member{g.leader: leader}
 	}
-	return asked
+	return map[string]*member{witness: g.members[witness]}
 }
 
 // takeProof takes in what a round proves, and reports whether it does. The caller holds the lock.
@@ -135,7 +135,9 @@
 		return false
 	}
 	g.prove(at)
-	g.samples.Add(at, statuses[g.leader].Received)
+	if own, ok := statuses[g.leader]; ok && own.Role == authority.RolePrimary {
+		g.samples.Add(own.AskedAt, own.Received)
+	}
 	return true
 }
 
@@ -253,7 +255,7 @@
 func (g *group) remember(statuses map[string]authority.Status) {
 	for name, s := range statuses {
 		if m, ok := g.members[name]; ok {
-			m.avoidUntil = 0
+			m.avoidUntil, m.answeredAt = 0, clock.Boot()
 		}
 		if s.Role != authority.RoleUnknown {
 			g.statuses[name] = s
--- a/internal/engine/pool.go
+++ b/internal/engine/pool.go
@@ -50,8 +50,6 @@
 	ceiling int
 	// borrowAfter is the time before which none is borrowed, since the target refused one.
 	borrowAfter time.Time
-	// busySince is when the first of the statements that run now was started.
-	busySince time.Time
 	// scarceAt is when all connections were last in use.
 	scarceAt time.Time
 	idle     []*pooled
@@ -136,13 +134,6 @@
 	return p.queue.Running() + p.queue.Waiting()
 }
 
-// isBusyFor reports whether statements have been running for a time.
-func (p *pool) isBusyFor(d time.Duration) bool {
-	p.mu.Lock()
-	defer p.mu.Unlock()
-	return p.queue.Running() > 0 && time.Since(p.busySince) >= d
-}
-
 // need describes what a statement asks of a pool.
 type need struct {
 	class admission.Class
@@ -186,9 +177,6 @@
 		return result.Errorf(result.NotRunUnreachable, "the target has left")
 	}
 	p.borrow(now)
-	if p.queue.Running() == 0 {
-		p.busySince = now
-	}
 	p.nextID++
 	id := p.nextID
 	decision := p.queue.Offer(admission.Item{ID: id, Class: n.class, Deadline: n.startBy, LateUntil: n.lateUntil}, now)
--- a/internal/engine/transaction.go
+++ b/internal/engine/transaction.go
@@ -73,7 +73,7 @@
 			return s.refused(refusal)
 		}
 	}
-	outcome := t.request.run(t.conn, s.commandFor(statement))
+	outcome := t.request.run(t.member, t.conn, s.commandFor(statement))
 	if outcome.err != nil {
 		t.request.group.noteFailure(t.member)
 		return t.lost(outcome.err)
@@ -210,7 +210,7 @@
 // commit sends the commit and gives the connection back.
 func (t *transaction) commit() Answer {
 	s, r, conn := t.session, t.request, t.conn
-	outcome := r.run(conn, s.commandFor(r.statement))
+	outcome := r.run(t.member, conn, s.commandFor(r.statement))
 	t.conn = nil
 	if outcome.err != nil {
 		conn.broken = true
--- a/internal/policy/authority/authority.go
+++ b/internal/policy/authority/authority.go
@@ -69,15 +69,13 @@
 	return name, term, true
 }
 
-// ProvenAt returns the latest time at which the statuses prove that the leader of the term led.
-// A group of one target proves itself. False means that there is no proof.
+// ProvenAt returns the latest time at which the statuses prove that no promotion beyond the term was complete, so that the
+// target that was promoted to it still had every acknowledged commit. A replica that follows in the term and is not paused
+// proves it, whether the leader answers or not; a group of one target proves itself. False means that there is no proof.
 func ProvenAt(statuses map[string]Status, leader string, term uint64, members int) (time.Duration, bool) {
-	own, ok := statuses[leader]
-	if !ok || own.Role != RolePrimary || own.Term != term {
-		return 0, false
-	}
 	if members <= 1 {
-		return own.AskedAt, true
+		own, ok := statuses[leader]
+		return own.AskedAt, ok && own.Role == RolePrimary && own.Term == term
 	}
 	var latest time.Duration
 	found := false
@@ -89,5 +87,5 @@
 			latest, found = s.AskedAt, true
 		}
 	}
-	return min(latest, own.AskedAt), found
+	return latest, found
 }
