Try refused statements again while that is of use; open connections one at a time

At starts 33 daemons opened up to 100 connections at once, 12 ms of a slot each. A statement that every target refuses without running it is now tried again after 30 to 60 ms while it may still start; a busy or refused connection takes one away for 500 ms.

Ruled out: the queue length of the target; 33 daemons with one connection each stay below it.

--- a/internal/engine/execute.go
+++ b/internal/engine/execute.go
@@ -1,6 +1,7 @@
 package engine
 
 import (
+	"math/rand/v2"
 	"time"
 
 	"github.com/papayacove/papayacove/api"
@@ -13,8 +14,10 @@
 const (
 	// floorMargin is the part of an allowed age that is kept for the way of a read to its target.
 	floorMargin = 100 * time.Millisecond
-	// maxAttempts bounds the targets and connections that one statement is tried on.
-	maxAttempts = 6
+	// maxAttempts bounds how often one statement is tried.
+	maxAttempts = 20
+	// retryPause is the longest pause before a statement is tried again that every target refused without running it.
+	retryPause = 60 * time.Millisecond
 	// lateShare is the part of the route's time limit, in percent, in which a statement may still start.
 	lateShare = 70
 	// authorityWait bounds the wait for a proof after a read was answered by the primary.
@@ -174,6 +177,10 @@
 	for r.attempts < maxAttempts && time.Now().Before(r.deadline()) {
 		plan := r.plan()
 		m := r.pickReader(plan, tried)
+		if m == nil && refusal != nil && r.mayComeFree(refusal) {
+			clear(tried)
+			continue
+		}
 		if m == nil {
 			if refusal == nil {
 				refusal = r.noPrimary()
@@ -197,6 +204,16 @@
 	return Reply{}, refusal
 }
 
+// mayComeFree waits a moment after every target has refused, and reports whether it is worth to ask again: a busy target
+// gets free, and a replica that is behind catches up.
+func (r *request) mayComeFree(refusal *Refusal) bool {
+	if refusal.Target == nil || refusal.Code != result.NotRunOverloaded && refusal.Code != result.NotRunBehind {
+		return false
+	}
+	time.Sleep(retryPause/2 + rand.N(retryPause/2))
+	return time.Now().Before(r.lateUntil())
+}
+
 // mayTryAgain reports whether another target may do better. A queue that is full here is not the
 // fault of the target, but another target may have room.
 func (r *request) mayTryAgain(failed *Refusal) bool {
@@ -289,6 +306,8 @@
 	switch failure.Kind {
 	case FailureReadOnly, FailureWrongTarget:
 		r.group.noteFailure(m)
+	case FailureBusy:
+		m.pool.shrink(busyPause)
 	}
 	return passOn(failure)
 }
@@ -312,6 +331,9 @@
 			return Reply{}, refusal
 		}
 		failed = r.replaced(m, problem)
+		if problem.Code == result.NotRunOverloaded || problem.Code == result.NotRunNoSlot {
+			time.Sleep(retryPause/2 + rand.N(retryPause/2))
+		}
 	}
 	if refusal == nil {
 		refusal = r.noPrimary()
--- a/internal/engine/group.go
+++ b/internal/engine/group.go
@@ -36,6 +36,8 @@
 	appliedAt time.Duration
 	// answeredAt is the time of the boot clock of the last answer, or of the first statement sent after it.
 	answeredAt time.Duration
+	// heardAt is the time of the boot clock of the last answer.
+	heardAt time.Duration
 	// unanswered is the number of statements that were sent and not answered yet.
 	unanswered int
 	// latency is the moving average of the time that a statement takes there, with the target's own queue.
@@ -285,7 +287,7 @@
 	now := clock.Boot()
 	g.mu.Lock()
 	defer g.mu.Unlock()
-	m.doubtUntil, m.avoidUntil, m.answeredAt = 0, 0, now
+	m.doubtUntil, m.avoidUntil, m.answeredAt, m.heardAt = 0, 0, now, now
 	if reply.Failure == nil {
 		m.noteLatency(now - askedAt)
 	}
--- a/internal/engine/observe.go
+++ b/internal/engine/observe.go
@@ -255,7 +255,7 @@
 func (g *group) remember(statuses map[string]authority.Status) {
 	for name, s := range statuses {
 		if m, ok := g.members[name]; ok {
-			m.avoidUntil, m.answeredAt = 0, clock.Boot()
+			m.avoidUntil, m.answeredAt, m.heardAt = 0, clock.Boot(), clock.Boot()
 		}
 		if s.Role != authority.RoleUnknown {
 			g.statuses[name] = s
@@ -284,11 +284,12 @@
 	return g.isolatedSince != 0 && now-g.isolatedSince >= isolatedAfter
 }
 
-// isServing reports whether the primary was proved to lead a moment ago.
+// isServing reports whether the primary answered a moment ago and was proved to lead.
 func (g *group) isServing(now time.Duration) bool {
 	g.mu.Lock()
 	defer g.mu.Unlock()
-	return now < g.authorityUntil+isolatedAfter
+	leader, ok := g.members[g.leader]
+	return ok && now < leader.heardAt+isolatedAfter && now < g.authorityUntil+isolatedAfter
 }
 
 // witnessable returns the members that may count for acknowledged commits: all but replicas that leave and were paused in
--- a/internal/engine/pool.go
+++ b/internal/engine/pool.go
@@ -48,8 +48,11 @@
 	// while the target accepts more.
 	share   int
 	ceiling int
-	// borrowAfter is the time before which none is borrowed, since the target refused one.
-	borrowAfter time.Time
+	// opening is true while a connection is being opened. One at a time is: each takes a slot of the target.
+	opening bool
+	// growAfter is the time before which the number of connections does not grow, since the target refused one or
+	// was busy.
+	growAfter time.Time
 	// scarceAt is when all connections were last in use.
 	scarceAt time.Time
 	idle     []*pooled
@@ -62,7 +65,7 @@
 func newPool(dialer Dialer, target func() Target, share, ceiling int) *pool {
 	return &pool{
 		dialer: dialer, target: target, waiters: make(map[uint64]chan error), share: share, ceiling: ceiling,
-		queue: admission.New(admission.Config{Slots: share, QueueLength: poolQueueLength}),
+		queue: admission.New(admission.Config{Slots: firstConnections, QueueLength: poolQueueLength}),
 	}
 }
 
@@ -74,7 +77,7 @@
 		return
 	}
 	p.share, p.ceiling = share, ceiling
-	p.setConnections(share, time.Now())
+	p.setConnections(min(p.queue.Slots(), share), time.Now())
 }
 
 // setConnections changes the number of connections, and closes unused ones beyond it. The caller holds the lock.
@@ -86,37 +89,41 @@
 }
 
 const (
-	// borrowPause is the time after a refused connection in which none is borrowed.
-	borrowPause = 500 * time.Millisecond
+	// firstConnections is the number of connections that a pool begins with.
+	firstConnections = 1
+	// refusedPause is the time after a refused connection in which no further one is opened.
+	refusedPause = 500 * time.Millisecond
+	// busyPause is the time after a busy answer in which no further connection is opened.
+	busyPause = 500 * time.Millisecond
 	// borrowFor is the time without need after which a borrowed connection is given back.
 	borrowFor = 300 * time.Millisecond
 )
 
-// borrow adds a connection beyond the share when all are in use. The caller holds the lock.
-func (p *pool) borrow(now time.Time) {
+// grow adds a connection when all are in use and none is being opened. The caller holds the lock.
+func (p *pool) grow(now time.Time) {
 	if p.queue.Running() < p.queue.Slots() {
 		return
 	}
 	p.scarceAt = now
-	if p.queue.Slots() < p.ceiling && !now.Before(p.borrowAfter) {
+	if p.queue.Slots() < p.ceiling && !p.opening && !now.Before(p.growAfter) {
 		p.setConnections(p.queue.Slots()+1, now)
 	}
 }
 
-// giveBack ends a borrowed connection that is no longer needed. The caller holds the lock.
-func (p *pool) giveBack(now time.Time) {
-	if p.queue.Slots() > p.share && p.queue.Waiting() == 0 && now.Sub(p.scarceAt) > borrowFor {
+// shrink takes one connection away, since the target has more than it serves.
+func (p *pool) shrink(pause time.Duration) {
+	now := time.Now()
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	p.growAfter = now.Add(pause)
+	if p.queue.Slots() > firstConnections {
 		p.setConnections(p.queue.Slots()-1, now)
 	}
 }
 
-// noteTooMany takes in that the target accepts no further connection.
-func (p *pool) noteTooMany() {
-	now := time.Now()
-	p.mu.Lock()
-	defer p.mu.Unlock()
-	p.borrowAfter = now.Add(borrowPause)
-	if p.queue.Slots() > p.share {
+// giveBack ends a borrowed connection that is no longer needed. The caller holds the lock.
+func (p *pool) giveBack(now time.Time) {
+	if p.queue.Slots() > p.share && p.queue.Waiting() == 0 && now.Sub(p.scarceAt) > borrowFor {
 		p.setConnections(p.queue.Slots()-1, now)
 	}
 }
@@ -157,9 +164,11 @@
 		conn.acquired, conn.class = time.Now(), n.class
 		return conn, nil
 	}
+	p.beginOpening()
 	conn, err := p.dial(n)
+	p.endOpening(time.Now())
 	if result.CodeOf(err) == result.NotRunNoSlot {
-		p.noteTooMany()
+		p.shrink(refusedPause)
 	}
 	if err != nil {
 		p.leave(time.Now(), 0)
@@ -176,7 +185,7 @@
 		p.mu.Unlock()
 		return result.Errorf(result.NotRunUnreachable, "the target has left")
 	}
-	p.borrow(now)
+	p.grow(now)
 	p.nextID++
 	id := p.nextID
 	decision := p.queue.Offer(admission.Item{ID: id, Class: n.class, Deadline: n.startBy, LateUntil: n.lateUntil}, now)
@@ -276,6 +285,23 @@
 	return conn
 }
 
+// beginOpening and endOpening mark that a connection is being opened. When it is open, the next waiting statement may ask
+// for another.
+func (p *pool) beginOpening() {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	p.opening = true
+}
+
+func (p *pool) endOpening(now time.Time) {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	p.opening = false
+	if p.queue.Waiting() > 0 {
+		p.grow(now)
+	}
+}
+
 func (p *pool) dial(n need) (*pooled, error) {
 	ctx, cancel := context.WithTimeout(context.Background(), dialTimeout)
 	defer cancel()
--- a/internal/engine/transaction.go
+++ b/internal/engine/transaction.go
@@ -113,6 +113,10 @@
 	for r.attempts < maxAttempts && time.Now().Before(r.lateUntil()) {
 		t.plan = r.plan()
 		m := t.pick(tried)
+		if m == nil && t.readOnly && refusal != nil && r.mayComeFree(refusal) {
+			clear(tried)
+			continue
+		}
 		if m == nil {
 			break
 		}
@@ -121,8 +125,11 @@
 		if refusal == nil {
 			return nil
 		}
-		tried[m] = true
-		if refusal.Code == result.NotRunOverloaded && t.plan.onlyPrimary {
+		if t.readOnly || refusal.Code == result.NotRunReadOnly || refusal.Code == result.NotRunTargetLeaving {
+			tried[m] = true
+			continue
+		}
+		if !r.mayComeFree(refusal) && !mayRetryAcquire(refusal.Code) {
 			break
 		}
 	}
--- a/internal/lineproxy/proxy.go
+++ b/internal/lineproxy/proxy.go
@@ -29,9 +29,8 @@
 const (
 	// storeTimeout bounds a call to the store beside the time that a watch waits.
 	storeTimeout = time.Second
-	// watchWait is the time that the store holds a watch back. With storeTimeout it bounds how long a
-	// connection that went silent keeps a configuration away.
-	watchWait = 1500 * time.Millisecond
+	// leastWatchWait is the least time that the store holds a watch back.
+	leastWatchWait = 500 * time.Millisecond
 	// watchPause is the time between two watches.
 	watchPause = 10 * time.Millisecond
 	// watchRetry bounds the time between two calls while the store cannot be reached, so that a configuration
@@ -153,7 +152,7 @@
 
 // follow keeps one kind of objects until ctx ends.
 func (p *Proxy) follow(ctx context.Context, kind string, take func(api.Object), reached func(error)) {
-	options := objectstore.FollowOptions{Kinds: []string{kind}, Wait: watchWait, Pause: watchPause, MaxRetry: watchRetry, Reached: reached}
+	options := objectstore.FollowOptions{Kinds: []string{kind}, Wait: p.watchWait(), Pause: watchPause, MaxRetry: watchRetry, Reached: reached}
 	err := objectstore.FollowSource(ctx, p.store, options, func(list api.ObjectList) {
 		for _, object := range list.Objects {
 			take(object)
@@ -164,6 +163,13 @@
 	}
 }
 
+// watchWait is the time that the store holds a watch back. With storeTimeout it bounds how long a connection that
+// went silent keeps a configuration away.
+func (p *Proxy) watchWait() time.Duration {
+	apply := time.Duration(p.settings.Load().Fleet.ConfigApplyMs) * time.Millisecond
+	return max(leastWatchWait, apply-storeTimeout)
+}
+
 func (p *Proxy) takeConfiguration(o api.Object) {
 	if o.Deleted {
 		logrus.WithField("object", o.Name).Warn("configuration_deleted")
--- /dev/null
+++ b/internal/policy/spread/spread_test.go
@@ -0,0 +1,37 @@
+package spread
+
+import (
+	"testing"
+	"time"
+)
+
+func names(candidates []Candidate) string {
+	text := ""
+	for _, c := range candidates {
+		text += c.Name
+	}
+	return text
+}
+
+// TestOrder plays loads in which a read has several targets.
+func TestOrder(t *testing.T) {
+	idle := func(name string) Candidate { return Candidate{Name: name, Slots: 5, Service: 30 * time.Millisecond} }
+	with := func(c Candidate, change func(*Candidate)) Candidate { change(&c); return c }
+	tests := map[string]struct {
+		candidates []Candidate
+		want       string
+	}{
+		"own zone first":            {[]Candidate{idle("a"), with(idle("b"), func(c *Candidate) { c.SameZone = true })}, "ba"},
+		"replica before primary":    {[]Candidate{with(idle("a"), func(c *Candidate) { c.Primary = true }), idle("b")}, "ba"},
+		"busy own zone is left":     {[]Candidate{with(idle("a"), func(c *Candidate) { c.SameZone, c.Busy = true, 9 }), idle("b")}, "ba"},
+		"a little busy is not left": {[]Candidate{with(idle("a"), func(c *Candidate) { c.SameZone, c.Busy = true, 3 }), idle("b")}, "ab"},
+		"behind after all others":   {[]Candidate{with(idle("a"), func(c *Candidate) { c.Behind = true }), with(idle("b"), func(c *Candidate) { c.Busy = 50 })}, "ba"},
+		"doubtful last":             {[]Candidate{with(idle("a"), func(c *Candidate) { c.Doubtful = true }), with(idle("b"), func(c *Candidate) { c.Behind = true })}, "ba"},
+	}
+	for name, test := range tests {
+		Order(test.candidates)
+		if got := names(test.candidates); got != test.want {
+			t.Errorf("%s: %s, want %s", name, got, test.want)
+		}
+	}
+}
--- a/internal/roster/roster.go
+++ b/internal/roster/roster.go
@@ -23,12 +23,12 @@
 
 const (
 	// refreshInterval is the time between two changes of a daemon's own entry.
-	refreshInterval = 10 * time.Second
+	refreshInterval = 20 * time.Second
 	// absentAfter is the time after which an entry that has not changed no longer counts.
 	absentAfter = 3 * refreshInterval
 	// firstRead and lastRead bound the time between two reads, which doubles: daemons start together.
 	firstRead = 500 * time.Millisecond
-	lastRead  = 4 * time.Second
+	lastRead  = 8 * time.Second
 )
 
 // Store is what a roster needs of the object store.
--- a/standin/lines/proxy_test.go
+++ b/standin/lines/proxy_test.go
@@ -383,3 +383,16 @@
 	c.await("ready", d.isReady)
 	c.await("served", func() bool { return c.try(d, strictDatabase, "READ x").Code == "" })
 }
+
+// TestDaemonWithOneReplicaLeftSendsCallersElsewhere leaves one replica in reach, as a cut zone does: it proves that nothing was
+// promoted, but nothing that needs the primary is served.
+func TestDaemonWithOneReplicaLeftSendsCallersElsewhere(t *testing.T) {
+	c := newCluster(t, 1)
+	d := c.daemons[0]
+	c.group.Database("a").SetDark(true)
+	c.group.Database("c").SetDark(true)
+	c.await("not ready", func() bool { c.try(d, strictDatabase, "READ x"); return !d.isReady() })
+	c.group.Database("a").SetDark(false)
+	c.group.Database("c").SetDark(false)
+	c.await("ready", d.isReady)
+}
