--- a/internal/engine/execute.go
+++ b/internal/engine/execute.go
@@ -35,6 +35,8 @@
 	arrived     time.Time
 	arrivedBoot time.Duration
 	attempts    int
+	// hopeless is true when the last target is known not to be reached, so that it is not asked again soon.
+	hopeless bool
 }
 
 // deadline is the end of the route's time limit.
@@ -190,11 +192,13 @@
 		r.attempts++
 		reply, failed := r.readAt(m, plan)
 		if failed == nil {
+			r.logServed("read")
 			return reply, nil
 		}
+		r.logAttempt(m, plan, failed)
 		refusal = failed
 		tried[m] = true
-		if !r.mayTryAgain(failed) {
+		if !r.mayTryAgain(failed) || plan.onlyPrimary && r.hopeless {
 			break
 		}
 	}
@@ -238,7 +242,7 @@
 func (r *request) readAt(m *member, plan readPlan) (Reply, *Refusal) {
 	conn, err := r.acquire(m)
 	if err != nil {
-		return Reply{}, refusalOf(err)
+		return Reply{}, r.unavailable(err)
 	}
 	command := r.session.commandFor(r.statement)
 	if plan.onlyPrimary {
@@ -290,9 +294,19 @@
 	if err != nil && !n.openOnly {
 		r.noteUnavailable(m, err)
 	}
+	r.hopeless = err != nil && n.openOnly && result.CodeOf(err) == result.NotRunUnreachable
 	return conn, err
 }
 
+// unavailable returns the refusal when a target gave no connection.
+func (r *request) unavailable(err error) *Refusal {
+	refusal := refusalOf(err)
+	if refusal.RetryAfter == 0 {
+		refusal.RetryAfter = promotionEstimate
+	}
+	return refusal
+}
+
 // noteUnavailable takes in that no connection could be had. A full queue is no fault of the target.
 func (r *request) noteUnavailable(m *member, err error) {
 	switch result.CodeOf(err) {
@@ -324,8 +338,10 @@
 		r.attempts++
 		reply, problem, again := r.writeAt(m)
 		if problem == nil {
+			r.logServed("write")
 			return reply, nil
 		}
+		r.logAttempt(m, readPlan{onlyPrimary: true}, problem)
 		refusal = problem
 		if !again {
 			return Reply{}, refusal
@@ -349,8 +365,12 @@
 	return nil
 }
 
-// mayRetryAcquire reports whether another attempt at the primary may find a connection. A full queue stays full.
-func mayRetryAcquire(code result.Code) bool {
+// mayRetryAcquire reports whether another attempt at the primary may find a connection. A full queue stays full, and a
+// target that could not be reached a moment ago stays so for longer than a statement waits.
+func (r *request) mayRetryAcquire(code result.Code) bool {
+	if r.hopeless {
+		return false
+	}
 	switch code {
 	case result.NotRunUnreachable, result.NotRunTargetLeaving, result.NotRunNoSlot:
 		return true
@@ -362,8 +382,8 @@
 func (r *request) writeAt(m *member) (Reply, *Refusal, bool) {
 	conn, err := r.acquire(m)
 	if err != nil {
-		refusal := refusalOf(err)
-		return Reply{}, refusal, mayRetryAcquire(refusal.Code)
+		refusal := r.unavailable(err)
+		return Reply{}, refusal, r.mayRetryAcquire(refusal.Code)
 	}
 	outcome := r.run(m, conn, r.session.commandFor(r.statement))
 	m.pool.release(conn)
--- a/internal/engine/transaction.go
+++ b/internal/engine/transaction.go
@@ -125,11 +125,12 @@
 		if refusal == nil {
 			return nil
 		}
+		r.logAttempt(m, t.plan, refusal)
 		if t.readOnly || refusal.Code == result.NotRunReadOnly || refusal.Code == result.NotRunTargetLeaving {
 			tried[m] = true
 			continue
 		}
-		if !r.mayComeFree(refusal) && !mayRetryAcquire(refusal.Code) {
+		if !r.mayComeFree(refusal) && !r.mayRetryAcquire(refusal.Code) {
 			break
 		}
 	}
@@ -155,7 +156,7 @@
 	r := t.request
 	conn, err := r.acquire(m)
 	if err != nil {
-		return refusalOf(err)
+		return r.unavailable(err)
 	}
 	if t.plan.onlyPrimary {
 		r.group.wantAuthority()
@@ -233,6 +234,7 @@
 		return s.refused(r.noteTargetFailure(t.member, failure))
 	}
 	r.group.noteReply(t.member, outcome.reply, outcome.askedAt, t.wrote)
+	r.logServed("transaction")
 	if t.wrote {
 		s.noteCommit(outcome.reply.Position)
 	}
--- a/internal/operator/explain_command.go
+++ b/internal/operator/explain_command.go
@@ -4,6 +4,7 @@
 	"context"
 	"fmt"
 	"net/url"
+	"os"
 	"strconv"
 	"strings"
 
@@ -20,6 +21,7 @@
 	flagSession = "session"
 	flagKind    = "kind"
 	flagLimit   = "limit"
+	flagRequest = "request"
 )
 
 func explainCommand() *cli.Command {
@@ -30,6 +32,7 @@
 			&cli.StringFlag{Name: flagGroup, Usage: "only decisions on this `GROUP`"},
 			&cli.StringFlag{Name: flagSession, Usage: "only decisions for this `SESSION`"},
 			&cli.StringFlag{Name: flagKind, Usage: "only promotion, read, write or refusal, or one log `EVENT`"},
+			&cli.StringFlag{Name: flagRequest, Usage: "tell the story of this request `ID` from the logs in the files that follow, or from standard input"},
 			&cli.IntFlag{Name: flagLimit, Value: defaultDecisions, Usage: "newest decisions to show"},
 		},
 		Action: explain,
@@ -37,6 +40,9 @@
 }
 
 func explain(ctx context.Context, cmd *cli.Command) error {
+	if request := cmd.String(flagRequest); request != "" {
+		return explainRequest(cmd, request)
+	}
 	daemons, err := daemonsOf(ctx, cmd)
 	if err != nil {
 		return err
@@ -54,6 +60,16 @@
 	return outputOf(cmd).value(story, storyText(story)+missingText(last))
 }
 
+// explainRequest tells the story of one request from logs.
+func explainRequest(cmd *cli.Command, request string) error {
+	lines, err := readLogs(cmd.Args().Slice(), os.Stdin)
+	if err != nil {
+		return err
+	}
+	_, err = fmt.Fprint(cmd.Root().Writer, requestStoryText(requestStory(lines, request)))
+	return err
+}
+
 func decisionQuery(cmd *cli.Command, event string) string {
 	query := url.Values{flagLimit: {strconv.Itoa(cmd.Int(flagLimit))}}
 	for _, name := range []string{flagGroup, flagSession} {
--- a/internal/operator/story.go
+++ b/internal/operator/story.go
@@ -29,6 +29,19 @@
 
 // eventTexts say in words what a daemon did; other events are shown by name.
 var eventTexts = map[string]string{
+	"attempt_failed":          "is not served by one target",
+	"statement_served":        "serves the statement",
+	"isolation_changed":       "loses or regains most targets",
+	"primary_changed":         "learns of another primary",
+	"promotion_begun":         "begins a promotion",
+	"promotion_choice":        "chooses the target to promote",
+	"promotion_ordered":       "orders the promotion",
+	"promotion_done":          "sees the promoted target lead",
+	"promotion_given_up":      "gives a promotion up",
+	"directory_not_settled":   "does not promote yet",
+	"target_missing":          "misses the entry of a target",
+	"target_gone":             "gives a target up",
+	"witness_lost":            "loses a replica that may alone have commits",
 	"acknowledged_cut":        "tells a session that writes it relied on were cut",
 	"admission_refused":       "has no room for a batch",
 	"batch_classified":        "tells reads from writes",
