--- a/internal/engine/engine.go
+++ b/internal/engine/engine.go
@@ -37,8 +37,11 @@
 	// isolated is true while the daemon is cut off from most targets.
 	isolated atomic.Bool
 	nextID   atomic.Uint64
-	ctx      context.Context
-	stop     context.CancelFunc
+	// directoryFailed is the time of the boot clock, in nanoseconds, when the entries of targets could last not be
+	// followed; it begins with the start.
+	directoryFailed atomic.Int64
+	ctx             context.Context
+	stop            context.CancelFunc
 
 	mu            sync.Mutex
 	configuration Configuration
@@ -46,20 +49,19 @@
 	isConfigured  bool
 	groups        map[string]*group
 	daemons       int
-	// directoryFailed is the time of the boot clock when the entries of targets could last not be followed; it
-	// begins with the start.
-	directoryFailed time.Duration
-	sessions        map[*session]struct{}
+	sessions      map[*session]struct{}
 }
 
 // New returns an engine without a configuration.
 func New(options Options) *Engine {
 	options.Dialer = countingDialer{options.Dialer}
 	ctx, stop := context.WithCancel(context.Background())
-	return &Engine{
-		options: options, ctx: ctx, stop: stop, configured: make(chan struct{}), daemons: 1, directoryFailed: clock.Boot(),
+	e := &Engine{
+		options: options, ctx: ctx, stop: stop, configured: make(chan struct{}), daemons: 1,
 		groups: make(map[string]*group), sessions: make(map[*session]struct{}),
 	}
+	e.directoryFailed.Store(int64(clock.Boot()))
+	return e
 }
 
 // Configure puts a configuration into force, unless it is older than the one in force.
@@ -88,11 +90,12 @@
 	if g, ok := e.groups[name]; ok {
 		return g
 	}
-	g := newGroup(name, e.options.Zone, e.options.Dialer)
+	g := newGroup(name, e.options.Zone, e.options.Dialer, e.isDirectorySettled)
 	e.groups[name] = g
 	if len(e.groups) == 1 {
 		go e.watchIsolation()
 	}
+	go g.serveProofs(e.ctx)
 	go g.observe(e.ctx, func(reason takeover.Reason) { go e.takeOver(g, reason) })
 	return g
 }
@@ -120,17 +123,13 @@
 	if err == nil || errors.Is(err, objectstore.ErrCompacted) {
 		return
 	}
-	e.mu.Lock()
-	defer e.mu.Unlock()
-	e.directoryFailed = clock.Boot()
+	e.directoryFailed.Store(int64(clock.Boot()))
 }
 
 // isDirectorySettled reports whether the entries have been followed for as long as lapsed ones take to come back. Before,
 // a target that has acknowledged commits may be missing.
 func (e *Engine) isDirectorySettled() bool {
-	e.mu.Lock()
-	defer e.mu.Unlock()
-	return clock.Boot()-e.directoryFailed >= removalGrace
+	return clock.Boot()-time.Duration(e.directoryFailed.Load()) >= removalGrace
 }
 
 // SetDaemons takes in the number of daemons that share the targets.
--- a/internal/engine/execute.go
+++ b/internal/engine/execute.go
@@ -35,6 +35,8 @@
 	arrived     time.Time
 	arrivedBoot time.Duration
 	attempts    int
+	// mayWrite is true in a transaction that only the primary can serve.
+	mayWrite bool
 	// hopeless is true when the last target is known not to be reached, so that it is not asked again soon.
 	hopeless bool
 }
@@ -159,7 +161,7 @@
 func (r *request) plan() readPlan {
 	now := clock.Boot()
 	if r.route.Consistency == ConsistencyStrict {
-		return readPlan{provedSince: r.arrivedBoot, onlyPrimary: true}
+		return r.planWithoutAge(api.Position{})
 	}
 	own := api.Position{}
 	if r.route.Consistency == ConsistencySession {
@@ -167,11 +169,22 @@
 	}
 	position, ok := r.group.ageFloor(now, r.route.MaxAge-floorMargin)
 	if !ok {
-		return readPlan{floor: own, provedSince: r.arrivedBoot, onlyPrimary: true}
+		return r.planWithoutAge(own)
 	}
 	return readPlan{floor: floor.Max(own, position), fresh: own != (api.Position{}) && now-r.session.committedAt < freshFor}
 }
 
+// planWithoutAge decides for a read that has to see every commit acknowledged before it arrived. The primary serves it;
+// while that is silent, a replica that has all that any replica had received since.
+func (r *request) planWithoutAge(own api.Position) readPlan {
+	if !r.mayWrite && r.group.servesWithoutPrimary() {
+		if position, ok := r.group.awaitReplicaFloor(r.arrivedBoot, r.startBy()); ok {
+			return readPlan{floor: floor.Max(own, position)}
+		}
+	}
+	return readPlan{floor: own, provedSince: r.arrivedBoot, onlyPrimary: true}
+}
+
 // read tries targets until one answers. A read is idempotent, so a lost answer only costs time.
 func (r *request) read() (Reply, *Refusal) {
 	var refusal *Refusal
@@ -270,10 +283,14 @@
 // floorNow returns the floor of a read that has waited for its connection: the allowed age counts from
 // now where a sample is left for it, and from the plan otherwise.
 func (r *request) floorNow(plan readPlan) api.Position {
-	if now := r.plan(); !now.onlyPrimary {
-		return now.floor
+	if r.route.Consistency == ConsistencyStrict {
+		return plan.floor
+	}
+	position, ok := r.group.ageFloor(clock.Boot(), r.route.MaxAge-floorMargin)
+	if !ok {
+		return plan.floor
 	}
-	return plan.floor
+	return floor.Max(plan.floor, position)
 }
 
 // proofDeadline bounds the wait for a proof.
--- a/internal/engine/group.go
+++ b/internal/engine/group.go
@@ -56,6 +56,8 @@
 	name   string
 	zone   string
 	dialer Dialer
+	// settled reports whether no target is missing among the members.
+	settled func() bool
 
 	mu      sync.Mutex
 	members map[string]*member
@@ -85,9 +87,9 @@
 	proofRequests chan struct{}
 }
 
-func newGroup(name, zone string, dialer Dialer) *group {
+func newGroup(name, zone string, dialer Dialer, settled func() bool) *group {
 	return &group{
-		name: name, zone: zone, dialer: dialer, daemons: 1,
+		name: name, zone: zone, dialer: dialer, settled: settled, daemons: 1,
 		members: make(map[string]*member), statuses: make(map[string]authority.Status),
 		changed: make(chan struct{}), lookRequests: make(chan struct{}, 1), proofRequests: make(chan struct{}, 1),
 	}
@@ -366,6 +368,33 @@
 	}
 }
 
+// awaitReplicaFloor waits for a position that covers every commit acknowledged before since, while the primary is silent.
+// False means that none came, or that the primary answers.
+func (g *group) awaitReplicaFloor(since time.Duration, deadline time.Time) (api.Position, bool) {
+	for {
+		g.mu.Lock()
+		now := clock.Boot()
+		silent := g.isLeaderSilent(now)
+		position, ok := g.samples.Oldest(since, now-samplesKept)
+		changed := g.changed
+		g.mu.Unlock()
+		if !silent || ok {
+			return position, ok
+		}
+		ask(g.proofRequests)
+		if !awaitChange(changed, deadline) {
+			return api.Position{}, false
+		}
+	}
+}
+
+// servesWithoutPrimary reports whether there is no primary that answers and the replicas can tell a floor.
+func (g *group) servesWithoutPrimary() bool {
+	g.mu.Lock()
+	defer g.mu.Unlock()
+	return g.isLeaderSilent(clock.Boot()) && g.knowsReplicas()
+}
+
 func awaitChange(changed <-chan struct{}, deadline time.Time) bool {
 	timer := time.NewTimer(time.Until(deadline))
 	defer timer.Stop()
--- a/internal/engine/observe.go
+++ b/internal/engine/observe.go
@@ -3,7 +3,9 @@
 import (
 	"context"
 	"errors"
+	"fmt"
 	"maps"
+	"slices"
 	"sync"
 	"time"
 
@@ -11,12 +13,15 @@
 
 	"github.com/papayacove/papayacove/internal/clock"
 	"github.com/papayacove/papayacove/internal/policy/authority"
+	"github.com/papayacove/papayacove/internal/policy/floor"
 	"github.com/papayacove/papayacove/internal/policy/takeover"
 )
 
 const (
 	// observeInterval is the time between two looks at whether status calls are needed.
 	observeInterval = 100 * time.Millisecond
+	// leastProofPause is the least time between two proofs.
+	leastProofPause = 20 * time.Millisecond
 	// leastLookPause is the least time between two rounds of status calls.
 	leastLookPause = 50 * time.Millisecond
 	// silentAfter is the time without an answer after which a busy primary is looked at.
@@ -39,12 +44,10 @@
 			return
 		case <-ticker.C:
 			need = g.neededLook()
-		case <-g.proofRequests:
-			need = lookProof
 		case <-g.lookRequests:
 			need = lookAll
 		}
-		if need == lookNone || need == lookProof && g.renew() {
+		if need == lookNone {
 			continue
 		}
 		if reason := g.look(); reason != takeover.ReasonNone {
@@ -56,13 +59,28 @@
 	}
 }
 
-// lookNeed is the extent of a round of status calls.
+// serveProofs fetches proofs for the statements that need one, until ctx ends. It does not wait for a silent primary.
+func (g *group) serveProofs(ctx context.Context) {
+	for {
+		select {
+		case <-ctx.Done():
+			return
+		case <-g.proofRequests:
+		}
+		if !g.renew() {
+			g.requestLook()
+		}
+		if clock.Sleep(ctx, leastProofPause) != nil {
+			return
+		}
+	}
+}
+
+// lookNeed is whether a round of status calls is needed.
 type lookNeed uint8
 
 const (
 	lookNone lookNeed = iota
-	// lookProof asks one replica, which is enough for a proof.
-	lookProof
 	// lookAll asks all targets.
 	lookAll
 )
@@ -89,7 +107,8 @@
 	return lookNone
 }
 
-// renew asks one replica, and reports whether that proved that the primary still leads.
+// renew asks one replica, or all of them while the primary is silent, and reports whether that proved that the primary
+// still leads.
 func (g *group) renew() bool {
 	asked := g.witnesses()
 	if len(asked) == 0 {
@@ -100,16 +119,41 @@
 	defer g.mu.Unlock()
 	g.remember(statuses)
 	g.electLeader()
+	g.takeReplicaSample(statuses)
 	return g.takeProof(statuses)
 }
 
+// takeReplicaSample takes in a position that covers all acknowledged commits, told by all replicas, so that reads go on
+// while the primary is silent. The caller holds the lock.
+func (g *group) takeReplicaSample(statuses map[string]authority.Status) {
+	if !g.knowsReplicas() {
+		return
+	}
+	counted := slices.Collect(maps.Keys(g.witnessable()))
+	if position, askedAt, ok := authority.ReplicaFloor(statuses, counted, g.leader, g.term); ok {
+		g.samples.Add(askedAt, position)
+		g.broadcast()
+	}
+}
+
+// knowsReplicas reports whether the members hold every replica that may have acknowledged commits, and commits wait for
+// one. The caller holds the lock.
+func (g *group) knowsReplicas() bool {
+	return g.settled() && g.limits.SyncReplicas >= 1 && len(g.owed.Names(clock.Boot())) == 0
+}
+
 // witnesses returns the replica that is asked for a proof, in the own zone where there is one, or the primary of a group
-// without replicas; none without a primary.
+// without replicas. While the primary is silent or there is none they are all targets that may count but the primary.
 func (g *group) witnesses() map[string]*member {
 	now := clock.Boot()
 	g.mu.Lock()
 	defer g.mu.Unlock()
 	leader, ok := g.members[g.leader]
+	if g.isLeaderSilent(now) {
+		asked := g.witnessable()
+		delete(asked, g.leader)
+		return asked
+	}
 	if !ok {
 		return nil
 	}
@@ -235,6 +279,7 @@
 	g.remember(statuses)
 	g.electLeader()
 	g.noteIsolation(len(statuses), began)
+	g.takeReplicaSample(statuses)
 	g.takeProof(statuses)
 	for _, name := range g.owed.Settle(g.leader, statuses) {
 		g.log().WithField("target", name).Info("witness_replaced")
@@ -254,6 +299,7 @@
 // remember keeps the answers; one that was busy keeps its last known role. The caller holds the lock.
 func (g *group) remember(statuses map[string]authority.Status) {
 	for name, s := range statuses {
+		g.noteLostLog(name, s)
 		if m, ok := g.members[name]; ok {
 			m.avoidUntil, m.answeredAt, m.heardAt = 0, clock.Boot(), clock.Boot()
 		}
@@ -305,6 +351,24 @@
 	return members
 }
 
+// noteLostLog takes in that a replica holds less than before: it has started anew without its log, which may alone have had
+// acknowledged commits. The caller holds the lock.
+func (g *group) noteLostLog(name string, s authority.Status) {
+	before, known := g.statuses[name]
+	if !known || s.Role != authority.RoleReplica || floor.Compare(s.Received, before.Received) >= 0 {
+		return
+	}
+	if g.owed.Lose(fmt.Sprintf("%s up to %d.%d", name, before.Received.Term, before.Received.Offset), before, clock.Boot()) {
+		g.log().WithFields(logrus.Fields{"target": name, "held": before.Received, "holds": s.Received}).Info("witness_lost")
+	}
+}
+
+// isLeaderSilent reports whether there is no primary that answers. The caller holds the lock.
+func (g *group) isLeaderSilent(now time.Duration) bool {
+	leader, ok := g.members[g.leader]
+	return !ok || now < leader.avoidUntil || g.watch.IsSilent()
+}
+
 // judged replaces the answers of busy targets by their last known ones. The caller holds the lock.
 func (g *group) judged(statuses map[string]authority.Status) map[string]authority.Status {
 	judged := make(map[string]authority.Status, len(statuses))
--- a/internal/engine/transaction.go
+++ b/internal/engine/transaction.go
@@ -35,6 +35,7 @@
 	if refusal != nil {
 		return s.refused(refusal)
 	}
+	r.mayWrite = statement.Op == OpBegin
 	s.transaction = &transaction{session: s, begin: statement, readOnly: statement.Op == OpBeginReadOnly, request: r}
 	return s.local()
 }
--- a/internal/policy/authority/authority.go
+++ b/internal/policy/authority/authority.go
@@ -11,6 +11,7 @@
 	"time"
 
 	"github.com/papayacove/papayacove/api"
+	"github.com/papayacove/papayacove/internal/policy/floor"
 )
 
 // Term is the time for which a proof holds. A promoter waits it out, so it is a part of the time
@@ -89,3 +90,23 @@
 	}
 	return latest, found
 }
+
+// ReplicaFloor returns a position that covers every commit that was acknowledged before askedAt, from the replicas alone: a
+// commit is acknowledged after a replica has received it. All targets that may count have to answer as replicas of the
+// term; the leader, which may be silent, is left out. Groups whose commits wait for no replica have no such floor.
+func ReplicaFloor(statuses map[string]Status, counted []string, leader string, term uint64) (position api.Position, askedAt time.Duration, ok bool) {
+	for _, name := range counted {
+		if name == leader {
+			continue
+		}
+		s, answered := statuses[name]
+		if !answered || s.Role != RoleReplica || s.Term != term {
+			return api.Position{}, 0, false
+		}
+		if !ok || s.AskedAt < askedAt {
+			askedAt = s.AskedAt
+		}
+		position, ok = floor.Max(position, s.Received), true
+	}
+	return position, askedAt, ok
+}
--- a/internal/policy/takeover/model_test.go
+++ b/internal/policy/takeover/model_test.go
@@ -13,6 +13,7 @@
 
 	"github.com/papayacove/papayacove/api"
 	"github.com/papayacove/papayacove/internal/policy/authority"
+	"github.com/papayacove/papayacove/internal/policy/floor"
 )
 
 // TestMain fixes the seed of the property tests unless one is given.
@@ -56,6 +57,7 @@
 	proofTerm  uint64
 	promotions int
 	reads      int
+	floors     int
 }
 
 // modelPromoter carries out one promotion step by step.
@@ -222,6 +224,26 @@
 	}
 }
 
+// replicaFloor checks that the floor that the replicas give without the primary covers every acknowledged commit.
+func (w *world) replicaFloor(t *rapid.T) {
+	statuses := map[string]authority.Status{}
+	for name := range w.targets {
+		if w.targets[name].up && rapid.Bool().Draw(t, "answers_"+name) {
+			statuses[name] = w.status(name)
+		}
+	}
+	position, _, ok := authority.ReplicaFloor(statuses, []string{"a", "b", "c"}, w.proofFor, w.proofTerm)
+	if !ok || w.proofFor == "" {
+		return
+	}
+	w.floors++
+	for _, acked := range w.acked {
+		if floor.Compare(position, acked) < 0 {
+			t.Fatalf("the replicas' floor %v in term %d lacks the acknowledged commit %v", position, w.proofTerm, acked)
+		}
+	}
+}
+
 // read checks that a read at the proved primary sees every acknowledged commit.
 func (w *world) read(t *rapid.T) {
 	target, ok := w.targets[w.proofFor]
@@ -239,10 +261,10 @@
 // TestPromotionKeepsAcknowledgedCommits interleaves commits, crashes, cuts, pauses, promotions and reads. Nothing
 // asks for the status after a write: the acknowledgement of the target is enough.
 func TestPromotionKeepsAcknowledgedCommits(t *testing.T) {
-	promotions, reads := 0, 0
+	promotions, reads, floors := 0, 0, 0
 	rapid.Check(t, func(t *rapid.T) {
 		w := newWorld()
-		defer func() { promotions, reads = promotions+w.promotions, reads+w.reads }()
+		defer func() { promotions, reads, floors = promotions+w.promotions, reads+w.reads, floors+w.floors }()
 		names := []string{"a", "b", "c"}
 		t.Repeat(map[string]func(*rapid.T){
 			"commit": w.commit,
@@ -295,11 +317,12 @@
 				}
 			},
 			"prove": w.prove,
+			"floor": w.replicaFloor,
 			"read":  w.read,
 		})
 	})
-	if promotions == 0 || reads == 0 {
-		t.Errorf("%d promotions and %d proved reads: the model tests nothing", promotions, reads)
+	if promotions == 0 || reads == 0 || floors == 0 {
+		t.Errorf("%d promotions, %d proved reads, %d floors: the model tests nothing", promotions, reads, floors)
 	}
-	t.Logf("%d promotions, %d proved reads", promotions, reads)
+	t.Logf("%d promotions, %d proved reads, %d floors", promotions, reads, floors)
 }
--- a/internal/policy/takeover/takeover.go
+++ b/internal/policy/takeover/takeover.go
@@ -62,6 +62,9 @@
 	At    time.Duration
 }
 
+// IsSilent reports whether the primary did not answer the last round, or does not lead.
+func (w *Watch) IsSilent() bool { return w.misses > 0 }
+
 // IsSuspicious reports whether the last round spoke against the primary.
 func (w *Watch) IsSuspicious() bool { return w.misses > 0 || w.behind != (api.Position{}) }
 
--- a/standin/lines/provider.go
+++ b/standin/lines/provider.go
@@ -6,6 +6,7 @@
 	"net/http"
 	"strconv"
 	"sync"
+	"sync/atomic"
 )
 
 // Order is one order to promote as the provider saw it.
@@ -21,6 +22,9 @@
 	listener net.Listener
 	groups   map[string]*Group
 
+	// Refuse answers every order as if no target ran.
+	Refuse atomic.Bool
+
 	mu     sync.Mutex
 	orders []Order
 }
@@ -65,7 +69,7 @@
 	p.mu.Lock()
 	p.orders = append(p.orders, Order{r.Header.Get("Lease-Holder"), token, body.Id})
 	p.mu.Unlock()
-	if g, ok := p.groups[body.Backend]; !ok || !g.Promote(body.Id) {
+	if g, ok := p.groups[body.Backend]; p.Refuse.Load() || !ok || !g.Promote(body.Id) {
 		w.WriteHeader(http.StatusConflict)
 	}
 }
--- a/standin/lines/proxy_test.go
+++ b/standin/lines/proxy_test.go
@@ -396,3 +396,28 @@
 	c.group.Database("c").SetDark(false)
 	c.await("ready", d.isReady)
 }
+
+// TestReadsGoOnWhileThePrimaryIsSilent makes the primary silent while the order to promote is refused, so that it stays so.
+func TestReadsGoOnWhileThePrimaryIsSilent(t *testing.T) {
+	c := newCluster(t, 2)
+	time.Sleep(settleTime)
+	writer := c.dial(c.daemons[0], sessionDatabase)
+	c.run(writer, "WRITE x last")
+	c.provider.Refuse.Store(true)
+	c.group.Database("a").SetDark(true)
+	c.await("writes fail", func() bool { return c.try(c.daemons[0], strictDatabase, "WRITE y 1").Code != "" })
+	for _, database := range []string{strictDatabase, sessionDatabase, agedDatabase} {
+		for _, d := range c.daemons {
+			c.await("a read on "+database, func() bool {
+				r := c.try(d, database, "READ x")
+				if r.Code == "" && r.Rows[0] != "last" {
+					t.Errorf("%s read %q", database, r.Rows[0])
+				}
+				return r.Code == ""
+			})
+		}
+	}
+	if r, err := writer.Run("READ x"); err != nil || r.Code != "" || r.Rows[0] != "last" {
+		t.Errorf("the writer's own session: %+v %v", r, err)
+	}
+}
