--- a/internal/engine/engine.go
+++ b/internal/engine/engine.go
@@ -90,7 +90,7 @@
 	if g, ok := e.groups[name]; ok {
 		return g
 	}
-	g := newGroup(name, e.options.Zone, e.options.Dialer, e.isDirectorySettled)
+	g := newGroup(name, e.options, e.isDirectorySettled)
 	e.groups[name] = g
 	if len(e.groups) == 1 {
 		go e.watchIsolation()
--- a/internal/engine/group.go
+++ b/internal/engine/group.go
@@ -42,6 +42,8 @@
 	unanswered int
 	// latency is the moving average of the time that a statement takes there, with the target's own queue.
 	latency time.Duration
+	// leavingSince is the time of the boot clock since when the target is known to leave; 0 when it does not.
+	leavingSince time.Duration
 	// missing ends the use of the target unless its entry comes back; nil while there is an entry.
 	missing *time.Timer
 	// doubtUntil is the time of the boot clock until which the target is tried last.
@@ -56,6 +58,8 @@
 	name   string
 	zone   string
 	dialer Dialer
+	// drainTimeout is the time after which a leaving target gets no new work.
+	drainTimeout time.Duration
 	// settled reports whether no target is missing among the members.
 	settled func() bool
 
@@ -87,9 +91,9 @@
 	proofRequests chan struct{}
 }
 
-func newGroup(name, zone string, dialer Dialer, settled func() bool) *group {
+func newGroup(name string, options Options, settled func() bool) *group {
 	return &group{
-		name: name, zone: zone, dialer: dialer, settled: settled, daemons: 1,
+		name: name, zone: options.Zone, dialer: options.Dialer, drainTimeout: options.DrainTimeout, settled: settled, daemons: 1,
 		members: make(map[string]*member), statuses: make(map[string]authority.Status),
 		changed: make(chan struct{}), lookRequests: make(chan struct{}, 1), proofRequests: make(chan struct{}, 1),
 	}
@@ -151,6 +155,7 @@
 	g.owed.Forget(t.Name)
 	changed := !known || m.target.SaysPrimary != t.SaysPrimary || m.target.Leaving != t.Leaving
 	m.target = t
+	m.noteLeaving(clock.Boot())
 	if !changed {
 		return
 	}
@@ -168,6 +173,26 @@
 	return m.target
 }
 
+// drainReserve is the part of the drain timeout that is kept for statements on their way, and for the time in which
+// this daemon learnt that the target leaves.
+const drainReserve = 1500 * time.Millisecond
+
+// noteLeaving keeps the time since when the target leaves. The caller holds the lock of the group.
+func (m *member) noteLeaving(now time.Duration) {
+	switch {
+	case !m.target.Leaving:
+		m.leavingSince = 0
+	case m.leavingSince == 0:
+		m.leavingSince = now
+	}
+}
+
+// takesWork reports whether statements may begin at a target. One that leaves gets none near the end of its drain timeout,
+// also if it leads still. The caller holds the lock.
+func (g *group) takesWork(m *member, now time.Duration) bool {
+	return m.leavingSince == 0 || now-m.leavingSince < g.drainTimeout-drainReserve
+}
+
 // missTarget takes in that the entry of a target is gone. One that has announced its leave has left. Any other may
 // have lapsed while the store was down, and still counts for acknowledged commits: it stays for a while.
 func (g *group) missTarget(name string) {
@@ -339,8 +364,9 @@
 		g.mu.Lock()
 		g.lastUsed = clock.Boot()
 		m, changed := g.members[g.leader], g.changed
+		usable := m != nil && m != not && g.takesWork(m, g.lastUsed)
 		g.mu.Unlock()
-		if m != nil && m != not {
+		if usable {
 			return m
 		}
 		if !awaitChange(changed, deadline) {
@@ -434,7 +460,7 @@
 	members := make(map[string]*member, len(g.members))
 	candidates := make([]spread.Candidate, 0, len(g.members))
 	for name, m := range g.members {
-		if m.target.Leaving && name != g.leader {
+		if m.target.Leaving && (name != g.leader || !g.takesWork(m, now)) {
 			continue
 		}
 		members[name] = m
--- /dev/null
+++ b/internal/engine/group_test.go
@@ -0,0 +1,90 @@
+package engine
+
+import (
+	"testing"
+	"time"
+
+	"github.com/papayacove/papayacove/api"
+	"github.com/papayacove/papayacove/internal/clock"
+	"github.com/papayacove/papayacove/internal/policy/authority"
+)
+
+// newTestGroup returns a group of three targets of which a leads in term 1.
+func newTestGroup(target *fakeTarget) *group {
+	g := newGroup("g", Options{Zone: "z", Dialer: target, DrainTimeout: 7 * time.Second}, func() bool { return true })
+	g.setLimits(GroupLimits{MaxConnections: 30, SyncReplicas: 1}, 1)
+	for _, name := range []string{"a", "b", "c"} {
+		g.setTarget(Target{Name: name, Group: "g", Slots: 5, Zone: "z"})
+	}
+	now := clock.Boot()
+	g.takeIn(map[string]authority.Status{"a": leads(1, 10, now), "b": follows(1, 10, now), "c": follows(1, 10, now)}, now)
+	return g
+}
+
+func leads(term, offset uint64, askedAt time.Duration) authority.Status {
+	return authority.Status{Role: authority.RolePrimary, Term: term, Received: api.Position{Term: term, Offset: offset}, AskedAt: askedAt}
+}
+
+func follows(term, offset uint64, askedAt time.Duration) authority.Status {
+	return authority.Status{Role: authority.RoleReplica, Term: term, Received: api.Position{Term: term, Offset: offset}, AskedAt: askedAt}
+}
+
+func TestLeavingTargetGetsNoWorkNearTheEndOfItsTimeout(t *testing.T) {
+	g := newTestGroup(&fakeTarget{})
+	g.setTarget(Target{Name: "a", Group: "g", Slots: 5, Zone: "z", Leaving: true})
+	m := g.members["a"]
+	if !g.takesWork(m, m.leavingSince+time.Second) {
+		t.Error("no work a second after it announced its leave")
+	}
+	if g.takesWork(m, m.leavingSince+g.drainTimeout-drainReserve) {
+		t.Error("work at the end of the drain timeout")
+	}
+	g.setTarget(Target{Name: "a", Group: "g", Slots: 5, Zone: "z"})
+	if !g.takesWork(m, clock.Boot()+time.Hour) {
+		t.Error("no work after the leave was taken back")
+	}
+}
+
+func TestNewTermEndsAuthority(t *testing.T) {
+	g := newTestGroup(&fakeTarget{})
+	now := clock.Boot()
+	if g.leader != "a" || g.authorityUntil < now {
+		t.Fatalf("leader %q, authority %s", g.leader, g.authorityUntil-now)
+	}
+	g.takeIn(map[string]authority.Status{"b": leads(2, 10, now), "c": follows(2, 10, now)}, now)
+	if g.leader != "b" || g.term != 2 {
+		t.Errorf("leader %q in term %d", g.leader, g.term)
+	}
+	g.takeIn(map[string]authority.Status{"a": leads(1, 12, now)}, now)
+	if g.leader != "b" || g.term != 2 {
+		t.Errorf("an old primary took over: %q in term %d", g.leader, g.term)
+	}
+}
+
+// TestReplicaWithoutItsLogIsALostWitness lets a replica come back empty.
+func TestReplicaWithoutItsLogIsALostWitness(t *testing.T) {
+	g := newTestGroup(&fakeTarget{})
+	now := clock.Boot()
+	g.takeIn(map[string]authority.Status{"b": follows(1, 0, now), "c": follows(1, 9, now)}, now)
+	if len(g.owed.Names(now)) == 0 {
+		t.Error("the commits that only the lost log had are forgotten")
+	}
+	if g.knowsReplicas() {
+		t.Error("the replicas tell a floor without the lost log")
+	}
+}
+
+// TestFloorWithoutThePrimary asks the replicas while the primary is silent.
+func TestFloorWithoutThePrimary(t *testing.T) {
+	g := newTestGroup(&fakeTarget{})
+	// Samples close to one another are not kept.
+	now := clock.Boot() + 100*time.Millisecond
+	g.takeIn(map[string]authority.Status{"b": follows(1, 14, now), "c": follows(1, 12, now)}, now)
+	if position, ok := g.ageFloor(clock.Boot(), time.Second); !ok || position.Offset < 10 {
+		t.Errorf("floor %v, known %t", position, ok)
+	}
+	position, ok := g.samples.Oldest(now, 0)
+	if !ok || position.Offset != 14 {
+		t.Errorf("floor of this round: %v, known %t, want 14", position, ok)
+	}
+}
--- /dev/null
+++ b/internal/engine/seam_test.go
@@ -0,0 +1,219 @@
+package engine
+
+import (
+	"errors"
+	"fmt"
+	"io"
+	"testing"
+	"time"
+
+	"pgregory.net/rapid"
+
+	"github.com/papayacove/papayacove/api"
+	"github.com/papayacove/papayacove/internal/clock"
+	"github.com/papayacove/papayacove/internal/policy/authority"
+)
+
+// scriptedCaller plays statements and keeps the answers.
+type scriptedCaller struct {
+	statements []Statement
+	answers    []Answer
+}
+
+func (c *scriptedCaller) Next(time.Time) (Statement, error) {
+	if len(c.answers) == len(c.statements) {
+		return Statement{}, io.EOF
+	}
+	return c.statements[len(c.answers)], nil
+}
+
+func (c *scriptedCaller) Answer(a Answer) error {
+	c.answers = append(c.answers, a)
+	return nil
+}
+
+func (c *scriptedCaller) Close() error { return nil }
+
+// drawnTarget runs commands with drawn outcomes, and remembers what took effect.
+type drawnTarget struct {
+	t      *rapid.T
+	offset uint64
+	// kept counts how often a write was committed.
+	kept map[string]int
+	// open is the writes of the open transactions by connection.
+	open map[*fakeConnection][]string
+}
+
+var errLost = errors.New("connection lost")
+
+// exchange draws whether a command runs, and whether its answer comes.
+func (d *drawnTarget) exchange(conn *fakeConnection, command Command) (Reply, error) {
+	switch command.Op {
+	case OpSet, OpPrepare, OpDiscard:
+		return Reply{}, nil
+	}
+	outcome := rapid.SampledFrom([]string{"ok", "ok", "ok", "ok", "busy", "read only", "unknown", "lost before", "lost after"}).Draw(d.t, command.Op.String())
+	state := d.state(conn)
+	switch outcome {
+	case "busy":
+		return d.refuse(FailureBusy, state), nil
+	case "read only":
+		return d.refuse(FailureReadOnly, state), nil
+	case "unknown":
+		if command.Op == OpExecute {
+			return d.refuse(FailureUnknownStatement, state), nil
+		}
+	case "lost before":
+		delete(d.open, conn)
+		return Reply{}, errLost
+	}
+	d.run(conn, command)
+	if outcome == "lost after" {
+		delete(d.open, conn)
+		return Reply{}, errLost
+	}
+	return Reply{Signature: "s", State: d.state(conn), Position: api.Position{Term: 1, Offset: d.offset}}, nil
+}
+
+func (d *drawnTarget) state(conn *fakeConnection) TransactionState {
+	if _, open := d.open[conn]; open {
+		return StateOpen
+	}
+	return StateIdle
+}
+
+// refuse answers that nothing ran; inside a transaction it has failed.
+func (d *drawnTarget) refuse(kind FailureKind, state TransactionState) Reply {
+	if state == StateOpen {
+		state = StateFailed
+	}
+	return Reply{Failure: &TargetFailure{Kind: kind}, State: state, Position: api.Position{Term: 1, Offset: d.offset}}
+}
+
+func (d *drawnTarget) run(conn *fakeConnection, command Command) {
+	writes, open := d.open[conn]
+	switch command.Op {
+	case OpBegin, OpBeginReadOnly:
+		d.open[conn] = nil
+		return
+	case OpRollback:
+		delete(d.open, conn)
+		return
+	case OpCommit:
+		for _, id := range writes {
+			d.kept[id]++
+		}
+		d.offset++
+		delete(d.open, conn)
+		return
+	}
+	if command.Op != OpWrite && command.Op != OpExecute {
+		return
+	}
+	if open {
+		d.open[conn] = append(writes, command.ID)
+		return
+	}
+	d.offset++
+	d.kept[command.ID]++
+}
+
+// newDrawnEngine returns an engine whose group has one target, which leads.
+func newDrawnEngine(target *fakeTarget) *Engine {
+	e := New(Options{Zone: "z", Dialer: target, DrainTimeout: time.Hour})
+	e.Close()
+	e.configuration = Configuration{Version: 1, Routes: map[string]Route{
+		"d": {Name: "r", Database: "d", Group: "g", Consistency: ConsistencyStrict, Timeout: 50 * time.Millisecond, Objective: 20 * time.Millisecond},
+	}}
+	e.isConfigured = true
+	g := newGroup("g", e.options, func() bool { return true })
+	e.groups["g"] = g
+	g.setLimits(GroupLimits{MaxConnections: 4, SyncReplicas: 1}, 1)
+	g.setTarget(Target{Name: "a", Group: "g", Slots: 2, Zone: "z"})
+	now := clock.Boot()
+	g.takeIn(map[string]authority.Status{"a": leads(1, 0, now)}, now)
+	g.authorityUntil = now + time.Hour
+	return e
+}
+
+// TestPromisesOfTheSeamAreTrue plays sessions against a target that refuses, loses commands and loses answers at any time:
+// a write takes effect at most once, a success exactly once, a promise that nothing ran never.
+func TestPromisesOfTheSeamAreTrue(t *testing.T) {
+	rapid.Check(t, func(t *rapid.T) {
+		drawn := &drawnTarget{t: t, kept: map[string]int{}, open: map[*fakeConnection][]string{}}
+		target := &fakeTarget{exchange: drawn.exchange}
+		caller := &scriptedCaller{statements: drawStatements(t)}
+		newDrawnEngine(target).Serve(caller, "d")
+		if len(caller.answers) != len(caller.statements) {
+			t.Fatalf("%d answers to %d statements", len(caller.answers), len(caller.statements))
+		}
+		checkAnswers(t, caller, drawn)
+	})
+}
+
+// drawStatements returns single statements and transactions.
+func drawStatements(t *rapid.T) []Statement {
+	statements := []Statement{{ID: "p", Op: OpPrepare, Name: "w", Prepares: OpWrite, Argument: "w"}}
+	add := func(op Operation) {
+		id := fmt.Sprintf("id-%d", len(statements))
+		s := Statement{ID: id, Op: op, Text: id}
+		if op == OpExecute {
+			s.Name, s.Text = "w", ""
+		}
+		statements = append(statements, s)
+	}
+	for range rapid.IntRange(1, 6).Draw(t, "operations") {
+		single := rapid.SampledFrom([]Operation{OpRead, OpWrite, OpExecute, OpBegin}).Draw(t, "operation")
+		add(single)
+		if single != OpBegin {
+			continue
+		}
+		for range rapid.IntRange(0, 3).Draw(t, "inside") {
+			add(rapid.SampledFrom([]Operation{OpRead, OpWrite, OpExecute}).Draw(t, "statement"))
+		}
+		add(rapid.SampledFrom([]Operation{OpCommit, OpCommit, OpRollback}).Draw(t, "end"))
+	}
+	return statements
+}
+
+// checkAnswers compares what the caller was told with what took effect.
+func checkAnswers(t *rapid.T, caller *scriptedCaller, drawn *drawnTarget) {
+	var inside []string
+	inTransaction := false
+	for i, s := range caller.statements {
+		a := caller.answers[i]
+		isWrite := s.Op == OpWrite || s.Op == OpExecute
+		if isWrite && drawn.kept[s.ID] > 1 {
+			t.Fatalf("%s took effect %d times", s.ID, drawn.kept[s.ID])
+		}
+		switch {
+		case s.Op == OpBegin:
+			inTransaction, inside = true, nil
+		case s.Op == OpCommit || s.Op == OpRollback:
+			checkEnd(t, s, a, inside, drawn)
+			inTransaction = false
+		case inTransaction && isWrite && a.Refusal == nil:
+			inside = append(inside, s.ID)
+		case !inTransaction && isWrite:
+			checkWrite(t, s, a, drawn.kept[s.ID])
+		}
+	}
+}
+
+func checkWrite(t *rapid.T, s Statement, a Answer, kept int) {
+	if a.Refusal == nil && kept != 1 || a.Refusal != nil && a.Refusal.Code.IsNotRun() && kept != 0 {
+		t.Fatalf("%s was answered %+v and took effect %d times", s.ID, a.Refusal, kept)
+	}
+}
+
+func checkEnd(t *rapid.T, s Statement, a Answer, inside []string, drawn *drawnTarget) {
+	promised := s.Op == OpRollback || a.Refusal != nil && (a.Refusal.Code.IsNotRun() || a.Refusal.Code == 3002)
+	for _, id := range inside {
+		switch kept := drawn.kept[id]; {
+		case promised && kept != 0:
+			t.Fatalf("%s took effect although the caller was told that nothing is kept: %+v", id, a.Refusal)
+		case s.Op == OpCommit && a.Refusal == nil && kept != 1:
+			t.Fatalf("%s was committed and took effect %d times", id, kept)
+		}
+	}
+}
--- a/internal/engine/tune.go
+++ b/internal/engine/tune.go
@@ -30,7 +30,7 @@
 // tuning returns the commands that the connection still needs.
 func (s *session) tuning(conn *pooled, statement Statement) []Command {
 	var commands []Command
-	discard := conn.values != "" && conn.values != s.valuesKey && !s.covers(conn.values) || len(conn.prepared) >= maxPrepared
+	discard := conn.values != "" && conn.values != s.valuesKey && !s.covers(conn.values) || len(conn.prepared) >= maxPrepared && s.transaction == nil
 	if discard {
 		commands = append(commands, Command{Op: OpDiscard})
 	}
--- a/internal/lineproxy/proxy.go
+++ b/internal/lineproxy/proxy.go
@@ -42,6 +42,8 @@
 	configurationWait = 1500 * time.Millisecond
 	// stopReserve is the part of the grace that is left when the last sessions are cut.
 	stopReserve = 500 * time.Millisecond
+	// callerShare is the part of the descriptors, in percent, that callers may use.
+	callerShare = 80
 	// memoryShare is the part of the memory limit at which the runtime collects without rest.
 	memoryShare = 0.7
 	// adminHeaderTimeout bounds the header of a request for metrics.
@@ -56,6 +58,8 @@
 	promoter *platform.Promoter
 	roster   *roster.Roster
 	listener net.Listener
+	// callers is the number of open caller connections.
+	callers atomic.Int64
 }
 
 // New composes a daemon of checked settings.
@@ -215,9 +219,22 @@
 	}
 }
 
+// maxCallers returns the number of caller connections: the descriptors of the process less what targets, the store and
+// files need.
+func (p *Proxy) maxCallers() int64 {
+	settings := p.settings.Load()
+	return min(int64(settings.Limits.MaxCallerConnections), settings.Fleet.MaxDescriptors*callerShare/100)
+}
+
 // serve opens a session.
 func (p *Proxy) serve(conn net.Conn) {
 	caller := platform.NewCaller(conn)
+	defer p.callers.Add(-1)
+	if open := p.callers.Add(1); open > p.maxCallers() {
+		logrus.WithFields(logrus.Fields{"open": open, "limit": p.maxCallers()}).Warn("callers_over_limit")
+		caller.Refuse(&engine.Refusal{Code: result.NotRunConnectionLimit, Reason: "the daemon has no room for another caller"})
+		return
+	}
 	database, err := caller.Start()
 	if err != nil {
 		logrus.WithFields(logrus.Fields{"caller": conn.RemoteAddr().String(), "error": err}).Debug("session_not_opened")
