--- a/standin/cmd/standin-lab/soak.go
+++ b/standin/cmd/standin-lab/soak.go
@@ -10,6 +10,7 @@
 	"time"
 
 	"github.com/papayacove/papayacove/standin/fleet"
+	"github.com/papayacove/papayacove/standin/lines"
 	"github.com/papayacove/papayacove/standin/soak"
 	"github.com/papayacove/papayacove/standin/workload"
 	"github.com/urfave/cli/v3"
@@ -28,6 +29,7 @@
 			&cli.StringFlag{Name: "seeds", Usage: "`LIST` of seeds, such as 1,2,5-9", Value: "1"},
 			&cli.DurationFlag{Name: "duration", Usage: "time of each run", Value: 30 * time.Second},
 			&cli.StringSliceFlag{Name: "faults", Usage: "`NAMES` of the failures to bring about; all when empty"},
+			&cli.StringFlag{Name: "protocol", Usage: "postgresql or lines", Value: "postgresql"},
 			&cli.StringFlag{Name: "deployment", Usage: "deployment to run; by seed when empty"},
 		},
 		Action: runSoak,
@@ -85,6 +87,9 @@
 }
 
 func soakOnce(ctx context.Context, command *cli.Command, seed int64) (bool, error) {
+	if command.String("protocol") == "lines" {
+		return soakLines(ctx, command, seed)
+	}
 	deployment := deploymentOf(command, seed)
 	options, cleanUp, err := fleetOptions(command, deployment, command.Int("network"))
 	if err != nil {
@@ -99,7 +104,7 @@
 	defer running.Close()
 	strict, aged, maxAge := workload.Accounts(deployment)
 	work := workload.New(running, workload.Options{Strict: strict, Aged: aged, MaxAge: maxAge, Leads: 4, Supervisors: 2, Seed: seed})
-	faults, err := soak.Select(command.StringSlice("faults"))
+	faults, err := soak.Select(soak.Faults, command.StringSlice("faults"))
 	if err != nil {
 		return false, err
 	}
@@ -119,6 +124,35 @@
 	return report.IsClean(), nil
 }
 
+// linesDaemons is the number of daemons of a fleet that serves the protocol lines.
+const linesDaemons = 4
+
+func soakLines(ctx context.Context, command *cli.Command, seed int64) (bool, error) {
+	faults, err := soak.Select(soak.LinesFaults, command.StringSlice("faults"))
+	if err != nil {
+		return false, err
+	}
+	work, err := os.MkdirTemp("", "papayacove-soak-lines-")
+	if err != nil {
+		return false, err
+	}
+	running, err := lines.StartFleet(command.String("binaries"), work, linesDaemons)
+	if err != nil {
+		return false, err
+	}
+	defer running.Close()
+	report := soak.RunLines(ctx, running, faults, seed, command.Duration("duration"))
+	if report.IsClean() {
+		_ = os.RemoveAll(work)
+	} else {
+		printHistory(report, work)
+	}
+	fmt.Printf("seed %d on lines: longest time without an acknowledged write %v, promotions %d, outcome unknown %d, not run %d\n", seed,
+		report.History.LongestGap.Round(time.Millisecond), len(running.Provider.Orders()), report.History.Unknown, report.History.NotRun)
+	fmt.Println(report)
+	return report.IsClean(), nil
+}
+
 func printHistory(report soak.Report, work string) {
 	for _, event := range report.History.Events() {
 		fmt.Println(event)
--- a/standin/fleet/fleet.go
+++ b/standin/fleet/fleet.go
@@ -141,7 +141,7 @@
 		return err
 	}
 	address := strings.TrimPrefix(f.Deployment.Settings[0].PlatformURL, "http://")
-	f.Platform = newProcess("platform", filepath.Join(f.options.Binaries, "standin-platform"), f.options.Work,
+	f.Platform = NewProcess("platform", filepath.Join(f.options.Binaries, "standin-platform"), f.options.Work,
 		"--address", address, "--admin-address", f.PlatformAdmin(), "--load", path)
 	return nil
 }
@@ -163,7 +163,7 @@
 		primary, _, _ := f.Deployment.Target(term.Primary)
 		arguments = append(arguments, "--initial-role", "replica", "--primary", primary.Address)
 	}
-	return newProcess(spec.Name, filepath.Join(f.options.Binaries, "standin-database"), f.options.Work, arguments...)
+	return NewProcess(spec.Name, filepath.Join(f.options.Binaries, "standin-database"), f.options.Work, arguments...)
 }
 
 func (f *Fleet) composeDaemon(settings api.Settings) (*Process, error) {
@@ -188,7 +188,7 @@
 		return nil, err
 	}
 	program := filepath.Join(f.options.Binaries, "papayacove")
-	return newProcess(settings.Name, program, f.options.Work, "run", "--settings", path), nil
+	return NewProcess(settings.Name, program, f.options.Work, "run", "--settings", path), nil
 }
 
 // Processes returns all processes, the platform first and the daemons last.
--- a/standin/fleet/process.go
+++ b/standin/fleet/process.go
@@ -27,7 +27,8 @@
 	ended   chan struct{}
 }
 
-func newProcess(name, path, logDirectory string, arguments ...string) *Process {
+// NewProcess returns a process that is not started; its output goes to a file of its name in the directory.
+func NewProcess(name, path, logDirectory string, arguments ...string) *Process {
 	return &Process{Name: name, path: path, arguments: arguments, log: filepath.Join(logDirectory, name+".log")}
 }
 
--- a/standin/lines/group.go
+++ b/standin/lines/group.go
@@ -54,8 +54,10 @@
 	group    *Group
 	listener net.Listener
 	address  string
-	zone     string
-	slots    chan struct{}
+	// advertised is the address that the entry names; empty for the target's own.
+	advertised string
+	zone       string
+	slots      chan struct{}
 
 	// The fields below are guarded by the group.
 	primary bool
@@ -126,8 +128,12 @@
 	if d.leaving {
 		state = "draining"
 	}
+	address := d.advertised
+	if address == "" {
+		address = d.address
+	}
 	d.group.store.Put("servers", d.ID, map[string]any{
-		"Backend": d.group.Name, "Address": d.address, "Zone": d.zone, "Version": "v1", "PoolSize": cap(d.slots),
+		"Backend": d.group.Name, "Address": address, "Zone": d.zone, "Version": "v1", "PoolSize": cap(d.slots),
 		"State": state, "WarmupLeftMs": 0, "DbRole": role, "Seq": 1, "born": 1,
 	})
 }
@@ -321,3 +327,46 @@
 	defer d.group.mu.Unlock()
 	return d.paused > d.term
 }
+
+// Advertise makes the entry of a target name another address, such as that of a relay.
+func (d *Database) Advertise(address string) {
+	d.group.mu.Lock()
+	defer d.group.mu.Unlock()
+	d.advertised = address
+	d.report()
+}
+
+// Address is the target's own address.
+func (d *Database) Address() string { return d.address }
+
+// Report writes the target's entry anew, as its heartbeat does.
+func (d *Database) Report() {
+	d.group.mu.Lock()
+	defer d.group.mu.Unlock()
+	if d.up {
+		d.report()
+	}
+}
+
+// IsUp reports whether the target runs and answers.
+func (d *Database) IsUp() bool {
+	d.group.mu.Lock()
+	defer d.group.mu.Unlock()
+	return d.up && !d.dark
+}
+
+// Committed returns how often a value was written to an item in the log of the primary.
+func (g *Group) Committed(item, value string) int {
+	primary := g.Primary()
+	g.mu.Lock()
+	defer g.mu.Unlock()
+	count := 0
+	if d, ok := g.databases[primary]; ok {
+		for _, r := range d.log {
+			if written, ok := r.writes[item]; ok && written == value {
+				count++
+			}
+		}
+	}
+	return count
+}
--- a/standin/soak/faults.go
+++ b/standin/soak/faults.go
@@ -14,12 +14,15 @@
 // knobs are the settings of a stand-in that a fault changes.
 type knobs map[string]any
 
-// Fault is one failure. Inject brings it about and returns what it did and how to end it.
-type Fault struct {
+// FaultOf is one failure of a kind of fleet. Inject brings it about and returns what it did and how to end it.
+type FaultOf[F any] struct {
 	Name   string
-	Inject func(f *fleet.Fleet, random *rand.Rand) (what string, heal func())
+	Inject func(f F, random *rand.Rand) (what string, heal func())
 }
 
+// Fault is a failure of a fleet that serves PostgreSQL.
+type Fault = FaultOf[*fleet.Fleet]
+
 // Faults are all failures in a fixed order.
 var Faults = []Fault{
 	{"primary_killed", killPrimary},
@@ -46,17 +49,17 @@
 }
 
 // Select returns the failures of the given names; all of them when there are no names.
-func Select(names []string) ([]Fault, error) {
+func Select[F any](faults []FaultOf[F], names []string) ([]FaultOf[F], error) {
 	if len(names) == 0 {
-		return Faults, nil
+		return faults, nil
 	}
-	var selected []Fault
+	var selected []FaultOf[F]
 	for _, name := range names {
-		i := slices.IndexFunc(Faults, func(f Fault) bool { return f.Name == name })
+		i := slices.IndexFunc(faults, func(f FaultOf[F]) bool { return f.Name == name })
 		if i < 0 {
 			return nil, fmt.Errorf("no failure is called %q", name)
 		}
-		selected = append(selected, Faults[i])
+		selected = append(selected, faults[i])
 	}
 	return selected, nil
 }
--- /dev/null
+++ b/standin/soak/lines.go
@@ -0,0 +1,339 @@
+package soak
+
+import (
+	"context"
+	"fmt"
+	"math/rand"
+	"strconv"
+	"strings"
+	"sync"
+	"time"
+
+	"github.com/papayacove/papayacove/internal/clock"
+	"github.com/papayacove/papayacove/standin/lines"
+	"github.com/papayacove/papayacove/standin/netfault"
+	"github.com/papayacove/papayacove/standin/workload"
+)
+
+// LinesFaults are the failures of a fleet that serves the protocol lines.
+var LinesFaults = []FaultOf[*lines.Fleet]{
+	{"primary_crashed", onTarget(primaryID, crashTarget)},
+	{"primary_dark", onTarget(primaryID, darkTarget)},
+	{"replica_crashed", onTarget(replicaID, crashTarget)},
+	{"replica_dark", onTarget(replicaID, darkTarget)},
+	{"replica_deaf", onTarget(replicaID, func(f *lines.Fleet, id string) func() {
+		f.Group.Database(id).SetDeaf(true)
+		return func() { f.Group.Database(id).SetDeaf(false) }
+	})},
+	{"replica_behind", onTarget(replicaID, func(f *lines.Fleet, id string) func() {
+		f.Group.Database(id).SetLag(2 * time.Second)
+		return func() { f.Group.Database(id).SetLag(5 * time.Millisecond) }
+	})},
+	{"target_cut", onTarget(anyID, func(f *lines.Fleet, id string) func() { return withKnobs(f.Targets[id], netfault.Knobs{Cut: true}) })},
+	{"target_slow_path", onTarget(anyID, func(f *lines.Fleet, id string) func() {
+		return withKnobs(f.Targets[id], netfault.Knobs{ForwardDelayMs: 40, BackwardDelayMs: 40})
+	})},
+	{"target_one_way", onTarget(anyID, func(f *lines.Fleet, id string) func() {
+		return withKnobs(f.Targets[id], netfault.Knobs{BackwardDelayMs: 60_000})
+	})},
+	{"target_connections_silent", onTarget(anyID, func(f *lines.Fleet, id string) func() { f.Targets[id].Silence(); return func() {} })},
+	{"target_connections_reset", onTarget(anyID, func(f *lines.Fleet, id string) func() { f.Targets[id].Reset(); return func() {} })},
+	{"daemon_killed", onDaemon(func(d *lines.Daemon) func() { d.Kill(); return func() { _ = d.Start() } })},
+	{"daemon_frozen", onDaemon(func(d *lines.Daemon) func() { d.Freeze(); return d.Wake })},
+	{"daemon_stopped", onDaemon(func(d *lines.Daemon) func() { d.Stop(); return func() { _ = d.Start() } })},
+	{"daemon_cut_from_store", onDaemon(func(d *lines.Daemon) func() { return withKnobs(d.Store, netfault.Knobs{Cut: true}) })},
+	{"store_down", func(f *lines.Fleet, _ *rand.Rand) (string, func()) {
+		f.Store.Down.Store(true)
+		return "", func() { f.Store.Down.Store(false) }
+	}},
+	{"store_drops_entries", func(f *lines.Fleet, random *rand.Rand) (string, func()) {
+		f.Store.Down.Store(true)
+		id := anyID(f, random)
+		return id, func() { _ = f.Store.Delete("servers", id); f.Store.Down.Store(false) }
+	}},
+	{"store_loses_answers", func(f *lines.Fleet, _ *rand.Rand) (string, func()) {
+		f.Store.LoseAnswers.Store(true)
+		return "", func() { f.Store.LoseAnswers.Store(false) }
+	}},
+	{"store_forgets", func(f *lines.Fleet, _ *rand.Rand) (string, func()) { f.Store.Compact(); return "", func() {} }},
+}
+
+func primaryID(f *lines.Fleet, random *rand.Rand) string {
+	if id := f.Group.Primary(); id != "" {
+		return id
+	}
+	return anyID(f, random)
+}
+
+func replicaID(f *lines.Fleet, random *rand.Rand) string {
+	for {
+		if id := anyID(f, random); id != f.Group.Primary() {
+			return id
+		}
+	}
+}
+
+func anyID(_ *lines.Fleet, random *rand.Rand) string { return []string{"a", "b", "c"}[random.Intn(3)] }
+
+func onTarget(pick func(*lines.Fleet, *rand.Rand) string, inject func(*lines.Fleet, string) func()) func(*lines.Fleet, *rand.Rand) (string, func()) {
+	return func(f *lines.Fleet, random *rand.Rand) (string, func()) {
+		id := pick(f, random)
+		return id, inject(f, id)
+	}
+}
+
+func onDaemon(inject func(*lines.Daemon) func()) func(*lines.Fleet, *rand.Rand) (string, func()) {
+	return func(f *lines.Fleet, random *rand.Rand) (string, func()) {
+		d := f.Daemons[random.Intn(len(f.Daemons))]
+		return d.Name, inject(d)
+	}
+}
+
+func crashTarget(f *lines.Fleet, id string) func() {
+	if !f.Group.Database(id).IsUp() {
+		return func() {}
+	}
+	f.Group.Database(id).Crash()
+	return func() { _ = f.Group.Database(id).Start() }
+}
+
+func darkTarget(f *lines.Fleet, id string) func() {
+	f.Group.Database(id).SetDark(true)
+	return func() { f.Group.Database(id).SetDark(false) }
+}
+
+func withKnobs(link *netfault.Link, knobs netfault.Knobs) func() {
+	link.SetKnobs(knobs)
+	return func() { link.SetKnobs(netfault.Knobs{}) }
+}
+
+const (
+	// linesCallers is the number of callers at a time.
+	linesCallers = 8
+	// sessionLength bounds the operations of one session.
+	sessionLength = 30
+	// settleLimit bounds the wait for a write at each daemon after all failures are healed.
+	settleLimit = 60 * time.Second
+)
+
+// promised is a write that the caller was told is not kept.
+type promised struct{ item, value, code string }
+
+// ledger is what all callers were told.
+type ledger struct {
+	history *workload.History
+	mu      sync.Mutex
+	// acked is the newest acknowledged number of each item, with the time of its acknowledgement.
+	acked map[string][]ackedWrite
+	not   []promised
+	last  time.Time
+}
+
+type ackedWrite struct {
+	number int
+	at     time.Time
+}
+
+// RunLines works on a fleet while failures come by seed, heals all and checks.
+func RunLines(ctx context.Context, f *lines.Fleet, faults []FaultOf[*lines.Fleet], seed int64, duration time.Duration) Report {
+	l := &ledger{history: workload.NewHistory(), acked: map[string][]ackedWrite{}}
+	l.settle(f)
+	l.last = time.Now()
+	working, stop := context.WithTimeout(ctx, duration)
+	defer stop()
+	var parts sync.WaitGroup
+	parts.Go(func() { injectAll(working, f, faults, l.history, rand.New(rand.NewSource(seed))) })
+	for i := range linesCallers {
+		parts.Go(func() { l.call(working, f, i, rand.New(rand.NewSource(seed*100+int64(i)))) })
+	}
+	parts.Wait()
+	l.settle(f)
+	report := Report{Seed: seed, History: l.history}
+	l.check(f, &report)
+	return report
+}
+
+// settle waits for a write at each daemon.
+func (l *ledger) settle(f *lines.Fleet) {
+	for _, d := range f.Daemons {
+		end := time.Now().Add(settleLimit)
+		for {
+			if caller, err := lines.Dial(d.Callers, lines.StrictDatabase); err == nil {
+				r, err := caller.Run("WRITE settled 1")
+				caller.Close()
+				if err == nil && r.Code == "" {
+					break
+				}
+			}
+			if time.Now().After(end) {
+				l.history.Violate("%s serves no write after all failures were healed", d.Name)
+				return
+			}
+			time.Sleep(50 * time.Millisecond)
+		}
+	}
+}
+
+// call runs sessions of one caller, whose item nobody else writes.
+func (l *ledger) call(ctx context.Context, f *lines.Fleet, number int, random *rand.Rand) {
+	item, next := fmt.Sprintf("item-%d", number), 1
+	for ctx.Err() == nil {
+		d := f.Daemons[random.Intn(len(f.Daemons))]
+		caller, err := lines.Dial(d.Callers, lines.SessionDatabase)
+		if err != nil {
+			_ = clock.Sleep(ctx, 50*time.Millisecond)
+			continue
+		}
+		own := 0
+		for range sessionLength {
+			value := next
+			next++
+			acked, open := l.write(caller, item, value, random)
+			if acked {
+				own = value
+			}
+			if !open || !l.readOwn(caller, item, own) || !l.readOthers(f, random) || ctx.Err() != nil {
+				break
+			}
+		}
+		caller.Close()
+	}
+}
+
+// write writes a number, alone or in a transaction, and reports whether it was acknowledged and the session is open.
+func (l *ledger) write(caller *lines.Caller, item string, value int, random *rand.Rand) (acked, open bool) {
+	text := fmt.Sprintf("WRITE %s %d", item, value)
+	statements := []string{text}
+	if random.Intn(3) == 0 {
+		statements = []string{"BEGIN", "READ " + item, text, "COMMIT"}
+	}
+	var r lines.Result
+	var err error
+	for _, statement := range statements {
+		if r, err = caller.Run(statement); err != nil || r.Code != "" {
+			break
+		}
+	}
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	l.history.Requests++
+	switch {
+	case err != nil:
+		l.history.Cut++
+		return false, false
+	case r.Code == "":
+		now := time.Now()
+		l.acked[item] = append(l.acked[item], ackedWrite{value, now})
+		l.history.Acked++
+		l.history.LongestGap = max(l.history.LongestGap, now.Sub(l.last))
+		l.last = now
+		return true, true
+	case isPromise(r.Code):
+		l.history.NotRun++
+		l.not = append(l.not, promised{item, strconv.Itoa(value), r.Code})
+	default:
+		l.history.Unknown++
+	}
+	return false, r.State == "I"
+}
+
+// isPromise reports whether a code promises that nothing is kept.
+func isPromise(code string) bool {
+	return strings.Contains(" BUSY ABORTED LAGGING READONLY MOVED TOOMANY ", " "+code+" ")
+}
+
+// readOwn reads the session's own item, which has to be as new as its last acknowledged write.
+func (l *ledger) readOwn(caller *lines.Caller, item string, own int) bool {
+	r, err := caller.Run("READ " + item)
+	if err != nil {
+		return false
+	}
+	if number, ok := numberOf(r); ok && number < own {
+		l.violateStale("the session read %d of %s after its own %d", number, item, own)
+	}
+	return r.State == "I"
+}
+
+// readOthers reads an item of any caller through any daemon, with no age or with an allowed one.
+func (l *ledger) readOthers(f *lines.Fleet, random *rand.Rand) bool {
+	item := fmt.Sprintf("item-%d", random.Intn(linesCallers))
+	database, age := lines.StrictDatabase, time.Duration(0)
+	if random.Intn(2) == 0 {
+		database, age = lines.AgedDatabase, lines.MaxAge
+	}
+	began := time.Now()
+	want := l.ackedBefore(item, began.Add(-age))
+	caller, err := lines.Dial(f.Daemons[random.Intn(len(f.Daemons))].Callers, database)
+	if err != nil {
+		return true
+	}
+	defer caller.Close()
+	r, err := caller.Run("READ " + item)
+	if err != nil {
+		return true
+	}
+	if number, ok := numberOf(r); ok && number < want {
+		l.violateStale("a read of %s on %s gave %d, and %d was acknowledged %s before", item, database, number, want, age)
+	}
+	return true
+}
+
+func numberOf(r lines.Result) (int, bool) {
+	if r.Code != "" || len(r.Rows) != 1 {
+		return 0, false
+	}
+	if r.Rows[0] == "" {
+		return 0, true
+	}
+	number, err := strconv.Atoi(r.Rows[0])
+	return number, err == nil
+}
+
+// ackedBefore returns the newest number of an item that was acknowledged before a time.
+func (l *ledger) ackedBefore(item string, at time.Time) int {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	newest := 0
+	for _, w := range l.acked[item] {
+		if w.at.Before(at) {
+			newest = max(newest, w.number)
+		}
+	}
+	return newest
+}
+
+func (l *ledger) violateStale(format string, arguments ...any) {
+	l.history.Violate(format, arguments...)
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	l.history.StaleReads++
+}
+
+// check compares what callers were told with the log of the primary.
+func (l *ledger) check(f *lines.Fleet, report *Report) {
+	for item, writes := range l.acked {
+		for _, w := range writes {
+			switch count := f.Group.Committed(item, strconv.Itoa(w.number)); {
+			case count == 0:
+				report.Verdict.Lost++
+				report.Verdict.Details = append(report.Verdict.Details, fmt.Sprintf("%s = %d was acknowledged and is lost", item, w.number))
+			case count > 1:
+				report.Verdict.Duplicated++
+			}
+		}
+	}
+	for _, p := range l.not {
+		if f.Group.Committed(p.item, p.value) > 0 {
+			report.Verdict.FalseNot++
+			report.Verdict.Details = append(report.Verdict.Details, fmt.Sprintf("%s = %s was answered %s and is there", p.item, p.value, p.code))
+		}
+	}
+	for i, order := range f.Provider.Orders() {
+		if i == 0 {
+			continue
+		}
+		if before := f.Provider.Orders()[i-1]; order.Token < before.Token || order.Holder != before.Holder && order.Token == before.Token {
+			l.history.Violate("order %+v after %+v", order, before)
+		}
+	}
+}
--- a/standin/soak/soak.go
+++ b/standin/soak/soak.go
@@ -73,7 +73,7 @@
 }
 
 // injectAll brings failures about until ctx ends, and then heals what is left.
-func injectAll(ctx context.Context, f *fleet.Fleet, faults []Fault, history *workload.History, random *rand.Rand) {
+func injectAll[F any](ctx context.Context, f F, faults []FaultOf[F], history *workload.History, random *rand.Rand) {
 	for ctx.Err() == nil {
 		_ = clock.Sleep(ctx, between(random, shortestQuiet, longestQuiet))
 		if ctx.Err() != nil {
@@ -92,7 +92,7 @@
 	}
 }
 
-func injectOne(f *fleet.Fleet, faults []Fault, history *workload.History, random *rand.Rand) func() {
+func injectOne[F any](f F, faults []FaultOf[F], history *workload.History, random *rand.Rand) func() {
 	fault := faults[random.Intn(len(faults))]
 	what, heal := fault.Inject(f, random)
 	history.Fault("FAULT %s: %s", fault.Name, what)
