--- a/internal/daemon/admin.go
+++ b/internal/daemon/admin.go
@@ -4,46 +4,30 @@
 	"cmp"
 	"context"
 	"encoding/json"
-	"errors"
 	"expvar"
 	"fmt"
-	"net"
 	"net/http"
 	"slices"
 	"strconv"
-	"time"
 
 	"github.com/papayacove/papayacove/api"
+	"github.com/papayacove/papayacove/internal/httpserver"
 	"github.com/papayacove/papayacove/internal/telemetry"
 	"github.com/sirupsen/logrus"
 )
 
-// adminHeaderTimeout is the time that a request's header may take.
-const adminHeaderTimeout = 5 * time.Second
-
 // Version of the program.
 const Version = "0.1.0"
 
 // serveAdmin opens the port of health, metrics, status and decisions.
 func (d *Daemon) serveAdmin(ctx context.Context) error {
-	listener, err := net.Listen("tcp", d.settings.AdminAddress)
-	if err != nil {
-		return fmt.Errorf("listen for operators: %w", err)
-	}
 	mux := http.NewServeMux()
 	mux.HandleFunc("GET /healthz", func(w http.ResponseWriter, _ *http.Request) { fmt.Fprintln(w, "ok") })
 	mux.HandleFunc("GET /readyz", d.serveReady)
 	mux.HandleFunc("GET /status", func(w http.ResponseWriter, _ *http.Request) { writeJSON(w, d.status()) })
 	mux.HandleFunc("GET /decisions", d.serveDecisions)
 	mux.Handle("GET /debug/vars", expvar.Handler())
-	server := &http.Server{Handler: mux, ReadHeaderTimeout: adminHeaderTimeout}
-	context.AfterFunc(ctx, func() { _ = server.Close() })
-	go func() {
-		if err := server.Serve(listener); !errors.Is(err, http.ErrServerClosed) {
-			logrus.WithField("error", err).Error("admin_failed")
-		}
-	}()
-	return nil
+	return httpserver.Serve(ctx, "operators", d.settings.AdminAddress, mux)
 }
 
 // serveReady tells the balancer whether to send callers here.
--- a/internal/lineproxy/proxy.go
+++ b/internal/lineproxy/proxy.go
@@ -20,6 +20,7 @@
 	"github.com/papayacove/papayacove/internal/dialer"
 	"github.com/papayacove/papayacove/internal/duty"
 	"github.com/papayacove/papayacove/internal/engine"
+	"github.com/papayacove/papayacove/internal/httpserver"
 	"github.com/papayacove/papayacove/internal/objectstore"
 	"github.com/papayacove/papayacove/internal/result"
 	"github.com/papayacove/papayacove/internal/roster"
@@ -46,8 +47,6 @@
 	callerShare = 80
 	// memoryShare is the part of the memory limit at which the runtime collects without rest.
 	memoryShare = 0.7
-	// adminHeaderTimeout bounds the header of a request for metrics.
-	adminHeaderTimeout = 5 * time.Second
 )
 
 // Proxy is one daemon.
@@ -138,20 +137,9 @@
 
 // serveAdmin serves the metrics.
 func (p *Proxy) serveAdmin(ctx context.Context) error {
-	listener, err := net.Listen("tcp", p.settings.Load().AdminAddress)
-	if err != nil {
-		return fmt.Errorf("listen for operators: %w", err)
-	}
 	mux := http.NewServeMux()
 	mux.Handle("GET /debug/vars", expvar.Handler())
-	server := &http.Server{Handler: mux, ReadHeaderTimeout: adminHeaderTimeout}
-	context.AfterFunc(ctx, func() { _ = server.Close() })
-	go func() {
-		if err := server.Serve(listener); !errors.Is(err, http.ErrServerClosed) {
-			logrus.WithField("error", err).Error("admin_failed")
-		}
-	}()
-	return nil
+	return httpserver.Serve(ctx, "operators", p.settings.Load().AdminAddress, mux)
 }
 
 // follow keeps one kind of objects until ctx ends.
