Keep targets of unknown groups aside; settings that a deployment may leave out

An entry that names a group without a configuration opened an observed group for good; it waits now until a configuration has the group. heartbeat_ms is gone from the settings: nothing used it. Bounds in the template have fallbacks.

--- a/api/types.gen.go
+++ b/api/types.gen.go
@@ -295,10 +295,6 @@
 	// GraceS is the time in seconds between SIGTERM and SIGKILL.
 	GraceS float64 `json:"grace_s" toml:"grace_s"`
 
-	// HeartbeatMs is the time in milliseconds between two reports of a target to the
-	// store.
-	HeartbeatMs int64 `json:"heartbeat_ms" toml:"heartbeat_ms"`
-
 	// MaxDescriptors is the number of file descriptors of the process.
 	MaxDescriptors int64 `json:"max_descriptors" toml:"max_descriptors"`
 
--- a/internal/config/check.go
+++ b/internal/config/check.go
@@ -17,12 +17,12 @@
 	minTimeoutMs          = 10
 	maxTimeoutMs          = 3_600_000
 	maxQueueLength        = 100_000
-	minGraceS             = 1
+	minGraceS             = 0
 	maxGraceS             = 3_600
-	minConfigApplyMs      = 2_600
-	minMemoryMb           = 64
+	minConfigApplyMs      = 500
+	minMemoryMb           = 16
 	maxMemoryMb           = 1 << 20
-	minDescriptors        = 256
+	minDescriptors        = 64
 	maxDescriptors        = 1 << 24
 	maxNameLength         = 63
 	nameBound             = "1 to 63 of a-z, 0-9, - and _"
@@ -229,7 +229,6 @@
 	}
 	c.between("fleet.drain_timeout_ms", f.DrainTimeoutMs, minTimeoutMs, maxTimeoutMs)
 	c.between("fleet.config_apply_ms", f.ConfigApplyMs, minConfigApplyMs, maxTimeoutMs)
-	c.between("fleet.heartbeat_ms", f.HeartbeatMs, minTimeoutMs, maxTimeoutMs)
 	c.between("fleet.memory_mb", f.MemoryMb, minMemoryMb, maxMemoryMb)
 	c.between("fleet.max_descriptors", f.MaxDescriptors, minDescriptors, maxDescriptors)
 }
--- a/internal/engine/engine.go
+++ b/internal/engine/engine.go
@@ -48,8 +48,10 @@
 	configured    chan struct{}
 	isConfigured  bool
 	groups        map[string]*group
-	daemons       int
-	sessions      map[*session]struct{}
+	// unplaced are the targets of groups that the configuration does not have.
+	unplaced map[string]Target
+	daemons  int
+	sessions map[*session]struct{}
 }
 
 // New returns an engine without a configuration.
@@ -58,21 +60,29 @@
 	ctx, stop := context.WithCancel(context.Background())
 	e := &Engine{
 		options: options, ctx: ctx, stop: stop, configured: make(chan struct{}), daemons: 1,
-		groups: make(map[string]*group), sessions: make(map[*session]struct{}),
+		groups: make(map[string]*group), unplaced: make(map[string]Target), sessions: make(map[*session]struct{}),
 	}
 	e.directoryFailed.Store(int64(clock.Boot()))
+	go e.watchIsolation()
 	return e
 }
 
 // Configure puts a configuration into force, unless it is older than the one in force.
 func (e *Engine) Configure(c Configuration) {
+	if e.takeConfiguration(c) {
+		e.place()
+	}
+}
+
+// takeConfiguration reports whether the configuration is in force now.
+func (e *Engine) takeConfiguration(c Configuration) bool {
 	e.mu.Lock()
 	defer e.mu.Unlock()
 	if e.isConfigured && c.Version <= e.configuration.Version {
 		if c.Version < e.configuration.Version {
 			logrus.WithFields(logrus.Fields{"version": c.Version, "in_force": e.configuration.Version}).Warn("configuration_ignored")
 		}
-		return
+		return false
 	}
 	e.configuration = c
 	for name, limits := range c.Groups {
@@ -83,6 +93,7 @@
 		e.isConfigured = true
 		close(e.configured)
 	}
+	return true
 }
 
 // group returns a group, and begins to observe it when it is new. The caller holds the lock.
@@ -92,25 +103,40 @@
 	}
 	g := newGroup(name, e.options, e.isDirectorySettled)
 	e.groups[name] = g
-	if len(e.groups) == 1 {
-		go e.watchIsolation()
-	}
 	go g.serveProofs(e.ctx)
 	go g.observe(e.ctx, func(reason takeover.Reason) { go e.takeOver(g, reason) })
 	return g
 }
 
-// SetTarget takes in the report of a target.
+// SetTarget takes in the report of a target. One of a group that the configuration does not have waits for it.
 func (e *Engine) SetTarget(t Target) {
 	e.mu.Lock()
+	_, known := e.configuration.Groups[t.Group]
+	if !known {
+		e.unplaced[t.Name] = t
+		e.mu.Unlock()
+		return
+	}
 	g := e.group(t.Group)
 	e.mu.Unlock()
 	g.setTarget(t)
 }
 
+// place gives the targets that waited to their groups.
+func (e *Engine) place() {
+	e.mu.Lock()
+	waiting := e.unplaced
+	e.unplaced = make(map[string]Target)
+	e.mu.Unlock()
+	for _, t := range waiting {
+		e.SetTarget(t)
+	}
+}
+
 // RemoveTarget takes in that a target is gone.
 func (e *Engine) RemoveTarget(name string) {
 	e.mu.Lock()
+	delete(e.unplaced, name)
 	groups := maps.Clone(e.groups)
 	e.mu.Unlock()
 	for _, g := range groups {
