Do not leave a group without a primary when no successor can be chosen

The third primary stepped down while its successor was being chosen; the choice failed, because a target that still led term 2 could not be paused as a replica, and from then on no target led and each promotion was given up for the same reason.

The old primary now steps down while authority is waited out, when a successor is known; before that only if a paused replica has all that it has. A target that leads a term before the last is told to step down, and then paused.

Ruled out: the duty and the directory; tokens rose, the directory was settled. Test: TestForgottenPrimaryDoesNotStopAPromotion, red before.

--- a/internal/engine/promote.go
+++ b/internal/engine/promote.go
@@ -13,6 +13,7 @@
 
 	"github.com/papayacove/papayacove/internal/clock"
 	"github.com/papayacove/papayacove/internal/policy/authority"
+	"github.com/papayacove/papayacove/internal/policy/floor"
 	"github.com/papayacove/papayacove/internal/policy/takeover"
 )
 
@@ -34,7 +35,7 @@
 	// recheckTimeout bounds the status calls before a promotion; the primary has been silent for longer.
 	recheckTimeout = 100 * time.Millisecond
 	// pauseAttempts is how often a replica is asked to pause.
-	pauseAttempts = 2
+	pauseAttempts = 3
 )
 
 // promotion is one attempt to replace the primary of a group.
@@ -153,17 +154,18 @@
 // run carries the promotion out and reports whether a target leads now.
 func (p *promotion) run() bool {
 	p.log().Info("promotion_begun")
-	var pending sync.WaitGroup
-	pending.Go(p.stepDown)
 	p.pauseReplicas()
-	pending.Wait()
-	choice := takeover.Choose(p.replicas(), p.paused, p.demoted, p.isLeaving)
+	choice := takeover.Choose(p.replicas(), p.paused, nil, p.isLeaving)
+	if choice.Target == "" && p.hasWholeLog() {
+		p.stepDown()
+		choice = takeover.Choose(p.replicas(), p.paused, p.demoted, p.isLeaving)
+	}
 	p.log().WithFields(logrus.Fields{"target": choice.Target, "why": choice.Reason, "paused": len(p.paused)}).Info("promotion_choice")
 	if choice.Target == "" {
 		p.resume()
 		return false
 	}
-	if clock.Sleep(p.engine.ctx, p.pausedAt+authority.Term-clock.Boot()) != nil {
+	if !p.waitAuthorityOut() {
 		return false
 	}
 	if now := askAll(p.pausedMembers(), func(string) Command { return Command{Op: OpStatus} }); !takeover.StillPaused(p.paused, now) {
@@ -178,6 +180,37 @@
 	return p.awaitLead(choice.Target)
 }
 
+// waitAuthorityOut waits until no daemon takes the old primary for the leader any more, and tells that meanwhile to step
+// down. It reports whether the engine still runs.
+func (p *promotion) waitAuthorityOut() bool {
+	var pending sync.WaitGroup
+	defer pending.Wait()
+	if p.demoted == nil {
+		pending.Go(p.stepDown)
+	}
+	return clock.Sleep(p.engine.ctx, p.pausedAt+authority.Term-clock.Boot()) == nil
+}
+
+// hasWholeLog reports whether a paused replica has all that the old primary has, which still leads. That one may then
+// step down although another replica cannot be paused: otherwise the group would be left without a primary.
+func (p *promotion) hasWholeLog() bool {
+	m, ok := p.members[p.old]
+	if !ok || !p.oldLeads || len(p.paused) == 0 {
+		return false
+	}
+	own, err := m.control.call(Command{Op: OpStatus})
+	if err != nil {
+		p.log().WithField("error", err).Info("old_primary_not_stepping_down")
+		return false
+	}
+	for _, s := range p.paused {
+		if floor.Compare(s.Received, own.Received) >= 0 {
+			return true
+		}
+	}
+	return false
+}
+
 // replicas are the targets that may have counted for an acknowledged commit, also those that are gone.
 func (p *promotion) replicas() []string {
 	p.group.mu.Lock()
@@ -205,6 +238,9 @@
 				p.paused[name] = s
 				delete(pending, name)
 			}
+			if s.Role == authority.RolePrimary && s.Term+1 < p.term {
+				p.demoteForgotten(name)
+			}
 		}
 		if len(pending) == 0 {
 			break
@@ -213,6 +249,12 @@
 	p.pausedAt = clock.Boot()
 }
 
+// demoteForgotten makes a target follow that still leads in a term before the last one, so that it can be paused.
+func (p *promotion) demoteForgotten(name string) {
+	_, err := p.members[name].control.call(Command{Op: OpStepDown, Term: p.term - 1})
+	p.log().WithFields(logrus.Fields{"target": name, "error": err}).Info("forgotten_primary_demoted")
+}
+
 // stepDown asks the old primary to stop leading. It may not be reached. Its log tells of every acknowledged commit only
 // if it led until now.
 func (p *promotion) stepDown() {
--- a/standin/lines/group.go
+++ b/standin/lines/group.go
@@ -370,3 +370,11 @@
 	}
 	return count
 }
+
+// Lead makes a target believe that it leads a term, as one does that has not heard of a later one.
+func (d *Database) Lead(term uint64) {
+	d.group.mu.Lock()
+	defer d.group.mu.Unlock()
+	d.primary, d.term, d.paused = true, term, 0
+	d.report()
+}
--- a/standin/lines/proxy_test.go
+++ b/standin/lines/proxy_test.go
@@ -421,3 +421,20 @@
 		t.Errorf("the writer's own session: %+v %v", r, err)
 	}
 }
+
+// TestForgottenPrimaryDoesNotStopAPromotion brings a primary of an old term back while the newest one is down: soak seed
+// 118, in which no target led any more.
+func TestForgottenPrimaryDoesNotStopAPromotion(t *testing.T) {
+	c := newCluster(t, 2)
+	time.Sleep(settleTime)
+	underWrites(t, c, func() {
+		a := c.group.Database("a")
+		a.SetDark(true)
+		c.await("another leads", c.leads("a"))
+		newest := c.group.Primary()
+		c.await("a write", func() bool { return c.try(c.daemons[0], strictDatabase, "WRITE x 1").Code == "" })
+		c.group.Database(newest).Crash()
+		a.SetDark(false)
+		a.Lead(1)
+	}, func() bool { return c.try(c.daemons[0], strictDatabase, "WRITE y 1").Code == "" })
+}
