--- a/standin/lines/group.go
+++ b/standin/lines/group.go
@@ -378,3 +378,24 @@
 	d.primary, d.term, d.paused = true, term, 0
 	d.report()
 }
+
+// IsAfter reports whether a value of an item stands after another one in the log of the primary.
+func (g *Group) IsAfter(item, value, other string) bool {
+	primary := g.Primary()
+	g.mu.Lock()
+	defer g.mu.Unlock()
+	d, ok := g.databases[primary]
+	if !ok {
+		return false
+	}
+	seen := false
+	for _, r := range d.log {
+		switch r.writes[item] {
+		case other:
+			seen = true
+		case value:
+			return seen
+		}
+	}
+	return false
+}
