--- /dev/null
+++ b/internal/engine/events_test.go
@@ -0,0 +1,67 @@
+package engine
+
+import (
+	"testing"
+	"time"
+
+	"github.com/sirupsen/logrus"
+
+	"github.com/papayacove/papayacove/internal/clock"
+	"github.com/papayacove/papayacove/internal/result"
+	"github.com/papayacove/papayacove/internal/telemetry"
+)
+
+// benchedRequest returns a request of an engine whose target answers at once, with the log that the program uses.
+func benchedRequest(b *testing.B) *request {
+	b.Helper()
+	output := telemetry.NewOutput(discardWriter{})
+	logrus.SetOutput(output)
+	e := newDrawnEngine(&fakeTarget{})
+	s := newSession(e, &scriptedCaller{}, "d", "s1")
+	r, refusal := s.request(Statement{ID: "5c0e7a21d94b36f8", Op: OpRead, Text: "READ 1a4"}, OpRead, time.Now())
+	if refusal != nil {
+		b.Fatal(refusal.Reason)
+	}
+	return r
+}
+
+type discardWriter struct{}
+
+func (discardWriter) Write(data []byte) (int, error) { return len(data), nil }
+
+// BenchmarkStatement is a read through the engine without any network.
+func BenchmarkStatement(b *testing.B) {
+	r := benchedRequest(b)
+	for b.Loop() {
+		r.attempts, r.arrived, r.arrivedBoot = 0, time.Now(), clock.Boot()
+		if _, refusal := r.read(); refusal != nil {
+			b.Fatal(refusal.Reason)
+		}
+	}
+}
+
+// BenchmarkServedLine is what the log and the metrics cost a statement that is served.
+func BenchmarkServedLine(b *testing.B) {
+	r := benchedRequest(b)
+	r.attempts = 1
+	for b.Loop() {
+		r.logServed("read")
+	}
+}
+
+// BenchmarkRefusedLine is what they cost one that is refused; most lines are over the limit of a second.
+func BenchmarkRefusedLine(b *testing.B) {
+	r := benchedRequest(b)
+	refusal := refuse(result.NotRunOverloaded, "queue_full")
+	for b.Loop() {
+		r.session.logRefusal(r.statement, refusal, time.Now())
+	}
+}
+
+// BenchmarkWrittenLine is one line that is written.
+func BenchmarkWrittenLine(b *testing.B) {
+	r := benchedRequest(b)
+	for b.Loop() {
+		r.session.log(r.statement).WithFields(r.session.engine.belief("d")).Info("statement_refused")
+	}
+}
--- a/internal/engine/execute.go
+++ b/internal/engine/execute.go
@@ -122,7 +122,7 @@
 	err error
 	// sent is false when the statement surely did not reach the target.
 	sent bool
-	// askedAt and sentBy are times of the boot clock before and after the statement was sent.
+	// askedAt is the time of the boot clock before the statement was sent.
 	askedAt time.Duration
 }
 
