Say once which codes are promises

The stand-in's tests and the soak each had the list of codes that promise that nothing is kept. It stands in standin/lines now.

--- a/standin/lines/caller.go
+++ b/standin/lines/caller.go
@@ -90,3 +90,8 @@
 		}
 	}
 }
+
+// IsPromise reports whether a code promises that nothing is kept.
+func IsPromise(code string) bool {
+	return strings.Contains(" BUSY ABORTED LAGGING READONLY MOVED TOOMANY ", " "+code+" ")
+}
--- a/standin/lines/cluster_test.go
+++ b/standin/lines/cluster_test.go
@@ -6,7 +6,6 @@
 	"io"
 	"net/http"
 	"os"
-	"strings"
 	"testing"
 	"time"
 
@@ -185,8 +184,3 @@
 	}
 	return r
 }
-
-// isPromise reports whether a code promises that nothing is kept.
-func isPromise(code string) bool {
-	return strings.Contains(" BUSY ABORTED LAGGING READONLY MOVED TOOMANY ", " "+code+" ")
-}
--- a/standin/lines/proxy_test.go
+++ b/standin/lines/proxy_test.go
@@ -273,7 +273,7 @@
 	close(tries)
 	for w := range tries {
 		ran := c.group.Ran(w.id)
-		if ran > 1 || w.code == "" && ran != 1 || isPromise(w.code) && ran > 0 {
+		if ran > 1 || w.code == "" && ran != 1 || lines.IsPromise(w.code) && ran > 0 {
 			t.Errorf("%s was answered %q and ran %d times", w.id, w.code, ran)
 		}
 	}
--- a/standin/soak/lines.go
+++ b/standin/soak/lines.go
@@ -5,7 +5,6 @@
 	"fmt"
 	"math/rand"
 	"strconv"
-	"strings"
 	"sync"
 	"time"
 
@@ -231,7 +230,7 @@
 		l.history.LongestGap = max(l.history.LongestGap, now.Sub(l.last))
 		l.last = now
 		return true, true
-	case isPromise(r.Code):
+	case lines.IsPromise(r.Code):
 		l.history.NotRun++
 		l.not = append(l.not, promised{item, strconv.Itoa(value), r.Code})
 	default:
@@ -241,11 +240,6 @@
 	return false, r.State == "I"
 }
 
-// isPromise reports whether a code promises that nothing is kept.
-func isPromise(code string) bool {
-	return strings.Contains(" BUSY ABORTED LAGGING READONLY MOVED TOOMANY ", " "+code+" ")
-}
-
 // readOwn reads the session's own item, which has to be as new as its last acknowledged write.
 func (l *ledger) readOwn(f *lines.Fleet, caller *lines.Caller, item string, own int) bool {
 	r, err := caller.Run("READ " + item)
