--- a/internal/engine/group_test.go
+++ b/internal/engine/group_test.go
@@ -74,6 +74,21 @@
 	}
 }
 
+// TestOlderAnswersDoNotReplaceNewerOnes takes in a round of status calls that ended before another one but comes after it.
+func TestOlderAnswersDoNotReplaceNewerOnes(t *testing.T) {
+	g := newTestGroup(&fakeTarget{})
+	older := clock.Boot()
+	newer := older + time.Millisecond
+	g.takeIn(map[string]authority.Status{"b": leads(2, 14, newer), "c": follows(2, 14, newer)}, newer)
+	g.takeIn(map[string]authority.Status{"a": leads(1, 12, older), "b": follows(1, 11, older), "c": follows(1, 12, older)}, older)
+	if g.leader != "b" || g.term != 2 {
+		t.Errorf("after an older round: leader %q in term %d", g.leader, g.term)
+	}
+	if lost := g.owed.Names(newer); len(lost) != 0 {
+		t.Errorf("after an older round: lost witnesses %v", lost)
+	}
+}
+
 // TestFloorWithoutThePrimary asks the replicas while the primary is silent.
 func TestFloorWithoutThePrimary(t *testing.T) {
 	g := newTestGroup(&fakeTarget{})
--- a/internal/engine/observe.go
+++ b/internal/engine/observe.go
@@ -220,7 +220,7 @@
 	g.mu.Lock()
 	defer g.mu.Unlock()
 	if err == nil {
-		g.statuses[name] = status
+		g.remember(map[string]authority.Status{name: status})
 	}
 	g.log().WithFields(logrus.Fields{"target": name, "error": err}).Info("leaving_replica_paused")
 }
@@ -280,9 +280,14 @@
 	return reason
 }
 
-// remember keeps the answers; one that was busy keeps its last known role. The caller holds the lock.
+// remember keeps the answers; one that was busy keeps its last known role. Rounds run side by side: an answer that another
+// round has overtaken is replaced in the statuses by the newer one. The caller holds the lock.
 func (g *group) remember(statuses map[string]authority.Status) {
 	for name, s := range statuses {
+		if newer := g.statuses[name]; s.Role != authority.RoleUnknown && s.AskedAt < newer.AskedAt {
+			statuses[name] = newer
+			continue
+		}
 		g.noteLostLog(name, s)
 		if m, ok := g.members[name]; ok {
 			m.avoidUntil, m.answeredAt, m.heardAt = 0, clock.Boot(), clock.Boot()
--- a/standin/lines/group.go
+++ b/standin/lines/group.go
@@ -313,9 +313,16 @@
 	return d.up && !d.dark && !d.primary && !d.deaf && d.paused <= primary.term && d.term <= primary.term
 }
 
-// receive takes a log over. The caller holds the lock of the group.
+// receive takes a log over, and drops what the target has written beyond it. The caller holds the lock of the group.
 func (d *Database) receive(log []record) {
-	for _, r := range log[min(len(d.log), len(log)):] {
+	common := min(len(d.log), len(log))
+	for common > 0 && d.log[common-1].place != log[common-1].place {
+		common--
+	}
+	if common < len(d.log) {
+		d.log = slices.Clone(d.log[:common])
+	}
+	for _, r := range log[common:] {
 		r.applied = time.Now().Add(d.lag)
 		d.log = append(d.log, r)
 	}
