Tell an expired transaction as rolled back; keep dropped groups as they were

Cause: a transaction that idled past its limit was rolled back, and the next statement got a protocol violation, which promises nothing; the caller could not know that nothing is kept. It hears transaction_lost once, then that the transaction has to be ended. A group that a configuration drops lost its limits with the next change of the number of daemons, and reports of its targets (such as that one leaves) were set aside.

Both tests fail before (protocol_violation for the first statement; limits 0, report missed). asResult was a detour.

--- a/internal/engine/engine.go
+++ b/internal/engine/engine.go
@@ -108,16 +108,15 @@
 	return g
 }
 
-// SetTarget takes in the report of a target. One of a group that the configuration does not have waits for it.
+// SetTarget takes in the report of a target. One of a group that no configuration had so far waits for it.
 func (e *Engine) SetTarget(t Target) {
 	e.mu.Lock()
-	_, known := e.configuration.Groups[t.Group]
+	g, known := e.groups[t.Group]
 	if !known {
 		e.unplaced[t.Name] = t
 		e.mu.Unlock()
 		return
 	}
-	g := e.group(t.Group)
 	e.mu.Unlock()
 	g.setTarget(t)
 }
@@ -168,7 +167,9 @@
 	logrus.WithFields(logrus.Fields{"daemons": count, "before": e.daemons}).Info("daemons_changed")
 	e.daemons = count
 	for name, g := range e.groups {
-		g.setLimits(e.configuration.Groups[name], count)
+		if limits, ok := e.configuration.Groups[name]; ok {
+			g.setLimits(limits, count)
+		}
 	}
 }
 
--- a/internal/engine/group_test.go
+++ b/internal/engine/group_test.go
@@ -103,3 +103,20 @@
 		t.Errorf("floor of this round: %v, known %t, want 14", position, ok)
 	}
 }
+
+// TestDroppedGroupIsKeptAsItWas takes a group out of the configuration while sessions may still use its targets.
+func TestDroppedGroupIsKeptAsItWas(t *testing.T) {
+	e := newDrawnEngine(&fakeTarget{})
+	limits := GroupLimits{MaxConnections: 30, SyncReplicas: 1}
+	e.Configure(Configuration{Version: 2, Groups: map[string]GroupLimits{"g": limits}})
+	e.Configure(Configuration{Version: 3})
+	e.SetDaemons(2)
+	e.SetTarget(Target{Name: "a", Group: "g", Slots: 2, Zone: "z", Leaving: true})
+	g := e.groups["g"]
+	if g.limits != limits {
+		t.Errorf("limits %+v, want %+v", g.limits, limits)
+	}
+	if !g.isLeaving("a") {
+		t.Error("the report that a target leaves was not taken in")
+	}
+}
--- a/internal/engine/seam.go
+++ b/internal/engine/seam.go
@@ -4,8 +4,6 @@
 	"context"
 	"errors"
 	"time"
-
-	"github.com/papayacove/papayacove/internal/result"
 )
 
 // Caller is the connection of one session.
@@ -56,7 +54,3 @@
 	// Release gives the duty back.
 	Release(ctx context.Context)
 }
-
-func asResult(err error, target **result.Error) bool {
-	return errors.As(err, target)
-}
--- a/internal/engine/seam_test.go
+++ b/internal/engine/seam_test.go
@@ -4,6 +4,7 @@
 	"errors"
 	"fmt"
 	"io"
+	"slices"
 	"testing"
 	"time"
 
@@ -12,6 +13,7 @@
 	"github.com/papayacove/papayacove/api"
 	"github.com/papayacove/papayacove/internal/clock"
 	"github.com/papayacove/papayacove/internal/policy/authority"
+	"github.com/papayacove/papayacove/internal/result"
 )
 
 // scriptedCaller plays statements and keeps the answers.
@@ -217,3 +219,46 @@
 		}
 	}
 }
+
+// idleCaller plays statements and lets the transaction expire before one of them.
+type idleCaller struct {
+	scriptedCaller
+	idleBefore int
+	expired    bool
+}
+
+func (c *idleCaller) Next(deadline time.Time) (Statement, error) {
+	if len(c.answers) == c.idleBefore && !c.expired {
+		c.expired = true
+		return Statement{}, ErrIdle
+	}
+	return c.scriptedCaller.Next(deadline)
+}
+
+// TestExpiredTransactionIsToldOnce lets a transaction expire: the next statement is promised that nothing is kept, and the
+// ones after it are told to end the transaction.
+func TestExpiredTransactionIsToldOnce(t *testing.T) {
+	for _, op := range []Operation{OpRead, OpWrite, OpSet} {
+		target := &fakeTarget{exchange: func(_ *fakeConnection, command Command) (Reply, error) {
+			state := StateOpen
+			if command.Op == OpRollback {
+				state = StateIdle
+			}
+			return Reply{State: state, Signature: "s", Position: api.Position{Term: 1}}, nil
+		}}
+		caller := &idleCaller{idleBefore: 2, scriptedCaller: scriptedCaller{statements: []Statement{
+			{ID: "1", Op: OpBegin}, {ID: "2", Op: OpWrite, Text: "w"}, {ID: "3", Op: op, Text: "x"}, {ID: "4", Op: OpRead, Text: "r"}, {ID: "5", Op: OpRollback},
+		}}}
+		newDrawnEngine(target).Serve(caller, "d")
+		codes := make([]result.Code, len(caller.answers))
+		for i, a := range caller.answers {
+			if a.Refusal != nil {
+				codes[i] = a.Refusal.Code
+			}
+		}
+		want := []result.Code{0, 0, result.TransactionLost, result.ProtocolViolation, 0}
+		if !slices.Equal(codes, want) {
+			t.Errorf("%s: codes %v, want %v", op, codes, want)
+		}
+	}
+}
--- a/internal/engine/session.go
+++ b/internal/engine/session.go
@@ -144,6 +144,7 @@
 func (s *session) expireTransaction() {
 	if t := s.transaction; t != nil && t.refusal == nil {
 		s.log(Statement{}).WithField("idle", s.engine.idleTransaction()).Info("transaction_expired")
+		t.untold = true
 		t.fail(refuse(result.TransactionLost, "rolled back after %s without a statement", s.engine.idleTransaction()))
 	}
 }
@@ -190,7 +191,7 @@
 // local answers a statement that needs no target.
 func (s *session) local() Answer {
 	if t := s.transaction; t != nil && t.refusal != nil {
-		return s.refused(refuse(result.ProtocolViolation, "the transaction has failed; end it"))
+		return s.refused(t.complaint())
 	}
 	return Answer{State: s.state()}
 }
--- a/internal/engine/statement.go
+++ b/internal/engine/statement.go
@@ -7,6 +7,7 @@
 package engine
 
 import (
+	"errors"
 	"fmt"
 	"time"
 
@@ -185,7 +186,7 @@
 
 func refusalOf(err error) *Refusal {
 	var known *result.Error
-	if asResult(err, &known) {
+	if errors.As(err, &known) {
 		return &Refusal{Code: known.Code, Reason: known.Reason, RetryAfter: known.RetryAfter}
 	}
 	return &Refusal{Code: result.NotRunUnreachable, Reason: err.Error()}
--- a/internal/engine/transaction.go
+++ b/internal/engine/transaction.go
@@ -24,6 +24,8 @@
 	wrote  bool
 	// refusal is why the transaction has failed; nil while it has not.
 	refusal *Refusal
+	// untold is true while the caller has not heard that the transaction has failed.
+	untold bool
 }
 
 // open begins a transaction. The target learns of it with the first statement.
@@ -46,6 +48,15 @@
 	t.rollBack("")
 }
 
+// complaint returns what a statement in the failed transaction is told: why it failed, unless the caller knows that.
+func (t *transaction) complaint() *Refusal {
+	if t.untold {
+		t.untold = false
+		return t.refusal
+	}
+	return refuse(result.ProtocolViolation, "the transaction has failed; end it")
+}
+
 // rollBack gives the connection back after a rollback, or closes it, which rolls back too. The id is that of
 // the caller's own rollback; empty when it sent none.
 func (t *transaction) rollBack(id string) {
@@ -65,7 +76,7 @@
 func (s *session) executeInTransaction(statement Statement, op Operation, now time.Time) Answer {
 	t := s.transaction
 	if t.refusal != nil {
-		return s.refused(refuse(result.ProtocolViolation, "the transaction has failed; end it"))
+		return s.refused(t.complaint())
 	}
 	t.request.statement, t.request.op, t.request.arrived = statement, op, now
 	if t.conn == nil {
