Queue the routes of the highest priority first

Cause: Route.Priority was read and not used; urgency followed the consistency of a route alone. Routes of the highest priority now have a class of their own, unless all have the same.

--- a/internal/engine/directory.go
+++ b/internal/engine/directory.go
@@ -1,6 +1,7 @@
 package engine
 
 import (
+	"slices"
 	"time"
 )
 
@@ -39,6 +40,8 @@
 	Objective time.Duration
 	// Priority orders routes under load; 0 is the highest.
 	Priority int
+	// Urgent is true when routes of a lower priority exist and none of a higher one.
+	Urgent bool
 }
 
 // GroupLimits bound the use of a group's targets.
@@ -60,6 +63,22 @@
 	IdleTransaction time.Duration
 }
 
+// markUrgent marks the routes of the highest priority, unless all have the same.
+func markUrgent(routes map[string]Route) {
+	if len(routes) == 0 {
+		return
+	}
+	priorities := make([]int, 0, len(routes))
+	for _, r := range routes {
+		priorities = append(priorities, r.Priority)
+	}
+	highest, lowest := slices.Min(priorities), slices.Max(priorities)
+	for database, r := range routes {
+		r.Urgent = r.Priority == highest && highest < lowest
+		routes[database] = r
+	}
+}
+
 // Target is one database of a group, as it reports itself.
 type Target struct {
 	Name    string
--- a/internal/engine/engine.go
+++ b/internal/engine/engine.go
@@ -84,6 +84,8 @@
 		}
 		return false
 	}
+	c.Routes = maps.Clone(c.Routes)
+	markUrgent(c.Routes)
 	e.configuration = c
 	for name, limits := range c.Groups {
 		e.group(name).setLimits(limits, e.daemons)
--- a/internal/engine/execute.go
+++ b/internal/engine/execute.go
@@ -62,7 +62,10 @@
 
 // class orders requests by urgency.
 func (r *request) class() admission.Class {
-	if r.route.Consistency == ConsistencyAged {
+	switch {
+	case r.route.Urgent:
+		return admission.ClassUrgent
+	case r.route.Consistency == ConsistencyAged:
 		return admission.ClassAged
 	}
 	return admission.ClassStrict
--- a/internal/policy/admission/admission.go
+++ b/internal/policy/admission/admission.go
@@ -2,8 +2,8 @@
 //
 // The queue of a target is bounded. A batch that can not start before its deadline is refused at
 // once, with a time to come back that follows from the backlog. Transactions in progress come
-// first, then writes and strict reads, then reads with an allowed age; within a class the
-// workspaces take turns.
+// first, then what is declared urgent, writes and strict reads, and reads with an allowed age; within a
+// class the workspaces take turns.
 package admission
 
 import (
@@ -20,6 +20,8 @@
 const (
 	// ClassTransaction holds batches of transactions in progress.
 	ClassTransaction Class = iota
+	// ClassUrgent holds batches that are declared more urgent than the others.
+	ClassUrgent
 	// ClassStrict holds writes and reads without an allowed age.
 	ClassStrict
 	// ClassAged holds reads with an allowed age.
@@ -30,7 +32,7 @@
 	classes
 )
 
-var classNames = [...]string{ClassTransaction: "transaction", ClassStrict: "strict", ClassAged: "aged", ClassLate: "late"}
+var classNames = [...]string{ClassTransaction: "transaction", ClassUrgent: "urgent", ClassStrict: "strict", ClassAged: "aged", ClassLate: "late"}
 
 // String returns the name of the class.
 func (c Class) String() string {
