--- a/cmd/papayacove/main.go
+++ b/cmd/papayacove/main.go
@@ -14,6 +14,7 @@
 	"github.com/papayacove/papayacove/internal/config"
 	"github.com/papayacove/papayacove/internal/daemon"
 	"github.com/papayacove/papayacove/internal/lineproxy"
+	"github.com/papayacove/papayacove/internal/logevent"
 	"github.com/papayacove/papayacove/internal/telemetry"
 	"github.com/sirupsen/logrus"
 	"github.com/urfave/cli/v3"
@@ -68,7 +69,7 @@
 		return err
 	}
 	go config.Watch(ctx, command.String("settings"), reload, func(api.Settings) {
-		logrus.Info("settings_wait_for_restart")
+		logrus.Info(logevent.SettingsWaitForRestart)
 	})
 	return composed.Run(ctx)
 }
--- a/internal/certificate/store.go
+++ b/internal/certificate/store.go
@@ -5,6 +5,8 @@
 	"time"
 
 	"github.com/papayacove/papayacove/api"
+	"github.com/papayacove/papayacove/internal/logevent"
+	"github.com/papayacove/papayacove/internal/logfield"
 	"github.com/papayacove/papayacove/internal/result"
 	"github.com/sirupsen/logrus"
 )
@@ -85,11 +87,11 @@
 			continue
 		}
 		s.seen[i] = now
-		entry := logrus.WithField("key", changed.key())
+		entry := logrus.WithField(logfield.Key, changed.key())
 		if err := changed.load(); err != nil {
-			entry.WithField("error", err).Error("certificate_reload_failed")
+			entry.WithField(logfield.Error, err).Error(logevent.CertificateReloadFailed)
 			continue
 		}
-		entry.Info("certificate_reloaded")
+		entry.Info(logevent.CertificateReloaded)
 	}
 }
--- a/internal/config/watch.go
+++ b/internal/config/watch.go
@@ -9,6 +9,8 @@
 	"github.com/sirupsen/logrus"
 
 	"github.com/papayacove/papayacove/api"
+	"github.com/papayacove/papayacove/internal/logevent"
+	"github.com/papayacove/papayacove/internal/logfield"
 )
 
 // pollInterval is the time between two looks at the settings file, which may change without a signal.
@@ -26,7 +28,7 @@
 		case <-ctx.Done():
 			return
 		case <-signals:
-			logrus.WithField("path", path).Info("reload_requested")
+			logrus.WithField(logfield.Path, path).Info(logevent.ReloadRequested)
 			w.read()
 		case <-ticker.C:
 			w.read()
@@ -44,7 +46,7 @@
 func (w *watcher) read() {
 	content, err := os.ReadFile(w.path)
 	if err != nil {
-		logrus.WithFields(logrus.Fields{"path": w.path, "error": err}).Warn("settings_unreadable")
+		logrus.WithFields(logrus.Fields{logfield.Path: w.path, logfield.Error: err}).Warn(logevent.SettingsUnreadable)
 		return
 	}
 	if bytes.Equal(content, w.content) {
@@ -53,9 +55,9 @@
 	w.content = content
 	settings, err := Load(w.path)
 	if err != nil {
-		logrus.WithFields(logrus.Fields{"path": w.path, "error": err}).Error("settings_refused")
+		logrus.WithFields(logrus.Fields{logfield.Path: w.path, logfield.Error: err}).Error(logevent.SettingsRefused)
 		return
 	}
-	logrus.WithField("path", w.path).Info("settings_reloaded")
+	logrus.WithField(logfield.Path, w.path).Info(logevent.SettingsReloaded)
 	w.apply(settings)
 }
--- a/internal/daemon/admin.go
+++ b/internal/daemon/admin.go
@@ -12,6 +12,8 @@
 
 	"github.com/papayacove/papayacove/api"
 	"github.com/papayacove/papayacove/internal/httpserver"
+	"github.com/papayacove/papayacove/internal/logevent"
+	"github.com/papayacove/papayacove/internal/logfield"
 	"github.com/papayacove/papayacove/internal/telemetry"
 	"github.com/sirupsen/logrus"
 )
@@ -52,7 +54,7 @@
 func writeJSON(w http.ResponseWriter, value any) {
 	w.Header().Set("Content-Type", "application/json")
 	if err := json.NewEncoder(w).Encode(value); err != nil {
-		logrus.WithField("error", err).Warn("admin_answer_failed")
+		logrus.WithField(logfield.Error, err).Warn(logevent.AdminAnswerFailed)
 	}
 }
 
--- a/internal/daemon/configuration.go
+++ b/internal/daemon/configuration.go
@@ -8,6 +8,8 @@
 	"time"
 
 	"github.com/papayacove/papayacove/api"
+	"github.com/papayacove/papayacove/internal/logevent"
+	"github.com/papayacove/papayacove/internal/logfield"
 	"github.com/papayacove/papayacove/internal/objectstore"
 	"github.com/papayacove/papayacove/internal/peer"
 	"github.com/papayacove/papayacove/internal/terms"
@@ -46,7 +48,7 @@
 	if !changed {
 		return
 	}
-	logrus.WithFields(logrus.Fields{"revision": d.catalog.Revision(), "objects": len(objects), "source": source}).Info("configuration_applied")
+	logrus.WithFields(logrus.Fields{logfield.Revision: d.catalog.Revision(), logfield.Objects: len(objects), logfield.Source: source}).Info(logevent.ConfigurationApplied)
 	d.refresh()
 }
 
@@ -56,7 +58,7 @@
 	}
 	var record api.TermRecord
 	if err := json.Unmarshal(object.Data, &record); err != nil {
-		logrus.WithFields(logrus.Fields{"object": object.Name, "error": err}).Warn("term_unreadable")
+		logrus.WithFields(logrus.Fields{logfield.Object: object.Name, logfield.Error: err}).Warn(logevent.TermUnreadable)
 		return
 	}
 	d.observeTerm(terms.FromRecord(record), "platform")
@@ -68,8 +70,8 @@
 		return false
 	}
 	logrus.WithFields(logrus.Fields{
-		"group": term.Group, "term": term.Term, "primary": term.Primary, "start": term.Start.String(), "source": source,
-	}).Info("term_observed")
+		logfield.Group: term.Group, logfield.Term: term.Term, logfield.Primary: term.Primary, logfield.Start: term.Start.String(), logfield.Source: source,
+	}).Info(logevent.TermObserved)
 	return true
 }
 
--- a/internal/daemon/daemon.go
+++ b/internal/daemon/daemon.go
@@ -10,6 +10,8 @@
 	"github.com/papayacove/papayacove/internal/failover"
 	"github.com/papayacove/papayacove/internal/frontend"
 	"github.com/papayacove/papayacove/internal/gate"
+	"github.com/papayacove/papayacove/internal/logevent"
+	"github.com/papayacove/papayacove/internal/logfield"
 	"github.com/papayacove/papayacove/internal/membership"
 	"github.com/papayacove/papayacove/internal/objectstore"
 	"github.com/papayacove/papayacove/internal/peer"
@@ -105,9 +107,9 @@
 		return err
 	}
 	logrus.WithFields(logrus.Fields{
-		"daemon": d.settings.Name, "zone": d.settings.Zone, "callers": d.settings.CallerAddress,
-		"peers": d.settings.PeerAddress, "admin": d.settings.AdminAddress,
-	}).Info("daemon_started")
+		logfield.Daemon: d.settings.Name, logfield.Zone: d.settings.Zone, logfield.Callers: d.settings.CallerAddress,
+		logfield.Peers: d.settings.PeerAddress, logfield.Admin: d.settings.AdminAddress,
+	}).Info(logevent.DaemonStarted)
 	<-ctx.Done()
 	d.leave()
 	return nil
@@ -140,27 +142,27 @@
 
 func (d *Daemon) report(part string, run func() error) {
 	if err := run(); err != nil {
-		logrus.WithFields(logrus.Fields{"part": part, "error": err}).Error("part_failed")
+		logrus.WithFields(logrus.Fields{logfield.Part: part, logfield.Error: err}).Error(logevent.PartFailed)
 	}
 }
 
 // leave stops in a planned way: the targets move to other daemons, requests in progress end, and
 // idle callers are sent elsewhere.
 func (d *Daemon) leave() {
-	logrus.WithField("daemon", d.settings.Name).Info("daemon_leaving")
+	logrus.WithField(logfield.Daemon, d.settings.Name).Info(logevent.DaemonLeaving)
 	ctx, cancel := context.WithTimeout(context.Background(), drainTimeout)
 	defer cancel()
 	d.members.SetLeaving()
 	d.members.BeatNow()
 	time.Sleep(leaveNotice)
 	if err := d.frontend.Drain(ctx); err != nil {
-		logrus.WithField("error", err).Warn("callers_cut")
+		logrus.WithField(logfield.Error, err).Warn(logevent.CallersCut)
 	}
 	d.gates.Drain(ctx)
 	_ = d.frontend.Close()
 	d.gates.Close()
 	d.peers.Close()
-	logrus.WithField("daemon", d.settings.Name).Info("daemon_stopped")
+	logrus.WithField(logfield.Daemon, d.settings.Name).Info(logevent.DaemonStopped)
 }
 
 // refresh places the targets anew.
--- a/internal/duty/duty.go
+++ b/internal/duty/duty.go
@@ -19,6 +19,8 @@
 
 	"github.com/papayacove/papayacove/api"
 	"github.com/papayacove/papayacove/internal/clock"
+	"github.com/papayacove/papayacove/internal/logevent"
+	"github.com/papayacove/papayacove/internal/logfield"
 	"github.com/papayacove/papayacove/internal/objectstore"
 )
 
@@ -88,7 +90,7 @@
 		return 0, 0, err
 	}
 	d.uses++
-	logrus.WithFields(logrus.Fields{"token": d.token}).Info("duty_taken")
+	logrus.WithFields(logrus.Fields{logfield.Token: d.token}).Info(logevent.DutyTaken)
 	return d.token, d.until, nil
 }
 
@@ -111,7 +113,7 @@
 	}
 	var stored api.DutyRecord
 	if err := json.Unmarshal(record.Data, &stored); err != nil {
-		logrus.WithField("error", err).Warn("duty_unreadable")
+		logrus.WithField(logfield.Error, err).Warn(logevent.DutyUnreadable)
 	}
 	if stored.Holder == "" || stored.Holder == d.holder {
 		return nil
@@ -164,8 +166,8 @@
 	defer cancel()
 	record := api.Object{Kind: Kind, Name: Name, Version: d.token}
 	if err := d.write(ctx, record, false); err != nil {
-		logrus.WithField("error", err).Info("duty_not_released")
+		logrus.WithField(logfield.Error, err).Info(logevent.DutyNotReleased)
 		return
 	}
-	logrus.WithField("token", d.token).Info("duty_released")
+	logrus.WithField(logfield.Token, d.token).Info(logevent.DutyReleased)
 }
--- a/internal/engine/engine.go
+++ b/internal/engine/engine.go
@@ -13,6 +13,8 @@
 	"github.com/sirupsen/logrus"
 
 	"github.com/papayacove/papayacove/internal/clock"
+	"github.com/papayacove/papayacove/internal/logevent"
+	"github.com/papayacove/papayacove/internal/logfield"
 	"github.com/papayacove/papayacove/internal/objectstore"
 	"github.com/papayacove/papayacove/internal/policy/takeover"
 )
@@ -80,7 +82,7 @@
 	defer e.mu.Unlock()
 	if e.isConfigured && c.Version <= e.configuration.Version {
 		if c.Version < e.configuration.Version {
-			logrus.WithFields(logrus.Fields{"version": c.Version, "in_force": e.configuration.Version}).Warn("configuration_ignored")
+			logrus.WithFields(logrus.Fields{logfield.Version: c.Version, logfield.InForce: e.configuration.Version}).Warn(logevent.ConfigurationIgnored)
 		}
 		return false
 	}
@@ -90,7 +92,7 @@
 	for name, limits := range c.Groups {
 		e.group(name).setLimits(limits, e.daemons)
 	}
-	logrus.WithFields(logrus.Fields{"version": c.Version, "routes": len(c.Routes), "groups": len(c.Groups)}).Info("configuration_in_force")
+	logrus.WithFields(logrus.Fields{logfield.Version: c.Version, logfield.Routes: len(c.Routes), logfield.Groups: len(c.Groups)}).Info(logevent.ConfigurationInForce)
 	if !e.isConfigured {
 		e.isConfigured = true
 		close(e.configured)
@@ -166,7 +168,7 @@
 	if count == e.daemons {
 		return
 	}
-	logrus.WithFields(logrus.Fields{"daemons": count, "before": e.daemons}).Info("daemons_changed")
+	logrus.WithFields(logrus.Fields{logfield.Daemons: count, logfield.Before: e.daemons}).Info(logevent.DaemonsChanged)
 	e.daemons = count
 	for name, g := range e.groups {
 		if limits, ok := e.configuration.Groups[name]; ok {
@@ -207,7 +209,7 @@
 		if isolated != e.isolated.Load() {
 			e.isolated.Store(isolated)
 			since = now
-			logrus.WithField("ready", !isolated).Warn("readiness_changed")
+			logrus.WithField(logfield.Ready, !isolated).Warn(logevent.ReadinessChanged)
 		}
 		if isolated && now-since > rotationTime {
 			e.closeIdleSessions(e.ctx, isolationPause)
@@ -299,7 +301,7 @@
 // rest when ctx ends.
 func (e *Engine) Drain(ctx context.Context, within time.Duration) {
 	e.stopping.Store(true)
-	logrus.WithField("sessions", len(e.openSessions())).Info("sessions_draining")
+	logrus.WithField(logfield.Sessions, len(e.openSessions())).Info(logevent.SessionsDraining)
 	rotation := min(rotationTime, within/2)
 	_ = clock.Sleep(ctx, rotation)
 	e.closing.Store(true)
@@ -312,7 +314,7 @@
 		_ = clock.Sleep(ctx, drainInterval)
 	}
 	for _, s := range e.openSessions() {
-		s.log(Statement{}).Warn("session_cut")
+		s.log(Statement{}).Warn(logevent.SessionCut)
 		s.abort()
 	}
 }
--- a/internal/engine/events.go
+++ b/internal/engine/events.go
@@ -10,6 +10,8 @@
 
 	"github.com/papayacove/papayacove/api"
 	"github.com/papayacove/papayacove/internal/clock"
+	"github.com/papayacove/papayacove/internal/logevent"
+	"github.com/papayacove/papayacove/internal/logfield"
 	"github.com/papayacove/papayacove/internal/telemetry"
 )
 
@@ -31,7 +33,7 @@
 
 // log returns an entry that names the session and the statement.
 func (s *session) log(statement Statement) *logrus.Entry {
-	return logrus.WithFields(logrus.Fields{"session": s.id, "database": s.database, "request": statement.ID})
+	return logrus.WithFields(logrus.Fields{logfield.Session: s.id, logfield.Database: s.database, logfield.Request: statement.ID})
 }
 
 // logRefusal writes why a statement was not answered with success.
@@ -41,9 +43,9 @@
 		return
 	}
 	s.log(statement).WithFields(s.engine.belief(s.database)).WithFields(logrus.Fields{
-		"operation": statement.Op.String(), "code": int(refusal.Code), "outcome": refusal.Code.String(), "reason": refusal.Reason,
-		"retry_after": refusal.RetryAfter, "elapsed": time.Since(arrived),
-	}).Info("statement_refused")
+		logfield.Operation: statement.Op.String(), logfield.Code: int(refusal.Code), logfield.Outcome: refusal.Code.String(), logfield.Reason: refusal.Reason,
+		logfield.RetryAfter: refusal.RetryAfter, logfield.Elapsed: time.Since(arrived),
+	}).Info(logevent.StatementRefused)
 }
 
 // logAttempt writes why a statement was not served by one target, with what the choice was based on.
@@ -55,10 +57,10 @@
 	}
 	target, applied, authority := r.group.evidence(m)
 	r.session.log(r.statement).WithFields(logrus.Fields{
-		"group": r.group.name, "attempt": r.attempts, "target": target, "consistency": r.route.Consistency.String(),
-		"floor": plan.floor, "applied": applied, "needs_primary": plan.onlyPrimary, "authority_left": authority,
-		"code": int(refusal.Code), "outcome": refusal.Code.String(), "reason": refusal.Reason, "elapsed": now.Sub(r.arrived),
-	}).Info("attempt_failed")
+		logfield.Group: r.group.name, logfield.Attempt: r.attempts, logfield.Target: target, logfield.Consistency: r.route.Consistency.String(),
+		logfield.Floor: plan.floor, logfield.Applied: applied, logfield.NeedsPrimary: plan.onlyPrimary, logfield.AuthorityLeft: authority,
+		logfield.Code: int(refusal.Code), logfield.Outcome: refusal.Code.String(), logfield.Reason: refusal.Reason, logfield.Elapsed: now.Sub(r.arrived),
+	}).Info(logevent.AttemptFailed)
 }
 
 // logServed counts a statement that was served, and writes a line when it took several attempts, or as a sample.
@@ -71,8 +73,8 @@
 		return
 	}
 	r.session.log(r.statement).WithFields(logrus.Fields{
-		"group": r.group.name, "decision": decision, "attempts": r.attempts, "elapsed": now.Sub(r.arrived), "sample": sampled,
-	}).Info("statement_served")
+		logfield.Group: r.group.name, logfield.Decision: decision, logfield.Attempts: r.attempts, logfield.Elapsed: now.Sub(r.arrived), logfield.Sample: sampled,
+	}).Info(logevent.StatementServed)
 }
 
 // belief returns what the daemon takes for true of the group that serves a database, for the log.
@@ -83,13 +85,13 @@
 	g := e.groups[route.Group]
 	e.mu.Unlock()
 	if !ok || g == nil {
-		return logrus.Fields{"version": version}
+		return logrus.Fields{logfield.Version: version}
 	}
 	g.mu.Lock()
 	defer g.mu.Unlock()
 	return logrus.Fields{
-		"version": version, "route": route.Name, "group": g.name, "term": g.term, "primary": g.leader,
-		"authority_left": g.authorityLeft(), "targets": len(g.members),
+		logfield.Version: version, logfield.Route: route.Name, logfield.Group: g.name, logfield.Term: g.term, logfield.Primary: g.leader,
+		logfield.AuthorityLeft: g.authorityLeft(), logfield.Targets: len(g.members),
 	}
 }
 
--- a/internal/engine/group.go
+++ b/internal/engine/group.go
@@ -8,6 +8,8 @@
 
 	"github.com/papayacove/papayacove/api"
 	"github.com/papayacove/papayacove/internal/clock"
+	"github.com/papayacove/papayacove/internal/logevent"
+	"github.com/papayacove/papayacove/internal/logfield"
 	"github.com/papayacove/papayacove/internal/policy/authority"
 	"github.com/papayacove/papayacove/internal/policy/floor"
 	"github.com/papayacove/papayacove/internal/policy/spread"
@@ -102,7 +104,7 @@
 
 // log returns an entry with the group's belief, which each of its lines carries.
 func (g *group) log() *logrus.Entry {
-	return logrus.WithFields(logrus.Fields{"group": g.name, "term": g.term, "primary": g.leader})
+	return logrus.WithFields(logrus.Fields{logfield.Group: g.name, logfield.Term: g.term, logfield.Primary: g.leader})
 }
 
 // broadcast wakes the waiting statements. The caller holds the lock.
@@ -162,8 +164,8 @@
 		return
 	}
 	g.log().WithFields(logrus.Fields{
-		"target": t.Name, "zone": t.Zone, "leaving": t.Leaving, "says_primary": t.SaysPrimary, "known": known,
-	}).Info("target_reported")
+		logfield.Target: t.Name, logfield.Zone: t.Zone, logfield.Leaving: t.Leaving, logfield.SaysPrimary: t.SaysPrimary, logfield.Known: known,
+	}).Info(logevent.TargetReported)
 	g.broadcast()
 	g.requestLook()
 }
@@ -208,7 +210,7 @@
 	if m.target.Leaving {
 		wait = 0
 	}
-	g.log().WithFields(logrus.Fields{"target": name, "removed_after": wait}).Info("target_missing")
+	g.log().WithFields(logrus.Fields{logfield.Target: name, logfield.RemovedAfter: wait}).Info(logevent.TargetMissing)
 	m.missing = time.AfterFunc(wait, func() { g.removeTarget(name, m) })
 }
 
@@ -222,11 +224,11 @@
 	}
 	delete(g.members, name)
 	if name != g.leader && g.owed.Lose(name, g.statuses[name], clock.Boot()) {
-		g.log().WithField("target", name).Info("witness_lost")
+		g.log().WithField(logfield.Target, name).Info(logevent.WitnessLost)
 	}
 	delete(g.statuses, name)
 	if ok {
-		g.log().WithField("target", name).Info("target_gone")
+		g.log().WithField(logfield.Target, name).Info(logevent.TargetGone)
 		g.broadcast()
 		g.requestLook()
 	}
--- a/internal/engine/observe.go
+++ b/internal/engine/observe.go
@@ -12,6 +12,8 @@
 	"github.com/sirupsen/logrus"
 
 	"github.com/papayacove/papayacove/internal/clock"
+	"github.com/papayacove/papayacove/internal/logevent"
+	"github.com/papayacove/papayacove/internal/logfield"
 	"github.com/papayacove/papayacove/internal/policy/authority"
 	"github.com/papayacove/papayacove/internal/policy/floor"
 	"github.com/papayacove/papayacove/internal/policy/takeover"
@@ -222,7 +224,7 @@
 	if err == nil {
 		g.remember(map[string]authority.Status{name: status})
 	}
-	g.log().WithFields(logrus.Fields{"target": name, "error": err}).Info("leaving_replica_paused")
+	g.log().WithFields(logrus.Fields{logfield.Target: name, logfield.Error: err}).Info(logevent.LeavingReplicaPaused)
 }
 
 // askAll sends a command to each member at once and returns the answers. A busy target counts with an
@@ -239,7 +241,7 @@
 		pending.Go(func() {
 			status, err := m.control.callWithin(timeout, command(name))
 			if err != nil && !isBusy(err) {
-				logrus.WithFields(logrus.Fields{"target": name, "operation": command(name).Op.String(), "error": err}).Debug("target_not_answering")
+				logrus.WithFields(logrus.Fields{logfield.Target: name, logfield.Operation: command(name).Op.String(), logfield.Error: err}).Debug(logevent.TargetNotAnswering)
 				return
 			}
 			mu.Lock()
@@ -266,7 +268,7 @@
 	g.takeReplicaSample(statuses)
 	g.takeProof(statuses)
 	for _, name := range g.owed.Settle(g.leader, statuses) {
-		g.log().WithField("target", name).Info("witness_replaced")
+		g.log().WithField(logfield.Target, name).Info(logevent.WitnessReplaced)
 	}
 	now := clock.Boot()
 	reason := g.watch.Judge(takeover.Round{
@@ -276,7 +278,7 @@
 	if reason == takeover.ReasonNone || g.promoting || now < g.restUntil {
 		return takeover.ReasonNone
 	}
-	g.log().WithFields(logrus.Fields{"reason": string(reason), "answered": len(statuses), "members": len(g.members)}).Warn("primary_suspected")
+	g.log().WithFields(logrus.Fields{logfield.Reason: string(reason), logfield.Answered: len(statuses), logfield.Members: len(g.members)}).Warn(logevent.PrimarySuspected)
 	return reason
 }
 
@@ -309,7 +311,7 @@
 	if isolated {
 		g.isolatedSince = began
 	}
-	g.log().WithFields(logrus.Fields{"isolated": isolated, "answered": answered, "members": len(g.members)}).Warn("isolation_changed")
+	g.log().WithFields(logrus.Fields{logfield.Isolated: isolated, logfield.Answered: answered, logfield.Members: len(g.members)}).Warn(logevent.IsolationChanged)
 }
 
 // isIsolated reports whether most targets have not answered for a time.
@@ -348,7 +350,7 @@
 		return
 	}
 	if g.owed.Lose(fmt.Sprintf("%s up to %d.%d", name, before.Received.Term, before.Received.Offset), before, clock.Boot()) {
-		g.log().WithFields(logrus.Fields{"target": name, "held": before.Received, "holds": s.Received}).Info("witness_lost")
+		g.log().WithFields(logrus.Fields{logfield.Target: name, logfield.Held: before.Received, logfield.Holds: s.Received}).Info(logevent.WitnessLost)
 	}
 }
 
@@ -383,7 +385,7 @@
 	if leader == g.leader && term == g.term {
 		return
 	}
-	g.log().WithFields(logrus.Fields{"new_primary": leader, "new_term": term}).Info("primary_changed")
+	g.log().WithFields(logrus.Fields{logfield.NewPrimary: leader, logfield.NewTerm: term}).Info(logevent.PrimaryChanged)
 	if term != g.term {
 		g.restUntil = max(g.restUntil, clock.Boot()+takeover.Rest)
 		// What the old primary told says nothing about the new one's commits.
--- a/internal/engine/promote.go
+++ b/internal/engine/promote.go
@@ -12,6 +12,8 @@
 	"github.com/sirupsen/logrus"
 
 	"github.com/papayacove/papayacove/internal/clock"
+	"github.com/papayacove/papayacove/internal/logevent"
+	"github.com/papayacove/papayacove/internal/logfield"
 	"github.com/papayacove/papayacove/internal/policy/authority"
 	"github.com/papayacove/papayacove/internal/policy/floor"
 	"github.com/papayacove/papayacove/internal/policy/takeover"
@@ -73,18 +75,18 @@
 	}
 	p := &promotion{engine: e, group: g, reason: reason, old: suspect.leader, oldTerm: suspect.term}
 	if !e.isDirectorySettled() {
-		p.log().Info("directory_not_settled")
+		p.log().Info(logevent.DirectoryNotSettled)
 		return
 	}
 	token, until, err := e.options.Duty.Acquire(e.ctx)
 	if err != nil {
-		p.log().WithField("error", err).Info("promotion_not_started")
+		p.log().WithField(logfield.Error, err).Info(logevent.PromotionNotStarted)
 		return
 	}
 	defer e.options.Duty.Release(e.ctx)
 	p.token, p.until = token, until
 	if !p.isStillNeeded() {
-		p.log().Info("promotion_not_needed")
+		p.log().Info(logevent.PromotionNotNeeded)
 		return
 	}
 	if p.run() {
@@ -118,7 +120,7 @@
 }
 
 func (p *promotion) log() *logrus.Entry {
-	return logrus.WithFields(logrus.Fields{"group": p.group.name, "old_primary": p.old, "term": p.term, "token": p.token, "reason": string(p.reason)})
+	return logrus.WithFields(logrus.Fields{logfield.Group: p.group.name, logfield.OldPrimary: p.old, logfield.Term: p.term, logfield.Token: p.token, logfield.Reason: string(p.reason)})
 }
 
 // isStillNeeded looks at all targets again, now that no other daemon acts.
@@ -153,14 +155,14 @@
 
 // run carries the promotion out and reports whether a target leads now.
 func (p *promotion) run() bool {
-	p.log().Info("promotion_begun")
+	p.log().Info(logevent.PromotionBegun)
 	p.pauseReplicas()
 	choice := takeover.Choose(p.replicas(), p.paused, nil, p.isLeaving)
 	if choice.Target == "" && p.hasWholeLog() {
 		p.stepDown()
 		choice = takeover.Choose(p.replicas(), p.paused, p.demoted, p.isLeaving)
 	}
-	p.log().WithFields(logrus.Fields{"target": choice.Target, "why": choice.Reason, "paused": len(p.paused)}).Info("promotion_choice")
+	p.log().WithFields(logrus.Fields{logfield.Target: choice.Target, logfield.Why: choice.Reason, logfield.Paused: len(p.paused)}).Info(logevent.PromotionChoice)
 	if choice.Target == "" {
 		p.resume()
 		return false
@@ -169,7 +171,7 @@
 		return false
 	}
 	if now := askAll(p.pausedMembers(), func(string) Command { return Command{Op: OpStatus} }); !takeover.StillPaused(p.paused, now) {
-		p.log().Warn("replica_no_longer_paused")
+		p.log().Warn(logevent.ReplicaNoLongerPaused)
 		p.resume()
 		return false
 	}
@@ -200,7 +202,7 @@
 	}
 	own, err := m.control.call(Command{Op: OpStatus})
 	if err != nil {
-		p.log().WithField("error", err).Info("old_primary_not_stepping_down")
+		p.log().WithField(logfield.Error, err).Info(logevent.OldPrimaryNotSteppingDown)
 		return false
 	}
 	for _, s := range p.paused {
@@ -252,7 +254,7 @@
 // demoteForgotten makes a target follow that still leads in a term before the last one, so that it can be paused.
 func (p *promotion) demoteForgotten(name string) {
 	_, err := p.members[name].control.call(Command{Op: OpStepDown, Term: p.term - 1})
-	p.log().WithFields(logrus.Fields{"target": name, "error": err}).Info("forgotten_primary_demoted")
+	p.log().WithFields(logrus.Fields{logfield.Target: name, logfield.Error: err}).Info(logevent.ForgottenPrimaryDemoted)
 }
 
 // stepDown asks the old primary to stop leading. It may not be reached. Its log tells of every acknowledged commit only
@@ -264,7 +266,7 @@
 	}
 	s, err := m.control.call(Command{Op: OpStepDown, Term: p.term})
 	if err != nil {
-		p.log().WithField("error", err).Info("old_primary_not_stepping_down")
+		p.log().WithField(logfield.Error, err).Info(logevent.OldPrimaryNotSteppingDown)
 		return
 	}
 	if p.oldLeads && s.Role == authority.RoleReplica {
@@ -276,7 +278,7 @@
 func (p *promotion) resume() {
 	paused := p.pausedMembers()
 	askAll(paused, func(string) Command { return Command{Op: OpResume, Term: p.term} })
-	p.log().WithField("resumed", len(paused)).Warn("promotion_given_up")
+	p.log().WithField(logfield.Resumed, len(paused)).Warn(logevent.PromotionGivenUp)
 }
 
 func (p *promotion) pausedMembers() map[string]*member {
@@ -293,7 +295,7 @@
 		ctx, cancel := context.WithTimeout(p.engine.ctx, promoteTimeout)
 		err := p.engine.options.Promoter.Promote(ctx, p.group.name, target, p.token)
 		cancel()
-		p.log().WithFields(logrus.Fields{"target": target, "error": err}).Info("promotion_ordered")
+		p.log().WithFields(logrus.Fields{logfield.Target: target, logfield.Error: err}).Info(logevent.PromotionOrdered)
 		if err == nil {
 			return true
 		}
@@ -314,7 +316,7 @@
 	for clock.Boot() < end {
 		s, err := m.control.call(Command{Op: OpStatus})
 		if err == nil && s.Role == authority.RolePrimary {
-			p.log().WithFields(logrus.Fields{"target": target, "new_term": s.Term, "elapsed": clock.Boot() - p.pausedAt}).Info("promotion_done")
+			p.log().WithFields(logrus.Fields{logfield.Target: target, logfield.NewTerm: s.Term, logfield.Elapsed: clock.Boot() - p.pausedAt}).Info(logevent.PromotionDone)
 			p.group.look()
 			p.settle(target)
 			return true
@@ -323,7 +325,7 @@
 			return false
 		}
 	}
-	p.log().WithField("target", target).Warn("promoted_target_not_leading")
+	p.log().WithField(logfield.Target, target).Warn(logevent.PromotedTargetNotLeading)
 	return false
 }
 
@@ -335,7 +337,7 @@
 	for name, s := range askAll(p.members, func(string) Command { return Command{Op: OpStatus} }) {
 		if name != target && s.Role == authority.RoleReplica && s.IsPaused() && !p.isLeaving(name) {
 			if _, err := p.members[name].control.call(Command{Op: OpResume, Term: p.term}); err != nil {
-				p.log().WithFields(logrus.Fields{"target": name, "error": err}).Warn("replica_not_resumed")
+				p.log().WithFields(logrus.Fields{logfield.Target: name, logfield.Error: err}).Warn(logevent.ReplicaNotResumed)
 			}
 		}
 	}
--- a/internal/engine/session.go
+++ b/internal/engine/session.go
@@ -13,6 +13,8 @@
 
 	"github.com/papayacove/papayacove/api"
 	"github.com/papayacove/papayacove/internal/clock"
+	"github.com/papayacove/papayacove/internal/logevent"
+	"github.com/papayacove/papayacove/internal/logfield"
 	"github.com/papayacove/papayacove/internal/policy/floor"
 	"github.com/papayacove/papayacove/internal/result"
 )
@@ -143,7 +145,7 @@
 // statement learns of it: nothing may be sent while none is outstanding.
 func (s *session) expireTransaction() {
 	if t := s.transaction; t != nil && t.refusal == nil {
-		s.log(Statement{}).WithField("idle", s.engine.idleTransaction()).Info("transaction_expired")
+		s.log(Statement{}).WithField(logfield.Idle, s.engine.idleTransaction()).Info(logevent.TransactionExpired)
 		t.untold = true
 		t.fail(refuse(result.TransactionLost, "rolled back after %s without a statement", s.engine.idleTransaction()))
 	}
--- a/internal/failover/controller.go
+++ b/internal/failover/controller.go
@@ -6,6 +6,8 @@
 	"time"
 
 	"github.com/papayacove/papayacove/api"
+	"github.com/papayacove/papayacove/internal/logevent"
+	"github.com/papayacove/papayacove/internal/logfield"
 	"github.com/papayacove/papayacove/internal/observer"
 	"github.com/papayacove/papayacove/internal/policy/promotion"
 	"github.com/papayacove/papayacove/internal/target"
@@ -185,8 +187,8 @@
 	asked.Wait()
 	verdict := promotion.VantageDecision(views, c.term.Term, promotion.VantageQuorum(len(daemons)))
 	logrus.WithFields(verdict.Fields()).WithFields(c.suspected.Fields()).WithFields(logrus.Fields{
-		"group": c.group.Name, "term": c.term.Term, "primary": c.term.Primary,
-	}).Info("primary_suspected")
+		logfield.Group: c.group.Name, logfield.Term: c.term.Term, logfield.Primary: c.term.Primary,
+	}).Info(logevent.PrimarySuspected)
 	return verdict
 }
 
@@ -283,7 +285,7 @@
 	c.repairedAt = time.Now()
 	record := api.TermRecord{Group: c.group.Name, Term: c.term.Term, Primary: c.term.Primary, Start: c.term.Start}
 	for _, order := range promotion.Repair(record, targetStates(all, c.term)) {
-		logrus.WithFields(order.Fields()).WithField("group", c.group.Name).Info("target_repaired")
+		logrus.WithFields(order.Fields()).WithField(logfield.Group, c.group.Name).Info(logevent.TargetRepaired)
 		go c.follow(ctx, order)
 	}
 }
@@ -309,7 +311,7 @@
 	ctx, cancel := context.WithTimeout(ctx, orderTimeout)
 	defer cancel()
 	if _, err := c.callTarget(ctx, order.Target, c.followCall(order)); err != nil {
-		logrus.WithFields(order.Fields()).WithFields(logrus.Fields{"group": c.group.Name, "error": err}).Warn("target_repair_failed")
+		logrus.WithFields(order.Fields()).WithFields(logrus.Fields{logfield.Group: c.group.Name, logfield.Error: err}).Warn(logevent.TargetRepairFailed)
 	}
 }
 
@@ -318,5 +320,5 @@
 		return
 	}
 	c.lastReason = decision.Reason
-	logrus.WithFields(decision.Fields()).WithField("primary", c.term.Primary).Info("failover_decision")
+	logrus.WithFields(decision.Fields()).WithField(logfield.Primary, c.term.Primary).Info(logevent.FailoverDecision)
 }
--- a/internal/failover/promoter.go
+++ b/internal/failover/promoter.go
@@ -11,6 +11,8 @@
 
 	"github.com/papayacove/papayacove/api"
 	"github.com/papayacove/papayacove/internal/clock"
+	"github.com/papayacove/papayacove/internal/logevent"
+	"github.com/papayacove/papayacove/internal/logfield"
 	"github.com/papayacove/papayacove/internal/objectstore"
 	"github.com/papayacove/papayacove/internal/policy/promotion"
 	"github.com/papayacove/papayacove/internal/target"
@@ -41,13 +43,13 @@
 func (c *controller) promote(ctx context.Context, decision promotion.TriggerDecision) {
 	record, version, err := c.readRecord(ctx)
 	if err != nil {
-		logrus.WithFields(logrus.Fields{"group": c.group.Name, "error": err}).Warn("promotion_not_started")
+		logrus.WithFields(logrus.Fields{logfield.Group: c.group.Name, logfield.Error: err}).Warn(logevent.PromotionNotStarted)
 		_ = clock.Sleep(ctx, retryPause)
 		return
 	}
 	compared := promotion.DecideRecord(c.term, record)
 	if compared.Action != promotion.RecordOpenNext {
-		logrus.WithFields(compared.Fields()).Info("promotion_not_started")
+		logrus.WithFields(compared.Fields()).Info(logevent.PromotionNotStarted)
 		c.options.Terms.Observe(terms.FromRecord(record))
 		_ = clock.Sleep(ctx, retryPause)
 		return
@@ -143,8 +145,8 @@
 		return
 	}
 	logrus.WithFields(order.Fields()).WithFields(logrus.Fields{
-		"group": p.controller.group.Name, "step": p.promotion.Step().String(), "elapsed": time.Since(p.began),
-	}).Info("promotion_step")
+		logfield.Group: p.controller.group.Name, logfield.Step: p.promotion.Step().String(), logfield.Elapsed: time.Since(p.began),
+	}).Info(logevent.PromotionStep)
 }
 
 func (p *promoter) post(ctx context.Context, event promotion.Event) {
--- a/internal/frontend/authenticate.go
+++ b/internal/frontend/authenticate.go
@@ -8,6 +8,8 @@
 
 	"github.com/jackc/pgx/v5/pgproto3"
 	"github.com/papayacove/papayacove/internal/credential"
+	"github.com/papayacove/papayacove/internal/logevent"
+	"github.com/papayacove/papayacove/internal/logfield"
 	"github.com/papayacove/papayacove/internal/result"
 	"github.com/xdg-go/scram"
 )
@@ -29,7 +31,7 @@
 		var err error
 		stored, err = credential.Parse(known.Verifier)
 		if err != nil {
-			s.log.WithField("user", user).Error("verifier_malformed")
+			s.log.WithField(logfield.User, user).Error(logevent.VerifierMalformed)
 			return authenticationFailed(user)
 		}
 	}
--- a/internal/frontend/check.go
+++ b/internal/frontend/check.go
@@ -4,6 +4,7 @@
 	"strings"
 
 	"github.com/papayacove/papayacove/internal/invariant"
+	"github.com/papayacove/papayacove/internal/logfield"
 	"github.com/papayacove/papayacove/internal/result"
 	"github.com/sirupsen/logrus"
 )
@@ -71,7 +72,7 @@
 		holds = holds && a.ready == 1 && a.status == outcome.TransactionStatus &&
 			strings.IndexByte("ITE", a.status) >= 0
 	}
-	fields := logrus.Fields{"ready": a.ready, "status": string(outcome.TransactionStatus), "flush": isFlush}
+	fields := logrus.Fields{logfield.Ready: a.ready, logfield.Status: string(outcome.TransactionStatus), logfield.Flush: isFlush}
 	if invariant.Check(holds, "frontend_whole_answer", fields) {
 		return nil
 	}
--- a/internal/frontend/open.go
+++ b/internal/frontend/open.go
@@ -8,6 +8,8 @@
 	"strings"
 
 	"github.com/jackc/pgx/v5/pgproto3"
+	"github.com/papayacove/papayacove/internal/logevent"
+	"github.com/papayacove/papayacove/internal/logfield"
 	"github.com/papayacove/papayacove/internal/result"
 	"github.com/sirupsen/logrus"
 )
@@ -76,12 +78,12 @@
 	counters.Add("sessions_opened", 1)
 	counters.Add("sessions_open", 1)
 	s.log.WithFields(logrus.Fields{
-		"session":   session.info.ID,
-		"workspace": session.info.Workspace,
-		"group":     session.info.Group,
-		"user":      session.info.User,
-		"caller":    session.conn.RemoteAddr(),
-	}).Info("session_opened")
+		logfield.Session:   session.info.ID,
+		logfield.Workspace: session.info.Workspace,
+		logfield.Group:     session.info.Group,
+		logfield.User:      session.info.User,
+		logfield.Caller:    session.conn.RemoteAddr(),
+	}).Info(logevent.SessionOpened)
 	return nil
 }
 
--- a/internal/frontend/run.go
+++ b/internal/frontend/run.go
@@ -5,6 +5,8 @@
 	"time"
 
 	"github.com/papayacove/papayacove/api"
+	"github.com/papayacove/papayacove/internal/logevent"
+	"github.com/papayacove/papayacove/internal/logfield"
 	"github.com/papayacove/papayacove/internal/result"
 	"github.com/papayacove/papayacove/internal/telemetry"
 	"github.com/sirupsen/logrus"
@@ -181,30 +183,30 @@
 		class = "transaction"
 	}
 	counters.Add("batches_"+class, 1)
-	telemetry.Trace("batch_classified", logrus.Fields{
-		"session":        s.info.ID,
-		"group":          s.info.Group,
-		"access":         string(batch.Access),
-		"in_transaction": batch.InTransaction,
-		"max_age_ms":     batch.MaxAge.Milliseconds(),
-		"prepared":       len(batch.Prepared),
-		"bytes":          len(batch.Messages),
-		"has_key":        batch.OperationKey != "",
+	telemetry.Trace(logevent.BatchClassified, logrus.Fields{
+		logfield.Session:       s.info.ID,
+		logfield.Group:         s.info.Group,
+		logfield.Access:        string(batch.Access),
+		logfield.InTransaction: batch.InTransaction,
+		logfield.MaxAgeMs:      batch.MaxAge.Milliseconds(),
+		logfield.Prepared:      len(batch.Prepared),
+		logfield.Bytes:         len(batch.Messages),
+		logfield.HasKey:        batch.OperationKey != "",
 	})
 }
 
 func (s *session) logRefusal(err error) {
 	s.server.log.WithError(err).WithFields(logrus.Fields{
-		"session": s.info.ID,
-		"group":   s.info.Group,
-		"code":    int(result.CodeOf(err)),
-	}).Info("statement_refused")
+		logfield.Session: s.info.ID,
+		logfield.Group:   s.info.Group,
+		logfield.Code:    int(result.CodeOf(err)),
+	}).Info(logevent.StatementRefused)
 }
 
 func (s *session) logFailure(err error) {
 	s.server.log.WithError(err).WithFields(logrus.Fields{
-		"session": s.info.ID,
-		"group":   s.info.Group,
-		"code":    int(result.CodeOf(err)),
-	}).Info("batch_failed")
+		logfield.Session: s.info.ID,
+		logfield.Group:   s.info.Group,
+		logfield.Code:    int(result.CodeOf(err)),
+	}).Info(logevent.BatchFailed)
 }
--- a/internal/frontend/server.go
+++ b/internal/frontend/server.go
@@ -11,6 +11,9 @@
 	"time"
 
 	"github.com/sirupsen/logrus"
+
+	"github.com/papayacove/papayacove/internal/logevent"
+	"github.com/papayacove/papayacove/internal/logfield"
 )
 
 // Server accepts callers and runs their sessions.
@@ -63,7 +66,7 @@
 		return fmt.Errorf("listen for callers: %w", err)
 	}
 	s.listener = listener
-	s.log.WithFields(logrus.Fields{"address": listener.Addr(), "tls": s.options.TLS != nil}).Info("callers_listening")
+	s.log.WithFields(logrus.Fields{logfield.Address: listener.Addr(), logfield.TLS: s.options.TLS != nil}).Info(logevent.CallersListening)
 	return nil
 }
 
@@ -84,7 +87,7 @@
 			return nil
 		}
 		if err != nil {
-			s.log.WithError(err).Warn("caller_accept_failed")
+			s.log.WithError(err).Warn(logevent.CallerAcceptFailed)
 			time.Sleep(acceptRetryDelay)
 			continue
 		}
@@ -115,7 +118,7 @@
 	s.sessions.leaveStartup(conn)
 	s.unauthenticated.Add(-1)
 	if err != nil {
-		s.log.WithError(err).WithField("caller", conn.RemoteAddr()).Info("caller_start_failed")
+		s.log.WithError(err).WithField(logfield.Caller, conn.RemoteAddr()).Info(logevent.CallerStartFailed)
 	}
 	if session == nil {
 		conn.Close()
@@ -135,7 +138,7 @@
 		s.listener.Close()
 	}
 	count := s.sessions.stop(stopWhenIdle)
-	s.log.WithField("sessions", count).Info("callers_draining")
+	s.log.WithField(logfield.Sessions, count).Info(logevent.CallersDraining)
 	drained := make(chan struct{})
 	go func() {
 		s.work.Wait()
@@ -143,13 +146,13 @@
 	}()
 	select {
 	case <-drained:
-		s.log.Info("callers_drained")
+		s.log.Info(logevent.CallersDrained)
 		return nil
 	case <-ctx.Done():
 	}
 	cut := s.sessions.stop(stopNow)
 	s.end()
-	s.log.WithField("sessions", cut).Warn("callers_cut")
+	s.log.WithField(logfield.Sessions, cut).Warn(logevent.CallersCut)
 	<-drained
 	return fmt.Errorf("%d caller sessions cut at the end of the grace period: %w", cut, ctx.Err())
 }
--- a/internal/frontend/session.go
+++ b/internal/frontend/session.go
@@ -11,6 +11,8 @@
 	"time"
 
 	"github.com/jackc/pgx/v5/pgproto3"
+	"github.com/papayacove/papayacove/internal/logevent"
+	"github.com/papayacove/papayacove/internal/logfield"
 	"github.com/papayacove/papayacove/internal/result"
 	"github.com/sirupsen/logrus"
 )
@@ -72,12 +74,12 @@
 }
 
 func (s *session) logEnd(err error) {
-	entry := s.server.log.WithFields(logrus.Fields{"session": s.info.ID, "status": string(s.status)})
+	entry := s.server.log.WithFields(logrus.Fields{logfield.Session: s.info.ID, logfield.Status: string(s.status)})
 	if errors.Is(err, errTerminated) {
-		entry.Info("session_closed")
+		entry.Info(logevent.SessionClosed)
 		return
 	}
-	entry.WithError(err).Info("session_ended")
+	entry.WithError(err).Info(logevent.SessionEnded)
 }
 
 // receiveAll handles messages until an error ends the session.
--- a/internal/frontend/startup.go
+++ b/internal/frontend/startup.go
@@ -10,6 +10,8 @@
 	"strings"
 
 	"github.com/jackc/pgx/v5/pgproto3"
+	"github.com/papayacove/papayacove/internal/logevent"
+	"github.com/papayacove/papayacove/internal/logfield"
 	"github.com/papayacove/papayacove/internal/result"
 )
 
@@ -217,7 +219,7 @@
 	if session == nil || !session.hasSecret(secretKey) {
 		return false
 	}
-	s.log.WithField("session", session.info.ID).Info("cancel_requested")
+	s.log.WithField(logfield.Session, session.info.ID).Info(logevent.CancelRequested)
 	session.runner.Cancel()
 	return true
 }
--- a/internal/gate/conclude.go
+++ b/internal/gate/conclude.go
@@ -7,6 +7,8 @@
 
 	"github.com/papayacove/papayacove/api"
 	"github.com/papayacove/papayacove/internal/invariant"
+	"github.com/papayacove/papayacove/internal/logevent"
+	"github.com/papayacove/papayacove/internal/logfield"
 	"github.com/papayacove/papayacove/internal/policy/readroute"
 	"github.com/papayacove/papayacove/internal/result"
 	"github.com/papayacove/papayacove/internal/target"
@@ -28,7 +30,7 @@
 	}
 	reply := &api.ExecuteReply{Chunk: b.buffer, TransactionStatus: string(transactionStatus), AgeMs: -1}
 	if !b.leads && !invariant.Check(b.req.Access == api.ExecuteRequestAccessRead, "write_answered_by_primary", logrus.Fields{
-		"session": b.req.SessionID, "target": b.req.Target,
+		logfield.Session: b.req.SessionID, logfield.Target: b.req.Target,
 	}) {
 		return b.fail(ctx, result.Errorf(result.OutcomeUnknown, "target %s did not lead the group", b.gate.options.Spec.Name))
 	}
@@ -85,9 +87,9 @@
 	}
 	failed := b.classify(ctx, err)
 	logrus.WithFields(logrus.Fields{
-		"group": b.req.Group, "target": b.req.Target, "session": b.req.SessionID, "access": b.req.Access,
-		"code": int(failed.Code), "reason": failed.Reason,
-	}).Warn("batch_failed")
+		logfield.Group: b.req.Group, logfield.Target: b.req.Target, logfield.Session: b.req.SessionID, logfield.Access: b.req.Access,
+		logfield.Code: int(failed.Code), logfield.Reason: failed.Reason,
+	}).Warn(logevent.BatchFailed)
 	return failure(failed)
 }
 
@@ -141,8 +143,8 @@
 
 func (b *batch) log(reply *api.ExecuteReply, role string) {
 	counters.Add("batches_"+role, 1)
-	telemetry.Trace("batch_ran", logrus.Fields{
-		"group": b.req.Group, "target": b.req.Target, "session": b.req.SessionID, "access": b.req.Access,
-		"role": role, "position": reply.Position, "age_ms": reply.AgeMs, "duration": time.Since(b.asked),
+	telemetry.Trace(logevent.BatchRan, logrus.Fields{
+		logfield.Group: b.req.Group, logfield.Target: b.req.Target, logfield.Session: b.req.SessionID, logfield.Access: b.req.Access,
+		logfield.Role: role, logfield.Position: reply.Position, logfield.AgeMs: reply.AgeMs, logfield.Duration: time.Since(b.asked),
 	})
 }
--- a/internal/gate/gate.go
+++ b/internal/gate/gate.go
@@ -8,6 +8,8 @@
 	"time"
 
 	"github.com/papayacove/papayacove/api"
+	"github.com/papayacove/papayacove/internal/logevent"
+	"github.com/papayacove/papayacove/internal/logfield"
 	"github.com/papayacove/papayacove/internal/observer"
 	"github.com/papayacove/papayacove/internal/policy/confirm"
 	"github.com/papayacove/papayacove/internal/result"
@@ -282,9 +284,9 @@
 		refusal = result.Errorf(result.Internal, "%v", err)
 	}
 	logrus.WithFields(logrus.Fields{
-		"group": req.Group, "target": req.Target, "session": req.SessionID, "access": req.Access,
-		"code": int(refusal.Code), "reason": refusal.Reason, "floor": req.Floor.String(),
-	}).Info("batch_refused")
+		logfield.Group: req.Group, logfield.Target: req.Target, logfield.Session: req.SessionID, logfield.Access: req.Access,
+		logfield.Code: int(refusal.Code), logfield.Reason: refusal.Reason, logfield.Floor: req.Floor.String(),
+	}).Info(logevent.BatchRefused)
 	return failure(refusal)
 }
 
@@ -303,17 +305,17 @@
 	replicationWait := time.Duration(b.req.ReplicationWaitMs) * time.Millisecond
 	decision := g.confirmer.confirm(ctx, b.term, commit, committed, replicationWait)
 	fields := decision.Fields()
-	fields["group"], fields["session"] = b.req.Group, b.req.SessionID
+	fields[logfield.Group], fields[logfield.Session] = b.req.Group, b.req.SessionID
 	switch decision.Outcome {
 	case confirm.Confirmed:
-		telemetry.Trace("commit_confirmed", fields)
+		telemetry.Trace(logevent.CommitConfirmed, fields)
 		return commit, nil
 	case confirm.FenceOnly:
 		counters.Add("commits_fence_only", 1)
-		logrus.WithFields(fields).Warn("commit_fence_only")
+		logrus.WithFields(fields).Warn(logevent.CommitFenceOnly)
 		return commit, nil
 	default:
-		logrus.WithFields(fields).Warn("commit_unconfirmed")
+		logrus.WithFields(fields).Warn(logevent.CommitUnconfirmed)
 		return commit, result.Errorf(result.OutcomeUnknown, "the commit at %s was not confirmed: %s", commit, decision.Reason)
 	}
 }
--- a/internal/gate/manager.go
+++ b/internal/gate/manager.go
@@ -6,6 +6,8 @@
 	"time"
 
 	"github.com/papayacove/papayacove/api"
+	"github.com/papayacove/papayacove/internal/logevent"
+	"github.com/papayacove/papayacove/internal/logfield"
 	"github.com/papayacove/papayacove/internal/observer"
 	"github.com/papayacove/papayacove/internal/policy/placement"
 	"github.com/papayacove/papayacove/internal/result"
@@ -122,7 +124,7 @@
 	m.targets[spec.Name] = group
 	m.mu.Unlock()
 	if previous != decision.Holder.Name {
-		logrus.WithFields(decision.Fields()).WithFields(logrus.Fields{"group": group.Name, "previous": previous}).Info("target_placed")
+		logrus.WithFields(decision.Fields()).WithFields(logrus.Fields{logfield.Group: group.Name, logfield.Previous: previous}).Info(logevent.TargetPlaced)
 	}
 }
 
--- a/internal/gate/pool.go
+++ b/internal/gate/pool.go
@@ -9,6 +9,8 @@
 	"github.com/papayacove/papayacove/api"
 	"github.com/papayacove/papayacove/internal/clock"
 	"github.com/papayacove/papayacove/internal/invariant"
+	"github.com/papayacove/papayacove/internal/logevent"
+	"github.com/papayacove/papayacove/internal/logfield"
 	"github.com/papayacove/papayacove/internal/result"
 	"github.com/papayacove/papayacove/internal/target"
 	"github.com/sirupsen/logrus"
@@ -148,7 +150,7 @@
 // would open too many. The caller holds the lock.
 func (p *pool) checkOpen() {
 	invariant.Check(p.open >= len(p.idle) && p.open <= p.spec.Slots, "connections_within_slots", logrus.Fields{
-		"target": p.spec.Name, "open": p.open, "idle": len(p.idle), "slots": p.spec.Slots,
+		logfield.Target: p.spec.Name, logfield.Open: p.open, logfield.Idle: len(p.idle), logfield.Slots: p.spec.Slots,
 	})
 }
 
@@ -187,7 +189,7 @@
 			defer checks.Done()
 			s.broken = !s.check(checkTimeout)
 			if s.broken {
-				logrus.WithFields(logrus.Fields{"target": p.spec.Name, "reason": "silent"}).Warn("slot_closed")
+				logrus.WithFields(logrus.Fields{logfield.Target: p.spec.Name, logfield.Reason: "silent"}).Warn(logevent.SlotClosed)
 			}
 			p.release(s)
 		}()
--- a/internal/gate/queue.go
+++ b/internal/gate/queue.go
@@ -6,6 +6,8 @@
 	"time"
 
 	"github.com/papayacove/papayacove/api"
+	"github.com/papayacove/papayacove/internal/logevent"
+	"github.com/papayacove/papayacove/internal/logfield"
 	"github.com/papayacove/papayacove/internal/policy/admission"
 	"github.com/papayacove/papayacove/internal/result"
 	"github.com/sirupsen/logrus"
@@ -92,8 +94,8 @@
 		return q.wait(ctx, item, admitted)
 	default:
 		logrus.WithFields(decision.Fields()).WithFields(logrus.Fields{
-			"group": q.group, "target": q.target, "session": req.SessionID,
-		}).Info("admission_refused")
+			logfield.Group: q.group, logfield.Target: q.target, logfield.Session: req.SessionID,
+		}).Info(logevent.AdmissionRefused)
 		return nil, result.Errorf(decision.Code, "target %s: %s, %d wait", q.target, decision.Reason, decision.Waiting).
 			WithRetryAfter(decision.RetryAfter)
 	}
@@ -131,7 +133,7 @@
 		return
 	}
 	delete(q.waiters, refused.ID)
-	logrus.WithFields(refused.Fields()).WithFields(logrus.Fields{"group": q.group, "target": q.target}).Info("admission_refused")
+	logrus.WithFields(refused.Fields()).WithFields(logrus.Fields{logfield.Group: q.group, logfield.Target: q.target}).Info(logevent.AdmissionRefused)
 	waiter <- result.Errorf(refused.Code, "target %s: %s", q.target, refused.Reason).WithRetryAfter(refused.RetryAfter)
 }
 
--- a/internal/gate/release.go
+++ b/internal/gate/release.go
@@ -6,6 +6,8 @@
 	"sync"
 	"time"
 
+	"github.com/papayacove/papayacove/internal/logevent"
+	"github.com/papayacove/papayacove/internal/logfield"
 	"github.com/papayacove/papayacove/internal/target"
 	"github.com/sirupsen/logrus"
 )
@@ -30,7 +32,7 @@
 	defer cancel()
 	err := target.CancelRequest(ctx, s.address, g.options.Target, s.connection.ProcessID, s.connection.SecretKey)
 	if err != nil {
-		logrus.WithFields(logrus.Fields{"group": g.options.Group.Name, "target": g.options.Spec.Name, "error": err}).Warn("cancel_failed")
+		logrus.WithFields(logrus.Fields{logfield.Group: g.options.Group.Name, logfield.Target: g.options.Spec.Name, logfield.Error: err}).Warn(logevent.CancelFailed)
 	}
 }
 
@@ -68,8 +70,8 @@
 func (g *Gate) rollBack(ended []*transaction, reason string) {
 	for _, t := range ended {
 		logrus.WithFields(logrus.Fields{
-			"group": g.options.Group.Name, "target": g.options.Spec.Name, "session": t.session, "reason": reason,
-		}).Info("transaction_rolled_back")
+			logfield.Group: g.options.Group.Name, logfield.Target: g.options.Spec.Name, logfield.Session: t.session, logfield.Reason: reason,
+		}).Info(logevent.TransactionRolledBack)
 		go func() {
 			t.line.Lock()
 			defer t.line.Unlock()
--- a/internal/gate/transaction.go
+++ b/internal/gate/transaction.go
@@ -6,6 +6,7 @@
 
 	"github.com/papayacove/papayacove/api"
 	"github.com/papayacove/papayacove/internal/invariant"
+	"github.com/papayacove/papayacove/internal/logfield"
 	"github.com/papayacove/papayacove/internal/result"
 	"github.com/sirupsen/logrus"
 )
@@ -71,7 +72,7 @@
 	defer t.mu.Unlock()
 	session := b.req.SessionID
 	_, exists := t.open[session]
-	invariant.Check(!exists, "one_transaction_per_session", logrus.Fields{"session": session})
+	invariant.Check(!exists, "one_transaction_per_session", logrus.Fields{logfield.Session: session})
 	begun := &transaction{
 		session: session, sequence: b.req.Sequence, slot: b.slot, admitted: b.admitted, leads: b.leads, term: b.term,
 	}
--- a/internal/httpserver/httpserver.go
+++ b/internal/httpserver/httpserver.go
@@ -10,6 +10,9 @@
 	"time"
 
 	"github.com/sirupsen/logrus"
+
+	"github.com/papayacove/papayacove/internal/logevent"
+	"github.com/papayacove/papayacove/internal/logfield"
 )
 
 // headerTimeout is the time that a request's header may take.
@@ -25,7 +28,7 @@
 	context.AfterFunc(ctx, func() { _ = server.Close() })
 	go func() {
 		if err := server.Serve(listener); !errors.Is(err, http.ErrServerClosed) {
-			logrus.WithFields(logrus.Fields{"port": what, "error": err}).Error("http_port_failed")
+			logrus.WithFields(logrus.Fields{logfield.Port: what, logfield.Error: err}).Error(logevent.HttpPortFailed)
 		}
 	}()
 	return nil
--- a/internal/invariant/invariant.go
+++ b/internal/invariant/invariant.go
@@ -7,6 +7,9 @@
 	"expvar"
 
 	"github.com/sirupsen/logrus"
+
+	"github.com/papayacove/papayacove/internal/logevent"
+	"github.com/papayacove/papayacove/internal/logfield"
 )
 
 // violations counts violations by the name of the invariant.
@@ -18,6 +21,6 @@
 		return true
 	}
 	violations.Add(name, 1)
-	logrus.WithFields(fields).WithField("invariant", name).Error("invariant_violated")
+	logrus.WithFields(fields).WithField(logfield.Invariant, name).Error(logevent.InvariantViolated)
 	return false
 }
--- a/internal/lineproxy/proxy.go
+++ b/internal/lineproxy/proxy.go
@@ -21,6 +21,8 @@
 	"github.com/papayacove/papayacove/internal/duty"
 	"github.com/papayacove/papayacove/internal/engine"
 	"github.com/papayacove/papayacove/internal/httpserver"
+	"github.com/papayacove/papayacove/internal/logevent"
+	"github.com/papayacove/papayacove/internal/logfield"
 	"github.com/papayacove/papayacove/internal/objectstore"
 	"github.com/papayacove/papayacove/internal/result"
 	"github.com/papayacove/papayacove/internal/roster"
@@ -89,8 +91,8 @@
 		return err
 	}
 	logrus.WithFields(logrus.Fields{
-		"daemon": settings.Name, "zone": settings.Zone, "callers": settings.CallerAddress, "store": settings.PlatformURL,
-	}).Info("daemon_started")
+		logfield.Daemon: settings.Name, logfield.Zone: settings.Zone, logfield.Callers: settings.CallerAddress, logfield.Store: settings.PlatformURL,
+	}).Info(logevent.DaemonStarted)
 	<-ctx.Done()
 	p.leave()
 	return nil
@@ -107,7 +109,7 @@
 func (p *Proxy) Apply(settings api.Settings) {
 	before := p.settings.Swap(&settings)
 	if before.PlatformURL != settings.PlatformURL || before.Fleet.PromotionURL != settings.Fleet.PromotionURL {
-		logrus.WithFields(logrus.Fields{"store": settings.PlatformURL, "promotions": settings.Fleet.PromotionURL}).Info("store_changed")
+		logrus.WithFields(logrus.Fields{logfield.Store: settings.PlatformURL, logfield.Promotions: settings.Fleet.PromotionURL}).Info(logevent.StoreChanged)
 	}
 	p.store.SetURL(settings.PlatformURL)
 	p.promoter.SetURL(settings.Fleet.PromotionURL)
@@ -151,7 +153,7 @@
 		}
 	})
 	if ctx.Err() == nil {
-		logrus.WithFields(logrus.Fields{"kind": kind, "error": err}).Error("follow_ended")
+		logrus.WithFields(logrus.Fields{logfield.Kind: kind, logfield.Error: err}).Error(logevent.FollowEnded)
 	}
 }
 
@@ -164,12 +166,12 @@
 
 func (p *Proxy) takeConfiguration(o api.Object) {
 	if o.Deleted {
-		logrus.WithField("object", o.Name).Warn("configuration_deleted")
+		logrus.WithField(logfield.Object, o.Name).Warn(logevent.ConfigurationDeleted)
 		return
 	}
 	configuration, err := platform.DecodeConfiguration(o)
 	if err != nil {
-		logrus.WithField("error", err).Error("configuration_unreadable")
+		logrus.WithField(logfield.Error, err).Error(logevent.ConfigurationUnreadable)
 		return
 	}
 	p.engine.Configure(configuration)
@@ -182,7 +184,7 @@
 	}
 	target, err := platform.DecodeTarget(o)
 	if err != nil {
-		logrus.WithField("error", err).Warn("target_unreadable")
+		logrus.WithField(logfield.Error, err).Warn(logevent.TargetUnreadable)
 		p.engine.RemoveTarget(o.Name)
 		return
 	}
@@ -199,7 +201,7 @@
 			return
 		}
 		if err != nil {
-			logrus.WithField("error", err).Warn("accept_failed")
+			logrus.WithField(logfield.Error, err).Warn(logevent.AcceptFailed)
 			time.Sleep(acceptPause)
 			continue
 		}
@@ -219,13 +221,13 @@
 	caller := platform.NewCaller(conn)
 	defer p.callers.Add(-1)
 	if open := p.callers.Add(1); open > p.maxCallers() {
-		logrus.WithFields(logrus.Fields{"open": open, "limit": p.maxCallers()}).Warn("callers_over_limit")
+		logrus.WithFields(logrus.Fields{logfield.Open: open, logfield.Limit: p.maxCallers()}).Warn(logevent.CallersOverLimit)
 		caller.Refuse(&engine.Refusal{Code: result.NotRunConnectionLimit, Reason: "the daemon has no room for another caller"})
 		return
 	}
 	database, err := caller.Start()
 	if err != nil {
-		logrus.WithFields(logrus.Fields{"caller": conn.RemoteAddr().String(), "error": err}).Debug("session_not_opened")
+		logrus.WithFields(logrus.Fields{logfield.Caller: conn.RemoteAddr().String(), logfield.Error: err}).Debug(logevent.SessionNotOpened)
 		_ = caller.Close()
 		return
 	}
@@ -234,7 +236,7 @@
 	case !known:
 		caller.Refuse(&engine.Refusal{Code: result.NotRunUnreachable, Reason: "no configuration yet"})
 	case !has:
-		logrus.WithField("database", database).Info("database_unknown")
+		logrus.WithField(logfield.Database, database).Info(logevent.DatabaseUnknown)
 		caller.Refuse(&engine.Refusal{Code: result.UnknownWorkspace, Reason: "no route for this database"})
 	default:
 		if err := caller.Accept(); err != nil {
@@ -248,7 +250,7 @@
 // leave stops in a planned way: the balancer sends no new callers, and the sessions end.
 func (p *Proxy) leave() {
 	settings := p.settings.Load()
-	logrus.WithField("daemon", settings.Name).Info("daemon_leaving")
+	logrus.WithField(logfield.Daemon, settings.Name).Info(logevent.DaemonLeaving)
 	grace := time.Duration(settings.Fleet.GraceS*float64(time.Second)) - stopReserve
 	ctx, cancel := context.WithTimeout(context.Background(), grace)
 	defer cancel()
@@ -258,5 +260,5 @@
 	_ = p.listener.Close()
 	p.engine.Close()
 	p.store.Close()
-	logrus.WithFields(logrus.Fields{"daemon": settings.Name, "took": clock.Boot() - began}).Info("daemon_stopped")
+	logrus.WithFields(logrus.Fields{logfield.Daemon: settings.Name, logfield.Took: clock.Boot() - began}).Info(logevent.DaemonStopped)
 }
--- a/internal/membership/membership.go
+++ b/internal/membership/membership.go
@@ -13,6 +13,8 @@
 	"time"
 
 	"github.com/papayacove/papayacove/api"
+	"github.com/papayacove/papayacove/internal/logevent"
+	"github.com/papayacove/papayacove/internal/logfield"
 	"github.com/papayacove/papayacove/internal/peer"
 	"github.com/papayacove/papayacove/internal/policy/placement"
 	"github.com/papayacove/papayacove/internal/terms"
@@ -129,7 +131,7 @@
 	known.cancel()
 	known.client.Close()
 	delete(m.peers, name)
-	logrus.WithFields(logrus.Fields{"daemon": name, "reason": "left_vm_list"}).Info("member_removed")
+	logrus.WithFields(logrus.Fields{logfield.Daemon: name, logfield.Reason: "left_vm_list"}).Info(logevent.MemberRemoved)
 }
 
 // beat sends heartbeats to one daemon until ctx ends.
@@ -180,8 +182,8 @@
 		return
 	}
 	logrus.WithFields(logrus.Fields{
-		"daemon": to.vm.Name, "live": current.live, "leaving": current.leaving, "refused": to.refused,
-	}).Info("member_changed")
+		logfield.Daemon: to.vm.Name, logfield.Live: current.live, logfield.Leaving: current.leaving, logfield.Refused: to.refused,
+	}).Info(logevent.MemberChanged)
 	m.options.Changed()
 }
 
--- a/internal/objectstore/apply.go
+++ b/internal/objectstore/apply.go
@@ -10,6 +10,8 @@
 
 	"github.com/papayacove/papayacove/api"
 	"github.com/papayacove/papayacove/internal/clock"
+	"github.com/papayacove/papayacove/internal/logevent"
+	"github.com/papayacove/papayacove/internal/logfield"
 )
 
 // The times between the attempts of Apply and Remove.
@@ -127,9 +129,9 @@
 			}
 			applied, err = abandon(ch, err)
 		}
-		log := logrus.WithFields(ch.fields()).WithField("attempts", attempts)
-		log = log.WithField("outcome", applied.Outcome).WithField("version", applied.Object.Version)
-		log.Info("platform_change")
+		log := logrus.WithFields(ch.fields()).WithField(logfield.Attempts, attempts)
+		log = log.WithField(logfield.Outcome, applied.Outcome).WithField(logfield.Version, applied.Object.Version)
+		log.Info(logevent.PlatformChange)
 		return applied, err
 	}
 }
--- a/internal/objectstore/apply_change.go
+++ b/internal/objectstore/apply_change.go
@@ -8,6 +8,7 @@
 	"github.com/sirupsen/logrus"
 
 	"github.com/papayacove/papayacove/api"
+	"github.com/papayacove/papayacove/internal/logfield"
 )
 
 // applyChange creates or replaces an object. All attempts are conditional on the same
@@ -34,7 +35,7 @@
 }
 
 func (a *applyChange) fields() logrus.Fields {
-	return logrus.Fields{"kind": a.object.Kind, "name": a.object.Name, "change_id": a.changeID}
+	return logrus.Fields{logfield.Kind: a.object.Kind, logfield.Name: a.object.Name, logfield.ChangeID: a.changeID}
 }
 
 // attempt looks at the stored object where that can decide, and then sends the change. An
@@ -148,7 +149,7 @@
 }
 
 func (r *removeChange) fields() logrus.Fields {
-	return logrus.Fields{"kind": r.object.Kind, "name": r.object.Name, "change": "delete"}
+	return logrus.Fields{logfield.Kind: r.object.Kind, logfield.Name: r.object.Name, logfield.Change: "delete"}
 }
 
 // attempt sends the deletion and decides by the answer; a repeated one tells as much as a
--- a/internal/objectstore/follow.go
+++ b/internal/objectstore/follow.go
@@ -10,6 +10,8 @@
 
 	"github.com/papayacove/papayacove/api"
 	"github.com/papayacove/papayacove/internal/clock"
+	"github.com/papayacove/papayacove/internal/logevent"
+	"github.com/papayacove/papayacove/internal/logfield"
 )
 
 // DefaultWatchWait is the time that the platform holds a watch without changes back. It bounds
@@ -241,16 +243,16 @@
 
 // record takes the result of a call.
 func (l *contactLog) record(err error) {
-	log := logrus.WithField("followed", l.what)
+	log := logrus.WithField(logfield.Followed, l.what)
 	if errors.Is(err, ErrCompacted) {
-		log.Info("platform_history_compacted")
+		log.Info(logevent.PlatformHistoryCompacted)
 		err = nil
 	}
 	switch {
 	case err != nil && !l.lost:
-		log.WithError(err).Warn("platform_lost")
+		log.WithError(err).Warn(logevent.PlatformLost)
 	case err == nil && l.lost:
-		log.Info("platform_reached")
+		log.Info(logevent.PlatformReached)
 	}
 	l.lost = err != nil
 }
--- a/internal/operator/request_story.go
+++ b/internal/operator/request_story.go
@@ -13,6 +13,8 @@
 
 	"github.com/go-logfmt/logfmt"
 
+	"github.com/papayacove/papayacove/internal/logevent"
+	"github.com/papayacove/papayacove/internal/logfield"
 	"github.com/papayacove/papayacove/internal/result"
 )
 
@@ -25,14 +27,14 @@
 
 // beliefEvents change what a daemon takes for true of a group.
 var beliefEvents = map[string]bool{
-	"primary_changed": true, "primary_suspected": true, "isolation_changed": true, "promotion_begun": true, "promotion_choice": true,
-	"promotion_ordered": true, "promotion_done": true, "promotion_given_up": true, "promotion_not_started": true,
-	"target_missing": true, "target_gone": true, "witness_lost": true, "directory_not_settled": true,
+	logevent.PrimaryChanged: true, logevent.PrimarySuspected: true, logevent.IsolationChanged: true, logevent.PromotionBegun: true, logevent.PromotionChoice: true,
+	logevent.PromotionOrdered: true, logevent.PromotionDone: true, logevent.PromotionGivenUp: true, logevent.PromotionNotStarted: true,
+	logevent.TargetMissing: true, logevent.TargetGone: true, logevent.WitnessLost: true, logevent.DirectoryNotSettled: true,
 }
 
 // promotionEvents tell across daemons how a primary was replaced.
 var promotionEvents = map[string]bool{
-	"promotion_begun": true, "promotion_choice": true, "promotion_ordered": true, "promotion_done": true, "promotion_given_up": true,
+	logevent.PromotionBegun: true, logevent.PromotionChoice: true, logevent.PromotionOrdered: true, logevent.PromotionDone: true, logevent.PromotionGivenUp: true,
 }
 
 // logLine is one line of a daemon's log.
@@ -108,7 +110,7 @@
 func requestStory(lines []logLine, request string) []logLine {
 	var own []logLine
 	for _, l := range lines {
-		if l.field("request") == request {
+		if l.field(logfield.Request) == request {
 			own = append(own, l)
 		}
 	}
@@ -117,10 +119,10 @@
 	}
 	slices.SortStableFunc(own, func(a, b logLine) int { return cmp.Compare(sequence(a), sequence(b)) })
 	first := own[0]
-	group := first.field("group")
+	group := first.field(logfield.Group)
 	story := append(beliefBefore(lines, first, group), own...)
 	for _, l := range lines {
-		if group != "" && l.daemon != first.daemon && promotionEvents[l.event] && l.field("group") == group {
+		if group != "" && l.daemon != first.daemon && promotionEvents[l.event] && l.field(logfield.Group) == group {
 			story = append(story, l)
 		}
 	}
@@ -129,7 +131,7 @@
 
 // sequence orders the lines of one request by its own count of attempts; the end comes last.
 func sequence(l logLine) int {
-	if attempt, err := strconv.Atoi(l.field("attempt")); err == nil {
+	if attempt, err := strconv.Atoi(l.field(logfield.Attempt)); err == nil {
 		return attempt
 	}
 	return int(^uint(0) >> 1)
@@ -145,7 +147,7 @@
 		if l.number >= first.number {
 			break
 		}
-		if beliefEvents[l.event] && l.field("group") == group {
+		if beliefEvents[l.event] && l.field(logfield.Group) == group {
 			before = append(before, l)
 		}
 	}
@@ -170,7 +172,7 @@
 	var details []string
 	for _, f := range l.fields {
 		switch f[0] {
-		case "time", "level", "msg", "request", "session", "database":
+		case "time", "level", "msg", logfield.Request, logfield.Session, logfield.Database:
 		default:
 			details = append(details, f[0]+"="+f[1])
 		}
--- a/internal/peer/server.go
+++ b/internal/peer/server.go
@@ -11,6 +11,8 @@
 	"time"
 
 	"github.com/papayacove/papayacove/api"
+	"github.com/papayacove/papayacove/internal/logevent"
+	"github.com/papayacove/papayacove/internal/logfield"
 	"github.com/sirupsen/logrus"
 )
 
@@ -168,7 +170,7 @@
 	ctx, cancel := context.WithTimeout(context.Background(), handshakeTimeout)
 	defer cancel()
 	if err := encrypted.HandshakeContext(ctx); err != nil {
-		logrus.WithFields(logrus.Fields{"peer": connection.RemoteAddr(), "error": err}).Warn("peer_refused")
+		logrus.WithFields(logrus.Fields{logfield.Peer: connection.RemoteAddr(), logfield.Error: err}).Warn(logevent.PeerRefused)
 		return false
 	}
 	return true
--- a/internal/policy/admission/admission.go
+++ b/internal/policy/admission/admission.go
@@ -9,6 +9,7 @@
 import (
 	"time"
 
+	"github.com/papayacove/papayacove/internal/logfield"
 	"github.com/papayacove/papayacove/internal/result"
 	"github.com/sirupsen/logrus"
 )
@@ -154,17 +155,17 @@
 // Fields returns the fields of the log line of the decision.
 func (d Decision) Fields() logrus.Fields {
 	return logrus.Fields{
-		"id":            d.ID,
-		"workspace":     d.Workspace,
-		"class":         d.Class.String(),
-		"outcome":       d.Outcome.String(),
-		"reason":        string(d.Reason),
-		"code":          int(d.Code),
-		"retry_after":   d.RetryAfter,
-		"expected_wait": d.ExpectedWait,
-		"service_time":  d.ServiceTime,
-		"running":       d.Running,
-		"waiting":       d.Waiting,
+		logfield.ID:           d.ID,
+		logfield.Workspace:    d.Workspace,
+		logfield.Class:        d.Class.String(),
+		logfield.Outcome:      d.Outcome.String(),
+		logfield.Reason:       string(d.Reason),
+		logfield.Code:         int(d.Code),
+		logfield.RetryAfter:   d.RetryAfter,
+		logfield.ExpectedWait: d.ExpectedWait,
+		logfield.ServiceTime:  d.ServiceTime,
+		logfield.Running:      d.Running,
+		logfield.Waiting:      d.Waiting,
 	}
 }
 
@@ -182,12 +183,12 @@
 // Fields returns the fields of the log line of the start.
 func (s Start) Fields() logrus.Fields {
 	return logrus.Fields{
-		"id":        s.ID,
-		"workspace": s.Workspace,
-		"class":     s.Class.String(),
-		"waited":    s.Waited,
-		"running":   s.Running,
-		"waiting":   s.Waiting,
+		logfield.ID:        s.ID,
+		logfield.Workspace: s.Workspace,
+		logfield.Class:     s.Class.String(),
+		logfield.Waited:    s.Waited,
+		logfield.Running:   s.Running,
+		logfield.Waiting:   s.Waiting,
 	}
 }
 
@@ -205,12 +206,12 @@
 // Fields returns the fields of the log line of the refusal.
 func (r Refused) Fields() logrus.Fields {
 	return logrus.Fields{
-		"id":          r.ID,
-		"workspace":   r.Workspace,
-		"class":       r.Class.String(),
-		"reason":      string(r.Reason),
-		"code":        int(r.Code),
-		"waited":      r.Waited,
-		"retry_after": r.RetryAfter,
+		logfield.ID:         r.ID,
+		logfield.Workspace:  r.Workspace,
+		logfield.Class:      r.Class.String(),
+		logfield.Reason:     string(r.Reason),
+		logfield.Code:       int(r.Code),
+		logfield.Waited:     r.Waited,
+		logfield.RetryAfter: r.RetryAfter,
 	}
 }
--- a/internal/policy/admission/queue.go
+++ b/internal/policy/admission/queue.go
@@ -5,6 +5,7 @@
 	"time"
 
 	"github.com/papayacove/papayacove/internal/invariant"
+	"github.com/papayacove/papayacove/internal/logfield"
 	"github.com/papayacove/papayacove/internal/result"
 	"github.com/sirupsen/logrus"
 )
@@ -298,5 +299,5 @@
 }
 
 func (q *Queue) fields() logrus.Fields {
-	return logrus.Fields{"running": q.running, "waiting": q.waiting, "slots": q.slots}
+	return logrus.Fields{logfield.Running: q.running, logfield.Waiting: q.waiting, logfield.Slots: q.slots}
 }
--- a/internal/policy/confirm/confirm.go
+++ b/internal/policy/confirm/confirm.go
@@ -10,6 +10,7 @@
 	"time"
 
 	"github.com/papayacove/papayacove/api"
+	"github.com/papayacove/papayacove/internal/logfield"
 	"github.com/sirupsen/logrus"
 )
 
@@ -116,12 +117,12 @@
 // Fields returns the fields of the log line of the decision.
 func (d Decision) Fields() logrus.Fields {
 	return logrus.Fields{
-		"outcome":   d.Outcome.String(),
-		"reason":    string(d.Reason),
-		"commit":    d.Commit.String(),
-		"holding":   d.Holding,
-		"following": d.Following,
-		"needed":    d.Needed,
+		logfield.Outcome:   d.Outcome.String(),
+		logfield.Reason:    string(d.Reason),
+		logfield.Commit:    d.Commit.String(),
+		logfield.Holding:   d.Holding,
+		logfield.Following: d.Following,
+		logfield.Needed:    d.Needed,
 	}
 }
 
--- a/internal/policy/confirm/tracker.go
+++ b/internal/policy/confirm/tracker.go
@@ -4,6 +4,7 @@
 	"time"
 
 	"github.com/papayacove/papayacove/api"
+	"github.com/papayacove/papayacove/internal/logfield"
 	"github.com/papayacove/papayacove/internal/result"
 	"github.com/sirupsen/logrus"
 )
@@ -173,12 +174,12 @@
 // Fields returns the fields of the log line of the decision.
 func (a Admission) Fields() logrus.Fields {
 	return logrus.Fields{
-		"allowed":     a.Allowed,
-		"reason":      string(a.Reason),
-		"code":        int(a.Code),
-		"seen":        a.Seen,
-		"needed":      a.Needed,
-		"retry_after": a.RetryAfter,
+		logfield.Allowed:    a.Allowed,
+		logfield.Reason:     string(a.Reason),
+		logfield.Code:       int(a.Code),
+		logfield.Seen:       a.Seen,
+		logfield.Needed:     a.Needed,
+		logfield.RetryAfter: a.RetryAfter,
 	}
 }
 
--- a/internal/policy/placement/placement.go
+++ b/internal/policy/placement/placement.go
@@ -9,6 +9,8 @@
 
 	"github.com/cespare/xxhash/v2"
 	"github.com/sirupsen/logrus"
+
+	"github.com/papayacove/papayacove/internal/logfield"
 )
 
 // Member is one daemon that may hold roles.
@@ -45,11 +47,11 @@
 // Fields returns the fields of the log line of the decision.
 func (d HolderDecision) Fields() logrus.Fields {
 	return logrus.Fields{
-		"target":  d.Target,
-		"holder":  d.Holder.Name,
-		"zone":    d.Holder.Zone,
-		"reason":  string(d.Reason),
-		"members": d.Members,
+		logfield.Target:  d.Target,
+		logfield.Holder:  d.Holder.Name,
+		logfield.Zone:    d.Holder.Zone,
+		logfield.Reason:  string(d.Reason),
+		logfield.Members: d.Members,
 	}
 }
 
--- a/internal/policy/promotion/messages.go
+++ b/internal/policy/promotion/messages.go
@@ -4,6 +4,7 @@
 	"time"
 
 	"github.com/papayacove/papayacove/api"
+	"github.com/papayacove/papayacove/internal/logfield"
 	"github.com/sirupsen/logrus"
 )
 
@@ -143,61 +144,61 @@
 // Fields returns the fields of the log line of the order.
 func (o WriteRecord) Fields() logrus.Fields {
 	return logrus.Fields{
-		"order":   "write_record",
-		"group":   o.Record.Group,
-		"term":    o.Record.Term,
-		"primary": o.Record.Primary,
-		"reason":  o.Record.Reason,
-		"version": o.Version,
+		logfield.Order:   "write_record",
+		logfield.Group:   o.Record.Group,
+		logfield.Term:    o.Record.Term,
+		logfield.Primary: o.Record.Primary,
+		logfield.Reason:  o.Record.Reason,
+		logfield.Version: o.Version,
 	}
 }
 
 // Fields returns the fields of the log line of the order.
 func (o ReadRecord) Fields() logrus.Fields {
-	return logrus.Fields{"order": "read_record", "group": o.Group}
+	return logrus.Fields{logfield.Order: "read_record", logfield.Group: o.Group}
 }
 
 // Fields returns the fields of the log line of the order.
 func (o Fence) Fields() logrus.Fields {
-	return logrus.Fields{"order": "fence", "target": o.Target, "term": o.Term}
+	return logrus.Fields{logfield.Order: "fence", logfield.Target: o.Target, logfield.Term: o.Term}
 }
 
 // Fields returns the fields of the log line of the order.
 func (o Promote) Fields() logrus.Fields {
-	return logrus.Fields{"order": "promote", "target": o.Target, "term": o.Term}
+	return logrus.Fields{logfield.Order: "promote", logfield.Target: o.Target, logfield.Term: o.Term}
 }
 
 // Fields returns the fields of the log line of the order.
 func (o Follow) Fields() logrus.Fields {
-	return logrus.Fields{"order": "follow", "target": o.Target, "term": o.Term, "primary": o.Primary}
+	return logrus.Fields{logfield.Order: "follow", logfield.Target: o.Target, logfield.Term: o.Term, logfield.Primary: o.Primary}
 }
 
 // Fields returns the fields of the log line of the order.
 func (o WakeAt) Fields() logrus.Fields {
-	return logrus.Fields{"order": "wake"}
+	return logrus.Fields{logfield.Order: "wake"}
 }
 
 // Fields returns the fields of the log line of the order.
 func (o Finished) Fields() logrus.Fields {
 	return logrus.Fields{
-		"order":    "finished",
-		"group":    o.Group,
-		"term":     o.Term,
-		"primary":  o.Primary,
-		"start":    o.Start.String(),
-		"duration": o.Duration,
+		logfield.Order:    "finished",
+		logfield.Group:    o.Group,
+		logfield.Term:     o.Term,
+		logfield.Primary:  o.Primary,
+		logfield.Start:    o.Start.String(),
+		logfield.Duration: o.Duration,
 	}
 }
 
 // Fields returns the fields of the log line of the order.
 func (o Abandoned) Fields() logrus.Fields {
 	return logrus.Fields{
-		"order":  "abandoned",
-		"group":  o.Group,
-		"term":   o.Term,
-		"reason": string(o.Reason),
-		"step":   o.Step.String(),
-		"fenced": o.Fenced,
-		"needed": o.Needed,
+		logfield.Order:  "abandoned",
+		logfield.Group:  o.Group,
+		logfield.Term:   o.Term,
+		logfield.Reason: string(o.Reason),
+		logfield.Step:   o.Step.String(),
+		logfield.Fenced: o.Fenced,
+		logfield.Needed: o.Needed,
 	}
 }
--- a/internal/policy/promotion/promotion.go
+++ b/internal/policy/promotion/promotion.go
@@ -13,6 +13,7 @@
 
 	"github.com/papayacove/papayacove/api"
 	"github.com/papayacove/papayacove/internal/invariant"
+	"github.com/papayacove/papayacove/internal/logfield"
 	"github.com/papayacove/papayacove/internal/policy/confirm"
 	"github.com/sirupsen/logrus"
 )
@@ -148,14 +149,14 @@
 // Fields returns the fields of a log line on the state of the promotion.
 func (p *Promotion) Fields() logrus.Fields {
 	return logrus.Fields{
-		"group":     p.cfg.Group,
-		"term":      p.term,
-		"step":      p.step.String(),
-		"fenced":    len(p.fenced),
-		"following": len(p.following),
-		"needed":    p.needed,
-		"primary":   p.chosen,
-		"reason":    p.cfg.Reason,
+		logfield.Group:     p.cfg.Group,
+		logfield.Term:      p.term,
+		logfield.Step:      p.step.String(),
+		logfield.Fenced:    len(p.fenced),
+		logfield.Following: len(p.following),
+		logfield.Needed:    p.needed,
+		logfield.Primary:   p.chosen,
+		logfield.Reason:    p.cfg.Reason,
 	}
 }
 
--- a/internal/policy/promotion/record.go
+++ b/internal/policy/promotion/record.go
@@ -2,6 +2,7 @@
 
 import (
 	"github.com/papayacove/papayacove/api"
+	"github.com/papayacove/papayacove/internal/logfield"
 	"github.com/sirupsen/logrus"
 )
 
@@ -42,13 +43,13 @@
 // Fields returns the fields of the log line of the decision.
 func (d RecordDecision) Fields() logrus.Fields {
 	return logrus.Fields{
-		"action":         string(d.Action),
-		"reason":         string(d.Reason),
-		"group":          d.Known.Group,
-		"known_term":     d.Known.Term,
-		"known_primary":  d.Known.Primary,
-		"record_term":    d.Term,
-		"record_primary": d.Primary,
+		logfield.Action:        string(d.Action),
+		logfield.Reason:        string(d.Reason),
+		logfield.Group:         d.Known.Group,
+		logfield.KnownTerm:     d.Known.Term,
+		logfield.KnownPrimary:  d.Known.Primary,
+		logfield.RecordTerm:    d.Term,
+		logfield.RecordPrimary: d.Primary,
 	}
 }
 
--- a/internal/policy/promotion/suspicion.go
+++ b/internal/policy/promotion/suspicion.go
@@ -4,6 +4,8 @@
 	"time"
 
 	"github.com/sirupsen/logrus"
+
+	"github.com/papayacove/papayacove/internal/logfield"
 )
 
 // DefaultSuspicionMisses is the number of missed status calls in a row that raise suspicion.
@@ -45,11 +47,11 @@
 // Fields returns the fields of the log line of the decision.
 func (d SuspicionDecision) Fields() logrus.Fields {
 	return logrus.Fields{
-		"suspected": d.Suspected,
-		"reason":    string(d.Reason),
-		"missed":    d.Missed,
-		"threshold": d.Threshold,
-		"silence":   d.Silence,
+		logfield.Suspected: d.Suspected,
+		logfield.Reason:    string(d.Reason),
+		logfield.Missed:    d.Missed,
+		logfield.Threshold: d.Threshold,
+		logfield.Silence:   d.Silence,
 	}
 }
 
--- a/internal/policy/promotion/trigger.go
+++ b/internal/policy/promotion/trigger.go
@@ -3,6 +3,7 @@
 import (
 	"time"
 
+	"github.com/papayacove/papayacove/internal/logfield"
 	"github.com/papayacove/papayacove/internal/policy/placement"
 	"github.com/sirupsen/logrus"
 )
@@ -132,14 +133,14 @@
 // Fields returns the fields of the log line of the decision.
 func (d TriggerDecision) Fields() logrus.Fields {
 	return logrus.Fields{
-		"action":    string(d.Action),
-		"reason":    string(d.Reason),
-		"group":     d.Group,
-		"term":      d.Term,
-		"term_age":  d.TermAge,
-		"hold_time": d.HoldTime,
-		"unreached": d.Vantage.Unreached,
-		"answered":  d.Vantage.Answered,
+		logfield.Action:    string(d.Action),
+		logfield.Reason:    string(d.Reason),
+		logfield.Group:     d.Group,
+		logfield.Term:      d.Term,
+		logfield.TermAge:   d.TermAge,
+		logfield.HoldTime:  d.HoldTime,
+		logfield.Unreached: d.Vantage.Unreached,
+		logfield.Answered:  d.Vantage.Answered,
 	}
 }
 
--- a/internal/policy/promotion/vantage.go
+++ b/internal/policy/promotion/vantage.go
@@ -3,6 +3,7 @@
 import (
 	"time"
 
+	"github.com/papayacove/papayacove/internal/logfield"
 	"github.com/papayacove/papayacove/internal/policy/confirm"
 	"github.com/sirupsen/logrus"
 )
@@ -45,12 +46,12 @@
 // Fields returns the fields of the log line of the decision.
 func (v VantageVerdict) Fields() logrus.Fields {
 	return logrus.Fields{
-		"lost":      v.Lost,
-		"reason":    string(v.Reason),
-		"asked":     v.Asked,
-		"answered":  v.Answered,
-		"unreached": v.Unreached,
-		"quorum":    v.Quorum,
+		logfield.Lost:      v.Lost,
+		logfield.Reason:    string(v.Reason),
+		logfield.Asked:     v.Asked,
+		logfield.Answered:  v.Answered,
+		logfield.Unreached: v.Unreached,
+		logfield.Quorum:    v.Quorum,
 	}
 }
 
--- a/internal/policy/readroute/attempt.go
+++ b/internal/policy/readroute/attempt.go
@@ -3,6 +3,7 @@
 import (
 	"time"
 
+	"github.com/papayacove/papayacove/internal/logfield"
 	"github.com/papayacove/papayacove/internal/policy/confirm"
 	"github.com/papayacove/papayacove/internal/result"
 	"github.com/sirupsen/logrus"
@@ -43,18 +44,18 @@
 // Fields returns the fields of the log line of the decision.
 func (d Decision) Fields() logrus.Fields {
 	fields := logrus.Fields{
-		"reason":     string(d.Reason),
-		"attempt":    d.Attempt,
-		"candidates": d.Candidates,
+		logfield.Reason:     string(d.Reason),
+		logfield.Attempt:    d.Attempt,
+		logfield.Candidates: d.Candidates,
 	}
 	if d.Stop {
-		fields["code"] = int(d.Code)
-		fields["retry_after"] = d.RetryAfter
+		fields[logfield.Code] = int(d.Code)
+		fields[logfield.RetryAfter] = d.RetryAfter
 		return fields
 	}
-	fields["target"] = d.Candidate.Target
-	fields["holder"] = d.Candidate.Holder
-	fields["rank"] = d.Candidate.Rank.String()
+	fields[logfield.Target] = d.Candidate.Target
+	fields[logfield.Holder] = d.Candidate.Holder
+	fields[logfield.Rank] = d.Candidate.Rank.String()
 	return fields
 }
 
--- a/internal/policy/readroute/replica.go
+++ b/internal/policy/readroute/replica.go
@@ -4,6 +4,7 @@
 	"time"
 
 	"github.com/papayacove/papayacove/api"
+	"github.com/papayacove/papayacove/internal/logfield"
 	"github.com/papayacove/papayacove/internal/policy/staleness"
 	"github.com/papayacove/papayacove/internal/result"
 	"github.com/sirupsen/logrus"
@@ -69,13 +70,13 @@
 // Fields returns the fields of the log line of the decision.
 func (d ReplicaDecision) Fields() logrus.Fields {
 	return logrus.Fields{
-		"action":  d.Action.String(),
-		"reason":  string(d.Reason),
-		"floor":   d.Floor.String(),
-		"applied": d.Applied.String(),
-		"max_age": d.MaxAge,
-		"age":     d.Age,
-		"wait":    d.Wait,
+		logfield.Action:  d.Action.String(),
+		logfield.Reason:  string(d.Reason),
+		logfield.Floor:   d.Floor.String(),
+		logfield.Applied: d.Applied.String(),
+		logfield.MaxAge:  d.MaxAge,
+		logfield.Age:     d.Age,
+		logfield.Wait:    d.Wait,
 	}
 }
 
--- a/internal/policy/retry/retry.go
+++ b/internal/policy/retry/retry.go
@@ -8,6 +8,7 @@
 import (
 	"time"
 
+	"github.com/papayacove/papayacove/internal/logfield"
 	"github.com/papayacove/papayacove/internal/result"
 	"github.com/sirupsen/logrus"
 )
@@ -78,13 +79,13 @@
 // Fields returns the fields of the log line of the decision.
 func (d Decision) Fields() logrus.Fields {
 	return logrus.Fields{
-		"again":       d.Again,
-		"reason":      string(d.Reason),
-		"pause":       d.Pause,
-		"attempt":     d.Attempt,
-		"elapsed":     d.Elapsed,
-		"code":        int(d.Code),
-		"retry_after": d.RetryAfter,
+		logfield.Again:      d.Again,
+		logfield.Reason:     string(d.Reason),
+		logfield.Pause:      d.Pause,
+		logfield.Attempt:    d.Attempt,
+		logfield.Elapsed:    d.Elapsed,
+		logfield.Code:       int(d.Code),
+		logfield.RetryAfter: d.RetryAfter,
 	}
 }
 
--- a/internal/policy/staleness/staleness.go
+++ b/internal/policy/staleness/staleness.go
@@ -11,6 +11,7 @@
 	"time"
 
 	"github.com/papayacove/papayacove/api"
+	"github.com/papayacove/papayacove/internal/logfield"
 	"github.com/sirupsen/logrus"
 )
 
@@ -54,13 +55,13 @@
 // Fields returns the fields of the log line of the bound.
 func (b Bound) Fields() logrus.Fields {
 	return logrus.Fields{
-		"known":   b.Known,
-		"age":     b.Age,
-		"lag":     b.Lag,
-		"reason":  string(b.Reason),
-		"applied": b.Applied.String(),
-		"sampled": b.Sampled.String(),
-		"samples": b.Samples,
+		logfield.Known:   b.Known,
+		logfield.Age:     b.Age,
+		logfield.Lag:     b.Lag,
+		logfield.Reason:  string(b.Reason),
+		logfield.Applied: b.Applied.String(),
+		logfield.Sampled: b.Sampled.String(),
+		logfield.Samples: b.Samples,
 	}
 }
 
--- a/internal/roster/roster.go
+++ b/internal/roster/roster.go
@@ -15,6 +15,8 @@
 
 	"github.com/papayacove/papayacove/api"
 	"github.com/papayacove/papayacove/internal/clock"
+	"github.com/papayacove/papayacove/internal/logevent"
+	"github.com/papayacove/papayacove/internal/logfield"
 	"github.com/papayacove/papayacove/internal/objectstore"
 )
 
@@ -66,13 +68,13 @@
 	for {
 		if now := clock.Boot(); now-written >= refreshInterval {
 			if err := r.write(ctx); err != nil {
-				logrus.WithField("error", err).Info("roster_not_written")
+				logrus.WithField(logfield.Error, err).Info(logevent.RosterNotWritten)
 			} else {
 				written = now
 			}
 		}
 		if err := r.count(ctx); err != nil {
-			logrus.WithField("error", err).Info("roster_not_read")
+			logrus.WithField(logfield.Error, err).Info(logevent.RosterNotRead)
 		}
 		if clock.Sleep(ctx, pause) != nil {
 			return
@@ -127,6 +129,6 @@
 // Leave takes the daemon's entry away.
 func (r *Roster) Leave(ctx context.Context) {
 	if err := r.store.Delete(ctx, Kind, r.self.Name); err != nil {
-		logrus.WithField("error", err).Info("roster_not_left")
+		logrus.WithField(logfield.Error, err).Info(logevent.RosterNotLeft)
 	}
 }
--- a/internal/router/read.go
+++ b/internal/router/read.go
@@ -6,6 +6,8 @@
 
 	"github.com/papayacove/papayacove/api"
 	"github.com/papayacove/papayacove/internal/frontend"
+	"github.com/papayacove/papayacove/internal/logevent"
+	"github.com/papayacove/papayacove/internal/logfield"
 	"github.com/papayacove/papayacove/internal/policy/confirm"
 	"github.com/papayacove/papayacove/internal/policy/readroute"
 	"github.com/papayacove/papayacove/internal/policy/retry"
@@ -146,10 +148,10 @@
 
 func (s *session) logRead(decision readroute.Decision) {
 	if decision.Stop {
-		logrus.WithFields(decision.Fields()).WithFields(logrus.Fields{"session": s.id, "group": s.info.Group}).Info("read_not_served")
+		logrus.WithFields(decision.Fields()).WithFields(logrus.Fields{logfield.Session: s.id, logfield.Group: s.info.Group}).Info(logevent.ReadNotServed)
 		return
 	}
 	fields := decision.Fields()
-	fields["session"], fields["group"], fields["workspace"] = s.id, s.info.Group, s.info.Workspace
-	telemetry.Trace("read_routed", fields)
+	fields[logfield.Session], fields[logfield.Group], fields[logfield.Workspace] = s.id, s.info.Group, s.info.Workspace
+	telemetry.Trace(logevent.ReadRouted, fields)
 }
--- a/internal/router/session.go
+++ b/internal/router/session.go
@@ -8,6 +8,8 @@
 	"github.com/papayacove/papayacove/api"
 	"github.com/papayacove/papayacove/internal/frontend"
 	"github.com/papayacove/papayacove/internal/invariant"
+	"github.com/papayacove/papayacove/internal/logevent"
+	"github.com/papayacove/papayacove/internal/logfield"
 	"github.com/papayacove/papayacove/internal/peer"
 	"github.com/papayacove/papayacove/internal/result"
 	"github.com/papayacove/papayacove/internal/telemetry"
@@ -101,8 +103,8 @@
 	s.floor, s.written = cutting.Start, cutting.Start
 	counters.Add("acknowledged_cut", 1)
 	logrus.WithFields(logrus.Fields{
-		"session": s.id, "group": s.info.Group, "position": position.String(), "start": cutting.Start.String(),
-	}).Warn("acknowledged_cut")
+		logfield.Session: s.id, logfield.Group: s.info.Group, logfield.Position: position.String(), logfield.Start: cutting.Start.String(),
+	}).Warn(logevent.AcknowledgedCut)
 	return result.Errorf(result.AcknowledgedCut, "the session relied on %s; term %d starts at %s", position, cutting.Term, cutting.Start)
 }
 
@@ -122,7 +124,7 @@
 // runInBlock sends a batch to where its transaction block runs.
 func (s *session) runInBlock(ctx context.Context, batch *frontend.Batch, emit func([]byte) error) (frontend.Outcome, error) {
 	open := s.currentBlock()
-	if !invariant.Check(open != nil, "block_is_known", logrus.Fields{"session": s.id}) {
+	if !invariant.Check(open != nil, "block_is_known", logrus.Fields{logfield.Session: s.id}) {
 		return idle, result.Errorf(result.TransactionLost, "the transaction is not known")
 	}
 	req := s.request(batch, open.target, time.Now().Add(batch.Timeout))
@@ -168,7 +170,7 @@
 // was cut short says nothing of what a write has done.
 func afterPart(req *api.ExecuteRequest, emitted bool, failed *result.Error) *result.Error {
 	kept := invariant.Check(!emitted || !failed.Code.IsNotRun(), "no_refusal_after_an_answer", logrus.Fields{
-		"session": req.SessionID, "target": req.Target, "code": int(failed.Code),
+		logfield.Session: req.SessionID, logfield.Target: req.Target, logfield.Code: int(failed.Code),
 	})
 	if kept && failed.Code != result.AnswerInterrupted {
 		return failed
@@ -211,7 +213,7 @@
 // belongs reports whether a part is of the answer that is being fetched; the last one has no number.
 func (s *session) belongs(reply *api.ExecuteReply, stream uint64) bool {
 	return invariant.Check(reply.StreamID == 0 || reply.StreamID == stream, "part_of_its_answer", logrus.Fields{
-		"session": s.id, "stream": stream, "received": reply.StreamID,
+		logfield.Session: s.id, logfield.Stream: stream, logfield.Received: reply.StreamID,
 	})
 }
 
--- a/internal/router/write.go
+++ b/internal/router/write.go
@@ -6,6 +6,8 @@
 
 	"github.com/papayacove/papayacove/api"
 	"github.com/papayacove/papayacove/internal/frontend"
+	"github.com/papayacove/papayacove/internal/logevent"
+	"github.com/papayacove/papayacove/internal/logfield"
 	"github.com/papayacove/papayacove/internal/policy/retry"
 	"github.com/papayacove/papayacove/internal/result"
 	"github.com/sirupsen/logrus"
@@ -94,6 +96,6 @@
 func (s *session) logWrite(failed *result.Error, decision retry.Decision) {
 	counters.Add("writes_"+failed.Code.String(), 1)
 	logrus.WithFields(decision.Fields()).WithFields(logrus.Fields{
-		"session": s.id, "group": s.info.Group, "code": int(failed.Code), "cause": failed.Reason,
-	}).Info("write_not_served")
+		logfield.Session: s.id, logfield.Group: s.info.Group, logfield.Code: int(failed.Code), logfield.Cause: failed.Reason,
+	}).Info(logevent.WriteNotServed)
 }
--- a/internal/telemetry/events_test.go
+++ b/internal/telemetry/events_test.go
@@ -9,23 +9,81 @@
 	"testing"
 )
 
-// eventPattern finds the names of events in source text.
-var eventPattern = regexp.MustCompile(`(?:\.(?:Debug|Info|Warn|Error)|Trace)\("([a-z_]+)"`)
+var (
+	// constantPattern finds the constants of logevent and logfield.
+	constantPattern = regexp.MustCompile(`(?m)^\t(\w+) += "([a-z0-9_]+)"$`)
+	// usePattern finds their uses.
+	usePattern = regexp.MustCompile(`\b(logevent|logfield)\.(\w+)`)
+	// literalPattern finds names of events and fields that are not constants.
+	literalPattern = regexp.MustCompile(`(?:\.(?:Debug|Info|Warn|Error|WithField)|\bTrace)\("[a-z0-9_]+"[,)]|logrus\.Fields\{(?:[^{}"]|"[^"]*"[^:])*"[a-z0-9_]+":`)
+)
 
-// TestEventsAreDocumented compares the names in the source with docs/EVENTS.md, both ways.
-func TestEventsAreDocumented(t *testing.T) {
+// constantsOf returns the names that a package declares, by constant.
+func constantsOf(t *testing.T, name string) map[string]string {
+	t.Helper()
+	source, err := os.ReadFile(filepath.Join("..", name, name+".go"))
+	if err != nil {
+		t.Fatal(err)
+	}
+	constants := make(map[string]string)
+	for _, match := range constantPattern.FindAllStringSubmatch(string(source), -1) {
+		constants[match[1]] = match[2]
+	}
+	if len(constants) == 0 {
+		t.Fatalf("no constants in %s", name)
+	}
+	return constants
+}
+
+// TestEventsAndFieldsAreDocumented compares the names with docs/EVENTS.md, both ways for events, and with their uses.
+func TestEventsAndFieldsAreDocumented(t *testing.T) {
 	page, err := os.ReadFile("../../docs/EVENTS.md")
 	if err != nil {
 		t.Fatal(err)
 	}
-	logged := make(map[string]bool)
+	declared := map[string]map[string]string{"logevent": constantsOf(t, "logevent"), "logfield": constantsOf(t, "logfield")}
+	uses := usesInSource(t)
+	for name, constants := range declared {
+		for constant, text := range constants {
+			if !uses[name+"."+constant] {
+				t.Errorf("%s.%s is not used", name, constant)
+			}
+			if !regexp.MustCompile(`\b` + text + `\b`).Match(page) {
+				t.Errorf("%s.%s, %q, is not documented", name, constant, text)
+			}
+		}
+	}
+	events := make(map[string]bool)
+	for _, text := range declared["logevent"] {
+		events[text] = true
+		if !strings.Contains(string(page), "`"+text+"`") {
+			t.Errorf("event %s is not documented", text)
+		}
+	}
+	for _, row := range strings.Split(string(page), "\n| `")[1:] {
+		names, _, _ := strings.Cut(row, " | ")
+		for _, name := range strings.Split(strings.ReplaceAll(names, "`", ""), ", ") {
+			if !events[name] {
+				t.Errorf("event %s is documented and not logged", name)
+			}
+		}
+	}
+}
+
+// usesInSource returns the constants that the source uses, and fails on names that are none.
+func usesInSource(t *testing.T) map[string]bool {
+	t.Helper()
+	uses := make(map[string]bool)
 	walk := func(path string, _ fs.DirEntry, err error) error {
 		if err != nil || !strings.HasSuffix(path, ".go") || strings.HasSuffix(path, "_test.go") {
 			return err
 		}
 		content, err := os.ReadFile(path)
-		for _, match := range eventPattern.FindAllStringSubmatch(string(content), -1) {
-			logged[match[1]] = true
+		for _, match := range usePattern.FindAllStringSubmatch(string(content), -1) {
+			uses[match[1]+"."+match[2]] = true
+		}
+		for _, literal := range literalPattern.FindAllString(string(content), -1) {
+			t.Errorf("%s: a name that is not a constant: %s", path, literal)
 		}
 		return err
 	}
@@ -34,17 +92,5 @@
 			t.Fatal(err)
 		}
 	}
-	for name := range logged {
-		if !strings.Contains(string(page), "`"+name+"`") {
-			t.Errorf("event %s is not documented", name)
-		}
-	}
-	for _, row := range strings.Split(string(page), "\n| `")[1:] {
-		names, _, _ := strings.Cut(row, " | ")
-		for _, name := range strings.Split(strings.ReplaceAll(names, "`", ""), ", ") {
-			if !logged[name] {
-				t.Errorf("event %s is documented and not logged", name)
-			}
-		}
-	}
+	return uses
 }
--- a/internal/telemetry/limit.go
+++ b/internal/telemetry/limit.go
@@ -6,6 +6,9 @@
 	"time"
 
 	"github.com/sirupsen/logrus"
+
+	"github.com/papayacove/papayacove/internal/logevent"
+	"github.com/papayacove/papayacove/internal/logfield"
 )
 
 // linesPerSecond bounds the log lines of one kind in a second. The rest are counted.
@@ -46,7 +49,7 @@
 func (l *Limiter) report() {
 	for kind, lines := range l.lines {
 		if lines > linesPerSecond {
-			logrus.WithFields(logrus.Fields{"kind": kind, "lines": lines - linesPerSecond}).Info("log_lines_left_out")
+			logrus.WithFields(logrus.Fields{logfield.Kind: kind, logfield.Lines: lines - linesPerSecond}).Info(logevent.LogLinesLeftOut)
 		}
 	}
 }
--- a/internal/terms/terms.go
+++ b/internal/terms/terms.go
@@ -11,6 +11,7 @@
 	"github.com/cespare/xxhash/v2"
 	"github.com/papayacove/papayacove/api"
 	"github.com/papayacove/papayacove/internal/invariant"
+	"github.com/papayacove/papayacove/internal/logfield"
 	"github.com/sirupsen/logrus"
 )
 
@@ -106,7 +107,7 @@
 func checkSamePrimary(seen, known api.GroupTerm) {
 	same := seen.Term != known.Term || seen.Primary == "" || seen.Primary == known.Primary
 	invariant.Check(same, "one_primary_per_term", logrus.Fields{
-		"group": seen.Group, "term": seen.Term, "known": known.Primary, "seen": seen.Primary,
+		logfield.Group: seen.Group, logfield.Term: seen.Term, logfield.Known: known.Primary, logfield.Seen: seen.Primary,
 	})
 }
 
--- a/internal/workspace/catalog.go
+++ b/internal/workspace/catalog.go
@@ -10,6 +10,7 @@
 	"github.com/papayacove/papayacove/api"
 	"github.com/papayacove/papayacove/internal/frontend"
 	"github.com/papayacove/papayacove/internal/invariant"
+	"github.com/papayacove/papayacove/internal/logfield"
 	"github.com/papayacove/papayacove/internal/result"
 )
 
@@ -66,7 +67,7 @@
 	before := c.current.Load()
 	holds := next.revision >= before.revision && before.versionsHold(next)
 	if !invariant.Check(holds, "config_version_never_falls", logrus.Fields{
-		"known": before.revision, "stated": next.revision,
+		logfield.Known: before.revision, logfield.Stated: next.revision,
 	}) {
 		return
 	}
--- a/internal/workspace/status.go
+++ b/internal/workspace/status.go
@@ -7,6 +7,8 @@
 	"github.com/sirupsen/logrus"
 
 	"github.com/papayacove/papayacove/internal/config"
+	"github.com/papayacove/papayacove/internal/logevent"
+	"github.com/papayacove/papayacove/internal/logfield"
 )
 
 // Status tells of an object whose newest version is not in force.
@@ -43,12 +45,12 @@
 		return
 	}
 	logrus.WithFields(logrus.Fields{
-		"kind":     key.kind,
-		"name":     key.name,
-		"version":  version,
-		"in_force": inForce,
-		"problems": problemLine(problems),
-	}).Warn("configuration_refused")
+		logfield.Kind:     key.kind,
+		logfield.Name:     key.name,
+		logfield.Version:  version,
+		logfield.InForce:  inForce,
+		logfield.Problems: problemLine(problems),
+	}).Warn(logevent.ConfigurationRefused)
 }
 
 // accept notes that the newest version of an object is in force.
