One waiting line for both protocols

Cause: the queue of a gate and the pool of the engine each kept its own waiters around policy/admission: the same offer, wait, displacement and end of a wait. internal/waitline does it for both, with tests of its own (a start that overtakes the end of a wait, displaced and expired batches told once). Behaviour is the same but for one order: batches past their deadline are expired after a release instead of before it; they never start either way. Connections, sessions and routing still stand twice.

--- a/internal/engine/pool.go
+++ b/internal/engine/pool.go
@@ -7,6 +7,7 @@
 
 	"github.com/papayacove/papayacove/internal/policy/admission"
 	"github.com/papayacove/papayacove/internal/result"
+	"github.com/papayacove/papayacove/internal/waitline"
 )
 
 const (
@@ -42,8 +43,10 @@
 	dialer Dialer
 	target func() Target
 
-	mu    sync.Mutex
-	queue *admission.Queue
+	// line has as many slots as the daemon may have connections. It is locked within mu.
+	line *waitline.Line
+
+	mu sync.Mutex
 	// share is the number of connections that this daemon may always have, ceiling the number that it borrows up to
 	// while the target accepts more.
 	share   int
@@ -56,16 +59,13 @@
 	// scarceAt is when all connections were last in use.
 	scarceAt time.Time
 	idle     []*pooled
-	// waiters get nil when they start and otherwise why they never do.
-	waiters map[uint64]chan error
-	nextID  uint64
-	closed  bool
+	closed   bool
 }
 
 func newPool(dialer Dialer, target func() Target, share, ceiling int) *pool {
 	return &pool{
-		dialer: dialer, target: target, waiters: make(map[uint64]chan error), share: share, ceiling: ceiling,
-		queue: admission.New(admission.Config{Slots: firstConnections, QueueLength: poolQueueLength}),
+		dialer: dialer, target: target, share: share, ceiling: ceiling,
+		line: waitline.New(admission.Config{Slots: firstConnections, QueueLength: poolQueueLength}, nil),
 	}
 }
 
@@ -77,13 +77,13 @@
 		return
 	}
 	p.share, p.ceiling = share, ceiling
-	p.setConnections(min(p.queue.Slots(), share), time.Now())
+	p.setConnections(min(p.line.Slots(), share), time.Now())
 }
 
 // setConnections changes the number of connections, and closes unused ones beyond it. The caller holds the lock.
 func (p *pool) setConnections(connections int, now time.Time) {
-	p.wake(p.queue.Resize(connections, now))
-	for len(p.idle) > 0 && len(p.idle)+p.queue.Running() > connections {
+	p.line.Resize(connections, now)
+	for len(p.idle) > 0 && len(p.idle)+p.line.Running() > connections {
 		p.closeOldest()
 	}
 }
@@ -101,12 +101,12 @@
 
 // grow adds a connection when all are in use and none is being opened. The caller holds the lock.
 func (p *pool) grow(now time.Time) {
-	if p.queue.Running() < p.queue.Slots() {
+	if p.line.Running() < p.line.Slots() {
 		return
 	}
 	p.scarceAt = now
-	if p.queue.Slots() < p.ceiling && !p.opening && !now.Before(p.growAfter) {
-		p.setConnections(p.queue.Slots()+1, now)
+	if p.line.Slots() < p.ceiling && !p.opening && !now.Before(p.growAfter) {
+		p.setConnections(p.line.Slots()+1, now)
 	}
 }
 
@@ -116,15 +116,15 @@
 	p.mu.Lock()
 	defer p.mu.Unlock()
 	p.growAfter = now.Add(pause)
-	if p.queue.Slots() > firstConnections {
-		p.setConnections(p.queue.Slots()-1, now)
+	if p.line.Slots() > firstConnections {
+		p.setConnections(p.line.Slots()-1, now)
 	}
 }
 
 // giveBack ends a borrowed connection that is no longer needed. The caller holds the lock.
 func (p *pool) giveBack(now time.Time) {
-	if p.queue.Slots() > p.share && p.queue.Waiting() == 0 && now.Sub(p.scarceAt) > borrowFor {
-		p.setConnections(p.queue.Slots()-1, now)
+	if p.line.Slots() > p.share && p.line.Waiting() == 0 && now.Sub(p.scarceAt) > borrowFor {
+		p.setConnections(p.line.Slots()-1, now)
 	}
 }
 
@@ -136,9 +136,7 @@
 
 // load returns how many statements run and wait.
 func (p *pool) load() int {
-	p.mu.Lock()
-	defer p.mu.Unlock()
-	return p.queue.Running() + p.queue.Waiting()
+	return p.line.Running() + p.line.Waiting()
 }
 
 // need describes what a statement asks of a pool.
@@ -186,65 +184,20 @@
 		return result.Errorf(result.NotRunUnreachable, "the target has left")
 	}
 	p.grow(now)
-	p.nextID++
-	id := p.nextID
-	decision := p.queue.Offer(admission.Item{ID: id, Class: n.class, Deadline: n.startBy, LateUntil: n.lateUntil}, now)
-	var granted chan error
-	if decision.Outcome == admission.Queued {
-		granted = make(chan error, 1)
-		p.waiters[id] = granted
-	}
-	if d := decision.Displaced; d != nil {
-		p.tell(d.ID, result.Errorf(d.Code, "%s", d.Reason).WithRetryAfter(d.RetryAfter))
-	}
+	place := p.line.Offer(admission.Item{Class: n.class, Deadline: n.startBy, LateUntil: n.lateUntil}, now)
 	p.mu.Unlock()
-	switch decision.Outcome {
+	switch place.Outcome {
 	case admission.Started:
 		return nil
 	case admission.Rejected:
-		return refusedBy(decision)
-	}
-	return p.awaitGrant(id, granted, n, decision)
-}
-
-func refusedBy(d admission.Decision) error {
-	return result.Errorf(d.Code, "%s: expected wait %s, %d run, %d wait", d.Reason, d.ExpectedWait.Round(time.Millisecond), d.Running, d.Waiting).
-		WithRetryAfter(d.RetryAfter)
-}
-
-// awaitGrant waits for a connection that comes free.
-func (p *pool) awaitGrant(id uint64, granted chan error, n need, decision admission.Decision) error {
-	timer := time.NewTimer(time.Until(n.lateUntil))
-	defer timer.Stop()
-	select {
-	case err := <-granted:
-		return err
-	case <-timer.C:
-	}
-	p.mu.Lock()
-	defer p.mu.Unlock()
-	if _, waits := p.waiters[id]; !waits {
-		return <-granted
-	}
-	delete(p.waiters, id)
-	p.queue.Remove(id)
-	return result.Errorf(result.NotRunDeadline, "no connection came free in time: %d run, %d wait", decision.Running, decision.Waiting).
-		WithRetryAfter(p.queue.Backlog())
-}
-
-// tell ends the wait of a statement. The caller holds the lock.
-func (p *pool) tell(id uint64, outcome error) {
-	if granted, ok := p.waiters[id]; ok {
-		delete(p.waiters, id)
-		granted <- outcome
+		return place.Refusal()
 	}
-}
-
-// wake tells the waiters that start. The caller holds the lock.
-func (p *pool) wake(starts []admission.Start) {
-	for _, start := range starts {
-		p.tell(start.ID, nil)
+	ctx, cancel := context.WithDeadline(context.Background(), n.lateUntil)
+	defer cancel()
+	if refusal := p.line.Await(ctx, place); refusal != nil {
+		return refusal
 	}
+	return nil
 }
 
 // takeIdle returns an unused connection, if possible one that has the session values.
@@ -297,7 +250,7 @@
 	p.mu.Lock()
 	defer p.mu.Unlock()
 	p.opening = false
-	if p.queue.Waiting() > 0 {
+	if p.line.Waiting() > 0 {
 		p.grow(now)
 	}
 }
@@ -325,23 +278,21 @@
 	conn.lastUsed = now
 	p.mu.Lock()
 	defer p.mu.Unlock()
-	if p.closed || len(p.idle)+p.queue.Running() > p.queue.Slots() {
+	if p.closed || len(p.idle)+p.line.Running() > p.line.Slots() {
 		go conn.Close()
 	} else {
 		p.idle = append(p.idle, conn)
 	}
-	p.wake(p.queue.Release("", now, served))
+	p.line.Release("", now, served)
 	p.giveBack(now)
 }
 
 // leave gives a place back whose connection is gone.
 func (p *pool) leave(now time.Time, served time.Duration) {
-	p.mu.Lock()
-	defer p.mu.Unlock()
 	if served == 0 {
-		served = p.queue.ServiceTime()
+		served = p.line.ServiceTime()
 	}
-	p.wake(p.queue.Release("", now, served))
+	p.line.Release("", now, served)
 }
 
 // dropIdle closes the unused connections, whose target may have lost track of them.
@@ -357,10 +308,7 @@
 func (p *pool) close() {
 	p.dropIdle()
 	p.mu.Lock()
-	defer p.mu.Unlock()
 	p.closed = true
-	for id := range p.waiters {
-		p.queue.Remove(id)
-		p.tell(id, result.Errorf(result.NotRunTargetLeaving, "the target has left"))
-	}
+	p.mu.Unlock()
+	p.line.Dissolve(result.Errorf(result.NotRunTargetLeaving, "the target has left"))
 }
