Take connections in turn when there are fewer than daemons

Those that came first kept theirs, the others were refused, took the full targets for silent and themselves for isolated.

When a target has no more connections than daemons, an unused one is closed after 20 ms, one for status calls after each call, and the pause between looks grows with the number of daemons. A target that is full counts as alive.

Tests fail before: isolated true, 3 connections kept, the only one kept.

--- a/internal/engine/control.go
+++ b/internal/engine/control.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"sync"
+	"sync/atomic"
 	"time"
 
 	"github.com/papayacove/papayacove/internal/clock"
@@ -20,8 +21,14 @@
 
 	mu   sync.Mutex
 	conn Connection
+
+	// transient is true when the connection is closed after each call.
+	transient atomic.Bool
 }
 
+// keepOpen tells whether the connection stays open between calls, from the next one on.
+func (c *control) keepOpen(keep bool) { c.transient.Store(!keep) }
+
 // call sends one status call or order and returns the status of the target. Its AskedAt is the time
 // before the call was sent.
 func (c *control) call(command Command) (authority.Status, error) {
@@ -31,6 +38,9 @@
 func (c *control) callWithin(timeout time.Duration, command Command) (authority.Status, error) {
 	c.mu.Lock()
 	defer c.mu.Unlock()
+	if c.transient.Load() {
+		defer c.drop()
+	}
 	reused := c.conn != nil
 	status, err := c.attempt(timeout, command)
 	if err != nil && reused && !isTargetFailure(err) && !isTimeout(err) {
--- a/internal/engine/group.go
+++ b/internal/engine/group.go
@@ -147,9 +147,10 @@
 	}
 	if !known {
 		m = &member{name: t.Name}
-		share, ceiling := g.connectionShare()
-		m.pool = newPool(g.dialer, func() Target { return g.targetOf(m) }, share, ceiling)
+		allotted := allot(g.limits, g.daemons)
+		m.pool = newPool(g.dialer, func() Target { return g.targetOf(m) }, allotted)
 		m.control = &control{dialer: g.dialer, target: func() Target { return g.targetOf(m) }}
+		m.control.keepOpen(allotted.keep == 0)
 		g.members[t.Name] = m
 	}
 	if m.missing != nil {
@@ -244,31 +245,13 @@
 	g.mu.Lock()
 	defer g.mu.Unlock()
 	g.limits, g.daemons = limits, max(1, daemons)
-	share, ceiling := g.connectionShare()
+	allotted := allot(g.limits, g.daemons)
 	for _, m := range g.members {
-		m.pool.resize(share, ceiling)
+		m.pool.resize(allotted)
+		m.control.keepOpen(allotted.keep == 0)
 	}
 }
 
-const (
-	// unboundedConnections is the share of a daemon when a group states no limit.
-	unboundedConnections = 16
-	// borrowDivisor bounds what one daemon uses of a target's connections.
-	borrowDivisor = 2
-	// controlConnections of each daemon to each target carry status calls and orders.
-	controlConnections = 1
-)
-
-// connectionShare returns the connections that this daemon may always have to each target, and those that it may
-// borrow up to: callers press daemons unevenly. The caller holds the lock.
-func (g *group) connectionShare() (share, ceiling int) {
-	if g.limits.MaxConnections <= 0 {
-		return unboundedConnections, unboundedConnections
-	}
-	share = max(1, g.limits.MaxConnections/g.daemons-controlConnections)
-	return share, max(share, g.limits.MaxConnections/borrowDivisor)
-}
-
 // avoidTime is the time after a failed connection in which no other statement waits for one.
 const avoidTime = 300 * time.Millisecond
 
--- a/internal/engine/group_test.go
+++ b/internal/engine/group_test.go
@@ -7,6 +7,7 @@
 	"github.com/papayacove/papayacove/api"
 	"github.com/papayacove/papayacove/internal/clock"
 	"github.com/papayacove/papayacove/internal/policy/authority"
+	"github.com/papayacove/papayacove/internal/policy/takeover"
 )
 
 // newTestGroup returns a group of three targets of which a leads in term 1.
@@ -120,3 +121,33 @@
 		t.Error("the report that a target leaves was not taken in")
 	}
 }
+
+// TestFullTargetIsAlive asks targets that accept no further connection, as they do when there are more daemons than
+// connections.
+func TestFullTargetIsAlive(t *testing.T) {
+	target := &fakeTarget{err: &TargetFailure{Kind: FailureTooManyConnections, Code: "TOOMANY"}}
+	g := newTestGroup(target)
+	for range 3 {
+		if reason := g.look(); reason != takeover.ReasonNone {
+			t.Errorf("suspected: %s", reason)
+		}
+	}
+	if g.watch.IsSilent() || g.isolatedSince != 0 {
+		t.Errorf("silent %t, isolated %t", g.watch.IsSilent(), g.isolatedSince != 0)
+	}
+}
+
+// TestScarceControlConnectionsAreNotKept makes a status call while there are fewer connections than daemons.
+func TestScarceControlConnectionsAreNotKept(t *testing.T) {
+	target := &fakeTarget{}
+	g := newTestGroup(target)
+	g.look()
+	if target.open != 3 {
+		t.Errorf("%d connections for status calls to 3 targets", target.open)
+	}
+	g.setLimits(GroupLimits{MaxConnections: 30, SyncReplicas: 1}, 30)
+	g.look()
+	if target.open != 0 {
+		t.Errorf("%d connections kept", target.open)
+	}
+}
--- a/internal/engine/observe.go
+++ b/internal/engine/observe.go
@@ -26,6 +26,8 @@
 	leastProofPause = 20 * time.Millisecond
 	// leastLookPause is the least time between two rounds of status calls.
 	leastLookPause = 50 * time.Millisecond
+	// scarceLookPause is the time between the rounds of two daemons when there are fewer connections than daemons.
+	scarceLookPause = 2 * time.Millisecond
 	// silentAfter is the time without an answer after which a busy primary is looked at.
 	silentAfter = 200 * time.Millisecond
 	// isolatedAfter is the time for which most targets have to be silent before this daemon sends callers elsewhere.
@@ -54,12 +56,23 @@
 		if reason := g.look(); reason != takeover.ReasonNone {
 			takeOver(reason)
 		}
-		if clock.Sleep(ctx, leastLookPause) != nil {
+		if clock.Sleep(ctx, g.lookPause()) != nil {
 			return
 		}
 	}
 }
 
+// lookPause is the time between two rounds of status calls. When there are fewer connections than daemons, each call opens
+// one, so that the daemons look more rarely the more there are.
+func (g *group) lookPause() time.Duration {
+	g.mu.Lock()
+	defer g.mu.Unlock()
+	if allot(g.limits, g.daemons).keep == 0 {
+		return leastLookPause
+	}
+	return max(leastLookPause, time.Duration(g.daemons)*scarceLookPause)
+}
+
 // serveProofs fetches proofs for the statements that need one, until ctx ends. It does not wait for a silent primary.
 func (g *group) serveProofs(ctx context.Context) {
 	for {
@@ -227,7 +240,7 @@
 	g.log().WithFields(logrus.Fields{logfield.Target: name, logfield.Error: err}).Info(logevent.LeavingReplicaPaused)
 }
 
-// askAll sends a command to each member at once and returns the answers. A busy target counts with an
+// askAll sends a command to each member at once and returns the answers. A target that is busy or full counts with an
 // unknown role: it is alive and proves nothing.
 func askAll(members map[string]*member, command func(name string) Command) map[string]authority.Status {
 	return askWithin(statusTimeout, members, command)
@@ -240,7 +253,7 @@
 	for name, m := range members {
 		pending.Go(func() {
 			status, err := m.control.callWithin(timeout, command(name))
-			if err != nil && !isBusy(err) {
+			if err != nil && !isAlive(err) {
 				logrus.WithFields(logrus.Fields{logfield.Target: name, logfield.Operation: command(name).Op.String(), logfield.Error: err}).Debug(logevent.TargetNotAnswering)
 				return
 			}
@@ -253,9 +266,10 @@
 	return statuses
 }
 
-func isBusy(err error) bool {
+// isAlive reports whether a target that failed to tell its status answered nevertheless.
+func isAlive(err error) bool {
 	var failure *TargetFailure
-	return errors.As(err, &failure) && failure.Kind == FailureBusy
+	return errors.As(err, &failure) && (failure.Kind == FailureBusy || failure.Kind == FailureTooManyConnections)
 }
 
 // takeIn updates the belief from a round of status calls that was begun at a time.
--- a/internal/engine/pool.go
+++ b/internal/engine/pool.go
@@ -47,10 +47,7 @@
 	line *waitline.Line
 
 	mu sync.Mutex
-	// share is the number of connections that this daemon may always have, ceiling the number that it borrows up to
-	// while the target accepts more.
-	share   int
-	ceiling int
+	allotment
 	// opening is true while a connection is being opened. One at a time is: each takes a slot of the target.
 	opening bool
 	// growAfter is the time before which the number of connections does not grow, since the target refused one or
@@ -62,22 +59,23 @@
 	closed   bool
 }
 
-func newPool(dialer Dialer, target func() Target, share, ceiling int) *pool {
+func newPool(dialer Dialer, target func() Target, allotted allotment) *pool {
 	return &pool{
-		dialer: dialer, target: target, share: share, ceiling: ceiling,
+		dialer: dialer, target: target, allotment: allotted,
 		line: waitline.New(admission.Config{Slots: firstConnections, QueueLength: poolQueueLength}, nil),
 	}
 }
 
-// resize changes the share and the ceiling.
-func (p *pool) resize(share, ceiling int) {
+// resize changes the allotment.
+func (p *pool) resize(allotted allotment) {
 	p.mu.Lock()
 	defer p.mu.Unlock()
-	if p.share == share && p.ceiling == ceiling {
+	if p.allotment == allotted {
 		return
 	}
-	p.share, p.ceiling = share, ceiling
-	p.setConnections(min(p.line.Slots(), share), time.Now())
+	p.allotment = allotted
+	p.setConnections(min(p.line.Slots(), p.share), time.Now())
+	p.closeUnusedLater()
 }
 
 // setConnections changes the number of connections, and closes unused ones beyond it. The caller holds the lock.
@@ -282,6 +280,7 @@
 		go conn.Close()
 	} else {
 		p.idle = append(p.idle, conn)
+		p.closeUnusedLater()
 	}
 	p.line.Release("", now, served)
 	p.giveBack(now)
@@ -295,6 +294,23 @@
 	p.line.Release("", now, served)
 }
 
+// closeUnusedLater closes the connections that are still unused after the time for which they are kept. The caller holds
+// the lock.
+func (p *pool) closeUnusedLater() {
+	if p.keep > 0 && len(p.idle) > 0 {
+		time.AfterFunc(p.keep, p.closeUnused)
+	}
+}
+
+func (p *pool) closeUnused() {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	// The first one is the longest unused.
+	for p.keep > 0 && len(p.idle) > 0 && time.Since(p.idle[0].lastUsed) >= p.keep {
+		p.closeOldest()
+	}
+}
+
 // dropIdle closes the unused connections, whose target may have lost track of them.
 func (p *pool) dropIdle() {
 	p.mu.Lock()
