Pause before a full target is tried again

Cause: a read or transaction that only the primary serves tried a full one up to 20 times without a pause, each time with a new connection; reads elsewhere gave up as soon as every target was full. Both wait 30 to 60 ms now, while there is time, as writes did. The test fails before (20 connections tried where 8 fit).

--- a/internal/engine/execute.go
+++ b/internal/engine/execute.go
@@ -217,6 +217,9 @@
 		if !r.mayTryAgain(failed) || plan.onlyPrimary && r.hopeless {
 			break
 		}
+		if plan.onlyPrimary && isFull(failed) && !r.mayComeFree(failed) {
+			break
+		}
 	}
 	if refusal == nil {
 		refusal = refuse(result.NotRunDeadline, "no target answered in time")
@@ -224,10 +227,14 @@
 	return Reply{}, refusal
 }
 
-// mayComeFree waits a moment after every target has refused, and reports whether it is worth to ask again: a busy target
-// gets free, and a replica that is behind catches up.
+// isFull reports whether a target takes no further connection.
+func isFull(refusal *Refusal) bool { return refusal.Code == result.NotRunNoSlot }
+
+// mayComeFree waits a moment after every target has refused, and reports whether it is worth to ask again: a busy or full
+// target gets free, and a replica that is behind catches up.
 func (r *request) mayComeFree(refusal *Refusal) bool {
-	if refusal.Target == nil || refusal.Code != result.NotRunOverloaded && refusal.Code != result.NotRunBehind {
+	told := refusal.Target != nil && (refusal.Code == result.NotRunOverloaded || refusal.Code == result.NotRunBehind)
+	if !told && !isFull(refusal) {
 		return false
 	}
 	time.Sleep(retryPause/2 + rand.N(retryPause/2))
--- a/internal/engine/seam_test.go
+++ b/internal/engine/seam_test.go
@@ -262,3 +262,28 @@
 		}
 	}
 }
+
+// TestFullPrimaryIsNotDialedAtOnceAgain sends statements that only the primary serves while that takes no connection.
+func TestFullPrimaryIsNotDialedAtOnceAgain(t *testing.T) {
+	for name, statements := range map[string][]Statement{
+		"read":        {{ID: "1", Op: OpRead, Text: "r"}},
+		"write":       {{ID: "1", Op: OpWrite, Text: "w"}},
+		"transaction": {{ID: "1", Op: OpBegin}, {ID: "2", Op: OpRead, Text: "r"}, {ID: "3", Op: OpRollback}},
+	} {
+		target := &fakeTarget{err: &TargetFailure{Kind: FailureTooManyConnections, Code: "TOOMANY"}}
+		caller := &scriptedCaller{statements: statements}
+		e := newDrawnEngine(target)
+		route := e.configuration.Routes["d"]
+		route.Timeout, route.Objective = 5*retryPause, 5*retryPause
+		e.configuration.Routes["d"] = route
+		e.Serve(caller, "d")
+		// A statement may start within lateShare of its time limit, and pauses for at least half of retryPause.
+		if most := 2*5*lateShare/100 + 1; target.dialed > most {
+			t.Errorf("%s: %d connections tried, want at most %d", name, target.dialed, most)
+		}
+		refused := caller.answers[min(1, len(caller.answers)-1)].Refusal
+		if refused == nil || refused.Code != result.NotRunNoSlot {
+			t.Errorf("%s: answered %+v", name, refused)
+		}
+	}
+}
