Wait for a connection of a full target with orders

Cause: with fewer connections than daemons, PAUSE and STEPDOWN of a promotion could be refused by a target that was full for a moment, three times in a row without a pause, and the promotion was given up. Orders are tried again each 15 ms within their time; status calls fail at once as before.

--- a/internal/engine/control.go
+++ b/internal/engine/control.go
@@ -13,6 +13,9 @@
 // statusTimeout bounds a status call and an order to a target.
 const statusTimeout = 300 * time.Millisecond
 
+// fullPause is the time after which a full target is tried again with an order; a statement takes as long.
+const fullPause = 15 * time.Millisecond
+
 // control is the connection of a daemon to a target for status calls and orders. It is apart from the
 // pool, so that these do not wait behind statements.
 type control struct {
@@ -42,7 +45,7 @@
 		defer c.drop()
 	}
 	reused := c.conn != nil
-	status, err := c.attempt(timeout, command)
+	status, err := c.attemptAtFull(timeout, command)
 	if err != nil && reused && !isTargetFailure(err) && !isTimeout(err) {
 		// The connection was lost since the last call; that says nothing about the target.
 		return c.attempt(timeout, command)
@@ -50,6 +53,18 @@
 	return status, err
 }
 
+// attemptAtFull tries an order again while the target takes no further connection: a promotion needs the answer.
+func (c *control) attemptAtFull(timeout time.Duration, command Command) (authority.Status, error) {
+	end := time.Now().Add(timeout)
+	for {
+		status, err := c.attempt(timeout, command)
+		if command.Op == OpStatus || !isFullTarget(err) || time.Now().After(end) {
+			return status, err
+		}
+		time.Sleep(fullPause)
+	}
+}
+
 func (c *control) attempt(timeout time.Duration, command Command) (authority.Status, error) {
 	if c.conn == nil {
 		ctx, cancel := context.WithTimeout(context.Background(), timeout)
--- a/internal/engine/failure.go
+++ b/internal/engine/failure.go
@@ -13,6 +13,12 @@
 	return errors.As(err, &failure)
 }
 
+// isFullTarget reports whether the target takes no further connection.
+func isFullTarget(err error) bool {
+	var failure *TargetFailure
+	return errors.As(err, &failure) && failure.Kind == FailureTooManyConnections
+}
+
 // isTimeout reports whether no answer came in time.
 func isTimeout(err error) bool {
 	var timeout net.Error
