Read the entries of daemons more rarely the more there are

Cause: each daemon lists the entries of all each 8 s, so that the bytes read grow with the square of the number of daemons (docs/CAPACITY.md names it as what breaks first). The time between reads grows with the entries now, from 8 to 40 s, which is less than the time after which an entry counts as absent. Daemons of up to 32 read as before. Entries that are gone are forgotten.

--- a/internal/roster/roster.go
+++ b/internal/roster/roster.go
@@ -28,9 +28,13 @@
 	refreshInterval = 20 * time.Second
 	// absentAfter is the time after which an entry that has not changed no longer counts.
 	absentAfter = 3 * refreshInterval
-	// firstRead and lastRead bound the time between two reads, which doubles: daemons start together.
+	// firstRead is the time between the first two reads, which doubles: daemons start together.
 	firstRead = 500 * time.Millisecond
-	lastRead  = 8 * time.Second
+	// readEach is the part that each entry has in the time between two later reads, so that the bytes read in a time do
+	// not grow with the number of daemons, within leastLastRead and mostLastRead.
+	readEach      = 250 * time.Millisecond
+	leastLastRead = 8 * time.Second
+	mostLastRead  = 2 * refreshInterval
 )
 
 // Store is what a roster needs of the object store.
@@ -79,10 +83,15 @@
 		if clock.Sleep(ctx, pause) != nil {
 			return
 		}
-		pause = min(2*pause, lastRead)
+		pause = min(2*pause, lastRead(len(r.seen)))
 	}
 }
 
+// lastRead is the longest time between two reads of a number of entries.
+func lastRead(entries int) time.Duration {
+	return min(max(leastLastRead, time.Duration(entries)*readEach), mostLastRead)
+}
+
 // write refreshes the daemon's own entry. Only this daemon writes it, so its version does not matter.
 func (r *Roster) write(ctx context.Context) error {
 	r.self.Beat++
@@ -110,6 +119,7 @@
 // present returns the number of daemons whose entries have changed lately; this one counts always.
 func (r *Roster) present(list api.ObjectList, now time.Duration) int {
 	count := 1
+	seen := make(map[string]sighting, len(list.Objects))
 	for _, entry := range list.Objects {
 		if entry.Name == r.self.Name {
 			continue
@@ -117,12 +127,13 @@
 		known, ok := r.seen[entry.Name]
 		if !ok || known.version != entry.Version {
 			known = sighting{entry.Version, now}
-			r.seen[entry.Name] = known
 		}
+		seen[entry.Name] = known
 		if now-known.at < absentAfter {
 			count++
 		}
 	}
+	r.seen = seen
 	return count
 }
 
--- a/internal/roster/roster_test.go
+++ b/internal/roster/roster_test.go
@@ -35,3 +35,20 @@
 		}
 	}
 }
+
+// TestReadsBecomeRarerWithMoreEntries keeps the entries read a second within a bound, and sees each change of an entry
+// before it counts as absent.
+func TestReadsBecomeRarerWithMoreEntries(t *testing.T) {
+	for _, entries := range []int{0, 4, 33, 100, 160} {
+		pause := lastRead(entries)
+		if a := float64(entries) / pause.Seconds(); a > 4.2 {
+			t.Errorf("%d entries each %s: %.1f a second", entries, pause, a)
+		}
+		if pause+refreshInterval > absentAfter {
+			t.Errorf("%d entries: read each %s", entries, pause)
+		}
+	}
+	if lastRead(1000) != mostLastRead {
+		t.Errorf("1000 entries: read each %s", lastRead(1000))
+	}
+}
