Pace the calls for proofs that fail

A failing proof waits as long as a look does now, and looks of all daemons of a group with too few connections are 5 ms apart instead of 2.

--- a/internal/engine/group_test.go
+++ b/internal/engine/group_test.go
@@ -1,6 +1,7 @@
 package engine
 
 import (
+	"context"
 	"testing"
 	"time"
 
@@ -151,3 +152,24 @@
 		t.Errorf("%d connections kept", target.open)
 	}
 }
+
+// TestFailingProofsArePaced asks for proofs all the time while the targets of many daemons are full.
+func TestFailingProofsArePaced(t *testing.T) {
+	const daemons, lasting = 100, time.Second
+	target := &fakeTarget{err: &TargetFailure{Kind: FailureTooManyConnections, Code: "TOOMANY"}}
+	g := newTestGroup(target)
+	g.setLimits(GroupLimits{MaxConnections: 30, SyncReplicas: 1}, daemons)
+	ctx, cancel := context.WithTimeout(context.Background(), lasting)
+	defer cancel()
+	go func() {
+		for clock.Sleep(ctx, time.Millisecond) == nil {
+			ask(g.proofRequests)
+		}
+	}()
+	g.serveProofs(ctx)
+	target.mu.Lock()
+	defer target.mu.Unlock()
+	if most := int(lasting/(daemons*scarceLookPause)) + 1; target.dialed > most {
+		t.Errorf("%d calls in %s, want at most %d", target.dialed, lasting, most)
+	}
+}
--- a/internal/engine/observe.go
+++ b/internal/engine/observe.go
@@ -27,7 +27,7 @@
 	// leastLookPause is the least time between two rounds of status calls.
 	leastLookPause = 50 * time.Millisecond
 	// scarceLookPause is the time between the rounds of two daemons when there are fewer connections than daemons.
-	scarceLookPause = 2 * time.Millisecond
+	scarceLookPause = 5 * time.Millisecond
 	// silentAfter is the time without an answer after which a busy primary is looked at.
 	silentAfter = 200 * time.Millisecond
 	// isolatedAfter is the time for which most targets have to be silent before this daemon sends callers elsewhere.
@@ -81,10 +81,13 @@
 			return
 		case <-g.proofRequests:
 		}
+		pause := leastProofPause
 		if !g.renew() {
+			// Targets that are busy or full with calls of all daemons would stay so.
+			pause = g.lookPause()
 			g.requestLook()
 		}
-		if clock.Sleep(ctx, leastProofPause) != nil {
+		if clock.Sleep(ctx, pause) != nil {
 			return
 		}
 	}
