Call what the project had instead of copies

The load of a pool takes one lock of its line instead of two, and is one reading again. No behaviour, bound or assertion changed.

Left: transaction.connectTo repeats request.run but for the accounting of unanswered statements, policy/floor and policy/staleness keep samples of positions alike on two clocks; both change behaviour when joined.

--- a/internal/engine/control.go
+++ b/internal/engine/control.go
@@ -7,6 +7,7 @@
 	"time"
 
 	"github.com/papayacove/papayacove/internal/clock"
+	"github.com/papayacove/papayacove/internal/dialer"
 	"github.com/papayacove/papayacove/internal/policy/authority"
 )
 
@@ -46,7 +47,7 @@
 	}
 	reused := c.conn != nil
 	status, err := c.attemptAtFull(timeout, command)
-	if err != nil && reused && !isTargetFailure(err) && !isTimeout(err) {
+	if err != nil && reused && failureOf(err) == nil && !dialer.IsTimeout(err) {
 		// The connection was lost since the last call; that says nothing about the target.
 		return c.attempt(timeout, command)
 	}
--- a/internal/engine/engine.go
+++ b/internal/engine/engine.go
@@ -279,11 +279,7 @@
 func (e *Engine) openSessions() []*session {
 	e.mu.Lock()
 	defer e.mu.Unlock()
-	open := make([]*session, 0, len(e.sessions))
-	for s := range e.sessions {
-		open = append(open, s)
-	}
-	return open
+	return slices.Collect(maps.Keys(e.sessions))
 }
 
 const (
--- a/internal/engine/execute.go
+++ b/internal/engine/execute.go
@@ -7,7 +7,6 @@
 	"github.com/papayacove/papayacove/api"
 	"github.com/papayacove/papayacove/internal/clock"
 	"github.com/papayacove/papayacove/internal/policy/admission"
-	"github.com/papayacove/papayacove/internal/policy/floor"
 	"github.com/papayacove/papayacove/internal/result"
 )
 
@@ -174,7 +173,7 @@
 	if !ok {
 		return r.planWithoutAge(own)
 	}
-	return readPlan{floor: floor.Max(own, position), fresh: own != (api.Position{}) && now-r.session.committedAt < freshFor}
+	return readPlan{floor: own.Max(position), fresh: !own.IsZero() && now-r.session.committedAt < freshFor}
 }
 
 // planWithoutAge decides for a read that has to see every commit acknowledged before it arrived. The primary serves it;
@@ -182,7 +181,7 @@
 func (r *request) planWithoutAge(own api.Position) readPlan {
 	if !r.mayWrite && r.group.servesWithoutPrimary() {
 		if position, ok := r.group.awaitReplicaFloor(r.arrivedBoot, r.startBy()); ok {
-			return readPlan{floor: floor.Max(own, position)}
+			return readPlan{floor: own.Max(position)}
 		}
 	}
 	return readPlan{floor: own, provedSince: r.arrivedBoot, onlyPrimary: true}
@@ -227,6 +226,9 @@
 	return Reply{}, refusal
 }
 
+// pauseBeforeRetry waits for half of retryPause or more.
+func pauseBeforeRetry() { time.Sleep(retryPause/2 + rand.N(retryPause/2)) }
+
 // isFull reports whether a target takes no further connection.
 func isFull(refusal *Refusal) bool { return refusal.Code == result.NotRunNoSlot }
 
@@ -237,7 +239,7 @@
 	if !told && !isFull(refusal) {
 		return false
 	}
-	time.Sleep(retryPause/2 + rand.N(retryPause/2))
+	pauseBeforeRetry()
 	return time.Now().Before(r.lateUntil())
 }
 
@@ -300,7 +302,7 @@
 	if !ok {
 		return plan.floor
 	}
-	return floor.Max(plan.floor, position)
+	return plan.floor.Max(position)
 }
 
 // proofDeadline bounds the wait for a proof.
@@ -375,7 +377,7 @@
 		}
 		failed = r.replaced(m, problem)
 		if problem.Code == result.NotRunOverloaded || problem.Code == result.NotRunNoSlot {
-			time.Sleep(retryPause/2 + rand.N(retryPause/2))
+			pauseBeforeRetry()
 		}
 	}
 	if refusal == nil {
--- a/internal/engine/failure.go
+++ b/internal/engine/failure.go
@@ -2,33 +2,27 @@
 
 import (
 	"errors"
-	"net"
 
 	"github.com/papayacove/papayacove/internal/result"
 )
 
-// isTargetFailure reports whether the target itself told the failure.
-func isTargetFailure(err error) bool {
+// failureOf returns the failure that the target itself told; nil when err is none.
+func failureOf(err error) *TargetFailure {
 	var failure *TargetFailure
-	return errors.As(err, &failure)
+	errors.As(err, &failure)
+	return failure
 }
 
 // isFullTarget reports whether the target takes no further connection.
 func isFullTarget(err error) bool {
-	var failure *TargetFailure
-	return errors.As(err, &failure) && failure.Kind == FailureTooManyConnections
-}
-
-// isTimeout reports whether no answer came in time.
-func isTimeout(err error) bool {
-	var timeout net.Error
-	return errors.As(err, &timeout) && timeout.Timeout()
+	failure := failureOf(err)
+	return failure != nil && failure.Kind == FailureTooManyConnections
 }
 
 // dialFailure maps a failed connection to a promise that nothing ran.
 func dialFailure(err error) *result.Error {
-	var failure *TargetFailure
-	if !errors.As(err, &failure) {
+	failure := failureOf(err)
+	if failure == nil {
 		return result.Errorf(result.NotRunUnreachable, "connect: %s", err)
 	}
 	switch failure.Kind {
--- a/internal/engine/group.go
+++ b/internal/engine/group.go
@@ -305,10 +305,10 @@
 	if reply.Failure == nil {
 		m.noteLatency(now - askedAt)
 	}
-	if reply.Position == (api.Position{}) {
+	if reply.Position.IsZero() {
 		return
 	}
-	m.applied, m.appliedAt = floor.Max(m.applied, reply.Position), now
+	m.applied, m.appliedAt = m.applied.Max(reply.Position), now
 	if reply.Position.Term > g.term {
 		g.requestLook()
 	}
@@ -435,7 +435,7 @@
 
 // lacks reports whether a replica is expected to lack the floor. The caller holds the lock of the group.
 func (m *member) lacks(at api.Position, fresh bool, now time.Duration) bool {
-	return floor.Compare(m.applied, at) < 0 && (fresh || now-m.appliedAt < behindFor)
+	return m.applied.Compare(at) < 0 && (fresh || now-m.appliedAt < behindFor)
 }
 
 // readers returns the members that may serve a read above the floor, the best first. The floor is fresh when it
--- a/internal/engine/observe.go
+++ b/internal/engine/observe.go
@@ -2,7 +2,6 @@
 
 import (
 	"context"
-	"errors"
 	"fmt"
 	"maps"
 	"slices"
@@ -15,7 +14,6 @@
 	"github.com/papayacove/papayacove/internal/logevent"
 	"github.com/papayacove/papayacove/internal/logfield"
 	"github.com/papayacove/papayacove/internal/policy/authority"
-	"github.com/papayacove/papayacove/internal/policy/floor"
 	"github.com/papayacove/papayacove/internal/policy/takeover"
 )
 
@@ -271,8 +269,8 @@
 
 // isAlive reports whether a target that failed to tell its status answered nevertheless.
 func isAlive(err error) bool {
-	var failure *TargetFailure
-	return errors.As(err, &failure) && (failure.Kind == FailureBusy || failure.Kind == FailureTooManyConnections)
+	failure := failureOf(err)
+	return failure != nil && (failure.Kind == FailureBusy || failure.Kind == FailureTooManyConnections)
 }
 
 // takeIn updates the belief from a round of status calls that was begun at a time.
@@ -363,7 +361,7 @@
 // acknowledged commits. The caller holds the lock.
 func (g *group) noteLostLog(name string, s authority.Status) {
 	before, known := g.statuses[name]
-	if !known || s.Role != authority.RoleReplica || floor.Compare(s.Received, before.Received) >= 0 {
+	if !known || s.Role != authority.RoleReplica || s.Received.Compare(before.Received) >= 0 {
 		return
 	}
 	if g.owed.Lose(fmt.Sprintf("%s up to %d.%d", name, before.Received.Term, before.Received.Offset), before, clock.Boot()) {
--- a/internal/engine/pool.go
+++ b/internal/engine/pool.go
@@ -32,8 +32,6 @@
 	lastUsed time.Time
 	// acquired is when the connection was handed out.
 	acquired time.Time
-	// class of the statement that uses it.
-	class admission.Class
 	// broken is true when the connection must not be used again.
 	broken bool
 }
@@ -134,7 +132,7 @@
 
 // load returns how many statements run and wait.
 func (p *pool) load() int {
-	return p.line.Running() + p.line.Waiting()
+	return p.line.Load()
 }
 
 // need describes what a statement asks of a pool.
@@ -157,11 +155,11 @@
 		return nil, err
 	}
 	if conn := p.takeIdle(n.values); conn != nil {
-		conn.acquired, conn.class = time.Now(), n.class
+		conn.acquired = time.Now()
 		return conn, nil
 	}
 	p.beginOpening()
-	conn, err := p.dial(n)
+	conn, err := p.dial()
 	p.endOpening(time.Now())
 	if result.CodeOf(err) == result.NotRunNoSlot {
 		p.shrink(refusedPause)
@@ -253,7 +251,7 @@
 	}
 }
 
-func (p *pool) dial(n need) (*pooled, error) {
+func (p *pool) dial() (*pooled, error) {
 	ctx, cancel := context.WithTimeout(context.Background(), dialTimeout)
 	defer cancel()
 	conn, err := p.dialer.Dial(ctx, p.target())
@@ -261,7 +259,7 @@
 		return nil, dialFailure(err)
 	}
 	now := time.Now()
-	return &pooled{Connection: conn, prepared: make(map[string]struct{}), lastUsed: now, acquired: now, class: n.class}, nil
+	return &pooled{Connection: conn, prepared: make(map[string]struct{}), lastUsed: now, acquired: now}, nil
 }
 
 // release gives a connection back.
--- a/internal/engine/promote.go
+++ b/internal/engine/promote.go
@@ -15,7 +15,6 @@
 	"github.com/papayacove/papayacove/internal/logevent"
 	"github.com/papayacove/papayacove/internal/logfield"
 	"github.com/papayacove/papayacove/internal/policy/authority"
-	"github.com/papayacove/papayacove/internal/policy/floor"
 	"github.com/papayacove/papayacove/internal/policy/takeover"
 )
 
@@ -206,7 +205,7 @@
 		return false
 	}
 	for _, s := range p.paused {
-		if floor.Compare(s.Received, own.Received) >= 0 {
+		if s.Received.Compare(own.Received) >= 0 {
 			return true
 		}
 	}
--- a/internal/engine/session.go
+++ b/internal/engine/session.go
@@ -15,7 +15,6 @@
 	"github.com/papayacove/papayacove/internal/clock"
 	"github.com/papayacove/papayacove/internal/logevent"
 	"github.com/papayacove/papayacove/internal/logfield"
-	"github.com/papayacove/papayacove/internal/policy/floor"
 	"github.com/papayacove/papayacove/internal/result"
 )
 
@@ -230,7 +229,7 @@
 
 // noteCommit takes in a commit of the session.
 func (s *session) noteCommit(position api.Position) {
-	s.floor = floor.Max(s.floor, position)
+	s.floor = s.floor.Max(position)
 	s.committedAt = clock.Boot()
 }
 
--- a/internal/engine/transaction.go
+++ b/internal/engine/transaction.go
@@ -232,9 +232,7 @@
 	s, r, conn := t.session, t.request, t.conn
 	outcome := r.run(t.member, conn, s.commandFor(r.statement))
 	t.conn = nil
-	if outcome.err != nil {
-		conn.broken = true
-	} else if outcome.reply.State != StateIdle {
+	if outcome.err != nil || outcome.reply.State != StateIdle {
 		conn.broken = true
 	}
 	t.member.pool.release(conn)
--- a/internal/objectstore/transport.go
+++ b/internal/objectstore/transport.go
@@ -4,7 +4,6 @@
 	"bytes"
 	"context"
 	"crypto/tls"
-	"errors"
 	"fmt"
 	"io"
 	"net"
@@ -164,8 +163,7 @@
 // dropIdleAfterTimeout closes the unused connections after a timeout: they may have gone
 // silent together with the one that timed out, which net/http closes itself.
 func (t *Transport) dropIdleAfterTimeout(err error) {
-	var timeout net.Error
-	if errors.As(err, &timeout) && timeout.Timeout() {
+	if dialer.IsTimeout(err) {
 		t.http.CloseIdleConnections()
 	}
 }
--- a/internal/policy/authority/authority.go
+++ b/internal/policy/authority/authority.go
@@ -11,7 +11,6 @@
 	"time"
 
 	"github.com/papayacove/papayacove/api"
-	"github.com/papayacove/papayacove/internal/policy/floor"
 )
 
 // Term is the time for which a proof holds. A promoter waits it out, so it is a part of the time
@@ -106,7 +105,7 @@
 		if !ok || s.AskedAt < askedAt {
 			askedAt = s.AskedAt
 		}
-		position, ok = floor.Max(position, s.Received), true
+		position, ok = position.Max(s.Received), true
 	}
 	return position, askedAt, ok
 }
--- a/internal/policy/floor/floor.go
+++ b/internal/policy/floor/floor.go
@@ -5,7 +5,6 @@
 package floor
 
 import (
-	"cmp"
 	"time"
 
 	"github.com/papayacove/papayacove/api"
@@ -18,19 +17,6 @@
 	maxSamples = 400
 )
 
-// Compare orders positions by term, then by offset.
-func Compare(a, b api.Position) int {
-	return cmp.Or(cmp.Compare(a.Term, b.Term), cmp.Compare(a.Offset, b.Offset))
-}
-
-// Max returns the later position.
-func Max(a, b api.Position) api.Position {
-	if Compare(a, b) >= 0 {
-		return a
-	}
-	return b
-}
-
 type sample struct {
 	askedAt  time.Duration
 	position api.Position
--- a/internal/policy/floor/floor_test.go
+++ b/internal/policy/floor/floor_test.go
@@ -38,10 +38,3 @@
 		}
 	})
 }
-
-func TestComparePutsTermsFirst(t *testing.T) {
-	older, newer := api.Position{Term: 1, Offset: 9}, api.Position{Term: 2, Offset: 1}
-	if Compare(older, newer) >= 0 || Max(older, newer) != newer || Compare(newer, newer) != 0 {
-		t.Error("positions are not ordered by term, then by offset")
-	}
-}
--- a/internal/policy/takeover/model_test.go
+++ b/internal/policy/takeover/model_test.go
@@ -13,7 +13,6 @@
 
 	"github.com/papayacove/papayacove/api"
 	"github.com/papayacove/papayacove/internal/policy/authority"
-	"github.com/papayacove/papayacove/internal/policy/floor"
 )
 
 // TestMain fixes the seed and the number of runs of the property tests unless they are given: few of the drawn histories
@@ -248,7 +247,7 @@
 	}
 	w.floors++
 	for _, acked := range w.acked {
-		if floor.Compare(position, acked) < 0 {
+		if position.Compare(acked) < 0 {
 			t.Fatalf("the replicas' floor %v in term %d lacks the acknowledged commit %v", position, w.proofTerm, acked)
 		}
 	}
--- a/internal/policy/takeover/takeover.go
+++ b/internal/policy/takeover/takeover.go
@@ -10,7 +10,6 @@
 
 	"github.com/papayacove/papayacove/api"
 	"github.com/papayacove/papayacove/internal/policy/authority"
-	"github.com/papayacove/papayacove/internal/policy/floor"
 )
 
 const (
@@ -66,7 +65,7 @@
 func (w *Watch) IsSilent() bool { return w.misses > 0 }
 
 // IsSuspicious reports whether the last round spoke against the primary.
-func (w *Watch) IsSuspicious() bool { return w.misses > 0 || w.behind != (api.Position{}) }
+func (w *Watch) IsSuspicious() bool { return w.misses > 0 || !w.behind.IsZero() }
 
 // Judge takes in a round and returns why the primary has to be replaced, or ReasonNone.
 func (w *Watch) Judge(r Round) Reason {
@@ -108,15 +107,15 @@
 	replicas := 0
 	for name, s := range r.Statuses {
 		if name != r.Primary && s.Role == authority.RoleReplica {
-			received = floor.Max(received, s.Received)
+			received = received.Max(s.Received)
 			replicas++
 		}
 	}
-	if replicas == 0 || floor.Compare(received, own.Received) >= 0 {
+	if replicas == 0 || received.Compare(own.Received) >= 0 {
 		w.behind = api.Position{}
 		return ReasonNone
 	}
-	if w.behind == (api.Position{}) || floor.Compare(received, w.behind) >= 0 {
+	if w.behind.IsZero() || received.Compare(w.behind) >= 0 {
 		w.behind, w.behindSince = own.Received, r.At
 		return ReasonNone
 	}
@@ -143,7 +142,7 @@
 	if best == "" {
 		return Choice{Reason: "no_replica_is_paused"}
 	}
-	if demoted != nil && floor.Compare(paused[best].Received, demoted.Received) >= 0 {
+	if demoted != nil && paused[best].Received.Compare(demoted.Received) >= 0 {
 		return Choice{Target: best, Reason: "has_log_of_old_primary"}
 	}
 	for _, name := range replicas {
@@ -179,7 +178,7 @@
 }
 
 func isBetter(name string, s authority.Status, other string, o authority.Status, leaving func(string) bool) bool {
-	if c := floor.Compare(s.Received, o.Received); c != 0 {
+	if c := s.Received.Compare(o.Received); c != 0 {
 		return c > 0
 	}
 	if leaving(name) != leaving(other) {
--- a/internal/policy/takeover/witness.go
+++ b/internal/policy/takeover/witness.go
@@ -5,7 +5,6 @@
 
 	"github.com/papayacove/papayacove/api"
 	"github.com/papayacove/papayacove/internal/policy/authority"
-	"github.com/papayacove/papayacove/internal/policy/floor"
 )
 
 // MaxOwed is the time after which a lost witness no longer stops a promotion: it is not coming back, and a group without
@@ -60,16 +59,16 @@
 	var received api.Position
 	for name, s := range statuses {
 		if name != leader && s.Role == authority.RoleReplica && s.Term == own.Term {
-			received = floor.Max(received, s.Received)
+			received = received.Max(s.Received)
 		}
 	}
 	var settled []string
 	for name, d := range o.lost {
-		if d.position == (api.Position{}) && own.AskedAt >= d.since {
+		if d.position.IsZero() && own.AskedAt >= d.since {
 			d.position = own.Received
 			o.lost[name] = d
 		}
-		if d.position != (api.Position{}) && floor.Compare(received, d.position) >= 0 {
+		if !d.position.IsZero() && received.Compare(d.position) >= 0 {
 			delete(o.lost, name)
 			settled = append(settled, name)
 		}
--- a/internal/waitline/waitline.go
+++ b/internal/waitline/waitline.go
@@ -139,6 +139,13 @@
 	return l.queue.Waiting()
 }
 
+// Load returns the number of batches that run or wait.
+func (l *Line) Load() int {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	return l.queue.Running() + l.queue.Waiting()
+}
+
 // Slots returns the number of batches that run at once.
 func (l *Line) Slots() int {
 	l.mu.Lock()
