Estimate waits in a queue by what starts before, and refuse hopeless late batches

Cause: under lasting load the queue of a target admitted batches as if nothing of a higher class would arrive after them. Change: the pressure of higher classes is measured over a second and lengthens the expected wait; late batches that are not expected to start any more are refused at the next release. Conclusion: the class that is least urgent pays, and learns so at once.

--- a/internal/policy/admission/class_queue.go
+++ b/internal/policy/admission/class_queue.go
@@ -74,16 +74,21 @@
 	return cq.removeIf(func(i Item) bool { return !now.Before(i.Deadline) && i.mayBeLate(now) })
 }
 
-// removeIf removes and returns the batches that match.
+// removeIf removes and returns the batches that match. It calls matches for the batches of each workspace oldest first.
 func (cq *classQueue) removeIf(matches func(Item) bool) []entry {
 	var removed []entry
-	for i := len(cq.queues) - 1; i >= 0; i-- {
+	for i := 0; i < len(cq.queues); {
 		wq := cq.queues[i]
-		for j := len(wq.entries) - 1; j >= 0; j-- {
+		for j := 0; j < len(wq.entries); {
 			if matches(wq.entries[j].item) {
 				removed = append(removed, cq.removeAt(i, j))
+			} else {
+				j++
 			}
 		}
+		if len(wq.entries) > 0 {
+			i++
+		}
 	}
 	return removed
 }
--- a/internal/policy/admission/queue.go
+++ b/internal/policy/admission/queue.go
@@ -21,6 +21,7 @@
 	runningByWorkspace map[string]int
 	// serviceTime is the moving average of the time that a batch holds a slot, in seconds.
 	serviceTime float64
+	pressure    pressure
 }
 
 // New returns an empty queue for one target.
@@ -63,16 +64,16 @@
 	free := q.running < q.slots && q.isWithinLimit(item) && !q.hasStartable(now)
 	wait := time.Duration(0)
 	if !free {
-		wait = q.expectedWait(item)
+		wait = q.expectedWait(item, now)
 	}
 	d := q.decision(item, wait)
 	switch {
 	case !now.Before(item.Deadline):
 		q.refuse(&d, ReasonDeadlinePassed, result.NotRunDeadline)
 	case free:
-		q.occupySlot(item.Workspace)
+		q.occupySlot(item, now)
 		d.Outcome, d.Reason = Started, ReasonSlotFree
-	case now.Add(wait).After(item.expectedStartBy()) && q.waiting < q.queueLength && item.mayBeLate(now.Add(q.waitForReleases(q.waiting+1))):
+	case now.Add(wait).After(item.expectedStartBy()) && q.waiting < q.queueLength && item.mayBeLate(now.Add(q.expectedWait(item.late(), now))):
 		item = item.late()
 		q.enqueue(item, &d, now)
 		d.Class, d.Reason = item.Class, ReasonLate
@@ -88,10 +89,11 @@
 	return d
 }
 
-// occupySlot assigns a slot to a batch of the workspace.
-func (q *Queue) occupySlot(workspace string) {
+// occupySlot assigns a slot to a batch.
+func (q *Queue) occupySlot(item Item, now time.Time) {
 	q.running++
-	q.runningByWorkspace[workspace]++
+	q.runningByWorkspace[item.Workspace]++
+	q.pressure.started(item.Class, now)
 }
 
 // isWithinLimit reports whether the workspace of a batch may use one more slot.
@@ -192,7 +194,7 @@
 		if !ok {
 			break
 		}
-		q.occupySlot(e.item.Workspace)
+		q.occupySlot(e.item, now)
 		q.waiting--
 		starts = append(starts, Start{
 			ID:        e.item.ID,
@@ -207,7 +209,8 @@
 	return starts
 }
 
-// Expire removes and returns the waiting batches whose deadline has passed.
+// Expire removes and returns the waiting batches whose deadline has passed, and the late ones that are not expected to
+// start any more: they are refused at once, so that their callers can go elsewhere.
 func (q *Queue) Expire(now time.Time) []Refusal {
 	var refused []Refusal
 	for c := range q.byClass {
@@ -216,9 +219,30 @@
 			refused = append(refused, q.refused(e, ReasonDeadlinePassed, result.NotRunDeadline, now))
 		}
 	}
+	for _, e := range q.byClass[ClassLate].removeIf(q.isHopeless(now)) {
+		q.waiting--
+		refused = append(refused, q.refused(e, ReasonTooLate, result.NotRunOverloaded, now))
+	}
 	return refused
 }
 
+// isHopeless returns a function that reports, called with each late batch in order, whether the batch is not expected to
+// start by its deadline.
+func (q *Queue) isHopeless(now time.Time) func(Item) bool {
+	ahead := 0
+	for c := range q.byClass[:ClassLate] {
+		ahead += q.byClass[c].length
+	}
+	left := q.pressure.shareLeft(ClassLate, q.serviceTime, q.slots, now)
+	return func(item Item) bool {
+		if now.Add(q.waitBehind(ahead, left)).After(item.Deadline) {
+			return true
+		}
+		ahead++
+		return false
+	}
+}
+
 // NextExpiry returns the earliest deadline of the waiting batches; false when none waits.
 func (q *Queue) NextExpiry() (time.Time, bool) {
 	var earliest time.Time
@@ -264,13 +288,14 @@
 	}
 }
 
-// expectedWait estimates the time until a new batch starts that cannot start at once.
-func (q *Queue) expectedWait(item Item) time.Duration {
+// expectedWait estimates the time until a new batch starts that cannot start at once: the batches ahead of it start
+// first, and those of higher classes that arrive meanwhile.
+func (q *Queue) expectedWait(item Item, now time.Time) time.Duration {
 	ahead := q.byClass[item.Class].ahead(item.Workspace)
 	for c := Class(0); c < item.Class; c++ {
 		ahead += q.byClass[c].length
 	}
-	wait := q.waitForReleases(ahead + 1)
+	wait := q.waitBehind(ahead, q.pressure.shareLeft(item.Class, q.serviceTime, q.slots, now))
 	if item.Limit > 0 && item.Limit < q.slots {
 		// The batches of the workspace share the Limit slots that it may use.
 		own := q.byClass[item.Class].lengthOf(item.Workspace) + 1
@@ -279,6 +304,12 @@
 	return wait
 }
 
+// waitBehind estimates the time until a batch starts that has the given number of others ahead, when its class gets the
+// given share of the slots.
+func (q *Queue) waitBehind(ahead int, share float64) time.Duration {
+	return time.Duration(float64(q.waitForReleases(ahead+1)) / share)
+}
+
 // waitForReleases estimates the time until a slot has been released n times.
 func (q *Queue) waitForReleases(n int) time.Duration {
 	return q.serviceTimes(n, q.slots)
