Decide who holds a target of the lines protocol, and bound messages between daemons

Messages of a relay between daemons join the schema. The peer package serves a receiver of its own for each connection, takes options, bounds the bytes of a message, does not let calls queue behind failing connection attempts, and sends nothing new on a connection whose probe is unanswered.

--- a/api/types.gen.go
+++ b/api/types.gen.go
@@ -96,6 +96,10 @@
 // DaemonEntry is the entry of a daemon in the daemon registry, which is kept in
 // the object store.
 type DaemonEntry struct {
+	// Address is the host:port at which other daemons reach it; empty if it serves
+	// none.
+	Address string `json:"address" toml:"address"`
+
 	// Beat is a counter that increases with each refresh of the entry.
 	Beat uint64 `json:"beat" toml:"beat"`
 
@@ -177,6 +181,10 @@
 
 // DutyRecord is the promotion lock: it states which daemon may order promotions.
 type DutyRecord struct {
+	// Era is the era of the store in which the record was written. A record of an
+	// earlier era says nothing about who held the lock when the store was restored.
+	Era uint64 `json:"era" toml:"era"`
+
 	// Holder is the name of the daemon that holds the lock; empty when it is free.
 	Holder string `json:"holder" toml:"holder"`
 }
@@ -502,6 +510,10 @@
 	// Deleted is true for a removed object in a watch reply.
 	Deleted bool `json:"deleted" toml:"deleted"`
 
+	// Era is the era of the store that the version belongs to; 0 if the store states
+	// none. Clients set it; the store ignores it.
+	Era uint64 `json:"era" toml:"era"`
+
 	// Kind names the collection that the object belongs to.
 	Kind string `json:"kind" toml:"kind"`
 
@@ -514,6 +526,10 @@
 
 // ObjectList is the answer to a list call and to a watch call.
 type ObjectList struct {
+	// Era is the era of the store that the revision belongs to; 0 if the store states
+	// none. Clients set it.
+	Era uint64 `json:"era" toml:"era"`
+
 	// Objects are ordered by version.
 	Objects []Object `json:"objects" toml:"objects"`
 
@@ -619,6 +635,168 @@
 	Query string `json:"query" toml:"query"`
 }
 
+// RelayReply is the answer to a RelayRequest.
+type RelayReply struct {
+	// Failed is true if the target reported a failure.
+	Failed bool `json:"failed" toml:"failed"`
+
+	// FailureCode is the target's own code of the failure.
+	FailureCode string `json:"failure_code" toml:"failure_code"`
+
+	// FailureKind is the kind of the failure.
+	FailureKind uint8 `json:"failure_kind" toml:"failure_kind"`
+
+	// FailureText is the target's text of the failure.
+	FailureText string `json:"failure_text" toml:"failure_text"`
+
+	// Load is the number of statements that run or wait at the holder.
+	Load int `json:"load" toml:"load"`
+
+	// NoReply is true if no reply of the target came.
+	NoReply bool `json:"no_reply" toml:"no_reply"`
+
+	// NotRunCode is the result code if the statement was not sent to the target; 0 if
+	// it was.
+	NotRunCode int `json:"not_run_code" toml:"not_run_code"`
+
+	// Position is the end of the log that the target has applied.
+	Position Position `json:"position" toml:"position"`
+
+	// ProofAgeUs is the age of that proof in microseconds.
+	ProofAgeUs int64 `json:"proof_age_us" toml:"proof_age_us"`
+
+	// ProofTerm is the term of the leadership proof that the holder has for the
+	// target; 0 if it has none.
+	ProofTerm uint64 `json:"proof_term" toml:"proof_term"`
+
+	// Reason says why the statement was not sent, or why no reply came.
+	Reason string `json:"reason" toml:"reason"`
+
+	// RetryAfterUs is the time in microseconds after which the statement may be sent
+	// again; 0 if it is not known.
+	RetryAfterUs int64 `json:"retry_after_us" toml:"retry_after_us"`
+
+	// Rows of the reply.
+	Rows []string `json:"rows" toml:"rows"`
+
+	// Sent is true if the statement may have reached the target although no reply
+	// came.
+	Sent bool `json:"sent" toml:"sent"`
+
+	// ServiceUs is the time in microseconds that the target took.
+	ServiceUs int64 `json:"service_us" toml:"service_us"`
+
+	// Signature of the target.
+	Signature string `json:"signature" toml:"signature"`
+
+	// State of the transaction on the connection.
+	State uint8 `json:"state" toml:"state"`
+
+	// Transaction is the number of the open transaction; 0 if none is open.
+	Transaction uint64 `json:"transaction" toml:"transaction"`
+}
+
+// RelayRequest asks the daemon that holds a target to run one statement there.
+type RelayRequest struct {
+	// Argument is the input that follows the name.
+	Argument string `json:"argument" toml:"argument"`
+
+	// Class is the admission class of the statement.
+	Class uint8 `json:"class" toml:"class"`
+
+	// Commits is true if success means that a write was committed.
+	Commits bool `json:"commits" toml:"commits"`
+
+	// Group of the target.
+	Group string `json:"group" toml:"group"`
+
+	// ID of the caller's request; empty for a command of papayacove itself.
+	ID string `json:"id" toml:"id"`
+
+	// KeepsState is true if the command runs with the session state that the
+	// connection has.
+	KeepsState bool `json:"keeps_state" toml:"keeps_state"`
+
+	// LateWithinUs is the time in microseconds after which the statement must not
+	// start.
+	LateWithinUs int64 `json:"late_within_us" toml:"late_within_us"`
+
+	// MinPosition is the position that the target must hold before the command runs.
+	MinPosition Position `json:"min_position" toml:"min_position"`
+
+	// Name is the prepared statement that the command executes.
+	Name string `json:"name" toml:"name"`
+
+	// NeedsProof is true if the statement needs a leadership proof of the target.
+	NeedsProof bool `json:"needs_proof" toml:"needs_proof"`
+
+	// Operation says what the command does.
+	Operation uint8 `json:"operation" toml:"operation"`
+
+	// PreparedName is the name of the prepared statement that the command executes;
+	// empty for none.
+	PreparedName string `json:"prepared_name" toml:"prepared_name"`
+
+	// PreparedOperation is the operation of the prepared statement.
+	PreparedOperation uint8 `json:"prepared_operation" toml:"prepared_operation"`
+
+	// PreparedShape is the text of the prepared statement.
+	PreparedShape string `json:"prepared_shape" toml:"prepared_shape"`
+
+	// Settings are all session values of the caller.
+	Settings []SessionSetting `json:"settings" toml:"settings"`
+
+	// StartWithinUs is the time in microseconds within which the statement should
+	// start.
+	StartWithinUs int64 `json:"start_within_us" toml:"start_within_us"`
+
+	// Target is the name of the target.
+	Target string `json:"target" toml:"target"`
+
+	// Text of the caller, which is sent unchanged when it is not empty.
+	Text string `json:"text" toml:"text"`
+
+	// TimeoutUs is the time limit in microseconds.
+	TimeoutUs int64 `json:"timeout_us" toml:"timeout_us"`
+
+	// Transaction is the number of the open transaction that the statement belongs
+	// to, as the holder gave it; 0 for none.
+	Transaction uint64 `json:"transaction" toml:"transaction"`
+}
+
+// RelayStatusReply is the answer to a RelayStatusRequest.
+type RelayStatusReply struct {
+	// Answered is true if the target answered, possibly without a status.
+	Answered bool `json:"answered" toml:"answered"`
+
+	// Held is false if the daemon does not hold the target.
+	Held bool `json:"held" toml:"held"`
+
+	// PausedTerm is the term at which the target was paused.
+	PausedTerm uint64 `json:"paused_term" toml:"paused_term"`
+
+	// Reason says why there is no status.
+	Reason string `json:"reason" toml:"reason"`
+
+	// Received is the end of the target's log.
+	Received Position `json:"received" toml:"received"`
+
+	// Role that the target reports; 0 if it answered without a status.
+	Role uint8 `json:"role" toml:"role"`
+
+	// Term that the target leads or follows.
+	Term uint64 `json:"term" toml:"term"`
+}
+
+// RelayStatusRequest asks the holder of a target for the target's status.
+type RelayStatusRequest struct {
+	// Group of the target.
+	Group string `json:"group" toml:"group"`
+
+	// Target is the name of the target.
+	Target string `json:"target" toml:"target"`
+}
+
 // ReleaseRequest asks a gate to roll back the transaction of a session and to
 // abandon its answers.
 type ReleaseRequest struct {
--- a/internal/peer/client.go
+++ b/internal/peer/client.go
@@ -1,6 +1,7 @@
 package peer
 
 import (
+	"cmp"
 	"context"
 	"crypto/tls"
 	"errors"
@@ -27,25 +28,50 @@
 	connectionsPerPeer = 4
 )
 
+// maxRepeatedDialError is the time for which calls fail with the error of the last connection attempt, so that calls
+// that come together do not wait for one attempt after the other.
+const maxRepeatedDialError = 200 * time.Millisecond
+
 // ErrNotSent is wrapped by the error of a call that certainly did not reach the other daemon.
 var ErrNotSent = errors.New("call was not sent")
 
 // ErrNoAnswer is wrapped by the error of a call that was sent and not answered; it may have run.
 var ErrNoAnswer = errors.New("call was sent and not answered")
 
+// ClientOptions describe a Client.
+type ClientOptions struct {
+	// Address is the host:port of the other daemon.
+	Address string
+	// Source is the local IP address of connections; when it is empty, the operating system chooses one.
+	Source string
+	// TLS is called for each new connection; nil disables TLS.
+	TLS func() *tls.Config
+	// Connections is the number of connections over which the calls are distributed; 0 means connectionsPerPeer.
+	Connections int
+	// ProbeAfter is the time without any answer after which a connection with pending calls is probed, and
+	// ProbeTimeout the time without an answer to the probe after which it is closed; 0 means the defaults. New calls
+	// are not sent on a connection whose probe has been unanswered for half of ProbeTimeout.
+	ProbeAfter   time.Duration
+	ProbeTimeout time.Duration
+	// MaxFrameBytes bounds one answer; 0 for no limit.
+	MaxFrameBytes int64
+}
+
 // Client calls one other daemon. It is safe for concurrent use.
 type Client struct {
-	address string
-	tls     func() *tls.Config
+	options ClientOptions
 	dialer  *net.Dialer
 	next    atomic.Uint64
-	links   [connectionsPerPeer]link
+	links   []link
 }
 
 // link holds one of the connections to the other daemon, which is replaced by a new one when it has broken.
 type link struct {
 	mu         sync.Mutex
 	connection *connection
+	// failure is the error of the last connection attempt, made at failedAt; nil after a success.
+	failure  error
+	failedAt time.Time
 }
 
 // connection is an open net/rpc connection. lastAnswer is the time of its last answer, in Unix nanoseconds.
@@ -53,19 +79,30 @@
 	client     *rpc.Client
 	pending    atomic.Int64
 	lastAnswer atomic.Int64
-	probing    atomic.Bool
-	broken     atomic.Bool
+	// probedSince is the time of the probe that is not answered yet, in Unix nanoseconds; 0 for none.
+	probedSince atomic.Int64
+	broken      atomic.Bool
+
+	probeAfter   time.Duration
+	probeTimeout time.Duration
 }
 
-// NewClient returns a client for the daemon at address. configuration is called for each new connection; nil disables
-// TLS. source is the local IP address of connections; when it is empty, the operating system chooses one.
+// NewClient returns a client for the daemon at address with the default options.
 func NewClient(address, source string, configuration func() *tls.Config) *Client {
-	return &Client{address: address, tls: configuration, dialer: dialer.New(source)}
+	return NewClientWithOptions(ClientOptions{Address: address, Source: source, TLS: configuration})
+}
+
+// NewClientWithOptions returns a client, which connects at its first call.
+func NewClientWithOptions(options ClientOptions) *Client {
+	options.Connections = cmp.Or(options.Connections, connectionsPerPeer)
+	options.ProbeAfter = cmp.Or(options.ProbeAfter, probeAfter)
+	options.ProbeTimeout = cmp.Or(options.ProbeTimeout, probeTimeout)
+	return &Client{options: options, dialer: dialer.New(options.Source), links: make([]link, options.Connections)}
 }
 
 // Address returns the host:port of the other daemon.
 func (c *Client) Address() string {
-	return c.address
+	return c.options.Address
 }
 
 // Close closes all connections.
@@ -82,52 +119,52 @@
 
 // Execute runs a statement batch at the other daemon.
 func (c *Client) Execute(ctx context.Context, req *api.ExecuteRequest) (*api.ExecuteReply, error) {
-	return call[api.ExecuteReply](ctx, c, "Execute", req)
+	return Call[api.ExecuteReply](ctx, c, "Execute", req)
 }
 
 // Fetch returns a chunk of an answer: the next one, or the latest one again.
 func (c *Client) Fetch(ctx context.Context, req *api.FetchRequest) (*api.ExecuteReply, error) {
-	return call[api.ExecuteReply](ctx, c, "Fetch", req)
+	return Call[api.ExecuteReply](ctx, c, "Fetch", req)
 }
 
 // Cancel cancels the batch that a session is running at gates of the other daemon.
 func (c *Client) Cancel(ctx context.Context, req *api.CancelRequest) (*api.Acknowledgement, error) {
-	return call[api.Acknowledgement](ctx, c, "Cancel", req)
+	return Call[api.Acknowledgement](ctx, c, "Cancel", req)
 }
 
 // Release rolls back what a session has open at the gates of the other daemon.
 func (c *Client) Release(ctx context.Context, req *api.ReleaseRequest) (*api.Acknowledgement, error) {
-	return call[api.Acknowledgement](ctx, c, "Release", req)
+	return Call[api.Acknowledgement](ctx, c, "Release", req)
 }
 
 // Floor returns the confirmed position of a group.
 func (c *Client) Floor(ctx context.Context, req *api.FloorRequest) (*api.FloorReply, error) {
-	return call[api.FloorReply](ctx, c, "Floor", req)
+	return Call[api.FloorReply](ctx, c, "Floor", req)
 }
 
 // Vantage reports whether the other daemon, as a failure detector, reaches a primary.
 func (c *Client) Vantage(ctx context.Context, req *api.VantageRequest) (*api.VantageReply, error) {
-	return call[api.VantageReply](ctx, c, "Vantage", req)
+	return Call[api.VantageReply](ctx, c, "Vantage", req)
 }
 
 // Admission stops or resumes the admission of new work at the gate of a primary.
 func (c *Client) Admission(ctx context.Context, req *api.AdmissionRequest) (*api.AdmissionReply, error) {
-	return call[api.AdmissionReply](ctx, c, "Admission", req)
+	return Call[api.AdmissionReply](ctx, c, "Admission", req)
 }
 
 // Heartbeat exchanges liveness and terms.
 func (c *Client) Heartbeat(ctx context.Context, req *api.Heartbeat) (*api.Heartbeat, error) {
-	return call[api.Heartbeat](ctx, c, "Heartbeat", req)
+	return Call[api.Heartbeat](ctx, c, "Heartbeat", req)
 }
 
 // Configuration returns the configuration and the VM list of the other daemon, each only if newer than in the request.
 func (c *Client) Configuration(ctx context.Context, req *api.ConfigRequest) (*api.ConfigReply, error) {
-	return call[api.ConfigReply](ctx, c, "Configuration", req)
+	return Call[api.ConfigReply](ctx, c, "Configuration", req)
 }
 
-// call sends one request and waits for its reply. Errors wrap ErrNotSent or ErrNoAnswer, except an rpc.ServerError
-// from the other daemon, which is returned as it is.
-func call[R any](ctx context.Context, c *Client, method string, req any) (*R, error) {
+// Call sends one request to a method of the other daemon and waits for its reply. Errors wrap ErrNotSent or
+// ErrNoAnswer, except an rpc.ServerError from the other daemon, which is returned as it is.
+func Call[R any](ctx context.Context, c *Client, method string, req any) (*R, error) {
 	open, err := c.open(ctx)
 	if err != nil {
 		return nil, fmt.Errorf("%w: %w", ErrNotSent, err)
@@ -136,7 +173,7 @@
 	open.pending.Add(1)
 	defer open.pending.Add(-1)
 	pending := open.client.Go(serviceName+"."+method, req, reply, make(chan *rpc.Call, 1))
-	probeTimer := time.NewTimer(probeAfter)
+	probeTimer := time.NewTimer(open.probeAfter)
 	defer probeTimer.Stop()
 	for {
 		select {
@@ -146,7 +183,7 @@
 			return nil, fmt.Errorf("%w: %w", ErrNoAnswer, ctx.Err())
 		case <-probeTimer.C:
 			open.probe()
-			probeTimer.Reset(probeAfter)
+			probeTimer.Reset(open.probeAfter)
 		}
 	}
 }
@@ -163,16 +200,23 @@
 	return fmt.Errorf("%w: %w", ErrNoAnswer, err)
 }
 
+// isSuspected reports whether a probe has been unanswered for half of probeTimeout.
+func (n *connection) isSuspected() bool {
+	since := n.probedSince.Load()
+	return since != 0 && time.Since(time.Unix(0, since)) > n.probeTimeout/2
+}
+
 // probe starts a ping, unless an answer came within probeAfter or another ping is under way, and closes the connection
 // when the ping is not answered within probeTimeout. It does not block.
 func (n *connection) probe() {
-	if time.Since(time.Unix(0, n.lastAnswer.Load())) < probeAfter || !n.probing.CompareAndSwap(false, true) {
+	now := time.Now()
+	if now.Sub(time.Unix(0, n.lastAnswer.Load())) < n.probeAfter || !n.probedSince.CompareAndSwap(0, now.UnixNano()) {
 		return
 	}
 	go func() {
-		defer n.probing.Store(false)
+		defer n.probedSince.Store(0)
 		ping := n.client.Go(serviceName+".Ping", &api.Acknowledgement{}, &api.Acknowledgement{}, make(chan *rpc.Call, 1))
-		timer := time.NewTimer(probeTimeout)
+		timer := time.NewTimer(n.probeTimeout)
 		defer timer.Stop()
 		select {
 		case done := <-ping.Done:
@@ -185,28 +229,43 @@
 
 // open returns the connection of the next link, and dials a new one when there is none or it has broken.
 func (c *Client) open(ctx context.Context) (*connection, error) {
-	l := &c.links[c.next.Add(1)%connectionsPerPeer]
+	l := &c.links[c.next.Add(1)%uint64(len(c.links))]
 	l.mu.Lock()
 	defer l.mu.Unlock()
 	if l.connection != nil && !l.connection.broken.Load() {
+		if l.connection.isSuspected() {
+			return nil, errSuspected
+		}
 		return l.connection, nil
 	}
+	if l.failure != nil && time.Since(l.failedAt) < maxRepeatedDialError {
+		return nil, l.failure
+	}
+	l.connection, l.failure = c.connect(ctx)
+	l.failedAt = time.Now()
+	return l.connection, l.failure
+}
+
+// errSuspected means that the daemon has not answered a probe so far.
+var errSuspected = errors.New("a probe of the connection is not answered")
+
+// connect opens a new connection.
+func (c *Client) connect(ctx context.Context) (*connection, error) {
 	ctx, cancel := context.WithTimeout(ctx, dialTimeout)
 	defer cancel()
 	raw, err := c.dial(ctx)
 	if err != nil {
 		return nil, err
 	}
-	opened := &connection{}
+	opened := &connection{probeAfter: c.options.ProbeAfter, probeTimeout: c.options.ProbeTimeout}
 	opened.lastAnswer.Store(time.Now().UnixNano())
-	opened.client = rpc.NewClient(&watchedConn{Conn: raw, broken: &opened.broken})
-	if c.tls != nil {
+	opened.client = rpc.NewClientWithCodec(newClientCodec(&watchedConn{Conn: raw, broken: &opened.broken}, c.options.MaxFrameBytes))
+	if c.options.TLS != nil {
 		if err := opened.verify(ctx); err != nil {
 			_ = opened.client.Close()
 			return nil, err
 		}
 	}
-	l.connection = opened
 	return opened, nil
 }
 
@@ -224,10 +283,10 @@
 }
 
 func (c *Client) dial(ctx context.Context) (net.Conn, error) {
-	if c.tls == nil {
-		return c.dialer.DialContext(ctx, "tcp", c.address)
+	if c.options.TLS == nil {
+		return c.dialer.DialContext(ctx, "tcp", c.options.Address)
 	}
-	return (&tls.Dialer{NetDialer: c.dialer, Config: c.tls()}).DialContext(ctx, "tcp", c.address)
+	return (&tls.Dialer{NetDialer: c.dialer, Config: c.options.TLS()}).DialContext(ctx, "tcp", c.options.Address)
 }
 
 // watchedConn sets broken when a read fails or the connection is closed.
--- a/internal/peer/server.go
+++ b/internal/peer/server.go
@@ -11,6 +11,7 @@
 	"time"
 
 	"github.com/papayacove/papayacove/api"
+	"github.com/papayacove/papayacove/internal/dialer"
 	"github.com/papayacove/papayacove/internal/logevent"
 	"github.com/papayacove/papayacove/internal/logfield"
 	"github.com/sirupsen/logrus"
@@ -101,10 +102,24 @@
 	return nil
 }
 
+// Receiver returns the object whose methods answer the calls on one connection, as net/rpc requires them, and a
+// function that is called when the connection ends. Among the methods has to be Ping.
+type Receiver func() (receiver any, ended func())
+
+// ServerOptions describe a Server.
+type ServerOptions struct {
+	Address string
+	// TLS is the configuration of connections; nil disables TLS.
+	TLS      *tls.Config
+	Receiver Receiver
+	// MaxFrameBytes bounds one request; 0 for no limit.
+	MaxFrameBytes int64
+}
+
 // Server accepts the connections of other daemons.
 type Server struct {
 	listener net.Listener
-	server   *rpc.Server
+	options  ServerOptions
 
 	mu          sync.Mutex
 	connections map[net.Conn]struct{}
@@ -112,18 +127,21 @@
 
 // Listen listens on the peer address; Run serves it. A nil configuration disables TLS.
 func Listen(address string, configuration *tls.Config, handler Handler) (*Server, error) {
-	listener, err := net.Listen("tcp", address)
+	receiver := &service{handler: handler}
+	return ListenWithOptions(ServerOptions{Address: address, TLS: configuration, Receiver: func() (any, func()) { return receiver, func() {} }})
+}
+
+// ListenWithOptions listens on the peer address; Run serves it.
+func ListenWithOptions(options ServerOptions) (*Server, error) {
+	listening := net.ListenConfig{KeepAliveConfig: dialer.KeepAlive}
+	listener, err := listening.Listen(context.Background(), "tcp", options.Address)
 	if err != nil {
 		return nil, fmt.Errorf("listen for peers: %w", err)
 	}
-	if configuration != nil {
-		listener = tls.NewListener(listener, configuration)
-	}
-	server := rpc.NewServer()
-	if err := server.RegisterName(serviceName, &service{handler: handler}); err != nil {
-		return nil, fmt.Errorf("register peer methods: %w", err)
+	if options.TLS != nil {
+		listener = tls.NewListener(listener, options.TLS)
 	}
-	return &Server{listener: listener, server: server, connections: make(map[net.Conn]struct{})}, nil
+	return &Server{listener: listener, options: options, connections: make(map[net.Conn]struct{})}, nil
 }
 
 // Address returns the host:port that the server listens on.
@@ -153,13 +171,25 @@
 		_ = connection.Close()
 		return
 	}
+	receiver, ended := s.options.Receiver()
+	defer ended()
+	server := rpc.NewServer()
+	if err := server.RegisterName(serviceName, receiver); err != nil {
+		logrus.WithFields(logrus.Fields{logfield.Peer: connection.RemoteAddr(), logfield.Error: err}).Error(logevent.PeerRefused)
+		_ = connection.Close()
+		return
+	}
 	s.mu.Lock()
 	s.connections[connection] = struct{}{}
 	s.mu.Unlock()
-	s.server.ServeConn(connection)
+	codec := newServerCodec(connection, s.options.MaxFrameBytes)
+	server.ServeCodec(codec)
 	s.mu.Lock()
 	delete(s.connections, connection)
 	s.mu.Unlock()
+	if err := codec.failure(); err != nil {
+		logrus.WithFields(logrus.Fields{logfield.Peer: connection.RemoteAddr(), logfield.Error: err}).Warn(logevent.PeerConnectionEnded)
+	}
 }
 
 // completeHandshake completes the TLS handshake, if the connection has TLS, and reports whether the other end may call.
--- a/internal/policy/placement/placement.go
+++ b/internal/policy/placement/placement.go
@@ -8,6 +8,7 @@
 
 import (
 	"math/bits"
+	"slices"
 
 	"github.com/cespare/xxhash/v2"
 	"github.com/sirupsen/logrus"
@@ -157,3 +158,36 @@
 	x = (x ^ x>>33) * 0xc4ceb9fe1a85ec53
 	return x ^ x>>33
 }
+
+// HolderOrder returns the first n members that may hold a target, the holder first: the members in the availability
+// zone of the target in rendezvous order, then the others. Leaving members are not among them.
+func HolderOrder(targetName, targetZone string, members []Member, n int) []Member {
+	var inZone, others []Member
+	for _, m := range Order(targetName, members) {
+		switch {
+		case m.Leaving:
+		case m.Zone == targetZone:
+			inZone = append(inZone, m)
+		default:
+			others = append(others, m)
+		}
+	}
+	ordered := append(inZone, others...)
+	return ordered[:min(n, len(ordered))]
+}
+
+// SpreadOrder returns all members in an order for key in which the first members of all availability zones come before
+// the second ones, and so on, each in rendezvous order. The first few are therefore in different zones.
+func SpreadOrder(key string, members []Member) []Member {
+	var rounds [][]Member
+	inZone := make(map[string]int)
+	for _, m := range Order(key, members) {
+		round := inZone[m.Zone]
+		inZone[m.Zone]++
+		if round == len(rounds) {
+			rounds = append(rounds, nil)
+		}
+		rounds[round] = append(rounds[round], m)
+	}
+	return slices.Concat(rounds...)
+}
