Count a leaving replica out only by a settled pause, and judge stalls by fresh answers

Change: a pause counts once the promotion has settled (2 s after the term was first seen; joining takes about one), and is ordered again until then and each second. A round in which a replica was busy does not judge replication. Daemons judge one after the other, the first of each zone early. Positions tell when a lagging replica is expected to hold a position. Tests: the replay as a case of the model and a rapid step with late ends of pauses; with a settle time of 0 the case promotes without the commit. A busy replica for 20 rounds.

--- a/internal/policy/primaryposition/primaryposition.go
+++ b/internal/policy/primaryposition/primaryposition.go
@@ -6,6 +6,7 @@
 package primaryposition
 
 import (
+	"sort"
 	"time"
 
 	"github.com/papayacove/papayacove/api"
@@ -58,3 +59,39 @@
 	}
 	return api.Position{}, false
 }
+
+// reachedAt returns the time at which the primary was first known to have reached a position; false when no sample
+// shows it.
+func (s *Samples) reachedAt(position api.Position) (time.Duration, bool) {
+	i := sort.Search(len(s.kept), func(i int) bool { return s.kept[i].position.Compare(position) >= 0 })
+	if i == len(s.kept) {
+		return 0, false
+	}
+	return s.kept[i].askedAt, true
+}
+
+// passedAt returns the time at which the primary was first known to be beyond a position; false when no sample shows it.
+func (s *Samples) passedAt(position api.Position) (time.Duration, bool) {
+	i := sort.Search(len(s.kept), func(i int) bool { return s.kept[i].position.Compare(position) > 0 })
+	if i == len(s.kept) {
+		return 0, false
+	}
+	return s.kept[i].askedAt, true
+}
+
+// ExpectedAt returns the time at which a replica is expected to hold the position wanted, if it stays as far behind the
+// primary as it was when its log ended at applied, at the time appliedAt.
+func (s *Samples) ExpectedAt(wanted, applied api.Position, appliedAt, now time.Duration) time.Duration {
+	if applied.Compare(wanted) >= 0 {
+		return appliedAt
+	}
+	lag := time.Duration(0)
+	if passed, ok := s.passedAt(applied); ok {
+		lag = max(0, appliedAt-passed)
+	}
+	reached, ok := s.reachedAt(wanted)
+	if !ok {
+		reached = now
+	}
+	return reached + lag
+}
--- a/internal/policy/primaryposition/primaryposition_test.go
+++ b/internal/policy/primaryposition/primaryposition_test.go
@@ -38,3 +38,30 @@
 		}
 	})
 }
+
+// TestExpectedAtFollowsTheLagOfTheReplica expects a replica that is 400 ms behind to reach each position 400 ms after
+// the primary.
+func TestExpectedAtFollowsTheLagOfTheReplica(t *testing.T) {
+	var s Samples
+	at := func(ms int) time.Duration { return time.Duration(ms) * time.Millisecond }
+	for i := range 11 {
+		s.Add(at(100*i), api.Position{Term: 1, Offset: uint64(10 * i)})
+	}
+	// At 1000 ms the log of the replica ends at 50, which the primary was beyond at 600 ms.
+	applied, appliedAt, now := api.Position{Term: 1, Offset: 50}, at(1000), at(1050)
+	cases := []struct {
+		offset uint64
+		want   time.Duration
+	}{
+		{50, appliedAt}, {80, at(800 + 400)}, {100, at(1000 + 400)}, {105, now + at(400)},
+	}
+	for _, c := range cases {
+		if got := s.ExpectedAt(api.Position{Term: 1, Offset: c.offset}, applied, appliedAt, now); got != c.want {
+			t.Errorf("offset %d: got %s, want %s", c.offset, got, c.want)
+		}
+	}
+	var empty Samples
+	if got := empty.ExpectedAt(api.Position{Term: 1, Offset: 9}, applied, appliedAt, now); got != appliedAt {
+		t.Errorf("position that the replica holds: got %s, want %s", got, appliedAt)
+	}
+}
--- a/internal/policy/takeover/model_test.go
+++ b/internal/policy/takeover/model_test.go
@@ -31,6 +31,9 @@
 	os.Exit(m.Run())
 }
 
+// maxJoinDelay is the longest time after a promotion at which a target joins the new primary.
+const maxJoinDelay = time.Second
+
 // modelTarget is one target of the model. Its log is a list of the positions of its commits.
 type modelTarget struct {
 	role   leadership.Role
@@ -40,6 +43,9 @@
 	up     bool
 	// leaving is true once the target has announced its shutdown; it is an acknowledging replica until it is gone.
 	leaving bool
+	// pauseEndsAt is the time at which the last promotion ends a pause of this target once more, because the target
+	// joins the new primary then; 0 for none.
+	pauseEndsAt time.Duration
 }
 
 // modelGroup is a group of three targets, together with the acknowledged commits that the checks refer to. Steps of a
@@ -59,8 +65,12 @@
 	proofUntil time.Duration
 	proofFor   string
 	proofTerm  uint64
-	promotions int
-	reads      int
+	// termSeenAt is the time at which the daemon first saw proofTerm.
+	termSeenAt time.Duration
+	// leavingStatuses are the answers of leaving replicas to the daemon's orders to pause.
+	leavingStatuses map[string]leadership.Status
+	promotions      int
+	reads           int
 	// replicaMinimums counts the checked minimum positions that came from the replicas alone.
 	replicaMinimums int
 }
@@ -77,7 +87,7 @@
 }
 
 func newModelGroup() *modelGroup {
-	g := &modelGroup{targets: map[string]*modelTarget{}, partitioned: map[[2]string]bool{}, unreached: map[string]bool{}}
+	g := &modelGroup{targets: map[string]*modelTarget{}, partitioned: map[[2]string]bool{}, unreached: map[string]bool{}, leavingStatuses: map[string]leadership.Status{}}
 	for _, name := range []string{"a", "b", "c"} {
 		g.targets[name] = &modelTarget{role: leadership.RoleReplica, term: 1, up: true}
 	}
@@ -85,6 +95,34 @@
 	return g
 }
 
+// advance lets time pass.
+func (g *modelGroup) advance(d time.Duration) {
+	g.now += d
+	for _, target := range g.targets {
+		if target.pauseEndsAt != 0 && target.pauseEndsAt <= g.now {
+			target.paused, target.pauseEndsAt = 0, 0
+		}
+	}
+}
+
+// pauseLeaving pauses the leaving replicas of the presumed term, as any daemon does outside promotions.
+func (g *modelGroup) pauseLeaving() {
+	for _, name := range slices.Sorted(maps.Keys(g.targets)) {
+		target := g.targets[name]
+		if !target.leaving || !g.isReached(name) || target.role != leadership.RoleReplica || target.term != g.proofTerm {
+			continue
+		}
+		target.paused = max(target.paused, g.proofTerm+1)
+		g.leavingStatuses[name] = g.status(name)
+	}
+}
+
+// isAcknowledging reports whether a promotion against old waits for the pause of a replica.
+func (g *modelGroup) isAcknowledging(name, old string) bool {
+	s, known := g.leavingStatuses[name]
+	return !known || old != g.proofFor || !HasStoppedAcknowledging(s, g.proofTerm, g.termSeenAt)
+}
+
 func (g *modelGroup) isPartitioned(a, b string) bool {
 	return g.partitioned[[2]string{min(a, b), max(a, b)}]
 }
@@ -156,7 +194,7 @@
 	for _, name := range slices.Sorted(maps.Keys(g.targets)) {
 		target := g.targets[name]
 		p.term = max(p.term, target.term+1, target.paused)
-		if name != p.old {
+		if name != p.old && g.isAcknowledging(name, p.old) {
 			p.replicas = append(p.replicas, name)
 		}
 	}
@@ -167,7 +205,9 @@
 // pause pauses a drawn replica, if the promoter reaches it.
 func (g *modelGroup) pause(t *rapid.T) {
 	p := g.promoter
-	g.pauseOne(rapid.SampledFrom(p.replicas).Draw(t, "pause"))
+	if len(p.replicas) > 0 {
+		g.pauseOne(rapid.SampledFrom(p.replicas).Draw(t, "pause"))
+	}
 }
 
 func (g *modelGroup) pauseOne(name string) {
@@ -196,7 +236,7 @@
 
 // promote promotes the chosen target once the leadership proofs have expired, and checks that it has every acknowledged
 // commit.
-func (g *modelGroup) promote(t *rapid.T) {
+func (g *modelGroup) promote(t rapid.TB, joinsAfter time.Duration) {
 	p := g.promoter
 	p.choice = Choose(p.replicas, p.paused, p.demoted, func(name string) bool { return g.targets[name].leaving })
 	if p.choice.Target == "" || g.now < p.pausedAt+leadership.ProofValidity {
@@ -222,6 +262,7 @@
 		// A promotion ends the pauses and truncates the logs of replicas that were ahead.
 		if name != p.choice.Target && target.role == leadership.RoleReplica && target.up && !g.isPartitioned(name, p.choice.Target) {
 			target.term, target.paused, target.log = chosen.term, 0, slices.Clone(chosen.log)
+			target.pauseEndsAt = g.now + joinsAfter
 		}
 	}
 	g.promoter = nil
@@ -236,6 +277,9 @@
 		}
 	}
 	if leader, term, ok := leadership.Leader(statuses); ok && term >= g.proofTerm {
+		if term > g.proofTerm {
+			g.termSeenAt = g.now
+		}
 		g.proofFor, g.proofTerm = leader, term
 	}
 	if at, proved := leadership.ProvenAt(statuses, g.proofFor, g.proofTerm, len(g.targets)); proved {
@@ -291,7 +335,7 @@
 		names := []string{"a", "b", "c"}
 		t.Repeat(map[string]func(*rapid.T){
 			"commit": g.commit,
-			"time":   func(t *rapid.T) { g.now += time.Duration(rapid.IntRange(1, 600).Draw(t, "ms")) * time.Millisecond },
+			"time":   func(t *rapid.T) { g.advance(time.Duration(rapid.IntRange(1, 600).Draw(t, "ms")) * time.Millisecond) },
 			"cut": func(t *rapid.T) {
 				a, b := rapid.SampledFrom(names).Draw(t, "a"), rapid.SampledFrom(names).Draw(t, "b")
 				g.partitioned[[2]string{min(a, b), max(a, b)}] = rapid.Bool().Draw(t, "cut")
@@ -309,7 +353,7 @@
 				}
 				// It returns with its log, as a replica if another target has a later term.
 				target.up = true
-				target.paused = 0
+				target.paused, target.pauseEndsAt = 0, 0
 				for other, o := range g.targets {
 					if other != name && o.term > target.term {
 						target.role = leadership.RoleReplica
@@ -340,7 +384,12 @@
 				}
 				g.stepDown()
 			},
-			"wait": func(*rapid.T) { g.now += leadership.ProofValidity },
+			"wait":   func(*rapid.T) { g.advance(leadership.ProofValidity) },
+			"settle": func(*rapid.T) { g.advance(PromotionSettleTime) },
+			"pause leaving": func(t *rapid.T) {
+				g.prove(t)
+				g.pauseLeaving()
+			},
 			"step down": func(t *rapid.T) {
 				if g.promoter != nil {
 					g.stepDown()
@@ -348,7 +397,7 @@
 			},
 			"promote": func(t *rapid.T) {
 				if g.promoter != nil {
-					g.promote(t)
+					g.promote(t, time.Duration(rapid.IntRange(0, int(maxJoinDelay/time.Millisecond)).Draw(t, "joins_after"))*time.Millisecond)
 				}
 			},
 			"prove": g.prove,
@@ -361,3 +410,67 @@
 	}
 	t.Logf("%d promotions, %d reads at a proved primary, %d minimum positions of the replicas", promotions, reads, replicaMinimums)
 }
+
+// TestLeavingReplicaPausedDuringPromotionStillAcknowledges replays a planned replacement whose old primary leaves as a
+// replica: it is paused right after the promotion, joins the new primary later and receives again. A promoter that does
+// not reach it must not promote another replica without its commits.
+func TestLeavingReplicaPausedDuringPromotionStillAcknowledges(t *testing.T) {
+	g := newModelGroup()
+	g.targets["a"].leaving = true
+	g.beginAgainst("a")
+	g.pauseOne("b")
+	g.pauseOne("c")
+	g.stepDown()
+	g.advance(leadership.ProofValidity)
+	g.promote(t, maxJoinDelay)
+	if g.promotions != 1 || g.targets["b"].role != leadership.RolePrimary {
+		t.Fatalf("planned replacement: got %d promotions, want b promoted", g.promotions)
+	}
+	g.proofFor, g.proofTerm, g.termSeenAt = "b", g.targets["b"].term, g.now
+	g.pauseLeaving()
+	g.advance(maxJoinDelay)
+	// b and the leaving a are cut off from c and from the promoter; a alone receives the commit.
+	g.partitioned[[2]string{"b", "c"}], g.partitioned[[2]string{"a", "c"}] = true, true
+	g.unreached["a"], g.unreached["b"] = true, true
+	position := api.Position{Term: g.proofTerm, Offset: 1}
+	g.targets["b"].log = append(g.targets["b"].log, position)
+	if !g.replicate("b", func(string) bool { return true }) {
+		t.Fatal("the leaving replica receives nothing, want the commit")
+	}
+	g.acked = append(g.acked, position)
+	g.beginAgainst("b")
+	g.pauseOne("c")
+	g.advance(leadership.ProofValidity)
+	g.promote(t, 0)
+	if g.promotions != 1 {
+		t.Errorf("got %d promotions, want none beside the planned one while the leaving replica may hold the commit", g.promotions)
+	}
+}
+
+// TestSettledPauseOfLeavingReplicaCounts covers when the pause of a leaving replica counts, and when it is ordered
+// again.
+func TestSettledPauseOfLeavingReplicaCounts(t *testing.T) {
+	const seen = 10 * time.Second
+	settled := seen + PromotionSettleTime
+	cases := []struct {
+		name         string
+		status       leadership.Status
+		now          time.Duration
+		stopped, due bool
+	}{
+		{"not paused", replicaStatus(2, 0, 5, settled), settled, false, true},
+		{"paused before the promotion settled", replicaStatus(2, 3, 5, seen), seen, false, false},
+		{"the same, half a second later", replicaStatus(2, 3, 5, seen), seen + LeavingRecheckInterval/2, false, true},
+		{"paused after it settled", replicaStatus(2, 3, 5, settled), settled, true, false},
+		{"the same, after the recheck interval", replicaStatus(2, 3, 5, settled), settled + LeavingRecheckInterval, true, true},
+		{"follows an older term", replicaStatus(1, 3, 5, settled), settled + LeavingRecheckInterval, false, false},
+	}
+	for _, c := range cases {
+		if got := HasStoppedAcknowledging(c.status, 2, seen); got != c.stopped {
+			t.Errorf("%s: got stopped %t, want %t", c.name, got, c.stopped)
+		}
+		if got := NeedsPause(c.status, 2, seen, c.now); got != c.due {
+			t.Errorf("%s: got pause due %t, want %t", c.name, got, c.due)
+		}
+	}
+}
--- a/internal/policy/takeover/takeover.go
+++ b/internal/policy/takeover/takeover.go
@@ -26,6 +26,25 @@
 	PromotionHoldTime = 2 * time.Second
 )
 
+const (
+	// judgeInterval is the time by which the daemons that judge a primary, one in each availability zone, begin their
+	// promotions apart, so that the first one is seen by the next.
+	judgeInterval = 100 * time.Millisecond
+	// judgeRoundInterval is the time after which the next daemons of all zones judge, because the first ones have not
+	// replaced the primary: a promotion takes about as long.
+	judgeRoundInterval = 1500 * time.Millisecond
+)
+
+// JudgeDelay returns the time for which a daemon waits before it replaces a primary that has failed. rank is the
+// daemon's position among all, in the order of placement.SpreadOrder; zones is the number of availability zones.
+func JudgeDelay(rank, zones int) time.Duration {
+	zones = max(1, zones)
+	return time.Duration(rank/zones)*judgeRoundInterval + time.Duration(rank%zones)*judgeInterval
+}
+
+// IsJudge reports whether a daemon is among the first that judge a primary.
+func IsJudge(rank, zones int) bool { return rank < max(1, zones) }
+
 // Reason is the cause for which a primary is replaced. It is written to logs.
 type Reason string
 
@@ -116,10 +135,15 @@
 	var received api.Position
 	replicas := 0
 	for name, s := range r.Statuses {
-		if name != r.Primary && s.Role == leadership.RoleReplica {
-			received = received.Max(s.Received)
-			replicas++
+		if name == r.Primary || s.Role != leadership.RoleReplica {
+			continue
+		}
+		if s.AskedAt < r.StartedAt {
+			// A busy replica has not said what it holds now. It may receive everything.
+			return ReasonNone
 		}
+		received = received.Max(s.Received)
+		replicas++
 	}
 	if replicas == 0 || received.Compare(status.Received) >= 0 {
 		m.unreceived = api.Position{}
--- a/internal/policy/takeover/takeover_test.go
+++ b/internal/policy/takeover/takeover_test.go
@@ -77,6 +77,34 @@
 	}
 }
 
+// TestBusyReplicaDoesNotStallReplication guards against the replacement of a healthy primary under load: while a replica
+// is too busy for a status call, its last known position stands still as if it received nothing.
+func TestBusyReplicaDoesNotStallReplication(t *testing.T) {
+	var monitor PrimaryMonitor
+	for i := range 20 {
+		at := time.Duration(i+1) * StallBeforeTakeover / 4
+		reason := monitor.Evaluate(StatusRound{
+			Primary: "a", Members: 3, StartedAt: at, EndedAt: at + time.Millisecond,
+			Statuses: map[string]leadership.Status{"a": primaryStatus(1, uint64(10*i), at), "b": replicaStatus(1, 0, 5, 0), "c": replicaStatus(1, 0, 5, at)},
+		})
+		if reason != ReasonNone {
+			t.Fatalf("at %s: got %q, want none while the status of a replica is old", at, reason)
+		}
+	}
+}
+
+// TestJudgesBeginOneAfterTheOther checks the delays of daemons in three availability zones.
+func TestJudgesBeginOneAfterTheOther(t *testing.T) {
+	for rank, want := range []time.Duration{0, judgeInterval, 2 * judgeInterval, judgeRoundInterval, judgeRoundInterval + judgeInterval} {
+		if got := JudgeDelay(rank, 3); got != want {
+			t.Errorf("rank %d: got %s, want %s", rank, got, want)
+		}
+		if got := IsJudge(rank, 3); got != (rank < 3) {
+			t.Errorf("rank %d: got judge %t, want %t", rank, got, rank < 3)
+		}
+	}
+}
+
 // TestStalledReplicationReplacesPrimary guards against a primary that answers status calls while its commits reach no
 // replica, so that none can be acknowledged.
 func TestStalledReplicationReplacesPrimary(t *testing.T) {
