Order what the store says by era and revision

Cause: the store may come back from a copy some seconds old; revisions go back and are given out again, and Store-Era rises. The tracker failed with "platform revision decreased" until the revision had passed the old one, so configuration and entries stood still, and a change under a revision given out again was dropped for good. Change: objects and lists carry the era. A later era is listed again, whatever its revisions; what the copy lacks is delivered as deleted, and OnRestore is called before. Answers of an earlier era are dropped if they were asked for before or may be stale; other answers without a valid era count as of the known one, with one line. Conditional changes compare the era too.

--- a/internal/objectstore/apply_change.go
+++ b/internal/objectstore/apply_change.go
@@ -82,7 +82,7 @@
 		overwritten := history.newest() != a.changeID
 		return ChangeResult{Outcome: OutcomeDone, Object: stored, Overwritten: overwritten}, nil
 	}
-	if stored.Version == a.object.Version {
+	if stored.Version == a.object.Version && (stored.Era == a.object.Era || a.isCreate()) {
 		a.base = history
 		return ChangeResult{Outcome: OutcomeNotDone}, nil
 	}
--- a/internal/objectstore/call.go
+++ b/internal/objectstore/call.go
@@ -53,7 +53,7 @@
 		Method: k.method, Path: k.path, Header: http.Header{zoneHeader: {c.zone}}, Body: body, Wait: k.wait,
 		Change: k.kind.isChange(),
 	}
-	return c.transport.Send(ctx, request, func(status int, body io.Reader) error { return decodeAnswer(status, body, k) })
+	return c.transport.Send(ctx, request, func(r Response) error { return decodeAnswer(r.Status, r.Body, k) })
 }
 
 // encodeObject encodes an object as JSON. It fails with ErrTooLarge if the data exceeds MaxDataBytes.
--- a/internal/objectstore/follow.go
+++ b/internal/objectstore/follow.go
@@ -49,6 +49,10 @@
 	// if AfterCall is nil, the results are not reported.
 	AfterCall func(error)
 
+	// OnRestore is called when the store has come back from a copy, before apply gets what the copy holds; if OnRestore
+	// is nil, it is not reported.
+	OnRestore func()
+
 	// BeforeCall is called before each watch and before each listing of all kinds, and blocks until it may begin;
 	// if BeforeCall is nil, it begins at once. A delayed watch returns all changes since the previous one.
 	BeforeCall func(ctx context.Context)
@@ -68,6 +72,9 @@
 	if o.AfterCall == nil {
 		o.AfterCall = func(error) {}
 	}
+	if o.OnRestore == nil {
+		o.OnRestore = func() {}
+	}
 	if o.BeforeCall == nil {
 		o.BeforeCall = func(context.Context) {}
 	}
@@ -79,8 +86,9 @@
 // first call passes all objects that exist. After it, the versions of each object are delivered in
 // increasing order only, and a deletion is delivered as an object with Deleted set; a list without
 // objects means that only the revision has increased. After a failure Follow retries with exponential
-// backoff, and lists again only if the platform has dropped the history in between. An answer with
-// a lower revision than before is a failure.
+// backoff, and lists again only if the platform has dropped the history in between or has come back from a
+// copy. An answer with a lower revision in the same era than before is a failure. Versions of a later era are
+// later, whatever their number.
 func (c *Client) Follow(ctx context.Context, options FollowOptions, apply func(api.ObjectList)) error {
 	return FollowSource(ctx, c, options, apply)
 }
@@ -127,7 +135,7 @@
 		switch {
 		case err == nil:
 			retry.reset()
-		case errors.Is(err, ErrCompacted):
+		case errors.Is(err, ErrCompacted), errors.Is(err, ErrRestored):
 			// The store is reachable, so there is no backoff; the next step lists.
 		default:
 			wait = retry.next()
@@ -154,17 +162,20 @@
 
 // step lists or watches once.
 func (f *objectFollower) step(ctx context.Context) error {
-	before := f.tracker.revision
+	before, era := f.tracker.revision, f.tracker.era
 	isFirst := !f.delivered
 	updates, err := f.fetch(ctx)
 	f.unavailable = errors.Is(err, ErrUnavailable)
-	if errors.Is(err, ErrCompacted) {
+	if errors.Is(err, ErrCompacted) || errors.Is(err, ErrRestored) {
 		f.listed = false
 	}
 	if err != nil {
 		return err
 	}
-	if isFirst || len(updates.Objects) > 0 || updates.Revision > before {
+	if !isFirst && updates.Era > era {
+		f.options.OnRestore()
+	}
+	if isFirst || len(updates.Objects) > 0 || updates.Revision > before || updates.Era > era {
 		f.delivered = true
 		f.apply(updates)
 	}
@@ -244,11 +255,15 @@
 	unreachable bool
 }
 
-// record logs a change of reachability that the result of a step shows. ErrCompacted is an answer of the platform, which
-// is therefore reachable.
+// record logs a change of reachability that the result of a step shows. ErrCompacted and ErrRestored are answers of the
+// platform, which is therefore reachable.
 func (l *reachabilityLog) record(err error) {
 	log := logrus.WithField(logfield.Followed, l.followed)
-	if errors.Is(err, ErrCompacted) {
+	switch {
+	case errors.Is(err, ErrRestored):
+		log.WithError(err).Warn(logevent.PlatformListedAgain)
+		err = nil
+	case errors.Is(err, ErrCompacted):
 		log.Info(logevent.PlatformHistoryCompacted)
 		err = nil
 	}
--- a/internal/objectstore/transport.go
+++ b/internal/objectstore/transport.go
@@ -55,6 +55,13 @@
 	Change bool
 }
 
+// Response is the answer to a Request.
+type Response struct {
+	Status int
+	Header http.Header
+	Body   io.Reader
+}
+
 // NewTransport returns a transport, which connects at its first call.
 func NewTransport(options Options) *Transport {
 	timeout := options.Timeout
@@ -106,10 +113,9 @@
 	t.http.CloseIdleConnections()
 }
 
-// Send carries out a call within the deadlines of the transport and of ctx, and passes the status and the body
-// of its answer to read. If no answer arrives it fails with ErrUnavailable, and also with ErrOutcomeUnknown if
+// Send carries out a call within the deadlines of the transport and of ctx, and passes its answer to read. If no answer arrives it fails with ErrUnavailable, and also with ErrOutcomeUnknown if
 // the call may have changed an object. The error of read is returned unchanged.
-func (t *Transport) Send(ctx context.Context, r Request, read func(status int, body io.Reader) error) error {
+func (t *Transport) Send(ctx context.Context, r Request, read func(Response) error) error {
 	ctx, cancel := context.WithTimeout(ctx, r.Wait+t.timeout)
 	defer cancel()
 	var connected atomic.Bool
@@ -127,7 +133,7 @@
 	}
 	defer response.Body.Close()
 	body := io.LimitReader(response.Body, maxAnswerBytes)
-	if err := read(response.StatusCode, body); err != nil {
+	if err := read(Response{response.StatusCode, response.Header, body}); err != nil {
 		t.dropIdleAfterTimeout(err)
 		return err
 	}
