--- a/internal/daemonregistry/registry.go
+++ b/internal/daemonregistry/registry.go
@@ -1,4 +1,4 @@
-// Package daemonregistry counts the daemons that share the targets.
+// Package daemonregistry lists the daemons that share the targets.
 //
 // Each daemon registers with an entry in the object store, which it refreshes every refreshInterval. A daemon whose
 // entry has not changed for absentAfter is absent and not counted.
@@ -9,6 +9,9 @@
 	"encoding/json"
 	"errors"
 	"fmt"
+	"maps"
+	"math/rand/v2"
+	"slices"
 	"time"
 
 	"github.com/sirupsen/logrus"
@@ -37,6 +40,12 @@
 	readIntervalPerEntry  = 250 * time.Millisecond
 	minSteadyReadInterval = 8 * time.Second
 	maxSteadyReadInterval = 2 * refreshInterval
+	// minRewriteWindow and rewriteTimePerEntry bound the rate at which entries are written again after the store was
+	// restored: 200 a second at most.
+	minRewriteWindow    = 500 * time.Millisecond
+	rewriteTimePerEntry = 5 * time.Millisecond
+	// missingGrace is the time beyond rewriteWindow for which an entry that the restored store lacks is kept.
+	missingGrace = 5 * time.Second
 )
 
 // Store is the part of the object store that a Registry uses.
@@ -47,32 +56,52 @@
 	Delete(ctx context.Context, kind, name string) error
 }
 
-// Registry keeps the entry of one daemon up to date and counts all daemons. Run must be called once; only Leave may be
+// Registry keeps the entry of one daemon up to date and lists all daemons. Run must be called once; only Leave may be
 // called while it runs.
 type Registry struct {
 	store Store
 	self  api.DaemonEntry
-	// onCount is called with the number of daemons after each read.
-	onCount  func(int)
+	// onRead is called with the daemons after each read.
+	onRead   func([]api.DaemonEntry)
 	observed map[string]observation
+	// era is that of the newest list. Entries that a list lacks are kept until keepMissingUntil of the boot clock.
+	era              uint64
+	keepMissingUntil time.Duration
+	restored         chan struct{}
 }
 
-// observation is the version of an entry and the boot-clock time at which it was first read.
+// observation is the state of an entry and the boot-clock time at which it was first read in that state.
 type observation struct {
-	version uint64
-	at      time.Duration
+	object api.Object
+	at     time.Duration
 }
 
-// New returns the registry of the daemon with entry self. Run calls onCount with the number of daemons after each read,
-// whether or not it has changed.
-func New(store Store, self api.DaemonEntry, onCount func(int)) *Registry {
-	return &Registry{store: store, self: self, onCount: onCount, observed: make(map[string]observation)}
+// New returns the registry of the daemon with entry self. Run calls onRead with the entries of the daemons that are
+// present, this one included, after each read, whether or not they have changed.
+func New(store Store, self api.DaemonEntry, onRead func([]api.DaemonEntry)) *Registry {
+	return &Registry{store: store, self: self, onRead: onRead, observed: make(map[string]observation), restored: make(chan struct{}, 1)}
 }
 
-// Run refreshes the daemon's own entry and counts the daemons until ctx ends. Errors are logged and retried.
+// Restored tells that the store has come back from a copy, which may lack entries. The daemon's own entry is written
+// again at a random time, so that the daemons do not write all at once. It does not block.
+func (r *Registry) Restored() {
+	select {
+	case r.restored <- struct{}{}:
+	default:
+	}
+}
+
+// rewriteWindow returns the time in which the daemons write their entries again, with the given number of them.
+func rewriteWindow(entries int) time.Duration {
+	return minRewriteWindow + time.Duration(entries)*rewriteTimePerEntry
+}
+
+// Run refreshes the daemon's own entry and lists the daemons until ctx ends. Errors are logged and retried.
 func (r *Registry) Run(ctx context.Context) {
 	writtenAt := -refreshInterval
 	readInterval := firstReadInterval
+	// A daemon that starts again learns of the others before it writes: until then it does not know its share.
+	r.readOrLog(ctx)
 	for {
 		if now := clock.SinceBoot(); now-writtenAt >= refreshInterval {
 			if err := r.write(ctx); err != nil {
@@ -81,16 +110,44 @@
 				writtenAt = now
 			}
 		}
-		if err := r.count(ctx); err != nil {
-			logrus.WithField(logfield.Error, err).Info(logevent.RosterNotRead)
-		}
-		if clock.Sleep(ctx, readInterval) != nil {
+		r.readOrLog(ctx)
+		switch r.sleep(ctx, readInterval) {
+		case ended:
 			return
+		case storeRestored:
+			writtenAt = -refreshInterval
+			readInterval = firstReadInterval
+			if clock.Sleep(ctx, rand.N(rewriteWindow(len(r.observed)))) != nil {
+				return
+			}
 		}
 		readInterval = min(2*readInterval, maxReadInterval(len(r.observed)))
 	}
 }
 
+// wakeReason says why a wait ended.
+type wakeReason int
+
+const (
+	waited wakeReason = iota
+	ended
+	storeRestored
+)
+
+// sleep waits for d, and less when ctx ends or the store was restored.
+func (r *Registry) sleep(ctx context.Context, d time.Duration) wakeReason {
+	timer := time.NewTimer(d)
+	defer timer.Stop()
+	select {
+	case <-ctx.Done():
+		return ended
+	case <-r.restored:
+		return storeRestored
+	case <-timer.C:
+		return waited
+	}
+}
+
 // maxReadInterval returns the longest time between two reads of the given number of entries.
 func maxReadInterval(entries int) time.Duration {
 	return min(max(minSteadyReadInterval, time.Duration(entries)*readIntervalPerEntry), maxSteadyReadInterval)
@@ -112,35 +169,63 @@
 	return err
 }
 
-func (r *Registry) count(ctx context.Context) error {
+func (r *Registry) readOrLog(ctx context.Context) {
+	if err := r.read(ctx); err != nil {
+		logrus.WithField(logfield.Error, err).Info(logevent.RosterNotRead)
+	}
+}
+
+func (r *Registry) read(ctx context.Context) error {
 	list, err := r.store.ListStale(ctx, Kind)
 	if err != nil {
 		return err
 	}
-	r.onCount(r.countPresent(list, clock.SinceBoot()))
+	r.onRead(r.present(list, clock.SinceBoot()))
 	return nil
 }
 
-// countPresent returns the number of daemons whose entries have changed within absentAfter before now, including this
-// daemon in any case.
-func (r *Registry) countPresent(list api.ObjectList, now time.Duration) int {
-	count := 1
-	observed := make(map[string]observation, len(list.Objects))
-	for _, entry := range list.Objects {
-		if entry.Name == r.self.Name {
+// present returns the entries that have changed within absentAfter before now, and that of this daemon in any case. An
+// entry that cannot be read is left out, because its daemon cannot be reached.
+func (r *Registry) present(list api.ObjectList, now time.Duration) []api.DaemonEntry {
+	r.observe(list, now)
+	present := []api.DaemonEntry{r.self}
+	for _, name := range slices.Sorted(maps.Keys(r.observed)) {
+		known := r.observed[name]
+		if now-known.at >= absentAfter {
 			continue
 		}
-		known, ok := r.observed[entry.Name]
-		if !ok || known.version != entry.Version {
-			known = observation{entry.Version, now}
+		var entry api.DaemonEntry
+		if err := json.Unmarshal(known.object.Data, &entry); err != nil || entry.Name != name {
+			logrus.WithFields(logrus.Fields{logfield.Object: name, logfield.Error: err}).Warn(logevent.RosterEntryUnreadable)
+			entry = api.DaemonEntry{Name: name}
+		}
+		present = append(present, entry)
+	}
+	return present
+}
+
+// observe records the entries of a list. After the store was restored, entries that it lacks are kept for a while: their
+// daemons write them again.
+func (r *Registry) observe(list api.ObjectList, now time.Duration) {
+	if list.Era > r.era && r.era != 0 {
+		r.keepMissingUntil = now + rewriteWindow(len(r.observed)) + missingGrace
+	}
+	r.era = max(r.era, list.Era)
+	observed := make(map[string]observation, len(list.Objects))
+	if now < r.keepMissingUntil {
+		observed = maps.Clone(r.observed)
+	}
+	for _, object := range list.Objects {
+		if object.Name == r.self.Name {
+			continue
 		}
-		observed[entry.Name] = known
-		if now-known.at < absentAfter {
-			count++
+		known, ok := r.observed[object.Name]
+		if !ok || known.object.Version != object.Version || known.object.Era != object.Era {
+			known = observation{object, now}
 		}
+		observed[object.Name] = known
 	}
 	r.observed = observed
-	return count
 }
 
 // Leave deletes the daemon's entry. An error is only logged: other daemons then count this one until its entry has been
--- a/internal/engine/connectionshare.go
+++ b/internal/engine/connectionshare.go
@@ -14,8 +14,15 @@
 	// scarceIdleTimeout is the time after which a daemon closes an unused connection when a target has too few
 	// connections for all daemons. It is not zero because a session often sends its next statement at once.
 	scarceIdleTimeout = 20 * time.Millisecond
+	// fallbackIdleTimeout is the time after which a daemon closes an unused connection to a target that another daemon
+	// holds.
+	fallbackIdleTimeout = 300 * time.Millisecond
 )
 
+// fallbackShare is the share of a daemon that uses a target through its holder, for the time in which it reaches none, and
+// of one that does not know the number of daemons yet: many start at once after a loss of power.
+var fallbackShare = connectionShare{guaranteed: 1, ceiling: 2, idleTimeout: fallbackIdleTimeout}
+
 // connectionShare is the part of the connections of each target of a group that one daemon may open.
 type connectionShare struct {
 	// guaranteed is the number of connections that the daemon may always open, ceiling the number up to which it
--- a/internal/engine/control.go
+++ b/internal/engine/control.go
@@ -81,7 +81,7 @@
 	askedAt := clock.SinceBoot()
 	replies, err := c.conn.Exchange(time.Now().Add(timeout), command)
 	if err != nil {
-		c.drop()
+		c.abort()
 		return leadership.Status{}, err
 	}
 	if failure := replies[0].Failure; failure != nil {
@@ -99,6 +99,13 @@
 	}
 }
 
+// abort drops a connection on which a command was not answered. An order that a partition holds up must not be carried
+// out after it: a late end of a pause undoes the pause of a later promotion, whose promoter has checked it before.
+func (c *controlConnection) abort() {
+	_ = c.conn.Abort()
+	c.conn = nil
+}
+
 // reset closes the connection.
 func (c *controlConnection) reset() {
 	c.mu.Lock()
--- a/internal/engine/engine.go
+++ b/internal/engine/engine.go
@@ -21,11 +21,15 @@
 
 // Options holds the settings and the dependencies of an Engine.
 type Options struct {
+	// Name is the name of the daemon.
+	Name string
 	// Zone is the availability zone of the daemon.
 	Zone          string
 	Dialer        Dialer
 	Promoter      Promoter
 	PromotionLock PromotionLock
+	// Peers reaches the other daemons; nil if every daemon connects to all targets itself.
+	Peers Peers
 	// DrainTimeout is the time after which a leaving target gets no new work. The engine sends none in the last
 	// drainReserve of it.
 	DrainTimeout time.Duration
@@ -40,6 +44,10 @@
 	// isolated is true while the daemon is partitioned from most targets.
 	isolated atomic.Bool
 	nextID   atomic.Uint64
+	// relayed is the number of statements and open transactions that run for other daemons.
+	relayed atomic.Int64
+	// promotions counts the promotions in progress.
+	promotions sync.WaitGroup
 	// directoryFailed is the time of the boot clock, in nanoseconds, of the last failure to follow the target
 	// entries. It is initialized with the start of the engine.
 	directoryFailed atomic.Int64
@@ -53,7 +61,8 @@
 	groups        map[string]*group
 	// unplaced holds, by name, the targets whose group no configuration has had so far.
 	unplaced map[string]Target
-	daemons  int
+	daemons  *daemonList
+	peers    *peerHealth
 	sessions map[*session]struct{}
 }
 
@@ -62,7 +71,7 @@
 	options.Dialer = countingDialer{options.Dialer}
 	ctx, stop := context.WithCancel(context.Background())
 	e := &Engine{
-		options: options, ctx: ctx, stop: stop, configured: make(chan struct{}), daemons: 1,
+		options: options, ctx: ctx, stop: stop, configured: make(chan struct{}), daemons: newDaemonList(options.Name, nil), peers: &peerHealth{},
 		groups: make(map[string]*group), unplaced: make(map[string]Target), sessions: make(map[*session]struct{}),
 	}
 	e.directoryFailed.Store(int64(clock.SinceBoot()))
@@ -107,6 +116,7 @@
 		return g
 	}
 	g := newGroup(name, e.options, e.isDirectorySettled)
+	g.peers = e.peers
 	e.groups[name] = g
 	go g.serveProofs(e.ctx)
 	go g.observe(e.ctx, func(reason takeover.Reason) { go e.takeOver(g, reason) })
@@ -151,30 +161,35 @@
 // RecordDirectoryResult records the outcome of a call that follows the target entries. A compacted history is not
 // an outage.
 func (e *Engine) RecordDirectoryResult(err error) {
-	if err == nil || errors.Is(err, objectstore.ErrCompacted) {
+	if err == nil || errors.Is(err, objectstore.ErrCompacted) || errors.Is(err, objectstore.ErrRestored) {
 		return
 	}
 	e.directoryFailed.Store(int64(clock.SinceBoot()))
 }
 
+// RecordDirectoryRestored records that the store of the target entries has come back from a copy, which may lack entries
+// for a while.
+func (e *Engine) RecordDirectoryRestored() { e.directoryFailed.Store(int64(clock.SinceBoot())) }
+
 // isDirectorySettled reports whether the target entries have been followed without a failure for removalGrace, the
 // time that lapsed entries need to return. Before that, a target that has acknowledged commits may be missing.
 func (e *Engine) isDirectorySettled() bool {
 	return clock.SinceBoot()-time.Duration(e.directoryFailed.Load()) >= removalGrace
 }
 
-// SetDaemons sets the number of daemons that share the connections of the targets.
-func (e *Engine) SetDaemons(count int) {
+// SetDaemons sets the daemons that share the connections of the targets, this one included.
+func (e *Engine) SetDaemons(daemons []Daemon) {
+	list := newDaemonList(e.options.Name, daemons)
 	e.mu.Lock()
 	defer e.mu.Unlock()
-	if count == e.daemons {
+	if list.equal(e.daemons) {
 		return
 	}
-	logrus.WithFields(logrus.Fields{logfield.Daemons: count, logfield.Before: e.daemons}).Info(logevent.DaemonsChanged)
-	e.daemons = count
+	logrus.WithFields(logrus.Fields{logfield.Daemons: list.count, logfield.Before: e.daemons.count}).Info(logevent.DaemonsChanged)
+	e.daemons = list
 	for name, g := range e.groups {
 		if limits, ok := e.configuration.Groups[name]; ok {
-			g.setLimits(limits, count)
+			g.setLimits(limits, list)
 		}
 	}
 }
@@ -308,7 +323,7 @@
 	e.closing.Store(true)
 	interval := (within - rotation) / 2 / time.Duration(max(1, len(e.openSessions())))
 	e.closeIdleSessions(ctx, interval)
-	for ctx.Err() == nil && len(e.openSessions()) > 0 {
+	for ctx.Err() == nil && (len(e.openSessions()) > 0 || e.relayed.Load() > 0) {
 		for _, s := range e.openSessions() {
 			s.closeIfIdle()
 		}
@@ -320,5 +335,19 @@
 	}
 }
 
-// Close stops the observation of all groups.
-func (e *Engine) Close() { e.stop() }
+// closeTimeout bounds the wait for promotions in progress when the engine is closed.
+const closeTimeout = 400 * time.Millisecond
+
+// Close stops the observation of all groups, and waits a little until promotions in progress have released their locks.
+func (e *Engine) Close() {
+	e.stop()
+	ended := make(chan struct{})
+	go func() {
+		e.promotions.Wait()
+		close(ended)
+	}()
+	select {
+	case <-ended:
+	case <-time.After(closeTimeout):
+	}
+}
--- a/internal/engine/execute.go
+++ b/internal/engine/execute.go
@@ -122,35 +122,12 @@
 	return Answer{Rows: reply.Rows, Signature: reply.Signature, State: s.state(), Position: reply.Position}
 }
 
-// attemptResult is the outcome of one attempt on one connection.
-type attemptResult struct {
-	reply Reply
-	// err is set when no reply arrived.
-	err error
-	// sent is false when the statement certainly did not reach the target.
-	sent bool
-	// askedAt is the time of the boot clock before the statement was sent.
-	askedAt time.Duration
-}
-
-// run applies the session state to the connection and runs the statement once.
-func (r *request) run(m *member, conn *pooledConnection, command Command) attemptResult {
-	if err := r.session.applySessionState(conn, r.statement, r.deadline()); err != nil {
-		return attemptResult{err: err}
-	}
-	askedAt := clock.SinceBoot()
-	r.group.recordSent(m, askedAt)
+// run runs a command of the statement once, with the session state that the statement requires.
+func (r *request) run(m *member, l lease, e execution) attemptResult {
+	e.state, e.deadline, e.connectionRequest = r.session.stateFor(r.statement), r.deadline(), r.connectionRequest()
+	r.group.recordSent(m, clock.SinceBoot())
 	defer r.group.recordEnded(m)
-	replies, err := conn.Exchange(r.deadline(), command)
-	if err != nil {
-		conn.broken = true
-		return attemptResult{err: err, sent: true, askedAt: askedAt}
-	}
-	reply := replies[0]
-	if reply.Failure != nil && reply.Failure.Kind == FailureUnknownStatement {
-		delete(conn.prepared, command.Name)
-	}
-	return attemptResult{reply: reply, sent: true, askedAt: askedAt}
+	return l.run(e)
 }
 
 // readPlan is what a read requires of the target that serves it.
@@ -202,7 +179,7 @@
 	for r.attempts < maxAttempts && time.Now().Before(r.deadline()) {
 		plan := r.plan()
 		m := r.pickReader(plan, tried)
-		if m == nil && refusal != nil && r.awaitRetry(refusal) {
+		if m == nil && refusal != nil && r.awaitRetry(refusal, plan) {
 			clear(tried)
 			continue
 		}
@@ -224,7 +201,7 @@
 		if !r.mayTryAnotherTarget(failed) || plan.onlyPrimary && r.knownUnreachable {
 			break
 		}
-		if plan.onlyPrimary && isFull(failed) && !r.awaitRetry(failed) {
+		if plan.onlyPrimary && isFull(failed) && !r.awaitRetry(failed, plan) {
 			break
 		}
 	}
@@ -242,12 +219,20 @@
 
 // awaitRetry waits after a refusal by the targets, and reports whether a retry is worthwhile: a busy or full target
 // may have room again, and a lagging replica may have caught up. It returns false at once after any other
-// refusal, such as that of a full queue in this daemon.
-func (r *request) awaitRetry(refusal *Refusal) bool {
+// refusal, such as that of a full queue, and when no replica is expected to catch up in time.
+func (r *request) awaitRetry(refusal *Refusal, plan readPlan) bool {
 	isRetryable := refusal.Target != nil && (refusal.Code == result.NotRunOverloaded || refusal.Code == result.NotRunBehind)
 	if !isRetryable && !isFull(refusal) {
 		return false
 	}
+	if refusal.Code == result.NotRunBehind {
+		wait := r.group.catchUpTime(plan.minPosition) - clock.SinceBoot()
+		if wait > time.Until(r.lateUntil()) {
+			refusal.RetryAfter = wait
+			return false
+		}
+		time.Sleep(wait)
+	}
 	waitBeforeRetry()
 	return time.Now().Before(r.lateUntil())
 }
@@ -274,20 +259,24 @@
 
 // readAt runs the read at one target.
 func (r *request) readAt(m *member, plan readPlan) (Reply, *Refusal) {
-	conn, err := r.acquire(m)
+	l, err := r.acquire(m)
 	if err != nil {
 		return Reply{}, r.unavailable(err)
 	}
-	command := r.session.commandFor(r.statement)
+	e := execution{command: r.session.commandFor(r.statement), needsProof: plan.onlyPrimary}
 	if plan.onlyPrimary {
-		r.group.renewProofIfExpired()
+		r.group.renewProofIfExpired(m)
 	} else {
-		command.MinPosition = r.currentMinPosition(plan)
+		e.command.MinPosition = r.currentMinPosition(plan)
+	}
+	outcome := r.run(m, l, e)
+	l.release()
+	if outcome.refused != nil {
+		r.recordUnavailable(m, outcome.refused)
+		return Reply{}, r.unavailable(outcome.refused)
 	}
-	outcome := r.run(m, conn, command)
-	m.pool.release(conn)
 	if outcome.err != nil {
-		r.group.recordFailure(m)
+		r.recordNoReply(m, outcome)
 		return Reply{}, refuse(result.NotRunUnreachable, "no answer: %s", outcome.err)
 	}
 	reply := outcome.reply
@@ -323,17 +312,25 @@
 	return wait
 }
 
-// acquire returns a connection to a target. If the target could not be reached a moment ago, only a connection
-// that is already open is used.
-func (r *request) acquire(m *member) (*pooledConnection, error) {
+// acquire returns a lease for a target. If the target could not be reached a moment ago, only a connection that is
+// already open is used.
+func (r *request) acquire(m *member) (lease, error) {
 	wanted := r.connectionRequest()
 	wanted.openOnly = r.group.isAvoided(m)
-	conn, err := m.pool.acquire(wanted)
+	l, err := r.group.lease(m, wanted)
 	if err != nil && !wanted.openOnly {
 		r.recordUnavailable(m, err)
 	}
 	r.knownUnreachable = err != nil && wanted.openOnly && result.CodeOf(err) == result.NotRunUnreachable
-	return conn, err
+	return l, err
+}
+
+// recordNoReply records that no reply to a statement arrived. A holder that did not answer says nothing about the
+// target.
+func (r *request) recordNoReply(m *member, outcome attemptResult) {
+	if !outcome.byHolder {
+		r.group.recordFailure(m)
+	}
 }
 
 // unavailable returns the refusal for a target to which no connection was available.
@@ -419,15 +416,20 @@
 
 // writeAt runs the write at one target, and reports whether it may be retried.
 func (r *request) writeAt(m *member) (Reply, *Refusal, bool) {
-	conn, err := r.acquire(m)
+	l, err := r.acquire(m)
 	if err != nil {
 		refusal := r.unavailable(err)
 		return Reply{}, refusal, r.mayRetryAcquire(refusal.Code)
 	}
-	outcome := r.run(m, conn, r.session.commandFor(r.statement))
-	m.pool.release(conn)
+	outcome := r.run(m, l, execution{command: r.session.commandFor(r.statement), commits: true})
+	l.release()
+	if outcome.refused != nil {
+		r.recordUnavailable(m, outcome.refused)
+		refusal := r.unavailable(outcome.refused)
+		return Reply{}, refusal, r.mayRetryAcquire(refusal.Code)
+	}
 	if outcome.err != nil {
-		r.group.recordFailure(m)
+		r.recordNoReply(m, outcome)
 		if !outcome.sent {
 			return Reply{}, refuse(result.NotRunUnreachable, "connection lost: %s", outcome.err), true
 		}
--- /dev/null
+++ b/internal/engine/gate.go
@@ -0,0 +1,284 @@
+package engine
+
+import (
+	"sync"
+	"time"
+
+	"github.com/sirupsen/logrus"
+
+	"github.com/papayacove/papayacove/internal/clock"
+	"github.com/papayacove/papayacove/internal/logevent"
+	"github.com/papayacove/papayacove/internal/logfield"
+	"github.com/papayacove/papayacove/internal/policy/admission"
+	"github.com/papayacove/papayacove/internal/policy/holding"
+	"github.com/papayacove/papayacove/internal/policy/leadership"
+	"github.com/papayacove/papayacove/internal/result"
+	"github.com/papayacove/papayacove/internal/waitqueue"
+)
+
+const (
+	// gateIdleTimeout is the time after which a holder closes an unused connection.
+	gateIdleTimeout = 3 * time.Second
+	// gateProofWait bounds the wait of a holder for a leadership proof after the target has answered.
+	gateProofWait = 50 * time.Millisecond
+	// transactionsQueueLength bounds the transactions that wait to begin at one target.
+	transactionsQueueLength = 200
+)
+
+// gate is the use of one target by the daemon that holds it, for the sessions of all daemons. Its queues admit at most
+// as many statements and open transactions as its share allows, so that the target refuses none. Its methods may be
+// called concurrently.
+type gate struct {
+	group  *group
+	member *member
+	pool   *pool
+	status *sharedStatus
+	// control is the connection for status calls.
+	control *controlConnection
+	// statements has a slot for each statement at the target, transactions for each open transaction. A statement that
+	// begins a transaction needs both.
+	statements   *waitqueue.Queue
+	transactions *waitqueue.Queue
+
+	mu    sync.Mutex
+	share holding.Share
+	// silent is true when the target did not answer the last status call.
+	silent bool
+}
+
+// newGate returns the gate of a target. The caller holds the lock of the group.
+func newGate(g *group, m *member) *gate {
+	share := holding.HolderShare(g.holdingLimits(m))
+	target := func() Target { return g.targetOf(m) }
+	h := &gate{
+		group: g, member: m, share: share, pool: newPool(g.dialer, target, gateConnections(share)),
+		control:      &controlConnection{dialer: g.dialer, target: target},
+		statements:   waitqueue.New(admission.Config{Slots: share.Statements, QueueLength: poolQueueLength}, nil),
+		transactions: waitqueue.New(admission.Config{Slots: share.Transactions, QueueLength: transactionsQueueLength}, nil),
+	}
+	h.status = &sharedStatus{call: h.askStatus}
+	g.log().WithFields(logrus.Fields{
+		logfield.Target: m.name, logfield.Limit: share.Connections, logfield.Slots: share.Statements, logfield.Transactions: share.Transactions,
+	}).Info(logevent.TargetHeld)
+	return h
+}
+
+func gateConnections(share holding.Share) connectionShare {
+	return connectionShare{guaranteed: share.Connections, ceiling: share.Connections, idleTimeout: gateIdleTimeout}
+}
+
+// resize changes the share.
+func (h *gate) resize(share holding.Share) {
+	h.mu.Lock()
+	defer h.mu.Unlock()
+	if h.share == share {
+		return
+	}
+	h.share = share
+	now := time.Now()
+	h.pool.resize(gateConnections(share))
+	h.statements.Resize(share.Statements, now)
+	h.transactions.Resize(share.Transactions, now)
+}
+
+// load returns the number of statements that run or wait.
+func (h *gate) load() int { return h.statements.Load() }
+
+// isSilent reports whether the target did not answer the last status call, nor anything since.
+func (h *gate) isSilent() bool {
+	h.mu.Lock()
+	defer h.mu.Unlock()
+	return h.silent
+}
+
+// setSilent records whether the target answers. Statements that wait for a silent target are refused at once.
+func (h *gate) setSilent(silent bool) {
+	h.mu.Lock()
+	changed := h.silent != silent
+	h.silent = silent
+	h.mu.Unlock()
+	if changed && silent {
+		refusal := result.Errorf(result.NotRunUnreachable, "the target does not answer").WithRetryAfter(promotionEstimate)
+		h.statements.RefuseAll(refusal)
+		h.transactions.RefuseAll(refusal)
+	}
+}
+
+// askStatus makes one status call.
+func (h *gate) askStatus() (leadership.Status, error) {
+	status, err := h.control.call(Command{Op: OpStatus})
+	h.setSilent(err != nil && !isAlive(err))
+	return status, err
+}
+
+// close refuses what waits. What runs finishes.
+func (h *gate) close() {
+	gone := result.Errorf(result.NotRunTargetLeaving, "the target has left")
+	h.statements.RefuseAll(gone)
+	h.transactions.RefuseAll(gone)
+	h.pool.close()
+	h.control.reset()
+}
+
+// begin admits a statement outside a transaction, or one that begins a transaction, and returns a connection. The
+// caller must pass it to end, or to endStatement and later endTransaction.
+func (h *gate) begin(wanted connectionRequest, transaction bool) (*pooledConnection, error) {
+	if h.isSilent() {
+		return nil, result.Errorf(result.NotRunUnreachable, "the target does not answer").WithRetryAfter(promotionEstimate)
+	}
+	if transaction {
+		if err := enter(h.transactions, wanted); err != nil {
+			return nil, err
+		}
+	}
+	conn, err := h.beginStatement(wanted)
+	if err != nil && transaction {
+		h.transactions.Release("", time.Now(), 0)
+	}
+	return conn, err
+}
+
+// beginStatement takes a statement slot and a connection.
+func (h *gate) beginStatement(wanted connectionRequest) (*pooledConnection, error) {
+	if err := enter(h.statements, wanted); err != nil {
+		return nil, err
+	}
+	conn, err := h.connect(wanted)
+	if err != nil {
+		h.endStatement(0)
+		return nil, err
+	}
+	return conn, nil
+}
+
+// connect returns a connection, unless the target leaves or could not be reached a moment ago.
+func (h *gate) connect(wanted connectionRequest) (*pooledConnection, error) {
+	if !h.acceptsWork() {
+		return nil, result.Errorf(result.NotRunTargetLeaving, "the target leaves")
+	}
+	wanted.openOnly = h.group.isAvoided(h.member)
+	conn, err := h.pool.acquire(wanted)
+	if !wanted.openOnly && result.CodeOf(err) == result.NotRunUnreachable {
+		h.group.recordUnreachable(h.member)
+	}
+	return conn, err
+}
+
+// acceptsWork reports whether statements may begin at the target.
+func (h *gate) acceptsWork() bool {
+	h.group.mu.Lock()
+	defer h.group.mu.Unlock()
+	return h.group.acceptsWork(h.member, clock.SinceBoot())
+}
+
+// enter waits for a slot of a queue.
+func enter(queue *waitqueue.Queue, wanted connectionRequest) error {
+	return awaitStart(queue, queue.Offer(wanted.item(), time.Now()), wanted.lateUntil)
+}
+
+// endStatement releases the statement slot. A served time of 0 stands for unknown.
+func (h *gate) endStatement(served time.Duration) {
+	if served == 0 {
+		served = h.statements.ServiceTime()
+	}
+	h.statements.Release("", time.Now(), served)
+}
+
+// execute runs a command on a connection that holds a statement slot, and releases the slot.
+func (h *gate) execute(conn *pooledConnection, e execution) attemptResult {
+	h.group.recordSent(h.member, clock.SinceBoot())
+	outcome := conn.run(e)
+	h.group.recordEnded(h.member)
+	h.endStatement(outcome.reply.ServiceTime)
+	if outcome.err == nil {
+		h.setSilent(false)
+		h.group.recordReply(h.member, outcome.reply, outcome.askedAt, e.commits && outcome.reply.Failure == nil)
+	} else if outcome.sent {
+		h.group.recordFailure(h.member)
+	}
+	return outcome
+}
+
+// gateLease is a lease of a target that this daemon holds.
+type gateLease struct {
+	gate *gate
+	// conn is set while a transaction is open, which began at began.
+	conn  *pooledConnection
+	began time.Time
+}
+
+func (l *gateLease) run(e execution) attemptResult {
+	if l.conn != nil {
+		return l.runInTransaction(e)
+	}
+	transaction := e.command.Op.beginsTransaction()
+	conn, err := l.gate.begin(e.connectionRequest, transaction)
+	if err != nil {
+		return attemptResult{refused: err}
+	}
+	l.began = time.Now()
+	outcome := l.gate.execute(conn, e)
+	if transaction && conn.open && !conn.broken {
+		l.conn = conn
+		return outcome
+	}
+	l.end(conn, transaction)
+	return outcome
+}
+
+// runInTransaction runs a statement of the open transaction before all statements that are in none. A rollback does not
+// wait.
+func (l *gateLease) runInTransaction(e execution) attemptResult {
+	if e.command.Op != OpRollback {
+		wanted := e.connectionRequest
+		wanted.class = admission.ClassTransaction
+		if err := enter(l.gate.statements, wanted); err != nil {
+			return attemptResult{refused: err}
+		}
+		outcome := l.gate.execute(l.conn, e)
+		l.endIfClosed()
+		return outcome
+	}
+	outcome := l.conn.run(e)
+	l.endIfClosed()
+	return outcome
+}
+
+// endIfClosed ends the transaction when the last reply said that it is closed, or its connection is lost.
+func (l *gateLease) endIfClosed() {
+	if !l.conn.open || l.conn.broken {
+		l.release()
+	}
+}
+
+// end returns a connection to the pool and, after a transaction, its slot.
+func (l *gateLease) end(conn *pooledConnection, transaction bool) {
+	conn.broken = conn.broken || conn.open
+	l.gate.pool.release(conn)
+	if transaction {
+		now := time.Now()
+		l.gate.transactions.Release("", now, now.Sub(l.began))
+	}
+}
+
+func (l *gateLease) release() {
+	if l.conn != nil {
+		l.end(l.conn, true)
+		l.conn = nil
+	}
+}
+
+// proofOf returns the term and the age of the leadership proof of a target, or 0 when there is no valid one. It waits a
+// little for one that is newer than since if wait is true.
+func (h *gate) proofOf(since time.Duration, wait bool) (term uint64, age time.Duration) {
+	if wait {
+		h.group.awaitProof(h.member, since, time.Now().Add(gateProofWait))
+	}
+	h.group.mu.Lock()
+	defer h.group.mu.Unlock()
+	now := clock.SinceBoot()
+	if h.group.members[h.group.primary] != h.member || h.group.provenUntil <= now {
+		return 0, 0
+	}
+	return h.group.term, now - (h.group.provenUntil - leadership.ProofValidity)
+}
--- a/internal/engine/group.go
+++ b/internal/engine/group.go
@@ -1,6 +1,8 @@
 package engine
 
 import (
+	"cmp"
+	"math"
 	"sync"
 	"time"
 
@@ -14,6 +16,7 @@
 	"github.com/papayacove/papayacove/internal/policy/loadbalance"
 	"github.com/papayacove/papayacove/internal/policy/primaryposition"
 	"github.com/papayacove/papayacove/internal/policy/takeover"
+	"github.com/papayacove/papayacove/internal/result"
 )
 
 const (
@@ -31,6 +34,8 @@
 	name    string
 	pool    *pool
 	control *controlConnection
+	// gate is nil until this daemon holds the target.
+	gate *gate
 
 	// The fields below are guarded by the lock of the group.
 	target Target
@@ -57,6 +62,13 @@
 	// avoidUntil is the time of the boot clock until which no connection to the target is opened, because an
 	// attempt failed a moment ago.
 	avoidUntil time.Duration
+	// holders are the daemons that statements are sent to, as they follow from holdersFrom and holdersZone.
+	holders     []holder
+	holdersFrom *daemonList
+	holdersZone string
+	// reportedLoad is the load that the holder reported at reportedAt on the boot clock.
+	reportedLoad int
+	reportedAt   time.Duration
 }
 
 // group is the state that a daemon presumes of one database group and its targets.
@@ -68,16 +80,30 @@
 	drainTimeout time.Duration
 	// directorySettled reports whether the target entries are complete, so that no member is missing.
 	directorySettled func() bool
+	// relays reaches the other daemons, and peers records which of them do not answer; relays is nil when no target is
+	// held.
+	relays Peers
+	peers  *peerHealth
 
 	mu      sync.Mutex
 	members map[string]*member
 	limits  GroupLimits
-	daemons int
+	daemons *daemonList
+	// judgeRank is the position of this daemon among those that judge the primary, from 0, and zones the number of
+	// availability zones of the daemons.
+	judgeRank int
+	zones     int
+	// suspectedFor is the reason for which the primary has had to be replaced since suspectedSince on the boot clock;
+	// empty while it has not.
+	suspectedFor   takeover.Reason
+	suspectedSince time.Duration
 	// statuses are the newest answers to status calls and orders, by target.
 	statuses map[string]leadership.Status
 	// primary is the name of the presumed primary, or empty when there is none, and term its term.
 	primary string
 	term    uint64
+	// termSeenAt is the time of the boot clock at which this daemon first saw the term.
+	termSeenAt time.Duration
 	// provenUntil is the time of the boot clock until which the leadership proof of the primary is valid.
 	provenUntil time.Duration
 	// samples are positions that cover every commit acknowledged before they were requested.
@@ -102,7 +128,8 @@
 
 func newGroup(name string, options Options, directorySettled func() bool) *group {
 	return &group{
-		name: name, zone: options.Zone, dialer: options.Dialer, drainTimeout: options.DrainTimeout, directorySettled: directorySettled, daemons: 1,
+		name: name, zone: options.Zone, dialer: options.Dialer, drainTimeout: options.DrainTimeout, directorySettled: directorySettled,
+		relays: options.Peers, peers: &peerHealth{}, daemons: newDaemonList(options.Name, nil),
 		members: make(map[string]*member), statuses: make(map[string]leadership.Status),
 		changed: make(chan struct{}), statusRoundRequests: make(chan struct{}, 1), proofRequests: make(chan struct{}, 1),
 	}
@@ -132,11 +159,11 @@
 }
 
 // renewProofIfExpired asks for a leadership proof if the last one has expired, so that the proof is fetched while
-// the statement runs.
-func (g *group) renewProofIfExpired() {
+// the statement runs at m. When another daemon holds m, that daemon fetches the proof.
+func (g *group) renewProofIfExpired(m *member) {
 	g.mu.Lock()
 	defer g.mu.Unlock()
-	if g.provenUntil < clock.SinceBoot() {
+	if g.provenUntil < clock.SinceBoot() && (m.gate != nil || !g.mayUseHolders(m)) {
 		signal(g.proofRequests)
 	}
 }
@@ -148,16 +175,13 @@
 	m, known := g.members[t.Name]
 	if known && m.target.Incarnation != t.Incarnation {
 		// The target has restarted and lost the state of its connections.
-		m.pool.dropIdle()
-		m.control.reset()
+		m.dropConnections()
 		m.applied = api.Position{}
 	}
 	if !known {
 		m = &member{name: t.Name}
-		share := divideConnections(g.limits, g.daemons)
-		m.pool = newPool(g.dialer, func() Target { return g.targetOf(m) }, share)
+		m.pool = newPool(g.dialer, func() Target { return g.targetOf(m) }, g.shareOf(m))
 		m.control = &controlConnection{dialer: g.dialer, target: func() Target { return g.targetOf(m) }}
-		m.control.keepOpen(share.idleTimeout == 0)
 		g.members[t.Name] = m
 	}
 	if m.removalTimer != nil {
@@ -167,6 +191,7 @@
 	g.lostReplicas.MarkReturned(t.Name)
 	changed := !known || m.target.ReportsPrimary != t.ReportsPrimary || m.target.Leaving != t.Leaving
 	m.target = t
+	g.applyShares(m)
 	m.recordLeaving(clock.SinceBoot())
 	if !changed {
 		return
@@ -178,6 +203,17 @@
 	g.requestStatusRound()
 }
 
+// dropConnections closes the unused connections of a target that has restarted. It does not wait for a status call in
+// progress, which may itself wait for the lock of the group.
+func (m *member) dropConnections() {
+	m.pool.dropIdle()
+	go m.control.reset()
+	if m.gate != nil {
+		m.gate.pool.dropIdle()
+		go m.gate.control.reset()
+	}
+}
+
 // targetOf returns the newest entry of a member.
 func (g *group) targetOf(m *member) Target {
 	g.mu.Lock()
@@ -206,8 +242,9 @@
 }
 
 // scheduleRemoval records that the entry of a target is gone. A target that announced that it leaves has stopped and
-// is removed without delay. The entry of any other target may have lapsed during an outage of the store, and the
-// target may still acknowledge commits, so it is kept for removalGrace.
+// is removed without delay. The entry of any other target may have lapsed during an outage of the store, or be missing
+// in the copy that the store was restored from, and the target may still acknowledge commits, so it is kept for
+// removalGrace.
 func (g *group) scheduleRemoval(name string) {
 	g.mu.Lock()
 	defer g.mu.Unlock()
@@ -216,7 +253,7 @@
 		return
 	}
 	wait := removalGrace
-	if m.target.Leaving {
+	if m.target.Leaving && g.directorySettled() {
 		wait = 0
 	}
 	g.log().WithFields(logrus.Fields{logfield.Target: name, logfield.RemovedAfter: wait}).Info(logevent.TargetMissing)
@@ -245,21 +282,26 @@
 	if ok {
 		m.pool.close()
 		m.control.reset()
+		if m.gate != nil {
+			m.gate.close()
+		}
 	}
 }
 
-// setLimits sets the limits of the group and the number of daemons that share them.
-func (g *group) setLimits(limits GroupLimits, daemons int) {
+// setLimits sets the limits of the group and the daemons that share them.
+func (g *group) setLimits(limits GroupLimits, daemons *daemonList) {
+	rank, zones := daemons.rank(g.name)
 	g.mu.Lock()
 	defer g.mu.Unlock()
-	g.limits, g.daemons = limits, max(1, daemons)
-	share := divideConnections(g.limits, g.daemons)
+	g.limits, g.daemons, g.judgeRank, g.zones = limits, daemons, rank, zones
 	for _, m := range g.members {
-		m.pool.resize(share)
-		m.control.keepOpen(share.idleTimeout == 0)
+		g.applyShares(m)
 	}
 }
 
+// errTargetAvoided is the refusal of a statement that would need a new connection to an avoided target.
+var errTargetAvoided = result.Errorf(result.NotRunUnreachable, "the target could not be reached a moment ago")
+
 // avoidDuration is the time after a failed connection attempt in which no other statement waits for a new
 // connection.
 const avoidDuration = 300 * time.Millisecond
@@ -312,7 +354,7 @@
 	defer g.mu.Unlock()
 	m.recentFailureUntil, m.avoidUntil, m.waitingSince, m.lastReplyAt = 0, 0, now, now
 	if reply.Failure == nil {
-		m.recordLatency(now - askedAt)
+		m.recordLatency(cmp.Or(reply.ServiceTime, now-askedAt))
 	}
 	if reply.Position.IsZero() {
 		return
@@ -441,17 +483,38 @@
 }
 
 const (
-	// behindFor is the time for which a replica that reported a position below the minimum position is expected to
-	// still be behind it.
-	behindFor = 100 * time.Millisecond
+	// behindRecheck is the time after which a replica that was behind is tried again, although it is expected to be
+	// behind for longer.
+	behindRecheck = 300 * time.Millisecond
 	// freshFor is the time after a commit in which a replica is not expected to have it.
 	freshFor = 50 * time.Millisecond
 )
 
-// isExpectedBehind reports whether a replica is expected to lack the position. The caller holds the lock of the
-// group.
-func (m *member) isExpectedBehind(at api.Position, fresh bool, now time.Duration) bool {
-	return m.applied.Compare(at) < 0 && (fresh || now-m.appliedAt < behindFor)
+// isExpectedBehind reports whether a replica is expected to lack the position. The caller holds the lock.
+func (g *group) isExpectedBehind(m *member, at api.Position, fresh bool, now time.Duration) bool {
+	if m.applied.Compare(at) >= 0 {
+		return false
+	}
+	return fresh || now-m.appliedAt < behindRecheck && now < g.samples.ExpectedAt(at, m.applied, m.appliedAt, now)
+}
+
+// catchUpTime returns the time of the boot clock at which the first replica is expected to hold a position. A replica
+// that has not been heard of for behindRecheck may hold it now.
+func (g *group) catchUpTime(at api.Position) time.Duration {
+	now := clock.SinceBoot()
+	g.mu.Lock()
+	defer g.mu.Unlock()
+	earliest := time.Duration(math.MaxInt64)
+	for name, m := range g.members {
+		switch {
+		case name == g.primary || m.target.Leaving || now < m.recentFailureUntil:
+		case now-m.appliedAt >= behindRecheck:
+			earliest = min(earliest, now)
+		default:
+			earliest = min(earliest, g.samples.ExpectedAt(at, m.applied, m.appliedAt, now))
+		}
+	}
+	return earliest
 }
 
 // readers returns the members that may serve a read with a minimum position, the best first. fresh says that the
@@ -469,13 +532,13 @@
 		members[name] = m
 		candidates = append(candidates, loadbalance.Candidate{
 			Name: name, SameZone: m.target.Zone == g.zone, Primary: name == g.primary, Slots: m.target.Slots,
-			ServiceTime: m.latency, RecentlyFailed: now < m.recentFailureUntil, Behind: name != g.primary && m.isExpectedBehind(at, fresh, now),
+			ServiceTime: m.latency, RecentlyFailed: now < m.recentFailureUntil, Behind: name != g.primary && g.isExpectedBehind(m, at, fresh, now),
 		})
 	}
 	g.mu.Unlock()
 	for i := range candidates {
 		c := &candidates[i]
-		c.InFlight = members[c.Name].pool.load()
+		c.InFlight = g.loadOf(members[c.Name])
 	}
 	loadbalance.Order(candidates)
 	ordered := make([]*member, len(candidates))
--- a/internal/engine/interfaces.go
+++ b/internal/engine/interfaces.go
@@ -28,6 +28,8 @@
 	// IsClosedByPeer reports whether the target has closed the connection.
 	IsClosedByPeer() bool
 	Close() error
+	// Abort ends the connection so that commands that were sent and have not arrived are not delivered later.
+	Abort() error
 }
 
 // Dialer opens connections to targets.
@@ -47,10 +49,10 @@
 // ErrTargetDown means that a promotion was refused because the target does not run.
 var ErrTargetDown = errors.New("target is not running")
 
-// PromotionLock is the lock that a daemon must hold to order promotions. One daemon holds it at a time.
+// PromotionLock is the lock that a daemon must hold to order promotions of a group. One daemon holds it at a time.
 type PromotionLock interface {
 	// Acquire returns the fencing token of the lock and the time of the boot clock until which it is held.
-	Acquire(ctx context.Context) (token uint64, until time.Duration, err error)
+	Acquire(ctx context.Context, group string) (token uint64, until time.Duration, err error)
 	// Release releases the lock.
-	Release(ctx context.Context)
+	Release(ctx context.Context, group string)
 }
--- a/internal/engine/observe.go
+++ b/internal/engine/observe.go
@@ -25,7 +25,7 @@
 	// minRoundInterval is the least time between two status rounds.
 	minRoundInterval = 50 * time.Millisecond
 	// scarceRoundInterval is the time between the status rounds of two daemons when there are fewer connections
-	// than daemons.
+	// than daemons and no daemon holds the targets.
 	scarceRoundInterval = 5 * time.Millisecond
 	// unresponsiveAfter is the time without an answer to a statement after which a status round checks the
 	// primary.
@@ -68,10 +68,11 @@
 func (g *group) statusRoundInterval() time.Duration {
 	g.mu.Lock()
 	defer g.mu.Unlock()
-	if divideConnections(g.limits, g.daemons).idleTimeout == 0 {
+	held := g.relays != nil && len(g.daemons.holders) > 0
+	if held || g.daemons.count == 0 || divideConnections(g.limits, g.daemons.count).idleTimeout == 0 {
 		return minRoundInterval
 	}
-	return max(minRoundInterval, time.Duration(g.daemons)*scarceRoundInterval)
+	return max(minRoundInterval, time.Duration(g.daemons.count)*scarceRoundInterval)
 }
 
 // serveProofs fetches leadership proofs for the statements that need one, until ctx ends. It does not wait for an
@@ -108,7 +109,7 @@
 	}
 	isUnresponsive := m.unanswered > 0 && now-m.waitingSince > unresponsiveAfter
 	isSuspected := g.monitor.IsSuspected() || g.isolatedSince != 0
-	hasLeaving := m.target.Leaving || g.leavingReplica() != ""
+	hasLeaving := m.target.Leaving || takeover.IsJudge(g.judgeRank, g.zones) && g.leavingReplica() != ""
 	return isUnresponsive || isSuspected || hasLeaving || len(g.lostReplicas.Blocking(now)) > 0
 }
 
@@ -119,7 +120,7 @@
 	if len(targets) == 0 {
 		return false
 	}
-	statuses := sendToAll(targets, func(string) Command { return Command{Op: OpStatus} })
+	statuses := g.askAll(targets, statusTimeout)
 	g.mu.Lock()
 	defer g.mu.Unlock()
 	g.recordStatuses(statuses)
@@ -203,24 +204,24 @@
 		return takeover.ReasonNone
 	}
 	began := clock.SinceBoot()
-	statuses := sendToAll(members, func(string) Command { return Command{Op: OpStatus} })
+	statuses := g.askAll(members, statusTimeout)
 	reason := g.applyStatusRound(statuses, began)
 	g.pauseLeaving()
 	return reason
 }
 
-// leavingReplica returns the name of a replica that leaves and is not paused while another replica follows the
-// primary; empty for none. The caller holds the lock.
+// leavingReplica returns the name of a replica that leaves and has to be paused, now or again, while another replica
+// follows the primary; empty for none. The caller holds the lock.
 func (g *group) leavingReplica() string {
+	now := clock.SinceBoot()
 	leaving, others := "", 0
 	for name, m := range g.members {
 		s := g.statuses[name]
-		if name == g.primary || s.Role != leadership.RoleReplica || s.IsPaused() || s.Term != g.term {
-			continue
-		}
-		if m.target.Leaving {
+		switch {
+		case name == g.primary || s.Role != leadership.RoleReplica || s.Term != g.term:
+		case m.target.Leaving && takeover.NeedsPause(s, g.term, g.termSeenAt, now):
 			leaving = name
-		} else {
+		case !m.target.Leaving && !s.IsPaused():
 			others++
 		}
 	}
@@ -236,8 +237,9 @@
 	g.mu.Lock()
 	name, term := g.leavingReplica(), g.term+1
 	m, ok := g.members[name]
+	isJudge := takeover.IsJudge(g.judgeRank, g.zones)
 	g.mu.Unlock()
-	if !ok {
+	if !ok || !isJudge {
 		return
 	}
 	status, err := m.control.call(Command{Op: OpPause, Term: term})
@@ -249,21 +251,27 @@
 	g.log().WithFields(logrus.Fields{logfield.Target: name, logfield.Error: err}).Info(logevent.LeavingReplicaPaused)
 }
 
-// sendToAll sends a command to all members at the same time and returns their answers by name. A target that is
-// busy or full is included with an unknown role: it answers, but does not prove who leads.
-func sendToAll(members map[string]*member, command func(name string) Command) map[string]leadership.Status {
-	return sendToAllWithin(statusTimeout, members, command)
+// askAll makes a status call to all members at the same time and returns their answers by name, as sendToAll does. The
+// timeout bounds each call that is made directly.
+func (g *group) askAll(members map[string]*member, timeout time.Duration) map[string]leadership.Status {
+	return callAll(members, OpStatus, func(m *member) (leadership.Status, error) { return g.status(m, timeout) })
+}
+
+// sendToAll sends a command to all members at the same time, on connections of this daemon, and returns their answers by
+// name. A target that is busy or full is included with an unknown role: it answers, but does not prove who leads.
+func sendToAll(members map[string]*member, command Command) map[string]leadership.Status {
+	return callAll(members, command.Op, func(m *member) (leadership.Status, error) { return m.control.call(command) })
 }
 
-func sendToAllWithin(timeout time.Duration, members map[string]*member, command func(name string) Command) map[string]leadership.Status {
+func callAll(members map[string]*member, op Operation, call func(*member) (leadership.Status, error)) map[string]leadership.Status {
 	var mu sync.Mutex
 	var pending sync.WaitGroup
 	statuses := make(map[string]leadership.Status, len(members))
 	for name, m := range members {
 		pending.Go(func() {
-			status, err := m.control.callWithin(timeout, command(name))
+			status, err := call(m)
 			if err != nil && !isAlive(err) {
-				logrus.WithFields(logrus.Fields{logfield.Target: name, logfield.Operation: command(name).Op.String(), logfield.Error: err}).Debug(logevent.TargetNotAnswering)
+				logrus.WithFields(logrus.Fields{logfield.Target: name, logfield.Operation: op.String(), logfield.Error: err}).Debug(logevent.TargetNotAnswering)
 				return
 			}
 			mu.Lock()
@@ -295,17 +303,29 @@
 		g.log().WithField(logfield.Target, name).Info(logevent.WitnessReplaced)
 	}
 	now := clock.SinceBoot()
+	if !g.monitor.IsSuspected() && !g.isLeaving(g.primary) {
+		g.suspectedFor = takeover.ReasonNone
+	}
 	reason := g.monitor.Evaluate(takeover.StatusRound{
 		Primary: g.primary, Statuses: g.lastKnownStatuses(statuses), Members: len(g.acknowledgingMembers()), Leaving: g.isLeaving(g.primary),
 		StartedAt: began, EndedAt: now,
 	})
-	if reason == takeover.ReasonNone || g.promoting || now < g.noPromotionUntil {
+	if reason == takeover.ReasonNone || g.promoting || now < g.noPromotionUntil || !g.isOwnTurn(reason, now) {
 		return takeover.ReasonNone
 	}
 	g.log().WithFields(logrus.Fields{logfield.Reason: string(reason), logfield.Answered: len(statuses), logfield.Members: len(g.members)}).Warn(logevent.PrimarySuspected)
 	return reason
 }
 
+// isOwnTurn reports whether this daemon replaces the primary now: the daemons do so one after the other, and only the
+// first of each availability zone early. The caller holds the lock.
+func (g *group) isOwnTurn(reason takeover.Reason, now time.Duration) bool {
+	if g.suspectedFor != reason {
+		g.suspectedFor, g.suspectedSince = reason, now
+	}
+	return now-g.suspectedSince >= takeover.JudgeDelay(g.judgeRank, g.zones)
+}
+
 // recordStatuses records the answers; a target that was busy keeps its last known status. Rounds run concurrently:
 // an answer older than a recorded one is replaced by that one in the given statuses. The caller holds the lock.
 func (g *group) recordStatuses(statuses map[string]leadership.Status) {
@@ -353,13 +373,12 @@
 	return ok && now < primary.lastReplyAt+isolatedAfter && now < g.provenUntil+isolatedAfter
 }
 
-// acknowledgingMembers returns the members that may acknowledge commits: all except replicas that leave and were
-// paused in this term. The caller holds the lock.
+// acknowledgingMembers returns the members that may acknowledge commits: all except replicas that leave and have
+// stopped acknowledging. The caller holds the lock.
 func (g *group) acknowledgingMembers() map[string]*member {
 	members := maps.Clone(g.members)
 	for name, m := range g.members {
-		s := g.statuses[name]
-		if m.target.Leaving && s.Role == leadership.RoleReplica && s.IsPaused() && s.Term == g.term {
+		if m.target.Leaving && takeover.HasStoppedAcknowledging(g.statuses[name], g.term, g.termSeenAt) {
 			delete(members, name)
 		}
 	}
@@ -416,6 +435,7 @@
 		g.noPromotionUntil = max(g.noPromotionUntil, clock.SinceBoot()+takeover.PromotionHoldTime)
 		// The positions and proofs of the old primary do not cover the commits of the new one.
 		g.provenUntil = 0
+		g.termSeenAt = clock.SinceBoot()
 	}
 	g.primary, g.term = primary, term
 	g.broadcast()
--- a/internal/engine/pool_test.go
+++ b/internal/engine/pool_test.go
@@ -80,6 +80,8 @@
 
 func (c *fakeConnection) IsClosedByPeer() bool { return false }
 
+func (c *fakeConnection) Abort() error { return c.Close() }
+
 func (c *fakeConnection) Close() error {
 	c.once.Do(func() {
 		c.target.mu.Lock()
--- a/internal/engine/promote.go
+++ b/internal/engine/promote.go
@@ -4,7 +4,6 @@
 	"context"
 	"errors"
 	"maps"
-	"math/rand/v2"
 	"slices"
 	"sync"
 	"time"
@@ -22,9 +21,6 @@
 	// promotionEstimate is the time after which a caller may retry a statement that found no primary or no connection:
 	// a promotion is expected to take about as long.
 	promotionEstimate = 500 * time.Millisecond
-	// maxStartDelay bounds the random delay that separates the attempts of daemons that suspect a primary at the
-	// same time.
-	maxStartDelay = 150 * time.Millisecond
 	// promotionRetryDelay is the time after a failed attempt in which this daemon starts no other.
 	promotionRetryDelay = 800 * time.Millisecond
 	// promoteTimeout bounds one order to promote.
@@ -65,26 +61,29 @@
 
 // takeOver replaces the primary of a group unless another daemon holds the promotion lock or has replaced it.
 func (e *Engine) takeOver(g *group, reason takeover.Reason) {
+	if e.stopping.Load() {
+		return
+	}
 	suspected, began := g.beginPromotion()
 	if !began {
 		return
 	}
+	e.promotions.Add(1)
+	defer e.promotions.Done()
 	delay := promotionRetryDelay
 	defer func() { g.endPromotion(delay) }()
-	if clock.Sleep(e.ctx, rand.N(maxStartDelay)) != nil {
-		return
-	}
 	p := &promotion{engine: e, group: g, reason: reason, old: suspected.primary, oldTerm: suspected.term}
 	if !e.isDirectorySettled() {
 		p.log().Info(logevent.DirectoryNotSettled)
 		return
 	}
-	token, lockedUntil, err := e.options.PromotionLock.Acquire(e.ctx)
+	token, lockedUntil, err := e.options.PromotionLock.Acquire(e.ctx, g.name)
 	if err != nil {
 		p.log().WithField(logfield.Error, err).Info(logevent.PromotionNotStarted)
 		return
 	}
-	defer e.options.PromotionLock.Release(e.ctx)
+	// A planned stop releases the lock too: the other daemons would wait for its end otherwise.
+	defer e.options.PromotionLock.Release(context.WithoutCancel(e.ctx), g.name)
 	p.token, p.lockedUntil = token, lockedUntil
 	if !p.isStillNeeded() {
 		p.log().Info(logevent.PromotionNotNeeded)
@@ -134,7 +133,7 @@
 	p.members = g.acknowledgingMembers()
 	g.mu.Unlock()
 	began := clock.SinceBoot()
-	statuses := sendToAllWithin(recheckTimeout, p.members, func(string) Command { return Command{Op: OpStatus} })
+	statuses := g.askAll(p.members, recheckTimeout)
 	g.applyStatusRound(statuses, began)
 	g.mu.Lock()
 	now, leaving := presumedPrimary{g.primary, g.term}, g.isLeaving(p.old)
@@ -174,7 +173,7 @@
 	if !p.awaitProofExpiry() {
 		return false
 	}
-	if now := sendToAll(p.pausedMembers(), func(string) Command { return Command{Op: OpStatus} }); !takeover.StillPaused(p.paused, now) {
+	if now := sendToAll(p.pausedMembers(), Command{Op: OpStatus}); !takeover.StillPaused(p.paused, now) {
 		p.log().Warn(logevent.ReplicaNoLongerPaused)
 		p.abort()
 		return false
@@ -239,7 +238,7 @@
 	delete(pending, p.old)
 	p.paused = make(map[string]leadership.Status)
 	for range pauseAttempts {
-		answers := sendToAll(pending, func(string) Command { return Command{Op: OpPause, Term: p.term} })
+		answers := sendToAll(pending, Command{Op: OpPause, Term: p.term})
 		for name, s := range answers {
 			if s.Role == leadership.RoleReplica && s.IsPaused() {
 				p.paused[name] = s
@@ -283,7 +282,7 @@
 // abort resumes the replicas paused by a promotion that is abandoned.
 func (p *promotion) abort() {
 	paused := p.pausedMembers()
-	sendToAll(paused, func(string) Command { return Command{Op: OpResume, Term: p.term} })
+	sendToAll(paused, Command{Op: OpResume, Term: p.term})
 	p.log().WithField(logfield.Resumed, len(paused)).Warn(logevent.PromotionGivenUp)
 }
 
@@ -342,7 +341,7 @@
 	if p.demoted == nil {
 		p.stepDown()
 	}
-	for name, s := range sendToAll(p.members, func(string) Command { return Command{Op: OpStatus} }) {
+	for name, s := range sendToAll(p.members, Command{Op: OpStatus}) {
 		if name != target && s.Role == leadership.RoleReplica && s.IsPaused() && !p.isLeaving(name) {
 			if _, err := p.members[name].control.call(Command{Op: OpResume, Term: p.term}); err != nil {
 				p.log().WithFields(logrus.Fields{logfield.Target: name, logfield.Error: err}).Warn(logevent.ReplicaNotResumed)
--- /dev/null
+++ b/internal/engine/relay.go
@@ -0,0 +1,267 @@
+package engine
+
+import (
+	"errors"
+	"time"
+
+	"github.com/papayacove/papayacove/api"
+	"github.com/papayacove/papayacove/internal/clock"
+	"github.com/papayacove/papayacove/internal/policy/admission"
+	"github.com/papayacove/papayacove/internal/policy/leadership"
+	"github.com/papayacove/papayacove/internal/result"
+)
+
+// Peers sends requests to the other daemons.
+type Peers interface {
+	// Run sends a statement to the daemon that holds its target. The error wraps ErrPeerNotReached if the request
+	// certainly did not arrive.
+	Run(address string, request *api.RelayRequest, deadline time.Time) (*api.RelayReply, error)
+	// Status asks the daemon that holds a target for the target's status.
+	Status(address string, request *api.RelayStatusRequest, deadline time.Time) (*api.RelayStatusReply, error)
+}
+
+// ErrPeerNotReached means that a request to another daemon did not arrive.
+var ErrPeerNotReached = errors.New("daemon not reached")
+
+const (
+	// relayReserve is the time beyond the time limit of a statement that a sender waits for the answer of the holder,
+	// which ends the statement itself at the limit.
+	relayReserve = 50 * time.Millisecond
+	// pathAvoidance is the time for which a holder is not asked that did not reach the target.
+	pathAvoidance = time.Second
+	// reportedLoadValidity is the time for which the load that a holder reported is used.
+	reportedLoadValidity = 250 * time.Millisecond
+)
+
+// relayedLease is a lease of a target that another daemon holds. The first command chooses the way: the holder, a standby
+// or, when none is reached, a connection of this daemon.
+type relayedLease struct {
+	group  *group
+	member *member
+	// chosen is set when this daemon itself holds the target or connects directly.
+	chosen lease
+	// address is that of the holder that runs the open transaction, transaction its number there.
+	address     string
+	transaction uint64
+}
+
+func (l *relayedLease) run(e execution) attemptResult {
+	switch {
+	case l.chosen != nil:
+		return l.chosen.run(e)
+	case l.transaction != 0:
+		return l.runInTransaction(e)
+	}
+	var unreachable attemptResult
+	for _, h := range l.group.holdersOf(l.member) {
+		outcome, reached := l.runAt(h, e)
+		if !reached {
+			continue
+		}
+		if result.CodeOf(outcome.refused) != result.NotRunUnreachable {
+			return outcome
+		}
+		// The holder does not reach the target; another one may.
+		unreachable, l.chosen = outcome, nil
+		l.group.peers.avoid(h.pathTo(l.member), pathAvoidance, outcome.refused)
+	}
+	if unreachable.refused != nil {
+		return unreachable
+	}
+	conn, err := l.member.pool.acquire(e.connectionRequest)
+	if err != nil {
+		return attemptResult{refused: err}
+	}
+	l.chosen = &directLease{l.member.pool, conn}
+	return l.chosen.run(e)
+}
+
+// runAt runs a command through one holder. It returns false if the holder is avoided, or has certainly not run it and
+// another may.
+func (l *relayedLease) runAt(h holder, e execution) (attemptResult, bool) {
+	peers := l.group.peers
+	if peers.isAvoided(h.pathTo(l.member)) {
+		return attemptResult{}, false
+	}
+	if h.isSelf {
+		l.chosen = &gateLease{gate: l.group.gateOf(l.member)}
+		return l.chosen.run(e), true
+	}
+	if peers.isAvoided(h.address) {
+		return attemptResult{}, false
+	}
+	return l.send(h.address, e)
+}
+
+// runInTransaction runs a command of the open transaction at the daemon that has its connection.
+func (l *relayedLease) runInTransaction(e execution) attemptResult {
+	outcome, reached := l.send(l.address, e)
+	if !reached {
+		l.transaction = 0
+		return attemptResult{err: errBroken, byHolder: true}
+	}
+	return outcome
+}
+
+// send sends a command to a holder. It returns false if the holder certainly has not run it and another may.
+func (l *relayedLease) send(address string, e execution) (attemptResult, bool) {
+	request := relayRequest(l.group.name, l.member.name, l.transaction, e)
+	askedAt := clock.SinceBoot()
+	reply, err := l.group.relays.Run(address, request, e.deadline.Add(relayReserve))
+	if errors.Is(err, ErrPeerNotReached) {
+		l.group.peers.avoid(address, peerAvoidance, err)
+		return attemptResult{}, false
+	}
+	if err != nil {
+		l.group.peers.avoid(address, peerAvoidance, err)
+		l.transaction = 0
+		return attemptResult{err: err, sent: true, byHolder: true, askedAt: askedAt}, true
+	}
+	switch result.Code(reply.NotRunCode) {
+	case result.NotRunDraining:
+		l.group.peers.avoid(address, stoppingPeerAvoidance, errors.New(reply.Reason))
+		return attemptResult{}, false
+	case result.NotRunNotHolder:
+		l.group.peers.avoid(address, unawarePeerAvoidance, errors.New(reply.Reason))
+		return attemptResult{}, false
+	}
+	l.address, l.transaction = address, reply.Transaction
+	l.group.recordRelayed(l.member, reply, askedAt)
+	return outcomeOf(reply, askedAt), true
+}
+
+func (l *relayedLease) release() {
+	switch {
+	case l.chosen != nil:
+		l.chosen.release()
+	case l.transaction != 0:
+		rollback := execution{command: Command{Op: OpRollback}, state: sessionState{unchanged: true}, deadline: time.Now().Add(rollbackTimeout)}
+		request := relayRequest(l.group.name, l.member.name, l.transaction, rollback)
+		go func() { _, _ = l.group.relays.Run(l.address, request, rollback.deadline) }()
+		l.transaction = 0
+	}
+}
+
+// recordRelayed records what the reply of a holder says about the target: its load, and a leadership proof. The proof
+// is dated from before the request was sent, so that it is no older than recorded.
+func (g *group) recordRelayed(m *member, reply *api.RelayReply, askedAt time.Duration) {
+	g.mu.Lock()
+	defer g.mu.Unlock()
+	m.reportedLoad, m.reportedAt = reply.Load, clock.SinceBoot()
+	if reply.ProofTerm != 0 && reply.ProofTerm == g.term && m.name == g.primary {
+		g.recordProof(askedAt - time.Duration(reply.ProofAgeUs)*time.Microsecond)
+	}
+}
+
+// relayRequest encodes an execution.
+func relayRequest(group, target string, transaction uint64, e execution) *api.RelayRequest {
+	request := &api.RelayRequest{
+		Group: group, Target: target, Transaction: transaction,
+		Class: uint8(e.class), StartWithinUs: time.Until(e.startBy).Microseconds(), LateWithinUs: time.Until(e.lateUntil).Microseconds(),
+		TimeoutUs: time.Until(e.deadline).Microseconds(),
+		ID:        e.command.ID, Operation: uint8(e.command.Op), Name: e.command.Name, Argument: e.command.Argument, Text: e.command.Text,
+		MinPosition: e.command.MinPosition, Commits: e.commits, NeedsProof: e.needsProof, KeepsState: e.state.unchanged,
+	}
+	for name, value := range e.state.values {
+		request.Settings = append(request.Settings, api.SessionSetting{Name: name, Value: value})
+	}
+	if p := e.state.prepared; p != nil {
+		request.PreparedName, request.PreparedOperation, request.PreparedShape = p.shared, uint8(p.op), p.shape
+	}
+	return request
+}
+
+// executionOf decodes a request that arrived at now. It returns false when a field is out of range, as that of a daemon
+// of another version may be.
+func executionOf(r *api.RelayRequest, now time.Time) (execution, bool) {
+	if r.Class > uint8(admission.ClassLate) || int(r.Operation) >= len(operationNames) || int(r.PreparedOperation) >= len(operationNames) {
+		return execution{}, false
+	}
+	within := func(us int64) time.Time { return now.Add(time.Duration(us) * time.Microsecond) }
+	e := execution{
+		command: Command{
+			ID: r.ID, Op: Operation(r.Operation), Name: r.Name, Argument: r.Argument, Text: r.Text, MinPosition: r.MinPosition,
+		},
+		state:    sessionState{inTransaction: r.Transaction != 0, unchanged: r.KeepsState},
+		deadline: within(r.TimeoutUs), commits: r.Commits, needsProof: r.NeedsProof,
+		connectionRequest: connectionRequest{class: admission.Class(r.Class), startBy: within(r.StartWithinUs), lateUntil: within(r.LateWithinUs)},
+	}
+	if len(r.Settings) > 0 {
+		e.state.values = make(map[string]string, len(r.Settings))
+		for _, setting := range r.Settings {
+			e.state.values[setting.Name] = setting.Value
+		}
+		e.state.valuesKey = canonicalValues(e.state.values)
+	}
+	e.values = e.state.valuesKey
+	if r.PreparedName != "" {
+		e.state.prepared = &preparedStatement{op: Operation(r.PreparedOperation), shape: r.PreparedShape, shared: r.PreparedName}
+	}
+	return e, true
+}
+
+// outcomeOf decodes a reply to a request that was sent at askedAt.
+func outcomeOf(r *api.RelayReply, askedAt time.Duration) attemptResult {
+	switch {
+	case r.NotRunCode != 0:
+		refusal := result.Errorf(result.Code(r.NotRunCode), "%s", r.Reason).WithRetryAfter(time.Duration(r.RetryAfterUs) * time.Microsecond)
+		return attemptResult{refused: refusal, askedAt: askedAt}
+	case r.NoReply:
+		return attemptResult{err: errors.New(r.Reason), sent: r.Sent, askedAt: askedAt}
+	}
+	reply := Reply{
+		Rows: r.Rows, Signature: r.Signature, State: TransactionState(r.State), Position: r.Position,
+		ServiceTime: time.Duration(r.ServiceUs) * time.Microsecond,
+	}
+	if r.Failed {
+		reply.Failure = &TargetFailure{Kind: FailureKind(r.FailureKind), Code: r.FailureCode, Text: r.FailureText}
+	}
+	return attemptResult{reply: reply, sent: true, askedAt: askedAt}
+}
+
+// relayReply encodes an outcome.
+func relayReply(outcome attemptResult) *api.RelayReply {
+	switch {
+	case outcome.refused != nil:
+		refusal := refusalOf(outcome.refused)
+		return &api.RelayReply{NotRunCode: int(refusal.Code), Reason: refusal.Reason, RetryAfterUs: refusal.RetryAfter.Microseconds()}
+	case outcome.err != nil:
+		return &api.RelayReply{NoReply: true, Sent: outcome.sent, Reason: outcome.err.Error()}
+	}
+	reply := outcome.reply
+	encoded := &api.RelayReply{
+		Rows: reply.Rows, Signature: reply.Signature, State: uint8(reply.State), Position: reply.Position, ServiceUs: reply.ServiceTime.Microseconds(),
+	}
+	if f := reply.Failure; f != nil {
+		encoded.Failed, encoded.FailureKind, encoded.FailureCode, encoded.FailureText = true, uint8(f.Kind), f.Code, f.Text
+	}
+	return encoded
+}
+
+// statusFrom asks one holder of a target for its status. The status is dated from before the request, as if the target had
+// been asked directly.
+func (g *group) statusFrom(h holder, m *member) (leadership.Status, error) {
+	if h.isSelf {
+		return g.gateOf(m).status.get()
+	}
+	askedAt := clock.SinceBoot()
+	reply, err := g.relays.Status(h.address, &api.RelayStatusRequest{Group: g.name, Target: m.name}, time.Now().Add(sharedStatusTimeout+relayReserve))
+	if err != nil {
+		g.peers.avoid(h.address, peerAvoidance, err)
+		return leadership.Status{}, err
+	}
+	if !reply.Held {
+		g.peers.avoid(h.address, unawarePeerAvoidance, errors.New(reply.Reason))
+		return leadership.Status{}, errors.New(reply.Reason)
+	}
+	return statusOf(reply, askedAt)
+}
+
+func statusOf(r *api.RelayStatusReply, askedAt time.Duration) (leadership.Status, error) {
+	if !r.Answered {
+		return leadership.Status{}, errors.New(r.Reason)
+	}
+	return leadership.Status{
+		Role: leadership.Role(r.Role), Term: r.Term, PausedTerm: r.PausedTerm, Received: r.Received, AskedAt: askedAt,
+	}, nil
+}
--- a/internal/engine/sessionstate.go
+++ b/internal/engine/sessionstate.go
@@ -5,10 +5,37 @@
 	"time"
 )
 
-// applySessionState sets the session values on a connection and prepares the statement there if necessary. It
-// waits for the replies before the statement is sent, because the statement must not run with other values.
-func (s *session) applySessionState(conn *pooledConnection, statement Statement, deadline time.Time) error {
-	commands := s.sessionStateCommands(conn, statement)
+// sessionState is what a statement requires of the session state of its connection.
+type sessionState struct {
+	values map[string]string
+	// valuesKey is the canonical form of values.
+	valuesKey string
+	// prepared is the prepared statement that the command executes; nil for none.
+	prepared *preparedStatement
+	// inTransaction is true in an open transaction, in which nothing may be discarded but session values that differ.
+	inTransaction bool
+	// unchanged is true for a command that runs with the session state that the connection has.
+	unchanged bool
+}
+
+// stateFor returns the session state that a statement requires.
+func (s *session) stateFor(statement Statement) sessionState {
+	state := sessionState{values: s.values, valuesKey: s.valuesKey, inTransaction: s.transaction != nil}
+	if statement.Op == OpExecute {
+		if known, ok := s.prepared[statement.Name]; ok {
+			state.prepared = &known
+		}
+	}
+	return state
+}
+
+// applyTo sets the session values on a connection and prepares the statement there if necessary. It waits for the
+// replies before the statement is sent, because the statement must not run with other values.
+func (s sessionState) applyTo(conn *pooledConnection, deadline time.Time) error {
+	if s.unchanged {
+		return nil
+	}
+	commands := s.commandsFor(conn)
 	if len(commands) == 0 {
 		return nil
 	}
@@ -23,14 +50,17 @@
 			return reply.Failure
 		}
 	}
-	s.recordSessionState(conn, statement)
+	conn.values = s.valuesKey
+	if s.prepared != nil {
+		conn.prepared[s.prepared.shared] = struct{}{}
+	}
 	return nil
 }
 
-// sessionStateCommands returns the commands that give the connection the session state it lacks.
-func (s *session) sessionStateCommands(conn *pooledConnection, statement Statement) []Command {
+// commandsFor returns the commands that give the connection the session state it lacks.
+func (s sessionState) commandsFor(conn *pooledConnection) []Command {
 	var commands []Command
-	discard := conn.values != "" && conn.values != s.valuesKey && !s.overwritesAll(conn.values) || len(conn.prepared) >= maxPrepared && s.transaction == nil
+	discard := conn.values != "" && conn.values != s.valuesKey && !s.overwritesAll(conn.values) || len(conn.prepared) >= maxPrepared && !s.inTransaction
 	if discard {
 		commands = append(commands, Command{Op: OpDiscard})
 	}
@@ -39,10 +69,9 @@
 			commands = append(commands, Command{Op: OpSet, Name: name, Argument: value})
 		}
 	}
-	if statement.Op == OpExecute {
-		known := s.prepared[statement.Name]
-		if _, ok := conn.prepared[known.shared]; !ok || discard {
-			commands = append(commands, Command{Op: OpPrepare, Name: known.shared, Prepares: known.op, Argument: known.shape})
+	if s.prepared != nil {
+		if _, ok := conn.prepared[s.prepared.shared]; !ok || discard {
+			commands = append(commands, Command{Op: OpPrepare, Name: s.prepared.shared, Prepares: s.prepared.op, Argument: s.prepared.shape})
 		}
 	}
 	if discard {
@@ -51,9 +80,9 @@
 	return commands
 }
 
-// overwritesAll reports whether the session sets every value that the connection has, so that those need not be
-// discarded first.
-func (s *session) overwritesAll(key string) bool {
+// overwritesAll reports whether every value that the connection has is set here, so that those need not be discarded
+// first.
+func (s sessionState) overwritesAll(key string) bool {
 	parts := strings.Split(key, "\x00")
 	for i := 0; i+1 < len(parts); i += 2 {
 		if _, ok := s.values[parts[i]]; !ok {
@@ -62,11 +91,3 @@
 	}
 	return true
 }
-
-// recordSessionState records the session state that the connection has now.
-func (s *session) recordSessionState(conn *pooledConnection, statement Statement) {
-	conn.values = s.valuesKey
-	if statement.Op == OpExecute {
-		conn.prepared[s.prepared[statement.Name].shared] = struct{}{}
-	}
-}
--- a/internal/engine/statement.go
+++ b/internal/engine/statement.go
@@ -54,6 +54,9 @@
 	OpDiscard: "discard", OpStatus: "status", OpPause: "pause", OpResume: "resume", OpStepDown: "step_down",
 }
 
+// beginsTransaction reports whether a transaction is open after the operation has succeeded.
+func (o Operation) beginsTransaction() bool { return o == OpBegin || o == OpBeginReadOnly }
+
 // String returns the name of the operation.
 func (o Operation) String() string { return operationNames[o] }
 
@@ -109,6 +112,8 @@
 	State   TransactionState
 	// Position is the end of the log that the target has applied, or the zero value when it was not reported.
 	Position api.Position
+	// ServiceTime is the time that the target took, as measured where its connection is; 0 when it is not known.
+	ServiceTime time.Duration
 	// Status is set in the answers to OpStatus, OpPause, OpResume and OpStepDown.
 	Status leadership.Status
 }
--- a/internal/engine/transaction.go
+++ b/internal/engine/transaction.go
@@ -4,7 +4,6 @@
 	"time"
 
 	"github.com/papayacove/papayacove/api"
-	"github.com/papayacove/papayacove/internal/clock"
 	"github.com/papayacove/papayacove/internal/result"
 )
 
@@ -19,9 +18,10 @@
 	request  *request
 
 	member *member
-	conn   *pooledConnection
-	plan   readPlan
-	wrote  bool
+	// lease is nil before the first statement and after the end.
+	lease lease
+	plan  readPlan
+	wrote bool
 	// refusal is why the transaction has failed; nil while it has not.
 	refusal *Refusal
 	// unreported is true while the transaction has failed and the caller has not been notified.
@@ -59,19 +59,18 @@
 	return refuse(result.ProtocolViolation, "the transaction has failed; end it")
 }
 
-// rollBack rolls the transaction back and returns the connection to the pool. If the rollback fails, the
-// connection is closed, which rolls back too. The id is that of the caller's own rollback, or empty.
+// rollBack rolls the transaction back and ends its lease. If the rollback fails, the connection is closed, which rolls
+// back too. The id is that of the caller's own rollback, or empty.
 func (t *transaction) rollBack(id string) {
-	if t.conn == nil {
+	if t.lease == nil {
 		return
 	}
-	conn := t.conn
-	t.conn = nil
-	if !conn.broken {
-		replies, err := conn.Exchange(time.Now().Add(rollbackTimeout), Command{ID: id, Op: OpRollback})
-		conn.broken = err != nil || replies[0].Failure != nil || replies[0].State != StateIdle
-	}
-	t.member.pool.release(conn)
+	t.lease.run(execution{
+		state: sessionState{unchanged: true}, command: Command{ID: id, Op: OpRollback}, deadline: time.Now().Add(rollbackTimeout),
+		connectionRequest: t.request.connectionRequest(),
+	})
+	t.lease.release()
+	t.lease = nil
 }
 
 // executeInTransaction runs a statement on the transaction's connection.
@@ -81,15 +80,19 @@
 		return s.refused(t.nextRefusal())
 	}
 	t.request.statement, t.request.op, t.request.arrived = statement, op, now
-	if t.conn == nil {
+	if t.lease == nil {
 		if refusal := t.connect(); refusal != nil {
 			t.fail(refusal)
 			return s.refused(refusal)
 		}
 	}
-	outcome := t.request.run(t.member, t.conn, s.commandFor(statement))
+	outcome := t.request.run(t.member, t.lease, execution{command: s.commandFor(statement), needsProof: t.plan.onlyPrimary})
+	if outcome.refused != nil {
+		t.fail(t.request.unavailable(outcome.refused))
+		return s.refused(t.refusal)
+	}
 	if outcome.err != nil {
-		t.request.group.recordFailure(t.member)
+		t.request.recordNoReply(t.member, outcome)
 		return t.connectionLost(outcome.err)
 	}
 	return t.handleReply(outcome)
@@ -128,7 +131,7 @@
 	for r.attempts < maxAttempts && time.Now().Before(r.lateUntil()) {
 		t.plan = r.plan()
 		m := t.pick(tried)
-		if m == nil && t.readOnly && refusal != nil && r.awaitRetry(refusal) {
+		if m == nil && t.readOnly && refusal != nil && r.awaitRetry(refusal, t.plan) {
 			clear(tried)
 			continue
 		}
@@ -145,7 +148,7 @@
 			tried[m] = true
 			continue
 		}
-		if !r.awaitRetry(refusal) && !r.mayRetryAcquire(refusal.Code) {
+		if !r.awaitRetry(refusal, t.plan) && !r.mayRetryAcquire(refusal.Code) {
 			break
 		}
 	}
@@ -169,33 +172,29 @@
 // connectTo acquires a connection to the target and begins the transaction there.
 func (t *transaction) connectTo(m *member) *Refusal {
 	r := t.request
-	conn, err := r.acquire(m)
+	l, err := r.acquire(m)
 	if err != nil {
 		return r.unavailable(err)
 	}
 	if t.plan.onlyPrimary {
-		r.group.renewProofIfExpired()
-	}
-	begin := Command{ID: t.begin.ID, Op: t.begin.Op, MinPosition: t.minPosition()}
-	err = t.session.applySessionState(conn, r.statement, r.deadline())
-	askedAt := clock.SinceBoot()
-	var replies []Reply
-	if err == nil {
-		replies, err = conn.Exchange(r.deadline(), begin)
-	}
-	if err != nil {
-		conn.broken = true
-		m.pool.release(conn)
-		r.group.recordFailure(m)
-		return refuse(result.NotRunUnreachable, "begin: %s", err)
+		r.group.renewProofIfExpired(m)
 	}
-	if failure := replies[0].Failure; failure != nil {
-		conn.broken = replies[0].State != StateIdle
-		m.pool.release(conn)
-		return r.recordTargetFailure(m, failure)
+	outcome := r.run(m, l, execution{command: Command{ID: t.begin.ID, Op: t.begin.Op, MinPosition: t.minPosition()}})
+	switch {
+	case outcome.refused != nil:
+		l.release()
+		r.recordUnavailable(m, outcome.refused)
+		return r.unavailable(outcome.refused)
+	case outcome.err != nil:
+		l.release()
+		r.recordNoReply(m, outcome)
+		return refuse(result.NotRunUnreachable, "begin: %s", outcome.err)
+	case outcome.reply.Failure != nil:
+		l.release()
+		return r.recordTargetFailure(m, outcome.reply.Failure)
 	}
-	r.group.recordReply(m, replies[0], askedAt, false)
-	t.member, t.conn = m, conn
+	r.group.recordReply(m, outcome.reply, outcome.askedAt, false)
+	t.member, t.lease = m, l
 	return nil
 }
 
@@ -222,7 +221,7 @@
 		return s.refused(refuse(result.TransactionLost, "rolled back: %s", t.refusal.Reason))
 	}
 	t.request.statement, t.request.op, t.request.arrived = statement, OpCommit, now
-	if t.conn == nil {
+	if t.lease == nil {
 		if refusal := t.connect(); refusal != nil {
 			return s.refused(refusal)
 		}
@@ -230,17 +229,17 @@
 	return t.commit()
 }
 
-// commit sends the commit and returns the connection to the pool.
+// commit sends the commit and ends the lease.
 func (t *transaction) commit() Answer {
-	s, r, conn := t.session, t.request, t.conn
-	outcome := r.run(t.member, conn, s.commandFor(r.statement))
-	t.conn = nil
-	if outcome.err != nil || outcome.reply.State != StateIdle {
-		conn.broken = true
+	s, r := t.session, t.request
+	outcome := r.run(t.member, t.lease, execution{command: s.commandFor(r.statement), commits: t.wrote})
+	t.lease.release()
+	t.lease = nil
+	if outcome.refused != nil {
+		return s.refused(refuse(result.TransactionLost, "rolled back: %s", outcome.refused))
 	}
-	t.member.pool.release(conn)
 	if outcome.err != nil {
-		r.group.recordFailure(t.member)
+		r.recordNoReply(t.member, outcome)
 		return s.refused(t.lostCommit(outcome))
 	}
 	if failure := outcome.reply.Failure; failure != nil {
--- a/internal/lineproxy/proxy.go
+++ b/internal/lineproxy/proxy.go
@@ -24,7 +24,9 @@
 	"github.com/papayacove/papayacove/internal/logevent"
 	"github.com/papayacove/papayacove/internal/logfield"
 	"github.com/papayacove/papayacove/internal/objectstore"
+	"github.com/papayacove/papayacove/internal/peer"
 	"github.com/papayacove/papayacove/internal/promotionlock"
+	"github.com/papayacove/papayacove/internal/relay"
 	"github.com/papayacove/papayacove/internal/result"
 	"github.com/papayacove/papayacove/platform"
 )
@@ -59,6 +61,8 @@
 	store    *platform.Store
 	promoter *platform.Promoter
 	registry *daemonregistry.Registry
+	clients  *relay.Clients
+	peers    *peer.Server
 	listener net.Listener
 	// callers is the number of open caller connections.
 	callers atomic.Int64
@@ -69,19 +73,33 @@
 	source := settings.SourceAddress
 	store := platform.NewStore(settings.PlatformURL, source, storeTimeout)
 	promoter := platform.NewPromoter(settings.Fleet.PromotionURL, source, settings.Name, promoteTimeout)
-	p := &Proxy{store: store, promoter: promoter}
+	p := &Proxy{store: store, promoter: promoter, clients: relay.NewClients(source)}
 	p.settings.Store(&settings)
 	p.engine = engine.New(engine.Options{
+		Name:          settings.Name,
 		Zone:          settings.Zone,
+		Peers:         p.clients,
 		Dialer:        platform.Dialer{Source: source},
 		Promoter:      promoter,
-		PromotionLock: promotionlock.New(store, settings.Name),
+		PromotionLock: promotionlock.New(store, store.Eras(), settings.Name),
 		DrainTimeout:  time.Duration(settings.Fleet.DrainTimeoutMs) * time.Millisecond,
 	})
-	p.registry = daemonregistry.New(store, api.DaemonEntry{Name: settings.Name, Zone: settings.Zone}, p.engine.SetDaemons)
+	p.registry = daemonregistry.New(store, api.DaemonEntry{Name: settings.Name, Zone: settings.Zone, Address: settings.PeerAddress}, p.setDaemons)
 	return p
 }
 
+// setDaemons passes the entries of the daemons on to the engine.
+func (p *Proxy) setDaemons(entries []api.DaemonEntry) {
+	daemons := make([]engine.Daemon, 0, len(entries))
+	addresses := make(map[string]bool, len(entries))
+	for _, entry := range entries {
+		daemons = append(daemons, engine.Daemon{Name: entry.Name, Zone: entry.Zone, Address: entry.Address})
+		addresses[entry.Address] = true
+	}
+	p.engine.SetDaemons(daemons)
+	p.clients.Keep(addresses)
+}
+
 // Run serves until ctx ends, and then stops as planned. It fails when the daemon cannot listen on one of its
 // addresses.
 func (p *Proxy) Run(ctx context.Context) error {
@@ -127,19 +145,32 @@
 		return fmt.Errorf("listen for callers: %w", err)
 	}
 	p.listener = listener
+	if p.peers, err = relay.Listen(settings.PeerAddress, p.engine); err != nil {
+		return err
+	}
+	go p.servePeers(ctx)
 	if err := platform.ServeReady(ctx, settings.Fleet.ReadinessAddress, p.engine.IsReady); err != nil {
 		return err
 	}
 	if err := p.serveAdmin(ctx); err != nil {
 		return err
 	}
-	go p.follow(ctx, platform.KindConfiguration, p.applyConfiguration, nil)
-	go p.follow(ctx, platform.KindTargets, p.applyTarget, p.engine.RecordDirectoryResult)
+	go p.follow(ctx, platform.KindConfiguration, p.applyConfiguration, objectstore.FollowOptions{OnRestore: p.registry.Restored})
+	go p.follow(ctx, platform.KindTargets, p.applyTarget, objectstore.FollowOptions{
+		AfterCall: p.engine.RecordDirectoryResult, OnRestore: p.engine.RecordDirectoryRestored,
+	})
 	go p.registry.Run(ctx)
 	go p.accept()
 	return nil
 }
 
+// servePeers serves the other daemons until ctx ends.
+func (p *Proxy) servePeers(ctx context.Context) {
+	if err := p.peers.Run(ctx); err != nil {
+		logrus.WithField(logfield.Error, err).Error(logevent.PartFailed)
+	}
+}
+
 // serveAdmin serves the metrics to operators.
 func (p *Proxy) serveAdmin(ctx context.Context) error {
 	mux := http.NewServeMux()
@@ -147,10 +178,9 @@
 	return httpserver.Serve(ctx, "operators", p.settings.Load().AdminAddress, mux)
 }
 
-// follow applies the objects of one kind and their changes until ctx ends. afterCall gets the error of each call to the
-// store, or nil after success; it may be nil.
-func (p *Proxy) follow(ctx context.Context, kind string, apply func(api.Object), afterCall func(error)) {
-	options := objectstore.FollowOptions{Kinds: []string{kind}, Wait: p.watchWait(), Interval: watchInterval, MaxRetryDelay: maxWatchRetryDelay, AfterCall: afterCall}
+// follow applies the objects of one kind and their changes until ctx ends. options hold what is reported besides.
+func (p *Proxy) follow(ctx context.Context, kind string, apply func(api.Object), options objectstore.FollowOptions) {
+	options.Kinds, options.Wait, options.Interval, options.MaxRetryDelay = []string{kind}, p.watchWait(), watchInterval, maxWatchRetryDelay
 	err := objectstore.FollowSource(ctx, p.store, options, func(list api.ObjectList) {
 		for _, object := range list.Objects {
 			apply(object)
--- /dev/null
+++ b/internal/relay/relay.go
@@ -0,0 +1,124 @@
+// Package relay carries statements between the daemons of the line protocol, from the daemon that a caller is connected
+// to, to the daemon that holds the target. It uses the connections of package peer.
+package relay
+
+import (
+	"context"
+	"errors"
+	"fmt"
+	"net/rpc"
+	"sync"
+	"time"
+
+	"github.com/papayacove/papayacove/api"
+	"github.com/papayacove/papayacove/internal/engine"
+	"github.com/papayacove/papayacove/internal/peer"
+)
+
+const (
+	// probeAfter and probeTimeout detect a daemon that is frozen or cut off: its connection is closed after both, and
+	// gets no new statements after half of the second.
+	probeAfter   = 200 * time.Millisecond
+	probeTimeout = 300 * time.Millisecond
+	// maxFrameBytes bounds one message: the rows of one answer, and a margin.
+	maxFrameBytes = 8 << 20
+)
+
+// Clients holds the connections to the other daemons. It implements engine.Peers.
+type Clients struct {
+	source string
+
+	mu      sync.Mutex
+	clients map[string]*peer.Client
+}
+
+// NewClients returns clients that connect from the local IP address source.
+func NewClients(source string) *Clients {
+	return &Clients{source: source, clients: make(map[string]*peer.Client)}
+}
+
+// client returns the client for a daemon.
+func (c *Clients) client(address string) *peer.Client {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	if known, ok := c.clients[address]; ok {
+		return known
+	}
+	// One connection to each daemon: the transactions of a connection end with it.
+	created := peer.NewClientWithOptions(peer.ClientOptions{
+		Address: address, Source: c.source, Connections: 1, ProbeAfter: probeAfter, ProbeTimeout: probeTimeout, MaxFrameBytes: maxFrameBytes,
+	})
+	c.clients[address] = created
+	return created
+}
+
+// Keep closes the connections to all daemons whose address is not among those given.
+func (c *Clients) Keep(addresses map[string]bool) {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	for address, client := range c.clients {
+		if !addresses[address] {
+			client.Close()
+			delete(c.clients, address)
+		}
+	}
+}
+
+// Run sends a statement to the daemon that holds its target.
+func (c *Clients) Run(address string, request *api.RelayRequest, deadline time.Time) (*api.RelayReply, error) {
+	return call[api.RelayReply](c, address, "Run", request, deadline)
+}
+
+// Status asks the daemon that holds a target for the target's status.
+func (c *Clients) Status(address string, request *api.RelayStatusRequest, deadline time.Time) (*api.RelayStatusReply, error) {
+	return call[api.RelayStatusReply](c, address, "Status", request, deadline)
+}
+
+// call sends one request. An rpc.ServerError means that the other daemon has no such method, so nothing ran.
+func call[R any](c *Clients, address, method string, request any, deadline time.Time) (*R, error) {
+	ctx, cancel := context.WithDeadline(context.Background(), deadline)
+	defer cancel()
+	reply, err := peer.Call[R](ctx, c.client(address), method, request)
+	var unknown rpc.ServerError
+	if errors.Is(err, peer.ErrNotSent) || errors.As(err, &unknown) {
+		return nil, fmt.Errorf("%w: %s: %w", engine.ErrPeerNotReached, address, err)
+	}
+	if err != nil {
+		return nil, fmt.Errorf("daemon %s: %w", address, err)
+	}
+	return reply, nil
+}
+
+// service adapts an engine.RelaySession to the method signatures of net/rpc.
+type service struct {
+	session *engine.RelaySession
+}
+
+// Run runs a statement at a target that this daemon holds.
+func (s *service) Run(request *api.RelayRequest, reply *api.RelayReply) error {
+	*reply = *s.session.Run(request)
+	return nil
+}
+
+// Status returns the status of a target that this daemon holds.
+func (s *service) Status(request *api.RelayStatusRequest, reply *api.RelayStatusReply) error {
+	*reply = *s.session.Status(request)
+	return nil
+}
+
+// Ping answers a probe of the connection.
+func (s *service) Ping(_ *api.Acknowledgement, reply *api.Acknowledgement) error {
+	reply.Done = true
+	return nil
+}
+
+// Listen listens for other daemons; Run of the returned server serves them.
+func Listen(address string, served *engine.Engine) (*peer.Server, error) {
+	return peer.ListenWithOptions(peer.ServerOptions{
+		Address: address, MaxFrameBytes: maxFrameBytes,
+		Receiver: func() (any, func()) {
+			session := served.NewRelaySession()
+			return &service{session}, session.Close
+		},
+	})
+}
