Wait for leaving replicas in promotions

Ruled out: a pause that is only ordered again each second (the promotion ends it at the moment when it matters). Change: a leaving replica is still paused, but a promotion waits for it as for the others, until its entry is gone. A replica that is gone counts as paused only by a status of the last 2 s. The model ends pauses everywhere.

--- a/internal/engine/observe.go
+++ b/internal/engine/observe.go
@@ -136,7 +136,7 @@
 	if !g.knowsAllReplicas() {
 		return
 	}
-	acknowledging := slices.Collect(maps.Keys(g.acknowledgingMembers()))
+	acknowledging := slices.Collect(maps.Keys(g.members))
 	if position, askedAt, ok := leadership.MinPositionOfReplicas(statuses, acknowledging, g.primary, g.term); ok {
 		g.samples.Add(askedAt, position)
 		g.broadcast()
@@ -151,14 +151,14 @@
 
 // proofTargets returns the targets that are asked for a leadership proof: one replica that did not fail recently and
 // does not leave, in the daemon's own zone if there is one there, or the primary if there is no such replica. While the
-// primary is unresponsive or unknown, it returns all acknowledging members except the primary.
+// primary is unresponsive or unknown, it returns all members except the primary.
 func (g *group) proofTargets() map[string]*member {
 	now := clock.SinceBoot()
 	g.mu.Lock()
 	defer g.mu.Unlock()
 	primary, ok := g.members[g.primary]
 	if g.isPrimaryUnresponsive(now) {
-		targets := g.acknowledgingMembers()
+		targets := maps.Clone(g.members)
 		delete(targets, g.primary)
 		return targets
 	}
@@ -307,7 +307,7 @@
 		g.suspectedFor = takeover.ReasonNone
 	}
 	reason := g.monitor.Evaluate(takeover.StatusRound{
-		Primary: g.primary, Statuses: g.lastKnownStatuses(statuses), Members: len(g.acknowledgingMembers()), Leaving: g.isLeaving(g.primary),
+		Primary: g.primary, Statuses: g.lastKnownStatuses(statuses), Members: len(g.members), Leaving: g.isLeaving(g.primary),
 		StartedAt: began, EndedAt: now,
 	})
 	if reason == takeover.ReasonNone || g.promoting || now < g.noPromotionUntil || !g.isOwnTurn(reason, now) {
@@ -373,18 +373,6 @@
 	return ok && now < primary.lastReplyAt+isolatedAfter && now < g.provenUntil+isolatedAfter
 }
 
-// acknowledgingMembers returns the members that may acknowledge commits: all except replicas that leave and have
-// stopped acknowledging. The caller holds the lock.
-func (g *group) acknowledgingMembers() map[string]*member {
-	members := maps.Clone(g.members)
-	for name, m := range g.members {
-		if m.target.Leaving && takeover.HasStoppedAcknowledging(g.statuses[name], g.term, g.termSeenAt) {
-			delete(members, name)
-		}
-	}
-	return members
-}
-
 // recordLostLog marks a replica's log as lost if the replica holds less than before: it has restarted without that
 // log, which may have been the only one with an acknowledged commit. The caller holds the lock.
 func (g *group) recordLostLog(name string, s leadership.Status) {
@@ -403,13 +391,12 @@
 	return !ok || now < primary.avoidUntil || g.monitor.IsUnresponsive()
 }
 
-// lastKnownStatuses returns the statuses of the acknowledging members, with the last known status of each that was
-// busy. The caller holds the lock.
+// lastKnownStatuses returns the statuses of the members, with the last known status of each that was busy. The caller
+// holds the lock.
 func (g *group) lastKnownStatuses(statuses map[string]leadership.Status) map[string]leadership.Status {
 	lastKnownStatuses := make(map[string]leadership.Status, len(statuses))
-	acknowledging := g.acknowledgingMembers()
 	for name, s := range statuses {
-		if _, included := acknowledging[name]; !included {
+		if _, included := g.members[name]; !included {
 			continue
 		}
 		if s.Role == leadership.RoleUnknown {
--- a/internal/engine/promote.go
+++ b/internal/engine/promote.go
@@ -130,7 +130,7 @@
 func (p *promotion) isStillNeeded() bool {
 	g := p.group
 	g.mu.Lock()
-	p.members = g.acknowledgingMembers()
+	p.members = maps.Clone(g.members)
 	g.mu.Unlock()
 	began := clock.SinceBoot()
 	statuses := g.askAll(p.members, recheckTimeout)
--- a/internal/policy/takeover/leaving.go
+++ b/internal/policy/takeover/leaving.go
@@ -15,20 +15,20 @@
 	LeavingRecheckInterval = time.Second
 )
 
-// HasStoppedAcknowledging reports whether the status of a leaving replica shows that the replica lets the primary of
-// the term acknowledge no further commit: it was paused in this term after the promotion that began the term had
+// isPauseSettled reports whether the status shows a pause that was ordered after the promotion that began the term had
 // settled. termSeenAt is the time at which the daemon first saw the term.
-func HasStoppedAcknowledging(s leadership.Status, term uint64, termSeenAt time.Duration) bool {
+func isPauseSettled(s leadership.Status, term uint64, termSeenAt time.Duration) bool {
 	return s.Role == leadership.RoleReplica && s.Term == term && s.IsPaused() && s.AskedAt >= termSeenAt+PromotionSettleTime
 }
 
-// NeedsPause reports whether a leaving replica has to be paused, or paused again, at the time now: its pause may have
-// ended unnoticed since its last status.
+// NeedsPause reports whether a leaving replica has to be paused, or paused again, at the time now. Otherwise commits are
+// acknowledged by its receipt alone, and its log goes with it. Its pause may have ended unnoticed since its last status,
+// so that a promotion waits for it as for any other replica.
 func NeedsPause(s leadership.Status, term uint64, termSeenAt, now time.Duration) bool {
 	if s.Role != leadership.RoleReplica || s.Term != term {
 		return false
 	}
-	return !HasStoppedAcknowledging(s, term, termSeenAt) && now >= s.AskedAt+minPauseInterval(s) || now >= s.AskedAt+LeavingRecheckInterval
+	return !isPauseSettled(s, term, termSeenAt) && now >= s.AskedAt+minPauseInterval(s) || now >= s.AskedAt+LeavingRecheckInterval
 }
 
 // minPauseInterval is the least time between two orders to pause: none for a replica that is not paused.
--- a/internal/policy/takeover/lost_replicas.go
+++ b/internal/policy/takeover/lost_replicas.go
@@ -28,9 +28,10 @@
 }
 
 // MarkLost adds a replica that was lost at a time, with its last known status, and reports whether it was added. A
-// primary is not added, nor a paused replica: it has received no commit since it was paused.
+// primary is not added, nor a replica that was paused a moment ago: it has received no commit since. An older pause may
+// have ended unnoticed.
 func (l *LostReplicas) MarkLost(name string, last leadership.Status, at time.Duration) bool {
-	if last.Role == leadership.RolePrimary || last.IsPaused() {
+	if last.Role == leadership.RolePrimary || last.IsPaused() && at-last.AskedAt <= 2*LeavingRecheckInterval {
 		return false
 	}
 	if l.lost == nil {
--- a/internal/policy/takeover/model_test.go
+++ b/internal/policy/takeover/model_test.go
@@ -67,10 +67,8 @@
 	proofTerm  uint64
 	// termSeenAt is the time at which the daemon first saw proofTerm.
 	termSeenAt time.Duration
-	// leavingStatuses are the answers of leaving replicas to the daemon's orders to pause.
-	leavingStatuses map[string]leadership.Status
-	promotions      int
-	reads           int
+	promotions int
+	reads      int
 	// replicaMinimums counts the checked minimum positions that came from the replicas alone.
 	replicaMinimums int
 }
@@ -87,7 +85,7 @@
 }
 
 func newModelGroup() *modelGroup {
-	g := &modelGroup{targets: map[string]*modelTarget{}, partitioned: map[[2]string]bool{}, unreached: map[string]bool{}, leavingStatuses: map[string]leadership.Status{}}
+	g := &modelGroup{targets: map[string]*modelTarget{}, partitioned: map[[2]string]bool{}, unreached: map[string]bool{}}
 	for _, name := range []string{"a", "b", "c"} {
 		g.targets[name] = &modelTarget{role: leadership.RoleReplica, term: 1, up: true}
 	}
@@ -113,16 +111,9 @@
 			continue
 		}
 		target.paused = max(target.paused, g.proofTerm+1)
-		g.leavingStatuses[name] = g.status(name)
 	}
 }
 
-// isAcknowledging reports whether a promotion against old waits for the pause of a replica.
-func (g *modelGroup) isAcknowledging(name, old string) bool {
-	s, known := g.leavingStatuses[name]
-	return !known || old != g.proofFor || !HasStoppedAcknowledging(s, g.proofTerm, g.termSeenAt)
-}
-
 func (g *modelGroup) isPartitioned(a, b string) bool {
 	return g.partitioned[[2]string{min(a, b), max(a, b)}]
 }
@@ -194,7 +185,7 @@
 	for _, name := range slices.Sorted(maps.Keys(g.targets)) {
 		target := g.targets[name]
 		p.term = max(p.term, target.term+1, target.paused)
-		if name != p.old && g.isAcknowledging(name, p.old) {
+		if name != p.old {
 			p.replicas = append(p.replicas, name)
 		}
 	}
@@ -259,7 +250,11 @@
 	chosen.role, chosen.term, chosen.paused = leadership.RolePrimary, term+1, 0
 	for _, name := range slices.Sorted(maps.Keys(g.targets)) {
 		target := g.targets[name]
-		// A promotion ends the pauses and truncates the logs of replicas that were ahead.
+		if name != p.choice.Target && target.role == leadership.RoleReplica && target.up {
+			// The platform ends the pauses of all replicas, also of those that the new primary does not reach.
+			target.paused = 0
+		}
+		// Those that it reaches follow it, and their logs are truncated if they were ahead.
 		if name != p.choice.Target && target.role == leadership.RoleReplica && target.up && !g.isPartitioned(name, p.choice.Target) {
 			target.term, target.paused, target.log = chosen.term, 0, slices.Clone(chosen.log)
 			target.pauseEndsAt = g.now + joinsAfter
@@ -411,10 +406,10 @@
 	t.Logf("%d promotions, %d reads at a proved primary, %d minimum positions of the replicas", promotions, reads, replicaMinimums)
 }
 
-// TestLeavingReplicaPausedDuringPromotionStillAcknowledges replays a planned replacement whose old primary leaves as a
-// replica: it is paused right after the promotion, joins the new primary later and receives again. A promoter that does
-// not reach it must not promote another replica without its commits.
-func TestLeavingReplicaPausedDuringPromotionStillAcknowledges(t *testing.T) {
+// TestPausedLeavingReplicaIsWaitedFor replays a planned replacement whose old primary leaves as a replica: it is paused
+// right after the promotion, joins the new primary later and receives again. A promoter that does not reach it must not
+// promote another replica without its commits. Later pauses do not help: the promotion itself ends them.
+func TestPausedLeavingReplicaIsWaitedFor(t *testing.T) {
 	g := newModelGroup()
 	g.targets["a"].leaving = true
 	g.beginAgainst("a")
@@ -447,16 +442,15 @@
 	}
 }
 
-// TestSettledPauseOfLeavingReplicaCounts covers when the pause of a leaving replica counts, and when it is ordered
-// again.
-func TestSettledPauseOfLeavingReplicaCounts(t *testing.T) {
+// TestLeavingReplicaIsPausedAgain covers when the pause of a leaving replica is ordered again.
+func TestLeavingReplicaIsPausedAgain(t *testing.T) {
 	const seen = 10 * time.Second
 	settled := seen + PromotionSettleTime
 	cases := []struct {
 		name         string
 		status       leadership.Status
 		now          time.Duration
-		stopped, due bool
+		settled, due bool
 	}{
 		{"not paused", replicaStatus(2, 0, 5, settled), settled, false, true},
 		{"paused before the promotion settled", replicaStatus(2, 3, 5, seen), seen, false, false},
@@ -466,8 +460,8 @@
 		{"follows an older term", replicaStatus(1, 3, 5, settled), settled + LeavingRecheckInterval, false, false},
 	}
 	for _, c := range cases {
-		if got := HasStoppedAcknowledging(c.status, 2, seen); got != c.stopped {
-			t.Errorf("%s: got stopped %t, want %t", c.name, got, c.stopped)
+		if got := isPauseSettled(c.status, 2, seen); got != c.settled {
+			t.Errorf("%s: got settled %t, want %t", c.name, got, c.settled)
 		}
 		if got := NeedsPause(c.status, 2, seen, c.now); got != c.due {
 			t.Errorf("%s: got pause due %t, want %t", c.name, got, c.due)
--- a/internal/policy/takeover/takeover_test.go
+++ b/internal/policy/takeover/takeover_test.go
@@ -40,6 +40,10 @@
 	if lost.MarkLost("b", replicaStatus(1, 2, 7, 0), 0) {
 		t.Error("got a paused replica recorded as lost, want it ignored")
 	}
+	if !lost.MarkLost("b", replicaStatus(1, 2, 7, 0), 2*LeavingRecheckInterval+1) {
+		t.Error("a replica whose pause may have ended was not recorded as lost")
+	}
+	lost.MarkReturned("b")
 	lost.MarkLost("c", replicaStatus(1, 0, 7, 0), 0)
 	lost.MarkReturned("c")
 	if names := lost.Blocking(0); len(names) != 0 {
