--- a/internal/engine/answers_test.go
+++ b/internal/engine/answers_test.go
@@ -5,6 +5,7 @@
 	"fmt"
 	"io"
 	"slices"
+	"sync"
 	"testing"
 	"time"
 
@@ -38,7 +39,9 @@
 
 // randomTarget runs commands with random outcomes, and records their effects.
 type randomTarget struct {
-	t      *rapid.T
+	t *rapid.T
+	// mu guards the rest: pools close lost connections in goroutines of their own.
+	mu     sync.Mutex
 	offset uint64
 	// committed counts how often each write was committed.
 	committed map[string]int
@@ -50,6 +53,8 @@
 
 // exchange draws whether a command runs, and whether its reply arrives.
 func (d *randomTarget) exchange(conn *fakeConnection, command Command) (Reply, error) {
+	d.mu.Lock()
+	defer d.mu.Unlock()
 	switch command.Op {
 	case OpSet, OpPrepare, OpDiscard:
 		return Reply{}, nil
@@ -77,6 +82,13 @@
 	return Reply{Signature: "s", State: d.state(conn), Position: api.Position{Term: 1, Offset: d.offset}}, nil
 }
 
+// forget rolls back what is open on a connection that is closed.
+func (d *randomTarget) forget(conn *fakeConnection) {
+	d.mu.Lock()
+	defer d.mu.Unlock()
+	delete(d.open, conn)
+}
+
 func (d *randomTarget) state(conn *fakeConnection) TransactionState {
 	if _, open := d.open[conn]; open {
 		return StateOpen
--- a/internal/engine/pool_test.go
+++ b/internal/engine/pool_test.go
@@ -41,6 +41,8 @@
 	err     error
 	// exchange answers commands. If it is nil, each command succeeds.
 	exchange func(*fakeConnection, Command) (Reply, error)
+	// closed is called when a connection is closed; nil for nothing.
+	closed func(*fakeConnection)
 }
 
 func (f *fakeTarget) Dial(context.Context, Target) (Connection, error) {
@@ -84,6 +86,9 @@
 
 func (c *fakeConnection) Close() error {
 	c.once.Do(func() {
+		if c.target.closed != nil {
+			c.target.closed(c)
+		}
 		c.target.mu.Lock()
 		defer c.target.mu.Unlock()
 		c.target.open--
--- a/internal/engine/relay.go
+++ b/internal/engine/relay.go
@@ -137,8 +137,11 @@
 	case l.transaction != 0:
 		rollback := execution{command: Command{Op: OpRollback}, state: sessionState{unchanged: true}, deadline: time.Now().Add(rollbackTimeout)}
 		request := relayRequest(l.group.name, l.member.name, l.transaction, rollback)
-		go func() { _, _ = l.group.relays.Run(l.address, request, rollback.deadline) }()
 		l.transaction = 0
+		if _, err := l.group.relays.Run(l.address, request, rollback.deadline); err != nil {
+			// The holder rolls it back itself when its sender is silent or gone.
+			l.group.peers.avoid(l.address, peerAvoidance, err)
+		}
 	}
 }
 
--- a/standin/cmd/standin-lab/soak.go
+++ b/standin/cmd/standin-lab/soak.go
@@ -30,6 +30,7 @@
 			&cli.DurationFlag{Name: "duration", Usage: "duration of each run", Value: 30 * time.Second},
 			&cli.StringSliceFlag{Name: "faults", Usage: "`NAMES` of the failures to inject; all when empty"},
 			&cli.StringFlag{Name: "protocol", Usage: "postgresql or lines", Value: "postgresql"},
+			&cli.IntFlag{Name: "connections", Usage: "connections that each target accepts, with lines; with few the daemons share them", Value: 40},
 			&cli.StringFlag{Name: "deployment", Usage: "deployment to run; chosen by seed when empty"},
 		},
 		Action: runSoak,
@@ -138,7 +139,7 @@
 	if err != nil {
 		return false, err
 	}
-	running, err := lines.StartFleet(command.String("binaries"), work, linesDaemons)
+	running, err := lines.StartFleet(command.String("binaries"), work, linesDaemons, command.Int("connections"))
 	if err != nil {
 		return false, err
 	}
--- a/standin/lines/cluster_test.go
+++ b/standin/lines/cluster_test.go
@@ -36,6 +36,8 @@
 	group    *lines.Group
 	provider *lines.Provider
 	daemons  []*daemon
+	// connections is the limit of each target in the configuration.
+	connections int
 }
 
 // daemon is a running proxy.
@@ -62,7 +64,7 @@
 	must(t, err)
 	provider, err := lines.NewProvider(group)
 	must(t, err)
-	c := &cluster{t: t, store: store, group: group, provider: provider}
+	c := &cluster{t: t, store: store, group: group, provider: provider, connections: 40}
 	c.configure(1, strictDatabase, sessionDatabase, boundedStalenessDatabase)
 	for i := range daemons {
 		c.daemons = append(c.daemons, c.start(i))
@@ -107,7 +109,7 @@
 	}
 	c.store.Put("config", "main", map[string]any{
 		"Version": version, "Routes": routes, "Limits": map[string]any{"IdleTxMs": 3000},
-		"Backends": []map[string]any{{"Name": "group", "MaxConns": 40, "SyncReplicas": 1}},
+		"Backends": []map[string]any{{"Name": "group", "MaxConns": c.connections, "SyncReplicas": 1}},
 	})
 }
 
--- a/standin/lines/fleet.go
+++ b/standin/lines/fleet.go
@@ -20,6 +20,8 @@
 	Daemons  []*Daemon
 	// TargetLinks are the relays between the daemons and the targets, by the id of the target.
 	TargetLinks map[string]*netfault.Link
+	// connections is the limit of each target.
+	connections int
 	stop        chan struct{}
 }
 
@@ -47,9 +49,10 @@
 	heartbeatInterval = time.Second
 )
 
-// StartFleet starts a fleet. The program of the daemons is read from the folder binaries; their logs and settings are
-// written to folder. If it fails, the parts that it has started are not stopped.
-func StartFleet(binaries, folder string, daemons int) (*Fleet, error) {
+// StartFleet starts a fleet whose targets accept the given number of connections. The program of the daemons is read from
+// the folder binaries; their logs and settings are written to folder. If it fails, the parts that it has started are not
+// stopped.
+func StartFleet(binaries, folder string, daemons, connections int) (*Fleet, error) {
 	store, err := NewStore()
 	if err != nil {
 		return nil, err
@@ -62,7 +65,8 @@
 	if err != nil {
 		return nil, err
 	}
-	f := &Fleet{Store: store, Group: group, Provider: provider, TargetLinks: map[string]*netfault.Link{}, stop: make(chan struct{})}
+	group.LimitConnections(connections)
+	f := &Fleet{Store: store, Group: group, Provider: provider, TargetLinks: map[string]*netfault.Link{}, connections: connections, stop: make(chan struct{})}
 	for _, id := range targetIDs {
 		d := group.Target(id)
 		d.service = 2 * time.Millisecond
@@ -92,6 +96,13 @@
 	return link, nil
 }
 
+// Restore brings the store back from a copy of the given age. As after a real restore, the operator writes the
+// configuration again, and the targets write their entries with their next heartbeats.
+func (f *Fleet) Restore(age time.Duration) {
+	f.Store.Restore(age)
+	time.AfterFunc(heartbeatInterval/2, f.configure)
+}
+
 func (f *Fleet) configure() {
 	routes := []map[string]any{}
 	for name, kind := range map[string]string{StrictDatabase: "primary", SessionDatabase: "read_your_writes", BoundedStalenessDatabase: "bounded_staleness"} {
@@ -102,7 +113,7 @@
 	}
 	f.Store.Put("config", "main", map[string]any{
 		"Version": 1, "Routes": routes, "Limits": map[string]any{"IdleTxMs": 3000},
-		"Backends": []map[string]any{{"Name": "group", "MaxConns": 40, "SyncReplicas": 1}},
+		"Backends": []map[string]any{{"Name": "group", "MaxConns": f.connections, "SyncReplicas": 1}},
 	})
 }
 
--- a/standin/lines/group.go
+++ b/standin/lines/group.go
@@ -49,6 +49,10 @@
 	targets map[string]*Target
 	// promoteDelay is the time that a promotion takes.
 	promoteDelay time.Duration
+	// maxConnections is the number of connections that a target accepts; 0 for no limit.
+	maxConnections int
+	// mostConnections is the largest number of connections that one target had at a time.
+	mostConnections int
 	// acknowledged are the values of the latest acknowledged writes, by item.
 	acknowledged map[string]string
 }
@@ -103,6 +107,31 @@
 	return g, nil
 }
 
+// LimitConnections sets the number of connections that each target accepts.
+func (g *Group) LimitConnections(limit int) {
+	g.mu.Lock()
+	defer g.mu.Unlock()
+	g.maxConnections = limit
+}
+
+// MostConnections returns the largest number of connections that one target had at a time.
+func (g *Group) MostConnections() int {
+	g.mu.Lock()
+	defer g.mu.Unlock()
+	return g.mostConnections
+}
+
+// admits reports whether a target accepts the connections that it has, the newest included.
+func (d *Target) admits() bool {
+	d.group.mu.Lock()
+	defer d.group.mu.Unlock()
+	if limit := d.group.maxConnections; limit > 0 && len(d.conns) > limit {
+		return false
+	}
+	d.group.mostConnections = max(d.group.mostConnections, len(d.conns))
+	return true
+}
+
 // Target returns the target with an id, or nil.
 func (g *Group) Target(id string) *Target { return g.targets[id] }
 
@@ -265,6 +294,10 @@
 	}
 	chosen.primary, chosen.term, chosen.pausedTerm = true, term+1, 0
 	for _, d := range g.targets {
+		if d != chosen && d.up && !d.primary {
+			// A promotion ends all pauses, also those of replicas that the new primary doesn't reach.
+			d.pausedTerm = 0
+		}
 		if d != chosen && d.up && !d.unresponsive && !d.primary {
 			d.term, d.pausedTerm, d.log = chosen.term, 0, slices.Clone(chosen.log)
 		}
--- a/standin/lines/session.go
+++ b/standin/lines/session.go
@@ -77,6 +77,10 @@
 			fmt.Fprintf(s.out, "ERROR MOVED %s\r\n", s.target.ID)
 			return false
 		}
+		if !s.target.admits() {
+			fmt.Fprintf(s.out, "ERROR TOOMANY %s\r\n", s.target.ID)
+			return false
+		}
 		s.sendReady()
 		return true
 	case "QUERY":
--- a/standin/lines/store.go
+++ b/standin/lines/store.go
@@ -3,10 +3,15 @@
 package lines
 
 import (
+	"bytes"
+	"context"
 	"encoding/json"
 	"errors"
+	"io"
+	"maps"
 	"net"
 	"net/http"
+	"slices"
 	"strconv"
 	"sync"
 	"sync/atomic"
@@ -48,9 +53,17 @@
 	Down atomic.Bool
 	// LoseResponses makes the store execute each change and then end the connection without a response.
 	LoseResponses atomic.Bool
+	// DelayChanges makes the store end the connection of each change without a response, and execute the change
+	// changeDelay later if its condition still holds.
+	DelayChanges atomic.Bool
+
+	// era rises with each restore. Every response names it.
+	era atomic.Uint64
 
 	mu       sync.Mutex
 	revision uint64
+	// copies are earlier states, oldest first.
+	copies []storeCopy
 	// compactedRevision is the earliest revision from which changes can still be watched.
 	compactedRevision uint64
 	// objects are the objects by kind and name.
@@ -61,6 +74,22 @@
 	changed chan struct{}
 }
 
+// storeCopy is the state of the store at a time.
+type storeCopy struct {
+	at       time.Time
+	revision uint64
+	objects  map[string]map[string]object
+}
+
+const (
+	// eraHeader names the era in each response.
+	eraHeader = "Store-Era"
+	// changeDelay is the time after which a delayed change is executed.
+	changeDelay = 2 * time.Second
+	// maxCopyAge is the longest time for which earlier states are kept.
+	maxCopyAge = 10 * time.Second
+)
+
 // NewStore starts a store on a loopback port.
 func NewStore() (*Store, error) {
 	listener, err := net.Listen("tcp", "127.0.0.1:0")
@@ -68,6 +97,7 @@
 		return nil, err
 	}
 	s := &Store{listener: listener, revision: 1, objects: map[string]map[string]object{}, changed: make(chan struct{})}
+	s.era.Store(1)
 	mux := http.NewServeMux()
 	mux.HandleFunc("GET /v1/objects/{kind}", s.serveKind)
 	mux.HandleFunc("POST /v1/objects/{kind}", s.serveCreate)
@@ -87,10 +117,15 @@
 
 func (s *Store) withFaults(next http.Handler) http.Handler {
 	return http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
+		w = &eraWriter{ResponseWriter: w, store: s}
 		if s.Down.Load() {
 			w.WriteHeader(http.StatusServiceUnavailable)
 			return
 		}
+		if s.DelayChanges.Load() && r.Method != http.MethodGet {
+			s.delay(next, r)
+			panic(http.ErrAbortHandler)
+		}
 		if s.LoseResponses.Load() && r.Method != http.MethodGet {
 			next.ServeHTTP(discardResponse{}, r)
 			panic(http.ErrAbortHandler)
@@ -99,6 +134,67 @@
 	})
 }
 
+// eraWriter adds the era to a response when its status is written.
+type eraWriter struct {
+	http.ResponseWriter
+	store *Store
+}
+
+// WriteHeader writes the status.
+func (w *eraWriter) WriteHeader(status int) {
+	w.Header().Set(eraHeader, strconv.FormatUint(w.store.era.Load(), 10))
+	w.ResponseWriter.WriteHeader(status)
+}
+
+// delay executes a change after changeDelay.
+func (s *Store) delay(next http.Handler, r *http.Request) {
+	body, err := io.ReadAll(r.Body)
+	if err != nil {
+		return
+	}
+	late := r.Clone(context.Background())
+	late.Body = io.NopCloser(bytes.NewReader(body))
+	time.AfterFunc(changeDelay, func() { next.ServeHTTP(discardResponse{}, late) })
+}
+
+// Restore brings the store back from a copy of the given age, or from its oldest one: changes since are gone, and
+// revisions are given out again.
+func (s *Store) Restore(age time.Duration) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	wanted := time.Now().Add(-age)
+	chosen := storeCopy{revision: 1, objects: map[string]map[string]object{}}
+	for _, c := range s.copies {
+		if c.at.After(wanted) {
+			break
+		}
+		chosen = c
+	}
+	s.era.Add(1)
+	s.revision, s.objects = chosen.revision, copyObjects(chosen.objects)
+	s.events, s.compactedRevision = nil, chosen.revision
+	s.copies = slices.DeleteFunc(s.copies, func(c storeCopy) bool { return c.revision > chosen.revision })
+	close(s.changed)
+	s.changed = make(chan struct{})
+}
+
+// keepCopy keeps the present state. The caller holds s.mu.
+func (s *Store) keepCopy() {
+	now := time.Now()
+	for len(s.copies) > 1 && now.Sub(s.copies[1].at) > maxCopyAge {
+		s.copies = s.copies[1:]
+	}
+	s.copies = append(s.copies, storeCopy{at: now, revision: s.revision, objects: copyObjects(s.objects)})
+}
+
+func copyObjects(objects map[string]map[string]object) map[string]map[string]object {
+	copied := make(map[string]map[string]object, len(objects))
+	for kind, named := range objects {
+		copied[kind] = maps.Clone(named)
+	}
+	return copied
+}
+
 // discardResponse is a response writer that discards the response.
 type discardResponse struct{}
 
@@ -139,7 +235,7 @@
 	end := time.After(time.Duration(wait) * time.Millisecond)
 	for {
 		s.mu.Lock()
-		newEvents, revision, changed, gone := s.eventsAfter(r.PathValue("kind"), after), s.revision, s.changed, after < s.compactedRevision
+		newEvents, revision, changed, gone := s.eventsAfter(r.PathValue("kind"), after), s.revision, s.changed, after < s.compactedRevision || after > s.revision
 		s.mu.Unlock()
 		if gone {
 			w.WriteHeader(http.StatusGone)
@@ -245,6 +341,7 @@
 // addEvent adds a change to the history and wakes the waiting watches. The caller holds s.mu.
 func (s *Store) addEvent(e event) {
 	s.events = append(s.events, e)
+	s.keepCopy()
 	close(s.changed)
 	s.changed = make(chan struct{})
 }
--- a/standin/soak/lines.go
+++ b/standin/soak/lines.go
@@ -15,7 +15,7 @@
 )
 
 // LinesFaults holds all faults of a fleet that serves the protocol lines, in a fixed order so that a seed draws the same
-// ones.
+// ones. New ones come last, and the seeds that are kept as regression cases name the faults that they were found with.
 var LinesFaults = []FaultOf[*lines.Fleet]{
 	{"primary_crashed", onTarget(primaryID, crashTarget)},
 	{"primary_dark", onTarget(primaryID, makeUnresponsive)},
@@ -58,8 +58,32 @@
 		return "", func() { f.Store.LoseResponses.Store(false) }
 	}},
 	{"store_forgets", func(f *lines.Fleet, _ *rand.Rand) (string, func()) { f.Store.Compact(); return "", func() {} }},
+	{"store_restored", func(f *lines.Fleet, random *rand.Rand) (string, func()) {
+		f.Restore(copyAge(random))
+		return "", func() {}
+	}},
+	{"store_down_and_restored", func(f *lines.Fleet, random *rand.Rand) (string, func()) {
+		age := copyAge(random)
+		f.Store.Down.Store(true)
+		return "", func() { f.Restore(age); f.Store.Down.Store(false) }
+	}},
+	{"store_restored_twice", func(f *lines.Fleet, random *rand.Rand) (string, func()) {
+		f.Restore(copyAge(random))
+		age := copyAge(random)
+		return "", func() { f.Restore(age) }
+	}},
+	{"store_restored_before_late_changes", func(f *lines.Fleet, random *rand.Rand) (string, func()) {
+		age := copyAge(random)
+		f.Store.DelayChanges.Store(true)
+		return "", func() { f.Restore(age); f.Store.DelayChanges.Store(false) }
+	}},
 }
 
+// maxCopyAge is the longest time that a copy is old from which the store is restored.
+const maxCopyAge = 5 * time.Second
+
+func copyAge(random *rand.Rand) time.Duration { return time.Duration(random.Int63n(int64(maxCopyAge))) }
+
 func primaryID(f *lines.Fleet, random *rand.Rand) string {
 	if id := f.Group.Primary(); id != "" {
 		return id
