Watch the entries of targets at intervals of 300 ms

Cause: each daemon renewed its watch of the targets' entries 10 ms after an answer, so that each change of one of many targets cost a call of every daemon. Ruled out: longer waits of the watch (a silent connection would delay a drain past its bound). Change: an interval for this kind of its own; the configuration keeps 10 ms, since its changes are few and have a bound. Conclusion: calls still grow with the daemons; watchers for each zone are open in the issue on hundreds of machines.

--- a/internal/lineproxy/proxy.go
+++ b/internal/lineproxy/proxy.go
@@ -36,8 +36,12 @@
 	storeTimeout = time.Second
 	// minWatchWait is the least time for which the store is asked to hold a watch open.
 	minWatchWait = 500 * time.Millisecond
-	// watchInterval is the time between two watches.
+	// watchInterval is the time between two watches of the configuration.
 	watchInterval = 10 * time.Millisecond
+	// targetWatchInterval is the time between two watches of the targets' entries. It is longer, because many targets
+	// that change their entries at about the same time would cause a call of each daemon for each change. What is urgent
+	// in an entry, another primary, is seen in status calls as well.
+	targetWatchInterval = 300 * time.Millisecond
 	// maxWatchRetryDelay bounds the time between two calls while the store is unreachable, so that a new
 	// configuration is in force soon after the store is reachable again.
 	maxWatchRetryDelay = 400 * time.Millisecond
@@ -155,9 +159,9 @@
 	if err := p.serveAdmin(ctx); err != nil {
 		return err
 	}
-	go p.follow(ctx, platform.KindConfiguration, p.applyConfiguration, objectstore.FollowOptions{OnRestore: p.registry.Restored})
+	go p.follow(ctx, platform.KindConfiguration, p.applyConfiguration, objectstore.FollowOptions{Interval: watchInterval, OnRestore: p.registry.Restored})
 	go p.follow(ctx, platform.KindTargets, p.applyTarget, objectstore.FollowOptions{
-		AfterCall: p.engine.RecordDirectoryResult, OnRestore: p.engine.RecordDirectoryRestored,
+		Interval: targetWatchInterval, AfterCall: p.engine.RecordDirectoryResult, OnRestore: p.engine.RecordDirectoryRestored,
 	})
 	go p.registry.Run(ctx)
 	go p.accept()
@@ -180,7 +184,7 @@
 
 // follow applies the objects of one kind and their changes until ctx ends. options hold what is reported besides.
 func (p *Proxy) follow(ctx context.Context, kind string, apply func(api.Object), options objectstore.FollowOptions) {
-	options.Kinds, options.Wait, options.Interval, options.MaxRetryDelay = []string{kind}, p.watchWait(), watchInterval, maxWatchRetryDelay
+	options.Kinds, options.Wait, options.MaxRetryDelay = []string{kind}, p.watchWait(), maxWatchRetryDelay
 	err := objectstore.FollowSource(ctx, p.store, options, func(list api.ObjectList) {
 		for _, object := range list.Objects {
 			apply(object)
