Mend what the reading of the holders' code found

Cause and change, each from reading: - A relay session that ended with open transactions left them in the count that a planned stop waits for (TestLostHolder, red before: 1 open). - A target too slow to answer a status call within 300 ms counted as silent although it answered statements, and its queue was refused. - The connection to a daemon that left the list was closed while it still ended transactions; it is kept until unused for 30 s. - Holders that were asked once kept a connection for status calls for good; it is closed after 3 s unused. - Lines and entries about daemons that are avoided are bounded.

--- a/internal/engine/control.go
+++ b/internal/engine/control.go
@@ -24,8 +24,12 @@
 	dialer Dialer
 	target func() Target
 
-	mu   sync.Mutex
-	conn Connection
+	// idleTimeout is the time after which an unused connection is closed; 0 for never.
+	idleTimeout time.Duration
+
+	mu       sync.Mutex
+	conn     Connection
+	lastUsed time.Time
 
 	// transient is true when the connection is closed after each call.
 	transient atomic.Bool
@@ -46,6 +50,9 @@
 	if c.transient.Load() {
 		defer c.drop()
 	}
+	if c.idleTimeout > 0 {
+		defer c.closeUnusedLater()
+	}
 	reused := c.conn != nil
 	status, err := c.attemptUntilAccepted(timeout, command)
 	if err != nil && reused && failureOf(err) == nil && !dialer.IsTimeout(err) {
@@ -92,6 +99,18 @@
 	return status, nil
 }
 
+// closeUnusedLater schedules the closing of a connection that stays unused for idleTimeout. The caller holds mu.
+func (c *controlConnection) closeUnusedLater() {
+	c.lastUsed = time.Now()
+	time.AfterFunc(c.idleTimeout, func() {
+		c.mu.Lock()
+		defer c.mu.Unlock()
+		if time.Since(c.lastUsed) >= c.idleTimeout {
+			c.drop()
+		}
+	})
+}
+
 func (c *controlConnection) drop() {
 	if c.conn != nil {
 		_ = c.conn.Close()
--- a/internal/engine/daemons.go
+++ b/internal/engine/daemons.go
@@ -82,10 +82,13 @@
 	unawarePeerAvoidance = 50 * time.Millisecond
 )
 
+// maxAvoided is the number of entries of peerHealth above which those that have expired are dropped.
+const maxAvoided = 1000
+
 // peerHealth records which other daemons are not asked for the moment. Its methods may be called concurrently.
 type peerHealth struct {
 	mu sync.Mutex
-	// avoidUntil are times of the boot clock by address.
+	// avoidUntil are times of the boot clock by address, or by the way to a target.
 	avoidUntil map[string]time.Duration
 }
 
@@ -105,8 +108,11 @@
 	if p.avoidUntil == nil {
 		p.avoidUntil = make(map[string]time.Duration)
 	}
-	if now >= p.avoidUntil[address] {
+	if now >= p.avoidUntil[address] && limiter.Allow("avoided", time.Now()) {
 		logrus.WithFields(logrus.Fields{logfield.Peer: address, logfield.Error: reason, logfield.Wait: duration}).Info(logevent.PeerAvoided)
 	}
 	p.avoidUntil[address] = now + duration
+	if len(p.avoidUntil) > maxAvoided {
+		maps.DeleteFunc(p.avoidUntil, func(_ string, until time.Duration) bool { return until <= now })
+	}
 }
--- a/internal/engine/gate.go
+++ b/internal/engine/gate.go
@@ -52,7 +52,7 @@
 	target := func() Target { return g.targetOf(m) }
 	h := &gate{
 		group: g, member: m, share: share, pool: newPool(g.dialer, target, gateConnections(share)),
-		control:      &controlConnection{dialer: g.dialer, target: target},
+		control:      &controlConnection{dialer: g.dialer, target: target, idleTimeout: gateIdleTimeout},
 		statements:   waitqueue.New(admission.Config{Slots: share.Statements, QueueLength: poolQueueLength}, nil),
 		transactions: waitqueue.New(admission.Config{Slots: share.Transactions, QueueLength: transactionsQueueLength}, nil),
 	}
@@ -104,13 +104,20 @@
 	}
 }
 
-// askStatus makes one status call.
+// askStatus makes one status call. A target that answers statements meanwhile is slow, not silent.
 func (h *gate) askStatus() (leadership.Status, error) {
+	before := clock.SinceBoot()
 	status, err := h.control.call(Command{Op: OpStatus})
-	h.setSilent(err != nil && !isAlive(err))
+	h.setSilent(err != nil && !isAlive(err) && !h.hasAnsweredSince(before))
 	return status, err
 }
 
+func (h *gate) hasAnsweredSince(at time.Duration) bool {
+	h.group.mu.Lock()
+	defer h.group.mu.Unlock()
+	return h.member.lastReplyAt > at
+}
+
 // close refuses what waits. What runs finishes.
 func (h *gate) close() {
 	gone := result.Errorf(result.NotRunTargetLeaving, "the target has left")
--- a/internal/engine/relay_test.go
+++ b/internal/engine/relay_test.go
@@ -232,9 +232,10 @@
 			[]result.Code{result.OK, result.TransactionLost, result.TransactionLost}},
 	}
 	for _, c := range cases {
+		transaction := c.name == "transaction"
 		target := &fakeTarget{exchange: func(_ *fakeConnection, c Command) (Reply, error) {
 			state := StateIdle
-			if c.Op == OpBegin {
+			if c.Op == OpBegin || c.Op == OpWrite && transaction {
 				state = StateOpen
 			}
 			return Reply{Signature: "s", State: state, Position: api.Position{Term: 1, Offset: 1}}, nil
@@ -244,7 +245,7 @@
 		requests := map[string]int{}
 		n.fate = func(address string) requestFate {
 			requests[address]++
-			isBegin := c.name == "transaction" && requests[address] == 1
+			isBegin := transaction && requests[address] == 1
 			if address == holder && !isBegin {
 				return answerLost
 			}
--- a/internal/engine/relaysession.go
+++ b/internal/engine/relaysession.go
@@ -45,6 +45,7 @@
 	s.mu.Unlock()
 	for _, t := range open {
 		s.end(t)
+		s.engine.relayed.Add(-1)
 	}
 }
 
--- a/internal/relay/relay.go
+++ b/internal/relay/relay.go
@@ -20,6 +20,8 @@
 	// gets no new statements after half of the second.
 	probeAfter   = 200 * time.Millisecond
 	probeTimeout = 300 * time.Millisecond
+	// unusedAfter is the time without a call after which the connection to a daemon that has left is closed.
+	unusedAfter = 30 * time.Second
 	// maxFrameBytes bounds one message: the rows of one answer, and a margin.
 	maxFrameBytes = 8 << 20
 )
@@ -29,36 +31,44 @@
 	source string
 
 	mu      sync.Mutex
-	clients map[string]*peer.Client
+	clients map[string]*client
+}
+
+// client is the connection to one daemon, with the time of its last call.
+type client struct {
+	*peer.Client
+	lastUsed time.Time
 }
 
 // NewClients returns clients that connect from the local IP address source.
 func NewClients(source string) *Clients {
-	return &Clients{source: source, clients: make(map[string]*peer.Client)}
+	return &Clients{source: source, clients: make(map[string]*client)}
 }
 
-// client returns the client for a daemon.
-func (c *Clients) client(address string) *peer.Client {
+// clientFor returns the client for a daemon.
+func (c *Clients) clientFor(address string) *peer.Client {
 	c.mu.Lock()
 	defer c.mu.Unlock()
-	if known, ok := c.clients[address]; ok {
-		return known
+	known, ok := c.clients[address]
+	if !ok {
+		// One connection to each daemon: the transactions of a connection end with it.
+		known = &client{Client: peer.NewClientWithOptions(peer.ClientOptions{
+			Address: address, Source: c.source, Connections: 1, ProbeAfter: probeAfter, ProbeTimeout: probeTimeout, MaxFrameBytes: maxFrameBytes,
+		})}
+		c.clients[address] = known
 	}
-	// One connection to each daemon: the transactions of a connection end with it.
-	created := peer.NewClientWithOptions(peer.ClientOptions{
-		Address: address, Source: c.source, Connections: 1, ProbeAfter: probeAfter, ProbeTimeout: probeTimeout, MaxFrameBytes: maxFrameBytes,
-	})
-	c.clients[address] = created
-	return created
+	known.lastUsed = time.Now()
+	return known.Client
 }
 
-// Keep closes the connections to all daemons whose address is not among those given.
+// Keep closes the connections to daemons whose address is not among those given, once they are unused for
+// unusedAfter: a daemon that stops leaves the list first, and its transactions end later.
 func (c *Clients) Keep(addresses map[string]bool) {
 	c.mu.Lock()
 	defer c.mu.Unlock()
-	for address, client := range c.clients {
-		if !addresses[address] {
-			client.Close()
+	for address, known := range c.clients {
+		if !addresses[address] && time.Since(known.lastUsed) > unusedAfter {
+			known.Close()
 			delete(c.clients, address)
 		}
 	}
@@ -78,7 +88,7 @@
 func call[R any](c *Clients, address, method string, request any, deadline time.Time) (*R, error) {
 	ctx, cancel := context.WithDeadline(context.Background(), deadline)
 	defer cancel()
-	reply, err := peer.Call[R](ctx, c.client(address), method, request)
+	reply, err := peer.Call[R](ctx, c.clientFor(address), method, request)
 	var unknown rpc.ServerError
 	if errors.Is(err, peer.ErrNotSent) || errors.As(err, &unknown) {
 		return nil, fmt.Errorf("%w: %s: %w", engine.ErrPeerNotReached, address, err)
