--- a/internal/daemonregistry/registry.go
+++ b/internal/daemonregistry/registry.go
@@ -82,7 +82,7 @@
 	return &Registry{store: store, self: self, onRead: onRead, observed: make(map[string]observation), restored: make(chan struct{}, 1)}
 }
 
-// Restored tells that the store has come back from a copy, which may lack entries. The daemon's own entry is written
+// Restored reports that the store was restored from a copy, which may lack entries. The daemon's own entry is written
 // again at a random time, so that the daemons do not write all at once. It does not block.
 func (r *Registry) Restored() {
 	select {
--- a/internal/engine/engine.go
+++ b/internal/engine/engine.go
@@ -167,7 +167,7 @@
 	e.directoryFailed.Store(int64(clock.SinceBoot()))
 }
 
-// RecordDirectoryRestored records that the store of the target entries has come back from a copy, which may lack entries
+// RecordDirectoryRestored records that the store of the target entries was restored from a copy, which may lack entries
 // for a while.
 func (e *Engine) RecordDirectoryRestored() { e.directoryFailed.Store(int64(clock.SinceBoot())) }
 
--- a/internal/objectstore/eras.go
+++ b/internal/objectstore/eras.go
@@ -14,7 +14,7 @@
 	"github.com/papayacove/papayacove/internal/logfield"
 )
 
-// ErrRestored means that the store has come back from a copy since the last answer: changes may be gone, and revisions
+// ErrRestored means that the store was restored from a copy since the last answer: changes may be gone, and revisions
 // are given out again. The caller has to list again.
 var ErrRestored = errors.New("store restored from a copy")
 
--- a/internal/objectstore/follow.go
+++ b/internal/objectstore/follow.go
@@ -49,7 +49,7 @@
 	// if AfterCall is nil, the results are not reported.
 	AfterCall func(error)
 
-	// OnRestore is called when the store has come back from a copy, before apply gets what the copy holds; if OnRestore
+	// OnRestore is called when the store was restored from a copy, before apply gets what the copy holds; if OnRestore
 	// is nil, it is not reported.
 	OnRestore func()
 
--- a/internal/promotionlock/promotionlock.go
+++ b/internal/promotionlock/promotionlock.go
@@ -49,7 +49,7 @@
 // ErrHeld means that the lock is, or may be, held by another daemon.
 var ErrHeld = errors.New("promotion lock is held")
 
-// EraSource tells the era of the object store.
+// EraSource reports the era of the object store.
 type EraSource interface {
 	// Known returns the newest known era, 0 if the store states none, and the time of the boot clock of its first answer,
 	// 0 before the first answer.
--- a/internal/promotionlock/promotionlock_test.go
+++ b/internal/promotionlock/promotionlock_test.go
@@ -34,7 +34,7 @@
 
 const group = "g"
 
-// memoryStore is an object store of one object, which tells its own era.
+// memoryStore is an object store of one object, which reports its own era.
 type memoryStore struct {
 	mu      sync.Mutex
 	version uint64
