Correct two comments of the registry and the gate

One said that unreadable entries are left out, although their names are kept; the other named a function that no longer exists.

--- a/internal/daemonregistry/registry.go
+++ b/internal/daemonregistry/registry.go
@@ -184,8 +184,8 @@
 	return nil
 }
 
-// present returns the entries that have changed within absentAfter before now, and that of this daemon in any case. An
-// entry that cannot be read is left out, because its daemon cannot be reached.
+// present returns the entries that have changed within absentAfter before now, and that of this daemon in any case. Of an
+// entry that cannot be read only the name is returned: its daemon uses targets, but cannot hold any.
 func (r *Registry) present(list api.ObjectList, now time.Duration) []api.DaemonEntry {
 	r.observe(list, now)
 	present := []api.DaemonEntry{r.self}
--- a/internal/engine/gate.go
+++ b/internal/engine/gate.go
@@ -127,8 +127,8 @@
 	h.control.reset()
 }
 
-// begin admits a statement outside a transaction, or one that begins a transaction, and returns a connection. The
-// caller must pass it to end, or to endStatement and later endTransaction.
+// begin admits a statement outside a transaction, or one that begins a transaction, and returns a connection with a
+// statement slot, which execute releases. gateLease.end returns the connection and the slot of the transaction.
 func (h *gate) begin(wanted connectionRequest, transaction bool) (*pooledConnection, error) {
 	if h.isSilent() {
 		return nil, result.Errorf(result.NotRunUnreachable, "the target does not answer").WithRetryAfter(promotionEstimate)
