Order statements by the priority of each route, not by the highest alone

Cause: a route counted as urgent if its priority was the highest of the whole configuration. The configurations have routes that nobody uses, of priority 0, and routes in use of 1 and 2: none of those in use was urgent, and the cheapest statements with the shortest objective waited in the order of arrival behind the bulk of the others. Found by the lengths of the lanes in the refusals of a short primary: 0 urgent, 14 to 27 strict.

Change: routes have ranks, the queue has a lane for each priority and, within it, for strict statements and for reads with an allowed age. Late statements have no claim to a start after bypasses, since they would make others late; in exchange they are only taken in if twice their estimated wait fits, so that fewer wait in vain.

--- a/api/types.gen.go
+++ b/api/types.gen.go
@@ -743,6 +743,9 @@
 	// PreparedShape is the text of the prepared statement.
 	PreparedShape string `json:"prepared_shape" toml:"prepared_shape"`
 
+	// Priority is the priority of the statement in its class; 0 is the highest.
+	Priority uint8 `json:"priority" toml:"priority"`
+
 	// Settings are all session values of the caller.
 	Settings []SessionSetting `json:"settings" toml:"settings"`
 
--- a/internal/engine/directory.go
+++ b/internal/engine/directory.go
@@ -40,8 +40,8 @@
 	Objective time.Duration
 	// Priority orders routes under load; 0 is the highest.
 	Priority int
-	// Urgent is true when routes of a lower priority exist and none of a higher one.
-	Urgent bool
+	// rank is the number of priorities of the configuration that are higher than that of the route.
+	rank int
 }
 
 // GroupLimits bound the use of a group's targets.
@@ -64,18 +64,17 @@
 	IdleTransaction time.Duration
 }
 
-// markUrgent marks the routes of the highest priority, unless all have the same.
-func markUrgent(routes map[string]Route) {
-	if len(routes) == 0 {
-		return
-	}
+// rankRoutes sets the ranks of the routes. A rank compares any two routes, so that one which nobody uses, whatever its
+// priority, does not change the order of the others.
+func rankRoutes(routes map[string]Route) {
 	priorities := make([]int, 0, len(routes))
 	for _, r := range routes {
 		priorities = append(priorities, r.Priority)
 	}
-	highest, lowest := slices.Min(priorities), slices.Max(priorities)
+	slices.Sort(priorities)
+	priorities = slices.Compact(priorities)
 	for database, r := range routes {
-		r.Urgent = r.Priority == highest && highest < lowest
+		r.rank, _ = slices.BinarySearch(priorities, r.Priority)
 		routes[database] = r
 	}
 }
--- a/internal/engine/engine.go
+++ b/internal/engine/engine.go
@@ -97,7 +97,7 @@
 		return false
 	}
 	c.Routes = maps.Clone(c.Routes)
-	markUrgent(c.Routes)
+	rankRoutes(c.Routes)
 	e.configuration = c
 	for name, limits := range c.Groups {
 		e.group(name).setLimits(limits, e.daemons)
--- a/internal/engine/execute.go
+++ b/internal/engine/execute.go
@@ -55,7 +55,7 @@
 
 // connectionRequest returns what the request requires of a pool.
 func (r *request) connectionRequest() connectionRequest {
-	return connectionRequest{class: r.class(), startBy: r.startBy(), lateUntil: r.lateUntil(), values: r.session.valuesKey}
+	return connectionRequest{class: r.class(), priority: r.route.rank, startBy: r.startBy(), lateUntil: r.lateUntil(), values: r.session.valuesKey}
 }
 
 // lateUntil is the time after which the request must not start, because its answer would probably exceed the
@@ -66,10 +66,7 @@
 
 // class returns the admission class of the request.
 func (r *request) class() admission.Class {
-	switch {
-	case r.route.Urgent:
-		return admission.ClassUrgent
-	case r.route.Consistency == ConsistencyBoundedStaleness:
+	if r.route.Consistency == ConsistencyBoundedStaleness {
 		return admission.ClassBoundedStaleness
 	}
 	return admission.ClassStrict
--- a/internal/engine/pool.go
+++ b/internal/engine/pool.go
@@ -148,6 +148,8 @@
 // connectionRequest describes what a statement requires of a pool.
 type connectionRequest struct {
 	class admission.Class
+	// priority is the rank of the route's priority.
+	priority int
 	// startBy is the time by which the statement should start, lateUntil the time after which it must not start.
 	startBy   time.Time
 	lateUntil time.Time
@@ -198,7 +200,7 @@
 // item returns the request as an item of a wait queue.
 func (r connectionRequest) item() admission.Item {
 	left := time.Until(r.startBy) * expectedStartPercent / 100
-	return admission.Item{Class: r.class, Deadline: r.startBy, ExpectedStartBy: time.Now().Add(left), LateUntil: r.lateUntil}
+	return admission.Item{Class: r.class, Priority: r.priority, Deadline: r.startBy, ExpectedStartBy: time.Now().Add(left), LateUntil: r.lateUntil}
 }
 
 // awaitStart waits until an offered item starts. It fails with a *result.Error, which guarantees that nothing ran, when
--- a/internal/engine/relay.go
+++ b/internal/engine/relay.go
@@ -160,7 +160,7 @@
 func relayRequest(group, target string, transaction uint64, e execution) *api.RelayRequest {
 	request := &api.RelayRequest{
 		Group: group, Target: target, Transaction: transaction,
-		Class: uint8(e.class), StartWithinUs: time.Until(e.startBy).Microseconds(), LateWithinUs: time.Until(e.lateUntil).Microseconds(),
+		Class: uint8(e.class), Priority: uint8(min(e.priority, admission.MaxPriority)), StartWithinUs: time.Until(e.startBy).Microseconds(), LateWithinUs: time.Until(e.lateUntil).Microseconds(),
 		TimeoutUs: time.Until(e.deadline).Microseconds(),
 		ID:        e.command.ID, Operation: uint8(e.command.Op), Name: e.command.Name, Argument: e.command.Argument, Text: e.command.Text,
 		MinPosition: e.command.MinPosition, Commits: e.commits, NeedsProof: e.needsProof, KeepsState: e.state.unchanged,
@@ -187,7 +187,7 @@
 		},
 		state:    sessionState{inTransaction: r.Transaction != 0, unchanged: r.KeepsState},
 		deadline: within(r.TimeoutUs), commits: r.Commits, needsProof: r.NeedsProof,
-		connectionRequest: connectionRequest{class: admission.Class(r.Class), startBy: within(r.StartWithinUs), lateUntil: within(r.LateWithinUs)},
+		connectionRequest: connectionRequest{class: admission.Class(r.Class), priority: int(r.Priority), startBy: within(r.StartWithinUs), lateUntil: within(r.LateWithinUs)},
 	}
 	if len(r.Settings) > 0 {
 		e.state.values = make(map[string]string, len(r.Settings))
--- a/internal/policy/admission/admission.go
+++ b/internal/policy/admission/admission.go
@@ -2,8 +2,9 @@
 //
 // A slot is the right to run one batch at the target. The queue of a target is bounded. A batch that is not expected
 // to start before its deadline is refused at once, with a retry-after time derived from the backlog, unless it may
-// start late. Batches start by class: transactions in progress first, then batches declared urgent, writes and strict
-// reads, reads with an allowed age, and late batches. Within a class the workspaces are served round-robin.
+// start late. Batches start by lane: transactions in progress first, then by the declared priority, within a priority
+// writes and strict reads before reads with an allowed age, and late batches last. Within a lane the workspaces are
+// served round-robin.
 package admission
 
 import (
@@ -14,27 +15,23 @@
 	"github.com/sirupsen/logrus"
 )
 
-// Class is the priority of a batch; lower values start first.
+// Class is the kind of a batch; lower values start first among batches of the same priority.
 type Class uint8
 
-// The priority classes.
+// The classes.
 const (
-	// ClassTransaction holds batches of transactions in progress.
+	// ClassTransaction holds batches of transactions in progress, which start first whatever their priority.
 	ClassTransaction Class = iota
-	// ClassUrgent holds batches that are declared more urgent than those of the classes below.
-	ClassUrgent
 	// ClassStrict holds writes and reads without an allowed age.
 	ClassStrict
 	// ClassBoundedStaleness holds reads with an allowed age.
 	ClassBoundedStaleness
 	// ClassLate holds batches of any class that can no longer start by their deadline but may still start until
-	// Item.LateUntil.
+	// Item.LateUntil. They start last whatever their priority.
 	ClassLate
-
-	classes
 )
 
-var classNames = [...]string{ClassTransaction: "transaction", ClassUrgent: "urgent", ClassStrict: "strict", ClassBoundedStaleness: "aged", ClassLate: "late"}
+var classNames = [...]string{ClassTransaction: "transaction", ClassStrict: "strict", ClassBoundedStaleness: "aged", ClassLate: "late"}
 
 // String returns the name of the class.
 func (c Class) String() string {
@@ -45,8 +42,8 @@
 const (
 	// DefaultServiceTime is the assumed time that a batch holds a slot until the first measurement.
 	DefaultServiceTime = 5 * time.Millisecond
-	// MaxBypasses is the number of consecutive starts of higher classes while a lower class waits.
-	// Then one batch of the lower class starts, so that no workspace starves.
+	// MaxBypasses is the number of consecutive starts of higher lanes while a lower lane waits.
+	// Then one batch of the lower lane starts, so that no workspace and no priority starves.
 	MaxBypasses = 8
 	// serviceTimeWeight is the weight of a new measurement in the moving average.
 	serviceTimeWeight = 0.1
@@ -71,6 +68,8 @@
 	ID        uint64
 	Workspace string
 	Class     Class
+	// Priority is the declared priority of the batch; 0 is the highest. Those from MaxPriority on are the same.
+	Priority int
 	// Limit is the largest number of slots that the workspace may use concurrently; 0 means all.
 	Limit int
 	// Deadline is the time by which the batch must have started.
@@ -84,6 +83,34 @@
 	LateUntil time.Time
 }
 
+// MaxPriority is the lowest priority that the queue distinguishes.
+const MaxPriority = 7
+
+// lane is the order in which batches start: those of lower lanes first.
+type lane int
+
+const (
+	laneTransaction lane = 0
+	laneLate        lane = 1 + 2*(MaxPriority+1)
+
+	lanes = laneLate + 1
+)
+
+// lane returns the lane of the batch.
+func (i Item) lane() lane {
+	switch i.Class {
+	case ClassTransaction:
+		return laneTransaction
+	case ClassLate:
+		return laneLate
+	}
+	l := 1 + 2*lane(max(0, min(i.Priority, MaxPriority)))
+	if i.Class == ClassBoundedStaleness {
+		l++
+	}
+	return l
+}
+
 // mayBeLate reports whether the batch may start late at the given time.
 func (i Item) mayBeLate(at time.Time) bool { return at.Before(i.LateUntil) }
 
--- a/internal/policy/admission/next.go
+++ b/internal/policy/admission/next.go
@@ -5,29 +5,29 @@
 // next removes and returns the batch that starts next; false when none may start. Batches past their deadline
 // stay in the queue until Expire removes them.
 func (q *Queue) next(now time.Time) (entry, bool) {
-	c, ok := q.nextClass(now)
+	l, ok := q.nextLane(now)
 	if !ok {
 		return entry{}, false
 	}
-	for lower := c + 1; lower < classes; lower++ {
-		if q.byClass[lower].length > 0 {
-			q.byClass[lower].bypassed++
+	for lower := l + 1; lower < lanes; lower++ {
+		if q.lanes[lower].length > 0 {
+			q.lanes[lower].bypassed++
 		}
 	}
-	return q.byClass[c].popStartable(q, now), true
+	return q.lanes[l].popStartable(q, now), true
 }
 
-// nextClass returns the lowest-priority class that was bypassed MaxBypasses times, or else the highest-priority class
-// that has a startable batch.
-func (q *Queue) nextClass(now time.Time) (Class, bool) {
-	for c := classes - 1; c > 0; c-- {
-		if q.byClass[c].bypassed >= MaxBypasses && q.byClass[c].hasStartable(q, now) {
-			return c, true
+// nextLane returns the lowest lane that was bypassed MaxBypasses times, or else the highest lane that has a startable
+// batch. Late batches have no claim to be started after bypasses: they would make others late.
+func (q *Queue) nextLane(now time.Time) (lane, bool) {
+	for l := laneLate - 1; l > 0; l-- {
+		if q.lanes[l].bypassed >= MaxBypasses && q.lanes[l].hasStartable(q, now) {
+			return l, true
 		}
 	}
-	for c := Class(0); c < classes; c++ {
-		if q.byClass[c].hasStartable(q, now) {
-			return c, true
+	for l := range lanes {
+		if q.lanes[l].hasStartable(q, now) {
+			return l, true
 		}
 	}
 	return 0, false
@@ -35,16 +35,16 @@
 
 // hasStartable reports whether some waiting batch is within its deadline and the limit of its workspace.
 func (q *Queue) hasStartable(now time.Time) bool {
-	for c := range q.byClass {
-		if q.byClass[c].hasStartable(q, now) {
+	for l := range q.lanes {
+		if q.lanes[l].hasStartable(q, now) {
 			return true
 		}
 	}
 	return false
 }
 
-func (cq *classQueue) hasStartable(q *Queue, now time.Time) bool {
-	for _, wq := range cq.queues {
+func (lq *laneQueue) hasStartable(q *Queue, now time.Time) bool {
+	for _, wq := range lq.queues {
 		if wq.firstStartable(q, now) >= 0 {
 			return true
 		}
@@ -53,18 +53,18 @@
 }
 
 // popStartable removes and returns the oldest startable batch of the first workspace that has one, and moves that
-// workspace to the end of the round-robin order. The class must have a startable batch.
-func (cq *classQueue) popStartable(q *Queue, now time.Time) entry {
-	for i, wq := range cq.queues {
+// workspace to the end of the round-robin order. The lane must have a startable batch.
+func (lq *laneQueue) popStartable(q *Queue, now time.Time) entry {
+	for i, wq := range lq.queues {
 		j := wq.firstStartable(q, now)
 		if j < 0 {
 			continue
 		}
-		e := cq.removeAt(i, j)
+		e := lq.removeAt(i, j)
 		if len(wq.entries) > 0 {
-			cq.queues = append(append(cq.queues[:i], cq.queues[i+1:]...), wq)
+			lq.queues = append(append(lq.queues[:i], lq.queues[i+1:]...), wq)
 		}
-		cq.bypassed = 0
+		lq.bypassed = 0
 		return e
 	}
 	return entry{}
--- a/internal/policy/admission/queue.go
+++ b/internal/policy/admission/queue.go
@@ -16,7 +16,7 @@
 	queueLength int
 	running     int
 	waiting     int
-	byClass     [classes]classQueue
+	lanes       [lanes]laneQueue
 	// runningByWorkspace has no entry for a workspace without running batches.
 	runningByWorkspace map[string]int
 	// serviceTime is the moving average of the time that a batch holds a slot, in seconds.
@@ -73,7 +73,7 @@
 	case free:
 		q.occupySlot(item, now)
 		d.Outcome, d.Reason = Started, ReasonSlotFree
-	case now.Add(wait).After(item.expectedStartBy()) && q.waiting < q.queueLength && item.mayBeLate(now.Add(q.expectedWait(item.late(), now))):
+	case now.Add(wait).After(item.expectedStartBy()) && q.waiting < q.queueLength && q.mayWaitLate(item, now):
 		item = item.late()
 		q.enqueue(item, &d, now)
 		d.Class, d.Reason = item.Class, ReasonLate
@@ -89,11 +89,20 @@
 	return d
 }
 
+// lateWaitMargin is the factor by which the wait of a late batch may exceed its estimate: the lanes above it leave a
+// small and varying share of the slots.
+const lateWaitMargin = 2
+
+// mayWaitLate reports whether a batch that cannot start in time is expected to start late, with a margin.
+func (q *Queue) mayWaitLate(item Item, now time.Time) bool {
+	return item.mayBeLate(now.Add(lateWaitMargin * q.expectedWait(item.late(), now)))
+}
+
 // occupySlot assigns a slot to a batch.
 func (q *Queue) occupySlot(item Item, now time.Time) {
 	q.running++
 	q.runningByWorkspace[item.Workspace]++
-	q.pressure.started(item.Class, now)
+	q.pressure.started(item.lane(), now)
 }
 
 // isWithinLimit reports whether the workspace of a batch may use one more slot.
@@ -117,41 +126,42 @@
 }
 
 func (q *Queue) enqueue(item Item, d *Decision, now time.Time) {
-	q.byClass[item.Class].push(entry{item: item, since: now})
+	q.lanes[item.lane()].push(entry{item: item, since: now})
 	q.waiting++
 	d.Outcome, d.Reason = Queued, ReasonSlotsBusy
 }
 
-// offerToFullQueue queues the batch in place of a waiting batch of a lower class, or of another workspace of the
-// same class that has more waiting batches. It refuses the batch when there is none to displace.
+// offerToFullQueue queues the batch in place of a waiting batch of a lower lane, or of another workspace of the
+// same lane that has more waiting batches. It refuses the batch when there is none to displace.
 func (q *Queue) offerToFullQueue(item Item, d *Decision, now time.Time) {
-	class, index := q.victim(item)
+	from, index := q.victim(item)
 	if index < 0 {
 		q.refuse(d, ReasonQueueFull, result.NotRunOverloaded)
 		return
 	}
-	cq := &q.byClass[class]
-	e := cq.removeAt(index, len(cq.queues[index].entries)-1)
+	lq := &q.lanes[from]
+	e := lq.removeAt(index, len(lq.queues[index].entries)-1)
 	q.waiting--
 	r := q.refused(e, ReasonDisplaced, result.NotRunOverloaded, now)
 	d.Displaced = &r
 	q.enqueue(item, d, now)
 }
 
-// victim returns the class and the index of the workspace queue whose newest batch is displaced by item; the index is
+// victim returns the lane and the index of the workspace queue whose newest batch is displaced by item; the index is
 // -1 if there is none.
-func (q *Queue) victim(item Item) (Class, int) {
-	for c := classes - 1; c > item.Class; c-- {
-		if index, _ := q.byClass[c].longest(); index >= 0 {
-			return c, index
+func (q *Queue) victim(item Item) (lane, int) {
+	own := item.lane()
+	for l := lanes - 1; l > own; l-- {
+		if index, _ := q.lanes[l].longest(); index >= 0 {
+			return l, index
 		}
 	}
-	cq := &q.byClass[item.Class]
-	index, length := cq.longest()
-	if length > cq.lengthOf(item.Workspace)+1 {
-		return item.Class, index
+	lq := &q.lanes[item.lane()]
+	index, length := lq.longest()
+	if length > lq.lengthOf(item.Workspace)+1 {
+		return own, index
 	}
-	return item.Class, -1
+	return own, -1
 }
 
 // Release returns the slot that a batch of the workspace held for the duration served, and returns the batches that
@@ -178,10 +188,10 @@
 
 // demote moves batches that did not start by their deadline and may start late to ClassLate.
 func (q *Queue) demote(now time.Time) {
-	for c := range q.byClass[:ClassLate] {
-		for _, e := range q.byClass[c].removeLate(now) {
+	for l := range q.lanes[:laneLate] {
+		for _, e := range q.lanes[l].removeLate(now) {
 			e.item = e.item.late()
-			q.byClass[ClassLate].push(e)
+			q.lanes[laneLate].push(e)
 		}
 	}
 }
@@ -213,13 +223,13 @@
 // start any more: they are refused at once, so that their callers can go elsewhere.
 func (q *Queue) Expire(now time.Time) []Refusal {
 	var refused []Refusal
-	for c := range q.byClass {
-		for _, e := range q.byClass[c].removeExpired(now) {
+	for l := range q.lanes {
+		for _, e := range q.lanes[l].removeExpired(now) {
 			q.waiting--
 			refused = append(refused, q.refused(e, ReasonDeadlinePassed, result.NotRunDeadline, now))
 		}
 	}
-	for _, e := range q.byClass[ClassLate].removeIf(q.isHopeless(now)) {
+	for _, e := range q.lanes[laneLate].removeIf(q.isHopeless(now)) {
 		q.waiting--
 		refused = append(refused, q.refused(e, ReasonTooLate, result.NotRunOverloaded, now))
 	}
@@ -230,10 +240,10 @@
 // start by its deadline.
 func (q *Queue) isHopeless(now time.Time) func(Item) bool {
 	ahead := 0
-	for c := range q.byClass[:ClassLate] {
-		ahead += q.byClass[c].length
+	for l := range q.lanes[:laneLate] {
+		ahead += q.lanes[l].length
 	}
-	left := q.pressure.shareLeft(ClassLate, q.serviceTime, q.slots, now)
+	left := q.pressure.shareLeft(laneLate, q.serviceTime, q.slots, now)
 	return func(item Item) bool {
 		if now.Add(q.waitBehind(ahead, left)).After(item.Deadline) {
 			return true
@@ -247,8 +257,8 @@
 func (q *Queue) NextExpiry() (time.Time, bool) {
 	var earliest time.Time
 	found := false
-	for c := range q.byClass {
-		for _, wq := range q.byClass[c].queues {
+	for l := range q.lanes {
+		for _, wq := range q.lanes[l].queues {
 			for _, e := range wq.entries {
 				if !found || e.item.Deadline.Before(earliest) {
 					earliest, found = e.item.Deadline, true
@@ -261,14 +271,14 @@
 
 // Remove removes a waiting batch, which then never starts, and reports whether it was waiting.
 func (q *Queue) Remove(id uint64) bool {
-	for c := range q.byClass {
-		cq := &q.byClass[c]
-		for i, wq := range cq.queues {
+	for l := range q.lanes {
+		lq := &q.lanes[l]
+		for i, wq := range lq.queues {
 			j := slices.IndexFunc(wq.entries, func(e entry) bool { return e.item.ID == id })
 			if j < 0 {
 				continue
 			}
-			cq.removeAt(i, j)
+			lq.removeAt(i, j)
 			q.waiting--
 			return true
 		}
@@ -289,16 +299,16 @@
 }
 
 // expectedWait estimates the time until a new batch starts that cannot start at once: the batches ahead of it start
-// first, and those of higher classes that arrive meanwhile.
+// first, and those of higher lanes that arrive meanwhile.
 func (q *Queue) expectedWait(item Item, now time.Time) time.Duration {
-	ahead := q.byClass[item.Class].ahead(item.Workspace)
-	for c := Class(0); c < item.Class; c++ {
-		ahead += q.byClass[c].length
+	ahead := q.lanes[item.lane()].ahead(item.Workspace)
+	for l := range item.lane() {
+		ahead += q.lanes[l].length
 	}
-	wait := q.waitBehind(ahead, q.pressure.shareLeft(item.Class, q.serviceTime, q.slots, now))
+	wait := q.waitBehind(ahead, q.pressure.shareLeft(item.lane(), q.serviceTime, q.slots, now))
 	if item.Limit > 0 && item.Limit < q.slots {
 		// The batches of the workspace share the Limit slots that it may use.
-		own := q.byClass[item.Class].lengthOf(item.Workspace) + 1
+		own := q.lanes[item.lane()].lengthOf(item.Workspace) + 1
 		wait = max(wait, q.serviceTimes(own, item.Limit))
 	}
 	return wait
