Offer a read to the queue of its primary once

Cause: a read that only the primary may serve was offered again at once when the daemon's queue for that primary had refused it, up to twenty times within a millisecond, each with a log line and, through a holder, a message. The logs of a short primary had 1,395 such attempts for 445 refusals in 12 s. Writes and transactions ended after the first.

Change: a refusal by the queue, for its length or the time, is final. TestRefusalOfTheQueueIsFinal got 20 attempts before.

--- a/internal/engine/execute.go
+++ b/internal/engine/execute.go
@@ -195,7 +195,7 @@
 		r.logAttempt(m, plan, failed)
 		refusal = failed
 		tried[m] = true
-		if !r.mayTryAnotherTarget(failed) || plan.onlyPrimary && r.knownUnreachable {
+		if !r.mayTryAnotherTarget(failed) || plan.onlyPrimary && (r.knownUnreachable || isRefusedByQueue(failed)) {
 			break
 		}
 		if plan.onlyPrimary && isFull(failed) && !r.awaitRetry(failed, plan) {
@@ -211,6 +211,12 @@
 // waitBeforeRetry waits for a random time between half of maxRetryDelay and all of it.
 func waitBeforeRetry() { time.Sleep(maxRetryDelay/2 + rand.N(maxRetryDelay/2)) }
 
+// isRefusedByQueue reports whether a daemon's own queue for a target refused the statement. The queue decides by what
+// waits in it, so that the same statement would be refused again.
+func isRefusedByQueue(refusal *Refusal) bool {
+	return refusal.Target == nil && (refusal.Code == result.NotRunOverloaded || refusal.Code == result.NotRunDeadline)
+}
+
 // isFull reports whether a target refused because it accepts no further connection.
 func isFull(refusal *Refusal) bool { return refusal.Code == result.NotRunNoSlot }
 
