Reconnect to a lost daemon in the background

Ruled out: that the list of daemons still named it (its entry is kept for a while by design, since a daemon may be cut off from the store).

Change: after a failed attempt, calls of statements fail with ErrNotSent at once, and the next attempt runs beside them. Other users of package peer dial as before.

TestCallsDoNotWaitForAnotherAttempt waited for the attempt before.

--- a/internal/peer/client.go
+++ b/internal/peer/client.go
@@ -55,6 +55,9 @@
 	ProbeTimeout time.Duration
 	// MaxFrameBytes bounds one answer; 0 for no limit.
 	MaxFrameBytes int64
+	// RedialInBackground is true if no call waits for another connection attempt after one has failed. Calls fail with
+	// ErrNotSent until an attempt has succeeded.
+	RedialInBackground bool
 }
 
 // Client calls one other daemon. It is safe for concurrent use.
@@ -72,6 +75,10 @@
 	// failure is the error of the last connection attempt, made at failedAt; nil after a success.
 	failure  error
 	failedAt time.Time
+	// redialing is true while a connection attempt of redialIfNone is under way.
+	redialing bool
+	// closed is true after Close, when an attempt in progress must not leave a connection behind.
+	closed bool
 }
 
 // connection is an open net/rpc connection. lastAnswer is the time of its last answer, in Unix nanoseconds.
@@ -109,6 +116,7 @@
 func (c *Client) Close() {
 	for i := range c.links {
 		c.links[i].mu.Lock()
+		c.links[i].closed = true
 		if current := c.links[i].connection; current != nil {
 			_ = current.client.Close()
 			c.links[i].connection = nil
@@ -241,11 +249,35 @@
 	if l.failure != nil && time.Since(l.failedAt) < maxRepeatedDialError {
 		return nil, l.failure
 	}
+	if l.failure != nil && c.options.RedialInBackground {
+		l.redialIfNone(c)
+		return nil, l.failure
+	}
 	l.connection, l.failure = c.connect(ctx)
 	l.failedAt = time.Now()
 	return l.connection, l.failure
 }
 
+// redialIfNone starts a connection attempt unless one is under way. The caller holds the lock.
+func (l *link) redialIfNone(c *Client) {
+	if l.redialing {
+		return
+	}
+	l.redialing = true
+	go func() {
+		opened, err := c.connect(context.Background())
+		l.mu.Lock()
+		defer l.mu.Unlock()
+		l.redialing = false
+		switch {
+		case l.closed && opened != nil:
+			_ = opened.client.Close()
+		case !l.closed:
+			l.connection, l.failure, l.failedAt = opened, err, time.Now()
+		}
+	}()
+}
+
 // errSuspected means that the daemon has not answered a probe so far.
 var errSuspected = errors.New("a probe of the connection is not answered")
 
--- /dev/null
+++ b/internal/peer/redial_test.go
@@ -0,0 +1,85 @@
+package peer
+
+import (
+	"context"
+	"crypto/tls"
+	"errors"
+	"net"
+	"testing"
+	"time"
+
+	"github.com/papayacove/papayacove/api"
+)
+
+// TestCallsDoNotWaitForAnotherAttempt calls a daemon that has gone for good, as when its VM was replaced. After the first
+// attempt has failed, no call waits for another one; before, each call that came after a pause of 200 ms waited for the
+// time-out of a new attempt. Calls reach the daemon again once it listens.
+func TestCallsDoNotWaitForAnotherAttempt(t *testing.T) {
+	listener, err := net.Listen("tcp", "127.0.0.1:0")
+	if err != nil {
+		t.Fatal(err)
+	}
+	address := listener.Addr().String()
+	_ = listener.Close()
+	attempt, finish := make(chan struct{}, 1), make(chan struct{})
+	first := true
+	client := NewClientWithOptions(ClientOptions{
+		Address: address, Connections: 1, RedialInBackground: true,
+		TLS: func() *tls.Config {
+			if !first {
+				attempt <- struct{}{}
+				<-finish
+			}
+			first = false
+			return &tls.Config{InsecureSkipVerify: true} //nolint:gosec // Nothing listens.
+		},
+	})
+	call := func() error {
+		_, err := client.Execute(testContext(t), &api.ExecuteRequest{})
+		return err
+	}
+	if err := call(); !errors.Is(err, ErrNotSent) {
+		t.Fatalf("first call: got %v, want ErrNotSent", err)
+	}
+	time.Sleep(maxRepeatedDialError)
+	for range 3 {
+		if err := call(); !errors.Is(err, ErrNotSent) || errors.Is(err, context.DeadlineExceeded) {
+			t.Errorf("call during another attempt: got %v, want ErrNotSent at once", err)
+		}
+	}
+	<-attempt
+	close(finish)
+	client.Close()
+}
+
+// TestCallsReachADaemonThatIsBack calls a daemon that listens again after an attempt has failed.
+func TestCallsReachADaemonThatIsBack(t *testing.T) {
+	listener, err := net.Listen("tcp", "127.0.0.1:0")
+	if err != nil {
+		t.Fatal(err)
+	}
+	address := listener.Addr().String()
+	_ = listener.Close()
+	client := NewClientWithOptions(ClientOptions{Address: address, Connections: 1, RedialInBackground: true})
+	t.Cleanup(client.Close)
+	if _, err := client.Execute(testContext(t), &api.ExecuteRequest{}); !errors.Is(err, ErrNotSent) {
+		t.Fatalf("call without a listener: got %v, want ErrNotSent", err)
+	}
+	server, err := Listen(address, nil, &fakeDaemon{})
+	if err != nil {
+		t.Fatal(err)
+	}
+	go func() { _ = server.Run(context.Background()) }()
+	t.Cleanup(server.Close)
+	ctx := testContext(t)
+	for {
+		_, err := client.Execute(ctx, &api.ExecuteRequest{})
+		if err == nil {
+			return
+		}
+		if !errors.Is(err, ErrNotSent) || ctx.Err() != nil {
+			t.Fatalf("call after the daemon is back: got %v, want ErrNotSent and then success", err)
+		}
+		time.Sleep(10 * time.Millisecond)
+	}
+}
--- a/internal/relay/relay.go
+++ b/internal/relay/relay.go
@@ -54,6 +54,7 @@
 		// One connection to each daemon: the transactions of a connection end with it.
 		known = &client{Client: peer.NewClientWithOptions(peer.ClientOptions{
 			Address: address, Source: c.source, Connections: 1, ProbeAfter: probeAfter, ProbeTimeout: probeTimeout, MaxFrameBytes: maxFrameBytes,
+			RedialInBackground: true,
 		})}
 		c.clients[address] = known
 	}
