Hold targets on small deployments too, and start within the objective

Cause: four daemons had four queues before the three slots of a primary whose replicas lag, and about 18 statements stood in the target's own queue at a time, which serves in the order of arrival: a statement took 80 to 110 ms there, of which 14 ms were its run, and a transaction of five took over 400 ms.

Change: a target is held wherever several daemons share its connections. A statement should start within 60 % of its objective, so that it can be answered within it; the wait for a primary is as long as before.

--- a/internal/engine/execute.go
+++ b/internal/engine/execute.go
@@ -18,6 +18,9 @@
 	// maxRetryDelay is the longest delay before a statement is retried that every target refused without running
 	// it.
 	maxRetryDelay = 60 * time.Millisecond
+	// startSharePercent is the part of the objective, in percent, within which a statement should start. The rest is for
+	// its run, for the way to the target, and for the other statements of its transaction.
+	startSharePercent = 60
 	// lateSharePercent is the part of the route's time limit, in percent, within which a statement may still
 	// start.
 	lateSharePercent = 70
@@ -46,13 +49,18 @@
 // deadline is the end of the route's time limit.
 func (r *request) deadline() time.Time { return r.arrived.Add(r.route.Timeout) }
 
-// startBy is the time by which the request should start at a target: the end of its objective or, if earlier, of its
-// time limit. It is not worth waiting for a primary beyond that; at a target whose connections are in use, the request
-// may start late, until lateUntil.
-func (r *request) startBy() time.Time {
+// answerBy is the end of the objective or, if earlier, of the time limit. It is not worth waiting for a primary beyond
+// that.
+func (r *request) answerBy() time.Time {
 	return r.arrived.Add(min(r.route.Objective, r.route.Timeout))
 }
 
+// startBy is the time by which the request should start at a target, so that it can be answered within the objective. At
+// a target whose slots are in use, the request may start late, until lateUntil.
+func (r *request) startBy() time.Time {
+	return r.arrived.Add(min(r.route.Objective, r.route.Timeout) * startSharePercent / 100)
+}
+
 // connectionRequest returns what the request requires of a pool.
 func (r *request) connectionRequest() connectionRequest {
 	return connectionRequest{class: r.class(), priority: r.route.rank, startBy: r.startBy(), lateUntil: r.lateUntil(), values: r.session.valuesKey}
@@ -162,7 +170,7 @@
 // read arrived, reported as received.
 func (r *request) planWithoutAge(own api.Position) readPlan {
 	if !r.mayWrite && r.group.servesWithoutPrimary() {
-		if position, ok := r.group.awaitReplicaMinPosition(r.arrivedBoot, r.startBy()); ok {
+		if position, ok := r.group.awaitReplicaMinPosition(r.arrivedBoot, r.answerBy()); ok {
 			return readPlan{minPosition: own.Max(position)}
 		}
 	}
@@ -249,7 +257,7 @@
 // pickReader returns the next target to try; nil when there is none.
 func (r *request) pickReader(plan readPlan, tried map[*member]bool) *member {
 	if plan.onlyPrimary {
-		return r.group.awaitPrimary(nil, r.startBy())
+		return r.group.awaitPrimary(nil, r.answerBy())
 	}
 	readers := r.group.readers(plan.minPosition, plan.fresh)
 	for _, m := range readers {
@@ -370,7 +378,7 @@
 	var refusal *Refusal
 	var failed *member
 	for r.attempts < maxAttempts && time.Now().Before(r.lateUntil()) {
-		m := r.group.awaitPrimary(failed, r.startBy())
+		m := r.group.awaitPrimary(failed, r.answerBy())
 		if m == nil {
 			break
 		}
--- a/internal/engine/transaction.go
+++ b/internal/engine/transaction.go
@@ -166,7 +166,7 @@
 	for m := range tried {
 		failed = m
 	}
-	return t.request.group.awaitPrimary(failed, t.request.startBy())
+	return t.request.group.awaitPrimary(failed, t.request.answerBy())
 }
 
 // connectTo acquires a connection to the target and begins the transaction there.
--- a/internal/policy/holding/holding.go
+++ b/internal/policy/holding/holding.go
@@ -1,11 +1,11 @@
 // Package holding decides how daemons share the connections of a target.
 //
-// While the share of each daemon is large enough to use all slots of the target, each daemon connects to the target
-// itself. With more daemons than that, a target is held by one daemon, with two standbys: the others send their statements
-// to the holder, which has the connections and sees the whole load of the target. It keeps as many statements at the
-// target as its slots take, and the rest wait where urgent ones can pass others, rather than in the target's own queue
-// or as attempts that the target refuses. The load that this answers is that of many daemons whose statements meet at
-// few slots, and of transactions that rest on a connection between their statements.
+// A target is held by one daemon, with two standbys: the others send their statements to the holder, which has the
+// connections and sees the whole load of the target. It keeps as many statements at the target as its slots take, and the
+// rest wait where urgent ones can pass others, rather than in the target's own queue, which serves in the order of
+// arrival, or as attempts that the target refuses. The loads that this answers are that of a target that is short, for
+// example a primary whose replicas lag, so that all reads of the group go to it; that of many daemons whose statements meet
+// at few slots; and that of transactions that rest on a connection between their statements.
 //
 // Nothing depends on the holder being unique: two daemons that both hold a target have room for both up to the limit of
 // the target, and beyond it the target refuses connections.
@@ -22,8 +22,6 @@
 }
 
 const (
-	// reservedForControl is the number of connections of each daemon that are set aside for status calls and orders.
-	reservedForControl = 1
 	// statementsPerSlot is the number of statements that a holder keeps at the target for each slot. The second one
 	// waits in the target's own queue, so that the slot does not stay free until the holder has sent the next.
 	statementsPerSlot = 2
@@ -36,14 +34,8 @@
 	Holders = 3
 )
 
-// NeedsHolders reports whether the target is used through holders, because the share of a daemon is too small to use
-// all slots of the target beside the connection for control.
-func NeedsHolders(l Limits) bool {
-	if l.Connections <= 0 || l.Daemons <= 1 {
-		return false
-	}
-	return l.Connections/l.Daemons < max(1, l.Slots)+reservedForControl
-}
+// NeedsHolders reports whether the target is used through holders: when several daemons share its connections.
+func NeedsHolders(l Limits) bool { return l.Connections > 0 && l.Daemons > 1 }
 
 // Share is what a holder may use of a target.
 type Share struct {
