Free the slot of a statement whose answer is overdue

Cause: a holder keeps a bounded number of statements at a target, and one whose answer is lost kept its slot until its time limit, 0.8 to 2 s. A target that loses a fifth of its answers had nearly all of its slots taken by statements that it had long ended, and everything else was refused.

Change: a statement without an answer for five times the usual time, at least 100 ms, leaves its slot to others; it goes on waiting itself. A slow target gets a few more statements than slots for that time, which its own queue takes.

--- a/internal/engine/gate.go
+++ b/internal/engine/gate.go
@@ -21,6 +21,10 @@
 	gateIdleTimeout = 3 * time.Second
 	// gateProofWait bounds the wait of a holder for a leadership proof after the target has answered.
 	gateProofWait = 50 * time.Millisecond
+	// overdueFactor is the multiple of the usual time of a statement after which one without an answer leaves its slot to
+	// others. minOverdue is the least time.
+	overdueFactor = 5
+	minOverdue    = 100 * time.Millisecond
 	// transactionsQueueLength bounds the transactions that wait to begin at one target.
 	transactionsQueueLength = 200
 )
@@ -191,12 +195,34 @@
 	h.statements.Release("", time.Now(), served)
 }
 
+// statementSlot is the slot of a statement in progress. A statement whose answer is overdue leaves it early: the target
+// has probably ended it and its answer is lost, or the connection is silent, and the slots would otherwise stay taken
+// until the time limits of such statements. The slots of the target itself are not overbooked for long if it has not.
+type statementSlot struct {
+	gate    *gate
+	once    sync.Once
+	overdue *time.Timer
+}
+
+func (h *gate) newStatementSlot() *statementSlot {
+	s := &statementSlot{gate: h}
+	s.overdue = time.AfterFunc(max(minOverdue, overdueFactor*h.statements.ServiceTime()), func() { s.release(0) })
+	return s
+}
+
+// release returns the slot, the first time that it is called. A served time of 0 stands for unknown.
+func (s *statementSlot) release(served time.Duration) {
+	s.once.Do(func() { s.gate.endStatement(served) })
+}
+
 // execute runs a command on a connection that holds a statement slot, and releases the slot.
 func (h *gate) execute(conn *pooledConnection, e execution) attemptResult {
 	h.group.recordSent(h.member, clock.SinceBoot())
+	slot := h.newStatementSlot()
 	outcome := conn.run(e)
+	slot.overdue.Stop()
+	slot.release(outcome.reply.ServiceTime)
 	h.group.recordEnded(h.member)
-	h.endStatement(outcome.reply.ServiceTime)
 	if outcome.err == nil {
 		h.setSilent(false)
 		h.group.recordReply(h.member, outcome.reply, outcome.askedAt, e.commits && outcome.reply.Failure == nil)
