Notice a partition by status calls of 400 ms, and follow the probes

Cause: a zone that is cut off lost its callers' requests for 4 to 5 s. Its daemons noticed after 0.9 to 1.3 s, since a status round asked holders beyond the cut for up to 650 ms; the balancer then needed its two probes, and sessions were sent elsewhere 2.2 s later, whenever the probes came. All daemons of a zone have to be out of rotation before its callers go to another zone, so the last one counts.

Ruled out: that reads with an allowed age were refused early; they were served by the replica in the zone until their age ran out 2 s after the cut.

Change: a status call through holders takes 400 ms at most, as long as the standbys have in it; a daemon that is not ready sends sessions elsewhere once it has refused two probes, at the latest after 2.2 s.

--- a/internal/engine/engine.go
+++ b/internal/engine/engine.go
@@ -43,7 +43,9 @@
 	closing  atomic.Bool
 	// isolated is true while the daemon is partitioned from most targets.
 	isolated atomic.Bool
-	nextID   atomic.Uint64
+	// probesRefused is the number of probes since the last one that this daemon answered as ready.
+	probesRefused atomic.Int64
+	nextID        atomic.Uint64
 	// relayed is the number of statements and open transactions that run for other daemons.
 	relayed atomic.Int64
 	// promotions counts the promotions in progress.
@@ -194,12 +196,24 @@
 	}
 }
 
-// IsReady reports whether new callers should be sent to this daemon: it has a configuration, is not stopping and is
-// not isolated. Otherwise another daemon serves them better.
+// IsReady answers a probe of the balancer: whether new callers should be sent to this daemon. It has a configuration, is
+// not stopping and is not isolated. Otherwise another daemon serves them better.
 func (e *Engine) IsReady() bool {
 	e.mu.Lock()
 	defer e.mu.Unlock()
-	return e.isConfigured && !e.stopping.Load() && !e.isolated.Load()
+	ready := e.isConfigured && !e.stopping.Load() && !e.isolated.Load()
+	if ready {
+		e.probesRefused.Store(0)
+	} else {
+		e.probesRefused.Add(1)
+	}
+	return ready
+}
+
+// isOutOfRotation reports whether the balancer sends no new callers to this daemon, which has not been ready since the
+// given time: it has refused as many probes as the balancer allows, or for as long as they take.
+func (e *Engine) isOutOfRotation(since, now time.Duration) bool {
+	return e.probesRefused.Load() >= probesBeforeRotation || now-since > rotationTime
 }
 
 // isIsolated reports whether this daemon is partitioned from most targets of a group and reaches the primary of no
@@ -218,8 +232,7 @@
 	return isolated
 }
 
-// watchIsolation updates the readiness until the engine is closed. After rotationTime, when the balancer sends new
-// callers elsewhere, it closes the idle sessions of an isolated daemon, so that their callers reconnect to another
+// watchIsolation updates the readiness until the engine is closed. When the balancer sends new callers elsewhere, it closes the idle sessions of an isolated daemon, so that their callers reconnect to another
 // daemon.
 func (e *Engine) watchIsolation() {
 	var since time.Duration
@@ -231,7 +244,7 @@
 			since = now
 			logrus.WithField(logfield.Ready, !isolated).Warn(logevent.ReadinessChanged)
 		}
-		if isolated && now-since > rotationTime {
+		if isolated && e.isOutOfRotation(since, now) {
 			e.closeIdleSessions(e.ctx, idleCloseInterval)
 		}
 	}
@@ -306,6 +319,8 @@
 	// rotationTime is the time that the balancer needs to take a daemon that is not ready out of rotation: two
 	// probes, one second apart, and a margin. Callers that reconnect earlier may be sent to this daemon again.
 	rotationTime = 2200 * time.Millisecond
+	// probesBeforeRotation is the number of probes without success after which the balancer sends new callers elsewhere.
+	probesBeforeRotation = 2
 	// idleCloseInterval is the time between closing two idle sessions of an isolated daemon.
 	idleCloseInterval = 5 * time.Millisecond
 	// drainInterval is the time between two checks for sessions that have become idle.
--- a/internal/engine/holders.go
+++ b/internal/engine/holders.go
@@ -94,8 +94,13 @@
 	return &directLease{m.pool, conn}, nil
 }
 
-// statusHedgeDelay is the time without a status from the holder after which the standbys are asked as well.
-const statusHedgeDelay = 100 * time.Millisecond
+const (
+	// statusHedgeDelay is the time without a status from the holder after which the standbys are asked as well.
+	statusHedgeDelay = 100 * time.Millisecond
+	// statusThroughHolders bounds a status call through holders: the standbys have as long as a direct call. A round
+	// with targets that do not answer takes no longer, so that a partition is noticed soon.
+	statusThroughHolders = statusHedgeDelay + statusTimeout
+)
 
 // status makes a status call to a target. If the targets of the group are held, the holder makes it; when it fails or is
 // late, the standbys are asked too, since a partition may separate the holder alone from the target. A daemon calls the
@@ -114,12 +119,12 @@
 	if len(ways) == 0 || g.isJudge() {
 		ways = append(ways, direct)
 	}
-	return firstStatus(ways, statusHedgeDelay)
+	return firstStatus(ways, statusHedgeDelay, statusThroughHolders)
 }
 
 // firstStatus calls the first function and, when it fails or takes longer than the delay, all others at the same time.
-// It returns the first status, or the last error.
-func firstStatus(ways []func() (leadership.Status, error), delay time.Duration) (leadership.Status, error) {
+// It returns the first status, or the last error, or errStatusTimeout at the limit.
+func firstStatus(ways []func() (leadership.Status, error), delay, limit time.Duration) (leadership.Status, error) {
 	results := make(chan statusResult, len(ways))
 	call := func(way func() (leadership.Status, error)) {
 		status, err := way()
@@ -129,8 +134,12 @@
 	pending, others := 1, ways[1:]
 	hedge := time.NewTimer(delay)
 	defer hedge.Stop()
+	timeout := time.NewTimer(limit)
+	defer timeout.Stop()
 	for {
 		select {
+		case <-timeout.C:
+			return leadership.Status{}, errStatusTimeout
 		case <-hedge.C:
 		case r := <-results:
 			pending--
