Send no read to a replica that cannot serve it in time

Cause: replicas that were expected behind were tried last, not left out, and asked again by each daemon every 300 ms. While both replicas of a group applied seconds late, each read that the queue of the primary had refused went to both, was rejected twice, waited up to 60 ms more, and was refused with the reason of the replicas.

Change: a replica takes part only if it is expected to hold the position by the time at which the read must have started. One that has not been heard of is tried again after a quarter of the expected time, at least 300 ms. What is refused has the reason that counts, at once.

TestReadersLeaveOutReplicasThatAreFarBehind.

--- a/internal/engine/execute.go
+++ b/internal/engine/execute.go
@@ -1,6 +1,7 @@
 package engine
 
 import (
+	"math"
 	"math/rand/v2"
 	"time"
 
@@ -190,7 +191,7 @@
 		}
 		if m == nil {
 			if refusal == nil {
-				refusal = r.noPrimary()
+				refusal = r.noReader(plan)
 			}
 			break
 		}
@@ -216,6 +217,17 @@
 	return Reply{}, refusal
 }
 
+// noReader returns the refusal of a read that no target can serve in time.
+func (r *request) noReader(plan readPlan) *Refusal {
+	caughtUp := r.group.catchUpTime(plan.minPosition)
+	if plan.onlyPrimary || caughtUp == math.MaxInt64 {
+		return r.noPrimary()
+	}
+	refusal := refuse(result.NotRunBehind, "no primary, and the replicas are behind")
+	refusal.RetryAfter = max(promotionEstimate, caughtUp-clock.SinceBoot())
+	return refusal
+}
+
 // waitBeforeRetry waits for a random time between half of maxRetryDelay and all of it.
 func waitBeforeRetry() { time.Sleep(maxRetryDelay/2 + rand.N(maxRetryDelay/2)) }
 
@@ -259,7 +271,7 @@
 	if plan.onlyPrimary {
 		return r.group.awaitPrimary(nil, r.answerBy())
 	}
-	readers := r.group.readers(plan.minPosition, plan.fresh)
+	readers := r.group.readers(plan.minPosition, plan.fresh, time.Until(r.lateUntil()))
 	for _, m := range readers {
 		if !tried[m] {
 			return m
--- /dev/null
+++ b/internal/engine/readers_test.go
@@ -0,0 +1,45 @@
+package engine
+
+import (
+	"testing"
+	"time"
+
+	"github.com/papayacove/papayacove/api"
+	"github.com/papayacove/papayacove/internal/clock"
+)
+
+// TestReadersLeaveOutReplicasThatAreFarBehind covers replicas that apply seconds late while the primary is short: a read is
+// not sent to one that cannot serve it in time, as each read was before, which was then refused for that reason and not
+// for the primary's queue. After a quarter of the expected time the replica is asked again, since it may have caught up.
+func TestReadersLeaveOutReplicasThatAreFarBehind(t *testing.T) {
+	at := func(offset uint64) api.Position { return api.Position{Term: 1, Offset: offset} }
+	cases := []struct {
+		name string
+		// lag is the age of the replica's log, heard the time since the replica answered.
+		lag, heard, within time.Duration
+		want               bool
+	}{
+		{"seconds behind", 4 * time.Second, 100 * time.Millisecond, 500 * time.Millisecond, false},
+		{"seconds behind, and the read can wait", 4 * time.Second, 100 * time.Millisecond, 5 * time.Second, true},
+		{"a moment behind", 200 * time.Millisecond, 100 * time.Millisecond, 500 * time.Millisecond, true},
+		{"not heard of for a quarter of the time", 4 * time.Second, 1100 * time.Millisecond, 500 * time.Millisecond, true},
+	}
+	for _, c := range cases {
+		e := newTestEngine(&fakeTarget{})
+		g := e.groups["g"]
+		g.setTarget(Target{Name: "replica", Group: "g", Slots: 2, Zone: "z"})
+		now := clock.SinceBoot()
+		m := g.members["replica"]
+		m.applied, m.appliedAt = at(1), now-c.heard
+		g.samples.Add(m.appliedAt-c.lag-100*time.Millisecond, at(1))
+		g.samples.Add(m.appliedAt-c.lag, at(2))
+		g.samples.Add(now-time.Millisecond, at(9))
+		found := false
+		for _, reader := range g.readers(at(9), false, c.within) {
+			found = found || reader == m
+		}
+		if found != c.want {
+			t.Errorf("%s: got the replica among the readers %t, want %t", c.name, found, c.want)
+		}
+	}
+}
