--- a/internal/engine/readers_test.go
+++ b/internal/engine/readers_test.go
@@ -6,6 +6,7 @@
 
 	"github.com/papayacove/papayacove/api"
 	"github.com/papayacove/papayacove/internal/clock"
+	"github.com/papayacove/papayacove/internal/policy/primaryposition"
 )
 
 // TestReadersLeaveOutReplicasThatAreFarBehind covers replicas that apply seconds late while the primary is short: a read is
@@ -30,6 +31,7 @@
 		g.setTarget(Target{Name: "replica", Group: "g", Slots: 2, Zone: "z"})
 		now := clock.SinceBoot()
 		m := g.members["replica"]
+		g.samples = primaryposition.Samples{}
 		m.applied, m.appliedAt = at(1), now-c.heard
 		g.samples.Add(m.appliedAt-c.lag-100*time.Millisecond, at(1))
 		g.samples.Add(m.appliedAt-c.lag, at(2))
