Read the rows of a write that had run before

Cause: the reply already_ran has no position, and the session kept the minimum position of its earlier reads.

Change: after already_ran a session requests its minimum position anew before its next read, also for one with an allowed age. TestReadAfterAWriteThatHadRunSeesIt: position 2/100 before, 2/130 now.

--- a/internal/router/read.go
+++ b/internal/router/read.go
@@ -43,7 +43,7 @@
 // confirmed before the first strict read or write of the session, so that a caller that reconnects to another daemon
 // reads its own writes.
 func (s *session) minPositionFor(ctx context.Context, batch *frontend.Batch) (api.Position, *result.Error) {
-	if batch.MaxAge >= 0 {
+	if batch.MaxAge >= 0 && !s.writtenUnknown {
 		return s.written, nil
 	}
 	if s.minPositionKnown {
@@ -63,6 +63,9 @@
 	}
 	s.minPosition = s.minPosition.Max(reply.Position)
 	s.minPositionKnown = true
+	if s.writtenUnknown {
+		s.written, s.writtenUnknown = s.minPosition, false
+	}
 	return s.minPosition, nil
 }
 
--- a/internal/router/session.go
+++ b/internal/router/session.go
@@ -31,6 +31,9 @@
 	minPositionKnown bool
 	// written is the position of the last commit of the session: the minimum position of reads with an allowed age.
 	written api.Position
+	// writtenUnknown is true after the session has learned that a write had run before, at a position that it does not
+	// know.
+	writtenUnknown bool
 
 	// mu guards running, the daemon that runs a batch of the session ("" for none), and block, the open transaction
 	// block (nil for none).
@@ -196,6 +199,7 @@
 	stream := reply.StreamID
 	for number := uint64(1); ; number++ {
 		if reply.Code != 0 {
+			s.recordFailure(result.Code(reply.Code))
 			return idleOutcome, emitted, replyError(reply)
 		}
 		if !s.isOfStream(reply, stream) {
@@ -230,7 +234,7 @@
 		// A read with an allowed age does not set the minimum position of the strict reads that follow.
 		s.minPositionKnown = s.minPositionKnown || req.MaxAgeMs < 0
 		if req.Access == api.ExecuteRequestAccessWrite {
-			s.written = s.written.Max(reply.Position)
+			s.written, s.writtenUnknown = s.written.Max(reply.Position), false
 		}
 	}
 	outcome := idleOutcome
@@ -245,6 +249,14 @@
 	return outcome
 }
 
+// recordFailure makes the next read request its minimum position anew after a write that had run before: the reply
+// has no position, and the commit may be later than all that the session knows of.
+func (s *session) recordFailure(code result.Code) {
+	if code == result.AlreadyRan {
+		s.minPositionKnown, s.writtenUnknown = false, true
+	}
+}
+
 // replyError returns the error that a reply reports.
 func replyError(reply *api.ExecuteReply) *result.Error {
 	return &result.Error{
--- a/internal/router/session_test.go
+++ b/internal/router/session_test.go
@@ -225,3 +225,27 @@
 		})
 	}
 }
+
+// TestReadAfterAWriteThatHadRunSeesIt lets a session learn that its write was committed before, as after the answer of a
+// frozen daemon was lost and the operation was tried again with its key. The next read has to see that commit, also one
+// with an allowed age; before, it had the position of the session's earlier reads, and a replica that lagged served it
+// without the rows.
+func TestReadAfterAWriteThatHadRunSeesIt(t *testing.T) {
+	for _, maxAge := range []time.Duration{strict, time.Second} {
+		gates := &fakeGates{confirmedPosition: at(100), replies: []*api.ExecuteReply{done(at(100)), refusal(result.AlreadyRan), done(at(130))}}
+		s := openSession(t, gates)
+		if _, err := s.Run(context.Background(), batchOf(read, strict), discard); err != nil {
+			t.Fatalf("first read: %v", err)
+		}
+		gates.confirmedPosition = at(130)
+		if _, err := s.Run(context.Background(), batchOf(write, strict), discard); result.CodeOf(err) != result.AlreadyRan {
+			t.Fatalf("write: got %v, want %s", err, result.AlreadyRan)
+		}
+		if _, err := s.Run(context.Background(), batchOf(read, maxAge), discard); err != nil {
+			t.Fatalf("second read: %v", err)
+		}
+		if got := gates.requests[2].Floor; got != at(130) {
+			t.Errorf("allowed age %s: got minimum position %s of the read after the write, want %s", maxAge, got, at(130))
+		}
+	}
+}
