Say once what the change said twice

From the last reading of the diff: the refusal for a target that does not answer was made in two places, the objective within the time limit was computed in two, a lane was looked up again beside its own variable, and three tests closed a listener alike to get an unused address. A comment had one overlong line. No behaviour changes, no assertion does.

--- a/internal/engine/engine.go
+++ b/internal/engine/engine.go
@@ -232,8 +232,8 @@
 	return isolated
 }
 
-// watchIsolation updates the readiness until the engine is closed. When the balancer sends new callers elsewhere, it closes the idle sessions of an isolated daemon, so that their callers reconnect to another
-// daemon.
+// watchIsolation updates the readiness until the engine is closed. When the balancer sends new callers elsewhere, it
+// closes the idle sessions of an isolated daemon, so that their callers reconnect to another daemon.
 func (e *Engine) watchIsolation() {
 	var since time.Duration
 	for clock.Sleep(e.ctx, observeInterval) == nil {
--- a/internal/engine/execute.go
+++ b/internal/engine/execute.go
@@ -50,16 +50,16 @@
 // deadline is the end of the route's time limit.
 func (r *request) deadline() time.Time { return r.arrived.Add(r.route.Timeout) }
 
-// answerBy is the end of the objective or, if earlier, of the time limit. It is not worth waiting for a primary beyond
-// that.
-func (r *request) answerBy() time.Time {
-	return r.arrived.Add(min(r.route.Objective, r.route.Timeout))
-}
+// objective is the time within which the request should be answered, at most the time limit.
+func (r *request) objective() time.Duration { return min(r.route.Objective, r.route.Timeout) }
+
+// answerBy is the end of the objective. It is not worth waiting for a primary beyond that.
+func (r *request) answerBy() time.Time { return r.arrived.Add(r.objective()) }
 
 // startBy is the time by which the request should start at a target, so that it can be answered within the objective. At
 // a target whose slots are in use, the request may start late, until lateUntil.
 func (r *request) startBy() time.Time {
-	return r.arrived.Add(min(r.route.Objective, r.route.Timeout) * startSharePercent / 100)
+	return r.arrived.Add(r.objective() * startSharePercent / 100)
 }
 
 // connectionRequest returns what the request requires of a pool.
--- a/internal/engine/gate.go
+++ b/internal/engine/gate.go
@@ -95,6 +95,9 @@
 	return h.silent
 }
 
+// errTargetSilent is the refusal of a statement for a target that does not answer.
+var errTargetSilent = result.Errorf(result.NotRunUnreachable, "the target does not answer").WithRetryAfter(promotionEstimate)
+
 // setSilent records whether the target answers. Statements that wait for a silent target are refused at once.
 func (h *gate) setSilent(silent bool) {
 	h.mu.Lock()
@@ -102,9 +105,8 @@
 	h.silent = silent
 	h.mu.Unlock()
 	if changed && silent {
-		refusal := result.Errorf(result.NotRunUnreachable, "the target does not answer").WithRetryAfter(promotionEstimate)
-		h.statements.RefuseAll(refusal)
-		h.transactions.RefuseAll(refusal)
+		h.statements.RefuseAll(errTargetSilent)
+		h.transactions.RefuseAll(errTargetSilent)
 	}
 }
 
@@ -135,7 +137,7 @@
 // statement slot, which execute releases. gateLease.end returns the connection and the slot of the transaction.
 func (h *gate) begin(wanted connectionRequest, transaction bool) (*pooledConnection, error) {
 	if h.isSilent() {
-		return nil, result.Errorf(result.NotRunUnreachable, "the target does not answer").WithRetryAfter(promotionEstimate)
+		return nil, errTargetSilent
 	}
 	if transaction {
 		if err := enter(h.transactions, wanted); err != nil {
--- a/internal/peer/peer_test.go
+++ b/internal/peer/peer_test.go
@@ -48,6 +48,17 @@
 	return server
 }
 
+// unusedAddress returns an address at which nothing listens.
+func unusedAddress(t *testing.T) string {
+	t.Helper()
+	listener, err := net.Listen("tcp", "127.0.0.1:0")
+	if err != nil {
+		t.Fatal(err)
+	}
+	defer listener.Close()
+	return listener.Addr().String()
+}
+
 func dial(t *testing.T, address string) *Client {
 	t.Helper()
 	client := NewClient(address, "", nil)
@@ -70,13 +81,8 @@
 }
 
 func TestCallWithoutListenerReturnsErrNotSent(t *testing.T) {
-	listener, err := net.Listen("tcp", "127.0.0.1:0")
-	if err != nil {
-		t.Fatal(err)
-	}
-	address := listener.Addr().String()
-	_ = listener.Close()
-	_, err = dial(t, address).Execute(testContext(t), &api.ExecuteRequest{})
+	address := unusedAddress(t)
+	_, err := dial(t, address).Execute(testContext(t), &api.ExecuteRequest{})
 	if !errors.Is(err, ErrNotSent) || errors.Is(err, ErrNoAnswer) {
 		t.Fatal(err)
 	}
--- a/internal/peer/redial_test.go
+++ b/internal/peer/redial_test.go
@@ -4,7 +4,6 @@
 	"context"
 	"crypto/tls"
 	"errors"
-	"net"
 	"testing"
 	"time"
 
@@ -15,12 +14,7 @@
 // attempt has failed, no call waits for another one; before, each call that came after a pause of 200 ms waited for the
 // time-out of a new attempt. Calls reach the daemon again once it listens.
 func TestCallsDoNotWaitForAnotherAttempt(t *testing.T) {
-	listener, err := net.Listen("tcp", "127.0.0.1:0")
-	if err != nil {
-		t.Fatal(err)
-	}
-	address := listener.Addr().String()
-	_ = listener.Close()
+	address := unusedAddress(t)
 	attempt, finish := make(chan struct{}, 1), make(chan struct{})
 	first := true
 	client := NewClientWithOptions(ClientOptions{
@@ -54,12 +48,7 @@
 
 // TestCallsReachADaemonThatIsBack calls a daemon that listens again after an attempt has failed.
 func TestCallsReachADaemonThatIsBack(t *testing.T) {
-	listener, err := net.Listen("tcp", "127.0.0.1:0")
-	if err != nil {
-		t.Fatal(err)
-	}
-	address := listener.Addr().String()
-	_ = listener.Close()
+	address := unusedAddress(t)
 	client := NewClientWithOptions(ClientOptions{Address: address, Connections: 1, RedialInBackground: true})
 	t.Cleanup(client.Close)
 	if _, err := client.Execute(testContext(t), &api.ExecuteRequest{}); !errors.Is(err, ErrNotSent) {
--- a/internal/policy/admission/queue.go
+++ b/internal/policy/admission/queue.go
@@ -156,7 +156,7 @@
 			return l, index
 		}
 	}
-	lq := &q.lanes[item.lane()]
+	lq := &q.lanes[own]
 	index, length := lq.longest()
 	if length > lq.lengthOf(item.Workspace)+1 {
 		return own, index
