Agree the interfaces of callers, quotas, proofs and the feed

Cause: the deployments of hard load tell callers apart by keys, limit the operations of a workspace over all daemons and withdraw keys within a bound. The parts are built side by side, so what they share comes first.

- policy/callers: keys by digest, limits, the identity of a session.
- policy/currency: the proof that the configuration in force is recent, on the clock that counts suspended time.
- engine: a connection to a target is opened for one workspace and serves no other; Quota limits operations; RecordConfigurationProof takes proofs.
Nothing is switched on yet: without workspaces all is as before.
- schema: the messages of quotas (delegations, wants, grants) and of the feed (lists, changes, proofs), the workspace and the digest of a key in relayed statements, the capacity of a daemon in its entry, the settings of the bounds.
- result: 2015 not_run_over_quota, 2016 not_run_unproved.

--- a/api/types.gen.go
+++ b/api/types.gen.go
@@ -103,6 +103,10 @@
 	// Beat is a counter that increases with each refresh of the entry.
 	Beat uint64 `json:"beat" toml:"beat"`
 
+	// Capacity is what the daemon may use of the processor, in thousandths of a core;
+	// 0 if it is not known.
+	Capacity int `json:"capacity" toml:"capacity"`
+
 	// Name of the daemon.
 	Name string `json:"name" toml:"name"`
 
@@ -289,6 +293,51 @@
 const ExecuteRequestAccessRead ExecuteRequestAccess = "read"
 const ExecuteRequestAccessWrite ExecuteRequestAccess = "write"
 
+// FeedReply answers a FeedRequest.
+type FeedReply struct {
+	// Era of the revision.
+	Era uint64 `json:"era" toml:"era"`
+
+	// HasProof is false if the daemon has no proof yet.
+	HasProof bool `json:"has_proof" toml:"has_proof"`
+
+	// Objects are the objects, or the changes in the order of their revisions.
+	Objects []Object `json:"objects" toml:"objects"`
+
+	// Outcome is ok, behind if the daemon knows less than the sender, gone if it no
+	// longer has the changes after the revision, or unknown if it does not watch the
+	// kind.
+	Outcome string `json:"outcome" toml:"outcome"`
+
+	// ProofOffsetUs is the time in microseconds from the proof that the answer is
+	// current to the arrival of the request; negative if the proof is later than the
+	// arrival.
+	ProofOffsetUs int64 `json:"proof_offset_us" toml:"proof_offset_us"`
+
+	// Revision up to which the objects are complete.
+	Revision uint64 `json:"revision" toml:"revision"`
+}
+
+// FeedRequest asks a daemon that watches the store for what it has learned from
+// it.
+type FeedRequest struct {
+	// After is the revision up to which the sender knows all changes.
+	After uint64 `json:"after" toml:"after"`
+
+	// Era of the revision.
+	Era uint64 `json:"era" toml:"era"`
+
+	// Kind is the kind of the objects.
+	Kind string `json:"kind" toml:"kind"`
+
+	// List asks for all objects; otherwise the changes after the revision are wanted.
+	List bool `json:"list" toml:"list"`
+
+	// WaitMs is the time in milliseconds for which the answer may be held back while
+	// nothing changes.
+	WaitMs int64 `json:"wait_ms" toml:"wait_ms"`
+}
+
 // FetchRequest asks for the next chunk of an answer.
 type FetchRequest struct {
 	// Number is the number of the chunk; the one in ExecuteReply is 0.
@@ -303,6 +352,10 @@
 
 // FleetSettings configure a daemon whose protocol is lines.
 type FleetSettings struct {
+	// CapacityCores is what the process may use of the processor, in cores; 0 if it
+	// is not known.
+	CapacityCores float64 `json:"capacity_cores" toml:"capacity_cores"`
+
 	// ConfigApplyMs is the time in milliseconds within which a configuration comes
 	// into force.
 	ConfigApplyMs int64 `json:"config_apply_ms" toml:"config_apply_ms"`
@@ -325,8 +378,24 @@
 	// target.
 	PromotionURL string `json:"promotion_url" toml:"promotion_url"`
 
+	// QuotaOverage is the part of a limit by which it may be exceeded in a window.
+	QuotaOverage float64 `json:"quota_overage" toml:"quota_overage"`
+
+	// QuotaSlack is the number of operations by which a limit may be exceeded in a
+	// window.
+	QuotaSlack float64 `json:"quota_slack" toml:"quota_slack"`
+
+	// QuotaWindowS is the length in seconds of the window in which the operations of
+	// a workspace are counted; 0 if they are not limited.
+	QuotaWindowS float64 `json:"quota_window_s" toml:"quota_window_s"`
+
 	// ReadinessAddress is the host:port that the load balancer probes.
 	ReadinessAddress string `json:"readiness_address" toml:"readiness_address"`
+
+	// RevokeMs is the time in milliseconds after which no statement of a withdrawn
+	// key may run, even if the daemon is partitioned from everything; 0 for no such
+	// bound.
+	RevokeMs int64 `json:"revoke_ms" toml:"revoke_ms"`
 }
 
 // FloorReply is the confirmed position of a group.
@@ -635,6 +704,80 @@
 	Query string `json:"query" toml:"query"`
 }
 
+// QuotaDelegation lends the rights of a daemon to the operations of the workspaces
+// of one partition to the coordinator of the partition.
+type QuotaDelegation struct {
+	// EchoIncarnation is the incarnation of the coordinator in the reply that is
+	// echoed; 0 for none.
+	EchoIncarnation uint64 `json:"echo_incarnation" toml:"echo_incarnation"`
+
+	// EchoStampUs is the stamp of the reply that is echoed. The rights are lent for a
+	// fixed time from that stamp, which the coordinator reads on its own clock.
+	EchoStampUs int64 `json:"echo_stamp_us" toml:"echo_stamp_us"`
+
+	// Partition is the number of the partition of the workspaces.
+	Partition int `json:"partition" toml:"partition"`
+
+	// Weight is the part of each limit that the daemon owns, from 0 to 1.
+	Weight float64 `json:"weight" toml:"weight"`
+}
+
+// QuotaGrant grants rights to operations of one workspace.
+type QuotaGrant struct {
+	// RetryAfterUs is the time in microseconds after which more rights are expected,
+	// if fewer were granted than wanted; 0 otherwise.
+	RetryAfterUs int64 `json:"retry_after_us" toml:"retry_after_us"`
+
+	// Tokens is the number of operations granted, valid for a fixed time from the
+	// sending of the request.
+	Tokens float64 `json:"tokens" toml:"tokens"`
+
+	// Workspace is the name of the workspace.
+	Workspace string `json:"workspace" toml:"workspace"`
+}
+
+// QuotaReply answers a QuotaRequest.
+type QuotaReply struct {
+	// Grants are the rights granted, one for each want.
+	Grants []QuotaGrant `json:"grants" toml:"grants"`
+
+	// Incarnation changes with each start of the coordinator.
+	Incarnation uint64 `json:"incarnation" toml:"incarnation"`
+
+	// StampUs is the time of the clock of the coordinator, in microseconds, to be
+	// echoed.
+	StampUs int64 `json:"stamp_us" toml:"stamp_us"`
+}
+
+// QuotaRequest is sent by a daemon to the coordinator of one or more partitions of
+// workspaces.
+type QuotaRequest struct {
+	// Daemon is the name of the sender.
+	Daemon string `json:"daemon" toml:"daemon"`
+
+	// Delegations are the rights that the sender lends.
+	Delegations []QuotaDelegation `json:"delegations" toml:"delegations"`
+
+	// Incarnation changes with each start of the sender.
+	Incarnation uint64 `json:"incarnation" toml:"incarnation"`
+
+	// Wants are the rights that the sender asks for.
+	Wants []QuotaWant `json:"wants" toml:"wants"`
+}
+
+// QuotaWant asks for rights to operations of one workspace.
+type QuotaWant struct {
+	// Returned is the number of operations that were granted by this coordinator
+	// before and were not spent.
+	Returned float64 `json:"returned" toml:"returned"`
+
+	// Tokens is the number of operations that the daemon wants to be granted.
+	Tokens float64 `json:"tokens" toml:"tokens"`
+
+	// Workspace is the name of the workspace.
+	Workspace string `json:"workspace" toml:"workspace"`
+}
+
 // RelayReply is the answer to a RelayRequest.
 type RelayReply struct {
 	// Failed is true if the target reported a failure.
@@ -717,6 +860,11 @@
 	// connection has.
 	KeepsState bool `json:"keeps_state" toml:"keeps_state"`
 
+	// KeyDigest is the digest of the key of the caller, in hexadecimal digits; empty
+	// if callers have none. The holder sends a statement only while its own
+	// configuration has the key.
+	KeyDigest string `json:"key_digest" toml:"key_digest"`
+
 	// LateWithinUs is the time in microseconds after which the statement must not
 	// start.
 	LateWithinUs int64 `json:"late_within_us" toml:"late_within_us"`
@@ -765,6 +913,10 @@
 	// Transaction is the number of the open transaction that the statement belongs
 	// to, as the holder gave it; 0 for none.
 	Transaction uint64 `json:"transaction" toml:"transaction"`
+
+	// Workspace that the statement belongs to, which is named to the target; empty
+	// for none.
+	Workspace string `json:"workspace" toml:"workspace"`
 }
 
 // RelayStatusReply is the answer to a RelayStatusRequest.
--- a/internal/config/check.go
+++ b/internal/config/check.go
@@ -24,6 +24,11 @@
 	maxMemoryMb           = 1 << 20
 	minDescriptors        = 64
 	maxDescriptors        = 1 << 24
+	maxCapacityCores      = 1 << 10
+	minRevokeMs           = 1_000
+	maxQuotaWindowS       = 3_600
+	maxQuotaOverage       = 10
+	maxQuotaSlack         = 1 << 20
 	maxNameLength         = 63
 	nameBound             = "1 to 63 of a-z, 0-9, - and _"
 	addressBound          = "an IP address with a port of 1 to 65535"
@@ -232,4 +237,18 @@
 	c.between("fleet.config_apply_ms", f.ConfigApplyMs, minConfigApplyMs, maxTimeoutMs)
 	c.between("fleet.memory_mb", f.MemoryMb, minMemoryMb, maxMemoryMb)
 	c.between("fleet.max_descriptors", f.MaxDescriptors, minDescriptors, maxDescriptors)
+	c.fraction("fleet.capacity_cores", f.CapacityCores, maxCapacityCores)
+	if f.RevokeMs != 0 {
+		c.between("fleet.revoke_ms", f.RevokeMs, minRevokeMs, maxTimeoutMs)
+	}
+	c.fraction("fleet.quota_window_s", f.QuotaWindowS, maxQuotaWindowS)
+	c.fraction("fleet.quota_overage", f.QuotaOverage, maxQuotaOverage)
+	c.fraction("fleet.quota_slack", f.QuotaSlack, maxQuotaSlack)
+}
+
+// fraction checks a number that may have decimals, from 0 to maximum.
+func (c *checker) fraction(key string, value, maximum float64) {
+	if !(value >= 0 && value <= maximum) {
+		c.add(key, strconv.FormatFloat(value, 'g', -1, 64), fmt.Sprintf("0 to %g", maximum))
+	}
 }
--- a/internal/engine/answers_test.go
+++ b/internal/engine/answers_test.go
@@ -13,6 +13,7 @@
 
 	"github.com/papayacove/papayacove/api"
 	"github.com/papayacove/papayacove/internal/clock"
+	"github.com/papayacove/papayacove/internal/policy/callers"
 	"github.com/papayacove/papayacove/internal/policy/leadership"
 	"github.com/papayacove/papayacove/internal/result"
 )
@@ -158,7 +159,7 @@
 		random := &randomTarget{t: t, committed: map[string]int{}, open: map[*fakeConnection][]string{}}
 		target := &fakeTarget{exchange: random.exchange}
 		caller := &scriptedCaller{statements: drawStatements(t)}
-		newTestEngine(target).Serve(caller, "d")
+		newTestEngine(target).Serve(caller, "d", callers.Identity{})
 		if len(caller.answers) != len(caller.statements) {
 			t.Fatalf("got %d answers, want one to each of %d statements", len(caller.answers), len(caller.statements))
 		}
@@ -262,7 +263,7 @@
 		caller := &idleCaller{idleBefore: 2, scriptedCaller: scriptedCaller{statements: []Statement{
 			{ID: "1", Op: OpBegin}, {ID: "2", Op: OpWrite, Text: "w"}, {ID: "3", Op: op, Text: "x"}, {ID: "4", Op: OpRead, Text: "r"}, {ID: "5", Op: OpRollback},
 		}}}
-		newTestEngine(target).Serve(caller, "d")
+		newTestEngine(target).Serve(caller, "d", callers.Identity{})
 		codes := make([]result.Code, len(caller.answers))
 		for i, a := range caller.answers {
 			if a.Refusal != nil {
@@ -290,7 +291,7 @@
 		route := e.configuration.Routes["d"]
 		route.Timeout, route.Objective = 5*maxRetryDelay, 5*maxRetryDelay
 		e.configuration.Routes["d"] = route
-		e.Serve(caller, "d")
+		e.Serve(caller, "d", callers.Identity{})
 		// A statement may start within lateSharePercent of its time limit, and each retry is delayed by at least
 		// half of maxRetryDelay.
 		if most := 2*5*lateSharePercent/100 + 1; target.dialed > most {
--- a/internal/engine/control.go
+++ b/internal/engine/control.go
@@ -79,7 +79,7 @@
 	if c.conn == nil {
 		ctx, cancel := context.WithTimeout(context.Background(), timeout)
 		defer cancel()
-		conn, err := c.dialer.Dial(ctx, c.target())
+		conn, err := c.dialer.Dial(ctx, c.target(), "")
 		if err != nil {
 			return leadership.Status{}, err
 		}
--- a/internal/engine/directory.go
+++ b/internal/engine/directory.go
@@ -3,6 +3,8 @@
 import (
 	"slices"
 	"time"
+
+	"github.com/papayacove/papayacove/internal/policy/callers"
 )
 
 // Consistency says which commits a read has to see.
@@ -40,6 +42,8 @@
 	Objective time.Duration
 	// Priority orders routes under load; 0 is the highest.
 	Priority int
+	// IsPublic is true if callers need no key.
+	IsPublic bool
 	// rank is the number of priorities of the configuration that are higher than that of the route.
 	rank int
 }
@@ -62,6 +66,8 @@
 	Groups map[string]GroupLimits
 	// IdleTransaction is the time after which an idle transaction is rolled back; 0 for never.
 	IdleTransaction time.Duration
+	// Callers tells callers apart by their keys; nil if they are not told apart.
+	Callers *callers.Directory
 }
 
 // rankRoutes sets the ranks of the routes. A rank compares any two routes, so that one which nobody uses, whatever its
--- a/internal/engine/engine.go
+++ b/internal/engine/engine.go
@@ -16,6 +16,8 @@
 	"github.com/papayacove/papayacove/internal/logevent"
 	"github.com/papayacove/papayacove/internal/logfield"
 	"github.com/papayacove/papayacove/internal/objectstore"
+	"github.com/papayacove/papayacove/internal/policy/callers"
+	"github.com/papayacove/papayacove/internal/policy/currency"
 	"github.com/papayacove/papayacove/internal/policy/takeover"
 )
 
@@ -33,6 +35,10 @@
 	// DrainTimeout is the time after which a leaving target gets no new work. The engine sends none in the last
 	// drainReserve of it.
 	DrainTimeout time.Duration
+	// RevokeWithin is the time after which no statement of a withdrawn key may run; 0 for no such bound.
+	RevokeWithin time.Duration
+	// Quota limits the operations of workspaces; nil if they are not limited.
+	Quota Quota
 }
 
 // Engine serves the sessions of one daemon. Its methods may be called concurrently.
@@ -58,9 +64,11 @@
 
 	mu            sync.Mutex
 	configuration Configuration
-	configured    chan struct{}
-	isConfigured  bool
-	groups        map[string]*group
+	// proof tells since when a newer configuration may exist.
+	proof        currency.Proof
+	configured   chan struct{}
+	isConfigured bool
+	groups       map[string]*group
 	// unplaced holds, by name, the targets whose group no configuration has had so far.
 	unplaced map[string]Target
 	daemons  *daemonList
@@ -112,6 +120,14 @@
 	return true
 }
 
+// RecordConfigurationProof records that every configuration that was acknowledged before a time of the boot clock is in
+// force here.
+func (e *Engine) RecordConfigurationProof(asOf time.Duration) {
+	e.mu.Lock()
+	defer e.mu.Unlock()
+	e.proof.Record(asOf)
+}
+
 // group returns the named group. A new group is created, and its observation started. The caller holds the lock.
 func (e *Engine) group(name string) *group {
 	if g, ok := e.groups[name]; ok {
@@ -294,9 +310,9 @@
 	return has, true
 }
 
-// Serve runs a session until the caller disconnects or the session is closed.
-func (e *Engine) Serve(caller Caller, database string) {
-	s := newSession(e, caller, database, fmt.Sprintf("s%d", e.nextID.Add(1)))
+// Serve runs a session on behalf of identity until the caller disconnects or the session is closed.
+func (e *Engine) Serve(caller Caller, database string, identity callers.Identity) {
+	s := newSession(e, caller, database, fmt.Sprintf("s%d", e.nextID.Add(1)), identity)
 	e.mu.Lock()
 	e.sessions[s] = struct{}{}
 	e.mu.Unlock()
--- a/internal/engine/events.go
+++ b/internal/engine/events.go
@@ -117,8 +117,8 @@
 type countingDialer struct{ Dialer }
 
 // Dial connects to a target.
-func (d countingDialer) Dial(ctx context.Context, target Target) (Connection, error) {
-	conn, err := d.Dialer.Dial(ctx, target)
+func (d countingDialer) Dial(ctx context.Context, target Target, workspace string) (Connection, error) {
+	conn, err := d.Dialer.Dial(ctx, target, workspace)
 	if err != nil {
 		return nil, err
 	}
--- a/internal/engine/events_test.go
+++ b/internal/engine/events_test.go
@@ -7,6 +7,7 @@
 	"github.com/sirupsen/logrus"
 
 	"github.com/papayacove/papayacove/internal/clock"
+	"github.com/papayacove/papayacove/internal/policy/callers"
 	"github.com/papayacove/papayacove/internal/result"
 	"github.com/papayacove/papayacove/internal/telemetry"
 )
@@ -18,7 +19,7 @@
 	output := telemetry.NewOutput(discardWriter{})
 	logrus.SetOutput(output)
 	e := newTestEngine(&fakeTarget{})
-	s := newSession(e, &scriptedCaller{}, "d", "s1")
+	s := newSession(e, &scriptedCaller{}, "d", "s1", callers.Identity{})
 	r, refusal := s.request(Statement{ID: "5c0e7a21d94b36f8", Op: OpRead, Text: "READ 1a4"}, OpRead, time.Now())
 	if refusal != nil {
 		b.Fatal(refusal.Reason)
--- a/internal/engine/execute.go
+++ b/internal/engine/execute.go
@@ -64,7 +64,10 @@
 
 // connectionRequest returns what the request requires of a pool.
 func (r *request) connectionRequest() connectionRequest {
-	return connectionRequest{class: r.class(), priority: r.route.rank, startBy: r.startBy(), lateUntil: r.lateUntil(), values: r.session.valuesKey}
+	return connectionRequest{
+		class: r.class(), priority: r.route.rank, startBy: r.startBy(), lateUntil: r.lateUntil(), values: r.session.valuesKey,
+		workspace: r.session.identity.Workspace, key: r.session.identity.Key,
+	}
 }
 
 // lateUntil is the time after which the request must not start, because its answer would probably exceed the
--- a/internal/engine/interfaces.go
+++ b/internal/engine/interfaces.go
@@ -34,9 +34,9 @@
 
 // Dialer opens connections to targets.
 type Dialer interface {
-	// Dial connects to the target and checks that it has the expected name. It fails with a *TargetFailure when
-	// the target refuses.
-	Dial(ctx context.Context, target Target) (Connection, error)
+	// Dial connects to the target on behalf of a workspace, or of no particular one if workspace is empty, and checks
+	// that the target has the expected name. It fails with a *TargetFailure when the target refuses.
+	Dial(ctx context.Context, target Target, workspace string) (Connection, error)
 }
 
 // Promoter orders promotions.
@@ -56,3 +56,12 @@
 	// Release releases the lock.
 	Release(ctx context.Context, group string)
 }
+
+// Quota limits the operations of workspaces over all daemons. Its methods may be called concurrently.
+type Quota interface {
+	// Spend takes the right to one operation of a workspace. It waits for a right that is under way until the deadline
+	// at most. It fails with a *result.Error of NotRunOverQuota, which says when to come back.
+	Spend(workspace string, deadline time.Time) error
+	// Return gives back the right of an operation that certainly did not run.
+	Return(workspace string)
+}
--- a/internal/engine/overdue_test.go
+++ b/internal/engine/overdue_test.go
@@ -6,6 +6,7 @@
 	"time"
 
 	"github.com/papayacove/papayacove/api"
+	"github.com/papayacove/papayacove/internal/policy/callers"
 )
 
 // slotsTakenTimeout bounds the wait until the statements of a test have taken all slots.
@@ -32,7 +33,7 @@
 	lost := make(chan struct{})
 	for i := range slots {
 		go func() {
-			engines[i%len(engines)].Serve(&scriptedCaller{statements: []Statement{{ID: fmt.Sprint("lost-", i), Op: OpRead, Text: "r"}}}, "d")
+			engines[i%len(engines)].Serve(&scriptedCaller{statements: []Statement{{ID: fmt.Sprint("lost-", i), Op: OpRead, Text: "r"}}}, "d", callers.Identity{})
 			lost <- struct{}{}
 		}()
 	}
@@ -42,7 +43,7 @@
 		}
 	}
 	served := &scriptedCaller{statements: []Statement{{ID: "served", Op: OpWrite, Text: "w"}}}
-	engines[0].Serve(served, "d")
+	engines[0].Serve(served, "d", callers.Identity{})
 	if refusal := served.answers[0].Refusal; refusal != nil {
 		t.Errorf("statement beside %d whose answers are lost: got %s, want it served", slots, refusal.Reason)
 	}
--- a/internal/engine/pool.go
+++ b/internal/engine/pool.go
@@ -6,6 +6,7 @@
 	"time"
 
 	"github.com/papayacove/papayacove/internal/policy/admission"
+	"github.com/papayacove/papayacove/internal/policy/callers"
 	"github.com/papayacove/papayacove/internal/result"
 	"github.com/papayacove/papayacove/internal/waitqueue"
 )
@@ -29,6 +30,8 @@
 // pooledConnection is one connection of a pool, with the session state that its target keeps for it.
 type pooledConnection struct {
 	Connection
+	// workspace is the workspace that the connection was opened for; it serves no other.
+	workspace string
 	// values is the canonical form of the session values that the connection has.
 	values string
 	// prepared holds the names of the prepared statements that the connection has.
@@ -154,6 +157,9 @@
 	startBy   time.Time
 	lateUntil time.Time
 	values    string
+	// workspace and key are those of the session, key the digest of its caller's key.
+	workspace string
+	key       callers.KeyDigest
 	// openOnly is true when no new connection is to be opened.
 	openOnly bool
 }
@@ -166,12 +172,12 @@
 	if err := p.admit(wanted); err != nil {
 		return nil, err
 	}
-	if conn := p.takeIdle(wanted.values); conn != nil {
+	if conn := p.takeIdle(wanted.workspace, wanted.values); conn != nil {
 		conn.acquired = time.Now()
 		return conn, nil
 	}
 	p.beginOpening()
-	conn, err := p.dial()
+	conn, err := p.dial(wanted.workspace)
 	p.endOpening(time.Now())
 	if result.CodeOf(err) == result.NotRunNoSlot {
 		p.shrink(refusalCooldown)
@@ -200,7 +206,7 @@
 // item returns the request as an item of a wait queue.
 func (r connectionRequest) item() admission.Item {
 	left := time.Until(r.startBy) * expectedStartPercent / 100
-	return admission.Item{Class: r.class, Priority: r.priority, Deadline: r.startBy, ExpectedStartBy: time.Now().Add(left), LateUntil: r.lateUntil}
+	return admission.Item{Workspace: r.workspace, Class: r.class, Priority: r.priority, Deadline: r.startBy, ExpectedStartBy: time.Now().Add(left), LateUntil: r.lateUntil}
 }
 
 // awaitStart waits until an offered item starts. It fails with a *result.Error, which guarantees that nothing ran, when
@@ -220,11 +226,11 @@
 	return nil
 }
 
-// takeIdle removes an unused connection from the pool and returns it, preferably one that has the session values;
-// nil when there is none.
-func (p *pool) takeIdle(values string) *pooledConnection {
+// takeIdle removes an unused connection of the workspace from the pool and returns it, preferably one that has the
+// session values; nil when there is none.
+func (p *pool) takeIdle(workspace, values string) *pooledConnection {
 	for {
-		conn := p.popIdle(values)
+		conn := p.popIdle(workspace, values)
 		if conn == nil {
 			return nil
 		}
@@ -241,19 +247,24 @@
 	return len(p.idle) > 0
 }
 
-func (p *pool) popIdle(values string) *pooledConnection {
+func (p *pool) popIdle(workspace, values string) *pooledConnection {
 	p.mu.Lock()
 	defer p.mu.Unlock()
-	if len(p.idle) == 0 {
-		return nil
-	}
-	pick := len(p.idle) - 1
-	for i := pick; i >= 0; i-- {
-		if p.idle[i].values == values {
+	pick := -1
+	for i := len(p.idle) - 1; i >= 0; i-- {
+		if p.idle[i].workspace != workspace {
+			continue
+		}
+		if pick < 0 || p.idle[i].values == values {
 			pick = i
+		}
+		if p.idle[i].values == values {
 			break
 		}
 	}
+	if pick < 0 {
+		return nil
+	}
 	conn := p.idle[pick]
 	p.idle = append(p.idle[:pick], p.idle[pick+1:]...)
 	return conn
@@ -276,15 +287,15 @@
 	}
 }
 
-func (p *pool) dial() (*pooledConnection, error) {
+func (p *pool) dial(workspace string) (*pooledConnection, error) {
 	ctx, cancel := context.WithTimeout(context.Background(), dialTimeout)
 	defer cancel()
-	conn, err := p.dialer.Dial(ctx, p.target())
+	conn, err := p.dialer.Dial(ctx, p.target(), workspace)
 	if err != nil {
 		return nil, dialFailure(err)
 	}
 	now := time.Now()
-	return &pooledConnection{Connection: conn, prepared: make(map[string]struct{}), lastUsed: now, acquired: now}, nil
+	return &pooledConnection{Connection: conn, workspace: workspace, prepared: make(map[string]struct{}), lastUsed: now, acquired: now}, nil
 }
 
 // release returns a connection to the pool.
--- a/internal/engine/pool_test.go
+++ b/internal/engine/pool_test.go
@@ -45,7 +45,7 @@
 	closed func(*fakeConnection)
 }
 
-func (f *fakeTarget) Dial(context.Context, Target) (Connection, error) {
+func (f *fakeTarget) Dial(context.Context, Target, string) (Connection, error) {
 	f.mu.Lock()
 	defer f.mu.Unlock()
 	f.dialed++
--- a/internal/engine/refusal_test.go
+++ b/internal/engine/refusal_test.go
@@ -3,6 +3,8 @@
 import (
 	"testing"
 	"time"
+
+	"github.com/papayacove/papayacove/internal/policy/callers"
 )
 
 // TestRefusalOfTheQueueIsFinal offers a read to a primary whose queue takes no more in time: it is refused after one
@@ -15,7 +17,7 @@
 	for queue.Running() < queue.Slots() {
 		queue.Offer(connectionRequest{startBy: time.Now().Add(time.Hour), lateUntil: time.Now().Add(time.Hour)}.item(), time.Now())
 	}
-	s := newSession(engines[0], &scriptedCaller{}, "d", "s")
+	s := newSession(engines[0], &scriptedCaller{}, "d", "s", callers.Identity{})
 	r, refusal := s.request(Statement{ID: "1", Op: OpRead, Text: "r"}, OpRead, time.Now())
 	if refusal != nil {
 		t.Fatalf("request: %s", refusal.Reason)
--- a/internal/engine/relay.go
+++ b/internal/engine/relay.go
@@ -7,6 +7,7 @@
 	"github.com/papayacove/papayacove/api"
 	"github.com/papayacove/papayacove/internal/clock"
 	"github.com/papayacove/papayacove/internal/policy/admission"
+	"github.com/papayacove/papayacove/internal/policy/callers"
 	"github.com/papayacove/papayacove/internal/policy/leadership"
 	"github.com/papayacove/papayacove/internal/result"
 )
@@ -163,6 +164,7 @@
 		Class: uint8(e.class), Priority: uint8(min(e.priority, admission.MaxPriority)), StartWithinUs: time.Until(e.startBy).Microseconds(), LateWithinUs: time.Until(e.lateUntil).Microseconds(),
 		TimeoutUs: time.Until(e.deadline).Microseconds(),
 		ID:        e.command.ID, Operation: uint8(e.command.Op), Name: e.command.Name, Argument: e.command.Argument, Text: e.command.Text,
+		Workspace: e.workspace, KeyDigest: e.key.Hex(),
 		MinPosition: e.command.MinPosition, Commits: e.commits, NeedsProof: e.needsProof, KeepsState: e.state.unchanged,
 	}
 	for name, value := range e.state.values {
@@ -180,6 +182,10 @@
 	if r.Class > uint8(admission.ClassLate) || int(r.Operation) >= len(operationNames) || int(r.PreparedOperation) >= len(operationNames) {
 		return execution{}, false
 	}
+	key, err := callers.ParseDigest(r.KeyDigest)
+	if err != nil {
+		return execution{}, false
+	}
 	within := func(us int64) time.Time { return now.Add(time.Duration(us) * time.Microsecond) }
 	e := execution{
 		command: Command{
@@ -187,7 +193,7 @@
 		},
 		state:    sessionState{inTransaction: r.Transaction != 0, unchanged: r.KeepsState},
 		deadline: within(r.TimeoutUs), commits: r.Commits, needsProof: r.NeedsProof,
-		connectionRequest: connectionRequest{class: admission.Class(r.Class), priority: int(r.Priority), startBy: within(r.StartWithinUs), lateUntil: within(r.LateWithinUs)},
+		connectionRequest: connectionRequest{class: admission.Class(r.Class), priority: int(r.Priority), startBy: within(r.StartWithinUs), lateUntil: within(r.LateWithinUs), workspace: r.Workspace, key: key},
 	}
 	if len(r.Settings) > 0 {
 		e.state.values = make(map[string]string, len(r.Settings))
--- a/internal/engine/relay_test.go
+++ b/internal/engine/relay_test.go
@@ -12,6 +12,7 @@
 
 	"github.com/papayacove/papayacove/api"
 	"github.com/papayacove/papayacove/internal/clock"
+	"github.com/papayacove/papayacove/internal/policy/callers"
 	"github.com/papayacove/papayacove/internal/policy/leadership"
 	"github.com/papayacove/papayacove/internal/result"
 )
@@ -150,7 +151,7 @@
 			return fate
 		}
 		caller := &scriptedCaller{statements: drawStatements(t)}
-		engines[rapid.IntRange(0, 9).Draw(t, "daemon")].Serve(caller, "d")
+		engines[rapid.IntRange(0, 9).Draw(t, "daemon")].Serve(caller, "d", callers.Identity{})
 		if len(caller.answers) != len(caller.statements) {
 			t.Fatalf("got %d answers, want one to each of %d statements", len(caller.answers), len(caller.statements))
 		}
@@ -201,7 +202,7 @@
 			for j := range perDaemon {
 				caller.statements = append(caller.statements, Statement{ID: fmt.Sprintf("%d-%d", i, j), Op: OpWrite, Text: "w"})
 			}
-			e.Serve(caller, "d")
+			e.Serve(caller, "d", callers.Identity{})
 			for _, a := range caller.answers {
 				if a.Refusal != nil {
 					refused.Add(1)
@@ -258,7 +259,7 @@
 			}
 		}
 		caller := &scriptedCaller{statements: c.statements}
-		sender.Serve(caller, "d")
+		sender.Serve(caller, "d", callers.Identity{})
 		for i, a := range caller.answers {
 			got := result.OK
 			if a.Refusal != nil {
@@ -301,7 +302,7 @@
 	stop := &stoppingCaller{scriptedCaller: scriptedCaller{statements: []Statement{
 		{ID: "1", Op: OpBegin}, {ID: "2", Op: OpWrite, Text: "w"}, {ID: "3", Op: OpCommit, Text: "COMMIT"}, {ID: "4", Op: OpRead, Text: "r"},
 	}}, after: 2, stop: func() { n.engines[holder].stopping.Store(true) }}
-	sender.Serve(stop, "d")
+	sender.Serve(stop, "d", callers.Identity{})
 	for i, a := range stop.answers {
 		if a.Refusal != nil {
 			t.Errorf("statement %d: got %+v, want success", i+1, a.Refusal)
@@ -338,7 +339,7 @@
 			continue
 		}
 		caller := &scriptedCaller{statements: []Statement{{ID: "1", Op: OpRead, Text: "r"}, {ID: "2", Op: OpWrite, Text: "w"}}}
-		e.Serve(caller, "d")
+		e.Serve(caller, "d", callers.Identity{})
 		for i, a := range caller.answers {
 			if a.Refusal != nil {
 				t.Fatalf("%s, statement %d: got %+v, want it served by the standby", e.options.Name, i+1, a.Refusal)
--- a/internal/engine/session.go
+++ b/internal/engine/session.go
@@ -15,6 +15,7 @@
 	"github.com/papayacove/papayacove/internal/clock"
 	"github.com/papayacove/papayacove/internal/logevent"
 	"github.com/papayacove/papayacove/internal/logfield"
+	"github.com/papayacove/papayacove/internal/policy/callers"
 	"github.com/papayacove/papayacove/internal/result"
 )
 
@@ -37,6 +38,8 @@
 	database string
 	// id names the session in logs.
 	id string
+	// identity says on whose behalf the session runs.
+	identity callers.Identity
 
 	values map[string]string
 	// valuesKey is the canonical form of values.
@@ -55,9 +58,9 @@
 	closed bool
 }
 
-func newSession(e *Engine, caller Caller, database, id string) *session {
+func newSession(e *Engine, caller Caller, database, id string, identity callers.Identity) *session {
 	return &session{
-		engine: e, caller: caller, database: database, id: id,
+		engine: e, caller: caller, database: database, id: id, identity: identity,
 		values: make(map[string]string), prepared: make(map[string]preparedStatement),
 	}
 }
--- a/internal/lineproxy/proxy.go
+++ b/internal/lineproxy/proxy.go
@@ -25,6 +25,7 @@
 	"github.com/papayacove/papayacove/internal/logfield"
 	"github.com/papayacove/papayacove/internal/objectstore"
 	"github.com/papayacove/papayacove/internal/peer"
+	"github.com/papayacove/papayacove/internal/policy/callers"
 	"github.com/papayacove/papayacove/internal/promotionlock"
 	"github.com/papayacove/papayacove/internal/relay"
 	"github.com/papayacove/papayacove/internal/result"
@@ -87,8 +88,11 @@
 		Promoter:      promoter,
 		PromotionLock: promotionlock.New(store, store.Eras(), settings.Name),
 		DrainTimeout:  time.Duration(settings.Fleet.DrainTimeoutMs) * time.Millisecond,
+		RevokeWithin:  time.Duration(settings.Fleet.RevokeMs) * time.Millisecond,
 	})
-	p.registry = daemonregistry.New(store, api.DaemonEntry{Name: settings.Name, Zone: settings.Zone, Address: settings.PeerAddress}, p.setDaemons)
+	p.registry = daemonregistry.New(store, api.DaemonEntry{
+		Name: settings.Name, Zone: settings.Zone, Address: settings.PeerAddress, Capacity: int(settings.Fleet.CapacityCores * 1000),
+	}, p.setDaemons)
 	return p
 }
 
@@ -281,7 +285,7 @@
 			_ = caller.Close()
 			return
 		}
-		p.engine.Serve(caller, database)
+		p.engine.Serve(caller, database, callers.Identity{})
 	}
 }
 
--- a/internal/result/result.go
+++ b/internal/result/result.go
@@ -30,6 +30,8 @@
 	NotRunTargetLeaving   Code = 2012
 	NotRunTermChanged     Code = 2013
 	NotRunConnectionLimit Code = 2014
+	NotRunOverQuota       Code = 2015
+	NotRunUnproved        Code = 2016
 
 	OutcomeUnknown     Code = 3001
 	TransactionLost    Code = 3002
@@ -83,6 +85,8 @@
 	{NotRunTargetLeaving, "not_run_target_leaving", "57P03", "Nothing ran: the target is leaving."},
 	{NotRunTermChanged, "not_run_term_changed", "57P03", "Nothing ran: the primary was replaced before the request started."},
 	{NotRunConnectionLimit, "not_run_connection_limit", "53300", "Nothing ran: the workspace uses all of its connections."},
+	{NotRunOverQuota, "not_run_over_quota", "53400", "Nothing ran: the workspace has used up its operations. Come back after the stated time."},
+	{NotRunUnproved, "not_run_unproved", "57P03", "Nothing ran: the daemon cannot prove that the key of the caller is still valid."},
 	{OutcomeUnknown, "outcome_unknown", "08007", "The request was sent and no confirmation came: it may have run. Ask with its operation key."},
 	{TransactionLost, "transaction_lost", "40001", "The transaction was rolled back: its connection was lost before the commit was sent."},
 	{AcknowledgedCut, "acknowledged_cut", "40001", "A failover cut writes that this session relied on. Reported once; later reads see the new primary."},
