Keep connections for the workspaces that are expected to use them

With connections that belong to workspaces nothing made room when all unused ones were of others: one more was opened than the share allows, one at a time, and what was unused for 3 s was closed though needed again. The holder now decides by observed use (policy/connections): an unused one of another workspace is closed at once for a statement that needs one, the one least expected to be used. A full target lowers the limit and makes room. A statement that waits for a connection holds no statement slot, and a workspace has at most half of the open transactions.

Seen to fail with the pool as before: TestUnusedConnectionsOfOthersMakeRoom, TestFullTargetMakesRoom, TestConnectionsOfWorkspacesStayWithinTheLimit, TestRestingTransactionsOfOneWorkspaceLeaveRoom, TestWaitForConnectionHoldsNoSlot. Requests without a workspace take the path as before.

--- /dev/null
+++ b/internal/engine/connectionrequest.go
@@ -0,0 +1,53 @@
+package engine
+
+import (
+	"context"
+	"time"
+
+	"github.com/papayacove/papayacove/internal/policy/admission"
+	"github.com/papayacove/papayacove/internal/policy/callers"
+	"github.com/papayacove/papayacove/internal/waitqueue"
+)
+
+// expectedStartPercent is the part of the time to the deadline, in percent, within which a statement has to be
+// expected to start. Waits vary, so that half of those expected at the deadline would miss it.
+const expectedStartPercent = 75
+
+// connectionRequest describes what a statement requires of a pool.
+type connectionRequest struct {
+	class admission.Class
+	// priority is the rank of the route's priority.
+	priority int
+	// startBy is the time by which the statement should start, lateUntil the time after which it must not start.
+	startBy   time.Time
+	lateUntil time.Time
+	values    string
+	// workspace and key are those of the session, key the digest of its caller's key.
+	workspace string
+	key       callers.KeyDigest
+	// openOnly is true when no new connection is to be opened.
+	openOnly bool
+}
+
+// item returns the request as an item of a wait queue.
+func (r connectionRequest) item() admission.Item {
+	left := time.Until(r.startBy) * expectedStartPercent / 100
+	return admission.Item{Workspace: r.workspace, Class: r.class, Priority: r.priority, Deadline: r.startBy, ExpectedStartBy: time.Now().Add(left), LateUntil: r.lateUntil}
+}
+
+// awaitStart waits until an offered item starts. It fails with a *result.Error, which guarantees that nothing ran, when
+// the item is refused or does not start in time.
+func awaitStart(queue *waitqueue.Queue, ticket waitqueue.Ticket, until time.Time) error {
+	switch ticket.Outcome {
+	case admission.Started:
+		return nil
+	case admission.Refused:
+		return ticket.Refusal()
+	}
+	ctx, cancel := context.WithDeadline(context.Background(), until)
+	defer cancel()
+	if refusal := queue.Await(ctx, ticket); refusal != nil {
+		return refusal
+	}
+	return nil
+}
--- a/internal/engine/connectionshare.go
+++ b/internal/engine/connectionshare.go
@@ -32,6 +32,8 @@
 	// idleTimeout is the time after which an unused connection is closed; 0 for never. It is set when a target has
 	// too few connections for all daemons, so that they take turns.
 	idleTimeout time.Duration
+	// keepsUsed is true when connections of workspaces are kept beyond idleTimeout that are expected to be used again.
+	keepsUsed bool
 }
 
 // divideConnections returns the share of one daemon when a group's limits are divided among the given number of
--- a/internal/engine/gate.go
+++ b/internal/engine/gate.go
@@ -10,6 +10,7 @@
 	"github.com/papayacove/papayacove/internal/logevent"
 	"github.com/papayacove/papayacove/internal/logfield"
 	"github.com/papayacove/papayacove/internal/policy/admission"
+	"github.com/papayacove/papayacove/internal/policy/connections"
 	"github.com/papayacove/papayacove/internal/policy/holding"
 	"github.com/papayacove/papayacove/internal/policy/leadership"
 	"github.com/papayacove/papayacove/internal/result"
@@ -57,8 +58,8 @@
 	h := &gate{
 		group: g, member: m, share: share, pool: newPool(g.dialer, target, gateConnections(share)),
 		control:      &controlConnection{dialer: g.dialer, target: target, idleTimeout: gateIdleTimeout},
-		statements:   waitqueue.New(admission.Config{Slots: share.Statements, QueueLength: poolQueueLength}, nil),
-		transactions: waitqueue.New(admission.Config{Slots: share.Transactions, QueueLength: transactionsQueueLength}, nil),
+		statements:   waitqueue.New(admission.Config{Slots: share.Statements, QueueLength: poolQueueLength, ByUsualLoad: true}, nil),
+		transactions: waitqueue.New(admission.Config{Slots: share.Transactions, QueueLength: transactionsQueueLength, ByUsualLoad: true}, nil),
 	}
 	h.status = &sharedStatus{call: h.askStatus}
 	g.log().WithFields(logrus.Fields{
@@ -68,7 +69,7 @@
 }
 
 func gateConnections(share holding.Share) connectionShare {
-	return connectionShare{guaranteed: share.Connections, ceiling: share.Connections, idleTimeout: gateIdleTimeout}
+	return connectionShare{guaranteed: share.Connections, ceiling: share.Connections, idleTimeout: gateIdleTimeout, keepsUsed: true}
 }
 
 // resize changes the share.
@@ -140,37 +141,76 @@
 		return nil, errTargetSilent
 	}
 	if transaction {
-		if err := enter(h.transactions, wanted); err != nil {
+		if err := h.enterTransactions(wanted); err != nil {
 			return nil, err
 		}
 	}
 	conn, err := h.beginStatement(wanted)
 	if err != nil && transaction {
-		h.transactions.Release("", time.Now(), 0)
+		h.transactions.End(wanted.item(), time.Now(), 0)
 	}
 	return conn, err
 }
 
-// beginStatement takes a statement slot and a connection.
+// enterTransactions waits for the right to an open transaction.
+func (h *gate) enterTransactions(wanted connectionRequest) error {
+	item := wanted.item()
+	if wanted.workspace != "" {
+		item.Limit = connections.MaxTransactions(h.transactions.Slots())
+	}
+	return awaitStart(h.transactions, h.transactions.Offer(item, time.Now()), wanted.lateUntil)
+}
+
+// beginStatement takes a statement slot and a connection. A connection is opened while the statement holds its slot,
+// because that takes a slot of the target. A statement whose connection has to come free first waits for it without a
+// slot, so that statements that have connections run meanwhile.
 func (h *gate) beginStatement(wanted connectionRequest) (*pooledConnection, error) {
 	if err := enter(h.statements, wanted); err != nil {
 		return nil, err
 	}
-	conn, err := h.connect(wanted)
+	if wanted.workspace != "" && h.pool.isFull() {
+		h.endStatement(wanted, 0)
+		return h.beginWithPlace(wanted)
+	}
+	conn, err := h.connect(wanted, h.pool.acquire)
 	if err != nil {
-		h.endStatement(0)
+		h.endStatement(wanted, 0)
 		return nil, err
 	}
 	return conn, nil
 }
 
-// connect returns a connection, unless the target leaves or could not be reached a moment ago.
-func (h *gate) connect(wanted connectionRequest) (*pooledConnection, error) {
+// beginWithPlace waits for a place among the connections, then for a statement slot, and then takes a connection.
+func (h *gate) beginWithPlace(wanted connectionRequest) (*pooledConnection, error) {
+	h.pool.separateWorkspaces(wanted.workspace)
+	if err := h.pool.admit(wanted); err != nil {
+		return nil, err
+	}
+	if err := enter(h.statements, wanted); err != nil {
+		h.pool.releaseSlot(wanted.workspace, time.Now(), 0)
+		return nil, err
+	}
+	usesPlace := false
+	conn, err := h.connect(wanted, func(wanted connectionRequest) (*pooledConnection, error) {
+		usesPlace = true
+		return h.pool.acquireOwned(wanted)
+	})
+	if err != nil {
+		h.endStatement(wanted, 0)
+	}
+	if !usesPlace {
+		h.pool.releaseSlot(wanted.workspace, time.Now(), 0)
+	}
+	return conn, err
+}
+
+// connect returns the connection that acquire returns, unless the target leaves or could not be reached a moment ago.
+func (h *gate) connect(wanted connectionRequest, acquire func(connectionRequest) (*pooledConnection, error)) (*pooledConnection, error) {
 	if !h.acceptsWork() {
 		return nil, result.Errorf(result.NotRunTargetLeaving, "the target leaves")
 	}
 	wanted.openOnly = h.group.isAvoided(h.member)
-	conn, err := h.pool.acquire(wanted)
+	conn, err := acquire(wanted)
 	if !wanted.openOnly && result.CodeOf(err) == result.NotRunUnreachable {
 		h.group.recordUnreachable(h.member)
 	}
@@ -190,11 +230,8 @@
 }
 
 // endStatement releases the statement slot. A served time of 0 stands for unknown.
-func (h *gate) endStatement(served time.Duration) {
-	if served == 0 {
-		served = h.statements.ServiceTime()
-	}
-	h.statements.Release("", time.Now(), served)
+func (h *gate) endStatement(wanted connectionRequest, served time.Duration) {
+	h.statements.End(wanted.item(), time.Now(), served)
 }
 
 // statementSlot is the slot of a statement in progress. A statement whose answer is overdue leaves it early: the target
@@ -202,25 +239,26 @@
 // until the time limits of such statements. The slots of the target itself are not overbooked for long if it has not.
 type statementSlot struct {
 	gate    *gate
+	wanted  connectionRequest
 	once    sync.Once
 	overdue *time.Timer
 }
 
-func (h *gate) newStatementSlot() *statementSlot {
-	s := &statementSlot{gate: h}
+func (h *gate) newStatementSlot(wanted connectionRequest) *statementSlot {
+	s := &statementSlot{gate: h, wanted: wanted}
 	s.overdue = time.AfterFunc(max(minOverdue, overdueFactor*h.statements.ServiceTime()), func() { s.release(0) })
 	return s
 }
 
 // release returns the slot, the first time that it is called. A served time of 0 stands for unknown.
 func (s *statementSlot) release(served time.Duration) {
-	s.once.Do(func() { s.gate.endStatement(served) })
+	s.once.Do(func() { s.gate.endStatement(s.wanted, served) })
 }
 
 // execute runs a command on a connection that holds a statement slot, and releases the slot.
 func (h *gate) execute(conn *pooledConnection, e execution) attemptResult {
 	h.group.recordSent(h.member, clock.SinceBoot())
-	slot := h.newStatementSlot()
+	slot := h.newStatementSlot(e.connectionRequest)
 	outcome := conn.run(e)
 	slot.overdue.Stop()
 	slot.release(outcome.reply.ServiceTime)
@@ -237,9 +275,10 @@
 // gateLease is a lease of a target that this daemon holds.
 type gateLease struct {
 	gate *gate
-	// conn is set while a transaction is open, which began at began.
-	conn  *pooledConnection
-	began time.Time
+	// conn is set while a transaction is open, which began at began as wanted.
+	conn   *pooledConnection
+	began  time.Time
+	wanted connectionRequest
 }
 
 func (l *gateLease) run(e execution) attemptResult {
@@ -251,7 +290,7 @@
 	if err != nil {
 		return attemptResult{refused: err}
 	}
-	l.began = time.Now()
+	l.began, l.wanted = time.Now(), e.connectionRequest
 	outcome := l.gate.execute(conn, e)
 	if transaction && conn.open && !conn.broken {
 		l.conn = conn
@@ -265,9 +304,8 @@
 // wait.
 func (l *gateLease) runInTransaction(e execution) attemptResult {
 	if e.command.Op != OpRollback {
-		wanted := e.connectionRequest
-		wanted.class = admission.ClassTransaction
-		if err := enter(l.gate.statements, wanted); err != nil {
+		e.class = admission.ClassTransaction
+		if err := enter(l.gate.statements, e.connectionRequest); err != nil {
 			return attemptResult{refused: err}
 		}
 		outcome := l.gate.execute(l.conn, e)
@@ -292,7 +330,7 @@
 	l.gate.pool.release(conn)
 	if transaction {
 		now := time.Now()
-		l.gate.transactions.Release("", now, now.Sub(l.began))
+		l.gate.transactions.End(l.wanted.item(), now, now.Sub(l.began))
 	}
 }
 
--- /dev/null
+++ b/internal/engine/ownedpool_test.go
@@ -0,0 +1,189 @@
+package engine
+
+import (
+	"fmt"
+	"testing"
+	"time"
+
+	"pgregory.net/rapid"
+
+	"github.com/papayacove/papayacove/internal/policy/connections"
+	"github.com/papayacove/papayacove/internal/result"
+)
+
+func requestOf(workspace string) connectionRequest {
+	wanted := requestSoon()
+	wanted.workspace = workspace
+	return wanted
+}
+
+// setGrowAfter sets the time before which the pool asks its target for no further connection.
+func (p *pool) setGrowAfter(at time.Time) {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	p.growAfter = at
+}
+
+// use acquires and releases a connection for each workspace in turn.
+func use(t *testing.T, p *pool, workspaces ...string) {
+	t.Helper()
+	for _, workspace := range workspaces {
+		conn, err := p.acquire(requestOf(workspace))
+		if err != nil {
+			t.Fatalf("workspace %s: %v", workspace, err)
+		}
+		if conn.workspace != workspace {
+			t.Fatalf("workspace %s: got a connection of %s", workspace, conn.workspace)
+		}
+		p.release(conn)
+	}
+}
+
+// TestUnusedConnectionsOfOthersMakeRoom lets five workspaces in turn use a target of two connections. Before, a third was
+// opened while two unused ones of others stayed open.
+func TestUnusedConnectionsOfOthersMakeRoom(t *testing.T) {
+	target := &fakeTarget{}
+	p := target.pool(2, 2)
+	use(t, p, "a", "b", "c", "d", "e", "a")
+	if target.maxOpen > 2 {
+		t.Errorf("got %d connections open at once, want at most 2", target.maxOpen)
+	}
+}
+
+// TestFullTargetMakesRoom lets a target refuse below the share of the daemon: the statement takes the place of an unused
+// connection at once, and the target is asked for more only after refusalCooldown. Before, the statement failed.
+func TestFullTargetMakesRoom(t *testing.T) {
+	target := &fakeTarget{limit: 3}
+	p := target.pool(8, 8)
+	use(t, p, "a", "b", "c", "d")
+	p.setGrowAfter(time.Now().Add(time.Hour))
+	use(t, p, "e", "f")
+	if want := 7; target.dialed != want {
+		t.Errorf("got %d connection attempts, want %d: one refused", target.dialed, want)
+	}
+	target.mu.Lock()
+	target.limit = 8
+	target.mu.Unlock()
+	p.setGrowAfter(time.Time{})
+	use(t, p, "g", "h")
+	if target.open != 5 {
+		t.Errorf("after the target accepts more: got %d connections open, want 5", target.open)
+	}
+}
+
+// TestConnectionsOfWorkspacesStayWithinTheLimit draws random acquisitions, releases, restarts of the target, refusals and
+// changes of the share, and checks what the target sees.
+func TestConnectionsOfWorkspacesStayWithinTheLimit(t *testing.T) {
+	rapid.Check(t, func(t *rapid.T) {
+		ceiling := rapid.IntRange(1, 6).Draw(t, "ceiling")
+		target := &fakeTarget{limit: rapid.IntRange(1, 8).Draw(t, "accepted")}
+		p := target.pool(ceiling, ceiling)
+		var held []*pooledConnection
+		for range rapid.IntRange(1, 60).Draw(t, "steps") {
+			switch rapid.SampledFrom([]string{"acquire", "acquire", "release", "release", "restart"}).Draw(t, "step") {
+			case "acquire":
+				wanted := requestOf(fmt.Sprint(rapid.IntRange(0, 9).Draw(t, "workspace")))
+				wanted.startBy, wanted.lateUntil = time.Now().Add(2*time.Millisecond), time.Now().Add(2*time.Millisecond)
+				conn, err := p.acquire(wanted)
+				switch {
+				case err == nil && conn.workspace != wanted.workspace:
+					t.Fatalf("workspace %s: got a connection of %s", wanted.workspace, conn.workspace)
+				case err == nil:
+					held = append(held, conn)
+				case !result.CodeOf(err).IsNotRun():
+					t.Fatalf("got error %v, want one that guarantees that nothing ran", err)
+				}
+			case "release":
+				if len(held) > 0 {
+					held[0].broken = rapid.Bool().Draw(t, "broken")
+					p.release(held[0])
+					held = held[1:]
+				}
+			case "restart":
+				p.dropIdle()
+			}
+			if target.maxOpen > ceiling {
+				t.Fatalf("got %d connections open at once, want at most %d", target.maxOpen, ceiling)
+			}
+		}
+		for _, conn := range held {
+			p.release(conn)
+		}
+		if p.inUse != 0 || p.queue.Running() != 0 {
+			t.Fatalf("all returned: got %d in use and %d places taken, want none", p.inUse, p.queue.Running())
+		}
+	})
+}
+
+// newTestGate returns the gate of a target with the given limits.
+func newTestGate(target *fakeTarget, maxConnections, slots int) *gate {
+	g := newTestEngine(target).groups["g"]
+	g.setTarget(Target{Name: "held", Group: "g", Slots: slots, Zone: "z"})
+	g.mu.Lock()
+	g.limits.MaxConnections = maxConnections
+	m := g.members["held"]
+	g.mu.Unlock()
+	return g.gateOf(m)
+}
+
+// TestRestingTransactionsOfOneWorkspaceLeaveRoom lets a workspace open transactions that rest until it is refused: another
+// one still begins its own. Before, one workspace could have all connections.
+func TestRestingTransactionsOfOneWorkspaceLeaveRoom(t *testing.T) {
+	h := newTestGate(&fakeTarget{}, 20, 2)
+	begin := func(workspace string) error {
+		wanted := requestOf(workspace)
+		wanted.startBy, wanted.lateUntil = time.Now().Add(20*time.Millisecond), time.Now().Add(20*time.Millisecond)
+		_, err := h.begin(wanted, true)
+		if err == nil {
+			h.endStatement(wanted, time.Millisecond)
+		}
+		return err
+	}
+	begun := 0
+	for begin("greedy") == nil {
+		begun++
+	}
+	if want := connections.MaxTransactions(h.transactions.Slots()); begun != want {
+		t.Errorf("got %d transactions of one workspace, want %d", begun, want)
+	}
+	if err := begin("other"); err != nil {
+		t.Errorf("another workspace: got %v, want a transaction", err)
+	}
+}
+
+// TestWaitForConnectionHoldsNoSlot lets a statement wait for a connection while transactions rest on all of them: the
+// statement slot stays free for what runs on those. Before, the waiting statement held it.
+func TestWaitForConnectionHoldsNoSlot(t *testing.T) {
+	h := newTestGate(&fakeTarget{limit: 2}, 20, 1)
+	var resting []*pooledConnection
+	for _, workspace := range []string{"a", "b"} {
+		conn, err := h.begin(requestOf(workspace), true)
+		if err != nil {
+			t.Fatal(err)
+		}
+		h.endStatement(requestOf(workspace), time.Millisecond)
+		resting = append(resting, conn)
+	}
+	if _, err := h.begin(requestOf("c"), false); result.CodeOf(err) != result.NotRunNoSlot {
+		t.Fatalf("above the limit of the target: got %v, want NotRunNoSlot", err)
+	}
+	h.pool.setGrowAfter(time.Now().Add(time.Hour))
+	began := make(chan error, 1)
+	go func() {
+		_, err := h.begin(requestOf("c"), false)
+		began <- err
+	}()
+	for h.pool.queue.Waiting() == 0 {
+		time.Sleep(time.Millisecond)
+	}
+	if running := h.statements.Running(); running != 0 {
+		t.Errorf("got %d statement slots taken while a statement waits for a connection, want 0", running)
+	}
+	h.pool.release(resting[0])
+	if err := <-began; err != nil {
+		t.Errorf("after a connection came free: got %v, want a start", err)
+	}
+	if running := h.statements.Running(); running != 1 {
+		t.Errorf("got %d statement slots taken by the started statement, want 1", running)
+	}
+}
--- a/internal/engine/pool.go
+++ b/internal/engine/pool.go
@@ -2,11 +2,11 @@
 
 import (
 	"context"
+	"slices"
 	"sync"
 	"time"
 
 	"github.com/papayacove/papayacove/internal/policy/admission"
-	"github.com/papayacove/papayacove/internal/policy/callers"
 	"github.com/papayacove/papayacove/internal/result"
 	"github.com/papayacove/papayacove/internal/waitqueue"
 )
@@ -19,9 +19,6 @@
 	idleCheckAfter = 20 * time.Millisecond
 	// poolQueueLength bounds the statements that wait for a connection to one target.
 	poolQueueLength = 500
-	// expectedStartPercent is the part of the time to the deadline, in percent, within which a statement has to be
-	// expected to start. Waits vary, so that half of those expected at the deadline would miss it.
-	expectedStartPercent = 75
 	// maxPrepared bounds the prepared statements of one connection; a connection that has as many is reset outside
 	// transactions.
 	maxPrepared = 500
@@ -65,7 +62,11 @@
 	// saturatedAt is the last time at which all connections were in use.
 	saturatedAt time.Time
 	idle        []*pooledConnection
-	closed      bool
+	// inUse is the number of connections in use or being opened.
+	inUse  int
+	closed bool
+	// owned is set from the first request of a workspace on: each connection serves one workspace then.
+	owned *ownedConnections
 }
 
 func newPool(dialer Dialer, target func() Target, share connectionShare) *pool {
@@ -90,6 +91,10 @@
 // setConnections changes the number of connections and closes unused ones above it. The caller holds the lock.
 func (p *pool) setConnections(connections int, now time.Time) {
 	p.queue.Resize(connections, now)
+	if p.owned != nil {
+		p.closeAboveLimit(now)
+		return
+	}
 	for len(p.idle) > 0 && len(p.idle)+p.queue.Running() > connections {
 		p.closeOldest()
 	}
@@ -113,11 +118,16 @@
 		return
 	}
 	p.saturatedAt = now
-	if p.queue.Slots() < p.ceiling && !p.opening && !now.Before(p.growAfter) {
+	if p.mayGrow(now) && (p.owned != nil || !p.opening) {
 		p.setConnections(p.queue.Slots()+1, now)
 	}
 }
 
+// mayGrow reports whether the number of connections may grow. The caller holds the lock.
+func (p *pool) mayGrow(now time.Time) bool {
+	return p.queue.Slots() < p.ceiling && !now.Before(p.growAfter)
+}
+
 // shrink removes one connection and prevents growth for the given time, because the target has more connections
 // than it serves.
 func (p *pool) shrink(cooldown time.Duration) {
@@ -137,10 +147,30 @@
 	}
 }
 
-func (p *pool) closeOldest() {
-	oldest := p.idle[0]
-	p.idle = p.idle[1:]
-	go oldest.Close()
+// closeOldest closes the connection that has been unused for the longest time. The caller holds the lock.
+func (p *pool) closeOldest() { p.closeIdle(0) }
+
+// closeIdle closes an unused connection. The caller holds the lock.
+func (p *pool) closeIdle(i int) {
+	conn := p.idle[i]
+	p.idle = slices.Delete(p.idle, i, i+1)
+	p.closeLater(conn.Close)
+}
+
+// closeLater closes a connection, which counts until it is closed. The caller holds the lock.
+func (p *pool) closeLater(closeConnection func() error) {
+	if p.owned == nil {
+		go closeConnection()
+		return
+	}
+	p.owned.closing++
+	go func() {
+		_ = closeConnection()
+		p.mu.Lock()
+		defer p.mu.Unlock()
+		p.owned.closing--
+		p.owned.changed.Broadcast()
+	}()
 }
 
 // load returns the number of statements that run or wait.
@@ -148,42 +178,30 @@
 	return p.queue.Load()
 }
 
-// connectionRequest describes what a statement requires of a pool.
-type connectionRequest struct {
-	class admission.Class
-	// priority is the rank of the route's priority.
-	priority int
-	// startBy is the time by which the statement should start, lateUntil the time after which it must not start.
-	startBy   time.Time
-	lateUntil time.Time
-	values    string
-	// workspace and key are those of the session, key the digest of its caller's key.
-	workspace string
-	key       callers.KeyDigest
-	// openOnly is true when no new connection is to be opened.
-	openOnly bool
-}
-
 // acquire returns a connection, or a *result.Error that guarantees that nothing ran.
 func (p *pool) acquire(wanted connectionRequest) (*pooledConnection, error) {
-	if wanted.openOnly && !p.hasIdle() {
+	if wanted.openOnly && !p.hasIdle(wanted.workspace) {
 		return nil, errTargetAvoided
 	}
+	p.separateWorkspaces(wanted.workspace)
 	if err := p.admit(wanted); err != nil {
 		return nil, err
 	}
+	if p.hasOwners() {
+		return p.acquireOwned(wanted)
+	}
 	if conn := p.takeIdle(wanted.workspace, wanted.values); conn != nil {
 		conn.acquired = time.Now()
 		return conn, nil
 	}
 	p.beginOpening()
 	conn, err := p.dial(wanted.workspace)
-	p.endOpening(time.Now())
+	p.endOpening(time.Now(), err)
 	if result.CodeOf(err) == result.NotRunNoSlot {
 		p.shrink(refusalCooldown)
 	}
 	if err != nil {
-		p.releaseSlot(time.Now(), 0)
+		p.releaseSlot(wanted.workspace, time.Now(), 0)
 		return nil, err
 	}
 	return conn, nil
@@ -203,34 +221,11 @@
 	return awaitStart(p.queue, ticket, wanted.lateUntil)
 }
 
-// item returns the request as an item of a wait queue.
-func (r connectionRequest) item() admission.Item {
-	left := time.Until(r.startBy) * expectedStartPercent / 100
-	return admission.Item{Workspace: r.workspace, Class: r.class, Priority: r.priority, Deadline: r.startBy, ExpectedStartBy: time.Now().Add(left), LateUntil: r.lateUntil}
-}
-
-// awaitStart waits until an offered item starts. It fails with a *result.Error, which guarantees that nothing ran, when
-// the item is refused or does not start in time.
-func awaitStart(queue *waitqueue.Queue, ticket waitqueue.Ticket, until time.Time) error {
-	switch ticket.Outcome {
-	case admission.Started:
-		return nil
-	case admission.Refused:
-		return ticket.Refusal()
-	}
-	ctx, cancel := context.WithDeadline(context.Background(), until)
-	defer cancel()
-	if refusal := queue.Await(ctx, ticket); refusal != nil {
-		return refusal
-	}
-	return nil
-}
-
 // takeIdle removes an unused connection of the workspace from the pool and returns it, preferably one that has the
 // session values; nil when there is none.
 func (p *pool) takeIdle(workspace, values string) *pooledConnection {
 	for {
-		conn := p.popIdle(workspace, values)
+		conn := p.lockAndPopIdle(workspace, values)
 		if conn == nil {
 			return nil
 		}
@@ -238,18 +233,29 @@
 			return conn
 		}
 		_ = conn.Close()
+		p.endUse(workspace)
 	}
 }
 
-func (p *pool) hasIdle() bool {
+// hasIdle reports whether there is an unused connection of the workspace.
+func (p *pool) hasIdle(workspace string) bool {
 	p.mu.Lock()
 	defer p.mu.Unlock()
-	return len(p.idle) > 0
+	return slices.ContainsFunc(p.idle, func(c *pooledConnection) bool { return c.workspace == workspace })
 }
 
-func (p *pool) popIdle(workspace, values string) *pooledConnection {
+func (p *pool) lockAndPopIdle(workspace, values string) *pooledConnection {
 	p.mu.Lock()
 	defer p.mu.Unlock()
+	conn := p.popIdle(workspace, values)
+	if conn != nil {
+		p.inUse++
+	}
+	return conn
+}
+
+// popIdle is takeIdle without a check of the connection, for a caller that holds the lock.
+func (p *pool) popIdle(workspace, values string) *pooledConnection {
 	pick := -1
 	for i := len(p.idle) - 1; i >= 0; i-- {
 		if p.idle[i].workspace != workspace {
@@ -276,12 +282,16 @@
 	p.mu.Lock()
 	defer p.mu.Unlock()
 	p.opening = true
+	p.inUse++
 }
 
-func (p *pool) endOpening(now time.Time) {
+func (p *pool) endOpening(now time.Time, err error) {
 	p.mu.Lock()
 	defer p.mu.Unlock()
 	p.opening = false
+	if err != nil {
+		p.inUse--
+	}
 	if p.queue.Waiting() > 0 {
 		p.grow(now)
 	}
@@ -302,36 +312,46 @@
 func (p *pool) release(conn *pooledConnection) {
 	now := time.Now()
 	served := now.Sub(conn.acquired)
+	if p.hasOwners() {
+		p.releaseOwned(conn, now)
+		return
+	}
 	if conn.broken {
 		go conn.Abort()
-		p.releaseSlot(now, served)
+		p.endUse(conn.workspace)
+		p.releaseSlot(conn.workspace, now, served)
 		return
 	}
 	conn.lastUsed = now
 	p.mu.Lock()
 	defer p.mu.Unlock()
+	p.inUse--
 	if p.closed || len(p.idle)+p.queue.Running() > p.queue.Slots() {
 		go conn.Close()
 	} else {
 		p.idle = append(p.idle, conn)
 		p.closeUnusedLater()
 	}
-	p.queue.Release("", now, served)
+	p.queue.Release(conn.workspace, now, served)
 	p.returnBorrowed(now)
 }
 
 // releaseSlot releases the slot of a connection that is closed or was not opened. A served time of 0 stands for
 // unknown; the estimated service time is used instead.
-func (p *pool) releaseSlot(now time.Time, served time.Duration) {
+func (p *pool) releaseSlot(workspace string, now time.Time, served time.Duration) {
 	if served == 0 {
 		served = p.queue.ServiceTime()
 	}
-	p.queue.Release("", now, served)
+	p.queue.Release(workspace, now, served)
 }
 
 // closeUnusedLater schedules the closing of connections that stay unused for idleTimeout. The caller holds the
 // lock.
 func (p *pool) closeUnusedLater() {
+	if p.owned != nil && p.keepsUsed {
+		p.checkUnusedLater()
+		return
+	}
 	if p.idleTimeout > 0 && len(p.idle) > 0 {
 		time.AfterFunc(p.idleTimeout, p.closeUnused)
 	}
@@ -340,6 +360,10 @@
 func (p *pool) closeUnused() {
 	p.mu.Lock()
 	defer p.mu.Unlock()
+	if p.owned != nil {
+		p.closeUnusedOwned(time.Now())
+		return
+	}
 	// The first connection has been unused for the longest time.
 	for p.idleTimeout > 0 && len(p.idle) > 0 && time.Since(p.idle[0].lastUsed) >= p.idleTimeout {
 		p.closeOldest()
@@ -351,7 +375,7 @@
 	p.mu.Lock()
 	defer p.mu.Unlock()
 	for len(p.idle) > 0 {
-		p.closeOldest()
+		p.closeIdle(0)
 	}
 }
 
@@ -360,6 +384,9 @@
 	p.dropIdle()
 	p.mu.Lock()
 	p.closed = true
+	if p.owned != nil {
+		p.owned.changed.Broadcast()
+	}
 	p.mu.Unlock()
 	p.queue.RefuseAll(result.Errorf(result.NotRunTargetLeaving, "the target has left"))
 }
--- a/internal/logevent/logevent.go
+++ b/internal/logevent/logevent.go
@@ -26,6 +26,7 @@
 	CommitConfirmed           = "commit_confirmed"
 	CommitFenceOnly           = "commit_fence_only"
 	CommitUnconfirmed         = "commit_unconfirmed"
+	ConnectionEvicted         = "connection_evicted"
 	ConfigurationApplied      = "configuration_applied"
 	ConfigurationDeleted      = "configuration_deleted"
 	ConfigurationIgnored      = "configuration_ignored"
