Tell callers apart by their keys, and require a proof that keys are valid

Cause: configurations name workspaces with keys, and withdraw keys within a bound; every caller was served in one name.

- platform decodes the workspaces, each entry on its own, and the key of an opening message, of which only the digest is kept.
- The engine finds the workspace of a session, checks it again for each statement, and opens connections in its name.
- A statement is sent only while the key is in force and a proof is recent, checked where it is sent: at a holder by the holder's own configuration and proof.
A daemon without a proof is not ready.
- A call that follows the configuration proves the time at which it was sent, unless what it returned is not in force.
- Operations of limited workspaces take a right through engine.Quota, and give it back when they certainly did not run.

--- a/internal/engine/engine.go
+++ b/internal/engine/engine.go
@@ -64,8 +64,10 @@
 
 	mu            sync.Mutex
 	configuration Configuration
-	// proof tells since when a newer configuration may exist.
+	// proof tells since when a newer configuration may exist. proved is closed with the first proof.
 	proof        currency.Proof
+	proved       chan struct{}
+	provedOnce   sync.Once
 	configured   chan struct{}
 	isConfigured bool
 	groups       map[string]*group
@@ -81,7 +83,7 @@
 	options.Dialer = countingDialer{options.Dialer}
 	ctx, stop := context.WithCancel(context.Background())
 	e := &Engine{
-		options: options, ctx: ctx, stop: stop, configured: make(chan struct{}), daemons: newDaemonList(options.Name, nil), peers: &peerHealth{},
+		options: options, ctx: ctx, stop: stop, configured: make(chan struct{}), proved: make(chan struct{}), daemons: newDaemonList(options.Name, nil), peers: &peerHealth{},
 		groups: make(map[string]*group), unplaced: make(map[string]Target), sessions: make(map[*session]struct{}),
 	}
 	e.directoryFailed.Store(int64(clock.SinceBoot()))
@@ -93,6 +95,9 @@
 func (e *Engine) Configure(c Configuration) {
 	if e.applyConfiguration(c) {
 		e.assignUnplaced()
+		if c.Callers != nil {
+			go e.endWithdrawn()
+		}
 	}
 }
 
@@ -120,14 +125,6 @@
 	return true
 }
 
-// RecordConfigurationProof records that every configuration that was acknowledged before a time of the boot clock is in
-// force here.
-func (e *Engine) RecordConfigurationProof(asOf time.Duration) {
-	e.mu.Lock()
-	defer e.mu.Unlock()
-	e.proof.Record(asOf)
-}
-
 // group returns the named group. A new group is created, and its observation started. The caller holds the lock.
 func (e *Engine) group(name string) *group {
 	if g, ok := e.groups[name]; ok {
@@ -212,12 +209,14 @@
 	}
 }
 
-// IsReady answers a probe of the balancer: whether new callers should be sent to this daemon. It has a configuration, is
-// not stopping and is not isolated. Otherwise another daemon serves them better.
+// IsReady answers a probe of the balancer: whether new callers should be sent to this daemon. It has a configuration, and
+// a proof that it is recent if callers have keys, is not stopping and is not isolated. Otherwise another daemon serves
+// them better.
 func (e *Engine) IsReady() bool {
+	unproved := e.isUnproved()
 	e.mu.Lock()
 	defer e.mu.Unlock()
-	ready := e.isConfigured && !e.stopping.Load() && !e.isolated.Load()
+	ready := e.isConfigured && !unproved && !e.stopping.Load() && !e.isolated.Load()
 	if ready {
 		e.probesRefused.Store(0)
 	} else {
@@ -249,18 +248,20 @@
 }
 
 // watchIsolation updates the readiness until the engine is closed. When the balancer sends new callers elsewhere, it
-// closes the idle sessions of an isolated daemon, so that their callers reconnect to another daemon.
+// closes the idle sessions of a daemon that is isolated or has no proof, so that their callers reconnect to another daemon.
 func (e *Engine) watchIsolation() {
 	var since time.Duration
+	wasUnfit := false
 	for clock.Sleep(e.ctx, observeInterval) == nil {
 		now := clock.SinceBoot()
-		isolated := e.isIsolated(now)
-		if isolated != e.isolated.Load() {
-			e.isolated.Store(isolated)
-			since = now
-			logrus.WithField(logfield.Ready, !isolated).Warn(logevent.ReadinessChanged)
+		isolated, unproved := e.isIsolated(now), e.isUnproved()
+		e.isolated.Store(isolated)
+		unfit := isolated || unproved
+		if unfit != wasUnfit {
+			wasUnfit, since = unfit, now
+			e.logReadiness(isolated, unproved)
 		}
-		if isolated && e.isOutOfRotation(since, now) {
+		if unfit && e.isOutOfRotation(since, now) {
 			e.closeIdleSessions(e.ctx, idleCloseInterval)
 		}
 	}
@@ -296,26 +297,16 @@
 
 func (e *Engine) isClosing() bool { return e.closing.Load() }
 
-// HasDatabase waits until there is a configuration, at most for the given time, and reports whether it
-// has the database. known is false when there is no configuration yet.
-func (e *Engine) HasDatabase(database string, wait time.Duration) (has, known bool) {
-	timer := time.NewTimer(wait)
-	defer timer.Stop()
-	select {
-	case <-e.configured:
-	case <-timer.C:
-		return false, false
-	}
-	_, _, has = e.route(database)
-	return has, true
-}
-
-// Serve runs a session on behalf of identity until the caller disconnects or the session is closed.
+// Serve runs a session until the caller disconnects or the session is closed. identity is what Identify returned.
 func (e *Engine) Serve(caller Caller, database string, identity callers.Identity) {
 	s := newSession(e, caller, database, fmt.Sprintf("s%d", e.nextID.Add(1)), identity)
 	e.mu.Lock()
 	e.sessions[s] = struct{}{}
 	e.mu.Unlock()
+	if !e.holdsIdentity(s.boundIdentity()) {
+		// The key was withdrawn after Identify.
+		s.closeIfIdle()
+	}
 	s.run()
 }
 
--- a/internal/engine/events.go
+++ b/internal/engine/events.go
@@ -12,13 +12,15 @@
 	"github.com/papayacove/papayacove/internal/clock"
 	"github.com/papayacove/papayacove/internal/logevent"
 	"github.com/papayacove/papayacove/internal/logfield"
+	"github.com/papayacove/papayacove/internal/result"
 	"github.com/papayacove/papayacove/internal/telemetry"
 )
 
-// refusals counts the statements that were not answered with success, failedAttempts the attempts that single
-// targets did not serve; both by result code.
+// refusals counts the statements that were not answered with success, refusedCallers the callers that got no session,
+// failedAttempts the attempts that single targets did not serve; all by result code.
 var (
 	refusals       = expvar.NewMap("engine_refusals")
+	refusedCallers = expvar.NewMap("engine_refused_callers")
 	failedAttempts = expvar.NewMap("engine_failed_attempts")
 )
 
@@ -33,7 +35,11 @@
 
 // log returns an entry that names the session and the statement.
 func (s *session) log(statement Statement) *logrus.Entry {
-	return logrus.WithFields(logrus.Fields{logfield.Session: s.id, logfield.Database: s.database, logfield.Request: statement.ID})
+	fields := logrus.Fields{logfield.Session: s.id, logfield.Database: s.database, logfield.Request: statement.ID}
+	if s.identity.Workspace != "" {
+		fields[logfield.Workspace] = s.identity.Workspace
+	}
+	return logrus.WithFields(fields)
 }
 
 // logRefusal counts a statement that was not answered with success, and logs the reason at a bounded rate.
@@ -42,7 +48,7 @@
 	if !limiter.Allow("refused_"+refusal.Code.String(), arrived) {
 		return
 	}
-	s.log(statement).WithFields(s.engine.groupFields(s.database)).WithFields(logrus.Fields{
+	s.log(statement).WithFields(s.engine.configurationFields()).WithFields(s.engine.groupFields(s.database)).WithFields(logrus.Fields{
 		logfield.Operation: statement.Op.String(), logfield.Code: int(refusal.Code), logfield.Outcome: refusal.Code.String(), logfield.Reason: refusal.Reason,
 		logfield.RetryAfter: refusal.RetryAfter, logfield.Elapsed: time.Since(arrived),
 	}).Info(logevent.StatementRefused)
@@ -137,3 +143,19 @@
 	}
 	return c.Connection.Exchange(deadline, sent...)
 }
+
+// LogRefusedCaller counts a caller that got no session, and logs the reason at a bounded rate.
+func (e *Engine) LogRefusedCaller(database string, refusal *Refusal) {
+	refusedCallers.Add(refusal.Code.String(), 1)
+	if !limiter.Allow("caller_refused_"+refusal.Code.String(), time.Now()) {
+		return
+	}
+	if refusal.Code == result.UnknownWorkspace {
+		logrus.WithField(logfield.Database, database).Info(logevent.DatabaseUnknown)
+		return
+	}
+	logrus.WithFields(e.configurationFields()).WithFields(logrus.Fields{
+		logfield.Database: database, logfield.Code: int(refusal.Code), logfield.Outcome: refusal.Code.String(), logfield.Reason: refusal.Reason,
+		logfield.RetryAfter: refusal.RetryAfter,
+	}).Info(logevent.CallerRefused)
+}
--- a/internal/engine/execute.go
+++ b/internal/engine/execute.go
@@ -45,6 +45,10 @@
 	// knownUnreachable is true when the last target was found unreachable a moment ago, so that it is not retried
 	// soon.
 	knownUnreachable bool
+	// hasSpent is true when the operation has taken a right of its workspace, mayHaveRun when a target may have run a
+	// command of it.
+	hasSpent   bool
+	mayHaveRun bool
 }
 
 // deadline is the end of the route's time limit.
@@ -90,6 +94,9 @@
 	if !ok {
 		return nil, refuse(result.UnknownWorkspace, "no route for this database")
 	}
+	if err := s.engine.Permits(s.identity); err != nil {
+		return nil, refusalOf(err)
+	}
 	return &request{
 		session: s, statement: statement, op: op, route: route, group: g, arrived: now, arrivedBoot: clock.SinceBoot(),
 	}, nil
@@ -111,6 +118,9 @@
 	if refusal != nil {
 		return s.refused(refusal)
 	}
+	if refusal := r.spend(); refusal != nil {
+		return s.refused(refusal)
+	}
 	var reply Reply
 	if op == OpWrite {
 		reply, refusal = r.write()
@@ -118,11 +128,26 @@
 		reply, refusal = r.read()
 	}
 	if refusal != nil {
+		r.returnUnused()
 		return s.refused(refusal)
 	}
 	return s.answerOf(reply)
 }
 
+// spend takes the right of the workspace to the operation, before it takes a slot, a connection or a place in a queue.
+func (r *request) spend() (refusal *Refusal) {
+	r.hasSpent, refusal = r.session.engine.spend(r.session.identity.Workspace, r.startBy())
+	return refusal
+}
+
+// returnUnused gives the right back if the operation certainly did not run.
+func (r *request) returnUnused() {
+	if r.hasSpent && !r.mayHaveRun {
+		r.hasSpent = false
+		r.session.engine.options.Quota.Return(r.session.identity.Workspace)
+	}
+}
+
 // answerOf turns the reply of a target into the answer to the caller.
 func (s *session) answerOf(reply Reply) Answer {
 	if reply.Failure != nil {
@@ -134,9 +159,15 @@
 // run runs a command of the statement once, with the session state that the statement requires.
 func (r *request) run(m *member, l lease, e execution) attemptResult {
 	e.state, e.deadline, e.connectionRequest = r.session.stateFor(r.statement), r.deadline(), r.connectionRequest()
+	e.permits = r.session.engine.Permits
+	if err := e.refusal(); err != nil {
+		return notPermitted(err)
+	}
 	r.group.recordSent(m, clock.SinceBoot())
 	defer r.group.recordEnded(m)
-	return l.run(e)
+	outcome := l.run(e)
+	r.mayHaveRun = r.mayHaveRun || outcome.mayHaveRun()
+	return outcome
 }
 
 // readPlan is what a read requires of the target that serves it.
@@ -266,7 +297,7 @@
 // mayTryAnotherTarget reports whether another target may serve the statement. A full queue in this daemon is not a
 // failure of the target, but the queue of another target may have room.
 func (r *request) mayTryAnotherTarget(failed *Refusal) bool {
-	return failed.Target == nil || failed.Target.Kind.IsNotRun()
+	return !isNotPermitted(failed.Code) && (failed.Target == nil || failed.Target.Kind.IsNotRun())
 }
 
 // pickReader returns the next target to try; nil when there is none.
@@ -362,7 +393,7 @@
 // unavailable returns the refusal for a target to which no connection was available.
 func (r *request) unavailable(err error) *Refusal {
 	refusal := refusalOf(err)
-	if refusal.RetryAfter == 0 {
+	if refusal.RetryAfter == 0 && refusal.Code.IsNotRun() {
 		refusal.RetryAfter = promotionEstimate
 	}
 	return refusal
--- a/internal/engine/lease.go
+++ b/internal/engine/lease.go
@@ -5,6 +5,7 @@
 	"time"
 
 	"github.com/papayacove/papayacove/internal/clock"
+	"github.com/papayacove/papayacove/internal/policy/callers"
 	"github.com/papayacove/papayacove/internal/result"
 )
 
@@ -28,6 +29,22 @@
 	// of the target beside the reply.
 	commits    bool
 	needsProof bool
+	// permits returns why the command may not be sent on behalf of an identity; nil for a command that always may.
+	permits func(callers.Identity) error
+}
+
+// refusal returns why the command may not be sent at the moment; nil if it may. A rollback may always be sent, but not in
+// the name of a caller that may run nothing.
+func (e *execution) refusal() error {
+	if e.permits == nil {
+		return nil
+	}
+	err := e.permits(callers.Identity{Workspace: e.workspace, Key: e.key})
+	if err != nil && e.command.Op == OpRollback {
+		e.command.ID = ""
+		return nil
+	}
+	return err
 }
 
 // attemptResult is the outcome of one attempt on one connection.
@@ -71,6 +88,9 @@
 	if err := e.state.applyTo(c, e.deadline); err != nil {
 		return attemptResult{err: err}
 	}
+	if err := e.refusal(); err != nil {
+		return notPermitted(err)
+	}
 	askedAt := clock.SinceBoot()
 	replies, err := c.Exchange(e.deadline, e.command)
 	if err != nil {
@@ -86,6 +106,20 @@
 	return attemptResult{reply: reply, sent: true, askedAt: askedAt}
 }
 
+// notPermitted returns the outcome of an attempt that was not sent because the caller may run nothing. err is set too, so
+// that nobody takes the empty reply for that of the target.
+func notPermitted(err error) attemptResult { return attemptResult{refused: err, err: err} }
+
+// isNotPermitted reports whether a refusal says that the caller may run nothing at the daemon that refused.
+func isNotPermitted(code result.Code) bool {
+	return code == result.AuthenticationFailed || code == result.NotRunUnproved
+}
+
+// mayHaveRun reports whether the target may have run the command.
+func (r attemptResult) mayHaveRun() bool {
+	return r.sent && (r.err != nil || r.reply.Failure == nil || !r.reply.Failure.Kind.IsNotRun())
+}
+
 // notRun returns the outcome of an attempt that was not sent.
 func notRun(code result.Code, format string, args ...any) attemptResult {
 	return attemptResult{refused: result.Errorf(code, format, args...)}
--- a/internal/engine/relay.go
+++ b/internal/engine/relay.go
@@ -32,6 +32,8 @@
 	pathAvoidance = time.Second
 	// reportedLoadValidity is the time for which the load that a holder reported is used.
 	reportedLoadValidity = 250 * time.Millisecond
+	// unprovedPeerAvoidance is the time for which a daemon is not asked that has no proof that its configuration is recent.
+	unprovedPeerAvoidance = 200 * time.Millisecond
 )
 
 // relayedLease is a lease of a target that another daemon holds. The first command chooses the way: the holder, a standby
@@ -97,6 +99,9 @@
 // runInTransaction runs a command of the open transaction at the daemon that has its connection.
 func (l *relayedLease) runInTransaction(e execution) attemptResult {
 	outcome, reached := l.send(l.address, e)
+	if !reached && outcome.refused != nil {
+		return outcome
+	}
 	if !reached {
 		l.transaction = 0
 		return attemptResult{err: errBroken, byHolder: true}
@@ -104,7 +109,8 @@
 	return outcome
 }
 
-// send sends a command to a holder. It returns false if the holder certainly has not run it and another may.
+// send sends a command to a holder. It returns false if the holder certainly has not run it and another may. The outcome
+// says why if the holder itself does not know that the caller may run it.
 func (l *relayedLease) send(address string, e execution) (attemptResult, bool) {
 	request := relayRequest(l.group.name, l.member.name, l.transaction, e)
 	askedAt := clock.SinceBoot()
@@ -125,6 +131,12 @@
 	case result.NotRunNotHolder:
 		l.group.peers.avoid(address, unawarePeerAvoidance, errors.New(reply.Reason))
 		return attemptResult{}, false
+	case result.NotRunUnproved:
+		l.group.peers.avoid(address, unprovedPeerAvoidance, errors.New(reply.Reason))
+		return lostAtHolder(reply), false
+	case result.AuthenticationFailed:
+		// Its configuration is older or newer than the one here.
+		return lostAtHolder(reply), false
 	}
 	l.address, l.transaction = address, reply.Transaction
 	l.group.recordRelayed(l.member, reply, askedAt)
@@ -146,6 +158,11 @@
 	}
 }
 
+// lostAtHolder returns the outcome for a transaction whose holder does not know that the caller may run anything.
+func lostAtHolder(reply *api.RelayReply) attemptResult {
+	return notRun(result.TransactionLost, "the daemon that runs the transaction: %s", reply.Reason)
+}
+
 // recordRelayed records what the reply of a holder says about the target: its load, and a leadership proof. The proof
 // is dated from before the request was sent, so that it is no older than recorded.
 func (g *group) recordRelayed(m *member, reply *api.RelayReply, askedAt time.Duration) {
--- a/internal/engine/relaysession.go
+++ b/internal/engine/relaysession.go
@@ -57,6 +57,10 @@
 	if !ok {
 		return relayReply(notRun(result.NotRunNotHolder, "the request is of another version"))
 	}
+	e.permits = s.engine.Permits
+	if refused := e.refusal(); refused != nil {
+		return relayReply(notPermitted(refused))
+	}
 	if request.Transaction != 0 {
 		return s.continueTransaction(request.Transaction, e)
 	}
--- a/internal/engine/session.go
+++ b/internal/engine/session.go
@@ -38,8 +38,13 @@
 	database string
 	// id names the session in logs.
 	id string
-	// identity says on whose behalf the session runs.
+	// stated is the digest of the key that the caller stated when it connected.
+	stated callers.KeyDigest
+	// identity says on whose behalf the statement in progress, or the open transaction, runs. It is zero on a route that is
+	// open to all.
 	identity callers.Identity
+	// rejected is true once the caller may run nothing any more; the session ends with the next answer.
+	rejected bool
 
 	values map[string]string
 	// valuesKey is the canonical form of values.
@@ -56,13 +61,22 @@
 	// busy is true from the arrival of a statement until its answer, and within a transaction.
 	busy   bool
 	closed bool
+	// bound is the identity that the session got first; the session ends when its key has another workspace or none. It is
+	// zero while the session has had none.
+	bound callers.Identity
 }
 
+// newSession returns a session. The key of the identity is the one that the caller stated, also if the caller is not told
+// apart and the identity has no workspace.
 func newSession(e *Engine, caller Caller, database, id string, identity callers.Identity) *session {
-	return &session{
-		engine: e, caller: caller, database: database, id: id, identity: identity,
+	s := &session{
+		engine: e, caller: caller, database: database, id: id, stated: identity.Key,
 		values: make(map[string]string), prepared: make(map[string]preparedStatement),
 	}
+	if identity.Workspace != "" {
+		s.identity, s.bound = identity, identity
+	}
+	return s
 }
 
 // run serves statements until the caller disconnects or the session is closed.
@@ -78,7 +92,7 @@
 			return
 		}
 		answer := s.serve(statement, time.Now())
-		if err := s.caller.Answer(answer); err != nil {
+		if err := s.caller.Answer(answer); err != nil || s.rejected {
 			return
 		}
 		if !s.finish() {
@@ -104,27 +118,28 @@
 	return !s.closed
 }
 
-// finish marks the session as idle unless a transaction is open, and closes an idle session during a planned stop.
-// It returns false when the session is closed.
+// finish marks the session as idle unless a transaction is open, and closes an idle session during a planned stop or when
+// its key was withdrawn meanwhile. It returns false when the session is closed.
 func (s *session) finish() bool {
 	s.mu.Lock()
 	defer s.mu.Unlock()
 	s.busy = s.transaction != nil
-	if !s.busy && s.engine.isClosing() {
+	if !s.busy && (s.engine.isClosing() || !s.engine.holdsIdentity(s.bound)) {
 		s.closed = true
 	}
 	return !s.closed
 }
 
-// closeIfIdle ends the session when no statement and no transaction is open.
-func (s *session) closeIfIdle() {
+// closeIfIdle ends the session when no statement and no transaction is open, and reports whether it did.
+func (s *session) closeIfIdle() bool {
 	s.mu.Lock()
 	defer s.mu.Unlock()
 	if s.busy || s.closed {
-		return
+		return false
 	}
 	s.closed = true
 	_ = s.caller.Close()
+	return true
 }
 
 // abort closes the session at the end of a planned stop, even if it is busy.
@@ -157,7 +172,16 @@
 
 // serve returns the answer to one statement that arrived at now.
 func (s *session) serve(statement Statement, now time.Time) Answer {
-	answer := s.dispatch(statement, now)
+	var answer Answer
+	if refusal := s.identify(); refusal != nil {
+		answer = s.refused(refusal)
+	} else {
+		answer = s.dispatch(statement, now)
+	}
+	if answer.Refusal != nil && answer.Refusal.Code == result.AuthenticationFailed {
+		s.reject()
+		answer.State = s.state()
+	}
 	if answer.Refusal != nil {
 		s.logRefusal(statement, answer.Refusal, now)
 	}
--- a/internal/engine/transaction.go
+++ b/internal/engine/transaction.go
@@ -67,7 +67,7 @@
 	}
 	t.lease.run(execution{
 		state: sessionState{unchanged: true}, command: Command{ID: id, Op: OpRollback}, deadline: time.Now().Add(rollbackTimeout),
-		connectionRequest: t.request.connectionRequest(),
+		connectionRequest: t.request.connectionRequest(), permits: t.session.engine.Permits,
 	})
 	t.lease.release()
 	t.lease = nil
@@ -122,8 +122,24 @@
 	return t.session.answerOf(reply)
 }
 
-// connect begins the transaction at a target. When it fails, nothing has run.
+// connect begins the transaction at a target, with the right of the workspace to one operation. When it fails, nothing has
+// run.
 func (t *transaction) connect() *Refusal {
+	if err := t.session.engine.Permits(t.session.identity); err != nil {
+		return refusalOf(err)
+	}
+	if refusal := t.request.spend(); refusal != nil {
+		return refusal
+	}
+	refusal := t.beginAtTarget()
+	if refusal != nil {
+		t.request.returnUnused()
+	}
+	return refusal
+}
+
+// beginAtTarget tries targets until the transaction has begun at one.
+func (t *transaction) beginAtTarget() *Refusal {
 	r := t.request
 	var refusal *Refusal
 	tried := make(map[*member]bool)
@@ -144,6 +160,9 @@
 			return nil
 		}
 		r.logAttempt(m, t.plan, refusal)
+		if isNotPermitted(refusal.Code) {
+			break
+		}
 		if t.readOnly || refusal.Code == result.NotRunReadOnly || refusal.Code == result.NotRunTargetLeaving {
 			tried[m] = true
 			continue
--- a/internal/lineproxy/proxy.go
+++ b/internal/lineproxy/proxy.go
@@ -25,7 +25,6 @@
 	"github.com/papayacove/papayacove/internal/logfield"
 	"github.com/papayacove/papayacove/internal/objectstore"
 	"github.com/papayacove/papayacove/internal/peer"
-	"github.com/papayacove/papayacove/internal/policy/callers"
 	"github.com/papayacove/papayacove/internal/promotionlock"
 	"github.com/papayacove/papayacove/internal/relay"
 	"github.com/papayacove/papayacove/internal/result"
@@ -163,9 +162,12 @@
 	if err := p.serveAdmin(ctx); err != nil {
 		return err
 	}
-	go p.follow(ctx, platform.KindConfiguration, p.applyConfiguration, objectstore.FollowOptions{Interval: watchInterval, OnRestore: p.registry.Restored})
+	proofs := &proofRecorder{record: p.engine.RecordConfigurationProof}
+	go p.follow(ctx, platform.KindConfiguration, func(o api.Object) { proofs.taken(p.applyConfiguration(o)) }, objectstore.FollowOptions{
+		Interval: watchInterval, Wait: p.configurationWatchWait(), OnRestore: p.registry.Restored, BeforeCall: proofs.beforeCall, AfterCall: proofs.afterCall,
+	})
 	go p.follow(ctx, platform.KindTargets, p.applyTarget, objectstore.FollowOptions{
-		Interval: targetWatchInterval, AfterCall: p.engine.RecordDirectoryResult, OnRestore: p.engine.RecordDirectoryRestored,
+		Interval: targetWatchInterval, Wait: p.watchWait(), AfterCall: p.engine.RecordDirectoryResult, OnRestore: p.engine.RecordDirectoryRestored,
 	})
 	go p.registry.Run(ctx)
 	go p.accept()
@@ -188,7 +190,7 @@
 
 // follow applies the objects of one kind and their changes until ctx ends. options hold what is reported besides.
 func (p *Proxy) follow(ctx context.Context, kind string, apply func(api.Object), options objectstore.FollowOptions) {
-	options.Kinds, options.Wait, options.MaxRetryDelay = []string{kind}, p.watchWait(), maxWatchRetryDelay
+	options.Kinds, options.MaxRetryDelay = []string{kind}, maxWatchRetryDelay
 	err := objectstore.FollowSource(ctx, p.store, options, func(list api.ObjectList) {
 		for _, object := range list.Objects {
 			apply(object)
@@ -206,17 +208,25 @@
 	return max(minWatchWait, applyWithin-storeTimeout)
 }
 
-func (p *Proxy) applyConfiguration(o api.Object) {
+// applyConfiguration puts a configuration into force, without the entries that cannot be used. It returns false if the
+// configuration as a whole is not in force afterwards, nor a newer one: what was read then proves nothing.
+func (p *Proxy) applyConfiguration(o api.Object) bool {
 	if o.Deleted {
 		logrus.WithField(logfield.Object, o.Name).Warn(logevent.ConfigurationDeleted)
-		return
+		return false
 	}
-	configuration, err := platform.DecodeConfiguration(o)
+	configuration, problems, err := platform.DecodeConfiguration(o)
 	if err != nil {
 		logrus.WithField(logfield.Error, err).Error(logevent.ConfigurationUnreadable)
-		return
+		return false
+	}
+	for _, problem := range problems {
+		logrus.WithFields(logrus.Fields{
+			logfield.Version: configuration.Version, logfield.Workspace: problem.Workspace, logfield.Entry: problem.Number, logfield.Reason: problem.Reason,
+		}).Error(logevent.ConfigurationEntryInvalid)
 	}
 	p.engine.Configure(configuration)
+	return true
 }
 
 func (p *Proxy) applyTarget(o api.Object) {
@@ -267,26 +277,23 @@
 		caller.Refuse(&engine.Refusal{Code: result.NotRunConnectionLimit, Reason: "the daemon has no room for another caller"})
 		return
 	}
-	database, err := caller.Start()
+	database, key, err := caller.Start()
 	if err != nil {
 		logrus.WithFields(logrus.Fields{logfield.Caller: conn.RemoteAddr().String(), logfield.Error: err}).Debug(logevent.SessionNotOpened)
 		_ = caller.Close()
 		return
 	}
-	has, known := p.engine.HasDatabase(database, configurationWait)
-	switch {
-	case !known:
-		caller.Refuse(&engine.Refusal{Code: result.NotRunUnreachable, Reason: "no configuration yet"})
-	case !has:
-		logrus.WithField(logfield.Database, database).Info(logevent.DatabaseUnknown)
-		caller.Refuse(&engine.Refusal{Code: result.UnknownWorkspace, Reason: "no route for this database"})
-	default:
-		if err := caller.Accept(); err != nil {
-			_ = caller.Close()
-			return
-		}
-		p.engine.Serve(caller, database, callers.Identity{})
+	identity, refusal := p.engine.Identify(database, key, configurationWait)
+	if refusal != nil {
+		p.engine.LogRefusedCaller(database, refusal)
+		caller.Refuse(refusal)
+		return
+	}
+	if err := caller.Accept(); err != nil {
+		_ = caller.Close()
+		return
 	}
+	p.engine.Serve(caller, database, identity)
 }
 
 // shutDown stops the daemon as planned: the balancer stops sending new callers, and the sessions are closed.
--- a/internal/policy/callers/callers.go
+++ b/internal/policy/callers/callers.go
@@ -71,22 +71,21 @@
 	Key KeyDigest
 }
 
-// Directory holds the keys and limits of the workspaces of one configuration. It does not change.
+// Directory holds the keys and limits of the workspaces of one configuration. It does not change. A nil Directory is that of
+// a configuration that does not tell callers apart.
 type Directory struct {
 	byKey  map[KeyDigest]string
 	limits map[string]Limit
 }
 
-// NewDirectory returns the directory of the workspaces.
+// NewDirectory returns the directory of the workspaces, without what Resolve leaves out.
 func NewDirectory(workspaces []Workspace) *Directory {
-	d := &Directory{byKey: make(map[KeyDigest]string), limits: make(map[string]Limit, len(workspaces))}
-	for _, w := range workspaces {
-		d.limits[w.Name] = w.Limit
-		for _, key := range w.Keys {
-			d.byKey[DigestOf(key)] = w.Name
-		}
+	entries := make([]Entry, len(workspaces))
+	for i, w := range workspaces {
+		entries[i].Workspace = w
 	}
-	return d
+	directory, _ := Resolve(entries)
+	return directory
 }
 
 // WorkspaceOf returns the workspace that holds a key.
@@ -97,9 +96,35 @@
 
 // LimitOf returns the limit of a workspace; false when there is no such workspace.
 func (d *Directory) LimitOf(workspace string) (Limit, bool) {
+	if d == nil {
+		return Limit{}, false
+	}
 	limit, ok := d.limits[workspace]
 	return limit, ok
 }
 
 // Limits returns the limits by workspace, which must not be changed.
 func (d *Directory) Limits() map[string]Limit { return d.limits }
+
+// Identify returns the identity of a caller that states a key, which is zero when callers are not told apart or the route
+// is open to all. It returns false when no workspace holds the key.
+func (d *Directory) Identify(key KeyDigest, isPublic bool) (Identity, bool) {
+	if d == nil || isPublic {
+		return Identity{}, true
+	}
+	workspace, ok := d.byKey[key]
+	if !ok {
+		return Identity{}, false
+	}
+	return Identity{Workspace: workspace, Key: key}, true
+}
+
+// Holds reports whether an identity is still valid: its workspace holds its key. The zero identity always is, and so is
+// each while callers are not told apart.
+func (d *Directory) Holds(identity Identity) bool {
+	if d == nil || identity.Workspace == "" {
+		return true
+	}
+	workspace, ok := d.byKey[identity.Key]
+	return ok && workspace == identity.Workspace
+}
