Keep the reads of a workspace at few targets, and wait for lag as observed

Reads of a workspace went to any reader, so that each target needed connections of all workspaces.

A session's read of its own commit took each replica to have it after 50 ms, while replicas lag 8 to 900 ms. It goes by the observed lags of each replica now.

--- a/internal/engine/execute.go
+++ b/internal/engine/execute.go
@@ -177,8 +177,9 @@
 	// provedSince is the time of the boot clock at which the primary must be proved to have led, when it serves
 	// the read.
 	provedSince time.Duration
-	// fresh is true when the session itself committed within the last freshFor.
-	fresh bool
+	// committedAt is the time of the boot clock at which the session itself made the latest commit that the read must
+	// see; 0 if there is none.
+	committedAt time.Duration
 	// onlyPrimary is true when no replica may serve the read.
 	onlyPrimary bool
 }
@@ -197,7 +198,11 @@
 	if !ok {
 		return r.planWithoutAge(own)
 	}
-	return readPlan{minPosition: own.Max(position), fresh: !own.IsZero() && now-r.session.committedAt < freshFor}
+	plan := readPlan{minPosition: own.Max(position)}
+	if !own.IsZero() {
+		plan.committedAt = r.session.committedAt
+	}
+	return plan
 }
 
 // planWithoutAge plans a read that must see every commit acknowledged before it arrived. The primary serves it.
@@ -305,7 +310,9 @@
 	if plan.onlyPrimary {
 		return r.group.awaitPrimary(nil, r.answerBy())
 	}
-	readers := r.group.readers(plan.minPosition, plan.fresh, time.Until(r.lateUntil()))
+	readers := r.group.readers(readRequest{
+		workspace: r.session.identity.Workspace, minPosition: plan.minPosition, committedAt: plan.committedAt, within: time.Until(r.lateUntil()),
+	})
 	for _, m := range readers {
 		if !tried[m] {
 			return m
--- a/internal/engine/group.go
+++ b/internal/engine/group.go
@@ -41,6 +41,8 @@
 	// boot clock.
 	applied   api.Position
 	appliedAt time.Duration
+	// lags are the observed lags of a replica.
+	lags primaryposition.Lags
 	// waitingSince is the time of the boot clock of the last reply, or of the first statement sent after it.
 	waitingSince time.Duration
 	// lastReplyAt is the time of the boot clock of the last reply.
@@ -174,7 +176,7 @@
 	if known && m.target.Incarnation != t.Incarnation {
 		// The target has restarted and lost the state of its connections.
 		m.dropConnections()
-		m.applied = api.Position{}
+		m.applied, m.lags = api.Position{}, primaryposition.Lags{}
 	}
 	if !known {
 		m = &member{name: t.Name}
@@ -362,6 +364,9 @@
 		g.requestStatusRound()
 	}
 	if m.target.Name != g.primary {
+		if lag, known := g.samples.LagOf(m.applied, now); known {
+			m.lags.Add(lag, now)
+		}
 		return
 	}
 	if committed && g.limits.SyncReplicas > 0 && reply.Position.Term == g.term {
--- a/internal/engine/ownedpool.go
+++ b/internal/engine/ownedpool.go
@@ -1,8 +1,10 @@
 package engine
 
 import (
+	"cmp"
 	"expvar"
 	"sync"
+	"sync/atomic"
 	"time"
 
 	"github.com/sirupsen/logrus"
@@ -32,6 +34,28 @@
 // maxEvictions bounds the unused connections that are closed for one statement when the target accepts no further one.
 const maxEvictions = 2
 
+// openingTime is the time that the connections of workspaces take to open, as observed by this daemon.
+var openingTime = &averageTime{}
+
+// defaultOpeningTime is the time that a connection is taken to need to open until one was opened.
+const defaultOpeningTime = 10 * time.Millisecond
+
+// averageTime is a moving average. It is safe for concurrent use.
+type averageTime struct{ nanoseconds atomic.Int64 }
+
+func (a *averageTime) record(taken time.Duration) {
+	before := a.nanoseconds.Load()
+	if before == 0 {
+		before = int64(taken)
+	}
+	a.nanoseconds.Store(before + int64(latencyWeight*float64(int64(taken)-before)))
+}
+
+// average returns the average, or defaultOpeningTime if there is none.
+func (a *averageTime) average() time.Duration {
+	return cmp.Or(time.Duration(a.nanoseconds.Load()), defaultOpeningTime)
+}
+
 // ownedConnections is the part of a pool whose connections belong to workspaces. The lock of the pool guards it.
 type ownedConnections struct {
 	usage *connections.Usage
@@ -162,10 +186,13 @@
 	}
 	began := time.Now()
 	conn, err := p.dial(workspace)
-	connectionCounters.Add(countOpeningUs, time.Since(began).Microseconds())
+	took := time.Since(began)
+	connectionCounters.Add(countOpeningUs, took.Microseconds())
 	if err != nil {
 		p.endUse(workspace)
+		return nil, err
 	}
+	openingTime.record(took)
 	return conn, err
 }
 
--- a/internal/engine/readers.go
+++ b/internal/engine/readers.go
@@ -22,8 +22,8 @@
 	// behind for longer. It is tried again after the expected time divided by recheckDivisor, if that is later.
 	behindRecheck  = 300 * time.Millisecond
 	recheckDivisor = 4
-	// freshFor is the time after a commit in which a replica is not expected to have it.
-	freshFor = 50 * time.Millisecond
+	// unknownLag is the lag that a replica is taken to have whose lags are not known.
+	unknownLag = 50 * time.Millisecond
 )
 
 // expectedWait returns the time until a replica is expected to hold a position; 0 when it may hold it now. A replica that
@@ -33,6 +33,9 @@
 		return 0
 	}
 	expected := g.samples.ExpectedAt(at, m.applied, m.appliedAt, now)
+	if lag, known := m.lags.Expected(now); known {
+		expected = g.samples.ExpectedWithLag(at, lag, now)
+	}
 	if now-m.appliedAt >= max(behindRecheck, (expected-m.appliedAt)/recheckDivisor) {
 		return 0
 	}
@@ -54,9 +57,36 @@
 	return earliest
 }
 
-// readers returns the members that may serve a read with a minimum position within the given time, the best first. fresh
-// says that the session committed within the last freshFor.
-func (g *group) readers(at api.Position, fresh bool, within time.Duration) []*member {
+// expectedLag returns the lag that a replica is expected to have at most. The caller holds the lock.
+func (m *member) expectedLag(now time.Duration) time.Duration {
+	if lag, known := m.lags.Expected(now); known {
+		return lag
+	}
+	return unknownLag
+}
+
+// isBehind reports whether a replica is not expected to hold a position now that the session itself committed at
+// committedAt on the boot clock; 0 if it did not. The caller holds the lock.
+func (g *group) isBehind(m *member, at api.Position, wait, committedAt, now time.Duration) bool {
+	if wait > 0 {
+		return true
+	}
+	return committedAt > 0 && m.applied.Compare(at) < 0 && now-committedAt < m.expectedLag(now)
+}
+
+// readRequest is what a read requires of its readers.
+type readRequest struct {
+	workspace string
+	// minPosition is the log position that the read must not fall behind, and committedAt the time of the boot clock
+	// at which the session itself made its latest commit; 0 if the read need not see it.
+	minPosition api.Position
+	committedAt time.Duration
+	// within is the time in which a replica may still catch up.
+	within time.Duration
+}
+
+// readers returns the members that may serve a read, the best first.
+func (g *group) readers(wanted readRequest) []*member {
 	now := clock.SinceBoot()
 	g.mu.Lock()
 	g.lastUsed = now
@@ -68,15 +98,15 @@
 		}
 		wait := time.Duration(0)
 		if name != g.primary {
-			wait = g.expectedWait(m, at, now)
+			wait = g.expectedWait(m, wanted.minPosition, now)
 		}
-		if wait > within {
+		if wait > wanted.within {
 			continue
 		}
 		members[name] = m
 		candidates = append(candidates, loadbalance.Candidate{
 			Name: name, SameZone: m.target.Zone == g.zone, Primary: name == g.primary, Slots: m.target.Slots,
-			ServiceTime: m.latency, RecentlyFailed: now < m.recentFailureUntil, Behind: wait > 0 || fresh && name != g.primary && m.applied.Compare(at) < 0,
+			ServiceTime: m.latency, RecentlyFailed: now < m.recentFailureUntil, Behind: name != g.primary && g.isBehind(m, wanted.minPosition, wait, wanted.committedAt, now),
 		})
 	}
 	g.mu.Unlock()
@@ -84,6 +114,7 @@
 		c := &candidates[i]
 		c.InFlight = g.loadOf(members[c.Name])
 	}
+	loadbalance.PreferWarm(candidates, wanted.workspace, openingTime.average())
 	loadbalance.Order(candidates)
 	ordered := make([]*member, len(candidates))
 	for i, c := range candidates {
--- a/internal/engine/readers_test.go
+++ b/internal/engine/readers_test.go
@@ -37,7 +37,7 @@
 		g.samples.Add(m.appliedAt-c.lag, at(2))
 		g.samples.Add(now-time.Millisecond, at(9))
 		found := false
-		for _, reader := range g.readers(at(9), false, c.within) {
+		for _, reader := range g.readers(readRequest{minPosition: at(9), within: c.within}) {
 			found = found || reader == m
 		}
 		if found != c.want {
@@ -45,3 +45,25 @@
 		}
 	}
 }
+
+// TestOwnCommitWaitsForTheLagOfTheReplica lets a session read 100 ms after its commit: a replica that is usually 300 ms
+// behind comes after the primary, one that is usually 20 ms behind before it. With a constant of 50 ms both came first.
+func TestOwnCommitWaitsForTheLagOfTheReplica(t *testing.T) {
+	for lag, want := range map[time.Duration]bool{20 * time.Millisecond: true, 300 * time.Millisecond: false} {
+		e := newTestEngine(&fakeTarget{})
+		g := e.groups["g"]
+		g.setTarget(Target{Name: "replica", Group: "g", Slots: 2, Zone: "z"})
+		now := clock.SinceBoot()
+		m := g.members["replica"]
+		// The primary passed the commit 400 ms ago, as far as this daemon knows, and the replica was last heard of before.
+		g.samples = primaryposition.Samples{}
+		for range 20 {
+			m.lags.Add(lag, now)
+		}
+		m.applied, m.appliedAt = api.Position{Term: 1, Offset: 1}, now-time.Second
+		readers := g.readers(readRequest{minPosition: api.Position{Term: 1, Offset: 2}, committedAt: now - 100*time.Millisecond, within: time.Second})
+		if first := readers[0] == m; first != want {
+			t.Errorf("lag of %s: got the replica first %t, want %t", lag, first, want)
+		}
+	}
+}
