--- a/internal/engine/ownedpool_test.go
+++ b/internal/engine/ownedpool_test.go
@@ -1,7 +1,6 @@
 package engine
 
 import (
-	"fmt"
 	"testing"
 	"time"
 
@@ -72,7 +71,7 @@
 }
 
 // TestConnectionsOfWorkspacesStayWithinTheLimit draws random acquisitions, releases, restarts of the target, refusals and
-// changes of the share, and checks what the target sees.
+// requests without a workspace, and checks what the target sees.
 func TestConnectionsOfWorkspacesStayWithinTheLimit(t *testing.T) {
 	rapid.Check(t, func(t *rapid.T) {
 		ceiling := rapid.IntRange(1, 6).Draw(t, "ceiling")
@@ -82,7 +81,7 @@
 		for range rapid.IntRange(1, 60).Draw(t, "steps") {
 			switch rapid.SampledFrom([]string{"acquire", "acquire", "release", "release", "restart"}).Draw(t, "step") {
 			case "acquire":
-				wanted := requestOf(fmt.Sprint(rapid.IntRange(0, 9).Draw(t, "workspace")))
+				wanted := requestOf(rapid.SampledFrom([]string{"", "a", "b", "c", "d", "e", "f", "g"}).Draw(t, "workspace"))
 				wanted.startBy, wanted.lateUntil = time.Now().Add(2*time.Millisecond), time.Now().Add(2*time.Millisecond)
 				conn, err := p.acquire(wanted)
 				switch {
--- a/internal/policy/admission/admission_test.go
+++ b/internal/policy/admission/admission_test.go
@@ -229,3 +229,22 @@
 		q.Release("", at(0), time.Millisecond)
 	}
 }
+
+func BenchmarkOfferEndByUsualLoad(b *testing.B) {
+	q := New(Config{Slots: 8, QueueLength: 500, ByUsualLoad: true})
+	id := uint64(0)
+	next := func() Item {
+		id++
+		return item(id, fmt.Sprint(id%88))
+	}
+	for range 200 {
+		q.Offer(next(), at(0))
+	}
+	b.ReportAllocs()
+	for b.Loop() {
+		now := at(int(id) / 100)
+		offered := next()
+		q.Offer(offered, now)
+		q.End(offered, now, time.Millisecond)
+	}
+}
--- a/internal/policy/admission/shares.go
+++ b/internal/policy/admission/shares.go
@@ -32,6 +32,8 @@
 	minExcess = 0.05
 	// minWeight is the least part of the weight of the largest workspace that each workspace has.
 	minWeight = 0.05
+	// largestValidity is the time for which the largest usual load is not computed again.
+	largestValidity = 250 * time.Millisecond
 	// maxShares bounds the workspaces whose load is remembered. Beyond it those that used nothing lately are forgotten.
 	maxShares = 1024
 )
@@ -52,6 +54,9 @@
 	began time.Time
 	// virtual is the virtual time of the latest start.
 	virtual float64
+	// greatest is the largest usual load as computed at greatestAt.
+	greatest   float64
+	greatestAt time.Time
 }
 
 // isOn reports whether workspaces are served by their usual load.
@@ -90,14 +95,17 @@
 	}
 }
 
-// largest returns the largest usual load.
+// largest returns the largest usual load, computed no longer than largestValidity ago.
 func (s *shares) largest(now time.Time) float64 {
-	largest := 0.0
+	if s.greatest > 0 && now.Sub(s.greatestAt) < largestValidity {
+		return s.greatest
+	}
+	s.greatest, s.greatestAt = 0, now
 	for _, w := range s.workspaces {
 		w.decay(now)
-		largest = max(largest, w.usual)
+		s.greatest = max(s.greatest, w.usual)
 	}
-	return largest
+	return s.greatest
 }
 
 // weight returns the weight of a workspace, relative to the largest usual load.
--- a/internal/policy/admission/shares_test.go
+++ b/internal/policy/admission/shares_test.go
@@ -245,3 +245,58 @@
 	})
 	return loads
 }
+
+// TestExcessEnds lets a workspace use the slot for 10 s that others leave it, far beyond its usual, and then others keep the slot
+// busy: the workspace waits, and its next batch starts within 3 s, in the lane above and in the one below the others.
+func TestExcessEnds(t *testing.T) {
+	for _, kind := range []loadKind{filings, lookups} {
+		q := New(Config{Slots: 1, QueueLength: 500, ByUsualLoad: true})
+		id := uint64(0)
+		offer := func(workspace string, kind loadKind, now time.Time) uint64 {
+			id++
+			q.Offer(Item{ID: id, Workspace: workspace, Class: kind.class, Priority: kind.priority, Deadline: now.Add(time.Hour)}, now)
+			return id
+		}
+		// Each batch takes 10 ms. For a minute the others use nine parts of ten.
+		runs, now := "", start
+		step := func() (started []uint64) {
+			now = now.Add(10 * time.Millisecond)
+			for _, s := range q.End(Item{Workspace: runs, Class: ClassStrict, Priority: 2}, now, 10*time.Millisecond) {
+				runs, started = s.Workspace, append(started, s.ID)
+			}
+			return started
+		}
+		runs = "hot"
+		offer("hot", checks, now)
+		for i := range 6000 {
+			workspace := fmt.Sprint("other-", i%3)
+			if i%10 == 0 {
+				workspace = "hot"
+			}
+			offer(workspace, checks, now)
+			step()
+		}
+		for range 1000 {
+			offer("hot", checks, now)
+			step()
+		}
+		if !q.isInExcess("hot", now) {
+			t.Fatal("after 10 s of the whole slot: got no excess, want one")
+		}
+		began, waiting := now, offer("hot", kind, now)
+		for started := false; !started; {
+			for w := range 3 {
+				offer(fmt.Sprint("other-", w), checks, now)
+			}
+			for _, s := range step() {
+				started = started || s == waiting
+			}
+			if now.Sub(began) > 3*time.Second {
+				t.Fatalf("%s: got no start of the workspace in 3 s", kind.name)
+			}
+		}
+		if now.Sub(began) < 500*time.Millisecond && kind == filings {
+			t.Errorf("%s: got a start after %s while others waited, want the excess to wait", kind.name, now.Sub(began))
+		}
+	}
+}
