Ask a full target for more connections less and less often

During a split of the daemons two of them hold a target, with 42 connections each of 70.

Seen to fail without it: TestFullTargetIsTriedLessOften.

--- a/internal/engine/gate.go
+++ b/internal/engine/gate.go
@@ -47,6 +47,8 @@
 
 	mu    sync.Mutex
 	share holding.Share
+	// isFirst is true when this daemon is the holder, false when it is a standby.
+	isFirst bool
 	// silent is true when the target did not answer the last status call.
 	silent bool
 }
@@ -56,7 +58,7 @@
 	share := holding.HolderShare(g.holdingLimits(m))
 	target := func() Target { return g.targetOf(m) }
 	h := &gate{
-		group: g, member: m, share: share, pool: newPool(g.dialer, target, gateConnections(share)),
+		group: g, member: m, share: share, isFirst: g.isFirstHolder(m), pool: newPool(g.dialer, target, gateConnections(share, g.isFirstHolder(m))),
 		control:      &controlConnection{dialer: g.dialer, target: target, idleTimeout: gateIdleTimeout},
 		statements:   waitqueue.New(admission.Config{Slots: share.Statements, QueueLength: poolQueueLength, ByUsualLoad: true}, nil),
 		transactions: waitqueue.New(admission.Config{Slots: share.Transactions, QueueLength: transactionsQueueLength, ByUsualLoad: true}, nil),
@@ -68,20 +70,22 @@
 	return h
 }
 
-func gateConnections(share holding.Share) connectionShare {
-	return connectionShare{guaranteed: share.Connections, ceiling: share.Connections, idleTimeout: gateIdleTimeout, keepsUsed: true}
+// gateConnections returns the connections of a holder. A standby keeps none beyond the idle timeout: the holder may have as
+// many, and the target has not room for both.
+func gateConnections(share holding.Share, isFirst bool) connectionShare {
+	return connectionShare{guaranteed: share.Connections, ceiling: share.Connections, idleTimeout: gateIdleTimeout, keepsUsed: isFirst}
 }
 
-// resize changes the share.
-func (h *gate) resize(share holding.Share) {
+// resize changes the share. isFirst is true for the holder, false for a standby.
+func (h *gate) resize(share holding.Share, isFirst bool) {
 	h.mu.Lock()
 	defer h.mu.Unlock()
-	if h.share == share {
+	if h.share == share && h.isFirst == isFirst {
 		return
 	}
-	h.share = share
+	h.share, h.isFirst = share, isFirst
 	now := time.Now()
-	h.pool.resize(gateConnections(share))
+	h.pool.resize(gateConnections(share, isFirst))
 	h.statements.Resize(share.Statements, now)
 	h.transactions.Resize(share.Transactions, now)
 }
--- a/internal/engine/holders.go
+++ b/internal/engine/holders.go
@@ -40,6 +40,17 @@
 func (g *group) holdersOf(m *member) []holder {
 	g.mu.Lock()
 	defer g.mu.Unlock()
+	return g.holderOrder(m)
+}
+
+// isFirstHolder reports whether this daemon is the holder of a target, not a standby. The caller holds the lock.
+func (g *group) isFirstHolder(m *member) bool {
+	holders := g.holderOrder(m)
+	return len(holders) > 0 && holders[0].isSelf
+}
+
+// holderOrder is holdersOf for a caller that holds the lock.
+func (g *group) holderOrder(m *member) []holder {
 	if m.holdersFrom != g.daemons || m.holdersZone != m.target.Zone {
 		m.holders = nil
 		for _, d := range placement.HolderOrder(m.name, m.target.Zone, g.daemons.holders, holding.Holders) {
@@ -75,7 +86,7 @@
 	m.pool.resize(share)
 	m.control.keepOpen(share.idleTimeout == 0)
 	if m.gate != nil {
-		m.gate.resize(holding.HolderShare(g.holdingLimits(m)))
+		m.gate.resize(holding.HolderShare(g.holdingLimits(m)), g.isFirstHolder(m))
 	}
 }
 
--- a/internal/engine/ownedpool.go
+++ b/internal/engine/ownedpool.go
@@ -61,6 +61,10 @@
 	usage *connections.Usage
 	// closing is the number of connections being closed.
 	closing int
+	// refusals counts the times that the target refused a further connection since it last accepted one, and tries is
+	// true while one is opened to see whether it accepts one again.
+	refusals int
+	tries    bool
 	// checksUnused is true while a check for connections that are not worth keeping is due.
 	checksUnused bool
 	// changed is signaled when a connection is returned or closed, or the pool is closed.
@@ -155,6 +159,7 @@
 	case d.Grow:
 		p.setConnections(p.queue.Slots()+1, now)
 	}
+	p.owned.tries = p.owned.tries || d.Action == connections.Open && p.owned.refusals > 0
 	p.inUse++
 	p.owned.usage.Began(wanted.workspace, now)
 	return conn, d, victim
@@ -189,10 +194,13 @@
 	took := time.Since(began)
 	connectionCounters.Add(countOpeningUs, took.Microseconds())
 	if err != nil {
-		p.endUse(workspace)
+		p.endFailedOpening(workspace)
 		return nil, err
 	}
 	openingTime.record(took)
+	if d.Action == connections.Open {
+		p.recordAccepted()
+	}
 	return conn, err
 }
 
@@ -206,19 +214,52 @@
 	}).Info(logevent.ConnectionEvicted)
 }
 
-// fitToTarget lowers the limit to the connections that the target has accepted, and reports whether one of them is unused,
-// so that it can make room.
+const (
+	// maxRefusalCooldown bounds refusalCooldown, which doubles with each refusal in turn.
+	maxRefusalCooldown = 8 * time.Second
+	// roomDivisor is the part of its connections that a daemon gives up at a full target, so that orders to the target
+	// and other daemons have room.
+	roomDivisor = 16
+)
+
+// fitToTarget lowers the limit to the connections that the target has accepted, and some fewer, and reports whether one of
+// them is unused, so that it can make room.
 func (p *pool) fitToTarget() bool {
 	connectionCounters.Add(countRefused, 1)
 	now := time.Now()
 	p.mu.Lock()
 	defer p.mu.Unlock()
-	p.growAfter = now.Add(refusalCooldown)
-	accepted := max(firstConnections, len(p.idle)+p.inUse)
-	p.setConnections(min(p.queue.Slots(), accepted), now)
+	if !now.Before(p.growAfter) {
+		p.growAfter = now.Add(min(refusalCooldown<<min(p.owned.refusals, maxRefusalDoublings), maxRefusalCooldown))
+		p.owned.refusals++
+	}
+	p.owned.tries = false
+	accepted := len(p.idle) + p.inUse
+	p.logRefused(accepted, now)
+	p.setConnections(min(p.queue.Slots(), max(firstConnections, accepted-accepted/roomDivisor)), now)
 	return len(p.idle) > 0
 }
 
+// maxRefusalDoublings is the number of refusals after which the cooldown is maxRefusalCooldown.
+const maxRefusalDoublings = 4
+
+// recordAccepted records that the target has accepted a further connection.
+func (p *pool) recordAccepted() {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	p.owned.refusals, p.owned.tries = 0, false
+}
+
+// logRefused logs that the target accepts no further connection. The caller holds the lock.
+func (p *pool) logRefused(accepted int, now time.Time) {
+	if !limiter.Allow(logevent.ConnectionRefusedFull, now) {
+		return
+	}
+	logrus.WithFields(logrus.Fields{
+		logfield.Target: p.target().Name, logfield.Limit: p.queue.Slots(), logfield.Share: p.ceiling, logfield.Running: p.inUse, logfield.Connections: accepted,
+	}).Info(logevent.ConnectionRefusedFull)
+}
+
 // closeAboveLimit closes unused connections, those least expected to be used first, until there are not more than the
 // limit. The caller holds the lock.
 func (p *pool) closeAboveLimit(now time.Time) {
@@ -235,6 +276,14 @@
 	p.endUseLocked(workspace, time.Now())
 }
 
+// endFailedOpening returns the place of a connection that was not opened.
+func (p *pool) endFailedOpening(workspace string) {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	p.owned.tries = false
+	p.endUseLocked(workspace, time.Now())
+}
+
 func (p *pool) endUseLocked(workspace string, now time.Time) {
 	p.inUse--
 	if p.owned != nil {
--- a/internal/engine/ownedpool_test.go
+++ b/internal/engine/ownedpool_test.go
@@ -70,6 +70,43 @@
 	}
 }
 
+// TestFullTargetIsTriedLessOften lets a target refuse each time that it is asked for more, as one whose other connections a
+// second holder has: the time until the next try doubles up to a bound, and an accepted one ends that. Before, a holder asked
+// such a target twice a second.
+func TestFullTargetIsTriedLessOften(t *testing.T) {
+	target := &fakeTarget{limit: 2}
+	p := target.pool(8, 8)
+	use(t, p, "a", "b")
+	for _, want := range []time.Duration{1, 2, 4, 8, 16, 16} {
+		p.setGrowAfter(time.Time{})
+		before := time.Now()
+		use(t, p, "c", "d", "e")
+		if got := p.growAfter.Sub(before); got < want*refusalCooldown || got > want*refusalCooldown+time.Minute {
+			t.Errorf("got %s until the next try, want %s", got, want*refusalCooldown)
+		}
+	}
+	target.mu.Lock()
+	target.limit = 3
+	target.mu.Unlock()
+	p.setGrowAfter(time.Time{})
+	use(t, p, "f", "g", "h")
+	if before := time.Now(); target.open != 3 || p.growAfter.Sub(before) > refusalCooldown {
+		t.Errorf("after one more is accepted and the next refused: got %d open and %s until the next try, want 3 and %s", target.open, p.growAfter.Sub(before), refusalCooldown)
+	}
+}
+
+// TestStandbyKeepsNothingUnused compares a holder and a standby of the same target: only the holder keeps connections beyond
+// the idle timeout.
+func TestStandbyKeepsNothingUnused(t *testing.T) {
+	h := newTestGate(&fakeTarget{}, 20, 2)
+	for _, isFirst := range []bool{true, false, true} {
+		h.resize(h.share, isFirst)
+		if h.pool.keepsUsed != isFirst {
+			t.Errorf("first holder %t: got connections kept %t", isFirst, h.pool.keepsUsed)
+		}
+	}
+}
+
 // TestConnectionsOfWorkspacesStayWithinTheLimit draws random acquisitions, releases, restarts of the target, refusals and
 // requests without a workspace, and checks what the target sees.
 func TestConnectionsOfWorkspacesStayWithinTheLimit(t *testing.T) {
--- a/internal/engine/pool.go
+++ b/internal/engine/pool.go
@@ -125,7 +125,7 @@
 
 // mayGrow reports whether the number of connections may grow. The caller holds the lock.
 func (p *pool) mayGrow(now time.Time) bool {
-	return p.queue.Slots() < p.ceiling && !now.Before(p.growAfter)
+	return p.queue.Slots() < p.ceiling && !now.Before(p.growAfter) && (p.owned == nil || !p.owned.tries)
 }
 
 // shrink removes one connection and prevents growth for the given time, because the target has more connections
--- a/internal/logevent/logevent.go
+++ b/internal/logevent/logevent.go
@@ -27,6 +27,7 @@
 	CommitConfirmed           = "commit_confirmed"
 	CommitFenceOnly           = "commit_fence_only"
 	CommitUnconfirmed         = "commit_unconfirmed"
+	ConnectionRefusedFull     = "connection_refused_full"
 	ConnectionEvicted         = "connection_evicted"
 	ConfigurationApplied      = "configuration_applied"
 	ConfigurationDeleted      = "configuration_deleted"
