--- a/internal/engine/callers.go
+++ b/internal/engine/callers.go
@@ -138,9 +138,7 @@
 			continue
 		}
 		ended++
-		if clock.Sleep(e.ctx, idleCloseInterval) != nil {
-			break
-		}
+		time.Sleep(idleCloseInterval)
 	}
 	if ended > 0 {
 		logrus.WithFields(e.configurationFields()).WithField(logfield.Sessions, ended).Info(logevent.WithdrawnSessionsClosed)
@@ -163,22 +161,3 @@
 		logfield.Ready: !isolated && !unproved, logfield.Isolated: isolated, logfield.Unproved: unproved,
 	}).Warn(logevent.ReadinessChanged)
 }
-
-// spend takes the right to one operation of a workspace whose operations are limited. It returns false when none was
-// needed.
-func (e *Engine) spend(workspace string, deadline time.Time) (bool, *Refusal) {
-	if workspace == "" || e.options.Quota == nil || !e.isLimited(workspace) {
-		return false, nil
-	}
-	if err := e.options.Quota.Spend(workspace, deadline); err != nil {
-		return false, refusalOf(err)
-	}
-	return true, nil
-}
-
-func (e *Engine) isLimited(workspace string) bool {
-	e.mu.Lock()
-	defer e.mu.Unlock()
-	limit, ok := e.configuration.Callers.LimitOf(workspace)
-	return ok && limit.RatePerS > 0
-}
--- a/internal/engine/execute.go
+++ b/internal/engine/execute.go
@@ -134,20 +134,6 @@
 	return s.answerOf(reply)
 }
 
-// spend takes the right of the workspace to the operation, before it takes a slot, a connection or a place in a queue.
-func (r *request) spend() (refusal *Refusal) {
-	r.hasSpent, refusal = r.session.engine.spend(r.session.identity.Workspace, r.startBy())
-	return refusal
-}
-
-// returnUnused gives the right back if the operation certainly did not run.
-func (r *request) returnUnused() {
-	if r.hasSpent && !r.mayHaveRun {
-		r.hasSpent = false
-		r.session.engine.options.Quota.Return(r.session.identity.Workspace)
-	}
-}
-
 // answerOf turns the reply of a target into the answer to the caller.
 func (s *session) answerOf(reply Reply) Answer {
 	if reply.Failure != nil {
@@ -160,7 +146,7 @@
 func (r *request) run(m *member, l lease, e execution) attemptResult {
 	e.state, e.deadline, e.connectionRequest = r.session.stateFor(r.statement), r.deadline(), r.connectionRequest()
 	e.permits = r.session.engine.Permits
-	if err := e.refusal(); err != nil {
+	if err := e.authorize(); err != nil {
 		return notPermitted(err)
 	}
 	r.group.recordSent(m, clock.SinceBoot())
--- a/internal/lineproxy/proxy.go
+++ b/internal/lineproxy/proxy.go
@@ -89,6 +89,7 @@
 		DrainTimeout:  time.Duration(settings.Fleet.DrainTimeoutMs) * time.Millisecond,
 		RevokeWithin:  time.Duration(settings.Fleet.RevokeMs) * time.Millisecond,
 	})
+	metricsOf.Store(p.engine)
 	p.registry = daemonregistry.New(store, api.DaemonEntry{
 		Name: settings.Name, Zone: settings.Zone, Address: settings.PeerAddress, Capacity: int(settings.Fleet.CapacityCores * 1000),
 	}, p.setDaemons)
@@ -222,7 +223,7 @@
 	}
 	for _, problem := range problems {
 		logrus.WithFields(logrus.Fields{
-			logfield.Version: configuration.Version, logfield.Workspace: problem.Workspace, logfield.Entry: problem.Number, logfield.Reason: problem.Reason,
+			logfield.Version: configuration.Version, logfield.Part: problem.Part, logfield.Entry: problem.Number, logfield.Name: problem.Name, logfield.Reason: problem.Reason,
 		}).Error(logevent.ConfigurationEntryInvalid)
 	}
 	p.engine.Configure(configuration)
