--- a/internal/engine/callers.go
+++ b/internal/engine/callers.go
@@ -138,9 +138,7 @@
 			continue
 		}
 		ended++
-		if clock.Sleep(e.ctx, idleCloseInterval) != nil {
-			break
-		}
+		time.Sleep(idleCloseInterval)
 	}
 	if ended > 0 {
 		logrus.WithFields(e.configurationFields()).WithField(logfield.Sessions, ended).Info(logevent.WithdrawnSessionsClosed)
--- a/internal/engine/execute.go
+++ b/internal/engine/execute.go
@@ -160,7 +160,7 @@
 func (r *request) run(m *member, l lease, e execution) attemptResult {
 	e.state, e.deadline, e.connectionRequest = r.session.stateFor(r.statement), r.deadline(), r.connectionRequest()
 	e.permits = r.session.engine.Permits
-	if err := e.refusal(); err != nil {
+	if err := e.authorize(); err != nil {
 		return notPermitted(err)
 	}
 	r.group.recordSent(m, clock.SinceBoot())
--- a/internal/engine/lease.go
+++ b/internal/engine/lease.go
@@ -33,9 +33,9 @@
 	permits func(callers.Identity) error
 }
 
-// refusal returns why the command may not be sent at the moment; nil if it may. A rollback may always be sent, but not in
-// the name of a caller that may run nothing.
-func (e *execution) refusal() error {
+// authorize returns why the command may not be sent at the moment; nil if it may. A rollback may always be sent, but without
+// the id of a caller that may run nothing.
+func (e *execution) authorize() error {
 	if e.permits == nil {
 		return nil
 	}
@@ -88,7 +88,7 @@
 	if err := e.state.applyTo(c, e.deadline); err != nil {
 		return attemptResult{err: err}
 	}
-	if err := e.refusal(); err != nil {
+	if err := e.authorize(); err != nil {
 		return notPermitted(err)
 	}
 	askedAt := clock.SinceBoot()
--- a/internal/engine/relaysession.go
+++ b/internal/engine/relaysession.go
@@ -58,7 +58,7 @@
 		return relayReply(notRun(result.NotRunNotHolder, "the request is of another version"))
 	}
 	e.permits = s.engine.Permits
-	if refused := e.refusal(); refused != nil {
+	if refused := e.authorize(); refused != nil {
 		return relayReply(notPermitted(refused))
 	}
 	if request.Transaction != 0 {
--- a/internal/engine/transaction.go
+++ b/internal/engine/transaction.go
@@ -65,10 +65,13 @@
 	if t.lease == nil {
 		return
 	}
-	t.lease.run(execution{
+	e := execution{
 		state: sessionState{unchanged: true}, command: Command{ID: id, Op: OpRollback}, deadline: time.Now().Add(rollbackTimeout),
 		connectionRequest: t.request.connectionRequest(), permits: t.session.engine.Permits,
-	})
+	}
+	if e.authorize() == nil {
+		t.lease.run(e)
+	}
 	t.lease.release()
 	t.lease = nil
 }
--- a/internal/lineproxy/proof.go
+++ b/internal/lineproxy/proof.go
@@ -7,8 +7,8 @@
 	"github.com/papayacove/papayacove/internal/clock"
 )
 
-// proofWatchDivisor divides the bound of withdrawn keys into the longest wait of a watch of the configuration. A watch
-// proves the time at which it was sent, so that the proof is up to two waits old, and a lost answer costs a third.
+// proofWatchDivisor is the part of the bound of withdrawn keys that a watch of the configuration may wait. A watch proves
+// the time at which it was sent, so that the proof is up to two waits old, and up to three after a lost answer.
 const proofWatchDivisor = 5
 
 // proofRecorder records that the configuration in force is recent: a call that follows the configuration proves the time
--- a/internal/lineproxy/proxy.go
+++ b/internal/lineproxy/proxy.go
@@ -89,6 +89,7 @@
 		DrainTimeout:  time.Duration(settings.Fleet.DrainTimeoutMs) * time.Millisecond,
 		RevokeWithin:  time.Duration(settings.Fleet.RevokeMs) * time.Millisecond,
 	})
+	metricsOf.Store(p.engine)
 	p.registry = daemonregistry.New(store, api.DaemonEntry{
 		Name: settings.Name, Zone: settings.Zone, Address: settings.PeerAddress, Capacity: int(settings.Fleet.CapacityCores * 1000),
 	}, p.setDaemons)
