Let a standby leave room at a full target

42 of the holder and 28 of the standby fill a target of 70: during a split 52 refusals of one target, to the standby and to daemons that reach neither. A standby that is refused keeps a third of its share.

Seen to fail without it: TestStandbyLeavesRoom.

--- a/internal/engine/connectionshare.go
+++ b/internal/engine/connectionshare.go
@@ -34,6 +34,9 @@
 	idleTimeout time.Duration
 	// keepsUsed is true when connections of workspaces are kept beyond idleTimeout that are expected to be used again.
 	keepsUsed bool
+	// whenFull bounds the connections of workspaces that the daemon keeps at a target that accepts no further one; 0 for
+	// no bound.
+	whenFull int
 }
 
 // divideConnections returns the share of one daemon when a group's limits are divided among the given number of
--- a/internal/engine/gate.go
+++ b/internal/engine/gate.go
@@ -70,10 +70,17 @@
 	return h
 }
 
-// gateConnections returns the connections of a holder. A standby keeps none beyond the idle timeout: the holder may have as
-// many, and the target has not room for both.
+// standbyDivisor is the part of the connections of a holder that a standby keeps at a full target.
+const standbyDivisor = 3
+
+// gateConnections returns the connections of a holder. At a full target, which is one whose holder is in use too, a standby
+// keeps few, so that there is room for orders and for daemons that reach neither; and it keeps none beyond the idle timeout.
 func gateConnections(share holding.Share, isFirst bool) connectionShare {
-	return connectionShare{guaranteed: share.Connections, ceiling: share.Connections, idleTimeout: gateIdleTimeout, keepsUsed: isFirst}
+	connections := connectionShare{guaranteed: share.Connections, ceiling: share.Connections, idleTimeout: gateIdleTimeout, keepsUsed: isFirst}
+	if !isFirst {
+		connections.whenFull = max(1, share.Connections/standbyDivisor)
+	}
+	return connections
 }
 
 // resize changes the share. isFirst is true for the holder, false for a standby.
--- a/internal/engine/ownedpool.go
+++ b/internal/engine/ownedpool.go
@@ -61,9 +61,10 @@
 	usage *connections.Usage
 	// closing is the number of connections being closed.
 	closing int
-	// refusals counts the times that the target refused a further connection since it last accepted one, and tries is
-	// true while one is opened to see whether it accepts one again.
+	// refusals counts the times that the target refused a further connection since it last accepted more than accepted,
+	// the number when it refused. tries is true while one is opened to see whether it accepts one again.
 	refusals int
+	accepted int
 	tries    bool
 	// checksUnused is true while a check for connections that are not worth keeping is due.
 	checksUnused bool
@@ -236,18 +237,32 @@
 	p.owned.tries = false
 	accepted := len(p.idle) + p.inUse
 	p.logRefused(accepted, now)
-	p.setConnections(min(p.queue.Slots(), max(firstConnections, accepted-accepted/roomDivisor)), now)
+	p.owned.accepted = max(accepted, firstConnections)
+	p.setConnections(min(p.queue.Slots(), p.limitWhenFull(accepted)), now)
 	return len(p.idle) > 0
 }
 
+// limitWhenFull returns the number of connections that the daemon keeps at a target that has accepted so many and no more.
+func (p *pool) limitWhenFull(accepted int) int {
+	limit := accepted - accepted/roomDivisor
+	if p.whenFull > 0 {
+		limit = min(limit, p.whenFull)
+	}
+	return max(firstConnections, limit)
+}
+
 // maxRefusalDoublings is the number of refusals after which the cooldown is maxRefusalCooldown.
 const maxRefusalDoublings = 4
 
-// recordAccepted records that the target has accepted a further connection.
+// recordAccepted records that the target has accepted a further connection. It is no longer taken to be full once it has
+// accepted more than when it refused.
 func (p *pool) recordAccepted() {
 	p.mu.Lock()
 	defer p.mu.Unlock()
-	p.owned.refusals, p.owned.tries = 0, false
+	p.owned.tries = false
+	if len(p.idle)+p.inUse > p.owned.accepted {
+		p.owned.refusals = 0
+	}
 }
 
 // logRefused logs that the target accepts no further connection. The caller holds the lock.
--- a/internal/engine/ownedpool_test.go
+++ b/internal/engine/ownedpool_test.go
@@ -1,6 +1,7 @@
 package engine
 
 import (
+	"fmt"
 	"testing"
 	"time"
 
@@ -95,14 +96,21 @@
 	}
 }
 
-// TestStandbyKeepsNothingUnused compares a holder and a standby of the same target: only the holder keeps connections beyond
-// the idle timeout.
-func TestStandbyKeepsNothingUnused(t *testing.T) {
-	h := newTestGate(&fakeTarget{}, 20, 2)
-	for _, isFirst := range []bool{true, false, true} {
+// TestStandbyLeavesRoom lets a standby use a target whose holder has 12 of 20 connections: at the first refusal it falls back to
+// a third of its share, so that others have room. A holder in its place keeps almost all that were accepted.
+func TestStandbyLeavesRoom(t *testing.T) {
+	for isFirst, want := range map[bool]int{true: 8, false: 4} {
+		target := &fakeTarget{limit: 8}
+		h := newTestGate(target, 20, 2)
 		h.resize(h.share, isFirst)
+		for i := range 9 {
+			use(t, h.pool, fmt.Sprint(i))
+		}
+		if open := len(h.pool.idle); open != want {
+			t.Errorf("first holder %t: got %d connections at a full target, want %d", isFirst, open, want)
+		}
 		if h.pool.keepsUsed != isFirst {
-			t.Errorf("first holder %t: got connections kept %t", isFirst, h.pool.keepsUsed)
+			t.Errorf("first holder %t: got unused ones kept %t", isFirst, h.pool.keepsUsed)
 		}
 	}
 }
