--- a/internal/engine/ownedpool.go
+++ b/internal/engine/ownedpool.go
@@ -1,10 +1,8 @@
 package engine
 
 import (
-	"cmp"
 	"expvar"
 	"sync"
-	"sync/atomic"
 	"time"
 
 	"github.com/sirupsen/logrus"
@@ -34,28 +32,6 @@
 // maxEvictions bounds the unused connections that are closed for one statement when the target accepts no further one.
 const maxEvictions = 2
 
-// openingTime is the time that the connections of workspaces take to open, as observed by this daemon.
-var openingTime = &averageTime{}
-
-// defaultOpeningTime is the time that a connection is taken to need to open until one was opened.
-const defaultOpeningTime = 10 * time.Millisecond
-
-// averageTime is a moving average. It is safe for concurrent use.
-type averageTime struct{ nanoseconds atomic.Int64 }
-
-func (a *averageTime) record(taken time.Duration) {
-	before := a.nanoseconds.Load()
-	if before == 0 {
-		before = int64(taken)
-	}
-	a.nanoseconds.Store(before + int64(latencyWeight*float64(int64(taken)-before)))
-}
-
-// average returns the average, or defaultOpeningTime if there is none.
-func (a *averageTime) average() time.Duration {
-	return cmp.Or(time.Duration(a.nanoseconds.Load()), defaultOpeningTime)
-}
-
 // ownedConnections is the part of a pool whose connections belong to workspaces. The lock of the pool guards it.
 type ownedConnections struct {
 	usage *connections.Usage
@@ -102,8 +78,8 @@
 // takes the place of an unused one of another workspace.
 func (p *pool) acquireOwned(wanted connectionRequest) (*pooledConnection, error) {
 	conn, err := p.obtain(wanted)
-	for range maxEvictions {
-		if result.CodeOf(err) != result.NotRunNoSlot || !p.fitToTarget() {
+	for evictions := 0; result.CodeOf(err) == result.NotRunNoSlot; evictions++ {
+		if !p.fitToTarget() || evictions == maxEvictions {
 			break
 		}
 		conn, err = p.obtain(wanted)
@@ -215,66 +191,6 @@
 	}).Info(logevent.ConnectionEvicted)
 }
 
-const (
-	// maxRefusalCooldown bounds refusalCooldown, which doubles with each refusal in turn.
-	maxRefusalCooldown = 8 * time.Second
-	// roomDivisor is the part of its connections that a daemon gives up at a full target, so that orders to the target
-	// and other daemons have room.
-	roomDivisor = 16
-)
-
-// fitToTarget lowers the limit to the connections that the target has accepted, and some fewer, and reports whether one of
-// them is unused, so that it can make room.
-func (p *pool) fitToTarget() bool {
-	connectionCounters.Add(countRefused, 1)
-	now := time.Now()
-	p.mu.Lock()
-	defer p.mu.Unlock()
-	if !now.Before(p.growAfter) {
-		p.growAfter = now.Add(min(refusalCooldown<<min(p.owned.refusals, maxRefusalDoublings), maxRefusalCooldown))
-		p.owned.refusals++
-	}
-	p.owned.tries = false
-	accepted := len(p.idle) + p.inUse
-	p.logRefused(accepted, now)
-	p.owned.accepted = max(accepted, firstConnections)
-	p.setConnections(min(p.queue.Slots(), p.limitWhenFull(accepted)), now)
-	return len(p.idle) > 0
-}
-
-// limitWhenFull returns the number of connections that the daemon keeps at a target that has accepted so many and no more.
-func (p *pool) limitWhenFull(accepted int) int {
-	limit := accepted - accepted/roomDivisor
-	if p.whenFull > 0 {
-		limit = min(limit, p.whenFull)
-	}
-	return max(firstConnections, limit)
-}
-
-// maxRefusalDoublings is the number of refusals after which the cooldown is maxRefusalCooldown.
-const maxRefusalDoublings = 4
-
-// recordAccepted records that the target has accepted a further connection. It is no longer taken to be full once it has
-// accepted more than when it refused.
-func (p *pool) recordAccepted() {
-	p.mu.Lock()
-	defer p.mu.Unlock()
-	p.owned.tries = false
-	if len(p.idle)+p.inUse > p.owned.accepted {
-		p.owned.refusals = 0
-	}
-}
-
-// logRefused logs that the target accepts no further connection. The caller holds the lock.
-func (p *pool) logRefused(accepted int, now time.Time) {
-	if !limiter.Allow(logevent.ConnectionRefusedFull, now) {
-		return
-	}
-	logrus.WithFields(logrus.Fields{
-		logfield.Target: p.target().Name, logfield.Limit: p.queue.Slots(), logfield.Share: p.ceiling, logfield.Running: p.inUse, logfield.Connections: accepted,
-	}).Info(logevent.ConnectionRefusedFull)
-}
-
 // closeAboveLimit closes unused connections, those least expected to be used first, until there are not more than the
 // limit. The caller holds the lock.
 func (p *pool) closeAboveLimit(now time.Time) {
