Begin with nearly equal shares, and play them with five seeds

A new holder weighed workspaces by the first seconds that it saw, so that one that asked many times its usual when the holder changed was taken for a large one. Each is taken to have used 3 s beside what was seen.

Seen to fail with ByUsualLoad ignored: the same tests as before.

--- a/internal/policy/admission/shares.go
+++ b/internal/policy/admission/shares.go
@@ -28,6 +28,9 @@
 	recentTime = 2 * time.Second
 	// excessFactor is the multiple of its usual load from which on a workspace is in excess.
 	excessFactor = 2
+	// priorLoad is the time for which each workspace is taken to have held slots, in seconds, beside what was observed: a new
+	// queue treats all nearly alike, until it has seen more.
+	priorLoad = 3.0
 	// minExcess is the part of the slots below which no workspace is in excess.
 	minExcess = 0.05
 	// minWeight is the least part of the weight of the largest workspace that each workspace has.
@@ -113,7 +116,7 @@
 	if largest <= 0 {
 		return 1
 	}
-	return max(minWeight, s.of(workspace, now).usual/largest)
+	return max(minWeight, (s.of(workspace, now).usual+priorLoad)/(largest+priorLoad))
 }
 
 // started records that a batch of the workspace starts, which was queued at the virtual time queuedAt and is expected to
--- a/internal/policy/admission/shares_test.go
+++ b/internal/policy/admission/shares_test.go
@@ -43,13 +43,25 @@
 func (e *endings) Push(x any)        { *e = append(*e, x.(ending)) }
 func (e *endings) Pop() any          { x := (*e)[len(*e)-1]; *e = (*e)[:len(*e)-1]; return x }
 
-// playShares offers the loads to a target of 3 slots and returns what each workspace got after warmUp.
+// playedSeeds is the number of times that a load is played, since a few seconds of one vary.
+const playedSeeds = 5
+
+// playShares offers the loads to a target of 3 slots and returns what each workspace got after warmUp, of all seeds together.
 func playShares(byUsualLoad bool, loads []workspaceLoad) map[string]served {
-	random := rand.New(rand.NewSource(1))
+	results := map[string]served{}
+	for seed := range int64(playedSeeds) {
+		playSharesOnce(seed, byUsualLoad, loads, results)
+	}
+	return results
+}
+
+// playSharesOnce plays the loads with one seed and adds what each workspace got to the results.
+func playSharesOnce(seed int64, byUsualLoad bool, loads []workspaceLoad, results map[string]served) {
+	random := rand.New(rand.NewSource(seed))
 	q := New(Config{Slots: 3, QueueLength: 500, ServiceTime: 18 * time.Millisecond, ByUsualLoad: byUsualLoad})
 	start := time.Unix(1_000_000, 0)
 	warm := start.Add(warmUp)
-	results, kinds, items, arrived := map[string]served{}, map[uint64]loadKind{}, map[uint64]Item{}, map[uint64]time.Time{}
+	kinds, items, arrived := map[uint64]loadKind{}, map[uint64]Item{}, map[uint64]time.Time{}
 	count := func(id uint64, change func(*served)) {
 		if arrived[id].After(warm) {
 			s := results[items[id].Workspace]
@@ -113,7 +125,6 @@
 			count(id, func(s *served) { s.refused++ })
 		}
 	}
-	return results
 }
 
 // The kinds of batches of the three lanes that a target carries.
@@ -153,7 +164,7 @@
 	for name, s := range results {
 		if name != but {
 			sum.offered, sum.inTime = sum.offered+s.offered, sum.inTime+s.inTime
-			if s.offered >= 30 {
+			if s.offered >= 30*playedSeeds {
 				worst = min(worst, s.part())
 			}
 		}
