--- a/internal/lineproxy/proxy.go
+++ b/internal/lineproxy/proxy.go
@@ -223,7 +223,7 @@
 	}
 	for _, problem := range problems {
 		logrus.WithFields(logrus.Fields{
-			logfield.Version: configuration.Version, logfield.Workspace: problem.Workspace, logfield.Entry: problem.Number, logfield.Reason: problem.Reason,
+			logfield.Version: configuration.Version, logfield.Part: problem.Part, logfield.Entry: problem.Number, logfield.Name: problem.Name, logfield.Reason: problem.Reason,
 		}).Error(logevent.ConfigurationEntryInvalid)
 	}
 	p.engine.Configure(configuration)
