--- a/internal/engine/ownedpool_test.go
+++ b/internal/engine/ownedpool_test.go
@@ -1,6 +1,7 @@
 package engine
 
 import (
+	"context"
 	"fmt"
 	"testing"
 	"time"
@@ -231,3 +232,46 @@
 		t.Errorf("got %d statement slots taken by the started statement, want 1", running)
 	}
 }
+
+// heldDialer opens connections only once released.
+type heldDialer struct {
+	*fakeTarget
+	began, released chan struct{}
+}
+
+func (d *heldDialer) Dial(ctx context.Context, target Target, workspace string) (Connection, error) {
+	d.began <- struct{}{}
+	<-d.released
+	return d.fakeTarget.Dial(ctx, target, workspace)
+}
+
+// TestSeveralConnectionsOpenAtOnce lets three workspaces need a connection at once: all are opened at the same time. Before,
+// each waited for the one before it.
+func TestSeveralConnectionsOpenAtOnce(t *testing.T) {
+	const together = 3
+	dialer := &heldDialer{fakeTarget: &fakeTarget{}, began: make(chan struct{}, together), released: make(chan struct{})}
+	p := newPool(dialer, func() Target { return Target{Name: "a"} }, connectionShare{guaranteed: together, ceiling: together})
+	ended := make(chan error, together)
+	for i := range together {
+		go func() {
+			conn, err := p.acquire(requestOf(fmt.Sprint(i)))
+			if err == nil {
+				p.release(conn)
+			}
+			ended <- err
+		}()
+	}
+	for range together {
+		select {
+		case <-dialer.began:
+		case <-time.After(5 * time.Second):
+			t.Fatal("fewer connections are being opened than are needed")
+		}
+	}
+	close(dialer.released)
+	for range together {
+		if err := <-ended; err != nil {
+			t.Error(err)
+		}
+	}
+}
