Follow the store by way of few watchers

Cause: each daemon watched config and servers at the store, so calls grew with daemons times changes; they are the largest price on each deployment.

- policy/watching: who watches (rendezvous order of each zone), whom a reader asks next, when it asks the store itself, the waits, and the arithmetic of proofs.
- feed: an objectstore.Source that asks the store or another daemon, a cache that answers others, checks of replies.
- relay: method Feed, on connections of its own so that no statement waits behind a configuration.
- engine: RecordDirectoryFailure takes the time of a failure, here or at the daemon that was asked.
- schema: FeedReply.settled_ms, FeedRequest.proof_age_us.

--- a/api/types.gen.go
+++ b/api/types.gen.go
@@ -305,8 +305,9 @@
 	Objects []Object `json:"objects" toml:"objects"`
 
 	// Outcome is ok, behind if the daemon knows less than the sender, gone if it no
-	// longer has the changes after the revision, or unknown if it does not watch the
-	// kind.
+	// longer has the changes after the revision, large if they are too many to pass
+	// on, or unknown if it does not follow the kind at the store, or its calls to the
+	// store fail.
 	Outcome string `json:"outcome" toml:"outcome"`
 
 	// ProofOffsetUs is the time in microseconds from the proof that the answer is
@@ -316,6 +317,10 @@
 
 	// Revision up to which the objects are complete.
 	Revision uint64 `json:"revision" toml:"revision"`
+
+	// SettledMs is the time in milliseconds for which the daemon has followed the
+	// kind without a failure.
+	SettledMs int64 `json:"settled_ms" toml:"settled_ms"`
 }
 
 // FeedRequest asks a daemon that watches the store for what it has learned from
@@ -333,6 +338,10 @@
 	// List asks for all objects; otherwise the changes after the revision are wanted.
 	List bool `json:"list" toml:"list"`
 
+	// ProofAgeUs is the age of the sender's proof in microseconds; negative if it has
+	// none. It only decides when the answer is sent.
+	ProofAgeUs int64 `json:"proof_age_us" toml:"proof_age_us"`
+
 	// WaitMs is the time in milliseconds for which the answer may be held back while
 	// nothing changes.
 	WaitMs int64 `json:"wait_ms" toml:"wait_ms"`
--- a/internal/engine/engine.go
+++ b/internal/engine/engine.go
@@ -2,7 +2,6 @@
 
 import (
 	"context"
-	"errors"
 	"fmt"
 	"maps"
 	"slices"
@@ -15,7 +14,6 @@
 	"github.com/papayacove/papayacove/internal/clock"
 	"github.com/papayacove/papayacove/internal/logevent"
 	"github.com/papayacove/papayacove/internal/logfield"
-	"github.com/papayacove/papayacove/internal/objectstore"
 	"github.com/papayacove/papayacove/internal/policy/callers"
 	"github.com/papayacove/papayacove/internal/policy/currency"
 	"github.com/papayacove/papayacove/internal/policy/takeover"
@@ -176,18 +174,20 @@
 	}
 }
 
-// RecordDirectoryResult records the outcome of a call that follows the target entries. A compacted history is not
-// an outage.
-func (e *Engine) RecordDirectoryResult(err error) {
-	if err == nil || errors.Is(err, objectstore.ErrCompacted) || errors.Is(err, objectstore.ErrRestored) {
-		return
+// RecordDirectoryFailure records a failure to follow the target entries, here or at the daemon that passes them on, at a
+// time of the boot clock. An earlier one than the last known has no effect.
+func (e *Engine) RecordDirectoryFailure(at time.Duration) {
+	for {
+		known := e.directoryFailed.Load()
+		if int64(at) <= known || e.directoryFailed.CompareAndSwap(known, int64(at)) {
+			return
+		}
 	}
-	e.directoryFailed.Store(int64(clock.SinceBoot()))
 }
 
 // RecordDirectoryRestored records that the store of the target entries was restored from a copy, which may lack entries
 // for a while.
-func (e *Engine) RecordDirectoryRestored() { e.directoryFailed.Store(int64(clock.SinceBoot())) }
+func (e *Engine) RecordDirectoryRestored() { e.RecordDirectoryFailure(clock.SinceBoot()) }
 
 // isDirectorySettled reports whether the target entries have been followed without a failure for removalGrace, the
 // time that lapsed entries need to return. Before that, a target that has acknowledged commits may be missing.
--- a/internal/lineproxy/proxy.go
+++ b/internal/lineproxy/proxy.go
@@ -20,12 +20,13 @@
 	"github.com/papayacove/papayacove/internal/daemonregistry"
 	"github.com/papayacove/papayacove/internal/dialer"
 	"github.com/papayacove/papayacove/internal/engine"
+	"github.com/papayacove/papayacove/internal/feed"
 	"github.com/papayacove/papayacove/internal/httpserver"
 	"github.com/papayacove/papayacove/internal/logevent"
 	"github.com/papayacove/papayacove/internal/logfield"
-	"github.com/papayacove/papayacove/internal/objectstore"
 	"github.com/papayacove/papayacove/internal/peer"
 	"github.com/papayacove/papayacove/internal/policy/callers"
+	"github.com/papayacove/papayacove/internal/policy/watching"
 	"github.com/papayacove/papayacove/internal/promotionlock"
 	"github.com/papayacove/papayacove/internal/relay"
 	"github.com/papayacove/papayacove/internal/result"
@@ -35,8 +36,6 @@
 const (
 	// storeTimeout bounds a call to the store, without the time for which the store holds a watch open.
 	storeTimeout = time.Second
-	// minWatchWait is the least time for which the store is asked to hold a watch open.
-	minWatchWait = 500 * time.Millisecond
 	// watchInterval is the time between two watches of the configuration.
 	watchInterval = 10 * time.Millisecond
 	// targetWatchInterval is the time between two watches of the targets' entries. It is longer, because many targets
@@ -67,8 +66,11 @@
 	promoter *platform.Promoter
 	registry *daemonregistry.Registry
 	clients  *relay.Clients
-	peers    *peer.Server
-	listener net.Listener
+	// feedClients are connections of their own, so that no statement waits behind a large configuration.
+	feedClients *relay.Clients
+	feed        *feed.Feed
+	peers       *peer.Server
+	listener    net.Listener
 	// callers is the number of open caller connections.
 	callers atomic.Int64
 }
@@ -78,7 +80,7 @@
 	source := settings.SourceAddress
 	store := platform.NewStore(settings.PlatformURL, source, storeTimeout)
 	promoter := platform.NewPromoter(settings.Fleet.PromotionURL, source, settings.Name, promoteTimeout)
-	p := &Proxy{store: store, promoter: promoter, clients: relay.NewClients(source)}
+	p := &Proxy{store: store, promoter: promoter, clients: relay.NewClients(source), feedClients: relay.NewClients(source)}
 	p.settings.Store(&settings)
 	p.engine = engine.New(engine.Options{
 		Name:          settings.Name,
@@ -90,22 +92,31 @@
 		DrainTimeout:  time.Duration(settings.Fleet.DrainTimeoutMs) * time.Millisecond,
 		RevokeWithin:  time.Duration(settings.Fleet.RevokeMs) * time.Millisecond,
 	})
+	p.feed = feed.New(feed.Options{
+		Name: settings.Name, Store: store, Peers: p.feedClients, StoreTimeout: storeTimeout,
+		ApplyWithin:  time.Duration(settings.Fleet.ConfigApplyMs) * time.Millisecond,
+		RevokeWithin: time.Duration(settings.Fleet.RevokeMs) * time.Millisecond,
+	})
 	p.registry = daemonregistry.New(store, api.DaemonEntry{
 		Name: settings.Name, Zone: settings.Zone, Address: settings.PeerAddress, Capacity: int(settings.Fleet.CapacityCores * 1000),
 	}, p.setDaemons)
 	return p
 }
 
-// setDaemons passes the entries of the daemons on to the engine.
+// setDaemons passes the entries of the daemons on to the engine and the feed.
 func (p *Proxy) setDaemons(entries []api.DaemonEntry) {
 	daemons := make([]engine.Daemon, 0, len(entries))
+	watchers := make([]watching.Daemon, 0, len(entries))
 	addresses := make(map[string]bool, len(entries))
 	for _, entry := range entries {
 		daemons = append(daemons, engine.Daemon{Name: entry.Name, Zone: entry.Zone, Address: entry.Address})
+		watchers = append(watchers, watching.Daemon{Name: entry.Name, Zone: entry.Zone, Address: entry.Address})
 		addresses[entry.Address] = true
 	}
 	p.engine.SetDaemons(daemons)
+	p.feed.SetDaemons(watchers)
 	p.clients.Keep(addresses)
+	p.feedClients.Keep(addresses)
 }
 
 // Run serves until ctx ends, and then stops as planned. It fails when the daemon cannot listen on one of its
@@ -153,7 +164,7 @@
 		return fmt.Errorf("listen for callers: %w", err)
 	}
 	p.listener = listener
-	if p.peers, err = relay.Listen(settings.PeerAddress, p.engine); err != nil {
+	if p.peers, err = relay.Listen(settings.PeerAddress, p.engine, p.feed); err != nil {
 		return err
 	}
 	go p.servePeers(ctx)
@@ -163,9 +174,13 @@
 	if err := p.serveAdmin(ctx); err != nil {
 		return err
 	}
-	go p.follow(ctx, platform.KindConfiguration, p.applyConfiguration, objectstore.FollowOptions{Interval: watchInterval, OnRestore: p.registry.Restored})
-	go p.follow(ctx, platform.KindTargets, p.applyTarget, objectstore.FollowOptions{
-		Interval: targetWatchInterval, AfterCall: p.engine.RecordDirectoryResult, OnRestore: p.engine.RecordDirectoryRestored,
+	go p.follow(ctx, feed.KindOptions{
+		Kind: platform.KindConfiguration, Interval: watchInterval, HoldsKeys: true, Apply: p.applyConfiguration,
+		OnProof: p.engine.RecordConfigurationProof, OnRestore: p.registry.Restored,
+	})
+	go p.follow(ctx, feed.KindOptions{
+		Kind: platform.KindTargets, Interval: targetWatchInterval, Apply: p.applyTarget,
+		OnFailure: p.engine.RecordDirectoryFailure, OnRestore: p.engine.RecordDirectoryRestored,
 	})
 	go p.registry.Run(ctx)
 	go p.accept()
@@ -186,51 +201,48 @@
 	return httpserver.Serve(ctx, "operators", p.settings.Load().AdminAddress, mux)
 }
 
-// follow applies the objects of one kind and their changes until ctx ends. options hold what is reported besides.
-func (p *Proxy) follow(ctx context.Context, kind string, apply func(api.Object), options objectstore.FollowOptions) {
-	options.Kinds, options.Wait, options.MaxRetryDelay = []string{kind}, p.watchWait(), maxWatchRetryDelay
-	err := objectstore.FollowSource(ctx, p.store, options, func(list api.ObjectList) {
-		for _, object := range list.Objects {
-			apply(object)
-		}
-	})
+// follow applies the objects of one kind and their changes until ctx ends.
+func (p *Proxy) follow(ctx context.Context, options feed.KindOptions) {
+	options.MaxRetryDelay = maxWatchRetryDelay
+	err := p.feed.Follow(ctx, options)
 	if ctx.Err() == nil {
-		logrus.WithFields(logrus.Fields{logfield.Kind: kind, logfield.Error: err}).Error(logevent.FollowEnded)
+		logrus.WithFields(logrus.Fields{logfield.Kind: options.Kind, logfield.Error: err}).Error(logevent.FollowEnded)
 	}
 }
 
-// watchWait is the time for which the store is asked to hold a watch open. The sum with storeTimeout bounds how
-// long a half-open connection to the store delays a configuration.
-func (p *Proxy) watchWait() time.Duration {
-	applyWithin := time.Duration(p.settings.Load().Fleet.ConfigApplyMs) * time.Millisecond
-	return max(minWatchWait, applyWithin-storeTimeout)
-}
+// errDeleted means that an object that must exist is deleted.
+var errDeleted = errors.New("object is deleted")
 
-func (p *Proxy) applyConfiguration(o api.Object) {
+// applyConfiguration puts a configuration into force. After an error the last one stays in force, and nothing proves that
+// it is current.
+func (p *Proxy) applyConfiguration(o api.Object) error {
 	if o.Deleted {
 		logrus.WithField(logfield.Object, o.Name).Warn(logevent.ConfigurationDeleted)
-		return
+		return errDeleted
 	}
 	configuration, err := platform.DecodeConfiguration(o)
 	if err != nil {
 		logrus.WithField(logfield.Error, err).Error(logevent.ConfigurationUnreadable)
-		return
+		return err
 	}
 	p.engine.Configure(configuration)
+	return nil
 }
 
-func (p *Proxy) applyTarget(o api.Object) {
+// applyTarget records the entry of a target. One that cannot be read names no target, so it does not return an error.
+func (p *Proxy) applyTarget(o api.Object) error {
 	if o.Deleted {
 		p.engine.RemoveTarget(o.Name)
-		return
+		return nil
 	}
 	target, err := platform.DecodeTarget(o)
 	if err != nil {
 		logrus.WithField(logfield.Error, err).Warn(logevent.TargetUnreadable)
 		p.engine.RemoveTarget(o.Name)
-		return
+		return nil
 	}
 	p.engine.SetTarget(target)
+	return nil
 }
 
 // acceptRetryDelay is the time before the next attempt after a connection could not be accepted.
@@ -297,6 +309,7 @@
 	ctx, cancel := context.WithTimeout(context.Background(), grace)
 	defer cancel()
 	began := clock.SinceBoot()
+	p.feed.Leave()
 	go p.registry.Leave(ctx)
 	p.engine.Drain(ctx, grace)
 	_ = p.listener.Close()
--- a/internal/relay/relay.go
+++ b/internal/relay/relay.go
@@ -103,6 +103,7 @@
 // service adapts an engine.RelaySession to the method signatures of net/rpc.
 type service struct {
 	session *engine.RelaySession
+	feeder  Feeder
 }
 
 // Run runs a statement at a target that this daemon holds.
@@ -124,12 +125,12 @@
 }
 
 // Listen listens for other daemons; Run of the returned server serves them.
-func Listen(address string, served *engine.Engine) (*peer.Server, error) {
+func Listen(address string, served *engine.Engine, feeder Feeder) (*peer.Server, error) {
 	return peer.ListenWithOptions(peer.ServerOptions{
 		Address: address, MaxFrameBytes: maxFrameBytes,
 		Receiver: func() (any, func()) {
 			session := served.NewRelaySession()
-			return &service{session}, session.Close
+			return &service{session: session, feeder: feeder}, session.Close
 		},
 	})
 }
