Watch with one daemon a zone and a standby

Readers rely on one watcher; the standby follows the store once it fails. A large zone has a watcher for each 50 daemons. A daemon that starts before the others are known waits 0.7 s with its first watch.

--- a/internal/feed/follower.go
+++ b/internal/feed/follower.go
@@ -22,7 +22,11 @@
 	stepInterval = 10 * time.Millisecond
 	// peerTimeout bounds a request to another daemon, without its wait.
 	peerTimeout = time.Second
-	// checkWait is the wait of a watch at the store that only checks what others answer.
+	// startDelay is the time after the start for which a daemon that knows of no others waits before its first watch: daemons
+	// that start together soon learn of each other, and most of them then leave the store alone.
+	startDelay = 700 * time.Millisecond
+	// checkWait is the wait of a watch at the store that only checks what others answer, or is the first after their
+	// answers: its own answer and proof come at once, and a store that does not answer is noticed early.
 	checkWait = time.Millisecond
 )
 
@@ -35,8 +39,14 @@
 	kind    KindOptions
 	hub     *hub
 
+	started time.Duration
+	// assigned is closed when the daemon has got a role other than RoleDirect.
+	assigned chan struct{}
+
 	mu      sync.Mutex
 	chooser *watching.Chooser
+	// awaited is true until assigned is closed.
+	awaited bool
 
 	// The following fields are used by the goroutine of run only.
 
@@ -79,7 +89,7 @@
 
 func newFollower(options Options, kind KindOptions) *follower {
 	return &follower{
-		options: options, kind: kind, hub: newHub(kind.HoldsKeys && options.RevokeWithin > 0, options.Now),
+		options: options, kind: kind, started: options.Now(), assigned: make(chan struct{}), awaited: true, hub: newHub(kind.HoldsKeys && options.RevokeWithin > 0, options.Now),
 		chooser: watching.NewChooser(options.Random), unapplied: make(map[string]bool), failing: make(map[string]watching.Failure),
 	}
 }
@@ -92,6 +102,10 @@
 	if before == a.Role {
 		return
 	}
+	if before == watching.RoleDirect && f.awaited {
+		f.awaited = false
+		close(f.assigned)
+	}
 	logrus.WithFields(logrus.Fields{
 		logfield.Kind: f.kind.Kind, logfield.Role: a.Role.String(), logfield.Before: before.String(), logfield.Daemons: a.Daemons, logfield.Watchers: a.Watchers,
 	}).Info(logevent.FeedRoleChanged)
@@ -121,9 +135,25 @@
 
 // Watch implements objectstore.Source. A wait that is shorter than those of the role takes precedence.
 func (f *follower) Watch(ctx context.Context, after uint64, wait time.Duration, _ ...string) (api.ObjectList, error) {
+	f.awaitRole(ctx)
 	return f.ask(ctx, query{after: after, wait: wait})
 }
 
+// awaitRole waits until startDelay after the start, and less if the daemon gets a role or ctx ends.
+func (f *follower) awaitRole(ctx context.Context) {
+	left := f.started + startDelay - f.options.Now()
+	if left <= 0 {
+		return
+	}
+	timer := time.NewTimer(left)
+	defer timer.Stop()
+	select {
+	case <-f.assigned:
+	case <-timer.C:
+	case <-ctx.Done():
+	}
+}
+
 // ask asks one source after the other until one answers.
 func (f *follower) ask(ctx context.Context, q query) (api.ObjectList, error) {
 	f.mu.Lock()
@@ -156,7 +186,7 @@
 	waits := f.waits(role)
 	if s.Tier == watching.TierStore {
 		q.wait = min(q.wait, waits.Store)
-		if s.IsCheck {
+		if s.IsCheck || f.source.Tier > watching.TierStore {
 			q.wait = checkWait
 		}
 		return f.askStore(ctx, q)
--- a/internal/feed/hub.go
+++ b/internal/feed/hub.go
@@ -14,9 +14,9 @@
 	maxHeld = 512
 	// maxHold bounds the time for which a request is held, whatever it asks for.
 	maxHold = 5 * time.Second
-	// maxReplyBytes bounds the objects of one reply: those of twenty readers take a second on a link of 16 Mbit/s. Who
+	// maxReplyBytes bounds the objects of one reply: those of twenty readers take a second on a link of 10 Mbit/s. Who
 	// needs more asks the store.
-	maxReplyBytes = 96 << 10
+	maxReplyBytes = 64 << 10
 	// maxHistoryBytes and maxHistoryBatches bound the changes that are kept for daemons that lag.
 	maxHistoryBytes   = 512 << 10
 	maxHistoryBatches = 256
--- a/internal/feed/world_test.go
+++ b/internal/feed/world_test.go
@@ -203,6 +203,11 @@
 	return names
 }
 
+// watchers returns the watchers and the standbys of a zone, or of all if it is empty.
+func (w *world) watchers(zone string) []string {
+	return append(w.withRole(watching.RoleWatcher, zone), w.withRole(watching.RoleStandby, zone)...)
+}
+
 func (w *world) callCount() int {
 	w.mu.Lock()
 	defer w.mu.Unlock()
--- a/internal/policy/watching/chooser.go
+++ b/internal/policy/watching/chooser.go
@@ -18,9 +18,9 @@
 	minReaderDelay       = time.Second
 	readerDelayPerDaemon = 100 * time.Millisecond
 	// minCheckInterval and checkIntervalPerDaemon bound the interval at which a reader asks the store although others
-	// answer: all readers together do so about once a second.
-	minCheckInterval       = 30 * time.Second
-	checkIntervalPerDaemon = time.Second
+	// answer: all readers together do so about once in four seconds.
+	minCheckInterval       = time.Minute
+	checkIntervalPerDaemon = 4 * time.Second
 	// lostDelay is the time for which a daemon that has lost the store is not asked.
 	lostDelay = 300 * time.Millisecond
 	// firstSilentDelay and maxSilentDelay bound the time for which a daemon that does not answer is not asked.
@@ -102,7 +102,6 @@
 	random     func(time.Duration) time.Duration
 	assignment Assignment
 	aside      map[string]aside
-	turn       int
 	// heardAt is the time of the last answer that was not stale.
 	heardAt time.Duration
 	// spread is the part of storeSpread that this daemon waits.
@@ -123,7 +122,7 @@
 
 // Assign sets the role of the daemon and whom it may ask.
 func (c *Chooser) Assign(a Assignment, now time.Duration) {
-	if a.Role == RoleReader && c.assignment.Role != RoleReader {
+	if a.Role >= RoleStandby && c.assignment.Role < RoleStandby {
 		c.drawCheck(a, now)
 	}
 	c.assignment = a
@@ -145,6 +144,8 @@
 func (c *Chooser) Next(now time.Duration) []Source {
 	var sources []Source
 	switch {
+	case c.assignment.Role == RoleStandby:
+		sources = c.nextOfStandby(now)
 	case c.assignment.Role == RoleReader:
 		sources = c.nextOfReader(now)
 	case !c.hasPeers():
@@ -159,12 +160,27 @@
 	return sources[:min(maxTries, len(sources))]
 }
 
-// nextOfReader returns the sources of a reader. Those after the store are asked only in a silence.
-func (c *Chooser) nextOfReader(now time.Duration) []Source {
-	var sources []Source
+// nextOfStandby returns the sources of a standby. It asks the store as soon as no watcher of its zone answers.
+func (c *Chooser) nextOfStandby(now time.Duration) []Source {
+	sources := append(c.checks(now), c.available(TierNear, c.assignment.Near, now)...)
+	if now >= c.storeDue {
+		sources = append(sources, Source{Tier: TierStore})
+	}
+	sources = append(sources, c.available(TierFar, c.assignment.Far, now)...)
+	return append(sources, c.available(TierOther, c.assignment.Others, now)...)
+}
+
+// checks returns the store if it is time to check what others answer.
+func (c *Chooser) checks(now time.Duration) []Source {
 	if now >= c.checkDue && now >= c.storeDue {
-		sources = append(sources, Source{Tier: TierStore, IsCheck: true})
+		return []Source{{Tier: TierStore, IsCheck: true}}
 	}
+	return nil
+}
+
+// nextOfReader returns the sources of a reader. Those after the store are asked only in a silence.
+func (c *Chooser) nextOfReader(now time.Duration) []Source {
+	sources := c.checks(now)
 	peers := c.peers(now)
 	sources = append(sources, peers[:min(maxTries-2, len(peers))]...)
 	if !c.isSilent(now) {
@@ -183,14 +199,9 @@
 
 func (c *Chooser) hasPeers() bool { return len(c.assignment.Near)+len(c.assignment.Far) > 0 }
 
-// peers returns the watchers to ask. Those of the own zone take turns.
+// peers returns the watchers and standbys to ask.
 func (c *Chooser) peers(now time.Duration) []Source {
-	near := c.available(TierNear, c.assignment.Near, now)
-	if len(near) > 1 {
-		first := c.turn % len(near)
-		near = append(near[first:len(near):len(near)], near[:first]...)
-	}
-	return append(near, c.available(TierFar, c.assignment.Far, now)...)
+	return append(c.available(TierNear, c.assignment.Near, now), c.available(TierFar, c.assignment.Far, now)...)
 }
 
 func (c *Chooser) available(tier Tier, daemons []Daemon, now time.Duration) []Source {
@@ -205,7 +216,6 @@
 
 // Succeeded records an answer of a source. isStale is true if the answer is of use, and its proof old.
 func (c *Chooser) Succeeded(s Source, now time.Duration, isStale bool) {
-	c.turn++
 	if s.Tier == TierStore {
 		c.storeFailures, c.storeDue = 0, 0
 		c.drawCheck(c.assignment, now)
--- a/internal/policy/watching/waits.go
+++ b/internal/policy/watching/waits.go
@@ -3,13 +3,13 @@
 import "time"
 
 const (
-	// revokeShare is the part of the bound of withdrawn keys for which a watch at the store is held open. A proof that a
-	// reader uses is at most twice that old, and travel: it dates from when the watch before the running one was sent.
-	revokeShare = 5
+	// revokePercent is the part of the bound of withdrawn keys, in percent, for which a watch at the store is held open. A
+	// proof that a reader uses is at most twice that old, and travel: it dates from when the watch before the running one
+	// was sent. Half of the bound is left to bridge a silence.
+	revokePercent = 24
 	// minStoreWait is the least time of a watch at the store where keys are not withdrawn within a bound.
 	minStoreWait = 500 * time.Millisecond
-	// maxPeerWait bounds the time for which another daemon holds a request, and so the time for which a reader relies on
-	// one watcher: it asks another one by turns.
+	// maxPeerWait bounds the time for which another daemon holds a request.
 	maxPeerWait = time.Second
 	// staleMargin is the time beyond two watches after which the proof of a watcher counts as old.
 	staleMargin = 500 * time.Millisecond
@@ -45,7 +45,7 @@
 	}
 	store = max(minStoreWait, store)
 	if b.RevokeWithin > 0 {
-		store = min(store, b.RevokeWithin/revokeShare)
+		store = min(store, b.RevokeWithin*revokePercent/100)
 	}
 	return Waits{Store: store, Peer: min(store, maxPeerWait), StaleAfter: 2*store + staleMargin}
 }
--- a/internal/policy/watching/watching.go
+++ b/internal/policy/watching/watching.go
@@ -1,9 +1,10 @@
 // Package watching decides which daemons follow the store and pass its changes on, and whom each of the others asks next.
 //
 // The load that it answers is that of calls to the store, which is priced and rated for all daemons together: they must
-// not grow with daemons times changes. The first two daemons of the rendezvous order in each availability zone are
-// watchers. The others are readers: they ask the watchers of their own zone by turns, then those of other zones, and the
-// store itself after a silence. Where most daemons would be watchers, all follow the store.
+// not grow with daemons times changes. In each availability zone the first daemons of a rendezvous order are watchers, one
+// for each maxReaders daemons, and the next is the standby, which follows the store once its watchers fail. The others are
+// readers: they ask the watchers and the standby of their own zone, then those of other zones, and the store itself after a
+// silence. Where most daemons would be watchers, all follow the store.
 package watching
 
 import (
@@ -13,12 +14,13 @@
 )
 
 const (
-	// watchersPerZone is the number of watchers in an availability zone.
-	watchersPerZone = 2
-	// minDaemons and minDaemonsPerWatcher are the least numbers of daemons with which there are readers.
+	// maxReaders is the number of daemons of an availability zone for which there is one watcher.
+	maxReaders = 50
+	// minDaemons is the least number of daemons with which there are readers, and minDaemonsPerWatcher that for each watcher
+	// and standby.
 	minDaemons           = 12
 	minDaemonsPerWatcher = 3
-	// maxOthers is the number of daemons besides the watchers that a daemon asks when no watcher helps.
+	// maxOthers is the number of daemons that are neither watcher nor standby which a daemon asks when none of these helps.
 	maxOthers = 4
 	// watcherKey is the key of the rendezvous order.
 	watcherKey = "store watchers"
@@ -41,11 +43,13 @@
 	RoleDirect Role = iota
 	// RoleWatcher follows the store and passes changes on.
 	RoleWatcher
+	// RoleStandby asks the watchers of its zone, and follows the store and passes changes on while they fail.
+	RoleStandby
 	// RoleReader asks other daemons.
 	RoleReader
 )
 
-var roleNames = [...]string{RoleDirect: "direct", RoleWatcher: "watcher", RoleReader: "reader"}
+var roleNames = [...]string{RoleDirect: "direct", RoleWatcher: "watcher", RoleStandby: "standby", RoleReader: "reader"}
 
 // String returns the name of the role in logs.
 func (r Role) String() string { return roleNames[r] }
@@ -53,53 +57,68 @@
 // Assignment is the role of one daemon, and the daemons that it may ask in the order of preference.
 type Assignment struct {
 	Role Role
-	// Near are in the zone of the daemon, Far in other zones; Others are no watchers, and are asked last.
+	// Near are in the zone of the daemon, Far in other zones; Others have no role, and are asked last.
 	Near, Far, Others []Daemon
-	// Daemons is the number of all daemons, and Watchers that of the watchers.
+	// Daemons is the number of all daemons, and Watchers that of the watchers and standbys.
 	Daemons, Watchers int
 }
 
 // Assign decides the role of the named daemon. asksWhenDirect is true if a daemon of a deployment without readers asks
 // others when the store does not answer it.
 func Assign(self string, daemons []Daemon, asksWhenDirect bool) Assignment {
-	watchers, rest := choose(daemons)
-	a := Assignment{Daemons: len(daemons), Watchers: len(watchers)}
-	if len(daemons) < minDaemons || len(daemons) < minDaemonsPerWatcher*len(watchers) {
+	zone := zoneOf(self, daemons)
+	watchers, standbys, rest := choose(daemons)
+	a := Assignment{Daemons: len(daemons), Watchers: len(watchers) + len(standbys)}
+	if len(daemons) < minDaemons || len(daemons) < minDaemonsPerWatcher*a.Watchers {
 		if asksWhenDirect {
-			a.Near, a.Far = split(self, zoneOf(self, daemons), append(watchers, rest...))
+			a.Near, a.Far = split(self, zone, slices.Concat(watchers, standbys, rest))
 		}
 		return a
 	}
-	a.Role = RoleReader
-	if slices.ContainsFunc(watchers, func(d Daemon) bool { return d.Name == self }) {
-		a.Role = RoleWatcher
-	}
-	a.Near, a.Far = split(self, zoneOf(self, daemons), watchers)
+	a.Near, a.Far = split(self, zone, watchers)
+	nearStandbys, farStandbys := split(self, zone, standbys)
+	a.Near, a.Far = append(a.Near, nearStandbys...), append(a.Far, farStandbys...)
 	rest = slices.DeleteFunc(rest, func(d Daemon) bool { return d.Name == self })
 	a.Others = rest[:min(maxOthers, len(rest))]
+	isSelf := func(d Daemon) bool { return d.Name == self }
+	switch {
+	case slices.ContainsFunc(watchers, isSelf):
+		a.Role = RoleWatcher
+	case slices.ContainsFunc(standbys, isSelf):
+		a.Role = RoleStandby
+	default:
+		a.Role = RoleReader
+	}
 	return a
 }
 
-// choose returns the watchers, and the other daemons that can be asked in the order in which they would be watchers.
-func choose(daemons []Daemon) (watchers, rest []Daemon) {
+// choose returns the watchers, the standbys, and the other daemons that can be asked in the order in which they would take
+// these roles.
+func choose(daemons []Daemon) (watchers, standbys, rest []Daemon) {
 	members := make([]placement.Member, 0, len(daemons))
 	byName := make(map[string]Daemon, len(daemons))
+	inZone := make(map[string]int)
 	for _, d := range daemons {
 		if _, isRepeated := byName[d.Name]; d.Address != "" && !isRepeated {
 			members = append(members, placement.Member{Name: d.Name, Zone: d.Zone})
 			byName[d.Name] = d
+			inZone[d.Zone]++
 		}
 	}
 	chosen := make(map[string]int)
 	for _, m := range placement.SpreadOrder(watcherKey, members) {
-		if chosen[m.Zone] < watchersPerZone {
-			chosen[m.Zone]++
+		wanted := (inZone[m.Zone] + maxReaders - 1) / maxReaders
+		switch position := chosen[m.Zone]; {
+		case position < wanted:
 			watchers = append(watchers, byName[m.Name])
-			continue
+		case position == wanted:
+			standbys = append(standbys, byName[m.Name])
+		default:
+			rest = append(rest, byName[m.Name])
 		}
-		rest = append(rest, byName[m.Name])
+		chosen[m.Zone]++
 	}
-	return watchers, rest
+	return watchers, standbys, rest
 }
 
 // split returns the daemons in the zone and those in other zones, without self, each in an order that differs between
