--- a/internal/daemonregistry/registry.go
+++ b/internal/daemonregistry/registry.go
@@ -68,6 +68,8 @@
 	era              uint64
 	keepMissingUntil time.Duration
 	restored         chan struct{}
+	// isStored is true once the daemon's own entry has been read or written.
+	isStored bool
 }
 
 // observation is the state of an entry and the boot-clock time at which it was first read in that state.
@@ -154,7 +156,7 @@
 }
 
 // write refreshes the daemon's own entry, or creates it. Only this daemon writes it, so the update is unconditional: its
-// version is 0.
+// version is 0. What is tried first is what is likely to be one call.
 func (r *Registry) write(ctx context.Context) error {
 	r.self.Beat++
 	data, err := json.Marshal(r.self)
@@ -162,10 +164,15 @@
 		return fmt.Errorf("encode entry: %w", err)
 	}
 	entry := api.Object{Kind: Kind, Name: r.self.Name, Data: data}
-	_, err = r.store.Update(ctx, entry)
-	if errors.Is(err, objectstore.ErrNotFound) {
-		_, err = r.store.Create(ctx, entry)
+	first, second, unlikely := r.store.Create, r.store.Update, objectstore.ErrExists
+	if r.isStored {
+		first, second, unlikely = r.store.Update, r.store.Create, objectstore.ErrNotFound
 	}
+	_, err = first(ctx, entry)
+	if errors.Is(err, unlikely) {
+		_, err = second(ctx, entry)
+	}
+	r.isStored = r.isStored || err == nil
 	return err
 }
 
@@ -217,6 +224,7 @@
 	}
 	for _, object := range list.Objects {
 		if object.Name == r.self.Name {
+			r.isStored = true
 			continue
 		}
 		known, ok := r.observed[object.Name]
--- a/internal/daemonregistry/registry_test.go
+++ b/internal/daemonregistry/registry_test.go
@@ -6,6 +6,7 @@
 	"time"
 
 	"github.com/papayacove/papayacove/api"
+	"github.com/papayacove/papayacove/internal/objectstore"
 )
 
 func TestUnchangedEntriesBecomeAbsent(t *testing.T) {
@@ -110,6 +111,10 @@
 	return o, nil
 }
 
+func (w *writeCounter) Create(ctx context.Context, o api.Object) (api.Object, error) {
+	return w.Update(ctx, o)
+}
+
 func (w *writeCounter) ListStale(context.Context, string) (api.ObjectList, error) {
 	return api.ObjectList{}, nil
 }
@@ -129,3 +134,57 @@
 		t.Error("the entry was not written again")
 	}
 }
+
+// entryStore holds the entry of one daemon and counts the calls.
+type entryStore struct {
+	Store
+	exists bool
+	calls  int
+}
+
+func (s *entryStore) Create(_ context.Context, o api.Object) (api.Object, error) {
+	s.calls++
+	if s.exists {
+		return api.Object{}, objectstore.ErrExists
+	}
+	s.exists = true
+	return o, nil
+}
+
+func (s *entryStore) Update(_ context.Context, o api.Object) (api.Object, error) {
+	s.calls++
+	if !s.exists {
+		return api.Object{}, objectstore.ErrNotFound
+	}
+	return o, nil
+}
+
+// TestOwnEntryIsWrittenInOneCall guards against a daemon that updates the entry that it has to create, at its first start,
+// and expects the write to succeed whatever is stored.
+func TestOwnEntryIsWrittenInOneCall(t *testing.T) {
+	tests := []struct {
+		name         string
+		exists, read bool
+		calls        int
+	}{
+		{"first start", false, false, 1},
+		{"start again", true, true, 1},
+		{"entry that a stale list lacks", true, false, 2},
+		{"entry that was removed after the list", false, true, 2},
+	}
+	for _, test := range tests {
+		t.Run(test.name, func(t *testing.T) {
+			store := &entryStore{exists: test.exists}
+			r := New(store, api.DaemonEntry{Name: "self"}, nil)
+			if test.read {
+				r.observe(api.ObjectList{Objects: []api.Object{{Name: "self"}}}, 0)
+			}
+			if err := r.write(t.Context()); err != nil || store.calls != test.calls {
+				t.Errorf("got %d calls, %v, want %d", store.calls, err, test.calls)
+			}
+			if err := r.write(t.Context()); err != nil || store.calls != test.calls+1 {
+				t.Errorf("got %d calls with the next write, %v, want %d", store.calls, err, test.calls+1)
+			}
+		})
+	}
+}
--- a/internal/feed/feed_test.go
+++ b/internal/feed/feed_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"fmt"
+	"strings"
 	"testing"
 	"testing/synctest"
 	"time"
@@ -281,3 +282,63 @@
 		}
 	})
 }
+
+// TestFewDaemonsFeedEachOther has the store turn away one of nine daemons, which all follow it.
+func TestFewDaemonsFeedEachOther(t *testing.T) {
+	inWorld(t, 9, func(w *world) {
+		w.setStore(refuses, "daemon-4")
+		for range 5 {
+			w.expectAll("config/main", w.change(keys, "main"), time.Second)
+			w.expectProofs(w.names, proofBound+time.Second)
+		}
+	})
+}
+
+// TestLargeConfigurationReachesAll expects a configuration that is too large to pass on to be in force everywhere, by one
+// call of each daemon.
+func TestLargeConfigurationReachesAll(t *testing.T) {
+	inWorld(t, 26, func(w *world) {
+		before := w.callCount()
+		version := w.write(keys, "main", strings.Repeat(" ", maxReplyBytes), false)
+		w.expectAll("config/main", version, time.Second)
+		if calls := w.callCount() - before; calls > 26+20 {
+			t.Errorf("got %d calls, want about one for each of 26 daemons", calls)
+		}
+		w.expectAll("config/main", w.change(keys, "main"), time.Second)
+		w.expectProofs(w.names, proofBound)
+	})
+}
+
+// TestOldProofSendsReadersElsewhere has the watcher of a zone and its standby answer with proofs that grow old, as when their
+// calls to the store hang, and without saying so.
+func TestOldProofSendsReadersElsewhere(t *testing.T) {
+	inWorld(t, 26, func(w *world) {
+		w.mu.Lock()
+		for _, name := range w.watchers("zone-1") {
+			w.lie[name] = func(r *api.FeedReply) { r.ProofOffsetUs += (10 * time.Second).Microseconds() }
+		}
+		w.mu.Unlock()
+		for range 10 {
+			pause(time.Second)
+			w.expectProofs(w.withRole(watching.RoleReader, ""), proofBound+1500*time.Millisecond)
+		}
+	})
+}
+
+// TestFailureAtWatcherCountsForReaders guards against a promotion that trusts entries which the daemon that passes them on
+// has not followed without a failure.
+func TestFailureAtWatcherCountsForReaders(t *testing.T) {
+	inWorld(t, 26, func(w *world) {
+		w.mu.Lock()
+		for _, name := range w.names {
+			w.lie[name] = func(r *api.FeedReply) { r.SettledMs = 100 }
+		}
+		w.mu.Unlock()
+		pause(5 * time.Second)
+		for _, name := range w.withRole(watching.RoleReader, "") {
+			if since := w.now() - w.daemons[name].failedAt; since > 2200*time.Millisecond {
+				t.Errorf("%s counts entries as followed for %s, want at most 0.1s and a request", name, since)
+			}
+		}
+	})
+}
--- a/internal/policy/watching/waits.go
+++ b/internal/policy/watching/waits.go
@@ -10,7 +10,7 @@
 	// minStoreWait is the least time of a watch at the store where keys are not withdrawn within a bound.
 	minStoreWait = 500 * time.Millisecond
 	// maxPeerWait bounds the time for which another daemon holds a request.
-	maxPeerWait = time.Second
+	maxPeerWait = 2 * time.Second
 	// staleMargin is the time beyond two watches after which the proof of a watcher counts as old.
 	staleMargin = 500 * time.Millisecond
 )
@@ -37,7 +37,7 @@
 
 // DecideWaits decides the waits of a daemon. Where others depend on its watches, a watch that gets no answer must end
 // early enough that they learn of a configuration elsewhere within the bound: a watch takes at most two fifths of it, and
-// the call's time-out and one request to another daemon follow.
+// the call's time-out follows, after which its readers are told at once.
 func DecideWaits(b Bounds, role Role) Waits {
 	store := b.ApplyWithin - b.StoreTimeout
 	if role != RoleDirect {
