Merge the feed

The proof of the configuration comes from package feed now, which records it for calls to the store and to other daemons. The proof recorder of lineproxy goes, with its tests: an unusable version proves nothing (TestNoProofOfConfigurationThatIsNotApplied in feed, with each kind of unusable version in TestUnusableConfigurationsAreReported here), proofs are dated from the call (TestProofIsNeverDatedLater), watches renew them in time (TestWaitsKeepTheBounds).

--- a/internal/lineproxy/proxy_test.go
+++ b/internal/lineproxy/proxy_test.go
@@ -1,7 +1,6 @@
 package lineproxy
 
 import (
-	"context"
 	"errors"
 	"fmt"
 	"io"
@@ -69,8 +68,8 @@
 // gets the platform's word, or the end of the connection, and the daemon goes on.
 func TestCallersAreIdentified(t *testing.T) {
 	p := newTestProxy(t, time.Hour)
-	if !p.applyConfiguration(stored(1, `[{"Name":"acme","ApiKeys":["key-a"]}]`)) {
-		t.Fatal("the configuration is not in force")
+	if err := p.applyConfiguration(stored(1, `[{"Name":"acme","ApiKeys":["key-a"]}]`)); err != nil {
+		t.Fatal(err)
 	}
 	p.engine.RecordConfigurationProof(clock.SinceBoot())
 	const good = "STARTUP d key-a\r\n"
@@ -91,69 +90,27 @@
 	}
 }
 
-// TestUnreadableConfigurationsProveNothing follows a configuration whose newest version cannot be used: no call proves
-// that the version in force is recent until a later version is.
-func TestUnreadableConfigurationsProveNothing(t *testing.T) {
+// TestUnusableConfigurationsAreReported applies versions one after the other. After an error package feed proves nothing
+// until a later version has been applied.
+func TestUnusableConfigurationsAreReported(t *testing.T) {
 	p := newTestProxy(t, time.Hour)
-	var proofs []time.Duration
-	r := &proofRecorder{record: func(asOf time.Duration) { proofs = append(proofs, asOf) }}
-	call := func(err error, read ...api.Object) bool {
-		before := len(proofs)
-		r.beforeCall(context.Background())
-		for _, o := range read {
-			r.taken(p.applyConfiguration(o))
-		}
-		r.afterCall(err)
-		return len(proofs) > before
-	}
-	unreadable := api.Object{Name: "main", Data: []byte(`{"Version":2,"Tenants":"x"}`)}
 	for i, step := range []struct {
 		name string
-		err  error
-		read []api.Object
+		read api.Object
 		want bool
 	}{
-		{"first version", nil, []api.Object{stored(1, `[{"Name":"acme","ApiKeys":["key-a"]}]`)}, true},
-		{"no change", nil, nil, true},
-		{"failed call", errors.New("no answer"), nil, false},
-		{"unreadable version", nil, []api.Object{unreadable}, false},
-		{"no change after it", nil, nil, false},
-		{"version with a bad entry", nil, []api.Object{stored(3, `[{"Name":""},{"Name":"acme","ApiKeys":["key-b"]}]`)}, true},
-		{"older version", nil, []api.Object{stored(1, `[{"Name":"acme","ApiKeys":["key-a"]}]`)}, true},
-		{"deleted", nil, []api.Object{{Name: "main", Deleted: true}}, false},
-		{"written again", nil, []api.Object{stored(4, `[]`)}, true},
+		{"first version", stored(1, `[{"Name":"acme","ApiKeys":["key-a"]}]`), true},
+		{"unreadable version", api.Object{Name: "main", Data: []byte(`{"Version":2,"Tenants":"x"}`)}, false},
+		{"version with a bad entry", stored(3, `[{"Name":""},{"Name":"acme","ApiKeys":["key-b"]}]`), true},
+		{"older version", stored(1, `[{"Name":"acme","ApiKeys":["key-a"]}]`), true},
+		{"deleted", api.Object{Name: "main", Deleted: true}, false},
+		{"written again", stored(4, `[]`), true},
 	} {
-		if got := call(step.err, step.read...); got != step.want {
-			t.Errorf("step %d, %s: got a proof %t, want %t", i+1, step.name, got, step.want)
+		if err := p.applyConfiguration(step.read); (err == nil) != step.want {
+			t.Errorf("step %d, %s: got %v, want it applied: %t", i+1, step.name, err, step.want)
 		}
 	}
 	if version, _, _ := p.engine.ConfigurationState(); version != 4 {
 		t.Errorf("got version %d in force, want 4", version)
 	}
 }
-
-// TestProofsAreDatedFromTheCall holds a call back: it proves the time at which it was sent.
-func TestProofsAreDatedFromTheCall(t *testing.T) {
-	var proved time.Duration
-	r := &proofRecorder{record: func(asOf time.Duration) { proved = asOf }}
-	r.beforeCall(context.Background())
-	sentBefore := clock.SinceBoot()
-	time.Sleep(5 * time.Millisecond)
-	r.afterCall(nil)
-	if proved <= 0 || proved > sentBefore {
-		t.Errorf("got a proof of %s, want at most %s", proved, sentBefore)
-	}
-}
-
-// TestWatchesRenewProofsInTime checks that two waits of a watch are shorter than the bound.
-func TestWatchesRenewProofsInTime(t *testing.T) {
-	for _, bound := range []time.Duration{time.Second, 2 * time.Second, 5 * time.Second, time.Minute} {
-		p := newTestProxy(t, bound)
-		settings := *p.settings.Load()
-		settings.Fleet.ConfigApplyMs = time.Minute.Milliseconds()
-		p.settings.Store(&settings)
-		if wait := p.configurationWatchWait(); wait <= 0 || 3*wait > bound {
-			t.Errorf("bound %s: got watches of %s, want less than a third", bound, wait)
-		}
-	}
-}
