Let the stand-in of the lines check keys and limits

Cause: the deployments of hard load have workspaces with keys and limits. The stand-in could neither configure them nor tell whether a target ran a statement for the wrong workspace, of a withdrawn key, or beyond a limit.

- lines: targets record the workspace that a connection is opened for and when each statement arrived; callers state keys and record what they sent; the operator's versions are recorded.
The store can turn single daemons away (503, 429, reset, silent), by source address; relays stand before the peer port of each daemon.
New faults, last in the list: a daemon turned away or cut off from the others, a key withdrawn (also while the store is down, or a daemon frozen or cut off for 6 s), a limit lowered, the daemon that last changed an object under a condition killed, frozen, stopped, all daemons killed.

Store changes that are watched no longer reach watchers while the store is down.

--- a/standin/cmd/standin-lab/soak.go
+++ b/standin/cmd/standin-lab/soak.go
@@ -31,6 +31,7 @@
 			&cli.StringSliceFlag{Name: "faults", Usage: "`NAMES` of the failures to inject; all when empty"},
 			&cli.StringFlag{Name: "protocol", Usage: "postgresql or lines", Value: "postgresql"},
 			&cli.IntFlag{Name: "connections", Usage: "connections that each target accepts, with lines; with few the daemons share them", Value: 40},
+			&cli.BoolFlag{Name: "workspaces", Usage: "configure workspaces with keys and limits, with lines"},
 			&cli.StringFlag{Name: "deployment", Usage: "deployment to run; chosen by seed when empty"},
 		},
 		Action: runSoak,
@@ -139,7 +140,11 @@
 	if err != nil {
 		return false, err
 	}
-	running, err := lines.StartFleet(command.String("binaries"), work, linesDaemons, command.Int("connections"))
+	options := lines.FleetOptions{Binaries: command.String("binaries"), Folder: work, Daemons: linesDaemons, Connections: command.Int("connections")}
+	if command.Bool("workspaces") {
+		options.Workspaces = soak.Workspaces()
+	}
+	running, err := lines.StartFleet(options)
 	if err != nil {
 		return false, err
 	}
--- a/standin/lines/caller.go
+++ b/standin/lines/caller.go
@@ -8,6 +8,8 @@
 	"strings"
 	"sync/atomic"
 	"time"
+
+	"github.com/papayacove/papayacove/internal/result"
 )
 
 // Result is the response to one statement of a caller.
@@ -29,6 +31,9 @@
 type Caller struct {
 	conn net.Conn
 	in   *bufio.Reader
+	// key is the key that the session was opened with, and log records its statements; nil for none.
+	key string
+	log *CallerLog
 }
 
 // lastRequestID is the latest id that Run gave to a statement.
@@ -42,18 +47,25 @@
 
 // Dial opens a session for a database with the daemon at an address.
 func Dial(address, database string) (*Caller, error) {
+	return DialWithKey(address, database, "user", nil)
+}
+
+// DialWithKey opens a session as Dial does, with a key. log records the statements; nil for none.
+func DialWithKey(address, database, key string, log *CallerLog) (*Caller, error) {
 	conn, err := net.DialTimeout("tcp", address, callTimeout)
 	if err != nil {
 		return nil, err
 	}
-	c := &Caller{conn: conn, in: bufio.NewReader(conn)}
+	c := &Caller{conn: conn, in: bufio.NewReader(conn), key: key, log: log}
 	_ = conn.SetDeadline(time.Now().Add(callTimeout))
-	fmt.Fprintf(conn, "STARTUP %s user\r\n", database)
+	fmt.Fprintf(conn, "STARTUP %s %s\r\n", database, key)
 	line, err := c.in.ReadString('\n')
 	if err != nil {
+		_ = conn.Close()
 		return nil, err
 	}
 	if !strings.HasPrefix(line, "READY ") {
+		_ = conn.Close()
 		return nil, fmt.Errorf("%w: %s", ErrRefused, strings.TrimSpace(line))
 	}
 	return c, nil
@@ -74,6 +86,9 @@
 // response is complete.
 func (c *Caller) RunAs(id, text string) (Result, error) {
 	_ = c.conn.SetDeadline(time.Now().Add(callTimeout))
+	if c.log != nil {
+		c.log.recordSent(id, c.key)
+	}
 	if _, err := fmt.Fprintf(c.conn, "QUERY %s %s\r\n", id, text); err != nil {
 		return Result{}, err
 	}
@@ -91,6 +106,9 @@
 			r.Signature = rest
 		case "ERROR":
 			r.Code, r.Text, _ = strings.Cut(rest, " ")
+			if c.log != nil && r.IsOverQuota() {
+				c.log.recordRefusedOverQuota(id)
+			}
 		case "READY":
 			r.State, _, _ = strings.Cut(rest, " ")
 			return r, nil
@@ -98,6 +116,11 @@
 	}
 }
 
+// IsOverQuota reports whether the statement was refused because its workspace has used up its operations.
+func (r Result) IsOverQuota() bool {
+	return strings.Contains(r.Text, fmt.Sprintf(" %d ", int(result.NotRunOverQuota)))
+}
+
 // GuaranteesNoEffect reports whether an error code guarantees that the statement had no effect.
 func GuaranteesNoEffect(code string) bool {
 	return strings.Contains(" BUSY ABORTED LAGGING READONLY MOVED TOOMANY ", " "+code+" ")
--- a/standin/lines/group.go
+++ b/standin/lines/group.go
@@ -88,8 +88,8 @@
 	// service is the time that a statement occupies a slot.
 	service time.Duration
 	conns   map[net.Conn]struct{}
-	// executed are the ids of the statements that the target executed.
-	executed []string
+	// executed are the statements that the target executed.
+	executed []Execution
 }
 
 // NewGroup starts a group of targets on loopback ports, in zones zone-1, zone-2 and so on. The first target is the
@@ -243,7 +243,7 @@
 	count := 0
 	for _, d := range g.targets {
 		for _, executed := range d.executed {
-			if executed == id {
+			if executed.ID == id {
 				count++
 			}
 		}
@@ -251,6 +251,17 @@
 	return count
 }
 
+// Executions returns the statements that the targets executed.
+func (g *Group) Executions() []Execution {
+	g.mu.Lock()
+	defer g.mu.Unlock()
+	var all []Execution
+	for _, d := range g.targets {
+		all = append(all, d.executed...)
+	}
+	return all
+}
+
 // LostWrites returns the items whose latest acknowledged value isn't the latest one in the log of the primary. If
 // there is no primary, it returns only the text "no primary".
 func (g *Group) LostWrites() []string {
--- a/standin/lines/session.go
+++ b/standin/lines/session.go
@@ -13,6 +13,12 @@
 type targetSession struct {
 	target *Target
 	out    net.Conn
+	// workspace is the name that STARTUP stated besides the group.
+	workspace string
+	// arrivedAt is the time at which the current line arrived.
+	arrivedAt time.Time
+	// operationBegun is true after the first statement that the current transaction executed.
+	operationBegun bool
 	// settings are the values of the session that SET wrote, by name.
 	settings map[string]string
 	// prepared are the shapes of the prepared statements, by name.
@@ -51,6 +57,7 @@
 	scanner := bufio.NewScanner(conn)
 	scanner.Buffer(nil, 2<<20)
 	for scanner.Scan() {
+		s.arrivedAt = time.Now()
 		if !d.awaitResponsive() || !s.handle(strings.TrimSuffix(scanner.Text(), "\r")) {
 			return
 		}
@@ -81,6 +88,7 @@
 			fmt.Fprintf(s.out, "ERROR TOOMANY %s\r\n", s.target.ID)
 			return false
 		}
+		s.workspace = fields[2]
 		s.sendReady()
 		return true
 	case "QUERY":
@@ -114,9 +122,7 @@
 	signature := "-"
 	if id != "-" && id != "" {
 		signature = s.target.ID + "." + id
-		s.target.group.mu.Lock()
-		s.target.executed = append(s.target.executed, id)
-		s.target.group.mu.Unlock()
+		s.recordExecution(id)
 	}
 	for _, row := range rows {
 		fmt.Fprintf(s.out, "DATAROW %s\r\n", row)
@@ -125,6 +131,13 @@
 	s.sendReady()
 }
 
+func (s *targetSession) recordExecution(id string) {
+	s.target.group.mu.Lock()
+	defer s.target.group.mu.Unlock()
+	s.target.executed = append(s.target.executed, Execution{ID: id, Workspace: s.workspace, ArrivedAt: s.arrivedAt, BeginsOperation: !s.operationBegun})
+	s.operationBegun = s.inTransaction
+}
+
 func (s *targetSession) handleQuery(id, text string) {
 	if rest, ok := strings.CutPrefix(text, "WAITLSN "); ok {
 		position, statement, _ := strings.Cut(rest, " ")
@@ -147,7 +160,7 @@
 	case "COMMIT":
 		s.commit(id)
 	case "ROLLBACK":
-		s.inTransaction, s.failed, s.writes = false, false, nil
+		s.inTransaction, s.operationBegun, s.failed, s.writes = false, false, false, nil
 		s.sendResult("")
 	case "SET":
 		name, value, _ := strings.Cut(rest, " ")
@@ -247,7 +260,7 @@
 		s.sendError("READONLY")
 		return
 	}
-	s.inTransaction, s.readOnly, s.writes = true, readOnly, map[string]string{}
+	s.inTransaction, s.operationBegun, s.readOnly, s.writes = true, false, readOnly, map[string]string{}
 	s.sendResult("")
 }
 
@@ -276,6 +289,7 @@
 	failed, writes := s.failed, s.writes
 	s.inTransaction, s.failed, s.writes = false, false, nil
 	if failed {
+		s.operationBegun = false
 		s.sendError("ABORTED")
 		return
 	}
--- a/standin/lines/store.go
+++ b/standin/lines/store.go
@@ -57,6 +57,14 @@
 	// changeDelay later if its condition still holds.
 	DelayChanges atomic.Bool
 
+	// turnedAway holds the faults of the calls from single source IP addresses, of type Treatment.
+	turnedAway sync.Map
+	// substitutes replaces texts in the objects that daemons write, such as addresses by those of relays.
+	substitutes sync.Map
+
+	// lastConditionalWriter is the source IP address of the last change under a condition that was executed; a string.
+	lastConditionalWriter atomic.Value
+
 	// era rises with each restore. Every response names it.
 	era atomic.Uint64
 
@@ -118,8 +126,7 @@
 func (s *Store) withFaults(next http.Handler) http.Handler {
 	return http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
 		w = &eraWriter{ResponseWriter: w, store: s}
-		if s.Down.Load() {
-			w.WriteHeader(http.StatusServiceUnavailable)
+		if s.refuse(w, r) {
 			return
 		}
 		if s.DelayChanges.Load() && r.Method != http.MethodGet {
@@ -247,6 +254,9 @@
 		}
 		select {
 		case <-changed:
+			if s.refuse(w, r) {
+				return
+			}
 		case <-end:
 			writeJSON(w, http.StatusOK, map[string]any{"events": []event{}, "AtRev": revision})
 			return
@@ -296,7 +306,7 @@
 		writeJSON(w, http.StatusConflict, o)
 		return
 	}
-	writeJSON(w, http.StatusOK, s.put(r.PathValue("kind"), sent.Meta.Name, sent.Spec))
+	writeJSON(w, http.StatusOK, s.put(r.PathValue("kind"), sent.Meta.Name, s.substitute(sent.Spec)))
 }
 
 func (s *Store) servePut(w http.ResponseWriter, r *http.Request) {
@@ -314,7 +324,10 @@
 	case sent.Meta.Revision != 0 && sent.Meta.Revision != o.Meta.Revision:
 		writeJSON(w, http.StatusConflict, o)
 	default:
-		writeJSON(w, http.StatusOK, s.put(r.PathValue("kind"), o.Meta.Name, sent.Spec))
+		if source, _, err := net.SplitHostPort(r.RemoteAddr); err == nil && sent.Meta.Revision != 0 {
+			s.lastConditionalWriter.Store(source)
+		}
+		writeJSON(w, http.StatusOK, s.put(r.PathValue("kind"), o.Meta.Name, s.substitute(sent.Spec)))
 	}
 }
 
--- /dev/null
+++ b/standin/lines/workspaces.go
@@ -0,0 +1,117 @@
+package lines
+
+import (
+	"slices"
+	"sync"
+	"time"
+)
+
+// Workspace is one workspace of the configuration, as the operator writes it.
+type Workspace struct {
+	Name string   `json:"Name"`
+	Keys []string `json:"ApiKeys"`
+	// RatePerS is the number of operations a second that its callers may run, over all daemons.
+	RatePerS float64 `json:"RatePerS"`
+	// Burst is the number of operations beyond the rate that may come at once.
+	Burst float64 `json:"Burst"`
+}
+
+// Bounds are the bounds of keys and limits that the settings of the daemons state. The zero value stands for none.
+type Bounds struct {
+	// Revoke is the time after which no statement of a withdrawn key may run.
+	Revoke time.Duration
+	// ConfigApply is the time within which a configuration comes into force.
+	ConfigApply time.Duration
+	// Window is the length of the sliding window in which operations are counted.
+	Window time.Duration
+	// Overage is the part of a limit by which it may be exceeded in a window, Slack the number of operations.
+	Overage, Slack float64
+}
+
+// allowed returns the number of operations of a workspace that may run in one window.
+func (b Bounds) allowed(w Workspace) float64 {
+	return (w.RatePerS*b.Window.Seconds()+w.Burst)*(1+b.Overage) + b.Slack
+}
+
+// Execution is a statement that a target ran.
+type Execution struct {
+	// ID is the id of the statement.
+	ID string
+	// Workspace is the name that the target was told when its connection was opened.
+	Workspace string
+	// ArrivedAt is the time at which the target received the statement.
+	ArrivedAt time.Time
+	// BeginsOperation is true for the first statement of a transaction, and for one outside of transactions.
+	BeginsOperation bool
+}
+
+// sent is a statement that a caller sent.
+type sent struct {
+	key string
+	at  time.Time
+	// refusedOverQuota is true if it was refused because the workspace has used up its operations.
+	refusedOverQuota bool
+}
+
+// CallerLog records the statements of callers that state a key. Its methods are safe for concurrent use.
+type CallerLog struct {
+	mu   sync.Mutex
+	sent map[string]sent
+}
+
+// NewCallerLog returns an empty log.
+func NewCallerLog() *CallerLog { return &CallerLog{sent: map[string]sent{}} }
+
+func (l *CallerLog) recordSent(id, key string) {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	l.sent[id] = sent{key: key, at: time.Now()}
+}
+
+func (l *CallerLog) recordRefusedOverQuota(id string) {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	s := l.sent[id]
+	s.refusedOverQuota = true
+	l.sent[id] = s
+}
+
+// OperatorLog records the versions of the workspaces that the store acknowledged. Its methods are safe for concurrent
+// use.
+type OperatorLog struct {
+	mu       sync.Mutex
+	versions []workspaceVersion
+}
+
+type workspaceVersion struct {
+	at         time.Time
+	workspaces []Workspace
+}
+
+func (l *OperatorLog) record(at time.Time, workspaces []Workspace) {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	l.versions = append(l.versions, workspaceVersion{at, slices.Clone(workspaces)})
+}
+
+// recordRestore records that the store was restored to its state of a time. Withdrawals since then have to be
+// acknowledged again.
+func (l *OperatorLog) recordRestore(state time.Time) {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	for i := len(l.versions) - 1; i > 0; i-- {
+		if !l.versions[i-1].at.After(state) {
+			l.versions = append(l.versions, workspaceVersion{time.Now(), l.versions[i-1].workspaces})
+			return
+		}
+	}
+}
+
+func holderOf(key string, workspaces []Workspace) (string, bool) {
+	for _, w := range workspaces {
+		if slices.Contains(w.Keys, key) {
+			return w.Name, true
+		}
+	}
+	return "", false
+}
--- a/standin/soak/lines.go
+++ b/standin/soak/lines.go
@@ -77,6 +77,37 @@
 		f.Store.DelayChanges.Store(true)
 		return "", func() { f.Restore(age); f.Store.DelayChanges.Store(false) }
 	}},
+	{"daemon_turned_away", func(f *lines.Fleet, random *rand.Rand) (string, func()) {
+		d, treatment := f.Daemons[random.Intn(len(f.Daemons))], lines.Treatment(random.Intn(int(lines.Treatments)))
+		f.Store.TurnAway(d.Source, treatment)
+		return fmt.Sprintf("%s, treatment %d", d.Name, treatment), func() { f.Store.ServeAgain(d.Source) }
+	}},
+	{"daemon_cut_from_daemons", onDaemonOf(cutFromDaemons)},
+	{"key_withdrawn", func(f *lines.Fleet, random *rand.Rand) (string, func()) { return withdrawKey(f, random), func() {} }},
+	{"key_withdrawn_store_down", func(f *lines.Fleet, random *rand.Rand) (string, func()) {
+		f.Store.Down.Store(true)
+		return withdrawKey(f, random), lasting(func() { f.Store.Down.Store(false) })
+	}},
+	{"key_withdrawn_daemon_frozen", whileKeyIsWithdrawn(freezeLines)},
+	{"key_withdrawn_daemon_cut_from_store", whileKeyIsWithdrawn(cutFromStore)},
+	{"key_withdrawn_daemon_cut_off", whileKeyIsWithdrawn(func(f *lines.Fleet, d *lines.Daemon) func() {
+		daemons, store := cutFromDaemons(f, d), cutFromStore(f, d)
+		return func() { daemons(); store() }
+	})},
+	{"limit_lowered", lowerLimit},
+	{"actor_killed", onActor(func(_ *lines.Fleet, d *lines.Daemon) func() { d.Kill(); return func() { _ = d.Start() } })},
+	{"actor_frozen", onActor(freezeLines)},
+	{"actor_stopped", onActor(func(_ *lines.Fleet, d *lines.Daemon) func() { d.Stop(); return func() { _ = d.Start() } })},
+	{"all_daemons_killed", func(f *lines.Fleet, _ *rand.Rand) (string, func()) {
+		for _, d := range f.Daemons {
+			d.Kill()
+		}
+		return "", func() {
+			for _, d := range f.Daemons {
+				_ = d.Start()
+			}
+		}
+	}},
 }
 
 // maxCopyAge is the longest time that a copy is old from which the store is restored.
@@ -160,6 +191,8 @@
 	unknown map[failedWrite]bool
 	// lastAck is the time of the last acknowledgement of any write.
 	lastAck time.Time
+	// callers records the statements of the run if the fleet has workspaces; otherwise it is nil.
+	callers *lines.CallerLog
 }
 
 type ackedWrite struct {
@@ -171,6 +204,9 @@
 // faults and checks the results of the callers against the log of the primary.
 func RunLines(ctx context.Context, f *lines.Fleet, faults []FaultOf[*lines.Fleet], seed int64, duration time.Duration) Report {
 	l := &ledger{history: workload.NewHistory(), acked: map[string][]ackedWrite{}, unknown: map[failedWrite]bool{}}
+	if len(f.Workspaces()) > 0 {
+		l.callers = lines.NewCallerLog()
+	}
 	l.settle(f)
 	l.lastAck = time.Now()
 	working, stop := context.WithTimeout(ctx, duration)
@@ -180,8 +216,10 @@
 	for i := range linesCallers {
 		parts.Go(func() { l.runCaller(working, f, i, rand.New(rand.NewSource(seed*100+int64(i)))) })
 	}
+	l.runDemands(working, f, seed, &parts)
 	parts.Wait()
 	l.settle(f)
+	l.checkWorkspaces(ctx, f, seed)
 	report := Report{Seed: seed, History: l.history}
 	l.check(f, &report)
 	return report
@@ -192,7 +230,7 @@
 	for _, d := range f.Daemons {
 		end := time.Now().Add(settleTimeout)
 		for {
-			if caller, err := lines.Dial(d.CallerAddress, lines.StrictDatabase); err == nil {
+			if caller, err := lines.DialWithKey(d.CallerAddress, lines.StrictDatabase, currentKey(f, busyWorkspace), l.callers); err == nil {
 				r, err := caller.Run("WRITE settled 1")
 				caller.Close()
 				if err == nil && r.Code == "" {
@@ -213,7 +251,7 @@
 	item, next := fmt.Sprintf("item-%d", number), 1
 	for ctx.Err() == nil {
 		d := f.Daemons[random.Intn(len(f.Daemons))]
-		caller, err := lines.Dial(d.CallerAddress, lines.SessionDatabase)
+		caller, err := lines.DialWithKey(d.CallerAddress, lines.SessionDatabase, pickKey(f, busyWorkspace, random), l.callers)
 		if err != nil {
 			_ = clock.Sleep(ctx, 50*time.Millisecond)
 			continue
@@ -297,7 +335,7 @@
 	}
 	began := time.Now()
 	want := l.ackedBefore(item, began.Add(-age))
-	caller, err := lines.Dial(f.Daemons[random.Intn(len(f.Daemons))].CallerAddress, database)
+	caller, err := lines.DialWithKey(f.Daemons[random.Intn(len(f.Daemons))].CallerAddress, database, pickKey(f, busyWorkspace, random), l.callers)
 	if err != nil {
 		return true
 	}
