Answer what callers send while a daemon stops

Cause: a stopping daemon accepted callers until its process ended. Sessions opened in the last moment were cut: their statement had run, and no answer came. Likewise the sessions that callers opened again and again kept it from ending by itself, and were cut at the end of the grace period. Callers meet it where the balancer goes on using daemons that are not ready, because fewer than half of a zone's are.

The listener is closed in the last quarter of the grace period at the latest, and the sessions opened before are served and closed as the others.

The tests of the failures that operators of similar systems met run daemons as processes, through the stand-in: work of silent and slow machines, a promoter that is frozen and wakes after its successor, planned stops, lost answers, restarts after a target has left, malformed messages.

--- a/internal/engine/engine.go
+++ b/internal/engine/engine.go
@@ -336,7 +336,7 @@
 
 // Drain closes the sessions for a planned stop. It keeps serving until the balancer has stopped sending new
 // callers. Then it closes the sessions without a statement or transaction one by one within half of the remaining
-// time, the others as they become idle, and the rest when ctx ends.
+// time, and the others as they become idle. It returns when none is left, or when ctx ends; FinishSessions ends the rest.
 func (e *Engine) Drain(ctx context.Context, within time.Duration) {
 	e.stopping.Store(true)
 	logrus.WithField(logfield.Sessions, len(e.openSessions())).Info(logevent.SessionsDraining)
@@ -345,18 +345,36 @@
 	e.closing.Store(true)
 	interval := (within - rotation) / 2 / time.Duration(max(1, len(e.openSessions())))
 	e.closeIdleSessions(ctx, interval)
-	for ctx.Err() == nil && (len(e.openSessions()) > 0 || e.relayed.Load() > 0) {
-		for _, s := range e.openSessions() {
-			s.closeIfIdle()
-		}
-		_ = clock.Sleep(ctx, drainInterval)
-	}
+	e.awaitSessions(ctx)
+}
+
+// FinishSessions closes the sessions as they become idle, and the rest when ctx ends. No new ones may be opened.
+func (e *Engine) FinishSessions(ctx context.Context) {
+	e.awaitSessions(ctx)
 	for _, s := range e.openSessions() {
 		s.log(Statement{}).Warn(logevent.SessionCut)
 		s.abort()
 	}
 }
 
+// awaitSessions closes the sessions as they become idle, until none is left and other daemons have their answers, or ctx
+// ends.
+func (e *Engine) awaitSessions(ctx context.Context) {
+	for ctx.Err() == nil && (e.CloseIdleSessions() > 0 || e.relayed.Load() > 0) {
+		_ = clock.Sleep(ctx, drainInterval)
+	}
+}
+
+// CloseIdleSessions closes the sessions without a statement or transaction, and returns the number of sessions that were
+// open.
+func (e *Engine) CloseIdleSessions() int {
+	open := e.openSessions()
+	for _, s := range open {
+		s.closeIfIdle()
+	}
+	return len(open)
+}
+
 // closeTimeout bounds the wait for promotions in progress when the engine is closed.
 const closeTimeout = 400 * time.Millisecond
 
--- a/internal/lineproxy/proxy.go
+++ b/internal/lineproxy/proxy.go
@@ -296,6 +296,23 @@
 	p.engine.Serve(caller, database, identity)
 }
 
+const (
+	// openingTime is the time that a connection accepted last has to open its session.
+	openingTime = 100 * time.Millisecond
+	// openingInterval is the time between two checks of these connections.
+	openingInterval = 10 * time.Millisecond
+	// lastSessionsPart is the part of the grace period, one in so many, in which no callers are accepted.
+	lastSessionsPart = 4
+)
+
+// awaitOpenings waits until the connections that were accepted last have sessions, up to openingTime.
+func (p *Proxy) awaitOpenings(ctx context.Context) {
+	opened := clock.SinceBoot() + openingTime
+	for ctx.Err() == nil && p.callers.Load() > 0 && clock.SinceBoot() < opened {
+		_ = clock.Sleep(ctx, openingInterval)
+	}
+}
+
 // shutDown stops the daemon as planned: the balancer stops sending new callers, and the sessions are closed.
 func (p *Proxy) shutDown() {
 	settings := p.settings.Load()
@@ -305,8 +322,13 @@
 	defer cancel()
 	began := clock.SinceBoot()
 	go p.registry.Leave(ctx)
-	p.engine.Drain(ctx, grace)
+	// Callers that come although the daemon is not ready are served no longer than their statements can end.
+	accepting, stopAccepting := context.WithTimeout(ctx, grace-grace/lastSessionsPart)
+	defer stopAccepting()
+	p.engine.Drain(accepting, grace)
 	_ = p.listener.Close()
+	p.awaitOpenings(ctx)
+	p.engine.FinishSessions(ctx)
 	p.engine.Close()
 	p.store.Close()
 	logrus.WithFields(logrus.Fields{logfield.Daemon: settings.Name, logfield.Took: clock.SinceBoot() - began}).Info(logevent.DaemonStopped)
--- /dev/null
+++ b/standin/lines/failures_test.go
@@ -0,0 +1,257 @@
+package lines_test
+
+import (
+	"fmt"
+	"math/rand"
+	"net"
+	"testing"
+	"time"
+
+	"github.com/papayacove/papayacove/standin/netfault"
+)
+
+// The tests of this file bring about the failures that operators of similar systems met (docs/PROOFS.md).
+
+// TestSilentMachinesWorkIsNotRunElsewhere guards against work that is started again elsewhere because the machine that has
+// it is only silent or slow.
+func TestSilentMachinesWorkIsNotRunElsewhere(t *testing.T) {
+	t.Parallel()
+	p := startProcesses(t)
+	for _, d := range p.Daemons {
+		p.checkAttempts(p.writeDuring(func() {
+			d.Freeze()
+			time.Sleep(1500 * time.Millisecond)
+			d.Resume()
+		}))
+	}
+	p.checkAttempts(p.writeDuring(func() {
+		for _, d := range p.Daemons {
+			d.PeerLink.SetFaults(netfault.Faults{BackwardDelayMs: 400})
+		}
+		time.Sleep(time.Second)
+		for _, d := range p.Daemons {
+			d.PeerLink.SetFaults(netfault.Faults{})
+		}
+	}))
+	p.checkAttempts(p.writeDuring(func() {
+		primary := p.Group.Target(p.Group.Primary())
+		primary.SetUnresponsive(true)
+		time.Sleep(3 * time.Second)
+		primary.SetUnresponsive(false)
+	}))
+}
+
+// TestFrozenPromoterDoesNotActAfterItsSuccessor guards against a hand-over at which both act: the holder of the promotion
+// lock is frozen before it orders the promotion, and wakes after another daemon has made one.
+func TestFrozenPromoterDoesNotActAfterItsSuccessor(t *testing.T) {
+	t.Parallel()
+	p := startProcesses(t)
+	time.Sleep(settleTime)
+	old := p.Group.Primary()
+	attempts := p.writeDuring(func() {
+		p.Group.Target(old).Crash()
+		for !p.Store.Has("papayacove-duty", "group") {
+			time.Sleep(5 * time.Millisecond)
+		}
+		promoter := p.LastActor()
+		promoter.Freeze()
+		for end := time.Now().Add(waitTimeout); p.Group.Primary() == "" && time.Now().Before(end); {
+			time.Sleep(20 * time.Millisecond)
+		}
+		successor := p.Group.Primary()
+		promoter.Resume()
+		time.Sleep(2 * time.Second)
+		if now := p.Group.Primary(); successor == "" || now != successor {
+			t.Errorf("primary after the frozen promoter woke: got %q, want %q of its successor", now, successor)
+		}
+		for _, order := range p.Provider.Orders() {
+			if order.Holder == promoter.Name {
+				t.Errorf("order of the promoter that was frozen before it: got %+v, want none", order)
+			}
+		}
+		must(t, p.Group.Target(old).Start())
+	})
+	checkFencingTokens(t, p.Provider.Orders())
+	p.checkAttempts(attempts)
+}
+
+// TestPlannedStopAnswersWhatItAccepted stops the daemons one after the other. A statement whose session ends without an
+// answer must not have run: the daemon has not read it.
+func TestPlannedStopAnswersWhatItAccepted(t *testing.T) {
+	t.Parallel()
+	p := startProcesses(t)
+	attempts := p.writeDuring(func() {
+		for _, d := range p.Daemons {
+			if !d.Stop() {
+				t.Errorf("%s did not end by itself", d.Name)
+			}
+			must(t, d.Start())
+			p.awaitServing(d)
+		}
+	})
+	p.checkAttempts(attempts)
+	for _, a := range attempts {
+		if ran := p.Group.ExecutionCount(a.id); a.code == "DISCONNECTED" && ran > 0 {
+			t.Errorf("write %s got no answer although it ran", a.id)
+		}
+	}
+}
+
+// TestLostAnswersAreToldAsUnknown loses the answers of targets and of other daemons while writes run.
+func TestLostAnswersAreToldAsUnknown(t *testing.T) {
+	t.Parallel()
+	p := startProcesses(t)
+	links := map[string][]*netfault.Link{"targets": {}, "daemons": {}}
+	for _, link := range p.TargetLinks {
+		links["targets"] = append(links["targets"], link)
+	}
+	for _, d := range p.Daemons {
+		links["daemons"] = append(links["daemons"], d.PeerLink)
+	}
+	for _, side := range []string{"targets", "daemons"} {
+		p.checkAttempts(p.writeDuring(func() {
+			for range 3 {
+				for _, link := range links[side] {
+					link.SetFaults(netfault.Faults{BackwardDelayMs: 1000})
+				}
+				time.Sleep(50 * time.Millisecond)
+				for _, link := range links[side] {
+					link.Reset()
+					link.SetFaults(netfault.Faults{})
+				}
+				time.Sleep(200 * time.Millisecond)
+			}
+			for _, link := range links[side] {
+				link.MakeHalfOpen()
+			}
+		}))
+	}
+}
+
+// TestRestartedDaemonsDoNotUseATargetThatLeft kills all daemons after a target has left, and starts them again.
+func TestRestartedDaemonsDoNotUseATargetThatLeft(t *testing.T) {
+	t.Parallel()
+	p := startProcesses(t)
+	gone := p.Group.Target("b")
+	gone.Leave()
+	must(t, p.Store.Delete("servers", "b"))
+	gone.StopHeartbeats()
+	for _, d := range p.Daemons {
+		d.Kill()
+	}
+	before := gone.Executions()
+	for _, d := range p.Daemons {
+		must(t, d.Start())
+	}
+	p.awaitServing(p.Daemons...)
+	for range 50 {
+		for _, d := range p.Daemons {
+			if err := p.run(d, p.key(), "READ serving"); err != nil {
+				t.Errorf("read at %s: %v", d.Name, err)
+			}
+		}
+	}
+	if after := gone.Executions(); after != before {
+		t.Errorf("target that left before the restart: got %d statements, want none", after-before)
+	}
+}
+
+// TestMalformedMessagesTakeNoDaemonDown sends malformed messages from callers, from other daemons, in objects of the store
+// and in the answers of a target. Each daemon has to serve on, in the same process.
+func TestMalformedMessagesTakeNoDaemonDown(t *testing.T) {
+	t.Parallel()
+	p := startProcesses(t)
+	pids := map[string]int{}
+	for _, d := range p.Daemons {
+		pids[d.Name] = d.PID()
+	}
+	random := rand.New(rand.NewSource(1))
+	target := startMalformedTarget(t, random)
+	for kind, name := range map[string]string{"servers": "x", "config": "main", "papayacove-daemons": "daemon-9", "papayacove-duty": "group"} {
+		for _, spec := range malformedSpecs(target) {
+			p.Store.PutRaw(kind, name, []byte(spec))
+			time.Sleep(20 * time.Millisecond)
+		}
+	}
+	p.SetWorkspaces(nil)
+	for range 50 {
+		for _, d := range p.Daemons {
+			sendBytes(d.CallerAddress, malformedLine(random))
+			sendBytes(d.PeerLink.Address(), malformedBytes(random))
+		}
+	}
+	p.awaitServing(p.Daemons...)
+	for _, d := range p.Daemons {
+		if !d.IsAlive() || d.PID() != pids[d.Name] {
+			t.Errorf("%s: got process %d, alive %t, want process %d alive", d.Name, d.PID(), d.IsAlive(), pids[d.Name])
+		}
+	}
+}
+
+// malformedSpecs returns specs of objects that are not what any kind of object holds, and the entry of a target that
+// answers nonsense.
+func malformedSpecs(target string) []string {
+	return []string{
+		`null`, `[]`, `""`, `"{"`, `7`, `{}`, `{"Version":"seven"}`, `{"Version":-1}`, `{"Version":99,"Routes":[null],"Tenants":[null,7]}`,
+		`{"Version":1e400}`, `{"Backend":"group","Address":"","Zone":"","PoolSize":-5,"State":"ready","DbRole":"primary"}`,
+		`{"name":"daemon-9","address":"nowhere","beat":-1}`, `{"name":"daemon-9","zone":"zone-1","address":"127.0.0.1:1","beat":1,"capacity":-1}`,
+		`{"holder":7,"token":"x"}`,
+		fmt.Sprintf(`{"Backend":"group","Address":%q,"Zone":"zone-1","PoolSize":5,"State":"ready","DbRole":"replica"}`, target),
+	}
+}
+
+// startMalformedTarget starts a target that accepts connections and answers each line with a malformed one.
+func startMalformedTarget(t *testing.T, random *rand.Rand) string {
+	t.Helper()
+	listener, err := net.Listen("tcp", "127.0.0.1:0")
+	must(t, err)
+	t.Cleanup(func() { _ = listener.Close() })
+	answers := make([][]byte, 200)
+	for i := range answers {
+		answers[i] = malformedLine(random)
+	}
+	go func() {
+		for i := 0; ; i++ {
+			conn, err := listener.Accept()
+			if err != nil {
+				return
+			}
+			_, _ = conn.Write(append([]byte("READY I -\r\n"), answers[i%len(answers)]...))
+			time.AfterFunc(100*time.Millisecond, func() { _ = conn.Close() })
+		}
+	}()
+	return listener.Addr().String()
+}
+
+// sendBytes sends bytes over a new connection and waits a moment for what they cause.
+func sendBytes(address string, data []byte) {
+	conn, err := net.Dial("tcp", address)
+	if err != nil {
+		return
+	}
+	defer conn.Close()
+	_ = conn.SetDeadline(time.Now().Add(50 * time.Millisecond))
+	_, _ = conn.Write(data)
+	_, _ = conn.Read(make([]byte, 1))
+}
+
+// malformedLine returns lines that begin like a message, or like none.
+func malformedLine(random *rand.Rand) []byte {
+	starts := []string{
+		"STARTUP", "STARTUP  ", "STARTUP strict user\r\nQUERY", "STARTUP strict user\r\nQUERY 1 EXECUTE", "STARTUP strict user\r\nQUERY 1 PARSE s",
+		"STARTUP strict user\r\nQUERY 1 SET", "DATAROW", "COMPLETE", "ERROR", "ERROR ", "READY", "READY Q 1.1", "READY I 1.", "READY I 99999999999999999999.1",
+		"DATAROW primary 1 1.1 0 0\r\nCOMPLETE -\r\nREADY I -", "DATAROW primary x y z 0 0 0\r\nCOMPLETE -\r\nREADY I 1.1", "",
+	}
+	line := append([]byte(starts[random.Intn(len(starts))]), malformedBytes(random)...)
+	return append(line, "\r\n"...)
+}
+
+// malformedBytes returns random bytes, some of them after a length as that of a message between daemons.
+func malformedBytes(random *rand.Rand) []byte {
+	data := make([]byte, random.Intn(300))
+	random.Read(data)
+	if random.Intn(2) == 0 {
+		data = append([]byte{0, 0, 0, byte(len(data))}, data...)
+	}
+	return data
+}
--- a/standin/lines/group.go
+++ b/standin/lines/group.go
@@ -79,6 +79,8 @@
 	up         bool
 	// unresponsive targets accept connections and answer nothing.
 	unresponsive bool
+	// heartbeatsStopped targets do not write their entries again.
+	heartbeatsStopped bool
 	// leaving targets have announced that they will stop.
 	leaving bool
 	// receiveBlocked replicas receive nothing from the primary.
@@ -262,6 +264,20 @@
 	return all
 }
 
+// Executions returns the number of statements that the target executed.
+func (d *Target) Executions() int {
+	d.group.mu.Lock()
+	defer d.group.mu.Unlock()
+	return len(d.executed)
+}
+
+// StopHeartbeats keeps a target that goes on running from writing its entry again, as one that has left.
+func (d *Target) StopHeartbeats() {
+	d.group.mu.Lock()
+	defer d.group.mu.Unlock()
+	d.heartbeatsStopped = true
+}
+
 // LostWrites returns the items whose latest acknowledged value isn't the latest one in the log of the primary. If
 // there is no primary, it returns only the text "no primary".
 func (g *Group) LostWrites() []string {
@@ -414,7 +430,7 @@
 func (d *Target) WriteEntry() {
 	d.group.mu.Lock()
 	defer d.group.mu.Unlock()
-	if d.up {
+	if d.up && !d.heartbeatsStopped {
 		d.writeEntry()
 	}
 }
--- a/standin/lines/store.go
+++ b/standin/lines/store.go
@@ -62,7 +62,8 @@
 	// substitutes replaces texts in the objects that daemons write, such as addresses by those of relays.
 	substitutes sync.Map
 
-	// lastConditionalWriter is the source IP address of the last change under a condition that was executed; a string.
+	// lastConditionalWriter is the source IP address of the last change under a condition that was executed, or of the last
+	// object created; a string.
 	lastConditionalWriter atomic.Value
 
 	// era rises with each restore. Every response names it.
@@ -306,6 +307,7 @@
 		writeJSON(w, http.StatusConflict, o)
 		return
 	}
+	s.recordConditionalWriter(r)
 	writeJSON(w, http.StatusOK, s.put(r.PathValue("kind"), sent.Meta.Name, s.substitute(sent.Spec)))
 }
 
@@ -324,13 +326,27 @@
 	case sent.Meta.Revision != 0 && sent.Meta.Revision != o.Meta.Revision:
 		writeJSON(w, http.StatusConflict, o)
 	default:
-		if source, _, err := net.SplitHostPort(r.RemoteAddr); err == nil && sent.Meta.Revision != 0 {
-			s.lastConditionalWriter.Store(source)
+		if sent.Meta.Revision != 0 {
+			s.recordConditionalWriter(r)
 		}
 		writeJSON(w, http.StatusOK, s.put(r.PathValue("kind"), o.Meta.Name, s.substitute(sent.Spec)))
 	}
 }
 
+func (s *Store) recordConditionalWriter(r *http.Request) {
+	if source, _, err := net.SplitHostPort(r.RemoteAddr); err == nil {
+		s.lastConditionalWriter.Store(source)
+	}
+}
+
+// Has reports whether there is an object.
+func (s *Store) Has(kind, name string) bool {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	_, ok := s.objects[kind][name]
+	return ok
+}
+
 func (s *Store) serveDelete(w http.ResponseWriter, r *http.Request) {
 	if err := s.Delete(r.PathValue("kind"), r.PathValue("name")); err != nil {
 		w.WriteHeader(http.StatusNotFound)
