Limit the operations of workspaces over all daemons

Cause: a workspace's limit holds over all daemons, in any window, whatever is cut, frozen or restarted, and its few callers enter unevenly.

- policy/quota: daemons own equal parts of each limit and lend them for 4 s to two coordinators of each partition, half to each; coordinators grant tokens from a bucket that fills with what is lent.
Depth + rate x (window + 0.6 s) is the bound.
- relay: the method Quota. daemonregistry: what others know of the own entry, so that one that joins owns nothing until all count it.
- schema: a request has a sequence, a want says what the daemon still holds.

Ruled out: counting grants by their validity alone (the bound then pays rate x validity); one coordinator for each partition (its loss takes all rights along for the time of the loan).

--- a/api/types.gen.go
+++ b/api/types.gen.go
@@ -761,12 +761,20 @@
 	// Incarnation changes with each start of the sender.
 	Incarnation uint64 `json:"incarnation" toml:"incarnation"`
 
+	// Sequence rises with each request of the sender. A request that is not newer
+	// than the last one is not granted anything.
+	Sequence uint64 `json:"sequence" toml:"sequence"`
+
 	// Wants are the rights that the sender asks for.
 	Wants []QuotaWant `json:"wants" toml:"wants"`
 }
 
 // QuotaWant asks for rights to operations of one workspace.
 type QuotaWant struct {
+	// Held is the number of operations that were granted by this coordinator before
+	// and may still be spent.
+	Held float64 `json:"held" toml:"held"`
+
 	// Returned is the number of operations that were granted by this coordinator
 	// before and were not spent.
 	Returned float64 `json:"returned" toml:"returned"`
--- a/internal/daemonregistry/registry.go
+++ b/internal/daemonregistry/registry.go
@@ -12,6 +12,7 @@
 	"maps"
 	"math/rand/v2"
 	"slices"
+	"sync"
 	"time"
 
 	"github.com/sirupsen/logrus"
@@ -40,6 +41,8 @@
 	readIntervalPerEntry  = 250 * time.Millisecond
 	minSteadyReadInterval = 8 * time.Second
 	maxSteadyReadInterval = 2 * refreshInterval
+	// listStaleness is how old a list may be.
+	listStaleness = 3 * time.Second
 	// minRewriteWindow and rewriteTimePerEntry bound the rate at which entries are written again after the store was
 	// restored: 200 a second at most.
 	minRewriteWindow    = 500 * time.Millisecond
@@ -65,9 +68,48 @@
 	onRead   func([]api.DaemonEntry)
 	observed map[string]observation
 	// era is that of the newest list. Entries that a list lacks are kept until keepMissingUntil of the boot clock.
-	era              uint64
+	era uint64
+	// allAreNew is true if no daemon has refreshed its entry yet.
+	allAreNew        bool
 	keepMissingUntil time.Duration
 	restored         chan struct{}
+
+	mu sync.Mutex
+	// registration is what others know of this daemon's entry.
+	registration Registration
+}
+
+// Registration tells what other daemons know of the entry of this one.
+type Registration struct {
+	// FoundAtStart is true if the entry existed before this start of the daemon.
+	FoundAtStart bool
+	// KnownAt is the time of the boot clock from which all others have read the entry; 0 while it is not written.
+	KnownAt time.Duration
+	// WrittenAt is the time of the boot clock at which the last successful write of the entry began; 0 for none.
+	WrittenAt time.Duration
+}
+
+// Registration returns what others know of this daemon's entry. It is safe for concurrent use.
+func (r *Registry) Registration() Registration {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	return r.registration
+}
+
+// recordWrite records a write of the entry, which is over at now. Others have read it after the longest time between two of
+// their reads; this is minSteadyReadInterval where all have started of late, since their reads are still frequent.
+func (r *Registry) recordWrite(began, now time.Duration) {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	r.registration.WrittenAt = began
+	if r.registration.KnownAt != 0 {
+		return
+	}
+	wait := minSteadyReadInterval
+	if !r.allAreNew {
+		wait = maxReadInterval(len(r.observed)) + listStaleness
+	}
+	r.registration.KnownAt = now + wait
 }
 
 // observation is the state of an entry and the boot-clock time at which it was first read in that state.
@@ -108,6 +150,7 @@
 				logrus.WithField(logfield.Error, err).Info(logevent.RosterNotWritten)
 			} else {
 				writtenAt = now
+				r.recordWrite(now, clock.SinceBoot())
 			}
 		}
 		r.readOrLog(ctx)
@@ -153,6 +196,16 @@
 	return min(max(minSteadyReadInterval, time.Duration(entries)*readIntervalPerEntry), maxSteadyReadInterval)
 }
 
+// recordFound records that the entry is listed. If it was not written yet, an earlier start of the daemon wrote it.
+func (r *Registry) recordFound() {
+	if r.self.Beat != 0 {
+		return
+	}
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	r.registration.FoundAtStart = true
+}
+
 // write refreshes the daemon's own entry, or creates it. Only this daemon writes it, so the update is unconditional: its
 // version is 0.
 func (r *Registry) write(ctx context.Context) error {
@@ -199,6 +252,7 @@
 			logrus.WithFields(logrus.Fields{logfield.Object: name, logfield.Error: err}).Warn(logevent.RosterEntryUnreadable)
 			entry = api.DaemonEntry{Name: name}
 		}
+		r.allAreNew = r.allAreNew && entry.Beat <= 1
 		present = append(present, entry)
 	}
 	return present
@@ -207,6 +261,7 @@
 // observe records the entries of a list. After the store was restored, entries that it lacks are kept for a while: their
 // daemons write them again.
 func (r *Registry) observe(list api.ObjectList, now time.Duration) {
+	r.allAreNew = true
 	if list.Era > r.era && r.era != 0 {
 		r.keepMissingUntil = now + rewriteWindow(len(r.observed)) + missingGrace
 	}
@@ -217,6 +272,7 @@
 	}
 	for _, object := range list.Objects {
 		if object.Name == r.self.Name {
+			r.recordFound()
 			continue
 		}
 		known, ok := r.observed[object.Name]
--- a/internal/lineproxy/proxy.go
+++ b/internal/lineproxy/proxy.go
@@ -26,6 +26,7 @@
 	"github.com/papayacove/papayacove/internal/objectstore"
 	"github.com/papayacove/papayacove/internal/peer"
 	"github.com/papayacove/papayacove/internal/promotionlock"
+	"github.com/papayacove/papayacove/internal/quota"
 	"github.com/papayacove/papayacove/internal/relay"
 	"github.com/papayacove/papayacove/internal/result"
 	"github.com/papayacove/papayacove/platform"
@@ -67,6 +68,7 @@
 	registry *daemonregistry.Registry
 	clients  *relay.Clients
 	peers    *peer.Server
+	quota    *quota.Service
 	listener net.Listener
 	// callers is the number of open caller connections.
 	callers atomic.Int64
@@ -79,6 +81,7 @@
 	promoter := platform.NewPromoter(settings.Fleet.PromotionURL, source, settings.Name, promoteTimeout)
 	p := &Proxy{store: store, promoter: promoter, clients: relay.NewClients(source)}
 	p.settings.Store(&settings)
+	p.quota = p.newQuota(&settings)
 	p.engine = engine.New(engine.Options{
 		Name:          settings.Name,
 		Zone:          settings.Zone,
@@ -88,6 +91,7 @@
 		PromotionLock: promotionlock.New(store, store.Eras(), settings.Name),
 		DrainTimeout:  time.Duration(settings.Fleet.DrainTimeoutMs) * time.Millisecond,
 		RevokeWithin:  time.Duration(settings.Fleet.RevokeMs) * time.Millisecond,
+		Quota:         p.engineQuota(),
 	})
 	p.registry = daemonregistry.New(store, api.DaemonEntry{
 		Name: settings.Name, Zone: settings.Zone, Address: settings.PeerAddress, Capacity: int(settings.Fleet.CapacityCores * 1000),
@@ -104,6 +108,7 @@
 		addresses[entry.Address] = true
 	}
 	p.engine.SetDaemons(daemons)
+	p.setQuotaDaemons(daemons)
 	p.clients.Keep(addresses)
 }
 
@@ -152,7 +157,7 @@
 		return fmt.Errorf("listen for callers: %w", err)
 	}
 	p.listener = listener
-	if p.peers, err = relay.Listen(settings.PeerAddress, p.engine); err != nil {
+	if p.peers, err = relay.Listen(settings.PeerAddress, p.engine, p.quotaHandler()); err != nil {
 		return err
 	}
 	go p.servePeers(ctx)
@@ -170,6 +175,9 @@
 		Interval: targetWatchInterval, Wait: p.watchWait(), AfterCall: p.engine.RecordDirectoryResult, OnRestore: p.engine.RecordDirectoryRestored,
 	})
 	go p.registry.Run(ctx)
+	if p.quota != nil {
+		go p.quota.Run(ctx)
+	}
 	go p.accept()
 	return nil
 }
@@ -226,6 +234,7 @@
 		}).Error(logevent.ConfigurationEntryInvalid)
 	}
 	p.engine.Configure(configuration)
+	p.configureQuota(configuration)
 	return true
 }
 
--- /dev/null
+++ b/internal/policy/quota/account.go
@@ -0,0 +1,107 @@
+package quota
+
+import (
+	"math"
+	"time"
+)
+
+// maxSpentTimes bounds the memory of when tokens were spent.
+const maxSpentTimes = 64
+
+// recordUse takes one operation into the moving average of the demand.
+func (a *account) recordUse(now time.Duration) {
+	a.demand = a.demandAt(now) + 1/demandMemory.Seconds()
+	a.lastUsed = now
+}
+
+// demandAt returns the recent operations a second.
+func (a *account) demandAt(now time.Duration) float64 {
+	return a.demand * math.Exp(-(now-a.lastUsed).Seconds()/demandMemory.Seconds())
+}
+
+// dropExpired removes tokens that may no longer be spent.
+func (a *account) dropExpired(now time.Duration) {
+	kept := a.lots[:0]
+	for _, l := range a.lots {
+		if l.until > now && l.tokens >= 1 {
+			kept = append(kept, l)
+		}
+	}
+	a.lots = kept
+}
+
+// take spends one token, of the lot that expires first.
+func (a *account) take() bool {
+	first := -1
+	for i, l := range a.lots {
+		if l.tokens >= 1 && (first < 0 || l.until < a.lots[first].until) {
+			first = i
+		}
+	}
+	if first < 0 {
+		return false
+	}
+	a.lots[first].tokens--
+	return true
+}
+
+// tokens returns the number of tokens held.
+func (a *account) tokens() float64 {
+	var sum float64
+	for _, l := range a.lots {
+		sum += l.tokens
+	}
+	return sum
+}
+
+// tokensOf returns the number of tokens held that a coordinator granted.
+func (a *account) tokensOf(coordinator string) float64 {
+	var sum float64
+	for _, l := range a.lots {
+		if l.from == coordinator {
+			sum += l.tokens
+		}
+	}
+	return sum
+}
+
+// giveBack removes the tokens of a coordinator that expire before a time, and returns their number.
+func (a *account) giveBack(coordinator string, before time.Duration) float64 {
+	var sum float64
+	kept := a.lots[:0]
+	for _, l := range a.lots {
+		if l.from == coordinator && l.until < before {
+			sum += l.tokens
+			continue
+		}
+		kept = append(kept, l)
+	}
+	a.lots = kept
+	return sum
+}
+
+// recordSpent remembers when a token was spent, for restore.
+func (a *account) recordSpent(now time.Duration) {
+	a.forgetSpent(now)
+	if len(a.spentAt) == maxSpentTimes {
+		a.spentAt = a.spentAt[1:]
+	}
+	a.spentAt = append(a.spentAt, now)
+}
+
+// forgetSpent removes tokens whose operations have been sent by now.
+func (a *account) forgetSpent(now time.Duration) {
+	for len(a.spentAt) > 0 && now-a.spentAt[0] >= maxWaitToSend {
+		a.spentAt = a.spentAt[1:]
+	}
+}
+
+// restore adds a token that was spent and not used. It is valid for no longer than an operation may wait with its token.
+func (a *account) restore(now time.Duration) {
+	a.forgetSpent(now)
+	if len(a.spentAt) == 0 {
+		return
+	}
+	a.lots = append(a.lots, lot{tokens: 1, until: a.spentAt[0] + maxWaitToSend})
+	a.spentAt = a.spentAt[1:]
+}
--- /dev/null
+++ b/internal/policy/quota/purse.go
@@ -0,0 +1,268 @@
+package quota
+
+import (
+	"math"
+	"time"
+
+	"github.com/papayacove/papayacove/api"
+)
+
+const (
+	// demandMemory is the time constant of the moving average of the demand.
+	demandMemory = 2 * time.Second
+	// prefetchBeyond is the time beyond the next renewal for which tokens are asked for in advance.
+	prefetchBeyond = 300 * time.Millisecond
+	// refillBefore is the time for which the tokens held suffice at the recent demand when more are asked for.
+	refillBefore = 150 * time.Millisecond
+	// prefetchAfterUse is the time after the last operation of a workspace for which tokens are asked for in advance.
+	prefetchAfterUse = 5 * time.Second
+	// forgetAccountAfter is the time after the last operation after which a workspace occupies nothing.
+	forgetAccountAfter = time.Minute
+)
+
+// Purse holds the tokens of one daemon, and decides when to ask for more. It is not safe for concurrent use. Times are
+// those of the daemon's own boot clock.
+type Purse struct {
+	name        string
+	incarnation uint64
+	sequence    uint64
+	lending     *lending
+	accounts    map[string]*account
+	limited     map[string]Bucket
+}
+
+// account is what a daemon knows of one workspace.
+type account struct {
+	lots []lot
+	// demand is the moving average of the operations a second, at lastUsed.
+	demand   float64
+	lastUsed time.Duration
+	// waiting is the number of operations that wait for a token.
+	waiting int
+	// refusedUntil is the time until which the coordinator of a lane is not asked.
+	refusedUntil [Lanes]time.Duration
+	// spentAt holds the times at which tokens were spent of late, the oldest first.
+	spentAt []time.Duration
+}
+
+// lot is the rest of one grant.
+type lot struct {
+	tokens float64
+	until  time.Duration
+	from   string
+}
+
+// Verdict is the decision on one operation.
+type Verdict int
+
+// The verdicts of Spend.
+const (
+	// Spent means that the operation may be sent.
+	Spent Verdict = iota
+	// Ask means that the operation waits for the answer of a coordinator.
+	Ask
+	// Refused means that the operation is over the limit.
+	Refused
+)
+
+// Decision is the verdict on one operation with its inputs.
+type Decision struct {
+	Verdict Verdict
+	// Coordinator is the one to be asked; with Spent, the one to be asked in advance; with Refused, the one that has no
+	// tokens; empty for none. Age is the time since its last answer.
+	Coordinator string
+	Age         time.Duration
+	// RetryAfter is the time after which a refused operation may be tried again.
+	RetryAfter time.Duration
+	// Tokens is the number of tokens left.
+	Tokens float64
+}
+
+// NewPurse returns the purse of a daemon, which owns nothing until SetFleet and never before LendFor after now: an earlier
+// start of the daemon may have lent its rights until then.
+func NewPurse(name string, incarnation uint64, now time.Duration) *Purse {
+	return &Purse{name: name, incarnation: incarnation, lending: newLending(name, now+LendFor), accounts: make(map[string]*account)}
+}
+
+// SetBuckets sets the buckets of the limited workspaces.
+func (p *Purse) SetBuckets(buckets map[string]Bucket, now time.Duration) {
+	p.limited = buckets
+	p.lending.setBuckets(buckets, now)
+}
+
+// SetFleet sets the part of each limit that the daemon owns, the number of daemons, and the daemons in the order in which
+// they coordinate each share.
+func (p *Purse) SetFleet(weight float64, daemons int, orders [Shares][]string, now time.Duration) {
+	p.lending.interval = RenewalInterval(daemons)
+	p.lending.setFleet(weight, orders, now)
+}
+
+// Spend decides on one operation of a workspace. isNew is false when the operation has waited already.
+func (p *Purse) Spend(workspace string, isNew bool, now time.Duration) Decision {
+	if _, ok := p.limited[workspace]; !ok {
+		return Decision{Verdict: Spent}
+	}
+	a := p.account(workspace)
+	if isNew {
+		a.recordUse(now)
+	}
+	a.dropExpired(now)
+	if a.take() {
+		a.recordSpent(now)
+		return Decision{Verdict: Spent, Coordinator: p.refillFrom(a, workspace, now), Tokens: a.tokens()}
+	}
+	if p.lending.spendOwn(workspace, now) {
+		a.recordSpent(now)
+		return Decision{Verdict: Spent}
+	}
+	refused := Decision{Verdict: Refused, RetryAfter: maxRetryAfter}
+	for i := range Lanes {
+		lane := (firstLane(p.name, workspace) + i) % Lanes
+		coordinator := p.lending.coordinator(PartitionOf(workspace)*Lanes+lane, now)
+		switch {
+		case coordinator == "":
+		case now < a.refusedUntil[lane]:
+			refused.RetryAfter = min(refused.RetryAfter, a.refusedUntil[lane]-now)
+			refused.Coordinator, refused.Age = coordinator, now-p.lending.stamps[coordinator].receivedAt
+		default:
+			return Decision{Verdict: Ask, Coordinator: coordinator}
+		}
+	}
+	return refused
+}
+
+// Wait changes the number of operations that wait for tokens of a workspace.
+func (p *Purse) Wait(workspace string, change int) {
+	a := p.account(workspace)
+	a.waiting = max(0, a.waiting+change)
+}
+
+// Return gives back the token of an operation that did not run. It may be spent again until maxWaitToSend after it was
+// spent.
+func (p *Purse) Return(workspace string, now time.Duration) {
+	if _, ok := p.limited[workspace]; !ok {
+		return
+	}
+	a := p.account(workspace)
+	a.restore(now)
+}
+
+func (p *Purse) account(workspace string) *account {
+	a, ok := p.accounts[workspace]
+	if !ok {
+		a = &account{}
+		p.accounts[workspace] = a
+	}
+	return a
+}
+
+// refillFrom returns the coordinator to ask in advance, when the tokens left do not last for refillBefore.
+func (p *Purse) refillFrom(a *account, workspace string, now time.Duration) string {
+	if a.tokens() >= a.demand*refillBefore.Seconds() {
+		return ""
+	}
+	lane := firstLane(p.name, workspace)
+	if now < a.refusedUntil[lane] {
+		return ""
+	}
+	return p.lending.coordinator(PartitionOf(workspace)*Lanes+lane, now)
+}
+
+// Due returns the coordinators that are to be asked now because what is lent to them is to be renewed.
+func (p *Purse) Due(now time.Duration) []string { return p.lending.due(now) }
+
+// Request returns the next request to a coordinator, which renews what is lent and asks for tokens of all workspaces that
+// need some. One request to a coordinator may be under way at a time.
+func (p *Purse) Request(coordinator string, now time.Duration) *api.QuotaRequest {
+	p.sequence++
+	r := &api.QuotaRequest{Daemon: p.name, Incarnation: p.incarnation, Sequence: p.sequence}
+	r.Delegations = p.lending.delegations(coordinator, now)
+	for workspace, a := range p.accounts {
+		if want, ok := p.want(workspace, a, coordinator, now); ok {
+			r.Wants = append(r.Wants, want)
+		}
+		if a.waiting == 0 && len(a.lots) == 0 && now-a.lastUsed > forgetAccountAfter {
+			delete(p.accounts, workspace)
+		}
+	}
+	return r
+}
+
+// want returns what to ask a coordinator for. Tokens that would expire before the next renewal are given back.
+func (p *Purse) want(workspace string, a *account, coordinator string, now time.Duration) (api.QuotaWant, bool) {
+	if _, ok := p.limited[workspace]; !ok {
+		return api.QuotaWant{}, false
+	}
+	a.dropExpired(now)
+	want := api.QuotaWant{Workspace: workspace}
+	want.Returned = a.giveBack(coordinator, now+p.lending.interval)
+	want.Held = a.tokensOf(coordinator)
+	for lane := range Lanes {
+		if p.lending.coordinator(PartitionOf(workspace)*Lanes+lane, now) != coordinator || now < a.refusedUntil[lane] {
+			continue
+		}
+		want.Tokens = max(want.Tokens, p.wantedFrom(a, workspace, lane, now))
+	}
+	return want, want.Tokens > 0 || want.Returned > 0 || want.Held > 0
+}
+
+// wantedFrom returns the number of tokens to ask the coordinator of a lane for. Tokens in advance are asked for in the first
+// lane only.
+func (p *Purse) wantedFrom(a *account, workspace string, lane int, now time.Duration) float64 {
+	if lane != firstLane(p.name, workspace) {
+		return float64(a.waiting)
+	}
+	needed := float64(a.waiting)
+	if now-a.lastUsed < prefetchAfterUse {
+		needed += math.Ceil(a.demandAt(now) * (p.lending.interval + prefetchBeyond).Seconds())
+	}
+	return max(0, math.Ceil(needed-a.tokens()))
+}
+
+// HandleReply takes in the answer to a request that was sent at sentAt. No more is taken than was asked for.
+func (p *Purse) HandleReply(coordinator string, r *api.QuotaRequest, reply *api.QuotaReply, sentAt, now time.Duration) {
+	p.lending.recordReply(coordinator, reply.Incarnation, reply.StampUs, now)
+	wanted := make(map[string]float64, len(r.Wants))
+	for _, want := range r.Wants {
+		wanted[want.Workspace] = want.Tokens
+	}
+	for _, grant := range reply.Grants {
+		most, ok := wanted[grant.Workspace]
+		if !ok {
+			continue
+		}
+		delete(wanted, grant.Workspace)
+		a := p.account(grant.Workspace)
+		if tokens := min(most, math.Floor(amount(grant.Tokens))); tokens > 0 {
+			a.lots = append(a.lots, lot{tokens: tokens, until: sentAt + TokensValidFor, from: coordinator})
+		}
+		if most > 0 && grant.RetryAfterUs > 0 {
+			p.refuse(a, grant.Workspace, coordinator, clampRetry(float64(grant.RetryAfterUs)/1e6), now)
+		}
+	}
+	for workspace, most := range wanted {
+		if most > 0 {
+			p.refuse(p.account(workspace), workspace, coordinator, noRightsRetry, now)
+		}
+	}
+}
+
+// refuse records that a coordinator has no tokens for a while.
+func (p *Purse) refuse(a *account, workspace, coordinator string, retry, now time.Duration) {
+	for lane := range Lanes {
+		if p.lending.coordinator(PartitionOf(workspace)*Lanes+lane, now) == coordinator {
+			a.refusedUntil[lane] = now + retry
+		}
+	}
+}
+
+// HandleFailure records that a coordinator did not answer. It is not asked for a while.
+func (p *Purse) HandleFailure(coordinator string, now time.Duration) {
+	p.lending.avoid(coordinator, now)
+}
+
+// OwnWeight returns the part of the limits that the daemon owns and has not lent.
+func (p *Purse) OwnWeight(now time.Duration) float64 { return p.lending.ownWeight(now) }
+
+// Weight returns the part of each limit that the daemon owns.
+func (p *Purse) Weight() float64 { return p.lending.weight }
--- a/internal/relay/relay.go
+++ b/internal/relay/relay.go
@@ -85,6 +85,11 @@
 	return call[api.RelayStatusReply](c, address, "Status", request, deadline)
 }
 
+// Quota sends a request to the coordinator of workspaces.
+func (c *Clients) Quota(address string, request *api.QuotaRequest, deadline time.Time) (*api.QuotaReply, error) {
+	return call[api.QuotaReply](c, address, "Quota", request, deadline)
+}
+
 // call sends one request. An rpc.ServerError means that the other daemon has no such method, so nothing ran.
 func call[R any](c *Clients, address, method string, request any, deadline time.Time) (*R, error) {
 	ctx, cancel := context.WithDeadline(context.Background(), deadline)
@@ -100,9 +105,27 @@
 	return reply, nil
 }
 
-// service adapts an engine.RelaySession to the method signatures of net/rpc.
+// QuotaHandler serves requests for tokens of workspaces.
+type QuotaHandler interface {
+	Handle(request *api.QuotaRequest) *api.QuotaReply
+}
+
+// service adapts an engine.RelaySession and a QuotaHandler to the method signatures of net/rpc.
 type service struct {
 	session *engine.RelaySession
+	quota   QuotaHandler
+}
+
+// errNoQuotas is the answer of a daemon that does not limit operations.
+var errNoQuotas = errors.New("operations are not limited here")
+
+// Quota serves a request for tokens of workspaces.
+func (s *service) Quota(request *api.QuotaRequest, reply *api.QuotaReply) error {
+	if s.quota == nil {
+		return errNoQuotas
+	}
+	*reply = *s.quota.Handle(request)
+	return nil
 }
 
 // Run runs a statement at a target that this daemon holds.
@@ -123,13 +146,13 @@
 	return nil
 }
 
-// Listen listens for other daemons; Run of the returned server serves them.
-func Listen(address string, served *engine.Engine) (*peer.Server, error) {
+// Listen listens for other daemons; Run of the returned server serves them. quota is nil if operations are not limited.
+func Listen(address string, served *engine.Engine, quota QuotaHandler) (*peer.Server, error) {
 	return peer.ListenWithOptions(peer.ServerOptions{
 		Address: address, MaxFrameBytes: maxFrameBytes,
 		Receiver: func() (any, func()) {
 			session := served.NewRelaySession()
-			return &service{session}, session.Close
+			return &service{session, quota}, session.Close
 		},
 	})
 }
