--- a/internal/lineproxy/proxy.go
+++ b/internal/lineproxy/proxy.go
@@ -27,6 +27,7 @@
 	"github.com/papayacove/papayacove/internal/peer"
 	"github.com/papayacove/papayacove/internal/policy/watching"
 	"github.com/papayacove/papayacove/internal/promotionlock"
+	"github.com/papayacove/papayacove/internal/quota"
 	"github.com/papayacove/papayacove/internal/relay"
 	"github.com/papayacove/papayacove/internal/result"
 	"github.com/papayacove/papayacove/platform"
@@ -68,6 +69,7 @@
 	// feedClients are connections of their own, so that no statement waits behind a large configuration.
 	feedClients *relay.Clients
 	feed        *feed.Feed
+	quota       *quota.Service
 	peers       *peer.Server
 	listener    net.Listener
 	// callers is the number of open caller connections.
@@ -81,6 +83,7 @@
 	promoter := platform.NewPromoter(settings.Fleet.PromotionURL, source, settings.Name, promoteTimeout)
 	p := &Proxy{store: store, promoter: promoter, clients: relay.NewClients(source), feedClients: relay.NewClients(source)}
 	p.settings.Store(&settings)
+	p.quota = p.newQuota(&settings)
 	p.engine = engine.New(engine.Options{
 		Name:          settings.Name,
 		Zone:          settings.Zone,
@@ -90,6 +93,7 @@
 		PromotionLock: promotionlock.New(store, store.Eras(), settings.Name),
 		DrainTimeout:  time.Duration(settings.Fleet.DrainTimeoutMs) * time.Millisecond,
 		RevokeWithin:  time.Duration(settings.Fleet.RevokeMs) * time.Millisecond,
+		Quota:         p.engineQuota(),
 	})
 	metricsOf.Store(p.engine)
 	p.feed = feed.New(feed.Options{
@@ -115,6 +119,7 @@
 	}
 	p.engine.SetDaemons(daemons)
 	p.feed.SetDaemons(watchers)
+	p.setQuotaDaemons(daemons)
 	p.clients.Keep(addresses)
 	p.feedClients.Keep(addresses)
 }
@@ -164,7 +169,7 @@
 		return fmt.Errorf("listen for callers: %w", err)
 	}
 	p.listener = listener
-	if p.peers, err = relay.Listen(settings.PeerAddress, p.engine, p.feed); err != nil {
+	if p.peers, err = relay.Listen(settings.PeerAddress, p.engine, p.feed, p.quotaHandler()); err != nil {
 		return err
 	}
 	go p.servePeers(ctx)
@@ -183,6 +188,9 @@
 		OnFailure: p.engine.RecordDirectoryFailure, OnRestore: p.engine.RecordDirectoryRestored,
 	})
 	go p.registry.Run(ctx)
+	if p.quota != nil {
+		go p.quota.Run(ctx)
+	}
 	go p.accept()
 	return nil
 }
@@ -231,6 +239,7 @@
 		}).Error(logevent.ConfigurationEntryInvalid)
 	}
 	p.engine.Configure(configuration)
+	p.configureQuota(configuration)
 	return nil
 }
 
@@ -303,6 +312,23 @@
 	p.engine.Serve(caller, database, identity)
 }
 
+const (
+	// openingTime is the time that a connection accepted last has to open its session.
+	openingTime = 100 * time.Millisecond
+	// openingInterval is the time between two checks of these connections.
+	openingInterval = 10 * time.Millisecond
+	// lastSessionsPart is the part of the grace period, one in so many, in which no callers are accepted.
+	lastSessionsPart = 4
+)
+
+// awaitOpenings waits until the connections that were accepted last have sessions, up to openingTime.
+func (p *Proxy) awaitOpenings(ctx context.Context) {
+	opened := clock.SinceBoot() + openingTime
+	for ctx.Err() == nil && p.callers.Load() > 0 && clock.SinceBoot() < opened {
+		_ = clock.Sleep(ctx, openingInterval)
+	}
+}
+
 // shutDown stops the daemon as planned: the balancer stops sending new callers, and the sessions are closed.
 func (p *Proxy) shutDown() {
 	settings := p.settings.Load()
@@ -313,8 +339,13 @@
 	began := clock.SinceBoot()
 	p.feed.Leave()
 	go p.registry.Leave(ctx)
-	p.engine.Drain(ctx, grace)
+	// Callers that come although the daemon is not ready are served no longer than their statements can end.
+	accepting, stopAccepting := context.WithTimeout(ctx, grace-grace/lastSessionsPart)
+	defer stopAccepting()
+	p.engine.Drain(accepting, grace)
 	_ = p.listener.Close()
+	p.awaitOpenings(ctx)
+	p.engine.FinishSessions(ctx)
 	p.engine.Close()
 	p.store.Close()
 	logrus.WithFields(logrus.Fields{logfield.Daemon: settings.Name, logfield.Took: clock.SinceBoot() - began}).Info(logevent.DaemonStopped)
--- a/internal/relay/feed_test.go
+++ b/internal/relay/feed_test.go
@@ -23,7 +23,7 @@
 // connection is closed by the probe of a silent peer.
 func TestHeldFeedRequestDelaysNoOther(t *testing.T) {
 	feeder := &holdingFeeder{release: make(chan struct{})}
-	server, err := Listen("127.0.0.1:0", engine.New(engine.Options{Name: "a"}), feeder)
+	server, err := Listen("127.0.0.1:0", engine.New(engine.Options{Name: "a"}), feeder, nil)
 	if err != nil {
 		t.Fatal(err)
 	}
--- a/standin/lines/group.go
+++ b/standin/lines/group.go
@@ -79,6 +79,8 @@
 	up         bool
 	// unresponsive targets accept connections and answer nothing.
 	unresponsive bool
+	// heartbeatsStopped targets do not write their entries again.
+	heartbeatsStopped bool
 	// leaving targets have announced that they will stop.
 	leaving bool
 	// receiveBlocked replicas receive nothing from the primary.
@@ -88,8 +90,8 @@
 	// service is the time that a statement occupies a slot.
 	service time.Duration
 	conns   map[net.Conn]struct{}
-	// executed are the ids of the statements that the target executed.
-	executed []string
+	// executed are the statements that the target executed.
+	executed []Execution
 }
 
 // NewGroup starts a group of targets on loopback ports, in zones zone-1, zone-2 and so on. The first target is the
@@ -243,7 +245,7 @@
 	count := 0
 	for _, d := range g.targets {
 		for _, executed := range d.executed {
-			if executed == id {
+			if executed.ID == id {
 				count++
 			}
 		}
@@ -251,6 +253,31 @@
 	return count
 }
 
+// Executions returns the statements that the targets executed.
+func (g *Group) Executions() []Execution {
+	g.mu.Lock()
+	defer g.mu.Unlock()
+	var all []Execution
+	for _, d := range g.targets {
+		all = append(all, d.executed...)
+	}
+	return all
+}
+
+// Executions returns the number of statements that the target executed.
+func (d *Target) Executions() int {
+	d.group.mu.Lock()
+	defer d.group.mu.Unlock()
+	return len(d.executed)
+}
+
+// StopHeartbeats keeps a target that goes on running from writing its entry again, as one that has left.
+func (d *Target) StopHeartbeats() {
+	d.group.mu.Lock()
+	defer d.group.mu.Unlock()
+	d.heartbeatsStopped = true
+}
+
 // LostWrites returns the items whose latest acknowledged value isn't the latest one in the log of the primary. If
 // there is no primary, it returns only the text "no primary".
 func (g *Group) LostWrites() []string {
@@ -403,7 +430,7 @@
 func (d *Target) WriteEntry() {
 	d.group.mu.Lock()
 	defer d.group.mu.Unlock()
-	if d.up {
+	if d.up && !d.heartbeatsStopped {
 		d.writeEntry()
 	}
 }
