--- a/api/types.gen.go
+++ b/api/types.gen.go
@@ -744,6 +744,11 @@
 	// Incarnation changes with each start of the coordinator.
 	Incarnation uint64 `json:"incarnation" toml:"incarnation"`
 
+	// Released is true if this is the first request of a start of the sender, and an
+	// earlier start had lent rights here of late. They are no longer lent, and what
+	// was granted from them may be spent for a fixed time.
+	Released bool `json:"released" toml:"released"`
+
 	// StampUs is the time of the clock of the coordinator, in microseconds, to be
 	// echoed.
 	StampUs int64 `json:"stamp_us" toml:"stamp_us"`
--- a/internal/policy/quota/account.go
+++ b/internal/policy/quota/account.go
@@ -45,6 +45,14 @@
 	return true
 }
 
+// refuse records that a coordinator has no tokens until a time.
+func (a *account) refuse(coordinator string, until time.Duration) {
+	if a.refusedUntil == nil || len(a.refusedUntil) > 4*Lanes {
+		a.refusedUntil = make(map[string]time.Duration)
+	}
+	a.refusedUntil[coordinator] = until
+}
+
 // tokens returns the number of tokens held.
 func (a *account) tokens() float64 {
 	var sum float64
--- a/internal/policy/quota/coordinator.go
+++ b/internal/policy/quota/coordinator.go
@@ -26,6 +26,8 @@
 	incarnation uint64
 	partitions  [Partitions]*rights
 	senders     map[sender]seen
+	// lenders holds the time until which a daemon had lent rights at most.
+	lenders map[string]time.Duration
 }
 
 // seen is the last request of a sender.
@@ -36,7 +38,7 @@
 
 // NewCoordinator returns a coordinator to which nothing is lent.
 func NewCoordinator(incarnation uint64) *Coordinator {
-	c := &Coordinator{incarnation: incarnation, senders: make(map[sender]seen)}
+	c := &Coordinator{incarnation: incarnation, senders: make(map[sender]seen), lenders: make(map[string]time.Duration)}
 	for i := range c.partitions {
 		c.partitions[i] = newRights()
 	}
@@ -67,9 +69,13 @@
 func (c *Coordinator) Handle(r *api.QuotaRequest, now time.Duration) *api.QuotaReply {
 	reply := &api.QuotaReply{Incarnation: c.incarnation, StampUs: now.Microseconds()}
 	from := sender{daemon: r.Daemon, incarnation: r.Incarnation}
+	_, isKnown := c.senders[from]
 	if len(r.Wants) > maxWants || len(r.Delegations) > Shares || !c.isNew(from, r.Sequence, now) {
 		return reply
 	}
+	if !isKnown {
+		reply.Released = c.release(r.Daemon, now)
+	}
 	for _, d := range r.Delegations {
 		c.take(r.Daemon, d, now)
 	}
@@ -89,6 +95,7 @@
 	}
 	if !known && len(c.senders) >= maxSenders {
 		maps.DeleteFunc(c.senders, func(_ sender, s seen) bool { return now-s.at > forgetSenderAfter })
+		maps.DeleteFunc(c.lenders, func(_ string, until time.Duration) bool { return now-until > forgetSenderAfter })
 		if len(c.senders) >= maxSenders {
 			return false
 		}
@@ -97,6 +104,17 @@
 	return true
 }
 
+// release ends what earlier starts of a daemon lent. It reports whether tokens granted from it may still be spent.
+func (c *Coordinator) release(daemon string, now time.Duration) bool {
+	for _, part := range c.partitions {
+		for lane := range Lanes {
+			part.set(lane, daemon, right{}, now)
+		}
+	}
+	until, ok := c.lenders[daemon]
+	return ok && now < until+TokensValidFor
+}
+
 // take records rights that a daemon lends. They count until LendFor after the echoed stamp, without the time for which
 // tokens granted last may still be spent.
 func (c *Coordinator) take(daemon string, d api.QuotaDelegation, now time.Duration) {
@@ -111,7 +129,9 @@
 	if known, ok := part.lanes[lane][daemon]; ok && known.stamp > stamp {
 		return
 	}
-	part.set(lane, daemon, right{weight: d.Weight, until: stamp + LendFor - TokensValidFor, stamp: stamp}, now)
+	until := stamp + LendFor - TokensValidFor
+	part.set(lane, daemon, right{weight: d.Weight, until: until, stamp: stamp}, now)
+	c.lenders[daemon] = max(c.lenders[daemon], until)
 }
 
 // grant decides on one want; false if the workspace has no limit here.
--- a/internal/policy/quota/fleet.go
+++ b/internal/policy/quota/fleet.go
@@ -16,7 +16,7 @@
 	// have removed it from their count after keepDaemonFor.
 	surrenderAfter = keepDaemonFor
 	// candidates is the number of daemons that may coordinate a share.
-	candidates = 8
+	candidates = 4
 )
 
 // Registration is what a daemon knows of its own entry in the registry of daemons.
@@ -71,8 +71,9 @@
 	for partition := range Partitions {
 		order := placement.SpreadOrder(fmt.Sprintf("quota/%d", partition), staying)
 		for i, m := range order[:min(len(order), candidates*Lanes)] {
-			share := partition*Lanes + i%Lanes
-			orders[share] = append(orders[share], m.Name)
+			// Each round of candidates begins with another lane, so that the candidates of a lane are in different zones.
+			lane := (i + Lanes - i/Lanes%Lanes) % Lanes
+			orders[partition*Lanes+lane] = append(orders[partition*Lanes+lane], m.Name)
 		}
 	}
 	return orders
--- a/internal/policy/quota/lending.go
+++ b/internal/policy/quota/lending.go
@@ -1,10 +1,13 @@
 package quota
 
 import (
+	"fmt"
 	"math"
 	"slices"
 	"time"
 
+	"github.com/cespare/xxhash/v2"
+
 	"github.com/papayacove/papayacove/api"
 )
 
@@ -12,7 +15,10 @@
 	// minAvoidance and maxAvoidance bound the time for which a coordinator that did not answer is not asked. It doubles
 	// with each failure.
 	minAvoidance = time.Second
-	maxAvoidance = 8 * time.Second
+	maxAvoidance = 2 * time.Second
+	// moveWithin is the time within which the daemons move a share, one after the other, back to a coordinator that answers
+	// again. A share that moves is lent to nobody for a while.
+	moveWithin = 10 * time.Second
 	// unlimited is the end of a right that is not lent.
 	unlimited = time.Duration(math.MaxInt64)
 )
@@ -21,11 +27,16 @@
 // daemon's own again LendFor after the daemon received the stamp that it echoed last.
 type lending struct {
 	name string
-	// startAt is the time before which the daemon has no rights.
-	startAt  time.Duration
-	weight   float64
-	interval time.Duration
-	shares   [Shares]share
+	// startAt is the time before which the daemon has no rights, since an earlier start of it may have lent them. It comes
+	// earlier once all candidates have answered, which ends such loans; isSettled is true from then on.
+	startAt   time.Duration
+	isSettled bool
+	answered  map[string]bool
+	// releasedUntil is the time until which tokens that were granted from such loans may be spent.
+	releasedUntil time.Duration
+	weight        float64
+	interval      time.Duration
+	shares        [Shares]share
 	// own holds the rights that are not lent.
 	own    [Partitions]*rights
 	stamps map[string]stamp
@@ -42,6 +53,8 @@
 	to          string
 	incarnation uint64
 	until       time.Duration
+	// moveAt is the time from which the share is lent to a coordinator that is earlier in the order; 0 if there is none.
+	moveAt time.Duration
 	// owns is true while the rights fill the daemon's own buckets.
 	owns bool
 }
@@ -61,7 +74,7 @@
 
 func newLending(name string, startAt time.Duration) *lending {
 	l := &lending{
-		name: name, startAt: startAt, interval: shortRenewal,
+		name: name, startAt: startAt, interval: shortRenewal, answered: make(map[string]bool),
 		stamps: make(map[string]stamp), avoids: make(map[string]avoidance), asked: make(map[string]time.Duration),
 	}
 	for i := range l.own {
@@ -98,9 +111,32 @@
 			l.setOwn(i, weight/Lanes, now)
 		}
 	}
+	l.settle(now)
 	l.takeBack(now)
 }
 
+// unanswered returns the candidates that have not answered yet.
+func (l *lending) unanswered() []string {
+	var names []string
+	for i := range l.shares {
+		for _, name := range l.shares[i].order {
+			if !l.answered[name] && !slices.Contains(names, name) {
+				names = append(names, name)
+			}
+		}
+	}
+	return names
+}
+
+// settle moves startAt forward when all candidates have answered.
+func (l *lending) settle(now time.Duration) {
+	if l.isSettled || l.weight == 0 || len(l.unanswered()) > 0 {
+		return
+	}
+	l.isSettled = true
+	l.startAt = min(l.startAt, max(now, l.releasedUntil))
+}
+
 func (l *lending) setOwn(i int, weight float64, now time.Duration) {
 	l.own[i/Lanes].set(i%Lanes, l.name, right{weight: weight, until: unlimited}, now)
 }
@@ -140,8 +176,17 @@
 	return sum / Partitions
 }
 
-// successor returns the first coordinator of a share that is not avoided; empty for none.
+// successor returns the coordinator that a share is to be lent to next; empty for none. It is the first one that is not
+// avoided, but one that the share is lent to remains until moveAt.
 func (l *lending) successor(i int, now time.Duration) string {
+	if s := l.shares[i]; now < s.moveAt && l.isUsable(s, now) {
+		return s.to
+	}
+	return l.first(i, now)
+}
+
+// first returns the first coordinator of a share that is not avoided; empty for none.
+func (l *lending) first(i int, now time.Duration) string {
 	for _, name := range l.shares[i].order {
 		if !l.isAvoided(name, now) {
 			return name
@@ -150,11 +195,29 @@
 	return ""
 }
 
+// isUsable reports whether a share is lent to a coordinator that may keep it.
+func (l *lending) isUsable(s share, now time.Duration) bool {
+	return s.to != "" && now < s.until-TokensValidFor && !l.isAvoided(s.to, now) && slices.Contains(s.order, s.to)
+}
+
+// plan sets when shares move to a coordinator that is earlier in their order.
+func (l *lending) plan(now time.Duration) {
+	for i := range l.shares {
+		s := &l.shares[i]
+		switch {
+		case l.first(i, now) == s.to || !l.isUsable(*s, now):
+			s.moveAt = 0
+		case s.moveAt == 0:
+			s.moveAt = now + time.Duration(xxhash.Sum64String(fmt.Sprint(l.name, i))%uint64(moveWithin))
+		}
+	}
+}
+
 // coordinator returns the coordinator to ask for tokens of a share: the one that the rights are lent to while it counts
 // them, and its successor otherwise; empty for none.
 func (l *lending) coordinator(i int, now time.Duration) string {
 	s := l.shares[i]
-	if s.to != "" && now < s.until-TokensValidFor && !l.isAvoided(s.to, now) && slices.Contains(s.order, s.to) {
+	if l.isUsable(s, now) {
 		return s.to
 	}
 	return l.successor(i, now)
@@ -176,11 +239,14 @@
 		return nil
 	}
 	l.takeBack(now)
+	l.plan(now)
 	var due []string
+	if now < l.startAt {
+		due = slices.DeleteFunc(l.unanswered(), func(name string) bool { return l.isAskedOfLate(name, now) })
+	}
 	for i := range l.shares {
 		for _, name := range []string{l.successor(i, now), l.coordinator(i, now)} {
-			asked, ok := l.asked[name]
-			if name != "" && (!ok || now-asked >= l.interval) && !slices.Contains(due, name) {
+			if name != "" && !l.isAskedOfLate(name, now) && !slices.Contains(due, name) {
 				due = append(due, name)
 			}
 		}
@@ -188,6 +254,13 @@
 	return due
 }
 
+// isAskedOfLate reports whether a coordinator was sent a request within the interval. After the start the first loan does
+// not wait for it.
+func (l *lending) isAskedOfLate(name string, now time.Duration) bool {
+	asked, ok := l.asked[name]
+	return ok && now-asked < l.interval && !(asked < l.startAt && now >= l.startAt)
+}
+
 // delegations returns what is lent with a request to a coordinator.
 func (l *lending) delegations(coordinator string, now time.Duration) []api.QuotaDelegation {
 	l.asked[coordinator] = now
@@ -211,7 +284,15 @@
 }
 
 // recordReply takes in the stamp of a coordinator.
-func (l *lending) recordReply(coordinator string, incarnation uint64, us int64, now time.Duration) {
+func (l *lending) recordReply(coordinator string, reply *api.QuotaReply, now time.Duration) {
 	delete(l.avoids, coordinator)
-	l.stamps[coordinator] = stamp{incarnation: incarnation, us: us, receivedAt: now}
+	l.stamps[coordinator] = stamp{incarnation: reply.Incarnation, us: reply.StampUs, receivedAt: now}
+	if l.isSettled {
+		return
+	}
+	l.answered[coordinator] = true
+	if reply.Released {
+		l.releasedUntil = max(l.releasedUntil, now+TokensValidFor)
+	}
+	l.settle(now)
 }
--- a/internal/policy/quota/purse.go
+++ b/internal/policy/quota/purse.go
@@ -2,6 +2,7 @@
 
 import (
 	"math"
+	"slices"
 	"time"
 
 	"github.com/papayacove/papayacove/api"
@@ -39,8 +40,8 @@
 	lastUsed time.Duration
 	// waiting is the number of operations that wait for a token.
 	waiting int
-	// refusedUntil is the time until which the coordinator of a lane is not asked.
-	refusedUntil [Lanes]time.Duration
+	// refusedUntil is the time until which a coordinator that had no tokens is not asked.
+	refusedUntil map[string]time.Duration
 	// spentAt holds the times at which tokens were spent of late, the oldest first.
 	spentAt []time.Duration
 }
@@ -78,8 +79,8 @@
 	Tokens float64
 }
 
-// NewPurse returns the purse of a daemon, which owns nothing until SetFleet and never before LendFor after now: an earlier
-// start of the daemon may have lent its rights until then.
+// NewPurse returns the purse of a daemon, which owns nothing until SetFleet. An earlier start of the daemon may have lent
+// its rights until LendFor after now; before, it owns them when all candidates have answered.
 func NewPurse(name string, incarnation uint64, now time.Duration) *Purse {
 	return &Purse{name: name, incarnation: incarnation, lending: newLending(name, now+LendFor), accounts: make(map[string]*account)}
 }
@@ -116,21 +117,32 @@
 		return Decision{Verdict: Spent}
 	}
 	refused := Decision{Verdict: Refused, RetryAfter: maxRetryAfter}
-	for i := range Lanes {
-		lane := (firstLane(p.name, workspace) + i) % Lanes
-		coordinator := p.lending.coordinator(PartitionOf(workspace)*Lanes+lane, now)
-		switch {
-		case coordinator == "":
-		case now < a.refusedUntil[lane]:
-			refused.RetryAfter = min(refused.RetryAfter, a.refusedUntil[lane]-now)
-			refused.Coordinator, refused.Age = coordinator, now-p.lending.stamps[coordinator].receivedAt
-		default:
+	for _, coordinator := range p.sources(workspace, now) {
+		until := a.refusedUntil[coordinator]
+		if now >= until {
 			return Decision{Verdict: Ask, Coordinator: coordinator}
 		}
+		refused.RetryAfter = min(refused.RetryAfter, until-now)
+		refused.Coordinator, refused.Age = coordinator, now-p.lending.stamps[coordinator].receivedAt
 	}
 	return refused
 }
 
+// sources returns the coordinators to ask for tokens of a workspace, in order: those that the shares are lent to, and then
+// those that others lend theirs to while this daemon has not moved its own yet.
+func (p *Purse) sources(workspace string, now time.Duration) []string {
+	list := make([]string, 0, 2*Lanes)
+	for _, choose := range []func(int, time.Duration) string{p.lending.coordinator, p.lending.first} {
+		for i := range Lanes {
+			lane := (firstLane(p.name, workspace) + i) % Lanes
+			if name := choose(PartitionOf(workspace)*Lanes+lane, now); name != "" && !slices.Contains(list, name) {
+				list = append(list, name)
+			}
+		}
+	}
+	return list
+}
+
 // Wait changes the number of operations that wait for tokens of a workspace.
 func (p *Purse) Wait(workspace string, change int) {
 	a := p.account(workspace)
@@ -161,11 +173,11 @@
 	if a.tokens() >= a.demand*refillBefore.Seconds() {
 		return ""
 	}
-	lane := firstLane(p.name, workspace)
-	if now < a.refusedUntil[lane] {
+	sources := p.sources(workspace, now)
+	if len(sources) == 0 || now < a.refusedUntil[sources[0]] {
 		return ""
 	}
-	return p.lending.coordinator(PartitionOf(workspace)*Lanes+lane, now)
+	return sources[0]
 }
 
 // Due returns the coordinators that are to be asked now because what is lent to them is to be renewed.
@@ -197,19 +209,19 @@
 	want := api.QuotaWant{Workspace: workspace}
 	want.Returned = a.giveBack(coordinator, now+p.lending.interval)
 	want.Held = a.tokensOf(coordinator)
-	for lane := range Lanes {
-		if p.lending.coordinator(PartitionOf(workspace)*Lanes+lane, now) != coordinator || now < a.refusedUntil[lane] {
-			continue
-		}
-		want.Tokens = max(want.Tokens, p.wantedFrom(a, workspace, lane, now))
+	if now >= a.refusedUntil[coordinator] {
+		want.Tokens = p.wantedFrom(a, workspace, coordinator, now)
 	}
 	return want, want.Tokens > 0 || want.Returned > 0 || want.Held > 0
 }
 
-// wantedFrom returns the number of tokens to ask the coordinator of a lane for. Tokens in advance are asked for in the first
-// lane only.
-func (p *Purse) wantedFrom(a *account, workspace string, lane int, now time.Duration) float64 {
-	if lane != firstLane(p.name, workspace) {
+// wantedFrom returns the number of tokens to ask a coordinator for. Only the first source is asked for tokens in advance.
+func (p *Purse) wantedFrom(a *account, workspace, coordinator string, now time.Duration) float64 {
+	place := slices.Index(p.sources(workspace, now), coordinator)
+	if place < 0 {
+		return 0
+	}
+	if place > 0 {
 		return float64(a.waiting)
 	}
 	needed := float64(a.waiting)
@@ -221,7 +233,7 @@
 
 // HandleReply takes in the answer to a request that was sent at sentAt. No more is taken than was asked for.
 func (p *Purse) HandleReply(coordinator string, r *api.QuotaRequest, reply *api.QuotaReply, sentAt, now time.Duration) {
-	p.lending.recordReply(coordinator, reply.Incarnation, reply.StampUs, now)
+	p.lending.recordReply(coordinator, reply, now)
 	wanted := make(map[string]float64, len(r.Wants))
 	for _, want := range r.Wants {
 		wanted[want.Workspace] = want.Tokens
@@ -237,21 +249,12 @@
 			a.lots = append(a.lots, lot{tokens: tokens, until: sentAt + TokensValidFor, from: coordinator})
 		}
 		if most > 0 && grant.RetryAfterUs > 0 {
-			p.refuse(a, grant.Workspace, coordinator, clampRetry(float64(grant.RetryAfterUs)/1e6), now)
+			a.refuse(coordinator, now+clampRetry(float64(grant.RetryAfterUs)/1e6))
 		}
 	}
 	for workspace, most := range wanted {
 		if most > 0 {
-			p.refuse(p.account(workspace), workspace, coordinator, noRightsRetry, now)
-		}
-	}
-}
-
-// refuse records that a coordinator has no tokens for a while.
-func (p *Purse) refuse(a *account, workspace, coordinator string, retry, now time.Duration) {
-	for lane := range Lanes {
-		if p.lending.coordinator(PartitionOf(workspace)*Lanes+lane, now) == coordinator {
-			a.refusedUntil[lane] = now + retry
+			p.account(workspace).refuse(coordinator, now+noRightsRetry)
 		}
 	}
 }
--- a/internal/policy/quota/rules.go
+++ b/internal/policy/quota/rules.go
@@ -24,16 +24,16 @@
 
 const (
 	// Partitions is the number of partitions of the workspaces. Daemons of all versions must agree on it.
-	Partitions = 2
+	Partitions = 1
 	// Lanes is the number of coordinators of a partition. Each is lent an equal part of the rights, so that one that is
 	// lost takes only its part along.
-	Lanes = 2
+	Lanes = 3
 	// Shares is the number of pairs of a partition and a lane.
 	Shares = Partitions * Lanes
 	// LendFor is the time for which rights are lent, from the stamp of the coordinator that the daemon echoes.
-	LendFor = 4 * time.Second
+	LendFor = 3 * time.Second
 	// TokensValidFor is the time for which tokens may be spent, from when the request for them was sent.
-	TokensValidFor = 1500 * time.Millisecond
+	TokensValidFor = time.Second
 	// CallTimeout bounds a request to a coordinator.
 	CallTimeout = 150 * time.Millisecond
 	// maxWaitToSend is the time from when an operation gets its token until it is sent at the latest.
@@ -43,7 +43,7 @@
 	// smallFleet is the number of daemons up to which rights are renewed each shortRenewal, and longRenewal beyond.
 	smallFleet   = 250
 	shortRenewal = 500 * time.Millisecond
-	longRenewal  = time.Second
+	longRenewal  = 750 * time.Millisecond
 	// minRetryAfter and maxRetryAfter bound the time after which a refused daemon asks again.
 	minRetryAfter = 20 * time.Millisecond
 	maxRetryAfter = 2 * time.Second
@@ -67,13 +67,16 @@
 	Rate, Depth float64
 }
 
-// BucketFor returns the largest bucket that keeps the bound: Depth + Rate x (Length + maxWaitToSend) <= Bound. The rate is
-// that of the limit, unless the bound leaves no room for minDepth.
+// BucketFor returns a bucket that keeps the bound: Depth + Rate x (Length + maxWaitToSend) = Bound. The rate is that of the
+// limit with its overage, so that a workspace at its limit gets all of it although tokens are spread over daemons. It is
+// less where the depth would be less than the burst, and less than the limit only where the depth would be less than
+// minDepth.
 func (w Window) BucketFor(l callers.Limit) Bucket {
 	bound := w.Bound(l)
 	span := (w.Length + maxWaitToSend).Seconds()
-	depth := max(bound-l.RatePerS*span, min(minDepth, bound))
-	return Bucket{Rate: min(l.RatePerS, (bound-depth)/span), Depth: depth}
+	rate := min(l.RatePerS*(1+w.Overage), max(l.RatePerS, (bound-l.Burst)/span))
+	depth := max(bound-rate*span, min(minDepth, bound))
+	return Bucket{Rate: min(rate, (bound-depth)/span), Depth: depth}
 }
 
 // PartitionOf returns the partition of a workspace.
--- a/internal/policy/quota/world_test.go
+++ b/internal/policy/quota/world_test.go
@@ -1,6 +1,7 @@
 package quota
 
 import (
+	"fmt"
 	"math/rand"
 	"time"
 
@@ -54,12 +55,16 @@
 	reply       *api.QuotaReply
 }
 
+func daemonName(i int) string { return fmt.Sprintf("d%03d", i) }
+
+func zoneName(i, zones int) string { return string(rune('a' + i%zones)) }
+
 func (p *player) clock(w *world) time.Duration { return w.now + p.offset }
 
 func newWorld(zones, daemons int, travel func(from, to *player) []time.Duration, random *rand.Rand) *world {
 	w := &world{byName: make(map[string]*player), travel: travel}
 	for i := range daemons {
-		p := &player{name: "d" + string(rune('a'+i%26)) + string(rune('a'+i/26)), zone: string(rune('a' + i%zones)), offset: time.Duration(random.Intn(1e6)) * time.Millisecond}
+		p := &player{name: daemonName(i), zone: zoneName(i, zones), offset: time.Duration(random.Intn(1e6)) * time.Millisecond}
 		w.daemons = append(w.daemons, p)
 		w.byName[p.name] = p
 		w.start(p, random)
@@ -162,6 +167,9 @@
 			w.retry(p)
 		}
 	}
+	if w.now%(50*time.Millisecond) != 0 {
+		return
+	}
 	for _, coordinator := range p.purse.Due(p.clock(w)) {
 		w.ask(p, coordinator)
 	}
