Let a lag end with its episode, and hold only own commits by it

Lags of 10 s also excluded replicas that had caught up, and one that had all that was known added no lag at all. Lags count for 3 s, one that has all counts by the age of the newest sample, and only the read of an own commit goes by them; the rest by the latest position as before.

Seen to fail with 10 s: TestLagsEndWithTheEpisode.

--- a/internal/engine/readers.go
+++ b/internal/engine/readers.go
@@ -33,9 +33,6 @@
 		return 0
 	}
 	expected := g.samples.ExpectedAt(at, m.applied, m.appliedAt, now)
-	if lag, known := m.lags.Expected(now); known {
-		expected = g.samples.ExpectedWithLag(at, lag, now)
-	}
 	if now-m.appliedAt >= max(behindRecheck, (expected-m.appliedAt)/recheckDivisor) {
 		return 0
 	}
--- a/internal/policy/primaryposition/lags.go
+++ b/internal/policy/primaryposition/lags.go
@@ -11,7 +11,9 @@
 	// keptLags bounds the lags that are kept of one replica.
 	keptLags = 32
 	// lagValidity is the time for which a lag counts.
-	lagValidity = 10 * time.Second
+	lagValidity = 3 * time.Second
+	// maxSampleAge is the age of the newest sample from which on it tells nothing of the lag.
+	maxSampleAge = 100 * time.Millisecond
 	// leastLags is the number of lags from which on their distribution is known.
 	leastLags = 8
 	// lagPercent is the part of the lags, in percent, that the expected one is not below. A read that finds the replica
@@ -55,21 +57,15 @@
 	return max(latest, lags[(len(lags)-1)*lagPercent/100]), true
 }
 
-// LagOf returns how far a replica was behind the primary whose log ended at applied, at the time appliedAt; false when no
-// sample shows that the primary was beyond that.
+// LagOf returns how far a replica was behind the primary whose log ended at applied, at the time appliedAt; false when the
+// samples do not show it. A replica that has all that is known is behind at most by the age of the newest sample.
 func (s *Samples) LagOf(applied api.Position, appliedAt time.Duration) (time.Duration, bool) {
-	passed, ok := s.passedAt(applied)
-	if !ok {
-		return 0, false
+	if passed, ok := s.passedAt(applied); ok {
+		return max(0, appliedAt-passed), true
 	}
-	return max(0, appliedAt-passed), true
-}
-
-// ExpectedWithLag returns the time at which a replica with the given lag is expected to hold the position wanted.
-func (s *Samples) ExpectedWithLag(wanted api.Position, lag, now time.Duration) time.Duration {
-	reached, ok := s.reachedAt(wanted)
-	if !ok {
-		reached = now
+	if len(s.kept) == 0 {
+		return 0, false
 	}
-	return reached + lag
+	age := appliedAt - s.kept[len(s.kept)-1].askedAt
+	return max(0, age), age < maxSampleAge
 }
--- a/internal/policy/primaryposition/lags_test.go
+++ b/internal/policy/primaryposition/lags_test.go
@@ -4,6 +4,8 @@
 	"math/rand"
 	"testing"
 	"time"
+
+	"github.com/papayacove/papayacove/api"
 )
 
 // lagAt is the lag of a played replica: 150 ms and a little for most of the time, up to 900 ms for 2 s of every 10.
@@ -80,3 +82,34 @@
 		t.Errorf("after a lag of 1 s: got %s, want 1 s", lag)
 	}
 }
+
+// TestLagsEndWithTheEpisode lets a replica fall 6 s behind and catch up: 3 s later at most it is expected to be as usual. By
+// lags of 10 s its reads went to the primary for as long.
+func TestLagsEndWithTheEpisode(t *testing.T) {
+	var l Lags
+	for now := time.Duration(0); now < 6*time.Second; now += 200 * time.Millisecond {
+		l.Add(now, now)
+	}
+	for now := 6 * time.Second; now < 9*time.Second; now += 300 * time.Millisecond {
+		l.Add(100*time.Millisecond, now)
+	}
+	if lag, known := l.Expected(9 * time.Second); !known || lag > 100*time.Millisecond {
+		t.Errorf("3 s after the replica caught up: got a lag of %s, known %t, want 100 ms", lag, known)
+	}
+}
+
+// TestLagOfAReplicaThatHasAll takes the age of the newest sample, and nothing when that is old.
+func TestLagOfAReplicaThatHasAll(t *testing.T) {
+	var s Samples
+	position := api.Position{Term: 1, Offset: 5}
+	if _, known := s.LagOf(position, time.Second); known {
+		t.Error("without samples: got a lag, want none")
+	}
+	s.Add(time.Second, position)
+	if lag, known := s.LagOf(position, time.Second+40*time.Millisecond); !known || lag != 40*time.Millisecond {
+		t.Errorf("40 ms after the sample: got %s %t, want 40 ms", lag, known)
+	}
+	if _, known := s.LagOf(position, 2*time.Second); known {
+		t.Error("1 s after the sample: got a lag, want none")
+	}
+}
--- a/internal/policy/primaryposition/primaryposition.go
+++ b/internal/policy/primaryposition/primaryposition.go
@@ -85,6 +85,13 @@
 	if applied.Compare(wanted) >= 0 {
 		return appliedAt
 	}
-	lag, _ := s.LagOf(applied, appliedAt)
-	return s.ExpectedWithLag(wanted, lag, now)
+	lag := time.Duration(0)
+	if passed, ok := s.passedAt(applied); ok {
+		lag = max(0, appliedAt-passed)
+	}
+	reached, ok := s.reachedAt(wanted)
+	if !ok {
+		reached = now
+	}
+	return reached + lag
 }
