Stop closing sessions once there is a proof, and report what holders refuse

Cause: closing the idle sessions of a daemon that is not fit takes 5 ms each; with thousands it went on for long after a proof had come. A holder that refuses a statement for lack of the key or of a proof left no trace of its own.

The closing asks before each session whether the daemon is still unfit (TestIdleSessionsStayOnceThereIsAProof fails without the question: all three sessions were closed). relay_refused and engine_refused_relays report refusals at holders.

--- a/internal/engine/engine.go
+++ b/internal/engine/engine.go
@@ -262,14 +262,18 @@
 			e.logReadiness(isolated, unproved)
 		}
 		if unfit && e.isOutOfRotation(since, now) {
-			e.closeIdleSessions(e.ctx, idleCloseInterval)
+			e.closeIdleSessions(e.ctx, idleCloseInterval, func() bool { return e.isUnproved() || e.isIsolated(clock.SinceBoot()) })
 		}
 	}
 }
 
-// closeIdleSessions closes the sessions without a statement or transaction one by one, interval apart.
-func (e *Engine) closeIdleSessions(ctx context.Context, interval time.Duration) {
+// closeIdleSessions closes the sessions without a statement or transaction one by one, interval apart, while the condition
+// holds.
+func (e *Engine) closeIdleSessions(ctx context.Context, interval time.Duration, while func() bool) {
 	for _, s := range e.openSessions() {
+		if !while() {
+			return
+		}
 		s.closeIfIdle()
 		if clock.Sleep(ctx, interval) != nil {
 			return
@@ -344,7 +348,7 @@
 	_ = clock.Sleep(ctx, rotation)
 	e.closing.Store(true)
 	interval := (within - rotation) / 2 / time.Duration(max(1, len(e.openSessions())))
-	e.closeIdleSessions(ctx, interval)
+	e.closeIdleSessions(ctx, interval, func() bool { return true })
 	for ctx.Err() == nil && (len(e.openSessions()) > 0 || e.relayed.Load() > 0) {
 		for _, s := range e.openSessions() {
 			s.closeIfIdle()
--- a/internal/engine/events.go
+++ b/internal/engine/events.go
@@ -17,10 +17,12 @@
 )
 
 // refusals counts the statements that were not answered with success, refusedCallers the callers that got no session,
-// failedAttempts the attempts that single targets did not serve; all by result code.
+// refusedRelays the statements of other daemons whose caller may run nothing, failedAttempts the attempts that single targets
+// did not serve; all by result code.
 var (
 	refusals       = expvar.NewMap("engine_refusals")
 	refusedCallers = expvar.NewMap("engine_refused_callers")
+	refusedRelays  = expvar.NewMap("engine_refused_relays")
 	failedAttempts = expvar.NewMap("engine_failed_attempts")
 )
 
@@ -159,3 +161,16 @@
 		logfield.RetryAfter: refusal.RetryAfter,
 	}).Info(logevent.CallerRefused)
 }
+
+// logRelayRefused counts a statement of another daemon that is not sent, because its caller may run nothing by the
+// configuration and the proof here, and logs it at a bounded rate.
+func (e *Engine) logRelayRefused(x execution, refused error) {
+	refusal := refusalOf(refused)
+	refusedRelays.Add(refusal.Code.String(), 1)
+	if !limiter.Allow("relay_refused_"+refusal.Code.String(), time.Now()) {
+		return
+	}
+	logrus.WithFields(e.configurationFields()).WithFields(logrus.Fields{
+		logfield.Request: x.command.ID, logfield.Workspace: x.workspace, logfield.Operation: x.command.Op.String(), logfield.Code: int(refusal.Code), logfield.Reason: refusal.Reason,
+	}).Info(logevent.RelayRefused)
+}
--- a/internal/engine/permit_test.go
+++ b/internal/engine/permit_test.go
@@ -1,6 +1,7 @@
 package engine
 
 import (
+	"context"
 	"slices"
 	"sync"
 	"testing"
@@ -241,6 +242,28 @@
 	}
 }
 
+// TestIdleSessionsStayOnceThereIsAProof gets a proof while the idle sessions of a daemon without one are being closed: the
+// others stay.
+func TestIdleSessionsStayOnceThereIsAProof(t *testing.T) {
+	e := newKeyedEngine(newKeyedTarget())
+	for range 3 {
+		serveLive(t, e, "key-a")
+	}
+	awaitTrue(t, "all sessions are open", func() bool { return len(e.openSessions()) == 3 })
+	e.losesProof()
+	asked := 0
+	e.closeIdleSessions(context.Background(), time.Millisecond, func() bool {
+		if asked++; asked == 2 {
+			e.RecordConfigurationProof(clock.SinceBoot())
+		}
+		return e.isUnproved()
+	})
+	awaitTrue(t, "one session has ended", func() bool { return len(e.openSessions()) == 2 })
+	if asked != 2 {
+		t.Errorf("got %d sessions closed, want one", asked-1)
+	}
+}
+
 // TestOpenRoutesNeedNoProof serves a route that is open to all, and a deployment without workspaces, without a proof.
 func TestOpenRoutesNeedNoProof(t *testing.T) {
 	for name, change := range map[string]func(*Configuration){
--- a/internal/engine/relaysession.go
+++ b/internal/engine/relaysession.go
@@ -59,6 +59,7 @@
 	}
 	e.permits = s.engine.Permits
 	if refused := e.authorize(); refused != nil {
+		s.engine.logRelayRefused(e, refused)
 		return relayReply(notPermitted(refused))
 	}
 	if request.Transaction != 0 {
@@ -85,6 +86,9 @@
 // describe adds to a reply what the sender needs to know of the target.
 func (s *RelaySession) describe(reply *api.RelayReply, h *gate, e execution, outcome attemptResult, began time.Duration) {
 	reply.Load = h.load()
+	if isNotPermitted(result.CodeOf(outcome.refused)) {
+		s.engine.logRelayRefused(e, outcome.refused)
+	}
 	if outcome.refused != nil || outcome.err != nil {
 		return
 	}
--- a/internal/logevent/logevent.go
+++ b/internal/logevent/logevent.go
@@ -83,6 +83,7 @@
 	ReadNotServed             = "read_not_served"
 	ReadRouted                = "read_routed"
 	ReadinessChanged          = "readiness_changed"
+	RelayRefused              = "relay_refused"
 	ReloadRequested           = "reload_requested"
 	ReplicaNoLongerPaused     = "replica_no_longer_paused"
 	ReplicaNotResumed         = "replica_not_resumed"
