--- a/internal/lineproxy/proof.go
+++ b/internal/lineproxy/proof.go
@@ -22,8 +22,8 @@
 
 func (r *proofRecorder) beforeCall(context.Context) { r.sentAt = clock.SinceBoot() }
 
-// taken records whether a configuration that was read is in force.
-func (r *proofRecorder) taken(inForce bool) { r.missing = !inForce }
+// taken records whether a configuration that was read is in force; err says why not.
+func (r *proofRecorder) taken(err error) { r.missing = err != nil }
 
 // afterCall records the proof of a call that succeeded.
 func (r *proofRecorder) afterCall(err error) {
--- a/internal/lineproxy/proxy.go
+++ b/internal/lineproxy/proxy.go
@@ -209,17 +209,20 @@
 	return max(minWatchWait, applyWithin-storeTimeout)
 }
 
-// applyConfiguration puts a configuration into force, without the entries that cannot be used. It returns false if the
-// configuration as a whole is not in force afterwards, nor a newer one: what was read then proves nothing.
-func (p *Proxy) applyConfiguration(o api.Object) bool {
+// errDeleted means that an object that must exist is deleted.
+var errDeleted = errors.New("object is deleted")
+
+// applyConfiguration puts a configuration into force, without the entries that cannot be used. After an error the last one
+// stays in force, and nothing proves that it is current.
+func (p *Proxy) applyConfiguration(o api.Object) error {
 	if o.Deleted {
 		logrus.WithField(logfield.Object, o.Name).Warn(logevent.ConfigurationDeleted)
-		return false
+		return errDeleted
 	}
 	configuration, problems, err := platform.DecodeConfiguration(o)
 	if err != nil {
 		logrus.WithField(logfield.Error, err).Error(logevent.ConfigurationUnreadable)
-		return false
+		return err
 	}
 	for _, problem := range problems {
 		logrus.WithFields(logrus.Fields{
@@ -227,7 +230,7 @@
 		}).Error(logevent.ConfigurationEntryInvalid)
 	}
 	p.engine.Configure(configuration)
-	return true
+	return nil
 }
 
 func (p *Proxy) applyTarget(o api.Object) {
--- a/internal/lineproxy/proxy_test.go
+++ b/internal/lineproxy/proxy_test.go
@@ -69,8 +69,8 @@
 // gets the platform's word, or the end of the connection, and the daemon goes on.
 func TestCallersAreIdentified(t *testing.T) {
 	p := newTestProxy(t, time.Hour)
-	if !p.applyConfiguration(stored(1, `[{"Name":"acme","ApiKeys":["key-a"]}]`)) {
-		t.Fatal("the configuration is not in force")
+	if err := p.applyConfiguration(stored(1, `[{"Name":"acme","ApiKeys":["key-a"]}]`)); err != nil {
+		t.Fatal(err)
 	}
 	p.engine.RecordConfigurationProof(clock.SinceBoot())
 	const good = "STARTUP d key-a\r\n"
