--- a/internal/logevent/logevent.go
+++ b/internal/logevent/logevent.go
@@ -89,6 +89,7 @@
 	QuotaWeightChanged        = "quota_weight_changed"
 	ReadRouted                = "read_routed"
 	ReadinessChanged          = "readiness_changed"
+	RelayRefused              = "relay_refused"
 	ReloadRequested           = "reload_requested"
 	ReplicaNoLongerPaused     = "replica_no_longer_paused"
 	ReplicaNotResumed         = "replica_not_resumed"
