--- a/internal/feed/feed_test.go
+++ b/internal/feed/feed_test.go
@@ -254,7 +254,7 @@
 	}
 	for name, lie := range lies {
 		t.Run(name, func(t *testing.T) {
-			inWorld(t, 26, func(w *world) {
+			inWorld(t, 18, func(w *world) {
 				w.mu.Lock()
 				w.lie[w.watchers("zone-0")[0]] = lie
 				w.mu.Unlock()
@@ -342,3 +342,20 @@
 		}
 	})
 }
+
+// TestStandbyOfSilentWatcherCountsFailure guards against a promotion by a daemon that goes on from a watcher to the store and
+// cannot know whether the watcher had lost it.
+func TestStandbyOfSilentWatcherCountsFailure(t *testing.T) {
+	inWorld(t, 26, func(w *world) {
+		// The first watches of the standby may be at the store, until its watcher answers.
+		pause(5 * time.Second)
+		frozen := w.now()
+		w.setPeers(silent, w.withRole(watching.RoleWatcher, "zone-1")...)
+		pause(time.Second)
+		for _, name := range w.withRole(watching.RoleStandby, "zone-1") {
+			if d := w.daemons[name]; d.failedAt < frozen {
+				t.Errorf("%s counts entries as followed without a failure for %s", name, w.now()-d.failedAt)
+			}
+		}
+	})
+}
