Refuse a time without failure beyond sense

Cause: the time in milliseconds that another daemon names was converted unchecked; a large one wrapped to a failure in the future, which would have stopped promotions for good. TestHostileWatcher/settled_longer_than_time fails without the check.

--- a/internal/feed/check.go
+++ b/internal/feed/check.go
@@ -18,6 +18,8 @@
 	maxEraStep      = 1 << 10
 	// maxProofAge bounds the age of a proof, and the time by which it may be later than the arrival of the request.
 	maxProofAge = 24 * time.Hour
+	// maxSettled bounds the time for which a daemon says that it has followed without a failure.
+	maxSettled = 100 * 365 * 24 * time.Hour
 )
 
 // The errors of a request to another daemon.
@@ -94,7 +96,7 @@
 	switch {
 	case reply.HasProof && (offset > limit || offset < -limit):
 		return fmt.Errorf("%w: a proof %d us before the request", errInvalid, offset)
-	case reply.SettledMs < 0:
+	case reply.SettledMs < 0 || reply.SettledMs > maxSettled.Milliseconds():
 		return fmt.Errorf("%w: settled for %d ms", errInvalid, reply.SettledMs)
 	}
 	return nil
--- a/internal/feed/feed_test.go
+++ b/internal/feed/feed_test.go
@@ -249,8 +249,9 @@
 		"version beyond sense": func(r *api.FeedReply) {
 			r.Objects = []api.Object{{Kind: keys, Name: "main", Version: 1 << 63, Era: r.Era}}
 		},
-		"proof beyond sense":   func(r *api.FeedReply) { r.HasProof, r.ProofOffsetUs = true, -1<<63 },
-		"settled beyond sense": func(r *api.FeedReply) { r.SettledMs = -1 << 63 },
+		"proof beyond sense":       func(r *api.FeedReply) { r.HasProof, r.ProofOffsetUs = true, -1<<63 },
+		"settled less than never":  func(r *api.FeedReply) { r.SettledMs = -1 << 63 },
+		"settled longer than time": func(r *api.FeedReply) { r.SettledMs = 1<<63/1_000_000 + 10_000_000 },
 	}
 	for name, lie := range lies {
 		t.Run(name, func(t *testing.T) {
@@ -261,6 +262,11 @@
 				w.expectAll("config/main", w.change(keys, "main"), 1500*time.Millisecond)
 				w.expectProofs(w.names, proofBound)
 				w.expectAll("config/main", w.change(keys, "main"), 1500*time.Millisecond)
+				for _, name := range w.names {
+					if ahead := w.daemons[name].failedAt - w.now(); ahead > 0 {
+						t.Errorf("%s counts a failure %s ahead", name, ahead)
+					}
+				}
 			})
 		})
 	}
