Freeze the promoter while it waits, and answer each status call once malformed

The promoter was frozen right after it had the lock, and found the promotion not needed when it woke: the test passed also without the lock's time limit and the check of pauses. It is frozen 250 ms later now, while it waits before its order; without these two it fails. The malformed target was asked too seldom to give each answer; each is now given by a target of its own. Without the checks of status rows the daemons end, and the test fails.

--- a/standin/lines/failures_test.go
+++ b/standin/lines/failures_test.go
@@ -53,6 +53,8 @@
 		for !p.Store.Has("papayacove-duty", "group") {
 			time.Sleep(5 * time.Millisecond)
 		}
+		// It orders the promotion 500 ms after its last pause at the earliest.
+		time.Sleep(250 * time.Millisecond)
 		promoter := p.LastActor()
 		promoter.Freeze()
 		for end := time.Now().Add(waitTimeout); p.Group.Primary() == "" && time.Now().Before(end); {
@@ -166,14 +168,16 @@
 		pids[d.Name] = d.PID()
 	}
 	random := rand.New(rand.NewSource(1))
-	target := startMalformedTarget(t, random)
 	for kind, name := range map[string]string{"servers": "x", "config": "main", "papayacove-daemons": "daemon-9", "papayacove-duty": "group"} {
-		for _, spec := range malformedSpecs(target) {
+		for _, spec := range malformedSpecs {
 			p.Store.PutRaw(kind, name, []byte(spec))
 			time.Sleep(20 * time.Millisecond)
 		}
 	}
 	p.SetWorkspaces(nil)
+	for i, answer := range targetAnswers {
+		p.serveMalformedAnswers(fmt.Sprintf("malformed-%d", i), answer)
+	}
 	for range 50 {
 		for _, d := range p.Daemons {
 			sendBytes(d.CallerAddress, malformedLine(random))
@@ -188,39 +192,37 @@
 	}
 }
 
-// malformedSpecs returns specs of objects that are not what any kind of object holds, and the entry of a target that
-// answers nonsense.
-func malformedSpecs(target string) []string {
-	return []string{
-		`null`, `[]`, `""`, `"{"`, `7`, `{}`, `{"Version":"seven"}`, `{"Version":-1}`, `{"Version":99,"Routes":[null],"Tenants":[null,7]}`,
-		`{"Version":1e400}`, `{"Backend":"group","Address":"","Zone":"","PoolSize":-5,"State":"ready","DbRole":"primary"}`,
-		`{"name":"daemon-9","address":"nowhere","beat":-1}`, `{"name":"daemon-9","zone":"zone-1","address":"127.0.0.1:1","beat":1,"capacity":-1}`,
-		`{"holder":7,"token":"x"}`,
-		fmt.Sprintf(`{"Backend":"group","Address":%q,"Zone":"zone-1","PoolSize":5,"State":"ready","DbRole":"replica"}`, target),
-	}
+// malformedSpecs are specs of objects that are not what any kind of object holds.
+var malformedSpecs = []string{
+	`null`, `[]`, `""`, `"{"`, `7`, `{}`, `{"Version":"seven"}`, `{"Version":-1}`, `{"Version":99,"Routes":[null],"Tenants":[null,7]}`,
+	`{"Version":1e400}`, `{"Backend":"group","Address":"","Zone":"","PoolSize":-5,"State":"ready","DbRole":"primary"}`,
+	`{"name":"daemon-9","address":"nowhere","beat":-1}`, `{"name":"daemon-9","zone":"zone-1","address":"127.0.0.1:1","beat":1,"capacity":-1}`,
+	`{"holder":7,"token":"x"}`,
 }
 
-// startMalformedTarget starts a target that accepts connections and answers each line with a malformed one.
-func startMalformedTarget(t *testing.T, random *rand.Rand) string {
-	t.Helper()
+// targetAnswers are answers to a status call, all of them malformed.
+var targetAnswers = []string{
+	"COMPLETE -\r\nREADY I 1.1\r\n", "DATAROW \r\nCOMPLETE -\r\nREADY I 1.1\r\n", "DATAROW primary 1 1.1 0 0\r\nCOMPLETE -\r\nREADY I 1.1\r\n",
+	"DATAROW primary x y z 0 0 0\r\nCOMPLETE -\r\nREADY I 1.1\r\n", "READY Q 1.1\r\n", "READY I 1.\r\n", "READY\r\n", "ERROR\r\n", "\r\n", "\n",
+}
+
+// serveMalformedAnswers registers a target that answers each connection with a malformed answer, until a daemon has asked
+// it. Then the target leaves.
+func (p *processes) serveMalformedAnswers(name, answer string) {
+	p.t.Helper()
 	listener, err := net.Listen("tcp", "127.0.0.1:0")
-	must(t, err)
-	t.Cleanup(func() { _ = listener.Close() })
-	answers := make([][]byte, 200)
-	for i := range answers {
-		answers[i] = malformedLine(random)
-	}
-	go func() {
-		for i := 0; ; i++ {
-			conn, err := listener.Accept()
-			if err != nil {
-				return
-			}
-			_, _ = conn.Write(append([]byte("READY I -\r\n"), answers[i%len(answers)]...))
-			time.AfterFunc(100*time.Millisecond, func() { _ = conn.Close() })
-		}
-	}()
-	return listener.Addr().String()
+	must(p.t, err)
+	defer listener.Close()
+	p.Store.Put("servers", name, map[string]any{
+		"Backend": "group", "Address": listener.Addr().String(), "Zone": "zone-1", "PoolSize": 5, "State": "ready", "DbRole": "replica",
+	})
+	must(p.t, listener.(*net.TCPListener).SetDeadline(time.Now().Add(waitTimeout)))
+	conn, err := listener.Accept()
+	must(p.t, err)
+	_, _ = conn.Write([]byte("READY I -\r\n" + answer))
+	time.Sleep(100 * time.Millisecond)
+	_ = conn.Close()
+	must(p.t, p.Store.Delete("servers", name))
 }
 
 // sendBytes sends bytes over a new connection and waits a moment for what they cause.
@@ -242,7 +244,10 @@
 		"STARTUP strict user\r\nQUERY 1 SET", "DATAROW", "COMPLETE", "ERROR", "ERROR ", "READY", "READY Q 1.1", "READY I 1.", "READY I 99999999999999999999.1",
 		"DATAROW primary 1 1.1 0 0\r\nCOMPLETE -\r\nREADY I -", "DATAROW primary x y z 0 0 0\r\nCOMPLETE -\r\nREADY I 1.1", "",
 	}
-	line := append([]byte(starts[random.Intn(len(starts))]), malformedBytes(random)...)
+	line := []byte(starts[random.Intn(len(starts))])
+	if random.Intn(2) == 0 {
+		line = append(line, malformedBytes(random)...)
+	}
 	return append(line, "\r\n"...)
 }
 
