--- a/internal/engine/execute.go
+++ b/internal/engine/execute.go
@@ -134,20 +134,6 @@
 	return s.answerOf(reply)
 }
 
-// spend takes the right of the workspace to the operation, before it takes a slot, a connection or a place in a queue.
-func (r *request) spend() (refusal *Refusal) {
-	r.hasSpent, refusal = r.session.engine.spend(r.session.identity.Workspace, r.startBy())
-	return refusal
-}
-
-// returnUnused gives the right back if the operation certainly did not run.
-func (r *request) returnUnused() {
-	if r.hasSpent && !r.mayHaveRun {
-		r.hasSpent = false
-		r.session.engine.options.Quota.Return(r.session.identity.Workspace)
-	}
-}
-
 // answerOf turns the reply of a target into the answer to the caller.
 func (s *session) answerOf(reply Reply) Answer {
 	if reply.Failure != nil {
@@ -160,7 +146,7 @@
 func (r *request) run(m *member, l lease, e execution) attemptResult {
 	e.state, e.deadline, e.connectionRequest = r.session.stateFor(r.statement), r.deadline(), r.connectionRequest()
 	e.permits = r.session.engine.Permits
-	if err := e.refusal(); err != nil {
+	if err := e.authorize(); err != nil {
 		return notPermitted(err)
 	}
 	r.group.recordSent(m, clock.SinceBoot())
@@ -177,8 +163,9 @@
 	// provedSince is the time of the boot clock at which the primary must be proved to have led, when it serves
 	// the read.
 	provedSince time.Duration
-	// fresh is true when the session itself committed within the last freshFor.
-	fresh bool
+	// committedAt is the time of the boot clock at which the session itself made the latest commit that the read must
+	// see; 0 if there is none.
+	committedAt time.Duration
 	// onlyPrimary is true when no replica may serve the read.
 	onlyPrimary bool
 }
@@ -197,7 +184,11 @@
 	if !ok {
 		return r.planWithoutAge(own)
 	}
-	return readPlan{minPosition: own.Max(position), fresh: !own.IsZero() && now-r.session.committedAt < freshFor}
+	plan := readPlan{minPosition: own.Max(position)}
+	if !own.IsZero() {
+		plan.committedAt = r.session.committedAt
+	}
+	return plan
 }
 
 // planWithoutAge plans a read that must see every commit acknowledged before it arrived. The primary serves it.
@@ -305,7 +296,9 @@
 	if plan.onlyPrimary {
 		return r.group.awaitPrimary(nil, r.answerBy())
 	}
-	readers := r.group.readers(plan.minPosition, plan.fresh, time.Until(r.lateUntil()))
+	readers := r.group.readers(readRequest{
+		workspace: r.session.identity.Workspace, minPosition: plan.minPosition, committedAt: plan.committedAt, within: time.Until(r.lateUntil()),
+	})
 	for _, m := range readers {
 		if !tried[m] {
 			return m
