Choose the holders of targets by capacity

Cause: VMs of 0.19 and 0.8 cores held targets alike. Handing over by shortage of the processor is not built.

--- a/internal/engine/daemons.go
+++ b/internal/engine/daemons.go
@@ -22,6 +22,8 @@
 	Zone string
 	// Address is the host:port at which other daemons reach it; empty for one that cannot hold targets.
 	Address string
+	// Capacity is what the daemon may use of a processor, in thousandths of a core; 0 if it is not known.
+	Capacity int
 }
 
 // daemonList is the list of the daemons, which does not change once it is made.
@@ -38,7 +40,7 @@
 func newDaemonList(self string, daemons []Daemon) *daemonList {
 	list := &daemonList{self: self, count: len(daemons), addresses: make(map[string]string)}
 	for _, d := range daemons {
-		list.members = append(list.members, placement.Member{Name: d.Name, Zone: d.Zone})
+		list.members = append(list.members, placement.Member{Name: d.Name, Zone: d.Zone, Capacity: d.Capacity})
 		if d.Address != "" {
 			list.addresses[d.Name] = d.Address
 		}
--- a/internal/lineproxy/proxy.go
+++ b/internal/lineproxy/proxy.go
@@ -113,7 +113,7 @@
 	watchers := make([]watching.Daemon, 0, len(entries))
 	addresses := make(map[string]bool, len(entries))
 	for _, entry := range entries {
-		daemons = append(daemons, engine.Daemon{Name: entry.Name, Zone: entry.Zone, Address: entry.Address})
+		daemons = append(daemons, engine.Daemon{Name: entry.Name, Zone: entry.Zone, Address: entry.Address, Capacity: entry.Capacity})
 		watchers = append(watchers, watching.Daemon{Name: entry.Name, Zone: entry.Zone, Address: entry.Address})
 		addresses[entry.Address] = true
 	}
--- a/internal/policy/placement/placement.go
+++ b/internal/policy/placement/placement.go
@@ -23,6 +23,8 @@
 	Zone string
 	// Leaving is true while the daemon is shutting down.
 	Leaving bool
+	// Capacity is what the daemon may use of a processor, in thousandths of a core; 0 if it is not known.
+	Capacity int
 }
 
 // Reason explains the choice of a holder.
@@ -160,10 +162,10 @@
 }
 
 // HolderOrder returns the first n members that may hold a target, the holder first: the members in the availability
-// zone of the target in rendezvous order, then the others. Leaving members are not among them.
+// zone of the target in weighted rendezvous order, then the others. Leaving members are not among them.
 func HolderOrder(targetName, targetZone string, members []Member, n int) []Member {
 	var inZone, others []Member
-	for _, m := range Order(targetName, members) {
+	for _, m := range weightedOrder(targetName, members) {
 		switch {
 		case m.Leaving:
 		case m.Zone == targetZone:
