--- a/internal/daemonregistry/registry.go
+++ b/internal/daemonregistry/registry.go
@@ -73,6 +73,8 @@
 	allAreNew        bool
 	keepMissingUntil time.Duration
 	restored         chan struct{}
+	// isStored is true once the daemon's own entry has been read or written.
+	isStored bool
 
 	mu sync.Mutex
 	// registration is what others know of this daemon's entry.
@@ -207,7 +209,7 @@
 }
 
 // write refreshes the daemon's own entry, or creates it. Only this daemon writes it, so the update is unconditional: its
-// version is 0.
+// version is 0. What is tried first is what is likely to be one call.
 func (r *Registry) write(ctx context.Context) error {
 	r.self.Beat++
 	data, err := json.Marshal(r.self)
@@ -215,10 +217,15 @@
 		return fmt.Errorf("encode entry: %w", err)
 	}
 	entry := api.Object{Kind: Kind, Name: r.self.Name, Data: data}
-	_, err = r.store.Update(ctx, entry)
-	if errors.Is(err, objectstore.ErrNotFound) {
-		_, err = r.store.Create(ctx, entry)
+	first, second, unlikely := r.store.Create, r.store.Update, objectstore.ErrExists
+	if r.isStored {
+		first, second, unlikely = r.store.Update, r.store.Create, objectstore.ErrNotFound
 	}
+	_, err = first(ctx, entry)
+	if errors.Is(err, unlikely) {
+		_, err = second(ctx, entry)
+	}
+	r.isStored = r.isStored || err == nil
 	return err
 }
 
@@ -272,6 +279,7 @@
 	}
 	for _, object := range list.Objects {
 		if object.Name == r.self.Name {
+			r.isStored = true
 			r.recordFound()
 			continue
 		}
--- a/internal/engine/ownedpool_test.go
+++ b/internal/engine/ownedpool_test.go
@@ -1,6 +1,8 @@
 package engine
 
 import (
+	"context"
+	"fmt"
 	"testing"
 	"time"
 
@@ -95,14 +97,21 @@
 	}
 }
 
-// TestStandbyKeepsNothingUnused compares a holder and a standby of the same target: only the holder keeps connections beyond
-// the idle timeout.
-func TestStandbyKeepsNothingUnused(t *testing.T) {
-	h := newTestGate(&fakeTarget{}, 20, 2)
-	for _, isFirst := range []bool{true, false, true} {
+// TestStandbyLeavesRoom lets a standby use a target whose holder has 12 of 20 connections: at the first refusal it falls back to
+// a third of its share, so that others have room. A holder in its place keeps almost all that were accepted.
+func TestStandbyLeavesRoom(t *testing.T) {
+	for isFirst, want := range map[bool]int{true: 8, false: 4} {
+		target := &fakeTarget{limit: 8}
+		h := newTestGate(target, 20, 2)
 		h.resize(h.share, isFirst)
+		for i := range 9 {
+			use(t, h.pool, fmt.Sprint(i))
+		}
+		if open := len(h.pool.idle); open != want {
+			t.Errorf("first holder %t: got %d connections at a full target, want %d", isFirst, open, want)
+		}
 		if h.pool.keepsUsed != isFirst {
-			t.Errorf("first holder %t: got connections kept %t", isFirst, h.pool.keepsUsed)
+			t.Errorf("first holder %t: got unused ones kept %t", isFirst, h.pool.keepsUsed)
 		}
 	}
 }
@@ -223,3 +232,46 @@
 		t.Errorf("got %d statement slots taken by the started statement, want 1", running)
 	}
 }
+
+// heldDialer opens connections only once released.
+type heldDialer struct {
+	*fakeTarget
+	began, released chan struct{}
+}
+
+func (d *heldDialer) Dial(ctx context.Context, target Target, workspace string) (Connection, error) {
+	d.began <- struct{}{}
+	<-d.released
+	return d.fakeTarget.Dial(ctx, target, workspace)
+}
+
+// TestSeveralConnectionsOpenAtOnce lets three workspaces need a connection at once: all are opened at the same time. Before,
+// each waited for the one before it.
+func TestSeveralConnectionsOpenAtOnce(t *testing.T) {
+	const together = 3
+	dialer := &heldDialer{fakeTarget: &fakeTarget{}, began: make(chan struct{}, together), released: make(chan struct{})}
+	p := newPool(dialer, func() Target { return Target{Name: "a"} }, connectionShare{guaranteed: together, ceiling: together})
+	ended := make(chan error, together)
+	for i := range together {
+		go func() {
+			conn, err := p.acquire(requestOf(fmt.Sprint(i)))
+			if err == nil {
+				p.release(conn)
+			}
+			ended <- err
+		}()
+	}
+	for range together {
+		select {
+		case <-dialer.began:
+		case <-time.After(5 * time.Second):
+			t.Fatal("fewer connections are being opened than are needed")
+		}
+	}
+	close(dialer.released)
+	for range together {
+		if err := <-ended; err != nil {
+			t.Error(err)
+		}
+	}
+}
--- a/internal/lineproxy/proxy.go
+++ b/internal/lineproxy/proxy.go
@@ -20,11 +20,12 @@
 	"github.com/papayacove/papayacove/internal/daemonregistry"
 	"github.com/papayacove/papayacove/internal/dialer"
 	"github.com/papayacove/papayacove/internal/engine"
+	"github.com/papayacove/papayacove/internal/feed"
 	"github.com/papayacove/papayacove/internal/httpserver"
 	"github.com/papayacove/papayacove/internal/logevent"
 	"github.com/papayacove/papayacove/internal/logfield"
-	"github.com/papayacove/papayacove/internal/objectstore"
 	"github.com/papayacove/papayacove/internal/peer"
+	"github.com/papayacove/papayacove/internal/policy/watching"
 	"github.com/papayacove/papayacove/internal/promotionlock"
 	"github.com/papayacove/papayacove/internal/quota"
 	"github.com/papayacove/papayacove/internal/relay"
@@ -35,8 +36,6 @@
 const (
 	// storeTimeout bounds a call to the store, without the time for which the store holds a watch open.
 	storeTimeout = time.Second
-	// minWatchWait is the least time for which the store is asked to hold a watch open.
-	minWatchWait = 500 * time.Millisecond
 	// watchInterval is the time between two watches of the configuration.
 	watchInterval = 10 * time.Millisecond
 	// targetWatchInterval is the time between two watches of the targets' entries. It is longer, because many targets
@@ -67,9 +66,12 @@
 	promoter *platform.Promoter
 	registry *daemonregistry.Registry
 	clients  *relay.Clients
-	peers    *peer.Server
-	quota    *quota.Service
-	listener net.Listener
+	// feedClients are connections of their own, so that no statement waits behind a large configuration.
+	feedClients *relay.Clients
+	feed        *feed.Feed
+	quota       *quota.Service
+	peers       *peer.Server
+	listener    net.Listener
 	// callers is the number of open caller connections.
 	callers atomic.Int64
 }
@@ -79,7 +81,7 @@
 	source := settings.SourceAddress
 	store := platform.NewStore(settings.PlatformURL, source, storeTimeout)
 	promoter := platform.NewPromoter(settings.Fleet.PromotionURL, source, settings.Name, promoteTimeout)
-	p := &Proxy{store: store, promoter: promoter, clients: relay.NewClients(source)}
+	p := &Proxy{store: store, promoter: promoter, clients: relay.NewClients(source), feedClients: relay.NewClients(source)}
 	p.settings.Store(&settings)
 	p.quota = p.newQuota(&settings)
 	p.engine = engine.New(engine.Options{
@@ -94,23 +96,32 @@
 		Quota:         p.engineQuota(),
 	})
 	metricsOf.Store(p.engine)
+	p.feed = feed.New(feed.Options{
+		Name: settings.Name, Store: store, Peers: p.feedClients, StoreTimeout: storeTimeout,
+		ApplyWithin:  time.Duration(settings.Fleet.ConfigApplyMs) * time.Millisecond,
+		RevokeWithin: time.Duration(settings.Fleet.RevokeMs) * time.Millisecond,
+	})
 	p.registry = daemonregistry.New(store, api.DaemonEntry{
 		Name: settings.Name, Zone: settings.Zone, Address: settings.PeerAddress, Capacity: int(settings.Fleet.CapacityCores * 1000),
 	}, p.setDaemons)
 	return p
 }
 
-// setDaemons passes the entries of the daemons on to the engine.
+// setDaemons passes the entries of the daemons on to the engine and the feed.
 func (p *Proxy) setDaemons(entries []api.DaemonEntry) {
 	daemons := make([]engine.Daemon, 0, len(entries))
+	watchers := make([]watching.Daemon, 0, len(entries))
 	addresses := make(map[string]bool, len(entries))
 	for _, entry := range entries {
-		daemons = append(daemons, engine.Daemon{Name: entry.Name, Zone: entry.Zone, Address: entry.Address})
+		daemons = append(daemons, engine.Daemon{Name: entry.Name, Zone: entry.Zone, Address: entry.Address, Capacity: entry.Capacity})
+		watchers = append(watchers, watching.Daemon{Name: entry.Name, Zone: entry.Zone, Address: entry.Address})
 		addresses[entry.Address] = true
 	}
 	p.engine.SetDaemons(daemons)
+	p.feed.SetDaemons(watchers)
 	p.setQuotaDaemons(daemons)
 	p.clients.Keep(addresses)
+	p.feedClients.Keep(addresses)
 }
 
 // Run serves until ctx ends, and then stops as planned. It fails when the daemon cannot listen on one of its
@@ -158,7 +169,7 @@
 		return fmt.Errorf("listen for callers: %w", err)
 	}
 	p.listener = listener
-	if p.peers, err = relay.Listen(settings.PeerAddress, p.engine, p.quotaHandler()); err != nil {
+	if p.peers, err = relay.Listen(settings.PeerAddress, p.engine, p.feed, p.quotaHandler()); err != nil {
 		return err
 	}
 	go p.servePeers(ctx)
@@ -168,12 +179,13 @@
 	if err := p.serveAdmin(ctx); err != nil {
 		return err
 	}
-	proofs := &proofRecorder{record: p.engine.RecordConfigurationProof}
-	go p.follow(ctx, platform.KindConfiguration, func(o api.Object) { proofs.taken(p.applyConfiguration(o)) }, objectstore.FollowOptions{
-		Interval: watchInterval, Wait: p.configurationWatchWait(), OnRestore: p.registry.Restored, BeforeCall: proofs.beforeCall, AfterCall: proofs.afterCall,
+	go p.follow(ctx, feed.KindOptions{
+		Kind: platform.KindConfiguration, Interval: watchInterval, HoldsKeys: true, Apply: p.applyConfiguration,
+		OnProof: p.engine.RecordConfigurationProof, OnRestore: p.registry.Restored,
 	})
-	go p.follow(ctx, platform.KindTargets, p.applyTarget, objectstore.FollowOptions{
-		Interval: targetWatchInterval, Wait: p.watchWait(), AfterCall: p.engine.RecordDirectoryResult, OnRestore: p.engine.RecordDirectoryRestored,
+	go p.follow(ctx, feed.KindOptions{
+		Kind: platform.KindTargets, Interval: targetWatchInterval, Apply: p.applyTarget,
+		OnFailure: p.engine.RecordDirectoryFailure, OnRestore: p.engine.RecordDirectoryRestored,
 	})
 	go p.registry.Run(ctx)
 	if p.quota != nil {
@@ -197,37 +209,29 @@
 	return httpserver.Serve(ctx, "operators", p.settings.Load().AdminAddress, mux)
 }
 
-// follow applies the objects of one kind and their changes until ctx ends. options hold what is reported besides.
-func (p *Proxy) follow(ctx context.Context, kind string, apply func(api.Object), options objectstore.FollowOptions) {
-	options.Kinds, options.MaxRetryDelay = []string{kind}, maxWatchRetryDelay
-	err := objectstore.FollowSource(ctx, p.store, options, func(list api.ObjectList) {
-		for _, object := range list.Objects {
-			apply(object)
-		}
-	})
+// follow applies the objects of one kind and their changes until ctx ends.
+func (p *Proxy) follow(ctx context.Context, options feed.KindOptions) {
+	options.MaxRetryDelay = maxWatchRetryDelay
+	err := p.feed.Follow(ctx, options)
 	if ctx.Err() == nil {
-		logrus.WithFields(logrus.Fields{logfield.Kind: kind, logfield.Error: err}).Error(logevent.FollowEnded)
+		logrus.WithFields(logrus.Fields{logfield.Kind: options.Kind, logfield.Error: err}).Error(logevent.FollowEnded)
 	}
 }
 
-// watchWait is the time for which the store is asked to hold a watch open. The sum with storeTimeout bounds how
-// long a half-open connection to the store delays a configuration.
-func (p *Proxy) watchWait() time.Duration {
-	applyWithin := time.Duration(p.settings.Load().Fleet.ConfigApplyMs) * time.Millisecond
-	return max(minWatchWait, applyWithin-storeTimeout)
-}
+// errDeleted means that an object that must exist is deleted.
+var errDeleted = errors.New("object is deleted")
 
-// applyConfiguration puts a configuration into force, without the entries that cannot be used. It returns false if the
-// configuration as a whole is not in force afterwards, nor a newer one: what was read then proves nothing.
-func (p *Proxy) applyConfiguration(o api.Object) bool {
+// applyConfiguration puts a configuration into force, without the entries that cannot be used. After an error the last one
+// stays in force, and nothing proves that it is current.
+func (p *Proxy) applyConfiguration(o api.Object) error {
 	if o.Deleted {
 		logrus.WithField(logfield.Object, o.Name).Warn(logevent.ConfigurationDeleted)
-		return false
+		return errDeleted
 	}
 	configuration, problems, err := platform.DecodeConfiguration(o)
 	if err != nil {
 		logrus.WithField(logfield.Error, err).Error(logevent.ConfigurationUnreadable)
-		return false
+		return err
 	}
 	for _, problem := range problems {
 		logrus.WithFields(logrus.Fields{
@@ -236,21 +240,23 @@
 	}
 	p.engine.Configure(configuration)
 	p.configureQuota(configuration)
-	return true
+	return nil
 }
 
-func (p *Proxy) applyTarget(o api.Object) {
+// applyTarget records the entry of a target. One that cannot be read names no target, so it does not return an error.
+func (p *Proxy) applyTarget(o api.Object) error {
 	if o.Deleted {
 		p.engine.RemoveTarget(o.Name)
-		return
+		return nil
 	}
 	target, err := platform.DecodeTarget(o)
 	if err != nil {
 		logrus.WithField(logfield.Error, err).Warn(logevent.TargetUnreadable)
 		p.engine.RemoveTarget(o.Name)
-		return
+		return nil
 	}
 	p.engine.SetTarget(target)
+	return nil
 }
 
 // acceptRetryDelay is the time before the next attempt after a connection could not be accepted.
@@ -331,6 +337,7 @@
 	ctx, cancel := context.WithTimeout(context.Background(), grace)
 	defer cancel()
 	began := clock.SinceBoot()
+	p.feed.Leave()
 	go p.registry.Leave(ctx)
 	// Callers that come although the daemon is not ready are served no longer than their statements can end.
 	accepting, stopAccepting := context.WithTimeout(ctx, grace-grace/lastSessionsPart)
--- a/internal/relay/relay.go
+++ b/internal/relay/relay.go
@@ -113,6 +113,7 @@
 // service adapts an engine.RelaySession and a QuotaHandler to the method signatures of net/rpc.
 type service struct {
 	session *engine.RelaySession
+	feeder  Feeder
 	quota   QuotaHandler
 }
 
@@ -147,12 +148,12 @@
 }
 
 // Listen listens for other daemons; Run of the returned server serves them. quota is nil if operations are not limited.
-func Listen(address string, served *engine.Engine, quota QuotaHandler) (*peer.Server, error) {
+func Listen(address string, served *engine.Engine, feeder Feeder, quota QuotaHandler) (*peer.Server, error) {
 	return peer.ListenWithOptions(peer.ServerOptions{
 		Address: address, MaxFrameBytes: maxFrameBytes,
 		Receiver: func() (any, func()) {
 			session := served.NewRelaySession()
-			return &service{session, quota}, session.Close
+			return &service{session: session, feeder: feeder, quota: quota}, session.Close
 		},
 	})
 }
