--- a/internal/policy/quota/fleet.go
+++ b/internal/policy/quota/fleet.go
@@ -33,6 +33,8 @@
 	name     string
 	listedAt map[string]time.Duration
 	members  []placement.Member
+	// zones holds the zone of each member.
+	zones map[string]string
 }
 
 // NewFleet returns the fleet of a daemon that has not listed any.
@@ -42,9 +44,10 @@
 
 // Observe takes in a list of the daemons that are present.
 func (f *Fleet) Observe(members []placement.Member, now time.Duration) {
-	f.members = members
+	f.members, f.zones = members, make(map[string]string, len(members))
 	for _, m := range members {
 		f.listedAt[m.Name] = now
+		f.zones[m.Name] = m.Zone
 	}
 	maps.DeleteFunc(f.listedAt, func(_ string, at time.Duration) bool { return now-at > keepDaemonFor })
 }
@@ -69,12 +72,32 @@
 	}
 	staying := slices.DeleteFunc(slices.Clone(f.members), func(m placement.Member) bool { return m.Leaving })
 	for partition := range Partitions {
-		order := placement.SpreadOrder(fmt.Sprintf("quota/%d", partition), staying)
-		for i, m := range order[:min(len(order), candidates*Lanes)] {
-			// Each round of candidates begins with another lane, so that the candidates of a lane are in different zones.
-			lane := (i + Lanes - i/Lanes%Lanes) % Lanes
-			orders[partition*Lanes+lane] = append(orders[partition*Lanes+lane], m.Name)
+		rest := placement.SpreadOrder(fmt.Sprintf("quota/%d", partition), staying)
+		for range candidates {
+			for lane := range Lanes {
+				rest = appendCandidate(&orders[partition*Lanes+lane], rest, f.zones)
+			}
 		}
 	}
 	return orders
 }
+
+// appendCandidate moves the first of the members to the order of a share, the first of a zone that the order has the fewest
+// of. It returns the members that are left.
+func appendCandidate(order *[]string, members []placement.Member, zones map[string]string) []placement.Member {
+	if len(members) == 0 {
+		return nil
+	}
+	inZone := make(map[string]int)
+	for _, name := range *order {
+		inZone[zones[name]]++
+	}
+	best := 0
+	for i, m := range members {
+		if inZone[m.Zone] < inZone[members[best].Zone] {
+			best = i
+		}
+	}
+	*order = append(*order, members[best].Name)
+	return slices.Delete(members, best, best+1)
+}
--- a/internal/policy/quota/lending.go
+++ b/internal/policy/quota/lending.go
@@ -14,8 +14,10 @@
 const (
 	// minAvoidance and maxAvoidance bound the time for which a coordinator that did not answer is not asked. It doubles
 	// with each failure.
-	minAvoidance = time.Second
+	minAvoidance = 250 * time.Millisecond
 	maxAvoidance = 2 * time.Second
+	// startRetry is the time between two requests to a candidate that has not answered since the start.
+	startRetry = 100 * time.Millisecond
 	// moveWithin is the time within which the daemons move a share, one after the other, back to a coordinator that answers
 	// again. A share that moves is lent to nobody for a while.
 	moveWithin = 10 * time.Second
@@ -27,16 +29,12 @@
 // daemon's own again LendFor after the daemon received the stamp that it echoed last.
 type lending struct {
 	name string
-	// startAt is the time before which the daemon has no rights, since an earlier start of it may have lent them. It comes
-	// earlier once all candidates have answered, which ends such loans; isSettled is true from then on.
-	startAt   time.Duration
-	isSettled bool
-	answered  map[string]bool
-	// releasedUntil is the time until which tokens that were granted from such loans may be spent.
-	releasedUntil time.Duration
-	weight        float64
-	interval      time.Duration
-	shares        [Shares]share
+	// answered holds the candidates that have answered since the start, with the time until which tokens may be spent that
+	// they granted from what earlier starts of the daemon lent.
+	answered map[string]time.Duration
+	weight   float64
+	interval time.Duration
+	shares   [Shares]share
 	// own holds the rights that are not lent.
 	own    [Partitions]*rights
 	stamps map[string]stamp
@@ -49,6 +47,8 @@
 // share is the state of the rights of one partition and lane.
 type share struct {
 	order []string
+	// startAt is the time before which the daemon has no rights, since an earlier start of it may have lent them.
+	startAt time.Duration
 	// to and incarnation tell whom the rights are lent to; until is when they are the daemon's own again.
 	to          string
 	incarnation uint64
@@ -74,12 +74,15 @@
 
 func newLending(name string, startAt time.Duration) *lending {
 	l := &lending{
-		name: name, startAt: startAt, interval: shortRenewal, answered: make(map[string]bool),
+		name: name, interval: shortRenewal, answered: make(map[string]time.Duration),
 		stamps: make(map[string]stamp), avoids: make(map[string]avoidance), asked: make(map[string]time.Duration),
 	}
 	for i := range l.own {
 		l.own[i] = newRights()
 	}
+	for i := range l.shares {
+		l.shares[i].startAt = startAt
+	}
 	return l
 }
 
@@ -115,26 +118,28 @@
 	l.takeBack(now)
 }
 
-// unanswered returns the candidates that have not answered yet.
-func (l *lending) unanswered() []string {
-	var names []string
-	for i := range l.shares {
-		for _, name := range l.shares[i].order {
-			if !l.answered[name] && !slices.Contains(names, name) {
-				names = append(names, name)
-			}
-		}
-	}
-	return names
+// unanswered returns the candidates for a share that have not answered since the start.
+func (l *lending) unanswered(s share) []string {
+	return slices.DeleteFunc(slices.Clone(s.order), func(name string) bool {
+		_, ok := l.answered[name]
+		return ok
+	})
 }
 
-// settle moves startAt forward when all candidates have answered.
+// settle moves the start of each share forward whose candidates have all answered: none of them counts what an earlier
+// start of the daemon lent.
 func (l *lending) settle(now time.Duration) {
-	if l.isSettled || l.weight == 0 || len(l.unanswered()) > 0 {
-		return
+	for i := range l.shares {
+		s := &l.shares[i]
+		if now >= s.startAt || l.weight == 0 || len(l.unanswered(*s)) > 0 {
+			continue
+		}
+		startAt := now
+		for _, name := range s.order {
+			startAt = max(startAt, l.answered[name])
+		}
+		s.startAt = min(s.startAt, startAt)
 	}
-	l.isSettled = true
-	l.startAt = min(l.startAt, max(now, l.releasedUntil))
 }
 
 func (l *lending) setOwn(i int, weight float64, now time.Duration) {
@@ -143,12 +148,9 @@
 
 // takeBack makes rights whose loan has ended the daemon's own.
 func (l *lending) takeBack(now time.Duration) {
-	if now < l.startAt {
-		return
-	}
 	for i := range l.shares {
 		s := &l.shares[i]
-		if !s.owns && now >= s.until {
+		if !s.owns && now >= max(s.startAt, s.until) {
 			s.owns, s.to = true, ""
 			l.setOwn(i, l.weight/Lanes, now)
 		}
@@ -241,12 +243,18 @@
 	l.takeBack(now)
 	l.plan(now)
 	var due []string
-	if now < l.startAt {
-		due = slices.DeleteFunc(l.unanswered(), func(name string) bool { return l.isAskedOfLate(name, now) })
-	}
-	for i := range l.shares {
+	for i, s := range l.shares {
 		for _, name := range []string{l.successor(i, now), l.coordinator(i, now)} {
-			if name != "" && !l.isAskedOfLate(name, now) && !slices.Contains(due, name) {
+			if name != "" && !l.isAskedOfLate(name, s.startAt, now) && !slices.Contains(due, name) {
+				due = append(due, name)
+			}
+		}
+		if now >= s.startAt {
+			continue
+		}
+		for _, name := range l.unanswered(s) {
+			asked, ok := l.asked[name]
+			if (!ok || now-asked >= startRetry) && !slices.Contains(due, name) {
 				due = append(due, name)
 			}
 		}
@@ -254,11 +262,11 @@
 	return due
 }
 
-// isAskedOfLate reports whether a coordinator was sent a request within the interval. After the start the first loan does
-// not wait for it.
-func (l *lending) isAskedOfLate(name string, now time.Duration) bool {
+// isAskedOfLate reports whether a coordinator was sent a request within the interval. The first loan of a share, which
+// starts at startAt, does not wait for it.
+func (l *lending) isAskedOfLate(name string, startAt, now time.Duration) bool {
 	asked, ok := l.asked[name]
-	return ok && now-asked < l.interval && !(asked < l.startAt && now >= l.startAt)
+	return ok && now-asked < l.interval && !(asked < startAt && now >= startAt)
 }
 
 // delegations returns what is lent with a request to a coordinator.
@@ -266,14 +274,14 @@
 	l.asked[coordinator] = now
 	l.takeBack(now)
 	last, known := l.stamps[coordinator]
-	if !known || now < l.startAt || now >= last.receivedAt+LendFor-TokensValidFor {
+	if !known || now >= last.receivedAt+LendFor-TokensValidFor {
 		return nil
 	}
 	var list []api.QuotaDelegation
 	for i := range l.shares {
 		s := &l.shares[i]
 		isLentElsewhere := !s.owns && (s.to != coordinator || s.incarnation != last.incarnation)
-		if l.successor(i, now) != coordinator || isLentElsewhere {
+		if now < s.startAt || l.successor(i, now) != coordinator || isLentElsewhere {
 			continue
 		}
 		l.setOwn(i, 0, now)
@@ -287,12 +295,12 @@
 func (l *lending) recordReply(coordinator string, reply *api.QuotaReply, now time.Duration) {
 	delete(l.avoids, coordinator)
 	l.stamps[coordinator] = stamp{incarnation: reply.Incarnation, us: reply.StampUs, receivedAt: now}
-	if l.isSettled {
+	if _, ok := l.answered[coordinator]; ok {
 		return
 	}
-	l.answered[coordinator] = true
+	l.answered[coordinator] = 0
 	if reply.Released {
-		l.releasedUntil = max(l.releasedUntil, now+TokensValidFor)
+		l.answered[coordinator] = now + TokensValidFor
 	}
 	l.settle(now)
 }
--- a/internal/quota/service.go
+++ b/internal/quota/service.go
@@ -113,6 +113,7 @@
 	s.fleet.Observe(members, clock.SinceBoot())
 	s.orders = s.fleet.Orders()
 	s.weigh()
+	s.askDue()
 }
 
 // weigh sets the part of the limits that the daemon owns. The caller must hold s.mu.
@@ -142,10 +143,15 @@
 	s.mu.Lock()
 	defer s.mu.Unlock()
 	s.weigh()
+	s.askDue()
+	setGauges(s.purse.Weight(), s.purse.OwnWeight(clock.SinceBoot()))
+}
+
+// askDue asks the coordinators that are due. The caller must hold s.mu.
+func (s *Service) askDue() {
 	for _, coordinator := range s.purse.Due(clock.SinceBoot()) {
 		s.ask(coordinator)
 	}
-	setGauges(s.purse.Weight(), s.purse.OwnWeight(clock.SinceBoot()))
 }
 
 // Spend takes the right to one operation of a workspace, and waits for one that is under way until the deadline at most.
@@ -254,6 +260,7 @@
 		return
 	}
 	s.purse.HandleReply(coordinator, f.request, reply, f.sentAt, clock.SinceBoot())
+	s.askDue()
 }
 
 // Handle serves the request of another daemon to this one as a coordinator.
