Find daemons that the store serves when all watchers are turned away

Daemons that it turned away had no proof for 9 s although others of their zone followed the store: these stood behind the watchers of other zones in the list, and an answer of one ended the silence in which they are asked.

A daemon now asks up to four without a role in its own zone before other zones, stays with the one that answers, and the limit of a call is the time spent on silent daemons. Readers of a zone agree on those four.

--- a/internal/feed/follower.go
+++ b/internal/feed/follower.go
@@ -25,6 +25,8 @@
 	// startDelay is the time after the start for which a daemon that knows of no others waits before its first watch: daemons
 	// that start together soon learn of each other, and most of them then leave the store alone.
 	startDelay = 700 * time.Millisecond
+	// maxTryTime is the time after which a call asks no further daemon. The next call leaves out those that were silent.
+	maxTryTime = time.Second
 	// checkWait is the wait of a watch at the store that only checks what others answer, or is the first after their
 	// answers: its own answer and proof come at once, and a store that does not answer is noticed early.
 	checkWait = time.Millisecond
@@ -159,9 +161,16 @@
 	f.mu.Lock()
 	sources, role := f.chooser.Next(f.options.Now()), f.chooser.Role()
 	f.mu.Unlock()
-	failure := error(nil)
+	failure, tried := error(nil), time.Duration(0)
 	for _, s := range sources {
+		if tried > maxTryTime {
+			break
+		}
+		began := f.options.Now()
 		a, err := f.askSource(ctx, s, role, q)
+		if s.Tier != watching.TierStore {
+			tried += f.options.Now() - began
+		}
 		if ctx.Err() != nil {
 			return api.ObjectList{}, ctx.Err()
 		}
--- a/internal/feed/network_test.go
+++ b/internal/feed/network_test.go
@@ -107,6 +107,16 @@
 var errNoAnswer = errors.New("no answer")
 
 func (p peersOf) Feed(ctx context.Context, address string, request *api.FeedRequest) (*api.FeedReply, error) {
+	if p.calm {
+		return p.daemons[address].feed.Feed(request), nil
+	}
+	p.mu.Lock()
+	isCut := p.split && p.daemons[address].zone != p.daemons[p.name].zone
+	p.mu.Unlock()
+	if isCut {
+		time.Sleep(300 * time.Millisecond)
+		return nil, errNoAnswer
+	}
 	reply := make(chan *api.FeedReply, 1)
 	go func() { reply <- p.daemons[address].feed.Feed(request) }()
 	probe := time.NewTicker(500 * time.Millisecond)
--- a/internal/policy/watching/chooser.go
+++ b/internal/policy/watching/chooser.go
@@ -1,6 +1,9 @@
 package watching
 
-import "time"
+import (
+	"slices"
+	"time"
+)
 
 const (
 	// silenceBeforeStore is the time without an answer after which a reader asks the store itself, and storeSpread the
@@ -28,8 +31,10 @@
 	maxSilentDelay   = 4 * time.Second
 	// invalidDelay is the time for which a daemon is not asked whose answer makes no sense.
 	invalidDelay = 30 * time.Second
-	// maxTries bounds the sources of one request.
-	maxTries = 6
+	// maxFar bounds the watchers and standbys of other zones, and maxOtherTries the daemons without a role, that one request
+	// asks.
+	maxFar        = 4
+	maxOtherTries = 5
 )
 
 // Tier orders the sources.
@@ -111,8 +116,8 @@
 	storeFailures int
 	checkDue      time.Duration
 	hasHeard      bool
-	// followsStore is true while the store answers a reader in place of the watchers.
-	followsStore bool
+	// current is the source of the last answer that was not stale.
+	current Source
 }
 
 // NewChooser returns the chooser of a daemon that knows of no others.
@@ -142,66 +147,64 @@
 
 // Next returns the sources to ask at now until one answers, in order. There may be none.
 func (c *Chooser) Next(now time.Duration) []Source {
-	var sources []Source
+	store, near := c.store(now), c.available(TierNear, c.assignment.Near, now)
 	switch {
 	case c.assignment.Role == RoleStandby:
-		sources = c.nextOfStandby(now)
+		return slices.Concat(c.check(now), near, store, c.beyond(now))
+	case c.assignment.Role == RoleReader && c.isSilent(now) && c.hasHeard:
+		return slices.Concat(c.check(now), near, store, c.beyond(now))
+	case c.assignment.Role == RoleReader && c.isSilent(now):
+		return slices.Concat(near, c.beyond(now), store)
 	case c.assignment.Role == RoleReader:
-		sources = c.nextOfReader(now)
-	case !c.hasPeers():
+		return slices.Concat(c.check(now), near, c.beyond(now))
+	case len(c.assignment.Near)+len(c.assignment.Far) == 0:
 		return []Source{{Tier: TierStore}}
 	default:
-		if now >= c.storeDue {
-			sources = append(sources, Source{Tier: TierStore})
-		}
-		sources = append(sources, c.peers(now)...)
-		sources = append(sources, c.available(TierOther, c.assignment.Others, now)...)
+		return slices.Concat(store, near, c.beyond(now))
 	}
-	return sources[:min(maxTries, len(sources))]
 }
 
-// nextOfStandby returns the sources of a standby. It asks the store as soon as no watcher of its zone answers.
-func (c *Chooser) nextOfStandby(now time.Duration) []Source {
-	sources := append(c.checks(now), c.available(TierNear, c.assignment.Near, now)...)
+// store returns the store if it may be asked.
+func (c *Chooser) store(now time.Duration) []Source {
 	if now >= c.storeDue {
-		sources = append(sources, Source{Tier: TierStore})
+		return []Source{{Tier: TierStore}}
 	}
-	sources = append(sources, c.available(TierFar, c.assignment.Far, now)...)
-	return append(sources, c.available(TierOther, c.assignment.Others, now)...)
+	return nil
 }
 
-// checks returns the store if it is time to check what others answer.
-func (c *Chooser) checks(now time.Duration) []Source {
+// check returns the store if it is time to check what others answer.
+func (c *Chooser) check(now time.Duration) []Source {
 	if now >= c.checkDue && now >= c.storeDue {
 		return []Source{{Tier: TierStore, IsCheck: true}}
 	}
 	return nil
 }
 
-// nextOfReader returns the sources of a reader. Those after the store are asked only in a silence.
-func (c *Chooser) nextOfReader(now time.Duration) []Source {
-	sources := c.checks(now)
-	peers := c.peers(now)
-	sources = append(sources, peers[:min(maxTries-2, len(peers))]...)
-	if !c.isSilent(now) {
-		return sources
+// beyond returns the daemons to ask when those of the own zone with a role do not help: others in a silence, and watchers
+// and standbys of other zones.
+func (c *Chooser) beyond(now time.Duration) []Source {
+	far := c.available(TierFar, c.assignment.Far, now)
+	return append(c.others(now), far[:min(maxFar, len(far))]...)
+}
+
+// others returns daemons that are neither watcher nor standby, first the one that answered last, if nothing was heard from
+// others for long enough.
+func (c *Chooser) others(now time.Duration) []Source {
+	if !c.hasHeard || !c.isSilent(now) {
+		return nil
 	}
-	if now >= c.storeDue {
-		sources = append(sources, Source{Tier: TierStore})
+	available := c.available(TierOther, c.assignment.Others, now)
+	if i := slices.Index(available, c.current); i > 0 {
+		available[0], available[i] = available[i], available[0]
 	}
-	return append(sources, c.available(TierOther, c.assignment.Others, now)...)
+	return available[:min(maxOtherTries, len(available))]
 }
 
-// isSilent reports whether nothing was heard for long enough to ask the store.
+// isSilent reports whether nothing was heard from a watcher or standby, or by a watcher from the store, for long enough to
+// ask elsewhere.
 func (c *Chooser) isSilent(now time.Duration) bool {
-	return !c.hasHeard || c.followsStore || now-c.heardAt >= silenceBeforeStore+c.spread
-}
-
-func (c *Chooser) hasPeers() bool { return len(c.assignment.Near)+len(c.assignment.Far) > 0 }
-
-// peers returns the watchers and standbys to ask.
-func (c *Chooser) peers(now time.Duration) []Source {
-	return append(c.available(TierNear, c.assignment.Near, now), c.available(TierFar, c.assignment.Far, now)...)
+	isElsewhere := c.current.Tier == TierOther || c.current.Tier == TierStore && c.assignment.Role == RoleReader
+	return !c.hasHeard || isElsewhere || now-c.heardAt >= silenceBeforeStore+c.spread
 }
 
 func (c *Chooser) available(tier Tier, daemons []Daemon, now time.Duration) []Source {
@@ -229,7 +232,11 @@
 	if s.IsCheck {
 		return
 	}
-	c.hasHeard, c.heardAt, c.followsStore = true, now, s.Tier == TierStore
+	// The first answer comes from the store where the watchers have none yet.
+	if c.hasHeard || s.Tier != TierStore {
+		c.current = s
+	}
+	c.hasHeard, c.heardAt = true, now
 	if s.Tier != TierStore {
 		c.spread = c.random(storeSpread)
 	}
--- a/internal/policy/watching/watching.go
+++ b/internal/policy/watching/watching.go
@@ -20,7 +20,8 @@
 	// and standby.
 	minDaemons           = 12
 	minDaemonsPerWatcher = 3
-	// maxOthers is the number of daemons that are neither watcher nor standby which a daemon asks when none of these helps.
+	// maxOthers is the number of daemons in the own zone, and of those in other zones, that are neither watcher nor standby
+	// and are asked when no watcher helps.
 	maxOthers = 4
 	// watcherKey is the key of the rendezvous order.
 	watcherKey = "store watchers"
@@ -78,8 +79,7 @@
 	a.Near, a.Far = split(self, zone, watchers)
 	nearStandbys, farStandbys := split(self, zone, standbys)
 	a.Near, a.Far = append(a.Near, nearStandbys...), append(a.Far, farStandbys...)
-	rest = slices.DeleteFunc(rest, func(d Daemon) bool { return d.Name == self })
-	a.Others = rest[:min(maxOthers, len(rest))]
+	a.Others = others(self, zone, rest)
 	isSelf := func(d Daemon) bool { return d.Name == self }
 	switch {
 	case slices.ContainsFunc(watchers, isSelf):
@@ -142,6 +142,22 @@
 	return near, far
 }
 
+// others returns up to maxOthers daemons in the zone and then as many in other zones, without self. All daemons of a zone
+// return the same ones for it: those follow the store after a silence, and answer the daemons that it turns away.
+func others(self, zone string, daemons []Daemon) []Daemon {
+	var near, far []Daemon
+	for _, d := range daemons {
+		switch {
+		case d.Name == self:
+		case d.Zone == zone:
+			near = append(near, d)
+		default:
+			far = append(far, d)
+		}
+	}
+	return append(near[:min(maxOthers, len(near)):min(maxOthers, len(near))], far[:min(maxOthers, len(far))]...)
+}
+
 func zoneOf(self string, daemons []Daemon) string {
 	for _, d := range daemons {
 		if d.Name == self {
