--- a/internal/policy/quota/failures_test.go
+++ b/internal/policy/quota/failures_test.go
@@ -283,3 +283,58 @@
 		t.Errorf("got coordinators %v of a single daemon, want none", orders)
 	}
 }
+
+// TestLoansToARestartedCoordinator answers with another incarnation of the coordinator that the rights are lent to: they are
+// lent to it when what the earlier one granted has expired, and after the whole loan if its address changed as well.
+func TestLoansToARestartedCoordinator(t *testing.T) {
+	for _, moved := range []bool{false, true} {
+		p := NewPurse("a", 1, 0)
+		p.SetBuckets(map[string]Bucket{"w": {Rate: 10, Depth: 20}}, 0)
+		p.SetFleet(0.1, 10, [Shares][]string{{"b"}}, 0)
+		const restartAt = 5 * time.Second
+		c, lentAt := NewCoordinator(5), time.Duration(0)
+		for now := time.Duration(0); lentAt == 0 && now < time.Minute; now += 10 * time.Millisecond {
+			if now == restartAt {
+				c = NewCoordinator(6)
+				if moved {
+					p.RecordMove("b", now)
+				}
+			}
+			for _, name := range p.Due(now) {
+				r := p.Request(name, now)
+				if now >= restartAt && len(r.Delegations) > 0 && r.Delegations[0].EchoIncarnation == 6 {
+					lentAt = now
+				}
+				p.HandleReply(name, r, c.Handle(r, now), now, now)
+			}
+		}
+		earliest := restartAt + TokensValidFor
+		if moved {
+			earliest = restartAt + LendFor - shortRenewal
+		}
+		if lentAt < earliest || lentAt > earliest+2*time.Second {
+			t.Errorf("moved %t: got the rights lent at %s, want within 2 s from %s", moved, lentAt, earliest)
+		}
+	}
+}
+
+// TestLanesLendAtMostAll lends more than the whole of the rights, as daemons whose lists differ may: a coordinator counts
+// no more than the whole.
+func TestLanesLendAtMostAll(t *testing.T) {
+	c := NewCoordinator(5)
+	c.SetBuckets(map[string]Bucket{"w": {Rate: 10, Depth: 1000}}, 0)
+	for _, daemon := range []string{"a", "b", "c"} {
+		first := c.Handle(&api.QuotaRequest{Daemon: daemon, Incarnation: 1, Sequence: 1}, 0)
+		r := &api.QuotaRequest{Daemon: daemon, Incarnation: 1, Sequence: 2}
+		for i := range Shares {
+			r.Delegations = append(r.Delegations, api.QuotaDelegation{Partition: i, Weight: 1.0 / Lanes, EchoIncarnation: 5, EchoStampUs: first.StampUs})
+		}
+		c.Handle(r, 0)
+	}
+	if got := c.LentWeight(time.Second); got > Partitions+1e-9 {
+		t.Errorf("got weight %g, want at most %d", got, Partitions)
+	}
+	if got := c.partitions[0].stockOf("w", time.Second).tokens; got > 10+1e-6 {
+		t.Errorf("got %g tokens after 1 s, want at most the rate of 10", got)
+	}
+}
--- a/internal/policy/quota/lending.go
+++ b/internal/policy/quota/lending.go
@@ -284,7 +284,7 @@
 	for i := range l.shares {
 		s := &l.shares[i]
 		isLentElsewhere := !s.owns && (s.to != coordinator || s.incarnation != last.incarnation)
-		if now < s.startAt || l.successor(i, now) != coordinator || isLentElsewhere {
+		if l.successor(i, now) != coordinator || isLentElsewhere {
 			continue
 		}
 		l.setOwn(i, 0, now)
