Grant tokens in advance only from the upper half of a bucket

A want says how many operations wait; what is beyond is granted from what is above half of the depth.

--- a/api/types.gen.go
+++ b/api/types.gen.go
@@ -787,6 +787,10 @@
 	// Tokens is the number of operations that the daemon wants to be granted.
 	Tokens float64 `json:"tokens" toml:"tokens"`
 
+	// Waiting is the part of Tokens for operations that wait. The rest is wanted in
+	// advance.
+	Waiting float64 `json:"waiting" toml:"waiting"`
+
 	// Workspace is the name of the workspace.
 	Workspace string `json:"workspace" toml:"workspace"`
 }
--- a/internal/policy/quota/coordinator.go
+++ b/internal/policy/quota/coordinator.go
@@ -14,8 +14,10 @@
 	maxSenders = 8192
 	// forgetSenderAfter is the time without a request after which a sender is forgotten.
 	forgetSenderAfter = 30 * time.Second
-	// prefetchPart is the part of a stock, as a divisor, that one daemon may be granted at once beyond one operation.
+	// prefetchPart is the part of what is above the reserve, as a divisor, that one daemon may be granted in advance at
+	// once. reservePart is the part of the depth, as a divisor, that is kept for operations that wait.
 	prefetchPart = 4
+	reservePart  = 2
 	// noRightsRetry is the time after which a daemon asks again a coordinator that has nothing to grant from.
 	noRightsRetry = 200 * time.Millisecond
 )
@@ -145,7 +147,8 @@
 	s.limit(part.weight, now)
 	grant := api.QuotaGrant{Workspace: want.Workspace}
 	wanted := math.Floor(amount(want.Tokens))
-	grant.Tokens = min(wanted, max(1, math.Floor(s.tokens/prefetchPart)), math.Floor(s.tokens))
+	spare := max(0, s.tokens-s.bucket.Depth*part.weight/reservePart)
+	grant.Tokens = min(wanted, max(math.Floor(amount(want.Waiting)), math.Floor(min(spare, max(1, spare/prefetchPart)))), math.Floor(s.tokens))
 	if grant.Tokens > 0 {
 		s.grant(from, grant.Tokens, now+TokensValidFor)
 	}
--- a/internal/policy/quota/failures_test.go
+++ b/internal/policy/quota/failures_test.go
@@ -52,7 +52,7 @@
 				reply := c.Handle(&api.QuotaRequest{
 					Daemon: "hostile", Incarnation: 1, Sequence: sequence,
 					Delegations: []api.QuotaDelegation{{Partition: -1, Weight: x}, {Partition: 1 << 30, Weight: x}, {Partition: 0, Weight: x, EchoIncarnation: 5, EchoStampUs: stamp}},
-					Wants:       []api.QuotaWant{{Workspace: "w", Tokens: x, Held: x, Returned: x}, {Workspace: "unknown", Tokens: x, Returned: x}, {Workspace: "w", Tokens: 5, Returned: x}},
+					Wants:       []api.QuotaWant{{Workspace: "w", Tokens: x, Waiting: x, Held: x, Returned: x}, {Workspace: "unknown", Tokens: x, Returned: x}, {Workspace: "w", Tokens: 5, Returned: x}},
 				}, now)
 				for _, g := range reply.Grants {
 					if g.Workspace == "unknown" {
@@ -69,7 +69,7 @@
 	for second := 20; second < 23; second++ {
 		lendAll(c, 1.0/Lanes, start+time.Duration(second)*time.Second)
 	}
-	reply := c.Handle(&api.QuotaRequest{Daemon: "hostile", Incarnation: 1, Sequence: sequence + 1, Wants: []api.QuotaWant{{Workspace: "w", Tokens: math.MaxFloat64, Returned: math.MaxFloat64}}}, start+22*time.Second)
+	reply := c.Handle(&api.QuotaRequest{Daemon: "hostile", Incarnation: 1, Sequence: sequence + 1, Wants: []api.QuotaWant{{Workspace: "w", Tokens: math.MaxFloat64, Waiting: math.MaxFloat64, Returned: math.MaxFloat64}}}, start+22*time.Second)
 	if got := reply.Grants[0].Tokens; got < 1 || got > 20 {
 		t.Fatalf("got %g tokens for an endless want, want 1 to the depth of 20", got)
 	}
@@ -110,7 +110,7 @@
 	lendAll(c, 1.0/Lanes, 0)
 	c.partitions[0].stocks["w"].tokens = 8
 	want := func(sequence uint64, tokens, held, returned float64) float64 {
-		reply := c.Handle(&api.QuotaRequest{Daemon: "a", Incarnation: 1, Sequence: sequence, Wants: []api.QuotaWant{{Workspace: "w", Tokens: tokens, Held: held, Returned: returned}}}, time.Millisecond)
+		reply := c.Handle(&api.QuotaRequest{Daemon: "a", Incarnation: 1, Sequence: sequence, Wants: []api.QuotaWant{{Workspace: "w", Tokens: tokens, Waiting: tokens, Held: held, Returned: returned}}}, time.Millisecond)
 		if len(reply.Grants) == 0 {
 			return 0
 		}
--- a/internal/policy/quota/purse.go
+++ b/internal/policy/quota/purse.go
@@ -211,6 +211,7 @@
 	want.Held = a.tokensOf(coordinator)
 	if now >= a.refusedUntil[coordinator] {
 		want.Tokens = p.wantedFrom(a, workspace, coordinator, now)
+		want.Waiting = min(want.Tokens, float64(a.waiting))
 	}
 	return want, want.Tokens > 0 || want.Returned > 0 || want.Held > 0
 }
@@ -248,7 +249,7 @@
 		if tokens := min(most, math.Floor(amount(grant.Tokens))); tokens > 0 {
 			a.lots = append(a.lots, lot{tokens: tokens, until: sentAt + TokensValidFor, from: coordinator})
 		}
-		if most > 0 && grant.RetryAfterUs > 0 {
+		if most > 0 && grant.RetryAfterUs > 0 && grant.Tokens < 1 {
 			a.refuse(coordinator, now+clampRetry(float64(grant.RetryAfterUs)/1e6))
 		}
 	}
--- a/internal/policy/quota/schemes_test.go
+++ b/internal/policy/quota/schemes_test.go
@@ -59,7 +59,7 @@
 		rate := math.Ceil(160 / math.Pow(float64(i+1), 0.75))
 		l.names = append(l.names, name)
 		l.limits[name] = callers.Limit{RatePerS: rate, Burst: rate}
-		for range 2 + int(rate/4) {
+		for range 2 + int(rate/2) {
 			l.entries[name] = append(l.entries[name], random.Intn(daemons))
 		}
 	}
