--- a/internal/policy/quota/failures_test.go
+++ b/internal/policy/quota/failures_test.go
@@ -52,7 +52,7 @@
 				reply := c.Handle(&api.QuotaRequest{
 					Daemon: "hostile", Incarnation: 1, Sequence: sequence,
 					Delegations: []api.QuotaDelegation{{Partition: -1, Weight: x}, {Partition: 1 << 30, Weight: x}, {Partition: 0, Weight: x, EchoIncarnation: 5, EchoStampUs: stamp}},
-					Wants:       []api.QuotaWant{{Workspace: "w", Tokens: x, Held: x, Returned: x}, {Workspace: "unknown", Tokens: x, Returned: x}, {Workspace: "w", Tokens: 5, Returned: x}},
+					Wants:       []api.QuotaWant{{Workspace: "w", Tokens: x, Waiting: x, Held: x, Returned: x}, {Workspace: "unknown", Tokens: x, Returned: x}, {Workspace: "w", Tokens: 5, Returned: x}},
 				}, now)
 				for _, g := range reply.Grants {
 					if g.Workspace == "unknown" {
@@ -69,7 +69,7 @@
 	for second := 20; second < 23; second++ {
 		lendAll(c, 1.0/Lanes, start+time.Duration(second)*time.Second)
 	}
-	reply := c.Handle(&api.QuotaRequest{Daemon: "hostile", Incarnation: 1, Sequence: sequence + 1, Wants: []api.QuotaWant{{Workspace: "w", Tokens: math.MaxFloat64, Returned: math.MaxFloat64}}}, start+22*time.Second)
+	reply := c.Handle(&api.QuotaRequest{Daemon: "hostile", Incarnation: 1, Sequence: sequence + 1, Wants: []api.QuotaWant{{Workspace: "w", Tokens: math.MaxFloat64, Waiting: math.MaxFloat64, Returned: math.MaxFloat64}}}, start+22*time.Second)
 	if got := reply.Grants[0].Tokens; got < 1 || got > 20 {
 		t.Fatalf("got %g tokens for an endless want, want 1 to the depth of 20", got)
 	}
@@ -110,7 +110,7 @@
 	lendAll(c, 1.0/Lanes, 0)
 	c.partitions[0].stocks["w"].tokens = 8
 	want := func(sequence uint64, tokens, held, returned float64) float64 {
-		reply := c.Handle(&api.QuotaRequest{Daemon: "a", Incarnation: 1, Sequence: sequence, Wants: []api.QuotaWant{{Workspace: "w", Tokens: tokens, Held: held, Returned: returned}}}, time.Millisecond)
+		reply := c.Handle(&api.QuotaRequest{Daemon: "a", Incarnation: 1, Sequence: sequence, Wants: []api.QuotaWant{{Workspace: "w", Tokens: tokens, Waiting: tokens, Held: held, Returned: returned}}}, time.Millisecond)
 		if len(reply.Grants) == 0 {
 			return 0
 		}
@@ -283,3 +283,58 @@
 		t.Errorf("got coordinators %v of a single daemon, want none", orders)
 	}
 }
+
+// TestLoansToARestartedCoordinator answers with another incarnation of the coordinator that the rights are lent to: they are
+// lent to it when what the earlier one granted has expired, and after the whole loan if its address changed as well.
+func TestLoansToARestartedCoordinator(t *testing.T) {
+	for _, moved := range []bool{false, true} {
+		p := NewPurse("a", 1, 0)
+		p.SetBuckets(map[string]Bucket{"w": {Rate: 10, Depth: 20}}, 0)
+		p.SetFleet(0.1, 10, [Shares][]string{{"b"}}, 0)
+		const restartAt = 5 * time.Second
+		c, lentAt := NewCoordinator(5), time.Duration(0)
+		for now := time.Duration(0); lentAt == 0 && now < time.Minute; now += 10 * time.Millisecond {
+			if now == restartAt {
+				c = NewCoordinator(6)
+				if moved {
+					p.RecordMove("b", now)
+				}
+			}
+			for _, name := range p.Due(now) {
+				r := p.Request(name, now)
+				if now >= restartAt && len(r.Delegations) > 0 && r.Delegations[0].EchoIncarnation == 6 {
+					lentAt = now
+				}
+				p.HandleReply(name, r, c.Handle(r, now), now, now)
+			}
+		}
+		earliest := restartAt + TokensValidFor
+		if moved {
+			earliest = restartAt + LendFor - shortRenewal
+		}
+		if lentAt < earliest || lentAt > earliest+2*time.Second {
+			t.Errorf("moved %t: got the rights lent at %s, want within 2 s from %s", moved, lentAt, earliest)
+		}
+	}
+}
+
+// TestLanesLendAtMostAll lends more than the whole of the rights, as daemons whose lists differ may: a coordinator counts
+// no more than the whole.
+func TestLanesLendAtMostAll(t *testing.T) {
+	c := NewCoordinator(5)
+	c.SetBuckets(map[string]Bucket{"w": {Rate: 10, Depth: 1000}}, 0)
+	for _, daemon := range []string{"a", "b", "c"} {
+		first := c.Handle(&api.QuotaRequest{Daemon: daemon, Incarnation: 1, Sequence: 1}, 0)
+		r := &api.QuotaRequest{Daemon: daemon, Incarnation: 1, Sequence: 2}
+		for i := range Shares {
+			r.Delegations = append(r.Delegations, api.QuotaDelegation{Partition: i, Weight: 1.0 / Lanes, EchoIncarnation: 5, EchoStampUs: first.StampUs})
+		}
+		c.Handle(r, 0)
+	}
+	if got := c.LentWeight(time.Second); got > Partitions+1e-9 {
+		t.Errorf("got weight %g, want at most %d", got, Partitions)
+	}
+	if got := c.partitions[0].stockOf("w", time.Second).tokens; got > 10+1e-6 {
+		t.Errorf("got %g tokens after 1 s, want at most the rate of 10", got)
+	}
+}
