--- a/standin/lines/cluster_test.go
+++ b/standin/lines/cluster_test.go
@@ -19,7 +19,11 @@
 
 func TestMain(m *testing.M) {
 	logrus.SetOutput(io.Discard)
-	os.Exit(m.Run())
+	code := m.Run()
+	if binariesFolder != "" {
+		_ = os.RemoveAll(binariesFolder)
+	}
+	os.Exit(code)
 }
 
 // waitTimeout is the longest wait for a condition that must become true.
--- a/standin/lines/processes_test.go
+++ b/standin/lines/processes_test.go
@@ -11,12 +11,16 @@
 	"github.com/papayacove/papayacove/standin/lines"
 )
 
-// binaries is the folder of the program of the daemons, which is built once.
+// binariesFolder is the folder of the program of the daemons; empty until it is built.
+var binariesFolder string
+
+// binaries builds the program of the daemons once and returns its folder, which TestMain removes.
 var binaries = sync.OnceValues(func() (string, error) {
 	folder, err := os.MkdirTemp("", "papayacove-lines-")
 	if err != nil {
 		return "", err
 	}
+	binariesFolder = folder
 	output, err := exec.Command("go", "build", "-o", folder+"/", "github.com/papayacove/papayacove/cmd/papayacove").CombinedOutput()
 	if err != nil {
 		return "", fmt.Errorf("build: %w: %s", err, output)
