--- a/internal/policy/quota/failures_test.go
+++ b/internal/policy/quota/failures_test.go
@@ -338,3 +338,18 @@
 		t.Errorf("got %g tokens after 1 s, want at most the rate of 10", got)
 	}
 }
+
+// TestTheCoordinatorInTheZoneIsAskedFirst checks that a daemon asks the coordinator in its own zone first.
+func TestTheCoordinatorInTheZoneIsAskedFirst(t *testing.T) {
+	for i := range 9 {
+		f := NewFleet(daemonName(i))
+		f.Observe(members(&load{zones: 3, daemons: 9}), 0)
+		p := NewPurse(daemonName(i), 1, 0)
+		p.SetBuckets(map[string]Bucket{"w": {Rate: 10, Depth: 20}}, 0)
+		p.SetFleet(1.0/9, 9, f.Orders(), 0)
+		p.SetNear(f.Near(f.Orders()))
+		if d := p.Spend("w", true, 0); f.zones[d.Coordinator] != zoneName(i, 3) {
+			t.Errorf("daemon of zone %s: got coordinator %s of zone %s, want one of its own", zoneName(i, 3), d.Coordinator, f.zones[d.Coordinator])
+		}
+	}
+}
--- a/internal/policy/quota/fleet.go
+++ b/internal/policy/quota/fleet.go
@@ -101,3 +101,23 @@
 	*order = append(*order, members[best].Name)
 	return slices.Delete(members, best, best+1)
 }
+
+// Near returns the lane of each partition whose first coordinator is in the zone of this daemon; -1 for none.
+func (f *Fleet) Near(orders [Shares][]string) [Partitions]int {
+	near := noLanes()
+	for i, order := range orders {
+		if len(order) > 0 && near[i/Lanes] < 0 && f.zones[order[0]] == f.zones[f.name] {
+			near[i/Lanes] = i % Lanes
+		}
+	}
+	return near
+}
+
+// noLanes returns -1 for each partition.
+func noLanes() [Partitions]int {
+	var lanes [Partitions]int
+	for i := range lanes {
+		lanes[i] = -1
+	}
+	return lanes
+}
--- a/internal/policy/quota/purse.go
+++ b/internal/policy/quota/purse.go
@@ -30,6 +30,8 @@
 	lending     *lending
 	accounts    map[string]*account
 	limited     map[string]Bucket
+	// near holds the lane of each partition whose first coordinator is in the zone of the daemon; -1 for none.
+	near [Partitions]int
 }
 
 // account is what a daemon knows of one workspace.
@@ -82,7 +84,7 @@
 // NewPurse returns the purse of a daemon, which owns nothing until SetFleet. An earlier start of the daemon may have lent
 // its rights until LendFor after now; before, it owns them when all candidates have answered.
 func NewPurse(name string, incarnation uint64, now time.Duration) *Purse {
-	return &Purse{name: name, incarnation: incarnation, lending: newLending(name, now+LendFor), accounts: make(map[string]*account)}
+	return &Purse{name: name, incarnation: incarnation, near: noLanes(), lending: newLending(name, now+LendFor), accounts: make(map[string]*account)}
 }
 
 // SetBuckets sets the buckets of the limited workspaces.
@@ -98,6 +100,17 @@
 	p.lending.setFleet(weight, orders, now)
 }
 
+// SetNear sets the lane of each partition to ask first; -1 for none.
+func (p *Purse) SetNear(lanes [Partitions]int) { p.near = lanes }
+
+// firstLane returns the lane to ask first for tokens of a workspace: in the zone of the daemon if there is one.
+func (p *Purse) firstLane(workspace string) int {
+	if near := p.near[PartitionOf(workspace)]; near >= 0 {
+		return near
+	}
+	return firstLane(p.name, workspace)
+}
+
 // Spend decides on one operation of a workspace. isNew is false when the operation has waited already.
 func (p *Purse) Spend(workspace string, isNew bool, now time.Duration) Decision {
 	if _, ok := p.limited[workspace]; !ok {
@@ -134,7 +147,7 @@
 	list := make([]string, 0, 2*Lanes)
 	for _, choose := range []func(int, time.Duration) string{p.lending.coordinator, p.lending.first} {
 		for i := range Lanes {
-			lane := (firstLane(p.name, workspace) + i) % Lanes
+			lane := (p.firstLane(workspace) + i) % Lanes
 			if name := choose(PartitionOf(workspace)*Lanes+lane, now); name != "" && !slices.Contains(list, name) {
 				list = append(list, name)
 			}
--- a/internal/policy/quota/rules.go
+++ b/internal/policy/quota/rules.go
@@ -82,8 +82,8 @@
 // PartitionOf returns the partition of a workspace.
 func PartitionOf(workspace string) int { return int(xxhash.Sum64String(workspace) % Partitions) }
 
-// firstLane returns the lane that a daemon asks first for tokens of a workspace. It differs between daemons, so that both
-// coordinators are asked equally.
+// firstLane returns the lane that a daemon asks first for tokens of a workspace where no coordinator is in its zone. It differs
+// between daemons, so that the coordinators are asked equally.
 func firstLane(daemon, workspace string) int {
 	return int(xxhash.Sum64String(daemon+"/"+workspace) % Lanes)
 }
--- a/internal/policy/quota/schemes_test.go
+++ b/internal/policy/quota/schemes_test.go
@@ -263,6 +263,7 @@
 	f := NewFleet(p.name)
 	f.Observe(members(s.l), 0)
 	s.setBuckets(p, s.buckets)
+	p.purse.SetNear(f.Near(f.Orders()))
 	p.purse.SetFleet(f.Weight(Registration{IsListed: true}, 0), s.l.daemons, f.Orders(), p.clock(s.world))
 }
 
--- a/internal/quota/service.go
+++ b/internal/quota/service.go
@@ -116,6 +116,7 @@
 	}
 	s.fleet.Observe(members, clock.SinceBoot())
 	s.orders = s.fleet.Orders()
+	s.purse.SetNear(s.fleet.Near(s.orders))
 	s.weigh()
 	s.askDue()
 }
