--- a/internal/policy/quota/rules.go
+++ b/internal/policy/quota/rules.go
@@ -1,8 +1,8 @@
 // Package quota decides which operations of a workspace may be sent, so that the limit of the workspace holds over all
 // daemons in any window of time.
 //
-// Each daemon owns an equal part, its weight, of each limit. It lends its rights for a bounded time to two coordinators
-// of each partition of the workspaces, half to each, and asks them for tokens where its callers are. A coordinator grants
+// Each daemon owns an equal part, its weight, of each limit. It lends its rights for a bounded time to three
+// coordinators, a third to each, and asks them for tokens where its callers are. A coordinator grants
 // from a token bucket that fills with the weights lent to it. Rights that are not lent fill buckets of the daemon's own.
 // The load that this answers is that of workspaces whose few callers enter at some of many daemons, while daemons and
 // zones are frozen, cut off, restarted and replaced.
