Avoid targets by the outcomes of statements, and try failed reads once more

A read that a target ran and failed was answered with that failure although another replica could serve it, and a target that failed nearly half of its statements kept its part of the reads, because only lost connections were noted, for 1.5 s.

Package policy/targethealth ejects a target whose share of failures is far above that of its group, and takes it back by trials; a read is tried once more within a budget of a tenth of the reads. A pool without a connection does not dial a full target for each statement.

Ruled out: a budget for lost answers, which would refuse the reads of a target that stops; a cut of the wait for an answer at all targets, which would refuse reads that wait in queues under load.

--- a/internal/engine/execute.go
+++ b/internal/engine/execute.go
@@ -49,6 +49,8 @@
 	// command of it.
 	hasSpent   bool
 	mayHaveRun bool
+	// failedRead is the first failure of a read that ran, which another attempt was made for; nil while there is none.
+	failedRead *failedRead
 }
 
 // deadline is the end of the route's time limit.
@@ -151,7 +153,9 @@
 	}
 	r.group.recordSent(m, clock.SinceBoot())
 	defer r.group.recordEnded(m)
+	r.boundSilence(m, &e)
 	outcome := l.run(e)
+	r.recordOutcome(m, outcome)
 	r.mayHaveRun = r.mayHaveRun || outcome.mayHaveRun()
 	return outcome
 }
@@ -207,7 +211,8 @@
 func (r *request) read() (Reply, *Refusal) {
 	var refusal *Refusal
 	tried := make(map[*member]bool)
-	for r.attempts < maxAttempts && time.Now().Before(r.deadline()) {
+	r.group.recordRead()
+	for r.attempts < maxAttempts && time.Now().Before(r.readUntil()) {
 		plan := r.plan()
 		m := r.pickReader(plan, tried)
 		if m == nil && refusal != nil && r.awaitRetry(refusal, plan) {
@@ -223,12 +228,16 @@
 		r.attempts++
 		reply, failed := r.readAt(m, plan)
 		if failed == nil {
+			r.settleFailedRead()
 			r.logServed("read")
 			return reply, nil
 		}
 		r.logAttempt(m, plan, failed)
 		refusal = failed
 		tried[m] = true
+		if r.retriesFailedRead(m, failed) {
+			continue
+		}
 		if !r.mayTryAnotherTarget(failed) || plan.onlyPrimary && (r.knownUnreachable || isRefusedByQueue(failed)) {
 			break
 		}
@@ -236,6 +245,9 @@
 			break
 		}
 	}
+	if r.failedRead != nil {
+		return Reply{}, r.failedRead.refusal
+	}
 	if refusal == nil {
 		refusal = refuse(result.NotRunDeadline, "no target answered in time")
 	}
@@ -298,6 +310,7 @@
 	}
 	readers := r.group.readers(readRequest{
 		workspace: r.session.identity.Workspace, minPosition: plan.minPosition, committedAt: plan.committedAt, within: time.Until(r.lateUntil()),
+		mayTry: r.attempts == 0,
 	})
 	for _, m := range readers {
 		if !tried[m] {
@@ -398,6 +411,7 @@
 	switch result.CodeOf(err) {
 	case result.NotRunUnreachable, result.NotRunTargetLeaving:
 		r.group.recordUnreachable(m)
+		r.recordNotReached(m, err)
 	}
 }
 
--- a/internal/engine/fulltarget.go
+++ b/internal/engine/fulltarget.go
@@ -7,6 +7,7 @@
 
 	"github.com/papayacove/papayacove/internal/logevent"
 	"github.com/papayacove/papayacove/internal/logfield"
+	"github.com/papayacove/papayacove/internal/result"
 )
 
 const (
@@ -67,3 +68,42 @@
 		logfield.Target: p.target().Name, logfield.Limit: p.queue.Slots(), logfield.Share: p.ceiling, logfield.Running: p.inUse, logfield.Connections: accepted,
 	}).Info(logevent.ConnectionRefusedFull)
 }
+
+const (
+	// firstFullPause is the time after a refusal of the only connection in which the target is not dialed again, which
+	// doubles with each refusal in turn up to maxFullPause.
+	firstFullPause = 60 * time.Millisecond
+	maxFullPause   = 480 * time.Millisecond
+)
+
+// errTargetFull is the refusal of a statement whose connection would be dialed during a fullPause.
+var errTargetFull = result.Errorf(result.NotRunNoSlot, "the target accepted no connection a moment ago")
+
+// fullPause is the pause of a pool that has no connection to a full target. A pool that has one waits for it instead.
+type fullPause struct {
+	until time.Time
+	next  time.Duration
+}
+
+// isPaused reports whether the target is not dialed now, because it accepted no connection a moment ago.
+func (p *pool) isPaused(now time.Time) bool {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	return now.Before(p.full.until)
+}
+
+// recordDial records whether the target refused a connection because it is full.
+func (p *pool) recordDial(refused bool, now time.Time) {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	if !refused {
+		p.full = fullPause{}
+		return
+	}
+	// The connection that was refused is counted as in use.
+	if len(p.idle) > 0 || p.inUse > 1 {
+		return
+	}
+	pause := max(firstFullPause, p.full.next)
+	p.full = fullPause{until: now.Add(pause), next: min(2*pause, maxFullPause)}
+}
--- a/internal/engine/group.go
+++ b/internal/engine/group.go
@@ -14,6 +14,7 @@
 	"github.com/papayacove/papayacove/internal/policy/leadership"
 	"github.com/papayacove/papayacove/internal/policy/primaryposition"
 	"github.com/papayacove/papayacove/internal/policy/takeover"
+	"github.com/papayacove/papayacove/internal/policy/targethealth"
 	"github.com/papayacove/papayacove/internal/result"
 )
 
@@ -119,6 +120,9 @@
 	lastUsed time.Duration
 	// isolatedSince is the time of the boot clock since when most targets have not answered; 0 while they do.
 	isolatedSince time.Duration
+	// health judges the targets by the outcomes of statements, and readRetries bounds the reads that are tried again.
+	health      targethealth.Group
+	readRetries targethealth.Budget
 	// changed is closed and replaced with each change that a waiting statement may be waiting for.
 	changed chan struct{}
 	// statusRoundRequests asks the observer for a status round, proofRequests only for a leadership proof.
@@ -177,6 +181,7 @@
 		// The target has restarted and lost the state of its connections.
 		m.dropConnections()
 		m.applied, m.lags = api.Position{}, primaryposition.Lags{}
+		g.health.Forget(t.Name)
 	}
 	if !known {
 		m = &member{name: t.Name}
@@ -269,6 +274,7 @@
 		return
 	}
 	delete(g.members, name)
+	g.health.Forget(name)
 	if name != g.primary && g.lostReplicas.MarkLost(name, g.statuses[name], clock.SinceBoot()) {
 		g.log().WithField(logfield.Target, name).Info(logevent.WitnessLost)
 	}
--- a/internal/engine/ownedpool.go
+++ b/internal/engine/ownedpool.go
@@ -1,6 +1,7 @@
 package engine
 
 import (
+	"errors"
 	"expvar"
 	"sync"
 	"time"
@@ -78,7 +79,7 @@
 // takes the place of an unused one of another workspace.
 func (p *pool) acquireOwned(wanted connectionRequest) (*pooledConnection, error) {
 	conn, err := p.obtain(wanted)
-	for evictions := 0; result.CodeOf(err) == result.NotRunNoSlot; evictions++ {
+	for evictions := 0; result.CodeOf(err) == result.NotRunNoSlot && !errors.Is(err, errTargetFull); evictions++ {
 		if !p.fitToTarget() || evictions == maxEvictions {
 			break
 		}
--- a/internal/engine/pool.go
+++ b/internal/engine/pool.go
@@ -59,6 +59,8 @@
 	// growAfter is the time before which the number of connections does not grow, because the target refused one
 	// or was busy.
 	growAfter time.Time
+	// full says when a target that refused while the pool had no connection is dialed again.
+	full fullPause
 	// saturatedAt is the last time at which all connections were in use.
 	saturatedAt time.Time
 	idle        []*pooledConnection
@@ -298,9 +300,13 @@
 }
 
 func (p *pool) dial(workspace string) (*pooledConnection, error) {
+	if p.isPaused(time.Now()) {
+		return nil, errTargetFull
+	}
 	ctx, cancel := context.WithTimeout(context.Background(), dialTimeout)
 	defer cancel()
 	conn, err := p.dialer.Dial(ctx, p.target(), workspace)
+	p.recordDial(isFullTarget(err), time.Now())
 	if err != nil {
 		return nil, dialFailure(err)
 	}
--- a/internal/engine/readers.go
+++ b/internal/engine/readers.go
@@ -80,6 +80,8 @@
 	committedAt time.Duration
 	// within is the time in which a replica may still catch up.
 	within time.Duration
+	// mayTry is true when the read may be the trial of an ejected target.
+	mayTry bool
 }
 
 // readers returns the members that may serve a read, the best first.
@@ -101,10 +103,12 @@
 			continue
 		}
 		members[name] = m
-		candidates = append(candidates, loadbalance.Candidate{
+		candidate := loadbalance.Candidate{
 			Name: name, SameZone: m.target.Zone == g.zone, Primary: name == g.primary, Slots: m.target.Slots,
 			ServiceTime: m.latency, RecentlyFailed: now < m.recentFailureUntil, Behind: name != g.primary && g.isBehind(m, wanted.minPosition, wait, wanted.committedAt, now),
-		})
+		}
+		g.applyHealth(&candidate, &wanted, now)
+		candidates = append(candidates, candidate)
 	}
 	g.mu.Unlock()
 	for i := range candidates {
--- a/internal/engine/transaction.go
+++ b/internal/engine/transaction.go
@@ -22,6 +22,8 @@
 	lease lease
 	plan  readPlan
 	wrote bool
+	// avoided is the target where the first statement failed, so that the transaction moved; nil while it did not.
+	avoided *member
 	// refusal is why the transaction has failed; nil while it has not.
 	refusal *Refusal
 	// unreported is true while the transaction has failed and the caller has not been notified.
@@ -83,13 +85,19 @@
 		return s.refused(t.nextRefusal())
 	}
 	t.request.statement, t.request.op, t.request.arrived = statement, op, now
-	if t.lease == nil {
+	isFirst := t.lease == nil
+	if isFirst {
 		if refusal := t.connect(); refusal != nil {
 			t.fail(refusal)
 			return s.refused(refusal)
 		}
 	}
-	outcome := t.request.run(t.member, t.lease, execution{command: s.commandFor(statement), needsProof: t.plan.onlyPrimary})
+	e := execution{command: s.commandFor(statement), needsProof: t.plan.onlyPrimary}
+	outcome := t.request.run(t.member, t.lease, e)
+	if isFirst && t.move(outcome) {
+		outcome = t.request.run(t.member, t.lease, execution{command: e.command, needsProof: t.plan.onlyPrimary})
+		t.settleMove(outcome)
+	}
 	if outcome.refused != nil {
 		t.fail(t.request.unavailable(outcome.refused))
 		return s.refused(t.refusal)
@@ -146,6 +154,9 @@
 	r := t.request
 	var refusal *Refusal
 	tried := make(map[*member]bool)
+	if t.avoided != nil {
+		tried[t.avoided] = true
+	}
 	r.attempts = 0
 	for r.attempts < maxAttempts && time.Now().Before(r.lateUntil()) {
 		t.plan = r.plan()
--- a/internal/logevent/logevent.go
+++ b/internal/logevent/logevent.go
@@ -111,6 +111,8 @@
 	StatementRefused          = "statement_refused"
 	StatementServed           = "statement_served"
 	StoreChanged              = "store_changed"
+	TargetEjected             = "target_ejected"
+	TargetReadmitted          = "target_readmitted"
 	TargetHeld                = "target_held"
 	TargetGone                = "target_gone"
 	TargetMissing             = "target_missing"
--- a/internal/policy/loadbalance/loadbalance.go
+++ b/internal/policy/loadbalance/loadbalance.go
@@ -7,7 +7,8 @@
 // zone (ZonePreference), then off the primary (PrimaryPreference), then at the target where the connections of its workspace
 // are warm. The last is at most MaxWarmPreference, less than the two others, and decides only between targets that meet them
 // alike: the reads of a workspace keep to few targets, and those of a hot one spread once they wait for each other. Targets
-// that may lack the minimum position, or failed recently, come after all others whatever they would cost.
+// that may lack the minimum position, failed recently, or are ejected (package targethealth), come
+// after all others whatever they would cost.
 package loadbalance
 
 import (
@@ -47,6 +48,10 @@
 	RecentlyFailed bool
 	// Behind is true when the target is not known to hold the minimum position of the read.
 	Behind bool
+	// Ejected is true when the outcomes of statements say that the target is to be avoided.
+	Ejected bool
+	// Trial is true when the read is to show whether an ejected target serves again.
+	Trial bool
 	// Miss is the additional time that the read is expected to take because its workspace has no connection.
 	Miss time.Duration
 }
@@ -97,9 +102,14 @@
 }
 
 // rank is compared before the cost, so that targets that may refuse or fail the read are tried last: those that may
-// lack the minimum position after all others, and those that recently failed after these.
+// lack the minimum position after all others, those that recently failed after these, and ejected ones at the end. A trial
+// comes first, so that it is made.
 func (c Candidate) rank() int {
 	switch {
+	case c.Trial:
+		return -1
+	case c.Ejected:
+		return 3
 	case c.RecentlyFailed:
 		return 2
 	case c.Behind:
