--- a/internal/engine/targethealth_test.go
+++ b/internal/engine/targethealth_test.go
@@ -11,6 +11,7 @@
 	"github.com/papayacove/papayacove/internal/clock"
 	"github.com/papayacove/papayacove/internal/policy/callers"
 	"github.com/papayacove/papayacove/internal/policy/leadership"
+	"github.com/papayacove/papayacove/internal/policy/loadbalance"
 	"github.com/papayacove/papayacove/internal/policy/targethealth"
 	"github.com/papayacove/papayacove/internal/result"
 )
@@ -290,3 +291,68 @@
 		t.Error("the target is not dialed although it accepted a connection")
 	}
 }
+
+// TestTrialsOfAnEjectedTarget ejects a target: after the time of its ejection two reads are its trials, and no other read nor a
+// further attempt is.
+func TestTrialsOfAnEjectedTarget(t *testing.T) {
+	l := newGreyLoad(ConsistencyBoundedStaleness, failing(false))
+	g, b := l.group, l.group.members["b"]
+	for range 20 {
+		g.recordIll(b)
+	}
+	now := clock.SinceBoot()
+	apply := func(at time.Duration, mayTry, behind bool) loadbalance.Candidate {
+		c := loadbalance.Candidate{Name: "b", Behind: behind}
+		g.applyHealth(&c, &readRequest{mayTry: mayTry}, at)
+		return c
+	}
+	later := now + targethealth.MaxEjection
+	cases := []struct {
+		name           string
+		at             time.Duration
+		mayTry, behind bool
+		trial          bool
+	}{
+		{"during the ejection", now, true, false, false},
+		{"further attempt", later, false, false, false},
+		{"target that is behind", later, true, true, false},
+		{"first trial", later, true, false, true},
+		{"second trial", later, true, false, true},
+		{"third read", later, true, false, false},
+	}
+	for _, c := range cases {
+		if got := apply(c.at, c.mayTry, c.behind); got.Trial != c.trial || got.Ejected == c.trial {
+			t.Errorf("%s: got trial %t, ejected %t, want trial %t and otherwise ejected", c.name, got.Trial, got.Ejected, c.trial)
+		}
+	}
+}
+
+// TestWhatCountsAsIllness records 20 outcomes of each kind at one target: those for which the target is at fault eject it.
+func TestWhatCountsAsIllness(t *testing.T) {
+	answered := func(kind FailureKind) attemptResult {
+		return attemptResult{sent: true, reply: Reply{Failure: &TargetFailure{Kind: kind}}}
+	}
+	cases := map[string]struct {
+		record func(r *request, m *member)
+		want   targethealth.State
+	}{
+		"lost answer":      {func(r *request, m *member) { r.recordOutcome(m, attemptResult{err: errLost, sent: true}) }, targethealth.Ejected},
+		"not reached":      {func(r *request, m *member) { r.recordUnavailable(m, dialFailure(errLost)) }, targethealth.Ejected},
+		"not dialed":       {func(r *request, m *member) { r.recordUnavailable(m, errTargetAvoided) }, targethealth.Healthy},
+		"full":             {func(r *request, m *member) { r.recordUnavailable(m, errTargetFull) }, targethealth.Healthy},
+		"busy":             {func(r *request, m *member) { r.recordOutcome(m, answered(FailureBusy)) }, targethealth.Healthy},
+		"failed statement": {func(r *request, m *member) { r.recordOutcome(m, answered(FailureFailed)) }, targethealth.Healthy},
+		"holder that is gone": {func(r *request, m *member) {
+			r.recordOutcome(m, attemptResult{err: errLost, sent: true, byHolder: true})
+		}, targethealth.Healthy},
+	}
+	for name, c := range cases {
+		l := newGreyLoad(ConsistencyBoundedStaleness, failing(false))
+		for range 20 {
+			c.record(&request{group: l.group}, l.group.members["b"])
+		}
+		if got := l.state("b"); got != c.want {
+			t.Errorf("%s: got state %d, want %d", name, got, c.want)
+		}
+	}
+}
