Pass configurations on with the digests of keys in place of the keys

A daemon that follows the store passed config objects on as the store has them, with the keys of all callers in plain text. What is kept for others is now transformed first (platform.WithoutKeys, KindOptions.PassOn); the feed knows nothing of keys. An object that cannot be transformed is kept by name and version only and answered as one to be read from the store.

--- a/internal/feed/feed.go
+++ b/internal/feed/feed.go
@@ -53,6 +53,9 @@
 	// Apply is called with each object that is new or changed, one call at a time. While the newest version of an object
 	// has failed, there is no proof.
 	Apply func(api.Object) error
+	// PassOn returns what other daemons get of an object; nil if they get it as it is. An object for which it fails is not
+	// passed on, and they read it from the store. It may be called with what it has returned.
+	PassOn func(api.Object) (api.Object, error)
 	// OnProof is called with the time of the boot clock up to which all changes are applied; nil if it is not needed.
 	OnProof func(asOf time.Duration)
 	// OnFailure is called with the time of a failure to follow, here or at the daemon that was asked; nil if it is not
--- a/internal/feed/follower.go
+++ b/internal/feed/follower.go
@@ -89,7 +89,7 @@
 
 func newFollower(options Options, kind KindOptions) *follower {
 	return &follower{
-		options: options, kind: kind, started: options.Now(), assigned: make(chan struct{}), awaited: true, hub: newHub(kind.HoldsKeys && options.RevokeWithin > 0, options.Now),
+		options: options, kind: kind, started: options.Now(), assigned: make(chan struct{}), awaited: true, hub: newHub(kind.HoldsKeys && options.RevokeWithin > 0, options.Now, kind.PassOn),
 		chooser: watching.NewChooser(options.Random), unapplied: make(map[string]bool), failing: make(map[string]watching.Failure),
 	}
 }
--- a/internal/feed/hub.go
+++ b/internal/feed/hub.go
@@ -2,10 +2,16 @@
 
 import (
 	"context"
+	"maps"
+	"slices"
 	"sync"
 	"time"
 
+	"github.com/sirupsen/logrus"
+
 	"github.com/papayacove/papayacove/api"
+	"github.com/papayacove/papayacove/internal/logevent"
+	"github.com/papayacove/papayacove/internal/logfield"
 	"github.com/papayacove/papayacove/internal/policy/watching"
 )
 
@@ -49,11 +55,15 @@
 	// wakesOnProof is true if a held request is also answered when there is a newer proof.
 	wakesOnProof bool
 	now          func() time.Duration
+	// passOn is that of KindOptions.
+	passOn func(api.Object) (api.Object, error)
 
 	mu            sync.Mutex
 	known         bool
 	era, revision uint64
 	objects       map[string]api.Object
+	// withheld has the versions of the objects that are not passed on. Of these only the name is kept.
+	withheld map[string]uint64
 	// batches are the changes after the revision historyFrom, oldest first.
 	batches      []batch
 	historyFrom  uint64
@@ -70,31 +80,71 @@
 	changed chan struct{}
 }
 
-func newHub(wakesOnProof bool, now func() time.Duration) *hub {
-	return &hub{wakesOnProof: wakesOnProof, now: now, failedAt: now(), objects: make(map[string]api.Object), changed: make(chan struct{})}
+func newHub(wakesOnProof bool, now func() time.Duration, passOn func(api.Object) (api.Object, error)) *hub {
+	return &hub{
+		wakesOnProof: wakesOnProof, now: now, passOn: passOn, failedAt: now(), objects: make(map[string]api.Object),
+		withheld: make(map[string]uint64), changed: make(chan struct{}),
+	}
 }
 
 // apply takes objects that are new or changed, as objectstore.FollowSource delivers them.
 func (h *hub) apply(list api.ObjectList) {
 	h.mu.Lock()
 	defer h.mu.Unlock()
+	passed, withheld := h.toPass(list.Objects)
+	list.Objects = passed
 	if !h.known || list.Era != h.era {
 		h.objects = make(map[string]api.Object, len(list.Objects))
+		h.withheld = make(map[string]uint64)
 		h.batches, h.historyBytes, h.historyFrom = nil, 0, list.Revision
 	} else {
 		h.remember(list)
 	}
 	for _, o := range list.Objects {
+		delete(h.withheld, o.Name)
 		if o.Deleted {
 			delete(h.objects, o.Name)
 			continue
 		}
 		h.objects[o.Name] = o
 	}
+	maps.Copy(h.withheld, withheld)
 	h.known, h.era, h.revision = true, list.Era, list.Revision
 	h.wake()
 }
 
+// toPass returns the objects as other daemons get them, and the versions of those that they do not get.
+func (h *hub) toPass(objects []api.Object) (passed []api.Object, withheld map[string]uint64) {
+	if h.passOn == nil {
+		return objects, nil
+	}
+	withheld = make(map[string]uint64)
+	for _, o := range objects {
+		if o.Deleted {
+			passed = append(passed, o)
+			continue
+		}
+		p, err := h.passOn(o)
+		if err != nil {
+			withheld[o.Name] = o.Version
+			p = api.Object{Kind: o.Kind, Name: o.Name, Version: o.Version, Era: o.Era}
+			logrus.WithFields(logrus.Fields{
+				logfield.Kind: o.Kind, logfield.Object: o.Name, logfield.Version: o.Version, logfield.Error: err,
+			}).Warn(logevent.FeedObjectWithheld)
+		}
+		passed = append(passed, p)
+	}
+	return passed, withheld
+}
+
+// isWithheld reports whether one of the objects is not passed on. The caller holds the lock.
+func (h *hub) isWithheld(objects []api.Object) bool {
+	return slices.ContainsFunc(objects, func(o api.Object) bool {
+		version, ok := h.withheld[o.Name]
+		return ok && version == o.Version && !o.Deleted
+	})
+}
+
 // remember adds the changes to the history. The caller holds the lock.
 func (h *hub) remember(list api.ObjectList) {
 	b := batch{upTo: list.Revision, objects: list.Objects, bytes: sizeOf(list.Objects)}
@@ -206,7 +256,7 @@
 	default:
 		objects = h.changesAfter(request.After)
 	}
-	if sizeOf(objects) > maxReplyBytes {
+	if sizeOf(objects) > maxReplyBytes || h.isWithheld(objects) {
 		return outcomeLarge, nil
 	}
 	return outcomeOK, objects
--- a/internal/feed/hub_test.go
+++ b/internal/feed/hub_test.go
@@ -15,7 +15,7 @@
 // newTestHub returns a hub that knows an object of version 5 at revision 10 of era 1, and serves.
 func newTestHub() *hub {
 	began := time.Now()
-	h := newHub(true, func() time.Duration { return time.Since(began) + time.Hour })
+	h := newHub(true, func() time.Duration { return time.Since(began) + time.Hour }, nil)
 	h.apply(api.ObjectList{Era: 1, Revision: 10, Objects: []api.Object{object("main", 5)}})
 	h.confirm(h.now(), true, true)
 	return h
--- a/internal/feed/world_test.go
+++ b/internal/feed/world_test.go
@@ -108,7 +108,7 @@
 
 func (w *world) follow(ctx context.Context, d *daemon, kind string) {
 	options := KindOptions{
-		Kind: kind, Interval: 10 * time.Millisecond, MaxRetryDelay: 400 * time.Millisecond, HoldsKeys: kind == keys, Apply: d.apply,
+		Kind: kind, Interval: 10 * time.Millisecond, MaxRetryDelay: 400 * time.Millisecond, HoldsKeys: kind == keys, Apply: d.apply, PassOn: passOn,
 		OnRestore: func() { d.restores++ },
 	}
 	if kind == keys {
--- a/internal/lineproxy/proxy.go
+++ b/internal/lineproxy/proxy.go
@@ -180,7 +180,7 @@
 		return err
 	}
 	go p.follow(ctx, feed.KindOptions{
-		Kind: platform.KindConfiguration, Interval: watchInterval, HoldsKeys: true, Apply: p.applyConfiguration,
+		Kind: platform.KindConfiguration, Interval: watchInterval, HoldsKeys: true, Apply: p.applyConfiguration, PassOn: platform.WithoutKeys,
 		OnProof: p.engine.RecordConfigurationProof, OnRestore: p.registry.Restored,
 	})
 	go p.follow(ctx, feed.KindOptions{
--- a/internal/logevent/logevent.go
+++ b/internal/logevent/logevent.go
@@ -47,6 +47,7 @@
 	DutyTaken                 = "duty_taken"
 	DutyUnreadable            = "duty_unreadable"
 	FailoverDecision          = "failover_decision"
+	FeedObjectWithheld        = "feed_object_withheld"
 	FeedRoleChanged           = "feed_role_changed"
 	FeedSourceChanged         = "feed_source_changed"
 	FeedSourceFailed          = "feed_source_failed"
--- a/internal/policy/callers/callers_test.go
+++ b/internal/policy/callers/callers_test.go
@@ -51,6 +51,7 @@
 	}{
 		"empty key":               {[]Entry{entry("a", "", "k1")}, []string{"k1"}, []string{""}, 1},
 		"unreadable key":          {[]Entry{{Workspace: Workspace{Name: "a", Keys: []string{"k1"}}, BadKeys: 1}}, []string{"k1"}, nil, 1},
+		"by digest, held by two":  {[]Entry{entry("a", "k1"), {Workspace: Workspace{Name: "b"}, Digests: []KeyDigest{DigestOf("k1"), DigestOf("k2"), {}}}}, []string{"k2"}, []string{"k1"}, 2},
 		"held by two":             {[]Entry{entry("a", "k1", "k2"), entry("b", "k2", "k3")}, []string{"k1", "k3"}, []string{"k2"}, 2},
 		"held by a bad one too":   {[]Entry{entry("a", "k1"), entry("", "k1")}, nil, []string{"k1"}, 2},
 		"twice in one entry":      {[]Entry{entry("a", "k1", "k1")}, []string{"k1"}, nil, 0},
--- a/internal/policy/callers/resolve.go
+++ b/internal/policy/callers/resolve.go
@@ -11,6 +11,8 @@
 // Entry is a workspace as an operator stated it.
 type Entry struct {
 	Workspace
+	// Digests are the keys that are known by their digests only.
+	Digests []KeyDigest
 	// BadKeys is the number of keys that could not be read.
 	BadKeys int
 	// Unreadable says why a part of the entry other than its keys could not be read; nil if all could.
@@ -57,9 +59,8 @@
 // addKeys adds the valid keys of an entry and returns the number of the others.
 func (d *Directory) addKeys(e Entry, owners map[KeyDigest]string) (bad int) {
 	bad = e.BadKeys
-	for _, key := range e.Keys {
-		digest := DigestOf(key)
-		if key == "" || owners[digest] != e.Name {
+	for _, digest := range e.digests() {
+		if digest.IsZero() || owners[digest] != e.Name {
 			bad++
 			continue
 		}
@@ -68,6 +69,19 @@
 	return bad
 }
 
+// digests returns the digests of all keys of an entry, and that of no key for each that is empty.
+func (e Entry) digests() []KeyDigest {
+	digests := make([]KeyDigest, 0, len(e.Keys)+len(e.Digests))
+	for _, key := range e.Keys {
+		digest := KeyDigest{}
+		if key != "" {
+			digest = DigestOf(key)
+		}
+		digests = append(digests, digest)
+	}
+	return append(digests, e.Digests...)
+}
+
 // check returns why none of the keys of an entry is valid; nil if they may be.
 func (e Entry) check(names map[string]int) error {
 	switch {
@@ -104,8 +118,7 @@
 func ownersOf(entries []Entry) map[KeyDigest]string {
 	owners := make(map[KeyDigest]string)
 	for _, e := range entries {
-		for _, key := range e.Keys {
-			digest := DigestOf(key)
+		for _, digest := range e.digests() {
 			if owner, ok := owners[digest]; ok && owner != e.Name {
 				owners[digest] = severalOwners
 				continue
