--- a/internal/engine/execute.go
+++ b/internal/engine/execute.go
@@ -45,10 +45,13 @@
 	// knownUnreachable is true when the last target was found unreachable a moment ago, so that it is not retried
 	// soon.
 	knownUnreachable bool
-	// hasSpent is true when the operation has taken a right of its workspace, mayHaveRun when a target may have run a
+	// hasSpent is true when the operation has taken a right of its workspace, at takenAt of the boot clock, mayHaveRun when a target may have run a
 	// command of it.
 	hasSpent   bool
+	takenAt    time.Duration
 	mayHaveRun bool
+	// failedRead is the first failure of a read that ran, which another attempt was made for; nil while there is none.
+	failedRead *failedRead
 }
 
 // deadline is the end of the route's time limit.
@@ -90,11 +93,8 @@
 
 // request looks up the route for a statement or for a transaction that begins.
 func (s *session) request(statement Statement, op Operation, now time.Time) (*request, *Refusal) {
-	route, g, ok := s.engine.route(s.database)
-	if !ok {
-		return nil, refuse(result.UnknownWorkspace, "no route for this database")
-	}
-	if err := s.engine.Permits(s.identity); err != nil {
+	route, g, err := s.engine.permittedRoute(s.database, s.identity)
+	if err != nil {
 		return nil, refusalOf(err)
 	}
 	return &request{
@@ -151,7 +151,9 @@
 	}
 	r.group.recordSent(m, clock.SinceBoot())
 	defer r.group.recordEnded(m)
+	r.boundSilence(m, &e)
 	outcome := l.run(e)
+	r.recordOutcome(m, outcome)
 	r.mayHaveRun = r.mayHaveRun || outcome.mayHaveRun()
 	return outcome
 }
@@ -207,7 +209,8 @@
 func (r *request) read() (Reply, *Refusal) {
 	var refusal *Refusal
 	tried := make(map[*member]bool)
-	for r.attempts < maxAttempts && time.Now().Before(r.deadline()) {
+	r.group.recordRead()
+	for r.attempts < maxAttempts && time.Now().Before(r.readUntil()) {
 		plan := r.plan()
 		m := r.pickReader(plan, tried)
 		if m == nil && refusal != nil && r.awaitRetry(refusal, plan) {
@@ -223,12 +226,16 @@
 		r.attempts++
 		reply, failed := r.readAt(m, plan)
 		if failed == nil {
+			r.settleFailedRead()
 			r.logServed("read")
 			return reply, nil
 		}
 		r.logAttempt(m, plan, failed)
 		refusal = failed
 		tried[m] = true
+		if r.retriesFailedRead(m, failed) {
+			continue
+		}
 		if !r.mayTryAnotherTarget(failed) || plan.onlyPrimary && (r.knownUnreachable || isRefusedByQueue(failed)) {
 			break
 		}
@@ -236,6 +243,9 @@
 			break
 		}
 	}
+	if r.failedRead != nil {
+		return Reply{}, r.failedRead.refusal
+	}
 	if refusal == nil {
 		refusal = refuse(result.NotRunDeadline, "no target answered in time")
 	}
@@ -298,6 +308,7 @@
 	}
 	readers := r.group.readers(readRequest{
 		workspace: r.session.identity.Workspace, minPosition: plan.minPosition, committedAt: plan.committedAt, within: time.Until(r.lateUntil()),
+		mayTry: r.attempts == 0,
 	})
 	for _, m := range readers {
 		if !tried[m] {
@@ -398,6 +409,7 @@
 	switch result.CodeOf(err) {
 	case result.NotRunUnreachable, result.NotRunTargetLeaving:
 		r.group.recordUnreachable(m)
+		r.recordNotReached(m, err)
 	}
 }
 
--- a/internal/feed/world_test.go
+++ b/internal/feed/world_test.go
@@ -117,7 +117,7 @@
 
 func (w *world) follow(ctx context.Context, d *daemon, kind string) {
 	options := KindOptions{
-		Kind: kind, Interval: 10 * time.Millisecond, MaxRetryDelay: 400 * time.Millisecond, HoldsKeys: kind == keys, Apply: d.apply,
+		Kind: kind, Interval: 10 * time.Millisecond, MaxRetryDelay: 400 * time.Millisecond, HoldsKeys: kind == keys, Apply: d.apply, PassOn: passOn,
 		OnRestore: func() { d.restores++ },
 	}
 	if kind == keys {
