--- a/internal/engine/engine.go
+++ b/internal/engine/engine.go
@@ -281,17 +281,6 @@
 	}
 }
 
-// route returns the route of a database in the newest configuration.
-func (e *Engine) route(database string) (Route, *group, bool) {
-	e.mu.Lock()
-	defer e.mu.Unlock()
-	route, ok := e.configuration.Routes[database]
-	if !ok {
-		return Route{}, nil, false
-	}
-	return route, e.group(route.Group), true
-}
-
 // permittedRoute returns the route of a database, by the same configuration as that by which the identity may use it. It
 // fails with a *result.Error, which guarantees that nothing ran.
 func (e *Engine) permittedRoute(database string, identity callers.Identity) (Route, *group, error) {
