Decode the entries of daemons once, and ask in one place whether the proof is recent

Each list of daemons decoded every entry twice, and again although it had not changed: the decoded entry is kept with the object. Whether the proof of the configuration is recent was written three times in the engine, and the refusal of a database without a route twice. A test built by hand what restingGate builds.

--- a/internal/daemonregistry/registry.go
+++ b/internal/daemonregistry/registry.go
@@ -124,6 +124,16 @@
 type observation struct {
 	object api.Object
 	at     time.Duration
+	// entry is the decoded object, and failure why it could not be decoded.
+	entry   api.DaemonEntry
+	failure error
+}
+
+// newObservation decodes an entry that was first read in its state at a time.
+func newObservation(object api.Object, at time.Duration) observation {
+	o := observation{object: object, at: at}
+	o.failure = json.Unmarshal(object.Data, &o.entry)
+	return o
 }
 
 // New returns the registry of the daemon with entry self. Run calls onRead with the entries of the daemons that are
@@ -264,8 +274,8 @@
 }
 
 // present returns the entries that have changed within absentAfter before now, and that of this daemon in any case. Those
-// of daemons that have left are among them, marked. Of an
-// entry that cannot be read only the name is returned: its daemon uses targets, but cannot hold any.
+// of daemons that have left are among them, marked. Of an entry that cannot be read only the name is returned: its daemon
+// uses targets, but cannot hold any.
 func (r *Registry) present(list api.ObjectList, now time.Duration) []api.DaemonEntry {
 	r.observe(list, now)
 	r.mu.Lock()
@@ -276,9 +286,9 @@
 		if now-known.at >= absentAfter {
 			continue
 		}
-		var entry api.DaemonEntry
-		if err := json.Unmarshal(known.object.Data, &entry); err != nil || entry.Name != name {
-			logrus.WithFields(logrus.Fields{logfield.Object: name, logfield.Error: err}).Warn(logevent.RosterEntryUnreadable)
+		entry := known.entry
+		if known.failure != nil || entry.Name != name {
+			logrus.WithFields(logrus.Fields{logfield.Object: name, logfield.Error: known.failure}).Warn(logevent.RosterEntryUnreadable)
 			entry = api.DaemonEntry{Name: name}
 		}
 		r.allAreNew = r.allAreNew && entry.Beat <= 1
@@ -307,7 +317,7 @@
 		}
 		known, ok := r.observed[object.Name]
 		if !ok || known.object.Version != object.Version || known.object.Era != object.Era {
-			known = observation{object, now}
+			known = newObservation(object, now)
 		}
 		observed[object.Name] = known
 	}
@@ -342,12 +352,10 @@
 	old, found := "", false
 	for _, name := range slices.Sorted(maps.Keys(r.observed)) {
 		known := r.observed[name]
-		var entry api.DaemonEntry
-		readable := json.Unmarshal(known.object.Data, &entry) == nil
 		switch {
-		case readable && entry.Left && now-known.at >= forgetAfter:
+		case known.failure == nil && known.entry.Left && now-known.at >= forgetAfter:
 			old, found = name, true
-		case now-known.at < absentAfter && !entry.Left && name < r.self.Name:
+		case now-known.at < absentAfter && !known.entry.Left && name < r.self.Name:
 			return "", false
 		}
 	}
--- a/internal/engine/callers.go
+++ b/internal/engine/callers.go
@@ -33,10 +33,10 @@
 	defer e.mu.Unlock()
 	route, ok := e.configuration.Routes[database]
 	if !ok {
-		return callers.Identity{}, refuse(result.UnknownWorkspace, "no route for this database")
+		return callers.Identity{}, refusalOf(errNoRoute)
 	}
 	identity, ok := e.configuration.Callers.Identify(key, route.IsPublic)
-	if !ok && !e.proof.IsCurrent(clock.SinceBoot(), e.options.RevokeWithin) {
+	if !ok && !e.isProved() {
 		return callers.Identity{}, refusalOf(errUnproved)
 	}
 	if !ok {
@@ -90,7 +90,7 @@
 	switch {
 	case identity.Workspace == "":
 		return nil
-	case !e.proof.IsCurrent(clock.SinceBoot(), e.options.RevokeWithin):
+	case !e.isProved():
 		// The key may be of a newer configuration than that in force, or be withdrawn by one.
 		return errUnproved
 	case !e.configuration.Callers.Holds(identity):
@@ -103,7 +103,13 @@
 func (e *Engine) isUnproved() bool {
 	e.mu.Lock()
 	defer e.mu.Unlock()
-	return e.configuration.Callers != nil && !e.proof.IsCurrent(clock.SinceBoot(), e.options.RevokeWithin)
+	return e.configuration.Callers != nil && !e.isProved()
+}
+
+// isProved reports whether the proof that the configuration in force is the newest is recent enough. The caller holds the
+// lock.
+func (e *Engine) isProved() bool {
+	return e.proof.IsCurrent(clock.SinceBoot(), e.options.RevokeWithin)
 }
 
 // holdsIdentity reports whether the configuration in force still has the key of an identity.
--- a/internal/engine/ownedpool_test.go
+++ b/internal/engine/ownedpool_test.go
@@ -199,20 +199,7 @@
 // TestWaitForConnectionHoldsNoSlot lets a statement wait for a connection while transactions rest on all of them: the
 // statement slot stays free for what runs on those. Before, the waiting statement held it.
 func TestWaitForConnectionHoldsNoSlot(t *testing.T) {
-	h := newTestGate(&fakeTarget{limit: 2}, 20, 1)
-	var resting []*pooledConnection
-	for _, workspace := range []string{"a", "b"} {
-		conn, err := h.begin(requestOf(workspace), true)
-		if err != nil {
-			t.Fatal(err)
-		}
-		h.endStatement(requestOf(workspace), time.Millisecond)
-		resting = append(resting, conn)
-	}
-	if _, err := h.begin(requestOf("c"), false); result.CodeOf(err) != result.NotRunNoSlot {
-		t.Fatalf("above the limit of the target: got %v, want NotRunNoSlot", err)
-	}
-	h.pool.setGrowAfter(time.Now().Add(time.Hour))
+	h, resting := restingGate(t, &fakeTarget{limit: 2})
 	began := make(chan error, 1)
 	go func() {
 		_, err := h.begin(requestOf("c"), false)
