Keep the rights of a zone in the zone

Each daemon lent a third of its rights to each of three coordinators in different zones. A coordinator that stopped as planned kept its loans for up to 3 s, and an operation waited 150 ms for each coordinator that was silent.

Ruled out: slots (none waited for one), the time of a single request to a coordinator (p50 under 2 ms).

Change: a daemon lends all of its rights to the coordinator of its own lane, a daemon of its own zone or of those that share the lane; the others are asked when that one has no token. Rights that change their lane wait for the end of the loans of the old one. A coordinator that stops as planned says so, and its loans end 1 s later. One that does not answer in four times its usual time is passed over. A coordinator that has just started tells the time to come back from the rights that are expected, not from the few that are lent already. Partitions, which were one, are gone.

--- a/api/types.gen.go
+++ b/api/types.gen.go
@@ -111,6 +111,10 @@
 	// its own until it has been away for long.
 	Left bool `json:"left" toml:"left"`
 
+	// LendingRules is the number of the rules by which the daemon chooses to whom it
+	// lends its rights; 0 for daemons that do not say.
+	LendingRules int `json:"lending_rules" toml:"lending_rules"`
+
 	// Name of the daemon.
 	Name string `json:"name" toml:"name"`
 
@@ -717,8 +721,8 @@
 	Query string `json:"query" toml:"query"`
 }
 
-// QuotaDelegation lends the rights of a daemon to the operations of the workspaces
-// of one partition to the coordinator of the partition.
+// QuotaDelegation lends the rights of a daemon to operations, as far as they
+// belong to one lane, to the coordinator of the lane.
 type QuotaDelegation struct {
 	// EchoIncarnation is the incarnation of the coordinator in the reply that is
 	// echoed; 0 for none.
@@ -728,7 +732,7 @@
 	// fixed time from that stamp, which the coordinator reads on its own clock.
 	EchoStampUs int64 `json:"echo_stamp_us" toml:"echo_stamp_us"`
 
-	// Partition is the number of the partition of the workspaces.
+	// Partition is the number of the lane.
 	Partition int `json:"partition" toml:"partition"`
 
 	// Weight is the part of each limit that the daemon owns, from 0 to 1.
@@ -751,6 +755,10 @@
 
 // QuotaReply answers a QuotaRequest.
 type QuotaReply struct {
+	// Ended is true when the coordinator stops as planned: it counts nothing that was
+	// lent to it, and grants nothing more.
+	Ended bool `json:"ended" toml:"ended"`
+
 	// Grants are the rights granted, one for each want.
 	Grants []QuotaGrant `json:"grants" toml:"grants"`
 
@@ -767,8 +775,7 @@
 	StampUs int64 `json:"stamp_us" toml:"stamp_us"`
 }
 
-// QuotaRequest is sent by a daemon to the coordinator of one or more partitions of
-// workspaces.
+// QuotaRequest is sent by a daemon to the coordinator of one or more lanes.
 type QuotaRequest struct {
 	// Daemon is the name of the sender.
 	Daemon string `json:"daemon" toml:"daemon"`
--- a/internal/daemonregistry/registry.go
+++ b/internal/daemonregistry/registry.go
@@ -91,6 +91,8 @@
 type Registration struct {
 	// FoundAtStart is true if the entry existed before this start of the daemon.
 	FoundAtStart bool
+	// FoundLendingRules are the rules by which the earlier start that wrote the entry lent its rights.
+	FoundLendingRules int
 	// KnownAt is the time of the boot clock from which all others have read the entry; 0 while it is not written.
 	KnownAt time.Duration
 	// WrittenAt is the time of the boot clock at which the last successful write of the entry began; 0 for none.
@@ -215,13 +217,13 @@
 }
 
 // recordFound records that the entry is listed. If it was not written yet, an earlier start of the daemon wrote it.
-func (r *Registry) recordFound() {
+func (r *Registry) recordFound(entry api.DaemonEntry) {
 	r.mu.Lock()
 	defer r.mu.Unlock()
 	if r.self.Beat != 0 {
 		return
 	}
-	r.registration.FoundAtStart = true
+	r.registration.FoundAtStart, r.registration.FoundLendingRules = true, entry.LendingRules
 }
 
 // write refreshes the daemon's own entry, or creates it. Only this daemon writes it, so the update is unconditional: its
@@ -312,7 +314,7 @@
 	for _, object := range list.Objects {
 		if object.Name == r.self.Name {
 			r.isStored.Store(true)
-			r.recordFound()
+			r.recordFound(newObservation(object, now).entry)
 			continue
 		}
 		known, ok := r.observed[object.Name]
--- a/internal/lineproxy/proxy.go
+++ b/internal/lineproxy/proxy.go
@@ -103,6 +103,7 @@
 	})
 	p.registry = daemonregistry.New(store, api.DaemonEntry{
 		Name: settings.Name, Zone: settings.Zone, Address: settings.PeerAddress, Capacity: int(settings.Fleet.CapacityCores * 1000),
+		LendingRules: lendingRules,
 	}, p.setDaemons)
 	return p
 }
@@ -344,6 +345,9 @@
 	defer cancel()
 	began := clock.SinceBoot()
 	p.feed.Leave()
+	if p.quota != nil {
+		p.quota.Leave()
+	}
 	go p.registry.Leave(ctx)
 	// Callers that come although the daemon is not ready are served no longer than their statements can end.
 	accepting, stopAccepting := context.WithTimeout(ctx, grace-grace/lastSessionsPart)
--- a/internal/lineproxy/quota.go
+++ b/internal/lineproxy/quota.go
@@ -12,6 +12,9 @@
 	"github.com/papayacove/papayacove/internal/relay"
 )
 
+// lendingRules is the number of the rules by which this version lends rights, which the registry tells later starts.
+const lendingRules = policy.LendingRules
+
 // newQuota returns what limits the operations of workspaces; nil if the settings do not ask for it.
 func (p *Proxy) newQuota(settings *api.Settings) *quota.Service {
 	fleet := settings.Fleet
--- a/internal/policy/quota/coordinator.go
+++ b/internal/policy/quota/coordinator.go
@@ -26,10 +26,14 @@
 // its own boot clock.
 type Coordinator struct {
 	incarnation uint64
-	partitions  [Partitions]*rights
+	rights      *rights
 	senders     map[sender]seen
 	// lenders holds the time until which a daemon had lent rights at most.
 	lenders map[string]time.Duration
+	// settledAt is the time from which the weight lent is taken as that of the next seconds; 0 before the first request.
+	settledAt time.Duration
+	// hasEnded is true when the daemon stops as planned.
+	hasEnded bool
 }
 
 // seen is the last request of a sender.
@@ -40,39 +44,45 @@
 
 // NewCoordinator returns a coordinator to which nothing is lent.
 func NewCoordinator(incarnation uint64) *Coordinator {
-	c := &Coordinator{incarnation: incarnation, senders: make(map[sender]seen), lenders: make(map[string]time.Duration)}
-	for i := range c.partitions {
-		c.partitions[i] = newRights()
+	return &Coordinator{
+		incarnation: incarnation, rights: newRights(), senders: make(map[sender]seen), lenders: make(map[string]time.Duration),
 	}
-	return c
 }
 
 // SetBuckets sets the buckets of the limited workspaces.
 func (c *Coordinator) SetBuckets(buckets map[string]Bucket, now time.Duration) {
-	for i, part := range split(buckets) {
-		c.partitions[i].setBuckets(part, now)
-	}
+	c.rights.setBuckets(buckets, now)
 }
 
-// split returns the buckets of each partition.
-func split(buckets map[string]Bucket) [Partitions]map[string]Bucket {
-	var parts [Partitions]map[string]Bucket
-	for i := range parts {
-		parts[i] = make(map[string]Bucket)
-	}
-	for workspace, bucket := range buckets {
-		parts[PartitionOf(workspace)][workspace] = bucket
+// SetLaneWeights sets the part of all rights that the daemons of each lane own. Of those lent in a lane no more counts.
+func (c *Coordinator) SetLaneWeights(weights [Lanes]float64, now time.Duration) {
+	c.rights.setMost(weights, now)
+}
+
+// End makes the coordinator count nothing that is lent to it. What it granted expires within TokensValidFor.
+func (c *Coordinator) End(now time.Duration) {
+	c.hasEnded = true
+	for lane := range Lanes {
+		for daemon := range c.rights.lanes[lane] {
+			c.rights.set(lane, daemon, right{}, now)
+		}
 	}
-	return parts
 }
 
 // Handle takes in a request and grants. A request that is not newer than the last one of its sender lends nothing and is
 // granted nothing.
 func (c *Coordinator) Handle(r *api.QuotaRequest, now time.Duration) *api.QuotaReply {
 	reply := &api.QuotaReply{Incarnation: c.incarnation, StampUs: now.Microseconds()}
+	if c.settledAt == 0 {
+		c.settledAt = now + LendFor
+	}
+	if c.hasEnded {
+		reply.Ended = true
+		return reply
+	}
 	from := sender{daemon: r.Daemon, incarnation: r.Incarnation}
 	_, isKnown := c.senders[from]
-	if len(r.Wants) > maxWants || len(r.Delegations) > Shares || !c.isNew(from, r.Sequence, now) {
+	if len(r.Wants) > maxWants || len(r.Delegations) > Lanes || !c.isNew(from, r.Sequence, now) {
 		return reply
 	}
 	if !isKnown {
@@ -108,10 +118,8 @@
 
 // release ends what earlier starts of a daemon lent. It reports whether tokens granted from it may still be spent.
 func (c *Coordinator) release(daemon string, now time.Duration) bool {
-	for _, part := range c.partitions {
-		for lane := range Lanes {
-			part.set(lane, daemon, right{}, now)
-		}
+	for lane := range Lanes {
+		c.rights.set(lane, daemon, right{}, now)
 	}
 	until, ok := c.lenders[daemon]
 	return ok && now < until+TokensValidFor
@@ -120,44 +128,51 @@
 // take records rights that a daemon lends. They count until LendFor after the echoed stamp, without the time for which
 // tokens granted last may still be spent.
 func (c *Coordinator) take(daemon string, d api.QuotaDelegation, now time.Duration) {
-	if d.Partition < 0 || d.Partition >= Shares || !(d.Weight >= 0 && d.Weight <= 1.0/Lanes) || d.EchoIncarnation != c.incarnation {
+	if d.Partition < 0 || d.Partition >= Lanes || !(d.Weight >= 0 && d.Weight <= 1.0/Lanes) || d.EchoIncarnation != c.incarnation {
 		return
 	}
 	stamp := time.Duration(d.EchoStampUs) * time.Microsecond
 	if d.EchoStampUs < 0 || d.EchoStampUs > now.Microseconds() {
 		return
 	}
-	part, lane := c.partitions[d.Partition/Lanes], d.Partition%Lanes
-	if known, ok := part.lanes[lane][daemon]; ok && known.stamp > stamp {
+	if known, ok := c.rights.lanes[d.Partition][daemon]; ok && known.stamp > stamp {
 		return
 	}
 	until := stamp + LendFor - TokensValidFor
-	part.set(lane, daemon, right{weight: d.Weight, until: until, stamp: stamp}, now)
+	c.rights.set(d.Partition, daemon, right{weight: d.Weight, until: until, stamp: stamp}, now)
 	c.lenders[daemon] = max(c.lenders[daemon], until)
 }
 
 // grant decides on one want; false if the workspace has no limit here.
 func (c *Coordinator) grant(from sender, want api.QuotaWant, now time.Duration) (api.QuotaGrant, bool) {
-	part := c.partitions[PartitionOf(want.Workspace)]
-	s := part.stockOf(want.Workspace, now)
+	s := c.rights.stockOf(want.Workspace, now)
 	if s == nil {
 		return api.QuotaGrant{}, false
 	}
 	s.report(from, amount(want.Held), amount(want.Returned))
-	s.limit(part.weight, now)
+	s.limit(c.rights.weight, now)
 	grant := api.QuotaGrant{Workspace: want.Workspace}
 	wanted := math.Floor(amount(want.Tokens))
-	spare := max(0, s.tokens-s.bucket.Depth*part.weight/reservePart)
+	spare := max(0, s.tokens-s.bucket.Depth*c.rights.weight/reservePart)
 	grant.Tokens = min(wanted, max(math.Floor(amount(want.Waiting)), math.Floor(min(spare, max(1, spare/prefetchPart)))), math.Floor(s.tokens))
 	if grant.Tokens > 0 {
 		s.grant(from, grant.Tokens, now+TokensValidFor)
 	}
 	if grant.Tokens < wanted && s.tokens < 1 {
-		grant.RetryAfterUs = s.retryAfter(part.weight).Microseconds()
+		grant.RetryAfterUs = s.retryAfter(c.expectedWeight(now)).Microseconds()
 	}
 	return grant, true
 }
 
+// expectedWeight returns the weight that is expected to be lent in the next seconds. Daemons that have started together lend
+// theirs one after the other; the few that have lent it already say nothing about the rest.
+func (c *Coordinator) expectedWeight(now time.Duration) float64 {
+	if now < c.settledAt {
+		return max(c.rights.weight, 1.0/Lanes)
+	}
+	return c.rights.weight
+}
+
 // retryAfter returns the time after which the stock is expected to hold a token.
 func (s *stock) retryAfter(weight float64) time.Duration {
 	rate := s.bucket.Rate * weight
@@ -167,12 +182,8 @@
 	return clampRetry((1 - s.tokens) / rate)
 }
 
-// LentWeight returns the sum of the weights that are lent to the coordinator, over the partitions.
+// LentWeight returns the sum of the weights that are lent to the coordinator.
 func (c *Coordinator) LentWeight(now time.Duration) float64 {
-	var sum float64
-	for _, part := range c.partitions {
-		part.advance(now)
-		sum += part.weight
-	}
-	return sum
+	c.rights.advance(now)
+	return c.rights.weight
 }
--- a/internal/policy/quota/fleet.go
+++ b/internal/policy/quota/fleet.go
@@ -1,7 +1,6 @@
 package quota
 
 import (
-	"fmt"
 	"maps"
 	"slices"
 	"time"
@@ -33,23 +32,26 @@
 	name     string
 	listedAt map[string]time.Duration
 	members  []placement.Member
-	// zones holds the zone of each member.
+	// zones holds the zone of each daemon that counts, lanes its lane.
 	zones map[string]string
+	lanes map[string]int
 }
 
 // NewFleet returns the fleet of a daemon that has not listed any.
 func NewFleet(name string) *Fleet {
-	return &Fleet{name: name, listedAt: make(map[string]time.Duration)}
+	return &Fleet{name: name, listedAt: make(map[string]time.Duration), zones: make(map[string]string)}
 }
 
 // Observe takes in a list of the daemons that are present.
 func (f *Fleet) Observe(members []placement.Member, now time.Duration) {
-	f.members, f.zones = members, make(map[string]string, len(members))
+	f.members = members
 	for _, m := range members {
 		f.listedAt[m.Name] = now
 		f.zones[m.Name] = m.Zone
 	}
 	maps.DeleteFunc(f.listedAt, func(_ string, at time.Duration) bool { return now-at > keepDaemonFor })
+	maps.DeleteFunc(f.zones, func(name string, _ string) bool { _, counts := f.listedAt[name]; return !counts })
+	f.lanes = lanesOf(f.zones)
 }
 
 // Daemons returns the number of daemons that count.
@@ -63,61 +65,47 @@
 	return 1 / float64(len(f.listedAt))
 }
 
-// Orders returns the daemons that coordinate each share, in their order. The coordinators of a partition are in different
-// zones. There are none for a single daemon.
-func (f *Fleet) Orders() [Shares][]string {
-	var orders [Shares][]string
+// Orders returns the daemons that coordinate each lane, in their order. There are none for a single daemon. The candidates
+// of a lane are daemons of the lane, so that a zone that is cut off keeps its rights and takes no others along.
+func (f *Fleet) Orders() [Lanes][]string {
+	var orders [Lanes][]string
 	if len(f.members) < 2 {
 		return orders
 	}
 	staying := slices.DeleteFunc(slices.Clone(f.members), func(m placement.Member) bool { return m.Leaving })
-	for partition := range Partitions {
-		rest := placement.SpreadOrder(fmt.Sprintf("quota/%d", partition), staying)
-		for range candidates {
-			for lane := range Lanes {
-				rest = appendCandidate(&orders[partition*Lanes+lane], rest, f.zones)
-			}
+	for _, m := range placement.SpreadOrder("quota", staying) {
+		if lane := f.lanes[m.Name]; len(orders[lane]) < candidates {
+			orders[lane] = append(orders[lane], m.Name)
 		}
 	}
 	return orders
 }
 
-// appendCandidate moves the first of the members to the order of a share, the first of a zone that the order has the fewest
-// of. It returns the members that are left.
-func appendCandidate(order *[]string, members []placement.Member, zones map[string]string) []placement.Member {
-	if len(members) == 0 {
-		return nil
-	}
-	inZone := make(map[string]int)
-	for _, name := range *order {
-		inZone[zones[name]]++
-	}
-	best := 0
-	for i, m := range members {
-		if inZone[m.Zone] < inZone[members[best].Zone] {
-			best = i
+// lanesOf returns the lane of each daemon, given the zones: the zones are distributed over the lanes, and the daemons where
+// there are fewer zones than lanes. Daemons that are not listed for a while keep their lanes, and so do the others.
+func lanesOf(zoneOf map[string]string) map[string]int {
+	zones := slices.Compact(slices.Sorted(maps.Values(zoneOf)))
+	lanes := make(map[string]int, len(zoneOf))
+	for i, name := range slices.Sorted(maps.Keys(zoneOf)) {
+		lanes[name] = i % Lanes
+		if len(zones) >= Lanes {
+			lanes[name] = slices.Index(zones, zoneOf[name]) % Lanes
 		}
 	}
-	*order = append(*order, members[best].Name)
-	return slices.Delete(members, best, best+1)
+	return lanes
 }
 
-// Near returns the lane of each partition whose first coordinator is in the zone of this daemon; -1 for none.
-func (f *Fleet) Near(orders [Shares][]string) [Partitions]int {
-	near := noLanes()
-	for i, order := range orders {
-		if len(order) > 0 && near[i/Lanes] < 0 && f.zones[order[0]] == f.zones[f.name] {
-			near[i/Lanes] = i % Lanes
+// LaneWeights returns the part of all rights that the daemons of each lane lend.
+func (f *Fleet) LaneWeights() [Lanes]float64 {
+	var weights [Lanes]float64
+	for name := range f.lanes {
+		weight := 1 / float64(len(f.lanes))
+		for i, fraction := range fractionsOf(weight, f.lanes[name]) {
+			weights[i] += weight * fraction
 		}
 	}
-	return near
+	return weights
 }
 
-// noLanes returns -1 for each partition.
-func noLanes() [Partitions]int {
-	var lanes [Partitions]int
-	for i := range lanes {
-		lanes[i] = -1
-	}
-	return lanes
-}
+// Home returns the lane of this daemon; 0 before it is listed.
+func (f *Fleet) Home() int { return f.lanes[f.name] }
--- a/internal/policy/quota/lending.go
+++ b/internal/policy/quota/lending.go
@@ -21,6 +21,11 @@
 	// moveWithin is the time within which the daemons move a share, one after the other, back to a coordinator that answers
 	// again. A share that moves is lent to nobody for a while.
 	moveWithin = 10 * time.Second
+	// answerTimeMemory is the number of answers over which the time that they take is averaged.
+	answerTimeMemory = 8
+	// An answer is overdue after overdueFactor times the usual time, and minOverdue at least.
+	overdueFactor = 4
+	minOverdue    = 20 * time.Millisecond
 	// unlimited is the end of a right that is not lent.
 	unlimited = time.Duration(math.MaxInt64)
 )
@@ -34,9 +39,12 @@
 	answered map[string]time.Duration
 	weight   float64
 	interval time.Duration
-	shares   [Shares]share
+	// home is the lane of the daemon, fractions the part of its rights that it lends in each lane.
+	home      int
+	fractions [Lanes]float64
+	shares    [Lanes]share
 	// own holds the rights that are not lent.
-	own    [Partitions]*rights
+	own    *rights
 	stamps map[string]stamp
 	avoids map[string]avoidance
 	asked  map[string]time.Duration
@@ -44,13 +52,17 @@
 	movedAt map[string]time.Duration
 	// limits is true if any workspace has a limit.
 	limits bool
+	// asksAllLenders is true if an earlier start of the daemon can have lent its rights to none but the candidates.
+	asksAllLenders bool
 }
 
-// share is the state of the rights of one partition and lane.
+// share is the state of the rights of one lane.
 type share struct {
 	order []string
 	// startAt is the time before which the daemon has no rights, since an earlier start of it may have lent them.
 	startAt time.Duration
+	// freeAt is the time before which rights that moved here from another lane may still be lent there.
+	freeAt time.Duration
 	// to and incarnation tell whom the rights are lent to; until is when they are the daemon's own again.
 	to          string
 	incarnation uint64
@@ -66,6 +78,8 @@
 	incarnation uint64
 	us          int64
 	receivedAt  time.Duration
+	// answerTime is the moving average of the time that the coordinator takes to answer.
+	answerTime time.Duration
 }
 
 // avoidance says until when a coordinator is not asked, after how many failures.
@@ -77,10 +91,7 @@
 func newLending(name string, startAt time.Duration) *lending {
 	l := &lending{
 		name: name, interval: shortRenewal, answered: make(map[string]time.Duration),
-		stamps: make(map[string]stamp), avoids: make(map[string]avoidance), asked: make(map[string]time.Duration), movedAt: make(map[string]time.Duration),
-	}
-	for i := range l.own {
-		l.own[i] = newRights()
+		own: newRights(), stamps: make(map[string]stamp), avoids: make(map[string]avoidance), asked: make(map[string]time.Duration), movedAt: make(map[string]time.Duration),
 	}
 	for i := range l.shares {
 		l.shares[i].startAt = startAt
@@ -90,13 +101,13 @@
 
 func (l *lending) setBuckets(buckets map[string]Bucket, now time.Duration) {
 	l.limits = len(buckets) > 0
-	for i, part := range split(buckets) {
-		l.own[i].setBuckets(part, now)
-	}
+	l.own.setBuckets(buckets, now)
 }
 
-func (l *lending) setFleet(weight float64, orders [Shares][]string, now time.Duration) {
-	l.weight = weight
+func (l *lending) setFleet(weight float64, home int, orders [Lanes][]string, now time.Duration) {
+	l.takeBack(now)
+	l.weight, l.home = weight, home
+	l.setFractions(fractionsOf(weight, home), now)
 	daemons := make(map[string]bool)
 	for i := range l.shares {
 		l.shares[i].order = orders[i]
@@ -114,13 +125,52 @@
 	}
 	for i := range l.shares {
 		if l.shares[i].owns {
-			l.setOwn(i, weight/Lanes, now)
+			l.setOwn(i, l.weightOf(i), now)
 		}
 	}
 	l.settle(now)
 	l.takeBack(now)
 }
 
+// fractionsOf returns the part of its rights that a daemon lends in each lane: all in its own lane, so that they stay in its
+// zone, unless they are more than a lane counts.
+func fractionsOf(weight float64, home int) [Lanes]float64 {
+	var fractions [Lanes]float64
+	for i := range fractions {
+		if weight > 1.0/Lanes {
+			fractions[i] = 1.0 / Lanes
+		} else if i == home {
+			fractions[i] = 1
+		}
+	}
+	return fractions
+}
+
+// setFractions moves rights between lanes. Those that grow start when the loans of those that shrink have ended.
+func (l *lending) setFractions(fractions [Lanes]float64, now time.Duration) {
+	if fractions == l.fractions {
+		return
+	}
+	freeAt := now
+	for i, s := range l.shares {
+		if fractions[i] < l.fractions[i] {
+			freeAt = max(freeAt, s.startAt, s.freeAt, s.until)
+		}
+	}
+	for i := range l.shares {
+		s := &l.shares[i]
+		if fractions[i] <= l.fractions[i] || l.fractions == [Lanes]float64{} {
+			continue
+		}
+		s.freeAt, s.owns = max(s.freeAt, freeAt), false
+		l.setOwn(i, 0, now)
+	}
+	l.fractions = fractions
+}
+
+// weightOf returns the weight of the rights of one lane.
+func (l *lending) weightOf(i int) float64 { return l.weight * l.fractions[i] }
+
 // unanswered returns the candidates for a share that have not answered since the start.
 func (l *lending) unanswered(s share) []string {
 	return slices.DeleteFunc(slices.Clone(s.order), func(name string) bool {
@@ -134,7 +184,7 @@
 func (l *lending) settle(now time.Duration) {
 	for i := range l.shares {
 		s := &l.shares[i]
-		if now >= s.startAt || l.weight == 0 || len(l.unanswered(*s)) > 0 {
+		if !l.asksAllLenders || now >= s.startAt || l.weight == 0 || len(l.unanswered(*s)) > 0 {
 			continue
 		}
 		startAt := now
@@ -146,16 +196,16 @@
 }
 
 func (l *lending) setOwn(i int, weight float64, now time.Duration) {
-	l.own[i/Lanes].set(i%Lanes, l.name, right{weight: weight, until: unlimited}, now)
+	l.own.set(i, l.name, right{weight: weight, until: unlimited}, now)
 }
 
 // takeBack makes rights whose loan has ended the daemon's own.
 func (l *lending) takeBack(now time.Duration) {
 	for i := range l.shares {
 		s := &l.shares[i]
-		if !s.owns && now >= max(s.startAt, s.until) {
+		if !s.owns && now >= max(s.startAt, s.freeAt, s.until) {
 			s.owns, s.to = true, ""
-			l.setOwn(i, l.weight/Lanes, now)
+			l.setOwn(i, l.weightOf(i), now)
 		}
 	}
 }
@@ -163,7 +213,7 @@
 // spendOwn spends a token of the rights that are not lent.
 func (l *lending) spendOwn(workspace string, now time.Duration) bool {
 	l.takeBack(now)
-	s := l.own[PartitionOf(workspace)].stockOf(workspace, now)
+	s := l.own.stockOf(workspace, now)
 	if s == nil || s.tokens < 1 {
 		return false
 	}
@@ -174,11 +224,7 @@
 // ownWeight returns the part of the limits that is not lent.
 func (l *lending) ownWeight(now time.Duration) float64 {
 	l.takeBack(now)
-	var sum float64
-	for _, own := range l.own {
-		sum += own.weight
-	}
-	return sum / Partitions
+	return l.own.weight
 }
 
 // successor returns the coordinator that a share is to be lent to next; empty for none. It is the first one that is not
@@ -228,6 +274,17 @@
 	return l.successor(i, now)
 }
 
+// isOverdue reports whether a request to a coordinator is under way for much longer than its answers usually take.
+func (l *lending) isOverdue(name string, now time.Duration) bool {
+	asked, ok := l.asked[name]
+	return ok && asked > l.stamps[name].receivedAt && now-asked >= l.overdueAfter(name)
+}
+
+// overdueAfter returns the time after which a coordinator that has not answered is overdue.
+func (l *lending) overdueAfter(name string) time.Duration {
+	return min(max(overdueFactor*l.stamps[name].answerTime, minOverdue), CallTimeout)
+}
+
 func (l *lending) isAvoided(name string, now time.Duration) bool { return now < l.avoids[name].until }
 
 // avoid records that a coordinator did not answer.
@@ -247,6 +304,9 @@
 	l.plan(now)
 	var due []string
 	for i, s := range l.shares {
+		if l.fractions[i] == 0 && s.to == "" {
+			continue
+		}
 		for _, name := range []string{l.successor(i, now), l.coordinator(i, now)} {
 			if name != "" && !l.isAskedOfLate(name, s.startAt, now) && !slices.Contains(due, name) {
 				due = append(due, name)
@@ -284,21 +344,29 @@
 	for i := range l.shares {
 		s := &l.shares[i]
 		isLentElsewhere := !s.owns && (s.to != coordinator || s.incarnation != last.incarnation)
-		if l.successor(i, now) != coordinator || isLentElsewhere {
+		if l.successor(i, now) != coordinator || isLentElsewhere || now < s.freeAt || l.weightOf(i) == 0 {
 			continue
 		}
 		l.setOwn(i, 0, now)
 		s.owns, s.to, s.incarnation, s.until = false, coordinator, last.incarnation, max(s.until, last.receivedAt+LendFor)
-		list = append(list, api.QuotaDelegation{Partition: i, Weight: l.weight / Lanes, EchoIncarnation: last.incarnation, EchoStampUs: last.us})
+		list = append(list, api.QuotaDelegation{Partition: i, Weight: l.weightOf(i), EchoIncarnation: last.incarnation, EchoStampUs: last.us})
 	}
 	return list
 }
 
 // recordReply takes in the stamp of a coordinator.
-func (l *lending) recordReply(coordinator string, reply *api.QuotaReply, now time.Duration) {
+func (l *lending) recordReply(coordinator string, reply *api.QuotaReply, sentAt, now time.Duration) {
+	if reply.Ended {
+		l.takeBackFrom(coordinator, reply.Incarnation, now)
+		return
+	}
 	delete(l.avoids, coordinator)
 	l.endLoans(coordinator, reply.Incarnation, now)
-	l.stamps[coordinator] = stamp{incarnation: reply.Incarnation, us: reply.StampUs, receivedAt: now}
+	answerTime := now - sentAt
+	if last, ok := l.stamps[coordinator]; ok {
+		answerTime = last.answerTime + (answerTime-last.answerTime)/answerTimeMemory
+	}
+	l.stamps[coordinator] = stamp{incarnation: reply.Incarnation, us: reply.StampUs, receivedAt: now, answerTime: answerTime}
 	if _, ok := l.answered[coordinator]; ok {
 		return
 	}
@@ -309,6 +377,18 @@
 	l.settle(now)
 }
 
+// takeBackFrom ends what is lent to a start of a coordinator that stops as planned and counts it no more. What it granted
+// expires within TokensValidFor.
+func (l *lending) takeBackFrom(coordinator string, incarnation uint64, now time.Duration) {
+	l.avoids[coordinator] = avoidance{until: now + LendFor}
+	for i := range l.shares {
+		s := &l.shares[i]
+		if s.to == coordinator && s.incarnation == incarnation {
+			s.until = min(s.until, now+TokensValidFor)
+		}
+	}
+}
+
 // endLoans ends what is lent to an earlier start of a coordinator, since the later one has its address: what the earlier one
 // granted expires within TokensValidFor. It does not where the address has changed.
 func (l *lending) endLoans(coordinator string, incarnation uint64, now time.Duration) {
--- a/internal/policy/quota/pool.go
+++ b/internal/policy/quota/pool.go
@@ -16,9 +16,11 @@
 	stamp time.Duration
 }
 
-// rights fills the buckets of the workspaces of one partition with the weights of daemons.
+// rights fills the buckets of the workspaces with the weights of daemons.
 type rights struct {
 	lanes [Lanes]map[string]right
+	// most is the largest sum of the weights of each lane that counts.
+	most [Lanes]float64
 	// weight is the sum of the weights, and credit its integral over time in seconds, both at time at.
 	weight float64
 	credit float64
@@ -51,7 +53,7 @@
 func newRights() *rights {
 	r := &rights{stocks: make(map[string]*stock)}
 	for i := range r.lanes {
-		r.lanes[i] = make(map[string]right)
+		r.lanes[i], r.most[i] = make(map[string]right), 1.0/Lanes
 	}
 	return r
 }
@@ -82,17 +84,17 @@
 	r.reweigh(now)
 }
 
-// integrate adds the weights from r.at to now to the credit. The weights of one lane count as 1/Lanes at most.
+// integrate adds the weights from r.at to now to the credit.
 func (r *rights) integrate(now time.Duration) {
 	if now <= r.at {
 		return
 	}
-	for _, lane := range r.lanes {
+	for i, lane := range r.lanes {
 		var sum float64
 		for _, lent := range lane {
 			sum += lent.weight * max(0, min(lent.until, now)-r.at).Seconds()
 		}
-		r.credit += min(sum, (now-r.at).Seconds()/Lanes)
+		r.credit += min(sum, (now-r.at).Seconds()*r.most[i])
 	}
 	r.at = now
 }
@@ -101,7 +103,7 @@
 // weight allowed at any time.
 func (r *rights) reweigh(now time.Duration) {
 	var weight float64
-	for _, lane := range r.lanes {
+	for i, lane := range r.lanes {
 		var sum float64
 		for daemon, lent := range lane {
 			if lent.until <= now {
@@ -110,7 +112,7 @@
 			}
 			sum += lent.weight
 		}
-		weight += min(sum, 1.0/Lanes)
+		weight += min(sum, r.most[i])
 	}
 	if weight == r.weight {
 		return
@@ -122,7 +124,14 @@
 	r.weight = weight
 }
 
-// setBuckets sets the buckets of all limited workspaces of the partition. The stock of a new one is empty.
+// setMost sets the largest sum of the weights of each lane that counts.
+func (r *rights) setMost(most [Lanes]float64, now time.Duration) {
+	r.integrate(now)
+	r.most = most
+	r.reweigh(now)
+}
+
+// setBuckets sets the buckets of all limited workspaces. The stock of a new one is empty.
 func (r *rights) setBuckets(buckets map[string]Bucket, now time.Duration) {
 	r.integrate(now)
 	r.reweigh(now)
--- a/internal/policy/quota/purse.go
+++ b/internal/policy/quota/purse.go
@@ -30,8 +30,6 @@
 	lending     *lending
 	accounts    map[string]*account
 	limited     map[string]Bucket
-	// near holds the lane of each partition whose first coordinator is in the zone of the daemon; -1 for none.
-	near [Partitions]int
 }
 
 // account is what a daemon knows of one workspace.
@@ -77,7 +75,8 @@
 	// tokens; empty for none. Age is the time since its last answer.
 	Coordinator string
 	Age         time.Duration
-	// RetryAfter is the time after which a refused operation may be tried again.
+	// RetryAfter is the time after which the operation is to be decided on again: with Ask if the coordinator has not
+	// answered until then, with Refused by a caller that tries again.
 	RetryAfter time.Duration
 	// Tokens is the number of tokens left.
 	Tokens float64
@@ -86,7 +85,7 @@
 // NewPurse returns the purse of a daemon, which owns nothing until SetFleet. An earlier start of the daemon may have lent
 // its rights until LendFor after now; before, it owns them when all candidates have answered.
 func NewPurse(name string, incarnation uint64, now time.Duration) *Purse {
-	return &Purse{name: name, incarnation: incarnation, near: noLanes(), lending: newLending(name, now+LendFor), accounts: make(map[string]*account)}
+	return &Purse{name: name, incarnation: incarnation, lending: newLending(name, now+LendFor), accounts: make(map[string]*account)}
 }
 
 // SetBuckets sets the buckets of the limited workspaces.
@@ -95,22 +94,15 @@
 	p.lending.setBuckets(buckets, now)
 }
 
-// SetFleet sets the part of each limit that the daemon owns, the number of daemons, and the daemons in the order in which
-// they coordinate each share.
-func (p *Purse) SetFleet(weight float64, daemons int, orders [Shares][]string, now time.Duration) {
-	p.lending.interval = RenewalInterval(daemons)
-	p.lending.setFleet(weight, orders, now)
-}
+// SetEarlierRules sets the number of the rules by which an earlier start of the daemon lent its rights. Where they are not
+// LendingRules, it may have lent them to other candidates than this one asks.
+func (p *Purse) SetEarlierRules(rules int) { p.lending.asksAllLenders = rules == LendingRules }
 
-// SetNear sets the lane of each partition to ask first; -1 for none.
-func (p *Purse) SetNear(lanes [Partitions]int) { p.near = lanes }
-
-// firstLane returns the lane to ask first for tokens of a workspace: in the zone of the daemon if there is one.
-func (p *Purse) firstLane(workspace string) int {
-	if near := p.near[PartitionOf(workspace)]; near >= 0 {
-		return near
-	}
-	return firstLane(p.name, workspace)
+// SetFleet sets the part of each limit that the daemon owns, the number of daemons, the lane of the daemon, and the daemons
+// in the order in which they coordinate each lane.
+func (p *Purse) SetFleet(weight float64, daemons, home int, orders [Lanes][]string, now time.Duration) {
+	p.lending.interval = RenewalInterval(daemons)
+	p.lending.setFleet(weight, home, orders, now)
 }
 
 // Spend decides on one operation of a workspace. isNew is false when the operation has waited already.
@@ -129,26 +121,39 @@
 	if p.lending.spendOwn(workspace, now) {
 		return Decision{Verdict: Spent, SpentAt: now}
 	}
+	return p.withoutTokens(a, now)
+}
+
+// withoutTokens decides on an operation for which the daemon has no token: it asks the first source that may have one and
+// that answers as usual, or one that is overdue where there is no other. Where no source has a token, it is refused.
+func (p *Purse) withoutTokens(a *account, now time.Duration) Decision {
 	refused := Decision{Verdict: Refused, RetryAfter: maxRetryAfter}
-	for _, coordinator := range p.sources(workspace, now) {
+	overdue := ""
+	for _, coordinator := range p.sources(now) {
 		until := a.refusedUntil[coordinator]
-		if now >= until {
-			return Decision{Verdict: Ask, Coordinator: coordinator}
+		switch {
+		case now < until:
+			refused.RetryAfter = min(refused.RetryAfter, until-now)
+			refused.Coordinator, refused.Age = coordinator, now-p.lending.stamps[coordinator].receivedAt
+		case !p.lending.isOverdue(coordinator, now):
+			return Decision{Verdict: Ask, Coordinator: coordinator, RetryAfter: p.lending.overdueAfter(coordinator)}
+		case overdue == "":
+			overdue = coordinator
 		}
-		refused.RetryAfter = min(refused.RetryAfter, until-now)
-		refused.Coordinator, refused.Age = coordinator, now-p.lending.stamps[coordinator].receivedAt
+	}
+	if overdue != "" {
+		return Decision{Verdict: Ask, Coordinator: overdue, RetryAfter: CallTimeout}
 	}
 	return refused
 }
 
-// sources returns the coordinators to ask for tokens of a workspace, in order: those that the shares are lent to, and then
-// those that others lend theirs to while this daemon has not moved its own yet.
-func (p *Purse) sources(workspace string, now time.Duration) []string {
+// sources returns the coordinators to ask for tokens, in order, that of the daemon's own lane first: those that the
+// rights are lent to, and then those that others lend theirs to while this daemon has not moved its own yet.
+func (p *Purse) sources(now time.Duration) []string {
 	list := make([]string, 0, 2*Lanes)
 	for _, choose := range []func(int, time.Duration) string{p.lending.coordinator, p.lending.first} {
 		for i := range Lanes {
-			lane := (p.firstLane(workspace) + i) % Lanes
-			if name := choose(PartitionOf(workspace)*Lanes+lane, now); name != "" && !slices.Contains(list, name) {
+			if name := choose((p.lending.home+i)%Lanes, now); name != "" && !slices.Contains(list, name) {
 				list = append(list, name)
 			}
 		}
@@ -185,7 +190,7 @@
 	if a.tokens() >= a.demand*refillBefore.Seconds() {
 		return ""
 	}
-	sources := p.sources(workspace, now)
+	sources := p.sources(now)
 	if len(sources) == 0 || now < a.refusedUntil[sources[0]] {
 		return ""
 	}
@@ -230,7 +235,7 @@
 
 // wantedFrom returns the number of tokens to ask a coordinator for. Only the first source is asked for tokens in advance.
 func (p *Purse) wantedFrom(a *account, workspace, coordinator string, now time.Duration) float64 {
-	place := slices.Index(p.sources(workspace, now), coordinator)
+	place := slices.Index(p.sources(now), coordinator)
 	if place < 0 {
 		return 0
 	}
@@ -246,7 +251,7 @@
 
 // HandleReply takes in the answer to a request that was sent at sentAt. No more is taken than was asked for.
 func (p *Purse) HandleReply(coordinator string, r *api.QuotaRequest, reply *api.QuotaReply, sentAt, now time.Duration) {
-	p.lending.recordReply(coordinator, reply, now)
+	p.lending.recordReply(coordinator, reply, sentAt, now)
 	wanted := make(map[string]float64, len(r.Wants))
 	for _, want := range r.Wants {
 		wanted[want.Workspace] = want.Tokens
--- a/internal/policy/quota/rules.go
+++ b/internal/policy/quota/rules.go
@@ -17,19 +17,15 @@
 	"math"
 	"time"
 
-	"github.com/cespare/xxhash/v2"
-
 	"github.com/papayacove/papayacove/internal/policy/callers"
 )
 
 const (
-	// Partitions is the number of partitions of the workspaces. Daemons of all versions must agree on it.
-	Partitions = 1
-	// Lanes is the number of coordinators of a partition. Each is lent an equal part of the rights, so that one that is
-	// lost takes only its part along.
+	// Lanes is the number of coordinators. Each is lent the rights of the daemons of its zones, so that one that is lost, or
+	// a zone that is cut off, takes only these along. Daemons of all versions must agree on it.
 	Lanes = 3
-	// Shares is the number of pairs of a partition and a lane.
-	Shares = Partitions * Lanes
+	// LendingRules is the number of the rules by which daemons choose the coordinators. It changes with them.
+	LendingRules = 1
 	// LendFor is the time for which rights are lent, from the stamp of the coordinator that the daemon echoes.
 	LendFor = 3 * time.Second
 	// TokensValidFor is the time for which tokens may be spent, from when the request for them was sent.
@@ -79,15 +75,6 @@
 	return Bucket{Rate: min(rate, (bound-depth)/span), Depth: depth}
 }
 
-// PartitionOf returns the partition of a workspace.
-func PartitionOf(workspace string) int { return int(xxhash.Sum64String(workspace) % Partitions) }
-
-// firstLane returns the lane that a daemon asks first for tokens of a workspace where no coordinator is in its zone. It differs
-// between daemons, so that the coordinators are asked equally.
-func firstLane(daemon, workspace string) int {
-	return int(xxhash.Sum64String(daemon+"/"+workspace) % Lanes)
-}
-
 // RenewalInterval returns the time between two requests that renew what is lent, with the given number of daemons.
 func RenewalInterval(daemons int) time.Duration {
 	if daemons <= smallFleet {
--- a/internal/quota/service.go
+++ b/internal/quota/service.go
@@ -18,8 +18,6 @@
 )
 
 const (
-	// maxWait bounds the time for which an operation waits for a token.
-	maxWait = 2 * quota.CallTimeout
 	// renewalCheck is the time between two checks of what is to be renewed.
 	renewalCheck = 100 * time.Millisecond
 )
@@ -48,10 +46,12 @@
 	mu        sync.Mutex
 	purse     *quota.Purse
 	fleet     *quota.Fleet
-	orders    [quota.Shares][]string
+	orders    [quota.Lanes][]string
 	addresses map[string]string
 	// flights holds the request under way to each coordinator.
 	flights map[string]*flight
+	// arrived is closed, and replaced, when the answer to a request has come or has failed to.
+	arrived chan struct{}
 	limits  map[string]callers.Limit
 	version uint64
 
@@ -59,11 +59,10 @@
 	coordinator   *quota.Coordinator
 }
 
-// flight is a request under way; done is closed when it has ended.
+// flight is a request under way.
 type flight struct {
 	request *api.QuotaRequest
 	sentAt  time.Duration
-	done    chan struct{}
 }
 
 // New returns a service that knows no limits and no other daemons. Run must be called once.
@@ -74,6 +73,7 @@
 		purse:       quota.NewPurse(options.Name, incarnation, clock.SinceBoot()),
 		fleet:       quota.NewFleet(options.Name),
 		flights:     make(map[string]*flight),
+		arrived:     make(chan struct{}),
 		coordinator: quota.NewCoordinator(incarnation),
 	}
 }
@@ -116,7 +116,9 @@
 	}
 	s.fleet.Observe(members, clock.SinceBoot())
 	s.orders = s.fleet.Orders()
-	s.purse.SetNear(s.fleet.Near(s.orders))
+	s.coordinatorMu.Lock()
+	s.coordinator.SetLaneWeights(s.fleet.LaneWeights(), clock.SinceBoot())
+	s.coordinatorMu.Unlock()
 	s.weigh()
 	s.askDue()
 }
@@ -124,11 +126,13 @@
 // weigh sets the part of the limits that the daemon owns. The caller must hold s.mu.
 func (s *Service) weigh() {
 	now := clock.SinceBoot()
-	weight := s.fleet.Weight(registrationAt(s.options.Registration(), now), now)
+	registration := s.options.Registration()
+	weight := s.fleet.Weight(registrationAt(registration, now), now)
 	if before := s.purse.Weight(); before != weight {
 		logWeight(before, weight, s.fleet.Daemons())
 	}
-	s.purse.SetFleet(weight, s.fleet.Daemons(), s.orders, now)
+	s.purse.SetEarlierRules(registration.FoundLendingRules)
+	s.purse.SetFleet(weight, s.fleet.Daemons(), s.fleet.Home(), s.orders, now)
 }
 
 // registrationAt decides whether others count the daemon at a time.
@@ -162,46 +166,50 @@
 // Spend takes the right to one operation of a workspace, and waits for one that is under way until the deadline at most.
 // It fails with a *result.Error of NotRunOverQuota. Return needs the time that it returns.
 func (s *Service) Spend(workspace string, deadline time.Time) (time.Duration, error) {
-	until := time.Now().Add(maxWait)
-	if deadline.Before(until) {
-		until = deadline
-	}
-	timer := time.NewTimer(time.Until(until))
-	defer timer.Stop()
-	decision, asked := s.decide(workspace, true)
-	for decision.Verdict == quota.Ask {
-		isLate := false
-		select {
-		case <-asked.done:
-		case <-timer.C:
-			isLate = true
+	isNew := true
+	for {
+		decision, arrived := s.decide(workspace, isNew)
+		switch decision.Verdict {
+		case quota.Spent:
+			counters.Add("spent", 1)
+			return decision.SpentAt, nil
+		case quota.Refused:
+			return 0, s.refuse(workspace, reasonOverLimit, decision)
 		}
+		isLate := !awaitUntil(arrived, decision.RetryAfter, deadline)
 		s.endWait(workspace)
 		if isLate {
 			return 0, s.refuse(workspace, reasonNoAnswer, decision)
 		}
-		decision, asked = s.decide(workspace, false)
+		isNew = false
 	}
-	if decision.Verdict == quota.Refused {
-		return 0, s.refuse(workspace, reasonOverLimit, decision)
+}
+
+// awaitUntil waits until a channel is closed or a time has passed. It returns false at the deadline.
+func awaitUntil(done <-chan struct{}, within time.Duration, deadline time.Time) bool {
+	left := time.Until(deadline)
+	timer := time.NewTimer(min(within, left))
+	defer timer.Stop()
+	select {
+	case <-done:
+		return true
+	case <-timer.C:
+		return within < left
 	}
-	counters.Add("spent", 1)
-	return decision.SpentAt, nil
 }
 
-// decide decides on an operation, and asks a coordinator if need be. It returns the request to wait for if the verdict
-// is Ask.
-func (s *Service) decide(workspace string, isNew bool) (quota.Decision, *flight) {
+// decide decides on an operation, and asks a coordinator if need be. It returns what is closed when an answer has come.
+func (s *Service) decide(workspace string, isNew bool) (quota.Decision, <-chan struct{}) {
 	s.mu.Lock()
 	defer s.mu.Unlock()
 	decision := s.purse.Spend(workspace, isNew, clock.SinceBoot())
 	if decision.Verdict == quota.Ask {
 		s.purse.Wait(workspace, 1)
 	}
-	if decision.Verdict == quota.Refused || decision.Coordinator == "" {
-		return decision, nil
+	if decision.Verdict != quota.Refused && decision.Coordinator != "" {
+		s.ask(decision.Coordinator)
 	}
-	return decision, s.ask(decision.Coordinator)
+	return decision, s.arrived
 }
 
 func (s *Service) endWait(workspace string) {
@@ -233,16 +241,15 @@
 }
 
 // ask sends a request to a coordinator, unless one is under way. The caller must hold s.mu.
-func (s *Service) ask(coordinator string) *flight {
-	if f, ok := s.flights[coordinator]; ok {
-		return f
+func (s *Service) ask(coordinator string) {
+	if _, ok := s.flights[coordinator]; ok {
+		return
 	}
 	now := clock.SinceBoot()
-	f := &flight{request: s.purse.Request(coordinator, now), sentAt: now, done: make(chan struct{})}
+	f := &flight{request: s.purse.Request(coordinator, now), sentAt: now}
 	s.flights[coordinator] = f
 	counters.Add("requests", 1)
 	go s.fly(coordinator, s.addresses[coordinator], f)
-	return f
 }
 
 // fly sends a request and takes in its answer.
@@ -257,7 +264,7 @@
 	s.mu.Lock()
 	defer s.mu.Unlock()
 	delete(s.flights, coordinator)
-	defer close(f.done)
+	defer s.wakeWaiting()
 	if err != nil {
 		counters.Add("requests_failed", 1)
 		logNoAnswer(coordinator, err)
@@ -268,6 +275,20 @@
 	s.askDue()
 }
 
+// wakeWaiting lets all operations that wait be decided on again. The caller must hold s.mu.
+func (s *Service) wakeWaiting() {
+	close(s.arrived)
+	s.arrived = make(chan struct{})
+}
+
+// Leave ends the duty of the daemon as a coordinator, since it stops: those that have lent it their rights are told so with
+// their next request, and lend them to another.
+func (s *Service) Leave() {
+	s.coordinatorMu.Lock()
+	defer s.coordinatorMu.Unlock()
+	s.coordinator.End(clock.SinceBoot())
+}
+
 // Handle serves the request of another daemon to this one as a coordinator.
 func (s *Service) Handle(request *api.QuotaRequest) *api.QuotaReply {
 	s.coordinatorMu.Lock()
