Count the rights of a restarted daemon from when nobody else could use them

Cause: when all daemons are killed, buckets start empty, and rights counted only from when they were lent: 100 to 300 ms after the daemons had started.

Change: a coordinator's answer says for how long it has run at least. A daemon that has had the answers of all its candidates knows since when neither they nor their earlier starts counted its rights, and tells that time with its first loan; the coordinator adds it to what fills its buckets. The interval is disjoint from any in which the rights filled another bucket, so that the bound holds as before.

Weighed: start with what the limit allows (mints); a proof in the store that the window before was unused (a write for each change of demand, and none while the store is down): not built.

--- a/api/types.gen.go
+++ b/api/types.gen.go
@@ -735,6 +735,10 @@
 	// Partition is the number of the lane.
 	Partition int `json:"partition" toml:"partition"`
 
+	// UnusedUs is the time in microseconds before this for which the rights filled no
+	// bucket, and now fill this one; 0 for none.
+	UnusedUs int64 `json:"unused_us" toml:"unused_us"`
+
 	// Weight is the part of each limit that the daemon owns, from 0 to 1.
 	Weight float64 `json:"weight" toml:"weight"`
 }
@@ -773,6 +777,10 @@
 	// StampUs is the time of the clock of the coordinator, in microseconds, to be
 	// echoed.
 	StampUs int64 `json:"stamp_us" toml:"stamp_us"`
+
+	// UpUs is the time in microseconds for which this start of the coordinator has
+	// run at least; 0 from daemons that do not say.
+	UpUs int64 `json:"up_us" toml:"up_us"`
 }
 
 // QuotaRequest is sent by a daemon to the coordinator of one or more lanes.
--- a/internal/policy/quota/coordinator.go
+++ b/internal/policy/quota/coordinator.go
@@ -30,8 +30,8 @@
 	senders     map[sender]seen
 	// lenders holds the time until which a daemon had lent rights at most.
 	lenders map[string]time.Duration
-	// settledAt is the time from which the weight lent is taken as that of the next seconds; 0 before the first request.
-	settledAt time.Duration
+	// startedAt is the time at which the first limits came into force; 0 before.
+	startedAt time.Duration
 	// hasEnded is true when the daemon stops as planned.
 	hasEnded bool
 }
@@ -51,6 +51,9 @@
 
 // SetBuckets sets the buckets of the limited workspaces.
 func (c *Coordinator) SetBuckets(buckets map[string]Bucket, now time.Duration) {
+	if c.startedAt == 0 {
+		c.startedAt = now
+	}
 	c.rights.setBuckets(buckets, now)
 }
 
@@ -73,8 +76,8 @@
 // granted nothing.
 func (c *Coordinator) Handle(r *api.QuotaRequest, now time.Duration) *api.QuotaReply {
 	reply := &api.QuotaReply{Incarnation: c.incarnation, StampUs: now.Microseconds()}
-	if c.settledAt == 0 {
-		c.settledAt = now + LendFor
+	if c.startedAt != 0 {
+		reply.UpUs = (now - c.startedAt).Microseconds()
 	}
 	if c.hasEnded {
 		reply.Ended = true
@@ -140,6 +143,9 @@
 	}
 	until := stamp + LendFor - TokensValidFor
 	c.rights.set(d.Partition, daemon, right{weight: d.Weight, until: until, stamp: stamp}, now)
+	if unused := time.Duration(d.UnusedUs) * time.Microsecond; unused > 0 && until > now {
+		c.rights.addUnused(d.Weight, min(unused, LendFor))
+	}
 	c.lenders[daemon] = max(c.lenders[daemon], until)
 }
 
@@ -167,7 +173,7 @@
 // expectedWeight returns the weight that is expected to be lent in the next seconds. Daemons that have started together lend
 // theirs one after the other; the few that have lent it already say nothing about the rest.
 func (c *Coordinator) expectedWeight(now time.Duration) float64 {
-	if now < c.settledAt {
+	if now < c.startedAt+LendFor {
 		return max(c.rights.weight, 1.0/Lanes)
 	}
 	return c.rights.weight
--- a/internal/policy/quota/lending.go
+++ b/internal/policy/quota/lending.go
@@ -34,9 +34,10 @@
 // daemon's own again LendFor after the daemon received the stamp that it echoed last.
 type lending struct {
 	name string
-	// answered holds the candidates that have answered since the start, with the time until which tokens may be spent that
-	// they granted from what earlier starts of the daemon lent.
-	answered map[string]time.Duration
+	// startedAt is the time at which the daemon started.
+	startedAt time.Duration
+	// answered holds the candidates that have answered since the start.
+	answered map[string]firstAnswer
 	weight   float64
 	interval time.Duration
 	// home is the lane of the daemon, fractions the part of its rights that it lends in each lane.
@@ -56,11 +57,22 @@
 	asksAllLenders bool
 }
 
+// firstAnswer is what a candidate answered first since the start of the daemon.
+type firstAnswer struct {
+	// spentUntil is the time until which tokens may be spent that it granted from what earlier starts of the daemon lent.
+	spentUntil time.Duration
+	// unusedSince is the time since which it certainly counted nothing that earlier starts lent, nor did an earlier start of
+	// the candidate.
+	unusedSince time.Duration
+}
+
 // share is the state of the rights of one lane.
 type share struct {
 	order []string
 	// startAt is the time before which the daemon has no rights, since an earlier start of it may have lent them.
 	startAt time.Duration
+	// unused is the time before the daemon first owned the rights for which they filled no bucket, until they are lent.
+	unused time.Duration
 	// freeAt is the time before which rights that moved here from another lane may still be lent there.
 	freeAt time.Duration
 	// to and incarnation tell whom the rights are lent to; until is when they are the daemon's own again.
@@ -90,7 +102,7 @@
 
 func newLending(name string, startAt time.Duration) *lending {
 	l := &lending{
-		name: name, interval: shortRenewal, answered: make(map[string]time.Duration),
+		name: name, startedAt: startAt - LendFor, interval: shortRenewal, answered: make(map[string]firstAnswer),
 		own: newRights(), stamps: make(map[string]stamp), avoids: make(map[string]avoidance), asked: make(map[string]time.Duration), movedAt: make(map[string]time.Duration),
 	}
 	for i := range l.shares {
@@ -187,11 +199,13 @@
 		if !l.asksAllLenders || now >= s.startAt || l.weight == 0 || len(l.unanswered(*s)) > 0 {
 			continue
 		}
-		startAt := now
+		startAt, unusedSince := now, l.startedAt
 		for _, name := range s.order {
-			startAt = max(startAt, l.answered[name])
+			startAt = max(startAt, l.answered[name].spentUntil)
+			unusedSince = max(unusedSince, l.answered[name].unusedSince)
 		}
 		s.startAt = min(s.startAt, startAt)
+		s.unused = max(0, s.startAt-unusedSince)
 	}
 }
 
@@ -349,7 +363,10 @@
 		}
 		l.setOwn(i, 0, now)
 		s.owns, s.to, s.incarnation, s.until = false, coordinator, last.incarnation, max(s.until, last.receivedAt+LendFor)
-		list = append(list, api.QuotaDelegation{Partition: i, Weight: l.weightOf(i), EchoIncarnation: last.incarnation, EchoStampUs: last.us})
+		list = append(list, api.QuotaDelegation{
+			Partition: i, Weight: l.weightOf(i), UnusedUs: s.unused.Microseconds(), EchoIncarnation: last.incarnation, EchoStampUs: last.us,
+		})
+		s.unused = 0
 	}
 	return list
 }
@@ -370,10 +387,12 @@
 	if _, ok := l.answered[coordinator]; ok {
 		return
 	}
-	l.answered[coordinator] = 0
+	up := min(max(0, time.Duration(reply.UpUs)*time.Microsecond), now)
+	answer := firstAnswer{unusedSince: now - up}
 	if reply.Released {
-		l.answered[coordinator] = now + TokensValidFor
+		answer = firstAnswer{spentUntil: now + TokensValidFor, unusedSince: now + TokensValidFor}
 	}
+	l.answered[coordinator] = answer
 	l.settle(now)
 }
 
--- a/internal/policy/quota/pool.go
+++ b/internal/policy/quota/pool.go
@@ -124,6 +124,11 @@
 	r.weight = weight
 }
 
+// addUnused adds a weight that filled no bucket for a time to the credit.
+func (r *rights) addUnused(weight float64, unused time.Duration) {
+	r.credit += weight * unused.Seconds()
+}
+
 // setMost sets the largest sum of the weights of each lane that counts.
 func (r *rights) setMost(most [Lanes]float64, now time.Duration) {
 	r.integrate(now)
