Ask the coordinators of the version before after an upgrade, and share the first ones with it

Old daemons lent to other coordinators than new ones, so that the callers of the old daemons, fewer and fewer, had only their rights; and each new daemon waited for the longest loan, since the old one may have lent to daemons that it did not ask.

Change: the order of the coordinators depends on the key of the version before, so that the first ones are the same daemons where there are three zones.

What is left is the rights of daemons that drain.

Tests: TestCandidatesOfTheVersionBeforeAreAsked, TestVersionsShareTheirFirstCoordinators, TestEarlierRulesAreWaitedFor.

--- a/internal/policy/quota/conservation_test.go
+++ b/internal/policy/quota/conservation_test.go
@@ -93,7 +93,7 @@
 				if random.Intn(2) == 0 {
 					// A version with other rules starts.
 					p.laneOffset = random.Intn(Lanes)
-					p.purse.SetEarlierRules(LendingRules - 1)
+					p.purse.SetEarlierRules(LendingRules+1, nil)
 				}
 				w.setBuckets(p, buckets)
 				fleet(p, len(w.daemons))
--- a/internal/policy/quota/failures_test.go
+++ b/internal/policy/quota/failures_test.go
@@ -141,7 +141,7 @@
 		lend := second.Handle(&api.QuotaRequest{Daemon: "a", Incarnation: 1, Sequence: 1}, 0)
 		second.Handle(&api.QuotaRequest{Daemon: "a", Incarnation: 1, Sequence: 2, Delegations: []api.QuotaDelegation{{Weight: 0.1, EchoIncarnation: 9, EchoStampUs: lend.StampUs}}}, 0)
 		p := NewPurse("a", 2, time.Millisecond)
-		p.SetEarlierRules(LendingRules)
+		p.SetEarlierRules(LendingRules, nil)
 		p.SetBuckets(map[string]Bucket{"w": {Rate: 10, Depth: 20}}, time.Millisecond)
 		p.SetFleet(0.1, 10, 0, [Lanes][]string{{"first", "second"}}, time.Millisecond)
 		first := NewCoordinator(8)
@@ -326,7 +326,7 @@
 // would be missing otherwise for three seconds at each coordinator.
 func TestLeavingCoordinatorEndsItsLoans(t *testing.T) {
 	p := NewPurse("a", 2, time.Millisecond)
-	p.SetEarlierRules(LendingRules)
+	p.SetEarlierRules(LendingRules, nil)
 	p.SetBuckets(map[string]Bucket{"w": {Rate: 10, Depth: 20}}, time.Millisecond)
 	p.SetFleet(0.1, 10, 0, [Lanes][]string{{"first", "second"}}, time.Millisecond)
 	first, second := NewCoordinator(8), NewCoordinator(9)
@@ -345,9 +345,9 @@
 // TestEarlierRulesAreWaitedFor starts a daemon after a version that may have lent its rights to other daemons than the
 // candidates: although these have answered, it owns nothing before the longest loan has ended.
 func TestEarlierRulesAreWaitedFor(t *testing.T) {
-	for rules, want := range map[int]time.Duration{LendingRules: 0, LendingRules - 1: LendFor} {
+	for rules, want := range map[int]time.Duration{LendingRules: 0, LendingRules + 1: LendFor} {
 		p := NewPurse("a", 2, 0)
-		p.SetEarlierRules(rules)
+		p.SetEarlierRules(rules, nil)
 		p.SetBuckets(map[string]Bucket{"w": {Rate: 10, Depth: 20}}, 0)
 		p.SetFleet(0.1, 10, 0, [Lanes][]string{{"second"}}, 0)
 		lentAt := lentTo(p, nil, NewCoordinator(9), func(time.Duration) {})
@@ -357,6 +357,35 @@
 	}
 }
 
+// TestCandidatesOfTheVersionBeforeAreAsked starts a daemon whose earlier start, of the version before, lent a part of its rights
+// to a candidate of the rules then: it owns them when that one has answered and what it granted has expired. A daemon each
+// half a second is replaced in an upgrade, and each would be without rights for three seconds otherwise.
+func TestCandidatesOfTheVersionBeforeAreAsked(t *testing.T) {
+	first, second := NewCoordinator(8), NewCoordinator(9)
+	lend := first.Handle(&api.QuotaRequest{Daemon: "a", Incarnation: 1, Sequence: 1}, 0)
+	first.Handle(&api.QuotaRequest{Daemon: "a", Incarnation: 1, Sequence: 2, Delegations: []api.QuotaDelegation{{Weight: 0.1 / Lanes, EchoIncarnation: 8, EchoStampUs: lend.StampUs}}}, 0)
+	p := NewPurse("a", 2, 0)
+	p.SetEarlierRules(LendingRules-1, []string{"first", "second"})
+	p.SetBuckets(map[string]Bucket{"w": {Rate: 10, Depth: 20}}, 0)
+	p.SetFleet(0.1, 10, 0, [Lanes][]string{{"second"}}, 0)
+	lentAt := lentTo(p, first, second, func(time.Duration) {})
+	if lentAt < TokensValidFor || lentAt > TokensValidFor+shortRenewal || first.LentWeight(lentAt) != 0 {
+		t.Errorf("got the rights lent at %s, and %g still counted by the earlier candidate, want from %s on and 0", lentAt, first.LentWeight(lentAt), TokensValidFor)
+	}
+}
+
+// TestVersionsShareTheirFirstCoordinators checks that with three zones the first coordinators of both rules are the same daemons.
+func TestVersionsShareTheirFirstCoordinators(t *testing.T) {
+	f := NewFleet(daemonName(0))
+	f.Observe(members(&load{zones: 3, daemons: 37}), 0)
+	earlier := f.EarlierCandidates()
+	for lane, order := range f.Orders() {
+		if !slices.Contains([]string{earlier[0], earlier[candidates], earlier[2*candidates]}, order[0]) {
+			t.Errorf("lane %d: got first coordinator %s, want one of the version before: %v", lane, order[0], earlier)
+		}
+	}
+}
+
 // TestOverdueCoordinatorIsPassedOver lets the coordinator of the daemon's zone fall silent: operations ask another one long
 // before the request to the silent one fails. Those of a zone waited 150 ms for each of two silent coordinators
 // otherwise, which is longer than their objective.
--- a/internal/policy/quota/fleet.go
+++ b/internal/policy/quota/fleet.go
@@ -14,8 +14,11 @@
 	// surrenderAfter is the time without a write of its own entry after which a daemon gives up its rights: others may
 	// have removed it from their count after keepDaemonFor.
 	surrenderAfter = keepDaemonFor
-	// candidates is the number of daemons that may coordinate a share.
+	// candidates is the number of daemons that may coordinate a lane.
 	candidates = 4
+	// orderKey is what the order of the coordinators depends on. It is that of the version before, so that versions which run
+	// side by side have the first coordinators in common, and the rights of all serve the callers of all.
+	orderKey = "quota/0"
 )
 
 // Registration is what a daemon knows of its own entry in the registry of daemons.
@@ -72,8 +75,8 @@
 	if len(f.members) < 2 {
 		return orders
 	}
-	staying := slices.DeleteFunc(slices.Clone(f.members), func(m placement.Member) bool { return m.Leaving })
-	for _, m := range placement.SpreadOrder("quota", staying) {
+	staying := f.staying()
+	for _, m := range placement.SpreadOrder(orderKey, staying) {
 		if lane := f.lanes[m.Name]; len(orders[lane]) < candidates {
 			orders[lane] = append(orders[lane], m.Name)
 		}
@@ -81,6 +84,43 @@
 	return orders
 }
 
+func (f *Fleet) staying() []placement.Member {
+	return slices.DeleteFunc(slices.Clone(f.members), func(m placement.Member) bool { return m.Leaving })
+}
+
+// EarlierCandidates returns the daemons that may coordinate by the rules before LendingRules. Those lent a third of the rights
+// to each lane, and the candidates of a lane were in different zones.
+func (f *Fleet) EarlierCandidates() []string {
+	rest := placement.SpreadOrder(orderKey, f.staying())
+	var lanes [Lanes][]string
+	for range candidates {
+		for lane := range Lanes {
+			if len(rest) == 0 {
+				break
+			}
+			next := f.fewestOfZone(rest, lanes[lane])
+			lanes[lane] = append(lanes[lane], rest[next].Name)
+			rest = slices.Delete(rest, next, next+1)
+		}
+	}
+	return slices.Concat(lanes[:]...)
+}
+
+// fewestOfZone returns the index of the first member in a zone that the chosen daemons have the fewest of.
+func (f *Fleet) fewestOfZone(members []placement.Member, chosen []string) int {
+	inZone := make(map[string]int)
+	for _, name := range chosen {
+		inZone[f.zones[name]]++
+	}
+	best := 0
+	for i, m := range members {
+		if inZone[m.Zone] < inZone[members[best].Zone] {
+			best = i
+		}
+	}
+	return best
+}
+
 // lanesOf returns the lane of each daemon, given the zones: the zones are distributed over the lanes, and the daemons where
 // there are fewer zones than lanes. Daemons that are not listed for a while keep their lanes, and so do the others.
 func lanesOf(zoneOf map[string]string) map[string]int {
--- a/internal/policy/quota/lending.go
+++ b/internal/policy/quota/lending.go
@@ -53,8 +53,10 @@
 	movedAt map[string]time.Duration
 	// limits is true if any workspace has a limit.
 	limits bool
-	// asksAllLenders is true if an earlier start of the daemon can have lent its rights to none but the candidates.
-	asksAllLenders bool
+	// knowsBorrowers is true if an earlier start of the daemon can have lent its rights to none but the candidates and the
+	// earlierCandidates.
+	knowsBorrowers    bool
+	earlierCandidates []string
 }
 
 // firstAnswer is what a candidate answered first since the start of the daemon.
@@ -183,9 +185,14 @@
 // weightOf returns the weight of the rights of one lane.
 func (l *lending) weightOf(i int) float64 { return l.weight * l.fractions[i] }
 
-// unanswered returns the candidates for a share that have not answered since the start.
+// borrowers returns those to whom an earlier start of the daemon may have lent the rights of a share.
+func (l *lending) borrowers(s share) []string {
+	return append(slices.Clone(s.order), l.earlierCandidates...)
+}
+
+// unanswered returns the borrowers of a share that have not answered since the start.
 func (l *lending) unanswered(s share) []string {
-	return slices.DeleteFunc(slices.Clone(s.order), func(name string) bool {
+	return slices.DeleteFunc(l.borrowers(s), func(name string) bool {
 		_, ok := l.answered[name]
 		return ok
 	})
@@ -196,11 +203,11 @@
 func (l *lending) settle(now time.Duration) {
 	for i := range l.shares {
 		s := &l.shares[i]
-		if !l.asksAllLenders || now >= s.startAt || l.weight == 0 || len(l.unanswered(*s)) > 0 {
+		if !l.knowsBorrowers || now >= s.startAt || l.weight == 0 || len(l.unanswered(*s)) > 0 {
 			continue
 		}
 		startAt, unusedSince := now, l.startedAt
-		for _, name := range s.order {
+		for _, name := range l.borrowers(*s) {
 			startAt = max(startAt, l.answered[name].spentUntil)
 			unusedSince = max(unusedSince, l.answered[name].unusedSince)
 		}
--- a/internal/policy/quota/purse.go
+++ b/internal/policy/quota/purse.go
@@ -94,9 +94,15 @@
 	p.lending.setBuckets(buckets, now)
 }
 
-// SetEarlierRules sets the number of the rules by which an earlier start of the daemon lent its rights. Where they are not
-// LendingRules, it may have lent them to other candidates than this one asks.
-func (p *Purse) SetEarlierRules(rules int) { p.lending.asksAllLenders = rules == LendingRules }
+// SetEarlierRules sets the number of the rules by which an earlier start of the daemon lent its rights; candidates are those
+// to whom it may have lent them by the rules before LendingRules. By unknown rules it may have lent them to anybody.
+func (p *Purse) SetEarlierRules(rules int, candidates []string) {
+	p.lending.knowsBorrowers = rules == LendingRules || rules == LendingRules-1
+	p.lending.earlierCandidates = nil
+	if rules == LendingRules-1 {
+		p.lending.earlierCandidates = candidates
+	}
+}
 
 // SetFleet sets the part of each limit that the daemon owns, the number of daemons, the lane of the daemon, and the daemons
 // in the order in which they coordinate each lane.
--- a/internal/policy/quota/world_test.go
+++ b/internal/policy/quota/world_test.go
@@ -82,7 +82,7 @@
 func (w *world) start(p *player, random *rand.Rand) {
 	p.incarnation = random.Uint64() | 1
 	p.purse = NewPurse(p.name, p.incarnation, p.clock(w))
-	p.purse.SetEarlierRules(LendingRules)
+	p.purse.SetEarlierRules(LendingRules, nil)
 	p.coordinator = NewCoordinator(p.incarnation)
 	p.flights = make(map[string]*playerFlight)
 	for _, o := range p.waiting {
--- a/internal/quota/service.go
+++ b/internal/quota/service.go
@@ -43,11 +43,13 @@
 type Service struct {
 	options Options
 
-	mu        sync.Mutex
-	purse     *quota.Purse
-	fleet     *quota.Fleet
-	orders    [quota.Lanes][]string
-	addresses map[string]string
+	mu     sync.Mutex
+	purse  *quota.Purse
+	fleet  *quota.Fleet
+	orders [quota.Lanes][]string
+	// earlierCandidates are those of the version before.
+	earlierCandidates []string
+	addresses         map[string]string
 	// flights holds the request under way to each coordinator.
 	flights map[string]*flight
 	// arrived is closed, and replaced, when the answer to a request has come or has failed to.
@@ -115,7 +117,7 @@
 		}
 	}
 	s.fleet.Observe(members, clock.SinceBoot())
-	s.orders = s.fleet.Orders()
+	s.orders, s.earlierCandidates = s.fleet.Orders(), s.fleet.EarlierCandidates()
 	s.coordinatorMu.Lock()
 	s.coordinator.SetLaneWeights(s.fleet.LaneWeights(), clock.SinceBoot())
 	s.coordinatorMu.Unlock()
@@ -131,7 +133,7 @@
 	if before := s.purse.Weight(); before != weight {
 		logWeight(before, weight, s.fleet.Daemons())
 	}
-	s.purse.SetEarlierRules(registration.FoundLendingRules)
+	s.purse.SetEarlierRules(registration.FoundLendingRules, s.earlierCandidates)
 	s.purse.SetFleet(weight, s.fleet.Daemons(), s.fleet.Home(), s.orders, now)
 }
 
