Lend no unused time beside own tokens, and ask a coordinator again whose request failed

Found by reading the change. A restarted daemon that spent tokens of its own rights before it lent them could lend the time before its start as well: together more than the depth of a bucket, if it found no coordinator for long. A coordinator whose last request had failed counted as overdue until it was asked, so that it was asked after all others.

Tests: TestOwnTokensEndTheUnusedTime, TestCoordinatorThatFailedIsAskedAgain, both red before.

--- a/internal/policy/quota/conservation_test.go
+++ b/internal/policy/quota/conservation_test.go
@@ -26,8 +26,8 @@
 }
 
 // TestNoWindowExceedsTheBucket plays daemons under any loss, delay and doubling of messages, partitions, freezes, restarts
-// and changes of the coordinators, the lanes and the rules of lending, and checks that the operations sent in any window stay within one bucket. By
-// turns callers ask for more than the limit and for nothing.
+// and changes of the coordinators, the lanes and the rules of lending, and checks that the operations sent in any window
+// stay within one bucket. By turns callers ask for more than the limit and for nothing.
 func TestNoWindowExceedsTheBucket(t *testing.T) {
 	rapid.Check(t, func(t *rapid.T) {
 		random := rand.New(rand.NewSource(rapid.Int64().Draw(t, "seed")))
--- a/internal/policy/quota/coordinator.go
+++ b/internal/policy/quota/coordinator.go
@@ -45,7 +45,8 @@
 // NewCoordinator returns a coordinator to which nothing is lent.
 func NewCoordinator(incarnation uint64) *Coordinator {
 	return &Coordinator{
-		incarnation: incarnation, rights: newRights(), senders: make(map[sender]seen), lenders: make(map[string]time.Duration),
+		incarnation: incarnation, rights: newRights(),
+		senders: make(map[sender]seen), lenders: make(map[string]time.Duration),
 	}
 }
 
@@ -170,8 +171,8 @@
 	return grant, true
 }
 
-// expectedWeight returns the weight that is expected to be lent in the next seconds. Daemons that have started together lend
-// theirs one after the other; the few that have lent it already say nothing about the rest.
+// expectedWeight returns the weight that is expected to be lent in the next seconds. Daemons that have started together
+// lend theirs one after the other; the few that have lent it already say nothing about the rest.
 func (c *Coordinator) expectedWeight(now time.Duration) float64 {
 	if now < c.startedAt+LendFor {
 		return max(c.rights.weight, 1.0/Lanes)
--- a/internal/policy/quota/failures_test.go
+++ b/internal/policy/quota/failures_test.go
@@ -386,6 +386,45 @@
 	}
 }
 
+// TestCoordinatorThatFailedIsAskedAgain lets a request to a coordinator of another lane fail: after the time for which it is
+// avoided it is asked as before, and is not taken for overdue because of the request that failed.
+func TestCoordinatorThatFailedIsAskedAgain(t *testing.T) {
+	p := NewPurse("a", 1, 0)
+	p.SetBuckets(map[string]Bucket{"w": {Rate: 10, Depth: 20}}, 0)
+	p.SetFleet(0.1, 10, 0, [Lanes][]string{{}, {"failed"}, {"silent"}}, 0)
+	p.Request("failed", time.Second)
+	p.HandleFailure("failed", time.Second+CallTimeout)
+	later := time.Second + CallTimeout + minAvoidance
+	p.Request("silent", later-CallTimeout)
+	if d := p.Spend("w", true, later); d.Verdict != Ask || d.Coordinator != "failed" {
+		t.Fatalf("got %+v, want the coordinator asked whose request failed before", d)
+	}
+}
+
+// TestOwnTokensEndTheUnusedTime spends a token of rights that a restarted daemon has not lent yet: what they would have filled
+// before is not lent on, as it and the token may be more than the depth.
+func TestOwnTokensEndTheUnusedTime(t *testing.T) {
+	for _, spends := range []bool{false, true} {
+		p := NewPurse("a", 2, time.Second)
+		p.SetEarlierRules(LendingRules, nil)
+		p.SetBuckets(map[string]Bucket{"w": {Rate: 1000, Depth: 2000}}, time.Second)
+		p.SetFleet(0.1, 10, 0, [Lanes][]string{{"b"}}, time.Second)
+		now := time.Second + 200*time.Millisecond
+		r := p.Request("b", now)
+		p.HandleReply("b", r, &api.QuotaReply{Incarnation: 5, StampUs: 1, UpUs: time.Minute.Microseconds()}, now, now)
+		if own := p.OwnWeight(now); own != 0.1 {
+			t.Fatalf("got own weight %g after all candidates have answered, want 0.1", own)
+		}
+		if spends && p.Spend("w", true, now+100*time.Millisecond).Verdict != Spent {
+			t.Fatal("got no token of the daemon's own rights")
+		}
+		lent := p.Request("b", now+100*time.Millisecond).Delegations
+		if len(lent) != 1 || (lent[0].UnusedUs > 0) == spends {
+			t.Errorf("own token spent %t: got %+v lent, want one loan, with unused time only if none was spent", spends, lent)
+		}
+	}
+}
+
 // TestOverdueCoordinatorIsPassedOver lets the coordinator of the daemon's zone fall silent: operations ask another one long
 // before the request to the silent one fails. Those of a zone waited 150 ms for each of two silent coordinators
 // otherwise, which is longer than their objective.
--- a/internal/policy/quota/fleet.go
+++ b/internal/policy/quota/fleet.go
@@ -121,20 +121,6 @@
 	return best
 }
 
-// lanesOf returns the lane of each daemon, given the zones: the zones are distributed over the lanes, and the daemons where
-// there are fewer zones than lanes. Daemons that are not listed for a while keep their lanes, and so do the others.
-func lanesOf(zoneOf map[string]string) map[string]int {
-	zones := slices.Compact(slices.Sorted(maps.Values(zoneOf)))
-	lanes := make(map[string]int, len(zoneOf))
-	for i, name := range slices.Sorted(maps.Keys(zoneOf)) {
-		lanes[name] = i % Lanes
-		if len(zones) >= Lanes {
-			lanes[name] = slices.Index(zones, zoneOf[name]) % Lanes
-		}
-	}
-	return lanes
-}
-
 // LaneWeights returns the part of all rights that the daemons of each lane lend.
 func (f *Fleet) LaneWeights() [Lanes]float64 {
 	var weights [Lanes]float64
--- a/internal/policy/quota/lending.go
+++ b/internal/policy/quota/lending.go
@@ -59,15 +59,6 @@
 	earlierCandidates []string
 }
 
-// firstAnswer is what a candidate answered first since the start of the daemon.
-type firstAnswer struct {
-	// spentUntil is the time until which tokens may be spent that it granted from what earlier starts of the daemon lent.
-	spentUntil time.Duration
-	// unusedSince is the time since which it certainly counted nothing that earlier starts lent, nor did an earlier start of
-	// the candidate.
-	unusedSince time.Duration
-}
-
 // share is the state of the rights of one lane.
 type share struct {
 	order []string
@@ -146,76 +137,6 @@
 	l.takeBack(now)
 }
 
-// fractionsOf returns the part of its rights that a daemon lends in each lane: all in its own lane, so that they stay in its
-// zone, unless they are more than a lane counts.
-func fractionsOf(weight float64, home int) [Lanes]float64 {
-	var fractions [Lanes]float64
-	for i := range fractions {
-		if weight > 1.0/Lanes {
-			fractions[i] = 1.0 / Lanes
-		} else if i == home {
-			fractions[i] = 1
-		}
-	}
-	return fractions
-}
-
-// setFractions moves rights between lanes. Those that grow start when the loans of those that shrink have ended.
-func (l *lending) setFractions(fractions [Lanes]float64, now time.Duration) {
-	if fractions == l.fractions {
-		return
-	}
-	freeAt := now
-	for i, s := range l.shares {
-		if fractions[i] < l.fractions[i] {
-			freeAt = max(freeAt, s.startAt, s.freeAt, s.until)
-		}
-	}
-	for i := range l.shares {
-		s := &l.shares[i]
-		if fractions[i] <= l.fractions[i] || l.fractions == [Lanes]float64{} {
-			continue
-		}
-		s.freeAt, s.owns = max(s.freeAt, freeAt), false
-		l.setOwn(i, 0, now)
-	}
-	l.fractions = fractions
-}
-
-// weightOf returns the weight of the rights of one lane.
-func (l *lending) weightOf(i int) float64 { return l.weight * l.fractions[i] }
-
-// borrowers returns those to whom an earlier start of the daemon may have lent the rights of a share.
-func (l *lending) borrowers(s share) []string {
-	return append(slices.Clone(s.order), l.earlierCandidates...)
-}
-
-// unanswered returns the borrowers of a share that have not answered since the start.
-func (l *lending) unanswered(s share) []string {
-	return slices.DeleteFunc(l.borrowers(s), func(name string) bool {
-		_, ok := l.answered[name]
-		return ok
-	})
-}
-
-// settle moves the start of each share forward whose candidates have all answered: none of them counts what an earlier
-// start of the daemon lent.
-func (l *lending) settle(now time.Duration) {
-	for i := range l.shares {
-		s := &l.shares[i]
-		if !l.knowsBorrowers || now >= s.startAt || l.weight == 0 || len(l.unanswered(*s)) > 0 {
-			continue
-		}
-		startAt, unusedSince := now, l.startedAt
-		for _, name := range l.borrowers(*s) {
-			startAt = max(startAt, l.answered[name].spentUntil)
-			unusedSince = max(unusedSince, l.answered[name].unusedSince)
-		}
-		s.startAt = min(s.startAt, startAt)
-		s.unused = max(0, s.startAt-unusedSince)
-	}
-}
-
 func (l *lending) setOwn(i int, weight float64, now time.Duration) {
 	l.own.set(i, l.name, right{weight: weight, until: unlimited}, now)
 }
@@ -239,6 +160,10 @@
 		return false
 	}
 	s.tokens--
+	// What the rights would have filled before counts no more, since a token and that together may be more than the depth.
+	for i := range l.shares {
+		l.shares[i].unused = 0
+	}
 	return true
 }
 
@@ -298,7 +223,8 @@
 // isOverdue reports whether a request to a coordinator is under way for much longer than its answers usually take.
 func (l *lending) isOverdue(name string, now time.Duration) bool {
 	asked, ok := l.asked[name]
-	return ok && asked > l.stamps[name].receivedAt && now-asked >= l.overdueAfter(name)
+	hasFailed := l.avoids[name].until > asked
+	return ok && !hasFailed && asked > l.stamps[name].receivedAt && now-asked >= l.overdueAfter(name)
 }
 
 // overdueAfter returns the time after which a coordinator that has not answered is overdue.
