Check that messages and entries are read by the version in production

Old and new daemons run side by side in an upgrade, and nothing in the tree said what they may expect of each other. The schemas of what passes between them are compared with those of the commit that deploy/system.toml names.

--- a/Makefile
+++ b/Makefile
@@ -1,4 +1,4 @@
-.PHONY: build tools generate format lint test
+.PHONY: build tools generate production-schema format lint test
 
 build:
 	go build -o .bin/ ./cmd/... ./standin/...
@@ -9,6 +9,9 @@
 generate: tools
 	schema/generate.sh
 
+production-schema:
+	schema/production.sh
+
 format:
 	gofmt -w $$(git ls-files '*.go')
 
