Compute the sources of tokens once a request, and say twice-written things of quotas once

Since the lanes, the coordinators to ask do not depend on the workspace, but each request still looked them up for each workspace in use; the place among them is looked up once now. The end of loans to a coordinator that restarted and to one that stops was written twice; so was the order of the candidates of the two rules. The registry decoded the daemon's own entry at each list, though only the first ones count, and did not say when it could not; it is decoded only then, and an unreadable one is logged as any other. A parameter that nothing used is gone.

No other behaviour changes.

--- a/internal/daemonregistry/registry.go
+++ b/internal/daemonregistry/registry.go
@@ -217,13 +217,21 @@
 }
 
 // recordFound records that the entry is listed. If it was not written yet, an earlier start of the daemon wrote it.
-func (r *Registry) recordFound(entry api.DaemonEntry) {
+func (r *Registry) recordFound(object api.Object, now time.Duration) {
 	r.mu.Lock()
 	defer r.mu.Unlock()
 	if r.self.Beat != 0 {
 		return
 	}
-	r.registration.FoundAtStart, r.registration.FoundLendingRules = true, entry.LendingRules
+	found := newObservation(object, now)
+	if found.failure != nil {
+		logUnreadable(object.Name, found.failure)
+	}
+	r.registration.FoundAtStart, r.registration.FoundLendingRules = true, found.entry.LendingRules
+}
+
+func logUnreadable(name string, err error) {
+	logrus.WithFields(logrus.Fields{logfield.Object: name, logfield.Error: err}).Warn(logevent.RosterEntryUnreadable)
 }
 
 // write refreshes the daemon's own entry, or creates it. Only this daemon writes it, so the update is unconditional: its
@@ -290,7 +298,7 @@
 		}
 		entry := known.entry
 		if known.failure != nil || entry.Name != name {
-			logrus.WithFields(logrus.Fields{logfield.Object: name, logfield.Error: known.failure}).Warn(logevent.RosterEntryUnreadable)
+			logUnreadable(name, known.failure)
 			entry = api.DaemonEntry{Name: name}
 		}
 		r.allAreNew = r.allAreNew && entry.Beat <= 1
@@ -314,7 +322,7 @@
 	for _, object := range list.Objects {
 		if object.Name == r.self.Name {
 			r.isStored.Store(true)
-			r.recordFound(newObservation(object, now).entry)
+			r.recordFound(object, now)
 			continue
 		}
 		known, ok := r.observed[object.Name]
--- a/internal/policy/quota/fleet.go
+++ b/internal/policy/quota/fleet.go
@@ -1,7 +1,6 @@
 package quota
 
 import (
-	"maps"
 	"slices"
 	"time"
 
@@ -52,8 +51,12 @@
 		f.listedAt[m.Name] = now
 		f.zones[m.Name] = m.Zone
 	}
-	maps.DeleteFunc(f.listedAt, func(_ string, at time.Duration) bool { return now-at > keepDaemonFor })
-	maps.DeleteFunc(f.zones, func(name string, _ string) bool { _, counts := f.listedAt[name]; return !counts })
+	for name, at := range f.listedAt {
+		if now-at > keepDaemonFor {
+			delete(f.listedAt, name)
+			delete(f.zones, name)
+		}
+	}
 	f.lanes = lanesOf(f.zones)
 }
 
@@ -75,8 +78,7 @@
 	if len(f.members) < 2 {
 		return orders
 	}
-	staying := f.staying()
-	for _, m := range placement.SpreadOrder(orderKey, staying) {
+	for _, m := range f.candidateOrder() {
 		if lane := f.lanes[m.Name]; len(orders[lane]) < candidates {
 			orders[lane] = append(orders[lane], m.Name)
 		}
@@ -84,14 +86,16 @@
 	return orders
 }
 
-func (f *Fleet) staying() []placement.Member {
-	return slices.DeleteFunc(slices.Clone(f.members), func(m placement.Member) bool { return m.Leaving })
+// candidateOrder returns the members that do not leave in the order in which they become candidates.
+func (f *Fleet) candidateOrder() []placement.Member {
+	staying := slices.DeleteFunc(slices.Clone(f.members), func(m placement.Member) bool { return m.Leaving })
+	return placement.SpreadOrder(orderKey, staying)
 }
 
 // EarlierCandidates returns the daemons that may coordinate by the rules before LendingRules. Those lent a third of the rights
 // to each lane, and the candidates of a lane were in different zones.
 func (f *Fleet) EarlierCandidates() []string {
-	rest := placement.SpreadOrder(orderKey, f.staying())
+	rest := f.candidateOrder()
 	var lanes [Lanes][]string
 	for range candidates {
 		for lane := range Lanes {
@@ -124,9 +128,9 @@
 // LaneWeights returns the part of all rights that the daemons of each lane lend.
 func (f *Fleet) LaneWeights() [Lanes]float64 {
 	var weights [Lanes]float64
-	for name := range f.lanes {
-		weight := 1 / float64(len(f.lanes))
-		for i, fraction := range fractionsOf(weight, f.lanes[name]) {
+	weight := 1 / float64(len(f.lanes))
+	for _, lane := range f.lanes {
+		for i, fraction := range fractionsOf(weight, lane) {
 			weights[i] += weight * fraction
 		}
 	}
--- a/internal/policy/quota/lending.go
+++ b/internal/policy/quota/lending.go
@@ -329,27 +329,27 @@
 	l.settle(now)
 }
 
-// takeBackFrom ends what is lent to a start of a coordinator that stops as planned and counts it no more. What it granted
-// expires within TokensValidFor.
+// takeBackFrom ends what is lent to a start of a coordinator that stops as planned and counts it no more.
 func (l *lending) takeBackFrom(coordinator string, incarnation uint64, now time.Duration) {
 	l.avoids[coordinator] = avoidance{until: now + LendFor}
-	for i := range l.shares {
-		s := &l.shares[i]
-		if s.to == coordinator && s.incarnation == incarnation {
-			s.until = min(s.until, now+TokensValidFor)
-		}
-	}
+	l.shorten(coordinator, func(lentTo uint64) bool { return lentTo == incarnation }, now)
 }
 
-// endLoans ends what is lent to an earlier start of a coordinator, since the later one has its address: what the earlier one
-// granted expires within TokensValidFor. It does not where the address has changed.
+// endLoans ends what is lent to an earlier start of a coordinator, since the later one has its address. It does not where the
+// address has changed.
 func (l *lending) endLoans(coordinator string, incarnation uint64, now time.Duration) {
 	if moved, ok := l.movedAt[coordinator]; ok && now < moved+LendFor {
 		return
 	}
+	l.shorten(coordinator, func(lentTo uint64) bool { return lentTo != incarnation }, now)
+}
+
+// shorten ends the loans to those starts of a coordinator that no longer count them: what they granted expires within
+// TokensValidFor.
+func (l *lending) shorten(coordinator string, hasEnded func(incarnation uint64) bool, now time.Duration) {
 	for i := range l.shares {
 		s := &l.shares[i]
-		if s.to == coordinator && s.incarnation != incarnation {
+		if s.to == coordinator && hasEnded(s.incarnation) {
 			s.until = min(s.until, now+TokensValidFor)
 		}
 	}
--- a/internal/policy/quota/purse.go
+++ b/internal/policy/quota/purse.go
@@ -122,7 +122,7 @@
 	}
 	a.dropExpired(now)
 	if firstSpent, ok := a.take(now); ok {
-		return Decision{Verdict: Spent, SpentAt: firstSpent, Coordinator: p.refillFrom(a, workspace, now), Tokens: a.tokens()}
+		return Decision{Verdict: Spent, SpentAt: firstSpent, Coordinator: p.refillFrom(a, now), Tokens: a.tokens()}
 	}
 	if p.lending.spendOwn(workspace, now) {
 		return Decision{Verdict: Spent, SpentAt: now}
@@ -192,7 +192,7 @@
 }
 
 // refillFrom returns the coordinator to ask in advance, when the tokens left do not last for refillBefore.
-func (p *Purse) refillFrom(a *account, workspace string, now time.Duration) string {
+func (p *Purse) refillFrom(a *account, now time.Duration) string {
 	if a.tokens() >= a.demand*refillBefore.Seconds() {
 		return ""
 	}
@@ -212,8 +212,9 @@
 	p.sequence++
 	r := &api.QuotaRequest{Daemon: p.name, Incarnation: p.incarnation, Sequence: p.sequence}
 	r.Delegations = p.lending.delegations(coordinator, now)
+	place := slices.Index(p.sources(now), coordinator)
 	for workspace, a := range p.accounts {
-		if want, ok := p.want(workspace, a, coordinator, now); ok {
+		if want, ok := p.want(workspace, a, coordinator, place, now); ok {
 			r.Wants = append(r.Wants, want)
 		}
 		if a.waiting == 0 && len(a.lots) == 0 && now-a.lastUsed > forgetAccountAfter {
@@ -223,8 +224,8 @@
 	return r
 }
 
-// want returns what to ask a coordinator for. Tokens that would expire before the next renewal are given back.
-func (p *Purse) want(workspace string, a *account, coordinator string, now time.Duration) (api.QuotaWant, bool) {
+// want returns what to ask a coordinator for, given its place among the sources. Tokens that would expire before the next renewal are given back.
+func (p *Purse) want(workspace string, a *account, coordinator string, place int, now time.Duration) (api.QuotaWant, bool) {
 	if _, ok := p.limited[workspace]; !ok {
 		return api.QuotaWant{}, false
 	}
@@ -233,15 +234,15 @@
 	want.Returned = a.giveBack(coordinator, now+p.lending.interval)
 	want.Held = a.tokensOf(coordinator)
 	if now >= a.refusedUntil[coordinator] {
-		want.Tokens = p.wantedFrom(a, workspace, coordinator, now)
+		want.Tokens = p.wantedFrom(a, place, now)
 		want.Waiting = min(want.Tokens, float64(a.waiting))
 	}
 	return want, want.Tokens > 0 || want.Returned > 0 || want.Held > 0
 }
 
-// wantedFrom returns the number of tokens to ask a coordinator for. Only the first source is asked for tokens in advance.
-func (p *Purse) wantedFrom(a *account, workspace, coordinator string, now time.Duration) float64 {
-	place := slices.Index(p.sources(now), coordinator)
+// wantedFrom returns the number of tokens to ask the coordinator at a place among the sources for. Only the first source is
+// asked for tokens in advance; a negative place is that of none.
+func (p *Purse) wantedFrom(a *account, place int, now time.Duration) float64 {
 	if place < 0 {
 		return 0
 	}
