--- a/review/standin/main.go
+++ b/review/standin/main.go
@@ -25,6 +25,8 @@
 
 var cases = map[string]playedCase{
 	"pinned": {options{[]string{"db-a", "db-b", "db-c"}, []string{"gampaha", "colombo", "kalutara"}, "db-a"}, playPinned},
+	"lost":   {options{[]string{"db-a", "db-b", "db-c"}, []string{"colombo", "gampaha", "kalutara"}, "db-a"}, playLost},
+	"one":    {options{[]string{"db-a", "db-b", "db-c"}, []string{"colombo", "gampaha", "kalutara"}, "db-a"}, playOne},
 }
 
 func main() { os.Exit(runCase()) }
--- a/review/standin/relay.go
+++ b/review/standin/relay.go
@@ -4,6 +4,7 @@
 	"errors"
 	"io"
 	"net"
+	"strings"
 	"sync"
 	"syscall"
 )
@@ -28,6 +29,8 @@
 	caller, callee net.Conn
 	// The lock of the relay guards the fields below. A doomed connection was begun during a cut, or was reset.
 	doomed, silent bool
+	// request is the beginning of the last request on the connection.
+	request string
 }
 
 func newRelay(address, target string) (*relay, error) {
@@ -57,7 +60,7 @@
 			go func() { _, _ = io.Copy(io.Discard, caller); _ = caller.Close() }()
 			continue
 		}
-		callee, err := net.Dial("tcp", r.target)
+		callee, err := r.dialer().Dial("tcp", r.target)
 		if err != nil {
 			reset(caller)
 			continue
@@ -71,6 +74,12 @@
 	}
 }
 
+// dialer connects from the address of the relay, by which the target knows whose path it is.
+func (r *relay) dialer() *net.Dialer {
+	host, _, _ := net.SplitHostPort(r.address())
+	return &net.Dialer{LocalAddr: &net.TCPAddr{IP: net.ParseIP(host)}}
+}
+
 // reset closes a connection with a reset.
 func reset(conn net.Conn) {
 	if tcp, ok := conn.(*net.TCPConn); ok {
@@ -87,6 +96,7 @@
 		buffer := make([]byte, 32<<10)
 		n, err := from.Read(buffer)
 		if n > 0 {
+			l.noteRequest(from, buffer[:n])
 			pending <- buffer[:n]
 		}
 		if err == nil {
@@ -103,6 +113,15 @@
 	}
 }
 
+// noteRequest keeps the beginning of a request.
+func (l *link) noteRequest(from net.Conn, data []byte) {
+	if from == l.caller {
+		l.relay.mu.Lock()
+		defer l.relay.mu.Unlock()
+		l.request = string(data[:min(len(data), 100)])
+	}
+}
+
 // doom makes the bytes that are held up be lost.
 func (l *link) doom() {
 	l.relay.mu.Lock()
@@ -152,14 +171,13 @@
 	r.changed.Broadcast()
 }
 
-// makeSilent makes the open connections silent for good.
-func (r *relay) makeSilent() int {
+// makeSilent makes the open connections silent for good on which the last request holds a text.
+func (r *relay) makeSilent(text string) {
 	r.mu.Lock()
 	defer r.mu.Unlock()
 	for l := range r.links {
-		l.silent = true
+		l.silent = l.silent || strings.Contains(l.request, text)
 	}
-	return len(r.links)
 }
 
 func (r *relay) close() {
--- a/review/standin/store.go
+++ b/review/standin/store.go
@@ -34,10 +34,12 @@
 // store is the platform's metadata store. It is linearizable and loses nothing.
 type store struct {
 	listener net.Listener
+
+	mu sync.Mutex
 	// onWrite is called after each conditional write and each creation; nil for none.
 	onWrite func(kind string, o object)
-
-	mu       sync.Mutex
+	// onWatch is called when a watch begins, with the address that it comes from; nil for none.
+	onWatch  func(kind, from string)
 	revision uint64
 	objects  map[string]map[string]object
 	events   []event
@@ -84,6 +86,12 @@
 	after, _ := strconv.ParseUint(r.URL.Query().Get("Watch"), 10, 64)
 	wait, _ := strconv.Atoi(r.URL.Query().Get("WaitMs"))
 	end := time.After(time.Duration(wait) * time.Millisecond)
+	s.mu.Lock()
+	onWatch := s.onWatch
+	s.mu.Unlock()
+	if onWatch != nil {
+		onWatch(r.PathValue("kind"), r.RemoteAddr)
+	}
 	for {
 		s.mu.Lock()
 		found := []event{}
@@ -166,11 +174,21 @@
 }
 
 func (s *store) report(kind string, o object) {
-	if s.onWrite != nil {
-		s.onWrite(kind, o)
+	s.mu.Lock()
+	onWrite := s.onWrite
+	s.mu.Unlock()
+	if onWrite != nil {
+		onWrite(kind, o)
 	}
 }
 
+// hook sets what is called at conditional writes and at watches.
+func (s *store) hook(onWrite func(kind string, o object), onWatch func(kind, from string)) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.onWrite, s.onWatch = onWrite, onWatch
+}
+
 func (s *store) serveDelete(w http.ResponseWriter, r *http.Request) {
 	s.remove(r.PathValue("kind"), r.PathValue("name"))
 	answer(w, http.StatusOK, map[string]any{})
