--- a/review/standin/group.go
+++ b/review/standin/group.go
@@ -15,7 +15,7 @@
 const (
 	// applyLag is the time between receiving and applying a record at a replica.
 	applyLag = 8 * time.Millisecond
-	// statementTime is the time that a statement occupies a slot.
+	// statementTime is the time that a statement usually occupies a slot.
 	statementTime = 4 * time.Millisecond
 	// promoteTime is the time after which a promotion takes effect.
 	promoteTime = 600 * time.Millisecond
@@ -26,6 +26,8 @@
 	// heartbeat is the time between two heartbeats of a database, which is gone from the store after three missed ones.
 	heartbeat = 1200 * time.Millisecond
 	slots     = 5
+	// maxConnections is MaxConns.
+	maxConnections = 34
 )
 
 // position is TERM.NUMBER of a log.
@@ -67,6 +69,8 @@
 	// runs are the statements of clients that ran, by transaction.
 	runs            []run
 	lastTransaction int
+	// work is the time that a statement occupies a slot.
+	work time.Duration
 }
 
 // run is a statement of a client that a database ran.
@@ -92,7 +96,7 @@
 }
 
 func newGroup(name string, s *store, r *record) *group {
-	g := &group{name: name, store: s, record: r, databases: map[string]*database{}}
+	g := &group{name: name, store: s, record: r, databases: map[string]*database{}, work: statementTime}
 	g.changed = sync.NewCond(&g.mu)
 	return g
 }
@@ -402,6 +406,11 @@
 			fmt.Fprintf(c.out, "ERROR MOVED %s\r\n", c.database.id)
 			return false
 		}
+		if !c.database.admits() {
+			fmt.Fprintf(c.out, "ERROR TOOMANY %s\r\n", c.database.id)
+			return false
+		}
+		c.occupySlot()
 		c.ready("")
 		return true
 	case "QUERY":
@@ -412,6 +421,13 @@
 	return false
 }
 
+// admits reports whether the database accepts the connections that it has, the newest included.
+func (d *database) admits() bool {
+	d.group.mu.Lock()
+	defer d.group.mu.Unlock()
+	return len(d.conns) <= maxConnections
+}
+
 // ready ends an answer.
 func (c *connection) ready(before string) {
 	state := "I"
@@ -510,7 +526,7 @@
 
 func (c *connection) occupySlot() {
 	c.database.slots <- struct{}{}
-	time.Sleep(statementTime)
+	time.Sleep(c.database.group.work)
 	<-c.database.slots
 }
 
