Logs: connections between daemons and the transactions lost on them

No logic changes here.

- relay_session_opened and relay_session_ended: a connection of another daemon, with how many transactions it rolled back.
- peer_reconnected: the sender's connection to a daemon was opened again, with the age of the one before.
- relay_transaction_lost at the sender and relay_not_continued at the holder: transaction, target, peer and why.
- transaction_unexpected: a target reports an open transaction after a statement that began none, which is H2 and only that.

peer_reconnected followed by a continued transaction without relay_transaction_lost is H1.

--- a/internal/engine/gate.go
+++ b/internal/engine/gate.go
@@ -308,6 +308,9 @@
 		l.conn = conn
 		return outcome
 	}
+	if conn.open && !transaction {
+		l.gate.pool.logUnexpectedTransaction(e)
+	}
 	l.end(conn, transaction)
 	return outcome
 }
--- a/internal/engine/lease.go
+++ b/internal/engine/lease.go
@@ -69,7 +69,12 @@
 }
 
 func (l *directLease) run(e execution) attemptResult {
-	return l.conn.run(e)
+	wasOpen := l.conn.open
+	outcome := l.conn.run(e)
+	if l.conn.open && !wasOpen && !e.command.Op.beginsTransaction() {
+		l.pool.logUnexpectedTransaction(e)
+	}
+	return outcome
 }
 
 func (l *directLease) release() {
--- a/internal/engine/relay.go
+++ b/internal/engine/relay.go
@@ -115,6 +115,9 @@
 	request := relayRequest(l.group.name, l.member.name, l.transaction, e)
 	askedAt := clock.SinceBoot()
 	reply, err := l.group.relays.Run(address, request, e.deadline.Add(relayReserve))
+	if lost := lossOf(reply, err); lost != nil && l.transaction != 0 {
+		l.logTransactionLost(e, lost)
+	}
 	if errors.Is(err, ErrPeerNotReached) {
 		l.group.peers.avoid(address, peerAvoidance, err)
 		return attemptResult{}, false
@@ -158,6 +161,18 @@
 	}
 }
 
+// lossOf returns why a transaction is lost after a reply of its holder or an error; nil if it is not.
+func lossOf(reply *api.RelayReply, err error) error {
+	if err != nil {
+		return err
+	}
+	switch result.Code(reply.NotRunCode) {
+	case result.NotRunDraining, result.NotRunNotHolder, result.NotRunUnproved, result.AuthenticationFailed:
+		return errors.New(reply.Reason)
+	}
+	return nil
+}
+
 // lostAtHolder returns the outcome for a transaction whose holder does not know that the caller may run anything.
 func lostAtHolder(reply *api.RelayReply) attemptResult {
 	return notRun(result.TransactionLost, "the daemon that runs the transaction: %s", reply.Reason)
--- a/internal/engine/relay_test.go
+++ b/internal/engine/relay_test.go
@@ -42,7 +42,7 @@
 	defer n.mu.Unlock()
 	key := from + ">" + to
 	if n.sessions[key] == nil {
-		n.sessions[key] = n.engines[to].NewRelaySession()
+		n.sessions[key] = n.engines[to].NewRelaySession(from)
 	}
 	return n.sessions[key]
 }
@@ -400,7 +400,7 @@
 // TestUnknownRequestsAreRefused sends requests of another version or for what the daemon does not know.
 func TestUnknownRequestsAreRefused(t *testing.T) {
 	_, engines := newRelayedEngines(&fakeTarget{}, 10, scarceLimits, strictRoute)
-	s := engines[0].NewRelaySession()
+	s := engines[0].NewRelaySession("peer")
 	for name, request := range map[string]*api.RelayRequest{
 		"operation":   {Group: "g", Target: "a", Operation: 200},
 		"class":       {Group: "g", Target: "a", Operation: uint8(OpRead), Class: 200},
--- a/internal/engine/relaysession.go
+++ b/internal/engine/relaysession.go
@@ -17,6 +17,9 @@
 // concurrently.
 type RelaySession struct {
 	engine *Engine
+	// peer is the address of the other end, openedAt the begin of the connection on the boot clock.
+	peer     string
+	openedAt time.Duration
 
 	mu           sync.Mutex
 	closed       bool
@@ -31,9 +34,11 @@
 	timer *time.Timer
 }
 
-// NewRelaySession returns a session for the requests of one connection; Close ends it.
-func (e *Engine) NewRelaySession() *RelaySession {
-	return &RelaySession{engine: e, transactions: make(map[uint64]*relayedTransaction)}
+// NewRelaySession returns a session for the requests of one connection from the address peer; Close ends it.
+func (e *Engine) NewRelaySession(peer string) *RelaySession {
+	s := &RelaySession{engine: e, peer: peer, openedAt: clock.SinceBoot(), transactions: make(map[uint64]*relayedTransaction)}
+	s.logOpened()
+	return s
 }
 
 // Close rolls the open transactions back.
@@ -47,6 +52,7 @@
 		s.end(t)
 		s.engine.relayed.Add(-1)
 	}
+	s.logEnded(len(open))
 }
 
 // Run runs one statement.
@@ -63,7 +69,7 @@
 		return relayReply(notPermitted(refused))
 	}
 	if request.Transaction != 0 {
-		return s.continueTransaction(request.Transaction, e)
+		return s.continueTransaction(request, e)
 	}
 	h, refused := s.engine.gateFor(request.Group, request.Target)
 	if refused != nil {
@@ -152,17 +158,18 @@
 }
 
 // continueTransaction runs a statement of an open transaction.
-func (s *RelaySession) continueTransaction(number uint64, e execution) *api.RelayReply {
+func (s *RelaySession) continueTransaction(request *api.RelayRequest, e execution) *api.RelayReply {
+	number := request.Transaction
 	s.mu.Lock()
 	t := s.transactions[number]
 	s.mu.Unlock()
 	if t == nil {
-		return relayReply(notRun(result.NotRunNotHolder, "the transaction is not open here"))
+		return s.notContinued(request, e, "the transaction is not open here")
 	}
 	t.mu.Lock()
 	defer t.mu.Unlock()
 	if t.lease.conn == nil {
-		return relayReply(notRun(result.NotRunNotHolder, "the transaction has ended"))
+		return s.notContinued(request, e, "the transaction has ended")
 	}
 	t.timer.Stop()
 	began := clock.SinceBoot()
@@ -178,6 +185,13 @@
 	return reply
 }
 
+// notContinued returns the reply to a statement of a transaction that is not open here.
+func (s *RelaySession) notContinued(request *api.RelayRequest, e execution, reason string) *api.RelayReply {
+	outcome := notRun(result.NotRunNotHolder, "%s", reason)
+	s.logNotContinued(request.Group, request.Target, request.Transaction, e, outcome.refused)
+	return relayReply(outcome)
+}
+
 // Status returns the status of a target that this daemon holds.
 func (s *RelaySession) Status(request *api.RelayStatusRequest) *api.RelayStatusReply {
 	h, refused := s.engine.gateFor(request.Group, request.Target)
--- a/internal/logfield/logfield.go
+++ b/internal/logfield/logfield.go
@@ -133,6 +133,7 @@
 	Share         = "share"
 	Silence       = "silence"
 	Slots         = "slots"
+	Transaction   = "transaction"
 	Transactions  = "transactions"
 	Source        = "source"
 	Start         = "start"
--- a/internal/peer/client.go
+++ b/internal/peer/client.go
@@ -5,6 +5,7 @@
 	"context"
 	"crypto/tls"
 	"errors"
+	"expvar"
 	"fmt"
 	"net"
 	"net/rpc"
@@ -12,8 +13,13 @@
 	"sync/atomic"
 	"time"
 
+	"github.com/sirupsen/logrus"
+
 	"github.com/papayacove/papayacove/api"
 	"github.com/papayacove/papayacove/internal/dialer"
+	"github.com/papayacove/papayacove/internal/logevent"
+	"github.com/papayacove/papayacove/internal/logfield"
+	"github.com/papayacove/papayacove/internal/telemetry"
 )
 
 const (
@@ -32,6 +38,12 @@
 // that come together do not wait for one attempt after the other.
 const maxRepeatedDialError = 200 * time.Millisecond
 
+// reconnections counts the connections to other daemons that took the place of an earlier one.
+var reconnections = expvar.NewInt("peer_reconnections")
+
+// limiter bounds the rate of log lines about single connections.
+var limiter = telemetry.NewLimiter()
+
 // ErrNotSent is wrapped by the error of a call that certainly did not reach the other daemon.
 var ErrNotSent = errors.New("call was not sent")
 
@@ -77,6 +89,8 @@
 	failedAt time.Time
 	// redialing is true while a connection attempt of redialIfNone is under way.
 	redialing bool
+	// openedAt is when the connection, or the last one before it, was opened; zero if none was.
+	openedAt time.Time
 	// closed is true after Close, when an attempt in progress must not leave a connection behind.
 	closed bool
 }
@@ -253,11 +267,27 @@
 		l.redialIfNone(c)
 		return nil, l.failure
 	}
-	l.connection, l.failure = c.connect(ctx)
-	l.failedAt = time.Now()
+	opened, err := c.connect(ctx)
+	l.replace(c, opened, err)
 	return l.connection, l.failure
 }
 
+// replace records the result of a connection attempt. The caller holds the lock.
+func (l *link) replace(c *Client, opened *connection, err error) {
+	now := time.Now()
+	l.connection, l.failure, l.failedAt = opened, err, now
+	if err != nil {
+		return
+	}
+	if !l.openedAt.IsZero() {
+		reconnections.Add(1)
+		if limiter.Allow("peer_reconnected", now) {
+			logrus.WithFields(logrus.Fields{logfield.Peer: c.options.Address, logfield.Age: now.Sub(l.openedAt)}).Info(logevent.PeerReconnected)
+		}
+	}
+	l.openedAt = now
+}
+
 // redialIfNone starts a connection attempt unless one is under way. The caller holds the lock.
 func (l *link) redialIfNone(c *Client) {
 	if l.redialing {
@@ -273,7 +303,7 @@
 		case l.closed && opened != nil:
 			_ = opened.client.Close()
 		case !l.closed:
-			l.connection, l.failure, l.failedAt = opened, err, time.Now()
+			l.replace(c, opened, err)
 		}
 	}()
 }
--- a/internal/peer/codec_test.go
+++ b/internal/peer/codec_test.go
@@ -22,7 +22,7 @@
 	t.Helper()
 	receiver := &service{handler: &fakeDaemon{}}
 	server, err := ListenWithOptions(ServerOptions{
-		Address: "127.0.0.1:0", MaxFrameBytes: maxTestFrame, Receiver: func() (any, func()) { return receiver, func() {} },
+		Address: "127.0.0.1:0", MaxFrameBytes: maxTestFrame, Receiver: func(net.Addr) (any, func()) { return receiver, func() {} },
 	})
 	if err != nil {
 		t.Fatal(err)
--- a/internal/peer/server.go
+++ b/internal/peer/server.go
@@ -102,9 +102,9 @@
 	return nil
 }
 
-// Receiver returns the object whose methods answer the calls on one connection, as net/rpc requires them, and a
-// function that is called when the connection ends. Among the methods has to be Ping.
-type Receiver func() (receiver any, ended func())
+// Receiver returns the object whose methods answer the calls on one connection from the address caller, as net/rpc
+// requires them, and a function that is called when the connection ends. Among the methods has to be Ping.
+type Receiver func(caller net.Addr) (receiver any, ended func())
 
 // ServerOptions describe a Server.
 type ServerOptions struct {
@@ -128,7 +128,7 @@
 // Listen listens on the peer address; Run serves it. A nil configuration disables TLS.
 func Listen(address string, configuration *tls.Config, handler Handler) (*Server, error) {
 	receiver := &service{handler: handler}
-	return ListenWithOptions(ServerOptions{Address: address, TLS: configuration, Receiver: func() (any, func()) { return receiver, func() {} }})
+	return ListenWithOptions(ServerOptions{Address: address, TLS: configuration, Receiver: func(net.Addr) (any, func()) { return receiver, func() {} }})
 }
 
 // ListenWithOptions listens on the peer address; Run serves it.
@@ -171,7 +171,7 @@
 		_ = connection.Close()
 		return
 	}
-	receiver, ended := s.options.Receiver()
+	receiver, ended := s.options.Receiver(connection.RemoteAddr())
 	defer ended()
 	server := rpc.NewServer()
 	if err := server.RegisterName(serviceName, receiver); err != nil {
--- a/internal/relay/relay.go
+++ b/internal/relay/relay.go
@@ -6,6 +6,7 @@
 	"context"
 	"errors"
 	"fmt"
+	"net"
 	"net/rpc"
 	"sync"
 	"time"
@@ -151,8 +152,8 @@
 func Listen(address string, served *engine.Engine, feeder Feeder, quota QuotaHandler) (*peer.Server, error) {
 	return peer.ListenWithOptions(peer.ServerOptions{
 		Address: address, MaxFrameBytes: maxFrameBytes,
-		Receiver: func() (any, func()) {
-			session := served.NewRelaySession()
+		Receiver: func(caller net.Addr) (any, func()) {
+			session := served.NewRelaySession(caller.String())
 			return &service{session: session, feeder: feeder, quota: quota}, session.Close
 		},
 	})
