Log what gave a leadership proof, and unpaused members of promotions

Four events tell these apart: proof_source_changed, proof_returned, proof_of_new_target (each at most once a second for a group, and 50 lines a second for a daemon) and promotion_member_unpaused. The counter engine_leadership_proofs has the proofs by kind.

No logic changes: ProvenAt names its witness besides the time, and the code of proofs moves from observe.go and group.go to proof.go.

--- a/internal/engine/group.go
+++ b/internal/engine/group.go
@@ -36,6 +36,8 @@
 
 	// The fields below are guarded by the lock of the group.
 	target Target
+	// firstSeenAt is the time of the boot clock at which the daemon learned of the target.
+	firstSeenAt time.Duration
 	// applied is the latest position that the target is known to have applied, as reported at appliedAt on the
 	// boot clock.
 	applied   api.Position
@@ -105,6 +107,9 @@
 	termSeenAt time.Duration
 	// provenUntil is the time of the boot clock until which the leadership proof of the primary is valid.
 	provenUntil time.Duration
+	// proofOrigin is what gave that proof, and proofLog what was logged of proofs.
+	proofOrigin proofOrigin
+	proofLog    proofLog
 	// samples are positions that cover every commit acknowledged before they were requested.
 	samples primaryposition.Samples
 	monitor takeover.PrimaryMonitor
@@ -134,6 +139,7 @@
 		relays: options.Peers, peers: &peerHealth{}, daemons: newDaemonList(options.Name, nil),
 		members: make(map[string]*member), statuses: make(map[string]leadership.Status),
 		changed: make(chan struct{}), statusRoundRequests: make(chan struct{}, 1), proofRequests: make(chan struct{}, 1),
+		proofLog: proofLog{limiter: limiter},
 	}
 }
 
@@ -160,16 +166,6 @@
 	}
 }
 
-// renewProofIfExpired asks for a leadership proof if the last one has expired, so that the proof is fetched while
-// the statement runs at m. When another daemon holds m, that daemon fetches the proof.
-func (g *group) renewProofIfExpired(m *member) {
-	g.mu.Lock()
-	defer g.mu.Unlock()
-	if g.provenUntil < clock.SinceBoot() && (m.gate != nil || !g.mayUseHolders(m)) {
-		signal(g.proofRequests)
-	}
-}
-
 // setTarget records the entry of a target.
 func (g *group) setTarget(t Target) {
 	g.mu.Lock()
@@ -182,7 +178,7 @@
 		g.health.Forget(t.Name)
 	}
 	if !known {
-		m = &member{name: t.Name}
+		m = &member{name: t.Name, firstSeenAt: clock.SinceBoot()}
 		m.pool = newPool(g.dialer, func() Target { return g.targetOf(m) }, g.shareOf(m))
 		m.control = &controlConnection{dialer: g.dialer, target: func() Target { return g.targetOf(m) }}
 		g.members[t.Name] = m
@@ -321,26 +317,6 @@
 	}
 }
 
-// awaitProof waits until m is proved to have been the primary at since. It returns false when m is not the
-// presumed primary any more, or at the deadline.
-func (g *group) awaitProof(m *member, since time.Duration, deadline time.Time) bool {
-	for {
-		g.mu.Lock()
-		leads, proved, changed := g.members[g.primary] == m, g.provenUntil > since, g.changed
-		g.mu.Unlock()
-		if !leads {
-			return false
-		}
-		if proved {
-			return true
-		}
-		signal(g.proofRequests)
-		if !awaitChange(changed, deadline) {
-			return false
-		}
-	}
-}
-
 // awaitReplicaMinPosition waits for a position that covers every commit acknowledged before since, while the
 // primary is unresponsive. It returns false when there is none at the deadline, or none when the primary answers
 // again.
--- a/internal/engine/observe.go
+++ b/internal/engine/observe.go
@@ -20,8 +20,6 @@
 const (
 	// observeInterval is the time between two checks of whether a status round is needed.
 	observeInterval = 100 * time.Millisecond
-	// minProofInterval is the least time between two requests for a leadership proof.
-	minProofInterval = 20 * time.Millisecond
 	// minRoundInterval is the least time between two status rounds.
 	minRoundInterval = 50 * time.Millisecond
 	// scarceRoundInterval is the time between the status rounds of two daemons when there are fewer connections
@@ -75,27 +73,6 @@
 	return max(minRoundInterval, time.Duration(g.daemons.count)*scarceRoundInterval)
 }
 
-// serveProofs fetches leadership proofs for the statements that need one, until ctx ends. It does not wait for an
-// unresponsive primary.
-func (g *group) serveProofs(ctx context.Context) {
-	for {
-		select {
-		case <-ctx.Done():
-			return
-		case <-g.proofRequests:
-		}
-		interval := minProofInterval
-		if !g.renewProof() {
-			// Targets that are busy or full because of the calls of all daemons would stay so at minProofInterval.
-			interval = g.statusRoundInterval()
-			g.requestStatusRound()
-		}
-		if clock.Sleep(ctx, interval) != nil {
-			return
-		}
-	}
-}
-
 // needsStatusRound reports whether a status round is needed although no statement requested one: there is no
 // primary while the group is used, the primary does not answer or is suspected, most targets do not answer, the
 // primary or a replica leaves, or a replica is lost.
@@ -113,22 +90,6 @@
 	return isUnresponsive || isSuspected || hasLeaving || len(g.lostReplicas.Blocking(now)) > 0
 }
 
-// renewProof requests the status of one replica, or of all while the primary is unresponsive, and reports whether
-// that proved that the primary still leads.
-func (g *group) renewProof() bool {
-	targets := g.proofTargets()
-	if len(targets) == 0 {
-		return false
-	}
-	statuses := g.askAll(targets, statusTimeout)
-	g.mu.Lock()
-	defer g.mu.Unlock()
-	g.recordStatuses(statuses)
-	g.updatePrimary()
-	g.recordReplicaSample(statuses)
-	return g.applyProof(statuses)
-}
-
 // recordReplicaSample records a position that covers all acknowledged commits, if all replicas that may have
 // acknowledged one have answered, so that reads are served while the primary is unresponsive. The caller holds the
 // lock.
@@ -149,51 +110,6 @@
 	return g.directorySettled() && g.limits.SyncReplicas >= 1 && len(g.lostReplicas.Blocking(clock.SinceBoot())) == 0
 }
 
-// proofTargets returns the targets that are asked for a leadership proof: one replica that did not fail recently and
-// does not leave, in the daemon's own zone if there is one there, or the primary if there is no such replica. While the
-// primary is unresponsive or unknown, it returns all members except the primary.
-func (g *group) proofTargets() map[string]*member {
-	now := clock.SinceBoot()
-	g.mu.Lock()
-	defer g.mu.Unlock()
-	primary, ok := g.members[g.primary]
-	if g.isPrimaryUnresponsive(now) {
-		targets := maps.Clone(g.members)
-		delete(targets, g.primary)
-		return targets
-	}
-	if !ok {
-		return nil
-	}
-	replica := ""
-	for name, m := range g.members {
-		if name == g.primary || now < m.recentFailureUntil || m.target.Leaving {
-			continue
-		}
-		if best, ok := g.members[replica]; !ok || m.target.Zone == g.zone || best.target.Zone != g.zone && name < replica {
-			replica = name
-		}
-	}
-	if replica == "" {
-		return map[string]*member{g.primary: primary}
-	}
-	return map[string]*member{replica: g.members[replica]}
-}
-
-// applyProof records the leadership proof that the statuses of a round contain, and reports whether they contain
-// one. The caller holds the lock.
-func (g *group) applyProof(statuses map[string]leadership.Status) bool {
-	at, ok := leadership.ProvenAt(statuses, g.primary, g.term, len(g.members))
-	if !ok {
-		return false
-	}
-	g.recordProof(at)
-	if own, ok := statuses[g.primary]; ok && own.Role == leadership.RolePrimary {
-		g.samples.Add(own.AskedAt, own.Received)
-	}
-	return true
-}
-
 // runStatusRound makes one status call to each target, applies the answers and returns why the primary has to be
 // replaced.
 func (g *group) runStatusRound() takeover.Reason {
--- a/internal/engine/outcomes.go
+++ b/internal/engine/outcomes.go
@@ -5,7 +5,6 @@
 	"time"
 
 	"github.com/papayacove/papayacove/internal/clock"
-	"github.com/papayacove/papayacove/internal/policy/leadership"
 	"github.com/papayacove/papayacove/internal/result"
 )
 
@@ -80,7 +79,7 @@
 		return
 	}
 	if committed && g.limits.SyncReplicas > 0 && reply.Position.Term == g.term {
-		g.recordProof(askedAt)
+		g.recordProof(proofOrigin{proofOfCommit, m.name}, askedAt)
 	}
 	if askedAt < g.provenUntil && reply.Failure == nil {
 		g.samples.Add(askedAt, reply.Position)
@@ -99,13 +98,3 @@
 	}
 	m.latency += time.Duration(latencyWeight * float64(taken-m.latency))
 }
-
-// recordProof records that the primary was proved to lead at askedAt. The caller holds the lock.
-func (g *group) recordProof(askedAt time.Duration) {
-	until := askedAt + leadership.ProofValidity
-	if until <= g.provenUntil {
-		return
-	}
-	g.provenUntil = until
-	g.broadcast()
-}
--- a/internal/engine/promote.go
+++ b/internal/engine/promote.go
@@ -160,6 +160,7 @@
 func (p *promotion) run() bool {
 	p.log().Info(logevent.PromotionBegun)
 	p.pauseReplicas()
+	defer p.logUnpausedMembers()
 	choice := takeover.Choose(p.replicas(), p.paused, nil, p.isLeaving)
 	if choice.Target == "" && p.hasWholeLog() {
 		p.stepDown()
@@ -185,6 +186,19 @@
 	return p.awaitNewPrimary(choice.Target)
 }
 
+// logUnpausedMembers logs each replica that the daemon knows at the end of the promotion and that was not paused.
+func (p *promotion) logUnpausedMembers() {
+	p.group.mu.Lock()
+	now := slices.Sorted(maps.Keys(p.group.members))
+	p.group.mu.Unlock()
+	for _, name := range now {
+		if _, paused := p.paused[name]; !paused && name != p.old {
+			_, known := p.members[name]
+			p.log().WithFields(logrus.Fields{logfield.Target: name, logfield.Known: known}).Warn(logevent.PromotionMemberUnpaused)
+		}
+	}
+}
+
 // awaitProofExpiry waits until no daemon can hold a valid leadership proof of the old primary, and meanwhile
 // orders the old primary to step down. It returns false when the engine was closed.
 func (p *promotion) awaitProofExpiry() bool {
--- a/internal/engine/relay.go
+++ b/internal/engine/relay.go
@@ -170,7 +170,7 @@
 	defer g.mu.Unlock()
 	m.reportedLoad, m.reportedAt = reply.Load, clock.SinceBoot()
 	if reply.ProofTerm != 0 && reply.ProofTerm == g.term && m.name == g.primary {
-		g.recordProof(askedAt - time.Duration(reply.ProofAgeUs)*time.Microsecond)
+		g.recordProof(proofOrigin{proofOfHolder, m.name}, askedAt-time.Duration(reply.ProofAgeUs)*time.Microsecond)
 	}
 }
 
--- a/internal/policy/leadership/leadership.go
+++ b/internal/policy/leadership/leadership.go
@@ -71,23 +71,31 @@
 	return name, term, true
 }
 
-// ProvenAt returns the latest time at which the statuses prove that no promotion to a later term was complete, so that
-// the leader of the term still had every acknowledged commit. A replica that follows the term and is not paused proves
-// it, whether the leader answers or not; in a group of one target the leader's own answer does. It is false if there is
-// no leadership proof.
-func ProvenAt(statuses map[string]Status, leader string, term uint64, members int) (time.Duration, bool) {
+// Proof is a leadership proof.
+type Proof struct {
+	// At is the time from which the proof is valid for ProofValidity.
+	At time.Duration
+	// Witness is the target whose answer proves it: a replica, or the leader in a group of one target.
+	Witness string
+}
+
+// ProvenAt returns the latest proof in the statuses that no promotion to a later term was complete, so that the leader
+// of the term still had every acknowledged commit. A replica that follows the term and is not paused proves it, whether
+// the leader answers or not; in a group of one target the leader's own answer does. It is false if there is no
+// leadership proof.
+func ProvenAt(statuses map[string]Status, leader string, term uint64, members int) (Proof, bool) {
 	if members <= 1 {
 		own, ok := statuses[leader]
-		return own.AskedAt, ok && own.Role == RolePrimary && own.Term == term
+		return Proof{own.AskedAt, leader}, ok && own.Role == RolePrimary && own.Term == term
 	}
-	var latest time.Duration
+	var latest Proof
 	found := false
 	for name, s := range statuses {
 		if name == leader || s.Role != RoleReplica || s.Term != term || s.IsPaused() {
 			continue
 		}
-		if !found || s.AskedAt > latest {
-			latest, found = s.AskedAt, true
+		if !found || s.AskedAt > latest.At {
+			latest, found = Proof{s.AskedAt, name}, true
 		}
 	}
 	return latest, found
--- a/internal/policy/takeover/model_test.go
+++ b/internal/policy/takeover/model_test.go
@@ -277,8 +277,8 @@
 		}
 		g.proofFor, g.proofTerm = leader, term
 	}
-	if at, proved := leadership.ProvenAt(statuses, g.proofFor, g.proofTerm, len(g.targets)); proved {
-		g.proofUntil = at + leadership.ProofValidity
+	if proof, proved := leadership.ProvenAt(statuses, g.proofFor, g.proofTerm, len(g.targets)); proved {
+		g.proofUntil = proof.At + leadership.ProofValidity
 	}
 }
 
