Soak of the protocol lines: record where statements ran, check PINNED, ROUTE and STALE

A target now records with each run its group and id, the serial numbers of connection and transaction, the session values, the prepared shape and the position of the log; it records acknowledged commits, and the group the positions at which terms began. A caller records its session, transaction, database, the values and shapes that were acknowledged to it, and the time of the first byte and of the response. The operator's log has the routes. A fleet may have several groups, each with databases of its own; the first one keeps its names. The relay of a target tells which daemon a connection comes from.

A commit that the newest term began without was rolled back and doesn't count. The report line has pinned=, route=, stale=, and how many runs were relayed. They are checked in every soak of the lines.

--- a/standin/cmd/standin-lab/soak.go
+++ b/standin/cmd/standin-lab/soak.go
@@ -5,6 +5,7 @@
 	"errors"
 	"fmt"
 	"os"
+	"slices"
 	"strconv"
 	"strings"
 	"time"
@@ -166,7 +167,7 @@
 	for _, event := range report.History.Events() {
 		fmt.Println(event)
 	}
-	for _, detail := range append(report.Verdict.Details, report.History.Violations...) {
+	for _, detail := range slices.Concat(report.Verdict.Details, report.History.Violations, report.Statements.All()) {
 		fmt.Println(detail)
 	}
 	fmt.Printf("logs are in %s\n", work)
--- a/standin/lines/caller.go
+++ b/standin/lines/caller.go
@@ -32,8 +32,9 @@
 	conn net.Conn
 	in   *bufio.Reader
 	// key is the key that the session was opened with, and log records its statements; nil for none.
-	key string
-	log *CallerLog
+	key     string
+	log     *CallerLog
+	session callerSession
 }
 
 // lastRequestID is the latest id that Run gave to a statement.
@@ -56,7 +57,7 @@
 	if err != nil {
 		return nil, err
 	}
-	c := &Caller{conn: conn, in: bufio.NewReader(conn), key: key, log: log}
+	c := &Caller{conn: conn, in: bufio.NewReader(conn), key: key, log: log, session: newCallerSession(database, conn)}
 	_ = conn.SetDeadline(time.Now().Add(callTimeout))
 	fmt.Fprintf(conn, "STARTUP %s %s\r\n", database, key)
 	line, err := c.in.ReadString('\n')
@@ -86,8 +87,9 @@
 // response is complete.
 func (c *Caller) RunAs(id, text string) (Result, error) {
 	_ = c.conn.SetDeadline(time.Now().Add(callTimeout))
+	s := c.session.record(c.key, text)
 	if c.log != nil {
-		c.log.recordSent(id, c.key)
+		c.log.recordSent(id, s)
 	}
 	if _, err := fmt.Fprintf(c.conn, "QUERY %s %s\r\n", id, text); err != nil {
 		return Result{}, err
@@ -111,6 +113,10 @@
 			}
 		case "READY":
 			r.State, _, _ = strings.Cut(rest, " ")
+			c.session.learn(text, s.at, r)
+			if c.log != nil && r.Code == "" {
+				c.log.recordSucceeded(id)
+			}
 			return r, nil
 		}
 	}
--- a/standin/lines/failures_test.go
+++ b/standin/lines/failures_test.go
@@ -104,8 +104,8 @@
 	t.Parallel()
 	p := startProcesses(t)
 	links := map[string][]*netfault.Link{"targets": {}, "daemons": {}}
-	for _, link := range p.TargetLinks {
-		links["targets"] = append(links["targets"], link)
+	for _, id := range p.Group.IDs() {
+		links["targets"] = append(links["targets"], p.TargetLink(id))
 	}
 	for _, d := range p.Daemons {
 		links["daemons"] = append(links["daemons"], d.PeerLink)
--- a/standin/lines/fleet.go
+++ b/standin/lines/fleet.go
@@ -2,6 +2,7 @@
 
 import (
 	"fmt"
+	"net"
 	"os"
 	"path/filepath"
 	"slices"
@@ -13,20 +14,22 @@
 	"github.com/papayacove/papayacove/standin/netfault"
 )
 
-// Fleet is a store, a provider and a group in this process, and daemons as processes of their own. Network faults are
+// Fleet is a store, a provider and groups in this process, and daemons as processes of their own. Network faults are
 // injected by relays, one between the daemons and each target and one between each daemon and the store.
 type Fleet struct {
-	Store    *Store
+	Store *Store
+	// Group is the first of the Groups.
 	Group    *Group
+	Groups   []*Group
 	Provider *Provider
 	Daemons  []*Daemon
-	// TargetLinks are the relays between the daemons and the targets, by the id of the target.
-	TargetLinks map[string]*netfault.Link
 	// Operator records the versions of the workspaces that the store acknowledged.
 	Operator OperatorLog
-	options  FleetOptions
-	// mu guards workspaces and version.
-	mu         sync.Mutex
+	Options  FleetOptions
+	// mu guards the fields below.
+	mu sync.Mutex
+	// links are the relays between the daemons and the targets, by the id of the target.
+	links      map[string]*netfault.Link
 	workspaces []Workspace
 	// version is the version of the configuration.
 	version int
@@ -38,8 +41,12 @@
 	// Binaries is the folder with the program of the daemons, Folder the one for their logs and settings.
 	Binaries, Folder string
 	Daemons          int
+	// Groups is the number of groups; 0 stands for one.
+	Groups int
 	// Connections is the number of connections that each target accepts.
 	Connections int
+	// Sessions is the number of callers with long sessions, for a soak.
+	Sessions int
 	// Workspaces are the workspaces of the configuration. Without them callers state no keys and nothing is limited.
 	Workspaces []Workspace
 }
@@ -71,37 +78,45 @@
 	BoundedStalenessDatabase = "aged"
 	// MaxStaleness is the largest staleness that reads of BoundedStalenessDatabase accept.
 	MaxStaleness = 1500 * time.Millisecond
+	// groupName is the name of the first group.
+	groupName = "group"
 	// heartbeatInterval is the time between two heartbeats of a target.
 	heartbeatInterval = time.Second
 )
 
+// routeKinds are the types of the routes of each group, by database without its suffix.
+var routeKinds = map[string]RouteKind{
+	StrictDatabase: RoutePrimary, SessionDatabase: RouteReadYourWrites, BoundedStalenessDatabase: RouteBoundedStaleness,
+}
+
+// Databases returns the names of the databases of all groups.
+func (f *Fleet) Databases() []string {
+	var names []string
+	for i := range f.Groups {
+		for _, name := range sortedNames(routeKinds) {
+			names = append(names, name+suffix(i))
+		}
+	}
+	return names
+}
+
 // StartFleet starts a fleet. If it fails, the parts that it has started are not stopped.
 func StartFleet(options FleetOptions) (*Fleet, error) {
 	store, err := NewStore()
 	if err != nil {
 		return nil, err
 	}
-	group, err := NewGroup(store, "group", targetIDs...)
-	if err != nil {
-		return nil, err
-	}
-	provider, err := NewProvider(group)
-	if err != nil {
-		return nil, err
-	}
-	group.LimitConnections(options.Connections)
 	f := &Fleet{
-		Store: store, Group: group, Provider: provider, TargetLinks: map[string]*netfault.Link{}, options: options,
-		workspaces: options.Workspaces, version: 1, stop: make(chan struct{}),
+		Store: store, links: map[string]*netfault.Link{}, Options: options, workspaces: options.Workspaces, version: 1, stop: make(chan struct{}),
 	}
-	for _, id := range targetIDs {
-		d := group.Target(id)
-		d.service = 2 * time.Millisecond
-		d.SetLag(5 * time.Millisecond)
-		if f.TargetLinks[id], err = startRelay(d.Address(), ""); err != nil {
+	for i := range max(1, options.Groups) {
+		if err := f.startGroup(i); err != nil {
 			return nil, err
 		}
-		d.Advertise(f.TargetLinks[id].Address())
+	}
+	f.Group = f.Groups[0]
+	if f.Provider, err = NewProvider(f.Groups...); err != nil {
+		return nil, err
 	}
 	f.configure()
 	for i := range options.Daemons {
@@ -115,6 +130,59 @@
 	return f, nil
 }
 
+// startGroup starts a group of the fleet. The names of the first one, and the ids of its targets, have no suffix.
+func (f *Fleet) startGroup(number int) error {
+	var ids []string
+	for _, id := range targetIDs {
+		ids = append(ids, id+suffix(number))
+	}
+	group, err := NewGroup(f.Store, groupName+suffix(number), ids...)
+	if err != nil {
+		return err
+	}
+	group.sourceOf = func(target string, conn net.Conn) string {
+		return f.TargetLink(target).SourceOf(conn.RemoteAddr().String())
+	}
+	group.LimitConnections(f.Options.Connections)
+	f.Groups = append(f.Groups, group)
+	for _, id := range ids {
+		if err := f.relayTarget(group.Target(id)); err != nil {
+			return err
+		}
+	}
+	return nil
+}
+
+// relayTarget puts a relay between the daemons and a target.
+func (f *Fleet) relayTarget(d *Target) error {
+	d.service = 2 * time.Millisecond
+	d.SetLag(5 * time.Millisecond)
+	link, err := startRelay(d.Address(), "")
+	if err != nil {
+		return err
+	}
+	f.mu.Lock()
+	f.links[d.ID] = link
+	f.mu.Unlock()
+	d.Advertise(link.Address())
+	return nil
+}
+
+// TargetLink returns the relay between the daemons and a target.
+func (f *Fleet) TargetLink(id string) *netfault.Link {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	return f.links[id]
+}
+
+// suffix is what the names of a group, of its targets and of its databases end with.
+func suffix(group int) string {
+	if group == 0 {
+		return ""
+	}
+	return fmt.Sprintf("-%d", group+1)
+}
+
 // startRelay starts a relay to an address whose connections come from the IP address source; if it is empty, the system
 // chooses one.
 func startRelay(address, source string) (*netfault.Link, error) {
@@ -133,6 +201,15 @@
 	time.AfterFunc(heartbeatInterval/2, f.configure)
 }
 
+// CommitCount returns how many records in the logs of the primaries write a value to an item.
+func (f *Fleet) CommitCount(item, value string) int {
+	count := 0
+	for _, g := range f.Groups {
+		count += g.CommitCount(item, value)
+	}
+	return count
+}
+
 // Workspaces returns the workspaces of the last configuration.
 func (f *Fleet) Workspaces() []Workspace {
 	f.mu.Lock()
@@ -154,20 +231,27 @@
 func (f *Fleet) configure() {
 	f.mu.Lock()
 	defer f.mu.Unlock()
-	routes := []map[string]any{}
-	for name, kind := range map[string]string{StrictDatabase: "primary", SessionDatabase: "read_your_writes", BoundedStalenessDatabase: "bounded_staleness"} {
+	routes, backends := []map[string]any{}, []map[string]any{}
+	var known []Route
+	for i, group := range f.Groups {
+		for name, kind := range routeKinds {
+			known = append(known, Route{Database: name + suffix(i), Kind: kind, Group: group.Name})
+		}
+		backends = append(backends, map[string]any{"Name": group.Name, "MaxConns": f.Options.Connections, "SyncReplicas": 1})
+	}
+	for _, r := range known {
 		routes = append(routes, map[string]any{
-			"Name": "r-" + name, "Host": name, "Type": kind, "TimeoutMs": 1000, "TargetLatencyMs": 400, "Priority": 1,
-			"Backend": "group", "MaxStalenessMs": MaxStaleness.Milliseconds(),
+			"Name": "r-" + r.Database, "Host": r.Database, "Type": string(r.Kind), "TimeoutMs": 1000, "TargetLatencyMs": 400, "Priority": 1,
+			"Backend": r.Group, "MaxStalenessMs": MaxStaleness.Milliseconds(),
 		})
 	}
 	configuration := map[string]any{
-		"Version": f.version, "Routes": routes, "Limits": map[string]any{"IdleTxMs": 3000},
-		"Backends": []map[string]any{{"Name": "group", "MaxConns": f.options.Connections, "SyncReplicas": 1}},
+		"Version": f.version, "Routes": routes, "Limits": map[string]any{"IdleTxMs": 3000}, "Backends": backends,
 	}
 	if len(f.workspaces) > 0 {
 		configuration["Tenants"] = f.workspaces
 	}
+	f.Operator.recordRoutes(time.Now(), known)
 	f.Store.Put("config", "main", configuration)
 	f.Operator.record(time.Now(), f.workspaces)
 }
@@ -186,8 +270,8 @@
 		if f.Store.Down.Load() {
 			continue
 		}
-		for _, id := range targetIDs {
-			f.Group.Target(id).WriteEntry()
+		for _, group := range f.Groups {
+			group.writeEntries()
 		}
 	}
 }
@@ -231,16 +315,16 @@
 	}
 	f.Store.Substitute(host.PeerAddress(), peers.Address())
 	bounds := ""
-	if len(f.options.Workspaces) > 0 {
+	if len(f.Options.Workspaces) > 0 {
 		bounds = FleetBounds.text()
 	}
 	text := fmt.Sprintf(settingsText, number+1, number%len(targetIDs)+1, host.CallerAddress(), host.PeerAddress(), host.AdminAddress(),
 		store.Address(), host, host.ReadinessAddress(), f.Provider.URL(), bounds)
-	path := filepath.Join(f.options.Folder, fmt.Sprintf("daemon-%d.toml", number+1))
+	path := filepath.Join(f.Options.Folder, fmt.Sprintf("daemon-%d.toml", number+1))
 	if err := os.WriteFile(path, []byte(text), 0o644); err != nil {
 		return nil, err
 	}
-	process := fleet.NewProcess(fmt.Sprintf("daemon-%d", number+1), filepath.Join(f.options.Binaries, "papayacove"), f.options.Folder, "run", "--settings", path)
+	process := fleet.NewProcess(fmt.Sprintf("daemon-%d", number+1), filepath.Join(f.Options.Binaries, "papayacove"), f.Options.Folder, "run", "--settings", path)
 	return &Daemon{Process: process, CallerAddress: host.CallerAddress(), Source: string(host), PeerLink: peers, StoreLink: store}, process.Start()
 }
 
@@ -309,9 +393,11 @@
 		_ = d.StoreLink.Close()
 		_ = d.PeerLink.Close()
 	}
-	for id, link := range f.TargetLinks {
-		_ = link.Close()
-		f.Group.Target(id).Crash()
+	for _, group := range f.Groups {
+		for _, id := range group.IDs() {
+			group.Target(id).Crash()
+			_ = f.TargetLink(id).Close()
+		}
 	}
 	f.Store.Close()
 	f.Provider.Close()
--- a/standin/lines/group.go
+++ b/standin/lines/group.go
@@ -55,6 +55,12 @@
 	mostConnections int
 	// acknowledged are the values of the latest acknowledged writes, by item.
 	acknowledged map[string]string
+	// commits are the acknowledged commits that wrote.
+	commits []Commit
+	// termStarts are the positions at which the terms began: that of the last record before each.
+	termStarts map[uint64]Position
+	// sourceOf returns the IP address of the daemon that a connection of a target comes from; nil if it isn't known.
+	sourceOf func(target string, conn net.Conn) string
 }
 
 // Target is one target VM of a group, with its log, its role and the faults that are injected into it.
@@ -97,7 +103,7 @@
 // NewGroup starts a group of targets on loopback ports, in zones zone-1, zone-2 and so on. The first target is the
 // primary, in term 1.
 func NewGroup(store *Store, name string, ids ...string) (*Group, error) {
-	g := &Group{Name: name, store: store, targets: map[string]*Target{}, acknowledged: map[string]string{}, promoteDelay: 50 * time.Millisecond}
+	g := &Group{Name: name, store: store, targets: map[string]*Target{}, acknowledged: map[string]string{}, termStarts: map[uint64]Position{}, promoteDelay: 50 * time.Millisecond}
 	g.changed = sync.NewCond(&g.mu)
 	for i, id := range ids {
 		d := &Target{ID: id, group: g, zone: fmt.Sprintf("zone-%d", i+1), slots: make(chan struct{}, 5), term: 1, primary: i == 0, conns: map[net.Conn]struct{}{}}
@@ -135,7 +141,11 @@
 }
 
 // Target returns the target with an id, or nil.
-func (g *Group) Target(id string) *Target { return g.targets[id] }
+func (g *Group) Target(id string) *Target {
+	g.mu.Lock()
+	defer g.mu.Unlock()
+	return g.targets[id]
+}
 
 // Start opens the port of a target and writes its entry. A target that starts again keeps its port and its log, isn't
 // paused, and is a replica if another target is the primary of a later term.
@@ -238,39 +248,6 @@
 	return id
 }
 
-// ExecutionCount returns how often the statement with an id was executed, on all targets together.
-func (g *Group) ExecutionCount(id string) int {
-	g.mu.Lock()
-	defer g.mu.Unlock()
-	count := 0
-	for _, d := range g.targets {
-		for _, executed := range d.executed {
-			if executed.ID == id {
-				count++
-			}
-		}
-	}
-	return count
-}
-
-// Executions returns the statements that the targets executed.
-func (g *Group) Executions() []Execution {
-	g.mu.Lock()
-	defer g.mu.Unlock()
-	var all []Execution
-	for _, d := range g.targets {
-		all = append(all, d.executed...)
-	}
-	return all
-}
-
-// Executions returns the number of statements that the target executed.
-func (d *Target) Executions() int {
-	d.group.mu.Lock()
-	defer d.group.mu.Unlock()
-	return len(d.executed)
-}
-
 // StopHeartbeats keeps a target that goes on running from writing its entry again, as one that has left.
 func (d *Target) StopHeartbeats() {
 	d.group.mu.Lock()
@@ -320,6 +297,7 @@
 		term = max(term, d.term)
 	}
 	chosen.primary, chosen.term, chosen.pausedTerm = true, term+1, 0
+	g.termStarts[chosen.term] = chosen.lastPosition()
 	for _, d := range g.targets {
 		if d != chosen && d.up && !d.primary {
 			// A promotion ends all pauses, also those of replicas that the new primary doesn't reach.
@@ -357,12 +335,12 @@
 // commit appends writes to the log of the primary and waits until one replica has received them, which makes the
 // commit acknowledged. It returns false if the target isn't the primary, or if it crashes or stops being the
 // primary of its term before a replica has received the record.
-func (d *Target) commit(writes map[string]string) bool {
+func (d *Target) commit(id string, writes map[string]string) (Position, bool) {
 	g := d.group
 	g.mu.Lock()
 	defer g.mu.Unlock()
 	if !d.primary {
-		return false
+		return Position{}, false
 	}
 	term, number := d.term, uint64(1)
 	if len(d.log) > 0 {
@@ -376,13 +354,14 @@
 				other.receive(d.log)
 				if !other.lastPosition().before(position) {
 					maps.Copy(g.acknowledged, writes)
-					return true
+					g.commits = append(g.commits, Commit{ID: id, Group: g.Name, Target: d.ID, Position: position, AcknowledgedAt: time.Now()})
+					return position, true
 				}
 			}
 		}
 		g.changed.Wait()
 		if !d.up || !d.primary || d.term != term {
-			return false
+			return Position{}, false
 		}
 	}
 }
@@ -464,6 +443,7 @@
 	d.group.mu.Lock()
 	defer d.group.mu.Unlock()
 	d.primary, d.term, d.pausedTerm = true, term, 0
+	d.group.termStarts[term] = d.lastPosition()
 	d.writeEntry()
 }
 
--- a/standin/lines/session.go
+++ b/standin/lines/session.go
@@ -3,6 +3,7 @@
 import (
 	"bufio"
 	"fmt"
+	"maps"
 	"net"
 	"strconv"
 	"strings"
@@ -15,6 +16,14 @@
 	out    net.Conn
 	// workspace is the name that STARTUP stated besides the group.
 	workspace string
+	// connection is the serial number of the connection, source the IP address that it comes from.
+	connection uint64
+	source     string
+	// transaction is the serial number of the current transaction; 0 outside of transactions.
+	transaction uint64
+	// shape is the shape of the prepared statement that is executing, and position that of the log that it runs on.
+	shape    string
+	position Position
 	// arrivedAt is the time at which the current line arrived.
 	arrivedAt time.Time
 	// operationBegun is true after the first statement that the current transaction executed.
@@ -53,7 +62,7 @@
 		delete(d.conns, conn)
 		d.group.mu.Unlock()
 	}()
-	s := &targetSession{target: d, out: conn, settings: map[string]string{}, prepared: map[string]string{}}
+	s := &targetSession{target: d, out: conn, connection: lastSerial.Add(1), settings: map[string]string{}, prepared: map[string]string{}}
 	scanner := bufio.NewScanner(conn)
 	scanner.Buffer(nil, 2<<20)
 	for scanner.Scan() {
@@ -132,9 +141,16 @@
 }
 
 func (s *targetSession) recordExecution(id string) {
+	if s.source == "" {
+		s.source = s.target.sourceOf(s.out)
+	}
 	s.target.group.mu.Lock()
 	defer s.target.group.mu.Unlock()
-	s.target.executed = append(s.target.executed, Execution{ID: id, Workspace: s.workspace, ArrivedAt: s.arrivedAt, BeginsOperation: !s.operationBegun})
+	s.target.executed = append(s.target.executed, Execution{
+		ID: id, Workspace: s.workspace, ArrivedAt: s.arrivedAt, BeginsOperation: !s.operationBegun,
+		Group: s.target.group.Name, Target: s.target.ID, Source: s.source, Connection: s.connection, Transaction: s.transaction,
+		Settings: maps.Clone(s.settings), Shape: s.shape, Position: s.position,
+	})
 	s.operationBegun = s.inTransaction
 }
 
@@ -148,6 +164,7 @@
 		text = statement
 	}
 	verb, rest, _ := strings.Cut(text, " ")
+	s.shape = ""
 	if s.failed && verb != "ROLLBACK" && verb != "COMMIT" {
 		s.sendError("MALFORMED")
 		return
@@ -160,7 +177,7 @@
 	case "COMMIT":
 		s.commit(id)
 	case "ROLLBACK":
-		s.inTransaction, s.operationBegun, s.failed, s.writes = false, false, false, nil
+		s.inTransaction, s.operationBegun, s.failed, s.writes, s.transaction = false, false, false, nil, 0
 		s.sendResult("")
 	case "SET":
 		name, value, _ := strings.Cut(rest, " ")
@@ -203,6 +220,7 @@
 		s.sendError("NOSTMT")
 		return
 	}
+	s.shape = shape
 	if strings.HasPrefix(shape, "WRITE") {
 		item, data, _ := strings.Cut(argument, " ")
 		s.write(id, item, data)
@@ -227,14 +245,11 @@
 // stopped being the primary.
 func (s *targetSession) read(id, item string) {
 	s.occupySlot()
-	if name, ok := strings.CutPrefix(item, "@"); ok {
-		s.sendResult(id, s.settings[name])
-		return
-	}
 	d := s.target
 	d.group.mu.Lock()
 	value := ""
 	limit := d.appliedPosition()
+	s.position = limit
 	for _, r := range d.log {
 		if v, ok := r.writes[item]; ok && !limit.before(r.position) {
 			value = v
@@ -242,6 +257,10 @@
 	}
 	roleLost := s.inTransaction && !s.readOnly && !d.primary
 	d.group.mu.Unlock()
+	if name, ok := strings.CutPrefix(item, "@"); ok {
+		s.sendResult(id, s.settings[name])
+		return
+	}
 	if own, ok := s.writes[item]; ok {
 		value = own
 	}
@@ -261,6 +280,7 @@
 		return
 	}
 	s.inTransaction, s.operationBegun, s.readOnly, s.writes = true, false, readOnly, map[string]string{}
+	s.transaction = lastSerial.Add(1)
 	s.sendResult("")
 }
 
@@ -268,6 +288,7 @@
 	s.occupySlot()
 	s.target.group.mu.Lock()
 	isPrimary := s.target.primary
+	s.position = s.target.appliedPosition()
 	s.target.group.mu.Unlock()
 	if !isPrimary || s.readOnly && s.inTransaction {
 		s.sendError("READONLY")
@@ -278,25 +299,32 @@
 		s.sendResult(id)
 		return
 	}
-	if !s.target.commit(map[string]string{item: data}) {
-		_ = s.out.Close()
-		return
-	}
-	s.sendResult(id)
+	s.commitWrites(id, map[string]string{item: data})
 }
 
 func (s *targetSession) commit(id string) {
 	failed, writes := s.failed, s.writes
 	s.inTransaction, s.failed, s.writes = false, false, nil
 	if failed {
-		s.operationBegun = false
+		s.operationBegun, s.transaction = false, 0
 		s.sendError("ABORTED")
 		return
 	}
 	s.occupySlot()
-	if len(writes) > 0 && !s.target.commit(writes) {
-		_ = s.out.Close()
-		return
+	s.commitWrites(id, writes)
+	s.transaction = 0
+}
+
+// commitWrites commits writes, if there are any, and answers the statement. Without an acknowledgement it closes the
+// connection.
+func (s *targetSession) commitWrites(id string, writes map[string]string) {
+	if len(writes) > 0 {
+		position, acknowledged := s.target.commit(id, writes)
+		if !acknowledged {
+			_ = s.out.Close()
+			return
+		}
+		s.position = position
 	}
 	s.sendResult(id)
 }
--- a/standin/lines/workspaces.go
+++ b/standin/lines/workspaces.go
@@ -33,27 +33,7 @@
 	return (w.RatePerS*b.Window.Seconds()+w.Burst)*(1+b.Overage) + b.Slack
 }
 
-// Execution is a statement that a target ran.
-type Execution struct {
-	// ID is the id of the statement.
-	ID string
-	// Workspace is the name that the target was told when its connection was opened.
-	Workspace string
-	// ArrivedAt is the time at which the target received the statement.
-	ArrivedAt time.Time
-	// BeginsOperation is true for the first statement of a transaction, and for one outside of transactions.
-	BeginsOperation bool
-}
-
-// sent is a statement that a caller sent.
-type sent struct {
-	key string
-	at  time.Time
-	// refusedOverQuota is true if it was refused because the workspace has used up its operations.
-	refusedOverQuota bool
-}
-
-// CallerLog records the statements of callers that state a key. Its methods are safe for concurrent use.
+// CallerLog records the statements of callers. Its methods are safe for concurrent use.
 type CallerLog struct {
 	mu   sync.Mutex
 	sent map[string]sent
@@ -62,10 +42,18 @@
 // NewCallerLog returns an empty log.
 func NewCallerLog() *CallerLog { return &CallerLog{sent: map[string]sent{}} }
 
-func (l *CallerLog) recordSent(id, key string) {
+func (l *CallerLog) recordSent(id string, s sent) {
 	l.mu.Lock()
 	defer l.mu.Unlock()
-	l.sent[id] = sent{key: key, at: time.Now()}
+	l.sent[id] = s
+}
+
+func (l *CallerLog) recordSucceeded(id string) {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	s := l.sent[id]
+	s.succeededAt = time.Now()
+	l.sent[id] = s
 }
 
 func (l *CallerLog) recordRefusedOverQuota(id string) {
@@ -81,6 +69,14 @@
 type OperatorLog struct {
 	mu       sync.Mutex
 	versions []workspaceVersion
+	routes   []routeVersion
+}
+
+// recordRoutes records the routes of a configuration before it is sent.
+func (l *OperatorLog) recordRoutes(at time.Time, routes []Route) {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	l.routes = append(l.routes, routeVersion{at, routes})
 }
 
 type workspaceVersion struct {
--- a/standin/netfault/path.go
+++ b/standin/netfault/path.go
@@ -87,6 +87,19 @@
 	return o.InitialPathFaults(source)
 }
 
+// SourceOf returns the IP address of the caller whose connection the target sees as one from an address; empty if there is
+// none.
+func (l *Link) SourceOf(address string) string {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	for p := range l.pairs {
+		if p.comesFrom(address) {
+			return sourceOf(p.ends[0])
+		}
+	}
+	return ""
+}
+
 // sourceOf returns the IP address that a connection comes from, or an empty string if it has none.
 func sourceOf(c net.Conn) string {
 	host, _, err := net.SplitHostPort(c.RemoteAddr().String())
--- a/standin/netfault/pump.go
+++ b/standin/netfault/pump.go
@@ -54,6 +54,13 @@
 	return true
 }
 
+// comesFrom reports whether the connection to the target has a local address.
+func (p *pair) comesFrom(address string) bool {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	return len(p.ends) > 1 && p.ends[1].LocalAddr().String() == address
+}
+
 // delay returns the delay of the path, which is the same in both directions.
 func (p *pair) delay() time.Duration {
 	faults, _ := p.path.get()
--- a/standin/soak/lines.go
+++ b/standin/soak/lines.go
@@ -30,16 +30,16 @@
 		return func() { f.Group.Target(id).SetLag(5 * time.Millisecond) }
 	})},
 	{"target_cut", onTarget(anyID, func(f *lines.Fleet, id string) func() {
-		return injectLinkFaults(f.TargetLinks[id], netfault.Faults{Partitioned: true})
+		return injectLinkFaults(f.TargetLink(id), netfault.Faults{Partitioned: true})
 	})},
 	{"target_slow_path", onTarget(anyID, func(f *lines.Fleet, id string) func() {
-		return injectLinkFaults(f.TargetLinks[id], netfault.Faults{ForwardDelayMs: 40, BackwardDelayMs: 40})
+		return injectLinkFaults(f.TargetLink(id), netfault.Faults{ForwardDelayMs: 40, BackwardDelayMs: 40})
 	})},
 	{"target_one_way", onTarget(anyID, func(f *lines.Fleet, id string) func() {
-		return injectLinkFaults(f.TargetLinks[id], netfault.Faults{BackwardDelayMs: 60_000})
+		return injectLinkFaults(f.TargetLink(id), netfault.Faults{BackwardDelayMs: 60_000})
 	})},
-	{"target_connections_silent", onTarget(anyID, func(f *lines.Fleet, id string) func() { f.TargetLinks[id].MakeHalfOpen(); return func() {} })},
-	{"target_connections_reset", onTarget(anyID, func(f *lines.Fleet, id string) func() { f.TargetLinks[id].Reset(); return func() {} })},
+	{"target_connections_silent", onTarget(anyID, func(f *lines.Fleet, id string) func() { f.TargetLink(id).MakeHalfOpen(); return func() {} })},
+	{"target_connections_reset", onTarget(anyID, func(f *lines.Fleet, id string) func() { f.TargetLink(id).Reset(); return func() {} })},
 	{"daemon_killed", onDaemon(func(d *lines.Daemon) func() { d.Kill(); return func() { _ = d.Start() } })},
 	{"daemon_frozen", onDaemon(func(d *lines.Daemon) func() { d.Freeze(); return d.Resume })},
 	{"daemon_stopped", onDaemon(func(d *lines.Daemon) func() { d.Stop(); return func() { _ = d.Start() } })},
@@ -191,7 +191,7 @@
 	unknown map[failedWrite]bool
 	// lastAck is the time of the last acknowledgement of any write.
 	lastAck time.Time
-	// callers records the statements of the run if the fleet has workspaces; otherwise it is nil.
+	// callers records the statements of the run.
 	callers *lines.CallerLog
 }
 
@@ -203,10 +203,7 @@
 // RunLines lets callers work on a fleet for a time while faults are injected as the seed draws them. It then ends all
 // faults and checks the results of the callers against the log of the primary.
 func RunLines(ctx context.Context, f *lines.Fleet, faults []FaultOf[*lines.Fleet], seed int64, duration time.Duration) Report {
-	l := &ledger{history: workload.NewHistory(), acked: map[string][]ackedWrite{}, unknown: map[failedWrite]bool{}}
-	if len(f.Workspaces()) > 0 {
-		l.callers = lines.NewCallerLog()
-	}
+	l := &ledger{history: workload.NewHistory(), acked: map[string][]ackedWrite{}, unknown: map[failedWrite]bool{}, callers: lines.NewCallerLog()}
 	l.settle(f)
 	l.lastAck = time.Now()
 	working, stop := context.WithTimeout(ctx, duration)
@@ -222,9 +219,18 @@
 	l.checkWorkspaces(ctx, f, seed)
 	report := Report{Seed: seed, History: l.history}
 	l.check(f, &report)
+	report.Statements = l.checkStatements(f)
 	return report
 }
 
+// checkStatements checks all statements of the run against the rules of statements.
+func (l *ledger) checkStatements(f *lines.Fleet) *StatementBreaches {
+	records := lines.NewRecords(l.callers, &f.Operator, f.Groups...)
+	b := &StatementBreaches{Pinned: records.Pinned(), Route: records.Route(), Stale: records.Stale(lines.MaxStaleness)}
+	b.Relayed, b.Run = records.Relayed()
+	return b
+}
+
 // settle waits until each daemon has acknowledged a write, and records a violation if one does not within settleTimeout.
 func (l *ledger) settle(f *lines.Fleet) {
 	for _, d := range f.Daemons {
@@ -398,7 +404,7 @@
 func (l *ledger) check(f *lines.Fleet, report *Report) {
 	for item, writes := range l.acked {
 		for _, w := range writes {
-			switch count := f.Group.CommitCount(item, strconv.Itoa(w.number)); {
+			switch count := f.CommitCount(item, strconv.Itoa(w.number)); {
 			case count == 0:
 				report.Verdict.Lost++
 				report.Verdict.Details = append(report.Verdict.Details, fmt.Sprintf("%s = %d was acknowledged and is lost", item, w.number))
@@ -408,7 +414,7 @@
 		}
 	}
 	for _, failed := range l.notRun {
-		if f.Group.CommitCount(failed.item, failed.value) > 0 {
+		if f.CommitCount(failed.item, failed.value) > 0 {
 			report.Verdict.FalseNotRun++
 			report.Verdict.Details = append(report.Verdict.Details, fmt.Sprintf("%s = %s got %s, which promises that it did not run, and is in the log", failed.item, failed.value, failed.code))
 		}
--- a/standin/soak/soak.go
+++ b/standin/soak/soak.go
@@ -32,19 +32,48 @@
 	// InvariantViolations is the number of invariant violations that the daemons counted themselves. RunLines does not
 	// read their counters and leaves it at 0.
 	InvariantViolations int64
+	// Statements holds the breaches of the rules of statements; nil if they were not checked.
+	Statements *StatementBreaches
+}
+
+// StatementBreaches describes the breaches of each rule of statements, and counts the statements that were checked.
+type StatementBreaches struct {
+	Pinned, Route, Stale []string
+	// Run is the number of runs of callers' statements, Relayed that of those which a daemon sent for another one.
+	Run, Relayed int
+}
+
+// All returns the descriptions of all breaches.
+func (b *StatementBreaches) All() []string {
+	var all []string
+	if b != nil {
+		for name, list := range map[string][]string{"PINNED": b.Pinned, "ROUTE": b.Route, "STALE": b.Stale} {
+			for _, breach := range list {
+				all = append(all, name+" "+breach)
+			}
+		}
+	}
+	return all
+}
+
+func (b *StatementBreaches) String() string {
+	if b == nil {
+		return ""
+	}
+	return fmt.Sprintf(" pinned=%d route=%d stale=%d run=%d relayed=%d", len(b.Pinned), len(b.Route), len(b.Stale), b.Run, b.Relayed)
 }
 
 // String returns the report as one line.
 func (r Report) String() string {
-	return fmt.Sprintf("soak seed=%d requests=%d acked_writes=%d lost=%d duplicated=%d stale_reads=%d mixed=%d false_not_run=%d violations=%d",
+	return fmt.Sprintf("soak seed=%d requests=%d acked_writes=%d lost=%d duplicated=%d stale_reads=%d mixed=%d false_not_run=%d violations=%d%v",
 		r.Seed, r.History.Requests, r.History.Acked, r.Verdict.Lost, r.Verdict.Duplicated, r.History.StaleReads,
-		r.Verdict.Mixed, r.Verdict.FalseNotRun, int64(len(r.History.Violations))+r.InvariantViolations)
+		r.Verdict.Mixed, r.Verdict.FalseNotRun, int64(len(r.History.Violations))+r.InvariantViolations, r.Statements)
 }
 
 // IsClean reports whether the run found no violation of any kind.
 func (r Report) IsClean() bool {
 	v := r.Verdict
-	return v.Lost+v.Duplicated+v.Mixed+v.FalseNotRun == 0 && len(r.History.Violations) == 0 && r.InvariantViolations == 0
+	return v.Lost+v.Duplicated+v.Mixed+v.FalseNotRun == 0 && len(r.History.Violations) == 0 && r.InvariantViolations == 0 && len(r.Statements.All()) == 0
 }
 
 // Run lets the callers of a workload and two operators work on a fleet for a time while faults are injected as the seed
--- a/standin/soak/workspaces.go
+++ b/standin/soak/workspaces.go
@@ -166,7 +166,7 @@
 
 // runDemands adds the callers of the demands to parts. Most sessions of a workspace are opened at one daemon.
 func (l *ledger) runDemands(ctx context.Context, f *lines.Fleet, seed int64, parts *sync.WaitGroup) {
-	if l.callers == nil {
+	if len(f.Workspaces()) == 0 {
 		return
 	}
 	for i, d := range demands {
@@ -201,7 +201,7 @@
 // checkWorkspaces lets the demands go on for calmTime, and records a violation for each breach of the rules of keys and
 // limits, and for each workspace that was refused below its limit.
 func (l *ledger) checkWorkspaces(ctx context.Context, f *lines.Fleet, seed int64) {
-	if l.callers == nil {
+	if len(f.Workspaces()) == 0 {
 		return
 	}
 	calm, stop := context.WithTimeout(ctx, calmTime)
@@ -210,7 +210,7 @@
 	var parts sync.WaitGroup
 	l.runDemands(calm, f, seed, &parts)
 	parts.Wait()
-	audit := lines.NewAudit(lines.FleetBounds, l.callers, &f.Operator, f.Group)
+	audit := lines.NewAudit(lines.FleetBounds, l.callers, &f.Operator, f.Groups...)
 	for _, breach := range audit.Breaches() {
 		l.history.RecordViolation("%s", breach)
 	}
