--- a/standin/cmd/standin-lab/soak.go
+++ b/standin/cmd/standin-lab/soak.go
@@ -32,6 +32,9 @@
 			&cli.StringSliceFlag{Name: "faults", Usage: "`NAMES` of the failures to inject; all when empty"},
 			&cli.StringFlag{Name: "protocol", Usage: "postgresql or lines", Value: "postgresql"},
 			&cli.IntFlag{Name: "connections", Usage: "connections that each target accepts, with lines; with few the daemons share them", Value: 40},
+			&cli.IntFlag{Name: "daemons", Usage: "number of daemons, with lines", Value: linesDaemons},
+			&cli.IntFlag{Name: "groups", Usage: "number of groups, with lines", Value: 1},
+			&cli.IntFlag{Name: "sessions", Usage: "number of callers with long sessions and slow transactions, with lines"},
 			&cli.BoolFlag{Name: "workspaces", Usage: "configure workspaces with keys and limits, with lines"},
 			&cli.StringFlag{Name: "deployment", Usage: "deployment to run; chosen by seed when empty"},
 		},
@@ -141,7 +144,8 @@
 	if err != nil {
 		return false, err
 	}
-	options := lines.FleetOptions{Binaries: command.String("binaries"), Folder: work, Daemons: linesDaemons, Connections: command.Int("connections")}
+	options := lines.FleetOptions{Binaries: command.String("binaries"), Folder: work, Daemons: command.Int("daemons"), Groups: command.Int("groups"),
+		Connections: command.Int("connections"), Sessions: command.Int("sessions")}
 	if command.Bool("workspaces") {
 		options.Workspaces = soak.Workspaces()
 	}
--- a/standin/soak/lines.go
+++ b/standin/soak/lines.go
@@ -214,6 +214,7 @@
 		parts.Go(func() { l.runCaller(working, f, i, rand.New(rand.NewSource(seed*100+int64(i)))) })
 	}
 	l.runDemands(working, f, seed, &parts)
+	l.runSessions(working, f, f.Options.Sessions, seed, &parts)
 	parts.Wait()
 	l.settle(f)
 	l.checkWorkspaces(ctx, f, seed)
