Soak of the protocol lines: releases, cuts of zones, and faults between daemons

New faults at the end of the list: connections between daemons reset or silent, a daemon killed and started at once or frozen for 1 s, the daemon that a primary's statements come from killed twice in a row; a replica, the primary or all targets of a group replaced as in a release, a zone cut off, a primary cut off from the other targets and half of the daemons, and releases beside both cuts.

In a release a new target joins with a copy of the log, the old one announces that it leaves and ends after its drain timeout; the soak goes on meanwhile, so that releases overlap with all other faults.

--- a/standin/lines/fleet.go
+++ b/standin/lines/fleet.go
@@ -31,6 +31,10 @@
 	// links are the relays between the daemons and the targets, by the id of the target.
 	links      map[string]*netfault.Link
 	workspaces []Workspace
+	// cutZones are the zones that are cut off from the others.
+	cutZones map[string]bool
+	// releases are the replacements of targets in progress.
+	releases sync.WaitGroup
 	// version is the version of the configuration.
 	version int
 	stop    chan struct{}
@@ -59,6 +63,8 @@
 	*fleet.Process
 	// Source is the IP address that its connections come from.
 	Source string
+	// Zone is its availability zone.
+	Zone string
 	// PeerLink is the relay that other daemons connect to.
 	PeerLink *netfault.Link
 	// CallerAddress is the host:port at which the daemon accepts callers.
@@ -107,7 +113,7 @@
 		return nil, err
 	}
 	f := &Fleet{
-		Store: store, links: map[string]*netfault.Link{}, Options: options, workspaces: options.Workspaces, version: 1, stop: make(chan struct{}),
+		Store: store, links: map[string]*netfault.Link{}, cutZones: map[string]bool{}, Options: options, workspaces: options.Workspaces, version: 1, stop: make(chan struct{}),
 	}
 	for i := range max(1, options.Groups) {
 		if err := f.startGroup(i); err != nil {
@@ -124,9 +130,14 @@
 		if err != nil {
 			return nil, err
 		}
+		f.mu.Lock()
 		f.Daemons = append(f.Daemons, d)
+		f.mu.Unlock()
 	}
 	go f.sendHeartbeats()
+	if options.Sessions > 0 {
+		go f.followPrimaries()
+	}
 	return f, nil
 }
 
@@ -157,8 +168,10 @@
 func (f *Fleet) relayTarget(d *Target) error {
 	d.service = 2 * time.Millisecond
 	d.SetLag(5 * time.Millisecond)
-	link, err := startRelay(d.Address(), "")
-	if err != nil {
+	link := netfault.New(netfault.Options{Target: d.Address(), InitialPathFaults: func(source string) netfault.PathFaults {
+		return netfault.PathFaults{Partitioned: f.isCut(f.zoneOf(source), d.zone)}
+	}})
+	if err := link.Start(); err != nil {
 		return err
 	}
 	f.mu.Lock()
@@ -291,7 +304,7 @@
 readiness_address = "%s"
 promotion_url = "%s"
 grace_s = 4.0
-drain_timeout_ms = 7000
+drain_timeout_ms = %d
 config_apply_ms = 3000
 memory_mb = 400
 max_descriptors = 4000
@@ -319,13 +332,13 @@
 		bounds = FleetBounds.text()
 	}
 	text := fmt.Sprintf(settingsText, number+1, number%len(targetIDs)+1, host.CallerAddress(), host.PeerAddress(), host.AdminAddress(),
-		store.Address(), host, host.ReadinessAddress(), f.Provider.URL(), bounds)
+		store.Address(), host, host.ReadinessAddress(), f.Provider.URL(), f.drainTimeout().Milliseconds(), bounds)
 	path := filepath.Join(f.Options.Folder, fmt.Sprintf("daemon-%d.toml", number+1))
 	if err := os.WriteFile(path, []byte(text), 0o644); err != nil {
 		return nil, err
 	}
 	process := fleet.NewProcess(fmt.Sprintf("daemon-%d", number+1), filepath.Join(f.Options.Binaries, "papayacove"), f.Options.Folder, "run", "--settings", path)
-	return &Daemon{Process: process, CallerAddress: host.CallerAddress(), Source: string(host), PeerLink: peers, StoreLink: store}, process.Start()
+	return &Daemon{Process: process, CallerAddress: host.CallerAddress(), Source: string(host), Zone: fmt.Sprintf("zone-%d", number%len(targetIDs)+1), PeerLink: peers, StoreLink: store}, process.Start()
 }
 
 // LastActor returns the daemon that last changed an object of the store under a condition, such as a promotion lock; nil if
--- a/standin/lines/group.go
+++ b/standin/lines/group.go
@@ -59,6 +59,8 @@
 	commits []Commit
 	// termStarts are the positions at which the terms began: that of the last record before each.
 	termStarts map[uint64]Position
+	// cutZones are the zones that are cut off from the others, cutTargets the targets that are cut off from all others.
+	cutZones, cutTargets map[string]bool
 	// sourceOf returns the IP address of the daemon that a connection of a target comes from; nil if it isn't known.
 	sourceOf func(target string, conn net.Conn) string
 }
@@ -87,8 +89,14 @@
 	unresponsive bool
 	// heartbeatsStopped targets do not write their entries again.
 	heartbeatsStopped bool
-	// leaving targets have announced that they will stop.
-	leaving bool
+	// leaving targets have announced that they will stop, and retired ones have stopped for good.
+	leaving, retired bool
+	// joining targets have no entry yet.
+	joining bool
+	// silentSince is the time since which the target can't write its entry; zero if it can.
+	silentSince time.Time
+	// outrankedSince is the time since which an old primary has reached one of a later term; zero if it hasn't.
+	outrankedSince time.Time
 	// receiveBlocked replicas receive nothing from the primary.
 	receiveBlocked bool
 	// lag is the time between receiving and applying a record.
@@ -103,7 +111,8 @@
 // NewGroup starts a group of targets on loopback ports, in zones zone-1, zone-2 and so on. The first target is the
 // primary, in term 1.
 func NewGroup(store *Store, name string, ids ...string) (*Group, error) {
-	g := &Group{Name: name, store: store, targets: map[string]*Target{}, acknowledged: map[string]string{}, termStarts: map[uint64]Position{}, promoteDelay: 50 * time.Millisecond}
+	g := &Group{Name: name, store: store, targets: map[string]*Target{}, acknowledged: map[string]string{}, termStarts: map[uint64]Position{}, promoteDelay: 50 * time.Millisecond,
+		cutZones: map[string]bool{}, cutTargets: map[string]bool{}}
 	g.changed = sync.NewCond(&g.mu)
 	for i, id := range ids {
 		d := &Target{ID: id, group: g, zone: fmt.Sprintf("zone-%d", i+1), slots: make(chan struct{}, 5), term: 1, primary: i == 0, conns: map[net.Conn]struct{}{}}
@@ -150,6 +159,9 @@
 // Start opens the port of a target and writes its entry. A target that starts again keeps its port and its log, isn't
 // paused, and is a replica if another target is the primary of a later term.
 func (d *Target) Start() error {
+	if d.isRetired() {
+		return nil
+	}
 	address := d.address
 	if address == "" {
 		address = "127.0.0.1:0"
@@ -174,6 +186,9 @@
 
 // writeEntry writes the target's entry to the store. The caller holds the mutex of the group.
 func (d *Target) writeEntry() {
+	if d.joining || d.retired || d.group.cutZones[d.zone] {
+		return
+	}
 	role, state := "replica", "ready"
 	if d.primary {
 		role = "primary"
@@ -303,7 +318,7 @@
 			// A promotion ends all pauses, also those of replicas that the new primary doesn't reach.
 			d.pausedTerm = 0
 		}
-		if d != chosen && d.up && !d.unresponsive && !d.primary {
+		if d != chosen && d.up && !d.unresponsive && !d.primary && d.reaches(chosen) {
 			d.term, d.pausedTerm, d.log = chosen.term, 0, slices.Clone(chosen.log)
 		}
 	}
@@ -368,7 +383,7 @@
 
 // follows reports whether a replica receives from a primary. The caller holds the mutex of the group.
 func (d *Target) follows(primary *Target) bool {
-	return d.up && !d.unresponsive && !d.primary && !d.receiveBlocked && d.pausedTerm <= primary.term && d.term <= primary.term
+	return d.reaches(primary) && d.up && !d.unresponsive && !d.primary && !d.receiveBlocked && d.pausedTerm <= primary.term && d.term <= primary.term
 }
 
 // receive makes the log of a target equal to the log of the primary: it removes the records after their last common
--- a/standin/lines/provider.go
+++ b/standin/lines/provider.go
@@ -28,6 +28,9 @@
 	// Refuse makes the provider refuse every order, as it does if the target isn't running.
 	Refuse atomic.Bool
 
+	// cut holds the source IP addresses whose orders don't arrive.
+	cut sync.Map
+
 	mu     sync.Mutex
 	orders []PromotionOrder
 }
@@ -63,6 +66,12 @@
 }
 
 func (p *Provider) promote(w http.ResponseWriter, r *http.Request) {
+	if source, _, err := net.SplitHostPort(r.RemoteAddr); err == nil {
+		if _, cut := p.cut.Load(source); cut {
+			reset(w)
+			return
+		}
+	}
 	var body struct{ Backend, Id string }
 	if err := json.NewDecoder(r.Body).Decode(&body); err != nil {
 		w.WriteHeader(http.StatusBadRequest)
--- a/standin/soak/lines.go
+++ b/standin/soak/lines.go
@@ -108,6 +108,30 @@
 			}
 		}
 	}},
+	{"peer_connections_reset", onDaemon(func(d *lines.Daemon) func() { d.PeerLink.Reset(); return func() {} })},
+	{"peer_connections_silent", onDaemon(func(d *lines.Daemon) func() { d.PeerLink.MakeHalfOpen(); return func() {} })},
+	{"daemon_restarted", onDaemon(func(d *lines.Daemon) func() { d.Kill(); _ = d.Start(); return func() {} })},
+	{"daemon_frozen_briefly", onDaemon(func(d *lines.Daemon) func() { d.Freeze(); time.Sleep(briefFreeze); d.Resume(); return func() {} })},
+	{"holder_killed_twice", onHolder(killTwice)},
+	{"replica_released", onGroup(func(f *lines.Fleet, g *lines.Group, random *rand.Rand) (string, func()) {
+		return releaseAll(f, g, random, otherThan(g.RunningIDs(), g.Primary())[:1])
+	})},
+	{"primary_released", onGroup(func(f *lines.Fleet, g *lines.Group, random *rand.Rand) (string, func()) {
+		return releaseAll(f, g, random, []string{g.Primary()})
+	})},
+	{"group_released", onGroup(func(f *lines.Fleet, g *lines.Group, random *rand.Rand) (string, func()) {
+		return releaseAll(f, g, random, primaryLast(g))
+	})},
+	{"zone_cut", func(f *lines.Fleet, random *rand.Rand) (string, func()) {
+		return cutZone(f, f.Daemons[random.Intn(len(f.Daemons))].Zone)
+	}},
+	{"primary_cut_from_some", onGroup(cutPrimary)},
+	{"zone_cut_and_primary_released", onGroup(func(f *lines.Fleet, g *lines.Group, random *rand.Rand) (string, func()) {
+		return thenRelease(f, g, random, []string{g.Primary()}, func() (string, func()) { return cutZone(f, g.ZoneOf(g.Primary())) })
+	})},
+	{"primary_cut_and_group_released", onGroup(func(f *lines.Fleet, g *lines.Group, random *rand.Rand) (string, func()) {
+		return thenRelease(f, g, random, primaryLast(g), func() (string, func()) { return cutPrimary(f, g, random) })
+	})},
 }
 
 // maxCopyAge is the longest time that a copy is old from which the store is restored.
@@ -130,7 +154,10 @@
 	}
 }
 
-func anyID(_ *lines.Fleet, random *rand.Rand) string { return []string{"a", "b", "c"}[random.Intn(3)] }
+func anyID(f *lines.Fleet, random *rand.Rand) string {
+	ids := f.Group.RunningIDs()
+	return ids[random.Intn(len(ids))]
+}
 
 func onTarget(pick func(*lines.Fleet, *rand.Rand) string, inject func(*lines.Fleet, string) func()) func(*lines.Fleet, *rand.Rand) (string, func()) {
 	return func(f *lines.Fleet, random *rand.Rand) (string, func()) {
@@ -216,6 +243,7 @@
 	l.runDemands(working, f, seed, &parts)
 	l.runSessions(working, f, f.Options.Sessions, seed, &parts)
 	parts.Wait()
+	f.AwaitReleases()
 	l.settle(f)
 	l.checkWorkspaces(ctx, f, seed)
 	report := Report{Seed: seed, History: l.history}
