--- a/internal/engine/relay.go
+++ b/internal/engine/relay.go
@@ -221,7 +221,13 @@
 	}
 	e.values = e.state.valuesKey
 	if r.PreparedName != "" {
-		e.state.prepared = &preparedStatement{op: Operation(r.PreparedOperation), shape: r.PreparedShape, shared: r.PreparedName}
+		e.state.prepared = &preparedStatement{
+			op: Operation(r.PreparedOperation), shape: r.PreparedShape, shared: sharedName(Operation(r.PreparedOperation), r.PreparedShape),
+		}
+		if e.command.Op == OpExecute {
+			// Senders of other versions have other names.
+			e.command.Name = e.state.prepared.shared
+		}
 	}
 	return e, true
 }
--- a/internal/engine/session.go
+++ b/internal/engine/session.go
@@ -1,6 +1,8 @@
 package engine
 
 import (
+	"crypto/sha256"
+	"encoding/hex"
 	"errors"
 	"maps"
 	"slices"
@@ -8,9 +10,6 @@
 	"sync"
 	"time"
 
-	"github.com/cespare/xxhash/v2"
-	"strconv"
-
 	"github.com/papayacove/papayacove/api"
 	"github.com/papayacove/papayacove/internal/clock"
 	"github.com/papayacove/papayacove/internal/logevent"
@@ -22,6 +21,9 @@
 // maxSessionState bounds the session values and the prepared statements of one session.
 const maxSessionState = 1000
 
+// sharedNameBytes is the part of a SHA-256 digest, in bytes, in the name of a prepared statement.
+const sharedNameBytes = 20
+
 // preparedStatement is a statement that a caller prepared under a name.
 type preparedStatement struct {
 	op    Operation
@@ -276,10 +278,11 @@
 	return answer
 }
 
-// sharedName derives the name of a prepared statement from its content.
+// sharedName derives the name of a prepared statement from its content. Callers choose the shape, so the digest has to be
+// one for which nobody finds two shapes of one name. No operation's name has a blank.
 func sharedName(op Operation, shape string) string {
-	digest := xxhash.Sum64String(op.String() + " " + shape)
-	return "p" + strconv.FormatUint(digest, 36)
+	digest := sha256.Sum256([]byte(op.String() + " " + shape))
+	return "p" + hex.EncodeToString(digest[:sharedNameBytes])
 }
 
 // operationOf returns what a statement does. It looks up prepared statements.
