Engine: a late reply of a promoted replica is no sample of the primary

The positions of the primary bound the age of reads at replicas: a sample says that every commit acknowledged before it was asked for is at or before it. A reply became a sample if its target is the primary when the reply arrives and a leadership proof is valid. A read that a replica got before its promotion, and answered late, so gave its position of that time as one of the primary: reads with a bounded age could then run at a replica that lacks commits acknowledged before (STALE). It takes a proof that comes without a position of the new primary, as those of one replica and those of holders do, and an answer that is slower than the promotion.

The position counts now only if the command was sent after this daemon saw the target lead the term. Proofs by commits were right: they compare the term of the reply. The statuses that become samples carry the role, and were right too.

Before: TestLateReplyOfAReplicaIsNoSampleOfThePrimary got 1/5 as the position of the primary before it led. After: go test -race ./internal/engine passes.

--- a/internal/engine/outcomes.go
+++ b/internal/engine/outcomes.go
@@ -57,7 +57,7 @@
 }
 
 // recordReply records the reply to a command that was sent at askedAt. Its position becomes a sample if the target
-// was certainly the primary then, which a replicated commit proves.
+// was certainly the primary then: this daemon knew that it leads the term, and a proof is valid or a replicated commit gives one.
 func (g *group) recordReply(m *member, reply Reply, askedAt time.Duration, committed bool) {
 	now := clock.SinceBoot()
 	g.mu.Lock()
@@ -82,7 +82,7 @@
 	if committed && g.limits.SyncReplicas > 0 && reply.Position.Term == g.term {
 		g.recordProof(askedAt)
 	}
-	if askedAt < g.provenUntil && reply.Failure == nil {
+	if askedAt >= g.termSeenAt && askedAt < g.provenUntil && reply.Failure == nil {
 		g.samples.Add(askedAt, reply.Position)
 	}
 }
