Engine: a replica that starts again is not the one that was paused or lost

What a daemon knows of a replica was kept under its bare name. Two things outlived the start of another process under that name:

- Its last status said "paused", though a restart ends a pause.
When such a replica left within a second, it did not count as lost (takeover.MarkLost: paused a moment ago), and a promotion could go on without the commits that it had acknowledged since (LOST).
- A replica that was removed and returned under its name was taken for the one that was lost, and no longer blocked promotions, even if it came back without its log: its last position was forgotten with its entry, so that recordLostLog had nothing to compare with.

A new incarnation now ends the recorded pause and keeps the recorded position. The last status of a removed replica is kept for LostReplicaTimeout, and its position is compared when it returns; of its term and pause nothing is taken over. A replica that returns with its log blocks no longer than before, and nothing changes for primaries.

Before: TestRestartedReplicaIsNotPaused "got lost replicas []", TestReplicaThatReturnsWithoutLogIsLost "returned without its log: got lost replicas []". After: go test -race ./internal/engine and ./standin/lines pass.

--- a/internal/engine/group.go
+++ b/internal/engine/group.go
@@ -110,6 +110,8 @@
 	monitor takeover.PrimaryMonitor
 	// lostReplicas are the replicas that are gone and may alone hold an acknowledged commit.
 	lostReplicas takeover.LostReplicas
+	// removed are the replicas that were removed lately, by name.
+	removed map[string]removedReplica
 	// noPromotionUntil is the time of the boot clock until which no promotion is started.
 	noPromotionUntil time.Duration
 	// promoting is true while this daemon replaces the primary.
@@ -180,8 +182,10 @@
 		m.dropConnections()
 		m.applied, m.lags = api.Position{}, primaryposition.Lags{}
 		g.health.Forget(t.Name)
+		g.endPauseOf(t.Name)
 	}
 	if !known {
+		g.recallPosition(t.Name)
 		m = &member{name: t.Name}
 		m.pool = newPool(g.dialer, func() Target { return g.targetOf(m) }, g.shareOf(m))
 		m.control = &controlConnection{dialer: g.dialer, target: func() Target { return g.targetOf(m) }}
@@ -273,6 +277,7 @@
 	}
 	delete(g.members, name)
 	g.health.Forget(name)
+	g.keepPosition(name, clock.SinceBoot())
 	if name != g.primary && g.lostReplicas.MarkLost(name, g.statuses[name], clock.SinceBoot()) {
 		g.log().WithField(logfield.Target, name).Info(logevent.WitnessLost)
 	}
--- /dev/null
+++ b/internal/engine/removedreplica.go
@@ -0,0 +1,47 @@
+package engine
+
+import (
+	"maps"
+	"time"
+
+	"github.com/papayacove/papayacove/internal/policy/leadership"
+	"github.com/papayacove/papayacove/internal/policy/takeover"
+)
+
+// removedReplica is a replica that was removed at a time of the boot clock, with its last status.
+type removedReplica struct {
+	last leadership.Status
+	at   time.Duration
+}
+
+// endPauseOf records that a target has restarted, which ends its pause. The position that it held stays, so that the loss
+// of its log is noticed. The caller holds the lock.
+func (g *group) endPauseOf(name string) {
+	if s, ok := g.statuses[name]; ok {
+		s.PausedTerm = 0
+		g.statuses[name] = s
+	}
+}
+
+// keepPosition keeps the last status of a replica that is removed, for as long as a lost replica blocks promotions. The
+// caller holds the lock.
+func (g *group) keepPosition(name string, now time.Duration) {
+	maps.DeleteFunc(g.removed, func(_ string, r removedReplica) bool { return now-r.at >= takeover.LostReplicaTimeout })
+	last, ok := g.statuses[name]
+	if !ok || last.Role != leadership.RoleReplica {
+		return
+	}
+	if g.removed == nil {
+		g.removed = make(map[string]removedReplica)
+	}
+	g.removed[name] = removedReplica{last, now}
+}
+
+// recallPosition gives a replica that has returned the position that it held, so that its next status shows whether it has
+// returned with its log. Of its term and its pause nothing is known. The caller holds the lock.
+func (g *group) recallPosition(name string) {
+	if r, ok := g.removed[name]; ok {
+		delete(g.removed, name)
+		g.statuses[name] = leadership.Status{Role: leadership.RoleReplica, Received: r.last.Received, AskedAt: r.last.AskedAt}
+	}
+}
--- /dev/null
+++ b/internal/engine/restartedreplica_test.go
@@ -0,0 +1,48 @@
+package engine
+
+import (
+	"testing"
+	"time"
+
+	"github.com/papayacove/papayacove/internal/clock"
+	"github.com/papayacove/papayacove/internal/policy/leadership"
+)
+
+// removeNow removes a target as its removal timer does.
+func (g *group) removeNow(name string) {
+	g.mu.Lock()
+	m := g.members[name]
+	m.removalTimer = time.NewTimer(time.Hour)
+	g.mu.Unlock()
+	g.removeTarget(name, m)
+}
+
+// TestRestartedReplicaIsNotPaused loses a replica that was paused before it restarted: since its restart it may have
+// acknowledged commits.
+func TestRestartedReplicaIsNotPaused(t *testing.T) {
+	g := newTestGroup(&fakeTarget{})
+	now := clock.SinceBoot()
+	paused := follows(1, 10, now)
+	paused.PausedTerm = 2
+	g.applyStatusRound(map[string]leadership.Status{"b": paused}, now)
+	g.setTarget(Target{Name: "b", Group: "g", Slots: 5, Zone: "z", Incarnation: 2})
+	g.removeNow("b")
+	if lost := g.lostReplicas.Blocking(clock.SinceBoot()); len(lost) != 1 {
+		t.Errorf("got lost replicas %v, want the one that restarted after its pause", lost)
+	}
+}
+
+// TestReplicaThatReturnsWithoutLogIsLost removes a replica that then starts again under its name without the log that may
+// alone have an acknowledged commit.
+func TestReplicaThatReturnsWithoutLogIsLost(t *testing.T) {
+	for name, received := range map[string]uint64{"without its log": 0, "with its log": 10} {
+		g := newTestGroup(&fakeTarget{})
+		g.removeNow("b")
+		g.setTarget(Target{Name: "b", Group: "g", Slots: 5, Zone: "z", Incarnation: 2})
+		now := clock.SinceBoot()
+		g.applyStatusRound(map[string]leadership.Status{"b": follows(1, received, now), "c": follows(1, 10, now)}, now)
+		if lost := g.lostReplicas.Blocking(now); (len(lost) == 1) != (received == 0) {
+			t.Errorf("returned %s: got lost replicas %v", name, lost)
+		}
+	}
+}
