Promotion lock: a later start of the holder waits as others do

A record that names this daemon as the holder counted as free, whichever start of the daemon had written it.

The name of the holder is now that of this start only once this start has written it: until then the record is another's, and the lock is taken after its version has not changed for takeoverDelay. Nothing is waited for after a planned stop, which releases the lock, nor by the daemons that go on. The record is unchanged, so that older daemons read it as before.

After: go test -race ./internal/promotionlock passes, with its model.

--- a/internal/promotionlock/promotionlock.go
+++ b/internal/promotionlock/promotionlock.go
@@ -76,6 +76,9 @@
 	mu sync.Mutex
 	// held is the record of this daemon's hold; its version is 0 when there is none.
 	held api.Object
+	// hasTried is true once this start of the daemon has written that it holds the lock. Before, a record with its name is
+	// that of an earlier start, whose last order may still be in transit.
+	hasTried bool
 	// observed is the record of another holder, first observed at observedAt.
 	observed   api.Object
 	observedAt time.Duration
@@ -118,6 +121,7 @@
 	if err := l.check(record); err != nil {
 		return 0, 0, err
 	}
+	l.hasTried = true
 	sentAt := l.now()
 	held, err := l.write(ctx, record, l.holder)
 	if err != nil {
@@ -152,7 +156,8 @@
 	return record, nil
 }
 
-// check fails with ErrHeld while another daemon may order promotions. The caller holds mu.
+// check fails with ErrHeld while another daemon, or an order of an earlier start of this one, may promote. The caller holds
+// mu.
 func (l *lock) check(record api.Object) error {
 	stored := storedIn(record)
 	now := l.now()
@@ -162,7 +167,7 @@
 			return fmt.Errorf("%w: the store is in era %d since %s, and the record is of era %d", ErrHeld, record.Era, now-since, stored.Era)
 		}
 	}
-	if stored.Holder == "" || stored.Holder == l.holder {
+	if stored.Holder == "" || stored.Holder == l.holder && l.hasTried {
 		return nil
 	}
 	if l.observed.Version != record.Version || l.observed.Era != record.Era {
--- a/internal/promotionlock/promotionlock_test.go
+++ b/internal/promotionlock/promotionlock_test.go
@@ -154,6 +154,32 @@
 	}
 }
 
+// TestRestartedHolderWaitsForItsLastOrder starts the holder again: an order with the lower token of its earlier start, held up on
+// its way, must not arrive after one with the higher token.
+func TestRestartedHolderWaitsForItsLastOrder(t *testing.T) {
+	store := &memoryStore{}
+	now := time.Minute
+	clockOf := func() time.Duration { return now }
+	earlier, restarted := New(store, store, "daemon-1"), New(store, store, "daemon-1")
+	earlier.now, restarted.now = clockOf, clockOf
+	ctx := context.Background()
+	token, _, err := earlier.Acquire(ctx, group)
+	if err != nil {
+		t.Fatal(err)
+	}
+	if later, _, err := restarted.Acquire(ctx, group); !errors.Is(err, ErrHeld) {
+		t.Errorf("right after the restart: got token %d, %v, want ErrHeld", later, err)
+	}
+	now += takeoverDelay
+	later, _, err := restarted.Acquire(ctx, group)
+	if err != nil || later <= token {
+		t.Errorf("after the takeover delay: got token %d after %d, %v, want a higher one", later, token, err)
+	}
+	if again, _, err := restarted.Acquire(ctx, group); err != nil || again <= later {
+		t.Errorf("while it holds the lock: got token %d after %d, %v, want a higher one", again, later, err)
+	}
+}
+
 // TestRestoredStoreGivesTheLockToNobodyAtOnce restores a copy from before a daemon acquired the lock. The record then
 // says that the lock is free, and versions are given out again.
 func TestRestoredStoreGivesTheLockToNobodyAtOnce(t *testing.T) {
