Quota: a late request of an earlier start lends nothing

A coordinator keeps what a daemon lends under the daemon's bare name. When a daemon starts again, its first request ends what earlier starts lent, and once all coordinators have answered the new start owns its rights itself. A request of the earlier start that a partition held up and that arrives after that was taken, since its number is newer than the last one of its start: the same rights then counted twice, for up to 2 s, and a workspace got more operations than its limit.

The coordinator records when it first heard of the newest start; a stamp from before is one that an earlier start echoes, and lends nothing. The first stamp that the new start can echo is of that very answer. A request that is refused wrongly, as one of the new start after a first request of an older one, makes rights fewer until the next renewal.

Before: TestLateRequestOfAnEarlierStartLendsNothing "got a lent weight of 0.25, want 0". After: go test -race ./internal/policy/quota ./internal/quota passes.

--- a/internal/policy/quota/coordinator.go
+++ b/internal/policy/quota/coordinator.go
@@ -30,6 +30,8 @@
 	senders     map[sender]seen
 	// lenders holds the time until which a daemon had lent rights at most.
 	lenders map[string]time.Duration
+	// released holds the time at which the newest start of a daemon was first heard of. What earlier starts lent has ended.
+	released map[string]time.Duration
 	// startedAt is the time at which the first limits came into force; 0 before.
 	startedAt time.Duration
 	// hasEnded is true when the daemon stops as planned.
@@ -46,7 +48,7 @@
 func NewCoordinator(incarnation uint64) *Coordinator {
 	return &Coordinator{
 		incarnation: incarnation, rights: newRights(),
-		senders: make(map[sender]seen), lenders: make(map[string]time.Duration),
+		senders: make(map[sender]seen), lenders: make(map[string]time.Duration), released: make(map[string]time.Duration),
 	}
 }
 
@@ -112,6 +114,7 @@
 	if !known && len(c.senders) >= maxSenders {
 		maps.DeleteFunc(c.senders, func(_ sender, s seen) bool { return now-s.at > forgetSenderAfter })
 		maps.DeleteFunc(c.lenders, func(_ string, until time.Duration) bool { return now-until > forgetSenderAfter })
+		maps.DeleteFunc(c.released, func(_ string, at time.Duration) bool { return now-at > forgetSenderAfter })
 		if len(c.senders) >= maxSenders {
 			return false
 		}
@@ -125,18 +128,19 @@
 	for lane := range Lanes {
 		c.rights.set(lane, daemon, right{}, now)
 	}
+	c.released[daemon] = now
 	until, ok := c.lenders[daemon]
 	return ok && now < until+TokensValidFor
 }
 
 // take records rights that a daemon lends. They count until LendFor after the echoed stamp, without the time for which
-// tokens granted last may still be spent.
+// tokens granted last may still be spent. A stamp from before the release is one that an earlier start got.
 func (c *Coordinator) take(daemon string, d api.QuotaDelegation, now time.Duration) {
 	if d.Partition < 0 || d.Partition >= Lanes || !(d.Weight >= 0 && d.Weight <= 1.0/Lanes) || d.EchoIncarnation != c.incarnation {
 		return
 	}
 	stamp := time.Duration(d.EchoStampUs) * time.Microsecond
-	if d.EchoStampUs < 0 || d.EchoStampUs > now.Microseconds() {
+	if d.EchoStampUs < c.released[daemon].Microseconds() || d.EchoStampUs < 0 || d.EchoStampUs > now.Microseconds() {
 		return
 	}
 	if known, ok := c.rights.lanes[d.Partition][daemon]; ok && known.stamp > stamp {
--- a/internal/policy/quota/restart_test.go
+++ b/internal/policy/quota/restart_test.go
@@ -177,3 +177,25 @@
 		}
 	}
 }
+
+// TestLateRequestOfAnEarlierStartLendsNothing delivers a request of an earlier start of a daemon after the first one of the
+// next start, which owns its rights itself as soon as all coordinators have answered.
+func TestLateRequestOfAnEarlierStartLendsNothing(t *testing.T) {
+	const start = time.Hour
+	c := NewCoordinator(5)
+	c.SetBuckets(map[string]Bucket{"w": {Rate: 10, Depth: 20}}, start)
+	lend := func(incarnation, sequence uint64, stampUs int64, now time.Duration) float64 {
+		c.Handle(&api.QuotaRequest{Daemon: "d", Incarnation: incarnation, Sequence: sequence, Delegations: []api.QuotaDelegation{
+			{Partition: 0, Weight: 0.25, EchoIncarnation: 5, EchoStampUs: stampUs},
+		}}, now)
+		return c.LentWeight(now + time.Millisecond*20)
+	}
+	earlier := c.Handle(&api.QuotaRequest{Daemon: "d", Incarnation: 7, Sequence: 1}, start)
+	next := c.Handle(&api.QuotaRequest{Daemon: "d", Incarnation: 8, Sequence: 1}, start+time.Second)
+	if got := lend(7, 2, earlier.StampUs, start+1100*time.Millisecond); got != 0 {
+		t.Errorf("late request of the earlier start: got a lent weight of %g, want 0", got)
+	}
+	if got := lend(8, 2, next.StampUs, start+1200*time.Millisecond); got != 0.25 {
+		t.Errorf("request of the next start: got a lent weight of %g, want 0.25", got)
+	}
+}
