Gate: number the answers at random

The parts of an answer are fetched by the number of the answer, which each gate counted from 1. A session whose caller is slow fetches for up to 10 s after the first part. When the daemon that holds the target restarted meanwhile, or the gate of the target was closed and opened again, the number was that of another session's answer; a part of that one went to the caller of the first, of any workspace (MIXED).

The number is now a random one of 64 bits, so that it names no answer of an earlier gate, nor one of an older daemon that counts. It is checked by its equality alone, so that messages and older daemons are unchanged.

Before: TestFetchAfterRestartGetsNoOtherAnswer "got code 0 and 65550 bytes of the answer to another session, want answer_interrupted". After: go test -race ./internal/gate ./internal/router passes.

--- a/internal/gate/gate.go
+++ b/internal/gate/gate.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"errors"
+	"math/rand/v2"
 	"sync"
 	"sync/atomic"
 	"time"
@@ -68,8 +69,7 @@
 	// stoppedUntil is the time, in Unix nanoseconds, until which no new work on the primary is admitted.
 	stoppedUntil atomic.Int64
 
-	answerID atomic.Uint64
-	mu       sync.Mutex
+	mu sync.Mutex
 	// answers holds the answers that are not fetched to the end, by ID.
 	answers map[uint64]*answer
 	// inflight holds the connections of running batches, by session.
@@ -200,9 +200,9 @@
 		cancel()
 		return g.refuse(req, err)
 	}
-	batch.answer = newAnswer(ctx, g.answerID.Add(1), req.SessionID)
-	batch.answer.sequence = req.Sequence
 	g.mu.Lock()
+	batch.answer = newAnswer(ctx, g.freeAnswerID(), req.SessionID)
+	batch.answer.sequence = req.Sequence
 	g.answers[batch.answer.id] = batch.answer
 	g.inflight[req.SessionID] = batch.slot
 	g.mu.Unlock()
@@ -217,6 +217,17 @@
 	return g.next(context.WithoutCancel(ctx), batch.answer, 0)
 }
 
+// freeAnswerID returns an unused random ID, which is not 0. It is random so that none names an answer of an earlier gate of the
+// target, whose session may still fetch. The caller holds mu.
+func (g *Gate) freeAnswerID() uint64 {
+	for {
+		id := rand.Uint64()
+		if _, taken := g.answers[id]; id != 0 && !taken {
+			return id
+		}
+	}
+}
+
 // Fetch returns the chunk of an answer that the request numbers; chunk 0 is the one that Execute returned.
 func (g *Gate) Fetch(ctx context.Context, req *api.FetchRequest) *api.ExecuteReply {
 	g.mu.Lock()
