Gate: a request to cancel names its batch

A request to cancel named the session alone, although the message has a field for the number of the batch. When a batch ran into its limit and the session went on with the next one, a request that was late, or whose sender read the running batch after the change, cancelled the next one: its caller got 57014 for a statement that nobody had cancelled. A batch that a session had given up removed the entry of the next one, too, when it ended, so that that one could not be cancelled any more.

The router states the number, and cancels at its limit the batch that it sent. The gate cancels that batch only; the number 0, which an older daemon sends, stands for whichever runs, as before. The end of a batch removes its own entry only.

After: go test -race ./internal/gate ./internal/router ./standin/e2e passes. The end-to-end test that cancels whatever runs states 0; it checks what it did.

--- a/internal/gate/conclude.go
+++ b/internal/gate/conclude.go
@@ -98,7 +98,9 @@
 func (b *batch) releaseConnection(transactionStatus byte, err error) {
 	session := b.req.SessionID
 	b.gate.mu.Lock()
-	delete(b.gate.inflight, session)
+	if b.gate.inflight[session] == b {
+		delete(b.gate.inflight, session)
+	}
 	b.gate.mu.Unlock()
 	keeps := err == nil && transactionStatus != statusIdle
 	isAbandoned := b.answer.ctx.Err() != nil
--- a/internal/gate/gate.go
+++ b/internal/gate/gate.go
@@ -72,8 +72,8 @@
 	mu sync.Mutex
 	// answers holds the answers that are not fetched to the end, by ID.
 	answers map[uint64]*answer
-	// inflight holds the connections of running batches, by session.
-	inflight map[string]*slot
+	// inflight holds the running batches, by session; the newest one if a session gave the one before up.
+	inflight map[string]*batch
 }
 
 // New returns a gate without connections; they are opened when batches need them.
@@ -89,7 +89,7 @@
 		age:          newAgeTracker(confirmer),
 		applied:      newAppliedWatch(options.Spec, options.Target, options.Observer),
 		answers:      make(map[uint64]*answer),
-		inflight:     make(map[string]*slot),
+		inflight:     make(map[string]*batch),
 	}
 }
 
@@ -204,7 +204,7 @@
 	batch.answer = newAnswer(ctx, g.freeAnswerID(), req.SessionID)
 	batch.answer.sequence = req.Sequence
 	g.answers[batch.answer.id] = batch.answer
-	g.inflight[req.SessionID] = batch.slot
+	g.inflight[req.SessionID] = batch
 	g.mu.Unlock()
 	if g.released.covers(req) {
 		// The session released the batch while it waited for a slot; a transaction that it begins is rolled back.
--- a/internal/gate/manager.go
+++ b/internal/gate/manager.go
@@ -304,11 +304,12 @@
 	return held.Fetch(ctx, req)
 }
 
-// Cancel cancels the batches that a session is running at gates of this daemon, and reports whether there were any.
+// Cancel cancels the batch of a session that the request names, at the gates of this daemon that run it, and reports whether
+// any did.
 func (m *Manager) Cancel(req *api.CancelRequest) bool {
 	done := false
 	for _, held := range m.Gates() {
-		done = held.Cancel(req.SessionID) || done
+		done = held.Cancel(req.SessionID, req.Sequence) || done
 	}
 	return done
 }
--- a/internal/gate/release.go
+++ b/internal/gate/release.go
@@ -12,18 +12,20 @@
 	"github.com/sirupsen/logrus"
 )
 
-// Cancel cancels the batch that a session is running, and reports whether there was one.
-func (g *Gate) Cancel(session string) bool {
+// Cancel cancels the batch of a session with the given sequence number if it is running, or whichever is running if the number
+// is 0, as that of an older daemon. It reports whether there was one.
+func (g *Gate) Cancel(session string, sequence uint64) bool {
 	g.mu.Lock()
 	running, ok := g.inflight[session]
+	ok = ok && (sequence == 0 || sequence == running.req.Sequence)
 	if ok {
-		running.cancelled = true
+		running.slot.cancelled = true
 	}
 	g.mu.Unlock()
 	if !ok {
 		return false
 	}
-	g.cancelAt(running)
+	g.cancelAt(running.slot)
 	return true
 }
 
--- a/internal/router/fake_test.go
+++ b/internal/router/fake_test.go
@@ -23,6 +23,7 @@
 	floorCalls        int
 	requests          []*api.ExecuteRequest
 	releaseCalls      int
+	cancels           []uint64
 }
 
 func (f *fakeGates) Execute(req *api.ExecuteRequest) *api.ExecuteReply {
@@ -40,7 +41,10 @@
 	return reply
 }
 
-func (f *fakeGates) Cancel(*api.CancelRequest) bool { return false }
+func (f *fakeGates) Cancel(req *api.CancelRequest) bool {
+	f.cancels = append(f.cancels, req.Sequence)
+	return false
+}
 
 func (f *fakeGates) Release(*api.ReleaseRequest) bool {
 	f.releaseCalls++
--- a/internal/router/session.go
+++ b/internal/router/session.go
@@ -35,11 +35,12 @@
 	// know.
 	writtenUnknown bool
 
-	// mu guards running, the daemon that runs a batch of the session ("" for none), and block, the open transaction
-	// block (nil for none).
-	mu      sync.Mutex
-	running string
-	block   *block
+	// mu guards running, the daemon that runs a batch of the session ("" for none), runningSequence, the number of the batch,
+	// and block, the open transaction block (nil for none).
+	mu              sync.Mutex
+	running         string
+	runningSequence uint64
+	block           *block
 }
 
 // block is a transaction block, or an open pipeline, with the daemon and the target at which it runs. The ID is the
@@ -161,7 +162,8 @@
 	s.setRunning(daemon)
 	defer s.setRunning("")
 	// When the caller is gone, its statement would occupy a slot without anyone to receive the answer.
-	stop := context.AfterFunc(ctx, s.Cancel)
+	sequence := s.sequence
+	stop := context.AfterFunc(ctx, func() { s.cancel(daemon, sequence) })
 	defer stop()
 	outcome, emitted, failed := s.relay(ctx, daemon, req, emit)
 	if failed == nil {
@@ -270,7 +272,7 @@
 func (s *session) setRunning(daemon string) {
 	s.mu.Lock()
 	defer s.mu.Unlock()
-	s.running = daemon
+	s.running, s.runningSequence = daemon, s.sequence
 }
 
 func (s *session) currentBlock() *block {
@@ -288,12 +290,16 @@
 // Cancel requests the cancellation of the batch that the session is running, if any. It may be called concurrently.
 func (s *session) Cancel() {
 	s.mu.Lock()
-	daemon := s.running
+	daemon, sequence := s.running, s.runningSequence
 	s.mu.Unlock()
-	if daemon == "" {
-		return
+	if daemon != "" {
+		s.cancel(daemon, sequence)
 	}
-	req := &api.CancelRequest{SessionID: s.id}
+}
+
+// cancel requests the cancellation of one batch, which may have ended: the request must not reach the next one.
+func (s *session) cancel(daemon string, sequence uint64) {
+	req := &api.CancelRequest{SessionID: s.id, Sequence: sequence}
 	s.router.notify(daemon,
 		func() { s.router.options.Gates.Cancel(req) },
 		func(ctx context.Context, client *peer.Client) { _, _ = client.Cancel(ctx, req) })
--- a/internal/router/session_test.go
+++ b/internal/router/session_test.go
@@ -104,6 +104,22 @@
 	}
 }
 
+// TestCancelNamesTheBatch cancels the second batch of a session: without its number the request may reach the third.
+func TestCancelNamesTheBatch(t *testing.T) {
+	gates := &fakeGates{replies: []*api.ExecuteReply{done(at(120)), done(at(121))}}
+	s := openSession(t, gates)
+	if _, err := s.Run(context.Background(), batchOf(write, strict), discard); err != nil {
+		t.Fatal(err)
+	}
+	cancelling := func([]byte) error { s.Cancel(); return nil }
+	if _, err := s.Run(context.Background(), batchOf(write, strict), cancelling); err != nil {
+		t.Fatal(err)
+	}
+	if len(gates.cancels) != 1 || gates.cancels[0] != gates.requests[1].Sequence {
+		t.Errorf("got cancels of batches %v, want one of batch %d", gates.cancels, gates.requests[1].Sequence)
+	}
+}
+
 func TestRefusedWriteIsRepeated(t *testing.T) {
 	gates := &fakeGates{replies: []*api.ExecuteReply{refusal(result.NotRunNoSlot), refusal(result.NotRunTermChanged), done(at(120))}}
 	s := openSession(t, gates)
--- a/standin/e2e/gate_batch_test.go
+++ b/standin/e2e/gate_batch_test.go
@@ -134,14 +134,14 @@
 	slow := f.write("s", "SELECT pg_sleep(10)")
 	replies := make(chan *api.ExecuteReply)
 	go func() { replies <- primary.Execute(context.Background(), slow) }()
-	await(t, "the statement runs", func() bool { return primary.Cancel("d/s") })
+	await(t, "the statement runs", func() bool { return primary.Cancel("d/s", 0) })
 	var reply *api.ExecuteReply
 	await(t, "the statement is cancelled", func() bool {
 		select {
 		case reply = <-replies:
 			return true
 		default:
-			primary.Cancel("d/s")
+			primary.Cancel("d/s", 0)
 			return false
 		}
 	})
