Engine: a target's unknown statement is not the caller's

The prepared statements on target connections have names of the daemon, and its failures were passed on with the target's code. When a target no longer knew a name that its connection is taken to have, a transaction ended with NOSTMT, and so did a single statement after its last attempt: the caller was told that a statement is unknown whose preparing was acknowledged (PINNED). A transaction is not repeated by the daemon, since the target has failed it; single statements are, and prepare again.

The caller now gets the daemon's own refusal: not run, nothing kept, which holds for both, and the next attempt prepares the statement.

--- a/internal/engine/failure.go
+++ b/internal/engine/failure.go
@@ -53,7 +53,11 @@
 	return result.TargetFailed
 }
 
-// targetRefusal turns a failure that a target reported into the refusal for the caller.
+// targetRefusal turns a failure that a target reported into the refusal for the caller. That a target does not know a prepared
+// statement is not passed on as such: the name is one of this daemon, and the caller's own is known.
 func targetRefusal(failure *TargetFailure) *Refusal {
+	if failure.Kind == FailureUnknownStatement {
+		return refuse(codeOf(failure.Kind), "the target has lost a prepared statement")
+	}
 	return &Refusal{Code: codeOf(failure.Kind), Reason: failure.Text, Target: failure}
 }
