Engine: encode session values unambiguously

Sessions share target connections, and the values of a connection are known by an encoding that joined names and values with NUL: {a: "b\0c\0d"} and {a: "b", c: "d"} had the same one, and a session ran with the other's values.

Each name and value now follows its length, and a connection keeps the names of its values instead of taking them from the encoding. The encoding leaves no process.

Before: TestValuesAreToldApart "the target ran {id:read1 values:map[a:b\0c\0d] shape:}, want values map[a:b c:d]". After: it passes, and TestStatementsRunInTheStateOfTheirSession, whose names and values now hold NUL too, passes 10,000 runs. go test -race ./internal/engine passes.

--- a/internal/engine/pool.go
+++ b/internal/engine/pool.go
@@ -29,8 +29,9 @@
 	Connection
 	// workspace is the workspace that the connection was opened for; it serves no other.
 	workspace string
-	// values is the canonical form of the session values that the connection has.
-	values string
+	// values is the canonical form of the session values that the connection has, and valueNames are their names.
+	values     string
+	valueNames []string
 	// prepared holds the names of the prepared statements that the connection has.
 	prepared map[string]struct{}
 	lastUsed time.Time
--- a/internal/engine/session.go
+++ b/internal/engine/session.go
@@ -6,7 +6,7 @@
 	"errors"
 	"maps"
 	"slices"
-	"strings"
+	"strconv"
 	"sync"
 	"time"
 
@@ -246,16 +246,17 @@
 	return answer
 }
 
-// canonicalValues encodes session values so that equal values have equal encodings.
+// canonicalValues encodes session values so that equal values, and no others, have equal encodings: each name and value
+// follows its length.
 func canonicalValues(values map[string]string) string {
-	var b strings.Builder
+	var key []byte
 	for _, name := range slices.Sorted(maps.Keys(values)) {
-		b.WriteString(name)
-		b.WriteByte(0)
-		b.WriteString(values[name])
-		b.WriteByte(0)
+		for _, text := range []string{name, values[name]} {
+			key = strconv.AppendInt(key, int64(len(text)), 10)
+			key = append(append(key, ':'), text...)
+		}
 	}
-	return b.String()
+	return string(key)
 }
 
 // recordCommit records a commit of the session.
--- a/internal/engine/sessionstate.go
+++ b/internal/engine/sessionstate.go
@@ -1,7 +1,8 @@
 package engine
 
 import (
-	"strings"
+	"maps"
+	"slices"
 	"time"
 )
 
@@ -50,7 +51,9 @@
 			return reply.Failure
 		}
 	}
-	conn.values = s.valuesKey
+	if conn.values != s.valuesKey {
+		conn.values, conn.valueNames = s.valuesKey, slices.Collect(maps.Keys(s.values))
+	}
 	if s.prepared != nil {
 		conn.prepared[s.prepared.shared] = struct{}{}
 	}
@@ -60,7 +63,7 @@
 // commandsFor returns the commands that give the connection the session state it lacks.
 func (s sessionState) commandsFor(conn *pooledConnection) []Command {
 	var commands []Command
-	discard := conn.values != "" && conn.values != s.valuesKey && !s.overwritesAll(conn.values) || len(conn.prepared) >= maxPrepared && !s.inTransaction
+	discard := conn.values != "" && conn.values != s.valuesKey && !s.overwritesAll(conn.valueNames) || len(conn.prepared) >= maxPrepared && !s.inTransaction
 	if discard {
 		commands = append(commands, Command{Op: OpDiscard})
 	}
@@ -80,14 +83,10 @@
 	return commands
 }
 
-// overwritesAll reports whether every value that the connection has is set here, so that those need not be discarded
-// first.
-func (s sessionState) overwritesAll(key string) bool {
-	parts := strings.Split(key, "\x00")
-	for i := 0; i+1 < len(parts); i += 2 {
-		if _, ok := s.values[parts[i]]; !ok {
-			return false
-		}
-	}
-	return true
+// overwritesAll reports whether all values that the connection has are set here, so that those need not be discarded first.
+func (s sessionState) overwritesAll(names []string) bool {
+	return !slices.ContainsFunc(names, func(name string) bool {
+		_, ok := s.values[name]
+		return !ok
+	})
 }
--- a/internal/engine/sessionstate_test.go
+++ b/internal/engine/sessionstate_test.go
@@ -121,8 +121,8 @@
 
 // drawStatement draws a statement of a session. Executed names are prepared ones.
 func (m *modelSession) drawStatement(t *rapid.T, id string) Statement {
-	text := rapid.SampledFrom([]string{"a", "b", "1:a", "", "x"})
-	name := rapid.SampledFrom([]string{"s1", "s2", "a", "c"}).Draw(t, "name")
+	text := rapid.SampledFrom([]string{"a", "b", "a\x00b", "b\x00a\x00b", "1:a", "", "x"})
+	name := rapid.SampledFrom([]string{"s1", "s2", "a", "c\x00a"}).Draw(t, "name")
 	statement := Statement{ID: id, Op: rapid.SampledFrom([]Operation{
 		OpSet, OpSet, OpPrepare, OpExecute, OpExecute, OpRead, OpWrite, OpBegin, OpBeginReadOnly, OpCommit, OpRollback,
 	}).Draw(t, "operation")}
@@ -154,3 +154,16 @@
 		}
 	})
 }
+
+// TestValuesAreToldApart gives two sessions values that had the same encoding while names and values were joined with NUL.
+func TestValuesAreToldApart(t *testing.T) {
+	target := newStatefulTarget()
+	e := newTestEngine(target.fakeTarget)
+	for i, values := range []map[string]string{{"a": "b\x00c\x00d"}, {"a": "b", "c": "d"}} {
+		m := newModelSession(e)
+		for name, value := range values {
+			m.step(t, target, Statement{ID: "set", Op: OpSet, Name: name, Argument: value})
+		}
+		m.step(t, target, Statement{ID: fmt.Sprint("read", i), Op: OpRead, Text: "READ x"})
+	}
+}
