Lines: only the object "main" is the configuration

The daemons follow the kind of the configuration and took each object of that kind for it, whatever its name. Another object there, such as a draft or a copy, with a higher version was put in force (ROUTE), and one that is deleted or can't be read kept the configuration from being proved, so that callers with keys were refused.

Objects of other names are passed over.

--- a/internal/lineproxy/proxy.go
+++ b/internal/lineproxy/proxy.go
@@ -229,8 +229,11 @@
 var errDeleted = errors.New("object is deleted")
 
 // applyConfiguration puts a configuration into force, without the entries that cannot be used. After an error the last one
-// stays in force, and nothing proves that it is current.
+// stays in force, and nothing proves that it is current. Other objects of the kind are not the configuration.
 func (p *Proxy) applyConfiguration(o api.Object) error {
+	if o.Name != platform.ConfigurationName {
+		return nil
+	}
 	if o.Deleted {
 		logrus.WithField(logfield.Object, o.Name).Warn(logevent.ConfigurationDeleted)
 		return errDeleted
--- a/internal/lineproxy/proxy_test.go
+++ b/internal/lineproxy/proxy_test.go
@@ -114,3 +114,19 @@
 		t.Errorf("got version %d in force, want 4", version)
 	}
 }
+
+// TestOtherObjectsAreNoConfiguration stores, changes and deletes another object of the kind of the configuration: its routes are not
+// in force, and it does not keep the configuration from being proved.
+func TestOtherObjectsAreNoConfiguration(t *testing.T) {
+	p := newTestProxy(t, time.Hour)
+	other := stored(9, `[]`)
+	other.Name = "draft"
+	for _, o := range []api.Object{stored(7, `[]`), other, {Name: "draft", Data: []byte("{")}, {Name: "draft", Deleted: true}} {
+		if err := p.applyConfiguration(o); err != nil {
+			t.Errorf("object %q: got %v, want it passed over", o.Name, err)
+		}
+	}
+	if version, _, _ := p.engine.ConfigurationState(); version != 7 {
+		t.Errorf("got version %d in force, want 7", version)
+	}
+}
