Engine: the commits of a session are those of a group

A read on a route of own writes must not fall behind the session's latest commit. The session kept its position alone, though it is one of the log of a group, and the route of a database may change to another group: reads there waited for a position that its log does not have. Where the former group was ahead, all reads of such sessions at the new one were refused as behind until the session ended, with an advice to come back in 292 years.

The session keeps its latest commit of each group, so that neither group's is lost when the route changes back.

Before: TestCommitsBindReadsOfTheirGroup "read in group right: got refusal &{Code:not_run_behind ... RetryAfter:2562047h19m7.24s ...}". After: go test -race ./internal/engine passes.

--- a/internal/engine/read.go
+++ b/internal/engine/read.go
@@ -30,17 +30,17 @@
 	if r.route.Consistency == ConsistencyStrict {
 		return r.planWithoutAge(api.Position{})
 	}
-	own := api.Position{}
+	own := sessionCommit{}
 	if r.route.Consistency == ConsistencySession {
-		own = r.session.minPosition
+		own = r.session.commits[r.group]
 	}
 	position, ok := r.group.minPositionForAge(now, r.route.MaxAge-ageMargin)
 	if !ok {
-		return r.planWithoutAge(own)
+		return r.planWithoutAge(own.position)
 	}
-	plan := readPlan{minPosition: own.Max(position)}
-	if !own.IsZero() {
-		plan.committedAt = r.session.committedAt
+	plan := readPlan{minPosition: own.position.Max(position)}
+	if !own.position.IsZero() {
+		plan.committedAt = own.at
 	}
 	return plan
 }
--- a/internal/engine/session.go
+++ b/internal/engine/session.go
@@ -33,6 +33,12 @@
 	shared string
 }
 
+// sessionCommit is the position of the latest commit of a session in a group, made at a time of the boot clock.
+type sessionCommit struct {
+	position api.Position
+	at       time.Duration
+}
+
 // session is the state of one caller connection.
 type session struct {
 	engine   *Engine
@@ -52,9 +58,9 @@
 	// valuesKey is the canonical form of values.
 	valuesKey string
 	prepared  map[string]preparedStatement
-	// minPosition is the position of the session's latest commit, made at committedAt on the boot clock.
-	minPosition api.Position
-	committedAt time.Duration
+	// commits are the session's latest commits by group: a position is one of the log of its group, and the route of the
+	// database may change to another group. It is nil before the first commit.
+	commits map[*group]sessionCommit
 	// transaction is nil outside one.
 	transaction *transaction
 
@@ -259,10 +265,12 @@
 	return string(key)
 }
 
-// recordCommit records a commit of the session.
-func (s *session) recordCommit(position api.Position) {
-	s.minPosition = s.minPosition.Max(position)
-	s.committedAt = clock.SinceBoot()
+// recordCommit records a commit of the session in a group.
+func (s *session) recordCommit(g *group, position api.Position) {
+	if s.commits == nil {
+		s.commits = make(map[*group]sessionCommit)
+	}
+	s.commits[g] = sessionCommit{position: s.commits[g].position.Max(position), at: clock.SinceBoot()}
 }
 
 func (s *session) prepare(statement Statement) Answer {
--- a/internal/engine/transaction.go
+++ b/internal/engine/transaction.go
@@ -281,7 +281,7 @@
 	r.group.recordReply(t.member, outcome.reply, outcome.askedAt, t.wrote)
 	r.logServed("transaction")
 	if t.wrote {
-		s.recordCommit(outcome.reply.Position)
+		s.recordCommit(r.group, outcome.reply.Position)
 	}
 	return s.answerOf(outcome.reply)
 }
--- a/internal/engine/write.go
+++ b/internal/engine/write.go
@@ -85,7 +85,7 @@
 		return Reply{}, refusal, reply.Failure.Kind.IsNotRun()
 	}
 	r.group.recordReply(m, reply, outcome.askedAt, true)
-	r.session.recordCommit(reply.Position)
+	r.session.recordCommit(r.group, reply.Position)
 	return reply, nil, false
 }
 
