--- a/internal/engine/session.go
+++ b/internal/engine/session.go
@@ -1,16 +1,15 @@
 package engine
 
 import (
+	"crypto/sha256"
+	"encoding/hex"
 	"errors"
 	"maps"
 	"slices"
-	"strings"
+	"strconv"
 	"sync"
 	"time"
 
-	"github.com/cespare/xxhash/v2"
-	"strconv"
-
 	"github.com/papayacove/papayacove/api"
 	"github.com/papayacove/papayacove/internal/clock"
 	"github.com/papayacove/papayacove/internal/logevent"
@@ -22,6 +21,9 @@
 // maxSessionState bounds the session values and the prepared statements of one session.
 const maxSessionState = 1000
 
+// sharedNameBytes is the part of a SHA-256 digest, in bytes, in the name of a prepared statement.
+const sharedNameBytes = 20
+
 // preparedStatement is a statement that a caller prepared under a name.
 type preparedStatement struct {
 	op    Operation
@@ -31,6 +33,12 @@
 	shared string
 }
 
+// sessionCommit is the position of the latest commit of a session in a group, made at a time of the boot clock.
+type sessionCommit struct {
+	position api.Position
+	at       time.Duration
+}
+
 // session is the state of one caller connection.
 type session struct {
 	engine   *Engine
@@ -50,9 +58,9 @@
 	// valuesKey is the canonical form of values.
 	valuesKey string
 	prepared  map[string]preparedStatement
-	// minPosition is the position of the session's latest commit, made at committedAt on the boot clock.
-	minPosition api.Position
-	committedAt time.Duration
+	// commits are the session's latest commits by group: a position is one of the log of its group, and the route of the
+	// database may change to another group. It is nil before the first commit.
+	commits map[*group]sessionCommit
 	// transaction is nil outside one.
 	transaction *transaction
 
@@ -244,22 +252,25 @@
 	return answer
 }
 
-// canonicalValues encodes session values so that equal values have equal encodings.
+// canonicalValues encodes session values so that equal values, and no others, have equal encodings: each name and value
+// follows its length.
 func canonicalValues(values map[string]string) string {
-	var b strings.Builder
+	var key []byte
 	for _, name := range slices.Sorted(maps.Keys(values)) {
-		b.WriteString(name)
-		b.WriteByte(0)
-		b.WriteString(values[name])
-		b.WriteByte(0)
+		for _, text := range []string{name, values[name]} {
+			key = strconv.AppendInt(key, int64(len(text)), 10)
+			key = append(append(key, ':'), text...)
+		}
 	}
-	return b.String()
+	return string(key)
 }
 
-// recordCommit records a commit of the session.
-func (s *session) recordCommit(position api.Position) {
-	s.minPosition = s.minPosition.Max(position)
-	s.committedAt = clock.SinceBoot()
+// recordCommit records a commit of the session in a group.
+func (s *session) recordCommit(g *group, position api.Position) {
+	if s.commits == nil {
+		s.commits = make(map[*group]sessionCommit)
+	}
+	s.commits[g] = sessionCommit{position: s.commits[g].position.Max(position), at: clock.SinceBoot()}
 }
 
 func (s *session) prepare(statement Statement) Answer {
@@ -276,10 +287,11 @@
 	return answer
 }
 
-// sharedName derives the name of a prepared statement from its content.
+// sharedName derives the name of a prepared statement from its content. Callers choose the shape, so the digest has to be
+// one for which nobody finds two shapes of one name. No operation's name has a blank.
 func sharedName(op Operation, shape string) string {
-	digest := xxhash.Sum64String(op.String() + " " + shape)
-	return "p" + strconv.FormatUint(digest, 36)
+	digest := sha256.Sum256([]byte(op.String() + " " + shape))
+	return "p" + hex.EncodeToString(digest[:sharedNameBytes])
 }
 
 // operationOf returns what a statement does. It looks up prepared statements.
--- a/internal/gate/gate.go
+++ b/internal/gate/gate.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"errors"
+	"math/rand/v2"
 	"sync"
 	"sync/atomic"
 	"time"
@@ -68,12 +69,11 @@
 	// stoppedUntil is the time, in Unix nanoseconds, until which no new work on the primary is admitted.
 	stoppedUntil atomic.Int64
 
-	answerID atomic.Uint64
-	mu       sync.Mutex
+	mu sync.Mutex
 	// answers holds the answers that are not fetched to the end, by ID.
 	answers map[uint64]*answer
-	// inflight holds the connections of running batches, by session.
-	inflight map[string]*slot
+	// inflight holds the running batches, by session; the newest one if a session gave the one before up.
+	inflight map[string]*batch
 }
 
 // New returns a gate without connections; they are opened when batches need them.
@@ -89,7 +89,7 @@
 		age:          newAgeTracker(confirmer),
 		applied:      newAppliedWatch(options.Spec, options.Target, options.Observer),
 		answers:      make(map[uint64]*answer),
-		inflight:     make(map[string]*slot),
+		inflight:     make(map[string]*batch),
 	}
 }
 
@@ -200,11 +200,11 @@
 		cancel()
 		return g.refuse(req, err)
 	}
-	batch.answer = newAnswer(ctx, g.answerID.Add(1), req.SessionID)
-	batch.answer.sequence = req.Sequence
 	g.mu.Lock()
+	batch.answer = newAnswer(ctx, g.freeAnswerID(), req.SessionID)
+	batch.answer.sequence = req.Sequence
 	g.answers[batch.answer.id] = batch.answer
-	g.inflight[req.SessionID] = batch.slot
+	g.inflight[req.SessionID] = batch
 	g.mu.Unlock()
 	if g.released.covers(req) {
 		// The session released the batch while it waited for a slot; a transaction that it begins is rolled back.
@@ -217,6 +217,17 @@
 	return g.next(context.WithoutCancel(ctx), batch.answer, 0)
 }
 
+// freeAnswerID returns an unused random ID, which is not 0. It is random so that none names an answer of an earlier gate of the
+// target, whose session may still fetch. The caller holds mu.
+func (g *Gate) freeAnswerID() uint64 {
+	for {
+		id := rand.Uint64()
+		if _, taken := g.answers[id]; id != 0 && !taken {
+			return id
+		}
+	}
+}
+
 // Fetch returns the chunk of an answer that the request numbers; chunk 0 is the one that Execute returned.
 func (g *Gate) Fetch(ctx context.Context, req *api.FetchRequest) *api.ExecuteReply {
 	g.mu.Lock()
