A leadership proof needs the primary's own status

The cause: one replica that follows the term and is not paused counted as a proof by itself. A promotion that rests on the step-down of the old primary goes on although it has not reached and paused every replica. Such a replica went on proving the old term to each daemon that reaches it, and the old primary, a replica now, answers plain reads. Besides, the promoter waited from the last pause, which comes before the step-down.

The fix: a proof consists of the primary's status, in its role in the term, and of a replica that follows the term unpaused, and counts from the earlier of the two times asked. Every promotion now ends each proof: it has paused all replicas, or the old primary has stepped down, and takeover.EarliestOrder waits for the validity from the later of the two if the choice rests on the step-down. An acknowledged replicated commit proves both, as before. The two statuses need not be of one round, so that a busy target costs the proof only its own next answer. Reads by way of the replicas while the primary is silent rest on the answers of all replicas and no proof; they are unchanged.

A renewal makes two status calls in place of one, to two targets: TestFailingProofsAreRateLimited counts the calls to each target now, with the same bound, because its sum assumed one call for a proof.

Ruled out: that the promoter alone waits longer. A replica that it does not reach proves the old term for as long as it is not reached.

--- a/internal/engine/group_test.go
+++ b/internal/engine/group_test.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"fmt"
+	"sync"
 	"testing"
 	"time"
 
@@ -173,9 +174,12 @@
 // connections of many daemons.
 func TestFailingProofsAreRateLimited(t *testing.T) {
 	const daemons, lasting = 100, time.Second
-	target := &fakeTarget{err: &TargetFailure{Kind: FailureTooManyConnections, Code: "TOOMANY"}}
-	g := newTestGroup(target)
+	dialer := &perTargetDialer{fakeTarget: &fakeTarget{err: &TargetFailure{Kind: FailureTooManyConnections, Code: "TOOMANY"}}, dialed: map[string]int{}}
+	g := newTestGroup(dialer.fakeTarget)
 	g.setLimits(GroupLimits{MaxConnections: 30, SyncReplicas: 1}, daemonsNamed(daemons))
+	for _, m := range g.members {
+		m.control.dialer = dialer
+	}
 	ctx, cancel := context.WithTimeout(context.Background(), lasting)
 	defer cancel()
 	go func() {
@@ -184,13 +188,33 @@
 		}
 	}()
 	g.serveProofs(ctx)
-	target.mu.Lock()
-	defer target.mu.Unlock()
-	if most := int(lasting/(daemons*scarceRoundInterval)) + 1; target.dialed > most {
-		t.Errorf("got %d calls in %s, want at most %d", target.dialed, lasting, most)
+	dialer.mu.Lock()
+	defer dialer.mu.Unlock()
+	most := int(lasting/(daemons*scarceRoundInterval)) + 1
+	for name, calls := range dialer.dialed {
+		if calls > most {
+			t.Errorf("got %d calls to %s in %s, want at most %d", calls, name, lasting, most)
+		}
+	}
+	if len(dialer.dialed) != 2 {
+		t.Errorf("got calls to %d targets, want to the primary and one replica", len(dialer.dialed))
 	}
 }
 
+// perTargetDialer counts the attempts to connect to each target.
+type perTargetDialer struct {
+	*fakeTarget
+	mu     sync.Mutex
+	dialed map[string]int
+}
+
+func (d *perTargetDialer) Dial(ctx context.Context, target Target, workspace string) (Connection, error) {
+	d.mu.Lock()
+	d.dialed[target.Name]++
+	d.mu.Unlock()
+	return d.fakeTarget.Dial(ctx, target, workspace)
+}
+
 // TestLeavingTargetMissingInARestoredStoreIsKept removes the entry of a leaving target: it is gone for good when the
 // entries have been followed without a failure, and may come back when the store has just been restored from a copy.
 func TestLeavingTargetMissingInARestoredStoreIsKept(t *testing.T) {
--- a/internal/engine/observe.go
+++ b/internal/engine/observe.go
@@ -214,7 +214,7 @@
 	g.updatePrimary()
 	g.recordIsolation(len(statuses), began)
 	g.recordReplicaSample(statuses)
-	g.applyProof(statuses)
+	g.applyProof()
 	for _, name := range g.lostReplicas.Reconcile(g.primary, statuses) {
 		g.log().WithField(logfield.Target, name).Info(logevent.WitnessReplaced)
 	}
--- a/internal/engine/promote.go
+++ b/internal/engine/promote.go
@@ -57,6 +57,8 @@
 	// pausedAt is the time of the boot clock after the last pause.
 	pausedAt time.Duration
 	demoted  *leadership.Status
+	// steppedDownAt is the time of the boot clock after the old primary stepped down; 0 while demoted is nil.
+	steppedDownAt time.Duration
 }
 
 // takeOver replaces the primary of a group unless another daemon holds the promotion lock or has replaced it.
@@ -204,10 +206,11 @@
 func (p *promotion) awaitProofExpiry() bool {
 	var pending sync.WaitGroup
 	defer pending.Wait()
+	expiry := takeover.EarliestOrder(p.pausedAt, p.steppedDownAt)
 	if p.demoted == nil {
 		pending.Go(p.stepDown)
 	}
-	return clock.Sleep(p.engine.ctx, p.pausedAt+leadership.ProofValidity-clock.SinceBoot()) == nil
+	return clock.Sleep(p.engine.ctx, expiry-clock.SinceBoot()) == nil
 }
 
 // hasWholeLog reports whether a paused replica has the whole log of the old primary, which still leads. The old
@@ -289,7 +292,7 @@
 		return
 	}
 	if p.oldStillLeads && s.Role == leadership.RoleReplica {
-		p.demoted = &s
+		p.demoted, p.steppedDownAt = &s, clock.SinceBoot()
 	}
 }
 
--- a/internal/engine/proof.go
+++ b/internal/engine/proof.go
@@ -33,25 +33,27 @@
 	}
 }
 
-// renewProof requests the status of one replica, or of all while the primary is unresponsive, and reports whether
-// that proved that the primary still leads.
+// renewProof requests the statuses of the primary and one replica, or of all replicas while the primary is unresponsive,
+// and reports whether they prove that the primary still leads.
 func (g *group) renewProof() bool {
 	targets := g.proofTargets()
 	if len(targets) == 0 {
 		return false
 	}
+	began := clock.SinceBoot()
 	statuses := g.askAll(targets, statusTimeout)
 	g.mu.Lock()
 	defer g.mu.Unlock()
 	g.recordStatuses(statuses)
 	g.updatePrimary()
 	g.recordReplicaSample(statuses)
-	return g.applyProof(statuses)
+	g.applyProof()
+	return g.provenUntil >= began+leadership.ProofValidity
 }
 
-// proofTargets returns the targets that are asked for a leadership proof: one replica that did not fail recently and
-// does not leave, in the daemon's own zone if there is one there, or the primary if there is no such replica. While the
-// primary is unresponsive or unknown, it returns all members except the primary.
+// proofTargets returns the targets that are asked for a leadership proof: the primary, and one replica that did not fail
+// recently and does not leave, in the daemon's own zone if there is one there. While the primary is unresponsive or
+// unknown, it returns all members except the primary.
 func (g *group) proofTargets() map[string]*member {
 	now := clock.SinceBoot()
 	g.mu.Lock()
@@ -74,24 +76,26 @@
 			replica = name
 		}
 	}
-	if replica == "" {
-		return map[string]*member{g.primary: primary}
+	targets := map[string]*member{g.primary: primary}
+	if replica != "" {
+		targets[replica] = g.members[replica]
 	}
-	return map[string]*member{replica: g.members[replica]}
+	return targets
 }
 
-// applyProof records the leadership proof that the statuses of a round contain, and reports whether they contain
-// one. The caller holds the lock.
-func (g *group) applyProof(statuses map[string]leadership.Status) bool {
+// applyProof records the leadership proof that the newest statuses of the members contain, and the position of the primary
+// if it was asked for within that proof. The caller holds the lock.
+func (g *group) applyProof() {
+	statuses := maps.Clone(g.statuses)
+	maps.DeleteFunc(statuses, func(name string, _ leadership.Status) bool { return g.members[name] == nil })
 	proof, ok := leadership.ProvenAt(statuses, g.primary, g.term, len(g.members))
 	if !ok {
-		return false
+		return
 	}
 	g.recordProof(proofOrigin{proofOfStatus, proof.Witness}, proof.At)
-	if own, ok := statuses[g.primary]; ok && own.Role == leadership.RolePrimary {
+	if own := statuses[g.primary]; own.AskedAt < g.provenUntil {
 		g.samples.Add(own.AskedAt, own.Received)
 	}
-	return true
 }
 
 // renewProofIfExpired asks for a leadership proof if the last one has expired, so that the proof is fetched while
--- a/internal/policy/leadership/leadership.go
+++ b/internal/policy/leadership/leadership.go
@@ -1,10 +1,11 @@
 // Package leadership decides whether a target may be used as the primary of its group.
 //
-// Before a promotion every acknowledging replica is paused; that is a replica whose receipt of a commit lets the
-// primary acknowledge it. A replica that follows the term of a primary and is not paused therefore proves that no
-// later promotion was complete when it was asked for its status. Such a leadership proof is valid for ProofValidity,
-// and a promoter waits as long between the last pause and the promotion. Times are those of a clock that also runs
-// while the machine is suspended.
+// A target is promoted after every acknowledging replica is paused, that is a replica whose receipt of a commit lets the
+// primary acknowledge it, or after the old primary has stepped down. A primary that reports its role, together with a
+// replica that follows its term and is not paused, therefore proves that no later promotion was complete when the earlier
+// of the two was asked. Neither alone does: a primary may not know of a promotion, and a replica that a promoter did not
+// reach is not paused by one that rests on a step-down. Such a leadership proof is valid for ProofValidity, and a promoter
+// waits as long before it orders the promotion. Times are those of a clock that also runs while the machine is suspended.
 package leadership
 
 import (
@@ -75,30 +76,32 @@
 type Proof struct {
 	// At is the time from which the proof is valid for ProofValidity.
 	At time.Duration
-	// Witness is the target whose answer proves it: a replica, or the leader in a group of one target.
+	// Witness is the replica that proves it together with the leader; the leader itself in a group of one target.
 	Witness string
 }
 
 // ProvenAt returns the latest proof in the statuses that no promotion to a later term was complete, so that the leader
-// of the term still had every acknowledged commit. A replica that follows the term and is not paused proves it, whether
-// the leader answers or not; in a group of one target the leader's own answer does. It is false if there is no
+// of the term still had every acknowledged commit. The statuses may be of different times. It is false if there is no
 // leadership proof.
 func ProvenAt(statuses map[string]Status, leader string, term uint64, members int) (Proof, bool) {
+	own, answered := statuses[leader]
+	if !answered || own.Role != RolePrimary || own.Term != term {
+		return Proof{}, false
+	}
 	if members <= 1 {
-		own, ok := statuses[leader]
-		return Proof{own.AskedAt, leader}, ok && own.Role == RolePrimary && own.Term == term
+		return Proof{own.AskedAt, leader}, true
 	}
 	var latest Proof
-	found := false
 	for name, s := range statuses {
 		if name == leader || s.Role != RoleReplica || s.Term != term || s.IsPaused() {
 			continue
 		}
-		if !found || s.AskedAt > latest.At {
-			latest, found = Proof{s.AskedAt, name}, true
+		if latest.Witness == "" || s.AskedAt > latest.At {
+			latest = Proof{s.AskedAt, name}
 		}
 	}
-	return latest, found
+	latest.At = min(latest.At, own.AskedAt)
+	return latest, latest.Witness != ""
 }
 
 // MinPositionOfReplicas returns, from the answers of the replicas alone, the minimum position of a read that has to
--- a/internal/policy/takeover/model_test.go
+++ b/internal/policy/takeover/model_test.go
@@ -59,12 +59,16 @@
 	partitioned map[[2]string]bool
 	// unreached are the targets that the promoter does not reach.
 	unreached map[string]bool
-	promoter  *modelPromoter
+	// keepsUnreachedPauses is true if a promotion does not end the pauses of replicas that the new primary does not reach.
+	keepsUnreachedPauses bool
+	promoter             *modelPromoter
 	// proofFor and proofTerm are the primary that a daemon presumes and its term; proofUntil is the time at which the
 	// daemon's leadership proof for it expires.
 	proofUntil time.Duration
 	proofFor   string
 	proofTerm  uint64
+	// statuses are the newest answers that the daemon has.
+	statuses map[string]leadership.Status
 	// termSeenAt is the time at which the daemon first saw proofTerm.
 	termSeenAt time.Duration
 	promotions int
@@ -81,11 +85,13 @@
 	paused   map[string]leadership.Status
 	pausedAt time.Duration
 	demoted  *leadership.Status
-	choice   Choice
+	// steppedDownAt is the time at which demoted was set.
+	steppedDownAt time.Duration
+	choice        Choice
 }
 
 func newModelGroup() *modelGroup {
-	g := &modelGroup{targets: map[string]*modelTarget{}, partitioned: map[[2]string]bool{}, unreached: map[string]bool{}}
+	g := &modelGroup{targets: map[string]*modelTarget{}, partitioned: map[[2]string]bool{}, unreached: map[string]bool{}, statuses: map[string]leadership.Status{}}
 	for _, name := range []string{"a", "b", "c"} {
 		g.targets[name] = &modelTarget{role: leadership.RoleReplica, term: 1, up: true}
 	}
@@ -222,7 +228,7 @@
 	}
 	target.role = leadership.RoleReplica
 	s := g.status(p.old)
-	p.demoted = &s
+	p.demoted, p.steppedDownAt = &s, g.now
 }
 
 // promote promotes the chosen target once the leadership proofs have expired, and checks that it has every acknowledged
@@ -230,7 +236,7 @@
 func (g *modelGroup) promote(t rapid.TB, joinsAfter time.Duration) {
 	p := g.promoter
 	p.choice = Choose(p.replicas, p.paused, p.demoted, func(name string) bool { return g.targets[name].leaving })
-	if p.choice.Target == "" || g.now < p.pausedAt+leadership.ProofValidity {
+	if p.choice.Target == "" || g.now < EarliestOrder(p.pausedAt, p.steppedDownAt) {
 		return
 	}
 	chosen := g.targets[p.choice.Target]
@@ -250,7 +256,7 @@
 	chosen.role, chosen.term, chosen.paused = leadership.RolePrimary, term+1, 0
 	for _, name := range slices.Sorted(maps.Keys(g.targets)) {
 		target := g.targets[name]
-		if name != p.choice.Target && target.role == leadership.RoleReplica && target.up {
+		if name != p.choice.Target && target.role == leadership.RoleReplica && target.up && !g.keepsUnreachedPauses {
 			// The platform ends the pauses of all replicas, also of those that the new primary does not reach.
 			target.paused = 0
 		}
@@ -277,7 +283,8 @@
 		}
 		g.proofFor, g.proofTerm = leader, term
 	}
-	if proof, proved := leadership.ProvenAt(statuses, g.proofFor, g.proofTerm, len(g.targets)); proved {
+	maps.Copy(g.statuses, statuses)
+	if proof, proved := leadership.ProvenAt(g.statuses, g.proofFor, g.proofTerm, len(g.targets)); proved {
 		g.proofUntil = proof.At + leadership.ProofValidity
 	}
 }
--- a/internal/policy/takeover/takeover.go
+++ b/internal/policy/takeover/takeover.go
@@ -161,8 +161,8 @@
 
 // Choice is the result of Choose.
 type Choice struct {
-	// Target is the target to promote; empty for none. Before it is promoted, leadership proofs that were obtained before
-	// the pauses have to expire, also when the old primary has stepped down, because that one goes on serving reads.
+	// Target is the target to promote; empty for none. It is promoted at EarliestOrder, also when the old primary has
+	// stepped down, because that one goes on serving reads.
 	Target string
 	// Reason says why the target was chosen, or why none was. It is written to logs.
 	Reason string
@@ -187,6 +187,13 @@
 	return Choice{Target: best, Reason: "longest_log_of_all_replicas"}
 }
 
+// EarliestOrder returns the time at which every leadership proof of the old primary has expired, so that the promotion may
+// be ordered: no proof is dated later than the last pause or, if the choice rests on it, the step-down of the old primary.
+// steppedDownAt is 0 if it does not.
+func EarliestOrder(pausedAt, steppedDownAt time.Duration) time.Duration {
+	return max(pausedAt, steppedDownAt) + leadership.ProofValidity
+}
+
 // StillPaused reports whether all replicas that were paused still are and have the same end of their log. A replica
 // that has restarted receives again and may have let the primary acknowledge a commit since.
 func StillPaused(paused, now map[string]leadership.Status) bool {
