Pause the targets that join during a promotion

A database that joined meanwhile, or that an old list lacked, was not paused: its receipt let the old primary acknowledge commits, and gave proofs of the old term, until another replica was promoted without them.

The fix: the promoter lists the group's targets from the store, by a linearizable read (engine.TargetLister, platform.TargetList), after it has taken the lock and again beside the last check of the pauses, right before the order. A target that it does not know is asked, paused, chosen from and waited for like any other, and the wait for the expiry of proofs begins anew, bounded by the lock. Without a list the promotion is given up: the lock needed the same store a moment ago. A listed target that the daemon has not learned of is used for the orders of this promotion only, so that the followed entries stay the one source of the members.

The cost is two lists of the targets for a promotion; the second passes beside status calls.

--- a/internal/engine/engine.go
+++ b/internal/engine/engine.go
@@ -28,6 +28,8 @@
 	Dialer        Dialer
 	Promoter      Promoter
 	PromotionLock PromotionLock
+	// TargetLister lists the targets for promotions; nil if the daemon always knows all.
+	TargetLister TargetLister
 	// Peers reaches the other daemons; nil if every daemon connects to all targets itself.
 	Peers Peers
 	// DrainTimeout is the time after which a leaving target gets no new work. The engine sends none in the last
--- a/internal/engine/interfaces.go
+++ b/internal/engine/interfaces.go
@@ -57,6 +57,12 @@
 	Release(ctx context.Context, group string)
 }
 
+// TargetLister lists the entries of targets.
+type TargetLister interface {
+	// ListTargets returns the readable entries of all targets of a group, as they were at some time after the call began.
+	ListTargets(ctx context.Context, group string) ([]Target, error)
+}
+
 // Quota limits the operations of workspaces over all daemons. Its methods may be called concurrently.
 type Quota interface {
 	// Spend takes the right to one operation of a workspace. It waits for a right that is under way until the deadline
--- a/internal/engine/promote.go
+++ b/internal/engine/promote.go
@@ -51,8 +51,10 @@
 	oldStillLeads bool
 	oldTerm       uint64
 	// term is the term at which replicas are paused.
-	term    uint64
+	term uint64
+	// members are the targets of the group, joined those of them that only the store lists and the daemon has not learned of.
 	members map[string]*member
+	joined  map[string]*member
 	paused  map[string]leadership.Status
 	// pausedAt is the time of the boot clock after the last pause.
 	pausedAt time.Duration
@@ -74,7 +76,8 @@
 	defer e.promotions.Done()
 	delay := promotionRetryDelay
 	defer func() { g.endPromotion(delay) }()
-	p := &promotion{engine: e, group: g, reason: reason, old: suspected.primary, oldTerm: suspected.term}
+	p := &promotion{engine: e, group: g, reason: reason, old: suspected.primary, oldTerm: suspected.term, joined: make(map[string]*member)}
+	defer p.closeJoined()
 	if !e.isDirectorySettled() {
 		p.log().Info(logevent.DirectoryNotSettled)
 		return
@@ -87,6 +90,11 @@
 	// A planned stop releases the lock too: the other daemons would wait for its end otherwise.
 	defer e.options.PromotionLock.Release(context.WithoutCancel(e.ctx), g.name)
 	p.token, p.lockedUntil = token, lockedUntil
+	p.copyMembers()
+	if _, err := p.addListed(); err != nil {
+		p.log().WithField(logfield.Error, err).Info(logevent.PromotionNotStarted)
+		return
+	}
 	if !p.isStillNeeded() {
 		p.log().Info(logevent.PromotionNotNeeded)
 		return
@@ -131,12 +139,12 @@
 // primary still has to be replaced.
 func (p *promotion) isStillNeeded() bool {
 	g := p.group
-	g.mu.Lock()
-	p.members = maps.Clone(g.members)
-	g.mu.Unlock()
+	known := maps.Clone(p.members)
+	maps.DeleteFunc(known, func(name string, _ *member) bool { return p.joined[name] != nil })
 	began := clock.SinceBoot()
-	statuses := g.askAll(p.members, recheckTimeout)
+	statuses := g.askAll(known, recheckTimeout)
 	g.applyStatusRound(statuses, began)
+	maps.Copy(statuses, sendToAll(p.joined, Command{Op: OpStatus}))
 	g.mu.Lock()
 	now, leaving := presumedPrimary{g.primary, g.term}, g.isLeaving(p.old)
 	g.mu.Unlock()
@@ -144,6 +152,9 @@
 		return false
 	}
 	leader, _, found := leadership.Leader(statuses)
+	if p.joined[leader] != nil {
+		return false
+	}
 	p.oldStillLeads = found && leader == p.old
 	for _, s := range statuses {
 		p.term = max(p.term, s.Term+1, s.PausedTerm)
@@ -161,46 +172,54 @@
 // run carries the promotion out and reports whether the promoted target is the primary now.
 func (p *promotion) run() bool {
 	p.log().Info(logevent.PromotionBegun)
-	p.pauseReplicas()
 	defer p.logUnpausedMembers()
-	choice := takeover.Choose(p.replicas(), p.paused, nil, p.isLeaving)
-	if choice.Target == "" && p.hasWholeLog() {
-		p.stepDown()
-		choice = takeover.Choose(p.replicas(), p.paused, p.demoted, p.isLeaving)
-	}
-	p.log().WithFields(logrus.Fields{logfield.Target: choice.Target, logfield.Why: choice.Reason, logfield.Paused: len(p.paused)}).Info(logevent.PromotionChoice)
-	if choice.Target == "" {
-		p.abort()
-		return false
-	}
-	if !p.awaitProofExpiry() {
+	target := p.prepare()
+	if target == "" {
 		return false
 	}
-	if now := sendToAll(p.pausedMembers(), Command{Op: OpStatus}); !takeover.StillPaused(p.paused, now) {
-		p.log().Warn(logevent.ReplicaNoLongerPaused)
+	if !p.orderPromotion(target) {
 		p.abort()
 		return false
 	}
-	if !p.orderPromotion(choice.Target) {
-		p.abort()
-		return false
-	}
-	return p.awaitNewPrimary(choice.Target)
+	return p.awaitNewPrimary(target)
 }
 
-// logUnpausedMembers logs each replica that the daemon knows at the end of the promotion and that was not paused.
-func (p *promotion) logUnpausedMembers() {
-	p.group.mu.Lock()
-	now := slices.Sorted(maps.Keys(p.group.members))
-	p.group.mu.Unlock()
-	for _, name := range now {
-		if _, paused := p.paused[name]; !paused && name != p.old {
-			_, known := p.members[name]
-			p.log().WithFields(logrus.Fields{logfield.Target: name, logfield.Known: known}).Warn(logevent.PromotionMemberUnpaused)
+// prepare pauses the replicas and waits for the order to be safe. It returns the target to promote, or an empty name if the
+// promotion is given up. It begins anew when a target has joined meanwhile: its receipt may let the primary acknowledge
+// commits.
+func (p *promotion) prepare() string {
+	for {
+		p.pauseReplicas()
+		choice := p.choose()
+		p.log().WithFields(logrus.Fields{logfield.Target: choice.Target, logfield.Why: choice.Reason, logfield.Paused: len(p.paused)}).Info(logevent.PromotionChoice)
+		if choice.Target == "" {
+			p.abort()
+			return ""
+		}
+		if !p.awaitProofExpiry() {
+			return ""
+		}
+		joined, ok := p.recheck()
+		if !ok || joined > 0 && clock.SinceBoot()+leadership.ProofValidity > p.lockedUntil-orderReserve {
+			p.abort()
+			return ""
+		}
+		if joined == 0 {
+			return choice.Target
 		}
 	}
 }
 
+// choose returns the target to promote. The old primary steps down for it if a replica cannot be paused.
+func (p *promotion) choose() takeover.Choice {
+	choice := takeover.Choose(p.replicas(), p.paused, nil, p.isLeaving)
+	if choice.Target == "" && p.hasWholeLog() {
+		p.stepDown()
+		choice = takeover.Choose(p.replicas(), p.paused, p.demoted, p.isLeaving)
+	}
+	return choice
+}
+
 // awaitProofExpiry waits until no daemon can hold a valid leadership proof of the old primary, and meanwhile
 // orders the old primary to step down. It returns false when the engine was closed.
 func (p *promotion) awaitProofExpiry() bool {
--- /dev/null
+++ b/internal/engine/promotionmembers.go
@@ -0,0 +1,96 @@
+package engine
+
+import (
+	"context"
+	"maps"
+	"slices"
+	"sync"
+	"time"
+
+	"github.com/sirupsen/logrus"
+
+	"github.com/papayacove/papayacove/internal/logevent"
+	"github.com/papayacove/papayacove/internal/logfield"
+	"github.com/papayacove/papayacove/internal/policy/takeover"
+)
+
+// listTimeout bounds one list of the targets.
+const listTimeout = time.Second
+
+// copyMembers begins the promotion with the targets that the daemon knows.
+func (p *promotion) copyMembers() {
+	p.group.mu.Lock()
+	defer p.group.mu.Unlock()
+	p.members = maps.Clone(p.group.members)
+}
+
+// addListed adds the targets that the store lists and the promotion does not know, and returns their number. Without a
+// lister, there are none.
+func (p *promotion) addListed() (int, error) {
+	if p.engine.options.TargetLister == nil {
+		return 0, nil
+	}
+	ctx, cancel := context.WithTimeout(p.engine.ctx, listTimeout)
+	defer cancel()
+	listed, err := p.engine.options.TargetLister.ListTargets(ctx, p.group.name)
+	if err != nil {
+		return 0, err
+	}
+	entries := make(map[string]Target, len(listed))
+	for _, t := range listed {
+		entries[t.Name] = t
+	}
+	joined := takeover.Joined(slices.Collect(maps.Keys(entries)), slices.Collect(maps.Keys(p.members)))
+	for _, name := range joined {
+		m := p.group.newListedMember(entries[name])
+		p.members[name], p.joined[name] = m, m
+		p.log().WithField(logfield.Target, name).Info(logevent.PromotionMemberJoined)
+	}
+	return len(joined), nil
+}
+
+// newListedMember returns a member that is used for the orders of one promotion. The group learns of the target when its
+// entry is followed.
+func (g *group) newListedMember(t Target) *member {
+	return &member{name: t.Name, target: t, control: &controlConnection{dialer: g.dialer, target: func() Target { return t }}}
+}
+
+// closeJoined closes the connections to the targets that the promotion has added.
+func (p *promotion) closeJoined() {
+	for _, m := range p.joined {
+		m.control.reset()
+	}
+}
+
+// recheck returns the number of targets that have joined since the last list. It is false if a replica is no longer paused or
+// the list cannot be had.
+func (p *promotion) recheck() (joined int, ok bool) {
+	var listErr error
+	var listing sync.WaitGroup
+	paused := p.pausedMembers()
+	listing.Go(func() { joined, listErr = p.addListed() })
+	now := sendToAll(paused, Command{Op: OpStatus})
+	listing.Wait()
+	if !takeover.StillPaused(p.paused, now) {
+		p.log().Warn(logevent.ReplicaNoLongerPaused)
+		return 0, false
+	}
+	if listErr != nil {
+		p.log().WithField(logfield.Error, listErr).Warn(logevent.TargetsNotListed)
+		return 0, false
+	}
+	return joined, true
+}
+
+// logUnpausedMembers logs each replica that the daemon knows at the end of the promotion and that was not paused.
+func (p *promotion) logUnpausedMembers() {
+	p.group.mu.Lock()
+	now := slices.Sorted(maps.Keys(p.group.members))
+	p.group.mu.Unlock()
+	for _, name := range now {
+		if _, paused := p.paused[name]; !paused && name != p.old {
+			_, known := p.members[name]
+			p.log().WithFields(logrus.Fields{logfield.Target: name, logfield.Known: known}).Warn(logevent.PromotionMemberUnpaused)
+		}
+	}
+}
--- /dev/null
+++ b/internal/engine/promotionmembers_test.go
@@ -0,0 +1,115 @@
+package engine
+
+import (
+	"context"
+	"errors"
+	"slices"
+	"sync"
+	"testing"
+	"time"
+
+	"github.com/papayacove/papayacove/internal/clock"
+	"github.com/papayacove/papayacove/internal/policy/leadership"
+	"github.com/papayacove/papayacove/internal/policy/takeover"
+)
+
+// promotionLog records the orders of a promotion, and lists the targets: the last of them joins with a later list.
+type promotionLog struct {
+	*fakeTarget
+	mu     sync.Mutex
+	orders []string
+	// paused holds the terms at which targets were paused.
+	paused map[string]uint64
+	// lists is the number of lists, and joinsAt that from which the target d is listed.
+	lists, joinsAt int
+	listErr        error
+}
+
+func (p *promotionLog) Dial(ctx context.Context, target Target, workspace string) (Connection, error) {
+	conn, err := p.fakeTarget.Dial(ctx, target, workspace)
+	return recordedConnection{conn, p, target.Name}, err
+}
+
+type recordedConnection struct {
+	Connection
+	log    *promotionLog
+	target string
+}
+
+func (c recordedConnection) Exchange(deadline time.Time, commands ...Command) ([]Reply, error) {
+	command := commands[0]
+	if command.Op != OpStatus {
+		c.log.add(command.Op.String() + " " + c.target)
+	}
+	c.log.mu.Lock()
+	defer c.log.mu.Unlock()
+	if command.Op == OpPause {
+		c.log.paused[c.target] = command.Term
+	}
+	status := leadership.Status{Role: leadership.RoleReplica, Term: 1, PausedTerm: c.log.paused[c.target]}
+	return []Reply{{Status: status}}, nil
+}
+
+func (p *promotionLog) add(order string) {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	p.orders = append(p.orders, order)
+}
+
+func (p *promotionLog) Promote(_ context.Context, _, target string, _ uint64) error {
+	p.add("promote " + target)
+	return ErrTargetDown
+}
+
+func (p *promotionLog) ListTargets(context.Context, string) ([]Target, error) {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	p.lists++
+	targets := []Target{{Name: "a", Group: "g"}, {Name: "b", Group: "g"}, {Name: "c", Group: "g"}}
+	if p.joinsAt > 0 && p.lists >= p.joinsAt {
+		targets = append(targets, Target{Name: "d", Group: "g"})
+	}
+	return targets, p.listErr
+}
+
+// promoteBeside makes a promotion whose targets are listed as the log says, and returns the orders up to the order to
+// promote, and how long it took.
+func promoteBeside(t *testing.T, p *promotionLog) (orders []string, elapsed time.Duration) {
+	t.Helper()
+	e := newStoppableEngine(&recordingLock{acquired: make(chan struct{}), released: make(chan error, 1)})
+	defer e.Close()
+	p.paused = make(map[string]uint64)
+	p.fakeTarget = e.options.Dialer.(countingDialer).Dialer.(*fakeTarget)
+	e.options.Promoter, e.options.TargetLister = p, p
+	g := e.groups["g"]
+	g.dialer = p
+	for _, m := range g.members {
+		m.control.dialer = p
+	}
+	began := clock.SinceBoot()
+	e.takeOver(g, takeover.ReasonNoPrimary)
+	return p.orders, clock.SinceBoot() - began
+}
+
+// TestTargetThatJoinsDuringAPromotionIsPaused guards against a promotion without the commits that the old primary
+// acknowledged by the receipt of a target that was not paused.
+func TestTargetThatJoinsDuringAPromotionIsPaused(t *testing.T) {
+	for name, joinsAt := range map[string]int{"listed, and unknown to the daemon": 1, "joins after the first list": 2} {
+		orders, elapsed := promoteBeside(t, &promotionLog{joinsAt: joinsAt})
+		paused, promoted := slices.Index(orders, "pause d"), slices.IndexFunc(orders, func(o string) bool { return o[:2] == "pr" })
+		if paused < 0 || promoted < paused {
+			t.Errorf("%s: got orders %v, want d paused before a promotion", name, orders)
+		}
+		if least := time.Duration(joinsAt) * leadership.ProofValidity; elapsed < least {
+			t.Errorf("%s: got the order after %s, want one after the wait of %s", name, elapsed, least)
+		}
+	}
+}
+
+// TestPromotionWithoutAListIsGivenUp lists no targets: one that has joined may hold acknowledged commits alone.
+func TestPromotionWithoutAListIsGivenUp(t *testing.T) {
+	orders, _ := promoteBeside(t, &promotionLog{listErr: errors.New("no answer")})
+	if len(orders) != 0 {
+		t.Errorf("got orders %v, want none", orders)
+	}
+}
--- a/internal/engine/stop_test.go
+++ b/internal/engine/stop_test.go
@@ -38,7 +38,9 @@
 	e := New(Options{Zone: "z", Dialer: target, DrainTimeout: time.Hour, PromotionLock: lock})
 	e.directoryFailed.Store(int64(clock.SinceBoot() - removalGrace))
 	g := newGroup("g", e.options, e.isDirectorySettled)
+	e.mu.Lock()
 	e.groups["g"] = g
+	e.mu.Unlock()
 	g.setLimits(GroupLimits{MaxConnections: 30, SyncReplicas: 1}, daemonsNamed(1))
 	for _, name := range []string{"a", "b", "c"} {
 		g.setTarget(Target{Name: name, Group: "g", Slots: 5, Zone: "z"})
--- a/internal/lineproxy/proxy.go
+++ b/internal/lineproxy/proxy.go
@@ -91,6 +91,7 @@
 		Dialer:        platform.Dialer{Source: source},
 		Promoter:      promoter,
 		PromotionLock: promotionlock.New(store, store.Eras(), settings.Name),
+		TargetLister:  platform.TargetList{Store: store},
 		DrainTimeout:  time.Duration(settings.Fleet.DrainTimeoutMs) * time.Millisecond,
 		RevokeWithin:  time.Duration(settings.Fleet.RevokeMs) * time.Millisecond,
 		Quota:         p.engineQuota(),
--- a/internal/policy/takeover/takeover.go
+++ b/internal/policy/takeover/takeover.go
@@ -7,6 +7,7 @@
 package takeover
 
 import (
+	"slices"
 	"time"
 
 	"github.com/papayacove/papayacove/api"
@@ -187,6 +188,14 @@
 	return Choice{Target: best, Reason: "longest_log_of_all_replicas"}
 }
 
+// Joined returns those of the targets with an entry that a promotion does not know, in the order of their names. Before the
+// order to promote, each of them has to be paused too: its receipt may let the old primary acknowledge a commit.
+func Joined(listed, known []string) []string {
+	joined := slices.DeleteFunc(slices.Clone(listed), func(name string) bool { return slices.Contains(known, name) })
+	slices.Sort(joined)
+	return joined
+}
+
 // EarliestOrder returns the time at which every leadership proof of the old primary has expired, so that the promotion may
 // be ordered: no proof is dated later than the last pause or, if the choice rests on it, the step-down of the old primary.
 // steppedDownAt is 0 if it does not.
