Count a replica for proofs only if every promoter knows it

The fix: a replica is a witness if the daemon knew of it while it held a valid proof. No later promotion was complete then, so the replica was listed before the promoter's last list, and is paused by it. An unbroken chain of proofs therefore takes up what joins, and a replica that joins after a break counts only once a witness has given a proof, or after 30 s (as long as a lost replica blocks promotions). Without a witness, as after the start, a proof needs the answers of all members, none of them in a later term.

--- a/internal/engine/group.go
+++ b/internal/engine/group.go
@@ -38,6 +38,8 @@
 	target Target
 	// firstSeenAt is the time of the boot clock at which the daemon learned of the target.
 	firstSeenAt time.Duration
+	// knownWithinProof is true once the daemon has known the target while it held a valid leadership proof.
+	knownWithinProof bool
 	// applied is the latest position that the target is known to have applied, as reported at appliedAt on the
 	// boot clock.
 	applied   api.Position
--- a/internal/policy/leadership/leadership.go
+++ b/internal/policy/leadership/leadership.go
@@ -9,6 +9,7 @@
 package leadership
 
 import (
+	"math"
 	"time"
 
 	"github.com/papayacove/papayacove/api"
@@ -19,6 +20,17 @@
 // it.
 const ProofValidity = 500 * time.Millisecond
 
+// WitnessTrial is the time after which a replica counts as a witness although the daemon has held no proof since it learned
+// of it. A group that lost all its witnesses would be left without proofs otherwise; an old primary is not expected to be cut
+// off from a later one for as long.
+const WitnessTrial = 30 * time.Second
+
+// IsWitness reports whether each promoter of a later term pauses a replica: the daemon knew of it while it held a valid proof,
+// so that its entry was listed before a later promotion was complete, or has known it for WitnessTrial.
+func IsWitness(knownWithinProof bool, knownFor time.Duration) bool {
+	return knownWithinProof || knownFor >= WitnessTrial
+}
+
 // Role is the role that a target reports for itself.
 type Role uint8
 
@@ -81,22 +93,20 @@
 }
 
 // ProvenAt returns the latest proof in the statuses that no promotion to a later term was complete, so that the leader
-// of the term still had every acknowledged commit. The statuses may be of different times. It is false if there is no
-// leadership proof.
-func ProvenAt(statuses map[string]Status, leader string, term uint64, members int) (Proof, bool) {
+// of the term still had every acknowledged commit. The statuses may be of different times. members holds each known target
+// of the group, with true for the witnesses; other replicas prove it only if all members have answered, none of them in a later
+// term. It is false if there is no leadership proof.
+func ProvenAt(statuses map[string]Status, leader string, term uint64, members map[string]bool) (Proof, bool) {
 	own, answered := statuses[leader]
 	if !answered || own.Role != RolePrimary || own.Term != term {
 		return Proof{}, false
 	}
-	if members <= 1 {
+	if len(members) <= 1 {
 		return Proof{own.AskedAt, leader}, true
 	}
-	var latest Proof
+	latest, _ := provenByAll(statuses, term, members)
 	for name, s := range statuses {
-		if name == leader || s.Role != RoleReplica || s.Term != term || s.IsPaused() {
-			continue
-		}
-		if latest.Witness == "" || s.AskedAt > latest.At {
+		if members[name] && s.provesTerm(term) && (latest.Witness == "" || s.AskedAt > latest.At) {
 			latest = Proof{s.AskedAt, name}
 		}
 	}
@@ -104,6 +114,29 @@
 	return latest, latest.Witness != ""
 }
 
+// provesTerm reports whether the status is that of a replica that follows the term and is not paused.
+func (s Status) provesTerm(term uint64) bool {
+	return s.Role == RoleReplica && s.Term == term && !s.IsPaused()
+}
+
+// provenByAll returns the proof that no member was in a later term when it was asked.
+func provenByAll(statuses map[string]Status, term uint64, members map[string]bool) (Proof, bool) {
+	var proof Proof
+	oldest := time.Duration(math.MaxInt64)
+	for name := range members {
+		s, answered := statuses[name]
+		if !answered || s.Role == RoleUnknown || s.Term > term {
+			return Proof{}, false
+		}
+		oldest = min(oldest, s.AskedAt)
+		if s.provesTerm(term) {
+			proof.Witness = max(proof.Witness, name)
+		}
+	}
+	proof.At = oldest
+	return proof, proof.Witness != ""
+}
+
 // MinPositionOfReplicas returns, from the answers of the replicas alone, the minimum position of a read that has to
 // see every commit that was acknowledged before askedAt: a commit is acknowledged after a replica has received it.
 // All targets in acknowledging, except the leader, have to answer as replicas of the term, or ok is false; the leader
