Merge leadership proofs

The test of late replies takes its proof from a holder: a proof by statuses now brings a sample of the primary. It fails as before without the check of the time at which the daemon saw the target lead.

--- a/internal/engine/latereply_test.go
+++ b/internal/engine/latereply_test.go
@@ -17,10 +17,8 @@
 	g.samples = primaryposition.Samples{}
 	now := clock.SinceBoot()
 	asked := now - time.Millisecond
-	paused := follows(2, 14, now)
-	paused.PausedTerm = 3
-	g.applyStatusRound(map[string]leadership.Status{"b": leads(2, 14, now), "c": paused}, now)
-	g.applyStatusRound(map[string]leadership.Status{"c": follows(2, 14, now+time.Millisecond)}, now)
+	g.applyStatusRound(map[string]leadership.Status{"b": leads(2, 14, now)}, now)
+	g.recordRelayed(g.members["b"], &api.RelayReply{Group: "g", Target: "b", ProofTerm: 2}, now)
 	if g.primary != "b" || g.provenUntil <= now {
 		t.Fatalf("got primary %q with a leadership proof for %s, want b with a valid proof", g.primary, g.provenUntil-now)
 	}
--- a/internal/engine/outcomes.go
+++ b/internal/engine/outcomes.go
@@ -81,7 +81,8 @@
 	if committed && g.limits.SyncReplicas > 0 && reply.Position.Term == g.term {
 		g.recordProof(proofOrigin{proofOfCommit, m.name}, askedAt)
 	}
-	if askedAt >= g.termSeenAt && askedAt < g.provenUntil && reply.Failure == nil {
+	wasLeading := askedAt >= g.termSeenAt && reply.Position.Term <= g.term
+	if wasLeading && askedAt < g.provenUntil && reply.Failure == nil {
 		g.samples.Add(askedAt, reply.Position)
 	}
 }
--- a/internal/engine/proof.go
+++ b/internal/engine/proof.go
@@ -33,25 +33,27 @@
 	}
 }
 
-// renewProof requests the status of one replica, or of all while the primary is unresponsive, and reports whether
-// that proved that the primary still leads.
+// renewProof requests the statuses of the primary and a witness, or of all replicas while the primary is unresponsive,
+// and reports whether they prove that the primary still leads.
 func (g *group) renewProof() bool {
 	targets := g.proofTargets()
 	if len(targets) == 0 {
 		return false
 	}
+	began := clock.SinceBoot()
 	statuses := g.askAll(targets, statusTimeout)
 	g.mu.Lock()
 	defer g.mu.Unlock()
 	g.recordStatuses(statuses)
 	g.updatePrimary()
 	g.recordReplicaSample(statuses)
-	return g.applyProof(statuses)
+	g.applyProof()
+	return g.provenUntil >= began+leadership.ProofValidity
 }
 
-// proofTargets returns the targets that are asked for a leadership proof: one replica that did not fail recently and
-// does not leave, in the daemon's own zone if there is one there, or the primary if there is no such replica. While the
-// primary is unresponsive or unknown, it returns all members except the primary.
+// proofTargets returns the targets that are asked for a leadership proof: the primary, and one witness that did not fail
+// recently and does not leave, in the daemon's own zone if there is one there. It returns all members if there is no such
+// witness, and all except the primary while that is unresponsive or unknown.
 func (g *group) proofTargets() map[string]*member {
 	now := clock.SinceBoot()
 	g.mu.Lock()
@@ -67,7 +69,7 @@
 	}
 	replica := ""
 	for name, m := range g.members {
-		if name == g.primary || now < m.recentFailureUntil || m.target.Leaving {
+		if name == g.primary || now < m.recentFailureUntil || m.target.Leaving || !m.isWitness(now) {
 			continue
 		}
 		if best, ok := g.members[replica]; !ok || m.target.Zone == g.zone || best.target.Zone != g.zone && name < replica {
@@ -75,23 +77,32 @@
 		}
 	}
 	if replica == "" {
-		return map[string]*member{g.primary: primary}
+		return maps.Clone(g.members)
 	}
-	return map[string]*member{replica: g.members[replica]}
+	return map[string]*member{g.primary: primary, replica: g.members[replica]}
 }
 
-// applyProof records the leadership proof that the statuses of a round contain, and reports whether they contain
-// one. The caller holds the lock.
-func (g *group) applyProof(statuses map[string]leadership.Status) bool {
-	proof, ok := leadership.ProvenAt(statuses, g.primary, g.term, len(g.members))
+// applyProof records the leadership proof that the newest statuses of the members contain, and the position of the primary
+// if it was asked for within that proof. The caller holds the lock.
+func (g *group) applyProof() {
+	members := make(map[string]bool, len(g.members))
+	now := clock.SinceBoot()
+	for name, m := range g.members {
+		members[name] = m.isWitness(now)
+	}
+	proof, ok := leadership.ProvenAt(g.statuses, g.primary, g.term, members)
 	if !ok {
-		return false
+		return
 	}
 	g.recordProof(proofOrigin{proofOfStatus, proof.Witness}, proof.At)
-	if own, ok := statuses[g.primary]; ok && own.Role == leadership.RolePrimary {
+	if own := g.statuses[g.primary]; own.AskedAt < g.provenUntil {
 		g.samples.Add(own.AskedAt, own.Received)
 	}
-	return true
+}
+
+// isWitness reports whether the status of the target counts for leadership proofs. The caller holds the lock of the group.
+func (m *member) isWitness(now time.Duration) bool {
+	return leadership.IsWitness(m.knownWithinProof, now-m.firstSeenAt)
 }
 
 // renewProofIfExpired asks for a leadership proof if the last one has expired, so that the proof is fetched while
@@ -135,6 +146,11 @@
 	}
 	lapsedAt := g.provenUntil
 	g.provenUntil, g.proofOrigin = until, origin
+	if clock.SinceBoot() < until {
+		for _, m := range g.members {
+			m.knownWithinProof = true
+		}
+	}
 	g.logProof(lapsedAt)
 	g.broadcast()
 }
--- a/internal/engine/restartedreplica_test.go
+++ b/internal/engine/restartedreplica_test.go
@@ -46,3 +46,19 @@
 		}
 	}
 }
+
+// TestRestartedReplicaProvesNothingOfItsPause guards against a proof from the status of a replica that was paused: its restart
+// ends the pause, but not before that status.
+func TestRestartedReplicaProvesNothingOfItsPause(t *testing.T) {
+	g := newTestGroup(&fakeTarget{})
+	g.provenUntil = 0
+	now := clock.SinceBoot()
+	paused := follows(1, 10, now)
+	paused.PausedTerm = 2
+	g.applyStatusRound(map[string]leadership.Status{"a": leads(1, 10, now), "b": paused, "c": paused}, now)
+	g.setTarget(Target{Name: "b", Group: "g", Slots: 5, Zone: "z", Incarnation: 2})
+	g.applyStatusRound(map[string]leadership.Status{"a": leads(1, 10, clock.SinceBoot())}, now)
+	if g.provenUntil != 0 {
+		t.Errorf("got a proof until %s, want none while all replicas were paused when they were asked", g.provenUntil)
+	}
+}
