Relayed transactions: on their own connection, or not at all

First clients got success for a COMMIT whose first write was rolled back, the others ABORTED for a transaction that was committed.

Cause: a holder numbered the transactions of each connection between daemons from 1, and the sender kept the number alone and sent it over whatever connection there was (H1). The number was tied to no target, which is the ROUTE. And a lease whose transaction was lost took the next command, the rollback of what was lost, for a first one, and ran it on a connection of its own choice.

Now - the holder draws numbers at random from 64 bits, none that is 0 or in use, and runs a statement only for the group, target, workspace and key that the transaction began with; otherwise the answer is NotRunNotHolder and nothing runs; - the sender gets the connection with the first reply (engine.PeerConnection) and sends later statements on that one. When it has ended, the transaction is lost, as its holder rolls back with the connection; the daemon that took its place is not avoided for that; - leases (relayed, gate, direct) whose transaction has ended, was lost, or whose BEGIN named or left open none, run nothing more.

Each of the three is needed for one mix or one test: the checks of the holder protect against older senders, the connection of the sender against older holders. Safe by the code: new sender with old holder, and old sender with new holder (its lost transactions get 3002; it states no identity in the rollback of a lease that it gave up, which the holder runs for the right number and target: in the test of the holder). Not safe: old with old, as before. Mixes of processes were not played. No field of a message has changed its meaning.

H3 asks for a new connection, which states the target's id.

A test changed: the fake of greyLoad reported "no transaction" for statements inside one, which no target does (PROTOCOL.md: the state of each answer is T inside a transaction) and which now ends the lease. It reports the state of its connections; what the tests ask is unchanged.

--- a/internal/engine/engine.go
+++ b/internal/engine/engine.go
@@ -52,6 +52,8 @@
 	nextID        atomic.Uint64
 	// relayed is the number of statements and open transactions that run for other daemons.
 	relayed atomic.Int64
+	// relayNumbers are the numbers of the open transactions that run for other daemons.
+	relayNumbers transactionNumbers
 	// promotions counts the promotions in progress.
 	promotions sync.WaitGroup
 	// directoryFailed is the time of the boot clock, in nanoseconds, of the last failure to follow the target
--- a/internal/engine/gate.go
+++ b/internal/engine/gate.go
@@ -291,12 +291,18 @@
 	conn   *pooledConnection
 	began  time.Time
 	wanted connectionRequest
+	// ended is true once a transaction was begun and is no longer open. Nothing runs then, as it would be outside its
+	// transaction.
+	ended bool
 }
 
 func (l *gateLease) run(e execution) attemptResult {
 	if l.conn != nil {
 		return l.runInTransaction(e)
 	}
+	if l.ended {
+		return attemptResult{err: errBroken}
+	}
 	transaction := e.command.Op.beginsTransaction()
 	conn, err := l.gate.begin(e.connectionRequest, transaction)
 	if err != nil {
@@ -312,6 +318,7 @@
 		l.gate.pool.logUnexpectedTransaction(e)
 	}
 	l.end(conn, transaction)
+	l.ended = transaction
 	return outcome
 }
 
@@ -352,7 +359,7 @@
 func (l *gateLease) release() {
 	if l.conn != nil {
 		l.end(l.conn, true)
-		l.conn = nil
+		l.conn, l.ended = nil, true
 	}
 }
 
--- a/internal/engine/holders.go
+++ b/internal/engine/holders.go
@@ -102,7 +102,7 @@
 	if err != nil {
 		return nil, err
 	}
-	return &directLease{m.pool, conn}, nil
+	return &directLease{pool: m.pool, conn: conn}, nil
 }
 
 const (
--- a/internal/engine/lease.go
+++ b/internal/engine/lease.go
@@ -33,13 +33,18 @@
 	permits func(callers.Identity) error
 }
 
+// identity returns on whose behalf the command runs.
+func (e *execution) identity() callers.Identity {
+	return callers.Identity{Workspace: e.workspace, Key: e.key}
+}
+
 // authorize returns why the command may not be sent at the moment; nil if it may. A rollback may always be sent, but without
 // the id of a caller that may run nothing.
 func (e *execution) authorize() error {
 	if e.permits == nil {
 		return nil
 	}
-	err := e.permits(callers.Identity{Workspace: e.workspace, Key: e.key})
+	err := e.permits(e.identity())
 	if err != nil && e.command.Op == OpRollback {
 		e.command.ID = ""
 		return nil
@@ -66,10 +71,17 @@
 type directLease struct {
 	pool *pool
 	conn *pooledConnection
+	// began is true once a transaction has begun.
+	began bool
 }
 
 func (l *directLease) run(e execution) attemptResult {
 	wasOpen := l.conn.open
+	if l.began && !wasOpen {
+		// The transaction has ended, and nothing may run outside it.
+		return attemptResult{err: errBroken}
+	}
+	l.began = l.began || e.command.Op.beginsTransaction()
 	outcome := l.conn.run(e)
 	if l.conn.open && !wasOpen && !e.command.Op.beginsTransaction() {
 		l.pool.logUnexpectedTransaction(e)
--- a/internal/engine/relay.go
+++ b/internal/engine/relay.go
@@ -14,16 +14,27 @@
 
 // Peers sends requests to the other daemons.
 type Peers interface {
-	// Run sends a statement to the daemon that holds its target. The error wraps ErrPeerNotReached if the request
-	// certainly did not arrive.
-	Run(address string, request *api.RelayRequest, deadline time.Time) (*api.RelayReply, error)
+	// Run sends a statement that goes on with no transaction to the daemon that holds its target, and returns the
+	// connection that it was sent on. The error wraps ErrPeerNotReached if the request certainly did not arrive.
+	Run(address string, request *api.RelayRequest, deadline time.Time) (*api.RelayReply, PeerConnection, error)
 	// Status asks the daemon that holds a target for the target's status.
 	Status(address string, request *api.RelayStatusRequest, deadline time.Time) (*api.RelayStatusReply, error)
 }
 
+// PeerConnection is a connection to another daemon. The transactions that began on it are open on no other, and end with
+// it.
+type PeerConnection interface {
+	// Run sends a statement of a transaction that began on the connection. The error wraps ErrPeerNotReached if the
+	// request certainly did not arrive, and ErrPeerConnectionEnded if that is because the connection has ended.
+	Run(request *api.RelayRequest, deadline time.Time) (*api.RelayReply, error)
+}
+
 // ErrPeerNotReached means that a request to another daemon did not arrive.
 var ErrPeerNotReached = errors.New("daemon not reached")
 
+// ErrPeerConnectionEnded means that the connection that a request had to be sent on has ended.
+var ErrPeerConnectionEnded = errors.New("connection to the daemon has ended")
+
 const (
 	// relayReserve is the time beyond the time limit of a statement that a sender waits for the answer of the holder,
 	// which ends the statement itself at the limit.
@@ -37,21 +48,30 @@
 )
 
 // relayedLease is a lease of a target that another daemon holds. The first command chooses the way: the holder, a standby
-// or, when none is reached, a connection of this daemon.
+// or, when none is reached, a connection of this daemon. A transaction stays on the connection on which it began.
 type relayedLease struct {
 	group  *group
 	member *member
 	// chosen is set when this daemon itself holds the target or connects directly.
 	chosen lease
-	// address is that of the holder that runs the open transaction, transaction its number there.
+	// transaction is the number of the open transaction at the daemon with the address, connection the only one on which
+	// it is known; 0 while none is open.
 	address     string
+	connection  PeerConnection
 	transaction uint64
+	// workspace and key are the identity that the transaction began with.
+	workspace string
+	key       callers.KeyDigest
+	// ended is true once the transaction has ended or was lost. Nothing runs then, as it would be outside its transaction.
+	ended bool
 }
 
 func (l *relayedLease) run(e execution) attemptResult {
 	switch {
 	case l.chosen != nil:
 		return l.chosen.run(e)
+	case l.ended:
+		return attemptResult{err: errBroken, byHolder: true}
 	case l.transaction != 0:
 		return l.runInTransaction(e)
 	}
@@ -75,7 +95,7 @@
 	if err != nil {
 		return attemptResult{refused: err}
 	}
-	l.chosen = &directLease{l.member.pool, conn}
+	l.chosen = &directLease{pool: l.member.pool, conn: conn}
 	return l.chosen.run(e)
 }
 
@@ -96,54 +116,97 @@
 	return l.send(h.address, e)
 }
 
-// runInTransaction runs a command of the open transaction at the daemon that has its connection.
-func (l *relayedLease) runInTransaction(e execution) attemptResult {
-	outcome, reached := l.send(l.address, e)
-	if !reached && outcome.refused != nil {
-		return outcome
-	}
-	if !reached {
-		l.transaction = 0
-		return attemptResult{err: errBroken, byHolder: true}
-	}
-	return outcome
-}
-
-// send sends a command to a holder. It returns false if the holder certainly has not run it and another may. The outcome
-// says why if the holder itself does not know that the caller may run it.
+// send sends the first command to a holder. It returns false if the holder certainly has not run it and another may.
 func (l *relayedLease) send(address string, e execution) (attemptResult, bool) {
-	request := relayRequest(l.group.name, l.member.name, l.transaction, e)
+	request := relayRequest(l.group.name, l.member.name, 0, e)
 	askedAt := clock.SinceBoot()
-	reply, err := l.group.relays.Run(address, request, e.deadline.Add(relayReserve))
-	if lost := lossOf(reply, err); lost != nil && l.transaction != 0 {
-		l.logTransactionLost(e, lost)
-	}
+	reply, connection, err := l.group.relays.Run(address, request, e.deadline.Add(relayReserve))
 	if errors.Is(err, ErrPeerNotReached) {
 		l.group.peers.avoid(address, peerAvoidance, err)
 		return attemptResult{}, false
 	}
 	if err != nil {
 		l.group.peers.avoid(address, peerAvoidance, err)
-		l.transaction = 0
+		l.ended = true
 		return attemptResult{err: err, sent: true, byHolder: true, askedAt: askedAt}, true
 	}
-	switch result.Code(reply.NotRunCode) {
-	case result.NotRunDraining:
-		l.group.peers.avoid(address, stoppingPeerAvoidance, errors.New(reply.Reason))
+	if avoidance, again := avoidanceAfter(result.Code(reply.NotRunCode)); again {
+		if avoidance > 0 {
+			l.group.peers.avoid(address, avoidance, errors.New(reply.Reason))
+		}
 		return attemptResult{}, false
+	}
+	l.address, l.connection, l.transaction = address, connection, reply.Transaction
+	l.workspace, l.key = e.workspace, e.key
+	l.ended = reply.Transaction == 0 && reply.NotRunCode == 0 && e.command.Op.beginsTransaction()
+	l.group.recordRelayed(l.member, reply, askedAt)
+	return outcomeOf(reply, askedAt), true
+}
+
+// avoidanceAfter returns whether another holder may run a statement that one has not run, and for how long that one is not
+// asked.
+func avoidanceAfter(code result.Code) (time.Duration, bool) {
+	switch code {
+	case result.NotRunDraining:
+		return stoppingPeerAvoidance, true
 	case result.NotRunNotHolder:
-		l.group.peers.avoid(address, unawarePeerAvoidance, errors.New(reply.Reason))
-		return attemptResult{}, false
+		return unawarePeerAvoidance, true
 	case result.NotRunUnproved:
-		l.group.peers.avoid(address, unprovedPeerAvoidance, errors.New(reply.Reason))
-		return lostAtHolder(reply), false
+		return unprovedPeerAvoidance, true
 	case result.AuthenticationFailed:
 		// Its configuration is older or newer than the one here.
-		return lostAtHolder(reply), false
+		return 0, true
+	}
+	return 0, false
+}
+
+// runInTransaction runs a command of the open transaction on the connection on which it began, or not at all.
+func (l *relayedLease) runInTransaction(e execution) attemptResult {
+	request := relayRequest(l.group.name, l.member.name, l.transaction, e)
+	askedAt := clock.SinceBoot()
+	reply, err := l.connection.Run(request, e.deadline.Add(relayReserve))
+	lost := lossOf(reply, err)
+	if lost != nil {
+		l.logTransactionLost(e, lost)
+	}
+	if err != nil {
+		return l.endUnanswered(err, askedAt)
+	}
+	switch result.Code(reply.NotRunCode) {
+	case result.NotRunUnproved:
+		l.group.peers.avoid(l.address, unprovedPeerAvoidance, lost)
+		return lostAtHolder(reply)
+	case result.AuthenticationFailed:
+		return lostAtHolder(reply)
+	}
+	if lost != nil {
+		l.end()
+		return attemptResult{err: errBroken, byHolder: true}
 	}
-	l.address, l.transaction = address, reply.Transaction
 	l.group.recordRelayed(l.member, reply, askedAt)
-	return outcomeOf(reply, askedAt), true
+	if reply.Transaction != l.transaction {
+		l.end()
+	}
+	return outcomeOf(reply, askedAt)
+}
+
+// endUnanswered ends the lease after a command without a reply. A connection that has ended says nothing about the daemon
+// that has taken its place.
+func (l *relayedLease) endUnanswered(err error, askedAt time.Duration) attemptResult {
+	l.end()
+	if errors.Is(err, ErrPeerConnectionEnded) {
+		return attemptResult{err: errBroken, byHolder: true}
+	}
+	l.group.peers.avoid(l.address, peerAvoidance, err)
+	if errors.Is(err, ErrPeerNotReached) {
+		return attemptResult{err: errBroken, byHolder: true}
+	}
+	return attemptResult{err: err, sent: true, byHolder: true, askedAt: askedAt}
+}
+
+// end ends the lease: its transaction is no longer open.
+func (l *relayedLease) end() {
+	l.transaction, l.connection, l.ended = 0, nil, true
 }
 
 func (l *relayedLease) release() {
@@ -151,16 +214,25 @@
 	case l.chosen != nil:
 		l.chosen.release()
 	case l.transaction != 0:
-		rollback := execution{command: Command{Op: OpRollback}, state: sessionState{unchanged: true}, deadline: time.Now().Add(rollbackTimeout)}
-		request := relayRequest(l.group.name, l.member.name, l.transaction, rollback)
-		l.transaction = 0
-		if _, err := l.group.relays.Run(l.address, request, rollback.deadline); err != nil {
-			// The holder rolls it back itself when its sender is silent or gone.
-			l.group.peers.avoid(l.address, peerAvoidance, err)
-		}
+		l.rollBack()
 	}
 }
 
+// rollBack rolls the open transaction back. If the holder does not answer, it does so itself, when its sender is silent or
+// the connection has ended.
+func (l *relayedLease) rollBack() {
+	rollback := execution{
+		command: Command{Op: OpRollback}, state: sessionState{unchanged: true}, deadline: time.Now().Add(rollbackTimeout),
+		connectionRequest: connectionRequest{workspace: l.workspace, key: l.key},
+	}
+	request := relayRequest(l.group.name, l.member.name, l.transaction, rollback)
+	_, err := l.connection.Run(request, rollback.deadline)
+	if err != nil && !errors.Is(err, ErrPeerConnectionEnded) {
+		l.group.peers.avoid(l.address, peerAvoidance, err)
+	}
+	l.end()
+}
+
 // lossOf returns why a transaction is lost after a reply of its holder or an error; nil if it is not.
 func lossOf(reply *api.RelayReply, err error) error {
 	if err != nil {
--- a/internal/engine/relay_test.go
+++ b/internal/engine/relay_test.go
@@ -32,6 +32,8 @@
 	delivered requestFate = iota
 	notReached
 	answerLost
+	// answerLate loses the answer, as at a time limit, and leaves the connection as it is.
+	answerLate
 )
 
 var errNoAnswer = errors.New("no answer")
@@ -71,14 +73,43 @@
 	return p.fate(address)
 }
 
-func (p networkPeers) Run(address string, request *api.RelayRequest, _ time.Time) (*api.RelayReply, error) {
-	fate := p.fateOf(address)
+func (p networkPeers) Run(address string, request *api.RelayRequest, _ time.Time) (*api.RelayReply, PeerConnection, error) {
+	connection := networkConnection{p, address, p.session(p.self, address)}
+	reply, err := connection.send(request)
+	return reply, connection, err
+}
+
+// networkConnection is a connection of the network.
+type networkConnection struct {
+	networkPeers
+	address string
+	session *RelaySession
+}
+
+func (c networkConnection) Run(request *api.RelayRequest, _ time.Time) (*api.RelayReply, error) {
+	if c.isClosed() {
+		return nil, fmt.Errorf("%w: %w", ErrPeerNotReached, ErrPeerConnectionEnded)
+	}
+	return c.send(request)
+}
+
+func (c networkConnection) isClosed() bool {
+	c.session.mu.Lock()
+	defer c.session.mu.Unlock()
+	return c.session.closed
+}
+
+func (c networkConnection) send(request *api.RelayRequest) (*api.RelayReply, error) {
+	fate := c.fateOf(c.address)
 	if fate == notReached {
 		return nil, ErrPeerNotReached
 	}
-	reply := p.session(p.self, address).Run(request)
+	reply := c.session.Run(request)
 	if fate == answerLost {
-		p.lose(p.self, address)
+		c.lose(c.self, c.address)
+		return nil, errNoAnswer
+	}
+	if fate == answerLate {
 		return nil, errNoAnswer
 	}
 	return reply, nil
--- a/internal/engine/relaysession.go
+++ b/internal/engine/relaysession.go
@@ -6,6 +6,7 @@
 
 	"github.com/papayacove/papayacove/api"
 	"github.com/papayacove/papayacove/internal/clock"
+	"github.com/papayacove/papayacove/internal/policy/callers"
 	"github.com/papayacove/papayacove/internal/result"
 )
 
@@ -23,12 +24,15 @@
 
 	mu           sync.Mutex
 	closed       bool
-	last         uint64
 	transactions map[uint64]*relayedTransaction
 }
 
 // relayedTransaction is an open transaction of a sender. Its statements run one at a time.
 type relayedTransaction struct {
+	group, target string
+	// begun is the identity that the transaction began with.
+	begun callers.Identity
+
 	mu    sync.Mutex
 	lease *gateLease
 	timer *time.Timer
@@ -48,8 +52,9 @@
 	open := s.transactions
 	s.transactions = make(map[uint64]*relayedTransaction)
 	s.mu.Unlock()
-	for _, t := range open {
+	for number, t := range open {
 		s.end(t)
+		s.engine.relayNumbers.free(number)
 		s.engine.relayed.Add(-1)
 	}
 	s.logEnded(len(open))
@@ -84,7 +89,7 @@
 	reply := relayReply(outcome)
 	s.describe(reply, h, e, outcome, began)
 	if l.conn != nil {
-		reply.Transaction = s.add(l)
+		reply.Transaction = s.add(l, e)
 	}
 	return reply
 }
@@ -104,16 +109,15 @@
 
 // add keeps an open transaction and returns its number, or 0 when the session has been closed and the transaction
 // rolled back.
-func (s *RelaySession) add(l *gateLease) uint64 {
-	t := &relayedTransaction{lease: l}
+func (s *RelaySession) add(l *gateLease, e execution) uint64 {
+	t := &relayedTransaction{group: l.gate.group.name, target: l.gate.member.name, begun: e.identity(), lease: l}
 	s.mu.Lock()
 	if s.closed {
 		s.mu.Unlock()
 		s.end(t)
 		return 0
 	}
-	s.last++
-	number := s.last
+	number := s.engine.relayNumbers.take()
 	s.transactions[number] = t
 	s.mu.Unlock()
 	s.engine.relayed.Add(1)
@@ -142,6 +146,7 @@
 	t := s.transactions[number]
 	if t != nil {
 		delete(s.transactions, number)
+		s.engine.relayNumbers.free(number)
 		s.engine.relayed.Add(-1)
 	}
 	return t
@@ -166,6 +171,9 @@
 	if t == nil {
 		return s.notContinued(request, e, "the transaction is not open here")
 	}
+	if reason := t.foreign(request, e); reason != "" {
+		return s.notContinued(request, e, reason)
+	}
 	t.mu.Lock()
 	defer t.mu.Unlock()
 	if t.lease.conn == nil {
@@ -185,6 +193,19 @@
 	return reply
 }
 
+// foreign returns why a statement is none of the transaction; empty if it may be one.
+func (t *relayedTransaction) foreign(request *api.RelayRequest, e execution) string {
+	if request.Group != t.group || request.Target != t.target {
+		return "the transaction is open at another target"
+	}
+	// Daemons before random numbers state no identity when they roll back a transaction that was given up.
+	isGivenUp := e.command.Op == OpRollback && e.identity() == callers.Identity{}
+	if e.identity() != t.begun && !isGivenUp {
+		return "the transaction was begun by another caller"
+	}
+	return ""
+}
+
 // notContinued returns the reply to a statement of a transaction that is not open here.
 func (s *RelaySession) notContinued(request *api.RelayRequest, e execution, reason string) *api.RelayReply {
 	outcome := notRun(result.NotRunNotHolder, "%s", reason)
--- a/internal/engine/targethealth_test.go
+++ b/internal/engine/targethealth_test.go
@@ -29,14 +29,16 @@
 	engine   *Engine
 	group    *group
 	commands map[string]int
-	answer   func(target string, c Command) (*TargetFailure, error)
+	// open holds the connections with an open transaction.
+	open   map[*fakeConnection]bool
+	answer func(target string, c Command) (*TargetFailure, error)
 }
 
 func newGreyLoad(consistency Consistency, answer func(target string, c Command) (*TargetFailure, error)) *greyLoad {
-	l := &greyLoad{commands: map[string]int{}, answer: answer}
+	l := &greyLoad{commands: map[string]int{}, open: map[*fakeConnection]bool{}, answer: answer}
 	targets := namedTargets{}
 	for _, name := range []string{"a", "b", "c"} {
-		targets[name] = &fakeTarget{exchange: func(_ *fakeConnection, c Command) (Reply, error) { return l.exchange(name, c) }}
+		targets[name] = &fakeTarget{exchange: func(conn *fakeConnection, c Command) (Reply, error) { return l.exchange(name, conn, c) }}
 	}
 	l.engine = newTestEngine(targets["a"])
 	l.group = l.engine.groups["g"]
@@ -56,14 +58,18 @@
 	return l
 }
 
-func (l *greyLoad) exchange(target string, c Command) (Reply, error) {
+func (l *greyLoad) exchange(target string, conn *fakeConnection, c Command) (Reply, error) {
 	reply := Reply{Signature: "s", Position: api.Position{Term: 1, Offset: 10}}
 	switch c.Op {
 	case OpBegin, OpBeginReadOnly:
+		l.open[conn] = true
+	case OpCommit, OpRollback:
+		delete(l.open, conn)
+	}
+	if l.open[conn] {
 		reply.State = StateOpen
-		return reply, nil
-	case OpRead, OpWrite:
-	default:
+	}
+	if c.Op != OpRead && c.Op != OpWrite {
 		return reply, nil
 	}
 	l.commands[target]++
--- a/internal/peer/client.go
+++ b/internal/peer/client.go
@@ -47,6 +47,9 @@
 // ErrNotSent is wrapped by the error of a call that certainly did not reach the other daemon.
 var ErrNotSent = errors.New("call was not sent")
 
+// ErrConnectionEnded is wrapped by the error of a call on a connection that has ended.
+var ErrConnectionEnded = errors.New("the connection has ended")
+
 // ErrNoAnswer is wrapped by the error of a call that was sent and not answered; it may have run.
 var ErrNoAnswer = errors.New("call was sent and not answered")
 
@@ -83,7 +86,7 @@
 // link holds one of the connections to the other daemon, which is replaced by a new one when it has broken.
 type link struct {
 	mu         sync.Mutex
-	connection *connection
+	connection *Connection
 	// failure is the error of the last connection attempt, made at failedAt; nil after a success.
 	failure  error
 	failedAt time.Time
@@ -95,10 +98,11 @@
 	closed bool
 }
 
-// connection is an open net/rpc connection. lastAnswer is the time of its last answer, in Unix nanoseconds.
-type connection struct {
-	client     *rpc.Client
-	pending    atomic.Int64
+// Connection is one connection to the other daemon, which is never opened again. It is safe for concurrent use.
+type Connection struct {
+	client  *rpc.Client
+	pending atomic.Int64
+	// lastAnswer is the time of the last answer, in Unix nanoseconds.
 	lastAnswer atomic.Int64
 	// probedSince is the time of the probe that is not answered yet, in Unix nanoseconds; 0 for none.
 	probedSince atomic.Int64
@@ -187,9 +191,21 @@
 // Call sends one request to a method of the other daemon and waits for its reply. Errors wrap ErrNotSent or
 // ErrNoAnswer, except an rpc.ServerError from the other daemon, which is returned as it is.
 func Call[R any](ctx context.Context, c *Client, method string, req any) (*R, error) {
-	open, err := c.open(ctx)
+	open, err := c.Connect(ctx)
 	if err != nil {
-		return nil, fmt.Errorf("%w: %w", ErrNotSent, err)
+		return nil, err
+	}
+	return CallOn[R](ctx, open, method, req)
+}
+
+// CallOn sends one request on a connection, and on no other, and waits for its reply. Errors are those of Call; one that
+// wraps ErrConnectionEnded wraps ErrNotSent too.
+func CallOn[R any](ctx context.Context, open *Connection, method string, req any) (*R, error) {
+	if open.broken.Load() {
+		return nil, fmt.Errorf("%w: %w", ErrNotSent, ErrConnectionEnded)
+	}
+	if open.isSuspected() {
+		return nil, fmt.Errorf("%w: %w", ErrNotSent, errSuspected)
 	}
 	reply := new(R)
 	open.pending.Add(1)
@@ -212,7 +228,7 @@
 
 // finishCall classifies the error of a call. An answer, also one with an error, is recorded; after any other error the
 // connection is closed.
-func (n *connection) finishCall(err error) error {
+func (n *Connection) finishCall(err error) error {
 	var serverErr rpc.ServerError
 	if err == nil || errors.As(err, &serverErr) {
 		n.lastAnswer.Store(time.Now().UnixNano())
@@ -223,14 +239,14 @@
 }
 
 // isSuspected reports whether a probe has been unanswered for half of probeTimeout.
-func (n *connection) isSuspected() bool {
+func (n *Connection) isSuspected() bool {
 	since := n.probedSince.Load()
 	return since != 0 && time.Since(time.Unix(0, since)) > n.probeTimeout/2
 }
 
 // probe starts a ping, unless an answer came within probeAfter or another ping is under way, and closes the connection
 // when the ping is not answered within probeTimeout. It does not block.
-func (n *connection) probe() {
+func (n *Connection) probe() {
 	now := time.Now()
 	if now.Sub(time.Unix(0, n.lastAnswer.Load())) < n.probeAfter || !n.probedSince.CompareAndSwap(0, now.UnixNano()) {
 		return
@@ -249,15 +265,21 @@
 	}()
 }
 
-// open returns the connection of the next link, and dials a new one when there is none or it has broken.
-func (c *Client) open(ctx context.Context) (*connection, error) {
+// Connect returns the connection of the next link, and opens a new one when there is none or it has ended. Its error wraps
+// ErrNotSent.
+func (c *Client) Connect(ctx context.Context) (*Connection, error) {
+	open, err := c.open(ctx)
+	if err != nil {
+		return nil, fmt.Errorf("%w: %w", ErrNotSent, err)
+	}
+	return open, nil
+}
+
+func (c *Client) open(ctx context.Context) (*Connection, error) {
 	l := &c.links[c.next.Add(1)%uint64(len(c.links))]
 	l.mu.Lock()
 	defer l.mu.Unlock()
 	if l.connection != nil && !l.connection.broken.Load() {
-		if l.connection.isSuspected() {
-			return nil, errSuspected
-		}
 		return l.connection, nil
 	}
 	if l.failure != nil && time.Since(l.failedAt) < maxRepeatedDialError {
@@ -273,7 +295,7 @@
 }
 
 // replace records the result of a connection attempt. The caller holds the lock.
-func (l *link) replace(c *Client, opened *connection, err error) {
+func (l *link) replace(c *Client, opened *Connection, err error) {
 	now := time.Now()
 	l.connection, l.failure, l.failedAt = opened, err, now
 	if err != nil {
@@ -312,14 +334,14 @@
 var errSuspected = errors.New("a probe of the connection is not answered")
 
 // connect opens a new connection.
-func (c *Client) connect(ctx context.Context) (*connection, error) {
+func (c *Client) connect(ctx context.Context) (*Connection, error) {
 	ctx, cancel := context.WithTimeout(ctx, dialTimeout)
 	defer cancel()
 	raw, err := c.dial(ctx)
 	if err != nil {
 		return nil, err
 	}
-	opened := &connection{probeAfter: c.options.ProbeAfter, probeTimeout: c.options.ProbeTimeout}
+	opened := &Connection{probeAfter: c.options.ProbeAfter, probeTimeout: c.options.ProbeTimeout}
 	opened.lastAnswer.Store(time.Now().UnixNano())
 	opened.client = rpc.NewClientWithCodec(newClientCodec(&watchedConn{Conn: raw, broken: &opened.broken}, c.options.MaxFrameBytes))
 	if c.options.TLS != nil {
@@ -334,7 +356,7 @@
 // verify waits for the answer to a ping on a new connection. With TLS 1.3 the client completes the handshake before the
 // server has verified its certificate; without the ping, a call on a connection that the server then closes would be
 // reported as sent.
-func (n *connection) verify(ctx context.Context) error {
+func (n *Connection) verify(ctx context.Context) error {
 	ping := n.client.Go(serviceName+".Ping", &api.Acknowledgement{}, &api.Acknowledgement{}, make(chan *rpc.Call, 1))
 	select {
 	case done := <-ping.Done:
--- a/internal/peer/redial_test.go
+++ b/internal/peer/redial_test.go
@@ -72,3 +72,29 @@
 		time.Sleep(10 * time.Millisecond)
 	}
 }
+
+// TestCallsOnAnEndedConnectionAreNotSent guards against a call for one connection that goes over the next one.
+func TestCallsOnAnEndedConnectionAreNotSent(t *testing.T) {
+	server := serve(t, &fakeDaemon{})
+	client := NewClientWithOptions(ClientOptions{Address: server.Address(), Connections: 1})
+	t.Cleanup(client.Close)
+	ctx := testContext(t)
+	first, err := client.Connect(ctx)
+	if err != nil {
+		t.Fatal(err)
+	}
+	if _, err := CallOn[api.FloorReply](ctx, first, "Floor", &api.FloorRequest{}); err != nil {
+		t.Errorf("call on an open connection: got %v, want success", err)
+	}
+	_ = first.client.Close()
+	second, err := client.Connect(ctx)
+	if err != nil || second == first {
+		t.Fatalf("got the connection that has ended or %v, want another one", err)
+	}
+	if _, err := CallOn[api.FloorReply](ctx, first, "Floor", &api.FloorRequest{}); !errors.Is(err, ErrNotSent) || !errors.Is(err, ErrConnectionEnded) {
+		t.Errorf("call on the ended connection: got %v, want ErrNotSent and ErrConnectionEnded", err)
+	}
+	if _, err := CallOn[api.FloorReply](ctx, second, "Floor", &api.FloorRequest{}); err != nil {
+		t.Errorf("call on the new connection: got %v, want success", err)
+	}
+}
--- a/internal/relay/relay.go
+++ b/internal/relay/relay.go
@@ -76,9 +76,47 @@
 	}
 }
 
-// Run sends a statement to the daemon that holds its target.
-func (c *Clients) Run(address string, request *api.RelayRequest, deadline time.Time) (*api.RelayReply, error) {
-	return call[api.RelayReply](c, address, "Run", request, deadline)
+// daemonConnection is one connection to a daemon. It implements engine.PeerConnection.
+type daemonConnection struct {
+	clients    *Clients
+	address    string
+	connection *peer.Connection
+}
+
+// Run sends a statement that goes on with no transaction to the daemon that holds its target.
+func (c *Clients) Run(address string, request *api.RelayRequest, deadline time.Time) (*api.RelayReply, engine.PeerConnection, error) {
+	connection, err := c.connect(address, deadline)
+	if err != nil {
+		return nil, nil, err
+	}
+	reply, err := callOn[api.RelayReply](connection, "Run", request, deadline)
+	return reply, connection, err
+}
+
+// Run sends a statement of a transaction that began on the connection.
+func (d daemonConnection) Run(request *api.RelayRequest, deadline time.Time) (*api.RelayReply, error) {
+	d.clients.markUsed(d.address)
+	return callOn[api.RelayReply](d, "Run", request, deadline)
+}
+
+// connect returns a connection to a daemon.
+func (c *Clients) connect(address string, deadline time.Time) (daemonConnection, error) {
+	ctx, cancel := context.WithDeadline(context.Background(), deadline)
+	defer cancel()
+	connection, err := c.clientFor(address).Connect(ctx)
+	if err != nil {
+		return daemonConnection{}, classified(address, err)
+	}
+	return daemonConnection{clients: c, address: address, connection: connection}, nil
+}
+
+// markUsed records a call to a daemon, if it is still among the clients.
+func (c *Clients) markUsed(address string) {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	if known, ok := c.clients[address]; ok {
+		known.lastUsed = time.Now()
+	}
 }
 
 // Status asks the daemon that holds a target for the target's status.
@@ -91,21 +129,39 @@
 	return call[api.QuotaReply](c, address, "Quota", request, deadline)
 }
 
-// call sends one request. An rpc.ServerError means that the other daemon has no such method, so nothing ran.
+// call sends one request to a daemon.
 func call[R any](c *Clients, address, method string, request any, deadline time.Time) (*R, error) {
+	connection, err := c.connect(address, deadline)
+	if err != nil {
+		return nil, err
+	}
+	return callOn[R](connection, method, request, deadline)
+}
+
+// callOn sends one request on a connection.
+func callOn[R any](d daemonConnection, method string, request any, deadline time.Time) (*R, error) {
 	ctx, cancel := context.WithDeadline(context.Background(), deadline)
 	defer cancel()
-	reply, err := peer.Call[R](ctx, c.clientFor(address), method, request)
-	var unknown rpc.ServerError
-	if errors.Is(err, peer.ErrNotSent) || errors.As(err, &unknown) {
-		return nil, fmt.Errorf("%w: %s: %w", engine.ErrPeerNotReached, address, err)
-	}
+	reply, err := peer.CallOn[R](ctx, d.connection, method, request)
 	if err != nil {
-		return nil, fmt.Errorf("daemon %s: %w", address, err)
+		return nil, classified(d.address, err)
 	}
 	return reply, nil
 }
 
+// classified returns the error of a call as the engine knows it. An rpc.ServerError means that the other daemon has no such
+// method, so nothing ran.
+func classified(address string, err error) error {
+	var unknown rpc.ServerError
+	switch {
+	case errors.Is(err, peer.ErrConnectionEnded):
+		return fmt.Errorf("%w: %w: %s: %w", engine.ErrPeerNotReached, engine.ErrPeerConnectionEnded, address, err)
+	case errors.Is(err, peer.ErrNotSent), errors.As(err, &unknown):
+		return fmt.Errorf("%w: %s: %w", engine.ErrPeerNotReached, address, err)
+	}
+	return fmt.Errorf("daemon %s: %w", address, err)
+}
+
 // QuotaHandler serves requests for tokens of workspaces.
 type QuotaHandler interface {
 	Handle(request *api.QuotaRequest) *api.QuotaReply
