--- a/internal/engine/proof_test.go
+++ b/internal/engine/proof_test.go
@@ -40,10 +40,10 @@
 	}
 }
 
-// strayPeers is a network on which each reply is that of a target of another group.
-type strayPeers struct{ Peers }
+// strayConnection is a connection on which each reply is that of a target of another group.
+type strayConnection struct{}
 
-func (strayPeers) Run(string, *api.RelayRequest, time.Time) (*api.RelayReply, error) {
+func (strayConnection) Run(*api.RelayRequest, time.Time) (*api.RelayReply, error) {
 	return &api.RelayReply{
 		Group: "h", Target: "x", Signature: "s", Position: api.Position{Term: 1, Offset: 90}, Transaction: 7, ProofTerm: 1,
 	}, nil
@@ -52,8 +52,8 @@
 // TestReplyOfAnotherTargetIsNotRecorded guards against a proof or a position of another group in the same term.
 func TestReplyOfAnotherTargetIsNotRecorded(t *testing.T) {
 	g := newTestGroup(&fakeTarget{})
-	g.relays, g.provenUntil = strayPeers{}, 0
-	l := &relayedLease{group: g, member: g.members["a"], address: "daemon-1", transaction: 7}
+	g.provenUntil = 0
+	l := &relayedLease{group: g, member: g.members["a"], address: "daemon-1", connection: strayConnection{}, transaction: 7}
 	outcome := l.run(execution{command: Command{Op: OpCommit}, commits: true, deadline: time.Now().Add(time.Second)})
 	if outcome.err == nil || !outcome.sent || l.transaction != 0 {
 		t.Errorf("got %+v with transaction %d, want an unknown outcome and no transaction", outcome, l.transaction)
