Soak of the protocol lines: STALE counts reads whose answer a caller got

With releases and cuts, some breaches were runs whose answer nobody got: a daemon runs a read and then waits for the leadership proof; without one it drops the answer and reads elsewhere. Each answer now has a signature of its own, so that the check tells them apart; the dropped ones are counted as stale_dropped= and are no breaches.

--- a/standin/lines/caller.go
+++ b/standin/lines/caller.go
@@ -115,7 +115,7 @@
 			r.State, _, _ = strings.Cut(rest, " ")
 			c.session.learn(text, s.at, r)
 			if c.log != nil && r.Code == "" {
-				c.log.recordSucceeded(id)
+				c.log.recordSucceeded(id, r.Signature)
 			}
 			return r, nil
 		}
--- a/standin/lines/provider.go
+++ b/standin/lines/provider.go
@@ -15,8 +15,8 @@
 	Holder string
 	// Token is the fencing token of the lock.
 	Token uint64
-	// Target is the id of the target to promote.
-	Target string
+	// Target is the id of the target to promote, Group the name of its group.
+	Target, Group string
 }
 
 // Provider stands in for the service of the platform that promotes targets. Its methods are safe for concurrent use.
@@ -79,7 +79,7 @@
 	}
 	token, _ := strconv.ParseUint(r.Header.Get("Fencing-Token"), 10, 64)
 	p.mu.Lock()
-	p.orders = append(p.orders, PromotionOrder{r.Header.Get("Lease-Holder"), token, body.Id})
+	p.orders = append(p.orders, PromotionOrder{r.Header.Get("Lease-Holder"), token, body.Id, body.Backend})
 	p.mu.Unlock()
 	if g, ok := p.groups[body.Backend]; p.Refuse.Load() || !ok || !g.Promote(body.Id) {
 		w.WriteHeader(http.StatusConflict)
--- a/standin/lines/records.go
+++ b/standin/lines/records.go
@@ -13,8 +13,8 @@
 
 // Execution is a statement that a target ran.
 type Execution struct {
-	// ID is the id of the statement.
-	ID string
+	// ID is the id of the statement, Signature what the target signed its answer with; no other run has the same.
+	ID, Signature string
 	// Workspace is the name that the target was told when its connection was opened.
 	Workspace string
 	// ArrivedAt is the time at which the target received the statement.
@@ -63,6 +63,8 @@
 	shape string
 	// succeededAt is the time at which the caller had the whole response; zero without a success.
 	succeededAt time.Time
+	// signature is that of the response to the caller; empty without a success.
+	signature string
 }
 
 // RouteKind is the type of a route, which says how old its reads may be.
--- a/standin/lines/rules.go
+++ b/standin/lines/rules.go
@@ -183,23 +183,30 @@
 
 // Stale returns each read on a log that lacks a commit which it must have: one acknowledged before its first byte, or
 // that of its transaction, was sent, or more than maxStaleness before on routes that allow it; and any of its session.
-func (r Records) Stale(maxStaleness time.Duration) []string {
+// A daemon may run a read before it has the proof that the answer needs, and drop the answer: runs whose answer no
+// caller got are returned apart.
+func (r Records) Stale(maxStaleness time.Duration) (breaches, dropped []string) {
 	h := r.history()
-	var breaches []string
 	for _, e := range r.inOrder() {
 		s := r.sent[e.ID]
 		if !s.reads() {
 			continue
 		}
 		for _, c := range h.needed(s, e.Group, r.kindOf(s.database), maxStaleness) {
-			if !e.Position.contains(c.Position, r.termStarts[e.Group]) {
-				breaches = append(breaches, fmt.Sprintf("lacks %s, which %s acknowledged at %s (statement %s): %s",
-					c.Position, c.Target, c.AcknowledgedAt.Format(recordTime), c.ID, r.describe(e)))
-				break
+			if e.Position.contains(c.Position, r.termStarts[e.Group]) {
+				continue
+			}
+			breach := fmt.Sprintf("lacks %s, which %s acknowledged at %s (statement %s): %s",
+				c.Position, c.Target, c.AcknowledgedAt.Format(recordTime), c.ID, r.describe(e))
+			if s.signature == e.Signature {
+				breaches = append(breaches, breach)
+			} else {
+				dropped = append(dropped, breach)
 			}
+			break
 		}
 	}
-	return breaches
+	return breaches, dropped
 }
 
 // history is the acknowledged commits that no promotion rolled back.
--- a/standin/lines/rules_test.go
+++ b/standin/lines/rules_test.go
@@ -97,11 +97,11 @@
 	start := time.Now()
 	// The read runs 20 s after the commits, on a log of term 1 that ends with number 4 or 5; term 2 began after number 5.
 	read := func(database string, position Position, sentAfter, begunAfter time.Duration) run {
-		s := sent{database: database, text: "READ x", at: start.Add(sentAfter), session: 1}
+		s := sent{database: database, text: "READ x", signature: "a.r.1", at: start.Add(sentAfter), session: 1}
 		if begunAfter > 0 {
 			s.transaction, s.transactionAt = 10, start.Add(begunAfter)
 		}
-		return run{Execution{ID: "r", Position: position, Transaction: s.transaction}, s}
+		return run{Execution{ID: "r", Signature: "a.r.1", Position: position, Transaction: s.transaction}, s}
 	}
 	lacking, having := Position{1, 4}, Position{1, 5}
 	commit := func(position Position, session uint64) func(*Records) {
@@ -134,10 +134,19 @@
 	for _, c := range cases {
 		r := recordsOf(start, c.read)
 		c.commit(&r)
-		checkBreaches(t, c.name, r.Stale(1500*time.Millisecond), c.breach)
+		breaches, dropped := r.Stale(1500 * time.Millisecond)
+		checkBreaches(t, c.name, breaches, c.breach)
+		checkBreaches(t, c.name+", dropped", dropped, "")
+		unanswered := r.sent["r"]
+		unanswered.signature = "that of a later run"
+		r.sent["r"] = unanswered
+		breaches, dropped = r.Stale(1500 * time.Millisecond)
+		checkBreaches(t, c.name+", answer dropped", breaches, "")
+		checkBreaches(t, c.name+", answer dropped", dropped, c.breach)
 	}
 	earlier := recordsOf(start, read("strict", lacking, 21*time.Second, 0))
 	commit(Position{1, 5}, 2)(&earlier)
 	commit(Position{1, 3}, 2)(&earlier)
-	checkBreaches(t, "newer commit acknowledged at the same time as an older one", earlier.Stale(0), "lacks 1.5")
+	breaches, _ := earlier.Stale(0)
+	checkBreaches(t, "newer commit acknowledged at the same time as an older one", breaches, "lacks 1.5")
 }
--- a/standin/lines/session.go
+++ b/standin/lines/session.go
@@ -130,8 +130,8 @@
 func (s *targetSession) sendResult(id string, rows ...string) {
 	signature := "-"
 	if id != "-" && id != "" {
-		signature = s.target.ID + "." + id
-		s.recordExecution(id)
+		signature = fmt.Sprintf("%s.%s.%d", s.target.ID, id, lastSerial.Add(1))
+		s.recordExecution(id, signature)
 	}
 	for _, row := range rows {
 		fmt.Fprintf(s.out, "DATAROW %s\r\n", row)
@@ -140,14 +140,14 @@
 	s.sendReady()
 }
 
-func (s *targetSession) recordExecution(id string) {
+func (s *targetSession) recordExecution(id, signature string) {
 	if s.source == "" {
 		s.source = s.target.sourceOf(s.out)
 	}
 	s.target.group.mu.Lock()
 	defer s.target.group.mu.Unlock()
 	s.target.executed = append(s.target.executed, Execution{
-		ID: id, Workspace: s.workspace, ArrivedAt: s.arrivedAt, BeginsOperation: !s.operationBegun,
+		ID: id, Signature: signature, Workspace: s.workspace, ArrivedAt: s.arrivedAt, BeginsOperation: !s.operationBegun,
 		Group: s.target.group.Name, Target: s.target.ID, Source: s.source, Connection: s.connection, Transaction: s.transaction,
 		Settings: maps.Clone(s.settings), Shape: s.shape, Position: s.position,
 	})
--- a/standin/lines/workspaces.go
+++ b/standin/lines/workspaces.go
@@ -48,11 +48,11 @@
 	l.sent[id] = s
 }
 
-func (l *CallerLog) recordSucceeded(id string) {
+func (l *CallerLog) recordSucceeded(id, signature string) {
 	l.mu.Lock()
 	defer l.mu.Unlock()
 	s := l.sent[id]
-	s.succeededAt = time.Now()
+	s.succeededAt, s.signature = time.Now(), signature
 	l.sent[id] = s
 }
 
--- a/standin/soak/lines.go
+++ b/standin/soak/lines.go
@@ -255,7 +255,8 @@
 // checkStatements checks all statements of the run against the rules of statements.
 func (l *ledger) checkStatements(f *lines.Fleet) *StatementBreaches {
 	records := lines.NewRecords(l.callers, &f.Operator, f.Groups...)
-	b := &StatementBreaches{Pinned: records.Pinned(), Route: records.Route(), Stale: records.Stale(lines.MaxStaleness)}
+	b := &StatementBreaches{Pinned: records.Pinned(), Route: records.Route()}
+	b.Stale, b.Dropped = records.Stale(lines.MaxStaleness)
 	b.Relayed, b.Run = records.Relayed()
 	return b
 }
@@ -429,7 +430,7 @@
 }
 
 // check compares the results that callers got with the log of the primary. It also checks that the fencing tokens of
-// the promotion orders never fall, and that no two holders used the same token in a row.
+// the promotion orders of each group never fall, and that no two holders used the same token in a row.
 func (l *ledger) check(f *lines.Fleet, report *Report) {
 	for item, writes := range l.acked {
 		for _, w := range writes {
@@ -448,11 +449,14 @@
 			report.Verdict.Details = append(report.Verdict.Details, fmt.Sprintf("%s = %s got %s, which promises that it did not run, and is in the log", failed.item, failed.value, failed.code))
 		}
 	}
-	for i, order := range f.Provider.Orders() {
-		if i == 0 {
+	last := map[string]lines.PromotionOrder{}
+	for _, order := range f.Provider.Orders() {
+		before, ok := last[order.Group]
+		last[order.Group] = order
+		if !ok {
 			continue
 		}
-		if before := f.Provider.Orders()[i-1]; order.Token < before.Token || order.Holder != before.Holder && order.Token == before.Token {
+		if order.Token < before.Token || order.Holder != before.Holder && order.Token == before.Token {
 			l.history.RecordViolation("promotion order %+v with a stale fencing token after %+v", order, before)
 		}
 	}
--- a/standin/soak/soak.go
+++ b/standin/soak/soak.go
@@ -39,6 +39,8 @@
 // StatementBreaches describes the breaches of each rule of statements, and counts the statements that were checked.
 type StatementBreaches struct {
 	Pinned, Route, Stale []string
+	// Dropped are reads on logs that are too old whose answer no caller got. They are no breaches.
+	Dropped []string
 	// Run is the number of runs of callers' statements, Relayed that of those which a daemon sent for another one.
 	Run, Relayed int
 }
@@ -60,7 +62,7 @@
 	if b == nil {
 		return ""
 	}
-	return fmt.Sprintf(" pinned=%d route=%d stale=%d run=%d relayed=%d", len(b.Pinned), len(b.Route), len(b.Stale), b.Run, b.Relayed)
+	return fmt.Sprintf(" pinned=%d route=%d stale=%d stale_dropped=%d run=%d relayed=%d", len(b.Pinned), len(b.Route), len(b.Stale), len(b.Dropped), b.Run, b.Relayed)
 }
 
 // String returns the report as one line.
