Engine: a target is of one group

The entry of a target names its group, and the engine kept what it had learned under the target's bare name in each group that an entry ever named. After one entry of another writer with another group that is known, the target stayed a member of both until its entry was deleted: it can't be reached as one of the other group (it answers MOVED), so it can't be paused there, and no promotion of that group went on without it. An entry of a group that is not known was kept although a later one was of a known group, and came into force with a configuration that had the former. The targets that waited for a configuration were placed without the lock, so that one could overwrite a newer entry, or return after its removal.

A target that gets an entry of another group is removed from the one that has it, with the grace of an entry that is gone; the newest entry alone waits for a configuration; and entries are placed in the order in which they arrive, under the lock that already orders the limits of groups.

Before: TestTargetIsOfOneGroup "entry 2 of group h: got kept in group g true, want false", "an earlier entry of a group that was not known came into force after a later one" and four more. After: go test -race ./internal/engine passes.

--- a/internal/engine/engine.go
+++ b/internal/engine/engine.go
@@ -71,6 +71,8 @@
 	groups       map[string]*group
 	// unplaced holds, by name, the targets whose group no configuration has had so far.
 	unplaced map[string]Target
+	// placed holds, by name, the group that has the target.
+	placed   map[string]string
 	daemons  *daemonList
 	peers    *peerHealth
 	sessions map[*session]struct{}
@@ -82,7 +84,7 @@
 	ctx, stop := context.WithCancel(context.Background())
 	e := &Engine{
 		options: options, ctx: ctx, stop: stop, configured: make(chan struct{}), proved: make(chan struct{}), daemons: newDaemonList(options.Name, nil), peers: &peerHealth{},
-		groups: make(map[string]*group), unplaced: make(map[string]Target), sessions: make(map[*session]struct{}),
+		groups: make(map[string]*group), unplaced: make(map[string]Target), placed: make(map[string]string), sessions: make(map[*session]struct{}),
 	}
 	e.directoryFailed.Store(int64(clock.SinceBoot()))
 	go e.watchIsolation()
@@ -139,34 +141,43 @@
 // SetTarget records the entry of a target. It keeps the entry in unplaced until a configuration has the target's group.
 func (e *Engine) SetTarget(t Target) {
 	e.mu.Lock()
+	defer e.mu.Unlock()
+	e.place(t)
+}
+
+// place adds a target to its group. Another group that has it keeps it no longer than one whose entry is gone. The caller
+// holds the lock.
+func (e *Engine) place(t Target) {
+	if before, ok := e.placed[t.Name]; ok && before != t.Group {
+		e.groups[before].scheduleRemoval(t.Name)
+		delete(e.placed, t.Name)
+	}
 	g, known := e.groups[t.Group]
 	if !known {
 		e.unplaced[t.Name] = t
-		e.mu.Unlock()
 		return
 	}
-	e.mu.Unlock()
+	delete(e.unplaced, t.Name)
+	e.placed[t.Name] = t.Group
 	g.setTarget(t)
 }
 
 // assignUnplaced adds the targets in unplaced to the groups that the configuration has now.
 func (e *Engine) assignUnplaced() {
 	e.mu.Lock()
-	waiting := e.unplaced
-	e.unplaced = make(map[string]Target)
-	e.mu.Unlock()
-	for _, t := range waiting {
-		e.SetTarget(t)
+	defer e.mu.Unlock()
+	for _, t := range maps.Clone(e.unplaced) {
+		e.place(t)
 	}
 }
 
 // RemoveTarget records that the entry of a target is gone.
 func (e *Engine) RemoveTarget(name string) {
 	e.mu.Lock()
+	defer e.mu.Unlock()
 	delete(e.unplaced, name)
-	groups := maps.Clone(e.groups)
-	e.mu.Unlock()
-	for _, g := range groups {
+	delete(e.placed, name)
+	for _, g := range e.groups {
 		g.scheduleRemoval(name)
 	}
 }
