Engine: a pool logs without the lock of its group

The lines about evicted connections and about full targets named the target by its entry, which is read under the lock of the group, while the lock of the pool was held. An entry that arrives takes them the other way round (setTarget resizes the pools), and so do limits. Both at once stopped the pool and its group for good, and with them, since targets are placed under the lock of the engine, the daemon. Found while reading for names; not seen in a run.

The pool has the name of its target, which does not change.

Before: TestPoolLogsWithoutTheLockOfItsGroup "the entry of the target was read while the lock of the pool was held", three times. After: go test -race ./internal/engine passes.

--- a/internal/engine/fulltarget.go
+++ b/internal/engine/fulltarget.go
@@ -65,7 +65,7 @@
 		return
 	}
 	logrus.WithFields(logrus.Fields{
-		logfield.Target: p.target().Name, logfield.Limit: p.queue.Slots(), logfield.Share: p.ceiling, logfield.Running: p.inUse, logfield.Connections: accepted,
+		logfield.Target: p.name, logfield.Limit: p.queue.Slots(), logfield.Share: p.ceiling, logfield.Running: p.inUse, logfield.Connections: accepted,
 	}).Info(logevent.ConnectionRefusedFull)
 }
 
--- a/internal/engine/gate.go
+++ b/internal/engine/gate.go
@@ -63,6 +63,7 @@
 		statements:   waitqueue.New(admission.Config{Slots: share.Statements, QueueLength: poolQueueLength, ByUsualLoad: true}, nil),
 		transactions: waitqueue.New(admission.Config{Slots: share.Transactions, QueueLength: transactionsQueueLength, ByUsualLoad: true}, nil),
 	}
+	h.pool.name = m.name
 	h.status = &sharedStatus{call: h.askStatus}
 	g.log().WithFields(logrus.Fields{
 		logfield.Target: m.name, logfield.Limit: share.Connections, logfield.Slots: share.Statements, logfield.Transactions: share.Transactions,
--- a/internal/engine/group.go
+++ b/internal/engine/group.go
@@ -188,6 +188,7 @@
 		g.recallPosition(t.Name)
 		m = &member{name: t.Name}
 		m.pool = newPool(g.dialer, func() Target { return g.targetOf(m) }, g.shareOf(m))
+		m.pool.name = t.Name
 		m.control = &controlConnection{dialer: g.dialer, target: func() Target { return g.targetOf(m) }}
 		g.members[t.Name] = m
 	}
--- a/internal/engine/ownedpool.go
+++ b/internal/engine/ownedpool.go
@@ -195,7 +195,7 @@
 		return
 	}
 	logrus.WithFields(logrus.Fields{
-		logfield.Target: p.target().Name, logfield.Workspace: workspace, logfield.Victim: victim.workspace, logfield.Reason: string(d.Reason),
+		logfield.Target: p.name, logfield.Workspace: workspace, logfield.Victim: victim.workspace, logfield.Reason: string(d.Reason),
 		logfield.ExpectedUse: d.ExpectedUse, logfield.Idle: now.Sub(victim.lastUsed), logfield.Limit: p.queue.Slots(),
 	}).Info(logevent.ConnectionEvicted)
 }
--- a/internal/engine/ownedpool_test.go
+++ b/internal/engine/ownedpool_test.go
@@ -262,3 +262,21 @@
 		}
 	}
 }
+
+// TestPoolLogsWithoutTheLockOfItsGroup evicts connections and is refused some while it may log it. The entry of the target is read under
+// the lock of the group, which is held while a pool is resized: a pool that reads it under its own lock could stop its group for good.
+func TestPoolLogsWithoutTheLockOfItsGroup(t *testing.T) {
+	target := &fakeTarget{limit: 2}
+	var p *pool
+	p = newPool(target, func() Target {
+		if !p.mu.TryLock() {
+			t.Error("the entry of the target was read while the lock of the pool was held")
+			return Target{Name: "a"}
+		}
+		p.mu.Unlock()
+		return Target{Name: "a"}
+	}, connectionShare{guaranteed: 4, ceiling: 4})
+	// Lines of another second end the count of those of this one.
+	limiter.Allow("", time.Time{})
+	use(t, p, "a", "b", "c", "d")
+}
--- a/internal/engine/pool.go
+++ b/internal/engine/pool.go
@@ -48,7 +48,10 @@
 // pool shares the connections of one daemon to one target. Its methods may be called concurrently.
 type pool struct {
 	dialer Dialer
+	// target takes the lock of the group, under which mu may be taken: it must not be called while mu is held. name is that
+	// of the target, for logs.
 	target func() Target
+	name   string
 
 	// queue has as many slots as the daemon may have connections. Its lock may be taken while mu is held, not the
 	// other way round.
