Engine: a late removal does not end a later grace

A timer that had fired when the entry returned, and waits for the lock, was told from one of a later time only by the target: when the entry went again before the lock was free, the target was removed at once, and with it the status by which the loss of its log is noticed.

The times that an entry was gone are counted, and a timer removes for its own time only.

Before: TestLateRemovalDoesNotEndALaterGrace "the target was removed at the beginning of the second grace". After: go test -race ./internal/engine passes.

--- a/internal/engine/group.go
+++ b/internal/engine/group.go
@@ -54,8 +54,10 @@
 	// leavingSince is the time of the boot clock since when the target is known to leave; 0 when it does not
 	// leave.
 	leavingSince time.Duration
-	// removalTimer removes the target unless its entry returns; nil while there is an entry.
+	// removalTimer removes the target unless its entry returns; nil while there is an entry. removals counts the times that
+	// the entry was gone: a timer that has fired before its entry returned must not end a later grace.
 	removalTimer *time.Timer
+	removals     int
 	// recentFailureUntil is the time of the boot clock until which the target is tried last.
 	recentFailureUntil time.Duration
 	// avoidUntil is the time of the boot clock until which no connection to the target is opened, because an
@@ -265,14 +267,16 @@
 		wait = 0
 	}
 	g.log().WithFields(logrus.Fields{logfield.Target: name, logfield.RemovedAfter: wait}).Info(logevent.TargetMissing)
-	m.removalTimer = time.AfterFunc(wait, func() { g.removeTarget(name, m) })
+	m.removals++
+	removal := m.removals
+	m.removalTimer = time.AfterFunc(wait, func() { g.removeTarget(name, m, removal) })
 }
 
-// removeTarget ends the use of a target whose entry has not returned.
-func (g *group) removeTarget(name string, missing *member) {
+// removeTarget ends the use of a target whose entry has not returned since it was gone for the given time, counted from 1.
+func (g *group) removeTarget(name string, missing *member, removal int) {
 	g.mu.Lock()
 	m, ok := g.members[name]
-	if m != missing || m.removalTimer == nil {
+	if m != missing || m.removalTimer == nil || m.removals != removal {
 		g.mu.Unlock()
 		return
 	}
--- a/internal/engine/restartedreplica_test.go
+++ b/internal/engine/restartedreplica_test.go
@@ -13,8 +13,9 @@
 	g.mu.Lock()
 	m := g.members[name]
 	m.removalTimer = time.NewTimer(time.Hour)
+	removal := m.removals
 	g.mu.Unlock()
-	g.removeTarget(name, m)
+	g.removeTarget(name, m, removal)
 }
 
 // TestRestartedReplicaIsNotPaused loses a replica that was paused before it restarted: since its restart it may have
@@ -46,3 +47,21 @@
 		}
 	}
 }
+
+// TestLateRemovalDoesNotEndALaterGrace lets the entry of a target go, return and go again, after which the removal for the first time
+// runs: its timer had fired when the entry returned.
+func TestLateRemovalDoesNotEndALaterGrace(t *testing.T) {
+	g := newTestGroup(&fakeTarget{})
+	m := g.members["b"]
+	g.scheduleRemoval("b")
+	g.setTarget(Target{Name: "b", Group: "g", Slots: 5, Zone: "z"})
+	g.scheduleRemoval("b")
+	g.removeTarget("b", m, 1)
+	if !g.hasMember("b") {
+		t.Error("the target was removed at the beginning of the second grace")
+	}
+	g.removeTarget("b", m, 2)
+	if g.hasMember("b") {
+		t.Error("the target is kept after the second grace")
+	}
+}
