Pass the success of a commit on only within a leadership proof

The fix: an acknowledged commit is no proof, because the replica that received it may be one that no promoter knows. Its success is passed on only if there is a valid proof by the statuses of the primary and a witness after the acknowledgement, fetched while the commit runs; otherwise the outcome is unknown. A holder is asked for the proof with the commit. Groups whose commits wait for no replica are not concerned.

What is left: commits within the validity of the last proof, if a replica that no promoter knows receives them before the witness that is paused next.

--- a/internal/engine/gate.go
+++ b/internal/engine/gate.go
@@ -277,7 +277,7 @@
 	h.group.recordEnded(h.member)
 	if outcome.err == nil {
 		h.setSilent(false)
-		h.group.recordReply(h.member, outcome.reply, outcome.askedAt, e.commits && outcome.reply.Failure == nil)
+		h.group.recordReply(h.member, outcome.reply, outcome.askedAt)
 	} else if outcome.sent {
 		h.group.recordFailure(h.member)
 	}
--- a/internal/engine/outcomes.go
+++ b/internal/engine/outcomes.go
@@ -56,8 +56,8 @@
 }
 
 // recordReply records the reply to a command that was sent at askedAt. Its position becomes a sample if the target
-// was certainly the primary then, which a replicated commit proves.
-func (g *group) recordReply(m *member, reply Reply, askedAt time.Duration, committed bool) {
+// was certainly the primary then.
+func (g *group) recordReply(m *member, reply Reply, askedAt time.Duration) {
 	now := clock.SinceBoot()
 	g.mu.Lock()
 	defer g.mu.Unlock()
@@ -78,9 +78,6 @@
 		}
 		return
 	}
-	if committed && g.limits.SyncReplicas > 0 && reply.Position.Term == g.term {
-		g.recordProof(proofOrigin{proofOfCommit, m.name}, askedAt)
-	}
 	if askedAt < g.provenUntil && reply.Failure == nil && reply.Position.Term <= g.term {
 		g.samples.Add(askedAt, reply.Position)
 	}
--- a/internal/engine/proof.go
+++ b/internal/engine/proof.go
@@ -138,6 +138,16 @@
 	}
 }
 
+// awaitCommitProof waits until m is proved to lead after it has acknowledged a commit. It returns false as awaitProof does. The
+// acknowledgement alone does not prove it: the replica that received the commit may be one that no promoter knows. It is
+// true at once if commits wait for no replica.
+func (g *group) awaitCommitProof(m *member, deadline time.Time) bool {
+	g.mu.Lock()
+	replicated := g.limits.SyncReplicas > 0
+	g.mu.Unlock()
+	return !replicated || g.awaitProof(m, clock.SinceBoot(), deadline)
+}
+
 // recordProof records that the primary was proved to lead at askedAt. The caller holds the lock.
 func (g *group) recordProof(origin proofOrigin, askedAt time.Duration) {
 	until := askedAt + leadership.ProofValidity
--- a/internal/engine/proof_test.go
+++ b/internal/engine/proof_test.go
@@ -8,7 +8,9 @@
 
 	"github.com/papayacove/papayacove/api"
 	"github.com/papayacove/papayacove/internal/clock"
+	"github.com/papayacove/papayacove/internal/policy/callers"
 	"github.com/papayacove/papayacove/internal/policy/leadership"
+	"github.com/papayacove/papayacove/internal/result"
 )
 
 // TestUnpausedReplicaDoesNotProveAPrimaryThatSteppedDown guards against reads at an old primary within the proof of a
@@ -68,11 +70,11 @@
 	g := newTestGroup(&fakeTarget{})
 	asked := clock.SinceBoot() + 100*time.Millisecond
 	g.provenUntil = asked + time.Second
-	g.recordReply(g.members["a"], Reply{Position: api.Position{Term: 2, Offset: 3}}, asked, false)
+	g.recordReply(g.members["a"], Reply{Position: api.Position{Term: 2, Offset: 3}}, asked)
 	if position, ok := g.samples.Oldest(asked, 0); ok {
 		t.Errorf("got %v as a position of the primary of term 1, want none", position)
 	}
-	g.recordReply(g.members["a"], Reply{Position: api.Position{Term: 1, Offset: 11}}, asked, false)
+	g.recordReply(g.members["a"], Reply{Position: api.Position{Term: 1, Offset: 11}}, asked)
 	if position, ok := g.samples.Oldest(asked, 0); !ok || position.Offset != 11 {
 		t.Errorf("got %v, known %t, want a sample of the primary", position, ok)
 	}
@@ -103,3 +105,38 @@
 		t.Errorf("known within a proof by b: got a proof until %s, want %s", g.provenUntil, want)
 	}
 }
+
+// TestCommitWithoutAProofIsAnUnknownOutcome guards against success for a commit that only a replica has received which no
+// promoter knows: the proof lapses while the target commits, and cannot be renewed.
+func TestCommitWithoutAProofIsAnUnknownOutcome(t *testing.T) {
+	for _, replicas := range []int{0, 1} {
+		var g *group
+		target := &fakeTarget{}
+		target.exchange = func(_ *fakeConnection, c Command) (Reply, error) {
+			if c.Op == OpCommit || c.ID == "single" {
+				g.mu.Lock()
+				g.provenUntil = 0
+				g.mu.Unlock()
+			}
+			state := StateIdle
+			if c.Op == OpBegin || c.ID == "inside" {
+				state = StateOpen
+			}
+			return Reply{Signature: "s", State: state, Position: api.Position{Term: 1, Offset: 1}}, nil
+		}
+		e := newTestEngine(target)
+		g = e.groups["g"]
+		g.setLimits(GroupLimits{MaxConnections: 4, SyncReplicas: replicas}, daemonsNamed(1))
+		caller := &scriptedCaller{statements: []Statement{
+			{ID: "begin", Op: OpBegin}, {ID: "inside", Op: OpWrite, Text: "w"}, {ID: "commit", Op: OpCommit}, {ID: "single", Op: OpWrite, Text: "w"},
+		}}
+		e.Serve(caller, "d", callers.Identity{})
+		for i, id := range map[int]string{2: "commit", 3: "single"} {
+			refusal := caller.answers[i].Refusal
+			isUnknown := refusal != nil && refusal.Code == result.OutcomeUnknown
+			if isUnknown != (replicas > 0) {
+				t.Errorf("%d replicas, %s: got refusal %+v, want the outcome unknown only if a replica has to receive it", replicas, id, refusal)
+			}
+		}
+	}
+}
--- a/internal/engine/prooflog.go
+++ b/internal/engine/prooflog.go
@@ -19,7 +19,6 @@
 // Ways to obtain a leadership proof.
 const (
 	proofOfStatus proofKind = "status"
-	proofOfCommit proofKind = "commit"
 	proofOfHolder proofKind = "holder"
 )
 
--- a/internal/engine/prooflog_test.go
+++ b/internal/engine/prooflog_test.go
@@ -42,7 +42,7 @@
 	g := newTestGroup(&fakeTarget{})
 	g.proofLog.limiter = telemetry.NewLimiter()
 	g.provenUntil = clock.SinceBoot() - time.Millisecond
-	g.recordProof(proofOrigin{proofOfCommit, "a"}, clock.SinceBoot()-leadership.ProofValidity/2)
+	g.recordProof(proofOrigin{proofOfHolder, "a"}, clock.SinceBoot()-leadership.ProofValidity/2)
 	if _, logged := g.proofLog.nextAt[logevent.ProofReturned]; !logged {
 		t.Errorf("got no %s, want one", logevent.ProofReturned)
 	}
--- a/internal/engine/read.go
+++ b/internal/engine/read.go
@@ -193,7 +193,7 @@
 		return Reply{}, refuse(result.NotRunUnreachable, "no answer: %s", outcome.err)
 	}
 	reply := outcome.reply
-	r.group.recordReply(m, reply, outcome.askedAt, false)
+	r.group.recordReply(m, reply, outcome.askedAt)
 	if reply.Failure != nil {
 		return Reply{}, r.recordTargetFailure(m, reply.Failure)
 	}
--- a/internal/engine/relaysession.go
+++ b/internal/engine/relaysession.go
@@ -92,6 +92,9 @@
 	if outcome.refused != nil || outcome.err != nil {
 		return
 	}
+	if e.commits {
+		began = clock.SinceBoot()
+	}
 	term, age := h.proofOf(began, e.needsProof && outcome.reply.Failure == nil)
 	reply.ProofTerm, reply.ProofAgeUs = term, age.Microseconds()
 }
--- a/internal/engine/transaction.go
+++ b/internal/engine/transaction.go
@@ -125,7 +125,7 @@
 		return t.session.refused(refusal)
 	}
 	t.wrote = t.wrote || t.request.op == OpWrite
-	t.request.group.recordReply(t.member, reply, outcome.askedAt, false)
+	t.request.group.recordReply(t.member, reply, outcome.askedAt)
 	if t.plan.onlyPrimary && !t.request.group.awaitProof(t.member, t.plan.provedSince, t.request.proofDeadline()) {
 		t.fail(refuse(result.NotRunNoMajority, "the primary could not be proved to lead"))
 		return t.session.refused(t.refusal)
@@ -226,7 +226,7 @@
 		l.release()
 		return r.recordTargetFailure(m, outcome.reply.Failure)
 	}
-	r.group.recordReply(m, outcome.reply, outcome.askedAt, false)
+	r.group.recordReply(m, outcome.reply, outcome.askedAt)
 	t.member, t.lease = m, l
 	return nil
 }
@@ -265,7 +265,10 @@
 // commit sends the commit and ends the lease.
 func (t *transaction) commit() Answer {
 	s, r := t.session, t.request
-	outcome := r.run(t.member, t.lease, execution{command: s.commandFor(r.statement), commits: t.wrote})
+	if t.wrote {
+		r.group.renewProofIfExpired(t.member)
+	}
+	outcome := r.run(t.member, t.lease, execution{command: s.commandFor(r.statement), commits: t.wrote, needsProof: t.wrote})
 	t.lease.release()
 	t.lease = nil
 	if outcome.refused != nil {
@@ -278,7 +281,10 @@
 	if failure := outcome.reply.Failure; failure != nil {
 		return s.refused(r.recordTargetFailure(t.member, failure))
 	}
-	r.group.recordReply(t.member, outcome.reply, outcome.askedAt, t.wrote)
+	r.group.recordReply(t.member, outcome.reply, outcome.askedAt)
+	if t.wrote && !r.group.awaitCommitProof(t.member, r.proofDeadline()) {
+		return s.refused(refuseUnprovedCommit(t.member))
+	}
 	r.logServed("transaction")
 	if t.wrote {
 		s.recordCommit(outcome.reply.Position)
--- a/internal/engine/write.go
+++ b/internal/engine/write.go
@@ -65,7 +65,8 @@
 		refusal := r.unavailable(err)
 		return Reply{}, refusal, r.mayRetryAcquire(refusal.Code)
 	}
-	outcome := r.run(m, l, execution{command: r.session.commandFor(r.statement), commits: true})
+	r.group.renewProofIfExpired(m)
+	outcome := r.run(m, l, execution{command: r.session.commandFor(r.statement), commits: true, needsProof: true})
 	l.release()
 	if outcome.refused != nil {
 		r.recordUnavailable(m, outcome.refused)
@@ -84,11 +85,19 @@
 		refusal := r.recordTargetFailure(m, reply.Failure)
 		return Reply{}, refusal, reply.Failure.Kind.IsNotRun()
 	}
-	r.group.recordReply(m, reply, outcome.askedAt, true)
+	r.group.recordReply(m, reply, outcome.askedAt)
+	if !r.group.awaitCommitProof(m, r.proofDeadline()) {
+		return Reply{}, refuseUnprovedCommit(m), false
+	}
 	r.session.recordCommit(reply.Position)
 	return reply, nil, false
 }
 
+// refuseUnprovedCommit returns the refusal of a commit that the target acknowledged without a leadership proof.
+func refuseUnprovedCommit(m *member) *Refusal {
+	return refuse(result.OutcomeUnknown, "%s could not be proved to lead when it acknowledged the commit", m.name)
+}
+
 // noPrimary returns the refusal of a statement that needs a primary while there is none.
 func (r *request) noPrimary() *Refusal {
 	refusal := refuse(result.NotRunNoPrimary, "the group has no primary")
