Keep a paused replica in mind whose log no other one has

MarkLost forgot each replica that went with a fresh pause, since it had received nothing since. What it had received before the pause may be nowhere else, and then the minimum position came from the other replicas, and the next promotion chose among them.

The fix: such a replica is forgotten only if another one is known to have its log up to the end. Otherwise it is lost, and blocks the minimum position and promotions until another replica has its last position, which the pause has fixed, so that no answer of the primary is needed, or for 30 s.

TestPausedReturnedOrExpiredReplicaDoesNotBlock states the log of the others, and is otherwise as before.

--- a/internal/engine/group.go
+++ b/internal/engine/group.go
@@ -271,7 +271,7 @@
 	}
 	delete(g.members, name)
 	g.health.Forget(name)
-	if name != g.primary && g.lostReplicas.MarkLost(name, g.statuses[name], clock.SinceBoot()) {
+	if name != g.primary && g.lostReplicas.MarkLost(name, g.statuses[name], g.longestLogBeside(name), clock.SinceBoot()) {
 		g.log().WithField(logfield.Target, name).Info(logevent.WitnessLost)
 	}
 	delete(g.statuses, name)
@@ -290,6 +290,17 @@
 	}
 }
 
+// longestLogBeside returns the longest log that another replica than the named one is known to have. The caller holds the lock.
+func (g *group) longestLogBeside(name string) api.Position {
+	var received api.Position
+	for other, s := range g.statuses {
+		if other != name && g.members[other] != nil && s.Role == leadership.RoleReplica {
+			received = received.Max(s.Received)
+		}
+	}
+	return received
+}
+
 // setLimits sets the limits of the group and the daemons that share them.
 func (g *group) setLimits(limits GroupLimits, daemons *daemonList) {
 	rank, zones := daemons.rank(g.name)
--- a/internal/engine/group_test.go
+++ b/internal/engine/group_test.go
@@ -275,3 +275,25 @@
 	close(answer)
 	<-ended
 }
+
+// TestLossOfAPausedReplicaWithTheLongestLog guards against a minimum position from the other replicas, and a promotion, without
+// a commit that only the lost replica had received before it was paused.
+func TestLossOfAPausedReplicaWithTheLongestLog(t *testing.T) {
+	for offset, lost := range map[uint64]bool{14: true, 12: false} {
+		g := newTestGroup(&fakeTarget{})
+		now := clock.SinceBoot()
+		paused := follows(1, offset, now)
+		paused.PausedTerm = 2
+		g.applyStatusRound(map[string]leadership.Status{"b": follows(1, 12, now), "c": paused}, now)
+		c := g.members["c"]
+		c.removalTimer = time.NewTimer(time.Hour)
+		g.removeTarget("c", c)
+		if g.knowsAllReplicas() == lost {
+			t.Errorf("c ended at %d, b at 12: got all replicas known %t, want %t", offset, lost, !lost)
+		}
+		g.applyStatusRound(map[string]leadership.Status{"b": follows(1, 14, now+1)}, now+1)
+		if !g.knowsAllReplicas() {
+			t.Errorf("c ended at %d, b has caught up: got a replica lost, want none", offset)
+		}
+	}
+}
--- a/internal/engine/observe.go
+++ b/internal/engine/observe.go
@@ -296,7 +296,7 @@
 	if !known || s.Role != leadership.RoleReplica || s.Received.Compare(before.Received) >= 0 {
 		return
 	}
-	if g.lostReplicas.MarkLost(fmt.Sprintf("%s up to %d.%d", name, before.Received.Term, before.Received.Offset), before, clock.SinceBoot()) {
+	if g.lostReplicas.MarkLost(fmt.Sprintf("%s up to %d.%d", name, before.Received.Term, before.Received.Offset), before, g.longestLogBeside(name), clock.SinceBoot()) {
 		g.log().WithFields(logrus.Fields{logfield.Target: name, logfield.Held: before.Received, logfield.Holds: s.Received}).Info(logevent.WitnessLost)
 	}
 }
--- a/internal/policy/takeover/lost_replicas.go
+++ b/internal/policy/takeover/lost_replicas.go
@@ -22,22 +22,31 @@
 // lostReplica is a replica that was lost and whose commits no other replica is known to have.
 type lostReplica struct {
 	since time.Duration
-	// position is the end of the primary's log in its first status that was asked for after the loss; zero before that
-	// status.
-	position api.Position
+	// position is the end of the log that another replica has to have. It is that of the lost replica if wasPaused, which
+	// has received nothing since, and otherwise that of the primary in its first status that was asked for after the loss;
+	// zero before that status.
+	position  api.Position
+	wasPaused bool
 }
 
 // MarkLost adds a replica that was lost at a time, with its last known status, and reports whether it was added. A
-// primary is not added, nor a replica that was paused a moment ago: it has received no commit since. An older pause may
-// have ended unnoticed.
-func (l *LostReplicas) MarkLost(name string, last leadership.Status, at time.Duration) bool {
-	if last.Role == leadership.RolePrimary || last.IsPaused() && at-last.AskedAt <= 2*LeavingRecheckInterval {
+// primary is not added, nor a replica that was paused a moment ago, and so has received no commit since, if another replica
+// has its log up to the end: received is the longest log of the others. An older pause may have ended unnoticed.
+func (l *LostReplicas) MarkLost(name string, last leadership.Status, received api.Position, at time.Duration) bool {
+	if last.Role == leadership.RolePrimary {
 		return false
 	}
+	lost := lostReplica{since: at}
+	if last.IsPaused() && at-last.AskedAt <= 2*LeavingRecheckInterval {
+		if received.Compare(last.Received) >= 0 {
+			return false
+		}
+		lost.position, lost.wasPaused = last.Received, true
+	}
 	if l.lost == nil {
 		l.lost = make(map[string]lostReplica)
 	}
-	l.lost[name] = lostReplica{since: at}
+	l.lost[name] = lost
 	return true
 }
 
@@ -56,22 +65,23 @@
 }
 
 // Reconcile applies the answers of a status round: it removes the lost replicas whose commits another replica has now,
-// and returns their names. It removes none unless leader answered as primary.
+// and returns their names. Unless leader answered as primary, it removes only those that were paused.
 func (l *LostReplicas) Reconcile(leader string, statuses map[string]leadership.Status) []string {
-	leaderStatus, ok := statuses[leader]
-	if !ok || leaderStatus.Role != leadership.RolePrimary {
-		return nil
-	}
+	own := statuses[leader]
+	leads := own.Role == leadership.RolePrimary
 	var received api.Position
 	for name, s := range statuses {
-		if name != leader && s.Role == leadership.RoleReplica && s.Term == leaderStatus.Term {
+		if name != leader && s.Role == leadership.RoleReplica && (!leads || s.Term == own.Term) {
 			received = received.Max(s.Received)
 		}
 	}
 	var covered []string
 	for name, r := range l.lost {
-		if r.position.IsZero() && leaderStatus.AskedAt >= r.since {
-			r.position = leaderStatus.Received
+		if !leads && !r.wasPaused {
+			continue
+		}
+		if r.position.IsZero() && own.AskedAt >= r.since {
+			r.position = own.Received
 			l.lost[name] = r
 		}
 		if !r.position.IsZero() && received.Compare(r.position) >= 0 {
--- a/internal/policy/takeover/takeover_test.go
+++ b/internal/policy/takeover/takeover_test.go
@@ -21,7 +21,7 @@
 // was after the loss.
 func TestLostReplicaBlocksPromotionsUntilCovered(t *testing.T) {
 	var lost LostReplicas
-	if !lost.MarkLost("b", replicaStatus(1, 0, 7, 0), time.Second) {
+	if !lost.MarkLost("b", replicaStatus(1, 0, 7, 0), api.Position{}, time.Second) {
 		t.Fatal("loss of a receiving replica was not recorded")
 	}
 	before := map[string]leadership.Status{"a": primaryStatus(1, 9, time.Second), "c": replicaStatus(1, 0, 5, time.Second)}
@@ -37,24 +37,46 @@
 // TestPausedReturnedOrExpiredReplicaDoesNotBlock covers the replicas for which promotions need not wait.
 func TestPausedReturnedOrExpiredReplicaDoesNotBlock(t *testing.T) {
 	var lost LostReplicas
-	if lost.MarkLost("b", replicaStatus(1, 2, 7, 0), 0) {
-		t.Error("got a paused replica recorded as lost, want it ignored")
+	covering := api.Position{Term: 1, Offset: 7}
+	if lost.MarkLost("b", replicaStatus(1, 2, 7, 0), covering, 0) {
+		t.Error("got a paused replica recorded as lost whose log another one has, want it ignored")
 	}
-	if !lost.MarkLost("b", replicaStatus(1, 2, 7, 0), 2*LeavingRecheckInterval+1) {
+	if !lost.MarkLost("b", replicaStatus(1, 2, 7, 0), covering, 2*LeavingRecheckInterval+1) {
 		t.Error("a replica whose pause may have ended was not recorded as lost")
 	}
 	lost.MarkReturned("b")
-	lost.MarkLost("c", replicaStatus(1, 0, 7, 0), 0)
+	lost.MarkLost("c", replicaStatus(1, 0, 7, 0), covering, 0)
 	lost.MarkReturned("c")
 	if names := lost.Blocking(0); len(names) != 0 {
 		t.Errorf("after the return: got %v, want none", names)
 	}
-	lost.MarkLost("c", replicaStatus(1, 0, 7, 0), 0)
+	lost.MarkLost("c", replicaStatus(1, 0, 7, 0), covering, 0)
 	if names := lost.Blocking(LostReplicaTimeout); len(names) != 0 {
 		t.Errorf("after the timeout: got %v, want none", names)
 	}
 }
 
+// TestPausedReplicaWithTheLongestLogIsLost guards against a promotion without the commits that a replica received before it
+// was paused, and which no other replica has. It blocks until one has them, whether the primary answers or not.
+func TestPausedReplicaWithTheLongestLogIsLost(t *testing.T) {
+	var lost LostReplicas
+	if !lost.MarkLost("c", replicaStatus(1, 2, 14, 0), api.Position{Term: 1, Offset: 12}, 0) {
+		t.Fatal("got the longest log not recorded as lost because it was paused, want it recorded")
+	}
+	behind := map[string]leadership.Status{"b": replicaStatus(1, 0, 13, 0)}
+	if covered := lost.Reconcile("a", behind); len(covered) != 0 {
+		t.Errorf("with a replica that is behind: got %v covered, want none", covered)
+	}
+	level := map[string]leadership.Status{"b": replicaStatus(1, 0, 14, 0)}
+	if covered := lost.Reconcile("a", level); len(covered) != 1 {
+		t.Errorf("with a replica that has the log: got %v covered, want c", covered)
+	}
+	lost.MarkLost("d", replicaStatus(1, 0, 14, 0), api.Position{}, 0)
+	if covered := lost.Reconcile("a", level); len(covered) != 0 {
+		t.Errorf("a replica that was not paused, without an answer of the primary: got %v covered, want none", covered)
+	}
+}
+
 // TestUnresponsivePrimaryIsReplacedAfterRoundsAndTime expects a takeover only after enough rounds and enough time, and
 // only while all replicas answer.
 func TestUnresponsivePrimaryIsReplacedAfterRoundsAndTime(t *testing.T) {
