--- a/internal/engine/latereply_test.go
+++ b/internal/engine/latereply_test.go
@@ -22,12 +22,12 @@
 	if g.primary != "b" || g.provenUntil <= now {
 		t.Fatalf("got primary %q with a leadership proof for %s, want b with a valid proof", g.primary, g.provenUntil-now)
 	}
-	g.recordReply(g.members["b"], Reply{Position: api.Position{Term: 1, Offset: 5}}, asked, false)
+	g.recordReply(g.members["b"], Reply{Position: api.Position{Term: 1, Offset: 5}}, asked)
 	if position, ok := g.samples.Oldest(asked, 0); ok {
 		t.Errorf("got %v as the position of the primary before it led, want none", position)
 	}
 	asked = clock.SinceBoot()
-	g.recordReply(g.members["b"], Reply{Position: api.Position{Term: 2, Offset: 14}}, asked, false)
+	g.recordReply(g.members["b"], Reply{Position: api.Position{Term: 2, Offset: 14}}, asked)
 	if position, ok := g.samples.Oldest(asked, 0); !ok || position.Offset != 14 {
 		t.Errorf("got %v, known %t for a read at the primary, want offset 14", position, ok)
 	}
