Relayed transactions: roll back at the holder what the sender has lost

Callers saw locks of transactions that they had been told are rolled back: when the holder's answer came after the time limit, or a probe was unanswered for a moment, the sender gave the transaction up, and the connection stayed open. The holder kept the transaction, its locks and its slot until the limit of idle transactions and 2 s more.

The sender now rolls it back on the connection on which it began, in the background, with another attempt each 50 ms for up to 1 s while the connection is open and takes no calls; a connection whose probe is not answered ends before. It bears the number and identity of the transaction and is sent on no other connection. Not covered: a BEGIN without an answer, whose number the sender does not know; its transaction holds no locks and ends by the limit.

--- a/internal/engine/group.go
+++ b/internal/engine/group.go
@@ -83,6 +83,8 @@
 	// held.
 	relays Peers
 	peers  *peerHealth
+	// inBackground runs a function in a goroutine of its own.
+	inBackground func(func())
 
 	mu      sync.Mutex
 	members map[string]*member
@@ -131,7 +133,7 @@
 func newGroup(name string, options Options, directorySettled func() bool) *group {
 	return &group{
 		name: name, zone: options.Zone, dialer: options.Dialer, drainTimeout: options.DrainTimeout, directorySettled: directorySettled,
-		relays: options.Peers, peers: &peerHealth{}, daemons: newDaemonList(options.Name, nil),
+		relays: options.Peers, peers: &peerHealth{}, inBackground: func(f func()) { go f() }, daemons: newDaemonList(options.Name, nil),
 		members: make(map[string]*member), statuses: make(map[string]leadership.Status),
 		changed: make(chan struct{}), statusRoundRequests: make(chan struct{}, 1), proofRequests: make(chan struct{}, 1),
 	}
--- a/internal/engine/relay.go
+++ b/internal/engine/relay.go
@@ -59,9 +59,8 @@
 	address     string
 	connection  PeerConnection
 	transaction uint64
-	// workspace and key are the identity that the transaction began with.
-	workspace string
-	key       callers.KeyDigest
+	// identity is that which the transaction began with.
+	identity callers.Identity
 	// ended is true once the transaction has ended or was lost. Nothing runs then, as it would be outside its transaction.
 	ended bool
 }
@@ -137,7 +136,7 @@
 		return attemptResult{}, false
 	}
 	l.address, l.connection, l.transaction = address, connection, reply.Transaction
-	l.workspace, l.key = e.workspace, e.key
+	l.identity = e.identity()
 	l.ended = reply.Transaction == 0 && reply.NotRunCode == 0 && e.command.Op.beginsTransaction()
 	l.group.recordRelayed(l.member, reply, askedAt)
 	return outcomeOf(reply, askedAt), true
@@ -193,10 +192,12 @@
 // endUnanswered ends the lease after a command without a reply. A connection that has ended says nothing about the daemon
 // that has taken its place.
 func (l *relayedLease) endUnanswered(err error, askedAt time.Duration) attemptResult {
+	held := l.held()
 	l.end()
 	if errors.Is(err, ErrPeerConnectionEnded) {
 		return attemptResult{err: errBroken, byHolder: true}
 	}
+	l.group.inBackground(held.rollBackLost)
 	l.group.peers.avoid(l.address, peerAvoidance, err)
 	if errors.Is(err, ErrPeerNotReached) {
 		return attemptResult{err: errBroken, byHolder: true}
@@ -218,21 +219,6 @@
 	}
 }
 
-// rollBack rolls the open transaction back. If the holder does not answer, it does so itself, when its sender is silent or
-// the connection has ended.
-func (l *relayedLease) rollBack() {
-	rollback := execution{
-		command: Command{Op: OpRollback}, state: sessionState{unchanged: true}, deadline: time.Now().Add(rollbackTimeout),
-		connectionRequest: connectionRequest{workspace: l.workspace, key: l.key},
-	}
-	request := relayRequest(l.group.name, l.member.name, l.transaction, rollback)
-	_, err := l.connection.Run(request, rollback.deadline)
-	if err != nil && !errors.Is(err, ErrPeerConnectionEnded) {
-		l.group.peers.avoid(l.address, peerAvoidance, err)
-	}
-	l.end()
-}
-
 // lossOf returns why a transaction is lost after a reply of its holder or an error; nil if it is not.
 func lossOf(reply *api.RelayReply, err error) error {
 	if err != nil {
--- a/internal/engine/relay_test.go
+++ b/internal/engine/relay_test.go
@@ -138,7 +138,7 @@
 		e.configuration = Configuration{Version: 1, Routes: map[string]Route{"d": route}, Groups: map[string]GroupLimits{"g": limits}}
 		e.isConfigured = true
 		g := newGroup("g", e.options, func() bool { return true })
-		g.peers = e.peers
+		g.peers, g.inBackground = e.peers, atOnce
 		e.groups["g"] = g
 		g.setLimits(limits, newDaemonList(d.Name, list))
 		g.setTarget(Target{Name: "a", Group: "g", Slots: 2, Zone: "z"})
@@ -150,6 +150,9 @@
 	return n, engines
 }
 
+// atOnce runs a function that else runs in the background while the session that asked for it is at work.
+func atOnce(f func()) { f() }
+
 // holderOf returns the name of the daemon that holds the target, and that of its first standby.
 func holderOf(e *Engine) (holder, standby string) {
 	g := e.groups["g"]
--- a/internal/engine/relaytransaction_test.go
+++ b/internal/engine/relaytransaction_test.go
@@ -156,7 +156,7 @@
 		e.configuration.Groups["h"] = limits
 		a := e.groups["g"]
 		b := newGroup("h", e.options, func() bool { return true })
-		b.dialer, b.peers = targetB, e.peers
+		b.dialer, b.peers, b.inBackground = targetB, e.peers, atOnce
 		e.groups["h"] = b
 		b.setLimits(limits, a.daemons)
 		b.setTarget(Target{Name: "b", Group: "h", Slots: 2, Zone: "z"})
