--- a/internal/engine/sharedname_test.go
+++ b/internal/engine/sharedname_test.go
@@ -60,7 +60,7 @@
 func TestHolderNamesPreparedStatementsItself(t *testing.T) {
 	target := newPreparingTarget()
 	_, engines := newRelayedEngines(target.fakeTarget, 10, scarceLimits, strictRoute)
-	s := engines[0].NewRelaySession()
+	s := engines[0].NewRelaySession("peer")
 	for i, shape := range collidingShapes {
 		reply := s.Run(&api.RelayRequest{
 			Group: "g", Target: "a", Operation: uint8(OpExecute), Name: "old", Argument: "item", ID: "e", TimeoutUs: 1e6, StartWithinUs: 1e6, LateWithinUs: 1e6,
--- a/standin/lines/group.go
+++ b/standin/lines/group.go
@@ -55,6 +55,14 @@
 	mostConnections int
 	// acknowledged are the values of the latest acknowledged writes, by item.
 	acknowledged map[string]string
+	// commits are the acknowledged commits that wrote.
+	commits []Commit
+	// termStarts are the positions at which the terms began: that of the last record before each.
+	termStarts map[uint64]Position
+	// cutZones are the zones that are cut off from the others, cutTargets the targets that are cut off from all others.
+	cutZones, cutTargets map[string]bool
+	// sourceOf returns the IP address of the daemon that a connection of a target comes from; nil if it isn't known.
+	sourceOf func(target string, conn net.Conn) string
 }
 
 // Target is one target VM of a group, with its log, its role and the faults that are injected into it.
@@ -81,8 +89,14 @@
 	unresponsive bool
 	// heartbeatsStopped targets do not write their entries again.
 	heartbeatsStopped bool
-	// leaving targets have announced that they will stop.
-	leaving bool
+	// leaving targets have announced that they will stop, and retired ones have stopped for good.
+	leaving, retired bool
+	// joining targets have no entry yet.
+	joining bool
+	// silentSince is the time since which the target can't write its entry; zero if it can.
+	silentSince time.Time
+	// outrankedSince is the time since which an old primary has reached one of a later term; zero if it hasn't.
+	outrankedSince time.Time
 	// receiveBlocked replicas receive nothing from the primary.
 	receiveBlocked bool
 	// lag is the time between receiving and applying a record.
@@ -97,7 +111,8 @@
 // NewGroup starts a group of targets on loopback ports, in zones zone-1, zone-2 and so on. The first target is the
 // primary, in term 1.
 func NewGroup(store *Store, name string, ids ...string) (*Group, error) {
-	g := &Group{Name: name, store: store, targets: map[string]*Target{}, acknowledged: map[string]string{}, promoteDelay: 50 * time.Millisecond}
+	g := &Group{Name: name, store: store, targets: map[string]*Target{}, acknowledged: map[string]string{}, termStarts: map[uint64]Position{}, promoteDelay: 50 * time.Millisecond,
+		cutZones: map[string]bool{}, cutTargets: map[string]bool{}}
 	g.changed = sync.NewCond(&g.mu)
 	for i, id := range ids {
 		d := &Target{ID: id, group: g, zone: fmt.Sprintf("zone-%d", i+1), slots: make(chan struct{}, 5), term: 1, primary: i == 0, conns: map[net.Conn]struct{}{}}
@@ -135,11 +150,18 @@
 }
 
 // Target returns the target with an id, or nil.
-func (g *Group) Target(id string) *Target { return g.targets[id] }
+func (g *Group) Target(id string) *Target {
+	g.mu.Lock()
+	defer g.mu.Unlock()
+	return g.targets[id]
+}
 
 // Start opens the port of a target and writes its entry. A target that starts again keeps its port and its log, isn't
 // paused, and is a replica if another target is the primary of a later term.
 func (d *Target) Start() error {
+	if d.isRetired() {
+		return nil
+	}
 	address := d.address
 	if address == "" {
 		address = "127.0.0.1:0"
@@ -164,6 +186,9 @@
 
 // writeEntry writes the target's entry to the store. The caller holds the mutex of the group.
 func (d *Target) writeEntry() {
+	if d.joining || d.retired || d.group.cutZones[d.zone] {
+		return
+	}
 	role, state := "replica", "ready"
 	if d.primary {
 		role = "primary"
@@ -238,39 +263,6 @@
 	return id
 }
 
-// ExecutionCount returns how often the statement with an id was executed, on all targets together.
-func (g *Group) ExecutionCount(id string) int {
-	g.mu.Lock()
-	defer g.mu.Unlock()
-	count := 0
-	for _, d := range g.targets {
-		for _, executed := range d.executed {
-			if executed.ID == id {
-				count++
-			}
-		}
-	}
-	return count
-}
-
-// Executions returns the statements that the targets executed.
-func (g *Group) Executions() []Execution {
-	g.mu.Lock()
-	defer g.mu.Unlock()
-	var all []Execution
-	for _, d := range g.targets {
-		all = append(all, d.executed...)
-	}
-	return all
-}
-
-// Executions returns the number of statements that the target executed.
-func (d *Target) Executions() int {
-	d.group.mu.Lock()
-	defer d.group.mu.Unlock()
-	return len(d.executed)
-}
-
 // StopHeartbeats keeps a target that goes on running from writing its entry again, as one that has left.
 func (d *Target) StopHeartbeats() {
 	d.group.mu.Lock()
@@ -320,12 +312,13 @@
 		term = max(term, d.term)
 	}
 	chosen.primary, chosen.term, chosen.pausedTerm = true, term+1, 0
+	g.termStarts[chosen.term] = chosen.lastPosition()
 	for _, d := range g.targets {
 		if d != chosen && d.up && !d.primary {
 			// A promotion ends all pauses, also those of replicas that the new primary doesn't reach.
 			d.pausedTerm = 0
 		}
-		if d != chosen && d.up && !d.unresponsive && !d.primary {
+		if d != chosen && d.up && !d.unresponsive && !d.primary && d.reaches(chosen) {
 			d.term, d.pausedTerm, d.log = chosen.term, 0, slices.Clone(chosen.log)
 		}
 	}
@@ -357,12 +350,12 @@
 // commit appends writes to the log of the primary and waits until one replica has received them, which makes the
 // commit acknowledged. It returns false if the target isn't the primary, or if it crashes or stops being the
 // primary of its term before a replica has received the record.
-func (d *Target) commit(writes map[string]string) bool {
+func (d *Target) commit(id string, writes map[string]string) (Position, bool) {
 	g := d.group
 	g.mu.Lock()
 	defer g.mu.Unlock()
 	if !d.primary {
-		return false
+		return Position{}, false
 	}
 	term, number := d.term, uint64(1)
 	if len(d.log) > 0 {
@@ -376,20 +369,21 @@
 				other.receive(d.log)
 				if !other.lastPosition().before(position) {
 					maps.Copy(g.acknowledged, writes)
-					return true
+					g.commits = append(g.commits, Commit{ID: id, Group: g.Name, Target: d.ID, Position: position, AcknowledgedAt: time.Now()})
+					return position, true
 				}
 			}
 		}
 		g.changed.Wait()
 		if !d.up || !d.primary || d.term != term {
-			return false
+			return Position{}, false
 		}
 	}
 }
 
 // follows reports whether a replica receives from a primary. The caller holds the mutex of the group.
 func (d *Target) follows(primary *Target) bool {
-	return d.up && !d.unresponsive && !d.primary && !d.receiveBlocked && d.pausedTerm <= primary.term && d.term <= primary.term
+	return d.reaches(primary) && d.up && !d.unresponsive && !d.primary && !d.receiveBlocked && d.pausedTerm <= primary.term && d.term <= primary.term
 }
 
 // receive makes the log of a target equal to the log of the primary: it removes the records after their last common
@@ -464,6 +458,7 @@
 	d.group.mu.Lock()
 	defer d.group.mu.Unlock()
 	d.primary, d.term, d.pausedTerm = true, term, 0
+	d.group.termStarts[term] = d.lastPosition()
 	d.writeEntry()
 }
 
