Model: a replica that joins, and commits passed on within proofs

The model of reads within proofs gets a fourth target, which the store lists at once and the reading daemon learns of later, and the list before the order. A daemon passes the success of a commit at an old primary on within its own proof only.

--- a/internal/policy/takeover/stale_model_test.go
+++ b/internal/policy/takeover/stale_model_test.go
@@ -8,17 +8,23 @@
 
 	"pgregory.net/rapid"
 
+	"github.com/papayacove/papayacove/api"
 	"github.com/papayacove/papayacove/internal/policy/leadership"
 )
 
-// staleModel is a modelGroup with a daemon that reads within leadership proofs. A promotion ends the pauses of those
+// staleModel is a modelGroup with a daemon that reads, and passes the success of commits on, within leadership proofs. A
+// fourth target joins, whose entry the store lists at once and of which the daemon learns later. A promotion ends the pauses of those
 // replicas only that the new primary reaches; the others are the subject of TestPromotionKeepsAcknowledgedCommits.
 type staleModel struct {
 	*modelGroup
+	// known are the targets that the daemon knows; true for those that it knew while it held a valid proof.
+	known map[string]bool
+	// joined counts the targets that joined.
+	joined int
 }
 
 func newStaleModel() *staleModel {
-	m := &staleModel{modelGroup: newModelGroup()}
+	m := &staleModel{modelGroup: newModelGroup(), known: map[string]bool{"a": true, "b": true, "c": true}}
 	m.keepsUnreachedPauses = true
 	return m
 }
@@ -32,10 +38,72 @@
 	m.partitioned[[2]string{min(a, b), max(a, b)}] = rapid.Bool().Draw(t, "cut")
 }
 
-// prove lets the daemon ask some targets for their status.
-func (m *staleModel) prove(t *rapid.T) {
+// join adds a target that has nothing of the log yet.
+func (m *staleModel) join() {
+	if m.targets["d"] == nil {
+		m.targets["d"] = &modelTarget{role: leadership.RoleReplica, up: true}
+		m.joined++
+	}
+}
+
+// reachesOnly cuts a target off from all others but one.
+func (m *staleModel) reachesOnly(name, reached string) {
+	for _, other := range []string{"a", "b", "c"} {
+		m.partitioned[[2]string{min(name, other), max(name, other)}] = other != reached
+	}
+}
+
+// learn lets the daemon learn of the target that has joined.
+func (m *staleModel) learn() {
+	if _, known := m.known["d"]; !known && m.targets["d"] != nil {
+		m.known["d"] = m.now < m.proofUntil
+	}
+}
+
+// commitAt writes a commit at every primary, which some of the replicas receive. The daemon passes its success on within a proof
+// only; at the primary of the newest term another daemon does.
+func (m *staleModel) commitAt(t *rapid.T) {
+	receives := map[string]bool{}
 	for _, name := range slices.Sorted(maps.Keys(m.targets)) {
-		if m.targets[name].up && rapid.Bool().Draw(t, "answers_"+name) {
+		receives[name] = rapid.Bool().Draw(t, "receives_"+name)
+	}
+	for _, name := range slices.Sorted(maps.Keys(m.targets)) {
+		p := m.targets[name]
+		if p.role != leadership.RolePrimary {
+			continue
+		}
+		m.next++
+		position := api.Position{Term: p.term, Offset: m.next}
+		p.log = append(slices.Clone(p.log), position)
+		received := m.replicate(name, func(replica string) bool { return receives[replica] })
+		isProved := m.proofFor == name && m.proofTerm == p.term && m.now < m.proofUntil
+		if received && (isProved || p.term == m.newestTerm()) {
+			m.acked = append(m.acked, position)
+		}
+	}
+}
+
+// promoteListed promotes the chosen target unless the list right before the order has a target that the promotion does not
+// know. That one is paused, and the wait begins anew.
+func (m *staleModel) promoteListed(t *rapid.T) {
+	p := m.promoter
+	if p == nil {
+		return
+	}
+	joined := Joined(slices.Collect(maps.Keys(m.targets)), append(slices.Clone(p.replicas), p.old))
+	for _, name := range joined {
+		p.replicas = append(p.replicas, name)
+		m.pauseOne(name)
+	}
+	if len(joined) == 0 {
+		m.promote(t, 0)
+	}
+}
+
+// prove lets the daemon ask some of the targets that it knows for their status.
+func (m *staleModel) prove(t *rapid.T) {
+	for _, name := range slices.Sorted(maps.Keys(m.known)) {
+		if rapid.Bool().Draw(t, "answers_"+name) {
 			m.statuses[name] = m.status(name)
 		}
 	}
@@ -53,15 +121,20 @@
 		m.proofUntil = 0
 	}
 	m.proofFor, m.proofTerm = leader, term
-	if proof, proved := leadership.ProvenAt(m.statuses, leader, term, m.witnesses()); proved {
+	if proof, proved := leadership.ProvenAt(m.statuses, leader, term, m.known); proved {
 		m.proofUntil = max(m.proofUntil, proof.At+leadership.ProofValidity)
 	}
+	if m.now < m.proofUntil {
+		for name := range m.known {
+			m.known[name] = true
+		}
+	}
 }
 
 // read checks that a read that begins within a valid proof sees every commit acknowledged before.
 func (m *staleModel) read(t rapid.TB) {
 	target, ok := m.targets[m.proofFor]
-	if !ok || m.now >= m.proofUntil || !target.up {
+	if !ok || m.now >= m.proofUntil {
 		return
 	}
 	m.reads++
@@ -95,24 +168,20 @@
 		}
 	}
 	m.advance(time.Duration(rapid.IntRange(0, 300).Draw(t, "until_step_down")) * time.Millisecond)
+	m.prove(t)
 	m.stepDown()
 }
 
 // TestReadsWithinProofsSeeAcknowledgedCommits interleaves commits, partitions, promotions by pauses and by a step-down,
-// status rounds and reads. It guards against a read at an old primary within a proof that a replica gave which no
-// promoter had paused.
+// a target that joins, status rounds and reads. It guards against a read at an old primary, and against the success of a commit
+// there, within a proof by a replica that no promoter has paused.
 func TestReadsWithinProofsSeeAcknowledgedCommits(t *testing.T) {
-	promotions, reads := 0, 0
+	promotions, reads, joined := 0, 0, 0
 	rapid.Check(t, func(t *rapid.T) {
 		m := newStaleModel()
-		defer func() { promotions, reads = promotions+m.promotions, reads+m.reads }()
-		promote := func(t *rapid.T) {
-			if m.promoter != nil {
-				m.promote(t, 0)
-			}
-		}
+		defer func() { promotions, reads, joined = promotions+m.promotions, reads+m.reads, joined+m.joined }()
 		t.Repeat(map[string]func(*rapid.T){
-			"commit":    m.commit,
+			"commit":    m.commitAt,
 			"time":      func(t *rapid.T) { m.advance(time.Duration(rapid.IntRange(1, 600).Draw(t, "ms")) * time.Millisecond) },
 			"cut":       m.cut,
 			"unreached": func(t *rapid.T) { m.unreached[m.drawTarget(t, "target")] = rapid.Bool().Draw(t, "unreached") },
@@ -124,8 +193,34 @@
 				m.advance(time.Duration(rapid.IntRange(0, 600).Draw(t, "until_proof")) * time.Millisecond)
 				m.prove(t)
 				m.advance(time.Duration(rapid.IntRange(0, 600).Draw(t, "until_order")) * time.Millisecond)
-				promote(t)
-				m.commit(t)
+				m.promoteListed(t)
+				m.commitAt(t)
+				m.read(t)
+			},
+			// A promotion as a whole beside a target that joins and commits.
+			"take over beside a join": func(t *rapid.T) {
+				m.prove(t)
+				m.begin(t)
+				old := m.promoter.old
+				for _, name := range m.promoter.replicas {
+					m.pauseOne(name)
+				}
+				joinsBefore := rapid.Bool().Draw(t, "joins_before_the_order")
+				if joinsBefore {
+					m.join()
+					m.learn()
+				}
+				m.commitAt(t)
+				m.advance(leadership.ProofValidity)
+				m.promoteListed(t)
+				if !joinsBefore {
+					m.join()
+					m.learn()
+					m.reachesOnly("d", old)
+				}
+				m.commitAt(t)
+				m.prove(t)
+				m.commitAt(t)
 				m.read(t)
 			},
 			"take over": func(t *rapid.T) {
@@ -134,16 +229,18 @@
 					m.pauseOne(name)
 				}
 				m.advance(leadership.ProofValidity)
-				promote(t)
+				m.promoteListed(t)
 			},
+			"join":    func(*rapid.T) { m.join() },
+			"learn":   func(*rapid.T) { m.learn() },
 			"wait":    func(*rapid.T) { m.advance(leadership.ProofValidity) },
-			"promote": promote,
+			"promote": m.promoteListed,
 			"prove":   m.prove,
 			"read":    func(t *rapid.T) { m.read(t) },
 		})
 	})
-	if promotions == 0 || reads == 0 {
-		t.Errorf("got %d promotions and %d reads within proofs, want each at least once", promotions, reads)
+	if promotions == 0 || reads == 0 || joined == 0 {
+		t.Errorf("got %d promotions, %d reads within proofs, %d targets that joined, want each at least once", promotions, reads, joined)
 	}
-	t.Logf("%d promotions, %d reads within proofs", promotions, reads)
+	t.Logf("%d promotions, %d reads within proofs, %d targets that joined", promotions, reads, joined)
 }
