--- a/internal/logfield/logfield.go
+++ b/internal/logfield/logfield.go
@@ -135,6 +135,7 @@
 	Share         = "share"
 	Silence       = "silence"
 	Slots         = "slots"
+	Transaction   = "transaction"
 	Transactions  = "transactions"
 	Source        = "source"
 	Start         = "start"
