Soak of the protocol lines: keep the records of a run that is not clean

The folder of the logs then has statements.txt: each run of a statement with what its caller sent and was told, in the order of arrival, and the statements that no target ran. A breach that values show, as a read that returns an older number, could not be traced otherwise.

go test -race -run 'Pinned|Route|Stale|OldPrimary|CutReplica|Replacement' ./standin/lines/: ok.

--- a/standin/cmd/standin-lab/soak.go
+++ b/standin/cmd/standin-lab/soak.go
@@ -5,6 +5,7 @@
 	"errors"
 	"fmt"
 	"os"
+	"path/filepath"
 	"slices"
 	"strconv"
 	"strings"
@@ -159,6 +160,9 @@
 		_ = os.RemoveAll(work)
 	} else {
 		printHistory(report, work)
+		if err := os.WriteFile(filepath.Join(work, "statements.txt"), []byte(strings.Join(report.Statements.Records, "\n")), 0o644); err != nil {
+			return false, err
+		}
 	}
 	fmt.Printf("seed %d on lines: longest time without an acknowledged write %v, promotions %d, outcome unknown %d, not run %d\n", seed,
 		report.History.LongestGap.Round(time.Millisecond), len(running.Provider.Orders()), report.History.Unknown, report.History.NotRun)
--- a/standin/lines/caller.go
+++ b/standin/lines/caller.go
@@ -114,8 +114,8 @@
 		case "READY":
 			r.State, _, _ = strings.Cut(rest, " ")
 			c.session.learn(text, s.at, r)
-			if c.log != nil && r.Code == "" {
-				c.log.recordSucceeded(id, r.Signature)
+			if c.log != nil {
+				c.log.recordResponse(id, r)
 			}
 			return r, nil
 		}
--- a/standin/lines/records.go
+++ b/standin/lines/records.go
@@ -63,8 +63,9 @@
 	shape string
 	// succeededAt is the time at which the caller had the whole response; zero without a success.
 	succeededAt time.Time
-	// signature is that of the response to the caller; empty without a success.
-	signature string
+	// signature is that of the response to the caller, empty without a success; code is the error code, or "none" as long as
+	// there is no response.
+	signature, code string
 }
 
 // RouteKind is the type of a route, which says how old its reads may be.
@@ -146,7 +147,7 @@
 	words := append(strings.Fields(text), "", "")
 	r := sent{
 		key: key, at: time.Now(), text: text, database: s.database, daemon: s.daemon, session: s.serial,
-		transaction: s.transaction, transactionAt: s.transactionAt, settings: maps.Clone(s.settings),
+		code: "none", transaction: s.transaction, transactionAt: s.transactionAt, settings: maps.Clone(s.settings),
 	}
 	if words[0] == "EXECUTE" {
 		r.shape = s.prepared[words[1]]
--- a/standin/lines/rules.go
+++ b/standin/lines/rules.go
@@ -55,12 +55,29 @@
 // describe returns the records of a run and of its statement.
 func (r Records) describe(e Execution) string {
 	s := r.sent[e.ID]
-	return fmt.Sprintf("%q (id %s, session %d, transaction %d, database %s, daemon %s, sent %s, settings %v, shape %q) ran at %s of %s "+
+	return fmt.Sprintf("%q (id %s, session %d, transaction %d, database %s, daemon %s, sent %s, settings %v, shape %q, signature %q, code %q) ran at %s of %s "+
 		"on connection %d of daemon %s, in transaction %d, at %s, position %s, settings %v, shape %q",
-		s.text, e.ID, s.session, s.transaction, s.database, s.daemon, s.at.Format(recordTime), s.settings, s.shape, e.Target, e.Group,
+		s.text, e.ID, s.session, s.transaction, s.database, s.daemon, s.at.Format(recordTime), s.settings, s.shape, s.signature, s.code, e.Target, e.Group,
 		e.Connection, e.Source, e.Transaction, e.ArrivedAt.Format(recordTime), e.Position, e.Settings, e.Shape)
 }
 
+// All describes all runs of callers' statements in the order in which they arrived, and the statements that no target ran.
+func (r Records) All() []string {
+	var all []string
+	ran := map[string]bool{}
+	for _, e := range r.inOrder() {
+		ran[e.ID] = true
+		all = append(all, r.describe(e))
+	}
+	for id, s := range r.sent {
+		if !ran[id] {
+			all = append(all, fmt.Sprintf("%q (id %s, session %d, transaction %d, database %s, daemon %s, sent %s) did not run, code %q",
+				s.text, id, s.session, s.transaction, s.database, s.daemon, s.at.Format(recordTime), s.code))
+		}
+	}
+	return all
+}
+
 // recordTime is the format of times in descriptions.
 const recordTime = "15:04:05.000"
 
--- a/standin/lines/workspaces.go
+++ b/standin/lines/workspaces.go
@@ -48,11 +48,14 @@
 	l.sent[id] = s
 }
 
-func (l *CallerLog) recordSucceeded(id, signature string) {
+func (l *CallerLog) recordResponse(id string, r Result) {
 	l.mu.Lock()
 	defer l.mu.Unlock()
 	s := l.sent[id]
-	s.succeededAt, s.signature = time.Now(), signature
+	s.code = r.Code
+	if r.Code == "" {
+		s.succeededAt, s.signature = time.Now(), r.Signature
+	}
 	l.sent[id] = s
 }
 
--- a/standin/soak/lines.go
+++ b/standin/soak/lines.go
@@ -258,6 +258,7 @@
 	b := &StatementBreaches{Pinned: records.Pinned(), Route: records.Route()}
 	b.Stale, b.Dropped = records.Stale(lines.MaxStaleness)
 	b.Relayed, b.Run = records.Relayed()
+	b.Records = records.All()
 	return b
 }
 
--- a/standin/soak/soak.go
+++ b/standin/soak/soak.go
@@ -41,6 +41,8 @@
 	Pinned, Route, Stale []string
 	// Dropped are reads on logs that are too old whose answer no caller got. They are no breaches.
 	Dropped []string
+	// Records describes every run and every statement that did not run.
+	Records []string
 	// Run is the number of runs of callers' statements, Relayed that of those which a daemon sent for another one.
 	Run, Relayed int
 }
