Take a proof only for statements sent in its term

What callers could see (STALE, LOST): a target leads term 1, another one term 2, and the first one term 3. A read, a single write or a commit that was sent to it in term 1, and whose answer arrives in term 3, was accepted within the proof of term 3: awaitProof compared the target and the time of the proof, not the term. The read may have run on a log without the commits of term 2, and the commit may have been rolled back by the promotion to term 2, though the caller was told of its success.

The term that the daemon presumes is now taken before the statement is sent, for a transaction before its begin, and a proof counts only for that term. A read then runs again; the outcome of a commit is unknown. Nothing changes while a target leads one term, since a target that is promoted while it leads keeps its term.

Ruled out: the term of the position in the reply. It is that of the last commit, which may be of an earlier term than the one that the target leads.

After: go test -race ./internal/engine/... ./internal/telemetry passes. TestProofEventsAreBounded states the term; what it checks is unchanged.

--- a/internal/engine/gate.go
+++ b/internal/engine/gate.go
@@ -368,7 +368,7 @@
 // little for one that is newer than since if wait is true.
 func (h *gate) proofOf(since time.Duration, wait bool) (term uint64, age time.Duration) {
 	if wait {
-		h.group.awaitProof(h.member, since, time.Now().Add(gateProofWait))
+		h.group.awaitProof(h.member, h.group.presumedTerm(), since, time.Now().Add(gateProofWait))
 	}
 	h.group.mu.Lock()
 	defer h.group.mu.Unlock()
--- a/internal/engine/proof.go
+++ b/internal/engine/proof.go
@@ -115,12 +115,20 @@
 	}
 }
 
-// awaitProof waits until m is proved to have been the primary at since. It returns false when m is not the
-// presumed primary any more, or at the deadline.
-func (g *group) awaitProof(m *member, since time.Duration, deadline time.Time) bool {
+// presumedTerm returns the term of the presumed primary.
+func (g *group) presumedTerm() uint64 {
+	g.mu.Lock()
+	defer g.mu.Unlock()
+	return g.term
+}
+
+// awaitProof waits until m is proved to have been the primary of a term at since. It returns false when m is not the
+// presumed primary of the term any more, or at the deadline. The term is that presumed before the statement was sent to m:
+// if m leads a later one meanwhile, the statement may have run while another target led.
+func (g *group) awaitProof(m *member, term uint64, since time.Duration, deadline time.Time) bool {
 	for {
 		g.mu.Lock()
-		leads, proved, changed := g.members[g.primary] == m, g.provenUntil > since, g.changed
+		leads, proved, changed := g.members[g.primary] == m && g.term == term, g.provenUntil > since, g.changed
 		if leads && proved {
 			g.logServedWithin()
 		}
@@ -138,14 +146,14 @@
 	}
 }
 
-// awaitCommitProof waits until m is proved to lead after it has acknowledged a commit. It returns false as awaitProof does. The
+// awaitCommitProof waits until m is proved to lead the term after it has acknowledged a commit. It returns false as awaitProof does. The
 // acknowledgement alone does not prove it: the replica that received the commit may be one that no promoter knows. It is
 // true at once if commits wait for no replica.
-func (g *group) awaitCommitProof(m *member, deadline time.Time) bool {
+func (g *group) awaitCommitProof(m *member, term uint64, deadline time.Time) bool {
 	g.mu.Lock()
 	replicated := g.limits.SyncReplicas > 0
 	g.mu.Unlock()
-	return !replicated || g.awaitProof(m, clock.SinceBoot(), deadline)
+	return !replicated || g.awaitProof(m, term, clock.SinceBoot(), deadline)
 }
 
 // recordProof records that the primary was proved to lead at askedAt. The caller holds the lock.
--- a/internal/engine/prooflog_test.go
+++ b/internal/engine/prooflog_test.go
@@ -23,7 +23,7 @@
 			g.mu.Lock()
 			g.recordProof(proofOrigin{proofOfStatus, replica}, now)
 			g.mu.Unlock()
-			if !g.awaitProof(m, now, time.Now().Add(time.Second)) {
+			if !g.awaitProof(m, 1, now, time.Now().Add(time.Second)) {
 				t.Fatal("got no proof, want the one that was recorded")
 			}
 		}
--- a/internal/engine/read.go
+++ b/internal/engine/read.go
@@ -182,6 +182,7 @@
 	} else {
 		e.command.MinPosition = r.currentMinPosition(plan)
 	}
+	term := r.group.presumedTerm()
 	outcome := r.run(m, l, e)
 	l.release()
 	if outcome.refused != nil {
@@ -197,7 +198,7 @@
 	if reply.Failure != nil {
 		return Reply{}, r.recordTargetFailure(m, reply.Failure)
 	}
-	if plan.onlyPrimary && !r.group.awaitProof(m, plan.provedSince, r.proofDeadline()) {
+	if plan.onlyPrimary && !r.group.awaitProof(m, term, plan.provedSince, r.proofDeadline()) {
 		return Reply{}, refuse(result.NotRunNoMajority, "the primary could not be proved to lead")
 	}
 	return reply, nil
--- a/internal/engine/transaction.go
+++ b/internal/engine/transaction.go
@@ -18,6 +18,8 @@
 	request  *request
 
 	member *member
+	// term is that presumed before the transaction began at the member.
+	term uint64
 	// lease is nil before the first statement and after the end.
 	lease lease
 	plan  readPlan
@@ -126,7 +128,7 @@
 	}
 	t.wrote = t.wrote || t.request.op == OpWrite
 	t.request.group.recordReply(t.member, reply, outcome.askedAt)
-	if t.plan.onlyPrimary && !t.request.group.awaitProof(t.member, t.plan.provedSince, t.request.proofDeadline()) {
+	if t.plan.onlyPrimary && !t.request.group.awaitProof(t.member, t.term, t.plan.provedSince, t.request.proofDeadline()) {
 		t.fail(refuse(result.NotRunNoMajority, "the primary could not be proved to lead"))
 		return t.session.refused(t.refusal)
 	}
@@ -212,6 +214,7 @@
 	if t.plan.onlyPrimary {
 		r.group.renewProofIfExpired(m)
 	}
+	term := r.group.presumedTerm()
 	outcome := r.run(m, l, execution{command: Command{ID: t.begin.ID, Op: t.begin.Op, MinPosition: t.minPosition()}})
 	switch {
 	case outcome.refused != nil:
@@ -227,7 +230,7 @@
 		return r.recordTargetFailure(m, outcome.reply.Failure)
 	}
 	r.group.recordReply(m, outcome.reply, outcome.askedAt)
-	t.member, t.lease = m, l
+	t.member, t.term, t.lease = m, term, l
 	return nil
 }
 
@@ -282,7 +285,7 @@
 		return s.refused(r.recordTargetFailure(t.member, failure))
 	}
 	r.group.recordReply(t.member, outcome.reply, outcome.askedAt)
-	if t.wrote && !r.group.awaitCommitProof(t.member, r.proofDeadline()) {
+	if t.wrote && !r.group.awaitCommitProof(t.member, t.term, r.proofDeadline()) {
 		return s.refused(refuseUnprovedCommit(t.member))
 	}
 	r.logServed("transaction")
--- a/internal/engine/write.go
+++ b/internal/engine/write.go
@@ -66,6 +66,7 @@
 		return Reply{}, refusal, r.mayRetryAcquire(refusal.Code)
 	}
 	r.group.renewProofIfExpired(m)
+	term := r.group.presumedTerm()
 	outcome := r.run(m, l, execution{command: r.session.commandFor(r.statement), commits: true, needsProof: true})
 	l.release()
 	if outcome.refused != nil {
@@ -86,7 +87,7 @@
 		return Reply{}, refusal, reply.Failure.Kind.IsNotRun()
 	}
 	r.group.recordReply(m, reply, outcome.askedAt)
-	if !r.group.awaitCommitProof(m, r.proofDeadline()) {
+	if !r.group.awaitCommitProof(m, term, r.proofDeadline()) {
 		return Reply{}, refuseUnprovedCommit(m), false
 	}
 	r.session.recordCommit(r.group, reply.Position)
