Resume the replicas that an earlier round of a promotion paused

What callers could see: a replica that receives nothing any more, so that it falls behind, and commits wait for the others. A promotion that a target joins pauses all replicas anew, and kept only the answers of the last round. A replica that did not confirm the second order, and was still paused from the first, was not resumed when the promotion was given up, as it must be then, since not all are paused.

The replicas that were paused in any round are kept, and resumed. A replica whose first answer was lost is not known to be paused, as before.

Before, TestReplicaPausedInAnEarlierRoundIsResumed (new) fails: "got orders [... resume a resume b resume d], want c resumed". After: go test -race ./internal/engine -run 'ReplicaPausedInAnEarlier|TargetThatJoins|Promotion|Stop' passes.

--- a/internal/engine/promote.go
+++ b/internal/engine/promote.go
@@ -56,6 +56,8 @@
 	members map[string]*member
 	joined  map[string]*member
 	paused  map[string]leadership.Status
+	// toResume are the replicas that were paused, also those that have not confirmed it again since a target joined.
+	toResume map[string]*member
 	// pausedAt is the time of the boot clock after the last pause.
 	pausedAt time.Duration
 	demoted  *leadership.Status
@@ -76,7 +78,10 @@
 	defer e.promotions.Done()
 	delay := promotionRetryDelay
 	defer func() { g.endPromotion(delay) }()
-	p := &promotion{engine: e, group: g, reason: reason, old: suspected.primary, oldTerm: suspected.term, joined: make(map[string]*member)}
+	p := &promotion{
+		engine: e, group: g, reason: reason, old: suspected.primary, oldTerm: suspected.term,
+		joined: make(map[string]*member), toResume: make(map[string]*member),
+	}
 	defer p.closeJoined()
 	if !e.isDirectorySettled() {
 		p.log().Info(logevent.DirectoryNotSettled)
@@ -277,7 +282,7 @@
 		answers := sendToAll(pending, Command{Op: OpPause, Term: p.term})
 		for name, s := range answers {
 			if s.Role == leadership.RoleReplica && s.IsPaused() {
-				p.paused[name] = s
+				p.paused[name], p.toResume[name] = s, p.members[name]
 				delete(pending, name)
 			}
 			if s.Role == leadership.RolePrimary && s.Term+1 < p.term {
@@ -317,9 +322,8 @@
 
 // abort resumes the replicas paused by a promotion that is abandoned.
 func (p *promotion) abort() {
-	paused := p.pausedMembers()
-	sendToAll(paused, Command{Op: OpResume, Term: p.term})
-	p.log().WithField(logfield.Resumed, len(paused)).Warn(logevent.PromotionGivenUp)
+	sendToAll(p.toResume, Command{Op: OpResume, Term: p.term})
+	p.log().WithField(logfield.Resumed, len(p.toResume)).Warn(logevent.PromotionGivenUp)
 }
 
 func (p *promotion) pausedMembers() map[string]*member {
--- a/internal/engine/promotionmembers_test.go
+++ b/internal/engine/promotionmembers_test.go
@@ -23,6 +23,8 @@
 	// lists is the number of lists, and joinsAt that from which the target d is listed.
 	lists, joinsAt int
 	listErr        error
+	// silent is a target that does not answer a second order to pause; empty for none.
+	silent string
 }
 
 func (p *promotionLog) Dial(ctx context.Context, target Target, workspace string) (Connection, error) {
@@ -43,6 +45,9 @@
 	}
 	c.log.mu.Lock()
 	defer c.log.mu.Unlock()
+	if command.Op == OpPause && c.target == c.log.silent && c.log.paused[c.target] != 0 {
+		return nil, errNoAnswer
+	}
 	if command.Op == OpPause {
 		c.log.paused[c.target] = command.Term
 	}
@@ -113,3 +118,14 @@
 		t.Errorf("got orders %v, want none", orders)
 	}
 }
+
+// TestReplicaPausedInAnEarlierRoundIsResumed guards against a replica that stays paused after a promotion that was given up, since
+// the order to pause it again, for a target that had joined, was not answered.
+func TestReplicaPausedInAnEarlierRoundIsResumed(t *testing.T) {
+	orders, _ := promoteBeside(t, &promotionLog{joinsAt: 2, silent: "c"})
+	for _, name := range []string{"a", "b", "c", "d"} {
+		if !slices.Contains(orders, "resume "+name) {
+			t.Errorf("got orders %v, want %s resumed", orders, name)
+		}
+	}
+}
