--- a/internal/policy/takeover/stale_model_test.go
+++ b/internal/policy/takeover/stale_model_test.go
@@ -95,6 +95,8 @@
 		}
 	}
 	m.advance(time.Duration(rapid.IntRange(0, 300).Draw(t, "until_step_down")) * time.Millisecond)
+	// A proof between the pauses and the step-down is later than the last pause.
+	m.prove(t)
 	m.stepDown()
 }
 
