Promote for a step-down of the same round only

What callers could see (LOST): a target joins while a promotion waits, so that the replicas are paused anew; the old primary has stepped down, has restarted meanwhile, and leads its term again with its log, as a primary does that comes back before another one is promoted. If the target that has joined is not reached, and the second order to step down is not answered, the answer to the first one was taken for it: another replica was promoted beside the old primary, which may acknowledge commits by the receipt of the one that is not paused.

The answer of an earlier round is forgotten before the old primary is ordered to step down again for a choice that rests on it. A promotion for which all replicas are paused does not rest on it, and is as before.

--- a/internal/engine/promote.go
+++ b/internal/engine/promote.go
@@ -61,7 +61,7 @@
 	// pausedAt is the time of the boot clock after the last pause.
 	pausedAt time.Duration
 	demoted  *leadership.Status
-	// steppedDownAt is the time of the boot clock after the old primary stepped down; 0 while demoted is nil.
+	// steppedDownAt is the time of the boot clock after the old primary stepped down last; 0 if it has not.
 	steppedDownAt time.Duration
 }
 
@@ -219,6 +219,8 @@
 func (p *promotion) choose() takeover.Choice {
 	choice := takeover.Choose(p.replicas(), p.paused, nil, p.isLeaving)
 	if choice.Target == "" && p.hasWholeLog() {
+		// It may have restarted and lead again since it stepped down in an earlier round.
+		p.demoted = nil
 		p.stepDown()
 		choice = takeover.Choose(p.replicas(), p.paused, p.demoted, p.isLeaving)
 	}
