Check the pauses after the second list, right before the order

What callers could see (LOST, STALE): the second list of a promotion ran beside the last check of the pauses, and may take a second from a slow store, while the check takes milliseconds. A replica that restarted meanwhile, which ends its pause, let the old primary acknowledge commits, and another replica was promoted without them. Before the promoter listed the targets, the check was right before the order.

The list comes first. Its own window, for a target that joins between it and the order, grows by one round of status calls. What is left is as docs/PLATFORM-DESIGN.md says: a restart between the check and the promotion's effect.

Before, TestReplicaThatRestartsDuringTheListIsNotPromotedBeside (new) fails: "got a second list true and an order at 49m19s". After: go test -race ./internal/engine -run 'RestartsDuringTheList|StepDown|Promotion|TargetThatJoins|ReplicaPaused|Stop' passes.

--- a/internal/engine/promotionmembers.go
+++ b/internal/engine/promotionmembers.go
@@ -4,7 +4,6 @@
 	"context"
 	"maps"
 	"slices"
-	"sync"
 	"time"
 
 	"github.com/sirupsen/logrus"
@@ -63,20 +62,15 @@
 }
 
 // recheck returns the number of targets that have joined since the last list. It is false if a replica is no longer paused or
-// the list cannot be had.
+// the list cannot be had. The pauses are checked last, since a list may take a second.
 func (p *promotion) recheck() (joined int, ok bool) {
-	var listErr error
-	var listing sync.WaitGroup
-	paused := p.pausedMembers()
-	listing.Go(func() { joined, listErr = p.addListed() })
-	now := sendToAll(paused, Command{Op: OpStatus})
-	listing.Wait()
-	if !takeover.StillPaused(p.paused, now) {
-		p.log().Warn(logevent.ReplicaNoLongerPaused)
+	joined, err := p.addListed()
+	if err != nil {
+		p.log().WithField(logfield.Error, err).Warn(logevent.TargetsNotListed)
 		return 0, false
 	}
-	if listErr != nil {
-		p.log().WithField(logfield.Error, listErr).Warn(logevent.TargetsNotListed)
+	if now := sendToAll(p.pausedMembers(), Command{Op: OpStatus}); !takeover.StillPaused(p.paused, now) {
+		p.log().Warn(logevent.ReplicaNoLongerPaused)
 		return 0, false
 	}
 	return joined, true
