Promotions: a listed target may leave

What callers could see: a second promotion right after the first. Of replicas with equal logs one is promoted that does not leave, but whether a target leaves was looked up among the targets that the daemon has learned of. One that only the store lists as leaving counted as staying.

Before, TestListedTargetThatLeavesIsNotPreferred (new) fails, "promote A" in place of "promote a". After: go test -race ./internal/engine -run 'ListedTargetThatLeaves|TargetThatJoins|ReplicaPaused|Promotion' passes.

--- a/internal/engine/promote.go
+++ b/internal/engine/promote.go
@@ -270,6 +270,9 @@
 }
 
 func (p *promotion) isLeaving(name string) bool {
+	if m := p.joined[name]; m != nil && m.target.Leaving {
+		return true
+	}
 	p.group.mu.Lock()
 	defer p.group.mu.Unlock()
 	return p.group.isLeaving(name)
--- a/internal/engine/promotionmembers_test.go
+++ b/internal/engine/promotionmembers_test.go
@@ -25,6 +25,8 @@
 	listErr        error
 	// silent is a target that does not answer a second order to pause; empty for none.
 	silent string
+	// leaving is a target that is listed as leaving and not known to the daemon; empty for none.
+	leaving string
 }
 
 func (p *promotionLog) Dial(ctx context.Context, target Target, workspace string) (Connection, error) {
@@ -74,6 +76,9 @@
 	if p.joinsAt > 0 && p.lists >= p.joinsAt {
 		targets = append(targets, Target{Name: "d", Group: "g"})
 	}
+	if p.leaving != "" {
+		targets = append(targets, Target{Name: p.leaving, Group: "g", Leaving: true})
+	}
 	return targets, p.listErr
 }
 
@@ -129,3 +134,12 @@
 		}
 	}
 }
+
+// TestListedTargetThatLeavesIsNotPreferred guards against a new primary that leaves at once although others have as long a log. The
+// daemon has not learned of the target, whose name is the first of all.
+func TestListedTargetThatLeavesIsNotPreferred(t *testing.T) {
+	orders, _ := promoteBeside(t, &promotionLog{leaving: "A"})
+	if !slices.Contains(orders, "pause A") || !slices.Contains(orders, "promote a") {
+		t.Errorf("got orders %v, want A paused and a promoted", orders)
+	}
+}
