--- a/internal/engine/promote.go
+++ b/internal/engine/promote.go
@@ -56,10 +56,12 @@
 	members map[string]*member
 	joined  map[string]*member
 	paused  map[string]leadership.Status
+	// toResume are the replicas that were paused, also those that have not confirmed it again since a target joined.
+	toResume map[string]*member
 	// pausedAt is the time of the boot clock after the last pause.
 	pausedAt time.Duration
 	demoted  *leadership.Status
-	// steppedDownAt is the time of the boot clock after the old primary stepped down; 0 while demoted is nil.
+	// steppedDownAt is the time of the boot clock after the old primary stepped down last; 0 if it has not.
 	steppedDownAt time.Duration
 }
 
@@ -76,7 +78,10 @@
 	defer e.promotions.Done()
 	delay := promotionRetryDelay
 	defer func() { g.endPromotion(delay) }()
-	p := &promotion{engine: e, group: g, reason: reason, old: suspected.primary, oldTerm: suspected.term, joined: make(map[string]*member)}
+	p := &promotion{
+		engine: e, group: g, reason: reason, old: suspected.primary, oldTerm: suspected.term,
+		joined: make(map[string]*member), toResume: make(map[string]*member),
+	}
 	defer p.closeJoined()
 	if !e.isDirectorySettled() {
 		p.log().Info(logevent.DirectoryNotSettled)
@@ -214,6 +219,8 @@
 func (p *promotion) choose() takeover.Choice {
 	choice := takeover.Choose(p.replicas(), p.paused, nil, p.isLeaving)
 	if choice.Target == "" && p.hasWholeLog() {
+		// It may have restarted and lead again since it stepped down in an earlier round.
+		p.demoted = nil
 		p.stepDown()
 		choice = takeover.Choose(p.replicas(), p.paused, p.demoted, p.isLeaving)
 	}
@@ -263,6 +270,9 @@
 }
 
 func (p *promotion) isLeaving(name string) bool {
+	if m := p.joined[name]; m != nil && m.target.Leaving {
+		return true
+	}
 	p.group.mu.Lock()
 	defer p.group.mu.Unlock()
 	return p.group.isLeaving(name)
@@ -277,7 +287,7 @@
 		answers := sendToAll(pending, Command{Op: OpPause, Term: p.term})
 		for name, s := range answers {
 			if s.Role == leadership.RoleReplica && s.IsPaused() {
-				p.paused[name] = s
+				p.paused[name], p.toResume[name] = s, p.members[name]
 				delete(pending, name)
 			}
 			if s.Role == leadership.RolePrimary && s.Term+1 < p.term {
@@ -317,9 +327,8 @@
 
 // abort resumes the replicas paused by a promotion that is abandoned.
 func (p *promotion) abort() {
-	paused := p.pausedMembers()
-	sendToAll(paused, Command{Op: OpResume, Term: p.term})
-	p.log().WithField(logfield.Resumed, len(paused)).Warn(logevent.PromotionGivenUp)
+	sendToAll(p.toResume, Command{Op: OpResume, Term: p.term})
+	p.log().WithField(logfield.Resumed, len(p.toResume)).Warn(logevent.PromotionGivenUp)
 }
 
 func (p *promotion) pausedMembers() map[string]*member {
--- a/internal/engine/promotionmembers_test.go
+++ b/internal/engine/promotionmembers_test.go
@@ -23,6 +23,10 @@
 	// lists is the number of lists, and joinsAt that from which the target d is listed.
 	lists, joinsAt int
 	listErr        error
+	// silent is a target that does not answer a second order to pause; empty for none.
+	silent string
+	// leaving is a target that is listed as leaving and not known to the daemon; empty for none.
+	leaving string
 }
 
 func (p *promotionLog) Dial(ctx context.Context, target Target, workspace string) (Connection, error) {
@@ -43,6 +47,9 @@
 	}
 	c.log.mu.Lock()
 	defer c.log.mu.Unlock()
+	if command.Op == OpPause && c.target == c.log.silent && c.log.paused[c.target] != 0 {
+		return nil, errNoAnswer
+	}
 	if command.Op == OpPause {
 		c.log.paused[c.target] = command.Term
 	}
@@ -69,6 +76,9 @@
 	if p.joinsAt > 0 && p.lists >= p.joinsAt {
 		targets = append(targets, Target{Name: "d", Group: "g"})
 	}
+	if p.leaving != "" {
+		targets = append(targets, Target{Name: p.leaving, Group: "g", Leaving: true})
+	}
 	return targets, p.listErr
 }
 
@@ -113,3 +123,23 @@
 		t.Errorf("got orders %v, want none", orders)
 	}
 }
+
+// TestReplicaPausedInAnEarlierRoundIsResumed guards against a replica that stays paused after a promotion that was given up, since
+// the order to pause it again, for a target that had joined, was not answered.
+func TestReplicaPausedInAnEarlierRoundIsResumed(t *testing.T) {
+	orders, _ := promoteBeside(t, &promotionLog{joinsAt: 2, silent: "c"})
+	for _, name := range []string{"a", "b", "c", "d"} {
+		if !slices.Contains(orders, "resume "+name) {
+			t.Errorf("got orders %v, want %s resumed", orders, name)
+		}
+	}
+}
+
+// TestListedTargetThatLeavesIsNotPreferred guards against a new primary that leaves at once although others have as long a log. The
+// daemon has not learned of the target, whose name is the first of all.
+func TestListedTargetThatLeavesIsNotPreferred(t *testing.T) {
+	orders, _ := promoteBeside(t, &promotionLog{leaving: "A"})
+	if !slices.Contains(orders, "pause A") || !slices.Contains(orders, "promote a") {
+		t.Errorf("got orders %v, want A paused and a promoted", orders)
+	}
+}
