Soak of the protocol lines: know late writes between two primaries

All eight fall into the 2.7 s in which the group had no primary, on two items. The check by positions found that each answered read ran on a log with all acknowledged commits, and the log at the end has them, so that the older value follows the newer one in the log: a write that took effect late, which the check by values passes over if its outcome was unknown. But it looked the order up in the log of the primary, and found none without one.

Without a primary, the order is that of the longest log. With one, nothing changes. A write whose outcome was known is a violation as before.

Before, TestLateWriteIsKnownWithoutAPrimary (new) fails. After: go test -race ./standin/lines -run 'LateWriteIsKnown|OldPrimaryTruncates' passes.

--- a/standin/lines/group.go
+++ b/standin/lines/group.go
@@ -327,6 +327,17 @@
 	return true
 }
 
+// longestLog returns a target with the longest log; one without records if there is no target. The caller holds the mutex.
+func (g *Group) longestLog() *Target {
+	longest := &Target{}
+	for _, d := range g.targets {
+		if longest.lastPosition().before(d.lastPosition()) {
+			longest = d
+		}
+	}
+	return longest
+}
+
 // lastPosition returns the position of the last record of the log. The caller holds the mutex of the group.
 func (d *Target) lastPosition() Position {
 	if len(d.log) == 0 {
@@ -462,14 +473,15 @@
 	d.writeEntry()
 }
 
-// IsWrittenAfter reports whether the log of the primary writes a value to an item after it has written another one.
+// IsWrittenAfter reports whether the log of the primary, or the longest one while there is none, writes a value to an item after
+// it has written another one.
 func (g *Group) IsWrittenAfter(item, value, other string) bool {
 	primary := g.Primary()
 	g.mu.Lock()
 	defer g.mu.Unlock()
 	d, ok := g.targets[primary]
 	if !ok {
-		return false
+		d = g.longestLog()
 	}
 	seen := false
 	for _, r := range d.log {
