Engine: the late answer of a lost replica does not cover its log

A status round asks all targets and is applied when the last one has answered. The entry of a leaving replica may go meanwhile: its loss was recorded, and then its own answer, which was under way, was applied, put back into the statuses of the group, and taken by Reconcile for that of another replica with its log. The loss was forgotten, and this daemon's next promotion chose among the others, while the other daemons still waited.

The fix: the answer of a target that is no member any more is neither recorded nor compared with the losses.

--- a/internal/engine/group_test.go
+++ b/internal/engine/group_test.go
@@ -3,6 +3,8 @@
 import (
 	"context"
 	"fmt"
+	"maps"
+	"slices"
 	"sync"
 	"testing"
 	"time"
@@ -295,3 +297,22 @@
 		}
 	}
 }
+
+// TestAnswerOfALostReplicaDoesNotCoverItsLog guards against a promotion without a commit that only a lost replica had: its last
+// answer was under way when its entry went, and was taken for that of another replica with its log.
+func TestAnswerOfALostReplicaDoesNotCoverItsLog(t *testing.T) {
+	g := newTestGroup(&fakeTarget{})
+	now := clock.SinceBoot()
+	paused := follows(1, 14, now)
+	paused.PausedTerm = 2
+	round := map[string]leadership.Status{"b": follows(1, 12, now), "c": paused}
+	g.applyStatusRound(maps.Clone(round), now)
+	g.removeNow("c")
+	g.applyStatusRound(maps.Clone(round), now)
+	if blocking := g.lostReplicas.Blocking(now); !slices.Equal(blocking, []string{"c"}) {
+		t.Errorf("after the late answer of c: got %v lost, want c", blocking)
+	}
+	if s, known := g.statuses["c"]; known {
+		t.Errorf("after the late answer of c: got the status %+v kept, want none", s)
+	}
+}
--- a/internal/engine/observe.go
+++ b/internal/engine/observe.go
@@ -215,7 +215,7 @@
 	g.recordIsolation(len(statuses), began)
 	g.recordReplicaSample(statuses)
 	g.applyProof()
-	for _, name := range g.lostReplicas.Reconcile(g.primary, statuses) {
+	for _, name := range g.lostReplicas.Reconcile(g.primary, g.ofMembers(statuses)) {
 		g.log().WithField(logfield.Target, name).Info(logevent.WitnessReplaced)
 	}
 	now := clock.SinceBoot()
@@ -243,17 +243,20 @@
 }
 
 // recordStatuses records the answers; a target that was busy keeps its last known status. Rounds run concurrently:
-// an answer older than a recorded one is replaced by that one in the given statuses. The caller holds the lock.
+// an answer older than a recorded one is replaced by that one in the given statuses. The answer of a target that was removed
+// meanwhile is not recorded: its log is gone. The caller holds the lock.
 func (g *group) recordStatuses(statuses map[string]leadership.Status) {
 	for name, s := range statuses {
+		m, ok := g.members[name]
+		if !ok {
+			continue
+		}
 		if newer := g.statuses[name]; s.Role != leadership.RoleUnknown && s.AskedAt < newer.AskedAt {
 			statuses[name] = newer
 			continue
 		}
 		g.recordLostLog(name, s)
-		if m, ok := g.members[name]; ok {
-			m.avoidUntil, m.waitingSince, m.lastReplyAt = 0, clock.SinceBoot(), clock.SinceBoot()
-		}
+		m.avoidUntil, m.waitingSince, m.lastReplyAt = 0, clock.SinceBoot(), clock.SinceBoot()
 		if s.Role != leadership.RoleUnknown {
 			g.statuses[name] = s
 		}
@@ -307,14 +310,18 @@
 	return !ok || now < primary.avoidUntil || g.monitor.IsUnresponsive()
 }
 
+// ofMembers returns the statuses of those targets that are still members. The caller holds the lock.
+func (g *group) ofMembers(statuses map[string]leadership.Status) map[string]leadership.Status {
+	statuses = maps.Clone(statuses)
+	maps.DeleteFunc(statuses, func(name string, _ leadership.Status) bool { return g.members[name] == nil })
+	return statuses
+}
+
 // lastKnownStatuses returns the statuses of the members, with the last known status of each that was busy. The caller
 // holds the lock.
 func (g *group) lastKnownStatuses(statuses map[string]leadership.Status) map[string]leadership.Status {
 	lastKnownStatuses := make(map[string]leadership.Status, len(statuses))
-	for name, s := range statuses {
-		if _, included := g.members[name]; !included {
-			continue
-		}
+	for name, s := range g.ofMembers(statuses) {
 		if s.Role == leadership.RoleUnknown {
 			s = g.statuses[name]
 		}
