Engine: an old primary that has joined the next one counts as a replica

What callers could see: a promotion without acknowledged commits (LOST), and reads by way of the replicas without them (STALE). An old primary that steps down is a replica of the next one, and its receipt acknowledges commits until it has left. A daemon that had not asked it since held its last status as a primary, and forgot it with its entry, whatever it had received since.

The fix: only the presumed primary itself is no lost replica. Any other target is, unless its fresh pause shows that another replica has its log. A loss is over with the first status round in which another replica has the log of the primary. A primary that crashed and was replaced counts, too, when its entry goes: it may have joined before. A replica's log is still not taken for lost when it was that of a primary, which is rolled back.

--- a/internal/engine/observe.go
+++ b/internal/engine/observe.go
@@ -293,10 +293,11 @@
 }
 
 // recordLostLog marks a replica's log as lost if the replica holds less than before: it has restarted without that
-// log, which may have been the only one with an acknowledged commit. The caller holds the lock.
+// log, which may have been the only one with an acknowledged commit. An old primary holds less when it joins the next one.
+// The caller holds the lock.
 func (g *group) recordLostLog(name string, s leadership.Status) {
 	before, known := g.statuses[name]
-	if !known || s.Role != leadership.RoleReplica || s.Received.Compare(before.Received) >= 0 {
+	if !known || before.Role == leadership.RolePrimary || s.Role != leadership.RoleReplica || s.Received.Compare(before.Received) >= 0 {
 		return
 	}
 	if g.lostReplicas.MarkLost(fmt.Sprintf("%s up to %d.%d", name, before.Received.Term, before.Received.Offset), before, g.longestLogBeside(name), clock.SinceBoot()) {
--- a/internal/engine/restartedreplica_test.go
+++ b/internal/engine/restartedreplica_test.go
@@ -81,3 +81,24 @@
 		t.Error("the target is kept after the second grace")
 	}
 }
+
+// TestOldPrimaryThatHasJoinedTheNextIsLost guards against a promotion without a commit that only an old primary had received,
+// as a replica of the next one, before it left: the daemon had not asked it since it led.
+func TestOldPrimaryThatHasJoinedTheNextIsLost(t *testing.T) {
+	g := newTestGroup(&fakeTarget{})
+	now := clock.SinceBoot()
+	g.applyStatusRound(map[string]leadership.Status{"b": leads(2, 12, now)}, now)
+	g.removeNow("a")
+	if g.knowsAllReplicas() {
+		t.Error("got all replicas known, want the old primary lost")
+	}
+	g.applyStatusRound(map[string]leadership.Status{"b": leads(2, 14, now+1), "c": follows(2, 13, now+1)}, now+1)
+	if g.knowsAllReplicas() {
+		t.Error("while no replica has the log: got all replicas known, want the old primary lost")
+	}
+	now = clock.SinceBoot()
+	g.applyStatusRound(map[string]leadership.Status{"b": leads(2, 14, now), "c": follows(2, 14, now)}, now)
+	if !g.knowsAllReplicas() {
+		t.Error("while a replica has the log: got a replica lost, want none")
+	}
+}
--- a/internal/policy/takeover/lost_replicas.go
+++ b/internal/policy/takeover/lost_replicas.go
@@ -29,13 +29,11 @@
 	wasPaused bool
 }
 
-// MarkLost adds a replica that was lost at a time, with its last known status, and reports whether it was added. A
-// primary is not added, nor a replica that was paused a moment ago, and so has received no commit since, if another replica
-// has its log up to the end: received is the longest log of the others. An older pause may have ended unnoticed.
+// MarkLost adds a replica that was lost at a time, with its last known status, and reports whether it was added. One that was
+// paused a moment ago, and so has received no commit since, is not added if another replica has its log up to the end:
+// received is the longest log of the others. An older pause may have ended unnoticed. A target that led in its last known
+// status may have become a replica since.
 func (l *LostReplicas) MarkLost(name string, last leadership.Status, received api.Position, at time.Duration) bool {
-	if last.Role == leadership.RolePrimary {
-		return false
-	}
 	lost := lostReplica{since: at}
 	if last.IsPaused() && at-last.AskedAt <= 2*LeavingRecheckInterval {
 		if received.Compare(last.Received) >= 0 {
