Reset a connection to the platform whose call got no answer

A call that timed out closed its connection, and the kernel went on sending the request.

The fix: connections of the transport are reset when they are closed, by net/http after a timeout too, so that the kernel drops what has not arrived. This holds for calls to the store as well, whose late changes the promotion lock has to wait for; the lock waits as before.

--- a/internal/objectstore/transport.go
+++ b/internal/objectstore/transport.go
@@ -4,6 +4,7 @@
 	"bytes"
 	"context"
 	"crypto/tls"
+	"errors"
 	"fmt"
 	"io"
 	"net"
@@ -34,7 +35,8 @@
 // Transport sends the HTTP calls of an object store.
 //
 // Each call has a deadline. When a call times out, its connection and all idle connections are closed,
-// because existing connections may be half-open while new ones work.
+// because existing connections may be half-open while new ones work. A closed connection is reset, so that a request that
+// has not arrived is not delivered later.
 type Transport struct {
 	base    atomic.Pointer[string]
 	timeout time.Duration
@@ -89,7 +91,9 @@
 	protocols.SetHTTP1(true)
 	dial := dialer.New(options.LocalAddress)
 	transport := &http.Transport{
-		DialContext:         dial.DialContext,
+		DialContext: func(ctx context.Context, network, address string) (net.Conn, error) {
+			return resetAtClose(dial.DialContext(ctx, network, address))
+		},
 		Protocols:           protocols,
 		MaxIdleConns:        maxIdleConnections,
 		MaxIdleConnsPerHost: maxIdleConnections,
@@ -97,12 +101,30 @@
 	}
 	if options.TLS != nil {
 		transport.DialTLSContext = func(ctx context.Context, network, address string) (net.Conn, error) {
-			return (&tls.Dialer{NetDialer: dial, Config: options.TLS()}).DialContext(ctx, network, address)
+			return resetAtClose((&tls.Dialer{NetDialer: dial, Config: options.TLS()}).DialContext(ctx, network, address))
 		}
 	}
 	return transport
 }
 
+// resetAtClose makes the close of a new connection reset it, also the close by net/http after a timeout. Otherwise the
+// kernel goes on sending a request that a partition holds up, and it is carried out after it.
+func resetAtClose(conn net.Conn, err error) (net.Conn, error) {
+	if err != nil {
+		return nil, err
+	}
+	stream := conn
+	if encrypted, ok := conn.(*tls.Conn); ok {
+		stream = encrypted.NetConn()
+	}
+	if tcp, ok := stream.(*net.TCPConn); ok {
+		if err := tcp.SetLinger(0); err != nil {
+			return nil, errors.Join(err, conn.Close())
+		}
+	}
+	return conn, nil
+}
+
 // refuseRedirect stops the client from following redirects, so that a change is sent only once.
 func refuseRedirect(*http.Request, []*http.Request) error {
 	return http.ErrUseLastResponse
