Promotion: a replica that starts again before its pause counts as lost

What callers could see: a promotion without acknowledged commits (LOST). A replica that had the longest log started again without it, under its name, between a promotion's status round and its order to pause. Its answer to the order was that of a paused replica with a short log, and another one was promoted as the one with the longest. The positions that the group knew of before were compared with status rounds only.

The fix: the answers to the orders to pause are recorded like those of a status round, so that a log that is shorter than before blocks the promotion. The last position of a replica that goes during the promotion is thereby the one of its pause.

--- a/internal/engine/promote.go
+++ b/internal/engine/promote.go
@@ -275,6 +275,7 @@
 	p.paused = make(map[string]leadership.Status)
 	for range pauseAttempts {
 		answers := sendToAll(pending, Command{Op: OpPause, Term: p.term})
+		p.recordAnswers(answers)
 		for name, s := range answers {
 			if s.Role == leadership.RoleReplica && s.IsPaused() {
 				p.paused[name] = s
@@ -291,6 +292,13 @@
 	p.pausedAt = clock.SinceBoot()
 }
 
+// recordAnswers records the answers for the group, so that a replica that has started again without its log counts as lost.
+func (p *promotion) recordAnswers(answers map[string]leadership.Status) {
+	p.group.mu.Lock()
+	defer p.group.mu.Unlock()
+	p.group.recordStatuses(maps.Clone(answers))
+}
+
 // demoteStalePrimary makes a target a replica that still leads in a term before the last one, so that it can be
 // paused.
 func (p *promotion) demoteStalePrimary(name string) {
--- a/internal/engine/restartedreplica_test.go
+++ b/internal/engine/restartedreplica_test.go
@@ -1,6 +1,7 @@
 package engine
 
 import (
+	"maps"
 	"testing"
 	"time"
 
@@ -102,3 +103,24 @@
 		t.Error("while a replica has the log: got a replica lost, want none")
 	}
 }
+
+// TestReplicaThatRestartsBeforeItsPauseIsLost guards against a promotion without a commit that only one replica had: it has
+// started again without its log since its last status, and its answer to the order to pause looks like that of any other.
+func TestReplicaThatRestartsBeforeItsPauseIsLost(t *testing.T) {
+	for received, want := range map[uint64]string{0: "", 10: "c"} {
+		g := newTestGroup(&fakeTarget{})
+		for name, offset := range map[string]uint64{"b": 8, "c": received} {
+			status := follows(1, offset, 0)
+			status.PausedTerm = 2
+			g.members[name].control.dialer = &fakeTarget{exchange: func(*fakeConnection, Command) (Reply, error) {
+				return Reply{Status: status}, nil
+			}}
+		}
+		g.statuses["b"], g.statuses["c"] = follows(1, 8, 1), follows(1, 10, 1)
+		p := &promotion{group: g, old: "a", oldTerm: 1, term: 2, members: maps.Clone(g.members)}
+		p.pauseReplicas()
+		if choice := p.choose(); choice.Target != want {
+			t.Errorf("c held 1.10 and answers with 1.%d: got %+v, want %q", received, choice, want)
+		}
+	}
+}
