--- a/internal/engine/restartedreplica_test.go
+++ b/internal/engine/restartedreplica_test.go
@@ -1,6 +1,7 @@
 package engine
 
 import (
+	"maps"
 	"testing"
 	"time"
 
@@ -81,3 +82,45 @@
 		t.Error("the target is kept after the second grace")
 	}
 }
+
+// TestOldPrimaryThatHasJoinedTheNextIsLost guards against a promotion without a commit that only an old primary had received,
+// as a replica of the next one, before it left: the daemon had not asked it since it led.
+func TestOldPrimaryThatHasJoinedTheNextIsLost(t *testing.T) {
+	g := newTestGroup(&fakeTarget{})
+	now := clock.SinceBoot()
+	g.applyStatusRound(map[string]leadership.Status{"b": leads(2, 12, now)}, now)
+	g.removeNow("a")
+	if g.knowsAllReplicas() {
+		t.Error("got all replicas known, want the old primary lost")
+	}
+	g.applyStatusRound(map[string]leadership.Status{"b": leads(2, 14, now+1), "c": follows(2, 13, now+1)}, now+1)
+	if g.knowsAllReplicas() {
+		t.Error("while no replica has the log: got all replicas known, want the old primary lost")
+	}
+	now = clock.SinceBoot()
+	g.applyStatusRound(map[string]leadership.Status{"b": leads(2, 14, now), "c": follows(2, 14, now)}, now)
+	if !g.knowsAllReplicas() {
+		t.Error("while a replica has the log: got a replica lost, want none")
+	}
+}
+
+// TestReplicaThatRestartsBeforeItsPauseIsLost guards against a promotion without a commit that only one replica had: it has
+// started again without its log since its last status, and its answer to the order to pause looks like that of any other.
+func TestReplicaThatRestartsBeforeItsPauseIsLost(t *testing.T) {
+	for received, want := range map[uint64]string{0: "", 10: "c"} {
+		g := newTestGroup(&fakeTarget{})
+		for name, offset := range map[string]uint64{"b": 8, "c": received} {
+			status := follows(1, offset, 0)
+			status.PausedTerm = 2
+			g.members[name].control.dialer = &fakeTarget{exchange: func(*fakeConnection, Command) (Reply, error) {
+				return Reply{Status: status}, nil
+			}}
+		}
+		g.statuses["b"], g.statuses["c"] = follows(1, 8, 1), follows(1, 10, 1)
+		p := &promotion{group: g, old: "a", oldTerm: 1, term: 2, members: maps.Clone(g.members)}
+		p.pauseReplicas()
+		if choice := p.choose(); choice.Target != want {
+			t.Errorf("c held 1.10 and answers with 1.%d: got %+v, want %q", received, choice, want)
+		}
+	}
+}
