Promotion: list the targets again after a failure, while the lock is held

What callers could see: a group without a primary. A promotion orders the old primary to step down while it waits for proofs to expire, and lists the targets after that.

The list is asked for again each 50 ms until the lock is no longer long enough held for the order.

Before, TestPromotionListsAgainAfterAFailure (new) fails: "got orders [pause c pause b pause a resume c resume b resume a], want a promotion". After: go test -race ./internal/engine -run 'Promotion|Joins|Listed' passes.

--- a/internal/engine/promotionmembers.go
+++ b/internal/engine/promotionmembers.go
@@ -8,6 +8,7 @@
 
 	"github.com/sirupsen/logrus"
 
+	"github.com/papayacove/papayacove/internal/clock"
 	"github.com/papayacove/papayacove/internal/logevent"
 	"github.com/papayacove/papayacove/internal/logfield"
 	"github.com/papayacove/papayacove/internal/policy/takeover"
@@ -62,9 +63,13 @@
 }
 
 // recheck returns the number of targets that have joined since the last list. It is false if a replica is no longer paused or
-// the list cannot be had. The pauses are checked last, since a list may take a second.
+// the list cannot be had while the lock is held: the old primary has stepped down, so that the group is without one until
+// the next promotion. The pauses are checked last, since a list may take a second.
 func (p *promotion) recheck() (joined int, ok bool) {
 	joined, err := p.addListed()
+	for err != nil && clock.SinceBoot() < p.lockedUntil-orderReserve && clock.Sleep(p.engine.ctx, leadPoll) == nil {
+		joined, err = p.addListed()
+	}
 	if err != nil {
 		p.log().WithField(logfield.Error, err).Warn(logevent.TargetsNotListed)
 		return 0, false
--- a/internal/engine/promotionmembers_test.go
+++ b/internal/engine/promotionmembers_test.go
@@ -4,6 +4,7 @@
 	"context"
 	"errors"
 	"slices"
+	"strings"
 	"sync"
 	"testing"
 	"time"
@@ -23,6 +24,8 @@
 	// lists is the number of lists, and joinsAt that from which the target d is listed.
 	lists, joinsAt int
 	listErr        error
+	// failsAt is the number of the list that fails; 0 for none.
+	failsAt int
 	// silent is a target that does not answer a second order to pause; empty for none.
 	silent string
 	// leaving is a target that is listed as leaving and not known to the daemon; empty for none.
@@ -72,6 +75,9 @@
 	p.mu.Lock()
 	defer p.mu.Unlock()
 	p.lists++
+	if p.lists == p.failsAt {
+		return nil, errors.New("no answer")
+	}
 	targets := []Target{{Name: "a", Group: "g"}, {Name: "b", Group: "g"}, {Name: "c", Group: "g"}}
 	if p.joinsAt > 0 && p.lists >= p.joinsAt {
 		targets = append(targets, Target{Name: "d", Group: "g"})
@@ -116,6 +122,15 @@
 	}
 }
 
+// TestPromotionListsAgainAfterAFailure guards against a group without a primary: the old one has stepped down when the list
+// before the order fails.
+func TestPromotionListsAgainAfterAFailure(t *testing.T) {
+	orders, _ := promoteBeside(t, &promotionLog{failsAt: 2})
+	if !slices.ContainsFunc(orders, func(o string) bool { return strings.HasPrefix(o, "promote ") }) {
+		t.Errorf("got orders %v, want a promotion", orders)
+	}
+}
+
 // TestPromotionWithoutAListIsGivenUp lists no targets: one that has joined may hold acknowledged commits alone.
 func TestPromotionWithoutAListIsGivenUp(t *testing.T) {
 	orders, _ := promoteBeside(t, &promotionLog{listErr: errors.New("no answer")})
