Engine: a target that restarts is not proved by its former status

What callers could see (STALE): reads at a primary that has started again under its name without its log, for up to 500 ms after its last proof. The entry that tells of the new start ended its pause and its connections, but neither the leadership proof nor the time of its last status, on which proofs rest.

A restart ends the proof, and the last status counts as asked for long ago, so that a proof needs a new answer. The role stays until then, so that writes go on at a primary that is back with its log.

Before, TestRestartedPrimaryIsNotProvedByItsFormerStatus (new) fails: "got a proof for 499.751377ms more". After: go test -race ./internal/engine passes.

--- a/internal/engine/group.go
+++ b/internal/engine/group.go
@@ -184,7 +184,7 @@
 		m.dropConnections()
 		m.applied, m.lags = api.Position{}, primaryposition.Lags{}
 		g.health.Forget(t.Name)
-		g.endPauseOf(t.Name)
+		g.recordRestart(t.Name)
 	}
 	if !known {
 		g.recallPosition(t.Name)
--- a/internal/engine/removedreplica.go
+++ b/internal/engine/removedreplica.go
@@ -14,14 +14,20 @@
 	at   time.Duration
 }
 
-// endPauseOf records that a replica has restarted, which ends its pause. The position that it held stays, so that the loss
-// of its log is noticed, and the term does not: the status of a paused replica must not count for a proof. The caller holds
-// the lock.
-func (g *group) endPauseOf(name string) {
-	if s, ok := g.statuses[name]; ok && s.Role == leadership.RoleReplica {
+// recordRestart records that a target has restarted. Its last status says nothing of the time since: the leadership proof that
+// rests on it is over, and so is its pause if it was a replica. The position that it held stays, so that the loss of its log
+// is noticed. The caller holds the lock.
+func (g *group) recordRestart(name string) {
+	g.provenUntil = 0
+	s, ok := g.statuses[name]
+	if !ok {
+		return
+	}
+	s.AskedAt = 0
+	if s.Role == leadership.RoleReplica {
 		s.Term, s.PausedTerm = 0, 0
-		g.statuses[name] = s
 	}
+	g.statuses[name] = s
 }
 
 // keepPosition keeps the last status of a replica that is removed, for as long as a lost replica blocks promotions. The
--- a/internal/engine/restartedreplica_test.go
+++ b/internal/engine/restartedreplica_test.go
@@ -65,6 +65,22 @@
 	}
 }
 
+// TestRestartedPrimaryIsNotProvedByItsFormerStatus guards against reads at a primary that has started again without its log.
+func TestRestartedPrimaryIsNotProvedByItsFormerStatus(t *testing.T) {
+	g := newTestGroup(&fakeTarget{})
+	now := clock.SinceBoot()
+	g.applyStatusRound(map[string]leadership.Status{"a": leads(1, 10, now), "b": follows(1, 10, now)}, now)
+	g.setTarget(Target{Name: "a", Group: "g", Slots: 5, Zone: "z", Incarnation: 2})
+	g.applyStatusRound(map[string]leadership.Status{"b": follows(1, 10, clock.SinceBoot())}, now)
+	if g.provenUntil > clock.SinceBoot() {
+		t.Errorf("got a proof for %s more, want none before the restarted primary has answered", g.provenUntil-clock.SinceBoot())
+	}
+	g.applyStatusRound(map[string]leadership.Status{"a": leads(1, 10, clock.SinceBoot())}, now)
+	if g.provenUntil <= clock.SinceBoot() {
+		t.Error("the restarted primary leads the term: got no proof")
+	}
+}
+
 // TestLateRemovalDoesNotEndALaterGrace lets the entry of a target go, return and go again, after which the removal for the first time
 // runs: its timer had fired when the entry returned.
 func TestLateRemovalDoesNotEndALaterGrace(t *testing.T) {
