Stand-in: a target drops connections whose other end is unreachable

The targets of that test accept 12 connections, and the link kept each connection that had become half-open open at the target for good, so that a target whose 12 connections were open at that moment accepted none ever again. A daemon opens one or two more for statuses since proofs need that of the primary, which makes this likelier.

The page of the databases says that a connection whose remote end is unreachable is dropped after 3 s. The links to targets of the lines do so now; callers notice nothing of it, as before, and what the test asks is unchanged.

go test -race ./standin/netfault passes, with TestTargetDropsHalfOpenConnections.

--- a/standin/lines/fleet.go
+++ b/standin/lines/fleet.go
@@ -88,6 +88,8 @@
 	groupName = "group"
 	// heartbeatInterval is the time between two heartbeats of a target.
 	heartbeatInterval = time.Second
+	// unreachableCallerTimeout is the time after which a target ends a connection whose other end it does not reach.
+	unreachableCallerTimeout = 3 * time.Second
 )
 
 // routeKinds are the types of the routes of each group, by database without its suffix.
@@ -168,9 +170,12 @@
 func (f *Fleet) relayTarget(d *Target) error {
 	d.service = 2 * time.Millisecond
 	d.SetLag(5 * time.Millisecond)
-	link := netfault.New(netfault.Options{Target: d.Address(), InitialPathFaults: func(source string) netfault.PathFaults {
-		return netfault.PathFaults{Partitioned: f.isCut(f.zoneOf(source), d.zone)}
-	}})
+	link := netfault.New(netfault.Options{
+		Target: d.Address(), DropHalfOpenAfter: unreachableCallerTimeout,
+		InitialPathFaults: func(source string) netfault.PathFaults {
+			return netfault.PathFaults{Partitioned: f.isCut(f.zoneOf(source), d.zone)}
+		},
+	})
 	if err := link.Start(); err != nil {
 		return err
 	}
--- a/standin/netfault/link.go
+++ b/standin/netfault/link.go
@@ -38,6 +38,9 @@
 	// InitialPathFaults returns the faults that the connections from a source IP address start with; nil for
 	// none.
 	InitialPathFaults func(source string) PathFaults
+
+	// DropHalfOpenAfter is the time after which the target ends a connection that has become half-open; 0 for never.
+	DropHalfOpenAfter time.Duration
 }
 
 // Link relays connections to one target. After Start its methods are safe for concurrent use.
@@ -127,12 +130,15 @@
 }
 
 // MakeHalfOpen makes the connections that are open now half-open for the rest of their life: their data is discarded
-// in both directions. New connections work.
+// in both directions. New connections work. The callers notice nothing when the target ends its side.
 func (l *Link) MakeHalfOpen() {
 	l.mu.Lock()
 	defer l.mu.Unlock()
 	for p := range l.pairs {
 		p.halfOpen.Store(true)
+		if l.options.DropHalfOpenAfter > 0 {
+			time.AfterFunc(l.options.DropHalfOpenAfter, p.closeTarget)
+		}
 	}
 }
 
--- a/standin/netfault/link_test.go
+++ b/standin/netfault/link_test.go
@@ -127,6 +127,34 @@
 	receive(t, fresh, "c")
 }
 
+// TestTargetDropsHalfOpenConnections guards against connections that stay at the target for good: the caller has gone unnoticed.
+func TestTargetDropsHalfOpenConnections(t *testing.T) {
+	accepted := make(chan net.Conn, 1)
+	listener, err := net.Listen("tcp", "127.0.0.1:0")
+	if err != nil {
+		t.Fatal(err)
+	}
+	defer listener.Close()
+	go func() {
+		if conn, err := listener.Accept(); err == nil {
+			accepted <- conn
+		}
+	}()
+	link := New(Options{Target: listener.Addr().String(), DropHalfOpenAfter: 10 * time.Millisecond})
+	if err := link.Start(); err != nil {
+		t.Fatal(err)
+	}
+	defer link.Close()
+	caller := dial(t, link)
+	atTarget := <-accepted
+	defer atTarget.Close()
+	link.MakeHalfOpen()
+	if n, err := atTarget.Read(make([]byte, 1)); err == nil {
+		t.Errorf("got %d bytes at the target, want the end of the connection", n)
+	}
+	receiveNothing(t, caller)
+}
+
 func TestAdmin(t *testing.T) {
 	link := startLink(t)
 	c := dial(t, link)
--- a/standin/netfault/pump.go
+++ b/standin/netfault/pump.go
@@ -77,6 +77,15 @@
 	}
 }
 
+// closeTarget ends the connection to the target.
+func (p *pair) closeTarget() {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	if len(p.ends) > 1 {
+		p.ends[1].Close()
+	}
+}
+
 // pump passes data on in one direction until the source reaches its end or a connection fails. A failure closes
 // both connections of the pair, so that the other direction stops too.
 func (l *Link) pump(p *pair, from, to net.Conn, d direction) {
