--- a/internal/engine/observe.go
+++ b/internal/engine/observe.go
@@ -300,7 +300,8 @@
 	if !known || before.Role == leadership.RolePrimary || s.Role != leadership.RoleReplica || s.Received.Compare(before.Received) >= 0 {
 		return
 	}
-	if g.lostReplicas.MarkLost(fmt.Sprintf("%s up to %d.%d", name, before.Received.Term, before.Received.Offset), before, g.longestLogBeside(name), clock.SinceBoot()) {
+	lost := fmt.Sprintf("%s up to %d.%d", name, before.Received.Term, before.Received.Offset)
+	if g.lostReplicas.MarkLost(lost, before, g.longestLogBeside(name), clock.SinceBoot()) {
 		g.log().WithFields(logrus.Fields{logfield.Target: name, logfield.Held: before.Received, logfield.Holds: s.Received}).Info(logevent.WitnessLost)
 	}
 }
--- a/internal/engine/promote.go
+++ b/internal/engine/promote.go
@@ -196,7 +196,9 @@
 	for {
 		p.pauseReplicas()
 		choice := p.choose()
-		p.log().WithFields(logrus.Fields{logfield.Target: choice.Target, logfield.Why: choice.Reason, logfield.Paused: len(p.paused)}).Info(logevent.PromotionChoice)
+		p.log().WithFields(logrus.Fields{
+			logfield.Target: choice.Target, logfield.Why: choice.Reason, logfield.Paused: len(p.paused),
+		}).Info(logevent.PromotionChoice)
 		if choice.Target == "" {
 			p.abort()
 			return ""
--- a/internal/engine/proof.go
+++ b/internal/engine/proof.go
@@ -146,9 +146,9 @@
 	}
 }
 
-// awaitCommitProof waits until m is proved to lead the term after it has acknowledged a commit. It returns false as awaitProof does. The
-// acknowledgement alone does not prove it: the replica that received the commit may be one that no promoter knows. It is
-// true at once if commits wait for no replica.
+// awaitCommitProof waits until m is proved to lead the term after it has acknowledged a commit. It returns false as
+// awaitProof does. The acknowledgement alone does not prove it: the replica that received the commit may be one that no
+// promoter knows. It is true at once if commits wait for no replica.
 func (g *group) awaitCommitProof(m *member, term uint64, deadline time.Time) bool {
 	g.mu.Lock()
 	replicated := g.limits.SyncReplicas > 0
--- a/internal/engine/sessionstate.go
+++ b/internal/engine/sessionstate.go
@@ -64,7 +64,7 @@
 // commandsFor returns the commands that give the connection the session state it lacks.
 func (s sessionState) commandsFor(conn *pooledConnection) []Command {
 	var commands []Command
-	discard := conn.valuesUnknown || conn.values != "" && conn.values != s.valuesKey && !s.overwritesAll(conn.valueNames) || len(conn.prepared) >= maxPrepared && !s.inTransaction
+	discard := s.mustDiscard(conn)
 	if discard {
 		commands = append(commands, Command{Op: OpDiscard})
 	}
@@ -84,6 +84,13 @@
 	return commands
 }
 
+// mustDiscard reports whether the state that a connection has is discarded before the statement.
+func (s sessionState) mustDiscard(conn *pooledConnection) bool {
+	hasOthers := conn.values != "" && conn.values != s.valuesKey && !s.overwritesAll(conn.valueNames)
+	isFull := len(conn.prepared) >= maxPrepared && !s.inTransaction
+	return conn.valuesUnknown || hasOthers || isFull
+}
+
 // overwritesAll reports whether all values that the connection has are set here, so that those need not be discarded first.
 func (s sessionState) overwritesAll(names []string) bool {
 	return !slices.ContainsFunc(names, func(name string) bool {
