Store: an object that cannot be read costs itself alone

With an entry nested deeper than 10,000 levels in the store, each list and each watch of its kind failed as a whole with "exceeded max depth": a later version of the configuration never came into force, and a daemon that started knew of nothing.

Cause: the answer was decoded in one piece by encoding/json, which fails for the whole document. A revision or a name of another type did the same.

Ruled out: decoding the answer token by token, which has no limit of depth either: it fails as well for a malformed part of one entry, and for a number too large.

What cannot be read is logged once with its name (object_unreadable).

Evidence: TestDeeplyNestedObjectsCostThemselvesAlone, a daemon in front of the stand-in store, failed on ("timed out waiting for: a read over a route of a later version") and passes. The stand-in store now writes specs as they were stored, as it could not answer with such an object before.

--- a/internal/logevent/logevent.go
+++ b/internal/logevent/logevent.go
@@ -60,6 +60,7 @@
 	LogLinesLeftOut           = "log_lines_left_out"
 	MemberChanged             = "member_changed"
 	MemberRemoved             = "member_removed"
+	ObjectUnreadable          = "object_unreadable"
 	OldPrimaryNotSteppingDown = "old_primary_not_stepping_down"
 	PartFailed                = "part_failed"
 	PeerAvoided               = "peer_avoided"
--- a/standin/lines/failures_test.go
+++ b/standin/lines/failures_test.go
@@ -4,6 +4,7 @@
 	"fmt"
 	"math/rand"
 	"net"
+	"strings"
 	"testing"
 	"time"
 
@@ -262,3 +263,24 @@
 	}
 	return data
 }
+
+// TestDeeplyNestedObjectsCostThemselvesAlone guards against daemons that stop following the store for an object that is nested
+// deeper than their decoder allows: a version of the configuration that is written after it comes into force, and a daemon
+// that starts after it serves.
+func TestDeeplyNestedObjectsCostThemselvesAlone(t *testing.T) {
+	c := newCluster(t, 1)
+	deep := []byte(strings.Repeat(`{"Backend":[`, 20_000) + strings.Repeat("]}", 20_000))
+	for _, kind := range []string{"servers", "config", "papayacove-daemons", "papayacove-duty"} {
+		c.store.PutRaw(kind, "odd", deep)
+	}
+	c.configure(2, strictDatabase, "later")
+	c.await("a read over a route of a later version", func() bool { return c.try(c.daemons[0], "later", "READ x").Code == "" })
+	started := c.start(1)
+	c.daemons = append(c.daemons, started)
+	c.await("a strict read at a daemon that has started since", func() bool { return c.try(started, strictDatabase, "READ x").Code == "" })
+	before := c.group.Primary()
+	c.group.Target(before).Crash()
+	c.await("a write at another primary", func() bool {
+		return c.try(started, strictDatabase, "WRITE x 1").Code == "" && c.group.Primary() != before
+	})
+}
--- a/standin/lines/store.go
+++ b/standin/lines/store.go
@@ -7,6 +7,7 @@
 	"context"
 	"encoding/json"
 	"errors"
+	"fmt"
 	"io"
 	"maps"
 	"net"
@@ -29,15 +30,14 @@
 
 // object is an object as the store encodes it.
 type object struct {
-	Meta   meta            `json:"meta"`
-	Spec   json.RawMessage `json:"spec"`
-	Status json.RawMessage `json:"status"`
+	Meta meta            `json:"meta"`
+	Spec json.RawMessage `json:"spec"`
 }
 
 // event is one change of an object. A tombstone is the removal of an object.
 type event struct {
-	Object    object `json:"Object"`
-	Tombstone bool   `json:"Tombstone"`
+	Object    object
+	Tombstone bool
 	kind      string
 }
 
@@ -216,6 +216,35 @@
 	_ = json.NewEncoder(w).Encode(value)
 }
 
+// appendObject appends the encoding of an object. Its spec is appended as it was stored, whatever it is.
+func appendObject(text []byte, o object) []byte {
+	encodedMeta, err := json.Marshal(o.Meta)
+	if err != nil {
+		panic(err)
+	}
+	text = append(append(text, `{"meta":`...), encodedMeta...)
+	text = append(append(text, `,"spec":`...), o.Spec...)
+	return append(text, `,"status":null}`...)
+}
+
+// writeObject writes an object as a response.
+func writeObject(w http.ResponseWriter, status int, o object) {
+	writeRaw(w, status, appendObject(nil, o))
+}
+
+func writeRaw(w http.ResponseWriter, status int, text []byte) {
+	w.Header().Set("Content-Type", "application/json")
+	w.WriteHeader(status)
+	_, _ = w.Write(text)
+}
+
+// writeList writes encoded objects or events as a response, under the name of their list.
+func writeList(w http.ResponseWriter, name string, list [][]byte, hasMore bool, revision uint64) {
+	text := fmt.Appendf(nil, `{%q:[`, name)
+	text = append(text, bytes.Join(list, []byte(","))...)
+	writeRaw(w, http.StatusOK, fmt.Appendf(text, `],"HasMore":%t,"AtRev":%d}`, hasMore, revision))
+}
+
 func (s *Store) serveKind(w http.ResponseWriter, r *http.Request) {
 	if r.URL.Query().Has("Watch") {
 		s.serveWatch(w, r)
@@ -223,7 +252,8 @@
 	}
 	s.mu.Lock()
 	defer s.mu.Unlock()
-	items, more := []object{}, false
+	var items [][]byte
+	more := false
 	for _, name := range sortedNames(s.objects[r.PathValue("kind")]) {
 		if name <= r.URL.Query().Get("after") {
 			continue
@@ -232,9 +262,9 @@
 			more = true
 			break
 		}
-		items = append(items, s.objects[r.PathValue("kind")][name])
+		items = append(items, appendObject(nil, s.objects[r.PathValue("kind")][name]))
 	}
-	writeJSON(w, http.StatusOK, map[string]any{"items": items, "HasMore": more, "AtRev": s.revision})
+	writeList(w, "items", items, more, s.revision)
 }
 
 func (s *Store) serveWatch(w http.ResponseWriter, r *http.Request) {
@@ -250,7 +280,7 @@
 			return
 		}
 		if len(newEvents) > 0 {
-			writeJSON(w, http.StatusOK, map[string]any{"events": newEvents, "AtRev": revision})
+			writeList(w, "events", newEvents, false, revision)
 			return
 		}
 		select {
@@ -259,7 +289,7 @@
 				return
 			}
 		case <-end:
-			writeJSON(w, http.StatusOK, map[string]any{"events": []event{}, "AtRev": revision})
+			writeList(w, "events", nil, false, revision)
 			return
 		case <-r.Context().Done():
 			return
@@ -267,11 +297,13 @@
 	}
 }
 
-func (s *Store) eventsAfter(kind string, after uint64) []event {
-	var newEvents []event
+// eventsAfter returns the encoded changes of a kind after a revision.
+func (s *Store) eventsAfter(kind string, after uint64) [][]byte {
+	var newEvents [][]byte
 	for _, e := range s.events {
 		if e.kind == kind && e.Object.Meta.Revision > after {
-			newEvents = append(newEvents, e)
+			text := appendObject([]byte(`{"Object":`), e.Object)
+			newEvents = append(newEvents, fmt.Appendf(text, `,"Tombstone":%t}`, e.Tombstone))
 		}
 	}
 	return newEvents
@@ -292,7 +324,7 @@
 		w.WriteHeader(http.StatusNotFound)
 		return
 	}
-	writeJSON(w, http.StatusOK, o)
+	writeObject(w, http.StatusOK, o)
 }
 
 func (s *Store) serveCreate(w http.ResponseWriter, r *http.Request) {
@@ -304,11 +336,11 @@
 	s.mu.Lock()
 	defer s.mu.Unlock()
 	if o, ok := s.objects[r.PathValue("kind")][sent.Meta.Name]; ok {
-		writeJSON(w, http.StatusConflict, o)
+		writeObject(w, http.StatusConflict, o)
 		return
 	}
 	s.recordConditionalWriter(r)
-	writeJSON(w, http.StatusOK, s.put(r.PathValue("kind"), sent.Meta.Name, s.substitute(sent.Spec)))
+	writeObject(w, http.StatusOK, s.put(r.PathValue("kind"), sent.Meta.Name, s.substitute(sent.Spec)))
 }
 
 func (s *Store) servePut(w http.ResponseWriter, r *http.Request) {
@@ -324,12 +356,12 @@
 	case !ok:
 		w.WriteHeader(http.StatusNotFound)
 	case sent.Meta.Revision != 0 && sent.Meta.Revision != o.Meta.Revision:
-		writeJSON(w, http.StatusConflict, o)
+		writeObject(w, http.StatusConflict, o)
 	default:
 		if sent.Meta.Revision != 0 {
 			s.recordConditionalWriter(r)
 		}
-		writeJSON(w, http.StatusOK, s.put(r.PathValue("kind"), o.Meta.Name, s.substitute(sent.Spec)))
+		writeObject(w, http.StatusOK, s.put(r.PathValue("kind"), o.Meta.Name, s.substitute(sent.Spec)))
 	}
 }
 
