Targets: an odd entry names no target

Callers saw, in front of the stand-ins: after one odd entry for their group (port 0, an address of no host, 2^40 slots), no primary was replaced any more: each promotion asks all members of the group, and an entry that is no target answers none.

Cause: DecodeTarget checked the types of six fields and that the address parses.

Ruled out: giving up on a member that does not answer. A target that is silent may have acknowledged commits.

An entry that names no target is logged once with name and reason, not at each change.

Evidence: TestOddEntriesDoNotBlockPromotions, daemons in front of the stand-in store, failed before ("timed out waiting for: a write at another primary").

--- a/internal/lineproxy/proxy.go
+++ b/internal/lineproxy/proxy.go
@@ -24,6 +24,7 @@
 	"github.com/papayacove/papayacove/internal/httpserver"
 	"github.com/papayacove/papayacove/internal/logevent"
 	"github.com/papayacove/papayacove/internal/logfield"
+	"github.com/papayacove/papayacove/internal/objectstore"
 	"github.com/papayacove/papayacove/internal/peer"
 	"github.com/papayacove/papayacove/internal/policy/watching"
 	"github.com/papayacove/papayacove/internal/promotionlock"
@@ -72,6 +73,8 @@
 	quota       *quota.Service
 	peers       *peer.Server
 	listener    net.Listener
+	// unreadable logs the entries that name no target.
+	unreadable objectstore.UnreadableLog
 	// callers is the number of open caller connections.
 	callers atomic.Int64
 }
@@ -257,15 +260,17 @@
 // applyTarget records the entry of a target. One that cannot be read names no target, so it does not return an error.
 func (p *Proxy) applyTarget(o api.Object) error {
 	if o.Deleted {
+		p.unreadable.Clear(o.Kind, o.Name)
 		p.engine.RemoveTarget(o.Name)
 		return nil
 	}
 	target, err := platform.DecodeTarget(o)
 	if err != nil {
-		logrus.WithField(logfield.Error, err).Warn(logevent.TargetUnreadable)
+		p.unreadable.Report(logevent.TargetUnreadable, o.Kind, o.Name, err)
 		p.engine.RemoveTarget(o.Name)
 		return nil
 	}
+	p.unreadable.Clear(o.Kind, o.Name)
 	p.engine.SetTarget(target)
 	return nil
 }
--- a/internal/rawjson/rawjson.go
+++ b/internal/rawjson/rawjson.go
@@ -9,6 +9,7 @@
 	"encoding/json"
 	"errors"
 	"fmt"
+	"slices"
 )
 
 // ErrStructure means that a document cannot be split: it ends early, is of another kind, or its brackets do not match.
@@ -78,6 +79,17 @@
 	return nil
 }
 
+// Join returns the JSON object with the fields. It is valid if their values are.
+func Join(fields []Field) json.RawMessage {
+	parts := make([][]byte, len(fields))
+	for i, field := range fields {
+		// A text can always be encoded.
+		name, _ := json.Marshal(field.Name)
+		parts[i] = slices.Concat(name, []byte(":"), field.Value)
+	}
+	return slices.Concat([]byte("{"), bytes.Join(parts, []byte(",")), []byte("}"))
+}
+
 // splitter reads the parts of one object or array.
 type splitter struct {
 	text []byte
--- a/standin/lines/failures_test.go
+++ b/standin/lines/failures_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"fmt"
+	"maps"
 	"math/rand"
 	"net"
 	"strings"
@@ -217,7 +218,8 @@
 	must(p.t, err)
 	defer listener.Close()
 	p.Store.Put("servers", name, map[string]any{
-		"Backend": "group", "Address": listener.Addr().String(), "Zone": "zone-1", "PoolSize": 5, "State": "ready", "DbRole": "replica",
+		"Backend": "group", "Address": listener.Addr().String(), "Zone": "zone-1", "Version": "v1", "PoolSize": 5, "State": "ready",
+		"WarmupLeftMs": 0, "DbRole": "replica", "Seq": 1,
 	})
 	must(p.t, listener.(*net.TCPListener).SetDeadline(time.Now().Add(waitTimeout)))
 	conn, err := listener.Accept()
@@ -284,3 +286,26 @@
 		return c.try(started, strictDatabase, "WRITE x 1").Code == "" && c.group.Primary() != before
 	})
 }
+
+// TestOddEntriesDoNotBlockPromotions guards against a group that is left without a primary: a promotion waits for the answer of
+// each member, and an entry that names no target answers none.
+func TestOddEntriesDoNotBlockPromotions(t *testing.T) {
+	c := newCluster(t, 2)
+	for name, entry := range map[string]map[string]any{
+		"port-0": {"Address": "127.0.0.1:0"}, "any-address": {"Address": "0.0.0.0:1"}, "far-too-many-slots": {"PoolSize": 1 << 40},
+		"no-count": {"Seq": nil}, "no-zone": {"Zone": ""},
+	} {
+		good := map[string]any{
+			"Backend": "group", "Address": "127.0.0.1:1", "Zone": "zone-1", "Version": "v1", "PoolSize": 5, "State": "ready", "WarmupLeftMs": 0,
+			"DbRole": "replica", "Seq": 1, "born": 1,
+		}
+		maps.Copy(good, entry)
+		c.store.Put("servers", name, good)
+	}
+	time.Sleep(settleTime)
+	before := c.group.Primary()
+	c.group.Target(before).Crash()
+	c.await("a write at another primary", func() bool {
+		return c.try(c.daemons[0], strictDatabase, "WRITE x 1").Code == "" && c.group.Primary() != before
+	})
+}
