Feed: one large entry does not send all daemons to the store

Callers saw: nothing. By reading: daemons pass changes on to each other in replies of at most 64 KB. An entry of a target may have 1 MB, whoever wrote it; with it in the store, each list, and each change that it is part of, was answered "large", and all daemons asked the store instead, whose calls are rated and priced for all of them together.

Change: an entry over 4 KB is passed on with its documented fields alone, or as null if these are large as well. Its readers decode the same target of it, or none. Entries of the platform's own, of some 200 bytes, are passed on as they are.

Ruled out: leaving such an entry out of what is passed on; readers would take a target that has one for gone.

Evidence: TestLargeEntriesArePassedOnSmall; FuzzTargetEntry compares what is decoded of both.

--- a/internal/lineproxy/proxy.go
+++ b/internal/lineproxy/proxy.go
@@ -195,7 +195,7 @@
 		OnProof: p.engine.RecordConfigurationProof, OnRestore: p.registry.Restored,
 	})
 	go p.follow(ctx, feed.KindOptions{
-		Kind: platform.KindTargets, Interval: targetWatchInterval, Apply: p.applyTarget,
+		Kind: platform.KindTargets, Interval: targetWatchInterval, Apply: p.applyTarget, PassOn: platform.TargetToPassOn,
 		OnFailure: p.engine.RecordDirectoryFailure, OnRestore: p.engine.RecordDirectoryRestored,
 	})
 	go p.registry.Run(ctx)
