Promotion: a primary that leads is not replaced by a replica with less

A group whose only replica with the last commits is gone for good, while the other one does not hear the primary, keeps these commits at the primary alone. Its commits then stand still, which is a reason to replace it, and after 30 s the lost replica blocked no longer: the replica that lacks the commits was promoted beside a primary that was well and had them.

Cause: the time after which a lost replica is given up is meant for a primary that does not answer. It applied to all.

Ruled out: no limit at all; a primary that is gone for good would leave its group without one.

Change: while the primary answers that it leads, each lost replica blocks its replacement, until another replica has the log. The group then waits for a replica that hears its primary, rather than going on without what was acknowledged.

Evidence: TestPrimaryThatLeadsIsNotReplacedByLess failed before ("got replicas [b], want b, and c if it leads").

--- a/internal/engine/promote.go
+++ b/internal/engine/promote.go
@@ -265,8 +265,12 @@
 // replicas returns the names of the replicas that may have acknowledged a commit, including those that are gone.
 func (p *promotion) replicas() []string {
 	p.group.mu.Lock()
-	names := append(p.group.lostReplicas.Blocking(clock.SinceBoot()), slices.Collect(maps.Keys(p.members))...)
+	lost := p.group.lostReplicas.Blocking(clock.SinceBoot())
+	if p.oldStillLeads {
+		lost = p.group.lostReplicas.All()
+	}
 	p.group.mu.Unlock()
+	names := slices.AppendSeq(lost, maps.Keys(p.members))
 	slices.Sort(names)
 	return slices.DeleteFunc(names, func(name string) bool { return name == p.old })
 }
--- a/internal/policy/takeover/lost_replicas.go
+++ b/internal/policy/takeover/lost_replicas.go
@@ -1,14 +1,17 @@
 package takeover
 
 import (
+	"maps"
+	"slices"
 	"time"
 
 	"github.com/papayacove/papayacove/api"
 	"github.com/papayacove/papayacove/internal/policy/leadership"
 )
 
-// LostReplicaTimeout is the time after which a lost replica no longer blocks promotions. It is not expected to return
-// by then, and blocking longer would leave the group without a primary.
+// LostReplicaTimeout is the time after which a lost replica no longer blocks the replacement of a primary that does not
+// answer. It is not expected to return by then, and blocking longer would leave the group without a primary. A primary that
+// still leads has its log, so that its replacement by a replica with less is blocked for good.
 const LostReplicaTimeout = 30 * time.Second
 
 // LostReplicas is the set of replicas that are gone and may alone hold an acknowledged commit. The receipt of a
@@ -51,17 +54,15 @@
 // MarkReturned removes a replica that has returned.
 func (l *LostReplicas) MarkReturned(name string) { delete(l.lost, name) }
 
-// Blocking returns the names of the lost replicas that block promotions at the time now, in no particular order.
+// Blocking returns the names of the lost replicas that block promotions at the time now while the primary does not answer, in
+// no particular order.
 func (l *LostReplicas) Blocking(now time.Duration) []string {
-	var names []string
-	for name, r := range l.lost {
-		if now-r.since < LostReplicaTimeout {
-			names = append(names, name)
-		}
-	}
-	return names
+	return slices.DeleteFunc(l.All(), func(name string) bool { return now-l.lost[name].since >= LostReplicaTimeout })
 }
 
+// All returns the names of all lost replicas, which block the replacement of a primary that leads, in no particular order.
+func (l *LostReplicas) All() []string { return slices.Collect(maps.Keys(l.lost)) }
+
 // Reconcile applies the answers of a status round: it removes the lost replicas whose commits another replica has now,
 // and returns their names. Unless leader answered as primary, it removes only those that were paused.
 func (l *LostReplicas) Reconcile(leader string, statuses map[string]leadership.Status) []string {
