Promotion: daemons that start later know of lost replicas

Callers lost acknowledged writes (LOST) in front of the stand-ins: the only replica that had received them was lost, the other one did not hear the primary, and a daemon that had started since promoted the other one 3 s after its start, beside a primary that was well.

Ruled out: asking the other daemons, which may all have started since; a time without promotions after each start, which leaves groups without a primary after all daemons have ended at once.

Change: the daemons that judge the primary record each loss in the store until another replica has the log (papayacove-lost/DIGEST). A daemon lists these once after its start, when the entries of the targets are complete, and promotes nobody before; what it finds blocks as a loss that it has seen, for 30 s from then if the primary does not answer. Price, by the code: six calls to the store for a loss, of which planned releases have none, and one list for each start.

Evidence: TestDaemonThatStartsLaterKnowsOfLostReplicas, without the registry: "got primary b and orders [...], want a and none while b lacks its log", "got lost writes [x], want none"; with it, it passes. A loss that no judge has recorded when all daemons end is still forgotten.

--- a/api/types.gen.go
+++ b/api/types.gen.go
@@ -565,6 +565,23 @@
 	StatementTimeoutMs int64 `json:"statement_timeout_ms" toml:"statement_timeout_ms"`
 }
 
+// LostReplica is a replica that is gone and may alone hold an acknowledged commit.
+// It is kept in the object store for daemons that start after the loss.
+type LostReplica struct {
+	// Group is the name of the database group.
+	Group string `json:"group" toml:"group"`
+
+	// Position is the end of its log if it was paused, and otherwise zero.
+	Position Position `json:"position" toml:"position"`
+
+	// Replica is the name of the replica; that of one that has restarted without its
+	// log states what it held as well.
+	Replica string `json:"replica" toml:"replica"`
+
+	// WasPaused is true if the replica had received nothing since its last status.
+	WasPaused bool `json:"was_paused" toml:"was_paused"`
+}
+
 // MemberStatus is the state of another daemon as this daemon knows it.
 type MemberStatus struct {
 	// ConfigRevision is the revision that the daemon reported last.
--- a/internal/engine/engine.go
+++ b/internal/engine/engine.go
@@ -11,6 +11,7 @@
 
 	"github.com/sirupsen/logrus"
 
+	"github.com/papayacove/papayacove/api"
 	"github.com/papayacove/papayacove/internal/clock"
 	"github.com/papayacove/papayacove/internal/logevent"
 	"github.com/papayacove/papayacove/internal/logfield"
@@ -30,6 +31,8 @@
 	PromotionLock PromotionLock
 	// TargetLister lists the targets for promotions; nil if the daemon always knows all.
 	TargetLister TargetLister
+	// LossRegistry keeps the lost replicas for daemons that start later; nil if they are not kept.
+	LossRegistry LossRegistry
 	// Peers reaches the other daemons; nil if every daemon connects to all targets itself.
 	Peers Peers
 	// DrainTimeout is the time after which a leaving target gets no new work. The engine sends none in the last
@@ -61,8 +64,10 @@
 	// directoryFailed is the time of the boot clock, in nanoseconds, of the last failure to follow the target
 	// entries. It is initialized with the start of the engine.
 	directoryFailed atomic.Int64
-	ctx             context.Context
-	stop            context.CancelFunc
+	// knowsLosses is true once the replicas that were lost before the start are known.
+	knowsLosses atomic.Bool
+	ctx         context.Context
+	stop        context.CancelFunc
 
 	mu            sync.Mutex
 	configuration Configuration
@@ -75,6 +80,8 @@
 	groups       map[string]*group
 	// unplaced holds, by name, the targets whose group no configuration has had so far.
 	unplaced map[string]Target
+	// unplacedLosses are the lost replicas of groups that no configuration has had so far.
+	unplacedLosses []api.LostReplica
 	// placed holds, by name, the group that has the target.
 	placed   map[string]string
 	daemons  *daemonList
@@ -91,6 +98,10 @@
 		groups: make(map[string]*group), unplaced: make(map[string]Target), placed: make(map[string]string), sessions: make(map[*session]struct{}),
 	}
 	e.directoryFailed.Store(int64(clock.SinceBoot()))
+	e.knowsLosses.Store(options.LossRegistry == nil)
+	if options.LossRegistry != nil {
+		go e.learnLosses(ctx)
+	}
 	go e.watchIsolation()
 	return e
 }
@@ -138,6 +149,15 @@
 	g.peers = e.peers
 	e.groups[name] = g
 	go g.serveProofs(e.ctx)
+	if g.losses != nil {
+		go g.keepLosses(e.ctx)
+	}
+	e.unplacedLosses = slices.DeleteFunc(e.unplacedLosses, func(loss api.LostReplica) bool {
+		if loss.Group == name {
+			g.adoptLoss(loss)
+		}
+		return loss.Group == name
+	})
 	go g.observe(e.ctx, func(reason takeover.Reason) { go e.takeOver(g, reason) })
 	return g
 }
@@ -201,9 +221,12 @@
 // for a while.
 func (e *Engine) RecordDirectoryRestored() { e.RecordDirectoryFailure(clock.SinceBoot()) }
 
-// isDirectorySettled reports whether the target entries have been followed without a failure for removalGrace, the
+// isDirectorySettled reports whether all targets that may have acknowledged commits are known, also those that are gone.
+func (e *Engine) isDirectorySettled() bool { return e.hasFollowedEntries() && e.knowsLosses.Load() }
+
+// hasFollowedEntries reports whether the target entries have been followed without a failure for removalGrace, the
 // time that lapsed entries need to return. Before that, a target that has acknowledged commits may be missing.
-func (e *Engine) isDirectorySettled() bool {
+func (e *Engine) hasFollowedEntries() bool {
 	return clock.SinceBoot()-time.Duration(e.directoryFailed.Load()) >= removalGrace
 }
 
--- a/internal/engine/group.go
+++ b/internal/engine/group.go
@@ -121,6 +121,11 @@
 	monitor takeover.PrimaryMonitor
 	// lostReplicas are the replicas that are gone and may alone hold an acknowledged commit.
 	lostReplicas takeover.LostReplicas
+	// losses keeps the lost replicas for daemons that start later; nil if they are not kept. registered are the names of those
+	// that it holds, as far as this daemon has recorded or read them. lossesChanged asks for a look at both.
+	losses        LossRegistry
+	registered    map[string]bool
+	lossesChanged chan struct{}
 	// removed are the replicas that were removed lately, by name.
 	removed map[string]removedReplica
 	// noPromotionUntil is the time of the boot clock until which no promotion is started.
@@ -146,6 +151,7 @@
 		name: name, zone: options.Zone, dialer: options.Dialer, drainTimeout: options.DrainTimeout, directorySettled: directorySettled,
 		relays: options.Peers, peers: &peerHealth{}, inBackground: func(f func()) { go f() }, daemons: newDaemonList(options.Name, nil),
 		members: make(map[string]*member), statuses: make(map[string]leadership.Status),
+		losses: options.LossRegistry, registered: make(map[string]bool), lossesChanged: make(chan struct{}, 1),
 		changed: make(chan struct{}), statusRoundRequests: make(chan struct{}, 1), proofRequests: make(chan struct{}, 1),
 		proofLog: proofLog{limiter: limiter},
 	}
@@ -199,6 +205,7 @@
 		m.removalTimer = nil
 	}
 	g.lostReplicas.MarkReturned(t.Name)
+	signal(g.lossesChanged)
 	changed := !known || m.target.ReportsPrimary != t.ReportsPrimary || m.target.Leaving != t.Leaving
 	m.target = t
 	g.applyShares(m)
@@ -285,6 +292,7 @@
 	g.keepPosition(name, clock.SinceBoot())
 	if name != g.primary && g.lostReplicas.MarkLost(name, g.statuses[name], g.longestLogBeside(name), clock.SinceBoot()) {
 		g.log().WithField(logfield.Target, name).Info(logevent.WitnessLost)
+		signal(g.lossesChanged)
 	}
 	delete(g.statuses, name)
 	if ok {
--- a/internal/engine/interfaces.go
+++ b/internal/engine/interfaces.go
@@ -4,6 +4,8 @@
 	"context"
 	"errors"
 	"time"
+
+	"github.com/papayacove/papayacove/api"
 )
 
 // Caller is the connection of one session.
@@ -63,6 +65,16 @@
 	ListTargets(ctx context.Context, group string) ([]Target, error)
 }
 
+// LossRegistry keeps in the store which replicas are lost, for daemons that start after their loss.
+type LossRegistry interface {
+	// Record stores a loss. It does not fail if it is stored already.
+	Record(ctx context.Context, loss api.LostReplica) error
+	// Forget removes a loss. It does not fail if there is none.
+	Forget(ctx context.Context, group, replica string) error
+	// List returns all losses that can be read.
+	List(ctx context.Context) ([]api.LostReplica, error)
+}
+
 // Quota limits the operations of workspaces over all daemons. Its methods may be called concurrently.
 type Quota interface {
 	// Spend takes the right to one operation of a workspace. It waits for a right that is under way until the deadline
--- a/internal/engine/observe.go
+++ b/internal/engine/observe.go
@@ -217,6 +217,7 @@
 	g.applyProof()
 	for _, name := range g.lostReplicas.Reconcile(g.primary, g.ofMembers(statuses)) {
 		g.log().WithField(logfield.Target, name).Info(logevent.WitnessReplaced)
+		signal(g.lossesChanged)
 	}
 	now := clock.SinceBoot()
 	if !g.monitor.IsSuspected() && !g.isLeaving(g.primary) {
@@ -303,6 +304,7 @@
 	lost := fmt.Sprintf("%s up to %d.%d", name, before.Received.Term, before.Received.Offset)
 	if g.lostReplicas.MarkLost(lost, before, g.longestLogBeside(name), clock.SinceBoot()) {
 		g.log().WithFields(logrus.Fields{logfield.Target: name, logfield.Held: before.Received, logfield.Holds: s.Received}).Info(logevent.WitnessLost)
+		signal(g.lossesChanged)
 	}
 }
 
--- a/internal/lineproxy/proxy.go
+++ b/internal/lineproxy/proxy.go
@@ -24,6 +24,7 @@
 	"github.com/papayacove/papayacove/internal/httpserver"
 	"github.com/papayacove/papayacove/internal/logevent"
 	"github.com/papayacove/papayacove/internal/logfield"
+	"github.com/papayacove/papayacove/internal/lossregistry"
 	"github.com/papayacove/papayacove/internal/objectstore"
 	"github.com/papayacove/papayacove/internal/peer"
 	"github.com/papayacove/papayacove/internal/policy/watching"
@@ -95,6 +96,7 @@
 		Promoter:      promoter,
 		PromotionLock: promotionlock.New(store, store.Eras(), settings.Name),
 		TargetLister:  platform.TargetList{Store: store},
+		LossRegistry:  lossregistry.New(store),
 		DrainTimeout:  time.Duration(settings.Fleet.DrainTimeoutMs) * time.Millisecond,
 		RevokeWithin:  time.Duration(settings.Fleet.RevokeMs) * time.Millisecond,
 		Quota:         p.engineQuota(),
--- a/internal/policy/takeover/lost_replicas.go
+++ b/internal/policy/takeover/lost_replicas.go
@@ -51,6 +51,27 @@
 	return true
 }
 
+// Adopt adds a replica that another daemon knows to be lost, unless it is known here. It blocks promotions from now on.
+func (l *LostReplicas) Adopt(loss api.LostReplica, now time.Duration) {
+	if _, known := l.lost[loss.Replica]; known {
+		return
+	}
+	if l.lost == nil {
+		l.lost = make(map[string]lostReplica)
+	}
+	l.lost[loss.Replica] = lostReplica{since: now, position: loss.Position, wasPaused: loss.WasPaused}
+}
+
+// Describe returns a lost replica of a group for other daemons. A position that the primary has stated since is left out: it is
+// of the primary's log, which another daemon asks for itself.
+func (l *LostReplicas) Describe(group, name string) api.LostReplica {
+	loss := api.LostReplica{Group: group, Replica: name, WasPaused: l.lost[name].wasPaused}
+	if loss.WasPaused {
+		loss.Position = l.lost[name].position
+	}
+	return loss
+}
+
 // MarkReturned removes a replica that has returned.
 func (l *LostReplicas) MarkReturned(name string) { delete(l.lost, name) }
 
--- a/standin/lines/failures_test.go
+++ b/standin/lines/failures_test.go
@@ -9,6 +9,7 @@
 	"testing"
 	"time"
 
+	"github.com/papayacove/papayacove/internal/lossregistry"
 	"github.com/papayacove/papayacove/standin/netfault"
 )
 
@@ -309,3 +310,38 @@
 		return c.try(c.daemons[0], strictDatabase, "WRITE x 1").Code == "" && c.group.Primary() != before
 	})
 }
+
+// TestDaemonThatStartsLaterKnowsOfLostReplicas guards against the loss of acknowledged commits by a daemon that has started since
+// the only replica with them was lost: it sees a primary whose commits stand still, and a replica to put in its place.
+func TestDaemonThatStartsLaterKnowsOfLostReplicas(t *testing.T) {
+	c := newCluster(t, 1)
+	first := c.daemons[0]
+	primary := c.group.Primary()
+	var replicas []string
+	for _, id := range c.group.RunningIDs() {
+		if id != primary {
+			replicas = append(replicas, id)
+		}
+	}
+	behind, lost := replicas[0], replicas[1]
+	c.group.Target(behind).SetReceiveBlocked(true)
+	c.await("an acknowledged write", func() bool { return c.try(first, strictDatabase, "WRITE x kept").Code == "" })
+	c.group.Target(lost).Crash()
+	must(t, c.store.Delete("servers", lost))
+	c.await("the record of the loss", func() bool { return c.store.Count(lossregistry.Kind) > 0 })
+	first.stop()
+	<-first.ended
+	started := c.start(1)
+	c.daemons = []*daemon{started}
+	// The daemon may promote once it takes the entries for complete.
+	time.Sleep(settleTime + 4*time.Second)
+	if got := c.group.Primary(); got != primary || len(c.provider.Orders()) > 0 {
+		t.Errorf("got primary %s and orders %v, want %s and none while %s lacks its log", got, c.provider.Orders(), primary, behind)
+	}
+	c.group.Target(behind).SetReceiveBlocked(false)
+	c.await("a write once the replica hears the primary", func() bool { return c.try(started, strictDatabase, "WRITE y 1").Code == "" })
+	if lost := c.group.LostWrites(); len(lost) > 0 {
+		t.Errorf("got lost writes %v, want none", lost)
+	}
+	c.await("the end of the record", func() bool { return c.store.Count(lossregistry.Kind) == 0 })
+}
--- a/standin/lines/store.go
+++ b/standin/lines/store.go
@@ -379,6 +379,13 @@
 	return ok
 }
 
+// Count returns the number of objects of a kind.
+func (s *Store) Count(kind string) int {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	return len(s.objects[kind])
+}
+
 func (s *Store) serveDelete(w http.ResponseWriter, r *http.Request) {
 	if err := s.Delete(r.PathValue("kind"), r.PathValue("name")); err != nil {
 		w.WriteHeader(http.StatusNotFound)
