Promotion lock: a record that cannot be read is a hold, and is replaced

Cause: a record that could not be read counted as free; with a type that encoding/json decodes in part, as `{}` or a holder that is a number, the next daemon took the lock at once. With one that it does not decode at all, the update failed, as it extends the list of changes in the record.

Change: such a record counts as held by somebody unknown, for as long as the longest hold, and is replaced then. An update of an object whose list of changes cannot be read replaces it, if nobody has changed it since it was read.

Ruled out: leaving out the wait; the record may have replaced that of a holder that still orders.

--- a/internal/objectstore/apply_change.go
+++ b/internal/objectstore/apply_change.go
@@ -8,6 +8,7 @@
 	"github.com/sirupsen/logrus"
 
 	"github.com/papayacove/papayacove/api"
+	"github.com/papayacove/papayacove/internal/logevent"
 	"github.com/papayacove/papayacove/internal/logfield"
 )
 
@@ -60,9 +61,13 @@
 	if err != nil {
 		return ChangeResult{}, retryable(err)
 	}
+	// What another writer has stored may have no readable history. It is replaced like any other version, and nothing is
+	// known of the changes before it.
 	history, err := historyOf(stored.Data)
 	if err != nil {
-		return ChangeResult{Outcome: a.failedOutcome(), Object: stored}, err
+		logrus.WithFields(a.fields()).WithFields(logrus.Fields{
+			logfield.Version: stored.Version, logfield.Error: shorten(err.Error(), maxLoggedReason),
+		}).Warn(logevent.ObjectUnreadable)
 	}
 	return a.compare(stored, history)
 }
--- a/internal/promotionlock/promotionlock.go
+++ b/internal/promotionlock/promotionlock.go
@@ -64,6 +64,9 @@
 	// now returns the time of the boot clock.
 	now func() time.Duration
 
+	// unreadable logs the records that cannot be read.
+	unreadable objectstore.UnreadableLog
+
 	mu     sync.Mutex
 	groups map[string]*lock
 }
@@ -159,7 +162,13 @@
 // check fails with ErrHeld while another daemon, or an order of an earlier start of this one, may promote. The caller holds
 // mu.
 func (l *lock) check(record api.Object) error {
-	stored := storedIn(record)
+	stored, err := storedIn(record)
+	if err != nil {
+		l.unreadable.Report(logevent.DutyUnreadable, Kind, l.group, err)
+		stored = api.DutyRecord{Holder: unknownHolder, Era: record.Era}
+	} else {
+		l.unreadable.Clear(Kind, l.group)
+	}
 	now := l.now()
 	if stored.Era != record.Era {
 		// The store has been restored since the record was written, or no daemon has written one in this era.
@@ -179,16 +188,29 @@
 	return nil
 }
 
-// storedIn decodes a record. One that cannot be read counts as free.
-func storedIn(record api.Object) api.DutyRecord {
-	var stored api.DutyRecord
+// unknownHolder stands for the holder of a record that cannot be read: it may have replaced that of a daemon that still holds
+// the lock.
+const unknownHolder = "(unknown)"
+
+// errNoDutyRecord means that an object is JSON, but none of a promotion lock.
+var errNoDutyRecord = errors.New("a field of the promotion lock is missing")
+
+// storedIn decodes a record. There is none at version 0, which counts as free.
+func storedIn(record api.Object) (api.DutyRecord, error) {
 	if record.Version == 0 {
-		return stored
+		return api.DutyRecord{}, nil
+	}
+	var stored struct {
+		Holder *string `json:"holder"`
+		Era    *uint64 `json:"era"`
 	}
 	if err := json.Unmarshal(record.Data, &stored); err != nil {
-		logrus.WithField(logfield.Error, err).Warn(logevent.DutyUnreadable)
+		return api.DutyRecord{}, err
+	}
+	if stored.Holder == nil || stored.Era == nil {
+		return api.DutyRecord{}, errNoDutyRecord
 	}
-	return stored
+	return api.DutyRecord{Holder: *stored.Holder, Era: *stored.Era}, nil
 }
 
 // write stores the holder, empty for none, and returns the record. It fails with ErrHeld if the update took effect and
