Daemon registry: an odd entry holds no target

Callers saw: nothing yet; in a test, a daemon that does not exist was given targets to hold. An entry with port 0 or 65536, an address of no host, or a capacity that is negative or beyond any machine was taken as it is: holders are drawn by capacity, so that one entry can draw all targets, and statements are sent to an address where nobody listens first.

Cause: an entry counted as readable if encoding/json decoded it.

Change: name, address and capacity are checked; an entry that fails counts as one that cannot be read: its daemon counts for the shares, and holds nothing. It is logged once, not at each read of the list. The registry no longer keeps the text of entries.

--- a/internal/daemonregistry/registry.go
+++ b/internal/daemonregistry/registry.go
@@ -11,10 +11,15 @@
 	"fmt"
 	"maps"
 	"math/rand/v2"
+	"net"
+	"net/netip"
 	"slices"
+	"strconv"
+	"strings"
 	"sync"
 	"sync/atomic"
 	"time"
+	"unicode"
 
 	"github.com/sirupsen/logrus"
 
@@ -71,6 +76,8 @@
 	// onRead is called with the daemons after each read.
 	onRead   func([]api.DaemonEntry)
 	observed map[string]observation
+	// unreadable logs the entries that cannot be read.
+	unreadable objectstore.UnreadableLog
 	// era is that of the newest list. Entries that a list lacks are kept until keepMissingUntil of the boot clock.
 	era uint64
 	// allAreNew is true if no daemon has refreshed its entry yet.
@@ -134,10 +141,48 @@
 // newObservation decodes an entry that was first read in its state at a time.
 func newObservation(object api.Object, at time.Duration) observation {
 	o := observation{object: object, at: at}
-	o.failure = json.Unmarshal(object.Data, &o.entry)
+	if o.failure = json.Unmarshal(object.Data, &o.entry); o.failure == nil {
+		o.failure = checkEntry(object.Name, o.entry)
+	}
+	if o.failure != nil {
+		o.entry = api.DaemonEntry{}
+	}
+	// The entry is not needed any more, and may be large.
+	o.object.Data = nil
 	return o
 }
 
+// maxCapacity is the largest capacity that an entry may state, in thousandths of a core.
+const maxCapacity = 1 << 20
+
+// errForeignEntry means that an entry has a value that no daemon writes.
+var errForeignEntry = errors.New("no entry of a daemon")
+
+// checkEntry fails with errForeignEntry unless an entry can be that of the named daemon.
+func checkEntry(name string, entry api.DaemonEntry) error {
+	if entry.Name != name {
+		return fmt.Errorf("%w: it names %.100q", errForeignEntry, entry.Name)
+	}
+	if entry.Capacity < 0 || entry.Capacity > maxCapacity {
+		return fmt.Errorf("%w: capacity %d", errForeignEntry, entry.Capacity)
+	}
+	if entry.Address != "" && !isAddress(entry.Address) {
+		return fmt.Errorf("%w: address %.100q", errForeignEntry, entry.Address)
+	}
+	return nil
+}
+
+// isAddress reports whether a text is a host and a port that can be connected to.
+func isAddress(text string) bool {
+	host, port, err := net.SplitHostPort(text)
+	if err != nil || host == "" || strings.ContainsFunc(host, unicode.IsSpace) {
+		return false
+	}
+	number, err := strconv.ParseUint(port, 10, 16)
+	ip, ipErr := netip.ParseAddr(host)
+	return err == nil && number > 0 && (ipErr != nil || !ip.IsUnspecified())
+}
+
 // New returns the registry of the daemon with entry self. Run calls onRead with the entries of the daemons that are
 // present, this one included, after each read, whether or not they have changed.
 func New(store Store, self api.DaemonEntry, onRead func([]api.DaemonEntry)) *Registry {
@@ -225,15 +270,11 @@
 	}
 	found := newObservation(object, now)
 	if found.failure != nil {
-		logUnreadable(object.Name, found.failure)
+		r.unreadable.Report(logevent.RosterEntryUnreadable, Kind, object.Name, found.failure)
 	}
 	r.registration.FoundAtStart, r.registration.FoundLendingRules = true, found.entry.LendingRules
 }
 
-func logUnreadable(name string, err error) {
-	logrus.WithFields(logrus.Fields{logfield.Object: name, logfield.Error: err}).Warn(logevent.RosterEntryUnreadable)
-}
-
 // write refreshes the daemon's own entry, or creates it. Only this daemon writes it, so the update is unconditional: its
 // version is 0. What is tried first is what is likely to be one call.
 func (r *Registry) write(ctx context.Context) error {
@@ -297,9 +338,11 @@
 			continue
 		}
 		entry := known.entry
-		if known.failure != nil || entry.Name != name {
-			logUnreadable(name, known.failure)
+		if known.failure != nil {
+			r.unreadable.Report(logevent.RosterEntryUnreadable, Kind, name, known.failure)
 			entry = api.DaemonEntry{Name: name}
+		} else {
+			r.unreadable.Clear(Kind, name)
 		}
 		r.allAreNew = r.allAreNew && entry.Beat <= 1
 		present = append(present, entry)
@@ -332,6 +375,7 @@
 		observed[object.Name] = known
 	}
 	r.observed = observed
+	r.unreadable.Keep(Kind, slices.AppendSeq([]string{r.self.Name}, maps.Keys(observed)))
 }
 
 // Leave marks the daemon's entry: the daemon has stopped as planned. The entry stays, so that the daemon knows when it
--- a/internal/daemonregistry/registry_test.go
+++ b/internal/daemonregistry/registry_test.go
@@ -1,10 +1,14 @@
 package daemonregistry
 
 import (
+	"bytes"
 	"context"
+	"strings"
 	"testing"
 	"time"
 
+	"github.com/sirupsen/logrus"
+
 	"github.com/papayacove/papayacove/api"
 	"github.com/papayacove/papayacove/internal/objectstore"
 )
@@ -188,3 +192,62 @@
 		})
 	}
 }
+
+// oddEntries are entries of a daemon b that no daemon writes.
+var oddEntries = map[string]string{
+	"deep":                    strings.Repeat("[", 20_000) + strings.Repeat("]", 20_000),
+	"deep field":              `{"name":"b","zone":` + strings.Repeat("[", 20_000) + strings.Repeat("]", 20_000) + `}`,
+	"capacity beyond 64 bits": `{"name":"b","address":"10.0.0.9:1","capacity":99999999999999999999}`,
+	"capacity too large":      `{"name":"b","address":"10.0.0.9:1","capacity":9000000000000000000}`,
+	"negative capacity":       `{"name":"b","address":"10.0.0.9:1","capacity":-1}`,
+	"port too large":          `{"name":"b","address":"10.0.0.9:65536"}`,
+	"port 0":                  `{"name":"b","address":"10.0.0.9:0"}`,
+	"negative port":           `{"name":"b","address":"10.0.0.9:-1"}`,
+	"port no number":          `{"name":"b","address":"10.0.0.9:http"}`,
+	"no host":                 `{"name":"b","address":":1"}`,
+	"any host":                `{"name":"b","address":"0.0.0.0:1"}`,
+	"blank in the host":       `{"name":"b","address":"a b:1"}`,
+	"beat no number":          `{"name":"b","address":"10.0.0.9:1","beat":1e999}`,
+	"name of another":         `{"name":"self","address":"10.0.0.9:1"}`,
+	"null":                    `null`, "nothing": ``, "no object": `7`,
+}
+
+// TestOddEntryHoldsNothing guards against targets that are held by a daemon that does not exist: an odd entry with a large
+// capacity would get them all, and statements would be sent to an address where nobody listens. It is logged once.
+func TestOddEntryHoldsNothing(t *testing.T) {
+	for name, data := range oddEntries {
+		r := New(nil, api.DaemonEntry{Name: "self", Address: "10.0.0.1:1"}, nil)
+		var output bytes.Buffer
+		before := logrus.StandardLogger().Out
+		logrus.SetOutput(&output)
+		for i := range 3 {
+			list := api.ObjectList{Objects: []api.Object{
+				{Name: "b", Version: uint64(i + 1), Data: []byte(data)}, {Name: "c", Version: 1, Data: []byte(`{"name":"c","address":"10.0.0.3:1","capacity":800}`)},
+			}}
+			present := r.present(list, time.Duration(i)*time.Second)
+			if len(present) != 3 || present[1] != (api.DaemonEntry{Name: "b"}) || present[2].Address != "10.0.0.3:1" {
+				t.Errorf("%s: got %+v, want b without an address and capacity beside c", name, present)
+			}
+		}
+		logrus.SetOutput(before)
+		if lines := strings.Count(output.String(), "roster_entry_unreadable"); lines != 1 || !strings.Contains(output.String(), "object=b") {
+			t.Errorf("%s: got %d log lines %.300q, want one with the name", name, lines, output.String())
+		}
+	}
+}
+
+// FuzzEntry reads arbitrary entries: nothing panics, and a daemon that holds targets can be reached and weighed.
+func FuzzEntry(f *testing.F) {
+	f.Add([]byte(`{"name":"b","zone":"z","address":"10.0.0.3:1","beat":1,"capacity":800,"lending_rules":1,"left":false}`))
+	for _, data := range oddEntries {
+		f.Add([]byte(data[:min(len(data), 1000)]))
+	}
+	f.Fuzz(func(t *testing.T, data []byte) {
+		r := New(nil, api.DaemonEntry{Name: "self"}, nil)
+		for _, entry := range r.present(api.ObjectList{Objects: []api.Object{{Name: "b", Version: 1, Data: data}}}, 0)[1:] {
+			if entry.Name != "b" || entry.Capacity < 0 || entry.Capacity > maxCapacity || entry.Address != "" && !isAddress(entry.Address) {
+				t.Fatalf("%q: got %+v", data, entry)
+			}
+		}
+	})
+}
--- a/internal/objectstore/unreadable.go
+++ b/internal/objectstore/unreadable.go
@@ -51,12 +51,19 @@
 	}
 }
 
-// Keep clears the objects of a kind that a complete list does not hold.
-func (l *UnreadableLog) Keep(kind string, isListed func(name string) bool) {
+// Keep clears the objects of a kind that are not among the named ones.
+func (l *UnreadableLog) Keep(kind string, names []string) {
 	l.mu.Lock()
 	defer l.mu.Unlock()
+	if len(l.logged) == 0 {
+		return
+	}
+	kept := make(map[string]bool, len(names))
+	for _, name := range names {
+		kept[shorten(name, maxLoggedName)] = true
+	}
 	for key := range l.logged {
-		if key.kind == kind && !isListed(key.name) {
+		if key.kind == kind && !kept[key.name] {
 			delete(l.logged, key)
 		}
 	}
