Peer: a connection accepted while the server closes is closed

Seen once, beside load, with the race detector: TestLostConnectionReturnsErrNoAnswer waited for the end of its connection until the test ran out of time (10 minutes). The server had closed, and its goroutine of the connection still waited for a call.

Cause: Close closes the connections that are registered, and a connection registered after its handshake only. One that had been accepted, and registered after Close had gone through them, was served on: a daemon that has stopped answers the daemon at its other end until the process ends.

Change: a connection is registered first, and not served once Close has been called.

Evidence: the dump of the hung test shows the server's goroutine in readRequestHeader after Close. TestConnectionAcceptedDuringCloseIsClosed failed before (i/o timeout after 5 s) and passes.

--- a/internal/peer/server.go
+++ b/internal/peer/server.go
@@ -123,6 +123,8 @@
 
 	mu          sync.Mutex
 	connections map[net.Conn]struct{}
+	// closed is true from Close on. A connection that was accepted before is not served any more.
+	closed bool
 }
 
 // Listen listens on the peer address; Run serves it. A nil configuration disables TLS.
@@ -167,6 +169,11 @@
 
 // serve answers the calls on one connection until it is closed.
 func (s *Server) serve(connection net.Conn) {
+	if !s.register(connection) {
+		_ = connection.Close()
+		return
+	}
+	defer s.unregister(connection)
 	if !completeHandshake(connection) {
 		_ = connection.Close()
 		return
@@ -179,19 +186,30 @@
 		_ = connection.Close()
 		return
 	}
-	s.mu.Lock()
-	s.connections[connection] = struct{}{}
-	s.mu.Unlock()
 	codec := newServerCodec(connection, s.options.MaxFrameBytes)
 	server.ServeCodec(codec)
-	s.mu.Lock()
-	delete(s.connections, connection)
-	s.mu.Unlock()
 	if err := codec.failure(); err != nil {
 		logrus.WithFields(logrus.Fields{logfield.Peer: connection.RemoteAddr(), logfield.Error: err}).Warn(logevent.PeerConnectionEnded)
 	}
 }
 
+// register makes Close close a connection. It returns false after Close.
+func (s *Server) register(connection net.Conn) bool {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	if s.closed {
+		return false
+	}
+	s.connections[connection] = struct{}{}
+	return true
+}
+
+func (s *Server) unregister(connection net.Conn) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	delete(s.connections, connection)
+}
+
 // completeHandshake completes the TLS handshake, if the connection has TLS, and reports whether the other end may call.
 func completeHandshake(connection net.Conn) bool {
 	encrypted, ok := connection.(*tls.Conn)
@@ -212,6 +230,7 @@
 	_ = s.listener.Close()
 	s.mu.Lock()
 	defer s.mu.Unlock()
+	s.closed = true
 	for connection := range s.connections {
 		_ = connection.Close()
 	}
