Object store client: an object that cannot be read costs itself alone

The other store of the project (docs/PLATFORM.md) had the fault of: a list, a watch or the VM list with one object that encoding/json does not decode failed as a whole, and daemons stopped following configuration, terms and VMs.

Change: the answers are split by package rawjson and decoded object by object; data goes to its reader as it is stored. A list that is damaged itself is still no answer. What is left out is logged once.

Evidence: TestObjectThatCannotBeReadIsLeftOutAlone, TestVMThatCannotBeReadIsLeftOutAlone, TestMalformedListsAreNoAnswers, FuzzList (8 s by hand).

--- a/internal/objectstore/call.go
+++ b/internal/objectstore/call.go
@@ -24,8 +24,8 @@
 	body *api.Object
 	// wait is the time for which the platform may delay the answer while nothing changes.
 	wait time.Duration
-	// answer points to the variable that receives the decoded answer; nil discards the answer.
-	answer any
+	// decode decodes the answer; nil discards it.
+	decode func(body []byte) error
 }
 
 // do carries out a call within the deadlines of the client and of ctx, and counts it and its failure.
@@ -73,10 +73,14 @@
 	if status < 200 || status > 299 {
 		return decodeFailure(status, body, k.kind)
 	}
-	if k.answer == nil {
+	if k.decode == nil {
 		return nil
 	}
-	if err := json.NewDecoder(body).Decode(k.answer); err != nil {
+	text, err := io.ReadAll(body)
+	if err == nil {
+		err = k.decode(text)
+	}
+	if err != nil {
 		return NoAnswerError(k.kind.isChange(), err)
 	}
 	return nil
--- a/internal/objectstore/client.go
+++ b/internal/objectstore/client.go
@@ -51,6 +51,8 @@
 	transport *Transport
 	zone      string
 	counter   callCounter
+	// unreadable logs the objects and VMs that lists held and that were left out.
+	unreadable UnreadableLog
 }
 
 // NewClient returns a client, which connects at its first call.
@@ -75,7 +77,7 @@
 		kind:   callGet,
 		method: http.MethodGet,
 		path:   objectPath(kind, name),
-		answer: &o,
+		decode: decodeInto(&o),
 	})
 	return o, err
 }
@@ -87,7 +89,7 @@
 		kind:   callList,
 		method: http.MethodGet,
 		path:   "/v1/objects/" + url.PathEscape(kind),
-		answer: &list,
+		decode: func(body []byte) error { return c.decodeList(body, &list) },
 	})
 	return list, err
 }
@@ -101,7 +103,7 @@
 		method: http.MethodPost,
 		path:   objectPath(o.Kind, o.Name),
 		body:   &o,
-		answer: &stored,
+		decode: decodeInto(&stored),
 	})
 	return stored, err
 }
@@ -116,7 +118,7 @@
 		method: http.MethodPut,
 		path:   objectPath(o.Kind, o.Name),
 		body:   &o,
-		answer: &stored,
+		decode: decodeInto(&stored),
 	})
 	return stored, err
 }
@@ -145,7 +147,7 @@
 		method: http.MethodGet,
 		path:   "/v1/watch?" + query.Encode(),
 		wait:   wait,
-		answer: &list,
+		decode: func(body []byte) error { return c.decodeList(body, &list) },
 	})
 	return list, err
 }
@@ -157,7 +159,7 @@
 		kind:   callVMs,
 		method: http.MethodGet,
 		path:   "/v1/vms",
-		answer: &list,
+		decode: func(body []byte) error { return c.decodeVMs(body, &list) },
 	})
 	return list, err
 }
@@ -171,11 +173,19 @@
 		method: http.MethodGet,
 		path:   "/v1/vms/watch?" + watchQuery(after, wait).Encode(),
 		wait:   wait,
-		answer: &list,
+		decode: func(body []byte) error { return c.decodeVMs(body, &list) },
 	})
 	return list, err
 }
 
+// decodeInto returns a function that decodes an answer with one object.
+func decodeInto(o *api.Object) func(body []byte) error {
+	return func(body []byte) (err error) {
+		*o, err = decodeObject(body)
+		return err
+	}
+}
+
 // objectPath returns the path of an object.
 func objectPath(kind, name string) string {
 	return "/v1/objects/" + url.PathEscape(kind) + "/" + url.PathEscape(name)
