Groups: a number of slots that no target has is refused

A group with 2^62 slots was put in force; the cost of a target is computed from slots, and overflows: the target then looks the cheapest for every read.

--- a/internal/workspace/group.go
+++ b/internal/workspace/group.go
@@ -9,6 +9,9 @@
 
 const minTargets = 1
 
+// maxSlots is the largest number of slots of a target. What is computed from larger numbers may overflow.
+const maxSlots = 1 << 16
+
 // CheckGroup returns the problems of a database group, without regard to other objects.
 func CheckGroup(g api.GroupSpec) []Problem {
 	object := "group " + g.Name
@@ -44,7 +47,7 @@
 	if address, err := netip.ParseAddrPort(t.Address); err != nil || address.Port() == 0 {
 		problems.Add(object, key+".address", t.Address, "an IP address with a port of 1 to 65535")
 	}
-	if t.Slots < 1 {
-		problems.Add(object, key+".slots", itoa(t.Slots), "at least 1")
+	if t.Slots < 1 || t.Slots > maxSlots {
+		problems.Add(object, key+".slots", itoa(t.Slots), "1 to "+itoa(maxSlots))
 	}
 }
