Terms: an odd term record is no term of its group

Callers saw: nothing yet; by reading and in a test. A record that another writer has stored under the kind of term records was observed whatever it said: one of another group, or with a term of 2^64 - 1, is newer than all later promotions of the group, which then has no primary for good.

Change: the record must be of the group whose name it has, and its term one that promotions reach. Otherwise it is left out and logged once (term_unreadable), and a promotion that needs it is not started.

Evidence: TestOddRecordIsNoTerm, FuzzRecord.

--- a/internal/daemon/configuration.go
+++ b/internal/daemon/configuration.go
@@ -2,7 +2,6 @@
 
 import (
 	"context"
-	"encoding/json"
 	"slices"
 	"sync"
 	"time"
@@ -58,11 +57,12 @@
 	if object.Kind != objectstore.KindTerm || object.Deleted {
 		return
 	}
-	var record api.TermRecord
-	if err := json.Unmarshal(object.Data, &record); err != nil {
-		logrus.WithFields(logrus.Fields{logfield.Object: object.Name, logfield.Error: err}).Warn(logevent.TermUnreadable)
+	record, err := terms.DecodeRecord(object)
+	if err != nil {
+		d.unreadable.Report(logevent.TermUnreadable, object.Kind, object.Name, err)
 		return
 	}
+	d.unreadable.Clear(object.Kind, object.Name)
 	d.observeTerm(terms.FromRecord(record), "platform")
 }
 
--- a/internal/daemon/daemon.go
+++ b/internal/daemon/daemon.go
@@ -48,7 +48,9 @@
 	frontend       *frontend.Server
 	peers          *peer.Server
 	vms            vmTable
-	seeds          []*peer.Client
+	// unreadable logs the term records that cannot be read.
+	unreadable objectstore.UnreadableLog
+	seeds      []*peer.Client
 }
 
 // New assembles a daemon from valid settings. It returns an error if a certificate file cannot be used.
--- a/internal/failover/promoter.go
+++ b/internal/failover/promoter.go
@@ -6,7 +6,6 @@
 	"encoding/hex"
 	"encoding/json"
 	"errors"
-	"fmt"
 	"time"
 
 	"github.com/papayacove/papayacove/api"
@@ -208,9 +207,9 @@
 	if err != nil {
 		return api.TermRecord{}, 0, err
 	}
-	var record api.TermRecord
-	if err := json.Unmarshal(object.Data, &record); err != nil {
-		return api.TermRecord{}, 0, fmt.Errorf("decode term record of %s: %w", c.group.Name, err)
+	record, err := terms.DecodeRecord(object)
+	if err != nil {
+		return api.TermRecord{}, 0, err
 	}
 	return record, object.Version, nil
 }
