Soak of the protocol lines: odd entries of other writers

Another writer's entries are stored while the soak plays, and stay: documents that are deep, large, of another type or none, entries of targets with one odd field, and an odd record in place of a group's promotion lock. They are among targets, configuration, daemons, promotion locks and lost replicas.

--- a/standin/soak/lines.go
+++ b/standin/soak/lines.go
@@ -132,6 +132,7 @@
 	{"primary_cut_and_group_released", onGroup(func(f *lines.Fleet, g *lines.Group, random *rand.Rand) (string, func()) {
 		return thenRelease(f, g, random, primaryLast(g), func() (string, func()) { return cutPrimary(f, g, random) })
 	})},
+	{"odd_entries", writeOddEntries},
 }
 
 // maxCopyAge is the longest time that a copy is old from which the store is restored.
