Engine: list the lost replicas as soon as the entries are complete

The wait for complete entries was looked at every half second, so that a daemon that starts promoted up to half a second later than before. It now ends when the entries are complete.

--- a/internal/engine/engine.go
+++ b/internal/engine/engine.go
@@ -222,12 +222,15 @@
 func (e *Engine) RecordDirectoryRestored() { e.RecordDirectoryFailure(clock.SinceBoot()) }
 
 // isDirectorySettled reports whether all targets that may have acknowledged commits are known, also those that are gone.
-func (e *Engine) isDirectorySettled() bool { return e.hasFollowedEntries() && e.knowsLosses.Load() }
+func (e *Engine) isDirectorySettled() bool {
+	return e.untilFollowedEntries() <= 0 && e.knowsLosses.Load()
+}
 
-// hasFollowedEntries reports whether the target entries have been followed without a failure for removalGrace, the
-// time that lapsed entries need to return. Before that, a target that has acknowledged commits may be missing.
-func (e *Engine) hasFollowedEntries() bool {
-	return clock.SinceBoot()-time.Duration(e.directoryFailed.Load()) >= removalGrace
+// untilFollowedEntries returns how long it takes until the target entries have been followed without a failure for
+// removalGrace, the time that lapsed entries need to return. Before that, a target that has acknowledged commits may be
+// missing.
+func (e *Engine) untilFollowedEntries() time.Duration {
+	return time.Duration(e.directoryFailed.Load()) + removalGrace - clock.SinceBoot()
 }
 
 // SetDaemons sets the daemons that share the connections of the targets, this one included.
--- a/internal/engine/losses.go
+++ b/internal/engine/losses.go
@@ -16,7 +16,7 @@
 const (
 	// lossTimeout bounds one call to the registry of lost replicas.
 	lossTimeout = time.Second
-	// lossRetryDelay is the time before a call to it is repeated, and between two looks at whether the entries are complete.
+	// lossRetryDelay is the time before a failed call to it is repeated.
 	lossRetryDelay = 500 * time.Millisecond
 )
 
@@ -106,8 +106,8 @@
 // learnLosses takes over the losses from before the start of this daemon, once the entries of the targets are complete: a
 // replica whose entry was removed later is known to be lost here as well. It repeats a failed call until ctx ends.
 func (e *Engine) learnLosses(ctx context.Context) {
-	for !e.hasFollowedEntries() {
-		if clock.Sleep(ctx, lossRetryDelay) != nil {
+	for left := e.untilFollowedEntries(); left > 0; left = e.untilFollowedEntries() {
+		if clock.Sleep(ctx, left) != nil {
 			return
 		}
 	}
