--- a/internal/daemonregistry/registry_test.go
+++ b/internal/daemonregistry/registry_test.go
@@ -212,8 +212,9 @@
 	"null":                    `null`, "nothing": ``, "no object": `7`,
 }
 
-// TestOddEntryHoldsNothing guards against targets that are held by a daemon that does not exist: an odd entry with a large
-// capacity would get them all, and statements would be sent to an address where nobody listens. It is logged once.
+// TestOddEntryHoldsNothing guards against targets that are held by a daemon that does not exist: an odd entry with a
+// large capacity would get them all, and statements would be sent to an address where nobody listens. It is logged
+// once.
 func TestOddEntryHoldsNothing(t *testing.T) {
 	for name, data := range oddEntries {
 		r := New(nil, api.DaemonEntry{Name: "self", Address: "10.0.0.1:1"}, nil)
--- a/internal/engine/engine.go
+++ b/internal/engine/engine.go
@@ -221,7 +221,8 @@
 // for a while.
 func (e *Engine) RecordDirectoryRestored() { e.RecordDirectoryFailure(clock.SinceBoot()) }
 
-// isDirectorySettled reports whether all targets that may have acknowledged commits are known, also those that are gone.
+// isDirectorySettled reports whether all targets that may have acknowledged commits are known, also those that are
+// gone.
 func (e *Engine) isDirectorySettled() bool {
 	return e.untilFollowedEntries() <= 0 && e.knowsLosses.Load()
 }
--- a/internal/engine/group.go
+++ b/internal/engine/group.go
@@ -121,8 +121,8 @@
 	monitor takeover.PrimaryMonitor
 	// lostReplicas are the replicas that are gone and may alone hold an acknowledged commit.
 	lostReplicas takeover.LostReplicas
-	// losses keeps the lost replicas for daemons that start later; nil if they are not kept. registered are the names of those
-	// that it holds, as far as this daemon has recorded or read them. lossesChanged asks for a look at both.
+	// losses keeps the lost replicas for daemons that start later; nil if they are not kept. registered are the names
+	// of those that it holds, as far as this daemon has recorded or read them. lossesChanged asks for a look at both.
 	losses        LossRegistry
 	registered    map[string]bool
 	lossesChanged chan struct{}
--- a/internal/engine/losses.go
+++ b/internal/engine/losses.go
@@ -20,8 +20,14 @@
 	lossRetryDelay = 500 * time.Millisecond
 )
 
-// keepLosses keeps the registry as the group's lost replicas are, until ctx ends, while this daemon judges the primary. It
-// records each loss at once: the daemons that know of it may end at any time.
+// The changes of the registry, as they are logged.
+const (
+	changeRecord = "record"
+	changeForget = "forget"
+)
+
+// keepLosses keeps the registry as the group's lost replicas are, until ctx ends, while this daemon judges the primary.
+// It records each loss at once: the daemons that know of it may end at any time.
 func (g *group) keepLosses(ctx context.Context) {
 	for ctx.Err() == nil {
 		select {
@@ -39,10 +45,12 @@
 	add, remove := g.registryChanges()
 	done := true
 	for _, loss := range add {
-		done = g.callRegistry(ctx, "record", loss.Replica, func(ctx context.Context) error { return g.losses.Record(ctx, loss) }) && done
+		record := func(ctx context.Context) error { return g.losses.Record(ctx, loss) }
+		done = g.callRegistry(ctx, changeRecord, loss.Replica, record) && done
 	}
 	for _, name := range remove {
-		done = g.callRegistry(ctx, "forget", name, func(ctx context.Context) error { return g.losses.Forget(ctx, g.name, name) }) && done
+		forget := func(ctx context.Context) error { return g.losses.Forget(ctx, g.name, name) }
+		done = g.callRegistry(ctx, changeForget, name, forget) && done
 	}
 	return done
 }
@@ -82,7 +90,7 @@
 	}
 	g.mu.Lock()
 	defer g.mu.Unlock()
-	if change == "record" {
+	if change == changeRecord {
 		g.registered[name] = true
 	} else {
 		delete(g.registered, name)
@@ -97,14 +105,15 @@
 	g.registered[loss.Replica] = true
 	if g.members[loss.Replica] == nil {
 		g.lostReplicas.Adopt(loss, clock.SinceBoot())
-		g.log().WithFields(logrus.Fields{logfield.Target: loss.Replica, logfield.Held: loss.Position}).Info(logevent.LossAdopted)
+		fields := logrus.Fields{logfield.Target: loss.Replica, logfield.Held: loss.Position}
+		g.log().WithFields(fields).Info(logevent.LossAdopted)
 		g.requestStatusRound()
 	}
 	signal(g.lossesChanged)
 }
 
-// learnLosses takes over the losses from before the start of this daemon, once the entries of the targets are complete: a
-// replica whose entry was removed later is known to be lost here as well. It repeats a failed call until ctx ends.
+// learnLosses takes over the losses from before the start of this daemon, once the entries of the targets are complete:
+// a replica whose entry was removed later is known to be lost here as well. It repeats a failed call until ctx ends.
 func (e *Engine) learnLosses(ctx context.Context) {
 	for left := e.untilFollowedEntries(); left > 0; left = e.untilFollowedEntries() {
 		if clock.Sleep(ctx, left) != nil {
--- a/internal/engine/lostreplica_test.go
+++ b/internal/engine/lostreplica_test.go
@@ -14,9 +14,9 @@
 	"github.com/papayacove/papayacove/internal/policy/takeover"
 )
 
-// TestPrimaryThatLeadsIsNotReplacedByLess guards against the loss of acknowledged commits of a primary that is well: its only
-// other replica is gone with them, and the one that is left does not hear it. However long that lasts, the primary has its
-// log; only one that does not answer is replaced in the end.
+// TestPrimaryThatLeadsIsNotReplacedByLess guards against the loss of acknowledged commits of a primary that is well:
+// its only other replica is gone with them, and the one that is left does not hear it. However long that lasts, the
+// primary has its log; only one that does not answer is replaced in the end.
 func TestPrimaryThatLeadsIsNotReplacedByLess(t *testing.T) {
 	g := newTestGroup(&fakeTarget{})
 	g.mu.Lock()
@@ -80,9 +80,9 @@
 
 func (heldLock) Release(context.Context, string) {}
 
-// TestLossesFromBeforeTheStartAreKnown guards against a daemon that promotes a replica without the commits that one had which
-// was lost before the daemon started: until the registry has answered, the targets are not complete, and then its losses
-// block as those that the daemon has seen, those of a group that no configuration has had so far as well.
+// TestLossesFromBeforeTheStartAreKnown guards against a daemon that promotes a replica without the commits that one had
+// which was lost before the daemon started: until the registry has answered, the targets are not complete, and then its
+// losses block as those that the daemon has seen, those of a group that no configuration has had so far as well.
 func TestLossesFromBeforeTheStartAreKnown(t *testing.T) {
 	registry := &lossLog{failures: 2, losses: map[string]api.LostReplica{
 		"c": {Group: "g", Replica: "c", WasPaused: true, Position: api.Position{Term: 1, Offset: 14}}, "d": {Group: "later", Replica: "d"}, "b": {Group: "g", Replica: "b"},
@@ -112,8 +112,8 @@
 	})
 }
 
-// TestLossesAreRegisteredUntilTheyEnd loses a replica while the registry fails: the loss is recorded nevertheless, and forgotten
-// once another replica has its log. A daemon that does not judge the primary leaves both to the others.
+// TestLossesAreRegisteredUntilTheyEnd loses a replica while the registry fails: the loss is recorded nevertheless, and
+// forgotten once another replica has its log. A daemon that does not judge the primary leaves both to the others.
 func TestLossesAreRegisteredUntilTheyEnd(t *testing.T) {
 	for _, judges := range []bool{true, false} {
 		registry := &lossLog{failures: 2, losses: make(map[string]api.LostReplica)}
--- a/internal/lossregistry/lossregistry.go
+++ b/internal/lossregistry/lossregistry.go
@@ -1,6 +1,6 @@
-// Package lossregistry keeps the lost replicas of all groups in the object store: those that are gone and may alone hold an
-// acknowledged commit. A daemon that starts after such a loss sees only the replicas that are left, and would promote one of
-// them without the commit.
+// Package lossregistry keeps the lost replicas of all groups in the object store: those that are gone and may alone
+// hold an acknowledged commit. A daemon that starts after such a loss sees only the replicas that are left, and would
+// promote one of them without the commit.
 package lossregistry
 
 import (
--- a/internal/objectstore/apply_change.go
+++ b/internal/objectstore/apply_change.go
@@ -61,8 +61,8 @@
 	if err != nil {
 		return ChangeResult{}, retryable(err)
 	}
-	// What another writer has stored may have no readable history. It is replaced like any other version, and nothing is
-	// known of the changes before it.
+	// What another writer has stored may have no readable history. It is replaced like any other version, and nothing
+	// is known of the changes before it.
 	history, err := historyOf(stored.Data)
 	if err != nil {
 		logrus.WithFields(a.fields()).WithFields(logrus.Fields{
--- a/internal/objectstore/decode.go
+++ b/internal/objectstore/decode.go
@@ -16,8 +16,8 @@
 // errNoObject means that an entry of a list has no usable kind, name or version.
 var errNoObject = errors.New("malformed object")
 
-// decodeList decodes the answer to a list or a watch. An object that cannot be read is logged and left out. It fails if the
-// list itself cannot be read, so that what it holds is not known.
+// decodeList decodes the answer to a list or a watch. An object that cannot be read is logged and left out. It fails if
+// the list itself cannot be read, so that what it holds is not known.
 func (c *Client) decodeList(text []byte, list *api.ObjectList) error {
 	entries, err := entriesOf(text, "objects", &list.Revision)
 	if err != nil {
@@ -36,7 +36,8 @@
 	return nil
 }
 
-// decodeVMs decodes the VM list. A VM that cannot be read is logged and left out. It fails if the list itself cannot be read.
+// decodeVMs decodes the VM list. A VM that cannot be read is logged and left out. It fails if the list itself cannot be
+// read.
 func (c *Client) decodeVMs(text []byte, list *api.VMList) error {
 	entries, err := entriesOf(text, "vms", &list.Revision)
 	if err != nil {
@@ -71,8 +72,8 @@
 	return rawjson.Elements(value)
 }
 
-// decodeObject decodes an object. Its data is not looked into, and does not share the memory of the text. With an error only its
-// kind and name may be set.
+// decodeObject decodes an object. Its data is not looked into, and does not share the memory of the text. With an error
+// only its kind and name may be set.
 func decodeObject(text []byte) (api.Object, error) {
 	fields, err := rawjson.Fields(text)
 	if err != nil {
--- a/internal/objectstore/decode_test.go
+++ b/internal/objectstore/decode_test.go
@@ -32,12 +32,14 @@
 	return client
 }
 
-// TestObjectThatCannotBeReadIsLeftOutAlone guards against a daemon that stops following the platform for one odd object or VM:
-// the others of the answer are delivered, and it is logged once.
+// TestObjectThatCannotBeReadIsLeftOutAlone guards against a daemon that stops following the platform for one odd object
+// or VM: the others of the answer are delivered, and it is logged once.
 func TestObjectThatCannotBeReadIsLeftOutAlone(t *testing.T) {
 	for _, odd := range []string{
-		deep, `{"kind":"group","name":"odd","version":"7"}`, `{"kind":"group","name":"odd","version":1e999,"data":{}}`, `{"kind":"group","name":"","version":7}`,
-		`{"kind":` + deep + `,"name":"odd","version":7}`, `{"kind":"group","name":"odd","version":7,"deleted":"no"}`, `null`, `7`, `{}`, `{"name":7}`,
+		deep, `{"kind":"group","name":"odd","version":"7"}`, `{"kind":"group","name":"odd","version":1e999,"data":{}}`,
+		`{"kind":"group","name":"","version":7}`,
+		`{"kind":` + deep + `,"name":"odd","version":7}`, `{"kind":"group","name":"odd","version":7,"deleted":"no"}`,
+		`null`, `7`, `{}`, `{"name":7}`,
 	} {
 		client := clientOf(t, `{"revision":9,"objects":[{"kind":"group","name":"a","version":1,"data":`+deep+`},`+odd+`,{"kind":"group","name":"z","version":2,"deleted":true}]}`)
 		var output bytes.Buffer
--- a/internal/objectstore/unreadable.go
+++ b/internal/objectstore/unreadable.go
@@ -18,14 +18,15 @@
 	maxLoggedReason = 400
 )
 
-// UnreadableLog logs stored objects that cannot be used, each once until it can be used again or is gone. Its zero value is
-// ready to use. Its methods may be called concurrently.
+// UnreadableLog logs stored objects that cannot be used, each once until it can be used again or is gone. Its zero
+// value is ready to use. Its methods may be called concurrently.
 type UnreadableLog struct {
 	mu     sync.Mutex
 	logged map[objectKey]bool
 }
 
-// Report logs an event with the kind and the name of an object, which is empty if it cannot be read either, and the reason.
+// Report logs an event with the kind and the name of an object, which is empty if it cannot be read either, and the
+// reason.
 func (l *UnreadableLog) Report(event, kind, name string, reason error) {
 	key := objectKey{kind, shorten(name, maxLoggedName)}
 	l.mu.Lock()
--- a/internal/peer/close_test.go
+++ b/internal/peer/close_test.go
@@ -8,8 +8,8 @@
 	"time"
 )
 
-// TestConnectionAcceptedDuringCloseIsClosed guards against a daemon that has stopped and still answers one of the others: its
-// connection was accepted, and not yet among those that Close closes.
+// TestConnectionAcceptedDuringCloseIsClosed guards against a daemon that has stopped and still answers one of the
+// others: its connection was accepted, and not yet among those that Close closes.
 func TestConnectionAcceptedDuringCloseIsClosed(t *testing.T) {
 	server := serve(t, &fakeDaemon{})
 	server.Close()
--- a/internal/policy/takeover/lost_replicas.go
+++ b/internal/policy/takeover/lost_replicas.go
@@ -10,8 +10,8 @@
 )
 
 // LostReplicaTimeout is the time after which a lost replica no longer blocks the replacement of a primary that does not
-// answer. It is not expected to return by then, and blocking longer would leave the group without a primary. A primary that
-// still leads has its log, so that its replacement by a replica with less is blocked for good.
+// answer. It is not expected to return by then, and blocking longer would leave the group without a primary. A primary
+// that still leads has its log, so that its replacement by a replica with less is blocked for good.
 const LostReplicaTimeout = 30 * time.Second
 
 // LostReplicas is the set of replicas that are gone and may alone hold an acknowledged commit. The receipt of a
@@ -62,8 +62,8 @@
 	l.lost[loss.Replica] = lostReplica{since: now, position: loss.Position, wasPaused: loss.WasPaused}
 }
 
-// Describe returns a lost replica of a group for other daemons. A position that the primary has stated since is left out: it is
-// of the primary's log, which another daemon asks for itself.
+// Describe returns a lost replica of a group for other daemons. A position that the primary has stated since is left
+// out: it is of the primary's log, which another daemon asks for itself.
 func (l *LostReplicas) Describe(group, name string) api.LostReplica {
 	loss := api.LostReplica{Group: group, Replica: name, WasPaused: l.lost[name].wasPaused}
 	if loss.WasPaused {
@@ -75,13 +75,14 @@
 // MarkReturned removes a replica that has returned.
 func (l *LostReplicas) MarkReturned(name string) { delete(l.lost, name) }
 
-// Blocking returns the names of the lost replicas that block promotions at the time now while the primary does not answer, in
-// no particular order.
+// Blocking returns the names of the lost replicas that block promotions at the time now while the primary does not
+// answer, in no particular order.
 func (l *LostReplicas) Blocking(now time.Duration) []string {
 	return slices.DeleteFunc(l.All(), func(name string) bool { return now-l.lost[name].since >= LostReplicaTimeout })
 }
 
-// All returns the names of all lost replicas, which block the replacement of a primary that leads, in no particular order.
+// All returns the names of all lost replicas, which block the replacement of a primary that leads, in no particular
+// order.
 func (l *LostReplicas) All() []string { return slices.Collect(maps.Keys(l.lost)) }
 
 // Reconcile applies the answers of a status round: it removes the lost replicas whose commits another replica has now,
--- a/internal/promotionlock/promotionlock.go
+++ b/internal/promotionlock/promotionlock.go
@@ -188,8 +188,8 @@
 	return nil
 }
 
-// unknownHolder stands for the holder of a record that cannot be read: it may have replaced that of a daemon that still holds
-// the lock.
+// unknownHolder stands for the holder of a record that cannot be read: it may have replaced that of a daemon that still
+// holds the lock.
 const unknownHolder = "(unknown)"
 
 // errNoDutyRecord means that an object is JSON, but none of a promotion lock.
--- a/internal/promotionlock/unreadable_test.go
+++ b/internal/promotionlock/unreadable_test.go
@@ -9,13 +9,14 @@
 	"github.com/papayacove/papayacove/internal/objectstore"
 )
 
-// TestRecordThatCannotBeReadIsAHold guards against two daemons that order promotions at the same time, and against a group that
-// is left without promotions: another writer replaces the record of a holder by something that cannot be read. It counts as
-// held for as long as a hold lasts, and is then replaced.
+// TestRecordThatCannotBeReadIsAHold guards against two daemons that order promotions at the same time, and against a
+// group that is left without promotions: another writer replaces the record of a holder by something that cannot be
+// read. It counts as held for as long as a hold lasts, and is then replaced.
 func TestRecordThatCannotBeReadIsAHold(t *testing.T) {
 	deep := strings.Repeat("[", 20_000) + strings.Repeat("]", 20_000)
 	for _, data := range []string{
-		deep, `{"holder":` + deep + `}`, `{"holder":7,"era":0}`, `{"holder":"","era":1e999}`, `{"holder":"","era":-1}`, `{"holder":"","era":"0"}`, `{}`, `null`, `7`, `"x"`, `{"holder":""}`,
+		deep, `{"holder":` + deep + `}`, `{"holder":7,"era":0}`, `{"holder":"","era":1e999}`, `{"holder":"","era":-1}`,
+		`{"holder":"","era":"0"}`, `{}`, `null`, `7`, `"x"`, `{"holder":""}`,
 		`{"era":0}`, `{"holder":"","era":0,"change_id":7}`, `{"holder":null,"era":0}`, `nope`,
 	} {
 		store := &memoryStore{}
@@ -49,8 +50,8 @@
 	}
 }
 
-// TestUpdateReplacesWhatCannotBeRead guards against an object that can never be changed again once another writer has stored
-// something without a history of changes.
+// TestUpdateReplacesWhatCannotBeRead guards against an object that can never be changed again once another writer has
+// stored something without a history of changes.
 func TestUpdateReplacesWhatCannotBeRead(t *testing.T) {
 	store := &memoryStore{version: 3, data: []byte(`{"recent_changes":7}`)}
 	record, err := store.Get(t.Context(), Kind, group)
--- a/internal/rawjson/rawjson_test.go
+++ b/internal/rawjson/rawjson_test.go
@@ -24,11 +24,12 @@
 	}
 }
 
-// TestMalformedStructuresAreRefused guards against a truncated or damaged answer that is taken for a shorter list: what is
-// missing from a list counts as deleted.
+// TestMalformedStructuresAreRefused guards against a truncated or damaged answer that is taken for a shorter list: what
+// is missing from a list counts as deleted.
 func TestMalformedStructuresAreRefused(t *testing.T) {
 	for _, text := range []string{
-		``, ` `, `[`, `[1`, `[1,`, `[1,]`, `[,1]`, `[1 2]`, `[1]]`, `[1] x`, `[[1]`, `["a]`, `["a\"]`, `[{]`, `{}`, `7`, `[:]`, `[1:2]`,
+		``, ` `, `[`, `[1`, `[1,`, `[1,]`, `[,1]`, `[1 2]`, `[1]]`, `[1] x`, `[[1]`, `["a]`, `["a\"]`, `[{]`, `{}`, `7`,
+		`[:]`, `[1:2]`,
 	} {
 		if elements, err := Elements([]byte(text)); !errors.Is(err, ErrStructure) {
 			t.Errorf("%q: got %q, error %v, want %v", text, elements, err, ErrStructure)
@@ -44,8 +45,8 @@
 	}
 }
 
-// TestLookupIsExact guards against a field with a name of other case, or an earlier one of the same name, that is taken for
-// the one asked for.
+// TestLookupIsExact guards against a field with a name of other case, or an earlier one of the same name, that is taken
+// for the one asked for.
 func TestLookupIsExact(t *testing.T) {
 	fields, err := Fields([]byte(`{"Name":1,"Name":2,"name":3,"N\u0061me":4}`))
 	if err != nil || string(Lookup(fields, "Name")) != "4" || string(Lookup(fields, "name")) != "3" || Lookup(fields, "NAME") != nil {
@@ -53,8 +54,8 @@
 	}
 }
 
-// FuzzSplit splits any document: what encoding/json accepts is split into the same parts, nothing panics, and each part is
-// of the document.
+// FuzzSplit splits any document: what encoding/json accepts is split into the same parts, nothing panics, and each part
+// is of the document.
 func FuzzSplit(f *testing.F) {
 	for _, text := range []string{`[]`, `{}`, `[1,"a",[2],{"b":null}]`, `{"a":[1,{}],"b":"\"","a":2}`, `[[[`, `{"a":]`, "[1,\xff]", `null`} {
 		f.Add([]byte(text))
--- a/internal/terms/decode_test.go
+++ b/internal/terms/decode_test.go
@@ -11,13 +11,17 @@
 
 // oddRecords are made of a good one by one replacement.
 var oddRecords = map[string][2]string{
-	"of another group": {`"g"`, `"h"`}, "no group": {`"group":"g",`, ``}, "term too large": {`"term":3,`, `"term":18446744073709551615,`}, "term beyond 64 bits": {`"term":3,`, `"term":99999999999999999999,`},
-	"negative term": {`"term":3,`, `"term":-3,`}, "no term": {`"term":3,`, ``}, "term a text": {`"term":3,`, `"term":"3",`}, "start too large": {`{"term":3`, `{"term":18446744073709551615`},
-	"deep": {`"a"`, strings.Repeat("[", 20_000) + strings.Repeat("]", 20_000)}, "no object": {goodRecord, `7`}, "nothing": {goodRecord, ``}, "null": {goodRecord, `null`},
+	"of another group": {`"g"`, `"h"`}, "no group": {`"group":"g",`, ``},
+	"term too large":      {`"term":3,`, `"term":18446744073709551615,`},
+	"term beyond 64 bits": {`"term":3,`, `"term":99999999999999999999,`},
+	"negative term":       {`"term":3,`, `"term":-3,`}, "no term": {`"term":3,`, ``},
+	"term a text": {`"term":3,`, `"term":"3",`}, "start too large": {`{"term":3`, `{"term":18446744073709551615`},
+	"deep": {`"a"`, strings.Repeat("[", 20_000) + strings.Repeat("]", 20_000)}, "no object": {goodRecord, `7`},
+	"nothing": {goodRecord, ``}, "null": {goodRecord, `null`},
 }
 
-// TestOddRecordIsNoTerm guards against a group whose promotions all look old: a record with a term that no promotion reaches, or of
-// another group, would be the newest for good.
+// TestOddRecordIsNoTerm guards against a group whose promotions all look old: a record with a term that no promotion
+// reaches, or of another group, would be the newest for good.
 func TestOddRecordIsNoTerm(t *testing.T) {
 	if record, err := DecodeRecord(api.Object{Name: "g", Data: []byte(goodRecord)}); err != nil || record.Term != 3 || record.Primary != "a" {
 		t.Errorf("got %+v, error %v, want the record", record, err)
--- a/internal/terms/terms.go
+++ b/internal/terms/terms.go
@@ -59,15 +59,15 @@
 	return &Table{groups: make(map[string]entry), changed: make(chan struct{})}
 }
 
-// maxTerm is the largest term that a record may state. At a promotion a millisecond it takes 8,900 years; a larger one would make
-// all later terms look old.
+// maxTerm is the largest term that a record may state. At a promotion a millisecond it takes 8,900 years; a larger one
+// would make all later terms look old.
 const maxTerm = 1 << 48
 
 // errNoRecord means that an object is not the term record of its group.
 var errNoRecord = errors.New("no term record")
 
-// DecodeRecord decodes the term record that is stored under the name of a group. It fails unless the record is of that group,
-// and has a term that promotions can reach: another writer may have stored it.
+// DecodeRecord decodes the term record that is stored under the name of a group. It fails unless the record is of that
+// group, and has a term that promotions can reach: another writer may have stored it.
 func DecodeRecord(object api.Object) (api.TermRecord, error) {
 	var record api.TermRecord
 	if err := json.Unmarshal(object.Data, &record); err != nil {
@@ -77,7 +77,7 @@
 		return api.TermRecord{}, fmt.Errorf("%w: %.100s is of group %.100q", errNoRecord, object.Name, record.Group)
 	}
 	if record.Term == 0 || record.Term > maxTerm || record.Start.Term > maxTerm {
-		return api.TermRecord{}, fmt.Errorf("%w: %.100s: term %d, start %s", errNoRecord, object.Name, record.Term, record.Start)
+		return api.TermRecord{}, fmt.Errorf("%w: %.100s: term %d from %s", errNoRecord, object.Name, record.Term, record.Start)
 	}
 	return record, nil
 }
--- a/standin/lines/failures_test.go
+++ b/standin/lines/failures_test.go
@@ -199,9 +199,11 @@
 
 // malformedSpecs are specs of objects that are not what any kind of object holds.
 var malformedSpecs = []string{
-	`null`, `[]`, `""`, `"{"`, `7`, `{}`, `{"Version":"seven"}`, `{"Version":-1}`, `{"Version":2,"Routes":[null],"Tenants":[null,7]}`,
+	`null`, `[]`, `""`, `"{"`, `7`, `{}`, `{"Version":"seven"}`, `{"Version":-1}`,
+	`{"Version":2,"Routes":[null],"Tenants":[null,7]}`,
 	`{"Version":1e400}`, `{"Backend":"group","Address":"","Zone":"","PoolSize":-5,"State":"ready","DbRole":"primary"}`,
-	`{"name":"daemon-9","address":"nowhere","beat":-1}`, `{"name":"daemon-9","zone":"zone-1","address":"127.0.0.1:1","beat":1,"capacity":-1}`,
+	`{"name":"daemon-9","address":"nowhere","beat":-1}`,
+	`{"name":"daemon-9","zone":"zone-1","address":"127.0.0.1:1","beat":1,"capacity":-1}`,
 	`{"holder":7,"token":"x"}`,
 }
 
@@ -267,9 +269,9 @@
 	return data
 }
 
-// TestDeeplyNestedObjectsCostThemselvesAlone guards against daemons that stop following the store for an object that is nested
-// deeper than their decoder allows: a version of the configuration that is written after it comes into force, and a daemon
-// that starts after it serves.
+// TestDeeplyNestedObjectsCostThemselvesAlone guards against daemons that stop following the store for an object that is
+// nested deeper than their decoder allows: a version of the configuration that is written after it comes into force,
+// and a daemon that starts after it serves.
 func TestDeeplyNestedObjectsCostThemselvesAlone(t *testing.T) {
 	c := newCluster(t, 1)
 	deep := []byte(strings.Repeat(`{"Backend":[`, 20_000) + strings.Repeat("]}", 20_000))
@@ -288,13 +290,14 @@
 	})
 }
 
-// TestOddEntriesDoNotBlockPromotions guards against a group that is left without a primary: a promotion waits for the answer of
-// each member, and an entry that names no target answers none.
+// TestOddEntriesDoNotBlockPromotions guards against a group that is left without a primary: a promotion waits for the
+// answer of each member, and an entry that names no target answers none.
 func TestOddEntriesDoNotBlockPromotions(t *testing.T) {
 	c := newCluster(t, 2)
 	for name, entry := range map[string]map[string]any{
-		"port-0": {"Address": "127.0.0.1:0"}, "any-address": {"Address": "0.0.0.0:1"}, "far-too-many-slots": {"PoolSize": 1 << 40},
-		"no-count": {"Seq": nil}, "no-zone": {"Zone": ""},
+		"port-0": {"Address": "127.0.0.1:0"}, "any-address": {"Address": "0.0.0.0:1"},
+		"far-too-many-slots": {"PoolSize": 1 << 40},
+		"no-count":           {"Seq": nil}, "no-zone": {"Zone": ""},
 	} {
 		good := map[string]any{
 			"Backend": "group", "Address": "127.0.0.1:1", "Zone": "zone-1", "Version": "v1", "PoolSize": 5, "State": "ready", "WarmupLeftMs": 0,
@@ -311,8 +314,9 @@
 	})
 }
 
-// TestDaemonThatStartsLaterKnowsOfLostReplicas guards against the loss of acknowledged commits by a daemon that has started since
-// the only replica with them was lost: it sees a primary whose commits stand still, and a replica to put in its place.
+// TestDaemonThatStartsLaterKnowsOfLostReplicas guards against the loss of acknowledged commits by a daemon that has
+// started since the only replica with them was lost: it sees a primary whose commits stand still, and a replica to put
+// in its place.
 func TestDaemonThatStartsLaterKnowsOfLostReplicas(t *testing.T) {
 	c := newCluster(t, 1)
 	first := c.daemons[0]
