Lost replicas: a daemon that becomes a judge records them

The daemons that judge a primary record its lost replicas. One that becomes a judge because another has gone looked at them only at the next change of the group. It looks at each change of the daemons now.

TestLossesAreRegisteredUntilTheyEnd waited in vain for the record before, and passes.

--- a/internal/engine/group.go
+++ b/internal/engine/group.go
@@ -327,6 +327,7 @@
 	g.mu.Lock()
 	defer g.mu.Unlock()
 	g.limits, g.daemons, g.judgeRank, g.zones = limits, daemons, rank, zones
+	signal(g.lossesChanged)
 	for _, m := range g.members {
 		g.applyShares(m)
 	}
--- a/internal/engine/lostreplica_test.go
+++ b/internal/engine/lostreplica_test.go
@@ -113,7 +113,8 @@
 }
 
 // TestLossesAreRegisteredUntilTheyEnd loses a replica while the registry fails: the loss is recorded nevertheless, and
-// forgotten once another replica has its log. A daemon that does not judge the primary leaves both to the others.
+// forgotten once another replica has its log. A daemon that does not judge the primary leaves both to the others,
+// and takes them over when they have gone.
 func TestLossesAreRegisteredUntilTheyEnd(t *testing.T) {
 	for _, judges := range []bool{true, false} {
 		registry := &lossLog{failures: 2, losses: make(map[string]api.LostReplica)}
@@ -136,6 +137,8 @@
 			if count() != 0 {
 				t.Error("got a record of a daemon that does not judge, want none")
 			}
+			g.setLimits(g.limits, daemonsNamed(1))
+			awaitTrue(t, "c is recorded once the daemon judges", func() bool { return count() == 1 })
 			continue
 		}
 		awaitTrue(t, "the record of c", func() bool { return count() == 1 })
