Soak of the protocol lines: each group serves before its writes are counted

Cause, traced by the logs: in the check, not in the daemons. An odd record in place of the promotion lock delayed the planned replacement of the second group's primary by 5 s, it left meanwhile, and the callers had ended. Nobody used the group any more, so that no daemon replaced its primary. The soak waits after all faults until each daemon serves a write, but to the first group alone, and then compares what was acknowledged with the log of each primary: without one, every write of the group was lost.

Change: each daemon has to serve a write to each group, so that the check has a primary for each, and fails if one has none.

--- a/standin/soak/lines.go
+++ b/standin/soak/lines.go
@@ -5,6 +5,7 @@
 	"fmt"
 	"math/rand"
 	"strconv"
+	"strings"
 	"sync"
 	"time"
 
@@ -263,27 +264,36 @@
 	return b
 }
 
-// settle waits until each daemon has acknowledged a write, and records a violation if one does not within settleTimeout.
+// settle waits until each daemon has acknowledged a write to each group, and records a violation if one does not within
+// settleTimeout. A group that nobody uses may be without a primary, with whose log the results are compared.
 func (l *ledger) settle(f *lines.Fleet) {
 	for _, d := range f.Daemons {
-		end := time.Now().Add(settleTimeout)
-		for {
-			if caller, err := lines.DialWithKey(d.CallerAddress, lines.StrictDatabase, currentKey(f, busyWorkspace), l.callers); err == nil {
-				r, err := caller.Run("WRITE settled 1")
-				caller.Close()
-				if err == nil && r.Code == "" {
-					break
-				}
-			}
-			if time.Now().After(end) {
-				l.history.RecordViolation("%s serves no write after all faults have ended", d.Name)
+		for _, database := range f.Databases() {
+			if strings.HasPrefix(database, lines.StrictDatabase) && !l.awaitWrite(f, d, database) {
+				l.history.RecordViolation("%s serves no write to %s after all faults have ended", d.Name, database)
 				return
 			}
-			time.Sleep(50 * time.Millisecond)
 		}
 	}
 }
 
+// awaitWrite writes to a database through a daemon until it is acknowledged, and reports whether it was within
+// settleTimeout.
+func (l *ledger) awaitWrite(f *lines.Fleet, d *lines.Daemon, database string) bool {
+	for end := time.Now().Add(settleTimeout); time.Now().Before(end); time.Sleep(50 * time.Millisecond) {
+		caller, err := lines.DialWithKey(d.CallerAddress, database, currentKey(f, busyWorkspace), l.callers)
+		if err != nil {
+			continue
+		}
+		r, err := caller.Run("WRITE settled 1")
+		caller.Close()
+		if err == nil && r.Code == "" {
+			return true
+		}
+	}
+	return false
+}
+
 // runCaller runs sessions of one caller until ctx ends. No other caller writes its item.
 func (l *ledger) runCaller(ctx context.Context, f *lines.Fleet, number int, random *rand.Rand) {
 	item, next := fmt.Sprintf("item-%d", number), 1
