Planned stops: logs name the statement that was cut, and its step

session_cut has the request, its operation, step, target, whether it is in a transaction, its age and the time since the signal. answer_not_sent names an answer whose write failed, statement_dropped a statement that was read while its session was closed, callers_not_opened the callers that were accepted and had no session yet. No decision is changed.

Before: request= empty in each session_cut.

--- a/internal/engine/engine.go
+++ b/internal/engine/engine.go
@@ -50,6 +50,8 @@
 	// stopping is true from the start of a planned stop, closing from the time when sessions are closed.
 	stopping atomic.Bool
 	closing  atomic.Bool
+	// stoppedAt is the time of the boot clock, in nanoseconds, at which a planned stop began; 0 before.
+	stoppedAt atomic.Int64
 	// isolated is true while the daemon is partitioned from most targets.
 	isolated atomic.Bool
 	// probesRefused is the number of probes since the last one that this daemon answered as ready.
@@ -391,6 +393,7 @@
 // callers. Then it closes the sessions without a statement or transaction one by one within half of the remaining
 // time, and the others as they become idle. It returns when none is left, or when ctx ends; FinishSessions ends the rest.
 func (e *Engine) Drain(ctx context.Context, within time.Duration) {
+	e.stoppedAt.Store(int64(clock.SinceBoot()))
 	e.stopping.Store(true)
 	logrus.WithField(logfield.Sessions, len(e.openSessions())).Info(logevent.SessionsDraining)
 	rotation := min(rotationTime, within/2)
@@ -405,7 +408,6 @@
 func (e *Engine) FinishSessions(ctx context.Context) {
 	e.awaitSessions(ctx)
 	for _, s := range e.openSessions() {
-		s.log(Statement{}).Warn(logevent.SessionCut)
 		s.abort()
 	}
 }
--- a/internal/engine/execute.go
+++ b/internal/engine/execute.go
@@ -149,7 +149,9 @@
 	r.group.recordSent(m, clock.SinceBoot())
 	defer r.group.recordEnded(m)
 	r.boundSilence(m, &e)
+	r.session.advance(stepSent, m.name)
 	outcome := l.run(e)
+	r.session.advance(stepAfter(outcome), "")
 	r.recordOutcome(m, outcome)
 	r.mayHaveRun = r.mayHaveRun || outcome.mayHaveRun()
 	return outcome
--- /dev/null
+++ b/internal/engine/progress.go
@@ -0,0 +1,92 @@
+package engine
+
+import (
+	"time"
+
+	"github.com/sirupsen/logrus"
+
+	"github.com/papayacove/papayacove/internal/clock"
+	"github.com/papayacove/papayacove/internal/logevent"
+	"github.com/papayacove/papayacove/internal/logfield"
+)
+
+// step says how far a session has come with a statement.
+type step uint8
+
+const (
+	// stepWaiting is a statement that no target has, or a transaction without a statement in progress.
+	stepWaiting step = iota
+	// stepSent is a statement that a target or its holder may have, and has not answered.
+	stepSent
+	// stepAnswered is a statement that its target has answered.
+	stepAnswered
+	// stepAnswering is a statement whose answer is being sent to the caller.
+	stepAnswering
+)
+
+var stepNames = [...]string{stepWaiting: "waiting", stepSent: "sent", stepAnswered: "answered", stepAnswering: "answering"}
+
+// String returns the name of the step in logs.
+func (s step) String() string { return stepNames[s] }
+
+// progress is the statement in progress of a session. Its statement is zero while there is none.
+type progress struct {
+	statement Statement
+	arrived   time.Time
+	step      step
+	// target is the target that the statement was sent to last; empty if to none.
+	target string
+}
+
+// advance records the step that the statement in progress has reached. An empty target keeps the one before.
+func (s *session) advance(to step, target string) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.progress.step = to
+	if target != "" {
+		s.progress.target = target
+	}
+}
+
+// stepAfter returns the step of a statement after an attempt.
+func stepAfter(outcome attemptResult) step {
+	if outcome.refused != nil || outcome.err != nil {
+		return stepWaiting
+	}
+	return stepAnswered
+}
+
+// progressLog returns an entry that names the session and its statement in progress. The caller holds the lock.
+func (s *session) progressLog() *logrus.Entry {
+	p := s.progress
+	entry := s.log(p.statement).WithFields(logrus.Fields{
+		logfield.Operation: p.statement.Op.String(), logfield.Step: p.step.String(), logfield.Target: p.target, logfield.InTransaction: s.inTransaction,
+	})
+	if !p.arrived.IsZero() {
+		entry = entry.WithField(logfield.Elapsed, time.Since(p.arrived))
+	}
+	if stopped := s.engine.stoppedAt.Load(); stopped != 0 {
+		entry = entry.WithField(logfield.SinceStop, clock.SinceBoot()-time.Duration(stopped))
+	}
+	return entry
+}
+
+// logCut logs that a planned stop closes the session. The caller holds the lock.
+func (s *session) logCut() { s.progressLog().Warn(logevent.SessionCut) }
+
+// logDropped logs at a bounded rate that the statement that has arrived is not served, because the session is closed. The
+// caller holds the lock.
+func (s *session) logDropped() {
+	if limiter.Allow(logevent.StatementDropped, time.Now()) {
+		s.progressLog().Info(logevent.StatementDropped)
+	}
+}
+
+// logNotSent logs at a bounded rate that the answer to the statement in progress could not be sent.
+func (s *session) logNotSent(err error) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	if limiter.Allow(logevent.AnswerNotSent, time.Now()) {
+		s.progressLog().WithField(logfield.Error, err).Info(logevent.AnswerNotSent)
+	}
+}
--- a/internal/engine/session.go
+++ b/internal/engine/session.go
@@ -69,6 +69,9 @@
 	// busy is true from the arrival of a statement until its answer, and within a transaction.
 	busy   bool
 	closed bool
+	// progress is the statement in progress, inTransaction whether a transaction was open when it arrived.
+	progress      progress
+	inTransaction bool
 	// bound is the identity that the session got first; the session ends when its key has another workspace or none. It is
 	// zero while the session has had none.
 	bound callers.Identity
@@ -96,11 +99,16 @@
 			s.expireTransaction()
 			continue
 		}
-		if err != nil || !s.begin() {
+		if err != nil || !s.begin(statement, time.Now()) {
 			return
 		}
 		answer := s.serve(statement, time.Now())
-		if err := s.caller.Answer(answer); err != nil || s.rejected {
+		s.advance(stepAnswering, "")
+		if err := s.caller.Answer(answer); err != nil {
+			s.logNotSent(err)
+			return
+		}
+		if s.rejected {
 			return
 		}
 		if !s.finish() {
@@ -118,11 +126,15 @@
 	return time.Now().Add(s.engine.idleTransaction())
 }
 
-// begin marks the session as busy. It returns false when a planned stop has closed the session.
-func (s *session) begin() bool {
+// begin marks the session as busy with a statement that arrived at now. It returns false when the session has been closed.
+func (s *session) begin(statement Statement, now time.Time) bool {
 	s.mu.Lock()
 	defer s.mu.Unlock()
 	s.busy = true
+	s.progress = progress{statement: statement, arrived: now}
+	if s.closed {
+		s.logDropped()
+	}
 	return !s.closed
 }
 
@@ -131,7 +143,8 @@
 func (s *session) finish() bool {
 	s.mu.Lock()
 	defer s.mu.Unlock()
-	s.busy = s.transaction != nil
+	s.inTransaction = s.transaction != nil
+	s.busy, s.progress = s.inTransaction, progress{}
 	if !s.busy && (s.engine.isClosing() || !s.engine.holdsIdentity(s.bound)) {
 		s.closed = true
 	}
@@ -154,6 +167,9 @@
 func (s *session) abort() {
 	s.mu.Lock()
 	defer s.mu.Unlock()
+	if s.busy && !s.closed {
+		s.logCut()
+	}
 	s.closed = true
 	_ = s.caller.Close()
 }
--- a/internal/lineproxy/proxy.go
+++ b/internal/lineproxy/proxy.go
@@ -27,6 +27,7 @@
 	"github.com/papayacove/papayacove/internal/lossregistry"
 	"github.com/papayacove/papayacove/internal/objectstore"
 	"github.com/papayacove/papayacove/internal/peer"
+	"github.com/papayacove/papayacove/internal/policy/callers"
 	"github.com/papayacove/papayacove/internal/policy/watching"
 	"github.com/papayacove/papayacove/internal/promotionlock"
 	"github.com/papayacove/papayacove/internal/quota"
@@ -78,6 +79,8 @@
 	unreadable objectstore.UnreadableLog
 	// callers is the number of open caller connections.
 	callers atomic.Int64
+	// opening is the number of those whose sessions are not open yet.
+	opening atomic.Int64
 }
 
 // New returns a daemon with the given settings, which must have been checked.
@@ -306,28 +309,39 @@
 func (p *Proxy) serve(conn net.Conn) {
 	caller := platform.NewCaller(conn)
 	defer p.callers.Add(-1)
-	if open := p.callers.Add(1); open > p.maxCallers() {
+	p.opening.Add(1)
+	database, identity, ok := p.openSession(conn, caller, p.callers.Add(1))
+	p.opening.Add(-1)
+	if ok {
+		p.engine.Serve(caller, database, identity)
+	}
+}
+
+// openSession opens the session of a caller connection, one of the given number that are open. It closes the connection and
+// returns false if the caller may open none.
+func (p *Proxy) openSession(conn net.Conn, caller *platform.Caller, open int64) (string, callers.Identity, bool) {
+	if open > p.maxCallers() {
 		logrus.WithFields(logrus.Fields{logfield.Open: open, logfield.Limit: p.maxCallers()}).Warn(logevent.CallersOverLimit)
 		caller.Refuse(&engine.Refusal{Code: result.NotRunConnectionLimit, Reason: "the daemon has no room for another caller"})
-		return
+		return "", callers.Identity{}, false
 	}
 	database, key, err := caller.Start()
 	if err != nil {
 		logrus.WithFields(logrus.Fields{logfield.Caller: conn.RemoteAddr().String(), logfield.Error: err}).Debug(logevent.SessionNotOpened)
 		_ = caller.Close()
-		return
+		return "", callers.Identity{}, false
 	}
 	identity, refusal := p.engine.Identify(database, key, configurationWait)
 	if refusal != nil {
 		p.engine.LogRefusedCaller(database, refusal)
 		caller.Refuse(refusal)
-		return
+		return "", callers.Identity{}, false
 	}
 	if err := caller.Accept(); err != nil {
 		_ = caller.Close()
-		return
+		return "", callers.Identity{}, false
 	}
-	p.engine.Serve(caller, database, identity)
+	return database, identity, true
 }
 
 const (
@@ -367,6 +381,9 @@
 	_ = p.listener.Close()
 	p.awaitOpenings(ctx)
 	p.engine.FinishSessions(ctx)
+	if opening := p.opening.Load(); opening > 0 {
+		logrus.WithField(logfield.Callers, opening).Info(logevent.CallersNotOpened)
+	}
 	p.engine.Close()
 	p.store.Close()
 	logrus.WithFields(logrus.Fields{logfield.Daemon: settings.Name, logfield.Took: clock.SinceBoot() - began}).Info(logevent.DaemonStopped)
--- a/internal/logfield/logfield.go
+++ b/internal/logfield/logfield.go
@@ -134,6 +134,7 @@
 	Sessions      = "sessions"
 	Share         = "share"
 	Silence       = "silence"
+	SinceStop     = "since_stop"
 	Slots         = "slots"
 	Transaction   = "transaction"
 	Transactions  = "transactions"
