Planned stops: a session is closed by its own goroutine

Callers whose next statement arrived in the instant in which a stop, the isolation of the daemon or a withdrawn key closed their idle session got no answer: the statement had been read, and was dropped (statement_dropped).

Cause: another goroutine closed the session between the read of the statement and its registration. The connection was also closed while a statement, or a part of it, lay unread in its receive buffer.

Whoever closes an idle session now asks it to end. Its own goroutine looks once more for a statement that has arrived, also for the rest of one of which a part has, serves it and closes.

A withdrawn key takes the same path; its statement is refused as before.

The times of a stop are a pure function of the grace period now (internal/policy/stopping). The first session is closed after min(2.2 s, half of the grace period), where the half was that of 0.5 s less.

--- a/internal/dialer/peer_other.go
+++ b/internal/dialer/peer_other.go
@@ -9,3 +9,8 @@
 func HasPeerClosed(syscall.Conn) bool {
 	return false
 }
+
+// HasInput always returns true, so that a read with a deadline finds out.
+func HasInput(syscall.Conn) bool {
+	return true
+}
--- a/internal/engine/answers_test.go
+++ b/internal/engine/answers_test.go
@@ -36,6 +36,10 @@
 	return nil
 }
 
+func (c *scriptedCaller) NextArrived() (Statement, error) { return c.Next(time.Time{}) }
+
+func (c *scriptedCaller) Interrupt() {}
+
 func (c *scriptedCaller) Close() error { return nil }
 
 // randomTarget runs commands with random outcomes, and records their effects.
--- a/internal/engine/callers.go
+++ b/internal/engine/callers.go
@@ -140,12 +140,12 @@
 	return e.configuration.Version, clock.SinceBoot() - asOf, true
 }
 
-// endWithdrawn closes the idle sessions whose key the configuration in force no longer has, one by one. The others end
+// endWithdrawn ends the idle sessions whose key the configuration in force no longer has, one by one. The others end
 // with their statement in progress, or with the next one of their transaction.
 func (e *Engine) endWithdrawn() {
 	ended := 0
 	for _, s := range e.openSessions() {
-		if e.holdsIdentity(s.boundIdentity()) || !s.closeIfIdle() {
+		if e.holdsIdentity(s.boundIdentity()) || !s.endIfIdle() {
 			continue
 		}
 		ended++
--- a/internal/engine/engine.go
+++ b/internal/engine/engine.go
@@ -318,7 +318,7 @@
 		if !while() {
 			return
 		}
-		s.closeIfIdle()
+		s.endIfIdle()
 		if clock.Sleep(ctx, interval) != nil {
 			return
 		}
@@ -350,8 +350,6 @@
 	return e.configuration.IdleTransaction
 }
 
-func (e *Engine) isClosing() bool { return e.closing.Load() }
-
 // Serve runs a session until the caller disconnects or the session is closed. identity is what Identify returned.
 func (e *Engine) Serve(caller Caller, database string, identity callers.Identity) {
 	s := newSession(e, caller, database, fmt.Sprintf("s%d", e.nextID.Add(1)), identity)
@@ -360,7 +358,7 @@
 	e.mu.Unlock()
 	if !e.holdsIdentity(s.boundIdentity()) {
 		// The key was withdrawn after Identify.
-		s.closeIfIdle()
+		s.endIfIdle()
 	}
 	s.run()
 }
@@ -377,59 +375,6 @@
 	return slices.Collect(maps.Keys(e.sessions))
 }
 
-const (
-	// rotationTime is the time that the balancer needs to take a daemon that is not ready out of rotation: two
-	// probes, one second apart, and a margin. Callers that reconnect earlier may be sent to this daemon again.
-	rotationTime = 2200 * time.Millisecond
-	// probesBeforeRotation is the number of probes without success after which the balancer sends new callers elsewhere.
-	probesBeforeRotation = 2
-	// idleCloseInterval is the time between closing two idle sessions of an isolated daemon.
-	idleCloseInterval = 5 * time.Millisecond
-	// drainInterval is the time between two checks for sessions that have become idle.
-	drainInterval = 50 * time.Millisecond
-)
-
-// Drain closes the sessions for a planned stop. It keeps serving until the balancer has stopped sending new
-// callers. Then it closes the sessions without a statement or transaction one by one within half of the remaining
-// time, and the others as they become idle. It returns when none is left, or when ctx ends; FinishSessions ends the rest.
-func (e *Engine) Drain(ctx context.Context, within time.Duration) {
-	e.stoppedAt.Store(int64(clock.SinceBoot()))
-	e.stopping.Store(true)
-	logrus.WithField(logfield.Sessions, len(e.openSessions())).Info(logevent.SessionsDraining)
-	rotation := min(rotationTime, within/2)
-	_ = clock.Sleep(ctx, rotation)
-	e.closing.Store(true)
-	interval := (within - rotation) / 2 / time.Duration(max(1, len(e.openSessions())))
-	e.closeIdleSessions(ctx, interval, func() bool { return true })
-	e.awaitSessions(ctx)
-}
-
-// FinishSessions closes the sessions as they become idle, and the rest when ctx ends. No new ones may be opened.
-func (e *Engine) FinishSessions(ctx context.Context) {
-	e.awaitSessions(ctx)
-	for _, s := range e.openSessions() {
-		s.abort()
-	}
-}
-
-// awaitSessions closes the sessions as they become idle, until none is left and other daemons have their answers, or ctx
-// ends.
-func (e *Engine) awaitSessions(ctx context.Context) {
-	for ctx.Err() == nil && (e.CloseIdleSessions() > 0 || e.relayed.Load() > 0) {
-		_ = clock.Sleep(ctx, drainInterval)
-	}
-}
-
-// CloseIdleSessions closes the sessions without a statement or transaction, and returns the number of sessions that were
-// open.
-func (e *Engine) CloseIdleSessions() int {
-	open := e.openSessions()
-	for _, s := range open {
-		s.closeIfIdle()
-	}
-	return len(open)
-}
-
 // closeTimeout bounds the wait for promotions in progress when the engine is closed.
 const closeTimeout = 400 * time.Millisecond
 
--- a/internal/engine/interfaces.go
+++ b/internal/engine/interfaces.go
@@ -11,8 +11,13 @@
 // Caller is the connection of one session.
 type Caller interface {
 	// Next returns the next statement. It fails with ErrIdle when none arrived before the deadline; the zero time
-	// stands for no deadline.
+	// stands for no deadline. It fails with ErrInterrupted after a call of Interrupt that no call of Next has returned yet.
 	Next(deadline time.Time) (Statement, error)
+	// NextArrived returns the next statement if it has arrived, whatever Interrupt says. It waits for a short time for the
+	// rest of a statement of which a part has arrived, and fails with ErrIdle when there is none.
+	NextArrived() (Statement, error)
+	// Interrupt ends the wait of Next, or of the following call if there is none. It may be called at any time.
+	Interrupt()
 	// Answer sends the whole answer to the last statement.
 	Answer(answer Answer) error
 	// Close ends the connection.
@@ -22,6 +27,9 @@
 // ErrIdle means that no statement arrived before the deadline.
 var ErrIdle = errors.New("no statement in the given time")
 
+// ErrInterrupted means that the wait for a statement was interrupted.
+var ErrInterrupted = errors.New("the wait for a statement was interrupted")
+
 // Connection is one connection to a target. One exchange runs at a time.
 type Connection interface {
 	// Exchange sends the commands at once and returns their replies in order. After an error the connection is
--- a/internal/engine/keyed_test.go
+++ b/internal/engine/keyed_test.go
@@ -146,14 +146,16 @@
 type liveCaller struct {
 	statements chan Statement
 	answers    chan Answer
-	closed     chan struct{}
-	once       sync.Once
+	// interrupted has an element after a call of Interrupt that Next has not returned yet.
+	interrupted chan struct{}
+	closed      chan struct{}
+	once        sync.Once
 }
 
 // serveLive opens a session of a live caller. ended is closed when the session has ended.
 func serveLive(t *testing.T, e *Engine, key string) (caller *liveCaller, ended chan struct{}) {
 	t.Helper()
-	caller = &liveCaller{statements: make(chan Statement), answers: make(chan Answer, 100), closed: make(chan struct{})}
+	caller = &liveCaller{statements: make(chan Statement), answers: make(chan Answer, 100), interrupted: make(chan struct{}, 1), closed: make(chan struct{})}
 	ended = make(chan struct{})
 	identity := identityOf(t, e, key)
 	go func() {
@@ -168,11 +170,29 @@
 	select {
 	case s := <-c.statements:
 		return s, nil
+	case <-c.interrupted:
+		return Statement{}, ErrInterrupted
 	case <-c.closed:
 		return Statement{}, io.EOF
 	}
 }
 
+func (c *liveCaller) NextArrived() (Statement, error) {
+	select {
+	case s := <-c.statements:
+		return s, nil
+	default:
+		return Statement{}, ErrIdle
+	}
+}
+
+func (c *liveCaller) Interrupt() {
+	select {
+	case c.interrupted <- struct{}{}:
+	default:
+	}
+}
+
 func (c *liveCaller) Answer(a Answer) error {
 	c.answers <- a
 	return nil
--- a/internal/engine/progress_test.go
+++ b/internal/engine/progress_test.go
@@ -11,6 +11,7 @@
 
 	"github.com/papayacove/papayacove/internal/logevent"
 	"github.com/papayacove/papayacove/internal/logfield"
+	"github.com/papayacove/papayacove/internal/policy/stopping"
 )
 
 // logged returns the entries of an event.
@@ -45,7 +46,7 @@
 	<-reached
 	over, cancel := context.WithCancel(context.Background())
 	cancel()
-	e.Drain(over, 0)
+	e.Drain(over, stopping.ScheduleOf(time.Second))
 	e.FinishSessions(over)
 	close(release)
 	<-ended
--- a/internal/engine/relaytransaction_test.go
+++ b/internal/engine/relaytransaction_test.go
@@ -123,6 +123,10 @@
 	return nil
 }
 
+func (c *steppedCaller) NextArrived() (Statement, error) { return Statement{}, ErrIdle }
+
+func (c *steppedCaller) Interrupt() {}
+
 func (c *steppedCaller) Close() error { return nil }
 
 // pinnedWorld is a sender, the daemons that hold targets of two groups for it, and its callers.
--- a/internal/engine/session.go
+++ b/internal/engine/session.go
@@ -69,6 +69,8 @@
 	// busy is true from the arrival of a statement until its answer, and within a transaction.
 	busy   bool
 	closed bool
+	// ending is true once the session ends as soon as it is idle and no statement has arrived.
+	ending bool
 	// progress is the statement in progress, inTransaction whether a transaction was open when it arrived.
 	progress      progress
 	inTransaction bool
@@ -90,15 +92,11 @@
 	return s
 }
 
-// run serves statements until the caller disconnects or the session is closed.
+// run serves statements until the caller disconnects or the session ends.
 func (s *session) run() {
 	defer s.end()
 	for {
-		statement, err := s.caller.Next(s.nextDeadline())
-		if errors.Is(err, ErrIdle) {
-			s.expireTransaction()
-			continue
-		}
+		statement, err := s.next()
 		if err != nil || !s.begin(statement, time.Now()) {
 			return
 		}
@@ -111,12 +109,35 @@
 		if s.rejected {
 			return
 		}
-		if !s.finish() {
-			return
+		s.finish()
+	}
+}
+
+// next returns the next statement. It fails when the caller has disconnected, or when the session is to end and no
+// statement has arrived.
+func (s *session) next() (Statement, error) {
+	for {
+		if s.endsNow() {
+			return s.caller.NextArrived()
+		}
+		statement, err := s.caller.Next(s.nextDeadline())
+		switch {
+		case errors.Is(err, ErrInterrupted):
+		case errors.Is(err, ErrIdle):
+			s.expireTransaction()
+		default:
+			return statement, err
 		}
 	}
 }
 
+// endsNow reports whether the session, which has no statement in progress, is to end.
+func (s *session) endsNow() bool {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	return s.transaction == nil && s.ending
+}
+
 // nextDeadline bounds the wait for the next statement of an open transaction.
 func (s *session) nextDeadline() time.Time {
 	t := s.transaction
@@ -138,28 +159,26 @@
 	return !s.closed
 }
 
-// finish marks the session as idle unless a transaction is open, and closes an idle session during a planned stop or when
-// its key was withdrawn meanwhile. It returns false when the session is closed.
-func (s *session) finish() bool {
+// finish marks the session as idle unless a transaction is open. An idle session ends during a planned stop, and when its
+// key was withdrawn meanwhile.
+func (s *session) finish() {
 	s.mu.Lock()
 	defer s.mu.Unlock()
 	s.inTransaction = s.transaction != nil
 	s.busy, s.progress = s.inTransaction, progress{}
-	if !s.busy && (s.engine.isClosing() || !s.engine.holdsIdentity(s.bound)) {
-		s.closed = true
-	}
-	return !s.closed
+	s.ending = s.ending || !s.busy && (s.engine.isClosing() || !s.engine.holdsIdentity(s.bound))
 }
 
-// closeIfIdle ends the session when no statement and no transaction is open, and reports whether it did.
-func (s *session) closeIfIdle() bool {
+// endIfIdle has the session end when no statement and no transaction is open, and reports whether it does. A statement
+// that has arrived is still served.
+func (s *session) endIfIdle() bool {
 	s.mu.Lock()
 	defer s.mu.Unlock()
-	if s.busy || s.closed {
+	if s.busy || s.ending || s.closed {
 		return false
 	}
-	s.closed = true
-	_ = s.caller.Close()
+	s.ending = true
+	s.caller.Interrupt()
 	return true
 }
 
--- a/internal/lineproxy/proxy.go
+++ b/internal/lineproxy/proxy.go
@@ -28,6 +28,7 @@
 	"github.com/papayacove/papayacove/internal/objectstore"
 	"github.com/papayacove/papayacove/internal/peer"
 	"github.com/papayacove/papayacove/internal/policy/callers"
+	"github.com/papayacove/papayacove/internal/policy/stopping"
 	"github.com/papayacove/papayacove/internal/policy/watching"
 	"github.com/papayacove/papayacove/internal/promotionlock"
 	"github.com/papayacove/papayacove/internal/quota"
@@ -52,8 +53,6 @@
 	promoteTimeout = time.Second
 	// configurationWait is the time that a new session waits for the first configuration.
 	configurationWait = 1500 * time.Millisecond
-	// stopReserve is the part of the grace period that is left when the last sessions are closed.
-	stopReserve = 500 * time.Millisecond
 	// callerSharePercent is the part of the file descriptors, in percent, that caller connections may use.
 	callerSharePercent = 80
 	// softMemoryLimitShare is the part of the memory limit of the process at which the garbage collector runs
@@ -349,8 +348,6 @@
 	openingTime = 100 * time.Millisecond
 	// openingInterval is the time between two checks of these connections.
 	openingInterval = 10 * time.Millisecond
-	// lastSessionsPart is the part of the grace period, one in so many, in which no callers are accepted.
-	lastSessionsPart = 4
 )
 
 // awaitOpenings waits until the connections that were accepted last have sessions, up to openingTime.
@@ -365,8 +362,8 @@
 func (p *Proxy) shutDown() {
 	settings := p.settings.Load()
 	logrus.WithField(logfield.Daemon, settings.Name).Info(logevent.DaemonLeaving)
-	grace := time.Duration(settings.Fleet.GraceS*float64(time.Second)) - stopReserve
-	ctx, cancel := context.WithTimeout(context.Background(), grace)
+	schedule := stopping.ScheduleOf(time.Duration(settings.Fleet.GraceS * float64(time.Second)))
+	ctx, cancel := context.WithTimeout(context.Background(), schedule.Conclude)
 	defer cancel()
 	began := clock.SinceBoot()
 	p.feed.Leave()
@@ -375,9 +372,9 @@
 	}
 	go p.registry.Leave(ctx)
 	// Callers that come although the daemon is not ready are served no longer than their statements can end.
-	accepting, stopAccepting := context.WithTimeout(ctx, grace-grace/lastSessionsPart)
+	accepting, stopAccepting := context.WithTimeout(ctx, schedule.AcceptUntil)
 	defer stopAccepting()
-	p.engine.Drain(accepting, grace)
+	p.engine.Drain(accepting, schedule)
 	_ = p.listener.Close()
 	p.awaitOpenings(ctx)
 	p.engine.FinishSessions(ctx)
--- /dev/null
+++ b/internal/policy/stopping/schedule.go
@@ -0,0 +1,44 @@
+// Package stopping decides what a daemon does, and until when, in a planned stop.
+package stopping
+
+import "time"
+
+// RotationTime is the time that the balancer needs to take a daemon that is not ready out of rotation: two probes, one
+// second apart, and a margin. Callers that reconnect earlier may be sent to this daemon again.
+const RotationTime = 2200 * time.Millisecond
+
+const (
+	// maxReserve and reservePart bound the part of the grace period that is left when the last callers are answered: a time,
+	// and one part in so many of a short grace period.
+	maxReserve  = 500 * time.Millisecond
+	reservePart = 8
+	// acceptPart is the part of the time until the last answers, one in so many, in which no callers are accepted.
+	acceptPart = 4
+)
+
+// Schedule holds the times of a planned stop, counted from its begin. They ascend in the order of the fields, except that
+// CloseIdle may come at the same time as EndTransactions or before it.
+type Schedule struct {
+	// CloseIdle is when idle sessions begin to be closed. The balancer sends no new callers then.
+	CloseIdle time.Duration
+	// EndTransactions is when open transactions are rolled back: they have half of the grace period to end.
+	EndTransactions time.Duration
+	// AcceptUntil is when the daemon stops to accept callers.
+	AcceptUntil time.Duration
+	// Conclude is when each caller that still waits gets a final answer.
+	Conclude time.Duration
+	// Grace is the end of the grace period, by which the process must have ended.
+	Grace time.Duration
+}
+
+// ScheduleOf returns the schedule of a stop with a grace period.
+func ScheduleOf(grace time.Duration) Schedule {
+	conclude := grace - min(maxReserve, grace/reservePart)
+	return Schedule{
+		CloseIdle:       min(RotationTime, grace/2),
+		EndTransactions: grace / 2,
+		AcceptUntil:     conclude - conclude/acceptPart,
+		Conclude:        conclude,
+		Grace:           grace,
+	}
+}
