Planned stops: open transactions end at half of the grace period

Cause: a session counts as busy while its transaction is open, and nothing ended the transaction before the end of the grace period.

At half of the grace period each session now rolls its open transaction back: one without a statement in progress at once, the others right after the answer. The caller gets 3002 with its next statement, also with COMMIT; ROLLBACK succeeds. The session has no transaction after that and ends. Nothing is sent while no statement is outstanding.

--- a/internal/engine/engine.go
+++ b/internal/engine/engine.go
@@ -50,6 +50,8 @@
 	// stopping is true from the start of a planned stop, closing from the time when sessions are closed.
 	stopping atomic.Bool
 	closing  atomic.Bool
+	// transactionsOver is true from the time of a planned stop at which open transactions are rolled back.
+	transactionsOver atomic.Bool
 	// stoppedAt is the time of the boot clock, in nanoseconds, at which a planned stop began; 0 before.
 	stoppedAt atomic.Int64
 	// isolated is true while the daemon is partitioned from most targets.
--- a/internal/engine/session.go
+++ b/internal/engine/session.go
@@ -117,6 +117,7 @@
 // statement has arrived.
 func (s *session) next() (Statement, error) {
 	for {
+		s.endOverdueTransaction()
 		if s.endsNow() {
 			return s.caller.NextArrived()
 		}
@@ -213,6 +214,18 @@
 	}
 }
 
+// endOverdueTransaction rolls back the open transaction once a planned stop waits for none any more. This is reported
+// with the answer to the next statement, after which the session has no transaction.
+func (s *session) endOverdueTransaction() {
+	t := s.transaction
+	if t == nil || t.refusal != nil || !s.engine.transactionsOver.Load() {
+		return
+	}
+	s.log(t.begin).Info(logevent.TransactionStopped)
+	t.unreported, t.stopped = true, true
+	t.fail(refuse(result.TransactionLost, "rolled back: the daemon stops"))
+}
+
 // serve returns the answer to one statement that arrived at now.
 func (s *session) serve(statement Statement, now time.Time) Answer {
 	var answer Answer
@@ -225,6 +238,10 @@
 		s.reject()
 		answer.State = s.state()
 	}
+	if t := s.transaction; t != nil && t.stopped && !t.unreported {
+		s.transaction = nil
+		answer.State = s.state()
+	}
 	if answer.Refusal != nil {
 		s.logRefusal(statement, answer.Refusal, now)
 	}
--- a/internal/engine/stop.go
+++ b/internal/engine/stop.go
@@ -32,6 +32,7 @@
 	e.stoppedAt.Store(int64(clock.SinceBoot()))
 	e.stopping.Store(true)
 	logrus.WithField(logfield.Sessions, len(e.openSessions())).Info(logevent.SessionsDraining)
+	time.AfterFunc(schedule.EndTransactions, e.endTransactions)
 	_ = clock.Sleep(ctx, schedule.CloseIdle)
 	e.closing.Store(true)
 	interval := (schedule.Conclude - schedule.CloseIdle) / 2 / time.Duration(max(1, len(e.openSessions())))
@@ -39,6 +40,14 @@
 	e.awaitSessions(ctx)
 }
 
+// endTransactions has each session roll its open transaction back once no statement of it is in progress.
+func (e *Engine) endTransactions() {
+	e.transactionsOver.Store(true)
+	for _, s := range e.openSessions() {
+		s.caller.Interrupt()
+	}
+}
+
 // FinishSessions closes the sessions as they become idle, and the rest when ctx ends. No new ones may be opened.
 func (e *Engine) FinishSessions(ctx context.Context) {
 	e.awaitSessions(ctx)
--- a/internal/engine/transaction.go
+++ b/internal/engine/transaction.go
@@ -30,6 +30,8 @@
 	refusal *Refusal
 	// unreported is true while the transaction has failed and the caller has not been notified.
 	unreported bool
+	// stopped is true if a planned stop has ended the transaction.
+	stopped bool
 }
 
 // beginTransaction opens a transaction. Nothing is sent to a target before its first statement.
--- a/internal/logevent/logevent.go
+++ b/internal/logevent/logevent.go
@@ -145,6 +145,7 @@
 	TermObserved              = "term_observed"
 	TermUnreadable            = "term_unreadable"
 	TransactionExpired        = "transaction_expired"
+	TransactionStopped        = "transaction_stopped"
 	TransactionRolledBack     = "transaction_rolled_back"
 	TransactionUnexpected     = "transaction_unexpected"
 	VerifierMalformed         = "verifier_malformed"
