Planned stops: callers that wait at the end get a final answer

Callers whose statement was at a target, or waited for one, 0.5 s before the end of the grace period lost their connection without an answer.

Cause: the end of a stop closed all connections, whatever their sessions did.

Each statement in progress is now answered by what may have become of it: 2005 if no target may have it, 3002 inside a transaction, which is rolled back with its connection, 3001 for a write or the commit of writes that was sent, 3007 for a single read that was sent. The connection is closed after that. Sessions record under their lock that a statement is about to be sent, and send nothing after the time of the final answers, so that 2005 and 3002 stay true: also when a connection or a primary becomes available later, and for retries. A statement that arrives in that time is refused as not run.

Ruled out: to end the statement at its target first. A connection that is closed rolls back, and the reply of a write can't be awaited any longer.

session_cut has the code of the final answer. Its line read the identity of the session without a lock; it takes the one under the lock.

--- a/internal/engine/engine.go
+++ b/internal/engine/engine.go
@@ -17,6 +17,7 @@
 	"github.com/papayacove/papayacove/internal/logfield"
 	"github.com/papayacove/papayacove/internal/policy/callers"
 	"github.com/papayacove/papayacove/internal/policy/currency"
+	"github.com/papayacove/papayacove/internal/policy/stopping"
 	"github.com/papayacove/papayacove/internal/policy/takeover"
 )
 
@@ -52,6 +53,11 @@
 	closing  atomic.Bool
 	// transactionsOver is true from the time of a planned stop at which open transactions are rolled back.
 	transactionsOver atomic.Bool
+	// concluding is true from the time of a planned stop at which the last callers get final answers. No statement of a
+	// caller is sent to a target then.
+	concluding atomic.Bool
+	// schedule is that of a planned stop; nil before.
+	schedule atomic.Pointer[stopping.Schedule]
 	// stoppedAt is the time of the boot clock, in nanoseconds, at which a planned stop began; 0 before.
 	stoppedAt atomic.Int64
 	// isolated is true while the daemon is partitioned from most targets.
@@ -358,8 +364,8 @@
 	e.mu.Lock()
 	e.sessions[s] = struct{}{}
 	e.mu.Unlock()
-	if !e.holdsIdentity(s.boundIdentity()) {
-		// The key was withdrawn after Identify.
+	if !e.holdsIdentity(s.boundIdentity()) || e.concluding.Load() {
+		// The key was withdrawn, or the stop came to its end, after Identify.
 		s.endIfIdle()
 	}
 	s.run()
--- a/internal/engine/events.go
+++ b/internal/engine/events.go
@@ -37,9 +37,14 @@
 
 // log returns an entry that names the session and the statement.
 func (s *session) log(statement Statement) *logrus.Entry {
+	return s.logFor(statement, s.identity.Workspace)
+}
+
+// logFor is log for any goroutine, which states the workspace.
+func (s *session) logFor(statement Statement, workspace string) *logrus.Entry {
 	fields := logrus.Fields{logfield.Session: s.id, logfield.Database: s.database, logfield.Request: statement.ID}
-	if s.identity.Workspace != "" {
-		fields[logfield.Workspace] = s.identity.Workspace
+	if workspace != "" {
+		fields[logfield.Workspace] = workspace
 	}
 	return logrus.WithFields(fields)
 }
--- a/internal/engine/execute.go
+++ b/internal/engine/execute.go
@@ -146,12 +146,14 @@
 	if err := e.authorize(); err != nil {
 		return notPermitted(err)
 	}
+	if !r.session.startAttempt(m.name, e.commits) {
+		return notRun(result.NotRunDraining, "the daemon stops")
+	}
 	r.group.recordSent(m, clock.SinceBoot())
 	defer r.group.recordEnded(m)
 	r.boundSilence(m, &e)
-	r.session.advance(stepSent, m.name)
 	outcome := l.run(e)
-	r.session.advance(stepAfter(outcome), "")
+	r.session.endAttempt(outcome)
 	r.recordOutcome(m, outcome)
 	r.mayHaveRun = r.mayHaveRun || outcome.mayHaveRun()
 	return outcome
--- a/internal/engine/progress.go
+++ b/internal/engine/progress.go
@@ -8,6 +8,7 @@
 	"github.com/papayacove/papayacove/internal/clock"
 	"github.com/papayacove/papayacove/internal/logevent"
 	"github.com/papayacove/papayacove/internal/logfield"
+	"github.com/papayacove/papayacove/internal/result"
 )
 
 // step says how far a session has come with a statement.
@@ -36,16 +37,39 @@
 	step      step
 	// target is the target that the statement was sent to last; empty if to none.
 	target string
+	// mayHaveRun is true if a target may have run the statement in an earlier attempt, commits if it commits a write when
+	// a target runs it.
+	mayHaveRun, commits bool
 }
 
-// advance records the step that the statement in progress has reached. An empty target keeps the one before.
-func (s *session) advance(to step, target string) {
+// startAttempt records that the statement in progress is about to be sent to a target, where it commits a write if commits
+// is true. It returns false when the statement must not be sent any more, because the daemon stops.
+func (s *session) startAttempt(target string, commits bool) bool {
 	s.mu.Lock()
 	defer s.mu.Unlock()
-	s.progress.step = to
-	if target != "" {
-		s.progress.target = target
+	if s.engine.concluding.Load() {
+		return false
 	}
+	s.progress.step, s.progress.target = stepSent, target
+	s.progress.commits = s.progress.commits || commits
+	return true
+}
+
+// endAttempt records the outcome of an attempt that startAttempt has recorded.
+func (s *session) endAttempt(outcome attemptResult) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.progress.step = stepAfter(outcome)
+	s.progress.mayHaveRun = s.progress.mayHaveRun || outcome.mayHaveRun()
+}
+
+// claimAnswer records that the answer to the statement in progress is being sent. It returns false when a final answer has
+// been sent instead.
+func (s *session) claimAnswer() bool {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.progress.step = stepAnswering
+	return !s.concluded
 }
 
 // stepAfter returns the step of a statement after an attempt.
@@ -59,7 +83,7 @@
 // progressLog returns an entry that names the session and its statement in progress. The caller holds the lock.
 func (s *session) progressLog() *logrus.Entry {
 	p := s.progress
-	entry := s.log(p.statement).WithFields(logrus.Fields{
+	entry := s.logFor(p.statement, s.bound.Workspace).WithFields(logrus.Fields{
 		logfield.Operation: p.statement.Op.String(), logfield.Step: p.step.String(), logfield.Target: p.target, logfield.InTransaction: s.inTransaction,
 	})
 	if !p.arrived.IsZero() {
@@ -71,8 +95,11 @@
 	return entry
 }
 
-// logCut logs that a planned stop closes the session. The caller holds the lock.
-func (s *session) logCut() { s.progressLog().Warn(logevent.SessionCut) }
+// logCut logs that a planned stop closes the session, after an answer with the given code to the statement in progress. The
+// caller holds the lock.
+func (s *session) logCut(code result.Code) {
+	s.progressLog().WithField(logfield.Code, int(code)).Warn(logevent.SessionCut)
+}
 
 // logDropped logs at a bounded rate that the statement that has arrived is not served, because the session is closed. The
 // caller holds the lock.
--- a/internal/engine/session.go
+++ b/internal/engine/session.go
@@ -71,6 +71,8 @@
 	closed bool
 	// ending is true once the session ends as soon as it is idle and no statement has arrived.
 	ending bool
+	// concluded is true once a planned stop gives the final answer to the statement in progress, and closes the connection.
+	concluded bool
 	// progress is the statement in progress, inTransaction whether a transaction was open when it arrived.
 	progress      progress
 	inTransaction bool
@@ -101,7 +103,9 @@
 			return
 		}
 		answer := s.serve(statement, time.Now())
-		s.advance(stepAnswering, "")
+		if !s.claimAnswer() {
+			return
+		}
 		if err := s.caller.Answer(answer); err != nil {
 			s.logNotSent(err)
 			return
@@ -136,7 +140,7 @@
 func (s *session) endsNow() bool {
 	s.mu.Lock()
 	defer s.mu.Unlock()
-	return s.transaction == nil && s.ending
+	return s.ending && (s.transaction == nil || s.engine.concluding.Load())
 }
 
 // nextDeadline bounds the wait for the next statement of an open transaction.
@@ -183,23 +187,19 @@
 	return true
 }
 
-// abort closes the session at the end of a planned stop, even if it is busy.
-func (s *session) abort() {
-	s.mu.Lock()
-	defer s.mu.Unlock()
-	if s.busy && !s.closed {
-		s.logCut()
-	}
-	s.closed = true
-	_ = s.caller.Close()
-}
-
 // end releases the resources of the session.
 func (s *session) end() {
 	if t := s.transaction; t != nil {
 		t.rollBack("")
 		s.transaction = nil
 	}
+	if !s.isConcluded() {
+		s.disconnect()
+	}
+}
+
+// disconnect closes the connection to the caller and forgets the session.
+func (s *session) disconnect() {
 	_ = s.caller.Close()
 	s.engine.removeSession(s)
 }
--- a/internal/engine/stop.go
+++ b/internal/engine/stop.go
@@ -21,6 +21,8 @@
 	idleCloseInterval = 5 * time.Millisecond
 	// drainInterval is the time between two checks for sessions that have become idle.
 	drainInterval = 50 * time.Millisecond
+	// concludeInterval is the time between two checks for sessions that have taken their final answers.
+	concludeInterval = 5 * time.Millisecond
 )
 
 func (e *Engine) isClosing() bool { return e.closing.Load() }
@@ -29,6 +31,7 @@
 // callers. Then it closes the sessions without a statement or transaction one by one within half of the remaining
 // time, and the others as they become idle. It returns when none is left, or when ctx ends; FinishSessions ends the rest.
 func (e *Engine) Drain(ctx context.Context, schedule stopping.Schedule) {
+	e.schedule.Store(&schedule)
 	e.stoppedAt.Store(int64(clock.SinceBoot()))
 	e.stopping.Store(true)
 	logrus.WithField(logfield.Sessions, len(e.openSessions())).Info(logevent.SessionsDraining)
@@ -48,9 +51,22 @@
 	}
 }
 
-// FinishSessions closes the sessions as they become idle, and the rest when ctx ends. No new ones may be opened.
+// FinishSessions closes the sessions as they become idle until ctx ends. Then it gives the callers that still wait final
+// answers, and closes all connections by the time of the schedule of Drain.
 func (e *Engine) FinishSessions(ctx context.Context) {
 	e.awaitSessions(ctx)
+	e.concluding.Store(true)
+	until := time.Duration(e.stoppedAt.Load()) + e.schedule.Load().Cut
+	for {
+		open := e.openSessions()
+		for _, s := range open {
+			s.conclude()
+		}
+		if len(open) == 0 || clock.SinceBoot() >= until {
+			break
+		}
+		time.Sleep(concludeInterval)
+	}
 	for _, s := range e.openSessions() {
 		s.abort()
 	}
--- a/internal/policy/stopping/schedule.go
+++ b/internal/policy/stopping/schedule.go
@@ -12,6 +12,8 @@
 	// and one part in so many of a short grace period.
 	maxReserve  = 500 * time.Millisecond
 	reservePart = 8
+	// answerPercent is the part of that reserve, in percent, that the last answers may take.
+	answerPercent = 30
 	// acceptPart is the part of the time until the last answers, one in so many, in which no callers are accepted.
 	acceptPart = 4
 )
@@ -27,6 +29,8 @@
 	AcceptUntil time.Duration
 	// Conclude is when each caller that still waits gets a final answer.
 	Conclude time.Duration
+	// Cut is when the connections are closed whose callers have not taken their answers.
+	Cut time.Duration
 	// Grace is the end of the grace period, by which the process must have ended.
 	Grace time.Duration
 }
@@ -39,6 +43,7 @@
 		EndTransactions: grace / 2,
 		AcceptUntil:     conclude - conclude/acceptPart,
 		Conclude:        conclude,
+		Cut:             conclude + (grace-conclude)*answerPercent/100,
 		Grace:           grace,
 	}
 }
--- a/internal/policy/stopping/schedule_test.go
+++ b/internal/policy/stopping/schedule_test.go
@@ -12,7 +12,7 @@
 	rapid.Check(t, func(t *rapid.T) {
 		grace := time.Duration(rapid.Int64Range(int64(100*time.Millisecond), int64(time.Minute)).Draw(t, "grace"))
 		s := ScheduleOf(grace)
-		if s.CloseIdle <= 0 || s.CloseIdle > s.EndTransactions || s.EndTransactions > s.AcceptUntil || s.AcceptUntil > s.Conclude || s.Conclude >= s.Grace {
+		if s.CloseIdle <= 0 || s.CloseIdle > s.EndTransactions || s.EndTransactions > s.AcceptUntil || s.AcceptUntil > s.Conclude || s.Conclude >= s.Cut || s.Cut >= s.Grace {
 			t.Fatalf("got %+v, want ascending times", s)
 		}
 		if s.EndTransactions != grace/2 || s.Grace != grace {
@@ -22,7 +22,10 @@
 }
 
 func TestScheduleOfSixSeconds(t *testing.T) {
-	want := Schedule{CloseIdle: 2200 * time.Millisecond, EndTransactions: 3 * time.Second, AcceptUntil: 4125 * time.Millisecond, Conclude: 5500 * time.Millisecond, Grace: 6 * time.Second}
+	want := Schedule{
+		CloseIdle: 2200 * time.Millisecond, EndTransactions: 3 * time.Second, AcceptUntil: 4125 * time.Millisecond,
+		Conclude: 5500 * time.Millisecond, Cut: 5650 * time.Millisecond, Grace: 6 * time.Second,
+	}
 	if got := ScheduleOf(6 * time.Second); got != want {
 		t.Errorf("got %+v, want %+v", got, want)
 	}
