--- a/internal/engine/session.go
+++ b/internal/engine/session.go
@@ -69,6 +69,10 @@
 	// busy is true from the arrival of a statement until its answer, and within a transaction.
 	busy   bool
 	closed bool
+	// ending is true once the session ends as soon as it is idle and no statement has arrived.
+	ending bool
+	// concluded is true once a planned stop gives the final answer to the statement in progress, and closes the connection.
+	concluded bool
 	// progress is the statement in progress, inTransaction whether a transaction was open when it arrived.
 	progress      progress
 	inTransaction bool
@@ -90,20 +94,18 @@
 	return s
 }
 
-// run serves statements until the caller disconnects or the session is closed.
+// run serves statements until the caller disconnects or the session ends.
 func (s *session) run() {
 	defer s.end()
 	for {
-		statement, err := s.caller.Next(s.nextDeadline())
-		if errors.Is(err, ErrIdle) {
-			s.expireTransaction()
-			continue
-		}
+		statement, err := s.next()
 		if err != nil || !s.begin(statement, time.Now()) {
 			return
 		}
 		answer := s.serve(statement, time.Now())
-		s.advance(stepAnswering, "")
+		if !s.claimAnswer() {
+			return
+		}
 		if err := s.caller.Answer(answer); err != nil {
 			s.logNotSent(err)
 			return
@@ -111,12 +113,36 @@
 		if s.rejected {
 			return
 		}
-		if !s.finish() {
-			return
+		s.finish()
+	}
+}
+
+// next returns the next statement. It fails when the caller has disconnected, or when the session is to end and no
+// statement has arrived.
+func (s *session) next() (Statement, error) {
+	for {
+		s.endOverdueTransaction()
+		if s.endsNow() {
+			return s.caller.NextArrived()
+		}
+		statement, err := s.caller.Next(s.nextDeadline())
+		switch {
+		case errors.Is(err, ErrInterrupted):
+		case errors.Is(err, ErrIdle):
+			s.expireTransaction()
+		default:
+			return statement, err
 		}
 	}
 }
 
+// endsNow reports whether the session, which has no statement in progress, is to end.
+func (s *session) endsNow() bool {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	return s.ending && (s.transaction == nil || s.engine.concluding.Load())
+}
+
 // nextDeadline bounds the wait for the next statement of an open transaction.
 func (s *session) nextDeadline() time.Time {
 	t := s.transaction
@@ -138,48 +164,42 @@
 	return !s.closed
 }
 
-// finish marks the session as idle unless a transaction is open, and closes an idle session during a planned stop or when
-// its key was withdrawn meanwhile. It returns false when the session is closed.
-func (s *session) finish() bool {
+// finish marks the session as idle unless a transaction is open. An idle session ends during a planned stop, and when its
+// key was withdrawn meanwhile.
+func (s *session) finish() {
 	s.mu.Lock()
 	defer s.mu.Unlock()
 	s.inTransaction = s.transaction != nil
 	s.busy, s.progress = s.inTransaction, progress{}
-	if !s.busy && (s.engine.isClosing() || !s.engine.holdsIdentity(s.bound)) {
-		s.closed = true
-	}
-	return !s.closed
+	s.ending = s.ending || !s.busy && (s.engine.isClosing() || !s.engine.holdsIdentity(s.bound))
 }
 
-// closeIfIdle ends the session when no statement and no transaction is open, and reports whether it did.
-func (s *session) closeIfIdle() bool {
+// endIfIdle has the session end when no statement and no transaction is open, and reports whether it does. A statement
+// that has arrived is still served.
+func (s *session) endIfIdle() bool {
 	s.mu.Lock()
 	defer s.mu.Unlock()
-	if s.busy || s.closed {
+	if s.busy || s.ending || s.closed {
 		return false
 	}
-	s.closed = true
-	_ = s.caller.Close()
+	s.ending = true
+	s.caller.Interrupt()
 	return true
 }
 
-// abort closes the session at the end of a planned stop, even if it is busy.
-func (s *session) abort() {
-	s.mu.Lock()
-	defer s.mu.Unlock()
-	if s.busy && !s.closed {
-		s.logCut()
-	}
-	s.closed = true
-	_ = s.caller.Close()
-}
-
 // end releases the resources of the session.
 func (s *session) end() {
 	if t := s.transaction; t != nil {
 		t.rollBack("")
 		s.transaction = nil
 	}
+	if !s.isConcluded() {
+		s.disconnect()
+	}
+}
+
+// disconnect closes the connection to the caller and forgets the session.
+func (s *session) disconnect() {
 	_ = s.caller.Close()
 	s.engine.removeSession(s)
 }
@@ -194,6 +214,18 @@
 	}
 }
 
+// endOverdueTransaction rolls back the open transaction once a planned stop waits for none any more. This is reported
+// with the answer to the next statement, after which the session has no transaction.
+func (s *session) endOverdueTransaction() {
+	t := s.transaction
+	if t == nil || t.refusal != nil || !s.engine.transactionsOver.Load() {
+		return
+	}
+	s.log(t.begin).Info(logevent.TransactionStopped)
+	t.unreported, t.stopped = true, true
+	t.fail(refuse(result.TransactionLost, "rolled back: the daemon stops"))
+}
+
 // serve returns the answer to one statement that arrived at now.
 func (s *session) serve(statement Statement, now time.Time) Answer {
 	var answer Answer
@@ -206,6 +238,10 @@
 		s.reject()
 		answer.State = s.state()
 	}
+	if t := s.transaction; t != nil && t.stopped && !t.unreported {
+		s.transaction = nil
+		answer.State = s.state()
+	}
 	if answer.Refusal != nil {
 		s.logRefusal(statement, answer.Refusal, now)
 	}
