Holders log what they run for other daemons, and replies that are lost

Callers saw answers missing around SIGTERM to a daemon whose statement ran at another one, the holder of the target.

relay_not_answered names a statement whose connection ended before its reply, with its target and the step that it reached; relays_draining has the numbers that a stopping holder runs or keeps for others, relays_cut those that are left at its end, and relay_statement_cut each of these statements. No decision is changed.

--- a/internal/engine/engine.go
+++ b/internal/engine/engine.go
@@ -60,7 +60,8 @@
 	// relayed is the number of statements and open transactions that run for other daemons.
 	relayed atomic.Int64
 	// relayNumbers are the numbers of the open transactions that run for other daemons.
-	relayNumbers transactionNumbers
+	relayNumbers  transactionNumbers
+	relaySessions relaySessions
 	// promotions counts the promotions in progress.
 	promotions sync.WaitGroup
 	// directoryFailed is the time of the boot clock, in nanoseconds, of the last failure to follow the target
@@ -396,6 +397,7 @@
 	e.stoppedAt.Store(int64(clock.SinceBoot()))
 	e.stopping.Store(true)
 	logrus.WithField(logfield.Sessions, len(e.openSessions())).Info(logevent.SessionsDraining)
+	e.logRelaysDraining()
 	rotation := min(rotationTime, within/2)
 	_ = clock.Sleep(ctx, rotation)
 	e.closing.Store(true)
--- a/internal/engine/relayevents.go
+++ b/internal/engine/relayevents.go
@@ -25,6 +25,8 @@
 	countLost = "transactions_lost"
 	// countNotContinued counts the statements of other daemons for transactions that are not open here.
 	countNotContinued = "transactions_not_continued"
+	// countNotAnswered counts the statements of other daemons whose connection ended before their reply.
+	countNotAnswered = "statements_not_answered"
 	// countUnexpected counts the connections on which a target reported a transaction that nobody had begun.
 	countUnexpected = "transactions_unexpected"
 )
@@ -80,3 +82,43 @@
 		}).Warn(logevent.TransactionUnexpected)
 	}
 }
+
+// log returns an entry that names the statement and its step.
+func (r *relayedStatement) log() *logrus.Entry {
+	entry := logrus.WithFields(logrus.Fields{
+		logfield.Peer: r.session.peer, logfield.Group: r.group, logfield.Target: r.target, logfield.Request: r.id, logfield.Operation: r.op.String(),
+		logfield.Step: r.step().String(), logfield.InTransaction: r.inTransaction, logfield.Elapsed: clock.SinceBoot() - r.arrived,
+	})
+	if stopped := r.session.engine.stoppedAt.Load(); stopped != 0 {
+		entry = entry.WithField(logfield.SinceStop, clock.SinceBoot()-time.Duration(stopped))
+	}
+	return entry
+}
+
+// logNotAnswered counts and logs a statement whose reply is lost, because the connection of the other daemon has ended.
+func (r *relayedStatement) logNotAnswered() {
+	relayCounters.Add(countNotAnswered, 1)
+	if limiter.Allow(logevent.RelayNotAnswered, time.Now()) {
+		r.log().Info(logevent.RelayNotAnswered)
+	}
+}
+
+// logRelaysDraining logs what runs for other daemons when a planned stop begins.
+func (e *Engine) logRelaysDraining() {
+	statements, transactions := e.relayedWork()
+	logrus.WithFields(logrus.Fields{logfield.Statements: len(statements), logfield.Transactions: transactions}).Info(logevent.RelaysDraining)
+}
+
+// LogRelaysCut logs the statements of other daemons that the end of a planned stop leaves without a reply.
+func (e *Engine) LogRelaysCut() {
+	statements, transactions := e.relayedWork()
+	if len(statements)+transactions == 0 {
+		return
+	}
+	logrus.WithFields(logrus.Fields{logfield.Statements: len(statements), logfield.Transactions: transactions}).Warn(logevent.RelaysCut)
+	for _, r := range statements {
+		if limiter.Allow(logevent.RelayStatementCut, time.Now()) {
+			r.log().Warn(logevent.RelayStatementCut)
+		}
+	}
+}
--- a/internal/engine/relaysession.go
+++ b/internal/engine/relaysession.go
@@ -25,6 +25,9 @@
 	mu           sync.Mutex
 	closed       bool
 	transactions map[uint64]*relayedTransaction
+	// statements are those in progress, disconnected is true once no reply reaches the other end.
+	statements   map[*relayedStatement]struct{}
+	disconnected bool
 }
 
 // relayedTransaction is an open transaction of a sender. Its statements run one at a time.
@@ -40,7 +43,11 @@
 
 // NewRelaySession returns a session for the requests of one connection from the address peer; Close ends it.
 func (e *Engine) NewRelaySession(peer string) *RelaySession {
-	s := &RelaySession{engine: e, peer: peer, openedAt: clock.SinceBoot(), transactions: make(map[uint64]*relayedTransaction)}
+	s := &RelaySession{
+		engine: e, peer: peer, openedAt: clock.SinceBoot(),
+		transactions: make(map[uint64]*relayedTransaction), statements: make(map[*relayedStatement]struct{}),
+	}
+	e.relaySessions.add(s)
 	s.logOpened()
 	return s
 }
@@ -57,6 +64,7 @@
 		s.engine.relayNumbers.free(number)
 		s.engine.relayed.Add(-1)
 	}
+	s.engine.relaySessions.remove(s)
 	s.logEnded(len(open))
 }
 
@@ -73,12 +81,24 @@
 		s.engine.logRelayRefused(e, refused)
 		return relayReply(notPermitted(refused))
 	}
+	statement := s.begin(request.Group, request.Target, &e)
+	var outcome attemptResult
+	var reply *api.RelayReply
 	if request.Transaction != 0 {
-		return s.continueTransaction(request, e)
+		reply, outcome = s.continueTransaction(request, e)
+	} else {
+		reply, outcome = s.runFirst(request, e)
 	}
+	s.finish(statement, outcome)
+	return reply
+}
+
+// runFirst runs a statement that goes on with no transaction.
+func (s *RelaySession) runFirst(request *api.RelayRequest, e execution) (*api.RelayReply, attemptResult) {
 	h, refused := s.engine.gateFor(request.Group, request.Target)
 	if refused != nil {
-		return relayReply(attemptResult{refused: refused})
+		outcome := attemptResult{refused: refused}
+		return relayReply(outcome), outcome
 	}
 	began := clock.SinceBoot()
 	l := &gateLease{gate: h}
@@ -91,7 +111,7 @@
 	if l.conn != nil {
 		reply.Transaction = s.add(l, e)
 	}
-	return reply
+	return reply, outcome
 }
 
 // describe adds to a reply what the sender needs to know of the target.
@@ -166,7 +186,7 @@
 }
 
 // continueTransaction runs a statement of an open transaction.
-func (s *RelaySession) continueTransaction(request *api.RelayRequest, e execution) *api.RelayReply {
+func (s *RelaySession) continueTransaction(request *api.RelayRequest, e execution) (*api.RelayReply, attemptResult) {
 	number := request.Transaction
 	s.mu.Lock()
 	t := s.transactions[number]
@@ -189,11 +209,11 @@
 	s.describe(reply, t.lease.gate, e, outcome, began)
 	if t.lease.conn == nil {
 		s.remove(number)
-		return reply
+		return reply, outcome
 	}
 	reply.Transaction = number
 	t.timer.Reset(s.idleLimit())
-	return reply
+	return reply, outcome
 }
 
 // foreign returns why a statement is none of the transaction; empty if it may be one.
@@ -210,10 +230,10 @@
 }
 
 // notContinued returns the reply to a statement of a transaction that is not open here.
-func (s *RelaySession) notContinued(request *api.RelayRequest, e execution, reason string) *api.RelayReply {
+func (s *RelaySession) notContinued(request *api.RelayRequest, e execution, reason string) (*api.RelayReply, attemptResult) {
 	outcome := notRun(result.NotRunNotHolder, "%s", reason)
 	s.logNotContinued(request.Group, request.Target, request.Transaction, e, outcome.refused)
-	return relayReply(outcome)
+	return relayReply(outcome), outcome
 }
 
 // Status returns the status of a target that this daemon holds.
--- /dev/null
+++ b/internal/engine/relaywork.go
@@ -0,0 +1,113 @@
+package engine
+
+import (
+	"maps"
+	"slices"
+	"sync"
+	"sync/atomic"
+	"time"
+
+	"github.com/papayacove/papayacove/internal/clock"
+	"github.com/papayacove/papayacove/internal/policy/callers"
+)
+
+// relaySessions are the open connections of other daemons. Its methods may be called concurrently.
+type relaySessions struct {
+	mu   sync.Mutex
+	open map[*RelaySession]struct{}
+}
+
+func (r *relaySessions) add(s *RelaySession) {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	if r.open == nil {
+		r.open = make(map[*RelaySession]struct{})
+	}
+	r.open[s] = struct{}{}
+}
+
+func (r *relaySessions) remove(s *RelaySession) {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	delete(r.open, s)
+}
+
+func (r *relaySessions) list() []*RelaySession {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	return slices.Collect(maps.Keys(r.open))
+}
+
+// relayedStatement is a statement of another daemon in progress.
+type relayedStatement struct {
+	session           *RelaySession
+	group, target, id string
+	op                Operation
+	// inTransaction is true if it came for an open transaction.
+	inTransaction bool
+	// arrived is a time of the boot clock.
+	arrived time.Duration
+	// reached is the step of the statement.
+	reached atomic.Uint32
+}
+
+func (r *relayedStatement) advance(to step) { r.reached.Store(uint32(to)) }
+
+func (r *relayedStatement) step() step { return step(r.reached.Load()) }
+
+// begin records a statement in progress, and makes the execution record that it is sent.
+func (s *RelaySession) begin(group, target string, e *execution) *relayedStatement {
+	r := &relayedStatement{
+		session: s, group: group, target: target, id: e.command.ID, op: e.command.Op, inTransaction: e.state.inTransaction, arrived: clock.SinceBoot(),
+	}
+	permits := e.permits
+	e.permits = func(identity callers.Identity) error {
+		err := permits(identity)
+		if err == nil {
+			r.advance(stepSent)
+		}
+		return err
+	}
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.statements[r] = struct{}{}
+	return r
+}
+
+// finish records that a statement has ended with an outcome. Its reply is lost if the connection has ended meanwhile.
+func (s *RelaySession) finish(r *relayedStatement, outcome attemptResult) {
+	if outcome.refused != nil || outcome.err == nil {
+		r.advance(stepAfter(outcome))
+	}
+	s.mu.Lock()
+	delete(s.statements, r)
+	isDisconnected := s.disconnected
+	s.mu.Unlock()
+	if isDisconnected {
+		r.logNotAnswered()
+	}
+}
+
+// Disconnected records that the other end has closed the connection, or is lost. Statements in progress run on.
+func (s *RelaySession) Disconnected() {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.disconnected = true
+}
+
+// inProgress returns the statements in progress and the number of open transactions.
+func (s *RelaySession) inProgress() ([]*relayedStatement, int) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	return slices.Collect(maps.Keys(s.statements)), len(s.transactions)
+}
+
+// relayedWork returns what runs or waits here for other daemons.
+func (e *Engine) relayedWork() (statements []*relayedStatement, transactions int) {
+	for _, s := range e.relaySessions.list() {
+		running, open := s.inProgress()
+		statements = append(statements, running...)
+		transactions += open
+	}
+	return statements, transactions
+}
--- a/internal/lineproxy/proxy.go
+++ b/internal/lineproxy/proxy.go
@@ -384,6 +384,7 @@
 	if opening := p.opening.Load(); opening > 0 {
 		logrus.WithField(logfield.Callers, opening).Info(logevent.CallersNotOpened)
 	}
+	p.engine.LogRelaysCut()
 	p.engine.Close()
 	p.store.Close()
 	logrus.WithFields(logrus.Fields{logfield.Daemon: settings.Name, logfield.Took: clock.SinceBoot() - began}).Info(logevent.DaemonStopped)
--- a/internal/logfield/logfield.go
+++ b/internal/logfield/logfield.go
@@ -142,6 +142,7 @@
 	Start         = "start"
 	Stated        = "stated"
 	Status        = "status"
+	Statements    = "statements"
 	Step          = "step"
 	Store         = "store"
 	Stream        = "stream"
--- a/internal/peer/codec.go
+++ b/internal/peer/codec.go
@@ -89,13 +89,24 @@
 func (c clientCodec) ReadResponseBody(body any) error             { return c.readBody(body) }
 
 // serverCodec implements rpc.ServerCodec.
-type serverCodec struct{ *gobStream }
+type serverCodec struct {
+	*gobStream
+	// disconnected is called when reading ends; nil for nothing.
+	disconnected func()
+}
 
 func newServerCodec(conn io.ReadWriteCloser, maxFrameBytes int64) serverCodec {
-	return serverCodec{newGobStream(conn, maxFrameBytes)}
+	return serverCodec{gobStream: newGobStream(conn, maxFrameBytes)}
+}
+
+func (c serverCodec) ReadRequestHeader(r *rpc.Request) error {
+	err := c.readHeader(r)
+	if err != nil && c.disconnected != nil {
+		c.disconnected()
+	}
+	return err
 }
 
-func (c serverCodec) ReadRequestHeader(r *rpc.Request) error        { return c.readHeader(r) }
 func (c serverCodec) ReadRequestBody(body any) error                { return c.readBody(body) }
 func (c serverCodec) WriteResponse(r *rpc.Response, body any) error { return c.write(r, body) }
 
--- a/internal/peer/server.go
+++ b/internal/peer/server.go
@@ -106,6 +106,9 @@
 // requires them, and a function that is called when the connection ends. Among the methods has to be Ping.
 type Receiver func(caller net.Addr) (receiver any, ended func())
 
+// disconnectionObserver is a receiver that is told when no further call can arrive, before the calls in progress end.
+type disconnectionObserver interface{ Disconnected() }
+
 // ServerOptions describe a Server.
 type ServerOptions struct {
 	Address string
@@ -187,6 +190,9 @@
 		return
 	}
 	codec := newServerCodec(connection, s.options.MaxFrameBytes)
+	if observer, ok := receiver.(disconnectionObserver); ok {
+		codec.disconnected = observer.Disconnected
+	}
 	server.ServeCodec(codec)
 	if err := codec.failure(); err != nil {
 		logrus.WithFields(logrus.Fields{logfield.Peer: connection.RemoteAddr(), logfield.Error: err}).Warn(logevent.PeerConnectionEnded)
--- a/internal/relay/relay.go
+++ b/internal/relay/relay.go
@@ -192,6 +192,9 @@
 	return nil
 }
 
+// Disconnected is called when the other end has closed the connection. It is no method of the wire.
+func (s *service) Disconnected() { s.session.Disconnected() }
+
 // Status returns the status of a target that this daemon holds.
 func (s *service) Status(request *api.RelayStatusRequest, reply *api.RelayStatusReply) error {
 	*reply = *s.session.Status(request)
