A planned stop sends the answers to other daemons before it closes their connections

Senders saw the end of the connection to a stopping holder in place of a reply that the holder had, and told their callers of a write that its outcome is unknown.

Cause: the stop waited until no relayed statement was counted. A statement was counted from the start of its goroutine until its outcome was known, not from its arrival until its reply was written; after that the process ended, which closed the connections. A request that had been read and was not counted yet, and a reply that was not written yet, were lost.

The server of a daemon counts a call from its arrival until its answer is written. Drain closes each connection in the instant in which none is counted, under the lock under which arrivals are counted, so that a call is either answered or not run. The stop drains the connections after the callers' sessions, for 200 ms at most.

Ruled out: other daemons that hold a request for changes of the store open; the feed ends these at the begin of the stop.

Before: with the connections closed as the end of the process does, TestDrainAnswersCallsThatHaveArrived gets "call was sent and not answered: unexpected EOF" for its calls.

--- a/internal/lineproxy/proxy.go
+++ b/internal/lineproxy/proxy.go
@@ -54,6 +54,8 @@
 	configurationWait = 1500 * time.Millisecond
 	// stopReserve is the part of the grace period that is left when the last sessions are closed.
 	stopReserve = 500 * time.Millisecond
+	// answerPeersTime bounds the wait for the answers to statements of other daemons, after the last session is closed.
+	answerPeersTime = 200 * time.Millisecond
 	// callerSharePercent is the part of the file descriptors, in percent, that caller connections may use.
 	callerSharePercent = 80
 	// softMemoryLimitShare is the part of the memory limit of the process at which the garbage collector runs
@@ -384,8 +386,17 @@
 	if opening := p.opening.Load(); opening > 0 {
 		logrus.WithField(logfield.Callers, opening).Info(logevent.CallersNotOpened)
 	}
-	p.engine.LogRelaysCut()
+	p.answerPeers()
 	p.engine.Close()
 	p.store.Close()
 	logrus.WithFields(logrus.Fields{logfield.Daemon: settings.Name, logfield.Took: clock.SinceBoot() - began}).Info(logevent.DaemonStopped)
 }
+
+// answerPeers closes the connections of other daemons, once they have the answers to their statements.
+func (p *Proxy) answerPeers() {
+	ctx, cancel := context.WithTimeout(context.Background(), answerPeersTime)
+	defer cancel()
+	p.peers.Drain(ctx)
+	p.engine.LogRelaysCut()
+	p.peers.Close()
+}
--- a/internal/peer/codec.go
+++ b/internal/peer/codec.go
@@ -91,24 +91,33 @@
 // serverCodec implements rpc.ServerCodec.
 type serverCodec struct {
 	*gobStream
+	calls *callsInProgress
 	// disconnected is called when reading ends; nil for nothing.
 	disconnected func()
 }
 
-func newServerCodec(conn io.ReadWriteCloser, maxFrameBytes int64) serverCodec {
-	return serverCodec{gobStream: newGobStream(conn, maxFrameBytes)}
+func newServerCodec(calls *callsInProgress, maxFrameBytes int64) serverCodec {
+	return serverCodec{gobStream: newGobStream(calls.connection, maxFrameBytes), calls: calls}
 }
 
 func (c serverCodec) ReadRequestHeader(r *rpc.Request) error {
 	err := c.readHeader(r)
+	if err == nil && !c.calls.begin() {
+		err = io.EOF
+	}
 	if err != nil && c.disconnected != nil {
 		c.disconnected()
 	}
 	return err
 }
 
-func (c serverCodec) ReadRequestBody(body any) error                { return c.readBody(body) }
-func (c serverCodec) WriteResponse(r *rpc.Response, body any) error { return c.write(r, body) }
+func (c serverCodec) ReadRequestBody(body any) error { return c.readBody(body) }
+
+// WriteResponse ends a call: net/rpc answers each one whose header was read.
+func (c serverCodec) WriteResponse(r *rpc.Response, body any) error {
+	defer c.calls.end()
+	return c.write(r, body)
+}
 
 // failure returns why reading ended; nil when the other end closed the connection.
 func (c serverCodec) failure() error {
--- a/internal/peer/server.go
+++ b/internal/peer/server.go
@@ -5,8 +5,10 @@
 	"crypto/tls"
 	"errors"
 	"fmt"
+	"maps"
 	"net"
 	"net/rpc"
+	"slices"
 	"sync"
 	"time"
 
@@ -125,8 +127,8 @@
 	options  ServerOptions
 
 	mu          sync.Mutex
-	connections map[net.Conn]struct{}
-	// closed is true from Close on. A connection that was accepted before is not served any more.
+	connections map[net.Conn]*callsInProgress
+	// closed is true from Drain or Close on. A connection that was accepted before is not served any more.
 	closed bool
 }
 
@@ -146,7 +148,7 @@
 	if options.TLS != nil {
 		listener = tls.NewListener(listener, options.TLS)
 	}
-	return &Server{listener: listener, options: options, connections: make(map[net.Conn]struct{})}, nil
+	return &Server{listener: listener, options: options, connections: make(map[net.Conn]*callsInProgress)}, nil
 }
 
 // Address returns the host:port that the server listens on.
@@ -172,7 +174,8 @@
 
 // serve answers the calls on one connection until it is closed.
 func (s *Server) serve(connection net.Conn) {
-	if !s.register(connection) {
+	calls := newCallsInProgress(connection)
+	if !s.register(calls) {
 		_ = connection.Close()
 		return
 	}
@@ -189,24 +192,24 @@
 		_ = connection.Close()
 		return
 	}
-	codec := newServerCodec(connection, s.options.MaxFrameBytes)
+	codec := newServerCodec(calls, s.options.MaxFrameBytes)
 	if observer, ok := receiver.(disconnectionObserver); ok {
 		codec.disconnected = observer.Disconnected
 	}
 	server.ServeCodec(codec)
-	if err := codec.failure(); err != nil {
+	if err := codec.failure(); err != nil && !s.isClosed() {
 		logrus.WithFields(logrus.Fields{logfield.Peer: connection.RemoteAddr(), logfield.Error: err}).Warn(logevent.PeerConnectionEnded)
 	}
 }
 
-// register makes Close close a connection. It returns false after Close.
-func (s *Server) register(connection net.Conn) bool {
+// register makes Drain and Close close a connection. It returns false after either.
+func (s *Server) register(calls *callsInProgress) bool {
 	s.mu.Lock()
 	defer s.mu.Unlock()
 	if s.closed {
 		return false
 	}
-	s.connections[connection] = struct{}{}
+	s.connections[calls.connection] = calls
 	return true
 }
 
@@ -216,6 +219,12 @@
 	delete(s.connections, connection)
 }
 
+func (s *Server) isClosed() bool {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	return s.closed
+}
+
 // completeHandshake completes the TLS handshake, if the connection has TLS, and reports whether the other end may call.
 func completeHandshake(connection net.Conn) bool {
 	encrypted, ok := connection.(*tls.Conn)
@@ -231,13 +240,33 @@
 	return true
 }
 
-// Close stops listening and closes all connections.
-func (s *Server) Close() {
+// Drain stops listening and closes each connection as soon as the calls that have arrived on it are answered. It returns when
+// all are, or when ctx ends; Close closes the rest.
+func (s *Server) Drain(ctx context.Context) {
+	open := s.stopListening()
+	for _, calls := range open {
+		calls.drain()
+	}
+	for _, calls := range open {
+		select {
+		case <-calls.answered:
+		case <-ctx.Done():
+		}
+	}
+}
+
+// stopListening returns the open connections; no further one is served.
+func (s *Server) stopListening() []*callsInProgress {
 	_ = s.listener.Close()
 	s.mu.Lock()
 	defer s.mu.Unlock()
 	s.closed = true
-	for connection := range s.connections {
-		_ = connection.Close()
+	return slices.Collect(maps.Values(s.connections))
+}
+
+// Close stops listening and closes all connections.
+func (s *Server) Close() {
+	for _, calls := range s.stopListening() {
+		_ = calls.connection.Close()
 	}
 }
