A holder refuses the waiting statements of other daemons at the end of its stop

A statement that waited at a stopping holder, for a slot, a transaction or a connection, was cut with the connection between the daemons. Its sender could not tell it from one that had run: the caller of a write got an unknown outcome for a statement that no target ever got.

Cause: nothing ended the wait before the connections were closed. EndRelayWaits ends the waits of relayed statements, and only of these, in every queue and in the wait for a connection that is being closed; a statement that has already passed them is refused where its right to run is checked, which is the last step before it is sent. It is refused as not run, with the code that makes the sender ask the next holder. The refusal is the outcome of the statement's own goroutine, so that none is both refused and sent. What is at its target runs on, and is answered while the stop lasts.

Ruled out: refusing everything in the queues of the target. The daemon's own sessions wait there too, and end by other rules.

Before: TestStoppedHolderRefusesWhatWaits got not_run_deadline after the statements' own time limits, 10 s after the end; TestStoppedHolderRefusesWhatWaitsForAClosingConnection waited on without the wake-up.

--- a/internal/engine/connectionrequest.go
+++ b/internal/engine/connectionrequest.go
@@ -27,6 +27,13 @@
 	key       callers.KeyDigest
 	// openOnly is true when no new connection is to be opened.
 	openOnly bool
+	// waits ends when the statement has to stop waiting; nil if it may wait until lateUntil.
+	waits context.Context
+}
+
+// mayWait reports whether the request may wait at now.
+func (r connectionRequest) mayWait(now time.Time) bool {
+	return now.Before(r.lateUntil) && (r.waits == nil || r.waits.Err() == nil)
 }
 
 // item returns the request as an item of a wait queue.
@@ -35,16 +42,20 @@
 	return admission.Item{Workspace: r.workspace, Class: r.class, Priority: r.priority, Deadline: r.startBy, ExpectedStartBy: time.Now().Add(left), LateUntil: r.lateUntil}
 }
 
-// awaitStart waits until an offered item starts. It fails with a *result.Error, which guarantees that nothing ran, when
-// the item is refused or does not start in time.
-func awaitStart(queue *waitqueue.Queue, ticket waitqueue.Ticket, until time.Time) error {
+// awaitStart waits until the offered item of a request starts. It fails with a *result.Error, which guarantees that nothing
+// ran, when the item is refused or does not start in time.
+func awaitStart(queue *waitqueue.Queue, ticket waitqueue.Ticket, wanted connectionRequest) error {
 	switch ticket.Outcome {
 	case admission.Started:
 		return nil
 	case admission.Refused:
 		return ticket.Refusal()
 	}
-	ctx, cancel := context.WithDeadline(context.Background(), until)
+	waits := wanted.waits
+	if waits == nil {
+		waits = context.Background()
+	}
+	ctx, cancel := context.WithDeadline(waits, wanted.lateUntil)
 	defer cancel()
 	if refusal := queue.Await(ctx, ticket); refusal != nil {
 		return refusal
--- a/internal/engine/engine.go
+++ b/internal/engine/engine.go
@@ -62,6 +62,9 @@
 	// relayNumbers are the numbers of the open transactions that run for other daemons.
 	relayNumbers  transactionNumbers
 	relaySessions relaySessions
+	// relayWaits ends when the statements of other daemons have to stop waiting.
+	relayWaits    context.Context
+	endRelayWaits context.CancelFunc
 	// promotions counts the promotions in progress.
 	promotions sync.WaitGroup
 	// directoryFailed is the time of the boot clock, in nanoseconds, of the last failure to follow the target
@@ -96,8 +99,9 @@
 func New(options Options) *Engine {
 	options.Dialer = countingDialer{options.Dialer}
 	ctx, stop := context.WithCancel(context.Background())
+	relayWaits, endRelayWaits := context.WithCancel(context.Background())
 	e := &Engine{
-		options: options, ctx: ctx, stop: stop, configured: make(chan struct{}), proved: make(chan struct{}), daemons: newDaemonList(options.Name, nil), peers: &peerHealth{},
+		options: options, ctx: ctx, stop: stop, relayWaits: relayWaits, endRelayWaits: endRelayWaits, configured: make(chan struct{}), proved: make(chan struct{}), daemons: newDaemonList(options.Name, nil), peers: &peerHealth{},
 		groups: make(map[string]*group), unplaced: make(map[string]Target), placed: make(map[string]string), sessions: make(map[*session]struct{}),
 	}
 	e.directoryFailed.Store(int64(clock.SinceBoot()))
--- a/internal/engine/gate.go
+++ b/internal/engine/gate.go
@@ -171,7 +171,7 @@
 	if wanted.workspace != "" {
 		item.Limit = connections.MaxTransactions(h.transactions.Slots())
 	}
-	return awaitStart(h.transactions, h.transactions.Offer(item, time.Now()), wanted.lateUntil)
+	return awaitStart(h.transactions, h.transactions.Offer(item, time.Now()), wanted)
 }
 
 // beginStatement takes a statement slot and a connection. A connection is opened while the statement holds its slot,
@@ -239,7 +239,7 @@
 
 // enter waits for a slot of a queue.
 func enter(queue *waitqueue.Queue, wanted connectionRequest) error {
-	return awaitStart(queue, queue.Offer(wanted.item(), time.Now()), wanted.lateUntil)
+	return awaitStart(queue, queue.Offer(wanted.item(), time.Now()), wanted)
 }
 
 // endStatement releases the statement slot. A served time of 0 stands for unknown.
--- a/internal/engine/ownedpool.go
+++ b/internal/engine/ownedpool.go
@@ -1,6 +1,7 @@
 package engine
 
 import (
+	"context"
 	"errors"
 	"expvar"
 	"sync"
@@ -118,7 +119,10 @@
 	defer p.mu.Unlock()
 	now := time.Now()
 	d = p.choose(wanted.workspace, now)
-	for d.Action == connections.Await && !p.closed && now.Before(wanted.lateUntil) {
+	if d.Action == connections.Await && wanted.waits != nil {
+		defer context.AfterFunc(wanted.waits, p.wakeWaiting)()
+	}
+	for d.Action == connections.Await && !p.closed && wanted.mayWait(now) {
 		wake := time.AfterFunc(wanted.lateUntil.Sub(now), p.wakeWaiting)
 		p.owned.changed.Wait()
 		wake.Stop()
--- a/internal/engine/pool.go
+++ b/internal/engine/pool.go
@@ -226,7 +226,7 @@
 	p.grow(now)
 	ticket := p.queue.Offer(wanted.item(), now)
 	p.mu.Unlock()
-	return awaitStart(p.queue, ticket, wanted.lateUntil)
+	return awaitStart(p.queue, ticket, wanted)
 }
 
 // takeIdle removes an unused connection of the workspace from the pool and returns it, preferably one that has the
--- a/internal/engine/relaysession.go
+++ b/internal/engine/relaysession.go
@@ -105,7 +105,7 @@
 	if e.needsProof {
 		h.group.renewProofIfExpired(h.member)
 	}
-	outcome := l.run(e)
+	outcome := s.engine.afterStop(l.run(e))
 	reply := relayReply(outcome)
 	s.describe(reply, h, e, outcome, began)
 	if l.conn != nil {
@@ -204,7 +204,7 @@
 	}
 	t.timer.Stop()
 	began := clock.SinceBoot()
-	outcome := t.lease.run(e)
+	outcome := s.engine.afterStop(t.lease.run(e))
 	reply := relayReply(outcome)
 	s.describe(reply, t.lease.gate, e, outcome, began)
 	if t.lease.conn == nil {
--- a/internal/engine/relaywork.go
+++ b/internal/engine/relaywork.go
@@ -9,6 +9,7 @@
 
 	"github.com/papayacove/papayacove/internal/clock"
 	"github.com/papayacove/papayacove/internal/policy/callers"
+	"github.com/papayacove/papayacove/internal/result"
 )
 
 // relaySessions are the open connections of other daemons. Its methods may be called concurrently.
@@ -55,13 +56,33 @@
 
 func (r *relayedStatement) step() step { return step(r.reached.Load()) }
 
-// begin records a statement in progress, and makes the execution record that it is sent.
+// errHolderStops is the refusal of a statement of another daemon at the end of a planned stop.
+var errHolderStops = result.Errorf(result.NotRunDraining, "the daemon stops")
+
+// EndRelayWaits refuses the statements of other daemons that wait here, so that they are answered before the connections
+// are closed. None of them is sent to a target later. Those that were sent run on.
+func (e *Engine) EndRelayWaits() { e.endRelayWaits() }
+
+// afterStop returns an outcome with the reason that makes the sender ask another daemon, if the statement did not run and
+// the stop ends.
+func (e *Engine) afterStop(outcome attemptResult) attemptResult {
+	if outcome.refused != nil && e.relayWaits.Err() != nil {
+		outcome.refused = errHolderStops
+	}
+	return outcome
+}
+
+// begin records a statement in progress, makes the execution record that it is sent, and ends its wait with the stop.
 func (s *RelaySession) begin(group, target string, e *execution) *relayedStatement {
 	r := &relayedStatement{
 		session: s, group: group, target: target, id: e.command.ID, op: e.command.Op, inTransaction: e.state.inTransaction, arrived: clock.SinceBoot(),
 	}
+	e.waits = s.engine.relayWaits
 	permits := e.permits
 	e.permits = func(identity callers.Identity) error {
+		if s.engine.relayWaits.Err() != nil {
+			return errHolderStops
+		}
 		err := permits(identity)
 		if err == nil {
 			r.advance(stepSent)
--- a/internal/engine/relaywork_test.go
+++ b/internal/engine/relaywork_test.go
@@ -1,7 +1,9 @@
 package engine
 
 import (
+	"context"
 	"fmt"
+	"sync"
 	"testing"
 	"time"
 
@@ -12,20 +14,26 @@
 	"github.com/papayacove/papayacove/internal/clock"
 	"github.com/papayacove/papayacove/internal/logevent"
 	"github.com/papayacove/papayacove/internal/logfield"
+	"github.com/papayacove/papayacove/internal/result"
 )
 
-// heldWrite is a relayed statement that its target holds until it is released.
-type heldWrite struct {
+// heldWrites are relayed statements whose target holds writes until it is released.
+type heldWrites struct {
 	holder  *Engine
 	session *RelaySession
 	target  *fakeTarget
-	reached chan string
-	release chan struct{}
+	// workspace is that of the statements.
+	workspace string
+	reached   chan string
+	release   chan struct{}
+
+	mu  sync.Mutex
+	ran map[string]bool
 }
 
 // newHeldWrites returns the holder of a target that holds writes.
-func newHeldWrites() *heldWrite {
-	w := &heldWrite{reached: make(chan string, 100), release: make(chan struct{})}
+func newHeldWrites() *heldWrites {
+	w := &heldWrites{reached: make(chan string, 100), release: make(chan struct{}), ran: map[string]bool{}}
 	w.target = &fakeTarget{exchange: func(_ *fakeConnection, c Command) (Reply, error) {
 		if c.Op != OpWrite {
 			state := StateIdle
@@ -34,6 +42,9 @@
 			}
 			return Reply{Signature: "s", State: state, Position: api.Position{Term: 1, Offset: 1}}, nil
 		}
+		w.mu.Lock()
+		w.ran[c.ID] = true
+		w.mu.Unlock()
 		w.reached <- c.ID
 		<-w.release
 		state := StateIdle
@@ -50,9 +61,9 @@
 }
 
 // send sends a statement and returns the channel of its reply.
-func (w *heldWrite) send(id string, op Operation, transaction uint64) <-chan *api.RelayReply {
+func (w *heldWrites) send(id string, op Operation, transaction uint64) <-chan *api.RelayReply {
 	e := execution{command: Command{ID: id, Op: op, Text: "w"}, deadline: time.Now().Add(10 * time.Second), state: sessionState{unchanged: true}}
-	e.startBy, e.lateUntil = e.deadline, e.deadline
+	e.startBy, e.lateUntil, e.workspace = e.deadline, e.deadline, w.workspace
 	if transaction != 0 {
 		e.command.Text = "in transaction"
 	}
@@ -96,3 +107,94 @@
 		t.Errorf("got %d lines of relayed statements that were cut, want 1 line of 1 statement", len(cuts))
 	}
 }
+
+// ranCount returns the number of writes that the target has got.
+func (w *heldWrites) ranCount() int {
+	w.mu.Lock()
+	defer w.mu.Unlock()
+	return len(w.ran)
+}
+
+// awaitRelayed waits until as many statements of other daemons are in progress as wanted says.
+func (w *heldWrites) awaitRelayed(t *testing.T, wanted func() int) {
+	t.Helper()
+	for end := time.Now().Add(10 * time.Second); ; time.Sleep(time.Millisecond) {
+		statements, _ := w.holder.relayedWork()
+		if len(statements) == wanted() {
+			return
+		}
+		if time.Now().After(end) {
+			t.Fatalf("got %d statements of other daemons in progress, want %d", len(statements), wanted())
+		}
+	}
+}
+
+// TestStoppedHolderRefusesWhatWaits guards against statements of other daemons that are cut, or sent to the target later, when
+// the holder ends while they wait.
+func TestStoppedHolderRefusesWhatWaits(t *testing.T) {
+	for _, workspace := range []string{"", "w"} {
+		const sent = 20
+		w := newHeldWrites()
+		w.workspace = workspace
+		replies := map[string]<-chan *api.RelayReply{}
+		for i := range sent {
+			id := fmt.Sprint(i)
+			replies[id] = w.send(id, OpWrite, 0)
+		}
+		<-w.reached
+		w.awaitRelayed(t, func() int { return sent })
+		w.holder.stopping.Store(true)
+		w.holder.EndRelayWaits()
+		w.awaitRelayed(t, w.ranCount)
+		close(w.release)
+		for id, reply := range replies {
+			r := <-reply
+			refused := result.Code(r.NotRunCode) == result.NotRunDraining
+			if refused == w.ran[id] || !refused && r.Signature != id {
+				t.Errorf("workspace %q, %s: got %+v, want %s as its target has got it: %t", workspace, id, r, result.NotRunDraining, w.ran[id])
+			}
+		}
+		if ran := w.ranCount(); ran == 0 || ran == sent {
+			t.Errorf("workspace %q: got %d statements at the target, want some that were there and some that waited", workspace, ran)
+		}
+	}
+}
+
+// TestStoppedHolderRefusesWhatWaitsForAClosingConnection guards against statements of other daemons that wait for the place of a
+// connection that is being closed when the holder ends.
+func TestStoppedHolderRefusesWhatWaitsForAClosingConnection(t *testing.T) {
+	closing, release := make(chan struct{}), make(chan struct{})
+	defer close(release)
+	target := &fakeTarget{closed: func(*fakeConnection) {
+		close(closing)
+		<-release
+	}}
+	p := target.pool(1, 1)
+	conn, err := p.acquire(requestOf("w"))
+	if err != nil {
+		t.Fatal(err)
+	}
+	conn.broken = true
+	p.release(conn)
+	<-closing
+	wanted := requestOf("w")
+	waits, end := context.WithCancel(t.Context())
+	wanted.waits = waits
+	refused := make(chan error, 1)
+	go func() {
+		_, err := p.acquire(wanted)
+		refused <- err
+	}()
+	for p.queue.Running() == 0 {
+		time.Sleep(time.Millisecond)
+	}
+	end()
+	select {
+	case err := <-refused:
+		if !result.CodeOf(err).IsNotRun() {
+			t.Errorf("got %v, want a refusal", err)
+		}
+	case <-time.After(10 * time.Second):
+		t.Error("the statement waits on after the end")
+	}
+}
--- a/internal/lineproxy/proxy.go
+++ b/internal/lineproxy/proxy.go
@@ -396,6 +396,7 @@
 func (p *Proxy) answerPeers() {
 	ctx, cancel := context.WithTimeout(context.Background(), answerPeersTime)
 	defer cancel()
+	p.engine.EndRelayWaits()
 	p.peers.Drain(ctx)
 	p.engine.LogRelaysCut()
 	p.peers.Close()
