A stopping holder ends the transactions of other daemons at half of its grace period

A transaction that another daemon had open at a stopping holder lasted until the end of the grace period. It held the stop until then, and was cut there in the middle of a statement: a commit on its way had an unknown outcome at its caller. The platform gives an open transaction the first half.

Cause: the stop waits until no relayed transaction is open, and nothing ends one but its caller or the limit of idle transactions, which is seconds.

At half of the grace period each one is rolled back, once its statement in progress has its reply; its sender finds it gone with the next statement and answers that the transaction is lost, also to a commit, while a rollback succeeds. A transaction that is admitted later is rolled back before its sender knows of it, and refused as not run, so that the sender begins it elsewhere.

Ruled out: an end in the reply to the statement in progress alone; it misses transactions at rest, and a statement that has just been answered.

--- a/internal/engine/engine.go
+++ b/internal/engine/engine.go
@@ -62,6 +62,8 @@
 	// relayNumbers are the numbers of the open transactions that run for other daemons.
 	relayNumbers  transactionNumbers
 	relaySessions relaySessions
+	// relayTransactionsEnded is true once no transaction of another daemon is kept.
+	relayTransactionsEnded atomic.Bool
 	// relayWaits ends when the statements of other daemons have to stop waiting.
 	relayWaits    context.Context
 	endRelayWaits context.CancelFunc
--- a/internal/engine/relayevents.go
+++ b/internal/engine/relayevents.go
@@ -109,6 +109,11 @@
 	logrus.WithFields(logrus.Fields{logfield.Statements: len(statements), logfield.Transactions: transactions}).Info(logevent.RelaysDraining)
 }
 
+// logRelayedTransactionsEnded logs that a planned stop ends the open transactions of other daemons.
+func (e *Engine) logRelayedTransactionsEnded(transactions int) {
+	logrus.WithField(logfield.Transactions, transactions).Info(logevent.RelayTransactionsEnded)
+}
+
 // LogRelaysCut logs the statements of other daemons that the end of a planned stop leaves without a reply.
 func (e *Engine) LogRelaysCut() {
 	statements, transactions := e.relayedWork()
--- a/internal/engine/relaysession.go
+++ b/internal/engine/relaysession.go
@@ -109,7 +109,10 @@
 	reply := relayReply(outcome)
 	s.describe(reply, h, e, outcome, began)
 	if l.conn != nil {
-		reply.Transaction = s.add(l, e)
+		if reply.Transaction = s.add(l, e); reply.Transaction == 0 {
+			outcome = attemptResult{refused: errHolderStops}
+			return relayReply(outcome), outcome
+		}
 	}
 	return reply, outcome
 }
@@ -130,12 +133,12 @@
 	reply.ProofTerm, reply.ProofAgeUs = term, age.Microseconds()
 }
 
-// add keeps an open transaction and returns its number, or 0 when the session has been closed and the transaction
-// rolled back.
+// add keeps an open transaction and returns its number, or 0 when the transaction was rolled back, because the session has been
+// closed or the daemon keeps none any more.
 func (s *RelaySession) add(l *gateLease, e execution) uint64 {
 	t := &relayedTransaction{group: l.gate.group.name, target: l.gate.member.name, begun: e.identity(), lease: l}
 	s.mu.Lock()
-	if s.closed {
+	if s.closed || s.engine.relayTransactionsEnded.Load() {
 		s.mu.Unlock()
 		s.end(t)
 		return 0
--- a/internal/engine/relaywork.go
+++ b/internal/engine/relaywork.go
@@ -63,6 +63,27 @@
 // are closed. None of them is sent to a target later. Those that were sent run on.
 func (e *Engine) EndRelayWaits() { e.endRelayWaits() }
 
+// EndRelayedTransactions rolls back the open transactions of other daemons during a planned stop, each once its statement in
+// progress has its reply, and keeps none that begins later. Their senders learn of it with the next statement.
+func (e *Engine) EndRelayedTransactions() {
+	e.relayTransactionsEnded.Store(true)
+	ended := 0
+	for _, s := range e.relaySessions.list() {
+		for _, number := range s.openTransactions() {
+			ended++
+			go s.abandon(number)
+		}
+	}
+	e.logRelayedTransactionsEnded(ended)
+}
+
+// openTransactions returns the numbers of the open transactions.
+func (s *RelaySession) openTransactions() []uint64 {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	return slices.Collect(maps.Keys(s.transactions))
+}
+
 // afterStop returns an outcome with the reason that makes the sender ask another daemon, if the statement did not run and
 // the stop ends.
 func (e *Engine) afterStop(outcome attemptResult) attemptResult {
--- a/internal/lineproxy/proxy.go
+++ b/internal/lineproxy/proxy.go
@@ -54,6 +54,8 @@
 	configurationWait = 1500 * time.Millisecond
 	// stopReserve is the part of the grace period that is left when the last sessions are closed.
 	stopReserve = 500 * time.Millisecond
+	// transactionsPart is the part of the grace period, one in so many, that open transactions have to end.
+	transactionsPart = 2
 	// answerPeersTime bounds the wait for the answers to statements of other daemons, after the last session is closed.
 	answerPeersTime = 200 * time.Millisecond
 	// callerSharePercent is the part of the file descriptors, in percent, that caller connections may use.
@@ -371,6 +373,8 @@
 	ctx, cancel := context.WithTimeout(context.Background(), grace)
 	defer cancel()
 	began := clock.SinceBoot()
+	endTransactions := time.AfterFunc(time.Duration(settings.Fleet.GraceS*float64(time.Second))/transactionsPart, p.engine.EndRelayedTransactions)
+	defer endTransactions.Stop()
 	p.feed.Leave()
 	if p.quota != nil {
 		p.quota.Leave()
--- a/internal/logevent/logevent.go
+++ b/internal/logevent/logevent.go
@@ -109,6 +109,7 @@
 	RelaySessionOpened        = "relay_session_opened"
 	RelayStatementCut         = "relay_statement_cut"
 	RelayTransactionLost      = "relay_transaction_lost"
+	RelayTransactionsEnded    = "relay_transactions_ended"
 	RelaysCut                 = "relays_cut"
 	RelaysDraining            = "relays_draining"
 	ReloadRequested           = "reload_requested"
