--- a/internal/engine/relaysession.go
+++ b/internal/engine/relaysession.go
@@ -25,6 +25,9 @@
 	mu           sync.Mutex
 	closed       bool
 	transactions map[uint64]*relayedTransaction
+	// statements are those in progress, disconnected is true once no reply reaches the other end.
+	statements   map[*relayedStatement]struct{}
+	disconnected bool
 }
 
 // relayedTransaction is an open transaction of a sender. Its statements run one at a time.
@@ -40,7 +43,11 @@
 
 // NewRelaySession returns a session for the requests of one connection from the address peer; Close ends it.
 func (e *Engine) NewRelaySession(peer string) *RelaySession {
-	s := &RelaySession{engine: e, peer: peer, openedAt: clock.SinceBoot(), transactions: make(map[uint64]*relayedTransaction)}
+	s := &RelaySession{
+		engine: e, peer: peer, openedAt: clock.SinceBoot(),
+		transactions: make(map[uint64]*relayedTransaction), statements: make(map[*relayedStatement]struct{}),
+	}
+	e.relaySessions.add(s)
 	s.logOpened()
 	return s
 }
@@ -57,6 +64,7 @@
 		s.engine.relayNumbers.free(number)
 		s.engine.relayed.Add(-1)
 	}
+	s.engine.relaySessions.remove(s)
 	s.logEnded(len(open))
 }
 
@@ -73,25 +81,40 @@
 		s.engine.logRelayRefused(e, refused)
 		return relayReply(notPermitted(refused))
 	}
+	statement := s.begin(request.Group, request.Target, &e)
+	var outcome attemptResult
+	var reply *api.RelayReply
 	if request.Transaction != 0 {
-		return s.continueTransaction(request, e)
+		reply, outcome = s.continueTransaction(request, e)
+	} else {
+		reply, outcome = s.runFirst(request, e)
 	}
+	s.finish(statement, outcome)
+	return reply
+}
+
+// runFirst runs a statement that goes on with no transaction.
+func (s *RelaySession) runFirst(request *api.RelayRequest, e execution) (*api.RelayReply, attemptResult) {
 	h, refused := s.engine.gateFor(request.Group, request.Target)
 	if refused != nil {
-		return relayReply(attemptResult{refused: refused})
+		outcome := attemptResult{refused: refused}
+		return relayReply(outcome), outcome
 	}
 	began := clock.SinceBoot()
 	l := &gateLease{gate: h}
 	if e.needsProof {
 		h.group.renewProofIfExpired(h.member)
 	}
-	outcome := l.run(e)
+	outcome := s.engine.afterStop(l.run(e))
 	reply := relayReply(outcome)
 	s.describe(reply, h, e, outcome, began)
 	if l.conn != nil {
-		reply.Transaction = s.add(l, e)
+		if reply.Transaction = s.add(l, e); reply.Transaction == 0 {
+			outcome = attemptResult{refused: errHolderStops}
+			return relayReply(outcome), outcome
+		}
 	}
-	return reply
+	return reply, outcome
 }
 
 // describe adds to a reply what the sender needs to know of the target.
@@ -110,12 +133,12 @@
 	reply.ProofTerm, reply.ProofAgeUs = term, age.Microseconds()
 }
 
-// add keeps an open transaction and returns its number, or 0 when the session has been closed and the transaction
-// rolled back.
+// add keeps an open transaction and returns its number, or 0 when the transaction was rolled back, because the session has been
+// closed or the daemon keeps none any more.
 func (s *RelaySession) add(l *gateLease, e execution) uint64 {
 	t := &relayedTransaction{group: l.gate.group.name, target: l.gate.member.name, begun: e.identity(), lease: l}
 	s.mu.Lock()
-	if s.closed {
+	if s.closed || s.engine.relayTransactionsEnded.Load() {
 		s.mu.Unlock()
 		s.end(t)
 		return 0
@@ -166,7 +189,7 @@
 }
 
 // continueTransaction runs a statement of an open transaction.
-func (s *RelaySession) continueTransaction(request *api.RelayRequest, e execution) *api.RelayReply {
+func (s *RelaySession) continueTransaction(request *api.RelayRequest, e execution) (*api.RelayReply, attemptResult) {
 	number := request.Transaction
 	s.mu.Lock()
 	t := s.transactions[number]
@@ -184,16 +207,16 @@
 	}
 	t.timer.Stop()
 	began := clock.SinceBoot()
-	outcome := t.lease.run(e)
+	outcome := s.engine.afterStop(t.lease.run(e))
 	reply := relayReply(outcome)
 	s.describe(reply, t.lease.gate, e, outcome, began)
 	if t.lease.conn == nil {
 		s.remove(number)
-		return reply
+		return reply, outcome
 	}
 	reply.Transaction = number
 	t.timer.Reset(s.idleLimit())
-	return reply
+	return reply, outcome
 }
 
 // foreign returns why a statement is none of the transaction; empty if it may be one.
@@ -210,10 +233,10 @@
 }
 
 // notContinued returns the reply to a statement of a transaction that is not open here.
-func (s *RelaySession) notContinued(request *api.RelayRequest, e execution, reason string) *api.RelayReply {
+func (s *RelaySession) notContinued(request *api.RelayRequest, e execution, reason string) (*api.RelayReply, attemptResult) {
 	outcome := notRun(result.NotRunNotHolder, "%s", reason)
 	s.logNotContinued(request.Group, request.Target, request.Transaction, e, outcome.refused)
-	return relayReply(outcome)
+	return relayReply(outcome), outcome
 }
 
 // Status returns the status of a target that this daemon holds.
--- a/internal/engine/stop.go
+++ b/internal/engine/stop.go
@@ -35,6 +35,7 @@
 	e.stoppedAt.Store(int64(clock.SinceBoot()))
 	e.stopping.Store(true)
 	logrus.WithField(logfield.Sessions, len(e.openSessions())).Info(logevent.SessionsDraining)
+	e.logRelaysDraining()
 	time.AfterFunc(schedule.EndTransactions, e.endTransactions)
 	_ = clock.Sleep(ctx, schedule.CloseIdle)
 	e.closing.Store(true)
@@ -43,8 +44,9 @@
 	e.awaitSessions(ctx)
 }
 
-// endTransactions has each session roll its open transaction back once no statement of it is in progress.
+// endTransactions has each session, and each transaction of another daemon, roll back once no statement is in progress.
 func (e *Engine) endTransactions() {
+	e.EndRelayedTransactions()
 	e.transactionsOver.Store(true)
 	for _, s := range e.openSessions() {
 		s.caller.Interrupt()
