Planned stops end within the grace period

Callers saw a connection closed without an answer at the begin of a stop with a grace period under 0.5 s. The stop kept 0.5 s of every grace period for its end, so that the time for sessions was negative. At the other end the parts after the last session could take longer than what was kept: up to 0.4 s for promotions in progress and 0.2 s for the log, 0.1 s more than the reserve, after which the process is killed and its last log lines are lost.

The times of all parts now come from the grace period (policy/stopping): a quarter of it, 0.5 s at most, is kept, and each part after the sessions ends at its own time within it.

--- a/cmd/papayacove/main.go
+++ b/cmd/papayacove/main.go
@@ -49,7 +49,8 @@
 		return err
 	}
 	output := telemetry.NewOutput(os.Stdout)
-	defer output.Flush(logFlushTimeout)
+	flushTimeout := func() time.Duration { return logFlushTimeout }
+	defer func() { output.Flush(flushTimeout()) }()
 	logrus.SetOutput(output)
 	recorder, err := telemetry.SetUp(settings.LogLevel, settings.Name)
 	if err != nil {
@@ -61,6 +62,7 @@
 	signal.Notify(reload, syscall.SIGHUP)
 	if settings.Protocol == api.SettingsProtocolLines {
 		proxy := lineproxy.New(settings)
+		flushTimeout = proxy.LogTime
 		go config.Watch(ctx, command.String("settings"), reload, proxy.Apply)
 		return proxy.Run(ctx)
 	}
--- a/internal/engine/engine.go
+++ b/internal/engine/engine.go
@@ -433,16 +433,22 @@
 // closeTimeout bounds the wait for promotions in progress when the engine is closed.
 const closeTimeout = 400 * time.Millisecond
 
-// Close stops the observation of all groups, and waits a little until promotions in progress have released their locks.
-func (e *Engine) Close() {
+// Close is CloseWithin with the longest wait.
+func (e *Engine) Close() { e.CloseWithin(closeTimeout) }
+
+// CloseWithin stops the observation of all groups, and waits up to a timeout until promotions in progress have released
+// their locks.
+func (e *Engine) CloseWithin(timeout time.Duration) {
 	e.stop()
 	ended := make(chan struct{})
 	go func() {
 		e.promotions.Wait()
 		close(ended)
 	}()
+	timer := time.NewTimer(timeout)
+	defer timer.Stop()
 	select {
 	case <-ended:
-	case <-time.After(closeTimeout):
+	case <-timer.C:
 	}
 }
--- a/internal/lineproxy/proxy.go
+++ b/internal/lineproxy/proxy.go
@@ -16,7 +16,6 @@
 	"github.com/sirupsen/logrus"
 
 	"github.com/papayacove/papayacove/api"
-	"github.com/papayacove/papayacove/internal/clock"
 	"github.com/papayacove/papayacove/internal/daemonregistry"
 	"github.com/papayacove/papayacove/internal/dialer"
 	"github.com/papayacove/papayacove/internal/engine"
@@ -52,8 +51,6 @@
 	promoteTimeout = time.Second
 	// configurationWait is the time that a new session waits for the first configuration.
 	configurationWait = 1500 * time.Millisecond
-	// stopReserve is the part of the grace period that is left when the last sessions are closed.
-	stopReserve = 500 * time.Millisecond
 	// callerSharePercent is the part of the file descriptors, in percent, that caller connections may use.
 	callerSharePercent = 80
 	// softMemoryLimitShare is the part of the memory limit of the process at which the garbage collector runs
@@ -81,6 +78,8 @@
 	callers atomic.Int64
 	// opening is the number of those whose sessions are not open yet.
 	opening atomic.Int64
+	// logBy is the time of the boot clock, in nanoseconds, by which a stop has to have written the log.
+	logBy atomic.Int64
 }
 
 // New returns a daemon with the given settings, which must have been checked.
@@ -343,48 +342,3 @@
 	}
 	return database, identity, true
 }
-
-const (
-	// openingTime is the time that a connection accepted last has to open its session.
-	openingTime = 100 * time.Millisecond
-	// openingInterval is the time between two checks of these connections.
-	openingInterval = 10 * time.Millisecond
-	// lastSessionsPart is the part of the grace period, one in so many, in which no callers are accepted.
-	lastSessionsPart = 4
-)
-
-// awaitOpenings waits until the connections that were accepted last have sessions, up to openingTime.
-func (p *Proxy) awaitOpenings(ctx context.Context) {
-	opened := clock.SinceBoot() + openingTime
-	for ctx.Err() == nil && p.callers.Load() > 0 && clock.SinceBoot() < opened {
-		_ = clock.Sleep(ctx, openingInterval)
-	}
-}
-
-// shutDown stops the daemon as planned: the balancer stops sending new callers, and the sessions are closed.
-func (p *Proxy) shutDown() {
-	settings := p.settings.Load()
-	logrus.WithField(logfield.Daemon, settings.Name).Info(logevent.DaemonLeaving)
-	grace := time.Duration(settings.Fleet.GraceS*float64(time.Second)) - stopReserve
-	ctx, cancel := context.WithTimeout(context.Background(), grace)
-	defer cancel()
-	began := clock.SinceBoot()
-	p.feed.Leave()
-	if p.quota != nil {
-		p.quota.Leave()
-	}
-	go p.registry.Leave(ctx)
-	// Callers that come although the daemon is not ready are served no longer than their statements can end.
-	accepting, stopAccepting := context.WithTimeout(ctx, grace-grace/lastSessionsPart)
-	defer stopAccepting()
-	p.engine.Drain(accepting, grace)
-	_ = p.listener.Close()
-	p.awaitOpenings(ctx)
-	p.engine.FinishSessions(ctx)
-	if opening := p.opening.Load(); opening > 0 {
-		logrus.WithField(logfield.Callers, opening).Info(logevent.CallersNotOpened)
-	}
-	p.engine.Close()
-	p.store.Close()
-	logrus.WithFields(logrus.Fields{logfield.Daemon: settings.Name, logfield.Took: clock.SinceBoot() - began}).Info(logevent.DaemonStopped)
-}
--- a/internal/lineproxy/proxy_test.go
+++ b/internal/lineproxy/proxy_test.go
@@ -35,7 +35,7 @@
 // stored returns a stored configuration with workspaces as JSON.
 func stored(version int, workspaces string) api.Object {
 	return api.Object{Name: "main", Data: fmt.Appendf(nil,
-		`{"Version":%d,"Routes":[{"Name":"r","Host":"d","Type":"primary","Backend":"g"}],"Backends":[{"Name":"g"}],"Tenants":%s}`, version, workspaces)}
+		`{"Version":%d,"Routes":[{"Name":"r","Host":"d","Type":"primary","Backend":"g","TimeoutMs":100}],"Backends":[{"Name":"g"}],"Tenants":%s}`, version, workspaces)}
 }
 
 // open sends an opening message and returns all that the daemon answers until it closes the connection, or its first
