Planned stops answer the callers that they have accepted

Callers that connected while a daemon stopped lost their connection without an answer to STARTUP, or could get a session that nobody looked after: its statements were sent to targets by a process that ended meanwhile.

Cause: a connection was counted only once its goroutine ran; connections without a session were awaited for 100 ms, although a session without a configuration takes up to 1.5 s to be refused; and a session could be added after the last look at the open ones. A session was also closed as idle between its registration and the READY of its opening.

Now a connection is counted when it is accepted. Once no more callers are accepted, StopAdmitting refuses sessions as 2005, under the lock of the set of sessions, and ends the wait for a first configuration. The process waits until all accepted callers have an answer; those that do not ask for a session within 100 ms are closed. Connections that wait in the backlog are accepted before the listener is closed. A session that is being opened counts as busy until its caller knows.

Not changed: a connection that the kernel completes between the last accept and the close of the listener is reset.

--- a/internal/engine/callers.go
+++ b/internal/engine/callers.go
@@ -49,12 +49,14 @@
 }
 
 // awaitConfiguration waits until there is a configuration and, if one is required, a first proof that it is recent. It
-// returns false when there is no configuration after the given time.
+// returns false when there is no configuration after the given time, or when sessions are refused meanwhile.
 func (e *Engine) awaitConfiguration(wait time.Duration) bool {
 	timer := time.NewTimer(wait)
 	defer timer.Stop()
 	select {
 	case <-e.configured:
+	case <-e.refusing:
+		return e.hasConfiguration()
 	case <-timer.C:
 		return false
 	}
@@ -63,11 +65,18 @@
 	}
 	select {
 	case <-e.proved:
+	case <-e.refusing:
 	case <-timer.C:
 	}
 	return true
 }
 
+func (e *Engine) hasConfiguration() bool {
+	e.mu.Lock()
+	defer e.mu.Unlock()
+	return e.isConfigured
+}
+
 func (e *Engine) needsProof() bool {
 	e.mu.Lock()
 	defer e.mu.Unlock()
--- a/internal/engine/engine.go
+++ b/internal/engine/engine.go
@@ -2,7 +2,6 @@
 
 import (
 	"context"
-	"fmt"
 	"maps"
 	"slices"
 	"sync"
@@ -89,6 +88,8 @@
 	daemons  *daemonList
 	peers    *peerHealth
 	sessions map[*session]struct{}
+	// refusing is closed once no more sessions are admitted.
+	refusing chan struct{}
 }
 
 // New returns an engine without a configuration.
@@ -99,6 +100,7 @@
 		options: options, ctx: ctx, stop: stop, configured: make(chan struct{}), proved: make(chan struct{}), daemons: newDaemonList(options.Name, nil), peers: &peerHealth{},
 		groups: make(map[string]*group), unplaced: make(map[string]Target), placed: make(map[string]string), sessions: make(map[*session]struct{}),
 	}
+	e.refusing = make(chan struct{})
 	e.directoryFailed.Store(int64(clock.SinceBoot()))
 	e.knowsLosses.Store(options.LossRegistry == nil)
 	if options.LossRegistry != nil {
@@ -352,17 +354,14 @@
 
 func (e *Engine) isClosing() bool { return e.closing.Load() }
 
-// Serve runs a session until the caller disconnects or the session is closed. identity is what Identify returned.
+// Serve admits a session and runs it, unless sessions are refused. identity is what Identify returned.
 func (e *Engine) Serve(caller Caller, database string, identity callers.Identity) {
-	s := newSession(e, caller, database, fmt.Sprintf("s%d", e.nextID.Add(1)), identity)
-	e.mu.Lock()
-	e.sessions[s] = struct{}{}
-	e.mu.Unlock()
-	if !e.holdsIdentity(s.boundIdentity()) {
-		// The key was withdrawn after Identify.
-		s.closeIfIdle()
+	serve, refusal := e.Admit(caller, database, identity)
+	if refusal != nil {
+		_ = caller.Close()
+		return
 	}
-	s.run()
+	serve()
 }
 
 func (e *Engine) removeSession(s *session) {
--- a/internal/lineproxy/proxy.go
+++ b/internal/lineproxy/proxy.go
@@ -10,6 +10,7 @@
 	"net"
 	"net/http"
 	"runtime/debug"
+	"sync"
 	"sync/atomic"
 	"time"
 
@@ -26,12 +27,10 @@
 	"github.com/papayacove/papayacove/internal/lossregistry"
 	"github.com/papayacove/papayacove/internal/objectstore"
 	"github.com/papayacove/papayacove/internal/peer"
-	"github.com/papayacove/papayacove/internal/policy/callers"
 	"github.com/papayacove/papayacove/internal/policy/watching"
 	"github.com/papayacove/papayacove/internal/promotionlock"
 	"github.com/papayacove/papayacove/internal/quota"
 	"github.com/papayacove/papayacove/internal/relay"
-	"github.com/papayacove/papayacove/internal/result"
 	"github.com/papayacove/papayacove/platform"
 )
 
@@ -74,10 +73,11 @@
 	listener    net.Listener
 	// unreadable logs the entries that name no target.
 	unreadable objectstore.UnreadableLog
-	// callers is the number of open caller connections.
-	callers atomic.Int64
-	// opening is the number of those whose sessions are not open yet.
-	opening atomic.Int64
+	// callers is the number of open caller connections, openings those of them whose sessions are not open yet.
+	callers  atomic.Int64
+	openings openings
+	// accepting is done once no connections of callers are accepted any more.
+	accepting sync.WaitGroup
 	// logBy is the time of the boot clock, in nanoseconds, by which a stop has to have written the log.
 	logBy atomic.Int64
 }
@@ -206,7 +206,7 @@
 	if p.quota != nil {
 		go p.quota.Run(ctx)
 	}
-	go p.accept()
+	p.accepting.Go(p.accept)
 	return nil
 }
 
@@ -278,67 +278,3 @@
 	p.engine.SetTarget(target)
 	return nil
 }
-
-// acceptRetryDelay is the time before the next attempt after a connection could not be accepted.
-const acceptRetryDelay = 20 * time.Millisecond
-
-func (p *Proxy) accept() {
-	for {
-		conn, err := p.listener.Accept()
-		if errors.Is(err, net.ErrClosed) {
-			return
-		}
-		if err != nil {
-			logrus.WithField(logfield.Error, err).Warn(logevent.AcceptFailed)
-			time.Sleep(acceptRetryDelay)
-			continue
-		}
-		go p.serve(conn)
-	}
-}
-
-// maxCallers returns the largest number of caller connections. The rest of the process's file descriptors is left
-// for targets, the store and files.
-func (p *Proxy) maxCallers() int64 {
-	settings := p.settings.Load()
-	return min(int64(settings.Limits.MaxCallerConnections), settings.Fleet.MaxDescriptors*callerSharePercent/100)
-}
-
-// serve opens the session of a caller connection and runs it.
-func (p *Proxy) serve(conn net.Conn) {
-	caller := platform.NewCaller(conn)
-	defer p.callers.Add(-1)
-	p.opening.Add(1)
-	database, identity, ok := p.openSession(conn, caller, p.callers.Add(1))
-	p.opening.Add(-1)
-	if ok {
-		p.engine.Serve(caller, database, identity)
-	}
-}
-
-// openSession opens the session of a caller connection, one of the given number that are open. It closes the connection and
-// returns false if the caller may open none.
-func (p *Proxy) openSession(conn net.Conn, caller *platform.Caller, open int64) (string, callers.Identity, bool) {
-	if open > p.maxCallers() {
-		logrus.WithFields(logrus.Fields{logfield.Open: open, logfield.Limit: p.maxCallers()}).Warn(logevent.CallersOverLimit)
-		caller.Refuse(&engine.Refusal{Code: result.NotRunConnectionLimit, Reason: "the daemon has no room for another caller"})
-		return "", callers.Identity{}, false
-	}
-	database, key, err := caller.Start()
-	if err != nil {
-		logrus.WithFields(logrus.Fields{logfield.Caller: conn.RemoteAddr().String(), logfield.Error: err}).Debug(logevent.SessionNotOpened)
-		_ = caller.Close()
-		return "", callers.Identity{}, false
-	}
-	identity, refusal := p.engine.Identify(database, key, configurationWait)
-	if refusal != nil {
-		p.engine.LogRefusedCaller(database, refusal)
-		caller.Refuse(refusal)
-		return "", callers.Identity{}, false
-	}
-	if err := caller.Accept(); err != nil {
-		_ = caller.Close()
-		return "", callers.Identity{}, false
-	}
-	return database, identity, true
-}
--- a/internal/lineproxy/proxy_test.go
+++ b/internal/lineproxy/proxy_test.go
@@ -46,7 +46,8 @@
 	defer here.Close()
 	served := make(chan struct{})
 	go func() {
-		p.serve(there)
+		caller, open := p.addCaller(there)
+		p.serve(there, caller, open)
 		close(served)
 	}()
 	if err := here.SetDeadline(time.Now().Add(20 * time.Second)); err != nil {
--- a/internal/lineproxy/stop.go
+++ b/internal/lineproxy/stop.go
@@ -13,10 +13,12 @@
 )
 
 const (
-	// openingTime is the time that a connection accepted last has to open its session.
+	// backlogTime is the time for accepting the connections that arrived before the listener is closed.
+	backlogTime = 20 * time.Millisecond
+	// openingTime is the time that a connection accepted last has to ask for its session.
 	openingTime = 100 * time.Millisecond
-	// openingInterval is the time between two checks of these connections.
-	openingInterval = 10 * time.Millisecond
+	// awaitInterval is the time between two checks of connections that end.
+	awaitInterval = 5 * time.Millisecond
 	// maxLogTime bounds the time for writing the log.
 	maxLogTime = 200 * time.Millisecond
 	// promotionsTimeout bounds the wait for promotions in progress.
@@ -55,12 +57,9 @@
 	accepting, stopAccepting := s.until(s.plan.Accepting)
 	defer stopAccepting()
 	p.engine.Drain(accepting, s.plan.Sessions)
-	_ = p.listener.Close()
-	p.awaitOpenings(sessions)
+	p.stopAccepting()
 	p.engine.FinishSessions(sessions)
-	if opening := p.opening.Load(); opening > 0 {
-		logrus.WithField(logfield.Callers, opening).Info(logevent.CallersNotOpened)
-	}
+	p.awaitCallers(s)
 	p.engine.CloseWithin(min(promotionsTimeout, s.left(s.plan.Promotions)))
 	p.store.Close()
 	logrus.WithFields(logrus.Fields{logfield.Daemon: settings.Name, logfield.Took: clock.SinceBoot() - s.began}).Info(logevent.DaemonStopped)
@@ -76,10 +75,26 @@
 	return min(maxLogTime, max(0, time.Duration(by)-clock.SinceBoot()))
 }
 
-// awaitOpenings waits until the connections that were accepted last have sessions, up to openingTime.
-func (p *Proxy) awaitOpenings(ctx context.Context) {
-	opened := clock.SinceBoot() + openingTime
-	for ctx.Err() == nil && p.callers.Load() > 0 && clock.SinceBoot() < opened {
-		_ = clock.Sleep(ctx, openingInterval)
+// stopAccepting accepts the connections that have arrived, and no more. Those without a session are refused one from now on,
+// or closed if they do not ask for it soon.
+func (p *Proxy) stopAccepting() {
+	p.engine.StopAdmitting()
+	if listener, ok := p.listener.(interface{ SetDeadline(time.Time) error }); ok {
+		_ = listener.SetDeadline(time.Now().Add(backlogTime))
+		p.accepting.Wait()
+	}
+	_ = p.listener.Close()
+	p.openings.expectBy(time.Now().Add(openingTime))
+}
+
+// awaitCallers waits until all callers have their last answers, those whose sessions are refused included.
+func (p *Proxy) awaitCallers(s stop) {
+	ctx, cancel := s.until(s.plan.Callers)
+	defer cancel()
+	for ctx.Err() == nil && p.callers.Load() > 0 {
+		_ = clock.Sleep(ctx, awaitInterval)
+	}
+	if opening := p.openings.count(); opening > 0 {
+		logrus.WithField(logfield.Callers, opening).Info(logevent.CallersNotOpened)
 	}
 }
--- a/internal/lineproxy/stop_test.go
+++ b/internal/lineproxy/stop_test.go
@@ -59,3 +59,17 @@
 		t.Errorf("got %q and %v, want an answer within the grace period", line, err)
 	}
 }
+
+// TestNoSessionIsOpenedAfterTheLastLook guards against a session that is opened, and sends its statements to targets, when the
+// stop has closed all sessions that it saw.
+func TestNoSessionIsOpenedAfterTheLastLook(t *testing.T) {
+	p := newRunnableProxy(t, 400*time.Millisecond)
+	ctx, stop := context.WithCancel(t.Context())
+	stop()
+	if err := p.Run(ctx); err != nil {
+		t.Fatal(err)
+	}
+	if got := open(t, p, "STARTUP d key-a\r\n"); !strings.HasPrefix(got, "ERROR BUSY papayacove 2005 ") {
+		t.Errorf("got %q, want a refusal that says that the daemon stops", got)
+	}
+}
