--- a/internal/engine/engine.go
+++ b/internal/engine/engine.go
@@ -2,7 +2,6 @@
 
 import (
 	"context"
-	"fmt"
 	"maps"
 	"slices"
 	"sync"
@@ -103,6 +102,8 @@
 	daemons  *daemonList
 	peers    *peerHealth
 	sessions map[*session]struct{}
+	// refusing is closed once no more sessions are admitted.
+	refusing chan struct{}
 }
 
 // New returns an engine without a configuration.
@@ -114,6 +115,7 @@
 		options: options, ctx: ctx, stop: stop, relayWaits: relayWaits, endRelayWaits: endRelayWaits, configured: make(chan struct{}), proved: make(chan struct{}), daemons: newDaemonList(options.Name, nil), peers: &peerHealth{},
 		groups: make(map[string]*group), unplaced: make(map[string]Target), placed: make(map[string]string), sessions: make(map[*session]struct{}),
 	}
+	e.refusing = make(chan struct{})
 	e.directoryFailed.Store(int64(clock.SinceBoot()))
 	e.knowsLosses.Store(options.LossRegistry == nil)
 	if options.LossRegistry != nil {
@@ -365,17 +367,14 @@
 	return e.configuration.IdleTransaction
 }
 
-// Serve runs a session until the caller disconnects or the session is closed. identity is what Identify returned.
+// Serve admits a session and runs it, unless sessions are refused. identity is what Identify returned.
 func (e *Engine) Serve(caller Caller, database string, identity callers.Identity) {
-	s := newSession(e, caller, database, fmt.Sprintf("s%d", e.nextID.Add(1)), identity)
-	e.mu.Lock()
-	e.sessions[s] = struct{}{}
-	e.mu.Unlock()
-	if !e.holdsIdentity(s.boundIdentity()) || e.concluding.Load() {
-		// The key was withdrawn, or the stop came to its end, after Identify.
-		s.endIfIdle()
+	serve, refusal := e.Admit(caller, database, identity)
+	if refusal != nil {
+		_ = caller.Close()
+		return
 	}
-	s.run()
+	serve()
 }
 
 func (e *Engine) removeSession(s *session) {
@@ -393,16 +392,22 @@
 // closeTimeout bounds the wait for promotions in progress when the engine is closed.
 const closeTimeout = 400 * time.Millisecond
 
-// Close stops the observation of all groups, and waits a little until promotions in progress have released their locks.
-func (e *Engine) Close() {
+// Close is CloseWithin with the longest wait.
+func (e *Engine) Close() { e.CloseWithin(closeTimeout) }
+
+// CloseWithin stops the observation of all groups, and waits up to a timeout until promotions in progress have released
+// their locks.
+func (e *Engine) CloseWithin(timeout time.Duration) {
 	e.stop()
 	ended := make(chan struct{})
 	go func() {
 		e.promotions.Wait()
 		close(ended)
 	}()
+	timer := time.NewTimer(timeout)
+	defer timer.Stop()
 	select {
 	case <-ended:
-	case <-time.After(closeTimeout):
+	case <-timer.C:
 	}
 }
--- a/internal/lineproxy/proxy.go
+++ b/internal/lineproxy/proxy.go
@@ -10,13 +10,13 @@
 	"net"
 	"net/http"
 	"runtime/debug"
+	"sync"
 	"sync/atomic"
 	"time"
 
 	"github.com/sirupsen/logrus"
 
 	"github.com/papayacove/papayacove/api"
-	"github.com/papayacove/papayacove/internal/clock"
 	"github.com/papayacove/papayacove/internal/daemonregistry"
 	"github.com/papayacove/papayacove/internal/dialer"
 	"github.com/papayacove/papayacove/internal/engine"
@@ -27,13 +27,10 @@
 	"github.com/papayacove/papayacove/internal/lossregistry"
 	"github.com/papayacove/papayacove/internal/objectstore"
 	"github.com/papayacove/papayacove/internal/peer"
-	"github.com/papayacove/papayacove/internal/policy/callers"
-	"github.com/papayacove/papayacove/internal/policy/stopping"
 	"github.com/papayacove/papayacove/internal/policy/watching"
 	"github.com/papayacove/papayacove/internal/promotionlock"
 	"github.com/papayacove/papayacove/internal/quota"
 	"github.com/papayacove/papayacove/internal/relay"
-	"github.com/papayacove/papayacove/internal/result"
 	"github.com/papayacove/papayacove/platform"
 )
 
@@ -53,8 +50,6 @@
 	promoteTimeout = time.Second
 	// configurationWait is the time that a new session waits for the first configuration.
 	configurationWait = 1500 * time.Millisecond
-	// answerPeersTime bounds the wait for the answers to statements of other daemons, after the last session is closed.
-	answerPeersTime = 200 * time.Millisecond
 	// callerSharePercent is the part of the file descriptors, in percent, that caller connections may use.
 	callerSharePercent = 80
 	// softMemoryLimitShare is the part of the memory limit of the process at which the garbage collector runs
@@ -78,10 +73,13 @@
 	listener    net.Listener
 	// unreadable logs the entries that name no target.
 	unreadable objectstore.UnreadableLog
-	// callers is the number of open caller connections.
-	callers atomic.Int64
-	// opening is the number of those whose sessions are not open yet.
-	opening atomic.Int64
+	// callers is the number of open caller connections, openings those of them whose sessions are not open yet.
+	callers  atomic.Int64
+	openings openings
+	// accepting is done once no connections of callers are accepted any more.
+	accepting sync.WaitGroup
+	// logBy is the time of the boot clock, in nanoseconds, by which a stop has to have written the log.
+	logBy atomic.Int64
 }
 
 // New returns a daemon with the given settings, which must have been checked.
@@ -208,7 +206,7 @@
 	if p.quota != nil {
 		go p.quota.Run(ctx)
 	}
-	go p.accept()
+	p.accepting.Go(p.accept)
 	return nil
 }
 
@@ -280,121 +278,3 @@
 	p.engine.SetTarget(target)
 	return nil
 }
-
-// acceptRetryDelay is the time before the next attempt after a connection could not be accepted.
-const acceptRetryDelay = 20 * time.Millisecond
-
-func (p *Proxy) accept() {
-	for {
-		conn, err := p.listener.Accept()
-		if errors.Is(err, net.ErrClosed) {
-			return
-		}
-		if err != nil {
-			logrus.WithField(logfield.Error, err).Warn(logevent.AcceptFailed)
-			time.Sleep(acceptRetryDelay)
-			continue
-		}
-		go p.serve(conn)
-	}
-}
-
-// maxCallers returns the largest number of caller connections. The rest of the process's file descriptors is left
-// for targets, the store and files.
-func (p *Proxy) maxCallers() int64 {
-	settings := p.settings.Load()
-	return min(int64(settings.Limits.MaxCallerConnections), settings.Fleet.MaxDescriptors*callerSharePercent/100)
-}
-
-// serve opens the session of a caller connection and runs it.
-func (p *Proxy) serve(conn net.Conn) {
-	caller := platform.NewCaller(conn)
-	defer p.callers.Add(-1)
-	p.opening.Add(1)
-	database, identity, ok := p.openSession(conn, caller, p.callers.Add(1))
-	p.opening.Add(-1)
-	if ok {
-		p.engine.Serve(caller, database, identity)
-	}
-}
-
-// openSession opens the session of a caller connection, one of the given number that are open. It closes the connection and
-// returns false if the caller may open none.
-func (p *Proxy) openSession(conn net.Conn, caller *platform.Caller, open int64) (string, callers.Identity, bool) {
-	if open > p.maxCallers() {
-		logrus.WithFields(logrus.Fields{logfield.Open: open, logfield.Limit: p.maxCallers()}).Warn(logevent.CallersOverLimit)
-		caller.Refuse(&engine.Refusal{Code: result.NotRunConnectionLimit, Reason: "the daemon has no room for another caller"})
-		return "", callers.Identity{}, false
-	}
-	database, key, err := caller.Start()
-	if err != nil {
-		logrus.WithFields(logrus.Fields{logfield.Caller: conn.RemoteAddr().String(), logfield.Error: err}).Debug(logevent.SessionNotOpened)
-		_ = caller.Close()
-		return "", callers.Identity{}, false
-	}
-	identity, refusal := p.engine.Identify(database, key, configurationWait)
-	if refusal != nil {
-		p.engine.LogRefusedCaller(database, refusal)
-		caller.Refuse(refusal)
-		return "", callers.Identity{}, false
-	}
-	if err := caller.Accept(); err != nil {
-		_ = caller.Close()
-		return "", callers.Identity{}, false
-	}
-	return database, identity, true
-}
-
-const (
-	// openingTime is the time that a connection accepted last has to open its session.
-	openingTime = 100 * time.Millisecond
-	// openingInterval is the time between two checks of these connections.
-	openingInterval = 10 * time.Millisecond
-)
-
-// awaitOpenings waits until the connections that were accepted last have sessions, up to openingTime.
-func (p *Proxy) awaitOpenings(ctx context.Context) {
-	opened := clock.SinceBoot() + openingTime
-	for ctx.Err() == nil && p.callers.Load() > 0 && clock.SinceBoot() < opened {
-		_ = clock.Sleep(ctx, openingInterval)
-	}
-}
-
-// shutDown stops the daemon as planned: the balancer stops sending new callers, and the sessions are closed.
-func (p *Proxy) shutDown() {
-	settings := p.settings.Load()
-	logrus.WithField(logfield.Daemon, settings.Name).Info(logevent.DaemonLeaving)
-	schedule := stopping.ScheduleOf(time.Duration(settings.Fleet.GraceS * float64(time.Second)))
-	ctx, cancel := context.WithTimeout(context.Background(), schedule.Conclude)
-	defer cancel()
-	began := clock.SinceBoot()
-	p.feed.Leave()
-	if p.quota != nil {
-		p.quota.Leave()
-	}
-	go p.registry.Leave(ctx)
-	// Callers that come although the daemon is not ready are served no longer than their statements can end.
-	accepting, stopAccepting := context.WithTimeout(ctx, schedule.AcceptUntil)
-	defer stopAccepting()
-	p.engine.Drain(accepting, schedule)
-	_ = p.listener.Close()
-	p.awaitOpenings(ctx)
-	p.engine.FinishSessions(ctx)
-	if opening := p.opening.Load(); opening > 0 {
-		logrus.WithField(logfield.Callers, opening).Info(logevent.CallersNotOpened)
-	}
-	p.answerPeers()
-	p.engine.Close()
-	p.store.Close()
-	logrus.WithFields(logrus.Fields{logfield.Daemon: settings.Name, logfield.Took: clock.SinceBoot() - began}).Info(logevent.DaemonStopped)
-}
-
-// answerPeers closes the connections of other daemons, once they have the answers to their statements.
-func (p *Proxy) answerPeers() {
-	ctx, cancel := context.WithTimeout(context.Background(), answerPeersTime)
-	defer cancel()
-	p.engine.EndRelayWaits()
-	p.peers.Drain(ctx)
-	p.engine.LogRelaysCut()
-	p.peers.Close()
-}
--- a/internal/policy/stopping/schedule.go
+++ b/internal/policy/stopping/schedule.go
@@ -11,9 +11,10 @@
 	// maxReserve and reservePart bound the part of the grace period that is left when the last callers are answered: a time,
 	// and one part in so many of a short grace period.
 	maxReserve  = 500 * time.Millisecond
-	reservePart = 8
-	// answerPercent is the part of that reserve, in percent, that the last answers may take.
-	answerPercent = 30
+	reservePart = 4
+	// The last parts of a stop end when these tenths of the reserve are over. What is left is for a signal that was sent
+	// earlier than it was noticed.
+	cutTenths, peersTenths, promotionsTenths, logTenths = 3, 4, 6, 9
 	// acceptPart is the part of the time until the last answers, one in so many, in which no callers are accepted.
 	acceptPart = 4
 )
@@ -31,19 +32,32 @@
 	Conclude time.Duration
 	// Cut is when the connections are closed whose callers have not taken their answers.
 	Cut time.Duration
+	// Peers is when the answers to other daemons have to be on their way.
+	Peers time.Duration
+	// Promotions is when promotions in progress have to have released their locks.
+	Promotions time.Duration
+	// Log is when the log has to be written.
+	Log time.Duration
 	// Grace is the end of the grace period, by which the process must have ended.
 	Grace time.Duration
 }
 
-// ScheduleOf returns the schedule of a stop with a grace period.
+// ScheduleOf returns the schedule of a stop with a grace period, the time from the signal to the kill. A grace period that
+// is not positive leaves no time for any part.
 func ScheduleOf(grace time.Duration) Schedule {
-	conclude := grace - min(maxReserve, grace/reservePart)
+	grace = max(0, grace)
+	reserve := min(maxReserve, grace/reservePart)
+	conclude := grace - reserve
+	after := func(tenths time.Duration) time.Duration { return conclude + reserve*tenths/10 }
 	return Schedule{
 		CloseIdle:       min(RotationTime, grace/2),
 		EndTransactions: grace / 2,
 		AcceptUntil:     conclude - conclude/acceptPart,
 		Conclude:        conclude,
-		Cut:             conclude + (grace-conclude)*answerPercent/100,
+		Cut:             after(cutTenths),
+		Peers:           after(peersTenths),
+		Promotions:      after(promotionsTenths),
+		Log:             after(logTenths),
 		Grace:           grace,
 	}
 }
--- a/internal/policy/stopping/schedule_test.go
+++ b/internal/policy/stopping/schedule_test.go
@@ -1,6 +1,7 @@
 package stopping
 
 import (
+	"slices"
 	"testing"
 	"time"
 
@@ -10,10 +11,16 @@
 // TestScheduleAscendsWithinTheGracePeriod guards against a step of a stop that comes too late to take effect.
 func TestScheduleAscendsWithinTheGracePeriod(t *testing.T) {
 	rapid.Check(t, func(t *rapid.T) {
-		grace := time.Duration(rapid.Int64Range(int64(100*time.Millisecond), int64(time.Minute)).Draw(t, "grace"))
+		grace := time.Duration(rapid.Int64Range(int64(100*time.Millisecond), int64(time.Hour)).Draw(t, "grace"))
 		s := ScheduleOf(grace)
-		if s.CloseIdle <= 0 || s.CloseIdle > s.EndTransactions || s.EndTransactions > s.AcceptUntil || s.AcceptUntil > s.Conclude || s.Conclude >= s.Cut || s.Cut >= s.Grace {
-			t.Fatalf("got %+v, want ascending times", s)
+		steps := []time.Duration{s.EndTransactions, s.AcceptUntil, s.Conclude, s.Cut, s.Peers, s.Promotions, s.Log, s.Grace}
+		for i, at := range steps[1:] {
+			if at <= steps[i] {
+				t.Fatalf("got %+v, want ascending times", s)
+			}
+		}
+		if s.CloseIdle <= 0 || s.CloseIdle > s.EndTransactions {
+			t.Fatalf("got %+v, want idle sessions closed before transactions end", s)
 		}
 		if s.EndTransactions != grace/2 || s.Grace != grace {
 			t.Fatalf("got %+v, want the end of transactions at half of %s", s, grace)
@@ -21,10 +28,27 @@
 	})
 }
 
+// TestNoGracePeriodLeavesNoTime guards against a step that is timed before the begin or after the end of a stop.
+func TestNoGracePeriodLeavesNoTime(t *testing.T) {
+	for _, grace := range []time.Duration{-time.Second, 0} {
+		if got := ScheduleOf(grace); got != (Schedule{}) {
+			t.Errorf("grace period of %s: got %+v, want no time for any step", grace, got)
+		}
+	}
+	for grace := range 100 * time.Millisecond / time.Microsecond {
+		s := ScheduleOf(grace * time.Microsecond)
+		steps := []time.Duration{0, s.EndTransactions, s.AcceptUntil, s.Conclude, s.Cut, s.Peers, s.Promotions, s.Log, s.Grace}
+		if !slices.IsSorted(steps) {
+			t.Fatalf("grace period of %s: got %+v, want times in order", grace*time.Microsecond, s)
+		}
+	}
+}
+
 func TestScheduleOfSixSeconds(t *testing.T) {
 	want := Schedule{
 		CloseIdle: 2200 * time.Millisecond, EndTransactions: 3 * time.Second, AcceptUntil: 4125 * time.Millisecond,
-		Conclude: 5500 * time.Millisecond, Cut: 5650 * time.Millisecond, Grace: 6 * time.Second,
+		Conclude: 5500 * time.Millisecond, Cut: 5650 * time.Millisecond, Peers: 5700 * time.Millisecond,
+		Promotions: 5800 * time.Millisecond, Log: 5950 * time.Millisecond, Grace: 6 * time.Second,
 	}
 	if got := ScheduleOf(6 * time.Second); got != want {
 		t.Errorf("got %+v, want %+v", got, want)
