Planned stops: statements that could not end are refused as not run

Callers whose statement arrived late in a stop, or that began a transaction while sessions were being closed, were kept until the stop gave them up, where another daemon would have served them.

Cause: a stop bounded neither the latest start of a statement nor the waits for a connection, a primary or a right of the workspace, and BEGIN was accepted until the end.

BEGIN is refused as 2005 once sessions are being closed. A statement outside of transactions starts until up to 1 s (a sixth of a short grace period) before the final answers, and is refused as 2005 later; its waits end then, too. The time limit of a statement that was sent is left as it is: a silent target is no reason to end an answer sooner.

--- a/internal/engine/conclude.go
+++ b/internal/engine/conclude.go
@@ -42,7 +42,7 @@
 	s.logCut(code)
 	answer := Answer{State: StateIdle}
 	if code != result.OK {
-		answer.Refusal = refuse(code, "the daemon stops")
+		answer.Refusal = refuse(code, stoppingReason)
 	}
 	return answer, true
 }
--- a/internal/engine/engine.go
+++ b/internal/engine/engine.go
@@ -17,7 +17,6 @@
 	"github.com/papayacove/papayacove/internal/logfield"
 	"github.com/papayacove/papayacove/internal/policy/callers"
 	"github.com/papayacove/papayacove/internal/policy/currency"
-	"github.com/papayacove/papayacove/internal/policy/stopping"
 	"github.com/papayacove/papayacove/internal/policy/takeover"
 )
 
@@ -56,10 +55,8 @@
 	// concluding is true from the time of a planned stop at which the last callers get final answers. No statement of a
 	// caller is sent to a target then.
 	concluding atomic.Bool
-	// schedule is that of a planned stop; nil before.
-	schedule atomic.Pointer[stopping.Schedule]
-	// stoppedAt is the time of the boot clock, in nanoseconds, at which a planned stop began; 0 before.
-	stoppedAt atomic.Int64
+	// plannedStop is nil before a planned stop.
+	plannedStop atomic.Pointer[plannedStop]
 	// isolated is true while the daemon is partitioned from most targets.
 	isolated atomic.Bool
 	// probesRefused is the number of probes since the last one that this daemon answered as ready.
--- a/internal/engine/execute.go
+++ b/internal/engine/execute.go
@@ -57,13 +57,16 @@
 // objective is the time within which the request should be answered, at most the time limit.
 func (r *request) objective() time.Duration { return min(r.route.Objective, r.route.Timeout) }
 
-// answerBy is the end of the objective. It is not worth waiting for a primary beyond that.
+// answerBy is the end of the objective.
 func (r *request) answerBy() time.Time { return r.arrived.Add(r.objective()) }
 
+// awaitPrimaryUntil is the time until which it is worth waiting for a primary.
+func (r *request) awaitPrimaryUntil() time.Time { return r.session.engine.boundStart(r.answerBy()) }
+
 // startBy is the time by which the request should start at a target, so that it can be answered within the objective. At
 // a target whose slots are in use, the request may start late, until lateUntil.
 func (r *request) startBy() time.Time {
-	return r.arrived.Add(r.objective() * startSharePercent / 100)
+	return r.session.engine.boundStart(r.arrived.Add(r.objective() * startSharePercent / 100))
 }
 
 // connectionRequest returns what the request requires of a pool.
@@ -75,9 +78,9 @@
 }
 
 // lateUntil is the time after which the request must not start, because its answer would probably exceed the
-// route's time limit.
+// route's time limit, or the end of a planned stop.
 func (r *request) lateUntil() time.Time {
-	return r.arrived.Add(r.route.Timeout * lateSharePercent / 100)
+	return r.session.engine.boundStart(r.arrived.Add(r.route.Timeout * lateSharePercent / 100))
 }
 
 // class returns the admission class of the request.
@@ -111,6 +114,9 @@
 	if s.transaction != nil {
 		return s.executeInTransaction(statement, op, now)
 	}
+	if !s.engine.admits(op) {
+		return s.refused(refuseStopping())
+	}
 	r, refusal := s.request(statement, op, now)
 	if refusal != nil {
 		return s.refused(refusal)
@@ -147,7 +153,7 @@
 		return notPermitted(err)
 	}
 	if !r.session.startAttempt(m.name, e.commits) {
-		return notRun(result.NotRunDraining, "the daemon stops")
+		return notRun(result.NotRunDraining, stoppingReason)
 	}
 	r.group.recordSent(m, clock.SinceBoot())
 	defer r.group.recordEnded(m)
--- a/internal/engine/progress.go
+++ b/internal/engine/progress.go
@@ -5,7 +5,6 @@
 
 	"github.com/sirupsen/logrus"
 
-	"github.com/papayacove/papayacove/internal/clock"
 	"github.com/papayacove/papayacove/internal/logevent"
 	"github.com/papayacove/papayacove/internal/logfield"
 	"github.com/papayacove/papayacove/internal/result"
@@ -89,8 +88,8 @@
 	if !p.arrived.IsZero() {
 		entry = entry.WithField(logfield.Elapsed, time.Since(p.arrived))
 	}
-	if stopped := s.engine.stoppedAt.Load(); stopped != 0 {
-		entry = entry.WithField(logfield.SinceStop, clock.SinceBoot()-time.Duration(stopped))
+	if stop := s.engine.plannedStop.Load(); stop != nil {
+		entry = entry.WithField(logfield.SinceStop, time.Since(stop.began))
 	}
 	return entry
 }
--- a/internal/engine/read.go
+++ b/internal/engine/read.go
@@ -156,7 +156,7 @@
 // pickReader returns the next target to try; nil when there is none.
 func (r *request) pickReader(plan readPlan, tried map[*member]bool) *member {
 	if plan.onlyPrimary {
-		return r.group.awaitPrimary(nil, r.answerBy())
+		return r.group.awaitPrimary(nil, r.awaitPrimaryUntil())
 	}
 	readers := r.group.readers(readRequest{
 		workspace: r.session.identity.Workspace, minPosition: plan.minPosition, committedAt: plan.committedAt, within: time.Until(r.lateUntil()),
--- a/internal/engine/session.go
+++ b/internal/engine/session.go
@@ -223,7 +223,7 @@
 	}
 	s.log(t.begin).Info(logevent.TransactionStopped)
 	t.unreported, t.stopped = true, true
-	t.fail(refuse(result.TransactionLost, "rolled back: the daemon stops"))
+	t.fail(refuse(result.TransactionLost, "rolled back: %s", stoppingReason))
 }
 
 // serve returns the answer to one statement that arrived at now.
--- a/internal/engine/stop.go
+++ b/internal/engine/stop.go
@@ -10,6 +10,7 @@
 	"github.com/papayacove/papayacove/internal/logevent"
 	"github.com/papayacove/papayacove/internal/logfield"
 	"github.com/papayacove/papayacove/internal/policy/stopping"
+	"github.com/papayacove/papayacove/internal/result"
 )
 
 const (
@@ -25,14 +26,44 @@
 	concludeInterval = 5 * time.Millisecond
 )
 
+// stoppingReason is the reason of refusals during a planned stop.
+const stoppingReason = "the daemon stops"
+
+// plannedStop is a stop that has begun.
+type plannedStop struct {
+	schedule stopping.Schedule
+	began    time.Time
+}
+
+// admits reports whether a statement outside of open transactions is still served during a planned stop.
+func (e *Engine) admits(op Operation) bool {
+	stop := e.plannedStop.Load()
+	return stop == nil || stop.schedule.Admits(stopping.Arrival{
+		Begins: op.beginsTransaction(), Closing: e.isClosing(), SinceStop: time.Since(stop.began),
+	})
+}
+
+// boundStart returns the time by which a statement has to start, or the latest start of a planned stop if that is earlier.
+func (e *Engine) boundStart(by time.Time) time.Time {
+	stop := e.plannedStop.Load()
+	if stop == nil {
+		return by
+	}
+	if last := stop.began.Add(stop.schedule.StartUntil); last.Before(by) {
+		return last
+	}
+	return by
+}
+
+func refuseStopping() *Refusal { return refuse(result.NotRunDraining, stoppingReason) }
+
 func (e *Engine) isClosing() bool { return e.closing.Load() }
 
 // Drain closes the sessions for a planned stop. It keeps serving until the balancer has stopped sending new
 // callers. Then it closes the sessions without a statement or transaction one by one within half of the remaining
 // time, and the others as they become idle. It returns when none is left, or when ctx ends; FinishSessions ends the rest.
 func (e *Engine) Drain(ctx context.Context, schedule stopping.Schedule) {
-	e.schedule.Store(&schedule)
-	e.stoppedAt.Store(int64(clock.SinceBoot()))
+	e.plannedStop.Store(&plannedStop{schedule: schedule, began: time.Now()})
 	e.stopping.Store(true)
 	logrus.WithField(logfield.Sessions, len(e.openSessions())).Info(logevent.SessionsDraining)
 	time.AfterFunc(schedule.EndTransactions, e.endTransactions)
@@ -56,13 +87,13 @@
 func (e *Engine) FinishSessions(ctx context.Context) {
 	e.awaitSessions(ctx)
 	e.concluding.Store(true)
-	until := time.Duration(e.stoppedAt.Load()) + e.schedule.Load().Cut
+	stop := e.plannedStop.Load()
 	for {
 		open := e.openSessions()
 		for _, s := range open {
 			s.conclude()
 		}
-		if len(open) == 0 || clock.SinceBoot() >= until {
+		if len(open) == 0 || time.Since(stop.began) >= stop.schedule.Cut {
 			break
 		}
 		time.Sleep(concludeInterval)
--- a/internal/engine/transaction.go
+++ b/internal/engine/transaction.go
@@ -39,6 +39,9 @@
 	if s.transaction != nil {
 		return s.refused(refuse(result.ProtocolViolation, "a transaction is open"))
 	}
+	if !s.engine.admits(statement.Op) {
+		return s.refused(refuseStopping())
+	}
 	r, refusal := s.request(statement, statement.Op, now)
 	if refusal != nil {
 		return s.refused(refusal)
@@ -203,7 +206,7 @@
 	for m := range tried {
 		failed = m
 	}
-	return t.request.group.awaitPrimary(failed, t.request.answerBy())
+	return t.request.group.awaitPrimary(failed, t.request.awaitPrimaryUntil())
 }
 
 // connectTo acquires a connection to the target and begins the transaction there.
--- a/internal/engine/write.go
+++ b/internal/engine/write.go
@@ -11,7 +11,7 @@
 	var refusal *Refusal
 	var failed *member
 	for r.attempts < maxAttempts && time.Now().Before(r.lateUntil()) {
-		m := r.group.awaitPrimary(failed, r.answerBy())
+		m := r.group.awaitPrimary(failed, r.awaitPrimaryUntil())
 		if m == nil {
 			break
 		}
--- a/internal/policy/stopping/schedule.go
+++ b/internal/policy/stopping/schedule.go
@@ -14,6 +14,10 @@
 	reservePart = 8
 	// answerPercent is the part of that reserve, in percent, that the last answers may take.
 	answerPercent = 30
+	// maxRun and runPart bound the time that a statement needs to end, from the latest start: a time, and one part in so
+	// many of a short grace period.
+	maxRun  = time.Second
+	runPart = 6
 	// acceptPart is the part of the time until the last answers, one in so many, in which no callers are accepted.
 	acceptPart = 4
 )
@@ -27,6 +31,8 @@
 	EndTransactions time.Duration
 	// AcceptUntil is when the daemon stops to accept callers.
 	AcceptUntil time.Duration
+	// StartUntil is the latest start of a statement, so that it can be answered before Conclude.
+	StartUntil time.Duration
 	// Conclude is when each caller that still waits gets a final answer.
 	Conclude time.Duration
 	// Cut is when the connections are closed whose callers have not taken their answers.
@@ -42,8 +48,28 @@
 		CloseIdle:       min(RotationTime, grace/2),
 		EndTransactions: grace / 2,
 		AcceptUntil:     conclude - conclude/acceptPart,
+		StartUntil:      conclude - min(maxRun, grace/runPart),
 		Conclude:        conclude,
 		Cut:             conclude + (grace-conclude)*answerPercent/100,
 		Grace:           grace,
 	}
 }
+
+// Arrival is a statement that arrives during a stop outside of an open transaction, and needs a target.
+type Arrival struct {
+	// Begins is true if it begins a transaction.
+	Begins bool
+	// Closing is true once sessions are being closed.
+	Closing bool
+	// SinceStop is the time since the stop began.
+	SinceStop time.Duration
+}
+
+// Admits reports whether a statement is still served. Others serve what it refuses: no transaction begins once sessions are
+// being closed, as it might not end in time, and no statement starts that could not end in time.
+func (s Schedule) Admits(a Arrival) bool {
+	if a.Begins && a.Closing {
+		return false
+	}
+	return a.SinceStop < s.StartUntil
+}
