--- a/internal/engine/relayevents.go
+++ b/internal/engine/relayevents.go
@@ -89,8 +89,8 @@
 		logfield.Peer: r.session.peer, logfield.Group: r.group, logfield.Target: r.target, logfield.Request: r.id, logfield.Operation: r.op.String(),
 		logfield.Step: r.step().String(), logfield.InTransaction: r.inTransaction, logfield.Elapsed: clock.SinceBoot() - r.arrived,
 	})
-	if stopped := r.session.engine.stoppedAt.Load(); stopped != 0 {
-		entry = entry.WithField(logfield.SinceStop, clock.SinceBoot()-time.Duration(stopped))
+	if stop := r.session.engine.plannedStop.Load(); stop != nil {
+		entry = entry.WithField(logfield.SinceStop, time.Since(stop.began))
 	}
 	return entry
 }
--- a/internal/engine/relaywork_test.go
+++ b/internal/engine/relaywork_test.go
@@ -11,7 +11,6 @@
 	logtest "github.com/sirupsen/logrus/hooks/test"
 
 	"github.com/papayacove/papayacove/api"
-	"github.com/papayacove/papayacove/internal/clock"
 	"github.com/papayacove/papayacove/internal/logevent"
 	"github.com/papayacove/papayacove/internal/logfield"
 	"github.com/papayacove/papayacove/internal/result"
@@ -81,7 +80,7 @@
 	w := newHeldWrites()
 	reply := w.send("lost", OpWrite, 0)
 	<-w.reached
-	w.holder.stoppedAt.Store(int64(clock.SinceBoot()))
+	w.holder.plannedStop.Store(&plannedStop{began: time.Now()})
 	w.holder.LogRelaysCut()
 	w.session.Disconnected()
 	close(w.release)
--- a/internal/policy/stopping/schedule_test.go
+++ b/internal/policy/stopping/schedule_test.go
@@ -13,7 +13,7 @@
 	rapid.Check(t, func(t *rapid.T) {
 		grace := time.Duration(rapid.Int64Range(int64(100*time.Millisecond), int64(time.Hour)).Draw(t, "grace"))
 		s := ScheduleOf(grace)
-		steps := []time.Duration{s.EndTransactions, s.AcceptUntil, s.Conclude, s.Cut, s.Peers, s.Promotions, s.Log, s.Grace}
+		steps := []time.Duration{s.EndTransactions, s.AcceptUntil, s.StartUntil, s.Conclude, s.Cut, s.Peers, s.Promotions, s.Log, s.Grace}
 		for i, at := range steps[1:] {
 			if at <= steps[i] {
 				t.Fatalf("got %+v, want ascending times", s)
@@ -37,7 +37,7 @@
 	}
 	for grace := range 100 * time.Millisecond / time.Microsecond {
 		s := ScheduleOf(grace * time.Microsecond)
-		steps := []time.Duration{0, s.EndTransactions, s.AcceptUntil, s.Conclude, s.Cut, s.Peers, s.Promotions, s.Log, s.Grace}
+		steps := []time.Duration{0, s.EndTransactions, s.AcceptUntil, s.StartUntil, s.Conclude, s.Cut, s.Peers, s.Promotions, s.Log, s.Grace}
 		if !slices.IsSorted(steps) {
 			t.Fatalf("grace period of %s: got %+v, want times in order", grace*time.Microsecond, s)
 		}
@@ -47,10 +47,29 @@
 func TestScheduleOfSixSeconds(t *testing.T) {
 	want := Schedule{
 		CloseIdle: 2200 * time.Millisecond, EndTransactions: 3 * time.Second, AcceptUntil: 4125 * time.Millisecond,
-		Conclude: 5500 * time.Millisecond, Cut: 5650 * time.Millisecond, Peers: 5700 * time.Millisecond,
+		StartUntil: 4500 * time.Millisecond, Conclude: 5500 * time.Millisecond, Cut: 5650 * time.Millisecond, Peers: 5700 * time.Millisecond,
 		Promotions: 5800 * time.Millisecond, Log: 5950 * time.Millisecond, Grace: 6 * time.Second,
 	}
 	if got := ScheduleOf(6 * time.Second); got != want {
 		t.Errorf("got %+v, want %+v", got, want)
 	}
 }
+
+func TestArrivalsDuringAStop(t *testing.T) {
+	s := ScheduleOf(6 * time.Second)
+	for _, c := range []struct {
+		what string
+		a    Arrival
+		want bool
+	}{
+		{"a statement at the begin of the stop", Arrival{}, true},
+		{"a transaction before sessions are closed", Arrival{Begins: true, SinceStop: time.Second}, true},
+		{"a transaction while sessions are closed", Arrival{Begins: true, Closing: true, SinceStop: 2200 * time.Millisecond}, false},
+		{"a statement while sessions are closed", Arrival{Closing: true, SinceStop: 4499 * time.Millisecond}, true},
+		{"a statement after the latest start", Arrival{Closing: true, SinceStop: 4500 * time.Millisecond}, false},
+	} {
+		if got := s.Admits(c.a); got != c.want {
+			t.Errorf("%s: got admitted %t, want %t", c.what, got, c.want)
+		}
+	}
+}
