Stand-ins check that requests are answered around planned work

Callers record the last byte of each request and its whole answer or the end of its connection, targets when each request arrived and ended and whether they broke off, the fleet each signal, configuration, replacement of a target and disruption. Records.Unanswered is the rule LOST around planned work with its exceptions, Records.EndedEarly the first half of the grace period for open transactions; both are functions of the records.

--- a/standin/cmd/standin-lab/soak.go
+++ b/standin/cmd/standin-lab/soak.go
@@ -36,6 +36,8 @@
 			&cli.IntFlag{Name: "daemons", Usage: "number of daemons, with lines", Value: linesDaemons},
 			&cli.IntFlag{Name: "groups", Usage: "number of groups, with lines", Value: 1},
 			&cli.IntFlag{Name: "sessions", Usage: "number of callers with long sessions and slow transactions, with lines"},
+			&cli.IntFlag{Name: "stubborn", Usage: "number of callers at each daemon that use their connections until it is gone, with lines"},
+			&cli.DurationFlag{Name: "timeout", Usage: "time limit of the routes, with lines", Value: time.Second},
 			&cli.BoolFlag{Name: "workspaces", Usage: "configure workspaces with keys and limits, with lines"},
 			&cli.StringFlag{Name: "deployment", Usage: "deployment to run; chosen by seed when empty"},
 		},
@@ -146,7 +148,8 @@
 		return false, err
 	}
 	options := lines.FleetOptions{Binaries: command.String("binaries"), Folder: work, Daemons: command.Int("daemons"), Groups: command.Int("groups"),
-		Connections: command.Int("connections"), Sessions: command.Int("sessions")}
+		Connections: command.Int("connections"), Sessions: command.Int("sessions"),
+		Stubborn: command.Int("stubborn"), Timeout: command.Duration("timeout")}
 	if command.Bool("workspaces") {
 		options.Workspaces = soak.Workspaces()
 	}
--- a/standin/fleet/process.go
+++ b/standin/fleet/process.go
@@ -58,13 +58,14 @@
 	return nil
 }
 
-// signal sends a signal to the process if it is alive.
-func (p *Process) signal(signal syscall.Signal) {
+// Signal sends a signal to the process and reports whether it was alive.
+func (p *Process) Signal(signal syscall.Signal) bool {
 	p.mu.Lock()
 	defer p.mu.Unlock()
-	if p.command != nil && p.command.Process != nil && p.isAliveLocked() {
-		_ = p.command.Process.Signal(signal)
+	if p.command == nil || p.command.Process == nil || !p.isAliveLocked() {
+		return false
 	}
+	return p.command.Process.Signal(signal) == nil
 }
 
 // IsAlive reports whether the process was started and has not exited; a frozen process is alive.
@@ -98,33 +99,33 @@
 
 // Kill sends SIGKILL and waits up to stopTimeout for the process to exit.
 func (p *Process) Kill() {
-	p.signal(syscall.SIGKILL)
-	p.waitForExit(stopTimeout)
+	p.Signal(syscall.SIGKILL)
+	p.WaitForExit(stopTimeout)
 }
 
 // Freeze suspends the process with SIGSTOP; its connections stay open.
 func (p *Process) Freeze() {
-	p.signal(syscall.SIGSTOP)
+	p.Signal(syscall.SIGSTOP)
 }
 
 // Resume resumes a frozen process with SIGCONT.
 func (p *Process) Resume() {
-	p.signal(syscall.SIGCONT)
+	p.Signal(syscall.SIGCONT)
 }
 
 // Stop requests an orderly stop with SIGTERM and reports whether the process exited within stopTimeout. A process that
 // did not is killed.
 func (p *Process) Stop() bool {
-	p.signal(syscall.SIGTERM)
-	if p.waitForExit(stopTimeout) {
+	p.Signal(syscall.SIGTERM)
+	if p.WaitForExit(stopTimeout) {
 		return true
 	}
 	p.Kill()
 	return false
 }
 
-// waitForExit reports whether the process exits within a time limit, or was never started.
-func (p *Process) waitForExit(limit time.Duration) bool {
+// WaitForExit reports whether the process exits within a time limit, or was never started.
+func (p *Process) WaitForExit(limit time.Duration) bool {
 	p.mu.Lock()
 	exited := p.exited
 	p.mu.Unlock()
--- a/standin/lines/caller.go
+++ b/standin/lines/caller.go
@@ -4,7 +4,9 @@
 	"bufio"
 	"errors"
 	"fmt"
+	"io"
 	"net"
+	"os"
 	"strings"
 	"sync/atomic"
 	"time"
@@ -53,23 +55,58 @@
 
 // DialWithKey opens a session as Dial does, with a key. log records the statements; nil for none.
 func DialWithKey(address, database, key string, log *CallerLog) (*Caller, error) {
+	c, err := Connect(address, database, key, log)
+	if err != nil {
+		return nil, err
+	}
+	if err := c.Startup(); err != nil {
+		return nil, err
+	}
+	return c, nil
+}
+
+// Connect opens the connection of a session, which Startup opens. log records the statements; nil for none.
+func Connect(address, database, key string, log *CallerLog) (*Caller, error) {
 	conn, err := net.DialTimeout("tcp", address, callTimeout)
 	if err != nil {
 		return nil, err
 	}
-	c := &Caller{conn: conn, in: bufio.NewReader(conn), key: key, log: log, session: newCallerSession(database, conn)}
-	_ = conn.SetDeadline(time.Now().Add(callTimeout))
-	fmt.Fprintf(conn, "STARTUP %s %s\r\n", database, key)
+	return &Caller{conn: conn, in: bufio.NewReader(conn), key: key, log: log, session: newCallerSession(database, conn)}, nil
+}
+
+// Startup opens the session. If it fails, the connection is closed.
+func (c *Caller) Startup() error {
+	_ = c.conn.SetDeadline(time.Now().Add(callTimeout))
+	fmt.Fprintf(c.conn, "STARTUP %s %s\r\n", c.session.database, c.key)
 	line, err := c.in.ReadString('\n')
+	if err == nil && !strings.HasPrefix(line, "READY ") {
+		err = fmt.Errorf("%w: %s", ErrRefused, strings.TrimSpace(line))
+	}
 	if err != nil {
-		_ = conn.Close()
-		return nil, err
+		_ = c.conn.Close()
 	}
-	if !strings.HasPrefix(line, "READY ") {
-		_ = conn.Close()
-		return nil, fmt.Errorf("%w: %s", ErrRefused, strings.TrimSpace(line))
+	return err
+}
+
+// ReadSlowly makes the caller read answers in small parts with a pause before each.
+func (c *Caller) ReadSlowly(part int, pause time.Duration) {
+	if tcp, ok := c.conn.(*net.TCPConn); ok {
+		_ = tcp.SetReadBuffer(part)
 	}
-	return c, nil
+	c.in = bufio.NewReaderSize(slowReader{c.conn, part, pause}, part)
+}
+
+// slowReader reads at most part bytes at a time, with a pause before each part.
+type slowReader struct {
+	from  io.Reader
+	part  int
+	pause time.Duration
+}
+
+// Read reads the next part.
+func (r slowReader) Read(b []byte) (int, error) {
+	time.Sleep(r.pause)
+	return r.from.Read(b[:min(len(b), r.part)])
 }
 
 // Close ends the session.
@@ -86,18 +123,60 @@
 // RunAs sends a statement with the given id and returns the response. It fails if the connection fails before the
 // response is complete.
 func (c *Caller) RunAs(id, text string) (Result, error) {
+	at, err := c.send(id, text)
+	if err != nil {
+		return Result{}, err
+	}
+	return c.receive(id, text, at)
+}
+
+// RunAll sends statements, outside of transactions, without waiting for answers, and returns the answers up to the first failure
+// of the connection.
+func (c *Caller) RunAll(texts []string) ([]Result, error) {
+	ids, times := make([]string, len(texts)), make([]time.Time, len(texts))
+	var failed error
+	for i, text := range texts {
+		ids[i] = fmt.Sprintf("%016x", lastRequestID.Add(1))
+		if times[i], failed = c.send(ids[i], text); failed != nil {
+			ids = ids[:i]
+			break
+		}
+	}
+	var results []Result
+	for i, id := range ids {
+		r, err := c.receive(id, texts[i], times[i])
+		if err != nil {
+			for _, unanswered := range ids[i+1:] {
+				c.recordEnd(unanswered, err)
+			}
+			return results, err
+		}
+		results = append(results, r)
+	}
+	return results, failed
+}
+
+// send sends a statement and returns the time of its first byte.
+func (c *Caller) send(id, text string) (time.Time, error) {
 	_ = c.conn.SetDeadline(time.Now().Add(callTimeout))
 	s := c.session.record(c.key, text)
 	if c.log != nil {
 		c.log.recordSent(id, s)
 	}
-	if _, err := fmt.Fprintf(c.conn, "QUERY %s %s\r\n", id, text); err != nil {
-		return Result{}, err
+	_, err := fmt.Fprintf(c.conn, "QUERY %s %s\r\n", id, text)
+	if c.log != nil && err == nil {
+		c.log.recordLastByte(id)
 	}
+	return s.at, err
+}
+
+// receive returns the response to a statement that was sent at a time.
+func (c *Caller) receive(id, text string, at time.Time) (Result, error) {
 	var r Result
 	for {
 		line, err := c.in.ReadString('\n')
 		if err != nil {
+			c.recordEnd(id, err)
 			return r, err
 		}
 		word, rest, _ := strings.Cut(strings.TrimSuffix(line, "\r\n"), " ")
@@ -113,7 +192,7 @@
 			}
 		case "READY":
 			r.State, _, _ = strings.Cut(rest, " ")
-			c.session.learn(text, s.at, r)
+			c.session.learn(text, at, r)
 			if c.log != nil {
 				c.log.recordResponse(id, r)
 			}
@@ -122,6 +201,13 @@
 	}
 }
 
+// recordEnd records that the connection ended before the answer to a statement was complete, unless the caller ended it.
+func (c *Caller) recordEnd(id string, err error) {
+	if c.log != nil && !errors.Is(err, os.ErrDeadlineExceeded) {
+		c.log.recordEnd(id)
+	}
+}
+
 // IsOverQuota reports whether the statement was refused because its workspace has used up its operations.
 func (r Result) IsOverQuota() bool {
 	return strings.Contains(r.Text, fmt.Sprintf(" %d ", int(result.NotRunOverQuota)))
--- a/standin/lines/disruptions.go
+++ b/standin/lines/disruptions.go
@@ -17,7 +17,7 @@
 
 // drainTimeout is the time for which leaving targets serve. It is short where targets are replaced often.
 func (f *Fleet) drainTimeout() time.Duration {
-	if f.Options.Sessions > 0 {
+	if f.Options.Sessions+f.Options.Stubborn > 0 {
 		return 3 * time.Second
 	}
 	return 7 * time.Second
@@ -37,12 +37,14 @@
 	if err := f.relayTarget(d); err != nil {
 		return err
 	}
+	ended := f.Planned.replace(id)
 	d.announce()
 	time.Sleep(leaveDelay)
 	old.Leave()
 	f.releases.Go(func() {
 		time.Sleep(f.drainTimeout() + endDelay)
 		old.retire()
+		ended()
 	})
 	return nil
 }
--- a/standin/lines/fleet.go
+++ b/standin/lines/fleet.go
@@ -25,7 +25,9 @@
 	Daemons  []*Daemon
 	// Operator records the versions of the workspaces that the store acknowledged.
 	Operator OperatorLog
-	Options  FleetOptions
+	// Planned records planned work and disruptions.
+	Planned PlannedLog
+	Options FleetOptions
 	// mu guards the fields below.
 	mu sync.Mutex
 	// links are the relays between the daemons and the targets, by the id of the target.
@@ -37,6 +39,8 @@
 	releases sync.WaitGroup
 	// version is the version of the configuration.
 	version int
+	// timeout is the time limit of the routes.
+	timeout time.Duration
 	stop    chan struct{}
 }
 
@@ -51,6 +55,10 @@
 	Connections int
 	// Sessions is the number of callers with long sessions, for a soak.
 	Sessions int
+	// Stubborn is the number of callers at each daemon that use their connections until the process is gone, for a soak.
+	Stubborn int
+	// Timeout is the time limit of the routes; 0 stands for one second.
+	Timeout time.Duration
 	// Workspaces are the workspaces of the configuration. Without them callers state no keys and nothing is limited.
 	Workspaces []Workspace
 }
@@ -71,6 +79,10 @@
 	CallerAddress string
 	// StoreLink is the relay to the store.
 	StoreLink *netfault.Link
+	// planned records what is done to the daemon, and disrupted the end of the disruption that lasts; nil for none.
+	planned   *PlannedLog
+	mu        sync.Mutex
+	disrupted func()
 }
 
 // targetIDs are the ids of the targets of a fleet.
@@ -84,6 +96,8 @@
 	BoundedStalenessDatabase = "aged"
 	// MaxStaleness is the largest staleness that reads of BoundedStalenessDatabase accept.
 	MaxStaleness = 1500 * time.Millisecond
+	// defaultTimeout is the time limit of the routes without an option.
+	defaultTimeout = time.Second
 	// groupName is the name of the first group.
 	groupName = "group"
 	// heartbeatInterval is the time between two heartbeats of a target.
@@ -116,6 +130,10 @@
 	}
 	f := &Fleet{
 		Store: store, links: map[string]*netfault.Link{}, cutZones: map[string]bool{}, Options: options, workspaces: options.Workspaces, version: 1, stop: make(chan struct{}),
+		timeout: options.Timeout,
+	}
+	if f.timeout == 0 {
+		f.timeout = defaultTimeout
 	}
 	for i := range max(1, options.Groups) {
 		if err := f.startGroup(i); err != nil {
@@ -137,7 +155,7 @@
 		f.mu.Unlock()
 	}
 	go f.sendHeartbeats()
-	if options.Sessions > 0 {
+	if options.Sessions+options.Stubborn > 0 {
 		go f.followPrimaries()
 	}
 	return f, nil
@@ -168,7 +186,7 @@
 
 // relayTarget puts a relay between the daemons and a target.
 func (f *Fleet) relayTarget(d *Target) error {
-	d.service = 2 * time.Millisecond
+	d.service = ServiceTime
 	d.SetLag(5 * time.Millisecond)
 	link := netfault.New(netfault.Options{
 		Target: d.Address(), DropHalfOpenAfter: unreachableCallerTimeout,
@@ -219,13 +237,13 @@
 	time.AfterFunc(heartbeatInterval/2, f.configure)
 }
 
-// CommitCount returns how many records in the logs of the primaries write a value to an item.
-func (f *Fleet) CommitCount(item, value string) int {
-	count := 0
+// CommitCounts returns how many records in the logs of the primaries write each value to an item.
+func (f *Fleet) CommitCounts() map[Write]int {
+	counts := map[Write]int{}
 	for _, g := range f.Groups {
-		count += g.CommitCount(item, value)
+		g.addCommitCounts(counts)
 	}
-	return count
+	return counts
 }
 
 // Workspaces returns the workspaces of the last configuration.
@@ -245,6 +263,15 @@
 	f.configure()
 }
 
+// SetTimeout writes a new version of the configuration, with another time limit of the routes.
+func (f *Fleet) SetTimeout(timeout time.Duration) {
+	f.mu.Lock()
+	f.version++
+	f.timeout = timeout
+	f.mu.Unlock()
+	f.configure()
+}
+
 // configure writes the configuration.
 func (f *Fleet) configure() {
 	f.mu.Lock()
@@ -259,7 +286,7 @@
 	}
 	for _, r := range known {
 		routes = append(routes, map[string]any{
-			"Name": "r-" + r.Database, "Host": r.Database, "Type": string(r.Kind), "TimeoutMs": 1000, "TargetLatencyMs": 400, "Priority": 1,
+			"Name": "r-" + r.Database, "Host": r.Database, "Type": string(r.Kind), "TimeoutMs": f.timeout.Milliseconds(), "TargetLatencyMs": 400, "Priority": 1,
 			"Backend": r.Group, "MaxStalenessMs": MaxStaleness.Milliseconds(),
 		})
 	}
@@ -270,7 +297,9 @@
 		configuration["Tenants"] = f.workspaces
 	}
 	f.Operator.recordRoutes(time.Now(), known)
+	acknowledged := f.Planned.recordConfiguration(f.timeout)
 	f.Store.Put("config", "main", configuration)
+	acknowledged()
 	f.Operator.record(time.Now(), f.workspaces)
 }
 
@@ -308,7 +337,7 @@
 [fleet]
 readiness_address = "%s"
 promotion_url = "%s"
-grace_s = 4.0
+grace_s = %.1f
 drain_timeout_ms = %d
 config_apply_ms = 3000
 memory_mb = 400
@@ -337,13 +366,17 @@
 		bounds = FleetBounds.text()
 	}
 	text := fmt.Sprintf(settingsText, number+1, number%len(targetIDs)+1, host.CallerAddress(), host.PeerAddress(), host.AdminAddress(),
-		store.Address(), host, host.ReadinessAddress(), f.Provider.URL(), f.drainTimeout().Milliseconds(), bounds)
+		store.Address(), host, host.ReadinessAddress(), f.Provider.URL(), GracePeriod.Seconds(), f.drainTimeout().Milliseconds(), bounds)
 	path := filepath.Join(f.Options.Folder, fmt.Sprintf("daemon-%d.toml", number+1))
 	if err := os.WriteFile(path, []byte(text), 0o644); err != nil {
 		return nil, err
 	}
 	process := fleet.NewProcess(fmt.Sprintf("daemon-%d", number+1), filepath.Join(f.Options.Binaries, "papayacove"), f.Options.Folder, "run", "--settings", path)
-	return &Daemon{Process: process, CallerAddress: host.CallerAddress(), Source: string(host), Zone: fmt.Sprintf("zone-%d", number%len(targetIDs)+1), PeerLink: peers, StoreLink: store}, process.Start()
+	d := &Daemon{
+		Process: process, CallerAddress: host.CallerAddress(), Source: string(host), Zone: fmt.Sprintf("zone-%d", number%len(targetIDs)+1), PeerLink: peers, StoreLink: store,
+		planned: &f.Planned,
+	}
+	return d, d.Start()
 }
 
 // LastActor returns the daemon that last changed an object of the store under a condition, such as a promotion lock; nil if
--- a/standin/lines/group.go
+++ b/standin/lines/group.go
@@ -106,6 +106,9 @@
 	conns   map[net.Conn]struct{}
 	// executed are the statements that the target executed.
 	executed []Execution
+	// attempts are the statements of callers that the target received, crashes counts its ends.
+	attempts []Attempt
+	crashes  int
 }
 
 // NewGroup starts a group of targets on loopback ports, in zones zone-1, zone-2 and so on. The first target is the
@@ -211,6 +214,7 @@
 	d.group.mu.Lock()
 	defer d.group.mu.Unlock()
 	d.up = false
+	d.crashes++
 	_ = d.listener.Close()
 	for conn := range d.conns {
 		_ = conn.Close()
@@ -235,6 +239,13 @@
 	d.group.changed.Broadcast()
 }
 
+// SetService sets the time that a statement occupies a slot.
+func (d *Target) SetService(service time.Duration) {
+	d.group.mu.Lock()
+	defer d.group.mu.Unlock()
+	d.service = service
+}
+
 // SetLag sets the time between receiving and applying a record. Records that were received before are not affected.
 func (d *Target) SetLag(lag time.Duration) {
 	d.group.mu.Lock()
@@ -447,6 +458,23 @@
 	return d.up && !d.unresponsive
 }
 
+// Write is a value that is written to an item.
+type Write struct{ Item, Value string }
+
+// addCommitCounts adds to counts how many records in the log of the primary write each value to an item.
+func (g *Group) addCommitCounts(counts map[Write]int) {
+	primary := g.Primary()
+	g.mu.Lock()
+	defer g.mu.Unlock()
+	if d, ok := g.targets[primary]; ok {
+		for _, r := range d.log {
+			for item, value := range r.writes {
+				counts[Write{item, value}]++
+			}
+		}
+	}
+}
+
 // CommitCount returns how many records in the log of the primary write a value to an item.
 func (g *Group) CommitCount(item, value string) int {
 	primary := g.Primary()
--- a/standin/lines/rules.go
+++ b/standin/lines/rules.go
@@ -14,7 +14,9 @@
 	// sent are the statements of callers by id, executions the runs of all targets, each target's in order.
 	sent       map[string]sent
 	executions []Execution
-	commits    []Commit
+	// attempts are the statements that targets received.
+	attempts []Attempt
+	commits  []Commit
 	// termStarts are the positions at which the terms of each group began.
 	termStarts map[string]map[uint64]Position
 	routes     []routeVersion
@@ -31,6 +33,7 @@
 	operator.mu.Unlock()
 	for _, g := range groups {
 		r.executions = append(r.executions, g.Executions()...)
+		r.attempts = append(r.attempts, g.attemptsOf()...)
 		g.mu.Lock()
 		r.commits = append(r.commits, g.commits...)
 		r.termStarts[g.Name] = maps.Clone(g.termStarts)
--- a/standin/lines/session.go
+++ b/standin/lines/session.go
@@ -40,6 +40,9 @@
 	failed bool
 	// writes are the uncommitted writes of the transaction, by item.
 	writes map[string]string
+	// brokeOff is true if the current statement is not answered, errorCode the code of its error.
+	brokeOff  bool
+	errorCode string
 }
 
 func (d *Target) accept(listener net.Listener) {
@@ -67,12 +70,46 @@
 	scanner.Buffer(nil, 2<<20)
 	for scanner.Scan() {
 		s.arrivedAt = time.Now()
-		if !d.awaitResponsive() || !s.handle(strings.TrimSuffix(scanner.Text(), "\r")) {
+		if !s.serveLine(strings.TrimSuffix(scanner.Text(), "\r")) {
 			return
 		}
 	}
 }
 
+// serveLine records the attempt of a statement and answers it. It returns false if the connection has to be closed.
+func (s *targetSession) serveLine(line string) bool {
+	id := ""
+	if words := strings.SplitN(line, " ", 3); words[0] == "QUERY" && len(words) == 3 && words[1] != "-" {
+		id = words[1]
+	}
+	if id == "" {
+		return s.target.awaitResponsive() && s.handle(line)
+	}
+	s.brokeOff, s.errorCode = false, ""
+	end := s.beginAttempt(id)
+	ok := s.target.awaitResponsive() && s.handle(line)
+	end(!ok || s.brokeOff)
+	return ok
+}
+
+// beginAttempt records that a statement has arrived, and returns the function that records its end.
+func (s *targetSession) beginAttempt(id string) func(brokeOff bool) {
+	if s.source == "" {
+		s.source = s.target.sourceOf(s.out)
+	}
+	d := s.target
+	d.group.mu.Lock()
+	defer d.group.mu.Unlock()
+	number, crashes := len(d.attempts), d.crashes
+	d.attempts = append(d.attempts, Attempt{ID: id, Group: d.group.Name, Target: d.ID, Source: s.source, ArrivedAt: s.arrivedAt})
+	return func(brokeOff bool) {
+		d.group.mu.Lock()
+		defer d.group.mu.Unlock()
+		a := &d.attempts[number]
+		a.EndedAt, a.Code, a.BrokeOff = time.Now(), s.errorCode, brokeOff || d.crashes != crashes
+	}
+}
+
 // awaitResponsive waits while the target is unresponsive. It returns false if the target has crashed.
 func (d *Target) awaitResponsive() bool {
 	d.group.mu.Lock()
@@ -122,7 +159,7 @@
 }
 
 func (s *targetSession) sendError(code string) {
-	s.failed = s.inTransaction
+	s.failed, s.errorCode = s.inTransaction, code
 	fmt.Fprintf(s.out, "ERROR %s %s\r\n", code, s.target.ID)
 	s.sendReady()
 }
@@ -229,12 +266,23 @@
 	s.read(id, argument)
 }
 
-// occupySlot waits for a free slot and occupies it for the service time of a statement.
-func (s *targetSession) occupySlot() {
+const (
+	// ServiceTime is the time that a statement occupies a slot of a target of a fleet.
+	ServiceTime = 2 * time.Millisecond
+	// SlowItem is the prefix of items whose statements take slowItemTime longer.
+	SlowItem     = "slow-"
+	slowItemTime = 700 * time.Millisecond
+)
+
+// occupySlot waits for a free slot and occupies it for the service time of a statement of an item.
+func (s *targetSession) occupySlot(item string) {
 	d := s.target
 	d.group.mu.Lock()
 	service := d.service
 	d.group.mu.Unlock()
+	if strings.HasPrefix(item, SlowItem) {
+		service += slowItemTime
+	}
 	d.slots <- struct{}{}
 	time.Sleep(service)
 	<-d.slots
@@ -244,7 +292,7 @@
 // that begins with @ names a setting of the session. A read in a transaction that may write fails if the target has
 // stopped being the primary.
 func (s *targetSession) read(id, item string) {
-	s.occupySlot()
+	s.occupySlot(item)
 	d := s.target
 	d.group.mu.Lock()
 	value := ""
@@ -285,7 +333,7 @@
 }
 
 func (s *targetSession) write(id, item, data string) {
-	s.occupySlot()
+	s.occupySlot(item)
 	s.target.group.mu.Lock()
 	isPrimary := s.target.primary
 	s.position = s.target.appliedPosition()
@@ -310,7 +358,7 @@
 		s.sendError("ABORTED")
 		return
 	}
-	s.occupySlot()
+	s.occupySlot("")
 	s.commitWrites(id, writes)
 	s.transaction = 0
 }
@@ -321,6 +369,7 @@
 	if len(writes) > 0 {
 		position, acknowledged := s.target.commit(id, writes)
 		if !acknowledged {
+			s.brokeOff = true
 			_ = s.out.Close()
 			return
 		}
--- a/standin/lines/workspaces.go
+++ b/standin/lines/workspaces.go
@@ -52,13 +52,31 @@
 	l.mu.Lock()
 	defer l.mu.Unlock()
 	s := l.sent[id]
-	s.code = r.Code
+	s.code, s.answeredAt, s.answer = r.Code, time.Now(), r.Text
 	if r.Code == "" {
-		s.succeededAt, s.signature = time.Now(), r.Signature
+		s.succeededAt, s.signature = s.answeredAt, r.Signature
 	}
 	l.sent[id] = s
 }
 
+// recordLastByte records that the last byte of a statement has been sent.
+func (l *CallerLog) recordLastByte(id string) {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	s := l.sent[id]
+	s.lastByteAt = time.Now()
+	l.sent[id] = s
+}
+
+// recordEnd records that the connection of a statement has ended before the whole answer.
+func (l *CallerLog) recordEnd(id string) {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	s := l.sent[id]
+	s.endedAt = time.Now()
+	l.sent[id] = s
+}
+
 func (l *CallerLog) recordRefusedOverQuota(id string) {
 	l.mu.Lock()
 	defer l.mu.Unlock()
--- a/standin/soak/lines.go
+++ b/standin/soak/lines.go
@@ -134,6 +134,33 @@
 		return thenRelease(f, g, random, primaryLast(g), func() (string, func()) { return cutPrimary(f, g, random) })
 	})},
 	{"odd_entries", writeOddEntries},
+	{"daemon_stopped_briefly", onDaemon(func(d *lines.Daemon) func() { stopAndStart(d); return func() {} })},
+	{"daemons_stopped_in_series", stopInSeries},
+	{"daemons_stopped_overlapping", stopOverlapping},
+	{"holder_stopped", onHolder(func(d *lines.Daemon, _ *rand.Rand) { stopAndStart(d) })},
+	{"holder_and_sender_stopped", onGroup(stopHolderAndSender)},
+	{"settings_changed", onDaemon(func(d *lines.Daemon) func() { d.Hangup(); return func() {} })},
+	{"settings_changed_and_stopped", besideStop(func(_ *lines.Fleet, d *lines.Daemon, _ *rand.Rand) func() { d.Hangup(); return nil })},
+	{"timeout_changed", func(f *lines.Fleet, random *rand.Rand) (string, func()) { return changeTimeout(f, random), func() {} }},
+	{"timeout_changed_and_stopped", besideStop(func(f *lines.Fleet, _ *lines.Daemon, random *rand.Rand) func() {
+		changeTimeout(f, random)
+		return nil
+	})},
+	{"replica_released_and_stopped", besideStop(releaseOne(func(g *lines.Group) string {
+		return otherThan(g.RunningIDs(), g.Primary())[0]
+	}))},
+	{"primary_released_and_stopped", besideStop(releaseOne((*lines.Group).Primary))},
+	{"target_slow_and_stopped", besideStop(slowTarget)},
+	{"daemon_stopped_twice", besideStop(terminateAgain)},
+	{"daemon_stopped_while_starting", onDaemonRandomly(stopWhileStarting)},
+	{"store_down_and_stopped", besideStop(func(f *lines.Fleet, _ *lines.Daemon, _ *rand.Rand) func() {
+		f.Store.Down.Store(true)
+		return func() { f.Store.Down.Store(false) }
+	})},
+	{"store_restored_and_stopped", besideStop(func(f *lines.Fleet, _ *lines.Daemon, random *rand.Rand) func() {
+		f.Restore(copyAge(random))
+		return nil
+	})},
 }
 
 // maxCopyAge is the longest time that a copy is old from which the store is restored.
@@ -238,12 +265,13 @@
 	working, stop := context.WithTimeout(ctx, duration)
 	defer stop()
 	var parts sync.WaitGroup
-	parts.Go(func() { injectAll(working, f, faults, l.history, rand.New(rand.NewSource(seed))) })
+	parts.Go(func() { injectAll(working, f, recordDisruptions(faults), l.history, rand.New(rand.NewSource(seed))) })
 	for i := range linesCallers {
 		parts.Go(func() { l.runCaller(working, f, i, rand.New(rand.NewSource(seed*100+int64(i)))) })
 	}
 	l.runDemands(working, f, seed, &parts)
 	l.runSessions(working, f, f.Options.Sessions, seed, &parts)
+	l.runStubborn(working, f, seed, &parts)
 	parts.Wait()
 	f.AwaitReleases()
 	l.settle(f)
@@ -260,6 +288,9 @@
 	b := &StatementBreaches{Pinned: records.Pinned(), Route: records.Route()}
 	b.Stale, b.Dropped = records.Stale(lines.MaxStaleness)
 	b.Relayed, b.Run = records.Relayed()
+	work := f.Planned.Work()
+	b.Unanswered, b.OtherCuts = records.Unanswered(work, lines.FleetLostBounds)
+	b.EndedEarly = records.EndedEarly(work, lines.FleetLostBounds)
 	b.Records = records.All()
 	return b
 }
@@ -444,9 +475,10 @@
 // check compares the results that callers got with the log of the primary. It also checks that the fencing tokens of
 // the promotion orders of each group never fall, and that no two holders used the same token in a row.
 func (l *ledger) check(f *lines.Fleet, report *Report) {
+	counts := f.CommitCounts()
 	for item, writes := range l.acked {
 		for _, w := range writes {
-			switch count := f.CommitCount(item, strconv.Itoa(w.number)); {
+			switch count := counts[lines.Write{Item: item, Value: strconv.Itoa(w.number)}]; {
 			case count == 0:
 				report.Verdict.Lost++
 				report.Verdict.Details = append(report.Verdict.Details, fmt.Sprintf("%s = %d was acknowledged and is lost", item, w.number))
@@ -456,7 +488,7 @@
 		}
 	}
 	for _, failed := range l.notRun {
-		if f.CommitCount(failed.item, failed.value) > 0 {
+		if counts[lines.Write{Item: failed.item, Value: failed.value}] > 0 {
 			report.Verdict.FalseNotRun++
 			report.Verdict.Details = append(report.Verdict.Details, fmt.Sprintf("%s = %s got %s, which promises that it did not run, and is in the log", failed.item, failed.value, failed.code))
 		}
