Planned stops: answers match effects whenever the stop comes

The random runs cannot see a final answer between the reply of a target and its leadership proof; TestEndOfStopDoesNotDenyACommitThatAwaitsItsProof does, and fails if an earlier attempt that may have run is forgotten. TestCallerThatTakesNoAnswerDoesNotHoldUpTheStop guards the end of a stop against callers that do not read.

--- a/internal/engine/conclude_test.go
+++ b/internal/engine/conclude_test.go
@@ -8,6 +8,7 @@
 	"testing"
 	"time"
 
+	"github.com/papayacove/papayacove/internal/policy/callers"
 	"github.com/papayacove/papayacove/internal/policy/stopping"
 	"github.com/papayacove/papayacove/internal/result"
 )
@@ -153,3 +154,65 @@
 		}
 	}
 }
+
+// TestEndOfStopDoesNotDenyACommitThatAwaitsItsProof guards against a promise that nothing ran, after the target has
+// acknowledged the write.
+func TestEndOfStopDoesNotDenyACommitThatAwaitsItsProof(t *testing.T) {
+	target := newOpenTransactionsTarget()
+	e := newPatientEngine(&target.fakeTarget)
+	e.groups["g"].provenUntil = 0
+	caller, ended := serveLive(t, e, "")
+	caller.statements <- Statement{ID: "w", Op: OpWrite, Text: "w"}
+	<-target.reached
+	s := e.openSessions()[0]
+	awaitTrue(t, "the target has answered", func() bool {
+		s.mu.Lock()
+		defer s.mu.Unlock()
+		return s.progress.step != stepSent
+	})
+	finishNow(e)
+	if code := codeIn(<-caller.answers); code != result.OutcomeUnknown {
+		t.Errorf("got %v, want %v", code, result.OutcomeUnknown)
+	}
+	awaitEnd(t, ended)
+}
+
+// deafCaller takes no answer until its connection is closed.
+type deafCaller struct {
+	liveCaller
+	answering chan struct{}
+}
+
+func (c *deafCaller) Answer(Answer) error {
+	close(c.answering)
+	<-c.closed
+	return errLost
+}
+
+// TestCallerThatTakesNoAnswerDoesNotHoldUpTheStop guards against a stop that lasts until the process is killed.
+func TestCallerThatTakesNoAnswerDoesNotHoldUpTheStop(t *testing.T) {
+	for _, op := range []Operation{OpSet, OpWrite} {
+		target := newHeldTarget()
+		e := newPatientEngine(&target.fakeTarget)
+		caller := &deafCaller{answering: make(chan struct{})}
+		caller.statements, caller.interrupted, caller.closed = make(chan Statement), make(chan struct{}, 1), make(chan struct{})
+		ended := make(chan struct{})
+		go func() {
+			e.Serve(caller, "d", callers.Identity{})
+			close(ended)
+		}()
+		caller.statements <- Statement{ID: "id", Op: op, Text: "t"}
+		if op == OpSet {
+			<-caller.answering
+		} else {
+			awaitTrue(t, "the statement is at its target", func() bool { return target.has("id") })
+		}
+		over, cancel := context.WithCancel(context.Background())
+		cancel()
+		e.Drain(over, stopping.ScheduleOf(100*time.Millisecond))
+		e.FinishSessions(over)
+		<-caller.closed
+		close(target.release)
+		awaitEnd(t, ended)
+	}
+}
