--- a/internal/policy/stopping/schedule.go
+++ b/internal/policy/stopping/schedule.go
@@ -11,7 +11,7 @@
 	// maxReserve and reservePart bound the part of the grace period that is left when the last callers are answered: a time,
 	// and one part in so many of a short grace period.
 	maxReserve  = 500 * time.Millisecond
-	reservePart = 4
+	reservePart = 8
 	// answerPercent is the part of that reserve, in percent, that the last answers may take.
 	answerPercent = 30
 	// maxRun and runPart bound the time that a statement needs to end, from the latest start: a time, and one part in so
