Connections to daemons that have left stay open while calls are in progress

A statement at a holder that ran for over 30 s was cut when the holder's entry had left the list of the daemons meanwhile: its caller was told that the outcome is not known, or that its transaction is lost.

Cause: Keep closes the connections to daemons that are not listed and were not called for 30 s, and took the begin of the last call for its end. Found by reading; no run of the users shows it, and their statements have shorter limits.

Before: TestCallsInProgressOutliveTheEntryOfTheirDaemon got "call was sent and not answered: use of closed network connection". After: the call is answered, and the connection is closed at the next list.

--- a/internal/peer/client.go
+++ b/internal/peer/client.go
@@ -143,6 +143,19 @@
 	}
 }
 
+// HasCalls reports whether calls are in progress.
+func (c *Client) HasCalls() bool {
+	for i := range c.links {
+		c.links[i].mu.Lock()
+		current := c.links[i].connection
+		c.links[i].mu.Unlock()
+		if current != nil && current.pending.Load() > 0 {
+			return true
+		}
+	}
+	return false
+}
+
 // Execute runs a statement batch at the other daemon.
 func (c *Client) Execute(ctx context.Context, req *api.ExecuteRequest) (*api.ExecuteReply, error) {
 	return Call[api.ExecuteReply](ctx, c, "Execute", req)
--- a/internal/relay/relay.go
+++ b/internal/relay/relay.go
@@ -64,12 +64,12 @@
 }
 
 // Keep closes the connections to daemons whose address is not among those given, once they are unused for
-// unusedAfter: a daemon that stops leaves the list first, and its transactions end later.
+// unusedAfter and no call is in progress: a daemon that stops leaves the list first, and its transactions end later.
 func (c *Clients) Keep(addresses map[string]bool) {
 	c.mu.Lock()
 	defer c.mu.Unlock()
 	for address, known := range c.clients {
-		if !addresses[address] && time.Since(known.lastUsed) > unusedAfter {
+		if !addresses[address] && time.Since(known.lastUsed) > unusedAfter && !known.HasCalls() {
 			known.Close()
 			delete(c.clients, address)
 		}
