A stopping holder still tells the status of its targets

Writes at other daemons had an unknown outcome while several holders of a target stopped at once and the target accepted no further connection: "could not be proved to lead when it acknowledged the commit".

Cause: a stopping holder refused status calls as it refuses statements, and was not asked at all for 2 s after it had refused a statement, although its connection for status calls stays open until its end. The daemon's own attempt was refused by the full target.

A stopping holder serves status calls, and its refusal of a statement keeps others from sending it statements, not status calls.

Before: TestStoppingHoldersTellTheStatusOfTheirTargets got "target failure too_many_connections" at seven daemons of seven. After: the status.

--- a/internal/engine/daemons.go
+++ b/internal/engine/daemons.go
@@ -77,7 +77,7 @@
 const (
 	// peerAvoidance is the time for which a daemon that did not answer is not asked again.
 	peerAvoidance = 300 * time.Millisecond
-	// stoppingPeerAvoidance is the time for which a daemon is not asked that stops.
+	// stoppingPeerAvoidance is the time for which a daemon that stops is sent no statements.
 	stoppingPeerAvoidance = 2 * time.Second
 	// unawarePeerAvoidance is the time for which a daemon is not asked that does not know the target yet: it has just
 	// started, or the target has.
@@ -90,7 +90,7 @@
 // peerHealth records which other daemons are not asked for the moment. Its methods may be called concurrently.
 type peerHealth struct {
 	mu sync.Mutex
-	// avoidUntil are times of the boot clock by address, or by the way to a target.
+	// avoidUntil are times of the boot clock by address, by the way to a target, or by address for statements alone.
 	avoidUntil map[string]time.Duration
 }
 
--- a/internal/engine/relay.go
+++ b/internal/engine/relay.go
@@ -109,7 +109,7 @@
 		l.chosen = &gateLease{gate: l.group.gateOf(l.member)}
 		return l.chosen.run(e), true
 	}
-	if peers.isAvoided(h.address) {
+	if peers.isAvoided(h.address) || peers.isAvoided(h.statements()) {
 		return attemptResult{}, false
 	}
 	return l.send(h.address, e)
@@ -129,8 +129,11 @@
 		l.ended = true
 		return attemptResult{err: err, sent: true, byHolder: true, askedAt: askedAt}, true
 	}
-	if avoidance, again := avoidanceAfter(result.Code(reply.NotRunCode)); again {
-		if avoidance > 0 {
+	code := result.Code(reply.NotRunCode)
+	if avoidance, again := avoidanceAfter(code); again {
+		if code == result.NotRunDraining {
+			l.group.peers.avoid(holder{address: address}.statements(), avoidance, errors.New(reply.Reason))
+		} else if avoidance > 0 {
 			l.group.peers.avoid(address, avoidance, errors.New(reply.Reason))
 		}
 		return attemptResult{}, false
--- a/internal/engine/relaysession.go
+++ b/internal/engine/relaysession.go
@@ -239,9 +239,10 @@
 	return relayReply(outcome), outcome
 }
 
-// Status returns the status of a target that this daemon holds.
+// Status returns the status of a target that this daemon holds, also while it stops: others may reach the target through it
+// alone, as it has connections there.
 func (s *RelaySession) Status(request *api.RelayStatusRequest) *api.RelayStatusReply {
-	h, refused := s.engine.gateFor(request.Group, request.Target)
+	h, refused := s.engine.knownGate(request.Group, request.Target)
 	if refused != nil {
 		return &api.RelayStatusReply{Reason: refused.Error()}
 	}
@@ -254,12 +255,17 @@
 	}
 }
 
-// gateFor returns the gate of a target for other daemons. It fails with NotRunDraining while this daemon stops, and with
-// NotRunNotHolder when it does not know the target.
+// gateFor returns the gate of a target for the statements of other daemons. It fails with NotRunDraining while this daemon
+// stops, and with NotRunNotHolder when it does not know the target.
 func (e *Engine) gateFor(groupName, target string) (*gate, error) {
 	if e.stopping.Load() {
-		return nil, result.Errorf(result.NotRunDraining, "the daemon stops")
+		return nil, errHolderStops
 	}
+	return e.knownGate(groupName, target)
+}
+
+// knownGate is gateFor for what a stopping daemon serves too.
+func (e *Engine) knownGate(groupName, target string) (*gate, error) {
 	e.mu.Lock()
 	g, ok := e.groups[groupName]
 	e.mu.Unlock()
--- a/internal/engine/relaystop_test.go
+++ b/internal/engine/relaystop_test.go
@@ -4,6 +4,9 @@
 	"testing"
 	"time"
 
+	"github.com/papayacove/papayacove/api"
+	"github.com/papayacove/papayacove/internal/policy/callers"
+	"github.com/papayacove/papayacove/internal/policy/leadership"
 	"github.com/papayacove/papayacove/internal/result"
 )
 
@@ -88,3 +91,33 @@
 	defer w.target.mu.Unlock()
 	return w.target.open
 }
+
+// TestStoppingHoldersTellTheStatusOfTheirTargets guards against writes without a proof of leadership while all holders of a
+// target stop.
+func TestStoppingHoldersTellTheStatusOfTheirTargets(t *testing.T) {
+	target := &fakeTarget{exchange: func(_ *fakeConnection, c Command) (Reply, error) {
+		if c.Op != OpStatus {
+			return Reply{Signature: "s", Position: api.Position{Term: 1, Offset: 1}}, nil
+		}
+		return Reply{Status: leadership.Status{Role: leadership.RolePrimary, Term: 1}}, nil
+	}}
+	n, engines := newRelayedEngines(target, 10, scarceLimits, strictRoute)
+	holders := map[string]bool{}
+	for _, h := range engines[0].groups["g"].holdersOf(engines[0].groups["g"].members["a"]) {
+		holders[h.address] = true
+		n.engines[h.address].stopping.Store(true)
+	}
+	full := &fakeTarget{err: &TargetFailure{Kind: FailureTooManyConnections, Code: "TOOMANY"}}
+	for _, e := range engines {
+		if holders[e.options.Name] {
+			continue
+		}
+		e.Serve(&scriptedCaller{statements: []Statement{{ID: "1", Op: OpWrite, Text: "w"}}}, "d", callers.Identity{})
+		g := e.groups["g"]
+		g.judgeRank, g.zones = 100, 1
+		g.members["a"].control.dialer = full
+		if status, err := g.status(g.members["a"], time.Second); err != nil || status.Role != leadership.RolePrimary {
+			t.Errorf("%s: got %+v, %v, want the status of the target", e.options.Name, status, err)
+		}
+	}
+}
--- a/internal/engine/relaywork.go
+++ b/internal/engine/relaywork.go
@@ -56,7 +56,7 @@
 
 func (r *relayedStatement) step() step { return step(r.reached.Load()) }
 
-// errHolderStops is the refusal of a statement of another daemon at the end of a planned stop.
+// errHolderStops is the refusal of a statement of another daemon during a planned stop.
 var errHolderStops = result.Errorf(result.NotRunDraining, "the daemon stops")
 
 // EndRelayWaits refuses the statements of other daemons that wait here, so that they are answered before the connections
