--- a/internal/engine/relaystop_test.go
+++ b/internal/engine/relaystop_test.go
@@ -121,3 +121,30 @@
 		}
 	}
 }
+
+// TestTransactionsOutliveTheEntriesOfTheirDaemons guards against a transaction or statement that is lost because its sender, its
+// holder or all daemons are marked as left, as at the begin of a planned stop.
+func TestTransactionsOutliveTheEntriesOfTheirDaemons(t *testing.T) {
+	for name, remaining := range map[string][]Daemon{
+		"without the holder": {{Name: "daemon-0", Zone: "z", Address: "daemon-0"}},
+		"without the sender": {{Name: "daemon-1", Zone: "z", Address: "daemon-1"}},
+		"without any":        nil,
+	} {
+		t.Run(name, func(t *testing.T) {
+			w := newPinnedWorld(true, 10*time.Second)
+			caller := w.open("a")
+			for i, op := range []Operation{OpBegin, OpWrite, OpWrite, OpCommit, OpBegin, OpWrite, OpCommit} {
+				if i == 2 {
+					for _, e := range w.network.engines {
+						e.SetDaemons(remaining)
+					}
+				}
+				if code := w.step(caller, op); code != result.OK {
+					t.Errorf("statement %d: got %s, want success", i+1, code)
+				}
+			}
+			w.close(caller)
+			w.failOnBreach(t)
+		})
+	}
+}
