--- a/standin/cmd/standin-lab/soak.go
+++ b/standin/cmd/standin-lab/soak.go
@@ -36,7 +36,8 @@
 			&cli.IntFlag{Name: "daemons", Usage: "number of daemons, with lines", Value: linesDaemons},
 			&cli.IntFlag{Name: "groups", Usage: "number of groups, with lines", Value: 1},
 			&cli.IntFlag{Name: "sessions", Usage: "number of callers with long sessions and slow transactions, with lines"},
-			&cli.IntFlag{Name: "stubborn", Usage: "number of callers at each daemon that use their connections until it is gone, with lines"},
+			&cli.IntFlag{Name: "stubborn", Usage: "callers at each daemon that use their connections until it is gone, with lines"},
+			&cli.DurationFlag{Name: "grace", Usage: "time between SIGTERM and SIGKILL to a daemon, with lines", Value: 4 * time.Second},
 			&cli.DurationFlag{Name: "timeout", Usage: "time limit of the routes, with lines", Value: time.Second},
 			&cli.BoolFlag{Name: "workspaces", Usage: "configure workspaces with keys and limits, with lines"},
 			&cli.StringFlag{Name: "deployment", Usage: "deployment to run; chosen by seed when empty"},
@@ -149,7 +150,7 @@
 	}
 	options := lines.FleetOptions{Binaries: command.String("binaries"), Folder: work, Daemons: command.Int("daemons"), Groups: command.Int("groups"),
 		Connections: command.Int("connections"), Sessions: command.Int("sessions"),
-		Stubborn: command.Int("stubborn"), Timeout: command.Duration("timeout")}
+		Stubborn: command.Int("stubborn"), Timeout: command.Duration("timeout"), Grace: command.Duration("grace")}
 	if command.Bool("workspaces") {
 		options.Workspaces = soak.Workspaces()
 	}
--- a/standin/lines/fleet.go
+++ b/standin/lines/fleet.go
@@ -59,6 +59,8 @@
 	Stubborn int
 	// Timeout is the time limit of the routes; 0 stands for one second.
 	Timeout time.Duration
+	// Grace is the time between SIGTERM and SIGKILL to a daemon; 0 stands for 4 s.
+	Grace time.Duration
 	// Workspaces are the workspaces of the configuration. Without them callers state no keys and nothing is limited.
 	Workspaces []Workspace
 }
@@ -81,6 +83,7 @@
 	StoreLink *netfault.Link
 	// planned records what is done to the daemon, and disrupted the end of the disruption that lasts; nil for none.
 	planned   *PlannedLog
+	grace     time.Duration
 	mu        sync.Mutex
 	disrupted func()
 }
@@ -366,7 +369,7 @@
 		bounds = FleetBounds.text()
 	}
 	text := fmt.Sprintf(settingsText, number+1, number%len(targetIDs)+1, host.CallerAddress(), host.PeerAddress(), host.AdminAddress(),
-		store.Address(), host, host.ReadinessAddress(), f.Provider.URL(), GracePeriod.Seconds(), f.drainTimeout().Milliseconds(), bounds)
+		store.Address(), host, host.ReadinessAddress(), f.Provider.URL(), f.gracePeriod().Seconds(), f.drainTimeout().Milliseconds(), bounds)
 	path := filepath.Join(f.Options.Folder, fmt.Sprintf("daemon-%d.toml", number+1))
 	if err := os.WriteFile(path, []byte(text), 0o644); err != nil {
 		return nil, err
@@ -374,7 +377,7 @@
 	process := fleet.NewProcess(fmt.Sprintf("daemon-%d", number+1), filepath.Join(f.Options.Binaries, "papayacove"), f.Options.Folder, "run", "--settings", path)
 	d := &Daemon{
 		Process: process, CallerAddress: host.CallerAddress(), Source: string(host), Zone: fmt.Sprintf("zone-%d", number%len(targetIDs)+1), PeerLink: peers, StoreLink: store,
-		planned: &f.Planned,
+		planned: &f.Planned, grace: f.gracePeriod(),
 	}
 	return d, d.Start()
 }
--- a/standin/lines/lost.go
+++ b/standin/lines/lost.go
@@ -21,8 +21,10 @@
 	ConfigApply time.Duration
 }
 
-// FleetLostBounds are the bounds of a fleet.
-var FleetLostBounds = LostBounds{Grace: GracePeriod, Contact: 4 * time.Second, Slack: 200 * time.Millisecond, ConfigApply: 3 * time.Second}
+// LostBounds returns the bounds of a fleet.
+func (f *Fleet) LostBounds() LostBounds {
+	return LostBounds{Grace: f.gracePeriod(), Contact: 4 * time.Second, Slack: 200 * time.Millisecond, ConfigApply: FleetBounds.ConfigApply}
+}
 
 const (
 	// afterGrace is the time after the grace period, and after a configuration is in force, that belongs to the planned work.
@@ -54,7 +56,8 @@
 // Unanswered returns each request whose connection ended without a whole answer around planned work: one that a target
 // received, or whose connection ended later than the slack after its last byte was sent. Whether a daemon has read a request
 // that no target received can't be seen from outside; one that finds its connection closed ends within the slack. others are
-// those that ended so while no planned work was done at their daemon. A disruption of any part counts for all daemons.
+// those that ended so beside a disruption, or while no planned work was done at their daemon. A disruption of any part counts
+// for all daemons.
 func (r Records) Unanswered(work PlannedWork, bounds LostBounds) (breaches, others []string) {
 	c := newLostCheck(r, work, bounds)
 	frequent := c.cutsWithConfigurations()
@@ -63,6 +66,10 @@
 		if !c.isCut(id, s) {
 			continue
 		}
+		if c.isDisrupted(s) {
+			others = append(others, c.describe(id, s, "beside a disruption"))
+			continue
+		}
 		switch reason := c.plannedWork(id, s, frequent[s.daemon]); reason {
 		case "":
 			others = append(others, c.describe(id, s, "no planned work"))
@@ -80,15 +87,16 @@
 		return false
 	}
 	used, attempts := s.endedAt.Sub(s.lastByteAt), c.attempts[id]
-	if len(attempts) == 0 && used <= c.bounds.Slack || c.isDisrupted(s.lastByteAt.Add(-c.bounds.Contact), s.endedAt) {
+	if len(attempts) == 0 && used <= c.bounds.Slack {
 		return false
 	}
 	brokeOff := slices.ContainsFunc(attempts, func(a Attempt) bool { return a.BrokeOff })
 	return !brokeOff && used < c.timeout(s.lastByteAt, s.endedAt)
 }
 
-func (c lostCheck) isDisrupted(from, to time.Time) bool {
-	return overlaps(c.work.disruptions, from, to)
+// isDisrupted reports whether there was a disruption from the contact time before a request to its end.
+func (c lostCheck) isDisrupted(s sent) bool {
+	return overlaps(c.work.disruptions, s.lastByteAt.Add(-c.bounds.Contact), s.endedAt)
 }
 
 func overlaps(list []disruption, from, to time.Time) bool {
@@ -154,7 +162,7 @@
 		case e.source != source:
 		case e.kind == eventStart:
 			terminated = false
-		case e.kind == eventTerminate && terminated, e.kind == eventEnd:
+		case e.kind == eventTerminate && terminated, e.kind == eventEnd, e.kind == eventKill:
 		default:
 			terminated = terminated || e.kind == eventTerminate
 			list = append(list, e)
@@ -199,7 +207,7 @@
 		}
 		n := counts[s.daemon]
 		n.all++
-		if c.isCut(id, s) {
+		if c.isCut(id, s) && !c.isDisrupted(s) {
 			n.cut++
 		}
 		counts[s.daemon] = n
@@ -232,7 +240,7 @@
 		for _, e := range c.signals(s.daemon) {
 			since := at.Sub(e.at)
 			early := e.kind == eventTerminate && since >= 0 && since < c.bounds.Grace/2 && s.transactionAt.Before(e.at.Add(min(closingAfter, c.bounds.Grace/2)))
-			if early && !c.isDisrupted(s.transactionAt.Add(-c.bounds.Contact), at) && !c.stopsLonger(sources[s.transaction], s.daemon, at) {
+			if early && !overlaps(c.work.disruptions, s.transactionAt.Add(-c.bounds.Contact), at) && !c.stopsLonger(sources[s.transaction], s.daemon, at) {
 				breaches = append(breaches, c.describe(id, s, fmt.Sprintf("transaction ended %v after SIGTERM", since.Round(time.Millisecond))))
 				break
 			}
--- a/standin/lines/lost_test.go
+++ b/standin/lines/lost_test.go
@@ -183,3 +183,45 @@
 		checkBreaches(t, c.name, r.EndedEarly(c.work, testLostBounds), c.want)
 	}
 }
+
+func TestRecordsTellWhoEndedARequest(t *testing.T) {
+	store, err := NewStore()
+	if err != nil {
+		t.Fatal(err)
+	}
+	defer store.Close()
+	g, err := NewGroup(store, "group", "a", "b")
+	if err != nil {
+		t.Fatal(err)
+	}
+	target, log := g.Target("a"), NewCallerLog()
+	defer func() { target.Crash(); g.Target("b").Crash() }()
+	run := func(during func()) (sent, Attempt) {
+		caller, err := DialWithKey(target.Address(), "group", "user", log)
+		if err != nil {
+			t.Fatal(err)
+		}
+		before := len(g.attemptsOf())
+		done := make(chan struct{})
+		go func() { defer close(done); _, _ = caller.Run("READ " + SlowItem) }()
+		for len(g.attemptsOf()) == before {
+			time.Sleep(time.Millisecond)
+		}
+		during()
+		<-done
+		_ = caller.conn.Close()
+		for g.attemptsOf()[before].EndedAt.IsZero() {
+			time.Sleep(time.Millisecond)
+		}
+		a := g.attemptsOf()[before]
+		log.mu.Lock()
+		defer log.mu.Unlock()
+		return log.sent[a.ID], a
+	}
+	if s, a := run(func() {}); s.answeredAt.IsZero() || !s.endedAt.IsZero() || s.lastByteAt.IsZero() || a.BrokeOff {
+		t.Errorf("answered: got %+v, %+v", s, a)
+	}
+	if s, a := run(target.Crash); !s.answeredAt.IsZero() || s.endedAt.IsZero() || !a.BrokeOff {
+		t.Errorf("the target crashed: got %+v, %+v, want an end without an answer and a target that broke off", s, a)
+	}
+}
--- a/standin/lines/planned.go
+++ b/standin/lines/planned.go
@@ -13,6 +13,8 @@
 	eventHangup    = "SIGHUP"
 	eventEnd       = "end"
 	eventStart     = "start"
+	// eventKill is SIGKILL after the grace period.
+	eventKill = "SIGKILL"
 )
 
 // daemonEvent is a signal to a daemon, or the start or the end of its process.
@@ -96,8 +98,47 @@
 	}
 }
 
-// GracePeriod is the time between SIGTERM and SIGKILL to a daemon of a fleet.
-const GracePeriod = 4 * time.Second
+// defaultGrace is the time between SIGTERM and SIGKILL to a daemon of a fleet without an option.
+const defaultGrace = 4 * time.Second
+
+func (f *Fleet) gracePeriod() time.Duration {
+	if f.Options.Grace > 0 {
+		return f.Options.Grace
+	}
+	return defaultGrace
+}
+
+// KilledAfterGrace returns how many stops ended with SIGKILL.
+func (w PlannedWork) KilledAfterGrace() int {
+	killed := 0
+	for _, e := range w.events {
+		if e.kind == eventKill {
+			killed++
+		}
+	}
+	return killed
+}
+
+// sinceTerminate returns the time since the last SIGTERM to a daemon; false if there was none.
+func (w PlannedWork) sinceTerminate(source string) (time.Duration, bool) {
+	for _, e := range slices.Backward(w.events) {
+		if e.source == source && e.kind == eventTerminate {
+			return time.Since(e.at), true
+		}
+	}
+	return 0, false
+}
+
+// GraceLeft returns the time until the end of the last grace period of the daemon, or 0.
+func (d *Daemon) GraceLeft() time.Duration {
+	d.planned.mu.Lock()
+	defer d.planned.mu.Unlock()
+	since, ok := d.planned.work.sinceTerminate(d.Source)
+	if !ok {
+		return 0
+	}
+	return max(0, d.grace-since)
+}
 
 // Start starts the process of the daemon.
 func (d *Daemon) Start() error {
@@ -159,12 +200,13 @@
 	d.Signal(syscall.SIGTERM)
 }
 
-// Stop stops the daemon as the platform does: it sends SIGTERM, and SIGKILL after GracePeriod. It reports whether the process
+// Stop stops the daemon as the platform does: it sends SIGTERM, and SIGKILL after the grace period. It reports whether the process
 // ended before SIGKILL.
 func (d *Daemon) Stop() bool {
 	d.Terminate()
-	ended := d.WaitForExit(GracePeriod)
+	ended := d.WaitForExit(d.grace)
 	if !ended {
+		d.planned.record(d.Source, eventKill)
 		d.Process.Kill()
 	}
 	d.planned.record(d.Source, eventEnd)
--- a/standin/lines/store.go
+++ b/standin/lines/store.go
@@ -68,6 +68,8 @@
 
 	// era rises with each restore. Every response names it.
 	era atomic.Uint64
+	// OddEra replaces the era that responses name, by none if the text is empty; nil for no replacement.
+	OddEra atomic.Pointer[string]
 
 	mu       sync.Mutex
 	revision uint64
@@ -150,7 +152,13 @@
 
 // WriteHeader writes the status.
 func (w *eraWriter) WriteHeader(status int) {
-	w.Header().Set(eraHeader, strconv.FormatUint(w.store.era.Load(), 10))
+	era := strconv.FormatUint(w.store.era.Load(), 10)
+	if odd := w.store.OddEra.Load(); odd != nil {
+		era = *odd
+	}
+	if era != "" {
+		w.Header().Set(eraHeader, era)
+	}
 	w.ResponseWriter.WriteHeader(status)
 }
 
--- a/standin/soak/lines.go
+++ b/standin/soak/lines.go
@@ -161,6 +161,7 @@
 		f.Restore(copyAge(random))
 		return nil
 	})},
+	{"store_era_odd_and_stopped", besideStop(nameOddEra)},
 }
 
 // maxCopyAge is the longest time that a copy is old from which the store is restored.
@@ -289,9 +290,9 @@
 	b.Stale, b.Dropped = records.Stale(lines.MaxStaleness)
 	b.Relayed, b.Run = records.Relayed()
 	work := f.Planned.Work()
-	b.Unanswered, b.OtherCuts = records.Unanswered(work, lines.FleetLostBounds)
-	b.EndedEarly = records.EndedEarly(work, lines.FleetLostBounds)
-	b.Records = records.All()
+	b.Unanswered, b.OtherCuts = records.Unanswered(work, f.LostBounds())
+	b.EndedEarly, b.Killed = records.EndedEarly(work, f.LostBounds()), work.KilledAfterGrace()
+	b.Records = append(records.All(), b.OtherCuts...)
 	return b
 }
 
--- a/standin/soak/planned.go
+++ b/standin/soak/planned.go
@@ -28,7 +28,7 @@
 	daemon_stopped_briefly daemons_stopped_in_series daemons_stopped_overlapping holder_stopped holder_and_sender_stopped
 	settings_changed settings_changed_and_stopped timeout_changed timeout_changed_and_stopped
 	replica_released_and_stopped primary_released_and_stopped target_slow_and_stopped daemon_stopped_twice
-	daemon_stopped_while_starting`)
+	daemon_stopped_while_starting store_era_odd_and_stopped`)
 
 // recordDisruptions returns the faults with each one that isn't planned work recorded as a disruption while it lasts.
 func recordDisruptions(faults []FaultOf[*lines.Fleet]) []FaultOf[*lines.Fleet] {
@@ -161,6 +161,15 @@
 	return nil
 }
 
+// oddEras are eras that the store never names by itself; empty for none.
+var oddEras = []string{"", "0", "-1", "x", "1e3", strings.Repeat("9", 30)}
+
+// nameOddEra makes the store name an odd era.
+func nameOddEra(f *lines.Fleet, _ *lines.Daemon, random *rand.Rand) func() {
+	f.Store.OddEra.Store(&oddEras[random.Intn(len(oddEras))])
+	return func() { f.Store.OddEra.Store(nil) }
+}
+
 // onDaemonRandomly injects a fault into a daemon that it draws.
 func onDaemonRandomly(inject func(*lines.Daemon, *rand.Rand)) func(*lines.Fleet, *rand.Rand) (string, func()) {
 	return func(f *lines.Fleet, random *rand.Rand) (string, func()) {
--- a/standin/soak/soak.go
+++ b/standin/soak/soak.go
@@ -41,9 +41,11 @@
 	Pinned, Route, Stale []string
 	// Dropped are reads on logs that are too old whose answer no caller got. They are no breaches.
 	Dropped []string
-	// Unanswered are requests without a whole answer around planned work, OtherCuts those at other times, which are no
-	// breaches. EndedEarly are transactions that a daemon ended in the first half of its grace period.
+	// Unanswered are requests without a whole answer around planned work, OtherCuts those at other times or beside disruptions,
+	// which are no breaches. EndedEarly are transactions that a daemon ended in the first half of its grace period.
 	Unanswered, OtherCuts, EndedEarly []string
+	// Killed is the number of daemons that had not ended at the end of their grace period.
+	Killed int
 	// Records describes every run and every statement that did not run.
 	Records []string
 	// Run is the number of runs of callers' statements, Relayed that of those which a daemon sent for another one.
@@ -54,7 +56,9 @@
 func (b *StatementBreaches) All() []string {
 	var all []string
 	if b != nil {
-		for name, list := range map[string][]string{"PINNED": b.Pinned, "ROUTE": b.Route, "STALE": b.Stale, "LOST": b.Unanswered, "DRAIN": b.EndedEarly} {
+		for name, list := range map[string][]string{
+			"PINNED": b.Pinned, "ROUTE": b.Route, "STALE": b.Stale, "LOST": b.Unanswered, "DRAIN": b.EndedEarly,
+		} {
 			for _, breach := range list {
 				all = append(all, name+" "+breach)
 			}
@@ -67,8 +71,8 @@
 	if b == nil {
 		return ""
 	}
-	return fmt.Sprintf(" pinned=%d route=%d stale=%d stale_dropped=%d unanswered=%d ended_early=%d other_cuts=%d run=%d relayed=%d",
-		len(b.Pinned), len(b.Route), len(b.Stale), len(b.Dropped), len(b.Unanswered), len(b.EndedEarly), len(b.OtherCuts), b.Run, b.Relayed)
+	return fmt.Sprintf(" pinned=%d route=%d stale=%d stale_dropped=%d unanswered=%d ended_early=%d other_cuts=%d killed=%d run=%d relayed=%d",
+		len(b.Pinned), len(b.Route), len(b.Stale), len(b.Dropped), len(b.Unanswered), len(b.EndedEarly), len(b.OtherCuts), b.Killed, b.Run, b.Relayed)
 }
 
 // String returns the report as one line.
--- a/standin/soak/stubborn.go
+++ b/standin/soak/stubborn.go
@@ -23,9 +23,12 @@
 	// burst is the largest number of statements that are sent at once.
 	burst = 5
 	// slowBytes is the size of a value that is read slowly, in parts of slowPart bytes with a pause of slowPause before each.
-	slowBytes = 200_000
-	slowPart  = 4096
-	slowPause = 5 * time.Millisecond
+	slowBytes = 900_000
+	slowPart  = 16 << 10
+	slowPause = 10 * time.Millisecond
+	// lateKind is the number of the kind that opens its sessions itself, lateCallers the number of its connections at a time.
+	lateKind    = 5
+	lateCallers = 6
 )
 
 // stubbornCaller uses each of its connections to one daemon until it is gone.
@@ -33,6 +36,8 @@
 	ledger *ledger
 	fleet  *lines.Fleet
 	daemon *lines.Daemon
+	// kind is the number of its kind.
+	kind   int
 	name   string
 	random *rand.Rand
 	// written is the number of items written so far; each write has an item of its own.
@@ -50,21 +55,27 @@
 func (l *ledger) runStubborn(ctx context.Context, f *lines.Fleet, seed int64, parts *sync.WaitGroup) {
 	for i, d := range f.Daemons {
 		for j := range f.Options.Stubborn {
-			s := &stubbornCaller{ledger: l, fleet: f, daemon: d, name: fmt.Sprintf("%d-%d", i, j), random: rand.New(rand.NewSource(seed*100_000 + int64(100*i+j)))}
-			parts.Go(func() { s.run(ctx, stubbornKinds[j%len(stubbornKinds)], j%len(stubbornKinds) == lateKind) })
+			kind, callers := j%len(stubbornKinds), 1
+			if kind == lateKind {
+				callers = lateCallers
+			}
+			for k := range callers {
+				s := &stubbornCaller{
+					ledger: l, fleet: f, daemon: d, kind: kind, name: fmt.Sprintf("%d-%d-%d", i, j, k),
+					random: rand.New(rand.NewSource(seed*1_000_000 + int64(10_000*i+100*j+k))),
+				}
+				parts.Go(func() { s.run(ctx) })
+			}
 		}
 	}
 }
 
-// lateKind is the number of connectLate, which opens its sessions itself.
-const lateKind = 5
-
-func (s *stubbornCaller) run(ctx context.Context, use func(*stubbornCaller, context.Context) bool, late bool) {
+func (s *stubbornCaller) run(ctx context.Context) {
 	databases := s.fleet.Databases()
 	for ctx.Err() == nil {
 		database := databases[s.random.Intn(len(databases))]
 		caller, err := lines.Connect(s.daemon.CallerAddress, database, currentKey(s.fleet, busyWorkspace), s.ledger.callers)
-		if err == nil && !late {
+		if err == nil && s.kind != lateKind {
 			err = caller.Startup()
 		}
 		if err != nil {
@@ -72,7 +83,7 @@
 			continue
 		}
 		s.caller = caller
-		for ctx.Err() == nil && use(s, ctx) {
+		for ctx.Err() == nil && stubbornKinds[s.kind](s, ctx) {
 			_ = clock.Sleep(ctx, between(s.random, 0, longestPace))
 		}
 		caller.Close()
@@ -163,17 +174,22 @@
 	return err == nil
 }
 
-// connectLate waits before STARTUP or before the first statement, sends a few statements and connects anew.
+// connectLate waits before STARTUP or before the first statement, sends a few statements and connects anew. At a daemon that is
+// being stopped, it waits up to the end of the grace period.
 func (s *stubbornCaller) connectLate(ctx context.Context) bool {
+	wait := between(s.random, 0, longestWait)
+	if left := s.daemon.GraceLeft(); left > 0 {
+		wait = between(s.random, 0, left)
+	}
 	early := s.random.Intn(2) == 0
 	if !early {
-		_ = clock.Sleep(ctx, between(s.random, 0, longestWait))
+		_ = clock.Sleep(ctx, wait)
 	}
 	if s.caller.Startup() != nil {
 		return false
 	}
 	if early {
-		_ = clock.Sleep(ctx, between(s.random, 0, longestWait))
+		_ = clock.Sleep(ctx, wait)
 	}
 	for range 3 {
 		if !s.writeOnce(ctx) {
