Daemon serves on when nothing reads its log any more

Callers lost their connections without answers when the program that reads the daemon's standard output ended first, for example in a stop of a whole machine: the next log line ended the process by SIGPIPE, in the middle of all statements.

Cause: the runtime ends a Go process that writes to a closed pipe on standard output unless SIGPIPE is ignored or handled. The signal is ignored now, so that the write fails and the line is dropped. All signals are handled from the begin of the process until the log is written: SIGHUP before the settings were read, and SIGTERM while the log was flushed, ended it as well (by reading).

--- a/cmd/papayacove/main.go
+++ b/cmd/papayacove/main.go
@@ -44,6 +44,13 @@
 }
 
 func run(ctx context.Context, command *cli.Command) error {
+	// The signals are handled until the log is written: no further one ends the process during a stop.
+	ctx, stop := signal.NotifyContext(ctx, syscall.SIGTERM, syscall.SIGINT)
+	defer stop()
+	reload := make(chan os.Signal, 1)
+	signal.Notify(reload, syscall.SIGHUP)
+	// Without a reader of the log, writing a line fails, and the daemon serves on.
+	signal.Ignore(syscall.SIGPIPE)
 	settings, err := config.Load(command.String("settings"))
 	if err != nil {
 		return err
@@ -56,10 +63,6 @@
 	if err != nil {
 		return err
 	}
-	ctx, stop := signal.NotifyContext(ctx, syscall.SIGTERM, syscall.SIGINT)
-	defer stop()
-	reload := make(chan os.Signal, 1)
-	signal.Notify(reload, syscall.SIGHUP)
 	if settings.Protocol == api.SettingsProtocolLines {
 		proxy := lineproxy.New(settings)
 		flushTimeout = proxy.LogTime
