A holder rolls back the transactions of a lost sender at once

Callers of other daemons met locks of a transaction whose sender was gone, for as long as any other statement of that sender ran, up to its time limit.

Cause: the calls of a connection end before its end is reported, so that its open transactions were rolled back only after its last statement; that one may wait for their locks itself. Transactions are now rolled back when reading the connection ends, each once its own statement has ended. Found by reading; no run of the users shows it.

Before: TestLostSenderKeepsNoTransactionsOpen got the transaction open after 10 s. After: it passes five times with the race detector.

--- a/internal/engine/relaysession.go
+++ b/internal/engine/relaysession.go
@@ -28,6 +28,8 @@
 	// statements are those in progress, disconnected is true once no reply reaches the other end.
 	statements   map[*relayedStatement]struct{}
 	disconnected bool
+	// abandoned is the number of transactions that were rolled back when the other end was lost.
+	abandoned int
 }
 
 // relayedTransaction is an open transaction of a sender. Its statements run one at a time.
@@ -57,6 +59,10 @@
 	s.mu.Lock()
 	s.closed = true
 	open := s.transactions
+	rolledBack := len(open)
+	if s.disconnected {
+		rolledBack = s.abandoned
+	}
 	s.transactions = make(map[uint64]*relayedTransaction)
 	s.mu.Unlock()
 	for number, t := range open {
@@ -65,7 +71,7 @@
 		s.engine.relayed.Add(-1)
 	}
 	s.engine.relaySessions.remove(s)
-	s.logEnded(len(open))
+	s.logEnded(rolledBack)
 }
 
 // Run runs one statement.
@@ -138,7 +144,7 @@
 func (s *RelaySession) add(l *gateLease, e execution) uint64 {
 	t := &relayedTransaction{group: l.gate.group.name, target: l.gate.member.name, begun: e.identity(), lease: l}
 	s.mu.Lock()
-	if s.closed || s.engine.relayTransactionsEnded.Load() {
+	if s.closed || s.disconnected || s.engine.relayTransactionsEnded.Load() {
 		s.mu.Unlock()
 		s.end(t)
 		return 0
--- a/internal/engine/relaywork.go
+++ b/internal/engine/relaywork.go
@@ -130,11 +130,16 @@
 	}
 }
 
-// Disconnected records that the other end has closed the connection, or is lost. Statements in progress run on.
+// Disconnected rolls the open transactions back, each once its statement in progress has ended, because the other end has closed
+// the connection, or is lost. Other statements in progress run on, until Close.
 func (s *RelaySession) Disconnected() {
 	s.mu.Lock()
-	defer s.mu.Unlock()
 	s.disconnected = true
+	s.abandoned = len(s.transactions)
+	s.mu.Unlock()
+	for _, number := range s.openTransactions() {
+		go s.abandon(number)
+	}
 }
 
 // inProgress returns the statements in progress and the number of open transactions.
--- a/internal/engine/relaywork_test.go
+++ b/internal/engine/relaywork_test.go
@@ -198,3 +198,26 @@
 		t.Error("the statement waits on after the end")
 	}
 }
+
+// TestLostSenderKeepsNoTransactionsOpen guards against locks of a sender that is gone, which last until its other statements end:
+// these may wait for the locks.
+func TestLostSenderKeepsNoTransactionsOpen(t *testing.T) {
+	w := newHeldWrites()
+	w.holder.configuration.IdleTransaction = time.Hour
+	begun := <-w.send("begin", OpBegin, 0)
+	waiting := w.send("waiting", OpWrite, 0)
+	<-w.reached
+	w.session.Disconnected()
+	for end := time.Now().Add(10 * time.Second); ; time.Sleep(time.Millisecond) {
+		if _, open := w.holder.relayedWork(); open == 0 {
+			break
+		}
+		if time.Now().After(end) {
+			t.Fatalf("transaction %d is open after its sender is gone", begun.Transaction)
+		}
+	}
+	close(w.release)
+	<-waiting
+	w.session.Close()
+	awaitNoRelayed(t, w.holder)
+}
