Tests: the close of a connection accepted during a stop does not race its deadline

TestConnectionAcceptedDuringCloseIsClosed failed now and then with "io: read/write on closed pipe": it set the read deadline after the server had been started, which may have closed the pipe by then, and a closed pipe takes no deadline. The deadline is set first; what is checked is the same.

--- a/internal/peer/close_test.go
+++ b/internal/peer/close_test.go
@@ -15,10 +15,10 @@
 	server.Close()
 	here, there := net.Pipe()
 	defer here.Close()
-	go server.serve(there)
 	if err := here.SetReadDeadline(time.Now().Add(5 * time.Second)); err != nil {
 		t.Fatal(err)
 	}
+	go server.serve(there)
 	if n, err := here.Read(make([]byte, 1)); !errors.Is(err, io.EOF) {
 		t.Errorf("got %d bytes, error %v, want the connection closed", n, err)
 	}
