Other daemons reach a daemon again after it was at its descriptor limit

Callers of other daemons waited for a holder that accepted no more connections, for as long as its process lived.

Cause: the server for other daemons ended with the first connection that it could not accept, such as at the limit of descriptors, and its listener stayed open: connections waited in the backlog, which nobody read. It goes on trying now while the process lacks resources.

--- a/internal/peer/server.go
+++ b/internal/peer/server.go
@@ -7,10 +7,13 @@
 	"fmt"
 	"net"
 	"net/rpc"
+	"slices"
 	"sync"
+	"syscall"
 	"time"
 
 	"github.com/papayacove/papayacove/api"
+	"github.com/papayacove/papayacove/internal/clock"
 	"github.com/papayacove/papayacove/internal/dialer"
 	"github.com/papayacove/papayacove/internal/logevent"
 	"github.com/papayacove/papayacove/internal/logfield"
@@ -20,6 +23,16 @@
 // handshakeTimeout bounds the TLS handshake of a connection from another daemon.
 const handshakeTimeout = 2 * time.Second
 
+// acceptRetryDelay is the time before the next attempt after a connection could not be accepted.
+const acceptRetryDelay = 20 * time.Millisecond
+
+// isExhausted reports whether accepting failed for this connection only, or until the process has resources again.
+func isExhausted(err error) bool {
+	return slices.ContainsFunc([]error{syscall.EMFILE, syscall.ENFILE, syscall.ENOBUFS, syscall.ENOMEM, syscall.ECONNABORTED}, func(known error) bool {
+		return errors.Is(err, known)
+	})
+}
+
 // serviceName is the net/rpc name under which the methods of a daemon are registered.
 const serviceName = "Daemon"
 
@@ -151,7 +164,8 @@
 	return s.listener.Addr().String()
 }
 
-// Run serves until ctx ends or Close is called. It returns an error if accepting a connection fails.
+// Run serves until ctx ends, or Close is called. It returns an error if the listener fails; while the process has
+// no resources for a connection, it goes on trying.
 func (s *Server) Run(ctx context.Context) error {
 	stop := context.AfterFunc(ctx, s.Close)
 	defer stop()
@@ -160,6 +174,11 @@
 		if errors.Is(err, net.ErrClosed) {
 			return nil
 		}
+		if isExhausted(err) {
+			logrus.WithField(logfield.Error, err).Warn(logevent.AcceptFailed)
+			_ = clock.Sleep(ctx, acceptRetryDelay)
+			continue
+		}
 		if err != nil {
 			return fmt.Errorf("accept peer: %w", err)
 		}
