Planned stops: callers that go on have time for their next statement

Callers saw connections that closed without an answer to a statement that they had just sent, when a daemon that stops had accepted them a moment before, or had just answered a SET or PARSE of the same operation: the statement was on its way and was never read. No target ran it, so that it is no breach of the rule, but the same cause: a stop that ends a session for its own time and not for that of the caller.

Once sessions are being closed, one that was just opened, or whose last statement only prepares others, now waits for the next statement, for up to 0.5 s (less in a short grace period). One whose operation has ended is closed at once, as before. Ruled out: that only new sessions are meant.

TestStopWaitsForTheNextStatementOfAnOperation fails without the change: got a session that ends, want it kept.

--- a/internal/engine/admitting.go
+++ b/internal/engine/admitting.go
@@ -3,6 +3,7 @@
 import (
 	"fmt"
 
+	"github.com/papayacove/papayacove/internal/clock"
 	"github.com/papayacove/papayacove/internal/policy/callers"
 	"github.com/papayacove/papayacove/internal/result"
 )
@@ -30,7 +31,7 @@
 func (s *session) markOpened() {
 	s.mu.Lock()
 	defer s.mu.Unlock()
-	s.busy = false
+	s.busy, s.expectsNext, s.answeredAt = false, true, clock.SinceBoot()
 	s.ending = s.ending || !s.engine.holdsIdentity(s.bound)
 }
 
--- a/internal/engine/arrival_test.go
+++ b/internal/engine/arrival_test.go
@@ -66,3 +66,29 @@
 		t.Errorf("got answers %+v, want one that says that nothing ran", caller.answers)
 	}
 }
+
+// TestStopWaitsForTheNextStatementOfAnOperation guards against a session that a stop closes after its opening, or after a statement
+// that sets a value for the next one.
+func TestStopWaitsForTheNextStatementOfAnOperation(t *testing.T) {
+	e := newTestEngine(&fakeTarget{})
+	close(e.configured)
+	stopSince(e, 10*time.Second)
+	caller, ended := serveLive(t, e, "")
+	s := e.openSessions()[0]
+	has := func(flag *bool) bool {
+		s.mu.Lock()
+		defer s.mu.Unlock()
+		return *flag
+	}
+	for _, next := range []Statement{{ID: "first", Op: OpSet, Name: "zone", Argument: "1"}, {ID: "second", Op: OpWrite, Text: "w"}} {
+		awaitTrue(t, "the session waits for a statement", func() bool { return !has(&s.busy) })
+		e.CloseIdleSessions()
+		if has(&s.ending) {
+			t.Fatalf("before the %s statement: got a session that ends, want it kept", next.ID)
+		}
+		if code := caller.ask(next); code != result.OK {
+			t.Errorf("%s statement: got %v, want success", next.ID, code)
+		}
+	}
+	awaitEnd(t, ended)
+}
--- a/internal/engine/session.go
+++ b/internal/engine/session.go
@@ -15,6 +15,7 @@
 	"github.com/papayacove/papayacove/internal/logevent"
 	"github.com/papayacove/papayacove/internal/logfield"
 	"github.com/papayacove/papayacove/internal/policy/callers"
+	"github.com/papayacove/papayacove/internal/policy/stopping"
 	"github.com/papayacove/papayacove/internal/result"
 )
 
@@ -69,6 +70,10 @@
 	// busy is true from the arrival of a statement until its answer, and within a transaction.
 	busy   bool
 	closed bool
+	// expectsNext is true while the caller is expected to go on: after the opening, and after a statement that only prepares
+	// others. answeredAt is the time of the boot clock of the last answer.
+	expectsNext bool
+	answeredAt  time.Duration
 	// ending is true once the session ends as soon as it is idle and no statement has arrived.
 	ending bool
 	// concluded is true once a planned stop gives the final answer to the statement in progress, and closes the connection.
@@ -170,16 +175,17 @@
 	s.mu.Lock()
 	defer s.mu.Unlock()
 	s.inTransaction = s.transaction != nil
+	s.expectsNext, s.answeredAt = s.progress.statement.Op.preparesOthers(), clock.SinceBoot()
 	s.busy, s.progress = s.inTransaction, progress{}
-	s.ending = s.ending || !s.busy && (s.engine.isClosing() || !s.engine.holdsIdentity(s.bound))
+	s.ending = s.ending || !s.busy && (s.engine.isClosing() && s.endsIdle() || !s.engine.holdsIdentity(s.bound))
 }
 
 // endIfIdle has the session end when no statement and no transaction is open, and reports whether it does. A statement
-// that has arrived is still served.
+// that has arrived is still served. During a planned stop a caller that is expected to go on has time for it.
 func (s *session) endIfIdle() bool {
 	s.mu.Lock()
 	defer s.mu.Unlock()
-	if s.busy || s.ending || s.closed {
+	if s.busy || s.ending || s.closed || !s.endsIdle() {
 		return false
 	}
 	s.ending = true
@@ -187,6 +193,12 @@
 	return true
 }
 
+// endsIdle reports whether a planned stop, if there is one, lets the session end now that it is idle. The caller holds the lock.
+func (s *session) endsIdle() bool {
+	stop := s.engine.plannedStop.Load()
+	return stop == nil || stop.schedule.ClosesIdle(stopping.IdleSession{ExpectsNext: s.expectsNext, Waited: clock.SinceBoot() - s.answeredAt})
+}
+
 // end releases the resources of the session.
 func (s *session) end() {
 	if t := s.transaction; t != nil {
--- a/internal/engine/statement.go
+++ b/internal/engine/statement.go
@@ -57,6 +57,9 @@
 // beginsTransaction reports whether a transaction is open after the operation has succeeded.
 func (o Operation) beginsTransaction() bool { return o == OpBegin || o == OpBeginReadOnly }
 
+// preparesOthers reports whether the operation only changes the session for statements that follow.
+func (o Operation) preparesOthers() bool { return o == OpSet || o == OpPrepare || o == OpDeallocate }
+
 // String returns the name of the operation.
 func (o Operation) String() string { return operationNames[o] }
 
--- a/internal/policy/stopping/schedule.go
+++ b/internal/policy/stopping/schedule.go
@@ -21,6 +21,8 @@
 	runPart = 6
 	// acceptPart is the part of the time until the last answers, one in so many, in which no callers are accepted.
 	acceptPart = 4
+	// maxNextWait bounds the time that a caller has for the next statement of an operation.
+	maxNextWait = 500 * time.Millisecond
 )
 
 // Schedule holds the times of a planned stop, counted from its begin. They ascend in the order of the fields, except that
@@ -87,3 +89,18 @@
 	}
 	return a.SinceStop < s.StartUntil
 }
+
+// IdleSession is a session without a statement or a transaction.
+type IdleSession struct {
+	// ExpectsNext is true after its opening, and after a statement that only prepares others. It is false after one that
+	// ended an operation.
+	ExpectsNext bool
+	// Waited is the time since the last answer to the caller.
+	Waited time.Duration
+}
+
+// ClosesIdle reports whether an idle session is closed once sessions are being closed. A caller that is expected to go on has
+// time for it.
+func (s Schedule) ClosesIdle(i IdleSession) bool {
+	return !i.ExpectsNext || i.Waited >= min(maxNextWait, (s.Conclude-s.AcceptUntil)/2)
+}
--- a/internal/policy/stopping/schedule_test.go
+++ b/internal/policy/stopping/schedule_test.go
@@ -73,3 +73,22 @@
 		}
 	}
 }
+
+// TestCallersHaveTimeForTheNextStatement guards against a session that is closed before its caller can go on.
+func TestCallersHaveTimeForTheNextStatement(t *testing.T) {
+	s := ScheduleOf(6 * time.Second)
+	for _, c := range []struct {
+		idle IdleSession
+		want bool
+	}{
+		{IdleSession{ExpectsNext: true}, false}, {IdleSession{ExpectsNext: true, Waited: 499 * time.Millisecond}, false},
+		{IdleSession{ExpectsNext: true, Waited: 500 * time.Millisecond}, true}, {IdleSession{}, true},
+	} {
+		if got := s.ClosesIdle(c.idle); got != c.want {
+			t.Errorf("%+v: got closed %t, want %t", c.idle, got, c.want)
+		}
+	}
+	if short := ScheduleOf(400 * time.Millisecond); !short.ClosesIdle(IdleSession{ExpectsNext: true, Waited: short.Conclude - short.AcceptUntil}) {
+		t.Error("short grace period: got a session that is kept until the final answers, want it closed before")
+	}
+}
