Planned stops: a busy machine still sends the final answers

A daemon that came to the end of its stop 150 ms late, on a machine without processor time, closed the connections in the moment in which the final answers were handed to them.

Cause: connections are closed at a time of the schedule, counted from the signal, however late the final answers began.

The final answers have 100 ms at least.

Before: TestStopThatRunsLateSendsItsFinalAnswers got no answer. After: it passes 5 times with the race detector. Found by reading; not seen in a run.

--- a/internal/engine/conclude_test.go
+++ b/internal/engine/conclude_test.go
@@ -216,3 +216,41 @@
 		awaitEnd(t, ended)
 	}
 }
+
+// slowCaller takes a moment for an answer, which is lost if the connection is closed meanwhile.
+type slowCaller struct{ liveCaller }
+
+func (c *slowCaller) Answer(a Answer) error {
+	select {
+	case <-c.closed:
+		return errLost
+	case <-time.After(10 * time.Millisecond):
+		return c.liveCaller.Answer(a)
+	}
+}
+
+// TestStopThatRunsLateSendsItsFinalAnswers guards against connections that a busy machine closes before the answers are
+// sent.
+func TestStopThatRunsLateSendsItsFinalAnswers(t *testing.T) {
+	target := newHeldTarget()
+	e := newPatientEngine(&target.fakeTarget)
+	caller := &slowCaller{}
+	caller.statements, caller.answers = make(chan Statement), make(chan Answer, 1)
+	caller.interrupted, caller.closed = make(chan struct{}, 1), make(chan struct{})
+	ended := make(chan struct{})
+	go func() {
+		e.Serve(caller, "d", callers.Identity{})
+		close(ended)
+	}()
+	caller.statements <- Statement{ID: "id", Op: OpWrite, Text: "t"}
+	awaitTrue(t, "the statement is at its target", func() bool { return target.has("id") })
+	over, cancel := context.WithCancel(context.Background())
+	cancel()
+	e.Drain(over, stopping.Schedule{})
+	e.FinishSessions(over)
+	close(target.release)
+	awaitEnd(t, ended)
+	if len(caller.answers) != 1 {
+		t.Errorf("got %d answers, want one", len(caller.answers))
+	}
+}
--- a/internal/engine/stop.go
+++ b/internal/engine/stop.go
@@ -24,6 +24,8 @@
 	drainInterval = 50 * time.Millisecond
 	// concludeInterval is the time between two checks for sessions that have taken their final answers.
 	concludeInterval = 5 * time.Millisecond
+	// minConcludeTime is the time that the final answers have at least, also when a busy machine is late with them.
+	minConcludeTime = 100 * time.Millisecond
 )
 
 // stoppingReason is the reason of refusals during a planned stop.
@@ -83,17 +85,18 @@
 }
 
 // FinishSessions closes the sessions as they become idle until ctx ends. Then it gives the callers that still wait final
-// answers, and closes all connections by the time of the schedule of Drain.
+// answers, and closes all connections by the time of the schedule of Drain, or a moment later on a busy machine.
 func (e *Engine) FinishSessions(ctx context.Context) {
 	e.awaitSessions(ctx)
 	e.concluding.Store(true)
 	stop := e.plannedStop.Load()
+	until := max(stop.schedule.Cut, time.Since(stop.began)+minConcludeTime)
 	for {
 		open := e.openSessions()
 		for _, s := range open {
 			s.conclude()
 		}
-		if len(open) == 0 || time.Since(stop.began) >= stop.schedule.Cut {
+		if len(open) == 0 || time.Since(stop.began) >= until {
 			break
 		}
 		time.Sleep(concludeInterval)
