A closed session does not cut its last answer

A caller that reads slowly and has sent more than the daemon read lost the rest of its last answer, with a reset.

Cause: the connection was closed with unread bytes in its receive buffer, for which the kernel resets it and drops what it has not sent yet. The daemon now discards what has arrived before it closes, without waiting, so that the end of the connection follows the answer.

It needs a caller that sends ahead, which the protocol's clients do not; no run of processes has shown it.

Not changed: an answer that does not fit into the send buffer is given up 5 s after its begin, or when a stop closes the session.

--- /dev/null
+++ b/internal/dialer/discard_other.go
@@ -0,0 +1,8 @@
+//go:build !linux
+
+package dialer
+
+import "syscall"
+
+// DiscardInput does nothing here.
+func DiscardInput(syscall.Conn) {}
