--- a/standin/lines/caller.go
+++ b/standin/lines/caller.go
@@ -71,7 +71,8 @@
 	if err != nil {
 		return nil, err
 	}
-	return &Caller{conn: conn, in: bufio.NewReader(conn), key: key, log: log, session: newCallerSession(database, conn)}, nil
+	session := newCallerSession(database, conn)
+	return &Caller{conn: conn, in: bufio.NewReader(conn), key: key, log: log, session: session}, nil
 }
 
 // Startup opens the session. If it fails, the connection is closed.
@@ -130,8 +131,8 @@
 	return c.receive(id, text, at)
 }
 
-// RunAll sends statements, outside of transactions, without waiting for answers, and returns the answers up to the first failure
-// of the connection.
+// RunAll sends statements, outside of transactions, without waiting for answers, and returns the answers up to the first
+// failure of the connection.
 func (c *Caller) RunAll(texts []string) ([]Result, error) {
 	ids, times := make([]string, len(texts)), make([]time.Time, len(texts))
 	var failed error
@@ -201,7 +202,7 @@
 	}
 }
 
-// recordEnd records that the connection ended before the answer to a statement was complete, unless the caller ended it.
+// recordEnd records that the connection ended before the whole answer to a statement, unless the caller gave up.
 func (c *Caller) recordEnd(id string, err error) {
 	if c.log != nil && !errors.Is(err, os.ErrDeadlineExceeded) {
 		c.log.recordEnd(id)
--- a/standin/lines/lost.go
+++ b/standin/lines/lost.go
@@ -23,11 +23,14 @@
 
 // LostBounds returns the bounds of a fleet.
 func (f *Fleet) LostBounds() LostBounds {
-	return LostBounds{Grace: f.gracePeriod(), Contact: 4 * time.Second, Slack: 200 * time.Millisecond, ConfigApply: FleetBounds.ConfigApply}
+	return LostBounds{
+		Grace: f.gracePeriod(), Contact: 4 * time.Second, Slack: 200 * time.Millisecond, ConfigApply: FleetBounds.ConfigApply,
+	}
 }
 
 const (
-	// afterGrace is the time after the grace period, and after a configuration is in force, that belongs to the planned work.
+	// afterGrace is the time after the grace period, and after a configuration is in force, that belongs to the planned
+	// work.
 	afterGrace = time.Second
 	// longRequestWithin is the time after SIGTERM up to which a request may be sent whose target still works at the end.
 	longRequestWithin = 3 * time.Second
@@ -54,10 +57,10 @@
 }
 
 // Unanswered returns each request whose connection ended without a whole answer around planned work: one that a target
-// received, or whose connection ended later than the slack after its last byte was sent. Whether a daemon has read a request
-// that no target received can't be seen from outside; one that finds its connection closed ends within the slack. others are
-// those that ended so beside a disruption, or while no planned work was done at their daemon. A disruption of any part counts
-// for all daemons.
+// received, or whose connection ended later than the slack after its last byte was sent. Whether a daemon has read a
+// request that no target received can't be seen from outside; one that finds its connection closed ends within the slack.
+// others are those that ended so beside a disruption, or while no planned work was done at their daemon. A disruption of
+// any part counts for all daemons.
 func (r Records) Unanswered(work PlannedWork, bounds LostBounds) (breaches, others []string) {
 	c := newLostCheck(r, work, bounds)
 	frequent := c.cutsWithConfigurations()
@@ -81,7 +84,8 @@
 	return breaches, others
 }
 
-// isCut reports whether the connection of a request ended without a whole answer, for no reason other than planned work.
+// isCut reports whether the connection of a request ended without a whole answer, although no target broke off and its
+// time was not over.
 func (c lostCheck) isCut(id string, s sent) bool {
 	if s.endedAt.IsZero() || s.lastByteAt.IsZero() {
 		return false
@@ -100,7 +104,9 @@
 }
 
 func overlaps(list []disruption, from, to time.Time) bool {
-	return slices.ContainsFunc(list, func(d disruption) bool { return d.from.Before(to) && (d.to.IsZero() || d.to.After(from)) })
+	return slices.ContainsFunc(list, func(d disruption) bool {
+		return d.from.Before(to) && (d.to.IsZero() || d.to.After(from))
+	})
 }
 
 // timeout returns the shortest time limit that may have been in force for a request.
@@ -171,12 +177,13 @@
 	return list
 }
 
-// isStillAtWork reports whether a target was at work on a request in the last sixth of the grace period after SIGTERM, and the
-// request was sent early enough for that to excuse the daemon.
+// isStillAtWork reports whether a target was at work on a request in the last sixth of the grace period after SIGTERM, and
+// the request was sent early enough for that to excuse the daemon.
 func (c lostCheck) isStillAtWork(id string, s sent, signalAt time.Time) bool {
 	end := signalAt.Add(c.bounds.Grace)
 	last := end.Add(-c.bounds.Grace / 6)
-	return !s.lastByteAt.After(signalAt.Add(longRequestWithin)) && slices.ContainsFunc(c.attempts[id], func(a Attempt) bool {
+	early := !s.lastByteAt.After(signalAt.Add(longRequestWithin))
+	return early && slices.ContainsFunc(c.attempts[id], func(a Attempt) bool {
 		return a.ArrivedAt.Before(end) && (a.EndedAt.IsZero() || a.EndedAt.After(last))
 	})
 }
@@ -191,8 +198,8 @@
 	return configurationVersion{}, false
 }
 
-// cutsWithConfigurations returns the daemons that cut a share of their requests beside configurations which is more than
-// maxCutRatio times that at other times.
+// cutsWithConfigurations returns the daemons that cut a share of their requests beside configurations which is more
+// than maxCutRatio times that at other times.
 func (c lostCheck) cutsWithConfigurations() map[string]bool {
 	type count struct{ cut, all int }
 	beside, other := map[string]count{}, map[string]count{}
@@ -220,41 +227,60 @@
 	return frequent
 }
 
-// EndedEarly returns each transaction that a daemon ended in the first half of its grace period: a statement of it was refused
-// or aborted for another reason than the load, or its connection ended. It counts only transactions that began before sessions are closed, without a
-// disruption, a replacement or an error of a target, one that broke off, or a daemon in between that stops for longer.
+// EndedEarly returns each transaction that a daemon ended in the first half of its grace period: a statement of it was
+// refused or aborted for another reason than the load, or its connection ended. It counts only transactions that began
+// before sessions are closed, without a disruption, a replacement or an error of a target, one that broke off, or a daemon
+// in between that stops for longer.
 func (r Records) EndedEarly(work PlannedWork, bounds LostBounds) []string {
 	c := newLostCheck(r, work, bounds)
 	sources, failed := c.transactions()
 	var breaches []string
 	for _, id := range sortedNames(r.sent) {
 		s := r.sent[id]
-		at := s.answeredAt
-		if at.IsZero() {
-			at = s.endedAt
-		}
-		if s.transaction == 0 || at.IsZero() || !s.mayBeStopped() || failed[s.transaction] || at.Sub(s.at) >= c.timeout(s.at, at) ||
-			overlaps(c.work.replacements, s.transactionAt.Add(-c.bounds.Contact), at) {
+		if s.transaction == 0 || s.end().IsZero() || !s.mayBeStopped() || failed[s.transaction] {
 			continue
 		}
-		for _, e := range c.signals(s.daemon) {
-			since := at.Sub(e.at)
-			early := e.kind == eventTerminate && since >= 0 && since < c.bounds.Grace/2 && s.transactionAt.Before(e.at.Add(min(closingAfter, c.bounds.Grace/2)))
-			if early && !overlaps(c.work.disruptions, s.transactionAt.Add(-c.bounds.Contact), at) && !c.stopsLonger(sources[s.transaction], s.daemon, at) {
-				breaches = append(breaches, c.describe(id, s, fmt.Sprintf("transaction ended %v after SIGTERM", since.Round(time.Millisecond))))
-				break
-			}
+		if since, ok := c.endedEarly(s, sources[s.transaction]); ok {
+			reason := fmt.Sprintf("transaction ended %v after SIGTERM", since.Round(time.Millisecond))
+			breaches = append(breaches, c.describe(id, s, reason))
 		}
 	}
 	return breaches
 }
 
+// end returns the time of the whole answer, or of the end of the connection; zero for neither.
+func (s sent) end() time.Time {
+	if s.answeredAt.IsZero() {
+		return s.endedAt
+	}
+	return s.answeredAt
+}
+
+// endedEarly returns how long after SIGTERM a statement ended its transaction; false if that was late enough or has another
+// reason. sources are the daemons from which statements of the transaction arrived at targets.
+func (c lostCheck) endedEarly(s sent, sources []string) (time.Duration, bool) {
+	at, from := s.end(), s.transactionAt.Add(-c.bounds.Contact)
+	if at.Sub(s.at) >= c.timeout(s.at, at) || overlaps(c.work.disruptions, from, at) || overlaps(c.work.replacements, from, at) {
+		return 0, false
+	}
+	half := c.bounds.Grace / 2
+	for _, e := range c.signals(s.daemon) {
+		since := at.Sub(e.at)
+		inHalf := e.kind == eventTerminate && since >= 0 && since < half
+		if inHalf && s.transactionAt.Before(e.at.Add(min(closingAfter, half))) && !c.stopsLonger(sources, s.daemon, at) {
+			return since, true
+		}
+	}
+	return 0, false
+}
+
 // refusedByLoad are the codes of refusals that have their reason in the load and not in a stop.
 var refusedByLoad = []result.Code{
-	result.NotRunOverloaded, result.NotRunNoSlot, result.NotRunDeadline, result.NotRunConnectionLimit, result.NotRunOverQuota,
+	result.NotRunOverloaded, result.NotRunNoSlot, result.NotRunDeadline, result.NotRunConnectionLimit,
+	result.NotRunOverQuota,
 }
 
-// mayBeStopped reports whether a statement was refused or aborted, or its connection ended, in a way that a stop may cause.
+// mayBeStopped reports whether a statement was refused or aborted, or its connection ended, as a stop may cause it.
 func (s sent) mayBeStopped() bool {
 	if s.code != "BUSY" && s.code != "ABORTED" {
 		return !s.endedAt.IsZero()
@@ -264,8 +290,8 @@
 	})
 }
 
-// transactions returns the daemons from which statements of each transaction arrived at targets, and the transactions with an
-// error of a target or a target that broke off.
+// transactions returns the daemons from which statements of each transaction arrived at targets, and the transactions
+// with an error of a target or a target that broke off.
 func (c lostCheck) transactions() (sources map[uint64][]string, failed map[uint64]bool) {
 	sources, failed = map[uint64][]string{}, map[uint64]bool{}
 	for _, a := range c.records.attempts {
@@ -279,28 +305,30 @@
 	return sources, failed
 }
 
-// stopsLonger reports whether a daemon that a transaction may have gone through, other than that of its caller, got SIGTERM half
-// of the grace period before a time or earlier. Without a statement that arrived, it may have been any.
+// stopsLonger reports whether a daemon that a transaction may have gone through, other than that of its caller, got
+// SIGTERM half of the grace period before a time or earlier. Without a statement that arrived, it may have been any.
 func (c lostCheck) stopsLonger(sources []string, daemon string, at time.Time) bool {
 	return slices.ContainsFunc(c.work.events, func(e daemonEvent) bool {
 		since := at.Sub(e.at)
 		passed := len(sources) == 0 || slices.Contains(sources, e.source)
-		return e.kind == eventTerminate && e.source != daemon && passed && since >= c.bounds.Grace/2 && since <= c.bounds.Grace+afterGrace
+		stops := since >= c.bounds.Grace/2 && since <= c.bounds.Grace+afterGrace
+		return e.kind == eventTerminate && e.source != daemon && passed && stops
 	})
 }
 
+// maxDescribed is the longest text of a statement in a description.
+const maxDescribed = 60
+
 // describe describes a request with its reason and the targets that received it.
 func (c lostCheck) describe(id string, s sent, reason string) string {
 	var b strings.Builder
-	text := s.text
-	if len(text) > 60 {
-		text = text[:60] + "..."
-	}
-	fmt.Fprintf(&b, "%s: id %s %q, transaction %d, database %s, daemon %s, sent %s", reason, id, text, s.transaction, s.database, s.daemon, s.lastByteAt.Format(recordTime))
-	if !s.endedAt.IsZero() {
-		fmt.Fprintf(&b, ", connection ended %s (%v)", s.endedAt.Format(recordTime), s.endedAt.Sub(s.lastByteAt).Round(100*time.Microsecond))
-	} else {
+	fmt.Fprintf(&b, "%s: id %s %q, transaction %d, database %s, daemon %s, sent %s", reason, id,
+		s.text[:min(len(s.text), maxDescribed)], s.transaction, s.database, s.daemon, s.lastByteAt.Format(recordTime))
+	if s.endedAt.IsZero() {
 		fmt.Fprintf(&b, ", answered %s %s %q", s.answeredAt.Format(recordTime), s.code, s.answer)
+	} else {
+		took := s.endedAt.Sub(s.lastByteAt).Round(100 * time.Microsecond)
+		fmt.Fprintf(&b, ", connection ended %s (%v)", s.endedAt.Format(recordTime), took)
 	}
 	if len(c.attempts[id]) == 0 {
 		b.WriteString(", at no target")
@@ -310,7 +338,8 @@
 		if !a.EndedAt.IsZero() {
 			end = a.EndedAt.Format(recordTime)
 		}
-		fmt.Fprintf(&b, ", at %s of %s from %s %s..%s code %q", a.Target, a.Group, a.Source, a.ArrivedAt.Format(recordTime), end, a.Code)
+		fmt.Fprintf(&b, ", at %s of %s from %s %s..%s code %q", a.Target, a.Group, a.Source,
+			a.ArrivedAt.Format(recordTime), end, a.Code)
 	}
 	return b.String()
 }
--- a/standin/lines/planned.go
+++ b/standin/lines/planned.go
@@ -36,7 +36,7 @@
 	timeout                time.Duration
 }
 
-// PlannedWork is what was done to a fleet: signals, replacements of targets and configurations, and unplanned disruptions.
+// PlannedWork is what was done to a fleet: signals, replacements of targets, configurations and unplanned disruptions.
 type PlannedWork struct {
 	events                    []daemonEvent
 	disruptions, replacements []disruption
@@ -53,7 +53,10 @@
 func (l *PlannedLog) Work() PlannedWork {
 	l.mu.Lock()
 	defer l.mu.Unlock()
-	return PlannedWork{slices.Clone(l.work.events), slices.Clone(l.work.disruptions), slices.Clone(l.work.replacements), slices.Clone(l.work.configurations)}
+	return PlannedWork{
+		events: slices.Clone(l.work.events), disruptions: slices.Clone(l.work.disruptions),
+		replacements: slices.Clone(l.work.replacements), configurations: slices.Clone(l.work.configurations),
+	}
 }
 
 // Disrupt records that a disruption begins, and returns the function that records its end.
@@ -200,8 +203,8 @@
 	d.Signal(syscall.SIGTERM)
 }
 
-// Stop stops the daemon as the platform does: it sends SIGTERM, and SIGKILL after the grace period. It reports whether the process
-// ended before SIGKILL.
+// Stop stops the daemon as the platform does: it sends SIGTERM, and SIGKILL after the grace period. It reports whether the
+// process ended before SIGKILL.
 func (d *Daemon) Stop() bool {
 	d.Terminate()
 	ended := d.WaitForExit(d.grace)
--- a/standin/lines/records.go
+++ b/standin/lines/records.go
@@ -43,17 +43,6 @@
 	AcknowledgedAt time.Time
 }
 
-// attemptsOf returns the statements that the targets received.
-func (g *Group) attemptsOf() []Attempt {
-	g.mu.Lock()
-	defer g.mu.Unlock()
-	var all []Attempt
-	for _, d := range g.targets {
-		all = append(all, d.attempts...)
-	}
-	return all
-}
-
 // sent is a statement that a caller sent.
 type sent struct {
 	key string
@@ -77,25 +66,13 @@
 	// signature is that of the response to the caller, empty without a success; code is the error code, or "none" as long as
 	// there is no response.
 	signature, code string
-	// lastByteAt is the time at which the last byte had been sent, answeredAt that of the whole response, endedAt that of the
-	// end of the connection without one; zero if it didn't happen or the caller gave up before it.
+	// lastByteAt is the time at which the last byte had been sent, answeredAt that of the whole response, endedAt that of
+	// the end of the connection without one; zero if it didn't happen or the caller gave up before it.
 	lastByteAt, answeredAt, endedAt time.Time
 	// answer is the text of the error of the response.
 	answer string
 }
 
-// Attempt is a statement as it arrived at a target.
-type Attempt struct {
-	ID, Group, Target, Source string
-	// ArrivedAt is the time at which the target received it, EndedAt that at which it had answered or given up; zero if it
-	// is still at work.
-	ArrivedAt, EndedAt time.Time
-	// BrokeOff is true if the target ended the connection, or ended itself, before its whole answer.
-	BrokeOff bool
-	// Code is the code of the error that the target answered.
-	Code string
-}
-
 // RouteKind is the type of a route, which says how old its reads may be.
 type RouteKind string
 
--- a/standin/lines/session.go
+++ b/standin/lines/session.go
@@ -76,40 +76,6 @@
 	}
 }
 
-// serveLine records the attempt of a statement and answers it. It returns false if the connection has to be closed.
-func (s *targetSession) serveLine(line string) bool {
-	id := ""
-	if words := strings.SplitN(line, " ", 3); words[0] == "QUERY" && len(words) == 3 && words[1] != "-" {
-		id = words[1]
-	}
-	if id == "" {
-		return s.target.awaitResponsive() && s.handle(line)
-	}
-	s.brokeOff, s.errorCode = false, ""
-	end := s.beginAttempt(id)
-	ok := s.target.awaitResponsive() && s.handle(line)
-	end(!ok || s.brokeOff)
-	return ok
-}
-
-// beginAttempt records that a statement has arrived, and returns the function that records its end.
-func (s *targetSession) beginAttempt(id string) func(brokeOff bool) {
-	if s.source == "" {
-		s.source = s.target.sourceOf(s.out)
-	}
-	d := s.target
-	d.group.mu.Lock()
-	defer d.group.mu.Unlock()
-	number, crashes := len(d.attempts), d.crashes
-	d.attempts = append(d.attempts, Attempt{ID: id, Group: d.group.Name, Target: d.ID, Source: s.source, ArrivedAt: s.arrivedAt})
-	return func(brokeOff bool) {
-		d.group.mu.Lock()
-		defer d.group.mu.Unlock()
-		a := &d.attempts[number]
-		a.EndedAt, a.Code, a.BrokeOff = time.Now(), s.errorCode, brokeOff || d.crashes != crashes
-	}
-}
-
 // awaitResponsive waits while the target is unresponsive. It returns false if the target has crashed.
 func (d *Target) awaitResponsive() bool {
 	d.group.mu.Lock()
--- a/standin/soak/planned.go
+++ b/standin/soak/planned.go
@@ -102,8 +102,11 @@
 	return stopAll(both, random), func() {}
 }
 
-// besideStop stops and starts a daemon and does something shortly before or after the signal; heal ends that, nil for nothing.
-func besideStop(do func(*lines.Fleet, *lines.Daemon, *rand.Rand) (heal func())) func(*lines.Fleet, *rand.Rand) (string, func()) {
+// injectBeside does something beside a stop of a daemon. heal ends it; nil for nothing.
+type injectBeside func(f *lines.Fleet, d *lines.Daemon, random *rand.Rand) (heal func())
+
+// besideStop stops and starts a daemon and does something shortly before or after the signal.
+func besideStop(do injectBeside) func(*lines.Fleet, *rand.Rand) (string, func()) {
 	return func(f *lines.Fleet, random *rand.Rand) (string, func()) {
 		d, gap, first := f.Daemons[random.Intn(len(f.Daemons))], between(random, 0, besideWithin), random.Intn(2) == 0
 		var stop sync.WaitGroup
@@ -133,7 +136,7 @@
 }
 
 // releaseOne replaces one target of a group.
-func releaseOne(pick func(*lines.Group) string) func(*lines.Fleet, *lines.Daemon, *rand.Rand) func() {
+func releaseOne(pick func(*lines.Group) string) injectBeside {
 	return func(f *lines.Fleet, _ *lines.Daemon, random *rand.Rand) func() {
 		g := f.Groups[random.Intn(len(f.Groups))]
 		_, heal := releaseAll(f, g, random, []string{pick(g)})
--- a/standin/soak/soak.go
+++ b/standin/soak/soak.go
@@ -41,8 +41,9 @@
 	Pinned, Route, Stale []string
 	// Dropped are reads on logs that are too old whose answer no caller got. They are no breaches.
 	Dropped []string
-	// Unanswered are requests without a whole answer around planned work, OtherCuts those at other times or beside disruptions,
-	// which are no breaches. EndedEarly are transactions that a daemon ended in the first half of its grace period.
+	// Unanswered are requests without a whole answer around planned work, OtherCuts those at other times or beside
+	// disruptions, which are no breaches. EndedEarly are transactions that a daemon ended in the first half of its grace
+	// period.
 	Unanswered, OtherCuts, EndedEarly []string
 	// Killed is the number of daemons that had not ended at the end of their grace period.
 	Killed int
@@ -71,8 +72,9 @@
 	if b == nil {
 		return ""
 	}
-	return fmt.Sprintf(" pinned=%d route=%d stale=%d stale_dropped=%d unanswered=%d ended_early=%d other_cuts=%d killed=%d run=%d relayed=%d",
-		len(b.Pinned), len(b.Route), len(b.Stale), len(b.Dropped), len(b.Unanswered), len(b.EndedEarly), len(b.OtherCuts), b.Killed, b.Run, b.Relayed)
+	return fmt.Sprintf(" pinned=%d route=%d stale=%d stale_dropped=%d unanswered=%d ended_early=%d other_cuts=%d killed=%d"+
+		" run=%d relayed=%d", len(b.Pinned), len(b.Route), len(b.Stale), len(b.Dropped), len(b.Unanswered),
+		len(b.EndedEarly), len(b.OtherCuts), b.Killed, b.Run, b.Relayed)
 }
 
 // String returns the report as one line.
--- a/standin/soak/stubborn.go
+++ b/standin/soak/stubborn.go
@@ -17,16 +17,18 @@
 	longestPace = 10 * time.Millisecond
 	// longestStay is the longest pause between statements of the transactions with pauses.
 	longestStay = 700 * time.Millisecond
-	// longestWait is the longest time between the connection and STARTUP, and from there to the first statement, of a caller that
-	// connects late.
+	// longestWait is the longest time between the connection and STARTUP, or from there to the first statement, of a
+	// caller that connects late.
 	longestWait = 1500 * time.Millisecond
 	// burst is the largest number of statements that are sent at once.
 	burst = 5
-	// slowBytes is the size of a value that is read slowly, in parts of slowPart bytes with a pause of slowPause before each.
+	// slowBytes is the size of a value that is read slowly, in parts of slowPart bytes with a pause of slowPause before
+	// each.
 	slowBytes = 900_000
 	slowPart  = 16 << 10
 	slowPause = 10 * time.Millisecond
-	// lateKind is the number of the kind that opens its sessions itself, lateCallers the number of its connections at a time.
+	// lateKind is the number of the kind that opens its sessions itself, lateCallers the number of its connections at a
+	// time.
 	lateKind    = 5
 	lateCallers = 6
 )
@@ -45,10 +47,11 @@
 	caller  *lines.Caller
 }
 
-// stubbornKinds are the ways in which the callers use their connections. Each returns false once the connection can't be used.
+// stubbornKinds are the ways in which the callers use their connections. Each returns false once the connection can't be
+// used.
 var stubbornKinds = []func(*stubbornCaller, context.Context) bool{
-	(*stubbornCaller).writeOnce, (*stubbornCaller).writeThree, (*stubbornCaller).writeWithoutEnd, (*stubbornCaller).writeWithPauses,
-	(*stubbornCaller).readLong, (*stubbornCaller).connectLate, (*stubbornCaller).sendBurst, (*stubbornCaller).readSlowly,
+	(*stubbornCaller).writeOnce, (*stubbornCaller).writeThree, (*stubbornCaller).writeWithoutEnd,
+	(*stubbornCaller).writeWithPauses, (*stubbornCaller).readLong, (*stubbornCaller).connectLate, (*stubbornCaller).sendBurst, (*stubbornCaller).readSlowly,
 }
 
 // runStubborn adds the callers of each daemon to parts.
@@ -141,8 +144,10 @@
 // unasked is the result of a write whose COMMIT was not sent: it may not remain.
 var unasked = lines.Result{Code: "ABORTED"}
 
-// writeIn writes in a transaction with pauses, and reports whether the transaction is still open. Otherwise no write may remain.
-func (s *stubbornCaller) writeIn(ctx context.Context, statements int, pause time.Duration) (writes []failedWrite, open bool, err error) {
+// writeIn writes in a transaction with pauses, and reports whether the transaction is still open. Otherwise no write may
+// remain.
+func (s *stubbornCaller) writeIn(ctx context.Context, statements int, pause time.Duration) ([]failedWrite, bool, error) {
+	var writes []failedWrite
 	for range statements {
 		text, one := s.newWrite("")
 		writes = append(writes, one...)
@@ -174,8 +179,8 @@
 	return err == nil
 }
 
-// connectLate waits before STARTUP or before the first statement, sends a few statements and connects anew. At a daemon that is
-// being stopped, it waits up to the end of the grace period.
+// connectLate waits before STARTUP or before the first statement, sends a few statements and connects anew. At a daemon
+// that is being stopped, it waits up to the end of the grace period.
 func (s *stubbornCaller) connectLate(ctx context.Context) bool {
 	wait := between(s.random, 0, longestWait)
 	if left := s.daemon.GraceLeft(); left > 0 {
