--- a/standin/lines/signals_test.go
+++ b/standin/lines/signals_test.go
@@ -12,8 +12,12 @@
 	"time"
 
 	"github.com/papayacove/papayacove/standin/lines"
+	"github.com/papayacove/papayacove/standin/netfault"
 )
 
+// graceOfFleet is the grace period in the settings of a fleet's daemons.
+const graceOfFleet = 4 * time.Second
+
 // startWithOutput starts the process of a daemon that is not running with another output, and waits until it serves.
 func (p *processes) startWithOutput(d *lines.Daemon, output io.Writer) *exec.Cmd {
 	p.t.Helper()
@@ -110,3 +114,75 @@
 		t.Errorf("the log lacks the end of the stop: %s", log.String())
 	}
 }
+
+// TestStopDoesNotWaitForTheStore guards against a stop that is held up, or a session that is cut, by a store that does not answer
+// or fails: the process is killed at the end of the grace period, as on the platform.
+func TestStopDoesNotWaitForTheStore(t *testing.T) {
+	t.Parallel()
+	for name, disrupt := range map[string]func(p *processes, d *lines.Daemon){
+		"silent":  func(_ *processes, d *lines.Daemon) { d.StoreLink.SetFaults(netfault.Faults{Partitioned: true}) },
+		"failing": func(p *processes, _ *lines.Daemon) { p.Store.Down.Store(true) },
+	} {
+		t.Run(name, func(t *testing.T) {
+			p := startProcesses(t)
+			d := p.Daemons[0]
+			d.Kill()
+			command := p.startWithOutput(d, io.Discard)
+			disrupt(p, d)
+			killed := time.AfterFunc(graceOfFleet, func() { _ = command.Process.Kill() })
+			defer killed.Stop()
+			p.writeWhileStopping(d, command, func() {})
+		})
+	}
+}
+
+// TestStopDuringTheStartEndsTheProcess guards against a signal that is lost while a daemon starts.
+func TestStopDuringTheStartEndsTheProcess(t *testing.T) {
+	t.Parallel()
+	p := startProcesses(t)
+	d := p.Daemons[0]
+	d.Kill()
+	for after := time.Duration(0); after < 60*time.Millisecond; after += 10 * time.Millisecond {
+		must(t, d.Start())
+		time.Sleep(after)
+		if !d.Stop() {
+			t.Errorf("a process that got the signal %s after its start did not end by itself", after)
+		}
+	}
+}
+
+// TestReloadsAndNewConfigurationsCutNoRequest guards against a request that loses its connection because the daemon reads other
+// settings, goes to the store at another address, or gets another version of the configuration.
+func TestReloadsAndNewConfigurationsCutNoRequest(t *testing.T) {
+	t.Parallel()
+	p := startProcesses(t)
+	attempts := p.writeDuring(func() {
+		for i := range 40 {
+			d := p.Daemons[i%len(p.Daemons)]
+			path := filepath.Join(p.Options.Folder, d.Name+".toml")
+			before, err := os.ReadFile(path)
+			must(t, err)
+			from, to := d.StoreLink.Address(), d.StoreLink.Target()
+			if !bytes.Contains(before, []byte("http://"+from+`"`)) {
+				from, to = to, from
+			}
+			must(t, os.WriteFile(path, bytes.ReplaceAll(before, []byte("http://"+from+`"`), []byte("http://"+to+`"`)), 0o644))
+			must(t, syscall.Kill(d.PID(), syscall.SIGHUP))
+			p.SetWorkspaces(nil)
+			time.Sleep(50 * time.Millisecond)
+		}
+	})
+	p.checkAttempts(attempts)
+	for _, d := range p.Daemons {
+		log, err := os.ReadFile(filepath.Join(p.Options.Folder, d.Name+".log"))
+		must(t, err)
+		if !bytes.Contains(log, []byte("msg=store_changed")) {
+			t.Errorf("%s: the log lacks the change of the store's address", d.Name)
+		}
+	}
+	for _, a := range attempts {
+		if a.code == "DISCONNECTED" {
+			t.Errorf("write %s lost its connection", a.id)
+		}
+	}
+}
