--- a/standin/lines/signals_test.go
+++ b/standin/lines/signals_test.go
@@ -4,6 +4,7 @@
 	"bytes"
 	"fmt"
 	"io"
+	"net"
 	"os"
 	"os/exec"
 	"path/filepath"
@@ -21,8 +22,15 @@
 // startWithOutput starts the process of a daemon that is not running with another output, and waits until it serves.
 func (p *processes) startWithOutput(d *lines.Daemon, output io.Writer) *exec.Cmd {
 	p.t.Helper()
-	settings := filepath.Join(p.Options.Folder, d.Name+".toml")
-	command := exec.Command(filepath.Join(p.Options.Binaries, "papayacove"), "run", "--settings", settings)
+	return p.startCommand(d, output, exec.Command(filepath.Join(p.Options.Binaries, "papayacove"), p.runArguments(d)...))
+}
+
+func (p *processes) runArguments(d *lines.Daemon) []string {
+	return []string{"run", "--settings", filepath.Join(p.Options.Folder, d.Name+".toml")}
+}
+
+func (p *processes) startCommand(d *lines.Daemon, output io.Writer, command *exec.Cmd) *exec.Cmd {
+	p.t.Helper()
 	command.Stdout, command.SysProcAttr = output, &syscall.SysProcAttr{Pdeathsig: syscall.SIGKILL, Setpgid: true}
 	must(p.t, command.Start())
 	p.t.Cleanup(func() { _ = command.Process.Kill() })
@@ -186,3 +194,23 @@
 		}
 	}
 }
+
+// TestStopAtTheDescriptorLimitServesOn guards against a stop that is held up, or a session that is cut, because no connection can be
+// accepted.
+func TestStopAtTheDescriptorLimitServesOn(t *testing.T) {
+	t.Parallel()
+	p := startProcesses(t)
+	d := p.Daemons[0]
+	d.Kill()
+	var log bytes.Buffer
+	arguments := append([]string{"-c", `ulimit -n 80 && exec "$0" "$@"`, filepath.Join(p.Options.Binaries, "papayacove")}, p.runArguments(d)...)
+	command := p.startCommand(d, &log, exec.Command("sh", arguments...))
+	p.writeWhileStopping(d, command, func() {
+		if conn, err := net.DialTimeout("tcp", d.CallerAddress, waitTimeout); err == nil {
+			t.Cleanup(func() { _ = conn.Close() })
+		}
+	})
+	if !bytes.Contains(log.Bytes(), []byte("msg=accept_failed")) {
+		t.Errorf("the log does not say that no connection could be accepted: %s", log.String())
+	}
+}
