Planned stops: final answers for statements behind the one in progress

Callers that had sent several statements at once got the final answer to the one in progress at the end of a stop; those behind it, which the daemon had read with it, were dropped with the connection.

Cause: the final answer is sent by another goroutine than the session's, which closed the connection right after it. It looks for arrived statements now, as a session at rest does, and refuses each one as not run (2005). Nothing can run: the session's own goroutine reads no statement after a final answer, and the end of the stop closes the connection of a caller that keeps sending.

Before: TestEndOfStopAnswersStatementsBehindTheOneInProgress got 1 answer, want 3. After: all three, with the race detector too.

--- a/internal/engine/conclude.go
+++ b/internal/engine/conclude.go
@@ -12,12 +12,23 @@
 	if !ok {
 		return
 	}
-	go func() {
+	go s.sendLast(answer)
+}
+
+// sendLast sends the final answer, refuses the statements that have arrived behind the one that it belongs to, and closes the
+// connection. The session's own goroutine reads none any more.
+func (s *session) sendLast(answer Answer) {
+	defer s.disconnect()
+	for {
 		if err := s.caller.Answer(answer); err != nil {
 			s.logNotSent(err)
+			return
 		}
-		s.disconnect()
-	}()
+		if _, err := s.caller.NextArrived(); err != nil {
+			return
+		}
+		answer = Answer{Refusal: refuseStopping(), State: StateIdle}
+	}
 }
 
 // finalAnswer returns the final answer to the statement in progress. It returns false when there is none, or when its
