Soak: callers that connect late read slowly, too

A slow reader opened its session at once, so that none was served near the end of a stop, after sessions are closed. A third of the connections that come late now read 900 KB in small parts as their only statement.

--- a/standin/soak/stubborn.go
+++ b/standin/soak/stubborn.go
@@ -180,7 +180,7 @@
 }
 
 // connectLate waits before STARTUP or before the first statement, sends a few statements and connects anew. At a daemon
-// that is being stopped, it waits up to the end of the grace period.
+// that is being stopped, it waits up to the end of the grace period. A third of the connections read slowly instead.
 func (s *stubbornCaller) connectLate(ctx context.Context) bool {
 	wait := between(s.random, 0, longestWait)
 	if left := s.daemon.GraceLeft(); left > 0 {
@@ -196,6 +196,10 @@
 	if early {
 		_ = clock.Sleep(ctx, wait)
 	}
+	if s.random.Intn(3) == 0 {
+		s.readSlowly(ctx)
+		return false
+	}
 	for range 3 {
 		if !s.writeOnce(ctx) {
 			break
