Stand-ins: a target that broke off earlier is no excuse for the last attempt

The check of LOST passed over a request if any attempt of it was broken off by its target, also if the last one was answered whole. Found by the review, by reading.

--- a/standin/lines/lost.go
+++ b/standin/lines/lost.go
@@ -94,8 +94,15 @@
 	if len(attempts) == 0 && used <= c.bounds.Slack {
 		return false
 	}
-	brokeOff := slices.ContainsFunc(attempts, func(a Attempt) bool { return a.BrokeOff })
-	return !brokeOff && used < c.timeout(s.lastByteAt, s.endedAt)
+	return !endsBrokenOff(attempts) && used < c.timeout(s.lastByteAt, s.endedAt)
+}
+
+// endsBrokenOff reports whether the target broke off in the last attempt of a request. An earlier one is no excuse.
+func endsBrokenOff(attempts []Attempt) bool {
+	if len(attempts) == 0 {
+		return false
+	}
+	return slices.MaxFunc(attempts, func(a, b Attempt) int { return a.ArrivedAt.Compare(b.ArrivedAt) }).BrokeOff
 }
 
 // isDisrupted reports whether there was a disruption from the contact time before a request to its end.
--- a/standin/lines/lost_test.go
+++ b/standin/lines/lost_test.go
@@ -229,3 +229,17 @@
 		t.Errorf("the target crashed: got %+v, %+v, want an end without an answer and a target that broke off", s, a)
 	}
 }
+
+// TestBrokenOffAttemptIsNoExcuseForALaterOne guards against a check that passes over a request whose last attempt was answered
+// whole by its target.
+func TestBrokenOffAttemptIsNoExcuseForALaterOne(t *testing.T) {
+	first, last := Attempt{ArrivedAt: atMs(1), BrokeOff: true}, Attempt{ArrivedAt: atMs(2)}
+	for _, c := range []struct {
+		attempts []Attempt
+		want     bool
+	}{{nil, false}, {[]Attempt{first}, true}, {[]Attempt{last, first}, false}, {[]Attempt{{ArrivedAt: atMs(0)}, first}, true}} {
+		if got := endsBrokenOff(c.attempts); got != c.want {
+			t.Errorf("attempts %+v: got broken off %t, want %t", c.attempts, got, c.want)
+		}
+	}
+}
