--- a/internal/daemon/daemon.go
+++ b/internal/daemon/daemon.go
@@ -29,6 +29,8 @@
 	leaveNoticeDelay = 300 * time.Millisecond
 	// drainTimeout bounds the wait for requests in progress at a planned stop.
 	drainTimeout = 20 * time.Second
+	// answerPeersTime bounds the wait until the answers to other daemons are sent, at the end of a planned stop.
+	answerPeersTime = 200 * time.Millisecond
 )
 
 // Daemon is one papayacove process.
@@ -165,10 +167,18 @@
 	d.gates.Drain(ctx)
 	_ = d.frontend.Close()
 	d.gates.Close()
+	d.answerPeers()
 	d.peers.Close()
 	logrus.WithField(logfield.Daemon, d.settings.Name).Info(logevent.DaemonStopped)
 }
 
+// answerPeers sends the answers to other daemons that are under way, before their connections are closed.
+func (d *Daemon) answerPeers() {
+	ctx, cancel := context.WithTimeout(context.Background(), answerPeersTime)
+	defer cancel()
+	d.peers.Drain(ctx)
+}
+
 // refresh recomputes the placement of the targets.
 func (d *Daemon) refresh() {
 	d.gates.Refresh()
