Planned stops: a late end has the time of the schedule for its last parts

A daemon that came late to the end of its stop had a fixed 100 ms for final answers, also in a grace period of 0.4 s, where that is more than is left; and none for the statements that other daemons had waiting here, whose senders then told callers of writes that the outcome is not known, although no target got them. The wait for callers was also held up by sessions that have their final answer and whose statement is at a silent target.

The last parts last as long as in the schedule, however late they begin. Waits of other daemons end with the first final answer, and only callers without a session are awaited after that. TestFinalAnswersEndTheWaitsOfOtherDaemons fails without the change; TestStopThatRunsLateSendsItsFinalAnswers begins its stop late by schedule.

--- a/internal/engine/conclude_test.go
+++ b/internal/engine/conclude_test.go
@@ -246,7 +246,7 @@
 	awaitTrue(t, "the statement is at its target", func() bool { return target.has("id") })
 	over, cancel := context.WithCancel(context.Background())
 	cancel()
-	e.Drain(over, stopping.Schedule{})
+	e.Drain(over, stopping.Schedule{Conclude: -100 * time.Millisecond})
 	e.FinishSessions(over)
 	close(target.release)
 	awaitEnd(t, ended)
@@ -254,3 +254,16 @@
 		t.Errorf("got %d answers, want one", len(caller.answers))
 	}
 }
+
+// TestFinalAnswersEndTheWaitsOfOtherDaemons guards against statements of other daemons that wait here until there is no time left
+// to answer them.
+func TestFinalAnswersEndTheWaitsOfOtherDaemons(t *testing.T) {
+	e := newPatientEngine(&fakeTarget{})
+	if e.relayWaits.Err() != nil {
+		t.Fatal("got waits that have ended before the stop, want them to go on")
+	}
+	finishNow(e)
+	if e.relayWaits.Err() == nil {
+		t.Error("got waits that go on after the final answers, want them ended")
+	}
+}
--- a/internal/engine/relaywork.go
+++ b/internal/engine/relaywork.go
@@ -59,10 +59,6 @@
 // errHolderStops is the refusal of a statement of another daemon during a planned stop.
 var errHolderStops = result.Errorf(result.NotRunDraining, "the daemon stops")
 
-// EndRelayWaits refuses the statements of other daemons that wait here, so that they are answered before the connections
-// are closed. None of them is sent to a target later. Those that were sent run on.
-func (e *Engine) EndRelayWaits() { e.endRelayWaits() }
-
 // EndRelayedTransactions rolls back the open transactions of other daemons during a planned stop, each once its statement in
 // progress has its reply, and keeps none that begins later. Their senders learn of it with the next statement.
 func (e *Engine) EndRelayedTransactions() {
--- a/internal/engine/relaywork_test.go
+++ b/internal/engine/relaywork_test.go
@@ -143,7 +143,7 @@
 		<-w.reached
 		w.awaitRelayed(t, func() int { return sent })
 		w.holder.stopping.Store(true)
-		w.holder.EndRelayWaits()
+		w.holder.endRelayWaits()
 		w.awaitRelayed(t, w.ranCount)
 		close(w.release)
 		for id, reply := range replies {
--- a/internal/engine/stop.go
+++ b/internal/engine/stop.go
@@ -24,8 +24,6 @@
 	drainInterval = 50 * time.Millisecond
 	// concludeInterval is the time between two checks for sessions that have taken their final answers.
 	concludeInterval = 5 * time.Millisecond
-	// minConcludeTime is the time that the final answers have at least, also when a busy machine is late with them.
-	minConcludeTime = 100 * time.Millisecond
 )
 
 // stoppingReason is the reason of refusals during a planned stop.
@@ -87,12 +85,15 @@
 }
 
 // FinishSessions closes the sessions as they become idle until ctx ends. Then it gives the callers that still wait final
-// answers, and closes all connections by the time of the schedule of Drain, or a moment later on a busy machine.
+// answers, and closes all connections when the time that the schedule of Drain has for that is over, also if it begins late.
+// The statements of other daemons that wait here are refused with the first final answer, so that they are answered before the
+// connections are closed. None of them is sent to a target later.
 func (e *Engine) FinishSessions(ctx context.Context) {
 	e.awaitSessions(ctx)
 	e.concluding.Store(true)
+	e.endRelayWaits()
 	stop := e.plannedStop.Load()
-	until := max(stop.schedule.Cut, time.Since(stop.began)+minConcludeTime)
+	until := max(stop.schedule.Cut, time.Since(stop.began)+stop.schedule.Cut-stop.schedule.Conclude)
 	for {
 		open := e.openSessions()
 		for _, s := range open {
--- a/internal/lineproxy/stop.go
+++ b/internal/lineproxy/stop.go
@@ -60,7 +60,7 @@
 	p.engine.Drain(accepting, schedule)
 	p.stopAccepting()
 	p.engine.FinishSessions(sessions)
-	p.awaitCallers(s)
+	p.awaitOpenings(s)
 	p.answerPeers(s)
 	p.engine.CloseWithin(min(promotionsTimeout, s.left(schedule.Promotions)))
 	p.store.Close()
@@ -89,11 +89,11 @@
 	p.openings.expectBy(time.Now().Add(openingTime))
 }
 
-// awaitCallers waits until all callers have their last answers, those whose sessions are refused included.
-func (p *Proxy) awaitCallers(s stop) {
+// awaitOpenings waits until the callers without a session are refused one.
+func (p *Proxy) awaitOpenings(s stop) {
 	ctx, cancel := s.until(s.schedule.Cut)
 	defer cancel()
-	for ctx.Err() == nil && p.callers.Load() > 0 {
+	for ctx.Err() == nil && p.openings.count() > 0 {
 		_ = clock.Sleep(ctx, awaitInterval)
 	}
 	if opening := p.openings.count(); opening > 0 {
@@ -101,11 +101,12 @@
 	}
 }
 
-// answerPeers closes the connections of other daemons, once they have the answers to their statements.
+// answerPeers closes the connections of other daemons, once they have the answers to their statements. They have the time of
+// the schedule for that also if the stop is late.
 func (p *Proxy) answerPeers(s stop) {
-	ctx, cancel := s.until(s.schedule.Peers)
+	left := max(s.left(s.schedule.Peers), s.schedule.Peers-s.schedule.Cut)
+	ctx, cancel := context.WithTimeout(context.Background(), left)
 	defer cancel()
-	p.engine.EndRelayWaits()
 	p.peers.Drain(ctx)
 	p.engine.LogRelaysCut()
 	p.peers.Close()
