Tests: the descriptor limit is reached before the stop goes on

It opened a connection before each write, and on a busy machine the session was closed before there were as many as descriptors.

It opens twice as many connections as there are descriptors at once, after the first write, which needs a connection to a target. What is checked is the same.

--- a/standin/lines/signals_test.go
+++ b/standin/lines/signals_test.go
@@ -8,6 +8,7 @@
 	"os"
 	"os/exec"
 	"path/filepath"
+	"sync"
 	"syscall"
 	"testing"
 	"time"
@@ -38,8 +39,8 @@
 	return command
 }
 
-// writeWhileStopping sends SIGTERM to a daemon and writes in one session until the session is closed. A write that ran has to
-// have an answer, and at least one has to succeed.
+// writeWhileStopping sends SIGTERM to a daemon and writes in one session until the session is closed, with a call of during after
+// each write. A write that ran has to have an answer, and at least one has to succeed.
 func (p *processes) writeWhileStopping(d *lines.Daemon, command *exec.Cmd, during func()) {
 	p.t.Helper()
 	caller, err := lines.Dial(d.CallerAddress, lines.StrictDatabase)
@@ -48,7 +49,6 @@
 	must(p.t, command.Process.Signal(syscall.SIGTERM))
 	succeeded := 0
 	for i := 0; ; i++ {
-		during()
 		id := fmt.Sprintf("stopping-%d", i)
 		r, err := caller.RunAs(id, "WRITE "+id+" x")
 		if err != nil {
@@ -60,6 +60,7 @@
 		if r.Code == "" {
 			succeeded++
 		}
+		during()
 		time.Sleep(5 * time.Millisecond)
 	}
 	if succeeded == 0 {
@@ -203,13 +204,17 @@
 	d := p.Daemons[0]
 	d.Kill()
 	var log bytes.Buffer
-	arguments := append([]string{"-c", `ulimit -n 80 && exec "$0" "$@"`, filepath.Join(p.Options.Binaries, "papayacove")}, p.runArguments(d)...)
+	const descriptors = 80
+	limit := fmt.Sprintf(`ulimit -n %d && exec "$0" "$@"`, descriptors)
+	arguments := append([]string{"-c", limit, filepath.Join(p.Options.Binaries, "papayacove")}, p.runArguments(d)...)
 	command := p.startCommand(d, &log, exec.Command("sh", arguments...))
-	p.writeWhileStopping(d, command, func() {
-		if conn, err := net.DialTimeout("tcp", d.CallerAddress, waitTimeout); err == nil {
-			t.Cleanup(func() { _ = conn.Close() })
+	p.writeWhileStopping(d, command, sync.OnceFunc(func() {
+		for range 2 * descriptors {
+			if conn, err := net.DialTimeout("tcp", d.CallerAddress, waitTimeout); err == nil {
+				t.Cleanup(func() { _ = conn.Close() })
+			}
 		}
-	})
+	}))
 	if !bytes.Contains(log.Bytes(), []byte("msg=accept_failed")) {
 		t.Errorf("the log does not say that no connection could be accepted: %s", log.String())
 	}
