--- a/internal/dialer/peer_linux.go
+++ b/internal/dialer/peer_linux.go
@@ -14,8 +14,8 @@
 	return err != nil || events&(unix.POLLRDHUP|unix.POLLHUP|unix.POLLERR) != 0
 }
 
-// HasInput reports whether a read from the connection would return at once: with data, with the end or with an error. It
-// does not block.
+// HasInput reports whether a read from the connection would return at once: with data, with the end or with an error.
+// It does not block.
 func HasInput(conn syscall.Conn) bool {
 	events, err := poll(conn, unix.POLLIN)
 	return err != nil || events != 0
--- a/internal/engine/admitting.go
+++ b/internal/engine/admitting.go
@@ -8,10 +8,10 @@
 	"github.com/papayacove/papayacove/internal/result"
 )
 
-// Admit adds a session to the open ones and returns the function that runs it until the caller disconnects or the session is
-// closed. The function has to be called, once the caller knows that its session is open; nothing closes the session as idle
-// before. identity is what Identify returned. After StopAdmitting there is a refusal instead, so that a planned stop sees
-// each session that may run a statement.
+// Admit adds a session to the open ones and returns the function that runs it until the caller disconnects or the
+// session is closed. The function has to be called, once the caller knows that its session is open; nothing closes the
+// session as idle before. identity is what Identify returned. After StopAdmitting there is a refusal instead, so that a
+// planned stop sees each session that may run a statement.
 func (e *Engine) Admit(caller Caller, database string, identity callers.Identity) (serve func(), refusal *Refusal) {
 	s := newSession(e, caller, database, fmt.Sprintf("s%d", e.nextID.Add(1)), identity)
 	s.busy = true
--- a/internal/engine/arrival_test.go
+++ b/internal/engine/arrival_test.go
@@ -16,7 +16,8 @@
 	e.closing.Store(true)
 }
 
-// TestStatementsThatArriveDuringAStop guards against statements that begin although they cannot end before the daemon does.
+// TestStatementsThatArriveDuringAStop guards against statements that begin although they cannot end before the daemon
+// does.
 func TestStatementsThatArriveDuringAStop(t *testing.T) {
 	for _, c := range []struct {
 		what string
@@ -67,8 +68,8 @@
 	}
 }
 
-// TestStopWaitsForTheNextStatementOfAnOperation guards against a session that a stop closes after its opening, or after a statement
-// that sets a value for the next one.
+// TestStopWaitsForTheNextStatementOfAnOperation guards against a session that a stop closes after its opening, or after
+// a statement that sets a value for the next one.
 func TestStopWaitsForTheNextStatementOfAnOperation(t *testing.T) {
 	e := newTestEngine(&fakeTarget{})
 	close(e.configured)
--- a/internal/engine/conclude.go
+++ b/internal/engine/conclude.go
@@ -5,8 +5,8 @@
 	"github.com/papayacove/papayacove/internal/result"
 )
 
-// conclude ends the session at the end of a planned stop. A statement in progress gets a final answer, which cannot become
-// false: startAttempt lets nothing be sent any more. A session at rest ends by itself.
+// conclude ends the session at the end of a planned stop. A statement in progress gets a final answer, which cannot
+// become false: startAttempt lets nothing be sent any more. A session at rest ends by itself.
 func (s *session) conclude() {
 	answer, ok := s.finalAnswer()
 	if !ok {
@@ -15,8 +15,8 @@
 	go s.sendLast(answer)
 }
 
-// sendLast sends the final answer, refuses the statements that have arrived behind the one that it belongs to, and closes the
-// connection. The session's own goroutine reads none any more.
+// sendLast sends the final answer, refuses the statements that have arrived behind the one that it belongs to, and
+// closes the connection. The session's own goroutine reads none any more.
 func (s *session) sendLast(answer Answer) {
 	defer s.disconnect()
 	for {
--- a/internal/engine/conclude_test.go
+++ b/internal/engine/conclude_test.go
@@ -113,8 +113,8 @@
 	}
 }
 
-// TestStatementToldAsNotRunIsNotSentLater guards against a final answer that becomes false when a connection to a target
-// gets free.
+// TestStatementToldAsNotRunIsNotSentLater guards against a final answer that becomes false when a connection to a
+// target gets free.
 func TestStatementToldAsNotRunIsNotSentLater(t *testing.T) {
 	for _, op := range []Operation{OpRead, OpWrite} {
 		target := newHeldTarget()
@@ -255,8 +255,8 @@
 	}
 }
 
-// TestFinalAnswersEndTheWaitsOfOtherDaemons guards against statements of other daemons that wait here until there is no time left
-// to answer them.
+// TestFinalAnswersEndTheWaitsOfOtherDaemons guards against statements of other daemons that wait here until there is no
+// time left to answer them.
 func TestFinalAnswersEndTheWaitsOfOtherDaemons(t *testing.T) {
 	e := newPatientEngine(&fakeTarget{})
 	if e.relayWaits.Err() != nil {
--- a/internal/engine/concludeburst_test.go
+++ b/internal/engine/concludeburst_test.go
@@ -7,8 +7,8 @@
 	"github.com/papayacove/papayacove/internal/result"
 )
 
-// TestEndOfStopAnswersStatementsBehindTheOneInProgress guards against statements that have arrived and are dropped together with
-// the connection of the statement before them.
+// TestEndOfStopAnswersStatementsBehindTheOneInProgress guards against statements that have arrived and are dropped
+// together with the connection of the statement before them.
 func TestEndOfStopAnswersStatementsBehindTheOneInProgress(t *testing.T) {
 	target := newHeldTarget()
 	e := newPatientEngine(&target.fakeTarget)
--- a/internal/engine/connectionrequest.go
+++ b/internal/engine/connectionrequest.go
@@ -42,8 +42,8 @@
 	return admission.Item{Workspace: r.workspace, Class: r.class, Priority: r.priority, Deadline: r.startBy, ExpectedStartBy: time.Now().Add(left), LateUntil: r.lateUntil}
 }
 
-// awaitStart waits until the offered item of a request starts. It fails with a *result.Error, which guarantees that nothing
-// ran, when the item is refused or does not start in time.
+// awaitStart waits until the offered item of a request starts. It fails with a *result.Error, which guarantees that
+// nothing ran, when the item is refused or does not start in time.
 func awaitStart(queue *waitqueue.Queue, ticket waitqueue.Ticket, wanted connectionRequest) error {
 	switch ticket.Outcome {
 	case admission.Started:
--- a/internal/engine/engine.go
+++ b/internal/engine/engine.go
@@ -109,10 +109,12 @@
 	ctx, stop := context.WithCancel(context.Background())
 	relayWaits, endRelayWaits := context.WithCancel(context.Background())
 	e := &Engine{
-		options: options, ctx: ctx, stop: stop, relayWaits: relayWaits, endRelayWaits: endRelayWaits, configured: make(chan struct{}), proved: make(chan struct{}), daemons: newDaemonList(options.Name, nil), peers: &peerHealth{},
-		groups: make(map[string]*group), unplaced: make(map[string]Target), placed: make(map[string]string), sessions: make(map[*session]struct{}),
+		options: options, ctx: ctx, stop: stop, relayWaits: relayWaits, endRelayWaits: endRelayWaits,
+		configured: make(chan struct{}), proved: make(chan struct{}), refusing: make(chan struct{}),
+		daemons: newDaemonList(options.Name, nil), peers: &peerHealth{},
+		groups: make(map[string]*group), unplaced: make(map[string]Target), placed: make(map[string]string),
+		sessions: make(map[*session]struct{}),
 	}
-	e.refusing = make(chan struct{})
 	e.directoryFailed.Store(int64(clock.SinceBoot()))
 	e.knowsLosses.Store(options.LossRegistry == nil)
 	if options.LossRegistry != nil {
--- a/internal/engine/holders.go
+++ b/internal/engine/holders.go
@@ -19,8 +19,8 @@
 // pathTo names the way over the holder to a target, as a key of peerHealth.
 func (h holder) pathTo(m *member) string { return h.address + " to " + m.name }
 
-// statements names the statements that are sent to the holder, as a key of peerHealth. A daemon that stops runs none, and
-// still tells the status of its targets.
+// statements names the statements that are sent to the holder, as a key of peerHealth. A daemon that stops runs none,
+// and still tells the status of its targets.
 func (h holder) statements() string { return h.address + " for statements" }
 
 // holdingLimits returns what the share of this daemon in a target depends on. The caller holds the lock.
--- a/internal/engine/interfaces.go
+++ b/internal/engine/interfaces.go
@@ -10,8 +10,8 @@
 
 // Caller is the connection of one session.
 type Caller interface {
-	// Next returns the next statement. It fails with ErrIdle when none arrived before the deadline; the zero time
-	// stands for no deadline. It fails with ErrInterrupted after a call of Interrupt that no call of Next has returned yet.
+	// Next returns the next statement. It fails with ErrIdle when none arrived before the deadline; the zero time stands
+	// for no deadline. It fails with ErrInterrupted after a call of Interrupt that no call of Next has returned yet.
 	Next(deadline time.Time) (Statement, error)
 	// NextArrived returns the next statement if it has arrived, whatever Interrupt says. It waits for a short time for the
 	// rest of a statement of which a part has arrived, and fails with ErrIdle when there is none.
--- a/internal/engine/progress.go
+++ b/internal/engine/progress.go
@@ -24,7 +24,9 @@
 	stepAnswering
 )
 
-var stepNames = [...]string{stepWaiting: "waiting", stepSent: "sent", stepAnswered: "answered", stepAnswering: "answering"}
+var stepNames = [...]string{
+	stepWaiting: "waiting", stepSent: "sent", stepAnswered: "answered", stepAnswering: "answering",
+}
 
 // String returns the name of the step in logs.
 func (s step) String() string { return stepNames[s] }
@@ -41,8 +43,8 @@
 	mayHaveRun, commits bool
 }
 
-// startAttempt records that the statement in progress is about to be sent to a target, where it commits a write if commits
-// is true. It returns false when the statement must not be sent any more, because the daemon stops.
+// startAttempt records that the statement in progress is about to be sent to a target, where it commits a write if
+// commits is true. It returns false when the statement must not be sent any more, because the daemon stops.
 func (s *session) startAttempt(target string, commits bool) bool {
 	s.mu.Lock()
 	defer s.mu.Unlock()
@@ -62,8 +64,8 @@
 	s.progress.mayHaveRun = s.progress.mayHaveRun || outcome.mayHaveRun()
 }
 
-// claimAnswer records that the answer to the statement in progress is being sent. It returns false when a final answer has
-// been sent instead.
+// claimAnswer records that the answer to the statement in progress is being sent. It returns false when a final answer
+// has been sent instead.
 func (s *session) claimAnswer() bool {
 	s.mu.Lock()
 	defer s.mu.Unlock()
@@ -83,7 +85,8 @@
 func (s *session) progressLog() *logrus.Entry {
 	p := s.progress
 	entry := s.logFor(p.statement, s.bound.Workspace).WithFields(logrus.Fields{
-		logfield.Operation: p.statement.Op.String(), logfield.Step: p.step.String(), logfield.Target: p.target, logfield.InTransaction: s.inTransaction,
+		logfield.Operation: p.statement.Op.String(), logfield.Step: p.step.String(),
+		logfield.Target: p.target, logfield.InTransaction: s.inTransaction,
 	})
 	if !p.arrived.IsZero() {
 		entry = entry.WithField(logfield.Elapsed, time.Since(p.arrived))
@@ -94,14 +97,14 @@
 	return entry
 }
 
-// logCut logs that a planned stop closes the session, after an answer with the given code to the statement in progress. The
-// caller holds the lock.
+// logCut logs that a planned stop closes the session, after an answer with the given code to the statement in progress.
+// The caller holds the lock.
 func (s *session) logCut(code result.Code) {
 	s.progressLog().WithField(logfield.Code, int(code)).Warn(logevent.SessionCut)
 }
 
-// logDropped logs at a bounded rate that the statement that has arrived is not served, because the session is closed. The
-// caller holds the lock.
+// logDropped logs at a bounded rate that the statement that has arrived is not served, because the session is closed.
+// The caller holds the lock.
 func (s *session) logDropped() {
 	if limiter.Allow(logevent.StatementDropped, time.Now()) {
 		s.progressLog().Info(logevent.StatementDropped)
--- a/internal/engine/relayevents.go
+++ b/internal/engine/relayevents.go
@@ -86,8 +86,9 @@
 // log returns an entry that names the statement and its step.
 func (r *relayedStatement) log() *logrus.Entry {
 	entry := logrus.WithFields(logrus.Fields{
-		logfield.Peer: r.session.peer, logfield.Group: r.group, logfield.Target: r.target, logfield.Request: r.id, logfield.Operation: r.op.String(),
-		logfield.Step: r.step().String(), logfield.InTransaction: r.inTransaction, logfield.Elapsed: clock.SinceBoot() - r.arrived,
+		logfield.Peer: r.session.peer, logfield.Group: r.group, logfield.Target: r.target, logfield.Request: r.id,
+		logfield.Operation: r.op.String(), logfield.Step: r.step().String(), logfield.InTransaction: r.inTransaction,
+		logfield.Elapsed: clock.SinceBoot() - r.arrived,
 	})
 	if stop := r.session.engine.plannedStop.Load(); stop != nil {
 		entry = entry.WithField(logfield.SinceStop, time.Since(stop.began))
@@ -106,7 +107,9 @@
 // logRelaysDraining logs what runs for other daemons when a planned stop begins.
 func (e *Engine) logRelaysDraining() {
 	statements, transactions := e.relayedWork()
-	logrus.WithFields(logrus.Fields{logfield.Statements: len(statements), logfield.Transactions: transactions}).Info(logevent.RelaysDraining)
+	logrus.WithFields(logrus.Fields{
+		logfield.Statements: len(statements), logfield.Transactions: transactions,
+	}).Info(logevent.RelaysDraining)
 }
 
 // logRelayedTransactionsEnded logs that a planned stop ends the open transactions of other daemons.
@@ -120,7 +123,9 @@
 	if len(statements)+transactions == 0 {
 		return
 	}
-	logrus.WithFields(logrus.Fields{logfield.Statements: len(statements), logfield.Transactions: transactions}).Warn(logevent.RelaysCut)
+	logrus.WithFields(logrus.Fields{
+		logfield.Statements: len(statements), logfield.Transactions: transactions,
+	}).Warn(logevent.RelaysCut)
 	for _, r := range statements {
 		if limiter.Allow(logevent.RelayStatementCut, time.Now()) {
 			r.log().Warn(logevent.RelayStatementCut)
--- a/internal/engine/relaysession.go
+++ b/internal/engine/relaysession.go
@@ -139,8 +139,8 @@
 	reply.ProofTerm, reply.ProofAgeUs = term, age.Microseconds()
 }
 
-// add keeps an open transaction and returns its number, or 0 when the transaction was rolled back, because the session has been
-// closed or the daemon keeps none any more.
+// add keeps an open transaction and returns its number, or 0 when the transaction was rolled back, because the session
+// has been closed or the daemon keeps none any more.
 func (s *RelaySession) add(l *gateLease, e execution) uint64 {
 	t := &relayedTransaction{group: l.gate.group.name, target: l.gate.member.name, begun: e.identity(), lease: l}
 	s.mu.Lock()
@@ -239,14 +239,16 @@
 }
 
 // notContinued returns the reply to a statement of a transaction that is not open here.
-func (s *RelaySession) notContinued(request *api.RelayRequest, e execution, reason string) (*api.RelayReply, attemptResult) {
+func (s *RelaySession) notContinued(
+	request *api.RelayRequest, e execution, reason string,
+) (*api.RelayReply, attemptResult) {
 	outcome := notRun(result.NotRunNotHolder, "%s", reason)
 	s.logNotContinued(request.Group, request.Target, request.Transaction, e, outcome.refused)
 	return relayReply(outcome), outcome
 }
 
-// Status returns the status of a target that this daemon holds, also while it stops: others may reach the target through it
-// alone, as it has connections there.
+// Status returns the status of a target that this daemon holds, also while it stops: others may reach the target
+// through it alone, as it has connections there.
 func (s *RelaySession) Status(request *api.RelayStatusRequest) *api.RelayStatusReply {
 	h, refused := s.engine.knownGate(request.Group, request.Target)
 	if refused != nil {
@@ -261,8 +263,8 @@
 	}
 }
 
-// gateFor returns the gate of a target for the statements of other daemons. It fails with NotRunDraining while this daemon
-// stops, and with NotRunNotHolder when it does not know the target.
+// gateFor returns the gate of a target for the statements of other daemons. It fails with NotRunDraining while this
+// daemon stops, and with NotRunNotHolder when it does not know the target.
 func (e *Engine) gateFor(groupName, target string) (*gate, error) {
 	if e.stopping.Load() {
 		return nil, errHolderStops
--- a/internal/engine/relaystop_test.go
+++ b/internal/engine/relaystop_test.go
@@ -10,8 +10,8 @@
 	"github.com/papayacove/papayacove/internal/result"
 )
 
-// TestStoppingHolderEndsTransactionsOfOthers guards against a planned stop of a holder that open transactions of other daemons
-// last until its end, where their commits are cut.
+// TestStoppingHolderEndsTransactionsOfOthers guards against a planned stop of a holder that open transactions of other
+// daemons last until its end, where their commits are cut.
 func TestStoppingHolderEndsTransactionsOfOthers(t *testing.T) {
 	for _, c := range []struct {
 		name       string
@@ -59,8 +59,8 @@
 	}
 }
 
-// TestStatementInProgressIsAnsweredBeforeItsTransactionEnds guards against a statement that is cut because its transaction is
-// ended by the stop of the holder.
+// TestStatementInProgressIsAnsweredBeforeItsTransactionEnds guards against a statement that is cut because its
+// transaction is ended by the stop of the holder.
 func TestStatementInProgressIsAnsweredBeforeItsTransactionEnds(t *testing.T) {
 	w := newHeldWrites()
 	w.holder.configuration.IdleTransaction = time.Hour
@@ -92,8 +92,8 @@
 	return w.target.open
 }
 
-// TestStoppingHoldersTellTheStatusOfTheirTargets guards against writes without a proof of leadership while all holders of a
-// target stop.
+// TestStoppingHoldersTellTheStatusOfTheirTargets guards against writes without a proof of leadership while all holders
+// of a target stop.
 func TestStoppingHoldersTellTheStatusOfTheirTargets(t *testing.T) {
 	target := &fakeTarget{exchange: func(_ *fakeConnection, c Command) (Reply, error) {
 		if c.Op != OpStatus {
@@ -122,8 +122,8 @@
 	}
 }
 
-// TestTransactionsOutliveTheEntriesOfTheirDaemons guards against a transaction or statement that is lost because its sender, its
-// holder or all daemons are marked as left, as at the begin of a planned stop.
+// TestTransactionsOutliveTheEntriesOfTheirDaemons guards against a transaction or statement that is lost because its
+// sender, its holder or all daemons are marked as left, as at the begin of a planned stop.
 func TestTransactionsOutliveTheEntriesOfTheirDaemons(t *testing.T) {
 	for name, remaining := range map[string][]Daemon{
 		"without the holder": {{Name: "daemon-0", Zone: "z", Address: "daemon-0"}},
--- a/internal/engine/relaywork.go
+++ b/internal/engine/relaywork.go
@@ -59,8 +59,9 @@
 // errHolderStops is the refusal of a statement of another daemon during a planned stop.
 var errHolderStops = result.Errorf(result.NotRunDraining, "the daemon stops")
 
-// EndRelayedTransactions rolls back the open transactions of other daemons during a planned stop, each once its statement in
-// progress has its reply, and keeps none that begins later. Their senders learn of it with the next statement.
+// EndRelayedTransactions rolls back the open transactions of other daemons during a planned stop, each once its
+// statement in progress has its reply, and keeps none that begins later. Their senders learn of it with the next
+// statement.
 func (e *Engine) EndRelayedTransactions() {
 	e.relayTransactionsEnded.Store(true)
 	ended := 0
@@ -80,8 +81,8 @@
 	return slices.Collect(maps.Keys(s.transactions))
 }
 
-// afterStop returns an outcome with the reason that makes the sender ask another daemon, if the statement did not run and
-// the stop ends.
+// afterStop returns an outcome with the reason that makes the sender ask another daemon, if the statement did not run
+// and the stop ends.
 func (e *Engine) afterStop(outcome attemptResult) attemptResult {
 	if outcome.refused != nil && e.relayWaits.Err() != nil {
 		outcome.refused = errHolderStops
@@ -92,7 +93,8 @@
 // begin records a statement in progress, makes the execution record that it is sent, and ends its wait with the stop.
 func (s *RelaySession) begin(group, target string, e *execution) *relayedStatement {
 	r := &relayedStatement{
-		session: s, group: group, target: target, id: e.command.ID, op: e.command.Op, inTransaction: e.state.inTransaction, arrived: clock.SinceBoot(),
+		session: s, group: group, target: target, id: e.command.ID, op: e.command.Op,
+		inTransaction: e.state.inTransaction, arrived: clock.SinceBoot(),
 	}
 	e.waits = s.engine.relayWaits
 	permits := e.permits
@@ -126,8 +128,8 @@
 	}
 }
 
-// Disconnected rolls the open transactions back, each once its statement in progress has ended, because the other end has closed
-// the connection, or is lost. Other statements in progress run on, until Close.
+// Disconnected rolls the open transactions back, each once its statement in progress has ended, because the other end
+// has closed the connection, or is lost. Other statements in progress run on, until Close.
 func (s *RelaySession) Disconnected() {
 	s.mu.Lock()
 	s.disconnected = true
--- a/internal/engine/relaywork_test.go
+++ b/internal/engine/relaywork_test.go
@@ -72,8 +72,8 @@
 	return replies
 }
 
-// TestLostReplyNamesItsStatement guards against a holder whose logs do not tell how a statement ended that its sender got no
-// reply to.
+// TestLostReplyNamesItsStatement guards against a holder whose logs do not tell how a statement ended that its sender
+// got no reply to.
 func TestLostReplyNamesItsStatement(t *testing.T) {
 	hook := logtest.NewGlobal()
 	defer logrus.StandardLogger().ReplaceHooks(make(logrus.LevelHooks))
@@ -128,8 +128,8 @@
 	}
 }
 
-// TestStoppedHolderRefusesWhatWaits guards against statements of other daemons that are cut, or sent to the target later, when
-// the holder ends while they wait.
+// TestStoppedHolderRefusesWhatWaits guards against statements of other daemons that are cut, or sent to the target
+// later, when the holder ends while they wait.
 func TestStoppedHolderRefusesWhatWaits(t *testing.T) {
 	for _, workspace := range []string{"", "w"} {
 		const sent = 20
@@ -159,8 +159,8 @@
 	}
 }
 
-// TestStoppedHolderRefusesWhatWaitsForAClosingConnection guards against statements of other daemons that wait for the place of a
-// connection that is being closed when the holder ends.
+// TestStoppedHolderRefusesWhatWaitsForAClosingConnection guards against statements of other daemons that wait for the
+// place of a connection that is being closed when the holder ends.
 func TestStoppedHolderRefusesWhatWaitsForAClosingConnection(t *testing.T) {
 	closing, release := make(chan struct{}), make(chan struct{})
 	defer close(release)
@@ -198,8 +198,8 @@
 	}
 }
 
-// TestLostSenderKeepsNoTransactionsOpen guards against locks of a sender that is gone, which last until its other statements end:
-// these may wait for the locks.
+// TestLostSenderKeepsNoTransactionsOpen guards against locks of a sender that is gone, which last until its other
+// statements end: these may wait for the locks.
 func TestLostSenderKeepsNoTransactionsOpen(t *testing.T) {
 	w := newHeldWrites()
 	w.holder.configuration.IdleTransaction = time.Hour
--- a/internal/engine/session.go
+++ b/internal/engine/session.go
@@ -70,13 +70,14 @@
 	// busy is true from the arrival of a statement until its answer, and within a transaction.
 	busy   bool
 	closed bool
-	// expectsNext is true while the caller is expected to go on: after the opening, and after a statement that only prepares
-	// others. answeredAt is the time of the boot clock of the last answer.
+	// expectsNext is true while the caller is expected to go on: after the opening, and after a statement that only
+	// prepares others. answeredAt is the time of the boot clock of the last answer.
 	expectsNext bool
 	answeredAt  time.Duration
 	// ending is true once the session ends as soon as it is idle and no statement has arrived.
 	ending bool
-	// concluded is true once a planned stop gives the final answer to the statement in progress, and closes the connection.
+	// concluded is true once a planned stop gives the final answer to the statement in progress, and closes the
+	// connection.
 	concluded bool
 	// progress is the statement in progress, inTransaction whether a transaction was open when it arrived.
 	progress      progress
@@ -157,7 +158,8 @@
 	return time.Now().Add(s.engine.idleTransaction())
 }
 
-// begin marks the session as busy with a statement that arrived at now. It returns false when the session has been closed.
+// begin marks the session as busy with a statement that arrived at now. It returns false when the session has been
+// closed.
 func (s *session) begin(statement Statement, now time.Time) bool {
 	s.mu.Lock()
 	defer s.mu.Unlock()
@@ -169,8 +171,8 @@
 	return !s.closed
 }
 
-// finish marks the session as idle unless a transaction is open. An idle session ends during a planned stop, and when its
-// key was withdrawn meanwhile.
+// finish marks the session as idle unless a transaction is open. An idle session ends during a planned stop, and when
+// its key was withdrawn meanwhile.
 func (s *session) finish() {
 	s.mu.Lock()
 	defer s.mu.Unlock()
@@ -193,10 +195,13 @@
 	return true
 }
 
-// endsIdle reports whether a planned stop, if there is one, lets the session end now that it is idle. The caller holds the lock.
+// endsIdle reports whether a planned stop, if there is one, lets the session end now that it is idle. The caller holds
+// the lock.
 func (s *session) endsIdle() bool {
 	stop := s.engine.plannedStop.Load()
-	return stop == nil || stop.schedule.ClosesIdle(stopping.IdleSession{ExpectsNext: s.expectsNext, Waited: clock.SinceBoot() - s.answeredAt})
+	return stop == nil || stop.schedule.ClosesIdle(stopping.IdleSession{
+		ExpectsNext: s.expectsNext, Waited: clock.SinceBoot() - s.answeredAt,
+	})
 }
 
 // end releases the resources of the session.
--- a/internal/engine/sessionend_test.go
+++ b/internal/engine/sessionend_test.go
@@ -74,8 +74,8 @@
 	return target
 }
 
-// TestStopEndsIdleTransactionsAtHalfOfTheGracePeriod guards against a transaction that keeps its session until the end of
-// the grace period.
+// TestStopEndsIdleTransactionsAtHalfOfTheGracePeriod guards against a transaction that keeps its session until the end
+// of the grace period.
 func TestStopEndsIdleTransactionsAtHalfOfTheGracePeriod(t *testing.T) {
 	for _, op := range []Operation{OpWrite, OpCommit, OpSet, OpRollback} {
 		target := newOpenTransactionsTarget()
@@ -102,8 +102,8 @@
 	}
 }
 
-// TestStopEndsTransactionAfterTheStatementInProgress guards against a transaction that is rolled back before its statement
-// is answered.
+// TestStopEndsTransactionAfterTheStatementInProgress guards against a transaction that is rolled back before its
+// statement is answered.
 func TestStopEndsTransactionAfterTheStatementInProgress(t *testing.T) {
 	target := newOpenTransactionsTarget()
 	target.wait = make(chan struct{})
--- a/internal/engine/stop.go
+++ b/internal/engine/stop.go
@@ -43,7 +43,8 @@
 	})
 }
 
-// boundStart returns the time by which a statement has to start, or the latest start of a planned stop if that is earlier.
+// boundStart returns the time by which a statement has to start, or the latest start of a planned stop if that is
+// earlier.
 func (e *Engine) boundStart(by time.Time) time.Time {
 	stop := e.plannedStop.Load()
 	if stop == nil {
@@ -59,9 +60,9 @@
 
 func (e *Engine) isClosing() bool { return e.closing.Load() }
 
-// Drain closes the sessions for a planned stop. It keeps serving until the balancer has stopped sending new
-// callers. Then it closes the sessions without a statement or transaction one by one within half of the remaining
-// time, and the others as they become idle. It returns when none is left, or when ctx ends; FinishSessions ends the rest.
+// Drain closes the sessions for a planned stop. It keeps serving until the balancer has stopped sending new callers.
+// Then it closes the sessions without a statement or transaction one by one within half of the remaining time, and the
+// others as they become idle. It returns when none is left, or when ctx ends; FinishSessions ends the rest.
 func (e *Engine) Drain(ctx context.Context, schedule stopping.Schedule) {
 	e.plannedStop.Store(&plannedStop{schedule: schedule, began: time.Now()})
 	e.stopping.Store(true)
@@ -84,10 +85,10 @@
 	}
 }
 
-// FinishSessions closes the sessions as they become idle until ctx ends. Then it gives the callers that still wait final
-// answers, and closes all connections when the time that the schedule of Drain has for that is over, also if it begins late.
-// The statements of other daemons that wait here are refused with the first final answer, so that they are answered before the
-// connections are closed. None of them is sent to a target later.
+// FinishSessions closes the sessions as they become idle until ctx ends. Then it gives the callers that still wait
+// final answers, and closes all connections when the time that the schedule of Drain has for that is over, also if it
+// begins late. The statements of other daemons that wait here are refused with the first final answer, so that they are
+// answered before the connections are closed. None of them is sent to a target later.
 func (e *Engine) FinishSessions(ctx context.Context) {
 	e.awaitSessions(ctx)
 	e.concluding.Store(true)
@@ -109,16 +110,16 @@
 	}
 }
 
-// awaitSessions closes the sessions as they become idle, until none is left and other daemons have their answers, or ctx
-// ends.
+// awaitSessions closes the sessions as they become idle, until none is left and other daemons have their answers, or
+// ctx ends.
 func (e *Engine) awaitSessions(ctx context.Context) {
 	for ctx.Err() == nil && (e.CloseIdleSessions() > 0 || e.relayed.Load() > 0) {
 		_ = clock.Sleep(ctx, drainInterval)
 	}
 }
 
-// CloseIdleSessions closes the sessions without a statement or transaction, and returns the number of sessions that were
-// open.
+// CloseIdleSessions closes the sessions without a statement or transaction, and returns the number of sessions that
+// were open.
 func (e *Engine) CloseIdleSessions() int {
 	open := e.openSessions()
 	for _, s := range open {
--- a/internal/engine/stopeffects_test.go
+++ b/internal/engine/stopeffects_test.go
@@ -31,8 +31,8 @@
 	}
 }
 
-// TestAnswersMatchEffectsDuringAStop guards against answers of a planned stop that are not true, whatever becomes of the
-// statement at its target.
+// TestAnswersMatchEffectsDuringAStop guards against answers of a planned stop that are not true, whatever becomes of
+// the statement at its target.
 func TestAnswersMatchEffectsDuringAStop(t *testing.T) {
 	rapid.Check(t, func(t *rapid.T) {
 		random := &randomTarget{t: t, committed: map[string]int{}, open: map[*fakeConnection][]string{}}
--- a/internal/lineproxy/accept.go
+++ b/internal/lineproxy/accept.go
@@ -56,7 +56,9 @@
 	serve, refusal, err := p.openSession(caller, open)
 	switch {
 	case err != nil:
-		logrus.WithFields(logrus.Fields{logfield.Caller: conn.RemoteAddr().String(), logfield.Error: err}).Debug(logevent.SessionNotOpened)
+		logrus.WithFields(logrus.Fields{
+			logfield.Caller: conn.RemoteAddr().String(), logfield.Error: err,
+		}).Debug(logevent.SessionNotOpened)
 		_ = caller.Close()
 	case refusal != nil:
 		caller.Refuse(refusal)
@@ -67,12 +69,14 @@
 	}
 }
 
-// openSession opens the session of a caller and returns the function that runs it. It returns a refusal if the caller may
-// open none, and fails if the caller has not asked for one.
+// openSession opens the session of a caller and returns the function that runs it. It returns a refusal if the caller
+// may open none, and fails if the caller has not asked for one.
 func (p *Proxy) openSession(caller *platform.Caller, open int64) (func(), *engine.Refusal, error) {
 	if open > p.maxCallers() {
 		logrus.WithFields(logrus.Fields{logfield.Open: open, logfield.Limit: p.maxCallers()}).Warn(logevent.CallersOverLimit)
-		return nil, &engine.Refusal{Code: result.NotRunConnectionLimit, Reason: "the daemon has no room for another caller"}, nil
+		return nil, &engine.Refusal{
+			Code: result.NotRunConnectionLimit, Reason: "the daemon has no room for another caller",
+		}, nil
 	}
 	database, key, err := caller.Start()
 	if err != nil {
--- a/internal/lineproxy/stop.go
+++ b/internal/lineproxy/stop.go
@@ -64,7 +64,9 @@
 	p.answerPeers(s)
 	p.engine.CloseWithin(min(promotionsTimeout, s.left(schedule.Promotions)))
 	p.store.Close()
-	logrus.WithFields(logrus.Fields{logfield.Daemon: settings.Name, logfield.Took: clock.SinceBoot() - s.began}).Info(logevent.DaemonStopped)
+	logrus.WithFields(logrus.Fields{
+		logfield.Daemon: settings.Name, logfield.Took: clock.SinceBoot() - s.began,
+	}).Info(logevent.DaemonStopped)
 	p.logBy.Store(int64(s.began + schedule.Log))
 }
 
@@ -77,8 +79,8 @@
 	return min(maxLogTime, max(0, time.Duration(by)-clock.SinceBoot()))
 }
 
-// stopAccepting accepts the connections that have arrived, and no more. Those without a session are refused one from now on,
-// or closed if they do not ask for it soon.
+// stopAccepting accepts the connections that have arrived, and no more. Those without a session are refused one from
+// now on, or closed if they do not ask for it soon.
 func (p *Proxy) stopAccepting() {
 	p.engine.StopAdmitting()
 	if listener, ok := p.listener.(interface{ SetDeadline(time.Time) error }); ok {
@@ -101,8 +103,8 @@
 	}
 }
 
-// answerPeers closes the connections of other daemons, once they have the answers to their statements. They have the time of
-// the schedule for that also if the stop is late.
+// answerPeers closes the connections of other daemons, once they have the answers to their statements. They have the
+// time of the schedule for that also if the stop is late.
 func (p *Proxy) answerPeers(s stop) {
 	left := max(s.left(s.schedule.Peers), s.schedule.Peers-s.schedule.Cut)
 	ctx, cancel := context.WithTimeout(context.Background(), left)
--- a/internal/lineproxy/stop_test.go
+++ b/internal/lineproxy/stop_test.go
@@ -11,7 +11,8 @@
 	"github.com/papayacove/papayacove/internal/clock"
 )
 
-// newRunnableProxy returns a daemon that can be run with the given grace period, in front of a store that is not reached.
+// newRunnableProxy returns a daemon that can be run with the given grace period, in front of a store that is not
+// reached.
 func newRunnableProxy(t *testing.T, grace time.Duration) *Proxy {
 	t.Helper()
 	p := newTestProxy(t, time.Hour)
@@ -60,8 +61,8 @@
 	}
 }
 
-// TestNoSessionIsOpenedAfterTheLastLook guards against a session that is opened, and sends its statements to targets, when the
-// stop has closed all sessions that it saw.
+// TestNoSessionIsOpenedAfterTheLastLook guards against a session that is opened, and sends its statements to targets,
+// when the stop has closed all sessions that it saw.
 func TestNoSessionIsOpenedAfterTheLastLook(t *testing.T) {
 	p := newRunnableProxy(t, 400*time.Millisecond)
 	ctx, stop := context.WithCancel(t.Context())
--- a/internal/peer/accept_test.go
+++ b/internal/peer/accept_test.go
@@ -35,8 +35,8 @@
 	return l.Listener.Accept()
 }
 
-// TestServerServesOnAfterAFailedAccept guards against a daemon that no other daemon reaches any more, because it was once at the limit
-// of its descriptors.
+// TestServerServesOnAfterAFailedAccept guards against a daemon that no other daemon reaches any more, because it was
+// once at the limit of its descriptors.
 func TestServerServesOnAfterAFailedAccept(t *testing.T) {
 	receiver := &slowReceiver{called: make(chan struct{}), answer: make(chan struct{})}
 	close(receiver.answer)
--- a/internal/peer/calls.go
+++ b/internal/peer/calls.go
@@ -5,8 +5,8 @@
 	"sync"
 )
 
-// callsInProgress counts the calls of one connection, from their arrival until their answers are written. Its methods may be
-// called concurrently.
+// callsInProgress counts the calls of one connection, from their arrival until their answers are written. Its methods
+// may be called concurrently.
 type callsInProgress struct {
 	connection net.Conn
 
@@ -22,7 +22,8 @@
 	return &callsInProgress{connection: connection, answered: make(chan struct{})}
 }
 
-// begin counts a call that has arrived. It returns false if the call must not run, because its answer could not be sent.
+// begin counts a call that has arrived. It returns false if the call must not run, because its answer could not be
+// sent.
 func (c *callsInProgress) begin() bool {
 	c.mu.Lock()
 	defer c.mu.Unlock()
--- a/internal/peer/disconnected_test.go
+++ b/internal/peer/disconnected_test.go
@@ -21,8 +21,8 @@
 
 func (o *observedService) Disconnected() { close(o.told) }
 
-// TestReceiverIsToldOfADisconnectionDuringItsCalls guards against a receiver that learns of the end of a connection only when
-// the calls in progress have ended.
+// TestReceiverIsToldOfADisconnectionDuringItsCalls guards against a receiver that learns of the end of a connection
+// only when the calls in progress have ended.
 func TestReceiverIsToldOfADisconnectionDuringItsCalls(t *testing.T) {
 	daemon := &fakeDaemon{hold: make(chan struct{})}
 	defer close(daemon.hold)
--- a/internal/peer/drain_test.go
+++ b/internal/peer/drain_test.go
@@ -9,8 +9,8 @@
 	"github.com/papayacove/papayacove/api"
 )
 
-// TestDrainAnswersCallsThatHaveArrived guards against a planned stop that closes the connection of a call before its answer is
-// sent.
+// TestDrainAnswersCallsThatHaveArrived guards against a planned stop that closes the connection of a call before its
+// answer is sent.
 func TestDrainAnswersCallsThatHaveArrived(t *testing.T) {
 	daemon := &fakeDaemon{hold: make(chan struct{})}
 	server := serve(t, daemon)
--- a/internal/peer/server.go
+++ b/internal/peer/server.go
@@ -29,9 +29,8 @@
 
 // isExhausted reports whether accepting failed for this connection only, or until the process has resources again.
 func isExhausted(err error) bool {
-	return slices.ContainsFunc([]error{syscall.EMFILE, syscall.ENFILE, syscall.ENOBUFS, syscall.ENOMEM, syscall.ECONNABORTED}, func(known error) bool {
-		return errors.Is(err, known)
-	})
+	exhausted := []error{syscall.EMFILE, syscall.ENFILE, syscall.ENOBUFS, syscall.ENOMEM, syscall.ECONNABORTED}
+	return slices.ContainsFunc(exhausted, func(known error) bool { return errors.Is(err, known) })
 }
 
 // serviceName is the net/rpc name under which the methods of a daemon are registered.
@@ -258,8 +257,8 @@
 	return true
 }
 
-// Drain stops listening and closes each connection as soon as the calls that have arrived on it are answered. It returns when
-// all are, or when ctx ends; Close closes the rest.
+// Drain stops listening and closes each connection as soon as the calls that have arrived on it are answered. It
+// returns when all are, or when ctx ends; Close closes the rest.
 func (s *Server) Drain(ctx context.Context) {
 	open := s.stopListening()
 	for _, calls := range open {
--- a/internal/policy/stopping/conclusion.go
+++ b/internal/policy/stopping/conclusion.go
@@ -14,8 +14,8 @@
 	Commits bool
 }
 
-// Conclusion returns the code of the final answer to a statement, OK for success. It is true as long as the statement is
-// sent to no target after it, and the connection of its transaction is closed.
+// Conclusion returns the code of the final answer to a statement, OK for success. It is true as long as the statement
+// is sent to no target after it, and the connection of its transaction is closed.
 func Conclusion(p Progress) result.Code {
 	switch {
 	case p.Sent && p.Commits:
--- a/internal/policy/stopping/schedule.go
+++ b/internal/policy/stopping/schedule.go
@@ -8,8 +8,8 @@
 const RotationTime = 2200 * time.Millisecond
 
 const (
-	// maxReserve and reservePart bound the part of the grace period that is left when the last callers are answered: a time,
-	// and one part in so many of a short grace period.
+	// maxReserve and reservePart bound the part of the grace period that is left when the last callers are answered: a
+	// time, and one part in so many of a short grace period.
 	maxReserve  = 500 * time.Millisecond
 	reservePart = 4
 	// The last parts of a stop end when these tenths of the reserve are over. What is left is for a signal that was sent
@@ -25,8 +25,8 @@
 	maxNextWait = 500 * time.Millisecond
 )
 
-// Schedule holds the times of a planned stop, counted from its begin. They ascend in the order of the fields, except that
-// CloseIdle may come at the same time as EndTransactions or before it.
+// Schedule holds the times of a planned stop, counted from its begin. They ascend in the order of the fields, except
+// that CloseIdle may come at the same time as EndTransactions or before it.
 type Schedule struct {
 	// CloseIdle is when idle sessions begin to be closed. The balancer sends no new callers then.
 	CloseIdle time.Duration
@@ -50,8 +50,8 @@
 	Grace time.Duration
 }
 
-// ScheduleOf returns the schedule of a stop with a grace period, the time from the signal to the kill. A grace period that
-// is not positive leaves no time for any part.
+// ScheduleOf returns the schedule of a stop with a grace period, the time from the signal to the kill. A grace period
+// that is not positive leaves no time for any part.
 func ScheduleOf(grace time.Duration) Schedule {
 	grace = max(0, grace)
 	reserve := min(maxReserve, grace/reservePart)
@@ -81,8 +81,8 @@
 	SinceStop time.Duration
 }
 
-// Admits reports whether a statement is still served. Others serve what it refuses: no transaction begins once sessions are
-// being closed, as it might not end in time, and no statement starts that could not end in time.
+// Admits reports whether a statement is still served. Others serve what it refuses: no transaction begins once sessions
+// are being closed, as it might not end in time, and no statement starts that could not end in time.
 func (s Schedule) Admits(a Arrival) bool {
 	if a.Begins && a.Closing {
 		return false
@@ -99,8 +99,8 @@
 	Waited time.Duration
 }
 
-// ClosesIdle reports whether an idle session is closed once sessions are being closed. A caller that is expected to go on has
-// time for it.
+// ClosesIdle reports whether an idle session is closed once sessions are being closed. A caller that is expected to go
+// on has time for it.
 func (s Schedule) ClosesIdle(i IdleSession) bool {
 	return !i.ExpectsNext || i.Waited >= min(maxNextWait, (s.Conclude-s.AcceptUntil)/2)
 }
--- a/internal/relay/keep_test.go
+++ b/internal/relay/keep_test.go
@@ -9,8 +9,8 @@
 	"github.com/papayacove/papayacove/internal/engine"
 )
 
-// TestCallsInProgressOutliveTheEntryOfTheirDaemon guards against a long statement whose connection is closed because its
-// holder has left the list of the daemons.
+// TestCallsInProgressOutliveTheEntryOfTheirDaemon guards against a long statement whose connection is closed because
+// its holder has left the list of the daemons.
 func TestCallsInProgressOutliveTheEntryOfTheirDaemon(t *testing.T) {
 	feeder := &holdingFeeder{release: make(chan struct{})}
 	server, err := Listen("127.0.0.1:0", engine.New(engine.Options{Name: "a"}), feeder, nil)
--- a/standin/lines/caller.go
+++ b/standin/lines/caller.go
@@ -131,8 +131,8 @@
 	return c.receive(id, text, at)
 }
 
-// RunAll sends statements, outside of transactions, without waiting for answers, and returns the answers up to the first
-// failure of the connection.
+// RunAll sends statements, outside of transactions, without waiting for answers, and returns the answers up to the
+// first failure of the connection.
 func (c *Caller) RunAll(texts []string) ([]Result, error) {
 	ids, times := make([]string, len(texts)), make([]time.Time, len(texts))
 	var failed error
--- a/standin/lines/fleet.go
+++ b/standin/lines/fleet.go
@@ -289,7 +289,8 @@
 	}
 	for _, r := range known {
 		routes = append(routes, map[string]any{
-			"Name": "r-" + r.Database, "Host": r.Database, "Type": string(r.Kind), "TimeoutMs": f.timeout.Milliseconds(), "TargetLatencyMs": 400, "Priority": 1,
+			"Name": "r-" + r.Database, "Host": r.Database, "Type": string(r.Kind),
+			"TimeoutMs": f.timeout.Milliseconds(), "TargetLatencyMs": 400, "Priority": 1,
 			"Backend": r.Group, "MaxStalenessMs": MaxStaleness.Milliseconds(),
 		})
 	}
--- a/standin/lines/holderstops_test.go
+++ b/standin/lines/holderstops_test.go
@@ -29,8 +29,8 @@
 	},
 }
 
-// TestPlannedStopAnswersWhatAFailingHolderHas guards against statements of a stopping daemon that end without an answer because
-// the daemon that they were sent to stops, is frozen or is killed meanwhile.
+// TestPlannedStopAnswersWhatAFailingHolderHas guards against statements of a stopping daemon that end without an answer
+// because the daemon that they were sent to stops, is frozen or is killed meanwhile.
 func TestPlannedStopAnswersWhatAFailingHolderHas(t *testing.T) {
 	t.Parallel()
 	for name, fault := range holderFaults {
--- a/standin/lines/latecallers_test.go
+++ b/standin/lines/latecallers_test.go
@@ -26,7 +26,8 @@
 }
 
 // connectLate opens a session at the address and runs one write in it. It returns false when no process has read its
-// opening message: none listens there, or the connection was reset, as a connection is that is closed with unread bytes.
+// opening message: none listens there, or the connection was reset, as a connection is that is closed with unread
+// bytes.
 func connectLate(address, write string) (lateCaller, bool) {
 	c, err := openLate(address, write)
 	wasRead := err == nil && (c.opened != "" || !errors.Is(c.err, syscall.ECONNRESET) && !errors.Is(c.err, syscall.EPIPE))
@@ -92,8 +93,8 @@
 	}
 }
 
-// TestCallerThatConnectsDuringAStopIsNotForgotten guards against a process that ends while a session that it has accepted last is
-// opened or served.
+// TestCallerThatConnectsDuringAStopIsNotForgotten guards against a process that ends while a session that it has
+// accepted last is opened or served.
 func TestCallerThatConnectsDuringAStopIsNotForgotten(t *testing.T) {
 	t.Parallel()
 	p := startProcesses(t)
--- a/standin/lines/lost.go
+++ b/standin/lines/lost.go
@@ -58,9 +58,9 @@
 
 // Unanswered returns each request whose connection ended without a whole answer around planned work: one that a target
 // received, or whose connection ended later than the slack after its last byte was sent. Whether a daemon has read a
-// request that no target received can't be seen from outside; one that finds its connection closed ends within the slack.
-// others are those that ended so beside a disruption, or while no planned work was done at their daemon. A disruption of
-// any part counts for all daemons.
+// request that no target received can't be seen from outside; one that finds its connection closed ends within the
+// slack. others are those that ended so beside a disruption, or while no planned work was done at their daemon. A
+// disruption of any part counts for all daemons.
 func (r Records) Unanswered(work PlannedWork, bounds LostBounds) (breaches, others []string) {
 	c := newLostCheck(r, work, bounds)
 	frequent := c.cutsWithConfigurations()
@@ -184,8 +184,8 @@
 	return list
 }
 
-// isStillAtWork reports whether a target was at work on a request in the last sixth of the grace period after SIGTERM, and
-// the request was sent early enough for that to excuse the daemon.
+// isStillAtWork reports whether a target was at work on a request in the last sixth of the grace period after SIGTERM,
+// and the request was sent early enough for that to excuse the daemon.
 func (c lostCheck) isStillAtWork(id string, s sent, signalAt time.Time) bool {
 	end := signalAt.Add(c.bounds.Grace)
 	last := end.Add(-c.bounds.Grace / 6)
@@ -236,8 +236,8 @@
 
 // EndedEarly returns each transaction that a daemon ended in the first half of its grace period: a statement of it was
 // refused or aborted for another reason than the load, or its connection ended. It counts only transactions that began
-// before sessions are closed, without a disruption, a replacement or an error of a target, one that broke off, or a daemon
-// in between that stops for longer.
+// before sessions are closed, without a disruption, a replacement or an error of a target, one that broke off, or a
+// daemon in between that stops for longer.
 func (r Records) EndedEarly(work PlannedWork, bounds LostBounds) []string {
 	c := newLostCheck(r, work, bounds)
 	sources, failed := c.transactions()
@@ -263,8 +263,8 @@
 	return s.answeredAt
 }
 
-// endedEarly returns how long after SIGTERM a statement ended its transaction; false if that was late enough or has another
-// reason. sources are the daemons from which statements of the transaction arrived at targets.
+// endedEarly returns how long after SIGTERM a statement ended its transaction; false if that was late enough or has
+// another reason. sources are the daemons from which statements of the transaction arrived at targets.
 func (c lostCheck) endedEarly(s sent, sources []string) (time.Duration, bool) {
 	at, from := s.end(), s.transactionAt.Add(-c.bounds.Contact)
 	if at.Sub(s.at) >= c.timeout(s.at, at) || overlaps(c.work.disruptions, from, at) || overlaps(c.work.replacements, from, at) {
--- a/standin/lines/lost_test.go
+++ b/standin/lines/lost_test.go
@@ -6,8 +6,8 @@
 	"time"
 )
 
-// lostCase is one request of a daemon, which was sent SIGTERM at time 0 unless other planned work is given. Times are in
-// milliseconds.
+// lostCase is one request of a daemon, which was sent SIGTERM at time 0 unless other planned work is given. Times are
+// in milliseconds.
 type lostCase struct {
 	name string
 	// sent and ended are when the last byte was sent and the connection ended.
@@ -21,7 +21,8 @@
 	events      []daemonEvent
 	// configured is the time of a configuration in place of SIGTERM, acknowledged that of its acknowledgement.
 	configured, acknowledged int
-	// others and cutOthers are the numbers of requests at other times than beside the configuration, and of those that were cut.
+	// others and cutOthers are the numbers of requests at other times than beside the configuration, and of those that
+	// were cut.
 	others, cutOthers int
 	want              bool
 }
@@ -230,8 +231,8 @@
 	}
 }
 
-// TestBrokenOffAttemptIsNoExcuseForALaterOne guards against a check that passes over a request whose last attempt was answered
-// whole by its target.
+// TestBrokenOffAttemptIsNoExcuseForALaterOne guards against a check that passes over a request whose last attempt was
+// answered whole by its target.
 func TestBrokenOffAttemptIsNoExcuseForALaterOne(t *testing.T) {
 	first, last := Attempt{ArrivedAt: atMs(1), BrokeOff: true}, Attempt{ArrivedAt: atMs(2)}
 	for _, c := range []struct {
--- a/standin/lines/planned.go
+++ b/standin/lines/planned.go
@@ -203,8 +203,8 @@
 	d.Signal(syscall.SIGTERM)
 }
 
-// Stop stops the daemon as the platform does: it sends SIGTERM, and SIGKILL after the grace period. It reports whether the
-// process ended before SIGKILL.
+// Stop stops the daemon as the platform does: it sends SIGTERM, and SIGKILL after the grace period. It reports whether
+// the process ended before SIGKILL.
 func (d *Daemon) Stop() bool {
 	d.Terminate()
 	ended := d.WaitForExit(d.grace)
--- a/standin/lines/signals_test.go
+++ b/standin/lines/signals_test.go
@@ -39,8 +39,8 @@
 	return command
 }
 
-// writeWhileStopping sends SIGTERM to a daemon and writes in one session until the session is closed, with a call of during after
-// each write. A write that ran has to have an answer, and at least one has to succeed.
+// writeWhileStopping sends SIGTERM to a daemon and writes in one session until the session is closed, with a call of
+// during after each write. A write that ran has to have an answer, and at least one has to succeed.
 func (p *processes) writeWhileStopping(d *lines.Daemon, command *exec.Cmd, during func()) {
 	p.t.Helper()
 	caller, err := lines.Dial(d.CallerAddress, lines.StrictDatabase)
@@ -71,8 +71,8 @@
 	}
 }
 
-// TestStopWithoutAReaderOfTheLogServesOn guards against a daemon that is ended by SIGPIPE while it stops, because what reads its log
-// has ended before.
+// TestStopWithoutAReaderOfTheLogServesOn guards against a daemon that is ended by SIGPIPE while it stops, because what
+// reads its log has ended before.
 func TestStopWithoutAReaderOfTheLogServesOn(t *testing.T) {
 	t.Parallel()
 	p := startProcesses(t)
@@ -124,8 +124,8 @@
 	}
 }
 
-// TestStopDoesNotWaitForTheStore guards against a stop that is held up, or a session that is cut, by a store that does not answer
-// or fails: the process is killed at the end of the grace period, as on the platform.
+// TestStopDoesNotWaitForTheStore guards against a stop that is held up, or a session that is cut, by a store that does
+// not answer or fails: the process is killed at the end of the grace period, as on the platform.
 func TestStopDoesNotWaitForTheStore(t *testing.T) {
 	t.Parallel()
 	for name, disrupt := range map[string]func(p *processes, d *lines.Daemon){
@@ -160,8 +160,8 @@
 	}
 }
 
-// TestReloadsAndNewConfigurationsCutNoRequest guards against a request that loses its connection because the daemon reads other
-// settings, goes to the store at another address, or gets another version of the configuration.
+// TestReloadsAndNewConfigurationsCutNoRequest guards against a request that loses its connection because the daemon
+// reads other settings, goes to the store at another address, or gets another version of the configuration.
 func TestReloadsAndNewConfigurationsCutNoRequest(t *testing.T) {
 	t.Parallel()
 	p := startProcesses(t)
@@ -196,8 +196,8 @@
 	}
 }
 
-// TestStopAtTheDescriptorLimitServesOn guards against a stop that is held up, or a session that is cut, because no connection can be
-// accepted.
+// TestStopAtTheDescriptorLimitServesOn guards against a stop that is held up, or a session that is cut, because no
+// connection can be accepted.
 func TestStopAtTheDescriptorLimitServesOn(t *testing.T) {
 	t.Parallel()
 	p := startProcesses(t)
--- a/standin/lines/slowreader_test.go
+++ b/standin/lines/slowreader_test.go
@@ -30,8 +30,8 @@
 	}
 }
 
-// TestSlowReaderGetsItsWholeAnswerDuringAStop guards against an answer that is cut by the end of the session, or of the process,
-// while its caller still reads.
+// TestSlowReaderGetsItsWholeAnswerDuringAStop guards against an answer that is cut by the end of the session, or of the
+// process, while its caller still reads.
 func TestSlowReaderGetsItsWholeAnswerDuringAStop(t *testing.T) {
 	t.Parallel()
 	p := startProcesses(t)
--- a/standin/lines/stop_test.go
+++ b/standin/lines/stop_test.go
@@ -9,8 +9,8 @@
 	"github.com/papayacove/papayacove/standin/lines"
 )
 
-// writeInTransactions opens transactions at a daemon and writes in them without an end, until its connection is closed. It
-// returns the statements that it sent, the last one without an answer.
+// writeInTransactions opens transactions at a daemon and writes in them without an end, until its connection is closed.
+// It returns the statements that it sent, the last one without an answer.
 func writeInTransactions(d *lines.Daemon, key, prefix string) []attempt {
 	caller, err := lines.DialWithKey(d.CallerAddress, lines.SessionDatabase, key, nil)
 	if err != nil {
@@ -44,8 +44,8 @@
 	}
 }
 
-// TestPlannedStopAnswersWritesOfLongTransactions guards against a stop that closes the connection of a transaction while a
-// statement is at its target.
+// TestPlannedStopAnswersWritesOfLongTransactions guards against a stop that closes the connection of a transaction
+// while a statement is at its target.
 func TestPlannedStopAnswersWritesOfLongTransactions(t *testing.T) {
 	t.Parallel()
 	p := startProcesses(t)
@@ -186,8 +186,8 @@
 	}
 }
 
-// TestOverlappingStopsAnswerTruly guards against statements without an answer, and answers that are not true, when two of
-// three daemons stop while a target is silent for a part of the time.
+// TestOverlappingStopsAnswerTruly guards against statements without an answer, and answers that are not true, when two
+// of three daemons stop while a target is silent for a part of the time.
 func TestOverlappingStopsAnswerTruly(t *testing.T) {
 	t.Parallel()
 	p := startProcesses(t)
--- a/standin/soak/stubborn.go
+++ b/standin/soak/stubborn.go
@@ -47,11 +47,12 @@
 	caller  *lines.Caller
 }
 
-// stubbornKinds are the ways in which the callers use their connections. Each returns false once the connection can't be
-// used.
+// stubbornKinds are the ways in which the callers use their connections. Each returns false once the connection can't
+// be used.
 var stubbornKinds = []func(*stubbornCaller, context.Context) bool{
 	(*stubbornCaller).writeOnce, (*stubbornCaller).writeThree, (*stubbornCaller).writeWithoutEnd,
-	(*stubbornCaller).writeWithPauses, (*stubbornCaller).readLong, (*stubbornCaller).connectLate, (*stubbornCaller).sendBurst, (*stubbornCaller).readSlowly,
+	(*stubbornCaller).writeWithPauses, (*stubbornCaller).readLong, (*stubbornCaller).connectLate,
+	(*stubbornCaller).sendBurst, (*stubbornCaller).readSlowly,
 }
 
 // runStubborn adds the callers of each daemon to parts.
@@ -144,8 +145,8 @@
 // unasked is the result of a write whose COMMIT was not sent: it may not remain.
 var unasked = lines.Result{Code: "ABORTED"}
 
-// writeIn writes in a transaction with pauses, and reports whether the transaction is still open. Otherwise no write may
-// remain.
+// writeIn writes in a transaction with pauses, and reports whether the transaction is still open. Otherwise no write
+// may remain.
 func (s *stubbornCaller) writeIn(ctx context.Context, statements int, pause time.Duration) ([]failedWrite, bool, error) {
 	var writes []failedWrite
 	for range statements {
