--- a/internal/engine/holders.go
+++ b/internal/engine/holders.go
@@ -19,9 +19,9 @@
 // pathTo names the way over the holder to a target, as a key of peerHealth.
 func (h holder) pathTo(m *member) string { return h.address + " to " + m.name }
 
-// statements names the statements that are sent to the holder, as a key of peerHealth. A daemon that stops runs none,
+// statementsKey is the key of peerHealth for the statements that are sent to the holder. A daemon that stops runs none,
 // and still tells the status of its targets.
-func (h holder) statements() string { return h.address + " for statements" }
+func (h holder) statementsKey() string { return h.address + " for statements" }
 
 // holdingLimits returns what the share of this daemon in a target depends on. The caller holds the lock.
 func (g *group) holdingLimits(m *member) holding.Limits {
--- a/internal/engine/relay.go
+++ b/internal/engine/relay.go
@@ -109,7 +109,7 @@
 		l.chosen = &gateLease{gate: l.group.gateOf(l.member)}
 		return l.chosen.run(e), true
 	}
-	if peers.isAvoided(h.address) || peers.isAvoided(h.statements()) {
+	if peers.isAvoided(h.address) || peers.isAvoided(h.statementsKey()) {
 		return attemptResult{}, false
 	}
 	return l.send(h.address, e)
@@ -132,7 +132,7 @@
 	code := result.Code(reply.NotRunCode)
 	if avoidance, again := avoidanceAfter(code); again {
 		if code == result.NotRunDraining {
-			l.group.peers.avoid(holder{address: address}.statements(), avoidance, errors.New(reply.Reason))
+			l.group.peers.avoid(holder{address: address}.statementsKey(), avoidance, errors.New(reply.Reason))
 		} else if avoidance > 0 {
 			l.group.peers.avoid(address, avoidance, errors.New(reply.Reason))
 		}
