Planned stops: one bound of the wait for promotions, one way to change a record

The daemon of the lines protocol had a constant of its own beside the engine's closeTimeout, with the same value; CloseWithin keeps to the engine's now. Three methods of the stand-ins' CallerLog repeated how a record is changed. No behaviour is changed: lint and the tests of lineproxy, engine and standin/lines on stops, limits and the check of LOST pass.

--- a/internal/engine/engine.go
+++ b/internal/engine/engine.go
@@ -394,7 +394,7 @@
 // Close is CloseWithin with the longest wait.
 func (e *Engine) Close() { e.CloseWithin(closeTimeout) }
 
-// CloseWithin stops the observation of all groups, and waits up to a timeout until promotions in progress have released
+// CloseWithin stops the observation of all groups, and waits up to a timeout, at most closeTimeout, until promotions in progress have released
 // their locks.
 func (e *Engine) CloseWithin(timeout time.Duration) {
 	e.stop()
@@ -403,7 +403,7 @@
 		e.promotions.Wait()
 		close(ended)
 	}()
-	timer := time.NewTimer(timeout)
+	timer := time.NewTimer(min(timeout, closeTimeout))
 	defer timer.Stop()
 	select {
 	case <-ended:
--- a/internal/lineproxy/stop.go
+++ b/internal/lineproxy/stop.go
@@ -21,8 +21,6 @@
 	awaitInterval = 5 * time.Millisecond
 	// maxLogTime bounds the time for writing the log.
 	maxLogTime = 200 * time.Millisecond
-	// promotionsTimeout bounds the wait for promotions in progress.
-	promotionsTimeout = 400 * time.Millisecond
 )
 
 // stop is a planned stop in progress.
@@ -62,7 +60,7 @@
 	p.engine.FinishSessions(sessions)
 	p.awaitOpenings(s)
 	p.answerPeers(s)
-	p.engine.CloseWithin(min(promotionsTimeout, s.left(schedule.Promotions)))
+	p.engine.CloseWithin(s.left(schedule.Promotions))
 	p.store.Close()
 	logrus.WithFields(logrus.Fields{
 		logfield.Daemon: settings.Name, logfield.Took: clock.SinceBoot() - s.began,
--- a/standin/lines/workspaces.go
+++ b/standin/lines/workspaces.go
@@ -59,30 +59,25 @@
 	l.sent[id] = s
 }
 
-// recordLastByte records that the last byte of a statement has been sent.
-func (l *CallerLog) recordLastByte(id string) {
+// change changes the record of a statement.
+func (l *CallerLog) change(id string, by func(*sent)) {
 	l.mu.Lock()
 	defer l.mu.Unlock()
 	s := l.sent[id]
-	s.lastByteAt = time.Now()
+	by(&s)
 	l.sent[id] = s
 }
 
-// recordEnd records that the connection of a statement has ended before the whole answer.
-func (l *CallerLog) recordEnd(id string) {
-	l.mu.Lock()
-	defer l.mu.Unlock()
-	s := l.sent[id]
-	s.endedAt = time.Now()
-	l.sent[id] = s
+// recordLastByte records that the last byte of a statement has been sent.
+func (l *CallerLog) recordLastByte(id string) {
+	l.change(id, func(s *sent) { s.lastByteAt = time.Now() })
 }
 
+// recordEnd records that the connection of a statement has ended before the whole answer.
+func (l *CallerLog) recordEnd(id string) { l.change(id, func(s *sent) { s.endedAt = time.Now() }) }
+
 func (l *CallerLog) recordRefusedOverQuota(id string) {
-	l.mu.Lock()
-	defer l.mu.Unlock()
-	s := l.sent[id]
-	s.refusedOverQuota = true
-	l.sent[id] = s
+	l.change(id, func(s *sent) { s.refusedOverQuota = true })
 }
 
 // OperatorLog records the versions of the workspaces that the store acknowledged. Its methods are safe for concurrent
