Promotion lock: the record states the term to which the last promotion led

A daemon whose leadership proofs have lapsed cannot tell from the targets alone whether a promotion that it has not seen is complete. The record of a lock that is free now states the term to which the last promotion under it led, and SettledTerm reads it from the store: nobody has begun a later promotion when the call was made. The term is 0, unknown, when an order has an unknown outcome, after a hold that was not released, in the records of older daemons and in those of an earlier era of the store. Older daemons leave the field out and ignore it.

Release takes the term; takeover.NothingOrdered keeps what the record said.

--- a/api/types.gen.go
+++ b/api/types.gen.go
@@ -199,6 +199,11 @@
 
 	// Holder is the name of the daemon that holds the lock; empty when it is free.
 	Holder string `json:"holder" toml:"holder"`
+
+	// Term is the term to which the last promotion under the lock led, if that was
+	// finished and the lock is free; 0, as in the records of older daemons, when it is
+	// not known.
+	Term uint64 `json:"term" toml:"term"`
 }
 
 // ExecuteReply carries the outcome and the first chunk of the answer.
--- a/internal/engine/interfaces.go
+++ b/internal/engine/interfaces.go
@@ -63,8 +63,12 @@
 type PromotionLock interface {
 	// Acquire returns the fencing token of the lock and the time of the boot clock until which it is held.
 	Acquire(ctx context.Context, group string) (token uint64, until time.Duration, err error)
-	// Release releases the lock.
-	Release(ctx context.Context, group string)
+	// Release releases the lock. The term is that to which the last promotion ordered under it led, 0 if the outcome of an order
+	// is unknown, and takeover.NothingOrdered if none was sent.
+	Release(ctx context.Context, group string, term uint64)
+	// SettledTerm returns the term to which the last promotion of the group led. It fails if the lock is held, or if that term
+	// is not known. No later promotion was begun, under the lock, when the call was made.
+	SettledTerm(ctx context.Context, group string) (term uint64, err error)
 }
 
 // TargetLister lists the entries of targets.
--- a/internal/engine/lostreplica_test.go
+++ b/internal/engine/lostreplica_test.go
@@ -78,7 +78,9 @@
 	return 0, 0, errNoAnswer
 }
 
-func (heldLock) Release(context.Context, string) {}
+func (heldLock) Release(context.Context, string, uint64) {}
+
+func (heldLock) SettledTerm(context.Context, string) (uint64, error) { return 0, errNoAnswer }
 
 // TestLossesFromBeforeTheStartAreKnown guards against a daemon that promotes a replica without the commits that one had
 // which was lost before the daemon started: until the registry has answered, the targets are not complete, and then its
--- a/internal/engine/promote.go
+++ b/internal/engine/promote.go
@@ -63,6 +63,8 @@
 	demoted  *leadership.Status
 	// steppedDownAt is the time of the boot clock after the old primary stepped down last; 0 if it has not.
 	steppedDownAt time.Duration
+	// settledTerm is what is told of the promotion when the lock is released, as PromotionLock.Release expects it.
+	settledTerm uint64
 }
 
 // takeOver replaces the primary of a group unless another daemon holds the promotion lock or has replaced it.
@@ -80,7 +82,7 @@
 	defer func() { g.endPromotion(delay) }()
 	p := &promotion{
 		engine: e, group: g, reason: reason, old: suspected.primary, oldTerm: suspected.term,
-		joined: make(map[string]*member), toResume: make(map[string]*member),
+		joined: make(map[string]*member), toResume: make(map[string]*member), settledTerm: takeover.NothingOrdered,
 	}
 	defer p.closeJoined()
 	if !e.isDirectorySettled() {
@@ -93,7 +95,7 @@
 		return
 	}
 	// A planned stop releases the lock too: the other daemons would wait for its end otherwise.
-	defer e.options.PromotionLock.Release(context.WithoutCancel(e.ctx), g.name)
+	defer func() { e.options.PromotionLock.Release(context.WithoutCancel(e.ctx), g.name, p.settledTerm) }()
 	p.token, p.lockedUntil = token, lockedUntil
 	p.copyMembers()
 	if _, err := p.addListed(); err != nil {
@@ -357,6 +359,7 @@
 // false at once when the target is down.
 func (p *promotion) orderPromotion(target string) bool {
 	for clock.SinceBoot() < p.lockedUntil-orderReserve {
+		p.settledTerm = 0
 		ctx, cancel := context.WithTimeout(p.engine.ctx, promoteTimeout)
 		err := p.engine.options.Promoter.Promote(ctx, p.group.name, target, p.token)
 		cancel()
@@ -382,6 +385,7 @@
 		s, err := m.control.call(Command{Op: OpStatus})
 		if err == nil && s.Role == leadership.RolePrimary {
 			p.log().WithFields(logrus.Fields{logfield.Target: target, logfield.NewTerm: s.Term, logfield.Elapsed: clock.SinceBoot() - p.pausedAt}).Info(logevent.PromotionDone)
+			p.settledTerm = s.Term
 			p.group.runStatusRound()
 			p.finish(target)
 			return true
--- a/internal/engine/stop_test.go
+++ b/internal/engine/stop_test.go
@@ -23,7 +23,11 @@
 	return 1, clock.SinceBoot() + time.Minute, nil
 }
 
-func (l *recordingLock) Release(ctx context.Context, _ string) { l.released <- ctx.Err() }
+func (l *recordingLock) Release(ctx context.Context, _ string, _ uint64) { l.released <- ctx.Err() }
+
+func (l *recordingLock) SettledTerm(context.Context, string) (uint64, error) {
+	return 0, errHeldElsewhere
+}
 
 // newStoppableEngine returns an engine whose group has lost its primary a, while b and c can be paused.
 func newStoppableEngine(lock PromotionLock) *Engine {
@@ -77,7 +81,11 @@
 	return 0, 0, errHeldElsewhere
 }
 
-func (l *countingLock) Release(context.Context, string) {}
+func (l *countingLock) Release(context.Context, string, uint64) {}
+
+func (l *countingLock) SettledTerm(context.Context, string) (uint64, error) {
+	return 0, errHeldElsewhere
+}
 
 // TestStoppingDaemonBeginsNoPromotion asks a daemon that stops to replace a primary.
 func TestStoppingDaemonBeginsNoPromotion(t *testing.T) {
--- a/internal/policy/takeover/takeover.go
+++ b/internal/policy/takeover/takeover.go
@@ -7,6 +7,7 @@
 package takeover
 
 import (
+	"math"
 	"slices"
 	"time"
 
@@ -27,6 +28,9 @@
 	PromotionHoldTime = 2 * time.Second
 )
 
+// NothingOrdered stands for the term that a promotion led to if it ordered none, so that the term known before still holds.
+const NothingOrdered = math.MaxUint64
+
 const (
 	// judgeInterval is the time by which the daemons that judge a primary, one in each availability zone, begin their
 	// promotions apart, so that the first one is seen by the next.
--- a/internal/promotionlock/model_test.go
+++ b/internal/promotionlock/model_test.go
@@ -11,6 +11,7 @@
 	"pgregory.net/rapid"
 
 	"github.com/papayacove/papayacove/api"
+	"github.com/papayacove/papayacove/internal/policy/takeover"
 )
 
 // lockModel runs three daemons on one store that loses answers, carries out lost changes later and comes back from
@@ -129,7 +130,7 @@
 			m.holds[i].until = min(m.holds[i].until, m.now)
 		}
 	}
-	m.locks[daemon].Release(context.Background(), group)
+	m.locks[daemon].Release(context.Background(), group, takeover.NothingOrdered)
 }
 
 // carryOutLate carries out a change whose answer was lost, if its condition still holds.
--- a/internal/promotionlock/promotionlock.go
+++ b/internal/promotionlock/promotionlock.go
@@ -9,6 +9,10 @@
 // lock is free, or held by an earlier holder, may be one that a holder of today has replaced. A record therefore counts
 // only in the era in which it was written. In a later era the lock is acquired after the time in which every earlier hold
 // ends. The era is the high part of the token, so that tokens rise although the store gives versions out again.
+//
+// The record of a lock that is free states the term to which the last promotion under it led. Whoever reads it knows that
+// nobody has begun a later one. The term is 0 when it is not known: a holder that has not released the lock may have ordered a
+// promotion, and daemons of older versions release it without a term.
 package promotionlock
 
 import (
@@ -28,6 +32,7 @@
 	"github.com/papayacove/papayacove/internal/logevent"
 	"github.com/papayacove/papayacove/internal/logfield"
 	"github.com/papayacove/papayacove/internal/objectstore"
+	"github.com/papayacove/papayacove/internal/policy/takeover"
 )
 
 const (
@@ -49,6 +54,9 @@
 // ErrHeld means that the lock is, or may be, held by another daemon.
 var ErrHeld = errors.New("promotion lock is held")
 
+// ErrNotSettled means that the term to which the last promotion of a group led is not known.
+var ErrNotSettled = errors.New("the term of the last promotion is not known")
+
 // EraSource reports the era of the object store.
 type EraSource interface {
 	// Known returns the newest known era, 0 if the store states none, and the time of the boot clock of its first answer,
@@ -79,6 +87,8 @@
 	mu sync.Mutex
 	// held is the record of this daemon's hold; its version is 0 when there is none.
 	held api.Object
+	// settledTerm is the term that the record stated when the lock was acquired; 0 if it was not known.
+	settledTerm uint64
 	// hasTried is true once this start of the daemon has written that it holds the lock. Before, a record with its name is
 	// that of an earlier start, whose last order may still be in transit.
 	hasTried bool
@@ -109,8 +119,43 @@
 	return l.of(group).acquire(ctx)
 }
 
-// Release releases the lock of a group. A failure is only logged, because the lock expires anyway.
-func (l *Locks) Release(ctx context.Context, group string) { l.of(group).release(ctx) }
+// Release releases the lock of a group. A failure is only logged, because the lock expires anyway. The term is that to which the
+// last promotion ordered under the lock led, 0 if the outcome of an order is unknown, and takeover.NothingOrdered if none was
+// sent.
+func (l *Locks) Release(ctx context.Context, group string, term uint64) {
+	l.of(group).release(ctx, term)
+}
+
+// SettledTerm reads from the store to which term the last promotion of a group led. It fails with ErrHeld if the lock may be
+// held, and with ErrNotSettled if the term is not known.
+func (l *Locks) SettledTerm(ctx context.Context, group string) (uint64, error) {
+	ctx, cancel := context.WithTimeout(ctx, storeTimeout)
+	defer cancel()
+	record, err := l.of(group).read(ctx)
+	if err != nil {
+		return 0, err
+	}
+	stored, err := storedIn(record)
+	if err != nil {
+		return 0, fmt.Errorf("%w: %w", ErrHeld, err)
+	}
+	if stored.Holder != "" {
+		return 0, fmt.Errorf("%w: by %s since version %d", ErrHeld, stored.Holder, record.Version)
+	}
+	term := settledTermOf(record, stored)
+	if term == 0 {
+		return 0, fmt.Errorf("%w: at version %d of era %d", ErrNotSettled, record.Version, record.Era)
+	}
+	return term, nil
+}
+
+// settledTermOf returns the term that a record states; 0 if it is of an earlier era of the store, or of a lock that is held.
+func settledTermOf(record api.Object, stored api.DutyRecord) uint64 {
+	if stored.Holder != "" || stored.Era != record.Era {
+		return 0
+	}
+	return stored.Term
+}
 
 func (l *lock) acquire(ctx context.Context) (uint64, time.Duration, error) {
 	l.mu.Lock()
@@ -121,12 +166,13 @@
 	if err != nil {
 		return 0, 0, err
 	}
-	if err := l.check(record); err != nil {
+	stored, err := l.check(record)
+	if err != nil {
 		return 0, 0, err
 	}
 	l.hasTried = true
 	sentAt := l.now()
-	held, err := l.write(ctx, record, l.holder)
+	held, err := l.write(ctx, record, api.DutyRecord{Holder: l.holder})
 	if err != nil {
 		return 0, 0, err
 	}
@@ -134,7 +180,7 @@
 	if err != nil {
 		return 0, 0, err
 	}
-	l.held = held
+	l.held, l.settledTerm = held, settledTermOf(record, stored)
 	logrus.WithFields(logrus.Fields{logfield.Group: l.group, logfield.Token: token, logfield.Era: held.Era}).Info(logevent.DutyTaken)
 	return token, sentAt + Validity, nil
 }
@@ -159,9 +205,9 @@
 	return record, nil
 }
 
-// check fails with ErrHeld while another daemon, or an order of an earlier start of this one, may promote. The caller holds
-// mu.
-func (l *lock) check(record api.Object) error {
+// check returns what a record states. It fails with ErrHeld while another daemon, or an order of an earlier start of this one,
+// may promote. The caller holds mu.
+func (l *lock) check(record api.Object) (api.DutyRecord, error) {
 	stored, err := storedIn(record)
 	if err != nil {
 		l.unreadable.Report(logevent.DutyUnreadable, Kind, l.group, err)
@@ -173,19 +219,19 @@
 	if stored.Era != record.Era {
 		// The store has been restored since the record was written, or no daemon has written one in this era.
 		if _, since := l.eras.Known(); now-since < takeoverDelay {
-			return fmt.Errorf("%w: the store is in era %d since %s, and the record is of era %d", ErrHeld, record.Era, now-since, stored.Era)
+			return stored, fmt.Errorf("%w: the store is in era %d since %s, and the record is of era %d", ErrHeld, record.Era, now-since, stored.Era)
 		}
 	}
 	if stored.Holder == "" || stored.Holder == l.holder && l.hasTried {
-		return nil
+		return stored, nil
 	}
 	if l.observed.Version != record.Version || l.observed.Era != record.Era {
 		l.observed, l.observedAt = record, now
 	}
 	if now-l.observedAt < takeoverDelay {
-		return fmt.Errorf("%w: by %s since version %d", ErrHeld, stored.Holder, record.Version)
+		return stored, fmt.Errorf("%w: by %s since version %d", ErrHeld, stored.Holder, record.Version)
 	}
-	return nil
+	return stored, nil
 }
 
 // unknownHolder stands for the holder of a record that cannot be read: it may have replaced that of a daemon that still
@@ -203,6 +249,7 @@
 	var stored struct {
 		Holder *string `json:"holder"`
 		Era    *uint64 `json:"era"`
+		Term   uint64  `json:"term"`
 	}
 	if err := json.Unmarshal(record.Data, &stored); err != nil {
 		return api.DutyRecord{}, err
@@ -210,14 +257,15 @@
 	if stored.Holder == nil || stored.Era == nil {
 		return api.DutyRecord{}, errNoDutyRecord
 	}
-	return api.DutyRecord{Holder: *stored.Holder, Era: *stored.Era}, nil
+	return api.DutyRecord{Holder: *stored.Holder, Era: *stored.Era, Term: stored.Term}, nil
 }
 
-// write stores the holder, empty for none, and returns the record. It fails with ErrHeld if the update took effect and
-// another daemon has changed the record since, or if it took effect in a later era than the one in which the record was
-// read: the check of the record does not hold there. The caller holds mu.
-func (l *lock) write(ctx context.Context, record api.Object, holder string) (api.Object, error) {
-	data, err := json.Marshal(api.DutyRecord{Holder: holder, Era: record.Era})
+// write stores the holder, empty for none, and the term of a duty, and returns the record. It fails with ErrHeld if the update
+// took effect and another daemon has changed the record since, or if it took effect in a later era than the one in which the
+// record was read: the check of the record does not hold there. The caller holds mu.
+func (l *lock) write(ctx context.Context, record api.Object, duty api.DutyRecord) (api.Object, error) {
+	duty.Era = record.Era
+	data, err := json.Marshal(duty)
 	if err != nil {
 		return api.Object{}, fmt.Errorf("encode promotion lock: %w", err)
 	}
@@ -239,11 +287,14 @@
 // changeID returns an ID by which an update whose answer was lost is recognized.
 func changeID() string { return strconv.FormatUint(rand.Uint64(), 36) }
 
-// release stores that the lock is free, unless the store has been restored since: another daemon may have acquired the
-// lock at the same version.
-func (l *lock) release(ctx context.Context) {
+// release stores that the lock is free, with the term as Release expects it, unless the store has been restored since: another
+// daemon may have acquired the lock at the same version.
+func (l *lock) release(ctx context.Context, term uint64) {
 	l.mu.Lock()
 	defer l.mu.Unlock()
+	if term == takeover.NothingOrdered {
+		term = l.settledTerm
+	}
 	held := l.held
 	l.held = api.Object{}
 	if held.Version == 0 {
@@ -256,7 +307,7 @@
 	}
 	ctx, cancel := context.WithTimeout(ctx, storeTimeout)
 	defer cancel()
-	if _, err := l.write(ctx, held, ""); err != nil {
+	if _, err := l.write(ctx, held, api.DutyRecord{Term: term}); err != nil {
 		log.WithField(logfield.Error, err).Info(logevent.DutyNotReleased)
 		return
 	}
--- a/internal/promotionlock/promotionlock_test.go
+++ b/internal/promotionlock/promotionlock_test.go
@@ -17,6 +17,7 @@
 	"github.com/papayacove/papayacove/api"
 	"github.com/papayacove/papayacove/internal/clock"
 	"github.com/papayacove/papayacove/internal/objectstore"
+	"github.com/papayacove/papayacove/internal/policy/takeover"
 )
 
 // TestMain fixes the seed of the property tests unless one is given.
@@ -110,7 +111,7 @@
 	if _, _, err := second.Acquire(ctx, group); !errors.Is(err, ErrHeld) {
 		t.Errorf("while another daemon holds the lock: got %v, want ErrHeld", err)
 	}
-	first.Release(ctx, group)
+	first.Release(ctx, group, takeover.NothingOrdered)
 	later, _, err := second.Acquire(ctx, group)
 	if err != nil || later <= token {
 		t.Errorf("after the release: got token %d after %d, %v, want a higher one", later, token, err)
@@ -192,7 +193,7 @@
 	if _, _, err := other.Acquire(ctx, group); err != nil {
 		t.Fatal(err)
 	}
-	other.Release(ctx, group)
+	other.Release(ctx, group, takeover.NothingOrdered)
 	version, data := store.version, store.data
 	token, until, err := holder.Acquire(ctx, group)
 	if err != nil {
@@ -213,7 +214,7 @@
 		t.Fatalf("got version %d, want that of the lost hold", store.version)
 	}
 	before := string(store.data)
-	holder.Release(ctx, group)
+	holder.Release(ctx, group, takeover.NothingOrdered)
 	if string(store.data) != before {
 		t.Error("the holder of the earlier era has released the lock of the later one")
 	}
