Promotions: an order of unknown outcome leaves the replicas paused

Callers could lose acknowledged writes: an order to promote whose answer was lost takes effect late. The promoter sent it until its lock was about to end, then gave the promotion up and resumed the replicas. The old primary acknowledged commits again, and daemons proved its term, until the order took effect.

The replicas are resumed only if all orders were refused. Otherwise the promoter waits for the target to lead, as it does after an accepted order, and leaves the replicas paused if it does not: the next promotion pauses them again, finds the same logs and so chooses the same target, and its effect ends the pauses. An order no longer arrives after the end of the lock.

--- a/internal/engine/interfaces.go
+++ b/internal/engine/interfaces.go
@@ -52,13 +52,18 @@
 // Promoter orders promotions.
 type Promoter interface {
 	// Promote makes a target the primary of its group. The fencing token rises with each change of the holder of
-	// the promotion lock. It fails with ErrTargetDown when the target does not run.
+	// the promotion lock. It fails with ErrTargetDown when the target does not run, and with ErrOrderRefused when the
+	// order was not carried out for another reason. After any other error, it may have taken effect or may still do
+	// so.
 	Promote(ctx context.Context, group, target string, token uint64) error
 }
 
 // ErrTargetDown means that a promotion was refused because the target does not run.
 var ErrTargetDown = errors.New("target is not running")
 
+// ErrOrderRefused means that an order to promote was not carried out and will not be.
+var ErrOrderRefused = errors.New("order to promote was refused")
+
 // PromotionLock is the lock that a daemon must hold to order promotions of a group. One daemon holds it at a time.
 type PromotionLock interface {
 	// Acquire returns the fencing token of the lock and the time of the boot clock until which it is held.
--- a/internal/engine/promote.go
+++ b/internal/engine/promote.go
@@ -184,7 +184,9 @@
 	if target == "" {
 		return false
 	}
-	if !p.orderPromotion(target) {
+	p.settledTerm = 0
+	if p.orderPromotion(target) == orderRefused {
+		p.settledTerm = takeover.NothingOrdered
 		p.abort()
 		return false
 	}
@@ -341,7 +343,7 @@
 	}
 }
 
-// abort resumes the replicas paused by a promotion that is abandoned.
+// abort resumes the replicas paused by a promotion that is abandoned, of which no order can take effect.
 func (p *promotion) abort() {
 	sendToAll(p.toResume, Command{Op: OpResume, Term: p.term})
 	p.log().WithField(logfield.Resumed, len(p.toResume)).Warn(logevent.PromotionGivenUp)
@@ -355,29 +357,52 @@
 	return paused
 }
 
-// orderPromotion sends the order to promote until it is accepted, while the promotion lock is held. It returns
-// false at once when the target is down.
-func (p *promotion) orderPromotion(target string) bool {
+// orderOutcome is what is known of the orders to promote of a promotion.
+type orderOutcome uint8
+
+const (
+	// orderRefused means that no order has taken effect or will.
+	orderRefused orderOutcome = iota
+	orderAccepted
+	// orderUnknown means that an order may have taken effect or may still do so. The replicas stay paused then: what
+	// the old primary acknowledged before the effect would be lost.
+	orderUnknown
+)
+
+// orderPromotion sends the order to promote until it is accepted, while the promotion lock is held. It returns at once
+// when the target is down.
+func (p *promotion) orderPromotion(target string) orderOutcome {
+	outcome := orderRefused
 	for clock.SinceBoot() < p.lockedUntil-orderReserve {
-		p.settledTerm = 0
-		ctx, cancel := context.WithTimeout(p.engine.ctx, promoteTimeout)
-		err := p.engine.options.Promoter.Promote(ctx, p.group.name, target, p.token)
-		cancel()
-		p.log().WithFields(logrus.Fields{logfield.Target: target, logfield.Error: err}).Info(logevent.PromotionOrdered)
-		if err == nil {
-			return true
-		}
-		if errors.Is(err, ErrTargetDown) {
-			return false
+		err := p.sendOrder(target)
+		switch {
+		case err == nil:
+			return orderAccepted
+		case errors.Is(err, ErrTargetDown):
+			return outcome
+		case !errors.Is(err, ErrOrderRefused):
+			outcome = orderUnknown
 		}
 		if clock.Sleep(p.engine.ctx, leadPoll) != nil {
-			return false
+			return outcome
 		}
 	}
-	return false
+	return outcome
+}
+
+// sendOrder sends one order to promote. It does not arrive after the end of the promotion lock: its successor counts
+// on the effect of all orders within a second.
+func (p *promotion) sendOrder(target string) error {
+	ctx, cancel := context.WithTimeout(p.engine.ctx, min(promoteTimeout, p.lockedUntil-clock.SinceBoot()))
+	defer cancel()
+	err := p.engine.options.Promoter.Promote(ctx, p.group.name, target, p.token)
+	p.log().WithFields(logrus.Fields{logfield.Target: target, logfield.Error: err}).Info(logevent.PromotionOrdered)
+	return err
 }
 
-// awaitNewPrimary waits until the target is the primary, so that the promotion lock is not released before.
+// awaitNewPrimary waits until the target is the primary, so that the promotion lock is not released before. It leaves
+// the replicas paused otherwise: the order may still take effect. The next promotion pauses them again, and ends the
+// pauses.
 func (p *promotion) awaitNewPrimary(target string) bool {
 	m := p.members[target]
 	end := clock.SinceBoot() + leadTimeout
--- a/internal/engine/restartedreplica_test.go
+++ b/internal/engine/restartedreplica_test.go
@@ -133,7 +133,10 @@
 			}}
 		}
 		g.statuses["b"], g.statuses["c"] = follows(1, 8, 1), follows(1, 10, 1)
-		p := &promotion{group: g, old: "a", oldTerm: 1, term: 2, members: maps.Clone(g.members), toResume: make(map[string]*member)}
+		p := &promotion{
+			group: g, old: "a", oldTerm: 1, term: 2, members: maps.Clone(g.members), toResume: make(map[string]*member),
+			lockedUntil: clock.SinceBoot() + time.Minute,
+		}
 		p.pauseReplicas()
 		if choice := p.choose(); choice.Target != want {
 			t.Errorf("c held 1.10 and answers with 1.%d: got %+v, want %q", received, choice, want)
