Promotions: pause and resume only while the lock is held

A promoter that was frozen, or whose calls were slow, gave up or finished its promotion after its lock had ended, and resumed replicas that the next promoter had paused. The next one's order was on its way: commits that the old primary acknowledged until its effect were lost, or reads at it were stale. RESUME names no term, so that a target cannot tell the two apart.

Orders to pause and to resume are now sent only while the lock is held: each step of the call is bounded by its end on the boot clock, checked right before. A status asked before shows whether a later term paused the replica; then it is left. The list before the order leaves the reserve of the lock for giving up.

Orders to step down stay as they are. A late one reaches a primary of a lower term only; at one of the same term it costs a promotion and no commit.

--- a/internal/engine/control.go
+++ b/internal/engine/control.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"errors"
 	"sync"
 	"sync/atomic"
 	"time"
@@ -18,6 +19,9 @@
 // statement takes about as long.
 const fullRetryInterval = 15 * time.Millisecond
 
+// errTooLate means that a command was not sent because the right to send it has ended.
+var errTooLate = errors.New("not sent: too late")
+
 // controlConnection is the connection of a daemon to a target for status calls and orders. It is separate from the
 // pool, so that these do not queue behind statements. One call is in flight at a time.
 type controlConnection struct {
@@ -45,6 +49,17 @@
 }
 
 func (c *controlConnection) callWithin(timeout time.Duration, command Command) (leadership.Status, error) {
+	return c.callBounded(func() time.Duration { return timeout }, command)
+}
+
+// callUntil does what call does, and sends nothing at or after end, a time of the boot clock. It fails with
+// errTooLate then.
+func (c *controlConnection) callUntil(end time.Duration, command Command) (leadership.Status, error) {
+	return c.callBounded(func() time.Duration { return min(statusTimeout, end-clock.SinceBoot()) }, command)
+}
+
+// callBounded sends a command. Each step of the call is bounded by what timeout returns just before it.
+func (c *controlConnection) callBounded(timeout func() time.Duration, command Command) (leadership.Status, error) {
 	c.mu.Lock()
 	defer c.mu.Unlock()
 	if c.transient.Load() {
@@ -64,8 +79,10 @@
 
 // attemptUntilAccepted retries an order within the timeout while the target accepts no further connection, because
 // a promotion needs the answer. A status call is not retried.
-func (c *controlConnection) attemptUntilAccepted(timeout time.Duration, command Command) (leadership.Status, error) {
-	end := time.Now().Add(timeout)
+func (c *controlConnection) attemptUntilAccepted(
+	timeout func() time.Duration, command Command,
+) (leadership.Status, error) {
+	end := time.Now().Add(timeout())
 	for {
 		status, err := c.attempt(timeout, command)
 		if command.Op == OpStatus || !isFullTarget(err) || time.Now().After(end) {
@@ -75,9 +92,9 @@
 	}
 }
 
-func (c *controlConnection) attempt(timeout time.Duration, command Command) (leadership.Status, error) {
+func (c *controlConnection) attempt(timeout func() time.Duration, command Command) (leadership.Status, error) {
 	if c.conn == nil {
-		ctx, cancel := context.WithTimeout(context.Background(), timeout)
+		ctx, cancel := context.WithTimeout(context.Background(), timeout())
 		defer cancel()
 		conn, err := c.dialer.Dial(ctx, c.target(), "")
 		if err != nil {
@@ -85,8 +102,12 @@
 		}
 		c.conn = conn
 	}
+	left := timeout()
+	if left <= 0 {
+		return leadership.Status{}, errTooLate
+	}
 	askedAt := clock.SinceBoot()
-	replies, err := c.conn.Exchange(time.Now().Add(timeout), command)
+	replies, err := c.conn.Exchange(time.Now().Add(left), command)
 	if err != nil {
 		c.abort()
 		return leadership.Status{}, err
--- a/internal/engine/promote.go
+++ b/internal/engine/promote.go
@@ -294,7 +294,7 @@
 	delete(pending, p.old)
 	p.paused = make(map[string]leadership.Status)
 	for range pauseAttempts {
-		answers := sendToAll(pending, Command{Op: OpPause, Term: p.term})
+		answers := p.sendWhileLocked(pending, Command{Op: OpPause, Term: p.term})
 		p.recordAnswers(answers)
 		for name, s := range answers {
 			if s.Role == leadership.RoleReplica && s.IsPaused() {
@@ -345,8 +345,35 @@
 
 // abort resumes the replicas paused by a promotion that is abandoned, of which no order can take effect.
 func (p *promotion) abort() {
-	sendToAll(p.toResume, Command{Op: OpResume, Term: p.term})
-	p.log().WithField(logfield.Resumed, len(p.toResume)).Warn(logevent.PromotionGivenUp)
+	p.log().WithField(logfield.Resumed, p.resume(p.toResume)).Warn(logevent.PromotionGivenUp)
+}
+
+// sendWhileLocked does what sendToAll does, and sends nothing after the end of the promotion lock: an order to resume
+// would undo the pause of another promotion, whose order is under way, and nobody would end a pause.
+func (p *promotion) sendWhileLocked(members map[string]*member, command Command) map[string]leadership.Status {
+	send := func(m *member) (leadership.Status, error) { return m.control.callUntil(p.lockedUntil, command) }
+	return callAll(members, command.Op, send)
+}
+
+// resume resumes replicas while the promotion lock is held, and returns the number of those that confirm it. It
+// leaves those that another promotion has paused at a later term.
+func (p *promotion) resume(replicas map[string]*member) int {
+	replicas = maps.Clone(replicas)
+	for name, s := range p.sendWhileLocked(replicas, Command{Op: OpStatus}) {
+		if s.PausedTerm > p.term {
+			delete(replicas, name)
+		}
+	}
+	answers := p.sendWhileLocked(replicas, Command{Op: OpResume, Term: p.term})
+	resumed := 0
+	for name := range replicas {
+		if s, ok := answers[name]; ok && s.Role != leadership.RoleUnknown && !s.IsPaused() {
+			resumed++
+			continue
+		}
+		p.log().WithField(logfield.Target, name).Warn(logevent.ReplicaNotResumed)
+	}
+	return resumed
 }
 
 func (p *promotion) pausedMembers() map[string]*member {
@@ -429,11 +456,11 @@
 	if p.demoted == nil {
 		p.stepDown()
 	}
+	stillPaused := make(map[string]*member)
 	for name, s := range sendToAll(p.members, Command{Op: OpStatus}) {
 		if name != target && s.Role == leadership.RoleReplica && s.IsPaused() && !p.isLeaving(name) {
-			if _, err := p.members[name].control.call(Command{Op: OpResume, Term: p.term}); err != nil {
-				p.log().WithFields(logrus.Fields{logfield.Target: name, logfield.Error: err}).Warn(logevent.ReplicaNotResumed)
-			}
+			stillPaused[name] = p.members[name]
 		}
 	}
+	p.resume(stillPaused)
 }
--- a/internal/engine/promotionmembers.go
+++ b/internal/engine/promotionmembers.go
@@ -30,7 +30,9 @@
 	if p.engine.options.TargetLister == nil {
 		return 0, nil
 	}
-	ctx, cancel := context.WithTimeout(p.engine.ctx, listTimeout)
+	// A promotion that is given up needs the reserve of the lock to resume the replicas.
+	left := p.lockedUntil - orderReserve - clock.SinceBoot()
+	ctx, cancel := context.WithTimeout(p.engine.ctx, min(listTimeout, left))
 	defer cancel()
 	listed, err := p.engine.options.TargetLister.ListTargets(ctx, p.group.name)
 	if err != nil {
