Promotions: the old primary is asked again if its step-down is what they rest on

A promotion that cannot pause a replica goes on by the step-down of the old primary. Right before the order only the paused replicas were checked. An old primary that has restarted since, half a second after it stepped down, leads its term again: the unpaused replica lets it acknowledge commits, which the new primary lacks, and proves its term.

The check before the order now asks the old primary too, if the choice rests on its step-down: it has to be a replica of the same term with the same end of its log. Without an answer the promotion is given up, as it is for a paused replica. If all replicas are paused, a restart of the old primary does no harm.

--- a/internal/engine/promote.go
+++ b/internal/engine/promote.go
@@ -65,6 +65,8 @@
 	steppedDownAt time.Duration
 	// settledTerm is what is told of the promotion when the lock is released, as PromotionLock.Release expects it.
 	settledTerm uint64
+	// restsOnStepDown is true if a replica is not paused, and the choice of the target rests on the step-down.
+	restsOnStepDown bool
 }
 
 // takeOver replaces the primary of a group unless another daemon holds the promotion lock or has replaced it.
@@ -224,7 +226,8 @@
 // choose returns the target to promote. The old primary steps down for it if a replica cannot be paused.
 func (p *promotion) choose() takeover.Choice {
 	choice := takeover.Choose(p.replicas(), p.paused, nil, p.isLeaving)
-	if choice.Target == "" && p.hasWholeLog() {
+	p.restsOnStepDown = choice.Target == ""
+	if p.restsOnStepDown && p.hasWholeLog() {
 		// It may have restarted and lead again since it stepped down in an earlier round.
 		p.demoted = nil
 		p.stepDown()
--- a/internal/engine/promotionmembers.go
+++ b/internal/engine/promotionmembers.go
@@ -76,11 +76,26 @@
 		p.log().WithField(logfield.Error, err).Warn(logevent.TargetsNotListed)
 		return 0, false
 	}
-	if now := sendToAll(p.pausedMembers(), Command{Op: OpStatus}); !takeover.StillPaused(p.paused, now) {
+	return joined, p.isStillPrepared()
+}
+
+// isStillPrepared asks the targets that the choice rests on again: the paused replicas and, if one could not be
+// paused, the old primary, which leads again if it has restarted since it stepped down.
+func (p *promotion) isStillPrepared() bool {
+	asked := p.pausedMembers()
+	if p.restsOnStepDown {
+		asked[p.old] = p.members[p.old]
+	}
+	now := sendToAll(asked, Command{Op: OpStatus})
+	if !takeover.StillPaused(p.paused, now) {
 		p.log().Warn(logevent.ReplicaNoLongerPaused)
-		return 0, false
+		return false
+	}
+	if p.restsOnStepDown && !takeover.StillSteppedDown(*p.demoted, now[p.old]) {
+		p.log().Warn(logevent.OldPrimaryLeadsAgain)
+		return false
 	}
-	return joined, true
+	return true
 }
 
 // logUnpausedMembers logs each replica that the daemon knows at the end of the promotion and that was not paused.
--- a/internal/logevent/logevent.go
+++ b/internal/logevent/logevent.go
@@ -66,6 +66,7 @@
 	MemberChanged             = "member_changed"
 	MemberRemoved             = "member_removed"
 	ObjectUnreadable          = "object_unreadable"
+	OldPrimaryLeadsAgain      = "old_primary_leads_again"
 	OldPrimaryNotSteppingDown = "old_primary_not_stepping_down"
 	PartFailed                = "part_failed"
 	PeerAvoided               = "peer_avoided"
--- a/internal/policy/takeover/takeover.go
+++ b/internal/policy/takeover/takeover.go
@@ -219,6 +219,13 @@
 	return true
 }
 
+// StillSteppedDown reports whether an old primary that stepped down is still a replica with the same end of its log.
+// One that has restarted leads its term again until another target is promoted; the zero status is that of one that
+// did not answer.
+func StillSteppedDown(demoted, now leadership.Status) bool {
+	return now.Role == leadership.RoleReplica && now.Term == demoted.Term && now.Received == demoted.Received
+}
+
 // longestLog returns the replica with the longest log; empty if paused is. Among equals it prefers a replica that is
 // not leaving, then the first by name.
 func longestLog(paused map[string]leadership.Status, leaving func(string) bool) string {
