Promotions: everything is checked again before an order is repeated

A replica that restarted meanwhile received again and let the old primary acknowledge commits, which the target lacked: lost as soon as an order was accepted.

The targets are listed and the pauses checked before each further order.

Before, on with the test: lateorder_test.go: got orders [pause c pause b promote b promote b promote b promote b promote b promote b promote b promote b promote b promote b resume b resume c], want one to promote, and b resumed After: it passes.

--- a/internal/engine/lateorder_test.go
+++ b/internal/engine/lateorder_test.go
@@ -213,3 +213,18 @@
 		t.Errorf("got orders %v and primary %q, want b alone promoted", orders, w.group.primary)
 	}
 }
+
+// TestOrderIsNotRepeatedAfterAReplicaHasRestarted guards against a promotion without the commits that a replica has
+// let the old primary acknowledge since its pause ended: the first order is refused, and the next one is sent later.
+func TestOrderIsNotRepeatedAfterAReplicaHasRestarted(t *testing.T) {
+	t.Parallel()
+	w := newPromotedGroup(t, 1500*time.Millisecond)
+	w.promote = func(string) error {
+		w.change(func(targets map[string]*leadership.Status) { targets["c"].PausedTerm = 0 })
+		return ErrOrderRefused
+	}
+	orders := w.takeOver(takeover.ReasonUnresponsive)
+	if countPrefix(orders, "promote") != 1 || !slices.Contains(orders, "resume b") {
+		t.Errorf("got orders %v, want one to promote, and b resumed", orders)
+	}
+}
--- a/internal/engine/promote.go
+++ b/internal/engine/promote.go
@@ -400,7 +400,8 @@
 )
 
 // orderPromotion sends the order to promote until it is accepted, while the promotion lock is held. It returns at once
-// when the target is down.
+// when the target is down. What the choice rests on is checked again before each further order: the replicas may have
+// restarted.
 func (p *promotion) orderPromotion(target string) orderOutcome {
 	outcome := orderRefused
 	for clock.SinceBoot() < p.lockedUntil-orderReserve {
@@ -416,6 +417,9 @@
 		if clock.Sleep(p.engine.ctx, leadPoll) != nil {
 			return outcome
 		}
+		if joined, ok := p.recheck(); !ok || joined > 0 {
+			return outcome
+		}
 	}
 	return outcome
 }
