Takeover: a primary whose replicas all stay paused is replaced

A promoter that ends between the pauses and its order, or that does not learn whether its order takes effect, leaves the replicas paused. While the primary answers, only a write that waits for a replica led to the next promotion. A group that is only read got no leadership proof, and so no strict read, for good.

If all replicas answer that they are paused, for 2 s, the reason is a stalled replication. The promotion pauses them again and ends the pauses by its effect, so that it also settles an order of unknown outcome. A promotion under way takes less, and holds the lock.

Before, on with the test: takeover_test.go: at 4s, paused at 2 and 2: got "", suspected false, want "replication_stalled", true After: it passes.

--- a/internal/policy/takeover/takeover.go
+++ b/internal/policy/takeover/takeover.go
@@ -24,6 +24,9 @@
 	// StallBeforeTakeover is the time after which the primary is replaced if none of the replicas has received a position
 	// of its log.
 	StallBeforeTakeover = 800 * time.Millisecond
+	// PauseBeforeTakeover is the time after which the primary is replaced if all replicas stay paused: their promoter
+	// ended or does not know whether its order takes effect. A promotion takes less.
+	PauseBeforeTakeover = 2 * time.Second
 	// PromotionHoldTime is the time after a promotion in which no other promotion of the group begins.
 	PromotionHoldTime = 2 * time.Second
 )
@@ -74,6 +77,9 @@
 	// had all of the log, or no replica answered.
 	unreceived      api.Position
 	unreceivedSince time.Duration
+	// paused is true while all replicas are paused, and pausedSince the end of the first round that showed it.
+	paused      bool
+	pausedSince time.Duration
 }
 
 // StatusRound is the result of one status call to each target of the group.
@@ -95,9 +101,11 @@
 // which the primary did not lead is inconclusive if fewer than Members-1 targets, or none, answered.
 func (m *PrimaryMonitor) IsUnresponsive() bool { return m.misses > 0 }
 
-// IsSuspected reports whether the last conclusive round showed a missing primary or a commit that no replica had
-// received.
-func (m *PrimaryMonitor) IsSuspected() bool { return m.misses > 0 || !m.unreceived.IsZero() }
+// IsSuspected reports whether the last conclusive round showed a missing primary, a commit that no replica had
+// received, or that all replicas were paused.
+func (m *PrimaryMonitor) IsSuspected() bool {
+	return m.misses > 0 || !m.unreceived.IsZero() || m.paused
+}
 
 // Evaluate adds a status round and returns why the primary has to be replaced, or ReasonNone. A change of the presumed
 // primary discards what was collected about the previous one.
@@ -138,7 +146,7 @@
 
 func (m *PrimaryMonitor) evaluateReplication(r StatusRound, status leadership.Status) Reason {
 	var received api.Position
-	replicas := 0
+	replicas, paused := 0, 0
 	for name, s := range r.Statuses {
 		if name == r.Primary || s.Role != leadership.RoleReplica {
 			continue
@@ -149,6 +157,12 @@
 		}
 		received = received.Max(s.Received)
 		replicas++
+		if s.IsPaused() {
+			paused++
+		}
+	}
+	if m.stayPaused(replicas > 0 && replicas == r.Members-1 && paused == replicas, r.EndedAt) {
+		return ReasonStalled
 	}
 	if replicas == 0 || received.Compare(status.Received) >= 0 {
 		m.unreceived = api.Position{}
@@ -164,6 +178,14 @@
 	return ReasonStalled
 }
 
+// stayPaused records whether all replicas are paused, and reports whether they have been for PauseBeforeTakeover.
+func (m *PrimaryMonitor) stayPaused(paused bool, at time.Duration) bool {
+	if !paused || !m.paused {
+		m.paused, m.pausedSince = paused, at
+	}
+	return paused && at-m.pausedSince >= PauseBeforeTakeover
+}
+
 // Choice is the result of Choose.
 type Choice struct {
 	// Target is the target to promote; empty for none. It is promoted at EarliestOrder, also when the old primary has
--- a/internal/policy/takeover/takeover_test.go
+++ b/internal/policy/takeover/takeover_test.go
@@ -156,3 +156,37 @@
 		}
 	}
 }
+
+// TestReplicasThatStayPausedReplacePrimary guards against a group whose replicas stay paused for good, so that
+// nothing proves that its primary leads: their promoter has ended, or its order had no answer, and no write is under
+// way that would wait.
+func TestReplicasThatStayPausedReplacePrimary(t *testing.T) {
+	var monitor PrimaryMonitor
+	round := func(at time.Duration, pausedB, pausedC uint64) Reason {
+		return monitor.Evaluate(StatusRound{
+			Primary: "a", Members: 3, StartedAt: at, EndedAt: at,
+			Statuses: map[string]leadership.Status{
+				"a": primaryStatus(1, 9, at), "b": replicaStatus(1, pausedB, 9, at), "c": replicaStatus(1, pausedC, 9, at),
+			},
+		})
+	}
+	steps := []struct {
+		at               time.Duration
+		pausedB, pausedC uint64
+		suspected        bool
+		want             Reason
+	}{
+		{0, 2, 0, false, ReasonNone},
+		{PauseBeforeTakeover, 2, 2, true, ReasonNone},
+		{2*PauseBeforeTakeover - 1, 2, 2, true, ReasonNone},
+		{2 * PauseBeforeTakeover, 2, 2, true, ReasonStalled},
+		{2*PauseBeforeTakeover + 1, 2, 0, false, ReasonNone},
+		{2*PauseBeforeTakeover + 2, 2, 2, true, ReasonNone},
+	}
+	for _, s := range steps {
+		if got := round(s.at, s.pausedB, s.pausedC); got != s.want || monitor.IsSuspected() != s.suspected {
+			t.Errorf("at %s, paused at %d and %d: got %q, suspected %t, want %q, %t",
+				s.at, s.pausedB, s.pausedC, got, monitor.IsSuspected(), s.want, s.suspected)
+		}
+	}
+}
