Stand-in: orders to promote take effect late, or are answered late or not at all

Group.SetPromoteDelay sets the time of a promotion; the default of 50 ms is unchanged. Provider.SetFaults delays the effect of orders or their answers, or loses the answers.

--- a/standin/lines/group.go
+++ b/standin/lines/group.go
@@ -134,6 +134,13 @@
 	g.maxConnections = limit
 }
 
+// SetPromoteDelay sets the time between an order to promote and its effect.
+func (g *Group) SetPromoteDelay(delay time.Duration) {
+	g.mu.Lock()
+	defer g.mu.Unlock()
+	g.promoteDelay = delay
+}
+
 // MostConnections returns the largest number of connections that one target had at a time.
 func (g *Group) MostConnections() int {
 	g.mu.Lock()
@@ -308,7 +315,10 @@
 // target is running. The replicas that are running and responsive follow the new term with a copy of its log; an
 // old primary isn't notified.
 func (g *Group) Promote(id string) bool {
-	time.Sleep(g.promoteDelay)
+	g.mu.Lock()
+	delay := g.promoteDelay
+	g.mu.Unlock()
+	time.Sleep(delay)
 	g.mu.Lock()
 	defer g.mu.Unlock()
 	chosen, ok := g.targets[id]
--- a/standin/lines/provider.go
+++ b/standin/lines/provider.go
@@ -7,6 +7,7 @@
 	"strconv"
 	"sync"
 	"sync/atomic"
+	"time"
 )
 
 // PromotionOrder is an order to promote a target as the provider received it.
@@ -33,6 +34,24 @@
 
 	mu     sync.Mutex
 	orders []PromotionOrder
+	faults OrderFaults
+}
+
+// OrderFaults are the faults that are injected into the orders to promote that arrive. The zero value stands for none.
+type OrderFaults struct {
+	// EffectDelay is the time before an order takes effect, beside that which a promotion takes.
+	EffectDelay time.Duration
+	// AnswerDelay is the time from the effect to the answer.
+	AnswerDelay time.Duration
+	// LoseAnswers resets the connection of an order at once. The order takes effect nevertheless.
+	LoseAnswers bool
+}
+
+// SetFaults sets the faults of later orders.
+func (p *Provider) SetFaults(faults OrderFaults) {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	p.faults = faults
 }
 
 // NewProvider starts a provider for groups on a loopback port.
@@ -80,8 +99,27 @@
 	token, _ := strconv.ParseUint(r.Header.Get("Fencing-Token"), 10, 64)
 	p.mu.Lock()
 	p.orders = append(p.orders, PromotionOrder{r.Header.Get("Lease-Holder"), token, body.Id, body.Backend})
+	faults := p.faults
 	p.mu.Unlock()
-	if g, ok := p.groups[body.Backend]; p.Refuse.Load() || !ok || !g.Promote(body.Id) {
+	g, ok := p.groups[body.Backend]
+	if p.Refuse.Load() || !ok {
 		w.WriteHeader(http.StatusConflict)
+		return
 	}
+	if faults.LoseAnswers {
+		go promoteLate(g, body.Id, faults)
+		reset(w)
+		return
+	}
+	if !promoteLate(g, body.Id, faults) {
+		w.WriteHeader(http.StatusConflict)
+	}
+}
+
+// promoteLate carries out an order with its faults, and reports whether the target is running.
+func promoteLate(g *Group, id string, faults OrderFaults) bool {
+	time.Sleep(faults.EffectDelay)
+	promoted := g.Promote(id)
+	time.Sleep(faults.AnswerDelay)
+	return promoted
 }
