--- a/internal/policy/takeover/model_test.go
+++ b/internal/policy/takeover/model_test.go
@@ -234,19 +234,30 @@
 // promote promotes the chosen target once the leadership proofs have expired, and checks that it has every acknowledged
 // commit.
 func (g *modelGroup) promote(t rapid.TB, joinsAfter time.Duration) {
+	if !g.choose() {
+		return
+	}
+	g.takeEffect(t, g.promoter.choice.Target, joinsAfter)
+	g.promoter = nil
+}
+
+// choose chooses the target and reports whether it may be promoted now.
+func (g *modelGroup) choose() bool {
 	p := g.promoter
 	p.choice = Choose(p.replicas, p.paused, p.demoted, func(name string) bool { return g.targets[name].leaving })
 	if p.choice.Target == "" || g.now < EarliestOrder(p.pausedAt, p.steppedDownAt) {
-		return
-	}
-	chosen := g.targets[p.choice.Target]
-	if !chosen.up || !StillPaused(p.paused, g.reachedStatuses()) {
-		return
+		return false
 	}
+	return g.targets[p.choice.Target].up && StillPaused(p.paused, g.reachedStatuses())
+}
+
+// takeEffect makes a target the primary, and checks that it has every acknowledged commit.
+func (g *modelGroup) takeEffect(t rapid.TB, name string, joinsAfter time.Duration) {
+	chosen := g.targets[name]
 	g.promotions++
 	for _, position := range g.acked {
 		if !slices.Contains(chosen.log, position) {
-			t.Fatalf("promoted %s without the acknowledged commit %v: got log %v", p.choice.Target, position, chosen.log)
+			t.Fatalf("promoted %s without the acknowledged commit %v: got log %v", name, position, chosen.log)
 		}
 	}
 	var term uint64
@@ -254,19 +265,18 @@
 		term = max(term, target.term)
 	}
 	chosen.role, chosen.term, chosen.paused = leadership.RolePrimary, term+1, 0
-	for _, name := range slices.Sorted(maps.Keys(g.targets)) {
-		target := g.targets[name]
-		if name != p.choice.Target && target.role == leadership.RoleReplica && target.up && !g.keepsUnreachedPauses {
+	for _, other := range slices.Sorted(maps.Keys(g.targets)) {
+		target := g.targets[other]
+		if other != name && target.role == leadership.RoleReplica && target.up && !g.keepsUnreachedPauses {
 			// The platform ends the pauses of all replicas, also of those that the new primary does not reach.
 			target.paused = 0
 		}
 		// Those that it reaches follow it, and their logs are truncated if they were ahead.
-		if name != p.choice.Target && target.role == leadership.RoleReplica && target.up && !g.isPartitioned(name, p.choice.Target) {
+		if other != name && target.role == leadership.RoleReplica && target.up && !g.isPartitioned(other, name) {
 			target.term, target.paused, target.log = chosen.term, 0, slices.Clone(chosen.log)
 			target.pauseEndsAt = g.now + joinsAfter
 		}
 	}
-	g.promoter = nil
 }
 
 // witnesses returns the members that a daemon knows: it has known all targets of the model for long.
