Promotions: a replica left paused beside one that follows is resumed

A promoter that ends, or loses its lock, after it has paused some of the replicas leaves them paused. While another one follows the primary, the group works, no promotion begins, and nobody resumed them: they fell behind for good.

A judge that has seen a replica paused for 10 s, which does not leave, beside one that follows the primary, takes the promotion lock and resumes it under it. No promotion is under way then. Where no replica follows, a promotion settles it.

--- a/internal/engine/group.go
+++ b/internal/engine/group.go
@@ -50,6 +50,8 @@
 	waitingSince time.Duration
 	// lastReplyAt is the time of the boot clock of the last reply.
 	lastReplyAt time.Duration
+	// pausedSince is the time of the boot clock since which the target has been a paused replica; 0 if it is none.
+	pausedSince time.Duration
 	// unanswered is the number of statements that were sent and are not answered yet.
 	unanswered int
 	// latency is the moving average of the time that a statement takes at the target, including the target's own
--- a/internal/engine/observe.go
+++ b/internal/engine/observe.go
@@ -87,7 +87,34 @@
 	isUnresponsive := m.unanswered > 0 && now-m.waitingSince > unresponsiveAfter
 	isSuspected := g.monitor.IsSuspected() || g.isolatedSince != 0
 	hasLeaving := m.target.Leaving || takeover.IsJudge(g.judgeRank, g.zones) && g.leavingReplica() != ""
-	return isUnresponsive || isSuspected || hasLeaving || len(g.lostReplicas.Blocking(now)) > 0
+	hasLost := len(g.lostReplicas.Blocking(now)) > 0
+	return isUnresponsive || isSuspected || hasLeaving || hasLost || g.hasForgottenPause(now)
+}
+
+// hasForgottenPause reports whether a replica that does not leave has been paused for takeover.ForgottenPause, while
+// this daemon judges the primary. It is false for one that does not answer. The caller holds the lock.
+func (g *group) hasForgottenPause(now time.Duration) bool {
+	if !takeover.IsJudge(g.judgeRank, g.zones) {
+		return false
+	}
+	for _, m := range g.members {
+		answers := now-m.lastReplyAt < takeover.LeavingRecheckInterval
+		if answers && !m.target.Leaving && m.pausedSince != 0 && now-m.pausedSince >= takeover.ForgottenPause {
+			return true
+		}
+	}
+	return false
+}
+
+// recordPause records since when a replica is paused for a term after that of the primary. The caller holds the lock.
+func (g *group) recordPause(m *member, s leadership.Status) {
+	if s.Role != leadership.RoleReplica || s.PausedTerm <= g.term {
+		m.pausedSince = 0
+		return
+	}
+	if m.pausedSince == 0 {
+		m.pausedSince = s.AskedAt
+	}
 }
 
 // recordReplicaSample records a position that covers all acknowledged commits, if all replicas that may have
@@ -220,13 +247,17 @@
 		signal(g.lossesChanged)
 	}
 	now := clock.SinceBoot()
-	if !g.monitor.IsSuspected() && !g.isLeaving(g.primary) {
+	if !g.monitor.IsSuspected() && !g.isLeaving(g.primary) && !g.hasForgottenPause(now) {
 		g.suspectedFor = takeover.ReasonNone
 	}
 	reason := g.monitor.Evaluate(takeover.StatusRound{
 		Primary: g.primary, Statuses: g.lastKnownStatuses(statuses), Members: len(g.members), Leaving: g.isLeaving(g.primary),
 		StartedAt: began, EndedAt: now,
 	})
+	isForgotten := g.hasForgottenPause(now) && len(takeover.ForgottenPauses(statuses, g.term)) > 0
+	if reason == takeover.ReasonNone && isForgotten {
+		reason = takeover.ReasonPaused
+	}
 	if reason == takeover.ReasonNone || g.promoting || now < g.noPromotionUntil || !g.isOwnTurn(reason, now) {
 		return takeover.ReasonNone
 	}
@@ -260,6 +291,7 @@
 		m.avoidUntil, m.waitingSince, m.lastReplyAt = 0, clock.SinceBoot(), clock.SinceBoot()
 		if s.Role != leadership.RoleUnknown {
 			g.statuses[name] = s
+			g.recordPause(m, s)
 		}
 	}
 }
--- a/internal/engine/promote.go
+++ b/internal/engine/promote.go
@@ -108,6 +108,10 @@
 		p.log().Info(logevent.PromotionNotNeeded)
 		return
 	}
+	if reason == takeover.ReasonPaused {
+		p.resumeForgotten()
+		return
+	}
 	if p.run() {
 		delay = takeover.PromotionHoldTime
 	}
@@ -174,6 +178,8 @@
 		return leaving
 	case takeover.ReasonStalled:
 		return true
+	case takeover.ReasonPaused:
+		return p.oldStillLeads
 	}
 	return !p.oldStillLeads
 }
--- a/internal/engine/promotionmembers.go
+++ b/internal/engine/promotionmembers.go
@@ -11,6 +11,7 @@
 	"github.com/papayacove/papayacove/internal/clock"
 	"github.com/papayacove/papayacove/internal/logevent"
 	"github.com/papayacove/papayacove/internal/logfield"
+	"github.com/papayacove/papayacove/internal/policy/leadership"
 	"github.com/papayacove/papayacove/internal/policy/takeover"
 )
 
@@ -98,6 +99,22 @@
 	return true
 }
 
+// resumeForgotten resumes the replicas that an earlier promotion has left paused. No other one is under way while
+// this daemon holds the promotion lock.
+func (p *promotion) resumeForgotten() {
+	statuses := sendToAll(p.members, Command{Op: OpStatus})
+	if statuses[p.old].Role != leadership.RolePrimary {
+		return
+	}
+	forgotten := make(map[string]*member)
+	for _, name := range takeover.ForgottenPauses(statuses, statuses[p.old].Term) {
+		if !p.isLeaving(name) {
+			forgotten[name] = p.members[name]
+		}
+	}
+	p.log().WithField(logfield.Resumed, p.resume(forgotten)).Warn(logevent.ForgottenPausesEnded)
+}
+
 // logUnpausedMembers logs each replica that the daemon knows at the end of the promotion and that was not paused.
 func (p *promotion) logUnpausedMembers() {
 	p.group.mu.Lock()
--- a/internal/logevent/logevent.go
+++ b/internal/logevent/logevent.go
@@ -54,6 +54,7 @@
 	FeedSourceChanged         = "feed_source_changed"
 	FeedSourceFailed          = "feed_source_failed"
 	FollowEnded               = "follow_ended"
+	ForgottenPausesEnded      = "forgotten_pauses_ended"
 	ForgottenPrimaryDemoted   = "forgotten_primary_demoted"
 	HTTPPortFailed            = "http_port_failed"
 	InvariantViolated         = "invariant_violated"
--- a/internal/policy/takeover/takeover.go
+++ b/internal/policy/takeover/takeover.go
@@ -27,6 +27,10 @@
 	// PauseBeforeTakeover is the time after which the primary is replaced if all replicas stay paused: their promoter
 	// ended or does not know whether its order takes effect. A promotion takes less.
 	PauseBeforeTakeover = 2 * time.Second
+	// ForgottenPause is the time after which a replica that is paused beside one that follows the primary is resumed,
+	// unless it leaves: its promoter ended, or lost the promotion lock before it could resume it. Promotions end
+	// earlier.
+	ForgottenPause = 10 * time.Second
 	// PromotionHoldTime is the time after a promotion in which no other promotion of the group begins.
 	PromotionHoldTime = 2 * time.Second
 )
@@ -63,6 +67,9 @@
 	ReasonNoPrimary    Reason = "no_target_leads"
 	ReasonStalled      Reason = "replication_stalled"
 	ReasonLeaving      Reason = "primary_leaving"
+	// ReasonPaused replaces no primary: a replica stays paused beside one that follows, and is resumed under the
+	// promotion lock.
+	ReasonPaused Reason = "replica_stays_paused"
 )
 
 // PrimaryMonitor collects the signs of failure of the primary of one group over successive status rounds. Its zero
@@ -214,6 +221,28 @@
 	return Choice{Target: best, Reason: "longest_log_of_all_replicas"}
 }
 
+// ForgottenPauses returns the replicas that are paused for a term after that of the primary, in the order of their
+// names, if another replica follows it: then no promotion that rests on the pauses is under way. The statuses have to
+// be of now.
+func ForgottenPauses(statuses map[string]leadership.Status, term uint64) []string {
+	var paused []string
+	followed := false
+	for name, s := range statuses {
+		switch {
+		case s.Role != leadership.RoleReplica:
+		case s.PausedTerm > term:
+			paused = append(paused, name)
+		case s.Term == term:
+			followed = true
+		}
+	}
+	if !followed {
+		return nil
+	}
+	slices.Sort(paused)
+	return paused
+}
+
 // Joined returns those of the targets with an entry that a promotion does not know, in the order of their names. Before the
 // order to promote, each of them has to be paused too: its receipt may let the old primary acknowledge a commit.
 func Joined(listed, known []string) []string {
