Promotions: a daemon that stops keeps the lock of an order without an outcome

A planned stop ends the wait for the effect of an order, and released the lock at once. The next promoter could give its own promotion up within that time and resume the replicas: the old primary acknowledged commits again, and then the order took effect. The model of late orders found it.

The lock is now kept while an order may still take effect; it ends by itself. If the order takes effect, nobody needs the lock.

Before, without the check: lateorder_test.go: accepted: got the lock released 1 times, want 0 lateorder_test.go: without an answer: got the lock released 1 times, want 0 After: it passes.

--- a/internal/engine/lateorder_test.go
+++ b/internal/engine/lateorder_test.go
@@ -228,3 +228,23 @@
 		t.Errorf("got orders %v, want one to promote, and b resumed", orders)
 	}
 }
+
+// TestStopKeepsThePromotionLockOfAnOpenOrder guards against a promotion that is given up, and resumes the replicas,
+// before the order of a daemon that stops takes effect.
+func TestStopKeepsThePromotionLockOfAnOpenOrder(t *testing.T) {
+	t.Parallel()
+	for name, c := range map[string]struct {
+		answer   error
+		releases int
+	}{"accepted": {nil, 0}, "without an answer": {errNoAnswerToOrder, 0}, "refused": {ErrOrderRefused, 1}} {
+		w := newPromotedGroup(t, time.Minute)
+		w.promote = func(string) error {
+			w.engine.stop()
+			return c.answer
+		}
+		w.takeOver(takeover.ReasonUnresponsive)
+		if w.releases != c.releases {
+			t.Errorf("%s: got the lock released %d times, want %d", name, w.releases, c.releases)
+		}
+	}
+}
--- a/internal/engine/promote.go
+++ b/internal/engine/promote.go
@@ -63,6 +63,8 @@
 	demoted  *leadership.Status
 	// steppedDownAt is the time of the boot clock after the old primary stepped down last; 0 if it has not.
 	steppedDownAt time.Duration
+	// orderIsOpen is true while an order may still take effect.
+	orderIsOpen bool
 	// settledTerm is what is told of the promotion when the lock is released, as PromotionLock.Release expects it.
 	settledTerm uint64
 	// restsOnStepDown is true if a replica is not paused, and the choice of the target rests on the step-down.
@@ -96,8 +98,7 @@
 		p.log().WithField(logfield.Error, err).Info(logevent.PromotionNotStarted)
 		return
 	}
-	// A planned stop releases the lock too: the other daemons would wait for its end otherwise.
-	defer func() { e.options.PromotionLock.Release(context.WithoutCancel(e.ctx), g.name, p.settledTerm) }()
+	defer p.release()
 	p.token, p.lockedUntil = token, lockedUntil
 	p.copyMembers()
 	if _, err := p.addListed(); err != nil {
@@ -117,6 +118,17 @@
 	}
 }
 
+// release releases the promotion lock, also in a planned stop: the other daemons would wait for its end otherwise.
+// While an order may still take effect they have to: the next promotion may be given up, and would end the pauses.
+func (p *promotion) release() {
+	if p.orderIsOpen {
+		p.log().Warn(logevent.PromotionLockKept)
+		return
+	}
+	ctx := context.WithoutCancel(p.engine.ctx)
+	p.engine.options.PromotionLock.Release(ctx, p.group.name, p.settledTerm)
+}
+
 // presumedPrimary is the name of the target that a daemon presumes to be the primary of a group, with its term. An
 // empty name stands for none.
 type presumedPrimary struct {
@@ -192,9 +204,9 @@
 	if target == "" {
 		return false
 	}
-	p.settledTerm = 0
+	p.settledTerm, p.orderIsOpen = 0, true
 	if p.orderPromotion(target) == orderRefused {
-		p.settledTerm = takeover.NothingOrdered
+		p.settledTerm, p.orderIsOpen = takeover.NothingOrdered, false
 		p.abort()
 		return false
 	}
@@ -450,7 +462,7 @@
 		s, err := m.control.call(Command{Op: OpStatus})
 		if err == nil && s.Role == leadership.RolePrimary {
 			p.log().WithFields(logrus.Fields{logfield.Target: target, logfield.NewTerm: s.Term, logfield.Elapsed: clock.SinceBoot() - p.pausedAt}).Info(logevent.PromotionDone)
-			p.settledTerm = s.Term
+			p.settledTerm, p.orderIsOpen = s.Term, false
 			p.group.runStatusRound()
 			p.finish(target)
 			return true
@@ -459,6 +471,7 @@
 			return false
 		}
 	}
+	p.orderIsOpen = false
 	p.log().WithField(logfield.Target, target).Warn(logevent.PromotedTargetNotLeading)
 	return false
 }
--- a/internal/logevent/logevent.go
+++ b/internal/logevent/logevent.go
@@ -89,6 +89,7 @@
 	PromotionChoice           = "promotion_choice"
 	PromotionDone             = "promotion_done"
 	PromotionGivenUp          = "promotion_given_up"
+	PromotionLockKept         = "promotion_lock_kept"
 	PromotionMemberJoined     = "promotion_member_joined"
 	PromotionMemberUnpaused   = "promotion_member_unpaused"
 	PromotionNotNeeded        = "promotion_not_needed"
