Logs: one line tells what a read rested on

The line of a read, outside transactions and in them, now has the evidence (leadership proof by statuses or told by a holder, positions of the replicas alone, minimum position from a reply, a status or the replicas), its age at the arrival and at the answer, the target it is from and the holder that told it, and where and how the read ran. It is written for each read of a group, at most 50 a second for each reason, while the primary does not answer, and for 3 s after that, a change of the term, the return of a proof that was asked for in vain, a member that joins, restarts or is removed, and a promotion here or, by a new pause of a replica, elsewhere. Reads at a replica while the primary does not answer are warnings. Samples of the primary's position carry where they come from. attempt_failed names the minimum position that was sent, which may be later than that of the plan, and the primary and term that its authority_left is of.

New lines: proof_missing, promotion_outcome_unknown, replicas_resumed. New counters: engine_reads and engine_reads_unsettled, by consistency and evidence. No decision changes: awaitProof and the plans return what they used, too.

--- a/internal/engine/events.go
+++ b/internal/engine/events.go
@@ -70,19 +70,20 @@
 		return
 	}
 	target, applied, remainingProof := r.group.selectionState(m)
+	state := r.group.readState(m)
 	r.session.log(r.statement).WithFields(logrus.Fields{
 		logfield.Group: r.group.name, logfield.Attempt: r.attempts, logfield.Target: target, logfield.Consistency: r.route.Consistency.String(),
 		logfield.Floor: plan.minPosition, logfield.Applied: applied, logfield.NeedsPrimary: plan.onlyPrimary, logfield.AuthorityLeft: remainingProof,
 		logfield.Code: int(refusal.Code), logfield.Outcome: refusal.Code.String(), logfield.Reason: refusal.Reason, logfield.Elapsed: now.Sub(r.arrived),
+		logfield.SentFloor: r.sentFloor, logfield.Term: state.term, logfield.Primary: state.primary,
+		logfield.Unresponsive: state.unresponsive,
 	}).Info(logevent.AttemptFailed)
 }
 
 // logServed counts a statement that was served, and writes a line when it took several attempts, or as a sample.
 func (r *request) logServed(decision string) {
 	now := time.Now()
-	key := telemetry.LatencyKey{Workspace: r.route.Name, Group: r.group.name, Decision: decision}
-	telemetry.StatementLatencies.Record(key, now.Sub(r.arrived), now)
-	sampled := servedStatements.Add(1)%servedLogInterval == 0
+	sampled := r.recordServed(decision, now)
 	if !sampled && (r.attempts <= 1 || !limiter.Allow("served", now)) {
 		return
 	}
@@ -91,6 +92,16 @@
 	}).Info(logevent.StatementServed)
 }
 
+// recordServed counts a statement that was served, and reports whether it is a sample for the log.
+func (r *request) recordServed(decision string, now time.Time) bool {
+	key := telemetry.LatencyKey{Workspace: r.route.Name, Group: r.group.name, Decision: decision}
+	telemetry.StatementLatencies.Record(key, now.Sub(r.arrived), now)
+	return isServedSample()
+}
+
+// isServedSample counts a statement that was served, and reports whether it is a sample for the log.
+func isServedSample() bool { return servedStatements.Add(1)%servedLogInterval == 0 }
+
 // groupFields returns log fields with the state that the daemon presumes of the group that serves a database.
 func (e *Engine) groupFields(database string) logrus.Fields {
 	e.mu.Lock()
--- a/internal/engine/execute.go
+++ b/internal/engine/execute.go
@@ -3,6 +3,7 @@
 import (
 	"time"
 
+	"github.com/papayacove/papayacove/api"
 	"github.com/papayacove/papayacove/internal/clock"
 	"github.com/papayacove/papayacove/internal/policy/admission"
 	"github.com/papayacove/papayacove/internal/result"
@@ -49,6 +50,10 @@
 	mayHaveRun bool
 	// failedRead is the first failure of a read that ran, which another attempt was made for; nil while there is none.
 	failedRead *failedRead
+	// served is how the last read was answered, for logs.
+	served servedRead
+	// sentFloor is the minimum position that the last attempt was sent with; zero for none.
+	sentFloor api.Position
 }
 
 // deadline is the end of the route's time limit.
--- a/internal/engine/group.go
+++ b/internal/engine/group.go
@@ -116,6 +116,10 @@
 	// proofOrigin is what gave that proof, and proofLog what was logged of proofs.
 	proofOrigin proofOrigin
 	proofLog    proofLog
+	// proofHolder is the daemon that told of that proof, if another one did.
+	proofHolder proofHolder
+	// unsettled is the latest event after which each read is logged.
+	unsettled unsettled
 	// samples are positions that cover every commit acknowledged before they were requested.
 	samples primaryposition.Samples
 	monitor takeover.PrimaryMonitor
@@ -191,6 +195,7 @@
 		m.applied, m.lags = api.Position{}, primaryposition.Lags{}
 		g.health.Forget(t.Name)
 		g.recordRestart(t.Name)
+		g.markUnsettled(unsettledRestarted)
 	}
 	if !known {
 		g.recallPosition(t.Name)
@@ -199,6 +204,7 @@
 		m.pool.name = t.Name
 		m.control = &controlConnection{dialer: g.dialer, target: func() Target { return g.targetOf(m) }}
 		g.members[t.Name] = m
+		g.markUnsettled(unsettledJoined)
 	}
 	if m.removalTimer != nil {
 		m.removalTimer.Stop()
@@ -288,6 +294,7 @@
 		return
 	}
 	delete(g.members, name)
+	g.markUnsettled(unsettledRemoved)
 	g.health.Forget(name)
 	g.keepPosition(name, clock.SinceBoot())
 	if name != g.primary && g.lostReplicas.MarkLost(name, g.statuses[name], g.longestLogBeside(name), clock.SinceBoot()) {
@@ -354,20 +361,20 @@
 // awaitReplicaMinPosition waits for a position that covers every commit acknowledged before since, while the
 // primary is unresponsive. It returns false when there is none at the deadline, or none when the primary answers
 // again.
-func (g *group) awaitReplicaMinPosition(since time.Duration, deadline time.Time) (api.Position, bool) {
+func (g *group) awaitReplicaMinPosition(since time.Duration, deadline time.Time) (primaryposition.Sample, bool) {
 	for {
 		g.mu.Lock()
 		now := clock.SinceBoot()
 		unresponsive := g.isPrimaryUnresponsive(now)
-		position, ok := g.samples.Oldest(since, now-samplesKept)
+		sample, ok := g.samples.Oldest(since, now-samplesKept)
 		changed := g.changed
 		g.mu.Unlock()
 		if !unresponsive || ok {
-			return position, ok
+			return sample, ok
 		}
 		signal(g.proofRequests)
 		if !awaitChange(changed, deadline) {
-			return api.Position{}, false
+			return primaryposition.Sample{}, false
 		}
 	}
 }
--- a/internal/engine/observe.go
+++ b/internal/engine/observe.go
@@ -14,6 +14,7 @@
 	"github.com/papayacove/papayacove/internal/logevent"
 	"github.com/papayacove/papayacove/internal/logfield"
 	"github.com/papayacove/papayacove/internal/policy/leadership"
+	"github.com/papayacove/papayacove/internal/policy/primaryposition"
 	"github.com/papayacove/papayacove/internal/policy/takeover"
 )
 
@@ -99,7 +100,7 @@
 	}
 	acknowledging := slices.Collect(maps.Keys(g.members))
 	if position, askedAt, ok := leadership.MinPositionOfReplicas(statuses, acknowledging, g.primary, g.term); ok {
-		g.samples.Add(askedAt, position)
+		g.samples.Add(askedAt, position, primaryposition.Source{Kind: primaryposition.OfReplicas})
 		g.broadcast()
 	}
 }
@@ -257,6 +258,7 @@
 			continue
 		}
 		g.recordLostLog(name, s)
+		g.noteStatus(name, s)
 		m.avoidUntil, m.waitingSince, m.lastReplyAt = 0, clock.SinceBoot(), clock.SinceBoot()
 		if s.Role != leadership.RoleUnknown {
 			g.statuses[name] = s
@@ -350,6 +352,7 @@
 		// The positions and proofs of the old primary do not cover the commits of the new one.
 		g.provenUntil = 0
 		g.termSeenAt = clock.SinceBoot()
+		g.markUnsettled(unsettledTerm)
 	}
 	g.primary, g.term = primary, term
 	g.broadcast()
--- a/internal/engine/outcomes.go
+++ b/internal/engine/outcomes.go
@@ -5,6 +5,7 @@
 	"time"
 
 	"github.com/papayacove/papayacove/internal/clock"
+	"github.com/papayacove/papayacove/internal/policy/primaryposition"
 	"github.com/papayacove/papayacove/internal/result"
 )
 
@@ -80,7 +81,7 @@
 	}
 	wasLeading := askedAt >= g.termSeenAt && reply.Position.Term <= g.term
 	if wasLeading && askedAt < g.provenUntil && reply.Failure == nil {
-		g.samples.Add(askedAt, reply.Position)
+		g.samples.Add(askedAt, reply.Position, primaryposition.Source{Kind: primaryposition.OfReply, Target: m.name})
 	}
 }
 
--- a/internal/engine/promote.go
+++ b/internal/engine/promote.go
@@ -125,6 +125,7 @@
 		return presumedPrimary{}, false
 	}
 	g.promoting = true
+	g.markUnsettled(unsettledPromotion)
 	return presumedPrimary{g.primary, g.term}, true
 }
 
@@ -132,6 +133,7 @@
 	g.mu.Lock()
 	defer g.mu.Unlock()
 	g.promoting = false
+	g.markUnsettled(unsettledPromotion)
 	g.noPromotionUntil = clock.SinceBoot() + delay
 	g.requestStatusRound()
 }
@@ -341,7 +343,7 @@
 
 // abort resumes the replicas paused by a promotion that is abandoned.
 func (p *promotion) abort() {
-	sendToAll(p.toResume, Command{Op: OpResume, Term: p.term})
+	p.logResumed(slices.Sorted(maps.Keys(p.toResume)), sendToAll(p.toResume, Command{Op: OpResume, Term: p.term}))
 	p.log().WithField(logfield.Resumed, len(p.toResume)).Warn(logevent.PromotionGivenUp)
 }
 
@@ -367,6 +369,7 @@
 		if errors.Is(err, ErrTargetDown) {
 			return false
 		}
+		p.logUnknownOrder(target, err)
 		if clock.Sleep(p.engine.ctx, leadPoll) != nil {
 			return false
 		}
@@ -402,9 +405,12 @@
 	}
 	for name, s := range sendToAll(p.members, Command{Op: OpStatus}) {
 		if name != target && s.Role == leadership.RoleReplica && s.IsPaused() && !p.isLeaving(name) {
-			if _, err := p.members[name].control.call(Command{Op: OpResume, Term: p.term}); err != nil {
+			s, err := p.members[name].control.call(Command{Op: OpResume, Term: p.term})
+			if err != nil {
 				p.log().WithFields(logrus.Fields{logfield.Target: name, logfield.Error: err}).Warn(logevent.ReplicaNotResumed)
+				continue
 			}
+			p.logResumed([]string{name}, map[string]leadership.Status{name: s})
 		}
 	}
 }
--- a/internal/engine/proof.go
+++ b/internal/engine/proof.go
@@ -7,6 +7,7 @@
 
 	"github.com/papayacove/papayacove/internal/clock"
 	"github.com/papayacove/papayacove/internal/policy/leadership"
+	"github.com/papayacove/papayacove/internal/policy/primaryposition"
 )
 
 // minProofInterval is the least time between two requests for a leadership proof.
@@ -48,7 +49,11 @@
 	g.updatePrimary()
 	g.recordReplicaSample(statuses)
 	g.applyProof()
-	return g.provenUntil >= began+leadership.ProofValidity
+	renewed := g.provenUntil >= began+leadership.ProofValidity
+	if !renewed {
+		g.logProofMissing(len(targets), len(statuses))
+	}
+	return renewed
 }
 
 // proofTargets returns the targets that are asked for a leadership proof: the primary, and one witness that did not fail
@@ -96,7 +101,7 @@
 	}
 	g.recordProof(proofOrigin{proofOfStatus, proof.Witness}, proof.At)
 	if own := g.statuses[g.primary]; own.AskedAt < g.provenUntil {
-		g.samples.Add(own.AskedAt, own.Received)
+		g.samples.Add(own.AskedAt, own.Received, primaryposition.Source{Kind: primaryposition.OfStatus, Target: g.primary})
 	}
 }
 
@@ -126,22 +131,29 @@
 // presumed primary of the term any more, or at the deadline. The term is that presumed before the statement was sent to m:
 // if m leads a later one meanwhile, the statement may have run while another target led.
 func (g *group) awaitProof(m *member, term uint64, since time.Duration, deadline time.Time) bool {
+	_, proved := g.awaitEvidence(m, term, since, deadline)
+	return proved
+}
+
+// awaitEvidence is awaitProof, and returns the proof.
+func (g *group) awaitEvidence(m *member, term uint64, since time.Duration, deadline time.Time) (readEvidence, bool) {
 	for {
 		g.mu.Lock()
 		leads, proved, changed := g.members[g.primary] == m && g.term == term, g.provenUntil > since, g.changed
 		if leads && proved {
 			g.logServedWithin()
 		}
+		evidence := g.proofEvidence()
 		g.mu.Unlock()
 		if !leads {
-			return false
+			return readEvidence{}, false
 		}
 		if proved {
-			return true
+			return evidence, true
 		}
 		signal(g.proofRequests)
 		if !awaitChange(changed, deadline) {
-			return false
+			return readEvidence{}, false
 		}
 	}
 }
--- a/internal/engine/prooflog.go
+++ b/internal/engine/prooflog.go
@@ -44,6 +44,8 @@
 	served proofOrigin
 	// nextAt is the time of the boot clock before which an event is not logged again.
 	nextAt map[string]time.Duration
+	// missing is true since a proof was asked for and not obtained after the last one had lapsed.
+	missing bool
 }
 
 // leadershipProofs counts the leadership proofs by the way in which they were obtained.
@@ -54,6 +56,7 @@
 func (g *group) logProof(lapsedAt time.Duration) {
 	now := clock.SinceBoot()
 	leadershipProofs.Add(string(g.proofOrigin.kind), 1)
+	g.endProofMissing()
 	if lapsedAt != 0 && lapsedAt < now {
 		g.logProofEvent(logevent.ProofReturned, now, logrus.Fields{logfield.Elapsed: now - lapsedAt})
 	}
@@ -78,6 +81,11 @@
 // logProofEvent logs an event about the present proof at a bounded rate, and reports whether it did. The caller holds
 // the lock.
 func (g *group) logProofEvent(event string, now time.Duration, fields logrus.Fields) bool {
+	return g.logProofEventAt(logrus.InfoLevel, event, now, fields)
+}
+
+// logProofEventAt is logProofEvent with the level of the line.
+func (g *group) logProofEventAt(level logrus.Level, event string, now time.Duration, fields logrus.Fields) bool {
 	if now < g.proofLog.nextAt[event] || !g.proofLog.limiter.Allow(event, time.Now()) {
 		return false
 	}
@@ -92,6 +100,6 @@
 	if m, ok := g.members[g.proofOrigin.target]; ok {
 		entry = entry.WithField(logfield.KnownFor, now-m.firstSeenAt)
 	}
-	entry.WithFields(fields).Info(event)
+	entry.WithFields(fields).Log(level, event)
 	return true
 }
--- a/internal/engine/read.go
+++ b/internal/engine/read.go
@@ -22,6 +22,8 @@
 	committedAt time.Duration
 	// onlyPrimary is true when no replica may serve the read.
 	onlyPrimary bool
+	// evidence is what minPosition rests on; zero if onlyPrimary is true.
+	evidence readEvidence
 }
 
 // plan decides what the read requires of a target.
@@ -34,11 +36,11 @@
 	if r.route.Consistency == ConsistencySession {
 		own = r.session.commits[r.group]
 	}
-	position, ok := r.group.minPositionForAge(now, r.route.MaxAge-ageMargin)
+	sample, ok := r.group.minPositionForAge(now, r.route.MaxAge-ageMargin)
 	if !ok {
 		return r.planWithoutAge(own.position)
 	}
-	plan := readPlan{minPosition: own.position.Max(position)}
+	plan := readPlan{minPosition: own.position.Max(sample.Position), evidence: evidenceOf(sample)}
 	if !own.position.IsZero() {
 		plan.committedAt = own.at
 	}
@@ -50,8 +52,8 @@
 // read arrived, reported as received.
 func (r *request) planWithoutAge(own api.Position) readPlan {
 	if !r.mayWrite && r.group.servesWithoutPrimary() {
-		if position, ok := r.group.awaitReplicaMinPosition(r.arrivedBoot, r.answerBy()); ok {
-			return readPlan{minPosition: own.Max(position)}
+		if sample, ok := r.group.awaitReplicaMinPosition(r.arrivedBoot, r.answerBy()); ok {
+			return readPlan{minPosition: own.Max(sample.Position), evidence: evidenceWithoutPrimary(sample)}
 		}
 	}
 	return readPlan{minPosition: own, provedSince: r.arrivedBoot, onlyPrimary: true}
@@ -79,7 +81,7 @@
 		reply, failed := r.readAt(m, plan)
 		if failed == nil {
 			r.settleFailedRead()
-			r.logServed("read")
+			r.logServedRead()
 			return reply, nil
 		}
 		r.logAttempt(m, plan, failed)
@@ -172,6 +174,7 @@
 
 // readAt runs the read at one target.
 func (r *request) readAt(m *member, plan readPlan) (Reply, *Refusal) {
+	r.sentFloor = api.Position{}
 	l, err := r.acquire(m)
 	if err != nil {
 		return Reply{}, r.unavailable(err)
@@ -180,7 +183,8 @@
 	if plan.onlyPrimary {
 		r.group.renewProofIfExpired(m)
 	} else {
-		e.command.MinPosition = r.currentMinPosition(plan)
+		plan = r.currentPlan(plan)
+		e.command.MinPosition, r.sentFloor = plan.minPosition, plan.minPosition
 	}
 	term := r.group.presumedTerm()
 	outcome := r.run(m, l, e)
@@ -198,23 +202,33 @@
 	if reply.Failure != nil {
 		return Reply{}, r.recordTargetFailure(m, reply.Failure)
 	}
-	if plan.onlyPrimary && !r.group.awaitProof(m, term, plan.provedSince, r.proofDeadline()) {
+	r.served = servedRead{
+		member: m, term: term, holder: leaseHolder(l), plan: plan, position: reply.Position, sentAt: outcome.askedAt,
+		repliedAt: clock.SinceBoot(),
+	}
+	if !plan.onlyPrimary {
+		return reply, nil
+	}
+	evidence, proved := r.group.awaitEvidence(m, term, plan.provedSince, r.proofDeadline())
+	if !proved {
 		return Reply{}, refuse(result.NotRunNoMajority, "the primary could not be proved to lead")
 	}
+	r.served.plan.evidence = evidence
 	return reply, nil
 }
 
-// currentMinPosition returns the minimum position of a read that has waited for its connection. The allowed age is
-// measured from now if there is a sample for it, and from the time of the plan otherwise.
-func (r *request) currentMinPosition(plan readPlan) api.Position {
+// currentPlan returns the plan of a read that has waited for its connection. The allowed age is measured from now if
+// there is a sample for it, and from the time of the plan otherwise.
+func (r *request) currentPlan(plan readPlan) readPlan {
 	if r.route.Consistency == ConsistencyStrict {
-		return plan.minPosition
+		return plan
 	}
-	position, ok := r.group.minPositionForAge(clock.SinceBoot(), r.route.MaxAge-ageMargin)
+	sample, ok := r.group.minPositionForAge(clock.SinceBoot(), r.route.MaxAge-ageMargin)
 	if !ok {
-		return plan.minPosition
+		return plan
 	}
-	return plan.minPosition.Max(position)
+	plan.minPosition, plan.evidence = plan.minPosition.Max(sample.Position), evidenceOf(sample)
+	return plan
 }
 
 // proofDeadline bounds the wait for a leadership proof.
--- a/internal/engine/readers.go
+++ b/internal/engine/readers.go
@@ -7,11 +7,12 @@
 	"github.com/papayacove/papayacove/api"
 	"github.com/papayacove/papayacove/internal/clock"
 	"github.com/papayacove/papayacove/internal/policy/loadbalance"
+	"github.com/papayacove/papayacove/internal/policy/primaryposition"
 )
 
-// minPositionForAge returns the oldest known position that covers every commit acknowledged longer than maxAge ago;
+// minPositionForAge returns the oldest known sample that covers every commit acknowledged longer than maxAge ago;
 // false when none is known.
-func (g *group) minPositionForAge(now, maxAge time.Duration) (api.Position, bool) {
+func (g *group) minPositionForAge(now, maxAge time.Duration) (primaryposition.Sample, bool) {
 	g.mu.Lock()
 	defer g.mu.Unlock()
 	return g.samples.Oldest(now-maxAge, now-samplesKept)
--- a/internal/engine/readers_test.go
+++ b/internal/engine/readers_test.go
@@ -33,9 +33,9 @@
 		m := g.members["replica"]
 		g.samples = primaryposition.Samples{}
 		m.applied, m.appliedAt = at(1), now-c.heard
-		g.samples.Add(m.appliedAt-c.lag-100*time.Millisecond, at(1))
-		g.samples.Add(m.appliedAt-c.lag, at(2))
-		g.samples.Add(now-time.Millisecond, at(9))
+		g.samples.Add(m.appliedAt-c.lag-100*time.Millisecond, at(1), primaryposition.Source{})
+		g.samples.Add(m.appliedAt-c.lag, at(2), primaryposition.Source{})
+		g.samples.Add(now-time.Millisecond, at(9), primaryposition.Source{})
 		found := false
 		for _, reader := range g.readers(readRequest{minPosition: at(9), within: c.within}) {
 			found = found || reader == m
--- /dev/null
+++ b/internal/engine/readevidence.go
@@ -0,0 +1,95 @@
+package engine
+
+import (
+	"time"
+
+	"github.com/papayacove/papayacove/api"
+	"github.com/papayacove/papayacove/internal/policy/leadership"
+	"github.com/papayacove/papayacove/internal/policy/primaryposition"
+)
+
+// evidenceKind is the kind of evidence that an answered read rested on. It is written to logs and counted.
+type evidenceKind string
+
+// The kinds of evidence beside leadership proofs, which are named after the kind of the proof.
+const (
+	// evidenceNone is a read that any position satisfies.
+	evidenceNone evidenceKind = "none"
+	// evidenceOfReplicas is the positions of the replicas alone, for a read that has to see all commits.
+	evidenceOfReplicas evidenceKind = "replicas_alone"
+	// proofPrefix precedes the kind of a leadership proof, samplePrefix the kind of the sample that the minimum position
+	// is from.
+	proofPrefix  = "proof_"
+	samplePrefix = "sample_"
+)
+
+// readEvidence is what an answered read rested on. The zero value stands for none.
+type readEvidence struct {
+	kind evidenceKind
+	// at is the time of the boot clock from which a proof counts, or at which the position was asked for.
+	at time.Duration
+	// position is that of the sample; zero for a proof.
+	position api.Position
+	// target is the target whose answer it is: the witness, or the primary; empty for the replicas.
+	target string
+	// holder is the address of the daemon that told of the proof; empty if this daemon asked the targets.
+	holder string
+}
+
+// name returns the kind in logs and counters.
+func (e readEvidence) name() string {
+	if e.kind == "" {
+		return string(evidenceNone)
+	}
+	return string(e.kind)
+}
+
+// evidenceOf returns the evidence of a read whose minimum position is that of a sample.
+func evidenceOf(s primaryposition.Sample) readEvidence {
+	return readEvidence{
+		kind: evidenceKind(samplePrefix + s.Source.Kind.String()), at: s.AskedAt, position: s.Position,
+		target: s.Source.Target,
+	}
+}
+
+// evidenceWithoutPrimary returns the evidence of a read that has to see all commits and runs at a replica.
+func evidenceWithoutPrimary(s primaryposition.Sample) readEvidence {
+	e := evidenceOf(s)
+	if s.Source.Kind == primaryposition.OfReplicas {
+		e.kind = evidenceOfReplicas
+	}
+	return e
+}
+
+// proofHolder is the address of a daemon whose reply told of a leadership proof that is valid until a time of the boot
+// clock.
+type proofHolder struct {
+	address string
+	until   time.Duration
+}
+
+// noteProofHolder notes that the proof in a reply to a request of askedAt, if there is one, is from the daemon with the
+// address.
+func (g *group) noteProofHolder(address string, reply *api.RelayReply, askedAt time.Duration) {
+	if reply.ProofTerm == 0 {
+		return
+	}
+	until := askedAt - time.Duration(reply.ProofAgeUs)*time.Microsecond + leadership.ProofValidity
+	g.mu.Lock()
+	defer g.mu.Unlock()
+	if until > g.proofHolder.until {
+		g.proofHolder = proofHolder{address, until}
+	}
+}
+
+// proofEvidence returns the present leadership proof as the evidence of a read. The caller holds the lock.
+func (g *group) proofEvidence() readEvidence {
+	e := readEvidence{
+		kind: evidenceKind(proofPrefix + string(g.proofOrigin.kind)), at: g.provenUntil - leadership.ProofValidity,
+		target: g.proofOrigin.target,
+	}
+	if g.proofOrigin.kind == proofOfHolder && g.proofHolder.until == g.provenUntil {
+		e.holder = g.proofHolder.address
+	}
+	return e
+}
--- a/internal/engine/relay.go
+++ b/internal/engine/relay.go
@@ -145,6 +145,7 @@
 	l.address, l.connection, l.transaction = address, connection, reply.Transaction
 	l.identity = e.identity()
 	l.ended = reply.Transaction == 0 && reply.NotRunCode == 0 && e.command.Op.beginsTransaction()
+	l.group.noteProofHolder(address, reply, askedAt)
 	l.group.recordRelayed(l.member, reply, askedAt)
 	return outcomeOf(reply, askedAt), true
 }
@@ -202,6 +203,7 @@
 		l.end()
 		return attemptResult{err: errAnotherTarget, sent: true, byHolder: true, askedAt: askedAt}
 	}
+	l.group.noteProofHolder(l.address, reply, askedAt)
 	l.group.recordRelayed(l.member, reply, askedAt)
 	if reply.Transaction != l.transaction {
 		l.end()
--- a/internal/engine/transaction.go
+++ b/internal/engine/transaction.go
@@ -4,6 +4,7 @@
 	"time"
 
 	"github.com/papayacove/papayacove/api"
+	"github.com/papayacove/papayacove/internal/clock"
 	"github.com/papayacove/papayacove/internal/result"
 )
 
@@ -133,10 +134,16 @@
 	}
 	t.wrote = t.wrote || t.request.op == OpWrite
 	t.request.group.recordReply(t.member, reply, outcome.askedAt)
-	if t.plan.onlyPrimary && !t.request.group.awaitProof(t.member, t.term, t.plan.provedSince, t.request.proofDeadline()) {
+	evidence, proved := t.plan.evidence, true
+	repliedAt := clock.SinceBoot()
+	if t.plan.onlyPrimary {
+		evidence, proved = t.request.group.awaitEvidence(t.member, t.term, t.plan.provedSince, t.request.proofDeadline())
+	}
+	if !proved {
 		t.fail(refuse(result.NotRunNoMajority, "the primary could not be proved to lead"))
 		return t.session.refused(t.refusal)
 	}
+	t.logServedRead(outcome, evidence, repliedAt)
 	return t.session.answerOf(reply)
 }
 
@@ -212,10 +219,12 @@
 // connectTo acquires a connection to the target and begins the transaction there.
 func (t *transaction) connectTo(m *member) *Refusal {
 	r := t.request
+	r.sentFloor = api.Position{}
 	l, err := r.acquire(m)
 	if err != nil {
 		return r.unavailable(err)
 	}
+	r.sentFloor = t.minPosition()
 	if t.plan.onlyPrimary {
 		r.group.renewProofIfExpired(m)
 	}
--- a/internal/policy/primaryposition/lags.go
+++ b/internal/policy/primaryposition/lags.go
@@ -66,6 +66,6 @@
 	if len(s.kept) == 0 {
 		return 0, false
 	}
-	age := appliedAt - s.kept[len(s.kept)-1].askedAt
+	age := appliedAt - s.kept[len(s.kept)-1].AskedAt
 	return max(0, age), age < maxSampleAge
 }
--- a/internal/policy/primaryposition/lags_test.go
+++ b/internal/policy/primaryposition/lags_test.go
@@ -105,7 +105,7 @@
 	if _, known := s.LagOf(position, time.Second); known {
 		t.Error("without samples: got a lag, want none")
 	}
-	s.Add(time.Second, position)
+	s.Add(time.Second, position, Source{})
 	if lag, known := s.LagOf(position, time.Second+40*time.Millisecond); !known || lag != 40*time.Millisecond {
 		t.Errorf("40 ms after the sample: got %s %t, want 40 ms", lag, known)
 	}
--- a/internal/policy/primaryposition/primaryposition_test.go
+++ b/internal/policy/primaryposition/primaryposition_test.go
@@ -23,7 +23,7 @@
 				acked[now] = offset
 			}
 			if rapid.Bool().Draw(t, "sample") {
-				s.Add(now, api.Position{Term: 1, Offset: offset})
+				s.Add(now, api.Position{Term: 1, Offset: offset}, Source{})
 			}
 		}
 		window := time.Duration(rapid.IntRange(0, 3000).Draw(t, "window")) * time.Millisecond
@@ -45,7 +45,7 @@
 	var s Samples
 	at := func(ms int) time.Duration { return time.Duration(ms) * time.Millisecond }
 	for i := range 11 {
-		s.Add(at(100*i), api.Position{Term: 1, Offset: uint64(10 * i)})
+		s.Add(at(100*i), api.Position{Term: 1, Offset: uint64(10 * i)}, Source{})
 	}
 	// At 1000 ms the log of the replica ends at 50, which the primary was beyond at 600 ms.
 	applied, appliedAt, now := api.Position{Term: 1, Offset: 50}, at(1000), at(1050)
