Logs: what a read rested on comes first in its line

The users' record cuts lines after 200 characters, and the fields of a line are in the order of their names, so that evidence, target and term of a read fell behind the cut. In the lines that have an evidence, the fields that tell most come first and the ages are rounded to 0.1 ms. All other lines keep their order.

--- a/internal/engine/readlog.go
+++ b/internal/engine/readlog.go
@@ -35,6 +35,9 @@
 	begin string
 }
 
+// ageUnit is what the ages of evidence are rounded to in logs, so that they are short.
+const ageUnit = 100 * time.Microsecond
+
 // ownHolder stands in logs for this daemon as the holder of a target.
 const ownHolder = "self"
 
@@ -150,7 +153,7 @@
 		logfield.Waited: elapsed - (now - s.sentAt), logfield.ProofWait: now - s.repliedAt,
 	}
 	if e.kind != "" {
-		fields[logfield.AgeAtArrival], fields[logfield.Age] = r.arrivedBoot-e.at, now-e.at
+		fields[logfield.AgeAtArrival], fields[logfield.Age] = (r.arrivedBoot - e.at).Round(ageUnit), (now - e.at).Round(ageUnit)
 	}
 	if s.begin != "" {
 		fields[logfield.Begin] = s.begin
--- a/internal/telemetry/telemetry.go
+++ b/internal/telemetry/telemetry.go
@@ -24,7 +24,9 @@
 		return nil, fmt.Errorf("log level: %w", err)
 	}
 	logrus.SetLevel(parsed)
-	logrus.SetFormatter(&logrus.TextFormatter{DisableColors: true, FullTimestamp: true, TimestampFormat: "2006-01-02T15:04:05.000000Z07:00"})
+	logrus.SetFormatter(&logrus.TextFormatter{
+		DisableColors: true, FullTimestamp: true, TimestampFormat: "2006-01-02T15:04:05.000000Z07:00", SortingFunc: orderFields,
+	})
 	recorder := NewRecorder(daemon)
 	logrus.AddHook(recorder)
 	current.Store(recorder)
