Soak: how many reads beside each fault were served

Nothing told what it is worth: the soak counted acknowledged writes and breaches alone. RunLines now reports, for the window of each fault, the reads that were asked and served by the type of their route, beside a cut zone also by side, and the refusals that took longer than 500 ms. No check changes.

--- a/standin/cmd/standin-lab/soak.go
+++ b/standin/cmd/standin-lab/soak.go
@@ -170,6 +170,9 @@
 	}
 	fmt.Printf("seed %d on lines: longest time without an acknowledged write %v, promotions %d, outcome unknown %d, not run %d\n", seed,
 		report.History.LongestGap.Round(time.Millisecond), len(running.Provider.Orders()), report.History.Unknown, report.History.NotRun)
+	for _, line := range report.Served {
+		fmt.Println(line)
+	}
 	fmt.Println(report)
 	return report.IsClean(), nil
 }
--- a/standin/soak/lines.go
+++ b/standin/soak/lines.go
@@ -59,7 +59,10 @@
 	working, stop := context.WithTimeout(ctx, duration)
 	defer stop()
 	var parts sync.WaitGroup
-	parts.Go(func() { injectAll(working, f, recordDisruptions(faults), l.history, rand.New(rand.NewSource(seed))) })
+	windows := &faultWindows{}
+	parts.Go(func() {
+		injectAll(working, f, windows.record(recordDisruptions(faults)), l.history, rand.New(rand.NewSource(seed)))
+	})
 	for i := range linesCallers {
 		parts.Go(func() { l.runCaller(working, f, i, rand.New(rand.NewSource(seed*100+int64(i)))) })
 	}
@@ -73,6 +76,7 @@
 	report := Report{Seed: seed, History: l.history}
 	l.check(f, &report)
 	report.Statements = l.checkStatements(f)
+	report.Served = windows.lines(f, lines.NewRecords(l.callers, &f.Operator, f.Groups...).Reads())
 	return report
 }
 
--- a/standin/soak/soak.go
+++ b/standin/soak/soak.go
@@ -34,6 +34,8 @@
 	InvariantViolations int64
 	// Statements holds the breaches of the rules of statements; nil if they were not checked.
 	Statements *StatementBreaches
+	// Served describes how many of the reads beside each fault were served. Only RunLines counts them.
+	Served []string
 }
 
 // StatementBreaches describes the breaches of each rule of statements, and counts the statements that were checked.
