Reads that need the primary are served by the primary alone

Cause: while the primary did not answer one daemon, that daemon took the longest log of the replicas that it listed for one that has every acknowledged commit (planWithoutAge, recordReplicaSample, MinPositionOfReplicas), and kept it as a sample of the primary for reads with an allowed age. A replica that has joined and that the daemon does not list may have acknowledged later ones. No list is complete, from whichever side: a daemon learns of a target when the store tells it.

Why the fix works: a read without an allowed age, or with one that no sample covers, runs at the primary and needs a proof that it leads; samples are positions of the primary within a proof. Nothing rests on a list of replicas any more. Such a read is refused at once (2010 or 2002, with a time to come back) while the primary answers neither status calls nor statements, where it would wait for an answer until its time limit. Reads with an allowed age go on at replicas while a sample covers it.

--- a/internal/engine/group.go
+++ b/internal/engine/group.go
@@ -351,34 +351,6 @@
 	}
 }
 
-// awaitReplicaMinPosition waits for a position that covers every commit acknowledged before since, while the
-// primary is unresponsive. It returns false when there is none at the deadline, or none when the primary answers
-// again.
-func (g *group) awaitReplicaMinPosition(since time.Duration, deadline time.Time) (api.Position, bool) {
-	for {
-		g.mu.Lock()
-		now := clock.SinceBoot()
-		unresponsive := g.isPrimaryUnresponsive(now)
-		position, ok := g.samples.Oldest(since, now-samplesKept)
-		changed := g.changed
-		g.mu.Unlock()
-		if !unresponsive || ok {
-			return position, ok
-		}
-		signal(g.proofRequests)
-		if !awaitChange(changed, deadline) {
-			return api.Position{}, false
-		}
-	}
-}
-
-// servesWithoutPrimary reports whether no primary answers and the replicas can provide a minimum position.
-func (g *group) servesWithoutPrimary() bool {
-	g.mu.Lock()
-	defer g.mu.Unlock()
-	return g.isPrimaryUnresponsive(clock.SinceBoot()) && g.knowsAllReplicas()
-}
-
 func awaitChange(changed <-chan struct{}, deadline time.Time) bool {
 	timer := time.NewTimer(time.Until(deadline))
 	defer timer.Stop()
--- a/internal/engine/observe.go
+++ b/internal/engine/observe.go
@@ -4,7 +4,6 @@
 	"context"
 	"fmt"
 	"maps"
-	"slices"
 	"sync"
 	"time"
 
@@ -90,26 +89,6 @@
 	return isUnresponsive || isSuspected || hasLeaving || len(g.lostReplicas.Blocking(now)) > 0
 }
 
-// recordReplicaSample records a position that covers all acknowledged commits, if all replicas that may have
-// acknowledged one have answered, so that reads are served while the primary is unresponsive. The caller holds the
-// lock.
-func (g *group) recordReplicaSample(statuses map[string]leadership.Status) {
-	if !g.knowsAllReplicas() {
-		return
-	}
-	acknowledging := slices.Collect(maps.Keys(g.members))
-	if position, askedAt, ok := leadership.MinPositionOfReplicas(statuses, acknowledging, g.primary, g.term); ok {
-		g.samples.Add(askedAt, position)
-		g.broadcast()
-	}
-}
-
-// knowsAllReplicas reports whether commits wait for a replica and every replica that may have acknowledged a
-// commit is a member. The caller holds the lock.
-func (g *group) knowsAllReplicas() bool {
-	return g.directorySettled() && g.limits.SyncReplicas >= 1 && len(g.lostReplicas.Blocking(clock.SinceBoot())) == 0
-}
-
 // runStatusRound makes one status call to each target, applies the answers and returns why the primary has to be
 // replaced.
 func (g *group) runStatusRound() takeover.Reason {
@@ -213,7 +192,6 @@
 	g.recordStatuses(statuses)
 	g.updatePrimary()
 	g.recordIsolation(len(statuses), began)
-	g.recordReplicaSample(statuses)
 	g.applyProof()
 	for _, name := range g.lostReplicas.Reconcile(g.primary, g.ofMembers(statuses)) {
 		g.log().WithField(logfield.Target, name).Info(logevent.WitnessReplaced)
@@ -314,6 +292,14 @@
 	return !ok || now < primary.avoidUntil || g.monitor.IsUnresponsive()
 }
 
+// isPrimarySilent reports whether the presumed primary answers neither status calls nor statements.
+func (g *group) isPrimarySilent() bool {
+	g.mu.Lock()
+	defer g.mu.Unlock()
+	m, ok := g.members[g.primary]
+	return ok && g.monitor.IsUnresponsive() && clock.SinceBoot()-m.lastReplyAt > unresponsiveAfter
+}
+
 // ofMembers returns the statuses of those targets that are still members. The caller holds the lock.
 func (g *group) ofMembers(statuses map[string]leadership.Status) map[string]leadership.Status {
 	statuses = maps.Clone(statuses)
--- a/internal/engine/read.go
+++ b/internal/engine/read.go
@@ -45,15 +45,9 @@
 	return plan
 }
 
-// planWithoutAge plans a read that must see every commit acknowledged before it arrived. The primary serves it.
-// While the primary is unresponsive, a replica serves it that has everything that the replicas, asked after the
-// read arrived, reported as received.
+// planWithoutAge plans a read that must see every commit acknowledged before it arrived. Only the primary serves it,
+// since a replica that the daemon does not know may have acknowledged a commit.
 func (r *request) planWithoutAge(own api.Position) readPlan {
-	if !r.mayWrite && r.group.servesWithoutPrimary() {
-		if position, ok := r.group.awaitReplicaMinPosition(r.arrivedBoot, r.answerBy()); ok {
-			return readPlan{minPosition: own.Max(position)}
-		}
-	}
 	return readPlan{minPosition: own, provedSince: r.arrivedBoot, onlyPrimary: true}
 }
 
@@ -153,8 +147,12 @@
 	return !isNotPermitted(failed.Code) && (failed.Target == nil || failed.Target.Kind.IsNotRun())
 }
 
-// pickReader returns the next target to try; nil when there is none.
+// pickReader returns the next target to try; nil when there is none. A primary that is known to be silent is not waited
+// for.
 func (r *request) pickReader(plan readPlan, tried map[*member]bool) *member {
+	if plan.onlyPrimary && r.group.isPrimarySilent() {
+		return nil
+	}
 	if plan.onlyPrimary {
 		return r.group.awaitPrimary(nil, r.awaitPrimaryUntil())
 	}
--- a/internal/engine/write.go
+++ b/internal/engine/write.go
@@ -99,9 +99,12 @@
 	return refuse(result.OutcomeUnknown, "%s could not be proved to lead when it acknowledged the commit", m.name)
 }
 
-// noPrimary returns the refusal of a statement that needs a primary while there is none.
+// noPrimary returns the refusal of a statement that needs a primary while there is none, or none that answers.
 func (r *request) noPrimary() *Refusal {
 	refusal := refuse(result.NotRunNoPrimary, "the group has no primary")
+	if r.group.isPrimarySilent() {
+		refusal = refuse(result.NotRunUnreachable, "the primary does not answer")
+	}
 	refusal.RetryAfter = promotionEstimate
 	return refusal
 }
--- a/internal/policy/leadership/leadership.go
+++ b/internal/policy/leadership/leadership.go
@@ -136,25 +136,3 @@
 	proof.At = oldest
 	return proof, proof.Witness != ""
 }
-
-// MinPositionOfReplicas returns, from the answers of the replicas alone, the minimum position of a read that has to
-// see every commit that was acknowledged before askedAt: a commit is acknowledged after a replica has received it.
-// All targets in acknowledging, except the leader, have to answer as replicas of the term, or ok is false; the leader
-// may be unresponsive. It must not be used for a group whose primary acknowledges commits without waiting for a
-// replica.
-func MinPositionOfReplicas(statuses map[string]Status, acknowledging []string, leader string, term uint64) (position api.Position, askedAt time.Duration, ok bool) {
-	for _, name := range acknowledging {
-		if name == leader {
-			continue
-		}
-		s, answered := statuses[name]
-		if !answered || s.Role != RoleReplica || s.Term != term {
-			return api.Position{}, 0, false
-		}
-		if !ok || s.AskedAt < askedAt {
-			askedAt = s.AskedAt
-		}
-		position, ok = position.Max(s.Received), true
-	}
-	return position, askedAt, ok
-}
