Reads at a primary without a proof end with their objective

What callers saw: a read on a primary route through a daemon whose primary answers and cannot be proved to lead, as both in a zone that is cut off, was kept until its time limit and then refused without a time to come back.

Cause: after each 400 ms without a proof the read ran at the same primary again, up to 20 times.

Before, in the test: got refusal &{Code:not_run_no_majority Reason:the primary could not be proved to lead RetryAfter:0s} after 20 runs, want one run, no proof and a time to try again.

Why it works: past its objective such a read ends, unless the daemon presumes another primary meanwhile.

--- a/internal/engine/observe.go
+++ b/internal/engine/observe.go
@@ -292,6 +292,13 @@
 	return !ok || now < primary.avoidUntil || g.monitor.IsUnresponsive()
 }
 
+// isPresumedPrimary reports whether m is the presumed primary.
+func (g *group) isPresumedPrimary(m *member) bool {
+	g.mu.Lock()
+	defer g.mu.Unlock()
+	return g.members[g.primary] == m
+}
+
 // isPrimarySilent reports whether the presumed primary answers neither status calls nor statements.
 func (g *group) isPrimarySilent() bool {
 	g.mu.Lock()
--- a/internal/engine/read.go
+++ b/internal/engine/read.go
@@ -85,6 +85,9 @@
 		if !r.mayTryAnotherTarget(failed) || plan.onlyPrimary && (r.knownUnreachable || isRefusedByQueue(failed)) {
 			break
 		}
+		if failed.Code == result.NotRunNoMajority && r.group.isPresumedPrimary(m) && !time.Now().Before(r.answerBy()) {
+			break
+		}
 		if plan.onlyPrimary && isFull(failed) && !r.awaitRetry(failed, plan) {
 			break
 		}
@@ -197,11 +200,18 @@
 		return Reply{}, r.recordTargetFailure(m, reply.Failure)
 	}
 	if plan.onlyPrimary && !r.group.awaitProof(m, term, plan.provedSince, r.proofDeadline()) {
-		return Reply{}, refuse(result.NotRunNoMajority, "the primary could not be proved to lead")
+		return Reply{}, refuseUnproved()
 	}
 	return reply, nil
 }
 
+// refuseUnproved returns the refusal of a read whose answer is dropped, because no leadership proof covers it.
+func refuseUnproved() *Refusal {
+	refusal := refuse(result.NotRunNoMajority, "the primary could not be proved to lead")
+	refusal.RetryAfter = promotionEstimate
+	return refusal
+}
+
 // currentMinPosition returns the minimum position of a read that has waited for its connection. The allowed age is
 // measured from now if there is a sample for it, and from the time of the plan otherwise.
 func (r *request) currentMinPosition(plan readPlan) api.Position {
--- a/internal/engine/transaction.go
+++ b/internal/engine/transaction.go
@@ -134,7 +134,7 @@
 	t.wrote = t.wrote || t.request.op == OpWrite
 	t.request.group.recordReply(t.member, reply, outcome.askedAt)
 	if t.plan.onlyPrimary && !t.request.group.awaitProof(t.member, t.term, t.plan.provedSince, t.request.proofDeadline()) {
-		t.fail(refuse(result.NotRunNoMajority, "the primary could not be proved to lead"))
+		t.fail(refuseUnproved())
 		return t.session.refused(t.refusal)
 	}
 	return t.session.answerOf(reply)
--- a/internal/engine/unknownreplica_test.go
+++ b/internal/engine/unknownreplica_test.go
@@ -9,6 +9,7 @@
 	"github.com/papayacove/papayacove/internal/clock"
 	"github.com/papayacove/papayacove/internal/policy/leadership"
 	"github.com/papayacove/papayacove/internal/policy/primaryposition"
+	"github.com/papayacove/papayacove/internal/result"
 )
 
 // newUnknownReplica returns a load whose primary a does not answer this daemon any more. The replicas b and c end at
@@ -80,6 +81,20 @@
 	}
 }
 
+// TestReadWithoutAProofIsTriedWithinItsObjective guards against reads that are kept until their time limit at a primary that
+// answers and cannot be proved to lead, as in a zone that is cut off.
+func TestReadWithoutAProofIsTriedWithinItsObjective(t *testing.T) {
+	l := newGreyLoad(ConsistencyStrict, func(string, Command) (*TargetFailure, error) { return nil, nil })
+	route := l.engine.configuration.Routes["d"]
+	route.Objective = proofTimeout / 2
+	l.engine.configuration.Routes["d"] = route
+	l.group.provenUntil = 0
+	refusal := l.serveInTime(t, readsOfEachKind["a read"]).Refusal
+	if refusal == nil || refusal.Code != result.NotRunNoMajority || refusal.RetryAfter <= 0 || l.commands["a"] != 1 {
+		t.Errorf("got refusal %+v after %d runs, want one run, no proof and a time to try again", refusal, l.commands["a"])
+	}
+}
+
 // TestReplicasServeWhileASampleCoversTheAge guards against reads with an allowed age that are refused although the
 // primary has told its position within that age.
 func TestReplicasServeWhileASampleCoversTheAge(t *testing.T) {
