--- a/internal/engine/read.go
+++ b/internal/engine/read.go
@@ -47,15 +47,9 @@
 	return plan
 }
 
-// planWithoutAge plans a read that must see every commit acknowledged before it arrived. The primary serves it.
-// While the primary is unresponsive, a replica serves it that has everything that the replicas, asked after the
-// read arrived, reported as received.
+// planWithoutAge plans a read that must see every commit acknowledged before it arrived. Only the primary serves it,
+// since a replica that the daemon does not know may have acknowledged a commit.
 func (r *request) planWithoutAge(own api.Position) readPlan {
-	if !r.mayWrite && r.group.servesWithoutPrimary() {
-		if sample, ok := r.group.awaitReplicaMinPosition(r.arrivedBoot, r.answerBy()); ok {
-			return readPlan{minPosition: own.Max(sample.Position), evidence: evidenceWithoutPrimary(sample)}
-		}
-	}
 	return readPlan{minPosition: own, provedSince: r.arrivedBoot, onlyPrimary: true}
 }
 
@@ -93,6 +87,9 @@
 		if !r.mayTryAnotherTarget(failed) || plan.onlyPrimary && (r.knownUnreachable || isRefusedByQueue(failed)) {
 			break
 		}
+		if failed.Code == result.NotRunNoMajority && r.group.isPresumedPrimary(m) && !time.Now().Before(r.answerBy()) {
+			break
+		}
 		if plan.onlyPrimary && isFull(failed) && !r.awaitRetry(failed, plan) {
 			break
 		}
@@ -155,8 +152,12 @@
 	return !isNotPermitted(failed.Code) && (failed.Target == nil || failed.Target.Kind.IsNotRun())
 }
 
-// pickReader returns the next target to try; nil when there is none.
+// pickReader returns the next target to try; nil when there is none. A primary that is known to be silent is not waited
+// for.
 func (r *request) pickReader(plan readPlan, tried map[*member]bool) *member {
+	if plan.onlyPrimary && r.group.isPrimarySilent() {
+		return nil
+	}
 	if plan.onlyPrimary {
 		return r.group.awaitPrimary(nil, r.awaitPrimaryUntil())
 	}
@@ -211,12 +212,19 @@
 	}
 	evidence, proved := r.group.awaitEvidence(m, term, plan.provedSince, r.proofDeadline())
 	if !proved {
-		return Reply{}, refuse(result.NotRunNoMajority, "the primary could not be proved to lead")
+		return Reply{}, refuseUnproved()
 	}
 	r.served.plan.evidence = evidence
 	return reply, nil
 }
 
+// refuseUnproved returns the refusal of a read whose answer is dropped, because no leadership proof covers it.
+func refuseUnproved() *Refusal {
+	refusal := refuse(result.NotRunNoMajority, "the primary could not be proved to lead")
+	refusal.RetryAfter = promotionEstimate
+	return refusal
+}
+
 // currentPlan returns the plan of a read that has waited for its connection. The allowed age is measured from now if
 // there is a sample for it, and from the time of the plan otherwise.
 func (r *request) currentPlan(plan readPlan) readPlan {
--- a/internal/engine/readevidence.go
+++ b/internal/engine/readevidence.go
@@ -15,8 +15,6 @@
 const (
 	// evidenceNone is a read that any position satisfies.
 	evidenceNone evidenceKind = "none"
-	// evidenceOfReplicas is the positions of the replicas alone, for a read that has to see all commits.
-	evidenceOfReplicas evidenceKind = "replicas_alone"
 	// proofPrefix precedes the kind of a leadership proof, samplePrefix the kind of the sample that the minimum position
 	// is from.
 	proofPrefix  = "proof_"
@@ -52,15 +50,6 @@
 	}
 }
 
-// evidenceWithoutPrimary returns the evidence of a read that has to see all commits and runs at a replica.
-func evidenceWithoutPrimary(s primaryposition.Sample) readEvidence {
-	e := evidenceOf(s)
-	if s.Source.Kind == primaryposition.OfReplicas {
-		e.kind = evidenceOfReplicas
-	}
-	return e
-}
-
 // proofHolder is the address of a daemon whose reply told of a leadership proof that is valid until a time of the boot
 // clock.
 type proofHolder struct {
--- a/internal/engine/readlog.go
+++ b/internal/engine/readlog.go
@@ -82,7 +82,7 @@
 
 // isWithoutPrimary reports whether a read was served by a replica while the primary did not answer.
 func (s servedRead) isWithoutPrimary(state readState) bool {
-	return s.plan.evidence.kind == evidenceOfReplicas || state.unresponsive && state.role != "primary"
+	return state.unresponsive && state.role != "primary"
 }
 
 // logServedRead counts a read outside transactions that was served, and logs how, as logRead does.
--- a/internal/policy/primaryposition/primaryposition.go
+++ b/internal/policy/primaryposition/primaryposition.go
@@ -28,11 +28,9 @@
 	OfReply SourceKind = iota
 	// OfStatus is the primary's answer to a status call.
 	OfStatus
-	// OfReplicas are the answers of all replicas, without the primary.
-	OfReplicas
 )
 
-var sourceNames = [...]string{OfReply: "reply", OfStatus: "status", OfReplicas: "replicas"}
+var sourceNames = [...]string{OfReply: "reply", OfStatus: "status"}
 
 // String returns the name of the kind in logs.
 func (k SourceKind) String() string { return sourceNames[k] }
@@ -40,7 +38,7 @@
 // Source is where a sample comes from.
 type Source struct {
 	Kind SourceKind
-	// Target is the name of the target that reported the position; empty for OfReplicas.
+	// Target is the name of the target that reported the position.
 	Target string
 }
 
