Sessions: a commit of unknown outcome counts as one of the session's own

Cause: a session notes the position of a commit when its success is passed on. If the holder ends after the target has answered, or no proof covers the commit, nothing is noted, and the session's reads need to see only what is older than the route's age.

In the test, before: got 1 reads of the session at replicas after its unknown outcome, want none, for a single write and for a transaction.

Why it works: until the time limit of such a commit has passed and the allowed age after it, reads of the session need the primary within a proof. From then on each position that covers the commits of that age covers it. After: none at replicas.

--- a/internal/engine/read.go
+++ b/internal/engine/read.go
@@ -36,6 +36,9 @@
 	if r.route.Consistency == ConsistencySession {
 		own = r.session.commits[r.group]
 	}
+	if own.mayBeUnseen(now, r.route.MaxAge) {
+		return r.planWithoutAge(own.position)
+	}
 	sample, ok := r.group.minPositionForAge(now, r.route.MaxAge-ageMargin)
 	if !ok {
 		return r.planWithoutAge(own.position)
--- a/internal/engine/session.go
+++ b/internal/engine/session.go
@@ -38,6 +38,15 @@
 type sessionCommit struct {
 	position api.Position
 	at       time.Duration
+	// unknownUntil is the time of the boot clock until which a commit of the session may be acknowledged whose outcome
+	// is not known to this daemon; 0 if there is none.
+	unknownUntil time.Duration
+}
+
+// mayBeUnseen reports whether a commit of unknown outcome may have been acknowledged so lately that no position which
+// covers the commits of maxAge ago covers it.
+func (c sessionCommit) mayBeUnseen(now, maxAge time.Duration) bool {
+	return c.unknownUntil > 0 && now < c.unknownUntil+maxAge
 }
 
 // session is the state of one caller connection.
@@ -339,7 +348,30 @@
 	if s.commits == nil {
 		s.commits = make(map[*group]sessionCommit)
 	}
-	s.commits[g] = sessionCommit{position: s.commits[g].position.Max(position), at: clock.SinceBoot()}
+	commit := s.commits[g]
+	commit.position, commit.at = commit.position.Max(position), clock.SinceBoot()
+	s.commits[g] = commit
+}
+
+// recordUnknownCommit records that a commit of the session in a group may have been made, or may be made until the time
+// limit of the request.
+func (r *request) recordUnknownCommit() {
+	s := r.session
+	if s.commits == nil {
+		s.commits = make(map[*group]sessionCommit)
+	}
+	commit := s.commits[r.group]
+	commit.unknownUntil = clock.SinceBoot() + max(0, time.Until(r.deadline()))
+	s.commits[r.group] = commit
+}
+
+// refusedCommit returns the refusal of a write or a commit, and records that it may have been made unless the refusal
+// rules that out.
+func (r *request) refusedCommit(refusal *Refusal) *Refusal {
+	if !refusal.Code.IsNotRun() && refusal.Code != result.TransactionLost {
+		r.recordUnknownCommit()
+	}
+	return refusal
 }
 
 func (s *session) prepare(statement Statement) Answer {
--- a/internal/engine/transaction.go
+++ b/internal/engine/transaction.go
@@ -293,14 +293,14 @@
 	}
 	if outcome.err != nil {
 		r.recordNoReply(t.member, outcome)
-		return s.refused(t.lostCommit(outcome))
+		return s.refused(t.refusedCommit(t.lostCommit(outcome)))
 	}
 	if failure := outcome.reply.Failure; failure != nil {
-		return s.refused(r.recordTargetFailure(t.member, failure))
+		return s.refused(t.refusedCommit(r.recordTargetFailure(t.member, failure)))
 	}
 	r.group.recordReply(t.member, outcome.reply, outcome.askedAt)
 	if t.wrote && !r.group.awaitCommitProof(t.member, t.term, r.proofDeadline()) {
-		return s.refused(refuseUnprovedCommit(t.member))
+		return s.refused(t.refusedCommit(refuseUnprovedCommit(t.member)))
 	}
 	r.logServed("transaction")
 	if t.wrote {
@@ -309,6 +309,14 @@
 	return s.answerOf(outcome.reply)
 }
 
+// refusedCommit is that of the request, for a transaction that wrote.
+func (t *transaction) refusedCommit(refusal *Refusal) *Refusal {
+	if !t.wrote {
+		return refusal
+	}
+	return t.request.refusedCommit(refusal)
+}
+
 // lostCommit returns the refusal when no reply to the commit arrived.
 func (t *transaction) lostCommit(outcome attemptResult) *Refusal {
 	if !outcome.sent || !t.wrote {
--- a/internal/engine/write.go
+++ b/internal/engine/write.go
@@ -24,7 +24,7 @@
 		r.logAttempt(m, readPlan{onlyPrimary: true}, problem)
 		refusal = problem
 		if !again {
-			return Reply{}, refusal
+			return Reply{}, r.refusedCommit(refusal)
 		}
 		failed = r.primaryToExclude(m, problem)
 		if problem.Code == result.NotRunOverloaded || problem.Code == result.NotRunNoSlot {
