--- a/internal/engine/observe.go
+++ b/internal/engine/observe.go
@@ -4,7 +4,6 @@
 	"context"
 	"fmt"
 	"maps"
-	"slices"
 	"sync"
 	"time"
 
@@ -117,26 +116,6 @@
 	}
 }
 
-// recordReplicaSample records a position that covers all acknowledged commits, if all replicas that may have
-// acknowledged one have answered, so that reads are served while the primary is unresponsive. The caller holds the
-// lock.
-func (g *group) recordReplicaSample(statuses map[string]leadership.Status) {
-	if !g.knowsAllReplicas() {
-		return
-	}
-	acknowledging := slices.Collect(maps.Keys(g.members))
-	if position, askedAt, ok := leadership.MinPositionOfReplicas(statuses, acknowledging, g.primary, g.term); ok {
-		g.samples.Add(askedAt, position)
-		g.broadcast()
-	}
-}
-
-// knowsAllReplicas reports whether commits wait for a replica and every replica that may have acknowledged a
-// commit is a member. The caller holds the lock.
-func (g *group) knowsAllReplicas() bool {
-	return g.directorySettled() && g.limits.SyncReplicas >= 1 && len(g.lostReplicas.Blocking(clock.SinceBoot())) == 0
-}
-
 // runStatusRound makes one status call to each target, applies the answers and returns why the primary has to be
 // replaced.
 func (g *group) runStatusRound() takeover.Reason {
@@ -240,7 +219,6 @@
 	g.recordStatuses(statuses)
 	g.updatePrimary()
 	g.recordIsolation(len(statuses), began)
-	g.recordReplicaSample(statuses)
 	g.applyProof()
 	for _, name := range g.lostReplicas.Reconcile(g.primary, g.ofMembers(statuses)) {
 		g.log().WithField(logfield.Target, name).Info(logevent.WitnessReplaced)
@@ -288,6 +266,7 @@
 			continue
 		}
 		g.recordLostLog(name, s)
+		g.noteStatus(name, s)
 		m.avoidUntil, m.waitingSince, m.lastReplyAt = 0, clock.SinceBoot(), clock.SinceBoot()
 		if s.Role != leadership.RoleUnknown {
 			g.statuses[name] = s
@@ -346,6 +325,21 @@
 	return !ok || now < primary.avoidUntil || g.monitor.IsUnresponsive()
 }
 
+// isPresumedPrimary reports whether m is the presumed primary.
+func (g *group) isPresumedPrimary(m *member) bool {
+	g.mu.Lock()
+	defer g.mu.Unlock()
+	return g.members[g.primary] == m
+}
+
+// isPrimarySilent reports whether the presumed primary answers neither status calls nor statements.
+func (g *group) isPrimarySilent() bool {
+	g.mu.Lock()
+	defer g.mu.Unlock()
+	m, ok := g.members[g.primary]
+	return ok && g.monitor.IsUnresponsive() && clock.SinceBoot()-m.lastReplyAt > unresponsiveAfter
+}
+
 // ofMembers returns the statuses of those targets that are still members. The caller holds the lock.
 func (g *group) ofMembers(statuses map[string]leadership.Status) map[string]leadership.Status {
 	statuses = maps.Clone(statuses)
@@ -382,6 +376,7 @@
 		// The positions and proofs of the old primary do not cover the commits of the new one.
 		g.provenUntil = 0
 		g.termSeenAt = clock.SinceBoot()
+		g.markUnsettled(unsettledTerm)
 	}
 	g.primary, g.term = primary, term
 	g.broadcast()
--- a/internal/engine/promote.go
+++ b/internal/engine/promote.go
@@ -145,6 +145,7 @@
 		return presumedPrimary{}, false
 	}
 	g.promoting = true
+	g.markUnsettled(unsettledPromotion)
 	return presumedPrimary{g.primary, g.term}, true
 }
 
@@ -152,6 +153,7 @@
 	g.mu.Lock()
 	defer g.mu.Unlock()
 	g.promoting = false
+	g.markUnsettled(unsettledPromotion)
 	g.noPromotionUntil = clock.SinceBoot() + delay
 	g.requestStatusRound()
 }
@@ -386,6 +388,7 @@
 		}
 	}
 	answers := p.sendWhileLocked(replicas, Command{Op: OpResume, Term: p.term})
+	p.logResumed(slices.Sorted(maps.Keys(replicas)), answers)
 	resumed := 0
 	for name := range replicas {
 		if s, ok := answers[name]; ok && s.Role != leadership.RoleUnknown && !s.IsPaused() {
@@ -431,6 +434,7 @@
 			return outcome
 		case !errors.Is(err, ErrOrderRefused):
 			outcome = orderUnknown
+			p.logUnknownOrder(target, err)
 		}
 		if clock.Sleep(p.engine.ctx, leadPoll) != nil {
 			return outcome
--- a/internal/engine/transaction.go
+++ b/internal/engine/transaction.go
@@ -4,6 +4,7 @@
 	"time"
 
 	"github.com/papayacove/papayacove/api"
+	"github.com/papayacove/papayacove/internal/clock"
 	"github.com/papayacove/papayacove/internal/result"
 )
 
@@ -133,10 +134,16 @@
 	}
 	t.wrote = t.wrote || t.request.op == OpWrite
 	t.request.group.recordReply(t.member, reply, outcome.askedAt)
-	if t.plan.onlyPrimary && !t.request.group.awaitProof(t.member, t.term, t.plan.provedSince, t.request.proofDeadline()) {
-		t.fail(refuse(result.NotRunNoMajority, "the primary could not be proved to lead"))
+	evidence, proved := t.plan.evidence, true
+	repliedAt := clock.SinceBoot()
+	if t.plan.onlyPrimary {
+		evidence, proved = t.request.group.awaitEvidence(t.member, t.term, t.plan.provedSince, t.request.proofDeadline())
+	}
+	if !proved {
+		t.fail(refuseUnproved())
 		return t.session.refused(t.refusal)
 	}
+	t.logServedRead(outcome, evidence, repliedAt)
 	return t.session.answerOf(reply)
 }
 
@@ -212,10 +219,12 @@
 // connectTo acquires a connection to the target and begins the transaction there.
 func (t *transaction) connectTo(m *member) *Refusal {
 	r := t.request
+	r.sentFloor = api.Position{}
 	l, err := r.acquire(m)
 	if err != nil {
 		return r.unavailable(err)
 	}
+	r.sentFloor = t.minPosition()
 	if t.plan.onlyPrimary {
 		r.group.renewProofIfExpired(m)
 	}
@@ -284,14 +293,14 @@
 	}
 	if outcome.err != nil {
 		r.recordNoReply(t.member, outcome)
-		return s.refused(t.lostCommit(outcome))
+		return s.refused(t.refusedCommit(t.lostCommit(outcome)))
 	}
 	if failure := outcome.reply.Failure; failure != nil {
-		return s.refused(r.recordTargetFailure(t.member, failure))
+		return s.refused(t.refusedCommit(r.recordTargetFailure(t.member, failure)))
 	}
 	r.group.recordReply(t.member, outcome.reply, outcome.askedAt)
 	if t.wrote && !r.group.awaitCommitProof(t.member, t.term, r.proofDeadline()) {
-		return s.refused(refuseUnprovedCommit(t.member))
+		return s.refused(t.refusedCommit(refuseUnprovedCommit(t.member)))
 	}
 	r.logServed("transaction")
 	if t.wrote {
@@ -300,6 +309,14 @@
 	return s.answerOf(outcome.reply)
 }
 
+// refusedCommit is that of the request, for a transaction that wrote.
+func (t *transaction) refusedCommit(refusal *Refusal) *Refusal {
+	if !t.wrote {
+		return refusal
+	}
+	return t.request.refusedCommit(refusal)
+}
+
 // lostCommit returns the refusal when no reply to the commit arrived.
 func (t *transaction) lostCommit(outcome attemptResult) *Refusal {
 	if !outcome.sent || !t.wrote {
