--- a/internal/engine/promote.go
+++ b/internal/engine/promote.go
@@ -2,7 +2,6 @@
 
 import (
 	"context"
-	"errors"
 	"maps"
 	"slices"
 	"sync"
@@ -63,6 +62,12 @@
 	demoted  *leadership.Status
 	// steppedDownAt is the time of the boot clock after the old primary stepped down last; 0 if it has not.
 	steppedDownAt time.Duration
+	// orderIsOpen is true while an order may still take effect.
+	orderIsOpen bool
+	// settledTerm is what is told of the promotion when the lock is released, as PromotionLock.Release expects it.
+	settledTerm uint64
+	// restsOnStepDown is true if a replica is not paused, and the choice of the target rests on the step-down.
+	restsOnStepDown bool
 }
 
 // takeOver replaces the primary of a group unless another daemon holds the promotion lock or has replaced it.
@@ -80,7 +85,7 @@
 	defer func() { g.endPromotion(delay) }()
 	p := &promotion{
 		engine: e, group: g, reason: reason, old: suspected.primary, oldTerm: suspected.term,
-		joined: make(map[string]*member), toResume: make(map[string]*member),
+		joined: make(map[string]*member), toResume: make(map[string]*member), settledTerm: takeover.NothingOrdered,
 	}
 	defer p.closeJoined()
 	if !e.isDirectorySettled() {
@@ -92,8 +97,7 @@
 		p.log().WithField(logfield.Error, err).Info(logevent.PromotionNotStarted)
 		return
 	}
-	// A planned stop releases the lock too: the other daemons would wait for its end otherwise.
-	defer e.options.PromotionLock.Release(context.WithoutCancel(e.ctx), g.name)
+	defer p.release()
 	p.token, p.lockedUntil = token, lockedUntil
 	p.copyMembers()
 	if _, err := p.addListed(); err != nil {
@@ -104,11 +108,26 @@
 		p.log().Info(logevent.PromotionNotNeeded)
 		return
 	}
+	if reason == takeover.ReasonPaused {
+		p.resumeForgotten()
+		return
+	}
 	if p.run() {
 		delay = takeover.PromotionHoldTime
 	}
 }
 
+// release releases the promotion lock, also in a planned stop: the other daemons would wait for its end otherwise.
+// While an order may still take effect they have to: the next promotion may be given up, and would end the pauses.
+func (p *promotion) release() {
+	if p.orderIsOpen {
+		p.log().Warn(logevent.PromotionLockKept)
+		return
+	}
+	ctx := context.WithoutCancel(p.engine.ctx)
+	p.engine.options.PromotionLock.Release(ctx, p.group.name, p.settledTerm)
+}
+
 // presumedPrimary is the name of the target that a daemon presumes to be the primary of a group, with its term. An
 // empty name stands for none.
 type presumedPrimary struct {
@@ -172,6 +191,8 @@
 		return leaving
 	case takeover.ReasonStalled:
 		return true
+	case takeover.ReasonPaused:
+		return p.oldStillLeads
 	}
 	return !p.oldStillLeads
 }
@@ -184,7 +205,9 @@
 	if target == "" {
 		return false
 	}
-	if !p.orderPromotion(target) {
+	p.settledTerm, p.orderIsOpen = 0, true
+	if p.orderPromotion(target) == orderRefused {
+		p.settledTerm, p.orderIsOpen = takeover.NothingOrdered, false
 		p.abort()
 		return false
 	}
@@ -222,7 +245,8 @@
 // choose returns the target to promote. The old primary steps down for it if a replica cannot be paused.
 func (p *promotion) choose() takeover.Choice {
 	choice := takeover.Choose(p.replicas(), p.paused, nil, p.isLeaving)
-	if choice.Target == "" && p.hasWholeLog() {
+	p.restsOnStepDown = choice.Target == ""
+	if p.restsOnStepDown && p.hasWholeLog() {
 		// It may have restarted and lead again since it stepped down in an earlier round.
 		p.demoted = nil
 		p.stepDown()
@@ -292,7 +316,7 @@
 	delete(pending, p.old)
 	p.paused = make(map[string]leadership.Status)
 	for range pauseAttempts {
-		answers := sendToAll(pending, Command{Op: OpPause, Term: p.term})
+		answers := p.sendWhileLocked(pending, Command{Op: OpPause, Term: p.term})
 		p.recordAnswers(answers)
 		for name, s := range answers {
 			if s.Role == leadership.RoleReplica && s.IsPaused() {
@@ -341,12 +365,6 @@
 	}
 }
 
-// abort resumes the replicas paused by a promotion that is abandoned.
-func (p *promotion) abort() {
-	p.logResumed(slices.Sorted(maps.Keys(p.toResume)), sendToAll(p.toResume, Command{Op: OpResume, Term: p.term}))
-	p.log().WithField(logfield.Resumed, len(p.toResume)).Warn(logevent.PromotionGivenUp)
-}
-
 func (p *promotion) pausedMembers() map[string]*member {
 	paused := make(map[string]*member, len(p.paused))
 	for name := range p.paused {
@@ -355,29 +373,9 @@
 	return paused
 }
 
-// orderPromotion sends the order to promote until it is accepted, while the promotion lock is held. It returns
-// false at once when the target is down.
-func (p *promotion) orderPromotion(target string) bool {
-	for clock.SinceBoot() < p.lockedUntil-orderReserve {
-		ctx, cancel := context.WithTimeout(p.engine.ctx, promoteTimeout)
-		err := p.engine.options.Promoter.Promote(ctx, p.group.name, target, p.token)
-		cancel()
-		p.log().WithFields(logrus.Fields{logfield.Target: target, logfield.Error: err}).Info(logevent.PromotionOrdered)
-		if err == nil {
-			return true
-		}
-		if errors.Is(err, ErrTargetDown) {
-			return false
-		}
-		p.logUnknownOrder(target, err)
-		if clock.Sleep(p.engine.ctx, leadPoll) != nil {
-			return false
-		}
-	}
-	return false
-}
-
-// awaitNewPrimary waits until the target is the primary, so that the promotion lock is not released before.
+// awaitNewPrimary waits until the target is the primary, so that the promotion lock is not released before. It leaves
+// the replicas paused otherwise: the order may still take effect. The next promotion pauses them again, and ends the
+// pauses.
 func (p *promotion) awaitNewPrimary(target string) bool {
 	m := p.members[target]
 	end := clock.SinceBoot() + leadTimeout
@@ -385,6 +383,7 @@
 		s, err := m.control.call(Command{Op: OpStatus})
 		if err == nil && s.Role == leadership.RolePrimary {
 			p.log().WithFields(logrus.Fields{logfield.Target: target, logfield.NewTerm: s.Term, logfield.Elapsed: clock.SinceBoot() - p.pausedAt}).Info(logevent.PromotionDone)
+			p.settledTerm, p.orderIsOpen = s.Term, false
 			p.group.runStatusRound()
 			p.finish(target)
 			return true
@@ -393,6 +392,7 @@
 			return false
 		}
 	}
+	p.orderIsOpen = false
 	p.log().WithField(logfield.Target, target).Warn(logevent.PromotedTargetNotLeading)
 	return false
 }
@@ -403,14 +403,11 @@
 	if p.demoted == nil {
 		p.stepDown()
 	}
+	stillPaused := make(map[string]*member)
 	for name, s := range sendToAll(p.members, Command{Op: OpStatus}) {
 		if name != target && s.Role == leadership.RoleReplica && s.IsPaused() && !p.isLeaving(name) {
-			s, err := p.members[name].control.call(Command{Op: OpResume, Term: p.term})
-			if err != nil {
-				p.log().WithFields(logrus.Fields{logfield.Target: name, logfield.Error: err}).Warn(logevent.ReplicaNotResumed)
-				continue
-			}
-			p.logResumed([]string{name}, map[string]leadership.Status{name: s})
+			stillPaused[name] = p.members[name]
 		}
 	}
+	p.resume(stillPaused)
 }
--- a/internal/engine/promotionlog_test.go
+++ b/internal/engine/promotionlog_test.go
@@ -37,8 +37,8 @@
 		engine: e, group: g, old: "a", term: 2, token: 7, lockedUntil: clock.SinceBoot() + time.Hour,
 		toResume: map[string]*member{"b": g.members["b"], "c": g.members["c"]},
 	}
-	if p.orderPromotion("b") {
-		t.Fatal("got a promotion that was ordered, want none")
+	if outcome := p.orderPromotion("b"); outcome != orderUnknown {
+		t.Fatalf("got the outcome %d, want %d for unknown", outcome, orderUnknown)
 	}
 	p.abort()
 	for event, want := range map[string]struct {
--- a/internal/engine/promotionmembers.go
+++ b/internal/engine/promotionmembers.go
@@ -11,6 +11,7 @@
 	"github.com/papayacove/papayacove/internal/clock"
 	"github.com/papayacove/papayacove/internal/logevent"
 	"github.com/papayacove/papayacove/internal/logfield"
+	"github.com/papayacove/papayacove/internal/policy/leadership"
 	"github.com/papayacove/papayacove/internal/policy/takeover"
 )
 
@@ -30,7 +31,9 @@
 	if p.engine.options.TargetLister == nil {
 		return 0, nil
 	}
-	ctx, cancel := context.WithTimeout(p.engine.ctx, listTimeout)
+	// A promotion that is given up needs the reserve of the lock to resume the replicas.
+	left := p.lockedUntil - orderReserve - clock.SinceBoot()
+	ctx, cancel := context.WithTimeout(p.engine.ctx, min(listTimeout, left))
 	defer cancel()
 	listed, err := p.engine.options.TargetLister.ListTargets(ctx, p.group.name)
 	if err != nil {
@@ -74,11 +77,42 @@
 		p.log().WithField(logfield.Error, err).Warn(logevent.TargetsNotListed)
 		return 0, false
 	}
-	if now := sendToAll(p.pausedMembers(), Command{Op: OpStatus}); !takeover.StillPaused(p.paused, now) {
+	return joined, p.isStillPrepared()
+}
+
+// isStillPrepared asks the targets that the choice rests on again: the paused replicas and, if one could not be
+// paused, the old primary, which leads again if it has restarted since it stepped down.
+func (p *promotion) isStillPrepared() bool {
+	asked := p.pausedMembers()
+	if p.restsOnStepDown {
+		asked[p.old] = p.members[p.old]
+	}
+	now := sendToAll(asked, Command{Op: OpStatus})
+	if !takeover.StillPaused(p.paused, now) {
 		p.log().Warn(logevent.ReplicaNoLongerPaused)
-		return 0, false
+		return false
+	}
+	if p.restsOnStepDown && !takeover.StillSteppedDown(*p.demoted, now[p.old]) {
+		p.log().Warn(logevent.OldPrimaryLeadsAgain)
+		return false
+	}
+	return true
+}
+
+// resumeForgotten resumes the replicas that an earlier promotion has left paused. No other one is under way while
+// this daemon holds the promotion lock.
+func (p *promotion) resumeForgotten() {
+	statuses := sendToAll(p.members, Command{Op: OpStatus})
+	if statuses[p.old].Role != leadership.RolePrimary {
+		return
+	}
+	forgotten := make(map[string]*member)
+	for _, name := range takeover.ForgottenPauses(statuses, statuses[p.old].Term) {
+		if !p.isLeaving(name) {
+			forgotten[name] = p.members[name]
+		}
 	}
-	return joined, true
+	p.log().WithField(logfield.Resumed, p.resume(forgotten)).Warn(logevent.ForgottenPausesEnded)
 }
 
 // logUnpausedMembers logs each replica that the daemon knows at the end of the promotion and that was not paused.
