--- a/internal/engine/execute.go
+++ b/internal/engine/execute.go
@@ -37,8 +37,6 @@
 	arrived     time.Time
 	arrivedBoot time.Duration
 	attempts    int
-	// mayWrite is true in a transaction that only the primary can serve.
-	mayWrite bool
 	// knownUnreachable is true when the last target was found unreachable a moment ago, so that it is not retried
 	// soon.
 	knownUnreachable bool
--- a/internal/engine/transaction.go
+++ b/internal/engine/transaction.go
@@ -46,7 +46,6 @@
 	if refusal != nil {
 		return s.refused(refusal)
 	}
-	r.mayWrite = statement.Op == OpBegin
 	s.transaction = &transaction{session: s, begin: statement, readOnly: statement.Op == OpBeginReadOnly, request: r}
 	return s.answerLocally()
 }
