--- a/api/types.gen.go
+++ b/api/types.gen.go
@@ -201,8 +201,8 @@
 	Holder string `json:"holder" toml:"holder"`
 
 	// Term is the term to which the last promotion under the lock led, if that was
-	// finished and the lock is free; 0, as in the records of older daemons, when it is
-	// not known.
+	// finished and the lock is free; 0, as in the records of older daemons, when it
+	// is not known.
 	Term uint64 `json:"term" toml:"term"`
 }
 
--- a/internal/engine/engine.go
+++ b/internal/engine/engine.go
@@ -28,6 +28,8 @@
 	Dialer        Dialer
 	Promoter      Promoter
 	PromotionLock PromotionLock
+	// LockSettler completes the records of promotion locks; nil if they stay as they are.
+	LockSettler LockSettler
 	// TargetLister lists the targets for promotions; nil if the daemon always knows all.
 	TargetLister TargetLister
 	// LossRegistry keeps the lost replicas for daemons that start later; nil if they are not kept.
@@ -166,7 +168,7 @@
 	g := newGroup(name, e.options, e.isDirectorySettled)
 	g.peers = e.peers
 	e.groups[name] = g
-	go g.serveProofs(e.ctx)
+	go g.serveProofs(e.ctx, func() { go e.settle(g) })
 	if g.losses != nil {
 		go g.keepLosses(e.ctx)
 	}
--- a/internal/engine/group.go
+++ b/internal/engine/group.go
@@ -38,8 +38,8 @@
 	target Target
 	// firstSeenAt is the time of the boot clock at which the daemon learned of the target.
 	firstSeenAt time.Duration
-	// knownWithinProof is true once the daemon has known the target while it held a valid leadership proof.
-	knownWithinProof bool
+	// gaveNoStatus is true if the last status call was not answered with a status.
+	gaveNoStatus bool
 	// applied is the latest position that the target is known to have applied, as reported at appliedAt on the
 	// boot clock.
 	applied   api.Position
@@ -113,6 +113,13 @@
 	termSeenAt time.Duration
 	// provenUntil is the time of the boot clock until which the leadership proof of the primary is valid.
 	provenUntil time.Duration
+	// proofUsedAt is the time of the boot clock at which a statement last needed a proof, proofWaits the number of those that
+	// wait for one.
+	proofUsedAt time.Duration
+	proofWaits  int
+	// promotionLock is Options.PromotionLock, and recordReads what is known of the reads of its record.
+	promotionLock PromotionLock
+	recordReads   recordReads
 	// proofOrigin is what gave that proof, and proofLog what was logged of proofs.
 	proofOrigin proofOrigin
 	proofLog    proofLog
@@ -151,7 +158,8 @@
 		name: name, zone: options.Zone, dialer: options.Dialer, drainTimeout: options.DrainTimeout, directorySettled: directorySettled,
 		relays: options.Peers, peers: &peerHealth{}, inBackground: func(f func()) { go f() }, daemons: newDaemonList(options.Name, nil),
 		members: make(map[string]*member), statuses: make(map[string]leadership.Status),
-		losses: options.LossRegistry, registered: make(map[string]bool), lossesChanged: make(chan struct{}, 1),
+		promotionLock: options.PromotionLock,
+		losses:        options.LossRegistry, registered: make(map[string]bool), lossesChanged: make(chan struct{}, 1),
 		changed: make(chan struct{}), statusRoundRequests: make(chan struct{}, 1), proofRequests: make(chan struct{}, 1),
 		proofLog: proofLog{limiter: limiter},
 	}
--- a/internal/engine/group_test.go
+++ b/internal/engine/group_test.go
@@ -189,7 +189,7 @@
 			signal(g.proofRequests)
 		}
 	}()
-	g.serveProofs(ctx)
+	g.serveProofs(ctx, func() {})
 	dialer.mu.Lock()
 	defer dialer.mu.Unlock()
 	most := int(lasting/(daemons*scarceRoundInterval)) + 1
--- a/internal/engine/interfaces.go
+++ b/internal/engine/interfaces.go
@@ -66,11 +66,19 @@
 	// Release releases the lock. The term is that to which the last promotion ordered under it led, 0 if the outcome of an order
 	// is unknown, and takeover.NothingOrdered if none was sent.
 	Release(ctx context.Context, group string, term uint64)
-	// SettledTerm returns the term to which the last promotion of the group led. It fails if the lock is held, or if that term
-	// is not known. No later promotion was begun, under the lock, when the call was made.
+	// SettledTerm returns the term to which the last promotion of the group led, leadership.NoPromotion if there was none. It fails
+	// if the lock is held, or if that term is not known. No later promotion was begun, under the lock, when the call was made.
 	SettledTerm(ctx context.Context, group string) (term uint64, err error)
 }
 
+// LockSettler completes the records of promotion locks.
+type LockSettler interface {
+	// Settle has the record of the promotion lock of a group state the term to which the last promotion led, if it does not, while it
+	// holds the lock. prove returns that term, proved by statuses asked for after the call, or false. It fails if the record states
+	// no term yet.
+	Settle(ctx context.Context, group string, prove func() (term uint64, ok bool)) error
+}
+
 // TargetLister lists the entries of targets.
 type TargetLister interface {
 	// ListTargets returns the readable entries of all targets of a group, as they were at some time after the call began.
--- a/internal/engine/laterterm_test.go
+++ b/internal/engine/laterterm_test.go
@@ -22,7 +22,7 @@
 			runs++
 			if c.ID == changesAt && g.term == 1 {
 				now := clock.SinceBoot()
-				g.applyStatusRound(map[string]leadership.Status{"a": leads(3, 1, now)}, now)
+				g.applyStatusRound(map[string]leadership.Status{"a": leads(3, 1, now), "b": follows(3, 1, now)}, now)
 			}
 			state := StateIdle
 			if c.Op == OpBegin || c.ID == "inside" {
@@ -32,6 +32,7 @@
 		}
 		e := newTestEngine(target)
 		g = e.groups["g"]
+		g.setTarget(Target{Name: "b", Group: "g", Slots: 2, Zone: "z"})
 		caller := &scriptedCaller{statements: []Statement{
 			{ID: "read", Op: OpRead, Text: "r"}, {ID: "write", Op: OpWrite, Text: "w"},
 			{ID: "begin", Op: OpBegin}, {ID: "inside", Op: OpWrite, Text: "w"}, {ID: "commit", Op: OpCommit},
--- a/internal/engine/observe.go
+++ b/internal/engine/observe.go
@@ -170,7 +170,13 @@
 // askAll makes a status call to all members at the same time and returns their answers by name, as sendToAll does. The
 // timeout bounds each call that is made directly.
 func (g *group) askAll(members map[string]*member, timeout time.Duration) map[string]leadership.Status {
-	return callAll(members, OpStatus, func(m *member) (leadership.Status, error) { return g.status(m, timeout) })
+	statuses := callAll(members, OpStatus, func(m *member) (leadership.Status, error) { return g.status(m, timeout) })
+	g.mu.Lock()
+	defer g.mu.Unlock()
+	for name, m := range members {
+		m.gaveNoStatus = statuses[name].Role == leadership.RoleUnknown
+	}
+	return statuses
 }
 
 // sendToAll sends a command to all members at the same time, on connections of this daemon, and returns their answers by
@@ -349,6 +355,7 @@
 		g.noPromotionUntil = max(g.noPromotionUntil, clock.SinceBoot()+takeover.PromotionHoldTime)
 		// The positions and proofs of the old primary do not cover the commits of the new one.
 		g.provenUntil = 0
+		g.recordReads.failed = 0
 		g.termSeenAt = clock.SinceBoot()
 	}
 	g.primary, g.term = primary, term
--- a/internal/engine/promote.go
+++ b/internal/engine/promote.go
@@ -63,8 +63,12 @@
 	demoted  *leadership.Status
 	// steppedDownAt is the time of the boot clock after the old primary stepped down last; 0 if it has not.
 	steppedDownAt time.Duration
-	// settledTerm is what is told of the promotion when the lock is released, as PromotionLock.Release expects it.
+	// oldIsSilent is true if the old primary did not answer the last order to step down.
+	oldIsSilent bool
+	// settledTerm is what is told of the promotion when the lock is released, as PromotionLock.Release expects it. released is true
+	// after that.
 	settledTerm uint64
+	released    bool
 }
 
 // takeOver replaces the primary of a group unless another daemon holds the promotion lock or has replaced it.
@@ -95,7 +99,7 @@
 		return
 	}
 	// A planned stop releases the lock too: the other daemons would wait for its end otherwise.
-	defer func() { e.options.PromotionLock.Release(context.WithoutCancel(e.ctx), g.name, p.settledTerm) }()
+	defer p.releaseLock()
 	p.token, p.lockedUntil = token, lockedUntil
 	p.copyMembers()
 	if _, err := p.addListed(); err != nil {
@@ -118,6 +122,15 @@
 	term    uint64
 }
 
+// releaseLock releases the promotion lock unless that is done.
+func (p *promotion) releaseLock() {
+	if p.released {
+		return
+	}
+	p.released = true
+	p.engine.options.PromotionLock.Release(context.WithoutCancel(p.engine.ctx), p.group.name, p.settledTerm)
+}
+
 // beginPromotion marks a promotion as running, and returns the presumed primary that it starts from. It returns
 // false when a promotion is already running in this daemon.
 func (g *group) beginPromotion() (presumedPrimary, bool) {
@@ -332,6 +345,7 @@
 		return
 	}
 	s, err := m.control.call(Command{Op: OpStepDown, Term: p.term})
+	p.oldIsSilent = err != nil
 	if err != nil {
 		p.log().WithField(logfield.Error, err).Info(logevent.OldPrimaryNotSteppingDown)
 		return
@@ -377,7 +391,8 @@
 	return false
 }
 
-// awaitNewPrimary waits until the target is the primary, so that the promotion lock is not released before.
+// awaitNewPrimary waits until the target is the primary, so that the promotion lock is not released before. It is released before
+// the calls to an old primary that did not answer: other daemons may need its record for their leadership proofs.
 func (p *promotion) awaitNewPrimary(target string) bool {
 	m := p.members[target]
 	end := clock.SinceBoot() + leadTimeout
@@ -386,8 +401,13 @@
 		if err == nil && s.Role == leadership.RolePrimary {
 			p.log().WithFields(logrus.Fields{logfield.Target: target, logfield.NewTerm: s.Term, logfield.Elapsed: clock.SinceBoot() - p.pausedAt}).Info(logevent.PromotionDone)
 			p.settledTerm = s.Term
-			p.group.runStatusRound()
+			p.group.recordPromoted(target, s, p.lockedUntil)
 			p.finish(target)
+			p.releaseLock()
+			if p.oldIsSilent {
+				p.stepDown()
+			}
+			p.group.runStatusRound()
 			return true
 		}
 		if clock.Sleep(p.engine.ctx, leadPoll) != nil {
@@ -398,13 +418,17 @@
 	return false
 }
 
-// finish orders the old primary to step down, if it has not yet, and resumes the other replicas that are still
+// finish orders the old primary to step down, if it has not yet and answers, and resumes the other replicas that are still
 // paused.
 func (p *promotion) finish(target string) {
-	if p.demoted == nil {
+	if p.demoted == nil && !p.oldIsSilent {
 		p.stepDown()
 	}
-	for name, s := range sendToAll(p.members, Command{Op: OpStatus}) {
+	asked := maps.Clone(p.members)
+	if p.oldIsSilent {
+		delete(asked, p.old)
+	}
+	for name, s := range sendToAll(asked, Command{Op: OpStatus}) {
 		if name != target && s.Role == leadership.RoleReplica && s.IsPaused() && !p.isLeaving(name) {
 			if _, err := p.members[name].control.call(Command{Op: OpResume, Term: p.term}); err != nil {
 				p.log().WithFields(logrus.Fields{logfield.Target: name, logfield.Error: err}).Warn(logevent.ReplicaNotResumed)
--- a/internal/engine/proof.go
+++ b/internal/engine/proof.go
@@ -3,24 +3,48 @@
 import (
 	"context"
 	"maps"
+	"slices"
 	"time"
 
 	"github.com/papayacove/papayacove/internal/clock"
 	"github.com/papayacove/papayacove/internal/policy/leadership"
 )
 
-// minProofInterval is the least time between two requests for a leadership proof.
-const minProofInterval = 20 * time.Millisecond
+const (
+	// minProofInterval is the least time between two requests for a leadership proof.
+	minProofInterval = 20 * time.Millisecond
+	// renewalReserve is the time before the end of a proof at which a statement asks for the next one, so that it is answered while
+	// the chain of proofs holds.
+	renewalReserve = 200 * time.Millisecond
+	// keepAliveReserve is the same for a proof that no statement asks for: it is looked at once in proofCheckInterval.
+	keepAliveReserve   = 250 * time.Millisecond
+	proofCheckInterval = 100 * time.Millisecond
+	// unsettledUnusedAfter is the time without statements that need proofs after which the chain of proofs is given up while the
+	// entries of the targets are not followed: it cannot start from the targets then.
+	unsettledUnusedAfter = 10 * time.Second
+)
 
-// serveProofs fetches leadership proofs for the statements that need one, until ctx ends. It does not wait for an
-// unresponsive primary.
-func (g *group) serveProofs(ctx context.Context) {
+// serveProofs fetches leadership proofs for the statements that need one, until ctx ends, and keeps a chain of proofs
+// that could not start again. It does not wait for an unresponsive primary. It calls settle when the record of the promotion lock is
+// to be completed.
+func (g *group) serveProofs(ctx context.Context, settle func()) {
+	ticker := time.NewTicker(proofCheckInterval)
+	defer ticker.Stop()
 	for {
+		needed := true
 		select {
 		case <-ctx.Done():
 			return
+		case <-ticker.C:
+			if g.beginSettling() {
+				settle()
+			}
+			needed = g.needsProof()
 		case <-g.proofRequests:
 		}
+		if !needed {
+			continue
+		}
 		interval := minProofInterval
 		if !g.renewProof() {
 			// Targets that are busy or full because of the calls of all daemons would stay so at minProofInterval.
@@ -33,8 +57,46 @@
 	}
 }
 
-// renewProof requests the statuses of the primary and a witness, or of all replicas while the primary is unresponsive,
-// and reports whether they prove that the primary still leads.
+// needsProof reports whether a proof is to be fetched although no statement has asked for it just now: one waits for it, or
+// the group is used, its proof is about to lapse, and the targets could not start another chain of proofs.
+func (g *group) needsProof() bool {
+	g.mu.Lock()
+	defer g.mu.Unlock()
+	now := clock.SinceBoot()
+	if g.provenUntil <= now {
+		return g.proofWaits > 0
+	}
+	usedWithin := unusedAfter
+	if !g.directorySettled() {
+		usedWithin = unsettledUnusedAfter
+	}
+	isDue := g.provenUntil-now < keepAliveReserve && now-g.proofUsedAt < usedWithin
+	return isDue && g.keepsProofs(g.members[g.primary]) && !g.mayStartChain(now)
+}
+
+// mayStartChain reports whether a status call to each target is expected to start a chain of proofs. The caller holds the lock.
+func (g *group) mayStartChain(now time.Duration) bool {
+	if !g.proofBasis(now).MayStart() {
+		return false
+	}
+	for name, m := range g.members {
+		if s, known := g.statuses[name]; m.gaveNoStatus || known && s.IsPaused() {
+			return false
+		}
+	}
+	return true
+}
+
+// proofBasis returns what leadership proofs of the presumed primary rest on beside statuses. The caller holds the lock.
+func (g *group) proofBasis(now time.Duration) leadership.Basis {
+	return leadership.Basis{
+		Members: slices.Collect(maps.Keys(g.members)), IsChained: now < g.provenUntil,
+		IsComplete: g.directorySettled(), NeedsReplica: g.limits.SyncReplicas > 0,
+	}
+}
+
+// renewProof requests the statuses of the primary and a witness, of all targets if those have to start a chain of proofs,
+// or of all replicas while the primary is unresponsive, and reports whether they prove that the primary still leads.
 func (g *group) renewProof() bool {
 	targets := g.proofTargets()
 	if len(targets) == 0 {
@@ -48,12 +110,16 @@
 	g.updatePrimary()
 	g.recordReplicaSample(statuses)
 	g.applyProof()
-	return g.provenUntil >= began+leadership.ProofValidity
+	isProved := g.provenUntil >= began+leadership.ProofValidity
+	if !isProved && g.provenUntil <= clock.SinceBoot() {
+		g.requestRecord()
+	}
+	return isProved
 }
 
-// proofTargets returns the targets that are asked for a leadership proof: the primary, and one witness that did not fail
-// recently and does not leave, in the daemon's own zone if there is one there. It returns all members if there is no such
-// witness, and all except the primary while that is unresponsive or unknown.
+// proofTargets returns the targets that are asked for a leadership proof: the primary and one witness while the chain of proofs
+// holds, or if the targets cannot start another one, and otherwise all. It returns all except the primary while that is
+// unresponsive or unknown.
 func (g *group) proofTargets() map[string]*member {
 	now := clock.SinceBoot()
 	g.mu.Lock()
@@ -67,30 +133,32 @@
 	if !ok {
 		return nil
 	}
-	replica := ""
+	witness := g.proofWitness(now)
+	if witness == "" || g.provenUntil <= now && g.mayStartChain(now) {
+		return maps.Clone(g.members)
+	}
+	return map[string]*member{g.primary: primary, witness: g.members[witness]}
+}
+
+// proofWitness returns the name of a replica whose last status proved the term, and that did not fail recently and does not leave,
+// in the daemon's own zone if there is one there; empty for none. The caller holds the lock.
+func (g *group) proofWitness(now time.Duration) string {
+	witness := ""
 	for name, m := range g.members {
-		if name == g.primary || now < m.recentFailureUntil || m.target.Leaving || !m.isWitness(now) {
+		if name == g.primary || now < m.recentFailureUntil || m.gaveNoStatus || m.target.Leaving || !g.statuses[name].Proves(g.term) {
 			continue
 		}
-		if best, ok := g.members[replica]; !ok || m.target.Zone == g.zone || best.target.Zone != g.zone && name < replica {
-			replica = name
+		if best, ok := g.members[witness]; !ok || m.target.Zone == g.zone || best.target.Zone != g.zone && name < witness {
+			witness = name
 		}
 	}
-	if replica == "" {
-		return maps.Clone(g.members)
-	}
-	return map[string]*member{g.primary: primary, replica: g.members[replica]}
+	return witness
 }
 
 // applyProof records the leadership proof that the newest statuses of the members contain, and the position of the primary
 // if it was asked for within that proof. The caller holds the lock.
 func (g *group) applyProof() {
-	members := make(map[string]bool, len(g.members))
-	now := clock.SinceBoot()
-	for name, m := range g.members {
-		members[name] = m.isWitness(now)
-	}
-	proof, ok := leadership.ProvenAt(g.statuses, g.primary, g.term, members)
+	proof, ok := leadership.ProvenAt(g.statuses, g.primary, g.term, g.proofBasis(clock.SinceBoot()))
 	if !ok {
 		return
 	}
@@ -100,17 +168,24 @@
 	}
 }
 
-// isWitness reports whether the status of the target counts for leadership proofs. The caller holds the lock of the group.
-func (m *member) isWitness(now time.Duration) bool {
-	return leadership.IsWitness(m.knownWithinProof, now-m.firstSeenAt)
+// fetchesProofs reports whether this daemon fetches the proofs of a primary itself, because no other one holds it. The caller
+// holds the lock.
+func (g *group) fetchesProofs(m *member) bool {
+	return m != nil && (m.gate != nil || !g.mayUseHolders(m))
 }
 
-// renewProofIfExpired asks for a leadership proof if the last one has expired, so that the proof is fetched while
-// the statement runs at m. When another daemon holds m, that daemon fetches the proof.
+// renewProofIfExpired asks for a leadership proof if the last one has expired or is about to, so that the proof is fetched
+// while the statement runs at m. When another daemon holds m, that daemon fetches the proof.
 func (g *group) renewProofIfExpired(m *member) {
 	g.mu.Lock()
 	defer g.mu.Unlock()
-	if g.provenUntil < clock.SinceBoot() && (m.gate != nil || !g.mayUseHolders(m)) {
+	g.useProof(m)
+}
+
+// useProof records that a statement at m needs a proof, and asks for one in time. The caller holds the lock.
+func (g *group) useProof(m *member) {
+	g.proofUsedAt = clock.SinceBoot()
+	if g.provenUntil-g.proofUsedAt < renewalReserve && g.fetchesProofs(m) {
 		signal(g.proofRequests)
 	}
 }
@@ -131,6 +206,7 @@
 		leads, proved, changed := g.members[g.primary] == m && g.term == term, g.provenUntil > since, g.changed
 		if leads && proved {
 			g.logServedWithin()
+			g.useProof(m)
 		}
 		g.mu.Unlock()
 		if !leads {
@@ -139,13 +215,26 @@
 		if proved {
 			return true
 		}
-		signal(g.proofRequests)
-		if !awaitChange(changed, deadline) {
+		if !g.awaitProofChange(changed, deadline) {
 			return false
 		}
 	}
 }
 
+// awaitProofChange asks for a proof and waits until the group changes. It returns false at the deadline.
+func (g *group) awaitProofChange(changed <-chan struct{}, deadline time.Time) bool {
+	g.mu.Lock()
+	g.proofWaits++
+	g.proofUsedAt = clock.SinceBoot()
+	g.mu.Unlock()
+	signal(g.proofRequests)
+	hasChanged := awaitChange(changed, deadline)
+	g.mu.Lock()
+	g.proofWaits--
+	g.mu.Unlock()
+	return hasChanged
+}
+
 // awaitCommitProof waits until m is proved to lead the term after it has acknowledged a commit. It returns false as
 // awaitProof does. The acknowledgement alone does not prove it: the replica that received the commit may be one that no
 // promoter knows. It is true at once if commits wait for no replica.
@@ -164,11 +253,6 @@
 	}
 	lapsedAt := g.provenUntil
 	g.provenUntil, g.proofOrigin = until, origin
-	if clock.SinceBoot() < until {
-		for _, m := range g.members {
-			m.knownWithinProof = true
-		}
-	}
 	g.logProof(lapsedAt)
 	g.broadcast()
 }
--- a/internal/engine/proof_test.go
+++ b/internal/engine/proof_test.go
@@ -83,26 +83,20 @@
 // TestReplicaThatJoinsWithoutAProofIsNoWitness guards against proofs by a replica that has joined an old primary after a
 // promotion that the daemon does not know of.
 func TestReplicaThatJoinsWithoutAProofIsNoWitness(t *testing.T) {
-	g := newTestGroup(&fakeTarget{})
-	for name, status := range g.statuses {
-		status.AskedAt -= time.Second
-		g.statuses[name] = status
-	}
-	g.provenUntil = clock.SinceBoot() - time.Millisecond
+	g, asked := newUnprovedGroup()
 	g.setTarget(Target{Name: "d", Group: "g", Slots: 5, Zone: "z"})
-	asked := clock.SinceBoot()
 	g.applyStatusRound(map[string]leadership.Status{"a": leads(1, 10, asked), "d": follows(1, 10, asked)}, asked)
 	if g.provenUntil >= asked+leadership.ProofValidity {
 		t.Errorf("joined after the last proof lapsed: got a proof until %s, want none of %s", g.provenUntil, asked)
 	}
-	if _, asksJoined := g.proofTargets()["d"]; asksJoined {
-		t.Error("got a status call to d for a proof, want none while there is a witness")
+	if targets := g.proofTargets(); len(targets) != len(g.members) {
+		t.Errorf("got status calls to %v for a proof, want to all targets", slices.Sorted(maps.Keys(targets)))
 	}
-	g.applyStatusRound(map[string]leadership.Status{"a": leads(1, 10, asked), "b": follows(1, 10, asked)}, asked)
+	g.applyStatusRound(map[string]leadership.Status{"a": leads(1, 10, asked), "b": follows(1, 10, asked), "c": follows(1, 10, asked)}, asked)
 	asked = clock.SinceBoot()
 	g.applyStatusRound(map[string]leadership.Status{"a": leads(1, 11, asked), "d": follows(1, 11, asked)}, asked)
 	if want := asked + leadership.ProofValidity; g.provenUntil != want {
-		t.Errorf("known within a proof by b: got a proof until %s, want %s", g.provenUntil, want)
+		t.Errorf("known within a proof by all: got a proof until %s, want %s", g.provenUntil, want)
 	}
 }
 
--- a/internal/engine/prooflog.go
+++ b/internal/engine/prooflog.go
@@ -18,8 +18,14 @@
 
 // Ways to obtain a leadership proof.
 const (
+	// proofOfStatus is by the statuses of targets.
 	proofOfStatus proofKind = "status"
+	// proofOfHolder is by the daemon that holds the primary.
 	proofOfHolder proofKind = "holder"
+	// proofOfPromotion is by the promotion that this daemon has finished.
+	proofOfPromotion proofKind = "promotion"
+	// proofOfRecord is by the record of the promotion lock.
+	proofOfRecord proofKind = "lock"
 )
 
 // proofOrigin is what gave a leadership proof.
--- a/internal/lineproxy/proxy.go
+++ b/internal/lineproxy/proxy.go
@@ -90,13 +90,15 @@
 	p := &Proxy{store: store, promoter: promoter, clients: relay.NewClients(source), feedClients: relay.NewClients(source)}
 	p.settings.Store(&settings)
 	p.quota = p.newQuota(&settings)
+	locks := promotionlock.New(store, store.Eras(), settings.Name)
 	p.engine = engine.New(engine.Options{
 		Name:          settings.Name,
 		Zone:          settings.Zone,
 		Peers:         p.clients,
 		Dialer:        platform.Dialer{Source: source},
 		Promoter:      promoter,
-		PromotionLock: promotionlock.New(store, store.Eras(), settings.Name),
+		PromotionLock: locks,
+		LockSettler:   locks,
 		TargetLister:  platform.TargetList{Store: store},
 		LossRegistry:  lossregistry.New(store),
 		DrainTimeout:  time.Duration(settings.Fleet.DrainTimeoutMs) * time.Millisecond,
--- a/internal/policy/leadership/leadership.go
+++ b/internal/policy/leadership/leadership.go
@@ -1,15 +1,22 @@
 // Package leadership decides whether a target may be used as the primary of its group.
 //
 // A target is promoted after every acknowledging replica is paused, that is a replica whose receipt of a commit lets the
-// primary acknowledge it, or after the old primary has stepped down. A primary that reports its role, together with a
-// replica that follows its term and is not paused, therefore proves that no later promotion was complete when the earlier
-// of the two was asked. Neither alone does: a primary may not know of a promotion, and a replica that a promoter did not
-// reach is not paused by one that rests on a step-down. Such a leadership proof is valid for ProofValidity, and a promoter
-// waits as long before it orders the promotion. Times are those of a clock that also runs while the machine is suspended.
+// primary acknowledge it, or after the old primary has stepped down. A promoter waits for ProofValidity after the last of both
+// before it orders the promotion. A leadership proof is evidence that no promotion to a later term was complete when it was asked
+// for; it is valid for ProofValidity from then on, so that it ends before any promotion that it does not know of. Times are those
+// of a clock that also runs while the machine is suspended.
+//
+// Proofs form a chain. While the last one is valid, the status of the primary and that of one replica that follows its term and
+// is not paused prove the term again: the replica was not paused yet, since between the last pause and the order no listed replica
+// is unpaused, and by the order each proof from before that pause has ended. Without a valid proof the word of one replica is not
+// enough. A promotion may have ended its pause, and it may follow the old primary because it does not reach the new one. A chain
+// starts with the statuses of all targets (ProvenAt), with the end of a promotion at the daemon that ordered it, or with the record
+// of the promotion lock (ProvenByRecord).
 package leadership
 
 import (
 	"math"
+	"slices"
 	"time"
 
 	"github.com/papayacove/papayacove/api"
@@ -20,16 +27,8 @@
 // it.
 const ProofValidity = 500 * time.Millisecond
 
-// WitnessTrial is the time after which a replica counts as a witness although the daemon has held no proof since it learned
-// of it. A group that lost all its witnesses would be left without proofs otherwise; an old primary is not expected to be cut
-// off from a later one for as long.
-const WitnessTrial = 30 * time.Second
-
-// IsWitness reports whether each promoter of a later term pauses a replica: the daemon knew of it while it held a valid proof,
-// so that its entry was listed before a later promotion was complete, or has known it for WitnessTrial.
-func IsWitness(knownWithinProof bool, knownFor time.Duration) bool {
-	return knownWithinProof || knownFor >= WitnessTrial
-}
+// NoPromotion stands for the settled term of a group that was never promoted.
+const NoPromotion = math.MaxUint64
 
 // Role is the role that a target reports for itself.
 type Role uint8
@@ -92,44 +91,93 @@
 	Witness string
 }
 
-// ProvenAt returns the latest proof in the statuses that no promotion to a later term was complete, so that the leader
-// of the term still had every acknowledged commit. The statuses may be of different times. members holds each known target
-// of the group, with true for the witnesses; other replicas prove it only if all members have answered, none of them in a later
-// term. It is false if there is no leadership proof.
-func ProvenAt(statuses map[string]Status, leader string, term uint64, members map[string]bool) (Proof, bool) {
-	own, answered := statuses[leader]
-	if !answered || own.Role != RolePrimary || own.Term != term {
+// Basis is what a daemon knows of a group beside the statuses of its targets.
+type Basis struct {
+	// Members are the names of the known targets.
+	Members []string
+	// IsChained is true while the last proof of the term is valid. All statuses were answered before its end then.
+	IsChained bool
+	// IsComplete is true if each target of the group is known.
+	IsComplete bool
+	// NeedsReplica is true if the primary acknowledges no commit before a replica has received it.
+	NeedsReplica bool
+}
+
+// MayStart reports whether the statuses of all targets can start a chain: a target that is known alone proves nothing if there
+// has to be a replica.
+func (b Basis) MayStart() bool { return b.IsComplete && (len(b.Members) > 1 || !b.NeedsReplica) }
+
+// ProvenAt returns the latest proof in the statuses that no promotion to a later term was complete, so that the leader of the term
+// still had every acknowledged commit. The statuses may be of different times. It is false if there is no leadership proof.
+func ProvenAt(statuses map[string]Status, leader string, term uint64, basis Basis) (Proof, bool) {
+	own := statuses[leader]
+	if !own.leads(term) || isReplaced(statuses, term, basis.Members) {
 		return Proof{}, false
 	}
-	if len(members) <= 1 {
+	if len(basis.Members) <= 1 && !basis.NeedsReplica && (basis.IsChained || basis.IsComplete) {
 		return Proof{own.AskedAt, leader}, true
 	}
-	latest, _ := provenByAll(statuses, term, members)
-	for name, s := range statuses {
-		if members[name] && s.provesTerm(term) && (latest.Witness == "" || s.AskedAt > latest.At) {
-			latest = Proof{s.AskedAt, name}
-		}
+	var latest Proof
+	if basis.MayStart() {
+		latest, _ = provenByAll(statuses, term, basis.Members)
+	}
+	if basis.IsChained {
+		latest = provenByOne(statuses, term, basis.Members, latest)
 	}
+	// The word of a replica alone is not enough: one that a promoter does not reach is not paused, and the primary steps down.
 	latest.At = min(latest.At, own.AskedAt)
 	return latest, latest.Witness != ""
 }
 
-// provesTerm reports whether the status is that of a replica that follows the term and is not paused.
-func (s Status) provesTerm(term uint64) bool {
+// ProvenByRecord returns the proof that follows from the record of the promotion lock. It was read from the store after askedAt, and
+// states that the lock is free and that the last promotion under it led to the settled term; NoPromotion if there was none, so that
+// the target that leads is the first. Whoever promotes later takes the lock after that, pauses replicas or has the primary step down, and waits for ProofValidity. The status of the leader shows that it has
+// not started again since.
+func ProvenByRecord(own Status, leader string, term, settled uint64, askedAt time.Duration) (Proof, bool) {
+	if settled != term && settled != NoPromotion || !own.leads(term) {
+		return Proof{}, false
+	}
+	return Proof{min(askedAt, own.AskedAt), leader}, true
+}
+
+func (s Status) leads(term uint64) bool { return s.Role == RolePrimary && s.Term == term }
+
+// Proves reports whether the status is that of a replica that follows the term and is not paused.
+func (s Status) Proves(term uint64) bool {
 	return s.Role == RoleReplica && s.Term == term && !s.IsPaused()
 }
 
-// provenByAll returns the proof that no member was in a later term when it was asked.
-func provenByAll(statuses map[string]Status, term uint64, members map[string]bool) (Proof, bool) {
+// startsChain reports whether the status of a target lets all statuses together start a chain. A paused replica does not: the
+// promotion that it was paused for may have been ordered, and takes effect some time after the order.
+func (s Status) startsChain() bool { return s.Role != RoleUnknown && !s.IsPaused() }
+
+// isReplaced reports whether a member is in a later term.
+func isReplaced(statuses map[string]Status, term uint64, members []string) bool {
+	return slices.ContainsFunc(members, func(name string) bool { return statuses[name].Term > term })
+}
+
+// provenByOne returns the later of a proof and that by the member which proved the term last.
+func provenByOne(statuses map[string]Status, term uint64, members []string, latest Proof) Proof {
+	for _, name := range members {
+		if s := statuses[name]; s.Proves(term) && (latest.Witness == "" || s.AskedAt > latest.At) {
+			latest = Proof{s.AskedAt, name}
+		}
+	}
+	return latest
+}
+
+// provenByAll returns the proof that no member was in a later term, or paused for one, when it was asked. The target of a
+// promotion is paused from before the wait until it leads; so the wait ends later than this proof.
+func provenByAll(statuses map[string]Status, term uint64, members []string) (Proof, bool) {
 	var proof Proof
 	oldest := time.Duration(math.MaxInt64)
-	for name := range members {
-		s, answered := statuses[name]
-		if !answered || s.Role == RoleUnknown || s.Term > term {
+	for _, name := range members {
+		s := statuses[name]
+		if !s.startsChain() {
 			return Proof{}, false
 		}
 		oldest = min(oldest, s.AskedAt)
-		if s.provesTerm(term) {
+		if s.Proves(term) {
 			proof.Witness = max(proof.Witness, name)
 		}
 	}
--- a/internal/policy/takeover/model_test.go
+++ b/internal/policy/takeover/model_test.go
@@ -62,6 +62,10 @@
 	// keepsUnreachedPauses is true if a promotion does not end the pauses of replicas that the new primary does not reach.
 	keepsUnreachedPauses bool
 	promoter             *modelPromoter
+	// pending is the promotion that was ordered and has not taken effect; nil for none.
+	pending *pendingPromotion
+	// settled is the term that the record of the promotion lock states; 0 if it is not known.
+	settled uint64
 	// proofFor and proofTerm are the primary that a daemon presumes and its term; proofUntil is the time at which the
 	// daemon's leadership proof for it expires.
 	proofUntil time.Duration
@@ -73,6 +77,8 @@
 	termSeenAt time.Duration
 	promotions int
 	reads      int
+	// chained, started and recorded count the proofs by one witness, by the statuses of all, and by the record of the lock.
+	chained, started, recorded int
 	// replicaMinimums counts the checked minimum positions that came from the replicas alone.
 	replicaMinimums int
 }
@@ -90,6 +96,18 @@
 	choice        Choice
 }
 
+// pendingPromotion is an order to promote that takes effect at a time, unless the target has crashed since: an order is for the process
+// that runs.
+type pendingPromotion struct {
+	target     string
+	at         time.Duration
+	crashed    bool
+	takeEffect func()
+}
+
+// maxEffectDelay is the longest time from an order to promote to its effect.
+const maxEffectDelay = time.Second
+
 func newModelGroup() *modelGroup {
 	g := &modelGroup{targets: map[string]*modelTarget{}, partitioned: map[[2]string]bool{}, unreached: map[string]bool{}, statuses: map[string]leadership.Status{}}
 	for _, name := range []string{"a", "b", "c"} {
@@ -99,8 +117,16 @@
 	return g
 }
 
-// advance lets time pass.
+// advance lets time pass, and the ordered promotion take effect.
 func (g *modelGroup) advance(d time.Duration) {
+	if p := g.pending; p != nil && p.at <= g.now+d {
+		d -= max(0, p.at-g.now)
+		g.now = max(g.now, p.at)
+		g.pending, g.settled = nil, 0
+		if !p.crashed {
+			p.takeEffect()
+		}
+	}
 	g.now += d
 	for _, target := range g.targets {
 		if target.pauseEndsAt != 0 && target.pauseEndsAt <= g.now {
@@ -149,8 +175,8 @@
 	return received
 }
 
-// commit writes a commit at every target that has the role of primary, and acknowledges it if a replica has received
-// it.
+// commit writes a commit at every target that has the role of primary, and acknowledges it if a replica has received it and the
+// caller is told so: the daemon that sent it holds a proof. Before the next promotion is ordered, another daemon may hold one.
 func (g *modelGroup) commit(t *rapid.T) {
 	lagging := rapid.SampledFrom([]string{"", "a", "b", "c"}).Draw(t, "lagging")
 	for _, name := range slices.Sorted(maps.Keys(g.targets)) {
@@ -161,12 +187,27 @@
 		g.next++
 		position := api.Position{Term: p.term, Offset: g.next}
 		p.log = append(slices.Clone(p.log), position)
-		if g.replicate(name, func(replica string) bool { return replica != lagging }) {
+		received := g.replicate(name, func(replica string) bool { return replica != lagging })
+		if received && (g.isProved(name) || p.term == g.newestTerm() && g.pending == nil) {
 			g.acked = append(g.acked, position)
 		}
 	}
 }
 
+// isProved reports whether the daemon has a valid leadership proof of a target in its present term.
+func (g *modelGroup) isProved(name string) bool {
+	return g.proofFor == name && g.proofTerm == g.targets[name].term && g.now < g.proofUntil
+}
+
+// newestTerm returns the newest term.
+func (g *modelGroup) newestTerm() uint64 {
+	var term uint64
+	for _, target := range g.targets {
+		term = max(term, target.term)
+	}
+	return term
+}
+
 // isReached reports whether the promoter reaches a target.
 func (g *modelGroup) isReached(name string) bool { return g.targets[name].up && !g.unreached[name] }
 
@@ -181,9 +222,12 @@
 	return statuses
 }
 
-// begin starts a promotion against a drawn old primary; it replaces the one that was running.
+// begin starts a promotion against a drawn old primary; it replaces the one that was running. There is none while another was
+// ordered, whose promoter holds the lock.
 func (g *modelGroup) begin(t *rapid.T) {
-	g.beginAgainst(rapid.SampledFrom([]string{"a", "b", "c"}).Draw(t, "suspected"))
+	if g.pending == nil {
+		g.beginAgainst(rapid.SampledFrom([]string{"a", "b", "c"}).Draw(t, "suspected"))
+	}
 }
 
 func (g *modelGroup) beginAgainst(old string) {
@@ -199,6 +243,17 @@
 	g.promoter = p
 }
 
+// pauseAll begins a promotion and pauses all replicas that the promoter reaches.
+func (g *modelGroup) pauseAll(t *rapid.T) {
+	g.begin(t)
+	if g.promoter == nil {
+		return
+	}
+	for _, name := range g.promoter.replicas {
+		g.pauseOne(name)
+	}
+}
+
 // pause pauses a drawn replica, if the promoter reaches it.
 func (g *modelGroup) pause(t *rapid.T) {
 	p := g.promoter
@@ -234,19 +289,30 @@
 // promote promotes the chosen target once the leadership proofs have expired, and checks that it has every acknowledged
 // commit.
 func (g *modelGroup) promote(t rapid.TB, joinsAfter time.Duration) {
+	if !g.choose() {
+		return
+	}
+	g.takeEffect(t, g.promoter.choice.Target, joinsAfter)
+	g.promoter = nil
+}
+
+// choose chooses the target and reports whether it may be promoted now.
+func (g *modelGroup) choose() bool {
 	p := g.promoter
 	p.choice = Choose(p.replicas, p.paused, p.demoted, func(name string) bool { return g.targets[name].leaving })
 	if p.choice.Target == "" || g.now < EarliestOrder(p.pausedAt, p.steppedDownAt) {
-		return
-	}
-	chosen := g.targets[p.choice.Target]
-	if !chosen.up || !StillPaused(p.paused, g.reachedStatuses()) {
-		return
+		return false
 	}
+	return g.targets[p.choice.Target].up && StillPaused(p.paused, g.reachedStatuses())
+}
+
+// takeEffect makes a target the primary, and checks that it has every acknowledged commit.
+func (g *modelGroup) takeEffect(t rapid.TB, name string, joinsAfter time.Duration) {
+	chosen := g.targets[name]
 	g.promotions++
 	for _, position := range g.acked {
 		if !slices.Contains(chosen.log, position) {
-			t.Fatalf("promoted %s without the acknowledged commit %v: got log %v", p.choice.Target, position, chosen.log)
+			t.Fatalf("promoted %s without the acknowledged commit %v: got log %v", name, position, chosen.log)
 		}
 	}
 	var term uint64
@@ -254,47 +320,120 @@
 		term = max(term, target.term)
 	}
 	chosen.role, chosen.term, chosen.paused = leadership.RolePrimary, term+1, 0
-	for _, name := range slices.Sorted(maps.Keys(g.targets)) {
-		target := g.targets[name]
-		if name != p.choice.Target && target.role == leadership.RoleReplica && target.up && !g.keepsUnreachedPauses {
+	for _, other := range slices.Sorted(maps.Keys(g.targets)) {
+		target := g.targets[other]
+		if other != name && target.role == leadership.RoleReplica && target.up && !g.keepsUnreachedPauses {
 			// The platform ends the pauses of all replicas, also of those that the new primary does not reach.
 			target.paused = 0
 		}
 		// Those that it reaches follow it, and their logs are truncated if they were ahead.
-		if name != p.choice.Target && target.role == leadership.RoleReplica && target.up && !g.isPartitioned(name, p.choice.Target) {
+		if other != name && target.role == leadership.RoleReplica && target.up && !g.isPartitioned(other, name) {
 			target.term, target.paused, target.log = chosen.term, 0, slices.Clone(chosen.log)
 			target.pauseEndsAt = g.now + joinsAfter
 		}
 	}
+}
+
+// order orders the promotion of the chosen target once the leadership proofs have expired.
+func (g *modelGroup) order(t rapid.TB, joinsAfter, effectAfter time.Duration, provesIt bool) {
+	if !g.choose() {
+		return
+	}
+	name := g.promoter.choice.Target
+	g.promoter = nil
+	g.pending = &pendingPromotion{target: name, at: g.now + effectAfter, takeEffect: func() {
+		g.takeEffect(t, name, joinsAfter)
+		g.settled = g.targets[name].term
+		if provesIt {
+			g.proveByPromotion(name)
+		}
+	}}
+	g.advance(0)
+}
+
+// proveByPromotion lets the daemon that promoted a target see it lead while it holds the lock.
+func (g *modelGroup) proveByPromotion(name string) {
+	g.statuses[name] = g.status(name)
+	g.updatePrimary()
+	if g.proofFor == name {
+		g.proofUntil = g.now + leadership.ProofValidity
+	}
+}
+
+// giveUp ends a promotion that has not ordered anything, and resumes the replicas that it has paused.
+func (g *modelGroup) giveUp() {
+	for name := range g.promoter.paused {
+		if g.isReached(name) {
+			g.targets[name].paused = 0
+		}
+	}
 	g.promoter = nil
 }
 
-// witnesses returns the members that a daemon knows: it has known all targets of the model for long.
-func (g *modelGroup) witnesses() map[string]bool {
-	witnesses := map[string]bool{}
-	for name := range g.targets {
-		witnesses[name] = true
+// basis returns what a daemon knows that has known all targets of the model for long.
+func (g *modelGroup) basis() leadership.Basis {
+	return leadership.Basis{
+		Members: slices.Sorted(maps.Keys(g.targets)), IsChained: g.now < g.proofUntil, IsComplete: true, NeedsReplica: true,
 	}
-	return witnesses
 }
 
 // prove lets a daemon obtain a leadership proof for the primary it presumes, from the answers of some targets.
 func (g *modelGroup) prove(t *rapid.T) {
-	statuses := map[string]leadership.Status{}
 	for _, name := range slices.Sorted(maps.Keys(g.targets)) {
 		if g.targets[name].up && rapid.Bool().Draw(t, "answers_"+name) {
-			statuses[name] = g.status(name)
+			g.statuses[name] = g.status(name)
 		}
 	}
-	if leader, term, ok := leadership.Leader(statuses); ok && term >= g.proofTerm {
-		if term > g.proofTerm {
-			g.termSeenAt = g.now
+	g.updatePrimary()
+	g.applyProof(g.basis())
+}
+
+// proveByAll lets a daemon ask all targets.
+func (g *modelGroup) proveByAll() {
+	for name, target := range g.targets {
+		if target.up {
+			g.statuses[name] = g.status(name)
 		}
-		g.proofFor, g.proofTerm = leader, term
 	}
-	maps.Copy(g.statuses, statuses)
-	if proof, proved := leadership.ProvenAt(g.statuses, g.proofFor, g.proofTerm, g.witnesses()); proved {
+	g.updatePrimary()
+	g.applyProof(g.basis())
+}
+
+// updatePrimary does what a daemon does after status calls.
+func (g *modelGroup) updatePrimary() {
+	leader, term, ok := leadership.Leader(g.statuses)
+	if !ok {
+		leader, term = "", g.proofTerm
+	}
+	if term != g.proofTerm {
+		g.proofUntil, g.termSeenAt = 0, g.now
+	}
+	g.proofFor, g.proofTerm = leader, term
+}
+
+// applyProof records the proof that follows from the statuses.
+func (g *modelGroup) applyProof(basis leadership.Basis) {
+	proof, proved := leadership.ProvenAt(g.statuses, g.proofFor, g.proofTerm, basis)
+	if !proved || proof.At+leadership.ProofValidity <= g.proofUntil {
+		return
+	}
+	if basis.IsChained {
+		g.chained++
+	} else {
+		g.started++
+	}
+	g.proofUntil = proof.At + leadership.ProofValidity
+}
+
+// proveByRecord lets a daemon read the record of the promotion lock.
+func (g *modelGroup) proveByRecord() {
+	if g.promoter != nil || g.pending != nil || g.settled == 0 {
+		return
+	}
+	proof, proved := leadership.ProvenByRecord(g.statuses[g.proofFor], g.proofFor, g.proofTerm, g.settled, g.now)
+	if proved && proof.At+leadership.ProofValidity > g.proofUntil {
 		g.proofUntil = proof.At + leadership.ProofValidity
+		g.recorded++
 	}
 }
 
@@ -333,69 +472,104 @@
 	}
 }
 
-// TestPromotionKeepsAcknowledgedCommits interleaves commits, crashes, partitions, pauses, promotions and reads. It
-// guards against a promotion, and against reads at an old primary, that miss an acknowledged commit. No daemon asks
-// for a status after a write; the acknowledgement by one replica has to be enough.
+// drawDelay draws a time of whole milliseconds.
+func drawDelay(t *rapid.T, most time.Duration, label string) time.Duration {
+	return time.Duration(rapid.IntRange(0, int(most/time.Millisecond)).Draw(t, label)) * time.Millisecond
+}
+
+// drawOrder orders the promotion with drawn delays.
+func (g *modelGroup) drawOrder(t *rapid.T) {
+	joinsAfter, effectAfter := drawDelay(t, maxJoinDelay, "joins_after"), drawDelay(t, maxEffectDelay, "effect_after")
+	g.order(t, joinsAfter, effectAfter, rapid.Bool().Draw(t, "is_promoter"))
+}
+
+// restart takes a target down, or brings one back with its log, as a replica if another target has a later term.
+func (g *modelGroup) restart(name string, up bool) {
+	target := g.targets[name]
+	if up == target.up {
+		return
+	}
+	target.up = up
+	if !up {
+		if g.pending != nil && g.pending.target == name {
+			g.pending.crashed = true
+		}
+		return
+	}
+	target.paused, target.pauseEndsAt = 0, 0
+	for other, o := range g.targets {
+		if other != name && o.term > target.term {
+			target.role = leadership.RoleReplica
+		}
+	}
+}
+
+// TestPromotionKeepsAcknowledgedCommits interleaves commits, crashes, partitions, pauses, promotions that take effect some time
+// after the order, and a daemon that reads and passes commits on within a chain of leadership proofs. It guards against a
+// promotion, and against reads at an old primary, that miss an acknowledged commit.
 func TestPromotionKeepsAcknowledgedCommits(t *testing.T) {
-	promotions, reads, replicaMinimums := 0, 0, 0
+	promotions, reads, replicaMinimums, chained, started, recorded := 0, 0, 0, 0, 0, 0
 	rapid.Check(t, func(t *rapid.T) {
 		g := newModelGroup()
 		defer func() {
 			promotions, reads, replicaMinimums = promotions+g.promotions, reads+g.reads, replicaMinimums+g.replicaMinimums
+			chained, started, recorded = chained+g.chained, started+g.started, recorded+g.recorded
 		}()
 		names := []string{"a", "b", "c"}
+		drawName := func(t *rapid.T, label string) string { return rapid.SampledFrom(names).Draw(t, label) }
 		t.Repeat(map[string]func(*rapid.T){
 			"commit": g.commit,
 			"time":   func(t *rapid.T) { g.advance(time.Duration(rapid.IntRange(1, 600).Draw(t, "ms")) * time.Millisecond) },
 			"cut": func(t *rapid.T) {
-				a, b := rapid.SampledFrom(names).Draw(t, "a"), rapid.SampledFrom(names).Draw(t, "b")
+				a, b := drawName(t, "a"), drawName(t, "b")
 				g.partitioned[[2]string{min(a, b), max(a, b)}] = rapid.Bool().Draw(t, "cut")
 			},
-			"unreached": func(t *rapid.T) {
-				g.unreached[rapid.SampledFrom(names).Draw(t, "target")] = rapid.Bool().Draw(t, "unreached")
-			},
-			"crash": func(t *rapid.T) { g.targets[rapid.SampledFrom(names).Draw(t, "target")].up = false },
-			"leave": func(t *rapid.T) { g.targets[rapid.SampledFrom(names).Draw(t, "target")].leaving = true },
-			"return": func(t *rapid.T) {
-				name := rapid.SampledFrom(names).Draw(t, "target")
-				target := g.targets[name]
-				if target.up {
-					return
-				}
-				// It returns with its log, as a replica if another target has a later term.
-				target.up = true
-				target.paused, target.pauseEndsAt = 0, 0
-				for other, o := range g.targets {
-					if other != name && o.term > target.term {
-						target.role = leadership.RoleReplica
-					}
-				}
-			},
-			"begin": func(t *rapid.T) { g.begin(t) },
+			"unreached": func(t *rapid.T) { g.unreached[drawName(t, "target")] = rapid.Bool().Draw(t, "unreached") },
+			"crash":     func(t *rapid.T) { g.restart(drawName(t, "target"), false) },
+			"return":    func(t *rapid.T) { g.restart(drawName(t, "target"), true) },
+			"leave":     func(t *rapid.T) { g.targets[drawName(t, "target")].leaving = true },
+			"begin":     g.begin,
 			"pause": func(t *rapid.T) {
 				if g.promoter != nil {
 					g.pause(t)
 				}
 			},
-			"pause all": func(t *rapid.T) {
-				g.begin(t)
-				for _, name := range g.promoter.replicas {
-					g.pauseOne(name)
-				}
-			},
+			"pause all": g.pauseAll,
 			// A promotion as a whole, so that runs reach the states after one.
 			"takeover": func(t *rapid.T) {
-				g.begin(t)
-				for _, name := range g.promoter.replicas {
-					g.pauseOne(name)
+				g.pauseAll(t)
+				g.advance(leadership.ProofValidity)
+				if g.promoter != nil {
+					g.drawOrder(t)
 				}
+			},
+			// The same with all that a daemon does beside it.
+			"takeover beside proofs": func(t *rapid.T) {
+				g.proveByAll()
+				g.pauseAll(t)
+				g.advance(drawDelay(t, leadership.ProofValidity, "until_proof"))
+				g.prove(t)
 				g.advance(leadership.ProofValidity)
-				g.promote(t, time.Duration(rapid.IntRange(0, int(maxJoinDelay/time.Millisecond)).Draw(t, "joins_after"))*time.Millisecond)
+				if g.promoter != nil {
+					g.drawOrder(t)
+				}
+				g.restart(drawName(t, "restarted"), false)
+				g.advance(drawDelay(t, maxEffectDelay, "down_for"))
+				for _, name := range names {
+					g.restart(name, true)
+				}
+				g.commit(t)
+				g.prove(t)
+				g.advance(drawDelay(t, maxEffectDelay, "until_read"))
+				g.prove(t)
+				g.proveByRecord()
+				g.commit(t)
+				g.read(t)
 			},
 			"planned replacement": func(t *rapid.T) {
 				g.prove(t)
 				leader, _, ok := leadership.Leader(g.reachedStatuses())
-				if !ok {
+				if !ok || g.pending != nil {
 					return
 				}
 				g.beginAgainst(leader)
@@ -404,6 +578,11 @@
 				}
 				g.stepDown()
 			},
+			"give up": func(*rapid.T) {
+				if g.promoter != nil {
+					g.giveUp()
+				}
+			},
 			"wait":   func(*rapid.T) { g.advance(leadership.ProofValidity) },
 			"settle": func(*rapid.T) { g.advance(PromotionSettleTime) },
 			"pause leaving": func(t *rapid.T) {
@@ -417,18 +596,34 @@
 			},
 			"promote": func(t *rapid.T) {
 				if g.promoter != nil {
-					g.promote(t, time.Duration(rapid.IntRange(0, int(maxJoinDelay/time.Millisecond)).Draw(t, "joins_after"))*time.Millisecond)
+					g.drawOrder(t)
+				}
+			},
+			"prove":        g.prove,
+			"prove by all": func(*rapid.T) { g.proveByAll() },
+			"keep the chain": func(t *rapid.T) {
+				for range rapid.IntRange(1, 6).Draw(t, "rounds") {
+					g.prove(t)
+					g.advance(drawDelay(t, leadership.ProofValidity, "round"))
 				}
 			},
-			"prove": g.prove,
+			"read the record": func(t *rapid.T) {
+				g.prove(t)
+				g.proveByRecord()
+			},
 			"floor": g.checkReplicaMinimum,
 			"read":  g.read,
 		})
 	})
-	if promotions == 0 || reads == 0 || replicaMinimums == 0 {
-		t.Errorf("got %d promotions, %d reads at a proved primary, %d minimum positions of the replicas, want each at least once", promotions, reads, replicaMinimums)
+	for what, count := range map[string]int{
+		"promotions": promotions, "reads at a proved primary": reads, "minimum positions of the replicas": replicaMinimums,
+		"proofs in a chain": chained, "starts of a chain": started, "proofs by the record": recorded,
+	} {
+		if count == 0 {
+			t.Errorf("got no %s, want some", what)
+		}
+		t.Logf("%d %s", count, what)
 	}
-	t.Logf("%d promotions, %d reads at a proved primary, %d minimum positions of the replicas", promotions, reads, replicaMinimums)
 }
 
 // TestPausedLeavingReplicaIsWaitedFor replays a planned replacement whose old primary leaves as a replica: it is paused
--- a/internal/policy/takeover/stale_model_test.go
+++ b/internal/policy/takeover/stale_model_test.go
@@ -13,20 +13,18 @@
 )
 
 // staleModel is a modelGroup with a daemon that reads, and passes the success of commits on, within leadership proofs. A
-// fourth target joins, whose entry the store lists at once and of which the daemon learns later. A promotion ends the pauses of those
-// replicas only that the new primary reaches; the others are the subject of TestPromotionKeepsAcknowledgedCommits.
+// fourth target joins, whose entry the store lists at once and of which the daemon learns later.
 type staleModel struct {
 	*modelGroup
-	// known are the targets that the daemon knows; true for those that it knew while it held a valid proof.
+	// known are the targets that the daemon knows.
 	known map[string]bool
-	// joined counts the targets that joined.
-	joined int
+	// joined counts the targets that joined, the last of them at joinedAt.
+	joined   int
+	joinedAt time.Duration
 }
 
 func newStaleModel() *staleModel {
-	m := &staleModel{modelGroup: newModelGroup(), known: map[string]bool{"a": true, "b": true, "c": true}}
-	m.keepsUnreachedPauses = true
-	return m
+	return &staleModel{modelGroup: newModelGroup(), known: map[string]bool{"a": true, "b": true, "c": true}}
 }
 
 func (m *staleModel) drawTarget(t *rapid.T, label string) string {
@@ -43,6 +41,7 @@
 	if m.targets["d"] == nil {
 		m.targets["d"] = &modelTarget{role: leadership.RoleReplica, up: true}
 		m.joined++
+		m.joinedAt = m.now
 	}
 }
 
@@ -55,8 +54,8 @@
 
 // learn lets the daemon learn of the target that has joined.
 func (m *staleModel) learn() {
-	if _, known := m.known["d"]; !known && m.targets["d"] != nil {
-		m.known["d"] = m.now < m.proofUntil
+	if m.targets["d"] != nil {
+		m.known["d"] = true
 	}
 }
 
@@ -76,8 +75,7 @@
 		position := api.Position{Term: p.term, Offset: m.next}
 		p.log = append(slices.Clone(p.log), position)
 		received := m.replicate(name, func(replica string) bool { return receives[replica] })
-		isProved := m.proofFor == name && m.proofTerm == p.term && m.now < m.proofUntil
-		if received && (isProved || p.term == m.newestTerm()) {
+		if received && (m.isProved(name) || p.term == m.newestTerm()) {
 			m.acked = append(m.acked, position)
 		}
 	}
@@ -107,27 +105,16 @@
 			m.statuses[name] = m.status(name)
 		}
 	}
-	m.applyStatuses()
+	m.updatePrimary()
+	m.applyProof(m.basis())
 }
 
-// applyStatuses does what a daemon does after a status round.
-func (m *staleModel) applyStatuses() {
-	leader, term, ok := leadership.Leader(m.statuses)
-	if !ok {
-		m.proofFor = ""
-		return
-	}
-	if term != m.proofTerm {
-		m.proofUntil = 0
-	}
-	m.proofFor, m.proofTerm = leader, term
-	if proof, proved := leadership.ProvenAt(m.statuses, leader, term, m.known); proved {
-		m.proofUntil = max(m.proofUntil, proof.At+leadership.ProofValidity)
-	}
-	if m.now < m.proofUntil {
-		for name := range m.known {
-			m.known[name] = true
-		}
+// basis returns what the daemon knows. It learns of a target while the entries are followed, and so before a promotion that began
+// after the target joined can be complete.
+func (m *staleModel) basis() leadership.Basis {
+	return leadership.Basis{
+		Members: slices.Sorted(maps.Keys(m.known)), IsChained: m.now < m.proofUntil, NeedsReplica: true,
+		IsComplete: len(m.known) == len(m.targets) || m.now < m.joinedAt+leadership.ProofValidity,
 	}
 }
 
@@ -145,15 +132,6 @@
 	}
 }
 
-// newestTerm returns the newest term, which the promoter has seen: it made all promotions.
-func (m *staleModel) newestTerm() uint64 {
-	var term uint64
-	for _, target := range m.targets {
-		term = max(term, target.term)
-	}
-	return term
-}
-
 // replaceByStepDown begins a promotion that does not reach one of the replicas, and orders the old primary to step down.
 func (m *staleModel) replaceByStepDown(t *rapid.T) {
 	leader, term, ok := leadership.Leader(m.reachedStatuses())
--- a/internal/policy/takeover/takeover.go
+++ b/internal/policy/takeover/takeover.go
@@ -7,7 +7,6 @@
 package takeover
 
 import (
-	"math"
 	"slices"
 	"time"
 
@@ -29,7 +28,7 @@
 )
 
 // NothingOrdered stands for the term that a promotion led to if it ordered none, so that the term known before still holds.
-const NothingOrdered = math.MaxUint64
+const NothingOrdered uint64 = leadership.NoPromotion
 
 const (
 	// judgeInterval is the time by which the daemons that judge a primary, one in each availability zone, begin their
--- a/internal/promotionlock/promotionlock.go
+++ b/internal/promotionlock/promotionlock.go
@@ -87,8 +87,12 @@
 	mu sync.Mutex
 	// held is the record of this daemon's hold; its version is 0 when there is none.
 	held api.Object
-	// settledTerm is the term that the record stated when the lock was acquired; 0 if it was not known.
+	// before is the record as it was when the lock was acquired, settledTerm the term that it stated; 0 if it was not known.
+	before      api.Object
 	settledTerm uint64
+	// unsettled is a record that states no term, first seen at unsettledAt.
+	unsettled   api.Object
+	unsettledAt time.Duration
 	// hasTried is true once this start of the daemon has written that it holds the lock. Before, a record with its name is
 	// that of an earlier start, whose last order may still be in transit.
 	hasTried bool
@@ -126,8 +130,9 @@
 	l.of(group).release(ctx, term)
 }
 
-// SettledTerm reads from the store to which term the last promotion of a group led. It fails with ErrHeld if the lock may be
-// held, and with ErrNotSettled if the term is not known.
+// SettledTerm reads from the store to which term the last promotion of a group led; takeover.NothingOrdered if none was begun since
+// the store exists, which was never restored. It fails with ErrHeld if the lock may be held, and with ErrNotSettled if the term is
+// not known.
 func (l *Locks) SettledTerm(ctx context.Context, group string) (uint64, error) {
 	ctx, cancel := context.WithTimeout(ctx, storeTimeout)
 	defer cancel()
@@ -135,6 +140,9 @@
 	if err != nil {
 		return 0, err
 	}
+	if record.Version == 0 && record.Era == 0 {
+		return takeover.NothingOrdered, nil
+	}
 	stored, err := storedIn(record)
 	if err != nil {
 		return 0, fmt.Errorf("%w: %w", ErrHeld, err)
@@ -157,6 +165,62 @@
 	return stored.Term
 }
 
+// Settle has the record of a lock state the term to which the last promotion of a group led, if it does not. prove returns that term,
+// proved by statuses that were asked for while the lock is held, or false. It fails with ErrNotSettled unless the record has not
+// changed for takeoverDelay: an order of the last holder may still take effect before.
+func (l *Locks) Settle(ctx context.Context, group string, prove func() (term uint64, ok bool)) error {
+	return l.of(group).settle(ctx, prove)
+}
+
+func (l *lock) settle(ctx context.Context, prove func() (uint64, bool)) error {
+	isSettled, err := l.observe(ctx)
+	if isSettled || err != nil {
+		return err
+	}
+	if _, _, err := l.acquire(ctx); err != nil {
+		return err
+	}
+	term, ok := prove()
+	if !ok || !l.isAcquiredFromObserved() {
+		l.release(context.WithoutCancel(ctx), takeover.NothingOrdered)
+		return ErrNotSettled
+	}
+	l.release(context.WithoutCancel(ctx), term)
+	return nil
+}
+
+// observe reports whether the record states a term. It fails with ErrNotSettled if it has not been the same for takeoverDelay.
+func (l *lock) observe(ctx context.Context) (bool, error) {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	ctx, cancel := context.WithTimeout(ctx, storeTimeout)
+	defer cancel()
+	record, err := l.read(ctx)
+	if err != nil {
+		return false, err
+	}
+	if stored, err := storedIn(record); err == nil && settledTermOf(record, stored) != 0 {
+		return true, nil
+	}
+	now := l.now()
+	if l.unsettledAt == 0 || !isSame(l.unsettled, record) {
+		l.unsettled, l.unsettledAt = record, now
+	}
+	if now-l.unsettledAt < takeoverDelay {
+		return false, fmt.Errorf("%w: version %d is seen since %s", ErrNotSettled, record.Version, now-l.unsettledAt)
+	}
+	return false, nil
+}
+
+// isAcquiredFromObserved reports whether the lock was acquired while its record was the observed one.
+func (l *lock) isAcquiredFromObserved() bool {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	return isSame(l.unsettled, l.before)
+}
+
+func isSame(a, b api.Object) bool { return a.Version == b.Version && a.Era == b.Era }
+
 func (l *lock) acquire(ctx context.Context) (uint64, time.Duration, error) {
 	l.mu.Lock()
 	defer l.mu.Unlock()
@@ -180,7 +244,7 @@
 	if err != nil {
 		return 0, 0, err
 	}
-	l.held, l.settledTerm = held, settledTermOf(record, stored)
+	l.held, l.before, l.settledTerm = held, record, settledTermOf(record, stored)
 	logrus.WithFields(logrus.Fields{logfield.Group: l.group, logfield.Token: token, logfield.Era: held.Era}).Info(logevent.DutyTaken)
 	return token, sentAt + Validity, nil
 }
--- a/internal/promotionlock/promotionlock_test.go
+++ b/internal/promotionlock/promotionlock_test.go
@@ -236,3 +236,110 @@
 		t.Errorf("got token %d, %v, want ErrHeld", token, err)
 	}
 }
+
+// TestRecordStatesTheTermOfTheLastPromotion guards against a term that is out of date: one of a lock that is held or was not released,
+// of an earlier era of the store, or of a record that an older daemon wrote.
+func TestRecordStatesTheTermOfTheLastPromotion(t *testing.T) {
+	store := &memoryStore{era: 1, eraSince: time.Second}
+	now := time.Minute
+	first, second := New(store, store, "daemon-1"), New(store, store, "daemon-2")
+	first.now = func() time.Duration { return now }
+	second.now = first.now
+	ctx := t.Context()
+	acquire := func(l *Locks) {
+		t.Helper()
+		if _, _, err := l.Acquire(ctx, group); err != nil {
+			t.Fatal(err)
+		}
+	}
+	check := func(when string, want uint64, wantErr error) {
+		t.Helper()
+		if term, err := second.SettledTerm(ctx, group); term != want || !errors.Is(err, wantErr) {
+			t.Errorf("%s: got term %d, %v, want %d, %v", when, term, err, want, wantErr)
+		}
+	}
+	check("no promotion yet", 0, ErrNotSettled)
+	acquire(first)
+	check("held", 0, ErrHeld)
+	first.Release(ctx, group, 7)
+	check("after a promotion", 7, nil)
+	acquire(second)
+	second.Release(ctx, group, takeover.NothingOrdered)
+	check("after one that was given up", 7, nil)
+	acquire(first)
+	first.Release(ctx, group, 0)
+	check("after an order of unknown outcome", 0, ErrNotSettled)
+	acquire(second)
+	second.Release(ctx, group, takeover.NothingOrdered)
+	check("after another that was given up", 0, ErrNotSettled)
+	acquire(first)
+	first.Release(ctx, group, 8)
+	acquire(first)
+	if _, _, err := second.Acquire(ctx, group); !errors.Is(err, ErrHeld) {
+		t.Fatal(err)
+	}
+	now += takeoverDelay
+	acquire(second)
+	second.Release(ctx, group, takeover.NothingOrdered)
+	check("taken over from a holder that has not released", 0, ErrNotSettled)
+	acquire(first)
+	first.Release(ctx, group, 9)
+	store.era, store.eraSince = 2, now
+	check("of an earlier era", 0, ErrNotSettled)
+	now += takeoverDelay
+	acquire(first)
+	first.Release(ctx, group, takeover.NothingOrdered)
+	check("given up in the later era", 0, ErrNotSettled)
+	store.data = json.RawMessage(`{"holder":"","era":2}`)
+	check("of an older daemon", 0, ErrNotSettled)
+	store.data = json.RawMessage(`{"holder":"","era":2,"term":"9"}`)
+	check("that cannot be read", 0, ErrHeld)
+	store.data, store.version = nil, 0
+	check("none in a store that was restored", 0, ErrNotSettled)
+	store.era = 0
+	check("none in a store that never was", takeover.NothingOrdered, nil)
+}
+
+// TestUnknownTermIsSettledOnceNoOrderIsUnderWay guards against a record that never states a term, and against one that states it while an
+// order of the last holder may still take effect.
+func TestUnknownTermIsSettledOnceNoOrderIsUnderWay(t *testing.T) {
+	store := &memoryStore{era: 1, eraSince: time.Second}
+	now := time.Minute
+	first, second := New(store, store, "daemon-1"), New(store, store, "daemon-2")
+	first.now = func() time.Duration { return now }
+	second.now = first.now
+	ctx := t.Context()
+	settle := func(term uint64, ok bool) error {
+		return second.Settle(ctx, group, func() (uint64, bool) { return term, ok })
+	}
+	if err := settle(1, true); !errors.Is(err, ErrNotSettled) {
+		t.Errorf("at once: got %v, want ErrNotSettled", err)
+	}
+	now += takeoverDelay
+	if err := settle(1, true); err != nil {
+		t.Errorf("after the takeover delay: got %v, want nil", err)
+	}
+	if term, err := first.SettledTerm(ctx, group); term != 1 || err != nil {
+		t.Errorf("got term %d, %v, want 1", term, err)
+	}
+	if err := settle(9, true); err != nil {
+		t.Errorf("when it is settled: got %v, want nil", err)
+	}
+	if term, err := first.SettledTerm(ctx, group); term != 1 || err != nil {
+		t.Errorf("when it is settled: got term %d, %v, want the same", term, err)
+	}
+	if _, _, err := first.Acquire(ctx, group); err != nil {
+		t.Fatal(err)
+	}
+	first.Release(ctx, group, 0)
+	if err := settle(2, true); !errors.Is(err, ErrNotSettled) {
+		t.Errorf("right after an order of unknown outcome: got %v, want ErrNotSettled", err)
+	}
+	now += takeoverDelay
+	if err := settle(2, false); !errors.Is(err, ErrNotSettled) {
+		t.Errorf("without a proof: got %v, want ErrNotSettled", err)
+	}
+	if _, err := first.SettledTerm(ctx, group); !errors.Is(err, ErrNotSettled) {
+		t.Errorf("without a proof: got %v, want ErrNotSettled", err)
+	}
+}
