--- a/internal/engine/unknownreplica_test.go
+++ b/internal/engine/unknownreplica_test.go
@@ -39,7 +39,7 @@
 	l.group.members["a"].lastReplyAt -= time.Second
 	ctx, cancel := context.WithCancel(context.Background())
 	t.Cleanup(cancel)
-	go l.group.serveProofs(ctx)
+	go l.group.serveProofs(ctx, func() {})
 	return l
 }
 
