Engine: a removed primary is not followed by a target of an earlier term

What callers saw: a read on a primary route, or the success of a write, at a primary that had been replaced, after the entry of its successor had lapsed.

Cause: what a daemon knows of a target goes with its entry. Without the status of the successor, the target that leads in the highest known term was the old primary, in a term before the last one, and the statuses of all remaining targets started a chain of proofs for it. A replica that a promotion resumed and that does not reach the new primary is enough.

Now a daemon presumes no primary of a term before the last one that it has presumed. The group then counts as one without a primary, and is promoted to a later term. A daemon that starts after the entry has lapsed knows of no later term; the record of the promotion lock could tell it.

--- a/internal/engine/observe.go
+++ b/internal/engine/observe.go
@@ -367,10 +367,10 @@
 }
 
 // updatePrimary makes the target that leads in the highest term the presumed primary. There is none if no target leads,
-// or if any target reports a later term. The caller holds the lock.
+// or if any target reports a later term, also one that was removed since. The caller holds the lock.
 func (g *group) updatePrimary() {
 	primary, term, ok := leadership.Leader(g.statuses)
-	if !ok {
+	if !ok || term < g.term {
 		primary, term = "", g.term
 	}
 	if primary == g.primary && term == g.term {
