Leadership proofs: the term of the lock's record is settled again

What callers saw: nothing yet. A group whose record of the promotion lock has lost its term has one way less to start a chain of proofs: while a target does not answer, reads on primary routes and writes are refused once the chain has broken.

Cause: a daemon that has seen the record state the term did not look again while the term stayed. A promotion of unknown outcome that never takes effect, a hold that is not released and a restored store each take the term out of the record and leave the term of the group as it is.

Evidence: the test fails on the code before:

resettle_test.go:19: 1m0s after the record stated the term: got another look false, want true

Now the daemon that settles the record reads it again every 30 s while the group is used: one read of the store for each group.

--- a/internal/engine/lockproof.go
+++ b/internal/engine/lockproof.go
@@ -22,6 +22,9 @@
 	recordTimeout = leadership.ProofValidity
 	// settleInterval is the least time between two attempts to have the record state the term.
 	settleInterval = 2 * time.Second
+	// settledInterval is the same once the record is known to have stated the term. A promotion with an unknown outcome and a restored
+	// store take the term away.
+	settledInterval = 30 * time.Second
 )
 
 // recordReads is what a daemon knows of its reads of the record of the promotion lock of one group.
@@ -87,9 +90,13 @@
 	defer g.mu.Unlock()
 	now := clock.SinceBoot()
 	r, m := &g.recordReads, g.members[g.primary]
-	isDue := r.settlingAt == 0 || now-r.settlingAt >= settleInterval
+	interval := settleInterval
+	if r.settled == g.term {
+		interval = settledInterval
+	}
+	isDue := r.settlingAt == 0 || now-r.settlingAt >= interval
 	isUsed := g.provenUntil > now && now-g.proofUsedAt < unusedAfter && g.keepsProofs(m)
-	if r.settled == g.term || !isDue || !isUsed {
+	if !isDue || !isUsed {
 		return false
 	}
 	if g.judgeRank != 0 && m.gate == nil && r.promoted != g.term && g.mayStartChain(now) {
