--- a/internal/engine/observe.go
+++ b/internal/engine/observe.go
@@ -176,7 +176,13 @@
 // askAll makes a status call to all members at the same time and returns their answers by name, as sendToAll does. The
 // timeout bounds each call that is made directly.
 func (g *group) askAll(members map[string]*member, timeout time.Duration) map[string]leadership.Status {
-	return callAll(members, OpStatus, func(m *member) (leadership.Status, error) { return g.status(m, timeout) })
+	statuses := callAll(members, OpStatus, func(m *member) (leadership.Status, error) { return g.status(m, timeout) })
+	g.mu.Lock()
+	defer g.mu.Unlock()
+	for name, m := range members {
+		m.gaveNoStatus = statuses[name].Role == leadership.RoleUnknown
+	}
+	return statuses
 }
 
 // sendToAll sends a command to all members at the same time, on connections of this daemon, and returns their answers by
@@ -361,10 +367,10 @@
 }
 
 // updatePrimary makes the target that leads in the highest term the presumed primary. There is none if no target leads,
-// or if any target reports a later term. The caller holds the lock.
+// or if any target reports a later term, also one that was removed since. The caller holds the lock.
 func (g *group) updatePrimary() {
 	primary, term, ok := leadership.Leader(g.statuses)
-	if !ok {
+	if !ok || term < g.term {
 		primary, term = "", g.term
 	}
 	if primary == g.primary && term == g.term {
@@ -375,6 +381,7 @@
 		g.noPromotionUntil = max(g.noPromotionUntil, clock.SinceBoot()+takeover.PromotionHoldTime)
 		// The positions and proofs of the old primary do not cover the commits of the new one.
 		g.provenUntil = 0
+		g.recordReads.failed = 0
 		g.termSeenAt = clock.SinceBoot()
 		g.markUnsettled(unsettledTerm)
 	}
--- a/internal/engine/promote.go
+++ b/internal/engine/promote.go
@@ -64,10 +64,14 @@
 	steppedDownAt time.Duration
 	// orderIsOpen is true while an order may still take effect.
 	orderIsOpen bool
-	// settledTerm is what is told of the promotion when the lock is released, as PromotionLock.Release expects it.
-	settledTerm uint64
 	// restsOnStepDown is true if a replica is not paused, and the choice of the target rests on the step-down.
 	restsOnStepDown bool
+	// oldIsSilent is true if the old primary did not answer the last order to step down.
+	oldIsSilent bool
+	// settledTerm is what is told of the promotion when the lock is released, as PromotionLock.Release expects it. released is true
+	// after that.
+	settledTerm uint64
+	released    bool
 }
 
 // takeOver replaces the primary of a group unless another daemon holds the promotion lock or has replaced it.
@@ -120,10 +124,14 @@
 // release releases the promotion lock, also in a planned stop: the other daemons would wait for its end otherwise.
 // While an order may still take effect they have to: the next promotion may be given up, and would end the pauses.
 func (p *promotion) release() {
+	if p.released {
+		return
+	}
 	if p.orderIsOpen {
 		p.log().Warn(logevent.PromotionLockKept)
 		return
 	}
+	p.released = true
 	ctx := context.WithoutCancel(p.engine.ctx)
 	p.engine.options.PromotionLock.Release(ctx, p.group.name, p.settledTerm)
 }
@@ -356,6 +364,7 @@
 		return
 	}
 	s, err := m.control.call(Command{Op: OpStepDown, Term: p.term})
+	p.oldIsSilent = err != nil
 	if err != nil {
 		p.log().WithField(logfield.Error, err).Info(logevent.OldPrimaryNotSteppingDown)
 		return
@@ -384,8 +393,13 @@
 		if err == nil && s.Role == leadership.RolePrimary {
 			p.log().WithFields(logrus.Fields{logfield.Target: target, logfield.NewTerm: s.Term, logfield.Elapsed: clock.SinceBoot() - p.pausedAt}).Info(logevent.PromotionDone)
 			p.settledTerm, p.orderIsOpen = s.Term, false
-			p.group.runStatusRound()
+			p.group.recordPromoted(target, s, p.lockedUntil)
 			p.finish(target)
+			p.release()
+			if p.oldIsSilent {
+				p.stepDown()
+			}
+			p.group.runStatusRound()
 			return true
 		}
 		if clock.Sleep(p.engine.ctx, leadPoll) != nil {
@@ -397,14 +411,18 @@
 	return false
 }
 
-// finish orders the old primary to step down, if it has not yet, and resumes the other replicas that are still
+// finish orders the old primary to step down, if it has not yet and answers, and resumes the other replicas that are still
 // paused.
 func (p *promotion) finish(target string) {
-	if p.demoted == nil {
+	if p.demoted == nil && !p.oldIsSilent {
 		p.stepDown()
 	}
 	stillPaused := make(map[string]*member)
-	for name, s := range sendToAll(p.members, Command{Op: OpStatus}) {
+	asked := maps.Clone(p.members)
+	if p.oldIsSilent {
+		delete(asked, p.old)
+	}
+	for name, s := range sendToAll(asked, Command{Op: OpStatus}) {
 		if name != target && s.Role == leadership.RoleReplica && s.IsPaused() && !p.isLeaving(name) {
 			stillPaused[name] = p.members[name]
 		}
