Leadership proofs: renewed 100 ms before their end, records read by the holder first

A renewal 200 ms before the end of a proof would cost about two thirds more status calls for a busy group, one 100 ms before about a quarter (counted from the intervals, not measured). A chain that could not start again is renewed by a timer 250 ms before. After a promotion whose old primary does not answer, each daemon that waits would read the record of the promotion lock; those that do not hold the primary now leave it to the one that does for 2 s.

--- a/internal/engine/lockproof.go
+++ b/internal/engine/lockproof.go
@@ -48,11 +48,18 @@
 	return !r.running && (r.endedAt == 0 || now-r.endedAt >= interval)
 }
 
+// leavesRecordToHolder reports whether the daemon that holds the primary is expected to read the record and to pass its proof on. All
+// others at once would be too many calls to the store. The caller holds the lock.
+func (g *group) leavesRecordToHolder(now time.Duration) bool {
+	unprovedSince := max(g.termSeenAt, g.provenUntil, g.recordReads.endedAt)
+	return !g.fetchesProofs(g.members[g.primary]) && now-unprovedSince < lateRecordInterval
+}
+
 // requestRecord reads the record of the promotion lock in the background, at a bounded rate, because the targets give no proof.
 // The caller holds the lock.
 func (g *group) requestRecord() {
 	now := clock.SinceBoot()
-	if g.promotionLock == nil || g.isPrimaryUnresponsive(now) || !g.recordReads.mayRead(now) {
+	if g.promotionLock == nil || g.isPrimaryUnresponsive(now) || !g.recordReads.mayRead(now) || g.leavesRecordToHolder(now) {
 		return
 	}
 	g.recordReads.running = true
--- a/internal/engine/lockproof_test.go
+++ b/internal/engine/lockproof_test.go
@@ -86,6 +86,30 @@
 	}
 }
 
+// useHolders lets other daemons hold the targets of the group.
+func (g *group) useHolders() {
+	var list []Daemon
+	for _, name := range []string{"daemon-1", "daemon-2", "daemon-3"} {
+		list = append(list, Daemon{Name: name, Zone: "z", Address: name})
+	}
+	g.relays = networkPeers{}
+	g.setLimits(GroupLimits{MaxConnections: 2, SyncReplicas: 1}, newDaemonList("daemon-1", list))
+}
+
+// TestRecordIsLeftToTheHolder guards against calls of all daemons to the store after a promotion.
+func TestRecordIsLeftToTheHolder(t *testing.T) {
+	g := newLockedGroup(&settledLock{term: 1})
+	g.useHolders()
+	now := max(g.termSeenAt, g.provenUntil)
+	if !g.leavesRecordToHolder(now+lateRecordInterval/2) || g.leavesRecordToHolder(now+lateRecordInterval) {
+		t.Error("want the record left to the holder for the late interval, and read then")
+	}
+	g.gateOf(g.members["a"])
+	if g.leavesRecordToHolder(now) {
+		t.Error("the daemon holds the primary: got the record left to another one")
+	}
+}
+
 // TestRecordIsReadOnlyWithoutAnotherProof guards against calls to the store for each lapse of a proof.
 func TestRecordIsReadOnlyWithoutAnotherProof(t *testing.T) {
 	lock := &settledLock{term: 1}
@@ -117,12 +141,7 @@
 		"the proof holds for long":   {func(g *group) { g.members["b"].gaveNoStatus, g.provenUntil = true, clock.SinceBoot()+time.Hour }, false},
 		"another daemon holds it": {func(g *group) {
 			g.members["b"].gaveNoStatus = true
-			var list []Daemon
-			for _, name := range []string{"daemon-1", "daemon-2", "daemon-3"} {
-				list = append(list, Daemon{Name: name, Zone: "z", Address: name})
-			}
-			g.relays = networkPeers{}
-			g.setLimits(GroupLimits{MaxConnections: 2, SyncReplicas: 1}, newDaemonList("daemon-1", list))
+			g.useHolders()
 		}, false},
 	} {
 		g := newTestGroup(&fakeTarget{})
--- a/internal/engine/proof.go
+++ b/internal/engine/proof.go
@@ -16,8 +16,9 @@
 	minProofInterval = 20 * time.Millisecond
 	// renewalReserve is the time before the end of a proof at which a statement asks for the next one, so that it is answered while
 	// the chain of proofs holds.
-	renewalReserve = 200 * time.Millisecond
-	// keepAliveReserve is the same for a proof that no statement asks for: it is looked at once in proofCheckInterval.
+	renewalReserve = 100 * time.Millisecond
+	// keepAliveReserve is the same for a chain that could not start again: it is looked at once in proofCheckInterval, and a
+	// call that is not answered takes statusTimeout.
 	keepAliveReserve   = 250 * time.Millisecond
 	proofCheckInterval = 100 * time.Millisecond
 	// unsettledUnusedAfter is the time without statements that need proofs after which the chain of proofs is given up while the
