Tests: a refused order leaves the settled term as it was

A conflict at the provider says that the target does not run, so that no order can take effect (platform/promote.go).

--- a/internal/engine/lockproof_test.go
+++ b/internal/engine/lockproof_test.go
@@ -202,7 +202,7 @@
 		want   uint64
 	}{
 		"done":            {nil, takeover.ReasonNoPrimary, 2},
-		"target down":     {ErrTargetDown, takeover.ReasonNoPrimary, 0},
+		"target down":     {ErrTargetDown, takeover.ReasonNoPrimary, takeover.NothingOrdered},
 		"nothing ordered": {errors.New("unused"), takeover.ReasonLeaving, takeover.NothingOrdered},
 	} {
 		lock := &settledLock{}
