Leadership proofs: a chain without the entries of the targets needs the word of all after 20 s

What callers would see: stale reads, and commits that are lost when the cut heals, through a daemon in a zone that is cut off for more than half a minute with a primary and one of its replicas in it.

Cause: the chain of proofs holds because each known replica is paused by a promoter. Outside of the cut the entry of that replica lapses, and 30 s after its loss a promoter goes on without it; inside, a daemon that doesn't hear of the store keeps the replica, whose word goes on proving the old term.

Why it works: after two thirds of that time without the entries a proof needs all known targets, none paused or in a later term. In a cut those outside don't answer. While the store is down for all, they do, so that reads and writes go on unless a target is silent too.

--- a/internal/engine/engine.go
+++ b/internal/engine/engine.go
@@ -78,6 +78,9 @@
 	// directoryFailed is the time of the boot clock, in nanoseconds, of the last failure to follow the target
 	// entries. It is initialized with the start of the engine.
 	directoryFailed atomic.Int64
+	// directoryFailingSince is the time of the boot clock, in nanoseconds, of the first of those failures with less than
+	// directoryFailureGap between them.
+	directoryFailingSince atomic.Int64
 	// knowsLosses is true once the replicas that were lost before the start are known.
 	knowsLosses atomic.Bool
 	ctx         context.Context
@@ -118,6 +121,7 @@
 		sessions: make(map[*session]struct{}),
 	}
 	e.directoryFailed.Store(int64(clock.SinceBoot()))
+	e.directoryFailingSince.Store(e.directoryFailed.Load())
 	e.knowsLosses.Store(options.LossRegistry == nil)
 	if options.LossRegistry != nil {
 		go e.learnLosses(ctx)
@@ -166,6 +170,7 @@
 		return g
 	}
 	g := newGroup(name, e.options, e.isDirectorySettled)
+	g.directoryFailingFor = e.directoryFailingFor
 	g.peers = e.peers
 	e.groups[name] = g
 	go g.serveProofs(e.ctx, func() { go e.settle(g) })
@@ -231,10 +236,30 @@
 func (e *Engine) RecordDirectoryFailure(at time.Duration) {
 	for {
 		known := e.directoryFailed.Load()
-		if int64(at) <= known || e.directoryFailed.CompareAndSwap(known, int64(at)) {
+		if int64(at) <= known {
 			return
 		}
+		if !e.directoryFailed.CompareAndSwap(known, int64(at)) {
+			continue
+		}
+		if at-time.Duration(known) >= directoryFailureGap {
+			e.directoryFailingSince.Store(int64(at))
+		}
+		return
+	}
+}
+
+// directoryFailureGap is longer than the time between two failures to follow the target entries while the store does not
+// answer.
+const directoryFailureGap = 10 * time.Second
+
+// directoryFailingFor returns for how long the target entries could not be followed; 0 if they can be.
+func (e *Engine) directoryFailingFor() time.Duration {
+	now := clock.SinceBoot()
+	if now-time.Duration(e.directoryFailed.Load()) >= directoryFailureGap {
+		return 0
 	}
+	return now - time.Duration(e.directoryFailingSince.Load())
 }
 
 // RecordDirectoryRestored records that the store of the target entries was restored from a copy, which may lack entries
--- a/internal/engine/group.go
+++ b/internal/engine/group.go
@@ -87,6 +87,8 @@
 	drainTimeout time.Duration
 	// directorySettled reports whether the target entries are complete, so that no member is missing.
 	directorySettled func() bool
+	// directoryFailingFor returns for how long the target entries could not be followed.
+	directoryFailingFor func() time.Duration
 	// relays reaches the other daemons, and peers records which of them do not answer; relays is nil when no target is
 	// held.
 	relays Peers
@@ -162,7 +164,8 @@
 func newGroup(name string, options Options, directorySettled func() bool) *group {
 	return &group{
 		name: name, zone: options.Zone, dialer: options.Dialer, drainTimeout: options.DrainTimeout, directorySettled: directorySettled,
-		relays: options.Peers, peers: &peerHealth{}, inBackground: func(f func()) { go f() }, daemons: newDaemonList(options.Name, nil),
+		directoryFailingFor: func() time.Duration { return 0 },
+		relays:              options.Peers, peers: &peerHealth{}, inBackground: func(f func()) { go f() }, daemons: newDaemonList(options.Name, nil),
 		members: make(map[string]*member), statuses: make(map[string]leadership.Status),
 		promotionLock: options.PromotionLock,
 		losses:        options.LossRegistry, registered: make(map[string]bool), lossesChanged: make(chan struct{}, 1),
--- a/internal/engine/proof.go
+++ b/internal/engine/proof.go
@@ -9,6 +9,7 @@
 	"github.com/papayacove/papayacove/internal/clock"
 	"github.com/papayacove/papayacove/internal/policy/leadership"
 	"github.com/papayacove/papayacove/internal/policy/primaryposition"
+	"github.com/papayacove/papayacove/internal/policy/takeover"
 )
 
 const (
@@ -24,6 +25,10 @@
 	// unsettledUnusedAfter is the time without statements that need proofs after which the chain of proofs is given up while the
 	// entries of the targets are not followed: it cannot start from the targets then.
 	unsettledUnusedAfter = 10 * time.Second
+	// maxUnlistedChain is the time without the entries of the targets after which the word of one replica no longer
+	// continues a chain of proofs: elsewhere its own entry may have lapsed, and a promoter goes on without it
+	// takeover.LostReplicaTimeout after that.
+	maxUnlistedChain = takeover.LostReplicaTimeout * 2 / 3
 )
 
 // serveProofs fetches leadership proofs for the statements that need one, until ctx ends, and keeps a chain of proofs
@@ -73,7 +78,8 @@
 		usedWithin = unsettledUnusedAfter
 	}
 	isDue := g.provenUntil-now < keepAliveReserve && now-g.proofUsedAt < usedWithin
-	return isDue && g.keepsProofs(g.members[g.primary]) && !g.mayStartChain(now)
+	mayStart := g.directorySettled() && g.mayStartChain(now)
+	return isDue && g.keepsProofs(g.members[g.primary]) && !mayStart
 }
 
 // mayStartChain reports whether a status call to each target is expected to start a chain of proofs. The caller holds the lock.
@@ -89,11 +95,16 @@
 	return true
 }
 
-// proofBasis returns what leadership proofs of the presumed primary rest on beside statuses. The caller holds the lock.
+// proofBasis returns what leadership proofs of the presumed primary rest on beside statuses. A chain that goes on for
+// maxUnlistedChain without the entries of the targets needs the statuses of all. The caller holds the lock.
 func (g *group) proofBasis(now time.Duration) leadership.Basis {
+	isChained, isComplete := now < g.provenUntil, g.directorySettled()
+	if isChained && g.directoryFailingFor() >= maxUnlistedChain {
+		isChained, isComplete = false, true
+	}
 	return leadership.Basis{
-		Members: slices.Collect(maps.Keys(g.members)), IsChained: now < g.provenUntil,
-		IsComplete: g.directorySettled(), NeedsReplica: g.limits.SyncReplicas > 0,
+		Members: slices.Collect(maps.Keys(g.members)), IsChained: isChained,
+		IsComplete: isComplete, NeedsReplica: g.limits.SyncReplicas > 0,
 	}
 }
 
@@ -138,7 +149,7 @@
 		return nil
 	}
 	witness := g.proofWitness(now)
-	if witness == "" || g.provenUntil <= now && g.mayStartChain(now) {
+	if witness == "" || !g.proofBasis(now).IsChained && g.mayStartChain(now) {
 		return maps.Clone(g.members)
 	}
 	return map[string]*member{g.primary: primary, witness: g.members[witness]}
