Leadership proofs: those of holders of older versions do not continue a chain

A holder of the version before proves a term by the word of one replica alone; recorded here, that proof made the next word of one replica one of a chain, and the record of the promotion lock could be settled by it. Replies say whether the proof is one of a chain; without it, the sender fetches its own. Found by the review, by reading.

--- a/api/types.gen.go
+++ b/api/types.gen.go
@@ -880,6 +880,11 @@
 	// ProofAgeUs is the age of that proof in microseconds.
 	ProofAgeUs int64 `json:"proof_age_us" toml:"proof_age_us"`
 
+	// ProofChained is true if that proof is one of an unbroken chain. Daemons of
+	// older versions prove a term by the word of one replica alone, and leave it
+	// false.
+	ProofChained bool `json:"proof_chained" toml:"proof_chained"`
+
 	// ProofTerm is the term of the leadership proof that the holder has for the
 	// target; 0 if it has none.
 	ProofTerm uint64 `json:"proof_term" toml:"proof_term"`
--- a/internal/engine/relay.go
+++ b/internal/engine/relay.go
@@ -260,13 +260,15 @@
 
 // recordRelayed records what the reply of a holder says about the target: its load, and a leadership proof. The proof
 // is dated from before the request was sent, so that it is no older than recorded. It counts only if the reply names this
-// target: that of an older daemon may be of a transaction elsewhere, and this daemon fetches a proof itself.
+// target and the proof is one of a chain: that of an older daemon may be of a transaction elsewhere, or rest on the word of one
+// replica alone, and this daemon fetches a proof itself.
 func (g *group) recordRelayed(m *member, reply *api.RelayReply, askedAt time.Duration) {
 	g.mu.Lock()
 	defer g.mu.Unlock()
 	m.reportedLoad, m.reportedAt = reply.Load, clock.SinceBoot()
 	isOfTarget := reply.Group == g.name && reply.Target == m.name
-	if isOfTarget && reply.ProofTerm != 0 && reply.ProofTerm == g.term && m.name == g.primary {
+	isProof := reply.ProofTerm != 0 && reply.ProofChained
+	if isOfTarget && isProof && reply.ProofTerm == g.term && m.name == g.primary {
 		g.recordProof(proofOrigin{proofOfHolder, m.name}, askedAt-time.Duration(reply.ProofAgeUs)*time.Microsecond)
 	}
 }
--- a/internal/engine/relaysession.go
+++ b/internal/engine/relaysession.go
@@ -136,7 +136,7 @@
 		began = clock.SinceBoot()
 	}
 	term, age := h.proofOf(began, e.needsProof && outcome.reply.Failure == nil)
-	reply.ProofTerm, reply.ProofAgeUs = term, age.Microseconds()
+	reply.ProofTerm, reply.ProofAgeUs, reply.ProofChained = term, age.Microseconds(), term != 0
 }
 
 // add keeps an open transaction and returns its number, or 0 when the transaction was rolled back, because the session
