Stand-in: the check of stale reads counts both acknowledgements and dates promotions

A commit counted as acknowledged when a target said so, except those of the reader's own session, which counted only if the caller had a success. A read was excused by each promotion that rolled its commit back, also by one that took effect after the read; and a read was dated before its caller waited for the lock of the records, so that commits acknowledged meanwhile did not count.

Now a commit counts for each read that looked at the log before the promotion that rolled it back took effect, also after two promotions, and a read is dated right before its first byte. On read_your_writes a commit of the session counts from the target's answer on. Each breach says what the caller of its commit was told. All that was counted before still is.

--- a/standin/lines/caller.go
+++ b/standin/lines/caller.go
@@ -160,15 +160,15 @@
 // send sends a statement and returns the time of its first byte.
 func (c *Caller) send(id, text string) (time.Time, error) {
 	_ = c.conn.SetDeadline(time.Now().Add(callTimeout))
-	s := c.session.record(c.key, text)
 	if c.log != nil {
-		c.log.recordSent(id, s)
+		c.log.recordSent(id, c.session.record(c.key, text))
 	}
+	at := time.Now()
 	_, err := fmt.Fprintf(c.conn, "QUERY %s %s\r\n", id, text)
 	if c.log != nil && err == nil {
-		c.log.recordLastByte(id)
+		c.log.recordBytes(id, at, time.Now())
 	}
-	return s.at, err
+	return at, err
 }
 
 // receive returns the response to a statement that was sent at a time.
--- a/standin/lines/group.go
+++ b/standin/lines/group.go
@@ -57,8 +57,10 @@
 	acknowledged map[string]string
 	// commits are the acknowledged commits that wrote.
 	commits []Commit
-	// termStarts are the positions at which the terms began: that of the last record before each.
+	// termStarts are the positions at which the terms began: that of the last record before each. promotedAt are the times at
+	// which promotions began them.
 	termStarts map[uint64]Position
+	promotedAt map[uint64]time.Time
 	// cutZones are the zones that are cut off from the others, cutTargets the targets that are cut off from all others.
 	cutZones, cutTargets map[string]bool
 	// sourceOf returns the IP address of the daemon that a connection of a target comes from; nil if it isn't known.
@@ -114,7 +116,7 @@
 // NewGroup starts a group of targets on loopback ports, in zones zone-1, zone-2 and so on. The first target is the
 // primary, in term 1.
 func NewGroup(store *Store, name string, ids ...string) (*Group, error) {
-	g := &Group{Name: name, store: store, targets: map[string]*Target{}, acknowledged: map[string]string{}, termStarts: map[uint64]Position{}, promoteDelay: 50 * time.Millisecond,
+	g := &Group{Name: name, store: store, targets: map[string]*Target{}, acknowledged: map[string]string{}, termStarts: map[uint64]Position{}, promotedAt: map[uint64]time.Time{}, promoteDelay: 50 * time.Millisecond,
 		cutZones: map[string]bool{}, cutTargets: map[string]bool{}}
 	g.changed = sync.NewCond(&g.mu)
 	for i, id := range ids {
@@ -323,7 +325,7 @@
 		term = max(term, d.term)
 	}
 	chosen.primary, chosen.term, chosen.pausedTerm = true, term+1, 0
-	g.termStarts[chosen.term] = chosen.lastPosition()
+	g.termStarts[chosen.term], g.promotedAt[chosen.term] = chosen.lastPosition(), time.Now()
 	for _, d := range g.targets {
 		if d != chosen && d.up && !d.primary {
 			// A promotion ends all pauses, also those of replicas that the new primary doesn't reach.
@@ -497,7 +499,7 @@
 	d.group.mu.Lock()
 	defer d.group.mu.Unlock()
 	d.primary, d.term, d.pausedTerm = true, term, 0
-	d.group.termStarts[term] = d.lastPosition()
+	d.group.termStarts[term], d.group.promotedAt[term] = d.lastPosition(), time.Now()
 	d.writeEntry()
 }
 
--- a/standin/lines/records.go
+++ b/standin/lines/records.go
@@ -17,8 +17,8 @@
 	ID, Signature string
 	// Workspace is the name that the target was told when its connection was opened.
 	Workspace string
-	// ArrivedAt is the time at which the target received the statement.
-	ArrivedAt time.Time
+	// ArrivedAt is the time at which the target received the statement, RanAt that at which a read looked at the log.
+	ArrivedAt, RanAt time.Time
 	// BeginsOperation is true for the first statement of a transaction, and for one outside of transactions.
 	BeginsOperation bool
 	// Group and Target name the target, and Source is the IP address of the daemon that sent the statement.
--- a/standin/lines/rules.go
+++ b/standin/lines/rules.go
@@ -4,7 +4,6 @@
 	"fmt"
 	"maps"
 	"slices"
-	"sort"
 	"strings"
 	"time"
 )
@@ -17,14 +16,15 @@
 	// attempts are the statements that targets received.
 	attempts []Attempt
 	commits  []Commit
-	// termStarts are the positions at which the terms of each group began.
+	// termStarts are the positions at which the terms of each group began, promotedAt the times at which they did.
 	termStarts map[string]map[uint64]Position
+	promotedAt map[string]map[uint64]time.Time
 	routes     []routeVersion
 }
 
 // NewRecords returns what has been recorded so far.
 func NewRecords(callers *CallerLog, operator *OperatorLog, groups ...*Group) Records {
-	r := Records{termStarts: map[string]map[uint64]Position{}}
+	r := Records{termStarts: map[string]map[uint64]Position{}, promotedAt: map[string]map[uint64]time.Time{}}
 	callers.mu.Lock()
 	r.sent = maps.Clone(callers.sent)
 	callers.mu.Unlock()
@@ -36,7 +36,7 @@
 		r.attempts = append(r.attempts, g.attemptsOf()...)
 		g.mu.Lock()
 		r.commits = append(r.commits, g.commits...)
-		r.termStarts[g.Name] = maps.Clone(g.termStarts)
+		r.termStarts[g.Name], r.promotedAt[g.Name] = maps.Clone(g.termStarts), maps.Clone(g.promotedAt)
 		g.mu.Unlock()
 	}
 	return r
@@ -200,126 +200,3 @@
 	}
 	return ""
 }
-
-// Stale returns each read on a log that lacks a commit which it must have: one acknowledged before its first byte, or
-// that of its transaction, was sent, or more than maxStaleness before on routes that allow it; and any of its session.
-// A daemon may run a read before it has the proof that the answer needs, and drop the answer: runs whose answer no
-// caller got are returned apart.
-func (r Records) Stale(maxStaleness time.Duration) (breaches, dropped []string) {
-	h := r.history()
-	for _, e := range r.inOrder() {
-		s := r.sent[e.ID]
-		if !s.reads() {
-			continue
-		}
-		for _, c := range h.needed(s, e.Group, r.kindOf(s.database), maxStaleness) {
-			if e.Position.contains(c.Position, r.termStarts[e.Group]) {
-				continue
-			}
-			breach := fmt.Sprintf("lacks %s, which %s acknowledged at %s (statement %s): %s",
-				c.Position, c.Target, c.AcknowledgedAt.Format(recordTime), c.ID, r.describe(e))
-			if s.signature == e.Signature {
-				breaches = append(breaches, breach)
-			} else {
-				dropped = append(dropped, breach)
-			}
-			break
-		}
-	}
-	return breaches, dropped
-}
-
-// history is the acknowledged commits that no promotion rolled back.
-type history struct {
-	// ofGroup are those of each group, ofSession those that were acknowledged to each session, with the time of that.
-	ofGroup   map[string][]acknowledgement
-	ofSession map[uint64][]acknowledgement
-}
-
-func (r Records) history() history {
-	h := history{map[string][]acknowledgement{}, map[uint64][]acknowledgement{}}
-	for _, c := range r.commits {
-		if r.isRolledBack(c) {
-			continue
-		}
-		h.ofGroup[c.Group] = append(h.ofGroup[c.Group], acknowledgement{c.AcknowledgedAt, c})
-		if s, ok := r.sent[c.ID]; ok && !s.succeededAt.IsZero() {
-			h.ofSession[s.session] = append(h.ofSession[s.session], acknowledgement{s.succeededAt, c})
-		}
-	}
-	for _, list := range h.ofGroup {
-		keepNewest(list)
-	}
-	return h
-}
-
-// needed returns the commits that the log must have on which a read of a group runs.
-func (h history) needed(s sent, group string, kind RouteKind, maxStaleness time.Duration) []Commit {
-	from := s.at
-	if s.transaction != 0 {
-		from = s.transactionAt
-	}
-	if kind == RoutePrimary {
-		return newestBefore(h.ofGroup[group], from)
-	}
-	needed := newestBefore(h.ofGroup[group], from.Add(-maxStaleness))
-	if kind == RouteReadYourWrites {
-		for _, a := range h.ofSession[s.session] {
-			if a.newest.Group == group && a.at.Before(from) {
-				needed = append(needed, a.newest)
-			}
-		}
-	}
-	return needed
-}
-
-func (s sent) reads() bool {
-	return strings.HasPrefix(s.text, "READ ") || strings.HasPrefix(s.text, "EXECUTE ") && strings.HasPrefix(s.shape, "READ")
-}
-
-// isRolledBack reports whether a promotion removed a commit: the newest term began without it.
-func (r Records) isRolledBack(c Commit) bool {
-	starts := r.termStarts[c.Group]
-	newest := c.Position.Term
-	for term := range starts {
-		newest = max(newest, term)
-	}
-	return newest != c.Position.Term && !starts[newest].contains(c.Position, starts)
-}
-
-// acknowledgement is the newest commit of a log that was acknowledged up to a time. A log that has it has all before.
-type acknowledgement struct {
-	at     time.Time
-	newest Commit
-}
-
-// keepNewest sorts the acknowledgements of one log by time, and gives each the commit with the highest number so far.
-func keepNewest(list []acknowledgement) {
-	slices.SortFunc(list, func(x, y acknowledgement) int { return x.at.Compare(y.at) })
-	for i := 1; i < len(list); i++ {
-		if before := list[i-1].newest; before.Position.Number > list[i].newest.Position.Number {
-			list[i].newest = before
-		}
-	}
-}
-
-// newestBefore returns the newest commit that was acknowledged before a time, if there is one.
-func newestBefore(list []acknowledgement, at time.Time) []Commit {
-	if i := sort.Search(len(list), func(i int) bool { return !list[i].at.Before(at) }); i > 0 {
-		return []Commit{list[i-1].newest}
-	}
-	return nil
-}
-
-// contains reports whether a log that ends at a position contains a record. starts are the positions at which the terms
-// began.
-func (p Position) contains(record Position, starts map[uint64]Position) bool {
-	for p.Term > record.Term {
-		start, ok := starts[p.Term]
-		if !ok {
-			return false
-		}
-		p = start
-	}
-	return p.Term == record.Term && p.Number >= record.Number
-}
--- a/standin/lines/rules_test.go
+++ b/standin/lines/rules_test.go
@@ -13,8 +13,12 @@
 }
 
 // recordsOf returns records of runs, in the order given, with routes of "strict" to "group" and of "aged" and "session" to it.
+// Term 2 begins 10 s after the start.
 func recordsOf(start time.Time, runs ...run) Records {
-	r := Records{sent: map[string]sent{}, termStarts: map[string]map[uint64]Position{"group": {2: {1, 5}}}}
+	r := Records{
+		sent: map[string]sent{}, termStarts: map[string]map[uint64]Position{"group": {2: {1, 5}}},
+		promotedAt: map[string]map[uint64]time.Time{"group": {2: start.Add(10 * time.Second)}},
+	}
 	r.routes = []routeVersion{{start, []Route{
 		{"strict", RoutePrimary, "group"}, {"aged", RouteBoundedStaleness, "group"}, {"session", RouteReadYourWrites, "group"},
 	}}}
@@ -95,13 +99,14 @@
 
 func TestStaleFindsLogsThatLackCommits(t *testing.T) {
 	start := time.Now()
-	// The read runs 20 s after the commits, on a log of term 1 that ends with number 4 or 5; term 2 began after number 5.
+	// The read runs 5 s after the commits, on a log of term 1 that ends with number 4 or 5; term 2 began after number 5.
 	read := func(database string, position Position, sentAfter, begunAfter time.Duration) run {
 		s := sent{database: database, text: "READ x", signature: "a.r.1", at: start.Add(sentAfter), session: 1}
 		if begunAfter > 0 {
 			s.transaction, s.transactionAt = 10, start.Add(begunAfter)
 		}
-		return run{Execution{ID: "r", Signature: "a.r.1", Position: position, Transaction: s.transaction}, s}
+		e := Execution{ID: "r", Signature: "a.r.1", Position: position, RanAt: start.Add(25 * time.Second), Transaction: s.transaction}
+		return run{e, s}
 	}
 	lacking, having := Position{1, 4}, Position{1, 5}
 	commit := func(position Position, session uint64) func(*Records) {
@@ -134,19 +139,19 @@
 	for _, c := range cases {
 		r := recordsOf(start, c.read)
 		c.commit(&r)
-		breaches, dropped := r.Stale(1500 * time.Millisecond)
-		checkBreaches(t, c.name, breaches, c.breach)
-		checkBreaches(t, c.name+", dropped", dropped, "")
+		found := r.Stale(1500 * time.Millisecond)
+		checkBreaches(t, c.name, found.Breaches, c.breach)
+		checkBreaches(t, c.name+", told", found.Told, c.breach)
+		checkBreaches(t, c.name+", dropped", found.Dropped, "")
 		unanswered := r.sent["r"]
 		unanswered.signature = "that of a later run"
 		r.sent["r"] = unanswered
-		breaches, dropped = r.Stale(1500 * time.Millisecond)
-		checkBreaches(t, c.name+", answer dropped", breaches, "")
-		checkBreaches(t, c.name+", answer dropped", dropped, c.breach)
+		found = r.Stale(1500 * time.Millisecond)
+		checkBreaches(t, c.name+", answer dropped", found.Breaches, "")
+		checkBreaches(t, c.name+", answer dropped", found.Dropped, c.breach)
 	}
 	earlier := recordsOf(start, read("strict", lacking, 21*time.Second, 0))
 	commit(Position{1, 5}, 2)(&earlier)
 	commit(Position{1, 3}, 2)(&earlier)
-	breaches, _ := earlier.Stale(0)
-	checkBreaches(t, "newer commit acknowledged at the same time as an older one", breaches, "lacks 1.5")
+	checkBreaches(t, "newer commit acknowledged at the same time as an older one", earlier.Stale(0).Breaches, "lacks 1.5")
 }
--- a/standin/lines/session.go
+++ b/standin/lines/session.go
@@ -24,8 +24,8 @@
 	// shape is the shape of the prepared statement that is executing, and position that of the log that it runs on.
 	shape    string
 	position Position
-	// arrivedAt is the time at which the current line arrived.
-	arrivedAt time.Time
+	// arrivedAt is the time at which the current line arrived, ranAt that at which a read looked at the log.
+	arrivedAt, ranAt time.Time
 	// operationBegun is true after the first statement that the current transaction executed.
 	operationBegun bool
 	// settings are the values of the session that SET wrote, by name.
@@ -70,6 +70,7 @@
 	scanner.Buffer(nil, 2<<20)
 	for scanner.Scan() {
 		s.arrivedAt = time.Now()
+		s.ranAt = s.arrivedAt
 		if !s.serveLine(strings.TrimSuffix(scanner.Text(), "\r")) {
 			return
 		}
@@ -150,7 +151,7 @@
 	s.target.group.mu.Lock()
 	defer s.target.group.mu.Unlock()
 	s.target.executed = append(s.target.executed, Execution{
-		ID: id, Signature: signature, Workspace: s.workspace, ArrivedAt: s.arrivedAt, BeginsOperation: !s.operationBegun,
+		ID: id, Signature: signature, Workspace: s.workspace, ArrivedAt: s.arrivedAt, RanAt: s.ranAt, BeginsOperation: !s.operationBegun,
 		Group: s.target.group.Name, Target: s.target.ID, Source: s.source, Connection: s.connection, Transaction: s.transaction,
 		Settings: maps.Clone(s.settings), Shape: s.shape, Position: s.position,
 	})
@@ -263,7 +264,7 @@
 	d.group.mu.Lock()
 	value := ""
 	limit := d.appliedPosition()
-	s.position = limit
+	s.position, s.ranAt = limit, time.Now()
 	for _, r := range d.log {
 		if v, ok := r.writes[item]; ok && !limit.before(r.position) {
 			value = v
--- a/standin/lines/workspaces.go
+++ b/standin/lines/workspaces.go
@@ -68,9 +68,9 @@
 	l.sent[id] = s
 }
 
-// recordLastByte records that the last byte of a statement has been sent.
-func (l *CallerLog) recordLastByte(id string) {
-	l.change(id, func(s *sent) { s.lastByteAt = time.Now() })
+// recordBytes records the times at which the first byte of a statement was about to be sent and the last had been.
+func (l *CallerLog) recordBytes(id string, first, last time.Time) {
+	l.change(id, func(s *sent) { s.at, s.lastByteAt = first, last })
 }
 
 // recordEnd records that the connection of a statement has ended before the whole answer.
--- a/standin/soak/lines.go
+++ b/standin/soak/lines.go
@@ -80,7 +80,7 @@
 func (l *ledger) checkStatements(f *lines.Fleet) *StatementBreaches {
 	records := lines.NewRecords(l.callers, &f.Operator, f.Groups...)
 	b := &StatementBreaches{Pinned: records.Pinned(), Route: records.Route()}
-	b.Stale, b.Dropped = records.Stale(lines.MaxStaleness)
+	b.Stale = records.Stale(lines.MaxStaleness)
 	b.Relayed, b.Run = records.Relayed()
 	work := f.Planned.Work()
 	b.Unanswered, b.OtherCuts = records.Unanswered(work, f.LostBounds())
--- a/standin/soak/soak.go
+++ b/standin/soak/soak.go
@@ -9,6 +9,7 @@
 
 	"github.com/papayacove/papayacove/internal/clock"
 	"github.com/papayacove/papayacove/standin/fleet"
+	"github.com/papayacove/papayacove/standin/lines"
 	"github.com/papayacove/papayacove/standin/workload"
 )
 
@@ -38,9 +39,8 @@
 
 // StatementBreaches describes the breaches of each rule of statements, and counts the statements that were checked.
 type StatementBreaches struct {
-	Pinned, Route, Stale []string
-	// Dropped are reads on logs that are too old whose answer no caller got. They are no breaches.
-	Dropped []string
+	Pinned, Route []string
+	Stale         lines.StaleReads
 	// Unanswered are requests without a whole answer around planned work, OtherCuts those at other times or beside
 	// disruptions, which are no breaches. EndedEarly are transactions that a daemon ended in the first half of its grace
 	// period.
@@ -58,7 +58,7 @@
 	var all []string
 	if b != nil {
 		for name, list := range map[string][]string{
-			"PINNED": b.Pinned, "ROUTE": b.Route, "STALE": b.Stale, "LOST": b.Unanswered, "DRAIN": b.EndedEarly,
+			"PINNED": b.Pinned, "ROUTE": b.Route, "STALE": b.Stale.Breaches, "LOST": b.Unanswered, "DRAIN": b.EndedEarly,
 		} {
 			for _, breach := range list {
 				all = append(all, name+" "+breach)
@@ -72,9 +72,9 @@
 	if b == nil {
 		return ""
 	}
-	return fmt.Sprintf(" pinned=%d route=%d stale=%d stale_dropped=%d unanswered=%d ended_early=%d other_cuts=%d killed=%d"+
-		" run=%d relayed=%d", len(b.Pinned), len(b.Route), len(b.Stale), len(b.Dropped), len(b.Unanswered),
-		len(b.EndedEarly), len(b.OtherCuts), b.Killed, b.Run, b.Relayed)
+	return fmt.Sprintf(" pinned=%d route=%d stale=%d stale_told=%d stale_dropped=%d unanswered=%d ended_early=%d other_cuts=%d killed=%d"+
+		" run=%d relayed=%d", len(b.Pinned), len(b.Route), len(b.Stale.Breaches),
+		len(b.Stale.Told), len(b.Stale.Dropped), len(b.Unanswered), len(b.EndedEarly), len(b.OtherCuts), b.Killed, b.Run, b.Relayed)
 }
 
 // String returns the report as one line.
