--- a/standin/lines/disruptions.go
+++ b/standin/lines/disruptions.go
@@ -82,6 +82,30 @@
 	}
 }
 
+// OnNextPause calls a function with the daemon that sends the next PAUSE to a target of a group; nil ends that.
+func (f *Fleet) OnNextPause(g *Group, do func(*Daemon)) {
+	g.mu.Lock()
+	defer g.mu.Unlock()
+	g.pauseWatcher = f.withDaemon(do)
+}
+
+// OnNextOrder calls a function with the daemon that sends the next order to promote a target of a group, when the order has
+// arrived; nil ends that.
+func (f *Fleet) OnNextOrder(g *Group, do func(*Daemon)) {
+	f.Provider.onNextOrder(g.Name, f.withDaemon(do))
+}
+
+func (f *Fleet) withDaemon(do func(*Daemon)) func(source string) {
+	if do == nil {
+		return nil
+	}
+	return func(source string) {
+		if d := f.daemonAt(source); d != nil {
+			go do(d)
+		}
+	}
+}
+
 // Holder returns the daemon that the last statement of the primary of a group came from; nil if there was none.
 func (f *Fleet) Holder(g *Group) *Daemon {
 	primary := g.Primary()
--- a/standin/lines/fleet.go
+++ b/standin/lines/fleet.go
@@ -59,6 +59,9 @@
 	Stubborn int
 	// Timeout is the time limit of the routes; 0 stands for one second.
 	Timeout time.Duration
+	// PromoteDelay is the shortest time between an order to promote and its effect, which may be two thirds longer; 0 stands
+	// for 50 ms, and no longer.
+	PromoteDelay time.Duration
 	// Grace is the time between SIGTERM and SIGKILL to a daemon; 0 stands for 4 s.
 	Grace time.Duration
 	// Workspaces are the workspaces of the configuration. Without them callers state no keys and nothing is limited.
@@ -178,6 +181,9 @@
 		return f.TargetLink(target).SourceOf(conn.RemoteAddr().String())
 	}
 	group.LimitConnections(f.Options.Connections)
+	if delay := f.Options.PromoteDelay; delay > 0 {
+		group.setPromoteDelay(delay, delay*2/3)
+	}
 	f.Groups = append(f.Groups, group)
 	for _, id := range ids {
 		if err := f.relayTarget(group.Target(id)); err != nil {
--- a/standin/lines/group.go
+++ b/standin/lines/group.go
@@ -47,8 +47,12 @@
 	// changed is signaled when the state of a target changes in a way that a waiting commit or session depends on.
 	changed *sync.Cond
 	targets map[string]*Target
-	// promoteDelay is the time that a promotion takes.
-	promoteDelay time.Duration
+	// promoteDelay is the time between an order to promote and its effect, orders the number of orders so far. With
+	// promoteSpread, the time is up to that much longer: it grows by half of it from one order to the next, then starts anew.
+	promoteDelay, promoteSpread time.Duration
+	orders                      int
+	// pauseWatcher is called with the source IP address of the next PAUSE; nil for none.
+	pauseWatcher func(source string)
 	// maxConnections is the number of connections that a target accepts; 0 for no limit.
 	maxConnections int
 	// mostConnections is the largest number of connections that one target had at a time.
@@ -283,6 +287,32 @@
 	d.heartbeatsStopped = true
 }
 
+// ResumeHeartbeats ends StopHeartbeats. The entry is written with the next heartbeat.
+func (d *Target) ResumeHeartbeats() {
+	d.group.mu.Lock()
+	defer d.group.mu.Unlock()
+	d.heartbeatsStopped = false
+}
+
+// RestartAsPrimary ends a target and starts it again. A primary that was told to step down leads its term again unless
+// another target was promoted meanwhile, as it has lost what it was told.
+func (d *Target) RestartAsPrimary(term uint64) error {
+	d.Crash()
+	d.group.mu.Lock()
+	if d.term == term && !d.retired {
+		d.primary = true
+	}
+	d.group.mu.Unlock()
+	return d.Start()
+}
+
+// Term returns the term that a target leads or follows.
+func (d *Target) Term() uint64 {
+	d.group.mu.Lock()
+	defer d.group.mu.Unlock()
+	return d.term
+}
+
 // LostWrites returns the items whose latest acknowledged value isn't the latest one in the log of the primary. If
 // there is no primary, it returns only the text "no primary".
 func (g *Group) LostWrites() []string {
@@ -310,7 +340,7 @@
 // target is running. The replicas that are running and responsive follow the new term with a copy of its log; an
 // old primary isn't notified.
 func (g *Group) Promote(id string) bool {
-	time.Sleep(g.promoteDelay)
+	time.Sleep(g.nextPromoteDelay())
 	g.mu.Lock()
 	defer g.mu.Unlock()
 	chosen, ok := g.targets[id]
@@ -340,6 +370,21 @@
 	return true
 }
 
+// nextPromoteDelay returns the time between an order to promote and its effect.
+func (g *Group) nextPromoteDelay() time.Duration {
+	g.mu.Lock()
+	defer g.mu.Unlock()
+	g.orders++
+	return g.promoteDelay + g.promoteSpread*time.Duration((g.orders-1)%3)/2
+}
+
+// setPromoteDelay sets the shortest time between an order to promote and its effect, and by how much it may be longer.
+func (g *Group) setPromoteDelay(delay, spread time.Duration) {
+	g.mu.Lock()
+	defer g.mu.Unlock()
+	g.promoteDelay, g.promoteSpread = delay, spread
+}
+
 // longestLog returns a target with the longest log; one without records if there is no target. The caller holds the mutex.
 func (g *Group) longestLog() *Target {
 	longest := &Target{}
--- a/standin/lines/provider.go
+++ b/standin/lines/provider.go
@@ -7,6 +7,7 @@
 	"strconv"
 	"sync"
 	"sync/atomic"
+	"time"
 )
 
 // PromotionOrder is an order to promote a target as the provider received it.
@@ -28,11 +29,18 @@
 	// Refuse makes the provider refuse every order, as it does if the target isn't running.
 	Refuse atomic.Bool
 
-	// cut holds the source IP addresses whose orders don't arrive.
+	// LoseAnswers makes the provider carry out each order and then end the connection without an answer.
+	LoseAnswers atomic.Bool
+
+	// cut holds the source IP addresses whose orders and answers don't arrive.
 	cut sync.Map
 
 	mu     sync.Mutex
 	orders []PromotionOrder
+	// orderDelay is the time for which orders that have arrived are not carried out.
+	orderDelay time.Duration
+	// watchers are called with the source IP address of the next order for a group, which waits for them.
+	watchers map[string]func(source string)
 }
 
 // NewProvider starts a provider for groups on a loopback port.
@@ -41,7 +49,7 @@
 	if err != nil {
 		return nil, err
 	}
-	p := &Provider{listener: listener, groups: map[string]*Group{}}
+	p := &Provider{listener: listener, groups: map[string]*Group{}, watchers: map[string]func(string){}}
 	for _, g := range groups {
 		p.groups[g.Name] = g
 	}
@@ -66,11 +74,10 @@
 }
 
 func (p *Provider) promote(w http.ResponseWriter, r *http.Request) {
-	if source, _, err := net.SplitHostPort(r.RemoteAddr); err == nil {
-		if _, cut := p.cut.Load(source); cut {
-			reset(w)
-			return
-		}
+	source, _, _ := net.SplitHostPort(r.RemoteAddr)
+	if p.isCut(source) {
+		reset(w)
+		return
 	}
 	var body struct{ Backend, Id string }
 	if err := json.NewDecoder(r.Body).Decode(&body); err != nil {
@@ -80,8 +87,40 @@
 	token, _ := strconv.ParseUint(r.Header.Get("Fencing-Token"), 10, 64)
 	p.mu.Lock()
 	p.orders = append(p.orders, PromotionOrder{r.Header.Get("Lease-Holder"), token, body.Id, body.Backend})
+	delay, watcher := p.orderDelay, p.watchers[body.Backend]
+	delete(p.watchers, body.Backend)
 	p.mu.Unlock()
-	if g, ok := p.groups[body.Backend]; p.Refuse.Load() || !ok || !g.Promote(body.Id) {
+	if watcher != nil {
+		watcher(source)
+	}
+	time.Sleep(delay)
+	g, ok := p.groups[body.Backend]
+	done := !p.Refuse.Load() && ok && g.Promote(body.Id)
+	if p.LoseAnswers.Load() || p.isCut(source) {
+		reset(w)
+		return
+	}
+	if !done {
 		w.WriteHeader(http.StatusConflict)
 	}
 }
+
+func (p *Provider) isCut(source string) bool {
+	_, cut := p.cut.Load(source)
+	return cut
+}
+
+// DelayOrders sets the time for which orders that have arrived are not carried out, also if their sender has given up.
+func (p *Provider) DelayOrders(delay time.Duration) {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	p.orderDelay = delay
+}
+
+// onNextOrder calls a function with the source IP address of the next order for a group, before it is carried out; nil ends
+// that.
+func (p *Provider) onNextOrder(group string, do func(source string)) {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	p.watchers[group] = do
+}
--- a/standin/lines/session.go
+++ b/standin/lines/session.go
@@ -345,6 +345,14 @@
 	s.sendResult(id)
 }
 
+// reportPause calls the function that waits for the next PAUSE, if there is one. The caller holds the mutex of the group.
+func (s *targetSession) reportPause() {
+	if watcher := s.target.group.pauseWatcher; watcher != nil {
+		s.target.group.pauseWatcher = nil
+		go func() { watcher(s.target.sourceOf(s.out)) }()
+	}
+}
+
 // control executes a status call, or one of the orders PAUSE, RESUME and STEPDOWN for a term, and answers with the
 // state of the target.
 func (s *targetSession) control(verb, argument string) {
@@ -354,6 +362,7 @@
 	g.mu.Lock()
 	switch verb {
 	case "PAUSE":
+		s.reportPause()
 		if !d.primary && term > d.term {
 			d.pausedTerm = max(d.pausedTerm, term)
 		}
--- a/standin/lines/store.go
+++ b/standin/lines/store.go
@@ -39,6 +39,7 @@
 	Object    object
 	Tombstone bool
 	kind      string
+	at        time.Time
 }
 
 // pageSize is the largest number of objects in one response to a list call.
@@ -59,6 +60,8 @@
 
 	// turnedAway holds the faults of the calls from single source IP addresses, of type Treatment.
 	turnedAway sync.Map
+	// watchDelays holds the times after which watches from single source IP addresses learn of changes.
+	watchDelays sync.Map
 	// substitutes replaces texts in the objects that daemons write, such as addresses by those of relays.
 	substitutes sync.Map
 
@@ -97,6 +100,8 @@
 	eraHeader = "Store-Era"
 	// changeDelay is the time after which a delayed change is executed.
 	changeDelay = 2 * time.Second
+	// watchDelayStep is the time between two looks of a delayed watch at the changes.
+	watchDelayStep = 20 * time.Millisecond
 	// maxCopyAge is the longest time for which earlier states are kept.
 	maxCopyAge = 10 * time.Second
 )
@@ -281,8 +286,14 @@
 	end := time.After(time.Duration(wait) * time.Millisecond)
 	for {
 		s.mu.Lock()
-		newEvents, revision, changed, gone := s.eventsAfter(r.PathValue("kind"), after), s.revision, s.changed, after < s.compactedRevision || after > s.revision
+		delay := s.watchDelay(r)
+		newEvents, revision := s.eventsAfter(r.PathValue("kind"), after, delay)
+		changed, gone := s.changed, after < s.compactedRevision || after > s.revision
 		s.mu.Unlock()
+		var later <-chan time.Time
+		if delay > 0 {
+			later = time.After(watchDelayStep)
+		}
 		if gone {
 			w.WriteHeader(http.StatusGone)
 			return
@@ -296,6 +307,7 @@
 			if s.refuse(w, r) {
 				return
 			}
+		case <-later:
 		case <-end:
 			writeList(w, "events", nil, false, revision)
 			return
@@ -305,16 +317,35 @@
 	}
 }
 
-// eventsAfter returns the encoded changes of a kind after a revision.
-func (s *Store) eventsAfter(kind string, after uint64) [][]byte {
+// eventsAfter returns the encoded changes of a kind after a revision that are older than a delay, and the revision of the
+// store at that time, not below the given one.
+func (s *Store) eventsAfter(kind string, after uint64, delay time.Duration) ([][]byte, uint64) {
 	var newEvents [][]byte
-	for _, e := range s.events {
+	known, until := s.revision, time.Now().Add(-delay)
+	for i, e := range s.events {
+		if delay > 0 && e.at.After(until) {
+			known = after
+			if i > 0 {
+				known = max(after, s.events[i-1].Object.Meta.Revision)
+			}
+			break
+		}
 		if e.kind == kind && e.Object.Meta.Revision > after {
 			text := appendObject([]byte(`{"Object":`), e.Object)
 			newEvents = append(newEvents, fmt.Appendf(text, `,"Tombstone":%t}`, e.Tombstone))
 		}
 	}
-	return newEvents
+	return newEvents, known
+}
+
+// DelayWatches makes the watches from a source IP address learn of changes after a delay; 0 ends that. Lists are not delayed.
+func (s *Store) DelayWatches(source string, delay time.Duration) { s.watchDelays.Store(source, delay) }
+
+func (s *Store) watchDelay(r *http.Request) time.Duration {
+	source, _, _ := net.SplitHostPort(r.RemoteAddr)
+	delay, _ := s.watchDelays.Load(source)
+	d, _ := delay.(time.Duration)
+	return d
 }
 
 // Compact discards the history of changes. Watches from an earlier revision then fail with status 410.
@@ -416,6 +447,7 @@
 
 // addEvent adds a change to the history and wakes the waiting watches. The caller holds s.mu.
 func (s *Store) addEvent(e event) {
+	e.at = time.Now()
 	s.events = append(s.events, e)
 	s.keepCopy()
 	close(s.changed)
