Soak: replicas that only some daemons know while no daemon reaches the primary

The replicas of a group are replaced while half of the daemons learn late of the new ones; once the former ones leave, and are paused, no daemon reaches the primary. No zone is cut off, and targets reach each other.

--- a/standin/lines/disruptions.go
+++ b/standin/lines/disruptions.go
@@ -1,6 +1,7 @@
 package lines
 
 import (
+	"sync"
 	"time"
 
 	"github.com/papayacove/papayacove/standin/netfault"
@@ -61,6 +62,15 @@
 	})
 }
 
+// ReleaseNow replaces targets at the same time, and returns once all of them have announced that they leave.
+func (f *Fleet) ReleaseNow(g *Group, ids []string) {
+	var announced sync.WaitGroup
+	for _, id := range ids {
+		announced.Go(func() { _ = f.Replace(g, id) })
+	}
+	announced.Wait()
+}
+
 // AwaitReleases waits until all targets that are being replaced have ended.
 func (f *Fleet) AwaitReleases() { f.releases.Wait() }
 
--- a/standin/soak/replacement_faults.go
+++ b/standin/soak/replacement_faults.go
@@ -4,6 +4,7 @@
 	"fmt"
 	"math/rand"
 	"slices"
+	"strings"
 	"sync"
 	"time"
 
@@ -20,6 +21,7 @@
 	})},
 	{"primary_released_watches_late", besideLateWatches(func(g *lines.Group) []string { return []string{g.Primary()} })},
 	{"group_released_watches_late", besideLateWatches(primaryLast)},
+	{"replicas_released_watches_late_primary_unreached", onGroup(releaseThenCutPaths)},
 	{"promoter_frozen_after_pause", atPromoter((*lines.Fleet).OnNextPause, freeze)},
 	{"promoter_killed_after_pause", atPromoter((*lines.Fleet).OnNextPause, kill)},
 	{"promoter_frozen_after_order", atPromoter((*lines.Fleet).OnNextOrder, freeze)},
@@ -102,17 +104,12 @@
 func flicker(f *lines.Fleet, daemons []*lines.Daemon, id string, random *rand.Rand) func() {
 	own, stop := rand.New(rand.NewSource(random.Int63())), make(chan struct{})
 	var loop sync.WaitGroup
-	set := func(cut bool) {
-		for _, d := range daemons {
-			f.TargetLink(id).SetPathFaults(d.Source, netfault.PathFaults{Partitioned: cut})
-		}
-	}
 	loop.Go(func() {
 		for cut := true; ; cut = !cut {
-			set(cut)
+			setPaths(f, daemons, id, cut)
 			select {
 			case <-stop:
-				set(false)
+				setPaths(f, daemons, id, false)
 				return
 			case <-time.After(between(own, shortestFlicker, longestFlicker)):
 			}
@@ -151,6 +148,36 @@
 	})
 }
 
+// releaseThenCutPaths replaces the replicas of a group while half of the daemons learn late of the new ones. Once the former
+// replicas leave, no daemon reaches the primary. Targets reach each other all the while.
+func releaseThenCutPaths(f *lines.Fleet, g *lines.Group, random *rand.Rand) (string, func()) {
+	late, primary, gap := halfOf(f, random), g.Primary(), between(random, 0, longestFlicker)
+	if primary == "" || g.IsBeingReplaced() {
+		return "not released", func() {}
+	}
+	for _, d := range late {
+		f.Store.DelayWatches(d.Source, longestWatchDelay)
+	}
+	replicas := otherThan(g.RunningIDs(), primary)
+	f.ReleaseNow(g, replicas)
+	time.Sleep(gap)
+	setPaths(f, f.Daemons, primary, true)
+	what := fmt.Sprintf("%s, %s not reached %v later", strings.Join(replicas, ","), primary, gap.Round(time.Millisecond))
+	return what, func() {
+		setPaths(f, f.Daemons, primary, false)
+		for _, d := range late {
+			f.Store.DelayWatches(d.Source, 0)
+		}
+	}
+}
+
+// setPaths sets whether the paths from daemons to a target fail.
+func setPaths(f *lines.Fleet, daemons []*lines.Daemon, id string, cut bool) {
+	for _, d := range daemons {
+		f.TargetLink(id).SetPathFaults(d.Source, netfault.PathFaults{Partitioned: cut})
+	}
+}
+
 // replacePrimary releases the primary of a group, or cuts it off from the other targets and half of the daemons.
 func replacePrimary(f *lines.Fleet, g *lines.Group, random *rand.Rand) (string, func()) {
 	if random.Intn(2) == 0 {
