--- a/internal/engine/observe.go
+++ b/internal/engine/observe.go
@@ -4,7 +4,6 @@
 	"context"
 	"fmt"
 	"maps"
-	"slices"
 	"sync"
 	"time"
 
@@ -87,27 +86,34 @@
 	isUnresponsive := m.unanswered > 0 && now-m.waitingSince > unresponsiveAfter
 	isSuspected := g.monitor.IsSuspected() || g.isolatedSince != 0
 	hasLeaving := m.target.Leaving || takeover.IsJudge(g.judgeRank, g.zones) && g.leavingReplica() != ""
-	return isUnresponsive || isSuspected || hasLeaving || len(g.lostReplicas.Blocking(now)) > 0
+	hasLost := len(g.lostReplicas.Blocking(now)) > 0
+	return isUnresponsive || isSuspected || hasLeaving || hasLost || g.hasForgottenPause(now)
 }
 
-// recordReplicaSample records a position that covers all acknowledged commits, if all replicas that may have
-// acknowledged one have answered, so that reads are served while the primary is unresponsive. The caller holds the
-// lock.
-func (g *group) recordReplicaSample(statuses map[string]leadership.Status) {
-	if !g.knowsAllReplicas() {
-		return
+// hasForgottenPause reports whether a replica that does not leave has been paused for takeover.ForgottenPause, while
+// this daemon judges the primary. It is false for one that does not answer. The caller holds the lock.
+func (g *group) hasForgottenPause(now time.Duration) bool {
+	if !takeover.IsJudge(g.judgeRank, g.zones) {
+		return false
 	}
-	acknowledging := slices.Collect(maps.Keys(g.members))
-	if position, askedAt, ok := leadership.MinPositionOfReplicas(statuses, acknowledging, g.primary, g.term); ok {
-		g.samples.Add(askedAt, position)
-		g.broadcast()
+	for _, m := range g.members {
+		answers := now-m.lastReplyAt < takeover.LeavingRecheckInterval
+		if answers && !m.target.Leaving && m.pausedSince != 0 && now-m.pausedSince >= takeover.ForgottenPause {
+			return true
+		}
 	}
+	return false
 }
 
-// knowsAllReplicas reports whether commits wait for a replica and every replica that may have acknowledged a
-// commit is a member. The caller holds the lock.
-func (g *group) knowsAllReplicas() bool {
-	return g.directorySettled() && g.limits.SyncReplicas >= 1 && len(g.lostReplicas.Blocking(clock.SinceBoot())) == 0
+// recordPause records since when a replica is paused for a term after that of the primary. The caller holds the lock.
+func (g *group) recordPause(m *member, s leadership.Status) {
+	if s.Role != leadership.RoleReplica || s.PausedTerm <= g.term {
+		m.pausedSince = 0
+		return
+	}
+	if m.pausedSince == 0 {
+		m.pausedSince = s.AskedAt
+	}
 }
 
 // runStatusRound makes one status call to each target, applies the answers and returns why the primary has to be
@@ -213,20 +219,23 @@
 	g.recordStatuses(statuses)
 	g.updatePrimary()
 	g.recordIsolation(len(statuses), began)
-	g.recordReplicaSample(statuses)
 	g.applyProof()
 	for _, name := range g.lostReplicas.Reconcile(g.primary, g.ofMembers(statuses)) {
 		g.log().WithField(logfield.Target, name).Info(logevent.WitnessReplaced)
 		signal(g.lossesChanged)
 	}
 	now := clock.SinceBoot()
-	if !g.monitor.IsSuspected() && !g.isLeaving(g.primary) {
+	if !g.monitor.IsSuspected() && !g.isLeaving(g.primary) && !g.hasForgottenPause(now) {
 		g.suspectedFor = takeover.ReasonNone
 	}
 	reason := g.monitor.Evaluate(takeover.StatusRound{
 		Primary: g.primary, Statuses: g.lastKnownStatuses(statuses), Members: len(g.members), Leaving: g.isLeaving(g.primary),
 		StartedAt: began, EndedAt: now,
 	})
+	isForgotten := g.hasForgottenPause(now) && len(takeover.ForgottenPauses(statuses, g.term)) > 0
+	if reason == takeover.ReasonNone && isForgotten {
+		reason = takeover.ReasonPaused
+	}
 	if reason == takeover.ReasonNone || g.promoting || now < g.noPromotionUntil || !g.isOwnTurn(reason, now) {
 		return takeover.ReasonNone
 	}
@@ -257,9 +266,11 @@
 			continue
 		}
 		g.recordLostLog(name, s)
+		g.noteStatus(name, s)
 		m.avoidUntil, m.waitingSince, m.lastReplyAt = 0, clock.SinceBoot(), clock.SinceBoot()
 		if s.Role != leadership.RoleUnknown {
 			g.statuses[name] = s
+			g.recordPause(m, s)
 		}
 	}
 }
@@ -314,6 +325,21 @@
 	return !ok || now < primary.avoidUntil || g.monitor.IsUnresponsive()
 }
 
+// isPresumedPrimary reports whether m is the presumed primary.
+func (g *group) isPresumedPrimary(m *member) bool {
+	g.mu.Lock()
+	defer g.mu.Unlock()
+	return g.members[g.primary] == m
+}
+
+// isPrimarySilent reports whether the presumed primary answers neither status calls nor statements.
+func (g *group) isPrimarySilent() bool {
+	g.mu.Lock()
+	defer g.mu.Unlock()
+	m, ok := g.members[g.primary]
+	return ok && g.monitor.IsUnresponsive() && clock.SinceBoot()-m.lastReplyAt > unresponsiveAfter
+}
+
 // ofMembers returns the statuses of those targets that are still members. The caller holds the lock.
 func (g *group) ofMembers(statuses map[string]leadership.Status) map[string]leadership.Status {
 	statuses = maps.Clone(statuses)
@@ -350,6 +376,7 @@
 		// The positions and proofs of the old primary do not cover the commits of the new one.
 		g.provenUntil = 0
 		g.termSeenAt = clock.SinceBoot()
+		g.markUnsettled(unsettledTerm)
 	}
 	g.primary, g.term = primary, term
 	g.broadcast()
--- a/internal/engine/restartedreplica_test.go
+++ b/internal/engine/restartedreplica_test.go
@@ -106,16 +106,16 @@
 	now := clock.SinceBoot()
 	g.applyStatusRound(map[string]leadership.Status{"b": leads(2, 12, now)}, now)
 	g.removeNow("a")
-	if g.knowsAllReplicas() {
-		t.Error("got all replicas known, want the old primary lost")
+	if !g.hasLoss() {
+		t.Error("got none lost, want the old primary lost")
 	}
 	g.applyStatusRound(map[string]leadership.Status{"b": leads(2, 14, now+1), "c": follows(2, 13, now+1)}, now+1)
-	if g.knowsAllReplicas() {
-		t.Error("while no replica has the log: got all replicas known, want the old primary lost")
+	if !g.hasLoss() {
+		t.Error("while no replica has the log: got none lost, want the old primary lost")
 	}
 	now = clock.SinceBoot()
 	g.applyStatusRound(map[string]leadership.Status{"b": leads(2, 14, now), "c": follows(2, 14, now)}, now)
-	if !g.knowsAllReplicas() {
+	if g.hasLoss() {
 		t.Error("while a replica has the log: got a replica lost, want none")
 	}
 }
@@ -133,7 +133,10 @@
 			}}
 		}
 		g.statuses["b"], g.statuses["c"] = follows(1, 8, 1), follows(1, 10, 1)
-		p := &promotion{group: g, old: "a", oldTerm: 1, term: 2, members: maps.Clone(g.members), toResume: make(map[string]*member)}
+		p := &promotion{
+			group: g, old: "a", oldTerm: 1, term: 2, members: maps.Clone(g.members), toResume: make(map[string]*member),
+			lockedUntil: clock.SinceBoot() + time.Minute,
+		}
 		p.pauseReplicas()
 		if choice := p.choose(); choice.Target != want {
 			t.Errorf("c held 1.10 and answers with 1.%d: got %+v, want %q", received, choice, want)
--- a/internal/policy/takeover/takeover.go
+++ b/internal/policy/takeover/takeover.go
@@ -7,6 +7,7 @@
 package takeover
 
 import (
+	"math"
 	"slices"
 	"time"
 
@@ -23,10 +24,20 @@
 	// StallBeforeTakeover is the time after which the primary is replaced if none of the replicas has received a position
 	// of its log.
 	StallBeforeTakeover = 800 * time.Millisecond
+	// PauseBeforeTakeover is the time after which the primary is replaced if all replicas stay paused: their promoter
+	// ended or does not know whether its order takes effect. A promotion takes less.
+	PauseBeforeTakeover = 2 * time.Second
+	// ForgottenPause is the time after which a replica that is paused beside one that follows the primary is resumed,
+	// unless it leaves: its promoter ended, or lost the promotion lock before it could resume it. Promotions end
+	// earlier.
+	ForgottenPause = 10 * time.Second
 	// PromotionHoldTime is the time after a promotion in which no other promotion of the group begins.
 	PromotionHoldTime = 2 * time.Second
 )
 
+// NothingOrdered stands for the term that a promotion led to if it ordered none, so that the term known before still holds.
+const NothingOrdered = math.MaxUint64
+
 const (
 	// judgeInterval is the time by which the daemons that judge a primary, one in each availability zone, begin their
 	// promotions apart, so that the first one is seen by the next.
@@ -56,6 +67,9 @@
 	ReasonNoPrimary    Reason = "no_target_leads"
 	ReasonStalled      Reason = "replication_stalled"
 	ReasonLeaving      Reason = "primary_leaving"
+	// ReasonPaused replaces no primary: a replica stays paused beside one that follows, and is resumed under the
+	// promotion lock.
+	ReasonPaused Reason = "replica_stays_paused"
 )
 
 // PrimaryMonitor collects the signs of failure of the primary of one group over successive status rounds. Its zero
@@ -70,6 +84,9 @@
 	// had all of the log, or no replica answered.
 	unreceived      api.Position
 	unreceivedSince time.Duration
+	// paused is true while all replicas are paused, and pausedSince the end of the first round that showed it.
+	paused      bool
+	pausedSince time.Duration
 }
 
 // StatusRound is the result of one status call to each target of the group.
@@ -91,9 +108,11 @@
 // which the primary did not lead is inconclusive if fewer than Members-1 targets, or none, answered.
 func (m *PrimaryMonitor) IsUnresponsive() bool { return m.misses > 0 }
 
-// IsSuspected reports whether the last conclusive round showed a missing primary or a commit that no replica had
-// received.
-func (m *PrimaryMonitor) IsSuspected() bool { return m.misses > 0 || !m.unreceived.IsZero() }
+// IsSuspected reports whether the last conclusive round showed a missing primary, a commit that no replica had
+// received, or that all replicas were paused.
+func (m *PrimaryMonitor) IsSuspected() bool {
+	return m.misses > 0 || !m.unreceived.IsZero() || m.paused
+}
 
 // Evaluate adds a status round and returns why the primary has to be replaced, or ReasonNone. A change of the presumed
 // primary discards what was collected about the previous one.
@@ -134,7 +153,7 @@
 
 func (m *PrimaryMonitor) evaluateReplication(r StatusRound, status leadership.Status) Reason {
 	var received api.Position
-	replicas := 0
+	replicas, paused := 0, 0
 	for name, s := range r.Statuses {
 		if name == r.Primary || s.Role != leadership.RoleReplica {
 			continue
@@ -145,6 +164,12 @@
 		}
 		received = received.Max(s.Received)
 		replicas++
+		if s.IsPaused() {
+			paused++
+		}
+	}
+	if m.stayPaused(replicas > 0 && replicas == r.Members-1 && paused == replicas, r.EndedAt) {
+		return ReasonStalled
 	}
 	if replicas == 0 || received.Compare(status.Received) >= 0 {
 		m.unreceived = api.Position{}
@@ -160,6 +185,14 @@
 	return ReasonStalled
 }
 
+// stayPaused records whether all replicas are paused, and reports whether they have been for PauseBeforeTakeover.
+func (m *PrimaryMonitor) stayPaused(paused bool, at time.Duration) bool {
+	if !paused || !m.paused {
+		m.paused, m.pausedSince = paused, at
+	}
+	return paused && at-m.pausedSince >= PauseBeforeTakeover
+}
+
 // Choice is the result of Choose.
 type Choice struct {
 	// Target is the target to promote; empty for none. It is promoted at EarliestOrder, also when the old primary has
@@ -188,6 +221,28 @@
 	return Choice{Target: best, Reason: "longest_log_of_all_replicas"}
 }
 
+// ForgottenPauses returns the replicas that are paused for a term after that of the primary, in the order of their
+// names, if another replica follows it: then no promotion that rests on the pauses is under way. The statuses have to
+// be of now.
+func ForgottenPauses(statuses map[string]leadership.Status, term uint64) []string {
+	var paused []string
+	followed := false
+	for name, s := range statuses {
+		switch {
+		case s.Role != leadership.RoleReplica:
+		case s.PausedTerm > term:
+			paused = append(paused, name)
+		case s.Term == term:
+			followed = true
+		}
+	}
+	if !followed {
+		return nil
+	}
+	slices.Sort(paused)
+	return paused
+}
+
 // Joined returns those of the targets with an entry that a promotion does not know, in the order of their names. Before the
 // order to promote, each of them has to be paused too: its receipt may let the old primary acknowledge a commit.
 func Joined(listed, known []string) []string {
@@ -215,6 +270,13 @@
 	return true
 }
 
+// StillSteppedDown reports whether an old primary that stepped down is still a replica with the same end of its log.
+// One that has restarted leads its term again until another target is promoted; the zero status is that of one that
+// did not answer.
+func StillSteppedDown(demoted, now leadership.Status) bool {
+	return now.Role == leadership.RoleReplica && now.Term == demoted.Term && now.Received == demoted.Received
+}
+
 // longestLog returns the replica with the longest log; empty if paused is. Among equals it prefers a replica that is
 // not leaving, then the first by name.
 func longestLog(paused map[string]leadership.Status, leaving func(string) bool) string {
--- a/standin/lines/fleet.go
+++ b/standin/lines/fleet.go
@@ -182,7 +182,8 @@
 	}
 	group.LimitConnections(f.Options.Connections)
 	if delay := f.Options.PromoteDelay; delay > 0 {
-		group.setPromoteDelay(delay, delay*2/3)
+		group.SetPromoteDelay(delay)
+		group.spreadPromoteDelay(delay * 2 / 3)
 	}
 	f.Groups = append(f.Groups, group)
 	for _, id := range ids {
--- a/standin/lines/group.go
+++ b/standin/lines/group.go
@@ -140,6 +140,13 @@
 	g.maxConnections = limit
 }
 
+// SetPromoteDelay sets the time between an order to promote and its effect.
+func (g *Group) SetPromoteDelay(delay time.Duration) {
+	g.mu.Lock()
+	defer g.mu.Unlock()
+	g.promoteDelay = delay
+}
+
 // MostConnections returns the largest number of connections that one target had at a time.
 func (g *Group) MostConnections() int {
 	g.mu.Lock()
@@ -378,11 +385,11 @@
 	return g.promoteDelay + g.promoteSpread*time.Duration((g.orders-1)%3)/2
 }
 
-// setPromoteDelay sets the shortest time between an order to promote and its effect, and by how much it may be longer.
-func (g *Group) setPromoteDelay(delay, spread time.Duration) {
+// spreadPromoteDelay sets by how much the time between an order to promote and its effect may be longer.
+func (g *Group) spreadPromoteDelay(spread time.Duration) {
 	g.mu.Lock()
 	defer g.mu.Unlock()
-	g.promoteDelay, g.promoteSpread = delay, spread
+	g.promoteSpread = spread
 }
 
 // longestLog returns a target with the longest log; one without records if there is no target. The caller holds the mutex.
--- a/standin/lines/provider.go
+++ b/standin/lines/provider.go
@@ -29,20 +29,33 @@
 	// Refuse makes the provider refuse every order, as it does if the target isn't running.
 	Refuse atomic.Bool
 
-	// LoseAnswers makes the provider carry out each order and then end the connection without an answer.
-	LoseAnswers atomic.Bool
-
 	// cut holds the source IP addresses whose orders and answers don't arrive.
 	cut sync.Map
 
 	mu     sync.Mutex
 	orders []PromotionOrder
-	// orderDelay is the time for which orders that have arrived are not carried out.
-	orderDelay time.Duration
+	faults OrderFaults
 	// watchers are called with the source IP address of the next order for a group, which waits for them.
 	watchers map[string]func(source string)
 }
 
+// OrderFaults are the faults that are injected into the orders to promote that arrive. The zero value stands for none.
+type OrderFaults struct {
+	// EffectDelay is the time before an order takes effect, beside that which a promotion takes.
+	EffectDelay time.Duration
+	// AnswerDelay is the time from the effect to the answer.
+	AnswerDelay time.Duration
+	// LoseAnswers resets the connection of an order at once. The order takes effect nevertheless.
+	LoseAnswers bool
+}
+
+// SetFaults sets the faults of later orders.
+func (p *Provider) SetFaults(faults OrderFaults) {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	p.faults = faults
+}
+
 // NewProvider starts a provider for groups on a loopback port.
 func NewProvider(groups ...*Group) (*Provider, error) {
 	listener, err := net.Listen("tcp", "127.0.0.1:0")
@@ -87,20 +100,28 @@
 	token, _ := strconv.ParseUint(r.Header.Get("Fencing-Token"), 10, 64)
 	p.mu.Lock()
 	p.orders = append(p.orders, PromotionOrder{r.Header.Get("Lease-Holder"), token, body.Id, body.Backend})
-	delay, watcher := p.orderDelay, p.watchers[body.Backend]
+	faults, watcher := p.faults, p.watchers[body.Backend]
 	delete(p.watchers, body.Backend)
 	p.mu.Unlock()
 	if watcher != nil {
 		watcher(source)
 	}
-	time.Sleep(delay)
 	g, ok := p.groups[body.Backend]
-	done := !p.Refuse.Load() && ok && g.Promote(body.Id)
-	if p.LoseAnswers.Load() || p.isCut(source) {
+	if p.Refuse.Load() || !ok {
+		w.WriteHeader(http.StatusConflict)
+		return
+	}
+	if faults.LoseAnswers {
+		go promoteLate(g, body.Id, faults)
 		reset(w)
 		return
 	}
-	if !done {
+	promoted := promoteLate(g, body.Id, faults)
+	if p.isCut(source) {
+		reset(w)
+		return
+	}
+	if !promoted {
 		w.WriteHeader(http.StatusConflict)
 	}
 }
@@ -110,13 +131,6 @@
 	return cut
 }
 
-// DelayOrders sets the time for which orders that have arrived are not carried out, also if their sender has given up.
-func (p *Provider) DelayOrders(delay time.Duration) {
-	p.mu.Lock()
-	defer p.mu.Unlock()
-	p.orderDelay = delay
-}
-
 // onNextOrder calls a function with the source IP address of the next order for a group, before it is carried out; nil ends
 // that.
 func (p *Provider) onNextOrder(group string, do func(source string)) {
@@ -124,3 +138,11 @@
 	defer p.mu.Unlock()
 	p.watchers[group] = do
 }
+
+// promoteLate carries out an order with its faults, and reports whether the target is running.
+func promoteLate(g *Group, id string, faults OrderFaults) bool {
+	time.Sleep(faults.EffectDelay)
+	promoted := g.Promote(id)
+	time.Sleep(faults.AnswerDelay)
+	return promoted
+}
--- a/standin/lines/provider_test.go
+++ b/standin/lines/provider_test.go
@@ -39,7 +39,7 @@
 // TestOrderWithoutAnswerTakesEffect guards against a stand-in in which an order has no effect because its sender got no answer.
 func TestOrderWithoutAnswerTakesEffect(t *testing.T) {
 	for name, inject := range map[string]func(p *Provider, giveUp func(), gaveUp <-chan struct{}){
-		"answer lost": func(p *Provider, _ func(), _ <-chan struct{}) { p.LoseAnswers.Store(true) },
+		"answer lost": func(p *Provider, _ func(), _ <-chan struct{}) { p.SetFaults(OrderFaults{LoseAnswers: true}) },
 		"sender gave up": func(p *Provider, giveUp func(), gaveUp <-chan struct{}) {
 			p.onNextOrder("group", func(string) { giveUp(); <-gaveUp })
 		},
@@ -73,7 +73,8 @@
 		t.Errorf("without an option: got %v and %v, want 50 ms", first, second)
 	}
 	g = newTestGroup(t)
-	g.setPromoteDelay(600*time.Millisecond, 400*time.Millisecond)
+	g.SetPromoteDelay(600 * time.Millisecond)
+	g.spreadPromoteDelay(400 * time.Millisecond)
 	for i, want := range []time.Duration{600, 800, 1000, 600} {
 		if got := g.nextPromoteDelay(); got != want*time.Millisecond {
 			t.Errorf("order %d: got %v, want %v", i, got, want*time.Millisecond)
--- a/standin/soak/replacement_faults.go
+++ b/standin/soak/replacement_faults.go
@@ -27,12 +27,12 @@
 	{"promoter_frozen_after_order", atPromoter((*lines.Fleet).OnNextOrder, freeze)},
 	{"promoter_killed_after_order", atPromoter((*lines.Fleet).OnNextOrder, kill)},
 	{"promotion_answers_lost", besideReplacement(func(f *lines.Fleet, _ *lines.Group, _ *rand.Rand) func() {
-		f.Provider.LoseAnswers.Store(true)
-		return func() { f.Provider.LoseAnswers.Store(false) }
+		f.Provider.SetFaults(lines.OrderFaults{LoseAnswers: true})
+		return func() { f.Provider.SetFaults(lines.OrderFaults{}) }
 	})},
 	{"promotion_orders_late", besideReplacement(func(f *lines.Fleet, _ *lines.Group, random *rand.Rand) func() {
-		f.Provider.DelayOrders(between(random, shortestOrderDelay, longestOrderDelay))
-		return func() { f.Provider.DelayOrders(0) }
+		f.Provider.SetFaults(lines.OrderFaults{EffectDelay: between(random, shortestOrderDelay, longestOrderDelay)})
+		return func() { f.Provider.SetFaults(lines.OrderFaults{}) }
 	})},
 	{"entries_missing_daemons_restarted", besideReplacement(restartWithoutEntries)},
 	{"primary_cut_until_promoted", onGroup(cutUntilPromoted)},
