--- a/standin/lines/group.go
+++ b/standin/lines/group.go
@@ -47,8 +47,12 @@
 	// changed is signaled when the state of a target changes in a way that a waiting commit or session depends on.
 	changed *sync.Cond
 	targets map[string]*Target
-	// promoteDelay is the time that a promotion takes.
-	promoteDelay time.Duration
+	// promoteDelay is the time between an order to promote and its effect, orders the number of orders so far. With
+	// promoteSpread, the time is up to that much longer: it grows by half of it from one order to the next, then starts anew.
+	promoteDelay, promoteSpread time.Duration
+	orders                      int
+	// pauseWatcher is called with the source IP address of the next PAUSE; nil for none.
+	pauseWatcher func(source string)
 	// maxConnections is the number of connections that a target accepts; 0 for no limit.
 	maxConnections int
 	// mostConnections is the largest number of connections that one target had at a time.
@@ -57,8 +61,10 @@
 	acknowledged map[string]string
 	// commits are the acknowledged commits that wrote.
 	commits []Commit
-	// termStarts are the positions at which the terms began: that of the last record before each.
+	// termStarts are the positions at which the terms began: that of the last record before each. promotedAt are the times at
+	// which promotions began them.
 	termStarts map[uint64]Position
+	promotedAt map[uint64]time.Time
 	// cutZones are the zones that are cut off from the others, cutTargets the targets that are cut off from all others.
 	cutZones, cutTargets map[string]bool
 	// sourceOf returns the IP address of the daemon that a connection of a target comes from; nil if it isn't known.
@@ -114,7 +120,7 @@
 // NewGroup starts a group of targets on loopback ports, in zones zone-1, zone-2 and so on. The first target is the
 // primary, in term 1.
 func NewGroup(store *Store, name string, ids ...string) (*Group, error) {
-	g := &Group{Name: name, store: store, targets: map[string]*Target{}, acknowledged: map[string]string{}, termStarts: map[uint64]Position{}, promoteDelay: 50 * time.Millisecond,
+	g := &Group{Name: name, store: store, targets: map[string]*Target{}, acknowledged: map[string]string{}, termStarts: map[uint64]Position{}, promotedAt: map[uint64]time.Time{}, promoteDelay: 50 * time.Millisecond,
 		cutZones: map[string]bool{}, cutTargets: map[string]bool{}}
 	g.changed = sync.NewCond(&g.mu)
 	for i, id := range ids {
@@ -288,6 +294,32 @@
 	d.heartbeatsStopped = true
 }
 
+// ResumeHeartbeats ends StopHeartbeats. The entry is written with the next heartbeat.
+func (d *Target) ResumeHeartbeats() {
+	d.group.mu.Lock()
+	defer d.group.mu.Unlock()
+	d.heartbeatsStopped = false
+}
+
+// RestartAsPrimary ends a target and starts it again. A primary that was told to step down leads its term again unless
+// another target was promoted meanwhile, as it has lost what it was told.
+func (d *Target) RestartAsPrimary(term uint64) error {
+	d.Crash()
+	d.group.mu.Lock()
+	if d.term == term && !d.retired {
+		d.primary = true
+	}
+	d.group.mu.Unlock()
+	return d.Start()
+}
+
+// Term returns the term that a target leads or follows.
+func (d *Target) Term() uint64 {
+	d.group.mu.Lock()
+	defer d.group.mu.Unlock()
+	return d.term
+}
+
 // LostWrites returns the items whose latest acknowledged value isn't the latest one in the log of the primary. If
 // there is no primary, it returns only the text "no primary".
 func (g *Group) LostWrites() []string {
@@ -315,10 +347,7 @@
 // target is running. The replicas that are running and responsive follow the new term with a copy of its log; an
 // old primary isn't notified.
 func (g *Group) Promote(id string) bool {
-	g.mu.Lock()
-	delay := g.promoteDelay
-	g.mu.Unlock()
-	time.Sleep(delay)
+	time.Sleep(g.nextPromoteDelay())
 	g.mu.Lock()
 	defer g.mu.Unlock()
 	chosen, ok := g.targets[id]
@@ -333,7 +362,7 @@
 		term = max(term, d.term)
 	}
 	chosen.primary, chosen.term, chosen.pausedTerm = true, term+1, 0
-	g.termStarts[chosen.term] = chosen.lastPosition()
+	g.termStarts[chosen.term], g.promotedAt[chosen.term] = chosen.lastPosition(), time.Now()
 	for _, d := range g.targets {
 		if d != chosen && d.up && !d.primary {
 			// A promotion ends all pauses, also those of replicas that the new primary doesn't reach.
@@ -348,6 +377,21 @@
 	return true
 }
 
+// nextPromoteDelay returns the time between an order to promote and its effect.
+func (g *Group) nextPromoteDelay() time.Duration {
+	g.mu.Lock()
+	defer g.mu.Unlock()
+	g.orders++
+	return g.promoteDelay + g.promoteSpread*time.Duration((g.orders-1)%3)/2
+}
+
+// spreadPromoteDelay sets by how much the time between an order to promote and its effect may be longer.
+func (g *Group) spreadPromoteDelay(spread time.Duration) {
+	g.mu.Lock()
+	defer g.mu.Unlock()
+	g.promoteSpread = spread
+}
+
 // longestLog returns a target with the longest log; one without records if there is no target. The caller holds the mutex.
 func (g *Group) longestLog() *Target {
 	longest := &Target{}
@@ -507,7 +551,7 @@
 	d.group.mu.Lock()
 	defer d.group.mu.Unlock()
 	d.primary, d.term, d.pausedTerm = true, term, 0
-	d.group.termStarts[term] = d.lastPosition()
+	d.group.termStarts[term], d.group.promotedAt[term] = d.lastPosition(), time.Now()
 	d.writeEntry()
 }
 
--- a/standin/lines/provider.go
+++ b/standin/lines/provider.go
@@ -29,12 +29,14 @@
 	// Refuse makes the provider refuse every order, as it does if the target isn't running.
 	Refuse atomic.Bool
 
-	// cut holds the source IP addresses whose orders don't arrive.
+	// cut holds the source IP addresses whose orders and answers don't arrive.
 	cut sync.Map
 
 	mu     sync.Mutex
 	orders []PromotionOrder
 	faults OrderFaults
+	// watchers are called with the source IP address of the next order for a group, which waits for them.
+	watchers map[string]func(source string)
 }
 
 // OrderFaults are the faults that are injected into the orders to promote that arrive. The zero value stands for none.
@@ -60,7 +62,7 @@
 	if err != nil {
 		return nil, err
 	}
-	p := &Provider{listener: listener, groups: map[string]*Group{}}
+	p := &Provider{listener: listener, groups: map[string]*Group{}, watchers: map[string]func(string){}}
 	for _, g := range groups {
 		p.groups[g.Name] = g
 	}
@@ -85,11 +87,10 @@
 }
 
 func (p *Provider) promote(w http.ResponseWriter, r *http.Request) {
-	if source, _, err := net.SplitHostPort(r.RemoteAddr); err == nil {
-		if _, cut := p.cut.Load(source); cut {
-			reset(w)
-			return
-		}
+	source, _, _ := net.SplitHostPort(r.RemoteAddr)
+	if p.isCut(source) {
+		reset(w)
+		return
 	}
 	var body struct{ Backend, Id string }
 	if err := json.NewDecoder(r.Body).Decode(&body); err != nil {
@@ -99,8 +100,12 @@
 	token, _ := strconv.ParseUint(r.Header.Get("Fencing-Token"), 10, 64)
 	p.mu.Lock()
 	p.orders = append(p.orders, PromotionOrder{r.Header.Get("Lease-Holder"), token, body.Id, body.Backend})
-	faults := p.faults
+	faults, watcher := p.faults, p.watchers[body.Backend]
+	delete(p.watchers, body.Backend)
 	p.mu.Unlock()
+	if watcher != nil {
+		watcher(source)
+	}
 	g, ok := p.groups[body.Backend]
 	if p.Refuse.Load() || !ok {
 		w.WriteHeader(http.StatusConflict)
@@ -111,11 +116,29 @@
 		reset(w)
 		return
 	}
-	if !promoteLate(g, body.Id, faults) {
+	promoted := promoteLate(g, body.Id, faults)
+	if p.isCut(source) {
+		reset(w)
+		return
+	}
+	if !promoted {
 		w.WriteHeader(http.StatusConflict)
 	}
 }
 
+func (p *Provider) isCut(source string) bool {
+	_, cut := p.cut.Load(source)
+	return cut
+}
+
+// onNextOrder calls a function with the source IP address of the next order for a group, before it is carried out; nil ends
+// that.
+func (p *Provider) onNextOrder(group string, do func(source string)) {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	p.watchers[group] = do
+}
+
 // promoteLate carries out an order with its faults, and reports whether the target is running.
 func promoteLate(g *Group, id string, faults OrderFaults) bool {
 	time.Sleep(faults.EffectDelay)
--- a/standin/lines/unknownreplica_test.go
+++ b/standin/lines/unknownreplica_test.go
@@ -69,7 +69,7 @@
 
 // staleReads counts the reads that break the rule STALE by database, and describes the first.
 func (p *processes) staleReads() (counts map[string]int, first string) {
-	breaches, _ := lines.NewRecords(p.callers, &p.Operator, p.Groups...).Stale(lines.MaxStaleness)
+	breaches := lines.NewRecords(p.callers, &p.Operator, p.Groups...).Stale(lines.MaxStaleness).Breaches
 	counts = map[string]int{}
 	for i, breach := range breaches {
 		if i == 0 {
