Promotions: the old primary is kept from acknowledging until the order takes effect

Callers lost acknowledged writes, and read without them: a promotion takes effect 600 ms and more after the order. After the last check a replica restarted or joined, which no promoter had paused, and an old primary that could not be told to step down acknowledged commits by it until the effect.

The order was sent at 33.408; the cut of the old primary's zone healed at 33.712; c-r21282 joined at 34.144 and received 2/3976 to 2/4030; the order took effect at 34.308 with 2/3975.

From the order to its effect a guard orders the old primary to step down every 50 ms, as it may be reached again or restart, and pauses replicas that restart or that the store lists meanwhile. It ends before replicas are resumed, and those that it has paused are resumed as the others. An order is not repeated once it had to pause a replica.

Not closed: an old primary that is not reached until the effect, beside a replica that joins or restarts.

--- a/internal/engine/promote.go
+++ b/internal/engine/promote.go
@@ -5,6 +5,7 @@
 	"maps"
 	"slices"
 	"sync"
+	"sync/atomic"
 	"time"
 
 	"github.com/sirupsen/logrus"
@@ -62,6 +63,9 @@
 	demoted  *leadership.Status
 	// steppedDownAt is the time of the boot clock after the old primary stepped down last; 0 if it has not.
 	steppedDownAt time.Duration
+	// stopGuard stops the guard of the order. pausedAgain is true once the guard has paused a replica that was not.
+	stopGuard   func()
+	pausedAgain atomic.Bool
 	// orderIsOpen is true while an order may still take effect.
 	orderIsOpen bool
 	// settledTerm is what is told of the promotion when the lock is released, as PromotionLock.Release expects it.
@@ -206,7 +210,10 @@
 		return false
 	}
 	p.settledTerm, p.orderIsOpen = 0, true
+	p.startGuard(target)
+	defer p.stopGuard()
 	if p.orderPromotion(target) == orderRefused {
+		p.stopGuard()
 		p.settledTerm, p.orderIsOpen = takeover.NothingOrdered, false
 		p.abort()
 		return false
@@ -384,6 +391,7 @@
 		if err == nil && s.Role == leadership.RolePrimary {
 			p.log().WithFields(logrus.Fields{logfield.Target: target, logfield.NewTerm: s.Term, logfield.Elapsed: clock.SinceBoot() - p.pausedAt}).Info(logevent.PromotionDone)
 			p.settledTerm, p.orderIsOpen = s.Term, false
+			p.stopGuard()
 			p.group.runStatusRound()
 			p.finish(target)
 			return true
--- a/internal/engine/promotionorder.go
+++ b/internal/engine/promotionorder.go
@@ -45,7 +45,8 @@
 		if clock.Sleep(p.engine.ctx, leadPoll) != nil {
 			return outcome
 		}
-		if joined, ok := p.recheck(); !ok || joined > 0 {
+		// A replica that was not paused for a moment may have proved the old term.
+		if joined, ok := p.recheck(); !ok || joined > 0 || p.pausedAgain.Load() {
 			return outcome
 		}
 	}
--- a/standin/lines/lateorders_test.go
+++ b/standin/lines/lateorders_test.go
@@ -8,6 +8,17 @@
 	"github.com/papayacove/papayacove/standin/netfault"
 )
 
+// awaitOrder returns the first order to promote, once it has arrived.
+func (p *processes) awaitOrder() lines.PromotionOrder {
+	p.t.Helper()
+	for end := time.Now().Add(waitTimeout); len(p.Provider.Orders()) == 0; time.Sleep(5 * time.Millisecond) {
+		if time.Now().After(end) {
+			p.t.Fatal("got no order to promote")
+		}
+	}
+	return p.Provider.Orders()[0]
+}
+
 // replaceCutPrimary cuts the primary off from the daemons until healAfter past the first order to promote, which
 // finds the provider with the faults. It returns the writes meanwhile. The target of that order receives nothing
 // between the order and its effect.
@@ -17,12 +28,7 @@
 	p.Provider.SetFaults(faults)
 	return p.writeDuring(func() {
 		p.TargetLink(old).SetFaults(netfault.Faults{Partitioned: true})
-		for end := time.Now().Add(waitTimeout); len(p.Provider.Orders()) == 0; time.Sleep(5 * time.Millisecond) {
-			if time.Now().After(end) {
-				p.t.Fatal("got no order to promote")
-			}
-		}
-		chosen := p.Group.Target(p.Provider.Orders()[0].Target)
+		chosen := p.Group.Target(p.awaitOrder().Target)
 		chosen.SetReceiveBlocked(true)
 		time.Sleep(healAfter)
 		p.TargetLink(old).SetFaults(netfault.Faults{})
@@ -50,3 +56,28 @@
 		})
 	}
 }
+
+// TestOldPrimaryThatIsReachedBeforeTheEffectStepsDown guards against commits that the old primary acknowledges
+// between the order to promote and its effect: it is reached again, and then a replica restarts, which ends its
+// pause.
+func TestOldPrimaryThatIsReachedBeforeTheEffectStepsDown(t *testing.T) {
+	t.Parallel()
+	p := startProcesses(t)
+	time.Sleep(settleTime)
+	old := p.Group.Primary()
+	p.Provider.SetFaults(lines.OrderFaults{EffectDelay: 2 * time.Second})
+	p.checkAttempts(p.writeDuring(func() {
+		p.TargetLink(old).SetFaults(netfault.Faults{Partitioned: true})
+		chosen := p.awaitOrder().Target
+		p.TargetLink(old).SetFaults(netfault.Faults{})
+		time.Sleep(time.Second)
+		for _, id := range p.Group.IDs() {
+			if id != old && id != chosen {
+				p.Group.Target(id).Crash()
+				must(t, p.Group.Target(id).Start())
+			}
+		}
+		time.Sleep(1500 * time.Millisecond)
+		p.Provider.SetFaults(lines.OrderFaults{})
+	}))
+}
