--- a/internal/engine/group.go
+++ b/internal/engine/group.go
@@ -38,8 +38,8 @@
 	target Target
 	// firstSeenAt is the time of the boot clock at which the daemon learned of the target.
 	firstSeenAt time.Duration
-	// knownWithinProof is true once the daemon has known the target while it held a valid leadership proof.
-	knownWithinProof bool
+	// gaveNoStatus is true if the last status call was not answered with a status.
+	gaveNoStatus bool
 	// applied is the latest position that the target is known to have applied, as reported at appliedAt on the
 	// boot clock.
 	applied   api.Position
@@ -87,6 +87,8 @@
 	drainTimeout time.Duration
 	// directorySettled reports whether the target entries are complete, so that no member is missing.
 	directorySettled func() bool
+	// directoryFailingFor returns for how long the target entries could not be followed.
+	directoryFailingFor func() time.Duration
 	// relays reaches the other daemons, and peers records which of them do not answer; relays is nil when no target is
 	// held.
 	relays Peers
@@ -115,6 +117,13 @@
 	termSeenAt time.Duration
 	// provenUntil is the time of the boot clock until which the leadership proof of the primary is valid.
 	provenUntil time.Duration
+	// proofUsedAt is the time of the boot clock at which a statement last needed a proof, proofWaits the number of those that
+	// wait for one.
+	proofUsedAt time.Duration
+	proofWaits  int
+	// promotionLock is Options.PromotionLock, and recordReads what is known of the reads of its record.
+	promotionLock PromotionLock
+	recordReads   recordReads
 	// proofOrigin is what gave that proof, and proofLog what was logged of proofs.
 	proofOrigin proofOrigin
 	proofLog    proofLog
@@ -155,9 +164,11 @@
 func newGroup(name string, options Options, directorySettled func() bool) *group {
 	return &group{
 		name: name, zone: options.Zone, dialer: options.Dialer, drainTimeout: options.DrainTimeout, directorySettled: directorySettled,
-		relays: options.Peers, peers: &peerHealth{}, inBackground: func(f func()) { go f() }, daemons: newDaemonList(options.Name, nil),
+		directoryFailingFor: func() time.Duration { return 0 },
+		relays:              options.Peers, peers: &peerHealth{}, inBackground: func(f func()) { go f() }, daemons: newDaemonList(options.Name, nil),
 		members: make(map[string]*member), statuses: make(map[string]leadership.Status),
-		losses: options.LossRegistry, registered: make(map[string]bool), lossesChanged: make(chan struct{}, 1),
+		promotionLock: options.PromotionLock,
+		losses:        options.LossRegistry, registered: make(map[string]bool), lossesChanged: make(chan struct{}, 1),
 		changed: make(chan struct{}), statusRoundRequests: make(chan struct{}, 1), proofRequests: make(chan struct{}, 1),
 		proofLog: proofLog{limiter: limiter},
 	}
