--- a/standin/lines/disruptions.go
+++ b/standin/lines/disruptions.go
@@ -1,6 +1,7 @@
 package lines
 
 import (
+	"sync"
 	"time"
 
 	"github.com/papayacove/papayacove/standin/netfault"
@@ -61,6 +62,15 @@
 	})
 }
 
+// ReleaseNow replaces targets at the same time, and returns once all of them have announced that they leave.
+func (f *Fleet) ReleaseNow(g *Group, ids []string) {
+	var announced sync.WaitGroup
+	for _, id := range ids {
+		announced.Go(func() { _ = f.Replace(g, id) })
+	}
+	announced.Wait()
+}
+
 // AwaitReleases waits until all targets that are being replaced have ended.
 func (f *Fleet) AwaitReleases() { f.releases.Wait() }
 
@@ -82,6 +92,30 @@
 	}
 }
 
+// OnNextPause calls a function with the daemon that sends the next PAUSE to a target of a group; nil ends that.
+func (f *Fleet) OnNextPause(g *Group, do func(*Daemon)) {
+	g.mu.Lock()
+	defer g.mu.Unlock()
+	g.pauseWatcher = f.withDaemon(do)
+}
+
+// OnNextOrder calls a function with the daemon that sends the next order to promote a target of a group, when the order has
+// arrived; nil ends that.
+func (f *Fleet) OnNextOrder(g *Group, do func(*Daemon)) {
+	f.Provider.onNextOrder(g.Name, f.withDaemon(do))
+}
+
+func (f *Fleet) withDaemon(do func(*Daemon)) func(source string) {
+	if do == nil {
+		return nil
+	}
+	return func(source string) {
+		if d := f.daemonAt(source); d != nil {
+			go do(d)
+		}
+	}
+}
+
 // Holder returns the daemon that the last statement of the primary of a group came from; nil if there was none.
 func (f *Fleet) Holder(g *Group) *Daemon {
 	primary := g.Primary()
