--- a/internal/engine/promote.go
+++ b/internal/engine/promote.go
@@ -5,6 +5,7 @@
 	"maps"
 	"slices"
 	"sync"
+	"sync/atomic"
 	"time"
 
 	"github.com/sirupsen/logrus"
@@ -62,6 +63,9 @@
 	demoted  *leadership.Status
 	// steppedDownAt is the time of the boot clock after the old primary stepped down last; 0 if it has not.
 	steppedDownAt time.Duration
+	// stopGuard stops the guard of the order. pausedAgain is true once the guard has paused a replica that was not.
+	stopGuard   func()
+	pausedAgain atomic.Bool
 	// orderIsOpen is true while an order may still take effect.
 	orderIsOpen bool
 	// restsOnStepDown is true if a replica is not paused, and the choice of the target rests on the step-down.
@@ -214,7 +218,10 @@
 		return false
 	}
 	p.settledTerm, p.orderIsOpen = 0, true
+	p.startGuard(target)
+	defer p.stopGuard()
 	if p.orderPromotion(target) == orderRefused {
+		p.stopGuard()
 		p.settledTerm, p.orderIsOpen = takeover.NothingOrdered, false
 		p.abort()
 		return false
@@ -394,6 +401,7 @@
 			p.log().WithFields(logrus.Fields{logfield.Target: target, logfield.NewTerm: s.Term, logfield.Elapsed: clock.SinceBoot() - p.pausedAt}).Info(logevent.PromotionDone)
 			p.settledTerm, p.orderIsOpen = s.Term, false
 			p.group.recordPromoted(target, s, p.lockedUntil)
+			p.stopGuard()
 			p.finish(target)
 			p.release()
 			if p.oldIsSilent {
