--- a/internal/engine/promotionguard.go
+++ b/internal/engine/promotionguard.go
@@ -65,7 +65,9 @@
 // keepSteppedDown orders the old primary to step down until ctx ends.
 func (p *promotion) keepSteppedDown(ctx context.Context, old *member) {
 	for {
-		_, _ = old.control.callUntil(p.lockedUntil, Command{Op: OpStepDown, Term: p.term})
+		if _, err := old.control.callUntil(p.lockedUntil, Command{Op: OpStepDown, Term: p.term}); err != nil {
+			p.log().WithField(logfield.Error, err).Debug(logevent.OldPrimaryNotSteppingDown)
+		}
 		if clock.Sleep(ctx, leadPoll) != nil {
 			return
 		}
@@ -115,6 +117,7 @@
 	defer cancel()
 	listed, err := lister.ListTargets(ctx, g.group.name)
 	if err != nil {
+		g.log().WithField(logfield.Error, err).Debug(logevent.TargetsNotListed)
 		return
 	}
 	entries := make(map[string]Target, len(listed))
