--- a/internal/promotionlock/promotionlock_test.go
+++ b/internal/promotionlock/promotionlock_test.go
@@ -343,3 +343,38 @@
 		t.Errorf("without a proof: got %v, want ErrNotSettled", err)
 	}
 }
+
+// TestTermIsNotSettledOverAnotherHold guards against a record that states the term before an order of unknown outcome: another daemon took
+// and released the lock between the look at the record and the hold.
+func TestTermIsNotSettledOverAnotherHold(t *testing.T) {
+	store := &memoryStore{era: 1, eraSince: time.Second}
+	now := time.Minute
+	first, second := New(store, store, "daemon-1"), New(store, store, "daemon-2")
+	first.now = func() time.Duration { return now }
+	second.now = first.now
+	ctx := t.Context()
+	prove := func() (uint64, bool) { return 1, true }
+	if err := second.Settle(ctx, group, prove); !errors.Is(err, ErrNotSettled) {
+		t.Fatalf("at once: got %v, want ErrNotSettled", err)
+	}
+	now += takeoverDelay
+	reads := 0
+	store.beforeCall = func(method string) {
+		if method != "get" {
+			return
+		}
+		if reads++; reads == 2 {
+			store.beforeCall = nil
+			if _, _, err := first.Acquire(ctx, group); err != nil {
+				t.Errorf("the other daemon: got %v, want the lock", err)
+			}
+			first.Release(ctx, group, 0)
+		}
+	}
+	if err := second.Settle(ctx, group, prove); !errors.Is(err, ErrNotSettled) {
+		t.Errorf("after another hold: got %v, want ErrNotSettled", err)
+	}
+	if term, err := first.SettledTerm(ctx, group); !errors.Is(err, ErrNotSettled) {
+		t.Errorf("after another hold: got term %d, %v, want ErrNotSettled", term, err)
+	}
+}
