Leadership proofs: one witness is asked even if none answered the last call with a status

While all targets are full, each failing proof asked all of them instead of the primary and one replica, half as many calls again from each daemon; a status round looks at the others after each failure. Quiet machines did not show it, since two rounds of three calls are within the bound of three rounds of two.

--- a/internal/engine/proof.go
+++ b/internal/engine/proof.go
@@ -155,21 +155,33 @@
 	return map[string]*member{g.primary: primary, witness: g.members[witness]}
 }
 
-// proofWitness returns the name of a replica whose last status proved the term, and that did not fail recently and does not leave,
-// in the daemon's own zone if there is one there; empty for none. The caller holds the lock.
+// proofWitness returns the name of a replica whose last status proved the term, and that did not fail recently and does not leave;
+// empty for none. It prefers one that answered the last call with a status, and then one in the daemon's own zone. The caller
+// holds the lock.
 func (g *group) proofWitness(now time.Duration) string {
 	witness := ""
 	for name, m := range g.members {
-		if name == g.primary || now < m.recentFailureUntil || m.gaveNoStatus || m.target.Leaving || !g.statuses[name].Proves(g.term) {
+		if name == g.primary || now < m.recentFailureUntil || m.target.Leaving || !g.statuses[name].Proves(g.term) {
 			continue
 		}
-		if best, ok := g.members[witness]; !ok || m.target.Zone == g.zone || best.target.Zone != g.zone && name < witness {
+		if best, ok := g.members[witness]; !ok || g.isBetterWitness(m, best) {
 			witness = name
 		}
 	}
 	return witness
 }
 
+// isBetterWitness reports whether proofWitness prefers m to other.
+func (g *group) isBetterWitness(m, other *member) bool {
+	if m.gaveNoStatus != other.gaveNoStatus {
+		return !m.gaveNoStatus
+	}
+	if isNear := m.target.Zone == g.zone; isNear != (other.target.Zone == g.zone) {
+		return isNear
+	}
+	return m.name < other.name
+}
+
 // applyProof records the leadership proof that the newest statuses of the members contain, and the position of the primary.
 // The caller holds the lock.
 func (g *group) applyProof() {
