Promotions: the guard's orders to step down end with the engine

The engine now waits for it when it closes, for a status timeout at most, and the test keeps the time of the first step-down, which is the one that the order waits for.

--- a/internal/engine/promotionguard.go
+++ b/internal/engine/promotionguard.go
@@ -41,8 +41,8 @@
 	ctx, cancel := context.WithCancel(p.engine.ctx)
 	var pausing sync.WaitGroup
 	if old, ok := p.members[p.old]; ok {
-		// It is not waited for: a late order to step down does no harm.
-		go p.keepSteppedDown(ctx, old)
+		// The promotion does not wait for it: a late order to step down does no harm.
+		p.engine.promotions.Go(func() { p.keepSteppedDown(ctx, old) })
 	}
 	pausing.Go(func() { g.keepPaused(ctx) })
 	p.stopGuard = func() {
--- a/internal/engine/stepdownwait_test.go
+++ b/internal/engine/stepdownwait_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"sync/atomic"
 	"testing"
 	"time"
 
@@ -25,7 +26,8 @@
 	const stepDownTakes = 150 * time.Millisecond
 	e := newStoppableEngine(&recordingLock{acquired: make(chan struct{}), released: make(chan error, 1)})
 	defer e.Close()
-	var steppedDownAt time.Duration
+	// The step-down that the order waits for is the first one.
+	var steppedDown atomic.Int64
 	order := &orderTime{}
 	targets := namedTargets{}
 	for _, name := range []string{"a", "b", "c"} {
@@ -40,8 +42,8 @@
 				status.PausedTerm = 2
 			case c.Op == OpStepDown:
 				time.Sleep(stepDownTakes)
-				steppedDownAt = clock.SinceBoot()
-			case name == "a" && steppedDownAt == 0:
+				steppedDown.CompareAndSwap(0, int64(clock.SinceBoot()))
+			case name == "a" && steppedDown.Load() == 0:
 				status.Role = leadership.RolePrimary
 			}
 			return Reply{Status: status}, nil
@@ -54,6 +56,7 @@
 	}
 	g.runStatusRound()
 	e.takeOver(g, takeover.ReasonStalled)
+	steppedDownAt := time.Duration(steppedDown.Load())
 	if steppedDownAt == 0 || order.at < steppedDownAt+leadership.ProofValidity {
 		t.Errorf("got the order %s after the step-down of the old primary, want it %s later at least", order.at-steppedDownAt, leadership.ProofValidity)
 	}
