--- a/internal/engine/engine.go
+++ b/internal/engine/engine.go
@@ -78,8 +78,8 @@
 	// directoryFailed is the time of the boot clock, in nanoseconds, of the last failure to follow the target
 	// entries. It is initialized with the start of the engine.
 	directoryFailed atomic.Int64
-	// directoryFailingSince is the time of the boot clock, in nanoseconds, of the first of those failures with less than
-	// directoryFailureGap between them.
+	// directoryFailingSince is the time of the boot clock, in nanoseconds, of the first of those failures with less
+	// than directoryFailureGap between them.
 	directoryFailingSince atomic.Int64
 	// knowsLosses is true once the replicas that were lost before the start are known.
 	knowsLosses atomic.Bool
@@ -249,8 +249,8 @@
 	}
 }
 
-// directoryFailureGap is longer than the time between two failures to follow the target entries while the store does not
-// answer.
+// directoryFailureGap is longer than the time between two failures to follow the target entries while the store does
+// not answer.
 const directoryFailureGap = 10 * time.Second
 
 // directoryFailingFor returns for how long the target entries could not be followed; 0 if they can be.
--- a/internal/engine/group.go
+++ b/internal/engine/group.go
@@ -117,8 +117,8 @@
 	termSeenAt time.Duration
 	// provenUntil is the time of the boot clock until which the leadership proof of the primary is valid.
 	provenUntil time.Duration
-	// proofUsedAt is the time of the boot clock at which a statement last needed a proof, proofWaits the number of those that
-	// wait for one.
+	// proofUsedAt is the time of the boot clock at which a statement last needed a proof, proofWaits the number of
+	// those that wait for one.
 	proofUsedAt time.Duration
 	proofWaits  int
 	// promotionLock is Options.PromotionLock, and recordReads what is known of the reads of its record.
@@ -165,7 +165,8 @@
 	return &group{
 		name: name, zone: options.Zone, dialer: options.Dialer, drainTimeout: options.DrainTimeout, directorySettled: directorySettled,
 		directoryFailingFor: func() time.Duration { return 0 },
-		relays:              options.Peers, peers: &peerHealth{}, inBackground: func(f func()) { go f() }, daemons: newDaemonList(options.Name, nil),
+		relays:              options.Peers, peers: &peerHealth{}, inBackground: func(f func()) { go f() },
+		daemons: newDaemonList(options.Name, nil),
 		members: make(map[string]*member), statuses: make(map[string]leadership.Status),
 		promotionLock: options.PromotionLock,
 		losses:        options.LossRegistry, registered: make(map[string]bool), lossesChanged: make(chan struct{}, 1),
--- a/internal/engine/interfaces.go
+++ b/internal/engine/interfaces.go
@@ -68,19 +68,20 @@
 type PromotionLock interface {
 	// Acquire returns the fencing token of the lock and the time of the boot clock until which it is held.
 	Acquire(ctx context.Context, group string) (token uint64, until time.Duration, err error)
-	// Release releases the lock. The term is that to which the last promotion ordered under it led, 0 if the outcome of an order
-	// is unknown, and takeover.NothingOrdered if none was sent.
+	// Release releases the lock. The term is that to which the last promotion ordered under it led, 0 if the outcome of
+	// an order is unknown, and takeover.NothingOrdered if none was sent.
 	Release(ctx context.Context, group string, term uint64)
-	// SettledTerm returns the term to which the last promotion of the group led, leadership.NoPromotion if there was none. It fails
-	// if the lock is held, or if that term is not known. No later promotion was begun, under the lock, when the call was made.
+	// SettledTerm returns the term to which the last promotion of the group led, leadership.NoPromotion if there was
+	// none. It fails if the lock is held, or if that term is not known. No later promotion was begun, under the lock,
+	// when the call was made.
 	SettledTerm(ctx context.Context, group string) (term uint64, err error)
 }
 
 // LockSettler completes the records of promotion locks.
 type LockSettler interface {
-	// Settle has the record of the promotion lock of a group state the term to which the last promotion led, if it does not, while it
-	// holds the lock. prove returns that term, proved by statuses asked for after the call, or false. It fails if the record states
-	// no term yet.
+	// Settle has the record of the promotion lock of a group state the term to which the last promotion led, if it does
+	// not, while it holds the lock. prove returns that term, proved by statuses asked for after the call, or false. It
+	// fails if the record states no term yet.
 	Settle(ctx context.Context, group string, prove func() (term uint64, ok bool)) error
 }
 
--- a/internal/engine/lapsedproof_test.go
+++ b/internal/engine/lapsedproof_test.go
@@ -7,7 +7,8 @@
 	"github.com/papayacove/papayacove/internal/clock"
 )
 
-// TestProofFromBeforeTheArrivalCoversNoRead guards against reads at a replaced primary within a proof that ended before they arrived.
+// TestProofFromBeforeTheArrivalCoversNoRead guards against reads at a replaced primary within a proof that ended before
+// they arrived.
 func TestProofFromBeforeTheArrivalCoversNoRead(t *testing.T) {
 	for endsAfter, want := range map[time.Duration]bool{0: false, -time.Millisecond: false, time.Millisecond: true} {
 		g := newTestGroup(&fakeTarget{})
--- a/internal/engine/lockproof.go
+++ b/internal/engine/lockproof.go
@@ -13,8 +13,9 @@
 )
 
 const (
-	// recordInterval is the least time between two reads of the record of the promotion lock. After recordAttempts reads without a
-	// proof it is lateRecordInterval: the lock is held for seconds at most, and a term that is not known stays unknown for long.
+	// recordInterval is the least time between two reads of the record of the promotion lock. After recordAttempts
+	// reads without a proof it is lateRecordInterval: the lock is held for seconds at most, and a term that is not
+	// known stays unknown for long.
 	recordInterval     = 200 * time.Millisecond
 	recordAttempts     = 20
 	lateRecordInterval = 2 * time.Second
@@ -22,22 +23,23 @@
 	recordTimeout = leadership.ProofValidity
 	// settleInterval is the least time between two attempts to have the record state the term.
 	settleInterval = 2 * time.Second
-	// settledInterval is the same once the record is known to have stated the term. A promotion with an unknown outcome and a restored
-	// store take the term away.
+	// settledInterval is the same once the record is known to have stated the term. A promotion with an unknown outcome
+	// and a restored store take the term away.
 	settledInterval = 30 * time.Second
 )
 
 // recordReads is what a daemon knows of its reads of the record of the promotion lock of one group.
 type recordReads struct {
-	// running is true during a read, failed the number of reads since the last one that gave a proof, and since the term changed.
+	// running is true during a read, failed the number of reads since the last one that gave a proof, and since the
+	// term changed.
 	running bool
 	failed  int
 	// endedAt is the time of the boot clock at which the last read ended.
 	endedAt time.Duration
 	// promoted is the last term that a promotion of this daemon led to; 0 for none.
 	promoted uint64
-	// settled is the last term that the record is known to have stated, settlingAt the time of the boot clock of the last attempt to
-	// have it state one; 0 for none.
+	// settled is the last term that the record is known to have stated, settlingAt the time of the boot clock of the
+	// last attempt to have it state one; 0 for none.
 	settled    uint64
 	settlingAt time.Duration
 }
@@ -51,18 +53,21 @@
 	return !r.running && (r.endedAt == 0 || now-r.endedAt >= interval)
 }
 
-// leavesRecordToHolder reports whether the daemon that holds the primary is expected to read the record and to pass its proof on. All
-// others at once would be too many calls to the store. The caller holds the lock.
+// leavesRecordToHolder reports whether the daemon that holds the primary is expected to read the record and to pass its
+// proof on. All others at once would be too many calls to the store. The caller holds the lock.
 func (g *group) leavesRecordToHolder(now time.Duration) bool {
 	unprovedSince := max(g.termSeenAt, g.provenUntil, g.recordReads.endedAt)
 	return !g.fetchesProofs(g.members[g.primary]) && now-unprovedSince < lateRecordInterval
 }
 
-// requestRecord reads the record of the promotion lock in the background, at a bounded rate, because the targets give no proof.
-// The caller holds the lock.
+// requestRecord reads the record of the promotion lock in the background, at a bounded rate, because the targets give
+// no proof. The caller holds the lock.
 func (g *group) requestRecord() {
 	now := clock.SinceBoot()
-	if g.promotionLock == nil || g.isPrimaryUnresponsive(now) || !g.recordReads.mayRead(now) || g.leavesRecordToHolder(now) {
+	if g.promotionLock == nil || g.isPrimaryUnresponsive(now) {
+		return
+	}
+	if !g.recordReads.mayRead(now) || g.leavesRecordToHolder(now) {
 		return
 	}
 	g.recordReads.running = true
@@ -89,9 +94,9 @@
 	g.sampleStatus()
 }
 
-// beginSettling reports whether the record of the promotion lock is to be completed now, because this daemon is the first that
-// judges the primary or holds it, or could not start another chain of proofs. Nothing else can state the term when no promotion of
-// this era of the store has been finished.
+// beginSettling reports whether the record of the promotion lock is to be completed now, because this daemon is the
+// first that judges the primary or holds it, or could not start another chain of proofs. Nothing else can state the
+// term when no promotion of this era of the store has been finished.
 func (g *group) beginSettling() bool {
 	g.mu.Lock()
 	defer g.mu.Unlock()
@@ -113,8 +118,8 @@
 	return true
 }
 
-// settle has the record of the promotion lock state the term in which the primary of a group is proved to lead. No promotion of this
-// daemon runs meanwhile: both use its hold of the lock.
+// settle has the record of the promotion lock state the term in which the primary of a group is proved to lead. No
+// promotion of this daemon runs meanwhile: both use its hold of the lock.
 func (e *Engine) settle(g *group) {
 	if e.options.LockSettler == nil || e.stopping.Load() {
 		return
@@ -142,14 +147,14 @@
 	return term, isProved && g.presumedTerm() == term
 }
 
-// keepsProofs reports whether this daemon keeps the chain of proofs of a primary: it fetches its proofs, or has promoted it and may be
-// the only one that could start a chain. The caller holds the lock.
+// keepsProofs reports whether this daemon keeps the chain of proofs of a primary: it fetches its proofs, or has
+// promoted it and may be the only one that could start a chain. The caller holds the lock.
 func (g *group) keepsProofs(m *member) bool {
 	return g.fetchesProofs(m) || m != nil && g.recordReads.promoted == g.term
 }
 
-// recordPromoted records that a promotion which this daemon ordered under the promotion lock is complete. The status is that of the
-// target: while the lock was held, nobody else can have begun a later promotion.
+// recordPromoted records that a promotion which this daemon ordered under the promotion lock is complete. The status is
+// that of the target: while the lock was held, nobody else can have begun a later promotion.
 func (g *group) recordPromoted(target string, s leadership.Status, lockedUntil time.Duration) {
 	g.mu.Lock()
 	defer g.mu.Unlock()
--- a/internal/engine/lockproof_test.go
+++ b/internal/engine/lockproof_test.go
@@ -58,8 +58,8 @@
 	return g
 }
 
-// TestRecordOfThePromotionLockStartsAChain guards against a group without proofs for as long as a target does not answer, and against
-// a proof by the record of another term or of a lock that is held.
+// TestRecordOfThePromotionLockStartsAChain guards against a group without proofs for as long as a target does not
+// answer, and against a proof by the record of another term or of a lock that is held.
 func TestRecordOfThePromotionLockStartsAChain(t *testing.T) {
 	for name, c := range map[string]struct {
 		lock settledLock
@@ -124,8 +124,8 @@
 	}
 }
 
-// TestChainIsKeptWhileATargetDoesNotAnswer guards against a group that is used and left without proofs although the last one could have
-// been renewed.
+// TestChainIsKeptWhileATargetDoesNotAnswer guards against a group that is used and left without proofs although the
+// last one could have been renewed.
 func TestChainIsKeptWhileATargetDoesNotAnswer(t *testing.T) {
 	for name, c := range map[string]struct {
 		change func(*group)
@@ -154,7 +154,8 @@
 	}
 }
 
-// TestProofIsRequestedBeforeItLapses guards against a break of the chain at each lapse, although statements follow one another.
+// TestProofIsRequestedBeforeItLapses guards against a break of the chain at each lapse, although statements follow one
+// another.
 func TestProofIsRequestedBeforeItLapses(t *testing.T) {
 	for left, want := range map[time.Duration]int{renewalReserve / 2: 1, renewalReserve * 2: 0} {
 		g := newTestGroup(&fakeTarget{})
@@ -166,8 +167,8 @@
 	}
 }
 
-// TestPromoterProvesItsPromotion guards against a group without proofs after a promotion whose old primary does not answer, and against
-// a proof by a daemon that has lost the lock.
+// TestPromoterProvesItsPromotion guards against a group without proofs after a promotion whose old primary does not
+// answer, and against a proof by a daemon that has lost the lock.
 func TestPromoterProvesItsPromotion(t *testing.T) {
 	for lockedFor, want := range map[time.Duration]bool{time.Second: true, -time.Millisecond: false} {
 		g := newTestGroup(&fakeTarget{})
@@ -193,8 +194,8 @@
 	return p.err
 }
 
-// TestPromotionReleasesTheLockWithItsTerm guards against daemons without proofs after a promotion, and against proofs by the term of a
-// promotion that may still take effect.
+// TestPromotionReleasesTheLockWithItsTerm guards against daemons without proofs after a promotion, and against proofs
+// by the term of a promotion that may still take effect.
 func TestPromotionReleasesTheLockWithItsTerm(t *testing.T) {
 	for name, c := range map[string]struct {
 		err    error
@@ -242,8 +243,8 @@
 	}
 }
 
-// TestUnknownTermOfTheRecordIsSettled guards against a group without proofs while a target does not answer and no promotion has been
-// finished, and against a term that is stated without a proof of while the lock was held.
+// TestUnknownTermOfTheRecordIsSettled guards against a group without proofs while a target does not answer and no
+// promotion has been finished, and against a term that is stated without a proof of while the lock was held.
 func TestUnknownTermOfTheRecordIsSettled(t *testing.T) {
 	for name, c := range map[string]struct {
 		change func(*group)
--- a/internal/engine/orderdeadline_test.go
+++ b/internal/engine/orderdeadline_test.go
@@ -16,8 +16,8 @@
 	return errNoAnswerToOrder
 }
 
-// TestOrderEndsWithThePromotionLock guards against an order that arrives after the end of the lock, and takes effect beside the promotion
-// of the next holder.
+// TestOrderEndsWithThePromotionLock guards against an order that arrives after the end of the lock, and takes effect
+// beside the promotion of the next holder.
 func TestOrderEndsWithThePromotionLock(t *testing.T) {
 	for left, want := range map[time.Duration]time.Duration{promoteTimeout / 2: promoteTimeout / 2, time.Hour: promoteTimeout} {
 		e := newStoppableEngine(&settledLock{})
--- a/internal/engine/promote.go
+++ b/internal/engine/promote.go
@@ -72,8 +72,8 @@
 	restsOnStepDown bool
 	// oldIsSilent is true if the old primary did not answer the last order to step down.
 	oldIsSilent bool
-	// settledTerm is what is told of the promotion when the lock is released, as PromotionLock.Release expects it. released is true
-	// after that.
+	// settledTerm is what is told of the promotion when the lock is released, as PromotionLock.Release expects it.
+	// released is true after that.
 	settledTerm uint64
 	released    bool
 }
@@ -419,8 +419,8 @@
 	return false
 }
 
-// finish orders the old primary to step down, if it has not yet and answers, and resumes the other replicas that are still
-// paused.
+// finish orders the old primary to step down, if it has not yet and answers, and resumes the other replicas that are
+// still paused.
 func (p *promotion) finish(target string) {
 	if p.demoted == nil && !p.oldIsSilent {
 		p.stepDown()
--- a/internal/engine/promotionguard.go
+++ b/internal/engine/promotionguard.go
@@ -30,7 +30,8 @@
 	known []string
 }
 
-// startGuard starts the guard of an order to promote a target. The promotion calls stopGuard before it resumes replicas.
+// startGuard starts the guard of an order to promote a target. The promotion calls stopGuard before it resumes
+// replicas.
 func (p *promotion) startGuard(target string) {
 	g := &promotionGuard{promotion: p, replicas: p.pausedMembers(), added: make(map[string]*member)}
 	g.known = slices.Collect(maps.Keys(p.members))
@@ -52,7 +53,8 @@
 	}
 }
 
-// handOver gives the targets that the guard has added to the promotion, which resumes them and closes their connections.
+// handOver gives the targets that the guard has added to the promotion, which resumes them and closes their
+// connections.
 func (g *promotionGuard) handOver() {
 	for name, m := range g.added {
 		if g.members[name] == nil {
@@ -98,8 +100,8 @@
 	}
 }
 
-// send sends a command to replicas while the promotion lock is held. A replica that does not answer does not hold up the
-// others for long.
+// send sends a command to replicas while the promotion lock is held. A replica that does not answer does not hold up
+// the others for long.
 func (g *promotionGuard) send(replicas map[string]*member, command Command) map[string]leadership.Status {
 	return callAll(replicas, command.Op, func(m *member) (leadership.Status, error) {
 		left := func() time.Duration { return min(recheckTimeout, g.lockedUntil-clock.SinceBoot()) }
--- a/internal/engine/promotionguard_test.go
+++ b/internal/engine/promotionguard_test.go
@@ -24,8 +24,9 @@
 	return targets, nil
 }
 
-// newGuardedGroup returns a group whose old primary is reached again, whose replica c restarts and which the target d joins when the
-// promotion is ordered. The order is answered with answered after two lists. between holds the orders meanwhile.
+// newGuardedGroup returns a group whose old primary is reached again, whose replica c restarts and which the target d
+// joins when the promotion is ordered. The order is answered with answered after two lists. between holds the orders
+// meanwhile.
 func newGuardedGroup(t *testing.T, answered error, between *[]string) *promotedGroup {
 	t.Helper()
 	w := newPromotedGroup(t, time.Minute)
@@ -52,8 +53,8 @@
 	return w
 }
 
-// TestNothingIsAcknowledgedBetweenOrderAndEffect guards against the loss of commits that the old primary acknowledges after the last
-// check, before the order takes effect: it is reached again, c restarts, and d joins.
+// TestNothingIsAcknowledgedBetweenOrderAndEffect guards against the loss of commits that the old primary acknowledges
+// after the last check, before the order takes effect: it is reached again, c restarts, and d joins.
 func TestNothingIsAcknowledgedBetweenOrderAndEffect(t *testing.T) {
 	t.Parallel()
 	var between []string
--- a/internal/engine/promotionlog_test.go
+++ b/internal/engine/promotionlog_test.go
@@ -23,7 +23,8 @@
 	return err
 }
 
-// TestUnknownOrderAndResumeAreLogged guards against an order that takes effect after a resume, without a line of either.
+// TestUnknownOrderAndResumeAreLogged guards against an order that takes effect after a resume, without a line of
+// either.
 func TestUnknownOrderAndResumeAreLogged(t *testing.T) {
 	hook := logtest.NewGlobal()
 	defer logrus.StandardLogger().ReplaceHooks(make(logrus.LevelHooks))
--- a/internal/engine/proof.go
+++ b/internal/engine/proof.go
@@ -15,15 +15,15 @@
 const (
 	// minProofInterval is the least time between two requests for a leadership proof.
 	minProofInterval = 20 * time.Millisecond
-	// renewalReserve is the time before the end of a proof at which a statement asks for the next one, so that it is answered while
-	// the chain of proofs holds.
+	// renewalReserve is the time before the end of a proof at which a statement asks for the next one, so that it is
+	// answered while the chain of proofs holds.
 	renewalReserve = 100 * time.Millisecond
-	// keepAliveReserve is the same for a chain that could not start again: it is looked at once in proofCheckInterval, and a
-	// call that is not answered takes statusTimeout.
+	// keepAliveReserve is the same for a chain that could not start again: it is looked at once in proofCheckInterval,
+	// and a call that is not answered takes statusTimeout.
 	keepAliveReserve   = 250 * time.Millisecond
 	proofCheckInterval = 100 * time.Millisecond
-	// unsettledUnusedAfter is the time without statements that need proofs after which the chain of proofs is given up while the
-	// entries of the targets are not followed: it cannot start from the targets then.
+	// unsettledUnusedAfter is the time without statements that need proofs after which the chain of proofs is given up
+	// while the entries of the targets are not followed: it cannot start from the targets then.
 	unsettledUnusedAfter = 10 * time.Second
 	// maxUnlistedChain is the time without the entries of the targets after which the word of one replica no longer
 	// continues a chain of proofs: elsewhere its own entry may have lapsed, and a promoter goes on without it
@@ -32,8 +32,8 @@
 )
 
 // serveProofs fetches leadership proofs for the statements that need one, until ctx ends, and keeps a chain of proofs
-// that could not start again. It does not wait for an unresponsive primary. It calls settle when the record of the promotion lock is
-// to be completed.
+// that could not start again. It does not wait for an unresponsive primary. It calls settle when the record of the
+// promotion lock is to be completed.
 func (g *group) serveProofs(ctx context.Context, settle func()) {
 	ticker := time.NewTicker(proofCheckInterval)
 	defer ticker.Stop()
@@ -64,8 +64,8 @@
 	}
 }
 
-// needsProof reports whether a proof is to be fetched although no statement has asked for it just now: one waits for it, or
-// the group is used, its proof is about to lapse, and the targets could not start another chain of proofs.
+// needsProof reports whether a proof is to be fetched although no statement has asked for it just now: one waits for
+// it, or the group is used, its proof is about to lapse, and the targets could not start another chain of proofs.
 func (g *group) needsProof() bool {
 	g.mu.Lock()
 	defer g.mu.Unlock()
@@ -82,7 +82,8 @@
 	return isDue && g.keepsProofs(g.members[g.primary]) && !mayStart
 }
 
-// mayStartChain reports whether a status call to each target is expected to start a chain of proofs. The caller holds the lock.
+// mayStartChain reports whether a status call to each target is expected to start a chain of proofs. The caller holds
+// the lock.
 func (g *group) mayStartChain(now time.Duration) bool {
 	if !g.proofBasis(now).MayStart() {
 		return false
@@ -108,8 +109,9 @@
 	}
 }
 
-// renewProof requests the statuses of the primary and a witness, of all targets if those have to start a chain of proofs,
-// or of all replicas while the primary is unresponsive, and reports whether they prove that the primary still leads.
+// renewProof requests the statuses of the primary and a witness, of all targets if those have to start a chain of
+// proofs, or of all replicas while the primary is unresponsive, and reports whether they prove that the primary still
+// leads.
 func (g *group) renewProof() bool {
 	targets := g.proofTargets()
 	if len(targets) == 0 {
@@ -132,9 +134,9 @@
 	return renewed
 }
 
-// proofTargets returns the targets that are asked for a leadership proof: the primary and one witness while the chain of proofs
-// holds, or if the targets cannot start another one, and otherwise all. It returns all except the primary while that is
-// unresponsive or unknown.
+// proofTargets returns the targets that are asked for a leadership proof: the primary and one witness while the chain
+// of proofs holds, or if the targets cannot start another one, and otherwise all. It returns all except the primary
+// while that is unresponsive or unknown.
 func (g *group) proofTargets() map[string]*member {
 	now := clock.SinceBoot()
 	g.mu.Lock()
@@ -155,9 +157,9 @@
 	return map[string]*member{g.primary: primary, witness: g.members[witness]}
 }
 
-// proofWitness returns the name of a replica whose last status proved the term, and that did not fail recently and does not leave;
-// empty for none. It prefers one that answered the last call with a status, and then one in the daemon's own zone. The caller
-// holds the lock.
+// proofWitness returns the name of a replica whose last status proved the term, and that did not fail recently and does
+// not leave; empty for none. It prefers one that answered the last call with a status, and then one in the daemon's own
+// zone. The caller holds the lock.
 func (g *group) proofWitness(now time.Duration) string {
 	witness := ""
 	for name, m := range g.members {
@@ -182,8 +184,8 @@
 	return m.name < other.name
 }
 
-// applyProof records the leadership proof that the newest statuses of the members contain, and the position of the primary.
-// The caller holds the lock.
+// applyProof records the leadership proof that the newest statuses of the members contain, and the position of the
+// primary. The caller holds the lock.
 func (g *group) applyProof() {
 	proof, ok := leadership.ProvenAt(g.statuses, g.primary, g.term, g.proofBasis(clock.SinceBoot()))
 	if !ok {
@@ -193,22 +195,23 @@
 	g.sampleStatus()
 }
 
-// sampleStatus records the position of the primary in its last status if that was asked for within the present proof. The caller
-// holds the lock.
+// sampleStatus records the position of the primary in its last status if that was asked for within the present proof.
+// The caller holds the lock.
 func (g *group) sampleStatus() {
 	if own := g.statuses[g.primary]; own.AskedAt < g.provenUntil {
-		g.samples.Add(own.AskedAt, own.Received, primaryposition.Source{Kind: primaryposition.OfStatus, Target: g.primary})
+		source := primaryposition.Source{Kind: primaryposition.OfStatus, Target: g.primary}
+		g.samples.Add(own.AskedAt, own.Received, source)
 	}
 }
 
-// fetchesProofs reports whether this daemon fetches the proofs of a primary itself, because no other one holds it. The caller
-// holds the lock.
+// fetchesProofs reports whether this daemon fetches the proofs of a primary itself, because no other one holds it. The
+// caller holds the lock.
 func (g *group) fetchesProofs(m *member) bool {
 	return m != nil && (m.gate != nil || !g.mayUseHolders(m))
 }
 
-// renewProofIfExpired asks for a leadership proof if the last one has expired or is about to, so that the proof is fetched
-// while the statement runs at m. When another daemon holds m, that daemon fetches the proof.
+// renewProofIfExpired asks for a leadership proof if the last one has expired or is about to, so that the proof is
+// fetched while the statement runs at m. When another daemon holds m, that daemon fetches the proof.
 func (g *group) renewProofIfExpired(m *member) {
 	g.mu.Lock()
 	defer g.mu.Unlock()
--- a/internal/engine/proofstart_test.go
+++ b/internal/engine/proofstart_test.go
@@ -19,8 +19,8 @@
 	return g, clock.SinceBoot()
 }
 
-// TestResumedReplicaDoesNotProveAnOldPrimary guards against reads at an old primary after a promotion that ended the pause of a
-// replica which does not reach the new primary, and follows the old one again.
+// TestResumedReplicaDoesNotProveAnOldPrimary guards against reads at an old primary after a promotion that ended the
+// pause of a replica which does not reach the new primary, and follows the old one again.
 func TestResumedReplicaDoesNotProveAnOldPrimary(t *testing.T) {
 	g, asked := newUnprovedGroup()
 	statuses := map[string]leadership.Status{"a": leads(1, 10, asked), "c": follows(1, 10, asked)}
@@ -35,7 +35,8 @@
 	}
 }
 
-// TestPausedReplicaStartsNoChain guards against reads at an old primary while the order to promote a paused replica takes effect.
+// TestPausedReplicaStartsNoChain guards against reads at an old primary while the order to promote a paused replica
+// takes effect.
 func TestPausedReplicaStartsNoChain(t *testing.T) {
 	g, asked := newUnprovedGroup()
 	g.setTarget(Target{Name: "d", Group: "g", Slots: 5, Zone: "z"})
@@ -47,7 +48,8 @@
 	}
 }
 
-// TestTargetThatIsKnownAloneProvesNothing guards against reads at an old primary by a daemon that has not learned of the others.
+// TestTargetThatIsKnownAloneProvesNothing guards against reads at an old primary by a daemon that has not learned of
+// the others.
 func TestTargetThatIsKnownAloneProvesNothing(t *testing.T) {
 	for replicas, want := range map[int]bool{0: true, 1: false} {
 		g := newGroup("g", Options{Zone: "z", Dialer: &fakeTarget{}, DrainTimeout: time.Hour}, func() bool { return true })
@@ -61,7 +63,8 @@
 	}
 }
 
-// TestTargetsStartNoChainBeforeAllAreKnown guards against reads at an old primary while the entry of the new one is missing.
+// TestTargetsStartNoChainBeforeAllAreKnown guards against reads at an old primary while the entry of the new one is
+// missing.
 func TestTargetsStartNoChainBeforeAllAreKnown(t *testing.T) {
 	g, asked := newUnprovedGroup()
 	g.directorySettled = func() bool { return false }
--- a/internal/engine/readevidence.go
+++ b/internal/engine/readevidence.go
@@ -15,8 +15,8 @@
 const (
 	// evidenceNone is a read that any position satisfies.
 	evidenceNone evidenceKind = "none"
-	// proofPrefix precedes the kind of a leadership proof, samplePrefix the kind of the sample that the minimum position
-	// is from.
+	// proofPrefix precedes the kind of a leadership proof, samplePrefix the kind of the sample that the minimum
+	// position is from.
 	proofPrefix  = "proof_"
 	samplePrefix = "sample_"
 )
--- a/internal/engine/readlog.go
+++ b/internal/engine/readlog.go
@@ -141,8 +141,9 @@
 func (r *request) readFields(s servedRead, state readState) logrus.Fields {
 	now, elapsed, e := clock.SinceBoot(), time.Since(r.arrived), s.plan.evidence
 	fields := logrus.Fields{
-		logfield.Group: r.group.name, logfield.Decision: "read", logfield.Attempts: r.attempts, logfield.Elapsed: elapsed,
-		logfield.Route: r.route.Name, logfield.Consistency: r.route.Consistency.String(),
+		logfield.Group: r.group.name, logfield.Decision: "read", logfield.Attempts: r.attempts,
+		logfield.Elapsed: elapsed,
+		logfield.Route:   r.route.Name, logfield.Consistency: r.route.Consistency.String(),
 		logfield.InTransaction: s.begin != "",
 		logfield.Evidence:      e.name(), logfield.From: e.target, logfield.Via: e.holder, logfield.Sampled: e.position,
 		logfield.Target: s.member.name, logfield.Holder: s.holder, logfield.Role: state.role,
@@ -153,7 +154,8 @@
 		logfield.Waited: elapsed - (now - s.sentAt), logfield.ProofWait: now - s.repliedAt,
 	}
 	if e.kind != "" {
-		fields[logfield.AgeAtArrival], fields[logfield.Age] = (r.arrivedBoot - e.at).Round(ageUnit), (now - e.at).Round(ageUnit)
+		fields[logfield.AgeAtArrival] = (r.arrivedBoot - e.at).Round(ageUnit)
+		fields[logfield.Age] = (now - e.at).Round(ageUnit)
 	}
 	if s.begin != "" {
 		fields[logfield.Begin] = s.begin
--- a/internal/engine/relay.go
+++ b/internal/engine/relay.go
@@ -260,8 +260,8 @@
 
 // recordRelayed records what the reply of a holder says about the target: its load, and a leadership proof. The proof
 // is dated from before the request was sent, so that it is no older than recorded. It counts only if the reply names this
-// target and the proof is one of a chain: that of an older daemon may be of a transaction elsewhere, or rest on the word of one
-// replica alone, and this daemon fetches a proof itself.
+// target and the proof is one of a chain: that of an older daemon may be of a transaction elsewhere, or rest on the
+// word of one replica alone, and this daemon fetches a proof itself.
 func (g *group) recordRelayed(m *member, reply *api.RelayReply, askedAt time.Duration) {
 	g.mu.Lock()
 	defer g.mu.Unlock()
--- a/internal/engine/removedprimary_test.go
+++ b/internal/engine/removedprimary_test.go
@@ -7,8 +7,8 @@
 	"github.com/papayacove/papayacove/internal/policy/leadership"
 )
 
-// TestRemovedPrimaryDoesNotProveAnEarlierTerm guards against reads and commits at an old primary, with a replica that follows it, once the
-// entry of its successor has lapsed.
+// TestRemovedPrimaryDoesNotProveAnEarlierTerm guards against reads and commits at an old primary, with a replica that
+// follows it, once the entry of its successor has lapsed.
 func TestRemovedPrimaryDoesNotProveAnEarlierTerm(t *testing.T) {
 	g := newTestGroup(&fakeTarget{})
 	now := clock.SinceBoot()
--- a/internal/engine/removedreplica.go
+++ b/internal/engine/removedreplica.go
@@ -45,7 +45,8 @@
 }
 
 // recallPosition gives a replica that has returned the position that it held, so that its next status shows whether it has
-// returned with its log. Of its term and its pause nothing is known, so that it proves nothing. The caller holds the lock.
+// returned with its log. Of its term and its pause nothing is known, so that it proves nothing. The caller holds the
+// lock.
 func (g *group) recallPosition(name string) {
 	if r, ok := g.removed[name]; ok {
 		delete(g.removed, name)
--- a/internal/engine/resettle_test.go
+++ b/internal/engine/resettle_test.go
@@ -7,8 +7,8 @@
 	"github.com/papayacove/papayacove/internal/clock"
 )
 
-// TestTermOfTheRecordIsSettledAgain guards against a record that states no term for good: a promotion with an unknown outcome and a
-// restored store take it away while the term stays.
+// TestTermOfTheRecordIsSettledAgain guards against a record that states no term for good: a promotion with an unknown
+// outcome and a restored store take it away while the term stays.
 func TestTermOfTheRecordIsSettledAgain(t *testing.T) {
 	for sinceLast, want := range map[time.Duration]bool{settleInterval: false, time.Minute: true} {
 		g := newTestGroup(&fakeTarget{})
--- a/internal/engine/sampleproof_test.go
+++ b/internal/engine/sampleproof_test.go
@@ -17,8 +17,8 @@
 	return ok
 }
 
-// TestPositionOutsideTheProofIsNoSample guards against reads with an allowed age that lack commits of the next primary: the old one
-// answered after its last leadership proof had ended.
+// TestPositionOutsideTheProofIsNoSample guards against reads with an allowed age that lack commits of the next primary:
+// the old one answered after its last leadership proof had ended.
 func TestPositionOutsideTheProofIsNoSample(t *testing.T) {
 	for provenFor, want := range map[time.Duration]bool{-time.Millisecond: false, time.Minute: true} {
 		g, asked := newUnprovedGroup()
@@ -54,7 +54,8 @@
 	return 1, nil
 }
 
-// TestProofByTheRecordIsDatedFromBeforeTheRead guards against a proof that ends after a promotion which was begun during the read.
+// TestProofByTheRecordIsDatedFromBeforeTheRead guards against a proof that ends after a promotion which was begun
+// during the read.
 func TestProofByTheRecordIsDatedFromBeforeTheRead(t *testing.T) {
 	g, _ := newUnprovedGroup()
 	lock := &slowRecord{group: g}
--- a/internal/engine/settledterm_test.go
+++ b/internal/engine/settledterm_test.go
@@ -7,7 +7,8 @@
 	"github.com/papayacove/papayacove/internal/clock"
 )
 
-// TestTermThatChangesIsNotSettled guards against a record that states the term before a promotion which is seen while the term is proved.
+// TestTermThatChangesIsNotSettled guards against a record that states the term before a promotion which is seen while
+// the term is proved.
 func TestTermThatChangesIsNotSettled(t *testing.T) {
 	for term, want := range map[uint64]bool{1: true, 2: false} {
 		g, _ := newUnprovedGroup()
@@ -28,7 +29,8 @@
 	}
 }
 
-// TestAllTargetsAreAskedInALongOutage guards against a group without proofs because one replica is asked where the word of all is needed.
+// TestAllTargetsAreAskedInALongOutage guards against a group without proofs because one replica is asked where the word
+// of all is needed.
 func TestAllTargetsAreAskedInALongOutage(t *testing.T) {
 	for failingFor, want := range map[time.Duration]int{0: 2, maxUnlistedChain: 3} {
 		g := newTestGroup(&fakeTarget{})
--- a/internal/engine/unknowncommit_test.go
+++ b/internal/engine/unknowncommit_test.go
@@ -10,8 +10,8 @@
 	"github.com/papayacove/papayacove/internal/result"
 )
 
-// TestSessionReadsSeeItsCommitOfUnknownOutcome guards against a read of a session at a replica that lacks a commit of that
-// session, which the primary made and whose reply was lost.
+// TestSessionReadsSeeItsCommitOfUnknownOutcome guards against a read of a session at a replica that lacks a commit of
+// that session, which the primary made and whose reply was lost.
 func TestSessionReadsSeeItsCommitOfUnknownOutcome(t *testing.T) {
 	writes := map[string][]Statement{
 		"a write":       {{ID: "write", Op: OpWrite, Text: "lost"}},
--- a/internal/engine/unknownreplica_test.go
+++ b/internal/engine/unknownreplica_test.go
@@ -81,8 +81,8 @@
 	}
 }
 
-// TestReadWithoutAProofIsTriedWithinItsObjective guards against reads that are kept until their time limit at a primary that
-// answers and cannot be proved to lead, as in a zone that is cut off.
+// TestReadWithoutAProofIsTriedWithinItsObjective guards against reads that are kept until their time limit at a primary
+// that answers and cannot be proved to lead, as in a zone that is cut off.
 func TestReadWithoutAProofIsTriedWithinItsObjective(t *testing.T) {
 	l := newGreyLoad(ConsistencyStrict, func(string, Command) (*TargetFailure, error) { return nil, nil })
 	route := l.engine.configuration.Routes["d"]
--- a/internal/engine/unlistedchain_test.go
+++ b/internal/engine/unlistedchain_test.go
@@ -8,8 +8,8 @@
 	"github.com/papayacove/papayacove/internal/policy/leadership"
 )
 
-// TestChainEndsBeforeAPromotionThatGoesOnWithoutItsWitness guards against a chain of proofs in a zone that is cut off for so long
-// that a promoter outside takes the replica in it for lost.
+// TestChainEndsBeforeAPromotionThatGoesOnWithoutItsWitness guards against a chain of proofs in a zone that is cut off
+// for so long that a promoter outside takes the replica in it for lost.
 func TestChainEndsBeforeAPromotionThatGoesOnWithoutItsWitness(t *testing.T) {
 	for name, c := range map[string]struct {
 		failingFor time.Duration
--- a/internal/policy/leadership/leadership.go
+++ b/internal/policy/leadership/leadership.go
@@ -1,17 +1,17 @@
 // Package leadership decides whether a target may be used as the primary of its group.
 //
 // A target is promoted after every acknowledging replica is paused, that is a replica whose receipt of a commit lets the
-// primary acknowledge it, or after the old primary has stepped down. A promoter waits for ProofValidity after the last of both
-// before it orders the promotion. A leadership proof is evidence that no promotion to a later term was complete when it was asked
-// for; it is valid for ProofValidity from then on, so that it ends before any promotion that it does not know of. Times are those
-// of a clock that also runs while the machine is suspended.
+// primary acknowledge it, or after the old primary has stepped down. A promoter waits for ProofValidity after the last
+// of both before it orders the promotion. A leadership proof is evidence that no promotion to a later term was complete
+// when it was asked for; it is valid for ProofValidity from then on, so that it ends before any promotion that it does
+// not know of. Times are those of a clock that also runs while the machine is suspended.
 //
-// Proofs form a chain. While the last one is valid, the status of the primary and that of one replica that follows its term and
-// is not paused prove the term again: the replica was not paused yet, since between the last pause and the order no listed replica
-// is unpaused, and by the order each proof from before that pause has ended. Without a valid proof the word of one replica is not
-// enough. A promotion may have ended its pause, and it may follow the old primary because it does not reach the new one. A chain
-// starts with the statuses of all targets (ProvenAt), with the end of a promotion at the daemon that ordered it, or with the record
-// of the promotion lock (ProvenByRecord).
+// Proofs form a chain. While the last one is valid, the status of the primary and that of one replica that follows its
+// term and is not paused prove the term again: the replica was not paused yet, since between the last pause and the
+// order no listed replica is unpaused, and by the order each proof from before that pause has ended. Without a valid
+// proof the word of one replica is not enough. A promotion may have ended its pause, and it may follow the old primary
+// because it does not reach the new one. A chain starts with the statuses of all targets (ProvenAt), with the end of a
+// promotion at the daemon that ordered it, or with the record of the promotion lock (ProvenByRecord).
 package leadership
 
 import (
@@ -103,12 +103,13 @@
 	NeedsReplica bool
 }
 
-// MayStart reports whether the statuses of all targets can start a chain: a target that is known alone proves nothing if there
-// has to be a replica.
+// MayStart reports whether the statuses of all targets can start a chain: a target that is known alone proves nothing
+// if there has to be a replica.
 func (b Basis) MayStart() bool { return b.IsComplete && (len(b.Members) > 1 || !b.NeedsReplica) }
 
-// ProvenAt returns the latest proof in the statuses that no promotion to a later term was complete, so that the leader of the term
-// still had every acknowledged commit. The statuses may be of different times. It is false if there is no leadership proof.
+// ProvenAt returns the latest proof in the statuses that no promotion to a later term was complete, so that the leader
+// of the term still had every acknowledged commit. The statuses may be of different times. It is false if there is no
+// leadership proof.
 func ProvenAt(statuses map[string]Status, leader string, term uint64, basis Basis) (Proof, bool) {
 	own := statuses[leader]
 	if !own.leads(term) || isReplaced(statuses, term, basis.Members) {
@@ -124,14 +125,16 @@
 	if basis.IsChained {
 		latest = provenByOne(statuses, term, basis.Members, latest)
 	}
-	// The word of a replica alone is not enough: one that a promoter does not reach is not paused, and the primary steps down.
+	// The word of a replica alone is not enough: one that a promoter does not reach is not paused, and the primary
+	// steps down.
 	latest.At = min(latest.At, own.AskedAt)
 	return latest, latest.Witness != ""
 }
 
-// ProvenByRecord returns the proof that follows from the record of the promotion lock. It was read from the store after askedAt, and
-// states that the lock is free and that the last promotion under it led to the settled term; NoPromotion if there was none, so that
-// the target that leads is the first. Whoever promotes later takes the lock after that, pauses replicas or has the primary step down, and waits for ProofValidity. The status of the leader shows that it has
+// ProvenByRecord returns the proof that follows from the record of the promotion lock. It was read from the store after
+// askedAt, and states that the lock is free and that the last promotion under it led to the settled term; NoPromotion
+// if there was none, so that the target that leads is the first. Whoever promotes later takes the lock after that,
+// pauses replicas or has the primary step down, and waits for ProofValidity. The status of the leader shows that it has
 // not started again since.
 func ProvenByRecord(own Status, leader string, term, settled uint64, askedAt time.Duration) (Proof, bool) {
 	if settled != term && settled != NoPromotion || !own.leads(term) {
@@ -147,8 +150,8 @@
 	return s.Role == RoleReplica && s.Term == term && !s.IsPaused()
 }
 
-// startsChain reports whether the status of a target lets all statuses together start a chain. A paused replica does not: the
-// promotion that it was paused for may have been ordered, and takes effect some time after the order.
+// startsChain reports whether the status of a target lets all statuses together start a chain. A paused replica does
+// not: the promotion that it was paused for may have been ordered, and takes effect some time after the order.
 func (s Status) startsChain() bool { return s.Role != RoleUnknown && !s.IsPaused() }
 
 // isReplaced reports whether a member is in a later term.
@@ -166,8 +169,8 @@
 	return latest
 }
 
-// provenByAll returns the proof that no member was in a later term, or paused for one, when it was asked. The target of a
-// promotion is paused from before the wait until it leads; so the wait ends later than this proof.
+// provenByAll returns the proof that no member was in a later term, or paused for one, when it was asked. The target of
+// a promotion is paused from before the wait until it leads; so the wait ends later than this proof.
 func provenByAll(statuses map[string]Status, term uint64, members []string) (Proof, bool) {
 	var proof Proof
 	oldest := time.Duration(math.MaxInt64)
--- a/internal/policy/leadership/leadership_test.go
+++ b/internal/policy/leadership/leadership_test.go
@@ -18,8 +18,8 @@
 	return Status{Role: RoleReplica, Term: term, PausedTerm: paused, AskedAt: at}
 }
 
-// TestProofNeedsThePrimaryAndAWitness checks which statuses prove that a leads in term 1 while the last proof is valid, and which of
-// them do after a break of the chain.
+// TestProofNeedsThePrimaryAndAWitness checks which statuses prove that a leads in term 1 while the last proof is valid,
+// and which of them do after a break of the chain.
 func TestProofNeedsThePrimaryAndAWitness(t *testing.T) {
 	members := []string{"a", "b", "d"}
 	cases := []struct {
@@ -58,7 +58,8 @@
 	}
 }
 
-// TestTargetThatIsKnownAloneProvesItsTermOnlyWithoutReplicas guards against a daemon that has learned of an old primary only.
+// TestTargetThatIsKnownAloneProvesItsTermOnlyWithoutReplicas guards against a daemon that has learned of an old primary
+// only.
 func TestTargetThatIsKnownAloneProvesItsTermOnlyWithoutReplicas(t *testing.T) {
 	statuses := map[string]Status{"a": leads(1, late)}
 	for _, c := range []struct {
@@ -77,8 +78,8 @@
 	}
 }
 
-// TestRecordOfThePromotionLockProvesItsTerm guards against a record of another term, and one that is newer than the status of a primary
-// that has started again since.
+// TestRecordOfThePromotionLockProvesItsTerm guards against a record of another term, and one that is newer than the
+// status of a primary that has started again since.
 func TestRecordOfThePromotionLockProvesItsTerm(t *testing.T) {
 	for _, c := range []struct {
 		name    string
--- a/internal/policy/primaryposition/primaryposition.go
+++ b/internal/policy/primaryposition/primaryposition.go
@@ -56,8 +56,8 @@
 	kept []Sample
 }
 
-// Add records the position that the source reported to a request sent at askedAt. A target must have been the primary at
-// that time. A sample less than sampleInterval after the newest one is dropped.
+// Add records the position that the source reported to a request sent at askedAt. A target must have been the primary
+// at that time. A sample less than sampleInterval after the newest one is dropped.
 func (s *Samples) Add(askedAt time.Duration, position api.Position, source Source) {
 	if n := len(s.kept); n > 0 && askedAt < s.kept[n-1].AskedAt+sampleInterval {
 		return
--- a/internal/policy/takeover/model_test.go
+++ b/internal/policy/takeover/model_test.go
@@ -77,7 +77,8 @@
 	termSeenAt time.Duration
 	promotions int
 	reads      int
-	// chained, started and recorded count the proofs by one witness, by the statuses of all, and by the record of the lock.
+	// chained, started and recorded count the proofs by one witness, by the statuses of all, and by the record of the
+	// lock.
 	chained, started, recorded int
 	// samples counts the checked positions of a proved primary.
 	samples int
@@ -96,8 +97,8 @@
 	choice        Choice
 }
 
-// pendingPromotion is an order to promote that takes effect at a time, unless the target has crashed since: an order is for the process
-// that runs.
+// pendingPromotion is an order to promote that takes effect at a time, unless the target has crashed since: an order is
+// for the process that runs.
 type pendingPromotion struct {
 	target     string
 	at         time.Duration
@@ -175,8 +176,9 @@
 	return received
 }
 
-// commit writes a commit at every target that has the role of primary, and acknowledges it if a replica has received it and the
-// caller is told so: the daemon that sent it holds a proof. Before the next promotion is ordered, another daemon may hold one.
+// commit writes a commit at every target that has the role of primary, and acknowledges it if a replica has received it
+// and the caller is told so: the daemon that sent it holds a proof. Before the next promotion is ordered, another
+// daemon may hold one.
 func (g *modelGroup) commit(t *rapid.T) {
 	lagging := rapid.SampledFrom([]string{"", "a", "b", "c"}).Draw(t, "lagging")
 	for _, name := range slices.Sorted(maps.Keys(g.targets)) {
@@ -222,8 +224,8 @@
 	return statuses
 }
 
-// begin starts a promotion against a drawn old primary; it replaces the one that was running. There is none while another was
-// ordered, whose promoter holds the lock.
+// begin starts a promotion against a drawn old primary; it replaces the one that was running. There is none while
+// another was ordered, whose promoter holds the lock.
 func (g *modelGroup) begin(t *rapid.T) {
 	if g.pending == nil {
 		g.beginAgainst(rapid.SampledFrom([]string{"a", "b", "c"}).Draw(t, "suspected"))
@@ -502,9 +504,9 @@
 	}
 }
 
-// TestPromotionKeepsAcknowledgedCommits interleaves commits, crashes, partitions, pauses, promotions that take effect some time
-// after the order, and a daemon that reads and passes commits on within a chain of leadership proofs. It guards against a
-// promotion, and against reads at an old primary, that miss an acknowledged commit.
+// TestPromotionKeepsAcknowledgedCommits interleaves commits, crashes, partitions, pauses, promotions that take effect
+// some time after the order, and a daemon that reads and passes commits on within a chain of leadership proofs. It
+// guards against a promotion, and against reads at an old primary, that miss an acknowledged commit.
 func TestPromotionKeepsAcknowledgedCommits(t *testing.T) {
 	promotions, reads, samples, chained, started, recorded := 0, 0, 0, 0, 0, 0
 	rapid.Check(t, func(t *rapid.T) {
--- a/internal/policy/takeover/stale_model_test.go
+++ b/internal/policy/takeover/stale_model_test.go
@@ -109,8 +109,8 @@
 	m.applyProof(m.basis())
 }
 
-// basis returns what the daemon knows. It learns of a target while the entries are followed, and so before a promotion that began
-// after the target joined can be complete.
+// basis returns what the daemon knows. It learns of a target while the entries are followed, and so before a promotion
+// that began after the target joined can be complete.
 func (m *staleModel) basis() leadership.Basis {
 	return leadership.Basis{
 		Members: slices.Sorted(maps.Keys(m.known)), IsChained: m.now < m.proofUntil, NeedsReplica: true,
--- a/internal/policy/takeover/takeover.go
+++ b/internal/policy/takeover/takeover.go
@@ -34,7 +34,8 @@
 	PromotionHoldTime = 2 * time.Second
 )
 
-// NothingOrdered stands for the term that a promotion led to if it ordered none, so that the term known before still holds.
+// NothingOrdered stands for the term that a promotion led to if it ordered none, so that the term known before still
+// holds.
 const NothingOrdered uint64 = leadership.NoPromotion
 
 const (
--- a/internal/promotionlock/promotionlock.go
+++ b/internal/promotionlock/promotionlock.go
@@ -10,9 +10,9 @@
 // only in the era in which it was written. In a later era the lock is acquired after the time in which every earlier hold
 // ends. The era is the high part of the token, so that tokens rise although the store gives versions out again.
 //
-// The record of a lock that is free states the term to which the last promotion under it led. Whoever reads it knows that
-// nobody has begun a later one. The term is 0 when it is not known: a holder that has not released the lock may have ordered a
-// promotion, and daemons of older versions release it without a term.
+// The record of a lock that is free states the term to which the last promotion under it led. Whoever reads it knows
+// that nobody has begun a later one. The term is 0 when it is not known: a holder that has not released the lock may
+// have ordered a promotion, and daemons of older versions release it without a term.
 package promotionlock
 
 import (
@@ -87,7 +87,8 @@
 	mu sync.Mutex
 	// held is the record of this daemon's hold; its version is 0 when there is none.
 	held api.Object
-	// before is the record as it was when the lock was acquired, settledTerm the term that it stated; 0 if it was not known.
+	// before is the record as it was when the lock was acquired, settledTerm the term that it stated; 0 if it was not
+	// known.
 	before      api.Object
 	settledTerm uint64
 	// unsettled is a record that states no term, first seen at unsettledAt.
@@ -123,16 +124,16 @@
 	return l.of(group).acquire(ctx)
 }
 
-// Release releases the lock of a group. A failure is only logged, because the lock expires anyway. The term is that to which the
-// last promotion ordered under the lock led, 0 if the outcome of an order is unknown, and takeover.NothingOrdered if none was
-// sent.
+// Release releases the lock of a group. A failure is only logged, because the lock expires anyway. The term is that to
+// which the last promotion ordered under the lock led, 0 if the outcome of an order is unknown, and
+// takeover.NothingOrdered if none was sent.
 func (l *Locks) Release(ctx context.Context, group string, term uint64) {
 	l.of(group).release(ctx, term)
 }
 
-// SettledTerm reads from the store to which term the last promotion of a group led; takeover.NothingOrdered if none was begun since
-// the store exists, which was never restored. It fails with ErrHeld if the lock may be held, and with ErrNotSettled if the term is
-// not known.
+// SettledTerm reads from the store to which term the last promotion of a group led; takeover.NothingOrdered if none was
+// begun since the store exists, which was never restored. It fails with ErrHeld if the lock may be held, and with
+// ErrNotSettled if the term is not known.
 func (l *Locks) SettledTerm(ctx context.Context, group string) (uint64, error) {
 	ctx, cancel := context.WithTimeout(ctx, storeTimeout)
 	defer cancel()
@@ -157,7 +158,8 @@
 	return term, nil
 }
 
-// settledTermOf returns the term that a record states; 0 if it is of an earlier era of the store, or of a lock that is held.
+// settledTermOf returns the term that a record states; 0 if it is of an earlier era of the store, or of a lock that is
+// held.
 func settledTermOf(record api.Object, stored api.DutyRecord) uint64 {
 	if stored.Holder != "" || stored.Era != record.Era {
 		return 0
@@ -165,9 +167,10 @@
 	return stored.Term
 }
 
-// Settle has the record of a lock state the term to which the last promotion of a group led, if it does not. prove returns that term,
-// proved by statuses that were asked for while the lock is held, or false. It fails with ErrNotSettled unless the record has not
-// changed for takeoverDelay: an order of the last holder may still take effect before.
+// Settle has the record of a lock state the term to which the last promotion of a group led, if it does not. prove
+// returns that term, proved by statuses that were asked for while the lock is held, or false. It fails with
+// ErrNotSettled unless the record has not changed for takeoverDelay: an order of the last holder may still take effect
+// before.
 func (l *Locks) Settle(ctx context.Context, group string, prove func() (term uint64, ok bool)) error {
 	return l.of(group).settle(ctx, prove)
 }
@@ -189,7 +192,8 @@
 	return nil
 }
 
-// observe reports whether the record states a term. It fails with ErrNotSettled if it has not been the same for takeoverDelay.
+// observe reports whether the record states a term. It fails with ErrNotSettled if it has not been the same for
+// takeoverDelay.
 func (l *lock) observe(ctx context.Context) (bool, error) {
 	l.mu.Lock()
 	defer l.mu.Unlock()
@@ -269,8 +273,8 @@
 	return record, nil
 }
 
-// check returns what a record states. It fails with ErrHeld while another daemon, or an order of an earlier start of this one,
-// may promote. The caller holds mu.
+// check returns what a record states. It fails with ErrHeld while another daemon, or an order of an earlier start of
+// this one, may promote. The caller holds mu.
 func (l *lock) check(record api.Object) (api.DutyRecord, error) {
 	stored, err := storedIn(record)
 	if err != nil {
@@ -283,7 +287,8 @@
 	if stored.Era != record.Era {
 		// The store has been restored since the record was written, or no daemon has written one in this era.
 		if _, since := l.eras.Known(); now-since < takeoverDelay {
-			return stored, fmt.Errorf("%w: the store is in era %d since %s, and the record is of era %d", ErrHeld, record.Era, now-since, stored.Era)
+			return stored, fmt.Errorf("%w: the store is in era %d since %s, and the record is of era %d",
+				ErrHeld, record.Era, now-since, stored.Era)
 		}
 	}
 	if stored.Holder == "" || stored.Holder == l.holder && l.hasTried {
@@ -324,9 +329,9 @@
 	return api.DutyRecord{Holder: *stored.Holder, Era: *stored.Era, Term: stored.Term}, nil
 }
 
-// write stores the holder, empty for none, and the term of a duty, and returns the record. It fails with ErrHeld if the update
-// took effect and another daemon has changed the record since, or if it took effect in a later era than the one in which the
-// record was read: the check of the record does not hold there. The caller holds mu.
+// write stores the holder, empty for none, and the term of a duty, and returns the record. It fails with ErrHeld if the
+// update took effect and another daemon has changed the record since, or if it took effect in a later era than the one
+// in which the record was read: the check of the record does not hold there. The caller holds mu.
 func (l *lock) write(ctx context.Context, record api.Object, duty api.DutyRecord) (api.Object, error) {
 	duty.Era = record.Era
 	data, err := json.Marshal(duty)
@@ -351,8 +356,8 @@
 // changeID returns an ID by which an update whose answer was lost is recognized.
 func changeID() string { return strconv.FormatUint(rand.Uint64(), 36) }
 
-// release stores that the lock is free, with the term as Release expects it, unless the store has been restored since: another
-// daemon may have acquired the lock at the same version.
+// release stores that the lock is free, with the term as Release expects it, unless the store has been restored since:
+// another daemon may have acquired the lock at the same version.
 func (l *lock) release(ctx context.Context, term uint64) {
 	l.mu.Lock()
 	defer l.mu.Unlock()
--- a/internal/promotionlock/promotionlock_test.go
+++ b/internal/promotionlock/promotionlock_test.go
@@ -237,8 +237,8 @@
 	}
 }
 
-// TestRecordStatesTheTermOfTheLastPromotion guards against a term that is out of date: one of a lock that is held or was not released,
-// of an earlier era of the store, or of a record that an older daemon wrote.
+// TestRecordStatesTheTermOfTheLastPromotion guards against a term that is out of date: one of a lock that is held or
+// was not released, of an earlier era of the store, or of a record that an older daemon wrote.
 func TestRecordStatesTheTermOfTheLastPromotion(t *testing.T) {
 	store := &memoryStore{era: 1, eraSince: time.Second}
 	now := time.Minute
@@ -300,8 +300,8 @@
 	check("none in a store that never was", takeover.NothingOrdered, nil)
 }
 
-// TestUnknownTermIsSettledOnceNoOrderIsUnderWay guards against a record that never states a term, and against one that states it while an
-// order of the last holder may still take effect.
+// TestUnknownTermIsSettledOnceNoOrderIsUnderWay guards against a record that never states a term, and against one that
+// states it while an order of the last holder may still take effect.
 func TestUnknownTermIsSettledOnceNoOrderIsUnderWay(t *testing.T) {
 	store := &memoryStore{era: 1, eraSince: time.Second}
 	now := time.Minute
@@ -344,8 +344,8 @@
 	}
 }
 
-// TestTermIsNotSettledOverAnotherHold guards against a record that states the term before an order of unknown outcome: another daemon took
-// and released the lock between the look at the record and the hold.
+// TestTermIsNotSettledOverAnotherHold guards against a record that states the term before an order of unknown outcome:
+// another daemon took and released the lock between the look at the record and the hold.
 func TestTermIsNotSettledOverAnotherHold(t *testing.T) {
 	store := &memoryStore{era: 1, eraSince: time.Second}
 	now := time.Minute
--- a/internal/telemetry/fieldorder.go
+++ b/internal/telemetry/fieldorder.go
@@ -12,7 +12,8 @@
 // evidenceFields come first in the lines of what a read rested on, so that they are kept where lines are cut after 200
 // characters.
 var evidenceFields = []string{
-	logfield.Evidence, logfield.Target, logfield.From, logfield.AgeAtArrival, logfield.Age, logfield.KnownTerm, logfield.Position,
+	logfield.Evidence, logfield.Target, logfield.From, logfield.AgeAtArrival, logfield.Age, logfield.KnownTerm,
+	logfield.Position,
 	logfield.Floor, logfield.Via, logfield.Members,
 }
 
--- a/internal/telemetry/telemetry.go
+++ b/internal/telemetry/telemetry.go
@@ -25,7 +25,8 @@
 	}
 	logrus.SetLevel(parsed)
 	logrus.SetFormatter(&logrus.TextFormatter{
-		DisableColors: true, FullTimestamp: true, TimestampFormat: "2006-01-02T15:04:05.000000Z07:00", SortingFunc: orderFields,
+		DisableColors: true, FullTimestamp: true, TimestampFormat: "2006-01-02T15:04:05.000000Z07:00",
+		SortingFunc: orderFields,
 	})
 	recorder := NewRecorder(daemon)
 	logrus.AddHook(recorder)
--- a/standin/cmd/standin-lab/soak.go
+++ b/standin/cmd/standin-lab/soak.go
@@ -38,7 +38,9 @@
 			&cli.IntFlag{Name: "sessions", Usage: "number of callers with long sessions and slow transactions, with lines"},
 			&cli.IntFlag{Name: "stubborn", Usage: "callers at each daemon that use their connections until it is gone, with lines"},
 			&cli.DurationFlag{Name: "grace", Usage: "time between SIGTERM and SIGKILL to a daemon, with lines", Value: 4 * time.Second},
-			&cli.DurationFlag{Name: "promote-delay", Usage: "shortest time between an order to promote and its effect, with lines; 50ms when 0"},
+			&cli.DurationFlag{
+				Name: "promote-delay", Usage: "shortest time between an order to promote and its effect, with lines; 50ms when 0",
+			},
 			&cli.DurationFlag{Name: "timeout", Usage: "time limit of the routes, with lines", Value: time.Second},
 			&cli.BoolFlag{Name: "workspaces", Usage: "configure workspaces with keys and limits, with lines"},
 			&cli.StringFlag{Name: "deployment", Usage: "deployment to run; chosen by seed when empty"},
@@ -151,7 +153,8 @@
 	}
 	options := lines.FleetOptions{Binaries: command.String("binaries"), Folder: work, Daemons: command.Int("daemons"), Groups: command.Int("groups"),
 		Connections: command.Int("connections"), Sessions: command.Int("sessions"),
-		Stubborn: command.Int("stubborn"), Timeout: command.Duration("timeout"), PromoteDelay: command.Duration("promote-delay"), Grace: command.Duration("grace")}
+		Stubborn: command.Int("stubborn"), Timeout: command.Duration("timeout"), PromoteDelay: command.Duration("promote-delay"),
+		Grace: command.Duration("grace")}
 	if command.Bool("workspaces") {
 		options.Workspaces = soak.Workspaces()
 	}
--- a/standin/lines/disruptions.go
+++ b/standin/lines/disruptions.go
@@ -99,8 +99,8 @@
 	g.pauseWatcher = f.withDaemon(do)
 }
 
-// OnNextOrder calls a function with the daemon that sends the next order to promote a target of a group, when the order has
-// arrived; nil ends that.
+// OnNextOrder calls a function with the daemon that sends the next order to promote a target of a group, when the order
+// has arrived; nil ends that.
 func (f *Fleet) OnNextOrder(g *Group, do func(*Daemon)) {
 	f.Provider.onNextOrder(g.Name, f.withDaemon(do))
 }
--- a/standin/lines/fleet.go
+++ b/standin/lines/fleet.go
@@ -59,8 +59,8 @@
 	Stubborn int
 	// Timeout is the time limit of the routes; 0 stands for one second.
 	Timeout time.Duration
-	// PromoteDelay is the shortest time between an order to promote and its effect, which may be two thirds longer; 0 stands
-	// for 50 ms, and no longer.
+	// PromoteDelay is the shortest time between an order to promote and its effect, which may be two thirds longer; 0
+	// stands for 50 ms, and no longer.
 	PromoteDelay time.Duration
 	// Grace is the time between SIGTERM and SIGKILL to a daemon; 0 stands for 4 s.
 	Grace time.Duration
--- a/standin/lines/group.go
+++ b/standin/lines/group.go
@@ -48,7 +48,8 @@
 	changed *sync.Cond
 	targets map[string]*Target
 	// promoteDelay is the time between an order to promote and its effect, orders the number of orders so far. With
-	// promoteSpread, the time is up to that much longer: it grows by half of it from one order to the next, then starts anew.
+	// promoteSpread, the time is up to that much longer: it grows by half of it from one order to the next, then starts
+	// anew.
 	promoteDelay, promoteSpread time.Duration
 	orders                      int
 	// pauseWatcher is called with the source IP address of the next PAUSE; nil for none.
@@ -61,8 +62,8 @@
 	acknowledged map[string]string
 	// commits are the acknowledged commits that wrote.
 	commits []Commit
-	// termStarts are the positions at which the terms began: that of the last record before each. promotedAt are the times at
-	// which promotions began them.
+	// termStarts are the positions at which the terms began: that of the last record before each. promotedAt are the
+	// times at which promotions began them.
 	termStarts map[uint64]Position
 	promotedAt map[uint64]time.Time
 	// cutZones are the zones that are cut off from the others, cutTargets the targets that are cut off from all others.
@@ -120,7 +121,8 @@
 // NewGroup starts a group of targets on loopback ports, in zones zone-1, zone-2 and so on. The first target is the
 // primary, in term 1.
 func NewGroup(store *Store, name string, ids ...string) (*Group, error) {
-	g := &Group{Name: name, store: store, targets: map[string]*Target{}, acknowledged: map[string]string{}, termStarts: map[uint64]Position{}, promotedAt: map[uint64]time.Time{}, promoteDelay: 50 * time.Millisecond,
+	g := &Group{Name: name, store: store, targets: map[string]*Target{}, acknowledged: map[string]string{},
+		termStarts: map[uint64]Position{}, promotedAt: map[uint64]time.Time{}, promoteDelay: 50 * time.Millisecond,
 		cutZones: map[string]bool{}, cutTargets: map[string]bool{}}
 	g.changed = sync.NewCond(&g.mu)
 	for i, id := range ids {
--- a/standin/lines/provider.go
+++ b/standin/lines/provider.go
@@ -131,8 +131,8 @@
 	return cut
 }
 
-// onNextOrder calls a function with the source IP address of the next order for a group, before it is carried out; nil ends
-// that.
+// onNextOrder calls a function with the source IP address of the next order for a group, before it is carried out; nil
+// ends that.
 func (p *Provider) onNextOrder(group string, do func(source string)) {
 	p.mu.Lock()
 	defer p.mu.Unlock()
--- a/standin/lines/provider_test.go
+++ b/standin/lines/provider_test.go
@@ -36,7 +36,8 @@
 	return p
 }
 
-// TestOrderWithoutAnswerTakesEffect guards against a stand-in in which an order has no effect because its sender got no answer.
+// TestOrderWithoutAnswerTakesEffect guards against a stand-in in which an order has no effect because its sender got no
+// answer.
 func TestOrderWithoutAnswerTakesEffect(t *testing.T) {
 	for name, inject := range map[string]func(p *Provider, giveUp func(), gaveUp <-chan struct{}){
 		"answer lost": func(p *Provider, _ func(), _ <-chan struct{}) { p.SetFaults(OrderFaults{LoseAnswers: true}) },
@@ -82,8 +83,8 @@
 	}
 }
 
-// TestRestartedPrimaryLeadsUnlessReplaced guards against a primary that remembers its step-down, and against one that leads
-// although another target was promoted.
+// TestRestartedPrimaryLeadsUnlessReplaced guards against a primary that remembers its step-down, and against one that
+// leads although another target was promoted.
 func TestRestartedPrimaryLeadsUnlessReplaced(t *testing.T) {
 	for _, promoted := range []bool{false, true} {
 		g := newTestGroup(t)
@@ -103,8 +104,8 @@
 	}
 }
 
-// TestLateWatchSkipsNothing guards against changes that a delayed watch never learns of, and against one that learns of them
-// at once.
+// TestLateWatchSkipsNothing guards against changes that a delayed watch never learns of, and against one that learns of
+// them at once.
 func TestLateWatchSkipsNothing(t *testing.T) {
 	store, err := NewStore()
 	if err != nil {
--- a/standin/lines/rules_test.go
+++ b/standin/lines/rules_test.go
@@ -99,7 +99,8 @@
 
 func TestStaleFindsLogsThatLackCommits(t *testing.T) {
 	start := time.Now()
-	// The read runs 5 s after the commits, on a log of term 1 that ends with number 4 or 5; term 2 began after number 5.
+	// The read runs 5 s after the commits, on a log of term 1 that ends with number 4 or 5; term 2 began after number
+	// 5.
 	read := func(database string, position Position, sentAfter, begunAfter time.Duration) run {
 		s := sent{database: database, text: "READ x", signature: "a.r.1", at: start.Add(sentAfter), session: 1}
 		if begunAfter > 0 {
--- a/standin/lines/session.go
+++ b/standin/lines/session.go
@@ -345,7 +345,8 @@
 	s.sendResult(id)
 }
 
-// reportPause calls the function that waits for the next PAUSE, if there is one. The caller holds the mutex of the group.
+// reportPause calls the function that waits for the next PAUSE, if there is one. The caller holds the mutex of the
+// group.
 func (s *targetSession) reportPause() {
 	if watcher := s.target.group.pauseWatcher; watcher != nil {
 		s.target.group.pauseWatcher = nil
--- a/standin/lines/stalereads.go
+++ b/standin/lines/stalereads.go
@@ -14,8 +14,8 @@
 	Breaches []string
 	// Told are those of the Breaches that lack a commit which was also acknowledged to its caller in time.
 	Told []string
-	// Dropped are reads whose answer no caller got, which are no breaches: a daemon may run a read before it has the proof
-	// that the answer needs.
+	// Dropped are reads whose answer no caller got, which are no breaches: a daemon may run a read before it has the
+	// proof that the answer needs.
 	Dropped []string
 }
 
@@ -94,7 +94,8 @@
 	return last
 }
 
-// isRolledBack reports whether a commit is not in the log with which a term began. Nothing is before the first promotion.
+// isRolledBack reports whether a commit is not in the log with which a term began. Nothing is before the first
+// promotion.
 func (r Records) isRolledBack(c Commit, term uint64) bool {
 	starts := r.termStarts[c.Group]
 	return c.Position.Term < term && !starts[term].contains(c.Position, starts)
@@ -108,8 +109,8 @@
 
 // history is the commits of a group that no promotion up to a term rolled back.
 type history struct {
-	// acknowledged are those that targets acknowledged, told those that were acknowledged to their callers, with the times
-	// of that.
+	// acknowledged are those that targets acknowledged, told those that were acknowledged to their callers, with the
+	// times of that.
 	acknowledged, told []acknowledgement
 	// acknowledgedTo and toldTo are those of the statements of each session.
 	acknowledgedTo, toldTo map[uint64][]acknowledgement
--- a/standin/lines/stalereads_test.go
+++ b/standin/lines/stalereads_test.go
@@ -6,7 +6,8 @@
 	"time"
 )
 
-// staleRecords returns records of one read of session 1, sent and run at times in seconds on a log that ends at a position.
+// staleRecords returns records of one read of session 1, sent and run at times in seconds on a log that ends at a
+// position.
 func staleRecords(database string, position Position, sentAfter, ranAfter int) (Records, time.Time) {
 	start := time.Now()
 	at := func(seconds int) time.Time { return start.Add(time.Duration(seconds) * time.Second) }
@@ -14,8 +15,8 @@
 	return recordsOf(start, run{Execution{ID: "r", Signature: "a.r.1", Position: position, RanAt: at(ranAfter)}, read}), start
 }
 
-// addCommit adds a commit that a target acknowledged after a time in seconds to a session, whose caller got a code; empty for
-// a success.
+// addCommit adds a commit that a target acknowledged after a time in seconds to a session, whose caller got a code;
+// empty for a success.
 func (r *Records) addCommit(start time.Time, id string, position Position, after int, session uint64, code string) {
 	at := start.Add(time.Duration(after) * time.Second)
 	r.commits = append(r.commits, Commit{ID: id, Group: "group", Target: "a", Position: position, AcknowledgedAt: at})
@@ -26,8 +27,8 @@
 	r.sent[id] = s
 }
 
-// TestStaleCountsCommitsUntilTheirPromotion guards against a read that is excused by a promotion after it, and against one that
-// is excused by the newest promotion of several alone.
+// TestStaleCountsCommitsUntilTheirPromotion guards against a read that is excused by a promotion after it, and against
+// one that is excused by the newest promotion of several alone.
 func TestStaleCountsCommitsUntilTheirPromotion(t *testing.T) {
 	onTerm2, onTerm1 := Position{2, 7}, Position{1, 9}
 	cases := []struct {
@@ -63,8 +64,8 @@
 	}
 }
 
-// TestStaleCountsBothAcknowledgements guards against a commit with an unknown outcome at its caller that counts for nothing, and
-// against one that is counted as acknowledged to its caller.
+// TestStaleCountsBothAcknowledgements guards against a commit with an unknown outcome at its caller that counts for
+// nothing, and against one that is counted as acknowledged to its caller.
 func TestStaleCountsBothAcknowledgements(t *testing.T) {
 	cases := []struct {
 		name, database string
--- a/standin/lines/store.go
+++ b/standin/lines/store.go
@@ -317,8 +317,8 @@
 	}
 }
 
-// eventsAfter returns the encoded changes of a kind after a revision that are older than a delay, and the revision of the
-// store at that time, not below the given one.
+// eventsAfter returns the encoded changes of a kind after a revision that are older than a delay, and the revision of
+// the store at that time, not below the given one.
 func (s *Store) eventsAfter(kind string, after uint64, delay time.Duration) ([][]byte, uint64) {
 	var newEvents [][]byte
 	known, until := s.revision, time.Now().Add(-delay)
@@ -338,7 +338,8 @@
 	return newEvents, known
 }
 
-// DelayWatches makes the watches from a source IP address learn of changes after a delay; 0 ends that. Lists are not delayed.
+// DelayWatches makes the watches from a source IP address learn of changes after a delay; 0 ends that. Lists are not
+// delayed.
 func (s *Store) DelayWatches(source string, delay time.Duration) { s.watchDelays.Store(source, delay) }
 
 func (s *Store) watchDelay(r *http.Request) time.Duration {
--- a/standin/soak/replacement_faults.go
+++ b/standin/soak/replacement_faults.go
@@ -12,8 +12,9 @@
 	"github.com/papayacove/papayacove/standin/netfault"
 )
 
-// ReplacementFaults are replacements of primaries and replicas beside faults of single daemons and paths, without a zone that
-// is cut off. They are drawn only where their names are given, so that a seed without names draws the same faults as before.
+// ReplacementFaults are replacements of primaries and replicas beside faults of single daemons and paths, without a
+// zone that is cut off. They are drawn only where their names are given, so that a seed without names draws the same
+// faults as before.
 var ReplacementFaults = []FaultOf[*lines.Fleet]{
 	{"primary_paths_flicker", onGroup(flickerPrimary)},
 	{"replica_released_watches_late", besideLateWatches(func(g *lines.Group) []string {
@@ -46,8 +47,8 @@
 	// shortestWatchDelay and longestWatchDelay bound the time after which a late watch learns of a change.
 	shortestWatchDelay = 500 * time.Millisecond
 	longestWatchDelay  = 4 * time.Second
-	// longestPromotionStep is longer than the time between the pauses of a promotion and its order, and than that between
-	// the order and its effect.
+	// longestPromotionStep is longer than the time between the pauses of a promotion and its order, and than that
+	// between the order and its effect.
 	longestPromotionStep = time.Second
 	// shortestOrderDelay and longestOrderDelay bound the time for which a provider is late to carry out orders.
 	shortestOrderDelay = 200 * time.Millisecond
@@ -100,7 +101,8 @@
 	return half
 }
 
-// flicker makes the paths from daemons to a target fail and heal again and again until the function that it returns is called.
+// flicker makes the paths from daemons to a target fail and heal again and again until the function that it returns is
+// called.
 func flicker(f *lines.Fleet, daemons []*lines.Daemon, id string, random *rand.Rand) func() {
 	own, stop := rand.New(rand.NewSource(random.Int63())), make(chan struct{})
 	var loop sync.WaitGroup
@@ -127,7 +129,8 @@
 	return id, flicker(f, halfOf(f, random), id, random)
 }
 
-// besideLateWatches replaces targets while half of the daemons learn late of the new ones and do not always reach the primary.
+// besideLateWatches replaces targets while half of the daemons learn late of the new ones and do not always reach the
+// primary.
 func besideLateWatches(pick func(*lines.Group) []string) func(*lines.Fleet, *rand.Rand) (string, func()) {
 	return onGroup(func(f *lines.Fleet, g *lines.Group, random *rand.Rand) (string, func()) {
 		delay, late, primary, ids := between(random, shortestWatchDelay, longestWatchDelay), halfOf(f, random), g.Primary(), pick(g)
@@ -148,8 +151,8 @@
 	})
 }
 
-// releaseThenCutPaths replaces the replicas of a group while half of the daemons learn late of the new ones. Once the former
-// replicas leave, no daemon reaches the primary. Targets reach each other all the while.
+// releaseThenCutPaths replaces the replicas of a group while half of the daemons learn late of the new ones. Once the
+// former replicas leave, no daemon reaches the primary. Targets reach each other all the while.
 func releaseThenCutPaths(f *lines.Fleet, g *lines.Group, random *rand.Rand) (string, func()) {
 	late, primary, gap := halfOf(f, random), g.Primary(), between(random, 0, longestFlicker)
 	if primary == "" || g.IsBeingReplaced() {
@@ -210,8 +213,8 @@
 	}
 }
 
-// atPromoter replaces the primary of a group and stops the daemon that does it soon after a step of the promotion, half of
-// the times until another daemon has taken its lock over.
+// atPromoter replaces the primary of a group and stops the daemon that does it soon after a step of the promotion, half
+// of the times until another daemon has taken its lock over.
 func atPromoter(next onNext, stop func(*lines.Daemon) func()) func(*lines.Fleet, *rand.Rand) (string, func()) {
 	return onGroup(func(f *lines.Fleet, g *lines.Group, random *rand.Rand) (string, func()) {
 		gap, long, u := between(random, 0, longestPromotionStep), random.Intn(2) == 0, &undo{}
@@ -230,8 +233,8 @@
 	})
 }
 
-// restartWithoutEntries lets the store lose the entries of one or two targets of a group, which are back soon, and restarts
-// half of the daemons meanwhile.
+// restartWithoutEntries lets the store lose the entries of one or two targets of a group, which are back soon, and
+// restarts half of the daemons meanwhile.
 func restartWithoutEntries(f *lines.Fleet, g *lines.Group, random *rand.Rand) func() {
 	ids := g.RunningIDs()
 	random.Shuffle(len(ids), func(i, j int) { ids[i], ids[j] = ids[j], ids[i] })
@@ -253,7 +256,8 @@
 	return func() { timer.Stop(); resume() }
 }
 
-// cutUntilPromoted cuts a primary off from the other targets and half of the daemons, until about when another one is promoted.
+// cutUntilPromoted cuts a primary off from the other targets and half of the daemons, until about when another one is
+// promoted.
 func cutUntilPromoted(f *lines.Fleet, g *lines.Group, random *rand.Rand) (string, func()) {
 	what, heal := cutPrimary(f, g, random)
 	gap, once := between(random, 0, longestPromotionStep), sync.OnceFunc(heal)
@@ -261,7 +265,8 @@
 	return fmt.Sprintf("%s, healed %v after the order", what, gap.Round(time.Millisecond)), func() { f.OnNextOrder(g, nil); once() }
 }
 
-// restartWhileReplaced releases a primary that ends and starts again between its step-down and the effect of the promotion.
+// restartWhileReplaced releases a primary that ends and starts again between its step-down and the effect of the
+// promotion.
 func restartWhileReplaced(f *lines.Fleet, g *lines.Group, random *rand.Rand) (string, func()) {
 	id, gap, next := g.Primary(), between(random, 0, longestPromotionStep), onNext((*lines.Fleet).OnNextPause)
 	if id == "" {
--- a/standin/soak/served.go
+++ b/standin/soak/served.go
@@ -58,8 +58,8 @@
 const (
 	// slowRefusal is the time after which a refusal counts as slow.
 	slowRefusal = 500 * time.Millisecond
-	// servedSlot is the length of the slots of a window, each of which counts as much: callers that are refused ask sooner
-	// again than those that are served.
+	// servedSlot is the length of the slots of a window, each of which counts as much: callers that are refused ask
+	// sooner again than those that are served.
 	servedSlot = 100 * time.Millisecond
 )
 
