Stand-in: entries of targets that have left lapse after a restore of the store

A store that comes back from a copy has entries of targets that have left since. The users' platform removes them after three heartbeat intervals of silence; here they stayed for good.

--- a/standin/lines/membership.go
+++ b/standin/lines/membership.go
@@ -121,11 +121,14 @@
 	defer g.mu.Unlock()
 	var silent []string
 	for id, d := range g.targets {
-		if d.up && !g.cutZones[d.zone] {
+		isGone := d.retired && !g.store.Has("servers", id)
+		switch {
+		case d.up && !g.cutZones[d.zone], isGone:
+			// The entry of a target that has left may be back after the store was restored from a copy.
 			d.silentSince = time.Time{}
-		} else if d.silentSince.IsZero() {
+		case d.silentSince.IsZero():
 			d.silentSince = now
-		} else if !d.retired && now.Sub(d.silentSince) > entryLifetime {
+		case now.Sub(d.silentSince) > entryLifetime:
 			silent = append(silent, id)
 		}
 		leader := g.leaderOf(d)
