--- a/internal/engine/control.go
+++ b/internal/engine/control.go
@@ -52,10 +52,10 @@
 	return c.callBounded(func() time.Duration { return timeout }, command)
 }
 
-// callUntil does what call does, and sends nothing at or after end, a time of the boot clock. It fails with
+// callUntil does what callWithin does, and sends nothing at or after end, a time of the boot clock. It fails with
 // errTooLate then.
-func (c *controlConnection) callUntil(end time.Duration, command Command) (leadership.Status, error) {
-	return c.callBounded(func() time.Duration { return min(statusTimeout, end-clock.SinceBoot()) }, command)
+func (c *controlConnection) callUntil(end, timeout time.Duration, command Command) (leadership.Status, error) {
+	return c.callBounded(func() time.Duration { return min(timeout, end-clock.SinceBoot()) }, command)
 }
 
 // callBounded sends a command. Each step of the call is bounded by what timeout returns just before it.
--- a/internal/engine/promote.go
+++ b/internal/engine/promote.go
@@ -331,7 +331,7 @@
 	delete(pending, p.old)
 	p.paused = make(map[string]leadership.Status)
 	for range pauseAttempts {
-		answers := p.sendWhileLocked(pending, Command{Op: OpPause, Term: p.term})
+		answers := p.sendWhileLocked(pending, statusTimeout, Command{Op: OpPause, Term: p.term})
 		p.recordAnswers(answers)
 		for name, s := range answers {
 			if s.Role == leadership.RoleReplica && s.IsPaused() {
--- a/internal/engine/promotionguard.go
+++ b/internal/engine/promotionguard.go
@@ -5,13 +5,11 @@
 	"maps"
 	"slices"
 	"sync"
-	"time"
 
 	"github.com/papayacove/papayacove/internal/clock"
 	"github.com/papayacove/papayacove/internal/logevent"
 	"github.com/papayacove/papayacove/internal/logfield"
 	"github.com/papayacove/papayacove/internal/policy/leadership"
-	"github.com/papayacove/papayacove/internal/policy/takeover"
 )
 
 // guardListRounds is the number of rounds of the guard, each of leadPoll at least, between two lists of the targets.
@@ -67,7 +65,7 @@
 // keepSteppedDown orders the old primary to step down until ctx ends.
 func (p *promotion) keepSteppedDown(ctx context.Context, old *member) {
 	for {
-		if _, err := old.control.callUntil(p.lockedUntil, Command{Op: OpStepDown, Term: p.term}); err != nil {
+		if _, err := old.control.callUntil(p.lockedUntil, statusTimeout, Command{Op: OpStepDown, Term: p.term}); err != nil {
 			p.log().WithField(logfield.Error, err).Debug(logevent.OldPrimaryNotSteppingDown)
 		}
 		if clock.Sleep(ctx, leadPoll) != nil {
@@ -103,35 +101,22 @@
 // send sends a command to replicas while the promotion lock is held. A replica that does not answer does not hold up
 // the others for long.
 func (g *promotionGuard) send(replicas map[string]*member, command Command) map[string]leadership.Status {
-	return callAll(replicas, command.Op, func(m *member) (leadership.Status, error) {
-		left := func() time.Duration { return min(recheckTimeout, g.lockedUntil-clock.SinceBoot()) }
-		return m.control.callBounded(left, command)
-	})
+	return g.sendWhileLocked(replicas, recheckTimeout, command)
 }
 
 // addJoined adds the targets that have joined since the last list. A list that fails is made again in a later round.
 func (g *promotionGuard) addJoined(ctx context.Context) {
-	lister := g.engine.options.TargetLister
-	if lister == nil {
+	if g.engine.options.TargetLister == nil {
 		return
 	}
 	ctx, cancel := context.WithTimeout(ctx, listTimeout)
 	defer cancel()
-	listed, err := lister.ListTargets(ctx, g.group.name)
+	joined, err := g.listJoined(ctx, g.known)
 	if err != nil {
 		g.log().WithField(logfield.Error, err).Debug(logevent.TargetsNotListed)
 		return
 	}
-	entries := make(map[string]Target, len(listed))
-	var names []string
-	for _, t := range listed {
-		entries[t.Name] = t
-		names = append(names, t.Name)
-	}
-	for _, name := range takeover.Joined(names, g.known) {
-		m := g.group.newListedMember(entries[name])
-		g.replicas[name], g.added[name] = m, m
-		g.known = append(g.known, name)
-		g.log().WithField(logfield.Target, name).Info(logevent.PromotionMemberJoined)
-	}
+	maps.Copy(g.replicas, joined)
+	maps.Copy(g.added, joined)
+	g.known = slices.AppendSeq(g.known, maps.Keys(joined))
 }
--- a/internal/engine/promotionmembers.go
+++ b/internal/engine/promotionmembers.go
@@ -35,21 +35,28 @@
 	left := p.lockedUntil - orderReserve - clock.SinceBoot()
 	ctx, cancel := context.WithTimeout(p.engine.ctx, min(listTimeout, left))
 	defer cancel()
+	joined, err := p.listJoined(ctx, slices.Collect(maps.Keys(p.members)))
+	maps.Copy(p.members, joined)
+	maps.Copy(p.joined, joined)
+	return len(joined), err
+}
+
+// listJoined returns the targets that the store lists beside the known ones, by name.
+func (p *promotion) listJoined(ctx context.Context, known []string) (map[string]*member, error) {
 	listed, err := p.engine.options.TargetLister.ListTargets(ctx, p.group.name)
 	if err != nil {
-		return 0, err
+		return nil, err
 	}
 	entries := make(map[string]Target, len(listed))
 	for _, t := range listed {
 		entries[t.Name] = t
 	}
-	joined := takeover.Joined(slices.Collect(maps.Keys(entries)), slices.Collect(maps.Keys(p.members)))
-	for _, name := range joined {
-		m := p.group.newListedMember(entries[name])
-		p.members[name], p.joined[name] = m, m
+	joined := make(map[string]*member)
+	for _, name := range takeover.Joined(slices.Collect(maps.Keys(entries)), known) {
+		joined[name] = p.group.newListedMember(entries[name])
 		p.log().WithField(logfield.Target, name).Info(logevent.PromotionMemberJoined)
 	}
-	return len(joined), nil
+	return joined, nil
 }
 
 // newListedMember returns a member that is used for the orders of one promotion. The group learns of the target when its
--- a/internal/engine/promotionorder.go
+++ b/internal/engine/promotionorder.go
@@ -5,6 +5,7 @@
 	"errors"
 	"maps"
 	"slices"
+	"time"
 
 	"github.com/sirupsen/logrus"
 
@@ -68,23 +69,26 @@
 	p.log().WithField(logfield.Resumed, p.resume(p.toResume)).Warn(logevent.PromotionGivenUp)
 }
 
-// sendWhileLocked does what sendToAll does, and sends nothing after the end of the promotion lock: an order to resume
-// would undo the pause of another promotion, whose order is under way, and nobody would end a pause.
-func (p *promotion) sendWhileLocked(members map[string]*member, command Command) map[string]leadership.Status {
-	send := func(m *member) (leadership.Status, error) { return m.control.callUntil(p.lockedUntil, command) }
-	return callAll(members, command.Op, send)
+// sendWhileLocked does what sendToAll does within a timeout, and sends nothing after the end of the promotion lock: an
+// order to resume would undo the pause of another promotion, whose order is under way, and nobody would end a pause.
+func (p *promotion) sendWhileLocked(
+	members map[string]*member, timeout time.Duration, command Command,
+) map[string]leadership.Status {
+	return callAll(members, command.Op, func(m *member) (leadership.Status, error) {
+		return m.control.callUntil(p.lockedUntil, timeout, command)
+	})
 }
 
 // resume resumes replicas while the promotion lock is held, and returns the number of those that confirm it. It
 // leaves those that another promotion has paused at a later term.
 func (p *promotion) resume(replicas map[string]*member) int {
 	replicas = maps.Clone(replicas)
-	for name, s := range p.sendWhileLocked(replicas, Command{Op: OpStatus}) {
+	for name, s := range p.sendWhileLocked(replicas, statusTimeout, Command{Op: OpStatus}) {
 		if s.PausedTerm > p.term {
 			delete(replicas, name)
 		}
 	}
-	answers := p.sendWhileLocked(replicas, Command{Op: OpResume, Term: p.term})
+	answers := p.sendWhileLocked(replicas, statusTimeout, Command{Op: OpResume, Term: p.term})
 	p.logResumed(slices.Sorted(maps.Keys(replicas)), answers)
 	resumed := 0
 	for name := range replicas {
