Leadership proofs: the holder that told of a proof is noted with the proof

Each relayed reply took the lock of the group twice and dated the proof twice, the first time to find out later whether both were the same one. What a read rested on is put together when the read is proved, no longer on each look of its wait. The line of a read is as before.

--- a/internal/engine/group.go
+++ b/internal/engine/group.go
@@ -127,8 +127,8 @@
 	// proofOrigin is what gave that proof, and proofLog what was logged of proofs.
 	proofOrigin proofOrigin
 	proofLog    proofLog
-	// proofHolder is the daemon that told of that proof, if another one did.
-	proofHolder proofHolder
+	// proofHolder is the address of the daemon that told of that proof, if its kind is proofOfHolder.
+	proofHolder string
 	// unsettled is the latest event after which each read is logged.
 	unsettled unsettled
 	// samples are positions that cover every commit acknowledged before they were requested.
--- a/internal/engine/latereply_test.go
+++ b/internal/engine/latereply_test.go
@@ -18,7 +18,7 @@
 	now := clock.SinceBoot()
 	asked := now - time.Millisecond
 	g.applyStatusRound(map[string]leadership.Status{"b": leads(2, 14, now)}, now)
-	g.recordRelayed(g.members["b"], &api.RelayReply{Group: "g", Target: "b", ProofTerm: 2, ProofChained: true}, now)
+	g.recordRelayed(g.members["b"], "holder", &api.RelayReply{Group: "g", Target: "b", ProofTerm: 2, ProofChained: true}, now)
 	if g.primary != "b" || g.provenUntil <= now {
 		t.Fatalf("got primary %q with a leadership proof for %s, want b with a valid proof", g.primary, g.provenUntil-now)
 	}
--- a/internal/engine/proof.go
+++ b/internal/engine/proof.go
@@ -246,11 +246,12 @@
 	for {
 		g.mu.Lock()
 		leads, proved, changed := g.members[g.primary] == m && g.term == term, g.provenUntil > since, g.changed
+		var evidence readEvidence
 		if leads && proved {
 			g.logServedWithin()
 			g.useProof(m)
+			evidence = g.proofEvidence()
 		}
-		evidence := g.proofEvidence()
 		g.mu.Unlock()
 		if !leads {
 			return readEvidence{}, false
@@ -288,14 +289,16 @@
 	return !replicated || g.awaitProof(m, term, clock.SinceBoot(), deadline)
 }
 
-// recordProof records that the primary was proved to lead at askedAt. The caller holds the lock.
-func (g *group) recordProof(origin proofOrigin, askedAt time.Duration) {
+// recordProof records that the primary was proved to lead at askedAt, and reports whether that is the latest proof. The
+// caller holds the lock.
+func (g *group) recordProof(origin proofOrigin, askedAt time.Duration) bool {
 	until := askedAt + leadership.ProofValidity
 	if until <= g.provenUntil {
-		return
+		return false
 	}
 	lapsedAt := g.provenUntil
 	g.provenUntil, g.proofOrigin = until, origin
 	g.logProof(lapsedAt)
 	g.broadcast()
+	return true
 }
--- a/internal/engine/readevidence.go
+++ b/internal/engine/readevidence.go
@@ -28,7 +28,7 @@
 	at time.Duration
 	// position is that of the sample; zero for a proof.
 	position api.Position
-	// target is the target whose answer it is: the witness, or the primary; empty for the replicas.
+	// target is the target whose answer it is: the witness, or the primary.
 	target string
 	// holder is the address of the daemon that told of the proof; empty if this daemon asked the targets.
 	holder string
@@ -50,35 +50,14 @@
 	}
 }
 
-// proofHolder is the address of a daemon whose reply told of a leadership proof that is valid until a time of the boot
-// clock.
-type proofHolder struct {
-	address string
-	until   time.Duration
-}
-
-// noteProofHolder notes that the proof in a reply to a request of askedAt, if there is one, is from the daemon with the
-// address.
-func (g *group) noteProofHolder(address string, reply *api.RelayReply, askedAt time.Duration) {
-	if reply.ProofTerm == 0 {
-		return
-	}
-	until := askedAt - time.Duration(reply.ProofAgeUs)*time.Microsecond + leadership.ProofValidity
-	g.mu.Lock()
-	defer g.mu.Unlock()
-	if until > g.proofHolder.until {
-		g.proofHolder = proofHolder{address, until}
-	}
-}
-
 // proofEvidence returns the present leadership proof as the evidence of a read. The caller holds the lock.
 func (g *group) proofEvidence() readEvidence {
 	e := readEvidence{
 		kind: evidenceKind(proofPrefix + string(g.proofOrigin.kind)), at: g.provenUntil - leadership.ProofValidity,
 		target: g.proofOrigin.target,
 	}
-	if g.proofOrigin.kind == proofOfHolder && g.proofHolder.until == g.provenUntil {
-		e.holder = g.proofHolder.address
+	if g.proofOrigin.kind == proofOfHolder {
+		e.holder = g.proofHolder
 	}
 	return e
 }
--- a/internal/engine/relay.go
+++ b/internal/engine/relay.go
@@ -145,8 +145,7 @@
 	l.address, l.connection, l.transaction = address, connection, reply.Transaction
 	l.identity = e.identity()
 	l.ended = reply.Transaction == 0 && reply.NotRunCode == 0 && e.command.Op.beginsTransaction()
-	l.group.noteProofHolder(address, reply, askedAt)
-	l.group.recordRelayed(l.member, reply, askedAt)
+	l.group.recordRelayed(l.member, address, reply, askedAt)
 	return outcomeOf(reply, askedAt), true
 }
 
@@ -203,8 +202,7 @@
 		l.end()
 		return attemptResult{err: errAnotherTarget, sent: true, byHolder: true, askedAt: askedAt}
 	}
-	l.group.noteProofHolder(l.address, reply, askedAt)
-	l.group.recordRelayed(l.member, reply, askedAt)
+	l.group.recordRelayed(l.member, l.address, reply, askedAt)
 	if reply.Transaction != l.transaction {
 		l.end()
 	}
@@ -258,18 +256,21 @@
 	return notRun(result.TransactionLost, "the daemon that runs the transaction: %s", reply.Reason)
 }
 
-// recordRelayed records what the reply of a holder says about the target: its load, and a leadership proof. The proof
-// is dated from before the request was sent, so that it is no older than recorded. It counts only if the reply names this
-// target and the proof is one of a chain: that of an older daemon may be of a transaction elsewhere, or rest on the
-// word of one replica alone, and this daemon fetches a proof itself.
-func (g *group) recordRelayed(m *member, reply *api.RelayReply, askedAt time.Duration) {
+// recordRelayed records what the reply of the holder at an address says about the target: its load, and a leadership
+// proof. The proof is dated from before the request was sent, so that it is no older than recorded. It counts only if
+// the reply names this target and the proof is one of a chain: that of an older daemon may be of a transaction
+// elsewhere, or rest on the word of one replica alone, and this daemon fetches a proof itself.
+func (g *group) recordRelayed(m *member, address string, reply *api.RelayReply, askedAt time.Duration) {
 	g.mu.Lock()
 	defer g.mu.Unlock()
 	m.reportedLoad, m.reportedAt = reply.Load, clock.SinceBoot()
 	isOfTarget := reply.Group == g.name && reply.Target == m.name
 	isProof := reply.ProofTerm != 0 && reply.ProofChained
-	if isOfTarget && isProof && reply.ProofTerm == g.term && m.name == g.primary {
-		g.recordProof(proofOrigin{proofOfHolder, m.name}, askedAt-time.Duration(reply.ProofAgeUs)*time.Microsecond)
+	if !isOfTarget || !isProof || reply.ProofTerm != g.term || m.name != g.primary {
+		return
+	}
+	if g.recordProof(proofOrigin{proofOfHolder, m.name}, askedAt-time.Duration(reply.ProofAgeUs)*time.Microsecond) {
+		g.proofHolder = address
 	}
 }
 
--- a/internal/engine/relay_test.go
+++ b/internal/engine/relay_test.go
@@ -391,7 +391,7 @@
 	g := newTestGroup(&fakeTarget{})
 	g.provenUntil = 0
 	askedAt := clock.SinceBoot()
-	g.recordRelayed(g.members["a"], &api.RelayReply{Group: "g", Target: "a", ProofTerm: 1, ProofAgeUs: 200_000, ProofChained: true}, askedAt)
+	g.recordRelayed(g.members["a"], "holder", &api.RelayReply{Group: "g", Target: "a", ProofTerm: 1, ProofAgeUs: 200_000, ProofChained: true}, askedAt)
 	if want := askedAt - 200*time.Millisecond + leadership.ProofValidity; g.provenUntil != want {
 		t.Errorf("got a proof until %s, want %s", g.provenUntil, want)
 	}
@@ -404,11 +404,11 @@
 		"an older daemon": {ProofTerm: 1},
 		"without a chain": {Group: "g", Target: "a", ProofTerm: 1},
 	} {
-		if g.recordRelayed(g.members["a"], reply, askedAt); g.provenUntil != 0 {
+		if g.recordRelayed(g.members["a"], "holder", reply, askedAt); g.provenUntil != 0 {
 			t.Errorf("%s: got a proof until %s, want none", name, g.provenUntil)
 		}
 	}
-	if g.recordRelayed(g.members["b"], &api.RelayReply{Group: "g", Target: "b", ProofTerm: 1, ProofChained: true}, askedAt); g.provenUntil != 0 {
+	if g.recordRelayed(g.members["b"], "holder", &api.RelayReply{Group: "g", Target: "b", ProofTerm: 1, ProofChained: true}, askedAt); g.provenUntil != 0 {
 		t.Error("a replica's holder gave a proof for the primary")
 	}
 }
