--- a/standin/soak/line_faults.go
+++ b/standin/soak/line_faults.go
@@ -286,15 +286,13 @@
 	if id == "" {
 		return "no primary", func() {}
 	}
-	var far []string
+	var far []*lines.Daemon
 	for _, i := range random.Perm(len(f.Daemons))[:len(f.Daemons)/2] {
-		far = append(far, f.Daemons[i].Source)
+		far = append(far, f.Daemons[i])
 	}
 	set := func(cut bool) {
 		g.SetTargetCut(id, cut)
-		for _, source := range far {
-			f.TargetLink(id).SetPathFaults(source, netfault.PathFaults{Partitioned: cut})
-		}
+		setPaths(f, far, id, cut)
 	}
 	set(true)
 	return id, func() { set(false) }
