Promotion lock: one sighting of a record, one attempt to release

The wait for an unchanged record stood twice, as did the write of a release with its look at the era. A retry that ends because the store was restored is logged at debug level, as the other failures of retries are; it was not logged. Otherwise no change of behaviour.

--- a/internal/promotionlock/promotionlock.go
+++ b/internal/promotionlock/promotionlock.go
@@ -91,17 +91,32 @@
 	// known.
 	before      api.Object
 	settledTerm uint64
-	// unsettled is a record that states no term, first seen at unsettledAt.
-	unsettled   api.Object
-	unsettledAt time.Duration
+	// unsettled is a record that states no term.
+	unsettled sighting
 	// hasTried is true once this start of the daemon has written that it holds the lock. Before, a record with its name is
 	// that of an earlier start, whose last order may still be in transit.
 	hasTried bool
-	// observed is the record of another holder, first observed at observedAt.
-	observed   api.Object
-	observedAt time.Duration
+	// observed is the record of another holder.
+	observed sighting
 }
 
+// sighting is a record, and when it was first seen.
+type sighting struct {
+	isSeen bool
+	record api.Object
+	at     time.Duration
+}
+
+// age returns for how long a record, which is seen at now, has been the same.
+func (s *sighting) age(record api.Object, now time.Duration) time.Duration {
+	if !s.isSeen || !isSame(s.record, record) {
+		*s = sighting{true, record, now}
+	}
+	return now - s.at
+}
+
+func isSame(a, b api.Object) bool { return a.Version == b.Version && a.Era == b.Era }
+
 // New returns the handles of the daemon named holder. No lock is acquired.
 func New(objects objectstore.Objects, eras EraSource, holder string) *Locks {
 	return &Locks{objects: objects, eras: eras, holder: holder, now: clock.SinceBoot, groups: make(map[string]*lock)}
@@ -236,10 +251,7 @@
 	if stored.Holder == "" || stored.Holder == l.holder && l.hasTried {
 		return stored, nil
 	}
-	if l.observed.Version != record.Version || l.observed.Era != record.Era {
-		l.observed, l.observedAt = record, now
-	}
-	if now-l.observedAt < takeoverDelay {
+	if l.observed.age(record, now) < takeoverDelay {
 		return stored, fmt.Errorf("%w: by %s since version %d", ErrHeld, stored.Holder, record.Version)
 	}
 	return stored, nil
--- a/internal/promotionlock/release.go
+++ b/internal/promotionlock/release.go
@@ -33,52 +33,43 @@
 	if held.Version == 0 {
 		return
 	}
-	log := logrus.WithFields(logrus.Fields{logfield.Group: l.group, logfield.Version: held.Version, logfield.Era: held.Era})
-	if era, _ := l.eras.Known(); era != held.Era {
-		log.WithField(logfield.Known, era).Info(logevent.DutyNotReleased)
-		return
+	if !l.hasReleased(ctx, held, term, logrus.InfoLevel) {
+		go l.releaseLater(ctx, held, term)
 	}
-	if err := l.writeReleased(ctx, held, term); err != nil {
-		log.WithField(logfield.Error, err).Info(logevent.DutyNotReleased)
-		if !errors.Is(err, ErrHeld) {
-			go l.releaseLater(ctx, held, term)
-		}
-		return
-	}
-	log.Info(logevent.DutyReleased)
 }
 
-// writeReleased stores that the lock is free, if it still has the record of the hold. The caller holds mu.
-func (l *lock) writeReleased(ctx context.Context, held api.Object, term uint64) error {
+// hasReleased makes one attempt to release a hold, and reports whether it was the last one: the store has answered, the
+// record has changed, or the store was restored. A failure is logged at a level. The caller holds mu.
+func (l *lock) hasReleased(ctx context.Context, held api.Object, term uint64, level logrus.Level) bool {
+	log := logrus.WithFields(logrus.Fields{logfield.Group: l.group, logfield.Version: held.Version, logfield.Era: held.Era})
+	if era, _ := l.eras.Known(); era != held.Era {
+		log.WithField(logfield.Known, era).Log(level, logevent.DutyNotReleased)
+		return true
+	}
 	ctx, cancel := context.WithTimeout(ctx, storeTimeout)
 	defer cancel()
-	_, err := l.write(ctx, held, api.DutyRecord{Term: term})
-	return err
+	if _, err := l.write(ctx, held, api.DutyRecord{Term: term}); err != nil {
+		log.WithField(logfield.Error, err).Log(level, logevent.DutyNotReleased)
+		return errors.Is(err, ErrHeld)
+	}
+	log.Info(logevent.DutyReleased)
+	return true
 }
 
-// releaseLater repeats a release that the store did not answer: until the record states the term of the promotion, daemons
-// have no leadership proof while a target is silent. It ends when the record has changed or the lock is acquired again.
+// releaseLater repeats a release that the store did not answer: until the record states the term of the promotion,
+// daemons have no leadership proof while a target is silent. It ends when the record has changed or the lock is
+// acquired again.
 func (l *lock) releaseLater(ctx context.Context, held api.Object, term uint64) {
 	for range releaseAttempts {
-		if clock.Sleep(ctx, releaseRetryInterval) != nil || l.hasReleased(ctx, held, term) {
+		if clock.Sleep(ctx, releaseRetryInterval) != nil || l.hasReleasedLater(ctx, held, term) {
 			return
 		}
 	}
 }
 
-// hasReleased makes one attempt of releaseLater, and reports whether it was the last one.
-func (l *lock) hasReleased(ctx context.Context, held api.Object, term uint64) bool {
+// hasReleasedLater is hasReleased for a hold that has ended, and the last attempt too if the lock is held again.
+func (l *lock) hasReleasedLater(ctx context.Context, held api.Object, term uint64) bool {
 	l.mu.Lock()
 	defer l.mu.Unlock()
-	if era, _ := l.eras.Known(); l.held.Version != 0 || era != held.Era {
-		return true
-	}
-	err := l.writeReleased(ctx, held, term)
-	fields := logrus.Fields{logfield.Group: l.group, logfield.Version: held.Version, logfield.Era: held.Era}
-	if err == nil {
-		logrus.WithFields(fields).Info(logevent.DutyReleased)
-		return true
-	}
-	logrus.WithFields(fields).WithField(logfield.Error, err).Debug(logevent.DutyNotReleased)
-	return errors.Is(err, ErrHeld)
+	return l.held.Version != 0 || l.hasReleased(ctx, held, term, logrus.DebugLevel)
 }
--- a/internal/promotionlock/settle.go
+++ b/internal/promotionlock/settle.go
@@ -4,7 +4,6 @@
 	"context"
 	"fmt"
 
-	"github.com/papayacove/papayacove/api"
 	"github.com/papayacove/papayacove/internal/policy/takeover"
 )
 
@@ -47,12 +46,8 @@
 	if stored, err := storedIn(record); err == nil && settledTermOf(record, stored) != 0 {
 		return true, nil
 	}
-	now := l.now()
-	if l.unsettledAt == 0 || !isSame(l.unsettled, record) {
-		l.unsettled, l.unsettledAt = record, now
-	}
-	if now-l.unsettledAt < takeoverDelay {
-		return false, fmt.Errorf("%w: version %d is seen since %s", ErrNotSettled, record.Version, now-l.unsettledAt)
+	if age := l.unsettled.age(record, l.now()); age < takeoverDelay {
+		return false, fmt.Errorf("%w: version %d is seen since %s", ErrNotSettled, record.Version, age)
 	}
 	return false, nil
 }
@@ -61,7 +56,5 @@
 func (l *lock) isAcquiredFromObserved() bool {
 	l.mu.Lock()
 	defer l.mu.Unlock()
-	return isSame(l.unsettled, l.before)
+	return isSame(l.unsettled.record, l.before)
 }
-
-func isSame(a, b api.Object) bool { return a.Version == b.Version && a.Era == b.Era }
