--- a/internal/engine/session.go
+++ b/internal/engine/session.go
@@ -345,24 +345,24 @@
 
 // recordCommit records a commit of the session in a group.
 func (s *session) recordCommit(g *group, position api.Position) {
+	commit := s.commits[g]
+	commit.position, commit.at = commit.position.Max(position), clock.SinceBoot()
+	s.setCommit(g, commit)
+}
+
+func (s *session) setCommit(g *group, commit sessionCommit) {
 	if s.commits == nil {
 		s.commits = make(map[*group]sessionCommit)
 	}
-	commit := s.commits[g]
-	commit.position, commit.at = commit.position.Max(position), clock.SinceBoot()
 	s.commits[g] = commit
 }
 
 // recordUnknownCommit records that a commit of the session in a group may have been made, or may be made until the time
 // limit of the request.
 func (r *request) recordUnknownCommit() {
-	s := r.session
-	if s.commits == nil {
-		s.commits = make(map[*group]sessionCommit)
-	}
-	commit := s.commits[r.group]
+	commit := r.session.commits[r.group]
 	commit.unknownUntil = clock.SinceBoot() + max(0, time.Until(r.deadline()))
-	s.commits[r.group] = commit
+	r.session.setCommit(r.group, commit)
 }
 
 // refusedCommit returns the refusal of a write or a commit, and records that it may have been made unless the refusal
