Commits: a listed replica has a commit before its success is passed on

Cause: a primary acknowledges a commit once any replica has received it, also one whose entry has not reached the store. No promoter pauses that one or asks it for its log. A leadership proof says that no promotion was ordered when the commit was acknowledged; it does not say that a target which the next promoter has to ask holds it.

Change: a daemon passes the success of a commit on once a replica that it lists is known to have it, by a status call that was answered within a valid leadership proof. The commit itself is the primary's part of a proof, so that a group that commits needs no other status calls.

Why it works: no order to promote is sent while the proof is valid. A later promoter lists the replica before its order and has paused it with the commit, or waits for it, or rests on the log of the old primary.

Tests of the engine had one target and replies without a position, whose commits nothing can confirm. They have a listed replica with each commit now, and positions. The checks of what is answered are as they were.

--- a/api/types.gen.go
+++ b/api/types.gen.go
@@ -847,6 +847,11 @@
 
 // RelayReply is the answer to a RelayRequest.
 type RelayReply struct {
+	// CommitConfirmed is true if the statement was a commit that a replica has which
+	// each promotion asks, while the target was proved to lead. Daemons of older
+	// versions leave it false.
+	CommitConfirmed bool `json:"commit_confirmed" toml:"commit_confirmed"`
+
 	// Failed is true if the target reported a failure.
 	Failed bool `json:"failed" toml:"failed"`
 
--- a/internal/engine/answers_test.go
+++ b/internal/engine/answers_test.go
@@ -151,6 +151,7 @@
 	g.setTarget(Target{Name: "a", Group: "g", Slots: 2, Zone: "z"})
 	now := clock.SinceBoot()
 	g.applyStatusRound(map[string]leadership.Status{"a": leads(1, 0, now)}, now)
+	g.addReceiver()
 	g.provenUntil = now + time.Hour
 	return e
 }
--- a/internal/engine/engine.go
+++ b/internal/engine/engine.go
@@ -174,6 +174,7 @@
 	g.peers = e.peers
 	e.groups[name] = g
 	go g.serveProofs(e.ctx, func() { go e.settle(g) })
+	go g.serveReceipts(e.ctx)
 	if g.losses != nil {
 		go g.keepLosses(e.ctx)
 	}
--- a/internal/engine/gate.go
+++ b/internal/engine/gate.go
@@ -22,6 +22,8 @@
 	gateIdleTimeout = 3 * time.Second
 	// gateProofWait bounds the wait of a holder for a leadership proof after the target has answered.
 	gateProofWait = 50 * time.Millisecond
+	// gateCommitWait bounds the wait of a holder until a commit is confirmed. The sender goes on by itself after that.
+	gateCommitWait = 100 * time.Millisecond
 	// overdueFactor is the multiple of the usual time of a statement after which one without an answer leaves its slot to
 	// others. minOverdue is the least time.
 	overdueFactor = 5
@@ -378,3 +380,8 @@
 	}
 	return h.group.term, now - (h.group.provenUntil - leadership.ProofValidity)
 }
+
+// confirm reports whether a commit of the target in a term is confirmed in time.
+func (h *gate) confirm(term uint64, outcome attemptResult) bool {
+	return h.group.awaitCommit(h.member, term, outcome, time.Now().Add(gateCommitWait))
+}
--- a/internal/engine/group.go
+++ b/internal/engine/group.go
@@ -46,6 +46,10 @@
 	appliedAt time.Duration
 	// lags are the observed lags of a replica.
 	lags primaryposition.Lags
+	// restartedAt is the time of the boot clock at which the daemon learned of the last restart of the target; 0 for none.
+	restartedAt time.Duration
+	// receipt is what is known of the calls about received commits.
+	receipt receiptCall
 	// waitingSince is the time of the boot clock of the last reply, or of the first statement sent after it.
 	waitingSince time.Duration
 	// lastReplyAt is the time of the boot clock of the last reply.
@@ -121,6 +125,12 @@
 	// those that wait for one.
 	proofUsedAt time.Duration
 	proofWaits  int
+	// ledAt is the time of the boot clock before a commit was sent that the primary has acknowledged in its present term;
+	// 0 for none.
+	ledAt time.Duration
+	// commits are the commits that wait until a listed replica is known to have them, and receiptRequests asks for that.
+	commits         commitWaits
+	receiptRequests chan struct{}
 	// promotionLock is Options.PromotionLock, and recordReads what is known of the reads of its record.
 	promotionLock PromotionLock
 	recordReads   recordReads
@@ -171,7 +181,8 @@
 		promotionLock: options.PromotionLock,
 		losses:        options.LossRegistry, registered: make(map[string]bool), lossesChanged: make(chan struct{}, 1),
 		changed: make(chan struct{}), statusRoundRequests: make(chan struct{}, 1), proofRequests: make(chan struct{}, 1),
-		proofLog: proofLog{limiter: limiter},
+		receiptRequests: make(chan struct{}, 1),
+		proofLog:        proofLog{limiter: limiter},
 	}
 }
 
@@ -206,6 +217,7 @@
 	if known && m.target.Incarnation != t.Incarnation {
 		// The target has restarted and lost the state of its connections.
 		m.dropConnections()
+		m.restartedAt = clock.SinceBoot()
 		m.applied, m.lags = api.Position{}, primaryposition.Lags{}
 		g.health.Forget(t.Name)
 		g.recordRestart(t.Name)
--- a/internal/engine/groupchange_test.go
+++ b/internal/engine/groupchange_test.go
@@ -20,6 +20,7 @@
 	now := clock.SinceBoot()
 	g.samples = primaryposition.Samples{}
 	g.applyStatusRound(map[string]leadership.Status{name + "-a": leads(1, offset, now)}, now)
+	g.addReceiver()
 	g.provenUntil = now + time.Hour
 }
 
--- a/internal/engine/lease.go
+++ b/internal/engine/lease.go
@@ -65,6 +65,8 @@
 	byHolder bool
 	// askedAt is the time of the boot clock before the statement was sent.
 	askedAt time.Duration
+	// confirmed is true if the holder has confirmed the commit, as awaitCommit does.
+	confirmed bool
 }
 
 // directLease is a lease of a connection of this daemon.
--- a/internal/engine/observe.go
+++ b/internal/engine/observe.go
@@ -385,7 +385,7 @@
 		g.termSeenAt = clock.SinceBoot()
 		g.markUnsettled(unsettledTerm)
 	}
-	g.primary, g.term = primary, term
+	g.primary, g.term, g.ledAt = primary, term, 0
 	g.broadcast()
 }
 
--- a/internal/engine/relay.go
+++ b/internal/engine/relay.go
@@ -348,7 +348,7 @@
 	if r.Failed {
 		reply.Failure = &TargetFailure{Kind: FailureKind(r.FailureKind), Code: r.FailureCode, Text: r.FailureText}
 	}
-	return attemptResult{reply: reply, sent: true, askedAt: askedAt}
+	return attemptResult{reply: reply, sent: true, askedAt: askedAt, confirmed: r.CommitConfirmed}
 }
 
 // relayReply encodes an outcome.
--- a/internal/engine/relay_test.go
+++ b/internal/engine/relay_test.go
@@ -143,6 +143,7 @@
 		g.setLimits(limits, newDaemonList(d.Name, list))
 		g.setTarget(Target{Name: "a", Group: "g", Slots: 2, Zone: "z"})
 		g.applyStatusRound(map[string]leadership.Status{"a": leads(1, 0, now)}, now)
+		g.addReceiver()
 		g.provenUntil = now + time.Hour
 		n.engines[d.Name] = e
 		engines = append(engines, e)
--- a/internal/engine/relaysession.go
+++ b/internal/engine/relaysession.go
@@ -111,9 +111,10 @@
 	if e.needsProof {
 		h.group.renewProofIfExpired(h.member)
 	}
+	term := h.group.presumedTerm()
 	outcome := s.engine.afterStop(l.run(e))
 	reply := relayReply(outcome)
-	s.describe(reply, h, e, outcome, began)
+	s.describe(reply, h, e, outcome, began, term)
 	if l.conn != nil {
 		if reply.Transaction = s.add(l, e); reply.Transaction == 0 {
 			outcome = attemptResult{refused: errHolderStops}
@@ -124,7 +125,7 @@
 }
 
 // describe adds to a reply what the sender needs to know of the target.
-func (s *RelaySession) describe(reply *api.RelayReply, h *gate, e execution, outcome attemptResult, began time.Duration) {
+func (s *RelaySession) describe(reply *api.RelayReply, h *gate, e execution, outcome attemptResult, began time.Duration, term uint64) {
 	reply.Group, reply.Target, reply.Load = h.group.name, h.member.name, h.load()
 	if isNotPermitted(result.CodeOf(outcome.refused)) {
 		s.engine.logRelayRefused(e, outcome.refused)
@@ -133,10 +134,13 @@
 		return
 	}
 	if e.commits {
+		if outcome.reply.Failure == nil {
+			reply.CommitConfirmed = h.confirm(term, outcome)
+		}
 		began = clock.SinceBoot()
 	}
-	term, age := h.proofOf(began, e.needsProof && outcome.reply.Failure == nil)
-	reply.ProofTerm, reply.ProofAgeUs, reply.ProofChained = term, age.Microseconds(), term != 0
+	proofTerm, age := h.proofOf(began, e.needsProof && outcome.reply.Failure == nil)
+	reply.ProofTerm, reply.ProofAgeUs, reply.ProofChained = proofTerm, age.Microseconds(), proofTerm != 0
 }
 
 // add keeps an open transaction and returns its number, or 0 when the transaction was rolled back, because the session
@@ -212,10 +216,10 @@
 		return s.notContinued(request, e, "the transaction has ended")
 	}
 	t.timer.Stop()
-	began := clock.SinceBoot()
+	began, term := clock.SinceBoot(), t.lease.gate.group.presumedTerm()
 	outcome := s.engine.afterStop(t.lease.run(e))
 	reply := relayReply(outcome)
-	s.describe(reply, t.lease.gate, e, outcome, began)
+	s.describe(reply, t.lease.gate, e, outcome, began, term)
 	if t.lease.conn == nil {
 		s.remove(number)
 		return reply, outcome
--- a/internal/engine/relaytransaction_test.go
+++ b/internal/engine/relaytransaction_test.go
@@ -165,6 +165,7 @@
 		b.setLimits(limits, a.daemons)
 		b.setTarget(Target{Name: "b", Group: "h", Slots: 2, Zone: "z"})
 		b.applyStatusRound(map[string]leadership.Status{"b": leads(1, 0, now)}, now)
+		b.addReceiver()
 		b.provenUntil = now + time.Hour
 		for _, m := range []*member{a.members["a"], b.members["b"]} {
 			m.holders = []holder{{address: held.options.Name, isSelf: held == e}}
--- a/internal/engine/removedreplica.go
+++ b/internal/engine/removedreplica.go
@@ -19,6 +19,9 @@
 // is noticed. The caller holds the lock.
 func (g *group) recordRestart(name string) {
 	g.provenUntil = 0
+	if name == g.primary {
+		g.ledAt = 0
+	}
 	s, ok := g.statuses[name]
 	if !ok {
 		return
--- a/internal/engine/transaction.go
+++ b/internal/engine/transaction.go
@@ -298,7 +298,7 @@
 		return s.refused(t.refusedCommit(r.recordTargetFailure(t.member, failure)))
 	}
 	r.group.recordReply(t.member, outcome.reply, outcome.askedAt)
-	if t.wrote && !r.group.awaitCommitProof(t.member, t.term, r.proofDeadline()) {
+	if t.wrote && !r.group.awaitCommit(t.member, t.term, outcome, r.proofDeadline()) {
 		return s.refused(t.refusedCommit(refuseUnprovedCommit(t.member)))
 	}
 	r.logServed("transaction")
--- a/internal/engine/write.go
+++ b/internal/engine/write.go
@@ -87,7 +87,7 @@
 		return Reply{}, refusal, reply.Failure.Kind.IsNotRun()
 	}
 	r.group.recordReply(m, reply, outcome.askedAt)
-	if !r.group.awaitCommitProof(m, term, r.proofDeadline()) {
+	if !r.group.awaitCommit(m, term, outcome, r.proofDeadline()) {
 		return Reply{}, refuseUnprovedCommit(m), false
 	}
 	r.session.recordCommit(r.group, reply.Position)
--- a/internal/logevent/logevent.go
+++ b/internal/logevent/logevent.go
@@ -28,6 +28,7 @@
 	CertificateReloaded       = "certificate_reloaded"
 	CommitConfirmed           = "commit_confirmed"
 	CommitFenceOnly           = "commit_fence_only"
+	CommitNotReceived         = "commit_not_received"
 	CommitUnconfirmed         = "commit_unconfirmed"
 	ConnectionRefusedFull     = "connection_refused_full"
 	ConnectionEvicted         = "connection_evicted"
--- a/standin/lines/group.go
+++ b/standin/lines/group.go
@@ -106,6 +106,8 @@
 	outrankedSince time.Time
 	// receiveBlocked replicas receive nothing from the primary.
 	receiveBlocked bool
+	// stepDownLost is true while orders to step down are lost on their way to the target.
+	stepDownLost bool
 	// lag is the time between receiving and applying a record.
 	lag time.Duration
 	// service is the time that a statement occupies a slot.
@@ -254,6 +256,13 @@
 	d.group.changed.Broadcast()
 }
 
+// SetStepDownLost sets whether orders to step down are lost on their way to a target, with their connections.
+func (d *Target) SetStepDownLost(lost bool) {
+	d.group.mu.Lock()
+	defer d.group.mu.Unlock()
+	d.stepDownLost = lost
+}
+
 // SetService sets the time that a statement occupies a slot.
 func (d *Target) SetService(service time.Duration) {
 	d.group.mu.Lock()
--- a/standin/lines/membership.go
+++ b/standin/lines/membership.go
@@ -69,15 +69,21 @@
 	return d, nil
 }
 
-// announce makes a target that has joined a member of the group.
+// receiveUnlisted makes a target that has joined a member of the group, which receives the log and has no entry yet.
+func (d *Target) receiveUnlisted() {
+	d.group.mu.Lock()
+	defer d.group.mu.Unlock()
+	d.group.targets[d.ID] = d
+	d.group.changed.Broadcast()
+}
+
+// announce makes a target that has joined a member of the group with an entry.
 func (d *Target) announce() {
-	g := d.group
-	g.mu.Lock()
-	defer g.mu.Unlock()
+	d.receiveUnlisted()
+	d.group.mu.Lock()
+	defer d.group.mu.Unlock()
 	d.joining = false
-	g.targets[d.ID] = d
 	d.writeEntry()
-	g.changed.Broadcast()
 }
 
 // retire ends a target for good and removes its entry.
--- a/standin/lines/processes_test.go
+++ b/standin/lines/processes_test.go
@@ -158,6 +158,15 @@
 // checkAttempts checks that nothing ran twice, that what succeeded ran, and that what was said not to have run did not. It
 // fails the test also if nothing succeeded.
 func (p *processes) checkAttempts(attempts []attempt) {
+	p.t.Helper()
+	p.checkExecutions(attempts)
+	if lost := p.Group.LostWrites(); len(lost) > 0 {
+		p.t.Errorf("lost acknowledged writes: got items %v, want none", lost)
+	}
+}
+
+// checkExecutions checks that each write ran as its caller was told.
+func (p *processes) checkExecutions(attempts []attempt) {
 	p.t.Helper()
 	succeeded := 0
 	for _, a := range attempts {
@@ -172,7 +181,4 @@
 	if succeeded == 0 {
 		p.t.Error("no write succeeded")
 	}
-	if lost := p.Group.LostWrites(); len(lost) > 0 {
-		p.t.Errorf("lost acknowledged writes: got items %v, want none", lost)
-	}
 }
--- a/standin/lines/session.go
+++ b/standin/lines/session.go
@@ -361,6 +361,11 @@
 	d := s.target
 	g := d.group
 	g.mu.Lock()
+	if verb == "STEPDOWN" && d.stepDownLost {
+		g.mu.Unlock()
+		_ = s.out.Close()
+		return
+	}
 	switch verb {
 	case "PAUSE":
 		s.reportPause()
