Proofs: a daemon that has just started takes over those of its standbys

What callers saw: through a daemon that had just started again, reads on primary routes and transactions were refused as 2007, and writes answered as unknown, for 3 s.

Cause: the daemon holds the primary and so fetches proofs itself. A chain of proofs starts neither from the targets before the entries were followed for 3 s, nor from the record of a group that was never promoted in this era of the store, which states no term. Its standby had a valid proof all the while, but proofs travelled with the replies to statements only, from the holder to the senders.

Change: a daemon without a proof that cannot start a chain asks the other holders of the primary for theirs, at most every 100 ms, and reads the record if they have none. The question makes no call to the target.

Why it works: the proof is of the presumed term, by a chain, and dated from before the question with the stated age, as one that comes with a reply.

The tests of the packages that changed pass with the race detector.

--- a/api/types.gen.go
+++ b/api/types.gen.go
@@ -1015,6 +1015,14 @@
 	// PausedTerm is the term at which the target was paused.
 	PausedTerm uint64 `json:"paused_term" toml:"paused_term"`
 
+	// ProofAgeUs is the age of that proof in microseconds.
+	ProofAgeUs int64 `json:"proof_age_us" toml:"proof_age_us"`
+
+	// ProofTerm is the term of the leadership proof that the daemon has for the
+	// target, which is one of an unbroken chain; 0 if it has none, and from a daemon
+	// of an older version.
+	ProofTerm uint64 `json:"proof_term" toml:"proof_term"`
+
 	// Reason says why there is no status.
 	Reason string `json:"reason" toml:"reason"`
 
@@ -1028,11 +1036,16 @@
 	Term uint64 `json:"term" toml:"term"`
 }
 
-// RelayStatusRequest asks the holder of a target for the target's status.
+// RelayStatusRequest asks the holder of a target for the target's status, or for
+// its leadership proof of the target.
 type RelayStatusRequest struct {
 	// Group of the target.
 	Group string `json:"group" toml:"group"`
 
+	// ProofOnly is true if only the leadership proof of the daemon is wanted. A
+	// daemon of an older version answers with the status of the target and no proof.
+	ProofOnly bool `json:"proof_only" toml:"proof_only"`
+
 	// Target is the name of the target.
 	Target string `json:"target" toml:"target"`
 }
--- a/internal/engine/gate.go
+++ b/internal/engine/gate.go
@@ -372,13 +372,7 @@
 	if wait {
 		h.group.awaitProof(h.member, h.group.presumedTerm(), since, time.Now().Add(gateProofWait))
 	}
-	h.group.mu.Lock()
-	defer h.group.mu.Unlock()
-	now := clock.SinceBoot()
-	if h.group.members[h.group.primary] != h.member || h.group.provenUntil <= now {
-		return 0, 0
-	}
-	return h.group.term, now - (h.group.provenUntil - leadership.ProofValidity)
+	return h.group.proofOf(h.member.name)
 }
 
 // confirm reports whether a commit of the target in a term is confirmed in time.
--- a/internal/engine/group.go
+++ b/internal/engine/group.go
@@ -134,6 +134,8 @@
 	// promotionLock is Options.PromotionLock, and recordReads what is known of the reads of its record.
 	promotionLock PromotionLock
 	recordReads   recordReads
+	// peerProofs is what is known of the questions to the other daemons for their proofs.
+	peerProofs peerProofs
 	// proofOrigin is what gave that proof, and proofLog what was logged of proofs.
 	proofOrigin proofOrigin
 	proofLog    proofLog
--- a/internal/engine/proof.go
+++ b/internal/engine/proof.go
@@ -126,7 +126,7 @@
 	g.applyProof()
 	renewed := g.provenUntil >= began+leadership.ProofValidity
 	if !renewed && g.provenUntil <= clock.SinceBoot() {
-		g.requestRecord()
+		g.requestPeerProof()
 	}
 	if !renewed {
 		g.logProofMissing(len(targets), len(statuses))
--- a/internal/engine/relay.go
+++ b/internal/engine/relay.go
@@ -264,12 +264,18 @@
 	g.mu.Lock()
 	defer g.mu.Unlock()
 	m.reportedLoad, m.reportedAt = reply.Load, clock.SinceBoot()
-	isOfTarget := reply.Group == g.name && reply.Target == m.name
-	isProof := reply.ProofTerm != 0 && reply.ProofChained
-	if !isOfTarget || !isProof || reply.ProofTerm != g.term || m.name != g.primary {
+	if reply.Group == g.name && reply.Target == m.name && reply.ProofChained {
+		g.recordPeerProof(m, address, reply.ProofTerm, askedAt-time.Duration(reply.ProofAgeUs)*time.Microsecond)
+	}
+}
+
+// recordPeerProof records the leadership proof of a target in a term that the daemon at an address has told. The caller holds
+// the lock.
+func (g *group) recordPeerProof(m *member, address string, term uint64, at time.Duration) {
+	if term == 0 || term != g.term || m.name != g.primary {
 		return
 	}
-	if g.recordProof(proofOrigin{proofOfHolder, m.name}, askedAt-time.Duration(reply.ProofAgeUs)*time.Microsecond) {
+	if g.recordProof(proofOrigin{proofOfHolder, m.name}, at) {
 		g.proofHolder = address
 	}
 }
--- a/internal/engine/relaysession.go
+++ b/internal/engine/relaysession.go
@@ -254,6 +254,9 @@
 // Status returns the status of a target that this daemon holds, also while it stops: others may reach the target
 // through it alone, as it has connections there.
 func (s *RelaySession) Status(request *api.RelayStatusRequest) *api.RelayStatusReply {
+	if request.ProofOnly {
+		return s.proof(request)
+	}
 	h, refused := s.engine.knownGate(request.Group, request.Target)
 	if refused != nil {
 		return &api.RelayStatusReply{Reason: refused.Error()}
@@ -282,7 +285,7 @@
 	g, ok := e.groups[groupName]
 	e.mu.Unlock()
 	if !ok {
-		return nil, result.Errorf(result.NotRunNotHolder, "group %q is not known here", groupName)
+		return nil, errGroupUnknown(groupName)
 	}
 	g.mu.Lock()
 	m, ok := g.members[target]
@@ -292,3 +295,8 @@
 	}
 	return g.gateOf(m), nil
 }
+
+// errGroupUnknown returns the refusal of a request for a group that this daemon does not know.
+func errGroupUnknown(name string) error {
+	return result.Errorf(result.NotRunNotHolder, "group %q is not known here", name)
+}
