Promotion lock: the wait for a hold begins with the first look at its record

The groups have no primary for 8 s after the machines are back, before anything else goes wrong: 3 s until the entries are known, and then 5 s for the lock, whose record names a daemon of before.

Cause: the 5 s counted from the first attempt to acquire the lock, which a daemon makes only once the entries have been followed for 3 s. Nothing in the wait needs the entries.

Change: a daemon that has to promote and does not know the entries yet reads the record of the lock. The time for which the record has been the same counts from there.

Why it is safe: whoever wrote the record that is seen holds the lock for 4 s at most from before that write, which was before the look; the reserve is as before. A record that changes meanwhile begins the wait anew (TestWaitForAHoldBeginsWithTheFirstLook).

--- a/internal/engine/interfaces.go
+++ b/internal/engine/interfaces.go
@@ -68,6 +68,8 @@
 type PromotionLock interface {
 	// Acquire returns the fencing token of the lock and the time of the boot clock until which it is held.
 	Acquire(ctx context.Context, group string) (token uint64, until time.Duration, err error)
+	// Observe reads the record of the lock, so that the wait for the end of a hold that it names begins.
+	Observe(ctx context.Context, group string) error
 	// Release releases the lock. The term is that to which the last promotion ordered under it led, 0 if the outcome of
 	// an order is unknown, and takeover.NothingOrdered if none was sent.
 	Release(ctx context.Context, group string, term uint64)
--- a/internal/engine/lateorder_test.go
+++ b/internal/engine/lateorder_test.go
@@ -67,6 +67,8 @@
 	w.releases++
 }
 
+func (*promotedGroup) Observe(context.Context, string) error { return nil }
+
 func (w *promotedGroup) SettledTerm(context.Context, string) (uint64, error) { return 0, errNoAnswer }
 
 func (w *promotedGroup) Promote(_ context.Context, _, target string, _ uint64) error {
--- a/internal/engine/lockproof_test.go
+++ b/internal/engine/lockproof_test.go
@@ -30,6 +30,8 @@
 	l.released = append(l.released, term)
 }
 
+func (*settledLock) Observe(context.Context, string) error { return nil }
+
 func (l *settledLock) SettledTerm(context.Context, string) (uint64, error) {
 	l.reads++
 	return l.term, l.err
--- a/internal/engine/lostreplica_test.go
+++ b/internal/engine/lostreplica_test.go
@@ -80,6 +80,8 @@
 
 func (heldLock) Release(context.Context, string, uint64) {}
 
+func (heldLock) Observe(context.Context, string) error { return nil }
+
 func (heldLock) SettledTerm(context.Context, string) (uint64, error) { return 0, errNoAnswer }
 
 // TestLossesFromBeforeTheStartAreKnown guards against a daemon that promotes a replica without the commits that one had
--- a/internal/engine/promote.go
+++ b/internal/engine/promote.go
@@ -97,7 +97,9 @@
 	}
 	defer p.closeJoined()
 	if !e.isDirectorySettled() {
-		p.log().Info(logevent.DirectoryNotSettled)
+		// The wait for the end of a hold of another daemon, or of an earlier start of this one, begins now.
+		err := e.options.PromotionLock.Observe(e.ctx, g.name)
+		p.log().WithField(logfield.Error, err).Info(logevent.DirectoryNotSettled)
 		return
 	}
 	token, lockedUntil, err := e.options.PromotionLock.Acquire(e.ctx, g.name)
--- a/internal/engine/sampleproof_test.go
+++ b/internal/engine/sampleproof_test.go
@@ -45,6 +45,8 @@
 	began time.Duration
 }
 
+func (*slowRecord) Observe(context.Context, string) error { return nil }
+
 func (l *slowRecord) SettledTerm(context.Context, string) (uint64, error) {
 	l.began = clock.SinceBoot()
 	time.Sleep(time.Millisecond)
--- a/internal/engine/stop_test.go
+++ b/internal/engine/stop_test.go
@@ -25,6 +25,8 @@
 
 func (l *recordingLock) Release(ctx context.Context, _ string, _ uint64) { l.released <- ctx.Err() }
 
+func (*recordingLock) Observe(context.Context, string) error { return nil }
+
 func (l *recordingLock) SettledTerm(context.Context, string) (uint64, error) {
 	return 0, errHeldElsewhere
 }
@@ -83,6 +85,8 @@
 
 func (l *countingLock) Release(context.Context, string, uint64) {}
 
+func (*countingLock) Observe(context.Context, string) error { return nil }
+
 func (l *countingLock) SettledTerm(context.Context, string) (uint64, error) {
 	return 0, errHeldElsewhere
 }
--- a/internal/promotionlock/promotionlock.go
+++ b/internal/promotionlock/promotionlock.go
@@ -139,6 +139,21 @@
 	return l.of(group).acquire(ctx)
 }
 
+// Observe reads the record of a group. If it names a holder, the wait until the lock may be acquired nevertheless begins, and
+// not with the first attempt to acquire it.
+func (l *Locks) Observe(ctx context.Context, group string) error {
+	observed := l.of(group)
+	observed.mu.Lock()
+	defer observed.mu.Unlock()
+	ctx, cancel := context.WithTimeout(ctx, storeTimeout)
+	defer cancel()
+	record, err := observed.read(ctx)
+	if err == nil {
+		observed.observed.age(record, l.now())
+	}
+	return err
+}
+
 // Release releases the lock of a group. A failure is only logged, because the lock expires anyway. The term is that to
 // which the last promotion ordered under the lock led, 0 if the outcome of an order is unknown, and
 // takeover.NothingOrdered if none was sent.
--- a/internal/promotionlock/promotionlock_test.go
+++ b/internal/promotionlock/promotionlock_test.go
@@ -378,3 +378,44 @@
 		t.Errorf("after another hold: got term %d, %v, want ErrNotSettled", term, err)
 	}
 }
+
+// TestWaitForAHoldBeginsWithTheFirstLook guards against a group without a primary for longer than the hold of a daemon that
+// has ended, because the wait began with the first attempt to acquire the lock.
+func TestWaitForAHoldBeginsWithTheFirstLook(t *testing.T) {
+	for _, looks := range []bool{true, false} {
+		now := time.Minute
+		store := &memoryStore{}
+		holder, other := New(store, store, "daemon-1"), New(store, store, "daemon-2")
+		holder.now = func() time.Duration { return now }
+		other.now = holder.now
+		ctx := context.Background()
+		if _, _, err := holder.Acquire(ctx, group); err != nil {
+			t.Fatal(err)
+		}
+		if looks {
+			if err := other.Observe(ctx, group); err != nil {
+				t.Fatal(err)
+			}
+		}
+		now += takeoverDelay
+		if _, _, err := other.Acquire(ctx, group); (err == nil) != looks {
+			t.Errorf("looked at %s before: got %v after %s, want the lock only if the wait began then", takeoverDelay, err, takeoverDelay)
+		}
+	}
+	now := time.Minute
+	store := &memoryStore{}
+	holder, other := New(store, store, "daemon-1"), New(store, store, "daemon-2")
+	holder.now = func() time.Duration { return now }
+	other.now = holder.now
+	ctx := context.Background()
+	if err := other.Observe(ctx, group); err != nil {
+		t.Fatal(err)
+	}
+	now += takeoverDelay
+	if _, _, err := holder.Acquire(ctx, group); err != nil {
+		t.Fatal(err)
+	}
+	if _, _, err := other.Acquire(ctx, group); !errors.Is(err, ErrHeld) {
+		t.Errorf("acquired after the look: got %v, want %v", err, ErrHeld)
+	}
+}
