Promotions: an old primary that has stepped down and ends is no lost replica

Cause: a replica that is gone blocks promotions for 30 s unless another one has its log. The old primary had one commit more than all others, one that had waited for a replica when it stepped down, and ended as planned: witness_lost held=1/418 received=1/417. A daemon that has just started cannot tell a primary that has stepped down from a replica of its term.

Change: the record of the promotion lock states the primary that is replaced and its term, in the write that acquires the lock, and later holders keep it. While no target has led a later term, a promotion does not wait for that primary as for a lost replica.

Why it works: since a commit is passed on only once a listed replica has it, each commit of the term that a caller was told of is held by another listed target; what the old primary alone has was never confirmed. Once a target has led since, the old primary may have followed it, and counts as before.

--- a/api/types.gen.go
+++ b/api/types.gen.go
@@ -200,6 +200,13 @@
 	// Holder is the name of the daemon that holds the lock; empty when it is free.
 	Holder string `json:"holder" toml:"holder"`
 
+	// OldPrimary is the last primary that is known to be replaced under the lock;
+	// empty if none is, as in the records of older daemons.
+	OldPrimary string `json:"old_primary" toml:"old_primary"`
+
+	// OldTerm is the term that the old primary led.
+	OldTerm uint64 `json:"old_term" toml:"old_term"`
+
 	// Term is the term to which the last promotion under the lock led, if that was
 	// finished and the lock is free; 0, as in the records of older daemons, when it
 	// is not known.
--- a/internal/engine/group.go
+++ b/internal/engine/group.go
@@ -325,8 +325,12 @@
 	g.markUnsettled(unsettledRemoved)
 	g.health.Forget(name)
 	g.keepPosition(name, clock.SinceBoot())
-	if name != g.primary && g.lostReplicas.MarkLost(name, g.statuses[name], g.longestLogBeside(name), clock.SinceBoot()) {
-		g.log().WithField(logfield.Target, name).Info(logevent.WitnessLost)
+	last, received := g.statuses[name], g.longestLogBeside(name)
+	if name != g.primary && g.lostReplicas.MarkLost(name, last, received, clock.SinceBoot()) {
+		g.log().WithFields(logrus.Fields{
+			logfield.Target: name, logfield.Held: last.Received, logfield.Received: received, logfield.Paused: last.IsPaused(),
+			logfield.Age: clock.SinceBoot() - last.AskedAt,
+		}).Info(logevent.WitnessLost)
 		signal(g.lossesChanged)
 	}
 	delete(g.statuses, name)
--- a/internal/engine/interfaces.go
+++ b/internal/engine/interfaces.go
@@ -6,6 +6,7 @@
 	"time"
 
 	"github.com/papayacove/papayacove/api"
+	"github.com/papayacove/papayacove/internal/policy/takeover"
 )
 
 // Caller is the connection of one session.
@@ -66,8 +67,8 @@
 
 // PromotionLock is the lock that a daemon must hold to order promotions of a group. One daemon holds it at a time.
 type PromotionLock interface {
-	// Acquire returns the fencing token of the lock and the time of the boot clock until which it is held.
-	Acquire(ctx context.Context, group string) (token uint64, until time.Duration, err error)
+	// Acquire acquires the lock. old is the primary to be replaced under it, if it is known.
+	Acquire(ctx context.Context, group string, old takeover.OldPrimary) (takeover.Hold, error)
 	// Observe reads the record of the lock, so that the wait for the end of a hold that it names begins.
 	Observe(ctx context.Context, group string) error
 	// Release releases the lock. The term is that to which the last promotion ordered under it led, 0 if the outcome of
--- a/internal/engine/lateorder_test.go
+++ b/internal/engine/lateorder_test.go
@@ -58,8 +58,8 @@
 	return w
 }
 
-func (w *promotedGroup) Acquire(context.Context, string) (uint64, time.Duration, error) {
-	return 1, clock.SinceBoot() + w.lockedFor, nil
+func (w *promotedGroup) Acquire(context.Context, string, takeover.OldPrimary) (takeover.Hold, error) {
+	return takeover.Hold{Token: 1, Until: clock.SinceBoot() + w.lockedFor}, nil
 }
 
 func (w *promotedGroup) Release(_ context.Context, _ string, term uint64) {
--- a/internal/engine/lockproof_test.go
+++ b/internal/engine/lockproof_test.go
@@ -22,8 +22,8 @@
 	released []uint64
 }
 
-func (l *settledLock) Acquire(context.Context, string) (uint64, time.Duration, error) {
-	return 1, clock.SinceBoot() + time.Minute, nil
+func (l *settledLock) Acquire(context.Context, string, takeover.OldPrimary) (takeover.Hold, error) {
+	return takeover.Hold{Token: 1, Until: clock.SinceBoot() + time.Minute}, nil
 }
 
 func (l *settledLock) Release(_ context.Context, _ string, term uint64) {
--- a/internal/engine/lostreplica_test.go
+++ b/internal/engine/lostreplica_test.go
@@ -74,8 +74,8 @@
 // heldLock is a promotion lock that another daemon holds.
 type heldLock struct{}
 
-func (heldLock) Acquire(context.Context, string) (uint64, time.Duration, error) {
-	return 0, 0, errNoAnswer
+func (heldLock) Acquire(context.Context, string, takeover.OldPrimary) (takeover.Hold, error) {
+	return takeover.Hold{}, errNoAnswer
 }
 
 func (heldLock) Release(context.Context, string, uint64) {}
--- a/internal/engine/promote.go
+++ b/internal/engine/promote.go
@@ -45,6 +45,9 @@
 
 	token       uint64
 	lockedUntil time.Duration
+	// lastOld is the last primary that is known to be replaced under the lock, newestTerm the newest term of the targets.
+	lastOld    takeover.OldPrimary
+	newestTerm uint64
 	// old is the name of the primary to replace; empty for none.
 	old string
 	// oldStillLeads is true when the old primary reports that it leads, and no target reports a later term.
@@ -102,13 +105,13 @@
 		p.log().WithField(logfield.Error, err).Info(logevent.DirectoryNotSettled)
 		return
 	}
-	token, lockedUntil, err := e.options.PromotionLock.Acquire(e.ctx, g.name)
+	hold, err := e.options.PromotionLock.Acquire(e.ctx, g.name, takeover.OldPrimary{Name: p.old, Term: p.oldTerm})
 	if err != nil {
 		p.log().WithField(logfield.Error, err).Info(logevent.PromotionNotStarted)
 		return
 	}
 	defer p.release()
-	p.token, p.lockedUntil = token, lockedUntil
+	p.token, p.lockedUntil, p.lastOld = hold.Token, hold.Until, hold.Old
 	p.copyMembers()
 	if _, err := p.addListed(); err != nil {
 		p.log().WithField(logfield.Error, err).Info(logevent.PromotionNotStarted)
@@ -197,8 +200,10 @@
 	}
 	p.oldStillLeads = found && leader == p.old
 	for _, s := range statuses {
+		p.newestTerm = max(p.newestTerm, s.Term)
 		p.term = max(p.term, s.Term+1, s.PausedTerm)
 	}
+	p.newestTerm = max(p.newestTerm, now.term)
 	p.term = max(p.term, now.term+1)
 	switch p.reason {
 	case takeover.ReasonLeaving:
@@ -313,7 +318,7 @@
 		lost = p.group.lostReplicas.All()
 	}
 	p.group.mu.Unlock()
-	names := slices.AppendSeq(lost, maps.Keys(p.members))
+	names := slices.AppendSeq(takeover.Awaited(lost, p.lastOld, p.newestTerm), maps.Keys(p.members))
 	slices.Sort(names)
 	return slices.DeleteFunc(names, func(name string) bool { return name == p.old })
 }
--- a/internal/engine/stop_test.go
+++ b/internal/engine/stop_test.go
@@ -18,9 +18,9 @@
 	released chan error
 }
 
-func (l *recordingLock) Acquire(context.Context, string) (uint64, time.Duration, error) {
+func (l *recordingLock) Acquire(context.Context, string, takeover.OldPrimary) (takeover.Hold, error) {
 	close(l.acquired)
-	return 1, clock.SinceBoot() + time.Minute, nil
+	return takeover.Hold{Token: 1, Until: clock.SinceBoot() + time.Minute}, nil
 }
 
 func (l *recordingLock) Release(ctx context.Context, _ string, _ uint64) { l.released <- ctx.Err() }
@@ -78,9 +78,9 @@
 // countingLock counts attempts.
 type countingLock struct{ attempts int }
 
-func (l *countingLock) Acquire(context.Context, string) (uint64, time.Duration, error) {
+func (l *countingLock) Acquire(context.Context, string, takeover.OldPrimary) (takeover.Hold, error) {
 	l.attempts++
-	return 0, 0, errHeldElsewhere
+	return takeover.Hold{}, errHeldElsewhere
 }
 
 func (l *countingLock) Release(context.Context, string, uint64) {}
--- a/internal/promotionlock/model_test.go
+++ b/internal/promotionlock/model_test.go
@@ -105,7 +105,7 @@
 
 func (m *lockModel) acquire() {
 	daemon := rapid.IntRange(0, len(m.locks)-1).Draw(m.t, "daemon")
-	token, until, err := m.locks[daemon].Acquire(context.Background(), group)
+	token, until, err := acquireLock(context.Background(), m.locks[daemon])
 	if err != nil {
 		return
 	}
--- a/internal/promotionlock/promotionlock.go
+++ b/internal/promotionlock/promotionlock.go
@@ -91,6 +91,8 @@
 	// known.
 	before      api.Object
 	settledTerm uint64
+	// old is the primary that the record of the hold states.
+	old takeover.OldPrimary
 	// unsettled is a record that states no term.
 	unsettled sighting
 	// hasTried is true once this start of the daemon has written that it holds the lock. Before, a record with its name is
@@ -133,10 +135,10 @@
 	return known
 }
 
-// Acquire acquires the lock of a group and returns its fencing token and the time, of the boot clock, until which it is
-// held. It fails with ErrHeld if another daemon holds the lock or may hold it.
-func (l *Locks) Acquire(ctx context.Context, group string) (uint64, time.Duration, error) {
-	return l.of(group).acquire(ctx)
+// Acquire acquires the lock of a group. The record states the primary to be replaced, or goes on with that of the last
+// hold if old is empty. It fails with ErrHeld if another daemon holds the lock or may hold it.
+func (l *Locks) Acquire(ctx context.Context, group string, old takeover.OldPrimary) (takeover.Hold, error) {
+	return l.of(group).acquire(ctx, old)
 }
 
 // Observe reads the record of a group. If it names a holder, the wait until the lock may be acquired nevertheless begins, and
@@ -197,32 +199,37 @@
 	return stored.Term
 }
 
-func (l *lock) acquire(ctx context.Context) (uint64, time.Duration, error) {
+func (l *lock) acquire(ctx context.Context, old takeover.OldPrimary) (takeover.Hold, error) {
 	l.mu.Lock()
 	defer l.mu.Unlock()
 	ctx, cancel := context.WithTimeout(ctx, storeTimeout)
 	defer cancel()
 	record, err := l.read(ctx)
 	if err != nil {
-		return 0, 0, err
+		return takeover.Hold{}, err
 	}
 	stored, err := l.check(record)
 	if err != nil {
-		return 0, 0, err
+		return takeover.Hold{}, err
+	}
+	if old.Name == "" {
+		old = takeover.OldPrimary{Name: stored.OldPrimary, Term: stored.OldTerm}
 	}
 	l.hasTried = true
 	sentAt := l.now()
-	held, err := l.write(ctx, record, api.DutyRecord{Holder: l.holder})
+	held, err := l.write(ctx, record, api.DutyRecord{Holder: l.holder, OldPrimary: old.Name, OldTerm: old.Term})
 	if err != nil {
-		return 0, 0, err
+		return takeover.Hold{}, err
 	}
 	token, err := tokenOf(held)
 	if err != nil {
-		return 0, 0, err
+		return takeover.Hold{}, err
 	}
-	l.held, l.before, l.settledTerm = held, record, settledTermOf(record, stored)
-	logrus.WithFields(logrus.Fields{logfield.Group: l.group, logfield.Token: token, logfield.Era: held.Era}).Info(logevent.DutyTaken)
-	return token, sentAt + Validity, nil
+	l.held, l.before, l.settledTerm, l.old = held, record, settledTermOf(record, stored), old
+	logrus.WithFields(logrus.Fields{
+		logfield.Group: l.group, logfield.Token: token, logfield.Era: held.Era, logfield.OldPrimary: old.Name, logfield.Term: old.Term,
+	}).Info(logevent.DutyTaken)
+	return takeover.Hold{Token: token, Until: sentAt + Validity, Old: old}, nil
 }
 
 // tokenOf returns the fencing token of a hold.
@@ -288,6 +295,9 @@
 		Holder *string `json:"holder"`
 		Era    *uint64 `json:"era"`
 		Term   uint64  `json:"term"`
+
+		OldPrimary string `json:"old_primary"`
+		OldTerm    uint64 `json:"old_term"`
 	}
 	if err := json.Unmarshal(record.Data, &stored); err != nil {
 		return api.DutyRecord{}, err
@@ -295,7 +305,9 @@
 	if stored.Holder == nil || stored.Era == nil {
 		return api.DutyRecord{}, errNoDutyRecord
 	}
-	return api.DutyRecord{Holder: *stored.Holder, Era: *stored.Era, Term: stored.Term}, nil
+	return api.DutyRecord{
+		Holder: *stored.Holder, Era: *stored.Era, Term: stored.Term, OldPrimary: stored.OldPrimary, OldTerm: stored.OldTerm,
+	}, nil
 }
 
 // write stores the holder, empty for none, and the term of a duty, and returns the record. It fails with ErrHeld if the
--- a/internal/promotionlock/promotionlock_test.go
+++ b/internal/promotionlock/promotionlock_test.go
@@ -104,15 +104,15 @@
 	store := &memoryStore{}
 	first, second := New(store, store, "daemon-1"), New(store, store, "daemon-2")
 	ctx := context.Background()
-	token, until, err := first.Acquire(ctx, group)
+	token, until, err := acquireLock(ctx, first)
 	if err != nil || until <= clock.SinceBoot() {
 		t.Fatal(token, until, err)
 	}
-	if _, _, err := second.Acquire(ctx, group); !errors.Is(err, ErrHeld) {
+	if _, _, err := acquireLock(ctx, second); !errors.Is(err, ErrHeld) {
 		t.Errorf("while another daemon holds the lock: got %v, want ErrHeld", err)
 	}
 	first.Release(ctx, group, takeover.NothingOrdered)
-	later, _, err := second.Acquire(ctx, group)
+	later, _, err := acquireLock(ctx, second)
 	if err != nil || later <= token {
 		t.Errorf("after the release: got token %d after %d, %v, want a higher one", later, token, err)
 	}
@@ -123,7 +123,7 @@
 func TestLockIsAcquiredAlthoughStoreAnswerIsLost(t *testing.T) {
 	store := &memoryStore{loseAnswers: 1}
 	lock := New(store, store, "daemon-1")
-	token, _, err := lock.Acquire(context.Background(), group)
+	token, _, err := acquireLock(context.Background(), lock)
 	if err != nil || token != store.version {
 		t.Errorf("got token %d with version %d, %v, want the version as token", token, store.version, err)
 	}
@@ -137,19 +137,19 @@
 	lost.now = func() time.Duration { return now }
 	next.now = lost.now
 	ctx := context.Background()
-	token, _, err := lost.Acquire(ctx, group)
+	token, _, err := acquireLock(ctx, lost)
 	if err != nil {
 		t.Fatal(err)
 	}
-	if _, _, err := next.Acquire(ctx, group); !errors.Is(err, ErrHeld) {
+	if _, _, err := acquireLock(ctx, next); !errors.Is(err, ErrHeld) {
 		t.Fatal(err)
 	}
 	now += Validity
-	if _, _, err := next.Acquire(ctx, group); !errors.Is(err, ErrHeld) {
+	if _, _, err := acquireLock(ctx, next); !errors.Is(err, ErrHeld) {
 		t.Errorf("while the holder's last order may be in transit: got %v, want ErrHeld", err)
 	}
 	now += takeoverDelay - Validity
-	later, _, err := next.Acquire(ctx, group)
+	later, _, err := acquireLock(ctx, next)
 	if err != nil || later <= token {
 		t.Errorf("got token %d after %d, %v, want a higher one", later, token, err)
 	}
@@ -164,19 +164,19 @@
 	earlier, restarted := New(store, store, "daemon-1"), New(store, store, "daemon-1")
 	earlier.now, restarted.now = clockOf, clockOf
 	ctx := context.Background()
-	token, _, err := earlier.Acquire(ctx, group)
+	token, _, err := acquireLock(ctx, earlier)
 	if err != nil {
 		t.Fatal(err)
 	}
-	if later, _, err := restarted.Acquire(ctx, group); !errors.Is(err, ErrHeld) {
+	if later, _, err := acquireLock(ctx, restarted); !errors.Is(err, ErrHeld) {
 		t.Errorf("right after the restart: got token %d, %v, want ErrHeld", later, err)
 	}
 	now += takeoverDelay
-	later, _, err := restarted.Acquire(ctx, group)
+	later, _, err := acquireLock(ctx, restarted)
 	if err != nil || later <= token {
 		t.Errorf("after the takeover delay: got token %d after %d, %v, want a higher one", later, token, err)
 	}
-	if again, _, err := restarted.Acquire(ctx, group); err != nil || again <= later {
+	if again, _, err := acquireLock(ctx, restarted); err != nil || again <= later {
 		t.Errorf("while it holds the lock: got token %d after %d, %v, want a higher one", again, later, err)
 	}
 }
@@ -190,22 +190,22 @@
 	holder.now = func() time.Duration { return now }
 	other.now = holder.now
 	ctx := context.Background()
-	if _, _, err := other.Acquire(ctx, group); err != nil {
+	if _, _, err := acquireLock(ctx, other); err != nil {
 		t.Fatal(err)
 	}
 	other.Release(ctx, group, takeover.NothingOrdered)
 	version, data := store.version, store.data
-	token, until, err := holder.Acquire(ctx, group)
+	token, until, err := acquireLock(ctx, holder)
 	if err != nil {
 		t.Fatal(err)
 	}
 	now += time.Second
 	store.version, store.data, store.era, store.eraSince = version, data, 2, now
-	if _, _, err := other.Acquire(ctx, group); !errors.Is(err, ErrHeld) {
+	if _, _, err := acquireLock(ctx, other); !errors.Is(err, ErrHeld) {
 		t.Errorf("right after the restore: got %v, want ErrHeld because the holder may act until %s", err, until)
 	}
 	now += takeoverDelay
-	later, _, err := other.Acquire(ctx, group)
+	later, _, err := acquireLock(ctx, other)
 	if err != nil || later <= token || now <= until {
 		t.Errorf("after the takeover delay: got token %d after %d, %v, want a higher one", later, token, err)
 	}
@@ -232,7 +232,7 @@
 			store.era, store.eraSince = 2, now
 		}
 	}
-	if token, _, err := lock.Acquire(context.Background(), group); !errors.Is(err, ErrHeld) {
+	if token, _, err := acquireLock(context.Background(), lock); !errors.Is(err, ErrHeld) {
 		t.Errorf("got token %d, %v, want ErrHeld", token, err)
 	}
 }
@@ -248,7 +248,7 @@
 	ctx := t.Context()
 	acquire := func(l *Locks) {
 		t.Helper()
-		if _, _, err := l.Acquire(ctx, group); err != nil {
+		if _, _, err := acquireLock(ctx, l); err != nil {
 			t.Fatal(err)
 		}
 	}
@@ -275,7 +275,7 @@
 	acquire(first)
 	first.Release(ctx, group, 8)
 	acquire(first)
-	if _, _, err := second.Acquire(ctx, group); !errors.Is(err, ErrHeld) {
+	if _, _, err := acquireLock(ctx, second); !errors.Is(err, ErrHeld) {
 		t.Fatal(err)
 	}
 	now += takeoverDelay
@@ -328,7 +328,7 @@
 	if term, err := first.SettledTerm(ctx, group); term != 1 || err != nil {
 		t.Errorf("when it is settled: got term %d, %v, want the same", term, err)
 	}
-	if _, _, err := first.Acquire(ctx, group); err != nil {
+	if _, _, err := acquireLock(ctx, first); err != nil {
 		t.Fatal(err)
 	}
 	first.Release(ctx, group, 0)
@@ -365,7 +365,7 @@
 		}
 		if reads++; reads == 2 {
 			store.beforeCall = nil
-			if _, _, err := first.Acquire(ctx, group); err != nil {
+			if _, _, err := acquireLock(ctx, first); err != nil {
 				t.Errorf("the other daemon: got %v, want the lock", err)
 			}
 			first.Release(ctx, group, 0)
@@ -389,7 +389,7 @@
 		holder.now = func() time.Duration { return now }
 		other.now = holder.now
 		ctx := context.Background()
-		if _, _, err := holder.Acquire(ctx, group); err != nil {
+		if _, _, err := acquireLock(ctx, holder); err != nil {
 			t.Fatal(err)
 		}
 		if looks {
@@ -398,7 +398,7 @@
 			}
 		}
 		now += takeoverDelay
-		if _, _, err := other.Acquire(ctx, group); (err == nil) != looks {
+		if _, _, err := acquireLock(ctx, other); (err == nil) != looks {
 			t.Errorf("looked at %s before: got %v after %s, want the lock only if the wait began then", takeoverDelay, err, takeoverDelay)
 		}
 	}
@@ -412,10 +412,35 @@
 		t.Fatal(err)
 	}
 	now += takeoverDelay
-	if _, _, err := holder.Acquire(ctx, group); err != nil {
+	if _, _, err := acquireLock(ctx, holder); err != nil {
 		t.Fatal(err)
 	}
-	if _, _, err := other.Acquire(ctx, group); !errors.Is(err, ErrHeld) {
+	if _, _, err := acquireLock(ctx, other); !errors.Is(err, ErrHeld) {
 		t.Errorf("acquired after the look: got %v, want %v", err, ErrHeld)
 	}
 }
+
+// acquireLock acquires the lock without a known primary to replace.
+func acquireLock(ctx context.Context, l *Locks) (token uint64, until time.Duration, err error) {
+	hold, err := l.Acquire(ctx, group, takeover.OldPrimary{})
+	return hold.Token, hold.Until, err
+}
+
+// TestRecordStatesTheOldPrimary guards against a daemon that has just started and takes the old primary, which has stepped
+// down and ended, for a lost replica: the primary that a promotion replaces is known to later holders, until another one is
+// replaced.
+func TestRecordStatesTheOldPrimary(t *testing.T) {
+	store := &memoryStore{}
+	ctx, old := context.Background(), takeover.OldPrimary{Name: "a", Term: 3}
+	for i, c := range []struct{ given, want takeover.OldPrimary }{
+		{takeover.OldPrimary{}, takeover.OldPrimary{}}, {old, old}, {takeover.OldPrimary{}, old}, {takeover.OldPrimary{}, old},
+		{takeover.OldPrimary{Name: "b", Term: 4}, takeover.OldPrimary{Name: "b", Term: 4}},
+	} {
+		locks := New(store, store, fmt.Sprintf("daemon-%d", i))
+		hold, err := locks.Acquire(ctx, group, c.given)
+		if err != nil || hold.Old != c.want {
+			t.Errorf("hold %d for %+v: got %+v, %v, want the old primary %+v", i, c.given, hold.Old, err, c.want)
+		}
+		locks.Release(ctx, group, takeover.NothingOrdered)
+	}
+}
--- a/internal/promotionlock/release.go
+++ b/internal/promotionlock/release.go
@@ -48,7 +48,7 @@
 	}
 	ctx, cancel := context.WithTimeout(ctx, storeTimeout)
 	defer cancel()
-	if _, err := l.write(ctx, held, api.DutyRecord{Term: term}); err != nil {
+	if _, err := l.write(ctx, held, api.DutyRecord{Term: term, OldPrimary: l.old.Name, OldTerm: l.old.Term}); err != nil {
 		log.WithField(logfield.Error, err).Log(level, logevent.DutyNotReleased)
 		return errors.Is(err, ErrHeld)
 	}
--- a/internal/promotionlock/releaselater_test.go
+++ b/internal/promotionlock/releaselater_test.go
@@ -38,7 +38,7 @@
 	ctx := t.Context()
 	store := &failingStore{memoryStore: &memoryStore{}}
 	locks := New(store, store.memoryStore, "a")
-	if _, _, err := locks.Acquire(ctx, group); err != nil {
+	if _, _, err := acquireLock(ctx, locks); err != nil {
 		t.Fatal(err)
 	}
 	store.setFailing(true)
--- a/internal/promotionlock/settle.go
+++ b/internal/promotionlock/settle.go
@@ -20,7 +20,7 @@
 	if isSettled || err != nil {
 		return err
 	}
-	if _, _, err := l.acquire(ctx); err != nil {
+	if _, err := l.acquire(ctx, takeover.OldPrimary{}); err != nil {
 		return err
 	}
 	term, ok := prove()
--- a/internal/promotionlock/unreadable_test.go
+++ b/internal/promotionlock/unreadable_test.go
@@ -23,7 +23,7 @@
 		now := time.Minute
 		holder, other := New(store, store, "daemon-1"), New(store, store, "daemon-2")
 		holder.now, other.now = func() time.Duration { return now }, func() time.Duration { return now }
-		token, _, err := holder.Acquire(t.Context(), group)
+		token, _, err := acquireLock(t.Context(), holder)
 		if err != nil {
 			t.Fatal(err)
 		}
@@ -31,19 +31,19 @@
 		store.data = []byte(data)
 		if data == `{"holder":"","era":0,"change_id":7}` {
 			// It says that the lock is free; only its changes cannot be read.
-			if _, _, err := other.Acquire(t.Context(), group); err != nil {
+			if _, _, err := acquireLock(t.Context(), other); err != nil {
 				t.Errorf("%s: got error %v, want the lock", data, err)
 			}
 			continue
 		}
 		for _, wait := range []time.Duration{0, Validity} {
 			now += wait
-			if _, _, err := other.Acquire(t.Context(), group); !errors.Is(err, ErrHeld) {
+			if _, _, err := acquireLock(t.Context(), other); !errors.Is(err, ErrHeld) {
 				t.Errorf("%.40s, %s after it was seen: got error %v, want %v", data, wait, err, ErrHeld)
 			}
 		}
 		now += takeoverDelay - Validity
-		later, _, err := other.Acquire(t.Context(), group)
+		later, _, err := acquireLock(t.Context(), other)
 		if err != nil || later <= token {
 			t.Errorf("%.40s, when no hold can last any more: got token %d after %d, error %v, want a higher one", data, later, token, err)
 		}
