Proofs: only holders of a primary that answers ask each other for proofs

A group without a proof renews it every 50 ms at each daemon with a statement that waits; each of them would have asked two holders, ten times a second, also while the primary is silent and nobody can have a proof: at 1,000 daemons 20,000 questions a second for one group (counted from the intervals, not measured). A daemon that is no holder gets proofs with the replies of the holder, and asked in vain.

TestOnlyHoldersAskForProofs.

--- a/internal/engine/peerproof.go
+++ b/internal/engine/peerproof.go
@@ -35,19 +35,12 @@
 }
 
 // requestPeerProof asks the other holders of the primary for their leadership proof in the background, and reads the record
-// of the promotion lock if they have none: a daemon that has just started cannot start a chain of proofs from the targets,
-// while those that have served in its place have one. The caller holds the lock.
+// of the promotion lock if they have none: a holder that has just started cannot start a chain of proofs from the targets,
+// while those that have served in its place have one. A daemon that is no holder gets proofs with the replies of the
+// holder. The caller holds the lock.
 func (g *group) requestPeerProof() {
-	m, p := g.members[g.primary], &g.peerProofs
-	var addresses []string
-	if m != nil && g.mayUseHolders(m) {
-		for _, h := range g.holderOrder(m) {
-			if !h.isSelf && !g.peers.isAvoided(h.address) {
-				addresses = append(addresses, h.address)
-			}
-		}
-	}
-	now := clock.SinceBoot()
+	now, p := clock.SinceBoot(), &g.peerProofs
+	addresses := g.otherHolders(now)
 	if len(addresses) == 0 {
 		g.requestRecord()
 		return
@@ -56,9 +49,26 @@
 		return
 	}
 	p.running = true
+	m := g.members[g.primary]
 	g.inBackground(func() { g.proveByPeers(m, addresses) })
 }
 
+// otherHolders returns the addresses of the other daemons that may hold the primary, if this one holds it and it answers.
+// The caller holds the lock.
+func (g *group) otherHolders(now time.Duration) []string {
+	m := g.members[g.primary]
+	if m == nil || m.gate == nil || !g.mayUseHolders(m) || g.isPrimaryUnresponsive(now) {
+		return nil
+	}
+	var addresses []string
+	for _, h := range g.holderOrder(m) {
+		if !h.isSelf && !g.peers.isAvoided(h.address) {
+			addresses = append(addresses, h.address)
+		}
+	}
+	return addresses
+}
+
 // proveByPeers records the leadership proofs that the daemons at the addresses have of the primary.
 func (g *group) proveByPeers(m *member, addresses []string) {
 	var pending sync.WaitGroup
--- a/internal/engine/peerproof_test.go
+++ b/internal/engine/peerproof_test.go
@@ -92,3 +92,46 @@
 		}
 	}
 }
+
+// TestOnlyHoldersAskForProofs guards against questions of all daemons at once while a primary does not answer, or while
+// their holder has no proof.
+func TestOnlyHoldersAskForProofs(t *testing.T) {
+	holder, n := newStartedHolder(t, 0)
+	for _, c := range []struct {
+		name   string
+		engine *Engine
+		silent bool
+		want   int
+	}{
+		{"the holder", holder, false, 2}, {"the holder, the primary does not answer", holder, true, 0}, {"another daemon", otherThanHolders(n), false, 0},
+	} {
+		g := c.engine.groups["g"]
+		if c.engine == holder {
+			g.gateOf(g.members["a"])
+		}
+		g.mu.Lock()
+		if c.silent {
+			g.members["a"].avoidUntil = clock.SinceBoot() + time.Minute
+		}
+		got := g.otherHolders(clock.SinceBoot())
+		g.mu.Unlock()
+		if len(got) != c.want {
+			t.Errorf("%s: got %v to ask, want %d daemons", c.name, got, c.want)
+		}
+	}
+}
+
+// otherThanHolders returns an engine that does not hold the target.
+func otherThanHolders(n *relayNetwork) *Engine {
+	for _, e := range n.engines {
+		g := e.groups["g"]
+		isHolder := false
+		for _, h := range g.holdersOf(g.members["a"]) {
+			isHolder = isHolder || h.isSelf
+		}
+		if !isHolder {
+			return e
+		}
+	}
+	return nil
+}
