--- a/internal/engine/answers_test.go
+++ b/internal/engine/answers_test.go
@@ -141,12 +141,10 @@
 func newTestEngine(target *fakeTarget) *Engine {
 	e := New(Options{Zone: "z", Dialer: target, DrainTimeout: time.Hour})
 	e.Close()
-	e.configuration = Configuration{Version: 1, Routes: map[string]Route{
-		"d": {Name: "r", Database: "d", Group: "g", Consistency: ConsistencyStrict, Timeout: 50 * time.Millisecond, Objective: 20 * time.Millisecond},
-	}}
-	e.isConfigured = true
 	g := newGroup("g", e.options, func() bool { return true })
-	e.groups["g"] = g
+	e.use(Configuration{Version: 1, Routes: map[string]Route{
+		"d": {Name: "r", Database: "d", Group: "g", Consistency: ConsistencyStrict, Timeout: 50 * time.Millisecond, Objective: 20 * time.Millisecond},
+	}}, g)
 	g.setLimits(GroupLimits{MaxConnections: 4, SyncReplicas: 1}, daemonsNamed(1))
 	g.setTarget(Target{Name: "a", Group: "g", Slots: 2, Zone: "z"})
 	now := clock.SinceBoot()
@@ -156,6 +154,15 @@
 	return e
 }
 
+// use sets the configuration and adds a group, whose goroutines do not run. A goroutine of the engine that Close has told to
+// end may still read both.
+func (e *Engine) use(c Configuration, g *group) {
+	e.mu.Lock()
+	defer e.mu.Unlock()
+	e.configuration, e.isConfigured = c, true
+	e.groups[g.name] = g
+}
+
 // TestAnswersMatchEffects runs sessions against a target that refuses, loses commands and loses replies at any
 // time: a write takes effect at most once, one answered with success exactly once, and one answered with the
 // guarantee that nothing ran never.
--- a/internal/engine/relay_test.go
+++ b/internal/engine/relay_test.go
@@ -135,11 +135,9 @@
 	for _, d := range list {
 		e := New(Options{Name: d.Name, Zone: "z", Dialer: target, DrainTimeout: time.Hour, Peers: networkPeers{n, d.Name}})
 		e.Close()
-		e.configuration = Configuration{Version: 1, Routes: map[string]Route{"d": route}, Groups: map[string]GroupLimits{"g": limits}}
-		e.isConfigured = true
 		g := newGroup("g", e.options, func() bool { return true })
 		g.peers, g.inBackground = e.peers, atOnce
-		e.groups["g"] = g
+		e.use(Configuration{Version: 1, Routes: map[string]Route{"d": route}, Groups: map[string]GroupLimits{"g": limits}}, g)
 		g.setLimits(limits, newDaemonList(d.Name, list))
 		g.setTarget(Target{Name: "a", Group: "g", Slots: 2, Zone: "z"})
 		g.applyStatusRound(map[string]leadership.Status{"a": leads(1, 0, now)}, now)
