--- a/internal/engine/answers_test.go
+++ b/internal/engine/answers_test.go
@@ -154,8 +154,8 @@
 	return e
 }
 
-// use sets the configuration and adds a group, whose goroutines do not run. A goroutine of the engine that Close has told to
-// end may still read both.
+// use sets the configuration and adds a group, whose goroutines do not run. A goroutine of the engine that Close has
+// told to end may still read both.
 func (e *Engine) use(c Configuration, g *group) {
 	e.mu.Lock()
 	defer e.mu.Unlock()
--- a/internal/engine/commitproof.go
+++ b/internal/engine/commitproof.go
@@ -31,8 +31,8 @@
 	latest api.Position
 }
 
-// receiptCall is the state of a daemon's calls to a replica for the commits that it has received. Times are those of the
-// boot clock.
+// receiptCall is the state of a daemon's calls to a replica for the commits that it has received. Times are those of
+// the boot clock.
 type receiptCall struct {
 	// askedAt is the time at which the call in progress began; 0 for none.
 	askedAt time.Duration
@@ -55,10 +55,10 @@
 	*c = receiptCall{retryAt: now + retry, misses: c.misses + 1}
 }
 
-// awaitCommit waits until the commit of an outcome at m is confirmed: a replica that each promotion asks has it, and m is
-// proved to lead the term. The acknowledgement alone is not enough, because the replica that received the commit may be
-// one that no promoter knows. It returns false as awaitProof does. It is true at once if the holder of m has confirmed the
-// commit, or if commits wait for no replica.
+// awaitCommit waits until the commit of an outcome at m is confirmed: a replica that each promotion asks has it, and m
+// is proved to lead the term. The acknowledgement alone is not enough, because the replica that received the commit may
+// be one that no promoter knows. It returns false as awaitProof does. It is true at once if the holder of m has
+// confirmed the commit, or if commits wait for no replica.
 func (g *group) awaitCommit(m *member, term uint64, outcome attemptResult, deadline time.Time) bool {
 	if outcome.confirmed || !g.waitsForReplica() {
 		return true
@@ -100,11 +100,12 @@
 	}
 }
 
-// needsAllReceipts reports whether all replicas have to have a commit: the daemon has not followed their entries for so long
-// that promoters elsewhere may have given one of them up. The caller holds the lock.
+// needsAllReceipts reports whether all replicas have to have a commit: the daemon has not followed their entries for so
+// long that promoters elsewhere may have given one of them up. The caller holds the lock.
 func (g *group) needsAllReceipts() bool { return g.directoryFailingFor() >= maxUnlistedChain }
 
-// isConfirmed reports whether replicas that each promotion asks have the log up to a position. The caller holds the lock.
+// isConfirmed reports whether replicas that each promotion asks have the log up to a position. The caller holds the
+// lock.
 func (g *group) isConfirmed(position api.Position, now time.Duration) bool {
 	return takeover.IsConfirmed(g.receivers(now), g.term, position, g.needsAllReceipts())
 }
@@ -122,8 +123,8 @@
 	return receivers
 }
 
-// awaitReceipt asks for what a commit lacks, a receipt and perhaps a proof, and waits until the group changes. It returns
-// false at the deadline.
+// awaitReceipt asks for what a commit lacks, a receipt and perhaps a proof, and waits until the group changes. It
+// returns false at the deadline.
 func (g *group) awaitReceipt(position api.Position, proved bool, changed <-chan struct{}, deadline time.Time) bool {
 	g.mu.Lock()
 	g.commits.count++
@@ -143,8 +144,8 @@
 	return g.awaitProofChange(changed, deadline)
 }
 
-// serveReceipts asks replicas for what they have received while commits wait for it, until ctx ends. One call serves all
-// commits that were acknowledged before it was sent.
+// serveReceipts asks replicas for what they have received while commits wait for it, until ctx ends. One call serves
+// all commits that were acknowledged before it was sent.
 func (g *group) serveReceipts(ctx context.Context) {
 	timer := time.NewTimer(maxReceiptRetry)
 	defer timer.Stop()
@@ -162,8 +163,8 @@
 }
 
 // askReceivers begins calls to the replicas that are to be asked now, and returns the time after which there may be
-// others; 0 if nothing waits. The first replica is asked, and each next one while those before it do not answer soon or have
-// not received the commits. All are asked at once if all have to have them.
+// others; 0 if nothing waits. The first replica is asked, and each next one while those before it do not answer soon or
+// have not received the commits. All are asked at once if all have to have them.
 func (g *group) askReceivers() time.Duration {
 	g.mu.Lock()
 	defer g.mu.Unlock()
@@ -189,8 +190,8 @@
 	return wait
 }
 
-// receiverOrder returns the replicas whose receipt confirms commits, in the order in which they are asked: those that failed
-// recently last, and otherwise as witnesses of proofs. The caller holds the lock.
+// receiverOrder returns the replicas whose receipt confirms commits, in the order in which they are asked: those that
+// failed recently last, and otherwise as witnesses of proofs. The caller holds the lock.
 func (g *group) receiverOrder(now time.Duration) []*member {
 	var order []*member
 	for _, name := range takeover.Confirming(g.receivers(now)) {
--- a/internal/engine/commitproof_test.go
+++ b/internal/engine/commitproof_test.go
@@ -16,8 +16,8 @@
 // commitOffset is the offset of the commits that receiptLoad acknowledges.
 const commitOffset = 11
 
-// receiptLoad is an engine whose primary a acknowledges each commit at commitOffset, because some replica has received it.
-// The replicas b and c answer status calls as received says.
+// receiptLoad is an engine whose primary a acknowledges each commit at commitOffset, because some replica has received
+// it. The replicas b and c answer status calls as received says.
 type receiptLoad struct {
 	engine *Engine
 	group  *group
@@ -88,8 +88,8 @@
 	return map[string]result.Code{"a write": codeIn(caller.answers[0]), "a transaction": codeIn(caller.answers[3])}
 }
 
-// TestCommitIsConfirmedByAListedReplica guards against the success of a commit that only a replica has received which the
-// daemon, and each promoter, does not know. The primary has acknowledged it within a valid leadership proof.
+// TestCommitIsConfirmedByAListedReplica guards against the success of a commit that only a replica has received which
+// the daemon, and each promoter, does not know. The primary has acknowledged it within a valid leadership proof.
 func TestCommitIsConfirmedByAListedReplica(t *testing.T) {
 	for _, c := range []struct {
 		name        string
@@ -154,8 +154,8 @@
 	}
 }
 
-// TestHolderSaysThatACommitIsConfirmed covers what a holder tells the sender of a commit. A sender that is not told so, as
-// by a holder of an older version, asks the replicas itself.
+// TestHolderSaysThatACommitIsConfirmed covers what a holder tells the sender of a commit. A sender that is not told so,
+// as by a holder of an older version, asks the replicas itself.
 func TestHolderSaysThatACommitIsConfirmed(t *testing.T) {
 	for _, received := range []uint64{10, 11} {
 		l := servedReceiptLoad(t, map[string]uint64{"b": received, "c": received})
@@ -178,8 +178,9 @@
 	}
 }
 
-// TestCommitIsThePrimarysPartOfAProof covers which acknowledged commits count as the status of the primary in a leadership
-// proof. It guards against a proof by the commit of a target that does not lead, leads another term, or has restarted.
+// TestCommitIsThePrimarysPartOfAProof covers which acknowledged commits count as the status of the primary in a
+// leadership proof. It guards against a proof by the commit of a target that does not lead, leads another term, or has
+// restarted.
 func TestCommitIsThePrimarysPartOfAProof(t *testing.T) {
 	committed := api.Position{Term: 1, Offset: commitOffset}
 	for _, c := range []struct {
--- a/internal/engine/observelock_test.go
+++ b/internal/engine/observelock_test.go
@@ -19,8 +19,8 @@
 	return nil
 }
 
-// TestLockIsObservedBeforeTheEntriesAreKnown guards against a wait for the hold of a daemon that has ended which begins only
-// once the daemon may promote.
+// TestLockIsObservedBeforeTheEntriesAreKnown guards against a wait for the hold of a daemon that has ended which begins
+// only once the daemon may promote.
 func TestLockIsObservedBeforeTheEntriesAreKnown(t *testing.T) {
 	lock := &observingLock{}
 	e := newStoppableEngine(lock)
--- a/internal/engine/peerproof.go
+++ b/internal/engine/peerproof.go
@@ -34,10 +34,10 @@
 	return g.term, now - (g.provenUntil - leadership.ProofValidity)
 }
 
-// requestPeerProof asks the other holders of the primary for their leadership proof in the background, and reads the record
-// of the promotion lock if they have none: a holder that has just started cannot start a chain of proofs from the targets,
-// while those that have served in its place have one. A daemon that is no holder gets proofs with the replies of the
-// holder. The caller holds the lock.
+// requestPeerProof asks the other holders of the primary for their leadership proof in the background, and reads the
+// record of the promotion lock if they have none: a holder that has just started cannot start a chain of proofs from
+// the targets, while those that have served in its place have one. A daemon that is no holder gets proofs with the
+// replies of the holder. The caller holds the lock.
 func (g *group) requestPeerProof() {
 	now, p := clock.SinceBoot(), &g.peerProofs
 	addresses := g.otherHolders(now)
@@ -53,8 +53,8 @@
 	g.inBackground(func() { g.proveByPeers(m, addresses) })
 }
 
-// otherHolders returns the addresses of the other daemons that may hold the primary, if this one holds it and it answers.
-// The caller holds the lock.
+// otherHolders returns the addresses of the other daemons that may hold the primary, if this one holds it and it
+// answers. The caller holds the lock.
 func (g *group) otherHolders(now time.Duration) []string {
 	m := g.members[g.primary]
 	if m == nil || m.gate == nil || !g.mayUseHolders(m) || g.isPrimaryUnresponsive(now) {
@@ -85,8 +85,8 @@
 	}
 }
 
-// askPeerProof asks one daemon for its leadership proof. It is dated from before the request, so that it is no older than
-// recorded.
+// askPeerProof asks one daemon for its leadership proof. It is dated from before the request, so that it is no older
+// than recorded.
 func (g *group) askPeerProof(m *member, address string) {
 	request := &api.RelayStatusRequest{Group: g.name, Target: m.name, ProofOnly: true}
 	askedAt := clock.SinceBoot()
--- a/internal/engine/peerproof_test.go
+++ b/internal/engine/peerproof_test.go
@@ -11,8 +11,8 @@
 	"github.com/papayacove/papayacove/internal/policy/leadership"
 )
 
-// newStartedHolder returns the engine that holds the target, which has just started: it has no leadership proof and cannot
-// start a chain of proofs. Its standby has one of the given age.
+// newStartedHolder returns the engine that holds the target, which has just started: it has no leadership proof and
+// cannot start a chain of proofs. Its standby has one of the given age.
 func newStartedHolder(t *testing.T, age time.Duration) (holder *Engine, n *relayNetwork) {
 	t.Helper()
 	target := &fakeTarget{exchange: func(_ *fakeConnection, c Command) (Reply, error) {
@@ -41,8 +41,8 @@
 	return holder, n
 }
 
-// TestStartedHolderUsesTheProofOfItsStandby guards against statements that are refused at a daemon that has just started,
-// since it cannot prove yet that the primary leads, while the daemon that has served in its place can.
+// TestStartedHolderUsesTheProofOfItsStandby guards against statements that are refused at a daemon that has just
+// started, since it cannot prove yet that the primary leads, while the daemon that has served in its place can.
 func TestStartedHolderUsesTheProofOfItsStandby(t *testing.T) {
 	holder, _ := newStartedHolder(t, 0)
 	for _, statement := range []Statement{{ID: "r", Op: OpRead, Text: "r"}, {ID: "w", Op: OpWrite, Text: "w"}} {
--- a/internal/engine/receiver_test.go
+++ b/internal/engine/receiver_test.go
@@ -10,7 +10,8 @@
 // firstCommit is the position of a commit at the fake targets.
 var firstCommit = api.Position{Term: 1, Offset: 1}
 
-// addReceiver adds a listed replica that has received every commit of term 1, so that the commits of a test are confirmed.
+// addReceiver adds a listed replica that has received every commit of term 1, so that the commits of a test are
+// confirmed.
 func (g *group) addReceiver() {
 	g.setTarget(Target{Name: "receiver", Group: g.name, Slots: 2, Zone: "z"})
 	g.mu.Lock()
--- a/internal/engine/relay.go
+++ b/internal/engine/relay.go
@@ -269,8 +269,8 @@
 	}
 }
 
-// recordPeerProof records the leadership proof of a target in a term that the daemon at an address has told. The caller holds
-// the lock.
+// recordPeerProof records the leadership proof of a target in a term that the daemon at an address has told. The caller
+// holds the lock.
 func (g *group) recordPeerProof(m *member, address string, term uint64, at time.Duration) {
 	if term == 0 || term != g.term || m.name != g.primary {
 		return
--- a/internal/engine/relaysession.go
+++ b/internal/engine/relaysession.go
@@ -124,8 +124,11 @@
 	return reply, outcome
 }
 
-// describe adds to a reply what the sender needs to know of the target.
-func (s *RelaySession) describe(reply *api.RelayReply, h *gate, e execution, outcome attemptResult, began time.Duration, term uint64) {
+// describe adds to a reply what the sender needs to know of the target, which was presumed to lead the term when the
+// statement began.
+func (s *RelaySession) describe(
+	reply *api.RelayReply, h *gate, e execution, outcome attemptResult, began time.Duration, term uint64,
+) {
 	reply.Group, reply.Target, reply.Load = h.group.name, h.member.name, h.load()
 	if isNotPermitted(result.CodeOf(outcome.refused)) {
 		s.engine.logRelayRefused(e, outcome.refused)
--- a/internal/engine/steppeddown_test.go
+++ b/internal/engine/steppeddown_test.go
@@ -9,9 +9,10 @@
 	"github.com/papayacove/papayacove/internal/policy/takeover"
 )
 
-// TestOldPrimaryThatEndsIsNoLostReplica guards against a group without a primary for takeover.LostReplicaTimeout: the old
-// primary has stepped down, has a commit that no replica received, and ends as planned before another one leads. No caller
-// was told of such a commit. The promoter may have started since, and knows the old primary from the promotion lock.
+// TestOldPrimaryThatEndsIsNoLostReplica guards against a group without a primary for takeover.LostReplicaTimeout: the
+// old primary has stepped down, has a commit that no replica received, and ends as planned before another one leads. No
+// caller was told of such a commit. The promoter may have started since, and knows the old primary from the promotion
+// lock.
 func TestOldPrimaryThatEndsIsNoLostReplica(t *testing.T) {
 	for _, c := range []struct {
 		name       string
--- a/internal/policy/takeover/hold.go
+++ b/internal/policy/takeover/hold.go
@@ -21,9 +21,9 @@
 	Term uint64
 }
 
-// Awaited returns those of the lost replicas that a promotion waits for. The old primary is none of them if no target has led
-// since, newestTerm being the newest term of any: a commit whose success was passed on is held by another listed replica,
-// and what the old primary alone has was never confirmed.
+// Awaited returns those of the lost replicas that a promotion waits for. The old primary is none of them if no target
+// has led since, newestTerm being the newest term of any: a commit whose success was passed on is held by another
+// listed replica, and what the old primary alone has was never confirmed.
 func Awaited(lost []string, old OldPrimary, newestTerm uint64) []string {
 	return slices.DeleteFunc(lost, func(name string) bool { return name == old.Name && newestTerm == old.Term })
 }
--- a/internal/policy/takeover/receipt_model_test.go
+++ b/internal/policy/takeover/receipt_model_test.go
@@ -15,8 +15,9 @@
 // maxFeedDelay is the longest time from the listing of a target to when a daemon that follows the entries knows it.
 const maxFeedDelay = leadership.ProofValidity
 
-// receiptModel is a modelGroup with targets that receive the log before the store lists them. Promoters, one at a time, know
-// the listed targets only. A daemon that knows a target some time after it is listed passes on the success of commits.
+// receiptModel is a modelGroup with targets that receive the log before the store lists them. Promoters, one at a time,
+// know the listed targets only. A daemon that knows a target some time after it is listed passes on the success of
+// commits.
 type receiptModel struct {
 	*modelGroup
 	// listedAt and knownAt are the times at which the store listed a target and the daemon learned of it.
@@ -196,9 +197,9 @@
 	}}
 }
 
-// TestConfirmedCommitsAreInEachPromotedTarget interleaves commits, partitions, targets that receive before they are listed,
-// and promotions whose promoter freezes between its last look and the order. It guards against the success of a commit that
-// only a target has received which no promoter knows.
+// TestConfirmedCommitsAreInEachPromotedTarget interleaves commits, partitions, targets that receive before they are
+// listed, and promotions whose promoter freezes between its last look and the order. It guards against the success of a
+// commit that only a target has received which no promoter knows.
 func TestConfirmedCommitsAreInEachPromotedTarget(t *testing.T) {
 	counts := map[string]int{}
 	rapid.Check(t, func(t *rapid.T) {
--- a/internal/policy/takeover/receipt_test.go
+++ b/internal/policy/takeover/receipt_test.go
@@ -50,8 +50,8 @@
 	}
 }
 
-// TestLeavingReplicaConfirmsOnlyWhileNoOtherAnswers guards against the success of a commit whose only other copy goes with
-// a replica that leaves.
+// TestLeavingReplicaConfirmsOnlyWhileNoOtherAnswers guards against the success of a commit whose only other copy goes
+// with a replica that leaves.
 func TestLeavingReplicaConfirmsOnlyWhileNoOtherAnswers(t *testing.T) {
 	for _, c := range []struct {
 		staysSilent bool
--- a/internal/promotionlock/promotionlock.go
+++ b/internal/promotionlock/promotionlock.go
@@ -141,8 +141,8 @@
 	return l.of(group).acquire(ctx, old)
 }
 
-// Observe reads the record of a group. If it names a holder, the wait until the lock may be acquired nevertheless begins, and
-// not with the first attempt to acquire it.
+// Observe reads the record of a group. If it names a holder, the wait until the lock may be acquired nevertheless
+// begins, and not with the first attempt to acquire it.
 func (l *Locks) Observe(ctx context.Context, group string) error {
 	observed := l.of(group)
 	observed.mu.Lock()
@@ -227,7 +227,8 @@
 	}
 	l.held, l.before, l.settledTerm, l.old = held, record, settledTermOf(record, stored), old
 	logrus.WithFields(logrus.Fields{
-		logfield.Group: l.group, logfield.Token: token, logfield.Era: held.Era, logfield.OldPrimary: old.Name, logfield.Term: old.Term,
+		logfield.Group: l.group, logfield.Token: token, logfield.Era: held.Era,
+		logfield.OldPrimary: old.Name, logfield.Term: old.Term,
 	}).Info(logevent.DutyTaken)
 	return takeover.Hold{Token: token, Until: sentAt + Validity, Old: old}, nil
 }
--- a/internal/promotionlock/promotionlock_test.go
+++ b/internal/promotionlock/promotionlock_test.go
@@ -379,8 +379,8 @@
 	}
 }
 
-// TestWaitForAHoldBeginsWithTheFirstLook guards against a group without a primary for longer than the hold of a daemon that
-// has ended, because the wait began with the first attempt to acquire the lock.
+// TestWaitForAHoldBeginsWithTheFirstLook guards against a group without a primary for longer than the hold of a daemon
+// that has ended, because the wait began with the first attempt to acquire the lock.
 func TestWaitForAHoldBeginsWithTheFirstLook(t *testing.T) {
 	for _, looks := range []bool{true, false} {
 		now := time.Minute
@@ -426,9 +426,9 @@
 	return hold.Token, hold.Until, err
 }
 
-// TestRecordStatesTheOldPrimary guards against a daemon that has just started and takes the old primary, which has stepped
-// down and ended, for a lost replica: the primary that a promotion replaces is known to later holders, until another one is
-// replaced.
+// TestRecordStatesTheOldPrimary guards against a daemon that has just started and takes the old primary, which has
+// stepped down and ended, for a lost replica: the primary that a promotion replaces is known to later holders, until
+// another one is replaced.
 func TestRecordStatesTheOldPrimary(t *testing.T) {
 	store := &memoryStore{}
 	ctx, old := context.Background(), takeover.OldPrimary{Name: "a", Term: 3}
--- a/standin/lines/disruptions.go
+++ b/standin/lines/disruptions.go
@@ -28,8 +28,8 @@
 // timeout. It returns once the old one has announced this.
 func (f *Fleet) Replace(g *Group, id string) error { return f.replace(g, id, 0) }
 
-// ReplaceListedLate does what Replace does while the store carries out the first write of the new target's entry late by
-// entryDelay: the target receives the log before it is listed.
+// ReplaceListedLate does what Replace does while the store carries out the first write of the new target's entry late
+// by entryDelay: the target receives the log before it is listed.
 func (f *Fleet) ReplaceListedLate(g *Group, id string, entryDelay time.Duration) error {
 	return f.replace(g, id, entryDelay)
 }
--- a/standin/lines/unlistedreplica_test.go
+++ b/standin/lines/unlistedreplica_test.go
@@ -5,7 +5,8 @@
 	"time"
 )
 
-// entryDelay is the time after which the store carries out the first write of a new target's entry. A promotion takes less.
+// entryDelay is the time after which the store carries out the first write of a new target's entry. A promotion takes
+// less.
 const entryDelay = 5 * time.Second
 
 // checkKept checks that each write whose caller was told of success is in the log of the primary. What a target has
@@ -32,8 +33,8 @@
 
 // TestReplacedPrimaryBesideAnUnlistedReplicaLosesNothing guards against the success of commits that only a replica has
 // received which no promoter knows: a primary is replaced as planned before the entry of the new target is written. The
-// promoter pauses the listed replicas, and the new one lets the old primary acknowledge commits until that steps down, or
-// until the promotion takes effect if the order to step down is lost.
+// promoter pauses the listed replicas, and the new one lets the old primary acknowledge commits until that steps down,
+// or until the promotion takes effect if the order to step down is lost.
 func TestReplacedPrimaryBesideAnUnlistedReplicaLosesNothing(t *testing.T) {
 	t.Parallel()
 	for name, stepDownLost := range map[string]bool{"the old primary steps down": false, "the order to step down is lost": true} {
