Relays and the stand-in: one look-up of a group, one way to replace a target

The question for a proof looked a group up beside knownGate, with a constructor for their common error; both call knownGroup now. In the stand-in, Replace is ReplaceListedLate without a delay, and the third function is gone.

No behaviour is changed.

--- a/internal/engine/peerproof.go
+++ b/internal/engine/peerproof.go
@@ -102,11 +102,9 @@
 
 // proof returns the leadership proof that this daemon has of a target. It makes no call to the target.
 func (s *RelaySession) proof(request *api.RelayStatusRequest) *api.RelayStatusReply {
-	s.engine.mu.Lock()
-	g, ok := s.engine.groups[request.Group]
-	s.engine.mu.Unlock()
-	if !ok {
-		return &api.RelayStatusReply{Reason: errGroupUnknown(request.Group).Error()}
+	g, refused := s.engine.knownGroup(request.Group)
+	if refused != nil {
+		return &api.RelayStatusReply{Reason: refused.Error()}
 	}
 	term, age := g.proofOf(request.Target)
 	return &api.RelayStatusReply{Held: true, ProofTerm: term, ProofAgeUs: age.Microseconds()}
--- a/internal/engine/relaysession.go
+++ b/internal/engine/relaysession.go
@@ -284,11 +284,9 @@
 
 // knownGate is gateFor for what a stopping daemon serves too.
 func (e *Engine) knownGate(groupName, target string) (*gate, error) {
-	e.mu.Lock()
-	g, ok := e.groups[groupName]
-	e.mu.Unlock()
-	if !ok {
-		return nil, errGroupUnknown(groupName)
+	g, refused := e.knownGroup(groupName)
+	if refused != nil {
+		return nil, refused
 	}
 	g.mu.Lock()
 	m, ok := g.members[target]
@@ -299,7 +297,13 @@
 	return g.gateOf(m), nil
 }
 
-// errGroupUnknown returns the refusal of a request for a group that this daemon does not know.
-func errGroupUnknown(name string) error {
-	return result.Errorf(result.NotRunNotHolder, "group %q is not known here", name)
+// knownGroup returns the named group. It fails with NotRunNotHolder when this daemon does not know it.
+func (e *Engine) knownGroup(name string) (*group, error) {
+	e.mu.Lock()
+	defer e.mu.Unlock()
+	g, ok := e.groups[name]
+	if !ok {
+		return nil, result.Errorf(result.NotRunNotHolder, "group %q is not known here", name)
+	}
+	return g, nil
 }
--- a/standin/lines/disruptions.go
+++ b/standin/lines/disruptions.go
@@ -26,15 +26,11 @@
 
 // Replace starts a target with a copy of another one's log, which then announces that it leaves and ends after its drain
 // timeout. It returns once the old one has announced this.
-func (f *Fleet) Replace(g *Group, id string) error { return f.replace(g, id, 0) }
+func (f *Fleet) Replace(g *Group, id string) error { return f.ReplaceListedLate(g, id, 0) }
 
 // ReplaceListedLate does what Replace does while the store carries out the first write of the new target's entry late
 // by entryDelay: the target receives the log before it is listed.
 func (f *Fleet) ReplaceListedLate(g *Group, id string, entryDelay time.Duration) error {
-	return f.replace(g, id, entryDelay)
-}
-
-func (f *Fleet) replace(g *Group, id string, entryDelay time.Duration) error {
 	old := g.Target(id)
 	if old.isRetired() {
 		return nil
