--- a/review/stand-3/stop.go
+++ b/review/stand-3/stop.go
@@ -41,6 +41,7 @@
 // slowClient is one client and what became of its request.
 type slowClient struct {
 	conn   net.Conn
+	id     string
 	sentAt time.Time
 	took   time.Duration
 	rows   int
@@ -102,8 +103,8 @@
 				lost++
 			}
 		}
-		r.note("client %d: sent %.3f s after the signal, %d rows, last line %q, code %q, ended after %.3f s with %v: %s",
-			i+1, c.sentAt.Sub(began).Seconds(), c.rows, c.ended, c.code, c.took.Seconds(), c.err, verdict)
+		r.note("client %d: %s, sent %.3f s after the signal, run %d times, %d rows, last line %q, code %q, ended after %.3f s with %v: %s",
+			i+1, c.id, c.sentAt.Sub(began).Seconds(), f.Group.ExecutionCount(c.id), c.rows, c.ended, c.code, c.took.Seconds(), c.err, verdict)
 	}
 	r.note("%d requests lost", lost)
 	return lost > 0, nil
@@ -139,7 +140,8 @@
 	c.sentAt = time.Now()
 	defer func() { c.took = time.Since(c.sentAt) }()
 	_ = c.conn.SetDeadline(c.sentAt.Add(stopDeadline))
-	if _, c.err = fmt.Fprintf(c.conn, "QUERY s%d-%d READ rows-%d\r\n", number, lastSlowID.Add(1), stopRows); c.err != nil {
+	c.id = fmt.Sprintf("s%d-%d", number, lastSlowID.Add(1))
+	if _, c.err = fmt.Fprintf(c.conn, "QUERY %s READ rows-%d\r\n", c.id, stopRows); c.err != nil {
 		return
 	}
 	in := bufio.NewReaderSize(slowConn{c.conn}, stopPart)
